Set up the workspace, wire schema, adaptor interfaces and checks

Cause: nothing existed. Change: one module for each program, a committed protobuf schema with its generated code, interfaces for the platform and the upstreams, the scheduler's events and actions, result codes, and a check script that builds pinned tools. Conclusion: parts can be built side by side against these interfaces.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,46 @@
+MODULES := adaptor core rosemaryctl rosemaryspool standin wire
+PACKAGES := $(MODULES:%=./%/...)
+TOOLS := $(CURDIR)/bin/tools
+
+.PHONY: tools build test race vet format check-format lint generate check-generated check demo clean
+
+tools:
+	cd tools && GOWORK=off go build -o $(TOOLS)/ tool
+
+build:
+	go build -o bin/ ./rosemaryspool ./rosemaryctl ./standin
+
+test:
+	go test $(PACKAGES)
+
+race:
+	go test -race $(PACKAGES)
+
+vet:
+	go vet $(PACKAGES)
+
+format: tools
+	$(TOOLS)/gofumpt -w $(MODULES)
+
+check-format: tools
+	@unformatted=$$($(TOOLS)/gofumpt -l $(MODULES)); \
+	if [ -n "$$unformatted" ]; then echo "not formatted: $$unformatted"; exit 1; fi
+
+lint: tools
+	$(TOOLS)/staticcheck $(PACKAGES)
+	$(TOOLS)/revive -config revive.toml -set_exit_status -exclude wire/messenger/... $(PACKAGES)
+
+generate:
+	cd tools/generator && GOWORK=off go build -o $(TOOLS)/ tool
+	cd wire && $(TOOLS)/buf generate
+
+check-generated: generate
+	git diff --exit-code -- wire/messenger
+
+check: check-format vet lint test
+
+demo: build
+	./bin/rosemaryspool demo
+
+clean:
+	rm -rf bin
--- /dev/null
+++ b/core/refuser/refuser.go
@@ -0,0 +1,84 @@
+// Package refuser defines the numbered result codes and what each says about the request's effect.
+package refuser
+
+import "strconv"
+
+// Code is a numbered result code; docs/ERRORS.md lists them.
+type Code int
+
+// Effect says what is known about the run of a failed request.
+type Effect int
+
+// Effects of a failed request.
+const (
+	// NotRun is certain: no upstream ran or will run the request.
+	NotRun Effect = iota + 1
+	// OutcomeUnknown means that an upstream may have run the request.
+	OutcomeUnknown
+	// RanAndFailed means that an upstream ran the request and reported a failure.
+	RanAndFailed
+)
+
+// String returns the effect's name in replies and logs.
+func (e Effect) String() string {
+	switch e {
+	case NotRun:
+		return "notRun"
+	case OutcomeUnknown:
+		return "outcomeUnknown"
+	case RanAndFailed:
+		return "ranAndFailed"
+	default:
+		return "effect" + strconv.Itoa(int(e))
+	}
+}
+
+// Result codes. 1xxx: the request itself; 2xxx: admission; 3xxx: upstreams; 4xxx: at-most-once work;
+// 5xxx: configuration; 6xxx: settings; 7xxx: authority and orders.
+const (
+	BadRequest          Code = 1001
+	BodyTooLarge        Code = 1002
+	UnknownClass        Code = 1003
+	UnknownModel        Code = 1004
+	MissingCaller       Code = 1005
+	MissingKey          Code = 1006
+	BadIssueTime        Code = 1007
+	UnknownService      Code = 1008
+	UnknownCaller       Code = 1009
+	NoConfiguration     Code = 2001
+	DeadlineUnreachable Code = 2002
+	CallerOverLimit     Code = 2003
+	Overloaded          Code = 2004
+	ShuttingDown        Code = 2005
+	NoUpstream          Code = 2006
+	UpstreamFailed      Code = 3001
+	DeadlineExceeded    Code = 3002
+	AnswerIncomplete    Code = 3003
+	UpstreamRejected    Code = 3004
+	CallerGone          Code = 3005
+	KeyTooOld           Code = 4001
+	KeyReused           Code = 4002
+	KeyRunning          Code = 4003
+	KeyOutcomeUnknown   Code = 4004
+	LogUnavailable      Code = 4005
+	HistoryIncomplete   Code = 4006
+)
+
+// Refusal is a failed request as its caller sees it.
+type Refusal struct {
+	Code    Code
+	Effect  Effect
+	Message string
+	// RetryAfterMS is the delay in milliseconds after which a retry makes sense; zero when none does.
+	RetryAfterMS int
+}
+
+// Error returns the refusal as one line.
+func (r *Refusal) Error() string {
+	return "refuser: code " + strconv.Itoa(int(r.Code)) + " (" + r.Effect.String() + "): " + r.Message
+}
+
+// NewRefusal returns a refusal that makes no promise about a retry.
+func NewRefusal(code Code, effect Effect, message string) *Refusal {
+	return &Refusal{Code: code, Effect: effect, Message: message}
+}
--- /dev/null
+++ b/core/slicer/slicer.go
@@ -0,0 +1,35 @@
+// Package slicer estimates token counts and cuts prompts into the pieces by which engines cache prefixes.
+package slicer
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"rosemaryspool.example/core/identifier"
+)
+
+// BytesPerToken is the usual size of a token of European languages in UTF-8; the system has no tokenizer of its own.
+const BytesPerToken = 4
+
+// CountTokens estimates the tokens of a text; a text that is not empty has at least one.
+func CountTokens(text string) identifier.Tokens {
+	return identifier.Tokens((len(text) + BytesPerToken - 1) / BytesPerToken)
+}
+
+// HashPrefixes returns a hash for each whole piece of the prompt. Each hash covers the model and all text up to the
+// end of its piece, so that equal hashes mean equal prefixes; the shortest prefix comes first.
+func HashPrefixes(model identifier.ModelName, text string) []identifier.PrefixHash {
+	const pieceBytes = int(identifier.PieceTokens) * BytesPerToken
+	count := len(text) / pieceBytes
+	if count == 0 {
+		return nil
+	}
+	hashes := make([]identifier.PrefixHash, 0, count)
+	digest := xxhash.New()
+	_, _ = digest.WriteString(string(model))
+	_, _ = digest.Write([]byte{0})
+	for i := range count {
+		_, _ = digest.WriteString(text[i*pieceBytes : (i+1)*pieceBytes])
+		hashes = append(hashes, identifier.PrefixHash(digest.Sum64()))
+	}
+	return hashes
+}
--- /dev/null
+++ b/core/slicer/slicer_test.go
@@ -0,0 +1,36 @@
+package slicer
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"rosemaryspool.example/core/identifier"
+)
+
+func TestCountTokens(t *testing.T) {
+	cases := []struct {
+		text string
+		want identifier.Tokens
+	}{
+		{"", 0},
+		{"a", 1},
+		{"abcd", 1},
+		{"abcde", 2},
+	}
+	for _, c := range cases {
+		require.Equal(t, c.want, CountTokens(c.text), "text %q", c.text)
+	}
+}
+
+func TestHashPrefixesFollowsSharedText(t *testing.T) {
+	piece := strings.Repeat("abcd", int(identifier.PieceTokens))
+	one := HashPrefixes("m", piece+piece+"tail")
+	two := HashPrefixes("m", piece+strings.ToUpper(piece))
+	require.Len(t, one, 2)
+	require.Equal(t, one[0], two[0])
+	require.NotEqual(t, one[1], two[1])
+	require.NotEqual(t, one[0], HashPrefixes("other", piece)[0])
+	require.Empty(t, HashPrefixes("m", piece[:len(piece)-1]))
+}
