Add clients of the platform's interfaces over TCP

Cause: the daemon needs the log, list, weight store, engines, services and peers over the network. Change: one client for each adaptor; orders and at-most-once calls use a connection of their own without http.Transport, so that nothing is sent twice or after its write deadline.

--- /dev/null
+++ b/adaptor/appender/client.go
@@ -0,0 +1,91 @@
+package appender
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"rosemaryspool.example/adaptor/requester"
+	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/wire/messenger"
+)
+
+// Client is the log service over HTTP.
+type Client struct {
+	requester *requester.Client
+}
+
+// NewClient returns a client of the log service at a base URL.
+func NewClient(baseURL string) *Client {
+	return &Client{requester: requester.NewClient(baseURL)}
+}
+
+// Append adds the records in order, all or none, and returns the offset of the first.
+func (c *Client) Append(ctx context.Context, stream Stream, records [][]byte) (identifier.Offset, error) {
+	var reply messenger.AppendReply
+	request := &messenger.AppendRequest{Records: records}
+	err := c.requester.Call(ctx, http.MethodPost, recordsPath(stream), request, &reply)
+	if err == nil && reply.Offset == 0 {
+		return 0, eris.Wrap(ErrOutcomeUnknown, "reply names no offset")
+	}
+	if err != nil {
+		return 0, classifyAppend(err)
+	}
+	return identifier.Offset(reply.Offset), nil
+}
+
+// classifyAppend tells certain failures from lost answers: the log's contract is that 4xx and 503 append nothing.
+func classifyAppend(err error) error {
+	if errors.Is(err, requester.ErrUnreachable) {
+		return eris.Wrap(ErrUnavailable, err.Error())
+	}
+	var status *requester.StatusError
+	if errors.As(err, &status) && (status.Status/100 == 4 || status.Status == http.StatusServiceUnavailable) {
+		return eris.Wrap(ErrUnavailable, err.Error())
+	}
+	return eris.Wrap(ErrOutcomeUnknown, err.Error())
+}
+
+// Read returns records from an offset on; with none there it waits up to wait for one. The first offset is 1.
+func (c *Client) Read(ctx context.Context, stream Stream, from identifier.Offset, limit int, wait time.Duration) (Batch, error) {
+	path := fmt.Sprintf("%s?from=%d&limit=%d&waitMs=%d", recordsPath(stream), from, limit, identifier.Milliseconds(wait))
+	var reply messenger.ReadReply
+	err := c.requester.Call(ctx, http.MethodGet, path, nil, &reply)
+	var status *requester.StatusError
+	if errors.As(err, &status) && status.Status == http.StatusGone {
+		return Batch{}, decodeTrimmed(from, status.Body)
+	}
+	if err != nil {
+		return Batch{}, eris.Wrap(ErrUnavailable, err.Error())
+	}
+	return decodeBatch(&reply), nil
+}
+
+func recordsPath(stream Stream) string {
+	return "/v1/streams/" + url.PathEscape(string(stream)) + "/records"
+}
+
+func decodeTrimmed(wanted identifier.Offset, body []byte) error {
+	var reply messenger.ReadReply
+	if err := requester.DecodeReply(body, &reply); err != nil {
+		return eris.Wrap(ErrUnavailable, err.Error())
+	}
+	return &TrimmedError{Wanted: wanted, First: identifier.Offset(reply.FirstOffset)}
+}
+
+func decodeBatch(reply *messenger.ReadReply) Batch {
+	batch := Batch{
+		Entries: make([]Entry, 0, len(reply.Entries)),
+		First:   identifier.Offset(reply.FirstOffset),
+		End:     identifier.Offset(reply.EndOffset),
+	}
+	for _, e := range reply.Entries {
+		batch.Entries = append(batch.Entries, Entry{Offset: identifier.Offset(e.Offset), Record: e.Record})
+	}
+	return batch
+}
--- /dev/null
+++ b/adaptor/completer/stream.go
@@ -0,0 +1,116 @@
+package completer
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"io"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/core/slicer"
+)
+
+const (
+	// startEventBytes fits an ordinary event; the buffer grows up to maxEventBytes.
+	startEventBytes = 4 << 10
+	maxEventBytes   = 1 << 20
+	// drainTimeout bounds the wait for the body's end after the end mark, which lets the connection be used again.
+	drainTimeout = 100 * time.Millisecond
+	// unknownCached is what Result tells when the engine does not report its cache hits.
+	unknownCached identifier.Tokens = -1
+)
+
+var dataPrefix = []byte("data:")
+
+// stream follows one attempt's answer up to its end mark.
+type stream struct {
+	attempt  identifier.AttemptID
+	deliver  func(Piece)
+	result   Result
+	finished bool
+}
+
+// readStream reads events until the end mark; the stream is whole only when a finish reason came before the mark.
+func readStream(body io.ReadCloser, attempt identifier.AttemptID, deliver func(Piece)) (Result, error) {
+	s := &stream{attempt: attempt, deliver: deliver, result: Result{CachedPrompt: unknownCached}}
+	scanner := bufio.NewScanner(body)
+	scanner.Buffer(make([]byte, 0, startEventBytes), maxEventBytes)
+	for scanner.Scan() {
+		data, found := bytes.CutPrefix(scanner.Bytes(), dataPrefix)
+		if !found {
+			continue
+		}
+		data = bytes.TrimSpace(data)
+		if string(data) == EndMark {
+			drain(body)
+			return s.end()
+		}
+		if err := s.take(data); err != nil {
+			return Result{}, err
+		}
+	}
+	if err := scanner.Err(); err != nil {
+		return Result{}, eris.Wrap(ErrBroken, err.Error())
+	}
+	return Result{}, eris.Wrap(ErrBroken, "no end mark")
+}
+
+func drain(body io.ReadCloser) {
+	timer := time.AfterFunc(drainTimeout, func() { _ = body.Close() })
+	defer timer.Stop()
+	_, _ = io.Copy(io.Discard, body)
+}
+
+func (s *stream) end() (Result, error) {
+	if !s.finished {
+		return Result{}, eris.Wrap(ErrBroken, "end mark without finish reason")
+	}
+	return s.result, nil
+}
+
+func (s *stream) take(data []byte) error {
+	var chunk WireChunk
+	if err := json.Unmarshal(data, &chunk); err != nil {
+		return eris.Wrap(ErrBroken, err.Error())
+	}
+	if chunk.ID != s.attempt {
+		return eris.Wrapf(ErrCrossed, "event of attempt %q", chunk.ID)
+	}
+	if chunk.Error != nil {
+		return eris.Wrap(ErrBroken, chunk.Error.Message)
+	}
+	if s.finished {
+		return eris.Wrap(ErrBroken, "event after finish reason")
+	}
+	for _, choice := range chunk.Choices {
+		s.takeChoice(choice)
+	}
+	if chunk.Usage != nil {
+		s.takeUsage(chunk.Usage)
+	}
+	if report := decodeReport(chunk.Report); report != nil {
+		s.result.Load = report
+	}
+	return nil
+}
+
+func (s *stream) takeChoice(choice WireChoice) {
+	if choice.Text != "" {
+		piece := Piece{Text: choice.Text, Tokens: slicer.CountTokens(choice.Text)}
+		s.result.Output += piece.Tokens
+		s.deliver(piece)
+	}
+	if choice.FinishReason != nil {
+		s.finished = true
+		s.result.FinishReason = *choice.FinishReason
+	}
+}
+
+func (s *stream) takeUsage(usage *WireUsage) {
+	if usage.Details != nil {
+		s.result.CachedPrompt = usage.Details.CachedTokens
+	}
+}
--- /dev/null
+++ b/adaptor/invoker/client.go
@@ -0,0 +1,79 @@
+package invoker
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"rosemaryspool.example/adaptor/dispatcher"
+	"rosemaryspool.example/adaptor/requester"
+)
+
+// Headers of a call to a plain service.
+const (
+	HeaderAttempt = "X-Attempt-Id"
+	HeaderKey     = "Idempotency-Key"
+)
+
+// Client is one upstream of a plain service over HTTP.
+type Client struct {
+	requester  *requester.Client
+	dispatcher *dispatcher.Dispatcher
+}
+
+// NewClient returns a client of the service at a base URL.
+func NewClient(baseURL string) *Client {
+	return &Client{
+		requester:  requester.NewClient(baseURL),
+		dispatcher: dispatcher.NewDispatcher(baseURL, nil),
+	}
+}
+
+// Invoke sends the call and returns the service's whole response, whatever its status.
+func (c *Client) Invoke(ctx context.Context, call Call) (Answer, error) {
+	if call.Once {
+		return c.invokeOnce(ctx, call)
+	}
+	response, err := c.requester.Open(ctx, call.Method, call.Path, call.Body, callHeader(call))
+	if errors.Is(err, requester.ErrUnreachable) {
+		return Answer{}, eris.Wrap(ErrNotSent, err.Error())
+	}
+	if err != nil {
+		return Answer{}, eris.Wrap(ErrOutcomeUnknown, err.Error())
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(response.Body, dispatcher.MaxAnswerBytes+1))
+	if err != nil {
+		return Answer{}, eris.Wrap(ErrOutcomeUnknown, err.Error())
+	}
+	if len(body) > dispatcher.MaxAnswerBytes {
+		return Answer{}, eris.Wrapf(ErrOutcomeUnknown, "answer over %d bytes", dispatcher.MaxAnswerBytes)
+	}
+	return Answer{Status: response.StatusCode, Header: response.Header, Body: body}, nil
+}
+
+func (c *Client) invokeOnce(ctx context.Context, call Call) (Answer, error) {
+	answer, err := c.dispatcher.Send(ctx, call.Method, call.Path, callHeader(call), call.Body, time.Time{})
+	if errors.Is(err, dispatcher.ErrNotSent) {
+		return Answer{}, eris.Wrap(ErrNotSent, err.Error())
+	}
+	if err != nil {
+		return Answer{}, eris.Wrap(ErrOutcomeUnknown, err.Error())
+	}
+	return Answer(answer), nil
+}
+
+func callHeader(call Call) http.Header {
+	header := http.Header{HeaderAttempt: {string(call.Attempt)}}
+	if call.ContentType != "" {
+		header.Set("Content-Type", call.ContentType)
+	}
+	if call.Key != "" {
+		header.Set(HeaderKey, string(call.Key))
+	}
+	return header
+}
--- /dev/null
+++ b/adaptor/permitter/client.go
@@ -0,0 +1,34 @@
+package permitter
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"rosemaryspool.example/adaptor/requester"
+	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/wire/messenger"
+)
+
+// Client is the weight store over HTTP.
+type Client struct {
+	requester *requester.Client
+}
+
+// NewClient returns a client of the weight store at a base URL.
+func NewClient(baseURL string) *Client {
+	return &Client{requester: requester.NewClient(baseURL)}
+}
+
+// Permit asks whether a load of one model version may start now.
+func (c *Client) Permit(ctx context.Context, model identifier.ModelName, version identifier.ModelVersion) (Permit, error) {
+	request := &messenger.WeightPermitRequest{Model: string(model), Version: string(version)}
+	var reply messenger.WeightPermit
+	if err := c.requester.Call(ctx, http.MethodPost, "/v1/permits", request, &reply); err != nil {
+		return Permit{}, eris.Wrap(err, "permitter: ask for permit")
+	}
+	wait := time.Duration(reply.RetryAfterMs) * time.Millisecond
+	return Permit{Granted: reply.Granted, RetryAfter: wait}, nil
+}
--- /dev/null
+++ b/adaptor/querier/client.go
@@ -0,0 +1,120 @@
+package querier
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"rosemaryspool.example/wire/messenger"
+)
+
+const (
+	// serviceName is the name under which an instance registers its methods.
+	serviceName = "Peer"
+	dialTimeout = 2 * time.Second
+)
+
+// Client calls one peer over TCP. It keeps one connection and opens a new one after a failure.
+type Client struct {
+	address string
+	mutex   sync.Mutex
+	current *rpc.Client
+}
+
+// NewClient returns a client of the peer at an address with port.
+func NewClient(address string) *Client {
+	return &Client{address: address}
+}
+
+// Bootstrap asks the peer for its folded state.
+func (c *Client) Bootstrap(ctx context.Context, request *messenger.BootstrapRequest) (*messenger.BootstrapReply, error) {
+	reply := &messenger.BootstrapReply{}
+	return answer(reply, c.call(ctx, "Bootstrap", request, reply))
+}
+
+// Relay reads log records through the peer.
+func (c *Client) Relay(ctx context.Context, request *messenger.RelayRequest) (*messenger.RelayReply, error) {
+	reply := &messenger.RelayReply{}
+	return answer(reply, c.call(ctx, "Relay", request, reply))
+}
+
+// Status asks the peer what it has in force.
+func (c *Client) Status(ctx context.Context, request *messenger.StatusRequest) (*messenger.InstanceStatus, error) {
+	reply := &messenger.InstanceStatus{}
+	return answer(reply, c.call(ctx, "Status", request, reply))
+}
+
+// Close closes the connection; a later call opens a new one.
+func (c *Client) Close() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.current != nil {
+		_ = c.current.Close()
+		c.current = nil
+	}
+}
+
+func answer[T any](reply *T, err error) (*T, error) {
+	if err != nil {
+		return nil, err
+	}
+	return reply, nil
+}
+
+// call runs one method. When ctx ends first the reply is abandoned; after a timeout the connection is closed too,
+// since the peer may be partitioned.
+func (c *Client) call(ctx context.Context, method string, request, reply any) error {
+	client, err := c.connect(ctx)
+	if err != nil {
+		return eris.Wrapf(err, "querier: connect to %s", c.address)
+	}
+	call := client.Go(serviceName+"."+method, request, reply, make(chan *rpc.Call, 1))
+	select {
+	case <-call.Done:
+		return c.finish(client, method, call.Error)
+	case <-ctx.Done():
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			c.discard(client)
+		}
+		return eris.Wrapf(ctx.Err(), "querier: call %s at %s", method, c.address)
+	}
+}
+
+func (c *Client) finish(client *rpc.Client, method string, err error) error {
+	if err == nil {
+		return nil
+	}
+	var remote rpc.ServerError
+	if !errors.As(err, &remote) {
+		c.discard(client)
+	}
+	return eris.Wrapf(err, "querier: call %s at %s", method, c.address)
+}
+
+func (c *Client) connect(ctx context.Context) (*rpc.Client, error) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.current != nil {
+		return c.current, nil
+	}
+	conn, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, "tcp", c.address)
+	if err != nil {
+		return nil, err
+	}
+	c.current = rpc.NewClient(conn)
+	return c.current, nil
+}
+
+func (c *Client) discard(client *rpc.Client) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.current == client {
+		c.current = nil
+	}
+	_ = client.Close()
+}
