--- /dev/null
+++ b/standin/recorder/recorder.go
@@ -0,0 +1,222 @@
+// Package recorder is a stand-in for the platform's log service, in memory and over HTTP.
+package recorder
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"golang.org/x/time/rate"
+
+	"rosemaryspool.example/adaptor/appender"
+	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/standin/switcher"
+)
+
+const (
+	// DefaultAppendsPerSecond is what the platform's log takes from everybody together.
+	DefaultAppendsPerSecond = 400
+	// DefaultKeepRecords is the retention of one stream in records.
+	DefaultKeepRecords = 1 << 20
+	// maxQueueDelay is how long an append over the rate waits before it is refused.
+	maxQueueDelay = time.Second
+	// maxReadRecords bounds one read.
+	maxReadRecords = 10_000
+	// maxWait bounds a long poll.
+	maxWait = time.Minute
+)
+
+// Settings describes the log. Zero values take the defaults.
+type Settings struct {
+	AppendsPerSecond float64
+	// KeepRecords is the number of records that each stream keeps.
+	KeepRecords int
+	Faults      Faults
+}
+
+// Faults are the log's switches; counters fall by one with each use.
+type Faults struct {
+	// Outage refuses every call.
+	Outage bool `json:"outage"`
+	// LoseAnswers is the number of appends that take effect but are not answered.
+	LoseAnswers int `json:"loseAnswers"`
+	// DropAppends is the number of appends that neither take effect nor are answered.
+	DropAppends int `json:"dropAppends"`
+	// DelayMS slows every call down.
+	DelayMS int `json:"delayMs"`
+}
+
+// Log is an append-only log in memory. It is safe for concurrent use.
+type Log struct {
+	Switches *switcher.Switches[Faults]
+	keep     int
+	limiter  *rate.Limiter
+	mutex    sync.Mutex
+	streams  map[appender.Stream]*stream
+}
+
+var _ appender.Log = (*Log)(nil)
+
+// stream is one stream's kept records; records[0] has the offset first.
+type stream struct {
+	first    identifier.Offset
+	records  [][]byte
+	appended chan struct{}
+}
+
+// NewLog returns an empty log.
+func NewLog(settings Settings) *Log {
+	if settings.AppendsPerSecond <= 0 {
+		settings.AppendsPerSecond = DefaultAppendsPerSecond
+	}
+	if settings.KeepRecords <= 0 {
+		settings.KeepRecords = DefaultKeepRecords
+	}
+	burst := max(1, int(settings.AppendsPerSecond))
+	return &Log{
+		Switches: switcher.NewSwitches(settings.Faults),
+		keep:     settings.KeepRecords,
+		limiter:  rate.NewLimiter(rate.Limit(settings.AppendsPerSecond), burst),
+		streams:  map[appender.Stream]*stream{},
+	}
+}
+
+// Append adds the records in order, all or none, and returns the offset of the first.
+func (l *Log) Append(ctx context.Context, name appender.Stream, records [][]byte) (identifier.Offset, error) {
+	if len(records) == 0 {
+		return 0, eris.Wrap(appender.ErrUnavailable, "no records")
+	}
+	faults := l.Switches.Get()
+	if faults.Outage {
+		return 0, eris.Wrap(appender.ErrUnavailable, "outage")
+	}
+	if err := switcher.Sleep(ctx, faults.DelayMS); err != nil {
+		return 0, eris.Wrap(appender.ErrUnavailable, err.Error())
+	}
+	if err := l.admit(ctx); err != nil {
+		return 0, err
+	}
+	if l.Switches.Take(func(f *Faults) *int { return &f.DropAppends }) {
+		return 0, eris.Wrap(appender.ErrOutcomeUnknown, "append dropped")
+	}
+	offset := l.add(name, records)
+	if l.Switches.Take(func(f *Faults) *int { return &f.LoseAnswers }) {
+		return 0, eris.Wrap(appender.ErrOutcomeUnknown, "answer lost")
+	}
+	return offset, nil
+}
+
+// admit lets an append in at the log's rate.
+func (l *Log) admit(ctx context.Context) error {
+	now := time.Now()
+	reservation := l.limiter.ReserveN(now, 1)
+	delay := reservation.DelayFrom(now)
+	if delay > maxQueueDelay {
+		reservation.CancelAt(now)
+		return eris.Wrap(appender.ErrUnavailable, "over the append rate")
+	}
+	if delay == 0 {
+		return nil
+	}
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return eris.Wrap(appender.ErrUnavailable, ctx.Err().Error())
+	}
+}
+
+func (l *Log) add(name appender.Stream, records [][]byte) identifier.Offset {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	s := l.stream(name)
+	offset := s.end()
+	for _, r := range records {
+		s.records = append(s.records, append([]byte(nil), r...))
+	}
+	if excess := len(s.records) - l.keep; excess > 0 {
+		s.trim(excess)
+	}
+	close(s.appended)
+	s.appended = make(chan struct{})
+	return offset
+}
+
+// stream returns a stream, which exists as soon as it is named; the caller holds the mutex.
+func (l *Log) stream(name appender.Stream) *stream {
+	s, ok := l.streams[name]
+	if !ok {
+		s = &stream{first: 1, appended: make(chan struct{})}
+		l.streams[name] = s
+	}
+	return s
+}
+
+func (s *stream) end() identifier.Offset { return s.first + identifier.Offset(len(s.records)) }
+
+func (s *stream) trim(count int) {
+	clear(s.records[:count])
+	s.records = s.records[count:]
+	s.first += identifier.Offset(count)
+}
+
+// Trim drops a stream's records before an offset, as retention would.
+func (l *Log) Trim(name appender.Stream, before identifier.Offset) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	s := l.stream(name)
+	if before <= s.first {
+		return
+	}
+	s.trim(int(min(before, s.end()) - s.first))
+}
+
+// Read returns records from an offset on; with none there it waits up to wait for one.
+func (l *Log) Read(ctx context.Context, name appender.Stream, from identifier.Offset, limit int, wait time.Duration) (appender.Batch, error) {
+	if err := switcher.Sleep(ctx, l.Switches.Get().DelayMS); err != nil {
+		return appender.Batch{}, eris.Wrap(appender.ErrUnavailable, err.Error())
+	}
+	timer := time.NewTimer(min(wait, maxWait))
+	defer timer.Stop()
+	for {
+		switched := l.Switches.Changed()
+		if l.Switches.Get().Outage {
+			return appender.Batch{}, eris.Wrap(appender.ErrUnavailable, "outage")
+		}
+		batch, appended, err := l.take(name, from, limit)
+		if err != nil || len(batch.Entries) > 0 || wait <= 0 {
+			return batch, err
+		}
+		select {
+		case <-appended:
+		case <-switched:
+		case <-timer.C:
+			wait = 0
+		case <-ctx.Done():
+			return appender.Batch{}, eris.Wrap(appender.ErrUnavailable, ctx.Err().Error())
+		}
+	}
+}
+
+// take returns what is there and a channel that is closed at the next append.
+func (l *Log) take(name appender.Stream, from identifier.Offset, limit int) (appender.Batch, <-chan struct{}, error) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	s := l.stream(name)
+	from = max(from, 1)
+	if from < s.first {
+		return appender.Batch{}, nil, &appender.TrimmedError{Wanted: from, First: s.first}
+	}
+	if limit <= 0 || limit > maxReadRecords {
+		limit = maxReadRecords
+	}
+	batch := appender.Batch{First: s.first, End: s.end()}
+	for offset := from; offset < s.end() && len(batch.Entries) < limit; offset++ {
+		record := s.records[offset-s.first]
+		batch.Entries = append(batch.Entries, appender.Entry{Offset: offset, Record: record})
+	}
+	return batch, s.appended, nil
+}
