Add engine and service stand-ins and a host that starts the whole set

Cause: the demo and the scenarios need the platform's places taken by processes that speak its interfaces. Change: generator drives the deterministic engine model by the clock and serves it over HTTP with streams, orders, reports, cache events, KV export and import; provider counts runs of a plain service; host starts all. Conclusion: a split answer over two engines equals the whole answer; host tests green with the race detector.

--- /dev/null
+++ b/standin/generator/exporter.go
@@ -0,0 +1,51 @@
+package generator
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"sync"
+
+	"github.com/rotisserie/eris"
+
+	"rosemaryspool.example/adaptor/completer"
+	"rosemaryspool.example/adaptor/requester"
+	"rosemaryspool.example/core/identifier"
+)
+
+// exporters keeps a client for each engine that this engine imports from.
+type exporters struct {
+	mutex   sync.Mutex
+	clients map[string]*requester.Client
+}
+
+func (x *exporters) client(address string) *requester.Client {
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	if x.clients == nil {
+		x.clients = map[string]*requester.Client{}
+	}
+	client, ok := x.clients[address]
+	if !ok {
+		client = requester.NewClient(address)
+		x.clients[address] = client
+	}
+	return client
+}
+
+// importKV fetches an exported KV cache; the model accounts for the time of the transfer.
+func (e *Engine) importKV(ctx context.Context, source completer.KVSource) error {
+	if e.settings.TakeExport != nil {
+		return e.settings.TakeExport(ctx, source)
+	}
+	path := "/v1/exports/" + url.PathEscape(string(source.Attempt))
+	err := e.exports.client(source.Address).Call(ctx, http.MethodDelete, path, nil, nil)
+	return eris.Wrap(err, "generator: import KV cache")
+}
+
+// ReleaseExport hands the exported KV cache of an attempt over and forgets it.
+func (e *Engine) ReleaseExport(attempt identifier.AttemptID) error {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.model.TakeExport(e.now(), attempt)
+}
--- /dev/null
+++ b/standin/generator/generator.go
@@ -0,0 +1,276 @@
+// Package generator is a stand-in for a model engine, in memory and over HTTP. It drives the deterministic engine
+// model by the clock.
+package generator
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sourcegraph/conc"
+
+	"rosemaryspool.example/adaptor/completer"
+	"rosemaryspool.example/adaptor/director"
+	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/core/slicer"
+	"rosemaryspool.example/standin/batcher"
+	"rosemaryspool.example/standin/switcher"
+	"rosemaryspool.example/wire/messenger"
+)
+
+// Engine is one model engine. It is safe for concurrent use.
+type Engine struct {
+	Switches *switcher.Switches[Faults]
+	settings Settings
+	started  time.Time
+	wake     chan struct{}
+	done     chan struct{}
+	group    conc.WaitGroup
+	exports  exporters
+
+	mutex    sync.Mutex
+	model    *batcher.Engine
+	attempts map[identifier.AttemptID]*attempt
+	loaded   load
+	orders   orders
+	events   cacheEvents
+	reported *messenger.EngineReport
+	// reportedAt is when the reported load was measured, in model time.
+	reportedAt time.Time
+}
+
+// load is what the engine has loaded.
+type load struct {
+	model    identifier.ModelName
+	version  identifier.ModelVersion
+	adapters []string
+}
+
+var (
+	_ completer.Engine = (*Engine)(nil)
+	_ director.Engine  = (*Engine)(nil)
+)
+
+// NewEngine starts an engine; Close stops it.
+func NewEngine(settings Settings) *Engine {
+	settings = settings.withDefaults()
+	e := &Engine{
+		settings: settings,
+		started:  time.Now(),
+		wake:     make(chan struct{}, 1),
+		done:     make(chan struct{}),
+		model:    batcher.NewEngine(settings.Model),
+		attempts: map[identifier.AttemptID]*attempt{},
+		loaded:   load{model: settings.Model.Model, version: settings.Version, adapters: settings.Adapters},
+	}
+	e.Switches = switcher.NewSwitches(settings.Faults, e.applyFaults)
+	e.applyFaults(settings.Faults)
+	e.group.Go(e.drive)
+	return e
+}
+
+// Close stops the engine; attempts that run break off.
+func (e *Engine) Close() {
+	close(e.done)
+	e.group.Wait()
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	for id, a := range e.attempts {
+		a.end(errCrashed)
+		delete(e.attempts, id)
+	}
+}
+
+// now returns the model time.
+func (e *Engine) now() time.Time {
+	elapsed := time.Since(e.started)
+	return e.started.Add(time.Duration(float64(elapsed) * e.settings.Speed))
+}
+
+// drive carries the model's events to the attempts as the clock reaches them.
+func (e *Engine) drive() {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-e.done:
+			return
+		case <-timer.C:
+		case <-e.wake:
+		}
+		if next, ok := e.advance(); ok {
+			wait := float64(next.Sub(e.now())) / e.settings.Speed
+			timer.Reset(max(time.Duration(wait), 0))
+		}
+	}
+}
+
+// advance runs the model up to now and returns the time of its next event.
+func (e *Engine) advance() (time.Time, bool) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	now := e.now()
+	for _, event := range e.model.Advance(now) {
+		e.take(event)
+	}
+	e.collectCacheEvents(now)
+	return e.model.NextEvent()
+}
+
+// take carries one event of the model out; the caller holds the mutex.
+func (e *Engine) take(event batcher.Event) {
+	switch v := event.(type) {
+	case batcher.TokensProduced:
+		e.progress(v.Attempt, progress{output: v.Output})
+	case batcher.PrefillExported:
+		e.progress(v.Attempt, progress{output: v.Output, cached: v.CachedPrompt, reason: completer.FinishExported})
+	case batcher.Finished:
+		e.progress(v.Attempt, progress{output: v.Output, cached: v.CachedPrompt, reason: completer.FinishStop})
+	case batcher.Dropped:
+		e.drop(v)
+	case batcher.RoleChanged:
+		e.finishOrder()
+	}
+}
+
+func (e *Engine) progress(id identifier.AttemptID, reached progress) {
+	a, ok := e.attempts[id]
+	if !ok {
+		return
+	}
+	a.advance(reached)
+	if reached.reason != "" {
+		delete(e.attempts, id)
+	}
+}
+
+func (e *Engine) drop(dropped batcher.Dropped) {
+	a, ok := e.attempts[dropped.Attempt]
+	if !ok {
+		return
+	}
+	delete(e.attempts, dropped.Attempt)
+	if dropped.Cause == batcher.CauseCrash {
+		a.end(errCrashed)
+		return
+	}
+	a.end(errDropped)
+}
+
+// applyFaults sets the switches that the model itself knows.
+func (e *Engine) applyFaults(faults Faults) {
+	e.mutex.Lock()
+	now := e.now()
+	slowness := faults.Slowness
+	if slowness <= 0 {
+		slowness = 1
+	}
+	e.model.SetSlowness(now, slowness)
+	e.model.Drain(now, faults.Draining)
+	if faults.Leaving {
+		e.model.Leave(now)
+	}
+	if faults.Crashed && !e.model.Down() {
+		e.model.Crash(now)
+		e.orders.lose()
+	}
+	if !faults.Crashed {
+		e.model.Restart(now)
+	}
+	e.mutex.Unlock()
+	e.nudge()
+}
+
+// nudge lets the driver look again for the next event.
+func (e *Engine) nudge() {
+	select {
+	case e.wake <- struct{}{}:
+	default:
+	}
+}
+
+var (
+	errCrashed  = eris.New("generator: engine crashed")
+	errDropped  = eris.New("generator: dropped by an order")
+	errRejected = eris.New("generator: work refused")
+	errRuns     = eris.New("generator: attempt already runs")
+	errModel    = eris.New("generator: another model is loaded")
+	errResume   = eris.New("generator: resume text is not this answer's beginning")
+	errEmpty    = eris.New("generator: max_tokens below 1")
+)
+
+// begin submits an attempt to the model.
+func (e *Engine) begin(ctx context.Context, request completer.Request) (*attempt, error) {
+	if request.MaxOutput < 1 {
+		return nil, errEmpty
+	}
+	a := newAttempt(request, e.takeAnswerFault())
+	if request.Resume != a.answer.text(0, request.ResumeTokens) {
+		return nil, errResume
+	}
+	if err := e.admit(request); err != nil {
+		return nil, err
+	}
+	if request.ImportFrom != nil {
+		if err := e.importKV(ctx, *request.ImportFrom); err != nil {
+			return nil, err
+		}
+	}
+	return a, e.submit(a)
+}
+
+// admit refuses work that the engine does not even queue.
+func (e *Engine) admit(request completer.Request) error {
+	faults := e.Switches.Get()
+	if faults.Crashed {
+		return errCrashed
+	}
+	if faults.RejectWork {
+		return errRejected
+	}
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if request.Model != e.loaded.model {
+		return errModel
+	}
+	return nil
+}
+
+func (e *Engine) submit(a *attempt) error {
+	if a.request.ResumeTokens >= a.answer.length {
+		a.advance(progress{reason: completer.FinishStop})
+		return nil
+	}
+	sequence := a.sequence(slicer.HashPrefixes(a.request.Model, a.request.Prompt))
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if _, runs := e.attempts[a.request.Attempt]; runs {
+		return errRuns
+	}
+	err := e.model.Submit(e.now(), sequence)
+	if errors.Is(err, batcher.ErrDown) {
+		return errCrashed
+	}
+	if err != nil {
+		return eris.Wrap(err, "generator: submit")
+	}
+	e.attempts[a.request.Attempt] = a
+	e.nudge()
+	return nil
+}
+
+// Cancel drops an attempt and its exported KV cache; it reports whether the attempt was running.
+func (e *Engine) Cancel(id identifier.AttemptID) bool {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	a, running := e.attempts[id]
+	delete(e.attempts, id)
+	e.model.Cancel(e.now(), id)
+	if running {
+		a.end(errCancelled)
+	}
+	e.nudge()
+	return running
+}
--- /dev/null
+++ b/standin/generator/order.go
@@ -0,0 +1,200 @@
+package generator
+
+import (
+	"context"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"rosemaryspool.example/adaptor/director"
+	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/standin/batcher"
+	"rosemaryspool.example/wire/messenger"
+)
+
+// maxJournal bounds the orders that the engine remembers.
+const maxJournal = 1024
+
+// orders is what the engine knows of its orders.
+type orders struct {
+	// highest is the highest fencing token seen.
+	highest identifier.Token
+	last    identifier.OrderID
+	current *messenger.EngineOrder
+	journal []JournalEntry
+}
+
+// JournalEntry is one order as the engine took it.
+type JournalEntry struct {
+	Order    identifier.OrderID `json:"order"`
+	Kind     string             `json:"kind"`
+	Token    identifier.Token   `json:"token"`
+	Accepted bool               `json:"accepted"`
+	Detail   string             `json:"detail"`
+	// Conflict is true when another order was still under way.
+	Conflict bool `json:"conflict"`
+}
+
+// lose forgets the order that a crash interrupted.
+func (o *orders) lose() { o.current = nil }
+
+// Order takes one order as if it had come over the network.
+func (e *Engine) Order(_ context.Context, order *messenger.OrderRequest, writeBy time.Time) (*messenger.OrderReply, error) {
+	if writeBy.IsZero() || time.Now().After(writeBy) {
+		return nil, eris.Wrap(director.ErrNotSent, "write deadline over")
+	}
+	if e.Switches.Get().Crashed {
+		return nil, eris.Wrap(director.ErrOutcomeUnknown, errCrashed.Error())
+	}
+	reply := e.takeOrder(order)
+	if e.Switches.Take(func(f *Faults) *int { return &f.LoseOrderAnswers }) {
+		return nil, eris.Wrap(director.ErrOutcomeUnknown, "answer lost")
+	}
+	return reply, nil
+}
+
+// Journal returns the orders that the engine received, oldest first.
+func (e *Engine) Journal() []JournalEntry {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return append([]JournalEntry(nil), e.orders.journal...)
+}
+
+// takeOrder decides on an order and begins to carry it out.
+func (e *Engine) takeOrder(request *messenger.OrderRequest) *messenger.OrderReply {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	order := request.GetOrder()
+	conflict := e.orders.current != nil && e.orders.current.OrderId != order.GetOrderId()
+	refusal := e.judge(request)
+	entry := JournalEntry{
+		Order:    identifier.OrderID(order.GetOrderId()),
+		Kind:     order.GetKind().String(),
+		Token:    identifier.Token(request.Token),
+		Accepted: refusal == "",
+		Detail:   refusal,
+		Conflict: conflict && order.GetKind() != messenger.OrderKind_ORDER_KIND_FENCE,
+	}
+	e.orders.journal = append(e.orders.journal, entry)
+	if len(e.orders.journal) > maxJournal {
+		e.orders.journal = e.orders.journal[1:]
+	}
+	e.nudge()
+	return &messenger.OrderReply{Accepted: entry.Accepted, Token: uint64(e.orders.highest), Detail: refusal}
+}
+
+// judge carries an order out or returns why it is refused; the caller holds the mutex.
+func (e *Engine) judge(request *messenger.OrderRequest) string {
+	order := request.GetOrder()
+	token := identifier.Token(request.Token)
+	if order.GetEngine() != string(e.settings.ID) {
+		return "order for another engine"
+	}
+	if e.settings.ChecksTokens && token < e.orders.highest {
+		return "old fencing token"
+	}
+	e.orders.highest = max(e.orders.highest, token)
+	if order.GetOrderId() != "" && order.GetOrderId() == string(e.orders.last) {
+		return ""
+	}
+	role := e.model.Role()
+	switch order.GetKind() {
+	case messenger.OrderKind_ORDER_KIND_FENCE:
+		return ""
+	case messenger.OrderKind_ORDER_KIND_CHANGE_ROLE:
+		role = identifier.Role(order.GetRole())
+	case messenger.OrderKind_ORDER_KIND_LOAD_MODEL:
+	default:
+		return "unknown kind of order"
+	}
+	return e.beginOrder(order, role)
+}
+
+func (e *Engine) beginOrder(order *messenger.EngineOrder, role identifier.Role) string {
+	if !knownRole(role) {
+		return "unknown role"
+	}
+	err := e.model.ChangeRole(e.now(), role, e.settings.OrderAbsence, e.settings.OrderPatience)
+	if err != nil {
+		return err.Error()
+	}
+	e.orders.current = order
+	e.orders.last = identifier.OrderID(order.GetOrderId())
+	return ""
+}
+
+func knownRole(role identifier.Role) bool {
+	return role == identifier.RoleMixed || role == identifier.RolePrefill || role == identifier.RoleDecode
+}
+
+// finishOrder ends the order under way; the caller holds the mutex.
+func (e *Engine) finishOrder() {
+	order := e.orders.current
+	e.orders.current = nil
+	if order.GetKind() != messenger.OrderKind_ORDER_KIND_LOAD_MODEL {
+		return
+	}
+	e.loaded = load{
+		model:    identifier.ModelName(order.GetModel()),
+		version:  identifier.ModelVersion(order.GetVersion()),
+		adapters: order.GetAdapters(),
+	}
+}
+
+// cacheEvents keeps the model's cache events until they are old enough to be shown.
+type cacheEvents struct {
+	kept []lateEvent
+}
+
+// lateEvent is a cache event with the model time of its occurrence.
+type lateEvent struct {
+	at    time.Time
+	event batcher.CacheEvent
+}
+
+// maxKeptEvents bounds the cache events that readers can still get.
+const maxKeptEvents = 4096
+
+// collectCacheEvents takes new cache events from the model; the caller holds the mutex.
+func (e *Engine) collectCacheEvents(now time.Time) {
+	for _, c := range e.model.TakeCacheEvents() {
+		if e.Switches.Take(func(f *Faults) *int { return &f.LoseCacheEvents }) {
+			continue
+		}
+		e.events.kept = append(e.events.kept, lateEvent{at: now, event: c})
+	}
+	if excess := len(e.events.kept) - maxKeptEvents; excess > 0 {
+		e.events.kept = append([]lateEvent(nil), e.events.kept[excess:]...)
+	}
+}
+
+// CacheEvents returns the events from a sequence number on that are older than the lag.
+func (e *Engine) CacheEvents(ctx context.Context, from uint64) (*messenger.CacheEvents, error) {
+	if err := e.answerable(ctx); err != nil {
+		return nil, err
+	}
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	now := e.now()
+	horizon := now.Add(-e.settings.CacheEventLag)
+	reply := &messenger.CacheEvents{NextSequence: max(from, 1)}
+	for _, l := range e.events.kept {
+		if l.event.Sequence < from || l.at.After(horizon) {
+			continue
+		}
+		reply.Events = append(reply.Events, encodeCacheEvent(l.event))
+		reply.NextSequence = l.event.Sequence + 1
+	}
+	return reply, nil
+}
+
+func encodeCacheEvent(c batcher.CacheEvent) *messenger.CacheEvent {
+	encoded := &messenger.CacheEvent{Sequence: c.Sequence, Cleared: c.Cleared}
+	for _, h := range c.Stored {
+		encoded.Stored = append(encoded.Stored, uint64(h))
+	}
+	for _, h := range c.Evicted {
+		encoded.Evicted = append(encoded.Evicted, uint64(h))
+	}
+	return encoded
+}
--- /dev/null
+++ b/standin/generator/report.go
@@ -0,0 +1,75 @@
+package generator
+
+import (
+	"context"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"rosemaryspool.example/core/scheduler"
+	"rosemaryspool.example/standin/switcher"
+	"rosemaryspool.example/wire/messenger"
+)
+
+// Report returns the engine's account of its load, which may be as old as the lag.
+func (e *Engine) Report(ctx context.Context) (*messenger.EngineReport, error) {
+	if err := e.answerable(ctx); err != nil {
+		return nil, err
+	}
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	now := e.now()
+	if e.reported == nil || now.Sub(e.reportedAt) >= e.settings.ReportLag {
+		e.reported = e.report(now)
+		e.reportedAt = now
+	}
+	return e.reported, nil
+}
+
+// answerable applies the switches of the reading side.
+func (e *Engine) answerable(ctx context.Context) error {
+	faults := e.Switches.Get()
+	if err := switcher.Sleep(ctx, faults.ReportDelayMS); err != nil {
+		return eris.Wrap(err, "generator: report")
+	}
+	if faults.Crashed {
+		return errCrashed
+	}
+	return nil
+}
+
+// freshReport returns the load of this moment, as it is piggybacked on answers.
+func (e *Engine) freshReport() *messenger.EngineReport {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.report(e.now())
+}
+
+// report measures the load; the caller holds the mutex.
+func (e *Engine) report(now time.Time) *messenger.EngineReport {
+	report := encodeLoad(e.model.Load(now))
+	report.Engine = string(e.settings.ID)
+	report.Model = string(e.loaded.model)
+	report.Version = string(e.loaded.version)
+	report.Adapters = e.loaded.adapters
+	report.Token = uint64(e.orders.highest)
+	report.LastOrderId = string(e.orders.last)
+	return report
+}
+
+func encodeLoad(load scheduler.Load) *messenger.EngineReport {
+	return &messenger.EngineReport{
+		Role:                   string(load.Role),
+		Changing:               load.Changing,
+		Leaving:                load.Leaving,
+		QueuedPrefillTokens:    uint32(load.QueuedPrefill),
+		Running:                uint32(load.Running),
+		Waiting:                uint32(load.Waiting),
+		MaxBatch:               uint32(load.MaxBatch),
+		PendingOutputTokens:    uint32(load.PendingOutput),
+		PrefillTokensPerSecond: load.PrefillPerSecond,
+		DecodeStepMs:           float64(load.DecodeStep) / float64(time.Millisecond),
+		Sequence:               load.Sequence,
+		CacheCapacityTokens:    uint32(load.CacheCapacityTokens),
+	}
+}
--- /dev/null
+++ b/standin/host/host_test.go
@@ -0,0 +1,83 @@
+package host
+
+import (
+	"context"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"rosemaryspool.example/adaptor/completer"
+	"rosemaryspool.example/adaptor/lister"
+	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/standin/batcher"
+	"rosemaryspool.example/standin/generator"
+)
+
+// testSpeed makes a model second last a millisecond.
+const testSpeed = 1000
+
+func testSettings() Settings {
+	settings := Settings{Speed: testSpeed, Services: []Service{{ID: "atolye-1", DataCentre: "marmara-a"}}}
+	roles := []identifier.Role{identifier.RoleMixed, identifier.RolePrefill, identifier.RoleDecode}
+	for _, r := range roles {
+		engine := generator.Settings{ID: identifier.UpstreamID(r), Model: batcher.Settings{Role: r, Model: "prova-llm"}}
+		settings.Engines = append(settings.Engines, Engine{Settings: engine, DataCentre: "marmara-b"})
+	}
+	return settings
+}
+
+func TestStartListsEveryUpstream(t *testing.T) {
+	h, err := Start(t.Context(), testSettings())
+	require.NoError(t, err)
+	defer h.Close()
+	members, err := lister.NewClient(h.ListURL).Members(t.Context())
+	require.NoError(t, err)
+	require.Equal(t, []lister.Member{
+		{ID: "atolye-1", Kind: lister.KindService, Address: h.Services["atolye-1"].URL, DataCentre: "marmara-a"},
+		{ID: "decode", Kind: lister.KindEngine, Address: h.Engines["decode"].URL, DataCentre: "marmara-b"},
+		{ID: "mixed", Kind: lister.KindEngine, Address: h.Engines["mixed"].URL, DataCentre: "marmara-b"},
+		{ID: "prefill", Kind: lister.KindEngine, Address: h.Engines["prefill"].URL, DataCentre: "marmara-b"},
+	}, members)
+}
+
+func TestSplitAnswerEqualsWholeAnswer(t *testing.T) {
+	h, err := Start(t.Context(), testSettings())
+	require.NoError(t, err)
+	defer h.Close()
+	request := completer.Request{Attempt: "a1", Model: "prova-llm", Prompt: "measure the sleeve", MaxOutput: 12}
+	whole, result := complete(t, h, "mixed", request)
+	require.Equal(t, completer.Result{Output: 12, FinishReason: completer.FinishLength, Load: result.Load}, result)
+
+	request.Attempt, request.ExportKV = "a2", true
+	begun, result := complete(t, h, "prefill", request)
+	require.Equal(t, completer.FinishExported, result.FinishReason)
+	request.Attempt, request.ExportKV = "a3", false
+	request.Resume, request.ResumeTokens = begun, result.Output
+	request.ImportFrom = &completer.KVSource{Address: h.Engines["prefill"].URL, Attempt: "a2"}
+	rest, _ := complete(t, h, "decode", request)
+	require.Equal(t, whole, begun+rest)
+
+	request.Attempt = "a4"
+	_, err = completer.NewClient(h.Engines["decode"].URL).Complete(t.Context(), request, func(completer.Piece) {})
+	require.ErrorIs(t, err, completer.ErrRejected, "an export is imported once")
+}
+
+func TestStoppedUpstreamIsUnreachable(t *testing.T) {
+	h, err := Start(t.Context(), testSettings())
+	require.NoError(t, err)
+	defer h.Close()
+	h.Engines["mixed"].Stop()
+	client := completer.NewClient(h.Engines["mixed"].URL)
+	_, err = client.Complete(context.Background(), completer.Request{Attempt: "a", MaxOutput: 1}, func(completer.Piece) {})
+	require.ErrorIs(t, err, completer.ErrUnreachable)
+}
+
+func complete(t *testing.T, h *Host, engine identifier.UpstreamID, request completer.Request) (string, completer.Result) {
+	t.Helper()
+	text := ""
+	client := completer.NewClient(h.Engines[engine].URL)
+	result, err := client.Complete(t.Context(), request, func(p completer.Piece) { text += p.Text })
+	require.NoError(t, err)
+	require.Len(t, text, int(result.Output)*4)
+	return text, result
+}
--- /dev/null
+++ b/standin/provider/handler.go
@@ -0,0 +1,91 @@
+package provider
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+
+	"github.com/julienschmidt/httprouter"
+
+	"rosemaryspool.example/adaptor/invoker"
+	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/standin/replier"
+)
+
+// maxCallBytes bounds the body of one call.
+const maxCallBytes = 1 << 20
+
+// receipt is the body of an answer.
+type receipt struct {
+	Run     int                       `json:"run"`
+	Method  string                    `json:"method"`
+	Path    string                    `json:"path"`
+	Key     identifier.IdempotencyKey `json:"key,omitempty"`
+	Attempt identifier.AttemptID      `json:"attempt"`
+}
+
+// connectionKey finds a connection's request counter in the context of its requests.
+type connectionKey struct{}
+
+// CountRequests prepares the context of a new connection for the switch that closes kept-alive connections.
+func CountRequests(ctx context.Context, _ net.Conn) context.Context {
+	return context.WithValue(ctx, connectionKey{}, new(atomic.Int64))
+}
+
+// Handler returns the service's HTTP interface: every path but /faults and /counts is a call.
+func (s *Service) Handler() http.Handler {
+	router := httprouter.New()
+	router.HandleMethodNotAllowed = false
+	router.RedirectTrailingSlash = false
+	router.RedirectFixedPath = false
+	router.GET("/counts", func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+		replier.SendValue(w, http.StatusOK, s.Counts())
+	})
+	s.Switches.Register(router)
+	router.NotFound = http.HandlerFunc(s.serveCall)
+	return router
+}
+
+func (s *Service) serveCall(w http.ResponseWriter, r *http.Request) {
+	counter, _ := r.Context().Value(connectionKey{}).(*atomic.Int64)
+	if counter != nil && counter.Add(1) > 1 && s.Switches.Get().CloseKeptAlive {
+		s.arrive()
+		replier.Abort()
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxCallBytes))
+	if err != nil {
+		replier.Fail(w, http.StatusBadRequest, err)
+		return
+	}
+	answer, err := s.serve(r.Context(), invoker.Call{
+		Attempt:     identifier.AttemptID(r.Header.Get(invoker.HeaderAttempt)),
+		Method:      r.Method,
+		Path:        r.URL.Path,
+		ContentType: r.Header.Get("Content-Type"),
+		Body:        body,
+		Key:         identifier.IdempotencyKey(r.Header.Get(invoker.HeaderKey)),
+	})
+	if err != nil {
+		replier.Abort()
+	}
+	for name, values := range answer.Header {
+		w.Header()[name] = values
+	}
+	w.WriteHeader(answer.Status)
+	_, _ = w.Write(answer.Body)
+}
+
+func reply(status int, call invoker.Call, run int) (invoker.Answer, error) {
+	if status == 0 {
+		status = http.StatusOK
+	}
+	body, err := json.Marshal(receipt{Run: run, Method: call.Method, Path: call.Path, Key: call.Key, Attempt: call.Attempt})
+	if err != nil {
+		return invoker.Answer{}, err
+	}
+	header := http.Header{"Content-Type": {"application/json"}, invoker.HeaderAttempt: {string(call.Attempt)}}
+	return invoker.Answer{Status: status, Header: header, Body: body}, nil
+}
--- a/standin/recorder/recorder.go
+++ b/standin/recorder/recorder.go
@@ -75,7 +75,7 @@
 	}
 	burst := max(1, int(settings.AppendsPerSecond))
 	return &Log{
-		Switches: switcher.NewSwitches(settings.Faults),
+		Switches: switcher.NewSwitches(settings.Faults, nil),
 		keep:     settings.KeepRecords,
 		limiter:  rate.NewLimiter(rate.Limit(settings.AppendsPerSecond), burst),
 		streams:  map[appender.Stream]*stream{},
--- a/standin/registrar/registrar.go
+++ b/standin/registrar/registrar.go
@@ -52,7 +52,7 @@
 // NewList returns an empty list.
 func NewList(settings Settings) *List {
 	return &List{
-		Switches: switcher.NewSwitches(settings.Faults),
+		Switches: switcher.NewSwitches(settings.Faults, nil),
 		visible:  map[string]lister.Member{},
 	}
 }
--- a/standin/server/server.go
+++ b/standin/server/server.go
@@ -23,18 +23,28 @@
 	group    conc.WaitGroup
 }
 
-// Start serves the handler on an address; port 0 lets the system choose one.
-func Start(address string, handler http.Handler) (*Server, error) {
-	listener, err := net.Listen("tcp", address)
+// Settings tells what to serve and where.
+type Settings struct {
+	// Address is a host with port; port 0 lets the system choose one.
+	Address string
+	Handler http.Handler
+	// ConnContext changes the context of a new connection's requests; nil changes nothing.
+	ConnContext func(ctx context.Context, conn net.Conn) context.Context
+}
+
+// Start listens and serves until Close.
+func Start(settings Settings) (*Server, error) {
+	listener, err := net.Listen("tcp", settings.Address)
 	if err != nil {
-		return nil, eris.Wrapf(err, "server: listen on %s", address)
+		return nil, eris.Wrapf(err, "server: listen on %s", settings.Address)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &Server{listener: listener, cancel: cancel}
 	s.http = &http.Server{
-		Handler:           handler,
+		Handler:           settings.Handler,
 		ReadHeaderTimeout: headerTimeout,
 		BaseContext:       func(net.Listener) context.Context { return ctx },
+		ConnContext:       settings.ConnContext,
 	}
 	s.group.Go(func() {
 		if err := s.http.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
--- a/standin/storekeeper/storekeeper.go
+++ b/standin/storekeeper/storekeeper.go
@@ -59,7 +59,7 @@
 	}
 	limit := rate.Limit(settings.LoadsPerMinute / time.Minute.Seconds())
 	return &Store{
-		Switches: switcher.NewSwitches(settings.Faults),
+		Switches: switcher.NewSwitches(settings.Faults, nil),
 		limiter:  rate.NewLimiter(limit, settings.Burst),
 	}
 }
--- a/standin/switcher/switcher.go
+++ b/standin/switcher/switcher.go
@@ -19,11 +19,12 @@
 	mutex   sync.Mutex
 	faults  T
 	changed chan struct{}
+	apply   func(T)
 }
 
-// NewSwitches returns switches with the given first setting.
-func NewSwitches[T any](faults T) *Switches[T] {
-	return &Switches[T]{faults: faults, changed: make(chan struct{})}
+// NewSwitches returns switches with the given first setting. A non-nil apply is called after each change.
+func NewSwitches[T any](faults T, apply func(T)) *Switches[T] {
+	return &Switches[T]{faults: faults, changed: make(chan struct{}), apply: apply}
 }
 
 // Get returns the present setting.
@@ -41,10 +42,14 @@
 // Change edits the setting in place.
 func (s *Switches[T]) Change(edit func(*T)) {
 	s.mutex.Lock()
-	defer s.mutex.Unlock()
 	edit(&s.faults)
+	faults := s.faults
 	close(s.changed)
 	s.changed = make(chan struct{})
+	s.mutex.Unlock()
+	if s.apply != nil {
+		s.apply(faults)
+	}
 }
 
 // Changed returns a channel that is closed at the next change.
