Add contract tests for the platform's interfaces and the stand-ins' commands

Cause: the same rules must hold for the fakes in memory and for the adaptors over TCP, faults included. Conclusion: nothing is sent twice.

--- /dev/null
+++ b/adaptor/completer/stream_test.go
@@ -0,0 +1,55 @@
+package completer
+
+import (
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"rosemaryspool.example/core/identifier"
+)
+
+// events joins events to a stream.
+func events(data ...string) string { return "data: " + strings.Join(data, "\n\ndata: ") + "\n\n" }
+
+func TestReadStream(t *testing.T) {
+	const (
+		text  = `{"id":"a1","choices":[{"text":"fits well"}]}`
+		end   = `{"id":"a1","choices":[{"text":"","finish_reason":"stop"}],"usage":{"prompt_tokens":9,"completion_tokens":3,"prompt_tokens_details":{"cached_tokens":4}},"engineReport":{"engine":"engine-1","sequence":"12"}}`
+		plain = `{"id":"a1","choices":[{"text":"","finish_reason":"length"}]}`
+	)
+	cases := []struct {
+		name   string
+		stream string
+		want   error
+		// delivered counts the tokens handed on.
+		delivered identifier.Tokens
+		reason    string
+		cached    identifier.Tokens
+	}{
+		{"whole", events(text, end, EndMark), nil, 3, FinishStop, 4},
+		{"engine without figures", events(text, plain, EndMark), nil, 3, FinishLength, unknownCached},
+		{"comments and other fields", ": ping\n\nevent: x\n" + events(text, plain, EndMark), nil, 3, FinishLength, unknownCached},
+		{"carriage returns", strings.ReplaceAll(events(text, plain, EndMark), "\n", "\r\n"), nil, 3, FinishLength, unknownCached},
+		{"no end mark", events(text, end), ErrBroken, 3, "", 0},
+		{"no finish reason", events(text, EndMark), ErrBroken, 3, "", 0},
+		{"event after the finish reason", events(plain, text, EndMark), ErrBroken, 0, "", 0},
+		{"nothing", "", ErrBroken, 0, "", 0},
+		{"cut inside an event", events(text) + `data: {"id":"a1","cho`, ErrBroken, 3, "", 0},
+		{"another attempt's event", events(text, `{"id":"a2","choices":[{"text":"late"}]}`, end, EndMark), ErrCrossed, 3, "", 0},
+		{"event without id", events(`{"choices":[{"text":"late"}]}`, end, EndMark), ErrCrossed, 0, "", 0},
+		{"engine's error", events(text, `{"id":"a1","error":{"message":"dropped"}}`, EndMark), ErrBroken, 3, "", 0},
+		{"event too long", events(`{"id":"a1","choices":[{"text":"` + strings.Repeat("x", maxEventBytes) + `"}]}`), ErrBroken, 0, "", 0},
+	}
+	for _, c := range cases {
+		delivered := identifier.Tokens(0)
+		body := io.NopCloser(strings.NewReader(c.stream))
+		result, err := readStream(body, "a1", func(p Piece) { delivered += p.Tokens })
+		require.ErrorIs(t, err, c.want, c.name)
+		require.Equal(t, c.delivered, delivered, c.name)
+		require.Equal(t, c.reason, result.FinishReason, c.name)
+		require.Equal(t, c.cached, result.CachedPrompt, c.name)
+		require.Equal(t, c.reason == FinishStop, result.Load.GetSequence() == 12, c.name)
+	}
+}
--- /dev/null
+++ b/adaptor/dispatcher/dispatcher_test.go
@@ -0,0 +1,107 @@
+package dispatcher
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// writeWindow is the time that the tests leave for the write.
+const writeWindow = 3 * time.Second
+
+// readBytes reads a number of bytes and then nothing more.
+func readBytes(count int) func(net.Conn) {
+	return func(conn net.Conn) { _, _ = io.ReadFull(conn, make([]byte, count)) }
+}
+
+// answerWith reads one request and writes a raw answer.
+func answerWith(raw string) func(net.Conn) {
+	return func(conn net.Conn) {
+		request, err := http.ReadRequest(bufio.NewReader(conn))
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, request.Body)
+		_, _ = io.WriteString(conn, raw)
+		_ = conn.Close()
+	}
+}
+
+func TestSend(t *testing.T) {
+	refused := errors.New("connection refused")
+	cases := []struct {
+		name    string
+		dialErr error
+		// far is the other end of the connection.
+		far    func(net.Conn)
+		window time.Duration
+		want   error
+		status int
+		// lasts is how long the call takes on the fake clock.
+		lasts time.Duration
+	}{
+		{"connect fails", refused, nil, writeWindow, ErrNotSent, 0, 0},
+		{"deadline over before the write", nil, readBytes(0), -time.Second, ErrNotSent, 0, 0},
+		{"nothing taken until the deadline", nil, readBytes(0), writeWindow, ErrNotSent, 0, writeWindow},
+		{"a part taken until the deadline", nil, readBytes(10), writeWindow, ErrAnswerLost, 0, writeWindow},
+		{"closed without an answer", nil, answerWith(""), writeWindow, ErrAnswerLost, 0, 0},
+		{"answer cut short", nil, answerWith("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf"), writeWindow, ErrAnswerLost, 0, 0},
+		{"informational replies only", nil, answerWith("HTTP/1.1 103 Early Hints\r\n\r\n"), writeWindow, ErrAnswerLost, 0, 0},
+		{"answer", nil, answerWith("HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 201 Created\r\nContent-Length: 2\r\n\r\nok"), writeWindow, nil, 201, 0},
+		{"redirect", nil, answerWith("HTTP/1.1 307 Go\r\nLocation: /again\r\nContent-Length: 0\r\n\r\n"), writeWindow, nil, 307, 0},
+	}
+	for _, c := range cases {
+		synctest.Test(t, func(t *testing.T) {
+			dials := 0
+			dial := func(context.Context, string, string) (net.Conn, error) {
+				dials++
+				if c.dialErr != nil {
+					return nil, c.dialErr
+				}
+				near, far := net.Pipe()
+				go c.far(far)
+				return near, nil
+			}
+			start := time.Now()
+			d := NewDispatcher("10.0.0.1:80", dial)
+			answer, err := d.Send(t.Context(), http.MethodPost, "/v1/orders", nil, []byte("{}"), start.Add(c.window))
+			require.ErrorIs(t, err, c.want, c.name)
+			require.Equal(t, c.status, answer.Status, c.name)
+			require.Equal(t, c.lasts, time.Since(start), c.name)
+			require.Equal(t, 1, dials, "%s: one connection", c.name)
+		})
+	}
+}
+
+func TestSendEndsWithItsContext(t *testing.T) {
+	cases := []struct {
+		name string
+		far  func(net.Conn)
+		want error
+	}{
+		{"nothing written", readBytes(0), ErrNotSent},
+		{"request taken", func(conn net.Conn) { _, _ = io.Copy(io.Discard, conn) }, ErrAnswerLost},
+	}
+	for _, c := range cases {
+		synctest.Test(t, func(t *testing.T) {
+			dial := func(context.Context, string, string) (net.Conn, error) {
+				near, far := net.Pipe()
+				go c.far(far)
+				return near, nil
+			}
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			defer cancel()
+			d := NewDispatcher("10.0.0.1:80", dial)
+			_, err := d.Send(ctx, http.MethodPost, "/", nil, []byte("{}"), time.Time{})
+			require.ErrorIs(t, err, c.want, c.name)
+		})
+	}
+}
--- /dev/null
+++ b/adaptor/querier/querier_test.go
@@ -0,0 +1,127 @@
+package querier
+
+import (
+	"context"
+	"net"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	"rosemaryspool.example/wire/messenger"
+)
+
+// fakePeer answers from memory and waits for the end of ctx where it is told to.
+type fakePeer struct {
+	waits   bool
+	called  chan struct{}
+	refusal error
+}
+
+func (p *fakePeer) Bootstrap(_ context.Context, request *messenger.BootstrapRequest) (*messenger.BootstrapReply, error) {
+	return &messenger.BootstrapReply{NextOffset: request.KnownOffset + 1, State: []byte(request.Environment), Instance: "entry-2"}, p.refusal
+}
+
+func (p *fakePeer) Relay(ctx context.Context, request *messenger.RelayRequest) (*messenger.RelayReply, error) {
+	if p.waits {
+		close(p.called)
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	entry := &messenger.LogEntry{Offset: request.FromOffset, Record: []byte{0, 1}}
+	return &messenger.RelayReply{Entries: []*messenger.LogEntry{entry}, NextOffset: request.FromOffset + 1, FirstOffset: 1}, p.refusal
+}
+
+func (p *fakePeer) Status(_ context.Context, request *messenger.StatusRequest) (*messenger.InstanceStatus, error) {
+	return &messenger.InstanceStatus{
+		Revision:  7,
+		Upstreams: []*messenger.UpstreamStatus{{Upstream: "engine-1", InFlight: 3}},
+		Decisions: []string{request.RequestId},
+	}, p.refusal
+}
+
+// serve runs a peer over TCP and returns its address and a function that ends it and waits.
+func serve(t *testing.T, peer Peer) (string, func()) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	done, ended := make(chan struct{}), make(chan error, 1)
+	go func() { ended <- Serve(listener, peer, done) }()
+	return listener.Addr().String(), func() {
+		close(done)
+		require.NoError(t, <-ended)
+	}
+}
+
+func TestPeerContract(t *testing.T) {
+	fake := &fakePeer{}
+	address, stop := serve(t, fake)
+	defer stop()
+	calls := []struct {
+		name string
+		call func(p Peer) (proto.Message, error)
+	}{
+		{"bootstrap", func(p Peer) (proto.Message, error) {
+			return p.Bootstrap(t.Context(), &messenger.BootstrapRequest{Environment: "trial", KnownOffset: 4})
+		}},
+		{"relay", func(p Peer) (proto.Message, error) {
+			return p.Relay(t.Context(), &messenger.RelayRequest{Stream: "trial.control", FromOffset: 9})
+		}},
+		{"status", func(p Peer) (proto.Message, error) {
+			return p.Status(t.Context(), &messenger.StatusRequest{RequestId: "r1"})
+		}},
+	}
+	client := NewClient(address)
+	defer client.Close()
+	for _, c := range calls {
+		want, err := c.call(fake)
+		require.NoError(t, err)
+		got, err := c.call(client)
+		require.NoError(t, err, c.name)
+		require.True(t, proto.Equal(want, got), "%s: %v is not %v", c.name, got, want)
+	}
+}
+
+func TestRefusalKeepsTheConnection(t *testing.T) {
+	fake := &fakePeer{refusal: context.Canceled}
+	address, stop := serve(t, fake)
+	defer stop()
+	client := NewClient(address)
+	defer client.Close()
+	for range 2 {
+		_, err := client.Status(t.Context(), &messenger.StatusRequest{})
+		require.ErrorContains(t, err, "context canceled")
+	}
+	require.NotNil(t, client.current)
+}
+
+func TestCallEndsWithItsContext(t *testing.T) {
+	fake := &fakePeer{waits: true, called: make(chan struct{})}
+	address, stop := serve(t, fake)
+	defer stop()
+	client := NewClient(address)
+	defer client.Close()
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		<-fake.called
+		cancel()
+	}()
+	_, err := client.Relay(ctx, &messenger.RelayRequest{})
+	require.ErrorIs(t, err, context.Canceled)
+}
+
+func TestClientConnectsAgain(t *testing.T) {
+	address, stop := serve(t, &fakePeer{})
+	client := NewClient(address)
+	defer client.Close()
+	_, err := client.Status(t.Context(), &messenger.StatusRequest{})
+	require.NoError(t, err)
+	stop()
+	_, err = client.Status(t.Context(), &messenger.StatusRequest{})
+	require.Error(t, err)
+
+	client.address, stop = serve(t, &fakePeer{})
+	defer stop()
+	_, err = client.Status(t.Context(), &messenger.StatusRequest{})
+	require.NoError(t, err)
+}
--- /dev/null
+++ b/standin/commander/host.go
@@ -0,0 +1,87 @@
+package commander
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"maps"
+	"net"
+	"slices"
+
+	"github.com/urfave/cli/v3"
+
+	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/standin/host"
+)
+
+func newHostCommand() *cli.Command {
+	flags := []cli.Flag{
+		stringFlag(settingAddress, "127.0.0.1", "IP number to listen on; the system chooses the ports"),
+		intFlag("engines", 3, "number of mixed engines"),
+		intFlag("services", 1, "number of upstreams of a plain service"),
+		&cli.StringSliceFlag{
+			Name: "data-centres", Value: []string{"a"}, Usage: "data centres, over which upstreams are spread in turn",
+			Sources: source("data-centres"),
+		},
+		&cli.BoolFlag{Name: "checks-tokens", Value: true, Usage: "refuse orders with an old fencing token", Sources: source("checks-tokens")},
+	}
+	return &cli.Command{
+		Name:   "host",
+		Usage:  "run a whole set of stand-ins in one process",
+		Flags:  append(flags, modelFlags()...),
+		Action: runHost,
+	}
+}
+
+func runHost(ctx context.Context, command *cli.Command) error {
+	check := &checker{command: command}
+	settings := hostSettings(check)
+	if err := check.err(); err != nil {
+		return err
+	}
+	h, err := host.Start(ctx, settings)
+	if err != nil {
+		return err
+	}
+	defer h.Close()
+	printHost(command.Root().Writer, h)
+	<-ctx.Done()
+	return nil
+}
+
+func hostSettings(c *checker) host.Settings {
+	settings := host.Settings{Address: c.command.String(settingAddress)}
+	if net.ParseIP(settings.Address) == nil {
+		c.fail(settingAddress, fmt.Sprintf("%q is no IP number", settings.Address))
+	}
+	centres := c.command.StringSlice("data-centres")
+	if len(centres) == 0 {
+		c.fail("data-centres", "may not be empty")
+		return settings
+	}
+	shared := engineSettings(c)
+	shared.ChecksTokens = c.command.Bool("checks-tokens")
+	for i := range c.count("engines", 0) {
+		engine := host.Engine{Settings: shared, DataCentre: identifier.DataCentre(centres[i%len(centres)])}
+		engine.ID = identifier.UpstreamID(fmt.Sprintf("engine-%d", i+1))
+		settings.Engines = append(settings.Engines, engine)
+	}
+	for i := range c.count("services", 0) {
+		settings.Services = append(settings.Services, host.Service{
+			ID:         identifier.UpstreamID(fmt.Sprintf("service-%d", i+1)),
+			DataCentre: identifier.DataCentre(centres[i%len(centres)]),
+		})
+	}
+	return settings
+}
+
+// printHost prints a line for each part, and the line of the whole set last.
+func printHost(output io.Writer, h *host.Host) {
+	for _, id := range slices.Sorted(maps.Keys(h.Engines)) {
+		fmt.Fprintf(output, "part=engine id=%s url=%s\n", id, h.Engines[id].URL)
+	}
+	for _, id := range slices.Sorted(maps.Keys(h.Services)) {
+		fmt.Fprintf(output, "part=service id=%s url=%s\n", id, h.Services[id].URL)
+	}
+	fmt.Fprintf(output, "part=host logUrl=%s listUrl=%s storeUrl=%s\n", h.LogURL, h.ListURL, h.StoreURL)
+}
--- /dev/null
+++ b/standin/commander/platform.go
@@ -0,0 +1,119 @@
+package commander
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/urfave/cli/v3"
+
+	"rosemaryspool.example/adaptor/lister"
+	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/standin/recorder"
+	"rosemaryspool.example/standin/registrar"
+	"rosemaryspool.example/standin/server"
+	"rosemaryspool.example/standin/storekeeper"
+)
+
+func newLogCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "log",
+		Usage: "run the log service",
+		Flags: serverFlags(
+			floatFlag("appends-per-second", recorder.DefaultAppendsPerSecond, "appends a second from all clients together"),
+			intFlag("keep-records", recorder.DefaultKeepRecords, "records that each stream keeps"),
+		),
+		Action: func(ctx context.Context, command *cli.Command) error {
+			check := &checker{command: command}
+			address := check.address()
+			settings := recorder.Settings{
+				AppendsPerSecond: check.positive("appends-per-second"),
+				KeepRecords:      check.count("keep-records", 1),
+				Faults:           decodeFaults[recorder.Faults](check),
+			}
+			if err := check.err(); err != nil {
+				return err
+			}
+			log := recorder.NewLog(settings)
+			return serve(ctx, command, server.Settings{Address: address, Handler: log.Handler()})
+		},
+	}
+}
+
+func newListCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "list",
+		Usage: "run the instance list",
+		Flags: serverFlags(),
+		Action: func(ctx context.Context, command *cli.Command) error {
+			check := &checker{command: command}
+			address := check.address()
+			list := registrar.NewList(registrar.Settings{Faults: decodeFaults[registrar.Faults](check)})
+			if err := check.err(); err != nil {
+				return err
+			}
+			return serve(ctx, command, server.Settings{Address: address, Handler: list.Handler()})
+		},
+	}
+}
+
+func newStoreCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "store",
+		Usage: "run the weight store",
+		Flags: serverFlags(
+			floatFlag("loads-per-minute", storekeeper.DefaultLoadsPerMinute, "loads that may start in a minute"),
+			intFlag("burst", storekeeper.DefaultBurst, "loads that may start together"),
+		),
+		Action: func(ctx context.Context, command *cli.Command) error {
+			check := &checker{command: command}
+			address := check.address()
+			settings := storekeeper.Settings{
+				LoadsPerMinute: check.positive("loads-per-minute"),
+				Burst:          check.count("burst", 1),
+				Faults:         decodeFaults[storekeeper.Faults](check),
+			}
+			if err := check.err(); err != nil {
+				return err
+			}
+			store := storekeeper.NewStore(settings)
+			return serve(ctx, command, server.Settings{Address: address, Handler: store.Handler()})
+		},
+	}
+}
+
+// serve listens, prints the address and waits for the end of ctx.
+func serve(ctx context.Context, command *cli.Command, settings server.Settings) error {
+	s, err := server.Start(settings)
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	return wait(ctx, command, s)
+}
+
+func wait(ctx context.Context, command *cli.Command, s *server.Server) error {
+	fmt.Fprintf(command.Root().Writer, "part=%s url=%s\n", command.Name, s.URL())
+	<-ctx.Done()
+	return nil
+}
+
+// serveMember serves an upstream and announces it to the list, if one is set.
+func serveMember(ctx context.Context, command *cli.Command, kind lister.Kind, settings server.Settings) error {
+	s, err := server.Start(settings)
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	member := lister.Member{
+		ID:         command.String(settingID),
+		Kind:       kind,
+		Address:    s.URL(),
+		DataCentre: identifier.DataCentre(command.String(settingDataCentre)),
+	}
+	if list := command.String(settingListURL); list != "" {
+		if err := registrar.Announce(ctx, list, member); err != nil {
+			return err
+		}
+	}
+	return wait(ctx, command, s)
+}
--- /dev/null
+++ b/standin/generator/contract_test.go
@@ -0,0 +1,258 @@
+package generator
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"rosemaryspool.example/adaptor/completer"
+	"rosemaryspool.example/adaptor/director"
+	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/standin/batcher"
+	"rosemaryspool.example/standin/server"
+	"rosemaryspool.example/wire/messenger"
+)
+
+const (
+	// testSpeed makes a model second last a millisecond.
+	testSpeed = 1000
+	// endless is an absence that no test outlasts.
+	endless = 10_000 * time.Hour
+)
+
+// subject is an engine, seen directly or through the adaptors over TCP.
+type subject struct {
+	fake    *Engine
+	work    completer.Engine
+	control director.Engine
+}
+
+func newSubject(t *testing.T, overTCP bool) subject {
+	t.Helper()
+	fake := NewEngine(Settings{
+		ID: "engine-1", Version: "1", ChecksTokens: true, Speed: testSpeed, OrderAbsence: endless,
+		Model: batcher.Settings{Model: "prova-llm"},
+	})
+	if !overTCP {
+		t.Cleanup(fake.Close)
+		return subject{fake, fake, fake}
+	}
+	s, err := server.Start(server.Settings{Address: "127.0.0.1:0", Handler: fake.Handler()})
+	require.NoError(t, err)
+	t.Cleanup(func() {
+		fake.Close()
+		s.Close()
+	})
+	return subject{fake, completer.NewClient(s.URL()), director.NewClient(s.URL())}
+}
+
+func verdict() completer.Request {
+	return completer.Request{Attempt: "attempt-1", Model: "prova-llm", Prompt: "crew file", MaxOutput: 8}
+}
+
+// complete runs an attempt and returns the delivered text with its tokens.
+func (s subject) complete(ctx context.Context, request completer.Request) (string, identifier.Tokens, completer.Result, error) {
+	text, tokens := "", identifier.Tokens(0)
+	result, err := s.work.Complete(ctx, request, func(p completer.Piece) {
+		text += p.Text
+		tokens += p.Tokens
+	})
+	return text, tokens, result, err
+}
+
+func TestFailedAttemptContract(t *testing.T) {
+	cases := []struct {
+		name   string
+		faults Faults
+		edit   func(r *completer.Request)
+		want   error
+		// delivered counts the tokens that arrive before the failure.
+		delivered identifier.Tokens
+		hasLoad   bool
+	}{
+		{"work refused", Faults{RejectWork: true}, nil, completer.ErrRejected, 0, true},
+		{"draining", Faults{Draining: true}, nil, completer.ErrRejected, 0, true},
+		{"leaving", Faults{Leaving: true}, nil, completer.ErrRejected, 0, true},
+		{"another model", Faults{}, func(r *completer.Request) { r.Model = "lume-llm" }, completer.ErrRejected, 0, true},
+		{"no tokens wanted", Faults{}, func(r *completer.Request) { r.MaxOutput = 0 }, completer.ErrInvalid, 0, true},
+		{"resume of another answer", Faults{}, func(r *completer.Request) {
+			r.Resume, r.ResumeTokens = "zzz ", 1
+		}, completer.ErrInvalid, 0, true},
+		{"answer of another attempt", Faults{CrossAnswers: 1}, nil, completer.ErrCrossed, 0, false},
+		{"broken off", Faults{BreakStreams: 1, BreakAfterTokens: 3}, nil, completer.ErrBroken, 3, false},
+		{"all tokens but no end mark", Faults{OmitEndMarks: 1}, nil, completer.ErrBroken, 8, false},
+		{"crashed", Faults{Crashed: true}, nil, completer.ErrBroken, 0, false},
+	}
+	for _, c := range cases {
+		for _, overTCP := range []bool{false, true} {
+			s := newSubject(t, overTCP)
+			s.fake.Switches.Set(c.faults)
+			request := verdict()
+			if c.edit != nil {
+				c.edit(&request)
+			}
+			_, tokens, result, err := s.complete(t.Context(), request)
+			require.ErrorIs(t, err, c.want, c.name)
+			require.Equal(t, c.delivered, tokens, c.name)
+			require.Equal(t, c.hasLoad, result.Load != nil, c.name)
+		}
+	}
+}
+
+func TestWholeAnswerContract(t *testing.T) {
+	for _, overTCP := range []bool{false, true} {
+		s := newSubject(t, overTCP)
+		request := verdict()
+		request.Prompt += " answerTokens=5"
+		text, tokens, result, err := s.complete(t.Context(), request)
+		require.NoError(t, err)
+		require.Len(t, text, 20)
+		require.EqualValues(t, 5, tokens)
+		require.EqualValues(t, 5, result.Output)
+		require.Equal(t, completer.FinishStop, result.FinishReason)
+		require.Equal(t, "engine-1", result.Load.Engine)
+
+		request.Attempt, request.Resume, request.ResumeTokens = "attempt-2", text[:12], 3
+		rest, _, _, err := s.complete(t.Context(), request)
+		require.NoError(t, err)
+		require.Equal(t, text[12:], rest, "a resumed answer goes on after the last token")
+
+		request.Attempt, request.Resume, request.ResumeTokens = "attempt-3", text, 5
+		rest, _, result, err = s.complete(t.Context(), request)
+		require.NoError(t, err)
+		require.Empty(t, rest, "only the end mark was missing")
+		require.Equal(t, completer.FinishStop, result.FinishReason)
+	}
+}
+
+func TestCancelContract(t *testing.T) {
+	for _, overTCP := range []bool{false, true} {
+		s := newSubject(t, overTCP)
+		ctx, cancel := context.WithCancel(t.Context())
+		request := verdict()
+		request.MaxOutput = 1e9
+		_, err := s.work.Complete(ctx, request, func(completer.Piece) { cancel() })
+		require.ErrorIs(t, err, completer.ErrBroken)
+		report, err := s.control.Report(t.Context())
+		require.NoError(t, err)
+		require.Zero(t, report.Running, "the engine no longer works on the attempt")
+	}
+}
+
+// sentOrder is one order of a table with what must come of it.
+type sentOrder struct {
+	id       string
+	engine   string
+	kind     messenger.OrderKind
+	token    uint64
+	accepted bool
+	detail   string
+}
+
+const (
+	fence = messenger.OrderKind_ORDER_KIND_FENCE
+	role  = messenger.OrderKind_ORDER_KIND_CHANGE_ROLE
+	model = messenger.OrderKind_ORDER_KIND_LOAD_MODEL
+)
+
+func TestOrderContract(t *testing.T) {
+	cases := []struct {
+		name   string
+		orders []sentOrder
+		// token is the highest that the report shows at the end; last is the order under way.
+		token uint64
+		last  string
+	}{
+		{"role change", []sentOrder{{"o1", "engine-1", role, 7, true, ""}}, 7, "o1"},
+		{"load", []sentOrder{{"o1", "engine-1", model, 7, true, ""}}, 7, "o1"},
+		{"fence raises the token only", []sentOrder{{"o1", "engine-1", fence, 9, true, ""}}, 9, ""},
+		{"old token", []sentOrder{
+			{"o1", "engine-1", fence, 9, true, ""},
+			{"o2", "engine-1", role, 8, false, "old fencing token"},
+		}, 9, ""},
+		{"another engine's order", []sentOrder{{"o1", "engine-2", role, 7, false, "order for another engine"}}, 0, ""},
+		{"repeated order", []sentOrder{
+			{"o1", "engine-1", role, 7, true, ""},
+			{"o1", "engine-1", role, 7, true, ""},
+		}, 7, "o1"},
+		{"order while another is under way", []sentOrder{
+			{"o1", "engine-1", role, 7, true, ""},
+			{"o2", "engine-1", role, 8, false, batcher.ErrChanging.Error()},
+		}, 8, "o1"},
+	}
+	for _, c := range cases {
+		for _, overTCP := range []bool{false, true} {
+			s := newSubject(t, overTCP)
+			for _, o := range c.orders {
+				reply, err := s.control.Order(t.Context(), o.request(), time.Now().Add(endless))
+				require.NoError(t, err, c.name)
+				require.Equal(t, o.accepted, reply.Accepted, c.name)
+				require.Equal(t, o.detail, reply.Detail, c.name)
+			}
+			report, err := s.control.Report(t.Context())
+			require.NoError(t, err)
+			require.Equal(t, c.token, report.Token, c.name)
+			require.Equal(t, c.last, report.LastOrderId, c.name)
+			require.Equal(t, c.last != "", report.Changing, c.name)
+		}
+	}
+}
+
+func (o sentOrder) request() *messenger.OrderRequest {
+	return &messenger.OrderRequest{Token: o.token, Order: &messenger.EngineOrder{
+		OrderId: o.id, Engine: o.engine, Kind: o.kind, Role: "prefill", Model: "prova-llm", Version: "2",
+	}}
+}
+
+func TestFailedOrderContract(t *testing.T) {
+	cases := []struct {
+		name    string
+		faults  Faults
+		writeBy time.Time
+		want    error
+		// received counts the orders that the engine got.
+		received int
+	}{
+		{"answer lost", Faults{LoseOrderAnswers: 1}, time.Now().Add(endless), director.ErrOutcomeUnknown, 1},
+		{"crashed", Faults{Crashed: true}, time.Now().Add(endless), director.ErrOutcomeUnknown, 0},
+		{"write deadline over", Faults{}, time.Now().Add(-time.Second), director.ErrNotSent, 0},
+		{"no write deadline", Faults{}, time.Time{}, director.ErrNotSent, 0},
+	}
+	for _, c := range cases {
+		for _, overTCP := range []bool{false, true} {
+			s := newSubject(t, overTCP)
+			s.fake.Switches.Set(c.faults)
+			o := sentOrder{id: "o1", engine: "engine-1", kind: role, token: 7}
+			_, err := s.control.Order(t.Context(), o.request(), c.writeBy)
+			require.ErrorIs(t, err, c.want, c.name)
+			require.Len(t, s.fake.Journal(), c.received, c.name)
+		}
+	}
+}
+
+func TestCacheEventContract(t *testing.T) {
+	piece := make([]byte, int(identifier.PieceTokens)*4)
+	for _, overTCP := range []bool{false, true} {
+		s := newSubject(t, overTCP)
+		s.fake.Switches.Set(Faults{LoseCacheEvents: 1})
+		for i, start := range []byte("ab") {
+			piece[0] = start
+			request := verdict()
+			request.Attempt = identifier.AttemptID("attempt-" + string(rune('1'+i)))
+			request.Prompt = string(piece)
+			_, _, _, err := s.complete(t.Context(), request)
+			require.NoError(t, err)
+		}
+		events, err := s.control.CacheEvents(t.Context(), 1)
+		require.NoError(t, err)
+		require.Len(t, events.Events, 1)
+		require.EqualValues(t, 2, events.Events[0].Sequence, "the lost event leaves a gap")
+		require.Len(t, events.Events[0].Stored, 1)
+		require.EqualValues(t, 3, events.NextSequence)
+		events, err = s.control.CacheEvents(t.Context(), 3)
+		require.NoError(t, err)
+		require.Empty(t, events.Events)
+	}
+}
--- /dev/null
+++ b/standin/generator/generator_test.go
@@ -0,0 +1,119 @@
+package generator
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"rosemaryspool.example/adaptor/completer"
+	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/standin/batcher"
+	"rosemaryspool.example/wire/messenger"
+)
+
+// newTimedEngine returns an engine whose steps last 10 ms.
+func newTimedEngine(edit func(*Settings)) *Engine {
+	settings := Settings{
+		ID: "engine-1", OrderAbsence: 4 * time.Second, OrderPatience: time.Second,
+		Model: batcher.Settings{
+			Model: "lume-llm", PrefillPerSecond: 1000, DecodeBase: 9 * time.Millisecond, DecodePerSequence: time.Millisecond,
+		},
+	}
+	edit(&settings)
+	return NewEngine(settings)
+}
+
+func TestAnswerTakesItsTime(t *testing.T) {
+	cases := []struct {
+		name  string
+		speed float64
+		want  time.Duration
+	}{
+		{"real time", 1, 100*time.Millisecond + 9*10*time.Millisecond},
+		{"ten times faster", 10, (100*time.Millisecond + 9*10*time.Millisecond) / 10},
+	}
+	for _, c := range cases {
+		synctest.Test(t, func(t *testing.T) {
+			e := newTimedEngine(func(s *Settings) { s.Speed = c.speed })
+			defer e.Close()
+			start := time.Now()
+			request := completer.Request{Attempt: "a", Model: "lume-llm", Prompt: string(make([]byte, 400)), MaxOutput: 10}
+			_, err := e.Complete(t.Context(), request, func(completer.Piece) {})
+			require.NoError(t, err)
+			require.Equal(t, c.want, time.Since(start), c.name)
+		})
+	}
+}
+
+func TestOrderedLoadTakesTheEngineAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newTimedEngine(func(*Settings) {})
+		defer e.Close()
+		order := &messenger.EngineOrder{
+			OrderId: "o1", Engine: "engine-1", Kind: messenger.OrderKind_ORDER_KIND_LOAD_MODEL, Model: "prova-llm", Version: "3",
+		}
+		_, err := e.Order(t.Context(), &messenger.OrderRequest{Order: order, Token: 1}, time.Now().Add(time.Second))
+		require.NoError(t, err)
+		time.Sleep(4*time.Second - time.Millisecond)
+		request := completer.Request{Attempt: "a", Model: "lume-llm", Prompt: "p", MaxOutput: 1}
+		_, err = e.Complete(t.Context(), request, func(completer.Piece) {})
+		require.ErrorIs(t, err, completer.ErrRejected, "absent")
+		time.Sleep(time.Millisecond)
+		synctest.Wait()
+		request.Model = "prova-llm"
+		_, err = e.Complete(t.Context(), request, func(completer.Piece) {})
+		require.NoError(t, err)
+		report, err := e.Report(t.Context())
+		require.NoError(t, err)
+		require.Equal(t, []string{"prova-llm", "3", "o1"}, []string{report.Model, report.Version, report.LastOrderId})
+	})
+}
+
+func TestOrderDropsWorkAfterItsPatience(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newTimedEngine(func(*Settings) {})
+		defer e.Close()
+		start := time.Now()
+		order := &messenger.EngineOrder{OrderId: "o1", Engine: "engine-1", Kind: messenger.OrderKind_ORDER_KIND_CHANGE_ROLE, Role: "decode"}
+		ordered := make(chan error, 1)
+		request := completer.Request{Attempt: "a", Model: "lume-llm", Prompt: "p", MaxOutput: 1e6}
+		_, err := e.Complete(t.Context(), request, func(completer.Piece) {
+			if len(ordered) > 0 {
+				return
+			}
+			_, err := e.Order(t.Context(), &messenger.OrderRequest{Order: order, Token: 1}, time.Now().Add(time.Second))
+			ordered <- err
+		})
+		require.ErrorIs(t, err, completer.ErrBroken)
+		require.NoError(t, <-ordered)
+		require.InDelta(t, time.Second, time.Since(start), float64(50*time.Millisecond))
+	})
+}
+
+func TestReportsAndEventsLag(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newTimedEngine(func(s *Settings) {
+			s.ReportLag, s.CacheEventLag = time.Minute, time.Minute
+			s.Model.ChunkTokens = identifier.PieceTokens
+		})
+		defer e.Close()
+		before, err := e.Report(t.Context())
+		require.NoError(t, err)
+		prompt := string(make([]byte, int(identifier.PieceTokens)*4))
+		result, err := e.Complete(t.Context(), completer.Request{Attempt: "a", Model: "lume-llm", Prompt: prompt, MaxOutput: 2}, func(completer.Piece) {})
+		require.NoError(t, err)
+		late, err := e.Report(t.Context())
+		require.NoError(t, err)
+		require.Equal(t, before.Sequence, late.Sequence, "still the old report")
+		require.Greater(t, result.Load.Sequence, late.Sequence, "the piggybacked one is fresh")
+		events, err := e.CacheEvents(t.Context(), 0)
+		require.NoError(t, err)
+		require.Empty(t, events.Events)
+		time.Sleep(time.Minute)
+		events, err = e.CacheEvents(t.Context(), 0)
+		require.NoError(t, err)
+		require.Len(t, events.Events, 1)
+	})
+}
--- /dev/null
+++ b/standin/provider/contract_test.go
@@ -0,0 +1,120 @@
+package provider
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"runtime"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"rosemaryspool.example/adaptor/invoker"
+	"rosemaryspool.example/standin/server"
+)
+
+func start(t *testing.T, faults Faults) (*Service, *server.Server) {
+	t.Helper()
+	service := NewService(Settings{Faults: faults})
+	s, err := server.Start(server.Settings{
+		Address: "127.0.0.1:0", Handler: service.Handler(), ConnContext: CountRequests,
+	})
+	require.NoError(t, err)
+	t.Cleanup(s.Close)
+	return service, s
+}
+
+func order() invoker.Call {
+	return invoker.Call{
+		Attempt: "attempt-a", Method: http.MethodPost, Path: "/v1/fabricOrders", ContentType: "application/json",
+		Body: []byte(`{"metres":3}`), Key: "key-1", Once: true,
+	}
+}
+
+// faultCases are the ways in which a service can tempt a client to send a call again.
+var faultCases = []struct {
+	name   string
+	faults Faults
+	// status is the answer that the client must hand on; zero means an unknown outcome.
+	status int
+}{
+	{"no fault", Faults{}, 200},
+	{"failure status", Faults{Status: 503}, 503},
+	{"connection closed before the reply", Faults{CloseBeforeReply: 1}, 0},
+	{"kept-alive connection closed", Faults{CloseKeptAlive: true}, 200},
+	{"redirect 307", Faults{RedirectStatus: 307}, 307},
+	{"redirect 308", Faults{RedirectStatus: 308}, 308},
+	{"no answer", Faults{NoAnswer: 1}, 0},
+}
+
+func TestServiceContract(t *testing.T) {
+	for _, c := range faultCases {
+		for _, overTCP := range []bool{false, true} {
+			service, s := start(t, Faults{})
+			var subject invoker.Service = service
+			if overTCP {
+				subject = invoker.NewClient(s.URL())
+			}
+			warm := invoker.Call{Attempt: "warm", Method: http.MethodPost, Path: "/warm", Once: false}
+			_, err := subject.Invoke(t.Context(), warm)
+			require.NoError(t, err, "opens a connection that could be used again")
+			service.Switches.Set(c.faults)
+
+			ctx, cancel := context.WithCancel(t.Context())
+			if c.faults.NoAnswer > 0 {
+				go cancelAfterRun(service, cancel)
+			}
+			answer, err := subject.Invoke(ctx, order())
+			cancel()
+			if c.status == 0 {
+				require.ErrorIs(t, err, invoker.ErrOutcomeUnknown, c.name)
+			} else {
+				require.NoError(t, err, c.name)
+				require.Equal(t, c.status, answer.Status, c.name)
+			}
+			counts := service.Counts()
+			require.Equal(t, 2, counts.Arrivals, "%s: the warm call and one arrival", c.name)
+			require.Equal(t, 1, counts.ByKey["key-1"], c.name)
+			require.Equal(t, 1, counts.ByAttempt["attempt-a"], c.name)
+		}
+	}
+}
+
+func cancelAfterRun(service *Service, cancel context.CancelFunc) {
+	for service.Counts().ByKey["key-1"] == 0 {
+		runtime.Gosched()
+	}
+	cancel()
+}
+
+// TestOrdinaryClientRepeats shows that the fault cases do tempt: the standard client falls for them.
+func TestOrdinaryClientRepeats(t *testing.T) {
+	cases := []struct {
+		name     string
+		faults   Faults
+		arrivals int
+	}{
+		{"kept-alive connection closed", Faults{CloseKeptAlive: true}, 3},
+		{"redirect 307", Faults{RedirectStatus: 307}, 3},
+		{"redirect 308", Faults{RedirectStatus: 308}, 3},
+	}
+	for _, c := range cases {
+		service, s := start(t, Faults{})
+		client := &http.Client{Transport: &http.Transport{}}
+		for i := range 2 {
+			request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, s.URL()+"/v1/fabricOrders", bytes.NewReader([]byte("{}")))
+			require.NoError(t, err)
+			request.Header.Set(invoker.HeaderKey, "key-1")
+			response, err := client.Do(request)
+			require.NoError(t, err, c.name)
+			_, err = io.Copy(io.Discard, response.Body)
+			require.NoError(t, err, "a connection is used again only after the whole body")
+			require.NoError(t, response.Body.Close())
+			if i == 0 {
+				service.Switches.Set(c.faults)
+			}
+		}
+		require.Equal(t, c.arrivals, service.Counts().Arrivals, c.name)
+	}
+}
--- /dev/null
+++ b/standin/registrar/announcer.go
@@ -0,0 +1,19 @@
+package registrar
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+
+	"github.com/rotisserie/eris"
+
+	"rosemaryspool.example/adaptor/lister"
+	"rosemaryspool.example/adaptor/requester"
+)
+
+// Announce sets a member in the stand-in list at a base URL.
+func Announce(ctx context.Context, listURL string, member lister.Member) error {
+	path := "/v1/instances/" + url.PathEscape(member.ID)
+	err := requester.NewClient(listURL).Call(ctx, http.MethodPut, path, encodeMember(member), nil)
+	return eris.Wrap(err, "registrar: announce member")
+}
