--- a/standin/generator/handler.go
+++ b/standin/generator/handler.go
@@ -171,7 +171,7 @@
 	id      identifier.AttemptID
 }
 
-// newEventStream sends the header; the switch that crosses answers gives it another attempt's id.
+// newEventStream prepares the header, which goes out with the first event; the switch that crosses answers gives it another attempt's id.
 func newEventStream(w http.ResponseWriter, a *attempt) *eventStream {
 	s := &eventStream{writer: w, flusher: http.NewResponseController(w), attempt: a, id: a.request.Attempt}
 	w.Header().Set("Content-Type", "text/event-stream")
@@ -179,8 +179,6 @@
 	if a.fault.crossed {
 		s.id += crossedSuffix
 	}
-	w.WriteHeader(http.StatusOK)
-	_ = s.flusher.Flush()
 	return s
 }
 
--- /dev/null
+++ b/standin/host/bench_test.go
@@ -0,0 +1,36 @@
+package host
+
+import (
+	"fmt"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"rosemaryspool.example/adaptor/completer"
+	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/standin/batcher"
+	"rosemaryspool.example/standin/generator"
+)
+
+// BenchmarkComplete measures short answers of a stand-in engine through the adaptor over TCP, with 200 streams.
+func BenchmarkComplete(b *testing.B) {
+	engine := generator.Settings{ID: "engine-1", Speed: testSpeed, Model: batcher.Settings{Model: "prova-llm", MaxBatch: 256}}
+	h, err := Start(b.Context(), Settings{Engines: []Engine{{Settings: engine}}})
+	require.NoError(b, err)
+	defer h.Close()
+	client := completer.NewClient(h.Engines["engine-1"].URL)
+	var attempts atomic.Int64
+	b.SetParallelism(20)
+	b.ReportAllocs()
+	b.RunParallel(func(p *testing.PB) {
+		for p.Next() {
+			request := completer.Request{
+				Attempt: identifier.AttemptID(fmt.Sprintf("a%d", attempts.Add(1))), Model: "prova-llm", Prompt: "crew file", MaxOutput: 4,
+			}
+			if _, err := client.Complete(b.Context(), request, func(completer.Piece) {}); err != nil {
+				b.Error(err)
+			}
+		}
+	})
+}
