--- /dev/null
+++ b/standin/loader/loader.go
@@ -0,0 +1,65 @@
+package loader
+
+import (
+	"context"
+	"iter"
+	"math/rand/v2"
+	"time"
+
+	"github.com/sourcegraph/conc/pool"
+
+	"rosemaryspool.example/adaptor/requester"
+)
+
+// Settings describes a run.
+type Settings struct {
+	// Targets are the daemons' base URLs; requests are spread over them at random.
+	Targets []string
+	// Concurrency bounds the open requests. A request that has to wait for another's end still counts from its due time.
+	Concurrency int
+	// MaxRequests bounds the run in count, and Length in time; zero means no bound of that kind.
+	MaxRequests int
+	Length      time.Duration
+	// Seed decides which daemon gets which request.
+	Seed uint64
+}
+
+// Run sends the arrivals when they are due, waits for all answers and counts them. When ctx ends, nothing more is sent
+// and what runs is cancelled.
+func Run(ctx context.Context, settings Settings, arrivals iter.Seq[Arrival]) *Report {
+	report := newReport()
+	targets := make([]*requester.Client, 0, len(settings.Targets))
+	for _, t := range settings.Targets {
+		targets = append(targets, requester.NewClient(t))
+	}
+	choice := rand.New(rand.NewPCG(settings.Seed, 0))
+	workers := pool.New().WithMaxGoroutines(settings.Concurrency)
+	defer workers.Wait()
+	start := time.Now()
+	sent := 0
+	for a := range arrivals {
+		if settings.MaxRequests > 0 && sent == settings.MaxRequests || settings.Length > 0 && a.At > settings.Length {
+			break
+		}
+		due := start.Add(a.At)
+		if !sleepUntil(ctx, due) {
+			break
+		}
+		sent++
+		target := targets[choice.IntN(len(targets))]
+		workers.Go(func() { report.add(send(ctx, target, a, due)) })
+	}
+	return report
+}
+
+// sleepUntil returns false when ctx ended first.
+func sleepUntil(ctx context.Context, due time.Time) bool {
+	timer := time.NewTimer(time.Until(due))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return ctx.Err() == nil
+	case <-ctx.Done():
+		return false
+	}
+}
