--- /dev/null
+++ b/core/estimator/engine.go
@@ -0,0 +1,257 @@
+package estimator
+
+import (
+	"math"
+	"time"
+
+	"rosemaryspool.example/core/identifier"
+)
+
+// Engine is one instance's knowledge of one engine.
+type Engine struct {
+	ID         identifier.UpstreamID
+	DataCentre identifier.DataCentre
+	Models     []identifier.ModelName
+	// Listed is true while the instance list names the engine as leaving.
+	Listed bool
+
+	settings   *Settings
+	load       Load
+	known      bool
+	measuredAt time.Time
+	// othersQueued smooths the prefill tokens that other instances keep at the engine.
+	othersQueued Rate
+	others       ownWork
+	own          ownWork
+	past         history
+	cache        *belief
+	prefillRate  Rate
+	step         Line
+	pace         pacer
+	// busy is the smoothed share of time in which the engine runs prefill.
+	busy float64
+}
+
+// NewEngine returns an engine about which nothing is known yet.
+func NewEngine(id identifier.UpstreamID, settings *Settings) *Engine {
+	return &Engine{ID: id, settings: settings, cache: newBelief(), pace: newPacer()}
+}
+
+// Serves tells whether the engine runs the model, by its own report when there is one.
+func (e *Engine) Serves(model identifier.ModelName) bool {
+	if e.known && e.load.Model != "" {
+		return e.load.Model == model
+	}
+	for _, m := range e.Models {
+		if m == model {
+			return true
+		}
+	}
+	return len(e.Models) == 0
+}
+
+// Away tells whether the engine takes no new work by itself: it is leaving or an order keeps it busy.
+func (e *Engine) Away() bool { return e.Listed || e.load.Leaving || e.load.Changing }
+
+// Role returns the reported role; an engine that has not reported yet counts as mixed.
+func (e *Engine) Role() identifier.Role {
+	if e.load.Role == "" {
+		return identifier.RoleMixed
+	}
+	return e.load.Role
+}
+
+// Load returns the newest report.
+func (e *Engine) Load() Load { return e.load }
+
+// Known tells whether the engine has ever reported.
+func (e *Engine) Known() bool { return e.known }
+
+// Age returns how old the newest report is.
+func (e *Engine) Age(now time.Time) time.Duration {
+	if !e.known {
+		return math.MaxInt64
+	}
+	return now.Sub(e.measuredAt)
+}
+
+// Observe takes a report that was measured lag before now. A report older than the newest known is dropped.
+func (e *Engine) Observe(now time.Time, load Load, lag time.Duration) {
+	measured := now.Add(-lag)
+	if e.known && (load.Sequence < e.load.Sequence || measured.Before(e.measuredAt)) {
+		return
+	}
+	leaving := e.load.Leaving || load.Leaving
+	first := !e.known
+	e.load, e.known, e.measuredAt = load, true, measured
+	e.load.Leaving = leaving
+	if load.Changing {
+		e.cache.clear()
+	}
+	own := e.past.at(measured)
+	e.others = ownWork{
+		queued:  max(0, float64(load.QueuedPrefill)-own.queued),
+		pending: max(0, float64(load.PendingOutput)-own.pending),
+		active:  max(0, load.Running+load.Waiting-own.active),
+	}
+	e.learn(first)
+}
+
+func (e *Engine) learn(first bool) {
+	e.cache.setCapacity(e.load.CacheCapacityTokens)
+	e.prefillRate.Observe(e.load.PrefillPerSecond)
+	if e.load.Running > 0 {
+		e.step.Observe(float64(e.load.Running), e.load.DecodeStep.Seconds())
+	}
+	busy := 0.0
+	if e.load.QueuedPrefill > 0 {
+		busy = 1
+	}
+	share := 0.08
+	if first {
+		share = 1
+	}
+	e.busy += share * (busy - e.busy)
+	e.othersQueued.smooth(e.others.queued, share)
+}
+
+// smooth moves the value a share of the way towards an observation that may be zero.
+func (r *Rate) smooth(value, share float64) {
+	r.count++
+	r.value += share * (value - r.value)
+}
+
+// Dispatched adds an attempt of this instance.
+func (e *Engine) Dispatched(now time.Time, work Work, prefix []identifier.PrefixHash) {
+	e.own.queued += float64(work.Prefill)
+	e.own.pending += float64(work.Output)
+	e.own.active++
+	e.past.record(now, e.own)
+	e.cache.add(prefix)
+}
+
+// Prefilled takes the attempt's prompt out of the own queue at its first token.
+func (e *Engine) Prefilled(now time.Time, work Work) {
+	e.own.queued = max(0, e.own.queued-float64(work.Prefill))
+	e.past.record(now, e.own)
+}
+
+// Decoded takes produced output out of the own pending output.
+func (e *Engine) Decoded(now time.Time, tokens identifier.Tokens) {
+	e.own.pending = max(0, e.own.pending-float64(tokens))
+	e.past.record(now, e.own)
+}
+
+// Ended takes an attempt of this instance out.
+func (e *Engine) Ended(now time.Time) {
+	e.own.active = max(0, e.own.active-1)
+	if e.own.active == 0 {
+		e.own = ownWork{}
+	}
+	e.past.record(now, e.own)
+}
+
+// OwnActive returns the number of this instance's unfinished attempts at the engine.
+func (e *Engine) OwnActive() int { return e.own.active }
+
+// Active returns the number of sequences believed to be at the engine now.
+func (e *Engine) Active() int { return e.others.active + e.own.active }
+
+// Busy returns the smoothed share of time in which the engine runs prefill.
+func (e *Engine) Busy() float64 { return e.busy }
+
+// queue returns the prefill tokens believed to be ahead of new work. What other instances had queued at the time of
+// measurement fades towards its mean, since they go on sending while the engine works it off.
+func (e *Engine) queue(now time.Time) float64 {
+	age := max(0, now.Sub(e.measuredAt).Seconds())
+	fresh := math.Exp(-age / e.settings.QueueMemory.Seconds())
+	mean := e.othersQueued.Value(0)
+	return mean + (e.others.queued-mean)*fresh + e.own.queued
+}
+
+// prefillPerSecond returns the learned rate.
+func (e *Engine) prefillPerSecond() float64 {
+	return e.prefillRate.Value(e.settings.InitialPrefillPerSecond)
+}
+
+// StepAt returns the predicted duration in seconds of a decode step of the given batch, without prefill beside it.
+func (e *Engine) StepAt(batch int) float64 {
+	if e.step.Known() {
+		return e.step.At(float64(batch))
+	}
+	return e.settings.InitialDecodeStep.Seconds()
+}
+
+// Forecast predicts the course of one attempt that is sent now.
+func (e *Engine) Forecast(now time.Time, prompt, output identifier.Tokens, prefix []identifier.PrefixHash) Forecast {
+	cached := min(e.cache.cached(prefix), prompt)
+	rate := e.prefillPerSecond()
+	active := e.Active()
+	batch := active + 1
+	if e.load.MaxBatch > 0 {
+		batch = min(batch, e.load.MaxBatch)
+	}
+	step := e.StepAt(batch)
+	busy := min(e.busy, e.settings.MaxPrefillShare)
+	f := Forecast{Cached: cached, Age: e.Age(now).Seconds()}
+	f.Wait = e.queue(now)/rate*e.pace.prefill.Value(1) + e.batchWait(active, step)
+	f.Prefill = float64(prompt-cached) / rate * e.pace.prefill.Value(1)
+	f.Decode = float64(output) * step / (1 - busy) * e.pace.decode.Value(1)
+	f.Occupation = f.Prefill + float64(output)*e.marginalStep(active)
+	f.Certainty = math.Exp(-f.Age / e.settings.QueueMemory.Seconds())
+	return f
+}
+
+// batchWait returns how long new work waits for a place in a full batch.
+func (e *Engine) batchWait(active int, step float64) float64 {
+	limit := e.load.MaxBatch
+	if limit <= 0 || active < limit {
+		return 0
+	}
+	pending := e.others.pending + e.own.pending
+	perSequence := pending / float64(active)
+	return float64(active-limit+1) / float64(limit) * perSequence * step
+}
+
+// marginalStep returns the engine time in seconds that one more sequence adds to each decode step.
+func (e *Engine) marginalStep(active int) float64 {
+	if active == 0 {
+		return e.StepAt(1)
+	}
+	return e.step.Slope()
+}
+
+// Corrected takes the cached length that the engine itself told for a prompt that it has now prefilled.
+func (e *Engine) Corrected(prefix []identifier.PrefixHash, cached identifier.Tokens) {
+	pieces := min(len(prefix), int(cached/identifier.PieceTokens))
+	e.cache.add(prefix[:pieces])
+}
+
+// LearnPrefill takes the time in seconds to the first token of an attempt with the given forecast.
+func (e *Engine) LearnPrefill(f Forecast, actual float64) {
+	learnPace(&e.pace.prefill, (f.Wait+f.Prefill)/e.pace.prefill.Value(1), actual)
+}
+
+// LearnDecode takes the time in seconds from the first token of an answer to its last.
+func (e *Engine) LearnDecode(f Forecast, expected, output identifier.Tokens, actual float64) {
+	if output < 2 || expected < 1 {
+		return
+	}
+	predicted := f.Decode / e.pace.decode.Value(1) * float64(output-1) / float64(expected)
+	learnPace(&e.pace.decode, predicted, actual)
+}
+
+// CacheChanged takes one cache event. After a gap in the sequence the belief is kept as a guess, and answers correct it.
+func (e *Engine) CacheChanged(sequence uint64, stored, evicted []identifier.PrefixHash, cleared bool) (gap bool) {
+	if sequence <= e.cache.sequence {
+		return false
+	}
+	gap = e.cache.sequence > 0 && sequence != e.cache.sequence+1
+	e.cache.sequence = sequence
+	if cleared {
+		e.cache.clear()
+	}
+	e.cache.add(stored)
+	e.cache.remove(evicted)
+	return gap
+}
--- /dev/null
+++ b/core/estimator/history.go
@@ -0,0 +1,53 @@
+package estimator
+
+import "time"
+
+const (
+	// historySamples bounds how many past states of the own work are kept for one engine.
+	historySamples = 48
+	// historyStep is the least distance of two samples; 48 of them cover the lag of a late report.
+	historyStep = 100 * time.Millisecond
+)
+
+// ownWork is this instance's unfinished work at one engine.
+type ownWork struct {
+	queued  float64
+	pending float64
+	active  int
+}
+
+type sample struct {
+	at   time.Time
+	work ownWork
+}
+
+// history remembers the own work over the last seconds, to take it out of a report that was measured then.
+type history struct {
+	samples [historySamples]sample
+	next    int
+	count   int
+}
+
+func (h *history) record(now time.Time, work ownWork) {
+	if h.count > 0 {
+		last := &h.samples[(h.next+historySamples-1)%historySamples]
+		if now.Sub(last.at) < historyStep {
+			last.work = work
+			return
+		}
+	}
+	h.samples[h.next] = sample{at: now, work: work}
+	h.next = (h.next + 1) % historySamples
+	h.count = min(h.count+1, historySamples)
+}
+
+// at returns the own work as it was at a past time.
+func (h *history) at(past time.Time) ownWork {
+	for i := 1; i <= h.count; i++ {
+		s := &h.samples[(h.next+historySamples-i)%historySamples]
+		if !s.at.After(past) {
+			return s.work
+		}
+	}
+	return ownWork{}
+}
--- /dev/null
+++ b/core/estimator/learner.go
@@ -0,0 +1,96 @@
+package estimator
+
+const (
+	// forgetting is the weight that older observations keep when a new one arrives.
+	forgetting = 0.97
+	// outlierFactor rejects an observation that is so many times off the learned value.
+	outlierFactor = 2.5
+	// outliersBelieved is the number of outliers in a row after which the value itself is taken to have changed.
+	outliersBelieved = 6
+)
+
+// Rate learns one slowly changing value and ignores single outliers.
+type Rate struct {
+	value    float64
+	count    int
+	outliers int
+}
+
+// Observe takes one positive observation.
+func (r *Rate) Observe(value float64) {
+	if value <= 0 {
+		return
+	}
+	if r.count >= 3 && (value > r.value*outlierFactor || value < r.value/outlierFactor) {
+		r.outliers++
+		if r.outliers < outliersBelieved {
+			return
+		}
+		r.count = 0
+	}
+	r.outliers = 0
+	r.count++
+	share := max(1/float64(r.count), 0.1)
+	r.value += share * (value - r.value)
+}
+
+// Value returns the learned value, or the fallback before any observation.
+func (r *Rate) Value(fallback float64) float64 {
+	if r.count == 0 {
+		return fallback
+	}
+	return r.value
+}
+
+// Count returns how many observations the value rests on.
+func (r *Rate) Count() int { return r.count }
+
+// Line learns a straight line y = base + slope × x with a fading memory.
+type Line struct {
+	weight, x, y, xx, xy float64
+	outliers             int
+}
+
+// Observe takes one point; a point far above or below the line is left out unless several in a row agree.
+func (l *Line) Observe(x, y float64) {
+	if y <= 0 {
+		return
+	}
+	if l.weight > 4 {
+		expected := l.At(x)
+		if y > expected*outlierFactor || y < expected/outlierFactor {
+			l.outliers++
+			if l.outliers < outliersBelieved {
+				return
+			}
+			*l = Line{}
+		}
+	}
+	l.outliers = 0
+	l.weight = l.weight*forgetting + 1
+	l.x = l.x*forgetting + x
+	l.y = l.y*forgetting + y
+	l.xx = l.xx*forgetting + x*x
+	l.xy = l.xy*forgetting + x*y
+}
+
+// Known tells whether the line rests on any observation.
+func (l *Line) Known() bool { return l.weight > 0 }
+
+// Slope returns the learned increase of y for one unit of x, never negative.
+func (l *Line) Slope() float64 {
+	spread := l.weight*l.xx - l.x*l.x
+	if spread < l.weight*l.weight {
+		return 0
+	}
+	return max(0, (l.weight*l.xy-l.x*l.y)/spread)
+}
+
+// At returns the learned y at x.
+func (l *Line) At(x float64) float64 {
+	if l.weight == 0 {
+		return 0
+	}
+	mean := l.y / l.weight
+	return max(mean/4, mean+l.Slope()*(x-l.x/l.weight))
+}
--- /dev/null
+++ b/core/estimator/settings.go
@@ -0,0 +1,25 @@
+package estimator
+
+import "time"
+
+// Settings holds the tunables of the estimate.
+type Settings struct {
+	// QueueMemory is the time over which a measured queue loses its meaning.
+	QueueMemory time.Duration
+	// InitialPrefillPerSecond is assumed until an engine reports or shows its own rate, in tokens per second.
+	InitialPrefillPerSecond float64
+	// InitialDecodeStep is assumed until an engine reports or shows its own step.
+	InitialDecodeStep time.Duration
+	// MaxPrefillShare bounds the share of time that prefill is believed to take from decode steps.
+	MaxPrefillShare float64
+}
+
+// DefaultSettings returns the settings of a fleet about which nothing is known.
+func DefaultSettings() Settings {
+	return Settings{
+		QueueMemory:             2 * time.Second,
+		InitialPrefillPerSecond: 5000,
+		InitialDecodeStep:       25 * time.Millisecond,
+		MaxPrefillShare:         0.8,
+	}
+}
--- a/core/scheduler/event.go
+++ b/core/scheduler/event.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"rosemaryspool.example/core/estimator"
 	"rosemaryspool.example/core/identifier"
 )
 
@@ -78,22 +79,8 @@
 	Request identifier.RequestID
 }
 
-// Load is an engine's own account of its work. Counters are as of MeasuredAt.
-type Load struct {
-	Sequence            uint64
-	Role                identifier.Role
-	Model               identifier.ModelName
-	Changing            bool
-	Leaving             bool
-	QueuedPrefill       identifier.Tokens
-	PendingOutput       identifier.Tokens
-	Running             int
-	Waiting             int
-	MaxBatch            int
-	PrefillPerSecond    float64
-	DecodeStep          time.Duration
-	CacheCapacityTokens identifier.Tokens
-}
+// Load is an engine's own account of its work.
+type Load = estimator.Load
 
 // LoadReported delivers an engine's load report, late by an unknown time.
 type LoadReported struct {
@@ -135,6 +122,12 @@
 	Burst             int
 }
 
+// InstancesCounted tells how many instances of the system are live, this one included.
+type InstancesCounted struct {
+	Now       time.Time
+	Instances int
+}
+
 // Ticked lets the scheduler act on time: expire queues, hedge, probe and eject.
 type Ticked struct{ Now time.Time }
 
@@ -148,4 +141,5 @@
 func (UpstreamSeen) event()      {}
 func (UpstreamGone) event()      {}
 func (CallerLimited) event()     {}
+func (InstancesCounted) event()  {}
 func (Ticked) event()            {}
