--- a/core/router/router.go
+++ b/core/router/router.go
@@ -103,14 +103,14 @@
 	careful := f.Wait + f.Prefill + f.Decode*float64(q.LongOutput)/float64(max(1, q.Output))
 	c := Candidate{Prefill: prefill, Decode: decode, Forecast: f}
 	c.Late = careful*(1+r.settings.Margin) - remaining
-	c.Cost = r.cost(q, c, harmed, remaining)
+	c.Cost = r.cost(c, harmed, remaining)
 	if decode.DataCentre != r.local {
 		c.Cost += r.settings.Remote.Seconds()
 	}
 	return c
 }
 
-func (r *Router) cost(q Request, c Candidate, harmed int, remaining float64) float64 {
+func (r *Router) cost(c Candidate, harmed int, remaining float64) float64 {
 	f := c.Forecast
 	cost := f.Finish()*r.settings.FinishWeight*min(1, r.settings.Reference.Seconds()/max(remaining, 0.1)) + f.Occupation
 	cost += f.Prefill * float64(harmed) * r.settings.Harm
