--- /dev/null
+++ b/core/admitter/admitter_test.go
@@ -0,0 +1,102 @@
+package admitter
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"rosemaryspool.example/core/identifier"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func TestCallerLimitIsSharedByInstances(t *testing.T) {
+	a := NewAdmitter(DefaultSettings())
+	a.SetInstances(2)
+	a.Limit("c", 10, 4)
+	admitted := 0
+	for i := range 1000 {
+		if v, wait := a.Admit(start.Add(time.Duration(i)*10*time.Millisecond), "c", true, 0.1); v == Admitted {
+			admitted++
+		} else {
+			require.Equal(t, OverLimit, v)
+			require.Positive(t, wait)
+		}
+	}
+	require.InDelta(t, 2+10*5, admitted, 1, "half of the burst and half of ten seconds")
+	v, _ := a.Admit(start, "free", true, 0.1)
+	require.Equal(t, Admitted, v)
+}
+
+func TestFairShareCountsOnlyUnderOverload(t *testing.T) {
+	cases := []struct {
+		name     string
+		shed     bool
+		urgent   bool
+		greedy   bool
+		expected Verdict
+	}{
+		{"no overload", false, false, true, Admitted},
+		{"greedy under overload", true, false, true, OverShare},
+		{"modest under overload", true, false, false, Admitted},
+		{"urgent work is exempt", true, true, true, Admitted},
+	}
+	for _, c := range cases {
+		a := NewAdmitter(DefaultSettings())
+		for i := range 20 {
+			a.Admit(start, identifier.CallerID("c"+strconv.Itoa(i)), false, 1)
+			a.Admit(start, "greedy", false, 5)
+			a.Decided(start, c.shed)
+		}
+		caller := identifier.CallerID("c1")
+		if c.greedy {
+			caller = "greedy"
+		}
+		v, _ := a.Admit(start, caller, c.urgent, 1)
+		require.Equal(t, c.expected, v, c.name)
+	}
+}
+
+func TestCallersAreBounded(t *testing.T) {
+	settings := DefaultSettings()
+	settings.MaxCallers = 10
+	a := NewAdmitter(settings)
+	for i := range 100 {
+		a.Admit(start, identifier.CallerID(strconv.Itoa(i)), true, 1)
+	}
+	require.Len(t, a.ledger.accounts, 10)
+	require.Equal(t, identifier.CallerID("90"), a.ledger.oldest.id)
+}
+
+func TestQueueOrderAndOverflow(t *testing.T) {
+	q := NewQueue(3)
+	push := func(id identifier.RequestID, priority identifier.Priority, deadline time.Duration) (identifier.RequestID, bool) {
+		return q.Push(Waiter{Request: id, Priority: priority, Deadline: start.Add(deadline)})
+	}
+	push("late", 5, 9*time.Second)
+	push("soon", 5, 1*time.Second)
+	push("bulk", 1, 1*time.Second)
+	require.Equal(t, []identifier.RequestID{"soon", "late", "bulk"}, q.Ordered())
+	out, full := push("urgent", 9, 20*time.Second)
+	require.True(t, full)
+	require.Equal(t, identifier.RequestID("bulk"), out)
+	q.Remove("soon")
+	require.Equal(t, []identifier.RequestID{"urgent", "late"}, q.Ordered())
+}
+
+func BenchmarkAdmit(b *testing.B) {
+	a := NewAdmitter(DefaultSettings())
+	ids := make([]identifier.CallerID, 20_000)
+	for i := range ids {
+		ids[i] = identifier.CallerID("caller-" + strconv.Itoa(i))
+		a.Limit(ids[i], 100, 10)
+	}
+	b.ReportAllocs()
+	i := 0
+	for b.Loop() {
+		a.Admit(start.Add(time.Duration(i)*time.Millisecond), ids[i*7919%len(ids)], i%2 == 0, 0.1)
+		i++
+	}
+}
--- a/core/ejector/ejector.go
+++ b/core/ejector/ejector.go
@@ -98,18 +98,23 @@
 		h.delays++
 		h.delay += delayMemory * (ratio - h.delay)
 	}
-	if h.ejected && now.After(h.until) && !j.slow(h) {
-		h.ejected = false
-		h.probing = 0
-		h.pause /= 2
-		h.failures = min(h.failures, j.settings.FailureShare/2)
-		return
-	}
-	if !h.ejected && h.delays >= j.settings.LeastSamples && j.slow(h) {
+	switch {
+	case h.ejected && now.Before(h.until):
+	case j.slow(h) && h.delays >= j.settings.LeastSamples:
 		j.eject(now, h, CauseSlow)
+	case h.ejected:
+		j.restore(h)
 	}
 }
 
+// restore ends an ejection after a good probe; a short memory of the pause and the failures remains.
+func (j *Ejector) restore(h *health) {
+	h.ejected = false
+	h.probing = 0
+	h.pause /= 2
+	h.failures = min(h.failures, j.settings.FailureShare/2)
+}
+
 // Abandoned tells that an attempt ended with neither an answer nor a failure.
 func (j *Ejector) Abandoned(id identifier.UpstreamID) {
 	if h := j.upstreams[id]; h != nil {
--- a/core/estimator/engine.go
+++ b/core/estimator/engine.go
@@ -136,6 +136,11 @@
 		pending: max(0, float64(load.PendingOutput)-own.pending),
 		active:  max(0, load.Running+load.Waiting-own.active),
 	}
+	decoding := load.Running
+	if load.QueuedPrefill > 0 {
+		decoding--
+	}
+	e.others.decoding = max(0, decoding-own.decoding)
 }
 
 // observeBusy follows the share of time with prefill. Only periodic reports count: answers carry reports from times
@@ -199,6 +204,7 @@
 // Prefilled takes the attempt's prompt out of the own queue at its first token.
 func (e *Engine) Prefilled(now time.Time, work Work) {
 	e.own.queued = max(0, e.own.queued-float64(work.Prefill))
+	e.own.decoding++
 	e.past.record(now, e.own)
 }
 
@@ -208,12 +214,20 @@
 	e.past.record(now, e.own)
 }
 
-// Ended takes an attempt of this instance out.
-func (e *Engine) Ended(now time.Time) {
-	e.own.active = max(0, e.own.active-1)
-	if e.own.active == 0 {
+// Ended takes an attempt of this instance out. An attempt that ended before its first token leaves its work undone.
+func (e *Engine) Ended(now time.Time, work Work, produced identifier.Tokens, decoding bool) {
+	e.own.active--
+	e.own.pending -= float64(max(0, work.Output-produced))
+	if decoding {
+		e.own.decoding--
+	} else {
+		e.own.queued -= float64(work.Prefill)
+	}
+	if e.own.active <= 0 {
 		e.own = ownWork{}
 	}
+	e.own.pending = max(0, e.own.pending)
+	e.own.queued = max(0, e.own.queued)
 	e.past.record(now, e.own)
 }
 
@@ -223,14 +237,15 @@
 // Active returns the number of sequences believed to be at the engine now.
 func (e *Engine) Active() int { return e.others.active + e.own.active }
 
+// Decoding returns the number of sequences believed to be past their first token.
+func (e *Engine) Decoding() int { return e.others.decoding + e.own.decoding }
+
 // Busy returns the smoothed share of time in which the engine runs prefill.
 func (e *Engine) Busy() float64 { return e.busy }
 
 // queue returns the prefill tokens believed to be ahead of new work. What other instances had queued at the time of
-// measurement fades towards its mean, since they go on sending while the engine works it off.
-func (e *Engine) queue(now time.Time) float64 {
-	age := max(0, now.Sub(e.measuredAt).Seconds())
-	fresh := math.Exp(-age / e.settings.QueueMemory.Seconds())
+// measurement fades towards its mean with the certainty, since they go on sending while the engine works it off.
+func (e *Engine) queue(fresh float64) float64 {
 	mean := e.othersQueued.Value(0)
 	return mean + (e.others.queued-mean)*fresh + e.own.queued
 }
@@ -252,20 +267,27 @@
 func (e *Engine) Forecast(now time.Time, prompt, output identifier.Tokens, prefix []identifier.PrefixHash) Forecast {
 	cached := min(e.cache.cached(prefix), prompt)
 	active := e.Active()
-	batch := active + 1
+	decoding := e.Decoding()
+	batch := decoding + 1
 	if e.load.MaxBatch > 0 {
 		batch = min(batch, e.load.MaxBatch)
 	}
-	perToken := e.prefillSeconds(active)
+	perToken := e.prefillSeconds(decoding)
 	f := Forecast{Cached: cached, Age: e.Age(now).Seconds()}
-	f.Wait = e.queue(now)*perToken + e.batchWait(active, e.StepAt(batch))
+	f.Certainty = e.certainty(f.Age)
+	f.Wait = e.queue(f.Certainty)*perToken + e.batchWait(active, e.StepAt(batch))
 	f.Prefill = float64(prompt-cached) * perToken
 	f.Decode = float64(output-1) * e.interval(batch)
-	f.Occupation = float64(prompt-cached)/e.prefillPerSecond() + float64(output)*e.marginalStep(active)
-	f.Certainty = math.Exp(-f.Age / e.settings.QueueMemory.Seconds())
+	f.Occupation = float64(prompt-cached)/e.prefillPerSecond() + float64(output)*e.marginalStep(decoding)
 	return f
 }
 
+// certainty falls from 1 for a fresh report towards 0; at an age of QueueMemory it is a quarter.
+func (e *Engine) certainty(age float64) float64 {
+	ratio := 1 + max(0, age)/e.settings.QueueMemory.Seconds()
+	return 1 / (ratio * ratio)
+}
+
 // prefillSeconds returns the time of one prefill token beside a decoding batch: each chunk carries a decode step.
 func (e *Engine) prefillSeconds(active int) float64 {
 	perToken := e.pace.prefill.Value(1) / e.prefillPerSecond()
--- a/core/estimator/history.go
+++ b/core/estimator/history.go
@@ -13,7 +13,9 @@
 type ownWork struct {
 	queued  float64
 	pending float64
-	active  int
+	// active counts all sequences, decoding those past their first token.
+	active   int
+	decoding int
 }
 
 type sample struct {
--- a/core/estimator/learner.go
+++ b/core/estimator/learner.go
@@ -80,7 +80,7 @@
 // Slope returns the learned increase of y for one unit of x, never negative.
 func (l *Line) Slope() float64 {
 	spread := l.weight*l.xx - l.x*l.x
-	if spread < l.weight*l.weight {
+	if l.weight == 0 || spread < l.weight*l.weight {
 		return 0
 	}
 	return max(0, (l.weight*l.xy-l.x*l.y)/spread)
--- /dev/null
+++ b/core/placer/event.go
@@ -0,0 +1,95 @@
+// Package placer decides which role and model version each engine of a pool runs, and when a change pays for the time
+// in which the engine is away. It does no I/O and reads no clock.
+package placer
+
+import (
+	"time"
+
+	"rosemaryspool.example/core/identifier"
+)
+
+// Event is something that the placer learns. Every event carries its time on the process's monotonic clock.
+type Event interface{ event() }
+
+// EngineObserved is the newest state of an engine, by its own report.
+type EngineObserved struct {
+	Now      time.Time
+	Upstream identifier.UpstreamID
+	Model    identifier.ModelName
+	Version  identifier.ModelVersion
+	Role     identifier.Role
+	Changing bool
+	Leaving  bool
+	// Healthy is false while the engine is ejected.
+	Healthy bool
+	// Sequences counts running and waiting sequences.
+	Sequences        int
+	MaxBatch         int
+	QueuedPrefill    identifier.Tokens
+	PrefillPerSecond float64
+	DecodeStep       time.Duration
+}
+
+// EngineGone removes an engine.
+type EngineGone struct {
+	Now      time.Time
+	Upstream identifier.UpstreamID
+}
+
+// DemandObserved is what one instance was asked for since its last DemandObserved, refused requests included.
+type DemandObserved struct {
+	Now   time.Time
+	Model identifier.ModelName
+	// Period is the time that the counts cover.
+	Period time.Duration
+	// Prefill counts prompt tokens that no cache held; Output counts output tokens.
+	Prefill identifier.Tokens
+	Output  identifier.Tokens
+}
+
+// InstancesCounted tells over how many live instances the demand spreads.
+type InstancesCounted struct {
+	Now       time.Time
+	Instances int
+}
+
+// VersionWanted names the version that a model's engines should run.
+type VersionWanted struct {
+	Now     time.Time
+	Model   identifier.ModelName
+	Version identifier.ModelVersion
+}
+
+// PermitAnswered is the weight store's answer to AskPermit.
+type PermitAnswered struct {
+	Now        time.Time
+	Upstream   identifier.UpstreamID
+	Granted    bool
+	RetryAfter time.Duration
+}
+
+// OrderEnded tells how an order ended.
+type OrderEnded struct {
+	Now      time.Time
+	Upstream identifier.UpstreamID
+	Done     bool
+}
+
+// AuthorityChanged tells whether this instance may order the pool's engines now.
+type AuthorityChanged struct {
+	Now  time.Time
+	Held bool
+}
+
+// Ticked lets the placer act on time.
+type Ticked struct{ Now time.Time }
+
+func (EngineObserved) event()   {}
+func (EngineGone) event()       {}
+func (DemandObserved) event()   {}
+func (InstancesCounted) event() {}
+func (VersionWanted) event()    {}
+func (PermitAnswered) event()   {}
+func (OrderEnded) event()       {}
+func (AuthorityChanged) event() {}
+func (Ticked) event()           {}
--- a/core/router/router.go
+++ b/core/router/router.go
@@ -92,7 +92,7 @@
 // weigh predicts one candidate and gives it a cost in seconds.
 func (r *Router) weigh(now time.Time, q Request, prefill, decode *estimator.Engine) Candidate {
 	f := prefill.Forecast(now, q.Prompt, q.Output, q.Prefix)
-	harmed := prefill.Active()
+	harmed := prefill.Decoding()
 	if decode != prefill {
 		d := decode.Forecast(now, 0, q.Output, nil)
 		f.Decode = d.Decode + r.settings.HandOver.Seconds()
--- /dev/null
+++ b/core/router/router_test.go
@@ -0,0 +1,160 @@
+package router
+
+import (
+	"math/rand/v2"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"rosemaryspool.example/core/estimator"
+	"rosemaryspool.example/core/identifier"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func fleet(count int, change func(i int, load *estimator.Load)) []*estimator.Engine {
+	settings := estimator.DefaultSettings()
+	engines := make([]*estimator.Engine, 0, count)
+	for i := range count {
+		e := estimator.NewEngine(identifier.UpstreamID("e"+strconv.Itoa(100+i)), &settings)
+		e.DataCentre = "a"
+		load := estimator.Load{
+			Sequence: 1, Role: identifier.RoleMixed, Model: "m", MaxBatch: 64,
+			PrefillPerSecond: 8000, DecodeStep: 20 * time.Millisecond,
+		}
+		change(i, &load)
+		e.Observe(start, load, false)
+		engines = append(engines, e)
+	}
+	return engines
+}
+
+func newTestRouter(seed uint64) *Router {
+	return NewRouter(DefaultSettings(), "a", rand.New(rand.NewPCG(seed, 1)))
+}
+
+func always(*estimator.Engine) bool { return true }
+
+func file() Request {
+	return Request{Model: "m", Urgent: true, Deadline: start.Add(8 * time.Second), Prompt: 16000, Output: 1, LongOutput: 3}
+}
+
+func draft() Request {
+	return Request{Model: "m", Deadline: start.Add(45 * time.Second), Prompt: 500, Output: 800, LongOutput: 1100}
+}
+
+func TestChoiceOfEngine(t *testing.T) {
+	cases := []struct {
+		name    string
+		request Request
+		change  func(i int, load *estimator.Load)
+		want    identifier.UpstreamID
+	}{
+		{"shortest queue", file(), func(i int, l *estimator.Load) { l.QueuedPrefill = identifier.Tokens(i%3) * 16000 }, "e100"},
+		{"not beside decoding drafts", file(), func(i int, l *estimator.Load) {
+			if i < 2 {
+				l.Running, l.PendingOutput = 30, 12000
+			}
+		}, "e102"},
+		{"drafts share a batch", draft(), func(i int, l *estimator.Load) {
+			if i == 1 {
+				l.Running, l.PendingOutput = 10, 4000
+			}
+		}, "e101"},
+		{"not to a changing engine", file(), func(i int, l *estimator.Load) { l.Changing = i != 2 }, "e102"},
+		{"not to a leaving engine", file(), func(i int, l *estimator.Load) { l.Leaving = i != 1 }, "e101"},
+		{"not to another model's engine", file(), func(i int, l *estimator.Load) {
+			if i != 0 {
+				l.Model = "other"
+			}
+		}, "e100"},
+	}
+	for _, c := range cases {
+		choice := newTestRouter(1).Choose(start.Add(time.Second), c.request, fleet(3, c.change), always)
+		require.NotNil(t, choice.Best, c.name)
+		require.Equal(t, c.want, choice.Best.Prefill.ID, c.name)
+		require.Equal(t, choice.Best.Prefill, choice.Best.Decode, c.name)
+	}
+}
+
+func TestSplitRolesGiveAPair(t *testing.T) {
+	engines := fleet(4, func(i int, l *estimator.Load) {
+		l.Role = identifier.RoleDecode
+		if i < 2 {
+			l.Role = identifier.RolePrefill
+		}
+		if i == 0 {
+			l.QueuedPrefill = 40000
+		}
+	})
+	choice := newTestRouter(1).Choose(start, file(), engines, always)
+	require.Equal(t, identifier.UpstreamID("e101"), choice.Best.Prefill.ID)
+	require.Equal(t, identifier.RoleDecode, choice.Best.Decode.Role())
+}
+
+func TestPrefixAffinityHasABoundOnLoad(t *testing.T) {
+	prefix := []identifier.PrefixHash{11, 12, 13, 14, 15, 16, 17}
+	cases := []struct {
+		name  string
+		queue identifier.Tokens
+		want  bool
+	}{
+		{"cached engine is free", 0, true},
+		{"cached engine is far behind", 60000, false},
+	}
+	for _, c := range cases {
+		engines := fleet(3, func(i int, l *estimator.Load) {
+			if i == 1 {
+				l.QueuedPrefill = c.queue
+			}
+		})
+		engines[1].Corrected(prefix, 7*identifier.PieceTokens)
+		q := file()
+		q.Prefix = prefix
+		choice := newTestRouter(1).Choose(start, q, engines, always)
+		require.Equal(t, c.want, choice.Best.Prefill == engines[1], c.name)
+	}
+}
+
+func TestInstancesWithTheSameStaleReportDoNotHerd(t *testing.T) {
+	counts := map[identifier.UpstreamID]int{}
+	for seed := range uint64(70) {
+		choice := newTestRouter(seed).Choose(start.Add(2*time.Second), file(), fleet(7, func(i int, l *estimator.Load) {
+			l.QueuedPrefill = identifier.Tokens(i) * 500
+		}), always)
+		counts[choice.Best.Prefill.ID]++
+	}
+	most := 0
+	for _, n := range counts {
+		most = max(most, n)
+	}
+	require.GreaterOrEqual(t, len(counts), 4)
+	require.LessOrEqual(t, most, 35)
+}
+
+func TestNoEngine(t *testing.T) {
+	none := func(*estimator.Engine) bool { return false }
+	choice := newTestRouter(1).Choose(start, file(), fleet(2, func(int, *estimator.Load) {}), none)
+	require.Nil(t, choice.Best)
+	require.Equal(t, "noEngine", choice.Cause)
+}
+
+func BenchmarkChoose183(b *testing.B) {
+	engines := fleet(183, func(i int, l *estimator.Load) { l.QueuedPrefill, l.Running = identifier.Tokens(i*100), i%50 })
+	prefix := make([]identifier.PrefixHash, 15)
+	for i := range prefix {
+		prefix[i] = identifier.PrefixHash(i + 1)
+	}
+	for i, e := range engines {
+		e.Corrected(prefix, identifier.Tokens(i%15)*identifier.PieceTokens)
+	}
+	r := newTestRouter(1)
+	q := file()
+	q.Prompt, q.Prefix = 32000, prefix
+	b.ReportAllocs()
+	for b.Loop() {
+		r.Choose(start.Add(time.Second), q, engines, always)
+	}
+}
--- a/core/scheduler/dispatcher.go
+++ b/core/scheduler/dispatcher.go
@@ -247,12 +247,13 @@
 // release takes an attempt out of the own work at its engines.
 func (s *Scheduler) release(a *attempt) {
 	delete(s.attempts, a.id)
-	if a.first.IsZero() {
-		a.prefill.Prefilled(s.now, a.work)
+	decoding := !a.first.IsZero()
+	if a.prefill == a.decode {
+		a.prefill.Ended(s.now, a.work, a.output, decoding)
+		return
 	}
-	a.decode.Decoded(s.now, max(0, a.work.Output-a.output))
-	a.decode.Ended(s.now)
-	if a.prefill != a.decode && a.first.IsZero() {
-		a.prefill.Ended(s.now)
+	if !decoding {
+		a.prefill.Ended(s.now, estimator.Work{Prefill: a.work.Prefill}, 0, false)
 	}
+	a.decode.Ended(s.now, estimator.Work{Output: a.work.Output}, a.output, decoding)
 }
--- a/core/scheduler/follower.go
+++ b/core/scheduler/follower.go
@@ -25,9 +25,11 @@
 func (s *Scheduler) markFirst(a *attempt) {
 	a.first = s.now
 	a.request.seen = true
-	a.prefill.Prefilled(s.now, a.work)
-	if a.prefill != a.decode {
-		a.prefill.Ended(s.now)
+	if a.prefill == a.decode {
+		a.prefill.Prefilled(s.now, a.work)
+	} else {
+		a.prefill.Ended(s.now, estimator.Work{Prefill: a.work.Prefill}, 0, false)
+		a.decode.Prefilled(s.now, estimator.Work{})
 	}
 	a.prefill.LearnPrefill(a.forecast, s.now.Sub(a.sent).Seconds())
 }
