--- /dev/null
+++ b/standin/measurer/attempt.go
@@ -0,0 +1,209 @@
+package measurer
+
+import (
+	"errors"
+	"time"
+
+	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/core/scheduler"
+	"rosemaryspool.example/standin/batcher"
+)
+
+// attempt is one dispatch of a request, as the instance's shell and the engines see it.
+type attempt struct {
+	id identifier.AttemptID
+	// wireID is unique over all instances.
+	wireID   identifier.AttemptID
+	owner    *instance
+	request  int
+	prefill  *node
+	decode   *node
+	priority identifier.Priority
+	skip     identifier.Tokens
+	// target is the engine that the attempt waits for.
+	target *node
+	// handedOver counts tokens produced before the hand-over; output counts those that reached the instance.
+	handedOver identifier.Tokens
+	output     identifier.Tokens
+	cached     identifier.Tokens
+	// ended is true once the instance knows the end; whole is true when that was the end mark.
+	ended bool
+	whole bool
+	// neverRan is true when no engine took the attempt.
+	neverRan bool
+}
+
+// split reports whether two engines share the attempt.
+func (a *attempt) split() bool { return a.prefill != a.decode }
+
+// dispatch carries out a Dispatch of an instance.
+func (s *Simulation) dispatch(i *instance, d scheduler.Dispatch) {
+	number, ok := i.requests[d.Request]
+	if !ok {
+		s.breach("dispatch of an unknown request")
+		return
+	}
+	r := &s.records[number]
+	a := &attempt{
+		id: d.Attempt, wireID: identifier.AttemptID(string(i.id) + "/" + string(d.Attempt)), owner: i, request: number,
+		prefill: s.nodes[d.Prefill], decode: s.nodes[d.Decode], priority: d.Priority, skip: d.SkipOutput,
+	}
+	i.attempts[d.Attempt] = a
+	r.attempts = append(r.attempts, a)
+	if d.Hedge {
+		r.hedges++
+	}
+	r.stage = stageSent
+	if a.prefill == nil || a.decode == nil {
+		s.fail(a, scheduler.FailureConnect, 0, nil)
+		return
+	}
+	s.submit(a, a.prefill, batcher.Sequence{Export: a.split()})
+}
+
+// submit sends the attempt to an engine; the hand-over sets Import and the tokens that exist already.
+func (s *Simulation) submit(a *attempt, n *node, sequence batcher.Sequence) {
+	a.target = n
+	if s.cut(a.owner.dataCentre, n.dataCentre) {
+		s.calendar.after(s.figures.ConnectTimeout, func() { s.failNow(a, scheduler.FailureConnect, nil) })
+		return
+	}
+	r := s.workload.Requests[a.request]
+	class := s.figures.Classes[r.Class]
+	sequence.Attempt, sequence.Prompt, sequence.Prefix = a.wireID, r.Prompt, r.Prefix
+	sequence.Output, sequence.MaxOutput = r.Output, class.OutputMax
+	sequence.ExpectedOutput = identifier.Tokens(meanOutput(class))
+	sequence.SkipOutput, sequence.Priority = a.skip+a.handedOver, a.priority
+	s.calendar.after(s.delay(a.owner.dataCentre, n.dataCentre), func() { s.arrive(a, n, sequence) })
+}
+
+// arrive lets an engine take or refuse the attempt.
+func (s *Simulation) arrive(a *attempt, n *node, sequence batcher.Sequence) {
+	if a.ended {
+		return
+	}
+	var err error
+	if sequence.Import {
+		err = a.prefill.engine.TakeExport(s.clock(), a.wireID)
+		s.touch(a.prefill)
+	}
+	if err == nil {
+		err = n.engine.Submit(s.clock(), sequence)
+	}
+	if err == nil {
+		n.attempts[a.wireID] = a
+		s.touch(n)
+		return
+	}
+	if errors.Is(err, batcher.ErrDown) {
+		s.fail(a, scheduler.FailureConnect, s.delay(n.dataCentre, a.owner.dataCentre), nil)
+		return
+	}
+	load := n.load(s.clock())
+	s.records[a.request].rejected++
+	s.fail(a, scheduler.FailureRejected, s.delay(n.dataCentre, a.owner.dataCentre), &load)
+}
+
+// toOwner carries something from an engine to the attempt's instance, unless the network is cut.
+func (s *Simulation) toOwner(n *node, a *attempt, act func()) {
+	if s.cut(n.dataCentre, a.owner.dataCentre) {
+		return
+	}
+	s.calendar.after(s.delay(n.dataCentre, a.owner.dataCentre), func() {
+		if !a.ended {
+			act()
+		}
+	})
+}
+
+// progressed streams tokens to the instance and its caller.
+func (s *Simulation) progressed(n *node, a *attempt, output identifier.Tokens) {
+	total := a.handedOver + output
+	s.toOwner(n, a, func() { s.receive(a, total) })
+}
+
+// receive notes tokens at the instance.
+func (s *Simulation) receive(a *attempt, total identifier.Tokens) {
+	a.output = total
+	r := &s.records[a.request]
+	if a.skip <= r.delivered {
+		r.delivered = max(r.delivered, a.skip+total)
+	}
+	r.stage = stageStreaming
+	a.owner.handle(scheduler.AttemptProgressed{Now: s.clock(), Attempt: a.id, Output: total})
+}
+
+// exported lets the instance ask the decode engine to import the KV cache.
+func (s *Simulation) exported(n *node, a *attempt, e batcher.PrefillExported) {
+	s.toOwner(n, a, func() {
+		a.handedOver = e.Output
+		a.cached = e.CachedPrompt
+		s.submit(a, a.decode, batcher.Sequence{Import: true})
+	})
+}
+
+// finished carries the end mark to the instance, with the engine's load.
+func (s *Simulation) finished(n *node, a *attempt, e batcher.Finished) {
+	total := a.handedOver + e.Output
+	load := n.load(s.clock())
+	s.toOwner(n, a, func() {
+		if !a.split() || a.handedOver == 0 {
+			a.cached = e.CachedPrompt
+		}
+		a.output, a.ended, a.whole = total, true, true
+		a.owner.handle(scheduler.AttemptFinished{Now: s.clock(), Attempt: a.id, Output: total, CachedPrompt: a.cached, Load: &load})
+	})
+}
+
+// dropped breaks the attempt's stream after the tokens that the engine had sent.
+func (s *Simulation) dropped(n *node, a *attempt, e batcher.Dropped) {
+	if e.Cause == batcher.CauseRoleChange && s.figures.Classes[s.workload.Requests[a.request].Class].Urgent && !a.ended {
+		s.result.CutUrgent++
+	}
+	total := a.handedOver + e.Output
+	s.toOwner(n, a, func() {
+		if total > a.output {
+			s.receive(a, total)
+		}
+		if !a.ended {
+			s.failNow(a, scheduler.FailureBroken, nil)
+		}
+	})
+}
+
+// fail tells the instance after a delay that an attempt ended without a whole answer.
+func (s *Simulation) fail(a *attempt, kind scheduler.FailureKind, delay time.Duration, load *scheduler.Load) {
+	s.calendar.after(delay, func() { s.failNow(a, kind, load) })
+}
+
+// failNow tells the instance that an attempt ended without a whole answer.
+func (s *Simulation) failNow(a *attempt, kind scheduler.FailureKind, load *scheduler.Load) {
+	if a.ended {
+		return
+	}
+	a.ended = true
+	a.neverRan = a.handedOver == 0 && (kind == scheduler.FailureConnect || kind == scheduler.FailureRejected)
+	s.records[a.request].failures++
+	a.owner.handle(scheduler.AttemptFailed{Now: s.clock(), Attempt: a.id, Kind: kind, Output: a.output, Load: load})
+}
+
+// cancel stops an attempt on the engines that may hold it.
+func (s *Simulation) cancel(a *attempt) {
+	if a.ended {
+		return
+	}
+	a.ended = true
+	for _, n := range []*node{a.prefill, a.decode} {
+		if n == nil || s.cut(a.owner.dataCentre, n.dataCentre) {
+			continue
+		}
+		s.calendar.after(s.delay(a.owner.dataCentre, n.dataCentre), func() { s.cancelAt(a, n) })
+	}
+}
+
+// cancelAt drops an attempt at one engine.
+func (s *Simulation) cancelAt(a *attempt, n *node) {
+	n.engine.Cancel(s.clock(), a.wireID)
+	delete(n.attempts, a.wireID)
+	s.touch(n)
+}
--- /dev/null
+++ b/standin/measurer/baseline.go
@@ -0,0 +1,230 @@
+package measurer
+
+import (
+	"fmt"
+	"time"
+
+	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/core/refuser"
+	"rosemaryspool.example/core/scheduler"
+)
+
+// Limits of the baselines, as an engineer would set them who knows the platform's lags.
+const (
+	// baselineWindow is how long own dispatches count beside a report that may not show them yet.
+	baselineWindow = 2500 * time.Millisecond
+	// baselineRetries is the number of new attempts after failures.
+	baselineRetries = 3
+	// baselineAvoid is how long an engine that failed an attempt is passed over.
+	baselineAvoid = 2 * time.Second
+)
+
+// baseline decides for one instance: the least-loaded engine, or plain rotation, with retries until the deadline.
+type baseline struct {
+	prefix    string
+	rotate    bool
+	next      int
+	attempts  int
+	order     []identifier.UpstreamID
+	engines   map[identifier.UpstreamID]*baselineEngine
+	requests  map[identifier.RequestID]*baselineRequest
+	byAttempt map[identifier.AttemptID]*baselineRequest
+	deadlines []*baselineRequest
+}
+
+// baselineEngine is what the instance knows of one engine.
+type baselineEngine struct {
+	id    identifier.UpstreamID
+	load  scheduler.Load
+	avoid time.Time
+	sent  []baselineWork
+}
+
+// baselineWork is own work that reports may not show yet.
+type baselineWork struct {
+	at      time.Time
+	prefill identifier.Tokens
+	decode  identifier.Tokens
+}
+
+// baselineRequest is one request under way.
+type baselineRequest struct {
+	arrived scheduler.RequestArrived
+	attempt identifier.AttemptID
+	have    identifier.Tokens
+	skip    identifier.Tokens
+	retries int
+	done    bool
+	engines [2]identifier.UpstreamID
+}
+
+// newBaseline returns the decider of one instance; start spreads the rotations of the instances.
+func newBaseline(instance identifier.InstanceID, rotate bool, start int) *baseline {
+	return &baseline{
+		prefix: string(instance), rotate: rotate, next: start,
+		engines: map[identifier.UpstreamID]*baselineEngine{}, requests: map[identifier.RequestID]*baselineRequest{},
+		byAttempt: map[identifier.AttemptID]*baselineRequest{},
+	}
+}
+
+// Handle takes one event and returns the actions to carry out.
+func (b *baseline) Handle(event scheduler.Event) []scheduler.Action {
+	switch e := event.(type) {
+	case scheduler.RequestArrived:
+		r := &baselineRequest{arrived: e}
+		b.requests[e.Request] = r
+		b.deadlines = append(b.deadlines, r)
+		return b.send(e.Now, r)
+	case scheduler.AttemptProgressed:
+		if r := b.byAttempt[e.Attempt]; r != nil {
+			r.have = r.skip + e.Output
+		}
+	case scheduler.AttemptFinished:
+		return b.finish(e)
+	case scheduler.AttemptFailed:
+		return b.retry(e)
+	case scheduler.CallerLeft:
+		if r := b.requests[e.Request]; r != nil {
+			return b.end(r, nil)
+		}
+	case scheduler.LoadReported:
+		b.learn(e.Upstream, e.Load)
+	case scheduler.UpstreamSeen:
+		b.add(e.Upstream)
+	case scheduler.UpstreamGone:
+		b.remove(e.Upstream)
+	case scheduler.Ticked:
+		return b.expire(e.Now)
+	case scheduler.CacheChanged, scheduler.CallerLimited:
+	}
+	return nil
+}
+
+// add takes a new engine into the rotation.
+func (b *baseline) add(id identifier.UpstreamID) {
+	if b.engines[id] == nil {
+		b.engines[id] = &baselineEngine{id: id}
+		b.order = append(b.order, id)
+	}
+}
+
+// remove takes an engine out of the rotation.
+func (b *baseline) remove(id identifier.UpstreamID) {
+	delete(b.engines, id)
+	for i, other := range b.order {
+		if other == id {
+			b.order = append(b.order[:i:i], b.order[i+1:]...)
+			return
+		}
+	}
+}
+
+// learn keeps an engine's latest load.
+func (b *baseline) learn(id identifier.UpstreamID, load scheduler.Load) {
+	if e := b.engines[id]; e != nil && load.Sequence >= e.load.Sequence {
+		e.load = load
+	}
+}
+
+// send dispatches a request, or refuses it when no engine can take it.
+func (b *baseline) send(now time.Time, r *baselineRequest) []scheduler.Action {
+	prefill, decode := b.choose(now, r)
+	if prefill == nil {
+		refusal := refuser.NewRefusal(refuser.NoUpstream, refuser.OutcomeUnknown, "no engine")
+		return b.end(r, refusal)
+	}
+	b.attempts++
+	r.attempt = identifier.AttemptID(fmt.Sprintf("%s-%d", b.prefix, b.attempts))
+	r.skip = r.have
+	r.engines = [2]identifier.UpstreamID{prefill.id, decode.id}
+	b.byAttempt[r.attempt] = r
+	expected := max(r.arrived.ExpectedOutput-r.skip, 1)
+	prefill.sent = append(prefill.sent, baselineWork{at: now, prefill: r.arrived.Prompt + r.skip})
+	decode.sent = append(decode.sent, baselineWork{at: now, decode: expected})
+	return []scheduler.Action{scheduler.Dispatch{
+		Request: r.arrived.Request, Attempt: r.attempt, Prefill: prefill.id, Decode: decode.id,
+		Priority: r.arrived.Priority, SkipOutput: r.skip, Reason: scheduler.Decision{Cause: "baseline"},
+	}}
+}
+
+// finish completes the request of an attempt.
+func (b *baseline) finish(e scheduler.AttemptFinished) []scheduler.Action {
+	r := b.byAttempt[e.Attempt]
+	if r == nil || r.done || r.attempt != e.Attempt {
+		return nil
+	}
+	if e.Load != nil {
+		b.learn(r.engines[1], *e.Load)
+	}
+	r.done = true
+	delete(b.byAttempt, e.Attempt)
+	delete(b.requests, r.arrived.Request)
+	return []scheduler.Action{scheduler.Complete{Request: r.arrived.Request, Attempt: e.Attempt}}
+}
+
+// retry sends a failed request again while its deadline and the number of retries allow.
+func (b *baseline) retry(e scheduler.AttemptFailed) []scheduler.Action {
+	r := b.byAttempt[e.Attempt]
+	if r == nil || r.done || r.attempt != e.Attempt {
+		return nil
+	}
+	delete(b.byAttempt, e.Attempt)
+	r.have = max(r.have, r.skip+e.Output)
+	failed := r.engines[0]
+	if e.Output > 0 {
+		failed = r.engines[1]
+	}
+	b.avoid(failed, e.Now)
+	if e.Load != nil {
+		b.learn(failed, *e.Load)
+	}
+	if r.retries >= baselineRetries || !e.Now.Before(r.arrived.Deadline) {
+		return b.end(r, refuser.NewRefusal(refuser.UpstreamFailed, refuser.OutcomeUnknown, "attempts failed"))
+	}
+	r.retries++
+	return b.send(e.Now, r)
+}
+
+// avoid passes an engine over for a while.
+func (b *baseline) avoid(id identifier.UpstreamID, now time.Time) {
+	if e := b.engines[id]; e != nil {
+		e.avoid = now.Add(baselineAvoid)
+	}
+}
+
+// end closes a request, cancels its attempt and gives its caller the refusal, if any.
+func (b *baseline) end(r *baselineRequest, refusal *refuser.Refusal) []scheduler.Action {
+	if r.done {
+		return nil
+	}
+	r.done = true
+	delete(b.requests, r.arrived.Request)
+	var actions []scheduler.Action
+	if b.byAttempt[r.attempt] == r {
+		delete(b.byAttempt, r.attempt)
+		actions = append(actions, scheduler.Cancel{Attempt: r.attempt})
+	}
+	if refusal != nil {
+		actions = append(actions, scheduler.Refuse{Request: r.arrived.Request, Refusal: *refusal})
+	}
+	return actions
+}
+
+// expire gives up requests past their deadline, so that engines do no work that nobody can use.
+func (b *baseline) expire(now time.Time) []scheduler.Action {
+	var actions []scheduler.Action
+	kept := b.deadlines[:0]
+	for _, r := range b.deadlines {
+		if r.done {
+			continue
+		}
+		if now.After(r.arrived.Deadline) {
+			actions = append(actions, b.end(r, refuser.NewRefusal(refuser.DeadlineExceeded, refuser.OutcomeUnknown, "too late"))...)
+			continue
+		}
+		kept = append(kept, r)
+	}
+	clear(b.deadlines[len(kept):])
+	b.deadlines = kept
+	return actions
+}
--- /dev/null
+++ b/standin/measurer/instance.go
@@ -0,0 +1,120 @@
+package measurer
+
+import (
+	"time"
+
+	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/core/refuser"
+	"rosemaryspool.example/core/scheduler"
+)
+
+// instance is one of the system's own processes: a decider with the shell that carries out its actions.
+type instance struct {
+	id         identifier.InstanceID
+	dataCentre int
+	simulation *Simulation
+	decider    Decider
+	requests   map[identifier.RequestID]int
+	attempts   map[identifier.AttemptID]*attempt
+}
+
+// handle passes an event to the decider and carries out its actions.
+func (i *instance) handle(event scheduler.Event) {
+	actions := i.decider.Handle(event)
+	i.simulation.observe(i, event)
+	for _, action := range actions {
+		i.carryOut(action)
+	}
+}
+
+// carryOut carries out one action.
+func (i *instance) carryOut(action scheduler.Action) {
+	s := i.simulation
+	switch a := action.(type) {
+	case scheduler.Dispatch:
+		s.dispatch(i, a)
+	case scheduler.Cancel:
+		if known := i.attempts[a.Attempt]; known != nil {
+			s.cancel(known)
+		}
+	case scheduler.Refuse:
+		i.refuse(a)
+	case scheduler.Complete:
+		i.complete(a)
+	}
+}
+
+// refuse notes a refusal as the request's answer.
+func (i *instance) refuse(a scheduler.Refuse) {
+	number, ok := i.requests[a.Request]
+	if !ok {
+		i.simulation.breach("refusal of an unknown request")
+		return
+	}
+	r := &i.simulation.records[number]
+	if r.state == stateComplete {
+		i.simulation.breach("refusal after an answer")
+		return
+	}
+	if r.state != stateOpen {
+		return
+	}
+	if a.Refusal.Effect == refuser.NotRun && r.mayHaveRun() {
+		i.simulation.breach("told not run, but sent")
+	}
+	r.state = stateRefused
+	r.code = a.Refusal.Code
+	r.ended = i.simulation.calendar.now
+}
+
+// complete checks that the answer is the whole answer to this very request and notes it.
+func (i *instance) complete(c scheduler.Complete) {
+	s := i.simulation
+	number, ok := i.requests[c.Request]
+	a := i.attempts[c.Attempt]
+	if !ok || a == nil || a.request != number {
+		s.breach("crossed answer")
+		return
+	}
+	r := &s.records[number]
+	if r.state == stateComplete || r.state == stateRefused {
+		s.breach("doubled answer")
+		return
+	}
+	if !a.whole || a.skip > r.delivered || a.skip+a.output != s.workload.Requests[number].Output {
+		s.breach("truncated answer")
+		return
+	}
+	if r.state != stateOpen {
+		return
+	}
+	r.state = stateComplete
+	r.ended = s.calendar.now
+}
+
+// arrive starts a request at the instance.
+func (i *instance) arrive(number int) {
+	s := i.simulation
+	r := s.workload.Requests[number]
+	class := s.figures.Classes[r.Class]
+	i.requests[r.ID] = number
+	i.handle(scheduler.RequestArrived{
+		Now: s.clock(), Request: r.ID, Caller: r.Caller, Class: class.Name, Model: modelName,
+		Priority: class.Priority, Urgent: class.Urgent, Deadline: epoch.Add(r.Deadline), Prompt: r.Prompt,
+		MaxOutput: class.OutputMax, ExpectedOutput: identifier.Tokens(meanOutput(class)), Prefix: r.Prefix,
+	})
+	s.calendar.at(r.Deadline, func() { s.records[number].passDeadline() })
+	patience := time.Duration(float64(class.Deadline) * s.figures.CallerPatience)
+	s.calendar.at(r.Arrival+patience, func() { i.leave(number) })
+}
+
+// leave lets the caller of an unanswered request go.
+func (i *instance) leave(number int) {
+	r := &i.simulation.records[number]
+	request := i.simulation.workload.Requests[number].ID
+	if r.state == stateOpen {
+		r.state = stateLeft
+		r.ended = i.simulation.calendar.now
+		i.handle(scheduler.CallerLeft{Now: i.simulation.clock(), Request: request})
+	}
+}
--- /dev/null
+++ b/standin/measurer/leastloaded.go
@@ -0,0 +1,99 @@
+package measurer
+
+import (
+	"time"
+
+	"rosemaryspool.example/core/identifier"
+)
+
+// choose returns the engines for prefill and decode: by rotation, or the least loaded mixed engine or pair.
+func (b *baseline) choose(now time.Time, r *baselineRequest) (prefill, decode *baselineEngine) {
+	if b.rotate {
+		e := b.rotation(now)
+		return e, e
+	}
+	mixed := b.least(now, identifier.RoleMixed, (*baselineEngine).seconds)
+	prefill = b.least(now, identifier.RolePrefill, (*baselineEngine).prefillSeconds)
+	decode = b.least(now, identifier.RoleDecode, (*baselineEngine).decodeSeconds)
+	if prefill == nil || decode == nil {
+		return mixed, mixed
+	}
+	if mixed == nil {
+		return prefill, decode
+	}
+	pair := prefill.prefillSeconds(now)
+	if r.arrived.ExpectedOutput > 1 {
+		pair = max(pair, decode.decodeSeconds(now))
+	}
+	if mixed.seconds(now) < pair {
+		return mixed, mixed
+	}
+	return prefill, decode
+}
+
+// rotation returns the next engine in turn that may be used.
+func (b *baseline) rotation(now time.Time) *baselineEngine {
+	var last *baselineEngine
+	for range b.order {
+		b.next++
+		last = b.engines[b.order[b.next%len(b.order)]]
+		if last.usable() && !now.Before(last.avoid) {
+			return last
+		}
+	}
+	return last
+}
+
+// least returns the usable engine of a role with the least load; one that failed lately serves when no other can.
+func (b *baseline) least(now time.Time, role identifier.Role, load func(*baselineEngine, time.Time) float64) *baselineEngine {
+	var best *baselineEngine
+	least, avoided := 0.0, false
+	for k := range b.order {
+		// Each instance begins at another engine, so that equal loads don't send all instances to the same one.
+		e := b.engines[b.order[(b.next+k)%len(b.order)]]
+		if e.load.Role != role || !e.usable() {
+			continue
+		}
+		avoid := now.Before(e.avoid)
+		l := load(e, now)
+		if best == nil || avoided && !avoid || avoided == avoid && l < least {
+			best, least, avoided = e, l, avoid
+		}
+	}
+	return best
+}
+
+// usable reports whether the engine takes new work, as far as is known.
+func (e *baselineEngine) usable() bool { return !e.load.Changing && !e.load.Leaving }
+
+// recent returns own work that the last report may not show.
+func (e *baselineEngine) recent(now time.Time) baselineWork {
+	var sum baselineWork
+	kept := e.sent[:0]
+	for _, w := range e.sent {
+		if now.Sub(w.at) > baselineWindow {
+			continue
+		}
+		kept = append(kept, w)
+		sum.prefill += w.prefill
+		sum.decode += w.decode
+	}
+	e.sent = kept
+	return sum
+}
+
+// prefillSeconds returns how long the engine needs for the prefill that it is known to hold.
+func (e *baselineEngine) prefillSeconds(now time.Time) float64 {
+	return float64(e.load.QueuedPrefill+e.recent(now).prefill) / max(e.load.PrefillPerSecond, 1)
+}
+
+// decodeSeconds returns how long the engine needs for the output that it is known to owe, in full batches.
+func (e *baselineEngine) decodeSeconds(now time.Time) float64 {
+	tokens := float64(e.load.PendingOutput + e.recent(now).decode)
+	return tokens * e.load.DecodeStep.Seconds() / float64(max(e.load.MaxBatch, 1))
+}
+
+// seconds returns the sum for an engine that does both.
+func (e *baselineEngine) seconds(now time.Time) float64 {
+	return e.prefillSeconds(now) + e.decodeSeconds(now)
+}
--- /dev/null
+++ b/standin/measurer/plot.go
@@ -0,0 +1,146 @@
+package measurer
+
+import (
+	"fmt"
+	"image/color"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgimg"
+	"gonum.org/v1/plot/vg/vgsvg"
+)
+
+// Size of a plot.
+const (
+	plotWidth  = 24 * vg.Centimeter
+	plotHeight = 18 * vg.Centimeter
+)
+
+// plotColours are told apart also by readers who do not see red or green.
+var plotColours = []color.Color{
+	color.RGBA{R: 0, G: 114, B: 178, A: 255},
+	color.RGBA{R: 230, G: 159, B: 0, A: 255},
+	color.RGBA{R: 0, G: 158, B: 115, A: 255},
+	color.RGBA{R: 204, G: 121, B: 167, A: 255},
+}
+
+// WritePlot draws goodput over time of every case that shares the first one's run, and the first one's roles below.
+func WritePlot(cases []Case, path string) error {
+	first := cases[0]
+	goodput := plot.New()
+	goodput.Title.Text = fmt.Sprintf("%s, seed %d, load %.2f, fault %s", first.Deployment, first.Seed, first.Load, first.Fault)
+	goodput.Y.Label.Text = "answers in time (share)"
+	goodput.Y.Min, goodput.Y.Max = 0, 1.05
+	goodput.Legend.Top = false
+	for i, c := range cases {
+		if c.Deployment != first.Deployment || c.Seed != first.Seed || c.Load != first.Load || c.Fault != first.Fault {
+			continue
+		}
+		if err := addLine(goodput, c.Policy, bucketPoints(c.Result.Buckets), i); err != nil {
+			return err
+		}
+	}
+	roles, err := rolesPlot(first)
+	if err != nil {
+		return err
+	}
+	return savePlots([]*plot.Plot{goodput, roles}, path)
+}
+
+// rolesPlot draws how many engines serve in each role.
+func rolesPlot(c Case) (*plot.Plot, error) {
+	p := plot.New()
+	p.Title.Text = "roles under policy " + c.Policy
+	p.X.Label.Text = "time (min)"
+	p.Y.Label.Text = "engines that serve"
+	counts := []struct {
+		name  string
+		count func(Split) int
+	}{
+		{"prefill", func(s Split) int { return s.Prefill }},
+		{"decode", func(s Split) int { return s.Decode }},
+		{"mixed", func(s Split) int { return s.Mixed }},
+	}
+	for i, count := range counts {
+		if err := addLine(p, count.name, stepPoints(c, count.count), i); err != nil {
+			return nil, err
+		}
+	}
+	p.Y.Min = 0
+	return p, nil
+}
+
+// bucketPoints places each bucket at its middle, in minutes.
+func bucketPoints(buckets []float64) plotter.XYs {
+	points := make(plotter.XYs, len(buckets))
+	for i, y := range buckets {
+		points[i].X = (float64(i) + 0.5) * BucketLength.Minutes()
+		points[i].Y = y
+	}
+	return points
+}
+
+// stepPoints draws a count as steps up to the end of the run.
+func stepPoints(c Case, count func(Split) int) plotter.XYs {
+	var points plotter.XYs
+	for _, r := range c.Result.Roles {
+		if n := len(points); n > 0 {
+			points = append(points, plotter.XY{X: r.At.Minutes(), Y: points[n-1].Y})
+		}
+		points = append(points, plotter.XY{X: r.At.Minutes(), Y: float64(count(r.Split))})
+	}
+	end := float64(len(c.Result.Buckets)) * BucketLength.Minutes()
+	return append(points, plotter.XY{X: end, Y: points[len(points)-1].Y})
+}
+
+// addLine adds one named line.
+func addLine(p *plot.Plot, name string, points plotter.XYs, number int) error {
+	line, err := plotter.NewLine(points)
+	if err != nil {
+		return fmt.Errorf("measurer: plot %s: %w", name, err)
+	}
+	line.Color = plotColours[number%len(plotColours)]
+	line.Width = vg.Points(1.2)
+	p.Add(line)
+	p.Legend.Add(name, line)
+	return nil
+}
+
+// savePlots draws plots one below the other into an SVG or PNG file.
+func savePlots(plots []*plot.Plot, path string) error {
+	file, err := os.Create(path)
+	if err != nil {
+		return fmt.Errorf("measurer: create plot: %w", err)
+	}
+	defer file.Close()
+	rows := make([][]*plot.Plot, len(plots))
+	for i, p := range plots {
+		rows[i] = []*plot.Plot{p}
+	}
+	tiles := draw.Tiles{Rows: len(plots), Cols: 1, PadY: vg.Centimeter}
+	if strings.EqualFold(filepath.Ext(path), ".svg") {
+		canvas := vgsvg.New(plotWidth, plotHeight)
+		drawTiles(rows, tiles, draw.New(canvas))
+		_, err = canvas.WriteTo(file)
+	} else {
+		canvas := vgimg.New(plotWidth, plotHeight)
+		drawTiles(rows, tiles, draw.New(canvas))
+		_, err = vgimg.PngCanvas{Canvas: canvas}.WriteTo(file)
+	}
+	if err != nil {
+		return fmt.Errorf("measurer: write plot: %w", err)
+	}
+	return nil
+}
+
+// drawTiles draws each plot into its tile.
+func drawTiles(rows [][]*plot.Plot, tiles draw.Tiles, canvas draw.Canvas) {
+	for i, row := range plot.Align(rows, tiles, canvas) {
+		rows[i][0].Draw(row[0])
+	}
+}
--- /dev/null
+++ b/standin/measurer/policy.go
@@ -0,0 +1,74 @@
+package measurer
+
+import (
+	"time"
+
+	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/core/scheduler"
+)
+
+// Decider decides for one instance; the real scheduler and the baselines' own ones are deciders.
+type Decider interface {
+	Handle(event scheduler.Event) []scheduler.Action
+}
+
+// Order is a role change that a planner wants.
+type Order struct {
+	Upstream identifier.UpstreamID
+	Role     identifier.Role
+}
+
+// Planner decides the engines' roles; one instance at a time runs it.
+type Planner interface {
+	// Observe takes what the instance sees and returns the role changes to order.
+	Observe(event scheduler.Event) []Order
+	// Ended tells that the engine took or refused the order.
+	Ended(now time.Time, order Order, taken bool)
+}
+
+// Policy is one way to run the fleet.
+type Policy struct {
+	Name string
+	// Split is how the engines start.
+	Split      Split
+	NewDecider func(instance identifier.InstanceID, dataCentre identifier.DataCentre) Decider
+	// NewPlanner is nil when roles never change.
+	NewPlanner func() Planner
+}
+
+// PolicyNames lists the policies in the order of the table.
+var PolicyNames = []string{"ours", "static", "reactive", "round-robin"}
+
+// splitForRun returns the fixed split with the highest fluid limit for a run's average mix.
+func splitForRun(w *Workload, allowed func(Split) bool) Split {
+	limits := newFluid(w.Figures, w.Figures.stepLimit(meanOutput))
+	var best Split
+	most := -1.0
+	for _, s := range splits(w.Figures.Engines) {
+		if !allowed(s) {
+			continue
+		}
+		if served := limits.fraction(s, w.Mean, 1e9); served > most {
+			best, most = s, served
+		}
+	}
+	return best
+}
+
+// allMixed is the split without roles.
+func allMixed(f Figures) Split { return Split{Mixed: f.Engines} }
+
+// roles returns the role of each engine; engines of one role are spread over the data centres by their numbers.
+func (s Split) roles() []identifier.Role {
+	var roles []identifier.Role
+	for range s.Prefill {
+		roles = append(roles, identifier.RolePrefill)
+	}
+	for range s.Decode {
+		roles = append(roles, identifier.RoleDecode)
+	}
+	for range s.Mixed {
+		roles = append(roles, identifier.RoleMixed)
+	}
+	return roles
+}
--- /dev/null
+++ b/standin/measurer/result.go
@@ -0,0 +1,173 @@
+package measurer
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"rosemaryspool.example/core/identifier"
+)
+
+// RolesAt is the division of the engines that serve from a time on.
+type RolesAt struct {
+	At    time.Duration
+	Split Split
+}
+
+// ClassResult counts one class's answers.
+type ClassResult struct {
+	Class    identifier.ClassName
+	Arrived  int
+	InTime   int
+	Urgent   bool
+	Priority identifier.Priority
+	// Losses counts the answers that don't count, by cause.
+	Losses map[string]int
+}
+
+// Goodput returns the share of answers in time; 1 when none was wanted.
+func (c ClassResult) Goodput() float64 { return share(c.InTime, c.Arrived) }
+
+// Result is what one run of one policy came to.
+type Result struct {
+	Arrived     int
+	Classes     []ClassResult
+	P99Lateness time.Duration
+	Refused     int
+	Retried     int
+	Hedged      int
+	Rejected    int
+	RoleChanges int
+	Breaches    int
+	FirstBreach string
+	CutUrgent   int
+	Roles       []RolesAt
+	// Buckets holds the share of answers in time by the time of arrival, one for each BucketLength.
+	Buckets []float64
+	// UrgentNearFault is the urgent goodput of arrivals within 5 s of the start of the fault.
+	UrgentNearFault float64
+}
+
+// BucketLength is the resolution of goodput over time.
+const BucketLength = 10 * time.Second
+
+// Goodput returns the share of answers in time.
+func (r Result) Goodput() float64 {
+	inTime := 0
+	for _, c := range r.Classes {
+		inTime += c.InTime
+	}
+	return share(inTime, r.Arrived)
+}
+
+// UrgentGoodput returns the share of urgent answers in time.
+func (r Result) UrgentGoodput() float64 {
+	inTime, arrived := 0, 0
+	for _, c := range r.Classes {
+		if c.Urgent {
+			inTime += c.InTime
+			arrived += c.Arrived
+		}
+	}
+	return share(inTime, arrived)
+}
+
+// WeightedGoodput returns the share of answers in time, each weighted by its class's priority.
+func (r Result) WeightedGoodput() float64 {
+	inTime, arrived := 0, 0
+	for _, c := range r.Classes {
+		inTime += c.InTime * int(c.Priority)
+		arrived += c.Arrived * int(c.Priority)
+	}
+	return share(inTime, arrived)
+}
+
+// share divides counts; nothing wanted is wholly served.
+func share(part, whole int) float64 {
+	if whole == 0 {
+		return 1
+	}
+	return float64(part) / float64(whole)
+}
+
+// summarise counts what became of every request.
+func (s *Simulation) summarise() Result {
+	r := s.result
+	r.Arrived = len(s.records)
+	for _, c := range s.figures.Classes {
+		r.Classes = append(r.Classes, ClassResult{Class: c.Name, Urgent: c.Urgent, Priority: c.Priority, Losses: map[string]int{}})
+	}
+	var lateness []time.Duration
+	for i := range s.records {
+		record, request := &s.records[i], s.workload.Requests[i]
+		class := &r.Classes[request.Class]
+		class.Arrived++
+		if record.inTime(request) {
+			class.InTime++
+		} else {
+			class.Losses[record.loss()]++
+		}
+		if record.state == stateRefused {
+			r.Refused++
+		}
+		if record.state == stateComplete {
+			lateness = append(lateness, max(record.ended-request.Deadline, 0))
+		}
+		r.Hedged += record.hedges
+		r.Retried += max(len(record.attempts)-record.hedges-1, 0)
+		r.Rejected += record.rejected
+	}
+	r.P99Lateness = percentile(lateness, 0.99)
+	r.Buckets = s.buckets()
+	r.UrgentNearFault = s.urgentNearFault()
+	return r
+}
+
+// buckets returns the goodput by time of arrival.
+func (s *Simulation) buckets() []float64 {
+	count := int((s.workload.Length + BucketLength - 1) / BucketLength)
+	arrived, inTime := make([]int, count), make([]int, count)
+	for i := range s.records {
+		request := s.workload.Requests[i]
+		bucket := min(int(request.Arrival/BucketLength), count-1)
+		arrived[bucket]++
+		if s.records[i].inTime(request) {
+			inTime[bucket]++
+		}
+	}
+	goodput := make([]float64, count)
+	for i := range goodput {
+		goodput[i] = share(inTime[i], arrived[i])
+	}
+	return goodput
+}
+
+// nearFault is the stretch around the start of a fault that is looked at on its own.
+const nearFault = 10 * time.Second
+
+// urgentNearFault returns the urgent goodput of arrivals around the start of the fault.
+func (s *Simulation) urgentNearFault() float64 {
+	from, to := s.fault.start-nearFault/2, s.fault.start+nearFault/2
+	arrived, inTime := 0, 0
+	for i := range s.records {
+		request := s.workload.Requests[i]
+		if !s.figures.Classes[request.Class].Urgent || request.Arrival < from || request.Arrival >= to {
+			continue
+		}
+		arrived++
+		if s.records[i].inTime(request) {
+			inTime++
+		}
+	}
+	return share(inTime, arrived)
+}
+
+// percentile returns the value that a share of the values does not exceed.
+func percentile[T cmp.Ordered](values []T, part float64) T {
+	var zero T
+	if len(values) == 0 {
+		return zero
+	}
+	slices.Sort(values)
+	return values[min(int(part*float64(len(values))), len(values)-1)]
+}
--- /dev/null
+++ b/standin/measurer/simulation.go
@@ -0,0 +1,185 @@
+package measurer
+
+import (
+	"fmt"
+	"time"
+
+	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/core/scheduler"
+)
+
+// epoch is when every run starts on the fake clock.
+var epoch = time.Date(2026, time.January, 5, 8, 0, 0, 0, time.UTC)
+
+// settleTime is how long a run goes on after the last arrival, so that late answers end.
+const settleTime = 100 * time.Second
+
+// Simulation is one run of one policy.
+type Simulation struct {
+	figures   Figures
+	workload  *Workload
+	policy    Policy
+	seed      uint64
+	calendar  calendar
+	end       time.Duration
+	engines   []*node
+	nodes     map[identifier.UpstreamID]*node
+	instances []*instance
+	records   []record
+	result    Result
+	fault     *faultPlan
+	planner   Planner
+	// isolated is the data centre that the others cannot reach, or -1.
+	isolated int
+	// logDown is true while no order can be written to the log.
+	logDown bool
+}
+
+// NewSimulation prepares a run.
+func NewSimulation(w *Workload, policy Policy, seed uint64, fault Fault) *Simulation {
+	s := &Simulation{
+		figures: w.Figures, workload: w, policy: policy, seed: seed, end: w.Length + settleTime,
+		nodes: map[identifier.UpstreamID]*node{}, records: make([]record, len(w.Requests)), isolated: -1,
+	}
+	for number, role := range policy.Split.roles() {
+		n := newNode(w.Figures, seed, number, role)
+		s.engines = append(s.engines, n)
+		s.nodes[n.id] = n
+	}
+	for number := range w.Figures.Instances {
+		s.instances = append(s.instances, s.newInstance(number))
+	}
+	if policy.NewPlanner != nil {
+		s.planner = policy.NewPlanner()
+	}
+	s.fault = newFaultPlan(w, seed, fault)
+	return s
+}
+
+// newInstance returns an instance with its own decider.
+func (s *Simulation) newInstance(number int) *instance {
+	i := &instance{
+		id: identifier.InstanceID(fmt.Sprintf("instance%d", number+1)), dataCentre: number % s.figures.DataCentres,
+		simulation: s, requests: map[identifier.RequestID]int{}, attempts: map[identifier.AttemptID]*attempt{},
+	}
+	i.decider = s.policy.NewDecider(i.id, dataCentreName(i.dataCentre))
+	return i
+}
+
+// engineID names an engine by its number.
+func engineID(number int) identifier.UpstreamID {
+	return identifier.UpstreamID(fmt.Sprintf("engine%d", number+1))
+}
+
+// dataCentreName names a data centre by its number.
+func dataCentreName(number int) identifier.DataCentre {
+	return identifier.DataCentre(fmt.Sprintf("dataCentre%d", number+1))
+}
+
+// Run carries the run out and returns its result.
+func (s *Simulation) Run() Result {
+	s.roleChanged()
+	for number, n := range s.engines {
+		s.introduce(n)
+		s.startReports(n, number)
+	}
+	for number, i := range s.instances {
+		offset := s.figures.Tick * time.Duration(number) / time.Duration(len(s.instances))
+		s.repeat(offset, s.figures.Tick, func() { i.handle(scheduler.Ticked{Now: s.clock()}) })
+	}
+	s.startFault()
+	s.planArrival(0)
+	s.calendar.run(s.end)
+	return s.summarise()
+}
+
+// planArrival plans one request's arrival, which plans the next.
+func (s *Simulation) planArrival(number int) {
+	if number >= len(s.workload.Requests) {
+		return
+	}
+	r := s.workload.Requests[number]
+	s.calendar.at(r.Arrival, func() {
+		s.instances[r.Instance].arrive(number)
+		s.planArrival(number + 1)
+	})
+}
+
+// introduce tells every instance of an engine and its present load.
+func (s *Simulation) introduce(n *node) {
+	for _, i := range s.instances {
+		i.handle(scheduler.UpstreamSeen{
+			Now: s.clock(), Upstream: n.id, DataCentre: dataCentreName(n.dataCentre), Models: []identifier.ModelName{modelName},
+		})
+		i.handle(scheduler.LoadReported{Now: s.clock(), Upstream: n.id, Load: n.load(s.clock())})
+	}
+}
+
+// clock returns the fake time.
+func (s *Simulation) clock() time.Time { return epoch.Add(s.calendar.now) }
+
+// cut reports whether two data centres cannot reach each other.
+func (s *Simulation) cut(a, b int) bool {
+	return s.isolated >= 0 && (a == s.isolated) != (b == s.isolated)
+}
+
+// delay returns the network time between two data centres.
+func (s *Simulation) delay(a, b int) time.Duration {
+	if a == b {
+		return s.figures.Network / 5
+	}
+	return s.figures.Network
+}
+
+// breach notes an answer that passed as complete without being so.
+func (s *Simulation) breach(kind string) {
+	s.result.Breaches++
+	if s.result.FirstBreach == "" {
+		s.result.FirstBreach = kind
+	}
+}
+
+// observe shows the planner what its instance sees and sends the orders that it decides.
+func (s *Simulation) observe(i *instance, event scheduler.Event) {
+	if s.planner == nil || s.logDown || i != s.instances[0] {
+		return
+	}
+	for _, order := range s.planner.Observe(event) {
+		s.calendar.after(s.figures.OrderLate, func() { s.order(i, order) })
+	}
+}
+
+// order sends a role change to an engine and tells the planner how it ended.
+func (s *Simulation) order(i *instance, order Order) {
+	n := s.nodes[order.Upstream]
+	taken := false
+	if n != nil && !s.logDown && !s.cut(i.dataCentre, n.dataCentre) {
+		absence := between(n.absence, s.figures.AbsenceMin, s.figures.AbsenceMax)
+		taken = n.engine.ChangeRole(s.clock(), order.Role, absence, s.figures.ChangePatience) == nil
+		s.touch(n)
+	}
+	if taken {
+		s.result.RoleChanges++
+		s.roleChanged()
+	}
+	s.planner.Ended(s.clock(), order, taken)
+}
+
+// roleChanged notes the present division of the engines for the plot.
+func (s *Simulation) roleChanged() {
+	var split Split
+	for _, n := range s.engines {
+		if n.engine.Load(s.clock()).Changing {
+			continue
+		}
+		switch n.engine.Role() {
+		case identifier.RolePrefill:
+			split.Prefill++
+		case identifier.RoleDecode:
+			split.Decode++
+		case identifier.RoleMixed:
+			split.Mixed++
+		}
+	}
+	s.result.Roles = append(s.result.Roles, RolesAt{At: s.calendar.now, Split: split})
+}
--- /dev/null
+++ b/standin/measurer/table.go
@@ -0,0 +1,104 @@
+package measurer
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"text/tabwriter"
+)
+
+// group names the cases that one row of the table sums up.
+type group struct {
+	deployment string
+	load       float64
+	fault      Fault
+	policy     string
+}
+
+// WriteTable writes medians and worst cases over the seeds for each deployment, load, fault and policy.
+func WriteTable(cases []Case, out io.Writer) error {
+	var order []group
+	members := map[group][]Case{}
+	for _, c := range cases {
+		g := group{c.Deployment, c.Load, c.Fault, c.Policy}
+		if members[g] == nil {
+			order = append(order, g)
+		}
+		members[g] = append(members[g], c)
+	}
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, strings.Join([]string{
+		"deployment", "load", "fault", "policy", "seeds", "goodput", "worst", "ofBound", "worstOfBound",
+		"urgent", "worstUrgent", "weighted", "p99LatenessMs", "refused", "retried", "roleChanges", "breaches", "cutUrgent",
+	}, "\t"))
+	for _, g := range order {
+		fmt.Fprintln(table, row(g, members[g]))
+	}
+	return table.Flush()
+}
+
+// row sums up one group.
+func row(g group, cases []Case) string {
+	goodput := collect(cases, func(c Case) float64 { return c.Result.Goodput() })
+	ofBound := collect(cases, func(c Case) float64 { return c.Result.Goodput() / c.Bound.Goodput })
+	urgent := collect(cases, func(c Case) float64 { return c.Result.UrgentGoodput() })
+	weighted := collect(cases, func(c Case) float64 { return c.Result.WeightedGoodput() })
+	lateness := collect(cases, func(c Case) float64 { return float64(c.Result.P99Lateness.Milliseconds()) })
+	refused := collect(cases, func(c Case) float64 { return float64(c.Result.Refused) })
+	retried := collect(cases, func(c Case) float64 { return float64(c.Result.Retried) })
+	changes := collect(cases, func(c Case) float64 { return float64(c.Result.RoleChanges) })
+	breaches, cuts := 0, 0
+	for _, c := range cases {
+		breaches += c.Result.Breaches
+		cuts += c.Result.CutUrgent
+	}
+	return fmt.Sprintf("%s\t%.2f\t%s\t%s\t%d\t%.4f\t%.4f\t%.4f\t%.4f\t%.4f\t%.4f\t%.4f\t%.0f\t%.0f\t%.0f\t%.0f\t%d\t%d",
+		g.deployment, g.load, g.fault, g.policy, len(cases), median(goodput), goodput[0], median(ofBound), ofBound[0],
+		median(urgent), urgent[0], median(weighted), median(lateness), median(refused), median(retried), median(changes), breaches, cuts)
+}
+
+// collect returns a figure of every case in rising order.
+func collect(cases []Case, figure func(Case) float64) []float64 {
+	values := make([]float64, 0, len(cases))
+	for _, c := range cases {
+		values = append(values, figure(c))
+	}
+	slices.Sort(values)
+	return values
+}
+
+// median returns the middle of sorted values.
+func median(sorted []float64) float64 {
+	n := len(sorted)
+	if n%2 == 1 {
+		return sorted[n/2]
+	}
+	return (sorted[n/2-1] + sorted[n/2]) / 2
+}
+
+// WriteLosses writes for each policy and class which causes lost how many answers.
+func WriteLosses(cases []Case, out io.Writer) error {
+	type key struct{ deployment, policy, class, cause string }
+	sums := map[key]int{}
+	arrived := map[key]int{}
+	for _, c := range cases {
+		for _, class := range c.Result.Classes {
+			arrived[key{c.Deployment, c.Policy, string(class.Class), ""}] += class.Arrived
+			for cause, n := range class.Losses {
+				sums[key{c.Deployment, c.Policy, string(class.Class), cause}] += n
+			}
+		}
+	}
+	keys := slices.SortedFunc(maps.Keys(sums), func(a, b key) int {
+		return strings.Compare(a.deployment+a.policy+a.class+a.cause, b.deployment+b.policy+b.class+b.cause)
+	})
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "deployment\tpolicy\tclass\tcause\tlost\tshareOfClass")
+	for _, k := range keys {
+		all := arrived[key{k.deployment, k.policy, k.class, ""}]
+		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%d\t%.4f\n", k.deployment, k.policy, k.class, k.cause, sums[k], share(sums[k], all))
+	}
+	return table.Flush()
+}
