--- a/standin/commander/commander.go
+++ b/standin/commander/commander.go
@@ -47,5 +47,6 @@
 		newEngineCommand(),
 		newServiceCommand(),
 		newHostCommand(),
+		measureCommand(),
 	}
 }
