Add standin load: a drawn mix sent to daemons, goodput by class

Conclusion: outcomes, bounds and shared prefixes are tested against a scripted daemon; not yet run against a real one.

--- a/standin/commander/commander.go
+++ b/standin/commander/commander.go
@@ -47,6 +47,7 @@
 		newEngineCommand(),
 		newServiceCommand(),
 		newHostCommand(),
+		newLoadCommand(),
 		measureCommand(),
 	}
 }
--- a/standin/commander/commander_test.go
+++ b/standin/commander/commander_test.go
@@ -119,6 +119,7 @@
 		{[]string{"log", "--address", "host:1", "--appends-per-second", "0", "--keep-records", "0"}, []string{"address", "appends-per-second", "keep-records"}},
 		{[]string{"store", "--burst", "0", "--faults", `{"x":1}`}, []string{"burst", "faults"}},
 		{[]string{"engine", "--id", "", "--role", "both", "--speed", "-1", "--order-absence", "-1s"}, []string{"id", "role", "speed", "order-absence"}},
+		{[]string{"load", "--deployment", "kalipçı", "--share", "0", "--concurrency", "0"}, []string{"deployment", "share", "concurrency", "targets"}},
 		{[]string{"host", "--address", "here", "--engines", "-1"}, []string{"address", "engines"}},
 	}
 	for _, c := range cases {
--- a/standin/loader/loader.go
+++ b/standin/loader/loader.go
@@ -20,6 +20,8 @@
 	// MaxRequests bounds the run in count, and Length in time; zero means no bound of that kind.
 	MaxRequests int
 	Length      time.Duration
+	// Patience bounds the wait for answers after the last request was sent; then they are cancelled.
+	Patience time.Duration
 	// Seed decides which daemon gets which request.
 	Seed uint64
 }
@@ -27,6 +29,8 @@
 // Run sends the arrivals when they are due, waits for all answers and counts them. When ctx ends, nothing more is sent
 // and what runs is cancelled.
 func Run(ctx context.Context, settings Settings, arrivals iter.Seq[Arrival]) *Report {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	report := newReport()
 	targets := make([]*requester.Client, 0, len(settings.Targets))
 	for _, t := range settings.Targets {
@@ -34,7 +38,6 @@
 	}
 	choice := rand.New(rand.NewPCG(settings.Seed, 0))
 	workers := pool.New().WithMaxGoroutines(settings.Concurrency)
-	defer workers.Wait()
 	start := time.Now()
 	sent := 0
 	for a := range arrivals {
@@ -49,6 +52,9 @@
 		target := targets[choice.IntN(len(targets))]
 		workers.Go(func() { report.add(send(ctx, target, a, due)) })
 	}
+	patience := time.AfterFunc(settings.Patience, cancel)
+	defer patience.Stop()
+	workers.Wait()
 	return report
 }
 
--- a/standin/loader/loader_test.go
+++ b/standin/loader/loader_test.go
@@ -65,7 +65,7 @@
 	}
 	for _, c := range cases {
 		a := Arrival{Class: "c", Caller: "k", Prompt: c.prompt, Deadline: c.deadline, MaxOutput: 1}
-		report := Run(t.Context(), Settings{Targets: []string{s.URL()}, Concurrency: 2}, slices.Values([]Arrival{a, a}))
+		report := Run(t.Context(), Settings{Targets: []string{s.URL()}, Concurrency: 2, Patience: time.Hour}, slices.Values([]Arrival{a, a}))
 		got := report.Classes["c"]
 		require.Equal(t, 2, got.counts[c.want], c.prompt)
 		require.Equal(t, 2, got.Sent(), c.prompt)
@@ -91,6 +91,19 @@
 	}
 }
 
+func TestRunGivesUpAfterItsPatience(t *testing.T) {
+	silent := http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		<-r.Context().Done()
+	})
+	s, err := server.Start(server.Settings{Address: "127.0.0.1:0", Handler: silent})
+	require.NoError(t, err)
+	defer s.Close()
+	settings := Settings{Targets: []string{s.URL()}, Concurrency: 1, Patience: time.Millisecond}
+	report := Run(t.Context(), settings, slices.Values([]Arrival{{Class: "c", Caller: "k"}}))
+	require.Equal(t, 1, report.Classes["c"].Failed())
+}
+
 func TestReportLines(t *testing.T) {
 	report := newReport()
 	samples := []sample{
--- /dev/null
+++ b/standin/loader/workload_test.go
@@ -0,0 +1,39 @@
+package loader
+
+import (
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/core/slicer"
+	"rosemaryspool.example/standin/measurer"
+)
+
+func TestArrivalsFollowTheWorkload(t *testing.T) {
+	workload := measurer.NewWorkload(measurer.Kalipci(), 1, 0.5, time.Minute)
+	arrivals := slices.Collect(Arrivals(workload, "prova-llm", []identifier.CallerID{"terzi"}))
+	require.Len(t, arrivals, len(workload.Requests))
+	require.NotEmpty(t, arrivals)
+	texts := map[identifier.PrefixHash]identifier.PrefixHash{}
+	shared := 0
+	for i, a := range arrivals {
+		r := workload.Requests[i]
+		require.Equal(t, r.Prompt, slicer.CountTokens(a.Prompt))
+		require.Equal(t, r.Arrival, a.At)
+		require.EqualValues(t, "terzi", a.Caller)
+		require.True(t, strings.Contains(a.Prompt, " answerTokens="))
+		whole := slicer.HashPrefixes(a.Model, a.Prompt)
+		for p := range max(len(r.Prefix)-1, 0) {
+			if known, ok := texts[r.Prefix[p]]; ok {
+				require.Equal(t, known, whole[p], "equal prefixes have equal texts")
+				shared++
+			}
+			texts[r.Prefix[p]] = whole[p]
+		}
+	}
+	require.Positive(t, shared)
+}
