Read, check and compile configuration documents

Cause: operators need one strict document for each environment, with every mistake reported at once.

--- /dev/null
+++ b/core/configurer/checker.go
@@ -0,0 +1,302 @@
+package configurer
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/core/refuser"
+)
+
+// Bounds of format version 1. They never change: another bound is another format version.
+const (
+	maxNameBytes         = 128
+	maxModels            = 1000
+	maxEngines           = 10_000
+	maxServices          = 1000
+	maxUpstreams         = 1000
+	maxClasses           = 1000
+	maxCallers           = 200_000
+	maxAdapters          = 256
+	maxPriority          = 100
+	maxOutput            = 1_000_000
+	minDeadline          = 10 * time.Millisecond
+	maxDeadline          = time.Hour
+	maxDwell             = 24 * time.Hour
+	minKeyWindow         = time.Minute
+	maxKeyWindow         = 24 * time.Hour
+	maxRequestsPerSecond = 1_000_000
+	maxListed            = 20
+	minNotRunStatus      = 400
+	maxNotRunStatus      = 599
+)
+
+// check returns every fault of meaning by the rules that the document's format version pins.
+func check(document *Document) []Fault {
+	switch document.FormatVersion {
+	case 1:
+		return checkVersion1(document)
+	default:
+		return []Fault{{
+			Code: UnknownFormatVersion, Path: "formatVersion", place: atTop("formatVersion"),
+			Message:    fmt.Sprintf("format version %d is not known to this program", document.FormatVersion),
+			Suggestion: fmt.Sprintf("write %d, or use a newer program", FormatVersion),
+		}}
+	}
+}
+
+// checker collects the faults of meaning of one document.
+type checker struct {
+	document *Document
+	models   map[string]bool
+	services map[string]bool
+	faults   []Fault
+}
+
+func checkVersion1(document *Document) []Fault {
+	c := &checker{document: document, models: map[string]bool{}, services: map[string]bool{}}
+	c.checkName(atTop("environment"), string(document.Environment))
+	c.checkModels()
+	c.checkServices()
+	c.checkEngines()
+	c.checkUpstreamNames()
+	c.checkClasses()
+	c.checkCallers()
+	c.checkDuration(atTop("placement", "minimumDwell"), document.Placement.MinimumDwell, 0, maxDwell)
+	c.checkDuration(atTop("keys", "window"), document.Keys.Window, minKeyWindow, maxKeyWindow)
+	return c.faults
+}
+
+func (c *checker) checkModels() {
+	c.checkSize(atTop("models"), len(c.document.Models), maxModels)
+	for i, m := range c.document.Models {
+		c.checkUnique(at("models", i, "name"), string(m.Name), c.models)
+		c.checkName(at("models", i, "version"), string(m.Version))
+		c.checkSize(at("models", i, "adapters"), len(m.Adapters), maxAdapters)
+		adapters := map[string]bool{}
+		for _, a := range m.Adapters {
+			c.checkUnique(at("models", i, "adapters"), a, adapters)
+		}
+	}
+}
+
+func (c *checker) checkServices() {
+	c.checkSize(atTop("services"), len(c.document.Services), maxServices)
+	for i, s := range c.document.Services {
+		c.checkUnique(at("services", i, "name"), string(s.Name), c.services)
+		c.checkSize(at("services", i, "upstreams"), len(s.Upstreams), maxUpstreams)
+		if len(s.Upstreams) == 0 {
+			c.add(at("services", i, "upstreams"), NothingServes, fmt.Sprintf("service %q has no upstream", s.Name), "")
+		}
+		statuses := map[string]bool{}
+		for _, number := range s.NotRunStatuses {
+			c.checkRange(at("services", i, "notRunStatuses"), float64(number), minNotRunStatus, maxNotRunStatus)
+			c.checkUnique(at("services", i, "notRunStatuses"), fmt.Sprint(number), statuses)
+		}
+	}
+}
+
+func (c *checker) checkEngines() {
+	c.checkSize(atTop("engines"), len(c.document.Engines), maxEngines)
+	for i, e := range c.document.Engines {
+		c.checkName(at("engines", i, "dataCentre"), string(e.DataCentre))
+		c.checkReference(at("engines", i, "model"), "model", string(e.Model), c.models, "models")
+		switch e.Role {
+		case identifier.RoleMixed, identifier.RolePrefill, identifier.RoleDecode:
+		default:
+			roles := []string{string(identifier.RoleMixed), string(identifier.RolePrefill), string(identifier.RoleDecode)}
+			c.add(at("engines", i, "role"), UnknownReference, fmt.Sprintf("unknown role %q", e.Role), suggest(string(e.Role), roles))
+		}
+	}
+}
+
+// checkUpstreamNames checks that no two engines or upstreams of services share an id.
+func (c *checker) checkUpstreamNames() {
+	seen := map[string]bool{}
+	for i, e := range c.document.Engines {
+		c.checkUnique(at("engines", i, "id"), string(e.ID), seen)
+	}
+	for i, s := range c.document.Services {
+		for _, u := range s.Upstreams {
+			c.checkUnique(at("services", i, "upstreams"), string(u), seen)
+		}
+	}
+}
+
+func (c *checker) checkClasses() {
+	c.checkSize(atTop("classes"), len(c.document.Classes), maxClasses)
+	if len(c.document.Classes) == 0 {
+		c.add(atTop("classes"), MissingValue, "the document has no work class, so nothing would be served", "")
+	}
+	seen, served := map[string]bool{}, c.listServed()
+	for i, class := range c.document.Classes {
+		c.checkUnique(at("classes", i, "name"), string(class.Name), seen)
+		c.checkRange(at("classes", i, "priority"), float64(class.Priority), 0, maxPriority)
+		c.checkDuration(at("classes", i, "deadline"), class.Deadline, minDeadline, maxDeadline)
+		switch {
+		case class.Model != "" && class.Service != "":
+			c.add(at("classes", i, "service"), Contradiction, fmt.Sprintf("class %q names a model and a service", class.Name), "keep one of them")
+		case class.Model == "" && class.Service == "":
+			c.add(at("classes", i, ""), MissingValue, fmt.Sprintf("class %q names neither a model nor a service", class.Name), "")
+		case class.Model != "":
+			c.checkModelClass(i, class, served)
+		default:
+			c.checkServiceClass(i, class)
+		}
+	}
+}
+
+func (c *checker) checkModelClass(i int, class Class, served map[identifier.ModelName]bool) {
+	where := at("classes", i, "model")
+	known := c.checkReference(where, "model", string(class.Model), c.models, "models")
+	if known && !served[class.Model] {
+		c.addAbout(where, NothingServes, "engines", fmt.Sprintf("no engine serves model %q", class.Model),
+			"give it a mixed engine, or a prefill and a decode engine")
+	}
+	if !class.Idempotent {
+		c.add(at("classes", i, "idempotent"), Contradiction, fmt.Sprintf("class %q is not idempotent but names a model", class.Name),
+			"a class that is not idempotent names a service")
+	}
+	c.checkRange(at("classes", i, "expectedOutput"), float64(class.ExpectedOutput), 0, maxOutput)
+	c.checkRange(at("classes", i, "maxOutput"), float64(class.MaxOutput), 0, maxOutput)
+	if class.MaxOutput > 0 && class.ExpectedOutput > class.MaxOutput {
+		c.add(at("classes", i, "expectedOutput"), Contradiction,
+			fmt.Sprintf("expectedOutput %d is over maxOutput %d", class.ExpectedOutput, class.MaxOutput), "")
+	}
+}
+
+func (c *checker) checkServiceClass(i int, class Class) {
+	c.checkReference(at("classes", i, "service"), "service", string(class.Service), c.services, "services")
+	if class.ExpectedOutput != 0 || class.MaxOutput != 0 {
+		c.add(at("classes", i, ""), Contradiction, fmt.Sprintf("class %q of a service bounds output tokens", class.Name),
+			"leave out expectedOutput and maxOutput")
+	}
+}
+
+// listServed lists the models that some engines take from prompt to answer.
+func (c *checker) listServed() map[identifier.ModelName]bool {
+	prefill, decode := map[identifier.ModelName]bool{}, map[identifier.ModelName]bool{}
+	for _, e := range c.document.Engines {
+		prefill[e.Model] = prefill[e.Model] || e.Role != identifier.RoleDecode
+		decode[e.Model] = decode[e.Model] || e.Role != identifier.RolePrefill
+	}
+	served := map[identifier.ModelName]bool{}
+	for model := range prefill {
+		served[model] = prefill[model] && decode[model]
+	}
+	return served
+}
+
+func (c *checker) checkCallers() {
+	c.checkSize(atTop("callers"), len(c.document.Callers), maxCallers)
+	seen := make(map[string]bool, len(c.document.Callers))
+	for i, caller := range c.document.Callers {
+		c.checkUnique(at("callers", i, "id"), string(caller.ID), seen)
+		c.checkCaller(i, caller)
+	}
+}
+
+func (c *checker) checkCaller(i int, caller Caller) {
+	c.checkRange(at("callers", i, "requestsPerSecond"), caller.RequestsPerSecond, 0, maxRequestsPerSecond)
+	c.checkRange(at("callers", i, "burst"), float64(caller.Burst), 0, maxRequestsPerSecond)
+}
+
+func (c *checker) checkUnique(where place, name string, seen map[string]bool) {
+	c.checkName(where, name)
+	if seen[name] {
+		c.add(where, DoubledName, fmt.Sprintf("%q stands twice", name), "keep one of them or rename one")
+	}
+	seen[name] = true
+}
+
+func (c *checker) checkName(where place, name string) {
+	switch {
+	case name == "":
+		c.add(where, BadName, "a name is empty", "")
+	case len(name) > maxNameBytes:
+		c.add(where, BadName, fmt.Sprintf("a name has %d bytes, more than %d", len(name), maxNameBytes), "")
+	case strings.IndexFunc(name, isForbidden) >= 0:
+		c.add(where, BadName, fmt.Sprintf("name %q has a letter that names may not have", name), "use letters, digits, and - _ . : @ +")
+	}
+}
+
+// isForbidden tells whether a letter may not stand in a name. The slash parts a section's kind from its name.
+func isForbidden(letter rune) bool {
+	switch {
+	case letter >= 'a' && letter <= 'z', letter >= 'A' && letter <= 'Z', letter >= '0' && letter <= '9':
+		return false
+	default:
+		return !strings.ContainsRune("-_.:@+", letter)
+	}
+}
+
+func (c *checker) checkReference(where place, kind, name string, known map[string]bool, list string) bool {
+	if known[name] {
+		return true
+	}
+	names := make([]string, 0, len(known))
+	for n := range known {
+		names = append(names, n)
+	}
+	c.addAbout(where, UnknownReference, list, fmt.Sprintf("unknown %s %q", kind, name), suggest(name, names))
+	return false
+}
+
+func (c *checker) checkSize(where place, size, limit int) {
+	if size > limit {
+		c.add(where, TooLarge, fmt.Sprintf("%d entries, more than %d", size, limit), "")
+	}
+}
+
+func (c *checker) checkRange(where place, number, low, high float64) {
+	if number >= low && number <= high && !math.IsNaN(number) {
+		return
+	}
+	c.add(where, OutOfRange, fmt.Sprintf("%g is out of range", number), fmt.Sprintf("write a number from %.0f to %.0f", low, high))
+}
+
+func (c *checker) checkDuration(where place, duration, low, high time.Duration) {
+	if duration >= low && duration <= high {
+		return
+	}
+	c.add(where, OutOfRange, duration.String()+" is out of range", "write a duration from "+low.String()+" to "+high.String())
+}
+
+func (c *checker) add(where place, code refuser.Code, message, suggestion string) {
+	c.addAbout(where, code, "", message, suggestion)
+}
+
+func (c *checker) addAbout(where place, code refuser.Code, about, message, suggestion string) {
+	c.faults = append(c.faults, Fault{
+		Code: code, Path: where.String(), Message: message, Suggestion: suggestion, place: where, about: about,
+	})
+}
+
+func at(list string, index int, field string) place {
+	return place{list: list, index: index, field: field}
+}
+
+// atTop is the place of a key of the top, or of a key of a mapping there.
+func atTop(names ...string) place {
+	where := place{list: names[0], index: wholeList}
+	if len(names) > 1 {
+		where.field = names[1]
+	}
+	return where
+}
+
+func suggest(name string, known []string) string {
+	if nearest := findNearest(name, known); nearest != "" {
+		return fmt.Sprintf("did you mean %q?", nearest)
+	}
+	if len(known) == 0 {
+		return "none is defined"
+	}
+	if len(known) > maxListed {
+		return ""
+	}
+	return "known: " + strings.Join(slices.Sorted(slices.Values(known)), ", ")
+}
--- a/core/configurer/digest.go
+++ b/core/configurer/digest.go
@@ -8,13 +8,14 @@
 	"slices"
 )
 
-// Sections holds a document's canonical sections by name.
-type Sections map[string][]byte
-
 // Digest returns the hexadecimal SHA-256 over the sections in name order, each name and content with its length.
+// The environment's name is left out, so that a promoted document keeps the digest that it had in trial.
 func (s Sections) Digest() string {
 	hash := sha256.New()
 	for _, name := range slices.Sorted(maps.Keys(s)) {
+		if name == sectionEnvironment {
+			continue
+		}
 		writeSized(hash.Write, []byte(name))
 		writeSized(hash.Write, s[name])
 	}
--- a/core/configurer/document.go
+++ b/core/configurer/document.go
@@ -2,6 +2,9 @@
 package configurer
 
 import (
+	"cmp"
+	"math"
+	"slices"
 	"time"
 
 	"rosemaryspool.example/core/identifier"
@@ -10,14 +13,28 @@
 // FormatVersion pins the rules by which a document is valid; a newer binary keeps the old rules for an old version.
 const FormatVersion = 1
 
+// DefaultCaller is the id of the entry whose limits hold for every caller that is not listed by itself.
+const DefaultCaller identifier.CallerID = "default"
+
+// Defaults of keys that a document may leave out.
+const (
+	// DefaultMinimumDwell keeps an engine in its role for longer than several role changes cost.
+	DefaultMinimumDwell = time.Minute
+	// DefaultKeyWindow is the time in which callers repeat non-idempotent work of unknown outcome.
+	DefaultKeyWindow = time.Hour
+	// DefaultMaxOutput bounds the answers of a class that states no bound.
+	DefaultMaxOutput identifier.Tokens = 1024
+)
+
 // Document is one environment's whole configuration. In YAML its keys are in camel case.
+// Parse and Compile return it with each list sorted by name.
 type Document struct {
-	FormatVersion int                    `yaml:"formatVersion"`
-	Environment   identifier.Environment `yaml:"environment"`
+	FormatVersion int                    `yaml:"formatVersion" rule:"required"`
+	Environment   identifier.Environment `yaml:"environment" rule:"required"`
 	Models        []Model                `yaml:"models"`
 	Engines       []Engine               `yaml:"engines"`
 	Services      []Service              `yaml:"services"`
-	Classes       []Class                `yaml:"classes"`
+	Classes       []Class                `yaml:"classes" rule:"required"`
 	Callers       []Caller               `yaml:"callers"`
 	Placement     Placement              `yaml:"placement"`
 	Keys          Keys                   `yaml:"keys"`
@@ -25,63 +42,171 @@
 
 // Model names a model with the version and adapters that should run.
 type Model struct {
-	Name     identifier.ModelName    `yaml:"name"`
-	Version  identifier.ModelVersion `yaml:"version"`
-	Adapters []string                `yaml:"adapters"`
+	Name     identifier.ModelName    `yaml:"name" json:"name" rule:"required"`
+	Version  identifier.ModelVersion `yaml:"version" json:"version" rule:"required"`
+	Adapters []string                `yaml:"adapters" json:"adapters,omitempty"`
 }
 
 // Engine is an expected model engine.
 type Engine struct {
-	ID         identifier.UpstreamID `yaml:"id"`
-	DataCentre identifier.DataCentre `yaml:"dataCentre"`
-	Model      identifier.ModelName  `yaml:"model"`
+	ID         identifier.UpstreamID `yaml:"id" json:"id" rule:"required"`
+	DataCentre identifier.DataCentre `yaml:"dataCentre" json:"dataCentre" rule:"required"`
+	Model      identifier.ModelName  `yaml:"model" json:"model" rule:"required"`
 	// Role is the role at first installation; the placer may change it later unless placement is fixed.
-	Role identifier.Role `yaml:"role"`
+	Role identifier.Role `yaml:"role" json:"role"`
 	// ChecksTokens is true when the engine refuses an order with an old fencing token.
-	ChecksTokens bool `yaml:"checksTokens"`
+	ChecksTokens bool `yaml:"checksTokens" json:"checksTokens"`
 }
 
 // Service is a plain service with its upstreams.
 type Service struct {
-	Name      identifier.ServiceName  `yaml:"name"`
-	Upstreams []identifier.UpstreamID `yaml:"upstreams"`
+	Name      identifier.ServiceName  `yaml:"name" json:"name" rule:"required"`
+	Upstreams []identifier.UpstreamID `yaml:"upstreams" json:"upstreams" rule:"required"`
 	// NotRunStatuses lists HTTP statuses that by the service's contract mean that the call was not run.
-	NotRunStatuses []int `yaml:"notRunStatuses"`
+	NotRunStatuses []int `yaml:"notRunStatuses" json:"notRunStatuses,omitempty"`
 }
 
 // Class is one kind of work. It names either a model or a service.
 type Class struct {
-	Name     identifier.ClassName   `yaml:"name"`
-	Model    identifier.ModelName   `yaml:"model"`
-	Service  identifier.ServiceName `yaml:"service"`
-	Priority identifier.Priority    `yaml:"priority"`
-	Urgent   bool                   `yaml:"urgent"`
-	Deadline time.Duration          `yaml:"deadline"`
+	Name     identifier.ClassName   `yaml:"name" json:"name" rule:"required"`
+	Model    identifier.ModelName   `yaml:"model" json:"model,omitempty"`
+	Service  identifier.ServiceName `yaml:"service" json:"service,omitempty"`
+	Priority identifier.Priority    `yaml:"priority" json:"priority" rule:"required"`
+	Urgent   bool                   `yaml:"urgent" json:"urgent"`
+	Deadline time.Duration          `yaml:"deadline" json:"deadline" rule:"required"`
 	// Idempotent is false for work that must run at most once.
-	Idempotent bool `yaml:"idempotent"`
+	Idempotent bool `yaml:"idempotent" json:"idempotent" rule:"required"`
 	// ExpectedOutput is the usual answer length in tokens.
-	ExpectedOutput identifier.Tokens `yaml:"expectedOutput"`
-	MaxOutput      identifier.Tokens `yaml:"maxOutput"`
+	ExpectedOutput identifier.Tokens `yaml:"expectedOutput" json:"expectedOutput,omitempty"`
+	MaxOutput      identifier.Tokens `yaml:"maxOutput" json:"maxOutput,omitempty"`
 }
 
 // Caller is a customer with its limits.
 type Caller struct {
-	ID identifier.CallerID `yaml:"id"`
+	ID identifier.CallerID `yaml:"id" json:"id" rule:"required"`
 	// RequestsPerSecond is the sustained rate; zero means no limit.
-	RequestsPerSecond float64 `yaml:"requestsPerSecond"`
-	Burst             int     `yaml:"burst"`
+	RequestsPerSecond float64 `yaml:"requestsPerSecond" json:"requestsPerSecond" rule:"required"`
+	// Burst is how many requests may come at once; left out, it is the requests of one second.
+	Burst int `yaml:"burst" json:"burst"`
 }
 
 // Placement bounds what the placer may do by itself.
 type Placement struct {
 	// FixedRoles forbids role changes.
-	FixedRoles bool `yaml:"fixedRoles"`
+	FixedRoles bool `yaml:"fixedRoles" json:"fixedRoles"`
 	// MinimumDwell is the shortest time between two role changes of one engine.
-	MinimumDwell time.Duration `yaml:"minimumDwell"`
+	MinimumDwell time.Duration `yaml:"minimumDwell" json:"minimumDwell"`
 }
 
 // Keys bounds the memory of non-idempotent work.
 type Keys struct {
 	// Window is how long a key is remembered from its issue time.
-	Window time.Duration `yaml:"window"`
+	Window time.Duration `yaml:"window" json:"window"`
+}
+
+// Model returns the model of a name.
+func (d *Document) Model(name identifier.ModelName) (Model, bool) {
+	return find(d.Models, name, func(m Model) identifier.ModelName { return m.Name })
+}
+
+// Engine returns the engine of an id.
+func (d *Document) Engine(id identifier.UpstreamID) (Engine, bool) {
+	return find(d.Engines, id, func(e Engine) identifier.UpstreamID { return e.ID })
+}
+
+// Service returns the service of a name.
+func (d *Document) Service(name identifier.ServiceName) (Service, bool) {
+	return find(d.Services, name, func(s Service) identifier.ServiceName { return s.Name })
+}
+
+// Class returns the work class of a name.
+func (d *Document) Class(name identifier.ClassName) (Class, bool) {
+	return find(d.Classes, name, func(c Class) identifier.ClassName { return c.Name })
+}
+
+// Caller returns the limits of a caller: its own entry, or else the default entry under the caller's id.
+// It returns false when neither is listed; such a caller is refused.
+func (d *Document) Caller(id identifier.CallerID) (Caller, bool) {
+	callerID := func(c Caller) identifier.CallerID { return c.ID }
+	if caller, ok := find(d.Callers, id, callerID); ok {
+		return caller, true
+	}
+	caller, ok := find(d.Callers, DefaultCaller, callerID)
+	caller.ID = id
+	return caller, ok
+}
+
+// find searches a list that is sorted by name.
+func find[T any, N cmp.Ordered](list []T, name N, nameOf func(T) N) (T, bool) {
+	i, ok := slices.BinarySearchFunc(list, name, func(t T, n N) int { return cmp.Compare(nameOf(t), n) })
+	if !ok {
+		var none T
+		return none, false
+	}
+	return list[i], true
+}
+
+// normalize fills in derived defaults and sorts every list, so that equal documents are deeply equal.
+func (d *Document) normalize() {
+	for i := range d.Models {
+		d.Models[i].normalize()
+	}
+	for i := range d.Services {
+		d.Services[i].normalize()
+	}
+	for i := range d.Classes {
+		d.Classes[i].normalize()
+	}
+	for i := range d.Callers {
+		d.Callers[i].normalize()
+	}
+	d.sort()
+}
+
+func (m *Model) normalize() {
+	m.Adapters = sortedOrNil(m.Adapters)
+}
+
+func (s *Service) normalize() {
+	s.Upstreams = sortedOrNil(s.Upstreams)
+	s.NotRunStatuses = sortedOrNil(s.NotRunStatuses)
+}
+
+func (c *Class) normalize() {
+	if c.Model != "" && c.MaxOutput == 0 {
+		c.MaxOutput = max(DefaultMaxOutput, c.ExpectedOutput)
+	}
+}
+
+func (c *Caller) normalize() {
+	if c.Burst == 0 {
+		c.Burst = int(math.Ceil(c.RequestsPerSecond))
+	}
+}
+
+func (d *Document) sort() {
+	slices.SortFunc(d.Models, func(a, b Model) int { return cmp.Compare(a.Name, b.Name) })
+	slices.SortFunc(d.Engines, func(a, b Engine) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(d.Services, func(a, b Service) int { return cmp.Compare(a.Name, b.Name) })
+	slices.SortFunc(d.Classes, func(a, b Class) int { return cmp.Compare(a.Name, b.Name) })
+	slices.SortFunc(d.Callers, func(a, b Caller) int { return cmp.Compare(a.ID, b.ID) })
+}
+
+func sortedOrNil[T cmp.Ordered](list []T) []T {
+	if len(list) == 0 {
+		return nil
+	}
+	slices.Sort(list)
+	return list
+}
+
+// setDefaults fills a document before its text is read over it.
+func (d *Document) setDefaults() {
+	d.Placement.MinimumDwell = DefaultMinimumDwell
+	d.Keys.Window = DefaultKeyWindow
+}
+
+// setDefaults fills an engine before its text is read over it.
+func (e *Engine) setDefaults() {
+	e.Role = identifier.RoleMixed
 }
