--- /dev/null
+++ b/core/configurer/change.go
@@ -0,0 +1,85 @@
+package configurer
+
+import (
+	"bytes"
+	"maps"
+	"slices"
+
+	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/wire/messenger"
+)
+
+// Difference names the sections in which two documents differ, each list in name order.
+type Difference struct {
+	Changed []string
+	Added   []string
+	Removed []string
+}
+
+// Compare tells how the new sections differ from the old ones.
+func Compare(old, next Sections) Difference {
+	var difference Difference
+	for _, name := range slices.Sorted(maps.Keys(next)) {
+		before, ok := old[name]
+		switch {
+		case !ok:
+			difference.Added = append(difference.Added, name)
+		case !bytes.Equal(before, next[name]):
+			difference.Changed = append(difference.Changed, name)
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(old)) {
+		if _, ok := next[name]; !ok {
+			difference.Removed = append(difference.Removed, name)
+		}
+	}
+	return difference
+}
+
+// IsEmpty tells whether the documents are equal.
+func (d Difference) IsEmpty() bool {
+	return len(d.Changed) == 0 && len(d.Added) == 0 && len(d.Removed) == 0
+}
+
+// Author says who makes a change and why.
+type Author struct {
+	Operator identifier.OperatorID
+	Message  string
+	// Accepted lists the dangers that the operator named.
+	Accepted []string
+}
+
+// NewChange returns the record that turns the base revision's sections into the next ones.
+// The base is revision zero with no sections for the first document of an environment.
+func NewChange(base identifier.Revision, old, next Sections, author Author) *messenger.ConfigChange {
+	difference := Compare(old, next)
+	change := &messenger.ConfigChange{
+		BaseRevision:    uint64(base),
+		Removed:         difference.Removed,
+		Digest:          next.Digest(),
+		Operator:        string(author.Operator),
+		Message:         author.Message,
+		AcceptedDangers: author.Accepted,
+	}
+	names := slices.Sorted(slices.Values(slices.Concat(difference.Changed, difference.Added)))
+	for _, name := range names {
+		change.Changed = append(change.Changed, &messenger.ConfigSection{Name: name, Content: next[name]})
+	}
+	return change
+}
+
+// Source is the accepted revision of another environment that is promoted.
+type Source struct {
+	Environment identifier.Environment
+	Revision    identifier.Revision
+	Sections    Sections
+}
+
+// NewPromotion returns the record that gives an environment exactly the sections of another one's revision, but for the
+// environment's own name; the digest is the source's.
+func NewPromotion(base identifier.Revision, old Sections, target identifier.Environment, source Source, author Author) *messenger.ConfigChange {
+	change := NewChange(base, old, source.Sections.In(target), author)
+	change.PromotedFrom = string(source.Environment)
+	change.PromotedRevision = uint64(source.Revision)
+	return change
+}
--- a/core/configurer/checker.go
+++ b/core/configurer/checker.go
@@ -190,6 +190,14 @@
 	return served
 }
 
+// checkCallersOnly checks a document of which only callers differ from a checked one.
+func checkCallersOnly(document *Document, changed []Caller) []Fault {
+	c := &checker{document: &Document{Callers: changed}}
+	c.checkSize(atTop("callers"), len(document.Callers), maxCallers)
+	c.checkCallers()
+	return c.faults
+}
+
 func (c *checker) checkCallers() {
 	c.checkSize(atTop("callers"), len(c.document.Callers), maxCallers)
 	seen := make(map[string]bool, len(c.document.Callers))
--- /dev/null
+++ b/core/configurer/configuration.go
@@ -0,0 +1,105 @@
+package configurer
+
+import (
+	"fmt"
+
+	"rosemaryspool.example/wire/messenger"
+)
+
+// Configuration is a checked document with its sections and digest. It never changes; Apply returns another one that
+// shares what is equal. The zero value holds no document.
+type Configuration struct {
+	document *Document
+	buckets  bucketSet
+	digest   string
+}
+
+// NewConfiguration checks a whole document given by its sections.
+func NewConfiguration(sections Sections) (*Configuration, error) {
+	return (&Configuration{}).Apply(sections, nil)
+}
+
+// Document returns the document, or nil when nothing is configured.
+func (c *Configuration) Document() *Document {
+	return c.document
+}
+
+// Digest returns the digest of the sections; empty when nothing is configured.
+func (c *Configuration) Digest() string {
+	return c.digest
+}
+
+// Section returns the content of one section.
+func (c *Configuration) Section(name string) ([]byte, bool) {
+	b := c.buckets[bucketOf(name)]
+	if b == nil {
+		return nil, false
+	}
+	found, ok := find(b.sections, name, func(s section) string { return s.name })
+	return found.content, ok
+}
+
+// Sections returns all sections; an empty map when nothing is configured.
+func (c *Configuration) Sections() Sections {
+	sections := Sections{}
+	for _, b := range c.buckets {
+		if b == nil {
+			continue
+		}
+		for _, s := range b.sections {
+			sections[s.name] = s.content
+		}
+	}
+	return sections
+}
+
+// Apply returns the configuration after a change, at a cost that follows the change and not the document.
+// The error is a *FaultList when the result is not valid or a removed section does not exist.
+func (c *Configuration) Apply(changed Sections, removed []string) (*Configuration, error) {
+	for _, name := range removed {
+		if _, ok := c.Section(name); !ok {
+			return nil, &FaultList{Name: "sections", Faults: []Fault{sectionFault(name, "the removed section does not exist")}}
+		}
+	}
+	old := c.document
+	if old == nil {
+		old = &Document{}
+	}
+	document, err := recompile(old, changed, removed)
+	if err != nil {
+		return nil, err
+	}
+	if c.document != nil && document.Environment != c.document.Environment {
+		message := fmt.Sprintf("a document of environment %q can not replace one of %q", document.Environment, c.document.Environment)
+		return nil, &FaultList{Name: "sections", Faults: []Fault{{Code: WrongEnvironment, Path: sectionEnvironment, Message: message}}}
+	}
+	next := &Configuration{document: document, buckets: c.buckets}
+	next.buckets.apply(changed, removed)
+	next.digest = next.buckets.digest()
+	return next, nil
+}
+
+// ApplyChange returns the configuration after a change record, whose digest must be that of the result.
+// It does not look at the base revision.
+func (c *Configuration) ApplyChange(change *messenger.ConfigChange) (*Configuration, error) {
+	changed := make(Sections, len(change.GetChanged()))
+	for _, s := range change.GetChanged() {
+		if _, ok := changed[s.GetName()]; ok {
+			return nil, &FaultList{Name: "change", Faults: []Fault{sectionFault(s.GetName(), "the section stands twice")}}
+		}
+		content := s.GetContent()
+		if content == nil {
+			content = []byte{}
+		}
+		changed[s.GetName()] = content
+	}
+	next, err := c.Apply(changed, change.GetRemoved())
+	if err != nil {
+		return nil, err
+	}
+	if next.digest != change.GetDigest() {
+		message := fmt.Sprintf("the change names digest %q but makes %q", change.GetDigest(), next.digest)
+		return nil, &FaultList{Name: "change", Faults: []Fault{{Code: WrongDigest, Message: message}}}
+	}
+	return next, nil
+}
--- a/core/configurer/document.go
+++ b/core/configurer/document.go
@@ -106,39 +106,38 @@
 
 // Model returns the model of a name.
 func (d *Document) Model(name identifier.ModelName) (Model, bool) {
-	return find(d.Models, name, func(m Model) identifier.ModelName { return m.Name })
+	return find(d.Models, string(name), modelName)
 }
 
 // Engine returns the engine of an id.
 func (d *Document) Engine(id identifier.UpstreamID) (Engine, bool) {
-	return find(d.Engines, id, func(e Engine) identifier.UpstreamID { return e.ID })
+	return find(d.Engines, string(id), engineName)
 }
 
 // Service returns the service of a name.
 func (d *Document) Service(name identifier.ServiceName) (Service, bool) {
-	return find(d.Services, name, func(s Service) identifier.ServiceName { return s.Name })
+	return find(d.Services, string(name), serviceName)
 }
 
 // Class returns the work class of a name.
 func (d *Document) Class(name identifier.ClassName) (Class, bool) {
-	return find(d.Classes, name, func(c Class) identifier.ClassName { return c.Name })
+	return find(d.Classes, string(name), className)
 }
 
 // Caller returns the limits of a caller: its own entry, or else the default entry under the caller's id.
 // It returns false when neither is listed; such a caller is refused.
 func (d *Document) Caller(id identifier.CallerID) (Caller, bool) {
-	callerID := func(c Caller) identifier.CallerID { return c.ID }
-	if caller, ok := find(d.Callers, id, callerID); ok {
+	if caller, ok := find(d.Callers, string(id), callerName); ok {
 		return caller, true
 	}
-	caller, ok := find(d.Callers, DefaultCaller, callerID)
+	caller, ok := find(d.Callers, string(DefaultCaller), callerName)
 	caller.ID = id
 	return caller, ok
 }
 
 // find searches a list that is sorted by name.
-func find[T any, N cmp.Ordered](list []T, name N, nameOf func(T) N) (T, bool) {
-	i, ok := slices.BinarySearchFunc(list, name, func(t T, n N) int { return cmp.Compare(nameOf(t), n) })
+func find[T any](list []T, name string, nameOf func(T) string) (T, bool) {
+	i, ok := slices.BinarySearchFunc(list, name, func(t T, n string) int { return cmp.Compare(nameOf(t), n) })
 	if !ok {
 		var none T
 		return none, false
@@ -185,11 +184,15 @@
 }
 
 func (d *Document) sort() {
-	slices.SortFunc(d.Models, func(a, b Model) int { return cmp.Compare(a.Name, b.Name) })
-	slices.SortFunc(d.Engines, func(a, b Engine) int { return cmp.Compare(a.ID, b.ID) })
-	slices.SortFunc(d.Services, func(a, b Service) int { return cmp.Compare(a.Name, b.Name) })
-	slices.SortFunc(d.Classes, func(a, b Class) int { return cmp.Compare(a.Name, b.Name) })
-	slices.SortFunc(d.Callers, func(a, b Caller) int { return cmp.Compare(a.ID, b.ID) })
+	sortByName(d.Models, modelName)
+	sortByName(d.Engines, engineName)
+	sortByName(d.Services, serviceName)
+	sortByName(d.Classes, className)
+	sortByName(d.Callers, callerName)
+}
+
+func sortByName[T any](list []T, nameOf func(T) string) {
+	slices.SortFunc(list, func(a, b T) int { return cmp.Compare(nameOf(a), nameOf(b)) })
 }
 
 func sortedOrNil[T cmp.Ordered](list []T) []T {
--- a/core/configurer/fault.go
+++ b/core/configurer/fault.go
@@ -25,6 +25,8 @@
 	Contradiction        refuser.Code = 5013
 	TooLarge             refuser.Code = 5014
 	BadSection           refuser.Code = 5015
+	WrongDigest          refuser.Code = 5016
+	WrongEnvironment     refuser.Code = 5017
 )
 
 // Fault is one mistake in a document.
--- a/core/configurer/sections.go
+++ b/core/configurer/sections.go
@@ -1,13 +1,9 @@
 package configurer
 
 import (
-	"bytes"
 	"encoding/json"
 	"fmt"
 	"maps"
-	"slices"
-	"strings"
-	"time"
 
 	"rosemaryspool.example/core/identifier"
 )
@@ -20,6 +16,9 @@
 	sectionKeys          = "keys"
 )
 
+// singleSections are the sections that every document has.
+var singleSections = []string{sectionFormatVersion, sectionEnvironment, sectionPlacement, sectionKeys}
+
 // Kinds of the sections that stand once for each name, as in "callers/workshop-042".
 const (
 	sectionModels   = "models"
@@ -94,167 +93,3 @@
 	maps.Copy(result, changed)
 	return result
 }
-
-// Compile is the inverse of Sections. It checks the document by the rules that its format version pins, so that every
-// binary that knows the version reaches the same verdict. It reports every fault at once, as a *FaultList.
-func Compile(sections Sections) (*Document, error) {
-	document := &Document{}
-	var faults []Fault
-	for _, name := range slices.Sorted(maps.Keys(sections)) {
-		if err := document.readSection(name, sections[name]); err != nil {
-			faults = append(faults, sectionFault(name, err.Error()))
-		}
-	}
-	for _, name := range []string{sectionFormatVersion, sectionEnvironment, sectionPlacement, sectionKeys} {
-		if _, ok := sections[name]; !ok {
-			faults = append(faults, sectionFault(name, "the section is missing"))
-		}
-	}
-	if len(faults) == 0 {
-		faults = check(document)
-	}
-	if len(faults) > 0 {
-		return nil, &FaultList{Name: "sections", Faults: faults}
-	}
-	document.sort()
-	return document, nil
-}
-
-func sectionFault(name, message string) Fault {
-	return Fault{Code: BadSection, Path: name, Message: message}
-}
-
-// readSection reads one section and refuses contents that are not canonical, so that one document has one digest.
-func (d *Document) readSection(name string, content []byte) error {
-	kind, key, _ := strings.Cut(name, "/")
-	switch kind {
-	case sectionFormatVersion:
-		return readCanonical(content, &d.FormatVersion, key, "")
-	case sectionEnvironment:
-		return readCanonical(content, &d.Environment, key, "")
-	case sectionPlacement:
-		return readCanonical(content, &d.Placement, key, "")
-	case sectionKeys:
-		return readCanonical(content, &d.Keys, key, "")
-	case sectionModels:
-		return readEntry(content, &d.Models, key, func(m Model) string { return string(m.Name) })
-	case sectionEngines:
-		return readEntry(content, &d.Engines, key, func(e Engine) string { return string(e.ID) })
-	case sectionServices:
-		return readEntry(content, &d.Services, key, func(s Service) string { return string(s.Name) })
-	case sectionClasses:
-		return readEntry(content, &d.Classes, key, func(c Class) string { return string(c.Name) })
-	case sectionCallers:
-		return readEntry(content, &d.Callers, key, func(c Caller) string { return string(c.ID) })
-	default:
-		return fmt.Errorf("unknown section")
-	}
-}
-
-// normalizer is a part of a document with derived defaults or lists whose order means nothing.
-type normalizer interface{ normalize() }
-
-func readEntry[T any](content []byte, list *[]T, key string, nameOf func(T) string) error {
-	var part T
-	if err := readCanonical(content, &part, key, key); err != nil {
-		return err
-	}
-	if nameOf(part) != key {
-		return fmt.Errorf("the content is about %q", nameOf(part))
-	}
-	*list = append(*list, part)
-	return nil
-}
-
-func readCanonical(content []byte, part any, key, wanted string) error {
-	if key != wanted {
-		return fmt.Errorf("unknown section")
-	}
-	if err := json.Unmarshal(content, part); err != nil {
-		return err
-	}
-	if n, ok := part.(normalizer); ok {
-		n.normalize()
-	}
-	again, err := json.Marshal(part)
-	if err != nil {
-		return err
-	}
-	if !bytes.Equal(content, again) {
-		return fmt.Errorf("the content is not canonical")
-	}
-	return nil
-}
-
-// span is a duration that is written with its unit in JSON.
-type span time.Duration
-
-// MarshalText writes the duration with its unit.
-func (s span) MarshalText() ([]byte, error) {
-	return []byte(time.Duration(s).String()), nil
-}
-
-// UnmarshalText reads a duration with its unit.
-func (s *span) UnmarshalText(text []byte) error {
-	duration, err := time.ParseDuration(string(text))
-	*s = span(duration)
-	return err
-}
-
-type plainClass Class
-
-type classContent struct {
-	plainClass
-	Deadline span `json:"deadline"`
-}
-
-// MarshalJSON writes the class with its deadline's unit.
-func (c Class) MarshalJSON() ([]byte, error) {
-	return json.Marshal(classContent{plainClass(c), span(c.Deadline)})
-}
-
-// UnmarshalJSON reads what MarshalJSON wrote.
-func (c *Class) UnmarshalJSON(text []byte) error {
-	var content classContent
-	if err := json.Unmarshal(text, &content); err != nil {
-		return err
-	}
-	*c = Class(content.plainClass)
-	c.Deadline = time.Duration(content.Deadline)
-	return nil
-}
-
-type placementContent struct {
-	FixedRoles   bool `json:"fixedRoles"`
-	MinimumDwell span `json:"minimumDwell"`
-}
-
-// MarshalJSON writes the bounds with their units.
-func (p Placement) MarshalJSON() ([]byte, error) {
-	return json.Marshal(placementContent{p.FixedRoles, span(p.MinimumDwell)})
-}
-
-// UnmarshalJSON reads what MarshalJSON wrote.
-func (p *Placement) UnmarshalJSON(text []byte) error {
-	var content placementContent
-	err := json.Unmarshal(text, &content)
-	*p = Placement{FixedRoles: content.FixedRoles, MinimumDwell: time.Duration(content.MinimumDwell)}
-	return err
-}
-
-type keysContent struct {
-	Window span `json:"window"`
-}
-
-// MarshalJSON writes the window with its unit.
-func (k Keys) MarshalJSON() ([]byte, error) {
-	return json.Marshal(keysContent{span(k.Window)})
-}
-
-// UnmarshalJSON reads what MarshalJSON wrote.
-func (k *Keys) UnmarshalJSON(text []byte) error {
-	var content keysContent
-	err := json.Unmarshal(text, &content)
-	*k = Keys{Window: time.Duration(content.Window)}
-	return err
-}
