Add the fold, leases, orders and the controller

Cause: every instance must reach the same verdict on leases, orders and configuration alone. Change: core/replayer folds the control stream purely; core/leaser claims by compare-and-set and judges expiry on its own clock; core/fencer carries orders through intent, one send and outcome; core/controller joins them. The schema gains the folded state, time marks in claim batches and what an engine reported when an order was closed.

--- /dev/null
+++ b/core/controller/controller.go
@@ -0,0 +1,353 @@
+// Package controller joins the fold, the leases and the orders of one process into one decision maker. It does no I/O
+// and reads no clock: events enter through Handle, which returns the actions to carry out.
+package controller
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"rosemaryspool.example/core/configurer"
+	"rosemaryspool.example/core/fencer"
+	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/core/leaser"
+	"rosemaryspool.example/core/replayer"
+	"rosemaryspool.example/wire/messenger"
+)
+
+// DefaultSnapshotEvery keeps the records after a snapshot few enough for a start within a second.
+const DefaultSnapshotEvery = 2000
+
+// Settings holds what one process's controller needs to know.
+type Settings struct {
+	Environment identifier.Environment
+	Instance    identifier.InstanceID
+	// Incarnation must be unique to this start of the process, so that a restarted instance never takes its
+	// predecessor's lease or record ids for its own.
+	Incarnation string
+	Compile     replayer.CompileFunc
+	// Lease may be left zero; its holder is set by NewController.
+	Lease leaser.Settings
+	Fence fencer.Settings
+	// SnapshotScope names the scope whose holder writes snapshots, one every SnapshotEvery records.
+	SnapshotScope identifier.Scope
+	SnapshotEvery int
+	ReappendAfter time.Duration
+}
+
+// Holder returns the name under which a process holds leases.
+func (s Settings) Holder() string { return string(s.Instance) + "/" + s.Incarnation }
+
+// NewSettings returns the default times for one process.
+func NewSettings(environment identifier.Environment, instance identifier.InstanceID, incarnation string, compile replayer.CompileFunc) Settings {
+	s := Settings{
+		Environment:   environment,
+		Instance:      instance,
+		Incarnation:   incarnation,
+		Compile:       compile,
+		Fence:         fencer.NewSettings(),
+		SnapshotScope: "snapshots",
+		SnapshotEvery: DefaultSnapshotEvery,
+		ReappendAfter: DefaultReappendAfter,
+	}
+	s.Lease = leaser.NewSettings(s.Holder())
+	return s
+}
+
+// Controller decides for one process. It is not safe for concurrent use.
+type Controller struct {
+	settings Settings
+	state    *replayer.State
+	restorer *replayer.Restorer
+	leases   *leaser.Leaser
+	fences   *fencer.Fencer
+	outbox   *outbox
+	records  uint64
+	wanted   map[identifier.Scope]bool
+	stopping bool
+	// liveFrom is the end of the log at the first read; before it is reached older revisions are not put in force.
+	liveFrom identifier.Offset
+	live     bool
+	inForce  identifier.Revision
+	draining []identifier.UpstreamID
+}
+
+// NewController returns a controller that has read nothing yet.
+func NewController(settings Settings) *Controller {
+	settings.Lease.Holder = settings.Holder()
+	return &Controller{
+		settings: settings,
+		state:    replayer.NewState(settings.Environment, settings.Compile),
+		leases:   leaser.NewLeaser(settings.Lease),
+		fences:   fencer.NewFencer(settings.Fence),
+		outbox:   newOutbox(settings.ReappendAfter),
+		wanted:   map[identifier.Scope]bool{},
+	}
+}
+
+// State returns the folded state; callers must not change it or keep it beyond the next event.
+func (c *Controller) State() *replayer.State { return c.state }
+
+// NextOffset returns the offset from which the shell reads on.
+func (c *Controller) NextOffset() identifier.Offset {
+	if c.restorer != nil {
+		return c.restorer.Next()
+	}
+	return c.state.Next()
+}
+
+// Held returns the lease of a scope when this process may use it at now.
+func (c *Controller) Held(now time.Time, scope identifier.Scope) (leaser.Hold, bool) {
+	return c.leases.Held(now, scope)
+}
+
+// Idle tells whether a stopping process has given up all leases and orders.
+func (c *Controller) Idle(now time.Time) bool {
+	for _, l := range c.state.Leases() {
+		if _, held := c.leases.Held(now, l.Scope); held {
+			return false
+		}
+	}
+	return true
+}
+
+// Handle takes one event and returns the actions to carry out, in order.
+func (c *Controller) Handle(event Event) []Action {
+	switch e := event.(type) {
+	case RecordsRead:
+		return append(c.readRecords(e), c.advance(e.Now)...)
+	case LogTrimmed:
+		return append(c.trim(e.Now, e.First), c.advance(e.Now)...)
+	case SnapshotLoaded:
+		return append(c.loadSnapshot(e), c.advance(e.Now)...)
+	case AppendSucceeded:
+		c.outbox.succeeded(e.Now, e.Records)
+		return c.advance(e.Now)
+	case AppendFailed:
+		c.failAppend(e)
+		return c.advance(e.Now)
+	case OrderAnswered:
+		steps := c.fences.Answered(c.view(e.Now), e.Order, e.Answer, e.Reply)
+		return append(c.carryOut(e.Now, steps), c.advance(e.Now)...)
+	case EngineRead:
+		steps := c.fences.ReportRead(c.view(e.Now), e.Engine, e.Read, e.Report)
+		return append(c.carryOut(e.Now, steps), c.advance(e.Now)...)
+	case OrderRequested:
+		return append(c.requestOrder(e), c.advance(e.Now)...)
+	case ScopeWanted:
+		c.wanted[e.Scope] = true
+		return c.advance(e.Now)
+	case ScopeUnwanted:
+		delete(c.wanted, e.Scope)
+		return c.advance(e.Now)
+	case ShutdownStarted:
+		c.stopping = true
+		return c.advance(e.Now)
+	case Ticked:
+		return c.advance(e.Now)
+	default:
+		return nil
+	}
+}
+
+func (c *Controller) view(now time.Time) fencer.View {
+	return fencer.View{Now: now, State: c.state, Leases: c.leases, Checks: c.checksTokens}
+}
+
+// checksTokens takes an engine that the document does not name for one that ignores tokens: the longer wait is safe
+// for both kinds.
+func (c *Controller) checksTokens(engine identifier.UpstreamID) bool {
+	document := c.state.Document()
+	if document == nil {
+		return false
+	}
+	i := slices.IndexFunc(document.Engines, func(e configurer.Engine) bool { return e.ID == engine })
+	return i >= 0 && document.Engines[i].ChecksTokens
+}
+
+func (c *Controller) requestOrder(e OrderRequested) []Action {
+	if c.stopping || !c.state.Complete() {
+		return []Action{OrderClosed{
+			Engine: identifier.UpstreamID(e.Order.GetEngine()),
+			Order:  identifier.OrderID(e.Order.GetOrderId()),
+			Result: messenger.OrderResult_ORDER_RESULT_NOT_DONE,
+			Detail: "process is stopping or its history is incomplete",
+		}}
+	}
+	return c.carryOut(e.Now, c.fences.Request(c.view(e.Now), e.Scope, e.Order))
+}
+
+func (c *Controller) failAppend(e AppendFailed) {
+	c.outbox.failed(e.Now, e.Records, e.Unknown)
+	if e.Unknown {
+		return
+	}
+	for _, id := range e.Records {
+		c.leases.Failed(e.Now, id)
+	}
+}
+
+// advance does what is due now: leases first, then orders, snapshots and repeated appends.
+func (c *Controller) advance(now time.Time) []Action {
+	if !c.state.Complete() || !c.live {
+		return nil
+	}
+	c.updateWants()
+	actions := c.decideLeases(now)
+	actions = append(actions, c.carryOut(now, c.fences.Advance(c.view(now)))...)
+	actions = append(actions, c.takeSnapshot(now)...)
+	c.outbox.dropStale(func(scope identifier.Scope, token identifier.Token) bool {
+		hold, held := c.leases.Held(now, scope)
+		return held && hold.Token == token
+	})
+	return append(actions, c.outbox.due(now)...)
+}
+
+// updateWants adds the scopes with unfinished orders, so that none stays open when nobody wants its scope any more.
+func (c *Controller) updateWants() {
+	open := map[identifier.Scope]bool{}
+	for _, o := range c.state.Unfinished() {
+		open[o.Scope] = true
+	}
+	scopes := map[identifier.Scope]bool{}
+	for _, l := range c.state.Leases() {
+		scopes[l.Scope] = true
+	}
+	for s := range c.wanted {
+		scopes[s] = true
+	}
+	for s := range scopes {
+		c.leases.Want(s, !c.stopping && (c.wanted[s] || open[s]))
+	}
+}
+
+func (c *Controller) decideLeases(now time.Time) []Action {
+	var actions []Action
+	for _, d := range c.leases.Decide(now, c.fences.Busy) {
+		switch d := d.(type) {
+		case leaser.Claim:
+			actions = append(actions, c.appendClaim(now, d)...)
+		case leaser.Release:
+			actions = append(actions, c.appendRelease(d)...)
+		default:
+			actions = append(actions, convertDecision(d)...)
+		}
+	}
+	return actions
+}
+
+func convertDecisions(decisions []leaser.Decision) []Action {
+	var actions []Action
+	for _, d := range decisions {
+		actions = append(actions, convertDecision(d)...)
+	}
+	return actions
+}
+
+func convertDecision(decision leaser.Decision) []Action {
+	switch d := decision.(type) {
+	case leaser.Gained:
+		return []Action{LeaseGained{Scope: d.Hold.Scope, Token: d.Hold.Token, Until: d.Hold.Until}}
+	case leaser.Lost:
+		return []Action{LeaseLost{Scope: d.Scope}}
+	default:
+		return nil
+	}
+}
+
+// carryOut turns the fencer's steps into actions.
+func (c *Controller) carryOut(now time.Time, steps []fencer.Step) []Action {
+	var actions []Action
+	for _, step := range steps {
+		switch s := step.(type) {
+		case fencer.AppendIntent:
+			intent := &messenger.OrderIntent{Order: s.Order}
+			c.enqueue(messenger.RecordKind_RECORD_KIND_ORDER_INTENT, s.Scope, s.Token, intent, UrgencyOrder, s.Order)
+		case fencer.AppendOutcome:
+			c.enqueue(messenger.RecordKind_RECORD_KIND_ORDER_OUTCOME, s.Scope, s.Token, s.Outcome, UrgencyOrder, nil)
+		case fencer.Send:
+			actions = append(actions, SendOrder(s))
+		case fencer.Read:
+			actions = append(actions, ReadEngine(s))
+		case fencer.ReplaceToken:
+			c.leases.Replace(s.Scope)
+		case fencer.Closed:
+			actions = append(actions, OrderClosed(s))
+		case fencer.Diverged:
+			actions = append(actions, EngineDiverged(s))
+		}
+	}
+	return append(actions, c.outbox.due(now)...)
+}
+
+// newRecord returns an envelope with the next record id of this process.
+func (c *Controller) newRecord(kind messenger.RecordKind, scope identifier.Scope, token identifier.Token, payload proto.Message) (identifier.RecordID, []byte) {
+	c.records++
+	id := identifier.RecordID(fmt.Sprintf("%s/%d", c.settings.Holder(), c.records))
+	encoded, err := proto.Marshal(payload)
+	if err != nil {
+		return "", nil
+	}
+	raw, err := proto.Marshal(&messenger.Record{
+		Id:      string(id),
+		Kind:    kind,
+		Author:  c.settings.Holder(),
+		Scope:   string(scope),
+		Token:   uint64(token),
+		Payload: encoded,
+	})
+	if err != nil {
+		return "", nil
+	}
+	return id, raw
+}
+
+func (c *Controller) enqueue(kind messenger.RecordKind, scope identifier.Scope, token identifier.Token, payload proto.Message, urgency Urgency, order *messenger.EngineOrder) {
+	id, raw := c.newRecord(kind, scope, token, payload)
+	if id == "" {
+		return
+	}
+	c.outbox.add(&outgoing{id: id, raw: raw, scope: scope, token: token, urgency: urgency, order: order})
+}
+
+// appendClaim appends a claim at once; a claim is never repeated, because a later one would name a newer grant.
+func (c *Controller) appendClaim(now time.Time, claim leaser.Claim) []Action {
+	payload := &messenger.LeaseClaim{
+		Scope:      string(claim.Scope),
+		Holder:     c.settings.Holder(),
+		LastOffset: uint64(claim.Last),
+		DurationMs: identifier.Milliseconds(c.settings.Lease.Duration),
+		Renewal:    claim.Renewal,
+	}
+	id, raw := c.newRecord(messenger.RecordKind_RECORD_KIND_LEASE_CLAIM, claim.Scope, claim.Token, payload)
+	if id == "" {
+		return nil
+	}
+	c.leases.Sent(now, claim.Scope, claim.Renewal, id)
+	return []Action{Append{IDs: []identifier.RecordID{id}, Records: [][]byte{raw}, Urgency: UrgencyLease}}
+}
+
+func (c *Controller) appendRelease(release leaser.Release) []Action {
+	payload := &messenger.LeaseRelease{Scope: string(release.Scope), Holder: c.settings.Holder()}
+	id, raw := c.newRecord(messenger.RecordKind_RECORD_KIND_LEASE_RELEASE, release.Scope, release.Token, payload)
+	if id == "" {
+		return nil
+	}
+	return []Action{Append{IDs: []identifier.RecordID{id}, Records: [][]byte{raw}, Urgency: UrgencyLease}}
+}
+
+func (c *Controller) takeSnapshot(now time.Time) []Action {
+	hold, held := c.leases.Held(now, c.settings.SnapshotScope)
+	since := int(c.state.Next()) - int(max(c.state.SnapshotNext(), 1))
+	if !held || c.settings.SnapshotEvery <= 0 || since < c.settings.SnapshotEvery || c.outbox.holds(UrgencySnapshot) {
+		return nil
+	}
+	snapshot, err := c.state.Snapshot()
+	if err != nil {
+		return nil
+	}
+	c.enqueue(messenger.RecordKind_RECORD_KIND_SNAPSHOT, c.settings.SnapshotScope, hold.Token, snapshot, UrgencySnapshot, nil)
+	return nil
+}
--- /dev/null
+++ b/core/controller/reading.go
@@ -0,0 +1,148 @@
+package controller
+
+import (
+	"slices"
+	"time"
+
+	"rosemaryspool.example/core/fencer"
+	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/core/replayer"
+)
+
+// readRecords folds a batch and then tells what changed through it.
+func (c *Controller) readRecords(e RecordsRead) []Action {
+	if c.liveFrom == 0 {
+		c.liveFrom = e.End
+	}
+	var actions []Action
+	for _, entry := range e.Entries {
+		if c.restorer != nil {
+			actions = append(actions, c.restore(e.Now, entry)...)
+			continue
+		}
+		applied, err := c.state.Apply(entry.Offset, entry.Record)
+		if err != nil {
+			actions = append(actions, c.trim(e.Now, entry.Offset)...)
+			actions = append(actions, c.restore(e.Now, entry)...)
+			continue
+		}
+		actions = append(actions, c.observe(e.Now, applied)...)
+	}
+	if c.state.Next() >= c.liveFrom && e.End != 0 {
+		c.live = true
+	}
+	return append(actions, c.announce()...)
+}
+
+// observe passes one record's effect on to leases and orders.
+func (c *Controller) observe(now time.Time, applied replayer.Applied) []Action {
+	sent, own := c.outbox.remove(applied.Record)
+	switch e := applied.Effect.(type) {
+	case replayer.LeaseGranted:
+		return convertDecisions(c.leases.Granted(now, applied.Record, e))
+	case replayer.LeaseReleased:
+		return convertDecisions(c.leases.Released(e))
+	case replayer.IntentAccepted:
+		return c.carryOut(now, c.fences.IntentAccepted(c.view(now), e.Order))
+	case replayer.OrderClosed:
+		return c.carryOut(now, c.fences.OutcomeRead(c.view(now), e))
+	case replayer.ConfigRefused:
+		return []Action{ConfigChangeRefused(e)}
+	case replayer.Skipped:
+		if own && sent.order != nil {
+			return c.carryOut(now, c.fences.IntentRefused(sent.order, string(e.Cause)+": "+e.Detail))
+		}
+	}
+	return nil
+}
+
+// announce tells what is in force and what is draining when that changed. Before this process has caught up with the
+// log it tells nothing, so that it never serves a revision that it would replace at once.
+func (c *Controller) announce() []Action {
+	if !c.live {
+		return nil
+	}
+	var actions []Action
+	if revision := c.state.Revision(); revision > c.inForce {
+		c.inForce = revision
+		actions = append(actions, ConfigInForce{Revision: revision, Digest: c.state.Digest(), Document: c.state.Document()})
+	}
+	if draining := c.state.Draining(); !slices.Equal(draining, c.draining) {
+		c.draining = draining
+		actions = append(actions, UpstreamsDraining{Upstreams: draining})
+	}
+	return actions
+}
+
+// trim stops all authority of this process until a snapshot covers the records that it missed.
+func (c *Controller) trim(now time.Time, first identifier.Offset) []Action {
+	if first <= c.NextOffset() {
+		return nil
+	}
+	c.state.MarkIncomplete()
+	c.restorer = replayer.NewRestorer(c.settings.Environment, c.settings.Compile, first)
+	actions := append(convertDecisions(c.leases.Abandon()), HistoryIncomplete{First: first})
+	return append(actions, c.carryOut(now, c.dropRequests(now))...)
+}
+
+// dropRequests closes the requests that were not announced yet.
+func (c *Controller) dropRequests(now time.Time) []fencer.Step {
+	c.outbox.dropStale(func(identifier.Scope, identifier.Token) bool { return false })
+	return c.fences.Advance(c.view(now))
+}
+
+// restore offers a record to the restorer and takes its state over once a snapshot covers the gap.
+func (c *Controller) restore(now time.Time, entry Entry) []Action {
+	if entry.Offset > c.restorer.Next() {
+		c.restorer = replayer.NewRestorer(c.settings.Environment, c.settings.Compile, entry.Offset)
+	}
+	restored := c.restorer.Offer(entry.Offset, entry.Record)
+	if restored == nil || restored.Revision() < c.state.Revision() {
+		return nil
+	}
+	return c.adopt(now, restored)
+}
+
+// adopt replaces the state by a complete one that is at least as new.
+func (c *Controller) adopt(now time.Time, state *replayer.State) []Action {
+	c.state = state
+	c.restorer = nil
+	actions := convertDecisions(c.leases.Restart(now, state.Leases()))
+	actions = append(actions, HistoryRestored{Next: state.Next()})
+	return append(actions, c.carryOut(now, c.dropRequests(now))...)
+}
+
+// loadSnapshot takes a peer's state when it is newer; it never goes back to a lower revision.
+func (c *Controller) loadSnapshot(e SnapshotLoaded) []Action {
+	state, err := replayer.Decode(c.settings.Environment, c.settings.Compile, e.Snapshot.GetState(), e.Snapshot.GetChecksum())
+	if err != nil || state.Revision() < c.state.Revision() {
+		return nil
+	}
+	if c.restorer != nil {
+		continued := c.restorer.Continue(state)
+		if continued == nil {
+			return nil
+		}
+		return append(c.adopt(e.Now, continued), c.announce()...)
+	}
+	if state.Next() <= c.state.Next() {
+		return nil
+	}
+	if !state.Complete() {
+		return c.loadIncomplete(state)
+	}
+	actions := c.adopt(e.Now, state)
+	c.live = true
+	return append(actions, c.announce()...)
+}
+
+// loadIncomplete takes a configuration from a peer that itself misses records; it is better than none.
+func (c *Controller) loadIncomplete(state *replayer.State) []Action {
+	if c.state.Next() > 1 {
+		return nil
+	}
+	c.state = state
+	c.restorer = replayer.NewRestorer(c.settings.Environment, c.settings.Compile, state.Next())
+	c.live = true
+	return append([]Action{HistoryIncomplete{First: state.Next()}}, c.announce()...)
+}
--- /dev/null
+++ b/core/fencer/fencer.go
@@ -0,0 +1,275 @@
+// Package fencer carries orders to engines so that no two of them conflict: intent, accepted, one send, outcome. After
+// a change of authority it resolves what the last holder left open before anything new is decided for that engine.
+package fencer
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/core/leaser"
+	"rosemaryspool.example/core/replayer"
+	"rosemaryspool.example/wire/messenger"
+)
+
+// Times of an order.
+const (
+	// DefaultSendWindow is how long after its write deadline a written order may still reach an engine.
+	DefaultSendWindow = 3 * time.Second
+	// DefaultPollEvery is how often an engine in a change is read.
+	DefaultPollEvery = time.Second
+	// DefaultCallTimeout ends the wait for the answer to a read or a fence.
+	DefaultCallTimeout = 5 * time.Second
+	// DefaultReportLag is by how much an engine's own report may be older than its state.
+	DefaultReportLag = time.Second
+	// DefaultAuditEvery is how often an engine is compared with what its last order left.
+	DefaultAuditEvery = 10 * time.Second
+	// DefaultMinimumSend is the least time to the write deadline with which a send is begun.
+	DefaultMinimumSend = 250 * time.Millisecond
+)
+
+// Settings holds the times of an order.
+type Settings struct {
+	SendWindow  time.Duration
+	PollEvery   time.Duration
+	CallTimeout time.Duration
+	ReportLag   time.Duration
+	AuditEvery  time.Duration
+	MinimumSend time.Duration
+}
+
+// NewSettings returns the default times.
+func NewSettings() Settings {
+	return Settings{
+		SendWindow:  DefaultSendWindow,
+		PollEvery:   DefaultPollEvery,
+		CallTimeout: DefaultCallTimeout,
+		ReportLag:   DefaultReportLag,
+		AuditEvery:  DefaultAuditEvery,
+		MinimumSend: DefaultMinimumSend,
+	}
+}
+
+// View is what the fencer decides upon.
+type View struct {
+	Now    time.Time
+	State  *replayer.State
+	Leases *leaser.Leaser
+	// Checks tells whether an engine refuses an order with an old token.
+	Checks func(identifier.UpstreamID) bool
+}
+
+// phase tells how far an order came.
+type phase int
+
+const (
+	// phaseIntent waits for the intent to be read back.
+	phaseIntent phase = iota + 1
+	// phaseSent waits for the engine's answer.
+	phaseSent
+	// phaseWatch waits for the engine to finish an accepted order.
+	phaseWatch
+	// phaseResolve finds out what became of an order that this process did not see through.
+	phaseResolve
+	// phaseClosing waits for the outcome to be read back.
+	phaseClosing
+)
+
+// journey is one order on its way.
+type journey struct {
+	engine identifier.UpstreamID
+	order  *messenger.EngineOrder
+	scope  identifier.Scope
+	token  identifier.Token
+	// own is true when this process requested the order.
+	own     bool
+	phase   phase
+	writeBy time.Time
+	// certainFrom is the earliest time of a read that can prove that the order was not done.
+	certainFrom time.Time
+	// quietAt is when an order that was written in time has reached the engine.
+	quietAt time.Time
+	fenced  bool
+	fence   identifier.OrderID
+	fenceAt time.Time
+	read    uint64
+	readAt  time.Time
+	pollAt  time.Time
+}
+
+func (j *journey) id() identifier.OrderID { return identifier.OrderID(j.order.GetOrderId()) }
+
+// Fencer drives the orders of one process.
+type Fencer struct {
+	settings Settings
+	journeys map[identifier.UpstreamID]*journey
+	audits   map[identifier.UpstreamID]*audit
+	reads    uint64
+	fences   uint64
+	repairs  uint64
+}
+
+// NewFencer returns a fencer without orders.
+func NewFencer(settings Settings) *Fencer {
+	return &Fencer{
+		settings: settings,
+		journeys: map[identifier.UpstreamID]*journey{},
+		audits:   map[identifier.UpstreamID]*audit{},
+	}
+}
+
+// Busy tells whether an order of the scope that this process requested is on its way.
+func (f *Fencer) Busy(scope identifier.Scope) bool {
+	for _, j := range f.journeys {
+		if j.scope == scope && j.own {
+			return true
+		}
+	}
+	return false
+}
+
+// Request announces an order, or closes it at once when it cannot be given.
+func (f *Fencer) Request(v View, scope identifier.Scope, order *messenger.EngineOrder) []Step {
+	engine := identifier.UpstreamID(order.GetEngine())
+	hold, held := v.Leases.Held(v.Now, scope)
+	if !held {
+		return refuse(order, "lease is not held")
+	}
+	if order.GetKind() != messenger.OrderKind_ORDER_KIND_CHANGE_ROLE && order.GetKind() != messenger.OrderKind_ORDER_KIND_LOAD_MODEL {
+		return refuse(order, "kind of order is not known")
+	}
+	state, _ := v.State.Engine(engine)
+	if state.Unfinished != nil || f.journeys[engine] != nil {
+		return refuse(order, "engine has an unfinished order")
+	}
+	if hold.Token < state.Token {
+		return append(refuse(order, "engine is under a newer token"), ReplaceToken{Scope: scope})
+	}
+	f.journeys[engine] = &journey{engine: engine, order: order, scope: scope, token: hold.Token, own: true, phase: phaseIntent}
+	return []Step{AppendIntent{Scope: scope, Token: hold.Token, Order: order}}
+}
+
+func refuse(order *messenger.EngineOrder, detail string) []Step {
+	return []Step{Closed{
+		Engine: identifier.UpstreamID(order.GetEngine()),
+		Order:  identifier.OrderID(order.GetOrderId()),
+		Result: messenger.OrderResult_ORDER_RESULT_NOT_DONE,
+		Detail: detail,
+	}}
+}
+
+// IntentAccepted sends this process's order when its lease still allows it. This is the only place where an order
+// leaves, so that each is sent at most once.
+func (f *Fencer) IntentAccepted(v View, accepted *replayer.Order) []Step {
+	j := f.journeys[identifier.UpstreamID(accepted.Order.GetEngine())]
+	if j == nil || !j.own || j.phase != phaseIntent || j.id() != accepted.ID() {
+		return nil
+	}
+	hold, held := v.Leases.Held(v.Now, accepted.Scope)
+	if !held || hold.Token != accepted.Token || hold.Until.Sub(v.Now) < f.settings.MinimumSend {
+		delete(f.journeys, j.engine)
+		return refuse(j.order, "lease lapsed before the order was sent")
+	}
+	j.phase = phaseSent
+	j.writeBy = hold.Until
+	j.quietAt = hold.Until.Add(f.settings.SendWindow)
+	return []Step{Send{Order: j.order, Token: hold.Token, WriteBy: j.writeBy}}
+}
+
+// IntentRefused closes an order whose intent had no effect.
+func (f *Fencer) IntentRefused(order *messenger.EngineOrder, detail string) []Step {
+	engine := identifier.UpstreamID(order.GetEngine())
+	j := f.journeys[engine]
+	if j == nil || j.phase != phaseIntent || j.order.GetOrderId() != order.GetOrderId() {
+		return nil
+	}
+	delete(f.journeys, engine)
+	return refuse(order, detail)
+}
+
+// OutcomeRead ends the order whose outcome was read from the log.
+func (f *Fencer) OutcomeRead(v View, closed replayer.OrderClosed) []Step {
+	f.audits[closed.Engine] = &audit{dueAt: v.Now.Add(f.settings.AuditEvery)}
+	j := f.journeys[closed.Engine]
+	if j == nil || j.id() != closed.Order.ID() {
+		return nil
+	}
+	delete(f.journeys, closed.Engine)
+	return []Step{Closed{Engine: closed.Engine, Order: j.id(), Result: closed.Order.Result, Detail: closed.Order.Detail}}
+}
+
+// Advance returns what is due now: resolution of open orders, polls and audits.
+func (f *Fencer) Advance(v View) []Step {
+	steps := f.dropStale(v)
+	for _, open := range v.State.Unfinished() {
+		hold, held := v.Leases.Held(v.Now, open.Scope)
+		if !held {
+			continue
+		}
+		steps = append(steps, f.advanceOpen(v, open, hold)...)
+	}
+	return append(steps, f.advanceAudits(v)...)
+}
+
+// dropStale closes the requests whose lease ended before their intent was read back, and forgets what others closed.
+func (f *Fencer) dropStale(v View) []Step {
+	var steps []Step
+	for _, engine := range slices.Sorted(maps.Keys(f.journeys)) {
+		j := f.journeys[engine]
+		state, _ := v.State.Engine(engine)
+		if j.phase != phaseIntent {
+			if state.Unfinished == nil || state.Unfinished.ID() != j.id() {
+				delete(f.journeys, engine)
+			}
+			continue
+		}
+		hold, held := v.Leases.Held(v.Now, j.scope)
+		if held && hold.Token == j.token {
+			continue
+		}
+		delete(f.journeys, engine)
+		steps = append(steps, refuse(j.order, "lease was lost before the order was accepted")...)
+	}
+	return steps
+}
+
+func (f *Fencer) advanceOpen(v View, open *replayer.Order, hold leaser.Hold) []Step {
+	engine := identifier.UpstreamID(open.Order.GetEngine())
+	j := f.journeys[engine]
+	if j == nil || j.id() != open.ID() {
+		j = &journey{engine: engine, order: open.Order, scope: open.Scope, token: open.Token}
+		f.journeys[engine] = j
+		f.startResolve(j, hold)
+	}
+	if j.token != hold.Token {
+		f.startResolve(j, hold)
+	}
+	switch j.phase {
+	case phaseSent:
+		if v.Now.After(j.quietAt.Add(f.settings.CallTimeout)) {
+			return f.doubt(v, j)
+		}
+		return nil
+	case phaseWatch, phaseResolve:
+		return f.poll(v, j, hold)
+	default:
+		return nil
+	}
+}
+
+// startResolve begins to find out what became of an order under a token newer than the order's.
+func (f *Fencer) startResolve(j *journey, hold leaser.Hold) {
+	j.phase = phaseResolve
+	j.token = hold.Token
+	j.fenced = false
+	j.fence = ""
+	j.fenceAt = time.Time{}
+	j.read = 0
+	j.pollAt = time.Time{}
+	quiet := hold.QuietFrom.Add(f.settings.SendWindow)
+	if j.quietAt.Before(quiet) {
+		j.quietAt = quiet
+	}
+	j.certainFrom = j.quietAt.Add(f.settings.ReportLag)
+}
--- /dev/null
+++ b/core/fencer/resolve.go
@@ -0,0 +1,216 @@
+package fencer
+
+import (
+	"fmt"
+	"slices"
+
+	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/core/leaser"
+	"rosemaryspool.example/wire/messenger"
+)
+
+// Answer tells how a send ended.
+type Answer int
+
+// Answers to a send.
+const (
+	// AnswerAccepted means that the engine took the order.
+	AnswerAccepted Answer = iota + 1
+	// AnswerRefused means that the engine refused the order and did nothing.
+	AnswerRefused
+	// AnswerNotSent means that nothing of the order was written.
+	AnswerNotSent
+	// AnswerUnknown means that the engine may have taken the order.
+	AnswerUnknown
+)
+
+// Answered takes the answer to a send. reply is nil when there was none.
+func (f *Fencer) Answered(v View, id identifier.OrderID, answer Answer, reply *messenger.OrderReply) []Step {
+	for _, j := range f.journeys {
+		if j.fence != "" && j.fence == id {
+			return f.fenceAnswered(v, j, answer, reply)
+		}
+		if j.id() == id && j.own {
+			return f.orderAnswered(v, j, answer, reply)
+		}
+	}
+	return nil
+}
+
+func (f *Fencer) orderAnswered(v View, j *journey, answer Answer, reply *messenger.OrderReply) []Step {
+	if j.phase != phaseSent {
+		return nil
+	}
+	switch answer {
+	case AnswerAccepted:
+		j.phase = phaseWatch
+		j.certainFrom = v.Now.Add(f.settings.ReportLag)
+		return nil
+	case AnswerRefused:
+		if reply.GetToken() > uint64(j.token) {
+			return f.close(v, j, messenger.OrderResult_ORDER_RESULT_FENCED, "engine is under a newer token", nil)
+		}
+		return f.close(v, j, messenger.OrderResult_ORDER_RESULT_NOT_DONE, "engine refused: "+reply.GetDetail(), nil)
+	case AnswerNotSent:
+		return f.close(v, j, messenger.OrderResult_ORDER_RESULT_NOT_DONE, "order was not sent", nil)
+	default:
+		return f.doubt(v, j)
+	}
+}
+
+// doubt begins to find out what became of this process's own order. An engine that checks tokens is asked under a newer
+// one, so that the order can no longer arrive; of another engine the time after which it cannot arrive is waited out.
+func (f *Fencer) doubt(v View, j *journey) []Step {
+	j.phase = phaseResolve
+	j.read = 0
+	j.certainFrom = j.quietAt.Add(f.settings.ReportLag)
+	if !v.Checks(j.engine) {
+		return nil
+	}
+	return []Step{ReplaceToken{Scope: j.scope}}
+}
+
+func (f *Fencer) fenceAnswered(v View, j *journey, answer Answer, reply *messenger.OrderReply) []Step {
+	j.fence = ""
+	switch answer {
+	case AnswerAccepted:
+		j.fenced = true
+		j.certainFrom = v.Now.Add(f.settings.ReportLag)
+		j.pollAt = v.Now
+		return nil
+	case AnswerRefused:
+		if reply.GetToken() > uint64(j.token) {
+			return []Step{ReplaceToken{Scope: j.scope}}
+		}
+		return nil
+	default:
+		return nil
+	}
+}
+
+// poll fences the engine where that is needed and reads its report.
+func (f *Fencer) poll(v View, j *journey, hold leaser.Hold) []Step {
+	if j.phase == phaseResolve && v.Checks(j.engine) && !j.fenced {
+		return f.sendFence(v, j, hold)
+	}
+	if j.read != 0 && v.Now.Sub(j.readAt) < f.settings.CallTimeout {
+		return nil
+	}
+	if v.Now.Before(j.pollAt) {
+		return nil
+	}
+	f.reads++
+	j.read = f.reads
+	j.readAt = v.Now
+	return []Step{Read{Engine: j.engine, Read: j.read}}
+}
+
+// sendFence raises the engine's token. An own order in doubt waits for the newer token first.
+func (f *Fencer) sendFence(v View, j *journey, hold leaser.Hold) []Step {
+	open, _ := v.State.Engine(j.engine)
+	if open.Unfinished == nil || hold.Token <= open.Unfinished.Token {
+		v.Leases.Replace(j.scope)
+		return nil
+	}
+	wait := f.settings.PollEvery
+	if j.fence != "" {
+		wait = f.settings.CallTimeout
+	}
+	if !j.fenceAt.IsZero() && v.Now.Sub(j.fenceAt) < wait || hold.Until.Sub(v.Now) < f.settings.MinimumSend {
+		return nil
+	}
+	f.fences++
+	j.fence = identifier.OrderID(fmt.Sprintf("fence/%s/%d/%d", j.engine, hold.Token, f.fences))
+	j.fenceAt = v.Now
+	order := &messenger.EngineOrder{
+		OrderId: string(j.fence),
+		Engine:  string(j.engine),
+		Kind:    messenger.OrderKind_ORDER_KIND_FENCE,
+	}
+	return []Step{Send{Order: order, Token: hold.Token, WriteBy: hold.Until}}
+}
+
+// ReportRead takes an engine's own report, or nil when the read failed.
+func (f *Fencer) ReportRead(v View, engine identifier.UpstreamID, read uint64, report *messenger.EngineReport) []Step {
+	if read == 0 {
+		return nil
+	}
+	j := f.journeys[engine]
+	if j == nil || j.read != read {
+		return f.auditRead(v, engine, read, report)
+	}
+	j.read = 0
+	j.pollAt = v.Now.Add(f.settings.PollEvery)
+	if report == nil || report.GetChanging() || (j.phase != phaseWatch && j.phase != phaseResolve) {
+		return nil
+	}
+	return f.judge(v, j, report)
+}
+
+// judge closes an order once a report proves what became of it.
+func (f *Fencer) judge(v View, j *journey, report *messenger.EngineReport) []Step {
+	taken := report.GetLastOrderId() == j.order.GetOrderId()
+	reached := Matches(j.order, report)
+	if taken && reached {
+		return f.close(v, j, messenger.OrderResult_ORDER_RESULT_DONE, "", report)
+	}
+	checks := v.Checks(j.engine)
+	if j.phase == phaseResolve && checks && report.GetToken() < uint64(j.token) {
+		// The engine lost its token, as by a restart: the old order could still arrive.
+		j.fenced = false
+		return nil
+	}
+	if j.readAt.Before(j.certainFrom) {
+		return nil
+	}
+	if reached {
+		return f.close(v, j, messenger.OrderResult_ORDER_RESULT_DONE, "engine is at the order's target", report)
+	}
+	return f.close(v, j, messenger.OrderResult_ORDER_RESULT_NOT_DONE, "engine is not at the order's target", report)
+}
+
+func (f *Fencer) close(v View, j *journey, result messenger.OrderResult, detail string, report *messenger.EngineReport) []Step {
+	hold, held := v.Leases.Held(v.Now, j.scope)
+	if !held || hold.Token != j.token {
+		return nil
+	}
+	j.phase = phaseClosing
+	outcome := &messenger.OrderOutcome{
+		OrderId: j.order.GetOrderId(),
+		Engine:  string(j.engine),
+		Result:  result,
+		Detail:  detail,
+		Found:   describe(report),
+	}
+	return []Step{AppendOutcome{Scope: j.scope, Token: hold.Token, Outcome: outcome}}
+}
+
+// describe returns what an engine runs, in the form of the order that would bring it there.
+func describe(report *messenger.EngineReport) *messenger.EngineOrder {
+	if report == nil {
+		return nil
+	}
+	return &messenger.EngineOrder{
+		Engine:   report.GetEngine(),
+		Kind:     messenger.OrderKind_ORDER_KIND_LOAD_MODEL,
+		Role:     report.GetRole(),
+		Model:    report.GetModel(),
+		Version:  report.GetVersion(),
+		Adapters: slices.Sorted(slices.Values(report.GetAdapters())),
+	}
+}
+
+// Matches tells whether an engine is where an order would bring it.
+func Matches(order *messenger.EngineOrder, report *messenger.EngineReport) bool {
+	if order.GetRole() != "" && order.GetRole() != report.GetRole() {
+		return false
+	}
+	if order.GetKind() != messenger.OrderKind_ORDER_KIND_LOAD_MODEL {
+		return true
+	}
+	if order.GetModel() != report.GetModel() || order.GetVersion() != report.GetVersion() {
+		return false
+	}
+	wanted := slices.Sorted(slices.Values(order.GetAdapters()))
+	return slices.Equal(wanted, slices.Sorted(slices.Values(report.GetAdapters())))
+}
--- /dev/null
+++ b/core/replayer/config.go
@@ -0,0 +1,167 @@
+package replayer
+
+import (
+	"bytes"
+	"fmt"
+	"maps"
+	"slices"
+
+	"rosemaryspool.example/core/configurer"
+	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/wire/messenger"
+)
+
+// HistoryLimit is how many accepted and how many refused changes the state remembers.
+const HistoryLimit = 32
+
+// Revision describes one accepted change.
+type Revision struct {
+	Revision         identifier.Revision
+	Base             identifier.Revision
+	Digest           string
+	Operator         identifier.OperatorID
+	Message          string
+	PromotedFrom     identifier.Environment
+	PromotedRevision identifier.Revision
+	Changed, Removed []string
+}
+
+// ConfigRefusal describes one refused change and what beat it.
+type ConfigRefusal struct {
+	Record   identifier.RecordID
+	Offset   identifier.Offset
+	Base     identifier.Revision
+	Digest   string
+	Operator identifier.OperatorID
+	Reason   string
+	// BeatenBy is the revision that was accepted on the same base, by BeatenByOperator; zero when none was.
+	BeatenBy         identifier.Revision
+	BeatenByOperator identifier.OperatorID
+}
+
+type configuration struct {
+	revision identifier.Revision
+	digest   string
+	sections configurer.Sections
+	document *configurer.Document
+	history  []Revision
+	refused  []ConfigRefusal
+}
+
+// Revision returns the revision in force; zero when none is known.
+func (s *State) Revision() identifier.Revision { return s.config.revision }
+
+// Digest returns the digest of the document in force.
+func (s *State) Digest() string { return s.config.digest }
+
+// Document returns the document in force; nil when none is known.
+func (s *State) Document() *configurer.Document { return s.config.document }
+
+// Sections returns a copy of the sections in force.
+func (s *State) Sections() configurer.Sections { return maps.Clone(s.config.sections) }
+
+// History returns the latest accepted changes, oldest first.
+func (s *State) History() []Revision { return slices.Clone(s.config.history) }
+
+// ConfigRefusals returns the latest refused changes, oldest first.
+func (s *State) ConfigRefusals() []ConfigRefusal { return slices.Clone(s.config.refused) }
+
+// foldConfig puts a change in force whole, or not at all.
+func (s *State) foldConfig(offset identifier.Offset, record *messenger.Record, change *messenger.ConfigChange) Effect {
+	if identifier.Revision(change.GetBaseRevision()) != s.config.revision {
+		return s.refuseConfig(offset, record, change, fmt.Sprintf("base revision %d is not in force", change.GetBaseRevision()))
+	}
+	sections, err := applySections(s.config.sections, change)
+	if err != nil {
+		return s.refuseConfig(offset, record, change, err.Error())
+	}
+	if sections.Digest() != change.GetDigest() {
+		return s.refuseConfig(offset, record, change, "digest does not match the sections after the change")
+	}
+	document, err := s.compile(sections)
+	if err != nil {
+		return s.refuseConfig(offset, record, change, "document is not valid: "+err.Error())
+	}
+	revision := newRevision(offset, change)
+	s.config.revision = revision.Revision
+	s.config.digest = revision.Digest
+	s.config.sections = sections
+	s.config.document = document
+	s.config.history = appendBounded(s.config.history, revision)
+	return ConfigAccepted{Revision: revision}
+}
+
+func newRevision(offset identifier.Offset, change *messenger.ConfigChange) Revision {
+	revision := Revision{
+		Revision:         identifier.Revision(offset),
+		Base:             identifier.Revision(change.GetBaseRevision()),
+		Digest:           change.GetDigest(),
+		Operator:         identifier.OperatorID(change.GetOperator()),
+		Message:          change.GetMessage(),
+		PromotedFrom:     identifier.Environment(change.GetPromotedFrom()),
+		PromotedRevision: identifier.Revision(change.GetPromotedRevision()),
+		Removed:          change.GetRemoved(),
+	}
+	for _, c := range change.GetChanged() {
+		revision.Changed = append(revision.Changed, c.GetName())
+	}
+	return revision
+}
+
+// applySections returns a copy with the change in it; naming a section twice is an error.
+func applySections(sections configurer.Sections, change *messenger.ConfigChange) (configurer.Sections, error) {
+	next := maps.Clone(sections)
+	named := map[string]bool{}
+	for _, c := range change.GetChanged() {
+		if c.GetName() == "" || named[c.GetName()] {
+			return nil, fmt.Errorf("section %q is named twice or empty", c.GetName())
+		}
+		named[c.GetName()] = true
+		next[c.GetName()] = bytes.Clone(c.GetContent())
+	}
+	for _, name := range change.GetRemoved() {
+		if _, ok := next[name]; !ok || named[name] {
+			return nil, fmt.Errorf("section %q cannot be removed", name)
+		}
+		named[name] = true
+		delete(next, name)
+	}
+	return next, nil
+}
+
+func (s *State) refuseConfig(offset identifier.Offset, record *messenger.Record, change *messenger.ConfigChange, reason string) Effect {
+	refusal := ConfigRefusal{
+		Record:   identifier.RecordID(record.GetId()),
+		Offset:   offset,
+		Base:     identifier.Revision(change.GetBaseRevision()),
+		Digest:   change.GetDigest(),
+		Operator: identifier.OperatorID(change.GetOperator()),
+		Reason:   reason,
+	}
+	if winner, ok := s.findWinner(refusal.Base); ok {
+		refusal.BeatenBy = winner.Revision
+		refusal.BeatenByOperator = winner.Operator
+	}
+	s.config.refused = appendBounded(s.config.refused, refusal)
+	return ConfigRefused{Refusal: refusal}
+}
+
+// findWinner returns the change that was accepted on a base, or the one in force when the history is too short.
+func (s *State) findWinner(base identifier.Revision) (Revision, bool) {
+	if base == s.config.revision || len(s.config.history) == 0 {
+		return Revision{}, false
+	}
+	for _, r := range s.config.history {
+		if r.Base == base {
+			return r, true
+		}
+	}
+	return s.config.history[len(s.config.history)-1], true
+}
+
+func appendBounded[T any](list []T, item T) []T {
+	if len(list) == HistoryLimit {
+		list = slices.Clone(list[1:])
+	}
+	return append(list, item)
+}
--- /dev/null
+++ b/core/replayer/decoder.go
@@ -0,0 +1,167 @@
+package replayer
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
+
+	"rosemaryspool.example/core/configurer"
+	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/wire/messenger"
+)
+
+// Errors of a state that cannot be taken.
+var (
+	ErrChecksum    = errors.New("replayer: decode state: checksum does not match")
+	ErrEnvironment = errors.New("replayer: decode state: state of another environment")
+	ErrMalformed   = errors.New("replayer: decode state: malformed")
+)
+
+// Decode returns the state that an encoding with its checksum holds.
+func Decode(environment identifier.Environment, compile CompileFunc, encoded []byte, checksum uint64) (*State, error) {
+	if xxhash.Sum64(encoded) != checksum {
+		return nil, ErrChecksum
+	}
+	folded := &messenger.FoldedState{}
+	if err := proto.Unmarshal(encoded, folded); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrMalformed, err)
+	}
+	if folded.GetEnvironment() != string(environment) {
+		return nil, ErrEnvironment
+	}
+	if folded.GetNextOffset() == 0 {
+		return nil, ErrMalformed
+	}
+	s := NewState(environment, compile)
+	s.next = identifier.Offset(folded.GetNextOffset())
+	s.incomplete = folded.GetIncomplete()
+	s.kept = folded.GetKept()
+	s.snapshotOffset = identifier.Offset(folded.GetSnapshotOffset())
+	s.snapshotNext = identifier.Offset(folded.GetSnapshotNext())
+	s.counters = decodeCounters(folded.GetCounters())
+	for _, hash := range folded.GetSeen() {
+		s.seen.addHash(hash)
+	}
+	s.decodeLeases(folded.GetLeases())
+	s.decodeEngines(folded.GetEngines())
+	for _, p := range folded.GetPlans() {
+		s.plans[identifier.UpstreamID(p.GetUpstream())] = Plan{Change: p.GetChange(), Offset: identifier.Offset(p.GetOffset())}
+	}
+	if err := s.decodeConfig(folded.GetConfig()); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *State) decodeLeases(leases []*messenger.FoldedLease) {
+	for _, l := range leases {
+		scope := identifier.Scope(l.GetScope())
+		s.leases[scope] = Lease{
+			Scope:    scope,
+			Holder:   l.GetHolder(),
+			Token:    identifier.Token(l.GetToken()),
+			Latest:   identifier.Offset(l.GetLatest()),
+			Duration: time.Duration(l.GetDurationMs()) * time.Millisecond,
+			Released: l.GetReleased(),
+		}
+	}
+}
+
+func (s *State) decodeEngines(engines []*messenger.FoldedEngine) {
+	for _, e := range engines {
+		id := identifier.UpstreamID(e.GetEngine())
+		s.engines[id] = &Engine{
+			ID:         id,
+			Token:      identifier.Token(e.GetToken()),
+			Unfinished: decodeOrder(e.GetUnfinished()),
+			LastClosed: decodeOrder(e.GetLastClosed()),
+			LastDone:   decodeOrder(e.GetLastDone()),
+		}
+	}
+}
+
+func decodeOrder(order *messenger.FoldedOrder) *Order {
+	if order == nil {
+		return nil
+	}
+	return &Order{
+		Order:  order.GetOrder(),
+		Scope:  identifier.Scope(order.GetScope()),
+		Token:  identifier.Token(order.GetToken()),
+		Offset: identifier.Offset(order.GetOffset()),
+		Result: order.GetResult(),
+		Detail: order.GetDetail(),
+		Found:  order.GetFound(),
+	}
+}
+
+// decodeConfig checks the digest and compiles the sections, so that a wrong document never comes into force.
+func (s *State) decodeConfig(folded *messenger.FoldedConfig) error {
+	sections := configurer.Sections{}
+	for _, c := range folded.GetSections() {
+		sections[c.GetName()] = c.GetContent()
+	}
+	config := configuration{
+		revision: identifier.Revision(folded.GetRevision()),
+		digest:   folded.GetDigest(),
+		sections: sections,
+	}
+	if config.revision != 0 {
+		if sections.Digest() != config.digest {
+			return fmt.Errorf("%w: digest of the configuration", ErrMalformed)
+		}
+		document, err := s.compile(sections)
+		if err != nil {
+			return fmt.Errorf("%w: configuration: %w", ErrMalformed, err)
+		}
+		config.document = document
+	}
+	for _, r := range folded.GetHistory() {
+		config.history = append(config.history, decodeRevision(r))
+	}
+	for _, r := range folded.GetRefused() {
+		config.refused = append(config.refused, decodeRefusal(r))
+	}
+	s.config = config
+	return nil
+}
+
+func decodeRevision(r *messenger.FoldedRevision) Revision {
+	return Revision{
+		Revision:         identifier.Revision(r.GetRevision()),
+		Base:             identifier.Revision(r.GetBase()),
+		Digest:           r.GetDigest(),
+		Operator:         identifier.OperatorID(r.GetOperator()),
+		Message:          r.GetMessage(),
+		PromotedFrom:     identifier.Environment(r.GetPromotedFrom()),
+		PromotedRevision: identifier.Revision(r.GetPromotedRevision()),
+		Changed:          r.GetChanged(),
+		Removed:          r.GetRemoved(),
+	}
+}
+
+func decodeRefusal(r *messenger.FoldedRefusal) ConfigRefusal {
+	return ConfigRefusal{
+		Record:           identifier.RecordID(r.GetRecordId()),
+		Offset:           identifier.Offset(r.GetOffset()),
+		Base:             identifier.Revision(r.GetBase()),
+		Digest:           r.GetDigest(),
+		Operator:         identifier.OperatorID(r.GetOperator()),
+		Reason:           r.GetReason(),
+		BeatenBy:         identifier.Revision(r.GetBeatenBy()),
+		BeatenByOperator: identifier.OperatorID(r.GetBeatenByOperator()),
+	}
+}
+
+func decodeCounters(c *messenger.FoldedCounters) Counters {
+	return Counters{
+		Malformed: c.GetMalformed(),
+		Duplicate: c.GetDuplicate(),
+		Stale:     c.GetStale(),
+		Unknown:   c.GetUnknown(),
+		Refused:   c.GetRefused(),
+	}
+}
--- /dev/null
+++ b/core/replayer/lease.go
@@ -0,0 +1,51 @@
+package replayer
+
+import (
+	"time"
+
+	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/wire/messenger"
+)
+
+// foldClaim grants a claim only when it names the latest granted claim of its scope. An acquisition gets a new token,
+// a renewal keeps it.
+func (s *State) foldClaim(offset identifier.Offset, record *messenger.Record, claim *messenger.LeaseClaim) Effect {
+	scope := identifier.Scope(claim.GetScope())
+	if scope == "" || claim.GetHolder() == "" || claim.GetHolder() != record.GetAuthor() || claim.GetDurationMs() == 0 {
+		return skip(record, CauseMalformed, "claim")
+	}
+	current := s.leases[scope]
+	if claim.GetRenewal() && !s.Holds(scope, identifier.Token(record.GetToken())) {
+		return skip(record, CauseStaleToken, "renewal")
+	}
+	if claim.GetRenewal() && current.Holder != claim.GetHolder() {
+		return skip(record, CauseRefused, "renewal by another holder")
+	}
+	if identifier.Offset(claim.GetLastOffset()) != current.Latest {
+		return skip(record, CauseRefused, "claim is not based on the latest grant")
+	}
+	token := identifier.Token(offset)
+	if claim.GetRenewal() {
+		token = current.Token
+	}
+	lease := Lease{
+		Scope:    scope,
+		Holder:   claim.GetHolder(),
+		Token:    token,
+		Latest:   offset,
+		Duration: time.Duration(claim.GetDurationMs()) * time.Millisecond,
+	}
+	s.leases[scope] = lease
+	return LeaseGranted{Lease: lease, Renewal: claim.GetRenewal()}
+}
+
+func (s *State) foldRelease(record *messenger.Record, release *messenger.LeaseRelease) Effect {
+	scope := identifier.Scope(release.GetScope())
+	if !s.Holds(scope, identifier.Token(record.GetToken())) {
+		return skip(record, CauseStaleToken, "release")
+	}
+	lease := s.leases[scope]
+	lease.Released = true
+	s.leases[scope] = lease
+	return LeaseReleased{Lease: lease}
+}
--- /dev/null
+++ b/core/replayer/order.go
@@ -0,0 +1,83 @@
+package replayer
+
+import (
+	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/wire/messenger"
+)
+
+// foldIntent accepts an order of the current holder for an engine that has no unfinished order.
+func (s *State) foldIntent(offset identifier.Offset, record *messenger.Record, intent *messenger.OrderIntent) Effect {
+	order := intent.GetOrder()
+	id := identifier.UpstreamID(order.GetEngine())
+	if id == "" || order.GetOrderId() == "" {
+		return skip(record, CauseMalformed, "intent")
+	}
+	scope, token := identifier.Scope(record.GetScope()), identifier.Token(record.GetToken())
+	if !s.Holds(scope, token) {
+		return skip(record, CauseStaleToken, "intent")
+	}
+	e := s.engines[id]
+	if e == nil {
+		e = &Engine{ID: id}
+	}
+	if detail := refuseIntent(e, order, token); detail != "" {
+		return skip(record, CauseRefused, detail)
+	}
+	e.Token = token
+	e.Unfinished = &Order{Order: order, Scope: scope, Token: token, Offset: offset}
+	s.engines[id] = e
+	return IntentAccepted{Order: e.Unfinished}
+}
+
+func refuseIntent(e *Engine, order *messenger.EngineOrder, token identifier.Token) string {
+	if e.Unfinished != nil {
+		return "engine has an unfinished order"
+	}
+	if token < e.Token {
+		return "engine is under a newer token"
+	}
+	if e.LastClosed != nil && e.LastClosed.Order.GetOrderId() == order.GetOrderId() {
+		return "order is closed"
+	}
+	return ""
+}
+
+// foldOutcome closes an unfinished order for the current holder of the order's scope.
+func (s *State) foldOutcome(record *messenger.Record, outcome *messenger.OrderOutcome) Effect {
+	scope, token := identifier.Scope(record.GetScope()), identifier.Token(record.GetToken())
+	if !s.Holds(scope, token) {
+		return skip(record, CauseStaleToken, "outcome")
+	}
+	if outcome.GetResult() == messenger.OrderResult_ORDER_RESULT_UNSPECIFIED {
+		return skip(record, CauseMalformed, "outcome")
+	}
+	e := s.engines[identifier.UpstreamID(outcome.GetEngine())]
+	if e == nil || e.Unfinished == nil || e.Unfinished.Order.GetOrderId() != outcome.GetOrderId() || e.Unfinished.Scope != scope {
+		return skip(record, CauseRefused, "order is not open")
+	}
+	closed := *e.Unfinished
+	closed.Result = outcome.GetResult()
+	closed.Detail = outcome.GetDetail()
+	closed.Found = outcome.GetFound()
+	e.Unfinished = nil
+	e.Token = max(e.Token, token)
+	e.LastClosed = &closed
+	if closed.Result == messenger.OrderResult_ORDER_RESULT_DONE {
+		e.LastDone = &closed
+	}
+	return OrderClosed{Engine: e.ID, Order: &closed}
+}
+
+func (s *State) foldPlan(offset identifier.Offset, record *messenger.Record, change *messenger.PlannedChange) Effect {
+	id := identifier.UpstreamID(change.GetUpstream())
+	kind := change.GetKind()
+	if id == "" || change.GetChangeId() == "" || kind == messenger.PlannedChangeKind_PLANNED_CHANGE_KIND_UNSPECIFIED {
+		return skip(record, CauseMalformed, "planned change")
+	}
+	if kind > messenger.PlannedChangeKind_PLANNED_CHANGE_KIND_RESTORE {
+		return skip(record, CauseUnknownKind, "planned change")
+	}
+	plan := Plan{Change: change, Offset: offset}
+	s.plans[id] = plan
+	return PlanChanged{Plan: plan}
+}
