Add the operators' client with check, diff, publish, promote, history, status, plans and explain

Cause: operators change the fleet by documents and planned changes only, and race one another. Change: rosemaryctl folds the control stream as the instances do, publishes by compare-and-set on the base revision, reads back what became of its record, tells the loser of a race what beat it, and waits until every instance confirms. A record whose append was not answered is read back first and repeated only under its own id. Dangers have to be named. Testscript scenarios run the real client against stand-ins: bad document, publish, race, promotion, plans, lost answers.

--- a/core/configurer/checker.go
+++ b/core/configurer/checker.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"rosemaryspool.example/core/corrector"
 	"rosemaryspool.example/core/identifier"
 	"rosemaryspool.example/core/refuser"
 )
@@ -297,7 +298,7 @@
 }
 
 func suggest(name string, known []string) string {
-	if nearest := findNearest(name, known); nearest != "" {
+	if nearest := corrector.FindNearest(name, known); nearest != "" {
 		return fmt.Sprintf("did you mean %q?", nearest)
 	}
 	if len(known) == 0 {
--- a/core/configurer/decoder.go
+++ b/core/configurer/decoder.go
@@ -10,6 +10,7 @@
 	"github.com/goccy/go-yaml/ast"
 	"github.com/goccy/go-yaml/token"
 
+	"rosemaryspool.example/core/corrector"
 	"rosemaryspool.example/core/refuser"
 )
 
@@ -80,7 +81,7 @@
 
 // addUnknownKey returns the known key that is probably meant; its value counts as unreadable.
 func (d *decoder) addUnknownKey(key *token.Token, fields fieldList, path string) string {
-	nearest := findNearest(key.Value, fields.names())
+	nearest := corrector.FindNearest(key.Value, fields.names())
 	suggestion := "known keys here: " + strings.Join(fields.names(), ", ")
 	if nearest != "" {
 		suggestion = fmt.Sprintf("did you mean %q?", nearest)
--- a/core/configurer/corrector.go
+++ b/core/corrector/corrector.go
@@ -1,9 +1,10 @@
-package configurer
+// Package corrector guesses which known word a misspelt one means.
+package corrector
 
 import "strings"
 
-// findNearest returns the candidate that a misspelt word most probably means, or nothing when none is near.
-func findNearest(word string, candidates []string) string {
+// FindNearest returns the candidate that a misspelt word most probably means, or nothing when none is near.
+func FindNearest(word string, candidates []string) string {
 	// A third of the letters may be wrong, and at least two: more finds words that have nothing in common.
 	best, limit := "", max(2, len(word)/3)
 	for _, c := range candidates {
--- /dev/null
+++ b/core/corrector/corrector_test.go
@@ -0,0 +1,27 @@
+package corrector
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestFindNearest(t *testing.T) {
+	known := []string{"deadline", "priority", "model", "models", "urgent", "role"}
+	cases := []struct{ word, nearest string }{
+		{"deadlin", "deadline"},
+		{"Deadline", "deadline"},
+		{"daedline", "deadline"},
+		{"modle", "model"},
+		{"modles", "models"},
+		{"prio", ""},
+		{"priorty", "priority"},
+		{"xyz", ""},
+		{"", ""},
+		{"ro", "role"},
+	}
+	for _, c := range cases {
+		require.Equal(t, c.nearest, FindNearest(c.word, known), c.word)
+	}
+	require.Empty(t, FindNearest("word", nil))
+}
--- /dev/null
+++ b/rosemaryctl/commander/await.go
@@ -0,0 +1,36 @@
+package commander
+
+import (
+	"context"
+	"fmt"
+	"strings"
+
+	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/rosemaryctl/watcher"
+	"rosemaryspool.example/wire/messenger"
+)
+
+// await waits until a condition holds at every instance and shows the progress. Without an instance list or a wait it
+// returns at once.
+func (s *session) await(ctx context.Context, environment identifier.Environment, holds func(*messenger.InstanceStatus) bool, what string) (watcher.Progress, error) {
+	if s.instances == nil || s.wait <= 0 {
+		s.printer.progress("not waiting for the instances")
+		return watcher.Progress{}, nil
+	}
+	report := func(p watcher.Progress) { s.printer.progress("%s %d of %d instances", what, p.Done, p.Total) }
+	progress, err := s.instances.Wait(ctx, environment, s.wait, holds, report)
+	if err != nil {
+		return progress, notConfirmed("accepted, but the instances could not be asked: " + err.Error())
+	}
+	if !progress.Complete() {
+		return progress, notConfirmed(fmt.Sprintf("accepted, but not confirmed by %s within %s", strings.Join(progress.Missing, ", "), s.wait))
+	}
+	return progress, nil
+}
+
+func notConfirmed(message string) error {
+	return &Failure{
+		Exit: ExitNotConfirmed, Code: notInForce, Message: message,
+		Advice: "the change stays accepted; look at status, and do not repeat the command",
+	}
+}
--- a/rosemaryctl/commander/commander.go
+++ b/rosemaryctl/commander/commander.go
@@ -4,17 +4,84 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"os"
 
 	"github.com/urfave/cli/v3"
+
+	"rosemaryspool.example/core/corrector"
 )
 
 // Run runs the command line and returns the process's exit code.
 func Run(arguments []string) int {
-	root := &cli.Command{Name: "rosemaryctl", Usage: "check, publish and promote configuration, and plan changes of engines"}
-	if err := root.Run(context.Background(), arguments); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return 1
+	return run(context.Background(), arguments, os.Stdout, os.Stderr)
+}
+
+func run(ctx context.Context, arguments []string, out, errors io.Writer) int {
+	p := &printer{output: outputText, out: out, err: errors}
+	root := newRoot(p)
+	err := root.Run(ctx, arguments)
+	if err == nil {
+		return ExitDone
+	}
+	failure := toFailure(err)
+	p.printFailure(failure)
+	return failure.Exit
+}
+
+func newRoot(p *printer) *cli.Command {
+	root := &cli.Command{
+		Name:           "rosemaryctl",
+		Usage:          "check, publish and promote configuration, and plan changes of upstreams",
+		Flags:          sharedFlags(),
+		Writer:         p.out,
+		ErrWriter:      p.err,
+		ExitErrHandler: func(context.Context, *cli.Command, error) {},
+		Commands: []*cli.Command{
+			checkCommand(p), diffCommand(p), publishCommand(p), promoteCommand(p), historyCommand(p), statusCommand(p),
+			explainCommand(p),
+		},
+	}
+	root.Commands = append(root.Commands, planCommands(p)...)
+	for _, c := range append(root.Commands, root) {
+		c.OnUsageError = func(_ context.Context, _ *cli.Command, err error, _ bool) error {
+			return &Failure{Exit: ExitUsage, Code: badSetting, Message: err.Error(), Advice: "see rosemaryctl " + c.Name + " --help"}
+		}
+	}
+	root.Action = func(_ context.Context, command *cli.Command) error { return runRoot(command) }
+	return root
+}
+
+// runRoot shows the help, or says which command a misspelt one probably means.
+func runRoot(command *cli.Command) error {
+	if !command.Args().Present() {
+		return cli.ShowAppHelp(command)
+	}
+	var names []string
+	for _, c := range command.Commands {
+		names = append(names, c.Name)
+	}
+	failure := &Failure{Exit: ExitUsage, Code: badSetting, Message: fmt.Sprintf("unknown command %q", command.Args().First())}
+	failure.Advice = "see rosemaryctl --help"
+	if nearest := corrector.FindNearest(command.Args().First(), names); nearest != "" {
+		failure.Advice = fmt.Sprintf("did you mean %q?", nearest)
+	}
+	return failure
+}
+
+// actionOf wraps a command: it checks the settings and the number of arguments, and bounds the run.
+func actionOf(p *printer, arguments int, needed []string, act func(ctx context.Context, command *cli.Command, s *session) error) cli.ActionFunc {
+	return func(ctx context.Context, command *cli.Command) error {
+		p.output = command.String(flagOutput)
+		if err := checkSettings(command, needed...); err != nil {
+			return err
+		}
+		if command.Args().Len() != arguments {
+			message := "usage: rosemaryctl " + command.Name + " " + command.ArgsUsage
+			return &Failure{Exit: ExitUsage, Code: badSetting, Message: message}
+		}
+		ctx, cancel := context.WithTimeout(ctx, command.Duration(flagTimeout))
+		defer cancel()
+		return act(ctx, command, newSession(command, p))
 	}
-	return 0
 }
--- /dev/null
+++ b/rosemaryctl/commander/commander_test.go
@@ -0,0 +1,31 @@
+package commander
+
+import (
+	"os"
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){"rosemaryctl": func() { os.Exit(Run(os.Args)) }})
+}
+
+// TestScenarios runs the real client against stand-ins of the platform in the test's process.
+func TestScenarios(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir:                 "testdata",
+		RequireExplicitExec: true,
+		RequireUniqueNames:  true,
+		Setup:               startPlatform,
+		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
+			"instances": startInstances,
+			"fault":     setFault,
+			"rival":     setRival,
+			"busy":      setBusy,
+			"trim":      trimLog,
+			"edit":      editFile,
+			"exits":     checkExit,
+		},
+	})
+}
--- /dev/null
+++ b/rosemaryctl/commander/failure.go
@@ -0,0 +1,99 @@
+package commander
+
+import (
+	"errors"
+
+	"rosemaryspool.example/core/configurer"
+	"rosemaryspool.example/core/refuser"
+	"rosemaryspool.example/rosemaryctl/follower"
+	"rosemaryspool.example/rosemaryctl/publisher"
+)
+
+// Exit codes of rosemaryctl; docs/operations/exit-codes.md lists them.
+const (
+	ExitDone         = 0
+	ExitInternal     = 1
+	ExitUsage        = 2
+	ExitInvalid      = 3
+	ExitBeaten       = 4
+	ExitDanger       = 5
+	ExitUnavailable  = 6
+	ExitUnknown      = 7
+	ExitNotConfirmed = 8
+	ExitNotFound     = 9
+)
+
+// Numbered codes of failures of the operators' client; docs/ERRORS.md lists them.
+const (
+	revisionBeaten     refuser.Code = 5101
+	dangerNotAccepted  refuser.Code = 5102
+	nothingPublished   refuser.Code = 5103
+	publicationUnknown refuser.Code = 5104
+	notInForce         refuser.Code = 5105
+	nothingInForce     refuser.Code = 5106
+	unknownUpstream    refuser.Code = 5107
+	unknownRequest     refuser.Code = 5108
+	changeRefused      refuser.Code = 5109
+	missingSetting     refuser.Code = 6001
+	badSetting         refuser.Code = 6002
+)
+
+// Failure is the reason why a command did not do its work.
+type Failure struct {
+	Exit    int
+	Code    refuser.Code
+	Message string
+	// Advice says what to do.
+	Advice string
+	// Detail is shown below the message and given whole to programs.
+	Detail any
+}
+
+// Error returns the message and the advice.
+func (f *Failure) Error() string {
+	if f.Advice == "" {
+		return f.Message
+	}
+	return f.Message + "; " + f.Advice
+}
+
+// toFailure gives every error an exit code.
+func toFailure(err error) *Failure {
+	var failure *Failure
+	var faults *configurer.FaultList
+	switch {
+	case errors.As(err, &failure):
+		return failure
+	case errors.As(err, &faults):
+		return &Failure{Exit: ExitInvalid, Code: faults.Faults[0].Code, Message: faults.Error(), Detail: listFaults(faults)}
+	case errors.Is(err, publisher.ErrNotPublished):
+		return &Failure{Exit: ExitUnavailable, Code: nothingPublished, Message: err.Error(), Advice: "try again when the log answers"}
+	case errors.Is(err, publisher.ErrOutcomeUnknown):
+		return &Failure{
+			Exit: ExitUnknown, Code: publicationUnknown, Message: err.Error(),
+			Advice: "the change may still come into force; look at history before you publish again",
+		}
+	case errors.Is(err, follower.ErrIncomplete):
+		return &Failure{Exit: ExitUnavailable, Code: nothingPublished, Message: err.Error(), Advice: "see docs/operations/log-is-trimmed.md"}
+	default:
+		return &Failure{Exit: ExitInternal, Message: err.Error()}
+	}
+}
+
+// faultLine is one fault as programs get it.
+type faultLine struct {
+	Code       refuser.Code `json:"code"`
+	Line       int          `json:"line,omitempty"`
+	Column     int          `json:"column,omitempty"`
+	Path       string       `json:"path,omitempty"`
+	Message    string       `json:"message"`
+	Suggestion string       `json:"suggestion,omitempty"`
+}
+
+func listFaults(list *configurer.FaultList) []faultLine {
+	lines := make([]faultLine, 0, len(list.Faults))
+	for _, f := range list.Faults {
+		lines = append(lines, faultLine{f.Code, f.Line, f.Column, f.Path, f.Message, f.Suggestion})
+	}
+	return lines
+}
--- /dev/null
+++ b/rosemaryctl/commander/plan.go
@@ -0,0 +1,169 @@
+package commander
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/urfave/cli/v3"
+
+	"rosemaryspool.example/core/configurer"
+	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/core/replayer"
+	"rosemaryspool.example/rosemaryctl/publisher"
+	"rosemaryspool.example/wire/messenger"
+)
+
+// planKind is one of the planned changes of an upstream.
+type planKind struct {
+	name, usage string
+	kind        messenger.PlannedChangeKind
+	// takes is true when the upstream gets no new work after the change.
+	takes bool
+}
+
+var planKinds = []planKind{
+	{"drain", "give an upstream no new work and let it finish what it has", messenger.PlannedChangeKind_PLANNED_CHANGE_KIND_DRAIN, true},
+	{"replace", "drain an upstream whose place another one takes", messenger.PlannedChangeKind_PLANNED_CHANGE_KIND_REPLACE, true},
+	{"withdraw", "drain an upstream that will not come back", messenger.PlannedChangeKind_PLANNED_CHANGE_KIND_WITHDRAW, true},
+	{"restore", "give an upstream work again", messenger.PlannedChangeKind_PLANNED_CHANGE_KIND_RESTORE, false},
+}
+
+// planned is a planned change that the log accepted, or would accept.
+type planned struct {
+	Environment identifier.Environment `json:"environment"`
+	Change      string                 `json:"change"`
+	Upstream    identifier.UpstreamID  `json:"upstream"`
+	Replacement identifier.UpstreamID  `json:"replacement,omitempty"`
+	Offset      identifier.Offset      `json:"offset,omitempty"`
+	DryRun      bool                   `json:"dryRun"`
+	Dangers     []danger               `json:"dangers"`
+	Confirmed   int                    `json:"confirmed"`
+	Instances   int                    `json:"instances"`
+}
+
+func (r planned) writeText(w io.Writer) {
+	if r.DryRun {
+		_, _ = fmt.Fprintf(w, "would %s %s in %s\n", r.Change, r.Upstream, r.Environment)
+		writeDangers(w, r.Dangers)
+		return
+	}
+	_, _ = fmt.Fprintf(w, "%s of %s in %s is accepted\n", r.Change, r.Upstream, r.Environment)
+	if r.Instances > 0 {
+		_, _ = fmt.Fprintf(w, "done at %d of %d instances\n", r.Confirmed, r.Instances)
+	}
+}
+
+func planCommands(p *printer) []*cli.Command {
+	var commands []*cli.Command
+	for _, k := range planKinds {
+		needed := []string{flagLog, flagOperator, flagEnvironment}
+		flags := append(changeFlags(), environmentFlag())
+		if k.kind == messenger.PlannedChangeKind_PLANNED_CHANGE_KIND_REPLACE {
+			flags = append(flags, stringFlag(flagWith, "upstream that takes the place"))
+			needed = append(needed, flagWith)
+		}
+		act := func(ctx context.Context, command *cli.Command, s *session) error { return s.plan(ctx, command, k) }
+		commands = append(commands, &cli.Command{
+			Name: k.name, Usage: k.usage, ArgsUsage: "UPSTREAM", Flags: flags, Action: actionOf(p, 1, needed, act),
+		})
+	}
+	return commands
+}
+
+// plan appends a planned change and waits until every instance follows it and the upstream's work is done.
+func (s *session) plan(ctx context.Context, command *cli.Command, kind planKind) error {
+	change := planned{
+		Environment: identifier.Environment(command.String(flagEnvironment)), Change: kind.name, DryRun: s.dryRun,
+		Upstream: identifier.UpstreamID(command.Args().First()), Replacement: identifier.UpstreamID(command.String(flagWith)),
+	}
+	reader := s.follow(change.Environment)
+	if err := refresh(ctx, reader); err != nil {
+		return err
+	}
+	if err := change.check(reader.State(), kind, s.accepted); err != nil {
+		return err
+	}
+	if s.dryRun {
+		s.printer.print(change)
+		return nil
+	}
+	if err := refuseOpenDangers(change.Dangers); err != nil {
+		return err
+	}
+	message := &messenger.PlannedChange{
+		ChangeId: publisher.NewID(), Kind: kind.kind, Upstream: string(change.Upstream), Operator: string(s.operator),
+		Replacement: string(change.Replacement),
+	}
+	record, err := publisher.NewRecord(messenger.RecordKind_RECORD_KIND_PLANNED_CHANGE, s.operator, message)
+	if err != nil {
+		return err
+	}
+	applied, err := publisher.Publish(ctx, s.log, reader, record)
+	if err != nil {
+		return err
+	}
+	if _, ok := applied.Effect.(replayer.PlanChanged); !ok {
+		return &Failure{Exit: ExitInternal, Code: changeRefused, Message: fmt.Sprintf("the change had no effect: %+v", applied.Effect)}
+	}
+	change.Offset = applied.Offset
+	return s.confirmPlan(ctx, change, kind)
+}
+
+func (s *session) confirmPlan(ctx context.Context, change planned, kind planKind) error {
+	holds := func(status *messenger.InstanceStatus) bool {
+		return status.GetNextOffset() > uint64(change.Offset) && (!kind.takes || countInFlight(status, change.Upstream) == 0)
+	}
+	progress, err := s.await(ctx, change.Environment, holds, kind.name+" done at")
+	change.Confirmed, change.Instances = progress.Done, progress.Total
+	s.printer.print(change)
+	return err
+}
+
+// check finds out whether the document in force knows the upstreams, and what the change endangers.
+func (r *planned) check(state *replayer.State, kind planKind, accepted []string) error {
+	document := state.Document()
+	if document == nil {
+		return nothingIn(r.Environment)
+	}
+	for _, id := range []identifier.UpstreamID{r.Upstream, r.Replacement} {
+		if err := findUpstream(document, id); err != nil {
+			return err
+		}
+	}
+	r.Dangers = []danger{}
+	if !kind.takes {
+		return nil
+	}
+	dangers := configurer.PlanDangers(document, state.Draining(), r.Upstream)
+	open := configurer.Unaccepted(dangers, accepted)
+	for _, d := range dangers {
+		r.Dangers = append(r.Dangers, danger{Name: d.Name, Cost: d.Cost, Accepted: len(open) == 0})
+	}
+	return nil
+}
+
+func findUpstream(document *configurer.Document, id identifier.UpstreamID) error {
+	if id == "" {
+		return nil
+	}
+	for _, u := range document.Upstreams() {
+		if u == id {
+			return nil
+		}
+	}
+	failure := &Failure{Exit: ExitNotFound, Code: unknownUpstream, Message: fmt.Sprintf("unknown upstream %q", id)}
+	if nearest := document.NearestUpstream(id); nearest != "" {
+		failure.Advice = fmt.Sprintf("did you mean %q?", nearest)
+	}
+	return failure
+}
+
+func countInFlight(status *messenger.InstanceStatus, upstream identifier.UpstreamID) uint32 {
+	for _, u := range status.GetUpstreams() {
+		if u.GetUpstream() == string(upstream) {
+			return u.GetInFlight()
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/rosemaryctl/commander/platform_test.go
@@ -0,0 +1,244 @@
+package commander
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+
+	"github.com/rogpeppe/go-internal/testscript"
+	"github.com/sourcegraph/conc"
+
+	"rosemaryspool.example/adaptor/lister"
+	"rosemaryspool.example/adaptor/querier"
+	"rosemaryspool.example/core/configurer"
+	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/core/replayer"
+	"rosemaryspool.example/rosemaryctl/follower"
+	"rosemaryspool.example/standin/recorder"
+	"rosemaryspool.example/standin/registrar"
+	"rosemaryspool.example/standin/sampler"
+	"rosemaryspool.example/standin/server"
+	"rosemaryspool.example/wire/messenger"
+)
+
+// platform is the set of stand-ins of one scenario.
+type platform struct {
+	log     *recorder.Log
+	list    *registrar.List
+	logURL  string
+	done    chan struct{}
+	members conc.WaitGroup
+
+	mutex sync.Mutex
+	// rival runs before the next append reaches the log.
+	rival func()
+	// busy is the work in flight at each upstream, as every instance reports it.
+	busy map[string]uint32
+}
+
+type platformKey struct{}
+
+// startPlatform starts a log and an instance list and writes the sample document into the scenario's directory.
+func startPlatform(env *testscript.Env) error {
+	p := &platform{
+		log: recorder.NewLog(recorder.Settings{AppendsPerSecond: 10_000}), list: registrar.NewList(registrar.Settings{}),
+		done: make(chan struct{}), busy: map[string]uint32{},
+	}
+	logServer, err := server.Start(server.Settings{Address: "127.0.0.1:0", Handler: p.intercept(p.log.Handler())})
+	if err != nil {
+		return err
+	}
+	listServer, err := server.Start(server.Settings{Address: "127.0.0.1:0", Handler: p.list.Handler()})
+	if err != nil {
+		return err
+	}
+	env.Defer(func() {
+		close(p.done)
+		p.members.Wait()
+		logServer.Close()
+		listServer.Close()
+	})
+	p.logURL = logServer.URL()
+	env.Setenv("ROSEMARYCTL_LOG", p.logURL)
+	env.Setenv("ROSEMARYCTL_INSTANCES", listServer.URL())
+	env.Setenv("ROSEMARYCTL_OPERATOR", "ayse")
+	env.Setenv("ROSEMARYCTL_WAIT", "5s")
+	env.Values[platformKey{}] = p
+	return os.WriteFile(filepath.Join(env.WorkDir, "trial.yaml"), sampler.Kalipci(), 0o600)
+}
+
+// intercept lets a rival act between a client's decision and its append.
+func (p *platform) intercept(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost {
+			p.mutex.Lock()
+			rival := p.rival
+			p.rival = nil
+			p.mutex.Unlock()
+			if rival != nil {
+				rival()
+			}
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func platformOf(ts *testscript.TestScript) *platform {
+	return ts.Value(platformKey{}).(*platform)
+}
+
+// startInstances starts instances of an environment: instances ENVIRONMENT COUNT.
+func startInstances(ts *testscript.TestScript, _ bool, args []string) {
+	p := platformOf(ts)
+	count, err := strconv.Atoi(args[1])
+	ts.Check(err)
+	for i := range count {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		ts.Check(err)
+		id := fmt.Sprintf("%s-%d", args[0], i+1)
+		peer := &instance{platform: p, id: id, environment: identifier.Environment(args[0])}
+		p.members.Go(func() { _ = querier.Serve(listener, peer, p.done) })
+		p.list.Set(lister.Member{ID: id, Kind: lister.KindInstance, DataCentre: "marmara-a", PeerAddress: listener.Addr().String()})
+	}
+}
+
+// setFault sets a fault of the log: fault outage, fault loseAnswers, fault dropAppends, fault none.
+func setFault(ts *testscript.TestScript, _ bool, args []string) {
+	faults := map[string]recorder.Faults{
+		"outage": {Outage: true}, "loseAnswers": {LoseAnswers: 1}, "dropAppends": {DropAppends: 1}, "none": {},
+	}
+	fault, ok := faults[args[0]]
+	if !ok {
+		ts.Fatalf("unknown fault %s", args[0])
+	}
+	platformOf(ts).log.Switches.Set(fault)
+}
+
+// setRival makes another operator publish a file right before the next append: rival OPERATOR FILE.
+func setRival(ts *testscript.TestScript, _ bool, args []string) {
+	p := platformOf(ts)
+	arguments := []string{
+		"rosemaryctl", "publish", ts.MkAbs(args[1]), "--log", p.logURL, "--operator", args[0], "--message", "rival change", "--wait", "0s",
+	}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.rival = func() { run(context.Background(), arguments, io.Discard, io.Discard) }
+}
+
+// setBusy sets the work in flight at an upstream: busy UPSTREAM COUNT.
+func setBusy(ts *testscript.TestScript, _ bool, args []string) {
+	count, err := strconv.Atoi(args[1])
+	ts.Check(err)
+	p := platformOf(ts)
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.busy[args[0]] = uint32(count)
+}
+
+// trimLog drops the records of an environment before an offset: trim ENVIRONMENT OFFSET.
+func trimLog(ts *testscript.TestScript, _ bool, args []string) {
+	offset, err := strconv.Atoi(args[1])
+	ts.Check(err)
+	platformOf(ts).log.Trim(follower.ControlStream(identifier.Environment(args[0])), identifier.Offset(offset))
+}
+
+// editFile writes a copy of a file with one text replaced: edit FROM TO OLD NEW, where \n stands for a line's end.
+func editFile(ts *testscript.TestScript, _ bool, args []string) {
+	text := ts.ReadFile(args[0])
+	old, next := strings.ReplaceAll(args[2], `\n`, "\n"), strings.ReplaceAll(args[3], `\n`, "\n")
+	if !strings.Contains(text, old) {
+		ts.Fatalf("%s does not contain %q", args[0], old)
+	}
+	ts.Check(os.WriteFile(ts.MkAbs(args[1]), []byte(strings.Replace(text, old, next, 1)), 0o600))
+}
+
+// checkExit runs a command and checks its exit code: exits CODE COMMAND ARGUMENTS.
+func checkExit(ts *testscript.TestScript, _ bool, args []string) {
+	wanted, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	err = ts.Exec(args[1], args[2:]...)
+	code := 0
+	if exit, ok := err.(*exec.ExitError); ok {
+		code = exit.ExitCode()
+	} else {
+		ts.Check(err)
+	}
+	if code != wanted {
+		ts.Fatalf("exit code %d, want %d", code, wanted)
+	}
+}
+
+// instance is a stand-in of an entry instance: it folds the whole log for each call.
+type instance struct {
+	platform    *platform
+	id          string
+	environment identifier.Environment
+}
+
+func (i *instance) fold(ctx context.Context) (*replayer.State, error) {
+	reader := follower.New(i.platform.log, i.environment, nil)
+	err := reader.Refresh(ctx, 0)
+	return reader.State(), err
+}
+
+// Bootstrap returns the instance's state.
+func (i *instance) Bootstrap(ctx context.Context, _ *messenger.BootstrapRequest) (*messenger.BootstrapReply, error) {
+	state, err := i.fold(ctx)
+	if err != nil {
+		return nil, err
+	}
+	snapshot, err := state.Snapshot()
+	if err != nil {
+		return nil, err
+	}
+	return &messenger.BootstrapReply{
+		NextOffset: snapshot.GetNextOffset(), State: snapshot.GetState(), Checksum: snapshot.GetChecksum(), Instance: i.id,
+	}, nil
+}
+
+// Relay is not used by operators.
+func (i *instance) Relay(context.Context, *messenger.RelayRequest) (*messenger.RelayReply, error) {
+	return &messenger.RelayReply{}, nil
+}
+
+// Status returns what the instance has in force.
+func (i *instance) Status(ctx context.Context, request *messenger.StatusRequest) (*messenger.InstanceStatus, error) {
+	state, err := i.fold(ctx)
+	status := &messenger.InstanceStatus{
+		Instance: i.id, Environment: string(i.environment), Revision: uint64(state.Revision()), Digest: state.Digest(),
+		NextOffset: uint64(state.Next()), LogReachable: err == nil,
+	}
+	document := state.Document()
+	if document == nil {
+		return status, nil
+	}
+	if request.GetRequestId() == "request-1" {
+		status.Decisions = []string{"request=request-1 cause=leastHarm upstream=prova-2"}
+	}
+	i.platform.mutex.Lock()
+	defer i.platform.mutex.Unlock()
+	for _, e := range document.Engines {
+		status.Upstreams = append(status.Upstreams, i.describe(state, document, e))
+	}
+	return status, nil
+}
+
+func (i *instance) describe(state *replayer.State, document *configurer.Document, engine configurer.Engine) *messenger.UpstreamStatus {
+	model, _ := document.Model(engine.Model)
+	status := &messenger.UpstreamStatus{
+		Upstream: string(engine.ID), Kind: "engine", Role: string(engine.Role), Model: string(model.Name),
+		Version: string(model.Version), State: "inService", InFlight: i.platform.busy[string(engine.ID)],
+	}
+	if plan, ok := state.Plan(engine.ID); ok && plan.Draining() {
+		status.State = "draining"
+	}
+	return status
+}
--- /dev/null
+++ b/rosemaryctl/commander/promote.go
@@ -0,0 +1,79 @@
+package commander
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/urfave/cli/v3"
+
+	"rosemaryspool.example/core/configurer"
+	"rosemaryspool.example/core/identifier"
+)
+
+func promoteCommand(p *printer) *cli.Command {
+	return &cli.Command{
+		Name: "promote", Usage: "give an environment exactly the document that another one has in force",
+		Flags: append(changeFlags(),
+			stringFlag(flagMessage, "why you make the change"),
+			stringFlag(flagFrom, "environment whose document is promoted"),
+			stringFlag(flagTo, "environment that gets the document"),
+			&cli.Uint64Flag{Name: flagRevision, Usage: "revision of the source that you tried; refuse if another is in force there"},
+		),
+		Action: actionOf(p, 0, []string{flagLog, flagOperator, flagFrom, flagTo}, promote),
+	}
+}
+
+func promote(ctx context.Context, command *cli.Command, s *session) error {
+	from, to := identifier.Environment(command.String(flagFrom)), identifier.Environment(command.String(flagTo))
+	if from == to {
+		return &Failure{Exit: ExitUsage, Code: badSetting, Message: "--from and --to name the same environment"}
+	}
+	source, err := readSource(ctx, s, from)
+	if err != nil {
+		return err
+	}
+	if command.IsSet(flagRevision) && identifier.Revision(command.Uint64(flagRevision)) != source.Revision {
+		return sourceMoved(source, identifier.Revision(command.Uint64(flagRevision)))
+	}
+	target := s.follow(to)
+	if err := refresh(ctx, target); err != nil {
+		return err
+	}
+	next := source.Sections.In(to)
+	document, err := configurer.Compile(next)
+	if err != nil {
+		return err
+	}
+	author := configurer.Author{Operator: s.operator, Message: command.String(flagMessage), Accepted: s.accepted}
+	change := configurer.NewPromotion(target.State().Revision(), target.State().Sections(), to, source, author)
+	s.printer.progress("promoting revision %d of %s, digest %.12s", source.Revision, from, change.GetDigest())
+	return s.publish(ctx, target, document, next, change)
+}
+
+// readSource reads the document that the source environment has in force.
+func readSource(ctx context.Context, s *session, from identifier.Environment) (configurer.Source, error) {
+	reader := s.follow(from)
+	if err := refresh(ctx, reader); err != nil {
+		return configurer.Source{}, err
+	}
+	if reader.State().Document() == nil {
+		return configurer.Source{}, nothingIn(from)
+	}
+	return configurer.Source{Environment: from, Revision: reader.State().Revision(), Sections: reader.State().Sections()}, nil
+}
+
+func nothingIn(environment identifier.Environment) error {
+	return &Failure{
+		Exit: ExitNotFound, Code: nothingInForce, Message: fmt.Sprintf("no document is in force in %s", environment),
+		Advice: "check the name of the environment, or publish a document there first",
+	}
+}
+
+// sourceMoved tells that the source has another revision in force than the one that was tried.
+func sourceMoved(source configurer.Source, wanted identifier.Revision) error {
+	return &Failure{
+		Exit: ExitBeaten, Code: revisionBeaten,
+		Message: fmt.Sprintf("nothing was changed: revision %d of %s is not in force, revision %d is", wanted, source.Environment, source.Revision),
+		Advice:  "try the document that is in force now, then promote that revision",
+	}
+}
--- /dev/null
+++ b/rosemaryctl/commander/publish.go
@@ -0,0 +1,177 @@
+package commander
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/urfave/cli/v3"
+
+	"rosemaryspool.example/core/configurer"
+	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/core/replayer"
+	"rosemaryspool.example/rosemaryctl/differ"
+	"rosemaryspool.example/rosemaryctl/follower"
+	"rosemaryspool.example/rosemaryctl/publisher"
+	"rosemaryspool.example/wire/messenger"
+)
+
+// published is a change that the log accepted.
+type published struct {
+	Environment  identifier.Environment `json:"environment"`
+	Revision     identifier.Revision    `json:"revision"`
+	BaseRevision identifier.Revision    `json:"baseRevision"`
+	Digest       string                 `json:"digest"`
+	Confirmed    int                    `json:"confirmed"`
+	Instances    int                    `json:"instances"`
+}
+
+func (r published) writeText(w io.Writer) {
+	_, _ = fmt.Fprintf(w, "revision %d of %s is accepted\n", r.Revision, r.Environment)
+	if r.Instances > 0 {
+		_, _ = fmt.Fprintf(w, "in force at %d of %d instances\n", r.Confirmed, r.Instances)
+	}
+}
+
+func publishCommand(p *printer) *cli.Command {
+	return &cli.Command{
+		Name: "publish", Usage: "put a document in force in its environment", ArgsUsage: "FILE",
+		Flags: append(changeFlags(),
+			stringFlag(flagMessage, "why you make the change"),
+			&cli.Uint64Flag{Name: flagBase, Usage: "revision that your document is made from; refuse if another is in force"},
+		),
+		Action: actionOf(p, 1, []string{flagLog, flagOperator}, func(ctx context.Context, command *cli.Command, s *session) error {
+			document, sections, err := readDocument(command.Args().First())
+			if err != nil {
+				return err
+			}
+			reader := s.follow(document.Environment)
+			if err := refresh(ctx, reader); err != nil {
+				return err
+			}
+			base := reader.State().Revision()
+			if command.IsSet(flagBase) && identifier.Revision(command.Uint64(flagBase)) != base {
+				return beaten(reader.State(), identifier.Revision(command.Uint64(flagBase)), sections)
+			}
+			author := configurer.Author{Operator: s.operator, Message: command.String(flagMessage), Accepted: s.accepted}
+			change := configurer.NewChange(base, reader.State().Sections(), sections, author)
+			return s.publish(ctx, reader, document, sections, change)
+		}),
+	}
+}
+
+// publish shows what the change does, asks for its dangers, appends it and waits until it is in force everywhere.
+func (s *session) publish(ctx context.Context, reader *follower.Follower, document *configurer.Document, next configurer.Sections, change *messenger.ConfigChange) error {
+	view := newPreview(reader.State(), document, next, s.accepted)
+	if len(view.Changes) == 0 || s.dryRun {
+		s.printer.print(view)
+		return nil
+	}
+	if err := refuseOpenDangers(view.Dangers); err != nil {
+		return err
+	}
+	record, err := publisher.NewRecord(messenger.RecordKind_RECORD_KIND_CONFIG_CHANGE, s.operator, change)
+	if err != nil {
+		return err
+	}
+	s.printer.progress("publishing on revision %d of %s", change.GetBaseRevision(), document.Environment)
+	applied, err := publisher.Publish(ctx, s.log, reader, record)
+	if err != nil {
+		return err
+	}
+	switch e := applied.Effect.(type) {
+	case replayer.ConfigAccepted:
+		return s.confirm(ctx, document.Environment, e.Revision)
+	case replayer.ConfigRefused:
+		if reader.State().Revision() != identifier.Revision(change.GetBaseRevision()) {
+			return beaten(reader.State(), identifier.Revision(change.GetBaseRevision()), next)
+		}
+		return &Failure{Exit: ExitInvalid, Code: changeRefused, Message: "the change was refused: " + e.Refusal.Reason}
+	default:
+		return &Failure{Exit: ExitInternal, Code: changeRefused, Message: fmt.Sprintf("the change had no effect: %+v", applied.Effect)}
+	}
+}
+
+// confirm waits until every instance has the revision, or a later one, in force.
+func (s *session) confirm(ctx context.Context, environment identifier.Environment, revision replayer.Revision) error {
+	done := published{Environment: environment, Revision: revision.Revision, BaseRevision: revision.Base, Digest: revision.Digest}
+	holds := func(status *messenger.InstanceStatus) bool { return status.GetRevision() >= uint64(revision.Revision) }
+	progress, err := s.await(ctx, environment, holds, "in force at")
+	done.Confirmed, done.Instances = progress.Done, progress.Total
+	s.printer.print(done)
+	return err
+}
+
+// refuseOpenDangers returns a failure that names every danger that was not accepted.
+func refuseOpenDangers(dangers []danger) error {
+	var lines, accepts []string
+	for _, d := range dangers {
+		if d.Accepted {
+			continue
+		}
+		lines = append(lines, "danger "+d.Name+": "+d.Cost)
+		accepts = append(accepts, "--accept "+d.Name)
+	}
+	if len(lines) == 0 {
+		return nil
+	}
+	return &Failure{
+		Exit: ExitDanger, Code: dangerNotAccepted, Message: "nothing was changed: dangers are not accepted\n" + strings.Join(lines, "\n"),
+		Advice: "if you want them, repeat the command with " + strings.Join(accepts, " "), Detail: dangers,
+	}
+}
+
+// conflict tells the loser of a race what won.
+type conflict struct {
+	Base     identifier.Revision   `json:"baseRevision"`
+	InForce  identifier.Revision   `json:"inForce"`
+	Winner   identifier.Revision   `json:"winner"`
+	Operator identifier.OperatorID `json:"operator"`
+	Message  string                `json:"message"`
+	// Changes leads from what is in force to the document that lost.
+	Changes []differ.Change `json:"changes"`
+}
+
+func (c conflict) writeText(w io.Writer) {
+	_, _ = fmt.Fprintf(w, "your document differs from revision %d, which is in force:\n", c.InForce)
+	differ.Write(w, c.Changes)
+}
+
+// beaten tells which revision took the place of the base, by whom, and how it differs from the losing document.
+func beaten(state *replayer.State, base identifier.Revision, next configurer.Sections) error {
+	c := conflict{Base: base, InForce: state.Revision(), Changes: differ.List(state.Sections(), next)}
+	for _, r := range state.History() {
+		if r.Base == base {
+			c.Winner, c.Operator, c.Message = r.Revision, r.Operator, r.Message
+		}
+	}
+	message := fmt.Sprintf("nothing was changed: revision %d is not in force, revision %d is", base, c.InForce)
+	if c.Winner != 0 {
+		message = fmt.Sprintf("nothing was changed: revision %d by %s (%s) came before yours on revision %d", c.Winner, c.Operator, orNoMessage(c.Message), base)
+	}
+	return &Failure{
+		Exit: ExitBeaten, Code: revisionBeaten, Message: message,
+		Advice: "take the other change into your document, look at diff, and publish again", Detail: c,
+	}
+}
+
+func orNoMessage(message string) string {
+	if message == "" {
+		return "no message"
+	}
+	return message
+}
+
+// refresh reads a stream to its end before a command decides anything.
+func refresh(ctx context.Context, reader *follower.Follower) error {
+	err := reader.Refresh(ctx, 0)
+	if err == nil || errors.Is(err, follower.ErrIncomplete) {
+		return err
+	}
+	return &Failure{
+		Exit: ExitUnavailable, Code: nothingPublished, Message: "nothing was changed: " + err.Error(),
+		Advice: "check --log and try again when the log answers",
+	}
+}
--- /dev/null
+++ b/rosemaryctl/differ/differ.go
@@ -0,0 +1,114 @@
+// Package differ tells operators which keys two documents give different values.
+package differ
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+
+	"rosemaryspool.example/core/configurer"
+)
+
+// Kind tells what happened to a section.
+type Kind string
+
+// Kinds of change of a section.
+const (
+	KindAdded   Kind = "added"
+	KindRemoved Kind = "removed"
+	KindChanged Kind = "changed"
+)
+
+// Change is one section in which two documents differ.
+type Change struct {
+	Section string `json:"section"`
+	Kind    Kind   `json:"kind"`
+	Keys    []Key  `json:"keys"`
+}
+
+// Key is one value that differs; Old or New is empty where the key is absent.
+type Key struct {
+	Name string `json:"name"`
+	Old  string `json:"old,omitempty"`
+	New  string `json:"new,omitempty"`
+}
+
+// List returns the differences from old to next, in order of section.
+func List(old, next configurer.Sections) []Change {
+	difference := configurer.Compare(old, next)
+	changes := []Change{}
+	for _, s := range difference.Added {
+		changes = append(changes, Change{s, KindAdded, compareKeys(nil, next[s])})
+	}
+	for _, s := range difference.Changed {
+		changes = append(changes, Change{s, KindChanged, compareKeys(old[s], next[s])})
+	}
+	for _, s := range difference.Removed {
+		changes = append(changes, Change{s, KindRemoved, compareKeys(old[s], nil)})
+	}
+	slices.SortStableFunc(changes, func(a, b Change) int {
+		if a.Section < b.Section {
+			return -1
+		}
+		return 1
+	})
+	return changes
+}
+
+func compareKeys(old, next []byte) []Key {
+	before, after := readKeys(old), readKeys(next)
+	names := map[string]bool{}
+	for name := range before {
+		names[name] = true
+	}
+	for name := range after {
+		names[name] = true
+	}
+	var keys []Key
+	for _, name := range slices.Sorted(maps.Keys(names)) {
+		if before[name] != after[name] {
+			keys = append(keys, Key{Name: name, Old: before[name], New: after[name]})
+		}
+	}
+	return keys
+}
+
+// readKeys returns the values of a section by key; a section that is a single value has the key "value".
+func readKeys(content []byte) map[string]string {
+	if content == nil {
+		return nil
+	}
+	var fields map[string]json.RawMessage
+	if json.Unmarshal(content, &fields) != nil {
+		return map[string]string{"value": string(content)}
+	}
+	values := make(map[string]string, len(fields))
+	for name, value := range fields {
+		values[name] = string(value)
+	}
+	return values
+}
+
+var signs = map[Kind]string{KindAdded: "+", KindRemoved: "-", KindChanged: "~"}
+
+// Write writes the changes as lines for people.
+func Write(w io.Writer, changes []Change) {
+	for _, c := range changes {
+		_, _ = fmt.Fprintf(w, "%s %s\n", signs[c.Kind], c.Section)
+		if c.Kind != KindChanged {
+			continue
+		}
+		for _, k := range c.Keys {
+			_, _ = fmt.Fprintf(w, "    %s: %s -> %s\n", k.Name, orNone(k.Old), orNone(k.New))
+		}
+	}
+}
+
+func orNone(value string) string {
+	if value == "" {
+		return "(none)"
+	}
+	return value
+}
