Start the stand-ins of a configuration document; try every cut of an at-most-once send

Cause: the demo needs the upstreams that a document names, and the promise 'not sent' must hold at every byte. Conclusion: of 200 cut points none with a written byte is called not sent.

--- a/adaptor/dispatcher/dispatcher_test.go
+++ b/adaptor/dispatcher/dispatcher_test.go
@@ -81,6 +81,34 @@
 	}
 }
 
+// TestSendNeverDeniesAWrittenByte tries every point at which the other end can stop reading.
+func TestSendNeverDeniesAWrittenByte(t *testing.T) {
+	const longerThanRequest = 200
+	for count := range longerThanRequest {
+		synctest.Test(t, func(t *testing.T) {
+			taken := make(chan int, 1)
+			dial := func(context.Context, string, string) (net.Conn, error) {
+				near, far := net.Pipe()
+				go func() {
+					_ = far.SetReadDeadline(time.Now().Add(writeWindow))
+					n, _ := io.ReadFull(far, make([]byte, count))
+					taken <- n
+					_ = far.Close()
+				}()
+				return near, nil
+			}
+			d := NewDispatcher("10.0.0.1:80", dial)
+			_, err := d.Send(t.Context(), http.MethodPost, "/", nil, []byte("{}"), time.Now().Add(writeWindow))
+			if n := <-taken; n > 0 {
+				require.ErrorIs(t, err, ErrAnswerLost, "after %d bytes", n)
+				require.NotErrorIs(t, err, ErrNotSent)
+			} else {
+				require.ErrorIs(t, err, ErrNotSent)
+			}
+		})
+	}
+}
+
 func TestSendEndsWithItsContext(t *testing.T) {
 	cases := []struct {
 		name string
--- a/standin/commander/commander_test.go
+++ b/standin/commander/commander_test.go
@@ -6,6 +6,8 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 
@@ -14,6 +16,7 @@
 	"rosemaryspool.example/adaptor/appender"
 	"rosemaryspool.example/adaptor/lister"
 	"rosemaryspool.example/standin/generator"
+	"rosemaryspool.example/standin/sampler"
 )
 
 // begin runs a command until the test ends and returns the values of its ready line.
@@ -81,6 +84,17 @@
 	require.NoError(t, err)
 }
 
+func TestHostCommandReadsADocument(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "kalipci.yaml")
+	require.NoError(t, os.WriteFile(path, sampler.Kalipci(), 0o600))
+	members, err := lister.NewClient(begin(t, "host", "--document", path)["listUrl"]).Members(t.Context())
+	require.NoError(t, err)
+	require.Len(t, members, 10, "7 engines and 3 upstreams of the service")
+	err = run(t.Context(), []string{"standin", "host", "--document", path + ".missing", "--speed", "0"}, io.Discard)
+	require.ErrorContains(t, err, "setting document:")
+	require.ErrorContains(t, err, "setting speed:")
+}
+
 func TestFaultsAreSetOverHTTP(t *testing.T) {
 	url := begin(t, "engine", "--faults", `{"breakStreams":2}`)["url"]
 	get := func() generator.Faults {
--- a/standin/commander/host.go
+++ b/standin/commander/host.go
@@ -6,10 +6,12 @@
 	"io"
 	"maps"
 	"net"
+	"os"
 	"slices"
 
 	"github.com/urfave/cli/v3"
 
+	"rosemaryspool.example/core/configurer"
 	"rosemaryspool.example/core/identifier"
 	"rosemaryspool.example/standin/host"
 )
@@ -17,6 +19,7 @@
 func newHostCommand() *cli.Command {
 	flags := []cli.Flag{
 		stringFlag(settingAddress, "127.0.0.1", "IP number to listen on; the system chooses the ports"),
+		stringFlag("document", "", "configuration document whose upstreams to run, in place of the numbers below"),
 		intFlag("engines", 3, "number of mixed engines"),
 		intFlag("services", 1, "number of upstreams of a plain service"),
 		&cli.StringSliceFlag{
@@ -54,6 +57,9 @@
 	if net.ParseIP(settings.Address) == nil {
 		c.fail(settingAddress, fmt.Sprintf("%q is no IP number", settings.Address))
 	}
+	if path := c.command.String("document"); path != "" {
+		return documentSettings(c, path, settings.Address)
+	}
 	centres := c.command.StringSlice("data-centres")
 	if len(centres) == 0 {
 		c.fail("data-centres", "may not be empty")
@@ -75,6 +81,24 @@
 	return settings
 }
 
+// documentSettings reads the upstreams from a configuration document.
+func documentSettings(c *checker, path, address string) host.Settings {
+	shape := engineSettings(c)
+	text, err := os.ReadFile(path)
+	if err != nil {
+		c.fail("document", err.Error())
+		return host.Settings{}
+	}
+	document, err := configurer.Parse(path, text)
+	if err != nil {
+		c.fail("document", err.Error())
+		return host.Settings{}
+	}
+	settings := host.NewSettings(document, shape)
+	settings.Address = address
+	return settings
+}
+
 // printHost prints a line for each part, and the line of the whole set last.
 func printHost(output io.Writer, h *host.Host) {
 	for _, id := range slices.Sorted(maps.Keys(h.Engines)) {
