--- a/adaptor/completer/client.go
+++ b/adaptor/completer/client.go
@@ -103,12 +103,10 @@
 // readRefusal reads an answer whose status is not 200: statuses that any engine would give are the request's fault.
 func readRefusal(response *http.Response) (Result, error) {
 	failure := requester.ReadStatusError(response)
-	var status *requester.StatusError
-	errors.As(failure, &status)
 	var chunk WireChunk
-	_ = json.Unmarshal(status.Body, &chunk)
+	_ = json.Unmarshal(failure.Body, &chunk)
 	result := Result{Load: decodeReport(chunk.Report)}
-	switch status.Status {
+	switch failure.Status {
 	case http.StatusBadRequest, http.StatusRequestEntityTooLarge, http.StatusUnprocessableEntity:
 		return result, eris.Wrap(ErrInvalid, failure.Error())
 	default:
--- a/adaptor/requester/requester.go
+++ b/adaptor/requester/requester.go
@@ -144,7 +144,7 @@
 }
 
 // ReadStatusError reads a failed reply's body into an error.
-func ReadStatusError(response *http.Response) error {
+func ReadStatusError(response *http.Response) *StatusError {
 	body, _ := io.ReadAll(io.LimitReader(response.Body, maxErrorBytes))
 	return &StatusError{Status: response.StatusCode, Body: body}
 }
--- a/standin/generator/contract_test.go
+++ b/standin/generator/contract_test.go
@@ -204,6 +204,29 @@
 	}
 }
 
+func TestEngineThatIgnoresTokensContract(t *testing.T) {
+	for _, overTCP := range []bool{false, true} {
+		s := newSubject(t, overTCP)
+		s.fake.settings.ChecksTokens = false
+		orders := []sentOrder{
+			{"o1", "engine-1", fence, 9, true, ""},
+			{"o2", "engine-1", role, 8, true, ""},
+			{"o3", "engine-1", role, 9, false, batcher.ErrChanging.Error()},
+		}
+		for _, o := range orders {
+			reply, err := s.control.Order(t.Context(), o.request(), time.Now().Add(endless))
+			require.NoError(t, err)
+			require.Equal(t, o.accepted, reply.Accepted, o.id)
+			require.EqualValues(t, 9, reply.Token, o.id)
+		}
+		conflicts := []bool{}
+		for _, j := range s.fake.Journal() {
+			conflicts = append(conflicts, j.Conflict)
+		}
+		require.Equal(t, []bool{false, false, true}, conflicts, "the journal marks an order that meets another")
+	}
+}
+
 func (o sentOrder) request() *messenger.OrderRequest {
 	return &messenger.OrderRequest{Token: o.token, Order: &messenger.EngineOrder{
 		OrderId: o.id, Engine: o.engine, Kind: o.kind, Role: "prefill", Model: "prova-llm", Version: "2",
