Read an answer's ordinary events by comparing the bytes around their text

Cause: decoding JSON took 6 microseconds a token, which at 2,300 tokens a second is over half of the 2.4 % of a core that an instance may use.

--- a/adaptor/completer/stream.go
+++ b/adaptor/completer/stream.go
@@ -32,7 +32,8 @@
 	result   Result
 	finished bool
 	// chunk is decoded into again and again, so that each event costs few allocations.
-	chunk WireChunk
+	chunk    WireChunk
+	template template
 }
 
 // readStream reads events until the end mark; the stream is whole only when a finish reason came before the mark.
@@ -74,6 +75,10 @@
 }
 
 func (s *stream) take(data []byte) error {
+	if text, ok := s.template.match(data); ok && !s.finished {
+		s.takeText(text)
+		return nil
+	}
 	// The decoder leaves fields of a used element as they were when the event does not name them.
 	clear(s.chunk.Choices)
 	s.chunk = WireChunk{Choices: s.chunk.Choices[:0]}
@@ -90,6 +95,7 @@
 	if s.finished {
 		return eris.Wrap(ErrBroken, "event after finish reason")
 	}
+	s.template.learn(data, chunk)
 	for _, choice := range chunk.Choices {
 		s.takeChoice(choice)
 	}
@@ -104,9 +110,7 @@
 
 func (s *stream) takeChoice(choice WireChoice) {
 	if choice.Text != "" {
-		piece := Piece{Text: choice.Text, Tokens: slicer.CountTokens(choice.Text)}
-		s.result.Output += piece.Tokens
-		s.deliver(piece)
+		s.takeText(choice.Text)
 	}
 	if choice.FinishReason != nil {
 		s.finished = true
@@ -114,6 +118,12 @@
 	}
 }
 
+func (s *stream) takeText(text string) {
+	piece := Piece{Text: text, Tokens: slicer.CountTokens(text)}
+	s.result.Output += piece.Tokens
+	s.deliver(piece)
+}
+
 func (s *stream) takeUsage(usage *WireUsage) {
 	if usage.Details != nil {
 		s.result.CachedPrompt = usage.Details.CachedTokens
