--- a/Makefile
+++ b/Makefile
@@ -44,3 +44,11 @@
 
 clean:
 	rm -rf bin
+
+# Runs the seeded histories of leases, orders, configuration and at-most-once work: make check-histories SEEDS=FROM-TO.
+SEEDS ?= 1-200
+
+.PHONY: check-histories
+
+check-histories:
+	go run ./core/checker/command -seeds=$(SEEDS)
--- /dev/null
+++ b/core/checker/checker_test.go
@@ -0,0 +1,16 @@
+package checker
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestHistoriesKeepEveryPromise(t *testing.T) {
+	var total Result
+	for seed := uint64(1); seed <= 60; seed++ {
+		total.Add(RunHistory(seed, DefaultSteps, VariantNone))
+	}
+	t.Log(total.String())
+	require.Nil(t, total.First, total.String())
+}
--- /dev/null
+++ b/core/checker/engine.go
@@ -0,0 +1,94 @@
+package checker
+
+import (
+	"time"
+
+	"rosemaryspool.example/wire/messenger"
+)
+
+// engine is a fake model engine.
+type engine struct {
+	index     int
+	report    messenger.EngineReport
+	change    *messenger.EngineOrder
+	changedAt time.Duration
+	downUntil time.Duration
+}
+
+func newEngine(index int) *engine {
+	e := &engine{index: index}
+	e.report.Engine = engineNames[index]
+	e.report.Role = "mixed"
+	e.report.Model = "model"
+	return e
+}
+
+// settle finishes a change whose time has come.
+func (e *engine) settle(now time.Duration) {
+	if e.change == nil || now < e.changedAt {
+		return
+	}
+	if e.change.GetRole() != "" {
+		e.report.Role = e.change.GetRole()
+	}
+	if e.change.GetKind() == messenger.OrderKind_ORDER_KIND_LOAD_MODEL {
+		e.report.Model = e.change.GetModel()
+		e.report.Version = e.change.GetVersion()
+		e.report.Adapters = e.change.GetAdapters()
+	}
+	e.change = nil
+	e.report.Changing = false
+}
+
+// take gives the engine an order and returns its reply; nil when the engine is down.
+func (e *engine) take(now time.Duration, order *messenger.EngineOrder, token uint64, lasts time.Duration) *messenger.OrderReply {
+	e.settle(now)
+	if now < e.downUntil {
+		return nil
+	}
+	if checksTokens(e.index) && token < e.report.Token {
+		return &messenger.OrderReply{Token: e.report.Token, Detail: "token is old"}
+	}
+	e.report.Token = max(e.report.Token, token)
+	if order.GetKind() == messenger.OrderKind_ORDER_KIND_FENCE {
+		return &messenger.OrderReply{Accepted: true, Token: e.report.Token}
+	}
+	if e.change != nil {
+		return &messenger.OrderReply{Token: e.report.Token, Detail: "changing"}
+	}
+	e.change = order
+	e.changedAt = now + lasts
+	e.report.Changing = true
+	e.report.LastOrderId = order.GetOrderId()
+	return &messenger.OrderReply{Accepted: true, Token: e.report.Token}
+}
+
+// read returns the engine's report; nil when the engine is down.
+func (e *engine) read(now time.Duration) *messenger.EngineReport {
+	e.settle(now)
+	if now < e.downUntil {
+		return nil
+	}
+	return &messenger.EngineReport{
+		Engine:      e.report.Engine,
+		Role:        e.report.Role,
+		Model:       e.report.Model,
+		Version:     e.report.Version,
+		Adapters:    e.report.Adapters,
+		Changing:    e.report.Changing,
+		Token:       e.report.Token,
+		LastOrderId: e.report.LastOrderId,
+	}
+}
+
+// crash aborts a change; a forgetful engine also loses its token and its last order.
+func (e *engine) crash(now, down time.Duration, forgets bool) {
+	e.settle(now)
+	e.change = nil
+	e.report.Changing = false
+	e.downUntil = now + down
+	if forgets {
+		e.report.Token = 0
+		e.report.LastOrderId = ""
+	}
+}
--- /dev/null
+++ b/core/checker/process.go
@@ -0,0 +1,316 @@
+package checker
+
+import (
+	"fmt"
+	"time"
+
+	"rosemaryspool.example/core/controller"
+	"rosemaryspool.example/core/deduplicator"
+	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/core/replayer"
+	"rosemaryspool.example/core/throttler"
+	"rosemaryspool.example/wire/messenger"
+)
+
+// process is one instance: the core with a shell that reads, appends and sends through the fakes.
+type process struct {
+	world       *world
+	slot        int
+	incarnation int
+	alive       bool
+	controller  *controller.Controller
+	claims      *deduplicator.Deduplicator
+	// The process's clock: its start, its drift in thousandths and what broken variants add to it.
+	clockStart time.Time
+	drift      time.Duration
+	jump       time.Duration
+	wallOffset time.Duration
+
+	paused       bool
+	backlog      []func()
+	logCutUntil  time.Duration
+	workCutUntil time.Duration
+	inForce      identifier.Revision
+	lastRequest  identifier.RequestID
+}
+
+// start puts a new process into a slot.
+func (w *world) start(slot, incarnation int) {
+	p := &process{
+		world:       w,
+		slot:        slot,
+		incarnation: incarnation,
+		alive:       true,
+		clockStart:  time.Unix(int64(1000*(slot+1)+incarnation), 0),
+		drift:       time.Duration(w.random.IntN(7) - 3),
+		wallOffset:  w.between(-2*time.Second, 2*time.Second),
+	}
+	name := fmt.Sprint(incarnation)
+	if w.variant == VariantSameIncarnation {
+		name = "0"
+	}
+	instance := identifier.InstanceID(fmt.Sprintf("p%d", slot))
+	p.controller = controller.NewController(w.controllerSettings(instance, name))
+	claims := deduplicator.NewSettings(instance, name, "claims")
+	claims.Window = keyWindow
+	claims.RunLimit = 10 * time.Second
+	claims.MarkEvery = 5 * time.Second
+	p.claims = deduplicator.NewDeduplicator(claims)
+	w.processes[slot] = p
+	for _, scope := range scopeNames {
+		p.run(p.controller.Handle(controller.ScopeWanted{Now: p.localNow(), Scope: identifier.Scope(scope)}))
+	}
+	if w.chance(30) {
+		p.bootstrap()
+	}
+	p.tick()
+	p.poll()
+}
+
+func (w *world) controllerSettings(instance identifier.InstanceID, incarnation string) controller.Settings {
+	s := controller.NewSettings("trial", instance, incarnation, compileSections)
+	s.SnapshotEvery = 40
+	switch w.variant {
+	case VariantLateRenewal:
+		s.Lease.Margin = -3 * time.Second
+	case VariantNoQuarantine:
+		s.Fence.SendWindow = 0
+		s.Fence.ReportLag = 0
+	}
+	return s
+}
+
+// localNow is the process's monotonic clock.
+func (p *process) localNow() time.Time {
+	drifted := p.world.now + p.world.now*p.drift/1000
+	return p.clockStart.Add(drifted + p.jump)
+}
+
+func (p *process) wallNow() time.Time { return wallStart.Add(p.world.now + p.wallOffset) }
+
+// do runs something in the process now, after its pause, or never when it is dead.
+func (p *process) do(run func()) {
+	if !p.alive {
+		return
+	}
+	if p.paused {
+		p.backlog = append(p.backlog, run)
+		return
+	}
+	run()
+}
+
+// later runs something in the process after a delay.
+func (p *process) later(delay time.Duration, run func()) {
+	p.world.after(delay, func() { p.do(run) })
+}
+
+func (p *process) tick() {
+	if !p.alive {
+		return
+	}
+	if !p.paused {
+		p.run(p.controller.Handle(controller.Ticked{Now: p.localNow()}))
+		p.runClaims(p.claims.Handle(deduplicator.Ticked{Now: p.localNow(), WallNow: p.wallNow()}))
+	}
+	p.world.after(tickEvery, p.tick)
+}
+
+func (p *process) logCut() bool { return p.world.logDown() || p.world.now < p.logCutUntil }
+
+func (p *process) poll() {
+	if !p.alive {
+		return
+	}
+	if !p.paused && !p.logCut() {
+		p.later(p.world.hop(), p.readControl)
+		p.later(p.world.hop(), p.readClaims)
+	}
+	p.world.after(p.world.between(pollEvery/2, pollEvery*3/2), p.poll)
+}
+
+func (p *process) readControl() {
+	p.run(p.controller.Handle(p.controlEvent()))
+	p.compare()
+}
+
+// controlEvent reads the control stream.
+func (p *process) controlEvent() controller.Event {
+	w := p.world
+	from := p.controller.NextOffset()
+	entries, ok := w.control.read(from, 1+w.random.IntN(60))
+	if ok {
+		return controller.RecordsRead{Now: p.localNow(), Entries: w.rewrite(entries), End: w.control.end()}
+	}
+	if w.variant == VariantTrimmedIsEmpty {
+		return controller.SnapshotLoaded{Now: p.localNow(), Snapshot: emptySnapshot(w.control.first)}
+	}
+	return controller.LogTrimmed{Now: p.localNow(), First: w.control.first}
+}
+
+func (p *process) readClaims() {
+	w := p.world
+	entries, ok := w.claims.read(p.claims.NextOffset(), 1+w.random.IntN(60))
+	if ok {
+		p.runClaims(p.claims.Handle(deduplicator.RecordsRead{
+			Now: p.localNow(), WallNow: p.wallNow(), Entries: entries, End: w.claims.end(),
+		}))
+		return
+	}
+	trimmed := deduplicator.LogTrimmed{Now: p.localNow(), WallNow: p.wallNow(), First: w.claims.first}
+	if w.variant == VariantTrimmedClaims {
+		trimmed.WallNow = wallStart.Add(-time.Hour)
+	}
+	p.runClaims(p.claims.Handle(trimmed))
+}
+
+// compare holds the process's state against the model.
+func (p *process) compare() {
+	state := p.controller.State()
+	if state.Revision() < p.inForce {
+		p.world.breach(PromiseNoRevert, "p%d went from revision %d to %d", p.slot, p.inForce, state.Revision())
+	}
+	if !state.Complete() {
+		return
+	}
+	want := p.world.model.views[state.Next()-1]
+	got := viewOf(state)
+	if uint64(state.Revision()) < want.revision {
+		p.world.breach(PromiseNoRevert, "p%d holds revision %d at offset %d in place of %d", p.slot, state.Revision(), state.Next(), want.revision)
+	}
+	if got != want {
+		p.world.breach(PromiseStale, "p%d holds %+v at offset %d in place of %+v", p.slot, got, state.Next(), want)
+	}
+}
+
+func viewOf(state *replayer.State) view {
+	v := view{revision: uint64(state.Revision()), snapshotNext: uint64(state.SnapshotNext())}
+	for i, name := range scopeNames {
+		lease, _ := state.Lease(identifier.Scope(name))
+		v.tokens[i] = uint64(lease.Token)
+		v.released[i] = lease.Released
+	}
+	for i, name := range engineNames {
+		e, _ := state.Engine(identifier.UpstreamID(name))
+		if e.Unfinished != nil {
+			v.unfinished[i] = string(e.Unfinished.ID())
+		}
+	}
+	return v
+}
+
+// bootstrap asks a random other process for its state.
+func (p *process) bootstrap() {
+	w := p.world
+	peer := w.processes[w.random.IntN(processCount)]
+	if peer == nil || peer == p || !peer.alive || peer.paused {
+		return
+	}
+	snapshot, err := peer.controller.State().Snapshot()
+	if err != nil {
+		return
+	}
+	p.later(w.hop()*20, func() {
+		p.run(p.controller.Handle(controller.SnapshotLoaded{Now: p.localNow(), Snapshot: snapshot}))
+		p.compare()
+	})
+}
+
+// run carries out the controller's actions.
+func (p *process) run(actions []controller.Action) {
+	for _, action := range actions {
+		switch a := action.(type) {
+		case controller.Append:
+			p.appendControl(a)
+		case controller.SendOrder:
+			p.sendOrder(a)
+		case controller.ReadEngine:
+			p.readEngine(a)
+		case controller.ConfigInForce:
+			p.putInForce(a)
+		case controller.LeaseGained:
+			p.world.result.Gains++
+			p.world.checkHolders()
+		case controller.HistoryIncomplete:
+			if p.world.chance(60) {
+				p.later(p.world.between(50*time.Millisecond, time.Second), p.bootstrap)
+			}
+		case controller.HistoryRestored:
+			p.world.result.Restored++
+		}
+	}
+}
+
+func (p *process) putInForce(a controller.ConfigInForce) {
+	if a.Revision <= p.inForce || a.Document == nil || !p.world.model.revisions[uint64(a.Revision)] {
+		p.world.breach(PromiseNoRevert, "p%d puts revision %d in force after %d", p.slot, a.Revision, p.inForce)
+	}
+	p.inForce = a.Revision
+}
+
+// appendControl carries out an append, a snapshot at times after a pause in which its holder loses the lease.
+func (p *process) appendControl(a controller.Append) {
+	w := p.world
+	if a.Urgency == throttler.UrgencySnapshot && w.chance(25) && w.faults < maxFaults && !p.paused {
+		w.result.Faults++
+		w.pause(p, w.between(5*time.Second, 14*time.Second))
+		p.backlog = append(p.backlog, func() { p.sendControl(a) })
+		return
+	}
+	p.sendControl(a)
+}
+
+func (p *process) sendControl(a controller.Append) {
+	p.append(p.world.control, a.Records, func(first identifier.Offset, failed, unknown bool) {
+		if failed {
+			p.run(p.controller.Handle(controller.AppendFailed{Now: p.localNow(), Records: a.IDs, Unknown: unknown}))
+			return
+		}
+		p.run(p.controller.Handle(controller.AppendSucceeded{Now: p.localNow(), Records: a.IDs, First: first}))
+	})
+}
+
+// append carries records to a stream. The answer may be lost, and what was reported as unknown may land late or never.
+func (p *process) append(s *stream, records [][]byte, answer func(first identifier.Offset, failed, unknown bool)) {
+	w := p.world
+	fail := func(unknown bool) func() { return func() { answer(0, true, unknown) } }
+	if p.logCut() {
+		if w.chance(50) {
+			p.later(w.hop(), fail(false))
+			return
+		}
+		if w.chance(40) {
+			w.landLate(s, records)
+		}
+		p.later(w.between(100*time.Millisecond, time.Second), fail(true))
+		return
+	}
+	if w.lossy() {
+		if w.chance(70) {
+			w.landLate(s, records)
+		}
+		p.later(w.between(10*time.Millisecond, time.Second), fail(true))
+		return
+	}
+	w.after(w.hop(), func() {
+		first := s.append(records)
+		p.later(w.hop(), func() { answer(first, false, false) })
+	})
+}
+
+// landLate appends records after a time, unless the log is down then.
+func (w *world) landLate(s *stream, records [][]byte) {
+	delay := w.hop()
+	if w.chance(40) {
+		delay = w.between(0, 9*time.Second)
+	}
+	w.after(delay, func() {
+		if !w.logDown() {
+			s.append(records)
+		}
+	})
+}
+
+func emptySnapshot(next identifier.Offset) *messenger.Snapshot {
+	return sealSnapshot(&messenger.FoldedState{Environment: "trial", NextOffset: uint64(next)})
+}
--- /dev/null
+++ b/core/checker/variant.go
@@ -0,0 +1,36 @@
+package checker
+
+// Variant switches one mechanism off, so that a test can show that the check sees its absence. The zero value is the
+// real system.
+type Variant int
+
+// Variants. All but VariantNone are broken on purpose.
+const (
+	VariantNone Variant = iota
+	// VariantNoTokenCheck lets the readers take every record for one of the current holder.
+	VariantNoTokenCheck
+	// VariantNoSnapshotToken does the same for snapshots alone.
+	VariantNoSnapshotToken
+	// VariantRetryDispatch dispatches again after a lost answer.
+	VariantRetryDispatch
+	// VariantUnknownIsNotRun reports a dispatch with a lost answer as not run.
+	VariantUnknownIsNotRun
+	// VariantRetryOrder sends an order again after a lost answer.
+	VariantRetryOrder
+	// VariantNoWriteDeadline writes orders whatever the time.
+	VariantNoWriteDeadline
+	// VariantLateRenewal counts a lease from long after its renewal was sent.
+	VariantLateRenewal
+	// VariantWallClock judges expiry by a clock that is set forward.
+	VariantWallClock
+	// VariantTrimmedIsEmpty takes a trimmed log for an empty one.
+	VariantTrimmedIsEmpty
+	// VariantTrimmedClaims reads on after trimmed claims as if nothing were missing.
+	VariantTrimmedClaims
+	// VariantNoQuarantine gives engines no time to receive what a predecessor wrote.
+	VariantNoQuarantine
+	// VariantSameIncarnation restarts a process under its old name.
+	VariantSameIncarnation
+	// VariantCrossedAnswers hands a reply to the process's previous request.
+	VariantCrossedAnswers
+)
--- a/core/controller/action.go
+++ b/core/controller/action.go
@@ -6,28 +6,18 @@
 	"rosemaryspool.example/core/configurer"
 	"rosemaryspool.example/core/identifier"
 	"rosemaryspool.example/core/replayer"
+	"rosemaryspool.example/core/throttler"
 	"rosemaryspool.example/wire/messenger"
 )
 
 // Action is something that the shell carries out for the core.
 type Action interface{ action() }
 
-// Urgency orders appends when the append budget is short; a lower number goes first.
-type Urgency int
-
-// Urgencies of appends.
-const (
-	UrgencyLease Urgency = iota + 1
-	UrgencyClaim
-	UrgencyOrder
-	UrgencySnapshot
-)
-
 // Append adds records to the control stream, all or none, and is answered by AppendSucceeded or AppendFailed.
 type Append struct {
 	IDs     []identifier.RecordID
 	Records [][]byte
-	Urgency Urgency
+	Urgency throttler.Urgency
 }
 
 // SendOrder sends an order exactly once on a connection of its own. Nothing may be written after WriteBy. It is
--- a/core/controller/controller.go
+++ b/core/controller/controller.go
@@ -14,6 +14,7 @@
 	"rosemaryspool.example/core/identifier"
 	"rosemaryspool.example/core/leaser"
 	"rosemaryspool.example/core/replayer"
+	"rosemaryspool.example/core/throttler"
 	"rosemaryspool.example/wire/messenger"
 )
 
@@ -264,9 +265,9 @@
 		switch s := step.(type) {
 		case fencer.AppendIntent:
 			intent := &messenger.OrderIntent{Order: s.Order}
-			c.enqueue(messenger.RecordKind_RECORD_KIND_ORDER_INTENT, s.Scope, s.Token, intent, UrgencyOrder, s.Order)
+			c.enqueue(messenger.RecordKind_RECORD_KIND_ORDER_INTENT, s.Scope, s.Token, intent, throttler.UrgencyOrder, s.Order)
 		case fencer.AppendOutcome:
-			c.enqueue(messenger.RecordKind_RECORD_KIND_ORDER_OUTCOME, s.Scope, s.Token, s.Outcome, UrgencyOrder, nil)
+			c.enqueue(messenger.RecordKind_RECORD_KIND_ORDER_OUTCOME, s.Scope, s.Token, s.Outcome, throttler.UrgencyOrder, nil)
 		case fencer.Send:
 			actions = append(actions, SendOrder(s))
 		case fencer.Read:
@@ -304,7 +305,7 @@
 	return id, raw
 }
 
-func (c *Controller) enqueue(kind messenger.RecordKind, scope identifier.Scope, token identifier.Token, payload proto.Message, urgency Urgency, order *messenger.EngineOrder) {
+func (c *Controller) enqueue(kind messenger.RecordKind, scope identifier.Scope, token identifier.Token, payload proto.Message, urgency throttler.Urgency, order *messenger.EngineOrder) {
 	id, raw := c.newRecord(kind, scope, token, payload)
 	if id == "" {
 		return
@@ -326,7 +327,7 @@
 		return nil
 	}
 	c.leases.Sent(now, claim.Scope, claim.Renewal, id)
-	return []Action{Append{IDs: []identifier.RecordID{id}, Records: [][]byte{raw}, Urgency: UrgencyLease}}
+	return []Action{Append{IDs: []identifier.RecordID{id}, Records: [][]byte{raw}, Urgency: throttler.UrgencyLease}}
 }
 
 func (c *Controller) appendRelease(release leaser.Release) []Action {
@@ -335,19 +336,19 @@
 	if id == "" {
 		return nil
 	}
-	return []Action{Append{IDs: []identifier.RecordID{id}, Records: [][]byte{raw}, Urgency: UrgencyLease}}
+	return []Action{Append{IDs: []identifier.RecordID{id}, Records: [][]byte{raw}, Urgency: throttler.UrgencyLease}}
 }
 
 func (c *Controller) takeSnapshot(now time.Time) []Action {
 	hold, held := c.leases.Held(now, c.settings.SnapshotScope)
 	since := int(c.state.Next()) - int(max(c.state.SnapshotNext(), 1))
-	if !held || c.settings.SnapshotEvery <= 0 || since < c.settings.SnapshotEvery || c.outbox.holds(UrgencySnapshot) {
+	if !held || c.settings.SnapshotEvery <= 0 || since < c.settings.SnapshotEvery || c.outbox.holds(throttler.UrgencySnapshot) {
 		return nil
 	}
 	snapshot, err := c.state.Snapshot()
 	if err != nil {
 		return nil
 	}
-	c.enqueue(messenger.RecordKind_RECORD_KIND_SNAPSHOT, c.settings.SnapshotScope, hold.Token, snapshot, UrgencySnapshot, nil)
+	c.enqueue(messenger.RecordKind_RECORD_KIND_SNAPSHOT, c.settings.SnapshotScope, hold.Token, snapshot, throttler.UrgencySnapshot, nil)
 	return nil
 }
--- a/core/controller/event.go
+++ b/core/controller/event.go
@@ -5,22 +5,17 @@
 
 	"rosemaryspool.example/core/fencer"
 	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/core/replayer"
 	"rosemaryspool.example/wire/messenger"
 )
 
 // Event is something that happened outside the core. Now is read on the process's monotonic clock after it happened.
 type Event interface{ event() }
 
-// Entry is one record with its offset.
-type Entry struct {
-	Offset identifier.Offset
-	Record []byte
-}
-
 // RecordsRead delivers records in offset order; End is the offset of the next append as of the read.
 type RecordsRead struct {
 	Now     time.Time
-	Entries []Entry
+	Entries []replayer.Entry
 	End     identifier.Offset
 }
 
--- a/core/controller/outbox.go
+++ b/core/controller/outbox.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/core/throttler"
 	"rosemaryspool.example/wire/messenger"
 )
 
@@ -23,7 +24,7 @@
 	raw     []byte
 	scope   identifier.Scope
 	token   identifier.Token
-	urgency Urgency
+	urgency throttler.Urgency
 	// order is set for the intent of an order.
 	order   *messenger.EngineOrder
 	flying  bool
@@ -114,7 +115,7 @@
 }
 
 // holds tells whether a record of an urgency is on its way.
-func (o *outbox) holds(urgency Urgency) bool {
+func (o *outbox) holds(urgency throttler.Urgency) bool {
 	for _, r := range o.records {
 		if r.urgency == urgency {
 			return true
--- a/core/controller/reading.go
+++ b/core/controller/reading.go
@@ -92,7 +92,7 @@
 }
 
 // restore offers a record to the restorer and takes its state over once a snapshot covers the gap.
-func (c *Controller) restore(now time.Time, entry Entry) []Action {
+func (c *Controller) restore(now time.Time, entry replayer.Entry) []Action {
 	if entry.Offset > c.restorer.Next() {
 		c.restorer = replayer.NewRestorer(c.settings.Environment, c.settings.Compile, entry.Offset)
 	}
--- /dev/null
+++ b/core/deduplicator/answering.go
@@ -0,0 +1,113 @@
+package deduplicator
+
+import (
+	"strings"
+	"time"
+
+	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/core/refuser"
+	"rosemaryspool.example/wire/messenger"
+)
+
+// answerFromMemory answers a request whose key is known; nil when the key may be claimed.
+func (d *Deduplicator) answerFromMemory(now time.Time, request identifier.RequestID, id keyID, hash uint64) []Action {
+	e, ok := d.memory.entries[id]
+	if !ok {
+		return nil
+	}
+	if e.hash != hash {
+		return refuse(request, refuser.NewRefusal(refuser.KeyReused, refuser.NotRun, "key was used for another request"))
+	}
+	switch e.status {
+	case statusClosed:
+		return d.replay(request, e.outcome)
+	case statusReleased:
+		if len(e.spent) > MaxReleases {
+			return refuse(request, refuser.NewRefusal(refuser.UpstreamRejected, refuser.NotRun, "key was refused too often"))
+		}
+		return nil
+	default:
+		if now.Sub(e.readAt) < d.settings.RunLimit {
+			return refuse(request, runningRefusal())
+		}
+		return refuse(request, unknownRefusal())
+	}
+}
+
+// refuseWaiting ends a call that is given up: by what the log says of its key, else by the refusal.
+func (d *Deduplicator) refuseWaiting(now time.Time, c *call, refusal *refuser.Refusal) []Action {
+	d.giveUp(c)
+	if actions := d.answerFromMemory(now, c.request, c.id, c.hash); actions != nil {
+		return actions
+	}
+	return refuse(c.request, refusal)
+}
+
+func unknownRefusal() *refuser.Refusal {
+	return refuser.NewRefusal(refuser.KeyOutcomeUnknown, refuser.OutcomeUnknown, "outcome of the key's run is unknown")
+}
+
+// replay gives a repeat the first answer.
+func (d *Deduplicator) replay(request identifier.RequestID, outcome *messenger.DispatchOutcome) []Action {
+	switch outcome.GetResult() {
+	case messenger.DispatchResult_DISPATCH_RESULT_DONE, messenger.DispatchResult_DISPATCH_RESULT_FAILED:
+		return []Action{Reply{
+			Request:     request,
+			Failed:      outcome.GetResult() == messenger.DispatchResult_DISPATCH_RESULT_FAILED,
+			Status:      int(outcome.GetStatus()),
+			ContentType: outcome.GetContentType(),
+			Answer:      outcome.GetAnswer(),
+			Truncated:   outcome.GetAnswerTruncated(),
+			Repeated:    true,
+		}}
+	default:
+		return refuse(request, unknownRefusal())
+	}
+}
+
+// endDispatch records the outcome of a run and answers its caller.
+func (d *Deduplicator) endDispatch(e DispatchEnded) []Action {
+	r, ok := d.runs[e.Attempt]
+	if !ok {
+		return nil
+	}
+	delete(d.runs, e.Attempt)
+	outcome := &messenger.DispatchOutcome{
+		Caller:      string(r.id.caller),
+		Key:         string(r.id.key),
+		AttemptId:   string(e.Attempt),
+		Result:      e.Result,
+		Status:      uint32(e.Status),
+		ContentType: strings.ToValidUTF8(e.ContentType, "?"),
+		Answer:      e.Answer,
+	}
+	if outcome.Result == messenger.DispatchResult_DISPATCH_RESULT_UNSPECIFIED {
+		outcome.Result = messenger.DispatchResult_DISPATCH_RESULT_UNKNOWN
+	}
+	if len(e.Answer) > d.settings.AnswerLimit {
+		outcome.Answer = e.Answer[:d.settings.AnswerLimit]
+		outcome.AnswerTruncated = true
+	}
+	d.recordOutcome(outcome)
+	if r.left {
+		return nil
+	}
+	return answerRun(r.request, e)
+}
+
+func answerRun(request identifier.RequestID, e DispatchEnded) []Action {
+	switch e.Result {
+	case messenger.DispatchResult_DISPATCH_RESULT_DONE, messenger.DispatchResult_DISPATCH_RESULT_FAILED:
+		return []Action{Reply{
+			Request:     request,
+			Failed:      e.Result == messenger.DispatchResult_DISPATCH_RESULT_FAILED,
+			Status:      e.Status,
+			ContentType: e.ContentType,
+			Answer:      e.Answer,
+		}}
+	case messenger.DispatchResult_DISPATCH_RESULT_NOT_RUN:
+		return refuse(request, refuser.NewRefusal(refuser.UpstreamRejected, refuser.NotRun, "service did not run the call"))
+	default:
+		return refuse(request, unknownRefusal())
+	}
+}
--- /dev/null
+++ b/core/deduplicator/appending.go
@@ -0,0 +1,186 @@
+package deduplicator
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/core/throttler"
+	"rosemaryspool.example/wire/messenger"
+)
+
+// advance does what is due now.
+func (d *Deduplicator) advance(now time.Time) []Action {
+	actions := d.expire(now)
+	actions = append(actions, d.flush(now)...)
+	actions = append(actions, d.outcomes.due(now)...)
+	return append(actions, d.mark(now)...)
+}
+
+// expire gives up the calls whose claims were not read back in time. Their attempts are never dispatched, so that "not
+// run" is certain even when the claim is in the log.
+func (d *Deduplicator) expire(now time.Time) []Action {
+	var actions []Action
+	for _, attempt := range slices.Sorted(maps.Keys(d.waiting)) {
+		c := d.waiting[attempt]
+		if now.Before(c.giveUpAt) {
+			continue
+		}
+		actions = append(actions, d.refuseWaiting(now, c, logRefusal("claim was not confirmed in time and is given up"))...)
+	}
+	return actions
+}
+
+// flush appends the batch once it is full or old enough.
+func (d *Deduplicator) flush(now time.Time) []Action {
+	if len(d.batch) == 0 || (len(d.batch) < d.settings.BatchSize && now.Before(d.batchAt)) {
+		return nil
+	}
+	batch := d.newBatch()
+	attempts := make([]identifier.AttemptID, 0, len(d.batch))
+	for _, c := range d.batch {
+		batch.Claims = append(batch.Claims, c.claim)
+		attempts = append(attempts, c.attempt)
+	}
+	d.batch = nil
+	id, raw := d.newRecord(messenger.RecordKind_RECORD_KIND_CLAIM_BATCH, batch)
+	d.flying[id] = attempts
+	return []Action{Append{IDs: []identifier.RecordID{id}, Records: [][]byte{raw}, Urgency: throttler.UrgencyClaim}}
+}
+
+func (d *Deduplicator) newBatch() *messenger.ClaimBatch {
+	if d.seenAt.IsZero() {
+		return &messenger.ClaimBatch{}
+	}
+	return &messenger.ClaimBatch{SeenOffset: uint64(d.next), SeenAtMs: d.seenAt.UnixMilli()}
+}
+
+// mark appends a time mark when none was read for long.
+func (d *Deduplicator) mark(now time.Time) []Action {
+	if d.markAt.IsZero() {
+		d.markAt = now
+	}
+	if d.seenAt.IsZero() || now.Sub(d.markAt) < d.settings.MarkEvery {
+		return nil
+	}
+	d.markAt = now
+	id, raw := d.newRecord(messenger.RecordKind_RECORD_KIND_CLAIM_BATCH, d.newBatch())
+	return []Action{Append{IDs: []identifier.RecordID{id}, Records: [][]byte{raw}, Urgency: throttler.UrgencyOrder}}
+}
+
+func (d *Deduplicator) forgetFlying(ids []identifier.RecordID) {
+	for _, id := range ids {
+		delete(d.flying, id)
+	}
+}
+
+// failAppend refuses the calls of a batch that is certainly not in the log. With an unknown outcome they wait on.
+func (d *Deduplicator) failAppend(e AppendFailed) []Action {
+	d.outcomes.failed(e.Now, e.Records, e.Unknown)
+	var actions []Action
+	for _, id := range e.Records {
+		attempts, ok := d.flying[id]
+		delete(d.flying, id)
+		if !ok || e.Unknown {
+			continue
+		}
+		d.failedAt = e.Now
+		for _, attempt := range attempts {
+			c, waits := d.waiting[attempt]
+			if !waits {
+				continue
+			}
+			actions = append(actions, d.refuseWaiting(e.Now, c, logRefusal("log took no claim"))...)
+		}
+	}
+	return actions
+}
+
+func (d *Deduplicator) recordOutcome(outcome *messenger.DispatchOutcome) {
+	id, raw := d.newRecord(messenger.RecordKind_RECORD_KIND_DISPATCH_OUTCOME, outcome)
+	d.outcomes.add(id, raw)
+}
+
+func (d *Deduplicator) newRecord(kind messenger.RecordKind, payload proto.Message) (identifier.RecordID, []byte) {
+	d.counter++
+	id := identifier.RecordID(fmt.Sprintf("%s/r%d", d.settings.author(), d.counter))
+	encoded, err := proto.Marshal(payload)
+	if err != nil {
+		// Only text that is not UTF-8 fails here; the record then carries nothing and is skipped by every reader.
+		encoded = nil
+	}
+	raw, err := proto.Marshal(&messenger.Record{Id: string(id), Kind: kind, Author: d.settings.author(), Payload: encoded})
+	if err != nil {
+		raw = nil
+	}
+	return id, raw
+}
+
+// outgoingOutcome is an outcome that was not read back yet.
+type outgoingOutcome struct {
+	id      identifier.RecordID
+	raw     []byte
+	flying  bool
+	retryAt time.Time
+}
+
+// outcomeQueue repeats the appends of outcomes under the same record id until they are read back.
+type outcomeQueue struct {
+	reappendAfter time.Duration
+	queue         []*outgoingOutcome
+}
+
+// outcomeBatch is the most outcomes in one append.
+const outcomeBatch = 64
+
+// outcomeTimeout treats an append that was never answered as one with a lost answer.
+const outcomeTimeout = 10 * time.Second
+
+func newOutcomeQueue(reappendAfter time.Duration) *outcomeQueue {
+	return &outcomeQueue{reappendAfter: reappendAfter}
+}
+
+func (o *outcomeQueue) empty() bool { return len(o.queue) == 0 }
+
+func (o *outcomeQueue) add(id identifier.RecordID, raw []byte) {
+	o.queue = append(o.queue, &outgoingOutcome{id: id, raw: raw})
+}
+
+func (o *outcomeQueue) readBack(id identifier.RecordID) {
+	o.queue = slices.DeleteFunc(o.queue, func(q *outgoingOutcome) bool { return q.id == id })
+}
+
+func (o *outcomeQueue) failed(now time.Time, ids []identifier.RecordID, unknown bool) {
+	for _, q := range o.queue {
+		if !slices.Contains(ids, q.id) {
+			continue
+		}
+		q.flying = false
+		q.retryAt = now.Add(o.reappendAfter / 4)
+		if unknown {
+			q.retryAt = now.Add(o.reappendAfter)
+		}
+	}
+}
+
+// due returns at most one append with all outcomes that may go now.
+func (o *outcomeQueue) due(now time.Time) []Action {
+	a := Append{Urgency: throttler.UrgencyOutcome}
+	for _, q := range o.queue {
+		if now.Before(q.retryAt) || len(a.IDs) == outcomeBatch {
+			continue
+		}
+		q.flying = true
+		q.retryAt = now.Add(outcomeTimeout)
+		a.IDs = append(a.IDs, q.id)
+		a.Records = append(a.Records, q.raw)
+	}
+	if len(a.IDs) == 0 {
+		return nil
+	}
+	return []Action{a}
+}
--- /dev/null
+++ b/core/deduplicator/deduplicator.go
@@ -0,0 +1,340 @@
+// Package deduplicator runs non-idempotent calls at most once. The first claim of a key in the log wins, its owner
+// dispatches exactly once after reading the claim back, and the outcome is kept in the log for repeats at any instance.
+// One deduplicator serves one claim stream; a key always belongs to the same stream.
+package deduplicator
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+	"unicode/utf8"
+
+	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/core/refuser"
+	"rosemaryspool.example/wire/messenger"
+)
+
+// Times and sizes of the claims.
+const (
+	// DefaultWindow is how long a key is remembered from its issue time.
+	DefaultWindow = 24 * time.Hour
+	// DefaultClockSkew is by how much two clocks, a caller's included, may differ.
+	DefaultClockSkew = 5 * time.Second
+	// DefaultBatchDelay is how long a claim waits for others; it bounds a process to ten claim appends a second.
+	DefaultBatchDelay = 100 * time.Millisecond
+	// DefaultBatchSize closes a batch early.
+	DefaultBatchSize = 64
+	// DefaultClaimWait is how long a call waits for its claim to be read back.
+	DefaultClaimWait = 3 * time.Second
+	// DefaultRunLimit is after how long a run without an outcome counts as unknown; longer than any deadline.
+	DefaultRunLimit = 2 * time.Minute
+	// DefaultMarkEvery keeps time marks dense enough to tell which keys a trimmed log could have held.
+	DefaultMarkEvery = 5 * time.Minute
+	// DefaultAnswerLimit is how many bytes of an answer are kept for repeats.
+	DefaultAnswerLimit = 16 << 10
+	// DefaultMaxWaiting bounds the calls that wait for their claims.
+	DefaultMaxWaiting = 4096
+	// DefaultReappendAfter leaves an outcome with a lost answer time to be read back.
+	DefaultReappendAfter = 2 * time.Second
+	// failurePause is how long calls are refused after the log took no append.
+	failurePause = 500 * time.Millisecond
+)
+
+// Settings holds the times and sizes of one process's claims in one stream.
+type Settings struct {
+	Instance identifier.InstanceID
+	// Incarnation must be unique to this start of the process.
+	Incarnation string
+	// Stream tells the process's deduplicators apart.
+	Stream        string
+	Window        time.Duration
+	ClockSkew     time.Duration
+	BatchDelay    time.Duration
+	BatchSize     int
+	ClaimWait     time.Duration
+	RunLimit      time.Duration
+	MarkEvery     time.Duration
+	AnswerLimit   int
+	MaxWaiting    int
+	ReappendAfter time.Duration
+}
+
+// NewSettings returns the default times and sizes.
+func NewSettings(instance identifier.InstanceID, incarnation, stream string) Settings {
+	return Settings{
+		Instance:      instance,
+		Incarnation:   incarnation,
+		Stream:        stream,
+		Window:        DefaultWindow,
+		ClockSkew:     DefaultClockSkew,
+		BatchDelay:    DefaultBatchDelay,
+		BatchSize:     DefaultBatchSize,
+		ClaimWait:     DefaultClaimWait,
+		RunLimit:      DefaultRunLimit,
+		MarkEvery:     DefaultMarkEvery,
+		AnswerLimit:   DefaultAnswerLimit,
+		MaxWaiting:    DefaultMaxWaiting,
+		ReappendAfter: DefaultReappendAfter,
+	}
+}
+
+func (s Settings) author() string {
+	return strings.Join([]string{string(s.Instance), s.Incarnation, s.Stream}, "/")
+}
+
+// call is a request that waits for its claim to be read back. Once it is gone its attempt is never dispatched.
+type call struct {
+	request  identifier.RequestID
+	id       keyID
+	attempt  identifier.AttemptID
+	issuedAt time.Time
+	hash     uint64
+	deadline time.Time
+	giveUpAt time.Time
+	claim    *messenger.DispatchClaim
+}
+
+// run is a dispatch whose end is awaited.
+type run struct {
+	request identifier.RequestID
+	id      keyID
+	left    bool
+}
+
+// Deduplicator decides for one process and one claim stream. It is not safe for concurrent use.
+type Deduplicator struct {
+	settings Settings
+	memory   *memory
+	next     identifier.Offset
+	// seenAt is the wall time at which everything before next had been read.
+	seenAt time.Time
+	// wallHigh is the latest wall time seen, so that a clock set back brings no forgotten key to life.
+	wallHigh time.Time
+	// completeSince is the issue time from which on no claim can be missing; zero when none is.
+	completeSince time.Time
+	// gapEnd is the first offset after the latest gap.
+	gapEnd    identifier.Offset
+	waiting   map[identifier.AttemptID]*call
+	byKey     map[keyID]*call
+	runs      map[identifier.AttemptID]*run
+	batch     []*call
+	batchAt   time.Time
+	flying    map[identifier.RecordID][]identifier.AttemptID
+	outcomes  *outcomeQueue
+	counter   uint64
+	failedAt  time.Time
+	markAt    time.Time
+	malformed uint64
+}
+
+// NewDeduplicator returns a deduplicator that has read nothing yet.
+func NewDeduplicator(settings Settings) *Deduplicator {
+	return &Deduplicator{
+		settings: settings,
+		memory:   newMemory(),
+		next:     1,
+		waiting:  map[identifier.AttemptID]*call{},
+		byKey:    map[keyID]*call{},
+		runs:     map[identifier.AttemptID]*run{},
+		flying:   map[identifier.RecordID][]identifier.AttemptID{},
+		outcomes: newOutcomeQueue(settings.ReappendAfter),
+	}
+}
+
+// NextOffset returns the offset from which the shell reads on.
+func (d *Deduplicator) NextOffset() identifier.Offset { return d.next }
+
+// CompleteSince returns the issue time before which keys are refused because their claims may have been trimmed unread;
+// it is zero when nothing is missing.
+func (d *Deduplicator) CompleteSince() time.Time { return d.completeSince }
+
+// Keys returns how many keys are remembered.
+func (d *Deduplicator) Keys() int { return len(d.memory.entries) }
+
+// Malformed returns how many records could not be decoded.
+func (d *Deduplicator) Malformed() uint64 { return d.malformed }
+
+// Idle tells whether no call waits or runs and every outcome is in the log.
+func (d *Deduplicator) Idle() bool {
+	return len(d.waiting) == 0 && len(d.runs) == 0 && d.outcomes.empty()
+}
+
+// Handle takes one event and returns the actions to carry out, in order.
+func (d *Deduplicator) Handle(event Event) []Action {
+	switch e := event.(type) {
+	case CallArrived:
+		d.updateWall(e.WallNow)
+		return append(d.arrive(e), d.flush(e.Now)...)
+	case RecordsRead:
+		d.updateWall(e.WallNow)
+		return append(d.readRecords(e), d.advance(e.Now)...)
+	case LogTrimmed:
+		d.updateWall(e.WallNow)
+		d.trim(e)
+		return d.advance(e.Now)
+	case AppendSucceeded:
+		d.forgetFlying(e.Records)
+		return nil
+	case AppendFailed:
+		return append(d.failAppend(e), d.advance(e.Now)...)
+	case DispatchEnded:
+		return append(d.endDispatch(e), d.advance(e.Now)...)
+	case CallerLeft:
+		d.leave(e.Request)
+		return nil
+	case WindowSet:
+		d.settings.Window = e.Window
+		return nil
+	case Ticked:
+		d.updateWall(e.WallNow)
+		return d.advance(e.Now)
+	default:
+		return nil
+	}
+}
+
+func (d *Deduplicator) updateWall(wall time.Time) {
+	if wall.After(d.wallHigh) {
+		d.wallHigh = wall
+	}
+	d.memory.forget(d.wallHigh.Add(-d.settings.Window))
+}
+
+// arrive answers a call from memory, refuses it or puts its claim into the batch.
+func (d *Deduplicator) arrive(e CallArrived) []Action {
+	if refusal := checkCall(e); refusal != nil {
+		return refuse(e.Request, refusal)
+	}
+	id := keyID{e.Caller, e.Key}
+	if actions := d.answerFromMemory(e.Now, e.Request, id, e.RequestHash); actions != nil {
+		return actions
+	}
+	if refusal := d.checkKey(e.IssuedAt); refusal != nil {
+		return refuse(e.Request, refusal)
+	}
+	if refusal := d.checkClaim(e, id); refusal != nil {
+		return refuse(e.Request, refusal)
+	}
+	c := d.newCall(e, id)
+	d.waiting[c.attempt] = c
+	d.byKey[id] = c
+	if len(d.batch) == 0 {
+		d.batchAt = e.Now.Add(d.settings.BatchDelay)
+	}
+	d.batch = append(d.batch, c)
+	return nil
+}
+
+// checkCall refuses calls that cannot be written into a claim; one of them would spoil its whole batch.
+func checkCall(e CallArrived) *refuser.Refusal {
+	switch {
+	case e.Caller == "":
+		return refuser.NewRefusal(refuser.MissingCaller, refuser.NotRun, "call names no caller")
+	case e.Key == "":
+		return refuser.NewRefusal(refuser.MissingKey, refuser.NotRun, "call carries no idempotency key")
+	case !utf8.ValidString(string(e.Caller)) || !utf8.ValidString(string(e.Key)) || !utf8.ValidString(string(e.Service)):
+		return refuser.NewRefusal(refuser.BadRequest, refuser.NotRun, "caller, key and service must be UTF-8")
+	default:
+		return nil
+	}
+}
+
+// checkKey refuses keys whose history this process cannot know.
+func (d *Deduplicator) checkKey(issuedAt time.Time) *refuser.Refusal {
+	if issuedAt.After(d.wallHigh.Add(d.settings.ClockSkew)) {
+		return refuser.NewRefusal(refuser.BadIssueTime, refuser.NotRun, "key was issued in the future")
+	}
+	if d.wallHigh.Sub(issuedAt) > d.settings.Window || issuedAt.Before(d.memory.forgottenBefore) {
+		return refuser.NewRefusal(refuser.KeyTooOld, refuser.NotRun, "key is older than the key window")
+	}
+	if !d.completeSince.IsZero() && !issuedAt.After(d.completeSince) {
+		return refuser.NewRefusal(refuser.HistoryIncomplete, refuser.NotRun, "claims of the key's time were trimmed unread")
+	}
+	return nil
+}
+
+// checkClaim refuses calls that cannot be claimed now.
+func (d *Deduplicator) checkClaim(e CallArrived, id keyID) *refuser.Refusal {
+	if other, ok := d.byKey[id]; ok {
+		if other.hash != e.RequestHash {
+			return refuser.NewRefusal(refuser.KeyReused, refuser.NotRun, "key was used for another request")
+		}
+		return runningRefusal()
+	}
+	if !d.failedAt.IsZero() && e.Now.Sub(d.failedAt) < failurePause {
+		return logRefusal("log takes no claims")
+	}
+	if len(d.waiting) >= d.settings.MaxWaiting {
+		return refuser.NewRefusal(refuser.Overloaded, refuser.NotRun, "too many calls wait for their claims")
+	}
+	return nil
+}
+
+func runningRefusal() *refuser.Refusal {
+	r := refuser.NewRefusal(refuser.KeyRunning, refuser.OutcomeUnknown, "key is running")
+	r.RetryAfterMS = 1000
+	return r
+}
+
+func logRefusal(message string) *refuser.Refusal {
+	r := refuser.NewRefusal(refuser.LogUnavailable, refuser.NotRun, message)
+	r.RetryAfterMS = 1000
+	return r
+}
+
+func refuse(request identifier.RequestID, refusal *refuser.Refusal) []Action {
+	return []Action{Refuse{Request: request, Refusal: *refusal}}
+}
+
+func (d *Deduplicator) newCall(e CallArrived, id keyID) *call {
+	d.counter++
+	c := &call{
+		request:  e.Request,
+		id:       id,
+		attempt:  identifier.AttemptID(fmt.Sprintf("%s/%d", d.settings.author(), d.counter)),
+		issuedAt: e.IssuedAt,
+		hash:     e.RequestHash,
+		deadline: e.Deadline,
+		giveUpAt: earlier(e.Deadline, e.Now.Add(d.settings.ClaimWait)),
+	}
+	c.claim = &messenger.DispatchClaim{
+		Caller:      string(e.Caller),
+		Key:         string(e.Key),
+		AttemptId:   string(c.attempt),
+		Service:     string(e.Service),
+		IssuedAtMs:  e.IssuedAt.UnixMilli(),
+		RequestHash: e.RequestHash,
+	}
+	return c
+}
+
+// giveUp forgets a waiting call for good: its attempt will never be dispatched by this process, and nobody else may.
+func (d *Deduplicator) giveUp(c *call) {
+	delete(d.waiting, c.attempt)
+	if d.byKey[c.id] == c {
+		delete(d.byKey, c.id)
+	}
+	d.batch = slices.DeleteFunc(d.batch, func(other *call) bool { return other == c })
+}
+
+func (d *Deduplicator) leave(request identifier.RequestID) {
+	for _, c := range d.waiting {
+		if c.request == request {
+			d.giveUp(c)
+			return
+		}
+	}
+	for _, r := range d.runs {
+		if r.request == request {
+			r.left = true
+		}
+	}
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/core/deduplicator/memory.go
@@ -0,0 +1,136 @@
+package deduplicator
+
+import (
+	"time"
+
+	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/wire/messenger"
+)
+
+// MaxReleases is how often a key may be claimed anew after runs that did not happen; it bounds the memory of one key.
+const MaxReleases = 32
+
+// bucketWidth is the grain in which keys are forgotten.
+const bucketWidth = time.Minute
+
+type keyID struct {
+	caller identifier.CallerID
+	key    identifier.IdempotencyKey
+}
+
+// status tells what is known of a key.
+type status int
+
+const (
+	statusRunning status = iota + 1
+	statusClosed
+	// statusReleased means that no claim of the key so far was or will be run.
+	statusReleased
+)
+
+// entry is what the log says of a key.
+type entry struct {
+	status  status
+	attempt identifier.AttemptID
+	hash    uint64
+	// readAt is when this process read the claim.
+	readAt time.Time
+	// spent holds the attempts that were released.
+	spent   []identifier.AttemptID
+	outcome *messenger.DispatchOutcome
+}
+
+// memory folds claims and outcomes by key and forgets keys by their issue time.
+type memory struct {
+	entries map[keyID]*entry
+	buckets map[int64][]keyID
+	// forgottenBefore is the issue time before which keys may be forgotten; they must not run any more.
+	forgottenBefore time.Time
+}
+
+func newMemory() *memory {
+	return &memory{entries: map[keyID]*entry{}, buckets: map[int64][]keyID{}}
+}
+
+// claim folds one claim and tells whether it is the first for its key.
+func (m *memory) claim(now time.Time, claim *messenger.DispatchClaim) bool {
+	issuedAt := time.UnixMilli(claim.GetIssuedAtMs())
+	if issuedAt.Before(m.forgottenBefore) {
+		return false
+	}
+	id := keyID{identifier.CallerID(claim.GetCaller()), identifier.IdempotencyKey(claim.GetKey())}
+	attempt := identifier.AttemptID(claim.GetAttemptId())
+	e, ok := m.entries[id]
+	if !ok {
+		m.entries[id] = &entry{status: statusRunning, attempt: attempt, hash: claim.GetRequestHash(), readAt: now}
+		bucket := bucketOf(issuedAt)
+		m.buckets[bucket] = append(m.buckets[bucket], id)
+		return true
+	}
+	if e.status != statusReleased || e.hash != claim.GetRequestHash() || !e.reclaimable(attempt) {
+		return false
+	}
+	e.status = statusRunning
+	e.attempt = attempt
+	e.readAt = now
+	return true
+}
+
+// reclaimable tells whether an attempt may follow the released ones.
+func (e *entry) reclaimable(attempt identifier.AttemptID) bool {
+	if len(e.spent) > MaxReleases {
+		return false
+	}
+	for _, s := range e.spent {
+		if s == attempt {
+			return false
+		}
+	}
+	return true
+}
+
+// close folds one outcome. Only the first outcome of the running attempt counts.
+func (m *memory) close(outcome *messenger.DispatchOutcome) bool {
+	id := keyID{identifier.CallerID(outcome.GetCaller()), identifier.IdempotencyKey(outcome.GetKey())}
+	e, ok := m.entries[id]
+	if !ok || e.status != statusRunning || e.attempt != identifier.AttemptID(outcome.GetAttemptId()) {
+		return false
+	}
+	if outcome.GetResult() == messenger.DispatchResult_DISPATCH_RESULT_NOT_RUN {
+		e.status = statusReleased
+		e.spent = append(e.spent, e.attempt)
+		return true
+	}
+	e.status = statusClosed
+	e.outcome = outcome
+	return true
+}
+
+// forget drops the keys that were issued before a time, in whole buckets.
+func (m *memory) forget(before time.Time) {
+	limit := bucketOf(before)
+	boundary := time.UnixMilli(limit * bucketWidth.Milliseconds())
+	if !boundary.After(m.forgottenBefore) {
+		return
+	}
+	m.forgottenBefore = boundary
+	for bucket, ids := range m.buckets {
+		if bucket >= limit {
+			continue
+		}
+		for _, id := range ids {
+			delete(m.entries, id)
+		}
+		delete(m.buckets, bucket)
+	}
+}
+
+// bucketOf rounds down, also before the epoch.
+func bucketOf(t time.Time) int64 {
+	milli, width := t.UnixMilli(), bucketWidth.Milliseconds()
+	bucket := milli / width
+	if milli%width < 0 {
+		bucket--
+	}
+	return bucket
+}
--- /dev/null
+++ b/core/deduplicator/reading.go
@@ -0,0 +1,154 @@
+package deduplicator
+
+import (
+	"strings"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/core/refuser"
+	"rosemaryspool.example/wire/messenger"
+)
+
+// readRecords folds a batch of the claim stream.
+func (d *Deduplicator) readRecords(e RecordsRead) []Action {
+	var actions []Action
+	for _, entry := range e.Entries {
+		if entry.Offset < d.next {
+			continue
+		}
+		if entry.Offset > d.next {
+			d.trim(LogTrimmed{Now: e.Now, WallNow: e.WallNow, First: entry.Offset})
+		}
+		d.next = entry.Offset + 1
+		d.seenAt = e.WallNow
+		actions = append(actions, d.readRecord(e, entry.Record)...)
+	}
+	return actions
+}
+
+func (d *Deduplicator) readRecord(e RecordsRead, raw []byte) []Action {
+	record := &messenger.Record{}
+	if proto.Unmarshal(raw, record) != nil {
+		d.malformed++
+		return nil
+	}
+	d.outcomes.readBack(identifier.RecordID(record.GetId()))
+	switch record.GetKind() {
+	case messenger.RecordKind_RECORD_KIND_CLAIM_BATCH:
+		batch := &messenger.ClaimBatch{}
+		if proto.Unmarshal(record.GetPayload(), batch) != nil {
+			d.malformed++
+			return nil
+		}
+		return d.readBatch(e, record.GetAuthor(), batch)
+	case messenger.RecordKind_RECORD_KIND_DISPATCH_OUTCOME:
+		outcome := &messenger.DispatchOutcome{}
+		if proto.Unmarshal(record.GetPayload(), outcome) != nil || !owns(record.GetAuthor(), outcome.GetAttemptId()) {
+			d.malformed++
+			return nil
+		}
+		d.memory.close(outcome)
+		return nil
+	default:
+		return nil
+	}
+}
+
+// owns tells whether an attempt belongs to the author of a record; nobody closes the attempts of another process.
+func owns(author, attempt string) bool {
+	return author != "" && strings.HasPrefix(attempt, author+"/")
+}
+
+func (d *Deduplicator) readBatch(e RecordsRead, author string, batch *messenger.ClaimBatch) []Action {
+	d.readMark(e.Now, batch)
+	var actions []Action
+	for _, claim := range batch.GetClaims() {
+		if !owns(author, claim.GetAttemptId()) {
+			d.malformed++
+			continue
+		}
+		first := d.memory.claim(e.Now, claim)
+		if author == d.settings.author() {
+			actions = append(actions, d.readOwnClaim(e.Now, claim, first)...)
+		}
+	}
+	return actions
+}
+
+// readOwnClaim dispatches a claim that is the first for its key while its call still waits. A first claim that nobody
+// waits for is released, because it will never be dispatched.
+func (d *Deduplicator) readOwnClaim(now time.Time, claim *messenger.DispatchClaim, first bool) []Action {
+	attempt := identifier.AttemptID(claim.GetAttemptId())
+	c, waits := d.waiting[attempt]
+	if !waits {
+		if first {
+			d.release(claim)
+		}
+		return nil
+	}
+	if !first {
+		return d.refuseWaiting(now, c, logRefusal("claim was beaten by one that was released; repeat the call"))
+	}
+	d.giveUp(c)
+	if refusal := d.checkDispatch(now, c); refusal != nil {
+		d.release(claim)
+		return refuse(c.request, refusal)
+	}
+	d.runs[attempt] = &run{request: c.request, id: c.id}
+	return []Action{Dispatch{Request: c.request, Attempt: attempt}}
+}
+
+// checkDispatch repeats the checks of the arrival after the time that the claim took.
+func (d *Deduplicator) checkDispatch(now time.Time, c *call) *refuser.Refusal {
+	if !now.Before(c.deadline) {
+		return refuser.NewRefusal(refuser.DeadlineExceeded, refuser.NotRun, "deadline passed before the claim was confirmed")
+	}
+	return d.checkKey(c.issuedAt)
+}
+
+func (d *Deduplicator) release(claim *messenger.DispatchClaim) {
+	attempt := identifier.AttemptID(claim.GetAttemptId())
+	if _, running := d.runs[attempt]; running {
+		return
+	}
+	d.recordOutcome(&messenger.DispatchOutcome{
+		Caller:    claim.GetCaller(),
+		Key:       claim.GetKey(),
+		AttemptId: claim.GetAttemptId(),
+		Result:    messenger.DispatchResult_DISPATCH_RESULT_NOT_RUN,
+	})
+}
+
+// trim notes a gap. Every claim in it was appended before now, so that only keys issued before now can be missing.
+func (d *Deduplicator) trim(e LogTrimmed) {
+	if e.First <= d.next {
+		return
+	}
+	d.next = e.First
+	d.gapEnd = e.First
+	d.seenAt = e.WallNow
+	d.completeSince = d.knownFrom(e.WallNow)
+}
+
+// knownFrom returns the issue time from which on a claim must have been appended after a wall time: the clocks of the
+// caller, of the instance that took the claim and of the one that read the time may all differ.
+func (d *Deduplicator) knownFrom(wall time.Time) time.Time {
+	return wall.Add(2 * d.settings.ClockSkew)
+}
+
+// readMark takes a time mark: when it covers the gap, only keys issued before the mark can be missing.
+func (d *Deduplicator) readMark(now time.Time, batch *messenger.ClaimBatch) {
+	if batch.GetSeenOffset() == 0 {
+		return
+	}
+	d.markAt = now
+	if d.gapEnd == 0 || identifier.Offset(batch.GetSeenOffset()) < d.gapEnd {
+		return
+	}
+	since := d.knownFrom(time.UnixMilli(batch.GetSeenAtMs()))
+	if since.Before(d.completeSince) {
+		d.completeSince = since
+	}
+}
--- a/core/fencer/resolve.go
+++ b/core/fencer/resolve.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"time"
 
 	"rosemaryspool.example/core/identifier"
 	"rosemaryspool.example/core/leaser"
@@ -74,8 +75,9 @@
 	j.fence = ""
 	switch answer {
 	case AnswerAccepted:
+		// An engine that restarts may forget the newer token, so that the quiet time counts here too.
 		j.fenced = true
-		j.certainFrom = v.Now.Add(f.settings.ReportLag)
+		j.certainFrom = later(v.Now, j.quietAt).Add(f.settings.ReportLag)
 		j.pollAt = v.Now
 		return nil
 	case AnswerRefused:
@@ -88,6 +90,13 @@
 	}
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // poll fences the engine where that is needed and reads its report.
 func (f *Fencer) poll(v View, j *journey, hold leaser.Hold) []Step {
 	if j.phase == phaseResolve && v.Checks(j.engine) && !j.fenced {
--- a/core/replayer/state.go
+++ b/core/replayer/state.go
@@ -14,6 +14,12 @@
 // CompileFunc checks a document's sections and returns the document. It must depend on the sections alone.
 type CompileFunc func(configurer.Sections) (*configurer.Document, error)
 
+// Entry is one record with its offset.
+type Entry struct {
+	Offset identifier.Offset
+	Record []byte
+}
+
 // Lease is the latest granted claim of a scope. The fold knows no time: holders and claimants judge expiry themselves.
 type Lease struct {
 	Scope  identifier.Scope
--- /dev/null
+++ b/core/throttler/throttler.go
@@ -0,0 +1,96 @@
+// Package throttler holds appends back to the process's share of the log's rate, the most urgent first.
+package throttler
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+// Urgency orders appends when the budget is short; a lower number goes first.
+type Urgency int
+
+// Urgencies of appends.
+const (
+	UrgencyLease Urgency = iota + 1
+	UrgencyClaim
+	UrgencyOutcome
+	UrgencyOrder
+	UrgencySnapshot
+)
+
+// Budget of one process.
+const (
+	// DefaultAppendsPerSecond lets seven processes together stay below a hundred appends a second.
+	DefaultAppendsPerSecond = 14
+	// DefaultBurst covers the leases of all scopes at once.
+	DefaultBurst = 8
+)
+
+// rounding absorbs the error of the bucket's sums, so that a value is due when its wait is over.
+const rounding = 1e-6
+
+type item[T any] struct {
+	urgency Urgency
+	value   T
+}
+
+// Throttler is a token bucket with a queue in order of urgency. It is not safe for concurrent use.
+type Throttler[T any] struct {
+	perSecond float64
+	burst     float64
+	level     float64
+	updated   time.Time
+	queue     []item[T]
+}
+
+// NewThrottler returns a throttler with a full bucket. perSecond is the sustained rate of appends.
+func NewThrottler[T any](perSecond float64, burst int) *Throttler[T] {
+	return &Throttler[T]{perSecond: perSecond, burst: float64(burst), level: float64(burst)}
+}
+
+// Add queues a value behind those that are at least as urgent.
+func (t *Throttler[T]) Add(urgency Urgency, value T) {
+	at := len(t.queue)
+	for at > 0 && t.queue[at-1].urgency > urgency {
+		at--
+	}
+	t.queue = slices.Insert(t.queue, at, item[T]{urgency: urgency, value: value})
+}
+
+// Due removes and returns the values that may be appended now.
+func (t *Throttler[T]) Due(now time.Time) []T {
+	t.refill(now)
+	var due []T
+	for len(t.queue) > 0 && t.level >= 1-rounding {
+		t.level--
+		due = append(due, t.queue[0].value)
+		t.queue = t.queue[1:]
+	}
+	return due
+}
+
+// Wait returns how long until the next value is due, in whole milliseconds; false when nothing is queued.
+func (t *Throttler[T]) Wait(now time.Time) (time.Duration, bool) {
+	if len(t.queue) == 0 {
+		return 0, false
+	}
+	t.refill(now)
+	if t.level >= 1-rounding {
+		return 0, true
+	}
+	milliseconds := math.Ceil((1-t.level)/t.perSecond*1000 - rounding)
+	return time.Duration(milliseconds) * time.Millisecond, true
+}
+
+// Queued returns how many values wait.
+func (t *Throttler[T]) Queued() int { return len(t.queue) }
+
+func (t *Throttler[T]) refill(now time.Time) {
+	if !t.updated.IsZero() && now.After(t.updated) {
+		t.level = min(t.burst, t.level+now.Sub(t.updated).Seconds()*t.perSecond)
+	}
+	if now.After(t.updated) {
+		t.updated = now
+	}
+}
