Split prefill and decode over mixed engines and spread by unseen work

Drafts stalled beside prefill chunks and instances with the same late report herded. Short prompts now run before long ones, a request may prefill on one mixed engine and decode on another, long answers share few batches, prefill beside them costs by how close they are to their deadlines, and the engine is drawn by how the unseen work of the other instances would fill up the engines.

--- a/core/estimator/engine.go
+++ b/core/estimator/engine.go
@@ -19,20 +19,23 @@
 	load       Load
 	known      bool
 	measuredAt time.Time
-	// othersQueued smooths the prefill tokens that other instances keep at the engine.
-	othersQueued Rate
-	others       ownWork
-	own          ownWork
-	past         history
-	cache        *belief
-	prefillRate  Rate
-	step         Line
-	pace         pacer
+	// before is the own work at the time of the measurement.
+	before      ownWork
+	others      ownWork
+	own         ownWork
+	past        history
+	cache       *belief
+	prefillRate Rate
+	step        Line
+	pace        pacer
 	// busy is the smoothed share of time in which the engine runs prefill.
 	busy     float64
 	periodic int
 	// quiet counts the reports in a row without prefill; negative ones were with it.
 	quiet int
+	// stretch is the smoothed ratio of the reported decode step to one without prefill beside it.
+	stretch   Rate
+	stretchAt time.Time
 	// chunk learns how many seconds a decode step lasts longer beside prefill.
 	chunk       Rate
 	lag         lagLearner
@@ -75,14 +78,17 @@
 // Known tells whether the engine has ever reported.
 func (e *Engine) Known() bool { return e.known }
 
-// Age returns how old the newest report is.
+// Age returns how old the newest report is; an engine that never reported has a very old one.
 func (e *Engine) Age(now time.Time) time.Duration {
 	if !e.known {
-		return math.MaxInt64
+		return time.Hour
 	}
 	return now.Sub(e.measuredAt)
 }
 
+// AgeSeconds returns the age of the newest report in seconds.
+func (e *Engine) AgeSeconds(now time.Time) float64 { return e.Age(now).Seconds() }
+
 // Observe takes a report. A fresh one came with an answer and is as good as measured now; any other one is late by a
 // time that is learned from its place among the fresh ones.
 func (e *Engine) Observe(now time.Time, load Load, fresh bool) {
@@ -131,8 +137,8 @@
 		e.cache.clear()
 	}
 	own := e.past.at(measured)
+	e.before = own
 	e.others = ownWork{
-		queued:  max(0, float64(load.QueuedPrefill)-own.queued),
 		pending: max(0, float64(load.PendingOutput)-own.pending),
 		active:  max(0, load.Running+load.Waiting-own.active),
 	}
@@ -160,11 +166,10 @@
 
 // learn takes the rates of the newest report.
 func (e *Engine) learn() {
-	const share = 0.05
 	e.cache.setCapacity(e.load.CacheCapacityTokens)
 	e.prefillRate.Observe(e.load.PrefillPerSecond)
-	e.othersQueued.smooth(e.others.queued, share)
 	step := e.load.DecodeStep.Seconds()
+	e.learnStretch(step)
 	if e.load.Running == 0 || step <= 0 {
 		e.quiet = 0
 		return
@@ -182,6 +187,23 @@
 	}
 }
 
+// learnStretch follows how much longer than its batch explains a decode step takes. An engine that decodes nothing
+// tells an old step; what prefill beside a decode step would cost there is reckoned from the share of busy time.
+func (e *Engine) learnStretch(step float64) {
+	if !e.step.Known() {
+		return
+	}
+	batch := max(1, e.load.Running)
+	plain := e.step.At(float64(batch))
+	ratio := 1 + e.busy*e.chunk.Value(plain)/plain
+	if e.load.Running >= 2 {
+		ratio = max(1, step/plain)
+	}
+	passed := e.measuredAt.Sub(e.stretchAt).Seconds()
+	e.stretchAt = e.measuredAt
+	e.stretch.smooth(ratio, 1-math.Exp(-max(0, passed)/e.settings.StretchMemory.Seconds()))
+}
+
 // settledReports is the number of reports in a row with, or without, prefill after which the reported step is taken to
 // be one beside prefill, or without it.
 const settledReports = 3
@@ -192,11 +214,19 @@
 	r.value += share * (value - r.value)
 }
 
+// longOutput is the output from which on an attempt counts as part of the decoding batch; shorter ones are there too
+// briefly to matter.
+const longOutput identifier.Tokens = 8
+
 // Dispatched adds an attempt of this instance.
 func (e *Engine) Dispatched(now time.Time, work Work, prefix []identifier.PrefixHash) {
 	e.own.queued += float64(work.Prefill)
+	e.own.sent += float64(work.Prefill)
 	e.own.pending += float64(work.Output)
 	e.own.active++
+	if work.Output >= longOutput {
+		e.own.decoding++
+	}
 	e.past.record(now, e.own)
 	e.cache.add(prefix)
 }
@@ -204,7 +234,6 @@
 // Prefilled takes the attempt's prompt out of the own queue at its first token.
 func (e *Engine) Prefilled(now time.Time, work Work) {
 	e.own.queued = max(0, e.own.queued-float64(work.Prefill))
-	e.own.decoding++
 	e.past.record(now, e.own)
 }
 
@@ -215,16 +244,17 @@
 }
 
 // Ended takes an attempt of this instance out. An attempt that ended before its first token leaves its work undone.
-func (e *Engine) Ended(now time.Time, work Work, produced identifier.Tokens, decoding bool) {
+func (e *Engine) Ended(now time.Time, work Work, produced identifier.Tokens, prefilled bool) {
 	e.own.active--
 	e.own.pending -= float64(max(0, work.Output-produced))
-	if decoding {
+	if work.Output >= longOutput {
 		e.own.decoding--
-	} else {
+	}
+	if !prefilled {
 		e.own.queued -= float64(work.Prefill)
 	}
 	if e.own.active <= 0 {
-		e.own = ownWork{}
+		e.own = ownWork{sent: e.own.sent}
 	}
 	e.own.pending = max(0, e.own.pending)
 	e.own.queued = max(0, e.own.queued)
@@ -237,17 +267,19 @@
 // Active returns the number of sequences believed to be at the engine now.
 func (e *Engine) Active() int { return e.others.active + e.own.active }
 
-// Decoding returns the number of sequences believed to be past their first token.
+// Decoding returns the number of sequences believed to decode now or soon.
 func (e *Engine) Decoding() int { return e.others.decoding + e.own.decoding }
 
 // Busy returns the smoothed share of time in which the engine runs prefill.
 func (e *Engine) Busy() float64 { return e.busy }
 
-// queue returns the prefill tokens believed to be ahead of new work. What other instances had queued at the time of
-// measurement fades towards its mean with the certainty, since they go on sending while the engine works it off.
-func (e *Engine) queue(fresh float64) float64 {
-	mean := e.othersQueued.Value(0)
-	return mean + (e.others.queued-mean)*fresh + e.own.queued
+// queue returns the seconds of prefill that are ahead of new work as far as this instance can know: what the report
+// told, with what was sent since and without what was worked off since, but never less than the own unfinished work.
+// What other instances sent since is for the router to allow for.
+func (e *Engine) queue(age, perToken float64) float64 {
+	reported := float64(e.load.QueuedPrefill) + e.own.sent - e.before.sent
+	done := e.own.sent - e.own.queued - e.before.sent + e.before.queued
+	return max(e.own.queued*perToken, reported*perToken-max(age, done*perToken))
 }
 
 // prefillPerSecond returns the learned rate.
@@ -263,22 +295,40 @@
 	return e.settings.InitialDecodeStep.Seconds()
 }
 
-// Forecast predicts the course of one attempt that is sent now.
-func (e *Engine) Forecast(now time.Time, prompt, output identifier.Tokens, prefix []identifier.PrefixHash) Forecast {
-	cached := min(e.cache.cached(prefix), prompt)
-	active := e.Active()
-	decoding := e.Decoding()
-	batch := decoding + 1
-	if e.load.MaxBatch > 0 {
-		batch = min(batch, e.load.MaxBatch)
-	}
-	perToken := e.prefillSeconds(decoding)
-	f := Forecast{Cached: cached, Age: e.Age(now).Seconds()}
+// Prefill predicts the prefill of a prompt that is sent now. Preferred work runs before the queue.
+func (e *Engine) Prefill(now time.Time, prompt identifier.Tokens, prefix []identifier.PrefixHash, preferred bool) PrefillForecast {
+	f := PrefillForecast{Age: e.Age(now).Seconds()}
 	f.Certainty = e.certainty(f.Age)
-	f.Wait = e.queue(f.Certainty)*perToken + e.batchWait(active, e.StepAt(batch))
-	f.Prefill = float64(prompt-cached) * perToken
-	f.Decode = float64(output-1) * e.interval(batch)
-	f.Occupation = float64(prompt-cached)/e.prefillPerSecond() + float64(output)*e.marginalStep(decoding)
+	f.Cached = min(e.cache.cached(prefix), prompt)
+	perToken := e.prefillSeconds(e.Decoding())
+	f.Wait = e.queue(f.Age, perToken)
+	if preferred {
+		f.Wait = min(f.Wait, float64(e.load.Waiting)*float64(prompt)*perToken)
+	}
+	f.Length = float64(prompt-f.Cached) * perToken
+	f.Occupation = float64(prompt-f.Cached) / e.prefillPerSecond()
+	return f
+}
+
+// Pressure compares the time from token to token with the longest that the long answers here can bear; at 1 they are
+// about to be late. The allowed interval is in seconds.
+func (e *Engine) Pressure(allowed float64) float64 {
+	if allowed <= 0 {
+		return 1
+	}
+	return e.interval(max(1, e.Decoding())) / allowed
+}
+
+// Decode predicts the decode of an answer that joins the batch now.
+func (e *Engine) Decode() DecodeForecast {
+	f := DecodeForecast{Batch: e.Decoding() + 1}
+	batch := f.Batch
+	if limit := e.load.MaxBatch; limit > 0 && batch > limit {
+		f.Wait = e.batchWait(batch, limit)
+		batch = limit
+	}
+	f.Interval = e.interval(batch)
+	f.Share = e.StepAt(batch) / float64(batch)
 	return f
 }
 
@@ -298,31 +348,15 @@
 	return perToken * (1 + e.StepAt(active)/chunk)
 }
 
-// interval returns the mean time from token to token in a batch, with the steps that run beside prefill.
+// interval returns the mean time from token to token in a batch. The reported step shows what runs beside it.
 func (e *Engine) interval(batch int) float64 {
-	step := e.StepAt(batch)
-	busy := min(e.busy, e.settings.MaxPrefillShare)
-	steps := (1-busy)/step + busy/(step+e.chunk.Value(step))
-	return e.pace.decode.Value(1) / steps
+	return e.StepAt(batch) * e.stretch.Value(1) * e.pace.decode.Value(1)
 }
 
 // batchWait returns how long new work waits for a place in a full batch.
-func (e *Engine) batchWait(active int, step float64) float64 {
-	limit := e.load.MaxBatch
-	if limit <= 0 || active < limit {
-		return 0
-	}
-	pending := e.others.pending + e.own.pending
-	perSequence := pending / float64(active)
-	return float64(active-limit+1) / float64(limit) * perSequence * step
-}
-
-// marginalStep returns the engine time in seconds that one more sequence adds to each decode step.
-func (e *Engine) marginalStep(active int) float64 {
-	if active == 0 {
-		return e.StepAt(1)
-	}
-	return e.step.Slope()
+func (e *Engine) batchWait(batch, limit int) float64 {
+	pending := (e.others.pending + e.own.pending) / float64(batch)
+	return float64(batch-limit) / float64(limit) * pending * e.StepAt(limit)
 }
 
 // Corrected takes the cached length that the engine itself told for a prompt that it has now prefilled.
@@ -332,17 +366,13 @@
 }
 
 // LearnPrefill takes the time in seconds to the first token of an attempt with the given forecast.
-func (e *Engine) LearnPrefill(f Forecast, actual float64) {
-	learnPace(&e.pace.prefill, (f.Wait+f.Prefill)/e.pace.prefill.Value(1), actual)
+func (e *Engine) LearnPrefill(f PrefillForecast, actual float64) {
+	learnPace(&e.pace.prefill, f.First()/e.pace.prefill.Value(1), actual)
 }
 
 // LearnDecode takes the time in seconds from the first token of an answer to its last.
-func (e *Engine) LearnDecode(f Forecast, expected, output identifier.Tokens, actual float64) {
-	if output < 2 || expected < 1 {
-		return
-	}
-	predicted := f.Decode / e.pace.decode.Value(1) * float64(output-1) / float64(expected)
-	learnPace(&e.pace.decode, predicted, actual)
+func (e *Engine) LearnDecode(f DecodeForecast, output identifier.Tokens, actual float64) {
+	learnPace(&e.pace.decode, f.Length(output)/e.pace.decode.Value(1), actual)
 }
 
 // CacheChanged takes one cache event. After a gap in the sequence the belief is kept as a guess, and answers correct it.
--- a/core/estimator/history.go
+++ b/core/estimator/history.go
@@ -11,9 +11,11 @@
 
 // ownWork is this instance's unfinished work at one engine.
 type ownWork struct {
-	queued  float64
+	queued float64
+	// sent counts all prefill tokens ever sent.
+	sent    float64
 	pending float64
-	// active counts all sequences, decoding those past their first token.
+	// active counts all sequences, decoding those with a long output.
 	active   int
 	decoding int
 }
@@ -51,5 +53,8 @@
 			return s.work
 		}
 	}
+	if h.count == historySamples {
+		return h.samples[h.next].work
+	}
 	return ownWork{}
 }
--- a/core/estimator/load.go
+++ b/core/estimator/load.go
@@ -36,22 +36,34 @@
 	Output  identifier.Tokens
 }
 
-// Forecast is the predicted course of one attempt at one engine.
-type Forecast struct {
-	// Wait is the delay in seconds before the prefill starts.
-	Wait float64
-	// Prefill is the duration in seconds of the attempt's own prefill.
-	Prefill float64
-	// Decode is the time in seconds from the first token to the last.
-	Decode float64
-	// Occupation is the engine time in seconds that the attempt takes from other work.
+// PrefillForecast predicts one attempt's prefill at one engine; durations are in seconds.
+type PrefillForecast struct {
+	// Wait is the delay before the prefill starts; Length is the prefill's own duration.
+	Wait   float64
+	Length float64
+	// Occupation is the engine time that the prefill takes from other work.
 	Occupation float64
-	// Age is the age in seconds of the knowledge behind the forecast.
-	Age float64
-	// Certainty lies between 0 (guess) and 1 (fresh report).
+	Cached     identifier.Tokens
+	// Age is the age of the knowledge behind the forecast, and Certainty lies between 0 (guess) and 1 (fresh report).
+	Age       float64
 	Certainty float64
-	Cached    identifier.Tokens
 }
 
-// Finish returns the predicted time in seconds until the last token.
-func (f Forecast) Finish() float64 { return f.Wait + f.Prefill + f.Decode }
+// First returns the predicted time until the first token.
+func (f PrefillForecast) First() float64 { return f.Wait + f.Length }
+
+// DecodeForecast predicts one attempt's decode at one engine; durations are in seconds.
+type DecodeForecast struct {
+	// Wait is the delay for a place in a full batch.
+	Wait float64
+	// Interval is the mean time from token to token.
+	Interval float64
+	// Share is the part of the engine's time that each token takes: the step divided by the batch that shares it.
+	Share float64
+	Batch int
+}
+
+// Length returns the predicted time from the first token to the last of an output.
+func (f DecodeForecast) Length(output identifier.Tokens) float64 {
+	return f.Wait + float64(output-1)*f.Interval
+}
--- a/core/estimator/settings.go
+++ b/core/estimator/settings.go
@@ -8,6 +8,8 @@
 	ReportLag time.Duration
 	// QueueMemory is the time over which a measured queue loses its meaning.
 	QueueMemory time.Duration
+	// StretchMemory is the time over which the slowing of decode steps by prefill is averaged.
+	StretchMemory time.Duration
 	// InitialPrefillPerSecond is assumed until an engine reports or shows its own rate, in tokens per second.
 	InitialPrefillPerSecond float64
 	// InitialDecodeStep is assumed until an engine reports or shows its own step.
@@ -21,6 +23,7 @@
 	return Settings{
 		ReportLag:               time.Second,
 		QueueMemory:             2 * time.Second,
+		StretchMemory:           5 * time.Second,
 		InitialPrefillPerSecond: 5000,
 		InitialDecodeStep:       25 * time.Millisecond,
 		MaxPrefillShare:         0.8,
--- a/core/scheduler/dispatcher.go
+++ b/core/scheduler/dispatcher.go
@@ -33,7 +33,7 @@
 func (s *Scheduler) admit(r *request, choice router.Choice) bool {
 	occupation := 0.0
 	if choice.Best != nil {
-		occupation = choice.Best.Forecast.Occupation
+		occupation = choice.Best.Occupation(s.routed(r).Output)
 	}
 	verdict, wait := s.admitter.Admit(s.now, r.Caller, r.Urgent, occupation)
 	switch verdict {
@@ -65,7 +65,7 @@
 
 // worthTrying tells whether a request that will probably be late by a careful prediction is dispatched all the same.
 func (s *Scheduler) worthTrying(r *request, best *router.Candidate, remaining float64) bool {
-	return r.Urgent && best.Forecast.Finish() <= remaining
+	return r.Urgent && best.Finish <= remaining
 }
 
 // shortest returns the seconds that the answer takes at least, on the fastest engine without any queue.
@@ -77,8 +77,7 @@
 		if e.Listed || !e.Serves(r.Model) {
 			continue
 		}
-		f := e.Forecast(s.now, q.Prompt, q.Output, q.Prefix)
-		least := f.Prefill + float64(q.Output-1)*e.StepAt(e.Active()+1)
+		least := e.Prefill(s.now, q.Prompt, q.Prefix, true).Length + float64(q.Output-1)*e.StepAt(e.Decoding()+1)
 		if !found || least < shortest {
 			shortest, found = least, true
 		}
@@ -133,6 +132,11 @@
 		Output:     max(1, likely-r.output),
 		LongOutput: max(1, long-r.output),
 		Prefix:     r.Prefix,
+		Allowed:    s.allowed.Value(0),
+		Others: router.Flow{
+			Prefill:   s.prefillSent.PerSecond(s.now) * float64(s.settings.Instances-1),
+			Sequences: s.sequencesSent.PerSecond(s.now) * float64(s.settings.Instances-1),
+		},
 	}
 }
 
@@ -149,34 +153,58 @@
 	best := choice.Best
 	s.sequence++
 	a := &attempt{
-		id:       identifier.AttemptID(string(s.settings.Instance) + "-" + strconv.FormatUint(s.sequence, 36)),
-		request:  r,
-		prefill:  best.Prefill,
-		decode:   best.Decode,
-		forecast: best.Forecast,
-		sent:     s.now,
-		last:     s.now,
+		id:      identifier.AttemptID(string(s.settings.Instance) + "-" + strconv.FormatUint(s.sequence, 36)),
+		request: r,
+		prefill: best.Prefill,
+		decode:  best.Decode,
+		course:  *best,
+		sent:    s.now,
+		last:    s.now,
 	}
 	q := s.routed(r)
-	a.work = estimator.Work{Prefill: max(0, q.Prompt-best.Forecast.Cached), Output: q.Output}
+	a.work = estimator.Work{Prefill: max(0, q.Prompt-best.PrefillForecast.Cached), Output: q.Output}
 	s.attempts[a.id] = a
 	r.attempts = append(r.attempts, a)
 	r.started++
 	s.queue.Remove(r.Request)
 	s.admitter.Decided(s.now, false)
+	s.measure(a, q)
 	s.count(a)
 	s.act(Dispatch{
 		Request:    r.Request,
 		Attempt:    a.id,
 		Prefill:    a.prefill.ID,
 		Decode:     a.decode.ID,
-		Priority:   r.Priority,
+		Priority:   s.enginePriority(r, q.Prompt),
 		SkipOutput: r.output,
 		Hedge:      hedge,
 		Reason:     explain(choice),
 	})
 }
 
+// measure adds an attempt to the instance's flow of work. Preferred prompts pass the queues and don't count.
+func (s *Scheduler) measure(a *attempt, q router.Request) {
+	r := a.request
+	if !s.router.Preferred(q.Prompt) {
+		s.prefillSent.Add(s.now, a.course.PrefillForecast.Occupation)
+	}
+	if q.Output >= s.settings.Tunables.Route.LongAnswer {
+		s.sequencesSent.Add(s.now, 1)
+		s.allowed.Observe(r.Deadline.Sub(s.now).Seconds() / float64(q.LongOutput))
+	}
+}
+
+// preferredPriority is added to the engine priority of short prompts: they delay longer ones by next to nothing.
+const preferredPriority = 1000
+
+// enginePriority returns the priority that orders the prefill queue of an engine.
+func (s *Scheduler) enginePriority(r *request, prompt identifier.Tokens) identifier.Priority {
+	if s.router.Preferred(prompt) {
+		return r.Priority + preferredPriority
+	}
+	return r.Priority
+}
+
 // count adds the attempt to the own work at its engines.
 func (s *Scheduler) count(a *attempt) {
 	s.ejector.Sent(a.prefill.ID)
@@ -194,12 +222,12 @@
 	for _, c := range choice.Considered {
 		d.Candidates = append(d.Candidates, Candidate{
 			Upstream: c.Decode.ID,
-			Finish:   seconds(c.Forecast.Finish()),
-			Cached:   c.Forecast.Cached,
+			Finish:   seconds(c.Finish),
+			Cached:   c.PrefillForecast.Cached,
 			Cost:     c.Cost,
 		})
 	}
-	d.ReportAge = seconds(min(choice.Best.Forecast.Age, maxAgeSeconds))
+	d.ReportAge = seconds(min(choice.Best.PrefillForecast.Age, maxAgeSeconds))
 	return d
 }
 
--- a/core/scheduler/follower.go
+++ b/core/scheduler/follower.go
@@ -29,9 +29,8 @@
 		a.prefill.Prefilled(s.now, a.work)
 	} else {
 		a.prefill.Ended(s.now, estimator.Work{Prefill: a.work.Prefill}, 0, false)
-		a.decode.Prefilled(s.now, estimator.Work{})
 	}
-	a.prefill.LearnPrefill(a.forecast, s.now.Sub(a.sent).Seconds())
+	a.prefill.LearnPrefill(a.course.PrefillForecast, s.now.Sub(a.sent).Seconds())
 }
 
 func (s *Scheduler) finish(e AttemptFinished) {
@@ -43,7 +42,7 @@
 		s.markFirst(a)
 	}
 	r := a.request
-	a.decode.LearnDecode(a.forecast, a.work.Output, e.Output, s.now.Sub(a.first).Seconds())
+	a.decode.LearnDecode(a.course.DecodeForecast, e.Output, s.now.Sub(a.first).Seconds())
 	if e.CachedPrompt >= 0 {
 		a.prefill.Corrected(r.Prefix, e.CachedPrompt)
 	}
@@ -70,7 +69,7 @@
 		return
 	}
 	ratio = 0
-	if decode := a.forecast.Decode * float64(output) / float64(max(1, a.work.Output)); decode >= least.Seconds() {
+	if decode := a.course.DecodeForecast.Length(output); decode >= least.Seconds() {
 		ratio = s.now.Sub(a.first).Seconds() / decode
 	}
 	s.ejector.Succeeded(s.now, a.decode.ID, ratio)
@@ -201,8 +200,8 @@
 		Hedged:     r.started > 1,
 		Waited:     waited,
 		Predicted:  a.predictedFirst(),
-		Occupation: seconds(choice.Best.Forecast.Occupation),
-		Finish:     seconds(choice.Best.Forecast.Finish()),
+		Occupation: seconds(choice.Best.Occupation(a.work.Output)),
+		Finish:     seconds(choice.Best.Finish),
 		Remaining:  r.Deadline.Sub(s.now),
 	}
 	if s.retrier.Hedge(slow) {
--- a/core/scheduler/request.go
+++ b/core/scheduler/request.go
@@ -6,6 +6,7 @@
 
 	"rosemaryspool.example/core/estimator"
 	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/core/router"
 )
 
 // request is one request that has no final answer yet.
@@ -29,17 +30,17 @@
 	prefill *estimator.Engine
 	decode  *estimator.Engine
 	// work is the prefill and output counted at the engines.
-	work     estimator.Work
-	forecast estimator.Forecast
-	sent     time.Time
-	first    time.Time
-	last     time.Time
-	output   identifier.Tokens
+	work   estimator.Work
+	course router.Candidate
+	sent   time.Time
+	first  time.Time
+	last   time.Time
+	output identifier.Tokens
 }
 
 // predictedFirst returns the predicted time from the dispatch to the first token.
 func (a *attempt) predictedFirst() time.Duration {
-	return seconds(a.forecast.Wait + a.forecast.Prefill)
+	return seconds(a.course.PrefillForecast.First())
 }
 
 func (r *request) hasTried(id identifier.UpstreamID) bool { return slices.Contains(r.tried, id) }
--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -30,8 +30,13 @@
 	requests map[identifier.RequestID]*request
 	attempts map[identifier.AttemptID]*attempt
 	// open holds the requests in order of arrival, with closed ones that the next tick takes out.
-	open     []*request
-	lengths  map[identifier.ClassName]*estimator.Length
+	open    []*request
+	lengths map[identifier.ClassName]*estimator.Length
+	// prefillSent and sequencesSent measure what this instance sends: engine seconds and long answers a second.
+	prefillSent   *estimator.Meter
+	sequencesSent *estimator.Meter
+	// allowed learns the time from token to token that long answers can bear.
+	allowed  estimator.Rate
 	sequence uint64
 	now      time.Time
 	actions  []Action
@@ -57,6 +62,8 @@
 		attempts: make(map[identifier.AttemptID]*attempt),
 		lengths:  make(map[identifier.ClassName]*estimator.Length),
 	}
+	s.prefillSent = estimator.NewMeter(tunables.FlowMemory)
+	s.sequencesSent = estimator.NewMeter(tunables.FlowMemory)
 	s.setInstances(settings.Instances)
 	return s
 }
--- a/core/scheduler/settings.go
+++ b/core/scheduler/settings.go
@@ -36,6 +36,8 @@
 	Subset int
 	// StallPause is how long a stream may stay silent before it is resumed elsewhere.
 	StallPause time.Duration
+	// FlowMemory is the time over which the own flow of work is measured; that of the other instances is reckoned from it.
+	FlowMemory time.Duration
 	// QueueTries is how many waiting requests are tried again after each event; ticks try all.
 	QueueTries int
 }
@@ -51,6 +53,7 @@
 		FullFleet:  32,
 		Subset:     24,
 		StallPause: 5 * time.Second,
+		FlowMemory: 20 * time.Second,
 		QueueTries: 4,
 	}
 }
