--- a/core/configurer/parse_test.go
+++ b/core/configurer/parse_test.go
@@ -141,7 +141,7 @@
 
 func TestParseBoundsText(t *testing.T) {
 	_, err := Parse("trial.yaml", make([]byte, MaxTextBytes+1))
-	require.ErrorContains(t, err, fmt.Sprint("code ", TooLarge))
+	require.ErrorContains(t, err, fmt.Sprintf("code %d", TooLarge))
 }
 
 func TestCallerLimits(t *testing.T) {
--- a/core/deduplicator/answering.go
+++ b/core/deduplicator/answering.go
@@ -27,6 +27,9 @@
 		}
 		return nil
 	default:
+		if e.answered() {
+			return d.replay(request, e.own)
+		}
 		if now.Sub(e.readAt) < d.settings.RunLimit {
 			return refuse(request, runningRefusal())
 		}
@@ -34,6 +37,15 @@
 	}
 }
 
+// answered tells whether this process's own run of the key has an answer.
+func (e *entry) answered() bool {
+	if e.own == nil || e.own.GetAttemptId() != string(e.attempt) {
+		return false
+	}
+	result := e.own.GetResult()
+	return result == messenger.DispatchResult_DISPATCH_RESULT_DONE || result == messenger.DispatchResult_DISPATCH_RESULT_FAILED
+}
+
 // refuseWaiting ends a call that is given up: by what the log says of its key, else by the refusal.
 func (d *Deduplicator) refuseWaiting(now time.Time, c *call, refusal *refuser.Refusal) []Action {
 	d.giveUp(c)
@@ -88,6 +100,7 @@
 		outcome.Answer = e.Answer[:d.settings.AnswerLimit]
 		outcome.AnswerTruncated = true
 	}
+	d.memory.note(r.id, outcome)
 	d.recordOutcome(outcome)
 	if r.left {
 		return nil
--- a/core/deduplicator/memory.go
+++ b/core/deduplicator/memory.go
@@ -38,6 +38,8 @@
 	// spent holds the attempts that were released.
 	spent   []identifier.AttemptID
 	outcome *messenger.DispatchOutcome
+	// own is the outcome of this process's run that has not been read back yet.
+	own *messenger.DispatchOutcome
 }
 
 // memory folds claims and outcomes by key and forgets keys by their issue time.
@@ -89,6 +91,13 @@
 	return true
 }
 
+// note keeps the outcome of an own run until it is read back, so that a repeat gets the answer at once.
+func (m *memory) note(id keyID, outcome *messenger.DispatchOutcome) {
+	if e, ok := m.entries[id]; ok && e.attempt == identifier.AttemptID(outcome.GetAttemptId()) {
+		e.own = outcome
+	}
+}
+
 // close folds one outcome. Only the first outcome of the running attempt counts.
 func (m *memory) close(outcome *messenger.DispatchOutcome) bool {
 	id := keyID{identifier.CallerID(outcome.GetCaller()), identifier.IdempotencyKey(outcome.GetKey())}
--- a/core/refuser/refuser.go
+++ b/core/refuser/refuser.go
@@ -64,6 +64,44 @@
 	HistoryIncomplete   Code = 4006
 )
 
+// names holds each code's name in replies and logs.
+var names = map[Code]string{
+	BadRequest:          "badRequest",
+	BodyTooLarge:        "bodyTooLarge",
+	UnknownClass:        "unknownClass",
+	UnknownModel:        "unknownModel",
+	MissingCaller:       "missingCaller",
+	MissingKey:          "missingKey",
+	BadIssueTime:        "badIssueTime",
+	UnknownService:      "unknownService",
+	UnknownCaller:       "unknownCaller",
+	NoConfiguration:     "noConfiguration",
+	DeadlineUnreachable: "deadlineUnreachable",
+	CallerOverLimit:     "callerOverLimit",
+	Overloaded:          "overloaded",
+	ShuttingDown:        "shuttingDown",
+	NoUpstream:          "noUpstream",
+	UpstreamFailed:      "upstreamFailed",
+	DeadlineExceeded:    "deadlineExceeded",
+	AnswerIncomplete:    "answerIncomplete",
+	UpstreamRejected:    "upstreamRejected",
+	CallerGone:          "callerGone",
+	KeyTooOld:           "keyTooOld",
+	KeyReused:           "keyReused",
+	KeyRunning:          "keyRunning",
+	KeyOutcomeUnknown:   "keyOutcomeUnknown",
+	LogUnavailable:      "logUnavailable",
+	HistoryIncomplete:   "historyIncomplete",
+}
+
+// String returns the code's name.
+func (c Code) String() string {
+	if name, ok := names[c]; ok {
+		return name
+	}
+	return "code" + strconv.Itoa(int(c))
+}
+
 // Refusal is a failed request as its caller sees it.
 type Refusal struct {
 	Code    Code
--- /dev/null
+++ b/rosemaryspool/assembler/part.go
@@ -0,0 +1,156 @@
+package assembler
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"rosemaryspool.example/adaptor/appender"
+	"rosemaryspool.example/adaptor/completer"
+	"rosemaryspool.example/adaptor/director"
+	"rosemaryspool.example/adaptor/invoker"
+	"rosemaryspool.example/adaptor/lister"
+	"rosemaryspool.example/adaptor/querier"
+	"rosemaryspool.example/core/classifier"
+	"rosemaryspool.example/core/configurer"
+	"rosemaryspool.example/core/controller"
+	"rosemaryspool.example/core/deduplicator"
+	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/core/scheduler"
+	"rosemaryspool.example/rosemaryspool/committer"
+	"rosemaryspool.example/rosemaryspool/dispatcher"
+	"rosemaryspool.example/rosemaryspool/executor"
+	"rosemaryspool.example/rosemaryspool/explainer"
+	"rosemaryspool.example/rosemaryspool/follower"
+	"rosemaryspool.example/rosemaryspool/resolver"
+	"rosemaryspool.example/rosemaryspool/responder"
+	"rosemaryspool.example/rosemaryspool/server"
+	"rosemaryspool.example/rosemaryspool/watcher"
+	"rosemaryspool.example/wire/messenger"
+)
+
+// bootstrapTimeout bounds the question to one peer.
+const bootstrapTimeout = 2 * time.Second
+
+// assemble makes the parts; nothing runs yet.
+func (d *Daemon) assemble() {
+	registry := metrics.NewRegistry()
+	log := appender.NewClient(d.settings.LogURL)
+	targets := resolver.NewResolver(resolver.Factory{
+		Engine:   func(address string) completer.Engine { return completer.NewClient(baseURL(address)) },
+		Director: func(address string) director.Engine { return director.NewClient(baseURL(address)) },
+		Service:  func(address string) invoker.Service { return invoker.NewClient(baseURL(address)) },
+	})
+	d.explainer = explainer.NewExplainer()
+	d.committer = committer.NewCommitter(log, d.log, registry)
+	core := scheduler.NewScheduler(scheduler.Settings{
+		Instance: d.settings.Instance, DataCentre: d.settings.DataCentre, Instances: 1, Seed: uint64(time.Now().UnixNano()),
+	})
+	d.dispatcher = dispatcher.NewDispatcher(core, targets, d.explainer, d.log, registry)
+	d.watcher = watcher.NewWatcher(lister.NewClient(d.settings.ListURL), targets, d.dispatcher.Notify, d.log)
+	d.executor = executor.NewExecutor(executor.Settings{
+		Deduplicator: deduplicator.NewSettings(d.settings.Instance, d.incarnation, "claims"),
+		Stream:       appender.Stream(d.settings.Environment) + ".claims.0",
+	}, targets, log, d.committer, d.log)
+	d.server = server.NewServer(server.Settings{
+		Instance:     d.settings.Instance,
+		MaxBodyBytes: d.settings.MaxBodyBytes,
+		BodyTimeout:  d.settings.BodyTimeout,
+	}, d.dispatcher, d.executor, d.log, registry)
+	d.follower = follower.NewFollower(
+		controller.NewSettings(d.settings.Environment, d.settings.Instance, d.incarnation, configurer.Compile),
+		log, d.committer, targets, d.listeners(), d.log)
+	d.responder = responder.NewResponder(responder.Settings{
+		Instance: d.settings.Instance, DataCentre: d.settings.DataCentre, Environment: d.settings.Environment,
+	}, d.follower, log, d, d.log)
+}
+
+func (d *Daemon) listeners() follower.Listeners {
+	return follower.Listeners{
+		InForce: d.putInForce,
+		Draining: func(ids []identifier.UpstreamID) {
+			d.watcher.SetDraining(ids)
+			d.executor.SetDraining(ids)
+		},
+		Lease:      func(identifier.Scope, bool) {},
+		Order:      func(controller.OrderClosed) {},
+		Incomplete: func() { go d.bootstrap() },
+	}
+}
+
+// putInForce hands a configuration to every part that reads it.
+func (d *Daemon) putInForce(configuration controller.ConfigInForce) {
+	document := configuration.Document
+	models := make(map[identifier.UpstreamID][]identifier.ModelName, len(document.Engines))
+	for _, e := range document.Engines {
+		models[e.ID] = []identifier.ModelName{e.Model}
+	}
+	d.watcher.SetModels(models)
+	d.executor.SetWindow(document.Keys.Window)
+	for _, c := range document.Callers {
+		d.dispatcher.Notify(scheduler.CallerLimited{Caller: c.ID, RequestsPerSecond: c.RequestsPerSecond, Burst: c.Burst})
+	}
+	d.server.SetConfiguration(classifier.NewClassifier(configuration.Revision, document))
+}
+
+// bootstrap asks the peers for their folded state and hands the newest one to the controller.
+func (d *Daemon) bootstrap() {
+	newest := &messenger.BootstrapReply{}
+	for _, p := range d.watcher.Peers() {
+		if p.ID == string(d.settings.Instance) || p.PeerAddress == "" {
+			continue
+		}
+		reply, err := d.askPeer(p.PeerAddress, newest.GetNextOffset())
+		if err != nil {
+			d.log.Warn().Str("event", "bootstrapFailed").Str("peer", p.ID).Err(err).Msg("Could not ask a peer for its state")
+			continue
+		}
+		if reply.GetNextOffset() > newest.GetNextOffset() {
+			newest = reply
+		}
+	}
+	if newest.GetNextOffset() == 0 {
+		return
+	}
+	snapshot := &messenger.Snapshot{
+		NextOffset: newest.GetNextOffset(), State: newest.GetState(), Checksum: newest.GetChecksum(),
+	}
+	d.follower.Notify(controller.SnapshotLoaded{Now: time.Now(), Snapshot: snapshot})
+}
+
+func (d *Daemon) askPeer(address string, known uint64) (*messenger.BootstrapReply, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), bootstrapTimeout)
+	defer cancel()
+	peer := querier.NewClient(address)
+	defer peer.Close()
+	return peer.Bootstrap(ctx, &messenger.BootstrapRequest{
+		Environment: string(d.settings.Environment), Instance: string(d.settings.Instance), KnownOffset: known,
+	})
+}
+
+// Leaving tells whether the instance is in a planned stop.
+func (d *Daemon) Leaving() bool { return d.server.Leaving() }
+
+// Upstreams returns this instance's view of its upstreams.
+func (d *Daemon) Upstreams() []*messenger.UpstreamStatus { return d.watcher.Statuses() }
+
+// Explain returns the kept decision lines of a request.
+func (d *Daemon) Explain(request identifier.RequestID) []string { return d.explainer.Find(request) }
+
+// Refusing tells why non-idempotent work is refused; it is empty when it is not.
+func (d *Daemon) Refusing() string {
+	if d.follower.LogReachable() {
+		return ""
+	}
+	return "the log cannot be read"
+}
+
+// baseURL completes an address of the instance list, which is IP:PORT or a URL.
+func baseURL(address string) string {
+	if strings.Contains(address, "://") {
+		return address
+	}
+	return "http://" + address
+}
--- a/rosemaryspool/commander/commander.go
+++ b/rosemaryspool/commander/commander.go
@@ -4,17 +4,51 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/urfave/cli/v3"
 )
 
-// Run runs the command line and returns the process's exit code.
+// Run runs the command line and returns the process's exit code: 0 on success, 1 on a failure, 2 on wrong settings.
 func Run(arguments []string) int {
-	root := &cli.Command{Name: "rosemaryspool", Usage: "serve language models on a fixed fleet of engines"}
-	if err := root.Run(context.Background(), arguments); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return 1
+	return run(arguments, os.Stdout, os.Stderr)
+}
+
+func run(arguments []string, output, failures io.Writer) int {
+	root := &cli.Command{
+		Name:           "rosemaryspool",
+		Usage:          "serve language models on a fixed fleet of engines",
+		Commands:       []*cli.Command{serveCommand(output), demoCommand(output)},
+		Writer:         output,
+		ErrWriter:      failures,
+		ExitErrHandler: func(context.Context, *cli.Command, error) {},
+	}
+	ctx, cancel := stopContext()
+	defer cancel()
+	err := root.Run(ctx, arguments)
+	if err == nil {
+		return 0
 	}
-	return 0
+	fmt.Fprintln(failures, err)
+	if _, ok := err.(*SettingsError); ok {
+		return 2
+	}
+	return 1
+}
+
+// stopContext ends at the first SIGTERM or interrupt; a second one ends the process at once.
+func stopContext() (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(context.Background())
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	go func() {
+		<-signals
+		cancel()
+		<-signals
+		os.Exit(1)
+	}()
+	return ctx, cancel
 }
--- /dev/null
+++ b/rosemaryspool/committer/committer.go
@@ -0,0 +1,212 @@
+// Package committer appends records to the log in groups and within one budget for all kinds of record.
+package committer
+
+import (
+	"context"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
+
+	"rosemaryspool.example/adaptor/appender"
+	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/core/throttler"
+	"rosemaryspool.example/rosemaryspool/meter"
+)
+
+const (
+	// groupLimit bounds the records of one append.
+	groupLimit = 256
+	// appendTimeout bounds one append; after it the outcome is unknown.
+	appendTimeout = 2 * time.Second
+	// ringCapacity bounds the batches that wait for the committer; senders block beyond it.
+	ringCapacity = 1024
+	// laneCapacity bounds the groups that are due but wait for the append before them.
+	laneCapacity = 64
+)
+
+// Batch is a group of records that belong together.
+type Batch struct {
+	Stream  appender.Stream
+	Records [][]byte
+	Urgency throttler.Urgency
+	// Ended is called once with the offset of the batch's first record or with the error. It must not block.
+	Ended func(first identifier.Offset, err error)
+}
+
+// group is a set of batches that share one append.
+type group struct {
+	stream  appender.Stream
+	batches []Batch
+	count   int
+}
+
+// groupKey tells which batches may share an append.
+type groupKey struct {
+	stream  appender.Stream
+	urgency throttler.Urgency
+}
+
+// Committer owns the appends of one process.
+type Committer struct {
+	log    appender.Log
+	events zerolog.Logger
+	budget *throttler.Throttler[groupKey]
+	open   map[groupKey]*group
+	ring   chan Batch
+	// leases and others carry groups to their append, so that a slow append of the rest delays no lease.
+	leases chan *group
+	others chan *group
+	done   chan struct{}
+
+	appends  metrics.Counter
+	records  metrics.Counter
+	failed   metrics.Counter
+	duration metrics.Histogram
+}
+
+// NewCommitter returns a committer; Run must be started before batches are submitted.
+func NewCommitter(log appender.Log, events zerolog.Logger, registry metrics.Registry) *Committer {
+	return &Committer{
+		log:      log,
+		events:   events,
+		budget:   throttler.NewThrottler[groupKey](throttler.DefaultAppendsPerSecond, throttler.DefaultBurst),
+		open:     make(map[groupKey]*group),
+		ring:     make(chan Batch, ringCapacity),
+		leases:   make(chan *group, laneCapacity),
+		others:   make(chan *group, laneCapacity),
+		done:     make(chan struct{}),
+		appends:  metrics.GetOrRegisterCounter("logAppendsTotal", registry),
+		records:  metrics.GetOrRegisterCounter("logRecordsTotal", registry),
+		failed:   metrics.GetOrRegisterCounter("logAppendsFailedTotal", registry),
+		duration: meter.NewHistogram("logAppendDurationNs", registry),
+	}
+}
+
+// Done is closed when Run has returned.
+func (c *Committer) Done() <-chan struct{} { return c.done }
+
+// Submit queues a batch. After Run has returned the batch ends with appender.ErrUnavailable.
+func (c *Committer) Submit(batch Batch) {
+	select {
+	case <-c.done:
+		batch.Ended(0, appender.ErrUnavailable)
+		return
+	default:
+	}
+	select {
+	case c.ring <- batch:
+	case <-c.done:
+		batch.Ended(0, appender.ErrUnavailable)
+	}
+}
+
+// Run appends until stop is closed, then appends what waits and returns.
+func (c *Committer) Run(stop <-chan struct{}) {
+	defer close(c.done)
+	var lanes conc.WaitGroup
+	lanes.Go(func() { c.runLane(c.leases) })
+	lanes.Go(func() { c.runLane(c.others) })
+	c.collect(stop)
+	c.flush()
+	close(c.leases)
+	close(c.others)
+	lanes.Wait()
+}
+
+// collect groups batches and passes on the groups that the budget allows.
+func (c *Committer) collect(stop <-chan struct{}) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-stop:
+			return
+		case b := <-c.ring:
+			c.add(b)
+		case <-timer.C:
+		}
+		for _, key := range c.budget.Due(time.Now()) {
+			c.pass(key)
+		}
+		if wait, ok := c.budget.Wait(time.Now()); ok {
+			timer.Reset(wait)
+		}
+	}
+}
+
+// add puts a batch into the open group of its stream and urgency.
+func (c *Committer) add(batch Batch) {
+	key := groupKey{stream: batch.Stream, urgency: batch.Urgency}
+	g, ok := c.open[key]
+	if ok && g.count+len(batch.Records) > groupLimit {
+		c.pass(key)
+		ok = false
+	}
+	if !ok {
+		g = &group{stream: batch.Stream}
+		c.open[key] = g
+		c.budget.Add(batch.Urgency, key)
+	}
+	g.batches = append(g.batches, batch)
+	g.count += len(batch.Records)
+}
+
+// pass closes the open group of a key and sends it to its lane. A key whose group was passed when full has none.
+func (c *Committer) pass(key groupKey) {
+	g, ok := c.open[key]
+	if !ok {
+		return
+	}
+	delete(c.open, key)
+	if key.urgency == throttler.UrgencyLease {
+		c.leases <- g
+		return
+	}
+	c.others <- g
+}
+
+// flush passes on everything that waits.
+func (c *Committer) flush() {
+	for {
+		select {
+		case b := <-c.ring:
+			c.add(b)
+		default:
+			for key := range c.open {
+				c.pass(key)
+			}
+			return
+		}
+	}
+}
+
+func (c *Committer) runLane(lane <-chan *group) {
+	for g := range lane {
+		c.append(g)
+	}
+}
+
+func (c *Committer) append(g *group) {
+	records := make([][]byte, 0, g.count)
+	for _, b := range g.batches {
+		records = append(records, b.Records...)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), appendTimeout)
+	defer cancel()
+	started := time.Now()
+	offset, err := c.log.Append(ctx, g.stream, records)
+	c.duration.Update(time.Since(started).Nanoseconds())
+	c.appends.Inc(1)
+	c.records.Inc(int64(len(records)))
+	if err != nil {
+		c.failed.Inc(1)
+		c.events.Warn().Str("event", "appendFailed").Str("stream", string(g.stream)).
+			Int("records", len(records)).Err(err).Msg("Could not append to the log")
+	}
+	for _, b := range g.batches {
+		b.Ended(offset, err)
+		offset += identifier.Offset(len(b.Records))
+	}
+}
--- /dev/null
+++ b/rosemaryspool/committer/committer_test.go
@@ -0,0 +1,99 @@
+package committer
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"rosemaryspool.example/adaptor/appender"
+	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/core/throttler"
+)
+
+// countingLog keeps how many records each append carried.
+type countingLog struct {
+	mutex   sync.Mutex
+	appends map[appender.Stream][]int
+	next    identifier.Offset
+	fault   error
+}
+
+func (l *countingLog) Append(_ context.Context, stream appender.Stream, records [][]byte) (identifier.Offset, error) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.appends[stream] = append(l.appends[stream], len(records))
+	first := l.next
+	l.next += identifier.Offset(len(records))
+	return first, l.fault
+}
+
+func (l *countingLog) Read(
+	context.Context, appender.Stream, identifier.Offset, int, time.Duration,
+) (appender.Batch, error) {
+	return appender.Batch{}, nil
+}
+
+func startCommitter(log appender.Log) (*Committer, chan struct{}) {
+	c := NewCommitter(log, zerolog.Nop(), metrics.NewRegistry())
+	stop := make(chan struct{})
+	go c.Run(stop)
+	return c, stop
+}
+
+func TestCommitterGroupsClaimsWithinTheBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := &countingLog{appends: map[appender.Stream][]int{}, next: 1}
+		c, stop := startCommitter(log)
+		ended := 0
+		for range 1000 {
+			batch := Batch{Stream: "claims", Records: [][]byte{{1}}, Urgency: throttler.UrgencyClaim}
+			batch.Ended = func(identifier.Offset, error) { ended++ }
+			c.Submit(batch)
+			time.Sleep(10 * time.Millisecond)
+		}
+		close(stop)
+		<-c.Done()
+		require.Equal(t, 1000, ended)
+		require.LessOrEqual(t, len(log.appends["claims"]), 10*throttler.DefaultAppendsPerSecond+throttler.DefaultBurst+1)
+	})
+}
+
+func TestCommitterAppendsLeasesBesideASlowAppend(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := &countingLog{appends: map[appender.Stream][]int{}, next: 1}
+		c, stop := startCommitter(log)
+		for range throttler.DefaultBurst - 1 {
+			c.Submit(Batch{Stream: "a", Records: [][]byte{{1}}, Urgency: throttler.UrgencyOrder, Ended: func(identifier.Offset, error) {}})
+			synctest.Wait()
+		}
+		started := time.Now()
+		var offset identifier.Offset
+		renewed := make(chan struct{})
+		c.Submit(Batch{Stream: "a", Records: [][]byte{{2}}, Urgency: throttler.UrgencyLease, Ended: func(first identifier.Offset, _ error) {
+			offset = first
+			close(renewed)
+		}})
+		<-renewed
+		require.Zero(t, time.Since(started))
+		require.NotZero(t, offset)
+		close(stop)
+		<-c.Done()
+	})
+}
+
+func TestCommitterAfterStop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, stop := startCommitter(&countingLog{appends: map[appender.Stream][]int{}})
+		close(stop)
+		<-c.Done()
+		var ended error
+		c.Submit(Batch{Urgency: throttler.UrgencyClaim, Ended: func(_ identifier.Offset, err error) { ended = err }})
+		require.ErrorIs(t, ended, appender.ErrUnavailable)
+	})
+}
--- /dev/null
+++ b/rosemaryspool/dispatcher/dispatcher.go
@@ -0,0 +1,287 @@
+// Package dispatcher runs the scheduler's decisions: it feeds events to the core in one goroutine and carries out each
+// attempt in a goroutine of its own.
+package dispatcher
+
+import (
+	"context"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
+
+	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/core/refuser"
+	"rosemaryspool.example/core/scheduler"
+	"rosemaryspool.example/core/slicer"
+	"rosemaryspool.example/rosemaryspool/explainer"
+	"rosemaryspool.example/rosemaryspool/meter"
+	"rosemaryspool.example/rosemaryspool/resolver"
+)
+
+const (
+	// ringCapacity bounds the events that wait for the core; senders block beyond it.
+	ringCapacity = 4096
+	// tickInterval is how often the core looks at its queues: fine against the shortest deadlines of seconds.
+	tickInterval = 10 * time.Millisecond
+)
+
+// Core decides; *scheduler.Scheduler is the one in use.
+type Core interface {
+	Handle(event scheduler.Event) []scheduler.Action
+}
+
+// Work is a classified model request.
+type Work struct {
+	Request        identifier.RequestID
+	Caller         identifier.CallerID
+	Class          identifier.ClassName
+	Model          identifier.ModelName
+	Priority       identifier.Priority
+	Urgent         bool
+	Arrived        time.Time
+	Deadline       time.Time
+	Prompt         string
+	MaxOutput      identifier.Tokens
+	ExpectedOutput identifier.Tokens
+}
+
+// Dispatcher owns the core.
+type Dispatcher struct {
+	core     Core
+	resolver *resolver.Resolver
+	log      zerolog.Logger
+	ring     chan command
+	done     chan struct{}
+	attempts conc.WaitGroup
+
+	exchanges map[identifier.RequestID]*pending
+	running   map[identifier.AttemptID]*attempt
+
+	explainer    *explainer.Explainer
+	decisionTime metrics.Histogram
+	refusals     metrics.Registry
+	inFlight     metrics.Gauge
+}
+
+// pending is a request that has no final answer yet.
+type pending struct {
+	work     Work
+	exchange *Exchange
+}
+
+// command is what the owner goroutine takes from its ring.
+type command interface{ command() }
+
+type submission struct {
+	work     Work
+	exchange *Exchange
+}
+
+type notice struct{ event scheduler.Event }
+
+func (submission) command() {}
+func (notice) command()     {}
+
+// NewDispatcher returns a dispatcher; Run must be started before Submit is used.
+func NewDispatcher(
+	core Core, targets *resolver.Resolver, decisions *explainer.Explainer, log zerolog.Logger, registry metrics.Registry,
+) *Dispatcher {
+	return &Dispatcher{
+		core:         core,
+		explainer:    decisions,
+		resolver:     targets,
+		log:          log,
+		ring:         make(chan command, ringCapacity),
+		done:         make(chan struct{}),
+		exchanges:    make(map[identifier.RequestID]*pending),
+		running:      make(map[identifier.AttemptID]*attempt),
+		decisionTime: meter.NewHistogram("schedulingDecisionNs", registry),
+		refusals:     metrics.NewPrefixedChildRegistry(registry, "refusalsTotal."),
+		inFlight:     metrics.GetOrRegisterGauge("requestsInFlight", registry),
+	}
+}
+
+// Done is closed when Run has returned.
+func (d *Dispatcher) Done() <-chan struct{} { return d.done }
+
+// Run feeds the core until stop is closed, then cancels what still runs and waits for it.
+func (d *Dispatcher) Run(stop <-chan struct{}) {
+	defer close(d.done)
+	ctx, cancel := context.WithCancel(context.Background())
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-stop:
+			cancel()
+			d.abandon()
+			return
+		case c := <-d.ring:
+			d.handle(ctx, c)
+		case now := <-ticker.C:
+			d.feed(ctx, scheduler.Ticked{Now: now})
+		}
+	}
+}
+
+// Submit hands a request to the core and returns the exchange on which its answer appears.
+func (d *Dispatcher) Submit(work Work) *Exchange {
+	exchange := newExchange(work.Request)
+	if !d.send(submission{work: work, exchange: exchange}) {
+		exchange.end(refuser.NewRefusal(refuser.ShuttingDown, refuser.NotRun, "the instance is stopping"), Finish{})
+	}
+	return exchange
+}
+
+// Leave tells that the caller of a request no longer waits.
+func (d *Dispatcher) Leave(request identifier.RequestID) {
+	d.post(scheduler.CallerLeft{Now: time.Now(), Request: request})
+}
+
+// Notify hands an outside event, such as a load report, to the core.
+func (d *Dispatcher) Notify(event scheduler.Event) { d.post(event) }
+
+func (d *Dispatcher) post(event scheduler.Event) { d.send(notice{event: event}) }
+
+func (d *Dispatcher) send(c command) bool {
+	select {
+	case d.ring <- c:
+		return true
+	case <-d.done:
+		return false
+	}
+}
+
+func (d *Dispatcher) handle(ctx context.Context, c command) {
+	switch c := c.(type) {
+	case submission:
+		d.admit(ctx, c)
+	case notice:
+		d.feed(ctx, c.event)
+		d.forget(c.event)
+	}
+}
+
+func (d *Dispatcher) admit(ctx context.Context, s submission) {
+	w := s.work
+	d.exchanges[w.Request] = &pending{work: w, exchange: s.exchange}
+	d.inFlight.Update(int64(len(d.exchanges)))
+	d.feed(ctx, scheduler.RequestArrived{
+		Now:            w.Arrived,
+		Request:        w.Request,
+		Caller:         w.Caller,
+		Class:          w.Class,
+		Model:          w.Model,
+		Priority:       w.Priority,
+		Urgent:         w.Urgent,
+		Deadline:       w.Deadline,
+		Prompt:         slicer.CountTokens(w.Prompt),
+		MaxOutput:      w.MaxOutput,
+		ExpectedOutput: w.ExpectedOutput,
+		Prefix:         slicer.HashPrefixes(w.Model, w.Prompt),
+	})
+}
+
+func (d *Dispatcher) feed(ctx context.Context, event scheduler.Event) {
+	started := time.Now()
+	actions := d.core.Handle(event)
+	if _, ok := event.(scheduler.RequestArrived); ok {
+		d.decisionTime.Update(time.Since(started).Nanoseconds())
+	}
+	for _, a := range actions {
+		d.carryOut(ctx, a)
+	}
+}
+
+func (d *Dispatcher) carryOut(ctx context.Context, action scheduler.Action) {
+	switch a := action.(type) {
+	case scheduler.Dispatch:
+		d.start(ctx, a)
+	case scheduler.Cancel:
+		d.cancelAttempt(a)
+	case scheduler.Refuse:
+		d.refuse(a)
+	case scheduler.Complete:
+		d.complete(a)
+	}
+}
+
+func (d *Dispatcher) start(ctx context.Context, dispatch scheduler.Dispatch) {
+	request, ok := d.exchanges[dispatch.Request]
+	if !ok {
+		return
+	}
+	logDispatch(d.log, request.work, dispatch)
+	d.explainer.Add(dispatch.Request, describeDispatch(dispatch))
+	attemptContext, cancel := context.WithCancel(ctx)
+	a := &attempt{dispatch: dispatch, work: request.work, exchange: request.exchange, cancel: cancel}
+	d.running[dispatch.Attempt] = a
+	d.attempts.Go(func() { d.runAttempt(attemptContext, a) })
+}
+
+func (d *Dispatcher) cancelAttempt(c scheduler.Cancel) {
+	if a, ok := d.running[c.Attempt]; ok {
+		a.cancel()
+	}
+}
+
+func (d *Dispatcher) refuse(r scheduler.Refuse) {
+	request, ok := d.exchanges[r.Request]
+	if !ok {
+		return
+	}
+	logRefusal(d.log, request.work, r.Refusal)
+	d.explainer.Add(r.Request, r.Refusal.Error())
+	metrics.GetOrRegisterCounter(r.Refusal.Code.String(), d.refusals).Inc(1)
+	request.exchange.end(&r.Refusal, Finish{})
+	d.close(r.Request)
+}
+
+func (d *Dispatcher) complete(c scheduler.Complete) {
+	request, ok := d.exchanges[c.Request]
+	if !ok {
+		return
+	}
+	finish := Finish{}
+	if a, ok := d.running[c.Attempt]; ok {
+		finish = a.finish
+	}
+	request.exchange.end(nil, finish)
+	d.close(c.Request)
+}
+
+func (d *Dispatcher) close(request identifier.RequestID) {
+	delete(d.exchanges, request)
+	d.inFlight.Update(int64(len(d.exchanges)))
+}
+
+// forget drops an attempt after its last event.
+func (d *Dispatcher) forget(event scheduler.Event) {
+	switch e := event.(type) {
+	case scheduler.AttemptFinished:
+		delete(d.running, e.Attempt)
+	case scheduler.AttemptFailed:
+		delete(d.running, e.Attempt)
+	}
+}
+
+// abandon ends every open request; what an engine already ran of it changes nothing, as model requests are idempotent.
+func (d *Dispatcher) abandon() {
+	for _, request := range d.exchanges {
+		refusal := refuser.NewRefusal(refuser.ShuttingDown, refuser.OutcomeUnknown, "the instance stopped before the answer")
+		request.exchange.end(refusal, Finish{})
+	}
+	drained := make(chan struct{})
+	go func() {
+		d.attempts.Wait()
+		close(drained)
+	}()
+	for {
+		select {
+		case <-d.ring:
+		case <-drained:
+			return
+		}
+	}
+}
--- /dev/null
+++ b/rosemaryspool/executor/once.go
@@ -0,0 +1,76 @@
+package executor
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"rosemaryspool.example/adaptor/invoker"
+	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/core/refuser"
+	"rosemaryspool.example/wire/messenger"
+)
+
+// RunOnce runs a non-idempotent call at most once over all instances: its claim is first in the log before it is sent.
+func (e *Executor) RunOnce(ctx context.Context, call Call) (invoker.Answer, *refuser.Refusal) {
+	return e.claims.run(ctx, call, hashCall(call))
+}
+
+// hashCall covers everything that decides what the call does.
+func hashCall(call Call) uint64 {
+	digest := xxhash.New()
+	for _, part := range []string{string(call.Service.Name), string(call.Class.Name), call.Path, call.ContentType} {
+		_, _ = digest.WriteString(part)
+		_, _ = digest.Write([]byte{0})
+	}
+	_, _ = digest.Write(call.Body)
+	return digest.Sum64()
+}
+
+// dispatchOnce sends a claimed call to one upstream, once, and tells what is known of its run.
+func (e *Executor) dispatchOnce(ctx context.Context, call Call, attempt identifier.AttemptID) dispatchEnd {
+	target, ok := e.pick(call, nil)
+	if !ok {
+		return dispatchEnd{result: messenger.DispatchResult_DISPATCH_RESULT_NOT_RUN}
+	}
+	ctx, cancel := context.WithDeadline(ctx, call.Deadline)
+	defer cancel()
+	answer, err := e.invoke(ctx, target, call, attempt, true)
+	return dispatchEnd{
+		result:      classifyRun(call, answer, err),
+		status:      answer.Status,
+		contentType: answer.Header.Get("Content-Type"),
+		answer:      answer.Body,
+	}
+}
+
+// dispatchEnd is what is known of a single run.
+type dispatchEnd struct {
+	result      messenger.DispatchResult
+	status      int
+	contentType string
+	answer      []byte
+}
+
+// classifyRun tells whether a call ran. A server error or a redirect says nothing unless the service's contract does.
+func classifyRun(call Call, answer invoker.Answer, err error) messenger.DispatchResult {
+	switch {
+	case errors.Is(err, invoker.ErrNotSent):
+		return messenger.DispatchResult_DISPATCH_RESULT_NOT_RUN
+	case err != nil:
+		return messenger.DispatchResult_DISPATCH_RESULT_UNKNOWN
+	case slices.Contains(call.Service.NotRunStatuses, answer.Status):
+		return messenger.DispatchResult_DISPATCH_RESULT_NOT_RUN
+	case answer.Status >= http.StatusInternalServerError:
+		return messenger.DispatchResult_DISPATCH_RESULT_UNKNOWN
+	case answer.Status >= http.StatusBadRequest:
+		return messenger.DispatchResult_DISPATCH_RESULT_FAILED
+	case answer.Status >= http.StatusMultipleChoices:
+		return messenger.DispatchResult_DISPATCH_RESULT_UNKNOWN
+	default:
+		return messenger.DispatchResult_DISPATCH_RESULT_DONE
+	}
+}
--- /dev/null
+++ b/rosemaryspool/follower/event.go
@@ -0,0 +1,47 @@
+package follower
+
+import (
+	"strings"
+
+	"github.com/rs/zerolog"
+
+	"rosemaryspool.example/core/controller"
+	"rosemaryspool.example/core/identifier"
+)
+
+// logAction writes one line for each decision about configuration, leases and orders.
+func logAction(log zerolog.Logger, action controller.Action) {
+	switch a := action.(type) {
+	case controller.ConfigInForce:
+		log.Info().Str("event", "configurationInForce").Uint64("revision", uint64(a.Revision)).Str("digest", a.Digest).
+			Msg("Put a configuration in force")
+	case controller.ConfigChangeRefused:
+		log.Info().Str("event", "configurationRefused").Str("operator", string(a.Refusal.Operator)).
+			Uint64("base", uint64(a.Refusal.Base)).Uint64("beatenBy", uint64(a.Refusal.BeatenBy)).
+			Str("reason", a.Refusal.Reason).Msg("Refused a configuration change")
+	case controller.UpstreamsDraining:
+		log.Info().Str("event", "upstreamsDraining").Str("upstreams", joinIDs(a.Upstreams)).Msg("Planned changes altered")
+	case controller.LeaseGained:
+		log.Info().Str("event", "leaseGained").Str("scope", string(a.Scope)).Uint64("token", uint64(a.Token)).Msg("Gained a lease")
+	case controller.LeaseLost:
+		log.Info().Str("event", "leaseLost").Str("scope", string(a.Scope)).Msg("Lost a lease")
+	case controller.OrderClosed:
+		log.Info().Str("event", "orderClosed").Str("upstream", string(a.Engine)).Str("order", string(a.Order)).
+			Stringer("result", a.Result).Str("detail", a.Detail).Msg("Closed an order")
+	case controller.EngineDiverged:
+		log.Warn().Str("event", "engineDiverged").Str("upstream", string(a.Engine)).
+			Str("role", a.Report.GetRole()).Str("expectedOrder", a.Expected.GetOrderId()).Msg("Found an engine other than ordered")
+	case controller.HistoryIncomplete:
+		log.Warn().Str("event", "historyIncomplete").Uint64("first", uint64(a.First)).Msg("Records were trimmed before they were read")
+	case controller.HistoryRestored:
+		log.Info().Str("event", "historyRestored").Uint64("next", uint64(a.Next)).Msg("Restored the history")
+	}
+}
+
+func joinIDs(ids []identifier.UpstreamID) string {
+	parts := make([]string, len(ids))
+	for i, id := range ids {
+		parts[i] = string(id)
+	}
+	return strings.Join(parts, ",")
+}
--- /dev/null
+++ b/rosemaryspool/follower/follower.go
@@ -0,0 +1,247 @@
+// Package follower is the shell of the controller: it reads the control stream, appends records and sends orders.
+package follower
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
+
+	"rosemaryspool.example/adaptor/appender"
+	"rosemaryspool.example/core/controller"
+	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/rosemaryspool/committer"
+	"rosemaryspool.example/rosemaryspool/reader"
+	"rosemaryspool.example/rosemaryspool/resolver"
+)
+
+const (
+	// ringCapacity bounds the events that wait for the controller.
+	ringCapacity = 256
+	// tickInterval is fine against lease times of seconds.
+	tickInterval = 250 * time.Millisecond
+	// reportTimeout bounds one read of an engine's report.
+	reportTimeout = 2 * time.Second
+)
+
+// Listeners are called from the follower's goroutine and must not block for long.
+type Listeners struct {
+	// InForce tells of a new configuration.
+	InForce func(controller.ConfigInForce)
+	// Draining names all upstreams that planned changes keep from new work.
+	Draining func([]identifier.UpstreamID)
+	// Lease tells that this process gained or lost a scope's lease.
+	Lease func(scope identifier.Scope, held bool)
+	// Order tells how an order ended.
+	Order func(controller.OrderClosed)
+	// Incomplete tells that records were trimmed unread: a peer's snapshot is needed.
+	Incomplete func()
+}
+
+// Follower owns the controller.
+type Follower struct {
+	controller *controller.Controller
+	stream     appender.Stream
+	reader     *reader.Reader
+	committer  *committer.Committer
+	resolver   *resolver.Resolver
+	listeners  Listeners
+	log        zerolog.Logger
+
+	ring      chan controller.Event
+	calls     chan func()
+	done      chan struct{}
+	tasks     conc.WaitGroup
+	reachable atomic.Bool
+}
+
+// ControlStream names an environment's control stream.
+func ControlStream(environment identifier.Environment) appender.Stream {
+	return appender.Stream(environment) + ".control"
+}
+
+// NewFollower returns a follower; nothing runs before Run.
+func NewFollower(
+	settings controller.Settings, log appender.Log, appends *committer.Committer, targets *resolver.Resolver,
+	listeners Listeners, events zerolog.Logger,
+) *Follower {
+	stream := ControlStream(settings.Environment)
+	return &Follower{
+		controller: controller.NewController(settings),
+		stream:     stream,
+		reader:     reader.NewReader(log, stream, events),
+		committer:  appends,
+		resolver:   targets,
+		listeners:  listeners,
+		log:        events,
+		ring:       make(chan controller.Event, ringCapacity),
+		calls:      make(chan func()),
+		done:       make(chan struct{}),
+	}
+}
+
+// Done is closed when Run has returned.
+func (f *Follower) Done() <-chan struct{} { return f.done }
+
+// LogReachable tells whether the last read of the log succeeded.
+func (f *Follower) LogReachable() bool { return f.reachable.Load() }
+
+// Notify hands an event to the controller.
+func (f *Follower) Notify(event controller.Event) {
+	select {
+	case f.ring <- event:
+	case <-f.done:
+	}
+}
+
+// Inspect runs a function in the follower's goroutine, where it may read the controller's state. It returns false when
+// the follower has stopped or ctx ended first.
+func (f *Follower) Inspect(ctx context.Context, look func(*controller.Controller)) bool {
+	finished := make(chan struct{})
+	call := func() {
+		look(f.controller)
+		close(finished)
+	}
+	select {
+	case f.calls <- call:
+	case <-f.done:
+		return false
+	case <-ctx.Done():
+		return false
+	}
+	<-finished
+	return true
+}
+
+// Shutdown gives up all leases once their orders are closed, and returns when that is done or ctx ends.
+func (f *Follower) Shutdown(ctx context.Context) {
+	f.Notify(controller.ShutdownStarted{Now: time.Now()})
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		idle := false
+		if !f.Inspect(ctx, func(c *controller.Controller) { idle = c.Idle(time.Now()) }) || idle {
+			return
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// Run follows the log until stop is closed.
+func (f *Follower) Run(stop <-chan struct{}) {
+	defer close(f.done)
+	ctx, cancel := context.WithCancel(context.Background())
+	f.tasks.Go(func() { f.reader.Run(ctx) })
+	f.reader.ReadFrom(f.controller.NextOffset())
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-stop:
+			cancel()
+			f.waitForTasks()
+			return
+		case result := <-f.reader.Results():
+			f.take(ctx, result)
+			f.reader.ReadFrom(f.controller.NextOffset())
+		case event := <-f.ring:
+			f.feed(ctx, event)
+		case call := <-f.calls:
+			call()
+		case now := <-ticker.C:
+			f.feed(ctx, controller.Ticked{Now: now})
+		}
+	}
+}
+
+// waitForTasks discards events until no task can send any more.
+func (f *Follower) waitForTasks() {
+	finished := make(chan struct{})
+	go func() {
+		f.tasks.Wait()
+		close(finished)
+	}()
+	for {
+		select {
+		case <-f.ring:
+		case <-f.reader.Results():
+		case <-finished:
+			return
+		}
+	}
+}
+
+func (f *Follower) take(ctx context.Context, result reader.Result) {
+	f.reachable.Store(result.Err == nil)
+	switch {
+	case result.Err != nil:
+	case result.Trimmed > 0:
+		f.feed(ctx, controller.LogTrimmed{Now: result.Now, First: result.Trimmed})
+	default:
+		f.feed(ctx, controller.RecordsRead{Now: result.Now, Entries: result.Entries, End: result.End})
+	}
+}
+
+func (f *Follower) feed(ctx context.Context, event controller.Event) {
+	for _, action := range f.controller.Handle(event) {
+		f.carryOut(ctx, action)
+	}
+}
+
+func (f *Follower) carryOut(ctx context.Context, action controller.Action) {
+	switch a := action.(type) {
+	case controller.Append:
+		f.append(a)
+	case controller.SendOrder:
+		f.tasks.Go(func() { f.sendOrder(ctx, a) })
+	case controller.ReadEngine:
+		f.tasks.Go(func() { f.readEngine(ctx, a) })
+	default:
+		f.tell(action)
+	}
+}
+
+// tell passes a decision on to the listeners.
+func (f *Follower) tell(action controller.Action) {
+	logAction(f.log, action)
+	switch a := action.(type) {
+	case controller.ConfigInForce:
+		f.listeners.InForce(a)
+	case controller.UpstreamsDraining:
+		f.listeners.Draining(a.Upstreams)
+	case controller.LeaseGained:
+		f.listeners.Lease(a.Scope, true)
+	case controller.LeaseLost:
+		f.listeners.Lease(a.Scope, false)
+	case controller.OrderClosed:
+		f.listeners.Order(a)
+	case controller.HistoryIncomplete:
+		f.listeners.Incomplete()
+	}
+}
+
+func (f *Follower) append(a controller.Append) {
+	f.committer.Submit(committer.Batch{
+		Stream:  f.stream,
+		Records: a.Records,
+		Urgency: a.Urgency,
+		Ended: func(first identifier.Offset, err error) {
+			go f.Notify(appendEnded(a, first, err))
+		},
+	})
+}
+
+func appendEnded(a controller.Append, first identifier.Offset, err error) controller.Event {
+	if err == nil {
+		return controller.AppendSucceeded{Now: time.Now(), Records: a.IDs, First: first}
+	}
+	unknown := !errors.Is(err, appender.ErrUnavailable)
+	return controller.AppendFailed{Now: time.Now(), Records: a.IDs, Unknown: unknown}
+}
--- /dev/null
+++ b/rosemaryspool/follower/order.go
@@ -0,0 +1,54 @@
+package follower
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"rosemaryspool.example/adaptor/director"
+	"rosemaryspool.example/core/controller"
+	"rosemaryspool.example/core/fencer"
+	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/wire/messenger"
+)
+
+// sendOrder sends an order once and tells the controller how the send ended.
+func (f *Follower) sendOrder(ctx context.Context, a controller.SendOrder) {
+	answered := controller.OrderAnswered{Order: identifier.OrderID(a.Order.GetOrderId()), Answer: fencer.AnswerNotSent}
+	if u, ok := f.resolver.Find(identifier.UpstreamID(a.Order.GetEngine())); ok && u.Director != nil {
+		request := &messenger.OrderRequest{Order: a.Order, Token: uint64(a.Token)}
+		reply, err := u.Director.Order(ctx, request, a.WriteBy)
+		answered.Reply = reply
+		answered.Answer = classifyAnswer(reply, err)
+	}
+	answered.Now = time.Now()
+	f.Notify(answered)
+}
+
+func classifyAnswer(reply *messenger.OrderReply, err error) fencer.Answer {
+	switch {
+	case errors.Is(err, director.ErrNotSent):
+		return fencer.AnswerNotSent
+	case err != nil:
+		return fencer.AnswerUnknown
+	case reply.GetAccepted():
+		return fencer.AnswerAccepted
+	default:
+		return fencer.AnswerRefused
+	}
+}
+
+// readEngine reads an engine's own report for the controller.
+func (f *Follower) readEngine(ctx context.Context, a controller.ReadEngine) {
+	read := controller.EngineRead{Engine: a.Engine, Read: a.Read}
+	if u, ok := f.resolver.Find(a.Engine); ok && u.Director != nil {
+		callContext, cancel := context.WithTimeout(ctx, reportTimeout)
+		report, err := u.Director.Report(callContext)
+		cancel()
+		if err == nil {
+			read.Report = report
+		}
+	}
+	read.Now = time.Now()
+	f.Notify(read)
+}
--- /dev/null
+++ b/rosemaryspool/logger/logger_test.go
@@ -0,0 +1,24 @@
+package logger
+
+import (
+	"bytes"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestLogWritesKeyValuePairs(t *testing.T) {
+	var output bytes.Buffer
+	log, err := NewLog(&output, "info", func(int) {})
+	require.NoError(t, err)
+	log.Info().Str("event", "routed").Str("reason", `two "words" = x`).Int("count", 3).Str("empty", "").Bool("hedge", true).Msg("Routed a request")
+	log.Debug().Msg("not shown")
+	require.NoError(t, log.Close())
+	require.Regexp(t, `^time=\S+ level=info message="Routed a request" count=3 empty="" event=routed hedge=true reason="two \\"words\\" = x"\n$`,
+		output.String())
+}
+
+func TestNewLogRefusesUnknownLevel(t *testing.T) {
+	_, err := NewLog(&bytes.Buffer{}, "loud", func(int) {})
+	require.Error(t, err)
+}
--- /dev/null
+++ b/rosemaryspool/responder/responder.go
@@ -0,0 +1,148 @@
+// Package responder answers other instances and operators over net/rpc.
+package responder
+
+import (
+	"context"
+	"net"
+
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+
+	"rosemaryspool.example/adaptor/appender"
+	"rosemaryspool.example/adaptor/querier"
+	"rosemaryspool.example/core/controller"
+	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/rosemaryspool/follower"
+	"rosemaryspool.example/wire/messenger"
+)
+
+// relayLimit bounds the records of one relayed read.
+const relayLimit = 1024
+
+// Settings names the instance that answers.
+type Settings struct {
+	Instance    identifier.InstanceID
+	DataCentre  identifier.DataCentre
+	Environment identifier.Environment
+}
+
+// Local is what the responder asks of the rest of the daemon.
+type Local interface {
+	// Leaving tells whether the instance is in a planned stop.
+	Leaving() bool
+	// Upstreams returns the instance's view of its upstreams.
+	Upstreams() []*messenger.UpstreamStatus
+	// Explain returns the kept decision lines of a request.
+	Explain(request identifier.RequestID) []string
+	// Refusing returns why non-idempotent work is refused; empty when it is not.
+	Refusing() string
+}
+
+// Responder is the peer side of one instance.
+type Responder struct {
+	settings Settings
+	follower *follower.Follower
+	log      appender.Log
+	local    Local
+	events   zerolog.Logger
+	done     chan struct{}
+}
+
+// NewResponder returns a responder; it answers once Run is called.
+func NewResponder(
+	settings Settings, control *follower.Follower, log appender.Log, local Local, events zerolog.Logger,
+) *Responder {
+	return &Responder{
+		settings: settings, follower: control, log: log, local: local, events: events, done: make(chan struct{}),
+	}
+}
+
+// Done is closed when Run has returned.
+func (r *Responder) Done() <-chan struct{} { return r.done }
+
+// Run answers on a listener until stop is closed.
+func (r *Responder) Run(listener net.Listener, stop <-chan struct{}) {
+	defer close(r.done)
+	if err := querier.Serve(listener, r, stop); err != nil {
+		r.events.Error().Str("event", "peersFailed").Err(err).Msg("Stopped answering peers")
+	}
+}
+
+// Bootstrap returns the folded state when it is newer than the asker's.
+func (r *Responder) Bootstrap(
+	ctx context.Context, request *messenger.BootstrapRequest,
+) (*messenger.BootstrapReply, error) {
+	reply := &messenger.BootstrapReply{Instance: string(r.settings.Instance)}
+	if request.GetEnvironment() != string(r.settings.Environment) {
+		return nil, eris.Errorf("responder: environment is %s", r.settings.Environment)
+	}
+	var failure error
+	answered := r.follower.Inspect(ctx, func(c *controller.Controller) {
+		if uint64(c.State().Next()) <= request.GetKnownOffset() {
+			return
+		}
+		snapshot, err := c.State().Snapshot()
+		if err != nil {
+			failure = err
+			return
+		}
+		reply.NextOffset = snapshot.GetNextOffset()
+		reply.State = snapshot.GetState()
+		reply.Checksum = snapshot.GetChecksum()
+	})
+	if !answered {
+		return nil, errStopping
+	}
+	return reply, failure
+}
+
+// Relay reads the log for a peer.
+func (r *Responder) Relay(ctx context.Context, request *messenger.RelayRequest) (*messenger.RelayReply, error) {
+	from := identifier.Offset(request.GetFromOffset())
+	limit := min(int(request.GetMaxRecords()), relayLimit)
+	batch, err := r.log.Read(ctx, appender.Stream(request.GetStream()), from, limit, 0)
+	if err != nil {
+		return nil, eris.Wrap(err, "responder: relay a read")
+	}
+	reply := &messenger.RelayReply{FirstOffset: uint64(batch.First), NextOffset: uint64(from) + uint64(len(batch.Entries))}
+	for _, e := range batch.Entries {
+		reply.Entries = append(reply.Entries, &messenger.LogEntry{Offset: uint64(e.Offset), Record: e.Record})
+	}
+	return reply, nil
+}
+
+// Status returns what the instance has in force.
+func (r *Responder) Status(ctx context.Context, request *messenger.StatusRequest) (*messenger.InstanceStatus, error) {
+	status := &messenger.InstanceStatus{
+		Instance:     string(r.settings.Instance),
+		DataCentre:   string(r.settings.DataCentre),
+		Environment:  string(r.settings.Environment),
+		LogReachable: r.follower.LogReachable(),
+		Leaving:      r.local.Leaving(),
+		Upstreams:    r.local.Upstreams(),
+		Refusing:     r.local.Refusing(),
+	}
+	if request.GetRequestId() != "" {
+		status.Decisions = r.local.Explain(identifier.RequestID(request.GetRequestId()))
+	}
+	if !r.follower.Inspect(ctx, func(c *controller.Controller) { describeState(status, c) }) {
+		return nil, errStopping
+	}
+	return status, nil
+}
+
+var errStopping = eris.New("responder: instance is stopping")
+
+func describeState(status *messenger.InstanceStatus, control *controller.Controller) {
+	state := control.State()
+	status.Revision = uint64(state.Revision())
+	status.Digest = state.Digest()
+	status.NextOffset = uint64(state.Next())
+	for _, l := range state.Leases() {
+		if l.Released {
+			continue
+		}
+		lease := &messenger.LeaseStatus{Scope: string(l.Scope), Holder: l.Holder, Token: uint64(l.Token)}
+		status.Leases = append(status.Leases, lease)
+	}
+}
--- /dev/null
+++ b/rosemaryspool/server/body.go
@@ -0,0 +1,47 @@
+package server
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"rosemaryspool.example/core/refuser"
+)
+
+// readBody returns the whole request body within the size and time limits.
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *refuser.Refusal) {
+	control := http.NewResponseController(w)
+	// A writer without deadlines, as in tests, still has the size limit.
+	_ = control.SetReadDeadline(time.Now().Add(s.settings.BodyTimeout))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.settings.MaxBodyBytes))
+	_ = control.SetReadDeadline(time.Time{})
+	if err == nil {
+		return body, nil
+	}
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		message := fmt.Sprintf("the body is larger than %d bytes", tooLarge.Limit)
+		return nil, refuser.NewRefusal(refuser.BodyTooLarge, refuser.NotRun, message)
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		message := fmt.Sprintf("the body did not arrive within %s", s.settings.BodyTimeout)
+		return nil, refuser.NewRefusal(refuser.BadRequest, refuser.NotRun, message)
+	}
+	return nil, refuser.NewRefusal(refuser.BadRequest, refuser.NotRun, "the body could not be read: "+err.Error())
+}
+
+// decodeBody reads a JSON body into target. Unknown fields are ignored, as clients send many optional ones.
+func (s *Server) decodeBody(w http.ResponseWriter, r *http.Request, target any) *refuser.Refusal {
+	body, refusal := s.readBody(w, r)
+	if refusal != nil {
+		return refusal
+	}
+	if err := json.Unmarshal(body, target); err != nil {
+		return refuser.NewRefusal(refuser.BadRequest, refuser.NotRun, "the body is not valid JSON: "+err.Error())
+	}
+	return nil
+}
--- /dev/null
+++ b/rosemaryspool/server/completion.go
@@ -0,0 +1,215 @@
+package server
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+
+	"rosemaryspool.example/core/classifier"
+	"rosemaryspool.example/core/configurer"
+	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/core/refuser"
+	"rosemaryspool.example/core/slicer"
+	"rosemaryspool.example/rosemaryspool/dispatcher"
+)
+
+// defaultMaxOutput is the answer limit of a class that names none, in tokens.
+const defaultMaxOutput identifier.Tokens = 4096
+
+// chatRequest is the body of POST /v1/chat/completions.
+type chatRequest struct {
+	Model               string        `json:"model"`
+	Messages            []chatMessage `json:"messages"`
+	MaxTokens           int           `json:"max_tokens"`
+	MaxCompletionTokens int           `json:"max_completion_tokens"`
+	Stream              bool          `json:"stream"`
+}
+
+type chatMessage struct {
+	Role    string          `json:"role"`
+	Content json.RawMessage `json:"content"`
+}
+
+// textRequest is the body of POST /v1/completions.
+type textRequest struct {
+	Model     string `json:"model"`
+	Prompt    string `json:"prompt"`
+	MaxTokens int    `json:"max_tokens"`
+	Stream    bool   `json:"stream"`
+}
+
+// generation is a decoded model request of either form.
+type generation struct {
+	model     identifier.ModelName
+	prompt    string
+	maxOutput identifier.Tokens
+	stream    bool
+	form      answerForm
+}
+
+func (s *Server) completeChat(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	var body chatRequest
+	if refusal := s.decodeBody(w, r, &body); refusal != nil {
+		s.replyRefusal(w, r, refusal)
+		return
+	}
+	prompt, refusal := flattenMessages(body.Messages)
+	if refusal != nil {
+		s.replyRefusal(w, r, refusal)
+		return
+	}
+	limit := body.MaxTokens
+	if body.MaxCompletionTokens > 0 {
+		limit = body.MaxCompletionTokens
+	}
+	s.generate(w, r, generation{
+		model:     identifier.ModelName(body.Model),
+		prompt:    prompt,
+		maxOutput: identifier.Tokens(limit),
+		stream:    body.Stream,
+		form:      chatForm{},
+	})
+}
+
+func (s *Server) completeText(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	var body textRequest
+	if refusal := s.decodeBody(w, r, &body); refusal != nil {
+		s.replyRefusal(w, r, refusal)
+		return
+	}
+	s.generate(w, r, generation{
+		model:     identifier.ModelName(body.Model),
+		prompt:    body.Prompt,
+		maxOutput: identifier.Tokens(body.MaxTokens),
+		stream:    body.Stream,
+		form:      textForm{},
+	})
+}
+
+// flattenMessages joins chat messages into one prompt, the shared first messages first so that prefixes stay equal.
+func flattenMessages(messages []chatMessage) (string, *refuser.Refusal) {
+	var prompt strings.Builder
+	for _, m := range messages {
+		content, ok := messageText(m.Content)
+		if !ok {
+			return "", refuser.NewRefusal(refuser.BadRequest, refuser.NotRun, "message content must be text")
+		}
+		prompt.WriteString(m.Role)
+		prompt.WriteString(": ")
+		prompt.WriteString(content)
+		prompt.WriteByte('\n')
+	}
+	return prompt.String(), nil
+}
+
+// messageText reads the content of a message: a string, or a list of parts of type text.
+func messageText(content json.RawMessage) (string, bool) {
+	var text string
+	if json.Unmarshal(content, &text) == nil {
+		return text, true
+	}
+	var parts []struct {
+		Type string `json:"type"`
+		Text string `json:"text"`
+	}
+	if json.Unmarshal(content, &parts) != nil {
+		return "", false
+	}
+	for _, p := range parts {
+		if p.Type != "text" {
+			return "", false
+		}
+		text += p.Text
+	}
+	return text, true
+}
+
+func (s *Server) generate(w http.ResponseWriter, r *http.Request, g generation) {
+	work, refusal := s.classify(r, g)
+	if refusal != nil {
+		s.replyRefusal(w, r, refusal)
+		return
+	}
+	exchange := s.dispatcher.Submit(work)
+	if g.stream {
+		s.streamAnswer(w, r, g, exchange)
+		return
+	}
+	s.wholeAnswer(w, r, g, work, exchange)
+}
+
+func (s *Server) classify(r *http.Request, g generation) (dispatcher.Work, *refuser.Refusal) {
+	arrived := time.Now()
+	configuration := s.inForce.Load()
+	if configuration == nil {
+		return dispatcher.Work{}, noConfiguration()
+	}
+	if g.prompt == "" {
+		return dispatcher.Work{}, refuser.NewRefusal(refuser.BadRequest, refuser.NotRun, "the prompt is empty")
+	}
+	if g.maxOutput < 0 {
+		return dispatcher.Work{}, refuser.NewRefusal(refuser.BadRequest, refuser.NotRun, "max_tokens is negative")
+	}
+	headers := readHeaders(r)
+	class, refusal := configuration.ClassifyPrompt(headers, g.model)
+	if refusal != nil {
+		return dispatcher.Work{}, refusal
+	}
+	return dispatcher.Work{
+		Request:        requestID(r),
+		Caller:         headers.Caller,
+		Class:          class.Name,
+		Model:          class.Model,
+		Priority:       class.Priority,
+		Urgent:         class.Urgent,
+		Arrived:        arrived,
+		Deadline:       arrived.Add(class.Deadline),
+		Prompt:         g.prompt,
+		MaxOutput:      outputLimit(class, g.maxOutput),
+		ExpectedOutput: class.ExpectedOutput,
+	}, nil
+}
+
+// outputLimit is the smaller of the caller's and the class's limits; zero means none of its own.
+func outputLimit(class *configurer.Class, wanted identifier.Tokens) identifier.Tokens {
+	limit := class.MaxOutput
+	if limit == 0 {
+		limit = defaultMaxOutput
+	}
+	if wanted > 0 && wanted < limit {
+		return wanted
+	}
+	return limit
+}
+
+func readHeaders(r *http.Request) classifier.Headers {
+	return classifier.Headers{
+		Caller: identifier.CallerID(r.Header.Get(HeaderCaller)),
+		Class:  identifier.ClassName(r.Header.Get(HeaderClass)),
+	}
+}
+
+func noConfiguration() *refuser.Refusal {
+	refusal := refuser.NewRefusal(refuser.NoConfiguration, refuser.NotRun, "no configuration is in force yet")
+	refusal.RetryAfterMS = 1000
+	return refusal
+}
+
+func (s *Server) wholeAnswer(
+	w http.ResponseWriter, r *http.Request, g generation, work dispatcher.Work, exchange *dispatcher.Exchange,
+) {
+	progress, err := exchange.Wait(r.Context())
+	if err != nil {
+		s.dispatcher.Leave(exchange.Request)
+		return
+	}
+	if progress.Refusal != nil {
+		s.replyRefusal(w, r, progress.Refusal)
+		return
+	}
+	prompt := slicer.CountTokens(work.Prompt)
+	s.replyJSON(w, http.StatusOK, g.form.whole(work, string(progress.Text), prompt, progress.Finish))
+}
--- /dev/null
+++ b/rosemaryspool/server/middleware.go
@@ -0,0 +1,38 @@
+package server
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+
+	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/rosemaryspool/meter"
+)
+
+type requestKey struct{}
+
+// measured names the request, times it and passes the request's id back.
+func (s *Server) measured(route string, next httprouter.Handle) httprouter.Handle {
+	timer := meter.NewHistogram("requestDurationNs."+route, s.registry)
+	return func(w http.ResponseWriter, r *http.Request, parameters httprouter.Params) {
+		started := time.Now()
+		id := s.nextRequestID()
+		w.Header().Set(HeaderRequest, string(id))
+		next(w, r.WithContext(context.WithValue(r.Context(), requestKey{}, id)), parameters)
+		timer.Update(time.Since(started).Nanoseconds())
+	}
+}
+
+// nextRequestID returns an id that is unique over all instances and restarts.
+func (s *Server) nextRequestID() identifier.RequestID {
+	id := fmt.Sprintf("%s-%x-%d", s.settings.Instance, s.started.UnixMilli(), s.sequence.Add(1))
+	return identifier.RequestID(id)
+}
+
+func requestID(r *http.Request) identifier.RequestID {
+	id, _ := r.Context().Value(requestKey{}).(identifier.RequestID)
+	return id
+}
--- /dev/null
+++ b/rosemaryspool/server/service.go
@@ -0,0 +1,95 @@
+package server
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+
+	"rosemaryspool.example/adaptor/invoker"
+	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/core/refuser"
+	"rosemaryspool.example/rosemaryspool/executor"
+)
+
+// maxKeyBytes bounds an idempotency key, as keys are kept in the log.
+const maxKeyBytes = 256
+
+func (s *Server) callService(w http.ResponseWriter, r *http.Request, parameters httprouter.Params) {
+	arrived := time.Now()
+	configuration := s.inForce.Load()
+	if configuration == nil {
+		s.replyRefusal(w, r, noConfiguration())
+		return
+	}
+	headers := readHeaders(r)
+	name := identifier.ServiceName(parameters.ByName("service"))
+	class, service, refusal := configuration.ClassifyCall(headers, name)
+	if refusal != nil {
+		s.replyRefusal(w, r, refusal)
+		return
+	}
+	body, refusal := s.readBody(w, r)
+	if refusal != nil {
+		s.replyRefusal(w, r, refusal)
+		return
+	}
+	call := executor.Call{
+		Request:     requestID(r),
+		Caller:      headers.Caller,
+		Class:       class,
+		Service:     service,
+		Deadline:    arrived.Add(class.Deadline),
+		Path:        parameters.ByName("path"),
+		ContentType: r.Header.Get("Content-Type"),
+		Body:        body,
+	}
+	s.runCall(w, r, call)
+}
+
+func (s *Server) runCall(w http.ResponseWriter, r *http.Request, call executor.Call) {
+	if call.Class.Idempotent {
+		answer, refusal := s.executor.RunIdempotent(r.Context(), call)
+		s.replyAnswer(w, r, answer, refusal)
+		return
+	}
+	if refusal := readKey(r, &call); refusal != nil {
+		s.replyRefusal(w, r, refusal)
+		return
+	}
+	answer, refusal := s.executor.RunOnce(r.Context(), call)
+	s.replyAnswer(w, r, answer, refusal)
+}
+
+// readKey takes the idempotency key and its issue time from the headers of a non-idempotent call.
+func readKey(r *http.Request, call *executor.Call) *refuser.Refusal {
+	key := r.Header.Get(HeaderKey)
+	if key == "" || len(key) > maxKeyBytes {
+		message := "class " + string(call.Class.Name) + " is not idempotent: " + HeaderKey + " must hold 1 to " +
+			strconv.Itoa(maxKeyBytes) + " bytes"
+		return refuser.NewRefusal(refuser.MissingKey, refuser.NotRun, message)
+	}
+	issuedAt, err := time.Parse(time.RFC3339, r.Header.Get(HeaderIssuedAt))
+	if err != nil {
+		message := HeaderIssuedAt + " must hold the key's issue time, such as 2026-01-31T12:00:00Z"
+		return refuser.NewRefusal(refuser.BadIssueTime, refuser.NotRun, message)
+	}
+	call.Key = identifier.IdempotencyKey(key)
+	call.IssuedAt = issuedAt
+	return nil
+}
+
+func (s *Server) replyAnswer(w http.ResponseWriter, r *http.Request, answer invoker.Answer, refusal *refuser.Refusal) {
+	if refusal != nil {
+		s.replyRefusal(w, r, refusal)
+		return
+	}
+	if contentType := answer.Header.Get("Content-Type"); contentType != "" {
+		w.Header().Set("Content-Type", contentType)
+	}
+	w.WriteHeader(answer.Status)
+	if _, err := w.Write(answer.Body); err != nil {
+		s.log.Debug().Str("event", "replyBroken").Err(err).Msg("The caller left before the reply")
+	}
+}
--- /dev/null
+++ b/rosemaryspool/server/stream.go
@@ -0,0 +1,80 @@
+package server
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"rosemaryspool.example/rosemaryspool/dispatcher"
+)
+
+// streamAnswer writes the answer as server-sent events. The end mark follows a whole answer only; an answer that
+// cannot be completed ends with an error event instead.
+func (s *Server) streamAnswer(w http.ResponseWriter, r *http.Request, g generation, exchange *dispatcher.Exchange) {
+	stream := &eventStream{writer: w, control: http.NewResponseController(w)}
+	for {
+		progress, err := exchange.Next(r.Context())
+		if err != nil {
+			s.dispatcher.Leave(exchange.Request)
+			return
+		}
+		if progress.Refusal != nil && !stream.started {
+			s.replyRefusal(w, r, progress.Refusal)
+			return
+		}
+		if len(progress.Text) > 0 {
+			stream.send(g.form.chunk(exchange.Request, string(progress.Text), nil))
+		}
+		if progress.Refusal != nil {
+			stream.send(newFailure(r, progress.Refusal))
+			return
+		}
+		if progress.Ended {
+			reason := progress.Finish.Reason
+			stream.send(g.form.chunk(exchange.Request, "", &reason))
+			stream.finish()
+			return
+		}
+		if stream.broken {
+			s.dispatcher.Leave(exchange.Request)
+			return
+		}
+	}
+}
+
+// eventStream writes server-sent events and remembers a broken connection.
+type eventStream struct {
+	writer  http.ResponseWriter
+	control *http.ResponseController
+	started bool
+	broken  bool
+}
+
+func (e *eventStream) send(event any) {
+	encoded, err := json.Marshal(event)
+	if err != nil {
+		e.broken = true
+		return
+	}
+	e.write("data: " + string(encoded) + "\n\n")
+}
+
+func (e *eventStream) finish() { e.write("data: [DONE]\n\n") }
+
+func (e *eventStream) write(text string) {
+	if e.broken {
+		return
+	}
+	if !e.started {
+		e.started = true
+		e.writer.Header().Set("Content-Type", "text/event-stream")
+		e.writer.Header().Set("Cache-Control", "no-store")
+		e.writer.WriteHeader(http.StatusOK)
+	}
+	if _, err := e.writer.Write([]byte(text)); err != nil {
+		e.broken = true
+		return
+	}
+	if err := e.control.Flush(); err != nil {
+		e.broken = true
+	}
+}
--- /dev/null
+++ b/rosemaryspool/watcher/watcher.go
@@ -0,0 +1,251 @@
+// Package watcher reads the instance list and the engines' reports and passes on what changed.
+package watcher
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
+
+	"rosemaryspool.example/adaptor/lister"
+	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/core/scheduler"
+	"rosemaryspool.example/rosemaryspool/dispatcher"
+	"rosemaryspool.example/rosemaryspool/resolver"
+	"rosemaryspool.example/wire/messenger"
+)
+
+const (
+	// listInterval is how often the instance list is read: a leaving upstream must get nothing new after a few seconds.
+	listInterval = time.Second
+	// reportInterval is how often each engine's report is read.
+	reportInterval = 500 * time.Millisecond
+	// callTimeout bounds one read so that a paused engine does not hold up the others.
+	callTimeout = 2 * time.Second
+)
+
+// Watcher polls the platform. Its findings go to Notify as scheduler events.
+type Watcher struct {
+	list     lister.List
+	resolver *resolver.Resolver
+	notify   func(scheduler.Event)
+	log      zerolog.Logger
+	done     chan struct{}
+
+	mutex   sync.Mutex
+	peers   []lister.Member
+	models  map[identifier.UpstreamID][]identifier.ModelName
+	leaving map[identifier.UpstreamID]bool
+	cursors map[identifier.UpstreamID]uint64
+	reports map[identifier.UpstreamID]readReport
+}
+
+// readReport is an engine's latest report and when it was read.
+type readReport struct {
+	report *messenger.EngineReport
+	readAt time.Time
+}
+
+// NewWatcher returns a watcher that has read nothing yet.
+func NewWatcher(
+	list lister.List, targets *resolver.Resolver, notify func(scheduler.Event), log zerolog.Logger,
+) *Watcher {
+	return &Watcher{
+		list: list, resolver: targets, notify: notify, log: log, done: make(chan struct{}),
+		models:  make(map[identifier.UpstreamID][]identifier.ModelName),
+		leaving: make(map[identifier.UpstreamID]bool),
+		cursors: make(map[identifier.UpstreamID]uint64),
+		reports: make(map[identifier.UpstreamID]readReport),
+	}
+}
+
+// Done is closed when Run has returned.
+func (w *Watcher) Done() <-chan struct{} { return w.done }
+
+// Run polls until stop is closed.
+func (w *Watcher) Run(stop <-chan struct{}) {
+	defer close(w.done)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() {
+		<-stop
+		cancel()
+	}()
+	w.readList(ctx)
+	lists := time.NewTicker(listInterval)
+	defer lists.Stop()
+	reports := time.NewTicker(reportInterval)
+	defer reports.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-lists.C:
+			w.readList(ctx)
+		case <-reports.C:
+			w.readReports(ctx)
+		}
+	}
+}
+
+// SetModels tells which models each engine is configured to run.
+func (w *Watcher) SetModels(models map[identifier.UpstreamID][]identifier.ModelName) {
+	w.mutex.Lock()
+	w.models = models
+	w.mutex.Unlock()
+	for _, u := range w.resolver.Engines() {
+		w.announce(u.Member)
+	}
+}
+
+// SetDraining names the upstreams that planned changes keep from new work.
+func (w *Watcher) SetDraining(ids []identifier.UpstreamID) {
+	leaving := make(map[identifier.UpstreamID]bool, len(ids))
+	for _, id := range ids {
+		leaving[id] = true
+	}
+	w.mutex.Lock()
+	w.leaving = leaving
+	w.mutex.Unlock()
+	for _, u := range w.resolver.Engines() {
+		w.announce(u.Member)
+	}
+}
+
+// Statuses returns this instance's view of its upstreams, sorted by id.
+func (w *Watcher) Statuses() []*messenger.UpstreamStatus {
+	now := time.Now()
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	var statuses []*messenger.UpstreamStatus
+	for _, u := range w.resolver.All() {
+		status := &messenger.UpstreamStatus{Upstream: u.Member.ID, Kind: string(u.Member.Kind), State: "inService"}
+		if u.Member.Leaving || w.leaving[u.ID()] {
+			status.State = "leaving"
+		}
+		if r, ok := w.reports[u.ID()]; ok {
+			describeReport(status, r, now)
+		}
+		statuses = append(statuses, status)
+	}
+	slices.SortFunc(statuses, func(a, b *messenger.UpstreamStatus) int {
+		return strings.Compare(a.GetUpstream(), b.GetUpstream())
+	})
+	return statuses
+}
+
+func describeReport(status *messenger.UpstreamStatus, read readReport, now time.Time) {
+	status.Role = read.report.GetRole()
+	status.Model = read.report.GetModel()
+	status.Version = read.report.GetVersion()
+	status.InFlight = read.report.GetRunning() + read.report.GetWaiting()
+	status.ReportAgeMs = identifier.Milliseconds(now.Sub(read.readAt))
+	if read.report.GetChanging() {
+		status.State = "changing"
+	}
+}
+
+// Peers returns the other instances of the last listing.
+func (w *Watcher) Peers() []lister.Member {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return append([]lister.Member(nil), w.peers...)
+}
+
+func (w *Watcher) readList(ctx context.Context) {
+	callContext, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	members, err := w.list.Members(callContext)
+	if err != nil {
+		w.log.Warn().Str("event", "listFailed").Err(err).Msg("Could not read the instance list")
+		return
+	}
+	var peers []lister.Member
+	for _, m := range members {
+		if m.Kind == lister.KindInstance && !m.Leaving {
+			peers = append(peers, m)
+		}
+	}
+	w.mutex.Lock()
+	w.peers = peers
+	w.mutex.Unlock()
+	for _, id := range w.resolver.Update(members) {
+		w.notify(scheduler.UpstreamGone{Now: time.Now(), Upstream: id})
+	}
+	for _, m := range members {
+		if m.Kind == lister.KindEngine {
+			w.announce(m)
+		}
+	}
+}
+
+// announce passes an engine on, with all models unless the configuration names them.
+func (w *Watcher) announce(member lister.Member) {
+	id := identifier.UpstreamID(member.ID)
+	w.mutex.Lock()
+	models := w.models[id]
+	leaving := w.leaving[id] || member.Leaving
+	w.mutex.Unlock()
+	w.notify(scheduler.UpstreamSeen{
+		Now: time.Now(), Upstream: id, DataCentre: member.DataCentre, Models: models, Leaving: leaving,
+	})
+}
+
+func (w *Watcher) readReports(ctx context.Context) {
+	callContext, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var group conc.WaitGroup
+	for _, u := range w.resolver.Engines() {
+		group.Go(func() { w.readEngine(callContext, u) })
+	}
+	group.Wait()
+}
+
+func (w *Watcher) readEngine(ctx context.Context, engine *resolver.Upstream) {
+	report, err := engine.Director.Report(ctx)
+	if err != nil {
+		w.log.Debug().Str("event", "reportFailed").Str("upstream", engine.Member.ID).Err(err).Msg("Could not read a report")
+		return
+	}
+	now := time.Now()
+	w.mutex.Lock()
+	w.reports[engine.ID()] = readReport{report: report, readAt: now}
+	w.mutex.Unlock()
+	w.notify(scheduler.LoadReported{Now: now, Upstream: engine.ID(), Load: *dispatcher.ConvertReport(report)})
+	w.readCacheEvents(ctx, engine)
+}
+
+func (w *Watcher) readCacheEvents(ctx context.Context, engine *resolver.Upstream) {
+	w.mutex.Lock()
+	cursor := w.cursors[engine.ID()]
+	w.mutex.Unlock()
+	batch, err := engine.Director.CacheEvents(ctx, cursor)
+	if err != nil {
+		return
+	}
+	for _, e := range batch.GetEvents() {
+		w.notify(scheduler.CacheChanged{
+			Now:      time.Now(),
+			Upstream: engine.ID(),
+			Sequence: e.GetSequence(),
+			Stored:   convertHashes(e.GetStored()),
+			Evicted:  convertHashes(e.GetEvicted()),
+			Cleared:  e.GetCleared(),
+		})
+	}
+	w.mutex.Lock()
+	w.cursors[engine.ID()] = batch.GetNextSequence()
+	w.mutex.Unlock()
+}
+
+func convertHashes(hashes []uint64) []identifier.PrefixHash {
+	converted := make([]identifier.PrefixHash, len(hashes))
+	for i, h := range hashes {
+		converted[i] = identifier.PrefixHash(h)
+	}
+	return converted
+}
