--- a/core/configurer/checker.go
+++ b/core/configurer/checker.go
@@ -30,11 +30,17 @@
 	minKeyWindow         = time.Minute
 	maxKeyWindow         = 24 * time.Hour
 	maxRequestsPerSecond = 1_000_000
-	maxListed            = 20
 	minNotRunStatus      = 400
 	maxNotRunStatus      = 599
 )
 
+const (
+	// maxListed is how many known names a fault lists when none is near.
+	maxListed = 20
+	// maxSuggested is how many unknown names of one document get a suggestion.
+	maxSuggested = 100
+)
+
 // check returns every fault of meaning by the rules that the document's format version pins.
 func check(document *Document) []Fault {
 	switch document.FormatVersion {
@@ -55,6 +61,8 @@
 	models   map[string]bool
 	services map[string]bool
 	faults   []Fault
+	// suggested counts the names for which a near one was looked for.
+	suggested int
 }
 
 func checkVersion1(document *Document) []Fault {
@@ -246,12 +254,23 @@
 	if known[name] {
 		return true
 	}
+	c.addAbout(where, UnknownReference, list, fmt.Sprintf("unknown %s %q", kind, name), c.suggestOf(name, known))
+	return false
+}
+
+// suggestOf looks for a near name for the first unknown ones only, so that a hostile document can not keep it busy.
+func (c *checker) suggestOf(name string, known map[string]bool) string {
+	if c.suggested >= maxSuggested || len(name) > maxNameBytes {
+		return ""
+	}
+	c.suggested++
 	names := make([]string, 0, len(known))
 	for n := range known {
-		names = append(names, n)
+		if len(n) <= maxNameBytes {
+			names = append(names, n)
+		}
 	}
-	c.addAbout(where, UnknownReference, list, fmt.Sprintf("unknown %s %q", kind, name), suggest(name, names))
-	return false
+	return suggest(name, names)
 }
 
 func (c *checker) checkSize(where place, size, limit int) {
--- a/core/configurer/decoder.go
+++ b/core/configurer/decoder.go
@@ -17,8 +17,9 @@
 // decoder fills a document from a syntax tree and collects every fault on the way.
 type decoder struct {
 	faults []Fault
-	// tainted holds the paths, by index, whose value could not be read.
-	tainted map[string]bool
+	// tainted holds the paths, by index, whose value could not be read, and the lists that hold such a value.
+	tainted      map[string]bool
+	taintedLists map[string]bool
 }
 
 // defaulter is a part of a document that has defaults.
@@ -72,7 +73,7 @@
 		if !f.required || seen[f.name] != nil {
 			continue
 		}
-		d.tainted[joinPath(path, f.name)] = true
+		d.taint(joinPath(path, f.name))
 		if !guessed[f.name] {
 			d.add(startOf(mapping), MissingValue, joinPath(path, f.name), fmt.Sprintf("key %q is missing", f.name), "")
 		}
@@ -85,7 +86,7 @@
 	suggestion := "known keys here: " + strings.Join(fields.names(), ", ")
 	if nearest != "" {
 		suggestion = fmt.Sprintf("did you mean %q?", nearest)
-		d.tainted[joinPath(path, nearest)] = true
+		d.taint(joinPath(path, nearest))
 	}
 	d.add(key, UnknownKey, joinPath(path, key.Value), fmt.Sprintf("unknown key %q", key.Value), suggestion)
 	return nearest
@@ -196,7 +197,7 @@
 }
 
 func (d *decoder) add(t *token.Token, code refuser.Code, path, message, suggestion string) {
-	d.tainted[path] = true
+	d.taint(path)
 	fault := faultAt(t, code, message)
 	fault.Path, fault.Suggestion = path, suggestion
 	d.faults = append(d.faults, fault)
@@ -210,16 +211,12 @@
 	if f.place.index != wholeList && d.tainted[place{list: f.place.list, index: f.place.index}.String()] {
 		return true
 	}
-	if f.about == "" {
-		return false
-	}
-	if d.tainted[f.about] {
-		return true
-	}
-	for path := range d.tainted {
-		if strings.HasPrefix(path, f.about+"[") {
-			return true
-		}
+	return f.about != "" && (d.tainted[f.about] || d.taintedLists[f.about])
+}
+
+func (d *decoder) taint(path string) {
+	d.tainted[path] = true
+	if list, _, ok := strings.Cut(path, "["); ok {
+		d.taintedLists[list] = true
 	}
-	return false
 }
--- a/core/configurer/reader.go
+++ b/core/configurer/reader.go
@@ -40,7 +40,7 @@
 	}
 	document := &Document{}
 	document.setDefaults()
-	d := decoder{tainted: map[string]bool{}}
+	d := decoder{tainted: map[string]bool{}, taintedLists: map[string]bool{}}
 	d.decodeDocument(root, document)
 	if d.tainted["formatVersion"] {
 		return nil, d.faults
