--- a/core/checker/model.go
+++ b/core/checker/model.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"sort"
 
+	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/proto"
 
 	"rosemaryspool.example/wire/messenger"
@@ -170,21 +171,30 @@
 	m.revisions[offset] = true
 }
 
-// digestOf computes the documented digest on its own: SHA-256 over each name and content with its length.
+// digestOf computes the documented digest on its own: SHA-256 over the SHA-256 of each of 256 buckets, a section's bucket
+// being the xxHash64 of its name, and in each over name and content with their lengths, in name order.
 func digestOf(sections map[string]string) string {
+	const bucketCount = 256
 	names := make([]string, 0, len(sections))
 	for name := range sections {
 		names = append(names, name)
 	}
 	sort.Strings(names)
-	hash := sha256.New()
+	var buckets [bucketCount][]byte
 	for _, name := range names {
+		number := xxhash.Sum64String(name) % bucketCount
 		for _, part := range []string{name, sections[name]} {
-			hash.Write(binary.BigEndian.AppendUint64(nil, uint64(len(part))))
-			hash.Write([]byte(part))
+			buckets[number] = binary.BigEndian.AppendUint64(buckets[number], uint64(len(part)))
+			buckets[number] = append(buckets[number], part...)
 		}
 	}
-	return hex.EncodeToString(hash.Sum(nil))
+	var sums []byte
+	for _, text := range buckets {
+		sum := sha256.Sum256(text)
+		sums = append(sums, sum[:]...)
+	}
+	whole := sha256.Sum256(sums)
+	return hex.EncodeToString(whole[:])
 }
 
 func indexOf(names []string, name string) int {
