Take upstreams out of service and back without cutting work

Cause: a planned change must not cut verdicts, checks or answers, and a leaving upstream must get nothing new. Change: core/drainer closes an upstream on the first notice of any source and keeps it closed, waits for all instances' work by the engine's own report, moves unprotected work, orders, probes and restores. The fold keeps the system's planned changes behind its tokens and off those of operators; a restored change cannot come back by a late repeat.

--- a/core/controller/action.go
+++ b/core/controller/action.go
@@ -44,6 +44,9 @@
 // ConfigChangeRefused tells why a change was not accepted and what beat it.
 type ConfigChangeRefused struct{ Refusal replayer.ConfigRefusal }
 
+// PlansChanged names the latest planned change of every upstream, sorted by upstream.
+type PlansChanged struct{ Plans []replayer.Plan }
+
 // UpstreamsDraining names all upstreams that planned changes keep from new work, sorted.
 type UpstreamsDraining struct{ Upstreams []identifier.UpstreamID }
 
@@ -85,6 +88,7 @@
 func (ReadEngine) action()          {}
 func (ConfigInForce) action()       {}
 func (ConfigChangeRefused) action() {}
+func (PlansChanged) action()        {}
 func (UpstreamsDraining) action()   {}
 func (LeaseGained) action()         {}
 func (LeaseLost) action()           {}
--- a/core/controller/controller.go
+++ b/core/controller/controller.go
@@ -73,6 +73,8 @@
 	live     bool
 	inForce  identifier.Revision
 	draining []identifier.UpstreamID
+	// plansNext is the offset after the latest planned change that was announced.
+	plansNext identifier.Offset
 }
 
 // NewController returns a controller that has read nothing yet.
@@ -137,6 +139,9 @@
 		return append(c.carryOut(e.Now, steps), c.advance(e.Now)...)
 	case OrderRequested:
 		return append(c.requestOrder(e), c.advance(e.Now)...)
+	case PlanRequested:
+		c.requestPlan(e)
+		return c.advance(e.Now)
 	case ScopeWanted:
 		c.wanted[e.Scope] = true
 		return c.advance(e.Now)
@@ -180,6 +185,15 @@
 	return c.carryOut(e.Now, c.fences.Request(c.view(e.Now), e.Scope, e.Order))
 }
 
+func (c *Controller) requestPlan(e PlanRequested) {
+	hold, held := c.leases.Held(e.Now, e.Scope)
+	if !held || !c.state.Complete() {
+		return
+	}
+	kind := messenger.RecordKind_RECORD_KIND_PLANNED_CHANGE
+	c.enqueue(kind, e.Scope, hold.Token, e.Change, throttler.UrgencyOrder, nil)
+}
+
 func (c *Controller) failAppend(e AppendFailed) {
 	c.outbox.failed(e.Now, e.Records, e.Unknown)
 	if e.Unknown {
--- a/core/controller/event.go
+++ b/core/controller/event.go
@@ -69,6 +69,13 @@
 	Order *messenger.EngineOrder
 }
 
+// PlanRequested asks for a planned change under the lease of a scope; without the lease nothing is announced.
+type PlanRequested struct {
+	Now    time.Time
+	Scope  identifier.Scope
+	Change *messenger.PlannedChange
+}
+
 // ScopeWanted makes this process a candidate for a scope's lease.
 type ScopeWanted struct {
 	Now   time.Time
@@ -95,6 +102,7 @@
 func (OrderAnswered) event()   {}
 func (EngineRead) event()      {}
 func (OrderRequested) event()  {}
+func (PlanRequested) event()   {}
 func (ScopeWanted) event()     {}
 func (ScopeUnwanted) event()   {}
 func (ShutdownStarted) event() {}
--- a/core/controller/reading.go
+++ b/core/controller/reading.go
@@ -67,6 +67,10 @@
 		c.inForce = revision
 		actions = append(actions, ConfigInForce{Revision: revision, Digest: c.state.Digest(), Document: c.state.Document()})
 	}
+	if next := c.state.PlansNext(); next != c.plansNext {
+		c.plansNext = next
+		actions = append(actions, PlansChanged{Plans: c.state.Plans()})
+	}
 	if draining := c.state.Draining(); !slices.Equal(draining, c.draining) {
 		c.draining = draining
 		actions = append(actions, UpstreamsDraining{Upstreams: draining})
--- /dev/null
+++ b/core/drainer/change.go
@@ -0,0 +1,187 @@
+package drainer
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/wire/messenger"
+)
+
+// changePrefix marks the planned changes that the system makes for its own orders, apart from those of operators.
+const changePrefix = "order/"
+
+// phase tells how far a change came.
+type phase int
+
+const (
+	// phaseDrain waits until the engine is empty.
+	phaseDrain phase = iota + 1
+	// phaseOrder waits for the order's end.
+	phaseOrder
+	// phaseProbe waits for the engine to answer.
+	phaseProbe
+	// phaseRestore waits for the restoring record to be read.
+	phaseRestore
+)
+
+// change is one engine's way through an order.
+type change struct {
+	scope   identifier.Scope
+	order   *messenger.EngineOrder
+	phase   phase
+	beganAt time.Time
+	probeAt time.Time
+	// announceAt is when the change's record is announced again if it was not read.
+	announceAt time.Time
+	result     messenger.OrderResult
+	detail     string
+}
+
+// requestChange begins a change unless the engine is in one or is leaving for another reason.
+func (d *Drainer) requestChange(e ChangeRequested) []Action {
+	id := identifier.UpstreamID(e.Order.GetEngine())
+	u := d.upstream(id)
+	if d.changes[id] != nil || u.left || draining(u.plan) || d.stopping {
+		return []Action{ChangeEnded{
+			Upstream: id,
+			Order:    identifier.OrderID(e.Order.GetOrderId()),
+			Result:   messenger.OrderResult_ORDER_RESULT_NOT_DONE,
+			Detail:   "engine is in a change or leaving",
+		}}
+	}
+	d.changes[id] = &change{scope: e.Scope, order: e.Order, phase: phaseDrain, beganAt: e.Now}
+	return nil
+}
+
+func (c *change) announce(now time.Time, kind messenger.PlannedChangeKind, repeat time.Duration) []Action {
+	if now.Before(c.announceAt) {
+		return nil
+	}
+	c.announceAt = now.Add(repeat)
+	return []Action{Announce{Scope: c.scope, Change: &messenger.PlannedChange{
+		ChangeId: changePrefix + c.order.GetOrderId(),
+		Kind:     kind,
+		Upstream: c.order.GetEngine(),
+	}}}
+}
+
+// owns tells whether a planned change is the one of this order.
+func (c *change) owns(plan *messenger.PlannedChange) bool {
+	return plan.GetChangeId() == changePrefix+c.order.GetOrderId()
+}
+
+func (d *Drainer) advanceChange(now time.Time, id identifier.UpstreamID) []Action {
+	c, u := d.changes[id], d.upstreams[id]
+	switch c.phase {
+	case phaseDrain:
+		return d.advanceDrain(now, id, c, u)
+	case phaseProbe:
+		if now.Before(c.probeAt) {
+			return nil
+		}
+		c.probeAt = now.Add(d.settings.ProbeEvery)
+		return []Action{Probe{Upstream: id}}
+	case phaseRestore:
+		if c.owns(u.plan) && draining(u.plan) {
+			return c.announce(now, messenger.PlannedChangeKind_PLANNED_CHANGE_KIND_RESTORE, d.settings.NoticeWindow)
+		}
+		return d.endChange(id, c)
+	default:
+		return nil
+	}
+}
+
+// advanceDrain orders an engine once it is empty, and gives the change up when that takes too long.
+func (d *Drainer) advanceDrain(now time.Time, id identifier.UpstreamID, c *change, u *upstream) []Action {
+	if u.left || (draining(u.plan) && !c.owns(u.plan)) {
+		c.result = messenger.OrderResult_ORDER_RESULT_NOT_DONE
+		c.detail = "engine is leaving"
+		c.phase = phaseRestore
+		return nil
+	}
+	if now.Sub(c.beganAt) >= d.settings.DrainLimit {
+		c.result = messenger.OrderResult_ORDER_RESULT_NOT_DONE
+		c.detail = "work did not end in time"
+		c.phase = phaseRestore
+		c.announceAt = time.Time{}
+		return nil
+	}
+	if !draining(u.plan) {
+		return c.announce(now, messenger.PlannedChangeKind_PLANNED_CHANGE_KIND_DRAIN, d.settings.NoticeWindow)
+	}
+	if !d.empty(now, id) {
+		return nil
+	}
+	c.phase = phaseOrder
+	return []Action{RequestOrder{Scope: c.scope, Order: c.order}}
+}
+
+func (d *Drainer) closeOrder(e OrderClosed) {
+	for _, c := range d.changes {
+		if c.phase == phaseOrder && identifier.OrderID(c.order.GetOrderId()) == e.Order {
+			c.phase = phaseProbe
+			c.result = e.Result
+			c.detail = e.Detail
+		}
+	}
+}
+
+func (d *Drainer) endProbe(e ProbeEnded) {
+	c, ok := d.changes[e.Upstream]
+	if !ok || c.phase != phaseProbe || !e.OK {
+		return
+	}
+	c.phase = phaseRestore
+	c.announceAt = time.Time{}
+}
+
+func (d *Drainer) endChange(id identifier.UpstreamID, c *change) []Action {
+	delete(d.changes, id)
+	return []Action{ChangeEnded{
+		Upstream: id,
+		Order:    identifier.OrderID(c.order.GetOrderId()),
+		Result:   c.result,
+		Detail:   c.detail,
+	}}
+}
+
+// takeOver finishes the changes that a predecessor left drained: the orders were resolved before, so that the engines
+// only have to answer a probe.
+func (d *Drainer) takeOver(e EnginesHeld) {
+	for _, id := range e.Engines {
+		u := d.upstream(id)
+		if d.changes[id] != nil || !draining(u.plan) || !strings.HasPrefix(u.plan.GetChangeId(), changePrefix) {
+			continue
+		}
+		order := &messenger.EngineOrder{
+			OrderId: strings.TrimPrefix(u.plan.GetChangeId(), changePrefix),
+			Engine:  string(id),
+		}
+		d.changes[id] = &change{
+			scope:   e.Scope,
+			order:   order,
+			phase:   phaseProbe,
+			beganAt: e.Now,
+			result:  messenger.OrderResult_ORDER_RESULT_NOT_DONE,
+			detail:  "taken over from another process",
+		}
+	}
+}
+
+// abandon leaves the changes of a scope to its next holder.
+func (d *Drainer) abandon(scope identifier.Scope) []Action {
+	var actions []Action
+	for _, id := range slices.Sorted(maps.Keys(d.changes)) {
+		c := d.changes[id]
+		if c.scope != scope {
+			continue
+		}
+		c.result = messenger.OrderResult_ORDER_RESULT_NOT_DONE
+		c.detail = "lease was lost"
+		actions = append(actions, d.endChange(id, c)...)
+	}
+	return actions
+}
--- /dev/null
+++ b/core/drainer/drainer.go
@@ -0,0 +1,271 @@
+// Package drainer takes upstreams out of service and back without cutting work: nothing new, wait or move, order,
+// probe, in service. That an upstream leaves is believed from the first source that says so, and kept.
+package drainer
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/wire/messenger"
+)
+
+// Times of a planned change.
+const (
+	// DefaultNoticeWindow is by when every instance has read a planned change and sends nothing new.
+	DefaultNoticeWindow = 3 * time.Second
+	// DefaultMoveAfter lets most work end by itself before long work is moved.
+	DefaultMoveAfter = 5 * time.Second
+	// DefaultDrainLimit gives a change up when protected work does not end; it is never cut.
+	DefaultDrainLimit = 5 * time.Minute
+	// DefaultProbeEvery spaces the probes of an engine that does not answer yet.
+	DefaultProbeEvery = 2 * time.Second
+	// DefaultGoneFor is how long an upstream must be off the list to come back as a new one.
+	DefaultGoneFor = 10 * time.Second
+)
+
+// Settings holds the times of planned changes.
+type Settings struct {
+	NoticeWindow time.Duration
+	MoveAfter    time.Duration
+	DrainLimit   time.Duration
+	ProbeEvery   time.Duration
+	GoneFor      time.Duration
+}
+
+// NewSettings returns the default times.
+func NewSettings() Settings {
+	return Settings{
+		NoticeWindow: DefaultNoticeWindow,
+		MoveAfter:    DefaultMoveAfter,
+		DrainLimit:   DefaultDrainLimit,
+		ProbeEvery:   DefaultProbeEvery,
+		GoneFor:      DefaultGoneFor,
+	}
+}
+
+// upstream is what this instance knows of one upstream.
+type upstream struct {
+	plan *messenger.PlannedChange
+	// left is sticky: once the list or the engine said that it leaves, a silent source does not bring it back.
+	left     bool
+	cause    Cause
+	closed   bool
+	closedAt time.Time
+	drained  bool
+	listed   bool
+	goneAt   time.Time
+	report   ReportSeen
+}
+
+// work is one attempt of this instance.
+type work struct {
+	upstream  identifier.UpstreamID
+	protected bool
+	moved     bool
+}
+
+// Drainer decides for one instance. It is not safe for concurrent use.
+type Drainer struct {
+	settings  Settings
+	upstreams map[identifier.UpstreamID]*upstream
+	work      map[identifier.AttemptID]*work
+	changes   map[identifier.UpstreamID]*change
+	stopping  bool
+	stopped   bool
+}
+
+// NewDrainer returns a drainer that knows no upstream.
+func NewDrainer(settings Settings) *Drainer {
+	return &Drainer{
+		settings:  settings,
+		upstreams: map[identifier.UpstreamID]*upstream{},
+		work:      map[identifier.AttemptID]*work{},
+		changes:   map[identifier.UpstreamID]*change{},
+	}
+}
+
+// Closed tells whether an upstream must get no new work.
+func (d *Drainer) Closed(id identifier.UpstreamID) bool {
+	u, ok := d.upstreams[id]
+	return ok && u.closed
+}
+
+// Handle takes one event and returns the actions to carry out, in order.
+func (d *Drainer) Handle(event Event) []Action {
+	switch e := event.(type) {
+	case PlansSeen:
+		return append(d.seePlans(e), d.advance(e.Now)...)
+	case ListSeen:
+		d.seeList(e)
+		return d.advance(e.Now)
+	case ReportSeen:
+		d.seeReport(e)
+		return d.advance(e.Now)
+	case WorkStarted:
+		d.work[e.Attempt] = &work{upstream: e.Upstream, protected: e.Protected}
+		return nil
+	case WorkEnded:
+		delete(d.work, e.Attempt)
+		return d.advance(e.Now)
+	case ChangeRequested:
+		return append(d.requestChange(e), d.advance(e.Now)...)
+	case OrderClosed:
+		d.closeOrder(e)
+		return d.advance(e.Now)
+	case ProbeEnded:
+		d.endProbe(e)
+		return d.advance(e.Now)
+	case EnginesHeld:
+		d.takeOver(e)
+		return d.advance(e.Now)
+	case LeaseLost:
+		return d.abandon(e.Scope)
+	case StopStarted:
+		d.stopping = true
+		return d.advance(e.Now)
+	case Ticked:
+		return d.advance(e.Now)
+	default:
+		return nil
+	}
+}
+
+func (d *Drainer) upstream(id identifier.UpstreamID) *upstream {
+	u, ok := d.upstreams[id]
+	if !ok {
+		u = &upstream{}
+		d.upstreams[id] = u
+	}
+	return u
+}
+
+// seePlans takes the latest planned changes; one that restores an upstream ends its leaving.
+func (d *Drainer) seePlans(e PlansSeen) []Action {
+	for _, plan := range e.Plans {
+		u := d.upstream(identifier.UpstreamID(plan.GetUpstream()))
+		if u.plan.GetChangeId() == plan.GetChangeId() && u.plan.GetKind() == plan.GetKind() {
+			continue
+		}
+		u.plan = plan
+		if !draining(plan) {
+			u.left = false
+		}
+	}
+	return nil
+}
+
+func draining(plan *messenger.PlannedChange) bool {
+	return plan != nil && plan.GetKind() != messenger.PlannedChangeKind_PLANNED_CHANGE_KIND_RESTORE
+}
+
+// seeList takes the instance list. Only an upstream that was off the list for long counts as a new one.
+func (d *Drainer) seeList(e ListSeen) {
+	present := map[identifier.UpstreamID]bool{}
+	for _, m := range e.Members {
+		present[m.Upstream] = true
+		u := d.upstream(m.Upstream)
+		returned := !u.listed && !u.goneAt.IsZero() && e.Now.Sub(u.goneAt) >= d.settings.GoneFor
+		u.listed = true
+		if m.Leaving {
+			u.leave(CauseList)
+			continue
+		}
+		if returned {
+			u.left = false
+		}
+	}
+	for id, u := range d.upstreams {
+		if u.listed && !present[id] {
+			u.listed = false
+			u.goneAt = e.Now
+		}
+	}
+}
+
+func (d *Drainer) seeReport(e ReportSeen) {
+	u := d.upstream(e.Upstream)
+	u.report = e
+	if e.Leaving {
+		u.leave(CauseReport)
+	}
+}
+
+func (u *upstream) leave(cause Cause) {
+	if !u.left {
+		u.left = true
+		u.cause = cause
+	}
+}
+
+// advance closes and opens upstreams, moves long work and takes each change a step on.
+func (d *Drainer) advance(now time.Time) []Action {
+	var actions []Action
+	for _, id := range slices.Sorted(maps.Keys(d.upstreams)) {
+		actions = append(actions, d.switchUpstream(now, id)...)
+	}
+	actions = append(actions, d.moveLongWork(now)...)
+	for _, id := range slices.Sorted(maps.Keys(d.changes)) {
+		actions = append(actions, d.advanceChange(now, id)...)
+	}
+	if d.stopping && !d.stopped && len(d.work) == 0 {
+		d.stopped = true
+		actions = append(actions, StopReady{})
+	}
+	return actions
+}
+
+func (d *Drainer) switchUpstream(now time.Time, id identifier.UpstreamID) []Action {
+	u := d.upstreams[id]
+	leaving := u.left || draining(u.plan)
+	if leaving && !u.closed {
+		u.closed = true
+		u.closedAt = now
+		u.drained = false
+		if !u.left {
+			u.cause = CausePlan
+		}
+		return []Action{CloseUpstream{Upstream: id, Cause: u.cause}}
+	}
+	if !leaving && u.closed {
+		u.closed = false
+		return []Action{OpenUpstream{Upstream: id}}
+	}
+	if u.closed && !u.drained && d.empty(now, id) {
+		u.drained = true
+		return []Action{UpstreamDrained{Upstream: id}}
+	}
+	return nil
+}
+
+// empty tells whether a closed upstream has no work of any instance: this instance has none, and the engine's report
+// from after the time by which all instances stopped sending says so too.
+func (d *Drainer) empty(now time.Time, id identifier.UpstreamID) bool {
+	for _, w := range d.work {
+		if w.upstream == id {
+			return false
+		}
+	}
+	u := d.upstreams[id]
+	noticed := u.closedAt.Add(d.settings.NoticeWindow)
+	if now.Before(noticed) || u.report.Now.Before(noticed) {
+		return false
+	}
+	return u.report.Running == 0 && u.report.Waiting == 0
+}
+
+// moveLongWork moves the unprotected work of this instance off upstreams that were closed a while ago.
+func (d *Drainer) moveLongWork(now time.Time) []Action {
+	var actions []Action
+	for _, attempt := range slices.Sorted(maps.Keys(d.work)) {
+		w := d.work[attempt]
+		u := d.upstreams[w.upstream]
+		if w.protected || w.moved || u == nil || !u.closed || now.Sub(u.closedAt) < d.settings.MoveAfter {
+			continue
+		}
+		w.moved = true
+		actions = append(actions, MoveAttempt{Attempt: attempt, Upstream: w.upstream})
+	}
+	return actions
+}
--- a/core/replayer/order.go
+++ b/core/replayer/order.go
@@ -68,6 +68,7 @@
 	return OrderClosed{Engine: e.ID, Order: &closed}
 }
 
+// foldPlan takes a planned change. Those of operators carry no token, those of the system the token of their scope.
 func (s *State) foldPlan(offset identifier.Offset, record *messenger.Record, change *messenger.PlannedChange) Effect {
 	id := identifier.UpstreamID(change.GetUpstream())
 	kind := change.GetKind()
@@ -77,7 +78,30 @@
 	if kind > messenger.PlannedChangeKind_PLANNED_CHANGE_KIND_RESTORE {
 		return skip(record, CauseUnknownKind, "planned change")
 	}
+	token := identifier.Token(record.GetToken())
+	if token != 0 && !s.Holds(identifier.Scope(record.GetScope()), token) {
+		return skip(record, CauseStaleToken, "planned change")
+	}
+	if detail := refusePlan(s.plans[id].Change, change, token != 0); detail != "" {
+		return skip(record, CauseRefused, detail)
+	}
 	plan := Plan{Change: change, Offset: offset}
 	s.plans[id] = plan
 	return PlanChanged{Plan: plan}
 }
+
+// refusePlan keeps late repeats of an ended change out, and the system's own changes off those of operators.
+func refusePlan(current, change *messenger.PlannedChange, bySystem bool) string {
+	if current == nil {
+		return ""
+	}
+	restored := current.GetKind() == messenger.PlannedChangeKind_PLANNED_CHANGE_KIND_RESTORE
+	same := current.GetChangeId() == change.GetChangeId()
+	if restored && same {
+		return "change has ended"
+	}
+	if bySystem && !restored && !same {
+		return "upstream is in another change"
+	}
+	return ""
+}
--- a/core/replayer/state.go
+++ b/core/replayer/state.go
@@ -171,6 +171,18 @@
 	return p, ok
 }
 
+// Plans returns the latest planned changes, sorted by upstream.
+func (s *State) Plans() []Plan { return sortedValues(s.plans) }
+
+// PlansNext returns the offset after the latest planned change; zero when there is none.
+func (s *State) PlansNext() identifier.Offset {
+	var next identifier.Offset
+	for _, p := range s.plans {
+		next = max(next, p.Offset+1)
+	}
+	return next
+}
+
 // Draining returns the upstreams that planned changes keep from new work, sorted.
 func (s *State) Draining() []identifier.UpstreamID {
 	var draining []identifier.UpstreamID
