Fold a configuration change at the cost of its delta, and only in its own environment

Cause: the fold copied, hashed and compiled the whole document for each change, and took a document of another environment. Change: the state holds a configurer.Configuration; a nil compile function stands for the configurer's own rules, a given one still compiles whole sections. A document that names another environment than the stream's is refused. Lists are merged by copying what lies between edits.

--- a/core/configurer/compiler.go
+++ b/core/configurer/compiler.go
@@ -23,7 +23,7 @@
 func recompile(old *Document, changed Sections, removed []string) (*Document, error) {
 	part := &Document{}
 	faults := readParts(old, part, changed)
-	gone, more := groupRemoved(removed, changed)
+	gone, more := groupRemoved(removed)
 	faults = append(faults, more...)
 	if len(faults) > 0 {
 		return nil, &FaultList{Name: "sections", Faults: faults}
@@ -56,7 +56,7 @@
 }
 
 // groupRemoved sorts the names of removed sections by kind.
-func groupRemoved(removed []string, changed Sections) (map[string]map[string]bool, []Fault) {
+func groupRemoved(removed []string) (map[string]map[string]bool, []Fault) {
 	gone := map[string]map[string]bool{}
 	var faults []Fault
 	for _, name := range removed {
@@ -65,9 +65,6 @@
 			faults = append(faults, sectionFault(name, "the section can not be removed"))
 			continue
 		}
-		if _, ok := changed[name]; ok {
-			faults = append(faults, sectionFault(name, "the section is changed and removed"))
-		}
 		if gone[kind] == nil {
 			gone[kind] = map[string]bool{}
 		}
@@ -99,27 +96,31 @@
 }
 
 // mergeLists merges two lists that are sorted by name; an entry of the second replaces its namesake in the first.
+// What lies between two edits is copied whole.
 func mergeLists[T any](old, part []T, gone map[string]bool, nameOf func(T) string) []T {
 	if len(part) == 0 && len(gone) == 0 {
 		return old
 	}
+	edits := make(map[string]*T, len(part)+len(gone))
+	for name := range gone {
+		edits[name] = nil
+	}
+	for i := range part {
+		edits[nameOf(part[i])] = &part[i]
+	}
 	merged := make([]T, 0, len(old)+len(part))
-	next := 0
-	for _, entry := range old {
-		name := nameOf(entry)
-		for next < len(part) && nameOf(part[next]) < name {
-			merged = append(merged, part[next])
-			next++
+	for _, name := range slices.Sorted(maps.Keys(edits)) {
+		i, found := slices.BinarySearchFunc(old, name, func(t T, n string) int { return strings.Compare(nameOf(t), n) })
+		merged = append(merged, old[:i]...)
+		if entry := edits[name]; entry != nil {
+			merged = append(merged, *entry)
 		}
-		if next < len(part) && nameOf(part[next]) == name {
-			continue
-		}
-		if len(gone) > 0 && gone[name] {
-			continue
+		if found {
+			i++
 		}
-		merged = append(merged, entry)
+		old = old[i:]
 	}
-	merged = append(merged, part[next:]...)
+	merged = append(merged, old...)
 	if len(merged) == 0 {
 		return nil
 	}
--- a/core/configurer/configuration.go
+++ b/core/configurer/configuration.go
@@ -9,11 +9,19 @@
 // Configuration is a checked document with its sections and digest. It never changes; Apply returns another one that
 // shares what is equal. The zero value holds no document.
 type Configuration struct {
+	// compile takes the place of the rules of the format version; nil keeps them.
+	compile  func(Sections) (*Document, error)
 	document *Document
 	buckets  bucketSet
 	digest   string
 }
 
+// NewEmpty returns a configuration without a document whose documents are compiled, whole, by a function; nil leaves it
+// to the rules of the format version, at the cost of each change.
+func NewEmpty(compile func(Sections) (*Document, error)) *Configuration {
+	return &Configuration{compile: compile}
+}
+
 // NewConfiguration checks a whole document given by its sections.
 func NewConfiguration(sections Sections) (*Configuration, error) {
 	return (&Configuration{}).Apply(sections, nil)
@@ -56,16 +64,10 @@
 // Apply returns the configuration after a change, at a cost that follows the change and not the document.
 // The error is a *FaultList when the result is not valid or a removed section does not exist.
 func (c *Configuration) Apply(changed Sections, removed []string) (*Configuration, error) {
-	for _, name := range removed {
-		if _, ok := c.Section(name); !ok {
-			return nil, &FaultList{Name: "sections", Faults: []Fault{sectionFault(name, "the removed section does not exist")}}
-		}
+	if faults := c.checkRemoved(changed, removed); len(faults) > 0 {
+		return nil, &FaultList{Name: "sections", Faults: faults}
 	}
-	old := c.document
-	if old == nil {
-		old = &Document{}
-	}
-	document, err := recompile(old, changed, removed)
+	document, err := c.recompile(changed, removed)
 	if err != nil {
 		return nil, err
 	}
@@ -73,12 +75,40 @@
 		message := fmt.Sprintf("a document of environment %q can not replace one of %q", document.Environment, c.document.Environment)
 		return nil, &FaultList{Name: "sections", Faults: []Fault{{Code: WrongEnvironment, Path: sectionEnvironment, Message: message}}}
 	}
-	next := &Configuration{document: document, buckets: c.buckets}
+	next := &Configuration{compile: c.compile, document: document, buckets: c.buckets}
 	next.buckets.apply(changed, removed)
 	next.digest = next.buckets.digest()
 	return next, nil
 }
 
+// checkRemoved checks that each removed section exists and is named once.
+func (c *Configuration) checkRemoved(changed Sections, removed []string) []Fault {
+	var faults []Fault
+	seen := map[string]bool{}
+	for _, name := range removed {
+		_, exists := c.Section(name)
+		_, alsoChanged := changed[name]
+		switch {
+		case !exists:
+			faults = append(faults, sectionFault(name, "the removed section does not exist"))
+		case alsoChanged || seen[name]:
+			faults = append(faults, sectionFault(name, "the section is changed and removed, or removed twice"))
+		}
+		seen[name] = true
+	}
+	return faults
+}
+
+func (c *Configuration) recompile(changed Sections, removed []string) (*Document, error) {
+	if c.compile != nil {
+		return c.compile(c.Sections().Apply(changed, removed))
+	}
+	if c.document == nil {
+		return recompile(&Document{}, changed, removed)
+	}
+	return recompile(c.document, changed, removed)
+}
+
 // ApplyChange returns the configuration after a change record, whose digest must be that of the result.
 // It does not look at the base revision.
 func (c *Configuration) ApplyChange(change *messenger.ConfigChange) (*Configuration, error) {
@@ -87,11 +117,7 @@
 		if _, ok := changed[s.GetName()]; ok {
 			return nil, &FaultList{Name: "change", Faults: []Fault{sectionFault(s.GetName(), "the section stands twice")}}
 		}
-		content := s.GetContent()
-		if content == nil {
-			content = []byte{}
-		}
-		changed[s.GetName()] = content
+		changed[s.GetName()] = s.GetContent()
 	}
 	next, err := c.Apply(changed, change.GetRemoved())
 	if err != nil {
--- a/core/configurer/configuration_test.go
+++ b/core/configurer/configuration_test.go
@@ -83,6 +83,7 @@
 		{"unknown removed", nil, []string{"classes/none"}, "code 5015"},
 		{"single removed", nil, []string{"keys"}, "code 5015"},
 		{"changed and removed", Sections{"models/prova-llm": []byte(`{"name":"prova-llm","version":"2"}`)}, []string{"models/prova-llm"}, "code 5015"},
+		{"removed twice", nil, []string{"callers/terzi-ada", "callers/terzi-ada"}, "code 5015"},
 		{"reference broken", nil, []string{"models/prova-llm"}, "code 5010"},
 		{"environment", Sections{"environment": production}, nil, "code 5017"},
 		{"bad caller", Sections{"callers/a": []byte(`{"id":"a","requestsPerSecond":-1,"burst":1}`)}, nil, "code 5007"},
--- a/core/configurer/digest.go
+++ b/core/configurer/digest.go
@@ -73,6 +73,9 @@
 func (s *bucketSet) apply(changed Sections, removed []string) {
 	var edits [bucketCount]Sections
 	for name, content := range changed {
+		if content == nil {
+			content = []byte{}
+		}
 		edits[bucketOf(name)] = edits[bucketOf(name)].with(name, content)
 	}
 	for _, name := range removed {
--- a/core/replayer/config.go
+++ b/core/replayer/config.go
@@ -1,9 +1,7 @@
 package replayer
 
 import (
-	"bytes"
 	"fmt"
-	"maps"
 	"slices"
 
 	"rosemaryspool.example/core/configurer"
@@ -41,9 +39,7 @@
 
 type configuration struct {
 	revision identifier.Revision
-	digest   string
-	sections configurer.Sections
-	document *configurer.Document
+	current  *configurer.Configuration
 	history  []Revision
 	refused  []ConfigRefusal
 }
@@ -52,13 +48,13 @@
 func (s *State) Revision() identifier.Revision { return s.config.revision }
 
 // Digest returns the digest of the document in force.
-func (s *State) Digest() string { return s.config.digest }
+func (s *State) Digest() string { return s.config.current.Digest() }
 
 // Document returns the document in force; nil when none is known.
-func (s *State) Document() *configurer.Document { return s.config.document }
+func (s *State) Document() *configurer.Document { return s.config.current.Document() }
 
 // Sections returns a copy of the sections in force.
-func (s *State) Sections() configurer.Sections { return maps.Clone(s.config.sections) }
+func (s *State) Sections() configurer.Sections { return s.config.current.Sections() }
 
 // History returns the latest accepted changes, oldest first.
 func (s *State) History() []Revision { return slices.Clone(s.config.history) }
@@ -71,22 +67,16 @@
 	if identifier.Revision(change.GetBaseRevision()) != s.config.revision {
 		return s.refuseConfig(offset, record, change, fmt.Sprintf("base revision %d is not in force", change.GetBaseRevision()))
 	}
-	sections, err := applySections(s.config.sections, change)
+	next, err := s.config.current.ApplyChange(change)
 	if err != nil {
 		return s.refuseConfig(offset, record, change, err.Error())
 	}
-	if sections.Digest() != change.GetDigest() {
-		return s.refuseConfig(offset, record, change, "digest does not match the sections after the change")
-	}
-	document, err := s.compile(sections)
-	if err != nil {
-		return s.refuseConfig(offset, record, change, "document is not valid: "+err.Error())
+	if environment := next.Document().Environment; environment != "" && environment != s.environment {
+		return s.refuseConfig(offset, record, change, fmt.Sprintf("document is for environment %q", environment))
 	}
 	revision := newRevision(offset, change)
 	s.config.revision = revision.Revision
-	s.config.digest = revision.Digest
-	s.config.sections = sections
-	s.config.document = document
+	s.config.current = next
 	s.config.history = appendBounded(s.config.history, revision)
 	return ConfigAccepted{Revision: revision}
 }
@@ -108,27 +98,6 @@
 	return revision
 }
 
-// applySections returns a copy with the change in it; naming a section twice is an error.
-func applySections(sections configurer.Sections, change *messenger.ConfigChange) (configurer.Sections, error) {
-	next := maps.Clone(sections)
-	named := map[string]bool{}
-	for _, c := range change.GetChanged() {
-		if c.GetName() == "" || named[c.GetName()] {
-			return nil, fmt.Errorf("section %q is named twice or empty", c.GetName())
-		}
-		named[c.GetName()] = true
-		next[c.GetName()] = bytes.Clone(c.GetContent())
-	}
-	for _, name := range change.GetRemoved() {
-		if _, ok := next[name]; !ok || named[name] {
-			return nil, fmt.Errorf("section %q cannot be removed", name)
-		}
-		named[name] = true
-		delete(next, name)
-	}
-	return next, nil
-}
-
 func (s *State) refuseConfig(offset identifier.Offset, record *messenger.Record, change *messenger.ConfigChange, reason string) Effect {
 	refusal := ConfigRefusal{
 		Record:   identifier.RecordID(record.GetId()),
--- a/core/replayer/decoder.go
+++ b/core/replayer/decoder.go
@@ -104,20 +104,16 @@
 	for _, c := range folded.GetSections() {
 		sections[c.GetName()] = c.GetContent()
 	}
-	config := configuration{
-		revision: identifier.Revision(folded.GetRevision()),
-		digest:   folded.GetDigest(),
-		sections: sections,
-	}
+	config := configuration{revision: identifier.Revision(folded.GetRevision()), current: s.config.current}
 	if config.revision != 0 {
-		if sections.Digest() != config.digest {
-			return fmt.Errorf("%w: digest of the configuration", ErrMalformed)
-		}
-		document, err := s.compile(sections)
+		current, err := config.current.Apply(sections, nil)
 		if err != nil {
 			return fmt.Errorf("%w: configuration: %w", ErrMalformed, err)
 		}
-		config.document = document
+		if current.Digest() != folded.GetDigest() {
+			return fmt.Errorf("%w: digest of the configuration", ErrMalformed)
+		}
+		config.current = current
 	}
 	for _, r := range folded.GetHistory() {
 		config.history = append(config.history, decodeRevision(r))
--- a/core/replayer/encoder.go
+++ b/core/replayer/encoder.go
@@ -92,9 +92,10 @@
 }
 
 func (c *configuration) encode() *messenger.FoldedConfig {
-	encoded := &messenger.FoldedConfig{Revision: uint64(c.revision), Digest: c.digest}
-	for _, name := range slices.Sorted(maps.Keys(c.sections)) {
-		encoded.Sections = append(encoded.Sections, &messenger.ConfigSection{Name: name, Content: c.sections[name]})
+	encoded := &messenger.FoldedConfig{Revision: uint64(c.revision), Digest: c.current.Digest()}
+	sections := c.current.Sections()
+	for _, name := range slices.Sorted(maps.Keys(sections)) {
+		encoded.Sections = append(encoded.Sections, &messenger.ConfigSection{Name: name, Content: sections[name]})
 	}
 	for _, r := range c.history {
 		encoded.History = append(encoded.History, r.encode())
--- a/core/replayer/state.go
+++ b/core/replayer/state.go
@@ -11,7 +11,8 @@
 	"rosemaryspool.example/wire/messenger"
 )
 
-// CompileFunc checks a document's sections and returns the document. It must depend on the sections alone.
+// CompileFunc checks a document's sections and returns the document. It must depend on the sections alone. A nil function
+// stands for the configurer's own rules, which cost what a change touches and not the whole document.
 type CompileFunc func(configurer.Sections) (*configurer.Document, error)
 
 // Entry is one record with its offset.
@@ -77,7 +78,6 @@
 // State is the fold over all records of a control stream before Next. It is not safe for concurrent use.
 type State struct {
 	environment identifier.Environment
-	compile     CompileFunc
 	next        identifier.Offset
 	incomplete  bool
 	leases      map[identifier.Scope]Lease
@@ -95,12 +95,11 @@
 func NewState(environment identifier.Environment, compile CompileFunc) *State {
 	return &State{
 		environment: environment,
-		compile:     compile,
 		next:        1,
 		leases:      map[identifier.Scope]Lease{},
 		engines:     map[identifier.UpstreamID]*Engine{},
 		plans:       map[identifier.UpstreamID]Plan{},
-		config:      configuration{sections: configurer.Sections{}},
+		config:      configuration{current: configurer.NewEmpty(compile)},
 		seen:        newRecordSet(SeenRecords),
 	}
 }
--- a/rosemaryctl/follower/follower.go
+++ b/rosemaryctl/follower/follower.go
@@ -9,7 +9,6 @@
 	"github.com/rotisserie/eris"
 
 	"rosemaryspool.example/adaptor/appender"
-	"rosemaryspool.example/core/configurer"
 	"rosemaryspool.example/core/identifier"
 	"rosemaryspool.example/core/replayer"
 	"rosemaryspool.example/wire/messenger"
@@ -41,7 +40,7 @@
 
 // New returns a follower that has read nothing yet.
 func New(log appender.Log, environment identifier.Environment, bootstrap BootstrapFunc) *Follower {
-	state := replayer.NewState(environment, configurer.Compile)
+	state := replayer.NewState(environment, nil)
 	return &Follower{log: log, environment: environment, bootstrap: bootstrap, state: state}
 }
 
@@ -98,7 +97,7 @@
 
 // restore starts from a snapshot in the rest of the stream, or else from an instance's state.
 func (f *Follower) restore(ctx context.Context, first identifier.Offset) error {
-	restorer := replayer.NewRestorer(f.environment, configurer.Compile, first)
+	restorer := replayer.NewRestorer(f.environment, nil, first)
 	for {
 		batch, err := f.log.Read(ctx, ControlStream(f.environment), restorer.Next(), readLimit, 0)
 		if err != nil {
@@ -124,7 +123,7 @@
 	if err != nil {
 		return eris.Wrap(ErrIncomplete, err.Error())
 	}
-	state, err := replayer.Decode(f.environment, configurer.Compile, reply.GetState(), reply.GetChecksum())
+	state, err := replayer.Decode(f.environment, nil, reply.GetState(), reply.GetChecksum())
 	if err != nil {
 		return eris.Wrap(ErrIncomplete, err.Error())
 	}
