--- a/core/replayer/decoder.go
+++ b/core/replayer/decoder.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/proto"
 
 	"rosemaryspool.example/core/configurer"
@@ -20,9 +19,9 @@
 	ErrMalformed   = errors.New("replayer: decode state: malformed")
 )
 
-// Decode returns the state that an encoding with its checksum holds.
-func Decode(environment identifier.Environment, compile CompileFunc, encoded []byte, checksum uint64) (*State, error) {
-	if xxhash.Sum64(encoded) != checksum {
+// Decode returns the state that an encoding holds; want is its checksum.
+func Decode(environment identifier.Environment, compile CompileFunc, encoded []byte, want uint64) (*State, error) {
+	if checksum(encoded) != want {
 		return nil, ErrChecksum
 	}
 	folded := &messenger.FoldedState{}
@@ -104,20 +103,16 @@
 	for _, c := range folded.GetSections() {
 		sections[c.GetName()] = c.GetContent()
 	}
-	config := configuration{
-		revision: identifier.Revision(folded.GetRevision()),
-		digest:   folded.GetDigest(),
-		sections: sections,
-	}
+	config := configuration{revision: identifier.Revision(folded.GetRevision()), current: s.config.current}
 	if config.revision != 0 {
-		if sections.Digest() != config.digest {
-			return fmt.Errorf("%w: digest of the configuration", ErrMalformed)
-		}
-		document, err := s.compile(sections)
+		current, err := config.current.Apply(sections, nil)
 		if err != nil {
 			return fmt.Errorf("%w: configuration: %w", ErrMalformed, err)
 		}
-		config.document = document
+		if current.Digest() != folded.GetDigest() {
+			return fmt.Errorf("%w: digest of the configuration", ErrMalformed)
+		}
+		config.current = current
 	}
 	for _, r := range folded.GetHistory() {
 		config.history = append(config.history, decodeRevision(r))
--- a/core/replayer/encoder.go
+++ b/core/replayer/encoder.go
@@ -17,9 +17,12 @@
 	if err != nil {
 		return nil, err
 	}
-	return &messenger.Snapshot{NextOffset: uint64(s.next), State: encoded, Checksum: xxhash.Sum64(encoded)}, nil
+	return &messenger.Snapshot{NextOffset: uint64(s.next), State: encoded, Checksum: checksum(encoded)}, nil
 }
 
+// checksum is the xxHash64 of an encoded state.
+func checksum(encoded []byte) uint64 { return xxhash.Sum64(encoded) }
+
 // Encode returns the state in its wire form.
 func (s *State) Encode() ([]byte, error) {
 	folded := &messenger.FoldedState{
@@ -92,9 +95,10 @@
 }
 
 func (c *configuration) encode() *messenger.FoldedConfig {
-	encoded := &messenger.FoldedConfig{Revision: uint64(c.revision), Digest: c.digest}
-	for _, name := range slices.Sorted(maps.Keys(c.sections)) {
-		encoded.Sections = append(encoded.Sections, &messenger.ConfigSection{Name: name, Content: c.sections[name]})
+	encoded := &messenger.FoldedConfig{Revision: uint64(c.revision), Digest: c.current.Digest()}
+	sections := c.current.Sections()
+	for _, name := range slices.Sorted(maps.Keys(sections)) {
+		encoded.Sections = append(encoded.Sections, &messenger.ConfigSection{Name: name, Content: sections[name]})
 	}
 	for _, r := range c.history {
 		encoded.History = append(encoded.History, r.encode())
--- a/core/replayer/state.go
+++ b/core/replayer/state.go
@@ -11,7 +11,8 @@
 	"rosemaryspool.example/wire/messenger"
 )
 
-// CompileFunc checks a document's sections and returns the document. It must depend on the sections alone.
+// CompileFunc checks a document's sections and returns the document. It must depend on the sections alone. A nil function
+// stands for the configurer's own rules, which cost what a change touches and not the whole document.
 type CompileFunc func(configurer.Sections) (*configurer.Document, error)
 
 // Entry is one record with its offset.
@@ -77,7 +78,6 @@
 // State is the fold over all records of a control stream before Next. It is not safe for concurrent use.
 type State struct {
 	environment identifier.Environment
-	compile     CompileFunc
 	next        identifier.Offset
 	incomplete  bool
 	leases      map[identifier.Scope]Lease
@@ -95,12 +95,11 @@
 func NewState(environment identifier.Environment, compile CompileFunc) *State {
 	return &State{
 		environment: environment,
-		compile:     compile,
 		next:        1,
 		leases:      map[identifier.Scope]Lease{},
 		engines:     map[identifier.UpstreamID]*Engine{},
 		plans:       map[identifier.UpstreamID]Plan{},
-		config:      configuration{sections: configurer.Sections{}},
+		config:      configuration{current: configurer.NewEmpty(compile)},
 		seen:        newRecordSet(SeenRecords),
 	}
 }
@@ -171,6 +170,18 @@
 	return p, ok
 }
 
+// Plans returns the latest planned changes, sorted by upstream.
+func (s *State) Plans() []Plan { return sortedValues(s.plans) }
+
+// PlansNext returns the offset after the latest planned change; zero when there is none.
+func (s *State) PlansNext() identifier.Offset {
+	var next identifier.Offset
+	for _, p := range s.plans {
+		next = max(next, p.Offset+1)
+	}
+	return next
+}
+
 // Draining returns the upstreams that planned changes keep from new work, sorted.
 func (s *State) Draining() []identifier.UpstreamID {
 	var draining []identifier.UpstreamID
