--- a/adaptor/completer/template.go
+++ b/adaptor/completer/template.go
@@ -28,7 +28,7 @@
 	}
 	start += len(textKey)
 	length := bytes.IndexByte(data[start:], '"')
-	if length <= 0 || string(data[start:start+length]) != chunk.Choices[0].Text || !plain(data[start:start+length]) {
+	if length <= 0 || string(data[start:start+length]) != chunk.Choices[0].Text {
 		return
 	}
 	t.before = append(t.before, data[:start]...)
