Look at the clock before an order is written

Cause: a connection's write deadline is a runtime timer; a process that goes on after a pause may write before the timer has run, and so send an order after its lease ended. Change: the dispatcher compares the clock with the deadline right before its one write. Conclusion: tested on the fake clock with a connection that keeps no deadline; the window between the look and the write remains and is written down.

--- a/adaptor/dispatcher/dispatcher.go
+++ b/adaptor/dispatcher/dispatcher.go
@@ -78,6 +78,10 @@
 	if ctx.Err() != nil {
 		return Answer{}, eris.Wrap(ErrNotSent, ctx.Err().Error())
 	}
+	// The connection's deadline is a timer, which a process that just went on after a pause may not have run yet.
+	if !writeBy.IsZero() && !time.Now().Before(writeBy) {
+		return Answer{}, eris.Wrap(ErrNotSent, "write deadline over")
+	}
 	written, err := conn.Write(message)
 	if err != nil && written == 0 {
 		return Answer{}, eris.Wrap(ErrNotSent, err.Error())
--- a/adaptor/dispatcher/dispatcher_test.go
+++ b/adaptor/dispatcher/dispatcher_test.go
@@ -81,6 +81,36 @@
 	}
 }
 
+// untimedConn does not keep its write deadline, like a connection whose timer has not run yet after a pause.
+type untimedConn struct{ net.Conn }
+
+func (untimedConn) SetWriteDeadline(time.Time) error { return nil }
+
+func TestSendChecksTheClockBeforeItWrites(t *testing.T) {
+	cases := []struct {
+		name  string
+		pause time.Duration
+		want  error
+	}{
+		{"short pause", writeWindow - 1, ErrAnswerLost},
+		{"pause up to the deadline", writeWindow, ErrNotSent},
+		{"long pause", time.Hour, ErrNotSent},
+	}
+	for _, c := range cases {
+		synctest.Test(t, func(t *testing.T) {
+			dial := func(context.Context, string, string) (net.Conn, error) {
+				near, far := net.Pipe()
+				go answerWith("")(far)
+				time.Sleep(c.pause)
+				return untimedConn{near}, nil
+			}
+			d := NewDispatcher("10.0.0.1:80", dial)
+			_, err := d.Send(t.Context(), http.MethodPost, "/v1/orders", nil, []byte("{}"), time.Now().Add(writeWindow))
+			require.ErrorIs(t, err, c.want, c.name)
+		})
+	}
+}
+
 // TestSendNeverDeniesAWrittenByte tries every point at which the other end can stop reading.
 func TestSendNeverDeniesAWrittenByte(t *testing.T) {
 	const longerThanRequest = 200
