Weigh the risk of late prefills and pack long answers tighter

Unseen work now counts towards the risk of being late; long answers that will usually be in time are dispatched; short answers pass long ones in full batches; bulk work can be held while long urgent prompts come near to being late.

--- a/core/router/router.go
+++ b/core/router/router.go
@@ -75,6 +75,8 @@
 	careful float64
 	// places is the number of free places in the batch.
 	places int
+	// spare is the time in seconds that the forecast leaves until the deadline, without unseen work.
+	spare float64
 	// unseen is the work in seconds that other instances have probably sent since the report.
 	unseen float64
 }
@@ -166,7 +168,7 @@
 		p := &r.parts[i]
 		p.prefillCost = p.prefill.First()*max(weight, r.settings.WaitWeight) + p.prefill.Occupation
 		p.prefillCost += p.prefill.Length * float64(p.engine.Decoding()) * r.harm(p.engine.Pressure(q.Allowed))
-		p.prefillCost += r.late(p.prefill.First() + last - remaining)
+		p.spare = remaining - last - p.prefill.First()
 		p.decodeCost = float64(q.Output)*(p.decode.Share+weight*p.decode.Interval) + weight*p.decode.Wait
 		p.decodeCost += r.late(first + p.careful - remaining)
 		if p.places <= 0 {
--- a/core/router/settings.go
+++ b/core/router/settings.go
@@ -41,6 +41,9 @@
 	HandOver time.Duration
 	// LatePenalty is the cost in seconds of a candidate that would miss the deadline.
 	LatePenalty float64
+	// LateCost is the cost in seconds of a prefill that is late for certain; Doubt is the usual error of a forecast.
+	LateCost float64
+	Doubt    time.Duration
 	// Explained is how many candidates a decision names.
 	Explained int
 }
@@ -49,14 +52,14 @@
 func DefaultSettings() Settings {
 	return Settings{
 		Margin:        0.1,
-		PatientWeight: 0.02,
+		PatientWeight: 0,
 		WaitWeight:    0.2,
 		ShortPrompt:   1024,
 		Harm:          0.1,
 		LongAnswer:    100,
-		LongShare:     0.85,
+		LongShare:     1,
 		UnknownBatch:  32,
-		FullPenalty:   2,
+		FullPenalty:   0.5,
 		OldestReport:  4 * time.Second,
 		EasyPressure:  0.6,
 		LeastHarm:     0.05,
@@ -65,6 +68,8 @@
 		Remote:        10 * time.Millisecond,
 		HandOver:      50 * time.Millisecond,
 		LatePenalty:   100,
+		LateCost:      30,
+		Doubt:         500 * time.Millisecond,
 		Explained:     3,
 	}
 }
--- a/core/router/spreader.go
+++ b/core/router/spreader.go
@@ -2,7 +2,11 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
+	"time"
+
+	"rosemaryspool.example/core/estimator"
 )
 
 // spread makes the random part of the choice. All instances see the same late reports; if each took the engine that
@@ -40,20 +44,28 @@
 	return sum / float64(len(r.parts))
 }
 
-// spreadPrefill chooses the prefill engine; seconds of unseen work lie over the costs as water over ground.
-func (r *Router) spreadPrefill(seconds float64) {
+// Level returns the cost in seconds up to which a prefill like this one would fill the engines at present.
+func (r *Router) Level(now time.Time, q Request, engines []*estimator.Engine, usable func(*estimator.Engine) bool) float64 {
+	r.now = now
+	r.gather(now, q, engines, usable)
+	if len(r.parts) == 0 {
+		return math.Inf(1)
+	}
+	r.weigh(now, q)
+	level, _ := r.pour(r.age() * q.Others.Prefill)
+	return level
+}
+
+// pour lays seconds of unseen work over the prefill costs as water over uneven ground. It returns the water level and
+// how many engines lie below it, in the order of their costs.
+func (r *Router) pour(seconds float64) (level float64, below int) {
 	r.order = r.order[:0]
 	for i := range r.parts {
 		if r.parts[i].canPrefill {
 			r.order = append(r.order, i)
 		}
 	}
-	if len(r.order) < 2 {
-		return
-	}
 	slices.SortFunc(r.order, func(a, b int) int { return cmp.Compare(r.parts[a].prefillCost, r.parts[b].prefillCost) })
-	seconds = max(seconds, r.settings.Spread.Seconds())
-	level, below := 0.0, 0
 	sum := 0.0
 	for k, i := range r.order {
 		sum += r.parts[i].prefillCost
@@ -63,17 +75,48 @@
 			break
 		}
 	}
-	least := r.parts[r.order[0]].prefillCost
+	return level, below
+}
+
+// spreadPrefill chooses the prefill engine by seconds of unseen work.
+func (r *Router) spreadPrefill(seconds float64) {
+	seconds = max(seconds, r.settings.Spread.Seconds())
+	level, below := r.pour(seconds)
+	if len(r.order) > 1 {
+		r.drawPrefill(level, below, seconds)
+	}
+}
+
+// drawPrefill draws one of the engines under the level, and takes it unless another one, counting the risk of being
+// late, is better.
+func (r *Router) drawPrefill(level float64, below int, seconds float64) {
 	left := r.random.Float64() * seconds
-	for _, i := range r.order[:below] {
+	drawn := r.order[0]
+	for k, i := range r.order {
 		p := &r.parts[i]
-		depth := level - p.prefillCost
-		p.unseen = max(0, depth)
-		if left >= 0 && left < depth {
-			p.prefillCost = least - chosenBonus
+		if k < below {
+			depth := level - p.prefillCost
+			if left >= 0 && left < depth {
+				drawn = i
+			}
+			left -= depth
+			p.unseen = depth
+			p.prefillCost = level
 		}
-		left -= depth
+		p.prefillCost += r.risk(p.spare - p.unseen)
 	}
+	best := drawn
+	for _, i := range r.order {
+		if r.parts[i].prefillCost+r.random.Float64()*r.settings.Spread.Seconds() < r.parts[best].prefillCost-r.settings.Spread.Seconds() {
+			best = i
+		}
+	}
+	r.parts[best].prefillCost -= chosenBonus
+}
+
+// risk returns the cost of the chance that an answer with some seconds to spare will be late.
+func (r *Router) risk(spare float64) float64 {
+	return r.settings.LateCost / (1 + math.Exp((spare-r.settings.Doubt.Seconds())/r.settings.Doubt.Seconds()))
 }
 
 // spreadDecode chooses the decode engine: the unseen sequences fill the free places of the best engines one by one.
--- a/core/scheduler/dispatcher.go
+++ b/core/scheduler/dispatcher.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"math"
 	"strconv"
 	"time"
 
@@ -52,7 +53,7 @@
 	best := choice.Best
 	remaining := r.Deadline.Sub(s.now).Seconds()
 	switch {
-	case best != nil && (best.Late <= 0 || s.worthTrying(r, best, remaining)):
+	case best != nil && (best.Late <= 0 || s.worthTrying(best, remaining)) && !s.held(r):
 		s.dispatch(r, choice, false)
 	case best == nil && len(s.engines) == 0:
 		s.refuse(r, refuser.NoUpstream, "no engine is known", retryAfterFull)
@@ -63,9 +64,40 @@
 	}
 }
 
-// worthTrying tells whether a request that will probably be late by a careful prediction is dispatched all the same.
-func (s *Scheduler) worthTrying(r *request, best *router.Candidate, remaining float64) bool {
-	return r.Urgent && best.Finish <= remaining
+// worthTrying tells whether a request that may be late by a careful prediction is dispatched all the same: the answer
+// of usual length is in time.
+func (s *Scheduler) worthTrying(best *router.Candidate, remaining float64) bool {
+	return best.Finish <= remaining
+}
+
+// held tells whether bulk work waits at the instance because long urgent prompts come near to being late.
+func (s *Scheduler) held(r *request) bool {
+	if r.Urgent || r.ExpectedOutput < s.settings.Tunables.Route.LongAnswer {
+		return false
+	}
+	return s.urgentLevel > s.settings.Tunables.HoldShare*s.urgentDeadline.Value(math.Inf(1))
+}
+
+// levelUrgent reckons how long a usual long urgent prompt would take at present, with the cost of the harm it does.
+func (s *Scheduler) levelUrgent() {
+	if s.urgentDeadline.Count() == 0 {
+		return
+	}
+	prompt := identifier.Tokens(s.urgentPrompt.Value(0))
+	q := router.Request{
+		Model: s.urgentModel, Urgent: true, Deadline: s.now.Add(seconds(s.urgentDeadline.Value(0))), Prompt: prompt,
+		Output: 1, LongOutput: 1, Allowed: s.allowed.Value(0), Others: s.others(),
+	}
+	s.urgentLevel = s.router.Level(s.now, q, s.engines, s.usable(&request{}))
+}
+
+// others reckons the flow of the other instances from the own one.
+func (s *Scheduler) others() router.Flow {
+	count := float64(s.settings.Instances - 1)
+	return router.Flow{
+		Prefill:   s.prefillSent.PerSecond(s.now) * count,
+		Sequences: s.sequencesSent.PerSecond(s.now) * count,
+	}
 }
 
 // shortest returns the seconds that the answer takes at least, on the fastest engine without any queue.
@@ -133,10 +165,7 @@
 		LongOutput: max(1, long-r.output),
 		Prefix:     r.Prefix,
 		Allowed:    s.allowed.Value(0),
-		Others: router.Flow{
-			Prefill:   s.prefillSent.PerSecond(s.now) * float64(s.settings.Instances-1),
-			Sequences: s.sequencesSent.PerSecond(s.now) * float64(s.settings.Instances-1),
-		},
+		Others:     s.others(),
 	}
 }
 
@@ -175,7 +204,7 @@
 		Attempt:    a.id,
 		Prefill:    a.prefill.ID,
 		Decode:     a.decode.ID,
-		Priority:   s.enginePriority(r, q.Prompt),
+		Priority:   s.enginePriority(r, q),
 		SkipOutput: r.output,
 		Hedge:      hedge,
 		Reason:     explain(choice),
@@ -187,6 +216,11 @@
 	r := a.request
 	if !s.router.Preferred(q.Prompt) {
 		s.prefillSent.Add(s.now, a.course.PrefillForecast.Occupation)
+		if r.Urgent {
+			s.urgentModel = r.Model
+			s.urgentPrompt.Observe(float64(a.work.Prefill))
+			s.urgentDeadline.Observe(r.Deadline.Sub(r.Now).Seconds())
+		}
 	}
 	if q.Output >= s.settings.Tunables.Route.LongAnswer {
 		s.sequencesSent.Add(s.now, 1)
@@ -194,15 +228,23 @@
 	}
 }
 
-// preferredPriority is added to the engine priority of short prompts: they delay longer ones by next to nothing.
-const preferredPriority = 1000
+const (
+	// preferredPriority is added to the engine priority of short prompts: they delay longer ones by next to nothing.
+	preferredPriority = 1000
+	// briefPriority is added to that of short answers: they give their place in a batch back soon.
+	briefPriority = 1000
+)
 
-// enginePriority returns the priority that orders the prefill queue of an engine.
-func (s *Scheduler) enginePriority(r *request, prompt identifier.Tokens) identifier.Priority {
-	if s.router.Preferred(prompt) {
-		return r.Priority + preferredPriority
+// enginePriority returns the priority that orders the queues of an engine.
+func (s *Scheduler) enginePriority(r *request, q router.Request) identifier.Priority {
+	priority := r.Priority
+	if s.router.Preferred(q.Prompt) {
+		priority += preferredPriority
+		if q.LongOutput < s.settings.Tunables.Route.LongAnswer {
+			priority += briefPriority
+		}
 	}
-	return r.Priority
+	return priority
 }
 
 // count adds the attempt to the own work at its engines.
--- a/core/scheduler/follower.go
+++ b/core/scheduler/follower.go
@@ -150,6 +150,7 @@
 
 // tick looks after everything that time changes: expired, slow, silent and waiting requests.
 func (s *Scheduler) tick() {
+	s.levelUrgent()
 	kept := s.open[:0]
 	for _, r := range s.open {
 		if !r.closed {
--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -35,6 +35,11 @@
 	// prefillSent and sequencesSent measure what this instance sends: engine seconds and long answers a second.
 	prefillSent   *estimator.Meter
 	sequencesSent *estimator.Meter
+	// urgentPrompt and urgentDeadline learn what long urgent prompts are like; urgentLevel is what one would cost now.
+	urgentModel    identifier.ModelName
+	urgentPrompt   estimator.Rate
+	urgentDeadline estimator.Rate
+	urgentLevel    float64
 	// allowed learns the time from token to token that long answers can bear.
 	allowed  estimator.Rate
 	sequence uint64
--- a/core/scheduler/settings.go
+++ b/core/scheduler/settings.go
@@ -38,6 +38,8 @@
 	StallPause time.Duration
 	// FlowMemory is the time over which the own flow of work is measured; that of the other instances is reckoned from it.
 	FlowMemory time.Duration
+	// HoldShare is the share of the deadline of long urgent prompts that waiting and harm may cost before bulk work is held.
+	HoldShare float64
 	// QueueTries is how many waiting requests are tried again after each event; ticks try all.
 	QueueTries int
 }
@@ -54,6 +56,7 @@
 		Subset:     24,
 		StallPause: 5 * time.Second,
 		FlowMemory: 20 * time.Second,
+		HoldShare:  1.5,
 		QueueTries: 4,
 	}
 }
