Measure policies against a bound on a fake clock

Cause: routing, admission and roles must be measured against baselines and a bound in the same run. Conclusion: runs are repeatable; no case of the tests beats the bound or breaks an answer.

--- a/Makefile
+++ b/Makefile
@@ -44,3 +44,21 @@
 
 clean:
 	rm -rf bin
+
+DEPLOYMENT ?= kalipci,luminaria
+SEEDS ?= 1-5
+LOAD ?= 0.6,0.8,0.9,1.0,1.3
+FAULT ?= none
+POLICY ?= all
+MINUTES ?= 30
+PARALLEL ?= 4
+
+.PHONY: measure plots
+
+measure: build
+	./bin/standin measure --deployment $(DEPLOYMENT) --seeds $(SEEDS) --load $(LOAD) --fault $(FAULT) \
+		--policy $(POLICY) --minutes $(MINUTES) --parallel $(PARALLEL) --losses
+
+plots: build
+	./bin/standin measure --deployment kalipci --seeds 1 --load 0.9 --policy all --plot docs/plots/kalipci.svg
+	./bin/standin measure --deployment luminaria --seeds 1 --load 0.9 --policy all --plot docs/plots/luminaria.svg
--- a/standin/commander/measure.go
+++ b/standin/commander/measure.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"os"
+	"runtime/debug"
 	"strconv"
 	"strings"
 	"time"
@@ -34,12 +35,16 @@
 	}
 }
 
+// garbagePercent trades memory for speed: runs allocate much that lives shortly.
+const garbagePercent = 400
+
 // measure runs the cases that the flags name and writes lines and tables.
 func measure(_ context.Context, command *cli.Command) error {
 	plan, err := measurePlan(command)
 	if err != nil {
 		return err
 	}
+	debug.SetGCPercent(garbagePercent)
 	cases, failure := measurer.Run(plan, os.Stdout)
 	if err := measurer.WriteTable(cases, os.Stdout); err != nil {
 		return err
--- a/standin/measurer/arrivals.go
+++ b/standin/measurer/arrivals.go
@@ -125,41 +125,27 @@
 	}
 }
 
-// answersOfMix returns the answers of each class in one engine second of work with a share of prefill.
+// answersOfMix returns the answers of each class in one engine second of work with a share of prefill. Questions get
+// less than their wanted share when the mix could not have so little prefill otherwise.
 func (f Figures) answersOfMix(each []work, prefillShare, questionShare float64) []float64 {
-	counts := map[Kind]int{}
-	for _, c := range f.Classes {
+	counts, parts := map[Kind]float64{}, map[Kind]float64{}
+	for i, c := range f.Classes {
 		counts[c.Kind]++
+		parts[c.Kind] += each[i].prefill / each[i].total()
 	}
-	time := make([]float64, len(each))
-	prefill := 0.0
-	var file, draft float64
-	for i, c := range f.Classes {
-		part := each[i].prefill / each[i].total()
-		switch c.Kind {
-		case KindQuestion:
-			time[i] = questionShare / float64(counts[KindQuestion])
-			prefill += time[i] * part
-		case KindFile:
-			file = part
-		case KindDraft:
-			draft = part
-		}
+	for kind := range parts {
+		parts[kind] /= counts[kind]
 	}
+	file, draft, question := parts[KindFile], parts[KindDraft], parts[KindQuestion]
+	questionShare = min(questionShare, max(prefillShare-draft, 0)/(question-draft))
 	rest := 1 - questionShare
-	files := (prefillShare - prefill - rest*draft) / (file - draft)
-	files = min(max(files, 0), rest)
+	files := (prefillShare - questionShare*question - rest*draft) / (file - draft)
+	shares := map[Kind]float64{KindFile: files, KindDraft: rest - files, KindQuestion: questionShare}
+	answers := make([]float64, len(each))
 	for i, c := range f.Classes {
-		switch c.Kind {
-		case KindFile:
-			time[i] = files / float64(counts[KindFile])
-		case KindDraft:
-			time[i] = (rest - files) / float64(counts[KindDraft])
-		case KindQuestion:
-		}
-		time[i] /= each[i].total()
+		answers[i] = shares[c.Kind] / counts[c.Kind] / each[i].total()
 	}
-	return time
+	return answers
 }
 
 // between draws a duration.
--- a/standin/measurer/bound.go
+++ b/standin/measurer/bound.go
@@ -136,16 +136,30 @@
 
 // course is the best way so far to have arrived at a split: the answers served and what still waits.
 type course struct {
-	served float64
-	// waiting[k] holds what is left of each slice of the k-th class of the order, as a share.
-	waiting [][]float64
+	served  float64
+	waiting []backlog
+}
+
+// backlog is what is left of one class's arrivals, oldest slice first, as shares of each slice.
+type backlog struct {
+	first int
+	left  []float64
+}
+
+// clone returns a copy that shares nothing.
+func (c course) clone() course {
+	copied := course{served: c.served, waiting: make([]backlog, len(c.waiting))}
+	for k, w := range c.waiting {
+		copied.waiting[k] = backlog{w.first, append(make([]float64, 0, len(w.left)+16), w.left...)}
+	}
+	return copied
 }
 
 // plan chooses a split for each phase by dynamic programming and returns the answers served.
 func (b *bounder) plan(order []int) float64 {
 	courses := make([]course, len(b.splits))
 	for i := range courses {
-		courses[i].waiting = make([][]float64, len(order))
+		courses[i].waiting = make([]backlog, len(order))
 	}
 	for k, p := range b.workload.Phases {
 		from := int(p.Start / boundSlice)
@@ -193,10 +207,7 @@
 
 // serve runs the fluid through one phase.
 func (b *bounder) serve(c course, order []int, origin, target Split, from, to int) course {
-	result := course{served: c.served, waiting: make([][]float64, len(order))}
-	for k := range order {
-		result.waiting[k] = append([]float64(nil), c.waiting[k]...)
-	}
+	result := c.clone()
 	absence := (b.workload.Figures.AbsenceMin + b.workload.Figures.AbsenceMax) / 2
 	changed := origin.Changed(target) > 0
 	for t := from; t < to; t++ {
@@ -206,7 +217,9 @@
 			continue
 		}
 		b.serveSlice(&result, order, target.stayed(origin), t, away)
-		b.serveSlice(&result, order, target, t, 1-away)
+		if away < 1 {
+			b.serveSlice(&result, order, target, t, 1-away)
+		}
 	}
 	return result
 }
@@ -216,27 +229,35 @@
 	seconds := boundSlice.Seconds() * part
 	var used work
 	for k, class := range order {
-		for len(c.waiting[k]) <= now {
-			c.waiting[k] = append(c.waiting[k], 1)
+		w := &c.waiting[k]
+		for w.first+len(w.left) <= now {
+			w.left = append(w.left, 1)
 		}
-		for i := max(now-b.patch[class], 0); i <= now; i++ {
-			left := c.waiting[k][i]
-			slice := b.flow[class][i]
-			if left <= 0 || slice.answers == 0 {
-				continue
-			}
-			wanted := slice.each.scaled(slice.answers * left)
+		w.expire(now - b.patch[class])
+		for len(w.left) > 0 {
+			slice := b.flow[class][w.first]
+			wanted := slice.each.scaled(slice.answers * w.left[0])
 			fits := b.fits(s, used, wanted, seconds)
-			c.waiting[k][i] = left * (1 - fits)
-			c.served += slice.answers * left * fits
+			c.served += slice.answers * w.left[0] * fits
 			used = used.add(wanted.scaled(fits))
 			if fits < 1 {
+				w.left[0] *= 1 - fits
 				break
 			}
+			w.expire(w.first + 1)
 		}
 	}
 }
 
+// expire drops the slices before the given one.
+func (w *backlog) expire(first int) {
+	if first <= w.first {
+		return
+	}
+	w.left = w.left[min(first-w.first, len(w.left)):]
+	w.first = first
+}
+
 // fitsTolerance is the precision of what fits beside other work.
 const fitsTolerance = 1e-3
 
--- a/standin/measurer/calendar.go
+++ b/standin/measurer/calendar.go
@@ -46,13 +46,14 @@
 // after adds an act after a delay.
 func (c *calendar) after(delay time.Duration, act func()) { c.at(c.now+delay, act) }
 
-// run carries out acts in order until none is left or the end is reached.
+// run carries out the acts up to the end in order and moves the clock there.
 func (c *calendar) run(end time.Duration) {
 	for len(c.entries) > 0 && c.entries[0].at <= end {
 		first := c.pop()
 		c.now = first.at
 		first.act()
 	}
+	c.now = max(c.now, end)
 }
 
 // pop removes the earliest entry.
--- a/standin/measurer/instance.go
+++ b/standin/measurer/instance.go
@@ -21,7 +21,7 @@
 // handle passes an event to the decider and carries out its actions.
 func (i *instance) handle(event scheduler.Event) {
 	actions := i.decider.Handle(event)
-	i.simulation.observe(i, event)
+	i.simulation.observe(i, event, actions)
 	for _, action := range actions {
 		i.carryOut(action)
 	}
--- /dev/null
+++ b/standin/measurer/ours.go
@@ -0,0 +1,153 @@
+package measurer
+
+import (
+	"time"
+
+	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/core/placer"
+	"rosemaryspool.example/core/scheduler"
+)
+
+// ours returns the policy of the real core: a scheduler on each instance and a placer on one.
+func ours(w *Workload, seed uint64) Policy {
+	instances := w.Figures.Instances
+	return Policy{
+		Name: "ours", Split: allMixed(w.Figures),
+		NewDecider: func(instance identifier.InstanceID, dataCentre identifier.DataCentre) Decider {
+			return scheduler.NewScheduler(scheduler.Settings{
+				Instance: instance, DataCentre: dataCentre, Instances: instances, Seed: seed,
+			})
+		},
+		NewPlanner: func() Planner { return newPlacement(instances) },
+	}
+}
+
+// demandPeriod is how often the elected instance tells the placer what it was asked for.
+const demandPeriod = time.Second
+
+// cachedShareWeight is the weight of a new answer in a class's usual share of cached prompt tokens.
+const cachedShareWeight = 0.05
+
+// placement runs the real placer on what its instance sees, as the daemon's shell does.
+type placement struct {
+	placer   *placer.Placer
+	started  bool
+	since    time.Time
+	demand   placer.DemandObserved
+	attempts map[identifier.AttemptID]identifier.RequestID
+	requests map[identifier.RequestID]scheduler.RequestArrived
+	// cached is each class's usual share of prompt tokens that the engines' caches hold.
+	cached map[identifier.ClassName]float64
+}
+
+// newPlacement returns a placer with authority over the whole fleet.
+func newPlacement(instances int) *placement {
+	p := &placement{
+		placer:   placer.NewPlacer(placer.DefaultSettings()),
+		attempts: map[identifier.AttemptID]identifier.RequestID{},
+		requests: map[identifier.RequestID]scheduler.RequestArrived{},
+		cached:   map[identifier.ClassName]float64{},
+	}
+	p.placer.Handle(placer.InstancesCounted{Instances: instances})
+	return p
+}
+
+// Observe takes one event with the actions that the scheduler answered and returns the orders that follow.
+func (p *placement) Observe(event scheduler.Event, actions []scheduler.Action) []Order {
+	p.note(actions)
+	switch e := event.(type) {
+	case scheduler.RequestArrived:
+		p.ask(e)
+	case scheduler.AttemptFinished:
+		p.learn(e)
+	case scheduler.LoadReported:
+		return p.orders(p.placer.Handle(observed(e)))
+	case scheduler.UpstreamGone:
+		return p.orders(p.placer.Handle(placer.EngineGone{Now: e.Now, Upstream: e.Upstream}))
+	case scheduler.Ticked:
+		return p.tick(e.Now)
+	}
+	return nil
+}
+
+// Ended tells the placer how an order ended.
+func (p *placement) Ended(now time.Time, order Order, taken bool) {
+	if order.Kind == OrderChangeRole {
+		p.placer.Handle(placer.OrderEnded{Now: now, Upstream: order.Upstream, Done: taken})
+	}
+}
+
+// observed turns a load report into the placer's event.
+func observed(e scheduler.LoadReported) placer.EngineObserved {
+	return placer.EngineObserved{
+		Now: e.Now, Upstream: e.Upstream, Model: e.Load.Model, Role: e.Load.Role, Changing: e.Load.Changing,
+		Leaving: e.Load.Leaving, Healthy: true, Sequences: e.Load.Running + e.Load.Waiting, MaxBatch: e.Load.MaxBatch,
+		QueuedPrefill: e.Load.QueuedPrefill, PrefillPerSecond: e.Load.PrefillPerSecond, DecodeStep: e.Load.DecodeStep,
+	}
+}
+
+// note remembers which request an attempt belongs to and forgets closed requests.
+func (p *placement) note(actions []scheduler.Action) {
+	for _, action := range actions {
+		switch a := action.(type) {
+		case scheduler.Dispatch:
+			p.attempts[a.Attempt] = a.Request
+		case scheduler.Complete:
+			delete(p.requests, a.Request)
+			delete(p.attempts, a.Attempt)
+		case scheduler.Refuse:
+			delete(p.requests, a.Request)
+		case scheduler.Cancel:
+			delete(p.attempts, a.Attempt)
+		}
+	}
+}
+
+// ask counts a request as demand, with the share of its prompt that caches usually don't hold.
+func (p *placement) ask(e scheduler.RequestArrived) {
+	p.requests[e.Request] = e
+	p.demand.Prefill += identifier.Tokens(float64(e.Prompt) * (1 - p.cached[e.Class]))
+	p.demand.Output += e.ExpectedOutput
+}
+
+// learn folds one answer's cached tokens into its class's usual share.
+func (p *placement) learn(e scheduler.AttemptFinished) {
+	r, ok := p.requests[p.attempts[e.Attempt]]
+	delete(p.attempts, e.Attempt)
+	if !ok || e.CachedPrompt < 0 {
+		return
+	}
+	cached := float64(e.CachedPrompt) / float64(max(r.Prompt, 1))
+	p.cached[r.Class] += cachedShareWeight * (cached - p.cached[r.Class])
+	delete(p.requests, r.Request)
+}
+
+// tick lets the placer act on time, and tells it the demand of the last period.
+func (p *placement) tick(now time.Time) []Order {
+	if !p.started {
+		p.started, p.since = true, now
+		p.placer.Handle(placer.AuthorityChanged{Now: now, Held: true})
+	}
+	if now.Sub(p.since) >= demandPeriod {
+		p.demand.Now, p.demand.Model, p.demand.Period = now, modelName, now.Sub(p.since)
+		p.placer.Handle(p.demand)
+		p.demand, p.since = placer.DemandObserved{}, now
+	}
+	return p.orders(p.placer.Handle(placer.Ticked{Now: now}))
+}
+
+// orders turns the placer's actions into orders; the fakes run one version, so that loads and permits don't occur.
+func (p *placement) orders(actions []placer.Action) []Order {
+	var orders []Order
+	for _, action := range actions {
+		switch a := action.(type) {
+		case placer.DrainEngine:
+			orders = append(orders, Order{Kind: OrderDrain, Upstream: a.Upstream})
+		case placer.RestoreEngine:
+			orders = append(orders, Order{Kind: OrderRestore, Upstream: a.Upstream})
+		case placer.OrderRole:
+			orders = append(orders, Order{Kind: OrderChangeRole, Upstream: a.Upstream, Role: a.Role})
+		}
+	}
+	return orders
+}
--- a/standin/measurer/policies.go
+++ b/standin/measurer/policies.go
@@ -7,8 +7,10 @@
 )
 
 // NewPolicy returns a policy by its name, prepared for one run.
-func NewPolicy(name string, w *Workload) (Policy, error) {
+func NewPolicy(name string, w *Workload, seed uint64) (Policy, error) {
 	switch name {
+	case "ours":
+		return ours(w, seed), nil
 	case "static":
 		return Policy{Name: name, Split: staticSplit(w), NewDecider: baselineDeciders(false)}, nil
 	case "reactive":
--- a/standin/measurer/policy.go
+++ b/standin/measurer/policy.go
@@ -12,16 +12,29 @@
 	Handle(event scheduler.Event) []scheduler.Action
 }
 
-// Order is a role change that a planner wants.
+// OrderKind tells what an order asks for.
+type OrderKind int
+
+// Kinds of orders.
+const (
+	// OrderChangeRole changes an engine's role; the engine serves what it holds first, up to its patience.
+	OrderChangeRole OrderKind = iota
+	// OrderDrain stops new work for an engine on every instance; OrderRestore allows it again.
+	OrderDrain
+	OrderRestore
+)
+
+// Order is what a planner wants done with an engine.
 type Order struct {
+	Kind     OrderKind
 	Upstream identifier.UpstreamID
 	Role     identifier.Role
 }
 
 // Planner decides the engines' roles; one instance at a time runs it.
 type Planner interface {
-	// Observe takes what the instance sees and returns the role changes to order.
-	Observe(event scheduler.Event) []Order
+	// Observe takes what the instance sees and decides, and returns the orders that follow.
+	Observe(event scheduler.Event, actions []scheduler.Action) []Order
 	// Ended tells that the engine took or refused the order.
 	Ended(now time.Time, order Order, taken bool)
 }
--- a/standin/measurer/reactive.go
+++ b/standin/measurer/reactive.go
@@ -41,7 +41,7 @@
 }
 
 // Observe takes one event and returns the role changes to order.
-func (p *reactive) Observe(event scheduler.Event) []Order {
+func (p *reactive) Observe(event scheduler.Event, _ []scheduler.Action) []Order {
 	switch e := event.(type) {
 	case scheduler.UpstreamSeen:
 		if p.engines[e.Upstream] == nil {
--- a/standin/measurer/runner.go
+++ b/standin/measurer/runner.go
@@ -123,7 +123,7 @@
 	var cases []Case
 	for _, fault := range p.Faults {
 		for _, name := range p.Policies {
-			policy, err := NewPolicy(name, w)
+			policy, err := NewPolicy(name, w, j.seed)
 			if err != nil {
 				return nil, err
 			}
--- /dev/null
+++ b/standin/measurer/runner_test.go
@@ -0,0 +1,113 @@
+package measurer
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"rosemaryspool.example/core/identifier"
+)
+
+// shortPlan is a plan of short runs that together take a few seconds.
+func shortPlan() Plan {
+	return Plan{
+		Deployments: []string{"kalipci", "luminaria"}, Seeds: []uint64{1}, Loads: []float64{0.6, 1.3},
+		Faults: []Fault{FaultNone}, Policies: PolicyNames, Length: 2 * time.Minute, Parallel: 2,
+	}
+}
+
+func run(t *testing.T, plan Plan) ([]Case, string) {
+	var out strings.Builder
+	cases, err := Run(plan, &out)
+	require.NoError(t, err, "no case beats the bound, no breach, no urgent answer cut")
+	return cases, out.String()
+}
+
+func TestSameSeedGivesTheSameResult(t *testing.T) {
+	plan := shortPlan()
+	cases, first := run(t, plan)
+	plan.Parallel = 1
+	_, second := run(t, plan)
+	require.Equal(t, first, second)
+
+	answers := map[string]int{}
+	for _, c := range cases {
+		key := fmt.Sprint(c.Deployment, c.Seed, c.Load)
+		if known, ok := answers[key]; ok {
+			require.Equal(t, known, c.Result.Arrived, "all policies see the same arrivals")
+		}
+		answers[key] = c.Result.Arrived
+	}
+	require.Len(t, answers, 4)
+}
+
+func TestOtherSeedGivesAnotherResult(t *testing.T) {
+	plan := shortPlan()
+	plan.Loads, plan.Policies = []float64{0.6}, []string{"round-robin"}
+	_, first := run(t, plan)
+	plan.Seeds = []uint64{2}
+	_, second := run(t, plan)
+	require.NotEqual(t, strings.ReplaceAll(first, "seed=1", "seed=2"), second)
+}
+
+func TestFaultsBreakNoAnswer(t *testing.T) {
+	plan := shortPlan()
+	plan.Loads, plan.Faults = []float64{0.9}, Faults
+	plan.Policies, plan.Overrides = []string{"ours", "reactive"}, []string{"faultLength=30s"}
+	cases, _ := run(t, plan)
+	retried := map[Fault]int{}
+	for _, c := range cases {
+		retried[c.Fault] += c.Result.Retried
+	}
+	for _, f := range []Fault{FaultCrash, FaultDataCentre} {
+		require.Greater(t, retried[f], retried[FaultNone], "fault %s", f)
+	}
+}
+
+func TestBeatenBoundFails(t *testing.T) {
+	result := Result{Arrived: 10, Classes: []ClassResult{{Arrived: 10, InTime: 9, Urgent: true}}}
+	cases := []struct {
+		name  string
+		load  float64
+		bound Bound
+		beats bool
+	}{
+		{"a bound above both", 1, Bound{Goodput: 0.95, Urgent: 0.95}, false},
+		{"goodput above the bound", 1, Bound{Goodput: 0.85, Urgent: 0.95}, true},
+		{"goodput above the bound in overload, where urgent first may cost answers", 1.3, Bound{Goodput: 0.85, Urgent: 0.95}, false},
+		{"urgent goodput above the bound in overload", 1.3, Bound{Goodput: 0.95, Urgent: 0.85}, true},
+	}
+	for _, c := range cases {
+		measured := Case{Load: c.load, Bound: c.bound, Result: result}
+		require.Equal(t, c.beats, measured.Beats(), c.name)
+		require.Equal(t, c.beats, verdict([]Case{measured}) != nil, c.name)
+	}
+}
+
+func TestOverrides(t *testing.T) {
+	cases := []struct {
+		assignment string
+		fails      bool
+		check      func(Figures) bool
+	}{
+		{"prefillPerSecond=8000", false, func(f Figures) bool { return f.PrefillPerSecond == 8000 }},
+		{"reportLate=3s", false, func(f Figures) bool { return f.ReportLate == 3*time.Second }},
+		{"maxBatch=32", false, func(f Figures) bool { return f.MaxBatch == 32 }},
+		{"fittingVerdict.deadline=5s", false, func(f Figures) bool { return f.Classes[0].Deadline == 5*time.Second }},
+		{"cacheTokens=1000", false, func(f Figures) bool { return f.CacheTokens == identifier.Tokens(1000) }},
+		{"unknown=1", true, nil},
+		{"maxBatch", true, nil},
+		{"maxBatch=many", true, nil},
+	}
+	for _, c := range cases {
+		f := Kalipci()
+		err := f.Set(c.assignment)
+		require.Equal(t, c.fails, err != nil, c.assignment)
+		if !c.fails {
+			require.True(t, c.check(f), c.assignment)
+		}
+	}
+}
--- a/standin/measurer/simulation.go
+++ b/standin/measurer/simulation.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"rosemaryspool.example/core/identifier"
@@ -89,10 +90,18 @@
 	}
 	s.startFault()
 	s.planArrival(0)
-	s.calendar.run(s.end)
+	s.calendar.run(s.workload.Length)
+	for step := time.Second; s.calendar.now < s.end && s.anyOpen(); {
+		s.calendar.run(min(s.calendar.now+step, s.end))
+	}
 	return s.summarise()
 }
 
+// anyOpen reports whether a caller still waits.
+func (s *Simulation) anyOpen() bool {
+	return slices.ContainsFunc(s.records, func(r record) bool { return r.state == stateOpen })
+}
+
 // planArrival plans one request's arrival, which plans the next.
 func (s *Simulation) planArrival(number int) {
 	if number >= len(s.workload.Requests) {
@@ -140,29 +149,42 @@
 }
 
 // observe shows the planner what its instance sees and sends the orders that it decides.
-func (s *Simulation) observe(i *instance, event scheduler.Event) {
+func (s *Simulation) observe(i *instance, event scheduler.Event, actions []scheduler.Action) {
 	if s.planner == nil || s.logDown || i != s.instances[0] {
 		return
 	}
-	for _, order := range s.planner.Observe(event) {
+	for _, order := range s.planner.Observe(event, actions) {
 		s.calendar.after(s.figures.OrderLate, func() { s.order(i, order) })
 	}
 }
 
-// order sends a role change to an engine and tells the planner how it ended.
+// order carries an order to its engine and tells the planner how it ended.
 func (s *Simulation) order(i *instance, order Order) {
 	n := s.nodes[order.Upstream]
 	taken := false
 	if n != nil && !s.logDown && !s.cut(i.dataCentre, n.dataCentre) {
-		absence := between(n.absence, s.figures.AbsenceMin, s.figures.AbsenceMax)
-		taken = n.engine.ChangeRole(s.clock(), order.Role, absence, s.figures.ChangePatience) == nil
+		taken = s.orderEngine(n, order)
 		s.touch(n)
 	}
-	if taken {
+	s.planner.Ended(s.clock(), order, taken)
+}
+
+// orderEngine carries out an order that has reached its engine.
+func (s *Simulation) orderEngine(n *node, order Order) bool {
+	switch order.Kind {
+	case OrderDrain:
+		n.engine.Drain(s.clock(), true)
+	case OrderRestore:
+		n.engine.Drain(s.clock(), false)
+	case OrderChangeRole:
+		absence := between(n.absence, s.figures.AbsenceMin, s.figures.AbsenceMax)
+		if n.engine.ChangeRole(s.clock(), order.Role, absence, s.figures.ChangePatience) != nil {
+			return false
+		}
 		s.result.RoleChanges++
 		s.roleChanged()
 	}
-	s.planner.Ended(s.clock(), order, taken)
+	return true
 }
 
 // roleChanged notes the present division of the engines for the plot.
