Give each make target its own default of SEEDS

Change: target-specific defaults. Measured: 'make -n' shows 1-200 for check-histories and 1-5 for measure. Conclusion: both targets keep their defaults.

--- a/Makefile
+++ b/Makefile
@@ -45,17 +45,16 @@
 clean:
 	rm -rf bin
 
-<<<<<<< HEAD
 # Runs the seeded histories of leases, orders, configuration and at-most-once work: make check-histories SEEDS=FROM-TO.
-SEEDS ?= 1-200
+check-histories: SEEDS ?= 1-200
 
 .PHONY: check-histories
 
 check-histories:
 	go run ./core/checker/command -seeds=$(SEEDS)
-=======
+
 DEPLOYMENT ?= kalipci,luminaria
-SEEDS ?= 1-5
+measure: SEEDS ?= 1-5
 LOAD ?= 0.6,0.8,0.9,1.0,1.3
 FAULT ?= none
 POLICY ?= all
@@ -71,4 +70,3 @@
 plots: build
 	./bin/standin measure --deployment kalipci --seeds 1 --load 0.9 --policy all --plot docs/plots/kalipci.svg
 	./bin/standin measure --deployment luminaria --seeds 1 --load 0.9 --policy all --plot docs/plots/luminaria.svg
->>>>>>> scheduling
