Add standin audit: non-idempotent calls with repeats, told against run

Cause: at most once, and 'not run' meaning not run, must be checked from outside at running daemons. Change: audit sends each key several times in a drawn order to several daemons and compares every reply with the runs that the stand-in services counted; a careless proxy in its test is found out. WaitUntil moved to one place.

--- /dev/null
+++ b/standin/auditor/auditor_test.go
@@ -0,0 +1,80 @@
+package auditor
+
+import (
+	"net/http"
+	"net/http/httputil"
+	"net/url"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/core/refuser"
+	"rosemaryspool.example/standin/provider"
+	"rosemaryspool.example/standin/server"
+)
+
+func TestJudge(t *testing.T) {
+	answer, other := reply{answer: "200 a"}, reply{answer: "200 b"}
+	notRun, unknown, lost := reply{effect: refuser.NotRun}, reply{effect: refuser.OutcomeUnknown}, reply{lost: true}
+	cases := []struct {
+		name string
+		told []reply
+		runs int
+		want Report
+	}{
+		{"first answer twice", []reply{answer, answer}, 1, Report{Answered: 2, Runs: 1}},
+		{"not run", []reply{notRun, notRun}, 0, Report{NotRun: 2}},
+		{"not run at first", []reply{notRun, answer}, 1, Report{NotRun: 1, Answered: 1, Runs: 1}},
+		{"unknown", []reply{unknown, lost}, 1, Report{Unknown: 1, Lost: 1, Runs: 1}},
+		{"lost and not run", []reply{lost, notRun}, 1, Report{Lost: 1, NotRun: 1, Runs: 1}},
+		{"failed", []reply{{effect: refuser.RanAndFailed}}, 1, Report{RanAndFailed: 1, Runs: 1}},
+		{"second run", []reply{answer}, 2, Report{Answered: 1, Runs: 2, SecondRuns: 1}},
+		{"false not run", []reply{notRun, notRun}, 1, Report{NotRun: 2, Runs: 1, FalseNotRun: 1}},
+		{"two answers", []reply{answer, other}, 1, Report{Answered: 2, Runs: 1, WrongAnswers: 1}},
+		{"answer without a run", []reply{answer}, 0, Report{Answered: 1, MissingRuns: 1}},
+	}
+	for _, c := range cases {
+		c.want.Keys, c.want.Sends = 1, len(c.told)
+		got := judge(map[identifier.IdempotencyKey][]reply{"k": c.told}, map[identifier.IdempotencyKey]int{"k": c.runs})
+		require.Equal(t, c.want, got, c.name)
+	}
+}
+
+func TestDecodeReply(t *testing.T) {
+	cases := []struct {
+		status int
+		body   string
+		want   reply
+	}{
+		{200, `{"run":1}`, reply{answer: `200 {"run":1}`}},
+		{503, `{"error":{"code":4005,"effect":"notRun"}}`, reply{effect: refuser.NotRun}},
+		{409, `{"error":{"code":4004,"effect":"outcomeUnknown"}}`, reply{effect: refuser.OutcomeUnknown}},
+		{502, `{"error":{"code":3001,"effect":"ranAndFailed"}}`, reply{effect: refuser.RanAndFailed}},
+		{502, `{"error":{"code":3001,"effect":"perhaps"}}`, reply{lost: true}},
+	}
+	for _, c := range cases {
+		require.Equal(t, c.want, decodeReply(c.status, []byte(c.body)), c.body)
+	}
+}
+
+// TestRunFindsACarelessDaemon audits a daemon that hands every repeat on to the service.
+func TestRunFindsACarelessDaemon(t *testing.T) {
+	service := provider.NewService(provider.Settings{})
+	upstream, err := server.Start(server.Settings{Address: "127.0.0.1:0", Handler: service.Handler()})
+	require.NoError(t, err)
+	defer upstream.Close()
+	target, err := url.Parse(upstream.URL())
+	require.NoError(t, err)
+	proxy := httputil.NewSingleHostReverseProxy(target)
+	daemon, err := server.Start(server.Settings{Address: "127.0.0.1:0", Handler: http.Handler(proxy)})
+	require.NoError(t, err)
+	defer daemon.Close()
+	report, err := Run(t.Context(), Settings{
+		Targets: []string{daemon.URL()}, Services: []string{upstream.URL()}, Service: "atolye-app", Class: "fabricOrder",
+		Callers: []identifier.CallerID{"terzi"}, Keys: 5, Repeats: 2, Prefix: "audit", Concurrency: 3,
+	})
+	require.NoError(t, err)
+	require.Equal(t, Report{Keys: 5, Sends: 10, Answered: 10, Runs: 10, SecondRuns: 5, WrongAnswers: 5}, report)
+	require.Equal(t, 10, report.Breaches())
+}
--- /dev/null
+++ b/standin/auditor/exchange.go
@@ -0,0 +1,106 @@
+package auditor
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"rosemaryspool.example/adaptor/requester"
+	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/core/refuser"
+	"rosemaryspool.example/standin/provider"
+)
+
+// Headers of the callers' interface.
+const (
+	headerClass    = "X-Rosemaryspool-Class"
+	headerCaller   = "X-Rosemaryspool-Caller"
+	headerKey      = "Idempotency-Key"
+	headerIssuedAt = "X-Rosemaryspool-Key-Issued-At"
+)
+
+// maxReplyBytes bounds what is kept of a reply.
+const maxReplyBytes = 1 << 20
+
+// reply is what a caller was told about one sending.
+type reply struct {
+	// effect is zero for an answer of the service and for a lost reply.
+	effect refuser.Effect
+	// lost is true when no readable reply came.
+	lost   bool
+	answer string
+}
+
+// refusal is the part of a numbered refusal that the audit reads.
+type refusal struct {
+	Error *struct {
+		Effect string `json:"effect"`
+	} `json:"error"`
+}
+
+// send sends a key's call once and reads the reply.
+func send(ctx context.Context, settings Settings, s sending) reply {
+	header := http.Header{}
+	header.Set(headerClass, string(settings.Class))
+	header.Set(headerCaller, string(s.caller))
+	header.Set(headerKey, string(s.key))
+	header.Set(headerIssuedAt, s.issuedAt.UTC().Format(time.RFC3339))
+	path := fmt.Sprintf("/v1/services/%s/%s", settings.Service, settings.Class)
+	body := fmt.Appendf(nil, `{"key":%q}`, s.key)
+	response, err := s.target.Open(ctx, http.MethodPost, path, body, header)
+	if err != nil {
+		return reply{lost: true}
+	}
+	defer response.Body.Close()
+	content, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes))
+	if err != nil {
+		return reply{lost: true}
+	}
+	return decodeReply(response.StatusCode, content)
+}
+
+func decodeReply(status int, content []byte) reply {
+	var refused refusal
+	if json.Unmarshal(content, &refused) != nil || refused.Error == nil {
+		return reply{answer: fmt.Sprintf("%d %s", status, content)}
+	}
+	for _, e := range []refuser.Effect{refuser.NotRun, refuser.OutcomeUnknown, refuser.RanAndFailed} {
+		if refused.Error.Effect == e.String() {
+			return reply{effect: e}
+		}
+	}
+	return reply{lost: true}
+}
+
+// countRuns adds up the runs of each key over all upstreams of the service.
+func countRuns(ctx context.Context, services []string) (map[identifier.IdempotencyKey]int, error) {
+	runs := map[identifier.IdempotencyKey]int{}
+	for _, url := range services {
+		counts, err := readCounts(ctx, url)
+		if err != nil {
+			return nil, eris.Wrapf(err, "auditor: read counts of %s", url)
+		}
+		for key, count := range counts.ByKey {
+			runs[key] += count
+		}
+	}
+	return runs, nil
+}
+
+func readCounts(ctx context.Context, url string) (provider.Counts, error) {
+	var counts provider.Counts
+	response, err := requester.NewClient(url).Open(ctx, http.MethodGet, "/counts", nil, nil)
+	if err != nil {
+		return counts, err
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return counts, requester.ReadStatusError(response)
+	}
+	return counts, json.NewDecoder(response.Body).Decode(&counts)
+}
--- a/standin/commander/commander.go
+++ b/standin/commander/commander.go
@@ -48,6 +48,7 @@
 		newServiceCommand(),
 		newHostCommand(),
 		newLoadCommand(),
+		newAuditCommand(),
 		measureCommand(),
 	}
 }
--- a/standin/commander/commander_test.go
+++ b/standin/commander/commander_test.go
@@ -135,6 +135,7 @@
 		{[]string{"store", "--burst", "0", "--faults", `{"x":1}`}, []string{"burst", "faults"}},
 		{[]string{"engine", "--id", "", "--role", "both", "--speed", "-1", "--order-absence", "-1s"}, []string{"id", "role", "speed", "order-absence"}},
 		{[]string{"load", "--deployment", "kalipçı", "--share", "0", "--concurrency", "0"}, []string{"deployment", "share", "concurrency", "targets"}},
+		{[]string{"audit", "--keys", "0", "--class", ""}, []string{"keys", "class", "targets", "services"}},
 		{[]string{"host", "--address", "here", "--engines", "-1"}, []string{"address", "engines"}},
 	}
 	for _, c := range cases {
--- a/standin/commander/host.go
+++ b/standin/commander/host.go
@@ -22,10 +22,7 @@
 		stringFlag("document", "", "configuration document whose upstreams to run, in place of the numbers below"),
 		intFlag("engines", 3, "number of mixed engines"),
 		intFlag("services", 1, "number of upstreams of a plain service"),
-		&cli.StringSliceFlag{
-			Name: "data-centres", Value: []string{"a"}, Usage: "data centres, over which upstreams are spread in turn",
-			Sources: source("data-centres"),
-		},
+		listFlag("data-centres", []string{"a"}, "data centres, over which upstreams are spread in turn"),
 		&cli.BoolFlag{Name: "checks-tokens", Value: true, Usage: "refuse orders with an old fencing token", Sources: source("checks-tokens")},
 	}
 	return &cli.Command{
@@ -60,9 +57,8 @@
 	if path := c.command.String("document"); path != "" {
 		return documentSettings(c, path, settings.Address)
 	}
-	centres := c.command.StringSlice("data-centres")
+	centres := c.list("data-centres")
 	if len(centres) == 0 {
-		c.fail("data-centres", "may not be empty")
 		return settings
 	}
 	shared := engineSettings(c)
--- a/standin/commander/load.go
+++ b/standin/commander/load.go
@@ -19,10 +19,10 @@
 		Name:  "load",
 		Usage: "send a mix of work over time to daemons and report goodput by class",
 		Flags: []cli.Flag{
-			&cli.StringSliceFlag{Name: "targets", Usage: "base URLs of the daemons", Sources: source("targets")},
+			listFlag("targets", nil, "base URLs of the daemons"),
 			stringFlag("deployment", "kalipci", "whose mix to send: kalipci or luminaria"),
 			stringFlag("model", "", "model to ask for; empty for the deployment's"),
-			&cli.StringSliceFlag{Name: "callers", Usage: "callers to send as, in turn; empty for drawn names", Sources: source("callers")},
+			listFlag("callers", nil, "callers to send as, in turn; empty for drawn names"),
 			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "seed of the arrivals", Sources: source("seed")},
 			floatFlag("share", 0.5, "arrivals as a share of the engines' capacity"),
 			intFlag("engines", 0, "number of engines that the share refers to; 0 for the deployment's"),
@@ -41,15 +41,12 @@
 	check := &checker{command: command}
 	workload := drawWorkload(check)
 	settings := loader.Settings{
-		Targets:     command.StringSlice("targets"),
+		Targets:     check.list("targets"),
 		Concurrency: check.count("concurrency", 1),
 		MaxRequests: check.count("max-requests", 0),
 		Patience:    check.duration("patience"),
 		Seed:        command.Uint64("seed"),
 	}
-	if len(settings.Targets) == 0 {
-		check.fail("targets", "may not be empty")
-	}
 	if err := check.err(); err != nil {
 		return err
 	}
--- a/standin/commander/setting.go
+++ b/standin/commander/setting.go
@@ -40,6 +40,10 @@
 	return &cli.FloatFlag{Name: name, Value: value, Usage: usage, Sources: source(name)}
 }
 
+func listFlag(name string, value []string, usage string) cli.Flag {
+	return &cli.StringSliceFlag{Name: name, Value: value, Usage: usage, Sources: source(name)}
+}
+
 // serverFlags returns the settings of every command that listens.
 func serverFlags(more ...cli.Flag) []cli.Flag {
 	return append([]cli.Flag{
@@ -92,6 +96,15 @@
 	return value
 }
 
+// list returns a setting that needs at least one value.
+func (c *checker) list(name string) []string {
+	values := c.command.StringSlice(name)
+	if len(values) == 0 {
+		c.fail(name, "may not be empty")
+	}
+	return values
+}
+
 // positive returns a number above zero.
 func (c *checker) positive(name string) float64 {
 	value := c.command.Float(name)
--- a/standin/loader/loader.go
+++ b/standin/loader/loader.go
@@ -9,6 +9,7 @@
 	"github.com/sourcegraph/conc/pool"
 
 	"rosemaryspool.example/adaptor/requester"
+	"rosemaryspool.example/standin/pacer"
 )
 
 // Settings describes a run.
@@ -45,7 +46,7 @@
 			break
 		}
 		due := start.Add(a.At)
-		if !sleepUntil(ctx, due) {
+		if !pacer.WaitUntil(ctx, due) {
 			break
 		}
 		sent++
@@ -57,15 +58,3 @@
 	workers.Wait()
 	return report
 }
-
-// sleepUntil returns false when ctx ended first.
-func sleepUntil(ctx context.Context, due time.Time) bool {
-	timer := time.NewTimer(time.Until(due))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return ctx.Err() == nil
-	case <-ctx.Done():
-		return false
-	}
-}
