--- a/core/checker/stream.go
+++ b/core/checker/stream.go
@@ -9,6 +9,8 @@
 type stream struct {
 	records [][]byte
 	first   identifier.Offset
+	// appends counts the appends, each of one or more records.
+	appends int
 	// taken is told of every record that is appended.
 	taken func([]byte)
 }
@@ -19,6 +21,7 @@
 
 func (s *stream) append(records [][]byte) identifier.Offset {
 	at := s.end()
+	s.appends++
 	for _, r := range records {
 		s.records = append(s.records, r)
 		s.taken(r)
--- /dev/null
+++ b/core/scheduler/settings.go
@@ -0,0 +1,62 @@
+package scheduler
+
+import (
+	"time"
+
+	"rosemaryspool.example/core/admitter"
+	"rosemaryspool.example/core/ejector"
+	"rosemaryspool.example/core/estimator"
+	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/core/retrier"
+	"rosemaryspool.example/core/router"
+)
+
+// Settings holds what one instance's scheduler is started with.
+type Settings struct {
+	Instance   identifier.InstanceID
+	DataCentre identifier.DataCentre
+	// Instances is the number of live instances, this one included.
+	Instances int
+	// Seed makes the random choices repeatable; instances with equal seeds still choose differently.
+	Seed uint64
+	// Tunables holds the figures of behaviour; the zero value stands for DefaultTunables.
+	Tunables Tunables
+}
+
+// Tunables holds the figures of behaviour of each part.
+type Tunables struct {
+	Estimate estimator.Settings
+	Route    router.Settings
+	Admit    admitter.Settings
+	Retry    retrier.Settings
+	Eject    ejector.Settings
+	// FullFleet is the number of engines up to which an instance uses all of them.
+	FullFleet int
+	// Subset is how many engines of each model an instance uses in a larger fleet.
+	Subset int
+	// StallPause is how long a stream may stay silent before it is resumed elsewhere.
+	StallPause time.Duration
+	// FlowMemory is the time over which the own flow of work is measured; that of the other instances is reckoned from it.
+	FlowMemory time.Duration
+	// HoldShare is the share of the deadline of long urgent prompts that waiting and harm may cost before bulk work is held.
+	HoldShare float64
+	// QueueTries is how many waiting requests are tried again after each event; ticks try all.
+	QueueTries int
+}
+
+// DefaultTunables returns the figures for a fleet about which nothing is known.
+func DefaultTunables() Tunables {
+	return Tunables{
+		Estimate:   estimator.DefaultSettings(),
+		Route:      router.DefaultSettings(),
+		Admit:      admitter.DefaultSettings(),
+		Retry:      retrier.DefaultSettings(),
+		Eject:      ejector.DefaultSettings(),
+		FullFleet:  32,
+		Subset:     24,
+		StallPause: 5 * time.Second,
+		FlowMemory: 20 * time.Second,
+		HoldShare:  1.5,
+		QueueTries: 4,
+	}
+}
