--- a/core/controller/controller.go
+++ b/core/controller/controller.go
@@ -79,6 +79,8 @@
 	live     bool
 	inForce  identifier.Revision
 	draining []identifier.UpstreamID
+	// wantsNext is the offset up to which the candidacies were updated; zero when they must be anew.
+	wantsNext identifier.Offset
 	// plansNext is the offset after the latest planned change that was announced.
 	plansNext identifier.Offset
 	// snapshotAt is when this process read the latest snapshot or the first record after its start.
@@ -152,12 +154,15 @@
 		return c.advance(e.Now)
 	case ScopeWanted:
 		c.wanted[e.Scope] = true
+		c.wantsNext = 0
 		return c.advance(e.Now)
 	case ScopeUnwanted:
-		delete(c.wanted, e.Scope)
+		c.wanted[e.Scope] = false
+		c.wantsNext = 0
 		return c.advance(e.Now)
 	case ShutdownStarted:
 		c.stopping = true
+		c.wantsNext = 0
 		return c.advance(e.Now)
 	case Ticked:
 		return c.advance(e.Now)
@@ -230,6 +235,10 @@
 
 // updateWants adds the scopes with unfinished orders, so that none stays open when nobody wants its scope any more.
 func (c *Controller) updateWants() {
+	if c.wantsNext == c.state.Next() {
+		return
+	}
+	c.wantsNext = c.state.Next()
 	open := map[identifier.Scope]bool{}
 	for _, o := range c.state.Unfinished() {
 		open[o.Scope] = true
--- a/core/controller/reading.go
+++ b/core/controller/reading.go
@@ -70,10 +70,12 @@
 		c.inForce = revision
 		actions = append(actions, ConfigInForce{Revision: revision, Digest: c.state.Digest(), Document: c.state.Document()})
 	}
-	if next := c.state.PlansNext(); next != c.plansNext {
-		c.plansNext = next
-		actions = append(actions, PlansChanged{Plans: c.state.Plans()})
+	next := c.state.PlansNext()
+	if next == c.plansNext {
+		return actions
 	}
+	c.plansNext = next
+	actions = append(actions, PlansChanged{Plans: c.state.Plans()})
 	if draining := c.state.Draining(); !slices.Equal(draining, c.draining) {
 		c.draining = draining
 		actions = append(actions, UpstreamsDraining{Upstreams: draining})
@@ -113,6 +115,7 @@
 // adopt replaces the state by a complete one that is at least as new.
 func (c *Controller) adopt(now time.Time, state *replayer.State) []Action {
 	c.state = state
+	c.wantsNext = 0
 	c.restorer = nil
 	actions := convertDecisions(c.leases.Restart(now, state.Leases()))
 	actions = append(actions, HistoryRestored{Next: state.Next()})
@@ -149,6 +152,7 @@
 		return nil
 	}
 	c.state = state
+	c.wantsNext = 0
 	c.restorer = replayer.NewRestorer(c.settings.Environment, c.settings.Compile, state.Next())
 	c.live = true
 	return append([]Action{HistoryIncomplete{First: state.Next()}}, c.announce()...)
--- a/core/fencer/audit.go
+++ b/core/fencer/audit.go
@@ -22,10 +22,15 @@
 // advanceAudits reads the engines whose comparison is due.
 func (f *Fencer) advanceAudits(v View) []Step {
 	f.addAudits(v)
+	if v.Now.Before(f.auditAt) {
+		return nil
+	}
 	var steps []Step
+	f.auditAt = v.Now.Add(f.settings.AuditEvery)
 	for _, engine := range slices.Sorted(maps.Keys(f.audits)) {
 		a := f.audits[engine]
 		if v.Now.Before(a.dueAt) {
+			f.auditAt = earlier(f.auditAt, a.dueAt)
 			continue
 		}
 		a.dueAt = v.Now.Add(f.settings.AuditEvery)
@@ -42,9 +47,14 @@
 
 // addAudits adds the engines whose orders were closed before this process read the log.
 func (f *Fencer) addAudits(v View) {
+	if f.auditsNext == v.State.Next() {
+		return
+	}
+	f.auditsNext = v.State.Next()
 	for _, e := range v.State.Engines() {
 		if e.LastClosed != nil && f.audits[e.ID] == nil {
 			f.audits[e.ID] = &audit{dueAt: v.Now.Add(f.settings.AuditEvery)}
+			f.auditAt = time.Time{}
 		}
 	}
 }
@@ -89,3 +99,10 @@
 	repair.Engine = last.Order.GetEngine()
 	return repair
 }
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
--- a/core/fencer/fencer.go
+++ b/core/fencer/fencer.go
@@ -105,9 +105,12 @@
 	settings Settings
 	journeys map[identifier.UpstreamID]*journey
 	audits   map[identifier.UpstreamID]*audit
-	reads    uint64
-	fences   uint64
-	repairs  uint64
+	// auditAt is when the next audit is due, auditsNext the offset up to which closed orders have one.
+	auditAt    time.Time
+	auditsNext identifier.Offset
+	reads      uint64
+	fences     uint64
+	repairs    uint64
 }
 
 // NewFencer returns a fencer without orders.
@@ -191,6 +194,7 @@
 // OutcomeRead ends the order whose outcome was read from the log.
 func (f *Fencer) OutcomeRead(v View, closed replayer.OrderClosed) []Step {
 	f.audits[closed.Engine] = &audit{dueAt: v.Now.Add(f.settings.AuditEvery)}
+	f.auditAt = time.Time{}
 	j := f.journeys[closed.Engine]
 	if j == nil || j.id() != closed.Order.ID() {
 		return nil
--- a/core/replayer/state.go
+++ b/core/replayer/state.go
@@ -3,7 +3,9 @@
 package replayer
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"time"
 
 	"rosemaryspool.example/core/configurer"
@@ -156,11 +158,14 @@
 // Unfinished returns the orders without an outcome, sorted by engine.
 func (s *State) Unfinished() []*Order {
 	var orders []*Order
-	for _, e := range sortedValues(s.engines) {
+	for _, e := range s.engines {
 		if e.Unfinished != nil {
 			orders = append(orders, e.Unfinished)
 		}
 	}
+	slices.SortFunc(orders, func(a, b *Order) int {
+		return cmp.Compare(a.Order.GetEngine(), b.Order.GetEngine())
+	})
 	return orders
 }
 
