--- a/rosemaryctl/commander/commander_test.go
+++ b/rosemaryctl/commander/commander_test.go
@@ -13,8 +13,13 @@
 
 // TestScenarios runs the real client against stand-ins of the platform in the test's process.
 func TestScenarios(t *testing.T) {
-	testscript.Run(t, testscript.Params{
-		Dir:                 "testdata",
+	params := scenarioParams()
+	params.Dir = "testdata"
+	testscript.Run(t, params)
+}
+
+func scenarioParams() testscript.Params {
+	return testscript.Params{
 		RequireExplicitExec: true,
 		RequireUniqueNames:  true,
 		Setup:               startPlatform,
@@ -26,6 +31,7 @@
 			"trim":      trimLog,
 			"edit":      editFile,
 			"exits":     checkExit,
+			"shows":     checkShown,
 		},
-	})
+	}
 }
--- /dev/null
+++ b/rosemaryctl/commander/pages_test.go
@@ -0,0 +1,78 @@
+package commander
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+	"github.com/stretchr/testify/require"
+)
+
+const newVersion = `edit trial.yaml next.yaml '"2026.11"' '"2026.12"'`
+
+// TestPages runs every command of the operators' pages and looks for the output that the pages show.
+func TestPages(t *testing.T) {
+	lessEngine := `edit trial.yaml next.yaml '  - id: prova-7\n    dataCentre: marmara-a\n    model: prova-llm\n    checksTokens: true\n' ''`
+	publish := "exec rosemaryctl publish trial.yaml"
+	promote := "exec rosemaryctl promote --from trial --to production"
+	pages := []struct {
+		name  string
+		setup []string
+	}{
+		{"first-installation", nil},
+		{"trial-to-production", []string{"instances production 3", publish, promote, newVersion}},
+		{"promotion-refused", []string{
+			"instances production 3", publish, promote, lessEngine, "exec rosemaryctl publish next.yaml --accept engineRemoved:prova-7",
+		}},
+		{"planned-changes", []string{publish}},
+	}
+	directory := t.TempDir()
+	var files []string
+	for _, p := range pages {
+		text, err := os.ReadFile(filepath.Join("..", "..", "docs", "operations", p.name+".md"))
+		require.NoError(t, err)
+		lines := append([]string{"instances trial 3"}, p.setup...)
+		commands := scriptOf(string(text))
+		require.NotEmpty(t, commands)
+		file := filepath.Join(directory, p.name+".txtar")
+		require.NoError(t, os.WriteFile(file, []byte(strings.Join(append(lines, commands...), "\n")+"\n"), 0o600))
+		files = append(files, file)
+	}
+	params := scenarioParams()
+	params.Files = files
+	testscript.Run(t, params)
+}
+
+// scriptOf turns the console blocks of a page into a script. A command that fails carries its exit code in a comment.
+func scriptOf(page string) []string {
+	var script []string
+	inside := false
+	for _, line := range strings.Split(page, "\n") {
+		line = strings.TrimSpace(line)
+		switch {
+		case strings.HasPrefix(line, "```"):
+			inside = line == "```console"
+		case !inside:
+		case strings.HasPrefix(line, "$ "):
+			command, code, found := strings.Cut(strings.TrimPrefix(line, "$ "), " # exit ")
+			if !found {
+				code = "0"
+			}
+			script = append(script, fmt.Sprintf("exits %s %s", code, command))
+		default:
+			script = append(script, fmt.Sprintf("shows '%s'", line))
+		}
+	}
+	return script
+}
+
+// checkShown checks that the last command wrote a text: shows TEXT.
+func checkShown(ts *testscript.TestScript, _ bool, args []string) {
+	written := ts.ReadFile("stdout") + ts.ReadFile("stderr")
+	if !strings.Contains(written, args[0]) {
+		ts.Fatalf("the page shows %q, but the command wrote %q", args[0], written)
+	}
+}
--- a/rosemaryctl/differ/differ.go
+++ b/rosemaryctl/differ/differ.go
@@ -7,6 +7,7 @@
 	"io"
 	"maps"
 	"slices"
+	"strings"
 
 	"rosemaryspool.example/core/configurer"
 )
@@ -48,12 +49,7 @@
 	for _, s := range difference.Removed {
 		changes = append(changes, Change{s, KindRemoved, compareKeys(old[s], nil)})
 	}
-	slices.SortStableFunc(changes, func(a, b Change) int {
-		if a.Section < b.Section {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(changes, func(a, b Change) int { return strings.Compare(a.Section, b.Section) })
 	return changes
 }
 
--- /dev/null
+++ b/rosemaryctl/follower/follower_test.go
@@ -0,0 +1,94 @@
+package follower
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/core/replayer"
+	"rosemaryspool.example/standin/recorder"
+	"rosemaryspool.example/wire/messenger"
+)
+
+// appendPlans appends planned changes of engines e1 to eN.
+func appendPlans(t *testing.T, log *recorder.Log, count int) {
+	t.Helper()
+	for i := range count {
+		name := fmt.Sprint("e", i+1)
+		payload, err := proto.Marshal(&messenger.PlannedChange{
+			ChangeId: name, Upstream: name, Kind: messenger.PlannedChangeKind_PLANNED_CHANGE_KIND_DRAIN,
+		})
+		require.NoError(t, err)
+		raw, err := proto.Marshal(&messenger.Record{Id: name, Kind: messenger.RecordKind_RECORD_KIND_PLANNED_CHANGE, Payload: payload})
+		require.NoError(t, err)
+		_, err = log.Append(t.Context(), ControlStream("trial"), [][]byte{raw})
+		require.NoError(t, err)
+	}
+}
+
+// peerAt returns the state of an instance that has read the log up to an offset.
+func peerAt(t *testing.T, log *recorder.Log, next identifier.Offset) BootstrapFunc {
+	t.Helper()
+	state := replayer.NewState("trial", nil)
+	batch, err := log.Read(t.Context(), ControlStream("trial"), 1, int(next)-1, 0)
+	require.NoError(t, err)
+	for _, e := range batch.Entries {
+		_, err := state.Apply(e.Offset, e.Record)
+		require.NoError(t, err)
+	}
+	snapshot, err := state.Snapshot()
+	require.NoError(t, err)
+	reply := &messenger.BootstrapReply{NextOffset: snapshot.GetNextOffset(), State: snapshot.GetState(), Checksum: snapshot.GetChecksum()}
+	return func(context.Context, identifier.Environment) (*messenger.BootstrapReply, error) { return reply, nil }
+}
+
+func TestRestoreAfterTrim(t *testing.T) {
+	silent := func(context.Context, identifier.Environment) (*messenger.BootstrapReply, error) {
+		return nil, errors.New("no instance answered")
+	}
+	cases := []struct {
+		name string
+		// peerNext is where a peer's state ends; zero means that no peer answers.
+		peerNext identifier.Offset
+		restored bool
+	}{
+		{"no peer", 0, false},
+		{"peer before the gap", 2, false},
+		{"peer at the gap", 4, true},
+		{"peer beyond the gap", 6, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			log := recorder.NewLog(recorder.Settings{})
+			appendPlans(t, log, 6)
+			bootstrap := silent
+			if c.peerNext != 0 {
+				bootstrap = peerAt(t, log, c.peerNext)
+			}
+			log.Trim(ControlStream("trial"), 4)
+			reader := New(log, "trial", bootstrap)
+			err := reader.Refresh(t.Context(), 0)
+			if !c.restored {
+				require.ErrorIs(t, err, ErrIncomplete)
+				return
+			}
+			require.NoError(t, err)
+			require.Len(t, reader.State().Draining(), 6)
+		})
+	}
+}
+
+func TestRefreshReadsManyBatches(t *testing.T) {
+	log := recorder.NewLog(recorder.Settings{AppendsPerSecond: 1e9})
+	appendPlans(t, log, 2*readLimit+1)
+	reader := New(log, "trial", nil)
+	reader.Watch("e7")
+	require.NoError(t, reader.Refresh(t.Context(), 0))
+	require.Equal(t, identifier.Offset(2*readLimit+2), reader.State().Next())
+	require.Equal(t, identifier.Offset(7), reader.Found().Offset)
+}
