Fuzz change sections, and let no client test depend on the machine's speed

Change: the limits of a command are settings, and the tests set them far off; a wait always asks each instance at least once. FuzzApply checks the sections of change records. Conclusion: the tests' verdict rests on answers only.

--- /dev/null
+++ b/core/configurer/section_fuzz_test.go
@@ -0,0 +1,35 @@
+package configurer
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// FuzzApply checks that no section of a change record makes an instance panic, that a refused one changes nothing, and
+// that the verdict is the one of a compilation of the whole.
+func FuzzApply(f *testing.F) {
+	for name, content := range sectionsOf(f, wholeText) {
+		f.Add(name, content)
+	}
+	f.Add("callers/x", []byte(`{"id":"x","requestsPerSecond":1e400,"burst":-1}`))
+	f.Add("classes/", []byte(`{"name":"","deadline":"-1s"}`))
+	f.Add("keys/x", []byte(`null`))
+	first := configurationOf(f, wholeText)
+	f.Fuzz(func(t *testing.T, name string, content []byte) {
+		changed := Sections{name: content}
+		_, wholeErr := Compile(first.Sections().Apply(changed, nil))
+		next, err := first.Apply(changed, nil)
+		if err != nil {
+			if _, isEnvironment := changed[sectionEnvironment]; !isEnvironment {
+				require.Error(t, wholeErr)
+			}
+			return
+		}
+		require.NoError(t, wholeErr)
+		found, ok := next.Section(name)
+		require.True(t, ok)
+		require.Equal(t, content, found)
+		require.Equal(t, next.Sections().Digest(), next.Digest())
+	})
+}
--- a/rosemaryctl/commander/platform_test.go
+++ b/rosemaryctl/commander/platform_test.go
@@ -70,7 +70,10 @@
 	env.Setenv("ROSEMARYCTL_LOG", p.logURL)
 	env.Setenv("ROSEMARYCTL_INSTANCES", listServer.URL())
 	env.Setenv("ROSEMARYCTL_OPERATOR", "ayse")
-	env.Setenv("ROSEMARYCTL_WAIT", "5s")
+	// The limits only end a test that hangs: nothing waits for them on a slow machine.
+	env.Setenv("ROSEMARYCTL_WAIT", "5m")
+	env.Setenv("ROSEMARYCTL_TIMEOUT", "10m")
+	env.Setenv("ROSEMARYCTL_CALL_TIMEOUT", "1m")
 	env.Values[platformKey{}] = p
 	return os.WriteFile(filepath.Join(env.WorkDir, "trial.yaml"), sampler.Kalipci(), 0o600)
 }
--- a/rosemaryctl/commander/settings.go
+++ b/rosemaryctl/commander/settings.go
@@ -24,6 +24,7 @@
 	flagOutput      = "output"
 	flagWait        = "wait"
 	flagTimeout     = "timeout"
+	flagCallTimeout = "call-timeout"
 	flagDryRun      = "dry-run"
 	flagAccept      = "accept"
 	flagMessage     = "message"
@@ -57,6 +58,7 @@
 		stringFlag(flagOperator, "name that stands in every record you make"),
 		&cli.StringFlag{Name: flagOutput, Usage: "text or json", Value: outputText, Sources: environmentVariable(flagOutput)},
 		&cli.DurationFlag{Name: flagTimeout, Usage: "longest run of the command", Value: defaultTimeout, Sources: environmentVariable(flagTimeout)},
+		&cli.DurationFlag{Name: flagCallTimeout, Usage: "longest wait for one instance", Value: watcher.DefaultCallTimeout, Sources: environmentVariable(flagCallTimeout)},
 	}
 }
 
@@ -89,8 +91,10 @@
 	if output := command.String(flagOutput); output != outputText && output != outputJSON {
 		lines = append(lines, fmt.Sprintf("setting --output (%s): %q is neither text nor json (code %d)", variableOf(flagOutput), output, badSetting))
 	}
-	if command.Duration(flagTimeout) <= 0 {
-		lines = append(lines, fmt.Sprintf("setting --timeout (%s) is not a positive duration (code %d)", variableOf(flagTimeout), badSetting))
+	for _, name := range []string{flagTimeout, flagCallTimeout} {
+		if command.Duration(name) <= 0 {
+			lines = append(lines, fmt.Sprintf("setting --%s (%s) is not a positive duration (code %d)", name, variableOf(name), badSetting))
+		}
 	}
 	if len(lines) == 0 {
 		return nil
@@ -129,7 +133,7 @@
 		accepted: command.StringSlice(flagAccept),
 	}
 	if address := command.String(flagInstances); address != "" {
-		s.instances = watcher.New(lister.NewClient(address))
+		s.instances = watcher.New(lister.NewClient(address), command.Duration(flagCallTimeout))
 	}
 	return s
 }
--- a/rosemaryctl/watcher/watcher.go
+++ b/rosemaryctl/watcher/watcher.go
@@ -18,8 +18,8 @@
 )
 
 const (
-	// callTimeout bounds one status call; a healthy instance answers within milliseconds.
-	callTimeout = 2 * time.Second
+	// DefaultCallTimeout bounds one call to an instance; a healthy one answers within milliseconds.
+	DefaultCallTimeout = 2 * time.Second
 	// pollInterval is the pause between two rounds of status calls.
 	pollInterval = 250 * time.Millisecond
 	// maxCalls bounds the calls at once; 360 instances of which a tenth is silent take a few seconds.
@@ -39,12 +39,13 @@
 
 // Watcher asks the instances of the platform's list.
 type Watcher struct {
-	list lister.List
+	list        lister.List
+	callTimeout time.Duration
 }
 
-// New returns a watcher of a list's instances.
-func New(list lister.List) *Watcher {
-	return &Watcher{list: list}
+// New returns a watcher of a list's instances that waits for each of them up to a time.
+func New(list lister.List, callTimeout time.Duration) *Watcher {
+	return &Watcher{list: list, callTimeout: callTimeout}
 }
 
 // Views asks every listed instance at once, in order of id.
@@ -56,11 +57,11 @@
 	members = slices.DeleteFunc(members, func(m lister.Member) bool { return m.Kind != lister.KindInstance })
 	slices.SortFunc(members, func(a, b lister.Member) int { return strings.Compare(a.ID, b.ID) })
 	mapper := iter.Mapper[lister.Member, View]{MaxGoroutines: maxCalls}
-	return mapper.Map(members, func(m *lister.Member) View { return ask(ctx, *m, request) }), nil
+	return mapper.Map(members, func(m *lister.Member) View { return w.ask(ctx, *m, request) }), nil
 }
 
-func ask(ctx context.Context, member lister.Member, request *messenger.StatusRequest) View {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+func (w *Watcher) ask(ctx context.Context, member lister.Member, request *messenger.StatusRequest) View {
+	ctx, cancel := context.WithTimeout(ctx, w.callTimeout)
 	defer cancel()
 	client := querier.NewClient(member.PeerAddress)
 	defer client.Close()
@@ -80,7 +81,7 @@
 		if m.Kind != lister.KindInstance {
 			continue
 		}
-		reply, err := bootstrapFrom(ctx, m, request)
+		reply, err := w.bootstrapFrom(ctx, m, request)
 		if err == nil && reply.GetNextOffset() > best.GetNextOffset() {
 			best = reply
 		}
@@ -91,8 +92,8 @@
 	return best, nil
 }
 
-func bootstrapFrom(ctx context.Context, member lister.Member, request *messenger.BootstrapRequest) (*messenger.BootstrapReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+func (w *Watcher) bootstrapFrom(ctx context.Context, member lister.Member, request *messenger.BootstrapRequest) (*messenger.BootstrapReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, w.callTimeout)
 	defer cancel()
 	client := querier.NewClient(member.PeerAddress)
 	defer client.Close()
@@ -113,10 +114,10 @@
 }
 
 // Wait asks again and again until the condition holds at every instance of the environment that is not leaving, or the
-// wait is over. It calls report after each round whose progress differs from the last.
+// wait is over; it asks at least once. It calls report after each round whose progress differs from the last.
 func (w *Watcher) Wait(ctx context.Context, environment identifier.Environment, wait time.Duration, holds func(*messenger.InstanceStatus) bool, report func(Progress)) (Progress, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait)
-	defer cancel()
+	over := time.NewTimer(wait)
+	defer over.Stop()
 	last := Progress{Done: -1}
 	for {
 		views, err := w.Views(ctx, &messenger.StatusRequest{})
@@ -132,6 +133,8 @@
 			return progress, nil
 		}
 		select {
+		case <-over.C:
+			return progress, nil
 		case <-ctx.Done():
 			return progress, nil
 		case <-time.After(pollInterval):
