Trust a report of finished work only after the reports' lag, and fold with the fast rules

Cause: run against the demo, a drain was confirmed within 60 ms, on load reports from before it, while a report may be 1 to 2 s late: an operator could stop an engine that still works. Instances' figures of one engine were added up. The daemon leaves compilation to the configurer's rules, which cost what a change touches.

--- a/rosemaryctl/commander/plan.go
+++ b/rosemaryctl/commander/plan.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"time"
 
 	"github.com/urfave/cli/v3"
 
@@ -58,7 +59,8 @@
 	var commands []*cli.Command
 	for _, k := range planKinds {
 		needed := []string{flagLog, flagOperator, flagEnvironment}
-		flags := append(changeFlags(), environmentFlag())
+		settle := &cli.DurationFlag{Name: flagSettle, Usage: "how late load reports may be", Value: defaultSettle, Sources: environmentVariable(flagSettle)}
+		flags := append(changeFlags(), environmentFlag(), settle)
 		if k.kind == messenger.PlannedChangeKind_PLANNED_CHANGE_KIND_REPLACE {
 			flags = append(flags, stringFlag(flagWith, "upstream that takes the place"))
 			needed = append(needed, flagWith)
@@ -110,16 +112,31 @@
 	return s.confirmPlan(ctx, change, kind)
 }
 
+// confirmPlan waits until every instance follows the change and then, for an upstream that gets no new work, until every
+// report shows that its work is done. Load reports are late: one from before the change may not know the latest work.
 func (s *session) confirmPlan(ctx context.Context, change planned, kind planKind) error {
-	holds := func(status *messenger.InstanceStatus) bool {
-		return status.GetNextOffset() > uint64(change.Offset) && (!kind.takes || countInFlight(status, change.Upstream) == 0)
+	follows := func(status *messenger.InstanceStatus) bool { return status.GetNextOffset() > uint64(change.Offset) }
+	progress, err := s.await(ctx, change.Environment, follows, kind.name+" read by")
+	if err == nil && progress.Total > 0 && kind.takes {
+		s.printer.progress("waiting %s for reports of the work in progress", s.settle)
+		pause(ctx, s.settle)
+		isIdle := func(status *messenger.InstanceStatus) bool {
+			return follows(status) && countInFlight(status, change.Upstream) == 0
+		}
+		progress, err = s.await(ctx, change.Environment, isIdle, "work done as told by")
 	}
-	progress, err := s.await(ctx, change.Environment, holds, kind.name+" done at")
 	change.Confirmed, change.Instances = progress.Done, progress.Total
 	s.printer.print(change)
 	return err
 }
 
+func pause(ctx context.Context, duration time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(duration):
+	}
+}
+
 // check finds out whether the document in force knows the upstreams, and what the change endangers.
 func (r *planned) check(state *replayer.State, kind planKind, accepted []string) error {
 	document := state.Document()
--- a/rosemaryctl/commander/settings.go
+++ b/rosemaryctl/commander/settings.go
@@ -33,11 +33,14 @@
 	flagTo          = "to"
 	flagRevision    = "revision"
 	flagWith        = "with"
+	flagSettle      = "settle"
 )
 
 const (
 	// defaultWait covers a change that instances read within seconds, with one of them just starting.
 	defaultWait = 15 * time.Second
+	// defaultSettle is longer than an engine's load report is late, so that a report after it knows all earlier work.
+	defaultSettle = 5 * time.Second
 	// defaultTimeout bounds a whole command, waits included.
 	defaultTimeout = time.Minute
 )
@@ -119,6 +122,7 @@
 	instances *watcher.Watcher
 	operator  identifier.OperatorID
 	wait      time.Duration
+	settle    time.Duration
 	dryRun    bool
 	accepted  []string
 }
@@ -129,6 +133,7 @@
 		log:      appender.NewClient(command.String(flagLog)),
 		operator: identifier.OperatorID(command.String(flagOperator)),
 		wait:     command.Duration(flagWait),
+		settle:   command.Duration(flagSettle),
 		dryRun:   command.Bool(flagDryRun),
 		accepted: command.StringSlice(flagAccept),
 	}
--- a/rosemaryctl/commander/status.go
+++ b/rosemaryctl/commander/status.go
@@ -35,7 +35,8 @@
 	Error string `json:"error,omitempty"`
 }
 
-// upstreamStatus is one account of an upstream with the number of instances that give it.
+// upstreamStatus is one account of an upstream with the number of instances that give it. InFlight is the highest number
+// that one of them was told by the upstream.
 type upstreamStatus struct {
 	Environment string `json:"environment"`
 	Upstream    string `json:"upstream"`
@@ -128,7 +129,7 @@
 		account = key
 	}
 	account.Instances++
-	account.InFlight += upstream.GetInFlight()
+	account.InFlight = max(account.InFlight, upstream.GetInFlight())
 	accounts[key] = account
 }
 
--- a/rosemaryspool/assembler/part.go
+++ b/rosemaryspool/assembler/part.go
@@ -14,7 +14,6 @@
 	"rosemaryspool.example/adaptor/lister"
 	"rosemaryspool.example/adaptor/querier"
 	"rosemaryspool.example/core/classifier"
-	"rosemaryspool.example/core/configurer"
 	"rosemaryspool.example/core/controller"
 	"rosemaryspool.example/core/deduplicator"
 	"rosemaryspool.example/core/identifier"
@@ -60,7 +59,7 @@
 		BodyTimeout:  d.settings.BodyTimeout,
 	}, d.dispatcher, d.executor, d.log, registry)
 	d.follower = follower.NewFollower(
-		controller.NewSettings(d.settings.Environment, d.settings.Instance, d.incarnation, configurer.Compile),
+		controller.NewSettings(d.settings.Environment, d.settings.Instance, d.incarnation, nil),
 		log, d.committer, targets, d.listeners(), d.log)
 	d.responder = responder.NewResponder(responder.Settings{
 		Instance: d.settings.Instance, DataCentre: d.settings.DataCentre, Environment: d.settings.Environment,
