--- a/standin/measurer/attempt.go
+++ b/standin/measurer/attempt.go
@@ -71,7 +71,7 @@
 	r := s.workload.Requests[a.request]
 	class := s.figures.Classes[r.Class]
 	sequence.Attempt, sequence.Prompt, sequence.Prefix = a.wireID, r.Prompt, r.Prefix
-	sequence.Output, sequence.MaxOutput = r.Output, class.OutputMax
+	sequence.Output, sequence.MaxOutput = r.Output, class.MaxOutput
 	sequence.ExpectedOutput = identifier.Tokens(meanOutput(class))
 	sequence.SkipOutput, sequence.Priority = a.skip+a.handedOver, a.priority
 	s.calendar.after(s.delay(a.owner.dataCentre, n.dataCentre), func() { s.arrive(a, n, sequence) })
@@ -99,9 +99,18 @@
 		s.fail(a, scheduler.FailureConnect, s.delay(n.dataCentre, a.owner.dataCentre), nil)
 		return
 	}
-	load := n.load(s.clock())
 	s.records[a.request].rejected++
-	s.fail(a, scheduler.FailureRejected, s.delay(n.dataCentre, a.owner.dataCentre), &load)
+	s.fail(a, scheduler.FailureRejected, s.delay(n.dataCentre, a.owner.dataCentre), s.piggybacked(n, a))
+}
+
+// piggybacked returns the load that goes with an engine's reply. Deciders take it for the decode engine's, so that a
+// prefill engine which ends a divided attempt sends none.
+func (s *Simulation) piggybacked(n *node, a *attempt) *scheduler.Load {
+	if n != a.decode {
+		return nil
+	}
+	load := n.load(s.clock())
+	return &load
 }
 
 // toOwner carries something from an engine to the attempt's instance, unless the network is cut.
@@ -145,13 +154,13 @@
 // finished carries the end mark to the instance, with the engine's load.
 func (s *Simulation) finished(n *node, a *attempt, e batcher.Finished) {
 	total := a.handedOver + e.Output
-	load := n.load(s.clock())
+	load := s.piggybacked(n, a)
 	s.toOwner(n, a, func() {
 		if !a.split() || a.handedOver == 0 {
 			a.cached = e.CachedPrompt
 		}
 		a.output, a.ended, a.whole = total, true, true
-		a.owner.handle(scheduler.AttemptFinished{Now: s.clock(), Attempt: a.id, Output: total, CachedPrompt: a.cached, Load: &load})
+		a.owner.handle(scheduler.AttemptFinished{Now: s.clock(), Attempt: a.id, Output: total, CachedPrompt: a.cached, Load: load})
 	})
 }
 
--- a/standin/measurer/baseline.go
+++ b/standin/measurer/baseline.go
@@ -42,9 +42,10 @@
 
 // baselineWork is own work that reports may not show yet.
 type baselineWork struct {
-	at      time.Time
-	prefill identifier.Tokens
-	decode  identifier.Tokens
+	at        time.Time
+	prefill   identifier.Tokens
+	decode    identifier.Tokens
+	sequences int
 }
 
 // baselineRequest is one request under way.
@@ -140,7 +141,7 @@
 	b.byAttempt[r.attempt] = r
 	expected := max(r.arrived.ExpectedOutput-r.skip, 1)
 	prefill.sent = append(prefill.sent, baselineWork{at: now, prefill: r.arrived.Prompt + r.skip})
-	decode.sent = append(decode.sent, baselineWork{at: now, decode: expected})
+	decode.sent = append(decode.sent, baselineWork{at: now, decode: expected, sequences: 1})
 	return []scheduler.Action{scheduler.Dispatch{
 		Request: r.arrived.Request, Attempt: r.attempt, Prefill: prefill.id, Decode: decode.id,
 		Priority: r.arrived.Priority, SkipOutput: r.skip, Reason: scheduler.Decision{Cause: "baseline"},
@@ -176,7 +177,7 @@
 	}
 	b.avoid(failed, e.Now)
 	if e.Load != nil {
-		b.learn(failed, *e.Load)
+		b.learn(r.engines[1], *e.Load)
 	}
 	if r.retries >= baselineRetries || !e.Now.Before(r.arrived.Deadline) {
 		return b.end(r, refuser.NewRefusal(refuser.UpstreamFailed, refuser.OutcomeUnknown, "attempts failed"))
--- a/standin/measurer/instance.go
+++ b/standin/measurer/instance.go
@@ -101,7 +101,7 @@
 	i.handle(scheduler.RequestArrived{
 		Now: s.clock(), Request: r.ID, Caller: r.Caller, Class: class.Name, Model: modelName,
 		Priority: class.Priority, Urgent: class.Urgent, Deadline: epoch.Add(r.Deadline), Prompt: r.Prompt,
-		MaxOutput: class.OutputMax, ExpectedOutput: identifier.Tokens(meanOutput(class)), Prefix: r.Prefix,
+		MaxOutput: class.MaxOutput, ExpectedOutput: identifier.Tokens(meanOutput(class)), Prefix: r.Prefix,
 	})
 	s.calendar.at(r.Deadline, func() { s.records[number].passDeadline() })
 	patience := time.Duration(float64(class.Deadline) * s.figures.CallerPatience)
--- a/standin/measurer/leastloaded.go
+++ b/standin/measurer/leastloaded.go
@@ -6,26 +6,24 @@
 	"rosemaryspool.example/core/identifier"
 )
 
-// choose returns the engines for prefill and decode: by rotation, or the least loaded mixed engine or pair.
+// choose returns the engines for prefill and decode: by rotation, or the mixed engine or pair with the least load in the
+// way of the request.
 func (b *baseline) choose(now time.Time, r *baselineRequest) (prefill, decode *baselineEngine) {
 	if b.rotate {
 		e := b.rotation(now)
 		return e, e
 	}
-	mixed := b.least(now, identifier.RoleMixed, (*baselineEngine).seconds)
-	prefill = b.least(now, identifier.RolePrefill, (*baselineEngine).prefillSeconds)
-	decode = b.least(now, identifier.RoleDecode, (*baselineEngine).decodeSeconds)
+	output := max(r.arrived.ExpectedOutput-r.skip-1, 0)
+	before := func(e *baselineEngine) float64 { return e.prefillSeconds(now) }
+	after := func(e *baselineEngine) float64 { return e.decodeSeconds(now, output) }
+	both := func(e *baselineEngine) float64 { return before(e) + after(e) }
+	mixed := b.least(now, identifier.RoleMixed, both)
+	prefill = b.least(now, identifier.RolePrefill, before)
+	decode = b.least(now, identifier.RoleDecode, after)
 	if prefill == nil || decode == nil {
 		return mixed, mixed
 	}
-	if mixed == nil {
-		return prefill, decode
-	}
-	pair := prefill.prefillSeconds(now)
-	if r.arrived.ExpectedOutput > 1 {
-		pair = max(pair, decode.decodeSeconds(now))
-	}
-	if mixed.seconds(now) < pair {
+	if mixed != nil && both(mixed) < before(prefill)+after(decode) {
 		return mixed, mixed
 	}
 	return prefill, decode
@@ -45,7 +43,7 @@
 }
 
 // least returns the usable engine of a role with the least load; one that failed lately serves when no other can.
-func (b *baseline) least(now time.Time, role identifier.Role, load func(*baselineEngine, time.Time) float64) *baselineEngine {
+func (b *baseline) least(now time.Time, role identifier.Role, load func(*baselineEngine) float64) *baselineEngine {
 	var best *baselineEngine
 	least, avoided := 0.0, false
 	for k := range b.order {
@@ -55,7 +53,7 @@
 			continue
 		}
 		avoid := now.Before(e.avoid)
-		l := load(e, now)
+		l := load(e)
 		if best == nil || avoided && !avoid || avoided == avoid && l < least {
 			best, least, avoided = e, l, avoid
 		}
@@ -77,6 +75,7 @@
 		kept = append(kept, w)
 		sum.prefill += w.prefill
 		sum.decode += w.decode
+		sum.sequences += w.sequences
 	}
 	e.sent = kept
 	return sum
@@ -87,13 +86,16 @@
 	return float64(e.load.QueuedPrefill+e.recent(now).prefill) / max(e.load.PrefillPerSecond, 1)
 }
 
-// decodeSeconds returns how long the engine needs for the output that it is known to owe, in full batches.
-func (e *baselineEngine) decodeSeconds(now time.Time) float64 {
-	tokens := float64(e.load.PendingOutput + e.recent(now).decode)
-	return tokens * e.load.DecodeStep.Seconds() / float64(max(e.load.MaxBatch, 1))
-}
-
-// seconds returns the sum for an engine that does both.
-func (e *baselineEngine) seconds(now time.Time) float64 {
-	return e.prefillSeconds(now) + e.decodeSeconds(now)
+// decodeSeconds returns how long an answer takes in the engine's batch, with the wait for a place in it.
+func (e *baselineEngine) decodeSeconds(now time.Time, output identifier.Tokens) float64 {
+	recent := e.recent(now)
+	step := e.load.DecodeStep.Seconds()
+	places := float64(max(e.load.MaxBatch, 1))
+	held := float64(e.load.Running + e.load.Waiting + recent.sequences)
+	seconds := float64(output) * step * (1 + held/places)
+	if held > places {
+		pending := float64(e.load.PendingOutput + recent.decode)
+		seconds += pending / held * step * (held - places) / places
+	}
+	return seconds
 }
--- a/standin/measurer/policies.go
+++ b/standin/measurer/policies.go
@@ -31,7 +31,7 @@
 
 // staticSplit is the best fixed split for the run's average mix.
 func staticSplit(w *Workload) Split {
-	return splitForRun(w, func(s Split) bool { return s.Mixed > 0 || s.Prefill > 0 && s.Decode > 0 })
+	return splitForRun(w, func(s Split) bool { return (s.Prefill > 0) == (s.Decode > 0) })
 }
 
 // reactiveSplit is the best split into the two roles that the reactive planner moves engines between.
--- a/standin/measurer/policy.go
+++ b/standin/measurer/policy.go
@@ -1,6 +1,7 @@
 package measurer
 
 import (
+	"math"
 	"time"
 
 	"rosemaryspool.example/core/identifier"
@@ -52,22 +53,40 @@
 // PolicyNames lists the policies in the order of the table.
 var PolicyNames = []string{"ours", "static", "reactive", "round-robin"}
 
-// splitForRun returns the fixed split with the highest fluid limit for a run's average mix.
+// splitForRun returns the best fixed split for a run: of those whose fluid limits serve nearly the most of the run's
+// phases, the one with the most mixed engines, since a common pool rides out the swings that fluid limits don't see.
 func splitForRun(w *Workload, allowed func(Split) bool) Split {
 	limits := newFluid(w.Figures, w.Figures.stepLimit(meanOutput))
-	var best Split
-	most := -1.0
+	var candidates []Split
+	served := map[Split]float64{}
+	most := 0.0
 	for _, s := range splits(w.Figures.Engines) {
 		if !allowed(s) {
 			continue
 		}
-		if served := limits.fraction(s, w.Mean, 1e9); served > most {
-			best, most = s, served
+		candidates = append(candidates, s)
+		served[s] = averageWeight * limits.fraction(s, w.Mean, math.Inf(1))
+		for _, p := range w.Phases {
+			served[s] += limits.fraction(s, p.Mix, 1) * float64(p.Length) / float64(w.Length)
+		}
+		most = max(most, served[s])
+	}
+	var best Split
+	for _, s := range candidates {
+		near := served[s] >= nearlyBest*most
+		if near && (best == Split{} || s.Mixed > best.Mixed || s.Mixed == best.Mixed && served[s] > served[best]) {
+			best = s
 		}
 	}
 	return best
 }
 
+// nearlyBest is the share of the best split's service that counts as nearly as good.
+const nearlyBest = 0.9
+
+// averageWeight lets the average mix decide between splits that serve every phase.
+const averageWeight = 0.01
+
 // allMixed is the split without roles.
 func allMixed(f Figures) Split { return Split{Mixed: f.Engines} }
 
--- a/standin/measurer/record.go
+++ b/standin/measurer/record.go
@@ -70,8 +70,12 @@
 	switch {
 	case r.state == stateRefused && len(r.attempts) == 0:
 		return "refused"
+	case r.state == stateRefused && r.failures > 0:
+		return "givenUpAfterFailure"
+	case r.state == stateRefused && r.stage == stageStreaming:
+		return "givenUpInDecode"
 	case r.state == stateRefused:
-		return "givenUp"
+		return "givenUpInQueue"
 	case r.failures > 0:
 		return "lateAfterFailure"
 	case r.atDeadline == stageHeld:
--- a/standin/measurer/settings.go
+++ b/standin/measurer/settings.go
@@ -32,6 +32,8 @@
 	PromptMax identifier.Tokens
 	OutputMin identifier.Tokens
 	OutputMax identifier.Tokens
+	// MaxOutput is the limit that the caller states; answers end before it.
+	MaxOutput identifier.Tokens
 	// SharedMin and SharedMax bound the share of the prompt that is a prefix common to many requests.
 	SharedMin float64
 	SharedMax float64
@@ -102,9 +104,9 @@
 	f.AbsenceMin, f.AbsenceMax = 4*time.Second, 8*time.Second
 	f.ReportEvery, f.ReportLate = 500*time.Millisecond, 1500*time.Millisecond
 	f.Classes = []Class{
-		{"fittingVerdict", KindFile, 8000, 40000, 1, 3, 1.0 / 3, 2.0 / 3, 8 * time.Second, true, 100},
-		{"alterationNote", KindDraft, 500, 500, 400, 1200, 0.4, 0.4, 45 * time.Second, false, 40},
-		{"catalogueLookup", KindQuestion, 300, 300, 10, 40, 0, 0, 6 * time.Second, false, 20},
+		{"fittingVerdict", KindFile, 8000, 40000, 1, 3, 16, 1.0 / 3, 2.0 / 3, 8 * time.Second, true, 90},
+		{"alterationNote", KindDraft, 500, 500, 400, 1200, 1500, 0.4, 0.4, 45 * time.Second, false, 40},
+		{"catalogueLookup", KindQuestion, 300, 300, 10, 40, 64, 0, 0, 6 * time.Second, false, 20},
 	}
 	return f
 }
@@ -120,10 +122,10 @@
 	f.AbsenceMin, f.AbsenceMax = 5*time.Second, 10*time.Second
 	f.ReportEvery, f.ReportLate = time.Second, 2*time.Second
 	f.Classes = []Class{
-		{"buildingCheck", KindFile, 8000, 40000, 1, 3, 1.0 / 3, 2.0 / 3, 10 * time.Second, true, 90},
-		{"technicianQuestion", KindQuestion, 200, 900, 20, 80, 0.3, 0.3, 4 * time.Second, true, 100},
-		{"reportDraft", KindDraft, 500, 500, 400, 1200, 0.4, 0.4, 45 * time.Second, false, 40},
-		{"logRead", KindQuestion, 300, 300, 10, 40, 0, 0, 6 * time.Second, false, 20},
+		{"buildingCheck", KindFile, 8000, 40000, 1, 3, 16, 1.0 / 3, 2.0 / 3, 10 * time.Second, true, 80},
+		{"technicianQuestion", KindQuestion, 200, 900, 20, 80, 120, 0.3, 0.3, 4 * time.Second, true, 90},
+		{"reportDraft", KindDraft, 500, 500, 400, 1200, 1500, 0.4, 0.4, 45 * time.Second, false, 40},
+		{"logRead", KindQuestion, 300, 300, 10, 40, 64, 0, 0, 6 * time.Second, false, 20},
 	}
 	return f
 }
@@ -250,6 +252,7 @@
 		{prefix + "promptMax", "tokens", &c.PromptMax},
 		{prefix + "outputMin", "tokens", &c.OutputMin},
 		{prefix + "outputMax", "tokens", &c.OutputMax},
+		{prefix + "maxOutput", "tokens", &c.MaxOutput},
 		{prefix + "sharedMin", "share of the prompt", &c.SharedMin},
 		{prefix + "sharedMax", "share of the prompt", &c.SharedMax},
 		{prefix + "deadline", "duration", &c.Deadline},
