--- a/core/deduplicator/answering.go
+++ b/core/deduplicator/answering.go
@@ -101,7 +101,7 @@
 		outcome.AnswerTruncated = true
 	}
 	d.memory.note(r.id, outcome)
-	d.recordOutcome(outcome)
+	d.recordOutcome(e.Now, outcome)
 	if r.left {
 		return nil
 	}
--- a/core/deduplicator/memory.go
+++ b/core/deduplicator/memory.go
@@ -105,6 +105,7 @@
 	if !ok || e.status != statusRunning || e.attempt != identifier.AttemptID(outcome.GetAttemptId()) {
 		return false
 	}
+	e.own = nil
 	if outcome.GetResult() == messenger.DispatchResult_DISPATCH_RESULT_NOT_RUN {
 		e.status = statusReleased
 		e.spent = append(e.spent, e.attempt)
--- a/rosemaryctl/commander/settings.go
+++ b/rosemaryctl/commander/settings.go
@@ -24,6 +24,7 @@
 	flagOutput      = "output"
 	flagWait        = "wait"
 	flagTimeout     = "timeout"
+	flagCallTimeout = "call-timeout"
 	flagDryRun      = "dry-run"
 	flagAccept      = "accept"
 	flagMessage     = "message"
@@ -32,11 +33,14 @@
 	flagTo          = "to"
 	flagRevision    = "revision"
 	flagWith        = "with"
+	flagSettle      = "settle"
 )
 
 const (
 	// defaultWait covers a change that instances read within seconds, with one of them just starting.
 	defaultWait = 15 * time.Second
+	// defaultSettle is longer than an engine's load report is late, so that a report after it knows all earlier work.
+	defaultSettle = 5 * time.Second
 	// defaultTimeout bounds a whole command, waits included.
 	defaultTimeout = time.Minute
 )
@@ -57,6 +61,7 @@
 		stringFlag(flagOperator, "name that stands in every record you make"),
 		&cli.StringFlag{Name: flagOutput, Usage: "text or json", Value: outputText, Sources: environmentVariable(flagOutput)},
 		&cli.DurationFlag{Name: flagTimeout, Usage: "longest run of the command", Value: defaultTimeout, Sources: environmentVariable(flagTimeout)},
+		&cli.DurationFlag{Name: flagCallTimeout, Usage: "longest wait for one instance", Value: watcher.DefaultCallTimeout, Sources: environmentVariable(flagCallTimeout)},
 	}
 }
 
@@ -89,8 +94,10 @@
 	if output := command.String(flagOutput); output != outputText && output != outputJSON {
 		lines = append(lines, fmt.Sprintf("setting --output (%s): %q is neither text nor json (code %d)", variableOf(flagOutput), output, badSetting))
 	}
-	if command.Duration(flagTimeout) <= 0 {
-		lines = append(lines, fmt.Sprintf("setting --timeout (%s) is not a positive duration (code %d)", variableOf(flagTimeout), badSetting))
+	for _, name := range []string{flagTimeout, flagCallTimeout} {
+		if command.Duration(name) <= 0 {
+			lines = append(lines, fmt.Sprintf("setting --%s (%s) is not a positive duration (code %d)", name, variableOf(name), badSetting))
+		}
 	}
 	if len(lines) == 0 {
 		return nil
@@ -115,6 +122,7 @@
 	instances *watcher.Watcher
 	operator  identifier.OperatorID
 	wait      time.Duration
+	settle    time.Duration
 	dryRun    bool
 	accepted  []string
 }
@@ -125,11 +133,12 @@
 		log:      appender.NewClient(command.String(flagLog)),
 		operator: identifier.OperatorID(command.String(flagOperator)),
 		wait:     command.Duration(flagWait),
+		settle:   command.Duration(flagSettle),
 		dryRun:   command.Bool(flagDryRun),
 		accepted: command.StringSlice(flagAccept),
 	}
 	if address := command.String(flagInstances); address != "" {
-		s.instances = watcher.New(lister.NewClient(address))
+		s.instances = watcher.New(lister.NewClient(address), command.Duration(flagCallTimeout))
 	}
 	return s
 }
