Let the daemon place engines and close leaving upstreams

Change: a conductor that owns one placer for each model under the lease 'engines/MODEL', the drainer, and the count of demand; plans and orders go through the follower. Conclusion: roles and versions are ordered under a lease only.

--- a/core/drainer/change.go
+++ b/core/drainer/change.go
@@ -10,8 +10,8 @@
 	"rosemaryspool.example/wire/messenger"
 )
 
-// changePrefix marks the planned changes that the system makes for its own orders, apart from those of operators.
-const changePrefix = "order/"
+// ChangePrefix marks the planned changes that the system makes for its own orders, apart from those of operators.
+const ChangePrefix = "order/"
 
 // phase tells how far a change came.
 type phase int
@@ -62,7 +62,7 @@
 	}
 	c.announceAt = now.Add(repeat)
 	return []Action{Announce{Scope: c.scope, Change: &messenger.PlannedChange{
-		ChangeId: changePrefix + c.order.GetOrderId(),
+		ChangeId: ChangePrefix + c.order.GetOrderId(),
 		Kind:     kind,
 		Upstream: c.order.GetEngine(),
 	}}}
@@ -70,7 +70,7 @@
 
 // owns tells whether a planned change is the one of this order.
 func (c *change) owns(plan *messenger.PlannedChange) bool {
-	return plan.GetChangeId() == changePrefix+c.order.GetOrderId()
+	return plan.GetChangeId() == ChangePrefix+c.order.GetOrderId()
 }
 
 func (d *Drainer) advanceChange(now time.Time, id identifier.UpstreamID) []Action {
@@ -153,11 +153,11 @@
 func (d *Drainer) takeOver(e EnginesHeld) {
 	for _, id := range e.Engines {
 		u := d.upstream(id)
-		if d.changes[id] != nil || !draining(u.plan) || !strings.HasPrefix(u.plan.GetChangeId(), changePrefix) {
+		if d.changes[id] != nil || !draining(u.plan) || !strings.HasPrefix(u.plan.GetChangeId(), ChangePrefix) {
 			continue
 		}
 		order := &messenger.EngineOrder{
-			OrderId: strings.TrimPrefix(u.plan.GetChangeId(), changePrefix),
+			OrderId: strings.TrimPrefix(u.plan.GetChangeId(), ChangePrefix),
 			Engine:  string(id),
 		}
 		d.changes[id] = &change{
--- a/rosemaryspool/assembler/daemon.go
+++ b/rosemaryspool/assembler/daemon.go
@@ -15,6 +15,7 @@
 	"github.com/sourcegraph/conc"
 
 	"rosemaryspool.example/rosemaryspool/committer"
+	"rosemaryspool.example/rosemaryspool/conductor"
 	"rosemaryspool.example/rosemaryspool/dispatcher"
 	"rosemaryspool.example/rosemaryspool/executor"
 	"rosemaryspool.example/rosemaryspool/explainer"
@@ -43,6 +44,7 @@
 	executor   *executor.Executor
 	explainer  *explainer.Explainer
 	committer  *committer.Committer
+	conductor  *conductor.Conductor
 	watcher    *watcher.Watcher
 	follower   *follower.Follower
 	server     *server.Server
@@ -101,6 +103,7 @@
 	start(&appends, func() { d.committer.Run(stopAppends) })
 	start(&parts, func() { d.dispatcher.Run(stopParts) })
 	start(&parts, func() { d.executor.Run(stopParts) })
+	start(&parts, func() { d.conductor.Run(stopParts) })
 	start(&parts, func() { d.watcher.Run(stopParts) })
 	start(&parts, func() { d.follower.Run(stopParts) })
 	start(&parts, func() { d.responder.Run(d.peers, stopParts) })
--- a/rosemaryspool/assembler/part.go
+++ b/rosemaryspool/assembler/part.go
@@ -12,6 +12,7 @@
 	"rosemaryspool.example/adaptor/director"
 	"rosemaryspool.example/adaptor/invoker"
 	"rosemaryspool.example/adaptor/lister"
+	"rosemaryspool.example/adaptor/permitter"
 	"rosemaryspool.example/adaptor/querier"
 	"rosemaryspool.example/core/classifier"
 	"rosemaryspool.example/core/controller"
@@ -19,6 +20,7 @@
 	"rosemaryspool.example/core/identifier"
 	"rosemaryspool.example/core/scheduler"
 	"rosemaryspool.example/rosemaryspool/committer"
+	"rosemaryspool.example/rosemaryspool/conductor"
 	"rosemaryspool.example/rosemaryspool/dispatcher"
 	"rosemaryspool.example/rosemaryspool/executor"
 	"rosemaryspool.example/rosemaryspool/explainer"
@@ -30,8 +32,12 @@
 	"rosemaryspool.example/wire/messenger"
 )
 
-// bootstrapTimeout bounds the question to one peer.
-const bootstrapTimeout = 2 * time.Second
+const (
+	// bootstrapTimeout bounds the question to one peer.
+	bootstrapTimeout = 2 * time.Second
+	// probeTimeout bounds one probe of an engine.
+	probeTimeout = 2 * time.Second
+)
 
 // assemble makes the parts; nothing runs yet.
 func (d *Daemon) assemble() {
@@ -43,12 +49,13 @@
 		Service:  func(address string) invoker.Service { return invoker.NewClient(baseURL(address)) },
 	})
 	d.explainer = explainer.NewExplainer()
+	d.conductor = d.newConductor(targets)
 	d.committer = committer.NewCommitter(log, d.log, registry)
 	core := scheduler.NewScheduler(scheduler.Settings{
 		Instance: d.settings.Instance, DataCentre: d.settings.DataCentre, Instances: 1, Seed: uint64(time.Now().UnixNano()),
 	})
-	d.dispatcher = dispatcher.NewDispatcher(core, targets, d.explainer, d.log, registry)
-	d.watcher = watcher.NewWatcher(lister.NewClient(d.settings.ListURL), targets, d.dispatcher.Notify, d.log)
+	d.dispatcher = dispatcher.NewDispatcher(core, targets, d.learn, d.explainer, d.log, registry)
+	d.watcher = watcher.NewWatcher(lister.NewClient(d.settings.ListURL), targets, d.dispatcher.Notify, d.learn, d.log)
 	d.executor = executor.NewExecutor(executor.Settings{
 		Deduplicator: deduplicator.NewSettings(d.settings.Instance, d.incarnation, "claims"),
 		Stream:       appender.Stream(d.settings.Environment) + ".claims.0",
@@ -66,15 +73,47 @@
 	}, d.follower, log, d, d.log)
 }
 
+// learn hands an event to the conductor.
+func (d *Daemon) learn(event conductor.Event) { d.conductor.Notify(event) }
+
+func (d *Daemon) newConductor(targets *resolver.Resolver) *conductor.Conductor {
+	name := string(d.settings.Instance) + "/" + d.incarnation
+	outputs := conductor.Outputs{
+		Closed: func(id identifier.UpstreamID, closed bool) {
+			d.watcher.SetClosed(id, closed)
+			d.executor.SetClosed(id, closed)
+		},
+		Move:  func(attempt identifier.AttemptID) { d.dispatcher.Move(attempt) },
+		Event: func(event controller.Event) { d.follower.Notify(event) },
+		Probe: func(ctx context.Context, id identifier.UpstreamID) bool { return probe(ctx, targets, id) },
+	}
+	return conductor.NewConductor(name, permitter.NewClient(d.settings.StoreURL), outputs, d.log)
+}
+
+// probe tells whether an engine answers and takes work again.
+func probe(ctx context.Context, targets *resolver.Resolver, id identifier.UpstreamID) bool {
+	u, ok := targets.Find(id)
+	if !ok || u.Director == nil {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	report, err := u.Director.Report(ctx)
+	return err == nil && !report.GetChanging()
+}
+
 func (d *Daemon) listeners() follower.Listeners {
 	return follower.Listeners{
 		InForce: d.putInForce,
-		Draining: func(ids []identifier.UpstreamID) {
-			d.watcher.SetDraining(ids)
-			d.executor.SetDraining(ids)
+		Plans: func(plans []*messenger.PlannedChange) {
+			d.learn(conductor.PlansChanged{Now: time.Now(), Plans: plans})
+		},
+		Lease: func(scope identifier.Scope, held bool, unfinished []identifier.UpstreamID) {
+			d.learn(conductor.LeaseChanged{Now: time.Now(), Scope: scope, Held: held, Unfinished: unfinished})
+		},
+		Order: func(closed controller.OrderClosed, unfinished []identifier.UpstreamID) {
+			d.learn(conductor.OrderClosed{Now: time.Now(), Closed: closed, Unfinished: unfinished})
 		},
-		Lease:      func(identifier.Scope, bool) {},
-		Order:      func(controller.OrderClosed) {},
 		Incomplete: func() { go d.bootstrap() },
 	}
 }
@@ -91,6 +130,7 @@
 	for _, c := range document.Callers {
 		d.dispatcher.Notify(scheduler.CallerLimited{Caller: c.ID, RequestsPerSecond: c.RequestsPerSecond, Burst: c.Burst})
 	}
+	d.learn(conductor.ConfigChanged{Document: document})
 	d.server.SetConfiguration(classifier.NewClassifier(configuration.Revision, document))
 }
 
--- /dev/null
+++ b/rosemaryspool/conductor/deciding.go
@@ -0,0 +1,136 @@
+package conductor
+
+import (
+	"context"
+	"time"
+
+	"rosemaryspool.example/core/controller"
+	"rosemaryspool.example/core/drainer"
+	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/core/placer"
+	"rosemaryspool.example/wire/messenger"
+)
+
+// retryPermit is when the weight store is asked again after it could not be reached.
+const retryPermit = 2 * time.Second
+
+// place carries out the placer's actions for one pool.
+func (c *Conductor) place(p *pool, actions []placer.Action) {
+	for _, action := range actions {
+		switch a := action.(type) {
+		case placer.DrainEngine:
+			c.beginChange(p, a)
+		case placer.RestoreEngine:
+			c.endChange(p, a)
+		case placer.OrderRole:
+			c.sendOrder(p, a.Upstream, a.Reason, &messenger.EngineOrder{
+				Kind: messenger.OrderKind_ORDER_KIND_CHANGE_ROLE, Role: string(a.Role),
+			})
+		case placer.OrderLoad:
+			c.sendOrder(p, a.Upstream, a.Reason, &messenger.EngineOrder{
+				Kind: messenger.OrderKind_ORDER_KIND_LOAD_MODEL, Model: string(a.Model), Version: string(a.Version),
+				Adapters: c.adaptersOf(a.Model),
+			})
+		case placer.AskPermit:
+			c.askPermit(a)
+		}
+	}
+}
+
+func (c *Conductor) beginChange(p *pool, a placer.DrainEngine) {
+	order := c.nextOrder()
+	own := change{order: order, plan: drainer.ChangePrefix + string(order)}
+	c.changes[a.Upstream] = own
+	c.logPlacement("drain", a.Upstream, a.Reason)
+	c.announce(p, own, a.Upstream, messenger.PlannedChangeKind_PLANNED_CHANGE_KIND_DRAIN)
+}
+
+func (c *Conductor) endChange(p *pool, a placer.RestoreEngine) {
+	own, ok := c.changes[a.Upstream]
+	if !ok {
+		return
+	}
+	delete(c.changes, a.Upstream)
+	c.logPlacement("restore", a.Upstream, a.Reason)
+	c.announce(p, own, a.Upstream, messenger.PlannedChangeKind_PLANNED_CHANGE_KIND_RESTORE)
+}
+
+func (c *Conductor) announce(p *pool, own change, id identifier.UpstreamID, kind messenger.PlannedChangeKind) {
+	plan := &messenger.PlannedChange{ChangeId: own.plan, Kind: kind, Upstream: string(id)}
+	c.order(controller.PlanRequested{Now: time.Now(), Scope: p.scope, Change: plan})
+}
+
+func (c *Conductor) sendOrder(p *pool, id identifier.UpstreamID, reason string, order *messenger.EngineOrder) {
+	own, ok := c.changes[id]
+	if !ok {
+		return
+	}
+	order.OrderId = string(own.order)
+	order.Engine = string(id)
+	c.logPlacement("order", id, reason)
+	c.order(controller.OrderRequested{Now: time.Now(), Scope: p.scope, Order: order})
+}
+
+func (c *Conductor) adaptersOf(model identifier.ModelName) []string {
+	for _, m := range c.document.Models {
+		if m.Name == model {
+			return m.Adapters
+		}
+	}
+	return nil
+}
+
+// askPermit asks the weight store in a goroutine of its own, as it may be slow.
+func (c *Conductor) askPermit(a placer.AskPermit) {
+	c.queue <- func(ctx context.Context) {
+		c.tasks.Go(func() {
+			permit, err := c.store.Permit(ctx, a.Model, a.Version)
+			answer := placer.PermitAnswered{
+				Now: time.Now(), Upstream: a.Upstream, Granted: err == nil && permit.Granted, RetryAfter: permit.RetryAfter,
+			}
+			if err != nil {
+				answer.RetryAfter = retryPermit
+			}
+			c.Notify(permitAnswered{model: a.Model, answer: answer})
+		})
+	}
+}
+
+// drain carries out the drainer's actions.
+func (c *Conductor) drain(actions []drainer.Action) {
+	for _, action := range actions {
+		switch a := action.(type) {
+		case drainer.CloseUpstream:
+			c.log.Info().Str("event", "upstreamClosed").Str("upstream", string(a.Upstream)).Str("cause", string(a.Cause)).
+				Msg("Closed an upstream to new work")
+			c.queue <- func(context.Context) { c.outputs.Closed(a.Upstream, true) }
+		case drainer.OpenUpstream:
+			c.log.Info().Str("event", "upstreamOpened").Str("upstream", string(a.Upstream)).Msg("Opened an upstream")
+			c.queue <- func(context.Context) { c.outputs.Closed(a.Upstream, false) }
+		case drainer.MoveAttempt:
+			c.queue <- func(context.Context) { c.outputs.Move(a.Attempt) }
+		case drainer.Announce:
+			c.order(controller.PlanRequested{Now: time.Now(), Scope: a.Scope, Change: a.Change})
+		case drainer.RequestOrder:
+			c.order(controller.OrderRequested{Now: time.Now(), Scope: a.Scope, Order: a.Order})
+		case drainer.Probe:
+			c.probe(a.Upstream)
+		case drainer.UpstreamDrained:
+			c.log.Info().Str("event", "upstreamDrained").Str("upstream", string(a.Upstream)).Msg("An upstream has no work left")
+		}
+	}
+}
+
+func (c *Conductor) probe(id identifier.UpstreamID) {
+	c.queue <- func(ctx context.Context) {
+		c.tasks.Go(func() {
+			ok := c.outputs.Probe(ctx, id)
+			c.Notify(probeEnded{ended: drainer.ProbeEnded{Now: time.Now(), Upstream: id, OK: ok}})
+		})
+	}
+}
+
+func (c *Conductor) logPlacement(step string, id identifier.UpstreamID, reason string) {
+	c.log.Info().Str("event", "placement").Str("step", step).Str("upstream", string(id)).Str("reason", reason).
+		Msg("Decided a placement change")
+}
--- /dev/null
+++ b/rosemaryspool/conductor/learning.go
@@ -0,0 +1,156 @@
+package conductor
+
+import (
+	"slices"
+	"time"
+
+	"rosemaryspool.example/core/controller"
+	"rosemaryspool.example/core/drainer"
+	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/core/placer"
+	"rosemaryspool.example/wire/messenger"
+)
+
+func (c *Conductor) handle(event Event) {
+	switch e := event.(type) {
+	case ConfigChanged:
+		c.configure(e)
+	case EngineReported:
+		c.observe(e)
+	case ListRead:
+		c.readList(e)
+	case PlansChanged:
+		c.drain(c.drainer.Handle(drainer.PlansSeen{Now: e.Now, Plans: e.Plans}))
+	case LeaseChanged:
+		c.changeLease(e)
+	case OrderClosed:
+		c.closeOrder(e)
+	case WorkAsked:
+		c.gauger.Ask(e.Model, e.Class, e.Prompt, e.Output)
+	case WorkAnswered:
+		c.gauger.Learn(e.Class, e.Prompt, e.Cached)
+	case WorkStarted:
+		c.drain(c.drainer.Handle(drainer.WorkStarted{
+			Now: e.Now, Upstream: e.Upstream, Attempt: e.Attempt, Protected: e.Protected,
+		}))
+	case WorkEnded:
+		c.drain(c.drainer.Handle(drainer.WorkEnded{Now: e.Now, Attempt: e.Attempt}))
+	case permitAnswered:
+		if p, ok := c.pools[e.model]; ok {
+			c.place(p, p.placer.Handle(e.answer))
+		}
+	case probeEnded:
+		c.drain(c.drainer.Handle(e.ended))
+	}
+}
+
+// configure makes this process a candidate for the leases of all configured models.
+func (c *Conductor) configure(e ConfigChanged) {
+	now := time.Now()
+	c.document = e.Document
+	for _, m := range e.Document.Models {
+		p, ok := c.pools[m.Name]
+		if !ok {
+			settings := placer.DefaultSettings()
+			settings.FixedRoles = e.Document.Placement.FixedRoles
+			if e.Document.Placement.MinimumDwell > 0 {
+				settings.MinimumDwell = e.Document.Placement.MinimumDwell
+			}
+			p = &pool{scope: ScopeOf(m.Name), placer: placer.NewPlacer(settings)}
+			c.pools[m.Name] = p
+			c.order(controller.ScopeWanted{Now: now, Scope: p.scope})
+		}
+		c.place(p, p.placer.Handle(placer.VersionWanted{Now: now, Model: m.Name, Version: m.Version}))
+	}
+}
+
+func (c *Conductor) observe(e EngineReported) {
+	r := e.Report
+	c.drain(c.drainer.Handle(drainer.ReportSeen{
+		Now: e.Now, Upstream: e.Upstream, Leaving: r.GetLeaving(), Changing: r.GetChanging(),
+		Running: int(r.GetRunning()), Waiting: int(r.GetWaiting()),
+	}))
+	p, ok := c.pools[identifier.ModelName(r.GetModel())]
+	if !ok {
+		return
+	}
+	c.place(p, p.placer.Handle(placer.EngineObserved{
+		Now:              e.Now,
+		Upstream:         e.Upstream,
+		Model:            identifier.ModelName(r.GetModel()),
+		Version:          identifier.ModelVersion(r.GetVersion()),
+		Role:             identifier.Role(r.GetRole()),
+		Changing:         r.GetChanging(),
+		Leaving:          r.GetLeaving(),
+		Healthy:          true,
+		Sequences:        int(r.GetRunning() + r.GetWaiting()),
+		MaxBatch:         int(r.GetMaxBatch()),
+		QueuedPrefill:    identifier.Tokens(r.GetQueuedPrefillTokens()),
+		PrefillPerSecond: r.GetPrefillTokensPerSecond(),
+		DecodeStep:       time.Duration(r.GetDecodeStepMs() * float64(time.Millisecond)),
+	}))
+}
+
+func (c *Conductor) readList(e ListRead) {
+	c.drain(c.drainer.Handle(drainer.ListSeen{Now: e.Now, Members: e.Members}))
+	for _, p := range c.pools {
+		c.place(p, p.placer.Handle(placer.InstancesCounted{Now: e.Now, Instances: e.Instances}))
+	}
+}
+
+func (c *Conductor) changeLease(e LeaseChanged) {
+	for model, p := range c.pools {
+		if p.scope != e.Scope {
+			continue
+		}
+		p.held = e.Held
+		c.place(p, p.placer.Handle(placer.AuthorityChanged{Now: e.Now, Held: e.Held}))
+		if !e.Held {
+			c.forgetChanges(model)
+			c.drain(c.drainer.Handle(drainer.LeaseLost{Now: e.Now, Scope: e.Scope}))
+			continue
+		}
+		c.holdEngines(e.Now, model, p, e.Unfinished)
+	}
+}
+
+func (c *Conductor) closeOrder(e OrderClosed) {
+	id := e.Closed.Engine
+	if own, ok := c.changes[id]; ok && own.order == e.Closed.Order {
+		done := e.Closed.Result == messenger.OrderResult_ORDER_RESULT_DONE
+		for _, p := range c.pools {
+			c.place(p, p.placer.Handle(placer.OrderEnded{Now: e.Now, Upstream: id, Done: done}))
+		}
+	}
+	c.drain(c.drainer.Handle(drainer.OrderClosed{
+		Now: e.Now, Order: e.Closed.Order, Result: e.Closed.Result, Detail: e.Closed.Detail,
+	}))
+	for model, p := range c.pools {
+		if p.held {
+			c.holdEngines(e.Now, model, p, e.Unfinished)
+		}
+	}
+}
+
+// holdEngines tells the drainer which engines it may return to service: those that no order and no own change occupies.
+func (c *Conductor) holdEngines(
+	now time.Time, model identifier.ModelName, p *pool, unfinished []identifier.UpstreamID,
+) {
+	held := drainer.EnginesHeld{Now: now, Scope: p.scope}
+	for _, e := range c.document.Engines {
+		_, own := c.changes[e.ID]
+		if e.Model == model && !own && !slices.Contains(unfinished, e.ID) {
+			held.Engines = append(held.Engines, e.ID)
+		}
+	}
+	c.drain(c.drainer.Handle(held))
+}
+
+// forgetChanges drops the changes of a model's engines: the next holder takes them over.
+func (c *Conductor) forgetChanges(model identifier.ModelName) {
+	for _, e := range c.document.Engines {
+		if e.Model == model {
+			delete(c.changes, e.ID)
+		}
+	}
+}
--- a/rosemaryspool/dispatcher/attempt.go
+++ b/rosemaryspool/dispatcher/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"rosemaryspool.example/adaptor/completer"
@@ -19,6 +20,7 @@
 	work     Work
 	exchange *Exchange
 	cancel   context.CancelFunc
+	moved    atomic.Bool
 
 	text     []byte
 	tokens   identifier.Tokens
@@ -26,18 +28,29 @@
 	finish   Finish
 }
 
+// move breaks the attempt off; its engine is not to blame.
+func (a *attempt) move() {
+	a.moved.Store(true)
+	a.cancel()
+}
+
 // runAttempt carries one attempt out and reports how it ended.
 func (d *Dispatcher) runAttempt(ctx context.Context, a *attempt) {
 	defer a.cancel()
 	resume, resumeTokens := a.exchange.resumePoint()
 	a.text = []byte(resume)
 	a.tokens = resumeTokens
+	a.finish.CachedPrompt = -1
 	result, err := d.callEngines(ctx, a, resume, resumeTokens)
 	now := time.Now()
 	if err != nil {
 		a.exchange.release(a.dispatch.Attempt)
+		kind := failureKind(err)
+		if a.moved.Load() {
+			kind = scheduler.FailureRejected
+		}
 		d.post(scheduler.AttemptFailed{
-			Now: now, Attempt: a.dispatch.Attempt, Kind: failureKind(err), Output: a.tokens - resumeTokens,
+			Now: now, Attempt: a.dispatch.Attempt, Kind: kind, Output: a.tokens - resumeTokens,
 		})
 		return
 	}
--- a/rosemaryspool/dispatcher/dispatcher.go
+++ b/rosemaryspool/dispatcher/dispatcher.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -14,6 +15,7 @@
 	"rosemaryspool.example/core/refuser"
 	"rosemaryspool.example/core/scheduler"
 	"rosemaryspool.example/core/slicer"
+	"rosemaryspool.example/rosemaryspool/conductor"
 	"rosemaryspool.example/rosemaryspool/explainer"
 	"rosemaryspool.example/rosemaryspool/meter"
 	"rosemaryspool.example/rosemaryspool/resolver"
@@ -31,6 +33,9 @@
 	Handle(event scheduler.Event) []scheduler.Action
 }
 
+// Observer learns of the work that passes. Its function must not call the dispatcher.
+type Observer func(event conductor.Event)
+
 // Work is a classified model request.
 type Work struct {
 	Request        identifier.RequestID
@@ -50,6 +55,7 @@
 type Dispatcher struct {
 	core     Core
 	resolver *resolver.Resolver
+	observe  Observer
 	log      zerolog.Logger
 	ring     chan command
 	done     chan struct{}
@@ -57,6 +63,8 @@
 
 	exchanges map[identifier.RequestID]*pending
 	running   map[identifier.AttemptID]*attempt
+	// movable holds the running attempts for Move, which is called from other goroutines.
+	movable sync.Map
 
 	explainer    *explainer.Explainer
 	decisionTime metrics.Histogram
@@ -85,12 +93,13 @@
 
 // NewDispatcher returns a dispatcher; Run must be started before Submit is used.
 func NewDispatcher(
-	core Core, targets *resolver.Resolver, decisions *explainer.Explainer, log zerolog.Logger, registry metrics.Registry,
+	core Core, targets *resolver.Resolver, observe Observer, decisions *explainer.Explainer, log zerolog.Logger, registry metrics.Registry,
 ) *Dispatcher {
 	return &Dispatcher{
 		core:         core,
 		explainer:    decisions,
 		resolver:     targets,
+		observe:      observe,
 		log:          log,
 		ring:         make(chan command, ringCapacity),
 		done:         make(chan struct{}),
@@ -167,6 +176,8 @@
 	w := s.work
 	d.exchanges[w.Request] = &pending{work: w, exchange: s.exchange}
 	d.inFlight.Update(int64(len(d.exchanges)))
+	prompt := slicer.CountTokens(w.Prompt)
+	d.observe(conductor.WorkAsked{Model: w.Model, Class: w.Class, Prompt: prompt, Output: w.ExpectedOutput})
 	d.feed(ctx, scheduler.RequestArrived{
 		Now:            w.Arrived,
 		Request:        w.Request,
@@ -176,7 +187,7 @@
 		Priority:       w.Priority,
 		Urgent:         w.Urgent,
 		Deadline:       w.Deadline,
-		Prompt:         slicer.CountTokens(w.Prompt),
+		Prompt:         prompt,
 		MaxOutput:      w.MaxOutput,
 		ExpectedOutput: w.ExpectedOutput,
 		Prefix:         slicer.HashPrefixes(w.Model, w.Prompt),
@@ -217,6 +228,10 @@
 	attemptContext, cancel := context.WithCancel(ctx)
 	a := &attempt{dispatch: dispatch, work: request.work, exchange: request.exchange, cancel: cancel}
 	d.running[dispatch.Attempt] = a
+	d.movable.Store(dispatch.Attempt, a)
+	d.observe(conductor.WorkStarted{
+		Now: time.Now(), Upstream: dispatch.Decode, Attempt: dispatch.Attempt, Protected: request.work.Urgent,
+	})
 	d.attempts.Go(func() { d.runAttempt(attemptContext, a) })
 }
 
@@ -260,9 +275,28 @@
 func (d *Dispatcher) forget(event scheduler.Event) {
 	switch e := event.(type) {
 	case scheduler.AttemptFinished:
-		delete(d.running, e.Attempt)
+		d.drop(e.Attempt)
 	case scheduler.AttemptFailed:
-		delete(d.running, e.Attempt)
+		d.drop(e.Attempt)
+	}
+}
+
+func (d *Dispatcher) drop(id identifier.AttemptID) {
+	a, ok := d.running[id]
+	if !ok {
+		return
+	}
+	delete(d.running, id)
+	d.movable.Delete(id)
+	d.observe(conductor.WorkEnded{Now: time.Now(), Attempt: id})
+	prompt := slicer.CountTokens(a.work.Prompt)
+	d.observe(conductor.WorkAnswered{Class: a.work.Class, Prompt: prompt, Cached: a.finish.CachedPrompt})
+}
+
+// Move breaks off an attempt so that its request is resumed on another engine.
+func (d *Dispatcher) Move(id identifier.AttemptID) {
+	if a, ok := d.movable.Load(id); ok {
+		a.(*attempt).move()
 	}
 }
 
--- a/rosemaryspool/executor/executor.go
+++ b/rosemaryspool/executor/executor.go
@@ -48,7 +48,7 @@
 
 	mutex    sync.Mutex
 	balancer *balancer.Balancer
-	draining map[identifier.UpstreamID]bool
+	closed   map[identifier.UpstreamID]bool
 
 	claims *claimer
 }
@@ -63,7 +63,7 @@
 func NewExecutor(
 	settings Settings, targets *resolver.Resolver, log appender.Log, appends *committer.Committer, events zerolog.Logger,
 ) *Executor {
-	e := &Executor{resolver: targets, log: events, balancer: balancer.NewBalancer()}
+	e := &Executor{resolver: targets, log: events, balancer: balancer.NewBalancer(), closed: make(map[identifier.UpstreamID]bool)}
 	core := deduplicator.NewDeduplicator(settings.Deduplicator)
 	e.claims = newClaimer(core, settings.Stream, log, appends, events)
 	e.claims.dispatch = e.dispatchOnce
@@ -81,15 +81,11 @@
 	e.claims.post(deduplicator.WindowSet{Window: window})
 }
 
-// SetDraining names the upstreams that planned changes keep from new calls.
-func (e *Executor) SetDraining(ids []identifier.UpstreamID) {
-	draining := make(map[identifier.UpstreamID]bool, len(ids))
-	for _, id := range ids {
-		draining[id] = true
-	}
+// SetClosed keeps an upstream from new calls, or returns it to service.
+func (e *Executor) SetClosed(id identifier.UpstreamID, closed bool) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	e.draining = draining
+	e.closed[id] = closed
 }
 
 // RunIdempotent runs a call that may be repeated: a failed attempt is retried on another upstream within the deadline.
@@ -161,7 +157,7 @@
 	var ids []identifier.UpstreamID
 	for _, id := range service.Upstreams {
 		u, ok := e.resolver.Find(id)
-		if ok && u.Service != nil && !u.Member.Leaving && !e.draining[id] && !slices.Contains(tried, id) {
+		if ok && u.Service != nil && !u.Member.Leaving && !e.closed[id] && !slices.Contains(tried, id) {
 			ids = append(ids, id)
 		}
 	}
--- a/rosemaryspool/follower/follower.go
+++ b/rosemaryspool/follower/follower.go
@@ -13,9 +13,11 @@
 	"rosemaryspool.example/adaptor/appender"
 	"rosemaryspool.example/core/controller"
 	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/core/replayer"
 	"rosemaryspool.example/rosemaryspool/committer"
 	"rosemaryspool.example/rosemaryspool/reader"
 	"rosemaryspool.example/rosemaryspool/resolver"
+	"rosemaryspool.example/wire/messenger"
 )
 
 const (
@@ -31,12 +33,12 @@
 type Listeners struct {
 	// InForce tells of a new configuration.
 	InForce func(controller.ConfigInForce)
-	// Draining names all upstreams that planned changes keep from new work.
-	Draining func([]identifier.UpstreamID)
-	// Lease tells that this process gained or lost a scope's lease.
-	Lease func(scope identifier.Scope, held bool)
+	// Plans delivers the latest planned change of every upstream.
+	Plans func([]*messenger.PlannedChange)
+	// Lease tells that this process gained or lost a scope's lease; unfinished names the engines with an open order.
+	Lease func(scope identifier.Scope, held bool, unfinished []identifier.UpstreamID)
 	// Order tells how an order ended.
-	Order func(controller.OrderClosed)
+	Order func(closed controller.OrderClosed, unfinished []identifier.UpstreamID)
 	// Incomplete tells that records were trimmed unread: a peer's snapshot is needed.
 	Incomplete func()
 }
@@ -214,19 +216,36 @@
 	switch a := action.(type) {
 	case controller.ConfigInForce:
 		f.listeners.InForce(a)
-	case controller.UpstreamsDraining:
-		f.listeners.Draining(a.Upstreams)
+	case controller.PlansChanged:
+		f.listeners.Plans(changesOf(a.Plans))
 	case controller.LeaseGained:
-		f.listeners.Lease(a.Scope, true)
+		f.listeners.Lease(a.Scope, true, f.unfinished())
 	case controller.LeaseLost:
-		f.listeners.Lease(a.Scope, false)
+		f.listeners.Lease(a.Scope, false, nil)
 	case controller.OrderClosed:
-		f.listeners.Order(a)
+		f.listeners.Order(a, f.unfinished())
 	case controller.HistoryIncomplete:
 		f.listeners.Incomplete()
 	}
 }
 
+func changesOf(plans []replayer.Plan) []*messenger.PlannedChange {
+	changes := make([]*messenger.PlannedChange, len(plans))
+	for i, p := range plans {
+		changes[i] = p.Change
+	}
+	return changes
+}
+
+// unfinished names the engines with an open order.
+func (f *Follower) unfinished() []identifier.UpstreamID {
+	var ids []identifier.UpstreamID
+	for _, o := range f.controller.State().Unfinished() {
+		ids = append(ids, identifier.UpstreamID(o.Order.GetEngine()))
+	}
+	return ids
+}
+
 func (f *Follower) append(a controller.Append) {
 	f.committer.Submit(committer.Batch{
 		Stream:  f.stream,
--- a/rosemaryspool/watcher/watcher.go
+++ b/rosemaryspool/watcher/watcher.go
@@ -12,8 +12,10 @@
 	"github.com/sourcegraph/conc"
 
 	"rosemaryspool.example/adaptor/lister"
+	"rosemaryspool.example/core/drainer"
 	"rosemaryspool.example/core/identifier"
 	"rosemaryspool.example/core/scheduler"
+	"rosemaryspool.example/rosemaryspool/conductor"
 	"rosemaryspool.example/rosemaryspool/dispatcher"
 	"rosemaryspool.example/rosemaryspool/resolver"
 	"rosemaryspool.example/wire/messenger"
@@ -28,11 +30,12 @@
 	callTimeout = 2 * time.Second
 )
 
-// Watcher polls the platform. Its findings go to Notify as scheduler events.
+// Watcher polls the platform. Its findings go to the scheduler and to the conductor.
 type Watcher struct {
 	list     lister.List
 	resolver *resolver.Resolver
 	notify   func(scheduler.Event)
+	learn    func(conductor.Event)
 	log      zerolog.Logger
 	done     chan struct{}
 
@@ -52,10 +55,11 @@
 
 // NewWatcher returns a watcher that has read nothing yet.
 func NewWatcher(
-	list lister.List, targets *resolver.Resolver, notify func(scheduler.Event), log zerolog.Logger,
+	list lister.List, targets *resolver.Resolver, notify func(scheduler.Event), learn func(conductor.Event),
+	log zerolog.Logger,
 ) *Watcher {
 	return &Watcher{
-		list: list, resolver: targets, notify: notify, log: log, done: make(chan struct{}),
+		list: list, resolver: targets, notify: notify, learn: learn, log: log, done: make(chan struct{}),
 		models:  make(map[identifier.UpstreamID][]identifier.ModelName),
 		leaving: make(map[identifier.UpstreamID]bool),
 		cursors: make(map[identifier.UpstreamID]uint64),
@@ -102,16 +106,12 @@
 	}
 }
 
-// SetDraining names the upstreams that planned changes keep from new work.
-func (w *Watcher) SetDraining(ids []identifier.UpstreamID) {
-	leaving := make(map[identifier.UpstreamID]bool, len(ids))
-	for _, id := range ids {
-		leaving[id] = true
-	}
+// SetClosed keeps an upstream from new work, or returns it to service.
+func (w *Watcher) SetClosed(id identifier.UpstreamID, closed bool) {
 	w.mutex.Lock()
-	w.leaving = leaving
+	w.leaving[id] = closed
 	w.mutex.Unlock()
-	for _, u := range w.resolver.Engines() {
+	if u, ok := w.resolver.Find(id); ok && u.Member.Kind == lister.KindEngine {
 		w.announce(u.Member)
 	}
 }
@@ -176,6 +176,8 @@
 	for _, id := range w.resolver.Update(members) {
 		w.notify(scheduler.UpstreamGone{Now: time.Now(), Upstream: id})
 	}
+	w.learn(listRead(members, len(peers)))
+	w.notify(scheduler.InstancesCounted{Instances: max(1, len(peers))})
 	for _, m := range members {
 		if m.Kind == lister.KindEngine {
 			w.announce(m)
@@ -183,6 +185,17 @@
 	}
 }
 
+// listRead turns a listing into the conductor's event.
+func listRead(members []lister.Member, instances int) conductor.ListRead {
+	read := conductor.ListRead{Now: time.Now(), Instances: max(1, instances)}
+	for _, m := range members {
+		if m.Kind != lister.KindInstance {
+			read.Members = append(read.Members, drainer.Member{Upstream: identifier.UpstreamID(m.ID), Leaving: m.Leaving})
+		}
+	}
+	return read
+}
+
 // announce passes an engine on, with all models unless the configuration names them.
 func (w *Watcher) announce(member lister.Member) {
 	id := identifier.UpstreamID(member.ID)
@@ -215,6 +228,7 @@
 	w.mutex.Lock()
 	w.reports[engine.ID()] = readReport{report: report, readAt: now}
 	w.mutex.Unlock()
+	w.learn(conductor.EngineReported{Now: now, Upstream: engine.ID(), Report: report})
 	w.notify(scheduler.LoadReported{Now: now, Upstream: engine.ID(), Load: *dispatcher.ConvertReport(report)})
 	w.readCacheEvents(ctx, engine)
 }
