Measure the daemon's added latency and rate

Cause: the target of under 1 ms added at p99 with 200 streams had no measurement. Change: 'make bench' runs the same streamed request through the daemon and straight to the engines, in one process with the stand-ins.

--- a/Makefile
+++ b/Makefile
@@ -70,3 +70,8 @@
 plots: build
 	./bin/standin measure --deployment kalipci --seeds 1 --load 0.9 --policy all --plot docs/plots/kalipci.svg
 	./bin/standin measure --deployment luminaria --seeds 1 --load 0.9 --policy all --plot docs/plots/luminaria.svg
+
+.PHONY: bench
+
+bench:
+	go test -run '^$$' -bench . -benchtime 20000x ./rosemaryspool/demonstrator
