--- /dev/null
+++ b/core/checker/figure_test.go
@@ -0,0 +1,75 @@
+package checker
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestAppendsStayUnderTheBudget(t *testing.T) {
+	const measured = 30 * time.Second
+	cases := []struct {
+		name  string
+		calls int
+		limit float64
+	}{
+		{"at rest", 0, 5},
+		{"100 calls a second", 100, 100},
+	}
+	for _, c := range cases {
+		w := newQuietWorld(t, 3, 7)
+		before := w.control.appends + w.claims.appends
+		start := w.now
+		for i := range c.calls * int(measured/time.Second) {
+			w.after(time.Duration(i)*time.Second/time.Duration(c.calls), func() { w.callKey(w.processes[i%7], i+1) })
+		}
+		w.runUntil(start + measured)
+		rate := float64(w.control.appends+w.claims.appends-before) / measured.Seconds()
+		t.Logf("case=%q appendsPerSecond=%.1f runs=%d instances=7", c.name, rate, w.result.Runs)
+		require.Less(t, rate, c.limit, c.name)
+		require.Nil(t, w.result.First, c.name)
+		require.GreaterOrEqual(t, w.result.Runs, c.calls*20, c.name)
+	}
+}
+
+func TestChangeIsInForceEverywhereWithinFourSeconds(t *testing.T) {
+	const limit = 4 * time.Second
+	var longest time.Duration
+	for seed := uint64(1); seed <= 20; seed++ {
+		w := newQuietWorld(t, seed, 7)
+		for range 200 {
+			w.publish(w.model.now.revision)
+			w.runUntil(w.now + 60*time.Millisecond)
+		}
+		w.processes[2].alive = false
+		w.start(2, 1)
+		// Operators publish a wrong digest at times: the time counts from the change that is accepted.
+		var published time.Duration
+		for w.model.sections["models"] == "" {
+			published = w.now
+			w.publishChange(w.model.now.revision, "models", "new")
+			w.runUntil(w.now + 50*time.Millisecond)
+		}
+		for !w.allInForce() && w.now < published+limit {
+			w.runUntil(w.now + 20*time.Millisecond)
+		}
+		require.True(t, w.allInForce(), "seed %d", seed)
+		require.Nil(t, w.result.First, "seed %d", seed)
+		longest = max(longest, w.now-published)
+	}
+	t.Logf("longestUntilInForce=%s instances=7 newlyStarted=1 histories=20", longest)
+}
+
+// allInForce tells whether the change of section models is accepted and in force at every process.
+func (w *world) allInForce() bool {
+	if w.model.sections["models"] == "" {
+		return false
+	}
+	for _, p := range w.processes {
+		if uint64(p.inForce) != w.model.now.revision {
+			return false
+		}
+	}
+	return true
+}
--- a/core/checker/scenario_test.go
+++ b/core/checker/scenario_test.go
@@ -12,10 +12,13 @@
 )
 
 // newQuietWorld starts all processes without stimuli or faults and waits until every lease is held.
-func newQuietWorld(t *testing.T, seed uint64) *world {
+func newQuietWorld(t *testing.T, seed uint64, processes int) *world {
 	w := newWorld(seed, 0, VariantNone)
+	w.processes = make([]*process, processes)
+	// The fakes add no faults of their own while as many as allowed are counted.
+	w.faults = maxFaults
 	w.publishFirst()
-	for i := range processCount {
+	for i := range w.processes {
 		w.start(i, 0)
 	}
 	w.runUntil(5 * time.Second)
@@ -38,7 +41,7 @@
 	const limit = 10 * time.Second
 	var longest time.Duration
 	for seed := uint64(1); seed <= 40; seed++ {
-		w := newQuietWorld(t, seed)
+		w := newQuietWorld(t, seed, 7)
 		w.runUntil(w.now + w.between(0, 3*time.Second))
 		killed := w.now
 		w.holder("model/a").alive = false
@@ -67,7 +70,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			w := newQuietWorld(t, 7)
+			w := newQuietWorld(t, 7, processCount)
 			sendOrder(w, c.engine, "first", "prefill")
 			w.runUntil(w.now + 10*time.Second)
 			require.Equal(t, "prefill", w.engines[c.engine].read(w.now).GetRole())
