Tell the shell the end of calls whose caller left; repair roles and models apart

Cause: a shell kept waiting for the end of a call whose caller had left, and engines take a role only from an order that changes the role. Change: a call that is given up because its caller left ends with code 3005, certainly not run; a run's end is always reported. A repair first restores the role, then the model. Callers leave in the histories too.

--- a/core/checker/service.go
+++ b/core/checker/service.go
@@ -211,4 +211,9 @@
 		}))
 		p.lastRequest = id
 	})
+	if w.chance(8) {
+		p.later(w.between(0, time.Second), func() {
+			p.runClaims(p.claims.Handle(deduplicator.CallerLeft{Now: p.localNow(), Request: id}))
+		})
+	}
 }
--- a/core/deduplicator/answering.go
+++ b/core/deduplicator/answering.go
@@ -102,9 +102,6 @@
 	}
 	d.memory.note(r.id, outcome)
 	d.recordOutcome(e.Now, outcome)
-	if r.left {
-		return nil
-	}
 	return answerRun(r.request, e)
 }
 
--- a/core/deduplicator/deduplicator.go
+++ b/core/deduplicator/deduplicator.go
@@ -99,7 +99,6 @@
 type run struct {
 	request identifier.RequestID
 	id      keyID
-	left    bool
 }
 
 // Deduplicator decides for one process and one claim stream. It is not safe for concurrent use.
@@ -181,8 +180,7 @@
 	case DispatchEnded:
 		return append(d.endDispatch(e), d.advance(e.Now)...)
 	case CallerLeft:
-		d.leave(e.Request)
-		return nil
+		return d.leave(e.Request)
 	case WindowSet:
 		d.settings.Window = e.Window
 		return nil
@@ -318,18 +316,15 @@
 	d.batch = slices.DeleteFunc(d.batch, func(other *call) bool { return other == c })
 }
 
-func (d *Deduplicator) leave(request identifier.RequestID) {
+// leave gives up a call that nobody waits for any more. A run goes on, and its end is reported as to a waiting caller.
+func (d *Deduplicator) leave(request identifier.RequestID) []Action {
 	for _, c := range d.waiting {
 		if c.request == request {
 			d.giveUp(c)
-			return
-		}
-	}
-	for _, r := range d.runs {
-		if r.request == request {
-			r.left = true
+			return refuse(request, refuser.NewRefusal(refuser.CallerGone, refuser.NotRun, "caller left before the run"))
 		}
 	}
+	return nil
 }
 
 func earlier(a, b time.Time) time.Time {
--- a/core/deduplicator/deduplicator_test.go
+++ b/core/deduplicator/deduplicator_test.go
@@ -205,6 +205,22 @@
 	require.Equal(t, []string{"refuse r2 4003 outcomeUnknown"}, a.call("r2", "k", 1))
 }
 
+func TestCallerWhoLeftIsNotRunAndItsRunIsKept(t *testing.T) {
+	var log [][]byte
+	a := newBench("a", &log)
+	a.call("r1", "k1", 1)
+	a.call("r2", "k2", 1)
+	a.tick(DefaultBatchDelay)
+	require.Equal(t, []string{"refuse r1 3005 notRun"}, a.take(a.Handle(CallerLeft{Now: a.clock(), Request: "r1"})))
+	require.Equal(t, []string{"dispatch r2"}, a.read())
+	require.Empty(t, a.take(a.Handle(CallerLeft{Now: a.clock(), Request: "r2"})))
+	require.Equal(t, []string{"reply r2 200 sewn"}, a.end("a/1/claims.0/2", done, "sewn"))
+	require.Equal(t, []string{"reply r3 200 sewn"}, a.call("r3", "k2", 1))
+	a.tick(DefaultBatchDelay)
+	require.Empty(t, a.read())
+	require.Empty(t, a.call("r4", "k1", 1))
+}
+
 func TestTrimmedClaimsRefuseTheKeysOfTheirTime(t *testing.T) {
 	var log [][]byte
 	a := newBench("a", &log)
--- a/core/fencer/audit.go
+++ b/core/fencer/audit.go
@@ -6,8 +6,6 @@
 	"slices"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"rosemaryspool.example/core/identifier"
 	"rosemaryspool.example/core/replayer"
 	"rosemaryspool.example/wire/messenger"
@@ -88,15 +86,27 @@
 	if late {
 		diverged.Late = last
 	}
-	return append([]Step{diverged}, f.Request(v, last.Scope, f.newRepair(v, last))...)
+	return append([]Step{diverged}, f.Request(v, last.Scope, f.newRepair(v, last, report))...)
 }
 
-// newRepair returns an order that brings an engine back to what its last order left.
-func (f *Fencer) newRepair(v View, last *replayer.Order) *messenger.EngineOrder {
+// newRepair returns an order that brings an engine back to what its last order left: first to its role, and when that is
+// right, to its model.
+func (f *Fencer) newRepair(v View, last *replayer.Order, report *messenger.EngineReport) *messenger.EngineOrder {
 	f.repairs++
-	repair, _ := proto.Clone(last.Found).(*messenger.EngineOrder)
-	repair.OrderId = fmt.Sprintf("repair/%s/%d/%d", last.Order.GetEngine(), v.State.Next(), f.repairs)
-	repair.Engine = last.Order.GetEngine()
+	engine := last.Order.GetEngine()
+	repair := &messenger.EngineOrder{
+		OrderId: fmt.Sprintf("repair/%s/%d/%d", engine, v.State.Next(), f.repairs),
+		Engine:  engine,
+	}
+	if last.Found.GetRole() != report.GetRole() {
+		repair.Kind = messenger.OrderKind_ORDER_KIND_CHANGE_ROLE
+		repair.Role = last.Found.GetRole()
+		return repair
+	}
+	repair.Kind = messenger.OrderKind_ORDER_KIND_LOAD_MODEL
+	repair.Model = last.Found.GetModel()
+	repair.Version = last.Found.GetVersion()
+	repair.Adapters = last.Found.GetAdapters()
 	return repair
 }
 
