Tell an operator whose planned change met another one

Cause: planned changes have no base revision, so two operators could each take one of the last two upstreams and both be told that all is well. Change: after its record the client looks at the danger again, with what came in between, and says which upstream to restore. A scenario lets a rival drain the other upstream first. make fuzz-configuration and make bench-configuration. Conclusion: the second operator is told; the records themselves stay as the log has them.

--- a/Makefile
+++ b/Makefile
@@ -70,3 +70,15 @@
 plots: build
 	./bin/standin measure --deployment kalipci --seeds 1 --load 0.9 --policy all --plot docs/plots/kalipci.svg
 	./bin/standin measure --deployment luminaria --seeds 1 --load 0.9 --policy all --plot docs/plots/luminaria.svg
+
+.PHONY: fuzz-configuration bench-configuration
+
+FUZZTIME ?= 30s
+
+fuzz-configuration:
+	go test -run '^$$' -fuzz FuzzParse -fuzztime $(FUZZTIME) -fuzzminimizetime 20x ./core/configurer
+	go test -run '^$$' -fuzz FuzzApply -fuzztime $(FUZZTIME) -fuzzminimizetime 20x ./core/configurer
+
+bench-configuration:
+	go test -run '^$$' -bench . -benchmem ./core/configurer
+	go test -run '^$$' -bench FoldOneCaller -benchmem ./core/replayer
--- a/rosemaryctl/commander/history.go
+++ b/rosemaryctl/commander/history.go
@@ -58,7 +58,7 @@
 	for _, r := range state.History() {
 		h.Accepted = append(h.Accepted, acceptedChange{
 			Revision: r.Revision, BaseRevision: r.Base, Digest: r.Digest, Operator: r.Operator, Message: r.Message,
-			PromotedFrom: r.PromotedFrom, PromotedRevision: r.PromotedRevision, Changed: r.Changed, Removed: r.Removed,
+			PromotedFrom: r.PromotedFrom, PromotedRevision: r.PromotedRevision, Changed: append([]string{}, r.Changed...), Removed: append([]string{}, r.Removed...),
 		})
 	}
 	for _, r := range state.ConfigRefusals() {
--- a/rosemaryctl/commander/plan.go
+++ b/rosemaryctl/commander/plan.go
@@ -109,9 +109,29 @@
 		return &Failure{Exit: ExitInternal, Code: changeRefused, Message: fmt.Sprintf("the change had no effect: %+v", applied.Effect)}
 	}
 	change.Offset = applied.Offset
+	if err := change.recheck(reader.State(), kind, s.accepted); err != nil {
+		return err
+	}
 	return s.confirmPlan(ctx, change, kind)
 }
 
+// recheck finds out whether planned changes of other operators came in between and make this one dangerous.
+func (r *planned) recheck(state *replayer.State, kind planKind, accepted []string) error {
+	if err := r.check(state, kind, accepted); err != nil {
+		return err
+	}
+	for _, d := range r.Dangers {
+		if !d.Accepted {
+			return &Failure{
+				Exit: ExitDanger, Code: dangerNotAccepted, Detail: r.Dangers,
+				Message: fmt.Sprintf("accepted, but another change came at the same time: danger %s: %s", d.Name, d.Cost),
+				Advice:  fmt.Sprintf("restore %s, or another upstream that you can do without less; see status", r.Upstream),
+			}
+		}
+	}
+	return nil
+}
+
 // confirmPlan waits until every instance follows the change and then, for an upstream that gets no new work, until every
 // report shows that its work is done. Load reports are late: one from before the change may not know the latest work.
 func (s *session) confirmPlan(ctx context.Context, change planned, kind planKind) error {
--- a/rosemaryctl/commander/platform_test.go
+++ b/rosemaryctl/commander/platform_test.go
@@ -126,12 +126,11 @@
 	platformOf(ts).log.Switches.Set(fault)
 }
 
-// setRival makes another operator publish a file right before the next append: rival OPERATOR FILE.
+// setRival makes another operator run a command right before the next append: rival OPERATOR COMMAND ARGUMENTS.
 func setRival(ts *testscript.TestScript, _ bool, args []string) {
 	p := platformOf(ts)
-	arguments := []string{
-		"rosemaryctl", "publish", ts.MkAbs(args[1]), "--log", p.logURL, "--operator", args[0], "--message", "rival change", "--wait", "0s",
-	}
+	arguments := append([]string{"rosemaryctl"}, args[1:]...)
+	arguments = append(arguments, "--log", p.logURL, "--operator", args[0], "--wait", "0s")
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.rival = func() { run(context.Background(), arguments, io.Discard, io.Discard) }
