--- a/core/controller/controller.go
+++ b/core/controller/controller.go
@@ -21,6 +21,9 @@
 // DefaultSnapshotEvery keeps the records after a snapshot few enough for a start within a second.
 const DefaultSnapshotEvery = 2000
 
+// DefaultSnapshotAge keeps a snapshot in a log that drops records after an hour or more, however few are written.
+const DefaultSnapshotAge = 10 * time.Minute
+
 // Settings holds what one process's controller needs to know.
 type Settings struct {
 	Environment identifier.Environment
@@ -32,9 +35,11 @@
 	// Lease may be left zero; its holder is set by NewController.
 	Lease leaser.Settings
 	Fence fencer.Settings
-	// SnapshotScope names the scope whose holder writes snapshots, one every SnapshotEvery records.
+	// SnapshotScope names the scope whose holder writes snapshots, one every SnapshotEvery records and at the latest
+	// every SnapshotAge. Every process is a candidate for it.
 	SnapshotScope identifier.Scope
 	SnapshotEvery int
+	SnapshotAge   time.Duration
 	ReappendAfter time.Duration
 }
 
@@ -51,6 +56,7 @@
 		Fence:         fencer.NewSettings(),
 		SnapshotScope: "snapshots",
 		SnapshotEvery: DefaultSnapshotEvery,
+		SnapshotAge:   DefaultSnapshotAge,
 		ReappendAfter: DefaultReappendAfter,
 	}
 	s.Lease = leaser.NewSettings(s.Holder())
@@ -73,8 +79,12 @@
 	live     bool
 	inForce  identifier.Revision
 	draining []identifier.UpstreamID
+	// wantsNext is the offset up to which the candidacies were updated; zero when they must be anew.
+	wantsNext identifier.Offset
 	// plansNext is the offset after the latest planned change that was announced.
 	plansNext identifier.Offset
+	// snapshotAt is when this process read the latest snapshot or the first record after its start.
+	snapshotAt time.Time
 }
 
 // NewController returns a controller that has read nothing yet.
@@ -86,7 +96,7 @@
 		leases:   leaser.NewLeaser(settings.Lease),
 		fences:   fencer.NewFencer(settings.Fence),
 		outbox:   newOutbox(settings.ReappendAfter),
-		wanted:   map[identifier.Scope]bool{},
+		wanted:   map[identifier.Scope]bool{settings.SnapshotScope: settings.SnapshotScope != ""},
 	}
 }
 
@@ -144,12 +154,15 @@
 		return c.advance(e.Now)
 	case ScopeWanted:
 		c.wanted[e.Scope] = true
+		c.wantsNext = 0
 		return c.advance(e.Now)
 	case ScopeUnwanted:
-		delete(c.wanted, e.Scope)
+		c.wanted[e.Scope] = false
+		c.wantsNext = 0
 		return c.advance(e.Now)
 	case ShutdownStarted:
 		c.stopping = true
+		c.wantsNext = 0
 		return c.advance(e.Now)
 	case Ticked:
 		return c.advance(e.Now)
@@ -222,6 +235,10 @@
 
 // updateWants adds the scopes with unfinished orders, so that none stays open when nobody wants its scope any more.
 func (c *Controller) updateWants() {
+	if c.wantsNext == c.state.Next() {
+		return
+	}
+	c.wantsNext = c.state.Next()
 	open := map[identifier.Scope]bool{}
 	for _, o := range c.state.Unfinished() {
 		open[o.Scope] = true
@@ -355,14 +372,22 @@
 
 func (c *Controller) takeSnapshot(now time.Time) []Action {
 	hold, held := c.leases.Held(now, c.settings.SnapshotScope)
-	since := int(c.state.Next()) - int(max(c.state.SnapshotNext(), 1))
-	if !held || c.settings.SnapshotEvery <= 0 || since < c.settings.SnapshotEvery || c.outbox.holds(throttler.UrgencySnapshot) {
+	if !held || !c.snapshotDue(now) || c.outbox.holds(throttler.UrgencySnapshot) {
 		return nil
 	}
 	snapshot, err := c.state.Snapshot()
 	if err != nil {
 		return nil
 	}
-	c.enqueue(messenger.RecordKind_RECORD_KIND_SNAPSHOT, c.settings.SnapshotScope, hold.Token, snapshot, throttler.UrgencySnapshot, nil)
+	kind := messenger.RecordKind_RECORD_KIND_SNAPSHOT
+	c.enqueue(kind, c.settings.SnapshotScope, hold.Token, snapshot, throttler.UrgencySnapshot, nil)
 	return nil
 }
+
+func (c *Controller) snapshotDue(now time.Time) bool {
+	since := int(c.state.Next()) - int(max(c.state.SnapshotNext(), 1))
+	if c.settings.SnapshotEvery <= 0 {
+		return false
+	}
+	return since >= c.settings.SnapshotEvery || now.Sub(c.snapshotAt) >= c.settings.SnapshotAge
+}
