--- a/core/configurer/sections_test.go
+++ b/core/configurer/sections_test.go
@@ -91,6 +91,12 @@
 	require.Equal(t, sections.Digest(), sectionsOf(t, wholeText).Digest())
 }
 
+// TestDigestIsPinned fails when a document of format version 1 gets another digest: then instances of different binaries
+// would disagree, and the format needs a new version in place of a changed test.
+func TestDigestIsPinned(t *testing.T) {
+	require.Equal(t, "ab141ab4f801e467f4ef67505455f66adf607a2935b9f4d5252e727c93397f2f", sectionsOf(t, wholeText).Digest())
+}
+
 // bigText returns a document with many callers.
 func bigText(callers int) string {
 	var text strings.Builder
--- a/rosemaryctl/commander/platform_test.go
+++ b/rosemaryctl/commander/platform_test.go
@@ -187,7 +187,7 @@
 }
 
 func (i *instance) fold(ctx context.Context) (*replayer.State, error) {
-	reader := follower.New(i.platform.log, i.environment, nil)
+	reader := follower.NewFollower(i.platform.log, i.environment, nil)
 	err := reader.Refresh(ctx, 0)
 	return reader.State(), err
 }
--- a/rosemaryctl/commander/settings.go
+++ b/rosemaryctl/commander/settings.go
@@ -46,7 +46,7 @@
 )
 
 func environmentVariable(flag string) cli.ValueSourceChain {
-	return cli.EnvVars("ROSEMARYCTL_" + strings.ToUpper(strings.ReplaceAll(flag, "-", "_")))
+	return cli.EnvVars(variableOf(flag))
 }
 
 func stringFlag(name, usage string) cli.Flag {
@@ -105,6 +105,7 @@
 	return &Failure{Exit: ExitUsage, Code: missingSetting, Message: strings.Join(lines, "\n")}
 }
 
+// variableOf returns the environment variable of a flag.
 func variableOf(flag string) string {
 	return "ROSEMARYCTL_" + strings.ToUpper(strings.ReplaceAll(flag, "-", "_"))
 }
@@ -138,14 +139,14 @@
 		accepted: command.StringSlice(flagAccept),
 	}
 	if address := command.String(flagInstances); address != "" {
-		s.instances = watcher.New(lister.NewClient(address), command.Duration(flagCallTimeout))
+		s.instances = watcher.NewWatcher(lister.NewClient(address), command.Duration(flagCallTimeout))
 	}
 	return s
 }
 
 func (s *session) follow(environment identifier.Environment) *follower.Follower {
 	if s.instances == nil {
-		return follower.New(s.log, environment, nil)
+		return follower.NewFollower(s.log, environment, nil)
 	}
-	return follower.New(s.log, environment, s.instances.Bootstrap)
+	return follower.NewFollower(s.log, environment, s.instances.Bootstrap)
 }
--- a/rosemaryctl/follower/follower.go
+++ b/rosemaryctl/follower/follower.go
@@ -38,8 +38,8 @@
 	found       *replayer.Applied
 }
 
-// New returns a follower that has read nothing yet.
-func New(log appender.Log, environment identifier.Environment, bootstrap BootstrapFunc) *Follower {
+// NewFollower returns a follower that has read nothing yet.
+func NewFollower(log appender.Log, environment identifier.Environment, bootstrap BootstrapFunc) *Follower {
 	state := replayer.NewState(environment, nil)
 	return &Follower{log: log, environment: environment, bootstrap: bootstrap, state: state}
 }
--- a/rosemaryctl/follower/follower_test.go
+++ b/rosemaryctl/follower/follower_test.go
@@ -71,7 +71,7 @@
 				bootstrap = peerAt(t, log, c.peerNext)
 			}
 			log.Trim(ControlStream("trial"), 4)
-			reader := New(log, "trial", bootstrap)
+			reader := NewFollower(log, "trial", bootstrap)
 			err := reader.Refresh(t.Context(), 0)
 			if !c.restored {
 				require.ErrorIs(t, err, ErrIncomplete)
@@ -86,7 +86,7 @@
 func TestRefreshReadsManyBatches(t *testing.T) {
 	log := recorder.NewLog(recorder.Settings{AppendsPerSecond: 1e9})
 	appendPlans(t, log, 2*readLimit+1)
-	reader := New(log, "trial", nil)
+	reader := NewFollower(log, "trial", nil)
 	reader.Watch("e7")
 	require.NoError(t, reader.Refresh(t.Context(), 0))
 	require.Equal(t, identifier.Offset(2*readLimit+2), reader.State().Next())
--- a/rosemaryctl/publisher/publisher_test.go
+++ b/rosemaryctl/publisher/publisher_test.go
@@ -53,7 +53,7 @@
 	plan := &messenger.PlannedChange{ChangeId: "c", Kind: messenger.PlannedChangeKind_PLANNED_CHANGE_KIND_DRAIN, Upstream: "e"}
 	record, err := NewRecord(messenger.RecordKind_RECORD_KIND_PLANNED_CHANGE, "ayse", plan)
 	require.NoError(t, err)
-	return Publish(t.Context(), log, follower.New(log, "trial", nil), record)
+	return Publish(t.Context(), log, follower.NewFollower(log, "trial", nil), record)
 }
 
 func countRecords(t *testing.T, log appender.Log) int {
@@ -106,7 +106,7 @@
 		require.Equal(t, 2, log.sends)
 		time.Sleep(log.delay)
 		synctest.Wait()
-		reader := follower.New(log, "trial", nil)
+		reader := follower.NewFollower(log, "trial", nil)
 		require.NoError(t, reader.Refresh(t.Context(), 0))
 		require.EqualValues(t, 1, reader.State().Counters().Duplicate)
 	})
--- a/rosemaryctl/watcher/watcher.go
+++ b/rosemaryctl/watcher/watcher.go
@@ -43,8 +43,8 @@
 	callTimeout time.Duration
 }
 
-// New returns a watcher of a list's instances that waits for each of them up to a time.
-func New(list lister.List, callTimeout time.Duration) *Watcher {
+// NewWatcher returns a watcher of a list's instances that waits for each of them up to a time.
+func NewWatcher(list lister.List, callTimeout time.Duration) *Watcher {
 	return &Watcher{list: list, callTimeout: callTimeout}
 }
 
