Mend the learned report lag and false stalls

The lag was learned from fresh reports seconds apart, so that reports counted as up to 8 s old and queues as worked off. Streams that tell progress in bursts counted as stalled and were started again. Hedges wait longer, and answers of a few tokens stay on one engine.

--- a/core/estimator/lag.go
+++ b/core/estimator/lag.go
@@ -5,6 +5,10 @@
 // freshKept is the number of fresh reports whose times are remembered for one engine.
 const freshKept = 16
 
+// narrowBracket is the longest time between two fresh reports that tells well enough when a report between them was
+// measured.
+const narrowBracket = 400 * time.Millisecond
+
 // lagLearner learns how late an engine's periodic reports arrive. Fresh reports, which come with answers, share the
 // sequence of the periodic ones, so that a late report was measured between the fresh ones before and after it.
 type lagLearner struct {
@@ -36,7 +40,7 @@
 			after = at
 		}
 	}
-	if !before.IsZero() && !after.IsZero() && !after.Before(before) {
+	if !before.IsZero() && !after.IsZero() && !after.Before(before) && after.Sub(before) <= narrowBracket {
 		middle := before.Add(after.Sub(before) / 2)
 		l.lag.Observe(now.Sub(middle).Seconds())
 	}
--- a/core/placer/settings.go
+++ b/core/placer/settings.go
@@ -46,6 +46,6 @@
 		DemandMemory: 20 * time.Second,
 		LoadLimit:    0.85,
 		LoadPatience: 10 * time.Minute,
-		MixedLoss:    0.03,
+		MixedLoss:    0,
 	}
 }
--- a/core/retrier/retrier.go
+++ b/core/retrier/retrier.go
@@ -31,8 +31,8 @@
 		MaxAttempts:     4,
 		HedgeShare:      0.05,
 		HedgeBurst:      10,
-		HedgeFactor:     2,
-		HedgeFloor:      500 * time.Millisecond,
+		HedgeFactor:     3,
+		HedgeFloor:      1500 * time.Millisecond,
 		HedgeOccupation: 3 * time.Second,
 	}
 }
--- a/core/router/router.go
+++ b/core/router/router.go
@@ -40,6 +40,8 @@
 	// PrefillForecast and DecodeForecast predict the course at the two engines.
 	PrefillForecast estimator.PrefillForecast
 	DecodeForecast  estimator.DecodeForecast
+	// Unseen is the work in seconds that other instances have probably sent to the prefill engine since its report.
+	Unseen float64
 	// Finish is the likely time in seconds until the last token.
 	Finish float64
 	// Late is by how many seconds the careful prediction misses the deadline; negative means in time.
@@ -212,7 +214,7 @@
 			r.candidates = append(r.candidates, r.candidate(now, q, p, p))
 		}
 	}
-	if prefill != nil && decode != nil && prefill != decode && q.LongOutput > 1 {
+	if prefill != nil && decode != nil && prefill != decode && (q.LongOutput >= longOutput || len(r.candidates) == 0) {
 		r.candidates = append(r.candidates, r.candidate(now, q, prefill, decode))
 	}
 }
@@ -220,7 +222,7 @@
 func (r *Router) candidate(now time.Time, q Request, prefill, decode *part) Candidate {
 	c := Candidate{
 		Prefill: prefill.engine, Decode: decode.engine, PrefillForecast: prefill.prefill, DecodeForecast: decode.decode,
-		Cost: prefill.prefillCost + decode.decodeCost,
+		Cost: prefill.prefillCost + decode.decodeCost, Unseen: prefill.unseen,
 	}
 	handOver := 0.0
 	if prefill != decode {
--- a/core/scheduler/follower.go
+++ b/core/scheduler/follower.go
@@ -7,6 +7,7 @@
 	"rosemaryspool.example/core/identifier"
 	"rosemaryspool.example/core/refuser"
 	"rosemaryspool.example/core/retrier"
+	"rosemaryspool.example/core/router"
 )
 
 func (s *Scheduler) progress(e AttemptProgressed) {
@@ -16,6 +17,8 @@
 	}
 	if a.first.IsZero() {
 		s.markFirst(a)
+	} else {
+		s.silence.Observe(s.now.Sub(a.last).Seconds())
 	}
 	a.decode.Decoded(s.now, min(max(0, e.Output-a.output), max(0, a.work.Output-a.output)))
 	a.output = max(a.output, e.Output)
@@ -178,11 +181,17 @@
 		s.watchFirst(a)
 		return
 	}
-	if s.now.Sub(a.last) > s.settings.Tunables.StallPause {
+	if s.now.Sub(a.last) > s.stallPause() {
 		s.replace(a)
 	}
 }
 
+// stallPause returns the silence of a stream after which it counts as dead: engines may tell their progress in bursts.
+func (s *Scheduler) stallPause() time.Duration {
+	const usual = 4
+	return s.settings.Tunables.StallPause + seconds(usual*s.silence.Value(0))
+}
+
 // watchFirst hedges an attempt whose first token is overdue, or replaces it when the engine gives no sign of life.
 func (s *Scheduler) watchFirst(a *attempt) {
 	r := a.request
@@ -190,9 +199,7 @@
 	if !s.retrier.Overdue(waited, a.predictedFirst()) {
 		return
 	}
-	r.tried = append(r.tried, a.prefill.ID)
-	choice := s.router.Choose(s.now, s.routed(r), s.engines, s.usable(r))
-	r.tried = r.tried[:len(r.tried)-1]
+	choice := s.chooseElsewhere(a)
 	if choice.Best == nil {
 		return
 	}
@@ -209,11 +216,20 @@
 		s.dispatch(r, choice, true)
 		return
 	}
-	if waited > s.settings.Tunables.StallPause+2*a.predictedFirst() && !r.Urgent {
+	if waited > s.stallPause()+2*a.predictedFirst() && !r.Urgent {
 		s.replace(a)
 	}
 }
 
+// chooseElsewhere routes the request of an attempt past the engine that prefills it.
+func (s *Scheduler) chooseElsewhere(a *attempt) router.Choice {
+	r := a.request
+	r.tried = append(r.tried, a.prefill.ID)
+	choice := s.router.Choose(s.now, s.routed(r), s.engines, s.usable(r))
+	r.tried = r.tried[:len(r.tried)-1]
+	return choice
+}
+
 // replace cancels an attempt without a sign of life and goes on elsewhere.
 func (s *Scheduler) replace(a *attempt) {
 	id := a.decode.ID
