Test that an exported answer of one token is whole

Cause: a sender that splits an answer over two engines must not ask for an import that is not there. Change: a test of the documented rule. Conclusion: such an answer ends at the prefill engine with its finish reason.

--- a/standin/host/host_test.go
+++ b/standin/host/host_test.go
@@ -67,6 +67,21 @@
 	require.ErrorIs(t, err, completer.ErrRejected, "an export is imported once")
 }
 
+func TestExportedAnswerOfOneTokenIsWhole(t *testing.T) {
+	h, err := Start(t.Context(), testSettings())
+	require.NoError(t, err)
+	defer h.Close()
+	request := completer.Request{Attempt: "a1", Model: "prova-llm", Prompt: "measure the sleeve", MaxOutput: 1, ExportKV: true}
+	text, result := complete(t, h, "prefill", request)
+	require.Len(t, text, 4)
+	require.Equal(t, completer.FinishLength, result.FinishReason)
+
+	request.Attempt, request.ExportKV = "a2", false
+	request.ImportFrom = &completer.KVSource{Address: h.Engines["prefill"].URL, Attempt: "a1"}
+	_, err = completer.NewClient(h.Engines["decode"].URL).Complete(t.Context(), request, func(completer.Piece) {})
+	require.ErrorIs(t, err, completer.ErrRejected, "nothing was kept for import")
+}
+
 func complete(t *testing.T, h *Host, engine identifier.UpstreamID, request completer.Request) (string, completer.Result) {
 	t.Helper()
 	text := ""
