--- a/standin/measurer/fault.go
+++ b/standin/measurer/fault.go
@@ -53,6 +53,9 @@
 	p := &faultPlan{fault: fault}
 	p.start = between(random, w.Length*3/10, w.Length*6/10)
 	p.end = p.start + w.Figures.FaultLength
+	if fault == FaultSlow || fault == FaultFrozenReports || fault == FaultLogOutage {
+		p.end = p.start + w.Figures.LongFaultLength
+	}
 	p.engine = random.IntN(w.Figures.Engines)
 	p.dataCentre = random.IntN(w.Figures.DataCentres)
 	return p
--- a/standin/measurer/settings.go
+++ b/standin/measurer/settings.go
@@ -90,6 +90,7 @@
 	BurstVariation      float64
 	SlowFactor          float64
 	FaultLength         time.Duration
+	LongFaultLength     time.Duration
 	Classes             []Class
 }
 
@@ -167,6 +168,7 @@
 		BurstVariation:      2,
 		SlowFactor:          3,
 		FaultLength:         2 * time.Minute,
+		LongFaultLength:     10 * time.Minute,
 	}
 }
 
@@ -236,7 +238,8 @@
 		{"burstMax", "duration", &f.BurstMax},
 		{"burstVariation", "coefficient of variation of gaps in bursts", &f.BurstVariation},
 		{"slowFactor", "multiple of the usual time", &f.SlowFactor},
-		{"faultLength", "duration", &f.FaultLength},
+		{"faultLength", "duration of a crash or a cut-off data centre", &f.FaultLength},
+		{"longFaultLength", "duration of slowness, frozen reports or a log outage", &f.LongFaultLength},
 	}
 	for i := range f.Classes {
 		rows = append(rows, f.Classes[i].table()...)
