--- /dev/null
+++ b/core/controller/ordering_test.go
@@ -0,0 +1,176 @@
+package controller
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	"rosemaryspool.example/core/configurer"
+	"rosemaryspool.example/core/fencer"
+	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/core/replayer"
+	"rosemaryspool.example/wire/messenger"
+)
+
+// orderCase is one order whose send is answered as told while the engine's report changes as told.
+type orderCase struct {
+	name   string
+	checks bool
+	answer fencer.Answer
+	reply  *messenger.OrderReply
+	// takenAt and doneAt are when the report shows the order as taken and as done, in seconds after the send; zero
+	// means never. reached is the role that the report then shows.
+	takenAt, doneAt float64
+	reached         string
+	want            messenger.OrderResult
+	// notBefore and notAfter bound the time of the outcome, in seconds after the send.
+	notBefore, notAfter float64
+	fences              int
+}
+
+const (
+	resultDone    = messenger.OrderResult_ORDER_RESULT_DONE
+	resultNotDone = messenger.OrderResult_ORDER_RESULT_NOT_DONE
+	resultFenced  = messenger.OrderResult_ORDER_RESULT_FENCED
+)
+
+func TestOrderIsClosedOnlyByProof(t *testing.T) {
+	accepted := &messenger.OrderReply{Accepted: true}
+	cases := []orderCase{
+		{"refused", false, fencer.AnswerRefused, &messenger.OrderReply{Detail: "full"}, 0, 0, "", resultNotDone, 0, 1, 0},
+		{"refused under a newer token", true, fencer.AnswerRefused, &messenger.OrderReply{Token: 99}, 0, 0, "", resultFenced, 0, 1, 0},
+		{"not sent", false, fencer.AnswerNotSent, nil, 0, 0, "", resultNotDone, 0, 1, 0},
+		{"accepted and done", false, fencer.AnswerAccepted, accepted, 0.1, 4, "decode", resultDone, 4, 6, 0},
+		{"accepted, then the engine crashed", false, fencer.AnswerAccepted, accepted, 0.1, 4, "mixed", resultNotDone, 4, 6, 0},
+		{"accepted, report lags", false, fencer.AnswerAccepted, accepted, 0.9, 3, "decode", resultDone, 3, 5, 0},
+		{"lost answer, not taken", false, fencer.AnswerUnknown, nil, 0, 0, "", resultNotDone, 8, 12, 0},
+		{"lost answer, arrived late", false, fencer.AnswerUnknown, nil, 6, 9, "decode", resultDone, 9, 11, 0},
+		{"lost answer, fenced and not taken", true, fencer.AnswerUnknown, nil, 0, 0, "", resultNotDone, 8, 14, 1},
+		{"lost answer, fenced and done", true, fencer.AnswerUnknown, nil, 0.1, 3, "decode", resultDone, 3, 6, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) { runOrderCase(t, c) })
+	}
+}
+
+func runOrderCase(t *testing.T, c orderCase) {
+	var log [][]byte
+	p := newProcess("a", &log)
+	p.Controller = NewController(withEngine(p.settings, c.checks))
+	p.Handle(ScopeWanted{Now: at(0), Scope: "s"})
+	publish(&log, 0, "one")
+	p.read(at(0))
+	p.read(at(0.1))
+	order := &messenger.EngineOrder{OrderId: "o", Engine: "e", Kind: messenger.OrderKind_ORDER_KIND_CHANGE_ROLE, Role: "decode"}
+	e := &scriptedEngine{orderCase: c, process: p}
+	e.carryOut(0, p.Handle(OrderRequested{Now: at(1), Scope: "s", Order: order}))
+	for i := range 80 {
+		after := float64(i) * 0.25
+		e.readLog(after)
+		e.carryOut(after, p.Handle(Ticked{Now: at(1 + after)}))
+		closed, _ := p.State().Engine("e")
+		if closed.LastClosed == nil {
+			continue
+		}
+		require.Equal(t, c.want, closed.LastClosed.Result, closed.LastClosed.Detail)
+		require.GreaterOrEqual(t, after, c.notBefore)
+		require.LessOrEqual(t, after, c.notAfter)
+		require.Equal(t, 1, e.sends)
+		require.Equal(t, c.fences, e.fences)
+		return
+	}
+	require.Fail(t, "order was never closed")
+}
+
+// withEngine compiles every document to one with engine e.
+func withEngine(settings Settings, checks bool) Settings {
+	settings.Compile = func(configurer.Sections) (*configurer.Document, error) {
+		return &configurer.Document{Engines: []configurer.Engine{{ID: "e", ChecksTokens: checks}}}, nil
+	}
+	return settings
+}
+
+// scriptedEngine answers as its case tells.
+type scriptedEngine struct {
+	orderCase
+	*process
+	sends, fences int
+	token         identifier.Token
+}
+
+func (e *scriptedEngine) readLog(after float64) {
+	for int(e.NextOffset()) <= len(*e.log) {
+		o := e.NextOffset()
+		entries := []replayer.Entry{{Offset: o, Record: (*e.log)[o-1]}}
+		e.carryOut(after, e.Handle(RecordsRead{Now: at(1 + after), Entries: entries, End: identifier.Offset(len(*e.log) + 1)}))
+	}
+}
+
+func (e *scriptedEngine) carryOut(after float64, actions []Action) {
+	now := at(1 + after)
+	for _, action := range actions {
+		switch a := action.(type) {
+		case Append:
+			*e.log = append(*e.log, a.Records...)
+		case SendOrder:
+			answered := OrderAnswered{Now: now, Order: identifier.OrderID(a.Order.GetOrderId()), Answer: e.answer, Reply: e.reply}
+			if a.Order.GetKind() == messenger.OrderKind_ORDER_KIND_FENCE {
+				e.fences++
+				e.token = a.Token
+				answered.Answer = fencer.AnswerAccepted
+				answered.Reply = &messenger.OrderReply{Accepted: true, Token: uint64(a.Token)}
+			} else {
+				e.sends++
+			}
+			e.carryOut(after, e.Handle(answered))
+		case ReadEngine:
+			e.carryOut(after, e.Handle(EngineRead{Now: now, Engine: a.Engine, Read: a.Read, Report: e.report(after)}))
+		}
+	}
+}
+
+func (e *scriptedEngine) report(after float64) *messenger.EngineReport {
+	report := &messenger.EngineReport{Engine: "e", Role: "mixed", Token: uint64(e.token)}
+	if e.takenAt > 0 && after >= e.takenAt {
+		report.LastOrderId = "o"
+		report.Changing = true
+	}
+	if e.doneAt > 0 && after >= e.doneAt {
+		report.Changing = false
+		report.Role = e.reached
+	}
+	return report
+}
+
+func TestPredecessorsOrderIsResolvedBeforeAnyNewOne(t *testing.T) {
+	var log [][]byte
+	a := newProcess("a", &log)
+	a.Handle(ScopeWanted{Now: at(0), Scope: "s"})
+	a.read(at(0))
+	a.read(at(0.1))
+	order := &messenger.EngineOrder{OrderId: "first", Engine: "e", Kind: messenger.OrderKind_ORDER_KIND_CHANGE_ROLE, Role: "decode"}
+	a.take(a.Handle(OrderRequested{Now: at(0.2), Scope: "s", Order: order}))
+	require.Contains(t, a.read(at(0.3)), "SendOrder")
+	b := &scriptedEngine{process: newProcess("b", &log), orderCase: orderCase{takenAt: 0.1, doneAt: 0.2, reached: "prefill"}}
+	b.readLog(0)
+	second, _ := proto.Clone(order).(*messenger.EngineOrder)
+	second.OrderId = "second"
+	for i := range 120 {
+		after := float64(i) * 0.25
+		b.carryOut(after, b.Handle(Ticked{Now: at(1 + after)}))
+		b.readLog(after)
+		_, held := b.Held(at(1+after), "s")
+		engine, _ := b.State().Engine("e")
+		if held && engine.Unfinished != nil {
+			refused := b.take(b.Handle(OrderRequested{Now: at(1 + after), Scope: "s", Order: second}))
+			require.Contains(t, refused, "closed engine has an unfinished order")
+		}
+		if engine.LastClosed != nil {
+			require.Equal(t, resultNotDone, engine.LastClosed.Result)
+			require.Zero(t, b.sends)
+			return
+		}
+	}
+	require.Fail(t, "order was never resolved")
+}
