--- a/core/checker/figure_test.go
+++ b/core/checker/figure_test.go
@@ -73,3 +73,24 @@
 	}
 	return true
 }
+
+func TestReturnFromAnOutageBringsNoRush(t *testing.T) {
+	const outage, limit = time.Hour, 100
+	w := newQuietWorld(t, 5, 7)
+	w.logDownUntil = w.now + outage
+	for i := range int(outage/time.Second) * 2 {
+		w.after(time.Duration(i)*time.Second/2, func() { w.callKey(w.processes[i%7], i+1) })
+	}
+	w.runUntil(w.logDownUntil)
+	require.Nil(t, w.holder("model/a"))
+	most := 0
+	for range 20 {
+		before := w.control.appends + w.claims.appends
+		w.runUntil(w.now + time.Second)
+		most = max(most, w.control.appends+w.claims.appends-before)
+	}
+	t.Logf("outage=%s mostAppendsInOneSecondAfterIt=%d runs=%d refused=%d instances=7", outage, most, w.result.Runs, w.result.Refused)
+	require.LessOrEqual(t, most, limit)
+	require.NotNil(t, w.holder("model/a"))
+	require.Nil(t, w.result.First)
+}
--- a/core/deduplicator/deduplicator.go
+++ b/core/deduplicator/deduplicator.go
@@ -10,6 +10,7 @@
 	"time"
 	"unicode/utf8"
 
+	"rosemaryspool.example/core/configurer"
 	"rosemaryspool.example/core/identifier"
 	"rosemaryspool.example/core/refuser"
 	"rosemaryspool.example/wire/messenger"
@@ -18,7 +19,7 @@
 // Times and sizes of the claims.
 const (
 	// DefaultWindow is how long a key is remembered from its issue time.
-	DefaultWindow = 24 * time.Hour
+	DefaultWindow = configurer.DefaultKeyWindow
 	// DefaultClockSkew is by how much two clocks, a caller's included, may differ.
 	DefaultClockSkew = 5 * time.Second
 	// DefaultBatchDelay is how long a claim waits for others; it bounds a process to ten claim appends a second.
--- a/core/deduplicator/deduplicator_test.go
+++ b/core/deduplicator/deduplicator_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -290,10 +291,17 @@
 		_, raw := writer.newRecord(messenger.RecordKind_RECORD_KIND_CLAIM_BATCH, message)
 		entries = append(entries, replayer.Entry{Offset: identifier.Offset(len(entries) + 1), Record: raw})
 	}
-	b.ReportAllocs()
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	var reader *Deduplicator
 	for b.Loop() {
-		reader := NewDeduplicator(NewSettings("r", "1", "claims.0"))
+		reader = NewDeduplicator(NewSettings("r", "1", "claims.0"))
 		reader.Handle(RecordsRead{Now: now, WallNow: now, Entries: entries})
 		require.Equal(b, claims, reader.Keys())
 	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/claims, "heapBytes/key")
+	runtime.KeepAlive(reader)
 }
--- a/core/replayer/order.go
+++ b/core/replayer/order.go
@@ -87,9 +87,27 @@
 	}
 	plan := Plan{Change: change, Offset: offset}
 	s.plans[id] = plan
+	s.dropOldPlan()
 	return PlanChanged{Plan: plan}
 }
 
+// PlanLimit is how many upstreams' planned changes the state keeps, far more than a fleet has at one time.
+const PlanLimit = 4096
+
+// dropOldPlan forgets the longest ended change when there are too many; an upstream that drains is never forgotten.
+func (s *State) dropOldPlan() {
+	if len(s.plans) <= PlanLimit {
+		return
+	}
+	var oldest identifier.UpstreamID
+	for id, p := range s.plans {
+		if !p.Draining() && (oldest == "" || p.Offset < s.plans[oldest].Offset) {
+			oldest = id
+		}
+	}
+	delete(s.plans, oldest)
+}
+
 // refusePlan keeps late repeats of an ended change out, and the system's own changes off those of operators.
 func refusePlan(current, change *messenger.PlannedChange, bySystem bool) string {
 	if current == nil {
