Drive the real programs through scenarios with kills, stops, outages and planned changes

Cause: the daemon was only shown by its demo. Change: testscript scenarios start the real daemon and client against the stand-ins: requests and refusals, at most once over two instances, a log outage with a new instance that asks its peer, a planned stop in the middle of a stream, a killed lease holder, planned and listed leaving, settings. An instance that starts in an outage now asks its peers (it waited for the log before); a prefill engine's one-token answer counts as whole (its import was rejected before); orders have an answer timeout; log lines begin with their event.

--- a/rosemaryspool/assembler/daemon.go
+++ b/rosemaryspool/assembler/daemon.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -50,6 +51,8 @@
 	server     *server.Server
 	responder  *responder.Responder
 
+	bootstrapping atomic.Bool
+
 	callers net.Listener
 	peers   net.Listener
 	done    chan struct{}
--- a/rosemaryspool/assembler/part.go
+++ b/rosemaryspool/assembler/part.go
@@ -114,7 +114,7 @@
 		Order: func(closed controller.OrderClosed, unfinished []identifier.UpstreamID) {
 			d.learn(conductor.OrderClosed{Now: time.Now(), Closed: closed, Unfinished: unfinished})
 		},
-		Incomplete: func() { go d.bootstrap() },
+		Incomplete: d.startBootstrap,
 	}
 }
 
@@ -134,6 +134,17 @@
 	d.server.SetConfiguration(classifier.NewClassifier(configuration.Revision, document))
 }
 
+// startBootstrap asks the peers unless they are being asked already.
+func (d *Daemon) startBootstrap() {
+	if !d.bootstrapping.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer d.bootstrapping.Store(false)
+		d.bootstrap()
+	}()
+}
+
 // bootstrap asks the peers for their folded state and hands the newest one to the controller.
 func (d *Daemon) bootstrap() {
 	newest := &messenger.BootstrapReply{}
--- /dev/null
+++ b/rosemaryspool/commander/scenario_test.go
@@ -0,0 +1,306 @@
+package commander
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"rosemaryspool.example/adaptor/lister"
+	"rosemaryspool.example/core/configurer"
+	"rosemaryspool.example/core/identifier"
+	ctl "rosemaryspool.example/rosemaryctl/commander"
+	"rosemaryspool.example/standin/generator"
+	"rosemaryspool.example/standin/host"
+	"rosemaryspool.example/standin/provider"
+	"rosemaryspool.example/standin/recorder"
+	"rosemaryspool.example/standin/sampler"
+)
+
+// hangLimit only ends a scenario that hangs: nothing waits for it on a slow machine.
+const hangLimit = time.Minute
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){
+		"rosemaryspool": func() { os.Exit(Run(os.Args)) },
+		"rosemaryctl":   func() { os.Exit(ctl.Run(os.Args)) },
+	})
+}
+
+func TestScenarios(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir:   "testdata",
+		Setup: setUpPlatform,
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"instance": startInstance,
+			"signal":   signalInstance,
+			"exited":   awaitExit,
+			"await":    awaitLine,
+			"unlogged": checkUnlogged,
+			"get":      getPath,
+			"ask":      askModel,
+			"begin":    beginStream,
+			"end":      endStream,
+			"call":     callService,
+			"runs":     checkRuns,
+			"logfault": setLogFault,
+			"svcfault": setServiceFault,
+			"leave":    leaveList,
+			"replace":  replaceText,
+		},
+	})
+}
+
+// world is the set of stand-ins and processes of one scenario.
+type world struct {
+	platform  *host.Host
+	instances map[string]*process
+	streams   map[string]chan string
+}
+
+type worldKey struct{}
+
+// process is one daemon started by a scenario, with its log lines so far.
+type process struct {
+	command *exec.Cmd
+	url     string
+	exited  chan struct{}
+
+	mutex   sync.Mutex
+	changed *sync.Cond
+	lines   []string
+}
+
+func setUpPlatform(env *testscript.Env) error {
+	document, err := configurer.Parse("kalipci.yaml", sampler.Kalipci())
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	platform, err := host.Start(ctx, host.NewSettings(document, generator.Settings{Speed: 8}))
+	if err != nil {
+		cancel()
+		return err
+	}
+	w := &world{platform: platform, instances: map[string]*process{}, streams: map[string]chan string{}}
+	env.Values[worldKey{}] = w
+	env.Defer(func() {
+		for _, p := range w.instances {
+			_ = p.command.Process.Signal(syscall.SIGCONT)
+			_ = p.command.Process.Kill()
+			<-p.exited
+		}
+		cancel()
+		platform.Close()
+	})
+	env.Setenv("ROSEMARYCTL_LOG", platform.LogURL)
+	env.Setenv("ROSEMARYCTL_INSTANCES", platform.ListURL)
+	env.Setenv("ROSEMARYCTL_OPERATOR", "ayse")
+	env.Setenv("ROSEMARYCTL_WAIT", "1m")
+	env.Setenv("ROSEMARYSPOOL_LOG_URL", platform.LogURL)
+	env.Setenv("ROSEMARYSPOOL_LIST_URL", platform.ListURL)
+	env.Setenv("ROSEMARYSPOOL_STORE_URL", platform.StoreURL)
+	env.Setenv("ROSEMARYSPOOL_SHUTDOWN_DELAY", "100ms")
+	return os.WriteFile(filepath.Join(env.WorkDir, "trial.yaml"), sampler.Kalipci(), 0o600)
+}
+
+func worldOf(ts *testscript.TestScript) *world { return ts.Value(worldKey{}).(*world) }
+
+func processOf(ts *testscript.TestScript, name string) *process {
+	p, ok := worldOf(ts).instances[name]
+	if !ok {
+		ts.Fatalf("no instance %s", name)
+	}
+	return p
+}
+
+var (
+	listenPattern = regexp.MustCompile(`event=started .* listen=(\S+)`)
+	peerPattern   = regexp.MustCompile(`event=started .* peerListen=(\S+)`)
+)
+
+// startInstance starts a daemon and enters it into the instance list: instance NAME.
+func startInstance(ts *testscript.TestScript, _ bool, args []string) {
+	name := args[0]
+	path, err := exec.LookPath("rosemaryspool")
+	ts.Check(err)
+	command := exec.Command(path, "serve", "--instance", name, "--data-centre", "marmara-a", "--environment", "trial",
+		"--listen", "127.0.0.1:0", "--peer-listen", "127.0.0.1:0")
+	for _, setting := range []string{"LOG_URL", "LIST_URL", "STORE_URL", "SHUTDOWN_DELAY"} {
+		command.Env = append(command.Env, "ROSEMARYSPOOL_"+setting+"="+ts.Getenv("ROSEMARYSPOOL_"+setting))
+	}
+	output, err := command.StdoutPipe()
+	ts.Check(err)
+	ts.Check(command.Start())
+	p := &process{command: command, exited: make(chan struct{})}
+	p.changed = sync.NewCond(&p.mutex)
+	worldOf(ts).instances[name] = p
+	go p.follow(output)
+	line := p.await(ts, `event=started `)
+	p.url = "http://" + listenPattern.FindStringSubmatch(line)[1]
+	worldOf(ts).platform.List.Set(lister.Member{
+		ID: name, Kind: lister.KindInstance, Address: p.url, DataCentre: "marmara-a",
+		PeerAddress: peerPattern.FindStringSubmatch(line)[1],
+	})
+}
+
+// follow keeps the log lines and notes the end of the process.
+func (p *process) follow(output io.Reader) {
+	lines := bufio.NewScanner(output)
+	lines.Buffer(nil, 1<<20)
+	for lines.Scan() {
+		p.mutex.Lock()
+		p.lines = append(p.lines, lines.Text())
+		p.mutex.Unlock()
+		p.changed.Broadcast()
+	}
+	_ = p.command.Wait()
+	close(p.exited)
+	p.changed.Broadcast()
+}
+
+// await returns the first log line that matches.
+func (p *process) await(ts *testscript.TestScript, pattern string) string {
+	wanted := regexp.MustCompile(pattern)
+	limit := time.AfterFunc(hangLimit, p.changed.Broadcast)
+	defer limit.Stop()
+	started := time.Now()
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for seen := 0; ; {
+		for ; seen < len(p.lines); seen++ {
+			if wanted.MatchString(p.lines[seen]) {
+				return p.lines[seen]
+			}
+		}
+		select {
+		case <-p.exited:
+			ts.Fatalf("the process ended without a line %q:\n%s", pattern, strings.Join(p.lines, "\n"))
+		default:
+		}
+		if time.Since(started) >= hangLimit {
+			ts.Fatalf("no line %q:\n%s", pattern, strings.Join(p.lines, "\n"))
+		}
+		p.changed.Wait()
+	}
+}
+
+// awaitLine waits for a log line: await NAME PATTERN.
+func awaitLine(ts *testscript.TestScript, _ bool, args []string) {
+	processOf(ts, args[0]).await(ts, args[1])
+}
+
+// checkUnlogged fails when a line after a mark matches: unlogged NAME MARK PATTERN.
+func checkUnlogged(ts *testscript.TestScript, _ bool, args []string) {
+	p := processOf(ts, args[0])
+	p.await(ts, args[1])
+	mark, bad := regexp.MustCompile(args[1]), regexp.MustCompile(args[2])
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	marked := false
+	for _, line := range p.lines {
+		if marked && bad.MatchString(line) {
+			ts.Fatalf("unexpected line after %q: %s", args[1], line)
+		}
+		marked = marked || mark.MatchString(line)
+	}
+}
+
+// signalInstance sends a signal: signal NAME TERM|KILL|STOP|CONT.
+func signalInstance(ts *testscript.TestScript, _ bool, args []string) {
+	signals := map[string]syscall.Signal{
+		"TERM": syscall.SIGTERM, "KILL": syscall.SIGKILL, "STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT,
+	}
+	ts.Check(processOf(ts, args[0]).command.Process.Signal(signals[args[1]]))
+}
+
+// awaitExit waits for the end of a daemon and checks its exit code: exited NAME CODE.
+func awaitExit(ts *testscript.TestScript, _ bool, args []string) {
+	p := processOf(ts, args[0])
+	select {
+	case <-p.exited:
+	case <-time.After(hangLimit):
+		ts.Fatalf("instance %s did not end", args[0])
+	}
+	if code := fmt.Sprint(p.command.ProcessState.ExitCode()); code != args[1] {
+		ts.Fatalf("instance %s ended with code %s, want %s", args[0], code, args[1])
+	}
+}
+
+// setLogFault sets the log's faults: logfault outage|loseAnswers|none.
+func setLogFault(ts *testscript.TestScript, _ bool, args []string) {
+	faults := map[string]recorder.Faults{"outage": {Outage: true}, "loseAnswers": {LoseAnswers: 1}, "none": {}}
+	worldOf(ts).platform.Log.Switches.Set(faults[args[0]])
+}
+
+// setServiceFault sets the same faults at every service upstream: svcfault closeBeforeReply|redirect|none.
+func setServiceFault(ts *testscript.TestScript, _ bool, args []string) {
+	faults := map[string]provider.Faults{
+		"closeBeforeReply": {CloseBeforeReply: 1}, "redirect": {RedirectStatus: http.StatusTemporaryRedirect}, "none": {},
+	}
+	for _, s := range worldOf(ts).platform.Services {
+		s.Switches.Set(faults[args[0]])
+	}
+}
+
+// leaveList marks an upstream as leaving in the instance list: leave UPSTREAM.
+func leaveList(ts *testscript.TestScript, _ bool, args []string) {
+	engine := worldOf(ts).platform.Engines[identifier.UpstreamID(args[0])]
+	worldOf(ts).platform.List.Set(lister.Member{
+		ID: args[0], Kind: lister.KindEngine, Address: engine.URL, DataCentre: "marmara-a", Leaving: true,
+	})
+}
+
+// replaceText copies a file with one text replaced: replace FROM TO OLD NEW.
+func replaceText(ts *testscript.TestScript, _ bool, args []string) {
+	text := ts.ReadFile(args[0])
+	if !strings.Contains(text, args[2]) {
+		ts.Fatalf("%s does not contain %q", args[0], args[2])
+	}
+	ts.Check(os.WriteFile(ts.MkAbs(args[1]), []byte(strings.Replace(text, args[2], args[3], 1)), 0o600))
+}
+
+// checkRuns checks how often the services ran a key: runs KEY COUNT.
+func checkRuns(ts *testscript.TestScript, _ bool, args []string) {
+	count := 0
+	for _, s := range worldOf(ts).platform.Services {
+		count += s.Counts().ByKey[identifier.IdempotencyKey(args[0])]
+	}
+	if fmt.Sprint(count) != args[1] {
+		ts.Fatalf("key %s ran %d times, want %s", args[0], count, args[1])
+	}
+}
+
+// exchange sends a request and returns status and body as text.
+func exchange(method, url string, body []byte, headers map[string]string) string {
+	request, err := http.NewRequest(method, url, bytes.NewReader(body))
+	if err != nil {
+		return err.Error()
+	}
+	for name, value := range headers {
+		request.Header.Set(name, value)
+	}
+	response, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(request)
+	if err != nil {
+		return err.Error()
+	}
+	defer response.Body.Close()
+	answer, err := io.ReadAll(response.Body)
+	if err != nil {
+		return fmt.Sprintf("status=%d broken: %v", response.StatusCode, err)
+	}
+	return fmt.Sprintf("status=%d retryAfter=%s %s", response.StatusCode, response.Header.Get("Retry-After"), answer)
+}
--- a/rosemaryspool/dispatcher/attempt.go
+++ b/rosemaryspool/dispatcher/attempt.go
@@ -51,6 +51,7 @@
 		}
 		d.post(scheduler.AttemptFailed{
 			Now: now, Attempt: a.dispatch.Attempt, Kind: kind, Output: a.tokens - resumeTokens,
+			Load: ConvertReport(result.Load),
 		})
 		return
 	}
@@ -84,29 +85,27 @@
 		Resume:       resume,
 		ResumeTokens: resumeTokens,
 	}
-	if a.dispatch.Prefill != a.dispatch.Decode {
-		source, err := d.prefill(ctx, a.dispatch.Prefill, request)
-		if err != nil {
-			return completer.Result{}, err
-		}
-		request.ImportFrom = source
+	accept := func(p completer.Piece) { d.acceptPiece(a, p, resumeTokens) }
+	if a.dispatch.Prefill == a.dispatch.Decode {
+		return decode.Engine.Complete(ctx, request, accept)
 	}
-	return decode.Engine.Complete(ctx, request, func(p completer.Piece) { d.acceptPiece(a, p, resumeTokens) })
-}
-
-// prefill runs the prompt on a prefill engine and returns where its KV cache can be imported from.
-func (d *Dispatcher) prefill(
-	ctx context.Context, id identifier.UpstreamID, request completer.Request,
-) (*completer.KVSource, error) {
-	prefill, ok := d.resolver.Find(id)
+	prefill, ok := d.resolver.Find(a.dispatch.Prefill)
 	if !ok || prefill.Engine == nil {
-		return nil, completer.ErrUnreachable
+		return completer.Result{}, completer.ErrUnreachable
 	}
 	request.ExportKV = true
-	if _, err := prefill.Engine.Complete(ctx, request, func(completer.Piece) {}); err != nil {
-		return nil, err
+	result, err := prefill.Engine.Complete(ctx, request, accept)
+	if err != nil || result.FinishReason != completer.FinishExported {
+		// Without an export the answer ended with its first token and is whole.
+		return result, err
 	}
-	return &completer.KVSource{Address: prefill.Member.Address, Attempt: request.Attempt}, nil
+	request.ExportKV = false
+	request.Resume, request.ResumeTokens = string(a.text), a.tokens
+	request.ImportFrom = &completer.KVSource{Address: prefill.Member.Address, Attempt: request.Attempt}
+	decoded, err := decode.Engine.Complete(ctx, request, accept)
+	decoded.Output += result.Output
+	decoded.CachedPrompt = result.CachedPrompt
+	return decoded, err
 }
 
 func (d *Dispatcher) acceptPiece(a *attempt, piece completer.Piece, resumeTokens identifier.Tokens) {
--- a/rosemaryspool/follower/follower.go
+++ b/rosemaryspool/follower/follower.go
@@ -39,7 +39,7 @@
 	Lease func(scope identifier.Scope, held bool, unfinished []identifier.UpstreamID)
 	// Order tells how an order ended.
 	Order func(closed controller.OrderClosed, unfinished []identifier.UpstreamID)
-	// Incomplete tells that records were trimmed unread: a peer's snapshot is needed.
+	// Incomplete tells, after each read, that a peer's state is needed: records were trimmed unread or none can be read.
 	Incomplete func()
 }
 
@@ -182,6 +182,7 @@
 
 func (f *Follower) take(ctx context.Context, result reader.Result) {
 	f.reachable.Store(result.Err == nil)
+	defer f.askPeers(result.Err)
 	switch {
 	case result.Err != nil:
 	case result.Trimmed > 0:
@@ -191,6 +192,14 @@
 	}
 }
 
+// askPeers asks for a peer's state while records are missing, or while a started process cannot read its first one.
+func (f *Follower) askPeers(failure error) {
+	state := f.controller.State()
+	if !state.Complete() || (failure != nil && state.Revision() == 0) {
+		f.listeners.Incomplete()
+	}
+}
+
 func (f *Follower) feed(ctx context.Context, event controller.Event) {
 	for _, action := range f.controller.Handle(event) {
 		f.carryOut(ctx, action)
@@ -224,8 +233,6 @@
 		f.listeners.Lease(a.Scope, false, nil)
 	case controller.OrderClosed:
 		f.listeners.Order(a, f.unfinished())
-	case controller.HistoryIncomplete:
-		f.listeners.Incomplete()
 	}
 }
 
--- a/rosemaryspool/follower/order.go
+++ b/rosemaryspool/follower/order.go
@@ -12,12 +12,17 @@
 	"rosemaryspool.example/wire/messenger"
 )
 
+// answerTimeout is how long an engine may take to answer an order after the last moment of its sending.
+const answerTimeout = 5 * time.Second
+
 // sendOrder sends an order once and tells the controller how the send ended.
 func (f *Follower) sendOrder(ctx context.Context, a controller.SendOrder) {
 	answered := controller.OrderAnswered{Order: identifier.OrderID(a.Order.GetOrderId()), Answer: fencer.AnswerNotSent}
 	if u, ok := f.resolver.Find(identifier.UpstreamID(a.Order.GetEngine())); ok && u.Director != nil {
 		request := &messenger.OrderRequest{Order: a.Order, Token: uint64(a.Token)}
-		reply, err := u.Director.Order(ctx, request, a.WriteBy)
+		callContext, cancel := context.WithDeadline(ctx, a.WriteBy.Add(answerTimeout))
+		defer cancel()
+		reply, err := u.Director.Order(callContext, request, a.WriteBy)
 		answered.Reply = reply
 		answered.Answer = classifyAnswer(reply, err)
 	}
--- a/rosemaryspool/logger/logger.go
+++ b/rosemaryspool/logger/logger.go
@@ -45,6 +45,7 @@
 		Out:              output,
 		NoColor:          true,
 		PartsOrder:       []string{zerolog.TimestampFieldName, zerolog.LevelFieldName, zerolog.MessageFieldName},
+		FieldsOrder:      []string{"event"},
 		FormatTimestamp:  func(v any) string { return "time=" + formatValue(v) },
 		FormatLevel:      func(v any) string { return "level=" + formatValue(v) },
 		FormatMessage:    func(v any) string { return "message=" + formatValue(v) },
