Add operators' pages whose commands the tests run; show the caller in log lines

Cause: the on-call reader found pages for changes, but none for overload, a leaving upstream, role changes, an outage of the log, a lost data centre, an unknown outcome, a stuck change, or what log lines and metrics say. The new tests found that no log line of the daemon carried the caller, since the console writer of the log library drops the key "caller".

Change: eight pages and an index. TestPages runs every command of them against real daemons and stand-ins and looks for the output that they show; steps that only the test does stand in comments. TestEventsAndMetricsAreExplained compares the two tables with the names in the code. The parser of pages, which stood in the client's tests, moved to standin/scripter, with the checks of exit code and output unchanged. The library's key for source lines is renamed, so "caller" is written; the logger's test has it.

--- a/rosemaryctl/commander/commander_test.go
+++ b/rosemaryctl/commander/commander_test.go
@@ -1,10 +1,13 @@
 package commander
 
 import (
+	"maps"
 	"os"
 	"testing"
 
 	"github.com/rogpeppe/go-internal/testscript"
+
+	"rosemaryspool.example/standin/scripter"
 )
 
 func TestMain(m *testing.M) {
@@ -19,19 +22,19 @@
 }
 
 func scenarioParams() testscript.Params {
+	commands := map[string]func(ts *testscript.TestScript, neg bool, args []string){
+		"instances": startInstances,
+		"fault":     setFault,
+		"rival":     setRival,
+		"busy":      setBusy,
+		"trim":      trimLog,
+		"edit":      editFile,
+	}
+	maps.Copy(commands, scripter.Commands())
 	return testscript.Params{
 		RequireExplicitExec: true,
 		RequireUniqueNames:  true,
 		Setup:               startPlatform,
-		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
-			"instances": startInstances,
-			"fault":     setFault,
-			"rival":     setRival,
-			"busy":      setBusy,
-			"trim":      trimLog,
-			"edit":      editFile,
-			"exits":     checkExit,
-			"shows":     checkShown,
-		},
+		Cmds:                commands,
 	}
 }
--- a/rosemaryctl/commander/pages_test.go
+++ b/rosemaryctl/commander/pages_test.go
@@ -1,7 +1,6 @@
 package commander
 
 import (
-	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
@@ -9,6 +8,8 @@
 
 	"github.com/rogpeppe/go-internal/testscript"
 	"github.com/stretchr/testify/require"
+
+	"rosemaryspool.example/standin/scripter"
 )
 
 const newVersion = `edit trial.yaml next.yaml '"2026.11"' '"2026.12"'`
@@ -35,7 +36,7 @@
 		text, err := os.ReadFile(filepath.Join("..", "..", "docs", "operations", p.name+".md"))
 		require.NoError(t, err)
 		lines := append([]string{"instances trial 3"}, p.setup...)
-		commands := scriptOf(string(text))
+		commands := scripter.Script(string(text))
 		require.NotEmpty(t, commands)
 		file := filepath.Join(directory, p.name+".txtar")
 		require.NoError(t, os.WriteFile(file, []byte(strings.Join(append(lines, commands...), "\n")+"\n"), 0o600))
@@ -45,34 +46,3 @@
 	params.Files = files
 	testscript.Run(t, params)
 }
-
-// scriptOf turns the console blocks of a page into a script. A command that fails carries its exit code in a comment.
-func scriptOf(page string) []string {
-	var script []string
-	inside := false
-	for _, line := range strings.Split(page, "\n") {
-		line = strings.TrimSpace(line)
-		switch {
-		case strings.HasPrefix(line, "```"):
-			inside = line == "```console"
-		case !inside:
-		case strings.HasPrefix(line, "$ "):
-			command, code, found := strings.Cut(strings.TrimPrefix(line, "$ "), " # exit ")
-			if !found {
-				code = "0"
-			}
-			script = append(script, fmt.Sprintf("exits %s %s", code, command))
-		default:
-			script = append(script, fmt.Sprintf("shows '%s'", line))
-		}
-	}
-	return script
-}
-
-// checkShown checks that the last command wrote a text: shows TEXT.
-func checkShown(ts *testscript.TestScript, _ bool, args []string) {
-	written := ts.ReadFile("stdout") + ts.ReadFile("stderr")
-	if !strings.Contains(written, args[0]) {
-		ts.Fatalf("the page shows %q, but the command wrote %q", args[0], written)
-	}
-}
--- a/rosemaryctl/commander/platform_test.go
+++ b/rosemaryctl/commander/platform_test.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -163,22 +162,6 @@
 	ts.Check(os.WriteFile(ts.MkAbs(args[1]), []byte(strings.Replace(text, old, next, 1)), 0o600))
 }
 
-// checkExit runs a command and checks its exit code: exits CODE COMMAND ARGUMENTS.
-func checkExit(ts *testscript.TestScript, _ bool, args []string) {
-	wanted, err := strconv.Atoi(args[0])
-	ts.Check(err)
-	err = ts.Exec(args[1], args[2:]...)
-	code := 0
-	if exit, ok := err.(*exec.ExitError); ok {
-		code = exit.ExitCode()
-	} else {
-		ts.Check(err)
-	}
-	if code != wanted {
-		ts.Fatalf("exit code %d, want %d", code, wanted)
-	}
-}
-
 // instance is a stand-in of an entry instance: it folds the whole log for each call.
 type instance struct {
 	platform    *platform
--- /dev/null
+++ b/rosemaryspool/commander/pages_test.go
@@ -0,0 +1,90 @@
+package commander
+
+import (
+	"io/fs"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+	"github.com/stretchr/testify/require"
+
+	"rosemaryspool.example/standin/scripter"
+)
+
+const pagesDirectory = "../../docs/operations"
+
+func readPage(t *testing.T, path string) string {
+	t.Helper()
+	text, err := os.ReadFile(path)
+	require.NoError(t, err)
+	return string(text)
+}
+
+// TestPages runs every command of the operators' pages that need daemons and looks for the output that the pages show.
+func TestPages(t *testing.T) {
+	pages := []string{
+		"overload", "leaving-upstream", "role-changes", "log-down", "lost-data-centre", "unknown-outcome", "engine-stuck",
+		"logs-and-metrics",
+	}
+	directory := t.TempDir()
+	params := scenarioParams()
+	for _, p := range pages {
+		commands := scripter.Script(readPage(t, filepath.Join(pagesDirectory, p+".md")))
+		require.NotEmpty(t, commands, p)
+		file := filepath.Join(directory, p+".txtar")
+		require.NoError(t, os.WriteFile(file, []byte(strings.Join(commands, "\n")+"\n"), 0o600))
+		params.Files = append(params.Files, file)
+	}
+	testscript.Run(t, params)
+}
+
+// TestIndexNamesEveryPage compares the index with the pages that are there.
+func TestIndexNamesEveryPage(t *testing.T) {
+	index := readPage(t, "../../docs/OPERATIONS.md")
+	paths, err := filepath.Glob(pagesDirectory + "/*.md")
+	require.NoError(t, err)
+	for _, p := range paths {
+		require.Contains(t, index, "(operations/"+filepath.Base(p)+")")
+	}
+	for _, link := range regexp.MustCompile(`\((operations/[^)]+)\)`).FindAllStringSubmatch(index, -1) {
+		require.FileExists(t, "../../docs/"+link[1])
+	}
+}
+
+// TestEventsAndMetricsAreExplained compares the page's two tables with the names in the daemon's code.
+func TestEventsAndMetricsAreExplained(t *testing.T) {
+	page := readPage(t, filepath.Join(pagesDirectory, "logs-and-metrics.md"))
+	events, metrics, _ := strings.Cut(page, "\n## Metrics")
+	cases := []struct {
+		table   string
+		pattern string
+	}{
+		{events, `Str\("event", "(\w+)"\)`},
+		{metrics, `(?:NewHistogram|GetOrRegister\w+|NewPrefixedChildRegistry)\((?:registry, )?"(\w+)`},
+	}
+	for _, c := range cases {
+		written := map[string]bool{}
+		for _, row := range regexp.MustCompile(`(?m)^\| `+"`"+`(\w+)`).FindAllStringSubmatch(c.table, -1) {
+			written[row[1]] = true
+		}
+		require.Equal(t, namesInCode(t, regexp.MustCompile(c.pattern)), written)
+	}
+}
+
+func namesInCode(t *testing.T, pattern *regexp.Regexp) map[string]bool {
+	t.Helper()
+	names := map[string]bool{}
+	require.NoError(t, filepath.WalkDir("..", func(path string, _ fs.DirEntry, err error) error {
+		if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		for _, match := range pattern.FindAllStringSubmatch(readPage(t, path), -1) {
+			names[match[1]] = true
+		}
+		return nil
+	}))
+	return names
+}
--- a/rosemaryspool/commander/scenario_test.go
+++ b/rosemaryspool/commander/scenario_test.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"os"
 	"os/exec"
@@ -28,6 +29,7 @@
 	"rosemaryspool.example/standin/provider"
 	"rosemaryspool.example/standin/recorder"
 	"rosemaryspool.example/standin/sampler"
+	"rosemaryspool.example/standin/scripter"
 )
 
 // hangLimit only ends a scenario that hangs: nothing waits for it on a slow machine.
@@ -41,27 +43,34 @@
 }
 
 func TestScenarios(t *testing.T) {
-	testscript.Run(t, testscript.Params{
-		Dir:   "testdata",
-		Setup: setUpPlatform,
-		Cmds: map[string]func(*testscript.TestScript, bool, []string){
-			"instance": startInstance,
-			"signal":   signalInstance,
-			"exited":   awaitExit,
-			"await":    awaitLine,
-			"unlogged": checkUnlogged,
-			"get":      getPath,
-			"ask":      askModel,
-			"begin":    beginStream,
-			"end":      endStream,
-			"call":     callService,
-			"runs":     checkRuns,
-			"logfault": setLogFault,
-			"svcfault": setServiceFault,
-			"leave":    leaveList,
-			"replace":  replaceText,
-		},
+	params := scenarioParams()
+	params.Dir = "testdata"
+	testscript.Run(t, params)
+}
+
+func scenarioParams() testscript.Params {
+	commands := scripter.Commands()
+	maps.Copy(commands, map[string]func(*testscript.TestScript, bool, []string){
+		"instance":    startInstance,
+		"signal":      signalInstance,
+		"exited":      awaitExit,
+		"await":       awaitLine,
+		"awaitstatus": awaitStatus,
+		"unlogged":    checkUnlogged,
+		"get":         getPath,
+		"ask":         askModel,
+		"begin":       beginStream,
+		"end":         endStream,
+		"call":        callService,
+		"runs":        checkRuns,
+		"logfault":    setLogFault,
+		"svcfault":    setServiceFault,
+		"leave":       leaveList,
+		"replace":     replaceText,
+		"crash":       crashEngine,
+		"loseanswers": loseOrderAnswers,
 	})
+	return testscript.Params{Setup: setUpPlatform, Cmds: commands}
 }
 
 // world is the set of stand-ins and processes of one scenario.
@@ -78,6 +87,7 @@
 	command *exec.Cmd
 	url     string
 	exited  chan struct{}
+	file    *os.File
 
 	mutex   sync.Mutex
 	changed *sync.Cond
@@ -145,12 +155,15 @@
 	output, err := command.StdoutPipe()
 	ts.Check(err)
 	ts.Check(command.Start())
-	p := &process{command: command, exited: make(chan struct{})}
+	file, err := os.Create(ts.MkAbs(name + ".log"))
+	ts.Check(err)
+	p := &process{command: command, exited: make(chan struct{}), file: file}
 	p.changed = sync.NewCond(&p.mutex)
 	worldOf(ts).instances[name] = p
 	go p.follow(output)
 	line := p.await(ts, `event=started `)
 	p.url = "http://" + listenPattern.FindStringSubmatch(line)[1]
+	ts.Setenv("INSTANCE", p.url)
 	worldOf(ts).platform.List.Set(lister.Member{
 		ID: name, Kind: lister.KindInstance, Address: p.url, DataCentre: "marmara-a",
 		PeerAddress: peerPattern.FindStringSubmatch(line)[1],
@@ -162,12 +175,14 @@
 	lines := bufio.NewScanner(output)
 	lines.Buffer(nil, 1<<20)
 	for lines.Scan() {
+		_, _ = fmt.Fprintln(p.file, lines.Text())
 		p.mutex.Lock()
 		p.lines = append(p.lines, lines.Text())
 		p.mutex.Unlock()
 		p.changed.Broadcast()
 	}
 	_ = p.command.Wait()
+	_ = p.file.Close()
 	close(p.exited)
 	p.changed.Broadcast()
 }
@@ -240,6 +255,17 @@
 	}
 }
 
+// awaitStatus asks for the fleet's status until it shows a text: awaitstatus TEXT.
+func awaitStatus(ts *testscript.TestScript, _ bool, args []string) {
+	for started := time.Now(); time.Since(started) < hangLimit; {
+		ts.Check(ts.Exec("rosemaryctl", "status"))
+		if strings.Contains(ts.ReadFile("stdout"), args[0]) {
+			return
+		}
+	}
+	ts.Fatalf("the status never showed %q", args[0])
+}
+
 // setLogFault sets the log's faults: logfault outage|loseAnswers|none.
 func setLogFault(ts *testscript.TestScript, _ bool, args []string) {
 	faults := map[string]recorder.Faults{"outage": {Outage: true}, "loseAnswers": {LoseAnswers: 1}, "none": {}}
@@ -264,13 +290,28 @@
 	})
 }
 
-// replaceText copies a file with one text replaced: replace FROM TO OLD NEW.
+// crashEngine crashes engines: crash UPSTREAM...
+func crashEngine(ts *testscript.TestScript, _ bool, args []string) {
+	for _, id := range args {
+		worldOf(ts).platform.Engines[identifier.UpstreamID(id)].Switches.Set(generator.Faults{Crashed: true})
+	}
+}
+
+// loseOrderAnswers makes every engine leave its next order unanswered.
+func loseOrderAnswers(ts *testscript.TestScript, _ bool, _ []string) {
+	for _, e := range worldOf(ts).platform.Engines {
+		e.Switches.Set(generator.Faults{LoseOrderAnswers: 1})
+	}
+}
+
+// replaceText copies a file with one text replaced: replace FROM TO OLD NEW, where \n stands for a line's end.
 func replaceText(ts *testscript.TestScript, _ bool, args []string) {
 	text := ts.ReadFile(args[0])
-	if !strings.Contains(text, args[2]) {
-		ts.Fatalf("%s does not contain %q", args[0], args[2])
+	before, after := strings.ReplaceAll(args[2], `\n`, "\n"), strings.ReplaceAll(args[3], `\n`, "\n")
+	if !strings.Contains(text, before) {
+		ts.Fatalf("%s does not contain %q", args[0], before)
 	}
-	ts.Check(os.WriteFile(ts.MkAbs(args[1]), []byte(strings.Replace(text, args[2], args[3], 1)), 0o600))
+	ts.Check(os.WriteFile(ts.MkAbs(args[1]), []byte(strings.Replace(text, before, after, 1)), 0o600))
 }
 
 // checkRuns checks how often the services ran a key: runs KEY COUNT.
--- a/rosemaryspool/logger/logger.go
+++ b/rosemaryspool/logger/logger.go
@@ -17,6 +17,8 @@
 	ringLines = 8192
 	// pollInterval is how often an idle writer looks for new lines.
 	pollInterval = 10 * time.Millisecond
+	// sourceLineKey keeps the library from taking the key "caller", which names who sent a request, for a source line.
+	sourceLineKey = "sourceLine"
 )
 
 // Log is a logger whose lines are formatted and written by a goroutine of its own.
@@ -33,6 +35,7 @@
 	}
 	ring := diode.NewWriter(newFormatter(output), ringLines, pollInterval, dropped)
 	zerolog.TimeFieldFormat = time.RFC3339Nano
+	zerolog.CallerFieldName = sourceLineKey
 	return &Log{Logger: zerolog.New(ring).Level(parsed).With().Timestamp().Logger(), ring: ring}, nil
 }
 
--- a/rosemaryspool/logger/logger_test.go
+++ b/rosemaryspool/logger/logger_test.go
@@ -11,10 +11,10 @@
 	var output bytes.Buffer
 	log, err := NewLog(&output, "info", func(int) {})
 	require.NoError(t, err)
-	log.Info().Str("event", "routed").Str("reason", `two "words" = x`).Int("count", 3).Str("empty", "").Bool("hedge", true).Msg("Routed a request")
+	log.Info().Str("event", "routed").Str("reason", `two "words" = x`).Int("count", 3).Str("caller", "hangar").Str("empty", "").Bool("hedge", true).Msg("Routed a request")
 	log.Debug().Msg("not shown")
 	require.NoError(t, log.Close())
-	require.Regexp(t, `^time=\S+ level=info message="Routed a request" event=routed count=3 empty="" hedge=true reason="two \\"words\\" = x"\n$`,
+	require.Regexp(t, `^time=\S+ level=info message="Routed a request" event=routed caller=hangar count=3 empty="" hedge=true reason="two \\"words\\" = x"\n$`,
 		output.String())
 }
 
