Run today's shape as processes with make today

Cause: nothing ran seven daemons as processes of their own, under load and with kills, and told what they cost and promised.

`standin load` tries the next daemon when one refuses the connection, as a balancer would; the audit does not, so calls to the dead daemon are `lost` there.

--- a/Makefile
+++ b/Makefile
@@ -87,3 +87,12 @@
 bench-configuration:
 	go test -run '^$$' -bench . -benchmem ./core/configurer
 	go test -run '^$$' -bench FoldOneCaller -benchmem ./core/replayer
+
+SECONDS ?= 40
+SEED ?= 1
+
+.PHONY: today
+
+# Runs 7 daemons and a deployment's stand-ins as processes: make today DEPLOYMENT=kalipci SECONDS=40 SEED=1.
+today: build
+	scripts/today.sh $(DEPLOYMENT) $(SECONDS) $(SEED)
--- a/standin/loader/exchange.go
+++ b/standin/loader/exchange.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"time"
@@ -51,8 +52,8 @@
 	} `json:"error"`
 }
 
-// send sends one request and follows its answer to the end.
-func send(ctx context.Context, target *requester.Client, a Arrival, due time.Time) sample {
+// send sends one request to the first target that can be reached and follows its answer to the end.
+func send(ctx context.Context, targets []*requester.Client, a Arrival, due time.Time) sample {
 	s := sample{class: a.Class, outcome: outcomeFailed}
 	body, err := json.Marshal(chatRequest{
 		Model:     a.Model,
@@ -66,7 +67,7 @@
 	header := http.Header{}
 	header.Set(headerClass, string(a.Class))
 	header.Set(headerCaller, string(a.Caller))
-	response, err := target.Open(ctx, http.MethodPost, completionPath, body, header)
+	response, err := open(ctx, targets, body, header)
 	if err != nil {
 		return s
 	}
@@ -77,6 +78,19 @@
 	return follow(s, response.Body, a, due)
 }
 
+// open sends the request to the targets in turn until one takes the connection.
+func open(ctx context.Context, targets []*requester.Client, body []byte, header http.Header) (*http.Response, error) {
+	err := requester.ErrUnreachable
+	for _, t := range targets {
+		var response *http.Response
+		response, err = t.Open(ctx, http.MethodPost, completionPath, body, header)
+		if !errors.Is(err, requester.ErrUnreachable) {
+			return response, err
+		}
+	}
+	return nil, err
+}
+
 // refused reads the numbered code of a refusal; a reply without one counts as failed.
 func refused(s sample, body io.Reader) sample {
 	content, _ := io.ReadAll(io.LimitReader(body, maxErrorBytes))
--- a/standin/loader/loader.go
+++ b/standin/loader/loader.go
@@ -4,6 +4,7 @@
 	"context"
 	"iter"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/sourcegraph/conc/pool"
@@ -14,7 +15,8 @@
 
 // Settings describes a run.
 type Settings struct {
-	// Targets are the daemons' base URLs; requests are spread over them at random.
+	// Targets are the daemons' base URLs; requests are spread over them at random. A request that cannot connect goes to
+	// the next one, as through the platform's balancer.
 	Targets []string
 	// Concurrency bounds the open requests. A request that has to wait for another's end still counts from its due time.
 	Concurrency int
@@ -50,8 +52,9 @@
 			break
 		}
 		sent++
-		target := targets[choice.IntN(len(targets))]
-		workers.Go(func() { report.add(send(ctx, target, a, due)) })
+		first := choice.IntN(len(targets))
+		order := slices.Concat(targets[first:], targets[:first])
+		workers.Go(func() { report.add(send(ctx, order, a, due)) })
 	}
 	patience := time.AfterFunc(settings.Patience, cancel)
 	defer patience.Stop()
--- a/standin/loader/loader_test.go
+++ b/standin/loader/loader_test.go
@@ -75,6 +75,16 @@
 	}
 }
 
+func TestRunGoesRoundADeadDaemon(t *testing.T) {
+	s, err := server.Start(server.Settings{Address: "127.0.0.1:0", Handler: http.HandlerFunc(serveAnswers)})
+	require.NoError(t, err)
+	defer s.Close()
+	a := Arrival{Class: "c", Caller: "k", Prompt: "whole", Deadline: time.Hour, MaxOutput: 1}
+	settings := Settings{Targets: []string{"127.0.0.1:0", s.URL()}, Concurrency: 1, Patience: time.Hour, Seed: 1}
+	report := Run(t.Context(), settings, slices.Values(slices.Repeat([]Arrival{a}, 20)))
+	require.Equal(t, 20, report.Classes["c"].Good())
+}
+
 func TestRunIsBounded(t *testing.T) {
 	arrivals := []Arrival{{At: 0}, {At: time.Microsecond}, {At: time.Hour}}
 	cases := []struct {
