Return restored engines to service in the scheduler

Cause: the daemon told the scheduler of planned drains by UpstreamSeen.Leaving, which is sticky, so that a restored engine never got work again. Change: an event of its own for planned drains, which can be taken back; leaving by the instance list stays sticky until the upstream is gone. Conclusion: planned changes end in service.

--- a/core/scheduler/fleet.go
+++ b/core/scheduler/fleet.go
@@ -16,8 +16,13 @@
 type member struct {
 	seen   UpstreamSeen
 	weight uint64
+	// draining is true while a planned change keeps the engine from new work.
+	draining bool
 }
 
+// closed tells whether the engine must get no new work.
+func (m *member) closed() bool { return m.seen.Leaving || m.draining }
+
 func (s *Scheduler) see(e UpstreamSeen) {
 	m := s.members[e.Upstream]
 	if m == nil {
@@ -33,6 +38,16 @@
 	}
 }
 
+// drain closes or opens an engine for a planned change; what runs there goes on.
+func (s *Scheduler) drain(e UpstreamDrained) {
+	m := s.members[e.Upstream]
+	if m == nil || m.draining == e.Draining {
+		return
+	}
+	m.draining = e.Draining
+	s.chooseSubset()
+}
+
 func (s *Scheduler) remove(e UpstreamGone) {
 	delete(s.members, e.Upstream)
 	s.chooseSubset()
@@ -75,7 +90,7 @@
 	}
 	engine.DataCentre = m.seen.DataCentre
 	engine.Models = m.seen.Models
-	engine.Listed = m.seen.Leaving
+	engine.Listed = m.closed()
 }
 
 // wanted returns the engines that this instance uses: all of a small fleet, else for each model those with the highest
@@ -102,7 +117,7 @@
 				break
 			}
 			wanted[m.seen.Upstream] = true
-			if !m.seen.Leaving {
+			if !m.closed() {
 				left--
 			}
 		}
--- /dev/null
+++ b/core/scheduler/fleet_test.go
@@ -0,0 +1,44 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"rosemaryspool.example/core/identifier"
+)
+
+func TestDrainedEngineReturnsAndLeavingOneDoesNot(t *testing.T) {
+	seen := func(leaving bool) Event {
+		return UpstreamSeen{Now: start, Upstream: "e1", DataCentre: "a", Models: []identifier.ModelName{"m"}, Leaving: leaving}
+	}
+	cases := []struct {
+		name   string
+		events []Event
+		used   bool
+	}{
+		{"drained", []Event{UpstreamDrained{Upstream: "e1", Draining: true}}, false},
+		{"drained and listed again", []Event{UpstreamDrained{Upstream: "e1", Draining: true}, seen(false)}, false},
+		{"drained and restored", []Event{UpstreamDrained{Upstream: "e1", Draining: true}, UpstreamDrained{Upstream: "e1"}}, true},
+		{"leaving", []Event{seen(true), seen(false)}, false},
+		{"leaving and restored", []Event{seen(true), UpstreamDrained{Upstream: "e1"}}, false},
+		{"gone and listed again", []Event{seen(true), UpstreamGone{Upstream: "e1"}, seen(false)}, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := newFleet(t, "e1")
+			for _, e := range c.events {
+				s.Handle(e)
+			}
+			actions := s.Handle(arrival("r1", 0, 5*time.Second))
+			if c.used {
+				require.Equal(t, identifier.UpstreamID("e1"), only[Dispatch](t, actions).Decode)
+				return
+			}
+			for _, a := range actions {
+				require.NotIsType(t, Dispatch{}, a)
+			}
+		})
+	}
+}
--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -108,6 +108,8 @@
 	case UpstreamSeen:
 		s.advance(e.Now)
 		s.see(e)
+	case UpstreamDrained:
+		s.drain(e)
 	case UpstreamGone:
 		s.advance(e.Now)
 		s.remove(e)
--- a/rosemaryspool/watcher/watcher.go
+++ b/rosemaryspool/watcher/watcher.go
@@ -42,7 +42,7 @@
 	mutex   sync.Mutex
 	peers   []lister.Member
 	models  map[identifier.UpstreamID][]identifier.ModelName
-	leaving map[identifier.UpstreamID]bool
+	closed  map[identifier.UpstreamID]bool
 	cursors map[identifier.UpstreamID]uint64
 	reports map[identifier.UpstreamID]readReport
 }
@@ -61,7 +61,7 @@
 	return &Watcher{
 		list: list, resolver: targets, notify: notify, learn: learn, log: log, done: make(chan struct{}),
 		models:  make(map[identifier.UpstreamID][]identifier.ModelName),
-		leaving: make(map[identifier.UpstreamID]bool),
+		closed:  make(map[identifier.UpstreamID]bool),
 		cursors: make(map[identifier.UpstreamID]uint64),
 		reports: make(map[identifier.UpstreamID]readReport),
 	}
@@ -109,11 +109,9 @@
 // SetClosed keeps an upstream from new work, or returns it to service.
 func (w *Watcher) SetClosed(id identifier.UpstreamID, closed bool) {
 	w.mutex.Lock()
-	w.leaving[id] = closed
+	w.closed[id] = closed
 	w.mutex.Unlock()
-	if u, ok := w.resolver.Find(id); ok && u.Member.Kind == lister.KindEngine {
-		w.announce(u.Member)
-	}
+	w.notify(scheduler.UpstreamDrained{Now: time.Now(), Upstream: id, Draining: closed})
 }
 
 // Statuses returns this instance's view of its upstreams, sorted by id.
@@ -124,7 +122,7 @@
 	var statuses []*messenger.UpstreamStatus
 	for _, u := range w.resolver.All() {
 		status := &messenger.UpstreamStatus{Upstream: u.Member.ID, Kind: string(u.Member.Kind), State: "inService"}
-		if u.Member.Leaving || w.leaving[u.ID()] {
+		if u.Member.Leaving || w.closed[u.ID()] {
 			status.State = "leaving"
 		}
 		if r, ok := w.reports[u.ID()]; ok {
@@ -201,11 +199,12 @@
 	id := identifier.UpstreamID(member.ID)
 	w.mutex.Lock()
 	models := w.models[id]
-	leaving := w.leaving[id] || member.Leaving
+	closed := w.closed[id]
 	w.mutex.Unlock()
 	w.notify(scheduler.UpstreamSeen{
-		Now: time.Now(), Upstream: id, DataCentre: member.DataCentre, Models: models, Leaving: leaving,
+		Now: time.Now(), Upstream: id, DataCentre: member.DataCentre, Models: models, Leaving: member.Leaving,
 	})
+	w.notify(scheduler.UpstreamDrained{Now: time.Now(), Upstream: id, Draining: closed})
 }
 
 func (w *Watcher) readReports(ctx context.Context) {
