Name the log's streams in one place

Cause: the control stream's name stood in the client and in the daemon. Change: the log adaptor names both kinds of stream. Conclusion: one definition.

--- a/rosemaryctl/commander/platform_test.go
+++ b/rosemaryctl/commander/platform_test.go
@@ -16,6 +16,7 @@
 	"github.com/rogpeppe/go-internal/testscript"
 	"github.com/sourcegraph/conc"
 
+	"rosemaryspool.example/adaptor/appender"
 	"rosemaryspool.example/adaptor/lister"
 	"rosemaryspool.example/adaptor/querier"
 	"rosemaryspool.example/core/configurer"
@@ -150,7 +151,7 @@
 func trimLog(ts *testscript.TestScript, _ bool, args []string) {
 	offset, err := strconv.Atoi(args[1])
 	ts.Check(err)
-	platformOf(ts).log.Trim(follower.ControlStream(identifier.Environment(args[0])), identifier.Offset(offset))
+	platformOf(ts).log.Trim(appender.ControlStream(identifier.Environment(args[0])), identifier.Offset(offset))
 }
 
 // editFile writes a copy of a file with one text replaced: edit FROM TO OLD NEW, where \n stands for a line's end.
--- a/rosemaryctl/follower/follower.go
+++ b/rosemaryctl/follower/follower.go
@@ -20,11 +20,6 @@
 // ErrIncomplete means that the log no longer keeps the beginning of the stream and that nobody has its state.
 var ErrIncomplete = errors.New("follower: the log is trimmed and neither it nor an instance has a snapshot")
 
-// ControlStream names the stream of an environment's control records.
-func ControlStream(environment identifier.Environment) appender.Stream {
-	return appender.Stream(environment + ".control")
-}
-
 // BootstrapFunc asks the instances for the state of an environment.
 type BootstrapFunc func(ctx context.Context, environment identifier.Environment) (*messenger.BootstrapReply, error)
 
@@ -62,7 +57,7 @@
 // Refresh reads the stream to its end; at the end it waits up to wait for one more record.
 func (f *Follower) Refresh(ctx context.Context, wait time.Duration) error {
 	for {
-		batch, err := f.log.Read(ctx, ControlStream(f.environment), f.state.Next(), readLimit, wait)
+		batch, err := f.log.Read(ctx, appender.ControlStream(f.environment), f.state.Next(), readLimit, wait)
 		var trimmed *appender.TrimmedError
 		if errors.As(err, &trimmed) {
 			if err := f.restore(ctx, trimmed.First); err != nil {
@@ -99,7 +94,7 @@
 func (f *Follower) restore(ctx context.Context, first identifier.Offset) error {
 	restorer := replayer.NewRestorer(f.environment, nil, first)
 	for {
-		batch, err := f.log.Read(ctx, ControlStream(f.environment), restorer.Next(), readLimit, 0)
+		batch, err := f.log.Read(ctx, appender.ControlStream(f.environment), restorer.Next(), readLimit, 0)
 		if err != nil {
 			return eris.Wrap(err, "follower: read trimmed stream")
 		}
--- a/rosemaryctl/follower/follower_test.go
+++ b/rosemaryctl/follower/follower_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 	"google.golang.org/protobuf/proto"
 
+	"rosemaryspool.example/adaptor/appender"
 	"rosemaryspool.example/core/identifier"
 	"rosemaryspool.example/core/replayer"
 	"rosemaryspool.example/standin/recorder"
@@ -26,7 +27,7 @@
 		require.NoError(t, err)
 		raw, err := proto.Marshal(&messenger.Record{Id: name, Kind: messenger.RecordKind_RECORD_KIND_PLANNED_CHANGE, Payload: payload})
 		require.NoError(t, err)
-		_, err = log.Append(t.Context(), ControlStream("trial"), [][]byte{raw})
+		_, err = log.Append(t.Context(), appender.ControlStream("trial"), [][]byte{raw})
 		require.NoError(t, err)
 	}
 }
@@ -35,7 +36,7 @@
 func peerAt(t *testing.T, log *recorder.Log, next identifier.Offset) BootstrapFunc {
 	t.Helper()
 	state := replayer.NewState("trial", nil)
-	batch, err := log.Read(t.Context(), ControlStream("trial"), 1, int(next)-1, 0)
+	batch, err := log.Read(t.Context(), appender.ControlStream("trial"), 1, int(next)-1, 0)
 	require.NoError(t, err)
 	for _, e := range batch.Entries {
 		_, err := state.Apply(e.Offset, e.Record)
@@ -70,7 +71,7 @@
 			if c.peerNext != 0 {
 				bootstrap = peerAt(t, log, c.peerNext)
 			}
-			log.Trim(ControlStream("trial"), 4)
+			log.Trim(appender.ControlStream("trial"), 4)
 			reader := NewFollower(log, "trial", bootstrap)
 			err := reader.Refresh(t.Context(), 0)
 			if !c.restored {
--- a/rosemaryctl/publisher/publisher.go
+++ b/rosemaryctl/publisher/publisher.go
@@ -58,7 +58,7 @@
 	reader.Watch(identifier.RecordID(record.GetId()))
 	sent := false
 	for range maxAttempts {
-		_, err := log.Append(ctx, follower.ControlStream(reader.State().Environment()), [][]byte{raw})
+		_, err := log.Append(ctx, appender.ControlStream(reader.State().Environment()), [][]byte{raw})
 		if errors.Is(err, appender.ErrUnavailable) && !sent {
 			return nil, eris.Wrap(ErrNotPublished, err.Error())
 		}
--- a/rosemaryspool/assembler/part.go
+++ b/rosemaryspool/assembler/part.go
@@ -58,7 +58,7 @@
 	d.watcher = watcher.NewWatcher(lister.NewClient(d.settings.ListURL), targets, d.dispatcher.Notify, d.learn, d.log)
 	d.executor = executor.NewExecutor(executor.Settings{
 		Deduplicator: deduplicator.NewSettings(d.settings.Instance, d.incarnation, "claims"),
-		Stream:       appender.Stream(d.settings.Environment) + ".claims.0",
+		Stream:       appender.ClaimStream(d.settings.Environment, 0),
 	}, targets, log, d.committer, d.log)
 	d.server = server.NewServer(server.Settings{
 		Instance:     d.settings.Instance,
--- a/rosemaryspool/demonstrator/publication.go
+++ b/rosemaryspool/demonstrator/publication.go
@@ -11,7 +11,6 @@
 	"rosemaryspool.example/adaptor/appender"
 	"rosemaryspool.example/core/configurer"
 	"rosemaryspool.example/core/identifier"
-	"rosemaryspool.example/rosemaryspool/follower"
 	"rosemaryspool.example/wire/messenger"
 )
 
@@ -36,7 +35,7 @@
 		return 0, eris.Wrap(err, "demonstrator: encode the record")
 	}
 	log := appender.NewClient(logURL)
-	return log.Append(ctx, follower.ControlStream(document.Environment), [][]byte{record})
+	return log.Append(ctx, appender.ControlStream(document.Environment), [][]byte{record})
 }
 
 // awaitReady waits until the daemon has the configuration in force.
--- a/rosemaryspool/follower/follower.go
+++ b/rosemaryspool/follower/follower.go
@@ -60,17 +60,12 @@
 	reachable atomic.Bool
 }
 
-// ControlStream names an environment's control stream.
-func ControlStream(environment identifier.Environment) appender.Stream {
-	return appender.Stream(environment) + ".control"
-}
-
 // NewFollower returns a follower; nothing runs before Run.
 func NewFollower(
 	settings controller.Settings, log appender.Log, appends *committer.Committer, targets *resolver.Resolver,
 	listeners Listeners, events zerolog.Logger,
 ) *Follower {
-	stream := ControlStream(settings.Environment)
+	stream := appender.ControlStream(settings.Environment)
 	return &Follower{
 		controller: controller.NewController(settings),
 		stream:     stream,
