--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -40,6 +40,8 @@
 	urgentPrompt   estimator.Rate
 	urgentDeadline estimator.Rate
 	urgentLevel    float64
+	// silence learns the usual time in seconds between two signs of progress of a stream.
+	silence estimator.Rate
 	// allowed learns the time from token to token that long answers can bear.
 	allowed  estimator.Rate
 	sequence uint64
@@ -106,6 +108,8 @@
 	case UpstreamSeen:
 		s.advance(e.Now)
 		s.see(e)
+	case UpstreamDrained:
+		s.drain(e)
 	case UpstreamGone:
 		s.advance(e.Now)
 		s.remove(e)
--- a/rosemaryspool/dispatcher/attempt.go
+++ b/rosemaryspool/dispatcher/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"rosemaryspool.example/adaptor/completer"
@@ -19,6 +20,7 @@
 	work     Work
 	exchange *Exchange
 	cancel   context.CancelFunc
+	moved    atomic.Bool
 
 	text     []byte
 	tokens   identifier.Tokens
@@ -26,18 +28,30 @@
 	finish   Finish
 }
 
+// move breaks the attempt off; its engine is not to blame.
+func (a *attempt) move() {
+	a.moved.Store(true)
+	a.cancel()
+}
+
 // runAttempt carries one attempt out and reports how it ended.
 func (d *Dispatcher) runAttempt(ctx context.Context, a *attempt) {
 	defer a.cancel()
 	resume, resumeTokens := a.exchange.resumePoint()
 	a.text = []byte(resume)
 	a.tokens = resumeTokens
+	a.finish.CachedPrompt = -1
 	result, err := d.callEngines(ctx, a, resume, resumeTokens)
 	now := time.Now()
 	if err != nil {
 		a.exchange.release(a.dispatch.Attempt)
+		kind := failureKind(err)
+		if a.moved.Load() {
+			kind = scheduler.FailureRejected
+		}
 		d.post(scheduler.AttemptFailed{
-			Now: now, Attempt: a.dispatch.Attempt, Kind: failureKind(err), Output: a.tokens - resumeTokens,
+			Now: now, Attempt: a.dispatch.Attempt, Kind: kind, Output: a.tokens - resumeTokens,
+			Load: ConvertReport(result.Load),
 		})
 		return
 	}
@@ -71,29 +85,27 @@
 		Resume:       resume,
 		ResumeTokens: resumeTokens,
 	}
-	if a.dispatch.Prefill != a.dispatch.Decode {
-		source, err := d.prefill(ctx, a.dispatch.Prefill, request)
-		if err != nil {
-			return completer.Result{}, err
-		}
-		request.ImportFrom = source
+	accept := func(p completer.Piece) { d.acceptPiece(a, p, resumeTokens) }
+	if a.dispatch.Prefill == a.dispatch.Decode {
+		return decode.Engine.Complete(ctx, request, accept)
 	}
-	return decode.Engine.Complete(ctx, request, func(p completer.Piece) { d.acceptPiece(a, p, resumeTokens) })
-}
-
-// prefill runs the prompt on a prefill engine and returns where its KV cache can be imported from.
-func (d *Dispatcher) prefill(
-	ctx context.Context, id identifier.UpstreamID, request completer.Request,
-) (*completer.KVSource, error) {
-	prefill, ok := d.resolver.Find(id)
+	prefill, ok := d.resolver.Find(a.dispatch.Prefill)
 	if !ok || prefill.Engine == nil {
-		return nil, completer.ErrUnreachable
+		return completer.Result{}, completer.ErrUnreachable
 	}
 	request.ExportKV = true
-	if _, err := prefill.Engine.Complete(ctx, request, func(completer.Piece) {}); err != nil {
-		return nil, err
+	result, err := prefill.Engine.Complete(ctx, request, accept)
+	if err != nil || result.FinishReason != completer.FinishExported {
+		// Without an export the answer ended with its first token and is whole.
+		return result, err
 	}
-	return &completer.KVSource{Address: prefill.Member.Address, Attempt: request.Attempt}, nil
+	request.ExportKV = false
+	request.Resume, request.ResumeTokens = string(a.text), a.tokens
+	request.ImportFrom = &completer.KVSource{Address: prefill.Member.Address, Attempt: request.Attempt}
+	decoded, err := decode.Engine.Complete(ctx, request, accept)
+	decoded.Output += result.Output
+	decoded.CachedPrompt = result.CachedPrompt
+	return decoded, err
 }
 
 func (d *Dispatcher) acceptPiece(a *attempt, piece completer.Piece, resumeTokens identifier.Tokens) {
