--- a/standin/measurer/arrivals.go
+++ b/standin/measurer/arrivals.go
@@ -25,6 +25,8 @@
 	Rates []float64
 	// Mix is the work of one second of arrivals.
 	Mix work
+	// UrgentFits tells whether the fleet could serve the urgent classes alone, with a little room.
+	UrgentFits bool
 }
 
 // Request is one request with all that the fakes know of it; policies see only what its event tells.
@@ -118,6 +120,7 @@
 			p.Rates = append(p.Rates, answers*capacity*w.Load)
 		}
 		p.Mix = p.Mix.scaled(capacity * w.Load)
+		p.UrgentFits = f.urgentFits(limits, each, p.Rates)
 		p.Length = min(p.Length, w.Length-at)
 		w.Phases = append(w.Phases, p)
 		w.Mean = w.Mean.add(p.Mix.scaled(float64(p.Length) / float64(w.Length)))
@@ -125,6 +128,21 @@
 	}
 }
 
+// urgentRoom is the share of the capacity that urgent work may take and still count as fitting.
+const urgentRoom = 0.95
+
+// urgentFits reports whether the urgent classes alone fit the best split.
+func (f Figures) urgentFits(limits fluid, each []work, rates []float64) bool {
+	var urgent work
+	for i, c := range f.Classes {
+		if c.Urgent {
+			urgent = urgent.add(each[i].scaled(rates[i]))
+		}
+	}
+	_, times := limits.best(f.Engines, urgent)
+	return times*urgentRoom >= 1
+}
+
 // answersOfMix returns the answers of each class in one engine second of work with a share of prefill. Questions get
 // less than their wanted share when the mix could not have so little prefill otherwise.
 func (f Figures) answersOfMix(each []work, prefillShare, questionShare float64) []float64 {
--- a/standin/measurer/plot.go
+++ b/standin/measurer/plot.go
@@ -18,7 +18,7 @@
 // Size of a plot.
 const (
 	plotWidth  = 24 * vg.Centimeter
-	plotHeight = 18 * vg.Centimeter
+	plotHeight = 28 * vg.Centimeter
 )
 
 // plotColours are told apart also by readers who do not see red or green.
@@ -29,14 +29,19 @@
 	color.RGBA{R: 204, G: 121, B: 167, A: 255},
 }
 
-// WritePlot draws goodput over time of every case that shares the first one's run, and the first one's roles below.
+// WritePlot draws the first case's run over time: goodput of every policy measured on it, the mix, and the roles under
+// each policy that may change them.
 func WritePlot(cases []Case, path string) error {
 	first := cases[0]
-	goodput := plot.New()
+	goodput := newTimePlot("answers in time (share)", first)
 	goodput.Title.Text = fmt.Sprintf("%s, seed %d, load %.2f, fault %s", first.Deployment, first.Seed, first.Load, first.Fault)
-	goodput.Y.Label.Text = "answers in time (share)"
-	goodput.Y.Min, goodput.Y.Max = 0, 1.05
-	goodput.Legend.Top = false
+	goodput.Y.Max = 1.05
+	mix := newTimePlot("prefill's share of the work", first)
+	mix.Y.Max = 1
+	if err := addLine(mix, "prefill", mixPoints(first.Phases), 0); err != nil {
+		return err
+	}
+	plots := []*plot.Plot{goodput, mix}
 	for i, c := range cases {
 		if c.Deployment != first.Deployment || c.Seed != first.Seed || c.Load != first.Load || c.Fault != first.Fault {
 			continue
@@ -44,20 +49,43 @@
 		if err := addLine(goodput, c.Policy, bucketPoints(c.Result.Buckets), i); err != nil {
 			return err
 		}
+		if !c.ChangesRoles {
+			continue
+		}
+		roles, err := rolesPlot(c)
+		if err != nil {
+			return err
+		}
+		plots = append(plots, roles)
 	}
-	roles, err := rolesPlot(first)
-	if err != nil {
-		return err
+	plots[len(plots)-1].X.Label.Text = "time (min)"
+	return savePlots(plots, path)
+}
+
+// newTimePlot returns an empty plot over the time of a run.
+func newTimePlot(label string, c Case) *plot.Plot {
+	p := plot.New()
+	p.Y.Label.Text = label
+	p.Y.Min, p.X.Min = 0, 0
+	p.X.Max = float64(len(c.Result.Buckets)) * BucketLength.Minutes()
+	p.Legend.YOffs = vg.Points(4)
+	return p
+}
+
+// mixPoints draws the prefill share of each phase as steps.
+func mixPoints(phases []Phase) plotter.XYs {
+	var points plotter.XYs
+	for _, p := range phases {
+		points = append(points,
+			plotter.XY{X: p.Start.Minutes(), Y: p.PrefillShare},
+			plotter.XY{X: (p.Start + p.Length).Minutes(), Y: p.PrefillShare})
 	}
-	return savePlots([]*plot.Plot{goodput, roles}, path)
+	return points
 }
 
 // rolesPlot draws how many engines serve in each role.
 func rolesPlot(c Case) (*plot.Plot, error) {
-	p := plot.New()
-	p.Title.Text = "roles under policy " + c.Policy
-	p.X.Label.Text = "time (min)"
-	p.Y.Label.Text = "engines that serve"
+	p := newTimePlot("engines, "+c.Policy, c)
 	counts := []struct {
 		name  string
 		count func(Split) int
@@ -71,7 +99,7 @@
 			return nil, err
 		}
 	}
-	p.Y.Min = 0
+	p.Y.Max++
 	return p, nil
 }
 
--- a/standin/measurer/result.go
+++ b/standin/measurer/result.go
@@ -46,10 +46,12 @@
 	Buckets []float64
 	// UrgentNearFault is the urgent goodput of arrivals within 5 s of the start of the fault.
 	UrgentNearFault float64
+	// UrgentWhereFits is the urgent goodput of the phases in which urgent work alone fits the fleet.
+	UrgentWhereFits float64
 }
 
 // BucketLength is the resolution of goodput over time.
-const BucketLength = 10 * time.Second
+const BucketLength = 30 * time.Second
 
 // Goodput returns the share of answers in time.
 func (r Result) Goodput() float64 {
@@ -120,6 +122,7 @@
 	r.P99Lateness = percentile(lateness, 0.99)
 	r.Buckets = s.buckets()
 	r.UrgentNearFault = s.urgentNearFault()
+	r.UrgentWhereFits = s.urgentWhereFits()
 	return r
 }
 
@@ -148,10 +151,26 @@
 // urgentNearFault returns the urgent goodput of arrivals around the start of the fault.
 func (s *Simulation) urgentNearFault() float64 {
 	from, to := s.fault.start-nearFault/2, s.fault.start+nearFault/2
+	return s.urgentWhere(func(r Request) bool { return r.Arrival >= from && r.Arrival < to })
+}
+
+// urgentWhereFits returns the urgent goodput of the phases in which urgent work alone fits the fleet.
+func (s *Simulation) urgentWhereFits() float64 {
+	return s.urgentWhere(func(r Request) bool {
+		phase := 0
+		for phase+1 < len(s.workload.Phases) && r.Arrival >= s.workload.Phases[phase+1].Start {
+			phase++
+		}
+		return s.workload.Phases[phase].UrgentFits
+	})
+}
+
+// urgentWhere returns the urgent goodput of some arrivals.
+func (s *Simulation) urgentWhere(counts func(Request) bool) float64 {
 	arrived, inTime := 0, 0
 	for i := range s.records {
 		request := s.workload.Requests[i]
-		if !s.figures.Classes[request.Class].Urgent || request.Arrival < from || request.Arrival >= to {
+		if !s.figures.Classes[request.Class].Urgent || !counts(request) {
 			continue
 		}
 		arrived++
--- a/standin/measurer/runner.go
+++ b/standin/measurer/runner.go
@@ -31,8 +31,11 @@
 	Fault      Fault
 	Policy     string
 	Split      Split
+	Phases     []Phase
 	Bound      Bound
 	Result     Result
+	// ChangesRoles tells whether the policy may change roles.
+	ChangesRoles bool
 }
 
 // boundTolerance covers the resolution of the bound: one answer in a thousand.
@@ -61,6 +64,7 @@
 	if c.Fault != FaultNone {
 		fmt.Fprintf(&b, " urgentNearFault=%.4f", r.UrgentNearFault)
 	}
+	fmt.Fprintf(&b, " urgentWhereFits=%.4f", r.UrgentWhereFits)
 	fmt.Fprintf(&b, " answers=%d split=%d/%d/%d", r.Arrived, c.Split.Prefill, c.Split.Decode, c.Split.Mixed)
 	if r.FirstBreach != "" {
 		fmt.Fprintf(&b, " firstBreach=%q", r.FirstBreach)
@@ -130,7 +134,7 @@
 			result := NewSimulation(w, policy, j.seed, fault).Run()
 			cases = append(cases, Case{
 				Deployment: j.deployment, Seed: j.seed, Load: j.load, Fault: fault, Policy: name,
-				Split: policy.Split, Bound: bound, Result: result,
+				Split: policy.Split, Phases: w.Phases, Bound: bound, Result: result, ChangesRoles: policy.NewPlanner != nil,
 			})
 		}
 	}
--- a/standin/measurer/table.go
+++ b/standin/measurer/table.go
@@ -31,7 +31,7 @@
 	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(table, strings.Join([]string{
 		"deployment", "load", "fault", "policy", "seeds", "goodput", "worst", "ofBound", "worstOfBound",
-		"urgent", "worstUrgent", "nearFault", "weighted", "p99LatenessMs", "refused", "retried", "roleChanges", "breaches", "cutUrgent",
+		"urgent", "worstUrgent", "whereFits", "nearFault", "weighted", "p99LatenessMs", "refused", "retried", "roleChanges", "breaches", "cutUrgent",
 	}, "\t"))
 	for _, g := range order {
 		fmt.Fprintln(table, row(g, members[g]))
@@ -44,6 +44,7 @@
 	goodput := collect(cases, func(c Case) float64 { return c.Result.Goodput() })
 	ofBound := collect(cases, func(c Case) float64 { return c.Result.Goodput() / c.Bound.Goodput })
 	urgent := collect(cases, func(c Case) float64 { return c.Result.UrgentGoodput() })
+	fits := collect(cases, func(c Case) float64 { return c.Result.UrgentWhereFits })
 	near := collect(cases, func(c Case) float64 { return c.Result.UrgentNearFault })
 	weighted := collect(cases, func(c Case) float64 { return c.Result.WeightedGoodput() })
 	lateness := collect(cases, func(c Case) float64 { return float64(c.Result.P99Lateness.Milliseconds()) })
@@ -55,9 +56,9 @@
 		breaches += c.Result.Breaches
 		cuts += c.Result.CutUrgent
 	}
-	return fmt.Sprintf("%s\t%.2f\t%s\t%s\t%d\t%.4f\t%.4f\t%.4f\t%.4f\t%.4f\t%.4f\t%.4f\t%.4f\t%.0f\t%.0f\t%.0f\t%.0f\t%d\t%d",
+	return fmt.Sprintf("%s\t%.2f\t%s\t%s\t%d\t%.4f\t%.4f\t%.4f\t%.4f\t%.4f\t%.4f\t%.4f\t%.4f\t%.4f\t%.0f\t%.0f\t%.0f\t%.0f\t%d\t%d",
 		g.deployment, g.load, g.fault, g.policy, len(cases), median(goodput), goodput[0], median(ofBound), ofBound[0],
-		median(urgent), urgent[0], median(near), median(weighted), median(lateness), median(refused), median(retried), median(changes), breaches, cuts)
+		median(urgent), urgent[0], median(fits), median(near), median(weighted), median(lateness), median(refused), median(retried), median(changes), breaches, cuts)
 }
 
 // collect returns a figure of every case in rising order.
