--- a/standin/measurer/instance_test.go
+++ b/standin/measurer/instance_test.go
@@ -58,7 +58,7 @@
 			a.skip, a.output = 5, a.output-5
 			s.records[0].delivered = 4
 		}, complete(0), "truncated answer"},
-		{"resumed without a gap", func(s *Simulation, a *attempt) {
+		{"resumed without a gap", func(_ *Simulation, a *attempt) {
 			a.skip, a.output = 5, a.output-5
 		}, complete(0), ""},
 		{"answered twice", func(s *Simulation, _ *attempt) { s.records[0].state = stateComplete }, complete(0), "doubled answer"},
