Hold bulk work back by how much urgent work is lost

At load 1.3 bulk drafts kept their engines while long urgent prompts were lost. The learned pace of prefills no longer counts the unseen work of other instances twice.

--- a/core/estimator/engine.go
+++ b/core/estimator/engine.go
@@ -365,9 +365,10 @@
 	e.cache.add(prefix[:pieces])
 }
 
-// LearnPrefill takes the time in seconds to the first token of an attempt with the given forecast.
-func (e *Engine) LearnPrefill(f PrefillForecast, actual float64) {
-	learnPace(&e.pace.prefill, f.First()/e.pace.prefill.Value(1), actual)
+// LearnPrefill takes the predicted time in seconds to the first token, of which a part is unseen work of others, and the
+// actual time.
+func (e *Engine) LearnPrefill(f PrefillForecast, unseen, actual float64) {
+	learnPace(&e.pace.prefill, f.First()/e.pace.prefill.Value(1)+unseen, actual)
 }
 
 // LearnDecode takes the time in seconds from the first token of an answer to its last.
--- a/core/router/router.go
+++ b/core/router/router.go
@@ -171,7 +171,7 @@
 		p.prefillCost = p.prefill.First()*max(weight, r.settings.WaitWeight) + p.prefill.Occupation
 		p.prefillCost += p.prefill.Length * float64(p.engine.Decoding()) * r.harm(p.engine.Pressure(q.Allowed))
 		p.spare = remaining - last - p.prefill.First()
-		p.decodeCost = float64(q.Output)*(p.decode.Share+weight*p.decode.Interval) + weight*p.decode.Wait
+		p.decodeCost = float64(q.Output)*(p.decode.Share+weight*r.settings.IntervalWeight*p.decode.Interval) + weight*p.decode.Wait
 		p.decodeCost += r.late(first + p.careful - remaining)
 		if p.places <= 0 {
 			p.decodeCost += r.settings.FullPenalty * float64(1-p.places)
--- a/core/router/settings.go
+++ b/core/router/settings.go
@@ -12,6 +12,8 @@
 	Margin float64
 	// PatientWeight weighs a second of waiting of a request that is not urgent; urgent ones weigh 1.
 	PatientWeight float64
+	// IntervalWeight weighs a second of decode of an urgent request against a second of engine time.
+	IntervalWeight float64
 	// WaitWeight is the least weight of a second of waiting for the first token.
 	WaitWeight float64
 	// ShortPrompt is the length up to which a prompt's prefill runs before longer ones.
@@ -51,25 +53,26 @@
 // DefaultSettings returns the settings for a fleet about which nothing is known.
 func DefaultSettings() Settings {
 	return Settings{
-		Margin:        0.1,
-		PatientWeight: 0,
-		WaitWeight:    0.2,
-		ShortPrompt:   1024,
-		Harm:          0.1,
-		LongAnswer:    100,
-		LongShare:     1,
-		UnknownBatch:  32,
-		FullPenalty:   0.5,
-		OldestReport:  4 * time.Second,
-		EasyPressure:  0.6,
-		LeastHarm:     0.05,
-		MostHarm:      3,
-		Spread:        50 * time.Millisecond,
-		Remote:        10 * time.Millisecond,
-		HandOver:      50 * time.Millisecond,
-		LatePenalty:   100,
-		LateCost:      30,
-		Doubt:         500 * time.Millisecond,
-		Explained:     3,
+		Margin:         0.1,
+		PatientWeight:  0,
+		IntervalWeight: 0.2,
+		WaitWeight:     0.2,
+		ShortPrompt:    1024,
+		Harm:           0.1,
+		LongAnswer:     100,
+		LongShare:      1,
+		UnknownBatch:   32,
+		FullPenalty:    0.5,
+		OldestReport:   4 * time.Second,
+		EasyPressure:   0.6,
+		LeastHarm:      0.05,
+		MostHarm:       3,
+		Spread:         50 * time.Millisecond,
+		Remote:         10 * time.Millisecond,
+		HandOver:       50 * time.Millisecond,
+		LatePenalty:    100,
+		LateCost:       30,
+		Doubt:          500 * time.Millisecond,
+		Explained:      3,
 	}
 }
--- a/core/scheduler/dispatcher.go
+++ b/core/scheduler/dispatcher.go
@@ -75,7 +75,21 @@
 	if r.Urgent || r.ExpectedOutput < s.settings.Tunables.Route.LongAnswer {
 		return false
 	}
-	return s.urgentLevel > s.settings.Tunables.HoldShare*s.urgentDeadline.Value(math.Inf(1))
+	t := &s.settings.Tunables
+	share := max(t.LeastHoldShare, t.HoldShare-t.HoldGain*max(0, s.urgentLoss-t.HoldTolerance))
+	return s.urgentLevel > share*s.urgentDeadline.Value(math.Inf(1))
+}
+
+// noteUrgent follows the share of long urgent prompts that were not answered in time.
+func (s *Scheduler) noteUrgent(r *request, lost bool) {
+	const memory = 0.05
+	if !r.Urgent || s.router.Preferred(r.Prompt) {
+		return
+	}
+	s.urgentLoss -= memory * s.urgentLoss
+	if lost {
+		s.urgentLoss += memory
+	}
 }
 
 // levelUrgent reckons how long a usual long urgent prompt would take at present, with the cost of the harm it does.
@@ -284,6 +298,7 @@
 	if r.seen || len(r.attempts) > 0 {
 		effect = refuser.OutcomeUnknown
 	}
+	s.noteUrgent(r, code != refuser.CallerGone)
 	s.close(r, nil)
 	refusal := refuser.NewRefusal(code, effect, message)
 	refusal.RetryAfterMS = int(retryAfter / time.Millisecond)
--- a/core/scheduler/follower.go
+++ b/core/scheduler/follower.go
@@ -33,7 +33,7 @@
 	} else {
 		a.prefill.Ended(s.now, estimator.Work{Prefill: a.work.Prefill}, 0, false)
 	}
-	a.prefill.LearnPrefill(a.course.PrefillForecast, s.now.Sub(a.sent).Seconds())
+	a.prefill.LearnPrefill(a.course.PrefillForecast, a.course.Unseen, s.now.Sub(a.sent).Seconds())
 }
 
 func (s *Scheduler) finish(e AttemptFinished) {
@@ -53,6 +53,7 @@
 	s.release(a)
 	s.judge(a, e.Output)
 	s.observeAnswer(a.decode, e.Load)
+	s.noteUrgent(r, s.now.After(r.Deadline))
 	s.close(r, a)
 	s.act(Complete{Request: r.Request, Attempt: a.id})
 	s.drainQueue(s.settings.Tunables.QueueTries)
--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -40,6 +40,8 @@
 	urgentPrompt   estimator.Rate
 	urgentDeadline estimator.Rate
 	urgentLevel    float64
+	// urgentLoss is the smoothed share of long urgent prompts that were lost.
+	urgentLoss float64
 	// silence learns the usual time in seconds between two signs of progress of a stream.
 	silence estimator.Rate
 	// allowed learns the time from token to token that long answers can bear.
--- a/core/scheduler/settings.go
+++ b/core/scheduler/settings.go
@@ -40,6 +40,11 @@
 	FlowMemory time.Duration
 	// HoldShare is the share of the deadline of long urgent prompts that waiting and harm may cost before bulk work is held.
 	HoldShare float64
+	// HoldGain lowers HoldShare by the share of long urgent prompts lost lately above HoldTolerance, down to
+	// LeastHoldShare, so that bulk work gives way the more urgent work suffers.
+	HoldGain       float64
+	HoldTolerance  float64
+	LeastHoldShare float64
 	// QueueTries is how many waiting requests are tried again after each event; ticks try all.
 	QueueTries int
 }
@@ -47,16 +52,19 @@
 // DefaultTunables returns the figures for a fleet about which nothing is known.
 func DefaultTunables() Tunables {
 	return Tunables{
-		Estimate:   estimator.DefaultSettings(),
-		Route:      router.DefaultSettings(),
-		Admit:      admitter.DefaultSettings(),
-		Retry:      retrier.DefaultSettings(),
-		Eject:      ejector.DefaultSettings(),
-		FullFleet:  32,
-		Subset:     24,
-		StallPause: 5 * time.Second,
-		FlowMemory: 20 * time.Second,
-		HoldShare:  1.5,
-		QueueTries: 4,
+		Estimate:       estimator.DefaultSettings(),
+		Route:          router.DefaultSettings(),
+		Admit:          admitter.DefaultSettings(),
+		Retry:          retrier.DefaultSettings(),
+		Eject:          ejector.DefaultSettings(),
+		FullFleet:      32,
+		Subset:         24,
+		StallPause:     5 * time.Second,
+		FlowMemory:     20 * time.Second,
+		HoldShare:      1.2,
+		HoldGain:       4,
+		HoldTolerance:  0.1,
+		LeastHoldShare: 0.35,
+		QueueTries:     4,
 	}
 }
