--- a/Makefile
+++ b/Makefile
@@ -45,8 +45,16 @@
 clean:
 	rm -rf bin
 
+# Runs the seeded histories of leases, orders, configuration and at-most-once work: make check-histories SEEDS=FROM-TO.
+check-histories: SEEDS ?= 1-200
+
+.PHONY: check-histories
+
+check-histories:
+	go run ./core/checker/command -seeds=$(SEEDS)
+
 DEPLOYMENT ?= kalipci,luminaria
-SEEDS ?= 1-5
+measure: SEEDS ?= 1-5
 LOAD ?= 0.6,0.8,0.9,1.0,1.3
 FAULT ?= none
 POLICY ?= all
