Measure slopes and the spread of changes with make capacity

Cause: nothing told how the costs of a node grow towards the target's size. Change: standin capacity measures the core's own code over at least four sizes a series (upstreams, callers, prefixes, keys, records, reports, members of the list), counts appends of real controllers and deduplicators on an explicit clock, and compares direct reads of the log with a relay in each data centre and with a tree along the delays.

--- a/Makefile
+++ b/Makefile
@@ -75,3 +75,11 @@
 
 bench:
 	go test -run '^$$' -bench . -benchtime 20000x ./rosemaryspool/demonstrator
+
+PARTS ?= scheduler,callers,configuration,control,claims,reports,appends,spread
+
+.PHONY: capacity
+
+# Measures how the core's costs grow, on one processor, and reckons them at the target's size.
+capacity: build
+	./bin/standin capacity --parts $(PARTS)
--- a/standin/commander/commander.go
+++ b/standin/commander/commander.go
@@ -50,5 +50,6 @@
 		newLoadCommand(),
 		newAuditCommand(),
 		measureCommand(),
+		newCapacityCommand(),
 	}
 }
--- /dev/null
+++ b/standin/surveyor/claiming.go
@@ -0,0 +1,111 @@
+package surveyor
+
+import (
+	"fmt"
+	"time"
+
+	"rosemaryspool.example/core/deduplicator"
+	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/core/replayer"
+	"rosemaryspool.example/wire/messenger"
+)
+
+// answerBytes is the size of a small answer of a plain service.
+const answerBytes = 200
+
+// claimant is a deduplicator whose appends are read back at once.
+type claimant struct {
+	core    *deduplicator.Deduplicator
+	entries []replayer.Entry
+	next    identifier.Offset
+	bytes   int
+	now     time.Time
+}
+
+func newClaimant(instance identifier.InstanceID) *claimant {
+	return &claimant{core: deduplicator.NewDeduplicator(deduplicator.NewSettings(instance, "0192f3a4b5c6d7e8", "claims")), next: 1, now: start}
+}
+
+// callBatch sends a batch of calls through claim, dispatch and outcome.
+func (c *claimant) callBatch(first, count int) {
+	c.now = c.now.Add(time.Second)
+	for i := first; i < first+count; i++ {
+		c.carryOut(c.core.Handle(newCall(c.now, i)))
+	}
+	for range 3 {
+		c.now = c.now.Add(200 * time.Millisecond)
+		c.carryOut(c.core.Handle(deduplicator.Ticked{Now: c.now, WallNow: c.now}))
+	}
+}
+
+func newCall(now time.Time, i int) deduplicator.CallArrived {
+	return deduplicator.CallArrived{
+		Now: now, WallNow: now, Request: identifier.RequestID(fmt.Sprintf("r%d", i)), Caller: callerID(i % 100),
+		Key: identifier.IdempotencyKey(fmt.Sprintf("key-%032d", i)), IssuedAt: now, RequestHash: uint64(i), Service: "registry",
+		Deadline: now.Add(10 * time.Second),
+	}
+}
+
+func (c *claimant) carryOut(actions []deduplicator.Action) {
+	for _, action := range actions {
+		switch a := action.(type) {
+		case deduplicator.Append:
+			c.carryOut(c.append(a))
+		case deduplicator.Dispatch:
+			c.carryOut(c.core.Handle(newEnd(c.now, a.Attempt)))
+		}
+	}
+}
+
+func newEnd(now time.Time, attempt identifier.AttemptID) deduplicator.DispatchEnded {
+	return deduplicator.DispatchEnded{
+		Now: now, Attempt: attempt, Result: messenger.DispatchResult_DISPATCH_RESULT_DONE, Status: 200,
+		ContentType: "application/json", Answer: make([]byte, answerBytes),
+	}
+}
+
+func (c *claimant) append(a deduplicator.Append) []deduplicator.Action {
+	var entries []replayer.Entry
+	for _, r := range a.Records {
+		entries = append(entries, replayer.Entry{Offset: c.next, Record: r})
+		c.next++
+		c.bytes += len(r)
+	}
+	c.entries = append(c.entries, entries...)
+	actions := c.core.Handle(deduplicator.AppendSucceeded{Now: c.now, Records: a.IDs})
+	read := deduplicator.RecordsRead{Now: c.now, WallNow: c.now, Entries: entries, End: c.next}
+	return append(actions, c.core.Handle(read)...)
+}
+
+// surveyClaims measures claims with their outcomes over the number of remembered keys.
+func (s *Surveyor) surveyClaims() {
+	const batch = 10
+	// The target's keys are those of an hour's window at 110 calls a second.
+	newSeries := func(name, unit string) *series {
+		return &series{name: name, unit: unit, per: "key", today: 3600, target: 396_000}
+	}
+	memory := newSeries("keyMemory", "B")
+	own := newSeries("ownCallsCPU", "ns")
+	fold := newSeries("foldClaimsCPU", "ns")
+	bytes := newSeries("claimBytes", "B")
+	for _, n := range []int{2000, 5000, 10_000, 20_000, 40_000} {
+		writer := newClaimant("instance-7")
+		own.add(float64(n), spend(1, func(int) {
+			for i := 0; i < n; i += batch {
+				writer.callBatch(i, batch)
+			}
+		}).nanoseconds)
+		bytes.add(float64(n), float64(writer.bytes))
+		reader := newClaimant("instance-8")
+		memory.add(float64(n), occupy(func() any {
+			fold.add(float64(n), spend(1, func(int) {
+				reader.core.Handle(deduplicator.RecordsRead{Now: writer.now, WallNow: writer.now, Entries: writer.entries, End: writer.next})
+			}).nanoseconds)
+			return []*claimant{reader, writer}
+		}))
+		if reader.core.Keys() != n {
+			s.fail("fold claims", fmt.Errorf("%d keys of %d", reader.core.Keys(), n))
+		}
+	}
+	s.writeSeries(memory, own, fold, bytes)
+}
--- /dev/null
+++ b/standin/surveyor/configuring.go
@@ -0,0 +1,90 @@
+package surveyor
+
+import (
+	"fmt"
+	"time"
+
+	"rosemaryspool.example/core/classifier"
+	"rosemaryspool.example/core/configurer"
+	"rosemaryspool.example/core/identifier"
+)
+
+// newSections returns a document's sections with many callers.
+func (s *Surveyor) newSections(callers int) configurer.Sections {
+	document := &configurer.Document{
+		FormatVersion: configurer.FormatVersion, Environment: "trial", Keys: configurer.Keys{Window: configurer.DefaultKeyWindow},
+		Services: []configurer.Service{{Name: "registry", Upstreams: []identifier.UpstreamID{"registry-1"}}},
+		Classes:  []configurer.Class{{Name: "signing", Service: "registry", Deadline: time.Minute}},
+	}
+	for i := range callers {
+		document.Callers = append(document.Callers, configurer.Caller{ID: callerID(i), RequestsPerSecond: 1, Burst: 1})
+	}
+	sections, err := document.Sections()
+	s.fail("cut document", err)
+	return sections
+}
+
+// editCaller returns the change of one caller's limits on the configuration in force.
+func (c *controlStream) editCaller(i, burst int) (sections configurer.Sections, raw []byte) {
+	old := c.state.Sections()
+	id := callerID(i)
+	content := fmt.Sprintf(`{"id":%q,"requestsPerSecond":2,"burst":%d}`, id, burst)
+	next := old.Apply(configurer.Sections{"callers/" + string(id): []byte(content)}, nil)
+	change := configurer.NewChange(c.state.Revision(), old, next, configurer.Author{Operator: "operator-1", Message: "raise a limit"})
+	return next, c.change(change)
+}
+
+// surveyConfiguration measures documents over the number of their callers.
+func (s *Surveyor) surveyConfiguration() {
+	newSeries := func(name, unit string) *series {
+		return &series{name: name, unit: unit, per: "caller", today: todayCallers, target: targetCallers}
+	}
+	memory := newSeries("configurationMemory", "B")
+	first := newSeries("firstDocumentBytes", "B")
+	delta := newSeries("sectionDeltaBytes", "B")
+	fold := newSeries("foldChangeCPU", "ns")
+	allocation := newSeries("foldChangeAllocation", "B")
+	index := newSeries("indexDocumentCPU", "ns")
+	indexMemory := newSeries("indexDocumentMemory", "B")
+	snapshot := newSeries("snapshotBytes", "B")
+	encoding := newSeries("encodeSnapshotCPU", "ns")
+	for _, n := range callerSizes {
+		size := float64(n)
+		sections := s.newSections(n)
+		c := s.newControlStream()
+		raw := c.change(configurer.NewChange(0, nil, sections, configurer.Author{Operator: "operator-1"}))
+		first.add(size, float64(len(raw)))
+		memory.add(size, occupy(func() any {
+			c.fold(raw)
+			return c
+		}))
+		cost, bytes := c.foldEdits()
+		fold.add(size, cost.nanoseconds)
+		allocation.add(size, cost.bytes)
+		delta.add(size, bytes)
+		index.add(size, spend(max(3, 100_000/n), func(int) { c.index() }).nanoseconds)
+		indexMemory.add(size, occupy(func() any { return c.index() }))
+		taken, err := c.state.Snapshot()
+		s.fail("take snapshot", err)
+		snapshot.add(size, float64(len(taken.GetState())))
+		encoding.add(size, spend(max(2, 20_000/n), func(int) { _, _ = c.state.Snapshot() }).nanoseconds)
+	}
+	s.writeSeries(memory, first, delta, fold, allocation, index, indexMemory, snapshot, encoding)
+}
+
+// foldEdits folds changes of one caller each and returns their mean cost and size; making the records is not counted.
+func (c *controlStream) foldEdits() (mean cost, bytes float64) {
+	const edits = 12
+	for i := range edits {
+		_, raw := c.editCaller(i, i+2)
+		one := spend(1, func(int) { c.fold(raw) })
+		mean.nanoseconds += one.nanoseconds / edits
+		mean.bytes += one.bytes / edits
+		bytes += float64(len(raw)) / edits
+	}
+	return mean, bytes
+}
+
+func (c *controlStream) index() *classifier.Classifier {
+	return classifier.NewClassifier(c.state.Revision(), c.state.Document())
+}
--- /dev/null
+++ b/standin/surveyor/limiting.go
@@ -0,0 +1,37 @@
+package surveyor
+
+import (
+	"fmt"
+
+	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/core/scheduler"
+)
+
+// callerSizes are the numbers of callers over which costs are measured.
+var callerSizes = []int{100, 1000, 10_000, 22_000, targetCallers}
+
+func callerID(i int) identifier.CallerID { return identifier.CallerID(fmt.Sprintf("caller-%05d", i)) }
+
+// surveyCallers measures what the limits of callers take, and what setting them all anew costs.
+func (s *Surveyor) surveyCallers() {
+	memory := &series{name: "callerLimitMemory", unit: "B", per: "caller", today: todayCallers, target: targetCallers}
+	again := &series{name: "setAllLimitsCPU", unit: "ns", per: "caller", today: todayCallers, target: targetCallers}
+	for _, n := range callerSizes {
+		ids := make([]identifier.CallerID, n)
+		for i := range ids {
+			ids[i] = callerID(i)
+		}
+		f := newFleet(1, true)
+		setAll := func(int) {
+			for _, id := range ids {
+				f.core.Handle(scheduler.CallerLimited{Caller: id, RequestsPerSecond: 5, Burst: 10})
+			}
+		}
+		memory.add(float64(n), occupy(func() any {
+			setAll(0)
+			return f
+		}))
+		again.add(float64(n), spend(max(5, 200_000/n), setAll).nanoseconds)
+	}
+	s.writeSeries(memory, again)
+}
--- /dev/null
+++ b/standin/surveyor/reporting.go
@@ -0,0 +1,118 @@
+package surveyor
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+
+	"rosemaryspool.example/wire/messenger"
+)
+
+// newReport returns an engine's report as a busy engine sends it.
+func newReport(i int) *messenger.EngineReport {
+	return &messenger.EngineReport{
+		Engine: string(upstreamID(i)), Role: "mixed", Model: "prova-llm", Version: "2026.11", Adapters: []string{"alteration-notes"},
+		Token: 184_467, LastOrderId: holder + "/o42", QueuedPrefillTokens: 18_432, Running: 41, Waiting: 3, MaxBatch: 64,
+		PendingOutputTokens: 7310, PrefillTokensPerSecond: 20_123.5, DecodeStepMs: 21.37, Sequence: 123_456,
+		CacheUsedTokens: 812_000, CacheCapacityTokens: 1_048_576,
+	}
+}
+
+// exchangeBytes returns the bytes of one HTTP request and reply on a connection in use, without those of TCP and IP.
+func (s *Surveyor) exchangeBytes(path string, reply proto.Message) (out, in float64) {
+	var request, response bytes.Buffer
+	r, err := http.NewRequest(http.MethodGet, "http://10.20.30.40:8080"+path, nil)
+	s.fail("build request", err)
+	if err != nil {
+		return 0, 0
+	}
+	s.fail("write request", r.Write(&request))
+	body, err := protojson.Marshal(reply)
+	s.fail("encode reply", err)
+	answer := &http.Response{
+		StatusCode: http.StatusOK, ProtoMajor: 1, ProtoMinor: 1, ContentLength: int64(len(body)),
+		Header: http.Header{"Content-Type": {"application/json"}, "Date": {"Thu, 03 Dec 2026 21:00:00 GMT"}},
+		Body:   io.NopCloser(bytes.NewReader(body)),
+	}
+	s.fail("write reply", answer.Write(&response))
+	return float64(request.Len()), float64(response.Len())
+}
+
+// surveyReports measures the wire size of reports and listings and the processor time to decode them.
+func (s *Surveyor) surveyReports() {
+	report := newReport(1)
+	text, err := protojson.Marshal(report)
+	s.fail("encode report", err)
+	binary, err := proto.Marshal(report)
+	s.fail("encode report", err)
+	s.writeFigure("reportJSONBytes", "B", float64(len(text)))
+	s.writeFigure("reportBinaryBytes", "B", float64(len(binary)))
+	out, in := s.exchangeBytes("/v1/report", report)
+	s.writeFigure("reportExchangeOut", "B", out)
+	s.writeFigure("reportExchangeIn", "B", in)
+	out, in = s.exchangeBytes("/v1/cacheEvents?from=123456", &messenger.CacheEvents{NextSequence: 123_456})
+	s.writeFigure("emptyCacheExchangeOut", "B", out)
+	s.writeFigure("emptyCacheExchangeIn", "B", in)
+	s.surveyReportRate(text, binary)
+	s.surveyListing()
+	s.surveyRead()
+}
+
+// surveyReportRate measures decoding over reports a second.
+func (s *Surveyor) surveyReportRate(text, binary []byte) {
+	inJSON := &series{name: "decodeReportsJSONCPU", unit: "nsPerSecond", per: "reportPerSecond", today: 2 * todayUpstreams, target: 2 * targetUpstreams}
+	inBinary := &series{name: "decodeReportsBinaryCPU", unit: "nsPerSecond", per: "reportPerSecond", today: 2 * todayUpstreams, target: 2 * targetUpstreams}
+	for _, rate := range []int{500, 1000, 2000, 5000} {
+		inJSON.add(float64(rate), spend(3, func(int) {
+			for range rate {
+				s.fail("decode report", protojson.Unmarshal(text, &messenger.EngineReport{}))
+			}
+		}).nanoseconds)
+		inBinary.add(float64(rate), spend(3, func(int) {
+			for range rate {
+				s.fail("decode report", proto.Unmarshal(binary, &messenger.EngineReport{}))
+			}
+		}).nanoseconds)
+	}
+	s.writeSeries(inJSON, inBinary)
+}
+
+// surveyListing measures the whole instance list, which is read once a second, over its members.
+func (s *Surveyor) surveyListing() {
+	size := &series{name: "listingBytes", unit: "B", per: "member", today: todayUpstreams + todayInstances, target: targetServers + targetInstances}
+	decode := &series{name: "decodeListingCPU", unit: "ns", per: "member", today: todayUpstreams + todayInstances, target: targetServers + targetInstances}
+	for _, n := range []int{16, 128, 512, 1024, targetServers + targetInstances} {
+		listing := &messenger.InstanceListing{}
+		for i := range n {
+			listing.Members = append(listing.Members, &messenger.ListedUpstream{
+				Id: string(upstreamID(i)), Kind: "engine", Address: "10.20.30.40:8080", DataCentre: "marmara-a",
+			})
+		}
+		_, in := s.exchangeBytes("/v1/instances", listing)
+		size.add(float64(n), in)
+		body, err := protojson.Marshal(listing)
+		s.fail("encode listing", err)
+		decode.add(float64(n), spend(max(5, 5000/n), func(int) {
+			s.fail("decode listing", protojson.Unmarshal(body, &messenger.InstanceListing{}))
+		}).nanoseconds)
+	}
+	s.writeSeries(size, decode)
+}
+
+// surveyRead measures a read of the log over the size of the record that it delivers.
+func (s *Surveyor) surveyRead() {
+	read := &series{name: "logReadBytesIn", unit: "B", per: "recordByte", today: 150, target: 300}
+	for _, n := range []int{50, 100, 200, 400, 1000} {
+		reply := &messenger.ReadReply{FirstOffset: 100_000, EndOffset: 123_457}
+		reply.Entries = []*messenger.LogEntry{{Offset: 123_456, Record: make([]byte, n)}}
+		out, in := s.exchangeBytes("/v1/streams/trial.control/records?from=123456&limit=1024&waitMs=2000", reply)
+		read.add(float64(n), in)
+		if n == 100 {
+			s.writeFigure("logReadBytesOut", "B", out)
+		}
+	}
+	s.writeSeries(read)
+}
--- /dev/null
+++ b/standin/surveyor/surveyor_test.go
@@ -0,0 +1,77 @@
+package surveyor
+
+import (
+	"bytes"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestFit(t *testing.T) {
+	cases := []struct {
+		name                         string
+		sizes, values                []float64
+		fixed, slope, squared, worst float64
+	}{
+		{"exact line", []float64{10, 100, 1000, 10_000}, []float64{25, 205, 2005, 20_005}, 5, 2, 1, 0},
+		{"no growth", []float64{10, 100, 1000, 10_000}, []float64{7, 7, 7, 7}, 7, 0, 1, 0},
+		// The line runs through the middle of the first two points; weights are 1, 1 and a quarter.
+		{"scatter", []float64{1, 1, 2}, []float64{1, 3, 4}, 0, 2, 1 - 2/(26.0/9), 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFit(c.sizes, c.values)
+			require.InDelta(t, c.fixed, f.fixed, 1e-9)
+			require.InDelta(t, c.slope, f.slope, 1e-9)
+			require.InDelta(t, c.squared, f.squared, 1e-9)
+			require.InDelta(t, c.worst, f.worst, 1e-9)
+		})
+	}
+}
+
+func TestSpread(t *testing.T) {
+	usual := polling{wait: readWait, timeout: readTimeout, exchange: 400, record: 200}
+	short := polling{wait: shortWait, timeout: shortTimeout, exchange: 400, record: 200}
+	cases := []struct {
+		name     string
+		c        spreadCase
+		polling  polling
+		slowest  time.Duration
+		mostRead float64
+	}{
+		{"direct", spreadCase{shape: shapeDirect, readers: 60, perSecond: 0.5}, usual, 80 * time.Millisecond, 60},
+		{"relay", spreadCase{shape: shapeRelay, readers: 60, perSecond: 0.5}, usual, 70 * time.Millisecond, 12},
+		{"tree", spreadCase{shape: shapeTree, readers: 60, perSecond: 0.5}, usual, 70 * time.Millisecond, 5},
+		{"relay crash", spreadCase{shape: shapeRelay, readers: 60, perSecond: 0.5, crash: true}, usual, 5200 * time.Millisecond, 20},
+		{"relay crash with short polls", spreadCase{shape: shapeRelay, readers: 60, perSecond: 0.5, crash: true}, short, 1700 * time.Millisecond, 30},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := c.c.run(c.polling)
+			require.Zero(t, s.missing)
+			require.GreaterOrEqual(t, s.last, s.floor)
+			require.LessOrEqual(t, s.last, c.slowest)
+			require.LessOrEqual(t, s.logReads, c.mostRead)
+			require.Equal(t, s, c.c.run(c.polling), "the same run gives the same figures")
+		})
+	}
+}
+
+func TestDeploymentAnswersEveryCall(t *testing.T) {
+	d := newDeployment(3, 4)
+	d.run(5*time.Second, 20)
+	d.run(2*time.Second, 0)
+	require.Equal(t, 100, d.calls)
+	require.Equal(t, 100, d.replies)
+	require.Zero(t, d.refusals)
+	require.Len(t, d.control.scopes(), 4)
+}
+
+func TestRunParts(t *testing.T) {
+	output := &bytes.Buffer{}
+	require.NoError(t, NewSurveyor(output).Run([]string{"reports"}))
+	require.Contains(t, output.String(), "figure=reportBinaryBytes unit=B value=142\n")
+	require.ErrorContains(t, NewSurveyor(io.Discard).Run([]string{"weather"}), "want one of scheduler,")
+}
