--- a/Makefile
+++ b/Makefile
@@ -87,3 +87,11 @@
 bench-configuration:
 	go test -run '^$$' -bench . -benchmem ./core/configurer
 	go test -run '^$$' -bench FoldOneCaller -benchmem ./core/replayer
+
+PARTS ?= scheduler,callers,configuration,control,claims,reports,appends,spread
+
+.PHONY: capacity
+
+# Measures how the core's costs grow, on one processor, and reckons them at the target's size.
+capacity: build
+	./bin/standin capacity --parts $(PARTS)
