Repair an engine without cutting its work, and only after a stale order

Cause: a repair was ordered at once and could cut verdicts; an engine that was replaced could be ordered back to an old version; an engine could be returned to service while its order was still open. Change: a repair drains, waits for the engine to be empty, orders and restores; only an order that the log does not have as its last done one is repaired, all else is reported; a restore waits for the open order. Conclusion: the scenario of a late write ends with the engine as it was, and its running work is waited for.

--- a/core/checker/engine.go
+++ b/core/checker/engine.go
@@ -77,6 +77,7 @@
 		Version:     e.report.Version,
 		Adapters:    e.report.Adapters,
 		Changing:    e.report.Changing,
+		Running:     e.report.Running,
 		Token:       e.report.Token,
 		LastOrderId: e.report.LastOrderId,
 	}
--- a/core/checker/scenario_test.go
+++ b/core/checker/scenario_test.go
@@ -80,7 +80,16 @@
 			w.after(c.delay, func() { w.deliverOrder(late) })
 			w.runUntil(w.now + c.delay + time.Second)
 			require.Equal(t, c.conflict, w.result.First != nil, "%v", w.result.First)
+			// Work that runs on the engine is never cut by the repair.
+			w.engines[c.engine].report.Running = 1
 			w.runUntil(w.now + 40*time.Second)
+			if c.conflict {
+				require.Equal(t, "decode", w.engines[c.engine].read(w.now).GetRole())
+				require.Equal(t, []identifier.UpstreamID{identifier.UpstreamID(engineNames[c.engine])}, w.draining())
+			}
+			w.engines[c.engine].report.Running = 0
+			w.runUntil(w.now + 40*time.Second)
+			require.Empty(t, w.draining())
 			require.Empty(t, w.model.now.unfinished[c.engine])
 			if !c.conflict {
 				require.Zero(t, w.result.Diverged)
@@ -93,6 +102,11 @@
 	}
 }
 
+// draining returns what planned changes keep from new work, as the last process sees it.
+func (w *world) draining() []identifier.UpstreamID {
+	return w.processes[len(w.processes)-1].controller.State().Draining()
+}
+
 func sendOrder(w *world, engine int, id, role string) {
 	p := w.holder(scopeNames[engineScope(engine)])
 	p.run(p.controller.Handle(newOrderEvent(p, engine, id, role)))
--- a/core/controller/controller.go
+++ b/core/controller/controller.go
@@ -200,13 +200,20 @@
 
 func (c *Controller) requestPlan(e PlanRequested) {
 	hold, held := c.leases.Held(e.Now, e.Scope)
-	if !held || !c.state.Complete() {
+	if !held || !c.state.Complete() || c.restoresTooEarly(e.Change) {
 		return
 	}
 	kind := messenger.RecordKind_RECORD_KIND_PLANNED_CHANGE
 	c.enqueue(kind, e.Scope, hold.Token, e.Change, throttler.UrgencyOrder, nil)
 }
 
+// restoresTooEarly tells whether a change would return an engine to service while an order may still take it away. The
+// engine is returned once the order is closed.
+func (c *Controller) restoresTooEarly(change *messenger.PlannedChange) bool {
+	engine, _ := c.state.Engine(identifier.UpstreamID(change.GetUpstream()))
+	return change.GetKind() == messenger.PlannedChangeKind_PLANNED_CHANGE_KIND_RESTORE && engine.Unfinished != nil
+}
+
 func (c *Controller) failAppend(e AppendFailed) {
 	c.outbox.failed(e.Now, e.Records, e.Unknown)
 	if e.Unknown {
@@ -299,6 +306,9 @@
 			c.enqueue(messenger.RecordKind_RECORD_KIND_ORDER_INTENT, s.Scope, s.Token, intent, throttler.UrgencyOrder, s.Order)
 		case fencer.AppendOutcome:
 			c.enqueue(messenger.RecordKind_RECORD_KIND_ORDER_OUTCOME, s.Scope, s.Token, s.Outcome, throttler.UrgencyOrder, nil)
+		case fencer.AppendPlan:
+			kind := messenger.RecordKind_RECORD_KIND_PLANNED_CHANGE
+			c.enqueue(kind, s.Scope, s.Token, s.Change, throttler.UrgencyOrder, nil)
 		case fencer.Send:
 			actions = append(actions, SendOrder(s))
 		case fencer.Read:
--- a/core/drainer/change.go
+++ b/core/drainer/change.go
@@ -7,11 +7,12 @@
 	"time"
 
 	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/core/replayer"
 	"rosemaryspool.example/wire/messenger"
 )
 
 // ChangePrefix marks the planned changes that the system makes for its own orders, apart from those of operators.
-const ChangePrefix = "order/"
+const ChangePrefix = replayer.SystemPlanPrefix
 
 // phase tells how far a change came.
 type phase int
--- a/core/fencer/audit.go
+++ b/core/fencer/audit.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"rosemaryspool.example/core/identifier"
@@ -11,10 +12,15 @@
 	"rosemaryspool.example/wire/messenger"
 )
 
+// repairPrefix marks the planned changes of repairs.
+const repairPrefix = replayer.SystemPlanPrefix + "repair/"
+
 // audit is the next comparison of an engine with what its last order left.
 type audit struct {
 	dueAt time.Time
 	read  uint64
+	// plan is the planned change under which the engine was found draining at the last comparison.
+	plan string
 }
 
 // advanceAudits reads the engines whose comparison is due.
@@ -78,15 +84,71 @@
 		return nil
 	}
 	last := e.LastClosed
-	late := last.Result != messenger.OrderResult_ORDER_RESULT_DONE && report.GetLastOrderId() == last.Order.GetOrderId()
 	if Matches(last.Found, report) {
-		return nil
+		return f.endRepair(v, last)
 	}
 	diverged := Diverged{Engine: engine, Report: report, Expected: last.Found}
-	if late {
+	if last.Result != messenger.OrderResult_ORDER_RESULT_DONE && report.GetLastOrderId() == last.Order.GetOrderId() {
 		diverged.Late = last
 	}
-	return append([]Step{diverged}, f.Request(v, last.Scope, f.newRepair(v, last, report))...)
+	if !tookStaleOrder(last, report) {
+		return []Step{diverged}
+	}
+	return append([]Step{diverged}, f.repair(v, a, last, report)...)
+}
+
+// tookStaleOrder tells whether an engine differs because of an order that the log does not have as its last done one. An
+// engine that was restarted or replaced has taken none; what it should run is for the placement to decide.
+func tookStaleOrder(last *replayer.Order, report *messenger.EngineReport) bool {
+	if report.GetLastOrderId() == "" {
+		return false
+	}
+	return report.GetLastOrderId() != last.Order.GetOrderId() || last.Result != messenger.OrderResult_ORDER_RESULT_DONE
+}
+
+// repair brings an engine back to what its last order left, without cutting its work: it is drained first and ordered once
+// every instance has read that and the engine is empty.
+func (f *Fencer) repair(v View, a *audit, last *replayer.Order, report *messenger.EngineReport) []Step {
+	hold, held := v.Leases.Held(v.Now, last.Scope)
+	if !held {
+		return nil
+	}
+	engine := identifier.UpstreamID(last.Order.GetEngine())
+	a.dueAt = v.Now.Add(f.settings.DrainNotice)
+	f.auditAt = earlier(f.auditAt, a.dueAt)
+	plan, planned := v.State.Plan(engine)
+	if !planned || !plan.Draining() {
+		f.repairs++
+		id := fmt.Sprintf("%s%s/%d/%d", repairPrefix, engine, v.State.Next(), f.repairs)
+		return []Step{AppendPlan{Scope: last.Scope, Token: hold.Token, Change: &messenger.PlannedChange{
+			ChangeId: id,
+			Kind:     messenger.PlannedChangeKind_PLANNED_CHANGE_KIND_DRAIN,
+			Upstream: string(engine),
+		}}}
+	}
+	if a.plan != plan.Change.GetChangeId() {
+		// The plan was read since the last comparison: the other instances get as long to read it.
+		a.plan = plan.Change.GetChangeId()
+		return nil
+	}
+	if report.GetRunning()+report.GetWaiting() > 0 {
+		return nil
+	}
+	return f.Request(v, last.Scope, f.newRepair(v, last, report))
+}
+
+// endRepair returns an engine to service that was drained for a repair and is as its last order left it.
+func (f *Fencer) endRepair(v View, last *replayer.Order) []Step {
+	plan, planned := v.State.Plan(identifier.UpstreamID(last.Order.GetEngine()))
+	hold, held := v.Leases.Held(v.Now, last.Scope)
+	if !held || !planned || !plan.Draining() || !strings.HasPrefix(plan.Change.GetChangeId(), repairPrefix) {
+		return nil
+	}
+	return []Step{AppendPlan{Scope: last.Scope, Token: hold.Token, Change: &messenger.PlannedChange{
+		ChangeId: plan.Change.GetChangeId(),
+		Kind:     messenger.PlannedChangeKind_PLANNED_CHANGE_KIND_RESTORE,
+		Upstream: last.Order.GetEngine(),
+	}}}
 }
 
 // newRepair returns an order that brings an engine back to what its last order left: first to its role, and when that is
--- a/core/fencer/fencer.go
+++ b/core/fencer/fencer.go
@@ -25,6 +25,8 @@
 	DefaultReportLag = time.Second
 	// DefaultAuditEvery is how often an engine is compared with what its last order left.
 	DefaultAuditEvery = 10 * time.Second
+	// DefaultDrainNotice is by when every instance has read a planned change and sends nothing new.
+	DefaultDrainNotice = 3 * time.Second
 	// DefaultMinimumSend is the least time to the write deadline with which a send is begun.
 	DefaultMinimumSend = 250 * time.Millisecond
 )
@@ -36,6 +38,7 @@
 	CallTimeout time.Duration
 	ReportLag   time.Duration
 	AuditEvery  time.Duration
+	DrainNotice time.Duration
 	MinimumSend time.Duration
 }
 
@@ -47,6 +50,7 @@
 		CallTimeout: DefaultCallTimeout,
 		ReportLag:   DefaultReportLag,
 		AuditEvery:  DefaultAuditEvery,
+		DrainNotice: DefaultDrainNotice,
 		MinimumSend: DefaultMinimumSend,
 	}
 }
--- a/core/fencer/step.go
+++ b/core/fencer/step.go
@@ -25,6 +25,13 @@
 	Outcome *messenger.OrderOutcome
 }
 
+// AppendPlan puts a planned change into the log.
+type AppendPlan struct {
+	Scope  identifier.Scope
+	Token  identifier.Token
+	Change *messenger.PlannedChange
+}
+
 // Send sends an order once; nothing may be written after WriteBy.
 type Send struct {
 	Order   *messenger.EngineOrder
@@ -60,6 +67,7 @@
 
 func (AppendIntent) step()  {}
 func (AppendOutcome) step() {}
+func (AppendPlan) step()    {}
 func (Send) step()          {}
 func (Read) step()          {}
 func (ReplaceToken) step()  {}
--- a/core/replayer/order.go
+++ b/core/replayer/order.go
@@ -91,6 +91,9 @@
 	return PlanChanged{Plan: plan}
 }
 
+// SystemPlanPrefix marks the planned changes that the system makes for its own orders, apart from those of operators.
+const SystemPlanPrefix = "order/"
+
 // PlanLimit is how many upstreams' planned changes the state keeps, far more than a fleet has at one time.
 const PlanLimit = 4096
 
