--- a/standin/measurer/fluid.go
+++ b/standin/measurer/fluid.go
@@ -117,6 +117,25 @@
 	return min(best, limit)
 }
 
+// PayingShifts counts the shifts of the mix that last longer than twice the pay-back time of a change from the best split
+// before to the best split after: absence times engines changed, divided by the gained share of capacity.
+func (w *Workload) PayingShifts() int {
+	f := w.Figures
+	limits := newFluid(f, f.stepLimit(meanOutput))
+	absence := (f.AbsenceMin + f.AbsenceMax).Seconds() / 2
+	count := 0
+	for k := 1; k < len(w.Phases); k++ {
+		p := w.Phases[k]
+		before, _ := limits.best(f.Engines, w.Phases[k-1].Mix)
+		after, most := limits.best(f.Engines, p.Mix)
+		gain := 1 - limits.fraction(before, p.Mix, math.Inf(1))/most
+		if gain > 0 && p.Length.Seconds() > 2*absence*float64(before.Changed(after))/gain {
+			count++
+		}
+	}
+	return count
+}
+
 // ratio divides; nothing wanted is served any number of times.
 func ratio(capacity, wanted float64) float64 {
 	if wanted <= 0 {
--- a/standin/measurer/fluid_test.go
+++ b/standin/measurer/fluid_test.go
@@ -82,3 +82,17 @@
 	require.InDelta(t, 1, mean, 0.03)
 	require.InDelta(t, 2, math.Sqrt(squares/count-mean*mean)/mean, 0.06)
 }
+
+func TestShortPhasesDontPayAChangeBack(t *testing.T) {
+	f := Kalipci()
+	prefill, decode := work{6, 0.3}, work{0.3, 6}
+	phases := func(length time.Duration) *Workload {
+		return &Workload{Figures: f, Phases: []Phase{{Length: length, Mix: prefill}, {Length: length, Mix: decode}, {Length: length, Mix: decode}}}
+	}
+	limits := newFluid(f, f.stepLimit(meanOutput))
+	before, _ := limits.best(f.Engines, prefill)
+	after, _ := limits.best(f.Engines, decode)
+	require.Positive(t, before.Changed(after))
+	require.Equal(t, 1, phases(time.Hour).PayingShifts(), "only the shift of the mix counts")
+	require.Zero(t, phases(10*time.Second).PayingShifts())
+}
--- a/standin/measurer/policies.go
+++ b/standin/measurer/policies.go
@@ -2,31 +2,41 @@
 
 import (
 	"fmt"
+	"strings"
 
 	"rosemaryspool.example/core/identifier"
 )
 
-// NewPolicy returns a policy by its name, prepared for one run.
+// NewPolicy returns a policy by its name, prepared for one run. A name such as "static:2/2/3" sets the number of prefill,
+// decode and mixed engines at the start.
 func NewPolicy(name string, w *Workload, seed uint64) (Policy, error) {
-	switch name {
+	kind, split, fixed := strings.Cut(name, ":")
+	policy := Policy{Name: name, NewDecider: baselineDeciders(false)}
+	switch kind {
 	case "ours":
-		return ours(w, seed), nil
+		policy = ours(w, seed)
+		policy.Name = name
 	case "static":
-		return Policy{Name: name, Split: staticSplit(w), NewDecider: baselineDeciders(false)}, nil
+		policy.Split = staticSplit(w)
 	case "reactive":
-		return Policy{
-			Name: name, Split: reactiveSplit(w), NewDecider: baselineDeciders(false),
-			NewPlanner: func() Planner { return newReactive() },
-		}, nil
+		policy.Split = reactiveSplit(w)
+		policy.NewPlanner = func() Planner { return newReactive() }
 	case "round-robin":
-		return Policy{Name: name, Split: allMixed(w.Figures), NewDecider: baselineDeciders(true)}, nil
+		policy.Split = allMixed(w.Figures)
+		policy.NewDecider = baselineDeciders(true)
 	default:
-		var fixed Split
-		if n, _ := fmt.Sscanf(name, "static:%d/%d/%d", &fixed.Prefill, &fixed.Decode, &fixed.Mixed); n == 3 {
-			return Policy{Name: name, Split: fixed, NewDecider: baselineDeciders(false)}, nil
-		}
 		return Policy{}, fmt.Errorf("measurer: unknown policy %q", name)
 	}
+	if !fixed {
+		return policy, nil
+	}
+	s := Split{}
+	_, err := fmt.Sscanf(split, "%d/%d/%d", &s.Prefill, &s.Decode, &s.Mixed)
+	if err != nil || s.Prefill+s.Decode+s.Mixed != w.Figures.Engines {
+		return Policy{}, fmt.Errorf("measurer: policy %q: want prefill/decode/mixed that sum to %d", name, w.Figures.Engines)
+	}
+	policy.Split = s
+	return policy, nil
 }
 
 // staticSplit is the best fixed split for the run's average mix.
--- a/standin/measurer/runner.go
+++ b/standin/measurer/runner.go
@@ -34,6 +34,8 @@
 	Phases     []Phase
 	Bound      Bound
 	Result     Result
+	// PayingShifts is the number of shifts of the mix that are long enough for a role change.
+	PayingShifts int
 	// ChangesRoles tells whether the policy may change roles.
 	ChangesRoles bool
 }
@@ -58,8 +60,8 @@
 	for _, class := range r.Classes {
 		fmt.Fprintf(&b, " %s=%.4f", class.Class, class.Goodput())
 	}
-	fmt.Fprintf(&b, " p99LatenessMs=%d refused=%d retried=%d hedged=%d rejected=%d roleChanges=%d",
-		r.P99Lateness.Milliseconds(), r.Refused, r.Retried, r.Hedged, r.Rejected, r.RoleChanges)
+	fmt.Fprintf(&b, " p99LatenessMs=%d refused=%d retried=%d hedged=%d rejected=%d roleChanges=%d payingShifts=%d",
+		r.P99Lateness.Milliseconds(), r.Refused, r.Retried, r.Hedged, r.Rejected, r.RoleChanges, c.PayingShifts)
 	fmt.Fprintf(&b, " bound=%.4f urgentBound=%.4f breaches=%d cutUrgent=%d", c.Bound.Goodput, c.Bound.Urgent, r.Breaches, r.CutUrgent)
 	if c.Fault != FaultNone {
 		fmt.Fprintf(&b, " urgentNearFault=%.4f", r.UrgentNearFault)
@@ -123,7 +125,7 @@
 		}
 	}
 	w := NewWorkload(figures, j.seed, j.load, p.Length)
-	bound := NewBound(w)
+	bound, shifts := NewBound(w), w.PayingShifts()
 	var cases []Case
 	for _, fault := range p.Faults {
 		for _, name := range p.Policies {
@@ -134,7 +136,7 @@
 			result := NewSimulation(w, policy, j.seed, fault).Run()
 			cases = append(cases, Case{
 				Deployment: j.deployment, Seed: j.seed, Load: j.load, Fault: fault, Policy: name,
-				Split: policy.Split, Phases: w.Phases, Bound: bound, Result: result, ChangesRoles: policy.NewPlanner != nil,
+				Split: policy.Split, Phases: w.Phases, PayingShifts: shifts, Bound: bound, Result: result, ChangesRoles: policy.NewPlanner != nil,
 			})
 		}
 	}
