Test that answers never mix, and share the wait of ending parts

Cause: the dispatcher's rules for resumed and hedged answers had no test of their own, and four parts repeated the same wait. Measured: all cases pass; broken, crossed, rejected and unreachable engines all end in a whole answer. Conclusion: no fault was found here.

--- a/rosemaryspool/conductor/conductor.go
+++ b/rosemaryspool/conductor/conductor.go
@@ -17,6 +17,7 @@
 	"rosemaryspool.example/core/gauger"
 	"rosemaryspool.example/core/identifier"
 	"rosemaryspool.example/core/placer"
+	"rosemaryspool.example/rosemaryspool/waiter"
 )
 
 const (
@@ -137,11 +138,7 @@
 }
 
 func (c *Conductor) waitForTasks() {
-	finished := make(chan struct{})
-	go func() {
-		c.tasks.Wait()
-		close(finished)
-	}()
+	finished := waiter.Finished(&c.tasks)
 	for {
 		select {
 		case <-c.ring:
--- a/rosemaryspool/dispatcher/dispatcher.go
+++ b/rosemaryspool/dispatcher/dispatcher.go
@@ -19,6 +19,7 @@
 	"rosemaryspool.example/rosemaryspool/explainer"
 	"rosemaryspool.example/rosemaryspool/meter"
 	"rosemaryspool.example/rosemaryspool/resolver"
+	"rosemaryspool.example/rosemaryspool/waiter"
 )
 
 const (
@@ -306,15 +307,11 @@
 		refusal := refuser.NewRefusal(refuser.ShuttingDown, refuser.OutcomeUnknown, "the instance stopped before the answer")
 		request.exchange.end(refusal, Finish{})
 	}
-	drained := make(chan struct{})
-	go func() {
-		d.attempts.Wait()
-		close(drained)
-	}()
+	finished := waiter.Finished(&d.attempts)
 	for {
 		select {
 		case <-d.ring:
-		case <-drained:
+		case <-finished:
 			return
 		}
 	}
--- /dev/null
+++ b/rosemaryspool/dispatcher/dispatcher_test.go
@@ -0,0 +1,155 @@
+package dispatcher
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"rosemaryspool.example/adaptor/completer"
+	"rosemaryspool.example/adaptor/director"
+	"rosemaryspool.example/adaptor/invoker"
+	"rosemaryspool.example/adaptor/lister"
+	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/core/refuser"
+	"rosemaryspool.example/core/scheduler"
+	"rosemaryspool.example/rosemaryspool/conductor"
+	"rosemaryspool.example/rosemaryspool/explainer"
+	"rosemaryspool.example/rosemaryspool/resolver"
+)
+
+// answer is what an engine writes when all goes well.
+const answer = "one two three four"
+
+// scriptedEngine writes the answer word by word and fails by script.
+type scriptedEngine struct {
+	// breakAfter is the number of bytes after which the answer breaks off; zero means never.
+	breakAfter int
+	failure    error
+	calls      *int
+}
+
+func (e scriptedEngine) Complete(
+	ctx context.Context, request completer.Request, deliver func(completer.Piece),
+) (completer.Result, error) {
+	*e.calls++
+	for at := len(request.Resume); at < len(answer); at++ {
+		if e.failure != nil && at >= e.breakAfter {
+			return completer.Result{}, e.failure
+		}
+		select {
+		case <-ctx.Done():
+			return completer.Result{}, ctx.Err()
+		case <-time.After(10 * time.Millisecond):
+		}
+		deliver(completer.Piece{Text: answer[at : at+1], Tokens: 1})
+	}
+	output := identifier.Tokens(len(answer) - len(request.Resume))
+	return completer.Result{Output: output, FinishReason: "stop"}, nil
+}
+
+func startDispatcher(t *testing.T, engines map[string]completer.Engine) (*Dispatcher, func()) {
+	t.Helper()
+	targets := resolver.NewResolver(resolver.Factory{
+		Engine:   func(address string) completer.Engine { return engines[address] },
+		Director: func(string) director.Engine { return nil },
+		Service:  func(string) invoker.Service { return nil },
+	})
+	var members []lister.Member
+	for id := range engines {
+		members = append(members, lister.Member{ID: id, Kind: lister.KindEngine, Address: id, DataCentre: "a"})
+	}
+	targets.Update(members)
+	core := scheduler.NewScheduler(scheduler.Settings{Instance: "i", DataCentre: "a", Instances: 1, Seed: 1})
+	d := NewDispatcher(core, targets, func(conductor.Event) {}, explainer.NewExplainer(), zerolog.Nop(), metrics.NewRegistry())
+	stop := make(chan struct{})
+	go d.Run(stop)
+	for _, m := range members {
+		id := identifier.UpstreamID(m.ID)
+		d.Notify(scheduler.UpstreamSeen{Now: time.Now(), Upstream: id, DataCentre: "a", Models: []identifier.ModelName{"m"}})
+		d.Notify(scheduler.LoadReported{Now: time.Now(), Upstream: id, Load: scheduler.Load{
+			Sequence: 1, Role: identifier.RoleMixed, Model: "m", MaxBatch: 8, PrefillPerSecond: 9000, DecodeStep: 20 * time.Millisecond,
+		}})
+	}
+	return d, func() {
+		close(stop)
+		<-d.Done()
+	}
+}
+
+func newWork(id identifier.RequestID) Work {
+	return Work{
+		Request: id, Caller: "c", Class: "note", Model: "m", Priority: 5, Arrived: time.Now(),
+		Deadline: time.Now().Add(10 * time.Second), Prompt: "prompt", MaxOutput: 64, ExpectedOutput: 18,
+	}
+}
+
+func TestBrokenAnswersAreResumedWhole(t *testing.T) {
+	cases := []struct {
+		name    string
+		failure error
+		after   int
+	}{
+		{"broken off", completer.ErrBroken, 7},
+		{"broken before the first token", completer.ErrBroken, 0},
+		{"unreachable", completer.ErrUnreachable, 0},
+		{"rejected", completer.ErrRejected, 0},
+		{"crossed", completer.ErrCrossed, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				calls := 0
+				bad := scriptedEngine{breakAfter: c.after, failure: c.failure, calls: &calls}
+				d, stop := startDispatcher(t, map[string]completer.Engine{
+					"e1": bad, "e2": scriptedEngine{calls: &calls}, "e3": bad,
+				})
+				defer stop()
+				for _, id := range []identifier.RequestID{"r1", "r2", "r3"} {
+					progress, err := d.Submit(newWork(id)).Wait(t.Context())
+					require.NoError(t, err)
+					require.Nil(t, progress.Refusal)
+					require.Equal(t, answer, string(progress.Text))
+				}
+				require.Greater(t, calls, 3)
+			})
+		})
+	}
+}
+
+func TestCallerWhoLeavesCancelsTheAttempt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		calls := 0
+		d, stop := startDispatcher(t, map[string]completer.Engine{"e1": scriptedEngine{calls: &calls}})
+		defer stop()
+		x := d.Submit(newWork("r1"))
+		_, err := x.Next(t.Context())
+		require.NoError(t, err)
+		d.Leave("r1")
+		synctest.Wait()
+		time.Sleep(time.Second)
+		text, _ := x.resumePoint()
+		require.NotEqual(t, answer, text)
+		require.Equal(t, 1, calls)
+	})
+}
+
+func TestStopEndsEveryRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		calls := 0
+		d, stop := startDispatcher(t, map[string]completer.Engine{"e1": scriptedEngine{calls: &calls}})
+		x := d.Submit(newWork("r1"))
+		synctest.Wait()
+		stop()
+		progress, err := x.Wait(t.Context())
+		require.NoError(t, err)
+		require.Equal(t, refuser.ShuttingDown, progress.Refusal.Code)
+		progress, err = d.Submit(newWork("r2")).Wait(t.Context())
+		require.NoError(t, err)
+		require.Equal(t, refuser.NotRun, progress.Refusal.Effect)
+	})
+}
--- a/rosemaryspool/executor/claim.go
+++ b/rosemaryspool/executor/claim.go
@@ -16,6 +16,7 @@
 	"rosemaryspool.example/core/refuser"
 	"rosemaryspool.example/rosemaryspool/committer"
 	"rosemaryspool.example/rosemaryspool/reader"
+	"rosemaryspool.example/rosemaryspool/waiter"
 )
 
 const (
@@ -138,11 +139,7 @@
 }
 
 func (c *claimer) waitForTasks() {
-	finished := make(chan struct{})
-	go func() {
-		c.tasks.Wait()
-		close(finished)
-	}()
+	finished := waiter.Finished(&c.tasks)
 	for {
 		select {
 		case <-c.ring:
--- a/rosemaryspool/follower/follower.go
+++ b/rosemaryspool/follower/follower.go
@@ -17,6 +17,7 @@
 	"rosemaryspool.example/rosemaryspool/committer"
 	"rosemaryspool.example/rosemaryspool/reader"
 	"rosemaryspool.example/rosemaryspool/resolver"
+	"rosemaryspool.example/rosemaryspool/waiter"
 	"rosemaryspool.example/wire/messenger"
 )
 
@@ -160,11 +161,7 @@
 
 // waitForTasks discards events until no task can send any more.
 func (f *Follower) waitForTasks() {
-	finished := make(chan struct{})
-	go func() {
-		f.tasks.Wait()
-		close(finished)
-	}()
+	finished := waiter.Finished(&f.tasks)
 	for {
 		select {
 		case <-f.ring:
