--- a/Makefile
+++ b/Makefile
@@ -96,3 +96,11 @@
 # Runs 7 daemons and a deployment's stand-ins as processes: make today DEPLOYMENT=kalipci SECONDS=40 SEED=1.
 today: build
 	scripts/today.sh $(DEPLOYMENT) $(SECONDS) $(SEED)
+
+PARTS ?= scheduler,callers,configuration,control,claims,reports,appends,spread
+
+.PHONY: capacity
+
+# Measures how the core's costs grow, on one processor, and reckons them at the target's size.
+capacity: build
+	./bin/standin capacity --parts $(PARTS)
--- a/rosemaryspool/follower/follower.go
+++ b/rosemaryspool/follower/follower.go
@@ -17,6 +17,7 @@
 	"rosemaryspool.example/rosemaryspool/committer"
 	"rosemaryspool.example/rosemaryspool/reader"
 	"rosemaryspool.example/rosemaryspool/resolver"
+	"rosemaryspool.example/rosemaryspool/waiter"
 	"rosemaryspool.example/wire/messenger"
 )
 
@@ -60,17 +61,12 @@
 	reachable atomic.Bool
 }
 
-// ControlStream names an environment's control stream.
-func ControlStream(environment identifier.Environment) appender.Stream {
-	return appender.Stream(environment) + ".control"
-}
-
 // NewFollower returns a follower; nothing runs before Run.
 func NewFollower(
 	settings controller.Settings, log appender.Log, appends *committer.Committer, targets *resolver.Resolver,
 	listeners Listeners, events zerolog.Logger,
 ) *Follower {
-	stream := ControlStream(settings.Environment)
+	stream := appender.ControlStream(settings.Environment)
 	return &Follower{
 		controller: controller.NewController(settings),
 		stream:     stream,
@@ -165,11 +161,7 @@
 
 // waitForTasks discards events until no task can send any more.
 func (f *Follower) waitForTasks() {
-	finished := make(chan struct{})
-	go func() {
-		f.tasks.Wait()
-		close(finished)
-	}()
+	finished := waiter.Finished(&f.tasks)
 	for {
 		select {
 		case <-f.ring:
