Tell how a paused and a restarted daemon return in make today

Change: pausedCatchUpMs and restartInForceMs, the first from the end of the pause, the second from the start of the process; figures are computed before they are printed, so that a missing log line fails the run.

--- a/scripts/today.sh
+++ b/scripts/today.sh
@@ -17,6 +17,8 @@
 #                  and listBytes: bytes on its connections to the log and the list, both directions, as ss saw them each
 #                  second; ioBytes: all bytes, with the callers'
 #   change         delayMs from the start of the command to the last instance that was running then; inForce=K/N
+#   pausedCatchUpMs, restartInForceMs: from the end of the pause, and from the start of the process, until the newest
+#                  change of then was in force at that daemon
 #   class          the lines of `standin load`;   audit: the line of `standin audit`
 #   promises       secondRuns, falseNotRun and wrongAnswers of the audit; brokenAnswers of the load (streams through the
 #                  killed daemon break with it); reverts: an instance put an older revision in force than before
@@ -190,6 +192,7 @@
 	kill -STOP "${pid[3]}"
 	unset 'running[3]'
 	keep_publishing "$pause"
+	continued="$(date +%s%N)" missed="$(tail -n1 "$work/changes" | cut -d' ' -f2)"
 	kill -CONT "${pid[3]}"
 	running[3]=1
 	keep_publishing $((step - pause))
@@ -201,6 +204,7 @@
 		publish
 		sleep "$PAUSE_BETWEEN_CHANGES"
 	done
+	restarted="$(date +%s%N)"
 	start_daemon 4
 	keep_publishing "$step"
 }
@@ -229,6 +233,24 @@
 	echo "changesNotSeenInForce=$missing"
 }
 
+# since NANOSECONDS prints how many milliseconds later the log line on the standard input was written.
+since() {
+	local line
+	line="$(awk 'NR == 1')"
+	[ -n "$line" ] || fail "an instance never caught up"
+	echo $((($(date -d "$(value time <<<"$line")" +%s%N) - $1) / 1000000))
+}
+
+# report_return prints how long the paused and the restarted daemon took to have the newest change of then, or a later
+# one, in force.
+report_return() {
+	local paused restart
+	paused="$(awk -v missed="$missed" '/event=configurationInForce/ { match($0, /revision=[0-9]+/)
+		if (substr($0, RSTART + 9, RLENGTH - 9) + 0 >= missed) print }' "$work/spool-3.log" | since "$continued")"
+	restart="$(awk '/event=started/ { n++ } n == 2 && /event=configurationInForce/' "$work/spool-4.log" | since "$restarted")"
+	echo "pausedCatchUpMs=$paused restartInForceMs=$restart"
+}
+
 report_daemons() {
 	local p
 	for p in "${!owner[@]}"; do
@@ -281,6 +303,7 @@
 	wait "$audit" || breaches=1
 	sample >>"$work/samples"
 	report_changes
+	report_return
 	report_daemons
 	sed "s/^/load /" "$work/load.out"
 	sed "s/^/audit /" "$work/audit.out"
