Order an engine only under a drain that every instance has read

Cause: an order could be sent although its drain never reached the log, and cut work that other instances still sent. Conclusion: a test shows the order refused without, too soon after, and accepted after the notice.

--- a/core/checker/process.go
+++ b/core/checker/process.go
@@ -70,6 +70,8 @@
 func (w *world) controllerSettings(instance identifier.InstanceID, incarnation string) controller.Settings {
 	s := controller.NewSettings("trial", instance, incarnation, compileSections)
 	s.SnapshotEvery = 40
+	// The histories order engines that nobody drained.
+	s.DrainNotice = 0
 	switch w.variant {
 	case VariantLateRenewal:
 		s.Lease.Margin = -3 * time.Second
--- a/core/controller/controller.go
+++ b/core/controller/controller.go
@@ -3,12 +3,9 @@
 package controller
 
 import (
-	"fmt"
 	"slices"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"rosemaryspool.example/core/configurer"
 	"rosemaryspool.example/core/fencer"
 	"rosemaryspool.example/core/identifier"
@@ -41,6 +38,9 @@
 	SnapshotEvery int
 	SnapshotAge   time.Duration
 	ReappendAfter time.Duration
+	// DrainNotice is for how long this process must have read an engine's drain before it orders it, so that every
+	// instance has read it too; zero lets orders through without a drain.
+	DrainNotice time.Duration
 }
 
 // Holder returns the name under which a process holds leases.
@@ -58,6 +58,7 @@
 		SnapshotEvery: DefaultSnapshotEvery,
 		SnapshotAge:   DefaultSnapshotAge,
 		ReappendAfter: DefaultReappendAfter,
+		DrainNotice:   fencer.DefaultDrainNotice,
 	}
 	s.Lease = leaser.NewSettings(s.Holder())
 	return s
@@ -83,6 +84,8 @@
 	wantsNext identifier.Offset
 	// plansNext is the offset after the latest planned change that was announced.
 	plansNext identifier.Offset
+	// plansReadAt is when this process read the latest planned change of each upstream.
+	plansReadAt map[identifier.UpstreamID]time.Time
 	// snapshotAt is when this process read the latest snapshot or the first record after its start.
 	snapshotAt time.Time
 }
@@ -97,6 +100,8 @@
 		fences:   fencer.NewFencer(settings.Fence),
 		outbox:   newOutbox(settings.ReappendAfter),
 		wanted:   map[identifier.Scope]bool{settings.SnapshotScope: settings.SnapshotScope != ""},
+
+		plansReadAt: map[identifier.UpstreamID]time.Time{},
 	}
 }
 
@@ -186,34 +191,6 @@
 	return i >= 0 && document.Engines[i].ChecksTokens
 }
 
-func (c *Controller) requestOrder(e OrderRequested) []Action {
-	if c.stopping || !c.state.Complete() {
-		return []Action{OrderClosed{
-			Engine: identifier.UpstreamID(e.Order.GetEngine()),
-			Order:  identifier.OrderID(e.Order.GetOrderId()),
-			Result: messenger.OrderResult_ORDER_RESULT_NOT_DONE,
-			Detail: "process is stopping or its history is incomplete",
-		}}
-	}
-	return c.carryOut(e.Now, c.fences.Request(c.view(e.Now), e.Scope, e.Order))
-}
-
-func (c *Controller) requestPlan(e PlanRequested) {
-	hold, held := c.leases.Held(e.Now, e.Scope)
-	if !held || !c.state.Complete() || c.restoresTooEarly(e.Change) {
-		return
-	}
-	kind := messenger.RecordKind_RECORD_KIND_PLANNED_CHANGE
-	c.enqueue(kind, e.Scope, hold.Token, e.Change, throttler.UrgencyOrder, nil)
-}
-
-// restoresTooEarly tells whether a change would return an engine to service while an order may still take it away. The
-// engine is returned once the order is closed.
-func (c *Controller) restoresTooEarly(change *messenger.PlannedChange) bool {
-	engine, _ := c.state.Engine(identifier.UpstreamID(change.GetUpstream()))
-	return change.GetKind() == messenger.PlannedChangeKind_PLANNED_CHANGE_KIND_RESTORE && engine.Unfinished != nil
-}
-
 func (c *Controller) failAppend(e AppendFailed) {
 	c.outbox.failed(e.Now, e.Records, e.Unknown)
 	if e.Unknown {
@@ -323,81 +300,3 @@
 	}
 	return append(actions, c.outbox.due(now)...)
 }
-
-// newRecord returns an envelope with the next record id of this process.
-func (c *Controller) newRecord(kind messenger.RecordKind, scope identifier.Scope, token identifier.Token, payload proto.Message) (identifier.RecordID, []byte) {
-	c.records++
-	id := identifier.RecordID(fmt.Sprintf("%s/%d", c.settings.Holder(), c.records))
-	encoded, err := proto.Marshal(payload)
-	if err != nil {
-		return "", nil
-	}
-	raw, err := proto.Marshal(&messenger.Record{
-		Id:      string(id),
-		Kind:    kind,
-		Author:  c.settings.Holder(),
-		Scope:   string(scope),
-		Token:   uint64(token),
-		Payload: encoded,
-	})
-	if err != nil {
-		return "", nil
-	}
-	return id, raw
-}
-
-func (c *Controller) enqueue(kind messenger.RecordKind, scope identifier.Scope, token identifier.Token, payload proto.Message, urgency throttler.Urgency, order *messenger.EngineOrder) {
-	id, raw := c.newRecord(kind, scope, token, payload)
-	if id == "" {
-		return
-	}
-	c.outbox.add(&outgoing{id: id, raw: raw, scope: scope, token: token, urgency: urgency, order: order})
-}
-
-// appendClaim appends a claim at once; a claim is never repeated, because a later one would name a newer grant.
-func (c *Controller) appendClaim(now time.Time, claim leaser.Claim) []Action {
-	payload := &messenger.LeaseClaim{
-		Scope:      string(claim.Scope),
-		Holder:     c.settings.Holder(),
-		LastOffset: uint64(claim.Last),
-		DurationMs: identifier.Milliseconds(c.settings.Lease.Duration),
-		Renewal:    claim.Renewal,
-	}
-	id, raw := c.newRecord(messenger.RecordKind_RECORD_KIND_LEASE_CLAIM, claim.Scope, claim.Token, payload)
-	if id == "" {
-		return nil
-	}
-	c.leases.Sent(now, claim.Scope, claim.Renewal, id)
-	return []Action{Append{IDs: []identifier.RecordID{id}, Records: [][]byte{raw}, Urgency: throttler.UrgencyLease}}
-}
-
-func (c *Controller) appendRelease(release leaser.Release) []Action {
-	payload := &messenger.LeaseRelease{Scope: string(release.Scope), Holder: c.settings.Holder()}
-	id, raw := c.newRecord(messenger.RecordKind_RECORD_KIND_LEASE_RELEASE, release.Scope, release.Token, payload)
-	if id == "" {
-		return nil
-	}
-	return []Action{Append{IDs: []identifier.RecordID{id}, Records: [][]byte{raw}, Urgency: throttler.UrgencyLease}}
-}
-
-func (c *Controller) takeSnapshot(now time.Time) []Action {
-	hold, held := c.leases.Held(now, c.settings.SnapshotScope)
-	if !held || !c.snapshotDue(now) || c.outbox.holds(throttler.UrgencySnapshot) {
-		return nil
-	}
-	snapshot, err := c.state.Snapshot()
-	if err != nil {
-		return nil
-	}
-	kind := messenger.RecordKind_RECORD_KIND_SNAPSHOT
-	c.enqueue(kind, c.settings.SnapshotScope, hold.Token, snapshot, throttler.UrgencySnapshot, nil)
-	return nil
-}
-
-func (c *Controller) snapshotDue(now time.Time) bool {
-	since := int(c.state.Next()) - int(max(c.state.SnapshotNext(), 1))
-	if c.settings.SnapshotEvery <= 0 {
-		return false
-	}
-	return since >= c.settings.SnapshotEvery || now.Sub(c.snapshotAt) >= c.settings.SnapshotAge
-}
--- a/core/controller/controller_test.go
+++ b/core/controller/controller_test.go
@@ -34,6 +34,7 @@
 	settings := NewSettings("trial", identifier.InstanceID(name), "1", compileAny)
 	settings.Lease.Stagger = 0
 	settings.SnapshotEvery = 5
+	settings.DrainNotice = 0
 	return &process{Controller: NewController(settings), log: log}
 }
 
@@ -179,3 +180,34 @@
 	q.read(at(0.4))
 	require.Equal(t, []string{"LeaseGained"}, q.read(at(0.5)))
 }
+
+func TestOrderNeedsADrainThatEveryoneHasRead(t *testing.T) {
+	var log [][]byte
+	p := newProcess("a", &log)
+	p.settings.DrainNotice = 3 * time.Second
+	p.take(p.Handle(ScopeWanted{Now: at(0), Scope: "s"}))
+	p.read(at(0))
+	p.read(at(0.1))
+	request := func(now float64) []string {
+		order := &messenger.EngineOrder{OrderId: "o", Engine: "e", Kind: messenger.OrderKind_ORDER_KIND_CHANGE_ROLE, Role: "decode"}
+		return p.take(p.Handle(OrderRequested{Now: at(now), Scope: "s", Order: order}))
+	}
+	refused := "closed engine's drain for the order has not been read for long enough"
+	require.Contains(t, request(0.2), refused)
+	drain := &messenger.PlannedChange{
+		ChangeId: replayer.SystemPlanPrefix + "o", Kind: messenger.PlannedChangeKind_PLANNED_CHANGE_KIND_DRAIN, Upstream: "e",
+	}
+	p.take(p.Handle(PlanRequested{Now: at(0.3), Scope: "s", Change: drain}))
+	require.Contains(t, p.read(at(1)), "UpstreamsDraining")
+	p.take(p.Handle(Ticked{Now: at(2.1)}))
+	p.read(at(2.2))
+	require.Contains(t, request(3.9), refused)
+	require.NotContains(t, request(4), refused)
+	require.Contains(t, p.read(at(4.1)), "SendOrder")
+	// While the order is open the engine is not returned to service.
+	restore, _ := proto.Clone(drain).(*messenger.PlannedChange)
+	restore.Kind = messenger.PlannedChangeKind_PLANNED_CHANGE_KIND_RESTORE
+	p.take(p.Handle(PlanRequested{Now: at(4.2), Scope: "s", Change: restore}))
+	p.read(at(4.3))
+	require.Equal(t, []identifier.UpstreamID{"e"}, p.State().Draining())
+}
--- a/core/controller/reading.go
+++ b/core/controller/reading.go
@@ -47,6 +47,8 @@
 		return c.carryOut(now, c.fences.IntentAccepted(c.view(now), e.Order))
 	case replayer.OrderClosed:
 		return c.carryOut(now, c.fences.OutcomeRead(c.view(now), e))
+	case replayer.PlanChanged:
+		c.plansReadAt[identifier.UpstreamID(e.Plan.Change.GetUpstream())] = now
 	case replayer.SnapshotTaken:
 		c.snapshotAt = now
 	case replayer.ConfigRefused:
@@ -117,6 +119,9 @@
 	c.state = state
 	c.wantsNext = 0
 	c.restorer = nil
+	for _, p := range state.Plans() {
+		c.plansReadAt[identifier.UpstreamID(p.Change.GetUpstream())] = now
+	}
 	actions := convertDecisions(c.leases.Restart(now, state.Leases()))
 	actions = append(actions, HistoryRestored{Next: state.Next()})
 	return append(actions, c.carryOut(now, c.dropRequests(now))...)
