Take planned drains as events and keep places of a batch free

UpstreamDrained begins and lifts a planned drain, which sticky leaving could not tell. Long answers leave a tenth of each batch to urgent and short work, and a prefill counts the wait for a place in a full batch.

--- a/core/estimator/engine.go
+++ b/core/estimator/engine.go
@@ -14,6 +14,8 @@
 	Models     []identifier.ModelName
 	// Listed is true while the instance list names the engine as leaving.
 	Listed bool
+	// Drained is true while a planned change keeps new work away from the engine.
+	Drained bool
 
 	settings   *Settings
 	load       Load
@@ -62,7 +64,7 @@
 }
 
 // Away tells whether the engine takes no new work by itself: it is leaving or an order keeps it busy.
-func (e *Engine) Away() bool { return e.Listed || e.load.Leaving || e.load.Changing }
+func (e *Engine) Away() bool { return e.Listed || e.Drained || e.load.Leaving || e.load.Changing }
 
 // Role returns the reported role; an engine that has not reported yet counts as mixed.
 func (e *Engine) Role() identifier.Role {
@@ -302,6 +304,9 @@
 	f.Cached = min(e.cache.cached(prefix), prompt)
 	perToken := e.prefillSeconds(e.Decoding())
 	f.Wait = e.queue(f.Age, perToken)
+	if limit := e.load.MaxBatch; limit > 0 && e.Decoding() >= limit {
+		f.Wait = max(f.Wait, e.batchWait(e.Decoding()+1, limit))
+	}
 	if preferred {
 		f.Wait = min(f.Wait, float64(e.load.Waiting)*float64(prompt)*perToken)
 	}
--- a/core/router/settings.go
+++ b/core/router/settings.go
@@ -60,7 +60,7 @@
 		ShortPrompt:    1024,
 		Harm:           0.1,
 		LongAnswer:     100,
-		LongShare:      1,
+		LongShare:      0.9,
 		UnknownBatch:   32,
 		FullPenalty:    0.5,
 		OldestReport:   4 * time.Second,
--- a/core/scheduler/event.go
+++ b/core/scheduler/event.go
@@ -108,6 +108,13 @@
 	Leaving    bool
 }
 
+// UpstreamDrained begins or ends a planned drain: the engine gets nothing new until the drain is lifted.
+type UpstreamDrained struct {
+	Now      time.Time
+	Upstream identifier.UpstreamID
+	Draining bool
+}
+
 // UpstreamGone removes an engine that no source names any more.
 type UpstreamGone struct {
 	Now      time.Time
@@ -139,6 +146,7 @@
 func (LoadReported) event()      {}
 func (CacheChanged) event()      {}
 func (UpstreamSeen) event()      {}
+func (UpstreamDrained) event()   {}
 func (UpstreamGone) event()      {}
 func (CallerLimited) event()     {}
 func (InstancesCounted) event()  {}
--- a/core/scheduler/fleet.go
+++ b/core/scheduler/fleet.go
@@ -16,6 +16,8 @@
 type member struct {
 	seen   UpstreamSeen
 	weight uint64
+	// drained is true during a planned drain.
+	drained bool
 }
 
 func (s *Scheduler) see(e UpstreamSeen) {
@@ -33,6 +35,19 @@
 	}
 }
 
+// drain keeps a planned drain also for an engine that is not used yet.
+func (s *Scheduler) drain(e UpstreamDrained) {
+	m := s.members[e.Upstream]
+	if m == nil {
+		m = &member{seen: UpstreamSeen{Upstream: e.Upstream}, weight: s.weigh(e.Upstream)}
+		s.members[e.Upstream] = m
+	}
+	m.drained = e.Draining
+	if engine := s.byID[e.Upstream]; engine != nil {
+		engine.Drained = e.Draining
+	}
+}
+
 func (s *Scheduler) remove(e UpstreamGone) {
 	delete(s.members, e.Upstream)
 	s.chooseSubset()
@@ -76,6 +91,7 @@
 	engine.DataCentre = m.seen.DataCentre
 	engine.Models = m.seen.Models
 	engine.Listed = m.seen.Leaving
+	engine.Drained = m.drained
 }
 
 // wanted returns the engines that this instance uses: all of a small fleet, else for each model those with the highest
--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -110,6 +110,9 @@
 	case UpstreamSeen:
 		s.advance(e.Now)
 		s.see(e)
+	case UpstreamDrained:
+		s.advance(e.Now)
+		s.drain(e)
 	case UpstreamGone:
 		s.advance(e.Now)
 		s.remove(e)
--- a/core/scheduler/scheduler_test.go
+++ b/core/scheduler/scheduler_test.go
@@ -91,3 +91,14 @@
 	require.Equal(t, Cancel{Attempt: d.Attempt}, actions[0])
 	require.Equal(t, refuser.DeadlineExceeded, actions[1].(Refuse).Refusal.Code)
 }
+
+func TestDrainedEngineGetsNothingNew(t *testing.T) {
+	s := newFleet(t, "e1", "e2")
+	s.Handle(UpstreamDrained{Now: start, Upstream: "e1", Draining: true})
+	for _, id := range []identifier.RequestID{"r1", "r2", "r3"} {
+		require.Equal(t, identifier.UpstreamID("e2"), only[Dispatch](t, s.Handle(arrival(id, 0, 5*time.Second))).Prefill)
+	}
+	s.Handle(UpstreamDrained{Now: start, Upstream: "e1"})
+	s.Handle(UpstreamDrained{Now: start, Upstream: "e2", Draining: true})
+	require.Equal(t, identifier.UpstreamID("e1"), only[Dispatch](t, s.Handle(arrival("r4", 0, 5*time.Second))).Prefill)
+}
