Tell drains to every instance as events

Cause: the harness marked the engine itself as draining, since the scheduler had no event for a drain. Change: every instance gets UpstreamDrained; the engine knows nothing of it, as with the real log.

--- a/standin/measurer/baseline.go
+++ b/standin/measurer/baseline.go
@@ -96,7 +96,7 @@
 		b.remove(e.Upstream)
 	case scheduler.Ticked:
 		return b.expire(e.Now)
-	case scheduler.CacheChanged, scheduler.CallerLimited:
+	case scheduler.CacheChanged, scheduler.CallerLimited, scheduler.UpstreamDrained, scheduler.InstancesCounted:
 	}
 	return nil
 }
--- a/standin/measurer/simulation.go
+++ b/standin/measurer/simulation.go
@@ -173,9 +173,9 @@
 func (s *Simulation) orderEngine(n *node, order Order) bool {
 	switch order.Kind {
 	case OrderDrain:
-		n.engine.Drain(s.clock(), true)
+		s.tellDrain(n, true)
 	case OrderRestore:
-		n.engine.Drain(s.clock(), false)
+		s.tellDrain(n, false)
 	case OrderChangeRole:
 		absence := between(n.absence, s.figures.AbsenceMin, s.figures.AbsenceMax)
 		if n.engine.ChangeRole(s.clock(), order.Role, absence, s.figures.ChangePatience) != nil {
@@ -187,6 +187,13 @@
 	return true
 }
 
+// tellDrain lets every instance read of a drain, or of its end, in the log. The engine itself does not know of it.
+func (s *Simulation) tellDrain(n *node, draining bool) {
+	for _, i := range s.instances {
+		i.handle(scheduler.UpstreamDrained{Now: s.clock(), Upstream: n.id, Draining: draining})
+	}
+}
+
 // roleChanged notes the present division of the engines for the plot.
 func (s *Simulation) roleChanged() {
 	var split Split
