--- a/core/scheduler/event.go
+++ b/core/scheduler/event.go
@@ -108,7 +108,7 @@
 	Leaving    bool
 }
 
-// UpstreamDrained closes an engine to new work for a planned change, or returns it to service.
+// UpstreamDrained begins or ends a planned drain: the engine gets nothing new until the drain is lifted.
 type UpstreamDrained struct {
 	Now      time.Time
 	Upstream identifier.UpstreamID
--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -111,6 +111,7 @@
 		s.advance(e.Now)
 		s.see(e)
 	case UpstreamDrained:
+		s.advance(e.Now)
 		s.drain(e)
 	case UpstreamGone:
 		s.advance(e.Now)
