Measure time without authority, and reckon each role from the slopes

Cause: slopes alone do not tell which line of a node is over its budget. Change: make capacity also kills the lease holder and stops the log at 25 moments of a renewal period, and prints for each role its bytes, messages, share of a core and memory at today's size, at the target as built and with the mechanisms.

--- a/Makefile
+++ b/Makefile
@@ -76,7 +76,7 @@
 bench:
 	go test -run '^$$' -bench . -benchtime 20000x ./rosemaryspool/demonstrator
 
-PARTS ?= scheduler,callers,configuration,control,claims,reports,appends,spread
+PARTS ?= scheduler,callers,configuration,control,claims,reports,appends,spread,failures,roles
 
 .PHONY: capacity
 
--- a/standin/surveyor/appending.go
+++ b/standin/surveyor/appending.go
@@ -35,6 +35,7 @@
 type lane struct {
 	records [][]byte
 	owed    []func(identifier.Offset)
+	failed  []func()
 }
 
 // ending is a dispatch that ends at a time.
@@ -52,6 +53,7 @@
 	lanes      map[laneKey]*lane
 	endings    []ending
 	tickAt     time.Time
+	dead       bool
 }
 
 // deployment runs instances on two streams with explicit time.
@@ -59,9 +61,11 @@
 	now             time.Time
 	control, claims *ledger
 	members         []*member
-	calls           int
-	replies         int
-	refusals        int
+	// logDown keeps appends from the log; reads then find nothing new.
+	logDown  bool
+	calls    int
+	replies  int
+	refusals int
 }
 
 func newDeployment(instances, scopes int) *deployment {
@@ -78,7 +82,7 @@
 		}
 		d.members = append(d.members, m)
 		for s := range scopes - 1 {
-			scope := identifier.Scope(fmt.Sprintf("engines/model-%02d", s+1))
+			scope := scopeName(s)
 			m.runControl(m.control.Handle(controller.ScopeWanted{Now: d.now, Scope: scope}))
 		}
 		m.runControl(m.control.Handle(controller.ScopeWanted{Now: d.now, Scope: "snapshots"}))
@@ -96,10 +100,19 @@
 			m := d.members[d.calls%len(d.members)]
 			m.runClaims(m.claims.Handle(newCall(d.now, d.calls)))
 		}
-		for _, m := range d.members {
+		d.step()
+	}
+}
+
+// step lets every living member act once.
+func (d *deployment) step() {
+	for _, m := range d.members {
+		if !m.dead {
 			m.advance()
 		}
-		for _, m := range d.members {
+	}
+	for _, m := range d.members {
+		if !m.dead {
 			m.commit()
 		}
 	}
@@ -134,6 +147,8 @@
 		}
 		m.submit(laneKey{urgency: a.Urgency}, a.Records, func(first identifier.Offset) {
 			m.runControl(m.control.Handle(controller.AppendSucceeded{Now: m.deployment.now, Records: a.IDs, First: first}))
+		}, func() {
+			m.runControl(m.control.Handle(controller.AppendFailed{Now: m.deployment.now, Records: a.IDs}))
 		})
 	}
 }
@@ -144,6 +159,8 @@
 		case deduplicator.Append:
 			m.submit(laneKey{claims: true, urgency: a.Urgency}, a.Records, func(identifier.Offset) {
 				m.runClaims(m.claims.Handle(deduplicator.AppendSucceeded{Now: m.deployment.now, Records: a.IDs}))
+			}, func() {
+				m.runClaims(m.claims.Handle(deduplicator.AppendFailed{Now: m.deployment.now, Records: a.IDs}))
 			})
 		case deduplicator.Dispatch:
 			m.endings = append(m.endings, ending{at: m.deployment.now.Add(serviceTime), attempt: a.Attempt})
@@ -156,7 +173,7 @@
 }
 
 // submit adds records to the open append of their stream and urgency, as the daemon's committer does.
-func (m *member) submit(key laneKey, records [][]byte, owed func(identifier.Offset)) {
+func (m *member) submit(key laneKey, records [][]byte, owed func(identifier.Offset), failed func()) {
 	l := m.lanes[key]
 	if l == nil {
 		l = &lane{}
@@ -165,6 +182,14 @@
 	}
 	l.records = append(l.records, records...)
 	l.owed = append(l.owed, owed)
+	l.failed = append(l.failed, failed)
+}
+
+// fail tells that the log certainly took nothing.
+func (l *lane) fail() {
+	for _, failed := range l.failed {
+		failed()
+	}
 }
 
 // commit appends what the budget allows.
@@ -172,6 +197,10 @@
 	for _, key := range m.budget.Due(m.deployment.now) {
 		l := m.lanes[key]
 		delete(m.lanes, key)
+		if m.deployment.logDown {
+			l.fail()
+			continue
+		}
 		stream := m.deployment.control
 		if key.claims {
 			stream = m.deployment.claims
@@ -205,6 +234,16 @@
 	s.writeSeries(rest, scopes, calls)
 }
 
+// count is what a deployment appends in a second.
+type count struct {
+	appends, leases, snapshots, claims, outcomes float64
+	leaseBytes, snapshotBytes, claimBytes        float64
+}
+
+func countName(instances, scopes, rate int) string {
+	return fmt.Sprintf("%d/%d/%d", instances, scopes, rate)
+}
+
 // countAppends runs a deployment, prints its appends by kind and returns their sum a second.
 func (s *Surveyor) countAppends(d *deployment, rate int, length time.Duration) float64 {
 	d.run(warmUp, rate)
@@ -213,15 +252,25 @@
 	calls, replies, refusals := d.calls, d.replies, d.refusals
 	d.run(length, rate)
 	perSecond := func(count int) float64 { return float64(count) / length.Seconds() }
-	total := d.control.total() + d.claims.total()
-	fmt.Fprintf(s.output, "appends instances=%d scopes=%d callsPerSecond=%d perSecond=%.3f leases=%.3f snapshots=%.4f "+
-		"claims=%.3f outcomesAlone=%.3f controlBytesPerSecond=%.0f claimBytesPerSecond=%.0f calls=%d replies=%d refusals=%d\n",
-		len(d.members), len(d.control.scopes()), rate, perSecond(total),
-		perSecond(d.control.appends[messenger.RecordKind_RECORD_KIND_LEASE_CLAIM]),
-		perSecond(d.control.appends[messenger.RecordKind_RECORD_KIND_SNAPSHOT]),
-		perSecond(d.claims.appends[messenger.RecordKind_RECORD_KIND_CLAIM_BATCH]),
-		perSecond(d.claims.appends[messenger.RecordKind_RECORD_KIND_DISPATCH_OUTCOME]),
-		perSecond(d.control.bytes), perSecond(d.claims.bytes),
-		d.calls-calls, d.replies-replies, d.refusals-refusals)
-	return perSecond(total)
+	c := count{
+		appends:       perSecond(sum(d.control.appends) + sum(d.claims.appends)),
+		leases:        perSecond(d.control.appends[messenger.RecordKind_RECORD_KIND_LEASE_CLAIM]),
+		snapshots:     perSecond(d.control.appends[messenger.RecordKind_RECORD_KIND_SNAPSHOT]),
+		claims:        perSecond(d.claims.appends[messenger.RecordKind_RECORD_KIND_CLAIM_BATCH]),
+		outcomes:      perSecond(d.claims.appends[messenger.RecordKind_RECORD_KIND_DISPATCH_OUTCOME]),
+		leaseBytes:    perSecond(d.control.bytes[messenger.RecordKind_RECORD_KIND_LEASE_CLAIM]),
+		snapshotBytes: perSecond(d.control.bytes[messenger.RecordKind_RECORD_KIND_SNAPSHOT]),
+		claimBytes:    perSecond(sum(d.claims.bytes)),
+	}
+	scopes := len(d.control.scopes())
+	s.counts[countName(len(d.members), scopes, rate)] = c
+	fmt.Fprintf(s.output, "appends instances=%d scopes=%d callsPerSecond=%d perSecond=%.3f leases=%.3f snapshots=%.4f claims=%.3f "+
+		"outcomesAlone=%.3f leaseBytesPerSecond=%.0f snapshotBytesPerSecond=%.0f claimBytesPerSecond=%.0f calls=%d replies=%d refusals=%d\n",
+		len(d.members), scopes, rate, c.appends, c.leases, c.snapshots, c.claims, c.outcomes,
+		c.leaseBytes, c.snapshotBytes, c.claimBytes, d.calls-calls, d.replies-replies, d.refusals-refusals)
+	return c.appends
+}
+
+func scopeName(i int) identifier.Scope {
+	return identifier.Scope(fmt.Sprintf("engines/model-%02d", i+1))
 }
--- a/standin/surveyor/ledger.go
+++ b/standin/surveyor/ledger.go
@@ -12,23 +12,29 @@
 type ledger struct {
 	entries []replayer.Entry
 	appends map[messenger.RecordKind]int
-	bytes   int
+	// bytes counts the records' bytes by the kind of the record.
+	bytes map[messenger.RecordKind]int
 }
 
-func newLedger() *ledger { return &ledger{appends: map[messenger.RecordKind]int{}} }
+func newLedger() *ledger {
+	return &ledger{appends: map[messenger.RecordKind]int{}, bytes: map[messenger.RecordKind]int{}}
+}
 
 func (l *ledger) end() identifier.Offset { return identifier.Offset(len(l.entries)) + 1 }
 
 // append adds the records of one append and returns the offset of the first.
 func (l *ledger) append(records [][]byte) identifier.Offset {
 	first := l.end()
-	envelope := &messenger.Record{}
-	if proto.Unmarshal(records[0], envelope) == nil {
-		l.appends[envelope.GetKind()]++
-	}
-	for _, r := range records {
+	for i, r := range records {
 		l.entries = append(l.entries, replayer.Entry{Offset: l.end(), Record: r})
-		l.bytes += len(r)
+		envelope := &messenger.Record{}
+		if proto.Unmarshal(r, envelope) != nil {
+			continue
+		}
+		l.bytes[envelope.GetKind()] += len(r)
+		if i == 0 {
+			l.appends[envelope.GetKind()]++
+		}
 	}
 	return first
 }
@@ -36,19 +42,19 @@
 // read returns the entries from an offset on.
 func (l *ledger) read(from identifier.Offset) []replayer.Entry { return l.entries[from-1:] }
 
-// total returns the number of appends.
-func (l *ledger) total() int {
-	sum := 0
-	for _, n := range l.appends {
-		sum += n
+// sum adds up counts of all kinds.
+func sum(counts map[messenger.RecordKind]int) int {
+	total := 0
+	for _, n := range counts {
+		total += n
 	}
-	return sum
+	return total
 }
 
 // reset starts the counts anew.
 func (l *ledger) reset() {
 	clear(l.appends)
-	l.bytes = 0
+	clear(l.bytes)
 }
 
 // scopes returns the lease scopes that records of the stream name.
--- a/standin/surveyor/reporting.go
+++ b/standin/surveyor/reporting.go
@@ -115,4 +115,8 @@
 		}
 	}
 	s.writeSeries(read)
+	relayed := &messenger.RelayReply{
+		FirstOffset: 100_000, NextOffset: 123_457, Entries: []*messenger.LogEntry{{Offset: 123_456, Record: make([]byte, 140)}},
+	}
+	s.writeFigure("relayReplyOverhead", "B", float64(proto.Size(relayed)-140))
 }
--- a/standin/surveyor/scheduling.go
+++ b/standin/surveyor/scheduling.go
@@ -33,8 +33,10 @@
 
 // fleet is a scheduler with upstreams that report.
 type fleet struct {
-	core     *scheduler.Scheduler
+	core *scheduler.Scheduler
+	// size counts the upstreams; they run models in turn, and requests ask for the first.
 	size     int
+	models   int
 	now      time.Time
 	reportAt time.Time
 	sequence uint64
@@ -44,16 +46,19 @@
 }
 
 // newFleet returns a scheduler that uses all of its upstreams, or the usual subset of them.
-func newFleet(upstreams int, whole bool) *fleet {
+func newFleet(upstreams int, whole bool) *fleet { return newMixedFleet(upstreams, 1, whole) }
+
+// newMixedFleet returns a fleet whose upstreams run several models.
+func newMixedFleet(upstreams, models int, whole bool) *fleet {
 	settings := scheduler.Settings{Instance: "i-1", DataCentre: "dc-1", Instances: todayInstances, Seed: 1}
 	settings.Tunables = scheduler.DefaultTunables()
 	if whole {
 		settings.Tunables.FullFleet = upstreams
 	}
-	f := &fleet{core: scheduler.NewScheduler(settings), size: upstreams, now: start}
+	f := &fleet{core: scheduler.NewScheduler(settings), size: upstreams, models: models, now: start}
 	for i := range upstreams {
 		id := upstreamID(i)
-		f.core.Handle(scheduler.UpstreamSeen{Now: f.now, Upstream: id, DataCentre: "dc-1", Models: []identifier.ModelName{"m"}})
+		f.core.Handle(scheduler.UpstreamSeen{Now: f.now, Upstream: id, DataCentre: "dc-1", Models: []identifier.ModelName{f.modelOf(i)}})
 	}
 	f.reportAll()
 	return f
@@ -68,20 +73,24 @@
 	f.sequence++
 	f.reportAt = f.now.Add(reportEvery)
 	for i := range f.size {
-		f.report(upstreamID(i))
+		f.report(i)
 	}
 }
 
-func (f *fleet) report(id identifier.UpstreamID) {
-	f.core.Handle(scheduler.LoadReported{Now: f.now, Upstream: id, Load: scheduler.Load{
-		Sequence: f.sequence, Role: identifier.RoleMixed, Model: "m", MaxBatch: 64, Running: 4, PendingOutput: 400,
+func (f *fleet) modelOf(upstream int) identifier.ModelName {
+	return identifier.ModelName(fmt.Sprintf("model-%02d", upstream%f.models))
+}
+
+func (f *fleet) report(upstream int) {
+	f.core.Handle(scheduler.LoadReported{Now: f.now, Upstream: upstreamID(upstream), Load: scheduler.Load{
+		Sequence: f.sequence, Role: identifier.RoleMixed, Model: f.modelOf(upstream), MaxBatch: 64, Running: 4, PendingOutput: 400,
 		PrefillPerSecond: prefillPerSecond, DecodeStep: 20 * time.Millisecond, CacheCapacityTokens: 1 << 20,
 	}})
 }
 
 // wait lets the time of one request pass, with the reports that come in it.
 func (f *fleet) wait() {
-	capacity := float64(f.size) * prefillPerSecond / float64(promptPieces*identifier.PieceTokens)
+	capacity := float64(f.size) / float64(f.models) * prefillPerSecond / float64(promptPieces*identifier.PieceTokens)
 	f.now = f.now.Add(time.Duration(todayInstances / (load * capacity) * float64(time.Second)))
 	if !f.now.Before(f.reportAt) {
 		f.reportAll()
@@ -98,7 +107,7 @@
 		prefix[j] = identifier.PrefixHash(i%prompts*promptPieces + j + 1)
 	}
 	actions := f.core.Handle(scheduler.RequestArrived{
-		Now: f.now, Request: identifier.RequestID(fmt.Sprintf("r%d", i)), Caller: "c", Class: "chat", Model: "m", Priority: 1,
+		Now: f.now, Request: identifier.RequestID(fmt.Sprintf("r%d", i)), Caller: "c", Class: "chat", Model: f.modelOf(0), Priority: 1,
 		Urgent: true, Deadline: f.now.Add(20 * time.Second), Prompt: promptPieces * identifier.PieceTokens, MaxOutput: 50,
 		ExpectedOutput: 50, Prefix: prefix,
 	})
@@ -137,27 +146,39 @@
 		memory := &series{name: "schedulerMemory" + suffix, unit: "B", per: "upstream", today: todayUpstreams, target: targetUpstreams}
 		for _, n := range sizes {
 			memory.add(float64(n), occupy(func() any { return newFleet(n, whole) }))
-			c := s.serveRequests(n, whole)
+			c := s.serveRequests(n, 1, whole)
 			processor.add(float64(n), c.nanoseconds)
 			allocation.add(float64(n), c.bytes)
 		}
 		s.writeSeries(processor, allocation, memory)
 	}
+	s.surveyModels()
 	s.surveyPrefixes()
 	f := newFleet(todayUpstreams, true)
 	c := spend(20_000, func(i int) {
 		f.sequence++
-		f.report(upstreamID(i % todayUpstreams))
+		f.report(i % todayUpstreams)
 	})
 	s.writeFigure("takeReportCPU", "ns", c.nanoseconds)
 }
 
+// surveyModels measures a routing decision beside the engines of other models, a subset of each.
+func (s *Surveyor) surveyModels() {
+	processor := &series{name: "requestCPUModels", unit: "ns", per: "model", today: 1, target: targetModels}
+	memory := &series{name: "schedulerMemoryModels", unit: "B", per: "model", today: 1, target: targetModels}
+	for _, n := range []int{2, 4, 16, targetModels} {
+		processor.add(float64(n), s.serveRequests(n*subset, n, false).nanoseconds)
+		memory.add(float64(n), occupy(func() any { return newMixedFleet(n*subset, n, false) }))
+	}
+	s.writeSeries(processor, memory)
+}
+
 // serveRequests returns the cost of one request from arrival to end, without that of the reports meanwhile.
-func (s *Surveyor) serveRequests(upstreams int, whole bool) cost {
+func (s *Surveyor) serveRequests(upstreams, models int, whole bool) cost {
 	const count, warm = 6000, 1000
-	idle := newFleet(upstreams, whole)
+	idle := newMixedFleet(upstreams, models, whole)
 	without := spend(count, func(int) { idle.wait() })
-	f := newFleet(upstreams, whole)
+	f := newMixedFleet(upstreams, models, whole)
 	for i := range warm {
 		f.serve(i)
 	}
--- a/standin/surveyor/surveyor.go
+++ b/standin/surveyor/surveyor.go
@@ -44,10 +44,16 @@
 	output io.Writer
 	// failure is the first fault of a part; its lines are not to be trusted.
 	failure error
+	// fits, figures and counts keep what was written, by name.
+	fits    map[string]fit
+	figures map[string]float64
+	counts  map[string]count
 }
 
 // NewSurveyor returns a surveyor that writes to output.
-func NewSurveyor(output io.Writer) *Surveyor { return &Surveyor{output: output} }
+func NewSurveyor(output io.Writer) *Surveyor {
+	return &Surveyor{output: output, fits: map[string]fit{}, figures: map[string]float64{}, counts: map[string]count{}}
+}
 
 // parts of a survey by name, in the order in which they run.
 func (s *Surveyor) parts() []part {
@@ -60,6 +66,8 @@
 		{"reports", s.surveyReports},
 		{"appends", s.surveyAppends},
 		{"spread", s.surveySpread},
+		{"failures", s.surveyFailures},
+		{"roles", s.reckonRoles},
 	}
 }
 
@@ -102,6 +110,7 @@
 func (s *Surveyor) writeSeries(all ...*series) {
 	for _, c := range all {
 		f := newFit(c.sizes, c.values)
+		s.fits[c.name] = f
 		fmt.Fprintf(s.output, "slope=%s unit=%s per=%s sizes=%s values=%s fixed=%.4g slopeValue=%.4g rSquared=%.4f worst=%.3f "+
 			"todaySize=%g today=%.4g targetSize=%g target=%.4g\n",
 			c.name, c.unit, c.per, join(c.sizes), join(c.values), f.fixed, f.slope, f.squared, f.worst,
@@ -126,5 +135,6 @@
 
 // writeFigure prints one figure that does not depend on a size.
 func (s *Surveyor) writeFigure(name, unit string, value float64) {
+	s.figures[name] = value
 	fmt.Fprintf(s.output, "figure=%s unit=%s value=%.4g\n", name, unit, value)
 }
--- a/standin/surveyor/surveyor_test.go
+++ b/standin/surveyor/surveyor_test.go
@@ -75,3 +75,16 @@
 	require.Contains(t, output.String(), "figure=reportBinaryBytes unit=B value=142\n")
 	require.ErrorContains(t, NewSurveyor(io.Discard).Run([]string{"weather"}), "want one of scheduler,")
 }
+
+func TestSuccessorAfterCrash(t *testing.T) {
+	d := newDeployment(3, failureScopes)
+	d.run(warmUp, 0)
+	first := d.holder()
+	require.NotNil(t, first)
+	first.dead = true
+	require.False(t, d.governed())
+	gap := d.awaitAuthority()
+	require.Greater(t, gap, 4*time.Second, "no successor before the lease can have run out")
+	require.Less(t, gap, 8*time.Second)
+	require.NotSame(t, first, d.holder())
+}
