--- a/rosemaryspool/dispatcher/dispatcher.go
+++ b/rosemaryspool/dispatcher/dispatcher.go
@@ -137,10 +137,8 @@
 
 // Submit hands a request to the core and returns the exchange on which its answer appears.
 func (d *Dispatcher) Submit(work Work) *Exchange {
-	exchange := newExchange(work.Request)
-	if !d.send(submission{work: work, exchange: exchange}) {
-		exchange.end(refuser.NewRefusal(refuser.ShuttingDown, refuser.NotRun, "the instance is stopping"), Finish{})
-	}
+	exchange := newExchange(work.Request, d.done)
+	d.send(submission{work: work, exchange: exchange})
 	return exchange
 }
 
@@ -154,12 +152,10 @@
 
 func (d *Dispatcher) post(event scheduler.Event) { d.send(notice{event: event}) }
 
-func (d *Dispatcher) send(c command) bool {
+func (d *Dispatcher) send(c command) {
 	select {
 	case d.ring <- c:
-		return true
 	case <-d.done:
-		return false
 	}
 }
 
--- a/rosemaryspool/executor/claim.go
+++ b/rosemaryspool/executor/claim.go
@@ -100,6 +100,16 @@
 		c.post(deduplicator.CallerLeft{Now: time.Now(), Request: call.Request})
 		return invoker.Answer{}, refuser.NewRefusal(refuser.CallerGone, refuser.OutcomeUnknown, "the caller left")
 	case <-c.done:
+		return endAtStop(waiting)
+	}
+}
+
+// endAtStop returns the end of a call that may have come right before the stop.
+func endAtStop(waiting *waitingCall) (invoker.Answer, *refuser.Refusal) {
+	select {
+	case end := <-waiting.ended:
+		return end.answer, end.refusal
+	default:
 		return invoker.Answer{}, refuser.NewRefusal(refuser.KeyOutcomeUnknown, refuser.OutcomeUnknown, "the instance stopped")
 	}
 }
