Record every outcome before a planned stop

Cause: the executor dropped outcomes that were not yet in the log when the daemon stopped, so that a repeat was told 'unknown' for work whose answer was known. Change: the planned stop waits until every outcome is in the log, five seconds at most; the executor's ring carries sealed commands.

--- a/rosemaryspool/assembler/daemon.go
+++ b/rosemaryspool/assembler/daemon.go
@@ -31,7 +31,7 @@
 	headerTimeout = 5 * time.Second
 	// idleTimeout closes idle connections of callers.
 	idleTimeout = 2 * time.Minute
-	// releaseTimeout bounds the wait for leases to be given up; unreleased ones expire by themselves.
+	// releaseTimeout bounds the wait for outcomes to be recorded and leases to be given up; unreleased ones expire.
 	releaseTimeout = 5 * time.Second
 )
 
@@ -153,6 +153,7 @@
 	err := callers.Shutdown(ctx)
 	releaseContext, release := context.WithTimeout(context.Background(), releaseTimeout)
 	defer release()
+	d.executor.Shutdown(releaseContext)
 	d.follower.Shutdown(releaseContext)
 	return eris.Wrap(err, "assembler: wait for running work")
 }
--- a/rosemaryspool/executor/claim.go
+++ b/rosemaryspool/executor/claim.go
@@ -36,7 +36,7 @@
 	dispatch  func(ctx context.Context, call Call, attempt identifier.AttemptID) dispatchEnd
 	log       zerolog.Logger
 
-	ring  chan any
+	ring  chan command
 	done  chan struct{}
 	tasks conc.WaitGroup
 	calls map[identifier.RequestID]*waitingCall
@@ -53,12 +53,25 @@
 	refusal *refuser.Refusal
 }
 
+// command is what the owner goroutine takes from its ring.
+type command interface{ command() }
+
+// notice delivers an event to the core.
+type notice struct{ event deduplicator.Event }
+
 // newCall enters a call; it is no event of the core until the owner goroutine has registered it.
 type newCall struct {
 	waiting *waitingCall
 	event   deduplicator.CallArrived
 }
 
+// idleQuestion asks whether every outcome is in the log.
+type idleQuestion struct{ answer chan bool }
+
+func (notice) command()       {}
+func (newCall) command()      {}
+func (idleQuestion) command() {}
+
 func newClaimer(
 	core *deduplicator.Deduplicator, stream appender.Stream, log appender.Log, appends *committer.Committer,
 	events zerolog.Logger,
@@ -69,7 +82,7 @@
 		reader:    reader.NewReader(log, stream, events),
 		committer: appends,
 		log:       events,
-		ring:      make(chan any, claimRingCapacity),
+		ring:      make(chan command, claimRingCapacity),
 		done:      make(chan struct{}),
 		calls:     make(map[identifier.RequestID]*waitingCall),
 	}
@@ -97,7 +110,7 @@
 	case end := <-waiting.ended:
 		return end.answer, end.refusal
 	case <-ctx.Done():
-		c.post(deduplicator.CallerLeft{Now: time.Now(), Request: call.Request})
+		c.post(notice{deduplicator.CallerLeft{Now: time.Now(), Request: call.Request}})
 		return invoker.Answer{}, refuser.NewRefusal(refuser.CallerGone, refuser.OutcomeUnknown, "the caller left")
 	case <-c.done:
 		return endAtStop(waiting)
@@ -114,15 +127,42 @@
 	}
 }
 
-func (c *claimer) post(event any) bool {
+func (c *claimer) post(entry command) bool {
 	select {
-	case c.ring <- event:
+	case c.ring <- entry:
 		return true
 	case <-c.done:
 		return false
 	}
 }
 
+// awaitIdle returns when every outcome is in the log, when the claimer has ended, or when ctx ends.
+func (c *claimer) awaitIdle(ctx context.Context) {
+	ticker := time.NewTicker(claimTick)
+	defer ticker.Stop()
+	for {
+		question := idleQuestion{answer: make(chan bool, 1)}
+		if !c.post(question) {
+			return
+		}
+		select {
+		case idle := <-question.answer:
+			if idle {
+				return
+			}
+		case <-c.done:
+			return
+		case <-ctx.Done():
+			return
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // serve feeds the core until stop is closed.
 func (c *claimer) serve(stop <-chan struct{}) {
 	defer close(c.done)
@@ -140,8 +180,8 @@
 		case result := <-c.reader.Results():
 			c.take(ctx, result)
 			c.reader.ReadFrom(c.core.NextOffset())
-		case event := <-c.ring:
-			c.handle(ctx, event)
+		case entry := <-c.ring:
+			c.handle(ctx, entry)
 		case now := <-ticker.C:
 			c.feed(ctx, deduplicator.Ticked{Now: now, WallNow: now})
 		}
@@ -172,15 +212,15 @@
 	}
 }
 
-func (c *claimer) handle(ctx context.Context, event any) {
-	switch e := event.(type) {
+func (c *claimer) handle(ctx context.Context, entry command) {
+	switch e := entry.(type) {
 	case newCall:
 		c.calls[e.event.Request] = e.waiting
 		c.feed(ctx, e.event)
-	case deduplicator.CallerLeft:
-		c.feed(ctx, e)
-	case deduplicator.Event:
-		c.feed(ctx, e)
+	case idleQuestion:
+		e.answer <- c.core.Idle()
+	case notice:
+		c.feed(ctx, e.event)
 	}
 }
 
@@ -213,7 +253,7 @@
 		Records: a.Records,
 		Urgency: a.Urgency,
 		Ended: func(_ identifier.Offset, err error) {
-			go c.post(claimAppendEnded(a, err))
+			go c.post(notice{claimAppendEnded(a, err)})
 		},
 	})
 }
@@ -235,14 +275,14 @@
 	call := waiting.call
 	c.tasks.Go(func() {
 		end := c.dispatch(ctx, call, d.Attempt)
-		c.post(deduplicator.DispatchEnded{
+		c.post(notice{deduplicator.DispatchEnded{
 			Now:         time.Now(),
 			Attempt:     d.Attempt,
 			Result:      end.result,
 			Status:      end.status,
 			ContentType: end.contentType,
 			Answer:      end.answer,
-		})
+		}})
 	})
 }
 
--- a/rosemaryspool/executor/executor.go
+++ b/rosemaryspool/executor/executor.go
@@ -73,12 +73,15 @@
 // Run follows the claim stream until stop is closed.
 func (e *Executor) Run(stop <-chan struct{}) { e.claims.serve(stop) }
 
+// Shutdown returns once the outcomes of all calls are in the log, or when ctx ends. No new calls may come.
+func (e *Executor) Shutdown(ctx context.Context) { e.claims.awaitIdle(ctx) }
+
 // Done is closed when Run has returned.
 func (e *Executor) Done() <-chan struct{} { return e.claims.done }
 
 // SetWindow sets how long keys are remembered from their issue time.
 func (e *Executor) SetWindow(window time.Duration) {
-	e.claims.post(deduplicator.WindowSet{Window: window})
+	e.claims.post(notice{deduplicator.WindowSet{Window: window}})
 }
 
 // SetClosed keeps an upstream from new calls, or returns it to service.
