--- a/Makefile
+++ b/Makefile
@@ -70,3 +70,39 @@
 plots: build
 	./bin/standin measure --deployment kalipci --seeds 1 --load 0.9 --policy all --plot docs/plots/kalipci.svg
 	./bin/standin measure --deployment luminaria --seeds 1 --load 0.9 --policy all --plot docs/plots/luminaria.svg
+
+.PHONY: bench
+
+bench:
+	go test -run '^$$' -bench . -benchtime 20000x ./rosemaryspool/demonstrator
+
+.PHONY: fuzz-configuration bench-configuration
+
+FUZZTIME ?= 30s
+
+fuzz-configuration:
+	go test -run '^$$' -fuzz FuzzParse -fuzztime $(FUZZTIME) -fuzzminimizetime 20x ./core/configurer
+	go test -run '^$$' -fuzz FuzzApply -fuzztime $(FUZZTIME) -fuzzminimizetime 20x ./core/configurer
+
+bench-configuration:
+	go test -run '^$$' -bench . -benchmem ./core/configurer
+	go test -run '^$$' -bench FoldOneCaller -benchmem ./core/replayer
+
+SECONDS ?= 40
+SEED ?= 1
+
+.PHONY: today
+
+# Runs 7 daemons and a deployment's stand-ins as processes: make today DEPLOYMENT=kalipci SECONDS=40 SEED=1.
+today: build
+	scripts/today.sh $(DEPLOYMENT) $(SECONDS) $(SEED)
+
+PARTS ?= scheduler,callers,configuration,control,claims,reports,appends,spread
+
+PARTS ?= scheduler,callers,configuration,control,claims,reports,appends,spread,failures,roles
+
+.PHONY: capacity
+
+# Measures how the core's costs grow, on one processor, and reckons them at the target's size.
+capacity: build
+	./bin/standin capacity --parts $(PARTS)
--- a/core/scheduler/fleet.go
+++ b/core/scheduler/fleet.go
@@ -20,6 +20,9 @@
 	drained bool
 }
 
+// closed tells whether the engine must get no new work.
+func (m *member) closed() bool { return m.seen.Leaving || m.drained }
+
 func (s *Scheduler) see(e UpstreamSeen) {
 	m := s.members[e.Upstream]
 	if m == nil {
@@ -46,6 +49,9 @@
 	if engine := s.byID[e.Upstream]; engine != nil {
 		engine.Drained = e.Draining
 	}
+	if m.seen.DataCentre != "" {
+		s.chooseSubset()
+	}
 }
 
 func (s *Scheduler) remove(e UpstreamGone) {
@@ -118,7 +124,7 @@
 				break
 			}
 			wanted[m.seen.Upstream] = true
-			if !m.seen.Leaving {
+			if !m.closed() {
 				left--
 			}
 		}
--- a/rosemaryspool/executor/claim.go
+++ b/rosemaryspool/executor/claim.go
@@ -16,6 +16,7 @@
 	"rosemaryspool.example/core/refuser"
 	"rosemaryspool.example/rosemaryspool/committer"
 	"rosemaryspool.example/rosemaryspool/reader"
+	"rosemaryspool.example/rosemaryspool/waiter"
 )
 
 const (
@@ -99,6 +100,16 @@
 		c.post(deduplicator.CallerLeft{Now: time.Now(), Request: call.Request})
 		return invoker.Answer{}, refuser.NewRefusal(refuser.CallerGone, refuser.OutcomeUnknown, "the caller left")
 	case <-c.done:
+		return endAtStop(waiting)
+	}
+}
+
+// endAtStop returns the end of a call that may have come right before the stop.
+func endAtStop(waiting *waitingCall) (invoker.Answer, *refuser.Refusal) {
+	select {
+	case end := <-waiting.ended:
+		return end.answer, end.refusal
+	default:
 		return invoker.Answer{}, refuser.NewRefusal(refuser.KeyOutcomeUnknown, refuser.OutcomeUnknown, "the instance stopped")
 	}
 }
@@ -138,11 +149,7 @@
 }
 
 func (c *claimer) waitForTasks() {
-	finished := make(chan struct{})
-	go func() {
-		c.tasks.Wait()
-		close(finished)
-	}()
+	finished := waiter.Finished(&c.tasks)
 	for {
 		select {
 		case <-c.ring:
--- a/rosemaryspool/watcher/watcher.go
+++ b/rosemaryspool/watcher/watcher.go
@@ -12,8 +12,10 @@
 	"github.com/sourcegraph/conc"
 
 	"rosemaryspool.example/adaptor/lister"
+	"rosemaryspool.example/core/drainer"
 	"rosemaryspool.example/core/identifier"
 	"rosemaryspool.example/core/scheduler"
+	"rosemaryspool.example/rosemaryspool/conductor"
 	"rosemaryspool.example/rosemaryspool/dispatcher"
 	"rosemaryspool.example/rosemaryspool/resolver"
 	"rosemaryspool.example/wire/messenger"
@@ -28,18 +30,19 @@
 	callTimeout = 2 * time.Second
 )
 
-// Watcher polls the platform. Its findings go to Notify as scheduler events.
+// Watcher polls the platform. Its findings go to the scheduler and to the conductor.
 type Watcher struct {
 	list     lister.List
 	resolver *resolver.Resolver
 	notify   func(scheduler.Event)
+	learn    func(conductor.Event)
 	log      zerolog.Logger
 	done     chan struct{}
 
 	mutex   sync.Mutex
 	peers   []lister.Member
 	models  map[identifier.UpstreamID][]identifier.ModelName
-	leaving map[identifier.UpstreamID]bool
+	closed  map[identifier.UpstreamID]bool
 	cursors map[identifier.UpstreamID]uint64
 	reports map[identifier.UpstreamID]readReport
 }
@@ -52,12 +55,13 @@
 
 // NewWatcher returns a watcher that has read nothing yet.
 func NewWatcher(
-	list lister.List, targets *resolver.Resolver, notify func(scheduler.Event), log zerolog.Logger,
+	list lister.List, targets *resolver.Resolver, notify func(scheduler.Event), learn func(conductor.Event),
+	log zerolog.Logger,
 ) *Watcher {
 	return &Watcher{
-		list: list, resolver: targets, notify: notify, log: log, done: make(chan struct{}),
+		list: list, resolver: targets, notify: notify, learn: learn, log: log, done: make(chan struct{}),
 		models:  make(map[identifier.UpstreamID][]identifier.ModelName),
-		leaving: make(map[identifier.UpstreamID]bool),
+		closed:  make(map[identifier.UpstreamID]bool),
 		cursors: make(map[identifier.UpstreamID]uint64),
 		reports: make(map[identifier.UpstreamID]readReport),
 	}
@@ -102,18 +106,12 @@
 	}
 }
 
-// SetDraining names the upstreams that planned changes keep from new work.
-func (w *Watcher) SetDraining(ids []identifier.UpstreamID) {
-	leaving := make(map[identifier.UpstreamID]bool, len(ids))
-	for _, id := range ids {
-		leaving[id] = true
-	}
+// SetClosed keeps an upstream from new work, or returns it to service.
+func (w *Watcher) SetClosed(id identifier.UpstreamID, closed bool) {
 	w.mutex.Lock()
-	w.leaving = leaving
+	w.closed[id] = closed
 	w.mutex.Unlock()
-	for _, u := range w.resolver.Engines() {
-		w.announce(u.Member)
-	}
+	w.notify(scheduler.UpstreamDrained{Now: time.Now(), Upstream: id, Draining: closed})
 }
 
 // Statuses returns this instance's view of its upstreams, sorted by id.
@@ -124,7 +122,7 @@
 	var statuses []*messenger.UpstreamStatus
 	for _, u := range w.resolver.All() {
 		status := &messenger.UpstreamStatus{Upstream: u.Member.ID, Kind: string(u.Member.Kind), State: "inService"}
-		if u.Member.Leaving || w.leaving[u.ID()] {
+		if u.Member.Leaving || w.closed[u.ID()] {
 			status.State = "leaving"
 		}
 		if r, ok := w.reports[u.ID()]; ok {
@@ -176,6 +174,8 @@
 	for _, id := range w.resolver.Update(members) {
 		w.notify(scheduler.UpstreamGone{Now: time.Now(), Upstream: id})
 	}
+	w.learn(listRead(members, len(peers)))
+	w.notify(scheduler.InstancesCounted{Instances: max(1, len(peers))})
 	for _, m := range members {
 		if m.Kind == lister.KindEngine {
 			w.announce(m)
@@ -183,16 +183,28 @@
 	}
 }
 
+// listRead turns a listing into the conductor's event.
+func listRead(members []lister.Member, instances int) conductor.ListRead {
+	read := conductor.ListRead{Now: time.Now(), Instances: max(1, instances)}
+	for _, m := range members {
+		if m.Kind != lister.KindInstance {
+			read.Members = append(read.Members, drainer.Member{Upstream: identifier.UpstreamID(m.ID), Leaving: m.Leaving})
+		}
+	}
+	return read
+}
+
 // announce passes an engine on, with all models unless the configuration names them.
 func (w *Watcher) announce(member lister.Member) {
 	id := identifier.UpstreamID(member.ID)
 	w.mutex.Lock()
 	models := w.models[id]
-	leaving := w.leaving[id] || member.Leaving
+	closed := w.closed[id]
 	w.mutex.Unlock()
 	w.notify(scheduler.UpstreamSeen{
-		Now: time.Now(), Upstream: id, DataCentre: member.DataCentre, Models: models, Leaving: leaving,
+		Now: time.Now(), Upstream: id, DataCentre: member.DataCentre, Models: models, Leaving: member.Leaving,
 	})
+	w.notify(scheduler.UpstreamDrained{Now: time.Now(), Upstream: id, Draining: closed})
 }
 
 func (w *Watcher) readReports(ctx context.Context) {
@@ -215,6 +227,7 @@
 	w.mutex.Lock()
 	w.reports[engine.ID()] = readReport{report: report, readAt: now}
 	w.mutex.Unlock()
+	w.learn(conductor.EngineReported{Now: now, Upstream: engine.ID(), Report: report})
 	w.notify(scheduler.LoadReported{Now: now, Upstream: engine.ID(), Load: *dispatcher.ConvertReport(report)})
 	w.readCacheEvents(ctx, engine)
 }
