--- a/standin/surveyor/reckoning.go
+++ b/standin/surveyor/reckoning.go
@@ -2,7 +2,7 @@
 
 import "fmt"
 
-// Assumptions where neither the letter's target nor the code gives a figure.
+// Assumptions where neither the target nor the code gives a figure.
 const (
 	todayChangesPerDay   = 20
 	targetChangesPerDay  = 4600
@@ -18,6 +18,8 @@
 	subset       = 24
 	// claimShards is three for each data centre, each followed by ten nodes.
 	claimShards = 36
+	// nodesOfCentre is the number of instances in one data centre of the target.
+	nodesOfCentre = targetInstances / dataCentres
 )
 
 // Budgets of control for one node.
@@ -73,7 +75,10 @@
 		s.writeDemands("leaseHolder", at.name, s.holderDemands(at))
 		s.writeDemands("entryData", at.name, s.dataDemands(at))
 	}
-	s.writeDemands("entry", "targetWithMechanisms", s.mechanismDemands(target))
+	with := s.mechanismDemands(target)
+	s.writeDemands("entry", "targetWithMechanisms", with)
+	s.writeDemands("relay", "targetWithMechanisms", relayDemands(with, nodesOfCentre-1))
+	s.writeDemands("sharedRelay", "targetWithMechanisms", relayDemands(with, 1))
 	s.writeDemands("engine", "today", s.engineDemands(todayInstances))
 	s.writeDemands("engine", "targetAsBuilt", s.engineDemands(targetInstances))
 }
@@ -180,6 +185,19 @@
 	}
 }
 
+// relayDemands returns the lines of an entry instance that also passes the log's records on to others.
+func relayDemands(lines []demand, others float64) []demand {
+	relaying := make([]demand, len(lines))
+	for i, d := range lines {
+		relaying[i] = d
+		if d.line != "loadReports" {
+			relaying[i].out = others * d.in
+			relaying[i].messages += others * d.messages
+		}
+	}
+	return relaying
+}
+
 // engineDemands returns what one engine's control side answers.
 func (s *Surveyor) engineDemands(instances float64) []demand {
 	polls := 2 * instances
