--- a/Makefile
+++ b/Makefile
@@ -76,6 +76,18 @@
 bench:
 	go test -run '^$$' -bench . -benchtime 20000x ./rosemaryspool/demonstrator
 
+.PHONY: fuzz-configuration bench-configuration
+
+FUZZTIME ?= 30s
+
+fuzz-configuration:
+	go test -run '^$$' -fuzz FuzzParse -fuzztime $(FUZZTIME) -fuzzminimizetime 20x ./core/configurer
+	go test -run '^$$' -fuzz FuzzApply -fuzztime $(FUZZTIME) -fuzzminimizetime 20x ./core/configurer
+
+bench-configuration:
+	go test -run '^$$' -bench . -benchmem ./core/configurer
+	go test -run '^$$' -bench FoldOneCaller -benchmem ./core/replayer
+
 PARTS ?= scheduler,callers,configuration,control,claims,reports,appends,spread,failures,roles
 
 .PHONY: capacity
--- a/core/router/router.go
+++ b/core/router/router.go
@@ -40,6 +40,8 @@
 	// PrefillForecast and DecodeForecast predict the course at the two engines.
 	PrefillForecast estimator.PrefillForecast
 	DecodeForecast  estimator.DecodeForecast
+	// Unseen is the work in seconds that other instances have probably sent to the prefill engine since its report.
+	Unseen float64
 	// Finish is the likely time in seconds until the last token.
 	Finish float64
 	// Late is by how many seconds the careful prediction misses the deadline; negative means in time.
@@ -169,7 +171,7 @@
 		p.prefillCost = p.prefill.First()*max(weight, r.settings.WaitWeight) + p.prefill.Occupation
 		p.prefillCost += p.prefill.Length * float64(p.engine.Decoding()) * r.harm(p.engine.Pressure(q.Allowed))
 		p.spare = remaining - last - p.prefill.First()
-		p.decodeCost = float64(q.Output)*(p.decode.Share+weight*p.decode.Interval) + weight*p.decode.Wait
+		p.decodeCost = float64(q.Output)*(p.decode.Share+weight*r.settings.IntervalWeight*p.decode.Interval) + weight*p.decode.Wait
 		p.decodeCost += r.late(first + p.careful - remaining)
 		if p.places <= 0 {
 			p.decodeCost += r.settings.FullPenalty * float64(1-p.places)
@@ -212,7 +214,7 @@
 			r.candidates = append(r.candidates, r.candidate(now, q, p, p))
 		}
 	}
-	if prefill != nil && decode != nil && prefill != decode && q.LongOutput > 1 {
+	if prefill != nil && decode != nil && prefill != decode && (q.LongOutput >= longOutput || len(r.candidates) == 0) {
 		r.candidates = append(r.candidates, r.candidate(now, q, prefill, decode))
 	}
 }
@@ -220,7 +222,7 @@
 func (r *Router) candidate(now time.Time, q Request, prefill, decode *part) Candidate {
 	c := Candidate{
 		Prefill: prefill.engine, Decode: decode.engine, PrefillForecast: prefill.prefill, DecodeForecast: decode.decode,
-		Cost: prefill.prefillCost + decode.decodeCost,
+		Cost: prefill.prefillCost + decode.decodeCost, Unseen: prefill.unseen,
 	}
 	handOver := 0.0
 	if prefill != decode {
--- a/core/scheduler/fleet.go
+++ b/core/scheduler/fleet.go
@@ -16,8 +16,13 @@
 type member struct {
 	seen   UpstreamSeen
 	weight uint64
+	// drained is true during a planned drain.
+	drained bool
 }
 
+// closed tells whether the engine must get no new work.
+func (m *member) closed() bool { return m.seen.Leaving || m.drained }
+
 func (s *Scheduler) see(e UpstreamSeen) {
 	m := s.members[e.Upstream]
 	if m == nil {
@@ -33,6 +38,22 @@
 	}
 }
 
+// drain keeps a planned drain also for an engine that is not used yet.
+func (s *Scheduler) drain(e UpstreamDrained) {
+	m := s.members[e.Upstream]
+	if m == nil {
+		m = &member{seen: UpstreamSeen{Upstream: e.Upstream}, weight: s.weigh(e.Upstream)}
+		s.members[e.Upstream] = m
+	}
+	m.drained = e.Draining
+	if engine := s.byID[e.Upstream]; engine != nil {
+		engine.Drained = e.Draining
+	}
+	if m.seen.DataCentre != "" {
+		s.chooseSubset()
+	}
+}
+
 func (s *Scheduler) remove(e UpstreamGone) {
 	delete(s.members, e.Upstream)
 	s.chooseSubset()
@@ -76,6 +97,7 @@
 	engine.DataCentre = m.seen.DataCentre
 	engine.Models = m.seen.Models
 	engine.Listed = m.seen.Leaving
+	engine.Drained = m.drained
 }
 
 // wanted returns the engines that this instance uses: all of a small fleet, else for each model those with the highest
@@ -102,7 +124,7 @@
 				break
 			}
 			wanted[m.seen.Upstream] = true
-			if !m.seen.Leaving {
+			if !m.closed() {
 				left--
 			}
 		}
--- a/rosemaryctl/commander/platform_test.go
+++ b/rosemaryctl/commander/platform_test.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -16,6 +15,7 @@
 	"github.com/rogpeppe/go-internal/testscript"
 	"github.com/sourcegraph/conc"
 
+	"rosemaryspool.example/adaptor/appender"
 	"rosemaryspool.example/adaptor/lister"
 	"rosemaryspool.example/adaptor/querier"
 	"rosemaryspool.example/core/configurer"
@@ -126,12 +126,11 @@
 	platformOf(ts).log.Switches.Set(fault)
 }
 
-// setRival makes another operator publish a file right before the next append: rival OPERATOR FILE.
+// setRival makes another operator run a command right before the next append: rival OPERATOR COMMAND ARGUMENTS.
 func setRival(ts *testscript.TestScript, _ bool, args []string) {
 	p := platformOf(ts)
-	arguments := []string{
-		"rosemaryctl", "publish", ts.MkAbs(args[1]), "--log", p.logURL, "--operator", args[0], "--message", "rival change", "--wait", "0s",
-	}
+	arguments := append([]string{"rosemaryctl"}, args[1:]...)
+	arguments = append(arguments, "--log", p.logURL, "--operator", args[0], "--wait", "0s")
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.rival = func() { run(context.Background(), arguments, io.Discard, io.Discard) }
@@ -151,7 +150,7 @@
 func trimLog(ts *testscript.TestScript, _ bool, args []string) {
 	offset, err := strconv.Atoi(args[1])
 	ts.Check(err)
-	platformOf(ts).log.Trim(follower.ControlStream(identifier.Environment(args[0])), identifier.Offset(offset))
+	platformOf(ts).log.Trim(appender.ControlStream(identifier.Environment(args[0])), identifier.Offset(offset))
 }
 
 // editFile writes a copy of a file with one text replaced: edit FROM TO OLD NEW, where \n stands for a line's end.
@@ -164,22 +163,6 @@
 	ts.Check(os.WriteFile(ts.MkAbs(args[1]), []byte(strings.Replace(text, old, next, 1)), 0o600))
 }
 
-// checkExit runs a command and checks its exit code: exits CODE COMMAND ARGUMENTS.
-func checkExit(ts *testscript.TestScript, _ bool, args []string) {
-	wanted, err := strconv.Atoi(args[0])
-	ts.Check(err)
-	err = ts.Exec(args[1], args[2:]...)
-	code := 0
-	if exit, ok := err.(*exec.ExitError); ok {
-		code = exit.ExitCode()
-	} else {
-		ts.Check(err)
-	}
-	if code != wanted {
-		ts.Fatalf("exit code %d, want %d", code, wanted)
-	}
-}
-
 // instance is a stand-in of an entry instance: it folds the whole log for each call.
 type instance struct {
 	platform    *platform
@@ -188,7 +171,7 @@
 }
 
 func (i *instance) fold(ctx context.Context) (*replayer.State, error) {
-	reader := follower.New(i.platform.log, i.environment, nil)
+	reader := follower.NewFollower(i.platform.log, i.environment, nil)
 	err := reader.Refresh(ctx, 0)
 	return reader.State(), err
 }
--- a/rosemaryspool/assembler/part.go
+++ b/rosemaryspool/assembler/part.go
@@ -58,7 +58,7 @@
 	d.watcher = watcher.NewWatcher(lister.NewClient(d.settings.ListURL), targets, d.dispatcher.Notify, d.learn, d.log)
 	d.executor = executor.NewExecutor(executor.Settings{
 		Deduplicator: deduplicator.NewSettings(d.settings.Instance, d.incarnation, "claims"),
-		Stream:       appender.Stream(d.settings.Environment) + ".claims.0",
+		Stream:       appender.ClaimStream(d.settings.Environment, 0),
 	}, targets, log, d.committer, d.log)
 	d.server = server.NewServer(server.Settings{
 		Instance:     d.settings.Instance,
@@ -114,7 +114,7 @@
 		Order: func(closed controller.OrderClosed, unfinished []identifier.UpstreamID) {
 			d.learn(conductor.OrderClosed{Now: time.Now(), Closed: closed, Unfinished: unfinished})
 		},
-		Incomplete: func() { go d.bootstrap() },
+		Incomplete: d.startBootstrap,
 	}
 }
 
@@ -134,6 +134,17 @@
 	d.server.SetConfiguration(classifier.NewClassifier(configuration.Revision, document))
 }
 
+// startBootstrap asks the peers unless they are being asked already.
+func (d *Daemon) startBootstrap() {
+	if !d.bootstrapping.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer d.bootstrapping.Store(false)
+		d.bootstrap()
+	}()
+}
+
 // bootstrap asks the peers for their folded state and hands the newest one to the controller.
 func (d *Daemon) bootstrap() {
 	newest := &messenger.BootstrapReply{}
--- a/rosemaryspool/follower/follower.go
+++ b/rosemaryspool/follower/follower.go
@@ -17,6 +17,7 @@
 	"rosemaryspool.example/rosemaryspool/committer"
 	"rosemaryspool.example/rosemaryspool/reader"
 	"rosemaryspool.example/rosemaryspool/resolver"
+	"rosemaryspool.example/rosemaryspool/waiter"
 	"rosemaryspool.example/wire/messenger"
 )
 
@@ -39,7 +40,7 @@
 	Lease func(scope identifier.Scope, held bool, unfinished []identifier.UpstreamID)
 	// Order tells how an order ended.
 	Order func(closed controller.OrderClosed, unfinished []identifier.UpstreamID)
-	// Incomplete tells that records were trimmed unread: a peer's snapshot is needed.
+	// Incomplete tells, after each read, that a peer's state is needed: records were trimmed unread or none can be read.
 	Incomplete func()
 }
 
@@ -60,17 +61,12 @@
 	reachable atomic.Bool
 }
 
-// ControlStream names an environment's control stream.
-func ControlStream(environment identifier.Environment) appender.Stream {
-	return appender.Stream(environment) + ".control"
-}
-
 // NewFollower returns a follower; nothing runs before Run.
 func NewFollower(
 	settings controller.Settings, log appender.Log, appends *committer.Committer, targets *resolver.Resolver,
 	listeners Listeners, events zerolog.Logger,
 ) *Follower {
-	stream := ControlStream(settings.Environment)
+	stream := appender.ControlStream(settings.Environment)
 	return &Follower{
 		controller: controller.NewController(settings),
 		stream:     stream,
@@ -165,11 +161,7 @@
 
 // waitForTasks discards events until no task can send any more.
 func (f *Follower) waitForTasks() {
-	finished := make(chan struct{})
-	go func() {
-		f.tasks.Wait()
-		close(finished)
-	}()
+	finished := waiter.Finished(&f.tasks)
 	for {
 		select {
 		case <-f.ring:
@@ -182,6 +174,7 @@
 
 func (f *Follower) take(ctx context.Context, result reader.Result) {
 	f.reachable.Store(result.Err == nil)
+	defer f.askPeers(result.Err)
 	switch {
 	case result.Err != nil:
 	case result.Trimmed > 0:
@@ -191,6 +184,14 @@
 	}
 }
 
+// askPeers asks for a peer's state while records are missing, or while a started process cannot read its first one.
+func (f *Follower) askPeers(failure error) {
+	state := f.controller.State()
+	if !state.Complete() || (failure != nil && state.Revision() == 0) {
+		f.listeners.Incomplete()
+	}
+}
+
 func (f *Follower) feed(ctx context.Context, event controller.Event) {
 	for _, action := range f.controller.Handle(event) {
 		f.carryOut(ctx, action)
@@ -224,8 +225,6 @@
 		f.listeners.Lease(a.Scope, false, nil)
 	case controller.OrderClosed:
 		f.listeners.Order(a, f.unfinished())
-	case controller.HistoryIncomplete:
-		f.listeners.Incomplete()
 	}
 }
 
