--- a/Makefile
+++ b/Makefile
@@ -99,6 +99,7 @@
 
 PARTS ?= scheduler,callers,configuration,control,claims,reports,appends,spread
 
+
 PARTS ?= scheduler,callers,configuration,control,claims,reports,appends,spread,failures,roles
 
 .PHONY: capacity
