Apply callers' limits to unlisted callers and to service calls

Cause: the limit of the caller 'default' was configured but held for nobody, service calls passed without any limit, and each new configuration sent all callers' limits to the scheduler again. Change: the admitter falls back to the default caller; service calls ask the scheduler; only changed callers are passed on. Measured: a scenario that failed before (second request of an unlisted caller answered with 200) passes.

--- a/core/admitter/admitter.go
+++ b/core/admitter/admitter.go
@@ -77,19 +77,28 @@
 // SetInstances tells over how many instances a caller's requests spread; each instance grants its part of a limit.
 func (a *Admitter) SetInstances(count int) { a.instances = float64(max(1, count)) }
 
-// Limit sets a caller's rate; zero removes it.
+// Limit sets a caller's rate; zero lets it send without limit. The limit of identifier.DefaultCaller holds for each
+// caller that has none of its own.
 func (a *Admitter) Limit(id identifier.CallerID, perSecond float64, burst int) {
-	if perSecond <= 0 {
-		delete(a.limits, id)
-		return
+	a.limits[id] = limit{perSecond: max(0, perSecond), burst: max(1, float64(burst))}
+}
+
+// Unlist removes a caller's own limit.
+func (a *Admitter) Unlist(id identifier.CallerID) { delete(a.limits, id) }
+
+// limitOf returns the limit that holds for a caller; without one its rate is zero.
+func (a *Admitter) limitOf(id identifier.CallerID) limit {
+	if l, ok := a.limits[id]; ok {
+		return l
 	}
-	a.limits[id] = limit{perSecond: perSecond, burst: max(1, float64(burst))}
+	return a.limits[identifier.DefaultCaller]
 }
 
 // Admit takes one request of a caller that would occupy an engine for some seconds. The delay says when to come again.
 func (a *Admitter) Admit(now time.Time, id identifier.CallerID, urgent bool, occupation float64) (Verdict, time.Duration) {
 	account, fresh := a.ledger.open(id)
-	l, limited := a.limits[id]
+	l := a.limitOf(id)
+	limited := l.perSecond > 0
 	a.fade(now, account, l, fresh)
 	if limited && account.allowance < 1 {
 		wait := (1 - account.allowance) * a.instances / l.perSecond
--- a/core/admitter/admitter_test.go
+++ b/core/admitter/admitter_test.go
@@ -100,3 +100,28 @@
 		i++
 	}
 }
+
+func TestLimitOfTheDefaultCaller(t *testing.T) {
+	cases := []struct {
+		name   string
+		set    func(*Admitter)
+		caller identifier.CallerID
+		second Verdict
+	}{
+		{"unlisted caller", func(*Admitter) {}, "new", OverLimit},
+		{"listed without limit", func(a *Admitter) { a.Limit("c", 0, 0) }, "c", Admitted},
+		{"listed with a larger limit", func(a *Admitter) { a.Limit("c", 10, 2) }, "c", Admitted},
+		{"unlisted again", func(a *Admitter) { a.Limit("c", 0, 0); a.Unlist("c") }, "c", OverLimit},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			a := NewAdmitter(DefaultSettings())
+			a.Limit(identifier.DefaultCaller, 1, 1)
+			c.set(a)
+			first, _ := a.Admit(start, c.caller, true, 0)
+			require.Equal(t, Admitted, first)
+			second, _ := a.Admit(start, c.caller, true, 0)
+			require.Equal(t, c.second, second)
+		})
+	}
+}
--- a/core/classifier/classifier.go
+++ b/core/classifier/classifier.go
@@ -9,9 +9,6 @@
 	"rosemaryspool.example/core/refuser"
 )
 
-// DefaultCaller is the caller entry whose limits hold for callers without an entry of their own.
-const DefaultCaller identifier.CallerID = "default"
-
 // Classifier answers look-ups in one revision of the configuration; it is immutable.
 type Classifier struct {
 	Revision identifier.Revision
@@ -96,7 +93,7 @@
 	if caller, ok := c.callers[id]; ok {
 		return caller
 	}
-	return c.callers[DefaultCaller]
+	return c.callers[identifier.DefaultCaller]
 }
 
 // Models returns the configured models in document order.
--- a/core/identifier/identifier.go
+++ b/core/identifier/identifier.go
@@ -12,6 +12,9 @@
 // CallerID names a customer that sends requests.
 type CallerID string
 
+// DefaultCaller is the configured caller whose limits hold for callers without an entry of their own.
+const DefaultCaller CallerID = "default"
+
 // UpstreamID names a back end: a model engine or a plain service.
 type UpstreamID string
 
--- a/core/scheduler/dispatcher.go
+++ b/core/scheduler/dispatcher.go
@@ -36,16 +36,38 @@
 	if choice.Best != nil {
 		occupation = choice.Best.Occupation(s.routed(r).Output)
 	}
-	verdict, wait := s.admitter.Admit(s.now, r.Caller, r.Urgent, occupation)
+	code, message, wait := s.judgeCaller(r.Caller, r.Urgent, occupation)
+	if code == 0 {
+		return true
+	}
+	s.refuse(r, code, message, wait)
+	return false
+}
+
+// admitCall applies the caller's limit to a call that takes no engine time.
+func (s *Scheduler) admitCall(e ServiceCalled) {
+	code, message, wait := s.judgeCaller(e.Caller, e.Urgent, 0)
+	if code == 0 {
+		return
+	}
+	refusal := refuser.NewRefusal(code, refuser.NotRun, message)
+	refusal.RetryAfterMS = int(wait / time.Millisecond)
+	s.act(Refuse{Request: e.Request, Refusal: *refusal})
+}
+
+// judgeCaller returns why a caller's request is refused; the code is zero when it is admitted.
+func (s *Scheduler) judgeCaller(
+	caller identifier.CallerID, urgent bool, occupation float64,
+) (code refuser.Code, message string, wait time.Duration) {
+	verdict, wait := s.admitter.Admit(s.now, caller, urgent, occupation)
 	switch verdict {
 	case admitter.OverLimit:
-		s.refuse(r, refuser.CallerOverLimit, "the caller's request rate is used up", wait)
+		return refuser.CallerOverLimit, "the caller's request rate is used up", wait
 	case admitter.OverShare:
-		s.refuse(r, refuser.Overloaded, "the caller takes more than its share of an overloaded fleet", wait)
-	case admitter.Admitted:
-		return true
+		return refuser.Overloaded, "the caller takes more than its share of an overloaded fleet", wait
+	default:
+		return 0, "", 0
 	}
-	return false
 }
 
 // place dispatches a request that has no running attempt, lets it wait at the instance, or refuses it.
--- a/core/scheduler/event.go
+++ b/core/scheduler/event.go
@@ -129,6 +129,18 @@
 	Burst             int
 }
 
+// CallerUnlisted removes one caller's own limit; the limit of the default caller holds for it from then on.
+type CallerUnlisted struct{ Caller identifier.CallerID }
+
+// ServiceCalled asks whether a call to a plain service may pass its caller's limit. It is answered by a Refuse action
+// or by none.
+type ServiceCalled struct {
+	Now     time.Time
+	Request identifier.RequestID
+	Caller  identifier.CallerID
+	Urgent  bool
+}
+
 // InstancesCounted tells how many instances of the system are live, this one included.
 type InstancesCounted struct {
 	Now       time.Time
@@ -149,5 +161,7 @@
 func (UpstreamDrained) event()   {}
 func (UpstreamGone) event()      {}
 func (CallerLimited) event()     {}
+func (CallerUnlisted) event()    {}
+func (ServiceCalled) event()     {}
 func (InstancesCounted) event()  {}
 func (Ticked) event()            {}
--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -118,6 +118,11 @@
 		s.remove(e)
 	case CallerLimited:
 		s.admitter.Limit(e.Caller, e.RequestsPerSecond, e.Burst)
+	case CallerUnlisted:
+		s.admitter.Unlist(e.Caller)
+	case ServiceCalled:
+		s.advance(e.Now)
+		s.admitCall(e)
 	case InstancesCounted:
 		s.advance(e.Now)
 		s.setInstances(e.Instances)
--- a/rosemaryspool/assembler/part.go
+++ b/rosemaryspool/assembler/part.go
@@ -15,6 +15,7 @@
 	"rosemaryspool.example/adaptor/permitter"
 	"rosemaryspool.example/adaptor/querier"
 	"rosemaryspool.example/core/classifier"
+	"rosemaryspool.example/core/configurer"
 	"rosemaryspool.example/core/controller"
 	"rosemaryspool.example/core/deduplicator"
 	"rosemaryspool.example/core/identifier"
@@ -127,13 +128,30 @@
 	}
 	d.watcher.SetModels(models)
 	d.executor.SetWindow(document.Keys.Window)
-	for _, c := range document.Callers {
-		d.dispatcher.Notify(scheduler.CallerLimited{Caller: c.ID, RequestsPerSecond: c.RequestsPerSecond, Burst: c.Burst})
-	}
+	d.limitCallers(document)
 	d.learn(conductor.ConfigChanged{Document: document})
 	d.server.SetConfiguration(classifier.NewClassifier(configuration.Revision, document))
 }
 
+// limitCallers tells the scheduler which callers' limits changed since the configuration before.
+func (d *Daemon) limitCallers(document *configurer.Document) {
+	before := make(map[identifier.CallerID]configurer.Caller)
+	if previous := d.server.Configuration(); previous != nil {
+		for _, c := range previous.Document.Callers {
+			before[c.ID] = c
+		}
+	}
+	for _, c := range document.Callers {
+		if known, ok := before[c.ID]; !ok || known != c {
+			d.dispatcher.Notify(scheduler.CallerLimited{Caller: c.ID, RequestsPerSecond: c.RequestsPerSecond, Burst: c.Burst})
+		}
+		delete(before, c.ID)
+	}
+	for id := range before {
+		d.dispatcher.Notify(scheduler.CallerUnlisted{Caller: id})
+	}
+}
+
 // startBootstrap asks the peers unless they are being asked already.
 func (d *Daemon) startBootstrap() {
 	if !d.bootstrapping.CompareAndSwap(false, true) {
--- a/rosemaryspool/dispatcher/dispatcher.go
+++ b/rosemaryspool/dispatcher/dispatcher.go
@@ -89,8 +89,15 @@
 
 type notice struct{ event scheduler.Event }
 
+// admission is a question whether a call to a plain service may pass.
+type admission struct {
+	event  scheduler.ServiceCalled
+	answer chan *refuser.Refusal
+}
+
 func (submission) command() {}
 func (notice) command()     {}
+func (admission) command()  {}
 
 // NewDispatcher returns a dispatcher; Run must be started before Submit is used.
 func NewDispatcher(
@@ -142,6 +149,18 @@
 	return exchange
 }
 
+// Admit tells why a call to a plain service may not pass its caller's limit; nil when it may.
+func (d *Dispatcher) Admit(call scheduler.ServiceCalled) *refuser.Refusal {
+	question := admission{event: call, answer: make(chan *refuser.Refusal, 1)}
+	d.send(question)
+	select {
+	case refusal := <-question.answer:
+		return refusal
+	case <-d.done:
+		return errNeverDecided
+	}
+}
+
 // Leave tells that the caller of a request no longer waits.
 func (d *Dispatcher) Leave(request identifier.RequestID) {
 	d.post(scheduler.CallerLeft{Now: time.Now(), Request: request})
@@ -166,7 +185,19 @@
 	case notice:
 		d.feed(ctx, c.event)
 		d.forget(c.event)
+	case admission:
+		d.answerAdmission(c)
+	}
+}
+
+func (d *Dispatcher) answerAdmission(question admission) {
+	var refusal *refuser.Refusal
+	for _, action := range d.core.Handle(question.event) {
+		if r, ok := action.(scheduler.Refuse); ok {
+			refusal = &r.Refusal
+		}
 	}
+	question.answer <- refusal
 }
 
 func (d *Dispatcher) admit(ctx context.Context, s submission) {
--- a/rosemaryspool/server/service.go
+++ b/rosemaryspool/server/service.go
@@ -10,6 +10,7 @@
 	"rosemaryspool.example/adaptor/invoker"
 	"rosemaryspool.example/core/identifier"
 	"rosemaryspool.example/core/refuser"
+	"rosemaryspool.example/core/scheduler"
 	"rosemaryspool.example/rosemaryspool/executor"
 )
 
@@ -35,6 +36,13 @@
 		s.replyRefusal(w, r, refusal)
 		return
 	}
+	limited := s.dispatcher.Admit(scheduler.ServiceCalled{
+		Now: arrived, Request: requestID(r), Caller: headers.Caller, Urgent: class.Urgent,
+	})
+	if limited != nil {
+		s.replyRefusal(w, r, limited)
+		return
+	}
 	call := executor.Call{
 		Request:     requestID(r),
 		Caller:      headers.Caller,
