--- a/standin/commander/measure.go
+++ b/standin/commander/measure.go
@@ -123,6 +123,9 @@
 		if err != nil {
 			return nil, fmt.Errorf("commander: seed %q: %w", part, err)
 		}
+		if last < first {
+			return nil, fmt.Errorf("commander: seeds %q: the range is empty", part)
+		}
 		for seed := first; seed <= last; seed++ {
 			all = append(all, seed)
 		}
--- /dev/null
+++ b/standin/commander/measure_test.go
@@ -0,0 +1,43 @@
+package commander
+
+import (
+	"bytes"
+	"context"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestSeeds(t *testing.T) {
+	cases := []struct {
+		text  string
+		want  []uint64
+		fails bool
+	}{
+		{"7", []uint64{7}, false},
+		{"1-3,9", []uint64{1, 2, 3, 9}, false},
+		{"3-1", nil, true},
+		{"a", nil, true},
+		{"1-b", nil, true},
+	}
+	for _, c := range cases {
+		got, err := seeds(c.text)
+		require.Equal(t, c.fails, err != nil, c.text)
+		require.Equal(t, c.want, got, c.text)
+	}
+}
+
+func TestMeasureRefusesUnknownNames(t *testing.T) {
+	cases := [][]string{
+		{"--deployment", "elsewhere"},
+		{"--fault", "flood"},
+		{"--policy", "luck"},
+		{"--policy", "static:1/1/1"},
+		{"--load", "high"},
+		{"--set", "speed=9"},
+	}
+	for _, c := range cases {
+		arguments := append([]string{"standin", "measure", "--deployment", "kalipci", "--seeds", "1", "--load", "0.3", "--minutes", "0.1"}, c...)
+		require.Error(t, run(context.Background(), arguments, &bytes.Buffer{}), "%v", c)
+	}
+}
