--- a/core/deduplicator/deduplicator_test.go
+++ b/core/deduplicator/deduplicator_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -205,6 +206,22 @@
 	require.Equal(t, []string{"refuse r2 4003 outcomeUnknown"}, a.call("r2", "k", 1))
 }
 
+func TestCallerWhoLeftIsNotRunAndItsRunIsKept(t *testing.T) {
+	var log [][]byte
+	a := newBench("a", &log)
+	a.call("r1", "k1", 1)
+	a.call("r2", "k2", 1)
+	a.tick(DefaultBatchDelay)
+	require.Equal(t, []string{"refuse r1 3005 notRun"}, a.take(a.Handle(CallerLeft{Now: a.clock(), Request: "r1"})))
+	require.Equal(t, []string{"dispatch r2"}, a.read())
+	require.Empty(t, a.take(a.Handle(CallerLeft{Now: a.clock(), Request: "r2"})))
+	require.Equal(t, []string{"reply r2 200 sewn"}, a.end("a/1/claims.0/2", done, "sewn"))
+	require.Equal(t, []string{"reply r3 200 sewn"}, a.call("r3", "k2", 1))
+	a.tick(DefaultBatchDelay)
+	require.Empty(t, a.read())
+	require.Empty(t, a.call("r4", "k1", 1))
+}
+
 func TestTrimmedClaimsRefuseTheKeysOfTheirTime(t *testing.T) {
 	var log [][]byte
 	a := newBench("a", &log)
@@ -274,10 +291,17 @@
 		_, raw := writer.newRecord(messenger.RecordKind_RECORD_KIND_CLAIM_BATCH, message)
 		entries = append(entries, replayer.Entry{Offset: identifier.Offset(len(entries) + 1), Record: raw})
 	}
-	b.ReportAllocs()
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	var reader *Deduplicator
 	for b.Loop() {
-		reader := NewDeduplicator(NewSettings("r", "1", "claims.0"))
+		reader = NewDeduplicator(NewSettings("r", "1", "claims.0"))
 		reader.Handle(RecordsRead{Now: now, WallNow: now, Entries: entries})
 		require.Equal(b, claims, reader.Keys())
 	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/claims, "heapBytes/key")
+	runtime.KeepAlive(reader)
 }
--- a/rosemaryspool/assembler/daemon.go
+++ b/rosemaryspool/assembler/daemon.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -15,6 +16,7 @@
 	"github.com/sourcegraph/conc"
 
 	"rosemaryspool.example/rosemaryspool/committer"
+	"rosemaryspool.example/rosemaryspool/conductor"
 	"rosemaryspool.example/rosemaryspool/dispatcher"
 	"rosemaryspool.example/rosemaryspool/executor"
 	"rosemaryspool.example/rosemaryspool/explainer"
@@ -29,7 +31,7 @@
 	headerTimeout = 5 * time.Second
 	// idleTimeout closes idle connections of callers.
 	idleTimeout = 2 * time.Minute
-	// releaseTimeout bounds the wait for leases to be given up; unreleased ones expire by themselves.
+	// releaseTimeout bounds the wait for outcomes to be recorded and leases to be given up; unreleased ones expire.
 	releaseTimeout = 5 * time.Second
 )
 
@@ -43,11 +45,14 @@
 	executor   *executor.Executor
 	explainer  *explainer.Explainer
 	committer  *committer.Committer
+	conductor  *conductor.Conductor
 	watcher    *watcher.Watcher
 	follower   *follower.Follower
 	server     *server.Server
 	responder  *responder.Responder
 
+	bootstrapping atomic.Bool
+
 	callers net.Listener
 	peers   net.Listener
 	done    chan struct{}
@@ -101,6 +106,7 @@
 	start(&appends, func() { d.committer.Run(stopAppends) })
 	start(&parts, func() { d.dispatcher.Run(stopParts) })
 	start(&parts, func() { d.executor.Run(stopParts) })
+	start(&parts, func() { d.conductor.Run(stopParts) })
 	start(&parts, func() { d.watcher.Run(stopParts) })
 	start(&parts, func() { d.follower.Run(stopParts) })
 	start(&parts, func() { d.responder.Run(d.peers, stopParts) })
@@ -147,6 +153,7 @@
 	err := callers.Shutdown(ctx)
 	releaseContext, release := context.WithTimeout(context.Background(), releaseTimeout)
 	defer release()
+	d.executor.Shutdown(releaseContext)
 	d.follower.Shutdown(releaseContext)
 	return eris.Wrap(err, "assembler: wait for running work")
 }
--- a/rosemaryspool/follower/follower.go
+++ b/rosemaryspool/follower/follower.go
@@ -13,9 +13,12 @@
 	"rosemaryspool.example/adaptor/appender"
 	"rosemaryspool.example/core/controller"
 	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/core/replayer"
 	"rosemaryspool.example/rosemaryspool/committer"
 	"rosemaryspool.example/rosemaryspool/reader"
 	"rosemaryspool.example/rosemaryspool/resolver"
+	"rosemaryspool.example/rosemaryspool/waiter"
+	"rosemaryspool.example/wire/messenger"
 )
 
 const (
@@ -31,13 +34,13 @@
 type Listeners struct {
 	// InForce tells of a new configuration.
 	InForce func(controller.ConfigInForce)
-	// Draining names all upstreams that planned changes keep from new work.
-	Draining func([]identifier.UpstreamID)
-	// Lease tells that this process gained or lost a scope's lease.
-	Lease func(scope identifier.Scope, held bool)
+	// Plans delivers the latest planned change of every upstream.
+	Plans func([]*messenger.PlannedChange)
+	// Lease tells that this process gained or lost a scope's lease; unfinished names the engines with an open order.
+	Lease func(scope identifier.Scope, held bool, unfinished []identifier.UpstreamID)
 	// Order tells how an order ended.
-	Order func(controller.OrderClosed)
-	// Incomplete tells that records were trimmed unread: a peer's snapshot is needed.
+	Order func(closed controller.OrderClosed, unfinished []identifier.UpstreamID)
+	// Incomplete tells, after each read, that a peer's state is needed: records were trimmed unread or none can be read.
 	Incomplete func()
 }
 
@@ -58,17 +61,12 @@
 	reachable atomic.Bool
 }
 
-// ControlStream names an environment's control stream.
-func ControlStream(environment identifier.Environment) appender.Stream {
-	return appender.Stream(environment) + ".control"
-}
-
 // NewFollower returns a follower; nothing runs before Run.
 func NewFollower(
 	settings controller.Settings, log appender.Log, appends *committer.Committer, targets *resolver.Resolver,
 	listeners Listeners, events zerolog.Logger,
 ) *Follower {
-	stream := ControlStream(settings.Environment)
+	stream := appender.ControlStream(settings.Environment)
 	return &Follower{
 		controller: controller.NewController(settings),
 		stream:     stream,
@@ -163,11 +161,7 @@
 
 // waitForTasks discards events until no task can send any more.
 func (f *Follower) waitForTasks() {
-	finished := make(chan struct{})
-	go func() {
-		f.tasks.Wait()
-		close(finished)
-	}()
+	finished := waiter.Finished(&f.tasks)
 	for {
 		select {
 		case <-f.ring:
@@ -180,6 +174,7 @@
 
 func (f *Follower) take(ctx context.Context, result reader.Result) {
 	f.reachable.Store(result.Err == nil)
+	defer f.askPeers(result.Err)
 	switch {
 	case result.Err != nil:
 	case result.Trimmed > 0:
@@ -189,6 +184,14 @@
 	}
 }
 
+// askPeers asks for a peer's state while records are missing, or while a started process cannot read its first one.
+func (f *Follower) askPeers(failure error) {
+	state := f.controller.State()
+	if !state.Complete() || (failure != nil && state.Revision() == 0) {
+		f.listeners.Incomplete()
+	}
+}
+
 func (f *Follower) feed(ctx context.Context, event controller.Event) {
 	for _, action := range f.controller.Handle(event) {
 		f.carryOut(ctx, action)
@@ -214,17 +217,32 @@
 	switch a := action.(type) {
 	case controller.ConfigInForce:
 		f.listeners.InForce(a)
-	case controller.UpstreamsDraining:
-		f.listeners.Draining(a.Upstreams)
+	case controller.PlansChanged:
+		f.listeners.Plans(changesOf(a.Plans))
 	case controller.LeaseGained:
-		f.listeners.Lease(a.Scope, true)
+		f.listeners.Lease(a.Scope, true, f.unfinished())
 	case controller.LeaseLost:
-		f.listeners.Lease(a.Scope, false)
+		f.listeners.Lease(a.Scope, false, nil)
 	case controller.OrderClosed:
-		f.listeners.Order(a)
-	case controller.HistoryIncomplete:
-		f.listeners.Incomplete()
+		f.listeners.Order(a, f.unfinished())
+	}
+}
+
+func changesOf(plans []replayer.Plan) []*messenger.PlannedChange {
+	changes := make([]*messenger.PlannedChange, len(plans))
+	for i, p := range plans {
+		changes[i] = p.Change
+	}
+	return changes
+}
+
+// unfinished names the engines with an open order.
+func (f *Follower) unfinished() []identifier.UpstreamID {
+	var ids []identifier.UpstreamID
+	for _, o := range f.controller.State().Unfinished() {
+		ids = append(ids, identifier.UpstreamID(o.Order.GetEngine()))
 	}
+	return ids
 }
 
 func (f *Follower) append(a controller.Append) {
