--- a/core/admitter/admitter.go
+++ b/core/admitter/admitter.go
@@ -78,8 +78,11 @@
 func (a *Admitter) SetInstances(count int) { a.instances = float64(max(1, count)) }
 
 // Limit sets a caller's rate; zero lets it send without limit. The limit of identifier.DefaultCaller holds for each
-// caller that has none of its own.
+// caller that has none of its own. A new limit begins with its whole burst.
 func (a *Admitter) Limit(id identifier.CallerID, perSecond float64, burst int) {
+	if account := a.ledger.accounts[id]; account != nil {
+		account.allowance = max(1, float64(burst)/a.instances)
+	}
 	a.limits[id] = limit{perSecond: max(0, perSecond), burst: max(1, float64(burst))}
 }
 
--- a/core/admitter/admitter_test.go
+++ b/core/admitter/admitter_test.go
@@ -125,3 +125,14 @@
 		})
 	}
 }
+
+func TestNewLimitBeginsWithItsBurst(t *testing.T) {
+	a := NewAdmitter(DefaultSettings())
+	a.Limit("c", 1, 1)
+	a.Admit(start, "c", true, 0)
+	refused, _ := a.Admit(start, "c", true, 0)
+	require.Equal(t, OverLimit, refused)
+	a.Limit("c", 40, 120)
+	admitted, _ := a.Admit(start, "c", true, 0)
+	require.Equal(t, Admitted, admitted)
+}
