--- a/Makefile
+++ b/Makefile
@@ -99,6 +99,9 @@
 
 PARTS ?= scheduler,callers,configuration,control,claims,reports,appends,spread
 
+
+PARTS ?= scheduler,callers,configuration,control,claims,reports,appends,spread,failures,roles
+
 .PHONY: capacity
 
 # Measures how the core's costs grow, on one processor, and reckons them at the target's size.
--- a/core/scheduler/fleet.go
+++ b/core/scheduler/fleet.go
@@ -16,12 +16,12 @@
 type member struct {
 	seen   UpstreamSeen
 	weight uint64
-	// draining is true while a planned change keeps the engine from new work.
-	draining bool
+	// drained is true during a planned drain.
+	drained bool
 }
 
 // closed tells whether the engine must get no new work.
-func (m *member) closed() bool { return m.seen.Leaving || m.draining }
+func (m *member) closed() bool { return m.seen.Leaving || m.drained }
 
 func (s *Scheduler) see(e UpstreamSeen) {
 	m := s.members[e.Upstream]
@@ -38,14 +38,20 @@
 	}
 }
 
-// drain closes or opens an engine for a planned change; what runs there goes on.
+// drain keeps a planned drain also for an engine that is not used yet.
 func (s *Scheduler) drain(e UpstreamDrained) {
 	m := s.members[e.Upstream]
-	if m == nil || m.draining == e.Draining {
-		return
+	if m == nil {
+		m = &member{seen: UpstreamSeen{Upstream: e.Upstream}, weight: s.weigh(e.Upstream)}
+		s.members[e.Upstream] = m
+	}
+	m.drained = e.Draining
+	if engine := s.byID[e.Upstream]; engine != nil {
+		engine.Drained = e.Draining
+	}
+	if m.seen.DataCentre != "" {
+		s.chooseSubset()
 	}
-	m.draining = e.Draining
-	s.chooseSubset()
 }
 
 func (s *Scheduler) remove(e UpstreamGone) {
@@ -90,7 +96,8 @@
 	}
 	engine.DataCentre = m.seen.DataCentre
 	engine.Models = m.seen.Models
-	engine.Listed = m.closed()
+	engine.Listed = m.seen.Leaving
+	engine.Drained = m.drained
 }
 
 // wanted returns the engines that this instance uses: all of a small fleet, else for each model those with the highest
--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -111,12 +111,18 @@
 		s.advance(e.Now)
 		s.see(e)
 	case UpstreamDrained:
+		s.advance(e.Now)
 		s.drain(e)
 	case UpstreamGone:
 		s.advance(e.Now)
 		s.remove(e)
 	case CallerLimited:
 		s.admitter.Limit(e.Caller, e.RequestsPerSecond, e.Burst)
+	case CallerUnlisted:
+		s.admitter.Unlist(e.Caller)
+	case ServiceCalled:
+		s.advance(e.Now)
+		s.admitCall(e)
 	case InstancesCounted:
 		s.advance(e.Now)
 		s.setInstances(e.Instances)
--- a/rosemaryspool/dispatcher/exchange.go
+++ b/rosemaryspool/dispatcher/exchange.go
@@ -14,6 +14,8 @@
 	Request identifier.RequestID
 
 	changed chan struct{}
+	// stopped is closed when no request is decided any more.
+	stopped <-chan struct{}
 
 	mutex sync.Mutex
 	// text is the answer so far, produced by the leading attempt.
@@ -44,8 +46,8 @@
 	Finish  Finish
 }
 
-func newExchange(request identifier.RequestID) *Exchange {
-	return &Exchange{Request: request, changed: make(chan struct{}, 1)}
+func newExchange(request identifier.RequestID, stopped <-chan struct{}) *Exchange {
+	return &Exchange{Request: request, changed: make(chan struct{}, 1), stopped: stopped}
 }
 
 // Next waits for more of the answer or its end.
@@ -58,6 +60,8 @@
 		case <-ctx.Done():
 			return Progress{}, ctx.Err()
 		case <-x.changed:
+		case <-x.stopped:
+			x.end(errNeverDecided, Finish{})
 		}
 	}
 }
@@ -77,10 +81,15 @@
 		case <-ctx.Done():
 			return Progress{}, ctx.Err()
 		case <-x.changed:
+		case <-x.stopped:
+			x.end(errNeverDecided, Finish{})
 		}
 	}
 }
 
+// errNeverDecided ends a request that reached a stopped dispatcher: one that was decided before has its end already.
+var errNeverDecided = refuser.NewRefusal(refuser.ShuttingDown, refuser.NotRun, "the instance is stopping")
+
 func (x *Exchange) take() (Progress, bool) {
 	x.mutex.Lock()
 	defer x.mutex.Unlock()
--- a/rosemaryspool/dispatcher/exchange_test.go
+++ b/rosemaryspool/dispatcher/exchange_test.go
@@ -35,7 +35,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			x := newExchange("r")
+			x := newExchange("r", nil)
 			for _, s := range c.steps {
 				apply(t, x, s)
 			}
@@ -59,7 +59,7 @@
 }
 
 func TestExchangeEndsOnce(t *testing.T) {
-	x := newExchange("r")
+	x := newExchange("r", nil)
 	x.end(refuser.NewRefusal(refuser.Overloaded, refuser.NotRun, "full"), Finish{})
 	x.end(nil, Finish{Reason: "stop"})
 	x.offer("a", []byte("late"), 1)
