--- a/core/estimator/engine.go
+++ b/core/estimator/engine.go
@@ -24,6 +24,7 @@
 	// before is the own work at the time of the measurement.
 	before      ownWork
 	others      ownWork
+	tight       int
 	own         ownWork
 	past        history
 	cache       *belief
@@ -229,6 +230,9 @@
 	if work.Output >= longOutput {
 		e.own.decoding++
 	}
+	if work.Tight {
+		e.tight++
+	}
 	e.past.record(now, e.own)
 	e.cache.add(prefix)
 }
@@ -252,6 +256,9 @@
 	if work.Output >= longOutput {
 		e.own.decoding--
 	}
+	if work.Tight {
+		e.tight--
+	}
 	if !prefilled {
 		e.own.queued -= float64(work.Prefill)
 	}
@@ -272,6 +279,9 @@
 // Decoding returns the number of sequences believed to decode now or soon.
 func (e *Engine) Decoding() int { return e.others.decoding + e.own.decoding }
 
+// Tight returns the number of this instance's answers here that prefill beside them would soon make late.
+func (e *Engine) Tight() int { return e.tight }
+
 // Busy returns the smoothed share of time in which the engine runs prefill.
 func (e *Engine) Busy() float64 { return e.busy }
 
--- a/core/estimator/load.go
+++ b/core/estimator/load.go
@@ -34,6 +34,8 @@
 	// Prefill counts prompt tokens that are not in the engine's cache.
 	Prefill identifier.Tokens
 	Output  identifier.Tokens
+	// Tight marks an answer that prefill beside it would soon make late.
+	Tight bool
 }
 
 // PrefillForecast predicts one attempt's prefill at one engine; durations are in seconds.
--- a/core/router/router.go
+++ b/core/router/router.go
@@ -23,6 +23,8 @@
 	Others     Flow
 	// Allowed is the time in seconds from token to token that the long answers of this instance can bear.
 	Allowed float64
+	// Instances is the number of instances that send work like this one.
+	Instances float64
 }
 
 // Flow is the work that other instances are believed to send at present; it takes some time until reports show it.
@@ -162,6 +164,7 @@
 			last = min(last, p.careful)
 		}
 	}
+	instances := max(1, q.Instances)
 	weight := r.settings.PatientWeight
 	if q.Urgent {
 		weight = 1
@@ -170,6 +173,7 @@
 		p := &r.parts[i]
 		p.prefillCost = p.prefill.First()*max(weight, r.settings.WaitWeight) + p.prefill.Occupation
 		p.prefillCost += p.prefill.Length * float64(p.engine.Decoding()) * r.harm(p.engine.Pressure(q.Allowed))
+		p.prefillCost += p.prefill.Length * float64(p.engine.Tight()) * instances * r.settings.TightHarm
 		p.spare = remaining - last - p.prefill.First()
 		p.decodeCost = float64(q.Output)*(p.decode.Share+weight*r.settings.IntervalWeight*p.decode.Interval) + weight*p.decode.Wait
 		p.decodeCost += r.late(first + p.careful - remaining)
--- a/core/router/settings.go
+++ b/core/router/settings.go
@@ -29,6 +29,8 @@
 	LongAnswer identifier.Tokens
 	// LongShare is the share of a batch that long answers may take; the rest is kept for short ones.
 	LongShare float64
+	// TightHarm weighs each second of prefill for each urgent answer that decodes beside it.
+	TightHarm float64
 	// UnknownBatch is assumed for an engine that does not tell its largest batch.
 	UnknownBatch int
 	// FullPenalty is the cost in seconds of each sequence above a batch's limit.
@@ -61,6 +63,7 @@
 		Harm:           0.1,
 		LongAnswer:     100,
 		LongShare:      0.9,
+		TightHarm:      0.5,
 		UnknownBatch:   32,
 		FullPenalty:    0.5,
 		OldestReport:   4 * time.Second,
@@ -71,7 +74,7 @@
 		Remote:         10 * time.Millisecond,
 		HandOver:       50 * time.Millisecond,
 		LatePenalty:    100,
-		LateCost:       30,
+		LateCost:       15,
 		Doubt:          500 * time.Millisecond,
 		Explained:      3,
 	}
--- a/core/scheduler/dispatcher.go
+++ b/core/scheduler/dispatcher.go
@@ -202,6 +202,7 @@
 		Prefix:     r.Prefix,
 		Allowed:    s.allowed.Value(0),
 		Others:     s.others(),
+		Instances:  float64(s.settings.Instances),
 	}
 }
 
@@ -228,6 +229,7 @@
 	}
 	q := s.routed(r)
 	a.work = estimator.Work{Prefill: max(0, q.Prompt-best.PrefillForecast.Cached), Output: q.Output}
+	a.work.Tight = r.Urgent && q.LongOutput >= tightOutput
 	s.attempts[a.id] = a
 	r.attempts = append(r.attempts, a)
 	r.started++
@@ -247,6 +249,9 @@
 	})
 }
 
+// tightOutput is the output from which on an urgent answer needs short steps.
+const tightOutput = 8
+
 // measure adds an attempt to the instance's flow of work. Preferred prompts pass the queues and don't count.
 func (s *Scheduler) measure(a *attempt, q router.Request) {
 	r := a.request
@@ -292,7 +297,7 @@
 	}
 	s.ejector.Sent(a.decode.ID)
 	a.prefill.Dispatched(s.now, estimator.Work{Prefill: a.work.Prefill}, a.request.Prefix)
-	a.decode.Dispatched(s.now, estimator.Work{Output: a.work.Output}, nil)
+	a.decode.Dispatched(s.now, estimator.Work{Output: a.work.Output, Tight: a.work.Tight}, nil)
 }
 
 func explain(choice router.Choice) Decision {
@@ -362,5 +367,5 @@
 	if !decoding {
 		a.prefill.Ended(s.now, estimator.Work{Prefill: a.work.Prefill}, 0, false)
 	}
-	a.decode.Ended(s.now, estimator.Work{Output: a.work.Output}, a.output, decoding)
+	a.decode.Ended(s.now, estimator.Work{Output: a.work.Output, Tight: a.work.Tight}, a.output, decoding)
 }
