Keep urgent answers apart from what delays them

Cause: urgent work was lost in engines' queues and in decode. Traces showed short prompts passing queues of long ones and long prefills beside urgent answers; the cost of neither was counted. Ruled out: forecasts that are too short because only prefills in time are learned from; late reports. Conclusion: kept; the urgent targets are still missed.

--- a/core/estimator/engine.go
+++ b/core/estimator/engine.go
@@ -313,7 +313,8 @@
 	f.Certainty = e.certainty(f.Age)
 	f.Cached = min(e.cache.cached(prefix), prompt)
 	perToken := e.prefillSeconds(e.Decoding())
-	f.Wait = e.queue(f.Age, perToken)
+	f.Queue = max(0, e.queue(f.Age, perToken))
+	f.Wait = f.Queue
 	if limit := e.load.MaxBatch; limit > 0 && e.Decoding() >= limit {
 		f.Wait = max(f.Wait, e.batchWait(e.Decoding()+1, limit))
 	}
--- a/core/estimator/load.go
+++ b/core/estimator/load.go
@@ -43,6 +43,8 @@
 	// Wait is the delay before the prefill starts; Length is the prefill's own duration.
 	Wait   float64
 	Length float64
+	// Queue is the prefill that waits at the engine, also behind preferred work.
+	Queue float64
 	// Occupation is the engine time that the prefill takes from other work.
 	Occupation float64
 	Cached     identifier.Tokens
--- a/core/router/router.go
+++ b/core/router/router.go
@@ -174,6 +174,9 @@
 		p.prefillCost = p.prefill.First()*max(weight, r.settings.WaitWeight) + p.prefill.Occupation
 		p.prefillCost += p.prefill.Length * float64(p.engine.Decoding()) * r.harm(p.engine.Pressure(q.Allowed))
 		p.prefillCost += p.prefill.Length * float64(p.engine.Tight()) * instances * r.settings.TightHarm
+		if r.Preferred(q.Prompt) {
+			p.prefillCost += p.prefill.Occupation * p.prefill.Queue * r.settings.QueueHarm
+		}
 		p.spare = remaining - last - p.prefill.First()
 		p.decodeCost = float64(q.Output)*(p.decode.Share+weight*r.settings.IntervalWeight*p.decode.Interval) + weight*p.decode.Wait
 		p.decodeCost += r.late(first + p.careful - remaining)
--- a/core/router/router_test.go
+++ b/core/router/router_test.go
@@ -171,3 +171,41 @@
 		r.Choose(start.Add(time.Second), q, engines, always)
 	}
 }
+
+func question() Request {
+	return Request{Model: "m", Urgent: true, Deadline: start.Add(4 * time.Second), Prompt: 500, Output: 40, LongOutput: 80, Allowed: 0.025, Instances: 7}
+}
+
+func TestUrgentAnswersAreKeptApart(t *testing.T) {
+	cases := []struct {
+		name    string
+		request Request
+		prepare func(e *estimator.Engine, load *estimator.Load)
+	}{
+		{"no long prefill beside an urgent answer that decodes", file(), func(e *estimator.Engine, _ *estimator.Load) {
+			e.Dispatched(start, estimator.Work{Output: 40, Tight: true}, nil)
+		}},
+		{"no short prompt before a queue of long ones", question(), func(_ *estimator.Engine, load *estimator.Load) {
+			load.QueuedPrefill = 16000
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			engines := fleet(3, func(int, *estimator.Load) {})
+			load := estimator.Load{
+				Sequence: 2, Role: identifier.RoleMixed, Model: "m", MaxBatch: 64, PrefillPerSecond: 8000, DecodeStep: 20 * time.Millisecond,
+			}
+			for _, e := range engines[1:] {
+				e.Dispatched(start, estimator.Work{Output: 40}, nil)
+			}
+			c.prepare(engines[0], &load)
+			engines[0].Observe(start, load, false)
+			request := c.request
+			request.Instances = 7
+			for seed := range uint64(20) {
+				choice := newTestRouter(seed).Choose(start, request, engines, always)
+				require.NotEqual(t, engines[0].ID, choice.Best.Prefill.ID)
+			}
+		})
+	}
+}
