--- a/core/router/router_test.go
+++ b/core/router/router_test.go
@@ -180,12 +180,14 @@
 	cases := []struct {
 		name    string
 		request Request
+		// beside is how many answers without haste decode on each of the other engines.
+		beside  int
 		prepare func(e *estimator.Engine, load *estimator.Load)
 	}{
-		{"no long prefill beside an urgent answer that decodes", file(), func(e *estimator.Engine, _ *estimator.Load) {
+		{"no long prefill beside an urgent answer that decodes", file(), 1, func(e *estimator.Engine, _ *estimator.Load) {
 			e.Dispatched(start, estimator.Work{Output: 40, Tight: true}, nil)
 		}},
-		{"no short prompt before a queue of long ones", question(), func(_ *estimator.Engine, load *estimator.Load) {
+		{"no short prompt before a queue of long ones", question(), 30, func(_ *estimator.Engine, load *estimator.Load) {
 			load.QueuedPrefill = 16000
 		}},
 	}
@@ -196,7 +198,9 @@
 				Sequence: 2, Role: identifier.RoleMixed, Model: "m", MaxBatch: 64, PrefillPerSecond: 8000, DecodeStep: 20 * time.Millisecond,
 			}
 			for _, e := range engines[1:] {
-				e.Dispatched(start, estimator.Work{Output: 40}, nil)
+				for range c.beside {
+					e.Dispatched(start, estimator.Work{Output: 40}, nil)
+				}
 			}
 			c.prepare(engines[0], &load)
 			engines[0].Observe(start, load, false)
--- a/core/router/settings.go
+++ b/core/router/settings.go
@@ -31,6 +31,8 @@
 	LongShare float64
 	// TightHarm weighs each second of prefill for each urgent answer that decodes beside it.
 	TightHarm float64
+	// QueueHarm weighs each second of preferred prefill for each second of prefill that it delays.
+	QueueHarm float64
 	// UnknownBatch is assumed for an engine that does not tell its largest batch.
 	UnknownBatch int
 	// FullPenalty is the cost in seconds of each sequence above a batch's limit.
@@ -64,6 +66,7 @@
 		LongAnswer:     100,
 		LongShare:      0.9,
 		TightHarm:      0.5,
+		QueueHarm:      20,
 		UnknownBatch:   32,
 		FullPenalty:    0.5,
 		OldestReport:   4 * time.Second,
