--- a/standin/surveyor/reckoning.go
+++ b/standin/surveyor/reckoning.go
@@ -95,16 +95,23 @@
 	return reads*f.fixed + recordBytes*f.slope, reads * s.figures["logReadBytesOut"]
 }
 
+// How often an instance reads from each engine, a second, as package watcher of the daemon does.
+const (
+	reportReads     = 2
+	cacheEventReads = 0.5
+)
+
 // entryDemands returns the control lines of an entry instance as it is built.
 func (s *Surveyor) entryDemands(at setting) []demand {
-	const reportsPerSecond = 2
-	polls := reportsPerSecond * at.engines
+	polls := reportReads * at.engines
+	cachePolls := cacheEventReads * at.engines
 	reports := demand{
 		line: "loadReports", in: polls * s.figures["reportExchangeIn"], out: polls * s.figures["reportExchangeOut"], messages: polls,
 		processor: polls * (s.perUnit("decodeReportsJSONCPU") + s.figures["takeReportCPU"]),
 	}
 	events := demand{
-		line: "cacheEvents", in: polls * s.figures["emptyCacheExchangeIn"], out: polls * s.figures["emptyCacheExchangeOut"], messages: polls,
+		line: "cacheEvents", in: cachePolls * s.figures["emptyCacheExchangeIn"], out: cachePolls * s.figures["emptyCacheExchangeOut"],
+		messages: cachePolls,
 	}
 	list := demand{line: "instanceList", in: s.at("listingBytes", at.listed), messages: 1, processor: s.at("decodeListingCPU", at.listed)}
 	return append([]demand{reports, events, list}, s.logDemands(at)...)
@@ -200,10 +207,11 @@
 
 // engineDemands returns what one engine's control side answers.
 func (s *Surveyor) engineDemands(instances float64) []demand {
-	polls := 2 * instances
+	polls := reportReads * instances
+	cachePolls := cacheEventReads * instances
 	return []demand{
 		{line: "loadReports", in: polls * s.figures["reportExchangeOut"], out: polls * s.figures["reportExchangeIn"], messages: polls},
-		{line: "cacheEvents", in: polls * s.figures["emptyCacheExchangeOut"], out: polls * s.figures["emptyCacheExchangeIn"], messages: polls},
+		{line: "cacheEvents", in: cachePolls * s.figures["emptyCacheExchangeOut"], out: cachePolls * s.figures["emptyCacheExchangeIn"], messages: cachePolls},
 	}
 }
 
