Count demand in one place

Cause: the measurement counted the placer's demand by logic of its own, which the daemon had again. Change: both use core/gauger.

--- a/standin/measurer/ours.go
+++ b/standin/measurer/ours.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"rosemaryspool.example/core/gauger"
 	"rosemaryspool.example/core/identifier"
 	"rosemaryspool.example/core/placer"
 	"rosemaryspool.example/core/scheduler"
@@ -25,19 +26,14 @@
 // demandPeriod is how often the elected instance tells the placer what it was asked for.
 const demandPeriod = time.Second
 
-// cachedShareWeight is the weight of a new answer in a class's usual share of cached prompt tokens.
-const cachedShareWeight = 0.05
-
 // placement runs the real placer on what its instance sees, as the daemon's shell does.
 type placement struct {
 	placer   *placer.Placer
 	started  bool
 	since    time.Time
-	demand   placer.DemandObserved
+	gauger   *gauger.Gauger
 	attempts map[identifier.AttemptID]identifier.RequestID
 	requests map[identifier.RequestID]scheduler.RequestArrived
-	// cached is each class's usual share of prompt tokens that the engines' caches hold.
-	cached map[identifier.ClassName]float64
 }
 
 // newPlacement returns a placer with authority over the whole fleet.
@@ -46,7 +42,6 @@
 		placer:   placer.NewPlacer(placer.DefaultSettings()),
 		attempts: map[identifier.AttemptID]identifier.RequestID{},
 		requests: map[identifier.RequestID]scheduler.RequestArrived{},
-		cached:   map[identifier.ClassName]float64{},
 	}
 	p.placer.Handle(placer.InstancesCounted{Instances: instances})
 	return p
@@ -103,22 +98,23 @@
 	}
 }
 
-// ask counts a request as demand, with the share of its prompt that caches usually don't hold.
+// ask counts a request as demand.
 func (p *placement) ask(e scheduler.RequestArrived) {
 	p.requests[e.Request] = e
-	p.demand.Prefill += identifier.Tokens(float64(e.Prompt) * (1 - p.cached[e.Class]))
-	p.demand.Output += e.ExpectedOutput
+	if p.gauger == nil {
+		p.gauger = gauger.NewGauger(e.Now)
+	}
+	p.gauger.Ask(modelName, e.Class, e.Prompt, e.ExpectedOutput)
 }
 
-// learn folds one answer's cached tokens into its class's usual share.
+// learn passes on how much of an answered prompt came from a cache.
 func (p *placement) learn(e scheduler.AttemptFinished) {
 	r, ok := p.requests[p.attempts[e.Attempt]]
 	delete(p.attempts, e.Attempt)
 	if !ok || e.CachedPrompt < 0 {
 		return
 	}
-	cached := float64(e.CachedPrompt) / float64(max(r.Prompt, 1))
-	p.cached[r.Class] += cachedShareWeight * (cached - p.cached[r.Class])
+	p.gauger.Learn(r.Class, r.Prompt, e.CachedPrompt)
 	delete(p.requests, r.Request)
 }
 
@@ -128,10 +124,11 @@
 		p.started, p.since = true, now
 		p.placer.Handle(placer.AuthorityChanged{Now: now, Held: true})
 	}
-	if now.Sub(p.since) >= demandPeriod {
-		p.demand.Now, p.demand.Model, p.demand.Period = now, modelName, now.Sub(p.since)
-		p.placer.Handle(p.demand)
-		p.demand, p.since = placer.DemandObserved{}, now
+	if p.gauger != nil && now.Sub(p.since) >= demandPeriod {
+		for _, demand := range p.gauger.Take(now) {
+			p.placer.Handle(demand)
+		}
+		p.since = now
 	}
 	return p.orders(p.placer.Handle(placer.Ticked{Now: now}))
 }
