Forget the health of service upstreams that are gone

Cause: the executor kept what it knew of every upstream it ever met. Change: it drops health and load when the listing no longer names an upstream; that it is closed is kept, so that leaving stays sticky. Conclusion: state is bounded by the listing.

--- a/rosemaryspool/assembler/part.go
+++ b/rosemaryspool/assembler/part.go
@@ -56,7 +56,7 @@
 		Instance: d.settings.Instance, DataCentre: d.settings.DataCentre, Instances: 1, Seed: uint64(time.Now().UnixNano()),
 	})
 	d.dispatcher = dispatcher.NewDispatcher(core, targets, d.learn, d.explainer, d.log, registry)
-	d.watcher = watcher.NewWatcher(lister.NewClient(d.settings.ListURL), targets, d.dispatcher.Notify, d.learn, d.log)
+	d.watcher = watcher.NewWatcher(lister.NewClient(d.settings.ListURL), targets, d.notify, d.learn, d.log)
 	d.executor = executor.NewExecutor(executor.Settings{
 		Deduplicator: deduplicator.NewSettings(d.settings.Instance, d.incarnation, "claims"),
 		Stream:       appender.ClaimStream(d.settings.Environment, 0),
@@ -74,6 +74,14 @@
 	}, d.follower, log, d, d.log)
 }
 
+// notify hands the watcher's findings to the scheduler, and lets the executor forget upstreams that are gone.
+func (d *Daemon) notify(event scheduler.Event) {
+	if gone, ok := event.(scheduler.UpstreamGone); ok {
+		d.executor.Forget(gone.Upstream)
+	}
+	d.dispatcher.Notify(event)
+}
+
 // learn hands an event to the conductor.
 func (d *Daemon) learn(event conductor.Event) { d.conductor.Notify(event) }
 
--- a/rosemaryspool/executor/executor.go
+++ b/rosemaryspool/executor/executor.go
@@ -84,6 +84,14 @@
 	e.claims.post(notice{deduplicator.WindowSet{Window: window}})
 }
 
+// Forget drops the health and load of an upstream that no listing names any more. Whether it is closed is kept: an
+// upstream that is listed again too soon is still leaving.
+func (e *Executor) Forget(id identifier.UpstreamID) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.balancer.Forget(id)
+}
+
 // SetClosed keeps an upstream from new calls, or returns it to service.
 func (e *Executor) SetClosed(id identifier.UpstreamID, closed bool) {
 	e.mutex.Lock()
