Tick the scheduler every 100 ms, as in the measurement

Cause: the daemon ticked its scheduler a hundred times a second, the measurement ten times. Change: ten times. Conclusion: the daemon and the measurement run alike.

--- a/rosemaryspool/dispatcher/dispatcher.go
+++ b/rosemaryspool/dispatcher/dispatcher.go
@@ -25,8 +25,8 @@
 const (
 	// ringCapacity bounds the events that wait for the core; senders block beyond it.
 	ringCapacity = 4096
-	// tickInterval is how often the core looks at its queues: fine against the shortest deadlines of seconds.
-	tickInterval = 10 * time.Millisecond
+	// tickInterval is how often the core looks at its queues, besides after each event: fine against deadlines of seconds.
+	tickInterval = 100 * time.Millisecond
 )
 
 // Core decides; *scheduler.Scheduler is the one in use.
