Run the README's test command in the checks

Cause: the check script called another target than the README names. Change: 'make test' takes TESTFLAGS, and the script calls it with the race detector. Conclusion: one test command.

--- a/Makefile
+++ b/Makefile
@@ -11,10 +11,10 @@
 	go build -o bin/ ./rosemaryspool ./rosemaryctl ./standin
 
 test:
-	go test $(PACKAGES)
+	go test $(TESTFLAGS) $(PACKAGES)
 
 race:
-	go test -race $(PACKAGES)
+	$(MAKE) test TESTFLAGS=-race
 
 vet:
 	go vet $(PACKAGES)
