Serve the users' platform through a gateway command

Cause: the product had no door for opaque requests behind the platform's routes, store and servers. platform/ decodes names, formats and calls; core/ gains matcher, tracker, budgeter, streamer and allocator; the shell gains connector, forwarder, gossiper, subscriber, governor and gatekeeper. Instances tell each other their work at each upstream by datagram, so that admission knows the queue of the whole system.

--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,8 @@
-MODULES := adaptor core rosemaryctl rosemaryspool standin wire
+MODULES := adaptor core platform rosemaryctl rosemaryspool standin wire
 PACKAGES := $(MODULES:%=./%/...)
 TOOLS := $(CURDIR)/bin/tools
 
-.PHONY: tools build test race vet format check-format lint generate check-generated check demo clean
+.PHONY: format-generated tools build test race vet format check-format lint generate check-generated check demo clean
 
 tools:
 	cd tools && GOWORK=off go build -o $(TOOLS)/ tool
@@ -28,14 +28,19 @@
 
 lint: tools
 	$(TOOLS)/staticcheck $(PACKAGES)
-	$(TOOLS)/revive -config revive.toml -set_exit_status -exclude wire/messenger/... $(PACKAGES)
+	$(TOOLS)/revive -config revive.toml -set_exit_status -exclude wire/messenger/... -exclude platform/messenger/... $(PACKAGES)
 
 generate:
 	cd tools/generator && GOWORK=off go build -o $(TOOLS)/ tool
 	cd wire && $(TOOLS)/buf generate
+	cd platform && $(TOOLS)/go-jsonschema -p messenger -t --tags json --capitalization ID,KV,IP -o messenger/message.go schema/*.json
+	$(MAKE) format-generated
+
+format-generated: tools
+	$(TOOLS)/gofumpt -w platform/messenger
 
 check-generated: generate
-	git diff --exit-code -- wire/messenger
+	git diff --exit-code -- wire/messenger platform/messenger
 
 check: check-format vet lint test
 
--- /dev/null
+++ b/core/allocator/allocator.go
@@ -0,0 +1,194 @@
+// Package allocator decides for each request to the platform's upstreams where it runs, or that it can't be served in time.
+// It answers loads of twice the fleet's capacity for seconds: it admits what can still be in time, sends nothing into a
+// queue that would make it late, and refuses the rest on arrival.
+package allocator
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"rosemaryspool.example/core/ejector"
+	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/core/tracker"
+)
+
+// Part is a piece of a prompt that other requests may share.
+type Part struct {
+	ID     string
+	Tokens identifier.Tokens
+}
+
+// Load is the work that one instance has at one upstream.
+type Load struct {
+	// Short and Long count requests that run or wait there, by the length of their answers.
+	Short int
+	Long  int
+	// Reading counts prompts that are read there for other engines.
+	Reading int
+}
+
+// upstream is what is known of one upstream.
+type upstream struct {
+	entry tracker.Entry
+	own   Load
+	peers Load
+	// rank is the upstream's place in the affinity order, a hash of its id.
+	hash uint64
+}
+
+// total returns the work of all instances.
+func (u *upstream) total() Load {
+	return Load{
+		Short:   u.own.Short + u.peers.Short,
+		Long:    u.own.Long + u.peers.Long,
+		Reading: u.own.Reading + u.peers.Reading,
+	}
+}
+
+type peer struct {
+	loads map[identifier.UpstreamID]Load
+	heard time.Time
+}
+
+// Allocator decides for one instance. It is not safe for concurrent use.
+type Allocator struct {
+	settings   Settings
+	dataCentre identifier.DataCentre
+	upstreams  map[identifier.UpstreamID]*upstream
+	services   map[identifier.ServiceName][]*upstream
+	peers      map[identifier.InstanceID]*peer
+	health     *ejector.Ejector
+	pace       map[identifier.ServiceName]*pace
+}
+
+// NewAllocator returns an allocator that knows no upstream.
+func NewAllocator(settings Settings, dataCentre identifier.DataCentre) *Allocator {
+	return &Allocator{
+		settings:   settings,
+		dataCentre: dataCentre,
+		upstreams:  map[identifier.UpstreamID]*upstream{},
+		services:   map[identifier.ServiceName][]*upstream{},
+		peers:      map[identifier.InstanceID]*peer{},
+		health:     ejector.NewEjector(settings.Health),
+		pace:       map[identifier.ServiceName]*pace{},
+	}
+}
+
+// SetUpstreams replaces the list of upstreams; what is known of those that stay is kept.
+func (a *Allocator) SetUpstreams(entries []tracker.Entry) {
+	listed := make(map[identifier.UpstreamID]bool, len(entries))
+	clear(a.services)
+	for _, e := range entries {
+		listed[e.Upstream] = true
+		u := a.upstreams[e.Upstream]
+		if u == nil || u.entry.Incarnation != e.Incarnation {
+			u = &upstream{hash: hash(string(e.Upstream))}
+			a.upstreams[e.Upstream] = u
+			a.health.Remove(e.Upstream)
+			a.health.Add(e.Upstream)
+			u.peers = a.sumOfPeers(e.Upstream)
+		}
+		u.entry = e
+		a.services[e.Service] = append(a.services[e.Service], u)
+	}
+	for id := range a.upstreams {
+		if !listed[id] {
+			delete(a.upstreams, id)
+			a.health.Remove(id)
+		}
+	}
+	for _, us := range a.services {
+		slices.SortFunc(us, func(x, y *upstream) int {
+			return strings.Compare(string(x.entry.Upstream), string(y.entry.Upstream))
+		})
+	}
+}
+
+// Learn takes another instance's work; it replaces what that instance told before.
+func (a *Allocator) Learn(now time.Time, instance identifier.InstanceID, loads map[identifier.UpstreamID]Load) {
+	p := a.peers[instance]
+	if p == nil {
+		p = &peer{}
+		a.peers[instance] = p
+	}
+	p.heard = now
+	p.loads = loads
+	a.sumPeers()
+}
+
+// Expire forgets the work of instances that have been silent.
+func (a *Allocator) Expire(now time.Time) {
+	changed := false
+	for id, p := range a.peers {
+		if now.Sub(p.heard) > a.settings.PeerMemory {
+			delete(a.peers, id)
+			changed = true
+		}
+	}
+	if changed {
+		a.sumPeers()
+	}
+}
+
+// Peers returns how many other instances were heard of lately.
+func (a *Allocator) Peers() int { return len(a.peers) }
+
+func (a *Allocator) sumPeers() {
+	for id, u := range a.upstreams {
+		u.peers = a.sumOfPeers(id)
+	}
+}
+
+func (a *Allocator) sumOfPeers(id identifier.UpstreamID) Load {
+	var sum Load
+	for _, p := range a.peers {
+		l := p.loads[id]
+		sum.Short += l.Short
+		sum.Long += l.Long
+		sum.Reading += l.Reading
+	}
+	return sum
+}
+
+// OwnLoads returns this instance's work, for its peers.
+func (a *Allocator) OwnLoads() map[identifier.UpstreamID]Load {
+	loads := make(map[identifier.UpstreamID]Load, len(a.upstreams))
+	for id, u := range a.upstreams {
+		if u.own != (Load{}) {
+			loads[id] = u.own
+		}
+	}
+	return loads
+}
+
+// Entry returns an upstream as it is listed.
+func (a *Allocator) Entry(id identifier.UpstreamID) (tracker.Entry, bool) {
+	u := a.upstreams[id]
+	if u == nil {
+		return tracker.Entry{}, false
+	}
+	return u.entry, true
+}
+
+// usable tells whether an upstream may get the request.
+func (a *Allocator) usable(now time.Time, u *upstream, tried []identifier.UpstreamID) bool {
+	if u.entry.Leaving || slices.Contains(tried, u.entry.Upstream) {
+		return false
+	}
+	switch a.health.Standing(now, u.entry.Upstream) {
+	case ejector.Ejected, ejector.Paused:
+		return false
+	default:
+		return true
+	}
+}
+
+func (a *Allocator) paceOf(service identifier.ServiceName) *pace {
+	p := a.pace[service]
+	if p == nil {
+		p = newPace(a.settings)
+		a.pace[service] = p
+	}
+	return p
+}
--- /dev/null
+++ b/core/streamer/streamer.go
@@ -0,0 +1,102 @@
+// Package streamer cuts an event stream into whole events and checks that none is missing or doubled.
+package streamer
+
+import (
+	"bytes"
+	"fmt"
+	"strconv"
+)
+
+// Event is one whole event with its blank line.
+type Event struct {
+	Bytes []byte
+	// ID is the event's id; empty when it has none.
+	ID string
+}
+
+// OrderError tells that an event does not follow the one before it.
+type OrderError struct{ Last, Got string }
+
+// Error names both events.
+func (e *OrderError) Error() string {
+	return fmt.Sprintf("streamer: event %q follows %q", e.Got, e.Last)
+}
+
+// Streamer collects the bytes of one stream. It is not safe for concurrent use.
+type Streamer struct {
+	rest []byte
+	last string
+}
+
+// NewStreamer returns a streamer of a stream that goes on after an event; last is empty for a new stream.
+func NewStreamer(last string) *Streamer { return &Streamer{last: last} }
+
+// Last returns the id of the last whole event.
+func (s *Streamer) Last() string { return s.last }
+
+// Partial tells whether bytes of an unfinished event are left.
+func (s *Streamer) Partial() bool { return len(s.rest) > 0 }
+
+// Restart drops the bytes of an unfinished event: another upstream goes on after the last whole one.
+func (s *Streamer) Restart() { s.rest = s.rest[:0] }
+
+// Add takes bytes and returns the events that are whole now. The events are valid until the next call.
+func (s *Streamer) Add(content []byte) ([]Event, error) {
+	s.rest = append(s.rest, content...)
+	var events []Event
+	at := 0
+	for {
+		end := blankLine(s.rest[at:])
+		if end < 0 {
+			break
+		}
+		e := Event{Bytes: s.rest[at : at+end]}
+		e.ID = eventID(e.Bytes)
+		if err := s.follow(e.ID); err != nil {
+			return events, err
+		}
+		events = append(events, e)
+		at += end
+	}
+	if at > 0 {
+		s.rest = append([]byte(nil), s.rest[at:]...)
+	}
+	return events, nil
+}
+
+// follow checks that numbered events rise by one; ids that are no numbers are not checked.
+func (s *Streamer) follow(id string) error {
+	if id == "" {
+		return nil
+	}
+	got, err := strconv.ParseInt(id, 10, 64)
+	last, lastErr := strconv.ParseInt(s.last, 10, 64)
+	if err == nil && lastErr == nil && got != last+1 {
+		return &OrderError{Last: s.last, Got: id}
+	}
+	s.last = id
+	return nil
+}
+
+// blankLine returns the length of the first event with its blank line, or -1.
+func blankLine(b []byte) int {
+	lf := bytes.Index(b, []byte("\n\n"))
+	crlf := bytes.Index(b, []byte("\r\n\r\n"))
+	switch {
+	case lf < 0 && crlf < 0:
+		return -1
+	case crlf < 0 || (lf >= 0 && lf < crlf):
+		return lf + len("\n\n")
+	default:
+		return crlf + len("\r\n\r\n")
+	}
+}
+
+func eventID(event []byte) string {
+	for line := range bytes.Lines(event) {
+		if value, found := bytes.CutPrefix(line, []byte("id:")); found {
+			return string(bytes.TrimSpace(value))
+		}
+	}
+	return ""
+}
--- a/rosemaryspool/commander/commander.go
+++ b/rosemaryspool/commander/commander.go
@@ -21,7 +21,7 @@
 	root := &cli.Command{
 		Name:           "rosemaryspool",
 		Usage:          "serve language models on a fixed fleet of engines",
-		Commands:       []*cli.Command{serveCommand(output), demoCommand(output)},
+		Commands:       []*cli.Command{serveCommand(output), demoCommand(output), gatewayCommand(output)},
 		Writer:         output,
 		ErrWriter:      failures,
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
--- /dev/null
+++ b/rosemaryspool/commander/gateway.go
@@ -0,0 +1,83 @@
+package commander
+
+import (
+	"context"
+	"io"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/rs/zerolog"
+	"github.com/urfave/cli/v3"
+
+	"rosemaryspool.example/platform"
+	"rosemaryspool.example/rosemaryspool/gatekeeper"
+	"rosemaryspool.example/rosemaryspool/logger"
+)
+
+// garbagePercent lets the heap double and a half between collections: the daemon's heap is small, its processor share too.
+const garbagePercent = 150
+
+func gatewayCommand(output io.Writer) *cli.Command {
+	return &cli.Command{
+		Name:  "gateway",
+		Usage: "run one entry instance in front of the platform's upstreams",
+		Flags: []cli.Flag{
+			&cli.StringFlag{
+				Name: "settings", Usage: "path of the platform's settings file",
+				Sources: cli.EnvVars(platform.SettingsVariable),
+			},
+			textFlag("log-level", "info", "least level of the log lines: debug, info, warn or error"),
+		},
+		Action: func(ctx context.Context, command *cli.Command) error {
+			path := command.String("settings")
+			if path == "" {
+				return &SettingsError{Faults: []SettingFault{{Code: codeMissing, Setting: "settings", Message: "is required"}}}
+			}
+			settings, err := platform.ReadSettings(path)
+			if err != nil {
+				return &SettingsError{Faults: []SettingFault{{Code: codeInvalid, Setting: "settings", Message: err.Error()}}}
+			}
+			log, err := logger.NewLog(output, command.String("log-level"), nil)
+			if err != nil {
+				return err
+			}
+			defer log.Close()
+			debug.SetGCPercent(garbagePercent)
+			return runGateway(ctx, settings, path, log.Logger)
+		},
+	}
+}
+
+func runGateway(ctx context.Context, settings platform.Settings, path string, log zerolog.Logger) error {
+	g, err := gatekeeper.NewGatekeeper(settings, log)
+	if err != nil {
+		return err
+	}
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	defer signal.Stop(reload)
+	go func() {
+		for {
+			select {
+			case <-g.Done():
+				return
+			case <-reload:
+				reportReload(settings, path, log)
+			}
+		}
+	}()
+	return g.Run(ctx)
+}
+
+// reportReload reads the settings again on SIGHUP. Addresses and names hold for the life of a process; what else the file
+// says is taken at the next start.
+func reportReload(inForce platform.Settings, path string, log zerolog.Logger) {
+	settings, err := platform.ReadSettings(path)
+	if err != nil {
+		log.Error().Err(err).Str("event", "settingsUnreadable").Msg("Settings are kept as they were")
+		return
+	}
+	log.Info().Str("event", "settingsReread").Bool("changed", settings != inForce).Msg("Settings were read again")
+}
--- /dev/null
+++ b/rosemaryspool/connector/exchange.go
@@ -0,0 +1,164 @@
+package connector
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+const (
+	// inlineBytes is the largest body that is written before the answer is read: it fits the socket's buffers. A longer
+	// one is written beside, since an upstream may answer before it has read all of it.
+	inlineBytes = 16 << 10
+	// discardBytes bounds a stray answer that is read past; beyond it the connection is given up.
+	discardBytes = 64 << 10
+	// strayAnswers bounds the answers of earlier requests that are read past.
+	strayAnswers = 2
+)
+
+// Request is one request to an upstream. Method, URI and Body go out byte for byte.
+type Request struct {
+	Address string
+	Method  string
+	URI     string
+	Host    string
+	Header  http.Header
+	Body    []byte
+	// Limit is this instance's share of the upstream's connections.
+	Limit int
+	// MaxIdle is the longest idle time of a kept connection that may carry the request.
+	MaxIdle time.Duration
+	// Belongs tells whether an answer belongs to this request; one that doesn't is read past. known is false when the
+	// answer names no request.
+	Belongs func(http.Header) (same, known bool)
+}
+
+// Answer is an upstream's answer. Close must be called once.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   io.Reader
+	// Length is the announced length of the body; negative when it ends with the connection or comes in chunks.
+	Length int64
+	// Unframed is true when the body ends with the connection.
+	Unframed bool
+
+	connector *Connector
+	address   string
+	used      *connection
+	stop      func() bool
+	written   <-chan error
+	close     bool
+}
+
+// Exchange sends a request and returns the answer's head. The end of ctx breaks the exchange off.
+func (c *Connector) Exchange(ctx context.Context, r Request) (*Answer, error) {
+	used, err := c.acquire(ctx, r.Address, max(1, r.Limit), r.MaxIdle)
+	if err != nil {
+		return nil, err
+	}
+	used.used++
+	a := &Answer{connector: c, address: r.Address, used: used}
+	a.stop = context.AfterFunc(ctx, func() {
+		// A deadline in the past ends reads and writes that are under way; the connection is not used again.
+		_ = used.SetDeadline(time.Unix(1, 0))
+	})
+	a.written = write(used, r)
+	if err := a.readHead(r); err != nil {
+		a.Close(false)
+		if ctx.Err() != nil {
+			err = ctx.Err()
+		}
+		return nil, eris.Wrap(err, "connector: exchange")
+	}
+	return a, nil
+}
+
+// write sends the request; the channel gets one result when all of it is written.
+func write(used *connection, r Request) <-chan error {
+	written := make(chan error, 1)
+	head := encodeHead(r)
+	if len(r.Body) <= inlineBytes {
+		_, err := used.Write(append(head, r.Body...))
+		written <- err
+		return written
+	}
+	go func() {
+		_, err := used.Write(head)
+		if err == nil {
+			_, err = used.Write(r.Body)
+		}
+		written <- err
+	}()
+	return written
+}
+
+func encodeHead(r Request) []byte {
+	var b bytes.Buffer
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.URI, r.Host)
+	// Write of a header to a buffer does not fail.
+	_ = r.Header.Write(&b)
+	if len(r.Body) > 0 || (r.Method != http.MethodGet && r.Method != http.MethodHead) {
+		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
+	}
+	b.WriteString("\r\n")
+	return b.Bytes()
+}
+
+// readHead reads the head of the answer that belongs to the request; informational and stray answers are read past.
+func (a *Answer) readHead(r Request) error {
+	for stray := 0; ; {
+		response, err := readResponse(a.used.reader, r.Method)
+		if err != nil {
+			return err
+		}
+		if response.StatusCode >= 100 && response.StatusCode < 200 {
+			continue
+		}
+		same, known := r.Belongs(response.Header)
+		if same || (!known && a.used.used == 1) {
+			a.take(response)
+			return nil
+		}
+		n, err := io.CopyN(io.Discard, response.Body, discardBytes)
+		if err != io.EOF || response.Close || stray >= strayAnswers {
+			return eris.Errorf("answer %d of another request, %d bytes", response.StatusCode, n)
+		}
+		stray++
+	}
+}
+
+func readResponse(reader *bufio.Reader, method string) (*http.Response, error) {
+	return http.ReadResponse(reader, &http.Request{Method: method})
+}
+
+func (a *Answer) take(response *http.Response) {
+	a.Status = response.StatusCode
+	a.Header = response.Header
+	a.Body = response.Body
+	a.Length = response.ContentLength
+	a.Unframed = response.ContentLength < 0 && len(response.TransferEncoding) == 0
+	a.close = response.Close
+	a.used.keepAlive(response.Header)
+}
+
+// Close ends the exchange. whole tells that the body was read to its end, so that the connection may be kept.
+func (a *Answer) Close(whole bool) {
+	if !a.stop() {
+		whole = false
+	}
+	sent := false
+	select {
+	case err := <-a.written:
+		sent = err == nil
+	default:
+	}
+	a.connector.release(a.address, a.used, whole && sent && !a.close && !a.Unframed)
+}
--- /dev/null
+++ b/rosemaryspool/forwarder/relay.go
@@ -0,0 +1,193 @@
+package forwarder
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"rosemaryspool.example/core/allocator"
+	"rosemaryspool.example/core/streamer"
+	"rosemaryspool.example/platform"
+	"rosemaryspool.example/rosemaryspool/connector"
+)
+
+const (
+	// storedBytes is the largest answer that is read whole before it is passed on, so that a broken one can be repeated.
+	storedBytes = 1 << 20
+	// relayBytes is read at once from an event stream.
+	relayBytes = 8 << 10
+)
+
+// storedAnswer is an upstream's whole answer.
+type storedAnswer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// relayWhole reads an answer to its end and passes it on.
+func (e *exchange) relayWhole(answer *connector.Answer) (ending, allocator.Outcome) {
+	body, err := io.ReadAll(io.LimitReader(answer.Body, storedBytes))
+	if err == nil && len(body) == storedBytes {
+		return e.relayLong(answer, body)
+	}
+	answer.Close(err == nil)
+	if err != nil {
+		e.last.err = err
+		if e.request.Context().Err() != nil {
+			return canceled, allocator.OutcomeAbandoned
+		}
+		return uncertain, allocator.OutcomeBroken
+	}
+	if answer.Status < http.StatusMultipleChoices && !platform.Signed(answer.Header) {
+		// Bytes that the upstream doesn't vouch for are no answer.
+		return uncertain, allocator.OutcomeBroken
+	}
+	stored := &storedAnswer{status: answer.Status, header: answer.Header, body: body}
+	if answer.Status >= http.StatusInternalServerError && e.route.Idempotent {
+		e.last.answer = stored
+		return failedAnswer, allocator.OutcomeBroken
+	}
+	e.deliver(stored)
+	outcome := allocator.OutcomeWhole
+	if answer.Status >= http.StatusInternalServerError {
+		outcome = allocator.OutcomeBroken
+	}
+	return delivered, outcome
+}
+
+// relayLong passes a long answer on while it is read.
+func (e *exchange) relayLong(answer *connector.Answer, start []byte) (ending, allocator.Outcome) {
+	platform.CopyAnswerHeaders(e.writer.Header(), answer.Header)
+	e.keepContentType(answer.Header)
+	e.head = true
+	e.writer.WriteHeader(answer.Status)
+	_, err := e.writer.Write(start)
+	if err == nil {
+		_, err = io.Copy(e.writer, answer.Body)
+	}
+	answer.Close(err == nil)
+	if err != nil {
+		e.last.err = err
+		return broken, allocator.OutcomeBroken
+	}
+	return delivered, allocator.OutcomeWhole
+}
+
+// deliver passes a whole answer on.
+func (e *exchange) deliver(a *storedAnswer) {
+	h := e.writer.Header()
+	platform.CopyAnswerHeaders(h, a.header)
+	e.keepContentType(a.header)
+	h.Set("Content-Length", strconv.Itoa(len(a.body)))
+	e.head = true
+	e.writer.WriteHeader(a.status)
+	if _, err := e.writer.Write(a.body); err != nil {
+		e.last.err = err
+	}
+}
+
+// keepContentType keeps the HTTP library from adding a type that the upstream did not send.
+func (e *exchange) keepContentType(upstream http.Header) {
+	if upstream.Get("Content-Type") == "" {
+		e.writer.Header()["Content-Type"] = nil
+	}
+	if e.forwarder.leaving.Load() {
+		e.writer.Header().Set("Connection", "close")
+	}
+}
+
+// eventWriter passes whole events on and remembers where the stream is.
+type eventWriter struct {
+	streamer *streamer.Streamer
+	flusher  *http.ResponseController
+}
+
+// resumeAfter returns the event after which the next upstream goes on; empty before the first one.
+func (e *exchange) resumeAfter() string {
+	if e.events == nil {
+		return ""
+	}
+	return e.events.streamer.Last()
+}
+
+// relayStream passes an event stream on, event by event.
+func (e *exchange) relayStream(answer *connector.Answer) (ending, allocator.Outcome) {
+	if e.events == nil {
+		e.events = &eventWriter{
+			streamer: streamer.NewStreamer(e.caller.LastEvent), flusher: http.NewResponseController(e.writer),
+		}
+	}
+	e.events.streamer.Restart()
+	if !e.head && !platform.Signed(answer.Header) {
+		answer.Close(false)
+		return uncertain, allocator.OutcomeBroken
+	}
+	buffer := make([]byte, relayBytes)
+	for {
+		n, err := answer.Body.Read(buffer)
+		if n > 0 {
+			if failure := e.pass(answer, buffer[:n]); failure != nil {
+				answer.Close(false)
+				e.last.err = failure
+				return e.streamEnding()
+			}
+		}
+		if err == io.EOF && !e.events.streamer.Partial() {
+			answer.Close(true)
+			e.begin(answer)
+			return delivered, allocator.OutcomeWhole
+		}
+		if err != nil {
+			answer.Close(false)
+			e.last.err = err
+			return e.streamEnding()
+		}
+	}
+}
+
+// pass writes the events that are whole now.
+func (e *exchange) pass(answer *connector.Answer, content []byte) error {
+	events, orderErr := e.events.streamer.Add(content)
+	for _, event := range events {
+		e.begin(answer)
+		if _, err := e.writer.Write(event.Bytes); err != nil {
+			return err
+		}
+	}
+	if len(events) > 0 {
+		if e.last.firstAt.IsZero() {
+			e.last.firstAt = time.Now()
+			e.forwarder.governor.Progressed(e.last.firstAt, e.last.place)
+		}
+		if err := e.events.flusher.Flush(); err != nil {
+			return err
+		}
+	}
+	return orderErr
+}
+
+// begin sends the answer's head with the first event. A resumed stream keeps the head of its first upstream.
+func (e *exchange) begin(answer *connector.Answer) {
+	if e.head {
+		return
+	}
+	e.head = true
+	h := e.writer.Header()
+	platform.CopyAnswerHeaders(h, answer.Header)
+	e.keepContentType(answer.Header)
+	e.writer.WriteHeader(answer.Status)
+}
+
+// streamEnding tells apart a caller that left and a stream that broke.
+func (e *exchange) streamEnding() (ending, allocator.Outcome) {
+	switch {
+	case e.request.Context().Err() != nil:
+		return canceled, allocator.OutcomeAbandoned
+	case e.head:
+		return broken, allocator.OutcomeBroken
+	default:
+		return uncertain, allocator.OutcomeBroken
+	}
+}
--- /dev/null
+++ b/rosemaryspool/gatekeeper/door.go
@@ -0,0 +1,66 @@
+package gatekeeper
+
+import (
+	"bufio"
+	"fmt"
+	"net/http"
+	"sync/atomic"
+
+	"github.com/julienschmidt/httprouter"
+	"github.com/rcrowley/go-metrics"
+
+	"rosemaryspool.example/platform"
+	"rosemaryspool.example/rosemaryspool/governor"
+)
+
+// door answers what is asked about the instance itself: readiness and metrics.
+type door struct {
+	governor *governor.Governor
+	registry metrics.Registry
+	leaving  atomic.Bool
+}
+
+func newDoor(g *governor.Governor, registry metrics.Registry) *door {
+	return &door{governor: g, registry: registry}
+}
+
+func (d *door) leave() { d.leaving.Store(true) }
+
+func (d *door) readiness() http.Handler {
+	router := httprouter.New()
+	router.GET(platform.ReadyPath, func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+		if d.leaving.Load() || !d.governor.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		w.WriteHeader(http.StatusOK)
+	})
+	return router
+}
+
+func (d *door) metrics() http.Handler {
+	router := httprouter.New()
+	router.GET("/metrics", func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+		out := bufio.NewWriter(w)
+		d.registry.Each(func(name string, metric any) { writeMetric(out, name, metric) })
+		// A reader that is gone gets no metrics; there is nothing else to do.
+		_ = out.Flush()
+	})
+	return router
+}
+
+// writeMetric writes a counter or gauge as one line, a histogram as one for each of its figures.
+func writeMetric(out *bufio.Writer, name string, metric any) {
+	switch m := metric.(type) {
+	case metrics.Counter:
+		fmt.Fprintf(out, "%s %d\n", name, m.Count())
+	case metrics.Gauge:
+		fmt.Fprintf(out, "%s %d\n", name, m.Value())
+	case metrics.Histogram:
+		s := m.Snapshot()
+		quantiles := s.Percentiles([]float64{0.5, 0.95, 0.99})
+		fmt.Fprintf(out, "%s.count %d\n%s.mean %.0f\n%s.p50 %.0f\n%s.p95 %.0f\n%s.p99 %.0f\n%s.max %d\n",
+			name, s.Count(), name, s.Mean(), name, quantiles[0], name, quantiles[1], name, quantiles[2], name, s.Max())
+	}
+}
--- /dev/null
+++ b/rosemaryspool/gatekeeper/gatekeeper.go
@@ -0,0 +1,166 @@
+// Package gatekeeper assembles the instance that serves the platform's routes, and runs it from start to planned stop.
+package gatekeeper
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
+
+	"rosemaryspool.example/core/allocator"
+	"rosemaryspool.example/core/budgeter"
+	"rosemaryspool.example/platform"
+	"rosemaryspool.example/rosemaryspool/connector"
+	"rosemaryspool.example/rosemaryspool/forwarder"
+	"rosemaryspool.example/rosemaryspool/gossiper"
+	"rosemaryspool.example/rosemaryspool/governor"
+	"rosemaryspool.example/rosemaryspool/subscriber"
+)
+
+const (
+	// headerTimeout bounds the time in which a request's head must arrive, so that slow senders hold no connection.
+	headerTimeout = 10 * time.Second
+	// idleTimeout closes idle connections of callers; it is above what the platform's callers use.
+	idleTimeout = 90 * time.Second
+	// headerBytes bounds a request's head.
+	headerBytes = 64 << 10
+	// balancerDelay is the time in which the balancer sees that the instance is not ready: it asks each second and acts
+	// on the second refusal.
+	balancerDelay = 3 * time.Second
+	// stopMargin is left before the platform kills the process, for the last answers.
+	stopMargin = 400 * time.Millisecond
+	// sweepInterval is how often idle connections to upstreams are looked at.
+	sweepInterval = time.Second
+)
+
+// Gatekeeper is one instance in front of the platform's upstreams.
+type Gatekeeper struct {
+	settings   platform.Settings
+	log        zerolog.Logger
+	registry   metrics.Registry
+	governor   *governor.Governor
+	connector  *connector.Connector
+	forwarder  *forwarder.Forwarder
+	gossiper   *gossiper.Gossiper
+	subscriber *subscriber.Subscriber
+	door       *door
+	done       chan struct{}
+}
+
+// NewGatekeeper assembles an instance; nothing runs before Run.
+func NewGatekeeper(settings platform.Settings, log zerolog.Logger) (*Gatekeeper, error) {
+	startedMs := time.Now().UnixMilli()
+	log = log.With().Str("instance", string(settings.Instance)).Logger()
+	registry := metrics.NewRegistry()
+	g := &Gatekeeper{settings: settings, log: log, registry: registry, done: make(chan struct{})}
+	g.governor = governor.NewGovernor(governor.Settings{
+		DataCentre: settings.DataCentre,
+		Retry: budgeter.Settings{
+			Share: settings.RetryShare, Extra: settings.RetryExtra, Window: settings.RetryWindow,
+		},
+		Allocate: allocator.DefaultSettings(),
+	}, log)
+	opened := metrics.GetOrRegisterCounter("connectionsOpened", registry)
+	g.connector = connector.NewConnector(func() { opened.Inc(1) })
+	g.forwarder = forwarder.NewForwarder(g.governor, g.connector, log, registry)
+	peers, err := gossiper.NewGossiper(settings.PeerAddress, settings.Instance, startedMs, g.governor, log)
+	if err != nil {
+		return nil, err
+	}
+	g.gossiper = peers
+	self := platform.Member{
+		Instance: settings.Instance, Address: settings.PeerAddress, DataCentre: settings.DataCentre, StartedMs: startedMs,
+	}
+	g.subscriber = subscriber.NewSubscriber(
+		platform.NewStore(settings.StoreAddress), g.governor, peers, self, settings.DrainLimit, log,
+	)
+	g.door = newDoor(g.governor, registry)
+	return g, nil
+}
+
+// Done is closed when Run has returned.
+func (g *Gatekeeper) Done() <-chan struct{} { return g.done }
+
+// Run serves until ctx ends, then stops: not ready, a pause for the balancer, running requests to their end.
+func (g *Gatekeeper) Run(ctx context.Context) error {
+	defer close(g.done)
+	parts, stopParts := context.WithCancel(context.Background())
+	defer stopParts()
+	var group conc.WaitGroup
+	group.Go(func() { g.gossiper.Run(parts) })
+	group.Go(func() { g.subscriber.Run(parts) })
+	group.Go(func() { g.sweep(parts) })
+	err := g.serve(ctx, &group)
+	stopParts()
+	group.Wait()
+	g.connector.Close()
+	g.log.Info().Str("event", "stopped").Err(err).Msg("Stopped")
+	return err
+}
+
+func (g *Gatekeeper) sweep(ctx context.Context) {
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			g.connector.Sweep()
+		}
+	}
+}
+
+func (g *Gatekeeper) serve(ctx context.Context, group *conc.WaitGroup) error {
+	callers := newServer(g.forwarder)
+	front := &http.Server{Handler: g.door.readiness(), ReadHeaderTimeout: headerTimeout}
+	inner := &http.Server{Handler: g.door.metrics(), ReadHeaderTimeout: headerTimeout}
+	failed := make(chan error, 3)
+	for _, s := range []struct {
+		server  *http.Server
+		address string
+	}{{callers, g.settings.CallerAddress}, {front, g.settings.ReadyAddress}, {inner, g.settings.MetricsAddress}} {
+		listener, err := net.Listen("tcp", s.address)
+		if err != nil {
+			return eris.Wrap(errors.Join(err, callers.Close(), front.Close(), inner.Close()), "gatekeeper: listen")
+		}
+		group.Go(func() { failed <- s.server.Serve(listener) })
+	}
+	g.log.Info().Str("event", "started").Str("listen", g.settings.CallerAddress).Str("dataCentre", string(g.settings.DataCentre)).
+		Str("store", g.settings.StoreAddress).Msg("Serving callers")
+	var err error
+	select {
+	case <-ctx.Done():
+		err = g.stop(callers)
+	case err = <-failed:
+		err = eris.Wrap(err, "gatekeeper: serve")
+	}
+	return errors.Join(err, callers.Close(), front.Close(), inner.Close())
+}
+
+func newServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
+	}
+}
+
+// stop is the planned stop. Idle connections stay open until the balancer has turned away, and get their last answer with
+// a close announced; running requests have until shortly before the platform ends the process.
+func (g *Gatekeeper) stop(callers *http.Server) error {
+	started := time.Now()
+	g.log.Info().Str("event", "stopping").Int64("active", g.forwarder.Active()).Msg("Not ready any more")
+	g.door.leave()
+	g.forwarder.Leave()
+	g.gossiper.Leave()
+	limit := g.settings.StopLimit - stopMargin
+	<-time.After(min(balancerDelay, limit/2))
+	ctx, cancel := context.WithTimeout(context.Background(), limit-time.Since(started))
+	defer cancel()
+	return eris.Wrap(callers.Shutdown(ctx), "gatekeeper: wait for running requests")
+}
--- /dev/null
+++ b/rosemaryspool/governor/governor.go
@@ -0,0 +1,245 @@
+// Package governor holds the decisions of one instance in front of the platform's upstreams, and lets the parts that do
+// I/O share them.
+package governor
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"rosemaryspool.example/core/allocator"
+	"rosemaryspool.example/core/budgeter"
+	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/core/matcher"
+	"rosemaryspool.example/core/tracker"
+)
+
+// spareInstances is the number of instances for which a share of each upstream's connections is left, so that new
+// instances can connect before the others have heard of them.
+const spareInstances = 3
+
+// defaultConnections is an upstream's connection limit where the configuration names none.
+const defaultConnections = 64
+
+// Settings of one instance's decisions.
+type Settings struct {
+	DataCentre identifier.DataCentre
+	Retry      budgeter.Settings
+	Allocate   allocator.Settings
+}
+
+// Governor is safe for concurrent use.
+type Governor struct {
+	log zerolog.Logger
+	// table is the configuration in force; nil until there was one.
+	table atomic.Pointer[matcher.Table]
+
+	mu        sync.Mutex
+	tracker   *tracker.Tracker
+	allocator *allocator.Allocator
+	budgeter  *budgeter.Budgeter
+	instances int
+	listed    bool
+	changed   chan struct{}
+}
+
+// NewGovernor returns a governor without configuration and upstreams.
+func NewGovernor(settings Settings, log zerolog.Logger) *Governor {
+	return &Governor{
+		log:       log,
+		tracker:   tracker.NewTracker(),
+		allocator: allocator.NewAllocator(settings.Allocate, settings.DataCentre),
+		budgeter:  budgeter.NewBudgeter(settings.Retry),
+		instances: 1,
+		changed:   make(chan struct{}, 1),
+	}
+}
+
+// Table returns the configuration in force; nil when there is none yet.
+func (g *Governor) Table() *matcher.Table { return g.table.Load() }
+
+// Ready tells whether the instance can serve: it has a configuration and has read the list of upstreams.
+func (g *Governor) Ready() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.listed && g.table.Load() != nil
+}
+
+// SetConfiguration puts a configuration in force, unless a newer one is.
+func (g *Governor) SetConfiguration(c *matcher.Configuration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	before := uint64(0)
+	if t := g.table.Load(); t != nil {
+		before = t.Configuration().Version
+	}
+	if c.Version <= before {
+		return
+	}
+	g.table.Store(matcher.NewTable(c))
+	g.log.Info().Str("event", "configurationInForce").Uint64("version", c.Version).Uint64("before", before).
+		Int("routes", len(c.Routes)).Msg("Configuration is in force")
+}
+
+// UpdateUpstreams applies changes to the list of upstreams and logs what follows from them.
+func (g *Governor) UpdateUpstreams(now time.Time, cause string, update func(*tracker.Tracker) bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	changed := update(g.tracker)
+	changed = g.tracker.Expire(now) || changed
+	if !changed && g.listed {
+		return
+	}
+	g.listed = true
+	entries := g.tracker.Entries()
+	g.allocator.SetUpstreams(entries)
+	leaving := 0
+	for _, e := range entries {
+		if e.Leaving {
+			leaving++
+		}
+	}
+	g.log.Info().Str("event", "upstreamsListed").Str("cause", cause).Int("upstreams", len(entries)).Int("leaving", leaving).
+		Array("entries", entryList(entries)).Msg("List of upstreams changed")
+}
+
+// entryList writes upstreams into a log line as id:role:state.
+type entryList []tracker.Entry
+
+// MarshalZerologArray implements zerolog.LogArrayMarshaler.
+func (l entryList) MarshalZerologArray(a *zerolog.Array) {
+	for _, e := range l {
+		state := "ready"
+		if e.Leaving {
+			state = "leaving"
+		}
+		a.Str(string(e.Upstream) + ":" + e.Role.String() + ":" + state)
+	}
+}
+
+// StoreFailed notes that the list could not be read.
+func (g *Governor) StoreFailed(now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.tracker.StoreAway(now)
+}
+
+// SetInstances sets how many instances share the bounds on repeats and connections.
+func (g *Governor) SetInstances(count int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if count == g.instances {
+		return
+	}
+	g.instances = max(1, count)
+	g.budgeter.SetInstances(g.instances)
+	g.log.Info().Str("event", "instancesCounted").Int("instances", g.instances).Msg("Number of instances changed")
+}
+
+// Connections returns this instance's share of the connections of one upstream of a service.
+func (g *Governor) Connections(service identifier.ServiceName) int {
+	limit := defaultConnections
+	if t := g.table.Load(); t != nil {
+		if s := t.Configuration().Services[service]; s.MaxConnections > 0 {
+			limit = s.MaxConnections
+		}
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return max(1, limit/(g.instances+spareInstances))
+}
+
+// Place finds a place for a request, or refuses it.
+func (g *Governor) Place(now time.Time, ask allocator.Ask) (allocator.Place, *allocator.Refusal) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	place, refusal := g.allocator.Place(now, ask)
+	if refusal == nil {
+		g.notify()
+	}
+	return place, refusal
+}
+
+// Entry returns an upstream as it is listed.
+func (g *Governor) Entry(id identifier.UpstreamID) (tracker.Entry, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.allocator.Entry(id)
+}
+
+// ReadEnded tells that the prompt's read of a place ended.
+func (g *Governor) ReadEnded(now time.Time, place allocator.Place, outcome allocator.Outcome) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.allocator.ReadEnded(now, place, outcome == allocator.OutcomeWhole)
+	if outcome != allocator.OutcomeWhole {
+		g.allocator.ReadFailed(now, place, outcome)
+	}
+	g.notify()
+}
+
+// Progressed tells that the first event of a place arrived.
+func (g *Governor) Progressed(now time.Time, place allocator.Place) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.allocator.Progressed(now, place)
+}
+
+// Ended tells that the work of a place ended.
+func (g *Governor) Ended(now time.Time, place allocator.Place, outcome allocator.Outcome) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.allocator.Ended(now, place, outcome)
+	g.notify()
+}
+
+// Requested counts a caller's request for a service.
+func (g *Governor) Requested(now time.Time, service identifier.ServiceName) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.budgeter.Requested(now, service)
+}
+
+// SpendRepeat takes one repeat to a service out of the budget; false when there is none left.
+func (g *Governor) SpendRepeat(now time.Time, service identifier.ServiceName) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.budgeter.Spend(now, service)
+}
+
+// Learn takes another instance's work.
+func (g *Governor) Learn(now time.Time, instance identifier.InstanceID, loads map[identifier.UpstreamID]allocator.Load) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.allocator.Learn(now, instance, loads)
+}
+
+// Expire forgets the work of silent instances and upstreams that did not come back.
+func (g *Governor) Expire(now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.allocator.Expire(now)
+	if g.tracker.Expire(now) {
+		g.allocator.SetUpstreams(g.tracker.Entries())
+	}
+}
+
+// OwnLoads returns this instance's work.
+func (g *Governor) OwnLoads() map[identifier.UpstreamID]allocator.Load {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.allocator.OwnLoads()
+}
+
+// Changed gets a value after this instance's work changed.
+func (g *Governor) Changed() <-chan struct{} { return g.changed }
+
+func (g *Governor) notify() {
+	select {
+	case g.changed <- struct{}{}:
+	default:
+		// A value that was not taken yet tells the same.
+	}
+}
--- a/rosemaryspool/logger/logger.go
+++ b/rosemaryspool/logger/logger.go
@@ -15,8 +15,8 @@
 const (
 	// ringLines bounds the lines that wait for the writer; beyond it lines are dropped and counted.
 	ringLines = 8192
-	// pollInterval is how often an idle writer looks for new lines.
-	pollInterval = 10 * time.Millisecond
+	// pollInterval is how often an idle writer looks for new lines; zero makes it wait for them, which wakes no idle process.
+	pollInterval = 0 * time.Millisecond
 	// sourceLineKey keeps the library from taking the key "caller", which names who sent a request, for a source line.
 	sourceLineKey = "sourceLine"
 )
--- /dev/null
+++ b/rosemaryspool/subscriber/subscriber.go
@@ -0,0 +1,239 @@
+// Package subscriber follows the platform's store: the operator's configuration, the list of upstreams and the other
+// instances. While the store is away the instance goes on with what it knows.
+package subscriber
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
+
+	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/core/tracker"
+	"rosemaryspool.example/platform"
+	"rosemaryspool.example/rosemaryspool/gossiper"
+	"rosemaryspool.example/rosemaryspool/governor"
+)
+
+const (
+	// longWait is how long the store holds a read of configurations or members; it returns earlier with a record.
+	longWait = 20 * time.Second
+	// callTimeout is the time beyond a read's wait in which the store must answer; a slow store takes some hundred ms.
+	callTimeout = 2 * time.Second
+	// retryInterval is the least time between calls while the store is away.
+	retryInterval = 300 * time.Millisecond
+	// listShare is the part of the bound for leaving upstreams after which the list is read again. What is left covers
+	// the call and its repeat.
+	listShare = 0.45
+)
+
+// Subscriber follows the topics of one store.
+type Subscriber struct {
+	store        *platform.Store
+	governor     *governor.Governor
+	gossiper     *gossiper.Gossiper
+	self         platform.Member
+	listInterval time.Duration
+	log          zerolog.Logger
+	done         chan struct{}
+}
+
+// NewSubscriber returns a subscriber; nothing is read before Run.
+func NewSubscriber(
+	store *platform.Store, g *governor.Governor, peers *gossiper.Gossiper, self platform.Member, drainLimit time.Duration,
+	log zerolog.Logger,
+) *Subscriber {
+	return &Subscriber{
+		store: store, governor: g, gossiper: peers, self: self,
+		listInterval: time.Duration(listShare * float64(drainLimit)), log: log, done: make(chan struct{}),
+	}
+}
+
+// Done is closed when Run has returned.
+func (s *Subscriber) Done() <-chan struct{} { return s.done }
+
+// Run follows all topics until ctx ends.
+func (s *Subscriber) Run(ctx context.Context) {
+	defer close(s.done)
+	var topics conc.WaitGroup
+	topics.Go(func() {
+		s.follow(ctx, &topic{name: platform.TopicConfiguration, wait: longWait, take: s.takeConfigurations})
+	})
+	topics.Go(func() {
+		s.follow(ctx, &topic{name: platform.TopicServers, interval: s.listInterval, take: s.takeServers, failed: s.governor.StoreFailed})
+	})
+	topics.Go(func() {
+		s.announce(ctx)
+		s.follow(ctx, &topic{name: platform.TopicMembers, wait: longWait, take: s.takeMembers})
+	})
+	topics.Wait()
+}
+
+// topic is one followed topic. A topic with a wait is read by long reads, one with an interval at that interval.
+type topic struct {
+	name     string
+	wait     time.Duration
+	interval time.Duration
+	// take applies records; whole is true when they are all keys that the topic holds.
+	take   func(records []platform.Record, whole bool)
+	failed func(now time.Time)
+
+	next  uint64
+	known bool
+	away  bool
+}
+
+func (s *Subscriber) follow(ctx context.Context, t *topic) {
+	for ctx.Err() == nil {
+		started := time.Now()
+		err := s.read(ctx, t)
+		if ctx.Err() != nil {
+			return
+		}
+		pause := t.interval
+		if err != nil {
+			s.lose(t, err)
+			pause = retryInterval
+		} else {
+			s.regain(t)
+		}
+		if left := pause - time.Since(started); left > 0 {
+			select {
+			case <-ctx.Done():
+				return
+			case <-time.After(left):
+			}
+		}
+	}
+}
+
+// read reads the next records, or all newest ones when the next are unknown or trimmed.
+func (s *Subscriber) read(ctx context.Context, t *topic) error {
+	ctx, cancel := context.WithTimeout(ctx, t.wait+callTimeout)
+	defer cancel()
+	if t.known {
+		records, next, err := s.store.Read(ctx, t.name, t.next, t.wait)
+		var trimmed *platform.TrimmedError
+		switch {
+		case errors.As(err, &trimmed):
+			s.log.Warn().Str("event", "historyTrimmed").Str("topic", t.name).Uint64("from", t.next).
+				Uint64("start", trimmed.Start).Msg("Records were trimmed; reading the newest of each key")
+		case err != nil:
+			return err
+		default:
+			t.next = next
+			t.take(records, false)
+			return nil
+		}
+	}
+	records, end, err := s.store.Newest(ctx, t.name)
+	if err != nil {
+		return err
+	}
+	t.next, t.known = end, true
+	t.take(records, true)
+	return nil
+}
+
+func (s *Subscriber) lose(t *topic, err error) {
+	if t.failed != nil {
+		t.failed(time.Now())
+	}
+	if !t.away {
+		t.away = true
+		s.log.Warn().Err(err).Str("event", "storeLost").Str("topic", t.name).Uint64("next", t.next).
+			Msg("Store does not answer; going on with what is known")
+	}
+}
+
+func (s *Subscriber) regain(t *topic) {
+	if t.away {
+		t.away = false
+		s.log.Info().Str("event", "storeRegained").Str("topic", t.name).Uint64("next", t.next).Msg("Store answers again")
+	}
+}
+
+func (s *Subscriber) takeConfigurations(records []platform.Record, _ bool) {
+	for _, r := range records {
+		if r.Key != platform.KeyConfiguration || len(r.Value) == 0 {
+			continue
+		}
+		c, err := platform.DecodeConfiguration(r.Value)
+		if err != nil {
+			s.log.Error().Err(err).Str("event", "configurationUnreadable").Uint64("offset", r.Offset).
+				Msg("Configuration is skipped; the one before stays in force")
+			continue
+		}
+		s.governor.SetConfiguration(c)
+	}
+}
+
+func (s *Subscriber) takeServers(records []platform.Record, whole bool) {
+	now := time.Now()
+	cause := "records"
+	if whole {
+		cause = "newest"
+	}
+	s.governor.UpdateUpstreams(now, cause, func(t *tracker.Tracker) bool {
+		t.StoreBack(now)
+		changed := false
+		listed := map[identifier.UpstreamID]bool{}
+		for _, r := range records {
+			id := identifier.UpstreamID(r.Key)
+			if len(r.Value) == 0 {
+				changed = t.Dropped(now, id, r.Offset) || changed
+				continue
+			}
+			// An entry that can't be read says nothing against the upstream's earlier one.
+			listed[id] = true
+			e, err := platform.DecodeServer(r.Key, r.Value)
+			if err != nil {
+				s.log.Warn().Err(err).Str("event", "upstreamUnreadable").Uint64("offset", r.Offset).Msg("Entry is skipped")
+				continue
+			}
+			changed = t.Listed(e, r.Offset) || changed
+		}
+		if whole {
+			changed = t.Retain(now, listed) || changed
+		}
+		return changed
+	})
+}
+
+func (s *Subscriber) takeMembers(records []platform.Record, _ bool) {
+	for _, r := range records {
+		if len(r.Value) == 0 {
+			continue
+		}
+		m, err := platform.DecodeMember(r.Key, r.Value)
+		if err != nil {
+			s.log.Warn().Err(err).Str("event", "memberUnreadable").Uint64("offset", r.Offset).Msg("Entry is skipped")
+			continue
+		}
+		s.gossiper.SetMember(m.Instance, m.Address, m.StartedMs)
+	}
+}
+
+// announce writes this instance's record until the store has it.
+func (s *Subscriber) announce(ctx context.Context) {
+	content, err := platform.EncodeMember(s.self)
+	if err != nil {
+		s.log.Error().Err(err).Str("event", "memberUnwritable").Msg("Instance does not announce itself")
+		return
+	}
+	for ctx.Err() == nil {
+		call, cancel := context.WithTimeout(ctx, callTimeout)
+		err := s.store.Write(call, platform.TopicMembers, string(s.self.Instance), content)
+		cancel()
+		if err == nil {
+			return
+		}
+		s.log.Warn().Err(err).Str("event", "storeLost").Str("topic", platform.TopicMembers).Msg("Announcing the instance failed")
+		select {
+		case <-ctx.Done():
+		case <-time.After(retryInterval):
+		}
+	}
+}
