Notice the store's return on every topic

Cause: the first read of a topic had the time limit of a long read, and a long read that the store lost in an outage was kept for 22 s. Reads without a wait now end after 0.9 s, and the topic that sees the store return restarts the others.

--- a/rosemaryspool/subscriber/subscriber.go
+++ b/rosemaryspool/subscriber/subscriber.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -21,7 +22,7 @@
 	// longWait is how long the store holds a read of configurations or members; it returns earlier with a record.
 	longWait = 20 * time.Second
 	// callTimeout is the time beyond a read's wait in which the store must answer; a slow store takes some hundred ms.
-	callTimeout = 2 * time.Second
+	callTimeout = 900 * time.Millisecond
 	// retryInterval is the least time between calls while the store is away.
 	retryInterval = 300 * time.Millisecond
 	// listShare is the part of the bound for leaving upstreams after which the list is read again. What is left covers
@@ -38,6 +39,9 @@
 	listInterval time.Duration
 	log          zerolog.Logger
 	done         chan struct{}
+
+	mu     sync.Mutex
+	topics []*topic
 }
 
 // NewSubscriber returns a subscriber; nothing is read before Run.
@@ -57,18 +61,20 @@
 // Run follows all topics until ctx ends.
 func (s *Subscriber) Run(ctx context.Context) {
 	defer close(s.done)
-	var topics conc.WaitGroup
-	topics.Go(func() {
-		s.follow(ctx, &topic{name: platform.TopicConfiguration, wait: longWait, take: s.takeConfigurations})
-	})
-	topics.Go(func() {
-		s.follow(ctx, &topic{name: platform.TopicServers, interval: s.listInterval, take: s.takeServers, failed: s.governor.StoreFailed})
-	})
-	topics.Go(func() {
+	configurations := &topic{name: platform.TopicConfiguration, wait: longWait, take: s.takeConfigurations}
+	servers := &topic{
+		name: platform.TopicServers, interval: s.listInterval, take: s.takeServers, failed: s.governor.StoreFailed,
+	}
+	members := &topic{name: platform.TopicMembers, wait: longWait, take: s.takeMembers}
+	s.topics = []*topic{configurations, servers, members}
+	var group conc.WaitGroup
+	group.Go(func() { s.follow(ctx, configurations) })
+	group.Go(func() { s.follow(ctx, servers) })
+	group.Go(func() {
 		s.announce(ctx)
-		s.follow(ctx, &topic{name: platform.TopicMembers, wait: longWait, take: s.takeMembers})
+		s.follow(ctx, members)
 	})
-	topics.Wait()
+	group.Wait()
 }
 
 // topic is one followed topic. A topic with a wait is read by long reads, one with an interval at that interval.
@@ -83,6 +89,8 @@
 	next  uint64
 	known bool
 	away  bool
+	// cancel ends the read under way; nil between reads. The subscriber's mutex guards it.
+	cancel context.CancelFunc
 }
 
 func (s *Subscriber) follow(ctx context.Context, t *topic) {
@@ -92,6 +100,9 @@
 		if ctx.Err() != nil {
 			return
 		}
+		if errors.Is(err, context.Canceled) {
+			continue
+		}
 		pause := t.interval
 		if err != nil {
 			s.lose(t, err)
@@ -111,8 +122,14 @@
 
 // read reads the next records, or all newest ones when the next are unknown or trimmed.
 func (s *Subscriber) read(ctx context.Context, t *topic) error {
-	ctx, cancel := context.WithTimeout(ctx, t.wait+callTimeout)
+	wait := t.wait
+	if !t.known {
+		wait = 0
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
 	defer cancel()
+	s.setCancel(t, cancel)
+	defer s.setCancel(t, nil)
 	if t.known {
 		records, next, err := s.store.Read(ctx, t.name, t.next, t.wait)
 		var trimmed *platform.TrimmedError
@@ -152,6 +169,24 @@
 	if t.away {
 		t.away = false
 		s.log.Info().Str("event", "storeRegained").Str("topic", t.name).Uint64("next", t.next).Msg("Store answers again")
+		s.restartReads(t)
+	}
+}
+
+func (s *Subscriber) setCancel(t *topic, cancel context.CancelFunc) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t.cancel = cancel
+}
+
+// restartReads ends the long reads of the other topics: the store may have lost them while it was away.
+func (s *Subscriber) restartReads(regained *topic) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, t := range s.topics {
+		if t != regained && t.cancel != nil {
+			t.cancel()
+		}
 	}
 }
 
--- /dev/null
+++ b/rosemaryspool/subscriber/subscriber_test.go
@@ -0,0 +1,157 @@
+package subscriber
+
+import (
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"rosemaryspool.example/core/allocator"
+	"rosemaryspool.example/core/budgeter"
+	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/platform"
+	"rosemaryspool.example/rosemaryspool/gossiper"
+	"rosemaryspool.example/rosemaryspool/governor"
+	"rosemaryspool.example/standin/platformer"
+)
+
+const drainLimit = 2 * time.Second
+
+// world is a subscriber of a stand-in store.
+type world struct {
+	store    *platformer.Store
+	governor *governor.Governor
+}
+
+func newWorld(t *testing.T, prepare func(*platformer.Store)) *world {
+	t.Helper()
+	store := platformer.NewStore()
+	if prepare != nil {
+		prepare(store)
+	}
+	server := httptest.NewServer(store)
+	t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	g := governor.NewGovernor(governor.Settings{
+		Retry:    budgeter.Settings{Share: 0.2, Extra: 50, Window: 10 * time.Second},
+		Allocate: allocator.DefaultSettings(),
+	}, zerolog.Nop())
+	address := netip.MustParseAddrPort("127.0.0.1:0")
+	peers, err := gossiper.NewGossiper(address, "spool-1", 1, g, zerolog.Nop())
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	s := NewSubscriber(
+		platform.NewStore(strings.TrimPrefix(server.URL, "http://")), g, peers,
+		platform.Member{Instance: "spool-1", Address: address}, drainLimit, zerolog.Nop(),
+	)
+	go s.Run(ctx)
+	t.Cleanup(func() {
+		cancel()
+		<-s.Done()
+	})
+	return &world{store: store, governor: g}
+}
+
+func configuration(version int) []byte {
+	return fmt.Appendf(nil, `{"version":%d,"routes":[{"name":"r","host":"h","path-prefix":"/p/","kind":"idempotent",`+
+		`"service":"s","timeout-ms":1000}],"services":[{"name":"s","max-connections":10}]}`, version)
+}
+
+func server(state string) []byte {
+	return fmt.Appendf(nil,
+		`{"service":"s","address":"10.0.0.1:80","zone":"z","slots":6,"state":%q,"sequence":1,"born":1}`, state)
+}
+
+func (w *world) version() uint64 {
+	if table := w.governor.Table(); table != nil {
+		return table.Configuration().Version
+	}
+	return 0
+}
+
+func TestConfigurationIsInForceSoonAfterTheStoreReturns(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// known is true when the instance had a configuration before the store went away.
+		known bool
+		fault platformer.Fault
+	}{
+		{"silent from the start", false, platformer.Silent},
+		{"silent during a long read", true, platformer.Silent},
+		{"busy", true, platformer.Busy},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := newWorld(t, func(s *platformer.Store) {
+				s.Put(platform.TopicConfiguration, platform.KeyConfiguration, configuration(1))
+				if !c.known {
+					s.SetFault(c.fault)
+				}
+			})
+			if c.known {
+				require.Eventually(t, func() bool { return w.version() == 1 }, time.Second, time.Millisecond)
+				w.store.SetFault(c.fault)
+				w.store.Put(platform.TopicConfiguration, platform.KeyConfiguration, configuration(2))
+			}
+			time.Sleep(2 * time.Second)
+			w.store.Put(platform.TopicConfiguration, platform.KeyConfiguration, configuration(3))
+			w.store.SetFault(platformer.Healthy)
+			require.Eventually(t, func() bool { return w.version() == 3 }, drainLimit, time.Millisecond)
+		})
+	}
+}
+
+func TestUnreadableEntriesLeaveTheOthers(t *testing.T) {
+	w := newWorld(t, func(s *platformer.Store) {
+		s.Put(platform.TopicServers, "good", server("ready"))
+		s.Put(platform.TopicServers, "textSlots", []byte(`{"service":"s","address":"10.0.0.1:80","zone":"z","slots":"6","state":"ready"}`))
+		s.Put(platform.TopicServers, "noState", []byte(`{"service":"s","address":"10.0.0.1:80","zone":"z","slots":6}`))
+		s.Put(platform.TopicServers, "strange", []byte("\x00\xff"))
+		s.Put(platform.TopicConfiguration, platform.KeyConfiguration, []byte("{"))
+		s.Put(platform.TopicConfiguration, platform.KeyConfiguration, configuration(4))
+	})
+	require.Eventually(t, w.governor.Ready, time.Second, time.Millisecond)
+	_, listed := w.governor.Entry("good")
+	require.True(t, listed)
+	for _, id := range []string{"textSlots", "noState", "strange"} {
+		_, listed := w.governor.Entry(identifier.UpstreamID(id))
+		require.False(t, listed, id)
+	}
+}
+
+func TestTrimmedHistoryIsReadFromTheNewestRecords(t *testing.T) {
+	w := newWorld(t, func(s *platformer.Store) {
+		s.Put(platform.TopicConfiguration, platform.KeyConfiguration, configuration(1))
+		s.Put(platform.TopicServers, "a", server("ready"))
+		s.Put(platform.TopicServers, "b", server("ready"))
+	})
+	require.Eventually(t, w.governor.Ready, time.Second, time.Millisecond)
+	w.store.Put(platform.TopicServers, "b", nil)
+	w.store.Put(platform.TopicServers, "a", server("draining"))
+	w.store.Trim(platform.TopicServers)
+	require.Eventually(t, func() bool {
+		a, _ := w.governor.Entry("a")
+		_, listed := w.governor.Entry("b")
+		return a.Leaving && !listed
+	}, drainLimit, time.Millisecond)
+}
+
+func TestLeavingIsKnownWithinTheBound(t *testing.T) {
+	w := newWorld(t, func(s *platformer.Store) {
+		s.Put(platform.TopicConfiguration, platform.KeyConfiguration, configuration(1))
+		s.Put(platform.TopicServers, "a", server("ready"))
+	})
+	require.Eventually(t, w.governor.Ready, time.Second, time.Millisecond)
+	w.store.Put(platform.TopicServers, "a", server("draining"))
+	require.Eventually(t, func() bool {
+		a, _ := w.governor.Entry("a")
+		return a.Leaving
+	}, drainLimit, time.Millisecond)
+}
