Place by the tokens that engines have to read

Cause: places were chosen by the count of requests. Instances now share the tokens still to be read at each engine; the time for one token is measured; prompts with the same shared parts have a home among all engines, readers with double weight; admission bounds the queue and not the request's own length, so that long prompts are not starved.

--- a/core/allocator/allocator.go
+++ b/core/allocator/allocator.go
@@ -24,8 +24,8 @@
 	// Short and Long count requests that run or wait there, by the length of their answers.
 	Short int
 	Long  int
-	// Reading counts prompts that are read there for other engines.
-	Reading int
+	// Reading is the length of the prompts that are still to be read there, less what is expected in its cache.
+	Reading identifier.Tokens
 }
 
 // upstream is what is known of one upstream.
@@ -33,7 +33,7 @@
 	entry tracker.Entry
 	own   Load
 	peers Load
-	// rank is the upstream's place in the affinity order, a hash of its id.
+	// hash places the upstream in the affinity order of each prompt.
 	hash uint64
 }
 
--- a/core/allocator/pace.go
+++ b/core/allocator/pace.go
@@ -1,25 +1,52 @@
 package allocator
 
-import "time"
+import (
+	"time"
+
+	"rosemaryspool.example/core/identifier"
+)
 
 // pace is what an instance has measured of a service's upstreams.
 type pace struct {
 	memory float64
+	base   time.Duration
 	// first is the time from dispatch to the first event at an upstream with a free slot and a read prompt.
 	first time.Duration
-	// residence is how long a short answer holds its slot, long how long a long one does.
+	// residence is how long a short answer holds its slot.
 	residence time.Duration
-	// read is the time of one prompt's read at an engine that only reads; direct the same at an engine that also makes tokens.
-	read   time.Duration
-	direct time.Duration
+	// readToken and directToken are the times in which one token of a prompt is read, by an engine that only reads and by
+	// one that also makes tokens.
+	readToken   time.Duration
+	directToken time.Duration
 }
 
+// firstEvent is the time from dispatch to the first event before it is measured: two ways and some steps of the engine.
+const firstEvent = 6 * time.Millisecond
+
 func newPace(s Settings) *pace {
 	return &pace{
-		memory: s.Memory, first: s.Residence / 2, residence: s.Residence, read: s.ReadTime, direct: 2 * s.ReadTime,
+		memory: s.Memory, base: s.ReadBase, first: firstEvent, residence: s.Residence,
+		readToken:   time.Duration(float64(time.Millisecond) / s.ReadRate),
+		directToken: time.Duration(float64(time.Millisecond) / s.DirectRate),
 	}
 }
 
 func (p *pace) move(estimate *time.Duration, measured time.Duration) {
 	*estimate += time.Duration(p.memory * float64(measured-*estimate))
 }
+
+// learnToken takes the time of a read that had to pass a number of tokens. Short reads tell little about one token.
+func (p *pace) learnToken(estimate *time.Duration, took time.Duration, tokens identifier.Tokens) {
+	if tokens < leastLearned || took <= p.base {
+		return
+	}
+	p.move(estimate, (took-p.base)/time.Duration(tokens))
+}
+
+// leastLearned is the length from which a read's time is mostly due to its tokens.
+const leastLearned identifier.Tokens = 1000
+
+// read predicts a read behind the tokens that are to be read before.
+func (p *pace) read(token time.Duration, tokens identifier.Tokens) time.Duration {
+	return p.base + time.Duration(tokens)*token
+}
--- a/core/allocator/placing.go
+++ b/core/allocator/placing.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"rosemaryspool.example/core/identifier"
 	"rosemaryspool.example/core/tracker"
 )
@@ -21,6 +19,8 @@
 	Output identifier.Tokens
 	// ToTarget is the time until the answer no longer counts as in time; negative for a request that is late already.
 	ToTarget time.Duration
+	// Target is the time in which the route's answers are in time.
+	Target time.Duration
 	// Left is the time until nobody waits any more.
 	Left time.Duration
 	// Tried lists the upstreams that failed the request.
@@ -43,8 +43,11 @@
 	Ahead       Load
 	ReaderAhead Load
 
+	tokens identifier.Tokens
 	placed time.Time
 	long   bool
+	// started is true once the first event arrived.
+	started bool
 }
 
 // Reason tells why a request has no place.
@@ -85,6 +88,7 @@
 		Upstream:  best.upstream.entry.Upstream,
 		Predicted: best.predicted,
 		Ahead:     best.upstream.total(),
+		tokens:    best.tokens,
 		placed:    now,
 		long:      a.long(ask),
 	}
@@ -96,7 +100,9 @@
 	if best.reader != nil {
 		place.Reader = best.reader.entry.Upstream
 		place.ReaderAhead = best.reader.total()
-		best.reader.own.Reading++
+		best.reader.own.Reading += best.tokens
+	} else {
+		best.upstream.own.Reading += best.tokens
 	}
 	a.health.Sent(place.Upstream)
 	return place, nil
@@ -106,6 +112,10 @@
 type option struct {
 	upstream *upstream
 	reader   *upstream
+	// tokens is the part of the prompt that is expected to be read.
+	tokens identifier.Tokens
+	// work is the time that an engine spends on reading them.
+	work time.Duration
 	// predicted is the time to the first event, cost also counts what the choice does to others.
 	predicted time.Duration
 	cost      time.Duration
@@ -123,41 +133,82 @@
 			runners = append(runners, u)
 		}
 	}
-	subject := subjectOf(ask.Prompt)
-	reader := a.bestReader(p, readers, subject)
-	options := make([]option, 0, 2*len(runners))
+	options := make([]option, 0, len(runners)*(1+len(readers)))
 	for _, u := range runners {
 		wait := a.wait(p, u)
-		remote := a.remoteCost(u)
 		if !ask.Engine {
-			options = append(options, option{upstream: u, predicted: p.residence + wait, cost: wait + remote})
-			continue
-		}
-		direct := p.direct
-		if subject != 0 && u == preferred(runners, subject) {
-			direct = direct * 2 / 3
+			options = append(options, option{upstream: u, predicted: p.residence + wait, cost: wait + a.remoteCost(u)})
 		}
-		others := time.Duration(u.total().Short+u.total().Long) * direct / time.Duration(2*max(1, u.entry.Slots))
-		options = append(options, option{
-			upstream: u, predicted: wait + direct + p.first, cost: wait + direct + others + remote,
-		})
-		if reader == nil || ask.Whole {
-			continue
+	}
+	if !ask.Engine {
+		return options
+	}
+	homes := newHomes(ask.Prompt, runners, readers)
+	runner := a.leastWaiting(p, runners, a.long(ask))
+	for _, u := range runners {
+		options = append(options, a.direct(p, ask, u, homes))
+	}
+	for _, u := range readers {
+		if runner != nil && !ask.Whole {
+			options = append(options, a.split(p, ask, u, runner, homes))
 		}
-		reading := a.readTime(p, reader)
-		// The slot frees while the prompt is read elsewhere.
-		options = append(options, option{
-			upstream: u, reader: reader,
-			predicted: max(wait, reading) + p.first,
-			cost:      max(wait, reading) + wait/4 + remote + a.remoteCost(reader),
-		})
 	}
 	return options
 }
 
-// readTime predicts when one more prompt is read at an engine that only reads.
-func (a *Allocator) readTime(p *pace, u *upstream) time.Duration {
-	return time.Duration(u.total().Reading+1) * p.read
+// direct is the option that an engine reads the prompt itself.
+func (a *Allocator) direct(p *pace, ask Ask, u *upstream, h homes) option {
+	tokens := a.uncached(ask, u, h)
+	reading := p.read(p.directToken, u.total().Reading+tokens)
+	work := time.Duration(tokens) * p.directToken
+	predicted := a.wait(p, u) + reading + p.first
+	return option{
+		upstream: u, tokens: tokens, work: work, predicted: predicted,
+		cost: predicted + a.weigh(work) + a.remoteCost(u) + a.spread(ask, u),
+	}
+}
+
+// split is the option that one engine reads the prompt and another makes the answer.
+func (a *Allocator) split(p *pace, ask Ask, reader, runner *upstream, h homes) option {
+	tokens := a.uncached(ask, reader, h)
+	reading := p.read(p.readToken, reader.total().Reading+tokens)
+	work := time.Duration(tokens) * p.readToken
+	// The slot frees while the prompt is read elsewhere.
+	predicted := max(a.wait(p, runner), reading) + p.first
+	return option{
+		upstream: runner, reader: reader, tokens: tokens, work: work, predicted: predicted,
+		cost: predicted + a.weigh(work) + a.remoteCost(reader) + a.remoteCost(runner) + a.spread(ask, runner),
+	}
+}
+
+func (a *Allocator) weigh(work time.Duration) time.Duration {
+	return time.Duration(a.settings.WorkWeight * float64(work))
+}
+
+// spread is the cost of one more long answer at an engine.
+func (a *Allocator) spread(ask Ask, u *upstream) time.Duration {
+	if !a.long(ask) {
+		return 0
+	}
+	return time.Duration(u.total().Long) * a.settings.LongSpread
+}
+
+// leastWaiting returns the engine with the shortest wait for a slot; among equals the one in this data centre, then the
+// one with the fewest answers.
+func (a *Allocator) leastWaiting(p *pace, runners []*upstream, long bool) *upstream {
+	var best *upstream
+	var least time.Duration
+	for _, u := range runners {
+		t := u.total()
+		cost := a.wait(p, u) + a.remoteCost(u) + time.Duration(t.Short)*time.Millisecond + time.Duration(t.Reading)*p.directToken/4
+		if long {
+			cost += time.Duration(t.Long) * a.settings.LongSpread
+		}
+		if best == nil || cost < least {
+			best, least = u, cost
+		}
+	}
+	return best
 }
 
 // wait predicts when a slot is free for one more request.
@@ -179,21 +230,8 @@
 	return a.settings.RemoteCost
 }
 
-func (a *Allocator) bestReader(p *pace, readers []*upstream, subject uint64) *upstream {
-	var best *upstream
-	var least time.Duration
-	home := preferred(readers, subject)
-	for _, u := range readers {
-		cost := a.readTime(p, u) + a.remoteCost(u)
-		if u == home {
-			cost -= p.read / 2
-		}
-		if best == nil || cost < least {
-			best, least = u, cost
-		}
-	}
-	return best
-}
+// lateShare is the share of the target that the prediction for a late request may fill: it gets only what fresh ones leave.
+const lateShare = 0.4
 
 // admissible tells whether the best option serves the request in a way that is worth the slot. A request that can still
 // be in time must be predicted to be; one that is late already gets what would otherwise stay free.
@@ -205,39 +243,51 @@
 		return true
 	}
 	if ask.ToTarget <= 0 {
-		return best.predicted-a.paceOf(ask.Service).first <= 2*a.settings.ReadTime
+		return best.predicted <= time.Duration(lateShare*float64(ask.Target))
 	}
-	return best.predicted <= time.Duration(a.settings.TargetShare*float64(ask.ToTarget))
+	// The queue decides, not the request's own length: long prompts must not starve.
+	queued := best.predicted - best.work
+	return best.predicted <= ask.ToTarget && queued <= time.Duration(a.settings.QueueShare*float64(ask.ToTarget))
 }
 
 func (a *Allocator) long(ask Ask) bool { return ask.Engine && ask.Output >= a.settings.LongOutput }
 
-// ReadEnded tells that the prompt's read of a place ended, well or not.
-func (a *Allocator) ReadEnded(now time.Time, p Place, whole bool) {
+// ReadEnded tells that the prompt's read of a place ended, well or not. It must be told once for a place with a reader.
+func (a *Allocator) ReadEnded(now time.Time, p Place, outcome Outcome) {
 	u := a.upstreams[p.Reader]
 	if u == nil {
 		return
 	}
-	u.own.Reading = max(0, u.own.Reading-1)
-	if whole {
-		pace := a.paceOf(u.entry.Service)
-		pace.move(&pace.read, now.Sub(p.placed)/time.Duration(p.ReaderAhead.Reading+1))
-		a.health.Succeeded(now, p.Reader, 0)
+	u.own.Reading = max(0, u.own.Reading-p.tokens)
+	if outcome != OutcomeWhole {
+		a.failed(now, p.Reader, outcome)
+		return
 	}
+	pace := a.paceOf(u.entry.Service)
+	pace.learnToken(&pace.readToken, now.Sub(p.placed), p.ReaderAhead.Reading+p.tokens)
+	a.health.Succeeded(now, p.Reader, 0)
 }
 
-// Progressed tells when the first event of a place arrived.
-func (a *Allocator) Progressed(now time.Time, p Place) {
+// Progressed tells when the first event of a place arrived; sent is when the request was sent to Upstream. It must be told
+// at most once.
+func (a *Allocator) Progressed(now, sent time.Time, p *Place) {
 	u := a.upstreams[p.Upstream]
-	if u == nil || p.Ahead.Short+p.Ahead.Long >= u.entry.Slots {
+	if u == nil || p.started {
 		return
 	}
+	p.started = true
 	pace := a.paceOf(u.entry.Service)
 	if p.Reader == "" {
-		pace.move(&pace.first, now.Sub(p.placed)-pace.direct)
+		u.own.Reading = max(0, u.own.Reading-p.tokens)
+	}
+	if p.Ahead.Short+p.Ahead.Long >= u.entry.Slots {
 		return
 	}
-	pace.move(&pace.first, now.Sub(p.placed)-time.Duration(p.ReaderAhead.Reading+1)*pace.read)
+	if p.Reader == "" {
+		pace.learnToken(&pace.directToken, now.Sub(sent)-pace.first, p.Ahead.Reading+p.tokens)
+		return
+	}
+	pace.move(&pace.first, now.Sub(sent))
 }
 
 // Outcome tells how a place's work ended.
@@ -257,31 +307,29 @@
 	OutcomeAbandoned
 )
 
-// Ended takes back the work of a place and learns from its outcome.
-func (a *Allocator) Ended(now time.Time, p Place, outcome Outcome) {
+// Ended takes back the work of a place and learns from its outcome; sent is when the request was sent to Upstream, zero
+// when it was not.
+func (a *Allocator) Ended(now, sent time.Time, p Place, outcome Outcome) {
 	u := a.upstreams[p.Upstream]
 	if u == nil {
 		return
 	}
+	if p.Reader == "" && !p.started {
+		u.own.Reading = max(0, u.own.Reading-p.tokens)
+	}
 	if p.long {
 		u.own.Long = max(0, u.own.Long-1)
 	} else {
 		u.own.Short = max(0, u.own.Short-1)
 	}
-	switch outcome {
-	case OutcomeWhole:
-		a.health.Succeeded(now, p.Upstream, 0)
-		if pace := a.paceOf(u.entry.Service); !p.long && p.Ahead.Short+p.Ahead.Long < u.entry.Slots {
-			pace.move(&pace.residence, now.Sub(p.placed))
-		}
-	default:
+	if outcome != OutcomeWhole {
 		a.failed(now, p.Upstream, outcome)
+		return
+	}
+	a.health.Succeeded(now, p.Upstream, 0)
+	if pace := a.paceOf(u.entry.Service); !p.long && !sent.IsZero() && p.Ahead.Short+p.Ahead.Long < u.entry.Slots {
+		pace.move(&pace.residence, now.Sub(sent))
 	}
-}
-
-// ReadFailed tells how a prompt's read failed.
-func (a *Allocator) ReadFailed(now time.Time, p Place, outcome Outcome) {
-	a.failed(now, p.Reader, outcome)
 }
 
 func (a *Allocator) failed(now time.Time, id identifier.UpstreamID, outcome Outcome) {
@@ -296,35 +344,3 @@
 		a.health.Abandoned(id)
 	}
 }
-
-// subjectOf returns a hash of the longest shared part of a prompt: the last part is the request's own.
-func subjectOf(prompt []Part) uint64 {
-	if len(prompt) < 2 {
-		return 0
-	}
-	return hash(prompt[len(prompt)-2].ID)
-}
-
-// preferred returns the upstream that all instances choose for a subject, by rendezvous hashing.
-func preferred(us []*upstream, subject uint64) *upstream {
-	var best *upstream
-	var most uint64
-	for _, u := range us {
-		weight := mix(u.hash ^ subject)
-		if best == nil || weight > most {
-			best, most = u, weight
-		}
-	}
-	return best
-}
-
-func hash(text string) uint64 { return xxhash.Sum64String(text) }
-
-// mix spreads a combined hash over all bits; it is the finalizer of a 64-bit hash.
-func mix(x uint64) uint64 {
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	x *= 0xc4ceb9fe1a85ec53
-	return x ^ x>>33
-}
--- a/core/allocator/settings.go
+++ b/core/allocator/settings.go
@@ -17,12 +17,26 @@
 	RemoteCost time.Duration
 	// LongOutput is the length of an answer from which a request holds its slot for many others' time.
 	LongOutput identifier.Tokens
-	// TargetShare is the part of the time to a route's target that a prediction may fill; the rest covers its error.
-	TargetShare float64
-	// Residence is the time that a short answer holds a slot, and ReadTime that of one prompt's read, before they are
-	// measured.
+	// QueueShare is the part of the time to a route's target that a request may spend behind others; the rest is for its
+	// own work and covers the prediction's error.
+	QueueShare float64
+	// Residence is the time that a short answer holds a slot before it is measured.
 	Residence time.Duration
-	ReadTime  time.Duration
+	// ReadRate and DirectRate are the prompt tokens that an engine reads in a millisecond, one that only reads and one
+	// that also makes tokens, before they are measured.
+	ReadRate   float64
+	DirectRate float64
+	// ReadBase is the part of a read's time that doesn't depend on its length.
+	ReadBase time.Duration
+	// RootHit, HomeHit and OtherHit are the expected shares of a prompt's shared parts in an engine's cache: of the first
+	// part, which few prompts don't share, and of the others at the prompt's home and elsewhere.
+	RootHit  float64
+	HomeHit  float64
+	OtherHit float64
+	// WorkWeight is what an engine's time costs beside the request's own: under load it is taken from other requests.
+	WorkWeight float64
+	// LongSpread keeps long answers apart from each other: each one on an engine slows all its tokens.
+	LongSpread time.Duration
 	// RetryAfter keeps a refused caller away until a burst has passed its peak; bursts last some seconds.
 	RetryAfter time.Duration
 	// Memory is the share by which one measurement moves an estimate.
@@ -36,9 +50,16 @@
 		PeerMemory:  time.Second,
 		RemoteCost:  4 * time.Millisecond,
 		LongOutput:  600,
-		TargetShare: 0.8,
-		Residence:   70 * time.Millisecond,
-		ReadTime:    10 * time.Millisecond,
+		QueueShare:  0.6,
+		Residence:   40 * time.Millisecond,
+		ReadRate:    800,
+		DirectRate:  300,
+		ReadBase:    4 * time.Millisecond,
+		RootHit:     0.9,
+		HomeHit:     0.6,
+		OtherHit:    0.1,
+		WorkWeight:  3,
+		LongSpread:  5 * time.Millisecond,
 		RetryAfter:  time.Second,
 		Memory:      0.05,
 	}
--- a/rosemaryspool/forwarder/attempt.go
+++ b/rosemaryspool/forwarder/attempt.go
@@ -71,7 +71,7 @@
 	line = line.Str("upstream", string(a.place.Upstream)).Dur("predictedMs", a.place.Predicted).
 		Int("aheadShort", a.place.Ahead.Short).Int("aheadLong", a.place.Ahead.Long).Int("upstreamStatus", a.status)
 	if a.place.Reader != "" {
-		line = line.Str("reader", string(a.place.Reader)).Int("aheadReads", a.place.ReaderAhead.Reading)
+		line = line.Str("reader", string(a.place.Reader)).Int("aheadTokens", int(a.place.ReaderAhead.Reading))
 	}
 	if !a.firstAt.IsZero() {
 		line = line.Dur("firstMs", a.firstAt.Sub(a.sentAt))
@@ -151,9 +151,9 @@
 
 // attempt sends the request to a place and passes the answer on.
 func (e *exchange) attempt(place allocator.Place) ending {
-	e.last = attempt{place: place, sentAt: time.Now()}
+	e.last = attempt{place: place}
 	outcome := allocator.OutcomeAbandoned
-	defer func() { e.forwarder.governor.Ended(time.Now(), place, outcome) }()
+	defer func() { e.forwarder.governor.Ended(time.Now(), e.last.sentAt, e.last.place, outcome) }()
 	entry, listed := e.forwarder.governor.Entry(place.Upstream)
 	if !listed {
 		return notRun
--- a/rosemaryspool/forwarder/forwarder.go
+++ b/rosemaryspool/forwarder/forwarder.go
@@ -226,7 +226,7 @@
 	}
 	return allocator.Ask{
 		Service: e.service, Engine: e.engine, Rank: e.route.Rank, Prompt: e.caller.Prompt, Output: output,
-		ToTarget: e.target.Sub(now), Left: e.deadline.Sub(now), Tried: e.tried, Whole: e.whole || e.sends > 0,
+		ToTarget: e.target.Sub(now), Target: e.route.TargetLatency, Left: e.deadline.Sub(now), Tried: e.tried, Whole: e.whole || e.sends > 0,
 		Resumed: e.head,
 	}
 }
@@ -270,6 +270,10 @@
 	if r.retry > 0 {
 		line = line.Dur("retryAfterMs", r.retry)
 	}
+	if e.caller.PromptTokens > 0 {
+		line = line.Int("promptTokens", int(e.caller.PromptTokens)).Int("maxOutput", int(e.caller.MaxOutput)).
+			Int("expectedOutput", int(e.caller.ExpectedOutput))
+	}
 	if e.sends > 0 {
 		line = line.Int("sends", e.sends).Int("runs", e.runs)
 		line = e.last.describe(line)
--- a/rosemaryspool/forwarder/relay.go
+++ b/rosemaryspool/forwarder/relay.go
@@ -159,7 +159,7 @@
 	if len(events) > 0 {
 		if e.last.firstAt.IsZero() {
 			e.last.firstAt = time.Now()
-			e.forwarder.governor.Progressed(e.last.firstAt, e.last.place)
+			e.forwarder.governor.Progressed(e.last.firstAt, e.last.sentAt, &e.last.place)
 		}
 		if err := e.events.flusher.Flush(); err != nil {
 			return err
--- a/rosemaryspool/governor/governor.go
+++ b/rosemaryspool/governor/governor.go
@@ -173,25 +173,22 @@
 func (g *Governor) ReadEnded(now time.Time, place allocator.Place, outcome allocator.Outcome) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.allocator.ReadEnded(now, place, outcome == allocator.OutcomeWhole)
-	if outcome != allocator.OutcomeWhole {
-		g.allocator.ReadFailed(now, place, outcome)
-	}
+	g.allocator.ReadEnded(now, place, outcome)
 	g.notify()
 }
 
 // Progressed tells that the first event of a place arrived.
-func (g *Governor) Progressed(now time.Time, place allocator.Place) {
+func (g *Governor) Progressed(now, sent time.Time, place *allocator.Place) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.allocator.Progressed(now, place)
+	g.allocator.Progressed(now, sent, place)
 }
 
 // Ended tells that the work of a place ended.
-func (g *Governor) Ended(now time.Time, place allocator.Place, outcome allocator.Outcome) {
+func (g *Governor) Ended(now, sent time.Time, place allocator.Place, outcome allocator.Outcome) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.allocator.Ended(now, place, outcome)
+	g.allocator.Ended(now, sent, place, outcome)
 	g.notify()
 }
 
