Test the gateway's promises against stand-ins of the platform

Found by it: an answer with another request's id on a new connection was waited past until the request's time was over (504 after 0.9 s); it now ends the exchange at once.

--- a/rosemaryspool/connector/exchange.go
+++ b/rosemaryspool/connector/exchange.go
@@ -127,6 +127,9 @@
 			a.take(response)
 			return nil
 		}
+		if a.used.used == 1 {
+			return eris.Errorf("answer %d of another request on a new connection", response.StatusCode)
+		}
 		n, err := io.CopyN(io.Discard, response.Body, discardBytes)
 		if err != io.EOF || response.Close || stray >= strayAnswers {
 			return eris.Errorf("answer %d of another request, %d bytes", response.StatusCode, n)
--- a/rosemaryspool/gossiper/gossiper.go
+++ b/rosemaryspool/gossiper/gossiper.go
@@ -23,7 +23,7 @@
 	leastInterval = 10 * time.Millisecond
 	// sendsPerSecond bounds the datagrams that one instance sends, so that the cost of an instance stays the same in a
 	// large system; reports become rarer instead.
-	sendsPerSecond = 500
+	sendsPerSecond = 400
 	// restInterval is the time between reports of unchanged work; peers forget an instance after a second of silence.
 	restInterval = 300 * time.Millisecond
 	// silentAfter is when a member that is not heard is told more rarely.
--- /dev/null
+++ b/standin/platformer/upstream.go
@@ -0,0 +1,278 @@
+package platformer
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Headers of upstreams on the wire.
+const (
+	headerAttempt     = "Rosemaryspool-Attempt-Id"
+	headerSignature   = "Rosemaryspool-Server-Signature"
+	headerNotExecuted = "Rosemaryspool-Not-Executed"
+	headerExpect      = "Rosemaryspool-Expect-Instance"
+	headerStage       = "Rosemaryspool-Serving-Stage"
+)
+
+// Behaviour is how an upstream answers.
+type Behaviour int
+
+// Behaviours of an upstream.
+const (
+	// Answers runs the request and answers it whole.
+	Answers Behaviour = iota
+	// Rejects answers 503 and states that the request did not run.
+	Rejects
+	// Fails runs the request and answers 500.
+	Fails
+	// Resets runs the request and closes the connection without an answer.
+	Resets
+	// Cuts runs the request and breaks its answer off in the middle, in a stream in the middle of an event.
+	Cuts
+	// Unsigned answers bytes that it doesn't vouch for.
+	Unsigned
+	// Crossed answers with another request's id.
+	Crossed
+	// Trails sends a second answer after the first one.
+	Trails
+	// Skips leaves an event of its stream out.
+	Skips
+	// Hangs runs the request and never answers.
+	Hangs
+)
+
+// Run is one request that reached an upstream and was not rejected.
+type Run struct {
+	Method string
+	URI    string
+	Body   string
+	Header http.Header
+	// PromptOnly is true when only the prompt was read.
+	PromptOnly bool
+}
+
+// Upstream stands in for a server of the platform. Streams have the events 1 to Events.
+type Upstream struct {
+	ID     string
+	Events int
+	Stage  string
+	server *httptest.Server
+
+	mu        sync.Mutex
+	behaviour Behaviour
+	// others answer once this one has misbehaved.
+	others   []*Upstream
+	runs     []Run
+	canceled int
+	handles  map[string]bool
+	delay    time.Duration
+}
+
+// NewUpstream starts an upstream; stage is empty for a plain service.
+func NewUpstream(id, stage string, events int) *Upstream {
+	u := &Upstream{ID: id, Stage: stage, Events: events, handles: map[string]bool{}}
+	u.server = httptest.NewServer(u)
+	return u
+}
+
+// Close stops the upstream.
+func (u *Upstream) Close() {
+	u.server.CloseClientConnections()
+	u.server.Close()
+}
+
+// Address returns IP:PORT.
+func (u *Upstream) Address() string { return strings.TrimPrefix(u.server.URL, "http://") }
+
+// Entry returns the upstream's record in the store.
+func (u *Upstream) Entry(service, state string) []byte {
+	return fmt.Appendf(nil,
+		`{"service":%q,"address":%q,"zone":"here","version":"v1","slots":6,"state":%q,"stage":%q,"sequence":1,"born":1}`,
+		service, u.Address(), state, u.Stage)
+}
+
+// SetBehaviour changes how the upstream answers from now on.
+func (u *Upstream) SetBehaviour(b Behaviour) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.behaviour = b
+}
+
+// Misbehave makes the upstream that is asked first behave in one way, and the others answer.
+func Misbehave(b Behaviour, us ...*Upstream) {
+	for _, u := range us {
+		u.mu.Lock()
+		u.behaviour, u.others = b, us
+		u.mu.Unlock()
+	}
+}
+
+// spare makes the others answer.
+func (u *Upstream) spare(others []*Upstream) {
+	for _, other := range others {
+		if other != u {
+			other.SetBehaviour(Answers)
+		}
+	}
+}
+
+// SetDelay is the time that each run takes before its answer.
+func (u *Upstream) SetDelay(d time.Duration) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.delay = d
+}
+
+// Runs returns the requests that ran.
+func (u *Upstream) Runs() []Run {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return append([]Run(nil), u.runs...)
+}
+
+// Canceled returns how many runs were ended by a closed connection.
+func (u *Upstream) Canceled() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.canceled
+}
+
+// DropHandles makes the upstream forget the prompts that it has read.
+func (u *Upstream) DropHandles() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	clear(u.handles)
+}
+
+// ServeHTTP implements http.Handler.
+func (u *Upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	if r.Method == http.MethodDelete && strings.HasPrefix(r.URL.Path, "/-/kv-handle/") {
+		u.mu.Lock()
+		delete(u.handles, strings.TrimPrefix(r.URL.Path, "/-/kv-handle/"))
+		u.mu.Unlock()
+		return
+	}
+	id := r.Header.Get(headerAttempt)
+	w.Header().Set(headerAttempt, id)
+	if expected := r.Header.Get(headerExpect); expected != "" && expected != u.ID {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	u.mu.Lock()
+	behaviour, delay, others := u.behaviour, u.delay, u.others
+	u.mu.Unlock()
+	if behaviour != Answers {
+		u.spare(others)
+	}
+	if behaviour == Rejects {
+		w.Header().Set(headerNotExecuted, "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	promptOnly := r.Header.Get(headerStage) == "prefill"
+	u.mu.Lock()
+	u.runs = append(u.runs, Run{
+		Method: r.Method, URI: r.RequestURI, Body: string(body), Header: r.Header.Clone(), PromptOnly: promptOnly,
+	})
+	handle := fmt.Sprintf("h%d", len(u.runs))
+	if promptOnly {
+		u.handles[handle] = true
+	}
+	u.mu.Unlock()
+	u.wait(r, behaviour, delay)
+	switch {
+	case behaviour == Resets || behaviour == Hangs:
+		panic(http.ErrAbortHandler)
+	case promptOnly:
+		writeJSON(w, http.StatusOK, map[string]any{"kv-handle": handle, "tokens": 1})
+	case u.Events > 0:
+		u.stream(w, r, behaviour)
+	default:
+		u.answer(w, behaviour)
+	}
+}
+
+func (u *Upstream) wait(r *http.Request, behaviour Behaviour, delay time.Duration) {
+	if behaviour == Hangs {
+		delay = time.Hour
+	}
+	select {
+	case <-time.After(delay):
+	case <-r.Context().Done():
+		u.mu.Lock()
+		u.canceled++
+		u.mu.Unlock()
+	}
+}
+
+// Body is the answer of a plain service.
+const Body = "the whole answer"
+
+func (u *Upstream) answer(w http.ResponseWriter, behaviour Behaviour) {
+	h := w.Header()
+	h.Set(headerSignature, u.ID+".1")
+	status := http.StatusOK
+	switch behaviour {
+	case Fails:
+		status = http.StatusInternalServerError
+	case Unsigned:
+		h.Del(headerSignature)
+	case Crossed:
+		h.Set(headerAttempt, "another")
+	case Cuts:
+		h.Set("Content-Length", fmt.Sprint(len(Body)))
+		w.WriteHeader(status)
+		_, _ = io.WriteString(w, Body[:4])
+		panic(http.ErrAbortHandler)
+	case Trails:
+		trail(w, u.ID)
+		return
+	default:
+	}
+	w.WriteHeader(status)
+	_, _ = io.WriteString(w, Body)
+}
+
+// trail writes an answer and, on the same connection, a second one that nobody asked for.
+func trail(w http.ResponseWriter, id string) {
+	attempt := w.Header().Get(headerAttempt)
+	connection, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	for _, of := range []string{attempt, "another"} {
+		fmt.Fprintf(connection, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s.1\r\nContent-Length: %d\r\n\r\n%s",
+			headerAttempt, of, headerSignature, id, len(Body), Body)
+	}
+	time.Sleep(50 * time.Millisecond)
+	_ = connection.Close()
+}
+
+func (u *Upstream) stream(w http.ResponseWriter, r *http.Request, behaviour Behaviour) {
+	w.Header().Set(headerSignature, u.ID+".1")
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.WriteHeader(http.StatusOK)
+	last := 0
+	_, _ = fmt.Sscan(r.Header.Get("Last-Event-Id"), &last)
+	for event := last + 1; event <= u.Events; event++ {
+		if behaviour == Skips && event == u.Events-1 {
+			continue
+		}
+		if behaviour == Cuts && event == u.Events/2+1 {
+			_, _ = fmt.Fprintf(w, "id: %d\nda", event)
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: piece %d\n\n", event, event)
+		_ = http.NewResponseController(w).Flush()
+	}
+}
