--- /dev/null
+++ b/core/budgeter/budgeter_test.go
@@ -0,0 +1,62 @@
+package budgeter
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestRepeatsOfAllInstancesStayUnderTheBoundInEveryWindow(t *testing.T) {
+	settings := Settings{Share: 0.2, Extra: 54, Window: 10 * time.Second}
+	const instances = 7
+	var all []*Budgeter
+	for range instances {
+		b := NewBudgeter(settings)
+		b.SetInstances(instances)
+		all = append(all, b)
+	}
+	start := time.Now()
+	var requests, repeats []time.Duration
+	const step = 20 * time.Millisecond
+	for at := time.Duration(0); at < 40*time.Second; at += step {
+		for i, b := range all {
+			now := start.Add(at)
+			// Load comes in waves and to some instances only.
+			if int(at/(5*time.Second))%2 == i%2 {
+				b.Requested(now, "s")
+				requests = append(requests, at)
+			}
+			for b.Spend(now, "s") {
+				repeats = append(repeats, at)
+			}
+		}
+	}
+	for from := time.Duration(0); from < 30*time.Second; from += 500 * time.Millisecond {
+		bound := settings.Share*float64(count(requests, from, settings.Window)) + settings.Extra
+		require.LessOrEqual(t, float64(count(repeats, from, settings.Window)), bound, from)
+	}
+	require.NotEmpty(t, repeats)
+}
+
+func count(times []time.Duration, from, window time.Duration) int {
+	n := 0
+	for _, at := range times {
+		if at >= from && at < from+window {
+			n++
+		}
+	}
+	return n
+}
+
+func TestAQuietServiceHasItsShareOfTheExtra(t *testing.T) {
+	b := NewBudgeter(Settings{Share: 0.2, Extra: 50, Window: 10 * time.Second})
+	b.SetInstances(5)
+	now := time.Now()
+	spent := 0
+	for b.Spend(now, "s") {
+		spent++
+	}
+	require.Equal(t, 7, spent)
+	require.True(t, b.Spend(now.Add(11*time.Second), "s"), "a window later they are free again")
+}
--- /dev/null
+++ b/core/matcher/matcher_test.go
@@ -0,0 +1,41 @@
+package matcher
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"rosemaryspool.example/core/identifier"
+)
+
+func TestTheLongestPrefixOfTheHostMatches(t *testing.T) {
+	table := NewTable(&Configuration{Routes: []Route{
+		{Name: "short", Host: "a.example", Prefix: "/x/"},
+		{Name: "long", Host: "a.example", Prefix: "/x/y/"},
+		{Name: "other", Host: "b.example", Prefix: "/x/"},
+	}})
+	for _, c := range []struct{ host, path, want string }{
+		{"a.example", "/x/1", "short"},
+		{"a.example", "/x/y/1", "long"},
+		{"A.example:80", "/x/y", "short"},
+		{"b.example", "/x/y/1", "other"},
+		{"a.example", "/x", ""},
+		{"c.example", "/x/1", ""},
+		{"a.example", "/x%2Fy/1", ""},
+	} {
+		route, found := table.Match(c.host, c.path)
+		require.Equal(t, c.want != "", found, c.path)
+		if found {
+			require.Equal(t, c.want, route.Name)
+		}
+	}
+}
+
+func TestServicesArePickedByWeight(t *testing.T) {
+	r := Route{Services: []Share{{Service: "a", Weight: 90}, {Service: "none"}, {Service: "b", Weight: 10}}}
+	count := map[identifier.ServiceName]int{}
+	for i := range 1000 {
+		count[r.Pick(float64(i)/1000)]++
+	}
+	require.Equal(t, map[identifier.ServiceName]int{"a": 900, "b": 100}, count)
+}
--- /dev/null
+++ b/core/streamer/streamer_test.go
@@ -0,0 +1,61 @@
+package streamer
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestEventsAreWholeInWhateverPiecesTheyCome(t *testing.T) {
+	stream := "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\ndata: c\n\n"
+	for size := 1; size <= len(stream); size++ {
+		s := NewStreamer("")
+		var got strings.Builder
+		for at := 0; at < len(stream); at += size {
+			events, err := s.Add([]byte(stream[at:min(len(stream), at+size)]))
+			require.NoError(t, err)
+			for _, e := range events {
+				got.Write(e.Bytes)
+			}
+		}
+		require.Equal(t, stream, got.String())
+		require.Equal(t, "3", s.Last())
+		require.False(t, s.Partial())
+	}
+}
+
+func TestMissingAndDoubledEvents(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		last    string
+		stream  string
+		events  int
+		ordered bool
+	}{
+		{"in order", "", "id: 7\n\nid: 8\n\n", 2, true},
+		{"one missing", "", "id: 1\n\nid: 3\n\n", 1, false},
+		{"one doubled", "", "id: 1\n\nid: 1\n\n", 1, false},
+		{"resumed after another one", "4", "id: 6\n\n", 0, false},
+		{"resumed", "4", "id: 5\n\n", 1, true},
+		{"ids that are no numbers", "", "id: x\n\nid: y\n\n", 2, true},
+		{"no ids", "3", "data: 1\n\n", 1, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			events, err := NewStreamer(c.last).Add([]byte(c.stream))
+			require.Len(t, events, c.events)
+			require.Equal(t, c.ordered, err == nil)
+		})
+	}
+}
+
+func TestRestartDropsAnUnfinishedEvent(t *testing.T) {
+	s := NewStreamer("")
+	_, err := s.Add([]byte("id: 1\n\nid: 2\nda"))
+	require.NoError(t, err)
+	require.True(t, s.Partial())
+	s.Restart()
+	events, err := s.Add([]byte("id: 2\ndata: b\n\n"))
+	require.NoError(t, err)
+	require.Len(t, events, 1)
+}
