--- a/core/allocator/allocator.go
+++ b/core/allocator/allocator.go
@@ -24,6 +24,8 @@
 	// Short and Long count requests that run or wait there, by the length of their answers.
 	Short int
 	Long  int
+	// Coming counts requests with short answers whose prompt is still being read elsewhere.
+	Coming int
 	// Reading is the length of the prompts that are still to be read there, less what is expected in its cache.
 	Reading identifier.Tokens
 }
@@ -42,6 +44,7 @@
 	return Load{
 		Short:   u.own.Short + u.peers.Short,
 		Long:    u.own.Long + u.peers.Long,
+		Coming:  u.own.Coming + u.peers.Coming,
 		Reading: u.own.Reading + u.peers.Reading,
 	}
 }
@@ -146,6 +149,7 @@
 		l := p.loads[id]
 		sum.Short += l.Short
 		sum.Long += l.Long
+		sum.Coming += l.Coming
 		sum.Reading += l.Reading
 	}
 	return sum
--- a/core/allocator/allocator_test.go
+++ b/core/allocator/allocator_test.go
@@ -117,7 +117,7 @@
 				place, refusal := a.Place(now, verdict(i, 3000))
 				require.Nil(t, refusal)
 				if place.Reader != "" {
-					a.ReadEnded(now, place, OutcomeWhole)
+					a.ReadEnded(now, &place, OutcomeWhole)
 				}
 				if c.first {
 					a.Progressed(now, now, &place)
@@ -179,3 +179,13 @@
 	_, refusal = a.Place(now, late)
 	require.NotNil(t, refusal)
 }
+
+func TestRequestsWhosePromptIsReadElsewhereHoldNoSlot(t *testing.T) {
+	now := time.Now()
+	a := fleet(1, 0)
+	a.Learn(now, "other", map[identifier.UpstreamID]Load{"u0": {Short: 2, Coming: 8}})
+	place, refusal := a.Place(now, verdict(1, 3000))
+	require.Nil(t, refusal)
+	idle, _ := fleet(1, 0).Place(now, verdict(1, 3000))
+	require.Equal(t, idle.Predicted, place.Predicted)
+}
--- a/core/allocator/placing.go
+++ b/core/allocator/placing.go
@@ -46,7 +46,8 @@
 	tokens identifier.Tokens
 	placed time.Time
 	long   bool
-	// started is true once the first event arrived.
+	// read is true once the prompt's read by Reader ended, started once the first event arrived.
+	read    bool
 	started bool
 }
 
@@ -92,9 +93,12 @@
 		placed:    now,
 		long:      a.long(ask),
 	}
-	if place.long {
+	switch {
+	case place.long:
 		best.upstream.own.Long++
-	} else {
+	case best.reader != nil:
+		best.upstream.own.Coming++
+	default:
 		best.upstream.own.Short++
 	}
 	if best.reader != nil {
@@ -135,7 +139,7 @@
 	}
 	options := make([]option, 0, len(runners)*(1+len(readers)))
 	for _, u := range runners {
-		wait := a.wait(p, u)
+		wait := a.wait(p, u, 0)
 		if !ask.Engine {
 			options = append(options, option{upstream: u, queued: wait, predicted: p.residence + wait, cost: wait + a.remoteCost(u)})
 		}
@@ -159,7 +163,7 @@
 // direct is the option that an engine reads the prompt itself.
 func (a *Allocator) direct(p *pace, ask Ask, u *upstream, h homes) option {
 	tokens := a.uncached(ask, u, h)
-	queued := a.wait(p, u) + time.Duration(u.total().Reading)*p.directToken
+	queued := a.wait(p, u, 0) + time.Duration(u.total().Reading)*p.directToken
 	work := time.Duration(tokens) * p.directToken
 	predicted := queued + p.base + work + p.first
 	return option{
@@ -173,8 +177,8 @@
 	tokens := a.uncached(ask, reader, h)
 	ahead := time.Duration(reader.total().Reading) * p.readToken
 	work := time.Duration(tokens) * p.readToken
-	// The slot frees while the prompt is read elsewhere.
-	wait := a.wait(p, runner)
+	// Slots free while the prompt is read elsewhere, and others whose prompts are read take them.
+	wait := a.wait(p, runner, runner.total().Coming)
 	predicted := max(wait, p.base+ahead+work) + p.first
 	return option{
 		upstream: runner, reader: reader, tokens: tokens, queued: max(ahead, wait-work, 0), predicted: predicted,
@@ -201,7 +205,7 @@
 	var least time.Duration
 	for _, u := range runners {
 		t := u.total()
-		cost := a.wait(p, u) + a.remoteCost(u) + time.Duration(t.Short)*time.Millisecond + time.Duration(t.Reading)*p.directToken/4
+		cost := a.wait(p, u, t.Coming) + a.remoteCost(u) + time.Duration(t.Short+t.Coming)*time.Millisecond + time.Duration(t.Reading)*p.directToken/4
 		if long {
 			cost += time.Duration(t.Long) * a.settings.LongSpread
 		}
@@ -212,12 +216,12 @@
 	return best
 }
 
-// wait predicts when a slot is free for one more request.
-func (a *Allocator) wait(p *pace, u *upstream) time.Duration {
+// wait predicts when a slot is free for one more request behind those that are there and some that are coming.
+func (a *Allocator) wait(p *pace, u *upstream, coming int) time.Duration {
 	t := u.total()
 	// Long answers keep their slots; what is left turns over with the short ones.
 	turning := max(1, u.entry.Slots-t.Long)
-	ahead := t.Short - turning + 1
+	ahead := t.Short + coming - turning + 1
 	if ahead <= 0 {
 		return 0
 	}
@@ -252,8 +256,14 @@
 
 func (a *Allocator) long(ask Ask) bool { return ask.Engine && ask.Output >= a.settings.LongOutput }
 
-// ReadEnded tells that the prompt's read of a place ended, well or not. It must be told once for a place with a reader.
-func (a *Allocator) ReadEnded(now time.Time, p Place, outcome Outcome) {
+// ReadEnded tells that the prompt's read of a place ended, well or not: the request goes on to Upstream. It must be told
+// once for a place with a reader.
+func (a *Allocator) ReadEnded(now time.Time, p *Place, outcome Outcome) {
+	p.read = true
+	if u := a.upstreams[p.Upstream]; u != nil && !p.long {
+		u.own.Coming = max(0, u.own.Coming-1)
+		u.own.Short++
+	}
 	u := a.upstreams[p.Reader]
 	if u == nil {
 		return
@@ -317,9 +327,12 @@
 	if p.Reader == "" && !p.started {
 		u.own.Reading = max(0, u.own.Reading-p.tokens)
 	}
-	if p.long {
+	switch {
+	case p.long:
 		u.own.Long = max(0, u.own.Long-1)
-	} else {
+	case p.Reader != "" && !p.read:
+		u.own.Coming = max(0, u.own.Coming-1)
+	default:
 		u.own.Short = max(0, u.own.Short-1)
 	}
 	if outcome != OutcomeWhole {
--- a/core/allocator/settings.go
+++ b/core/allocator/settings.go
@@ -50,7 +50,7 @@
 		PeerMemory: time.Second,
 		RemoteCost: 4 * time.Millisecond,
 		LongOutput: 600,
-		QueueShare: 0.6,
+		QueueShare: 0.5,
 		Residence:  40 * time.Millisecond,
 		ReadRate:   800,
 		DirectRate: 300,
--- a/rosemaryspool/forwarder/attempt.go
+++ b/rosemaryspool/forwarder/attempt.go
@@ -69,7 +69,7 @@
 // describe adds what decided an attempt and how it went to a log line.
 func (a attempt) describe(line *zerolog.Event) *zerolog.Event {
 	line = line.Str("upstream", string(a.place.Upstream)).Dur("predictedMs", a.place.Predicted).
-		Int("aheadShort", a.place.Ahead.Short).Int("aheadLong", a.place.Ahead.Long).Int("upstreamStatus", a.status)
+		Int("aheadShort", a.place.Ahead.Short).Int("aheadLong", a.place.Ahead.Long).Int("aheadComing", a.place.Ahead.Coming).Int("upstreamStatus", a.status)
 	if a.place.Reader != "" {
 		line = line.Str("reader", string(a.place.Reader)).Int("aheadTokens", int(a.place.ReaderAhead.Reading))
 	}
@@ -188,7 +188,7 @@
 func (e *exchange) readPrompt() bool {
 	place := e.last.place
 	outcome := allocator.OutcomeAbandoned
-	defer func() { e.forwarder.governor.ReadEnded(time.Now(), place, outcome) }()
+	defer func() { e.forwarder.governor.ReadEnded(time.Now(), &e.last.place, outcome) }()
 	reader, listed := e.forwarder.governor.Entry(place.Reader)
 	if !listed {
 		return false
--- a/rosemaryspool/gossiper/gossiper.go
+++ b/rosemaryspool/gossiper/gossiper.go
@@ -163,7 +163,8 @@
 	g.source.SetInstances(1 + live)
 	for id, l := range loads {
 		report.Upstreams = append(report.Upstreams, &messenger.UpstreamWork{
-			Upstream: string(id), ShortAnswers: uint32(l.Short), LongAnswers: uint32(l.Long), PromptTokens: uint32(l.Reading),
+			Upstream: string(id), ShortAnswers: uint32(l.Short), LongAnswers: uint32(l.Long),
+			ComingAnswers: uint32(l.Coming), PromptTokens: uint32(l.Reading),
 		})
 	}
 	content, err := proto.Marshal(report)
@@ -231,7 +232,7 @@
 	loads := make(map[identifier.UpstreamID]allocator.Load, len(report.GetUpstreams()))
 	for _, w := range report.GetUpstreams() {
 		loads[identifier.UpstreamID(w.GetUpstream())] = allocator.Load{
-			Short: int(w.GetShortAnswers()), Long: int(w.GetLongAnswers()), Reading: identifier.Tokens(w.GetPromptTokens()),
+			Short: int(w.GetShortAnswers()), Coming: int(w.GetComingAnswers()), Long: int(w.GetLongAnswers()), Reading: identifier.Tokens(w.GetPromptTokens()),
 		}
 	}
 	g.source.Learn(now, instance, loads)
--- a/rosemaryspool/governor/governor.go
+++ b/rosemaryspool/governor/governor.go
@@ -170,7 +170,7 @@
 }
 
 // ReadEnded tells that the prompt's read of a place ended.
-func (g *Governor) ReadEnded(now time.Time, place allocator.Place, outcome allocator.Outcome) {
+func (g *Governor) ReadEnded(now time.Time, place *allocator.Place, outcome allocator.Outcome) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.allocator.ReadEnded(now, place, outcome)
