Look at requests that show no sign of life, and log what is believed of upstreams and peers

A request without a sign of life after 200 ms or four times its prediction ejects an upstream that has been silent for a second, and runs elsewhere where it may. The tests with a hanging upstream failed before (504 at the deadline).

--- a/core/allocator/allocator.go
+++ b/core/allocator/allocator.go
@@ -108,34 +108,45 @@
 	}
 }
 
-// Learn takes another instance's work; it replaces what that instance told before.
-func (a *Allocator) Learn(now time.Time, instance identifier.InstanceID, loads map[identifier.UpstreamID]Load) {
+// Learn takes another instance's work; it replaces what that instance told before. It returns true when the instance was
+// not heard before.
+func (a *Allocator) Learn(now time.Time, instance identifier.InstanceID, loads map[identifier.UpstreamID]Load) bool {
 	p := a.peers[instance]
-	if p == nil {
+	unknown := p == nil
+	if unknown {
 		p = &peer{}
 		a.peers[instance] = p
 	}
 	p.heard = now
 	p.loads = loads
 	a.sumPeers()
+	return unknown
 }
 
-// Expire forgets the work of instances that have been silent.
-func (a *Allocator) Expire(now time.Time) {
-	changed := false
+// Expire forgets the work of instances that have been silent, and returns them.
+func (a *Allocator) Expire(now time.Time) []identifier.InstanceID {
+	var silent []identifier.InstanceID
 	for id, p := range a.peers {
 		if now.Sub(p.heard) > a.settings.PeerMemory {
 			delete(a.peers, id)
-			changed = true
+			silent = append(silent, id)
 		}
 	}
-	if changed {
+	if len(silent) > 0 {
 		a.sumPeers()
 	}
+	return silent
+}
+
+// Overdue takes a request that shows no sign of life long after its predicted time. It returns true when its upstream
+// has been silent altogether.
+func (a *Allocator) Overdue(now time.Time, id identifier.UpstreamID) bool {
+	a.health.Silent(now, id)
+	return a.health.Cause(id) != ""
 }
 
-// Peers returns how many other instances were heard of lately.
-func (a *Allocator) Peers() int { return len(a.peers) }
+// Ejected returns why an upstream gets nothing at present; empty for one that is used.
+func (a *Allocator) Ejected(id identifier.UpstreamID) ejector.Cause { return a.health.Cause(id) }
 
 func (a *Allocator) sumPeers() {
 	for id, u := range a.upstreams {
--- a/rosemaryspool/commander/gateway.go
+++ b/rosemaryspool/commander/gateway.go
@@ -8,6 +8,7 @@
 	"runtime/debug"
 	"syscall"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 	"github.com/urfave/cli/v3"
 
@@ -39,19 +40,23 @@
 			if err != nil {
 				return &SettingsError{Faults: []SettingFault{{Code: codeInvalid, Setting: "settings", Message: err.Error()}}}
 			}
-			log, err := logger.NewLog(output, command.String("log-level"), nil)
+			registry := metrics.NewRegistry()
+			dropped := metrics.GetOrRegisterCounter("logLinesDropped", registry)
+			log, err := logger.NewLog(output, command.String("log-level"), func(lines int) { dropped.Inc(int64(lines)) })
 			if err != nil {
 				return err
 			}
 			defer log.Close()
 			debug.SetGCPercent(garbagePercent)
-			return runGateway(ctx, settings, path, log.Logger)
+			return runGateway(ctx, settings, path, log.Logger, registry)
 		},
 	}
 }
 
-func runGateway(ctx context.Context, settings platform.Settings, path string, log zerolog.Logger) error {
-	g, err := gatekeeper.NewGatekeeper(settings, log)
+func runGateway(
+	ctx context.Context, settings platform.Settings, path string, log zerolog.Logger, registry metrics.Registry,
+) error {
+	g, err := gatekeeper.NewGatekeeper(settings, log, registry)
 	if err != nil {
 		return err
 	}
--- a/rosemaryspool/forwarder/attempt.go
+++ b/rosemaryspool/forwarder/attempt.go
@@ -30,6 +30,10 @@
 	readFactor   = 4
 	// handleBytes bounds the answer to a prompt's read.
 	handleBytes = 4 << 10
+	// overdueLeast and overdueFactor say when a request that shows no sign of life is looked at: several times what a busy
+	// upstream takes.
+	overdueLeast  = 200 * time.Millisecond
+	overdueFactor = 4
 	// leastRest is the least time to the deadline at which a request is sent once more.
 	leastRest = 20 * time.Millisecond
 )
@@ -64,6 +68,8 @@
 	status int
 	err    error
 	answer *storedAnswer
+	// alive ends the watch for a sign of life.
+	alive func()
 }
 
 // describe adds what decided an attempt and how it went to a log line.
@@ -252,7 +258,11 @@
 func (e *exchange) send() (ending, allocator.Outcome) {
 	e.sends++
 	e.last.sentAt = time.Now()
-	answer, err := e.exchangeWith(e.ctx, e.last.entry, platform.Send{
+	ctx, cancel := context.WithCancel(e.ctx)
+	defer cancel()
+	e.last.alive = e.watch(cancel)
+	defer e.last.alive()
+	answer, err := e.exchangeWith(ctx, e.last.entry, platform.Send{
 		Upstream: e.last.entry.Upstream, CacheSource: e.last.source, LastEvent: e.resumeAfter(),
 	})
 	if err != nil {
@@ -278,6 +288,19 @@
 	return e.relayWhole(answer)
 }
 
+// watch looks at an attempt that shows no sign of life. If its upstream is silent altogether and the request may run
+// elsewhere, the attempt is ended. The returned function ends the watch; it may be called more than once.
+func (e *exchange) watch(end context.CancelFunc) func() {
+	id := e.last.place.Upstream
+	repeatable := e.route.Idempotent && e.runs+1 < e.route.MaxAttempts
+	timer := time.AfterFunc(max(overdueLeast, overdueFactor*e.last.place.Predicted), func() {
+		if e.forwarder.governor.Overdue(time.Now(), id) && repeatable {
+			end()
+		}
+	})
+	return func() { timer.Stop() }
+}
+
 // exchangeWith sends the caller's request with the headers of one dispatch.
 func (e *exchange) exchangeWith(ctx context.Context, to tracker.Entry, s platform.Send) (*connector.Answer, error) {
 	idle := freshIdle
--- a/rosemaryspool/forwarder/relay.go
+++ b/rosemaryspool/forwarder/relay.go
@@ -28,6 +28,7 @@
 
 // relayWhole reads an answer to its end and passes it on.
 func (e *exchange) relayWhole(answer *connector.Answer) (ending, allocator.Outcome) {
+	e.last.alive()
 	body, err := io.ReadAll(io.LimitReader(answer.Body, storedBytes))
 	if err == nil && len(body) == storedBytes {
 		return e.relayLong(answer, body)
@@ -159,6 +160,7 @@
 	if len(events) > 0 {
 		if e.last.firstAt.IsZero() {
 			e.last.firstAt = time.Now()
+			e.last.alive()
 			e.forwarder.governor.Progressed(e.last.firstAt, e.last.sentAt, &e.last.place)
 		}
 		if err := e.events.flusher.Flush(); err != nil {
--- a/rosemaryspool/gatekeeper/gatekeeper.go
+++ b/rosemaryspool/gatekeeper/gatekeeper.go
@@ -54,10 +54,9 @@
 }
 
 // NewGatekeeper assembles an instance; nothing runs before Run.
-func NewGatekeeper(settings platform.Settings, log zerolog.Logger) (*Gatekeeper, error) {
+func NewGatekeeper(settings platform.Settings, log zerolog.Logger, registry metrics.Registry) (*Gatekeeper, error) {
 	startedMs := time.Now().UnixMilli()
 	log = log.With().Str("instance", string(settings.Instance)).Logger()
-	registry := metrics.NewRegistry()
 	g := &Gatekeeper{settings: settings, log: log, registry: registry, done: make(chan struct{})}
 	g.governor = governor.NewGovernor(governor.Settings{
 		DataCentre: settings.DataCentre,
--- a/rosemaryspool/gatekeeper/gatekeeper_test.go
+++ b/rosemaryspool/gatekeeper/gatekeeper_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
@@ -70,7 +71,7 @@
 		DrainLimit:   600 * time.Millisecond, ApplyLimit: 600 * time.Millisecond, ContactTime: time.Second,
 		StopLimit: 1500 * time.Millisecond, RetryShare: 0.2, RetryExtra: 54, RetryWindow: 10 * time.Second,
 	}
-	gate, err := NewGatekeeper(settings, zerolog.New(zerolog.NewTestWriter(t)))
+	gate, err := NewGatekeeper(settings, zerolog.New(zerolog.NewTestWriter(t)), metrics.NewRegistry())
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	w.gate, w.stop = gate, cancel
@@ -252,6 +253,7 @@
 		{"an unsigned answer is not passed on", orders, platformer.Unsigned, http.StatusBadGateway, 1},
 		{"another request's answer is not passed on", orders, platformer.Crossed, http.StatusBadGateway, 1},
 		{"a lookup with another request's answer runs elsewhere", lookups, platformer.Crossed, http.StatusOK, 2},
+		{"a hanging lookup runs elsewhere in time", lookups, platformer.Hangs, http.StatusOK, 2},
 		{"a hanging order ends at its time limit", orders, platformer.Hangs, http.StatusGatewayTimeout, 1},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -380,6 +382,16 @@
 	}
 }
 
+func TestAStreamThatDoesNotBeginRunsElsewhere(t *testing.T) {
+	a, b := platformer.NewUpstream("u1", "decode", 3), platformer.NewUpstream("u2", "decode", 3)
+	w := newReadyWorld(t, a, b)
+	platformer.Misbehave(platformer.Hangs, a, b)
+	started := time.Now()
+	r := w.ask(http.MethodPost, verdicts+"x", "prompt", prompt()...)
+	require.Equal(t, events(1, 3), r.body)
+	require.Less(t, time.Since(started), 700*time.Millisecond)
+}
+
 func TestAPlannedStopEndsRunningRequestsWhole(t *testing.T) {
 	u := plain("u1")
 	u.SetDelay(200 * time.Millisecond)
--- a/rosemaryspool/governor/governor.go
+++ b/rosemaryspool/governor/governor.go
@@ -173,6 +173,7 @@
 func (g *Governor) ReadEnded(now time.Time, place *allocator.Place, outcome allocator.Outcome) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	defer g.watchHealth(place.Reader)()
 	g.allocator.ReadEnded(now, place, outcome)
 	g.notify()
 }
@@ -188,10 +189,36 @@
 func (g *Governor) Ended(now, sent time.Time, place allocator.Place, outcome allocator.Outcome) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	defer g.watchHealth(place.Upstream)()
 	g.allocator.Ended(now, sent, place, outcome)
 	g.notify()
 }
 
+// Overdue takes a request that shows no sign of life long after its predicted time; true when its upstream is out.
+func (g *Governor) Overdue(now time.Time, id identifier.UpstreamID) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	defer g.watchHealth(id)()
+	return g.allocator.Overdue(now, id)
+}
+
+// watchHealth returns a function that logs when the upstream's standing has changed meanwhile.
+func (g *Governor) watchHealth(id identifier.UpstreamID) func() {
+	before := g.allocator.Ejected(id)
+	return func() {
+		after := g.allocator.Ejected(id)
+		switch {
+		case before == after:
+		case after == "":
+			g.log.Info().Str("event", "upstreamRestored").Str("upstream", string(id)).Str("after", string(before)).
+				Msg("Upstream answers again")
+		default:
+			g.log.Warn().Str("event", "upstreamEjected").Str("upstream", string(id)).Str("cause", string(after)).
+				Msg("Upstream gets nothing for a while")
+		}
+	}
+}
+
 // Requested counts a caller's request for a service.
 func (g *Governor) Requested(now time.Time, service identifier.ServiceName) {
 	g.mu.Lock()
@@ -210,14 +237,18 @@
 func (g *Governor) Learn(now time.Time, instance identifier.InstanceID, loads map[identifier.UpstreamID]allocator.Load) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.allocator.Learn(now, instance, loads)
+	if g.allocator.Learn(now, instance, loads) {
+		g.log.Info().Str("event", "peerHeard").Str("peer", string(instance)).Msg("Work of another instance is known")
+	}
 }
 
 // Expire forgets the work of silent instances and upstreams that did not come back.
 func (g *Governor) Expire(now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.allocator.Expire(now)
+	for _, peer := range g.allocator.Expire(now) {
+		g.log.Warn().Str("event", "peerLost").Str("peer", string(peer)).Msg("Instance is silent; its work is forgotten")
+	}
 	if g.tracker.Expire(now) {
 		g.allocator.SetUpstreams(g.tracker.Entries())
 	}
