Use upstreams that look sick where there are no others, and say what a refusal rests on

The test with two sick engines failed before. Refusals now have the best upstream, its work and the age of the reports behind it in their line.

--- a/core/allocator/allocator.go
+++ b/core/allocator/allocator.go
@@ -186,11 +186,14 @@
 	return u.entry, true
 }
 
-// usable tells whether an upstream may get the request.
-func (a *Allocator) usable(now time.Time, u *upstream, tried []identifier.UpstreamID) bool {
+// usable tells whether an upstream may get the request; sick allows those that fail.
+func (a *Allocator) usable(now time.Time, u *upstream, tried []identifier.UpstreamID, sick bool) bool {
 	if u.entry.Leaving || slices.Contains(tried, u.entry.Upstream) {
 		return false
 	}
+	if sick {
+		return true
+	}
 	switch a.health.Standing(now, u.entry.Upstream) {
 	case ejector.Ejected, ejector.Paused:
 		return false
--- a/core/allocator/allocator_test.go
+++ b/core/allocator/allocator_test.go
@@ -189,3 +189,17 @@
 	idle, _ := fleet(1, 0).Place(now, verdict(1, 3000))
 	require.Equal(t, idle.Predicted, place.Predicted)
 }
+
+func TestUpstreamsThatLookSickAreBetterThanNone(t *testing.T) {
+	now := time.Now()
+	a := fleet(2, 0)
+	for range 20 {
+		for _, id := range []identifier.UpstreamID{"u0", "u1"} {
+			a.failed(now, id, OutcomeBroken)
+		}
+	}
+	require.NotEmpty(t, a.Ejected("u0"))
+	require.NotEmpty(t, a.Ejected("u1"))
+	_, refusal := a.Place(now, verdict(1, 3000))
+	require.Nil(t, refusal)
+}
--- a/core/allocator/placing.go
+++ b/core/allocator/placing.go
@@ -42,6 +42,8 @@
 	// Ahead is the work of all instances that was counted at Upstream, and at Reader, before this request.
 	Ahead       Load
 	ReaderAhead Load
+	// PeerAge is the age of the oldest report of another instance that counts in them.
+	PeerAge time.Duration
 
 	tokens identifier.Tokens
 	placed time.Time
@@ -67,8 +69,12 @@
 	Reason Reason
 	// RetryAfter is when there will be room, by the work that is counted now.
 	RetryAfter time.Duration
-	// Predicted is the time to the first event at the best upstream.
+	// Predicted is the time to the first event at the best upstream, Upstream, which has the work Ahead.
 	Predicted time.Duration
+	Upstream  identifier.UpstreamID
+	Ahead     Load
+	// PeerAge is the age of the oldest report that counts in Ahead.
+	PeerAge time.Duration
 }
 
 // Place finds a place for a request, or refuses it.
@@ -83,12 +89,16 @@
 		return Place{}, &Refusal{Reason: ReasonNoUpstream, RetryAfter: a.settings.RetryAfter}
 	}
 	if !a.admissible(ask, best) {
-		return Place{}, &Refusal{Reason: ReasonBusy, RetryAfter: a.settings.RetryAfter, Predicted: best.predicted}
+		return Place{}, &Refusal{
+			Reason: ReasonBusy, RetryAfter: a.settings.RetryAfter, Predicted: best.predicted,
+			Upstream: best.upstream.entry.Upstream, Ahead: best.upstream.total(), PeerAge: a.peerAge(now),
+		}
 	}
 	place := Place{
 		Upstream:  best.upstream.entry.Upstream,
 		Predicted: best.predicted,
 		Ahead:     best.upstream.total(),
+		PeerAge:   a.peerAge(now),
 		tokens:    best.tokens,
 		placed:    now,
 		long:      a.long(ask),
@@ -112,6 +122,15 @@
 	return place, nil
 }
 
+// peerAge returns the age of the oldest report of another instance that still counts.
+func (a *Allocator) peerAge(now time.Time) time.Duration {
+	oldest := time.Duration(0)
+	for _, p := range a.peers {
+		oldest = max(oldest, now.Sub(p.heard))
+	}
+	return oldest
+}
+
 // option is one way to serve a request.
 type option struct {
 	upstream *upstream
@@ -127,15 +146,10 @@
 
 func (a *Allocator) options(now time.Time, ask Ask) []option {
 	p := a.paceOf(ask.Service)
-	var runners, readers []*upstream
-	for _, u := range a.services[ask.Service] {
-		switch {
-		case !a.usable(now, u, ask.Tried):
-		case u.entry.Role == tracker.Prefill:
-			readers = append(readers, u)
-		default:
-			runners = append(runners, u)
-		}
+	runners, readers := a.candidates(now, ask, false)
+	if len(runners) == 0 {
+		// Upstreams that look sick are better than none: the fault may be on this side.
+		runners, readers = a.candidates(now, ask, true)
 	}
 	options := make([]option, 0, len(runners)*(1+len(readers)))
 	for _, u := range runners {
@@ -160,6 +174,20 @@
 	return options
 }
 
+// candidates returns the upstreams that may get the request, those that answer and those that only read prompts.
+func (a *Allocator) candidates(now time.Time, ask Ask, sick bool) (runners, readers []*upstream) {
+	for _, u := range a.services[ask.Service] {
+		switch {
+		case !a.usable(now, u, ask.Tried, sick):
+		case u.entry.Role == tracker.Prefill:
+			readers = append(readers, u)
+		default:
+			runners = append(runners, u)
+		}
+	}
+	return runners, readers
+}
+
 // direct is the option that an engine reads the prompt itself.
 func (a *Allocator) direct(p *pace, ask Ask, u *upstream, h homes) option {
 	tokens := a.uncached(ask, u, h)
--- a/rosemaryspool/forwarder/attempt.go
+++ b/rosemaryspool/forwarder/attempt.go
@@ -74,10 +74,10 @@
 
 // describe adds what decided an attempt and how it went to a log line.
 func (a attempt) describe(line *zerolog.Event) *zerolog.Event {
-	line = line.Str("upstream", string(a.place.Upstream)).Dur("predictedMs", a.place.Predicted).
-		Int("aheadShort", a.place.Ahead.Short).Int("aheadLong", a.place.Ahead.Long).Int("aheadComing", a.place.Ahead.Coming).Int("upstreamStatus", a.status)
+	line = line.Str("upstream", string(a.place.Upstream)).Dur("predictedMs", a.place.Predicted).Int("upstreamStatus", a.status)
+	line = describeLoad(line, a.place.Ahead, a.place.PeerAge)
 	if a.place.Reader != "" {
-		line = line.Str("reader", string(a.place.Reader)).Int("aheadTokens", int(a.place.ReaderAhead.Reading))
+		line = line.Str("reader", string(a.place.Reader)).Int("readerAhead", int(a.place.ReaderAhead.Reading))
 	}
 	if !a.firstAt.IsZero() {
 		line = line.Dur("firstMs", a.firstAt.Sub(a.sentAt))
@@ -88,12 +88,19 @@
 	return line
 }
 
+// describeLoad adds the work that a decision counted, and the age of the oldest report behind it.
+func describeLoad(line *zerolog.Event, ahead allocator.Load, age time.Duration) *zerolog.Event {
+	return line.Int("aheadShort", ahead.Short).Int("aheadLong", ahead.Long).Int("aheadComing", ahead.Coming).
+		Int("aheadReading", int(ahead.Reading)).Dur("peerAgeMs", age)
+}
+
 // run sends the request until it is answered or nothing more may be tried.
 func (e *exchange) run() result {
 	var stored *storedAnswer
 	for {
 		place, refusal := e.forwarder.governor.Place(time.Now(), e.ask())
 		if refusal != nil {
+			e.refusal = refusal
 			return e.giveUp(string(refusal.Reason), refusal.RetryAfter, stored)
 		}
 		end := e.attempt(place)
--- a/rosemaryspool/forwarder/forwarder.go
+++ b/rosemaryspool/forwarder/forwarder.go
@@ -129,6 +129,8 @@
 	head   bool
 	events *eventWriter
 	last   attempt
+	// refusal is why there was no place for the next dispatch; nil when there was one.
+	refusal *allocator.Refusal
 }
 
 func (e *exchange) serve() result {
@@ -274,6 +276,10 @@
 		line = line.Int("promptTokens", int(e.caller.PromptTokens)).Int("maxOutput", int(e.caller.MaxOutput)).
 			Int("expectedOutput", int(e.caller.ExpectedOutput))
 	}
+	if e.refusal != nil && e.sends == 0 {
+		line = line.Str("best", string(e.refusal.Upstream)).Dur("predictedMs", e.refusal.Predicted)
+		line = describeLoad(line, e.refusal.Ahead, e.refusal.PeerAge)
+	}
 	if e.sends > 0 {
 		line = line.Int("sends", e.sends).Int("runs", e.runs)
 		line = e.last.describe(line)
