Add and take back single work reports instead of summing all of them

Cause: each report of another instance summed the work of all instances at all upstreams, a cost that grows with the product of both; at 89 instances and 29 upstreams about a million look-ups a second. Adds the test of an address that another upstream took over.

--- a/core/allocator/allocator.go
+++ b/core/allocator/allocator.go
@@ -39,14 +39,19 @@
 	hash uint64
 }
 
+// add adds another load, or with sign -1 takes it away.
+func (l *Load) add(other Load, sign int) {
+	l.Short += sign * other.Short
+	l.Long += sign * other.Long
+	l.Coming += sign * other.Coming
+	l.Reading += identifier.Tokens(sign) * other.Reading
+}
+
 // total returns the work of all instances.
 func (u *upstream) total() Load {
-	return Load{
-		Short:   u.own.Short + u.peers.Short,
-		Long:    u.own.Long + u.peers.Long,
-		Coming:  u.own.Coming + u.peers.Coming,
-		Reading: u.own.Reading + u.peers.Reading,
-	}
+	sum := u.own
+	sum.add(u.peers, 1)
+	return sum
 }
 
 type peer struct {
@@ -118,23 +123,31 @@
 		a.peers[instance] = p
 	}
 	p.heard = now
+	a.count(p.loads, -1)
 	p.loads = loads
-	a.sumPeers()
+	a.count(p.loads, 1)
 	return unknown
 }
 
+// count adds another instance's work to the sums, or with sign -1 takes it out.
+func (a *Allocator) count(loads map[identifier.UpstreamID]Load, sign int) {
+	for id, l := range loads {
+		if u := a.upstreams[id]; u != nil {
+			u.peers.add(l, sign)
+		}
+	}
+}
+
 // Expire forgets the work of instances that have been silent, and returns them.
 func (a *Allocator) Expire(now time.Time) []identifier.InstanceID {
 	var silent []identifier.InstanceID
 	for id, p := range a.peers {
 		if now.Sub(p.heard) > a.settings.PeerMemory {
+			a.count(p.loads, -1)
 			delete(a.peers, id)
 			silent = append(silent, id)
 		}
 	}
-	if len(silent) > 0 {
-		a.sumPeers()
-	}
 	return silent
 }
 
@@ -148,20 +161,10 @@
 // Ejected returns why an upstream gets nothing at present; empty for one that is used.
 func (a *Allocator) Ejected(id identifier.UpstreamID) ejector.Cause { return a.health.Cause(id) }
 
-func (a *Allocator) sumPeers() {
-	for id, u := range a.upstreams {
-		u.peers = a.sumOfPeers(id)
-	}
-}
-
 func (a *Allocator) sumOfPeers(id identifier.UpstreamID) Load {
 	var sum Load
 	for _, p := range a.peers {
-		l := p.loads[id]
-		sum.Short += l.Short
-		sum.Long += l.Long
-		sum.Coming += l.Coming
-		sum.Reading += l.Reading
+		sum.add(p.loads[id], 1)
 	}
 	return sum
 }
--- a/core/allocator/allocator_test.go
+++ b/core/allocator/allocator_test.go
@@ -203,3 +203,18 @@
 	_, refusal := a.Place(now, verdict(1, 3000))
 	require.Nil(t, refusal)
 }
+
+func TestReportsReplaceEachOther(t *testing.T) {
+	now := time.Now()
+	a := fleet(2, 0)
+	for i := range 50 {
+		for _, peer := range []identifier.InstanceID{"a", "b"} {
+			a.Learn(now, peer, map[identifier.UpstreamID]Load{"u0": {Short: i, Coming: 1, Long: 2, Reading: 100}, "gone": {Short: 9}})
+		}
+	}
+	require.Equal(t, Load{Short: 98, Coming: 2, Long: 4, Reading: 200}, a.upstreams["u0"].total())
+	a.SetUpstreams([]tracker.Entry{{Upstream: "u1", Service: model, Slots: 6, Role: tracker.Decode}, {Upstream: "gone", Service: model, Slots: 6}})
+	require.Equal(t, Load{Short: 18}, a.upstreams["gone"].total())
+	a.Expire(now.Add(2 * time.Second))
+	require.Zero(t, a.upstreams["gone"].total())
+}
--- a/rosemaryspool/gatekeeper/gatekeeper_test.go
+++ b/rosemaryspool/gatekeeper/gatekeeper_test.go
@@ -310,6 +310,22 @@
 	require.Equal(t, before, runs(a))
 }
 
+func TestAnAddressOfAnotherUpstreamRunsNothing(t *testing.T) {
+	a, b := plain("u1"), plain("u2")
+	w := newWorld(t, b)
+	t.Cleanup(a.Close)
+	// The listed upstream is gone, and another one has its address.
+	w.store.Put(platform.TopicServers, "ended", a.Entry("plain", "ready"))
+	w.configure(1)
+	require.Eventually(t, func() bool { return w.readiness() == http.StatusOK }, 2*time.Second, time.Millisecond)
+	time.Sleep(400 * time.Millisecond)
+	for range 5 {
+		require.Equal(t, http.StatusOK, w.ask(http.MethodPost, orders+"x", "body").status)
+	}
+	require.Zero(t, runs(a))
+	require.Equal(t, 5, runs(b))
+}
+
 func TestTheEndOfACallerEndsItsRun(t *testing.T) {
 	u := plain("u1")
 	u.SetBehaviour(platformer.Hangs)
