--- /dev/null
+++ b/standin/platformer/header.go
@@ -0,0 +1,22 @@
+package platformer
+
+// Headers on the wire between callers, instances and upstreams.
+const (
+	HeaderAttempt     = "Rosemaryspool-Attempt-Id"
+	HeaderDeadline    = "Rosemaryspool-Deadline-Ms"
+	HeaderModel       = "Rosemaryspool-Model"
+	HeaderTokens      = "Rosemaryspool-Token-Count"
+	HeaderPrompt      = "Rosemaryspool-Prompt-Prefix"
+	HeaderSignature   = "Rosemaryspool-Server-Signature"
+	HeaderNotExecuted = "Rosemaryspool-Not-Executed"
+	HeaderExpect      = "Rosemaryspool-Expect-Instance"
+	HeaderStage       = "Rosemaryspool-Serving-Stage"
+	HeaderSource      = "Rosemaryspool-Kv-Source"
+	HeaderPriority    = "Rosemaryspool-Request-Priority"
+)
+
+// InstanceHeaders are those that only instances may set: what callers send of them must not reach an upstream.
+var InstanceHeaders = []string{
+	HeaderExpect, HeaderStage, HeaderSource, HeaderPriority, "Rosemaryspool-Expect-Version",
+	"Rosemaryspool-Kv-Retention", "Rosemaryspool-Pin-Ms", "Rosemaryspool-Kv-Replica", "Kv-Fetch",
+}
