--- a/core/allocator/placing.go
+++ b/core/allocator/placing.go
@@ -12,8 +12,6 @@
 	Service identifier.ServiceName
 	// Engine is true for requests to language models.
 	Engine bool
-	// Rank orders requests by urgency; 0 is the most urgent.
-	Rank   int
 	Prompt []Part
 	// Output is the expected length of the answer.
 	Output identifier.Tokens
@@ -67,7 +65,7 @@
 // Refusal tells that a request can't be served now.
 type Refusal struct {
 	Reason Reason
-	// RetryAfter is when there will be room, by the work that is counted now.
+	// RetryAfter is when the caller should come back.
 	RetryAfter time.Duration
 	// Predicted is the time to the first event at the best upstream, Upstream, which has the work Ahead.
 	Predicted time.Duration
--- a/core/matcher/matcher.go
+++ b/core/matcher/matcher.go
@@ -20,8 +20,7 @@
 
 // Limits bound what a caller may send; zero means no bound.
 type Limits struct {
-	HeaderBytes int
-	BodyBytes   int64
+	BodyBytes int64
 }
 
 // Service is a group of upstreams that run the same requests.
--- a/core/tracker/tracker.go
+++ b/core/tracker/tracker.go
@@ -2,7 +2,6 @@
 package tracker
 
 import (
-	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -43,8 +42,6 @@
 	Slots      int
 	Role       Role
 	Leaving    bool
-	// Sequence counts the orders that the upstream accepted since its start.
-	Sequence int
 	// Incarnation rises with each start of an upstream under the same id; zero when not told.
 	Incarnation uint64
 }
@@ -177,12 +174,3 @@
 	slices.SortFunc(entries, func(a, b Entry) int { return strings.Compare(string(a.Upstream), string(b.Upstream)) })
 	return entries
 }
-
-// Services returns the services that some upstream serves.
-func (t *Tracker) Services() []identifier.ServiceName {
-	names := map[identifier.ServiceName]bool{}
-	for _, m := range t.members {
-		names[m.entry.Service] = true
-	}
-	return slices.Sorted(maps.Keys(names))
-}
--- a/rosemaryspool/forwarder/forwarder.go
+++ b/rosemaryspool/forwarder/forwarder.go
@@ -227,7 +227,7 @@
 		output = e.caller.MaxOutput
 	}
 	return allocator.Ask{
-		Service: e.service, Engine: e.engine, Rank: e.route.Rank, Prompt: e.caller.Prompt, Output: output,
+		Service: e.service, Engine: e.engine, Prompt: e.caller.Prompt, Output: output,
 		ToTarget: e.target.Sub(now), Target: e.route.TargetLatency, Left: e.deadline.Sub(now), Tried: e.tried, Whole: e.whole || e.sends > 0,
 		Resumed: e.head,
 	}
--- a/rosemaryspool/gatekeeper/gatekeeper_test.go
+++ b/rosemaryspool/gatekeeper/gatekeeper_test.go
@@ -68,7 +68,7 @@
 		Instance: "spool-1", DataCentre: "here", CallerAddress: freeAddress(t), ReadyAddress: freeAddress(t),
 		PeerAddress: netip.MustParseAddrPort("127.0.0.1:0"), MetricsAddress: freeAddress(t),
 		StoreAddress: strings.TrimPrefix(store.URL, "http://"),
-		DrainLimit:   600 * time.Millisecond, ApplyLimit: 600 * time.Millisecond, ContactTime: time.Second,
+		DrainLimit:   600 * time.Millisecond, ApplyLimit: 600 * time.Millisecond,
 		StopLimit: 1500 * time.Millisecond, RetryShare: 0.2, RetryExtra: 54, RetryWindow: 10 * time.Second,
 	}
 	gate, err := NewGatekeeper(settings, zerolog.New(zerolog.NewTestWriter(t)), metrics.NewRegistry())
