--- /dev/null
+++ b/rosemaryspool/gossiper/gossiper_test.go
@@ -0,0 +1,138 @@
+package gossiper
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"rosemaryspool.example/core/allocator"
+	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/wire/messenger"
+)
+
+// source is the work of one instance and what it learned of others.
+type source struct {
+	mu        sync.Mutex
+	own       map[identifier.UpstreamID]allocator.Load
+	learned   map[identifier.InstanceID]map[identifier.UpstreamID]allocator.Load
+	instances int
+	changed   chan struct{}
+}
+
+func newSource() *source {
+	return &source{
+		own:     map[identifier.UpstreamID]allocator.Load{},
+		learned: map[identifier.InstanceID]map[identifier.UpstreamID]allocator.Load{},
+		changed: make(chan struct{}, 1),
+	}
+}
+
+func (s *source) OwnLoads() map[identifier.UpstreamID]allocator.Load {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.own
+}
+
+func (s *source) Changed() <-chan struct{} { return s.changed }
+
+func (s *source) Learn(_ time.Time, i identifier.InstanceID, loads map[identifier.UpstreamID]allocator.Load) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.learned[i] = loads
+}
+
+func (s *source) SetInstances(count int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.instances = count
+}
+
+func (s *source) Expire(time.Time) {}
+
+func (s *source) of(i identifier.InstanceID) allocator.Load {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.learned[i]["u"]
+}
+
+func (s *source) set(l allocator.Load) {
+	s.mu.Lock()
+	s.own = map[identifier.UpstreamID]allocator.Load{"u": l}
+	s.mu.Unlock()
+	select {
+	case s.changed <- struct{}{}:
+	default:
+	}
+}
+
+func start(t *testing.T, name identifier.InstanceID) (*Gossiper, *source) {
+	t.Helper()
+	s := newSource()
+	g, err := NewGossiper(netip.MustParseAddrPort("127.0.0.1:0"), name, 5, s, zerolog.Nop())
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	go g.Run(ctx)
+	t.Cleanup(func() {
+		cancel()
+		<-g.Done()
+	})
+	return g, s
+}
+
+func address(t *testing.T, g *Gossiper) netip.AddrPort {
+	t.Helper()
+	a, err := netip.ParseAddrPort(g.socket.LocalAddr().String())
+	require.NoError(t, err)
+	return a
+}
+
+func TestInstancesTellEachOtherTheirWork(t *testing.T) {
+	a, sourceOfA := start(t, "a")
+	b, sourceOfB := start(t, "b")
+	a.SetMember("b", address(t, b), 5)
+	b.SetMember("a", address(t, a), 5)
+	load := allocator.Load{Short: 3, Long: 2, Coming: 1, Reading: 9000}
+	sourceOfA.set(load)
+	require.Eventually(t, func() bool { return sourceOfB.of("a") == load }, time.Second, time.Millisecond)
+	sourceOfA.set(allocator.Load{})
+	require.Eventually(t, func() bool { return sourceOfB.of("a") == allocator.Load{} }, time.Second, time.Millisecond)
+	require.Eventually(t, func() bool {
+		sourceOfB.mu.Lock()
+		defer sourceOfB.mu.Unlock()
+		return sourceOfB.instances == 2
+	}, time.Second, time.Millisecond)
+}
+
+func TestLateReportsAreDropped(t *testing.T) {
+	g, s := start(t, "a")
+	g.SetMember("b", netip.MustParseAddrPort("127.0.0.1:9"), 5)
+	report := func(started int64, sequence uint64, short uint32) {
+		g.take(time.Now(), &messenger.WorkReport{
+			Instance: "b", StartedMs: started, Sequence: sequence,
+			Upstreams: []*messenger.UpstreamWork{{Upstream: "u", ShortAnswers: short}},
+		})
+	}
+	for _, c := range []struct {
+		name     string
+		started  int64
+		sequence uint64
+		short    uint32
+		want     int
+	}{
+		{"the first one", 5, 2, 1, 1},
+		{"one that was overtaken", 5, 1, 9, 1},
+		{"the next one", 5, 3, 2, 2},
+		{"one of an earlier process", 4, 9, 9, 2},
+		{"the first one of a restarted process", 6, 1, 3, 3},
+	} {
+		report(c.started, c.sequence, c.short)
+		require.Equal(t, c.want, s.of("b").Short, c.name)
+	}
+	g.take(time.Now(), &messenger.WorkReport{Instance: "stranger", Sequence: 1})
+	require.NotContains(t, s.learned, identifier.InstanceID("stranger"))
+}
