Read the members at most every two seconds

Cause: each instance's announcement ended the held read of every other one. The test with 40 members failed before (40 calls, now fewer than 8).

--- a/rosemaryspool/subscriber/subscriber.go
+++ b/rosemaryspool/subscriber/subscriber.go
@@ -21,6 +21,9 @@
 const (
 	// longWait is how long the store holds a read of the members; it returns earlier with a record.
 	longWait = 20 * time.Second
+	// memberInterval is the least time between two reads of the members: when a system starts they announce themselves
+	// within a second, and one read for each of them would cost the square of their number.
+	memberInterval = 2 * time.Second
 	// applyShare is the part of the bound for configurations that the store holds a read of them: the store may fail to
 	// wake it.
 	applyShare = 0.7
@@ -72,7 +75,7 @@
 	servers := &topic{
 		name: platform.TopicServers, interval: s.listInterval, take: s.takeServers, failed: s.governor.StoreFailed,
 	}
-	members := &topic{name: platform.TopicMembers, wait: longWait, take: s.takeMembers}
+	members := &topic{name: platform.TopicMembers, wait: longWait, interval: memberInterval, take: s.takeMembers}
 	s.topics = []*topic{configurations, servers, members}
 	var group conc.WaitGroup
 	group.Go(func() { s.follow(ctx, configurations) })
@@ -84,7 +87,7 @@
 	group.Wait()
 }
 
-// topic is one followed topic. A topic with a wait is read by long reads, one with an interval at that interval.
+// topic is one followed topic. The store holds its reads for the wait; the interval is the least time between two reads.
 type topic struct {
 	name     string
 	wait     time.Duration
--- a/rosemaryspool/subscriber/subscriber_test.go
+++ b/rosemaryspool/subscriber/subscriber_test.go
@@ -27,6 +27,9 @@
 	applyLimit = 2 * time.Second
 )
 
+// startCalls are the calls of a start: the newest records of three topics, and the instance's own record.
+const startCalls = 4
+
 // world is a subscriber of a stand-in store.
 type world struct {
 	store    *platformer.Store
@@ -112,6 +115,9 @@
 	}
 }
 
+// listed tells whether the list of upstreams was read.
+func (w *world) listed() bool { return w.store.Calls() >= startCalls }
+
 func TestUnreadableEntriesLeaveTheOthers(t *testing.T) {
 	w := newWorld(t, func(s *platformer.Store) {
 		s.Put(platform.TopicServers, "good", server("ready"))
@@ -170,3 +176,16 @@
 	w.store.Put(platform.TopicConfiguration, platform.KeyConfiguration, configuration(2))
 	require.Eventually(t, func() bool { return w.version() == 2 }, applyLimit, time.Millisecond)
 }
+
+func TestManyMembersCostFewReads(t *testing.T) {
+	w := newWorld(t, nil)
+	require.Eventually(t, w.listed, time.Second, time.Millisecond)
+	before := w.store.Calls()
+	for i := range 40 {
+		content, err := platform.EncodeMember(platform.Member{Address: netip.MustParseAddrPort("127.0.0.1:9")})
+		require.NoError(t, err)
+		w.store.Put(platform.TopicMembers, fmt.Sprint("spool-", i+2), content)
+		time.Sleep(10 * time.Millisecond)
+	}
+	require.Less(t, w.store.Calls()-before, 8)
+}
