--- a/rosemaryspool/logger/logger.go
+++ b/rosemaryspool/logger/logger.go
@@ -16,7 +16,7 @@
 	// ringLines bounds the lines that wait for the writer; beyond it lines are dropped and counted.
 	ringLines = 8192
 	// pollInterval is how often an idle writer looks for new lines; zero makes it wait for them, which wakes no idle process.
-	pollInterval = 0 * time.Millisecond
+	pollInterval time.Duration = 0
 	// sourceLineKey keeps the library from taking the key "caller", which names who sent a request, for a source line.
 	sourceLineKey = "sourceLine"
 )
