--- a/rosemaryspool/subscriber/subscriber.go
+++ b/rosemaryspool/subscriber/subscriber.go
@@ -29,8 +29,10 @@
 	applyShare = 0.7
 	// callTimeout is the time beyond a read's wait in which the store must answer; a slow store takes some hundred ms.
 	callTimeout = 900 * time.Millisecond
-	// retryInterval is the least time between calls while the store is away.
+	// retryInterval is the time to the first repeat of a failed call; it doubles up to longestRetry, which leaves time to
+	// read what changed within the bounds once the store is back.
 	retryInterval = 300 * time.Millisecond
+	longestRetry  = 900 * time.Millisecond
 	// listShare is the part of the bound for leaving upstreams after which the list is read again. What is left covers
 	// the call and its repeat.
 	listShare = 0.45
@@ -99,6 +101,8 @@
 	next  uint64
 	known bool
 	away  bool
+	// failures counts the failed reads in a row.
+	failures int
 	// cancel ends the read under way; nil between reads. The subscriber's mutex guards it.
 	cancel context.CancelFunc
 }
@@ -116,7 +120,7 @@
 		pause := t.interval
 		if err != nil {
 			s.lose(t, err)
-			pause = retryInterval
+			pause = retryPause(t.failures)
 		} else {
 			s.regain(t)
 		}
@@ -164,7 +168,17 @@
 	return nil
 }
 
+// retryPause returns the time between a failed call and its repeat after a number of failures in a row.
+func retryPause(failures int) time.Duration {
+	pause := retryInterval
+	for range failures - 1 {
+		pause = min(2*pause, longestRetry)
+	}
+	return pause
+}
+
 func (s *Subscriber) lose(t *topic, err error) {
+	t.failures++
 	if t.failed != nil {
 		t.failed(time.Now())
 	}
@@ -176,6 +190,7 @@
 }
 
 func (s *Subscriber) regain(t *topic) {
+	t.failures = 0
 	if t.away {
 		t.away = false
 		s.log.Info().Str("event", "storeRegained").Str("topic", t.name).Uint64("next", t.next).Msg("Store answers again")
@@ -268,7 +283,7 @@
 		s.log.Error().Err(err).Str("event", "memberUnwritable").Msg("Instance does not announce itself")
 		return
 	}
-	for ctx.Err() == nil {
+	for failures := 1; ctx.Err() == nil; failures++ {
 		call, cancel := context.WithTimeout(ctx, callTimeout)
 		err := s.store.Write(call, platform.TopicMembers, string(s.self.Instance), content)
 		cancel()
@@ -278,7 +293,7 @@
 		s.log.Warn().Err(err).Str("event", "storeLost").Str("topic", platform.TopicMembers).Msg("Announcing the instance failed")
 		select {
 		case <-ctx.Done():
-		case <-time.After(retryInterval):
+		case <-time.After(retryPause(failures)):
 		}
 	}
 }
--- a/rosemaryspool/subscriber/subscriber_test.go
+++ b/rosemaryspool/subscriber/subscriber_test.go
@@ -189,3 +189,13 @@
 	}
 	require.Less(t, w.store.Calls()-before, 8)
 }
+
+func TestAnOutageCostsFewCalls(t *testing.T) {
+	w := newWorld(t, nil)
+	require.Eventually(t, w.listed, time.Second, time.Millisecond)
+	w.store.SetFault(platformer.Busy)
+	before := w.store.Calls()
+	time.Sleep(3 * time.Second)
+	const topics, calls = 3, 5
+	require.LessOrEqual(t, w.store.Calls()-before, topics*calls)
+}
