--- a/rosemaryspool/gatekeeper/gatekeeper.go
+++ b/rosemaryspool/gatekeeper/gatekeeper.go
@@ -50,10 +50,13 @@
 	gossiper   *gossiper.Gossiper
 	subscriber *subscriber.Subscriber
 	door       *door
+	callers    net.Listener
+	balancer   net.Listener
+	metrics    net.Listener
 	done       chan struct{}
 }
 
-// NewGatekeeper assembles an instance; nothing runs before Run.
+// NewGatekeeper opens the instance's listeners and assembles it; nothing runs before Run.
 func NewGatekeeper(settings platform.Settings, log zerolog.Logger, registry metrics.Registry) (*Gatekeeper, error) {
 	startedMs := time.Now().UnixMilli()
 	log = log.With().Str("instance", string(settings.Instance)).Logger()
@@ -80,9 +83,42 @@
 		platform.NewStore(settings.StoreAddress), g.governor, peers, self, settings.DrainLimit, settings.ApplyLimit, log,
 	)
 	g.door = newDoor(g.governor, registry)
+	if err := g.listen(); err != nil {
+		return nil, errors.Join(err, peers.Close())
+	}
 	return g, nil
 }
 
+// listen opens the listeners for callers, for the balancer and for metrics; on an error none stays open.
+func (g *Gatekeeper) listen() error {
+	var opened []net.Listener
+	for _, l := range []struct {
+		listener *net.Listener
+		address  string
+	}{
+		{&g.callers, g.settings.CallerAddress},
+		{&g.balancer, g.settings.ReadyAddress},
+		{&g.metrics, g.settings.MetricsAddress},
+	} {
+		listener, err := net.Listen("tcp", l.address)
+		if err != nil {
+			for _, o := range opened {
+				err = errors.Join(err, o.Close())
+			}
+			return eris.Wrap(err, "gatekeeper: listen")
+		}
+		*l.listener = listener
+		opened = append(opened, listener)
+	}
+	return nil
+}
+
+// CallerAddress is where callers reach the instance.
+func (g *Gatekeeper) CallerAddress() string { return g.callers.Addr().String() }
+
+// ReadyAddress is where the balancer asks for readiness.
+func (g *Gatekeeper) ReadyAddress() string { return g.balancer.Addr().String() }
+
 // Done is closed when Run has returned.
 func (g *Gatekeeper) Done() <-chan struct{} { return g.done }
 
@@ -121,17 +157,10 @@
 	front := &http.Server{Handler: g.door.readiness(), ReadHeaderTimeout: headerTimeout}
 	inner := &http.Server{Handler: g.door.metrics(), ReadHeaderTimeout: headerTimeout}
 	failed := make(chan error, 3)
-	for _, s := range []struct {
-		server  *http.Server
-		address string
-	}{{callers, g.settings.CallerAddress}, {front, g.settings.ReadyAddress}, {inner, g.settings.MetricsAddress}} {
-		listener, err := net.Listen("tcp", s.address)
-		if err != nil {
-			return eris.Wrap(errors.Join(err, callers.Close(), front.Close(), inner.Close()), "gatekeeper: listen")
-		}
-		group.Go(func() { failed <- s.server.Serve(listener) })
-	}
-	g.log.Info().Str("event", "started").Str("listen", g.settings.CallerAddress).Str("dataCentre", string(g.settings.DataCentre)).
+	group.Go(func() { failed <- callers.Serve(g.callers) })
+	group.Go(func() { failed <- front.Serve(g.balancer) })
+	group.Go(func() { failed <- inner.Serve(g.metrics) })
+	g.log.Info().Str("event", "started").Str("listen", g.CallerAddress()).Str("dataCentre", string(g.settings.DataCentre)).
 		Str("store", g.settings.StoreAddress).Msg("Serving callers")
 	var err error
 	select {
--- a/rosemaryspool/gatekeeper/gatekeeper_test.go
+++ b/rosemaryspool/gatekeeper/gatekeeper_test.go
@@ -41,6 +41,9 @@
  "target-latency-ms":200,"priority":1,"max-attempts":1,"service":"model"}],
 "services":[{"name":"plain","max-connections":100},{"name":"model","max-connections":100,"engine":{"slots":6}}]}`
 
+// anyAddress lets the system choose a free port.
+const anyAddress = "127.0.0.1:0"
+
 // world is one instance before stand-ins of the platform.
 type world struct {
 	t     *testing.T
@@ -65,8 +68,8 @@
 		w.list(u, "ready")
 	}
 	settings := platform.Settings{
-		Instance: "spool-1", DataCentre: "here", CallerAddress: freeAddress(t), ReadyAddress: freeAddress(t),
-		PeerAddress: netip.MustParseAddrPort("127.0.0.1:0"), MetricsAddress: freeAddress(t),
+		Instance: "spool-1", DataCentre: "here", CallerAddress: anyAddress, ReadyAddress: anyAddress,
+		PeerAddress: netip.MustParseAddrPort("127.0.0.1:0"), MetricsAddress: anyAddress,
 		StoreAddress: strings.TrimPrefix(store.URL, "http://"),
 		DrainLimit:   600 * time.Millisecond, ApplyLimit: 600 * time.Millisecond,
 		StopLimit: 1500 * time.Millisecond, RetryShare: 0.2, RetryExtra: 54, RetryWindow: 10 * time.Second,
@@ -82,7 +85,7 @@
 		<-gate.Done()
 		require.NoError(t, <-ended)
 	})
-	w.url, w.ready = "http://"+settings.CallerAddress, "http://"+settings.ReadyAddress+platform.ReadyPath
+	w.url, w.ready = "http://"+gate.CallerAddress(), "http://"+gate.ReadyAddress()+platform.ReadyPath
 	require.Eventually(t, func() bool { return w.answers() }, time.Second, time.Millisecond)
 	return w
 }
@@ -125,14 +128,6 @@
 	return response.StatusCode
 }
 
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer listener.Close()
-	return listener.Addr().String()
-}
-
 // reply is an answer as the caller sees it.
 type reply struct {
 	status int
--- a/rosemaryspool/gossiper/gossiper.go
+++ b/rosemaryspool/gossiper/gossiper.go
@@ -85,6 +85,9 @@
 	}, nil
 }
 
+// Close closes the socket of a gossiper that does not run.
+func (g *Gossiper) Close() error { return g.socket.Close() }
+
 // Done is closed when Run has returned.
 func (g *Gossiper) Done() <-chan struct{} { return g.done }
 
