Write every line that was logged before the log's end

Close now waits for the lines that were added. The ring is polled again: waiting for a line can miss its wake-up.

--- a/rosemaryspool/logger/logger.go
+++ b/rosemaryspool/logger/logger.go
@@ -6,6 +6,7 @@
 	"io"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -15,8 +16,10 @@
 const (
 	// ringLines bounds the lines that wait for the writer; beyond it lines are dropped and counted.
 	ringLines = 8192
-	// pollInterval is how often an idle writer looks for new lines; zero makes it wait for them, which wakes no idle process.
-	pollInterval time.Duration = 0
+	// pollInterval is how often an idle writer looks for new lines.
+	pollInterval = 10 * time.Millisecond
+	// closeTimeout bounds the wait for lines that were logged before Close.
+	closeTimeout = time.Second
 	// sourceLineKey keeps the library from taking the key "caller", which names who sent a request, for a source line.
 	sourceLineKey = "sourceLine"
 )
@@ -25,22 +28,53 @@
 type Log struct {
 	zerolog.Logger
 	ring diode.Writer
+	// added counts the lines that were logged, settled those that were written or dropped.
+	added   atomic.Int64
+	settled atomic.Int64
 }
 
-// NewLog returns a log at the given level, such as "info". Dropped lines are reported to the same output.
+// NewLog returns a log at the given level, such as "info". dropped, unless nil, is told of lines that found no room.
 func NewLog(output io.Writer, level string, dropped func(lines int)) (*Log, error) {
 	parsed, err := zerolog.ParseLevel(level)
 	if err != nil {
 		return nil, fmt.Errorf("logger: parse level: %w", err)
 	}
-	ring := diode.NewWriter(newFormatter(output), ringLines, pollInterval, dropped)
+	l := &Log{}
+	settled := &counter{to: newFormatter(output), lines: &l.settled}
+	l.ring = diode.NewWriter(settled, ringLines, pollInterval, func(lines int) {
+		l.settled.Add(int64(lines))
+		if dropped != nil {
+			dropped(lines)
+		}
+	})
 	zerolog.TimeFieldFormat = time.RFC3339Nano
 	zerolog.CallerFieldName = sourceLineKey
-	return &Log{Logger: zerolog.New(ring).Level(parsed).With().Timestamp().Logger(), ring: ring}, nil
+	added := &counter{to: l.ring, lines: &l.added}
+	l.Logger = zerolog.New(added).Level(parsed).With().Timestamp().Logger()
+	return l, nil
 }
 
-// Close writes the lines that still wait.
-func (l *Log) Close() error { return l.ring.Close() }
+// Close writes the lines that still wait. The ring may take its end for empty while a line is added, so the lines are
+// waited for first.
+func (l *Log) Close() error {
+	deadline := time.Now().Add(closeTimeout)
+	for l.settled.Load() < l.added.Load() && time.Now().Before(deadline) {
+		time.Sleep(time.Millisecond)
+	}
+	return l.ring.Close()
+}
+
+// counter counts the lines that pass to a writer.
+type counter struct {
+	to    io.Writer
+	lines *atomic.Int64
+}
+
+// Write implements io.Writer.
+func (c *counter) Write(line []byte) (int, error) {
+	defer c.lines.Add(1)
+	return c.to.Write(line)
+}
 
 // newFormatter turns zerolog's JSON into key=value pairs.
 func newFormatter(output io.Writer) io.Writer {
--- a/rosemaryspool/logger/logger_test.go
+++ b/rosemaryspool/logger/logger_test.go
@@ -22,3 +22,14 @@
 	_, err := NewLog(&bytes.Buffer{}, "loud", func(int) {})
 	require.Error(t, err)
 }
+
+func TestCloseWritesEveryLine(t *testing.T) {
+	for range 500 {
+		var output bytes.Buffer
+		log, err := NewLog(&output, "info", nil)
+		require.NoError(t, err)
+		log.Info().Msg("last")
+		require.NoError(t, log.Close())
+		require.Contains(t, output.String(), "last")
+	}
+}
