--- a/core/matcher/matcher.go
+++ b/core/matcher/matcher.go
@@ -52,8 +52,6 @@
 	Timeout time.Duration
 	// TargetLatency is the time to a whole answer, or to a stream's first event, that still counts as in time.
 	TargetLatency time.Duration
-	// TargetGap is the longest pause between events that still counts as in time.
-	TargetGap time.Duration
 	// Rank orders routes by urgency; 0 is the most urgent.
 	Rank int
 	// MaxAttempts is the number of upstreams on which one request may run.
--- a/rosemaryspool/connector/exchange.go
+++ b/rosemaryspool/connector/exchange.go
@@ -45,8 +45,6 @@
 	Status int
 	Header http.Header
 	Body   io.Reader
-	// Length is the announced length of the body; negative when it ends with the connection or comes in chunks.
-	Length int64
 	// Unframed is true when the body ends with the connection.
 	Unframed bool
 
@@ -146,7 +144,6 @@
 	a.Status = response.StatusCode
 	a.Header = response.Header
 	a.Body = response.Body
-	a.Length = response.ContentLength
 	a.Unframed = response.ContentLength < 0 && len(response.TransferEncoding) == 0
 	a.close = response.Close
 	a.used.keepAlive(response.Header)
