Tell instances of the own data centre of each change, others every 250 ms

Cause: on the grown sites each of 60 to 89 instances told all others, 400 datagrams a second, so work was known 0.2 s late on average.

In a system of more than 16 instances only the own data centre is told of each change. Engines elsewhere are known every 250 ms and cost what may have been given away there unseen, so that they serve as overflow.

--- a/core/allocator/allocator.go
+++ b/core/allocator/allocator.go
@@ -68,6 +68,8 @@
 	peers      map[identifier.InstanceID]*peer
 	health     *ejector.Ejector
 	pace       map[identifier.ServiceName]*pace
+	// remoteAge is the average age of what is known of the work at upstreams of other data centres.
+	remoteAge time.Duration
 }
 
 // NewAllocator returns an allocator that knows no upstream.
@@ -138,6 +140,10 @@
 	}
 }
 
+// SetRemoteAge sets the average age of reports from other data centres. Work at their upstreams that is not known yet is
+// counted as a cost, so that they serve as overflow only.
+func (a *Allocator) SetRemoteAge(age time.Duration) { a.remoteAge = age }
+
 // Expire forgets the work of instances that have been silent, and returns them.
 func (a *Allocator) Expire(now time.Time) []identifier.InstanceID {
 	var silent []identifier.InstanceID
--- a/core/allocator/allocator_test.go
+++ b/core/allocator/allocator_test.go
@@ -218,3 +218,28 @@
 	a.Expire(now.Add(2 * time.Second))
 	require.Zero(t, a.upstreams["gone"].total())
 }
+
+func TestFarEnginesServeAsOverflowWhereTheirWorkIsKnownLate(t *testing.T) {
+	now := time.Now()
+	for _, c := range []struct {
+		name string
+		age  time.Duration
+		near bool
+	}{
+		{"known at once: the less loaded one", 0, false},
+		{"known late: the near one while it has room", 125 * time.Millisecond, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			a := fleet(2, 0)
+			a.SetRemoteAge(c.age)
+			a.Learn(now, "other", map[identifier.UpstreamID]Load{"u0": {Short: 2, Reading: 4000}})
+			place, refusal := a.Place(now, Ask{Service: model, Engine: true, Output: 70, ToTarget: 150 * time.Millisecond, Target: 150 * time.Millisecond, Left: time.Second, Prompt: []Part{{ID: "own", Tokens: 200}}})
+			require.Nil(t, refusal)
+			require.Equal(t, c.near, place.Upstream == "u0")
+			a.Learn(now, "other", map[identifier.UpstreamID]Load{"u0": {Short: 12, Reading: 40000}})
+			place, refusal = a.Place(now, verdict(2, 3000))
+			require.Nil(t, refusal)
+			require.Equal(t, identifier.UpstreamID("u1"), place.Upstream)
+		})
+	}
+}
--- a/core/allocator/placing.go
+++ b/core/allocator/placing.go
@@ -258,7 +258,7 @@
 	if u.entry.DataCentre == a.dataCentre {
 		return 0
 	}
-	return a.settings.RemoteCost
+	return a.settings.RemoteCost + time.Duration(a.settings.AgeWeight*float64(a.remoteAge))
 }
 
 // lateShare is the share of its target that a late request may spend behind others: it gets only what fresh ones leave.
--- a/core/allocator/settings.go
+++ b/core/allocator/settings.go
@@ -15,6 +15,9 @@
 	PeerMemory time.Duration
 	// RemoteCost stands for the price and the delay of the bytes that a request sends to another data centre.
 	RemoteCost time.Duration
+	// AgeWeight is what one time unit of the age of reports from other data centres costs there: the part of a busy
+	// engine's time that may have been given away unseen.
+	AgeWeight float64
 	// LongOutput is the length of an answer from which a request holds its slot for many others' time.
 	LongOutput identifier.Tokens
 	// QueueShare is the part of the time to a route's target that a request may spend behind others; the rest is for its
@@ -49,6 +52,7 @@
 		Health:     ejector.DefaultSettings(),
 		PeerMemory: time.Second,
 		RemoteCost: 4 * time.Millisecond,
+		AgeWeight:  0.13,
 		LongOutput: 600,
 		QueueShare: 0.5,
 		Residence:  40 * time.Millisecond,
--- a/rosemaryspool/gossiper/gossiper.go
+++ b/rosemaryspool/gossiper/gossiper.go
@@ -21,9 +21,14 @@
 const (
 	// leastInterval is the time between two reports of changed work: about the time in which a short answer moves on.
 	leastInterval = 10 * time.Millisecond
-	// sendsPerSecond bounds the datagrams that one instance sends, so that the cost of an instance stays the same in a
-	// large system; reports become rarer instead.
-	sendsPerSecond = 400
+	// sendsPerSecond bounds the datagrams that one instance sends: at 30 µs for one it is 4 % of a core. In a larger system
+	// reports become rarer instead.
+	sendsPerSecond = 1200
+	// meshLimit is the number of other instances up to which all are told of each change. In a larger system that holds
+	// for the own data centre alone, whose upstreams these instances prefer.
+	meshLimit = 15
+	// farInterval is the time between reports to instances of other data centres in a larger system.
+	farInterval = 250 * time.Millisecond
 	// restInterval is the time between reports of unchanged work; peers forget an instance after a second of silence.
 	restInterval = 300 * time.Millisecond
 	// silentAfter is when a member that is not heard is told more rarely.
@@ -42,7 +47,8 @@
 	OwnLoads() map[identifier.UpstreamID]allocator.Load
 	Changed() <-chan struct{}
 	Learn(now time.Time, instance identifier.InstanceID, loads map[identifier.UpstreamID]allocator.Load)
-	SetInstances(count int)
+	// SetInstances tells the number of instances and the age that reports between data centres have on average.
+	SetInstances(count int, remoteAge time.Duration)
 	Expire(now time.Time)
 }
 
@@ -54,6 +60,17 @@
 	heard     time.Time
 	toldAt    time.Time
 	leaving   bool
+	// near is true for an instance of the same data centre.
+	near bool
+}
+
+// Member is another instance as it announced itself.
+type Member struct {
+	Instance  identifier.InstanceID
+	Address   netip.AddrPort
+	StartedMs int64
+	// Near is true for an instance of the same data centre.
+	Near bool
 }
 
 // Gossiper exchanges work reports with all members. Members is safe for concurrent use.
@@ -92,21 +109,21 @@
 func (g *Gossiper) Done() <-chan struct{} { return g.done }
 
 // SetMember adds or moves another instance. A record of this instance itself is ignored.
-func (g *Gossiper) SetMember(instance identifier.InstanceID, address netip.AddrPort, startedMs int64) {
-	if instance == g.instance {
+func (g *Gossiper) SetMember(told Member) {
+	if told.Instance == g.instance {
 		return
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	m := g.members[instance]
-	if m != nil && startedMs < m.startedMs {
+	m := g.members[told.Instance]
+	if m != nil && told.StartedMs < m.startedMs {
 		return
 	}
-	if m == nil || m.startedMs != startedMs {
-		g.members[instance] = &member{address: address, startedMs: startedMs, heard: time.Now()}
-		return
+	if m == nil || m.startedMs != told.StartedMs {
+		m = &member{startedMs: told.StartedMs, heard: time.Now()}
+		g.members[told.Instance] = m
 	}
-	m.address = address
+	m.address, m.near = told.Address, told.Near
 }
 
 // Leave tells the members that this instance stops.
@@ -162,8 +179,12 @@
 		Upstreams: make([]*messenger.UpstreamWork, 0, len(loads)),
 	}
 	addresses, live := g.audience(now)
+	remoteAge := time.Duration(0)
+	if g.large() {
+		remoteAge = farInterval / 2
+	}
 	g.mu.Unlock()
-	g.source.SetInstances(1 + live)
+	g.source.SetInstances(1+live, remoteAge)
 	for id, l := range loads {
 		report.Upstreams = append(report.Upstreams, &messenger.UpstreamWork{
 			Upstream: string(id), ShortAnswers: uint32(l.Short), LongAnswers: uint32(l.Long),
@@ -183,6 +204,9 @@
 	return len(addresses)
 }
 
+// large tells whether there are too many instances to tell all of them each change.
+func (g *Gossiper) large() bool { return len(g.members) > meshLimit }
+
 // audience returns whom to tell now and how many other instances are live.
 func (g *Gossiper) audience(now time.Time) ([]netip.AddrPort, int) {
 	addresses := make([]netip.AddrPort, 0, len(g.members))
@@ -195,6 +219,9 @@
 		if silent && now.Sub(m.toldAt) < silentInterval {
 			continue
 		}
+		if !m.near && g.large() && now.Sub(m.toldAt) < farInterval {
+			continue
+		}
 		m.toldAt = now
 		addresses = append(addresses, m.address)
 	}
--- a/rosemaryspool/gossiper/gossiper_test.go
+++ b/rosemaryspool/gossiper/gossiper_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/netip"
 	"sync"
 	"testing"
@@ -21,6 +22,7 @@
 	own       map[identifier.UpstreamID]allocator.Load
 	learned   map[identifier.InstanceID]map[identifier.UpstreamID]allocator.Load
 	instances int
+	remoteAge time.Duration
 	changed   chan struct{}
 }
 
@@ -46,10 +48,10 @@
 	s.learned[i] = loads
 }
 
-func (s *source) SetInstances(count int) {
+func (s *source) SetInstances(count int, remoteAge time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.instances = count
+	s.instances, s.remoteAge = count, remoteAge
 }
 
 func (s *source) Expire(time.Time) {}
@@ -94,8 +96,8 @@
 func TestInstancesTellEachOtherTheirWork(t *testing.T) {
 	a, sourceOfA := start(t, "a")
 	b, sourceOfB := start(t, "b")
-	a.SetMember("b", address(t, b), 5)
-	b.SetMember("a", address(t, a), 5)
+	a.SetMember(Member{Instance: "b", Address: address(t, b), StartedMs: 5})
+	b.SetMember(Member{Instance: "a", Address: address(t, a), StartedMs: 5})
 	load := allocator.Load{Short: 3, Long: 2, Coming: 1, Reading: 9000}
 	sourceOfA.set(load)
 	require.Eventually(t, func() bool { return sourceOfB.of("a") == load }, time.Second, time.Millisecond)
@@ -110,7 +112,7 @@
 
 func TestLateReportsAreDropped(t *testing.T) {
 	g, s := start(t, "a")
-	g.SetMember("b", netip.MustParseAddrPort("127.0.0.1:9"), 5)
+	g.SetMember(Member{Instance: "b", Address: netip.MustParseAddrPort("127.0.0.1:9"), StartedMs: 5})
 	report := func(started int64, sequence uint64, short uint32) {
 		g.take(time.Now(), &messenger.WorkReport{
 			Instance: "b", StartedMs: started, Sequence: sequence,
@@ -136,3 +138,33 @@
 	g.take(time.Now(), &messenger.WorkReport{Instance: "stranger", Sequence: 1})
 	require.NotContains(t, s.learned, identifier.InstanceID("stranger"))
 }
+
+func TestALargeSystemTellsOtherDataCentresMoreRarely(t *testing.T) {
+	now := time.Now()
+	for _, c := range []struct {
+		name      string
+		members   int
+		told      int
+		remoteAge time.Duration
+	}{
+		{"small: all are told of each change", 12, 12, 0},
+		{"large: the own data centre is", 40, 20, farInterval / 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newSource()
+			g, err := NewGossiper(netip.MustParseAddrPort("127.0.0.1:0"), "self", 5, s, zerolog.Nop())
+			require.NoError(t, err)
+			defer func() { require.NoError(t, g.Close()) }()
+			for i := range c.members {
+				g.SetMember(Member{
+					Instance: identifier.InstanceID(fmt.Sprint(i)), Address: netip.MustParseAddrPort("127.0.0.1:9"),
+					StartedMs: 5, Near: i%2 == 0,
+				})
+			}
+			require.Equal(t, c.members, g.tell(now), "the first report goes to all")
+			require.Equal(t, c.told, g.tell(now.Add(leastInterval)))
+			require.Equal(t, c.members, g.tell(now.Add(farInterval)))
+			require.Equal(t, c.remoteAge, s.remoteAge)
+		})
+	}
+}
--- a/rosemaryspool/governor/governor.go
+++ b/rosemaryspool/governor/governor.go
@@ -126,10 +126,12 @@
 	g.tracker.StoreAway(now)
 }
 
-// SetInstances sets how many instances share the bounds on repeats and connections.
-func (g *Governor) SetInstances(count int) {
+// SetInstances sets how many instances share the bounds on repeats and connections, and how old their reports are where
+// they come from other data centres.
+func (g *Governor) SetInstances(count int, remoteAge time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.allocator.SetRemoteAge(remoteAge)
 	if count == g.instances {
 		return
 	}
--- a/rosemaryspool/subscriber/subscriber.go
+++ b/rosemaryspool/subscriber/subscriber.go
@@ -272,7 +272,9 @@
 			s.log.Warn().Err(err).Str("event", "memberUnreadable").Uint64("offset", r.Offset).Msg("Entry is skipped")
 			continue
 		}
-		s.gossiper.SetMember(m.Instance, m.Address, m.StartedMs)
+		s.gossiper.SetMember(gossiper.Member{
+			Instance: m.Instance, Address: m.Address, StartedMs: m.StartedMs, Near: m.DataCentre == s.self.DataCentre,
+		})
 	}
 }
 
