Let one instance read the store for its neighbours

Cause: each instance read the list of upstreams and the configuration for itself. Few of the records read changed what an instance believed.

Each instance now tells in its reports how far it has followed a topic and where the last record was that mattered. The first one in each data centre reads at the usual interval; the others read when they hear of such a record, or when they have heard nothing for a little longer. What is believed still comes from the store itself. A view that begins after an instance's own last read is no help to it, and views are not passed on, so none looks younger than it is. Instances that report introduce themselves; the list of members is read every 20 s.

--- a/rosemaryspool/gatekeeper/gatekeeper.go
+++ b/rosemaryspool/gatekeeper/gatekeeper.go
@@ -71,14 +71,14 @@
 	opened := metrics.GetOrRegisterCounter("connectionsOpened", registry)
 	g.connector = connector.NewConnector(func() { opened.Inc(1) })
 	g.forwarder = forwarder.NewForwarder(g.governor, g.connector, log, registry)
-	peers, err := gossiper.NewGossiper(settings.PeerAddress, settings.Instance, startedMs, g.governor, log)
+	self := platform.Member{
+		Instance: settings.Instance, Address: settings.PeerAddress, DataCentre: settings.DataCentre, StartedMs: startedMs,
+	}
+	peers, err := gossiper.NewGossiper(gossiper.Member(self), g.governor, log)
 	if err != nil {
 		return nil, err
 	}
 	g.gossiper = peers
-	self := platform.Member{
-		Instance: settings.Instance, Address: settings.PeerAddress, DataCentre: settings.DataCentre, StartedMs: startedMs,
-	}
 	g.subscriber = subscriber.NewSubscriber(
 		platform.NewStore(settings.StoreAddress), g.governor, peers, self, settings.DrainLimit, settings.ApplyLimit, log,
 	)
--- a/rosemaryspool/gossiper/gossiper.go
+++ b/rosemaryspool/gossiper/gossiper.go
@@ -6,6 +6,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -15,6 +16,7 @@
 
 	"rosemaryspool.example/core/allocator"
 	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/core/pacer"
 	"rosemaryspool.example/wire/messenger"
 )
 
@@ -36,6 +38,9 @@
 	// goneAfter is when a silent member no longer counts among those that share bounds. It is long, since members behind
 	// a partition go on to use their shares.
 	goneAfter = 30 * time.Second
+	// rankMemory is how long an instance counts in the order of those that read the store after its last report: it is
+	// told of at least every restInterval.
+	rankMemory = time.Second
 	// silentInterval is the time between reports to silent members.
 	silentInterval = 2 * time.Second
 	// datagramBytes is the largest report: one packet of an ordinary network.
@@ -64,41 +69,48 @@
 	near bool
 }
 
-// Member is another instance as it announced itself.
+// Member is an instance as it announces itself.
 type Member struct {
-	Instance  identifier.InstanceID
-	Address   netip.AddrPort
-	StartedMs int64
-	// Near is true for an instance of the same data centre.
-	Near bool
+	Instance   identifier.InstanceID
+	Address    netip.AddrPort
+	DataCentre identifier.DataCentre
+	StartedMs  int64
+}
+
+// view is how far this instance has followed a topic of the store.
+type view struct {
+	topic string
+	pacer.View
 }
 
 // Gossiper exchanges work reports with all members. Members is safe for concurrent use.
 type Gossiper struct {
-	instance  identifier.InstanceID
-	startedMs int64
-	source    Source
-	socket    *net.UDPConn
-	log       zerolog.Logger
-	done      chan struct{}
+	self   Member
+	source Source
+	socket *net.UDPConn
+	log    zerolog.Logger
+	done   chan struct{}
+	// shared gets a value when a view of the store is to be told.
+	shared chan struct{}
 
 	mu       sync.Mutex
 	members  map[identifier.InstanceID]*member
+	views    []view
+	onView   func(topic string, v pacer.View)
 	sequence uint64
 	leaving  bool
 }
 
-// NewGossiper opens the socket at an address.
-func NewGossiper(
-	address netip.AddrPort, instance identifier.InstanceID, startedMs int64, source Source, log zerolog.Logger,
-) (*Gossiper, error) {
-	socket, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(address))
+// NewGossiper opens the socket at this instance's address.
+func NewGossiper(self Member, source Source, log zerolog.Logger) (*Gossiper, error) {
+	socket, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(self.Address))
 	if err != nil {
 		return nil, eris.Wrap(err, "gossiper: listen")
 	}
 	return &Gossiper{
-		instance: instance, startedMs: startedMs, source: source, socket: socket, log: log,
-		done: make(chan struct{}), members: map[identifier.InstanceID]*member{},
+		self: self, source: source, socket: socket, log: log,
+		done: make(chan struct{}), shared: make(chan struct{}, 1), members: map[identifier.InstanceID]*member{},
+		onView: func(string, pacer.View) {},
 	}, nil
 }
 
@@ -110,7 +122,7 @@
 
 // SetMember adds or moves another instance. A record of this instance itself is ignored.
 func (g *Gossiper) SetMember(told Member) {
-	if told.Instance == g.instance {
+	if told.Instance == g.self.Instance {
 		return
 	}
 	g.mu.Lock()
@@ -123,7 +135,44 @@
 		m = &member{startedMs: told.StartedMs, heard: time.Now()}
 		g.members[told.Instance] = m
 	}
-	m.address, m.near = told.Address, told.Near
+	m.address, m.near = told.Address, told.DataCentre == g.self.DataCentre
+}
+
+// OnView sets what is called with each view of the store that another instance tells. It must be set before Run.
+func (g *Gossiper) OnView(f func(topic string, v pacer.View)) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.onView = f
+}
+
+// ShareView tells the others how far this instance has followed a topic of the store.
+func (g *Gossiper) ShareView(topic string, v pacer.View) {
+	g.mu.Lock()
+	at := slices.IndexFunc(g.views, func(v view) bool { return v.topic == topic })
+	if at < 0 {
+		at = len(g.views)
+		g.views = append(g.views, view{topic: topic})
+	}
+	g.views[at].View = v
+	g.mu.Unlock()
+	select {
+	case g.shared <- struct{}{}:
+	default:
+		// The report that is due already tells it.
+	}
+}
+
+// Rank returns how many near instances that were heard lately come before this one in the order of their ids.
+func (g *Gossiper) Rank(now time.Time) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	rank := 0
+	for id, m := range g.members {
+		if (m.near || !g.large()) && !m.leaving && m.sequence > 0 && now.Sub(m.heard) < rankMemory && id < g.self.Instance {
+			rank++
+		}
+	}
+	return rank
 }
 
 // Leave tells the members that this instance stops.
@@ -156,6 +205,7 @@
 		case <-ctx.Done():
 			return
 		case <-g.source.Changed():
+		case <-g.shared:
 		case <-rest.C:
 			g.source.Expire(time.Now())
 		}
@@ -175,9 +225,15 @@
 	g.mu.Lock()
 	g.sequence++
 	report := &messenger.WorkReport{
-		Instance: string(g.instance), StartedMs: g.startedMs, Sequence: g.sequence, Leaving: g.leaving,
+		Instance: string(g.self.Instance), StartedMs: g.self.StartedMs, Sequence: g.sequence, Leaving: g.leaving,
+		Address: g.self.Address.String(), DataCentre: string(g.self.DataCentre),
 		Upstreams: make([]*messenger.UpstreamWork, 0, len(loads)),
 	}
+	for _, v := range g.views {
+		report.Topics = append(report.Topics, &messenger.TopicView{
+			Topic: v.topic, First: v.First, Next: v.Next, Changed: v.Changed, AgeMs: uint32(now.Sub(v.ReadAt).Milliseconds()),
+		})
+	}
 	addresses, live := g.audience(now)
 	remoteAge := time.Duration(0)
 	if g.large() {
@@ -250,6 +306,7 @@
 
 func (g *Gossiper) take(now time.Time, report *messenger.WorkReport) {
 	instance := identifier.InstanceID(report.GetInstance())
+	g.introduce(report)
 	g.mu.Lock()
 	m := g.members[instance]
 	if m == nil || report.GetStartedMs() < m.startedMs ||
@@ -257,7 +314,8 @@
 		g.mu.Unlock()
 		return
 	}
-	m.startedMs, m.sequence, m.heard, m.leaving = report.GetStartedMs(), report.GetSequence(), now, report.GetLeaving()
+	m.sequence, m.heard, m.leaving = report.GetSequence(), now, report.GetLeaving()
+	onView := g.onView
 	g.mu.Unlock()
 	loads := make(map[identifier.UpstreamID]allocator.Load, len(report.GetUpstreams()))
 	for _, w := range report.GetUpstreams() {
@@ -266,4 +324,28 @@
 		}
 	}
 	g.source.Learn(now, instance, loads)
+	for _, v := range report.GetTopics() {
+		age := time.Duration(v.GetAgeMs()) * time.Millisecond
+		onView(v.GetTopic(), pacer.View{First: v.GetFirst(), Next: v.GetNext(), Changed: v.GetChanged(), ReadAt: now.Add(-age)})
+	}
+}
+
+// introduce makes an instance known that reports before its record in the store was read.
+func (g *Gossiper) introduce(report *messenger.WorkReport) {
+	g.mu.Lock()
+	m := g.members[identifier.InstanceID(report.GetInstance())]
+	known := m != nil && m.startedMs >= report.GetStartedMs()
+	g.mu.Unlock()
+	if known {
+		return
+	}
+	address, err := netip.ParseAddrPort(report.GetAddress())
+	if err != nil {
+		g.log.Warn().Err(err).Str("event", "reportUnreadable").Str("peer", report.GetInstance()).Msg("Address of an instance is no address")
+		return
+	}
+	g.SetMember(Member{
+		Instance: identifier.InstanceID(report.GetInstance()), Address: address,
+		DataCentre: identifier.DataCentre(report.GetDataCentre()), StartedMs: report.GetStartedMs(),
+	})
 }
--- a/rosemaryspool/gossiper/gossiper_test.go
+++ b/rosemaryspool/gossiper/gossiper_test.go
@@ -72,10 +72,12 @@
 	}
 }
 
+var loopback = netip.MustParseAddrPort("127.0.0.1:0")
+
 func start(t *testing.T, name identifier.InstanceID) (*Gossiper, *source) {
 	t.Helper()
 	s := newSource()
-	g, err := NewGossiper(netip.MustParseAddrPort("127.0.0.1:0"), name, 5, s, zerolog.Nop())
+	g, err := NewGossiper(Member{Instance: name, Address: loopback, DataCentre: "here", StartedMs: 5}, s, zerolog.Nop())
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	go g.Run(ctx)
@@ -152,13 +154,13 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			s := newSource()
-			g, err := NewGossiper(netip.MustParseAddrPort("127.0.0.1:0"), "self", 5, s, zerolog.Nop())
+			g, err := NewGossiper(Member{Instance: "self", Address: loopback, DataCentre: "here", StartedMs: 5}, s, zerolog.Nop())
 			require.NoError(t, err)
 			defer func() { require.NoError(t, g.Close()) }()
 			for i := range c.members {
 				g.SetMember(Member{
 					Instance: identifier.InstanceID(fmt.Sprint(i)), Address: netip.MustParseAddrPort("127.0.0.1:9"),
-					StartedMs: 5, Near: i%2 == 0,
+					StartedMs: 5, DataCentre: []identifier.DataCentre{"here", "there"}[i%2],
 				})
 			}
 			require.Equal(t, c.members, g.tell(now), "the first report goes to all")
--- a/rosemaryspool/governor/governor.go
+++ b/rosemaryspool/governor/governor.go
@@ -140,6 +140,13 @@
 	g.log.Info().Str("event", "instancesCounted").Int("instances", g.instances).Msg("Number of instances changed")
 }
 
+// Instances returns how many instances share the bounds.
+func (g *Governor) Instances() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.instances
+}
+
 // Connections returns this instance's share of the connections of one upstream of a service.
 func (g *Governor) Connections(service identifier.ServiceName) int {
 	limit := defaultConnections
--- a/rosemaryspool/subscriber/subscriber.go
+++ b/rosemaryspool/subscriber/subscriber.go
@@ -12,6 +12,7 @@
 	"github.com/sourcegraph/conc"
 
 	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/core/pacer"
 	"rosemaryspool.example/core/tracker"
 	"rosemaryspool.example/platform"
 	"rosemaryspool.example/rosemaryspool/gossiper"
@@ -19,11 +20,9 @@
 )
 
 const (
-	// longWait is how long the store holds a read of the members; it returns earlier with a record.
-	longWait = 20 * time.Second
-	// memberInterval is the least time between two reads of the members: when a system starts they announce themselves
-	// within a second, and one read for each of them would cost the square of their number.
-	memberInterval = 2 * time.Second
+	// memberInterval is the time between two reads of the members. New ones announce themselves and then read, so of two
+	// that start at once one knows the other and reports to it; the interval is for those whose reports are lost.
+	memberInterval = 20 * time.Second
 	// applyShare is the part of the bound for configurations that the store holds a read of them: the store may fail to
 	// wake it.
 	applyShare = 0.7
@@ -40,17 +39,16 @@
 
 // Subscriber follows the topics of one store.
 type Subscriber struct {
-	store        *platform.Store
-	governor     *governor.Governor
-	gossiper     *gossiper.Gossiper
-	self         platform.Member
-	listInterval time.Duration
-	applyLimit   time.Duration
-	log          zerolog.Logger
-	done         chan struct{}
+	store    *platform.Store
+	governor *governor.Governor
+	gossiper *gossiper.Gossiper
+	self     platform.Member
+	log      zerolog.Logger
+	done     chan struct{}
 
 	mu     sync.Mutex
 	topics []*topic
+	pacers map[string]*pacer.Pacer
 }
 
 // NewSubscriber returns a subscriber; nothing is read before Run.
@@ -59,10 +57,21 @@
 	drainLimit, applyLimit time.Duration,
 	log zerolog.Logger,
 ) *Subscriber {
-	return &Subscriber{
-		store: store, governor: g, gossiper: peers, self: self,
-		listInterval: time.Duration(listShare * float64(drainLimit)), applyLimit: applyLimit, log: log, done: make(chan struct{}),
+	s := &Subscriber{
+		store: store, governor: g, gossiper: peers, self: self, log: log, done: make(chan struct{}),
+		pacers: map[string]*pacer.Pacer{},
 	}
+	s.topics = []*topic{
+		{name: platform.TopicConfiguration, wait: time.Duration(applyShare * float64(applyLimit)), take: s.takeConfigurations, shared: true},
+		{name: platform.TopicServers, interval: time.Duration(listShare * float64(drainLimit)), take: s.takeServers, failed: g.StoreFailed, shared: true},
+		{name: platform.TopicMembers, interval: memberInterval, take: s.takeMembers},
+	}
+	for _, t := range s.topics {
+		t.wake = make(chan struct{}, 1)
+		s.pacers[t.name] = pacer.NewPacer(t.interval, t.wait)
+	}
+	peers.OnView(s.heard)
+	return s
 }
 
 // Done is closed when Run has returned.
@@ -71,36 +80,33 @@
 // Run follows all topics until ctx ends.
 func (s *Subscriber) Run(ctx context.Context) {
 	defer close(s.done)
-	configurations := &topic{
-		name: platform.TopicConfiguration, wait: time.Duration(applyShare * float64(s.applyLimit)), take: s.takeConfigurations,
-	}
-	servers := &topic{
-		name: platform.TopicServers, interval: s.listInterval, take: s.takeServers, failed: s.governor.StoreFailed,
-	}
-	members := &topic{name: platform.TopicMembers, wait: longWait, interval: memberInterval, take: s.takeMembers}
-	s.topics = []*topic{configurations, servers, members}
 	var group conc.WaitGroup
-	group.Go(func() { s.follow(ctx, configurations) })
-	group.Go(func() { s.follow(ctx, servers) })
-	group.Go(func() {
-		s.announce(ctx)
-		s.follow(ctx, members)
-	})
+	for _, t := range s.topics {
+		group.Go(func() {
+			if t.name == platform.TopicMembers {
+				s.announce(ctx)
+			}
+			s.follow(ctx, t)
+		})
+	}
 	group.Wait()
 }
 
-// topic is one followed topic. The store holds its reads for the wait; the interval is the least time between two reads.
+// topic is one followed topic. The store holds its reads for the wait; the interval is the time between two reads.
 type topic struct {
 	name     string
 	wait     time.Duration
 	interval time.Duration
-	// take applies records; whole is true when they are all keys that the topic holds.
-	take   func(records []platform.Record, whole bool)
+	// take applies records and returns the offset after the last one that mattered; whole is true when they are all keys
+	// that the topic holds.
+	take   func(records []platform.Record, whole bool) uint64
 	failed func(now time.Time)
+	// shared is true where instances tell each other what they have read.
+	shared bool
+	// wake gets a value when another instance has found something.
+	wake chan struct{}
 
-	next  uint64
-	known bool
-	away  bool
+	away bool
 	// failures counts the failed reads in a row.
 	failures int
 	// cancel ends the read under way; nil between reads. The subscriber's mutex guards it.
@@ -109,7 +115,9 @@
 
 func (s *Subscriber) follow(ctx context.Context, t *topic) {
 	for ctx.Err() == nil {
-		started := time.Now()
+		if t.failures == 0 && !s.await(ctx, t) {
+			return
+		}
 		err := s.read(ctx, t)
 		if ctx.Err() != nil {
 			return
@@ -117,45 +125,88 @@
 		if errors.Is(err, context.Canceled) {
 			continue
 		}
-		pause := t.interval
-		if err != nil {
-			s.lose(t, err)
-			pause = retryPause(t.failures)
-		} else {
+		if err == nil {
 			s.regain(t)
+			continue
 		}
-		if left := pause - time.Since(started); left > 0 {
-			select {
-			case <-ctx.Done():
-				return
-			case <-time.After(left):
-			}
+		s.lose(t, err)
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(retryPause(t.failures)):
+		}
+	}
+}
+
+// await waits until the next read of a topic is due; false when ctx ends first.
+func (s *Subscriber) await(ctx context.Context, t *topic) bool {
+	for {
+		now := time.Now()
+		s.mu.Lock()
+		due := s.pacers[t.name].Due(s.rank(now, t))
+		s.mu.Unlock()
+		left := due.Sub(now)
+		if left <= 0 {
+			return ctx.Err() == nil
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-t.wake:
+		case <-time.After(left):
+		}
+	}
+}
+
+// rank returns how many instances read a topic before this one.
+func (s *Subscriber) rank(now time.Time, t *topic) int {
+	if !t.shared {
+		return 0
+	}
+	return s.gossiper.Rank(now)
+}
+
+// heard takes what another instance tells of a topic.
+func (s *Subscriber) heard(name string, v pacer.View) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, t := range s.topics {
+		if t.name != name || !s.pacers[name].Heard(v) {
+			continue
+		}
+		select {
+		case t.wake <- struct{}{}:
+		default:
+			// It is awake already.
 		}
 	}
 }
 
 // read reads the next records, or all newest ones when the next are unknown or trimmed.
 func (s *Subscriber) read(ctx context.Context, t *topic) error {
+	s.mu.Lock()
+	next, known := s.pacers[t.name].Next()
+	s.mu.Unlock()
 	wait := t.wait
-	if !t.known {
+	if !known {
 		wait = 0
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
 	defer cancel()
 	s.setCancel(t, cancel)
 	defer s.setCancel(t, nil)
-	if t.known {
-		records, next, err := s.store.Read(ctx, t.name, t.next, t.wait)
+	if known {
+		records, end, err := s.store.Read(ctx, t.name, next, t.wait)
 		var trimmed *platform.TrimmedError
 		switch {
 		case errors.As(err, &trimmed):
-			s.log.Warn().Str("event", "historyTrimmed").Str("topic", t.name).Uint64("from", t.next).
+			s.log.Warn().Str("event", "historyTrimmed").Str("topic", t.name).Uint64("from", next).
 				Uint64("start", trimmed.Start).Msg("Records were trimmed; reading the newest of each key")
 		case err != nil:
 			return err
 		default:
-			t.next = next
-			t.take(records, false)
+			changed := t.take(records, false)
+			s.share(t, func(p *pacer.Pacer) pacer.View { return p.Read(time.Now(), end, changed) })
 			return nil
 		}
 	}
@@ -163,11 +214,21 @@
 	if err != nil {
 		return err
 	}
-	t.next, t.known = end, true
 	t.take(records, true)
+	s.share(t, func(p *pacer.Pacer) pacer.View { return p.ReadWhole(time.Now(), end) })
 	return nil
 }
 
+// share notes a read and tells the other instances.
+func (s *Subscriber) share(t *topic, note func(*pacer.Pacer) pacer.View) {
+	s.mu.Lock()
+	v := note(s.pacers[t.name])
+	s.mu.Unlock()
+	if t.shared {
+		s.gossiper.ShareView(t.name, v)
+	}
+}
+
 // retryPause returns the time between a failed call and its repeat after a number of failures in a row.
 func retryPause(failures int) time.Duration {
 	pause := retryInterval
@@ -184,7 +245,7 @@
 	}
 	if !t.away {
 		t.away = true
-		s.log.Warn().Err(err).Str("event", "storeLost").Str("topic", t.name).Uint64("next", t.next).
+		s.log.Warn().Err(err).Str("event", "storeLost").Str("topic", t.name).Int("failures", t.failures).
 			Msg("Store does not answer; going on with what is known")
 	}
 }
@@ -193,7 +254,7 @@
 	t.failures = 0
 	if t.away {
 		t.away = false
-		s.log.Info().Str("event", "storeRegained").Str("topic", t.name).Uint64("next", t.next).Msg("Store answers again")
+		s.log.Info().Str("event", "storeRegained").Str("topic", t.name).Msg("Store answers again")
 		s.restartReads(t)
 	}
 }
@@ -215,7 +276,8 @@
 	}
 }
 
-func (s *Subscriber) takeConfigurations(records []platform.Record, _ bool) {
+func (s *Subscriber) takeConfigurations(records []platform.Record, _ bool) uint64 {
+	mattered := uint64(0)
 	for _, r := range records {
 		if r.Key != platform.KeyConfiguration || len(r.Value) == 0 {
 			continue
@@ -227,11 +289,14 @@
 			continue
 		}
 		s.governor.SetConfiguration(c)
+		mattered = r.Offset + 1
 	}
+	return mattered
 }
 
-func (s *Subscriber) takeServers(records []platform.Record, whole bool) {
+func (s *Subscriber) takeServers(records []platform.Record, whole bool) uint64 {
 	now := time.Now()
+	mattered := uint64(0)
 	cause := "records"
 	if whole {
 		cause = "newest"
@@ -244,6 +309,8 @@
 			id := identifier.UpstreamID(r.Key)
 			if len(r.Value) == 0 {
 				changed = t.Dropped(now, id, r.Offset) || changed
+				// One that may still come back is not dropped yet, but others must see its record.
+				mattered = r.Offset + 1
 				continue
 			}
 			// An entry that can't be read says nothing against the upstream's earlier one.
@@ -253,16 +320,19 @@
 				s.log.Warn().Err(err).Str("event", "upstreamUnreadable").Uint64("offset", r.Offset).Msg("Entry is skipped")
 				continue
 			}
-			changed = t.Listed(e, r.Offset) || changed
+			if t.Listed(e, r.Offset) {
+				changed, mattered = true, r.Offset+1
+			}
 		}
 		if whole {
 			changed = t.Retain(now, listed) || changed
 		}
 		return changed
 	})
+	return mattered
 }
 
-func (s *Subscriber) takeMembers(records []platform.Record, _ bool) {
+func (s *Subscriber) takeMembers(records []platform.Record, _ bool) uint64 {
 	for _, r := range records {
 		if len(r.Value) == 0 {
 			continue
@@ -272,10 +342,9 @@
 			s.log.Warn().Err(err).Str("event", "memberUnreadable").Uint64("offset", r.Offset).Msg("Entry is skipped")
 			continue
 		}
-		s.gossiper.SetMember(gossiper.Member{
-			Instance: m.Instance, Address: m.Address, StartedMs: m.StartedMs, Near: m.DataCentre == s.self.DataCentre,
-		})
+		s.gossiper.SetMember(gossiper.Member(m))
 	}
+	return 0
 }
 
 // announce writes this instance's record until the store has it.
--- a/rosemaryspool/subscriber/subscriber_test.go
+++ b/rosemaryspool/subscriber/subscriber_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http/httptest"
 	"net/netip"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -30,13 +32,24 @@
 // startCalls are the calls of a start: the newest records of three topics, and the instance's own record.
 const startCalls = 4
 
-// world is a subscriber of a stand-in store.
+// world is a stand-in store and the instances that follow it.
 type world struct {
-	store    *platformer.Store
+	store *platformer.Store
+	// governor belongs to the first instance.
+	governor  *governor.Governor
+	instances []*instance
+}
+
+type instance struct {
 	governor *governor.Governor
+	stop     func()
 }
 
 func newWorld(t *testing.T, prepare func(*platformer.Store)) *world {
+	return newLargeWorld(t, 1, prepare)
+}
+
+func newLargeWorld(t *testing.T, instances int, prepare func(*platformer.Store)) *world {
 	t.Helper()
 	store := platformer.NewStore()
 	if prepare != nil {
@@ -47,24 +60,56 @@
 		server.CloseClientConnections()
 		server.Close()
 	})
+	w := &world{store: store}
+	for i := range instances {
+		w.instances = append(w.instances, newInstance(t, fmt.Sprint("spool-", i+1), strings.TrimPrefix(server.URL, "http://")))
+	}
+	w.governor = w.instances[0].governor
+	return w
+}
+
+func newInstance(t *testing.T, name, store string) *instance {
+	t.Helper()
 	g := governor.NewGovernor(governor.Settings{
 		Retry:    budgeter.Settings{Share: 0.2, Extra: 50, Window: 10 * time.Second},
 		Allocate: allocator.DefaultSettings(),
 	}, zerolog.Nop())
-	address := netip.MustParseAddrPort("127.0.0.1:0")
-	peers, err := gossiper.NewGossiper(address, "spool-1", 1, g, zerolog.Nop())
+	self := platform.Member{Instance: identifier.InstanceID(name), Address: freeAddress(t), StartedMs: 1}
+	peers, err := gossiper.NewGossiper(gossiper.Member(self), g, zerolog.Nop())
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
-	s := NewSubscriber(
-		platform.NewStore(strings.TrimPrefix(server.URL, "http://")), g, peers,
-		platform.Member{Instance: "spool-1", Address: address}, drainLimit, applyLimit, zerolog.Nop(),
-	)
+	s := NewSubscriber(platform.NewStore(store), g, peers, self, drainLimit, applyLimit, zerolog.Nop())
+	go peers.Run(ctx)
 	go s.Run(ctx)
-	t.Cleanup(func() {
+	stop := func() {
 		cancel()
 		<-s.Done()
-	})
-	return &world{store: store, governor: g}
+		<-peers.Done()
+	}
+	t.Cleanup(stop)
+	return &instance{governor: g, stop: stop}
+}
+
+// freeAddress returns an address at which datagrams can be received.
+func freeAddress(t *testing.T) netip.AddrPort {
+	t.Helper()
+	socket, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	require.NoError(t, err)
+	defer func() { require.NoError(t, socket.Close()) }()
+	return socket.LocalAddr().(*net.UDPAddr).AddrPort()
+}
+
+// ready waits until all instances serve and have heard of each other.
+func (w *world) ready(t *testing.T) {
+	t.Helper()
+	require.Eventually(t, func() bool {
+		for _, i := range w.instances {
+			if !i.governor.Ready() || i.governor.Instances() != len(w.instances) {
+				return false
+			}
+		}
+		return true
+	}, 5*time.Second, 10*time.Millisecond)
 }
 
 func configuration(version int) []byte {
@@ -199,3 +244,57 @@
 	const topics, calls = 3, 5
 	require.LessOrEqual(t, w.store.Calls()-before, topics*calls)
 }
+
+func oneUpstream(s *platformer.Store) {
+	s.Put(platform.TopicConfiguration, platform.KeyConfiguration, configuration(1))
+	s.Put(platform.TopicServers, "a", server("ready"))
+}
+
+func TestInstancesShareTheirReadsOfTheStore(t *testing.T) {
+	const count, seconds = 6, 4
+	w := newLargeWorld(t, count, oneUpstream)
+	w.ready(t)
+	before := w.store.Calls()
+	for range 10 * seconds {
+		// Status reports of the upstream that change nothing.
+		w.store.Put(platform.TopicServers, "a", server("ready"))
+		time.Sleep(100 * time.Millisecond)
+	}
+	// One instance alone reads the list each 0.9 s and the configuration each 1.4 s.
+	const alone = seconds * 2
+	require.LessOrEqual(t, w.store.Calls()-before, 2*alone)
+}
+
+func TestAllInstancesKnowChangesWithinTheBounds(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// stopped is the instance that ends before the change; 0 for none.
+		stopped int
+	}{
+		{"all run", 0},
+		{"the first reader is gone", 1},
+		{"the second reader is gone", 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := newLargeWorld(t, 4, oneUpstream)
+			w.ready(t)
+			time.Sleep(time.Second)
+			left := w.instances
+			if c.stopped > 0 {
+				left[c.stopped-1].stop()
+				left = slices.Delete(slices.Clone(left), c.stopped-1, c.stopped)
+			}
+			w.store.Put(platform.TopicServers, "a", server("draining"))
+			w.store.Put(platform.TopicConfiguration, platform.KeyConfiguration, configuration(2))
+			require.Eventually(t, func() bool {
+				for _, i := range left {
+					a, _ := i.governor.Entry("a")
+					if !a.Leaving || i.governor.Table().Configuration().Version != 2 {
+						return false
+					}
+				}
+				return true
+			}, min(drainLimit, applyLimit), 10*time.Millisecond)
+		})
+	}
+}
