Add a fault soak of gateways as processes

Cause: the gateway's rules were tested one by one in one process; nothing played overlapping faults on the real program.

standin soak starts gateways with settings files of their own before a stand-in store and upstreams behind loopback proxies, disturbs processes, paths, the store and upstreams by seed, and checks twelve promises from what callers and upstreams saw. For each promise a small broken gateway is caught by its test. make test plays one seed (14 s); make soak plays more.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PACKAGES := $(MODULES:%=./%/...)
 TOOLS := $(CURDIR)/bin/tools
 
-.PHONY: format-generated tools build test race vet format check-format lint generate check-generated check demo clean
+.PHONY: format-generated tools build test race vet format check-format lint generate check-generated check demo soak clean
 
 tools:
 	cd tools && GOWORK=off go build -o $(TOOLS)/ tool
@@ -112,3 +112,10 @@
 # Measures how the core's costs grow, on one processor, and reckons them at the target's size.
 capacity: build
 	./bin/standin capacity --parts $(PARTS)
+
+# Seeds of the soak and minutes for each of them.
+SEEDS ?= 1-3
+MINUTES ?= 0.5
+
+soak: build
+	./bin/standin soak --seeds $(SEEDS) --minutes $(MINUTES)
--- /dev/null
+++ b/rosemaryspool/commander/soak_test.go
@@ -0,0 +1,43 @@
+package commander
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"rosemaryspool.example/standin/soaker"
+)
+
+// soakSeeds are played by each run of the tests: one fresh storm, and every seed that ever failed.
+var soakSeeds = []struct {
+	seed   uint64
+	rounds int
+	cause  string
+}{
+	{seed: 1, rounds: 1, cause: "none; a storm and a calm on a whole system"},
+}
+
+func TestSoak(t *testing.T) {
+	for i, c := range soakSeeds {
+		t.Run(c.cause, func(t *testing.T) {
+			directory := t.TempDir()
+			log, err := os.Create(filepath.Join(directory, "soak.log"))
+			require.NoError(t, err)
+			defer func() { require.NoError(t, log.Close()) }()
+			s, err := soaker.NewSoaker(soaker.Settings{
+				Seed: c.seed, Rounds: c.rounds, Storm: soaker.DefaultStorm, Gateways: 3, Callers: 12,
+				Command: []string{"rosemaryspool", "gateway"}, Directory: directory, Network: 90 + i, Log: log,
+			})
+			require.NoError(t, err)
+			defer func() { require.NoError(t, s.Close()) }()
+			report, err := s.Run(context.Background())
+			require.NoError(t, err)
+			t.Log(report)
+			require.Empty(t, report.Breaches)
+			require.Greater(t, report.Served, report.Attempts/2)
+		})
+	}
+}
--- a/standin/commander/commander.go
+++ b/standin/commander/commander.go
@@ -51,5 +51,6 @@
 		newAuditCommand(),
 		measureCommand(),
 		newCapacityCommand(),
+		newSoakCommand(),
 	}
 }
--- /dev/null
+++ b/standin/commander/soak.go
@@ -0,0 +1,106 @@
+package commander
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+
+	"github.com/urfave/cli/v3"
+
+	"rosemaryspool.example/standin/soaker"
+)
+
+// roundSeconds is about how long one round of a soak takes.
+const roundSeconds = 16
+
+func newSoakCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "soak",
+		Usage: "run gateways as processes under random faults and check every promise",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "seeds", Value: "1-3", Usage: "first and last seed"},
+			floatFlag("minutes", 0.5, "length of the run of one seed"),
+			intFlag("gateways", 4, "gateways in each run"),
+			intFlag("callers", 24, "callers in each run"),
+			intFlag("network", 77, "second byte of the gateways' loopback addresses; different for runs at the same time"),
+			&cli.StringFlag{Name: "program", Value: "bin/rosemaryspool", Usage: "path of the gateway's program"},
+			&cli.StringFlag{Name: "directory", Value: "bin/soak", Usage: "where logs are kept"},
+		},
+		Action: func(ctx context.Context, command *cli.Command) error {
+			check := &checker{command: command}
+			settings := soaker.Settings{
+				Rounds: max(1, int(check.positive("minutes")*60/roundSeconds)), Storm: soaker.DefaultStorm,
+				Gateways: check.count("gateways", 1), Callers: check.count("callers", 1), Network: check.count("network", 1),
+				Command: []string{command.String("program"), "gateway"},
+			}
+			first, last, err := parseSeeds(command.String("seeds"))
+			if err == nil {
+				err = check.err()
+			}
+			if err != nil {
+				return err
+			}
+			return soakSeeds(ctx, settings, first, last, command.String("directory"), command.Root().Writer)
+		},
+	}
+}
+
+// parseSeeds reads FROM-TO, or one seed alone.
+func parseSeeds(text string) (first, last uint64, err error) {
+	from, to, isRange := strings.Cut(text, "-")
+	if !isRange {
+		to = from
+	}
+	first, err = strconv.ParseUint(from, 10, 64)
+	if err == nil {
+		last, err = strconv.ParseUint(to, 10, 64)
+	}
+	if err != nil || last < first {
+		return 0, 0, fmt.Errorf("seeds: want FROM-TO, got %q", text)
+	}
+	return first, last, nil
+}
+
+func soakSeeds(ctx context.Context, settings soaker.Settings, first, last uint64, directory string, output io.Writer) error {
+	failed := 0
+	for seed := first; seed <= last && ctx.Err() == nil; seed++ {
+		settings.Seed, settings.Directory = seed, filepath.Join(directory, fmt.Sprint("seed-", seed))
+		report, err := soakSeed(ctx, settings)
+		if err != nil {
+			return err
+		}
+		fmt.Fprintln(output, report)
+		for _, b := range report.Breaches {
+			fmt.Fprintln(output, " ", b)
+		}
+		if len(report.Breaches) > 0 {
+			failed++
+		}
+	}
+	if failed > 0 {
+		return fmt.Errorf("%d seeds failed; their logs are in %s", failed, directory)
+	}
+	return ctx.Err()
+}
+
+func soakSeed(ctx context.Context, settings soaker.Settings) (soaker.Report, error) {
+	if err := os.MkdirAll(settings.Directory, 0o700); err != nil {
+		return soaker.Report{}, err
+	}
+	log, err := os.Create(filepath.Join(settings.Directory, "soak.log"))
+	if err != nil {
+		return soaker.Report{}, err
+	}
+	defer log.Close()
+	settings.Log = log
+	s, err := soaker.NewSoaker(settings)
+	if err != nil {
+		return soaker.Report{}, err
+	}
+	defer s.Close()
+	return s.Run(ctx)
+}
--- a/standin/platformer/header.go
+++ b/standin/platformer/header.go
@@ -15,6 +15,9 @@
 	HeaderPriority    = "Rosemaryspool-Request-Priority"
 )
 
+// ReadyPath is where an instance answers the balancer.
+const ReadyPath = "/-/readyz"
+
 // InstanceHeaders are those that only instances may set: what callers send of them must not reach an upstream.
 var InstanceHeaders = []string{
 	HeaderExpect, HeaderStage, HeaderSource, HeaderPriority, "Rosemaryspool-Expect-Version",
--- a/standin/platformer/store.go
+++ b/standin/platformer/store.go
@@ -28,6 +28,13 @@
 	Deaf
 )
 
+// Topics and the key of the operator's configuration.
+const (
+	TopicServers       = "keyed.servers"
+	TopicConfiguration = "keyed.op"
+	KeyConfiguration   = "config"
+)
+
 type entry struct {
 	key   string
 	value []byte
--- a/standin/platformer/upstream.go
+++ b/standin/platformer/upstream.go
@@ -39,6 +39,7 @@
 
 // Run is one request that reached an upstream and was not rejected.
 type Run struct {
+	At     time.Time
 	Method string
 	URI    string
 	Body   string
@@ -59,6 +60,7 @@
 	// others answer once this one has misbehaved.
 	others   []*Upstream
 	runs     []Run
+	rejected []Run
 	canceled int
 	handles  map[string]bool
 	delay    time.Duration
@@ -82,9 +84,14 @@
 
 // Entry returns the upstream's record in the store.
 func (u *Upstream) Entry(service, state string) []byte {
+	return u.EntryAt(u.Address(), service, state)
+}
+
+// EntryAt returns the upstream's record with another address, of a proxy in front of it.
+func (u *Upstream) EntryAt(address, service, state string) []byte {
 	return fmt.Appendf(nil,
 		`{"service":%q,"address":%q,"zone":"here","version":"v1","slots":6,"state":%q,"stage":%q,"sequence":1,"born":1}`,
-		service, u.Address(), state, u.Stage)
+		service, address, state, u.Stage)
 }
 
 // SetBehaviour changes how the upstream answers from now on.
@@ -126,6 +133,13 @@
 	return append([]Run(nil), u.runs...)
 }
 
+// Rejections returns the requests that were rejected.
+func (u *Upstream) Rejections() []Run {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return append([]Run(nil), u.rejected...)
+}
+
 // Canceled returns how many runs were ended by a closed connection.
 func (u *Upstream) Canceled() int {
 	u.mu.Lock()
@@ -164,16 +178,20 @@
 	if behaviour != Answers {
 		u.spare(others)
 	}
+	promptOnly := r.Header.Get(HeaderStage) == "prefill"
+	run := Run{
+		At: time.Now(), Method: r.Method, URI: r.RequestURI, Body: string(body), Header: r.Header.Clone(), PromptOnly: promptOnly,
+	}
 	if behaviour == Rejects {
+		u.mu.Lock()
+		u.rejected = append(u.rejected, run)
+		u.mu.Unlock()
 		w.Header().Set(HeaderNotExecuted, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	promptOnly := r.Header.Get(HeaderStage) == "prefill"
 	u.mu.Lock()
-	u.runs = append(u.runs, Run{
-		Method: r.Method, URI: r.RequestURI, Body: string(body), Header: r.Header.Clone(), PromptOnly: promptOnly,
-	})
+	u.runs = append(u.runs, run)
 	handle := fmt.Sprintf("h%d", len(u.runs))
 	if promptOnly {
 		u.handles[handle] = true
--- /dev/null
+++ b/standin/soaker/process.go
@@ -0,0 +1,150 @@
+package soaker
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"rosemaryspool.example/standin/platformer"
+)
+
+// Bounds of the platform that the gateways are given.
+const (
+	drainLimit  = 2 * time.Second
+	applyLimit  = 2 * time.Second
+	stopLimit   = 3 * time.Second
+	retryShare  = 0.2
+	retryExtra  = 20
+	retryWindow = 10 * time.Second
+)
+
+// Ports of each gateway at its own loopback address; its metrics port is fixed by the product.
+const (
+	callerPort = 8480
+	readyPort  = 8481
+	peerPort   = 8482
+)
+
+// process is one gateway. It is ended and started again, and only by its own id.
+type process struct {
+	name     string
+	ip       string
+	command  []string
+	settings string
+	output   *os.File
+	store    *proxy
+
+	mu      sync.Mutex
+	running *exec.Cmd
+	exited  chan struct{}
+}
+
+// newProcess writes the settings of a gateway that reaches the store through a proxy of its own.
+func newProcess(directory, name, ip, store string, command []string) (*process, error) {
+	toStore, err := newProxy(store)
+	if err != nil {
+		return nil, err
+	}
+	output, err := os.Create(filepath.Join(directory, name+".log"))
+	if err != nil {
+		return nil, errors.Join(err, toStore.listener.Close())
+	}
+	p := &process{
+		name: name, ip: ip, command: command, settings: filepath.Join(directory, name+".json"), output: output, store: toStore,
+	}
+	return p, p.writeSettings(0)
+}
+
+// writeSettings writes the settings file; the revision stands in a field that the gateway passes over.
+func (p *process) writeSettings(revision int) error {
+	content, err := json.Marshal(map[string]any{
+		"node-name": p.name, "ip": p.ip, "zone": "here", "revision": revision,
+		"listen":              map[string]any{"frontend": p.address(callerPort), "ready": p.address(readyPort)},
+		"internal-port-range": []int{peerPort, peerPort + 10},
+		"platform":            map[string]any{"address": p.store.address()},
+		"bounds": map[string]any{
+			"drain-ms": drainLimit.Milliseconds(), "config-apply-ms": applyLimit.Milliseconds(), "grace-s": stopLimit.Seconds(),
+			"retry-budget-ratio": retryShare, "retry-budget-extra": retryExtra, "retry-window-s": retryWindow.Seconds(),
+		},
+	})
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(p.settings, content, 0o600)
+}
+
+func (p *process) address(port int) string { return net.JoinHostPort(p.ip, fmt.Sprint(port)) }
+
+// start starts the program unless it runs.
+func (p *process) start() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.running != nil {
+		return nil
+	}
+	c := exec.Command(p.command[0], p.command[1:]...)
+	c.Env = append(os.Environ(), "ROSEMARYSPOOL_CONFIG="+p.settings)
+	c.Stdout, c.Stderr = p.output, p.output
+	if err := c.Start(); err != nil {
+		return err
+	}
+	exited := make(chan struct{})
+	p.running, p.exited = c, exited
+	go func() {
+		// How it ended stands in its log; the soak starts it again either way.
+		_ = c.Wait()
+		p.mu.Lock()
+		p.running = nil
+		p.mu.Unlock()
+		close(exited)
+	}()
+	return nil
+}
+
+// signal sends a signal if the program runs, and returns the channel that is closed at its end.
+func (p *process) signal(s syscall.Signal) <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.running == nil {
+		ended := make(chan struct{})
+		close(ended)
+		return ended
+	}
+	// A program that ended a moment ago takes no signal.
+	_ = p.running.Process.Signal(s)
+	return p.exited
+}
+
+// stop ends the program as the platform does: it is told, and killed when its time is over.
+func (p *process) stop() {
+	exited := p.signal(syscall.SIGTERM)
+	select {
+	case <-exited:
+	case <-time.After(stopLimit):
+		<-p.signal(syscall.SIGKILL)
+	}
+}
+
+func (p *process) ready(client *http.Client) bool {
+	response, err := client.Get("http://" + p.address(readyPort) + platformer.ReadyPath)
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+func (p *process) close() {
+	p.signal(syscall.SIGCONT)
+	<-p.signal(syscall.SIGKILL)
+	p.store.close()
+	_ = p.output.Close()
+}
--- /dev/null
+++ b/standin/soaker/soaker_test.go
@@ -0,0 +1,265 @@
+package soaker
+
+import (
+	"context"
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"rosemaryspool.example/standin/platformer"
+)
+
+// variableFault names the promise that this program, run as a gateway, breaks.
+const variableFault = "SOAK_BROKEN_PROMISE"
+
+func TestMain(m *testing.M) {
+	if fault := os.Getenv(variableFault); fault != "" {
+		runBroken(Promise(fault))
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// noPromise makes a gateway that breaks nothing, as a check of the checks.
+const noPromise Promise = "none"
+
+func TestEachBrokenPromiseIsSeen(t *testing.T) {
+	for i, p := range []Promise{
+		noPromise, PromiseOnce, PromiseNotRun, PromiseOwnAnswer, PromiseUnchanged, PromiseOrder, PromiseRoute, PromiseLeaving,
+		PromiseBudget, PromiseStop, PromiseTimeout, PromiseLeft, PromiseRecovery,
+	} {
+		t.Run(string(p), func(t *testing.T) {
+			t.Parallel()
+			program, err := os.Executable()
+			require.NoError(t, err)
+			s, err := NewSoaker(Settings{
+				Seed: 3, Rounds: 1, Gateways: 2, Callers: 16, Directory: t.TempDir(), Network: 100 + i, Log: io.Discard,
+				Command: []string{"/usr/bin/env", fmt.Sprint(variableFault, "=", p), program},
+			})
+			require.NoError(t, err)
+			defer func() { require.NoError(t, s.Close()) }()
+			report, err := s.Run(context.Background())
+			require.NoError(t, err)
+			require.Greater(t, report.Served, 50)
+			seen := map[Promise]bool{}
+			for _, b := range report.Breaches {
+				seen[b.Promise] = true
+			}
+			if p == noPromise {
+				require.Empty(t, report.Breaches)
+				return
+			}
+			require.True(t, seen[p], "%v", report.Breaches)
+		})
+	}
+}
+
+// broken is a small gateway that breaks one promise.
+type broken struct {
+	promise Promise
+	store   string
+
+	mu       sync.Mutex
+	services map[string][]string
+	plain    string
+	next     atomic.Int64
+	active   sync.WaitGroup
+}
+
+func runBroken(promise Promise) {
+	var settings struct {
+		Listen   struct{ Frontend, Ready string }
+		Platform struct{ Address string }
+	}
+	path := os.Getenv("ROSEMARYSPOOL_CONFIG")
+	content, err := os.ReadFile(path)
+	if err == nil {
+		err = json.Unmarshal(content, &settings)
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return
+	}
+	marker := path + ".started"
+	_, again := os.Stat(marker)
+	_ = os.WriteFile(marker, nil, 0o600)
+	g := &broken{promise: promise, store: settings.Platform.Address, services: map[string][]string{}}
+	ended := make(chan os.Signal, 1)
+	signal.Notify(ended, syscall.SIGTERM)
+	g.readServers()
+	g.readConfiguration()
+	go g.follow()
+	front := &http.Server{Handler: g}
+	for _, l := range []struct {
+		address string
+		serve   func(net.Listener) error
+	}{
+		{settings.Listen.Frontend, front.Serve},
+		{settings.Listen.Ready, func(l net.Listener) error {
+			return http.Serve(l, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				if promise == PromiseRecovery && again == nil {
+					w.WriteHeader(http.StatusServiceUnavailable)
+				}
+			}))
+		}},
+	} {
+		listener, err := net.Listen("tcp", l.address)
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return
+		}
+		go func() { _ = l.serve(listener) }()
+	}
+	<-ended
+	if promise != PromiseStop {
+		ctx, cancel := context.WithTimeout(context.Background(), stopLimit)
+		defer cancel()
+		_ = front.Shutdown(ctx)
+	}
+}
+
+func (g *broken) follow() {
+	for {
+		time.Sleep(300 * time.Millisecond)
+		if g.promise != PromiseLeaving {
+			g.readServers()
+		}
+		if g.promise != PromiseRoute {
+			g.readConfiguration()
+		}
+	}
+}
+
+func (g *broken) newest(topic string) [][]byte {
+	response, err := http.Get("http://" + g.store + "/-/log-newest?part=0&topic=" + topic)
+	if err != nil {
+		return nil
+	}
+	defer response.Body.Close()
+	var answer struct{ Items []struct{ Value string } }
+	_ = json.NewDecoder(response.Body).Decode(&answer)
+	var values [][]byte
+	for _, item := range answer.Items {
+		value, _ := base64.StdEncoding.DecodeString(item.Value)
+		values = append(values, value)
+	}
+	return values
+}
+
+func (g *broken) readServers() {
+	services := map[string][]string{}
+	for _, value := range g.newest(platformer.TopicServers) {
+		var e struct{ Service, Address, State, Stage string }
+		if json.Unmarshal(value, &e) == nil && e.State == "ready" && e.Stage != "prefill" {
+			services[e.Service] = append(services[e.Service], e.Address)
+		}
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.services = services
+}
+
+func (g *broken) readConfiguration() {
+	for _, value := range g.newest(platformer.TopicConfiguration) {
+		var c struct{ Routes []struct{ Service string } }
+		if json.Unmarshal(value, &c) == nil && len(c.Routes) > 0 {
+			g.mu.Lock()
+			g.plain = c.Routes[0].Service
+			g.mu.Unlock()
+		}
+	}
+}
+
+func (g *broken) target(path string) string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	service := g.plain
+	if strings.HasPrefix(path, "/verdicts/") || strings.HasPrefix(path, "/notes/") {
+		service = modelService
+	}
+	addresses := g.services[service]
+	return addresses[int(g.next.Add(1))%len(addresses)]
+}
+
+// ServeHTTP implements http.Handler.
+func (g *broken) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	order := strings.HasPrefix(r.URL.Path, "/orders/")
+	if g.promise == PromiseTimeout && !order {
+		time.Sleep(2700 * time.Millisecond)
+	}
+	response := g.forward(r, body)
+	if response == nil {
+		w.WriteHeader(http.StatusBadGateway)
+		return
+	}
+	switch {
+	case g.promise == PromiseOnce && order, g.promise == PromiseBudget:
+		_ = g.forward(r, body)
+	case g.promise == PromiseNotRun && order:
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	case g.promise == PromiseStop:
+		time.Sleep(300 * time.Millisecond)
+	case g.promise == PromiseLeft:
+		time.Sleep(50 * time.Millisecond)
+		if r.Context().Err() != nil {
+			time.Sleep(time.Second)
+			_ = g.forward(r, body)
+		}
+	}
+	answer := response.body
+	switch g.promise {
+	case PromiseOwnAnswer:
+		answer = strings.Replace(answer, "whole", "other", 1)
+	case PromiseOrder:
+		answer = strings.Replace(answer, "id: 3\n", "id: 4\n", 1)
+	default:
+	}
+	for name, values := range response.header {
+		w.Header()[name] = values
+	}
+	w.Header().Del("Content-Length")
+	w.WriteHeader(response.status)
+	_, _ = io.WriteString(w, answer)
+}
+
+type forwarded struct {
+	status int
+	header http.Header
+	body   string
+}
+
+func (g *broken) forward(r *http.Request, body []byte) *forwarded {
+	out, err := http.NewRequest(r.Method, "http://"+g.target(r.URL.Path)+r.RequestURI, strings.NewReader(string(body)))
+	if err != nil {
+		return nil
+	}
+	out.Header = r.Header.Clone()
+	if g.promise != PromiseUnchanged {
+		out.Header.Del("Rosemaryspool-Pin-Ms")
+	}
+	response, err := http.DefaultClient.Do(out)
+	if err != nil {
+		return nil
+	}
+	defer response.Body.Close()
+	content, _ := io.ReadAll(response.Body)
+	return &forwarded{response.StatusCode, response.Header, string(content)}
+}
