Hear an instance that was started again after its clock went back

Cause: reports and records of an instance are ordered by the start time of its process, which comes from the time of day.

The test fails without it.

--- a/rosemaryspool/gossiper/gossiper.go
+++ b/rosemaryspool/gossiper/gossiper.go
@@ -120,19 +120,20 @@
 // Done is closed when Run has returned.
 func (g *Gossiper) Done() <-chan struct{} { return g.done }
 
-// SetMember adds or moves another instance. A record of this instance itself is ignored.
-func (g *Gossiper) SetMember(told Member) {
+// SetMember adds or moves another instance. A record of this instance itself is ignored, and so is one of an earlier
+// process. Start times come from clocks that may go back, so they order processes only while the instance is heard.
+func (g *Gossiper) SetMember(now time.Time, told Member) {
 	if told.Instance == g.self.Instance {
 		return
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	m := g.members[told.Instance]
-	if m != nil && told.StartedMs < m.startedMs {
+	if m != nil && told.StartedMs < m.startedMs && now.Sub(m.heard) < rankMemory {
 		return
 	}
 	if m == nil || m.startedMs != told.StartedMs {
-		m = &member{startedMs: told.StartedMs, heard: time.Now()}
+		m = &member{startedMs: told.StartedMs, heard: now}
 		g.members[told.Instance] = m
 	}
 	m.address, m.near = told.Address, told.DataCentre == g.self.DataCentre
@@ -306,11 +307,10 @@
 
 func (g *Gossiper) take(now time.Time, report *messenger.WorkReport) {
 	instance := identifier.InstanceID(report.GetInstance())
-	g.introduce(report)
+	g.introduce(now, report)
 	g.mu.Lock()
 	m := g.members[instance]
-	if m == nil || report.GetStartedMs() < m.startedMs ||
-		(report.GetStartedMs() == m.startedMs && report.GetSequence() <= m.sequence) {
+	if m == nil || report.GetStartedMs() != m.startedMs || report.GetSequence() <= m.sequence {
 		g.mu.Unlock()
 		return
 	}
@@ -330,22 +330,29 @@
 	}
 }
 
-// introduce makes an instance known that reports before its record in the store was read.
-func (g *Gossiper) introduce(report *messenger.WorkReport) {
+// introduce makes an instance known that reports before its record in the store was read, or that was started again.
+func (g *Gossiper) introduce(now time.Time, report *messenger.WorkReport) {
+	told := Member{
+		Instance:   identifier.InstanceID(report.GetInstance()),
+		DataCentre: identifier.DataCentre(report.GetDataCentre()), StartedMs: report.GetStartedMs(),
+	}
 	g.mu.Lock()
-	m := g.members[identifier.InstanceID(report.GetInstance())]
-	known := m != nil && m.startedMs >= report.GetStartedMs()
+	m := g.members[told.Instance]
+	known := m != nil && m.startedMs == told.StartedMs
+	if m != nil {
+		told.Address = m.address
+	}
 	g.mu.Unlock()
 	if known {
 		return
 	}
-	address, err := netip.ParseAddrPort(report.GetAddress())
-	if err != nil {
-		g.log.Warn().Err(err).Str("event", "reportUnreadable").Str("peer", report.GetInstance()).Msg("Address of an instance is no address")
-		return
+	if text := report.GetAddress(); text != "" || m == nil {
+		address, err := netip.ParseAddrPort(text)
+		if err != nil {
+			g.log.Warn().Err(err).Str("event", "reportUnreadable").Str("peer", report.GetInstance()).Msg("Address of an instance is no address")
+			return
+		}
+		told.Address = address
 	}
-	g.SetMember(Member{
-		Instance: identifier.InstanceID(report.GetInstance()), Address: address,
-		DataCentre: identifier.DataCentre(report.GetDataCentre()), StartedMs: report.GetStartedMs(),
-	})
+	g.SetMember(now, told)
 }
--- a/rosemaryspool/gossiper/gossiper_test.go
+++ b/rosemaryspool/gossiper/gossiper_test.go
@@ -98,8 +98,8 @@
 func TestInstancesTellEachOtherTheirWork(t *testing.T) {
 	a, sourceOfA := start(t, "a")
 	b, sourceOfB := start(t, "b")
-	a.SetMember(Member{Instance: "b", Address: address(t, b), StartedMs: 5})
-	b.SetMember(Member{Instance: "a", Address: address(t, a), StartedMs: 5})
+	a.SetMember(time.Now(), Member{Instance: "b", Address: address(t, b), StartedMs: 5})
+	b.SetMember(time.Now(), Member{Instance: "a", Address: address(t, a), StartedMs: 5})
 	load := allocator.Load{Short: 3, Long: 2, Coming: 1, Reading: 9000}
 	sourceOfA.set(load)
 	require.Eventually(t, func() bool { return sourceOfB.of("a") == load }, time.Second, time.Millisecond)
@@ -114,7 +114,7 @@
 
 func TestLateReportsAreDropped(t *testing.T) {
 	g, s := start(t, "a")
-	g.SetMember(Member{Instance: "b", Address: netip.MustParseAddrPort("127.0.0.1:9"), StartedMs: 5})
+	g.SetMember(time.Now(), Member{Instance: "b", Address: netip.MustParseAddrPort("127.0.0.1:9"), StartedMs: 5})
 	report := func(started int64, sequence uint64, short uint32) {
 		g.take(time.Now(), &messenger.WorkReport{
 			Instance: "b", StartedMs: started, Sequence: sequence,
@@ -158,7 +158,7 @@
 			require.NoError(t, err)
 			defer func() { require.NoError(t, g.Close()) }()
 			for i := range c.members {
-				g.SetMember(Member{
+				g.SetMember(time.Now(), Member{
 					Instance: identifier.InstanceID(fmt.Sprint(i)), Address: netip.MustParseAddrPort("127.0.0.1:9"),
 					StartedMs: 5, DataCentre: []identifier.DataCentre{"here", "there"}[i%2],
 				})
@@ -170,3 +170,22 @@
 		})
 	}
 }
+
+func TestAnInstanceWhoseClockWentBackIsHeard(t *testing.T) {
+	s := newSource()
+	g, err := NewGossiper(Member{Instance: "a", Address: loopback, StartedMs: 5}, s, zerolog.Nop())
+	require.NoError(t, err)
+	defer func() { require.NoError(t, g.Close()) }()
+	report := func(at time.Time, started int64, short uint32) {
+		g.take(at, &messenger.WorkReport{
+			Instance: "b", Address: "127.0.0.1:9", StartedMs: started, Sequence: 1,
+			Upstreams: []*messenger.UpstreamWork{{Upstream: "u", ShortAnswers: short}},
+		})
+	}
+	now := time.Now()
+	report(now, 9000, 1)
+	report(now.Add(restInterval), 5000, 2)
+	require.Equal(t, 1, s.of("b").Short, "a late report of an earlier process")
+	report(now.Add(2*rankMemory), 5000, 3)
+	require.Equal(t, 3, s.of("b").Short, "a process that was started after the clock went back")
+}
--- a/rosemaryspool/subscriber/subscriber.go
+++ b/rosemaryspool/subscriber/subscriber.go
@@ -342,7 +342,7 @@
 			s.log.Warn().Err(err).Str("event", "memberUnreadable").Uint64("offset", r.Offset).Msg("Entry is skipped")
 			continue
 		}
-		s.gossiper.SetMember(gossiper.Member(m))
+		s.gossiper.SetMember(time.Now(), gossiper.Member(m))
 	}
 	return 0
 }
--- a/standin/soaker/soaker_test.go
+++ b/standin/soaker/soaker_test.go
@@ -76,7 +76,6 @@
 	services map[string][]string
 	plain    string
 	next     atomic.Int64
-	active   sync.WaitGroup
 }
 
 func runBroken(promise Promise) {
