Let engines elsewhere serve as overflow alone in a large system

The age of far reports now weighs 0.7 of itself (0.13 before), and each data centre has homes of its own for shared prompt parts, among the engines that it prefers.

--- a/core/allocator/allocator_test.go
+++ b/core/allocator/allocator_test.go
@@ -243,3 +243,38 @@
 		})
 	}
 }
+
+func TestHomesAreNearWhereFarWorkIsKnownLate(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		age  time.Duration
+		far  bool
+	}{
+		{"known at once: homes are spread over all engines", 0, true},
+		{"known late: homes are in the own data centre", 125 * time.Millisecond, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			a := fleet(6, 2)
+			a.SetRemoteAge(c.age)
+			far := 0
+			for i := range 200 {
+				homes := newHomes(verdict(i, 3000).Prompt, a.homeCandidates(a.services[model][:6]), a.homeCandidates(a.services[model][6:]))
+				if homes.runner.entry.DataCentre == "there" || homes.reader.entry.DataCentre == "there" {
+					far++
+				}
+			}
+			require.Equal(t, c.far, far > 0)
+		})
+	}
+}
+
+func TestAFarEngineServesWhereNoNearOneIsLeft(t *testing.T) {
+	now := time.Now()
+	a := fleet(2, 0)
+	a.SetRemoteAge(125 * time.Millisecond)
+	ask := verdict(1, 3000)
+	ask.Tried = []identifier.UpstreamID{"u0"}
+	place, refusal := a.Place(now, ask)
+	require.Nil(t, refusal)
+	require.Equal(t, identifier.UpstreamID("u1"), place.Upstream)
+}
--- a/core/allocator/homes.go
+++ b/core/allocator/homes.go
@@ -23,6 +23,24 @@
 	return homes{runner: highest(runners, subject), reader: highest(readers, subject)}
 }
 
+// homeCandidates returns the engines of a role that may be homes. Where the work at engines elsewhere is known late, they
+// serve as overflow only, and each data centre has homes of its own.
+func (a *Allocator) homeCandidates(us []*upstream) []*upstream {
+	if a.remoteAge == 0 {
+		return us
+	}
+	near := make([]*upstream, 0, len(us))
+	for _, u := range us {
+		if u.entry.DataCentre == a.dataCentre {
+			near = append(near, u)
+		}
+	}
+	if len(near) == 0 {
+		return us
+	}
+	return near
+}
+
 func highest(us []*upstream, subject uint64) *upstream {
 	var best *upstream
 	var most uint64
--- a/core/allocator/placing.go
+++ b/core/allocator/placing.go
@@ -159,7 +159,7 @@
 	if !ask.Engine {
 		return options
 	}
-	homes := newHomes(ask.Prompt, runners, readers)
+	homes := newHomes(ask.Prompt, a.homeCandidates(runners), a.homeCandidates(readers))
 	runner := a.leastWaiting(p, runners, a.long(ask))
 	for _, u := range runners {
 		options = append(options, a.direct(p, ask, u, homes))
--- a/core/allocator/settings.go
+++ b/core/allocator/settings.go
@@ -15,8 +15,8 @@
 	PeerMemory time.Duration
 	// RemoteCost stands for the price and the delay of the bytes that a request sends to another data centre.
 	RemoteCost time.Duration
-	// AgeWeight is what one time unit of the age of reports from other data centres costs there: the part of a busy
-	// engine's time that may have been given away unseen.
+	// AgeWeight is what one time unit of the age of reports from other data centres costs there: the part of that time
+	// which other instances may have given away unseen, at engines that are busy for most of it.
 	AgeWeight float64
 	// LongOutput is the length of an answer from which a request holds its slot for many others' time.
 	LongOutput identifier.Tokens
@@ -52,7 +52,7 @@
 		Health:     ejector.DefaultSettings(),
 		PeerMemory: time.Second,
 		RemoteCost: 4 * time.Millisecond,
-		AgeWeight:  0.13,
+		AgeWeight:  0.7,
 		LongOutput: 600,
 		QueueShare: 0.5,
 		Residence:  40 * time.Millisecond,
