Put changed settings in force without a restart or a signal

Cause: the settings file was read again on SIGHUP alone, and a change was only logged. The platform may change it without a signal.

The file is looked at every 2 s. Bounds (leaving, configurations, stop, repeats) are in force at once; repeats of the window before still count. Changed addresses and names are logged as needing a restart. An unreadable file leaves the settings as they are.

--- a/core/budgeter/budgeter.go
+++ b/core/budgeter/budgeter.go
@@ -44,6 +44,26 @@
 // SetInstances sets the number of instances that share Extra.
 func (b *Budgeter) SetInstances(count int) { b.instances = max(1, count) }
 
+// SetSettings replaces the bound. Repeats of the window before still count; with another window its requests no longer
+// do, since they can't be told apart by their time.
+func (b *Budgeter) SetSettings(now time.Time, settings Settings) {
+	b.advance(now)
+	before := b.settings
+	b.settings = settings
+	if settings.Window == before.Window {
+		return
+	}
+	b.started, b.current = now, 0
+	for _, a := range b.services {
+		repeats := 0
+		for _, n := range a.repeats {
+			repeats += n
+		}
+		*a = account{}
+		a.repeats[0] = repeats
+	}
+}
+
 // Requested counts a caller's request for a service.
 func (b *Budgeter) Requested(now time.Time, service identifier.ServiceName) {
 	b.advance(now)
--- a/core/budgeter/budgeter_test.go
+++ b/core/budgeter/budgeter_test.go
@@ -60,3 +60,25 @@
 	require.Equal(t, 7, spent)
 	require.True(t, b.Spend(now.Add(11*time.Second), "s"), "a window later they are free again")
 }
+
+func TestAChangedBoundKeepsWhatWasSpent(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		after  Settings
+		spends bool
+	}{
+		{"a wider bound", Settings{Extra: 100, Window: 10 * time.Second}, true},
+		{"a narrower bound", Settings{Extra: 1, Window: 10 * time.Second}, false},
+		{"the same bound in a longer window", Settings{Extra: 10, Window: 20 * time.Second}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			now := time.Now()
+			b := NewBudgeter(Settings{Extra: 10, Window: 10 * time.Second})
+			for b.Spend(now, "s") {
+				now = now.Add(10 * time.Millisecond)
+			}
+			b.SetSettings(now, c.after)
+			require.Equal(t, c.spends, b.Spend(now, "s"))
+		})
+	}
+}
--- a/core/pacer/pacer.go
+++ b/core/pacer/pacer.go
@@ -43,6 +43,9 @@
 // NewPacer returns a pacer of a topic that is read at an interval, and whose reads the store holds for a time.
 func NewPacer(interval, held time.Duration) *Pacer { return &Pacer{interval: interval, held: held} }
 
+// SetTimes replaces the interval and the time for which the store holds reads.
+func (p *Pacer) SetTimes(interval, held time.Duration) { p.interval, p.held = interval, held }
+
 // Next returns the offset of the next record that matters may have; false when the topic must be read as a whole.
 func (p *Pacer) Next() (uint64, bool) { return p.own.Next, p.known }
 
--- a/rosemaryspool/commander/gateway.go
+++ b/rosemaryspool/commander/gateway.go
@@ -7,6 +7,7 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
@@ -63,26 +64,45 @@
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
 	defer signal.Stop(reload)
-	go func() {
-		for {
-			select {
-			case <-g.Done():
-				return
-			case <-reload:
-				reportReload(settings, path, log)
-			}
-		}
-	}()
+	go followSettings(g, settings, path, reload, log)
 	return g.Run(ctx)
 }
 
-// reportReload reads the settings again on SIGHUP. Addresses and names hold for the life of a process; what else the file
-// says is taken at the next start.
-func reportReload(inForce platform.Settings, path string, log zerolog.Logger) {
-	settings, err := platform.ReadSettings(path)
-	if err != nil {
-		log.Error().Err(err).Str("event", "settingsUnreadable").Msg("Settings are kept as they were")
-		return
+// settingsInterval is how often the settings file is looked at: it may change without a signal.
+const settingsInterval = 2 * time.Second
+
+// followSettings reads the settings again on a signal and at an interval, until the gateway has ended.
+func followSettings(
+	g *gatekeeper.Gatekeeper, inForce platform.Settings, path string, reload <-chan os.Signal, log zerolog.Logger,
+) {
+	ticker := time.NewTicker(settingsInterval)
+	defer ticker.Stop()
+	readable := true
+	for {
+		signaled := false
+		select {
+		case <-g.Done():
+			return
+		case <-ticker.C:
+		case <-reload:
+			signaled = true
+		}
+		settings, err := platform.ReadSettings(path)
+		if err != nil {
+			if readable || signaled {
+				log.Error().Err(err).Str("event", "settingsUnreadable").Msg("Settings are kept as they were")
+			}
+			readable = false
+			continue
+		}
+		readable = true
+		changed := settings != inForce
+		if !changed && !signaled {
+			continue
+		}
+		inForce = settings
+		whole := g.Reload(settings)
+		log.Info().Str("event", "settingsReread").Bool("changed", changed).Bool("signaled", signaled).Bool("restartNeeded", !whole).
+			Msg("Settings were read again")
 	}
-	log.Info().Str("event", "settingsReread").Bool("changed", settings != inForce).Msg("Settings were read again")
 }
--- /dev/null
+++ b/rosemaryspool/commander/gateway_test.go
@@ -0,0 +1,95 @@
+package commander
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"rosemaryspool.example/platform"
+	"rosemaryspool.example/rosemaryspool/gatekeeper"
+)
+
+// lines collects log lines.
+type lines struct {
+	mu     sync.Mutex
+	buffer bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (l *lines) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.buffer.Write(p)
+}
+
+func (l *lines) contain(parts ...string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for line := range strings.Lines(l.buffer.String()) {
+		found := 0
+		for _, p := range parts {
+			if strings.Contains(line, p) {
+				found++
+			}
+		}
+		if found == len(parts) {
+			return true
+		}
+	}
+	return false
+}
+
+const settingsFile = `{"node-name":"spool-1","ip":"127.0.0.1","zone":%q,"listen":{"frontend":"127.0.0.1:0","ready":"127.0.0.1:0"},
+"internal-port-range":[0,0],"platform":{"address":"127.0.0.1:9"},"bounds":{"drain-ms":2000,"config-apply-ms":2000,
+"grace-s":%d,"retry-budget-ratio":0.2,"retry-budget-extra":50,"retry-window-s":10}}`
+
+func TestTheGatewayFollowsItsSettingsFile(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "settings.json")
+	write := func(content string) { require.NoError(t, os.WriteFile(path, []byte(content), 0o600)) }
+	write(fmt.Sprintf(settingsFile, "here", 8))
+	settings, err := platform.ReadSettings(path)
+	require.NoError(t, err)
+	settings.MetricsAddress = "127.0.0.1:0"
+	inForce := settings
+	inForce.MetricsAddress = "127.0.0.1:9464"
+	g, err := gatekeeper.NewGatekeeper(settings, zerolog.Nop(), metrics.NewRegistry())
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	ran := make(chan error, 1)
+	go func() { ran <- g.Run(ctx) }()
+	defer func() {
+		cancel()
+		require.NoError(t, <-ran)
+	}()
+	log := &lines{}
+	reload := make(chan os.Signal, 1)
+	go followSettings(g, inForce, path, reload, zerolog.New(log))
+	for _, c := range []struct {
+		name    string
+		content string
+		signal  bool
+		want    []string
+	}{
+		{"a signal without a change", fmt.Sprintf(settingsFile, "here", 8), true, []string{`"changed":false`, `"signaled":true`}},
+		{"a change without a signal", fmt.Sprintf(settingsFile, "here", 1), false, []string{`"changed":true`, `"signaled":false`}},
+		{"half a file", "{", true, []string{"settingsUnreadable"}},
+		{"a change that needs a restart", fmt.Sprintf(settingsFile, "there", 1), true, []string{`"restartNeeded":true`, `"signaled":true`}},
+	} {
+		write(c.content)
+		if c.signal {
+			reload <- syscall.SIGHUP
+		}
+		require.Eventually(t, func() bool { return log.contain(c.want...) }, 3*settingsInterval, 10*time.Millisecond, c.name)
+	}
+}
--- a/rosemaryspool/gatekeeper/gatekeeper.go
+++ b/rosemaryspool/gatekeeper/gatekeeper.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -42,6 +43,7 @@
 // Gatekeeper is one instance in front of the platform's upstreams.
 type Gatekeeper struct {
 	settings   platform.Settings
+	stopLimit  atomic.Int64
 	log        zerolog.Logger
 	registry   metrics.Registry
 	governor   *governor.Governor
@@ -61,12 +63,9 @@
 	startedMs := time.Now().UnixMilli()
 	log = log.With().Str("instance", string(settings.Instance)).Logger()
 	g := &Gatekeeper{settings: settings, log: log, registry: registry, done: make(chan struct{})}
+	g.stopLimit.Store(int64(settings.StopLimit))
 	g.governor = governor.NewGovernor(governor.Settings{
-		DataCentre: settings.DataCentre,
-		Retry: budgeter.Settings{
-			Share: settings.RetryShare, Extra: settings.RetryExtra, Window: settings.RetryWindow,
-		},
-		Allocate: allocator.DefaultSettings(),
+		DataCentre: settings.DataCentre, Retry: retryBound(settings), Allocate: allocator.DefaultSettings(),
 	}, log)
 	opened := metrics.GetOrRegisterCounter("connectionsOpened", registry)
 	g.connector = connector.NewConnector(func() { opened.Inc(1) })
@@ -89,6 +88,22 @@
 	return g, nil
 }
 
+func retryBound(settings platform.Settings) budgeter.Settings {
+	return budgeter.Settings{Share: settings.RetryShare, Extra: settings.RetryExtra, Window: settings.RetryWindow}
+}
+
+// Reload puts changed bounds in force. It returns false when the settings also name other addresses or another instance:
+// those hold for the life of a process.
+func (g *Gatekeeper) Reload(settings platform.Settings) bool {
+	g.governor.SetRetry(time.Now(), retryBound(settings))
+	g.subscriber.SetLimits(settings.DrainLimit, settings.ApplyLimit)
+	g.stopLimit.Store(int64(settings.StopLimit))
+	kept := g.settings
+	kept.DrainLimit, kept.ApplyLimit, kept.StopLimit = settings.DrainLimit, settings.ApplyLimit, settings.StopLimit
+	kept.RetryShare, kept.RetryExtra, kept.RetryWindow = settings.RetryShare, settings.RetryExtra, settings.RetryWindow
+	return kept == settings
+}
+
 // listen opens the listeners for callers, for the balancer and for metrics; on an error none stays open.
 func (g *Gatekeeper) listen() error {
 	var opened []net.Listener
@@ -186,7 +201,7 @@
 	g.door.leave()
 	g.forwarder.Leave()
 	g.gossiper.Leave()
-	limit := g.settings.StopLimit - stopMargin
+	limit := time.Duration(g.stopLimit.Load()) - stopMargin
 	<-time.After(min(balancerDelay, limit/2))
 	ctx, cancel := context.WithTimeout(context.Background(), limit-time.Since(started))
 	defer cancel()
--- a/rosemaryspool/gatekeeper/gatekeeper_test.go
+++ b/rosemaryspool/gatekeeper/gatekeeper_test.go
@@ -430,3 +430,27 @@
 	}
 	require.LessOrEqual(t, runs(a, b)-requests, int(0.2*requests+54))
 }
+
+func TestChangedSettingsAreInForceAtOnce(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		change func(*platform.Settings)
+		whole  bool
+	}{
+		{"a shorter stop", func(s *platform.Settings) { s.StopLimit = 700 * time.Millisecond }, true},
+		{"another address as well", func(s *platform.Settings) {
+			s.StopLimit, s.CallerAddress = 700*time.Millisecond, "127.0.0.1:9"
+		}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := newReadyWorld(t, platformer.NewUpstream("plain-1", "", 0))
+			settings := w.gate.settings
+			c.change(&settings)
+			require.Equal(t, c.whole, w.gate.Reload(settings))
+			started := time.Now()
+			w.stop()
+			<-w.gate.Done()
+			require.Less(t, time.Since(started), (w.gate.settings.StopLimit-stopMargin)/2, "the wait for the balancer before the change")
+		})
+	}
+}
--- a/rosemaryspool/governor/governor.go
+++ b/rosemaryspool/governor/governor.go
@@ -140,6 +140,13 @@
 	g.log.Info().Str("event", "instancesCounted").Int("instances", g.instances).Msg("Number of instances changed")
 }
 
+// SetRetry replaces the bound on repeats.
+func (g *Governor) SetRetry(now time.Time, settings budgeter.Settings) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.budgeter.SetSettings(now, settings)
+}
+
 // Instances returns how many instances share the bounds.
 func (g *Governor) Instances() int {
 	g.mu.Lock()
--- a/rosemaryspool/subscriber/subscriber.go
+++ b/rosemaryspool/subscriber/subscriber.go
@@ -62,18 +62,34 @@
 		pacers: map[string]*pacer.Pacer{},
 	}
 	s.topics = []*topic{
-		{name: platform.TopicConfiguration, wait: time.Duration(applyShare * float64(applyLimit)), take: s.takeConfigurations, shared: true},
-		{name: platform.TopicServers, interval: time.Duration(listShare * float64(drainLimit)), take: s.takeServers, failed: g.StoreFailed, shared: true},
-		{name: platform.TopicMembers, interval: memberInterval, take: s.takeMembers},
+		{name: platform.TopicConfiguration, take: s.takeConfigurations, shared: true},
+		{name: platform.TopicServers, take: s.takeServers, failed: g.StoreFailed, shared: true},
+		{name: platform.TopicMembers, take: s.takeMembers},
 	}
 	for _, t := range s.topics {
 		t.wake = make(chan struct{}, 1)
-		s.pacers[t.name] = pacer.NewPacer(t.interval, t.wait)
+		s.pacers[t.name] = pacer.NewPacer(memberInterval, 0)
 	}
+	s.SetLimits(drainLimit, applyLimit)
 	peers.OnView(s.heard)
 	return s
 }
 
+// SetLimits replaces the bounds in which leaving upstreams and configurations must be known.
+func (s *Subscriber) SetLimits(drainLimit, applyLimit time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, t := range s.topics {
+		switch t.name {
+		case platform.TopicConfiguration:
+			t.wait = time.Duration(applyShare * float64(applyLimit))
+			s.pacers[t.name].SetTimes(0, t.wait)
+		case platform.TopicServers:
+			s.pacers[t.name].SetTimes(time.Duration(listShare*float64(drainLimit)), 0)
+		}
+	}
+}
+
 // Done is closed when Run has returned.
 func (s *Subscriber) Done() <-chan struct{} { return s.done }
 
@@ -92,11 +108,11 @@
 	group.Wait()
 }
 
-// topic is one followed topic. The store holds its reads for the wait; the interval is the time between two reads.
+// topic is one followed topic.
 type topic struct {
-	name     string
-	wait     time.Duration
-	interval time.Duration
+	name string
+	// wait is how long the store holds a read; the subscriber's mutex guards it.
+	wait time.Duration
 	// take applies records and returns the offset after the last one that mattered; whole is true when they are all keys
 	// that the topic holds.
 	take   func(records []platform.Record, whole bool) uint64
@@ -186,8 +202,8 @@
 func (s *Subscriber) read(ctx context.Context, t *topic) error {
 	s.mu.Lock()
 	next, known := s.pacers[t.name].Next()
-	s.mu.Unlock()
 	wait := t.wait
+	s.mu.Unlock()
 	if !known {
 		wait = 0
 	}
@@ -196,7 +212,7 @@
 	s.setCancel(t, cancel)
 	defer s.setCancel(t, nil)
 	if known {
-		records, end, err := s.store.Read(ctx, t.name, next, t.wait)
+		records, end, err := s.store.Read(ctx, t.name, next, wait)
 		var trimmed *platform.TrimmedError
 		switch {
 		case errors.As(err, &trimmed):
