--- a/standin/commander/soak.go
+++ b/standin/commander/soak.go
@@ -6,8 +6,6 @@
 	"io"
 	"os"
 	"path/filepath"
-	"strconv"
-	"strings"
 
 	"github.com/urfave/cli/v3"
 
@@ -22,7 +20,7 @@
 		Name:  "soak",
 		Usage: "run gateways as processes under random faults and check every promise",
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "seeds", Value: "1-3", Usage: "first and last seed"},
+			&cli.StringFlag{Name: "seeds", Value: "1-3", Usage: "seeds, as numbers and ranges by commas"},
 			floatFlag("minutes", 0.5, "length of the run of one seed"),
 			intFlag("gateways", 4, "gateways in each run"),
 			intFlag("callers", 24, "callers in each run"),
@@ -37,37 +35,24 @@
 				Gateways: check.count("gateways", 1), Callers: check.count("callers", 1), Network: check.count("network", 1),
 				Command: []string{command.String("program"), "gateway"},
 			}
-			first, last, err := parseSeeds(command.String("seeds"))
-			if err == nil {
-				err = check.err()
+			if err := check.err(); err != nil {
+				return err
 			}
+			played, err := seeds(command.String("seeds"))
 			if err != nil {
 				return err
 			}
-			return soakSeeds(ctx, settings, first, last, command.String("directory"), command.Root().Writer)
+			return soakSeeds(ctx, settings, played, command.String("directory"), command.Root().Writer)
 		},
 	}
 }
 
-// parseSeeds reads FROM-TO, or one seed alone.
-func parseSeeds(text string) (first, last uint64, err error) {
-	from, to, isRange := strings.Cut(text, "-")
-	if !isRange {
-		to = from
-	}
-	first, err = strconv.ParseUint(from, 10, 64)
-	if err == nil {
-		last, err = strconv.ParseUint(to, 10, 64)
-	}
-	if err != nil || last < first {
-		return 0, 0, fmt.Errorf("seeds: want FROM-TO, got %q", text)
-	}
-	return first, last, nil
-}
-
-func soakSeeds(ctx context.Context, settings soaker.Settings, first, last uint64, directory string, output io.Writer) error {
+func soakSeeds(ctx context.Context, settings soaker.Settings, played []uint64, directory string, output io.Writer) error {
 	failed := 0
-	for seed := first; seed <= last && ctx.Err() == nil; seed++ {
+	for _, seed := range played {
+		if ctx.Err() != nil {
+			break
+		}
 		settings.Seed, settings.Directory = seed, filepath.Join(directory, fmt.Sprint("seed-", seed))
 		report, err := soakSeed(ctx, settings)
 		if err != nil {
