--- a/rosemaryspool/forwarder/attempt.go
+++ b/rosemaryspool/forwarder/attempt.go
@@ -62,6 +62,9 @@
 	entry   tracker.Entry
 	sentAt  time.Time
 	firstAt time.Time
+	// eventAt is when the last events arrived, longestPause the longest time between two arrivals.
+	eventAt      time.Time
+	longestPause time.Duration
 	// handle names the read prompt at the place's reader, source where upstreams fetch it.
 	handle string
 	source string
@@ -72,6 +75,14 @@
 	alive func()
 }
 
+// progressed notes that events arrived, or that the stream ended.
+func (a *attempt) progressed(now time.Time) {
+	if !a.eventAt.IsZero() {
+		a.longestPause = max(a.longestPause, now.Sub(a.eventAt))
+	}
+	a.eventAt = now
+}
+
 // describe adds what decided an attempt and how it went to a log line.
 func (a attempt) describe(line *zerolog.Event) *zerolog.Event {
 	line = line.Str("upstream", string(a.place.Upstream)).Dur("predictedMs", a.place.Predicted).Int("upstreamStatus", a.status)
@@ -80,7 +91,7 @@
 		line = line.Str("reader", string(a.place.Reader)).Int("readerAhead", int(a.place.ReaderAhead.Reading))
 	}
 	if !a.firstAt.IsZero() {
-		line = line.Dur("firstMs", a.firstAt.Sub(a.sentAt))
+		line = line.Dur("firstMs", a.firstAt.Sub(a.sentAt)).Dur("longestPauseMs", a.longestPause)
 	}
 	if a.err != nil {
 		line = line.AnErr("error", a.err)
--- a/rosemaryspool/forwarder/relay.go
+++ b/rosemaryspool/forwarder/relay.go
@@ -158,8 +158,10 @@
 		}
 	}
 	if len(events) > 0 {
+		now := time.Now()
+		e.last.progressed(now)
 		if e.last.firstAt.IsZero() {
-			e.last.firstAt = time.Now()
+			e.last.firstAt = now
 			e.last.alive()
 			e.forwarder.governor.Progressed(e.last.firstAt, e.last.sentAt, &e.last.place)
 		}
@@ -184,6 +186,7 @@
 
 // streamEnding tells apart a caller that left and a stream that broke.
 func (e *exchange) streamEnding() (ending, allocator.Outcome) {
+	e.last.progressed(time.Now())
 	switch {
 	case e.request.Context().Err() != nil:
 		return canceled, allocator.OutcomeAbandoned
