Count what a prompt's read does to the long answers at its engine

An engine that reads a prompt itself lets its other answers stand meanwhile.

A direct read now costs its own time once more for each long answer at the engine, so prompts are read elsewhere while there is room.

--- a/core/allocator/allocator_test.go
+++ b/core/allocator/allocator_test.go
@@ -278,3 +278,32 @@
 	require.Nil(t, refusal)
 	require.Equal(t, identifier.UpstreamID("u1"), place.Upstream)
 }
+
+// Long answers are late by a pause between two events, and each prompt that is read at their engine is one.
+func TestPromptsAreReadAwayFromLongAnswersWhileThereIsRoom(t *testing.T) {
+	now := time.Now()
+	for _, c := range []struct {
+		name string
+		// reading is what the engine without long answers has to read already.
+		reading identifier.Tokens
+		want    identifier.UpstreamID
+	}{
+		{"the other engine is free", 0, "u0"},
+		{"the other engine is a little busier", 2000, "u0"},
+		{"the other engine is far busier", 40000, "u1"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			a := fleet(2, 0)
+			a.SetUpstreams([]tracker.Entry{
+				{Upstream: "u0", Service: model, Slots: 6, Role: tracker.Decode, DataCentre: "here"},
+				{Upstream: "u1", Service: model, Slots: 6, Role: tracker.Decode, DataCentre: "here"},
+			})
+			a.Learn(now, "other", map[identifier.UpstreamID]Load{"u0": {Reading: c.reading}, "u1": {Long: 2}})
+			ask := verdict(1, 3000)
+			ask.Prompt = []Part{{ID: "own", Tokens: 3000}}
+			place, refusal := a.Place(now, ask)
+			require.Nil(t, refusal)
+			require.Equal(t, c.want, place.Upstream)
+		})
+	}
+}
--- a/core/allocator/placing.go
+++ b/core/allocator/placing.go
@@ -194,10 +194,16 @@
 	predicted := queued + p.base + work + p.first
 	return option{
 		upstream: u, tokens: tokens, queued: queued, predicted: predicted,
-		cost: predicted + a.weigh(work) + a.remoteCost(u) + a.spread(ask, u),
+		cost: predicted + a.weigh(work) + disturb(u, work) + a.remoteCost(u) + a.spread(ask, u),
 	}
 }
 
+// disturb is the cost of reading a prompt to the long answers at an engine: each of them stands still for about that time,
+// and a pause may make it late as a whole.
+func disturb(u *upstream, work time.Duration) time.Duration {
+	return time.Duration(u.total().Long) * work
+}
+
 // split is the option that one engine reads the prompt and another makes the answer.
 func (a *Allocator) split(p *pace, ask Ask, reader, runner *upstream, h homes) option {
 	tokens := a.uncached(ask, reader, h)
