Read once for a record that another instance tells of

What another instance had found stayed wanted until this one's own offset passed it. A view with an offset that the store doesn't have, from a broken peer, would have made every instance read without a pause.

One read settles it, as the store's answers are in order. A topic now holds its own pacer; Forget, which nothing used, is gone.

--- a/core/pacer/pacer.go
+++ b/core/pacer/pacer.go
@@ -2,9 +2,7 @@
 // whether anything mattered, so that one read serves many of them; each still reads what matters from the store itself.
 package pacer
 
-import (
-	"time"
-)
+import "time"
 
 // View is how far an instance has followed a topic, without gaps.
 type View struct {
@@ -49,19 +47,18 @@
 // Next returns the offset of the next record that matters may have; false when the topic must be read as a whole.
 func (p *Pacer) Next() (uint64, bool) { return p.own.Next, p.known }
 
-// Forget makes the next read a whole one.
-func (p *Pacer) Forget() { p.known = false }
-
 // ReadWhole takes a reading of all keys; next is the offset from which it is followed.
 func (p *Pacer) ReadWhole(now time.Time, next uint64) View {
 	p.own = View{First: next, Next: next, ReadAt: now}
-	p.known = true
+	p.known, p.wanted = true, 0
 	return p.own
 }
 
 // Read takes a read up to an offset; changed is the offset after the last record that mattered, zero when none did.
 func (p *Pacer) Read(now time.Time, next, changed uint64) View {
 	p.own.Next, p.own.ReadAt = next, now
+	// The store's answers are in order: what another instance has read before is in this read, or was never there.
+	p.wanted = 0
 	p.own.Changed = max(p.own.Changed, changed)
 	return p.own
 }
--- a/core/pacer/pacer_test.go
+++ b/core/pacer/pacer_test.go
@@ -79,10 +79,9 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			p := NewPacer(interval, c.held)
+			require.True(t, p.Due(c.rank).IsZero(), "what is not known is read at once")
 			p.ReadWhole(at(0), 10)
 			require.Equal(t, at(c.want), p.Due(c.rank))
-			p.Forget()
-			require.True(t, p.Due(c.rank).IsZero())
 		})
 	}
 }
@@ -98,3 +97,11 @@
 	next, _ := early.Next()
 	require.EqualValues(t, 23, next)
 }
+
+func TestARecordThatTheStoreDoesNotHaveIsReadForOnce(t *testing.T) {
+	p := NewPacer(interval, 0)
+	p.ReadWhole(at(0), 10)
+	require.True(t, p.Heard(View{First: 5, Next: 9000, Changed: 9000, ReadAt: at(0)}))
+	p.Read(at(time.Millisecond), 12, 0)
+	require.True(t, p.Due(0).After(at(interval)))
+}
--- a/rosemaryspool/subscriber/subscriber.go
+++ b/rosemaryspool/subscriber/subscriber.go
@@ -48,7 +48,6 @@
 
 	mu     sync.Mutex
 	topics []*topic
-	pacers map[string]*pacer.Pacer
 }
 
 // NewSubscriber returns a subscriber; nothing is read before Run.
@@ -59,7 +58,6 @@
 ) *Subscriber {
 	s := &Subscriber{
 		store: store, governor: g, gossiper: peers, self: self, log: log, done: make(chan struct{}),
-		pacers: map[string]*pacer.Pacer{},
 	}
 	s.topics = []*topic{
 		{name: platform.TopicConfiguration, take: s.takeConfigurations, shared: true},
@@ -68,7 +66,7 @@
 	}
 	for _, t := range s.topics {
 		t.wake = make(chan struct{}, 1)
-		s.pacers[t.name] = pacer.NewPacer(memberInterval, 0)
+		t.pacer = pacer.NewPacer(memberInterval, 0)
 	}
 	s.SetLimits(drainLimit, applyLimit)
 	peers.OnView(s.heard)
@@ -83,9 +81,9 @@
 		switch t.name {
 		case platform.TopicConfiguration:
 			t.wait = time.Duration(applyShare * float64(applyLimit))
-			s.pacers[t.name].SetTimes(0, t.wait)
+			t.pacer.SetTimes(0, t.wait)
 		case platform.TopicServers:
-			s.pacers[t.name].SetTimes(time.Duration(listShare*float64(drainLimit)), 0)
+			t.pacer.SetTimes(time.Duration(listShare*float64(drainLimit)), 0)
 		}
 	}
 }
@@ -111,8 +109,9 @@
 // topic is one followed topic.
 type topic struct {
 	name string
-	// wait is how long the store holds a read; the subscriber's mutex guards it.
-	wait time.Duration
+	// wait is how long the store holds a read, pacer tells when the next one is due; the subscriber's mutex guards both.
+	wait  time.Duration
+	pacer *pacer.Pacer
 	// take applies records and returns the offset after the last one that mattered; whole is true when they are all keys
 	// that the topic holds.
 	take   func(records []platform.Record, whole bool) uint64
@@ -159,7 +158,7 @@
 	for {
 		now := time.Now()
 		s.mu.Lock()
-		due := s.pacers[t.name].Due(s.rank(now, t))
+		due := t.pacer.Due(s.rank(now, t))
 		s.mu.Unlock()
 		left := due.Sub(now)
 		if left <= 0 {
@@ -187,7 +186,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, t := range s.topics {
-		if t.name != name || !s.pacers[name].Heard(v) {
+		if t.name != name || !t.pacer.Heard(v) {
 			continue
 		}
 		select {
@@ -201,7 +200,7 @@
 // read reads the next records, or all newest ones when the next are unknown or trimmed.
 func (s *Subscriber) read(ctx context.Context, t *topic) error {
 	s.mu.Lock()
-	next, known := s.pacers[t.name].Next()
+	next, known := t.pacer.Next()
 	wait := t.wait
 	s.mu.Unlock()
 	if !known {
@@ -238,7 +237,7 @@
 // share notes a read and tells the other instances.
 func (s *Subscriber) share(t *topic, note func(*pacer.Pacer) pacer.View) {
 	s.mu.Lock()
-	v := note(s.pacers[t.name])
+	v := note(t.pacer)
 	s.mu.Unlock()
 	if t.shared {
 		s.gossiper.ShareView(t.name, v)
