--- a/rosemaryspool/commander/soak_test.go
+++ b/rosemaryspool/commander/soak_test.go
@@ -32,7 +32,7 @@
 				Command: []string{"rosemaryspool", "gateway"}, Directory: directory, Network: 90 + i, Log: log,
 			})
 			require.NoError(t, err)
-			defer func() { require.NoError(t, s.Close()) }()
+			defer s.Close()
 			report, err := s.Run(context.Background())
 			require.NoError(t, err)
 			t.Log(report)
--- a/standin/soaker/auditor.go
+++ b/standin/soaker/auditor.go
@@ -71,7 +71,7 @@
 	// service is what the plain routes lead to from then on; leaving is the upstream that leaves.
 	service string
 	leaving string
-	// stopped is the instance that is told to stop, with one in the place of a planned stop.
+	// stopped is the number of the instance that is told to stop, counted from one; zero for none.
 	stopped int
 }
 
--- a/standin/soaker/fault.go
+++ b/standin/soaker/fault.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -195,23 +194,3 @@
 		s.log.Error().Err(err).Str("event", "settingsUnwritable").Str("process", p.name).Msg("Settings stay as they were")
 	}
 }
-
-// gather collects what callers and upstreams have seen.
-func (s *Soaker) gather() *history {
-	h := &history{changes: s.changes, spans: s.spans, events: streamEvents}
-	for _, c := range s.callers {
-		c.mu.Lock()
-		h.attempts = append(h.attempts, c.attempts...)
-		c.mu.Unlock()
-	}
-	for _, b := range s.backends {
-		for _, r := range b.upstream.Runs() {
-			h.arrivals = append(h.arrivals, arrival{Run: r, upstream: b.upstream.ID, service: b.service})
-		}
-		for _, r := range b.upstream.Rejections() {
-			h.arrivals = append(h.arrivals, arrival{Run: r, upstream: b.upstream.ID, service: b.service, rejected: true})
-		}
-	}
-	slices.SortFunc(h.attempts, func(a, b *attempt) int { return a.sent.Compare(b.sent) })
-	return h
-}
--- a/standin/soaker/soaker.go
+++ b/standin/soaker/soaker.go
@@ -4,12 +4,12 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -126,7 +126,8 @@
 		{"model-3", modelService, "decode"},
 	} {
 		if err := s.addBackend(b.id, b.service, b.stage); err != nil {
-			return nil, errors.Join(err, s.Close())
+			s.Close()
+			return nil, err
 		}
 	}
 	store := strings.TrimPrefix(s.server.URL, "http://")
@@ -134,7 +135,8 @@
 		ip := fmt.Sprintf("127.%d.0.%d", settings.Network, i+1)
 		p, err := newProcess(settings.Directory, fmt.Sprint("gateway-", i+1), ip, store, settings.Command)
 		if err != nil {
-			return nil, errors.Join(err, s.Close())
+			s.Close()
+			return nil, err
 		}
 		s.processes = append(s.processes, p)
 	}
@@ -164,7 +166,7 @@
 }
 
 // Close ends all that the run started.
-func (s *Soaker) Close() error {
+func (s *Soaker) Close() {
 	for _, p := range s.processes {
 		p.close()
 	}
@@ -174,7 +176,6 @@
 	}
 	s.server.CloseClientConnections()
 	s.server.Close()
-	return nil
 }
 
 // Run plays all rounds and checks what was seen.
@@ -299,3 +300,23 @@
 		sleep(ctx, shortGap)
 	}
 }
+
+// gather collects what callers and upstreams have seen.
+func (s *Soaker) gather() *history {
+	h := &history{changes: s.changes, spans: s.spans, events: streamEvents}
+	for _, c := range s.callers {
+		c.mu.Lock()
+		h.attempts = append(h.attempts, c.attempts...)
+		c.mu.Unlock()
+	}
+	for _, b := range s.backends {
+		for _, r := range b.upstream.Runs() {
+			h.arrivals = append(h.arrivals, arrival{Run: r, upstream: b.upstream.ID, service: b.service})
+		}
+		for _, r := range b.upstream.Rejections() {
+			h.arrivals = append(h.arrivals, arrival{Run: r, upstream: b.upstream.ID, service: b.service, rejected: true})
+		}
+	}
+	slices.SortFunc(h.attempts, func(a, b *attempt) int { return a.sent.Compare(b.sent) })
+	return h
+}
--- a/standin/soaker/soaker_test.go
+++ b/standin/soaker/soaker_test.go
@@ -50,7 +50,7 @@
 				Command: []string{"/usr/bin/env", fmt.Sprint(variableFault, "=", p), program},
 			})
 			require.NoError(t, err)
-			defer func() { require.NoError(t, s.Close()) }()
+			defer s.Close()
 			report, err := s.Run(context.Background())
 			require.NoError(t, err)
 			require.Greater(t, report.Served, 50)
