Make a histogram's sample only when it is registered

Cause: the gateway looks its histogram up by name for each request, and the lookup made a sample of 1,028 values each time, to throw it away. NewHistogram now hands the registry a function.

--- a/rosemaryspool/meter/meter.go
+++ b/rosemaryspool/meter/meter.go
@@ -9,7 +9,11 @@
 	sampleDecay = 0.015
 )
 
-// NewHistogram registers a histogram of durations in nanoseconds under a name that ends in its unit, "Ns".
+// NewHistogram registers a histogram of durations in nanoseconds under a name that ends in its unit, "Ns". One that is
+// registered is returned as it is.
 func NewHistogram(name string, registry metrics.Registry) metrics.Histogram {
-	return metrics.GetOrRegisterHistogram(name, registry, metrics.NewExpDecaySample(sampleSize, sampleDecay))
+	histogram := registry.GetOrRegister(name, func() metrics.Histogram {
+		return metrics.NewHistogram(metrics.NewExpDecaySample(sampleSize, sampleDecay))
+	})
+	return histogram.(metrics.Histogram)
 }
