--- a/standin/platformer/header.go
+++ b/standin/platformer/header.go
@@ -13,6 +13,7 @@
 	HeaderStage       = "Rosemaryspool-Serving-Stage"
 	HeaderSource      = "Rosemaryspool-Kv-Source"
 	HeaderPriority    = "Rosemaryspool-Request-Priority"
+	HeaderPin         = "Rosemaryspool-Pin-Ms"
 )
 
 // ReadyPath is where an instance answers the balancer.
@@ -21,5 +22,5 @@
 // InstanceHeaders are those that only instances may set: what callers send of them must not reach an upstream.
 var InstanceHeaders = []string{
 	HeaderExpect, HeaderStage, HeaderSource, HeaderPriority, "Rosemaryspool-Expect-Version",
-	"Rosemaryspool-Kv-Retention", "Rosemaryspool-Pin-Ms", "Rosemaryspool-Kv-Replica", "Kv-Fetch",
+	"Rosemaryspool-Kv-Retention", HeaderPin, "Rosemaryspool-Kv-Replica", "Kv-Fetch",
 }
--- a/standin/soaker/auditor.go
+++ b/standin/soaker/auditor.go
@@ -139,7 +139,7 @@
 		return "no caller sent it"
 	case r.Method != a.kind.method || r.URI != a.uri || r.Body != a.body:
 		return fmt.Sprintf("%s %s with %d bytes became %s %s with %d", a.kind.method, a.uri, len(a.body), r.Method, r.URI, len(r.Body))
-	case r.Header.Get("Rosemaryspool-Pin-Ms") == "60000":
+	case r.Header.Get(platformer.HeaderPin) == callersPin:
 		return "a header that only instances may set was passed on"
 	case a.kind.stream != (r.Header.Get(platformer.HeaderModel) == "m"):
 		return "the model's name was lost"
--- a/standin/soaker/caller.go
+++ b/standin/soaker/caller.go
@@ -48,6 +48,9 @@
 "services":[{"name":"plain","max-connections":200},{"name":"spare","max-connections":200},
  {"name":"model","max-connections":200,"engine":{"slots":6}}]}`
 
+// callersPin is sent in a header that only instances may set.
+const callersPin = "60000"
+
 // host is the one that all routes belong to.
 const host = "h.example"
 
@@ -118,10 +121,7 @@
 			c.instance = (c.instance + 1) % len(c.targets)
 		}
 		pause := shortPause + time.Duration(c.random.Int64N(int64(longPause-shortPause)))
-		select {
-		case <-ctx.Done():
-		case <-time.After(pause):
-		}
+		sleep(ctx, pause)
 	}
 }
 
@@ -170,7 +170,7 @@
 	}
 	r.Header.Set(platformer.HeaderAttempt, a.id)
 	r.Header.Set(platformer.HeaderDeadline, fmt.Sprint(a.kind.timeout.Milliseconds()))
-	r.Header.Set("Rosemaryspool-Pin-Ms", "60000")
+	r.Header.Set(platformer.HeaderPin, callersPin)
 	if a.kind.stream {
 		r.Header.Set(platformer.HeaderModel, "m")
 		r.Header.Set(platformer.HeaderTokens, "2000,8")
--- a/standin/soaker/soaker_test.go
+++ b/standin/soaker/soaker_test.go
@@ -252,7 +252,7 @@
 	}
 	out.Header = r.Header.Clone()
 	if g.promise != PromiseUnchanged {
-		out.Header.Del("Rosemaryspool-Pin-Ms")
+		out.Header.Del(platformer.HeaderPin)
 	}
 	response, err := http.DefaultClient.Do(out)
 	if err != nil {
