Weigh the options of plain services and of engines apart

Cause: the wait at each engine was worked out for the option of a plain service and thrown away. The room for options was their product, though there are only as many as engines, and the cost of one more long answer stood in leastWaiting a second time beside spread. The choices are the same.

--- a/core/allocator/placing.go
+++ b/core/allocator/placing.go
@@ -149,29 +149,33 @@
 		// Upstreams that look sick are better than none: the fault may be on this side.
 		runners, readers = a.candidates(now, ask, true)
 	}
-	options := make([]option, 0, len(runners)*(1+len(readers)))
-	for _, u := range runners {
-		wait := a.wait(p, u, 0)
-		if !ask.Engine {
-			options = append(options, option{upstream: u, queued: wait, predicted: p.residence + wait, cost: wait + a.remoteCost(u)})
-		}
-	}
+	options := make([]option, 0, len(runners)+len(readers))
 	if !ask.Engine {
+		for _, u := range runners {
+			options = append(options, a.plain(p, u))
+		}
 		return options
 	}
 	homes := newHomes(ask.Prompt, a.homeCandidates(runners), a.homeCandidates(readers))
-	runner := a.leastWaiting(p, runners, a.long(ask))
 	for _, u := range runners {
 		options = append(options, a.direct(p, ask, u, homes))
 	}
+	runner := a.leastWaiting(p, ask, runners)
+	if runner == nil || ask.Whole {
+		return options
+	}
 	for _, u := range readers {
-		if runner != nil && !ask.Whole {
-			options = append(options, a.split(p, ask, u, runner, homes))
-		}
+		options = append(options, a.split(p, ask, u, runner, homes))
 	}
 	return options
 }
 
+// plain is the option that an upstream other than an engine runs the request.
+func (a *Allocator) plain(p *pace, u *upstream) option {
+	wait := a.wait(p, u, 0)
+	return option{upstream: u, queued: wait, predicted: p.residence + wait, cost: wait + a.remoteCost(u)}
+}
+
 // candidates returns the upstreams that may get the request, those that answer and those that only read prompts.
 func (a *Allocator) candidates(now time.Time, ask Ask, sick bool) (runners, readers []*upstream) {
 	for _, u := range a.services[ask.Service] {
@@ -232,15 +236,13 @@
 
 // leastWaiting returns the engine with the shortest wait for a slot; among equals the one in this data centre, then the
 // one with the fewest answers.
-func (a *Allocator) leastWaiting(p *pace, runners []*upstream, long bool) *upstream {
+func (a *Allocator) leastWaiting(p *pace, ask Ask, runners []*upstream) *upstream {
 	var best *upstream
 	var least time.Duration
 	for _, u := range runners {
 		t := u.total()
-		cost := a.wait(p, u, t.Coming) + a.remoteCost(u) + time.Duration(t.Short+t.Coming)*time.Millisecond + time.Duration(t.Reading)*p.directToken/4
-		if long {
-			cost += time.Duration(t.Long) * a.settings.LongSpread
-		}
+		cost := a.wait(p, u, t.Coming) + a.remoteCost(u) + time.Duration(t.Short+t.Coming)*time.Millisecond +
+			time.Duration(t.Reading)*p.directToken/4 + a.spread(ask, u)
 		if best == nil || cost < least {
 			best, least = u, cost
 		}
