Look a report's sender up once

Cause: each report took the lock twice and built its sender's description to find it known; the views stood in a list that was searched by topic. The wait before a repeated call stood in two places of the subscriber. What is told, heard and logged is the same.

--- a/rosemaryspool/gossiper/gossiper.go
+++ b/rosemaryspool/gossiper/gossiper.go
@@ -6,7 +6,6 @@
 	"context"
 	"net"
 	"net/netip"
-	"slices"
 	"sync"
 	"time"
 
@@ -77,12 +76,6 @@
 	StartedMs  int64
 }
 
-// view is how far this instance has followed a topic of the store.
-type view struct {
-	topic string
-	pacer.View
-}
-
 // Gossiper exchanges work reports with all members. Members is safe for concurrent use.
 type Gossiper struct {
 	self   Member
@@ -93,9 +86,10 @@
 	// shared gets a value when a view of the store is to be told.
 	shared chan struct{}
 
-	mu       sync.Mutex
-	members  map[identifier.InstanceID]*member
-	views    []view
+	mu      sync.Mutex
+	members map[identifier.InstanceID]*member
+	// views tells by topic how far this instance has followed the store.
+	views    map[string]pacer.View
 	onView   func(topic string, v pacer.View)
 	sequence uint64
 	leaving  bool
@@ -110,7 +104,7 @@
 	return &Gossiper{
 		self: self, source: source, socket: socket, log: log,
 		done: make(chan struct{}), shared: make(chan struct{}, 1), members: map[identifier.InstanceID]*member{},
-		onView: func(string, pacer.View) {},
+		views: map[string]pacer.View{}, onView: func(string, pacer.View) {},
 	}, nil
 }
 
@@ -123,11 +117,15 @@
 // SetMember adds or moves another instance. A record of this instance itself is ignored, and so is one of an earlier
 // process. Start times come from clocks that may go back, so they order processes only while the instance is heard.
 func (g *Gossiper) SetMember(now time.Time, told Member) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.setMember(now, told)
+}
+
+func (g *Gossiper) setMember(now time.Time, told Member) {
 	if told.Instance == g.self.Instance {
 		return
 	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
 	m := g.members[told.Instance]
 	if m != nil && told.StartedMs < m.startedMs && now.Sub(m.heard) < rankMemory {
 		return
@@ -149,12 +147,7 @@
 // ShareView tells the others how far this instance has followed a topic of the store.
 func (g *Gossiper) ShareView(topic string, v pacer.View) {
 	g.mu.Lock()
-	at := slices.IndexFunc(g.views, func(v view) bool { return v.topic == topic })
-	if at < 0 {
-		at = len(g.views)
-		g.views = append(g.views, view{topic: topic})
-	}
-	g.views[at].View = v
+	g.views[topic] = v
 	g.mu.Unlock()
 	select {
 	case g.shared <- struct{}{}:
@@ -230,9 +223,9 @@
 		Address: g.self.Address.String(), DataCentre: string(g.self.DataCentre),
 		Upstreams: make([]*messenger.UpstreamWork, 0, len(loads)),
 	}
-	for _, v := range g.views {
+	for topic, v := range g.views {
 		report.Topics = append(report.Topics, &messenger.TopicView{
-			Topic: v.topic, First: v.First, Next: v.Next, Changed: v.Changed, AgeMs: uint32(now.Sub(v.ReadAt).Milliseconds()),
+			Topic: topic, First: v.First, Next: v.Next, Changed: v.Changed, AgeMs: uint32(now.Sub(v.ReadAt).Milliseconds()),
 		})
 	}
 	addresses, live := g.audience(now)
@@ -307,8 +300,8 @@
 
 func (g *Gossiper) take(now time.Time, report *messenger.WorkReport) {
 	instance := identifier.InstanceID(report.GetInstance())
-	g.introduce(now, report)
 	g.mu.Lock()
+	g.introduce(now, report)
 	m := g.members[instance]
 	if m == nil || report.GetStartedMs() != m.startedMs || report.GetSequence() <= m.sequence {
 		g.mu.Unlock()
@@ -336,14 +329,8 @@
 		Instance:   identifier.InstanceID(report.GetInstance()),
 		DataCentre: identifier.DataCentre(report.GetDataCentre()), StartedMs: report.GetStartedMs(),
 	}
-	g.mu.Lock()
 	m := g.members[told.Instance]
-	known := m != nil && m.startedMs == told.StartedMs
-	if m != nil {
-		told.Address = m.address
-	}
-	g.mu.Unlock()
-	if known {
+	if m != nil && m.startedMs == told.StartedMs {
 		return
 	}
 	if text := report.GetAddress(); text != "" || m == nil {
@@ -353,6 +340,8 @@
 			return
 		}
 		told.Address = address
+	} else {
+		told.Address = m.address
 	}
-	g.SetMember(now, told)
+	g.setMember(now, told)
 }
--- a/rosemaryspool/subscriber/subscriber.go
+++ b/rosemaryspool/subscriber/subscriber.go
@@ -145,11 +145,7 @@
 			continue
 		}
 		s.lose(t, err)
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(retryPause(t.failures)):
-		}
+		pause(ctx, t.failures)
 	}
 }
 
@@ -253,6 +249,14 @@
 	return pause
 }
 
+// pause waits before a failed call is repeated, or until ctx ends.
+func pause(ctx context.Context, failures int) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(retryPause(failures)):
+	}
+}
+
 func (s *Subscriber) lose(t *topic, err error) {
 	t.failures++
 	if t.failed != nil {
@@ -377,9 +381,6 @@
 			return
 		}
 		s.log.Warn().Err(err).Str("event", "storeLost").Str("topic", platform.TopicMembers).Msg("Announcing the instance failed")
-		select {
-		case <-ctx.Done():
-		case <-time.After(retryPause(failures)):
-		}
+		pause(ctx, failures)
 	}
 }
