Write the head of each answer in one place

Cause: three ways of passing an answer on repeated the same four lines, and the close of a leaving instance's connection was announced at a request's start and again with its head, because copying an upstream's headers deleted the instance's own.

One difference: an answer of the instance's own to a request that had begun before the stop also announces the close, as Leave says of every answer.

--- a/rosemaryspool/forwarder/forwarder.go
+++ b/rosemaryspool/forwarder/forwarder.go
@@ -72,9 +72,6 @@
 	e := &exchange{
 		forwarder: f, writer: w, request: r, started: time.Now(), caller: platform.DecodeRequest(r.Header),
 	}
-	if f.leaving.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	result := e.serve()
 	f.account(e, result)
 	if result.abort {
@@ -249,12 +246,20 @@
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	text := cause + "\n"
 	h.Set("Content-Length", strconv.Itoa(len(text)))
-	e.writer.WriteHeader(status)
+	e.writeHead(status)
 	// A caller that is gone gets no answer; there is nothing else to do.
 	_, _ = io.WriteString(e.writer, text)
 	return result{outcome: outcome, status: status, cause: cause}
 }
 
+// writeHead writes the head of any answer; that of a leaving instance is the last one of its connection.
+func (e *exchange) writeHead(status int) {
+	if e.forwarder.leaving.Load() {
+		e.writer.Header().Set("Connection", "close")
+	}
+	e.writer.WriteHeader(status)
+}
+
 // account counts and logs a request's end.
 func (f *Forwarder) account(e *exchange, r result) {
 	took := time.Since(e.started)
--- a/rosemaryspool/forwarder/relay.go
+++ b/rosemaryspool/forwarder/relay.go
@@ -60,10 +60,7 @@
 
 // relayLong passes a long answer on while it is read.
 func (e *exchange) relayLong(answer *connector.Answer, start []byte) (ending, allocator.Outcome) {
-	platform.CopyAnswerHeaders(e.writer.Header(), answer.Header)
-	e.keepContentType(answer.Header)
-	e.head = true
-	e.writer.WriteHeader(answer.Status)
+	e.passHead(answer.Status, answer.Header)
 	_, err := e.writer.Write(start)
 	if err == nil {
 		_, err = io.Copy(e.writer, answer.Body)
@@ -78,25 +75,23 @@
 
 // deliver passes a whole answer on.
 func (e *exchange) deliver(a *storedAnswer) {
-	h := e.writer.Header()
-	platform.CopyAnswerHeaders(h, a.header)
-	e.keepContentType(a.header)
-	h.Set("Content-Length", strconv.Itoa(len(a.body)))
-	e.head = true
-	e.writer.WriteHeader(a.status)
+	e.writer.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
+	e.passHead(a.status, a.header)
 	if _, err := e.writer.Write(a.body); err != nil {
 		e.last.err = err
 	}
 }
 
-// keepContentType keeps the HTTP library from adding a type that the upstream did not send.
-func (e *exchange) keepContentType(upstream http.Header) {
-	if upstream.Get("Content-Type") == "" {
-		e.writer.Header()["Content-Type"] = nil
-	}
-	if e.forwarder.leaving.Load() {
-		e.writer.Header().Set("Connection", "close")
+// passHead passes the head of an upstream's answer on.
+func (e *exchange) passHead(status int, header http.Header) {
+	h := e.writer.Header()
+	platform.CopyAnswerHeaders(h, header)
+	if header.Get("Content-Type") == "" {
+		// The HTTP library would add a type that the upstream did not send.
+		h["Content-Type"] = nil
 	}
+	e.head = true
+	e.writeHead(status)
 }
 
 // eventWriter passes whole events on and remembers where the stream is.
@@ -177,11 +172,7 @@
 	if e.head {
 		return
 	}
-	e.head = true
-	h := e.writer.Header()
-	platform.CopyAnswerHeaders(h, answer.Header)
-	e.keepContentType(answer.Header)
-	e.writer.WriteHeader(answer.Status)
+	e.passHead(answer.Status, answer.Header)
 }
 
 // streamEnding tells apart a caller that left and a stream that broke.
