Fit the fixed part and the rate of prefills

Cause: the duration of a prefill was taken as a fixed 4 ms and a time for each token.

Change: a line is fitted to the measurements of both kinds of prefill, with recent ones counting more. A request's line in the log tells how long its separate prefill took.

--- a/core/allocator/observation.go
+++ b/core/allocator/observation.go
@@ -94,7 +94,7 @@
 			return
 		}
 		health.Succeeded(now, o.Upstream, 0)
-		t.observePrefill(now, &t.prefillPerToken, u, o)
+		t.observePrefill(now, &t.prefill, u, o)
 	case EventEnded:
 		if o.Outcome != OutcomeCompleted {
 			a.recordFailure(now, dataCentre, o)
--- a/core/allocator/placement.go
+++ b/core/allocator/placement.go
@@ -208,7 +208,8 @@
 	cost      time.Duration
 }
 
-// best returns the option with the lowest cost; its upstream is nil if there is none.
+// best returns the option with the lowest cost; its upstream is nil if there is none. Options that cost more are not
+// tried if this one is not admissible: they take more from other requests than the request is worth.
 func (d *decision) best() option {
 	runners, prefillers := d.candidates(false)
 	if len(runners) == 0 {
@@ -231,11 +232,8 @@
 	for _, u := range runners {
 		consider(d.directOption(u, aff))
 	}
-	if d.req.SingleUpstream {
-		return best
-	}
 	runner := d.leastLoaded(runners)
-	if runner == nil {
+	if d.req.SingleUpstream || runner == nil {
 		return best
 	}
 	for _, u := range prefillers {
@@ -270,9 +268,9 @@
 // directOption is the option to prefill and decode at the same engine.
 func (d *decision) directOption(u *upstream, aff affinity) option {
 	tokens := d.allocator.uncachedTokens(d.req, u, aff)
-	queued := d.slotWait(u, 0) + d.paced(u, time.Duration(u.load().QueuedPrefill)*d.timings.mixedPrefillPerToken.value)
-	work := d.paced(u, time.Duration(tokens)*d.timings.mixedPrefillPerToken.value)
-	predicted := queued + d.timings.prefillBase + work + d.timings.firstEventDelay.value
+	queued := d.slotWait(u, 0) + d.paced(u, d.timings.mixedPrefill.slope(u.load().QueuedPrefill))
+	work := d.paced(u, d.timings.mixedPrefill.slope(tokens))
+	predicted := queued + d.timings.mixedPrefill.base + work + d.timings.firstEventDelay.value
 	return option{
 		upstream: u, tokens: tokens, queued: queued, predicted: predicted,
 		cost: predicted + d.engineTimeCost(work) + d.interferenceCost(u, work) + d.remoteCost(u) + d.longAnswerCost(u),
@@ -290,12 +288,12 @@
 // splitOption is the option to prefill at one engine and decode at another.
 func (d *decision) splitOption(prefiller, runner *upstream, aff affinity) option {
 	tokens := d.allocator.uncachedTokens(d.req, prefiller, aff)
-	ahead := d.paced(prefiller, time.Duration(prefiller.load().QueuedPrefill)*d.timings.prefillPerToken.value)
-	work := d.paced(prefiller, time.Duration(tokens)*d.timings.prefillPerToken.value)
+	ahead := d.paced(prefiller, d.timings.prefill.slope(prefiller.load().QueuedPrefill))
+	work := d.paced(prefiller, d.timings.prefill.slope(tokens))
 	// Slots become free during the prefill elsewhere, but the other requests that await their prefill elsewhere take
 	// slots too.
 	wait := d.slotWait(runner, runner.load().AwaitingPrefill)
-	predicted := max(wait, d.timings.prefillBase+ahead+work) + d.timings.firstEventDelay.value
+	predicted := max(wait, d.timings.prefill.base+ahead+work) + d.timings.firstEventDelay.value
 	return option{
 		upstream: runner, prefiller: prefiller, tokens: tokens, queued: max(ahead, wait-work, 0), predicted: predicted,
 		cost: predicted + d.engineTimeCost(work) + d.remoteCost(prefiller) + d.remoteCost(runner) +
@@ -325,7 +323,7 @@
 		load := u.load()
 		cost := d.slotWait(u, load.AwaitingPrefill) + d.remoteCost(u) +
 			time.Duration(load.Short+load.AwaitingPrefill)*time.Millisecond +
-			d.paced(u, time.Duration(load.QueuedPrefill)*d.timings.mixedPrefillPerToken.value/4) + d.longAnswerCost(u)
+			d.paced(u, d.timings.mixedPrefill.slope(load.QueuedPrefill))/4 + d.longAnswerCost(u)
 		if best == nil || cost < least {
 			best, least = u, cost
 		}
@@ -362,22 +360,22 @@
 // get only the capacity that requests in time don't use.
 const lateQueueShare = 0.2
 
-// admissible reports whether the best option serves the request early enough to be worth the slot: its first event must
+// admissible reports whether an option serves the request early enough to be worth the slot: its first event must
 // be predicted in time, and its queueing time is limited to a share of the time left. Its own prefill doesn't count as
 // queueing, so that long prompts don't starve. A request that would not queue is always admitted, because only requests
 // that are sent correct the measurements; so are long answers and resumed streams.
-func (d *decision) admissible(best option) bool {
+func (d *decision) admissible(o option) bool {
 	req := d.req
 	switch {
-	case best.queued == 0 || d.isLong() || req.Resumed:
+	case o.queued == 0 || d.isLong() || req.Resumed:
 		return true
-	case best.predicted > req.TimeToDeadline:
+	case o.predicted > req.TimeToDeadline:
 		return false
 	case req.TimeToTarget <= 0:
-		return best.queued <= time.Duration(lateQueueShare*float64(req.Target))
+		return o.queued <= time.Duration(lateQueueShare*float64(req.Target))
 	default:
-		return best.predicted <= req.TimeToTarget &&
-			best.queued <= time.Duration(d.allocator.settings.MaxQueueShare*float64(req.TimeToTarget))
+		return o.predicted <= req.TimeToTarget &&
+			o.queued <= time.Duration(d.allocator.settings.MaxQueueShare*float64(req.TimeToTarget))
 	}
 }
 
--- a/core/allocator/timings.go
+++ b/core/allocator/timings.go
@@ -4,32 +4,30 @@
 	"time"
 
 	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/core/tracker"
 )
 
 // timings holds the measurements of a service's upstreams, as exponentially weighted averages.
 type timings struct {
-	prefillBase time.Duration
 	// firstEventDelay is the time from dispatch to the first event if a slot is free and the prompt is prefilled.
 	firstEventDelay estimate
 	// slotHoldTime is how long a request with a short answer holds its slot.
 	slotHoldTime estimate
-	// prefillPerToken and mixedPrefillPerToken are the prefill times of one prompt token, on an engine that only
-	// prefills and on one that also decodes.
-	prefillPerToken      estimate
-	mixedPrefillPerToken estimate
+	// prefill and mixedPrefill are the durations of a prefill by the number of tokens, those queued ahead included, on an
+	// engine that only prefills and on one that also decodes.
+	prefill      line
+	mixedPrefill line
 }
 
 // initialFirstEventDelay is used until the delay is measured: a network round trip and some steps of the engine.
 const initialFirstEventDelay = 6 * time.Millisecond
 
 func newTimings(s Settings) *timings {
-	perToken := func(rate float64) time.Duration { return time.Duration(float64(time.Millisecond) / rate) }
 	return &timings{
-		prefillBase:          s.PrefillBase,
-		firstEventDelay:      newEstimate(s.SmoothingFactor, initialFirstEventDelay),
-		slotHoldTime:         newEstimate(s.SmoothingFactor, s.SlotHoldTime),
-		prefillPerToken:      newEstimate(s.SmoothingFactor, perToken(s.PrefillRate)),
-		mixedPrefillPerToken: newEstimate(s.SmoothingFactor, perToken(s.MixedPrefillRate)),
+		firstEventDelay: newEstimate(s.SmoothingFactor, initialFirstEventDelay),
+		slotHoldTime:    newEstimate(s.SmoothingFactor, s.SlotHoldTime),
+		prefill:         newLine(s.PrefillBase, s.PrefillRate),
+		mixedPrefill:    newLine(s.PrefillBase, s.MixedPrefillRate),
 	}
 }
 
@@ -53,19 +51,16 @@
 	e.value += time.Duration(weight * float64(measured-e.value))
 }
 
-// minObservedPrefill is the number of tokens from which on they, and not the overhead, dominate the duration.
-const minObservedPrefill identifier.Tokens = 1000
-
-// observePrefill updates a time per token, and the upstream's pace relative to it. It ignores short prefills, whose
-// duration is mostly overhead.
-func (t *timings) observePrefill(now time.Time, perToken *estimate, u *upstream, o Observation) {
-	took := o.Took - t.prefillBase
-	if o.Tokens < minObservedPrefill || took <= 0 {
+// observePrefill updates the durations of prefills, and the upstream's pace relative to them.
+func (t *timings) observePrefill(now time.Time, l *line, u *upstream, o Observation) {
+	if o.Took <= 0 {
 		return
 	}
-	measured := took / time.Duration(o.Tokens)
-	u.pace.observe(now, float64(measured)/float64(perToken.value))
-	perToken.observe(measured)
+	if o.Tokens >= minPaceTokens {
+		u.pace.observe(now, float64(o.Took)/float64(l.at(o.Tokens)))
+	}
+	// The line is that of an upstream with the usual pace.
+	l.observe(o.Tokens, time.Duration(float64(o.Took)/u.pace.at(now)))
 }
 
 func (t *timings) observeFirstEvent(now time.Time, u *upstream, o Observation) {
@@ -73,7 +68,7 @@
 	case o.Took == 0:
 	case o.Direct:
 		o.Took -= t.firstEventDelay.value
-		t.observePrefill(now, &t.mixedPrefillPerToken, u, o)
+		t.observePrefill(now, &t.mixedPrefill, u, o)
 	default:
 		t.firstEventDelay.observe(o.Took)
 	}
@@ -83,8 +78,12 @@
 	if o.Took == 0 {
 		return
 	}
-	if u.entry.Role == 0 {
+	if u.entry.Role == tracker.RoleNone {
 		u.pace.observe(now, float64(o.Took)/float64(t.slotHoldTime.value))
 	}
 	t.slotHoldTime.observe(o.Took)
 }
+
+// minPaceTokens is the number of tokens from which on they, and not fixed costs, determine the duration of a prefill, so
+// that it shows an upstream's pace.
+const minPaceTokens identifier.Tokens = 1000
--- a/rosemaryspool/forwarder/attempt.go
+++ b/rosemaryspool/forwarder/attempt.go
@@ -67,6 +67,8 @@
 	// lastEventAt is when the latest events arrived, longestPause the longest time between two arrivals.
 	lastEventAt  time.Time
 	longestPause time.Duration
+	// prefillTime is how long the separate prefill took, zero if there was none.
+	prefillTime time.Duration
 	// cacheHandle identifies the KV cache at the prefill engine, cacheSource is where the decode engine fetches it.
 	cacheHandle string
 	cacheSource string
@@ -92,7 +94,10 @@
 	line = describeLoad(line, a.placement.Ahead, a.placement.Arbiter)
 	if a.placement.Prefiller != "" {
 		line = line.Str("reader", string(a.placement.Prefiller)).
-			Int("readerAhead", int(a.placement.PrefillerAhead.QueuedPrefill))
+			Int("readerAhead", int(a.placement.PrefillerAhead.QueuedPrefill)).Dur("prefillMs", a.prefillTime)
+	}
+	if a.placement.Tokens > 0 {
+		line = line.Int("uncachedTokens", int(a.placement.Tokens))
 	}
 	if !a.firstEventAt.IsZero() {
 		line = line.Dur("firstMs", a.firstEventAt.Sub(a.sentAt)).Dur("longestPauseMs", a.longestPause)
@@ -218,7 +223,11 @@
 func (e *exchange) prefill() bool {
 	placement := e.last.placement
 	outcome := allocator.OutcomeCancelled
-	defer func() { e.forwarder.governor.PrefillEnded(time.Now(), &e.last.placement, outcome) }()
+	started := time.Now()
+	defer func() {
+		e.last.prefillTime = time.Since(started)
+		e.forwarder.governor.PrefillEnded(time.Now(), &e.last.placement, outcome)
+	}()
 	prefiller, listed := e.forwarder.governor.Entry(placement.Prefiller)
 	if !listed {
 		return false
