Forward the records of the store among neighbours

Change: the instance that reads the store forwards the records themselves, not only their offsets, compressed and in fragments where they are large. An instance whose calls fail makes none while it hears from its neighbours. The list of members is read by long polling, so that instances that start together know each other within a second.

--- a/core/elector/elector.go
+++ b/core/elector/elector.go
@@ -151,6 +151,20 @@
 	return rank
 }
 
+// Readers returns the usable neighbours that come first in the order of a duty, at most limit.
+func (e *Elector) Readers(now time.Time, duty Duty, limit int) []Member {
+	var readers []Member
+	for _, m := range e.order(duty) {
+		if len(readers) == limit {
+			break
+		}
+		if e.isNeighbour(m) && m.usable(now) && m.Instance != e.self.Instance {
+			readers = append(readers, m.Member)
+		}
+	}
+	return readers
+}
+
 // Neighbours returns the other members with which this instance shares its reads of the store, without leaving ones.
 func (e *Elector) Neighbours() []Member {
 	var neighbours []Member
--- a/core/pacer/pacer.go
+++ b/core/pacer/pacer.go
@@ -37,7 +37,7 @@
 	// holdTime is how long the store holds a read without new records (long polling).
 	holdTime time.Duration
 	own      View
-	// synced is true once a snapshot of the topic has been read.
+	// synced is true once a snapshot of the topic has been read or received.
 	synced bool
 	// peerReadAt is the latest read of an instance whose view continues this one's without a gap.
 	peerReadAt time.Time
@@ -69,7 +69,8 @@
 // DeltaRead records a read of the records before the offset next and returns the new view. changed is the offset after
 // the last relevant record; zero when there was none.
 func (p *Pacer) DeltaRead(now time.Time, next, changed uint64) View {
-	p.own.Next, p.own.ReadAt = next, now
+	// Records after next may have been forwarded by another instance meanwhile.
+	p.own.Next, p.own.ReadAt = max(p.own.Next, next), now
 	// The store's responses are ordered: records that another instance read earlier are in this read, or don't exist.
 	p.peerChange = 0
 	p.own.Changed = max(p.own.Changed, changed)
@@ -104,6 +105,32 @@
 	return true
 }
 
+// PeerSnapshotReceived merges a snapshot that another instance has sent. It returns false if this instance has read the
+// topic as far already.
+func (p *Pacer) PeerSnapshotReceived(v View) bool {
+	if p.synced && v.Next <= p.own.Next {
+		return false
+	}
+	p.own = View{First: v.Next, Next: v.Next, Changed: v.Changed, ReadAt: p.own.ReadAt}
+	p.synced, p.peerReadAt = true, v.ReadAt
+	return true
+}
+
+// HasGapTo reports whether records lie between those that this instance has read and those that another one has followed.
+func (p *Pacer) HasGapTo(v View) bool { return p.synced && v.First > p.own.Next }
+
+// Synced reports whether a snapshot of the topic has been read or received.
+func (p *Pacer) Synced() bool { return p.synced }
+
+// View returns this instance's view, for an instance that asks for it.
+func (p *Pacer) View() View {
+	v := p.own
+	if p.peerReadAt.After(v.ReadAt) {
+		v.ReadAt = p.peerReadAt
+	}
+	return v
+}
+
 // BehindPeers reports whether the next read only catches up with what another instance has read and forwarded.
 func (p *Pacer) BehindPeers() bool { return p.synced && p.peerChange > p.own.Next }
 
--- a/rosemaryspool/gatekeeper/gatekeeper.go
+++ b/rosemaryspool/gatekeeper/gatekeeper.go
@@ -7,6 +7,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -86,12 +87,14 @@
 		return nil, err
 	}
 	g.courier = peers
-	g.gossiper = gossiper.NewGossiper(g.governor, g.courier, g.handleView, log)
+	seeds := strings.FieldsFunc(settings.Seeds, func(r rune) bool { return r == ',' })
+	g.gossiper = gossiper.NewGossiper(g.governor, g.courier, seeds, g.handleView, log)
 	g.delegator = delegator.NewDelegator(g.governor, g.courier, log, registry)
 	g.forwarder = forwarder.NewForwarder(g.governor, g.delegator, g.connector, log, registry)
 	g.subscriber = subscriber.NewSubscriber(
-		platform.NewStore(settings.StoreAddress), g.governor, g.gossiper.ForwardView,
-		settings.MaxDrainDelay, settings.MaxApplyDelay, log,
+		platform.NewStore(settings.StoreAddress), g.governor, g.gossiper, subscriber.Settings{
+			DrainLimit: settings.MaxDrainDelay, ApplyLimit: settings.MaxApplyDelay, FirstStart: settings.FirstStart,
+		}, log,
 	)
 	g.status = newStatusHandler(g.governor, registry)
 	if err := g.listen(); err != nil {
@@ -121,6 +124,8 @@
 		g.delegator.HandleReply(r, body.PlacementReply)
 	case *messenger.Datagram_StoreUpdate:
 		g.gossiper.HandleStoreUpdate(r, body.StoreUpdate)
+	case *messenger.Datagram_StoreRequest:
+		g.subscriber.HandleViewRequest(r.Sender, body.StoreRequest.GetTopics())
 	}
 }
 
@@ -131,6 +136,7 @@
 	g.subscriber.SetLimits(settings.MaxDrainDelay, settings.MaxApplyDelay)
 	g.stopLimit.Store(int64(settings.TerminationGracePeriod))
 	kept := g.settings
+	kept.FirstStart, kept.Seeds = settings.FirstStart, settings.Seeds
 	kept.MaxDrainDelay, kept.MaxApplyDelay, kept.TerminationGracePeriod =
 		settings.MaxDrainDelay, settings.MaxApplyDelay, settings.TerminationGracePeriod
 	kept.RetryBudgetRatio, kept.RetryBudgetExtra, kept.RetryWindow =
--- /dev/null
+++ b/rosemaryspool/gossiper/assembler.go
@@ -0,0 +1,92 @@
+package gossiper
+
+import (
+	"bytes"
+	"compress/flate"
+	"io"
+
+	"github.com/rotisserie/eris"
+
+	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/wire/messenger"
+)
+
+// maxRecordBytes bounds a decompressed record; the store takes records of up to 256 KiB.
+const maxRecordBytes = 1 << 20
+
+// fragment compresses a record and splits it.
+func fragment(r Record) []*messenger.StoreRecord {
+	var compressed bytes.Buffer
+	// Errors are for an invalid level and a failing writer, which this one isn't.
+	w, _ := flate.NewWriter(&compressed, flate.DefaultCompression)
+	_, _ = w.Write(r.Value)
+	_ = w.Close()
+	size := maxUpdateBytes - recordOverheadBytes - len(r.Key)
+	count := (compressed.Len() + size - 1) / size
+	fragments := make([]*messenger.StoreRecord, 0, count)
+	for i := range count {
+		fragments = append(fragments, &messenger.StoreRecord{
+			Key: r.Key, Value: bytes.Clone(compressed.Next(size)), Offset: r.Offset,
+			Fragment: uint32(i), Fragments: uint32(count),
+		})
+	}
+	return fragments
+}
+
+// assemblyKey identifies whose fragments of which topic are being joined.
+type assemblyKey struct {
+	instance identifier.InstanceID
+	topic    string
+}
+
+// assembly holds the fragments of one record. Missing ones are nil.
+type assembly struct {
+	offset    uint64
+	fragments [][]byte
+	missing   int
+}
+
+// assembler joins the fragments of the newest record that each instance forwards of each topic. It is not safe for
+// concurrent use.
+type assembler struct{ assemblies map[assemblyKey]*assembly }
+
+func newAssembler() assembler { return assembler{assemblies: map[assemblyKey]*assembly{}} }
+
+// add adds a view whose record may be a fragment. It returns true when the view's records are whole; the last fragment is
+// then replaced by the record.
+func (a assembler) add(sender identifier.InstanceID, t *messenger.TopicView) (bool, error) {
+	if len(t.GetRecords()) != 1 || t.GetRecords()[0].GetFragments() == 0 {
+		return true, nil
+	}
+	r := t.GetRecords()[0]
+	if r.GetFragment() >= r.GetFragments() || r.GetFragments() > maxFragments {
+		return false, eris.Errorf("fragment %d of %d", r.GetFragment(), r.GetFragments())
+	}
+	key := assemblyKey{instance: sender, topic: t.GetTopic()}
+	joined := a.assemblies[key]
+	if joined == nil || joined.offset != r.GetOffset() || len(joined.fragments) != int(r.GetFragments()) {
+		joined = &assembly{
+			offset: r.GetOffset(), fragments: make([][]byte, r.GetFragments()), missing: int(r.GetFragments()),
+		}
+		a.assemblies[key] = joined
+	}
+	if joined.fragments[r.GetFragment()] == nil {
+		joined.fragments[r.GetFragment()] = r.GetValue()
+		joined.missing--
+	}
+	if joined.missing > 0 {
+		return false, nil
+	}
+	delete(a.assemblies, key)
+	value, err := decompress(bytes.Join(joined.fragments, nil))
+	if err != nil {
+		return false, err
+	}
+	r.Value, r.Fragment, r.Fragments = value, 0, 0
+	return true, nil
+}
+
+func decompress(content []byte) ([]byte, error) {
+	value, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(content)), maxRecordBytes))
+	return value, eris.Wrap(err, "decompress a record")
+}
--- a/rosemaryspool/gossiper/gossiper.go
+++ b/rosemaryspool/gossiper/gossiper.go
@@ -13,7 +13,6 @@
 	"rosemaryspool.example/core/allocator"
 	"rosemaryspool.example/core/elector"
 	"rosemaryspool.example/core/identifier"
-	"rosemaryspool.example/core/pacer"
 	"rosemaryspool.example/rosemaryspool/courier"
 	"rosemaryspool.example/rosemaryspool/governor"
 	"rosemaryspool.example/wire/messenger"
@@ -32,24 +31,6 @@
 	standbyReports = 1
 )
 
-// View is a state of a topic of the store with its newest records.
-type View struct {
-	pacer.View
-	// Records holds all relevant records from the offset RecordsFrom on and before RecordsTo.
-	RecordsFrom uint64
-	RecordsTo   uint64
-	Records     []Record
-	// OutageAge is the time since the store was last unavailable; zero when it never was.
-	OutageAge time.Duration
-}
-
-// Record is a record of a topic of the store.
-type Record struct {
-	Key    string
-	Value  []byte
-	Offset uint64
-}
-
 // reportKey identifies the reports of one process about one service.
 type reportKey struct {
 	instance identifier.InstanceID
@@ -67,9 +48,13 @@
 	courier  *courier.Courier
 	log      zerolog.Logger
 	done     chan struct{}
-	onView   func(topic string, v View)
+	// seeds are the addresses of instances that are asked for views of the store while no other instance is known.
+	seeds  []string
+	onView func(topic string, v View)
 
 	mu sync.Mutex
+	// assembler joins the fragments of records that other instances forward.
+	assembler assembler
 	// received holds the newest report of each other instance, so that outdated ones are recognised.
 	received map[reportKey]lastReport
 	// sentAt is when the last report about a service was sent to its arbiter, standbySentAt the same for the stand-by.
@@ -77,14 +62,15 @@
 	standbySentAt map[identifier.ServiceName]time.Time
 }
 
-// NewGossiper returns a gossiper that calls onView with each view of the store that another instance forwards.
+// NewGossiper returns a gossiper that calls onView with each view of the store that another instance forwards. While no
+// other instance is known, those at the addresses of seeds are asked.
 func NewGossiper(
-	g *governor.Governor, c *courier.Courier, onView func(topic string, v View), log zerolog.Logger,
+	g *governor.Governor, c *courier.Courier, seeds []string, onView func(topic string, v View), log zerolog.Logger,
 ) *Gossiper {
 	return &Gossiper{
-		governor: g, courier: c, log: log, done: make(chan struct{}), onView: onView,
+		governor: g, courier: c, log: log, done: make(chan struct{}), seeds: seeds, onView: onView,
 		received: map[reportKey]lastReport{}, sentAt: map[identifier.ServiceName]time.Time{},
-		standbySentAt: map[identifier.ServiceName]time.Time{},
+		standbySentAt: map[identifier.ServiceName]time.Time{}, assembler: newAssembler(),
 	}
 }
 
@@ -186,23 +172,6 @@
 	}
 }
 
-// ForwardView sends a view of the store to the other instances of this data centre.
-func (g *Gossiper) ForwardView(topic string, v View) {
-	now := time.Now()
-	for _, update := range encodeView(now, topic, v) {
-		for _, m := range g.governor.Neighbours() {
-			g.courier.Send(m, &messenger.Datagram{Body: &messenger.Datagram_StoreUpdate{StoreUpdate: update}})
-		}
-	}
-}
-
-// HandleStoreUpdate passes the views of another instance on.
-func (g *Gossiper) HandleStoreUpdate(r courier.Received, update *messenger.StoreUpdate) {
-	for _, t := range update.GetTopics() {
-		g.onView(t.GetTopic(), decodeView(r.At, t))
-	}
-}
-
 // EncodeReport returns the message for a report.
 func EncodeReport(r governor.Report) *messenger.WorkReport {
 	m := &messenger.WorkReport{
@@ -254,58 +223,3 @@
 		QueuedPrefill: identifier.Tokens(w.GetPromptTokens()),
 	}
 }
-
-// recordOverheadBytes bounds what a record adds to a message beside its key and value.
-const recordOverheadBytes = 32
-
-// maxUpdateBytes bounds the records of one message; the rest of a datagram is for its sender and the view.
-const maxUpdateBytes = courier.MaxDatagramBytes - 300
-
-// encodeView splits a view into messages that fit into a datagram, each with the records of a range of offsets. A record
-// that is too large for a datagram ends the last range; the receivers then read the rest from the store.
-func encodeView(now time.Time, topic string, v View) []*messenger.StoreUpdate {
-	var ranges []*messenger.TopicView
-	current := &messenger.TopicView{RecordsFrom: v.RecordsFrom, RecordsTo: v.RecordsTo}
-	size := 0
-	for _, r := range v.Records {
-		length := len(r.Key) + len(r.Value) + recordOverheadBytes
-		if length > maxUpdateBytes {
-			current.RecordsTo = r.Offset
-			break
-		}
-		if size+length > maxUpdateBytes {
-			current.RecordsTo = r.Offset
-			ranges = append(ranges, current)
-			current, size = &messenger.TopicView{RecordsFrom: r.Offset, RecordsTo: v.RecordsTo}, 0
-		}
-		current.Records = append(current.Records, &messenger.StoreRecord{Key: r.Key, Value: r.Value, Offset: r.Offset})
-		size += length
-	}
-	ranges = append(ranges, current)
-	messages := make([]*messenger.StoreUpdate, 0, len(ranges))
-	for i, t := range ranges {
-		t.Topic, t.First, t.Next, t.Changed = topic, v.First, v.Next, v.Changed
-		t.AgeMs, t.OutageAgeMs = identifier.Milliseconds(now.Sub(v.ReadAt)), identifier.Milliseconds(v.OutageAge)
-		if i < len(ranges)-1 {
-			// The rest follows in the next datagram, so the receivers need not read it from the store.
-			t.Next, t.Changed = t.RecordsTo, t.RecordsTo
-		}
-		messages = append(messages, &messenger.StoreUpdate{Topics: []*messenger.TopicView{t}})
-	}
-	return messages
-}
-
-func decodeView(at time.Time, t *messenger.TopicView) View {
-	v := View{
-		View: pacer.View{
-			First: t.GetFirst(), Next: t.GetNext(), Changed: t.GetChanged(),
-			ReadAt: at.Add(-time.Duration(t.GetAgeMs()) * time.Millisecond),
-		},
-		RecordsFrom: t.GetRecordsFrom(), RecordsTo: t.GetRecordsTo(),
-		OutageAge: time.Duration(t.GetOutageAgeMs()) * time.Millisecond,
-	}
-	for _, r := range t.GetRecords() {
-		v.Records = append(v.Records, Record{Key: r.GetKey(), Value: r.GetValue(), Offset: r.GetOffset()})
-	}
-	return v
-}
--- /dev/null
+++ b/rosemaryspool/gossiper/view.go
@@ -0,0 +1,167 @@
+package gossiper
+
+import (
+	"time"
+
+	"rosemaryspool.example/core/elector"
+	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/core/pacer"
+	"rosemaryspool.example/rosemaryspool/courier"
+	"rosemaryspool.example/wire/messenger"
+)
+
+const (
+	// recordOverheadBytes bounds what a record adds to a message beside its key and value.
+	recordOverheadBytes = 32
+	// maxUpdateBytes bounds the records of one message; the rest of a datagram is for its sender and the view.
+	maxUpdateBytes = courier.MaxDatagramBytes - 300
+	// maxFragments bounds the datagrams that one record takes. A larger record is read from the store by each instance.
+	maxFragments = 64
+)
+
+// View is a state of a topic of the store with its newest records.
+type View struct {
+	pacer.View
+	// Records holds all relevant records from the offset RecordsFrom on and before RecordsTo.
+	RecordsFrom uint64
+	RecordsTo   uint64
+	Records     []Record
+	// Snapshot is true if Records holds the newest record of each key.
+	Snapshot bool
+	// OutageAge is the time since the store was last unavailable; zero when it never was.
+	OutageAge time.Duration
+}
+
+// Record is a record of a topic of the store. A nil Value deletes the key.
+type Record struct {
+	Key    string
+	Value  []byte
+	Offset uint64
+}
+
+// ForwardView sends a view of the store to the neighbours.
+func (g *Gossiper) ForwardView(topic string, v View) { g.SendView(g.governor.Neighbours(), topic, v) }
+
+// SendView sends a view of the store to other instances.
+func (g *Gossiper) SendView(to []elector.Member, topic string, v View) {
+	for _, update := range encodeView(time.Now(), topic, v) {
+		for _, m := range to {
+			g.courier.Send(m, &messenger.Datagram{Body: &messenger.Datagram_StoreUpdate{StoreUpdate: update}})
+		}
+	}
+}
+
+// RequestView asks the instances that read the store for the newest records of a topic.
+func (g *Gossiper) RequestView(topic string) {
+	readers := g.governor.Readers(time.Now())
+	if len(readers) == 0 {
+		for _, address := range g.seeds {
+			if address != g.governor.Self().Address {
+				readers = append(readers, elector.Member{Address: address})
+			}
+		}
+	}
+	for _, m := range readers {
+		g.courier.Send(m, &messenger.Datagram{Body: &messenger.Datagram_StoreRequest{
+			StoreRequest: &messenger.StoreRequest{Topics: []string{topic}},
+		}})
+	}
+}
+
+// HandleStoreUpdate passes the views of another instance on. One whose record is still incomplete waits for the other
+// fragments.
+func (g *Gossiper) HandleStoreUpdate(r courier.Received, update *messenger.StoreUpdate) {
+	for _, t := range update.GetTopics() {
+		g.mu.Lock()
+		complete, err := g.assembler.add(r.Sender.Instance, t)
+		g.mu.Unlock()
+		if err != nil {
+			g.log.Warn().Err(err).Str("event", "datagramUnreadable").Str("peer", string(r.Sender.Instance)).
+				Msg("Skipping an invalid record of the store")
+			continue
+		}
+		if complete {
+			g.onView(t.GetTopic(), decodeView(r.At, t))
+		}
+	}
+}
+
+// encodeView splits a view into messages that fit into a datagram, each with the records of a range of offsets. A record
+// that is too large for a datagram is compressed and sent in fragments.
+func encodeView(now time.Time, topic string, v View) []*messenger.StoreUpdate {
+	ranges := splitRecords(v)
+	messages := make([]*messenger.StoreUpdate, 0, len(ranges))
+	for i, t := range ranges {
+		t.Topic, t.First, t.Next, t.Changed = topic, v.First, v.Next, v.Changed
+		t.Snapshot = v.Snapshot
+		t.AgeMs, t.OutageAgeMs = identifier.Milliseconds(now.Sub(v.ReadAt)), identifier.Milliseconds(v.OutageAge)
+		if i < len(ranges)-1 && !v.Snapshot {
+			// The rest follows in the next datagram, so the receivers need not read it from the store.
+			t.Next, t.Changed = t.RecordsTo, t.RecordsTo
+		}
+		messages = append(messages, &messenger.StoreUpdate{Topics: []*messenger.TopicView{t}})
+	}
+	return messages
+}
+
+// splitRecords returns the ranges of a view's records, one for each datagram. The fragments of a record have the same
+// range. A record that takes too many of them ends the last range; the receivers then read the rest from the store.
+func splitRecords(v View) []*messenger.TopicView {
+	var ranges []*messenger.TopicView
+	current := &messenger.TopicView{RecordsFrom: v.RecordsFrom, RecordsTo: v.RecordsTo}
+	size := 0
+	// finish ends the current range before an offset.
+	finish := func(to uint64) {
+		if len(current.Records) > 0 {
+			current.RecordsTo = to
+			ranges = append(ranges, current)
+			current, size = &messenger.TopicView{RecordsFrom: to, RecordsTo: v.RecordsTo}, 0
+		}
+	}
+	for i, r := range v.Records {
+		length := len(r.Key) + len(r.Value) + recordOverheadBytes
+		if length <= maxUpdateBytes {
+			if size+length > maxUpdateBytes {
+				finish(r.Offset)
+			}
+			current.Records = append(current.Records, &messenger.StoreRecord{Key: r.Key, Value: r.Value, Offset: r.Offset})
+			size += length
+			continue
+		}
+		finish(r.Offset)
+		fragments := fragment(r)
+		if len(fragments) > maxFragments {
+			current.RecordsTo = r.Offset
+			break
+		}
+		to := v.RecordsTo
+		if i < len(v.Records)-1 {
+			to = v.Records[i+1].Offset
+		}
+		for _, f := range fragments {
+			ranges = append(ranges, &messenger.TopicView{
+				RecordsFrom: current.RecordsFrom, RecordsTo: to, Records: []*messenger.StoreRecord{f},
+			})
+		}
+		current = &messenger.TopicView{RecordsFrom: to, RecordsTo: v.RecordsTo}
+	}
+	if len(ranges) == 0 || current.RecordsFrom < current.RecordsTo {
+		ranges = append(ranges, current)
+	}
+	return ranges
+}
+
+func decodeView(at time.Time, t *messenger.TopicView) View {
+	v := View{
+		View: pacer.View{
+			First: t.GetFirst(), Next: t.GetNext(), Changed: t.GetChanged(),
+			ReadAt: at.Add(-time.Duration(t.GetAgeMs()) * time.Millisecond),
+		},
+		RecordsFrom: t.GetRecordsFrom(), RecordsTo: t.GetRecordsTo(), Snapshot: t.GetSnapshot(),
+		OutageAge: time.Duration(t.GetOutageAgeMs()) * time.Millisecond,
+	}
+	for _, r := range t.GetRecords() {
+		v.Records = append(v.Records, Record{Key: r.GetKey(), Value: r.GetValue(), Offset: r.GetOffset()})
+	}
+	return v
+}
--- a/rosemaryspool/governor/member.go
+++ b/rosemaryspool/governor/member.go
@@ -81,6 +81,17 @@
 	return g.elector.Rank(now, readerDuty)
 }
 
+// requestedReaders is the number of instances that are asked for what they have read of the store: the first one may have
+// started together with this instance.
+const requestedReaders = 2
+
+// Readers returns the instances that this one asks for what they have read of the store.
+func (g *Governor) Readers(now time.Time) []elector.Member {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.elector.Readers(now, readerDuty, requestedReaders)
+}
+
 // Neighbours returns the other instances of this data centre.
 func (g *Governor) Neighbours() []elector.Member {
 	g.mu.Lock()
--- /dev/null
+++ b/rosemaryspool/subscriber/applier.go
@@ -0,0 +1,86 @@
+package subscriber
+
+import (
+	"time"
+
+	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/core/tracker"
+	"rosemaryspool.example/platform"
+)
+
+func (s *Subscriber) applyConfigurations(records []platform.Record, _ bool) []platform.Record {
+	var relevant []platform.Record
+	for _, r := range records {
+		if r.Key != platform.KeyConfiguration || len(r.Value) == 0 {
+			continue
+		}
+		c, err := platform.DecodeConfiguration(r.Value)
+		if err != nil {
+			s.log.Error().Err(err).Str("event", "configurationUnreadable").Uint64("offset", r.Offset).
+				Msg("Skipping an invalid configuration; the previous one stays in force")
+			continue
+		}
+		s.governor.SetConfiguration(c)
+		relevant = append(relevant, r)
+	}
+	return relevant
+}
+
+func (s *Subscriber) applyServers(records []platform.Record, snapshot bool) []platform.Record {
+	now := time.Now()
+	var relevant []platform.Record
+	cause := "records"
+	if snapshot {
+		cause = "newest"
+	}
+	s.governor.UpdateUpstreams(now, cause, func(t *tracker.Tracker) bool {
+		t.StoreAvailable(now)
+		changed := false
+		listed := map[identifier.UpstreamID]bool{}
+		for _, r := range records {
+			id := identifier.UpstreamID(r.Key)
+			if len(r.Value) == 0 {
+				changed = t.Delete(now, id, r.Offset) || changed
+				// An upstream that may be listed again is not removed yet, but the other instances must read the
+				// record.
+				relevant = append(relevant, r)
+				continue
+			}
+			// An invalid entry doesn't invalidate the upstream's previous one.
+			listed[id] = true
+			e, err := platform.DecodeServer(r.Key, r.Value)
+			if err != nil {
+				s.log.Warn().Err(err).Str("event", "upstreamUnreadable").Uint64("offset", r.Offset).
+					Msg("Skipping an invalid entry of an upstream")
+				continue
+			}
+			if t.Update(e, r.Offset) {
+				changed = true
+				relevant = append(relevant, r)
+			}
+		}
+		if snapshot {
+			changed = t.Retain(now, listed) || changed
+		}
+		return changed
+	})
+	return relevant
+}
+
+func (s *Subscriber) applyMembers(records []platform.Record, _ bool) []platform.Record {
+	var relevant []platform.Record
+	for _, r := range records {
+		if len(r.Value) == 0 {
+			continue
+		}
+		m, err := platform.DecodeMember(r.Key, r.Value)
+		if err != nil {
+			s.log.Warn().Err(err).Str("event", "memberUnreadable").Uint64("offset", r.Offset).
+				Msg("Skipping an invalid entry of an instance")
+			continue
+		}
+		s.governor.SetMember(time.Now(), m)
+		relevant = append(relevant, r)
+	}
+	return relevant
+}
--- /dev/null
+++ b/rosemaryspool/subscriber/follower.go
@@ -0,0 +1,233 @@
+package subscriber
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"rosemaryspool.example/core/pacer"
+	"rosemaryspool.example/platform"
+	"rosemaryspool.example/rosemaryspool/gossiper"
+)
+
+const (
+	// callTimeout is the limit for a call to the store, in addition to the hold time of a long poll. A slow store
+	// takes some hundred ms.
+	callTimeout = 900 * time.Millisecond
+	// initialBackoff is the wait before the first retry of a failed call. It doubles up to maxBackoff, which leaves
+	// time to read changes within the limits once the store is available again.
+	initialBackoff = 300 * time.Millisecond
+	maxBackoff     = 900 * time.Millisecond
+	// mainReaders is the number of instances that retry with maxBackoff. The others leave it to them to find the end of an
+	// outage, and retry with patientBackoff.
+	mainReaders    = 3
+	patientBackoff = 2500 * time.Millisecond
+)
+
+// topic is one followed topic.
+type topic struct {
+	name string
+	// wait is how long the store may hold a read, pacer schedules the reads; the subscriber's mutex guards both.
+	wait  time.Duration
+	pacer *pacer.Pacer
+	// newest holds the newest relevant record of each key, for instances that start; the subscriber's mutex guards it.
+	newest map[string]platform.Record
+	// incoming holds the records of a snapshot that another instance is sending, up to the offset incomingTo.
+	incoming   []platform.Record
+	incomingTo uint64
+	// apply applies records and returns those that other instances must read. snapshot is true when the records cover all
+	// keys of the topic.
+	apply     func(records []platform.Record, snapshot bool) []platform.Record
+	onFailure func(now time.Time)
+	// wake receives a value when another instance reports records that this one has not read, or has sent a snapshot.
+	wake chan struct{}
+
+	unavailable bool
+	// failures counts the failed reads in a row, retryAt is the earliest time of the next one.
+	failures int
+	retryAt  time.Time
+	// cancel ends the current read; nil between reads. The subscriber's mutex guards it.
+	cancel context.CancelFunc
+}
+
+func (s *Subscriber) follow(ctx context.Context, t *topic) {
+	for s.awaitDue(ctx, t) {
+		err := s.read(ctx, t)
+		switch {
+		case ctx.Err() != nil:
+			return
+		case errors.Is(err, context.Canceled):
+		case err == nil:
+			s.readSucceeded(t)
+		default:
+			s.readFailed(t, err)
+		}
+	}
+}
+
+// awaitDue waits until the next read of a topic is due. After a failure that is not before the retry, and as long as
+// another instance reads for this one it is never due. It returns false if ctx ends first.
+func (s *Subscriber) awaitDue(ctx context.Context, t *topic) bool {
+	for {
+		now := time.Now()
+		s.mu.Lock()
+		due := t.pacer.NextReadAt(s.governor.ReaderRank(now))
+		s.mu.Unlock()
+		if due.Before(t.retryAt) {
+			due = t.retryAt
+		}
+		left := due.Sub(now)
+		if left <= 0 {
+			return ctx.Err() == nil
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-t.wake:
+		case <-time.After(left):
+		}
+	}
+}
+
+// read reads the next records, or a snapshot if the next offset is unknown or trimmed.
+func (s *Subscriber) read(ctx context.Context, t *topic) error {
+	s.mu.Lock()
+	next, known := t.pacer.NextOffset()
+	wait := t.wait
+	catchesUp := t.pacer.BehindPeers()
+	s.mu.Unlock()
+	if !known {
+		wait = 0
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
+	defer cancel()
+	s.setCancel(t, cancel)
+	defer s.setCancel(t, nil)
+	if known {
+		records, end, err := s.store.Read(ctx, t.name, next, wait)
+		var trimmed *platform.TrimmedError
+		switch {
+		case errors.As(err, &trimmed):
+			s.log.Warn().Str("event", "historyTrimmed").Str("topic", t.name).Uint64("from", next).
+				Uint64("start", trimmed.FirstOffset).Msg("Records were trimmed; reading a snapshot")
+		case err != nil:
+			return err
+		default:
+			relevant := s.applyRecords(t, records, false)
+			view := s.recordRead(t, next, end, relevant)
+			if !catchesUp {
+				s.exchange.ForwardView(t.name, view)
+			}
+			return nil
+		}
+	}
+	records, end, err := s.store.ReadNewest(ctx, t.name)
+	if err != nil {
+		return err
+	}
+	s.applyRecords(t, records, true)
+	now := time.Now()
+	s.mu.Lock()
+	view := t.pacer.SnapshotRead(now, end)
+	s.mu.Unlock()
+	if s.governor.ReaderRank(now) == 0 {
+		// Neighbours that have not read as far ask for the snapshot.
+		s.exchange.ForwardView(t.name, gossiper.View{View: view, RecordsFrom: end, RecordsTo: end})
+	}
+	return nil
+}
+
+// applyRecords applies records and keeps the relevant ones, which it returns.
+func (s *Subscriber) applyRecords(t *topic, records []platform.Record, snapshot bool) []platform.Record {
+	relevant := t.apply(records, snapshot)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if snapshot {
+		clear(t.newest)
+		relevant = records
+	}
+	for _, r := range relevant {
+		if len(r.Value) == 0 {
+			delete(t.newest, r.Key)
+			continue
+		}
+		t.newest[r.Key] = r
+	}
+	return relevant
+}
+
+// recordRead records a read of the records from one offset to another in the pacer, and returns the view of the topic with
+// the relevant records.
+func (s *Subscriber) recordRead(t *topic, from, to uint64, relevant []platform.Record) gossiper.View {
+	now := time.Now()
+	changed := uint64(0)
+	records := make([]gossiper.Record, 0, len(relevant))
+	for _, r := range relevant {
+		changed = max(changed, r.Offset+1)
+		records = append(records, gossiper.Record(r))
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return gossiper.View{
+		View: t.pacer.DeltaRead(now, to, changed), RecordsFrom: from, RecordsTo: to, Records: records,
+		OutageAge: s.governor.OutageAge(now),
+	}
+}
+
+// backoff returns the wait before the next retry after a number of failures in a row, for an instance that rank others
+// precede in reading the store.
+func backoff(failures, rank int) time.Duration {
+	limit := maxBackoff
+	if rank >= mainReaders {
+		limit = patientBackoff
+	}
+	pause := initialBackoff
+	for range failures - 1 {
+		pause = min(2*pause, limit)
+	}
+	return pause
+}
+
+func (s *Subscriber) readFailed(t *topic, err error) {
+	now := time.Now()
+	t.failures++
+	t.retryAt = now.Add(backoff(t.failures, s.governor.ReaderRank(now)))
+	if t.onFailure != nil {
+		t.onFailure(now)
+	}
+	if !t.unavailable {
+		t.unavailable = true
+		s.log.Warn().Err(err).Str("event", "storeLost").Str("topic", t.name).Int("failures", t.failures).
+			Msg("Store is unavailable; continuing with the state that was read last")
+	}
+	if !s.synced(t) {
+		// Another instance may know what this one can't read.
+		s.exchange.RequestView(t.name)
+	}
+}
+
+func (s *Subscriber) readSucceeded(t *topic) {
+	t.failures, t.retryAt = 0, time.Time{}
+	if t.unavailable {
+		t.unavailable = false
+		s.log.Info().Str("event", "storeRegained").Str("topic", t.name).Msg("Store is available again")
+		s.restartReads(t)
+	}
+}
+
+func (s *Subscriber) setCancel(t *topic, cancel context.CancelFunc) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t.cancel = cancel
+}
+
+// restartReads cancels the long polls of the other topics, which the store may have lost during its outage.
+func (s *Subscriber) restartReads(regained *topic) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, t := range s.topics {
+		if t != regained && t.cancel != nil {
+			t.cancel()
+		}
+	}
+}
--- /dev/null
+++ b/rosemaryspool/subscriber/sharing.go
@@ -0,0 +1,208 @@
+package subscriber
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"rosemaryspool.example/core/elector"
+	"rosemaryspool.example/platform"
+	"rosemaryspool.example/rosemaryspool/gossiper"
+)
+
+const (
+	// maxMembersWait is how long an instance that starts waits for the list of members before it reads the store itself.
+	maxMembersWait = 400 * time.Millisecond
+	// snapshotTries and snapshotWait are how often an instance that starts asks its neighbours for a snapshot, and how long
+	// it waits for each one. Instances that start together are ready for it after a few calls to the store.
+	snapshotTries = 3
+	snapshotWait  = 100 * time.Millisecond
+)
+
+// join makes this instance known to the others and reads the members. At the first start of the whole system it announces
+// itself before it reads, so that of two instances that start together at least one has read the other's record. Later its
+// record of an earlier process is still in the store, unless something has changed.
+func (s *Subscriber) join(ctx context.Context, t *topic) {
+	defer close(s.membersKnown)
+	if !s.firstStart {
+		err := s.read(ctx, t)
+		if err == nil && s.isAnnounced(t) {
+			return
+		}
+		if err != nil {
+			s.readFailed(t, err)
+		}
+	}
+	s.announce(ctx)
+	if err := s.read(ctx, t); err != nil {
+		s.readFailed(t, err)
+	}
+}
+
+// isAnnounced reports whether the store holds this instance's record, apart from the start time.
+func (s *Subscriber) isAnnounced(t *topic) bool {
+	self := s.governor.Self()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	stored, err := platform.DecodeMember(string(self.Instance), t.newest[string(self.Instance)].Value)
+	stored.StartedMs = self.StartedMs
+	return err == nil && stored == self
+}
+
+// announce writes this instance's member record. If the store does not accept it, the other instances learn of this one
+// from its datagrams; the record is written again later.
+func (s *Subscriber) announce(ctx context.Context) {
+	self := s.governor.Self()
+	content, err := platform.EncodeMember(self)
+	if err != nil {
+		s.log.Error().Err(err).Str("event", "memberUnwritable").
+			Msg("Encoding the member record failed; instance is not announced")
+		return
+	}
+	for failures := 1; ctx.Err() == nil; failures++ {
+		call, cancel := context.WithTimeout(ctx, callTimeout)
+		err := s.store.Write(call, platform.TopicMembers, string(self.Instance), content)
+		cancel()
+		if err == nil {
+			return
+		}
+		s.log.Warn().Err(err).Str("event", "storeLost").Str("topic", platform.TopicMembers).
+			Msg("Announcing the instance failed")
+		select {
+		case <-ctx.Done():
+		case <-time.After(backoff(failures, 0)):
+		}
+	}
+}
+
+// requestSnapshot asks the neighbours for the newest records of a topic, unless this instance reads the store for them.
+func (s *Subscriber) requestSnapshot(ctx context.Context, t *topic) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-s.membersKnown:
+	case <-time.After(maxMembersWait):
+	}
+	for range snapshotTries {
+		if s.governor.ReaderRank(time.Now()) == 0 {
+			return
+		}
+		s.exchange.RequestView(t.name)
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.wake:
+		case <-time.After(snapshotWait):
+		}
+		if s.synced(t) {
+			return
+		}
+	}
+}
+
+func (s *Subscriber) synced(t *topic) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return t.pacer.Synced()
+}
+
+// HandleViewRequest sends the newest records of topics to an instance that has started.
+func (s *Subscriber) HandleViewRequest(from elector.Member, names []string) {
+	for _, t := range s.topics {
+		if slices.Contains(names, t.name) && s.synced(t) {
+			s.exchange.SendView([]elector.Member{from}, t.name, s.snapshot(t))
+		}
+	}
+}
+
+// snapshot returns this instance's view of a topic with the newest relevant record of each key.
+func (s *Subscriber) snapshot(t *topic) gossiper.View {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	v := gossiper.View{View: t.pacer.View(), OutageAge: s.governor.OutageAge(time.Now()), Snapshot: true}
+	v.RecordsTo = v.Next
+	for _, r := range t.newest {
+		v.Records = append(v.Records, gossiper.Record(r))
+	}
+	slices.SortFunc(v.Records, func(a, b gossiper.Record) int { return cmp.Compare(a.Offset, b.Offset) })
+	return v
+}
+
+// HandleView handles another instance's view of a topic and the records that it has read.
+func (s *Subscriber) HandleView(name string, v gossiper.View) {
+	for _, t := range s.topics {
+		if t.name != name {
+			continue
+		}
+		if v.OutageAge > 0 && name == platform.TopicServers {
+			s.governor.OutageReported(time.Now().Add(-v.OutageAge))
+		}
+		if v.Snapshot {
+			s.handleSnapshot(t, v)
+		} else {
+			s.handleRecords(t, v)
+		}
+	}
+}
+
+// handleRecords applies records that another instance has read. Those that are missing are read from the store, or
+// requested if the other instance has not followed the topic for as long as this one.
+func (s *Subscriber) handleRecords(t *topic, v gossiper.View) {
+	s.mu.Lock()
+	next, _ := t.pacer.NextOffset()
+	hasGap := t.pacer.HasGapTo(v.View)
+	applies := t.pacer.PeerRecordsReceived(v.RecordsFrom, v.RecordsTo)
+	s.mu.Unlock()
+	if hasGap {
+		s.exchange.RequestView(t.name)
+		return
+	}
+	if applies {
+		s.applyRecords(t, recordsFrom(v.Records, next), false)
+	}
+	s.mu.Lock()
+	mustRead := t.pacer.PeerViewReceived(v.View)
+	s.mu.Unlock()
+	if mustRead {
+		t.signal()
+	}
+}
+
+func recordsFrom(received []gossiper.Record, next uint64) []platform.Record {
+	records := make([]platform.Record, 0, len(received))
+	for _, r := range received {
+		if r.Offset >= next {
+			records = append(records, platform.Record(r))
+		}
+	}
+	return records
+}
+
+// handleSnapshot collects the datagrams of a snapshot and applies it when it is complete. One of which a datagram is
+// missing is dropped.
+func (s *Subscriber) handleSnapshot(t *topic, v gossiper.View) {
+	s.mu.Lock()
+	if v.RecordsFrom == 0 {
+		t.incoming, t.incomingTo = nil, 0
+	}
+	if v.RecordsFrom == t.incomingTo {
+		t.incoming, t.incomingTo = append(t.incoming, recordsFrom(v.Records, 0)...), v.RecordsTo
+	}
+	complete := t.incomingTo == v.Next && v.RecordsTo == v.Next && t.pacer.PeerSnapshotReceived(v.View)
+	records := t.incoming
+	s.mu.Unlock()
+	if complete {
+		s.applyRecords(t, records, true)
+		t.signal()
+	}
+}
+
+// signal ends a wait for the topic.
+func (t *topic) signal() {
+	select {
+	case t.wake <- struct{}{}:
+	default:
+		// A wake-up is pending already.
+	}
+}
