Publish changes that were received from another instance

An instance that received a forwarded record advanced its offset but not the offset of the last change. In the view that it published later, the record looked irrelevant, and an instance that had restarted between the two skipped the new configuration. The same could happen after a read that found a record without news.

Change: the offset of the last change is merged with that of a received view. An instance that starts greets its neighbours, as those that have seen an earlier process leave passed over the new one.

Tests: TestReceivedChangesArePublished and TestRestartedInstanceGetsChangesFromNeighbours failed before.

--- a/core/pacer/pacer.go
+++ b/core/pacer/pacer.go
@@ -88,6 +88,8 @@
 		return true
 	}
 	p.own.Next = max(p.own.Next, v.Next)
+	// An instance that has not read as far must learn from this one's view, too, that there was a change.
+	p.own.Changed = max(p.own.Changed, v.Changed)
 	if v.ReadAt.After(p.peerReadAt) {
 		p.peerReadAt = v.ReadAt
 	}
--- a/core/pacer/pacer_test.go
+++ b/core/pacer/pacer_test.go
@@ -105,3 +105,32 @@
 	p.DeltaRead(at(time.Millisecond), 12, 0)
 	require.True(t, p.NextReadAt(0).After(at(interval)))
 }
+
+// An instance that has received a record from another one publishes it as a change too, or a third one would skip it.
+func TestReceivedChangesArePublished(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		receive func(p *Pacer)
+	}{
+		{"forwarded record", func(p *Pacer) {
+			require.True(t, p.PeerRecordsReceived(10, 20))
+			require.False(t, p.PeerViewReceived(View{First: 5, Next: 20, Changed: 18, ReadAt: at(interval)}))
+		}},
+		{"record that this instance has read as irrelevant", func(p *Pacer) {
+			p.DeltaRead(at(interval), 20, 0)
+			require.False(t, p.PeerViewReceived(View{First: 5, Next: 20, Changed: 18, ReadAt: at(interval)}))
+		}},
+		{"snapshot", func(p *Pacer) {
+			require.True(t, p.PeerSnapshotReceived(View{First: 5, Next: 20, Changed: 18, ReadAt: at(interval)}))
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			p, third := NewPacer(interval, 0), NewPacer(interval, 0)
+			p.SnapshotRead(at(0), 10)
+			third.SnapshotRead(at(0), 12)
+			c.receive(p)
+			v := p.DeltaRead(at(2*interval), 20, 0)
+			require.True(t, third.PeerViewReceived(v) || third.HasGapTo(v), "the third instance must not skip the record")
+		})
+	}
+}
--- a/rosemaryspool/gossiper/gossiper.go
+++ b/rosemaryspool/gossiper/gossiper.go
@@ -139,6 +139,13 @@
 	sentAt[service] = now
 }
 
+// Greet makes this instance known to its neighbours.
+func (g *Gossiper) Greet() {
+	for _, m := range g.governor.Neighbours() {
+		g.courier.Send(m, &messenger.Datagram{})
+	}
+}
+
 // Leave tells the other instances that this one is stopping.
 func (g *Gossiper) Leave() {
 	g.courier.Leave()
--- a/rosemaryspool/subscriber/sharing.go
+++ b/rosemaryspool/subscriber/sharing.go
@@ -25,6 +25,8 @@
 // record of an earlier process is still in the store, unless something has changed.
 func (s *Subscriber) join(ctx context.Context, t *topic) {
 	defer close(s.membersKnown)
+	// Neighbours that have seen an earlier process leave must not pass over this one.
+	defer s.exchange.Greet()
 	if !s.firstStart {
 		err := s.read(ctx, t)
 		if err == nil && s.isAnnounced(t) {
--- a/rosemaryspool/subscriber/subscriber.go
+++ b/rosemaryspool/subscriber/subscriber.go
@@ -39,6 +39,8 @@
 	// ForwardView sends a view to the neighbours, SendView to given instances.
 	ForwardView(topic string, v gossiper.View)
 	SendView(to []elector.Member, topic string, v gossiper.View)
+	// Greet makes this instance known to its neighbours.
+	Greet()
 	// RequestView asks the instances that read the store for the newest records of a topic.
 	RequestView(topic string)
 }
--- a/rosemaryspool/subscriber/subscriber_test.go
+++ b/rosemaryspool/subscriber/subscriber_test.go
@@ -48,7 +48,9 @@
 type instance struct {
 	self     elector.Member
 	governor *governor.Governor
-	stop     func()
+	// leave tells the other instances that this one is stopping.
+	leave func()
+	stop  func()
 }
 
 func newCluster(t *testing.T, prepare func(*emulator.Store)) *cluster {
@@ -113,7 +115,7 @@
 		<-c.Done()
 	}
 	t.Cleanup(stop)
-	return &instance{self: self, governor: g, stop: stop}
+	return &instance{self: self, governor: g, stop: stop, leave: peers.Leave}
 }
 
 // freeAddress returns an address at which datagrams can be received.
@@ -434,3 +436,30 @@
 		return a.Leaving
 	}, drainLimit, 10*time.Millisecond)
 }
+
+// The others must not take an instance that has left and started again for one that is still leaving.
+func TestRestartedInstanceGetsChangesFromNeighbours(t *testing.T) {
+	cl := newClusterOf(t, 4, putOneUpstream)
+	cl.waitReady(t)
+	for i := range cl.instances {
+		left := cl.instances[i]
+		left.leave()
+		left.stop()
+		self := left.self
+		self.StartedMs++
+		cl.instances[i] = startInstance(t, self, cl.address, false)
+		require.Eventually(t, cl.instances[i].governor.Ready, time.Second, time.Millisecond)
+		require.Eventually(t, func() bool {
+			return !slices.ContainsFunc(cl.instances, func(in *instance) bool { return in.governor.Instances() != 4 })
+		}, 500*time.Millisecond, time.Millisecond)
+		cl.store.Put(platform.TopicConfiguration, platform.KeyConfiguration, configuration(i+2))
+		require.Eventually(t, func() bool {
+			for _, in := range cl.instances {
+				if in.governor.Table().Configuration().Version != uint64(i+2) {
+					return false
+				}
+			}
+			return true
+		}, applyLimit/2, time.Millisecond, i)
+	}
+}
