Ask engines for the size of their memory

The model of the caches assumed a million tokens for every engine; these have 680,708, others two million.

Change: the arbiter asks each engine once for its report (a probe each). Nine tenths of the memory count for cached prompts, the rest is for running requests.

--- a/core/allocator/allocator.go
+++ b/core/allocator/allocator.go
@@ -51,6 +51,8 @@
 	hash  uint64
 	cache *promptCache
 	pace  pace
+	// memoryKnown is true once the upstream has told the size of its memory.
+	memoryKnown bool
 }
 
 // load returns the load from all instances.
@@ -237,6 +239,30 @@
 	return loads
 }
 
+// EnginesWithoutMemory returns the engines of a service whose memory size is unknown.
+func (a *Allocator) EnginesWithoutMemory(service identifier.ServiceName) []tracker.Entry {
+	var entries []tracker.Entry
+	for _, u := range a.services[service] {
+		if u.entry.Role != tracker.RoleNone && !u.entry.Leaving && !u.memoryKnown {
+			entries = append(entries, u.entry)
+		}
+	}
+	return entries
+}
+
+// cacheShare is the share of an engine's memory that holds cached prompts; the rest is for running requests.
+const cacheShare = 0.9
+
+// SetMemory sets how many tokens fit into an engine's memory.
+func (a *Allocator) SetMemory(id identifier.UpstreamID, incarnation uint64, tokens identifier.Tokens) {
+	u := a.upstreams[id]
+	if u == nil || u.entry.Incarnation != incarnation {
+		return
+	}
+	u.memoryKnown = true
+	u.cache.resize(identifier.Tokens(cacheShare * float64(tokens)))
+}
+
 // Services returns the services that have upstreams, sorted by name.
 func (a *Allocator) Services() []identifier.ServiceName {
 	names := make([]identifier.ServiceName, 0, len(a.services))
--- a/core/allocator/promptcache.go
+++ b/core/allocator/promptcache.go
@@ -47,6 +47,16 @@
 			c.used += part.Tokens
 		}
 	}
+	c.evict()
+}
+
+// resize changes the size of the engine's memory.
+func (c *promptCache) resize(capacity identifier.Tokens) {
+	c.capacity = capacity
+	c.evict()
+}
+
+func (c *promptCache) evict() {
 	for c.used > c.capacity && c.parts.Len() > 0 {
 		c.parts.RemoveOldest()
 	}
--- a/core/allocator/promptcache_test.go
+++ b/core/allocator/promptcache_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -31,3 +32,21 @@
 		})
 	}
 }
+
+func TestSmallerMemoryEvicts(t *testing.T) {
+	now := time.Now()
+	a := newTestAllocator(1, 0)
+	require.Len(t, a.EnginesWithoutMemory(model), 1)
+	first := longPromptRequest(1, 3000)
+	for i := range 20 {
+		_, refusal := a.PlaceFor(now, "other", "here", uint64(i), longPromptRequest(i+1, 3000))
+		require.Nil(t, refusal)
+		a.UpdatePeer(now, "other", model, Loads{}, uint64(i+1))
+	}
+	require.Positive(t, a.upstreams["u0"].cache.cached(first.Prompt))
+	a.SetMemory("u0", 7, 20000)
+	require.Positive(t, a.upstreams["u0"].cache.cached(first.Prompt), "a report of an earlier incarnation does not count")
+	a.SetMemory("u0", 0, 20000)
+	require.EqualValues(t, 2500, a.upstreams["u0"].cache.cached(first.Prompt), "only the part that all requests share is left")
+	require.Empty(t, a.EnginesWithoutMemory(model))
+}
--- a/rosemaryspool/gatekeeper/gatekeeper.go
+++ b/rosemaryspool/gatekeeper/gatekeeper.go
@@ -26,6 +26,7 @@
 	"rosemaryspool.example/rosemaryspool/forwarder"
 	"rosemaryspool.example/rosemaryspool/gossiper"
 	"rosemaryspool.example/rosemaryspool/governor"
+	"rosemaryspool.example/rosemaryspool/inspector"
 	"rosemaryspool.example/rosemaryspool/subscriber"
 	"rosemaryspool.example/wire/messenger"
 )
@@ -62,6 +63,7 @@
 	courier         *courier.Courier
 	gossiper        *gossiper.Gossiper
 	delegator       *delegator.Delegator
+	inspector       *inspector.Inspector
 	subscriber      *subscriber.Subscriber
 	status          *statusHandler
 	callerListener  net.Listener
@@ -94,6 +96,7 @@
 	g.gossiper = gossiper.NewGossiper(g.governor, g.courier, seeds, g.handleView, log)
 	g.delegator = delegator.NewDelegator(g.governor, g.courier, log, registry)
 	g.forwarder = forwarder.NewForwarder(g.governor, g.delegator, g.connector, log, registry)
+	g.inspector = inspector.NewInspector(g.governor, g.connector, log)
 	g.subscriber = subscriber.NewSubscriber(
 		platform.NewStore(settings.StoreAddress), g.governor, g.gossiper, subscriber.Settings{
 			DrainLimit: settings.MaxDrainDelay, ApplyLimit: settings.MaxApplyDelay, FirstStart: settings.FirstStart,
@@ -192,6 +195,7 @@
 	group.Go(func() { g.courier.Run(backgroundCtx, g.handleDatagram) })
 	group.Go(func() { g.gossiper.Run(backgroundCtx) })
 	group.Go(func() { g.subscriber.Run(backgroundCtx) })
+	group.Go(func() { g.inspector.Run(backgroundCtx) })
 	group.Go(func() { g.closeIdleConnections(backgroundCtx) })
 	group.Go(func() { g.warmUp(backgroundCtx) })
 	err := g.serve(ctx, &group)
--- a/rosemaryspool/governor/member.go
+++ b/rosemaryspool/governor/member.go
@@ -5,6 +5,7 @@
 
 	"rosemaryspool.example/core/elector"
 	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/core/tracker"
 )
 
 // readerDuty is to read the store for the instances of a data centre.
@@ -81,6 +82,27 @@
 	return g.elector.Trusted(now, ArbiterDuty(service), limit)
 }
 
+// ArbitratedEngines returns the engines whose memory size is unknown, of the services that this instance arbitrates.
+func (g *Governor) ArbitratedEngines(now time.Time) []tracker.Entry {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var entries []tracker.Entry
+	for _, service := range g.allocator.Services() {
+		first := g.elector.Trusted(now, ArbiterDuty(service), 1)
+		if len(first) > 0 && first[0].Instance == g.self.Instance {
+			entries = append(entries, g.allocator.EnginesWithoutMemory(service)...)
+		}
+	}
+	return entries
+}
+
+// SetMemory sets how many tokens fit into an engine's memory.
+func (g *Governor) SetMemory(e tracker.Entry, tokens identifier.Tokens) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.allocator.SetMemory(e.Upstream, e.Incarnation, tokens)
+}
+
 // ReaderRank returns how many instances of this data centre read the store before this one.
 func (g *Governor) ReaderRank(now time.Time) int {
 	g.mu.Lock()
--- a/standin/emulator/upstream.go
+++ b/standin/emulator/upstream.go
@@ -64,6 +64,7 @@
 	runs     []Run
 	rejected []Run
 	canceled int
+	reports  int
 	handles  map[string]bool
 	delay    time.Duration
 }
@@ -169,6 +170,10 @@
 		u.mu.Unlock()
 		return
 	}
+	if r.URL.Path == "/-/report" {
+		u.report(w, r)
+		return
+	}
 	id := r.Header.Get(HeaderAttempt)
 	w.Header().Set(HeaderAttempt, id)
 	if expected := r.Header.Get(HeaderExpect); expected != "" && expected != u.ID {
@@ -214,6 +219,34 @@
 	}
 }
 
+// MemoryTokens is the memory size that engines report.
+const MemoryTokens = 500_000
+
+// report responds with the engine's state. Rejects and Resets affect reports as well.
+func (u *Upstream) report(w http.ResponseWriter, r *http.Request) {
+	u.mu.Lock()
+	u.reports++
+	behaviour := u.behaviour
+	u.mu.Unlock()
+	switch {
+	case behaviour == Resets:
+		panic(http.ErrAbortHandler)
+	case behaviour == Rejects:
+		w.WriteHeader(http.StatusServiceUnavailable)
+	case r.Header.Get(HeaderExpect) != u.ID:
+		w.WriteHeader(http.StatusMisdirectedRequest)
+	default:
+		writeJSON(w, http.StatusOK, map[string]any{"stage": u.Stage, "kv-total": MemoryTokens})
+	}
+}
+
+// Reports returns how often the upstream was asked for a report.
+func (u *Upstream) Reports() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.reports
+}
+
 func (u *Upstream) wait(r *http.Request, behaviour Behaviour, delay time.Duration) {
 	if behaviour == Hangs {
 		delay = time.Hour
