Log from whom an instance has its list of upstreams

The line of a changed list now has the sender of the records, the offset up to which the list is known and the incarnation of each entry. No logic is changed.

--- a/rosemaryspool/delegator/delegator_test.go
+++ b/rosemaryspool/delegator/delegator_test.go
@@ -70,7 +70,7 @@
 	for _, m := range members {
 		n.governor.SetMember(time.Now(), m)
 	}
-	n.governor.UpdateUpstreams(time.Now(), "test", func(tr *tracker.Tracker) bool {
+	n.governor.UpdateUpstreams(time.Now(), governor.Origin{}, func(tr *tracker.Tracker) bool {
 		for i := range upstreams {
 			tr.Update(tracker.Entry{Upstream: identifier.UpstreamID(fmt.Sprint("u", i)), Service: service, Slots: 1}, uint64(i+1))
 		}
--- a/rosemaryspool/gossiper/gossiper_test.go
+++ b/rosemaryspool/gossiper/gossiper_test.go
@@ -32,7 +32,7 @@
 		Self:  elector.Member{Instance: "self", Address: "127.0.0.1:0", DataCentre: "here", StartedMs: 5},
 		Retry: budgeter.Settings{Ratio: 0.2, Extra: 50, Window: 10 * time.Second}, Allocator: allocator.DefaultSettings(),
 	}, zerolog.Nop())
-	g.UpdateUpstreams(time.Now(), "test", func(tr *tracker.Tracker) bool {
+	g.UpdateUpstreams(time.Now(), governor.Origin{}, func(tr *tracker.Tracker) bool {
 		return tr.Update(tracker.Entry{Upstream: "u", Service: service, Slots: 6}, 1)
 	})
 	c, err := courier.NewCourier(g.Self(), zerolog.Nop())
--- a/rosemaryspool/gossiper/view.go
+++ b/rosemaryspool/gossiper/view.go
@@ -22,6 +22,8 @@
 // View is a state of a topic of the store with its newest records.
 type View struct {
 	pacer.View
+	// Sender is the instance that forwarded the view; empty for this instance's own.
+	Sender identifier.InstanceID
 	// Records holds all relevant records from the offset RecordsFrom on and before RecordsTo.
 	RecordsFrom uint64
 	RecordsTo   uint64
@@ -81,7 +83,9 @@
 			continue
 		}
 		if complete {
-			g.onView(t.GetTopic(), decodeView(r.At, t))
+			v := decodeView(r.At, t)
+			v.Sender = r.Sender.Instance
+			g.onView(t.GetTopic(), v)
 		}
 	}
 }
--- a/rosemaryspool/governor/governor.go
+++ b/rosemaryspool/governor/governor.go
@@ -4,6 +4,7 @@
 package governor
 
 import (
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -91,9 +92,19 @@
 		Int("routes", len(c.Routes)).Msg("Configuration is in force")
 }
 
+// Origin is where an instance has a part of the list of upstreams from.
+type Origin struct {
+	// Sender is the instance that forwarded the records; empty if they were read from the store.
+	Sender identifier.InstanceID
+	// Snapshot is true for the newest record of each upstream, false for the latest changes.
+	Snapshot bool
+	// FollowedTo is the offset after the last record of the list that is known with them.
+	FollowedTo uint64
+}
+
 // UpdateUpstreams applies changes to the list of upstreams. It logs the list if it changed or was read for the first
 // time.
-func (g *Governor) UpdateUpstreams(now time.Time, cause string, update func(*tracker.Tracker) bool) {
+func (g *Governor) UpdateUpstreams(now time.Time, origin Origin, update func(*tracker.Tracker) bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	changed := update(g.tracker)
@@ -110,11 +121,16 @@
 			leaving++
 		}
 	}
-	g.log.Info().Str("event", "upstreamsListed").Str("cause", cause).Int("upstreams", len(entries)).
-		Int("leaving", leaving).Array("entries", entryList(entries)).Msg("List of upstreams changed")
+	cause := "records"
+	if origin.Snapshot {
+		cause = "snapshot"
+	}
+	g.log.Info().Str("event", "upstreamsListed").Str("cause", cause).Str("sender", string(origin.Sender)).
+		Uint64("followedTo", origin.FollowedTo).Int("upstreams", len(entries)).Int("leaving", leaving).
+		Array("entries", entryList(entries)).Msg("List of upstreams changed")
 }
 
-// entryList is logged as an array of id:role:state.
+// entryList is logged as an array of id:role:state:incarnation.
 type entryList []tracker.Entry
 
 // MarshalZerologArray implements zerolog.LogArrayMarshaler.
@@ -124,7 +140,7 @@
 		if e.Leaving {
 			state = "leaving"
 		}
-		a.Str(string(e.Upstream) + ":" + e.Role.String() + ":" + state)
+		a.Str(fmt.Sprintf("%s:%s:%s:%d", e.Upstream, e.Role, state, e.Incarnation))
 	}
 }
 
--- a/rosemaryspool/inspector/inspector_test.go
+++ b/rosemaryspool/inspector/inspector_test.go
@@ -27,7 +27,7 @@
 	if other {
 		g.SetMember(time.Now(), elector.Member{Instance: "other", Address: "127.0.0.1:9", Capacity: 900, StartedMs: 5})
 	}
-	g.UpdateUpstreams(time.Now(), "test", func(tr *tracker.Tracker) bool {
+	g.UpdateUpstreams(time.Now(), governor.Origin{}, func(tr *tracker.Tracker) bool {
 		for id, u := range upstreams {
 			e := tracker.Entry{Upstream: id, Service: "model", Address: u.Address(), Slots: 6, Role: tracker.RoleDecode}
 			if u.Stage == "" {
--- a/rosemaryspool/subscriber/applier.go
+++ b/rosemaryspool/subscriber/applier.go
@@ -6,9 +6,10 @@
 	"rosemaryspool.example/core/identifier"
 	"rosemaryspool.example/core/tracker"
 	"rosemaryspool.example/platform"
+	"rosemaryspool.example/rosemaryspool/governor"
 )
 
-func (s *Subscriber) applyConfigurations(records []platform.Record, _ bool) []platform.Record {
+func (s *Subscriber) applyConfigurations(records []platform.Record, _ governor.Origin) []platform.Record {
 	var relevant []platform.Record
 	for _, r := range records {
 		if r.Key != platform.KeyConfiguration || len(r.Value) == 0 {
@@ -26,14 +27,10 @@
 	return relevant
 }
 
-func (s *Subscriber) applyServers(records []platform.Record, snapshot bool) []platform.Record {
+func (s *Subscriber) applyServers(records []platform.Record, origin governor.Origin) []platform.Record {
 	now := time.Now()
 	var relevant []platform.Record
-	cause := "records"
-	if snapshot {
-		cause = "newest"
-	}
-	s.governor.UpdateUpstreams(now, cause, func(t *tracker.Tracker) bool {
+	s.governor.UpdateUpstreams(now, origin, func(t *tracker.Tracker) bool {
 		t.StoreAvailable(now)
 		changed := false
 		listed := map[identifier.UpstreamID]bool{}
@@ -59,7 +56,7 @@
 				relevant = append(relevant, r)
 			}
 		}
-		if snapshot {
+		if origin.Snapshot {
 			changed = t.Retain(now, listed) || changed
 		}
 		return changed
@@ -67,7 +64,7 @@
 	return relevant
 }
 
-func (s *Subscriber) applyMembers(records []platform.Record, _ bool) []platform.Record {
+func (s *Subscriber) applyMembers(records []platform.Record, _ governor.Origin) []platform.Record {
 	var relevant []platform.Record
 	for _, r := range records {
 		if len(r.Value) == 0 {
--- a/rosemaryspool/subscriber/follower.go
+++ b/rosemaryspool/subscriber/follower.go
@@ -8,6 +8,7 @@
 	"rosemaryspool.example/core/pacer"
 	"rosemaryspool.example/platform"
 	"rosemaryspool.example/rosemaryspool/gossiper"
+	"rosemaryspool.example/rosemaryspool/governor"
 )
 
 const (
@@ -35,9 +36,8 @@
 	// incoming holds the records of a snapshot that another instance is sending, up to the offset incomingTo.
 	incoming   []platform.Record
 	incomingTo uint64
-	// apply applies records and returns those that other instances must read. snapshot is true when the records cover all
-	// keys of the topic.
-	apply     func(records []platform.Record, snapshot bool) []platform.Record
+	// apply applies records and returns those that other instances must read.
+	apply     func(records []platform.Record, origin governor.Origin) []platform.Record
 	onFailure func(now time.Time)
 	// wake receives a value when another instance reports records that this one has not read, or has sent a snapshot.
 	wake chan struct{}
@@ -113,7 +113,7 @@
 		case err != nil:
 			return err
 		default:
-			relevant := s.applyRecords(t, records, false)
+			relevant := s.applyRecords(t, records, governor.Origin{FollowedTo: end})
 			view := s.recordRead(t, next, end, relevant)
 			if !catchesUp {
 				s.exchange.ForwardView(t.name, view)
@@ -125,7 +125,7 @@
 	if err != nil {
 		return err
 	}
-	s.applyRecords(t, records, true)
+	s.applyRecords(t, records, governor.Origin{Snapshot: true, FollowedTo: end})
 	now := time.Now()
 	s.mu.Lock()
 	view := t.pacer.SnapshotRead(now, end)
@@ -138,11 +138,11 @@
 }
 
 // applyRecords applies records and keeps the relevant ones, which it returns.
-func (s *Subscriber) applyRecords(t *topic, records []platform.Record, snapshot bool) []platform.Record {
-	relevant := t.apply(records, snapshot)
+func (s *Subscriber) applyRecords(t *topic, records []platform.Record, origin governor.Origin) []platform.Record {
+	relevant := t.apply(records, origin)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if snapshot {
+	if origin.Snapshot {
 		clear(t.newest)
 		relevant = records
 	}
--- a/rosemaryspool/subscriber/sharing.go
+++ b/rosemaryspool/subscriber/sharing.go
@@ -9,6 +9,7 @@
 	"rosemaryspool.example/core/elector"
 	"rosemaryspool.example/platform"
 	"rosemaryspool.example/rosemaryspool/gossiper"
+	"rosemaryspool.example/rosemaryspool/governor"
 )
 
 const (
@@ -161,7 +162,7 @@
 		return
 	}
 	if applies {
-		s.applyRecords(t, recordsFrom(v.Records, next), false)
+		s.applyRecords(t, recordsFrom(v.Records, next), governor.Origin{Sender: v.Sender, FollowedTo: v.RecordsTo})
 	}
 	s.mu.Lock()
 	mustRead := t.pacer.PeerViewReceived(v.View)
@@ -195,7 +196,7 @@
 	records := t.incoming
 	s.mu.Unlock()
 	if complete {
-		s.applyRecords(t, records, true)
+		s.applyRecords(t, records, governor.Origin{Sender: v.Sender, Snapshot: true, FollowedTo: v.Next})
 		t.signal()
 	}
 }
