--- a/rosemaryspool/subscriber/subscriber.go
+++ b/rosemaryspool/subscriber/subscriber.go
@@ -34,6 +34,16 @@
 	upstreamReadShare = 0.45
 )
 
+// Store is the platform's store.
+type Store interface {
+	// ReadNewest returns the newest record of each key of a topic and the offset from which Read continues.
+	ReadNewest(ctx context.Context, topic string) ([]platform.Record, uint64, error)
+	// Read returns the records of a topic from an offset on and the next offset. It waits up to wait for the first one.
+	Read(ctx context.Context, topic string, from uint64, wait time.Duration) ([]platform.Record, uint64, error)
+	// Write appends a new value of a key.
+	Write(ctx context.Context, topic, key string, value []byte) error
+}
+
 // Exchange carries views of the store between instances.
 type Exchange interface {
 	// ForwardView sends a view to the neighbours, SendView to given instances.
@@ -56,7 +66,7 @@
 
 // Subscriber follows the topics of one store and applies their records to the governor.
 type Subscriber struct {
-	store      *platform.Store
+	store      Store
 	governor   *governor.Governor
 	exchange   Exchange
 	firstStart bool
@@ -71,7 +81,7 @@
 
 // NewSubscriber returns a subscriber; nothing is read before Run.
 func NewSubscriber(
-	store *platform.Store, g *governor.Governor, exchange Exchange, settings Settings, log zerolog.Logger,
+	store Store, g *governor.Governor, exchange Exchange, settings Settings, log zerolog.Logger,
 ) *Subscriber {
 	s := &Subscriber{
 		store: store, governor: g, exchange: exchange, firstStart: settings.FirstStart, log: log,
