Forward records that the reader knows from another instance

Callers saw: nothing directly; their requests could reach an engine long after it had said that it leaves (DRAIN), and lost their answers when it ended.

Cause: an instance that reads the store forwards the records that changed its own state, and the others take the rest as read. If another instance had forwarded the same records while the read was under way, they changed nothing any more and were left out; a third instance, which had missed the first datagram, skipped them for good. Heartbeats of the engine say nothing new and are not forwarded, so nothing repaired that. The class: what others need is derived from what this instance happens to know.

Change: whether a record is forwarded depends on the topic alone. A record is left out only if it says nothing new after the one before it of the same key (tracker.Entry.Changes); one that is known already from elsewhere is forwarded. Tombstones are kept with the newest records for that. The offset of the last change is merged in the same step as the offset of forwarded records.

--- a/core/pacer/pacer.go
+++ b/core/pacer/pacer.go
@@ -97,13 +97,14 @@
 }
 
 // PeerRecordsReceived merges a read of another instance whose records have been forwarded: all relevant ones from the
-// offset from on and before the offset to. It returns false if records before from are unread, or if all before to have
-// been read already; the forwarded records are of no use then.
-func (p *Pacer) PeerRecordsReceived(from, to uint64) bool {
+// offset from on and before the offset to, the last one of which is before the offset changed. It returns false if records
+// before from are unread, or if all before to have been read already; the forwarded records are of no use then.
+func (p *Pacer) PeerRecordsReceived(from, to, changed uint64) bool {
 	if !p.synced || from > p.own.Next || to <= p.own.Next {
 		return false
 	}
 	p.own.Next = to
+	p.own.Changed = max(p.own.Changed, min(changed, to))
 	return true
 }
 
--- a/core/pacer/pacer_test.go
+++ b/core/pacer/pacer_test.go
@@ -113,7 +113,7 @@
 		receive func(p *Pacer)
 	}{
 		{"forwarded record", func(p *Pacer) {
-			require.True(t, p.PeerRecordsReceived(10, 20))
+			require.True(t, p.PeerRecordsReceived(10, 20, 18))
 			require.False(t, p.PeerViewReceived(View{First: 5, Next: 20, Changed: 18, ReadAt: at(interval)}))
 		}},
 		{"record that this instance has read as irrelevant", func(p *Pacer) {
--- a/core/tracker/tracker.go
+++ b/core/tracker/tracker.go
@@ -47,6 +47,17 @@
 	Incarnation uint64
 }
 
+// Changes reports whether a record that follows another one of the same upstream says anything new.
+func (e Entry) Changes(previous Entry) bool {
+	if e.Incarnation < previous.Incarnation {
+		return false
+	}
+	if e.Incarnation == previous.Incarnation {
+		e.Leaving = e.Leaving || previous.Leaving
+	}
+	return e != previous
+}
+
 // RelistGracePeriod is the time that upstreams have to register again after an outage of the store.
 const RelistGracePeriod = 2 * time.Second
 
--- a/rosemaryspool/gossiper/gossiper_test.go
+++ b/rosemaryspool/gossiper/gossiper_test.go
@@ -102,7 +102,7 @@
 	p := pacer.NewPacer(time.Second, 0)
 	p.SnapshotRead(time.Now(), next)
 	g, _ := newGossiper(t, func(_ string, v View) {
-		if p.PeerRecordsReceived(v.RecordsFrom, v.RecordsTo) {
+		if p.PeerRecordsReceived(v.RecordsFrom, v.RecordsTo, v.Changed) {
 			applied = append(applied, v.Records...)
 		}
 		mustRead = p.PeerViewReceived(v.View) || mustRead
--- a/rosemaryspool/subscriber/applier.go
+++ b/rosemaryspool/subscriber/applier.go
@@ -10,7 +10,7 @@
 )
 
 func (s *Subscriber) applyConfigurations(records []platform.Record, _ governor.Origin) []platform.Record {
-	var relevant []platform.Record
+	var accepted []platform.Record
 	for _, r := range records {
 		if r.Key != platform.KeyConfiguration || len(r.Value) == 0 {
 			continue
@@ -22,14 +22,14 @@
 			continue
 		}
 		s.governor.SetConfiguration(c)
-		relevant = append(relevant, r)
+		accepted = append(accepted, r)
 	}
-	return relevant
+	return accepted
 }
 
 func (s *Subscriber) applyServers(records []platform.Record, origin governor.Origin) []platform.Record {
 	now := time.Now()
-	var relevant []platform.Record
+	var accepted []platform.Record
 	s.governor.UpdateUpstreams(now, origin, func(t *tracker.Tracker) bool {
 		t.StoreAvailable(now)
 		changed := false
@@ -38,9 +38,7 @@
 			id := identifier.UpstreamID(r.Key)
 			if len(r.Value) == 0 {
 				changed = t.Delete(now, id, r.Offset) || changed
-				// An upstream that may be listed again is not removed yet, but the other instances must read the
-				// record.
-				relevant = append(relevant, r)
+				accepted = append(accepted, r)
 				continue
 			}
 			// An invalid entry doesn't invalidate the upstream's previous one.
@@ -51,21 +49,33 @@
 					Msg("Skipping an invalid entry of an upstream")
 				continue
 			}
-			if t.Update(e, r.Offset) {
-				changed = true
-				relevant = append(relevant, r)
-			}
+			changed = t.Update(e, r.Offset) || changed
+			accepted = append(accepted, r)
 		}
 		if origin.Snapshot {
 			changed = t.Retain(now, listed) || changed
 		}
 		return changed
 	})
-	return relevant
+	return accepted
+}
+
+// serverChanges reports whether an upstream's record says anything new after the newest one. An unreadable record counts
+// as a change, so that it is logged.
+func serverChanges(newest, next platform.Record) bool {
+	if len(newest.Value) == 0 || len(next.Value) == 0 {
+		return true
+	}
+	previous, err := platform.DecodeServer(newest.Key, newest.Value)
+	if err != nil {
+		return true
+	}
+	entry, err := platform.DecodeServer(next.Key, next.Value)
+	return err != nil || entry.Changes(previous)
 }
 
 func (s *Subscriber) applyMembers(records []platform.Record, _ governor.Origin) []platform.Record {
-	var relevant []platform.Record
+	var accepted []platform.Record
 	for _, r := range records {
 		if len(r.Value) == 0 {
 			continue
@@ -77,7 +87,7 @@
 			continue
 		}
 		s.governor.SetMember(time.Now(), m)
-		relevant = append(relevant, r)
+		accepted = append(accepted, r)
 	}
-	return relevant
+	return accepted
 }
--- a/rosemaryspool/subscriber/follower.go
+++ b/rosemaryspool/subscriber/follower.go
@@ -1,8 +1,11 @@
 package subscriber
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"slices"
+	"sync"
 	"time"
 
 	"rosemaryspool.example/core/pacer"
@@ -31,12 +34,16 @@
 	// wait is how long the store may hold a read, pacer schedules the reads; the subscriber's mutex guards both.
 	wait  time.Duration
 	pacer *pacer.Pacer
-	// newest holds the newest relevant record of each key, for instances that start; the subscriber's mutex guards it.
+	// applying is held while records are applied, and guards newest together with the subscriber's mutex.
+	applying sync.Mutex
+	// newest holds the newest record of each key that said anything new, tombstones included.
 	newest map[string]platform.Record
 	// incoming holds the records of a snapshot that another instance is sending, up to the offset incomingTo.
 	incoming   []platform.Record
 	incomingTo uint64
-	// apply applies records and returns those that other instances must read.
+	// changes reports whether a record says anything new after the newest one of its key; nil if each one does.
+	changes func(newest, next platform.Record) bool
+	// apply applies records and returns those that could be read.
 	apply     func(records []platform.Record, origin governor.Origin) []platform.Record
 	onFailure func(now time.Time)
 	// wake receives a value when another instance reports records that this one has not read, or has sent a snapshot.
@@ -125,7 +132,7 @@
 	if err != nil {
 		return err
 	}
-	s.applyRecords(t, records, governor.Origin{Snapshot: true, FollowedTo: end})
+	s.applySnapshot(t, records, governor.Origin{Snapshot: true, FollowedTo: end})
 	now := time.Now()
 	s.mu.Lock()
 	view := t.pacer.SnapshotRead(now, end)
@@ -137,23 +144,59 @@
 	return nil
 }
 
-// applyRecords applies records and keeps the relevant ones, which it returns.
+// applyRecords applies the records that say anything new and returns the relevant ones: these, and those that are known
+// from another instance already. An instance to which they are forwarded may know none of them.
 func (s *Subscriber) applyRecords(t *topic, records []platform.Record, origin governor.Origin) []platform.Record {
-	relevant := t.apply(records, origin)
+	t.applying.Lock()
+	defer t.applying.Unlock()
+	var news, relevant []platform.Record
+	for _, r := range records {
+		newest, known := t.newest[r.Key]
+		switch {
+		case known && newest.Offset >= r.Offset:
+			relevant = append(relevant, r)
+		case !known || t.changes == nil || t.changes(newest, r):
+			news = append(news, r)
+		}
+	}
+	accepted := t.apply(news, origin)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if origin.Snapshot {
-		clear(t.newest)
-		relevant = records
+	for _, r := range accepted {
+		t.newest[r.Key] = r
 	}
-	for _, r := range relevant {
-		if len(r.Value) == 0 {
-			delete(t.newest, r.Key)
-			continue
+	return append(relevant, accepted...)
+}
+
+// applySnapshot applies the newest record of each key as of an offset. Later records of other instances stay in force.
+func (s *Subscriber) applySnapshot(t *topic, records []platform.Record, origin governor.Origin) {
+	t.applying.Lock()
+	defer t.applying.Unlock()
+	newest := map[string]platform.Record{}
+	for _, r := range records {
+		newest[r.Key] = r
+	}
+	for key, r := range t.newest {
+		if r.Offset >= origin.FollowedTo {
+			newest[key] = r
+		}
+	}
+	s.mu.Lock()
+	t.newest = newest
+	s.mu.Unlock()
+	t.apply(t.listed(), origin)
+}
+
+// listed returns the newest record of each key that is not deleted, in the order of their offsets.
+func (t *topic) listed() []platform.Record {
+	listed := make([]platform.Record, 0, len(t.newest))
+	for _, r := range t.newest {
+		if len(r.Value) > 0 {
+			listed = append(listed, r)
 		}
-		t.newest[r.Key] = r
 	}
-	return relevant
+	slices.SortFunc(listed, func(a, b platform.Record) int { return cmp.Compare(a.Offset, b.Offset) })
+	return listed
 }
 
 // recordRead records a read of the records from one offset to another in the pacer, and returns the view of the topic with
--- a/rosemaryspool/subscriber/sharing.go
+++ b/rosemaryspool/subscriber/sharing.go
@@ -1,7 +1,6 @@
 package subscriber
 
 import (
-	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -119,16 +118,15 @@
 	}
 }
 
-// snapshot returns this instance's view of a topic with the newest relevant record of each key.
+// snapshot returns this instance's view of a topic with the newest record of each key.
 func (s *Subscriber) snapshot(t *topic) gossiper.View {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	v := gossiper.View{View: t.pacer.View(), OutageAge: s.governor.OutageAge(time.Now()), Snapshot: true}
 	v.RecordsTo = v.Next
-	for _, r := range t.newest {
+	for _, r := range t.listed() {
 		v.Records = append(v.Records, gossiper.Record(r))
 	}
-	slices.SortFunc(v.Records, func(a, b gossiper.Record) int { return cmp.Compare(a.Offset, b.Offset) })
 	return v
 }
 
@@ -155,7 +153,7 @@
 	s.mu.Lock()
 	next, _ := t.pacer.NextOffset()
 	hasGap := t.pacer.HasGapTo(v.View)
-	applies := t.pacer.PeerRecordsReceived(v.RecordsFrom, v.RecordsTo)
+	applies := t.pacer.PeerRecordsReceived(v.RecordsFrom, v.RecordsTo, v.Changed)
 	s.mu.Unlock()
 	if hasGap {
 		s.exchange.RequestView(t.name)
@@ -196,7 +194,7 @@
 	records := t.incoming
 	s.mu.Unlock()
 	if complete {
-		s.applyRecords(t, records, governor.Origin{Sender: v.Sender, Snapshot: true, FollowedTo: v.Next})
+		s.applySnapshot(t, records, governor.Origin{Sender: v.Sender, Snapshot: true, FollowedTo: v.Next})
 		t.signal()
 	}
 }
--- a/rosemaryspool/subscriber/subscriber.go
+++ b/rosemaryspool/subscriber/subscriber.go
@@ -89,7 +89,7 @@
 	}
 	s.topics = []*topic{
 		{name: platform.TopicConfiguration, apply: s.applyConfigurations},
-		{name: platform.TopicServers, apply: s.applyServers, onFailure: g.StoreUnavailable},
+		{name: platform.TopicServers, changes: serverChanges, apply: s.applyServers, onFailure: g.StoreUnavailable},
 		{name: platform.TopicMembers, apply: s.applyMembers},
 	}
 	for _, t := range s.topics {
