Apply the records of the store in order only

Callers saw: nothing directly. An instance could list an upstream again that was gone, as ready and for good: its address may belong to another service by then, and each request sent there costs a retry.

Change: a lock for each topic covers the records that are applied and how far the pacer believes they reach, so that offsets never go back. So the newest records need neither tombstones nor a comparison of offsets, which the commit before had added.

--- a/rosemaryspool/subscriber/agreement_test.go
+++ b/rosemaryspool/subscriber/agreement_test.go
@@ -261,7 +261,7 @@
 }
 
 func TestInstancesAgreeOnTheListUnderLossDelayAndRestarts(t *testing.T) {
-	const seeds, steps = 300, 120
+	const seeds, steps = 500, 120
 	for seed := range uint64(seeds) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			random := rand.New(rand.NewPCG(seed, 1))
--- a/rosemaryspool/subscriber/applier.go
+++ b/rosemaryspool/subscriber/applier.go
@@ -63,7 +63,7 @@
 // serverChanges reports whether an upstream's record says anything new after the newest one. An unreadable record counts
 // as a change, so that it is logged.
 func serverChanges(newest, next platform.Record) bool {
-	if len(newest.Value) == 0 || len(next.Value) == 0 {
+	if len(next.Value) == 0 {
 		return true
 	}
 	previous, err := platform.DecodeServer(newest.Key, newest.Value)
--- a/rosemaryspool/subscriber/follower.go
+++ b/rosemaryspool/subscriber/follower.go
@@ -1,10 +1,8 @@
 package subscriber
 
 import (
-	"cmp"
 	"context"
 	"errors"
-	"slices"
 	"sync"
 	"time"
 
@@ -34,9 +32,10 @@
 	// wait is how long the store may hold a read, pacer schedules the reads; the subscriber's mutex guards both.
 	wait  time.Duration
 	pacer *pacer.Pacer
-	// applying is held while records are applied, and guards newest together with the subscriber's mutex.
+	// applying is held while records are applied and the pacer learns how far they reach. It guards newest together with
+	// the subscriber's mutex.
 	applying sync.Mutex
-	// newest holds the newest record of each key that said anything new, tombstones included.
+	// newest holds the newest record of each key that said anything new; all of them lie before the pacer's offset.
 	newest map[string]platform.Record
 	// incoming holds the records of a snapshot that another instance is sending, up to the offset incomingTo.
 	incoming   []platform.Record
@@ -120,8 +119,7 @@
 		case err != nil:
 			return err
 		default:
-			relevant := s.applyRecords(t, records, governor.Origin{FollowedTo: end})
-			view := s.recordRead(t, next, end, relevant)
+			view := s.applyRead(t, next, records, end)
 			if !catchesUp {
 				s.exchange.ForwardView(t.name, view)
 			}
@@ -132,28 +130,57 @@
 	if err != nil {
 		return err
 	}
-	s.applySnapshot(t, records, governor.Origin{Snapshot: true, FollowedTo: end})
-	now := time.Now()
-	s.mu.Lock()
-	view := t.pacer.SnapshotRead(now, end)
-	s.mu.Unlock()
-	if s.governor.ReaderRank(now) == 0 {
+	view := s.applyNewest(t, records, end)
+	if s.governor.ReaderRank(time.Now()) == 0 {
 		// Neighbours that have not read as far ask for the snapshot.
 		s.exchange.ForwardView(t.name, gossiper.View{View: view, RecordsFrom: end, RecordsTo: end})
 	}
 	return nil
 }
 
-// applyRecords applies the records that say anything new and returns the relevant ones: these, and those that are known
-// from another instance already. An instance to which they are forwarded may know none of them.
-func (s *Subscriber) applyRecords(t *topic, records []platform.Record, origin governor.Origin) []platform.Record {
+// applyRead applies a read of the records from one offset to another, and returns the view with the relevant ones.
+func (s *Subscriber) applyRead(t *topic, from uint64, records []platform.Record, to uint64) gossiper.View {
 	t.applying.Lock()
 	defer t.applying.Unlock()
+	s.mu.Lock()
+	// Other instances may have forwarded records, or a snapshot, during the read.
+	followed, _ := t.pacer.NextOffset()
+	s.mu.Unlock()
+	relevant := s.applyRecords(t, records, followed, governor.Origin{FollowedTo: to})
+	return s.recordRead(t, from, to, relevant)
+}
+
+// applyNewest applies a read of the newest record of each key as of an offset. It is of no use if other instances have
+// forwarded all that it contains.
+func (s *Subscriber) applyNewest(t *topic, records []platform.Record, end uint64) pacer.View {
+	t.applying.Lock()
+	defer t.applying.Unlock()
+	s.mu.Lock()
+	followed, synced := t.pacer.NextOffset()
+	s.mu.Unlock()
+	now := time.Now()
+	if synced && followed >= end {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return t.pacer.DeltaRead(now, end, 0)
+	}
+	s.applySnapshot(t, records, governor.Origin{Snapshot: true, FollowedTo: end})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return t.pacer.SnapshotRead(now, end)
+}
+
+// applyRecords applies the records from the offset followed on that say anything new, and returns the relevant ones:
+// these, and the ones before that offset. Those are known from other instances, but perhaps not to the instances to which
+// they are forwarded. The topic's applying mutex must be held, as for applySnapshot.
+func (s *Subscriber) applyRecords(
+	t *topic, records []platform.Record, followed uint64, origin governor.Origin,
+) []platform.Record {
 	var news, relevant []platform.Record
 	for _, r := range records {
 		newest, known := t.newest[r.Key]
 		switch {
-		case known && newest.Offset >= r.Offset:
+		case r.Offset < followed:
 			relevant = append(relevant, r)
 		case !known || t.changes == nil || t.changes(newest, r):
 			news = append(news, r)
@@ -163,40 +190,24 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, r := range accepted {
+		if len(r.Value) == 0 {
+			delete(t.newest, r.Key)
+			continue
+		}
 		t.newest[r.Key] = r
 	}
 	return append(relevant, accepted...)
 }
 
-// applySnapshot applies the newest record of each key as of an offset. Later records of other instances stay in force.
+// applySnapshot replaces all records by the newest one of each key.
 func (s *Subscriber) applySnapshot(t *topic, records []platform.Record, origin governor.Origin) {
-	t.applying.Lock()
-	defer t.applying.Unlock()
-	newest := map[string]platform.Record{}
-	for _, r := range records {
-		newest[r.Key] = r
-	}
-	for key, r := range t.newest {
-		if r.Offset >= origin.FollowedTo {
-			newest[key] = r
-		}
-	}
+	t.apply(records, origin)
 	s.mu.Lock()
-	t.newest = newest
-	s.mu.Unlock()
-	t.apply(t.listed(), origin)
-}
-
-// listed returns the newest record of each key that is not deleted, in the order of their offsets.
-func (t *topic) listed() []platform.Record {
-	listed := make([]platform.Record, 0, len(t.newest))
-	for _, r := range t.newest {
-		if len(r.Value) > 0 {
-			listed = append(listed, r)
-		}
+	defer s.mu.Unlock()
+	clear(t.newest)
+	for _, r := range records {
+		t.newest[r.Key] = r
 	}
-	slices.SortFunc(listed, func(a, b platform.Record) int { return cmp.Compare(a.Offset, b.Offset) })
-	return listed
 }
 
 // recordRead records a read of the records from one offset to another in the pacer, and returns the view of the topic with
--- a/rosemaryspool/subscriber/sharing.go
+++ b/rosemaryspool/subscriber/sharing.go
@@ -1,6 +1,7 @@
 package subscriber
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -124,9 +125,10 @@
 	defer s.mu.Unlock()
 	v := gossiper.View{View: t.pacer.View(), OutageAge: s.governor.OutageAge(time.Now()), Snapshot: true}
 	v.RecordsTo = v.Next
-	for _, r := range t.listed() {
+	for _, r := range t.newest {
 		v.Records = append(v.Records, gossiper.Record(r))
 	}
+	slices.SortFunc(v.Records, func(a, b gossiper.Record) int { return cmp.Compare(a.Offset, b.Offset) })
 	return v
 }
 
@@ -150,6 +152,8 @@
 // handleRecords applies records that another instance has read. Those that are missing are read from the store, or
 // requested if the other instance has not followed the topic for as long as this one.
 func (s *Subscriber) handleRecords(t *topic, v gossiper.View) {
+	t.applying.Lock()
+	defer t.applying.Unlock()
 	s.mu.Lock()
 	next, _ := t.pacer.NextOffset()
 	hasGap := t.pacer.HasGapTo(v.View)
@@ -160,7 +164,7 @@
 		return
 	}
 	if applies {
-		s.applyRecords(t, recordsFrom(v.Records, next), governor.Origin{Sender: v.Sender, FollowedTo: v.RecordsTo})
+		s.applyRecords(t, recordsFrom(v.Records, next), next, governor.Origin{Sender: v.Sender, FollowedTo: v.RecordsTo})
 	}
 	s.mu.Lock()
 	mustRead := t.pacer.PeerViewReceived(v.View)
@@ -183,6 +187,8 @@
 // handleSnapshot collects the datagrams of a snapshot and applies it when it is complete. One of which a datagram is
 // missing is dropped.
 func (s *Subscriber) handleSnapshot(t *topic, v gossiper.View) {
+	t.applying.Lock()
+	defer t.applying.Unlock()
 	s.mu.Lock()
 	if v.RecordsFrom == 0 {
 		t.incoming, t.incomingTo = nil, 0
