Check an arbiter's placement against the instance's own list

Callers saw: nothing directly; requests could be sent to an engine that the instance itself knew to be leaving (DRAIN). A service whose upstreams had all been replaced refused requests while its arbiter was cut off from the store.

Cause: an instance follows the placement of its service's arbiter, whose list may be older: it was cut off or stood still and has not read the store since. The class: a decision of another instance is acted on without one's own newer knowledge.

Change: a request to an arbiter names the leaving upstreams among those to pass over. A placement at one that is leaving or not listed by now, and a refusal for want of any upstream, are not followed: the instance decides alone and logs placementOutdated. After a separate prefill, which may take longer than the drain limit, the decode engine is checked again; the KV cache is then dropped and the request placed anew.

Evidence: TestArbiterWithAnOlderListDoesNotPlaceAtLeavingUpstreams failed before in both cases (u0 for u1), and TestEngineThatLeavesDuringThePrefillGetsNoRequest (the leaving engine ran the request). Both pass now.

--- a/core/allocator/allocator.go
+++ b/core/allocator/allocator.go
@@ -274,17 +274,23 @@
 }
 
 // Unusable returns the upstreams of a service that this instance should not use for now, for its requests to the
-// service's arbiter.
+// service's arbiter, whose list may be older.
 func (a *Allocator) Unusable(now time.Time, service identifier.ServiceName) []identifier.UpstreamID {
 	var ids []identifier.UpstreamID
 	for _, u := range a.services[service] {
-		if a.isExcluded(now, a.dataCentre, u) {
+		if u.entry.Leaving || a.isExcluded(now, a.dataCentre, u) {
 			ids = append(ids, u.entry.Upstream)
 		}
 	}
 	return ids
 }
 
+// AcceptsWork reports whether an upstream is listed and not leaving.
+func (a *Allocator) AcceptsWork(id identifier.UpstreamID) bool {
+	u := a.upstreams[id]
+	return u != nil && !u.entry.Leaving
+}
+
 // isExcluded reports whether an upstream is ejected or paused for a data centre.
 func (a *Allocator) isExcluded(now time.Time, dataCentre identifier.DataCentre, u *upstream) bool {
 	switch a.healthOf(dataCentre).Status(now, u.entry.Upstream) {
--- a/rosemaryspool/delegator/delegator.go
+++ b/rosemaryspool/delegator/delegator.go
@@ -60,11 +60,11 @@
 			}
 			return placement, refusal
 		}
-		placement, refusal, answered := d.ask(ctx, arbiter, request)
-		if answered {
+		placement, refusal, decision := d.ask(ctx, arbiter, request)
+		if decision == decided {
 			return placement, refusal
 		}
-		if ctx.Err() != nil {
+		if decision == outdated || ctx.Err() != nil {
 			break
 		}
 		d.governor.Suspect(time.Now(), arbiter.Instance, "noPlacementReply")
@@ -73,10 +73,23 @@
 	return d.governor.Place(time.Now(), request)
 }
 
-// ask asks one arbiter. answered is false if no reply arrived in time.
+// decision is the result of a request to an arbiter.
+type decision int
+
+const (
+	// decided is a placement or a refusal.
+	decided decision = iota + 1
+	// outdated is a decision that rests on an older list of upstreams than this instance's.
+	outdated
+	// unanswered means that no reply arrived in time.
+	unanswered
+)
+
+// ask asks one arbiter.
 func (d *Delegator) ask(
 	ctx context.Context, arbiter elector.Member, request allocator.Request,
-) (placement allocator.Placement, refusal *allocator.Refusal, answered bool) {
+) (placement allocator.Placement, refusal *allocator.Refusal, result decision) {
+	result = unanswered
 	now := time.Now()
 	request.Excluded = append(d.governor.Unusable(now, request.Service), request.Excluded...)
 	number := d.governor.BeginRequest()
@@ -98,19 +111,35 @@
 	select {
 	case reply := <-replies:
 		placement, refusal = decodeReply(reply, arbiter.Instance)
-		answered = true
+		result = decided
 		if t := reply.GetTimings(); t != nil {
 			d.governor.SetTimings(request.Service, decodeTimings(t))
 		}
 	case <-timer.C:
 	case <-ctx.Done():
 	}
-	if answered && refusal == nil {
+	if result == decided && d.isOutdated(placement, refusal) {
+		result = outdated
+		d.log.Info().Str("event", "placementOutdated").Str("arbiter", string(arbiter.Instance)).
+			Str("upstream", string(placement.Upstream)).Str("prefiller", string(placement.Prefiller)).
+			Msg("Arbiter's list of upstreams is outdated; deciding alone")
+	}
+	if result == decided && refusal == nil {
 		d.governor.EndRequest(time.Now(), number, request.Service, &placement, request.Prompt)
 	} else {
 		d.governor.EndRequest(time.Now(), number, request.Service, nil, nil)
 	}
-	return placement, refusal, answered
+	return placement, refusal, result
+}
+
+// isOutdated reports whether an arbiter's decision rests on an older list of upstreams: it chose one that this instance
+// knows to be leaving or gone, or knows none for the service.
+func (d *Delegator) isOutdated(placement allocator.Placement, refusal *allocator.Refusal) bool {
+	if refusal != nil {
+		return refusal.Reason == allocator.ReasonNoUpstream
+	}
+	return !d.governor.AcceptsWork(placement.Upstream) ||
+		placement.Prefiller != "" && !d.governor.AcceptsWork(placement.Prefiller)
 }
 
 // HandleReply passes an arbiter's reply to the request that waits for it.
--- a/rosemaryspool/delegator/delegator_test.go
+++ b/rosemaryspool/delegator/delegator_test.go
@@ -31,6 +31,8 @@
 	delegator *Delegator
 	registry  metrics.Registry
 	deaf      atomic.Bool
+	// beforeRequest is called before a placement request of another instance is handled, if set.
+	beforeRequest atomic.Pointer[func()]
 }
 
 // newNodes starts instances that know each other and the upstreams, in the order in which they become arbiters.
@@ -100,6 +102,9 @@
 	case *messenger.Datagram_WorkReport:
 		peers.HandleReport(r, body.WorkReport)
 	case *messenger.Datagram_PlacementRequest:
+		if f := n.beforeRequest.Load(); f != nil {
+			(*f)()
+		}
 		peers.HandleReport(r, body.PlacementRequest.GetWorkReport())
 		n.delegator.HandleRequest(r, body.PlacementRequest)
 	case *messenger.Datagram_PlacementReply:
@@ -214,6 +219,42 @@
 	require.Equal(t, best.Instance, placement.Arbiter)
 }
 
+// setLeaving marks an upstream as leaving in the list of one instance.
+func (n *node) setLeaving(id identifier.UpstreamID) {
+	n.governor.UpdateUpstreams(time.Now(), governor.Origin{}, func(tr *tracker.Tracker) bool {
+		return tr.Update(tracker.Entry{Upstream: id, Service: service, Slots: 1, Leaving: true}, 100)
+	})
+}
+
+func TestArbiterWithAnOlderListDoesNotPlaceAtLeavingUpstreams(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// before and during are called before the request, and while the arbiter has it.
+		before, during func(arbiter, sender *node)
+	}{
+		{"sender knows that the upstream leaves", func(_, sender *node) { sender.setLeaving("u0") }, func(_, _ *node) {}},
+		{
+			"sender learns it while the arbiter decides",
+			func(arbiter, _ *node) { arbiter.setLeaving("u1") },
+			func(_, sender *node) { sender.setLeaving("u0") },
+		},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			nodes := newNodes(t, 3, 2)
+			arbiter, sender := nodes[0], nodes[2]
+			c.before(arbiter, sender)
+			during := func() { c.during(arbiter, sender) }
+			arbiter.beforeRequest.Store(&during)
+			for range 4 {
+				placement, refusal := sender.place()
+				require.Nil(t, refusal)
+				require.EqualValues(t, "u1", placement.Upstream)
+				sender.governor.Ended(time.Now(), time.Now(), placement, allocator.OutcomeCancelled)
+			}
+		})
+	}
+}
+
 func TestPlacementsSurviveEncoding(t *testing.T) {
 	placement := allocator.Placement{
 		Upstream: "u", Prefiller: "p", Predicted: 90 * time.Millisecond, Tokens: 4000, Long: true, Arbiter: "a",
--- a/rosemaryspool/forwarder/attempt.go
+++ b/rosemaryspool/forwarder/attempt.go
@@ -202,9 +202,14 @@
 			return notExecuted
 		}
 	}
+	if !e.forwarder.governor.AcceptsWork(placement.Upstream) {
+		// The upstream began to leave during the prefill.
+		e.dropCache()
+		return notExecuted
+	}
 	var end attemptResult
 	end, outcome = e.send()
-	if e.last.cacheSource != "" && end == notExecuted {
+	if end == notExecuted {
 		e.dropCache()
 	}
 	return end
@@ -263,8 +268,11 @@
 	return true
 }
 
-// dropCache frees a KV cache that is not going to be used, in the background.
+// dropCache frees the KV cache of a separate prefill that is not going to be used, in the background.
 func (e *exchange) dropCache() {
+	if e.last.cacheSource == "" {
+		return
+	}
 	prefiller, listed := e.forwarder.governor.Entry(e.last.placement.Prefiller)
 	if !listed {
 		return
--- a/rosemaryspool/gatekeeper/gatekeeper_test.go
+++ b/rosemaryspool/gatekeeper/gatekeeper_test.go
@@ -16,9 +16,12 @@
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"rosemaryspool.example/core/tracker"
 	"rosemaryspool.example/platform"
+	"rosemaryspool.example/rosemaryspool/governor"
 	"rosemaryspool.example/standin/emulator"
 )
 
@@ -312,6 +315,27 @@
 	require.Equal(t, before, countRuns(a))
 }
 
+func TestEngineThatLeavesDuringThePrefillGetsNoRequest(t *testing.T) {
+	for _, leaving := range []string{"u2", "u3"} {
+		prefill := emulator.NewUpstream("u1", "prefill", 2)
+		decode := map[string]*emulator.Upstream{
+			"u2": emulator.NewUpstream("u2", "decode", 2), "u3": emulator.NewUpstream("u3", "decode", 2),
+		}
+		prefill.SetDelay(100 * time.Millisecond)
+		ti := newReadyTestInstance(t, prefill, decode["u2"], decode["u3"])
+		go func() {
+			assert.Eventually(t, func() bool { return len(prefill.Runs()) == 1 }, time.Second, time.Millisecond)
+			ti.gatekeeper.governor.UpdateUpstreams(time.Now(), governor.Origin{}, func(tr *tracker.Tracker) bool {
+				e, err := platform.DecodeServer(leaving, decode[leaving].Entry("model", "draining"))
+				return err == nil && tr.Update(e, 1000)
+			})
+		}()
+		r := ti.send(http.MethodPost, verdicts+"x", string(bytes.Repeat([]byte("p"), 40<<10)), promptHeaders()...)
+		require.Equal(t, events(1, 2), r.body, leaving)
+		require.Zero(t, countRuns(decode[leaving]), leaving)
+	}
+}
+
 func TestReusedAddressOfAnotherUpstreamRunsNothing(t *testing.T) {
 	a, b := newPlainUpstream("u1"), newPlainUpstream("u2")
 	ti := newTestInstance(t, b)
--- a/rosemaryspool/governor/governor.go
+++ b/rosemaryspool/governor/governor.go
@@ -234,6 +234,13 @@
 	return g.allocator.Entry(id)
 }
 
+// AcceptsWork reports whether an upstream is listed and not leaving, as far as this instance knows.
+func (g *Governor) AcceptsWork(id identifier.UpstreamID) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.allocator.AcceptsWork(id)
+}
+
 // PrefillEnded records the end of a placement's separate prefill.
 func (g *Governor) PrefillEnded(now time.Time, placement *allocator.Placement, outcome allocator.Outcome) {
 	g.mu.Lock()
