Reproduce an upstream that gets more requests than it asks for

TestUpstreamGetsNoMoreThanTheRateThatItNames, red: an upstream that names a limit of 5.5 requests a second in its answers got 19,036 in 4 s, 38 allowed. The emulated upstream learns to name a limit.

--- a/rosemaryspool/gatekeeper/gatekeeper_test.go
+++ b/rosemaryspool/gatekeeper/gatekeeper_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
@@ -336,6 +337,43 @@
 	}
 }
 
+// requireRate requires that an upstream got at most 1.5 times the limit that it named, and 5 requests, in any 4 s.
+func requireRate(t *testing.T, u *emulator.Upstream, since time.Time, perSecond float64) {
+	t.Helper()
+	const window = 4 * time.Second
+	runs := u.Runs()
+	for first := range runs {
+		if runs[first].At.Before(since) {
+			continue
+		}
+		count := 0
+		for _, run := range runs[first:] {
+			if run.At.Sub(runs[first].At) <= window {
+				count++
+			}
+		}
+		require.LessOrEqual(t, float64(count), 1.5*perSecond*window.Seconds()+5)
+	}
+}
+
+func TestUpstreamGetsNoMoreThanTheRateThatItNames(t *testing.T) {
+	limited, other := newPlainUpstream("u1"), newPlainUpstream("u2")
+	ti := newReadyTestInstance(t, limited, other)
+	limited.SetLimit("5.5")
+	started := time.Now()
+	var group conc.WaitGroup
+	for range 4 {
+		group.Go(func() {
+			for time.Since(started) < 5*time.Second {
+				assert.Equal(t, http.StatusOK, ti.send(http.MethodGet, lookups+"x", "").status)
+			}
+		})
+	}
+	group.Wait()
+	requireRate(t, limited, started.Add(500*time.Millisecond), 5.5)
+	require.Greater(t, countRuns(limited), 15, "the upstream gets what it can take")
+}
+
 func TestReusedAddressOfAnotherUpstreamRunsNothing(t *testing.T) {
 	a, b := newPlainUpstream("u1"), newPlainUpstream("u2")
 	ti := newTestInstance(t, b)
--- a/standin/emulator/header.go
+++ b/standin/emulator/header.go
@@ -14,6 +14,7 @@
 	HeaderSource      = "Rosemaryspool-Kv-Source"
 	HeaderPriority    = "Rosemaryspool-Request-Priority"
 	HeaderPin         = "Rosemaryspool-Pin-Ms"
+	HeaderLimit       = "Server-Limit"
 )
 
 // ReadyPath is the path of an instance's readiness probe for the load balancer.
--- a/standin/emulator/upstream.go
+++ b/standin/emulator/upstream.go
@@ -67,6 +67,8 @@
 	reports  int
 	handles  map[string]bool
 	delay    time.Duration
+	// limit is the header that names the rate limit; empty if there is none.
+	limit string
 }
 
 // NewUpstream starts an upstream. Its stage is "prefill" or "decode", or empty for a plain service.
@@ -130,6 +132,13 @@
 	u.delay = d
 }
 
+// SetLimit names a limit of requests per second in all answers that follow; an empty one ends that.
+func (u *Upstream) SetLimit(limit string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.limit = limit
+}
+
 // Runs returns the requests that ran, in the order of their arrival.
 func (u *Upstream) Runs() []Run {
 	u.mu.Lock()
@@ -164,6 +173,12 @@
 	if err != nil {
 		return
 	}
+	u.mu.Lock()
+	limit := u.limit
+	u.mu.Unlock()
+	if limit != "" {
+		w.Header().Set(HeaderLimit, limit)
+	}
 	if r.Method == http.MethodDelete && strings.HasPrefix(r.URL.Path, "/-/kv-handle/") {
 		u.mu.Lock()
 		delete(u.handles, strings.TrimPrefix(r.URL.Path, "/-/kv-handle/"))
