Keep to the rate of requests that an upstream asks for

Cause: nothing read the header. The class: what upstreams say of themselves in their responses is passed on to the caller and lost to the system, and no one place sees all responses.

Change: the connector hands the head of each response to one function, whatever the request was; platform/ decodes it (a value that can't be read is counted, logged and ignored; one of another upstream at the address is none). core/limiter is a token bucket for each upstream. As the limit holds for all instances together, the service's arbiter applies it to all placements, separate prefills included; instances send it the limits that were named to them with their work reports. An instance that is not the first arbiter uses a fifth of the rate, all that decide alone another fifth. A request that only limits prevent is refused at once, with a Retry-After at which one of them permits a request.

Ruled out: a share of the limit for each instance (unequal traffic: most of it would be left unused, or one token each is too much for 295 instances).

--- a/core/allocator/allocator.go
+++ b/core/allocator/allocator.go
@@ -13,6 +13,7 @@
 
 	"rosemaryspool.example/core/ejector"
 	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/core/limiter"
 	"rosemaryspool.example/core/tracker"
 )
 
@@ -51,6 +52,8 @@
 	hash  uint64
 	cache *promptCache
 	pace  pace
+	// limiter holds the rate of requests that the upstream has asked for.
+	limiter *limiter.Limiter
 	// memoryKnown is true once the upstream has told the size of its memory.
 	memoryKnown bool
 }
@@ -119,7 +122,7 @@
 		if u == nil || u.entry.Incarnation != e.Incarnation {
 			u = &upstream{
 				hash: hash(string(e.Upstream)), cache: newPromptCache(a.settings.CacheTokens), pace: newPace(),
-				others: a.sumPeerLoads(e.Upstream),
+				others: a.sumPeerLoads(e.Upstream), limiter: limiter.NewLimiter(a.settings.LimiterPhase),
 			}
 			a.upstreams[e.Upstream] = u
 			a.forgetHealth(e.Upstream)
--- /dev/null
+++ b/core/allocator/notice.go
@@ -0,0 +1,50 @@
+package allocator
+
+import (
+	"slices"
+	"time"
+
+	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/core/limiter"
+	"rosemaryspool.example/core/tracker"
+)
+
+// Notice is what an upstream says of itself in a response.
+type Notice struct{ Limit limiter.Limit }
+
+// NamedLimit is what an upstream has said about the rate of requests that it takes.
+type NamedLimit struct {
+	Upstream identifier.UpstreamID
+	Limit    limiter.Limit
+}
+
+const (
+	// limitMemory is how long the end of an upstream's limit is reported to the arbiter.
+	limitMemory = 5 * time.Second
+	// maxNamedLimits bounds the limits in a report; the latest ones are reported.
+	maxNamedLimits = 16
+)
+
+// Notify applies a notice of an upstream. It reports whether the upstream's limit has begun, ended or changed.
+func (a *Allocator) Notify(from tracker.Entry, n Notice) bool {
+	u := a.upstreams[from.Upstream]
+	return u != nil && u.entry.Incarnation == from.Incarnation && u.limiter.Learn(n.Limit)
+}
+
+// LearnLimit applies another instance's knowledge of an upstream's limit. It reports whether that has changed anything.
+func (a *Allocator) LearnLimit(n NamedLimit) bool {
+	u := a.upstreams[n.Upstream]
+	return u != nil && u.limiter.Learn(n.Limit)
+}
+
+// NamedLimits returns the limits of a service's upstreams, for the report to the service's arbiter.
+func (a *Allocator) NamedLimits(now time.Time, service identifier.ServiceName) []NamedLimit {
+	var named []NamedLimit
+	for _, u := range a.services[service] {
+		if u.limiter.LimitedWithin(now, limitMemory) {
+			named = append(named, NamedLimit{Upstream: u.entry.Upstream, Limit: u.limiter.Limit()})
+		}
+	}
+	slices.SortFunc(named, func(x, y NamedLimit) int { return y.Limit.NamedAt.Compare(x.Limit.NamedAt) })
+	return named[:min(len(named), maxNamedLimits)]
+}
--- a/core/allocator/placement.go
+++ b/core/allocator/placement.go
@@ -26,6 +26,8 @@
 	Excluded []identifier.UpstreamID
 	// SingleUpstream is true if one upstream must run the whole request, so prefill and decode can't be split.
 	SingleUpstream bool
+	// RateShare is the share of the upstreams' rate limits that the deciding instance uses.
+	RateShare float64
 	// Resumed is true for a stream of which the caller has received a part already.
 	Resumed bool
 }
@@ -92,6 +94,8 @@
 	ReasonNoUpstream Reason = "noUpstream"
 	// ReasonBusy means that every upstream has too much load to serve the request in time.
 	ReasonBusy Reason = "busy"
+	// ReasonLimited means that every upstream has got as many requests as it has asked for.
+	ReasonLimited Reason = "limited"
 )
 
 // Refusal is the result for a request that is shed.
@@ -167,7 +171,7 @@
 	d := &decision{allocator: a, now: now, dataCentre: dataCentre, req: req, timings: a.timingsOf(req.Service)}
 	best := d.best()
 	if best.upstream == nil {
-		return Placement{}, &Refusal{Reason: ReasonNoUpstream, RetryAfter: a.settings.RetryAfter}
+		return Placement{}, d.refuseWithoutOption()
 	}
 	if !d.admissible(best) {
 		return Placement{}, &Refusal{
@@ -182,7 +186,9 @@
 	if best.prefiller != nil {
 		place.Prefiller = best.prefiller.entry.Upstream
 		place.PrefillerAhead = best.prefiller.load()
+		best.prefiller.limiter.Take(now, req.RateShare)
 	}
+	best.upstream.limiter.Take(now, req.RateShare)
 	return place, nil
 }
 
@@ -193,6 +199,24 @@
 	dataCentre identifier.DataCentre
 	req        Request
 	timings    *timings
+	// limited holds the upstreams that could run the request but have named a rate limit which is used up.
+	limited []*upstream
+}
+
+// refuseWithoutOption returns the refusal of a request that no upstream may get. Where only rate limits prevent it, a
+// retry is worthwhile as soon as one of them permits another request.
+func (d *decision) refuseWithoutOption() *Refusal {
+	r := &Refusal{Reason: ReasonNoUpstream, RetryAfter: d.allocator.settings.RetryAfter}
+	for i, u := range d.limited {
+		wait := u.limiter.Wait(d.now, d.req.RateShare)
+		if i == 0 || wait < r.RetryAfter {
+			r.RetryAfter, r.Upstream, r.Ahead = wait, u.entry.Upstream, u.load()
+		}
+	}
+	if len(d.limited) > 0 {
+		r.Reason, r.RetryAfter = ReasonLimited, max(r.RetryAfter, d.allocator.settings.RetryAfter)
+	}
+	return r
 }
 
 // option is one way to serve a request: at one upstream, or with the prefill at another engine than the decode.
@@ -212,7 +236,7 @@
 // tried if this one is not admissible: they take more from other requests than the request is worth.
 func (d *decision) best() option {
 	runners, prefillers := d.candidates(false)
-	if len(runners) == 0 {
+	if len(runners) == 0 && len(d.limited) == 0 {
 		// Ejected upstreams are better than none: the fault may be at this instance.
 		runners, prefillers = d.candidates(true)
 	}
@@ -242,13 +266,18 @@
 	return best
 }
 
-// candidates returns the usable upstreams: those that run requests and those that only prefill. Leaving ones and those
-// that the request excludes are never usable.
+// candidates returns the usable upstreams: those that run requests and those that only prefill. Leaving ones, those that
+// the request excludes and those whose rate limit is used up are never usable.
 func (d *decision) candidates(includeEjected bool) (runners, prefillers []*upstream) {
+	d.limited = nil
 	for _, u := range d.allocator.services[d.req.Service] {
 		switch {
 		case u.entry.Leaving || slices.Contains(d.req.Excluded, u.entry.Upstream):
 		case !includeEjected && d.allocator.isExcluded(d.now, d.dataCentre, u):
+		case u.limiter.Wait(d.now, d.req.RateShare) > 0:
+			if u.entry.Role != tracker.RolePrefill {
+				d.limited = append(d.limited, u)
+			}
 		case u.entry.Role == tracker.RolePrefill:
 			prefillers = append(prefillers, u)
 		default:
--- a/core/allocator/settings.go
+++ b/core/allocator/settings.go
@@ -44,6 +44,9 @@
 	LongAnswerPenalty time.Duration
 	// RetryAfter delays the retry of a refused caller until a burst has passed its peak; bursts last some seconds.
 	RetryAfter time.Duration
+	// LimiterPhase, from 0 to 1, differs between instances, so that those that decide alone don't send together to an
+	// upstream that has named a limit.
+	LimiterPhase float64
 	// SmoothingFactor is the weight of one measurement in an exponentially weighted average.
 	SmoothingFactor float64
 }
--- a/rosemaryspool/connector/connector.go
+++ b/rosemaryspool/connector/connector.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"rosemaryspool.example/core/tracker"
 )
 
 const (
@@ -43,17 +45,20 @@
 
 // Connector pools connections to upstreams. It is safe for concurrent use.
 type Connector struct {
-	mu     sync.Mutex
-	pools  map[string]*pool
-	dialer net.Dialer
-	onOpen func()
+	mu         sync.Mutex
+	pools      map[string]*pool
+	dialer     net.Dialer
+	onOpen     func()
+	onResponse func(tracker.Entry, *Response)
 }
 
-// NewConnector returns a connector with no open connections. onOpen is called for each connection that is opened.
-func NewConnector(onOpen func()) *Connector {
+// NewConnector returns a connector with no open connections. onOpen is called for each connection that is opened,
+// onResponse for each response once its header is read, whatever the request was.
+func NewConnector(onOpen func(), onResponse func(tracker.Entry, *Response)) *Connector {
 	return &Connector{
-		pools:  map[string]*pool{},
-		onOpen: onOpen,
+		pools:      map[string]*pool{},
+		onOpen:     onOpen,
+		onResponse: onResponse,
 		dialer: net.Dialer{
 			Timeout: dialTimeout,
 			KeepAliveConfig: net.KeepAliveConfig{
--- a/rosemaryspool/connector/exchange.go
+++ b/rosemaryspool/connector/exchange.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"rosemaryspool.example/core/tracker"
 )
 
 const (
@@ -26,12 +28,12 @@
 
 // Request is a request to an upstream. Method, URI and Body are sent byte for byte.
 type Request struct {
-	Address string
-	Method  string
-	URI     string
-	Host    string
-	Header  http.Header
-	Body    []byte
+	Upstream tracker.Entry
+	Method   string
+	URI      string
+	Host     string
+	Header   http.Header
+	Body     []byte
 	// Limit is this instance's share of the upstream's connections.
 	Limit int
 	// MaxIdle is the longest idle time of a pooled connection that may be used for the request.
@@ -60,12 +62,12 @@
 // Exchange sends a request and returns the response once its header is read. The end of ctx aborts the exchange, also
 // while the body is read.
 func (c *Connector) Exchange(ctx context.Context, r Request) (*Response, error) {
-	conn, err := c.acquire(ctx, r.Address, max(1, r.Limit), r.MaxIdle)
+	conn, err := c.acquire(ctx, r.Upstream.Address, max(1, r.Limit), r.MaxIdle)
 	if err != nil {
 		return nil, err
 	}
 	conn.exchanges++
-	response := &Response{connector: c, address: r.Address, conn: conn}
+	response := &Response{connector: c, address: r.Upstream.Address, conn: conn}
 	response.stopCancel = context.AfterFunc(ctx, func() {
 		// A deadline in the past aborts pending reads and writes. The connection is not reused.
 		_ = conn.SetDeadline(time.Unix(1, 0))
@@ -78,6 +80,7 @@
 		}
 		return nil, eris.Wrap(err, "connector: exchange")
 	}
+	c.onResponse(r.Upstream, response)
 	return response, nil
 }
 
--- a/rosemaryspool/delegator/delegator.go
+++ b/rosemaryspool/delegator/delegator.go
@@ -24,6 +24,9 @@
 	replyTimeout = 25 * time.Millisecond
 	// maxArbiters is the number of arbiters that are asked before the instance decides alone.
 	maxArbiters = 2
+	// spareRateShare is the share of upstreams' rate limits that instances use which are not the first arbiter: one that is
+	// asked in its place, and all that decide alone together.
+	spareRateShare = 0.2
 )
 
 // Delegator places requests. It is safe for concurrent use.
@@ -53,6 +56,7 @@
 ) (allocator.Placement, *allocator.Refusal) {
 	for _, arbiter := range d.governor.Arbiters(time.Now(), request.Service, maxArbiters) {
 		if self := d.governor.Self().Instance; arbiter.Instance == self {
+			request.RateShare = d.arbiterRateShare(request.Service)
 			placement, refusal := d.governor.Place(time.Now(), request)
 			placement.Arbiter = self
 			if refusal != nil {
@@ -70,9 +74,19 @@
 		d.governor.Suspect(time.Now(), arbiter.Instance, "noPlacementReply")
 	}
 	d.alone.Inc(1)
+	request.RateShare = spareRateShare / float64(d.governor.Instances())
 	return d.governor.Place(time.Now(), request)
 }
 
+// arbiterRateShare returns the share of upstreams' rate limits that this instance uses when it places for all instances.
+func (d *Delegator) arbiterRateShare(service identifier.ServiceName) float64 {
+	first := d.governor.Arbiters(time.Now(), service, 1)
+	if len(first) > 0 && first[0].Instance == d.governor.Self().Instance {
+		return 1
+	}
+	return spareRateShare
+}
+
 // decision is the result of a request to an arbiter.
 type decision int
 
@@ -165,6 +179,7 @@
 // the other one has chosen it; if it knows a better candidate, it says so.
 func (d *Delegator) HandleRequest(r courier.Received, m *messenger.PlacementRequest) {
 	request := decodeRequest(m)
+	request.RateShare = d.arbiterRateShare(request.Service)
 	placement, refusal := d.governor.PlaceFor(r.At, r.Sender.Instance, r.Sender.DataCentre, m.GetNumber(), request)
 	reply := encodeReply(m.GetNumber(), placement, refusal)
 	if timings, known := d.governor.Timings(request.Service); known {
--- a/rosemaryspool/forwarder/attempt.go
+++ b/rosemaryspool/forwarder/attempt.go
@@ -282,7 +282,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), dropCacheTimeout)
 		defer cancel()
 		response, err := e.forwarder.connector.Exchange(ctx, connector.Request{
-			Address: prefiller.Address, Method: http.MethodDelete, URI: platform.KVHandlePath(handle),
+			Upstream: prefiller, Method: http.MethodDelete, URI: platform.KVHandlePath(handle),
 			Host: prefiller.Address, Header: http.Header{},
 			Limit: e.forwarder.governor.ConnectionLimit(e.service), MaxIdle: maxIdleNonIdempotent,
 			Matches: func(h http.Header) (bool, bool) { return platform.MatchesRequest(h, "") },
@@ -356,7 +356,7 @@
 		s.Priority = min(lowestPriority, basePriority+e.route.Rank)
 	}
 	return e.forwarder.connector.Exchange(ctx, connector.Request{
-		Address: to.Address, Method: e.request.Method, URI: e.request.RequestURI, Host: e.request.Host,
+		Upstream: to, Method: e.request.Method, URI: e.request.RequestURI, Host: e.request.Host,
 		Header: platform.EncodeHeaders(e.request.Header, s), Body: e.body,
 		Limit: e.forwarder.governor.ConnectionLimit(e.service), MaxIdle: idle,
 		Matches: func(h http.Header) (bool, bool) { return platform.MatchesRequest(h, e.caller.ID) },
--- a/rosemaryspool/gatekeeper/gatekeeper.go
+++ b/rosemaryspool/gatekeeper/gatekeeper.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
@@ -19,6 +20,7 @@
 	"rosemaryspool.example/core/allocator"
 	"rosemaryspool.example/core/budgeter"
 	"rosemaryspool.example/core/elector"
+	"rosemaryspool.example/core/tracker"
 	"rosemaryspool.example/platform"
 	"rosemaryspool.example/rosemaryspool/connector"
 	"rosemaryspool.example/rosemaryspool/courier"
@@ -53,19 +55,23 @@
 
 // Gatekeeper is one gateway instance in front of the platform's upstreams.
 type Gatekeeper struct {
-	settings        platform.Settings
-	stopLimit       atomic.Int64
-	log             zerolog.Logger
-	registry        metrics.Registry
-	governor        *governor.Governor
-	connector       *connector.Connector
-	forwarder       *forwarder.Forwarder
-	courier         *courier.Courier
-	gossiper        *gossiper.Gossiper
-	delegator       *delegator.Delegator
-	inspector       *inspector.Inspector
-	subscriber      *subscriber.Subscriber
-	status          *statusHandler
+	settings   platform.Settings
+	stopLimit  atomic.Int64
+	log        zerolog.Logger
+	registry   metrics.Registry
+	governor   *governor.Governor
+	connector  *connector.Connector
+	forwarder  *forwarder.Forwarder
+	courier    *courier.Courier
+	gossiper   *gossiper.Gossiper
+	delegator  *delegator.Delegator
+	inspector  *inspector.Inspector
+	subscriber *subscriber.Subscriber
+	status     *statusHandler
+	// unreadableNotices counts the responses in which an upstream says of itself what can't be read.
+	unreadableNotices metrics.Counter
+	// noticeWarnedAt is the Unix second of the last log line about one.
+	noticeWarnedAt  atomic.Int64
 	callerListener  net.Listener
 	readyListener   net.Listener
 	metricsListener net.Listener
@@ -76,17 +82,20 @@
 func NewGatekeeper(settings platform.Settings, log zerolog.Logger, registry metrics.Registry) (*Gatekeeper, error) {
 	startedMs := time.Now().UnixMilli()
 	log = log.With().Str("instance", string(settings.Instance)).Logger()
-	g := &Gatekeeper{settings: settings, log: log, registry: registry, done: make(chan struct{})}
+	g := &Gatekeeper{
+		settings: settings, log: log, registry: registry, done: make(chan struct{}),
+		unreadableNotices: metrics.GetOrRegisterCounter("noticesUnreadable", registry),
+	}
 	g.stopLimit.Store(int64(settings.TerminationGracePeriod))
 	self := elector.Member{
 		Instance: settings.Instance, DataCentre: settings.DataCentre, Address: settings.PeerAddress.String(),
 		Capacity: settings.Capacity, StartedMs: startedMs,
 	}
-	g.governor = governor.NewGovernor(governor.Settings{
-		Self: self, Retry: retrySettings(settings), Allocator: allocator.DefaultSettings(),
-	}, log)
+	placing := allocator.DefaultSettings()
+	placing.LimiterPhase = rand.Float64()
+	g.governor = governor.NewGovernor(governor.Settings{Self: self, Retry: retrySettings(settings), Allocator: placing}, log)
 	opened := metrics.GetOrRegisterCounter("connectionsOpened", registry)
-	g.connector = connector.NewConnector(func() { opened.Inc(1) })
+	g.connector = connector.NewConnector(func() { opened.Inc(1) }, g.handleResponse)
 	peers, err := courier.NewCourier(self, log)
 	if err != nil {
 		return nil, err
@@ -117,6 +126,22 @@
 	}
 }
 
+// handleResponse passes on what an upstream says of itself in a response.
+func (g *Gatekeeper) handleResponse(from tracker.Entry, response *connector.Response) {
+	notice, own, err := platform.DecodeNotice(time.Now(), response.Status, response.Header)
+	if err != nil {
+		g.unreadableNotices.Inc(1)
+		if second := time.Now().Unix(); g.noticeWarnedAt.Swap(second) != second {
+			g.log.Warn().Err(err).Str("event", "noticeUnreadable").Str("upstream", string(from.Upstream)).
+				Msg("Ignoring what an upstream says of itself")
+		}
+		return
+	}
+	if own {
+		g.governor.Notify(from, notice)
+	}
+}
+
 func (g *Gatekeeper) handleView(topic string, v gossiper.View) { g.subscriber.HandleView(topic, v) }
 
 // handleDatagram passes a datagram of another instance to the part that it is for.
--- a/rosemaryspool/gossiper/gossiper.go
+++ b/rosemaryspool/gossiper/gossiper.go
@@ -13,6 +13,7 @@
 	"rosemaryspool.example/core/allocator"
 	"rosemaryspool.example/core/elector"
 	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/core/limiter"
 	"rosemaryspool.example/rosemaryspool/courier"
 	"rosemaryspool.example/rosemaryspool/governor"
 	"rosemaryspool.example/wire/messenger"
@@ -175,7 +176,7 @@
 	}
 	g.mu.Unlock()
 	if isNew {
-		g.governor.ApplyReport(r.At, r.Sender.Instance, r.Sender.DataCentre, decodeReport(report))
+		g.governor.ApplyReport(r.At, r.Sender.Instance, r.Sender.DataCentre, decodeReport(r.At, report))
 	}
 }
 
@@ -188,6 +189,12 @@
 	for id, l := range r.Loads {
 		m.Upstreams = append(m.Upstreams, EncodeLoad(id, l))
 	}
+	for _, n := range r.Limits {
+		m.Limits = append(m.Limits, &messenger.UpstreamLimit{
+			Upstream: string(n.Upstream), Limited: n.Limit.Limited, PerSecond: n.Limit.PerSecond,
+			AgeMs: identifier.Milliseconds(time.Since(n.Limit.NamedAt)),
+		})
+	}
 	for _, o := range r.Observations {
 		m.Observations = append(m.Observations, &messenger.Observation{
 			Upstream: string(o.Upstream), Event: messenger.Observation_Event(o.Event), Outcome: uint32(o.Outcome),
@@ -197,7 +204,7 @@
 	return m
 }
 
-func decodeReport(m *messenger.WorkReport) governor.Report {
+func decodeReport(at time.Time, m *messenger.WorkReport) governor.Report {
 	r := governor.Report{
 		Service: identifier.ServiceName(m.GetService()), Sequence: m.GetSequence(), FirstPending: m.GetFirstPending(),
 		Loads: make(allocator.Loads, len(m.GetUpstreams())),
@@ -205,6 +212,14 @@
 	for _, w := range m.GetUpstreams() {
 		r.Loads[identifier.UpstreamID(w.GetUpstream())] = DecodeLoad(w)
 	}
+	for _, n := range m.GetLimits() {
+		r.Limits = append(r.Limits, allocator.NamedLimit{
+			Upstream: identifier.UpstreamID(n.GetUpstream()), Limit: limiter.Limit{
+				Limited: n.GetLimited(), PerSecond: n.GetPerSecond(),
+				NamedAt: at.Add(-time.Duration(n.GetAgeMs()) * time.Millisecond),
+			},
+		})
+	}
 	for _, o := range m.GetObservations() {
 		r.Observations = append(r.Observations, allocator.Observation{
 			Upstream: identifier.UpstreamID(o.GetUpstream()), Event: allocator.Event(o.GetEvent()),
--- a/rosemaryspool/gossiper/gossiper_test.go
+++ b/rosemaryspool/gossiper/gossiper_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -16,6 +17,7 @@
 	"rosemaryspool.example/core/budgeter"
 	"rosemaryspool.example/core/elector"
 	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/core/limiter"
 	"rosemaryspool.example/core/pacer"
 	"rosemaryspool.example/core/tracker"
 	"rosemaryspool.example/rosemaryspool/courier"
@@ -76,7 +78,10 @@
 	}
 }
 
-func TestReportsSurviveEncoding(t *testing.T) {
+func TestReportsSurviveEncoding(t *testing.T) { synctest.Test(t, testReportsSurviveEncoding) }
+
+func testReportsSurviveEncoding(t *testing.T) {
+	now := time.Now()
 	report := governor.Report{
 		Service: service, Sequence: 7, FirstPending: 3,
 		Loads: allocator.Loads{"u": {Short: 3, Long: 2, AwaitingPrefill: 1, QueuedPrefill: 9000}},
@@ -87,12 +92,16 @@
 			},
 			{Upstream: "u", Event: allocator.EventOverdue},
 		},
+		Limits: []allocator.NamedLimit{
+			{Upstream: "u", Limit: limiter.Limit{Limited: true, PerSecond: 7.5, NamedAt: now.Add(-20 * time.Millisecond)}},
+			{Upstream: "v", Limit: limiter.Limit{NamedAt: now}},
+		},
 	}
 	content, err := proto.Marshal(EncodeReport(report))
 	require.NoError(t, err)
 	var m messenger.WorkReport
 	require.NoError(t, proto.Unmarshal(content, &m))
-	require.Equal(t, report, decodeReport(&m))
+	require.Equal(t, report, decodeReport(now, &m))
 }
 
 // apply merges messages into the state of a receiver that has read up to an offset, and returns the records it applied
--- a/rosemaryspool/governor/governor.go
+++ b/rosemaryspool/governor/governor.go
@@ -241,6 +241,27 @@
 	return g.allocator.AcceptsWork(id)
 }
 
+// Notify applies what an upstream says of itself in a response.
+func (g *Governor) Notify(from tracker.Entry, n allocator.Notice) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.allocator.Notify(from, n) {
+		g.logLimit(allocator.NamedLimit{Upstream: from.Upstream, Limit: n.Limit}, "")
+	}
+}
+
+// logLimit logs a change of an upstream's rate limit. sender is the instance that reported it; empty for this instance.
+func (g *Governor) logLimit(n allocator.NamedLimit, sender identifier.InstanceID) {
+	if !n.Limit.Limited {
+		g.log.Info().Str("event", "upstreamUnlimited").Str("upstream", string(n.Upstream)).Str("sender", string(sender)).
+			Msg("Upstream no longer names a rate limit")
+		return
+	}
+	g.log.Info().Str("event", "upstreamLimited").Str("upstream", string(n.Upstream)).Str("sender", string(sender)).
+		Float64("perSecond", n.Limit.PerSecond).Dur("ageMs", time.Since(n.Limit.NamedAt)).
+		Msg("Upstream names a rate limit")
+}
+
 // PrefillEnded records the end of a placement's separate prefill.
 func (g *Governor) PrefillEnded(now time.Time, placement *allocator.Placement, outcome allocator.Outcome) {
 	g.mu.Lock()
--- a/rosemaryspool/governor/report.go
+++ b/rosemaryspool/governor/report.go
@@ -16,6 +16,8 @@
 	// FirstPending is the lowest number of a placement request that is still unanswered.
 	FirstPending uint64
 	Observations []allocator.Observation
+	// Limits are the rate limits that upstreams of the service have named.
+	Limits []allocator.NamedLimit
 }
 
 // reportState is what the governor keeps for the reports to the arbiters. The governor's mutex guards it.
@@ -60,6 +62,7 @@
 	}
 	return Report{
 		Service: service, Sequence: g.reports.sequences[service], Loads: g.allocator.OwnLoads(service), FirstPending: first,
+		Limits: g.allocator.NamedLimits(time.Now(), service),
 	}
 }
 
@@ -116,6 +119,11 @@
 	for _, o := range r.Observations {
 		g.allocator.Observe(now, dataCentre, o)
 	}
+	for _, n := range r.Limits {
+		if g.allocator.LearnLimit(n) {
+			g.logLimit(n, instance)
+		}
+	}
 }
 
 // Changed receives a value after a change of this instance's work.
