Believe upstreams that say in a response that they leave

Cause: a server that leaves says so in all its answers by the new rules. The gateway knew only what the store lists, so that with the store away, or its entry late, requests went on to a server that ends.

The tracker keeps the mark like the list's, for one incarnation, and drops it with the entry. The arbiter learns of it with the next work report; a request that names the upstream as unusable is not placed there. No ejection and no retry of others is spent on it.

--- a/core/allocator/notice.go
+++ b/core/allocator/notice.go
@@ -10,7 +10,11 @@
 )
 
 // Notice is what an upstream says of itself in a response.
-type Notice struct{ Limit limiter.Limit }
+type Notice struct {
+	Limit limiter.Limit
+	// Leaving is true if the upstream is going to end.
+	Leaving bool
+}
 
 // NamedLimit is what an upstream has said about the rate of requests that it takes.
 type NamedLimit struct {
--- a/core/tracker/tracker.go
+++ b/core/tracker/tracker.go
@@ -75,6 +75,8 @@
 	members map[identifier.UpstreamID]*member
 	// removed holds the last entry of each removed upstream, so that late records can be recognised.
 	removed map[identifier.UpstreamID]Entry
+	// noticed holds the listed upstreams that have said in a response that they leave, here or at another instance.
+	noticed map[identifier.UpstreamID]bool
 	// lastUnavailable is the time of the latest failed read during an outage of the store, afterwards that of the first
 	// successful one.
 	lastUnavailable time.Time
@@ -83,7 +85,10 @@
 
 // NewTracker returns a tracker with an empty list.
 func NewTracker() *Tracker {
-	return &Tracker{members: map[identifier.UpstreamID]*member{}, removed: map[identifier.UpstreamID]Entry{}}
+	return &Tracker{
+		members: map[identifier.UpstreamID]*member{}, removed: map[identifier.UpstreamID]Entry{},
+		noticed: map[identifier.UpstreamID]bool{},
+	}
 }
 
 // StoreUnavailable records that a read of the list failed.
@@ -133,11 +138,33 @@
 	if e.Incarnation == m.entry.Incarnation {
 		e.Leaving = e.Leaving || m.entry.Leaving
 	}
+	if e.Incarnation > m.entry.Incarnation {
+		delete(t.noticed, e.Upstream)
+	}
 	changed := m.entry != e || !m.missingSince.IsZero()
 	m.entry, m.offset, m.missingSince = e, offset, time.Time{}
 	return changed
 }
 
+// MarkLeaving records that an incarnation of an upstream has said itself that it leaves. It reports whether that is new.
+func (t *Tracker) MarkLeaving(id identifier.UpstreamID, incarnation uint64) bool {
+	m := t.members[id]
+	if m == nil || m.entry.Incarnation != incarnation || m.entry.Leaving {
+		return false
+	}
+	m.entry.Leaving, t.noticed[id] = true, true
+	return true
+}
+
+// NoticedLeaving returns the listed upstreams that have said themselves that they leave.
+func (t *Tracker) NoticedLeaving() []Entry {
+	noticed := make([]Entry, 0, len(t.noticed))
+	for id := range t.noticed {
+		noticed = append(noticed, t.members[id].entry)
+	}
+	return noticed
+}
+
 // isStale reports whether a record is a late one of a removed upstream: of an earlier incarnation, or of the same one
 // after it left.
 func (t *Tracker) isStale(e Entry) bool {
@@ -196,6 +223,7 @@
 func (t *Tracker) remove(id identifier.UpstreamID, m *member) {
 	t.removed[id] = m.entry
 	delete(t.members, id)
+	delete(t.noticed, id)
 }
 
 // Entries returns the listed upstreams, sorted by id.
--- a/core/tracker/tracker_test.go
+++ b/core/tracker/tracker_test.go
@@ -85,3 +85,20 @@
 		})
 	}
 }
+
+func TestUpstreamsOwnWordIsKept(t *testing.T) {
+	tr := NewTracker()
+	tr.Update(entry(1, false), 1)
+	require.False(t, tr.MarkLeaving("u", 2), "another incarnation")
+	require.True(t, tr.MarkLeaving("u", 1))
+	require.False(t, tr.MarkLeaving("u", 1), "known already")
+	require.Len(t, tr.NoticedLeaving(), 1)
+	tr.Update(entry(1, false), 2)
+	require.True(t, tr.Entries()[0].Leaving, "the list still says ready")
+	tr.Update(entry(2, false), 3)
+	require.False(t, tr.Entries()[0].Leaving, "a new incarnation")
+	require.Empty(t, tr.NoticedLeaving())
+	tr.MarkLeaving("u", 2)
+	tr.Delete(time.Now(), "u", 4)
+	require.Empty(t, tr.NoticedLeaving())
+}
--- a/rosemaryspool/delegator/delegator_test.go
+++ b/rosemaryspool/delegator/delegator_test.go
@@ -255,6 +255,19 @@
 	}
 }
 
+func TestOneInstanceThatHearsOfALeavingUpstreamTellsTheArbiter(t *testing.T) {
+	nodes := newNodes(t, 3, 2)
+	listed, _ := nodes[2].governor.Entry("u0")
+	nodes[2].governor.Notify(listed, allocator.Notice{Leaving: true})
+	require.Eventually(t, func() bool { return !nodes[0].governor.AcceptsWork("u0") }, 3*time.Second, time.Millisecond)
+	for range 4 {
+		placement, refusal := nodes[1].place()
+		require.Nil(t, refusal)
+		require.EqualValues(t, "u1", placement.Upstream)
+		nodes[1].governor.Ended(time.Now(), time.Now(), placement, allocator.OutcomeCancelled)
+	}
+}
+
 func TestPlacementsSurviveEncoding(t *testing.T) {
 	placement := allocator.Placement{
 		Upstream: "u", Prefiller: "p", Predicted: 90 * time.Millisecond, Tokens: 4000, Long: true, Arbiter: "a",
--- a/rosemaryspool/gatekeeper/gatekeeper_test.go
+++ b/rosemaryspool/gatekeeper/gatekeeper_test.go
@@ -374,6 +374,37 @@
 	require.Greater(t, countRuns(limited), 15, "the upstream gets what it can take")
 }
 
+func TestUpstreamThatSaysItLeavesGetsNoNewRequests(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		behaviour emulator.Behaviour
+		stage     string
+		path      string
+	}{
+		{"response", emulator.Responds, "", lookups},
+		{"failure", emulator.Fails, "", lookups},
+		{"rejection", emulator.Rejects, "", lookups},
+		{"stream", emulator.Responds, "decode", verdicts},
+		{"rejected stream", emulator.Rejects, "decode", verdicts},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			leaving, other := emulator.NewUpstream("u1", c.stage, 2), emulator.NewUpstream("u2", c.stage, 2)
+			ti := newReadyTestInstance(t, leaving, other)
+			ti.store.SetFault(emulator.Silent)
+			leaving.SetLeaving()
+			leaving.SetBehaviour(c.behaviour)
+			arrived := func() int { return countRuns(leaving) + len(leaving.Rejections()) }
+			for arrived() == 0 {
+				ti.send(http.MethodGet, c.path+"x", "", emulator.HeaderTokens, "900,2")
+			}
+			for range 20 {
+				require.Equal(t, http.StatusOK, ti.send(http.MethodGet, c.path+"x", "", emulator.HeaderTokens, "900,2").status)
+			}
+			require.Equal(t, 1, arrived())
+		})
+	}
+}
+
 func TestReusedAddressOfAnotherUpstreamRunsNothing(t *testing.T) {
 	a, b := newPlainUpstream("u1"), newPlainUpstream("u2")
 	ti := newTestInstance(t, b)
--- a/rosemaryspool/gossiper/gossiper.go
+++ b/rosemaryspool/gossiper/gossiper.go
@@ -189,6 +189,9 @@
 	for id, l := range r.Loads {
 		m.Upstreams = append(m.Upstreams, EncodeLoad(id, l))
 	}
+	for _, l := range r.Leaving {
+		m.Leaving = append(m.Leaving, &messenger.LeavingUpstream{Upstream: string(l.Upstream), Incarnation: l.Incarnation})
+	}
 	for _, n := range r.Limits {
 		m.Limits = append(m.Limits, &messenger.UpstreamLimit{
 			Upstream: string(n.Upstream), Limited: n.Limit.Limited, PerSecond: n.Limit.PerSecond,
@@ -212,6 +215,11 @@
 	for _, w := range m.GetUpstreams() {
 		r.Loads[identifier.UpstreamID(w.GetUpstream())] = DecodeLoad(w)
 	}
+	for _, l := range m.GetLeaving() {
+		r.Leaving = append(r.Leaving, governor.LeavingUpstream{
+			Upstream: identifier.UpstreamID(l.GetUpstream()), Incarnation: l.GetIncarnation(),
+		})
+	}
 	for _, n := range m.GetLimits() {
 		r.Limits = append(r.Limits, allocator.NamedLimit{
 			Upstream: identifier.UpstreamID(n.GetUpstream()), Limit: limiter.Limit{
--- a/rosemaryspool/gossiper/gossiper_test.go
+++ b/rosemaryspool/gossiper/gossiper_test.go
@@ -96,6 +96,7 @@
 			{Upstream: "u", Limit: limiter.Limit{Limited: true, PerSecond: 7.5, NamedAt: now.Add(-20 * time.Millisecond)}},
 			{Upstream: "v", Limit: limiter.Limit{NamedAt: now}},
 		},
+		Leaving: []governor.LeavingUpstream{{Upstream: "w", Incarnation: 1 << 60}},
 	}
 	content, err := proto.Marshal(EncodeReport(report))
 	require.NoError(t, err)
--- a/rosemaryspool/governor/governor.go
+++ b/rosemaryspool/governor/governor.go
@@ -245,11 +245,28 @@
 func (g *Governor) Notify(from tracker.Entry, n allocator.Notice) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if n.Leaving {
+		g.markLeaving(from.Upstream, from.Incarnation, "")
+	}
 	if g.allocator.Notify(from, n) {
 		g.logLimit(allocator.NamedLimit{Upstream: from.Upstream, Limit: n.Limit}, "")
 	}
 }
 
+// markLeaving applies an upstream's own word that it leaves. sender is the instance that reported it; empty for this
+// instance. The governor's mutex must be held.
+func (g *Governor) markLeaving(id identifier.UpstreamID, incarnation uint64, sender identifier.InstanceID) {
+	if !g.tracker.MarkLeaving(id, incarnation) {
+		return
+	}
+	g.allocator.SetUpstreams(g.tracker.Entries())
+	if e, listed := g.allocator.Entry(id); listed {
+		g.signalChange(e.Service)
+	}
+	g.log.Info().Str("event", "upstreamLeaving").Str("upstream", string(id)).Uint64("incarnation", incarnation).
+		Str("sender", string(sender)).Msg("Upstream says that it leaves and gets no more requests")
+}
+
 // logLimit logs a change of an upstream's rate limit. sender is the instance that reported it; empty for this instance.
 func (g *Governor) logLimit(n allocator.NamedLimit, sender identifier.InstanceID) {
 	if !n.Limit.Limited {
--- a/rosemaryspool/governor/report.go
+++ b/rosemaryspool/governor/report.go
@@ -18,8 +18,19 @@
 	Observations []allocator.Observation
 	// Limits are the rate limits that upstreams of the service have named.
 	Limits []allocator.NamedLimit
+	// Leaving are the upstreams that have said in their responses that they leave.
+	Leaving []LeavingUpstream
 }
 
+// LeavingUpstream is an upstream that leaves, in one incarnation.
+type LeavingUpstream struct {
+	Upstream    identifier.UpstreamID
+	Incarnation uint64
+}
+
+// maxReportedLeaving bounds the leaving upstreams in a report, which must fit into a datagram; the store's list has all.
+const maxReportedLeaving = 16
+
 // reportState is what the governor keeps for the reports to the arbiters. The governor's mutex guards it.
 type reportState struct {
 	// changed holds the services with work that changed since their last report.
@@ -60,8 +71,14 @@
 	if len(g.reports.pending) > 0 {
 		first = slices.Min(g.reports.pending)
 	}
+	var leaving []LeavingUpstream
+	for _, e := range g.tracker.NoticedLeaving() {
+		if e.Service == service && len(leaving) < maxReportedLeaving {
+			leaving = append(leaving, LeavingUpstream{Upstream: e.Upstream, Incarnation: e.Incarnation})
+		}
+	}
 	return Report{
-		Service: service, Sequence: g.reports.sequences[service], Loads: g.allocator.OwnLoads(service), FirstPending: first,
+		Service: service, Leaving: leaving, Sequence: g.reports.sequences[service], Loads: g.allocator.OwnLoads(service), FirstPending: first,
 		Limits: g.allocator.NamedLimits(time.Now(), service),
 	}
 }
@@ -119,6 +136,9 @@
 	for _, o := range r.Observations {
 		g.allocator.Observe(now, dataCentre, o)
 	}
+	for _, l := range r.Leaving {
+		g.markLeaving(l.Upstream, l.Incarnation, instance)
+	}
 	for _, n := range r.Limits {
 		if g.allocator.LearnLimit(n) {
 			g.logLimit(n, instance)
--- a/standin/emulator/header.go
+++ b/standin/emulator/header.go
@@ -15,6 +15,7 @@
 	HeaderPriority    = "Rosemaryspool-Request-Priority"
 	HeaderPin         = "Rosemaryspool-Pin-Ms"
 	HeaderLimit       = "Server-Limit"
+	HeaderLeaving     = "Server-Leaving"
 )
 
 // ReadyPath is the path of an instance's readiness probe for the load balancer.
--- a/standin/emulator/upstream.go
+++ b/standin/emulator/upstream.go
@@ -69,6 +69,8 @@
 	delay    time.Duration
 	// limit is the header that names the rate limit; empty if there is none.
 	limit string
+	// leaving is true if all answers say that the upstream leaves.
+	leaving bool
 }
 
 // NewUpstream starts an upstream. Its stage is "prefill" or "decode", or empty for a plain service.
@@ -139,6 +141,13 @@
 	u.limit = limit
 }
 
+// SetLeaving makes all answers that follow say that the upstream leaves.
+func (u *Upstream) SetLeaving() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.leaving = true
+}
+
 // Runs returns the requests that ran, in the order of their arrival.
 func (u *Upstream) Runs() []Run {
 	u.mu.Lock()
@@ -174,11 +183,14 @@
 		return
 	}
 	u.mu.Lock()
-	limit := u.limit
+	limit, leaving := u.limit, u.leaving
 	u.mu.Unlock()
 	if limit != "" {
 		w.Header().Set(HeaderLimit, limit)
 	}
+	if leaving {
+		w.Header().Set(HeaderLeaving, "1")
+	}
 	if r.Method == http.MethodDelete && strings.HasPrefix(r.URL.Path, "/-/kv-handle/") {
 		u.mu.Lock()
 		delete(u.handles, strings.TrimPrefix(r.URL.Path, "/-/kv-handle/"))
