Send nothing to an upstream that asks an instance to wait

The gateway paused every rejecting upstream for half a second, for a whole data centre, and came back.

The instance that was asked names the upstream as unusable to the arbiter until then and does not follow a placement there; alone it passes it over. Others are not told, nothing is ejected or paused for them, and the engine is not asked for its memory. Where all upstreams want nothing, a request is refused at once with the shortest of the times (cause waiting), instead of being sent to one that is ejected.

TestUpstreamAsksOneInstanceToWait shows that others are still placed there.

--- a/core/allocator/allocator.go
+++ b/core/allocator/allocator.go
@@ -54,6 +54,8 @@
 	pace  pace
 	// limiter holds the rate of requests that the upstream has asked for.
 	limiter *limiter.Limiter
+	// waitUntil is the time until which the upstream wants no requests from this instance.
+	waitUntil time.Time
 	// memoryKnown is true once the upstream has told the size of its memory.
 	memoryKnown bool
 }
@@ -243,10 +245,10 @@
 }
 
 // EnginesWithoutMemory returns the engines of a service whose memory size is unknown.
-func (a *Allocator) EnginesWithoutMemory(service identifier.ServiceName) []tracker.Entry {
+func (a *Allocator) EnginesWithoutMemory(now time.Time, service identifier.ServiceName) []tracker.Entry {
 	var entries []tracker.Entry
 	for _, u := range a.services[service] {
-		if u.entry.Role != tracker.RoleNone && !u.entry.Leaving && !u.memoryKnown {
+		if u.entry.Role != tracker.RoleNone && !u.entry.Leaving && !u.memoryKnown && !now.Before(u.waitUntil) {
 			entries = append(entries, u.entry)
 		}
 	}
@@ -281,17 +283,17 @@
 func (a *Allocator) Unusable(now time.Time, service identifier.ServiceName) []identifier.UpstreamID {
 	var ids []identifier.UpstreamID
 	for _, u := range a.services[service] {
-		if u.entry.Leaving || a.isExcluded(now, a.dataCentre, u) {
+		if u.entry.Leaving || now.Before(u.waitUntil) || a.isExcluded(now, a.dataCentre, u) {
 			ids = append(ids, u.entry.Upstream)
 		}
 	}
 	return ids
 }
 
-// AcceptsWork reports whether an upstream is listed and not leaving.
-func (a *Allocator) AcceptsWork(id identifier.UpstreamID) bool {
+// AcceptsWork reports whether an upstream is listed, not leaving, and has not asked this instance to wait.
+func (a *Allocator) AcceptsWork(now time.Time, id identifier.UpstreamID) bool {
 	u := a.upstreams[id]
-	return u != nil && !u.entry.Leaving
+	return u != nil && !u.entry.Leaving && !now.Before(u.waitUntil)
 }
 
 // isExcluded reports whether an upstream is ejected or paused for a data centre.
--- a/core/allocator/notice.go
+++ b/core/allocator/notice.go
@@ -14,6 +14,8 @@
 	Limit limiter.Limit
 	// Leaving is true if the upstream is going to end.
 	Leaving bool
+	// RetryAfter is how long the upstream wants no requests from this instance; zero if it has rejected none.
+	RetryAfter time.Duration
 }
 
 // NamedLimit is what an upstream has said about the rate of requests that it takes.
@@ -32,7 +34,13 @@
 // Notify applies a notice of an upstream. It reports whether the upstream's limit has begun, ended or changed.
 func (a *Allocator) Notify(from tracker.Entry, n Notice) bool {
 	u := a.upstreams[from.Upstream]
-	return u != nil && u.entry.Incarnation == from.Incarnation && u.limiter.Learn(n.Limit)
+	if u == nil || u.entry.Incarnation != from.Incarnation {
+		return false
+	}
+	if until := n.Limit.NamedAt.Add(n.RetryAfter); n.RetryAfter > 0 && until.After(u.waitUntil) {
+		u.waitUntil = until
+	}
+	return u.limiter.Learn(n.Limit)
 }
 
 // LearnLimit applies another instance's knowledge of an upstream's limit. It reports whether that has changed anything.
--- a/core/allocator/notice_test.go
+++ b/core/allocator/notice_test.go
@@ -63,3 +63,23 @@
 	_, refusal = a.Place(now, req)
 	require.Nil(t, refusal, "the caller is served when it returns as told")
 }
+
+func TestUpstreamAsksOneInstanceToWait(t *testing.T) {
+	a := newTestAllocator(2, 0)
+	now := time.Unix(1000, 0)
+	for id, wait := range map[identifier.UpstreamID]time.Duration{"u0": 3 * time.Second, "u1": 2 * time.Second} {
+		u, _ := a.Entry(id)
+		a.Notify(u, Notice{RetryAfter: wait, Limit: limiter.Limit{NamedAt: now}})
+	}
+	require.Len(t, a.Unusable(now, model), 2)
+	_, refusal := a.Place(now, longPromptRequest(2, 3000))
+	require.NotNil(t, refusal)
+	require.Equal(t, ReasonWaiting, refusal.Reason)
+	require.Equal(t, 2*time.Second, refusal.RetryAfter, "the earliest of them")
+	_, refusal = a.PlaceFor(now, "other", "here", 1, longPromptRequest(2, 3000))
+	require.Nil(t, refusal, "the other instance was not asked to wait")
+	now = now.Add(2 * time.Second)
+	place, refusal := a.Place(now, longPromptRequest(2, 3000))
+	require.Nil(t, refusal)
+	require.EqualValues(t, "u1", place.Upstream)
+}
--- a/core/allocator/placement.go
+++ b/core/allocator/placement.go
@@ -96,6 +96,8 @@
 	ReasonBusy Reason = "busy"
 	// ReasonLimited means that every upstream has got as many requests as it has asked for.
 	ReasonLimited Reason = "limited"
+	// ReasonWaiting means that every upstream has asked this instance to send no requests for a while.
+	ReasonWaiting Reason = "waiting"
 )
 
 // Refusal is the result for a request that is shed.
@@ -114,7 +116,7 @@
 // Place chooses the option with the lowest cost for a request of this instance and counts the request's work there, or
 // refuses the request if even that option is not admissible.
 func (a *Allocator) Place(now time.Time, req Request) (Placement, *Refusal) {
-	place, refusal := a.choose(now, a.dataCentre, req)
+	place, refusal := a.choose(now, a.dataCentre, true, req)
 	if refusal != nil {
 		return Placement{}, refusal
 	}
@@ -126,7 +128,7 @@
 func (a *Allocator) PlaceFor(
 	now time.Time, instance identifier.InstanceID, dataCentre identifier.DataCentre, number uint64, req Request,
 ) (Placement, *Refusal) {
-	place, refusal := a.choose(now, dataCentre, req)
+	place, refusal := a.choose(now, dataCentre, false, req)
 	if refusal != nil {
 		return Placement{}, refusal
 	}
@@ -167,8 +169,12 @@
 }
 
 // choose decides about a request of an instance in a data centre.
-func (a *Allocator) choose(now time.Time, dataCentre identifier.DataCentre, req Request) (Placement, *Refusal) {
-	d := &decision{allocator: a, now: now, dataCentre: dataCentre, req: req, timings: a.timingsOf(req.Service)}
+func (a *Allocator) choose(
+	now time.Time, dataCentre identifier.DataCentre, own bool, req Request,
+) (Placement, *Refusal) {
+	d := &decision{
+		allocator: a, now: now, dataCentre: dataCentre, own: own, req: req, timings: a.timingsOf(req.Service),
+	}
 	best := d.best()
 	if best.upstream == nil {
 		return Placement{}, d.refuseWithoutOption()
@@ -199,23 +205,33 @@
 	dataCentre identifier.DataCentre
 	req        Request
 	timings    *timings
-	// limited holds the upstreams that could run the request but have named a rate limit which is used up.
-	limited []*upstream
+	// own is true for a request of this instance.
+	own bool
+	// waiting holds the upstreams that could run the request but want none now.
+	waiting []*upstream
 }
 
-// refuseWithoutOption returns the refusal of a request that no upstream may get. Where only rate limits prevent it, a
-// retry is worthwhile as soon as one of them permits another request.
+// wish returns how long an upstream wants no request of the instance that sends this one, and why.
+func (d *decision) wish(u *upstream) (time.Duration, Reason) {
+	if d.own && d.now.Before(u.waitUntil) {
+		return u.waitUntil.Sub(d.now), ReasonWaiting
+	}
+	if wait := u.limiter.Wait(d.now, d.req.RateShare); wait > 0 {
+		// The request that the limit permits next is for one of many callers.
+		return max(wait, d.allocator.settings.RetryAfter), ReasonLimited
+	}
+	return 0, ""
+}
+
+// refuseWithoutOption returns the refusal of a request that no upstream may get. Where upstreams only want none now, a
+// retry is worthwhile as soon as one of them takes requests again.
 func (d *decision) refuseWithoutOption() *Refusal {
 	r := &Refusal{Reason: ReasonNoUpstream, RetryAfter: d.allocator.settings.RetryAfter}
-	for i, u := range d.limited {
-		wait := u.limiter.Wait(d.now, d.req.RateShare)
-		if i == 0 || wait < r.RetryAfter {
-			r.RetryAfter, r.Upstream, r.Ahead = wait, u.entry.Upstream, u.load()
+	for i, u := range d.waiting {
+		if wait, reason := d.wish(u); i == 0 || wait < r.RetryAfter {
+			r.RetryAfter, r.Reason, r.Upstream, r.Ahead = wait, reason, u.entry.Upstream, u.load()
 		}
 	}
-	if len(d.limited) > 0 {
-		r.Reason, r.RetryAfter = ReasonLimited, max(r.RetryAfter, d.allocator.settings.RetryAfter)
-	}
 	return r
 }
 
@@ -236,7 +252,7 @@
 // tried if this one is not admissible: they take more from other requests than the request is worth.
 func (d *decision) best() option {
 	runners, prefillers := d.candidates(false)
-	if len(runners) == 0 && len(d.limited) == 0 {
+	if len(runners) == 0 && len(d.waiting) == 0 {
 		// Ejected upstreams are better than none: the fault may be at this instance.
 		runners, prefillers = d.candidates(true)
 	}
@@ -267,16 +283,17 @@
 }
 
 // candidates returns the usable upstreams: those that run requests and those that only prefill. Leaving ones, those that
-// the request excludes and those whose rate limit is used up are never usable.
+// the request excludes and those that want no request now are never usable.
 func (d *decision) candidates(includeEjected bool) (runners, prefillers []*upstream) {
-	d.limited = nil
+	d.waiting = nil
 	for _, u := range d.allocator.services[d.req.Service] {
+		wait, _ := d.wish(u)
 		switch {
 		case u.entry.Leaving || slices.Contains(d.req.Excluded, u.entry.Upstream):
 		case !includeEjected && d.allocator.isExcluded(d.now, d.dataCentre, u):
-		case u.limiter.Wait(d.now, d.req.RateShare) > 0:
+		case wait > 0:
 			if u.entry.Role != tracker.RolePrefill {
-				d.limited = append(d.limited, u)
+				d.waiting = append(d.waiting, u)
 			}
 		case u.entry.Role == tracker.RolePrefill:
 			prefillers = append(prefillers, u)
--- a/core/allocator/promptcache_test.go
+++ b/core/allocator/promptcache_test.go
@@ -36,7 +36,7 @@
 func TestSmallerMemoryEvicts(t *testing.T) {
 	now := time.Now()
 	a := newTestAllocator(1, 0)
-	require.Len(t, a.EnginesWithoutMemory(model), 1)
+	require.Len(t, a.EnginesWithoutMemory(time.Now(), model), 1)
 	first := longPromptRequest(1, 3000)
 	for i := range 20 {
 		_, refusal := a.PlaceFor(now, "other", "here", uint64(i), longPromptRequest(i+1, 3000))
@@ -48,5 +48,5 @@
 	require.Positive(t, a.upstreams["u0"].cache.cached(first.Prompt), "a report of an earlier incarnation does not count")
 	a.SetMemory("u0", 0, 20000)
 	require.EqualValues(t, 2500, a.upstreams["u0"].cache.cached(first.Prompt), "only the part that all requests share is left")
-	require.Empty(t, a.EnginesWithoutMemory(model))
+	require.Empty(t, a.EnginesWithoutMemory(time.Now(), model))
 }
--- a/rosemaryspool/delegator/delegator.go
+++ b/rosemaryspool/delegator/delegator.go
@@ -93,7 +93,7 @@
 const (
 	// decided is a placement or a refusal.
 	decided decision = iota + 1
-	// outdated is a decision that rests on an older list of upstreams than this instance's.
+	// outdated is a decision that rests on older knowledge of the upstreams than this instance's.
 	outdated
 	// unanswered means that no reply arrived in time.
 	unanswered
@@ -146,14 +146,15 @@
 	return placement, refusal, result
 }
 
-// isOutdated reports whether an arbiter's decision rests on an older list of upstreams: it chose one that this instance
-// knows to be leaving or gone, or knows none for the service.
+// isOutdated reports whether an arbiter's decision rests on older knowledge of the upstreams: it chose one that this
+// instance knows to be leaving, gone or asking it to wait, or knows none for the service.
 func (d *Delegator) isOutdated(placement allocator.Placement, refusal *allocator.Refusal) bool {
 	if refusal != nil {
 		return refusal.Reason == allocator.ReasonNoUpstream
 	}
-	return !d.governor.AcceptsWork(placement.Upstream) ||
-		placement.Prefiller != "" && !d.governor.AcceptsWork(placement.Prefiller)
+	now := time.Now()
+	return !d.governor.AcceptsWork(now, placement.Upstream) ||
+		placement.Prefiller != "" && !d.governor.AcceptsWork(now, placement.Prefiller)
 }
 
 // HandleReply passes an arbiter's reply to the request that waits for it.
--- a/rosemaryspool/delegator/delegator_test.go
+++ b/rosemaryspool/delegator/delegator_test.go
@@ -259,7 +259,7 @@
 	nodes := newNodes(t, 3, 2)
 	listed, _ := nodes[2].governor.Entry("u0")
 	nodes[2].governor.Notify(listed, allocator.Notice{Leaving: true})
-	require.Eventually(t, func() bool { return !nodes[0].governor.AcceptsWork("u0") }, 3*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { return !nodes[0].governor.AcceptsWork(time.Now(), "u0") }, 3*time.Second, time.Millisecond)
 	for range 4 {
 		placement, refusal := nodes[1].place()
 		require.Nil(t, refusal)
--- a/rosemaryspool/forwarder/attempt.go
+++ b/rosemaryspool/forwarder/attempt.go
@@ -202,8 +202,8 @@
 			return notExecuted
 		}
 	}
-	if !e.forwarder.governor.AcceptsWork(placement.Upstream) {
-		// The upstream began to leave during the prefill.
+	if !e.forwarder.governor.AcceptsWork(time.Now(), placement.Upstream) {
+		// The upstream began to leave during the prefill, or asked this instance to wait.
 		e.dropCache()
 		return notExecuted
 	}
@@ -249,7 +249,7 @@
 	response.Close(err == nil)
 	switch {
 	case response.Status != http.StatusOK:
-		outcome = allocator.OutcomeRejected
+		outcome = rejectedOutcome(response)
 		return false
 	case err != nil:
 		outcome = allocator.OutcomeFailed
@@ -323,7 +323,7 @@
 	if platform.NotExecuted(response.Status, response.Header) {
 		_, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxHandleBytes))
 		response.Close(err == nil)
-		return notExecuted, allocator.OutcomeRejected
+		return notExecuted, rejectedOutcome(response)
 	}
 	if e.route.Streaming && response.Status < http.StatusMultipleChoices {
 		return e.relayStream(response)
@@ -331,6 +331,15 @@
 	return e.relayBuffered(response)
 }
 
+// rejectedOutcome classifies a rejection for the allocator. One that asks this instance to wait says nothing about the
+// upstream for the others.
+func rejectedOutcome(response *connector.Response) allocator.Outcome {
+	if platform.AsksToWait(response.Status, response.Header) {
+		return allocator.OutcomeCancelled
+	}
+	return allocator.OutcomeRejected
+}
+
 // watchOverdue starts a timer that reports the attempt as overdue. If the upstream is ejected for that and the request
 // may run elsewhere, the attempt is cancelled. The returned function stops the timer; it may be called more than once.
 func (e *exchange) watchOverdue(cancel context.CancelFunc) func() {
--- a/rosemaryspool/gatekeeper/gatekeeper.go
+++ b/rosemaryspool/gatekeeper/gatekeeper.go
@@ -135,7 +135,6 @@
 			g.log.Warn().Err(err).Str("event", "noticeUnreadable").Str("upstream", string(from.Upstream)).
 				Msg("Ignoring what an upstream says of itself")
 		}
-		return
 	}
 	if own {
 		g.governor.Notify(from, notice)
--- a/rosemaryspool/gatekeeper/gatekeeper_test.go
+++ b/rosemaryspool/gatekeeper/gatekeeper_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -405,6 +406,64 @@
 	}
 }
 
+func TestUpstreamThatAsksToWaitGetsNoRequests(t *testing.T) {
+	const wait = 2 * time.Second
+	for _, c := range []struct {
+		name string
+		// all is true if every upstream asks to wait.
+		all    bool
+		status int
+	}{
+		{"another one serves", false, http.StatusOK},
+		{"all ask to wait", true, http.StatusServiceUnavailable},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			waiting, other := newPlainUpstream("u1"), newPlainUpstream("u2")
+			waiting.SetBehaviour(emulator.Rejects)
+			waiting.SetRetryAfter("2")
+			if c.all {
+				other.SetBehaviour(emulator.Rejects)
+				other.SetRetryAfter("3")
+			}
+			ti := newReadyTestInstance(t, waiting, other)
+			for len(waiting.Rejections()) == 0 || c.all && len(other.Rejections()) == 0 {
+				ti.send(http.MethodGet, lookups+"x", "")
+			}
+			asked := waiting.Rejections()[0].At
+			other.SetDelay(50 * time.Millisecond)
+			var group conc.WaitGroup
+			for range 12 {
+				group.Go(func() {
+					for time.Since(asked) < wait-100*time.Millisecond {
+						r := ti.send(http.MethodGet, lookups+"x", "")
+						assert.Equal(t, c.status, r.status)
+						if c.all {
+							seconds, err := strconv.ParseFloat(r.header.Get("Retry-After"), 64)
+							assert.NoError(t, err)
+							assert.InDelta(t, (wait - time.Since(asked)).Seconds(), seconds, 0.5, "the earliest of the upstreams")
+						}
+						time.Sleep(5 * time.Millisecond)
+					}
+				})
+			}
+			group.Wait()
+			// Up to two requests may arrive in this time.
+			late := 0
+			for _, r := range waiting.Rejections() {
+				if since := r.At.Sub(asked); since > 500*time.Millisecond && since < wait {
+					late++
+				}
+			}
+			require.LessOrEqual(t, late, 2)
+			waiting.SetBehaviour(emulator.Responds)
+			require.Eventually(t, func() bool {
+				ti.send(http.MethodGet, lookups+"x", "")
+				return countRuns(waiting) > 0
+			}, 2*time.Second, 5*time.Millisecond, "it is used again after that time")
+		})
+	}
+}
+
 func TestReusedAddressOfAnotherUpstreamRunsNothing(t *testing.T) {
 	a, b := newPlainUpstream("u1"), newPlainUpstream("u2")
 	ti := newTestInstance(t, b)
--- a/rosemaryspool/governor/governor.go
+++ b/rosemaryspool/governor/governor.go
@@ -234,11 +234,12 @@
 	return g.allocator.Entry(id)
 }
 
-// AcceptsWork reports whether an upstream is listed and not leaving, as far as this instance knows.
-func (g *Governor) AcceptsWork(id identifier.UpstreamID) bool {
+// AcceptsWork reports whether an upstream is listed, not leaving, and has not asked this instance to wait, as far as this
+// instance knows.
+func (g *Governor) AcceptsWork(now time.Time, id identifier.UpstreamID) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.allocator.AcceptsWork(id)
+	return g.allocator.AcceptsWork(now, id)
 }
 
 // Notify applies what an upstream says of itself in a response.
@@ -248,6 +249,10 @@
 	if n.Leaving {
 		g.markLeaving(from.Upstream, from.Incarnation, "")
 	}
+	if n.RetryAfter > 0 {
+		g.log.Info().Str("event", "upstreamWaiting").Str("upstream", string(from.Upstream)).
+			Dur("retryAfterMs", n.RetryAfter).Msg("Upstream wants no requests from this instance for a while")
+	}
 	if g.allocator.Notify(from, n) {
 		g.logLimit(allocator.NamedLimit{Upstream: from.Upstream, Limit: n.Limit}, "")
 	}
--- a/rosemaryspool/governor/member.go
+++ b/rosemaryspool/governor/member.go
@@ -90,7 +90,7 @@
 	for _, service := range g.allocator.Services() {
 		first := g.elector.Trusted(now, ArbiterDuty(service), 1)
 		if len(first) > 0 && first[0].Instance == g.self.Instance {
-			entries = append(entries, g.allocator.EnginesWithoutMemory(service)...)
+			entries = append(entries, g.allocator.EnginesWithoutMemory(now, service)...)
 		}
 	}
 	return entries
--- a/standin/emulator/upstream.go
+++ b/standin/emulator/upstream.go
@@ -69,6 +69,8 @@
 	delay    time.Duration
 	// limit is the header that names the rate limit; empty if there is none.
 	limit string
+	// retryAfter is the Retry-After header of rejections; empty if they have none.
+	retryAfter string
 	// leaving is true if all answers say that the upstream leaves.
 	leaving bool
 }
@@ -141,6 +143,13 @@
 	u.limit = limit
 }
 
+// SetRetryAfter sets the Retry-After header of all rejections that follow.
+func (u *Upstream) SetRetryAfter(seconds string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.retryAfter = seconds
+}
+
 // SetLeaving makes all answers that follow say that the upstream leaves.
 func (u *Upstream) SetLeaving() {
 	u.mu.Lock()
@@ -221,7 +230,11 @@
 	if behaviour == Rejects {
 		u.mu.Lock()
 		u.rejected = append(u.rejected, run)
+		retryAfter := u.retryAfter
 		u.mu.Unlock()
+		if retryAfter != "" {
+			w.Header().Set("Retry-After", retryAfter)
+		}
 		w.Header().Set(HeaderNotExecuted, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
