Bound the upstreams that a placement request names

Cause: by reading. Since leaving upstreams are named in placement requests, a release of half a large fleet makes them too large for a datagram; they are not sent, and each instance then suspects the arbiter and decides alone.

Change: at most 32 are named, those that the request has tried first. A placement at another one that the instance can't use is not followed anyway.

Evidence: TestManyLeavingUpstreamsFitIntoARequest failed before (placed alone).

--- a/rosemaryspool/delegator/delegator.go
+++ b/rosemaryspool/delegator/delegator.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -24,6 +25,9 @@
 	replyTimeout = 25 * time.Millisecond
 	// maxArbiters is the number of arbiters that are asked before the instance decides alone.
 	maxArbiters = 2
+	// maxExcluded bounds the upstreams that a request tells the arbiter to pass over, as it must fit into a datagram. A
+	// placement at one that is not named is not followed.
+	maxExcluded = 32
 	// spareRateShare is the share of upstreams' rate limits that instances use which are not the first arbiter: one that is
 	// asked in its place, and all that decide alone together.
 	spareRateShare = 0.2
@@ -105,7 +109,8 @@
 ) (placement allocator.Placement, refusal *allocator.Refusal, result decision) {
 	result = unanswered
 	now := time.Now()
-	request.Excluded = append(d.governor.Unusable(now, request.Service), request.Excluded...)
+	request.Excluded = append(slices.Clip(request.Excluded), d.governor.Unusable(now, request.Service)...)
+	request.Excluded = request.Excluded[:min(len(request.Excluded), maxExcluded)]
 	number := d.governor.BeginRequest()
 	replies := make(chan *messenger.PlacementReply, 1)
 	d.mu.Lock()
--- a/rosemaryspool/delegator/delegator_test.go
+++ b/rosemaryspool/delegator/delegator_test.go
@@ -222,7 +222,7 @@
 // setLeaving marks an upstream as leaving in the list of one instance.
 func (n *node) setLeaving(id identifier.UpstreamID) {
 	n.governor.UpdateUpstreams(time.Now(), governor.Origin{}, func(tr *tracker.Tracker) bool {
-		return tr.Update(tracker.Entry{Upstream: id, Service: service, Slots: 1, Leaving: true}, 100)
+		return tr.Update(tracker.Entry{Upstream: id, Service: service, Slots: 1, Leaving: true}, 1000)
 	})
 }
 
@@ -255,6 +255,20 @@
 	}
 }
 
+func TestManyLeavingUpstreamsFitIntoARequest(t *testing.T) {
+	const upstreams = 400
+	nodes := newNodes(t, 3, upstreams)
+	for _, n := range nodes {
+		for i := 1; i < upstreams; i++ {
+			n.setLeaving(identifier.UpstreamID(fmt.Sprint("u", i)))
+		}
+	}
+	placement, refusal := nodes[2].place()
+	require.Nil(t, refusal)
+	require.EqualValues(t, "u0", placement.Upstream)
+	require.Zero(t, nodes[2].placedAlone())
+}
+
 func TestOneInstanceThatHearsOfALeavingUpstreamTellsTheArbiter(t *testing.T) {
 	nodes := newNodes(t, 3, 2)
 	listed, _ := nodes[2].governor.Entry("u0")
