--- a/core/identifier/identifier.go
+++ b/core/identifier/identifier.go
@@ -57,6 +57,9 @@
 // Offset is a position in a log stream; the first record has offset 1.
 type Offset uint64
 
+// Era counts how often the platform's store has returned from an older copy. Offsets of different eras are unrelated.
+type Era uint64
+
 // Token is a fencing token: the offset of the granted lease claim.
 type Token uint64
 
--- a/rosemaryspool/subscriber/agreement_test.go
+++ b/rosemaryspool/subscriber/agreement_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -26,7 +27,10 @@
 type memoryStore struct {
 	records   []platform.Record
 	start     uint64
+	era       identifier.Era
 	meanwhile func()
+	// pagesApart is true if meanwhile runs between the pages of the newest records.
+	pagesApart bool
 }
 
 func (s *memoryStore) put(key string, value []byte) {
@@ -44,6 +48,12 @@
 	}
 }
 
+// restore returns to a copy that lacks the last records.
+func (s *memoryStore) restore(lost int) {
+	s.records = s.records[:max(0, len(s.records)-lost)]
+	s.era++
+}
+
 func (s *memoryStore) newest() []platform.Record {
 	byKey := map[string]platform.Record{}
 	for _, r := range s.records {
@@ -67,28 +77,31 @@
 }
 
 // ReadNewest implements Store.
-func (s *memoryStore) ReadNewest(_ context.Context, topic string) ([]platform.Record, uint64, error) {
+func (s *memoryStore) ReadNewest(_ context.Context, topic string) (platform.Batch, error) {
 	if topic != platform.TopicServers {
-		return nil, 0, nil
+		return platform.Batch{}, nil
 	}
-	newest, end := s.newest(), s.end()
+	batch := platform.Batch{Records: s.newest(), Next: s.end(), Era: s.era}
 	s.pause()
-	return newest, end, nil
+	if s.pagesApart && batch.Era == s.era {
+		batch.Records = s.newest()
+	}
+	return batch, nil
 }
 
 // Read implements Store.
 func (s *memoryStore) Read(
 	_ context.Context, topic string, from uint64, _ time.Duration,
-) ([]platform.Record, uint64, error) {
+) (platform.Batch, error) {
 	if topic != platform.TopicServers {
-		return nil, from, nil
+		return platform.Batch{Next: from}, nil
 	}
-	if from < s.start {
-		return nil, from, &platform.TrimmedError{FirstOffset: s.start}
+	if from < s.start || from > s.end() {
+		return platform.Batch{}, &platform.TrimmedError{FirstOffset: s.start}
 	}
-	records, end := slices.Clone(s.records[from-s.start:]), s.end()
+	batch := platform.Batch{Records: slices.Clone(s.records[from-s.start:]), Next: s.end(), Era: s.era}
 	s.pause()
-	return records, end, nil
+	return batch, nil
 }
 
 // Write implements Store.
@@ -260,57 +273,122 @@
 	s.requireAgreement(t)
 }
 
+// history is a random sequence of changes, reads, deliveries, losses and restarts.
+type history struct {
+	*simulation
+	t      *testing.T
+	random *rand.Rand
+	// restores is true if the store returns from older copies.
+	restores bool
+	born     map[string]int
+	state    map[string]string
+	// rewrite holds the keys that are to be written again after the store has returned from an older copy.
+	rewrite []string
+}
+
+// upstreamKeys are the upstreams of a history.
+var upstreamKeys = []string{"u0", "u1", "u2"}
+
+// step makes a random step; depth counts the reads during which it happens.
+func (h *history) step(depth int) {
+	key := upstreamKeys[h.random.IntN(len(upstreamKeys))]
+	switch n := h.random.IntN(100); {
+	case len(h.rewrite) > 0 && n < 30:
+		h.writeAgain()
+	case n < 12 && (h.state[key] == "" || h.state[key] == "gone"):
+		h.born[key]++
+		h.set(key, "ready")
+	case n < 22 && h.state[key] == "ready":
+		h.set(key, "draining")
+	case n < 27 && h.state[key] == "draining":
+		h.set(key, "gone")
+	case n < 40 && (h.state[key] == "ready" || h.state[key] == "draining"):
+		h.set(key, h.state[key])
+	case n < 55 && depth < 3:
+		h.read(depth)
+	case n < 85 && len(h.sent) > 0:
+		h.deliver(h.random.IntN(len(h.sent)), h.random.IntN(10) == 0)
+	case n < 93 && len(h.sent) > 0:
+		index := h.random.IntN(len(h.sent))
+		h.sent = slices.Delete(h.sent, index, index+1)
+	case n < 95 && depth == 0:
+		h.start(h.random.IntN(len(h.instances)))
+	case n < 96:
+		h.store.trim()
+	case n < 98 && h.restores:
+		h.store.restore(h.random.IntN(6))
+		h.rewrite = slices.Clone(upstreamKeys)
+	}
+}
+
+// set writes an upstream's state.
+func (h *history) set(key, state string) {
+	h.state[key] = state
+	if state == "gone" {
+		h.store.put(key, nil)
+		return
+	}
+	h.store.put(key, bornRecord(state, h.born[key]))
+}
+
+// writeAgain writes the state of one upstream again, as it does itself.
+func (h *history) writeAgain() {
+	key := h.rewrite[0]
+	h.rewrite = h.rewrite[1:]
+	if h.state[key] != "" {
+		h.set(key, h.state[key])
+	}
+}
+
+// read lets an instance read the list; other steps may happen before the response arrives.
+func (h *history) read(depth int) {
+	if h.random.IntN(2) == 0 {
+		h.store.pagesApart = h.random.IntN(2) == 0
+		h.store.meanwhile = func() {
+			h.store.meanwhile = nil
+			for range h.random.IntN(8) {
+				h.step(depth + 1)
+			}
+		}
+	}
+	h.instances[h.random.IntN(len(h.instances))].readStore(h.t)
+}
+
+func playHistory(t *testing.T, seed uint64, restores bool) {
+	const steps = 120
+	h := &history{
+		simulation: newSimulation(4), t: t, random: rand.New(rand.NewPCG(seed, 1)), restores: restores,
+		born: map[string]int{}, state: map[string]string{},
+	}
+	for range steps {
+		h.step(0)
+	}
+	h.store.meanwhile = nil
+	for len(h.rewrite) > 0 {
+		h.writeAgain()
+	}
+	h.settle(t)
+	time.Sleep(tracker.RelistGracePeriod)
+	for _, i := range h.instances {
+		i.governor.Expire(time.Now())
+	}
+	h.requireAgreement(t)
+}
+
 func TestInstancesAgreeOnTheListUnderLossDelayAndRestarts(t *testing.T) {
-	const seeds, steps = 500, 120
+	const seeds = 500
 	for seed := range uint64(seeds) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			random := rand.New(rand.NewPCG(seed, 1))
-			s := newSimulation(4)
-			born := map[string]int{}
-			state := map[string]string{}
-			var step func(depth int)
-			step = func(depth int) {
-				key := fmt.Sprint("u", random.IntN(3))
-				switch n := random.IntN(100); {
-				case n < 12 && (state[key] == "" || state[key] == "gone"):
-					born[key]++
-					state[key] = "ready"
-					s.store.put(key, bornRecord("ready", born[key]))
-				case n < 22 && state[key] == "ready":
-					state[key] = "draining"
-					s.store.put(key, bornRecord("draining", born[key]))
-				case n < 27 && state[key] == "draining":
-					state[key] = "gone"
-					s.store.put(key, nil)
-				case n < 40 && (state[key] == "ready" || state[key] == "draining"):
-					s.store.put(key, bornRecord(state[key], born[key]))
-				case n < 55 && depth < 3:
-					if random.IntN(2) == 0 {
-						s.store.meanwhile = func() {
-							s.store.meanwhile = nil
-							for range random.IntN(8) {
-								step(depth + 1)
-							}
-						}
-					}
-					s.instances[random.IntN(len(s.instances))].readStore(t)
-				case n < 85 && len(s.sent) > 0:
-					s.deliver(random.IntN(len(s.sent)), random.IntN(10) == 0)
-				case n < 93 && len(s.sent) > 0:
-					index := random.IntN(len(s.sent))
-					s.sent = slices.Delete(s.sent, index, index+1)
-				case n < 95 && depth == 0:
-					s.start(random.IntN(len(s.instances)))
-				case n < 96:
-					s.store.trim()
-				}
-			}
-			for range steps {
-				step(0)
-			}
-			s.store.meanwhile = nil
-			s.settle(t)
-			s.requireAgreement(t)
+			synctest.Test(t, func(t *testing.T) { playHistory(t, seed, false) })
+		})
+	}
+}
+
+func TestInstancesAgreeOnTheListWhenTheStoreReturnsFromOlderCopies(t *testing.T) {
+	const seeds = 500
+	for seed := range uint64(seeds) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { playHistory(t, seed, true) })
 		})
 	}
 }
--- a/rosemaryspool/subscriber/follower.go
+++ b/rosemaryspool/subscriber/follower.go
@@ -35,7 +35,7 @@
 	// applying is held while records are applied and the pacer learns how far they reach. It guards newest together with
 	// the subscriber's mutex.
 	applying sync.Mutex
-	// newest holds the newest record of each key that said anything new; all of them lie before the pacer's offset.
+	// newest holds the newest record of each key that said anything new.
 	newest map[string]platform.Record
 	// incoming holds the records of a snapshot that another instance is sending, up to the offset incomingTo.
 	incoming   []platform.Record
@@ -110,7 +110,7 @@
 	s.setCancel(t, cancel)
 	defer s.setCancel(t, nil)
 	if known {
-		records, end, err := s.store.Read(ctx, t.name, next, wait)
+		batch, err := s.store.Read(ctx, t.name, next, wait)
 		var trimmed *platform.TrimmedError
 		switch {
 		case errors.As(err, &trimmed):
@@ -119,60 +119,60 @@
 		case err != nil:
 			return err
 		default:
-			view := s.applyRead(t, next, records, end)
+			view := s.applyRead(t, next, batch)
 			if !catchesUp {
 				s.exchange.ForwardView(t.name, view)
 			}
 			return nil
 		}
 	}
-	records, end, err := s.store.ReadNewest(ctx, t.name)
+	batch, err := s.store.ReadNewest(ctx, t.name)
 	if err != nil {
 		return err
 	}
-	view := s.applyNewest(t, records, end)
+	view := s.applyNewest(t, batch)
 	if s.governor.ReaderRank(time.Now()) == 0 {
 		// Neighbours that have not read as far ask for the snapshot.
-		s.exchange.ForwardView(t.name, gossiper.View{View: view, RecordsFrom: end, RecordsTo: end})
+		s.exchange.ForwardView(t.name, gossiper.View{View: view, RecordsFrom: batch.Next, RecordsTo: batch.Next})
 	}
 	return nil
 }
 
-// applyRead applies a read of the records from one offset to another, and returns the view with the relevant ones.
-func (s *Subscriber) applyRead(t *topic, from uint64, records []platform.Record, to uint64) gossiper.View {
+// applyRead applies a read of the records from an offset on, and returns the view with the relevant ones.
+func (s *Subscriber) applyRead(t *topic, from uint64, batch platform.Batch) gossiper.View {
 	t.applying.Lock()
 	defer t.applying.Unlock()
 	s.mu.Lock()
 	// Other instances may have forwarded records, or a snapshot, during the read.
 	followed, _ := t.pacer.NextOffset()
 	s.mu.Unlock()
-	relevant := s.applyRecords(t, records, followed, governor.Origin{FollowedTo: to})
-	return s.recordRead(t, from, to, relevant)
+	relevant := s.applyRecords(t, batch.Records, followed, governor.Origin{FollowedTo: batch.Next})
+	return s.recordRead(t, from, batch.Next, relevant)
 }
 
-// applyNewest applies a read of the newest record of each key as of an offset. It is of no use if other instances have
-// forwarded all that it contains.
-func (s *Subscriber) applyNewest(t *topic, records []platform.Record, end uint64) pacer.View {
+// applyNewest applies a read of the newest record of each key. It is of no use if other instances have forwarded all that
+// it contains.
+func (s *Subscriber) applyNewest(t *topic, batch platform.Batch) pacer.View {
 	t.applying.Lock()
 	defer t.applying.Unlock()
 	s.mu.Lock()
 	followed, synced := t.pacer.NextOffset()
 	s.mu.Unlock()
 	now := time.Now()
-	if synced && followed >= end {
+	if synced && followed >= batch.Next {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		return t.pacer.DeltaRead(now, end, 0)
+		return t.pacer.DeltaRead(now, batch.Next, 0)
 	}
-	s.applySnapshot(t, records, governor.Origin{Snapshot: true, FollowedTo: end})
+	s.applySnapshot(t, batch.Records, governor.Origin{Snapshot: true, FollowedTo: batch.Next})
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return t.pacer.SnapshotRead(now, end)
+	return t.pacer.SnapshotRead(now, batch.Next)
 }
 
 // applyRecords applies the records from the offset followed on that say anything new, and returns the relevant ones:
-// these, and the ones before that offset. Those are known from other instances, but perhaps not to the instances to which
-// they are forwarded. The topic's applying mutex must be held, as for applySnapshot.
+// these, and the ones that are known already, from other instances or a later page of a snapshot. Those may not be known
+// to the instances to which they are forwarded. The topic's applying mutex must be held, as for applySnapshot.
 func (s *Subscriber) applyRecords(
 	t *topic, records []platform.Record, followed uint64, origin governor.Origin,
 ) []platform.Record {
--- a/rosemaryspool/subscriber/subscriber.go
+++ b/rosemaryspool/subscriber/subscriber.go
@@ -37,9 +37,9 @@
 // Store is the platform's store.
 type Store interface {
 	// ReadNewest returns the newest record of each key of a topic and the offset from which Read continues.
-	ReadNewest(ctx context.Context, topic string) ([]platform.Record, uint64, error)
-	// Read returns the records of a topic from an offset on and the next offset. It waits up to wait for the first one.
-	Read(ctx context.Context, topic string, from uint64, wait time.Duration) ([]platform.Record, uint64, error)
+	ReadNewest(ctx context.Context, topic string) (platform.Batch, error)
+	// Read returns the records of a topic from an offset on. It waits up to wait for the first one.
+	Read(ctx context.Context, topic string, from uint64, wait time.Duration) (platform.Batch, error)
 	// Write appends a new value of a key.
 	Write(ctx context.Context, topic, key string, value []byte) error
 }
