--- a/rosemaryspool/subscriber/sharing.go
+++ b/rosemaryspool/subscriber/sharing.go
@@ -156,19 +156,18 @@
 	defer t.applying.Unlock()
 	s.mu.Lock()
 	next, _ := t.pacer.NextOffset()
-	hasGap := t.pacer.HasGapTo(v.View)
 	applies := t.pacer.PeerRecordsReceived(v.RecordsFrom, v.RecordsTo, v.Changed)
 	s.mu.Unlock()
-	if hasGap {
-		s.exchange.RequestView(t.name)
-		return
-	}
 	if applies {
 		s.applyRecords(t, recordsFrom(v.Records, next), next, governor.Origin{Sender: v.Sender, FollowedTo: v.RecordsTo})
 	}
 	s.mu.Lock()
-	mustRead := t.pacer.PeerViewReceived(v.View)
+	hasGap := t.pacer.HasGapTo(v.View)
+	mustRead := !hasGap && t.pacer.PeerViewReceived(v.View)
 	s.mu.Unlock()
+	if hasGap {
+		s.exchange.RequestView(t.name)
+	}
 	if mustRead {
 		t.signal()
 	}
