--- a/core/tracker/tracker.go
+++ b/core/tracker/tracker.go
@@ -191,11 +191,12 @@
 	return true
 }
 
-// Retain deletes the upstreams that a full read of the list does not contain. It reports whether the list changed.
-func (t *Tracker) Retain(now time.Time, listed map[identifier.UpstreamID]bool) bool {
+// Retain deletes the upstreams that a full read of the records before an offset does not contain. It reports whether the
+// list changed.
+func (t *Tracker) Retain(now time.Time, listed map[identifier.UpstreamID]bool, before uint64) bool {
 	changed := false
 	for id, m := range t.members {
-		if !listed[id] && t.Delete(now, id, m.offset) {
+		if !listed[id] && m.offset < before && t.Delete(now, id, m.offset) {
 			changed = true
 		}
 	}
--- a/core/tracker/tracker_test.go
+++ b/core/tracker/tracker_test.go
@@ -75,8 +75,12 @@
 		}, 0},
 		{"full read removes upstreams that it doesn't contain", func(tr *Tracker) {
 			tr.Update(entry(1, false), 1)
-			tr.Retain(now, nil)
+			tr.Retain(now, nil, 2)
 		}, 0},
+		{"full read of earlier records doesn't remove a later one", func(tr *Tracker) {
+			tr.Update(entry(1, false), 5)
+			tr.Retain(now, nil, 5)
+		}, 1},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			tr := NewTracker()
--- a/rosemaryspool/subscriber/applier.go
+++ b/rosemaryspool/subscriber/applier.go
@@ -53,7 +53,7 @@
 			accepted = append(accepted, r)
 		}
 		if origin.Snapshot {
-			changed = t.Retain(now, listed) || changed
+			changed = t.Retain(now, listed, origin.FollowedTo) || changed
 		}
 		return changed
 	})
--- a/rosemaryspool/subscriber/follower.go
+++ b/rosemaryspool/subscriber/follower.go
@@ -180,7 +180,7 @@
 	for _, r := range records {
 		newest, known := t.newest[r.Key]
 		switch {
-		case r.Offset < followed:
+		case r.Offset < followed, known && newest.Offset >= r.Offset:
 			relevant = append(relevant, r)
 		case !known || t.changes == nil || t.changes(newest, r):
 			news = append(news, r)
