Follow a store that returns from an older copy

Offsets go back and are given out again, and its era rises by one in all its responses. Instances kept their offsets: they skipped the first new records, ignored records with lower offsets than before, or joined views of neighbours in different eras.

Change: the client of the store returns the era with each read. What is known stays in force: marks of leaving upstreams, the configuration by its version (instances that start get it from their neighbours), members. An instance whose own record is gone writes it again. Views of an earlier era are dropped.

The test with real instances, TestInstancesFollowAStoreThatReturnsFromAnOlderCopy, was written with the change.

--- a/core/pacer/pacer.go
+++ b/core/pacer/pacer.go
@@ -3,11 +3,17 @@
 // reads relevant records from the store itself.
 package pacer
 
-import "time"
+import (
+	"time"
+
+	"rosemaryspool.example/core/identifier"
+)
 
 // View is the contiguous range of a topic's records that an instance has followed. Records that change the instance's
 // state are called relevant.
 type View struct {
+	// Era is the era of the store in which the offsets are valid.
+	Era identifier.Era
 	// First is the offset of the first record of the range.
 	First uint64
 	// Next is the offset after the last record of the range.
@@ -39,6 +45,8 @@
 	own      View
 	// synced is true once a snapshot of the topic has been read or received.
 	synced bool
+	// notBefore is the earliest time of the first read in an era.
+	notBefore time.Time
 	// peerReadAt is the latest read of an instance whose view continues this one's without a gap.
 	peerReadAt time.Time
 	// peerChange is the offset up to which other instances have found relevant records.
@@ -55,13 +63,28 @@
 	p.interval, p.holdTime = interval, holdTime
 }
 
+// Era returns the era of the store that the instance follows.
+func (p *Pacer) Era() identifier.Era { return p.own.Era }
+
+// EnterEra forgets all offsets if an era is later than the one that the instance follows, and reports whether it is. The
+// first read is not due before a time.
+func (p *Pacer) EnterEra(era identifier.Era, notBefore time.Time) bool {
+	if era <= p.own.Era {
+		return false
+	}
+	p.own = View{Era: era}
+	p.synced, p.notBefore = false, notBefore
+	p.peerReadAt, p.peerChange = time.Time{}, 0
+	return true
+}
+
 // NextOffset returns the lowest offset that an unread relevant record may have. It returns false when a snapshot of
 // the topic must be read first.
 func (p *Pacer) NextOffset() (uint64, bool) { return p.own.Next, p.synced }
 
 // SnapshotRead records a read of all keys and returns the new view. next is the offset of the first record after it.
 func (p *Pacer) SnapshotRead(now time.Time, next uint64) View {
-	p.own = View{First: next, Next: next, ReadAt: now}
+	p.own = View{Era: p.own.Era, First: next, Next: next, ReadAt: now}
 	p.synced, p.peerChange = true, 0
 	return p.own
 }
@@ -79,7 +102,7 @@
 
 // PeerViewReceived merges the view of another instance and reports whether a relevant record must be read immediately.
 func (p *Pacer) PeerViewReceived(v View) bool {
-	if !p.synced || v.First > p.own.Next {
+	if !p.synced || v.Era != p.own.Era || v.First > p.own.Next {
 		// Not synced yet, or a gap: the other instance may have missed records that this one has not read either.
 		return false
 	}
@@ -111,16 +134,18 @@
 // PeerSnapshotReceived merges a snapshot that another instance has sent. It returns false if this instance has read the
 // topic as far already.
 func (p *Pacer) PeerSnapshotReceived(v View) bool {
-	if p.synced && v.Next <= p.own.Next {
+	if v.Era != p.own.Era || p.synced && v.Next <= p.own.Next {
 		return false
 	}
-	p.own = View{First: v.Next, Next: v.Next, Changed: v.Changed, ReadAt: p.own.ReadAt}
+	p.own = View{Era: v.Era, First: v.Next, Next: v.Next, Changed: v.Changed, ReadAt: p.own.ReadAt}
 	p.synced, p.peerReadAt = true, v.ReadAt
 	return true
 }
 
 // HasGapTo reports whether records lie between those that this instance has read and those that another one has followed.
-func (p *Pacer) HasGapTo(v View) bool { return p.synced && v.First > p.own.Next }
+func (p *Pacer) HasGapTo(v View) bool {
+	return p.synced && v.Era == p.own.Era && v.First > p.own.Next
+}
 
 // Synced reports whether a snapshot of the topic has been read or received.
 func (p *Pacer) Synced() bool { return p.synced }
@@ -140,7 +165,10 @@
 // NextReadAt returns the time of the next read, the zero time for an immediate one. rank is the number of nearby
 // instances that read before this one.
 func (p *Pacer) NextReadAt(rank int) time.Time {
-	if !p.synced || p.BehindPeers() {
+	switch {
+	case !p.synced:
+		return p.notBefore
+	case p.BehindPeers():
 		return time.Time{}
 	}
 	latest := p.own.ReadAt
--- a/core/pacer/pacer_test.go
+++ b/core/pacer/pacer_test.go
@@ -134,3 +134,21 @@
 		})
 	}
 }
+
+func TestOffsetsOfAnotherEraDontCount(t *testing.T) {
+	p := NewPacer(interval, 0)
+	p.SnapshotRead(at(0), 10)
+	later := View{Era: 1, First: 2, Next: 12, Changed: 11, ReadAt: at(interval)}
+	require.False(t, p.PeerViewReceived(later))
+	require.False(t, p.PeerSnapshotReceived(later))
+	require.False(t, p.HasGapTo(later))
+	require.True(t, p.EnterEra(1, at(interval)))
+	require.False(t, p.EnterEra(1, at(0)))
+	_, synced := p.NextOffset()
+	require.False(t, synced)
+	require.Equal(t, at(interval), p.NextReadAt(0))
+	require.False(t, p.PeerSnapshotReceived(View{First: 5, Next: 30}), "a view of the earlier era")
+	require.True(t, p.PeerSnapshotReceived(later))
+	require.Equal(t, View{Era: 1, First: 12, Next: 12, Changed: 11, ReadAt: at(interval)}, p.View())
+	require.False(t, p.EnterEra(0, at(0)), "the era never goes back")
+}
--- a/core/tracker/tracker.go
+++ b/core/tracker/tracker.go
@@ -120,6 +120,15 @@
 	}
 }
 
+// StoreReturned records that the store has returned from an older copy: offsets start anew, and upstreams that the copy
+// lacks have RelistGracePeriod to register again.
+func (t *Tracker) StoreReturned(now time.Time) {
+	for _, m := range t.members {
+		m.offset = 0
+	}
+	t.OutageReported(now)
+}
+
 // Update applies an upstream's record at an offset and reports whether the list changed. Records with a lower offset or
 // of an earlier incarnation are ignored.
 func (t *Tracker) Update(e Entry, offset uint64) bool {
@@ -191,12 +200,12 @@
 	return true
 }
 
-// Retain deletes the upstreams that a full read of the records before an offset does not contain. It reports whether the
-// list changed.
+// Retain deletes the upstreams that a full read of the records before an offset does not contain, and those of an earlier
+// era of the store. It reports whether the list changed.
 func (t *Tracker) Retain(now time.Time, listed map[identifier.UpstreamID]bool, before uint64) bool {
 	changed := false
 	for id, m := range t.members {
-		if !listed[id] && m.offset < before && t.Delete(now, id, m.offset) {
+		if !listed[id] && (m.offset < before || m.offset == 0) && t.Delete(now, id, m.offset) {
 			changed = true
 		}
 	}
--- a/rosemaryspool/gossiper/assembler.go
+++ b/rosemaryspool/gossiper/assembler.go
@@ -41,6 +41,7 @@
 
 // assembly holds the fragments of one record. Missing ones are nil.
 type assembly struct {
+	era       uint64
 	offset    uint64
 	fragments [][]byte
 	missing   int
@@ -64,9 +65,9 @@
 	}
 	key := assemblyKey{instance: sender, topic: t.GetTopic()}
 	joined := a.assemblies[key]
-	if joined == nil || joined.offset != r.GetOffset() || len(joined.fragments) != int(r.GetFragments()) {
+	if joined == nil || joined.era != t.GetEra() || joined.offset != r.GetOffset() || len(joined.fragments) != int(r.GetFragments()) {
 		joined = &assembly{
-			offset: r.GetOffset(), fragments: make([][]byte, r.GetFragments()), missing: int(r.GetFragments()),
+			era: t.GetEra(), offset: r.GetOffset(), fragments: make([][]byte, r.GetFragments()), missing: int(r.GetFragments()),
 		}
 		a.assemblies[key] = joined
 	}
--- a/rosemaryspool/gossiper/view.go
+++ b/rosemaryspool/gossiper/view.go
@@ -96,7 +96,7 @@
 	ranges := splitRecords(v)
 	messages := make([]*messenger.StoreUpdate, 0, len(ranges))
 	for i, t := range ranges {
-		t.Topic, t.First, t.Next, t.Changed = topic, v.First, v.Next, v.Changed
+		t.Topic, t.Era, t.First, t.Next, t.Changed = topic, uint64(v.Era), v.First, v.Next, v.Changed
 		t.Snapshot = v.Snapshot
 		t.AgeMs, t.OutageAgeMs = identifier.Milliseconds(now.Sub(v.ReadAt)), identifier.Milliseconds(v.OutageAge)
 		if i < len(ranges)-1 && !v.Snapshot {
@@ -158,7 +158,7 @@
 func decodeView(at time.Time, t *messenger.TopicView) View {
 	v := View{
 		View: pacer.View{
-			First: t.GetFirst(), Next: t.GetNext(), Changed: t.GetChanged(),
+			Era: identifier.Era(t.GetEra()), First: t.GetFirst(), Next: t.GetNext(), Changed: t.GetChanged(),
 			ReadAt: at.Add(-time.Duration(t.GetAgeMs()) * time.Millisecond),
 		},
 		RecordsFrom: t.GetRecordsFrom(), RecordsTo: t.GetRecordsTo(), Snapshot: t.GetSnapshot(),
--- a/rosemaryspool/governor/governor.go
+++ b/rosemaryspool/governor/governor.go
@@ -151,6 +151,13 @@
 	g.tracker.StoreUnavailable(now)
 }
 
+// StoreReturned records that the store has returned from an older copy.
+func (g *Governor) StoreReturned(now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.tracker.StoreReturned(now)
+}
+
 // OutageAge returns the time since the store was last unavailable, zero if it never was.
 func (g *Governor) OutageAge(now time.Time) time.Duration {
 	g.mu.Lock()
--- a/rosemaryspool/subscriber/agreement_test.go
+++ b/rosemaryspool/subscriber/agreement_test.go
@@ -229,7 +229,8 @@
 	}
 }
 
-// requireAgreement requires that each instance has the list that the store has.
+// requireAgreement requires that each instance has the list that the store has. After the store has returned from an older
+// copy, upstreams that leave may be missing: if the copy lacks one, it is removed and not listed again.
 func (s *simulation) requireAgreement(t *testing.T) {
 	t.Helper()
 	want := map[identifier.UpstreamID]bool{}
@@ -246,6 +247,11 @@
 			}
 			return false
 		})
+		for id, leaving := range want {
+			if _, listed := got[id]; !listed && leaving && s.store.era > 0 {
+				got[id] = leaving
+			}
+		}
 		require.Equal(t, want, got, "instance %d", i.number)
 	}
 }
--- a/rosemaryspool/subscriber/applier.go
+++ b/rosemaryspool/subscriber/applier.go
@@ -27,6 +27,17 @@
 	return accepted
 }
 
+// configurationOutlasts reports whether a configuration is newer than the one in an older copy of the store. Instances that
+// start get it from their neighbours until the operator writes again.
+func configurationOutlasts(newest, next platform.Record) bool {
+	known, err := platform.DecodeConfiguration(newest.Value)
+	if err != nil {
+		return false
+	}
+	inCopy, err := platform.DecodeConfiguration(next.Value)
+	return err != nil || inCopy.Version < known.Version
+}
+
 func (s *Subscriber) applyServers(records []platform.Record, origin governor.Origin) []platform.Record {
 	now := time.Now()
 	var accepted []platform.Record
--- a/rosemaryspool/subscriber/follower.go
+++ b/rosemaryspool/subscriber/follower.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"rosemaryspool.example/core/identifier"
 	"rosemaryspool.example/core/pacer"
 	"rosemaryspool.example/platform"
 	"rosemaryspool.example/rosemaryspool/gossiper"
@@ -45,6 +46,13 @@
 	// apply applies records and returns those that could be read.
 	apply     func(records []platform.Record, origin governor.Origin) []platform.Record
 	onFailure func(now time.Time)
+	// keepsNewest reports whether the newest record of a key outlasts another one in an older copy of the store; nil if none
+	// does. next is the zero record if the copy has none.
+	keepsNewest func(newest, next platform.Record) bool
+	// onReturn is called when the store has returned from an older copy; nil if there is nothing to do.
+	onReturn func(now time.Time)
+	// returned is true if the store has returned from an older copy since the last read; the subscriber's mutex guards it.
+	returned bool
 	// wake receives a value when another instance reports records that this one has not read, or has sent a snapshot.
 	wake chan struct{}
 
@@ -65,6 +73,7 @@
 		case errors.Is(err, context.Canceled):
 		case err == nil:
 			s.readSucceeded(t)
+			s.announceAgain(ctx, t)
 		default:
 			s.readFailed(t, err)
 		}
@@ -99,6 +108,7 @@
 func (s *Subscriber) read(ctx context.Context, t *topic) error {
 	s.mu.Lock()
 	next, known := t.pacer.NextOffset()
+	era := t.pacer.Era()
 	wait := t.wait
 	catchesUp := t.pacer.BehindPeers()
 	s.mu.Unlock()
@@ -118,9 +128,9 @@
 				Uint64("start", trimmed.FirstOffset).Msg("Records were trimmed; reading a snapshot")
 		case err != nil:
 			return err
-		default:
-			view := s.applyRead(t, next, batch)
-			if !catchesUp {
+		case batch.Era == era:
+			view, current := s.applyRead(t, next, batch)
+			if current && !catchesUp {
 				s.exchange.ForwardView(t.name, view)
 			}
 			return nil
@@ -130,44 +140,79 @@
 	if err != nil {
 		return err
 	}
-	view := s.applyNewest(t, batch)
-	if s.governor.ReaderRank(time.Now()) == 0 {
+	view, current := s.applyNewest(t, batch)
+	if current && s.governor.ReaderRank(time.Now()) == 0 {
 		// Neighbours that have not read as far ask for the snapshot.
 		s.exchange.ForwardView(t.name, gossiper.View{View: view, RecordsFrom: batch.Next, RecordsTo: batch.Next})
 	}
 	return nil
 }
 
-// applyRead applies a read of the records from an offset on, and returns the view with the relevant ones.
-func (s *Subscriber) applyRead(t *topic, from uint64, batch platform.Batch) gossiper.View {
+// applyRead applies a read of the records from an offset on, and returns the view with the relevant ones. It returns false
+// if the store has returned from an older copy since.
+func (s *Subscriber) applyRead(t *topic, from uint64, batch platform.Batch) (v gossiper.View, current bool) {
 	t.applying.Lock()
 	defer t.applying.Unlock()
 	s.mu.Lock()
 	// Other instances may have forwarded records, or a snapshot, during the read.
 	followed, _ := t.pacer.NextOffset()
+	current = t.pacer.Era() == batch.Era
 	s.mu.Unlock()
+	if !current {
+		return gossiper.View{}, false
+	}
 	relevant := s.applyRecords(t, batch.Records, followed, governor.Origin{FollowedTo: batch.Next})
-	return s.recordRead(t, from, batch.Next, relevant)
+	return s.recordRead(t, from, batch.Next, relevant), true
 }
 
 // applyNewest applies a read of the newest record of each key. It is of no use if other instances have forwarded all that
-// it contains.
-func (s *Subscriber) applyNewest(t *topic, batch platform.Batch) pacer.View {
+// it contains. It returns false if the store has returned from an older copy since.
+func (s *Subscriber) applyNewest(t *topic, batch platform.Batch) (v pacer.View, current bool) {
 	t.applying.Lock()
 	defer t.applying.Unlock()
+	now := time.Now()
+	s.enterEra(t, batch.Era, now, "")
 	s.mu.Lock()
 	followed, synced := t.pacer.NextOffset()
+	current = t.pacer.Era() == batch.Era
 	s.mu.Unlock()
-	now := time.Now()
+	if !current {
+		return pacer.View{}, false
+	}
 	if synced && followed >= batch.Next {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		return t.pacer.DeltaRead(now, batch.Next, 0)
+		return t.pacer.DeltaRead(now, batch.Next, 0), true
 	}
 	s.applySnapshot(t, batch.Records, governor.Origin{Snapshot: true, FollowedTo: batch.Next})
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return t.pacer.SnapshotRead(now, batch.Next)
+	return t.pacer.SnapshotRead(now, batch.Next), true
+}
+
+// enterEra makes a topic follow a later era of the store, and reports whether it is one. What is known stays in force. The
+// topic's applying mutex must be held.
+func (s *Subscriber) enterEra(t *topic, era identifier.Era, notBefore time.Time, sender identifier.InstanceID) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	before := t.pacer.Era()
+	next, _ := t.pacer.NextOffset()
+	if !t.pacer.EnterEra(era, notBefore) {
+		return false
+	}
+	t.incoming, t.incomingTo = nil, 0
+	if t.cancel != nil && sender != "" {
+		// The read is for an offset of the earlier era.
+		t.cancel()
+	}
+	s.log.Warn().Str("event", "storeReturned").Str("topic", t.name).Uint64("era", uint64(era)).
+		Uint64("before", uint64(before)).Uint64("followedTo", next).Str("sender", string(sender)).
+		Msg("Store has returned from an older copy; following it anew")
+	t.returned = true
+	if t.onReturn != nil {
+		t.onReturn(time.Now())
+	}
+	return true
 }
 
 // applyRecords applies the records from the offset followed on that say anything new, and returns the relevant ones:
@@ -202,12 +247,18 @@
 // applySnapshot replaces all records by the newest one of each key.
 func (s *Subscriber) applySnapshot(t *topic, records []platform.Record, origin governor.Origin) {
 	t.apply(records, origin)
+	newest := make(map[string]platform.Record, len(records))
+	for _, r := range records {
+		newest[r.Key] = r
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	clear(t.newest)
-	for _, r := range records {
-		t.newest[r.Key] = r
+	for key, r := range t.newest {
+		if t.keepsNewest != nil && t.keepsNewest(r, newest[key]) {
+			newest[key] = platform.Record{Key: key, Value: r.Value}
+		}
 	}
+	t.newest = newest
 }
 
 // recordRead records a read of the records from one offset to another in the pacer, and returns the view of the topic with
--- a/rosemaryspool/subscriber/sharing.go
+++ b/rosemaryspool/subscriber/sharing.go
@@ -19,6 +19,9 @@
 	// it waits for each one. Instances that start together are ready for it after a few calls to the store.
 	snapshotTries = 3
 	snapshotWait  = 100 * time.Millisecond
+	// maxSnapshotWait is how long an instance that learns of a new era from another one waits for a snapshot before it reads
+	// the store itself.
+	maxSnapshotWait = snapshotTries * snapshotWait
 )
 
 // join makes this instance known to the others and reads the members. At the first start of the whole system it announces
@@ -43,6 +46,17 @@
 	}
 }
 
+// announceAgain writes this instance's member record again if the store has returned from a copy that lacks it.
+func (s *Subscriber) announceAgain(ctx context.Context, t *topic) {
+	s.mu.Lock()
+	returned := t.returned
+	t.returned = false
+	s.mu.Unlock()
+	if returned && t.name == platform.TopicMembers && !s.isAnnounced(t) {
+		s.announce(ctx)
+	}
+}
+
 // isAnnounced reports whether the store holds this instance's record, apart from the start time.
 func (s *Subscriber) isAnnounced(t *topic) bool {
 	self := s.governor.Self()
@@ -141,6 +155,14 @@
 		if v.OutageAge > 0 && name == platform.TopicServers {
 			s.governor.OutageReported(time.Now().Add(-v.OutageAge))
 		}
+		t.applying.Lock()
+		defer t.applying.Unlock()
+		if s.enterEra(t, v.Era, time.Now().Add(maxSnapshotWait), v.Sender) {
+			t.signal()
+			if !v.Snapshot {
+				s.exchange.RequestView(t.name)
+			}
+		}
 		if v.Snapshot {
 			s.handleSnapshot(t, v)
 		} else {
@@ -152,9 +174,11 @@
 // handleRecords applies records that another instance has read. Those that are missing are read from the store, or
 // requested if the other instance has not followed the topic for as long as this one.
 func (s *Subscriber) handleRecords(t *topic, v gossiper.View) {
-	t.applying.Lock()
-	defer t.applying.Unlock()
 	s.mu.Lock()
+	if v.Era < t.pacer.Era() {
+		s.mu.Unlock()
+		return
+	}
 	next, _ := t.pacer.NextOffset()
 	applies := t.pacer.PeerRecordsReceived(v.RecordsFrom, v.RecordsTo, v.Changed)
 	s.mu.Unlock()
@@ -186,9 +210,11 @@
 // handleSnapshot collects the datagrams of a snapshot and applies it when it is complete. One of which a datagram is
 // missing is dropped.
 func (s *Subscriber) handleSnapshot(t *topic, v gossiper.View) {
-	t.applying.Lock()
-	defer t.applying.Unlock()
 	s.mu.Lock()
+	if v.Era < t.pacer.Era() {
+		s.mu.Unlock()
+		return
+	}
 	if v.RecordsFrom == 0 {
 		t.incoming, t.incomingTo = nil, 0
 	}
--- a/rosemaryspool/subscriber/subscriber.go
+++ b/rosemaryspool/subscriber/subscriber.go
@@ -88,8 +88,8 @@
 		done: make(chan struct{}), membersKnown: make(chan struct{}),
 	}
 	s.topics = []*topic{
-		{name: platform.TopicConfiguration, apply: s.applyConfigurations},
-		{name: platform.TopicServers, changes: serverChanges, apply: s.applyServers, onFailure: g.StoreUnavailable},
+		{name: platform.TopicConfiguration, apply: s.applyConfigurations, keepsNewest: configurationOutlasts},
+		{name: platform.TopicServers, onReturn: g.StoreReturned, changes: serverChanges, apply: s.applyServers, onFailure: g.StoreUnavailable},
 		{name: platform.TopicMembers, apply: s.applyMembers},
 	}
 	for _, t := range s.topics {
--- a/rosemaryspool/subscriber/subscriber_test.go
+++ b/rosemaryspool/subscriber/subscriber_test.go
@@ -463,3 +463,50 @@
 		}, applyLimit/2, time.Millisecond, i)
 	}
 }
+
+// The store returns twice, from a copy that lacks the second configuration, that an upstream leaves, and a member.
+func TestInstancesFollowAStoreThatReturnsFromAnOlderCopy(t *testing.T) {
+	const count = 4
+	cl := newClusterOf(t, count-1, putOneUpstream)
+	cl.waitReady(t)
+	older := cl.store.Copy()
+	cl.instances = append(cl.instances, newInstance(t, "spool-4", cl.address))
+	cl.waitReady(t)
+	everywhere := func(holds func(*governor.Governor) bool) func() bool {
+		return func() bool {
+			return !slices.ContainsFunc(cl.instances, func(i *instance) bool { return !holds(i.governor) })
+		}
+	}
+	inForce := func(version uint64) func(*governor.Governor) bool {
+		return func(g *governor.Governor) bool { return g.Table().Configuration().Version == version }
+	}
+	cl.store.Put(platform.TopicConfiguration, platform.KeyConfiguration, configuration(2))
+	cl.store.Put(platform.TopicServers, "a", serverRecord("draining"))
+	require.Eventually(t, everywhere(func(g *governor.Governor) bool {
+		a, _ := g.Entry("a")
+		return inForce(2)(g) && a.Leaving
+	}), applyLimit, 5*time.Millisecond)
+	for round := range uint64(2) {
+		cl.store.Restore(older)
+		started := startInstance(t, elector.Member{
+			Instance: identifier.InstanceID(fmt.Sprint("late-", round)), Address: freeAddress(t), StartedMs: 3,
+		}, cl.address, false, cl.instances[0].self.Address)
+		// Offsets that were given out before are given out again.
+		cl.store.Put(platform.TopicServers, "b", serverRecord("ready"))
+		cl.store.Put(platform.TopicServers, "c", serverRecord("ready"))
+		require.Eventually(t, everywhere(func(g *governor.Governor) bool {
+			_, listed := g.Entry("c")
+			a, _ := g.Entry("a")
+			return listed && a.Leaving && inForce(2+round)(g)
+		}), drainLimit, 5*time.Millisecond)
+		require.Eventually(t, func() bool {
+			table := started.governor.Table()
+			return table != nil && table.Configuration().Version == 2+round
+		}, drainLimit, 5*time.Millisecond, "an instance that starts gets the configuration in force")
+		require.Eventually(t, func() bool {
+			return len(cl.store.Keys(platform.TopicMembers)) >= count
+		}, drainLimit, 5*time.Millisecond, "members write their records again")
+		cl.store.Put(platform.TopicConfiguration, platform.KeyConfiguration, configuration(int(3+round)))
+		require.Eventually(t, everywhere(inForce(3+round)), applyLimit, 5*time.Millisecond)
+	}
+}
--- a/standin/emulator/header.go
+++ b/standin/emulator/header.go
@@ -16,6 +16,7 @@
 	HeaderPin         = "Rosemaryspool-Pin-Ms"
 	HeaderLimit       = "Server-Limit"
 	HeaderLeaving     = "Server-Leaving"
+	HeaderEra         = "Store-Era"
 )
 
 // ReadyPath is the path of an instance's readiness probe for the load balancer.
--- a/standin/emulator/store.go
+++ b/standin/emulator/store.go
@@ -7,7 +7,9 @@
 	"encoding/binary"
 	"encoding/json"
 	"io"
+	"maps"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -55,6 +57,43 @@
 	fault   Fault
 	changed chan struct{}
 	calls   int
+	// era counts how often the store has returned from an older copy.
+	era int
+}
+
+// Copy is the contents of a store at one time.
+type Copy struct{ topics map[string]*topic }
+
+// Copy returns a copy of the contents, to which Restore can return.
+func (s *Store) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Copy{topics: cloneTopics(s.topics)}
+}
+
+// Restore makes the store return from an older copy: later records are gone, and their offsets are given out again.
+func (s *Store) Restore(c Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.topics = cloneTopics(c.topics)
+	s.era++
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func cloneTopics(topics map[string]*topic) map[string]*topic {
+	clones := make(map[string]*topic, len(topics))
+	for name, t := range topics {
+		clones[name] = &topic{records: slices.Clone(t.records), start: t.start, newest: maps.Clone(t.newest)}
+	}
+	return clones
+}
+
+// Keys returns the keys of a topic that have a value, sorted.
+func (s *Store) Keys(name string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Sorted(maps.Keys(s.topic(name).newest))
 }
 
 // NewStore returns an empty store.
@@ -127,8 +166,9 @@
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	s.calls++
-	fault := s.fault
+	fault, era := s.fault, s.era
 	s.mu.Unlock()
+	w.Header().Set(HeaderEra, strconv.Itoa(era))
 	switch fault {
 	case Silent:
 		// The server detects a closed connection only once the body has been read.
@@ -179,13 +219,14 @@
 		t := s.topic(query.Get("topic"))
 		end, start, fault, changed := t.start+len(t.records), t.start, s.fault, s.changed
 		records := append([]entry(nil), t.records[min(len(t.records), max(0, from-start)):]...)
+		w.Header().Set(HeaderEra, strconv.Itoa(s.era))
 		s.mu.Unlock()
 		switch {
 		case fault == Silent:
 			// A read that was waiting when the fault was switched on gets no response either.
 			<-r.Context().Done()
 			return
-		case from < start:
+		case from < start || from > end:
 			writeJSON(w, http.StatusGone, map[string]any{"start-offset": start})
 			return
 		case len(records) > 0 || wait == 0:
