Log a changed rate limit only where it differs by a quarter

Cause: by reading. An upstream may name another rate in each response, and each was logged.

Change: the limiter reports a change when the limit begins or ends, or its rate differs by a quarter from the last one reported; the rate itself is always learned. TestSmallChangesOfTheRateAreNotReported was written with it.

--- a/core/limiter/limiter.go
+++ b/core/limiter/limiter.go
@@ -3,6 +3,7 @@
 package limiter
 
 import (
+	"math"
 	"time"
 )
 
@@ -27,13 +28,18 @@
 	// endDelay is how long after the last response with a limit one without it ends the limit. Responses that were sent
 	// before the upstream named its limit may arrive after the first one that names it.
 	endDelay = 500 * time.Millisecond
+	// reportedChange is the share by which the rate must change to be reported: an upstream may name another one in each
+	// response.
+	reportedChange = 0.25
 	// tolerance absorbs floating-point error in the number of tokens.
 	tolerance = 1e-6
 )
 
 // Limiter is a token bucket for the requests to one upstream. It is not safe for concurrent use.
 type Limiter struct {
-	limit      Limit
+	limit Limit
+	// reported is the rate at the last change that Learn reported.
+	reported   float64
 	endedAt    time.Time
 	tokens     float64
 	refilledAt time.Time
@@ -43,7 +49,7 @@
 // the first request that passes in addition, so that instances which begin together do not send together.
 func NewLimiter(phase float64) *Limiter { return &Limiter{tokens: -phase} }
 
-// Learn updates the limit and reports whether it has begun, ended or changed. A limit that was named earlier than the
+// Learn updates the limit and reports whether it has begun, ended or changed much. A limit that was named earlier than the
 // known one changes nothing.
 func (l *Limiter) Learn(limit Limit) bool {
 	if !limit.NamedAt.After(l.limit.NamedAt) {
@@ -55,7 +61,10 @@
 	if l.limit.Limited && !limit.Limited {
 		l.endedAt = limit.NamedAt
 	}
-	changed := limit.Limited != l.limit.Limited || limit.PerSecond != l.limit.PerSecond
+	changed := limit.Limited != l.limit.Limited || math.Abs(limit.PerSecond-l.reported) > reportedChange*l.reported
+	if changed {
+		l.reported = limit.PerSecond
+	}
 	l.limit = limit
 	return changed
 }
--- a/core/limiter/limiter_test.go
+++ b/core/limiter/limiter_test.go
@@ -160,3 +160,24 @@
 	l.Take(start.Add(time.Minute), 1)
 	require.LessOrEqual(t, l.Wait(start.Add(time.Minute), 1), 2*time.Second, "the end of a limit of zero must be noticed")
 }
+
+func TestSmallChangesOfTheRateAreNotReported(t *testing.T) {
+	l := NewLimiter(0)
+	for i, c := range []struct {
+		limited   bool
+		perSecond float64
+		reported  bool
+	}{
+		{false, 0, false},
+		{true, 8, true},
+		{true, 8.1, false},
+		{true, 7, false},
+		{true, 5, true},
+		{false, 0, true},
+		{false, 0, false},
+	} {
+		reported := l.Learn(Limit{Limited: c.limited, PerSecond: c.perSecond, NamedAt: start.Add(time.Duration(i) * time.Second)})
+		require.Equal(t, c.reported, reported, i)
+		require.Equal(t, c.perSecond, l.Limit().PerSecond, "the rate itself is always learned")
+	}
+}
