--- a/rosemaryspool/subscriber/follower.go
+++ b/rosemaryspool/subscriber/follower.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"rosemaryspool.example/core/identifier"
 	"rosemaryspool.example/core/pacer"
 	"rosemaryspool.example/platform"
@@ -141,7 +143,10 @@
 		return err
 	}
 	view, current := s.applyNewest(t, batch)
-	if current && s.governor.ReaderRank(time.Now()) == 0 {
+	if !current {
+		return eris.Errorf("snapshot of %s is of the earlier era %d", t.name, batch.Era)
+	}
+	if s.governor.ReaderRank(time.Now()) == 0 {
 		// Neighbours that have not read as far ask for the snapshot.
 		s.exchange.ForwardView(t.name, gossiper.View{View: view, RecordsFrom: batch.Next, RecordsTo: batch.Next})
 	}
