Show that the histories detect an era that is not named

Two broken variants, of the store and of the views among instances, must each be caught by a history of the first 500 seeds; both are. The histories return how a list differs, so that a variant's failure is no failed test.

--- a/rosemaryspool/subscriber/agreement_test.go
+++ b/rosemaryspool/subscriber/agreement_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -29,6 +30,8 @@
 	start     uint64
 	era       identifier.Era
 	meanwhile func()
+	// hidesEra is true if the responses do not name the era.
+	hidesEra bool
 	// pagesApart is true if meanwhile runs between the pages of the newest records.
 	pagesApart bool
 }
@@ -70,6 +73,13 @@
 	return newest
 }
 
+func (s *memoryStore) namedEra() identifier.Era {
+	if s.hidesEra {
+		return 0
+	}
+	return s.era
+}
+
 func (s *memoryStore) pause() {
 	if s.meanwhile != nil {
 		s.meanwhile()
@@ -81,9 +91,10 @@
 	if topic != platform.TopicServers {
 		return platform.Batch{}, nil
 	}
-	batch := platform.Batch{Records: s.newest(), Next: s.end(), Era: s.era}
+	before := s.era
+	batch := platform.Batch{Records: s.newest(), Next: s.end(), Era: s.namedEra()}
 	s.pause()
-	if s.pagesApart && batch.Era == s.era {
+	if s.pagesApart && before == s.era {
 		batch.Records = s.newest()
 	}
 	return batch, nil
@@ -99,7 +110,7 @@
 	if from < s.start || from > s.end() {
 		return platform.Batch{}, &platform.TrimmedError{FirstOffset: s.start}
 	}
-	batch := platform.Batch{Records: slices.Clone(s.records[from-s.start:]), Next: s.end(), Era: s.era}
+	batch := platform.Batch{Records: slices.Clone(s.records[from-s.start:]), Next: s.end(), Era: s.namedEra()}
 	s.pause()
 	return batch, nil
 }
@@ -118,6 +129,8 @@
 	store     *memoryStore
 	instances []*simulatedInstance
 	sent      []delivery
+	// hidesEra is true if the views that instances send do not name the era.
+	hidesEra bool
 }
 
 // simulatedInstance is an instance's subscriber; it implements Exchange for it.
@@ -178,6 +191,9 @@
 func (i *simulatedInstance) send(to int, topic string, v gossiper.View) {
 	if topic == platform.TopicServers {
 		v.Sender = i.governor.Self().Instance
+		if i.simulation.hidesEra {
+			v.Era = 0
+		}
 		i.simulation.sent = append(i.simulation.sent, delivery{to: to, view: v})
 	}
 }
@@ -231,9 +247,10 @@
 	}
 }
 
-// requireAgreement requires that each instance has the list that the store has. After the store has returned from an older
-// copy, upstreams that leave may be missing: if the copy lacks one, it is removed and not listed again.
-func (s *simulation) requireAgreement(t *testing.T) {
+// disagreement returns how an instance's list differs from the store's, or an empty string if none does. After the store
+// has returned from an older copy, upstreams that leave may be missing: if the copy lacks one, it is removed and not listed
+// again.
+func (s *simulation) disagreement(t *testing.T) string {
 	t.Helper()
 	want := map[identifier.UpstreamID]bool{}
 	for _, r := range s.store.newest() {
@@ -254,8 +271,11 @@
 				got[id] = leaving
 			}
 		}
-		require.Equal(t, want, got, "instance %d", i.number)
+		if !maps.Equal(want, got) {
+			return fmt.Sprintf("instance %d: upstreams and whether they leave: %v, want %v", i.number, got, want)
+		}
 	}
+	return ""
 }
 
 func TestReadThatOverlapsForwardedRecordsHidesNone(t *testing.T) {
@@ -278,7 +298,7 @@
 	}
 	s.instances[1].readStore(t)
 	s.settle(t)
-	s.requireAgreement(t)
+	require.Empty(t, s.disagreement(t))
 }
 
 // history is a random sequence of changes, reads, deliveries, losses and restarts.
@@ -362,41 +382,70 @@
 	h.instances[h.random.IntN(len(h.instances))].readStore(h.t)
 }
 
-func playHistory(t *testing.T, seed uint64, restores bool) {
-	const steps = 120
-	h := &history{
-		simulation: newSimulation(4), t: t, random: rand.New(rand.NewPCG(seed, 1)), restores: restores,
-		born: map[string]int{}, state: map[string]string{},
-	}
-	for range steps {
-		h.step(0)
-	}
-	h.store.meanwhile = nil
-	for len(h.rewrite) > 0 {
-		h.writeAgain()
-	}
-	h.settle(t)
-	time.Sleep(tracker.RelistGracePeriod)
-	for _, i := range h.instances {
-		i.governor.Expire(time.Now())
-	}
-	h.requireAgreement(t)
+// variant is what differs in a history from the system as it is.
+type variant struct {
+	// restores is true if the store returns from older copies.
+	restores bool
+	// The responses of the store, or the views of instances, do not name the era.
+	storeHidesEra, viewsHideEra bool
 }
 
+// playHistory plays the history of a seed and returns how an instance's list then differs from the store's.
+func playHistory(t *testing.T, seed uint64, v variant) (disagreement string) {
+	synctest.Test(t, func(t *testing.T) {
+		const steps = 120
+		h := &history{
+			simulation: newSimulation(4), t: t, random: rand.New(rand.NewPCG(seed, 1)), restores: v.restores,
+			born: map[string]int{}, state: map[string]string{},
+		}
+		h.hidesEra, h.store.hidesEra = v.viewsHideEra, v.storeHidesEra
+		for range steps {
+			h.step(0)
+		}
+		h.store.meanwhile = nil
+		for len(h.rewrite) > 0 {
+			h.writeAgain()
+		}
+		h.settle(t)
+		time.Sleep(tracker.RelistGracePeriod)
+		for _, i := range h.instances {
+			i.governor.Expire(time.Now())
+		}
+		disagreement = h.disagreement(t)
+	})
+	return disagreement
+}
+
+// historySeeds is the number of histories that each test plays.
+const historySeeds = 500
+
 func TestInstancesAgreeOnTheListUnderLossDelayAndRestarts(t *testing.T) {
-	const seeds = 500
-	for seed := range uint64(seeds) {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { playHistory(t, seed, false) })
-		})
+	for seed := range uint64(historySeeds) {
+		require.Empty(t, playHistory(t, seed, variant{}), "seed %d", seed)
 	}
 }
 
 func TestInstancesAgreeOnTheListWhenTheStoreReturnsFromOlderCopies(t *testing.T) {
-	const seeds = 500
-	for seed := range uint64(seeds) {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { playHistory(t, seed, true) })
+	for seed := range uint64(historySeeds) {
+		require.Empty(t, playHistory(t, seed, variant{restores: true}), "seed %d", seed)
+	}
+}
+
+func TestHistoriesDetectAnEraThatIsNotNamed(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		variant variant
+	}{
+		{"by the store", variant{restores: true, storeHidesEra: true}},
+		{"in views", variant{restores: true, viewsHideEra: true}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			for seed := range uint64(historySeeds) {
+				if playHistory(t, seed, c.variant) != "" {
+					return
+				}
+			}
+			t.Fatal("no history detects it")
 		})
 	}
 }
