Share the checks of what an upstream accepts and of what a record adds

Whether an upstream takes work of this instance stood three times in the allocator, and how a record follows an earlier one of its upstream twice in the tracker, once for the list and once for forwarding.

Change: upstream.acceptsWork and Entry.after. Behaviour stays; the tests of both packages are unchanged and pass.

--- a/core/allocator/allocator.go
+++ b/core/allocator/allocator.go
@@ -67,6 +67,9 @@
 	return sum
 }
 
+// acceptsWork reports whether an upstream is not leaving and has not asked this instance to wait.
+func (u *upstream) acceptsWork(now time.Time) bool { return !u.entry.Leaving && !now.Before(u.waitUntil) }
+
 // Loads holds the loads of one instance by upstream.
 type Loads map[identifier.UpstreamID]Load
 
@@ -248,7 +251,7 @@
 func (a *Allocator) EnginesWithoutMemory(now time.Time, service identifier.ServiceName) []tracker.Entry {
 	var entries []tracker.Entry
 	for _, u := range a.services[service] {
-		if u.entry.Role != tracker.RoleNone && !u.entry.Leaving && !u.memoryKnown && !now.Before(u.waitUntil) {
+		if u.entry.Role != tracker.RoleNone && !u.memoryKnown && u.acceptsWork(now) {
 			entries = append(entries, u.entry)
 		}
 	}
@@ -283,7 +286,7 @@
 func (a *Allocator) Unusable(now time.Time, service identifier.ServiceName) []identifier.UpstreamID {
 	var ids []identifier.UpstreamID
 	for _, u := range a.services[service] {
-		if u.entry.Leaving || now.Before(u.waitUntil) || a.isExcluded(now, a.dataCentre, u) {
+		if !u.acceptsWork(now) || a.isExcluded(now, a.dataCentre, u) {
 			ids = append(ids, u.entry.Upstream)
 		}
 	}
@@ -293,7 +296,7 @@
 // AcceptsWork reports whether an upstream is listed, not leaving, and has not asked this instance to wait.
 func (a *Allocator) AcceptsWork(now time.Time, id identifier.UpstreamID) bool {
 	u := a.upstreams[id]
-	return u != nil && !u.entry.Leaving && !now.Before(u.waitUntil)
+	return u != nil && u.acceptsWork(now)
 }
 
 // isExcluded reports whether an upstream is ejected or paused for a data centre.
--- a/core/tracker/tracker.go
+++ b/core/tracker/tracker.go
@@ -49,13 +49,17 @@
 
 // Changes reports whether a record that follows another one of the same upstream says anything new.
 func (e Entry) Changes(previous Entry) bool {
-	if e.Incarnation < previous.Incarnation {
-		return false
-	}
+	merged, current := e.after(previous)
+	return current && merged != previous
+}
+
+// after returns what is known after a record that follows another one of the same upstream: an incarnation that leaves
+// keeps leaving. It returns false if the record is of an earlier incarnation.
+func (e Entry) after(previous Entry) (merged Entry, current bool) {
 	if e.Incarnation == previous.Incarnation {
 		e.Leaving = e.Leaving || previous.Leaving
 	}
-	return e != previous
+	return e, e.Incarnation >= previous.Incarnation
 }
 
 // RelistGracePeriod is the time that upstreams have to register again after an outage of the store.
@@ -141,12 +145,10 @@
 		t.members[e.Upstream] = &member{entry: e, offset: offset}
 		return true
 	}
-	if offset < m.offset || e.Incarnation < m.entry.Incarnation {
+	e, current := e.after(m.entry)
+	if offset < m.offset || !current {
 		return false
 	}
-	if e.Incarnation == m.entry.Incarnation {
-		e.Leaving = e.Leaving || m.entry.Leaving
-	}
 	if e.Incarnation > m.entry.Incarnation {
 		delete(t.noticed, e.Upstream)
 	}
