Ask once who the first arbiter of a service is

For each request of another instance the order of arbiters was computed twice, for the share of rate limits and for the better candidate in the reply; for each of its own the arbiter computed it again for what its place in the list says already.

Change: betterArbiter serves both; an instance that reaches itself in the list has just found the ones before it silent, so it uses the whole rate. A variable no longer hides the type decision. Tests unchanged.

--- a/rosemaryspool/delegator/delegator.go
+++ b/rosemaryspool/delegator/delegator.go
@@ -60,7 +60,8 @@
 ) (allocator.Placement, *allocator.Refusal) {
 	for _, arbiter := range d.governor.Arbiters(time.Now(), request.Service, maxArbiters) {
 		if self := d.governor.Self().Instance; arbiter.Instance == self {
-			request.RateShare = d.arbiterRateShare(request.Service)
+			// The arbiters before this one, if any, have just failed to answer.
+			request.RateShare = 1
 			placement, refusal := d.governor.Place(time.Now(), request)
 			placement.Arbiter = self
 			if refusal != nil {
@@ -68,11 +69,11 @@
 			}
 			return placement, refusal
 		}
-		placement, refusal, decision := d.ask(ctx, arbiter, request)
-		if decision == decided {
+		placement, refusal, result := d.ask(ctx, arbiter, request)
+		if result == decided {
 			return placement, refusal
 		}
-		if decision == outdated || ctx.Err() != nil {
+		if result == outdated || ctx.Err() != nil {
 			break
 		}
 		d.governor.Suspect(time.Now(), arbiter.Instance, "noPlacementReply")
@@ -82,15 +83,6 @@
 	return d.governor.Place(time.Now(), request)
 }
 
-// arbiterRateShare returns the share of upstreams' rate limits that this instance uses when it places for all instances.
-func (d *Delegator) arbiterRateShare(service identifier.ServiceName) float64 {
-	first := d.governor.Arbiters(time.Now(), service, 1)
-	if len(first) > 0 && first[0].Instance == d.governor.Self().Instance {
-		return 1
-	}
-	return spareRateShare
-}
-
 // decision is the result of a request to an arbiter.
 type decision int
 
@@ -185,16 +177,29 @@
 // the other one has chosen it; if it knows a better candidate, it says so.
 func (d *Delegator) HandleRequest(r courier.Received, m *messenger.PlacementRequest) {
 	request := decodeRequest(m)
-	request.RateShare = d.arbiterRateShare(request.Service)
+	request.RateShare = 1
+	better := d.betterArbiter(r.At, request.Service)
+	if better != nil {
+		request.RateShare = spareRateShare
+	}
 	placement, refusal := d.governor.PlaceFor(r.At, r.Sender.Instance, r.Sender.DataCentre, m.GetNumber(), request)
 	reply := encodeReply(m.GetNumber(), placement, refusal)
 	if timings, known := d.governor.Timings(request.Service); known {
 		reply.Timings = encodeTimings(timings)
 	}
-	if best := d.governor.Arbiters(r.At, request.Service, 1); len(best) > 0 && best[0].Instance != d.governor.Self().Instance {
-		reply.BetterInstance, reply.BetterStartedMs = string(best[0].Instance), best[0].StartedMs
-		reply.BetterAddress, reply.BetterDataCentre = best[0].Address, string(best[0].DataCentre)
-		reply.BetterCapacity = uint32(best[0].Capacity)
+	if better != nil {
+		reply.BetterInstance, reply.BetterStartedMs = string(better.Instance), better.StartedMs
+		reply.BetterAddress, reply.BetterDataCentre = better.Address, string(better.DataCentre)
+		reply.BetterCapacity = uint32(better.Capacity)
 	}
 	d.courier.Send(r.Sender, &messenger.Datagram{Body: &messenger.Datagram_PlacementReply{PlacementReply: reply}})
 }
+
+// betterArbiter returns the first arbiter of a service, or nil if that is this instance.
+func (d *Delegator) betterArbiter(now time.Time, service identifier.ServiceName) *elector.Member {
+	first := d.governor.Arbiters(now, service, 1)
+	if len(first) == 0 || first[0].Instance == d.governor.Self().Instance {
+		return nil
+	}
+	return &first[0]
+}
