Compare the era of a view in one place

Both handlers of views began with the same check of the era, and the topic was found by a loop with a deferred unlock.

Change: HandleView finds the topic, enters a later era and drops views of an earlier one; the handlers only merge. Behaviour stays, tests unchanged.

--- a/core/allocator/allocator.go
+++ b/core/allocator/allocator.go
@@ -68,7 +68,9 @@
 }
 
 // acceptsWork reports whether an upstream is not leaving and has not asked this instance to wait.
-func (u *upstream) acceptsWork(now time.Time) bool { return !u.entry.Leaving && !now.Before(u.waitUntil) }
+func (u *upstream) acceptsWork(now time.Time) bool {
+	return !u.entry.Leaving && !now.Before(u.waitUntil)
+}
 
 // Loads holds the loads of one instance by upstream.
 type Loads map[identifier.UpstreamID]Load
--- a/rosemaryspool/subscriber/sharing.go
+++ b/rosemaryspool/subscriber/sharing.go
@@ -148,37 +148,38 @@
 
 // HandleView handles another instance's view of a topic and the records that it has read.
 func (s *Subscriber) HandleView(name string, v gossiper.View) {
-	for _, t := range s.topics {
-		if t.name != name {
-			continue
-		}
-		if v.OutageAge > 0 && name == platform.TopicServers {
-			s.governor.OutageReported(time.Now().Add(-v.OutageAge))
-		}
-		t.applying.Lock()
-		defer t.applying.Unlock()
-		if s.enterEra(t, v.Era, time.Now().Add(maxSnapshotWait), v.Sender) {
-			t.signal()
-			if !v.Snapshot {
-				s.exchange.RequestView(t.name)
-			}
-		}
-		if v.Snapshot {
-			s.handleSnapshot(t, v)
-		} else {
-			s.handleRecords(t, v)
+	i := slices.IndexFunc(s.topics, func(t *topic) bool { return t.name == name })
+	if i < 0 {
+		return
+	}
+	t := s.topics[i]
+	if v.OutageAge > 0 && name == platform.TopicServers {
+		s.governor.OutageReported(time.Now().Add(-v.OutageAge))
+	}
+	t.applying.Lock()
+	defer t.applying.Unlock()
+	if s.enterEra(t, v.Era, time.Now().Add(maxSnapshotWait), v.Sender) {
+		t.signal()
+		if !v.Snapshot {
+			s.exchange.RequestView(t.name)
 		}
 	}
+	s.mu.Lock()
+	current := v.Era == t.pacer.Era()
+	s.mu.Unlock()
+	switch {
+	case !current:
+	case v.Snapshot:
+		s.handleSnapshot(t, v)
+	default:
+		s.handleRecords(t, v)
+	}
 }
 
 // handleRecords applies records that another instance has read. Those that are missing are read from the store, or
 // requested if the other instance has not followed the topic for as long as this one.
 func (s *Subscriber) handleRecords(t *topic, v gossiper.View) {
 	s.mu.Lock()
-	if v.Era < t.pacer.Era() {
-		s.mu.Unlock()
-		return
-	}
 	next, _ := t.pacer.NextOffset()
 	applies := t.pacer.PeerRecordsReceived(v.RecordsFrom, v.RecordsTo, v.Changed)
 	s.mu.Unlock()
@@ -211,10 +212,6 @@
 // missing is dropped.
 func (s *Subscriber) handleSnapshot(t *topic, v gossiper.View) {
 	s.mu.Lock()
-	if v.Era < t.pacer.Era() {
-		s.mu.Unlock()
-		return
-	}
 	if v.RecordsFrom == 0 {
 		t.incoming, t.incomingTo = nil, 0
 	}
