Leave no other upstream when the one that asked to wait must be used again

Its log: u1 rejected one request and asked to wait, none reached it again, and after that time 85 requests, one at a time, were all served by u2, which was idle and whose measured pace was slightly better. So the placing was right and the check wrong: nothing needed u1.

Change: the other upstream is listed as draining before the check, so that each request must go to u1; its bound of 2 s stays.

--- a/rosemaryspool/gatekeeper/gatekeeper_test.go
+++ b/rosemaryspool/gatekeeper/gatekeeper_test.go
@@ -456,6 +456,7 @@
 			}
 			require.LessOrEqual(t, late, 2)
 			waiting.SetBehaviour(emulator.Responds)
+			ti.putUpstream(other, "draining")
 			require.Eventually(t, func() bool {
 				ti.send(http.MethodGet, lookups+"x", "")
 				return countRuns(waiting) > 0
