--- a/rosemaryspool/forwarder/forwarder.go
+++ b/rosemaryspool/forwarder/forwarder.go
@@ -295,5 +295,21 @@
 		line = line.Int("sends", e.sends).Int("runs", e.runs)
 		line = e.last.describe(line)
 	}
+	if r.outcome == outcomeFailed {
+		line = line.Strs("sharedParts", formatShared(e.caller.Prompt))
+	}
 	line.Msg("Request ended")
 }
+
+// maxLoggedParts bounds the parts of a prompt in a log line.
+const maxLoggedParts = 8
+
+// formatShared returns the hashes of a prompt's parts without the last one, which other requests don't share.
+func formatShared(prompt []allocator.PromptPart) []string {
+	shared := prompt[:max(0, len(prompt)-1)]
+	texts := make([]string, 0, maxLoggedParts)
+	for _, part := range shared[:min(len(shared), maxLoggedParts)] {
+		texts = append(texts, strconv.FormatUint(part.Hash, 16))
+	}
+	return texts
+}
