Reproduce engines crashing one after the other on one part of prompts

Three instances, five decode engines and one that prefills. Sound requests share the first part with fatal ones, which differ in their last part.

--- /dev/null
+++ b/rosemaryspool/gatekeeper/crash_test.go
@@ -0,0 +1,215 @@
+package gatekeeper
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"github.com/stretchr/testify/require"
+
+	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/platform"
+	"rosemaryspool.example/standin/emulator"
+)
+
+const (
+	// contactTime is the time that instances may take to learn of something.
+	contactTime = 3 * time.Second
+	// maxFatalRequests is the number of fatal requests that may still reach upstreams contactTime after the last crash
+	// that is needed to recognise them.
+	maxFatalRequests = 3
+)
+
+// newTestCluster starts instances that follow the same store and know each other.
+func newTestCluster(t *testing.T, store testStore, count int) []*testInstance {
+	t.Helper()
+	store.Put(platform.TopicConfiguration, platform.KeyConfiguration, fmt.Appendf(nil, routeTable, 1))
+	instances := make([]*testInstance, 0, count)
+	for i := range count {
+		settings := testSettings(store)
+		settings.Instance = identifier.InstanceID(fmt.Sprintf("spool-%d", i+1))
+		settings.PeerAddress, settings.FirstStart, settings.Capacity = freeUDPAddress(t), true, 400
+		instances = append(instances, startTestInstance(t, store, settings))
+	}
+	for _, ti := range instances {
+		require.Eventually(t, func() bool {
+			return ti.readiness() == http.StatusOK && ti.gatekeeper.governor.Instances() == count
+		}, 5*time.Second, time.Millisecond)
+	}
+	return instances
+}
+
+func freeUDPAddress(t *testing.T) netip.AddrPort {
+	t.Helper()
+	socket, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, socket.Close())
+	return netip.MustParseAddrPort(socket.LocalAddr().String())
+}
+
+// load is a stream of requests of one kind, spread over instances.
+type load struct {
+	path     string
+	interval time.Duration
+	// prompt returns the parts of the prompt of the request with this number; empty for one without a prompt.
+	prompt func(number int) string
+	body   func(number int) string
+}
+
+// answer is how a request of a load ended.
+type answer struct {
+	at     time.Time
+	served bool
+}
+
+// run sends the load until stop is closed, and returns the answers in the order in which they arrived.
+func (l load) run(instances []*testInstance, stop <-chan struct{}) []answer {
+	var (
+		mu      sync.Mutex
+		answers []answer
+		group   conc.WaitGroup
+	)
+	ticker := time.NewTicker(l.interval)
+	defer ticker.Stop()
+	for number := 0; ; number++ {
+		select {
+		case <-stop:
+			group.Wait()
+			return answers
+		case <-ticker.C:
+		}
+		group.Go(func() {
+			at := time.Now()
+			served := l.send(instances[number%len(instances)], number)
+			mu.Lock()
+			defer mu.Unlock()
+			answers = append(answers, answer{at: at, served: served})
+		})
+	}
+}
+
+var lastAttempt atomic.Int64
+
+// send sends one request and reports whether it was served.
+func (l load) send(ti *testInstance, number int) bool {
+	request, err := http.NewRequest(http.MethodPost, ti.url+l.path, strings.NewReader(l.body(number)))
+	if err != nil {
+		return false
+	}
+	request.Host = "h.example"
+	request.Header.Set(emulator.HeaderAttempt, fmt.Sprintf("a%d", lastAttempt.Add(1)))
+	request.Header.Set(emulator.HeaderDeadline, "1800")
+	if l.prompt != nil {
+		request.Header.Set(emulator.HeaderModel, "m")
+		request.Header.Set(emulator.HeaderTokens, "3000,20")
+		request.Header.Set(emulator.HeaderPrompt, l.prompt(number))
+	}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
+	response, err := client.Do(request)
+	if err != nil {
+		return false
+	}
+	defer response.Body.Close()
+	_, err = io.ReadAll(response.Body)
+	return err == nil && response.StatusCode == http.StatusOK
+}
+
+func constant(text string) func(int) string { return func(int) string { return text } }
+
+// runFatalLoad sends sound requests alone for a while, then fatal ones beside them, until observeFor after the crash with
+// this number. It returns the answers of the sound requests and when that crash was.
+func runFatalLoad(
+	t *testing.T, instances []*testInstance, fleet *emulator.Fleet, sound, fatal load, crash int, observeFor time.Duration,
+) ([]answer, time.Time) {
+	t.Helper()
+	stop := make(chan struct{})
+	var group conc.WaitGroup
+	var answers []answer
+	group.Go(func() { answers = sound.run(instances, stop) })
+	time.Sleep(time.Second)
+	group.Go(func() { fatal.run(instances, stop) })
+	// Fewer crashes than needed mean that the requests are recognised earlier.
+	deadline := time.Now().Add(contactTime)
+	for len(fleet.Crashes()) < crash && time.Now().Before(deadline) {
+		time.Sleep(time.Millisecond)
+	}
+	crashes := fleet.Crashes()
+	require.NotEmpty(t, crashes)
+	last := crashes[min(len(crashes), crash)-1]
+	time.Sleep(time.Until(last.Add(observeFor)))
+	close(stop)
+	group.Wait()
+	return answers, last
+}
+
+// requireContained requires that few fatal requests reach upstreams later than contactTime after a crash, and that the
+// sound ones are then served at least half as often as before the first crash.
+func requireContained(t *testing.T, fleet *emulator.Fleet, answers []answer, crash time.Time) {
+	t.Helper()
+	reached := 0
+	for _, r := range fleet.Fatal() {
+		if r.At.After(crash.Add(contactTime)) {
+			reached++
+		}
+	}
+	t.Logf("%d crashes, %d fatal requests at upstreams, %d of them late", len(fleet.Crashes()), len(fleet.Fatal()), reached)
+	require.LessOrEqual(t, reached, maxFatalRequests)
+	before, after := served{}, served{}
+	for _, a := range answers {
+		switch {
+		case a.at.Before(fleet.Crashes()[0]):
+			before.add(a)
+		case a.at.After(crash.Add(2 * contactTime)):
+			after.add(a)
+		}
+	}
+	require.GreaterOrEqual(t, before.requests, 20)
+	require.GreaterOrEqual(t, after.requests, 20)
+	require.GreaterOrEqual(t, after.share(), before.share()/2)
+}
+
+// served counts requests and how many of them were served.
+type served struct{ requests, served int }
+
+func (s *served) add(a answer) {
+	s.requests++
+	if a.served {
+		s.served++
+	}
+}
+
+func (s *served) share() float64 { return float64(s.served) / float64(s.requests) }
+
+func TestPromptPartThatCrashesEnginesIsContained(t *testing.T) {
+	t.Parallel()
+	const crashes = 5
+	store := newTestStore(t)
+	fleet := emulator.NewFleet(store.Store, emulator.FleetSettings{
+		Service: "model", Count: 5, Stage: "decode", Events: 2, Delay: 60 * time.Millisecond, Downtime: 1500 * time.Millisecond,
+		IsFatal: func(r emulator.Run) bool { return strings.Contains(r.Header.Get(emulator.HeaderPrompt), "dead:") },
+	})
+	t.Cleanup(fleet.Close)
+	prefiller := emulator.NewUpstream("prefill", "prefill", 2)
+	t.Cleanup(prefiller.Close)
+	putUpstream(store.Store, prefiller, "ready")
+	instances := newTestCluster(t, store, 3)
+	// Sound requests share the first part with the fatal ones; there are 30 second parts.
+	sound := load{
+		path: verdicts + "x", interval: 15 * time.Millisecond, body: constant("b"),
+		prompt: func(n int) string { return fmt.Sprintf("aa:1000,%x:1000,%x:1000", 0xb0+n%30, 0x1000+n) },
+	}
+	fatal := load{
+		path: verdicts + "x", interval: 60 * time.Millisecond, body: constant("b"),
+		prompt: func(n int) string { return fmt.Sprintf("aa:1000,dead:1000,%x:1000", 0x100000+n) },
+	}
+	answers, crash := runFatalLoad(t, instances, fleet, sound, fatal, crashes, 2*contactTime+time.Second)
+	requireContained(t, fleet, answers, crash)
+}
--- a/rosemaryspool/gatekeeper/gatekeeper_test.go
+++ b/rosemaryspool/gatekeeper/gatekeeper_test.go
@@ -64,24 +64,46 @@
 // There is no configuration yet.
 func newTestInstance(t *testing.T, upstreams ...*emulator.Upstream) *testInstance {
 	t.Helper()
-	ti := &testInstance{t: t, store: emulator.NewStore()}
-	store := httptest.NewServer(ti.store)
-	t.Cleanup(func() {
-		store.CloseClientConnections()
-		store.Close()
-	})
+	store := newTestStore(t)
 	for _, u := range upstreams {
 		t.Cleanup(u.Close)
-		ti.putUpstream(u, "ready")
+		putUpstream(store.Store, u, "ready")
 	}
-	settings := platform.Settings{
+	return startTestInstance(t, store, testSettings(store))
+}
+
+// testStore is a fake store with its address.
+type testStore struct {
+	*emulator.Store
+	address string
+}
+
+func newTestStore(t *testing.T) testStore {
+	t.Helper()
+	store := emulator.NewStore()
+	server := httptest.NewServer(store)
+	t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	return testStore{Store: store, address: strings.TrimPrefix(server.URL, "http://")}
+}
+
+func testSettings(store testStore) platform.Settings {
+	return platform.Settings{
 		Instance: "spool-1", DataCentre: "here", CallerAddress: anyAddress, ReadinessAddress: anyAddress,
 		PeerAddress: netip.MustParseAddrPort("127.0.0.1:0"), MetricsAddress: anyAddress,
-		StoreAddress:  strings.TrimPrefix(store.URL, "http://"),
+		StoreAddress:  store.address,
 		MaxDrainDelay: 600 * time.Millisecond, MaxApplyDelay: 600 * time.Millisecond,
 		TerminationGracePeriod: 1500 * time.Millisecond,
 		RetryBudgetRatio:       0.2, RetryBudgetExtra: 54, RetryWindow: 10 * time.Second,
 	}
+}
+
+// startTestInstance starts an instance that follows a store.
+func startTestInstance(t *testing.T, store testStore, settings platform.Settings) *testInstance {
+	t.Helper()
+	ti := &testInstance{t: t, store: store.Store}
 	gatekeeper, err := NewGatekeeper(settings, zerolog.New(zerolog.NewTestWriter(t)), metrics.NewRegistry())
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -112,11 +134,15 @@
 }
 
 func (ti *testInstance) putUpstream(u *emulator.Upstream, state string) {
+	putUpstream(ti.store, u, state)
+}
+
+func putUpstream(store *emulator.Store, u *emulator.Upstream, state string) {
 	service := "plain"
 	if u.Stage != "" {
 		service = "model"
 	}
-	ti.store.Put(platform.TopicServers, u.ID, u.Entry(service, state))
+	store.Put(platform.TopicServers, u.ID, u.Entry(service, state))
 }
 
 func (ti *testInstance) acceptsConnections() bool {
--- /dev/null
+++ b/standin/emulator/fleet.go
@@ -0,0 +1,148 @@
+package emulator
+
+import (
+	"fmt"
+	"maps"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"sync"
+	"time"
+)
+
+// FleetSettings describes the upstreams of a fleet.
+type FleetSettings struct {
+	Service string
+	Count   int
+	Stage   string
+	Events  int
+	// Delay is how long each run takes before its response, Downtime how long a crashed upstream is away.
+	Delay    time.Duration
+	Downtime time.Duration
+	// IsFatal tells which runs crash the upstream that begins to answer them.
+	IsFatal func(Run) bool
+}
+
+// Fleet is a number of upstreams that crash on certain requests. Each crashed one starts again at its address, under a new
+// id and without anything that it knew. It is safe for concurrent use.
+type Fleet struct {
+	settings FleetSettings
+	store    *Store
+
+	mu      sync.Mutex
+	running map[string]*Upstream
+	started int
+	closed  bool
+	done    chan struct{}
+	// replacing counts the goroutines that wait for a crash of an upstream.
+	replacing sync.WaitGroup
+	fatal     []Run
+	crashes   []time.Time
+}
+
+// NewFleet starts a fleet whose upstreams register in a store.
+func NewFleet(store *Store, settings FleetSettings) *Fleet {
+	f := &Fleet{settings: settings, store: store, running: map[string]*Upstream{}, done: make(chan struct{})}
+	for range settings.Count {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			panic(fmt.Sprintf("emulator: listen: %v", err))
+		}
+		f.start(listener)
+	}
+	return f
+}
+
+// start starts an upstream and registers it.
+func (f *Fleet) start(listener net.Listener) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.closed {
+		_ = listener.Close()
+		return
+	}
+	f.started++
+	u := &Upstream{
+		ID: fmt.Sprintf("%s-%d", f.settings.Service, f.started), Stage: f.settings.Stage, Events: f.settings.Events,
+		handles: map[string]bool{}, delay: f.settings.Delay, isFatal: f.settings.IsFatal, onRun: f.recordRun,
+		crashed: make(chan struct{}),
+	}
+	u.server = &httptest.Server{Listener: listener, Config: &http.Server{Handler: u}}
+	u.server.Start()
+	f.running[u.ID] = u
+	f.store.Put(TopicServers, u.ID, u.Entry(f.settings.Service, "ready"))
+	f.replacing.Add(1)
+	go f.replace(u, listener.Addr().String())
+}
+
+// replace waits until an upstream crashes and starts the next one at its address.
+func (f *Fleet) replace(u *Upstream, address string) {
+	defer f.replacing.Done()
+	select {
+	case <-u.crashed:
+	case <-f.done:
+		return
+	}
+	f.mu.Lock()
+	delete(f.running, u.ID)
+	f.crashes = append(f.crashes, time.Now())
+	f.mu.Unlock()
+	if !f.pause(f.settings.Downtime / 2) {
+		return
+	}
+	f.store.Put(TopicServers, u.ID, nil)
+	if !f.pause(f.settings.Downtime / 2) {
+		return
+	}
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		panic(fmt.Sprintf("emulator: listen: %v", err))
+	}
+	f.start(listener)
+}
+
+// pause waits, and returns false if the fleet is closed before.
+func (f *Fleet) pause(d time.Duration) bool {
+	select {
+	case <-time.After(d):
+		return true
+	case <-f.done:
+		return false
+	}
+}
+
+func (f *Fleet) recordRun(r Run, fatal bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if fatal {
+		f.fatal = append(f.fatal, r)
+	}
+}
+
+// Fatal returns the requests that reached an upstream and crash it, prefills included.
+func (f *Fleet) Fatal() []Run {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]Run(nil), f.fatal...)
+}
+
+// Crashes returns the times at which upstreams crashed.
+func (f *Fleet) Crashes() []time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]time.Time(nil), f.crashes...)
+}
+
+// Close stops all upstreams.
+func (f *Fleet) Close() {
+	f.mu.Lock()
+	f.closed = true
+	running := slices.Collect(maps.Values(f.running))
+	f.mu.Unlock()
+	close(f.done)
+	f.replacing.Wait()
+	for _, u := range running {
+		u.Close()
+	}
+}
--- a/standin/emulator/upstream.go
+++ b/standin/emulator/upstream.go
@@ -73,6 +73,12 @@
 	retryAfter string
 	// leaving is true if all answers say that the upstream leaves.
 	leaving bool
+	// isFatal tells which runs crash the upstream as soon as it begins to answer them; nil if none do.
+	isFatal func(Run) bool
+	onRun   func(r Run, fatal bool)
+	// crashed is closed when a run has crashed the upstream.
+	crashed   chan struct{}
+	crashOnce sync.Once
 }
 
 // NewUpstream starts an upstream. Its stage is "prefill" or "decode", or empty for a plain service.
@@ -82,6 +88,16 @@
 	return u
 }
 
+// crash ends the upstream like a killed process: it refuses new connections and closes the open ones. It doesn't return.
+func (u *Upstream) crash() {
+	u.crashOnce.Do(func() {
+		_ = u.server.Listener.Close()
+		u.server.CloseClientConnections()
+		close(u.crashed)
+	})
+	panic(http.ErrAbortHandler)
+}
+
 // Close closes the upstream's connections and stops its server.
 func (u *Upstream) Close() {
 	u.server.CloseClientConnections()
@@ -246,7 +262,14 @@
 		u.handles[handle] = true
 	}
 	u.mu.Unlock()
+	fatal := u.isFatal != nil && u.isFatal(run)
+	if u.onRun != nil {
+		u.onRun(run, fatal)
+	}
 	u.wait(r, behaviour, delay)
+	if fatal && !prefillOnly && r.Context().Err() == nil {
+		u.crash()
+	}
 	switch {
 	case behaviour == Resets || behaviour == Hangs:
 		panic(http.ErrAbortHandler)
