Contain prompt parts that crash engines

Cause: a broken request counted against its upstream alone. Nothing connected the crashes with what the requests had in common, so each new request with the part went to any engine that was left, from any instance. The class: a fault of the input that is taken for a fault of the upstream.

Change: core/isolator keeps the evidence. A request that breaks off unanswered is evidence if its upstream then refuses connections; one incarnation is one crash. A part that was in two crashes with no answer since is suspected and tried one request after the other; in three, it is quarantined. Parts answered in the 10 s before a crash, and the last part of a prompt, are never blamed, so sound requests that share the other parts are served. Instances tell each other what broke off and what was answered; reports are repeated, and one that starts or was cut off gets all that is known.

--- a/core/allocator/placement.go
+++ b/core/allocator/placement.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/core/isolator"
 	"rosemaryspool.example/core/tracker"
 )
 
@@ -32,6 +33,16 @@
 	Resumed bool
 }
 
+// Traits returns what the request may have in common with others that crash upstreams: all parts of its prompt but the
+// last one.
+func (r Request) Traits() []isolator.Trait {
+	traits := make([]isolator.Trait, 0, len(r.Prompt))
+	for _, part := range r.Prompt[:max(0, len(r.Prompt)-1)] {
+		traits = append(traits, isolator.Trait(part.Hash))
+	}
+	return traits
+}
+
 func (r Request) promptTokens() identifier.Tokens {
 	total := identifier.Tokens(0)
 	for _, part := range r.Prompt {
@@ -98,6 +109,10 @@
 	ReasonLimited Reason = "limited"
 	// ReasonWaiting means that every upstream has asked this instance to send no requests for a while.
 	ReasonWaiting Reason = "waiting"
+	// ReasonSuspected means that requests like this one may have crashed upstreams, and that one of them is tried already.
+	ReasonSuspected Reason = "suspected"
+	// ReasonQuarantined means that requests like this one crash upstreams.
+	ReasonQuarantined Reason = "quarantined"
 )
 
 // Refusal is the result for a request that is shed.
--- a/core/elector/elector.go
+++ b/core/elector/elector.go
@@ -185,6 +185,17 @@
 	return neighbours
 }
 
+// Others returns the other members, without leaving ones.
+func (e *Elector) Others() []Member {
+	others := make([]Member, 0, len(e.members))
+	for _, m := range e.members {
+		if m.Instance != e.self.Instance && !m.leaving {
+			others = append(others, m.Member)
+		}
+	}
+	return others
+}
+
 func (e *Elector) isNeighbour(m *member) bool {
 	return m.DataCentre == e.self.DataCentre || len(e.members) <= smallSystem
 }
--- /dev/null
+++ b/core/isolator/isolator.go
@@ -0,0 +1,390 @@
+// Package isolator recognises requests that crash the upstreams that run them, and keeps them away from the others. What
+// such requests have in common is a trait. A crash takes all requests that run at the upstream, most of them sound, so
+// traits are told apart by what they have in common over several crashes: a trait is suspected if requests with it broke
+// off in several crashes and none with it has been answered since.
+package isolator
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"rosemaryspool.example/core/identifier"
+)
+
+// Trait is a hash of something that several requests may have in common, such as a part of their prompts.
+type Trait uint64
+
+// Process is one start of an upstream.
+type Process struct {
+	Upstream    identifier.UpstreamID
+	Incarnation uint64
+}
+
+// Crash is the unplanned end of a process, with the traits of requests that broke off unanswered in it.
+type Crash struct {
+	Process Process
+	At      time.Time
+	Traits  []Trait
+}
+
+// Status says how requests with a trait are handled.
+type Status int
+
+// Statuses of a trait.
+const (
+	// Free requests are sent to any upstream.
+	Free Status = iota
+	// Suspected requests are sent one after the other, as trials.
+	Suspected
+	// Quarantined requests are sent to no upstream.
+	Quarantined
+)
+
+// String returns the name of the status as written in logs.
+func (s Status) String() string {
+	switch s {
+	case Suspected:
+		return "suspected"
+	case Quarantined:
+		return "quarantined"
+	default:
+		return "free"
+	}
+}
+
+// Verdict is how a request is handled because of its traits.
+type Verdict struct {
+	Status Status
+	// Trait is the one that decided, Crashes the number of crashes that it is suspected of.
+	Trait   Trait
+	Crashes int
+	// Wait is how long no request with the trait is to be sent; zero if one may be sent now.
+	Wait time.Duration
+}
+
+// Change is a change of the status of a trait.
+type Change struct {
+	Trait     Trait
+	Status    Status
+	Crashes   int
+	Processes []Process
+	// Until is when a quarantine ends.
+	Until time.Time
+}
+
+// suspect is what is known against a trait that has not been answered since the crashes.
+type suspect struct {
+	// crashes holds when requests with the trait broke off in a crash, by the process that crashed.
+	crashes map[Process]time.Time
+	// count is the number of crashes that count, latest the time of the last one.
+	count  int
+	latest time.Time
+	// trialAt is when a request with the trait was last sent although it is suspected.
+	trialAt time.Time
+	// heldSince and heldUntil bound the quarantine, term is its length.
+	heldSince time.Time
+	heldUntil time.Time
+	term      time.Duration
+}
+
+func (s *suspect) status(now time.Time, settings Settings) Status {
+	switch {
+	case now.Before(s.heldUntil):
+		return Quarantined
+	case s.count >= settings.SuspectCrashes || !s.heldUntil.IsZero():
+		return Suspected
+	default:
+		return Free
+	}
+}
+
+// Isolator keeps the evidence against traits. It is not safe for concurrent use.
+type Isolator struct {
+	settings Settings
+	answers  answerLog
+	suspects map[Trait]*suspect
+	// broken holds the processes at which requests broke off and that are not known to have crashed.
+	broken map[Process]*Crash
+	// crashes holds the latest crashes, the oldest one first.
+	crashes []*Crash
+	outbox  outbox
+	changes []Change
+}
+
+// NewIsolator returns an isolator that knows of no crashes.
+func NewIsolator(settings Settings) *Isolator {
+	return &Isolator{
+		settings: settings, answers: newAnswerLog(settings.TrustPeriod), suspects: map[Trait]*suspect{},
+		broken: map[Process]*Crash{},
+	}
+}
+
+// Broken records that a request with these traits broke off at a process before it was answered. It returns true if the
+// caller should find out whether the process has ended.
+func (i *Isolator) Broken(now time.Time, p Process, traits []Trait) bool {
+	i.expireBroken(now)
+	if c := i.crash(p); c != nil {
+		i.addTraits(now, c, traits)
+		i.outbox.add(now, p)
+		return false
+	}
+	b, known := i.broken[p]
+	if !known {
+		if len(i.broken) >= maxBroken {
+			return false
+		}
+		b = &Crash{Process: p, At: now}
+		i.broken[p] = b
+	}
+	for _, t := range traits {
+		if !slices.Contains(b.Traits, t) && len(b.Traits) < maxCrashTraits {
+			b.Traits = append(b.Traits, t)
+		}
+	}
+	return !known
+}
+
+// Survived records that a process has not ended: what broke off there is no evidence.
+func (i *Isolator) Survived(p Process) {
+	delete(i.broken, p)
+	i.refute(p)
+}
+
+// Ended records that a process has ended without notice.
+func (i *Isolator) Ended(now time.Time, p Process) {
+	b := i.broken[p]
+	if b == nil {
+		return
+	}
+	delete(i.broken, p)
+	c := i.crash(p)
+	if c == nil {
+		c = i.addCrash(p, b.At)
+	}
+	i.addTraits(now, c, b.Traits)
+	i.outbox.add(now, p)
+}
+
+// Answered records that a process has answered a request with these traits.
+func (i *Isolator) Answered(now time.Time, p Process, traits []Trait) {
+	if c := i.crash(p); c != nil && now.Sub(c.At) > i.settings.SurvivalTime {
+		i.refute(p)
+	}
+	for _, t := range traits {
+		i.answers.add(now, t)
+		if i.suspects[t] != nil {
+			i.release(now, t)
+			i.outbox.addAnswer(now, Answer{Trait: t, At: now})
+		}
+	}
+}
+
+// release drops all evidence against a trait.
+func (i *Isolator) release(now time.Time, t Trait) {
+	before := i.suspects[t].status(now, i.settings)
+	delete(i.suspects, t)
+	if before != Free {
+		i.changes = append(i.changes, Change{Trait: t, Status: Free})
+	}
+}
+
+// Check returns how a request is handled. interval is the time between two trials of a suspected trait.
+func (i *Isolator) Check(now time.Time, traits []Trait, interval time.Duration) Verdict {
+	var worst Verdict
+	if len(i.suspects) == 0 {
+		return worst
+	}
+	for _, t := range traits {
+		s := i.suspects[t]
+		if s == nil {
+			continue
+		}
+		v := Verdict{Status: s.status(now, i.settings), Trait: t, Crashes: s.count}
+		switch v.Status {
+		case Quarantined:
+			v.Wait = s.heldUntil.Sub(now)
+		case Suspected:
+			v.Wait = max(0, s.trialAt.Add(interval).Sub(now))
+		default:
+		}
+		if v.Status > worst.Status || v.Status == worst.Status && v.Wait > worst.Wait {
+			worst = v
+		}
+	}
+	return worst
+}
+
+// Sent records that a request with these traits is sent; it is a trial of the suspected ones.
+func (i *Isolator) Sent(now time.Time, traits []Trait) {
+	for _, t := range traits {
+		if s := i.suspects[t]; s != nil {
+			s.trialAt = now
+		}
+	}
+}
+
+// TakeChanges returns the changes of statuses since the last call.
+func (i *Isolator) TakeChanges() []Change {
+	taken := i.changes
+	i.changes = nil
+	return taken
+}
+
+// List returns the traits that are suspected or quarantined, sorted.
+func (i *Isolator) List(now time.Time) []Change {
+	var listed []Change
+	for t, s := range i.suspects {
+		if status := s.status(now, i.settings); status != Free {
+			listed = append(listed, s.describe(t, status))
+		}
+	}
+	slices.SortFunc(listed, func(a, b Change) int { return cmp.Compare(a.Trait, b.Trait) })
+	return listed
+}
+
+func (s *suspect) describe(t Trait, status Status) Change {
+	c := Change{Trait: t, Status: status, Crashes: s.count, Until: s.heldUntil}
+	for p := range s.crashes {
+		c.Processes = append(c.Processes, p)
+	}
+	slices.SortFunc(c.Processes, func(a, b Process) int { return s.crashes[a].Compare(s.crashes[b]) })
+	return c
+}
+
+func (i *Isolator) crash(p Process) *Crash {
+	for _, c := range i.crashes {
+		if c.Process == p {
+			return c
+		}
+	}
+	return nil
+}
+
+// addCrash adds a crash and drops those that are too old or too many.
+func (i *Isolator) addCrash(p Process, at time.Time) *Crash {
+	c := &Crash{Process: p, At: at}
+	i.crashes = append(i.crashes, c)
+	slices.SortStableFunc(i.crashes, func(a, b *Crash) int { return a.At.Compare(b.At) })
+	for len(i.crashes) > maxCrashes || at.Sub(i.crashes[0].At) > i.settings.CrashMemory {
+		i.crashes = i.crashes[1:]
+	}
+	return c
+}
+
+// addTraits adds traits of requests that broke off in a crash.
+func (i *Isolator) addTraits(now time.Time, c *Crash, traits []Trait) {
+	for _, t := range traits {
+		if answered, known := i.answers.last(t); known && answered.After(c.At.Add(-i.settings.TrustPeriod)) {
+			// The instance that reported the crash may not know of the answer.
+			i.outbox.addAnswer(now, Answer{Trait: t, At: answered})
+			continue
+		}
+		if !slices.Contains(c.Traits, t) && len(c.Traits) < maxCrashTraits {
+			c.Traits = append(c.Traits, t)
+		}
+		i.accuse(now, t, c)
+	}
+}
+
+// accuse counts a crash against a trait.
+func (i *Isolator) accuse(now time.Time, t Trait, c *Crash) {
+	s := i.suspects[t]
+	if s == nil {
+		i.makeRoom()
+		s = &suspect{crashes: map[Process]time.Time{}}
+		i.suspects[t] = s
+	}
+	if at, known := s.crashes[c.Process]; known && !c.At.Before(at) {
+		return
+	}
+	before := s.status(now, i.settings)
+	s.crashes[c.Process] = c.At
+	s.recount(now, i.settings)
+	if s.count >= i.settings.QuarantineCrashes && !now.Before(s.heldUntil) && c.At.After(s.heldSince) {
+		s.term = min(max(i.settings.QuarantineTime, quarantineGrowth*s.term), i.settings.MaxQuarantineTime)
+		s.heldSince, s.heldUntil = c.At, now.Add(s.term)
+	}
+	if after := s.status(now, i.settings); after != before {
+		i.changes = append(i.changes, s.describe(t, after))
+	}
+}
+
+// recount counts the crashes, those in quick succession once.
+func (s *suspect) recount(now time.Time, settings Settings) {
+	times := make([]time.Time, 0, len(s.crashes))
+	for p, at := range s.crashes {
+		if now.Sub(at) > settings.CrashMemory {
+			delete(s.crashes, p)
+			continue
+		}
+		times = append(times, at)
+	}
+	slices.SortFunc(times, time.Time.Compare)
+	s.count, s.latest = 0, time.Time{}
+	for _, at := range times {
+		if s.count == 0 || at.Sub(s.latest) >= settings.BurstWindow {
+			s.count++
+			s.latest = at
+		}
+	}
+}
+
+// makeRoom drops the quarter of the traits with the least evidence if there are too many. Quarantined ones are dropped last.
+func (i *Isolator) makeRoom() {
+	if len(i.suspects) < maxSuspects {
+		return
+	}
+	traits := slices.SortedFunc(maps.Keys(i.suspects), func(x, y Trait) int {
+		a, b := i.suspects[x], i.suspects[y]
+		return cmp.Or(
+			a.heldUntil.Compare(b.heldUntil), cmp.Compare(a.count, b.count), a.latest.Compare(b.latest), cmp.Compare(x, y),
+		)
+	})
+	for _, t := range traits[:len(traits)/4] {
+		delete(i.suspects, t)
+	}
+}
+
+// refute drops a crash that was none.
+func (i *Isolator) refute(p Process) {
+	i.crashes = slices.DeleteFunc(i.crashes, func(c *Crash) bool { return c.Process == p })
+	for t, s := range i.suspects {
+		if _, accused := s.crashes[p]; !accused {
+			continue
+		}
+		before := s.status(s.latest, i.settings)
+		delete(s.crashes, p)
+		s.recount(s.latest, i.settings)
+		if s.count < i.settings.QuarantineCrashes {
+			s.heldSince, s.heldUntil, s.term = time.Time{}, time.Time{}, 0
+		}
+		after := s.status(s.latest, i.settings)
+		if s.count == 0 {
+			delete(i.suspects, t)
+		}
+		if after != before {
+			i.changes = append(i.changes, s.describe(t, after))
+		}
+	}
+}
+
+// Expire forgets what is too old to count.
+func (i *Isolator) Expire(now time.Time) {
+	i.expireBroken(now)
+	for t, s := range i.suspects {
+		if now.Sub(s.latest) > i.settings.CrashMemory && now.Sub(s.heldUntil) > i.settings.CrashMemory {
+			i.release(now, t)
+		}
+	}
+}
+
+// expireBroken forgets requests that broke off at processes whose end was not confirmed.
+func (i *Isolator) expireBroken(now time.Time) {
+	for p, b := range i.broken {
+		if now.Sub(b.At) > i.settings.ConfirmTime {
+			delete(i.broken, p)
+		}
+	}
+}
--- /dev/null
+++ b/core/isolator/isolator_test.go
@@ -0,0 +1,206 @@
+package isolator
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"rosemaryspool.example/core/identifier"
+)
+
+const (
+	popular Trait = 1
+	fatal   Trait = 2
+	rare    Trait = 3
+)
+
+var start = time.Date(2026, 12, 4, 10, 0, 0, 0, time.UTC)
+
+func process(n int) Process {
+	return Process{Upstream: identifier.UpstreamID(fmt.Sprintf("u%d", n)), Incarnation: 1}
+}
+
+// crash records that requests with these traits broke off as a process ended.
+func crash(i *Isolator, at time.Time, p Process, traits ...Trait) {
+	i.Broken(at, p, traits)
+	i.Ended(at.Add(5*time.Millisecond), p)
+}
+
+func status(i *Isolator, at time.Time, traits ...Trait) Status {
+	return i.Check(at, traits, i.settings.TrialInterval).Status
+}
+
+func TestStatusOfTraits(t *testing.T) {
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	for _, c := range []struct {
+		name   string
+		play   func(i *Isolator)
+		traits []Trait
+		want   Status
+	}{
+		{"one crash explains nothing", func(i *Isolator) {
+			crash(i, at(0), process(1), fatal)
+		}, []Trait{fatal}, Free},
+		{"two crashes make a suspect", func(i *Isolator) {
+			crash(i, at(0), process(1), fatal)
+			crash(i, at(300), process(2), fatal)
+		}, []Trait{popular, fatal}, Suspected},
+		{"three crashes prove it", func(i *Isolator) {
+			for n := range 3 {
+				crash(i, at(300*n), process(n), fatal)
+			}
+		}, []Trait{popular, fatal}, Quarantined},
+		{"one crash seen by many requests counts once", func(i *Isolator) {
+			for range 5 {
+				crash(i, at(0), process(1), fatal)
+			}
+		}, []Trait{fatal}, Free},
+		{"upstreams that end together count once", func(i *Isolator) {
+			for n := range 5 {
+				crash(i, at(n), process(n), rare)
+			}
+		}, []Trait{rare}, Free},
+		{"a popular part in every crash stays free", func(i *Isolator) {
+			i.Answered(at(-5000), process(9), []Trait{popular})
+			for n := range 5 {
+				crash(i, at(300*n), process(n), popular, fatal)
+			}
+		}, []Trait{popular}, Free},
+		{"an answer clears a suspect", func(i *Isolator) {
+			for n := range 3 {
+				crash(i, at(300*n), process(n), rare)
+			}
+			i.Answered(at(700), process(9), []Trait{rare})
+		}, []Trait{rare}, Free},
+		{"an old answer doesn't speak for a trait that crashes now", func(i *Isolator) {
+			i.Answered(at(-30_000), process(9), []Trait{fatal})
+			for n := range 3 {
+				crash(i, at(300*n), process(n), fatal)
+			}
+		}, []Trait{fatal}, Quarantined},
+		{"processes that live are no evidence", func(i *Isolator) {
+			for n := range 5 {
+				i.Broken(at(300*n), process(n), []Trait{rare})
+				i.Survived(process(n))
+			}
+		}, []Trait{rare}, Free},
+		{"processes that answer later had not crashed", func(i *Isolator) {
+			for n := range 3 {
+				crash(i, at(300*n), process(n), rare)
+			}
+			for n := range 3 {
+				i.Answered(at(3000), process(n), []Trait{popular})
+			}
+		}, []Trait{rare}, Free},
+		{"several fatal traits at one time", func(i *Isolator) {
+			i.Answered(at(-100), process(9), []Trait{popular})
+			for n := range 6 {
+				crash(i, at(300*n), process(n), popular, fatal+Trait(10*(n%2)))
+			}
+		}, []Trait{popular, fatal}, Quarantined},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			i := NewIsolator(DefaultSettings())
+			c.play(i)
+			require.Equal(t, c.want, status(i, at(1000), c.traits...))
+		})
+	}
+}
+
+func TestSuspectsAreTriedOneAfterTheOther(t *testing.T) {
+	i := NewIsolator(DefaultSettings())
+	crash(i, start, process(1), fatal)
+	crash(i, start.Add(300*time.Millisecond), process(2), fatal)
+	now := start.Add(time.Second)
+	interval := i.settings.TrialInterval
+	require.Zero(t, i.Check(now, []Trait{fatal}, interval).Wait)
+	i.Sent(now, []Trait{fatal})
+	require.Equal(t, interval, i.Check(now, []Trait{fatal}, interval).Wait)
+	require.Zero(t, i.Check(now.Add(interval), []Trait{fatal}, interval).Wait)
+}
+
+func TestQuarantineEndsWithTrialsAndGrows(t *testing.T) {
+	i := NewIsolator(DefaultSettings())
+	for n := range 3 {
+		crash(i, start.Add(time.Duration(n)*300*time.Millisecond), process(n), fatal)
+	}
+	held := i.Check(start.Add(time.Second), []Trait{fatal}, 0)
+	require.Equal(t, Quarantined, held.Status)
+	after := start.Add(time.Second + held.Wait)
+	require.Equal(t, Suspected, status(i, after, fatal))
+	crash(i, after, process(8), fatal)
+	require.Equal(t, Quarantined, status(i, after.Add(time.Second), fatal))
+	require.Greater(t, i.Check(after.Add(time.Second), []Trait{fatal}, 0).Wait, 9*held.Wait)
+}
+
+// exchange passes the reports of instances to each other.
+func exchange(now time.Time, instances ...*Isolator) {
+	for _, from := range instances {
+		r := from.TakeReport(now)
+		for _, to := range instances {
+			if to != from {
+				to.Learn(now, r)
+			}
+		}
+	}
+}
+
+func TestInstancesWithPartsOfTheEvidenceReachTheSameConclusion(t *testing.T) {
+	a, b, c := NewIsolator(DefaultSettings()), NewIsolator(DefaultSettings()), NewIsolator(DefaultSettings())
+	now := start
+	for n := range 4 {
+		crash([]*Isolator{a, b}[n%2], now, process(n), fatal, rare+Trait(n))
+		now = now.Add(300 * time.Millisecond)
+		exchange(now, a, b, c)
+	}
+	for _, i := range []*Isolator{a, b, c} {
+		require.Equal(t, Quarantined, status(i, now, fatal))
+		require.Equal(t, Free, status(i, now, rare))
+	}
+}
+
+func TestAnswerAtAnotherInstanceClearsATrait(t *testing.T) {
+	a, b := NewIsolator(DefaultSettings()), NewIsolator(DefaultSettings())
+	b.Answered(start.Add(-time.Second), process(9), []Trait{popular})
+	for n := range 3 {
+		crash(a, start.Add(time.Duration(n)*300*time.Millisecond), process(n), popular)
+	}
+	now := start.Add(time.Second)
+	exchange(now, a, b)
+	exchange(now.Add(repeatInterval), a, b)
+	require.Equal(t, Free, status(a, now, popular))
+	require.Equal(t, Free, status(b, now, popular))
+}
+
+func TestStartedInstanceLearnsWhatTheOthersKnow(t *testing.T) {
+	a, started := NewIsolator(DefaultSettings()), NewIsolator(DefaultSettings())
+	for n := range 3 {
+		crash(a, start.Add(time.Duration(n)*300*time.Millisecond), process(n), fatal)
+	}
+	now := start.Add(5 * time.Second)
+	started.Learn(now, a.Knowledge(now))
+	require.Equal(t, Quarantined, status(started, now, fatal))
+}
+
+func TestMemoryIsBounded(t *testing.T) {
+	i := NewIsolator(DefaultSettings())
+	now := start
+	for n := range 200 {
+		now = now.Add(300 * time.Millisecond)
+		traits := make([]Trait, 0, 100)
+		for k := range 100 {
+			traits = append(traits, Trait(1000+100*n+k))
+		}
+		if n < 3 {
+			traits = append([]Trait{fatal}, traits...)
+		}
+		crash(i, now, process(n), traits...)
+		i.Broken(now, Process{Upstream: "unknown", Incarnation: uint64(n)}, traits)
+	}
+	require.LessOrEqual(t, len(i.suspects), maxSuspects)
+	require.LessOrEqual(t, len(i.crashes), maxCrashes)
+	require.LessOrEqual(t, len(i.broken), maxBroken)
+	require.Contains(t, i.suspects, fatal, "traits with the least evidence are dropped first")
+}
--- /dev/null
+++ b/core/isolator/settings.go
@@ -0,0 +1,60 @@
+package isolator
+
+import "time"
+
+// Settings holds the thresholds and times of isolation.
+type Settings struct {
+	// SuspectCrashes is the number of crashes without an answer since from which on a trait is suspected: one crash is
+	// explained by any request that ran there.
+	SuspectCrashes int
+	// QuarantineCrashes is the number from which on it is quarantined.
+	QuarantineCrashes int
+	// TrustPeriod is how long an answer speaks for a trait: crashes within it are blamed on other traits.
+	TrustPeriod time.Duration
+	// BurstWindow is the time after a crash in which further ones don't count: a cause outside of requests may end several
+	// upstreams together.
+	BurstWindow time.Duration
+	// TrialInterval is the time between two requests with a suspected trait. It covers the run of one request and the
+	// report of its end.
+	TrialInterval time.Duration
+	// QuarantineTime is the length of a first quarantine. After it there are trials again; each further quarantine is
+	// longer, up to MaxQuarantineTime.
+	QuarantineTime    time.Duration
+	MaxQuarantineTime time.Duration
+	// CrashMemory is how long a crash counts.
+	CrashMemory time.Duration
+	// SurvivalTime is how long after its crash an answer of a process shows that there was none. Answers that were on their
+	// way arrive earlier.
+	SurvivalTime time.Duration
+	// ConfirmTime is how long a broken request waits for word that its upstream has ended.
+	ConfirmTime time.Duration
+}
+
+// DefaultSettings returns the default settings, chosen without knowledge of the fleet.
+func DefaultSettings() Settings {
+	return Settings{
+		SuspectCrashes:    2,
+		QuarantineCrashes: 3,
+		TrustPeriod:       10 * time.Second,
+		BurstWindow:       200 * time.Millisecond,
+		TrialInterval:     500 * time.Millisecond,
+		QuarantineTime:    30 * time.Second,
+		MaxQuarantineTime: 24 * time.Hour,
+		CrashMemory:       10 * time.Minute,
+		SurvivalTime:      time.Second,
+		ConfirmTime:       5 * time.Second,
+	}
+}
+
+const (
+	// quarantineGrowth is the factor by which a quarantine is longer than the one before.
+	quarantineGrowth = 10
+	// maxSuspects, maxCrashes, maxCrashTraits and maxBroken bound the memory: callers may send crashing requests with ever
+	// new traits.
+	maxSuspects    = 4096
+	maxCrashes     = 64
+	maxCrashTraits = 48
+	maxBroken      = 64
+	// maxAnswers bounds the traits in one generation of the log of answers.
+	maxAnswers = 16384
+)
--- a/rosemaryspool/connector/connector.go
+++ b/rosemaryspool/connector/connector.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"sync"
 	"syscall"
@@ -33,6 +34,8 @@
 var (
 	// ErrUnreachable means that no connection could be opened.
 	ErrUnreachable = errors.New("connector: upstream is unreachable")
+	// ErrRefused is an ErrUnreachable: nothing listens at the address.
+	ErrRefused = fmt.Errorf("%w: connection refused", ErrUnreachable)
 	// ErrNoConnection means that this instance's share of the upstream's connections is in use.
 	ErrNoConnection = errors.New("connector: no free connection")
 )
@@ -83,6 +86,21 @@
 	if idle := c.reuse(address, maxIdle); idle != nil {
 		return idle, nil
 	}
+	return c.open(ctx, address, limit)
+}
+
+// Probe opens a connection and keeps it for later requests. It returns ErrRefused if nothing listens at the address.
+func (c *Connector) Probe(ctx context.Context, address string, limit int) error {
+	conn, err := c.open(ctx, address, max(1, limit))
+	if err != nil {
+		return err
+	}
+	c.release(address, conn, true)
+	return nil
+}
+
+// open opens a connection while fewer than limit are open.
+func (c *Connector) open(ctx context.Context, address string, limit int) (*connection, error) {
 	c.mu.Lock()
 	p := c.pool(address)
 	if p.open >= limit {
@@ -99,6 +117,9 @@
 		if ctx.Err() != nil {
 			return nil, eris.Wrap(ctx.Err(), "connector: dial")
 		}
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			return nil, eris.Wrap(ErrRefused, err.Error())
+		}
 		return nil, eris.Wrap(ErrUnreachable, err.Error())
 	}
 	c.onOpen()
--- a/rosemaryspool/delegator/delegator.go
+++ b/rosemaryspool/delegator/delegator.go
@@ -58,6 +58,9 @@
 func (d *Delegator) Place(
 	ctx context.Context, request allocator.Request,
 ) (allocator.Placement, *allocator.Refusal) {
+	if refusal := d.governor.RefuseQuarantined(time.Now(), request); refusal != nil {
+		return allocator.Placement{}, refusal
+	}
 	for _, arbiter := range d.governor.Arbiters(time.Now(), request.Service, maxArbiters) {
 		if self := d.governor.Self().Instance; arbiter.Instance == self {
 			// The arbiters before this one, if any, have just failed to answer.
--- a/rosemaryspool/forwarder/attempt.go
+++ b/rosemaryspool/forwarder/attempt.go
@@ -75,6 +75,10 @@
 	status      int
 	err         error
 	response    *storedResponse
+	// brokenOff is true if the connection ended before the response.
+	brokenOff bool
+	// answered is true once the response counts as one that the upstream has survived.
+	answered bool
 	// stopWatch stops the timer for an overdue first byte or event.
 	stopWatch func()
 }
@@ -209,6 +213,7 @@
 	}
 	var end attemptResult
 	end, outcome = e.send()
+	e.recordSurvival(end)
 	if end == notExecuted {
 		e.dropCache()
 	}
@@ -310,6 +315,7 @@
 	})
 	if err != nil {
 		e.last.err = err
+		e.last.brokenOff = isBrokenOff(ctx, err)
 		outcome := failureOutcome(e.ctx, err)
 		switch {
 		case errors.Is(err, connector.ErrUnreachable), errors.Is(err, connector.ErrNoConnection):
@@ -326,9 +332,9 @@
 		return notExecuted, rejectedOutcome(response)
 	}
 	if e.route.Streaming && response.Status < http.StatusMultipleChoices {
-		return e.relayStream(response)
+		return e.relayStream(ctx, response)
 	}
-	return e.relayBuffered(response)
+	return e.relayBuffered(ctx, response)
 }
 
 // rejectedOutcome classifies a rejection for the allocator. One that asks this instance to wait says nothing about the
--- a/rosemaryspool/forwarder/relay.go
+++ b/rosemaryspool/forwarder/relay.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"strconv"
@@ -29,15 +30,15 @@
 
 // relayBuffered reads a response to its end before it forwards it; a response that is too large is forwarded as it
 // arrives.
-func (e *exchange) relayBuffered(response *connector.Response) (attemptResult, allocator.Outcome) {
+func (e *exchange) relayBuffered(ctx context.Context, response *connector.Response) (attemptResult, allocator.Outcome) {
 	e.last.stopWatch()
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxStoredBytes))
 	if err == nil && len(body) == maxStoredBytes {
-		return e.relayLarge(response, body)
+		return e.relayLarge(ctx, response, body)
 	}
 	response.Close(err == nil)
 	if err != nil {
-		e.last.err = err
+		e.last.err, e.last.brokenOff = err, isBrokenOff(ctx, err)
 		if e.request.Context().Err() != nil {
 			return canceled, allocator.OutcomeCancelled
 		}
@@ -61,7 +62,9 @@
 }
 
 // relayLarge forwards a response of maxStoredBytes or more while it is read.
-func (e *exchange) relayLarge(response *connector.Response, start []byte) (attemptResult, allocator.Outcome) {
+func (e *exchange) relayLarge(
+	ctx context.Context, response *connector.Response, start []byte,
+) (attemptResult, allocator.Outcome) {
 	e.forwardHeader(response.Status, response.Header)
 	_, err := e.writer.Write(start)
 	if err == nil {
@@ -69,7 +72,7 @@
 	}
 	response.Close(err == nil)
 	if err != nil {
-		e.last.err = err
+		e.last.err, e.last.brokenOff = err, isBrokenOff(ctx, err)
 		return truncated, allocator.OutcomeFailed
 	}
 	return delivered, allocator.OutcomeCompleted
@@ -111,7 +114,7 @@
 }
 
 // relayStream forwards an event stream in complete events, so that another upstream can resume it after any of them.
-func (e *exchange) relayStream(response *connector.Response) (attemptResult, allocator.Outcome) {
+func (e *exchange) relayStream(ctx context.Context, response *connector.Response) (attemptResult, allocator.Outcome) {
 	if e.events == nil {
 		e.events = &eventWriter{
 			splitter: splitter.NewSplitter(e.caller.LastEventID), flusher: http.NewResponseController(e.writer),
@@ -139,7 +142,7 @@
 		}
 		if err != nil {
 			response.Close(false)
-			e.last.err = err
+			e.last.err, e.last.brokenOff = err, isBrokenOff(ctx, err)
 			return e.streamResult()
 		}
 	}
@@ -157,6 +160,7 @@
 	if len(events) > 0 {
 		now := time.Now()
 		e.last.recordActivity(now)
+		e.recordProgress(now)
 		if e.last.firstEventAt.IsZero() {
 			e.last.firstEventAt = now
 			e.last.stopWatch()
--- a/rosemaryspool/gatekeeper/gatekeeper.go
+++ b/rosemaryspool/gatekeeper/gatekeeper.go
@@ -158,6 +158,10 @@
 		g.gossiper.HandleStoreUpdate(r, body.StoreUpdate)
 	case *messenger.Datagram_StoreRequest:
 		g.subscriber.HandleViewRequest(r.Sender, body.StoreRequest.GetTopics())
+		// The instance that asks has just started.
+		g.gossiper.SendCrashKnowledge(r.Sender)
+	case *messenger.Datagram_CrashReport:
+		g.gossiper.HandleCrashReport(r, body.CrashReport)
 	}
 }
 
--- a/rosemaryspool/gossiper/gossiper.go
+++ b/rosemaryspool/gossiper/gossiper.go
@@ -49,6 +49,8 @@
 	courier  *courier.Courier
 	log      zerolog.Logger
 	done     chan struct{}
+	// crashesSyncedAt is when all knowledge of crashes was last sent to another instance. Only Run uses it.
+	crashesSyncedAt time.Time
 	// seeds are the addresses of instances that are asked for views of the store while no other instance is known.
 	seeds  []string
 	onView func(topic string, v View)
@@ -92,6 +94,7 @@
 			g.governor.Expire(time.Now())
 		}
 		g.sendReports(time.Now())
+		g.sendCrashReports(time.Now())
 		select {
 		case <-ctx.Done():
 			return
--- /dev/null
+++ b/rosemaryspool/governor/crash.go
@@ -0,0 +1,164 @@
+package governor
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"rosemaryspool.example/core/allocator"
+	"rosemaryspool.example/core/elector"
+	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/core/isolator"
+	"rosemaryspool.example/core/tracker"
+)
+
+func processOf(e tracker.Entry) isolator.Process {
+	return isolator.Process{Upstream: e.Upstream, Incarnation: e.Incarnation}
+}
+
+// RecordBroken records that a request with these traits broke off at an upstream before it was answered. It returns true
+// if the caller should find out whether the upstream has ended. Upstreams that leave end anyway.
+func (g *Governor) RecordBroken(now time.Time, e tracker.Entry, traits []isolator.Trait) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if listed, found := g.allocator.Entry(e.Upstream); !found || listed.Leaving || listed.Incarnation != e.Incarnation {
+		return false
+	}
+	defer g.isolationChanged("")
+	return g.isolator.Broken(now, processOf(e), traits)
+}
+
+// RecordEnd records that an upstream has ended without notice.
+func (g *Governor) RecordEnd(now time.Time, e tracker.Entry) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.log.Warn().Str("event", "upstreamCrashed").Str("upstream", string(e.Upstream)).
+		Uint64("incarnation", e.Incarnation).Msg("Upstream has ended while it ran requests")
+	g.isolator.Ended(now, processOf(e))
+	g.isolationChanged("")
+}
+
+// RecordProcessSurvival records that an upstream has not ended.
+func (g *Governor) RecordProcessSurvival(e tracker.Entry) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.isolator.Survived(processOf(e))
+}
+
+// RecordAnswer records that an upstream has answered a request with these traits.
+func (g *Governor) RecordAnswer(now time.Time, e tracker.Entry, traits []isolator.Trait) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.isolator.Answered(now, processOf(e), traits)
+	g.logIsolation("")
+}
+
+// RefuseQuarantined returns the refusal of a request that this instance itself knows to crash upstreams; nil if it does
+// not.
+func (g *Governor) RefuseQuarantined(now time.Time, request allocator.Request) *allocator.Refusal {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if v := g.isolator.Check(now, request.Traits(), 0); v.Status == isolator.Quarantined {
+		return &allocator.Refusal{Reason: allocator.ReasonQuarantined, RetryAfter: v.Wait, Arbiter: g.self.Instance}
+	}
+	return nil
+}
+
+// placeIsolated places a request unless its traits forbid that. Of the requests with a suspected trait, one after the
+// other is placed as a trial. The governor's mutex must be held.
+func (g *Governor) placeIsolated(
+	now time.Time, request allocator.Request, place func() (allocator.Placement, *allocator.Refusal),
+) (allocator.Placement, *allocator.Refusal) {
+	traits := request.Traits()
+	interval := isolator.DefaultSettings().TrialInterval
+	if request.RateShare < 1 {
+		// Other instances may place such requests too.
+		interval *= time.Duration(g.instances)
+	}
+	verdict := g.isolator.Check(now, traits, interval)
+	switch {
+	case verdict.Status == isolator.Quarantined:
+		return allocator.Placement{}, &allocator.Refusal{Reason: allocator.ReasonQuarantined, RetryAfter: verdict.Wait}
+	case verdict.Wait > 0:
+		return allocator.Placement{}, &allocator.Refusal{Reason: allocator.ReasonSuspected, RetryAfter: verdict.Wait}
+	}
+	placement, refusal := place()
+	if refusal == nil && verdict.Status == isolator.Suspected {
+		g.isolator.Sent(now, traits)
+		g.log.Info().Str("event", "traitTried").Str("trait", formatTrait(verdict.Trait)).Int("crashes", verdict.Crashes).
+			Str("upstream", string(placement.Upstream)).Msg("Request that may crash its upstream is tried")
+	}
+	return placement, refusal
+}
+
+// TakeCrashReport returns what the other instances are to be told of crashes now, and these instances.
+func (g *Governor) TakeCrashReport(now time.Time) (isolator.Report, []elector.Member) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	r := g.isolator.TakeReport(now)
+	if r.IsEmpty() {
+		return r, nil
+	}
+	return r, g.elector.Others()
+}
+
+// CrashKnowledge returns all that this instance knows of crashes.
+func (g *Governor) CrashKnowledge(now time.Time) isolator.Report {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.isolator.Knowledge(now)
+}
+
+// Others returns the other instances.
+func (g *Governor) Others() []elector.Member {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.elector.Others()
+}
+
+// ApplyCrashReport applies what another instance knows of crashes.
+func (g *Governor) ApplyCrashReport(now time.Time, sender identifier.InstanceID, r isolator.Report) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.isolator.Learn(now, r)
+	g.isolationChanged(sender)
+}
+
+// isolationChanged logs what has changed and has it reported. The governor's mutex must be held.
+func (g *Governor) isolationChanged(sender identifier.InstanceID) {
+	g.logIsolation(sender)
+	g.signal()
+}
+
+// logIsolation logs the traits whose status has changed. sender is the instance whose report changed it; empty for this
+// instance. The governor's mutex must be held.
+func (g *Governor) logIsolation(sender identifier.InstanceID) {
+	for _, c := range g.isolator.TakeChanges() {
+		if c.Status == isolator.Free {
+			g.log.Info().Str("event", "traitReleased").Str("trait", formatTrait(c.Trait)).Str("sender", string(sender)).
+				Msg("Requests with a trait no longer count as crashing upstreams")
+			continue
+		}
+		line := g.log.Warn().Str("event", "traitIsolated").Str("trait", formatTrait(c.Trait)).
+			Str("status", c.Status.String()).Int("crashes", c.Crashes).Str("sender", string(sender)).
+			Array("processes", processList(c.Processes))
+		if c.Status == isolator.Quarantined {
+			line = line.Dur("leftMs", time.Until(c.Until))
+		}
+		line.Msg("Requests with a trait seem to crash upstreams")
+	}
+}
+
+// formatTrait returns a trait as written in logs.
+func formatTrait(t isolator.Trait) string { return strconv.FormatUint(uint64(t), 16) }
+
+// processList is logged as an array of id:incarnation.
+type processList []isolator.Process
+
+// MarshalZerologArray implements zerolog.LogArrayMarshaler.
+func (l processList) MarshalZerologArray(a *zerolog.Array) {
+	for _, p := range l {
+		a.Str(string(p.Upstream) + ":" + strconv.FormatUint(p.Incarnation, 10))
+	}
+}
--- a/rosemaryspool/governor/governor.go
+++ b/rosemaryspool/governor/governor.go
@@ -15,6 +15,7 @@
 	"rosemaryspool.example/core/budgeter"
 	"rosemaryspool.example/core/elector"
 	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/core/isolator"
 	"rosemaryspool.example/core/matcher"
 	"rosemaryspool.example/core/tracker"
 )
@@ -45,6 +46,7 @@
 	allocator     *allocator.Allocator
 	elector       *elector.Elector
 	budgeter      *budgeter.Budgeter
+	isolator      *isolator.Isolator
 	instances     int
 	upstreamsRead bool
 	reports       reportState
@@ -60,6 +62,7 @@
 		allocator: allocator.NewAllocator(settings.Allocator, settings.Self.DataCentre),
 		elector:   elector.NewElector(settings.Self),
 		budgeter:  budgeter.NewBudgeter(settings.Retry),
+		isolator:  isolator.NewIsolator(isolator.DefaultSettings()),
 		instances: 1,
 		reports:   newReportState(),
 		changed:   make(chan struct{}, 1),
@@ -203,7 +206,9 @@
 func (g *Governor) Place(now time.Time, request allocator.Request) (allocator.Placement, *allocator.Refusal) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	placement, refusal := g.allocator.Place(now, request)
+	placement, refusal := g.placeIsolated(now, request, func() (allocator.Placement, *allocator.Refusal) {
+		return g.allocator.Place(now, request)
+	})
 	if refusal == nil {
 		g.signalChange(request.Service)
 	}
@@ -217,7 +222,9 @@
 ) (allocator.Placement, *allocator.Refusal) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.allocator.PlaceFor(now, instance, dataCentre, number, request)
+	return g.placeIsolated(now, request, func() (allocator.Placement, *allocator.Refusal) {
+		return g.allocator.PlaceFor(now, instance, dataCentre, number, request)
+	})
 }
 
 // Timings returns the measurements of a service's upstreams, and false if there are too few of them yet.
@@ -368,4 +375,6 @@
 	if g.tracker.Expire(now) {
 		g.allocator.SetUpstreams(g.tracker.Entries())
 	}
+	g.isolator.Expire(now)
+	g.logIsolation("")
 }
--- a/rosemaryspool/governor/report.go
+++ b/rosemaryspool/governor/report.go
@@ -157,6 +157,11 @@
 
 func (g *Governor) signalChange(service identifier.ServiceName) {
 	g.reports.changed[service] = true
+	g.signal()
+}
+
+// signal has reports sent.
+func (g *Governor) signal() {
 	select {
 	case g.changed <- struct{}{}:
 	default:
