Reproduce upstreams crashing one after the other on one request

Three instances and three upstreams of a plain service; one lookup with the same path and body comes again and again at any instance, beside sound ones.

--- a/rosemaryspool/gatekeeper/crash_test.go
+++ b/rosemaryspool/gatekeeper/crash_test.go
@@ -213,3 +213,22 @@
 	answers, crash := runFatalLoad(t, instances, fleet, sound, fatal, crashes, 2*contactTime+time.Second)
 	requireContained(t, fleet, answers, crash)
 }
+
+func TestRequestThatCrashesUpstreamsIsContained(t *testing.T) {
+	t.Parallel()
+	const crashes = 3
+	store := newTestStore(t)
+	fleet := emulator.NewFleet(store.Store, emulator.FleetSettings{
+		Service: "plain", Count: 3, Delay: 40 * time.Millisecond, Downtime: 1500 * time.Millisecond,
+		IsFatal: func(r emulator.Run) bool { return r.Body == "fatal" },
+	})
+	t.Cleanup(fleet.Close)
+	instances := newTestCluster(t, store, 3)
+	sound := load{
+		path: lookups + "x", interval: 15 * time.Millisecond, body: func(n int) string { return fmt.Sprintf("sound %d", n) },
+	}
+	// Each request is sent again and again, with another attempt ID.
+	fatal := load{path: lookups + "x", interval: 150 * time.Millisecond, body: constant("fatal")}
+	answers, crash := runFatalLoad(t, instances, fleet, sound, fatal, crashes, 2*contactTime+time.Second)
+	requireContained(t, fleet, answers, crash)
+}
