Contain requests that crash upstreams when they come again

Callers saw all servers of a plain service crash again and again on one lookup: 18 and 13 ended in the record, and lookups and orders were refused in between.

Cause: nothing recognised the request when it came again. Each attempt has a new id, and a broken attempt counted against the server alone; the instance sent it to a second server by itself.

Change: a hash of host, method, path and body is one more trait of each request, for which the evidence is kept as for parts of prompts. Failed requests log it as content.

--- a/core/allocator/placement.go
+++ b/core/allocator/placement.go
@@ -15,6 +15,8 @@
 	// Engine is true for requests to engines of language models, false for those to plain services.
 	Engine bool
 	Prompt []PromptPart
+	// Content is the trait of the request as a whole; zero if it has none.
+	Content isolator.Trait
 	// Output is the expected length of the answer in tokens.
 	Output identifier.Tokens
 	// TimeToTarget is the time left until the response counts as late; negative for a request that is late already.
@@ -34,9 +36,12 @@
 }
 
 // Traits returns what the request may have in common with others that crash upstreams: all parts of its prompt but the
-// last one.
+// last one, and its whole content.
 func (r Request) Traits() []isolator.Trait {
-	traits := make([]isolator.Trait, 0, len(r.Prompt))
+	traits := make([]isolator.Trait, 0, len(r.Prompt)+1)
+	if r.Content != 0 {
+		traits = append(traits, r.Content)
+	}
 	for _, part := range r.Prompt[:max(0, len(r.Prompt)-1)] {
 		traits = append(traits, isolator.Trait(part.Hash))
 	}
--- a/core/isolator/isolator.go
+++ b/core/isolator/isolator.go
@@ -13,9 +13,6 @@
 	"rosemaryspool.example/core/identifier"
 )
 
-// Trait is a hash of something that several requests may have in common, such as a part of their prompts.
-type Trait uint64
-
 // Process is one start of an upstream.
 type Process struct {
 	Upstream    identifier.UpstreamID
--- a/core/isolator/isolator_test.go
+++ b/core/isolator/isolator_test.go
@@ -204,3 +204,16 @@
 	require.LessOrEqual(t, len(i.broken), maxBroken)
 	require.Contains(t, i.suspects, fatal, "traits with the least evidence are dropped first")
 }
+
+func TestContentTraitDistinguishesRequests(t *testing.T) {
+	base := NewContentTrait("h", "POST", "/a", []byte("b"))
+	require.Equal(t, base, NewContentTrait("h", "POST", "/a", []byte("b")))
+	for _, other := range []Trait{
+		NewContentTrait("g", "POST", "/a", []byte("b")),
+		NewContentTrait("h", "PUT", "/a", []byte("b")),
+		NewContentTrait("h", "POST", "/ab", nil),
+		NewContentTrait("h", "POST", "/a", []byte("c")),
+	} {
+		require.NotEqual(t, base, other)
+	}
+}
--- a/rosemaryspool/delegator/encoder.go
+++ b/rosemaryspool/delegator/encoder.go
@@ -5,6 +5,7 @@
 
 	"rosemaryspool.example/core/allocator"
 	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/core/isolator"
 	"rosemaryspool.example/rosemaryspool/gossiper"
 	"rosemaryspool.example/wire/messenger"
 )
@@ -16,7 +17,8 @@
 		Number: number, Service: string(r.Service), Engine: r.Engine, Output: uint32(r.Output),
 		ToTargetMs: int32(r.TimeToTarget.Milliseconds()), TargetMs: identifier.Milliseconds(r.Target),
 		ToDeadlineMs: identifier.Milliseconds(r.TimeToDeadline), SingleUpstream: r.SingleUpstream, Resumed: r.Resumed,
-		Prompt: make([]*messenger.PromptPart, 0, len(r.Prompt)), WorkReport: report,
+		Content: uint64(r.Content),
+		Prompt:  make([]*messenger.PromptPart, 0, len(r.Prompt)), WorkReport: report,
 	}
 	for _, part := range r.Prompt {
 		m.Prompt = append(m.Prompt, &messenger.PromptPart{Hash: part.Hash, Tokens: uint32(part.Tokens)})
@@ -33,7 +35,7 @@
 		TimeToTarget:   time.Duration(m.GetToTargetMs()) * time.Millisecond,
 		Target:         time.Duration(m.GetTargetMs()) * time.Millisecond,
 		TimeToDeadline: time.Duration(m.GetToDeadlineMs()) * time.Millisecond,
-		SingleUpstream: m.GetSingleUpstream(), Resumed: m.GetResumed(),
+		SingleUpstream: m.GetSingleUpstream(), Resumed: m.GetResumed(), Content: isolator.Trait(m.GetContent()),
 	}
 	for _, part := range m.GetPrompt() {
 		r.Prompt = append(r.Prompt, allocator.PromptPart{Hash: part.GetHash(), Tokens: identifier.Tokens(part.GetTokens())})
--- a/rosemaryspool/forwarder/forwarder.go
+++ b/rosemaryspool/forwarder/forwarder.go
@@ -20,6 +20,7 @@
 
 	"rosemaryspool.example/core/allocator"
 	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/core/isolator"
 	"rosemaryspool.example/core/matcher"
 	"rosemaryspool.example/platform"
 	"rosemaryspool.example/rosemaryspool/connector"
@@ -110,6 +111,8 @@
 	caller    platform.Request
 	started   time.Time
 	body      []byte
+	// content identifies the request when it comes again.
+	content isolator.Trait
 
 	version  uint64
 	route    *matcher.Route
@@ -175,6 +178,7 @@
 		return result{outcome: outcomeCanceled, cause: "bodyUnfinished", abort: true}, false
 	}
 	e.body = body
+	e.content = isolator.NewContentTrait(e.request.Host, e.request.Method, e.request.RequestURI, body)
 	return result{}, true
 }
 
@@ -229,7 +233,7 @@
 		output = e.caller.MaxOutput
 	}
 	return allocator.Request{
-		Service: e.service, Engine: e.engine, Prompt: e.caller.Prompt, Output: output,
+		Service: e.service, Engine: e.engine, Prompt: e.caller.Prompt, Content: e.content, Output: output,
 		TimeToTarget: e.target.Sub(now), Target: e.route.TargetLatency, TimeToDeadline: e.deadline.Sub(now),
 		Excluded: e.tried, SingleUpstream: e.singleUpstream || e.sends > 0,
 		Resumed: e.headerSent,
@@ -296,7 +300,8 @@
 		line = e.last.describe(line)
 	}
 	if r.outcome == outcomeFailed {
-		line = line.Strs("sharedParts", formatShared(e.caller.Prompt))
+		line = line.Str("content", strconv.FormatUint(uint64(e.content), 16)).
+			Strs("sharedParts", formatShared(e.caller.Prompt))
 	}
 	line.Msg("Request ended")
 }
