Count crashes against a trait by when its requests were sent

Crashes within 200 ms counted once, to tell a power cut from a request that crashes one upstream after the other.

Change: a crash counts if the request was sent after the one before, so quick retries count and what several upstreams lose together does not. Crashes keep up to 512 traits, as engines with 128 slots lose that many, and are reported in several datagrams.

--- a/core/isolator/isolator.go
+++ b/core/isolator/isolator.go
@@ -23,7 +23,28 @@
 type Crash struct {
 	Process Process
 	At      time.Time
-	Traits  []Trait
+	Traits  []BrokenTrait
+}
+
+// BrokenTrait is a trait of requests that broke off; SentAt is when the last of them was sent.
+type BrokenTrait struct {
+	Trait  Trait
+	SentAt time.Time
+}
+
+// add adds a trait, or a later time at which a request with it was sent.
+func (c *Crash) add(b BrokenTrait) {
+	for n := range c.Traits {
+		if c.Traits[n].Trait == b.Trait {
+			if b.SentAt.After(c.Traits[n].SentAt) {
+				c.Traits[n].SentAt = b.SentAt
+			}
+			return
+		}
+	}
+	if len(c.Traits) < maxCrashTraits {
+		c.Traits = append(c.Traits, b)
+	}
 }
 
 // Status says how requests with a trait are handled.
@@ -73,8 +94,8 @@
 
 // suspect is what is known against a trait that has not been answered since the crashes.
 type suspect struct {
-	// crashes holds when requests with the trait broke off in a crash, by the process that crashed.
-	crashes map[Process]time.Time
+	// crashes holds when requests with the trait were sent and broke off, by the process that crashed.
+	crashes map[Process]loss
 	// count is the number of crashes that count, latest the time of the last one.
 	count  int
 	latest time.Time
@@ -86,6 +107,9 @@
 	term      time.Duration
 }
 
+// loss is when a request was sent and when it broke off in a crash.
+type loss struct{ sentAt, brokenAt time.Time }
+
 func (s *suspect) status(now time.Time, settings Settings) Status {
 	switch {
 	case now.Before(s.heldUntil):
@@ -118,12 +142,16 @@
 	}
 }
 
-// Broken records that a request with these traits broke off at a process before it was answered. It returns true if the
-// caller should find out whether the process has ended.
-func (i *Isolator) Broken(now time.Time, p Process, traits []Trait) bool {
+// Broken records that a request with these traits, sent at a time, broke off at a process before it was answered. It
+// returns true if the caller should find out whether the process has ended.
+func (i *Isolator) Broken(now, sentAt time.Time, p Process, traits []Trait) bool {
 	i.expireBroken(now)
+	broken := make([]BrokenTrait, 0, len(traits))
+	for _, t := range traits {
+		broken = append(broken, BrokenTrait{Trait: t, SentAt: sentAt})
+	}
 	if c := i.crash(p); c != nil {
-		i.addTraits(now, c, traits)
+		i.addTraits(now, c, broken)
 		i.outbox.add(now, p)
 		return false
 	}
@@ -135,10 +163,8 @@
 		b = &Crash{Process: p, At: now}
 		i.broken[p] = b
 	}
-	for _, t := range traits {
-		if !slices.Contains(b.Traits, t) && len(b.Traits) < maxCrashTraits {
-			b.Traits = append(b.Traits, t)
-		}
+	for _, t := range broken {
+		b.add(t)
 	}
 	return !known
 }
@@ -246,7 +272,7 @@
 	for p := range s.crashes {
 		c.Processes = append(c.Processes, p)
 	}
-	slices.SortFunc(c.Processes, func(a, b Process) int { return s.crashes[a].Compare(s.crashes[b]) })
+	slices.SortFunc(c.Processes, func(a, b Process) int { return s.crashes[a].brokenAt.Compare(s.crashes[b].brokenAt) })
 	return c
 }
 
@@ -271,33 +297,37 @@
 }
 
 // addTraits adds traits of requests that broke off in a crash.
-func (i *Isolator) addTraits(now time.Time, c *Crash, traits []Trait) {
-	for _, t := range traits {
-		if answered, known := i.answers.last(t); known && answered.After(c.At.Add(-i.settings.TrustPeriod)) {
+func (i *Isolator) addTraits(now time.Time, c *Crash, traits []BrokenTrait) {
+	for _, b := range traits {
+		if answered, known := i.answers.last(b.Trait); known && answered.After(c.At.Add(-i.settings.TrustPeriod)) {
 			// The instance that reported the crash may not know of the answer.
-			i.outbox.addAnswer(now, Answer{Trait: t, At: answered})
+			i.outbox.addAnswer(now, Answer{Trait: b.Trait, At: answered})
 			continue
 		}
-		if !slices.Contains(c.Traits, t) && len(c.Traits) < maxCrashTraits {
-			c.Traits = append(c.Traits, t)
-		}
-		i.accuse(now, t, c)
+		c.add(b)
+		i.accuse(now, b, c)
 	}
 }
 
 // accuse counts a crash against a trait.
-func (i *Isolator) accuse(now time.Time, t Trait, c *Crash) {
+func (i *Isolator) accuse(now time.Time, b BrokenTrait, c *Crash) {
+	t := b.Trait
 	s := i.suspects[t]
 	if s == nil {
 		i.makeRoom()
-		s = &suspect{crashes: map[Process]time.Time{}}
+		s = &suspect{crashes: map[Process]loss{}}
 		i.suspects[t] = s
 	}
-	if at, known := s.crashes[c.Process]; known && !c.At.Before(at) {
+	known, found := s.crashes[c.Process]
+	if found && !c.At.Before(known.brokenAt) && !b.SentAt.After(known.sentAt) {
 		return
 	}
+	l := loss{sentAt: b.SentAt, brokenAt: c.At}
+	if found && known.sentAt.After(l.sentAt) {
+		l.sentAt = known.sentAt
+	}
 	before := s.status(now, i.settings)
-	s.crashes[c.Process] = c.At
+	s.crashes[c.Process] = l
 	s.recount(now, i.settings)
 	if s.count >= i.settings.QuarantineCrashes && !now.Before(s.heldUntil) && c.At.After(s.heldSince) {
 		s.term = min(max(i.settings.QuarantineTime, quarantineGrowth*s.term), i.settings.MaxQuarantineTime)
@@ -308,22 +338,23 @@
 	}
 }
 
-// recount counts the crashes, those in quick succession once.
+// recount counts the crashes that follow one from the other: those of requests that were sent after the crash before. A
+// cause outside of requests may end several upstreams together, and takes all that had been sent to them.
 func (s *suspect) recount(now time.Time, settings Settings) {
-	times := make([]time.Time, 0, len(s.crashes))
-	for p, at := range s.crashes {
-		if now.Sub(at) > settings.CrashMemory {
+	losses := make([]loss, 0, len(s.crashes))
+	for p, l := range s.crashes {
+		if now.Sub(l.brokenAt) > settings.CrashMemory {
 			delete(s.crashes, p)
 			continue
 		}
-		times = append(times, at)
+		losses = append(losses, l)
 	}
-	slices.SortFunc(times, time.Time.Compare)
+	slices.SortFunc(losses, func(a, b loss) int { return a.brokenAt.Compare(b.brokenAt) })
 	s.count, s.latest = 0, time.Time{}
-	for _, at := range times {
-		if s.count == 0 || at.Sub(s.latest) >= settings.BurstWindow {
+	for _, l := range losses {
+		if s.count == 0 || l.sentAt.After(s.latest) {
 			s.count++
-			s.latest = at
+			s.latest = l.brokenAt
 		}
 	}
 }
--- a/core/isolator/isolator_test.go
+++ b/core/isolator/isolator_test.go
@@ -22,9 +22,9 @@
 	return Process{Upstream: identifier.UpstreamID(fmt.Sprintf("u%d", n)), Incarnation: 1}
 }
 
-// crash records that requests with these traits broke off as a process ended.
+// crash records that requests with these traits, sent 50 ms before, broke off as a process ended.
 func crash(i *Isolator, at time.Time, p Process, traits ...Trait) {
-	i.Broken(at, p, traits)
+	i.Broken(at, at.Add(-50*time.Millisecond), p, traits)
 	i.Ended(at.Add(5*time.Millisecond), p)
 }
 
@@ -62,6 +62,11 @@
 				crash(i, at(n), process(n), rare)
 			}
 		}, []Trait{rare}, Free},
+		{"retries that each end an upstream count, however quickly they follow", func(i *Isolator) {
+			for n := range 3 {
+				crash(i, at(60*n), process(n), fatal)
+			}
+		}, []Trait{fatal}, Quarantined},
 		{"a popular part in every crash stays free", func(i *Isolator) {
 			i.Answered(at(-5000), process(9), []Trait{popular})
 			for n := range 5 {
@@ -82,7 +87,7 @@
 		}, []Trait{fatal}, Quarantined},
 		{"processes that live are no evidence", func(i *Isolator) {
 			for n := range 5 {
-				i.Broken(at(300*n), process(n), []Trait{rare})
+				i.Broken(at(300*n), at(300*n-50), process(n), []Trait{rare})
 				i.Survived(process(n))
 			}
 		}, []Trait{rare}, Free},
@@ -197,7 +202,7 @@
 			traits = append([]Trait{fatal}, traits...)
 		}
 		crash(i, now, process(n), traits...)
-		i.Broken(now, Process{Upstream: "unknown", Incarnation: uint64(n)}, traits)
+		i.Broken(now, now, Process{Upstream: "unknown", Incarnation: uint64(n)}, traits)
 	}
 	require.LessOrEqual(t, len(i.suspects), maxSuspects)
 	require.LessOrEqual(t, len(i.crashes), maxCrashes)
--- a/core/isolator/report.go
+++ b/core/isolator/report.go
@@ -140,7 +140,7 @@
 	s := i.suspects[q.Trait]
 	if s == nil {
 		i.makeRoom()
-		s = &suspect{crashes: map[Process]time.Time{}}
+		s = &suspect{crashes: map[Process]loss{}}
 		i.suspects[q.Trait] = s
 	}
 	before := s.status(now, i.settings)
--- a/core/isolator/settings.go
+++ b/core/isolator/settings.go
@@ -11,9 +11,6 @@
 	QuarantineCrashes int
 	// TrustPeriod is how long an answer speaks for a trait: crashes within it are blamed on other traits.
 	TrustPeriod time.Duration
-	// BurstWindow is the time after a crash in which further ones don't count: a cause outside of requests may end several
-	// upstreams together.
-	BurstWindow time.Duration
 	// TrialInterval is the time between two requests with a suspected trait. It covers the run of one request and the
 	// report of its end.
 	TrialInterval time.Duration
@@ -36,7 +33,6 @@
 		SuspectCrashes:    2,
 		QuarantineCrashes: 3,
 		TrustPeriod:       10 * time.Second,
-		BurstWindow:       200 * time.Millisecond,
 		TrialInterval:     500 * time.Millisecond,
 		QuarantineTime:    30 * time.Second,
 		MaxQuarantineTime: 24 * time.Hour,
@@ -53,7 +49,7 @@
 	// new traits.
 	maxSuspects    = 4096
 	maxCrashes     = 64
-	maxCrashTraits = 48
+	maxCrashTraits = 512
 	maxBroken      = 64
 	// maxAnswers bounds the traits in one generation of the log of answers.
 	maxAnswers = 16384
--- a/rosemaryspool/forwarder/crash.go
+++ b/rosemaryspool/forwarder/crash.go
@@ -50,7 +50,7 @@
 	switch {
 	case end == delivered || end == upstreamError:
 		e.forwarder.governor.RecordAnswer(time.Now(), e.last.entry, traits)
-	case e.last.brokenOff && e.forwarder.governor.RecordBroken(time.Now(), e.last.entry, traits):
+	case e.last.brokenOff && e.forwarder.governor.RecordBroken(time.Now(), e.last.sentAt, e.last.entry, traits):
 		go e.forwarder.checkEnd(e.last.entry)
 	}
 }
--- a/rosemaryspool/gossiper/crash.go
+++ b/rosemaryspool/gossiper/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"rosemaryspool.example/core/elector"
@@ -15,8 +16,9 @@
 	// crashSyncInterval is the time between two transfers of all that is known of crashes to one other instance, which may
 	// have been cut off.
 	crashSyncInterval = time.Second
-	// maxListedPerDatagram bounds the answers and the quarantines in a datagram.
+	// maxListedPerDatagram bounds the answers and the quarantines in a datagram, maxTraitsPerDatagram the traits of a crash.
 	maxListedPerDatagram = 20
+	maxTraitsPerDatagram = 64
 )
 
 // sendCrashReports tells all other instances what this one has seen of crashes, and one of them all that it knows.
@@ -53,18 +55,22 @@
 	g.governor.ApplyCrashReport(r.At, r.Sender.Instance, decodeCrashReport(r.At, m))
 }
 
-// encodeCrashReport splits a report into messages that fit into a datagram: one for each crash, and some for the rest.
+// encodeCrashReport splits a report into messages that fit into a datagram: some for each crash, and some for the rest.
 func encodeCrashReport(now time.Time, r isolator.Report) []*messenger.CrashReport {
 	var messages []*messenger.CrashReport
 	for _, c := range r.Crashes {
-		m := &messenger.UpstreamCrash{
-			Upstream: string(c.Process.Upstream), Incarnation: c.Process.Incarnation,
-			AgeMs: identifier.Milliseconds(now.Sub(c.At)),
+		for traits := range slices.Chunk(c.Traits, maxTraitsPerDatagram) {
+			m := &messenger.UpstreamCrash{
+				Upstream: string(c.Process.Upstream), Incarnation: c.Process.Incarnation,
+				AgeMs: identifier.Milliseconds(now.Sub(c.At)),
+			}
+			for _, t := range traits {
+				m.Traits = append(m.Traits, &messenger.BrokenTrait{
+					Trait: uint64(t.Trait), SentAgeMs: identifier.Milliseconds(now.Sub(t.SentAt)),
+				})
+			}
+			messages = append(messages, &messenger.CrashReport{Crashes: []*messenger.UpstreamCrash{m}})
 		}
-		for _, t := range c.Traits {
-			m.Traits = append(m.Traits, uint64(t))
-		}
-		messages = append(messages, &messenger.CrashReport{Crashes: []*messenger.UpstreamCrash{m}})
 	}
 	for len(r.Answers) > 0 || len(r.Quarantines) > 0 {
 		m := &messenger.CrashReport{}
@@ -95,7 +101,9 @@
 			At:      ago(c.GetAgeMs()),
 		}
 		for _, t := range c.GetTraits() {
-			crash.Traits = append(crash.Traits, isolator.Trait(t))
+			crash.Traits = append(crash.Traits, isolator.BrokenTrait{
+				Trait: isolator.Trait(t.GetTrait()), SentAt: ago(t.GetSentAgeMs()),
+			})
 		}
 		r.Crashes = append(r.Crashes, crash)
 	}
--- a/rosemaryspool/governor/crash.go
+++ b/rosemaryspool/governor/crash.go
@@ -17,16 +17,16 @@
 	return isolator.Process{Upstream: e.Upstream, Incarnation: e.Incarnation}
 }
 
-// RecordBroken records that a request with these traits broke off at an upstream before it was answered. It returns true
+// RecordBroken records that a request with these traits, sent at a time, broke off at an upstream before it was answered. It returns true
 // if the caller should find out whether the upstream has ended. Upstreams that leave end anyway.
-func (g *Governor) RecordBroken(now time.Time, e tracker.Entry, traits []isolator.Trait) bool {
+func (g *Governor) RecordBroken(now, sentAt time.Time, e tracker.Entry, traits []isolator.Trait) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if listed, found := g.allocator.Entry(e.Upstream); !found || listed.Leaving || listed.Incarnation != e.Incarnation {
 		return false
 	}
 	defer g.isolationChanged("")
-	return g.isolator.Broken(now, processOf(e), traits)
+	return g.isolator.Broken(now, sentAt, processOf(e), traits)
 }
 
 // RecordEnd records that an upstream has ended without notice.
