Bound the head of an upstream's response

A head without end, sent by a trial upstream, brought the heap of an instance to 1 GB within 2 s; an instance has 284 MB. net/http reads a head to its end before it returns, and informational responses were skipped without a limit.

Change: the connection's reader ends after 64 KiB while a head is read, informational responses included. The exchange fails, the connection is closed, and the upstream counts as faulty.

--- a/rosemaryspool/connector/connection.go
+++ b/rosemaryspool/connector/connection.go
@@ -8,6 +8,8 @@
 	"strings"
 	"syscall"
 	"time"
+
+	"rosemaryspool.example/adaptor/bounder"
 )
 
 const (
@@ -23,6 +25,8 @@
 // connection is an open connection to an upstream.
 type connection struct {
 	net.Conn
+	// bounds limits what the reader takes from the connection for the head of a response.
+	bounds *bounder.Reader
 	reader *bufio.Reader
 	// exchanges counts the requests that were started on the connection.
 	exchanges   int
@@ -31,7 +35,10 @@
 }
 
 func newConnection(c net.Conn) *connection {
-	return &connection{Conn: c, reader: bufio.NewReaderSize(c, readBufferBytes), idleTimeout: defaultIdleTimeout}
+	bounds := bounder.NewReader(c)
+	return &connection{
+		Conn: c, bounds: bounds, reader: bufio.NewReaderSize(bounds, readBufferBytes), idleTimeout: defaultIdleTimeout,
+	}
 }
 
 // reusable reports whether an idle connection is within its idle timeout, still open and without unread bytes. It
--- /dev/null
+++ b/rosemaryspool/connector/endless_test.go
@@ -0,0 +1,83 @@
+package connector
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"rosemaryspool.example/core/tracker"
+)
+
+// startEndless starts an upstream that responds to each connection with a start and then with a text without end. It
+// counts the bytes that it could send.
+func startEndless(t *testing.T, start, repeated string) (address string, sent *atomic.Int64) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	sent = &atomic.Int64{}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				block := bytes.Repeat([]byte(repeated), 1+(64<<10)/len(repeated))
+				_, err := io.WriteString(conn, start)
+				for err == nil {
+					var n int
+					n, err = conn.Write(block)
+					sent.Add(int64(n))
+				}
+			}()
+		}
+	}()
+	return listener.Addr().String(), sent
+}
+
+func TestHeadWithoutEndEndsTheExchangeWithLittleMemory(t *testing.T) {
+	const (
+		timeout = 5 * time.Second
+		// maxAllocated is far below the memory of an instance, with many exchanges at one time.
+		maxAllocated = 8 << 20
+	)
+	for _, c := range []struct{ name, start, repeated string }{
+		{"status line", "HTTP/1.1 200 ", "O"},
+		{"header line", "HTTP/1.1 200 OK\r\nA: ", "a"},
+		{"header lines", "HTTP/1.1 200 OK\r\n", "A: b\r\n"},
+		{"short header lines", "HTTP/1.1 200 OK\r\n", "a:\n"},
+		{"informational responses", "", "HTTP/1.1 102 Processing\r\n\r\n"},
+		{"no response", "", "garbage "},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			address, sent := startEndless(t, c.start, c.repeated)
+			client := NewConnector(func() {}, func(tracker.Entry, *Response) {})
+			defer client.Close()
+			ctx, cancel := context.WithTimeout(context.Background(), timeout)
+			defer cancel()
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			began := time.Now()
+			_, err := client.Exchange(ctx, Request{
+				Upstream: tracker.Entry{Address: address}, Method: http.MethodPost, URI: "/", Host: "h",
+				Header: http.Header{}, Body: []byte("b"), Limit: 1,
+				Matches: func(http.Header) (bool, bool) { return false, false },
+			})
+			runtime.ReadMemStats(&after)
+			require.Error(t, err)
+			require.Less(t, time.Since(began), timeout/2)
+			require.Less(t, after.TotalAlloc-before.TotalAlloc, uint64(maxAllocated))
+			t.Logf("allocated %d KiB, the upstream sent %d KiB", (after.TotalAlloc-before.TotalAlloc)>>10, sent.Load()>>10)
+		})
+	}
+}
--- a/rosemaryspool/connector/exchange.go
+++ b/rosemaryspool/connector/exchange.go
@@ -22,6 +22,9 @@
 	// maxDiscardedBytes bounds the body of a stray response that is discarded; after a larger one the connection is
 	// closed.
 	maxDiscardedBytes = 64 << 10
+	// maxHeadBytes bounds what is read until the header of the response is complete, with informational responses. Upstreams
+	// send a few hundred bytes.
+	maxHeadBytes = 64 << 10
 	// maxStrayResponses bounds the responses to earlier requests that are discarded before the one to this request.
 	maxStrayResponses = 2
 )
@@ -119,6 +122,8 @@
 // readHead reads the header of the response to the request; informational responses and responses to earlier requests
 // on the connection are discarded.
 func (r *Response) readHead(request Request) error {
+	r.conn.bounds.Bound(maxHeadBytes)
+	defer r.conn.bounds.Unbound()
 	for stray := 0; ; {
 		response, err := readResponse(r.conn.reader, request.Method)
 		if err != nil {
@@ -135,6 +140,7 @@
 		if r.conn.exchanges == 1 {
 			return eris.Errorf("response %d to another request on a new connection", response.StatusCode)
 		}
+		r.conn.bounds.Bound(maxDiscardedBytes + maxHeadBytes)
 		n, err := io.CopyN(io.Discard, response.Body, maxDiscardedBytes)
 		if err != io.EOF || response.Close || stray >= maxStrayResponses {
 			return eris.Errorf("response %d to another request, discarded %d bytes", response.StatusCode, n)
