Bound what is kept of bodies that never end

A success without the upstream's signature was forwarded once it reached 1 MiB, since long bodies are passed on before they are checked. An event without an end was kept and searched from its start with each read until the request's timeout. A rejection or a prefill response longer than its limit counted as read to its end.

Change: the signature is checked before a long body is forwarded; bodies are buffered up to 256 KiB; an event may have 256 KiB; longer rejections, prefill responses and reports close their connection.

--- a/core/splitter/splitter.go
+++ b/core/splitter/splitter.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"strconv"
 )
@@ -24,6 +25,12 @@
 	return fmt.Sprintf("splitter: event %q follows %q", e.Got, e.Previous)
 }
 
+// maxEventBytes bounds an event. Engines send a few tokens in each.
+const maxEventBytes = 256 << 10
+
+// ErrEventTooLong reports an event without an end.
+var ErrEventTooLong = errors.New("splitter: event is too long")
+
 // Splitter buffers the bytes of one stream until an event is complete. It is not safe for concurrent use.
 type Splitter struct {
 	buffer []byte
@@ -64,6 +71,9 @@
 	if start > 0 {
 		s.buffer = append([]byte(nil), s.buffer[start:]...)
 	}
+	if len(s.buffer) > maxEventBytes {
+		return events, ErrEventTooLong
+	}
 	return events, nil
 }
 
--- a/core/splitter/splitter_test.go
+++ b/core/splitter/splitter_test.go
@@ -59,3 +59,17 @@
 	require.NoError(t, err)
 	require.Len(t, events, 1)
 }
+
+func TestEventWithoutEndIsAnError(t *testing.T) {
+	s := NewSplitter("")
+	events, err := s.Add([]byte("id: 1\n\n"))
+	require.NoError(t, err)
+	require.Len(t, events, 1)
+	block := []byte(strings.Repeat("data: x\n", 1024))
+	for sent := 0; err == nil; sent += len(block) {
+		require.LessOrEqual(t, sent, maxEventBytes)
+		_, err = s.Add(block)
+	}
+	require.ErrorIs(t, err, ErrEventTooLong)
+	require.Equal(t, "1", s.LastID())
+}
--- a/rosemaryspool/forwarder/attempt.go
+++ b/rosemaryspool/forwarder/attempt.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
 	"github.com/rs/zerolog"
 
+	"rosemaryspool.example/adaptor/bounder"
 	"rosemaryspool.example/core/allocator"
 	"rosemaryspool.example/core/identifier"
 	"rosemaryspool.example/core/tracker"
@@ -250,7 +250,7 @@
 		e.last.err = err
 		return false
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxHandleBytes))
+	body, err := bounder.ReadAll(response.Body, maxHandleBytes)
 	response.Close(err == nil)
 	switch {
 	case response.Status != http.StatusOK:
@@ -327,7 +327,7 @@
 	}
 	e.last.status = response.Status
 	if platform.NotExecuted(response.Status, response.Header) {
-		_, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxHandleBytes))
+		_, err := bounder.ReadAll(response.Body, maxHandleBytes)
 		response.Close(err == nil)
 		return notExecuted, rejectedOutcome(response)
 	}
--- a/rosemaryspool/forwarder/relay.go
+++ b/rosemaryspool/forwarder/relay.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"rosemaryspool.example/adaptor/bounder"
 	"rosemaryspool.example/core/allocator"
 	"rosemaryspool.example/core/splitter"
 	"rosemaryspool.example/platform"
@@ -16,7 +17,7 @@
 const (
 	// maxStoredBytes is the size below which a response is buffered before it is forwarded, so that the request can be
 	// retried when the response breaks off.
-	maxStoredBytes = 1 << 20
+	maxStoredBytes = 256 << 10
 	// relayBufferBytes is the size of a read from an event stream.
 	relayBufferBytes = 8 << 10
 )
@@ -33,8 +34,12 @@
 func (e *exchange) relayBuffered(ctx context.Context, response *connector.Response) (attemptResult, allocator.Outcome) {
 	e.last.stopWatch()
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxStoredBytes))
+	trusted := response.Status >= http.StatusMultipleChoices || platform.IsSigned(response.Header)
 	if err == nil && len(body) == maxStoredBytes {
-		return e.relayLarge(ctx, response, body)
+		if trusted {
+			return e.relayLarge(ctx, response, body)
+		}
+		err = bounder.ErrTooLong
 	}
 	response.Close(err == nil)
 	if err != nil {
@@ -44,7 +49,7 @@
 		}
 		return maybeExecuted, allocator.OutcomeFailed
 	}
-	if response.Status < http.StatusMultipleChoices && !platform.IsSigned(response.Header) {
+	if !trusted {
 		// A successful response without the upstream's signature is not trusted.
 		return maybeExecuted, allocator.OutcomeFailed
 	}
--- /dev/null
+++ b/rosemaryspool/gatekeeper/endless_test.go
@@ -0,0 +1,118 @@
+package gatekeeper
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"rosemaryspool.example/platform"
+	"rosemaryspool.example/standin/emulator"
+)
+
+// startEndlessUpstream registers an upstream that responds to each request with a head and then with a text without end.
+func startEndlessUpstream(t *testing.T, store testStore, service, stage, head, repeated string) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				request, err := http.ReadRequest(bufio.NewReader(conn))
+				if err != nil {
+					return
+				}
+				block := bytes.Repeat([]byte(repeated), 1+(64<<10)/len(repeated))
+				_, err = fmt.Fprintf(conn, "HTTP/1.1 %s\r\n%s: %s\r\n\r\n", head, emulator.HeaderAttempt,
+					request.Header.Get(emulator.HeaderAttempt))
+				for err == nil {
+					_, err = conn.Write(block)
+				}
+			}()
+		}
+	}()
+	store.Put(platform.TopicServers, "endless", fmt.Appendf(nil,
+		`{"service":%q,"address":%q,"zone":"here","version":"v1","slots":6,"state":"ready","stage":%q,"sequence":1,"born":1}`,
+		service, listener.Addr(), stage))
+}
+
+func TestBodyWithoutEndNeverLooksComplete(t *testing.T) {
+	const (
+		signed = "\r\n" + emulator.HeaderSignature + ": s.1"
+		// maxAllocated is far below the memory of an instance, with many requests at one time.
+		maxAllocated = 16 << 20
+		timeout      = 900 * time.Millisecond
+	)
+	for _, c := range []struct {
+		name, path, head, repeated string
+		statuses                   []int
+	}{
+		{"signed", lookups, "200 OK" + signed, "x", []int{http.StatusOK, http.StatusBadGateway, http.StatusGatewayTimeout}},
+		{"unsigned", lookups, "200 OK", "x", []int{http.StatusBadGateway, http.StatusGatewayTimeout}},
+		{
+			"failure", lookups, "500 Internal Server Error" + signed, "x",
+			[]int{http.StatusInternalServerError, http.StatusBadGateway, http.StatusGatewayTimeout},
+		},
+		{
+			"rejection", lookups, "503 Service Unavailable\r\n" + emulator.HeaderNotExecuted + ": 1", "x",
+			[]int{http.StatusServiceUnavailable},
+		},
+		{"event", verdicts, "200 OK" + signed, "data: x\n", []int{http.StatusBadGateway, http.StatusGatewayTimeout}},
+		{
+			"event that is not repeated", notes, "200 OK" + signed, "data: x\n",
+			[]int{http.StatusBadGateway, http.StatusGatewayTimeout},
+		},
+		{"unsigned stream", verdicts, "200 OK", "data: x\n\n", []int{http.StatusBadGateway, http.StatusGatewayTimeout}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			store := newTestStore(t)
+			service, stage := "plain", ""
+			if c.path != lookups {
+				service, stage = "model", "decode"
+			}
+			startEndlessUpstream(t, store, service, stage, c.head, c.repeated)
+			ti := startTestInstance(t, store, testSettings(store))
+			ti.configure(1)
+			require.Eventually(t, func() bool { return ti.readiness() == http.StatusOK }, 2*time.Second, time.Millisecond)
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			began := time.Now()
+			status, complete := ti.discard(c.path + "x")
+			runtime.ReadMemStats(&after)
+			require.Less(t, time.Since(began), timeout+500*time.Millisecond)
+			require.Contains(t, c.statuses, status)
+			require.False(t, status == http.StatusOK && complete, "an endless body was passed on as complete")
+			require.Less(t, after.TotalAlloc-before.TotalAlloc, uint64(maxAllocated))
+		})
+	}
+}
+
+// discard sends a request with a timeout of 900 ms and returns the status, and whether the body ended without an error.
+func (ti *testInstance) discard(path string) (status int, complete bool) {
+	ti.t.Helper()
+	request, err := http.NewRequest(http.MethodPost, ti.url+path, strings.NewReader("b"))
+	require.NoError(ti.t, err)
+	request.Host = "h.example"
+	request.Header.Set(emulator.HeaderAttempt, "a1")
+	request.Header.Set(emulator.HeaderDeadline, "900")
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
+	response, err := client.Do(request)
+	require.NoError(ti.t, err)
+	defer response.Body.Close()
+	_, err = io.Copy(io.Discard, response.Body)
+	return response.StatusCode, err == nil
+}
--- a/rosemaryspool/inspector/inspector.go
+++ b/rosemaryspool/inspector/inspector.go
@@ -4,13 +4,13 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"time"
 
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 
+	"rosemaryspool.example/adaptor/bounder"
 	"rosemaryspool.example/core/identifier"
 	"rosemaryspool.example/core/tracker"
 	"rosemaryspool.example/platform"
@@ -95,7 +95,7 @@
 	if err != nil {
 		return 0, err
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxReportBytes))
+	body, err := bounder.ReadAll(response.Body, maxReportBytes)
 	response.Close(false)
 	if err != nil {
 		return 0, eris.Wrap(err, "inspector: read report")
