Bound the heads of responses in the other clients

The sender of at-most-once calls read a head without end until its timeout, like the connector did: the same cause in another place. Heads from the store and from the platform of our own interface were bounded by net/http at 10 MB; they are now at 64 KiB.

The sender's test failed before in both cases, after 5 s each; the store's passed before and guards the limits.

--- a/adaptor/requester/requester.go
+++ b/adaptor/requester/requester.go
@@ -58,6 +58,8 @@
 		MaxIdleConnsPerHost: maxIdleConns,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
+		// Responses have a few hundred bytes of headers.
+		MaxResponseHeaderBytes: 64 << 10,
 	}
 	return &Client{
 		base: NormalizeURL(baseURL),
--- a/adaptor/sender/sender.go
+++ b/adaptor/sender/sender.go
@@ -9,7 +9,6 @@
 	"context"
 	"crypto/tls"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"net/url"
@@ -17,6 +16,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"rosemaryspool.example/adaptor/bounder"
 	"rosemaryspool.example/adaptor/requester"
 )
 
@@ -24,6 +24,8 @@
 	// MaxResponseBytes bounds a response body; a longer one is ErrResponseLost.
 	MaxResponseBytes = 16 << 20
 	dialTimeout      = 2 * time.Second
+	// maxHeadBytes bounds the head of a response, with informational responses.
+	maxHeadBytes = 64 << 10
 	// maxInformational bounds the number of 1xx responses before the final one.
 	maxInformational = 8
 )
@@ -139,7 +141,9 @@
 }
 
 func readResponse(conn net.Conn, method string) (Response, error) {
-	reader := bufio.NewReader(conn)
+	bounds := bounder.NewReader(conn)
+	bounds.Bound(maxHeadBytes)
+	reader := bufio.NewReader(bounds)
 	for range maxInformational {
 		response, err := http.ReadResponse(reader, &http.Request{Method: method})
 		if err != nil {
@@ -148,6 +152,7 @@
 		if response.StatusCode/100 == 1 {
 			continue
 		}
+		bounds.Unbound()
 		body, err := readBody(response)
 		return Response{Status: response.StatusCode, Header: response.Header, Body: body}, err
 	}
@@ -156,12 +161,5 @@
 
 func readBody(response *http.Response) ([]byte, error) {
 	defer response.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(response.Body, MaxResponseBytes+1))
-	if err != nil {
-		return nil, err
-	}
-	if len(body) > MaxResponseBytes {
-		return nil, eris.Errorf("sender: response body over %d bytes", MaxResponseBytes)
-	}
-	return body, nil
+	return bounder.ReadAll(response.Body, MaxResponseBytes)
 }
