List and release the traits that are held back, and count crashes

Operators see at /traits of the metrics address which parts of prompts and requests are suspected or quarantined, with the crashes that led to it, and release them with DELETE. The gauges traitsSuspected and traitsQuarantined and the counter upstreamCrashes show it over time. Checked by TestOperatorListsAndReleasesTraits.

--- a/core/isolator/isolator.go
+++ b/core/isolator/isolator.go
@@ -196,14 +196,24 @@
 		i.refute(p)
 	}
 	for _, t := range traits {
-		i.answers.add(now, t)
-		if i.suspects[t] != nil {
-			i.release(now, t)
-			i.outbox.addAnswer(now, Answer{Trait: t, At: now})
+		if !i.Release(now, t) {
+			i.answers.add(now, t)
 		}
 	}
 }
 
+// Release drops all evidence against a trait, here and at the other instances, as if a request with it had just been
+// answered. It returns false if there is none.
+func (i *Isolator) Release(now time.Time, t Trait) bool {
+	if i.suspects[t] == nil {
+		return false
+	}
+	i.answers.add(now, t)
+	i.release(now, t)
+	i.outbox.addAnswer(now, Answer{Trait: t, At: now})
+	return true
+}
+
 // release drops all evidence against a trait.
 func (i *Isolator) release(now time.Time, t Trait) {
 	before := i.suspects[t].status(now, i.settings)
--- a/core/isolator/trait.go
+++ b/core/isolator/trait.go
@@ -3,11 +3,25 @@
 import (
 	"crypto/sha256"
 	"encoding/binary"
+	"fmt"
+	"strconv"
 )
 
 // Trait is a hash of something that several requests may have in common, such as a part of their prompts.
 type Trait uint64
 
+// String returns the trait as written in logs.
+func (t Trait) String() string { return strconv.FormatUint(uint64(t), 16) }
+
+// ParseTrait reads a trait as String writes it.
+func ParseTrait(text string) (Trait, error) {
+	t, err := strconv.ParseUint(text, 16, 64)
+	if err != nil {
+		return 0, fmt.Errorf("isolator: %q is not a trait of up to 16 hexadecimal digits", text)
+	}
+	return Trait(t), nil
+}
+
 // NewContentTrait returns the trait of a request as a whole, from all that it repeats when it comes again. The hash is
 // cryptographic, so that no caller can make a request with the trait of another one.
 func NewContentTrait(host, method, uri string, body []byte) Trait {
--- a/rosemaryspool/forwarder/crash.go
+++ b/rosemaryspool/forwarder/crash.go
@@ -7,6 +7,8 @@
 	"syscall"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"rosemaryspool.example/core/tracker"
 	"rosemaryspool.example/rosemaryspool/connector"
 )
@@ -62,6 +64,7 @@
 	err := f.connector.Probe(ctx, entry.Address, f.governor.ConnectionLimit(entry.Service))
 	switch {
 	case errors.Is(err, connector.ErrRefused):
+		metrics.GetOrRegisterCounter("upstreamCrashes", f.registry).Inc(1)
 		f.governor.RecordEnd(time.Now(), entry)
 	case err == nil:
 		f.governor.RecordProcessSurvival(entry)
--- a/rosemaryspool/forwarder/forwarder.go
+++ b/rosemaryspool/forwarder/forwarder.go
@@ -300,7 +300,7 @@
 		line = e.last.describe(line)
 	}
 	if r.outcome == outcomeFailed {
-		line = line.Str("content", strconv.FormatUint(uint64(e.content), 16)).
+		line = line.Str("content", e.content.String()).
 			Strs("sharedParts", formatShared(e.caller.Prompt))
 	}
 	line.Msg("Request ended")
@@ -314,7 +314,7 @@
 	shared := prompt[:max(0, len(prompt)-1)]
 	texts := make([]string, 0, maxLoggedParts)
 	for _, part := range shared[:min(len(shared), maxLoggedParts)] {
-		texts = append(texts, strconv.FormatUint(part.Hash, 16))
+		texts = append(texts, isolator.Trait(part.Hash).String())
 	}
 	return texts
 }
--- a/rosemaryspool/gatekeeper/crash_test.go
+++ b/rosemaryspool/gatekeeper/crash_test.go
@@ -16,6 +16,7 @@
 	"github.com/stretchr/testify/require"
 
 	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/core/isolator"
 	"rosemaryspool.example/platform"
 	"rosemaryspool.example/standin/emulator"
 )
@@ -232,3 +233,35 @@
 	answers, crash := runFatalLoad(t, instances, fleet, sound, fatal, crashes, 2*contactTime+time.Second)
 	requireContained(t, fleet, answers, crash)
 }
+
+func TestOperatorListsAndReleasesTraits(t *testing.T) {
+	store := newTestStore(t)
+	ti := newTestCluster(t, store, 1)[0]
+	now := time.Now()
+	ti.gatekeeper.governor.ApplyCrashReport(now, "spool-2", isolator.Report{Quarantines: []isolator.Quarantine{{
+		Trait: 0xbeef, Since: now, Until: now.Add(time.Minute), Term: time.Minute,
+	}}})
+	base := "http://" + ti.gatekeeper.metricsListener.Addr().String()
+	call := func(method, path string) (int, string) {
+		request, err := http.NewRequest(method, base+path, nil)
+		require.NoError(t, err)
+		response, err := http.DefaultClient.Do(request)
+		require.NoError(t, err)
+		defer response.Body.Close()
+		body, err := io.ReadAll(response.Body)
+		require.NoError(t, err)
+		return response.StatusCode, string(body)
+	}
+	_, listed := call(http.MethodGet, "/traits")
+	require.Contains(t, listed, "trait=beef status=quarantined")
+	_, counted := call(http.MethodGet, "/metrics")
+	require.Contains(t, counted, "traitsQuarantined 1")
+	status, _ := call(http.MethodDelete, "/traits/xyz")
+	require.Equal(t, http.StatusBadRequest, status)
+	status, _ = call(http.MethodDelete, "/traits/beef")
+	require.Equal(t, http.StatusNoContent, status)
+	status, _ = call(http.MethodDelete, "/traits/beef")
+	require.Equal(t, http.StatusNotFound, status)
+	_, listed = call(http.MethodGet, "/traits")
+	require.Empty(t, listed)
+}
--- a/rosemaryspool/gatekeeper/status.go
+++ b/rosemaryspool/gatekeeper/status.go
@@ -4,11 +4,14 @@
 	"bufio"
 	"fmt"
 	"net/http"
+	"strings"
 	"sync/atomic"
+	"time"
 
 	"github.com/julienschmidt/httprouter"
 	"github.com/rcrowley/go-metrics"
 
+	"rosemaryspool.example/core/isolator"
 	"rosemaryspool.example/platform"
 	"rosemaryspool.example/rosemaryspool/governor"
 )
@@ -40,11 +43,15 @@
 	return router
 }
 
-// metrics writes all metrics of the registry as text.
+// metrics writes all metrics of the registry as text. The traits that are suspected or quarantined are listed at /traits;
+// DELETE /traits/TRAIT releases one.
 func (h *statusHandler) metrics() http.Handler {
 	router := httprouter.New()
+	router.GET("/traits", h.listTraits)
+	router.DELETE("/traits/:trait", h.releaseTrait)
 	router.GET("/metrics", func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
 		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+		h.countTraits()
 		out := bufio.NewWriter(w)
 		h.registry.Each(func(name string, metric any) { writeMetric(out, name, metric) })
 		// An error means that the client has disconnected; nothing else can be done.
@@ -53,6 +60,48 @@
 	return router
 }
 
+// countTraits updates the gauges of the suspected and the quarantined traits.
+func (h *statusHandler) countTraits() {
+	var suspected, quarantined int64
+	for _, c := range h.governor.IsolatedTraits(time.Now()) {
+		if c.Status == isolator.Quarantined {
+			quarantined++
+		} else {
+			suspected++
+		}
+	}
+	metrics.GetOrRegisterGauge("traitsSuspected", h.registry).Update(suspected)
+	metrics.GetOrRegisterGauge("traitsQuarantined", h.registry).Update(quarantined)
+}
+
+// listTraits writes one line for each trait that is suspected or quarantined.
+func (h *statusHandler) listTraits(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	now := time.Now()
+	for _, c := range h.governor.IsolatedTraits(now) {
+		processes := make([]string, 0, len(c.Processes))
+		for _, p := range c.Processes {
+			processes = append(processes, fmt.Sprintf("%s:%d", p.Upstream, p.Incarnation))
+		}
+		// An error means that the client has disconnected; nothing else can be done.
+		_, _ = fmt.Fprintf(w, "trait=%s status=%s crashes=%d leftMs=%d processes=%s\n",
+			c.Trait, c.Status, c.Crashes, max(0, c.Until.Sub(now).Milliseconds()), strings.Join(processes, ","))
+	}
+}
+
+// releaseTrait has requests with a trait sent again.
+func (h *statusHandler) releaseTrait(w http.ResponseWriter, _ *http.Request, p httprouter.Params) {
+	trait, err := isolator.ParseTrait(p.ByName("trait"))
+	switch {
+	case err != nil:
+		http.Error(w, err.Error(), http.StatusBadRequest)
+	case !h.governor.ReleaseTrait(time.Now(), trait):
+		http.Error(w, "trait is neither suspected nor quarantined", http.StatusNotFound)
+	default:
+		w.WriteHeader(http.StatusNoContent)
+	}
+}
+
 // writeMetric writes a counter or gauge as one line, a histogram as one line for each of its statistics.
 func writeMetric(out *bufio.Writer, name string, metric any) {
 	switch m := metric.(type) {
--- a/rosemaryspool/governor/crash.go
+++ b/rosemaryspool/governor/crash.go
@@ -86,12 +86,29 @@
 	placement, refusal := place()
 	if refusal == nil && verdict.Status == isolator.Suspected {
 		g.isolator.Sent(now, traits)
-		g.log.Info().Str("event", "traitTried").Str("trait", formatTrait(verdict.Trait)).Int("crashes", verdict.Crashes).
+		g.log.Info().Str("event", "traitTried").Str("trait", verdict.Trait.String()).Int("crashes", verdict.Crashes).
 			Str("upstream", string(placement.Upstream)).Msg("Request that may crash its upstream is tried")
 	}
 	return placement, refusal
 }
 
+// IsolatedTraits returns the traits that are suspected or quarantined.
+func (g *Governor) IsolatedTraits(now time.Time) []isolator.Change {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.isolator.List(now)
+}
+
+// ReleaseTrait has requests with a trait sent again, as an operator wants. It returns false if there is no evidence against
+// the trait.
+func (g *Governor) ReleaseTrait(now time.Time, t isolator.Trait) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	released := g.isolator.Release(now, t)
+	g.isolationChanged("")
+	return released
+}
+
 // TakeCrashReport returns what the other instances are to be told of crashes now, and these instances.
 func (g *Governor) TakeCrashReport(now time.Time) (isolator.Report, []elector.Member) {
 	g.mu.Lock()
@@ -136,11 +153,11 @@
 func (g *Governor) logIsolation(sender identifier.InstanceID) {
 	for _, c := range g.isolator.TakeChanges() {
 		if c.Status == isolator.Free {
-			g.log.Info().Str("event", "traitReleased").Str("trait", formatTrait(c.Trait)).Str("sender", string(sender)).
+			g.log.Info().Str("event", "traitReleased").Str("trait", c.Trait.String()).Str("sender", string(sender)).
 				Msg("Requests with a trait no longer count as crashing upstreams")
 			continue
 		}
-		line := g.log.Warn().Str("event", "traitIsolated").Str("trait", formatTrait(c.Trait)).
+		line := g.log.Warn().Str("event", "traitIsolated").Str("trait", c.Trait.String()).
 			Str("status", c.Status.String()).Int("crashes", c.Crashes).Str("sender", string(sender)).
 			Array("processes", processList(c.Processes))
 		if c.Status == isolator.Quarantined {
@@ -150,9 +167,6 @@
 	}
 }
 
-// formatTrait returns a trait as written in logs.
-func formatTrait(t isolator.Trait) string { return strconv.FormatUint(uint64(t), 16) }
-
 // processList is logged as an array of id:incarnation.
 type processList []isolator.Process
 
