Try quarantined requests more rarely than suspected ones

After a quarantine the evidence is stronger than before it, and each trial costs an upstream. A trial whose end is reported late must not be followed by another one after 500 ms. Now one in 5 s is tried. Checked by TestQuarantineEndsWithTrialsAndGrows.

--- a/core/isolator/isolator.go
+++ b/core/isolator/isolator.go
@@ -239,7 +239,11 @@
 		case Quarantined:
 			v.Wait = s.heldUntil.Sub(now)
 		case Suspected:
-			v.Wait = max(0, s.trialAt.Add(interval).Sub(now))
+			pause := interval
+			if !s.heldUntil.IsZero() {
+				pause *= probationFactor
+			}
+			v.Wait = max(0, s.trialAt.Add(pause).Sub(now))
 		default:
 		}
 		if v.Status > worst.Status || v.Status == worst.Status && v.Wait > worst.Wait {
--- a/core/isolator/isolator_test.go
+++ b/core/isolator/isolator_test.go
@@ -135,6 +135,8 @@
 	require.Equal(t, Quarantined, held.Status)
 	after := start.Add(time.Second + held.Wait)
 	require.Equal(t, Suspected, status(i, after, fatal))
+	i.Sent(after, []Trait{fatal})
+	require.Equal(t, 10*i.settings.TrialInterval, i.Check(after, []Trait{fatal}, i.settings.TrialInterval).Wait)
 	crash(i, after, process(8), fatal)
 	require.Equal(t, Quarantined, status(i, after.Add(time.Second), fatal))
 	require.Greater(t, i.Check(after.Add(time.Second), []Trait{fatal}, 0).Wait, 9*held.Wait)
