Test responses that end with their connection

A response with neither a length nor chunks is whole where its connection ends in order and broken off where it is reset; a stream that ends inside an event is broken off, and resumed after its last whole event where the route allows that. All cases passed on the code as it is.

--- a/rosemaryspool/gatekeeper/endless_test.go
+++ b/rosemaryspool/gatekeeper/endless_test.go
@@ -18,8 +18,11 @@
 	"rosemaryspool.example/standin/emulator"
 )
 
-// startEndlessUpstream registers an upstream that responds to each request with a head and then with a text without end.
-func startEndlessUpstream(t *testing.T, store testStore, service, stage, head, repeated string) {
+// startRawUpstream registers an upstream that responds to each request with a head and whatever respond writes, and then
+// closes the connection.
+func startRawUpstream(
+	t *testing.T, store testStore, service, stage, head string, respond func(conn *net.TCPConn) error,
+) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -36,23 +39,37 @@
 				if err != nil {
 					return
 				}
-				block := bytes.Repeat([]byte(repeated), 1+(64<<10)/len(repeated))
+				if _, err := io.Copy(io.Discard, request.Body); err != nil {
+					return
+				}
 				_, err = fmt.Fprintf(conn, "HTTP/1.1 %s\r\n%s: %s\r\n\r\n", head, emulator.HeaderAttempt,
 					request.Header.Get(emulator.HeaderAttempt))
-				for err == nil {
-					_, err = conn.Write(block)
+				if err == nil {
+					_ = respond(conn.(*net.TCPConn))
 				}
 			}()
 		}
 	}()
-	store.Put(platform.TopicServers, "endless", fmt.Appendf(nil,
+	store.Put(platform.TopicServers, "raw", fmt.Appendf(nil,
 		`{"service":%q,"address":%q,"zone":"here","version":"v1","slots":6,"state":"ready","stage":%q,"sequence":1,"born":1}`,
 		service, listener.Addr(), stage))
 }
 
+// writeForever writes a text until the connection is closed.
+func writeForever(conn *net.TCPConn, text string) error {
+	block := bytes.Repeat([]byte(text), 1+(64<<10)/len(text))
+	for {
+		if _, err := conn.Write(block); err != nil {
+			return err
+		}
+	}
+}
+
+// signed is added to the head of a response that the upstream has signed.
+const signed = "\r\n" + emulator.HeaderSignature + ": s.1"
+
 func TestBodyWithoutEndNeverLooksComplete(t *testing.T) {
 	const (
-		signed = "\r\n" + emulator.HeaderSignature + ": s.1"
 		// maxAllocated is far below the memory of an instance, with many requests at one time.
 		maxAllocated = 16 << 20
 		timeout      = 900 * time.Millisecond
@@ -84,7 +101,9 @@
 			if c.path != lookups {
 				service, stage = "model", "decode"
 			}
-			startEndlessUpstream(t, store, service, stage, c.head, c.repeated)
+			startRawUpstream(t, store, service, stage, c.head, func(conn *net.TCPConn) error {
+				return writeForever(conn, c.repeated)
+			})
 			ti := startTestInstance(t, store, testSettings(store))
 			ti.configure(1)
 			require.Eventually(t, func() bool { return ti.readiness() == http.StatusOK }, 2*time.Second, time.Millisecond)
@@ -116,3 +135,65 @@
 	_, err = io.Copy(io.Discard, response.Body)
 	return response.StatusCode, err == nil
 }
+
+func TestResponsesThatEndWithTheirConnection(t *testing.T) {
+	for _, c := range []struct {
+		name, path, body string
+		reset            bool
+		// other is true if another upstream could serve the request.
+		other  bool
+		status int
+		want   string
+		whole  bool
+	}{
+		{"whole body", orders, "the answer", false, false, http.StatusOK, "the answer", true},
+		{"body that is reset", orders, "the answer", true, false, http.StatusBadGateway, "mayHaveRun\n", true},
+		{"whole stream", verdicts, events(1, 3), false, false, http.StatusOK, events(1, 3), true},
+		{"stream that ends inside an event", notes, events(1, 2) + "id: 3\nda", false, false, http.StatusOK, events(1, 2), false},
+		{
+			"stream that ends inside an event and is resumed", verdicts, events(1, 2) + "id: 3\nda", false, true,
+			http.StatusOK, events(1, 3), true,
+		},
+		{"stream that ends inside its first event", notes, "id: 1\nda", false, false, http.StatusBadGateway, "mayHaveRun\n", true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			store := newTestStore(t)
+			service, stage := "plain", ""
+			if c.path == verdicts || c.path == notes {
+				service, stage = "model", "decode"
+			}
+			startRawUpstream(t, store, service, stage, "200 OK"+signed, func(conn *net.TCPConn) error {
+				_, err := io.WriteString(conn, c.body)
+				if c.reset {
+					// The caller's side has read all bytes before the reset.
+					time.Sleep(100 * time.Millisecond)
+					_ = conn.SetLinger(0)
+				}
+				return err
+			})
+			ti := startTestInstance(t, store, testSettings(store))
+			ti.configure(1)
+			require.Eventually(t, func() bool { return ti.readiness() == http.StatusOK }, 2*time.Second, time.Millisecond)
+			if c.other {
+				u := emulator.NewUpstream("other", stage, 3)
+				u.SetDelay(100 * time.Millisecond)
+				t.Cleanup(u.Close)
+				putUpstream(store.Store, u, "ready")
+				require.Eventually(t, func() bool {
+					_, listed := ti.gatekeeper.governor.Entry("other")
+					return listed
+				}, 2*time.Second, time.Millisecond)
+			}
+			// Both upstreams are idle, so either may get a request first.
+			for range 10 {
+				r := ti.send(http.MethodPost, c.path+"x", "b")
+				require.Equal(t, c.status, r.status)
+				require.Equal(t, c.want, r.body)
+				require.Equal(t, c.whole, r.complete)
+				if !c.other {
+					break
+				}
+			}
+		})
+	}
+}
