End a quarantine at the same time at all instances

An instance that restarted held a trait for 30 s from the time at which it learned of the crashes, and passed that on, so that quarantines grew with each restart. The term now counts from the last crash.

--- a/core/isolator/isolator.go
+++ b/core/isolator/isolator.go
@@ -343,9 +343,10 @@
 	before := s.status(now, i.settings)
 	s.crashes[c.Process] = l
 	s.recount(now, i.settings)
-	if s.count >= i.settings.QuarantineCrashes && !now.Before(s.heldUntil) && c.At.After(s.heldSince) {
+	if s.count >= i.settings.QuarantineCrashes && s.latest.After(s.heldUntil) {
 		s.term = min(max(i.settings.QuarantineTime, quarantineGrowth*s.term), i.settings.MaxQuarantineTime)
-		s.heldSince, s.heldUntil = c.At, now.Add(s.term)
+		// The time of the crash is the same at all instances.
+		s.heldSince, s.heldUntil = s.latest, s.latest.Add(s.term)
 	}
 	if after := s.status(now, i.settings); after != before {
 		i.changes = append(i.changes, s.describe(t, after))
