Don't count crashes that end before their requests were sent

An instance that is cut off takes what breaks off there for a crash of the upstream. A request now breaks off when it was sent at the earliest.

--- a/core/isolator/isolator.go
+++ b/core/isolator/isolator.go
@@ -332,14 +332,18 @@
 		s = &suspect{crashes: map[Process]loss{}}
 		i.suspects[t] = s
 	}
-	known, found := s.crashes[c.Process]
-	if found && !c.At.Before(known.brokenAt) && !b.SentAt.After(known.sentAt) {
-		return
-	}
 	l := loss{sentAt: b.SentAt, brokenAt: c.At}
+	known, found := s.crashes[c.Process]
 	if found && known.sentAt.After(l.sentAt) {
 		l.sentAt = known.sentAt
 	}
+	if l.sentAt.After(l.brokenAt) {
+		// The process lived on after what another instance took for its crash.
+		l.brokenAt = l.sentAt
+	}
+	if found && l == known {
+		return
+	}
 	before := s.status(now, i.settings)
 	s.crashes[c.Process] = l
 	s.recount(now, i.settings)
