Check isolation with random histories, and send no trials alone after a quarantine

Five instances, six upstreams, one or two fatal traits, sound requests that share a part with them; reports are lost, late and repeated, instances restart and are cut off, upstreams lose power, connections are reset. Checked: at most three fatal requests are sent later than 3 s after the fifth crash, at most a tenth of the sound ones are refused after that, no sound trait is ever quarantined. Eight broken variants are each caught.

Only an instance that decides for all sends such trials now.

--- /dev/null
+++ b/core/isolator/history_test.go
@@ -0,0 +1,404 @@
+package isolator
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"rosemaryspool.example/core/identifier"
+)
+
+const (
+	step       = 10 * time.Millisecond
+	historyLen = 60 * time.Second
+	// contact is the time that instances may take to learn of something.
+	contact = 3 * time.Second
+	// neededCrashes is the number of crashes after which a fatal trait is to be known, maxLate the number of requests with it
+	// that may be sent later than contact after them.
+	neededCrashes = 5
+	maxLate       = 3
+	// maxRefusedShare bounds the sound requests that are refused once the fatal ones are known.
+	maxRefusedShare = 0.1
+	subjects        = 20
+	historySeeds    = 30
+)
+
+// variant is a safeguard that is broken on purpose; the zero value breaks none.
+type variant struct {
+	name string
+	// silent instances send no reports; forgetful ones ignore answers.
+	silent, forgetful bool
+	// credulous instances count each broken request as a crash; hasty ones don't look when a request was sent; trusting
+	// ones take a broken request at a living process for a crash.
+	credulous, hasty, trusting bool
+	settings                   func(*Settings)
+}
+
+// node is one instance of a history.
+type node struct {
+	isolator *Isolator
+	// cutUntil is when the instance reaches the others and the upstreams again.
+	cutUntil time.Time
+}
+
+// server is an upstream of a history.
+type server struct {
+	process  Process
+	downTill time.Time
+	// losesPower is when the upstream ends because of a power loss; zero if that is not due.
+	losesPower time.Time
+}
+
+// flight is a request that runs at an upstream.
+type flight struct {
+	origin int
+	server int
+	traits []Trait
+	fatal  Trait
+	sent   time.Time
+	ends   time.Time
+}
+
+// delivery is a report on its way.
+type delivery struct {
+	to     int
+	at     time.Time
+	report Report
+}
+
+// history is one random run of several instances.
+type history struct {
+	random  *rand.Rand
+	variant variant
+	now     time.Time
+	nodes   []*node
+	servers []*server
+	flights []flight
+	mail    []delivery
+	started uint64
+	// lastSubject is the number of the last new subject.
+	lastSubject Trait
+
+	crashes   map[Trait][]time.Time
+	fatalSent map[Trait][]time.Time
+	sound     []time.Time
+	refused   []time.Time
+	// wronglyHeld is a sound trait that was quarantined.
+	wronglyHeld Trait
+}
+
+func newHistory(seed uint64, v variant) *history {
+	h := &history{
+		random: rand.New(rand.NewPCG(seed, 0)), variant: v, now: start,
+		crashes: map[Trait][]time.Time{}, fatalSent: map[Trait][]time.Time{},
+	}
+	for range 5 {
+		h.nodes = append(h.nodes, &node{isolator: h.newIsolator()})
+	}
+	for range 6 {
+		h.servers = append(h.servers, &server{process: h.nextProcess()})
+	}
+	return h
+}
+
+func (h *history) newIsolator() *Isolator {
+	s := DefaultSettings()
+	if h.variant.settings != nil {
+		h.variant.settings(&s)
+	}
+	return NewIsolator(s)
+}
+
+func (h *history) nextProcess() Process {
+	h.started++
+	return Process{Upstream: identifier.UpstreamID(fmt.Sprintf("u%d", h.started)), Incarnation: h.started}
+}
+
+func (h *history) chance(p float64) bool { return h.random.Float64() < p }
+
+func (h *history) between(low, high time.Duration) time.Duration {
+	return low + time.Duration(h.random.Int64N(int64(high-low)))
+}
+
+func (h *history) isCut(n int) bool { return h.now.Before(h.nodes[n].cutUntil) }
+
+// run plays the history: fatal requests come from 5 s on, with one or two fatal traits.
+func (h *history) run() {
+	fatals := []Trait{fatal, fatal + 100}[:1+h.random.IntN(2)]
+	for ; h.now.Sub(start) < historyLen; h.now = h.now.Add(step) {
+		h.disturb()
+		h.deliver()
+		h.finish()
+		h.request([]Trait{popular, 1000 + Trait(h.random.IntN(subjects))}, 0)
+		if h.chance(0.05) {
+			// A new subject begins with several requests.
+			h.lastSubject++
+			for range 4 {
+				h.request([]Trait{popular, 10_000 + h.lastSubject}, 0)
+			}
+		}
+		for _, t := range fatals {
+			if h.now.Sub(start) > 5*time.Second && h.chance(0.1) {
+				h.request([]Trait{popular, t}, t)
+			}
+		}
+		h.report()
+		h.checkChanges()
+	}
+}
+
+// checkChanges looks for sound traits that become quarantined.
+func (h *history) checkChanges() {
+	for _, n := range h.nodes {
+		for _, c := range n.isolator.TakeChanges() {
+			if c.Status == Quarantined && c.Trait != fatal && c.Trait != fatal+100 {
+				h.wronglyHeld = c.Trait
+			}
+		}
+	}
+}
+
+// disturb injects faults that have nothing to do with requests.
+func (h *history) disturb() {
+	for s, upstream := range h.servers {
+		if !upstream.losesPower.IsZero() && !h.now.Before(upstream.losesPower) {
+			upstream.losesPower = time.Time{}
+			h.crash(s)
+		}
+	}
+	n := h.random.IntN(len(h.nodes))
+	switch {
+	case h.chance(0.0005):
+		h.nodes[n] = &node{isolator: h.newIsolator()}
+		// The instance that starts asks two others.
+		for other := 1; other <= 2; other++ {
+			h.nodes[n].isolator.Learn(h.now, h.nodes[(n+other)%len(h.nodes)].isolator.Knowledge(h.now))
+		}
+	case h.chance(0.0005):
+		h.nodes[n].cutUntil = h.now.Add(h.between(time.Second, 4*time.Second))
+		// The cut refuses connections, so that what breaks off looks like crashes.
+		h.flights = slices.DeleteFunc(h.flights, func(f flight) bool {
+			if f.origin == n {
+				h.breakOff(f, true)
+			}
+			return f.origin == n
+		})
+	case h.chance(0.001):
+		// Upstreams lose power together.
+		for range 1 + h.random.IntN(len(h.servers)) {
+			h.servers[h.random.IntN(len(h.servers))].losesPower = h.now.Add(h.between(0, 60*time.Millisecond))
+		}
+	case h.chance(0.01) && len(h.flights) > 0:
+		// A connection is reset.
+		k := h.random.IntN(len(h.flights))
+		f := h.flights[k]
+		h.flights = slices.Delete(h.flights, k, k+1)
+		h.breakOff(f, false)
+	}
+}
+
+// request sends a request that the arbiter, or the instance alone if it is cut off, allows. The arbiter changes at times.
+func (h *history) request(traits []Trait, fatal Trait) {
+	origin := h.random.IntN(len(h.nodes))
+	decider := int(h.now.Sub(start)/(20*time.Second)) % len(h.nodes)
+	deciders := 1
+	if h.isCut(origin) || h.isCut(decider) || h.chance(0.01) {
+		decider = origin
+		deciders = len(h.nodes)
+	}
+	if fatal == 0 {
+		h.sound = append(h.sound, h.now)
+	}
+	own := h.nodes[origin].isolator.Check(h.now, traits, 1)
+	v := h.nodes[decider].isolator.Check(h.now, traits, deciders)
+	if own.Status == Quarantined || v.Wait > 0 {
+		if fatal == 0 {
+			h.refused = append(h.refused, h.now)
+		}
+		return
+	}
+	s := h.random.IntN(len(h.servers))
+	if h.isCut(origin) || h.now.Before(h.servers[s].downTill) {
+		return
+	}
+	if v.Status == Suspected {
+		h.nodes[decider].isolator.Sent(h.now, traits)
+	}
+	if fatal != 0 {
+		h.fatalSent[fatal] = append(h.fatalSent[fatal], h.now)
+	}
+	h.flights = append(h.flights, flight{
+		origin: origin, server: s, traits: traits, fatal: fatal, sent: h.now,
+		ends: h.now.Add(h.between(30*time.Millisecond, 150*time.Millisecond)),
+	})
+}
+
+// finish answers the requests that have run, or ends the upstreams that they crash.
+func (h *history) finish() {
+	var crashing []flight
+	for _, f := range h.flights {
+		if !h.now.Before(f.ends) && f.fatal != 0 {
+			crashing = append(crashing, f)
+		}
+	}
+	for _, f := range crashing {
+		if !h.now.Before(h.servers[f.server].downTill) {
+			h.crashes[f.fatal] = append(h.crashes[f.fatal], h.now)
+			h.crash(f.server)
+		}
+	}
+	h.flights = slices.DeleteFunc(h.flights, func(f flight) bool {
+		if h.now.Before(f.ends) {
+			return false
+		}
+		if !h.variant.forgetful {
+			h.nodes[f.origin].isolator.Answered(h.now, h.servers[f.server].process, f.traits)
+		}
+		return true
+	})
+}
+
+// crash ends an upstream and all that runs there.
+func (h *history) crash(s int) {
+	if h.now.Before(h.servers[s].downTill) {
+		return
+	}
+	h.flights = slices.DeleteFunc(h.flights, func(f flight) bool {
+		if f.server == s {
+			h.breakOff(f, true)
+		}
+		return f.server == s
+	})
+	h.servers[s].downTill = h.now.Add(h.between(time.Second, 4*time.Second))
+	h.servers[s].process = h.nextProcess()
+}
+
+// breakOff tells the instance that sent a request that it broke off. refused is true if the upstream then refuses
+// connections.
+func (h *history) breakOff(f flight, refused bool) {
+	i, p, sent := h.nodes[f.origin].isolator, h.servers[f.server].process, f.sent
+	if h.variant.credulous {
+		p = h.nextProcess()
+	}
+	if h.variant.hasty {
+		sent = h.now.Add(step / 2)
+	}
+	i.Broken(h.now, sent, p, f.traits)
+	if refused || h.variant.trusting {
+		i.Ended(h.now, p)
+	} else {
+		i.Survived(p)
+	}
+}
+
+// report sends what the instances have to tell. Reports get lost, late and repeated.
+func (h *history) report() {
+	if h.variant.silent {
+		return
+	}
+	for n, sender := range h.nodes {
+		r := sender.isolator.TakeReport(h.now)
+		for to := range h.nodes {
+			h.post(n, to, r)
+		}
+		if h.chance(float64(step) / float64(time.Second)) {
+			h.post(n, h.random.IntN(len(h.nodes)), sender.isolator.Knowledge(h.now))
+		}
+	}
+}
+
+func (h *history) post(from, to int, r Report) {
+	if from == to || r.IsEmpty() || h.isCut(from) || h.isCut(to) || h.chance(0.2) {
+		return
+	}
+	for range 1 + h.random.IntN(2) {
+		h.mail = append(h.mail, delivery{to: to, at: h.now.Add(h.between(time.Millisecond, 300*time.Millisecond)), report: r})
+	}
+}
+
+func (h *history) deliver() {
+	h.mail = slices.DeleteFunc(h.mail, func(d delivery) bool {
+		if h.now.Before(d.at) {
+			return false
+		}
+		h.nodes[d.to].isolator.Learn(h.now, d.report)
+		return true
+	})
+}
+
+// violation returns what the history breaks; empty if nothing.
+func (h *history) violation() string {
+	known := start
+	for t, crashes := range h.crashes {
+		deciding := crashes[min(len(crashes), neededCrashes)-1]
+		if deciding.After(known) {
+			known = deciding
+		}
+		late := 0
+		for _, at := range h.fatalSent[t] {
+			if at.After(deciding.Add(contact)) {
+				late++
+			}
+		}
+		if late > maxLate {
+			return fmt.Sprintf("%d fatal requests are sent late after %d crashes", late, len(crashes))
+		}
+	}
+	isAfter := func(at time.Time) bool { return at.After(known.Add(2 * contact)) }
+	sound, refused := count(h.sound, isAfter), count(h.refused, isAfter)
+	if float64(refused) > maxRefusedShare*float64(sound) {
+		return fmt.Sprintf("%d of %d sound requests are refused", refused, sound)
+	}
+	if h.wronglyHeld != 0 {
+		return fmt.Sprintf("sound trait %s is quarantined", h.wronglyHeld)
+	}
+	return ""
+}
+
+func count(times []time.Time, matches func(time.Time) bool) int {
+	n := 0
+	for _, at := range times {
+		if matches(at) {
+			n++
+		}
+	}
+	return n
+}
+
+func TestHistoriesContainFatalTraits(t *testing.T) {
+	for seed := range uint64(historySeeds) {
+		h := newHistory(seed, variant{})
+		h.run()
+		require.Empty(t, h.violation(), "seed %d", seed)
+		require.NotEmpty(t, h.crashes, "seed %d", seed)
+	}
+}
+
+func TestHistoriesDetectBrokenSafeguards(t *testing.T) {
+	const seeds = 200
+	for _, v := range []variant{
+		{name: "no reports", silent: true},
+		{name: "answers ignored", forgetful: true},
+		{name: "each broken request counts as a crash", credulous: true, hasty: true},
+		{name: "crashes count whenever the requests were sent", hasty: true},
+		{name: "resets count as crashes", trusting: true, hasty: true, credulous: true},
+		{name: "no trust in answers", settings: func(s *Settings) { s.TrustPeriod = 0 }},
+		{name: "no quarantine", settings: func(s *Settings) { s.QuarantineCrashes = 1000 }},
+		{name: "short quarantine", settings: func(s *Settings) { s.QuarantineTime, s.MaxQuarantineTime = time.Second, time.Second }},
+	} {
+		t.Run(v.name, func(t *testing.T) {
+			found := ""
+			for seed := uint64(0); seed < seeds && found == ""; seed++ {
+				h := newHistory(seed, v)
+				h.run()
+				found = h.violation()
+			}
+			require.NotEmpty(t, found)
+			t.Log(found)
+		})
+	}
+}
--- a/core/isolator/isolator.go
+++ b/core/isolator/isolator.go
@@ -223,8 +223,9 @@
 	}
 }
 
-// Check returns how a request is handled. interval is the time between two trials of a suspected trait.
-func (i *Isolator) Check(now time.Time, traits []Trait, interval time.Duration) Verdict {
+// Check returns how a request is handled. deciders is the number of instances that send trials without knowing of each
+// other's: one if this instance decides for all.
+func (i *Isolator) Check(now time.Time, traits []Trait, deciders int) Verdict {
 	var worst Verdict
 	if len(i.suspects) == 0 {
 		return worst
@@ -239,11 +240,7 @@
 		case Quarantined:
 			v.Wait = s.heldUntil.Sub(now)
 		case Suspected:
-			pause := interval
-			if !s.heldUntil.IsZero() {
-				pause *= probationFactor
-			}
-			v.Wait = max(0, s.trialAt.Add(pause).Sub(now))
+			v.Wait = s.trialWait(now, deciders, i.settings.TrialInterval)
 		default:
 		}
 		if v.Status > worst.Status || v.Status == worst.Status && v.Wait > worst.Wait {
@@ -253,6 +250,20 @@
 	return worst
 }
 
+// trialWait returns how long no trial is to be sent. After a quarantine the evidence is stronger: trials are rarer, and only
+// an instance that decides for all sends them.
+func (s *suspect) trialWait(now time.Time, deciders int, interval time.Duration) time.Duration {
+	wasHeld := !s.heldUntil.IsZero()
+	if wasHeld && deciders > 1 {
+		return interval
+	}
+	interval *= time.Duration(deciders)
+	if wasHeld {
+		interval *= probationFactor
+	}
+	return max(0, s.trialAt.Add(interval).Sub(now))
+}
+
 // Sent records that a request with these traits is sent; it is a trial of the suspected ones.
 func (i *Isolator) Sent(now time.Time, traits []Trait) {
 	for _, t := range traits {
--- a/core/isolator/settings.go
+++ b/core/isolator/settings.go
@@ -45,7 +45,7 @@
 const (
 	// quarantineGrowth is the factor by which a quarantine is longer than the one before.
 	quarantineGrowth = 10
-	// probationFactor is the factor by which trials after a quarantine are rarer: the evidence is stronger then.
+	// probationFactor is the factor by which trials after a quarantine are rarer.
 	probationFactor = 10
 	// maxSuspects, maxCrashes, maxCrashTraits and maxBroken bound the memory: callers may send crashing requests with ever
 	// new traits.
--- a/rosemaryspool/governor/crash.go
+++ b/rosemaryspool/governor/crash.go
@@ -59,7 +59,7 @@
 func (g *Governor) RefuseQuarantined(now time.Time, request allocator.Request) *allocator.Refusal {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if v := g.isolator.Check(now, request.Traits(), 0); v.Status == isolator.Quarantined {
+	if v := g.isolator.Check(now, request.Traits(), 1); v.Status == isolator.Quarantined {
 		return &allocator.Refusal{Reason: allocator.ReasonQuarantined, RetryAfter: v.Wait, Arbiter: g.self.Instance}
 	}
 	return nil
@@ -71,12 +71,12 @@
 	now time.Time, request allocator.Request, place func() (allocator.Placement, *allocator.Refusal),
 ) (allocator.Placement, *allocator.Refusal) {
 	traits := request.Traits()
-	interval := isolator.DefaultSettings().TrialInterval
+	deciders := 1
 	if request.RateShare < 1 {
-		// Other instances may place such requests too.
-		interval *= time.Duration(g.instances)
+		// Other instances place requests too.
+		deciders = g.instances
 	}
-	verdict := g.isolator.Check(now, traits, interval)
+	verdict := g.isolator.Check(now, traits, deciders)
 	switch {
 	case verdict.Status == isolator.Quarantined:
 		return allocator.Placement{}, &allocator.Refusal{Reason: allocator.ReasonQuarantined, RetryAfter: verdict.Wait}
