Soak with requests that crash upstreams

Two of the callers send lookups and prompts that crash each upstream that runs them; a crashed one refuses connections and is replaced under another id and address. Two invariants are added: contained (few such requests reach upstreams once their crashes suffice) and sound (no other request is refused as one of them). A gateway that breaks each is detected.

--- a/standin/emulator/upstream.go
+++ b/standin/emulator/upstream.go
@@ -136,6 +136,15 @@
 	}
 }
 
+// CrashOn makes runs that isFatal selects crash the upstream as it begins to answer them. The returned channel is closed by
+// the crash.
+func (u *Upstream) CrashOn(isFatal func(Run) bool) <-chan struct{} {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.isFatal, u.crashed = isFatal, make(chan struct{})
+	return u.crashed
+}
+
 // restoreOthers makes the other upstreams respond normally.
 func (u *Upstream) restoreOthers(others []*Upstream) {
 	for _, other := range others {
@@ -233,7 +242,7 @@
 		return
 	}
 	u.mu.Lock()
-	behaviour, delay, others := u.behaviour, u.delay, u.others
+	behaviour, delay, others, isFatal := u.behaviour, u.delay, u.others, u.isFatal
 	u.mu.Unlock()
 	if behaviour != Responds {
 		u.restoreOthers(others)
@@ -262,7 +271,7 @@
 		u.handles[handle] = true
 	}
 	u.mu.Unlock()
-	fatal := u.isFatal != nil && u.isFatal(run)
+	fatal := isFatal != nil && isFatal(run)
 	if u.onRun != nil {
 		u.onRun(run, fatal)
 	}
--- a/standin/soaker/auditor.go
+++ b/standin/soaker/auditor.go
@@ -38,6 +38,10 @@
 	InvariantTimeout Invariant = "timeout"
 	// InvariantAbandoned: requests that their callers have abandoned reach no upstream.
 	InvariantAbandoned Invariant = "left"
+	// InvariantContained: few requests that crash upstreams reach one once several have crashed.
+	InvariantContained Invariant = "contained"
+	// InvariantSound: no other request is refused as one of these.
+	InvariantSound Invariant = "sound"
 	// InvariantRecovery: all gateways are ready again within recoveryLimit of the last disturbance.
 	InvariantRecovery Invariant = "recovery"
 )
@@ -95,6 +99,9 @@
 	arrivals     []arrival
 	disturbances []disturbance
 	changes      []plannedChange
+	// crashes holds the crashes of upstreams under fatal requests, instances the number of gateways.
+	crashes      []crash
+	instances    int
 	streamEvents int
 }
 
@@ -110,10 +117,10 @@
 	})
 }
 
-// upstreamUndisturbed reports whether the upstream was not disturbed in a period.
-func (h *history) upstreamUndisturbed(upstream string, from, to time.Time) bool {
+// subjectUndisturbed reports whether an upstream or an instance was not itself disturbed in a period.
+func (h *history) subjectUndisturbed(subject string, from, to time.Time) bool {
 	return !slices.ContainsFunc(h.disturbances, func(d disturbance) bool {
-		return d.subject == upstream && d.from.Before(to) && d.to.After(from)
+		return d.subject == subject && d.from.Before(to) && d.to.After(from)
 	})
 }
 
@@ -143,6 +150,7 @@
 	for _, a := range h.attempts {
 		violations = append(violations, h.auditAttempt(a, runs[a.id])...)
 	}
+	violations = append(violations, h.auditContainment(sent)...)
 	return append(violations, append(h.auditBudget(sent), h.auditAbandoned(sent)...)...)
 }
 
@@ -231,7 +239,7 @@
 	}
 	if a.incomplete() && len(runs) > 0 && h.overlapsStop(a) &&
 		h.instanceUndisturbed(a.instance, a.sent.Add(-settleTime), a.ended) &&
-		h.upstreamUndisturbed(runs[0].upstream, a.sent.Add(-settleTime), a.ended) {
+		h.subjectUndisturbed(runs[0].upstream, a.sent.Add(-settleTime), a.ended) {
 		report(InvariantStop, "ran on %s, but its connection ended during a planned stop", runs[0].upstream)
 	}
 	return violations
--- a/standin/soaker/caller.go
+++ b/standin/soaker/caller.go
@@ -76,6 +76,8 @@
 	responseID string
 	signature  string
 	content    string
+	// part is the second part of the prompt of a request for a stream.
+	part string
 	// complete is true if the response was read to its regular end.
 	complete bool
 }
@@ -91,6 +93,8 @@
 	client   *http.Client
 	targets  []string
 	instance int
+	// fatal is true for a caller some of whose requests crash the upstreams that run them.
+	fatal bool
 
 	mu       sync.Mutex
 	attempts []*attempt
@@ -106,6 +110,8 @@
 	// abandoned.
 	abandonAfter = 30 * time.Millisecond
 	abandonOneIn = 20
+	// subjects is the number of second parts that prompts share.
+	subjects = 20
 )
 
 func newCaller(name string, random *rand.Rand, targets []string) *caller {
@@ -151,6 +157,10 @@
 		uri:       fmt.Sprintf("%s%d?n=%d&q=a%%2Fb", chosen.path, n, c.random.IntN(100)),
 		abandoned: c.random.IntN(abandonOneIn) == 0,
 	}
+	a.part = fmt.Sprint("s", c.random.IntN(subjects))
+	if c.fatal {
+		c.makeFatal(a)
+	}
 	if chosen.method == http.MethodPost {
 		a.body = strings.Repeat(a.id+" ", 1+c.random.IntN(200))
 	}
@@ -183,7 +193,7 @@
 	if a.kind.stream {
 		r.Header.Set(emulator.HeaderModel, "m")
 		r.Header.Set(emulator.HeaderTokens, "2000,8")
-		r.Header.Set(emulator.HeaderPrompt, fmt.Sprintf("root:800,s%d:600,%s:600", c.random.IntN(20), a.id))
+		r.Header.Set(emulator.HeaderPrompt, fmt.Sprintf("root:800,%s:600,%s:600", a.part, a.id))
 	}
 	a.sent = time.Now()
 	defer func() { a.ended = time.Now() }()
--- a/standin/soaker/fault.go
+++ b/standin/soaker/fault.go
@@ -131,8 +131,8 @@
 func (s *Soaker) returnStore() {
 	s.store.Restore(s.older)
 	s.putConfiguration()
-	for _, b := range s.backends {
-		if b.draining {
+	for _, b := range s.listBackends() {
+		if b.draining || b.crashed.Load() {
 			s.store.Put(emulator.TopicServers, b.upstream.ID, nil)
 			continue
 		}
@@ -145,7 +145,7 @@
 	instance := s.random.IntN(len(s.processes))
 	p, subject := s.processes[instance].storeProxy, instanceSubject(instance)
 	if s.random.IntN(2) == 0 {
-		b := s.backends[s.random.IntN(len(s.backends))]
+		b := s.pickBackend()
 		p, subject = b.proxy, b.upstream.ID
 	}
 	modes := []struct {
@@ -167,7 +167,7 @@
 
 // upstreamFault makes one upstream misbehave.
 func (s *Soaker) upstreamFault() fault {
-	b := s.backends[s.random.IntN(len(s.backends))]
+	b := s.pickBackend()
 	subjects := []string{b.upstream.ID}
 	switch s.random.IntN(6) {
 	case 0:
@@ -193,6 +193,12 @@
 	}
 }
 
+// pickBackend chooses a random upstream.
+func (s *Soaker) pickBackend() *backend {
+	backends := s.listBackends()
+	return backends[s.random.IntN(len(backends))]
+}
+
 // randomDuration returns a random duration. Only the goroutine of Run uses s.random, so that a seed gives the same
 // sequence of faults each time.
 func (s *Soaker) randomDuration(least, most time.Duration) time.Duration {
--- a/standin/soaker/soaker.go
+++ b/standin/soaker/soaker.go
@@ -12,6 +12,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -29,6 +30,8 @@
 	// Gateways is the number of gateway processes, Callers that of concurrent callers.
 	Gateways int
 	Callers  int
+	// FatalRequests is true if some requests crash the upstreams that run them.
+	FatalRequests bool
 	// Command starts one gateway, which finds the path of its settings file in the variable ROSEMARYSPOOL_CONFIG.
 	Command []string
 	// Directory holds the gateways' settings files and logs.
@@ -85,16 +88,29 @@
 	proxy    *proxy
 	// draining is true once the upstream was published as draining.
 	draining bool
+	crashed  atomic.Bool
+}
+
+// listBackends returns all upstreams of the run.
+func (s *Soaker) listBackends() []*backend {
+	s.backendsMu.Lock()
+	defer s.backendsMu.Unlock()
+	return slices.Clone(s.backends)
 }
 
 // Soaker runs one soak test: the stand-ins, the gateway processes and the callers.
 type Soaker struct {
-	settings  Settings
-	random    *rand.Rand
-	log       zerolog.Logger
-	store     *emulator.Store
-	server    *httptest.Server
-	backends  []*backend
+	settings Settings
+	random   *rand.Rand
+	log      zerolog.Logger
+	store    *emulator.Store
+	server   *httptest.Server
+	// backends grows when upstreams are replaced; backendsMu guards it.
+	backendsMu sync.Mutex
+	backends   []*backend
+	// replacing counts the crashed upstreams that are still to be replaced, crashes records when they crashed.
+	replacing sync.WaitGroup
+	crashes   []crash
 	processes []*process
 	callers   []*caller
 	client    *http.Client
@@ -104,7 +120,12 @@
 	// older is the store's contents before the latest planned changes.
 	older emulator.Copy
 
-	mu           sync.Mutex
+	// closed is closed at the end of the run.
+	closed chan struct{}
+
+	mu sync.Mutex
+	// started counts the upstreams that replaced crashed ones.
+	started      int
 	disturbances []disturbance
 	changes      []plannedChange
 	revision     int
@@ -115,7 +136,7 @@
 	s := &Soaker{
 		settings: settings, random: rand.New(rand.NewPCG(settings.Seed, 1)),
 		log:   zerolog.New(zerolog.SyncWriter(settings.Log)).With().Timestamp().Logger(),
-		store: emulator.NewStore(), client: &http.Client{Timeout: time.Second},
+		store: emulator.NewStore(), client: &http.Client{Timeout: time.Second}, closed: make(chan struct{}),
 	}
 	s.server = httptest.NewServer(s.store)
 	for _, b := range []struct {
@@ -161,7 +182,12 @@
 		return err
 	}
 	b := &backend{upstream: u, service: service, proxy: p}
+	s.backendsMu.Lock()
 	s.backends = append(s.backends, b)
+	s.backendsMu.Unlock()
+	if s.settings.FatalRequests {
+		s.watchCrash(b)
+	}
 	s.publish(b, "ready")
 	return nil
 }
@@ -175,7 +201,7 @@
 	for _, p := range s.processes {
 		p.close()
 	}
-	for _, b := range s.backends {
+	for _, b := range s.listBackends() {
 		b.proxy.close()
 		b.upstream.Close()
 	}
@@ -203,6 +229,7 @@
 	}
 	for i := range s.settings.Callers {
 		c := newCaller(fmt.Sprint("c", i), rand.New(rand.NewPCG(s.settings.Seed, uint64(2+i))), targets)
+		c.fatal = s.settings.FatalRequests && i < fatalCallers
 		s.callers = append(s.callers, c)
 		callers.Go(func() { c.run(callerContext) })
 	}
@@ -216,6 +243,8 @@
 	}
 	stopCallers()
 	callers.Wait()
+	close(s.closed)
+	s.replacing.Wait()
 	h := s.gather()
 	violations = append(violations, h.audit()...)
 	served := 0
@@ -260,7 +289,7 @@
 // pickServing chooses a random upstream among those that get requests while the plain routes lead to the given service.
 func (s *Soaker) pickServing(service string) *backend {
 	var serving []*backend
-	for _, b := range s.backends {
+	for _, b := range s.listBackends() {
 		if !b.draining && (b.service == service || b.service == modelService) {
 			serving = append(serving, b)
 		}
@@ -324,13 +353,16 @@
 
 // gather merges the observations of callers and upstreams into a history.
 func (s *Soaker) gather() *history {
-	h := &history{changes: s.changes, disturbances: s.disturbances, streamEvents: streamEvents}
+	h := &history{
+		changes: s.changes, disturbances: s.disturbances, crashes: s.crashes, instances: len(s.processes),
+		streamEvents: streamEvents,
+	}
 	for _, c := range s.callers {
 		c.mu.Lock()
 		h.attempts = append(h.attempts, c.attempts...)
 		c.mu.Unlock()
 	}
-	for _, b := range s.backends {
+	for _, b := range s.listBackends() {
 		for _, r := range b.upstream.Runs() {
 			h.arrivals = append(h.arrivals, arrival{Run: r, upstream: b.upstream.ID, service: b.service})
 		}
--- a/standin/soaker/soaker_test.go
+++ b/standin/soaker/soaker_test.go
@@ -42,14 +42,20 @@
 	for i, invariant := range []Invariant{
 		noInvariant, InvariantOnce, InvariantNotRun, InvariantOwnResponse, InvariantUnchanged, InvariantOrder,
 		InvariantRoute, InvariantLeaving, InvariantBudget, InvariantStop, InvariantTimeout, InvariantAbandoned,
-		InvariantRecovery,
+		InvariantRecovery, InvariantContained, InvariantSound,
 	} {
 		t.Run(string(invariant), func(t *testing.T) {
 			t.Parallel()
 			program, err := os.Executable()
 			require.NoError(t, err)
+			rounds := 1
+			if invariant == InvariantContained {
+				// Upstreams must crash several times first.
+				rounds = 3
+			}
 			s, err := NewSoaker(Settings{
-				Seed: 3, Rounds: 1, Gateways: 2, Callers: 16, Directory: t.TempDir(), Network: 100 + i, Log: io.Discard,
+				FatalRequests: invariant == InvariantContained,
+				Seed:          3, Rounds: rounds, Gateways: 2, Callers: 16, Directory: t.TempDir(), Network: 100 + i, Log: io.Discard,
 				Command: []string{"/usr/bin/env", fmt.Sprint(violatedInvariantVariable, "=", invariant), program},
 			})
 			require.NoError(t, err)
@@ -207,6 +213,10 @@
 	if g.invariant == InvariantTimeout && !order {
 		time.Sleep(2700 * time.Millisecond)
 	}
+	if g.invariant == InvariantSound && !order && g.next.Add(1)%10 == 0 {
+		http.Error(w, "quarantined", http.StatusServiceUnavailable)
+		return
+	}
 	response := g.forward(r, body)
 	if response == nil {
 		w.WriteHeader(http.StatusBadGateway)
