Keep quarantines in the store for a crash of all instances

What instances know of crashes was lost when all were killed at once, and three more upstreams would have crashed before a trait was known again. The first reader of the store now writes a record for each quarantined trait and deletes it with the release; an instance reads them at its start, unless the whole system starts for the first time. As clocks differ, a record holds only the term; instances that know when a quarantine began correct those that have read it.

Checked by TestQuarantineOutlastsACrashOfAllInstances and TestRestoredQuarantinesYieldToWhatOthersKnow. The emulated store now deletes a key when a record without a value is appended, as the platform does; the test found that.

--- a/core/isolator/isolator.go
+++ b/core/isolator/isolator.go
@@ -88,8 +88,11 @@
 	Status    Status
 	Crashes   int
 	Processes []Process
-	// Until is when a quarantine ends.
+	// Until is when a quarantine ends, Term its length.
 	Until time.Time
+	Term  time.Duration
+	// WasHeld is true for a trait that is free now and was quarantined before.
+	WasHeld bool
 }
 
 // suspect is what is known against a trait that has not been answered since the crashes.
@@ -105,6 +108,8 @@
 	heldSince time.Time
 	heldUntil time.Time
 	term      time.Duration
+	// restored is true if the quarantine comes from a record of which the age isn't known.
+	restored bool
 }
 
 // loss is when a request was sent and when it broke off in a crash.
@@ -216,10 +221,10 @@
 
 // release drops all evidence against a trait.
 func (i *Isolator) release(now time.Time, t Trait) {
-	before := i.suspects[t].status(now, i.settings)
+	s := i.suspects[t]
 	delete(i.suspects, t)
-	if before != Free {
-		i.changes = append(i.changes, Change{Trait: t, Status: Free})
+	if s.status(now, i.settings) != Free {
+		i.changes = append(i.changes, Change{Trait: t, Status: Free, WasHeld: !s.heldUntil.IsZero()})
 	}
 }
 
@@ -293,7 +298,7 @@
 }
 
 func (s *suspect) describe(t Trait, status Status) Change {
-	c := Change{Trait: t, Status: status, Crashes: s.count, Until: s.heldUntil}
+	c := Change{Trait: t, Status: status, Crashes: s.count, Until: s.heldUntil, Term: s.term}
 	for p := range s.crashes {
 		c.Processes = append(c.Processes, p)
 	}
@@ -361,7 +366,7 @@
 	if s.count >= i.settings.QuarantineCrashes && s.latest.After(s.heldUntil) {
 		s.term = min(max(i.settings.QuarantineTime, quarantineGrowth*s.term), i.settings.MaxQuarantineTime)
 		// The time of the crash is the same at all instances.
-		s.heldSince, s.heldUntil = s.latest, s.latest.Add(s.term)
+		s.heldSince, s.heldUntil, s.restored = s.latest, s.latest.Add(s.term), false
 	}
 	if after := s.status(now, i.settings); after != before {
 		i.changes = append(i.changes, s.describe(t, after))
--- a/core/isolator/isolator_test.go
+++ b/core/isolator/isolator_test.go
@@ -226,3 +226,18 @@
 		require.NotEqual(t, base, other)
 	}
 }
+
+func TestRestoredQuarantinesYieldToWhatOthersKnow(t *testing.T) {
+	record := Quarantine{Trait: fatal, Since: start, Until: start.Add(time.Minute), Term: time.Minute}
+	i := NewIsolator(DefaultSettings())
+	i.Answered(start, process(1), []Trait{rare})
+	i.Restore(start, []Quarantine{record, {Trait: rare, Since: start, Until: start.Add(time.Minute), Term: time.Minute}})
+	require.Equal(t, Quarantined, status(i, start.Add(50*time.Second), fatal))
+	require.Equal(t, Free, status(i, start, rare), "it was answered since the start")
+	require.Empty(t, i.Knowledge(start).Quarantines, "its age is not known")
+	known := record
+	known.Since, known.Until = start.Add(-50*time.Second), start.Add(10*time.Second)
+	i.Learn(start, Report{Quarantines: []Quarantine{known}})
+	require.Equal(t, Suspected, status(i, start.Add(11*time.Second), fatal))
+	require.Equal(t, []Quarantine{known}, i.Knowledge(start).Quarantines)
+}
--- a/core/isolator/report.go
+++ b/core/isolator/report.go
@@ -92,7 +92,7 @@
 		r.Crashes = append(r.Crashes, c.clone())
 	}
 	for t, s := range i.suspects {
-		if s.status(now, i.settings) == Quarantined {
+		if s.status(now, i.settings) == Quarantined && !s.restored {
 			r.Quarantines = append(r.Quarantines, Quarantine{Trait: t, Since: s.heldSince, Until: s.heldUntil, Term: s.term})
 		}
 	}
@@ -133,6 +133,20 @@
 	}
 }
 
+// Restore applies quarantines of which only the term is known, unless the traits are known already. Other instances that
+// know when they began correct them, and are not told of them.
+func (i *Isolator) Restore(now time.Time, quarantines []Quarantine) {
+	for _, q := range quarantines {
+		if _, answered := i.answers.last(q.Trait); answered || i.suspects[q.Trait] != nil {
+			continue
+		}
+		i.learnQuarantine(now, q)
+		if s := i.suspects[q.Trait]; s != nil {
+			s.restored = true
+		}
+	}
+}
+
 func (i *Isolator) learnQuarantine(now time.Time, q Quarantine) {
 	if answered, known := i.answers.last(q.Trait); known && answered.After(q.Since) || !now.Before(q.Until) {
 		return
@@ -144,8 +158,8 @@
 		i.suspects[q.Trait] = s
 	}
 	before := s.status(now, i.settings)
-	if q.Until.After(s.heldUntil) {
-		s.heldSince, s.heldUntil, s.term = q.Since, q.Until, max(s.term, q.Term)
+	if s.restored || q.Until.After(s.heldUntil) {
+		s.heldSince, s.heldUntil, s.term, s.restored = q.Since, q.Until, max(s.term, q.Term), false
 	}
 	if after := s.status(now, i.settings); after != before {
 		i.changes = append(i.changes, s.describe(q.Trait, after))
--- a/rosemaryspool/gatekeeper/crash_test.go
+++ b/rosemaryspool/gatekeeper/crash_test.go
@@ -265,3 +265,26 @@
 	_, listed = call(http.MethodGet, "/traits")
 	require.Empty(t, listed)
 }
+
+func TestQuarantineOutlastsACrashOfAllInstances(t *testing.T) {
+	store := newTestStore(t)
+	first := newTestCluster(t, store, 1)[0]
+	now := time.Now()
+	first.gatekeeper.governor.ApplyCrashReport(now, "spool-2", isolator.Report{Quarantines: []isolator.Quarantine{
+		{Trait: 0xbeef, Since: now, Until: now.Add(time.Minute), Term: time.Minute},
+		{Trait: 0xcafe, Since: now, Until: now.Add(time.Minute), Term: time.Minute},
+	}})
+	saved := func() []string { return store.Keys(platform.TopicQuarantines) }
+	require.Eventually(t, func() bool { return len(saved()) == 2 }, 2*time.Second, time.Millisecond)
+	require.True(t, first.gatekeeper.governor.ReleaseTrait(time.Now(), 0xcafe))
+	require.Eventually(t, func() bool { return len(saved()) == 1 }, 2*time.Second, time.Millisecond)
+	first.stop()
+	<-first.gatekeeper.Done()
+	settings := testSettings(store)
+	settings.Instance, settings.PeerAddress = "spool-3", freeUDPAddress(t)
+	second := startTestInstance(t, store, settings)
+	require.Eventually(t, func() bool {
+		listed := second.gatekeeper.governor.IsolatedTraits(time.Now())
+		return len(listed) == 1 && listed[0].Trait == 0xbeef && listed[0].Status == isolator.Quarantined
+	}, 2*time.Second, time.Millisecond)
+}
--- a/rosemaryspool/gatekeeper/gatekeeper.go
+++ b/rosemaryspool/gatekeeper/gatekeeper.go
@@ -22,6 +22,7 @@
 	"rosemaryspool.example/core/elector"
 	"rosemaryspool.example/core/tracker"
 	"rosemaryspool.example/platform"
+	"rosemaryspool.example/rosemaryspool/archiver"
 	"rosemaryspool.example/rosemaryspool/connector"
 	"rosemaryspool.example/rosemaryspool/courier"
 	"rosemaryspool.example/rosemaryspool/delegator"
@@ -67,6 +68,7 @@
 	delegator  *delegator.Delegator
 	inspector  *inspector.Inspector
 	subscriber *subscriber.Subscriber
+	archiver   *archiver.Archiver
 	status     *statusHandler
 	// unreadableNotices counts the responses in which an upstream says of itself what can't be read.
 	unreadableNotices metrics.Counter
@@ -106,8 +108,10 @@
 	g.delegator = delegator.NewDelegator(g.governor, g.courier, log, registry)
 	g.forwarder = forwarder.NewForwarder(g.governor, g.delegator, g.connector, log, registry)
 	g.inspector = inspector.NewInspector(g.governor, g.connector, log)
+	store := platform.NewStore(settings.StoreAddress)
+	g.archiver = archiver.NewArchiver(store, g.governor, settings.FirstStart, log)
 	g.subscriber = subscriber.NewSubscriber(
-		platform.NewStore(settings.StoreAddress), g.governor, g.gossiper, subscriber.Settings{
+		store, g.governor, g.gossiper, subscriber.Settings{
 			DrainLimit: settings.MaxDrainDelay, ApplyLimit: settings.MaxApplyDelay, FirstStart: settings.FirstStart,
 		}, log,
 	)
@@ -224,6 +228,7 @@
 	group.Go(func() { g.gossiper.Run(backgroundCtx) })
 	group.Go(func() { g.subscriber.Run(backgroundCtx) })
 	group.Go(func() { g.inspector.Run(backgroundCtx) })
+	group.Go(func() { g.archiver.Run(backgroundCtx) })
 	group.Go(func() { g.closeIdleConnections(backgroundCtx) })
 	group.Go(func() { g.warmUp(backgroundCtx) })
 	err := g.serve(ctx, &group)
--- a/rosemaryspool/governor/crash.go
+++ b/rosemaryspool/governor/crash.go
@@ -142,6 +142,46 @@
 	g.isolationChanged(sender)
 }
 
+// maxUnsaved bounds the changes of quarantines that wait to be saved.
+const maxUnsaved = 256
+
+// QuarantinesChanged receives a value when a trait has become quarantined or free again.
+func (g *Governor) QuarantinesChanged() <-chan struct{} { return g.quarantines }
+
+// TakeQuarantineChanges returns the changes that this instance is to save: the first reader of the store saves them for all.
+func (g *Governor) TakeQuarantineChanges(now time.Time) []isolator.Change {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	taken := g.unsaved
+	g.unsaved = nil
+	if g.elector.Rank(now, readerDuty) > 0 {
+		return nil
+	}
+	return taken
+}
+
+// RestoreQuarantines applies what the store has.
+func (g *Governor) RestoreQuarantines(now time.Time, quarantines []isolator.Quarantine) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.isolator.Restore(now, quarantines)
+	g.logIsolation("store")
+	g.unsaved = nil
+}
+
+// noteUnsaved has a change of a quarantine saved. The governor's mutex must be held.
+func (g *Governor) noteUnsaved(c isolator.Change) {
+	if c.Status != isolator.Quarantined && !c.WasHeld || len(g.unsaved) >= maxUnsaved {
+		return
+	}
+	g.unsaved = append(g.unsaved, c)
+	select {
+	case g.quarantines <- struct{}{}:
+	default:
+		// A value is pending already.
+	}
+}
+
 // isolationChanged logs what has changed and has it reported. The governor's mutex must be held.
 func (g *Governor) isolationChanged(sender identifier.InstanceID) {
 	g.logIsolation(sender)
@@ -152,6 +192,7 @@
 // instance. The governor's mutex must be held.
 func (g *Governor) logIsolation(sender identifier.InstanceID) {
 	for _, c := range g.isolator.TakeChanges() {
+		g.noteUnsaved(c)
 		if c.Status == isolator.Free {
 			g.log.Info().Str("event", "traitReleased").Str("trait", c.Trait.String()).Str("sender", string(sender)).
 				Msg("Requests with a trait no longer count as crashing upstreams")
--- a/rosemaryspool/governor/governor.go
+++ b/rosemaryspool/governor/governor.go
@@ -51,6 +51,9 @@
 	upstreamsRead bool
 	reports       reportState
 	changed       chan struct{}
+	// unsaved holds the changes of quarantines that are not in the store yet; quarantines signals them.
+	unsaved     []isolator.Change
+	quarantines chan struct{}
 }
 
 // NewGovernor returns a governor without configuration and upstreams.
@@ -66,6 +69,8 @@
 		instances: 1,
 		reports:   newReportState(),
 		changed:   make(chan struct{}, 1),
+
+		quarantines: make(chan struct{}, 1),
 	}
 }
 
--- a/standin/emulator/store.go
+++ b/standin/emulator/store.go
@@ -273,7 +273,12 @@
 		return
 	}
 	key := 5 + int(body[4])
-	at := s.put(name, entry{key: string(body[5:key]), value: body[key:]})
+	value := body[key:]
+	if len(value) == 0 {
+		// A record without a value deletes its key.
+		value = nil
+	}
+	at := s.put(name, entry{key: string(body[5:key]), value: value})
 	writeJSON(w, http.StatusOK, map[string]any{"offset": at, "end-offset": at + 1})
 }
 
