Report only the answers that other instances lack

Each crash made an instance report the answers to all recently answered traits of its own broken requests, which its report does not accuse anyway. Only answers to traits that another instance accuses are reported now. A quarantine that ends because a crash is refuted also deletes its record in the store.

--- a/core/isolator/isolator.go
+++ b/core/isolator/isolator.go
@@ -91,7 +91,7 @@
 	// Until is when a quarantine ends, Term its length.
 	Until time.Time
 	Term  time.Duration
-	// WasHeld is true for a trait that is free now and was quarantined before.
+	// WasHeld is true for a trait that is no longer quarantined because of new evidence.
 	WasHeld bool
 }
 
@@ -326,17 +326,18 @@
 	return c
 }
 
-// addTraits adds traits of requests that broke off in a crash.
-func (i *Isolator) addTraits(now time.Time, c *Crash, traits []BrokenTrait) {
+// addTraits adds traits of requests that broke off in a crash. It returns the answers that speak for some of them.
+func (i *Isolator) addTraits(now time.Time, c *Crash, traits []BrokenTrait) []Answer {
+	var answers []Answer
 	for _, b := range traits {
 		if answered, known := i.answers.last(b.Trait); known && answered.After(c.At.Add(-i.settings.TrustPeriod)) {
-			// The instance that reported the crash may not know of the answer.
-			i.outbox.addAnswer(now, Answer{Trait: b.Trait, At: answered})
+			answers = append(answers, Answer{Trait: b.Trait, At: answered})
 			continue
 		}
 		c.add(b)
 		i.accuse(now, b, c)
 	}
+	return answers
 }
 
 // accuse counts a crash against a trait.
@@ -428,7 +429,9 @@
 			delete(i.suspects, t)
 		}
 		if after != before {
-			i.changes = append(i.changes, s.describe(t, after))
+			change := s.describe(t, after)
+			change.WasHeld = before == Quarantined
+			i.changes = append(i.changes, change)
 		}
 	}
 }
--- a/core/isolator/isolator_test.go
+++ b/core/isolator/isolator_test.go
@@ -241,3 +241,28 @@
 	require.Equal(t, Suspected, status(i, start.Add(11*time.Second), fatal))
 	require.Equal(t, []Quarantine{known}, i.Knowledge(start).Quarantines)
 }
+
+func TestOnlyAnswersThatOthersLackAreReported(t *testing.T) {
+	a, b := NewIsolator(DefaultSettings()), NewIsolator(DefaultSettings())
+	a.Answered(start, process(9), []Trait{popular})
+	crash(a, start.Add(time.Second), process(1), popular, fatal)
+	report := a.TakeReport(start.Add(2 * time.Second))
+	require.Empty(t, report.Answers, "the report does not accuse the trait")
+	require.Len(t, report.Crashes[0].Traits, 1)
+	crash(b, start.Add(2*time.Second), process(2), popular)
+	a.Learn(start.Add(3*time.Second), b.TakeReport(start.Add(3*time.Second)))
+	require.Equal(t, []Answer{{Trait: popular, At: start}}, a.TakeReport(start.Add(3*time.Second)).Answers)
+}
+
+func TestQuarantineThatIsRefutedIsReleasedAsHeld(t *testing.T) {
+	i := NewIsolator(DefaultSettings())
+	for n := range 3 {
+		crash(i, start.Add(time.Duration(n)*300*time.Millisecond), process(n), rare)
+	}
+	i.TakeChanges()
+	i.Answered(start.Add(3*time.Second), process(0), []Trait{popular})
+	changes := i.TakeChanges()
+	require.Len(t, changes, 1)
+	require.Equal(t, Suspected, changes[0].Status)
+	require.True(t, changes[0].WasHeld, "its record must be deleted")
+}
--- a/core/isolator/report.go
+++ b/core/isolator/report.go
@@ -123,8 +123,11 @@
 		case reported.At.Before(c.At):
 			c.At = reported.At
 		}
-		i.addTraits(now, c, reported.Traits)
-		if b := i.broken[reported.Process]; b != nil {
+		for _, a := range i.addTraits(now, c, reported.Traits) {
+			// The instance that reported the crash does not know of these answers.
+			i.outbox.addAnswer(now, a)
+		}
+		if i.broken[reported.Process] != nil {
 			i.Ended(now, reported.Process)
 		}
 	}
