--- a/Makefile
+++ b/Makefile
@@ -82,7 +82,7 @@
 bench:
 	go test -run '^$$' -bench . -benchtime 20000x ./rosemaryspool/demonstrator
 
-.PHONY: fuzz-configuration bench-configuration
+.PHONY: fuzz-configuration fuzz-responses bench-configuration
 
 FUZZTIME ?= 30s
 
@@ -90,6 +90,9 @@
 	go test -run '^$$' -fuzz FuzzParse -fuzztime $(FUZZTIME) -fuzzminimizetime 20x ./core/configurer
 	go test -run '^$$' -fuzz FuzzApply -fuzztime $(FUZZTIME) -fuzzminimizetime 20x ./core/configurer
 
+fuzz-responses:
+	go test -run '^$$' -fuzz FuzzResponse -fuzztime $(FUZZTIME) ./rosemaryspool/connector
+
 bench-configuration:
 	go test -run '^$$' -bench . -benchmem ./core/configurer
 	go test -run '^$$' -bench FoldOneCaller -benchmem ./core/replayer
