--- a/standin/emulator/fleet.go
+++ b/standin/emulator/fleet.go
@@ -63,24 +63,23 @@
 		return
 	}
 	f.started++
-	u := &Upstream{
-		ID: fmt.Sprintf("%s-%d", f.settings.Service, f.started), Stage: f.settings.Stage, Events: f.settings.Events,
-		handles: map[string]bool{}, delay: f.settings.Delay, isFatal: f.settings.IsFatal, onRun: f.recordRun,
-		crashed: make(chan struct{}),
-	}
+	id := fmt.Sprintf("%s-%d", f.settings.Service, f.started)
+	u := newUpstream(id, f.settings.Stage, f.settings.Events)
+	u.delay = f.settings.Delay
+	crashed := u.CrashOn(f.recordIfFatal)
 	u.server = &httptest.Server{Listener: listener, Config: &http.Server{Handler: u}}
 	u.server.Start()
 	f.running[u.ID] = u
 	f.store.Put(TopicServers, u.ID, u.Entry(f.settings.Service, "ready"))
 	f.replacing.Add(1)
-	go f.replace(u, listener.Addr().String())
+	go f.replace(u, crashed, listener.Addr().String())
 }
 
 // replace waits until an upstream crashes and starts the next one at its address.
-func (f *Fleet) replace(u *Upstream, address string) {
+func (f *Fleet) replace(u *Upstream, crashed <-chan struct{}, address string) {
 	defer f.replacing.Done()
 	select {
-	case <-u.crashed:
+	case <-crashed:
 	case <-f.done:
 		return
 	}
@@ -112,12 +111,15 @@
 	}
 }
 
-func (f *Fleet) recordRun(r Run, fatal bool) {
+// recordIfFatal reports whether a run crashes its upstream, and records it if so.
+func (f *Fleet) recordIfFatal(r Run) bool {
+	if !f.settings.IsFatal(r) {
+		return false
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if fatal {
-		f.fatal = append(f.fatal, r)
-	}
+	f.fatal = append(f.fatal, r)
+	return true
 }
 
 // Fatal returns the requests that reached an upstream and crash it, prefills included.
--- a/standin/emulator/upstream.go
+++ b/standin/emulator/upstream.go
@@ -75,7 +75,6 @@
 	leaving bool
 	// isFatal tells which runs crash the upstream as soon as it begins to answer them; nil if none do.
 	isFatal func(Run) bool
-	onRun   func(r Run, fatal bool)
 	// crashed is closed when a run has crashed the upstream.
 	crashed   chan struct{}
 	crashOnce sync.Once
@@ -83,11 +82,15 @@
 
 // NewUpstream starts an upstream. Its stage is "prefill" or "decode", or empty for a plain service.
 func NewUpstream(id, stage string, events int) *Upstream {
-	u := &Upstream{ID: id, Stage: stage, Events: events, handles: map[string]bool{}}
+	u := newUpstream(id, stage, events)
 	u.server = httptest.NewServer(u)
 	return u
 }
 
+func newUpstream(id, stage string, events int) *Upstream {
+	return &Upstream{ID: id, Stage: stage, Events: events, handles: map[string]bool{}}
+}
+
 // crash ends the upstream like a killed process: it refuses new connections and closes the open ones. It doesn't return.
 func (u *Upstream) crash() {
 	u.crashOnce.Do(func() {
@@ -272,9 +275,6 @@
 	}
 	u.mu.Unlock()
 	fatal := isFatal != nil && isFatal(run)
-	if u.onRun != nil {
-		u.onRun(run, fatal)
-	}
 	u.wait(r, behaviour, delay)
 	if fatal && !prefillOnly && r.Context().Err() == nil {
 		u.crash()
