Treat a stream that ends before its first event as broken off

A stream without a length and without chunks ends with its connection. An upstream that crashed as it began such a response was taken for one that had responded: the caller got an empty success, and the part of the prompt that crashed the upstream counted as answered.

Change: without framing, a stream without a complete event is broken off. The new case of TestResponsesThatEndWithTheirConnection failed before with status 200.

--- a/rosemaryspool/forwarder/attempt.go
+++ b/rosemaryspool/forwarder/attempt.go
@@ -213,7 +213,7 @@
 	}
 	var end attemptResult
 	end, outcome = e.send()
-	e.recordSurvival(end)
+	e.recordEvidence(end)
 	if end == notExecuted {
 		e.dropCache()
 	}
--- a/rosemaryspool/forwarder/crash.go
+++ b/rosemaryspool/forwarder/crash.go
@@ -42,9 +42,9 @@
 	}
 }
 
-// recordSurvival records how the upstream came through the attempt: with a complete response, or with one that broke off
+// recordEvidence records how the upstream came through the attempt: with a complete response, or with one that broke off
 // before the upstream is known to have survived the request. In that case it may have crashed.
-func (e *exchange) recordSurvival(end attemptResult) {
+func (e *exchange) recordEvidence(end attemptResult) {
 	traits := e.placementRequest().Traits()
 	if e.last.answered || len(traits) == 0 {
 		return
@@ -67,7 +67,7 @@
 		metrics.GetOrRegisterCounter("upstreamCrashes", f.registry).Inc(1)
 		f.governor.RecordEnd(time.Now(), entry)
 	case err == nil:
-		f.governor.RecordProcessSurvival(entry)
+		f.governor.RecordSurvival(entry)
 	default:
 		f.log.Debug().Err(err).Str("event", "endUnknown").Str("upstream", string(entry.Upstream)).
 			Msg("Not known whether an upstream at which a request broke off has ended")
--- a/rosemaryspool/forwarder/relay.go
+++ b/rosemaryspool/forwarder/relay.go
@@ -140,7 +140,9 @@
 				return e.streamResult()
 			}
 		}
-		if err == io.EOF && !e.events.splitter.HasPartial() {
+		// Without framing, an upstream that ends before its first event looks like one that has responded.
+		cutShort := e.events.splitter.HasPartial() || response.Unframed && e.last.firstEventAt.IsZero()
+		if err == io.EOF && !cutShort {
 			response.Close(true)
 			e.ensureHeader(response)
 			return delivered, allocator.OutcomeCompleted
--- a/rosemaryspool/gatekeeper/endless_test.go
+++ b/rosemaryspool/gatekeeper/endless_test.go
@@ -154,6 +154,7 @@
 			"stream that ends inside an event and is resumed", verdicts, events(1, 2) + "id: 3\nda", false, true,
 			http.StatusOK, events(1, 3), true,
 		},
+		{"stream without an event", notes, "", false, false, http.StatusBadGateway, "mayHaveRun\n", true},
 		{"stream that ends inside its first event", notes, "id: 1\nda", false, false, http.StatusBadGateway, "mayHaveRun\n", true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/rosemaryspool/governor/crash.go
+++ b/rosemaryspool/governor/crash.go
@@ -39,8 +39,8 @@
 	g.isolationChanged("")
 }
 
-// RecordProcessSurvival records that an upstream has not ended.
-func (g *Governor) RecordProcessSurvival(e tracker.Entry) {
+// RecordSurvival records that an upstream has not ended.
+func (g *Governor) RecordSurvival(e tracker.Entry) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.isolator.Survived(processOf(e))
