--- a/core/isolator/history_test.go
+++ b/core/isolator/history_test.go
@@ -278,7 +278,7 @@
 	h.servers[s].process = h.nextProcess()
 }
 
-// breakOff tells the instance that sent a request that it broke off. refused is true if the upstream then refuses
+// breakOff breaks off a request at the instance that sent it. refused is true if the upstream then refuses
 // connections.
 func (h *history) breakOff(f flight, refused bool) {
 	i, p, sent := h.nodes[f.origin].isolator, h.servers[f.server].process, f.sent
--- a/core/isolator/isolator.go
+++ b/core/isolator/isolator.go
@@ -1,7 +1,7 @@
 // Package isolator recognises requests that crash the upstreams that run them, and keeps them away from the others. What
 // such requests have in common is a trait. A crash takes all requests that run at the upstream, most of them sound, so
-// traits are told apart by what they have in common over several crashes: a trait is suspected if requests with it broke
-// off in several crashes and none with it has been answered since.
+// only several crashes show which trait causes them: a trait is suspected if requests with it broke off in several crashes
+// and none with it has been answered since.
 package isolator
 
 import (
@@ -9,44 +9,8 @@
 	"maps"
 	"slices"
 	"time"
-
-	"rosemaryspool.example/core/identifier"
 )
 
-// Process is one start of an upstream.
-type Process struct {
-	Upstream    identifier.UpstreamID
-	Incarnation uint64
-}
-
-// Crash is the unplanned end of a process, with the traits of requests that broke off unanswered in it.
-type Crash struct {
-	Process Process
-	At      time.Time
-	Traits  []BrokenTrait
-}
-
-// BrokenTrait is a trait of requests that broke off; SentAt is when the last of them was sent.
-type BrokenTrait struct {
-	Trait  Trait
-	SentAt time.Time
-}
-
-// add adds a trait, or a later time at which a request with it was sent.
-func (c *Crash) add(b BrokenTrait) {
-	for n := range c.Traits {
-		if c.Traits[n].Trait == b.Trait {
-			if b.SentAt.After(c.Traits[n].SentAt) {
-				c.Traits[n].SentAt = b.SentAt
-			}
-			return
-		}
-	}
-	if len(c.Traits) < maxCrashTraits {
-		c.Traits = append(c.Traits, b)
-	}
-}
-
 // Status says how requests with a trait are handled.
 type Status int
 
@@ -95,37 +59,6 @@
 	WasHeld bool
 }
 
-// suspect is what is known against a trait that has not been answered since the crashes.
-type suspect struct {
-	// crashes holds when requests with the trait were sent and broke off, by the process that crashed.
-	crashes map[Process]loss
-	// count is the number of crashes that count, latest the time of the last one.
-	count  int
-	latest time.Time
-	// trialAt is when a request with the trait was last sent although it is suspected.
-	trialAt time.Time
-	// heldSince and heldUntil bound the quarantine, term is its length.
-	heldSince time.Time
-	heldUntil time.Time
-	term      time.Duration
-	// restored is true if the quarantine comes from a record of which the age isn't known.
-	restored bool
-}
-
-// loss is when a request was sent and when it broke off in a crash.
-type loss struct{ sentAt, brokenAt time.Time }
-
-func (s *suspect) status(now time.Time, settings Settings) Status {
-	switch {
-	case now.Before(s.heldUntil):
-		return Quarantined
-	case s.count >= settings.SuspectCrashes || !s.heldUntil.IsZero():
-		return Suspected
-	default:
-		return Free
-	}
-}
-
 // Isolator keeps the evidence against traits. It is not safe for concurrent use.
 type Isolator struct {
 	settings Settings
@@ -255,20 +188,6 @@
 	return worst
 }
 
-// trialWait returns how long no trial is to be sent. After a quarantine the evidence is stronger: trials are rarer, and only
-// an instance that decides for all sends them.
-func (s *suspect) trialWait(now time.Time, deciders int, interval time.Duration) time.Duration {
-	wasHeld := !s.heldUntil.IsZero()
-	if wasHeld && deciders > 1 {
-		return interval
-	}
-	interval *= time.Duration(deciders)
-	if wasHeld {
-		interval *= probationFactor
-	}
-	return max(0, s.trialAt.Add(interval).Sub(now))
-}
-
 // Sent records that a request with these traits is sent; it is a trial of the suspected ones.
 func (i *Isolator) Sent(now time.Time, traits []Trait) {
 	for _, t := range traits {
@@ -297,15 +216,6 @@
 	return listed
 }
 
-func (s *suspect) describe(t Trait, status Status) Change {
-	c := Change{Trait: t, Status: status, Crashes: s.count, Until: s.heldUntil, Term: s.term}
-	for p := range s.crashes {
-		c.Processes = append(c.Processes, p)
-	}
-	slices.SortFunc(c.Processes, func(a, b Process) int { return s.crashes[a].brokenAt.Compare(s.crashes[b].brokenAt) })
-	return c
-}
-
 func (i *Isolator) crash(p Process) *Crash {
 	for _, c := range i.crashes {
 		if c.Process == p {
@@ -374,27 +284,6 @@
 	}
 }
 
-// recount counts the crashes that follow one from the other: those of requests that were sent after the crash before. A
-// cause outside of requests may end several upstreams together, and takes all that had been sent to them.
-func (s *suspect) recount(now time.Time, settings Settings) {
-	losses := make([]loss, 0, len(s.crashes))
-	for p, l := range s.crashes {
-		if now.Sub(l.brokenAt) > settings.CrashMemory {
-			delete(s.crashes, p)
-			continue
-		}
-		losses = append(losses, l)
-	}
-	slices.SortFunc(losses, func(a, b loss) int { return a.brokenAt.Compare(b.brokenAt) })
-	s.count, s.latest = 0, time.Time{}
-	for _, l := range losses {
-		if s.count == 0 || l.sentAt.After(s.latest) {
-			s.count++
-			s.latest = l.brokenAt
-		}
-	}
-}
-
 // makeRoom drops the quarter of the traits with the least evidence if there are too many. Quarantined ones are dropped last.
 func (i *Isolator) makeRoom() {
 	if len(i.suspects) < maxSuspects {
--- a/core/isolator/report.go
+++ b/core/isolator/report.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// Report is what an instance tells the others about crashes.
+// Report is what an instance sends to the others about crashes.
 type Report struct {
 	Crashes     []Crash
 	Answers     []Answer
@@ -41,7 +41,7 @@
 	repeatInterval = 200 * time.Millisecond
 )
 
-// outbox holds what the other instances are to be told: what this instance itself has seen.
+// outbox holds what is to be reported to the other instances: what this instance itself has seen.
 type outbox struct {
 	processes []Process
 	answers   []Answer
@@ -65,7 +65,7 @@
 	o.left, o.next = repeats, now
 }
 
-// TakeReport returns what the other instances are to be told now; it is empty if that is nothing.
+// TakeReport returns the report to the other instances that is due now; it is empty if none is.
 func (i *Isolator) TakeReport(now time.Time) Report {
 	o := &i.outbox
 	if o.left == 0 || now.Before(o.next) {
@@ -101,10 +101,6 @@
 	return r
 }
 
-func (c *Crash) clone() Crash {
-	return Crash{Process: c.Process, At: c.At, Traits: slices.Clone(c.Traits)}
-}
-
 // Learn applies the report of another instance. Reports may be lost, late, repeated and out of order.
 func (i *Isolator) Learn(now time.Time, r Report) {
 	for _, a := range r.Answers {
@@ -137,7 +133,7 @@
 }
 
 // Restore applies quarantines of which only the term is known, unless the traits are known already. Other instances that
-// know when they began correct them, and are not told of them.
+// know when they began correct them; they are not reported.
 func (i *Isolator) Restore(now time.Time, quarantines []Quarantine) {
 	for _, q := range quarantines {
 		if _, answered := i.answers.last(q.Trait); answered || i.suspects[q.Trait] != nil {
--- a/rosemaryspool/gatekeeper/crash_test.go
+++ b/rosemaryspool/gatekeeper/crash_test.go
@@ -125,7 +125,7 @@
 
 func constant(text string) func(int) string { return func(int) string { return text } }
 
-// runFatalLoad sends sound requests alone for a while, then fatal ones beside them, until observeFor after the crash with
+// runFatalLoad sends sound requests alone for a while, then fatal ones too, until observeFor after the crash with
 // this number. It returns the answers of the sound requests and when that crash was.
 func runFatalLoad(
 	t *testing.T, instances []*testInstance, fleet *emulator.Fleet, sound, fatal load, crash int, observeFor time.Duration,
--- a/rosemaryspool/gossiper/crash.go
+++ b/rosemaryspool/gossiper/crash.go
@@ -21,7 +21,7 @@
 	maxTraitsPerDatagram = 64
 )
 
-// sendCrashReports tells all other instances what this one has seen of crashes, and one of them all that it knows.
+// sendCrashReports sends what this instance has seen of crashes to all others, and all that it knows to one of them.
 func (g *Gossiper) sendCrashReports(now time.Time) {
 	report, others := g.governor.TakeCrashReport(now)
 	for _, m := range encodeCrashReport(now, report) {
--- a/rosemaryspool/governor/crash.go
+++ b/rosemaryspool/governor/crash.go
@@ -109,7 +109,7 @@
 	return released
 }
 
-// TakeCrashReport returns what the other instances are to be told of crashes now, and these instances.
+// TakeCrashReport returns the report about crashes that is due now, and the instances that get it.
 func (g *Governor) TakeCrashReport(now time.Time) (isolator.Report, []elector.Member) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/standin/emulator/fleet.go
+++ b/standin/emulator/fleet.go
@@ -20,7 +20,7 @@
 	// Delay is how long each run takes before its response, Downtime how long a crashed upstream is away.
 	Delay    time.Duration
 	Downtime time.Duration
-	// IsFatal tells which runs crash the upstream that begins to answer them.
+	// IsFatal selects the runs that crash the upstream that begins to answer them.
 	IsFatal func(Run) bool
 }
 
--- a/standin/emulator/upstream.go
+++ b/standin/emulator/upstream.go
@@ -73,7 +73,7 @@
 	retryAfter string
 	// leaving is true if all answers say that the upstream leaves.
 	leaving bool
-	// isFatal tells which runs crash the upstream as soon as it begins to answer them; nil if none do.
+	// isFatal selects the runs that crash the upstream as soon as it begins to answer them; nil for none.
 	isFatal func(Run) bool
 	// crashed is closed when a run has crashed the upstream.
 	crashed   chan struct{}
