--- a/core/isolator/isolator.go
+++ b/core/isolator/isolator.go
@@ -253,12 +253,7 @@
 // accuse counts a crash against a trait.
 func (i *Isolator) accuse(now time.Time, b BrokenTrait, c *Crash) {
 	t := b.Trait
-	s := i.suspects[t]
-	if s == nil {
-		i.makeRoom()
-		s = &suspect{crashes: map[Process]loss{}}
-		i.suspects[t] = s
-	}
+	s := i.suspect(t)
 	l := loss{sentAt: b.SentAt, brokenAt: c.At}
 	known, found := s.crashes[c.Process]
 	if found && known.sentAt.After(l.sentAt) {
@@ -284,6 +279,17 @@
 	}
 }
 
+// suspect returns what is known against a trait, and begins a record if there is none.
+func (i *Isolator) suspect(t Trait) *suspect {
+	s := i.suspects[t]
+	if s == nil {
+		i.makeRoom()
+		s = &suspect{crashes: map[Process]loss{}}
+		i.suspects[t] = s
+	}
+	return s
+}
+
 // makeRoom drops the quarter of the traits with the least evidence if there are too many. Quarantined ones are dropped last.
 func (i *Isolator) makeRoom() {
 	if len(i.suspects) < maxSuspects {
--- a/core/isolator/report.go
+++ b/core/isolator/report.go
@@ -150,12 +150,7 @@
 	if answered, known := i.answers.last(q.Trait); known && answered.After(q.Since) || !now.Before(q.Until) {
 		return
 	}
-	s := i.suspects[q.Trait]
-	if s == nil {
-		i.makeRoom()
-		s = &suspect{crashes: map[Process]loss{}}
-		i.suspects[q.Trait] = s
-	}
+	s := i.suspect(q.Trait)
 	before := s.status(now, i.settings)
 	if s.restored || q.Until.After(s.heldUntil) {
 		s.heldSince, s.heldUntil, s.term, s.restored = q.Since, q.Until, max(s.term, q.Term), false
