Log the software versions of upstreams and which streams are resumed

The logs could not tell whether a stream went on at another version because an instance resumed it there, because a caller took it up at another instance, or because an id came back under another version. The list of upstreams and the lines of ended requests now name the version, and lines of resumed streams the last event and the request that had begun the stream.

--- a/core/identifier/identifier.go
+++ b/core/identifier/identifier.go
@@ -27,6 +27,9 @@
 // ModelVersion identifies one version of a model's weights.
 type ModelVersion string
 
+// SoftwareVersion identifies the version of an upstream's own software.
+type SoftwareVersion string
+
 // ClassName identifies a work class of the configuration.
 type ClassName string
 
--- a/core/tracker/tracker.go
+++ b/core/tracker/tracker.go
@@ -43,6 +43,8 @@
 	Slots      int
 	Role       Role
 	Leaving    bool
+	// Version is that of the upstream's software; empty when unknown.
+	Version identifier.SoftwareVersion
 	// Incarnation increases with each start of an upstream under the same id; zero when unknown.
 	Incarnation uint64
 }
--- a/rosemaryspool/forwarder/attempt.go
+++ b/rosemaryspool/forwarder/attempt.go
@@ -93,7 +93,7 @@
 
 // describe adds the load behind the placement and the progress of the attempt to a log line.
 func (a attempt) describe(line *zerolog.Event) *zerolog.Event {
-	line = line.Str("upstream", string(a.placement.Upstream)).Dur("predictedMs", a.placement.Predicted).
+	line = line.Str("upstream", string(a.placement.Upstream)).Str("upstreamVersion", string(a.entry.Version)).Dur("predictedMs", a.placement.Predicted).
 		Int("upstreamStatus", a.status)
 	line = describeLoad(line, a.placement.Ahead, a.placement.Arbiter)
 	if a.placement.Prefiller != "" {
--- a/rosemaryspool/forwarder/forwarder.go
+++ b/rosemaryspool/forwarder/forwarder.go
@@ -287,6 +287,9 @@
 	if r.retry > 0 {
 		line = line.Dur("retryAfterMs", r.retry)
 	}
+	if e.caller.LastEventID != "" {
+		line = line.Str("resumedAfter", e.caller.LastEventID).Str("resumes", string(e.caller.Resumes))
+	}
 	if e.caller.PromptTokens > 0 {
 		line = line.Int("promptTokens", int(e.caller.PromptTokens)).Int("maxOutput", int(e.caller.MaxOutput)).
 			Int("expectedOutput", int(e.caller.ExpectedOutput))
--- a/rosemaryspool/governor/governor.go
+++ b/rosemaryspool/governor/governor.go
@@ -138,7 +138,7 @@
 		Array("entries", entryList(entries)).Msg("List of upstreams changed")
 }
 
-// entryList is logged as an array of id:role:state:incarnation.
+// entryList is logged as an array of id:role:state:incarnation:version.
 type entryList []tracker.Entry
 
 // MarshalZerologArray implements zerolog.LogArrayMarshaler.
@@ -148,7 +148,7 @@
 		if e.Leaving {
 			state = "leaving"
 		}
-		a.Str(fmt.Sprintf("%s:%s:%s:%d", e.Upstream, e.Role, state, e.Incarnation))
+		a.Str(fmt.Sprintf("%s:%s:%s:%d:%s", e.Upstream, e.Role, state, e.Incarnation, e.Version))
 	}
 }
 
