--- a/rosemaryspool/gatekeeper/gatekeeper_test.go
+++ b/rosemaryspool/gatekeeper/gatekeeper_test.go
@@ -27,13 +27,14 @@
 	"rosemaryspool.example/standin/emulator"
 )
 
-// Path prefixes of the routes in the test configuration: a non-idempotent one, an idempotent one, and two streaming
-// ones, of which verdicts is resumable.
+// Path prefixes of the routes in the test configuration: a non-idempotent one, an idempotent one, and three streaming
+// ones, of which verdicts and dialogs are resumable; dialogs only by callers.
 const (
 	orders   = "/orders/"
 	lookups  = "/lookups/"
 	verdicts = "/verdicts/"
 	notes    = "/notes/"
+	dialogs  = "/dialogs/"
 )
 
 const routeTable = `{"version":%d,"routes":[
@@ -44,7 +45,9 @@
 {"name":"verdicts","host":"h.example","path-prefix":"/verdicts/","kind":"streaming","timeout-ms":2000,
  "target-latency-ms":120,"priority":0,"max-attempts":2,"resumable":true,"service":"model"},
 {"name":"notes","host":"h.example","path-prefix":"/notes/","kind":"streaming","timeout-ms":2000,
- "target-latency-ms":200,"priority":1,"max-attempts":1,"service":"model"}],
+ "target-latency-ms":200,"priority":1,"max-attempts":1,"service":"model"},
+{"name":"dialogs","host":"h.example","path-prefix":"/dialogs/","kind":"streaming","timeout-ms":2000,
+ "target-latency-ms":200,"priority":1,"max-attempts":1,"resumable":true,"service":"model"}],
 "services":[{"name":"plain","max-connections":100},{"name":"model","max-connections":100,"engine":{"slots":6}}]}`
 
 // anyAddress makes the operating system choose a free port.
--- a/standin/emulator/header.go
+++ b/standin/emulator/header.go
@@ -14,6 +14,8 @@
 	HeaderSource      = "Rosemaryspool-Kv-Source"
 	HeaderPriority    = "Rosemaryspool-Request-Priority"
 	HeaderPin         = "Rosemaryspool-Pin-Ms"
+	HeaderLastEvent   = "Last-Event-Id"
+	HeaderResumes     = "Resumes"
 	HeaderLimit       = "Server-Limit"
 	HeaderLeaving     = "Server-Leaving"
 	HeaderEra         = "Store-Era"
--- a/standin/emulator/upstream.go
+++ b/standin/emulator/upstream.go
@@ -36,6 +36,8 @@
 	SkipsEvent
 	// Hangs runs the request and never responds.
 	Hangs
+	// TruncatesNew truncates the streams that begin at the upstream, and completes those that are resumed there.
+	TruncatesNew
 )
 
 // Run is a request as it reached an upstream, which ran or rejected it.
@@ -55,7 +57,9 @@
 	ID     string
 	Events int
 	Stage  string
-	server *httptest.Server
+	// Version is that of the upstream's software.
+	Version string
+	server  *httptest.Server
 
 	mu        sync.Mutex
 	behaviour Behaviour
@@ -88,7 +92,7 @@
 }
 
 func newUpstream(id, stage string, events int) *Upstream {
-	return &Upstream{ID: id, Stage: stage, Events: events, handles: map[string]bool{}}
+	return &Upstream{ID: id, Stage: stage, Events: events, Version: "v1", handles: map[string]bool{}}
 }
 
 // crash ends the upstream like a killed process: it refuses new connections and closes the open ones. It doesn't return.
@@ -118,8 +122,8 @@
 // EntryAt returns the upstream's record in the store with the address of a proxy in front of it.
 func (u *Upstream) EntryAt(address, service, state string) []byte {
 	return fmt.Appendf(nil,
-		`{"service":%q,"address":%q,"zone":"here","version":"v1","slots":6,"state":%q,"stage":%q,"sequence":1,"born":1}`,
-		service, address, state, u.Stage)
+		`{"service":%q,"address":%q,"zone":"here","version":%q,"slots":6,"state":%q,"stage":%q,"sequence":1,"born":1}`,
+		service, address, u.Version, state, u.Stage)
 }
 
 // SetBehaviour sets how the upstream responds to the requests that follow.
@@ -380,12 +384,13 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.WriteHeader(http.StatusOK)
 	last := 0
-	_, _ = fmt.Sscan(r.Header.Get("Last-Event-Id"), &last)
+	_, _ = fmt.Sscan(r.Header.Get(HeaderLastEvent), &last)
+	truncates := behaviour == Truncates || behaviour == TruncatesNew && last == 0
 	for event := last + 1; event <= u.Events; event++ {
 		if behaviour == SkipsEvent && event == u.Events-1 {
 			continue
 		}
-		if behaviour == Truncates && event == u.Events/2+1 {
+		if truncates && event == u.Events/2+1 {
 			_, _ = fmt.Fprintf(w, "id: %d\nda", event)
 			_ = http.NewResponseController(w).Flush()
 			panic(http.ErrAbortHandler)
