Resume streams only at the software version that began them

Callers got responses with events of two software versions of a back end, which don't fit together.

core/resumer keeps the origin of each resumable stream until its caller has given up. Work reports tell the arbiter and the stand-by while several versions serve; an instance that doesn't know asks these two, then all. Where nobody knows, the request is refused unless the service has one version. The allocator places a resumed stream at its version alone, and prompts are prefilled at the version that decodes them. Streams that callers take up are admitted like those that the instance resumes.

--- a/core/allocator/allocator_test.go
+++ b/core/allocator/allocator_test.go
@@ -450,3 +450,78 @@
 		})
 	}
 }
+
+func TestStreamGoesOnOnlyAtItsVersion(t *testing.T) {
+	now := time.Now()
+	entry := func(id identifier.UpstreamID, version identifier.SoftwareVersion, leaving bool) tracker.Entry {
+		return tracker.Entry{
+			Upstream: id, Service: model, Slots: 6, Role: tracker.RoleDecode, DataCentre: "here", Version: version, Leaving: leaving,
+		}
+	}
+	for _, c := range []struct {
+		name     string
+		entries  []tracker.Entry
+		excluded []identifier.UpstreamID
+		upstream identifier.UpstreamID
+	}{
+		{"one has it", []tracker.Entry{entry("a", "v2", false), entry("b", "v1", false), entry("c", "", false)}, nil, "b"},
+		{"none has it", []tracker.Entry{entry("a", "v2", false), entry("b", "", false)}, nil, ""},
+		{"the one that has it leaves", []tracker.Entry{entry("a", "v2", false), entry("b", "v1", true)}, nil, ""},
+		{
+			"it broke off where it began",
+			[]tracker.Entry{entry("a", "v1", false), entry("b", "v1", false), entry("c", "v2", false)},
+			[]identifier.UpstreamID{"a"},
+			"b",
+		},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			a := NewAllocator(DefaultSettings(), "here")
+			a.SetUpstreams(c.entries)
+			version := identifier.SoftwareVersion("v1")
+			req := longPromptRequest(1, 3000)
+			req.Version, req.Excluded = &version, c.excluded
+			for range 20 {
+				place, refusal := a.Place(now, req)
+				if c.upstream == "" {
+					require.Equal(t, ReasonNoVersion, refusal.Reason)
+					require.Positive(t, refusal.RetryAfter)
+					continue
+				}
+				require.Nil(t, refusal)
+				require.Equal(t, c.upstream, place.Upstream)
+				a.Ended(now, now, place, OutcomeCompleted)
+			}
+		})
+	}
+}
+
+func TestPromptsArePrefilledAtTheVersionThatDecodes(t *testing.T) {
+	now := time.Now()
+	a := newTestAllocator(4, 2)
+	entries := make([]tracker.Entry, 0, 6)
+	for i, u := range a.services[model] {
+		e := u.entry
+		e.Version = []identifier.SoftwareVersion{"v1", "v2", "v3"}[i%3]
+		if e.Role == tracker.RolePrefill {
+			// One of them has no decode engine of its version.
+			e.Version = []identifier.SoftwareVersion{"v2", "v4"}[i%2]
+		}
+		entries = append(entries, e)
+	}
+	a.SetUpstreams(entries)
+	split := 0
+	for i := range 30 {
+		place, refusal := a.Place(now, longPromptRequest(i, 3000))
+		if refusal != nil {
+			break
+		}
+		if place.Prefiller == "" {
+			continue
+		}
+		split++
+		decoder, _ := a.Entry(place.Upstream)
+		prefiller, _ := a.Entry(place.Prefiller)
+		require.Equal(t, decoder.Version, prefiller.Version)
+	}
+	require.Positive(t, split)
+}
--- a/core/allocator/placement.go
+++ b/core/allocator/placement.go
@@ -33,6 +33,8 @@
 	RateShare float64
 	// Resumed is true for a stream of which the caller has received a part already.
 	Resumed bool
+	// Version is the software version at which the stream began that the request goes on with; nil if any will do.
+	Version *identifier.SoftwareVersion
 }
 
 // Traits returns what the request may have in common with others that crash upstreams: all parts of its prompt but the
@@ -56,6 +58,9 @@
 	return total
 }
 
+// Accepts reports whether an upstream has the version that the request needs.
+func (r Request) Accepts(e tracker.Entry) bool { return r.Version == nil || *r.Version == e.Version }
+
 // Placement is where a request runs. The allocator counts its work until Ended is called.
 type Placement struct {
 	// Upstream runs the request.
@@ -114,6 +119,8 @@
 	ReasonLimited Reason = "limited"
 	// ReasonWaiting means that every upstream has asked this instance to send no requests for a while.
 	ReasonWaiting Reason = "waiting"
+	// ReasonNoVersion means that no usable upstream has the version at which the stream began.
+	ReasonNoVersion Reason = "noVersion"
 	// ReasonSuspected means that requests like this one may have crashed upstreams, and that one of them is tried already.
 	ReasonSuspected Reason = "suspected"
 	// ReasonQuarantined means that requests like this one crash upstreams.
@@ -247,6 +254,9 @@
 // retry is worthwhile as soon as one of them takes requests again.
 func (d *decision) refuseWithoutOption() *Refusal {
 	r := &Refusal{Reason: ReasonNoUpstream, RetryAfter: d.allocator.settings.RetryAfter}
+	if d.req.Version != nil {
+		r.Reason = ReasonNoVersion
+	}
 	for i, u := range d.waiting {
 		if wait, reason := d.wish(u); i == 0 || wait < r.RetryAfter {
 			r.RetryAfter, r.Reason, r.Upstream, r.Ahead = wait, reason, u.entry.Upstream, u.load()
@@ -292,24 +302,27 @@
 	for _, u := range runners {
 		consider(d.directOption(u, aff))
 	}
-	runner := d.leastLoaded(runners)
-	if d.req.SingleUpstream || runner == nil {
+	if d.req.SingleUpstream || len(prefillers) == 0 {
 		return best
 	}
+	byVersion := d.leastLoaded(runners)
 	for _, u := range prefillers {
-		consider(d.splitOption(u, runner, aff))
+		// An engine can't use what another version has prefilled.
+		if runner := byVersion[u.entry.Version]; runner != nil {
+			consider(d.splitOption(u, runner, aff))
+		}
 	}
 	return best
 }
 
-// candidates returns the usable upstreams: those that run requests and those that only prefill. Leaving ones, those that
-// the request excludes and those that want no request now are never usable.
+// candidates returns the usable upstreams: those that run requests and those that only prefill. Leaving ones, those of
+// another version than the request needs, those that it excludes and those that want no request now are never usable.
 func (d *decision) candidates(includeEjected bool) (runners, prefillers []*upstream) {
 	d.waiting = nil
 	for _, u := range d.allocator.services[d.req.Service] {
 		wait, _ := d.wish(u)
 		switch {
-		case u.entry.Leaving || slices.Contains(d.req.Excluded, u.entry.Upstream):
+		case u.entry.Leaving || !d.req.Accepts(u.entry) || slices.Contains(d.req.Excluded, u.entry.Upstream):
 		case !includeEjected && d.allocator.isExcluded(d.now, d.dataCentre, u):
 		case wait > 0:
 			if u.entry.Role != tracker.RolePrefill {
@@ -379,19 +392,20 @@
 	return time.Duration(u.load().Long) * d.allocator.settings.LongAnswerPenalty
 }
 
-// leastLoaded returns the engine with the lowest cost of decoding a prompt that another engine prefills: mainly the wait
-// for a slot, the cost of another data centre and, for a long answer, of the long answers there; then 1 ms for each
-// short answer, also for those that await their prefill elsewhere, and a quarter of the queued prefill's time.
-func (d *decision) leastLoaded(runners []*upstream) *upstream {
-	var best *upstream
-	var least time.Duration
+// leastLoaded returns the engine of each version with the lowest cost of decoding a prompt that another engine prefills:
+// mainly the wait for a slot, the cost of another data centre and, for a long answer, of the long answers there; then 1 ms
+// for each short answer, also for those that await their prefill elsewhere, and a quarter of the queued prefill's time.
+func (d *decision) leastLoaded(runners []*upstream) map[identifier.SoftwareVersion]*upstream {
+	best := map[identifier.SoftwareVersion]*upstream{}
+	least := map[identifier.SoftwareVersion]time.Duration{}
 	for _, u := range runners {
+		version := u.entry.Version
 		load := u.load()
 		cost := d.slotWait(u, load.AwaitingPrefill) + d.remoteCost(u) +
 			time.Duration(load.Short+load.AwaitingPrefill)*time.Millisecond +
 			d.paced(u, d.timings.mixedPrefill.slope(load.QueuedPrefill))/4 + d.longAnswerCost(u)
-		if best == nil || cost < least {
-			best, least = u, cost
+		if best[version] == nil || cost < least[version] {
+			best[version], least[version] = u, cost
 		}
 	}
 	return best
--- /dev/null
+++ b/core/resumer/resumer.go
@@ -0,0 +1,200 @@
+// Package resumer remembers at which software version streams began. What two versions of an upstream write doesn't fit
+// together, so a stream that broke off may go on only at its own version.
+package resumer
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"time"
+
+	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/core/tracker"
+)
+
+// StreamID is the hash of the request that brought a stream's first event.
+type StreamID uint64
+
+// NewStreamID returns the id of the stream that a request begins. The hash is cryptographic, so that no caller can choose
+// a request id whose stream takes the place of another one.
+func NewStreamID(id identifier.RequestID) StreamID {
+	sum := sha256.Sum256([]byte(id))
+	return StreamID(binary.BigEndian.Uint64(sum[:]))
+}
+
+// Origin is where a stream began.
+type Origin struct {
+	Stream  StreamID
+	Service identifier.ServiceName
+	Version identifier.SoftwareVersion
+	// Until is when the caller has given up, so that the stream won't be resumed any more.
+	Until time.Time
+}
+
+// Recipient is an instance that is told of the streams that begin here.
+type Recipient int
+
+// Recipients of reports.
+const (
+	// Arbiter places the service's requests.
+	Arbiter Recipient = iota
+	// StandBy takes over when the arbiter fails.
+	StandBy
+
+	recipients
+)
+
+const (
+	// memory is how long a stream may be resumed at most, and so how long the versions count that are no longer listed.
+	memory = time.Minute
+	// maxOrigins bounds the streams that are remembered, maxUnreported those of a service that wait for a report.
+	maxOrigins    = 1 << 16
+	maxUnreported = 512
+	// maxReported bounds the streams in a report, which must fit into a datagram.
+	maxReported = 16
+	// expiryInterval is the time between two searches for streams that are no longer resumed.
+	expiryInterval = time.Second
+)
+
+// Resumer holds the origins of streams and the versions of the services' upstreams. It is not safe for concurrent use.
+type Resumer struct {
+	origins   map[StreamID]Origin
+	services  map[identifier.ServiceName]*service
+	expiredAt time.Time
+}
+
+// service holds what is known of one service.
+type service struct {
+	// listed holds the versions of the upstreams that are listed; gone holds since when the others are not.
+	listed map[identifier.SoftwareVersion]bool
+	gone   map[identifier.SoftwareVersion]time.Time
+	// unreported holds the streams that have begun here, the oldest one first.
+	unreported [recipients][]Origin
+}
+
+// NewResumer returns a resumer that knows no streams and no versions.
+func NewResumer() *Resumer {
+	return &Resumer{origins: map[StreamID]Origin{}, services: map[identifier.ServiceName]*service{}}
+}
+
+func (r *Resumer) service(name identifier.ServiceName) *service {
+	s := r.services[name]
+	if s == nil {
+		s = &service{
+			listed: map[identifier.SoftwareVersion]bool{}, gone: map[identifier.SoftwareVersion]time.Time{},
+		}
+		r.services[name] = s
+	}
+	return s
+}
+
+// SetUpstreams replaces the list of upstreams.
+func (r *Resumer) SetUpstreams(now time.Time, entries []tracker.Entry) {
+	for _, s := range r.services {
+		for v := range s.listed {
+			s.gone[v] = now
+		}
+		clear(s.listed)
+	}
+	for _, e := range entries {
+		s := r.service(e.Service)
+		s.listed[e.Version] = true
+		delete(s.gone, e.Version)
+	}
+}
+
+// Began records that a stream has begun here.
+func (r *Resumer) Began(now time.Time, o Origin) {
+	r.Learn(now, o)
+	s := r.service(o.Service)
+	for i := range s.unreported {
+		unreported := append(s.unreported[i], o)
+		s.unreported[i] = unreported[max(0, len(unreported)-maxUnreported):]
+	}
+}
+
+// Learn records the origins of streams that began at other instances.
+func (r *Resumer) Learn(now time.Time, origins ...Origin) {
+	for _, o := range origins {
+		if last := now.Add(memory); o.Until.After(last) {
+			o.Until = last
+		}
+		if len(r.origins) >= maxOrigins {
+			r.Expire(now)
+		}
+		if len(r.origins) < maxOrigins {
+			r.origins[o.Stream] = o
+		}
+	}
+}
+
+// Origin returns the origin of a stream, and false if it is not known.
+func (r *Resumer) Origin(now time.Time, id StreamID) (Origin, bool) {
+	o, known := r.origins[id]
+	return o, known && now.Before(o.Until)
+}
+
+// SoleVersion returns the version at which all streams of a service began that may still be resumed. It returns false if
+// there are several or none.
+func (r *Resumer) SoleVersion(now time.Time, name identifier.ServiceName) (identifier.SoftwareVersion, bool) {
+	s := r.service(name)
+	var sole identifier.SoftwareVersion
+	count := 0
+	for v := range s.listed {
+		sole = v
+		count++
+	}
+	for v, since := range s.gone {
+		if now.Sub(since) < memory {
+			sole = v
+			count++
+		}
+	}
+	return sole, count == 1
+}
+
+// ReportDue reports whether there are streams that a recipient has to be told of. There are none while the service has
+// only one version.
+func (r *Resumer) ReportDue(now time.Time, name identifier.ServiceName, to Recipient) bool {
+	if len(r.service(name).unreported[to]) == 0 {
+		return false
+	}
+	_, single := r.SoleVersion(now, name)
+	return !single
+}
+
+// TakeReport returns the streams that have begun here, for a recipient that has not been told of them.
+func (r *Resumer) TakeReport(now time.Time, name identifier.ServiceName, to Recipient) []Origin {
+	if !r.ReportDue(now, name, to) {
+		return nil
+	}
+	s := r.service(name)
+	var report []Origin
+	for len(s.unreported[to]) > 0 && len(report) < maxReported {
+		// Streams that began while there was only one version may have ended long ago.
+		if o := s.unreported[to][0]; now.Before(o.Until) {
+			report = append(report, o)
+		}
+		s.unreported[to] = s.unreported[to][1:]
+	}
+	return report
+}
+
+// Expire forgets the streams that are no longer resumed and the versions that have been gone for long.
+func (r *Resumer) Expire(now time.Time) {
+	if now.Sub(r.expiredAt) < expiryInterval {
+		return
+	}
+	r.expiredAt = now
+	for id, o := range r.origins {
+		if !now.Before(o.Until) {
+			delete(r.origins, id)
+		}
+	}
+	for _, s := range r.services {
+		for v, since := range s.gone {
+			if now.Sub(since) >= memory {
+				delete(s.gone, v)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/core/resumer/resumer_test.go
@@ -0,0 +1,115 @@
+package resumer
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/core/tracker"
+)
+
+const model identifier.ServiceName = "model"
+
+// list returns the entries of upstreams with these versions.
+func list(versions ...identifier.SoftwareVersion) []tracker.Entry {
+	var entries []tracker.Entry
+	for i, v := range versions {
+		entries = append(entries, tracker.Entry{
+			Upstream: identifier.UpstreamID(fmt.Sprint("u", i)), Service: model, Version: v,
+		})
+	}
+	return entries
+}
+
+func TestSoleVersion(t *testing.T) {
+	start := time.Now()
+	for _, c := range []struct {
+		name string
+		// lists are the lists of upstreams, one second apart; the version is asked for after a further time.
+		lists [][]tracker.Entry
+		after time.Duration
+		sole  identifier.SoftwareVersion
+		known bool
+	}{
+		{"no upstream yet", nil, 0, "", false},
+		{"one version", [][]tracker.Entry{list("v1", "v1")}, 0, "v1", true},
+		{"unnamed version", [][]tracker.Entry{list("")}, 0, "", true},
+		{"two versions", [][]tracker.Entry{list("v1", "v2")}, 0, "", false},
+		{"the other one has just gone", [][]tracker.Entry{list("v1", "v2"), list("v2")}, time.Second, "", false},
+		{"the other one is gone for long", [][]tracker.Entry{list("v1", "v2"), list("v2")}, memory, "v2", true},
+		{"all have just gone", [][]tracker.Entry{list("v1"), list()}, time.Second, "v1", true},
+		{"came back", [][]tracker.Entry{list("v1"), list("v2"), list("v1")}, time.Second, "", false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := NewResumer()
+			now := start
+			for _, entries := range c.lists {
+				now = now.Add(time.Second)
+				r.SetUpstreams(now, entries)
+			}
+			sole, known := r.SoleVersion(now.Add(c.after), model)
+			require.Equal(t, c.known, known)
+			if known {
+				require.Equal(t, c.sole, sole)
+			}
+		})
+	}
+}
+
+func TestOriginsAreKnownUntilCallersGiveUp(t *testing.T) {
+	now := time.Now()
+	r := NewResumer()
+	id := NewStreamID("s1")
+	r.Began(now, Origin{Stream: id, Service: model, Version: "v1", Until: now.Add(2 * time.Second)})
+	o, known := r.Origin(now.Add(time.Second), id)
+	require.True(t, known)
+	require.Equal(t, identifier.SoftwareVersion("v1"), o.Version)
+	require.Equal(t, model, o.Service)
+	_, known = r.Origin(now.Add(2*time.Second), id)
+	require.False(t, known)
+	r.Expire(now.Add(3 * time.Second))
+	require.Empty(t, r.origins)
+}
+
+func TestEachRecipientIsToldOnceOfStreams(t *testing.T) {
+	now := time.Now()
+	r := NewResumer()
+	r.SetUpstreams(now, list("v1"))
+	began := func(id identifier.RequestID, lifetime time.Duration) Origin {
+		o := Origin{Stream: NewStreamID(id), Service: model, Version: "v1", Until: now.Add(lifetime)}
+		r.Began(now, o)
+		return o
+	}
+	began("short", time.Second)
+	long := began("long", time.Minute)
+	require.Empty(t, r.TakeReport(now, model, Arbiter), "there is only one version")
+	now = now.Add(2 * time.Second)
+	r.SetUpstreams(now, list("v1", "v2"))
+	require.Equal(t, []Origin{long}, r.TakeReport(now, model, Arbiter))
+	require.Empty(t, r.TakeReport(now, model, Arbiter))
+	require.Equal(t, []Origin{long}, r.TakeReport(now, model, StandBy))
+	for i := range maxReported + 1 {
+		began(identifier.RequestID(fmt.Sprint(i)), time.Minute)
+	}
+	require.Len(t, r.TakeReport(now, model, Arbiter), maxReported)
+	require.Len(t, r.TakeReport(now, model, Arbiter), 1)
+}
+
+func TestOriginsAreBounded(t *testing.T) {
+	now := time.Now()
+	r := NewResumer()
+	r.SetUpstreams(now, list("v1", "v2"))
+	for i := range 2 * maxOrigins {
+		r.Began(now, Origin{Stream: StreamID(i), Service: model, Version: "v1", Until: now.Add(time.Minute)})
+	}
+	require.Len(t, r.origins, maxOrigins)
+	require.Len(t, r.services[model].unreported[Arbiter], maxUnreported)
+	// Room is made as soon as streams are no longer resumed.
+	now = now.Add(time.Minute)
+	r.Began(now, Origin{Stream: 1 << 40, Service: model, Version: "v2", Until: now.Add(time.Minute)})
+	_, known := r.Origin(now, 1<<40)
+	require.True(t, known)
+}
--- a/rosemaryspool/delegator/delegator.go
+++ b/rosemaryspool/delegator/delegator.go
@@ -42,6 +42,9 @@
 
 	mu      sync.Mutex
 	waiting map[uint64]chan *messenger.PlacementReply
+	// queries holds the queries for origins of streams that wait for replies, by number; lastQuery is the latest number.
+	queries   map[uint64]chan streamReply
+	lastQuery uint64
 }
 
 // NewDelegator returns a delegator that asks other instances over c.
@@ -50,7 +53,7 @@
 ) *Delegator {
 	return &Delegator{
 		governor: g, courier: c, log: log, alone: metrics.GetOrRegisterCounter("placedAlone", registry),
-		waiting: map[uint64]chan *messenger.PlacementReply{},
+		waiting: map[uint64]chan *messenger.PlacementReply{}, queries: map[uint64]chan streamReply{},
 	}
 }
 
@@ -132,7 +135,7 @@
 	case <-timer.C:
 	case <-ctx.Done():
 	}
-	if result == decided && d.isOutdated(placement, refusal) {
+	if result == decided && d.isOutdated(request, placement, refusal) {
 		result = outdated
 		d.log.Info().Str("event", "placementOutdated").Str("arbiter", string(arbiter.Instance)).
 			Str("upstream", string(placement.Upstream)).Str("prefiller", string(placement.Prefiller)).
@@ -147,14 +150,23 @@
 }
 
 // isOutdated reports whether an arbiter's decision rests on older knowledge of the upstreams: it chose one that this
-// instance knows to be leaving, gone or asking it to wait, or knows none for the service.
-func (d *Delegator) isOutdated(placement allocator.Placement, refusal *allocator.Refusal) bool {
+// instance knows to be leaving, gone, asking it to wait or of another version than needed, or knows none that will do.
+func (d *Delegator) isOutdated(
+	request allocator.Request, placement allocator.Placement, refusal *allocator.Refusal,
+) bool {
 	if refusal != nil {
-		return refusal.Reason == allocator.ReasonNoUpstream
+		return refusal.Reason == allocator.ReasonNoUpstream || refusal.Reason == allocator.ReasonNoVersion
 	}
 	now := time.Now()
-	return !d.governor.AcceptsWork(now, placement.Upstream) ||
-		placement.Prefiller != "" && !d.governor.AcceptsWork(now, placement.Prefiller)
+	entry, _ := d.governor.Entry(placement.Upstream)
+	if !d.governor.AcceptsWork(now, placement.Upstream) || !request.Accepts(entry) {
+		return true
+	}
+	if placement.Prefiller == "" {
+		return false
+	}
+	prefiller, _ := d.governor.Entry(placement.Prefiller)
+	return !d.governor.AcceptsWork(now, placement.Prefiller) || prefiller.Version != entry.Version
 }
 
 // HandleReply passes an arbiter's reply to the request that waits for it.
--- a/rosemaryspool/delegator/delegator_test.go
+++ b/rosemaryspool/delegator/delegator_test.go
@@ -16,6 +16,7 @@
 	"rosemaryspool.example/core/budgeter"
 	"rosemaryspool.example/core/elector"
 	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/core/resumer"
 	"rosemaryspool.example/core/tracker"
 	"rosemaryspool.example/rosemaryspool/courier"
 	"rosemaryspool.example/rosemaryspool/gossiper"
@@ -109,6 +110,10 @@
 		n.delegator.HandleRequest(r, body.PlacementRequest)
 	case *messenger.Datagram_PlacementReply:
 		n.delegator.HandleReply(r, body.PlacementReply)
+	case *messenger.Datagram_StreamQuery:
+		n.delegator.HandleStreamQuery(r, body.StreamQuery)
+	case *messenger.Datagram_StreamReply:
+		n.delegator.HandleStreamReply(r, body.StreamReply)
 	}
 }
 
@@ -282,6 +287,73 @@
 	}
 }
 
+func TestArbiterWithAnOlderListDoesNotMixVersions(t *testing.T) {
+	nodes := newNodes(t, 3, 2)
+	version := identifier.SoftwareVersion("v1")
+	for i, n := range nodes {
+		n.governor.UpdateUpstreams(time.Now(), governor.Origin{}, func(tr *tracker.Tracker) bool {
+			for _, e := range []tracker.Entry{
+				{Upstream: "u0", Version: "v1", Incarnation: 1},
+				{Upstream: "u1", Version: "v1", Incarnation: 1},
+				{Upstream: "u0", Version: "v2", Incarnation: 2},
+			} {
+				// Only the sender knows that u0 has come back under another version.
+				if e.Incarnation == 1 || i == 2 {
+					e.Service, e.Slots = service, 1
+					tr.Update(e, 1000+e.Incarnation)
+				}
+			}
+			return true
+		})
+	}
+	for range 4 {
+		placement, refusal := nodes[2].delegator.Place(context.Background(), allocator.Request{
+			Service: service, Target: time.Second, TimeToTarget: time.Second, TimeToDeadline: 2 * time.Second,
+			Version: &version, Resumed: true,
+		})
+		require.Nil(t, refusal)
+		require.EqualValues(t, "u1", placement.Upstream)
+		nodes[2].governor.Ended(time.Now(), time.Now(), placement, allocator.OutcomeCancelled)
+	}
+}
+
+func TestOriginOfAStreamIsFound(t *testing.T) {
+	const count = 5
+	id := resumer.NewStreamID("s")
+	for _, c := range []struct {
+		name string
+		// knows holds the instances that know the origin, deaf those that get no datagrams.
+		knows, deaf []int
+		found       bool
+	}{
+		{"by the instance itself", []int{4}, []int{0, 1, 2, 3}, true},
+		{"by the arbiter", []int{0}, nil, true},
+		{"by the stand-by of a dead arbiter", []int{1}, []int{0}, true},
+		{"by the instance at which it began", []int{3}, []int{0, 1}, true},
+		{"by nobody", nil, nil, false},
+		{"by a dead instance", []int{0}, []int{0}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			nodes := newNodes(t, count, 2)
+			origin := resumer.Origin{Stream: id, Service: service, Version: "v1", Until: time.Now().Add(time.Minute)}
+			for _, i := range c.knows {
+				nodes[i].governor.LearnStream(time.Now(), origin)
+			}
+			for _, i := range c.deaf {
+				nodes[i].deaf.Store(true)
+			}
+			started := time.Now()
+			got, found := nodes[count-1].delegator.StreamOrigin(context.Background(), service, id)
+			require.Less(t, time.Since(started), 4*replyTimeout)
+			require.Equal(t, c.found, found)
+			if found {
+				require.EqualValues(t, "v1", got.Version)
+				require.Equal(t, service, got.Service)
+			}
+		})
+	}
+}
+
 func TestPlacementsSurviveEncoding(t *testing.T) {
 	placement := allocator.Placement{
 		Upstream: "u", Prefiller: "p", Predicted: 90 * time.Millisecond, Tokens: 4000, Long: true, Arbiter: "a",
@@ -303,7 +375,9 @@
 		require.Equal(t, c.placement, got, c.name)
 		require.Equal(t, c.refusal, gotRefusal, c.name)
 	}
+	version := identifier.SoftwareVersion("")
 	request := allocator.Request{
+		Version: &version,
 		Service: service, Engine: true, Prompt: []allocator.PromptPart{{Hash: 1 << 63, Tokens: 5}}, Output: 7,
 		TimeToTarget: -time.Second, Target: time.Second, TimeToDeadline: 2 * time.Second,
 		Excluded: []identifier.UpstreamID{"x"}, SingleUpstream: true, Resumed: true,
--- a/rosemaryspool/delegator/encoder.go
+++ b/rosemaryspool/delegator/encoder.go
@@ -23,6 +23,9 @@
 	for _, part := range r.Prompt {
 		m.Prompt = append(m.Prompt, &messenger.PromptPart{Hash: part.Hash, Tokens: uint32(part.Tokens)})
 	}
+	if r.Version != nil {
+		m.Version = (*string)(r.Version)
+	}
 	for _, id := range r.Excluded {
 		m.Excluded = append(m.Excluded, string(id))
 	}
@@ -37,6 +40,9 @@
 		TimeToDeadline: time.Duration(m.GetToDeadlineMs()) * time.Millisecond,
 		SingleUpstream: m.GetSingleUpstream(), Resumed: m.GetResumed(), Content: isolator.Trait(m.GetContent()),
 	}
+	if m.Version != nil {
+		r.Version = (*identifier.SoftwareVersion)(m.Version)
+	}
 	for _, part := range m.GetPrompt() {
 		r.Prompt = append(r.Prompt, allocator.PromptPart{Hash: part.GetHash(), Tokens: identifier.Tokens(part.GetTokens())})
 	}
--- a/rosemaryspool/forwarder/attempt.go
+++ b/rosemaryspool/forwarder/attempt.go
@@ -206,8 +206,9 @@
 			return notExecuted
 		}
 	}
-	if !e.forwarder.governor.AcceptsWork(time.Now(), placement.Upstream) {
-		// The upstream began to leave during the prefill, or asked this instance to wait.
+	if current, _ := e.forwarder.governor.Entry(placement.Upstream); current.Incarnation != entry.Incarnation ||
+		!e.forwarder.governor.AcceptsWork(time.Now(), placement.Upstream) {
+		// The upstream restarted or began to leave during the prefill, or asked this instance to wait.
 		e.dropCache()
 		return notExecuted
 	}
--- a/rosemaryspool/forwarder/forwarder.go
+++ b/rosemaryspool/forwarder/forwarder.go
@@ -132,7 +132,9 @@
 	// headerSent is true once the response's status and headers are written to the caller.
 	headerSent bool
 	events     *eventWriter
-	last       attempt
+	// streamVersion is the software version at which the stream began; nil before its first event.
+	streamVersion *identifier.SoftwareVersion
+	last          attempt
 	// refusal is why the next dispatch could not be placed; nil when it could.
 	refusal *allocator.Refusal
 }
@@ -153,11 +155,14 @@
 		return r
 	}
 	e.service = route.PickService(rand.Float64())
-	e.engine = table.Configuration().Services[e.service].IsEngine
 	e.setDeadlines()
 	ctx, cancel := context.WithDeadline(e.request.Context(), e.deadline)
 	defer cancel()
 	e.ctx = ctx
+	if r, ok := e.resume(); !ok {
+		return r
+	}
+	e.engine = table.Configuration().Services[e.service].IsEngine
 	e.forwarder.governor.CountRequest(e.started, e.service)
 	return e.run()
 }
@@ -236,7 +241,7 @@
 		Service: e.service, Engine: e.engine, Prompt: e.caller.Prompt, Content: e.content, Output: output,
 		TimeToTarget: e.target.Sub(now), Target: e.route.TargetLatency, TimeToDeadline: e.deadline.Sub(now),
 		Excluded: e.tried, SingleUpstream: e.singleUpstream || e.sends > 0,
-		Resumed: e.headerSent,
+		Resumed: e.headerSent || e.caller.LastEventID != "", Version: e.streamVersion,
 	}
 }
 
@@ -290,6 +295,9 @@
 	if e.caller.LastEventID != "" {
 		line = line.Str("resumedAfter", e.caller.LastEventID).Str("resumes", string(e.caller.Resumes))
 	}
+	if e.streamVersion != nil {
+		line = line.Str("streamVersion", string(*e.streamVersion))
+	}
 	if e.caller.PromptTokens > 0 {
 		line = line.Int("promptTokens", int(e.caller.PromptTokens)).Int("maxOutput", int(e.caller.MaxOutput)).
 			Int("expectedOutput", int(e.caller.ExpectedOutput))
--- a/rosemaryspool/forwarder/relay.go
+++ b/rosemaryspool/forwarder/relay.go
@@ -170,6 +170,7 @@
 		e.recordProgress(now)
 		if e.last.firstEventAt.IsZero() {
 			e.last.firstEventAt = now
+			e.recordStream(now)
 			e.last.stopWatch()
 			e.forwarder.governor.FirstEventArrived(e.last.firstEventAt, e.last.sentAt, &e.last.placement)
 		}
--- /dev/null
+++ b/rosemaryspool/forwarder/resume.go
@@ -0,0 +1,55 @@
+package forwarder
+
+import (
+	"slices"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"rosemaryspool.example/core/matcher"
+	"rosemaryspool.example/core/resumer"
+)
+
+const (
+	// originMargin is added to the time that a caller waits, as its clock started earlier.
+	originMargin = time.Second
+	// unknownOriginRetryAfter is the Retry-After for a stream of which no instance knows the version.
+	unknownOriginRetryAfter = 500 * time.Millisecond
+)
+
+// resume finds out at which service and version a stream began that the caller takes up again. It returns false if the
+// request has to be refused because nobody knows.
+func (e *exchange) resume() (result, bool) {
+	if e.caller.LastEventID == "" || !e.route.Streaming {
+		return result{}, true
+	}
+	metrics.GetOrRegisterCounter("streamsResumedByCallers", e.forwarder.registry).Inc(1)
+	if e.caller.Resumes != "" {
+		o, known := e.forwarder.delegator.StreamOrigin(e.ctx, e.service, resumer.NewStreamID(e.caller.Resumes))
+		if known && slices.ContainsFunc(e.route.Services, func(s matcher.WeightedService) bool { return s.Service == o.Service }) {
+			e.service, e.streamVersion = o.Service, &o.Version
+			return result{}, true
+		}
+	}
+	if sole, known := e.forwarder.governor.SoleVersion(time.Now(), e.service); known {
+		e.streamVersion = &sole
+		return result{}, true
+	}
+	metrics.GetOrRegisterCounter("streamOriginsUnknown", e.forwarder.registry).Inc(1)
+	return e.refuse("streamVersionUnknown", unknownOriginRetryAfter), false
+}
+
+// recordStream records the version at which a stream begins with its first event, so that it is resumed only there.
+func (e *exchange) recordStream(now time.Time) {
+	if e.streamVersion != nil {
+		return
+	}
+	version := e.last.entry.Version
+	e.streamVersion = &version
+	if e.route.Resumable {
+		e.forwarder.governor.StreamBegan(now, resumer.Origin{
+			Stream: resumer.NewStreamID(e.caller.ID), Service: e.service, Version: e.last.entry.Version,
+			Until: e.started.Add(max(e.caller.Timeout, e.route.Timeout) + originMargin),
+		})
+	}
+}
--- a/rosemaryspool/gatekeeper/gatekeeper.go
+++ b/rosemaryspool/gatekeeper/gatekeeper.go
@@ -158,6 +158,10 @@
 		g.delegator.HandleRequest(r, body.PlacementRequest)
 	case *messenger.Datagram_PlacementReply:
 		g.delegator.HandleReply(r, body.PlacementReply)
+	case *messenger.Datagram_StreamQuery:
+		g.delegator.HandleStreamQuery(r, body.StreamQuery)
+	case *messenger.Datagram_StreamReply:
+		g.delegator.HandleStreamReply(r, body.StreamReply)
 	case *messenger.Datagram_StoreUpdate:
 		g.gossiper.HandleStoreUpdate(r, body.StoreUpdate)
 	case *messenger.Datagram_StoreRequest:
--- a/rosemaryspool/gossiper/gossiper.go
+++ b/rosemaryspool/gossiper/gossiper.go
@@ -14,6 +14,7 @@
 	"rosemaryspool.example/core/elector"
 	"rosemaryspool.example/core/identifier"
 	"rosemaryspool.example/core/limiter"
+	"rosemaryspool.example/core/resumer"
 	"rosemaryspool.example/rosemaryspool/courier"
 	"rosemaryspool.example/rosemaryspool/governor"
 	"rosemaryspool.example/wire/messenger"
@@ -26,6 +27,8 @@
 	// busyInterval is the time between reports of unchanged work. Arbiters discard an instance's work after a second
 	// without reports.
 	busyInterval = 300 * time.Millisecond
+	// streamInterval is the time between reports to the stand-by while it has to be told of streams.
+	streamInterval = 50 * time.Millisecond
 	// idleInterval is the time between reports of an instance without work.
 	idleInterval = 2 * time.Second
 	// standbyReports is the number of instances that may become arbiter soon and therefore get reports at busyInterval.
@@ -113,11 +116,18 @@
 			if m.Instance == self {
 				continue
 			}
-			if i == 0 && (changed || g.due(now, g.sentAt, report)) {
+			interval := busyInterval
+			if len(report.Loads) == 0 {
+				interval = idleInterval
+			}
+			if i == 0 && (changed || g.due(now, g.sentAt, service, interval)) {
 				g.courier.Send(m, &messenger.Datagram{Body: &messenger.Datagram_WorkReport{WorkReport: EncodeReport(report)}})
 				g.markSent(now, g.sentAt, service)
 			}
-			if i > 0 && g.due(now, g.standbySentAt, report) {
+			if i > 0 && g.governor.StreamReportDue(now, service) {
+				interval = streamInterval
+			}
+			if i > 0 && g.due(now, g.standbySentAt, service, interval) {
 				standby := g.governor.PeekReport(service)
 				g.courier.Send(m, &messenger.Datagram{Body: &messenger.Datagram_WorkReport{WorkReport: EncodeReport(standby)}})
 				g.markSent(now, g.standbySentAt, service)
@@ -126,15 +136,13 @@
 	}
 }
 
-// due reports whether a report of unchanged work is due.
-func (g *Gossiper) due(now time.Time, sentAt map[identifier.ServiceName]time.Time, r governor.Report) bool {
+// due reports whether the last report about a service was sent at least an interval ago.
+func (g *Gossiper) due(
+	now time.Time, sentAt map[identifier.ServiceName]time.Time, service identifier.ServiceName, interval time.Duration,
+) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	interval := busyInterval
-	if len(r.Loads) == 0 {
-		interval = idleInterval
-	}
-	return now.Sub(sentAt[r.Service]) >= interval
+	return now.Sub(sentAt[service]) >= interval
 }
 
 func (g *Gossiper) markSent(now time.Time, sentAt map[identifier.ServiceName]time.Time, service identifier.ServiceName) {
@@ -201,6 +209,9 @@
 			AgeMs: identifier.Milliseconds(time.Since(n.Limit.NamedAt)),
 		})
 	}
+	for _, o := range r.Begun {
+		m.Begun = append(m.Begun, EncodeOrigin(time.Now(), o))
+	}
 	for _, o := range r.Observations {
 		m.Observations = append(m.Observations, &messenger.Observation{
 			Upstream: string(o.Upstream), Event: messenger.Observation_Event(o.Event), Outcome: uint32(o.Outcome),
@@ -231,6 +242,9 @@
 			},
 		})
 	}
+	for _, o := range m.GetBegun() {
+		r.Begun = append(r.Begun, DecodeOrigin(at, o))
+	}
 	for _, o := range m.GetObservations() {
 		r.Observations = append(r.Observations, allocator.Observation{
 			Upstream: identifier.UpstreamID(o.GetUpstream()), Event: allocator.Event(o.GetEvent()),
@@ -241,6 +255,23 @@
 	return r
 }
 
+// EncodeOrigin returns the message for the origin of a stream.
+func EncodeOrigin(now time.Time, o resumer.Origin) *messenger.StreamOrigin {
+	return &messenger.StreamOrigin{
+		Stream: uint64(o.Stream), Service: string(o.Service), Version: string(o.Version),
+		LeftMs: identifier.Milliseconds(o.Until.Sub(now)),
+	}
+}
+
+// DecodeOrigin returns the origin in a message that arrived at a time.
+func DecodeOrigin(at time.Time, m *messenger.StreamOrigin) resumer.Origin {
+	return resumer.Origin{
+		Stream: resumer.StreamID(m.GetStream()), Service: identifier.ServiceName(m.GetService()),
+		Version: identifier.SoftwareVersion(m.GetVersion()),
+		Until:   at.Add(time.Duration(m.GetLeftMs()) * time.Millisecond),
+	}
+}
+
 // EncodeLoad returns the message for the load at an upstream.
 func EncodeLoad(id identifier.UpstreamID, l allocator.Load) *messenger.UpstreamWork {
 	return &messenger.UpstreamWork{
--- a/rosemaryspool/governor/governor.go
+++ b/rosemaryspool/governor/governor.go
@@ -17,6 +17,7 @@
 	"rosemaryspool.example/core/identifier"
 	"rosemaryspool.example/core/isolator"
 	"rosemaryspool.example/core/matcher"
+	"rosemaryspool.example/core/resumer"
 	"rosemaryspool.example/core/tracker"
 )
 
@@ -47,6 +48,7 @@
 	elector       *elector.Elector
 	budgeter      *budgeter.Budgeter
 	isolator      *isolator.Isolator
+	resumer       *resumer.Resumer
 	instances     int
 	upstreamsRead bool
 	reports       reportState
@@ -66,6 +68,7 @@
 		elector:   elector.NewElector(settings.Self),
 		budgeter:  budgeter.NewBudgeter(settings.Retry),
 		isolator:  isolator.NewIsolator(isolator.DefaultSettings()),
+		resumer:   resumer.NewResumer(),
 		instances: 1,
 		reports:   newReportState(),
 		changed:   make(chan struct{}, 1),
@@ -121,8 +124,7 @@
 		return
 	}
 	g.upstreamsRead = true
-	entries := g.tracker.Entries()
-	g.allocator.SetUpstreams(entries)
+	entries := g.applyUpstreams(now)
 	leaving := 0
 	for _, e := range entries {
 		if e.Leaving {
@@ -138,6 +140,14 @@
 		Array("entries", entryList(entries)).Msg("List of upstreams changed")
 }
 
+// applyUpstreams passes the tracker's list of upstreams to the parts that follow it. The governor's mutex must be held.
+func (g *Governor) applyUpstreams(now time.Time) []tracker.Entry {
+	entries := g.tracker.Entries()
+	g.allocator.SetUpstreams(entries)
+	g.resumer.SetUpstreams(now, entries)
+	return entries
+}
+
 // entryList is logged as an array of id:role:state:incarnation:version.
 type entryList []tracker.Entry
 
@@ -283,7 +293,7 @@
 	if !g.tracker.MarkLeaving(id, incarnation) {
 		return
 	}
-	g.allocator.SetUpstreams(g.tracker.Entries())
+	g.applyUpstreams(time.Now())
 	if e, listed := g.allocator.Entry(id); listed {
 		g.signalChange(e.Service)
 	}
@@ -378,8 +388,9 @@
 			Msg("Instance has stopped reporting; its load is discarded")
 	}
 	if g.tracker.Expire(now) {
-		g.allocator.SetUpstreams(g.tracker.Entries())
+		g.applyUpstreams(now)
 	}
+	g.resumer.Expire(now)
 	g.isolator.Expire(now)
 	g.logIsolation("")
 }
--- a/rosemaryspool/governor/report.go
+++ b/rosemaryspool/governor/report.go
@@ -6,6 +6,7 @@
 
 	"rosemaryspool.example/core/allocator"
 	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/core/resumer"
 )
 
 // Report is this instance's work for one service.
@@ -20,6 +21,8 @@
 	Limits []allocator.NamedLimit
 	// Leaving are the upstreams that have said in their responses that they leave.
 	Leaving []LeavingUpstream
+	// Begun are streams that have begun at this instance.
+	Begun []resumer.Origin
 }
 
 // LeavingUpstream is an upstream that leaves, in one incarnation.
@@ -55,14 +58,17 @@
 	delete(g.reports.changed, service)
 	r := g.report(service)
 	r.Observations = g.allocator.TakeObservations(service)
+	r.Begun = g.resumer.TakeReport(time.Now(), service, resumer.Arbiter)
 	return r, changed
 }
 
-// PeekReport returns the report for another instance than the service's arbiter, without observations.
+// PeekReport returns the report for the instance that stands by for the service's arbiter, without observations.
 func (g *Governor) PeekReport(service identifier.ServiceName) Report {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.report(service)
+	r := g.report(service)
+	r.Begun = g.resumer.TakeReport(time.Now(), service, resumer.StandBy)
+	return r
 }
 
 func (g *Governor) report(service identifier.ServiceName) Report {
@@ -139,6 +145,7 @@
 	for _, l := range r.Leaving {
 		g.markLeaving(l.Upstream, l.Incarnation, instance)
 	}
+	g.resumer.Learn(now, r.Begun...)
 	for _, n := range r.Limits {
 		if g.allocator.LearnLimit(n) {
 			g.logLimit(n, instance)
