Tell a lost path from failing upstreams

The logs named failing upstreams one by one, so that an instance without a path to any of them could not be told from a service whose upstreams fail. core/reacher suspects the path when attempts at several upstreams fail on the way; connections to up to eight of them decide. The events pathLost and pathRestored say so; nothing else follows from them yet.

--- a/core/allocator/allocator.go
+++ b/core/allocator/allocator.go
@@ -320,6 +320,15 @@
 	return u.entry, true
 }
 
+// Entries returns the listings of a service's upstreams.
+func (a *Allocator) Entries(service identifier.ServiceName) []tracker.Entry {
+	entries := make([]tracker.Entry, 0, len(a.services[service]))
+	for _, u := range a.services[service] {
+		entries = append(entries, u.entry)
+	}
+	return entries
+}
+
 func (a *Allocator) timingsOf(service identifier.ServiceName) *timings {
 	t := a.timings[service]
 	if t == nil {
--- a/rosemaryspool/forwarder/attempt.go
+++ b/rosemaryspool/forwarder/attempt.go
@@ -248,6 +248,7 @@
 	response, err := e.sendTo(ctx, prefiller, platform.Dispatch{Upstream: prefiller.Upstream, PrefillOnly: true})
 	if err != nil {
 		outcome = failureOutcome(e.ctx, err)
+		e.recordUnreached(prefiller, outcome)
 		e.last.err = err
 		return false
 	}
@@ -318,6 +319,7 @@
 		e.last.err = err
 		e.last.brokenOff = isBrokenOff(ctx, err)
 		outcome := failureOutcome(e.ctx, err)
+		e.recordUnreached(e.last.entry, outcome)
 		switch {
 		case errors.Is(err, connector.ErrUnreachable), errors.Is(err, connector.ErrNoConnection):
 			return notExecuted, outcome
@@ -350,16 +352,24 @@
 // watchOverdue starts a timer that reports the attempt as overdue. If the upstream is ejected for that and the request
 // may run elsewhere, the attempt is cancelled. The returned function stops the timer; it may be called more than once.
 func (e *exchange) watchOverdue(cancel context.CancelFunc) func() {
-	id := e.last.placement.Upstream
+	entry := e.last.entry
 	repeatable := e.route.Idempotent && e.runs+1 < e.route.MaxAttempts
 	timer := time.AfterFunc(max(minOverdue, overdueFactor*e.last.placement.Predicted), func() {
-		if e.forwarder.governor.RecordOverdue(time.Now(), id) && repeatable {
+		e.forwarder.governor.RecordUnreached(time.Now(), entry)
+		if e.forwarder.governor.RecordOverdue(time.Now(), entry.Upstream) && repeatable {
 			cancel()
 		}
 	})
 	return func() { timer.Stop() }
 }
 
+// recordUnreached records an exchange that ended without a response, unless the caller ended it.
+func (e *exchange) recordUnreached(entry tracker.Entry, outcome allocator.Outcome) {
+	if outcome == allocator.OutcomeUnreachable || outcome == allocator.OutcomeFailed {
+		e.forwarder.governor.RecordUnreached(time.Now(), entry)
+	}
+}
+
 // sendTo sends the caller's request to an upstream with the headers of one dispatch.
 func (e *exchange) sendTo(ctx context.Context, to tracker.Entry, s platform.Dispatch) (*connector.Response, error) {
 	idle := maxIdleNonIdempotent
--- a/rosemaryspool/gatekeeper/gatekeeper.go
+++ b/rosemaryspool/gatekeeper/gatekeeper.go
@@ -30,6 +30,7 @@
 	"rosemaryspool.example/rosemaryspool/gossiper"
 	"rosemaryspool.example/rosemaryspool/governor"
 	"rosemaryspool.example/rosemaryspool/inspector"
+	"rosemaryspool.example/rosemaryspool/prober"
 	"rosemaryspool.example/rosemaryspool/subscriber"
 	"rosemaryspool.example/wire/messenger"
 )
@@ -67,6 +68,7 @@
 	gossiper   *gossiper.Gossiper
 	delegator  *delegator.Delegator
 	inspector  *inspector.Inspector
+	prober     *prober.Prober
 	subscriber *subscriber.Subscriber
 	archiver   *archiver.Archiver
 	status     *statusHandler
@@ -108,6 +110,7 @@
 	g.delegator = delegator.NewDelegator(g.governor, g.courier, log, registry)
 	g.forwarder = forwarder.NewForwarder(g.governor, g.delegator, g.connector, log, registry)
 	g.inspector = inspector.NewInspector(g.governor, g.connector, log)
+	g.prober = prober.NewProber(g.governor, g.connector, log)
 	store := platform.NewStore(settings.StoreAddress)
 	g.archiver = archiver.NewArchiver(store, g.governor, settings.FirstStart, log)
 	g.subscriber = subscriber.NewSubscriber(
@@ -232,6 +235,7 @@
 	group.Go(func() { g.gossiper.Run(backgroundCtx) })
 	group.Go(func() { g.subscriber.Run(backgroundCtx) })
 	group.Go(func() { g.inspector.Run(backgroundCtx) })
+	group.Go(func() { g.prober.Run(backgroundCtx) })
 	group.Go(func() { g.archiver.Run(backgroundCtx) })
 	group.Go(func() { g.closeIdleConnections(backgroundCtx) })
 	group.Go(func() { g.warmUp(backgroundCtx) })
--- a/rosemaryspool/governor/governor.go
+++ b/rosemaryspool/governor/governor.go
@@ -17,6 +17,7 @@
 	"rosemaryspool.example/core/identifier"
 	"rosemaryspool.example/core/isolator"
 	"rosemaryspool.example/core/matcher"
+	"rosemaryspool.example/core/reacher"
 	"rosemaryspool.example/core/resumer"
 	"rosemaryspool.example/core/tracker"
 )
@@ -49,10 +50,12 @@
 	budgeter      *budgeter.Budgeter
 	isolator      *isolator.Isolator
 	resumer       *resumer.Resumer
+	reacher       *reacher.Reacher
 	instances     int
 	upstreamsRead bool
 	reports       reportState
 	changed       chan struct{}
+	unreached     chan struct{}
 	// unsaved holds the changes of quarantines that are not in the store yet; quarantines signals them.
 	unsaved     []isolator.Change
 	quarantines chan struct{}
@@ -69,9 +72,11 @@
 		budgeter:  budgeter.NewBudgeter(settings.Retry),
 		isolator:  isolator.NewIsolator(isolator.DefaultSettings()),
 		resumer:   resumer.NewResumer(),
+		reacher:   reacher.NewReacher(),
 		instances: 1,
 		reports:   newReportState(),
 		changed:   make(chan struct{}, 1),
+		unreached: make(chan struct{}, 1),
 
 		quarantines: make(chan struct{}, 1),
 	}
