--- a/rosemaryspool/commander/gateway.go
+++ b/rosemaryspool/commander/gateway.go
@@ -14,6 +14,7 @@
 	"github.com/urfave/cli/v3"
 
 	"rosemaryspool.example/platform"
+	"rosemaryspool.example/rosemaryspool/connector"
 	"rosemaryspool.example/rosemaryspool/gatekeeper"
 	"rosemaryspool.example/rosemaryspool/logger"
 )
@@ -58,7 +59,7 @@
 func runGateway(
 	ctx context.Context, settings platform.Settings, path string, log zerolog.Logger, registry metrics.Registry,
 ) error {
-	g, err := gatekeeper.NewGatekeeper(settings, log, registry)
+	g, err := gatekeeper.NewGatekeeper(settings, connector.DialTCP, log, registry)
 	if err != nil {
 		return err
 	}
--- a/rosemaryspool/connector/connector.go
+++ b/rosemaryspool/connector/connector.go
@@ -50,32 +50,36 @@
 type Connector struct {
 	mu         sync.Mutex
 	pools      map[string]*pool
-	dialer     net.Dialer
+	dial       Dial
 	onOpen     func()
 	onResponse func(tracker.Entry, *Response)
 }
 
-// NewConnector returns a connector with no open connections. onOpen is called for each connection that is opened,
-// onResponse for each response once its header is read, whatever the request was.
-func NewConnector(onOpen func(), onResponse func(tracker.Entry, *Response)) *Connector {
-	return &Connector{
-		pools:      map[string]*pool{},
-		onOpen:     onOpen,
-		onResponse: onResponse,
-		dialer: net.Dialer{
-			Timeout: dialTimeout,
-			KeepAliveConfig: net.KeepAliveConfig{
-				Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
-			},
-			Control: func(_, _ string, raw syscall.RawConn) error {
-				var failure error
-				err := raw.Control(func(fd uintptr) {
-					failure = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(userTimeout.Milliseconds()))
-				})
-				return errors.Join(err, failure)
-			},
+// Dial opens a connection to an address.
+type Dial func(ctx context.Context, address string) (net.Conn, error)
+
+// DialTCP opens a TCP connection that notices an unresponsive peer.
+func DialTCP(ctx context.Context, address string) (net.Conn, error) {
+	dialer := net.Dialer{
+		Timeout: dialTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
+		},
+		Control: func(_, _ string, raw syscall.RawConn) error {
+			var failure error
+			err := raw.Control(func(fd uintptr) {
+				failure = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(userTimeout.Milliseconds()))
+			})
+			return errors.Join(err, failure)
 		},
 	}
+	return dialer.DialContext(ctx, "tcp", address)
+}
+
+// NewConnector returns a connector with no open connections. onOpen is called for each connection that is opened,
+// onResponse for each response once its header is read, whatever the request was.
+func NewConnector(dial Dial, onOpen func(), onResponse func(tracker.Entry, *Response)) *Connector {
+	return &Connector{pools: map[string]*pool{}, dial: dial, onOpen: onOpen, onResponse: onResponse}
 }
 
 // acquire returns an idle connection, or opens one while fewer than limit are open. A connection is reused only if it
@@ -109,7 +113,7 @@
 	}
 	p.open++
 	c.mu.Unlock()
-	conn, err := c.dialer.DialContext(ctx, "tcp", address)
+	conn, err := c.dial(ctx, address)
 	if err != nil {
 		c.mu.Lock()
 		c.uncount(address, p)
--- a/rosemaryspool/connector/endless_test.go
+++ b/rosemaryspool/connector/endless_test.go
@@ -61,7 +61,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			address, sent := startEndless(t, c.start, c.repeated)
-			client := NewConnector(func() {}, func(tracker.Entry, *Response) {})
+			client := NewConnector(DialTCP, func() {}, func(tracker.Entry, *Response) {})
 			defer client.Close()
 			ctx, cancel := context.WithTimeout(context.Background(), timeout)
 			defer cancel()
--- a/rosemaryspool/connector/fuzz_test.go
+++ b/rosemaryspool/connector/fuzz_test.go
@@ -44,7 +44,7 @@
 				_, _ = conn.Write(response)
 			}
 		}()
-		client := NewConnector(func() {}, func(tracker.Entry, *Response) {})
+		client := NewConnector(DialTCP, func() {}, func(tracker.Entry, *Response) {})
 		defer client.Close()
 		ctx, cancel := context.WithTimeout(context.Background(), timeout)
 		defer cancel()
--- a/rosemaryspool/gatekeeper/crash_test.go
+++ b/rosemaryspool/gatekeeper/crash_test.go
@@ -44,6 +44,9 @@
 		require.Eventually(t, func() bool {
 			return ti.readiness() == http.StatusOK && ti.gatekeeper.governor.Instances() == count
 		}, 5*time.Second, time.Millisecond)
+		for _, peer := range instances {
+			ti.link.spare(peer.gatekeeper.governor.Self().Address)
+		}
 	}
 	return instances
 }
--- a/rosemaryspool/gatekeeper/gatekeeper.go
+++ b/rosemaryspool/gatekeeper/gatekeeper.go
@@ -82,8 +82,11 @@
 	done            chan struct{}
 }
 
-// NewGatekeeper assembles an instance and opens its listeners; it serves nothing before Run.
-func NewGatekeeper(settings platform.Settings, log zerolog.Logger, registry metrics.Registry) (*Gatekeeper, error) {
+// NewGatekeeper assembles an instance that opens its connections to upstreams with dial, and opens its listeners; it
+// serves nothing before Run.
+func NewGatekeeper(
+	settings platform.Settings, dial connector.Dial, log zerolog.Logger, registry metrics.Registry,
+) (*Gatekeeper, error) {
 	startedMs := time.Now().UnixMilli()
 	log = log.With().Str("instance", string(settings.Instance)).Logger()
 	g := &Gatekeeper{
@@ -99,7 +102,7 @@
 	placing.LimiterPhase = rand.Float64()
 	g.governor = governor.NewGovernor(governor.Settings{Self: self, Retry: retrySettings(settings), Allocator: placing}, log)
 	opened := metrics.GetOrRegisterCounter("connectionsOpened", registry)
-	g.connector = connector.NewConnector(func() { opened.Inc(1) }, g.handleResponse)
+	g.connector = connector.NewConnector(dial, func() { opened.Inc(1) }, g.handleResponse)
 	peers, err := courier.NewCourier(self, log)
 	if err != nil {
 		return nil, err
--- a/rosemaryspool/gatekeeper/gatekeeper_test.go
+++ b/rosemaryspool/gatekeeper/gatekeeper_test.go
@@ -61,6 +61,8 @@
 	readyURL   string
 	stop       context.CancelFunc
 	gatekeeper *Gatekeeper
+	// link is the instance's path to the upstreams.
+	link *link
 }
 
 // newTestInstance starts an instance whose store lists the upstreams. Those with a stage belong to the model service.
@@ -106,8 +108,8 @@
 // startTestInstance starts an instance that follows a store.
 func startTestInstance(t *testing.T, store testStore, settings platform.Settings) *testInstance {
 	t.Helper()
-	ti := &testInstance{t: t, store: store.Store}
-	gatekeeper, err := NewGatekeeper(settings, zerolog.New(zerolog.NewTestWriter(t)), metrics.NewRegistry())
+	ti := &testInstance{t: t, store: store.Store, link: newLink()}
+	gatekeeper, err := NewGatekeeper(settings, ti.link.dial, zerolog.New(zerolog.NewTestWriter(t)), metrics.NewRegistry())
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	ti.gatekeeper, ti.stop = gatekeeper, cancel
--- /dev/null
+++ b/rosemaryspool/gatekeeper/link_test.go
@@ -0,0 +1,119 @@
+package gatekeeper
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"syscall"
+
+	"rosemaryspool.example/rosemaryspool/connector"
+)
+
+// cut is what a link does with connections to upstreams.
+type cut int
+
+const (
+	// whole links carry everything.
+	whole cut = iota
+	// silent links lose everything.
+	silent
+	// resetting links reset the connections and refuse new ones.
+	resetting
+	// refusing links refuse new connections; the open ones live on.
+	refusing
+)
+
+// link is the path of one instance to the upstreams. It does not affect connections to other instances and to the store.
+type link struct {
+	mu   sync.Mutex
+	cut  cut
+	open map[*linkConnection]bool
+	// spared holds the addresses that the link doesn't affect.
+	spared map[string]bool
+}
+
+func newLink() *link { return &link{open: map[*linkConnection]bool{}, spared: map[string]bool{}} }
+
+// spare has the link always carry what goes to an address.
+func (l *link) spare(address string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.spared[address] = true
+}
+
+func (l *link) set(c cut) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.cut = c
+	if c != resetting {
+		return
+	}
+	for conn := range l.open {
+		// A reset instead of an orderly end.
+		_ = conn.SetLinger(0)
+		_ = conn.TCPConn.Close()
+	}
+}
+
+func (l *link) current() cut {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.cut
+}
+
+func (l *link) dial(ctx context.Context, address string) (net.Conn, error) {
+	l.mu.Lock()
+	mode, spared := l.cut, l.spared[address]
+	l.mu.Unlock()
+	switch {
+	case spared:
+		return connector.DialTCP(ctx, address)
+	case mode == silent:
+		<-ctx.Done()
+		return nil, ctx.Err()
+	case mode != whole:
+		return nil, fmt.Errorf("link: %w", syscall.ECONNREFUSED)
+	}
+	conn, err := connector.DialTCP(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	c := &linkConnection{TCPConn: conn.(*net.TCPConn), link: l}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.open[c] = true
+	return c, nil
+}
+
+// linkConnection is a connection over a link.
+type linkConnection struct {
+	*net.TCPConn
+	link *link
+}
+
+// Read loses what arrives over a silent link.
+func (c *linkConnection) Read(b []byte) (int, error) {
+	for {
+		n, err := c.TCPConn.Read(b)
+		if err != nil || c.link.current() != silent {
+			return n, err
+		}
+	}
+}
+
+// Write loses what is written to a silent link.
+func (c *linkConnection) Write(b []byte) (int, error) {
+	if c.link.current() == silent {
+		return len(b), nil
+	}
+	return c.TCPConn.Write(b)
+}
+
+// Close closes the connection.
+func (c *linkConnection) Close() error {
+	c.link.mu.Lock()
+	delete(c.link.open, c)
+	c.link.mu.Unlock()
+	return c.TCPConn.Close()
+}
--- a/rosemaryspool/inspector/inspector_test.go
+++ b/rosemaryspool/inspector/inspector_test.go
@@ -63,7 +63,7 @@
 			t.Cleanup(u.Close)
 			u.SetBehaviour(c.behaviour)
 			g := newGovernor(c.other, map[identifier.UpstreamID]*emulator.Upstream{c.listed: u})
-			i := NewInspector(g, connector.NewConnector(func() {}, func(tracker.Entry, *connector.Response) {}), zerolog.Nop())
+			i := NewInspector(g, connector.NewConnector(connector.DialTCP, func() {}, func(tracker.Entry, *connector.Response) {}), zerolog.Nop())
 			ctx, cancel := context.WithCancel(context.Background())
 			go i.Run(ctx)
 			time.Sleep(3 * interval)
