Pass requests on to other instances when no upstream can be reached

Such an instance knew no other way: it tried upstreams that it could not reach until the deadline or the retry budget ended that, and what it reported of them ejected sound upstreams for its whole data centre.

Attempts that were certainly not sent take no retry from the budget, and a connection given up while it was opened counts as not sent. What instances experience on a lost path is dropped, by themselves and by arbiters.

--- a/core/allocator/allocator.go
+++ b/core/allocator/allocator.go
@@ -156,6 +156,13 @@
 	}
 }
 
+// ForgetHealth drops what the instances of a data centre have experienced at the upstreams of a service.
+func (a *Allocator) ForgetHealth(dataCentre identifier.DataCentre, service identifier.ServiceName) {
+	for _, u := range a.services[service] {
+		a.healthOf(dataCentre).Remove(u.entry.Upstream)
+	}
+}
+
 // healthOf returns the health of the upstreams as experienced from a data centre.
 func (a *Allocator) healthOf(dataCentre identifier.DataCentre) *ejector.Ejector {
 	h := a.health[dataCentre]
--- a/core/elector/elector.go
+++ b/core/elector/elector.go
@@ -196,6 +196,21 @@
 	return others
 }
 
+// Usable returns the other members that are neither leaving nor suspected: those of this instance's data centre, and the
+// rest.
+func (e *Elector) Usable(now time.Time) (near, far []Member) {
+	for _, m := range e.members {
+		switch {
+		case m.Instance == e.self.Instance || !m.usable(now):
+		case m.DataCentre == e.self.DataCentre:
+			near = append(near, m.Member)
+		default:
+			far = append(far, m.Member)
+		}
+	}
+	return near, far
+}
+
 func (e *Elector) isNeighbour(m *member) bool {
 	return m.DataCentre == e.self.DataCentre || len(e.members) <= smallSystem
 }
--- a/core/reacher/reacher.go
+++ b/core/reacher/reacher.go
@@ -6,6 +6,7 @@
 import (
 	"time"
 
+	"rosemaryspool.example/core/elector"
 	"rosemaryspool.example/core/identifier"
 )
 
@@ -17,6 +18,8 @@
 	// suspectInterval is the time between two probes of a path that is suspected, lostInterval that of one that is lost.
 	suspectInterval = time.Second
 	lostInterval    = 500 * time.Millisecond
+	// declineTime is how long an instance is passed over that has not taken a request.
+	declineTime = time.Second
 )
 
 // path is what is known of the path to the upstreams of one service.
@@ -32,10 +35,25 @@
 // Reacher holds the paths to all services. It is not safe for concurrent use.
 type Reacher struct {
 	paths map[identifier.ServiceName]*path
+	// declined holds when other instances last did not take a request that was passed on.
+	declined map[identifier.InstanceID]time.Time
+	// peers holds the other instances whose paths are lost.
+	peers map[peerPath]bool
+}
+
+// peerPath is the path of another instance to the upstreams of a service.
+type peerPath struct {
+	instance identifier.InstanceID
+	service  identifier.ServiceName
 }
 
 // NewReacher returns a reacher that suspects nothing.
-func NewReacher() *Reacher { return &Reacher{paths: map[identifier.ServiceName]*path{}} }
+func NewReacher() *Reacher {
+	return &Reacher{
+		paths: map[identifier.ServiceName]*path{}, declined: map[identifier.InstanceID]time.Time{},
+		peers: map[peerPath]bool{},
+	}
+}
 
 func (r *Reacher) path(service identifier.ServiceName) *path {
 	p := r.paths[service]
@@ -98,3 +116,33 @@
 	p := r.paths[service]
 	return p != nil && p.lost
 }
+
+// Decline records that another instance did not take a request, as it can't serve it or doesn't answer.
+func (r *Reacher) Decline(now time.Time, id identifier.InstanceID) { r.declined[id] = now }
+
+// Detours returns the first of the members that have not declined lately, at most limit: requests are passed on to them
+// while the path from this instance is lost.
+func (r *Reacher) Detours(now time.Time, members []elector.Member, limit int) []elector.Member {
+	detours := make([]elector.Member, 0, limit)
+	for _, m := range members {
+		at, declined := r.declined[m.Instance]
+		if len(detours) < limit && (!declined || now.Sub(at) >= declineTime) {
+			detours = append(detours, m)
+		}
+	}
+	return detours
+}
+
+// PeerLost records whether the path of another instance is lost. It reports whether that has changed.
+func (r *Reacher) PeerLost(instance identifier.InstanceID, service identifier.ServiceName, lost bool) bool {
+	key := peerPath{instance: instance, service: service}
+	if r.peers[key] == lost {
+		return false
+	}
+	if lost {
+		r.peers[key] = true
+	} else {
+		delete(r.peers, key)
+	}
+	return true
+}
--- a/core/reacher/reacher_test.go
+++ b/core/reacher/reacher_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"rosemaryspool.example/core/elector"
 	"rosemaryspool.example/core/identifier"
 )
 
@@ -75,3 +76,34 @@
 	require.Equal(t, 2*lostInterval, lostFor)
 	require.False(t, r.Lost(model))
 }
+
+func TestInstancesThatDeclineArePassedOver(t *testing.T) {
+	r := NewReacher()
+	now := time.Now()
+	members := []elector.Member{{Instance: "a"}, {Instance: "b"}, {Instance: "c"}}
+	require.Equal(t, members[:2], r.Detours(now, members, 2))
+	r.Decline(now, "a")
+	require.Equal(t, members[1:], r.Detours(now, members, 2))
+	r.Decline(now, "b")
+	r.Decline(now, "c")
+	require.Empty(t, r.Detours(now, members, 2))
+	require.Equal(t, members, r.Detours(now.Add(declineTime), members, 3))
+}
+
+func TestChangesOfOtherInstancesPathsAreTold(t *testing.T) {
+	r := NewReacher()
+	for _, c := range []struct {
+		instance identifier.InstanceID
+		lost     bool
+		changed  bool
+	}{
+		{"a", false, false},
+		{"a", true, true},
+		{"a", true, false},
+		{"b", true, true},
+		{"a", false, true},
+		{"a", false, false},
+	} {
+		require.Equal(t, c.changed, r.PeerLost(c.instance, model, c.lost))
+	}
+}
--- a/rosemaryspool/connector/connector.go
+++ b/rosemaryspool/connector/connector.go
@@ -36,6 +36,8 @@
 	ErrUnreachable = errors.New("connector: upstream is unreachable")
 	// ErrRefused is an ErrUnreachable: nothing listens at the address.
 	ErrRefused = fmt.Errorf("%w: connection refused", ErrUnreachable)
+	// ErrDialAborted means that the context ended before a connection was open.
+	ErrDialAborted = errors.New("connector: dial aborted")
 	// ErrNoConnection means that this instance's share of the upstream's connections is in use.
 	ErrNoConnection = errors.New("connector: no free connection")
 )
@@ -82,6 +84,16 @@
 	return &Connector{pools: map[string]*pool{}, dial: dial, onOpen: onOpen, onResponse: onResponse}
 }
 
+// NotSent reports whether an error means that the request was certainly not sent.
+func NotSent(err error) bool {
+	for _, cause := range []error{ErrUnreachable, ErrDialAborted, ErrNoConnection} {
+		if errors.Is(err, cause) {
+			return true
+		}
+	}
+	return false
+}
+
 // acquire returns an idle connection, or opens one while fewer than limit are open. A connection is reused only if it
 // was idle for at most maxIdle, since the upstream is then unlikely to have closed it.
 func (c *Connector) acquire(
@@ -119,7 +131,7 @@
 		c.uncount(address, p)
 		c.mu.Unlock()
 		if ctx.Err() != nil {
-			return nil, eris.Wrap(ctx.Err(), "connector: dial")
+			return nil, fmt.Errorf("%w: %w", ErrDialAborted, ctx.Err())
 		}
 		if errors.Is(err, syscall.ECONNREFUSED) {
 			return nil, eris.Wrap(ErrRefused, err.Error())
--- a/rosemaryspool/forwarder/attempt.go
+++ b/rosemaryspool/forwarder/attempt.go
@@ -60,6 +60,8 @@
 
 // attempt is one dispatch of a request to an upstream.
 type attempt struct {
+	// peer is the instance that serves the request instead of this one; empty if none does.
+	peer         identifier.InstanceID
 	placement    allocator.Placement
 	entry        tracker.Entry
 	sentAt       time.Time
@@ -77,6 +79,8 @@
 	response    *storedResponse
 	// brokenOff is true if the connection ended before the response.
 	brokenOff bool
+	// unsent is true if no upstream has received anything of the request.
+	unsent bool
 	// answered is true once the response counts as one that the upstream has survived.
 	answered bool
 	// stopWatch stops the timer for an overdue first byte or event.
@@ -93,6 +97,9 @@
 
 // describe adds the load behind the placement and the progress of the attempt to a log line.
 func (a attempt) describe(line *zerolog.Event) *zerolog.Event {
+	if a.peer != "" {
+		line = line.Str("peer", string(a.peer))
+	}
 	line = line.Str("upstream", string(a.placement.Upstream)).Str("upstreamVersion", string(a.entry.Version)).Dur("predictedMs", a.placement.Predicted).
 		Int("upstreamStatus", a.status)
 	line = describeLoad(line, a.placement.Ahead, a.placement.Arbiter)
@@ -122,6 +129,9 @@
 func (e *exchange) run() result {
 	var stored *storedResponse
 	for {
+		if r, done := e.detour(); done {
+			return r
+		}
 		placement, refusal := e.forwarder.delegator.Place(e.ctx, e.placementRequest())
 		if refusal != nil {
 			e.refusal = refusal
@@ -161,7 +171,8 @@
 		return "attemptsUsed"
 	case e.sends >= maxSends:
 		return "sendsUsed"
-	case !e.forwarder.governor.TryRetry(now, e.service):
+	case !e.last.unsent && !e.forwarder.governor.TryRetry(now, e.service):
+		// What did not arrive at any upstream is no retry there.
 		return "repeatBudget"
 	}
 	e.tried = append(e.tried, e.last.placement.Upstream)
@@ -194,6 +205,7 @@
 	defer func() { e.forwarder.governor.Ended(time.Now(), e.last.sentAt, e.last.placement, outcome) }()
 	entry, listed := e.forwarder.governor.Entry(placement.Upstream)
 	if !listed {
+		e.last.unsent = true
 		return notExecuted
 	}
 	e.last.entry = entry
@@ -202,9 +214,10 @@
 			return e.unsentResult()
 		}
 		e.singleUpstream = true
-		if !e.forwarder.governor.TryRetry(time.Now(), e.service) {
+		if !e.last.unsent && !e.forwarder.governor.TryRetry(time.Now(), e.service) {
 			return notExecuted
 		}
+		e.last.unsent = false
 	}
 	if current, _ := e.forwarder.governor.Entry(placement.Upstream); current.Incarnation != entry.Incarnation ||
 		!e.forwarder.governor.AcceptsWork(time.Now(), placement.Upstream) {
@@ -249,7 +262,7 @@
 	if err != nil {
 		outcome = failureOutcome(e.ctx, err)
 		e.recordUnreached(prefiller, outcome)
-		e.last.err = err
+		e.last.err, e.last.unsent = err, connector.NotSent(err)
 		return false
 	}
 	body, err := bounder.ReadAll(response.Body, maxHandleBytes)
@@ -321,7 +334,8 @@
 		outcome := failureOutcome(e.ctx, err)
 		e.recordUnreached(e.last.entry, outcome)
 		switch {
-		case errors.Is(err, connector.ErrUnreachable), errors.Is(err, connector.ErrNoConnection):
+		case connector.NotSent(err):
+			e.last.unsent = true
 			return notExecuted, outcome
 		case e.request.Context().Err() != nil:
 			return canceled, outcome
--- /dev/null
+++ b/rosemaryspool/forwarder/detour.go
@@ -0,0 +1,214 @@
+package forwarder
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rotisserie/eris"
+
+	"rosemaryspool.example/core/elector"
+	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/core/tracker"
+	"rosemaryspool.example/platform"
+	"rosemaryspool.example/rosemaryspool/connector"
+)
+
+const (
+	// headerPassedOn marks a request that another instance passes on because it can't reach the upstreams itself.
+	headerPassedOn = "X-Rosemaryspool-Passed-On"
+	// headerDeclined marks the response of an instance that doesn't take such a request, with the reason. It has not run.
+	headerDeclined = "X-Rosemaryspool-Declined"
+	// headerServedBy names the upstream that a response to such a request is from, as INCARNATION/ID.
+	headerServedBy = "X-Rosemaryspool-Served-By"
+
+	// maxPeers is the number of instances to which a request is passed on before this one tries the upstreams itself.
+	maxPeers = 3
+	// maxPeerConnections bounds the connections to one other instance.
+	maxPeerConnections = 128
+)
+
+// passedOn is what an instance says of a request that it passes on.
+type passedOn struct {
+	instance identifier.InstanceID
+	// configuration is the version with which the request was matched; an older one must not serve it.
+	configuration uint64
+	// runs is the number of upstreams on which the request may have run.
+	runs int
+	// counted is true if the request counts for the retry budget already.
+	counted bool
+}
+
+func (p passedOn) encode() string {
+	return url.Values{
+		"instance": {string(p.instance)}, "configuration": {strconv.FormatUint(p.configuration, 10)},
+		"runs": {strconv.Itoa(p.runs)}, "counted": {strconv.FormatBool(p.counted)},
+	}.Encode()
+}
+
+func decodePassedOn(text string) (passedOn, error) {
+	values, err := url.ParseQuery(text)
+	if err != nil {
+		return passedOn{}, eris.Wrap(err, "forwarder: "+headerPassedOn)
+	}
+	p := passedOn{instance: identifier.InstanceID(values.Get("instance"))}
+	if p.configuration, err = strconv.ParseUint(values.Get("configuration"), 10, 64); err != nil {
+		return passedOn{}, eris.Wrap(err, "forwarder: configuration")
+	}
+	if p.runs, err = strconv.Atoi(values.Get("runs")); err != nil || p.runs < 0 {
+		return passedOn{}, eris.Errorf("forwarder: runs %q", values.Get("runs"))
+	}
+	if p.counted, err = strconv.ParseBool(values.Get("counted")); err != nil {
+		return passedOn{}, eris.Wrap(err, "forwarder: counted")
+	}
+	return p, nil
+}
+
+// PeerHandler returns the handler for requests that other instances pass on. They are never passed on again.
+func (f *Forwarder) PeerHandler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		origin, err := decodePassedOn(r.Header.Get(headerPassedOn))
+		if err != nil {
+			f.log.Warn().Err(err).Str("event", "passedOnUnreadable").Str("remote", r.RemoteAddr).
+				Msg("Refusing a request that does not say who passes it on")
+			http.Error(w, "not from an instance", http.StatusServiceUnavailable)
+			return
+		}
+		r.Header.Del(headerPassedOn)
+		f.handle(w, r, &origin)
+	})
+}
+
+// decline has another instance serve a request that was passed on.
+func (e *exchange) decline(reason string) result {
+	e.writer.Header().Set(headerDeclined, reason)
+	return e.refuse("declined:"+reason, 0)
+}
+
+// detour passes the request on to another instance if no upstream can be reached from this one. It returns false if the
+// request is to be sent from here.
+func (e *exchange) detour() (result, bool) {
+	if e.passedOn != nil || e.headerSent || !e.forwarder.governor.PathLost(e.service) {
+		return result{}, false
+	}
+	for _, peer := range e.forwarder.governor.Detours(time.Now(), maxPeers) {
+		if r, done := e.passOn(peer); done {
+			return r, true
+		}
+	}
+	return result{}, false
+}
+
+// passOn passes the request on to another instance and forwards the response. It returns false if the request may be sent
+// elsewhere, because the other one has not run it or because it may run again.
+func (e *exchange) passOn(peer elector.Member) (result, bool) {
+	e.last = attempt{peer: peer.Instance, sentAt: time.Now(), stopWatch: func() {}}
+	ctx, cancel := context.WithCancel(e.ctx)
+	defer cancel()
+	response, err := e.forwarder.connector.Exchange(ctx, e.peerRequest(peer))
+	if err != nil {
+		e.last.err = err
+		switch {
+		case e.request.Context().Err() != nil:
+			return e.endPassedOn(canceled)
+		case connector.NotSent(err):
+			e.forwarder.governor.Decline(time.Now(), peer.Instance, "unreachable")
+			return result{}, false
+		}
+		return e.endPassedOn(maybeExecuted)
+	}
+	if reason := response.Header.Get(headerDeclined); reason != "" {
+		response.Close(false)
+		e.forwarder.governor.Decline(time.Now(), peer.Instance, reason)
+		return result{}, false
+	}
+	metrics.GetOrRegisterCounter("requestsPassedOn", e.forwarder.registry).Inc(1)
+	e.recordServer(response)
+	e.last.status = response.Status
+	var end attemptResult
+	if e.route.Streaming && response.Status < http.StatusMultipleChoices {
+		end, _ = e.relayStream(ctx, response)
+	} else {
+		end, _ = e.relayBuffered(ctx, response)
+	}
+	return e.endPassedOn(end)
+}
+
+// peerRequest returns the request as it is passed on.
+func (e *exchange) peerRequest(peer elector.Member) connector.Request {
+	header := platform.EncodePeerHeaders(e.request.Header, time.Until(e.deadline))
+	header.Set(headerPassedOn, passedOn{
+		instance: e.forwarder.governor.Self().Instance, configuration: e.version, runs: e.runs, counted: e.counted,
+	}.encode())
+	idle := maxIdleNonIdempotent
+	if e.route.Idempotent {
+		idle = maxIdleIdempotent
+	}
+	return connector.Request{
+		Upstream: tracker.Entry{Address: peer.Address}, Method: e.request.Method, URI: e.request.RequestURI,
+		Host: e.request.Host, Header: header, Body: e.body, Limit: maxPeerConnections, MaxIdle: idle,
+		Matches: func(h http.Header) (bool, bool) { return platform.MatchesRequest(h, e.caller.ID) },
+	}
+}
+
+// endPassedOn decides what follows from the end of a request that was passed on. The other instance's response is final:
+// it has retried what may run again.
+func (e *exchange) endPassedOn(end attemptResult) (result, bool) {
+	switch end {
+	case delivered:
+		return result{outcome: outcomeOf(e.last.status), status: e.last.status, cause: "passedOn"}, true
+	case canceled:
+		return result{outcome: outcomeCanceled, cause: "callerLeft", abort: true}, true
+	case truncated:
+		return result{outcome: outcomeFailed, cause: "peerBrokeOff", abort: true}, true
+	default:
+	}
+	e.forwarder.governor.Decline(time.Now(), e.last.peer, "brokeOff")
+	e.runs++
+	if cause := e.checkRetry(maybeExecuted); cause != "" {
+		return e.giveUp(cause, 0, nil), true
+	}
+	return result{}, false
+}
+
+// outcomeOf returns the outcome of a response of another instance, which may be its own refusal.
+func outcomeOf(status int) string {
+	switch {
+	case status < http.StatusBadRequest:
+		return outcomeServed
+	case status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests:
+		return outcomeRefused
+	default:
+		return outcomeFailed
+	}
+}
+
+// recordServer takes the upstream out of the header of a response to a request that was passed on, and applies what the
+// upstream says of itself.
+func (e *exchange) recordServer(response *connector.Response) {
+	incarnation, id, _ := strings.Cut(response.Header.Get(headerServedBy), "/")
+	response.Header.Del(headerServedBy)
+	number, err := strconv.ParseUint(incarnation, 10, 64)
+	if err != nil {
+		// The response is the other instance's own.
+		return
+	}
+	e.last.entry = tracker.Entry{Upstream: identifier.UpstreamID(id), Incarnation: number}
+	e.last.placement.Upstream = e.last.entry.Upstream
+	notice, own, err := platform.DecodeNotice(time.Now(), response.Status, response.Header)
+	if own && err == nil && notice.Leaving {
+		e.forwarder.governor.NoticeLeaving(e.last.entry)
+	}
+}
+
+// nameServer tells the instance that has passed the request on which upstream a response is from.
+func (e *exchange) nameServer() {
+	if e.passedOn != nil {
+		e.writer.Header().Set(headerServedBy, fmt.Sprintf("%d/%s", e.last.entry.Incarnation, e.last.entry.Upstream))
+	}
+}
--- a/rosemaryspool/forwarder/forwarder.go
+++ b/rosemaryspool/forwarder/forwarder.go
@@ -70,12 +70,19 @@
 // Active returns the number of requests in flight.
 func (f *Forwarder) Active() int64 { return f.active.Load() }
 
-// ServeHTTP implements http.Handler.
-func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+// ServeHTTP implements http.Handler for the requests of callers.
+func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) { f.handle(w, r, nil) }
+
+// handle serves a request. origin is set if another instance has passed it on.
+func (f *Forwarder) handle(w http.ResponseWriter, r *http.Request, origin *passedOn) {
 	f.active.Add(1)
 	defer f.active.Add(-1)
 	e := &exchange{
 		forwarder: f, writer: w, request: r, started: time.Now(), caller: platform.DecodeRequest(r.Header),
+		passedOn: origin,
+	}
+	if origin != nil {
+		e.runs, e.counted = origin.runs, origin.counted
 	}
 	result := e.serve()
 	f.record(e, result)
@@ -110,7 +117,11 @@
 	request   *http.Request
 	caller    platform.Request
 	started   time.Time
-	body      []byte
+	// passedOn is set if another instance has passed the request on.
+	passedOn *passedOn
+	// counted is true once the request counts for the retry budget.
+	counted bool
+	body    []byte
 	// content identifies the request when it comes again.
 	content isolator.Trait
 
@@ -141,6 +152,9 @@
 
 func (e *exchange) serve() result {
 	table := e.forwarder.governor.Table()
+	if e.passedOn != nil && (table == nil || table.Configuration().Version < e.passedOn.configuration) {
+		return e.decline("configuration")
+	}
 	if table == nil {
 		return e.refuse("noConfiguration", startupRetryAfter)
 	}
@@ -159,11 +173,20 @@
 	ctx, cancel := context.WithDeadline(e.request.Context(), e.deadline)
 	defer cancel()
 	e.ctx = ctx
+	if e.passedOn != nil && e.forwarder.governor.PathLost(e.service) {
+		return e.decline("path")
+	}
+	if r, done := e.detour(); done {
+		return r
+	}
 	if r, ok := e.resume(); !ok {
 		return r
 	}
 	e.engine = table.Configuration().Services[e.service].IsEngine
-	e.forwarder.governor.CountRequest(e.started, e.service)
+	if !e.counted {
+		e.counted = true
+		e.forwarder.governor.CountRequest(e.started, e.service)
+	}
 	return e.run()
 }
 
@@ -292,6 +315,9 @@
 	if r.retry > 0 {
 		line = line.Dur("retryAfterMs", r.retry)
 	}
+	if e.passedOn != nil {
+		line = line.Str("passedOnBy", string(e.passedOn.instance))
+	}
 	if e.caller.LastEventID != "" {
 		line = line.Str("resumedAfter", e.caller.LastEventID).Str("resumes", string(e.caller.Resumes))
 	}
@@ -306,7 +332,7 @@
 		line = line.Str("best", string(e.refusal.Upstream)).Dur("predictedMs", e.refusal.Predicted)
 		line = describeLoad(line, e.refusal.Ahead, e.refusal.Arbiter)
 	}
-	if e.sends > 0 {
+	if e.sends > 0 || e.last.peer != "" {
 		line = line.Int("sends", e.sends).Int("runs", e.runs)
 		line = e.last.describe(line)
 	}
--- a/rosemaryspool/forwarder/relay.go
+++ b/rosemaryspool/forwarder/relay.go
@@ -54,7 +54,7 @@
 		return maybeExecuted, allocator.OutcomeFailed
 	}
 	stored := &storedResponse{status: response.Status, header: response.Header, body: body}
-	if response.Status >= http.StatusInternalServerError && e.route.Idempotent {
+	if response.Status >= http.StatusInternalServerError && e.route.Idempotent && e.last.peer == "" {
 		e.last.response = stored
 		return upstreamError, allocator.OutcomeFailed
 	}
@@ -100,6 +100,7 @@
 		// Keeps net/http from adding a content type that the upstream did not send.
 		h["Content-Type"] = nil
 	}
+	e.nameServer()
 	e.headerSent = true
 	e.writeHeader(status)
 }
--- a/rosemaryspool/forwarder/resume.go
+++ b/rosemaryspool/forwarder/resume.go
@@ -41,7 +41,8 @@
 
 // recordStream records the version at which a stream begins with its first event, so that it is resumed only there.
 func (e *exchange) recordStream(now time.Time) {
-	if e.streamVersion != nil {
+	if e.streamVersion != nil || e.last.peer != "" {
+		// The instance that serves the request knows the version.
 		return
 	}
 	version := e.last.entry.Version
--- a/rosemaryspool/gatekeeper/crash_test.go
+++ b/rosemaryspool/gatekeeper/crash_test.go
@@ -3,9 +3,7 @@
 import (
 	"fmt"
 	"io"
-	"net"
 	"net/http"
-	"net/netip"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -37,7 +35,7 @@
 	for i := range count {
 		settings := testSettings(store)
 		settings.Instance = identifier.InstanceID(fmt.Sprintf("spool-%d", i+1))
-		settings.PeerAddress, settings.FirstStart, settings.Capacity = freeUDPAddress(t), true, 400
+		settings.FirstStart, settings.Capacity = true, 400
 		instances = append(instances, startTestInstance(t, store, settings))
 	}
 	for _, ti := range instances {
@@ -51,14 +49,6 @@
 	return instances
 }
 
-func freeUDPAddress(t *testing.T) netip.AddrPort {
-	t.Helper()
-	socket, err := net.ListenPacket("udp4", "127.0.0.1:0")
-	require.NoError(t, err)
-	require.NoError(t, socket.Close())
-	return netip.MustParseAddrPort(socket.LocalAddr().String())
-}
-
 // load is a stream of requests of one kind, spread over instances.
 type load struct {
 	path     string
@@ -284,7 +274,7 @@
 	first.stop()
 	<-first.gatekeeper.Done()
 	settings := testSettings(store)
-	settings.Instance, settings.PeerAddress = "spool-3", freeUDPAddress(t)
+	settings.Instance = "spool-3"
 	second := startTestInstance(t, store, settings)
 	require.Eventually(t, func() bool {
 		listed := second.gatekeeper.governor.IsolatedTraits(time.Now())
--- a/rosemaryspool/gatekeeper/gatekeeper.go
+++ b/rosemaryspool/gatekeeper/gatekeeper.go
@@ -77,6 +77,7 @@
 	// noticeWarnedAt is the Unix second of the last log line about one.
 	noticeWarnedAt  atomic.Int64
 	callerListener  net.Listener
+	peerListener    net.Listener
 	readyListener   net.Listener
 	metricsListener net.Listener
 	done            chan struct{}
@@ -94,8 +95,12 @@
 		unreadableNotices: metrics.GetOrRegisterCounter("noticesUnreadable", registry),
 	}
 	g.stopLimit.Store(int64(settings.TerminationGracePeriod))
+	if err := g.listen(); err != nil {
+		return nil, err
+	}
+	// Datagrams and requests of other instances arrive at the same port.
 	self := elector.Member{
-		Instance: settings.Instance, DataCentre: settings.DataCentre, Address: settings.PeerAddress.String(),
+		Instance: settings.Instance, DataCentre: settings.DataCentre, Address: g.peerListener.Addr().String(),
 		Capacity: settings.Capacity, StartedMs: startedMs,
 	}
 	placing := allocator.DefaultSettings()
@@ -105,7 +110,7 @@
 	g.connector = connector.NewConnector(dial, func() { opened.Inc(1) }, g.handleResponse)
 	peers, err := courier.NewCourier(self, log)
 	if err != nil {
-		return nil, err
+		return nil, errors.Join(err, g.closeListeners())
 	}
 	g.courier = peers
 	seeds := strings.FieldsFunc(settings.Seeds, func(r rune) bool { return r == ',' })
@@ -124,9 +129,6 @@
 	// At the first start of the whole system nobody knows more than this instance.
 	g.setWarming(!settings.FirstStart)
 	g.status = newStatusHandler(g.governor, registry)
-	if err := g.listen(); err != nil {
-		return nil, errors.Join(err, peers.Close())
-	}
 	return g, nil
 }
 
@@ -138,6 +140,10 @@
 
 // handleResponse passes on what an upstream says of itself in a response.
 func (g *Gatekeeper) handleResponse(from tracker.Entry, response *connector.Response) {
+	if from.Upstream == "" {
+		// The response is another instance's.
+		return
+	}
 	notice, own, err := platform.DecodeNotice(time.Now(), response.Status, response.Header)
 	if err != nil {
 		g.unreadableNotices.Inc(1)
@@ -194,30 +200,38 @@
 	return kept == settings
 }
 
-// listen opens the listeners for callers, readiness probes and metrics; on an error it closes those already open.
+// listen opens the listeners for callers, other instances, readiness probes and metrics; on an error it closes those
+// already open.
 func (g *Gatekeeper) listen() error {
-	var opened []net.Listener
 	for _, l := range []struct {
 		listener *net.Listener
 		address  string
 	}{
 		{&g.callerListener, g.settings.CallerAddress},
+		{&g.peerListener, g.settings.PeerAddress.String()},
 		{&g.readyListener, g.settings.ReadinessAddress},
 		{&g.metricsListener, g.settings.MetricsAddress},
 	} {
 		listener, err := net.Listen("tcp", l.address)
 		if err != nil {
-			for _, o := range opened {
-				err = errors.Join(err, o.Close())
-			}
-			return eris.Wrap(err, "gatekeeper: listen")
+			return eris.Wrap(errors.Join(err, g.closeListeners()), "gatekeeper: listen")
 		}
 		*l.listener = listener
-		opened = append(opened, listener)
 	}
 	return nil
 }
 
+// closeListeners closes the listeners that are open.
+func (g *Gatekeeper) closeListeners() error {
+	var err error
+	for _, l := range []net.Listener{g.callerListener, g.peerListener, g.readyListener, g.metricsListener} {
+		if l != nil {
+			err = errors.Join(err, l.Close())
+		}
+	}
+	return err
+}
+
 // CallerAddress returns the address of the listener for callers.
 func (g *Gatekeeper) CallerAddress() string { return g.callerListener.Addr().String() }
 
@@ -279,11 +293,12 @@
 }
 
 func (g *Gatekeeper) serve(ctx context.Context, group *conc.WaitGroup) error {
-	callers := newServer(g.forwarder)
+	callers, peers := newServer(g.forwarder), newServer(g.forwarder.PeerHandler())
 	ready := &http.Server{Handler: g.status.readiness(), ReadHeaderTimeout: headerTimeout}
 	metricsServer := &http.Server{Handler: g.status.metrics(), ReadHeaderTimeout: headerTimeout}
-	failed := make(chan error, 3)
+	failed := make(chan error, 4)
 	group.Go(func() { failed <- callers.Serve(g.callerListener) })
+	group.Go(func() { failed <- peers.Serve(g.peerListener) })
 	group.Go(func() { failed <- ready.Serve(g.readyListener) })
 	group.Go(func() { failed <- metricsServer.Serve(g.metricsListener) })
 	g.log.Info().Str("event", "started").Str("listen", g.CallerAddress()).Str("dataCentre", string(g.settings.DataCentre)).
@@ -291,11 +306,11 @@
 	var err error
 	select {
 	case <-ctx.Done():
-		err = g.stop(callers)
+		err = g.stop(callers, peers)
 	case err = <-failed:
 		err = eris.Wrap(err, "gatekeeper: serve")
 	}
-	return errors.Join(err, callers.Close(), ready.Close(), metricsServer.Close())
+	return errors.Join(err, callers.Close(), peers.Close(), ready.Close(), metricsServer.Close())
 }
 
 func newServer(handler http.Handler) *http.Server {
@@ -307,7 +322,7 @@
 // stop is the graceful shutdown. Connections stay open until the balancer no longer routes to this instance, but each
 // further response closes its connection. Requests in flight have until stopMargin before the platform kills the
 // process.
-func (g *Gatekeeper) stop(callers *http.Server) error {
+func (g *Gatekeeper) stop(callers, peers *http.Server) error {
 	started := time.Now()
 	g.log.Info().Str("event", "stopping").Int64("active", g.forwarder.Active()).Msg("Planned stop: reporting not ready")
 	g.status.setNotReady()
@@ -317,5 +332,6 @@
 	<-time.After(min(balancerDelay, limit/2))
 	ctx, cancel := context.WithTimeout(context.Background(), limit-time.Since(started))
 	defer cancel()
-	return eris.Wrap(callers.Shutdown(ctx), "gatekeeper: drain requests in flight")
+	err := errors.Join(callers.Shutdown(ctx), peers.Shutdown(ctx))
+	return eris.Wrap(err, "gatekeeper: drain requests in flight")
 }
--- a/rosemaryspool/gatekeeper/link_test.go
+++ b/rosemaryspool/gatekeeper/link_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 
 	"rosemaryspool.example/rosemaryspool/connector"
@@ -50,6 +51,7 @@
 		return
 	}
 	for conn := range l.open {
+		conn.reset.Store(true)
 		// A reset instead of an orderly end.
 		_ = conn.SetLinger(0)
 		_ = conn.TCPConn.Close()
@@ -90,12 +92,17 @@
 type linkConnection struct {
 	*net.TCPConn
 	link *link
+	// reset is true once the link has reset the connection.
+	reset atomic.Bool
 }
 
 // Read loses what arrives over a silent link.
 func (c *linkConnection) Read(b []byte) (int, error) {
 	for {
 		n, err := c.TCPConn.Read(b)
+		if err != nil && c.reset.Load() {
+			return n, syscall.ECONNRESET
+		}
 		if err != nil || c.link.current() != silent {
 			return n, err
 		}
--- a/rosemaryspool/gatekeeper/path_test.go
+++ b/rosemaryspool/gatekeeper/path_test.go
@@ -1,8 +1,13 @@
 package gatekeeper
 
 import (
+	"bufio"
+	"context"
 	"fmt"
+	"net"
 	"net/http"
+	"strconv"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -10,6 +15,9 @@
 	"github.com/sourcegraph/conc/pool"
 	"github.com/stretchr/testify/require"
 
+	"rosemaryspool.example/core/budgeter"
+	"rosemaryspool.example/core/elector"
+	"rosemaryspool.example/platform"
 	"rosemaryspool.example/standin/emulator"
 )
 
@@ -114,3 +122,229 @@
 		})
 	}
 }
+
+// losePath cuts an instance off from all upstreams and waits until it knows.
+func losePath(t *testing.T, ti *testInstance) {
+	t.Helper()
+	ti.link.set(resetting)
+	for n := 0; !ti.gatekeeper.governor.PathLost("plain") || !ti.gatekeeper.governor.PathLost("model"); n++ {
+		require.Less(t, n, 100)
+		sendTries(ti, fmt.Sprint("lose", n), 8)
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+func TestRequestsArePassedOnOnce(t *testing.T) {
+	t.Parallel()
+	store := newTestStore(t)
+	upstreams := newPathFleet(t, store)
+	instances := newTestCluster(t, store, 3)
+	for _, ti := range instances {
+		losePath(t, ti)
+	}
+	before := countRuns(upstreams...)
+	for _, path := range []string{orders, lookups} {
+		started := time.Now()
+		r := instances[0].send(http.MethodPost, path+"x", "body")
+		require.Equal(t, http.StatusServiceUnavailable, r.status)
+		require.Empty(t, r.header.Get("X-Rosemaryspool-Declined"))
+		require.Less(t, time.Since(started), 500*time.Millisecond)
+	}
+	require.Equal(t, before, countRuns(upstreams...))
+}
+
+func TestInstancesFindTheirPathAgain(t *testing.T) {
+	t.Parallel()
+	store := newTestStore(t)
+	newPathFleet(t, store)
+	ti := newTestCluster(t, store, 2)[0]
+	losePath(t, ti)
+	ti.link.set(whole)
+	require.Eventually(t, func() bool {
+		return !ti.gatekeeper.governor.PathLost("plain") && !ti.gatekeeper.governor.PathLost("model")
+	}, 2*time.Second, time.Millisecond)
+	after := sendTries(ti, "after", 40)
+	require.Equal(t, after.sent, after.served)
+}
+
+func TestPassedOnRequestsKeepTheirDeadline(t *testing.T) {
+	t.Parallel()
+	store := newTestStore(t)
+	upstreams := newPathFleet(t, store)
+	ti := newTestCluster(t, store, 2)[0]
+	losePath(t, ti)
+	r := ti.send(http.MethodPost, orders+"deadline", "body", emulator.HeaderDeadline, "700")
+	require.Equal(t, http.StatusOK, r.status)
+	require.Empty(t, r.header.Get("X-Rosemaryspool-Served-By"))
+	for _, u := range upstreams {
+		for _, run := range u.Runs() {
+			if run.URI != orders+"deadline" {
+				continue
+			}
+			left, err := strconv.Atoi(run.Header.Get(emulator.HeaderDeadline))
+			require.NoError(t, err)
+			require.LessOrEqual(t, left, 700)
+			require.Empty(t, run.Header.Get("X-Rosemaryspool-Passed-On"))
+			return
+		}
+	}
+	require.Fail(t, "the request did not reach an upstream")
+}
+
+func TestCallerOfAPassedOnRequestCancelsIt(t *testing.T) {
+	t.Parallel()
+	store := newTestStore(t)
+	upstreams := newPathFleet(t, store)
+	ti := newTestCluster(t, store, 2)[0]
+	losePath(t, ti)
+	for _, u := range upstreams {
+		u.SetDelay(time.Minute)
+	}
+	canceled := func() int {
+		n := 0
+		for _, u := range upstreams {
+			n += u.Canceled()
+		}
+		return n
+	}
+	before, runs := canceled(), countRuns(upstreams...)
+	ctx, cancel := context.WithCancel(t.Context())
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, ti.url+orders+"x", nil)
+	require.NoError(t, err)
+	request.Host = "h.example"
+	request.Header.Set(emulator.HeaderAttempt, "leaves")
+	var group conc.WaitGroup
+	defer group.Wait()
+	group.Go(func() {
+		if response, err := http.DefaultClient.Do(request); err == nil {
+			_ = response.Body.Close()
+		}
+	})
+	require.Eventually(t, func() bool { return countRuns(upstreams...) > runs }, time.Second, time.Millisecond)
+	cancel()
+	require.Eventually(t, func() bool { return canceled() > before }, 500*time.Millisecond, time.Millisecond)
+}
+
+// newDeadPeer adds an instance to the list of another one that reads requests and closes their connections. It counts them.
+func newDeadPeer(t *testing.T, ti *testInstance) *atomic.Int64 {
+	t.Helper()
+	listener, err := net.Listen("tcp", anyAddress)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	got := &atomic.Int64{}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+				got.Add(1)
+			}
+			_ = conn.Close()
+		}
+	}()
+	ti.link.spare(listener.Addr().String())
+	ti.gatekeeper.governor.SetMember(time.Now(), elector.Member{
+		Instance: "dead", DataCentre: "here", Address: listener.Addr().String(), StartedMs: 1,
+	})
+	return got
+}
+
+func TestOrdersArePassedOnAtMostOnce(t *testing.T) {
+	t.Parallel()
+	store := newTestStore(t)
+	upstreams := newPathFleet(t, store)
+	instances := newTestCluster(t, store, 2)
+	losePath(t, instances[0])
+	dead := newDeadPeer(t, instances[0])
+	// An instance that has broken off is passed over for a second.
+	for n := 0; dead.Load() < 2 && n < 100; n++ {
+		before, runs := dead.Load(), countRuns(upstreams...)
+		r := instances[0].send(http.MethodPost, orders+"x", "body", emulator.HeaderAttempt, fmt.Sprint("o", n))
+		if dead.Load() > before {
+			require.Equal(t, http.StatusBadGateway, r.status, "the other instance may have run it")
+			require.Equal(t, runs, countRuns(upstreams...))
+		} else {
+			require.Equal(t, http.StatusOK, r.status)
+			require.Equal(t, runs+1, countRuns(upstreams...))
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	require.EqualValues(t, 2, dead.Load())
+	time.Sleep(1100 * time.Millisecond)
+	before := dead.Load()
+	for n := 0; dead.Load() == before && n < 100; n++ {
+		r := instances[0].send(http.MethodPost, lookups+"x", "body", emulator.HeaderAttempt, fmt.Sprint("l", n))
+		require.Equal(t, http.StatusOK, r.status, "a lookup may run again")
+	}
+	require.Greater(t, dead.Load(), before)
+}
+
+func TestInstanceWithAnOlderConfigurationTakesNoRequests(t *testing.T) {
+	t.Parallel()
+	store := newTestStore(t)
+	newPathFleet(t, store)
+	instances := newTestCluster(t, store, 2)
+	losePath(t, instances[0])
+	// Only the first instance has got the second version.
+	configuration, err := platform.DecodeConfiguration(fmt.Appendf(nil, routeTable, 2))
+	require.NoError(t, err)
+	instances[0].gatekeeper.governor.SetConfiguration(configuration)
+	require.Equal(t, http.StatusServiceUnavailable, instances[0].send(http.MethodPost, orders+"x", "body").status)
+	instances[1].gatekeeper.governor.SetConfiguration(configuration)
+	require.Eventually(t, func() bool {
+		return instances[0].send(http.MethodPost, orders+"x", "body").status == http.StatusOK
+	}, 2*time.Second, 50*time.Millisecond)
+}
+
+func TestAttemptsThatWereNotSentTakeNoRetries(t *testing.T) {
+	t.Parallel()
+	store := newTestStore(t)
+	newPathFleet(t, store)
+	instances := newTestCluster(t, store, 1)
+	instances[0].link.set(refusing)
+	const requests = 100
+	for n := range requests {
+		r := instances[0].send(http.MethodPost, orders+"x", "body", emulator.HeaderAttempt, fmt.Sprint("o", n))
+		require.Equal(t, http.StatusServiceUnavailable, r.status, "a refusal says that it has not run")
+	}
+	unused := budgeter.NewBudgeter(retrySettings(testSettings(store)))
+	now := time.Now()
+	for range requests {
+		unused.CountRequest(now, "plain")
+	}
+	for unused.TryRetry(now, "plain") {
+		require.True(t, instances[0].gatekeeper.governor.TryRetry(now, "plain"))
+	}
+}
+
+func TestCutThatResetsConnectionsIsNotTakenForCrashes(t *testing.T) {
+	t.Parallel()
+	store := newTestStore(t)
+	newPathFleet(t, store)
+	instances := newTestCluster(t, store, 2)
+	stop := make(chan struct{})
+	var group conc.WaitGroup
+	group.Go(func() {
+		for n := 0; ; n++ {
+			select {
+			case <-stop:
+				return
+			default:
+				sendTries(instances[0], fmt.Sprint("load", n), 8)
+			}
+		}
+	})
+	for range 3 {
+		time.Sleep(300 * time.Millisecond)
+		instances[0].link.set(resetting)
+		time.Sleep(700 * time.Millisecond)
+		instances[0].link.set(whole)
+	}
+	close(stop)
+	group.Wait()
+	for _, ti := range instances {
+		require.Empty(t, ti.gatekeeper.governor.CrashKnowledge(time.Now()).Crashes)
+	}
+}
--- a/rosemaryspool/gossiper/gossiper.go
+++ b/rosemaryspool/gossiper/gossiper.go
@@ -194,7 +194,7 @@
 // EncodeReport returns the message for a report.
 func EncodeReport(r governor.Report) *messenger.WorkReport {
 	m := &messenger.WorkReport{
-		Service: string(r.Service), Sequence: r.Sequence, FirstPending: r.FirstPending,
+		Service: string(r.Service), Sequence: r.Sequence, FirstPending: r.FirstPending, PathLost: r.PathLost,
 		Upstreams: make([]*messenger.UpstreamWork, 0, len(r.Loads)),
 	}
 	for id, l := range r.Loads {
@@ -224,7 +224,7 @@
 func decodeReport(at time.Time, m *messenger.WorkReport) governor.Report {
 	r := governor.Report{
 		Service: identifier.ServiceName(m.GetService()), Sequence: m.GetSequence(), FirstPending: m.GetFirstPending(),
-		Loads: make(allocator.Loads, len(m.GetUpstreams())),
+		Loads: make(allocator.Loads, len(m.GetUpstreams())), PathLost: m.GetPathLost(),
 	}
 	for _, w := range m.GetUpstreams() {
 		r.Loads[identifier.UpstreamID(w.GetUpstream())] = DecodeLoad(w)
--- a/rosemaryspool/governor/path.go
+++ b/rosemaryspool/governor/path.go
@@ -1,8 +1,10 @@
 package governor
 
 import (
+	"math/rand/v2"
 	"time"
 
+	"rosemaryspool.example/core/elector"
 	"rosemaryspool.example/core/identifier"
 	"rosemaryspool.example/core/tracker"
 )
@@ -41,8 +43,13 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	changed, lostFor := g.reacher.ProbeEnded(now, service, reached)
+	if !changed {
+		return
+	}
+	// What failed on a lost path says nothing about the upstreams.
+	g.allocator.ForgetHealth(g.self.DataCentre, service)
+	g.signalChange(service)
 	switch {
-	case !changed:
 	case reached:
 		g.log.Info().Str("event", "pathRestored").Str("service", string(service)).Dur("lostMs", lostFor).
 			Msg("Upstreams of a service can be reached again")
@@ -58,3 +65,44 @@
 	defer g.mu.Unlock()
 	return g.reacher.Lost(service)
 }
+
+// Detours returns the instances that requests are passed on to while the path from this one is lost, at most limit. Those
+// of the same data centre come first, in a random order.
+func (g *Governor) Detours(now time.Time, limit int) []elector.Member {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	near, far := g.elector.Usable(now)
+	for _, members := range [][]elector.Member{near, far} {
+		rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
+	}
+	return g.reacher.Detours(now, append(near, far...), limit)
+}
+
+// Decline records that another instance did not take a request that was passed on.
+func (g *Governor) Decline(now time.Time, id identifier.InstanceID, reason string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.reacher.Decline(now, id)
+	g.log.Info().Str("event", "detourDeclined").Str("peer", string(id)).Str("reason", reason).
+		Msg("Instance did not take a request that was passed on")
+}
+
+// NoticeLeaving records that an upstream has said that it leaves, in a response by way of another instance.
+func (g *Governor) NoticeLeaving(e tracker.Entry) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.markLeaving(e.Upstream, e.Incarnation, "")
+}
+
+// applyPath applies another instance's word on its path to the upstreams of a service: what it experienced before it lost
+// the path says nothing about the upstreams. The governor's mutex must be held.
+func (g *Governor) applyPath(instance identifier.InstanceID, dataCentre identifier.DataCentre, r Report) {
+	if !g.reacher.PeerLost(instance, r.Service, r.PathLost) {
+		return
+	}
+	if r.PathLost {
+		g.allocator.ForgetHealth(dataCentre, r.Service)
+	}
+	g.log.Info().Str("event", "peerPathChanged").Str("peer", string(instance)).Str("service", string(r.Service)).
+		Bool("lost", r.PathLost).Msg("Another instance has lost or restored its path to the upstreams")
+}
--- a/rosemaryspool/governor/report.go
+++ b/rosemaryspool/governor/report.go
@@ -21,6 +21,8 @@
 	Limits []allocator.NamedLimit
 	// Leaving are the upstreams that have said in their responses that they leave.
 	Leaving []LeavingUpstream
+	// PathLost is true while no upstream of the service can be reached from this instance.
+	PathLost bool
 	// Begun are streams that have begun at this instance.
 	Begun []resumer.Origin
 }
@@ -85,7 +87,7 @@
 	}
 	return Report{
 		Service: service, Leaving: leaving, Sequence: g.reports.sequences[service], Loads: g.allocator.OwnLoads(service), FirstPending: first,
-		Limits: g.allocator.NamedLimits(time.Now(), service),
+		Limits: g.allocator.NamedLimits(time.Now(), service), PathLost: g.reacher.Lost(service),
 	}
 }
 
@@ -139,8 +141,11 @@
 		g.log.Debug().Str("event", "peerHeard").Str("peer", string(instance)).Str("service", string(r.Service)).
 			Msg("First work report of another instance")
 	}
-	for _, o := range r.Observations {
-		g.allocator.Observe(now, dataCentre, o)
+	g.applyPath(instance, dataCentre, r)
+	if !r.PathLost {
+		for _, o := range r.Observations {
+			g.allocator.Observe(now, dataCentre, o)
+		}
 	}
 	for _, l := range r.Leaving {
 		g.markLeaving(l.Upstream, l.Incarnation, instance)
