Don't take a lost path for crashes of upstreams

An upstream that refuses connections counts as crashed only if this instance reaches another one that is not known to have crashed, or knows of none.

--- a/core/isolator/isolator.go
+++ b/core/isolator/isolator.go
@@ -107,6 +107,9 @@
 	return !known
 }
 
+// Crashed reports whether a process is known to have crashed.
+func (i *Isolator) Crashed(p Process) bool { return i.crash(p) != nil }
+
 // Survived records that a process has not ended: what broke off there is no evidence.
 func (i *Isolator) Survived(p Process) {
 	delete(i.broken, p)
--- a/rosemaryspool/forwarder/crash.go
+++ b/rosemaryspool/forwarder/crash.go
@@ -63,6 +63,10 @@
 	defer cancel()
 	err := f.connector.Probe(ctx, entry.Address, f.governor.ConnectionLimit(entry.Service))
 	switch {
+	case errors.Is(err, connector.ErrRefused) && !f.reachesOthers(ctx, entry):
+		f.governor.RecordUnreached(time.Now(), entry)
+		f.log.Info().Str("event", "crashDoubted").Str("upstream", string(entry.Upstream)).
+			Msg("Upstream refuses connections, but no other one can be reached either; not counted as a crash")
 	case errors.Is(err, connector.ErrRefused):
 		metrics.GetOrRegisterCounter("upstreamCrashes", f.registry).Inc(1)
 		f.governor.RecordEnd(time.Now(), entry)
@@ -73,3 +77,9 @@
 			Msg("Not known whether an upstream at which a request broke off has ended")
 	}
 }
+
+// reachesOthers reports whether this instance reaches any upstream but one, or knows of no other that runs.
+func (f *Forwarder) reachesOthers(ctx context.Context, entry tracker.Entry) bool {
+	others := f.governor.OtherUpstreams(entry)
+	return len(others) == 0 || f.prober.Reaches(ctx, others)
+}
--- a/rosemaryspool/forwarder/forwarder.go
+++ b/rosemaryspool/forwarder/forwarder.go
@@ -27,6 +27,7 @@
 	"rosemaryspool.example/rosemaryspool/delegator"
 	"rosemaryspool.example/rosemaryspool/governor"
 	"rosemaryspool.example/rosemaryspool/meter"
+	"rosemaryspool.example/rosemaryspool/prober"
 )
 
 const (
@@ -45,6 +46,7 @@
 	governor           *governor.Governor
 	delegator          *delegator.Delegator
 	connector          *connector.Connector
+	prober             *prober.Prober
 	log                zerolog.Logger
 	registry           metrics.Registry
 	sampler            *sampler
@@ -53,12 +55,14 @@
 	active             atomic.Int64
 }
 
-// NewForwarder returns a forwarder that has requests placed by d and sends them over c.
+// NewForwarder returns a forwarder that has requests placed by d and sends them over c. It tells crashes from lost paths
+// with p.
 func NewForwarder(
-	g *governor.Governor, d *delegator.Delegator, c *connector.Connector, log zerolog.Logger, registry metrics.Registry,
+	g *governor.Governor, d *delegator.Delegator, c *connector.Connector, p *prober.Prober, log zerolog.Logger,
+	registry metrics.Registry,
 ) *Forwarder {
 	return &Forwarder{
-		governor: g, delegator: d, connector: c, log: log, registry: registry,
+		governor: g, delegator: d, connector: c, prober: p, log: log, registry: registry,
 		sampler:     newSampler(metrics.GetOrRegisterCounter("logLinesOmitted", registry)),
 		callerWaits: &waitTracker{longest: map[string]time.Duration{}},
 	}
--- a/rosemaryspool/gatekeeper/gatekeeper.go
+++ b/rosemaryspool/gatekeeper/gatekeeper.go
@@ -116,9 +116,9 @@
 	seeds := strings.FieldsFunc(settings.Seeds, func(r rune) bool { return r == ',' })
 	g.gossiper = gossiper.NewGossiper(g.governor, g.courier, seeds, g.handleView, log)
 	g.delegator = delegator.NewDelegator(g.governor, g.courier, log, registry)
-	g.forwarder = forwarder.NewForwarder(g.governor, g.delegator, g.connector, log, registry)
-	g.inspector = inspector.NewInspector(g.governor, g.connector, log)
 	g.prober = prober.NewProber(g.governor, g.connector, log)
+	g.forwarder = forwarder.NewForwarder(g.governor, g.delegator, g.connector, g.prober, log, registry)
+	g.inspector = inspector.NewInspector(g.governor, g.connector, log)
 	store := platform.NewStore(settings.StoreAddress)
 	g.archiver = archiver.NewArchiver(store, g.governor, settings.FirstStart, log)
 	g.subscriber = subscriber.NewSubscriber(
--- a/rosemaryspool/governor/crash.go
+++ b/rosemaryspool/governor/crash.go
@@ -39,6 +39,20 @@
 	g.isolationChanged("")
 }
 
+// OtherUpstreams returns the upstreams of all services that are not known to have crashed, without one. If none of them can be
+// reached either, the fault is likely to lie on the path from this instance.
+func (g *Governor) OtherUpstreams(e tracker.Entry) []tracker.Entry {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var others []tracker.Entry
+	for _, other := range g.tracker.Entries() {
+		if other.Upstream != e.Upstream && !g.isolator.Crashed(processOf(other)) {
+			others = append(others, other)
+		}
+	}
+	return others
+}
+
 // RecordSurvival records that an upstream has not ended.
 func (g *Governor) RecordSurvival(e tracker.Entry) {
 	g.mu.Lock()
--- a/rosemaryspool/prober/prober.go
+++ b/rosemaryspool/prober/prober.go
@@ -11,7 +11,6 @@
 	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc"
 
-	"rosemaryspool.example/core/identifier"
 	"rosemaryspool.example/core/tracker"
 	"rosemaryspool.example/rosemaryspool/connector"
 	"rosemaryspool.example/rosemaryspool/governor"
@@ -58,26 +57,25 @@
 		case <-p.governor.Unreached():
 		}
 		for service, entries := range p.governor.BeginProbes(time.Now()) {
-			probes.Go(func() { p.governor.ProbeEnded(time.Now(), service, p.reaches(ctx, service, entries)) })
+			probes.Go(func() { p.governor.ProbeEnded(time.Now(), service, p.Reaches(ctx, entries)) })
 		}
 	}
 }
 
-// reaches reports whether any of some upstreams of a service accepts a connection.
-func (p *Prober) reaches(ctx context.Context, service identifier.ServiceName, entries []tracker.Entry) bool {
+// Reaches reports whether any of some upstreams accepts a connection. It changes their order.
+func (p *Prober) Reaches(ctx context.Context, entries []tracker.Entry) bool {
 	rand.Shuffle(len(entries), func(i, j int) { entries[i], entries[j] = entries[j], entries[i] })
 	first := min(len(entries), firstProbes)
-	return p.reachesAny(ctx, service, entries[:first]) ||
-		p.reachesAny(ctx, service, entries[first:min(len(entries), maxProbes)])
+	return p.reachesAny(ctx, entries[:first]) || p.reachesAny(ctx, entries[first:min(len(entries), maxProbes)])
 }
 
-func (p *Prober) reachesAny(ctx context.Context, service identifier.ServiceName, entries []tracker.Entry) bool {
+func (p *Prober) reachesAny(ctx context.Context, entries []tracker.Entry) bool {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	results := make(chan error, len(entries))
-	// One connection more than this instance's share, as the others may hang.
-	limit := p.governor.ConnectionLimit(service) + 1
 	for _, e := range entries {
+		// One connection more than this instance's share, as the others may hang.
+		limit := p.governor.ConnectionLimit(e.Service) + 1
 		go func() { results <- p.connector.Probe(ctx, e.Address, limit) }()
 	}
 	for _, e := range entries {
