Tell answers about crashes to the accuser alone

Each copy of a report was answered to all others, three times, as was each transfer of all that is known, once a second from everybody.

An answer now goes to the instance that accuses, once or twice for a crash, and that one passes it on with its repeats. Of the instances that answer a suspected trait the first one reports that. A digest each second goes before any transfer; several crashes share a datagram; transfers and datagrams are bounded.

TestReportsOfCrashesStayFew, red before: with 80 instances and one crash 36 datagrams from one instance to another (3 allowed), with 22 together 596 (24 allowed). One test asserted that answers go to all; it now asserts that the accuser is told and passes them on.

--- a/core/isolator/crash.go
+++ b/core/isolator/crash.go
@@ -1,7 +1,6 @@
 package isolator
 
 import (
-	"slices"
 	"time"
 
 	"rosemaryspool.example/core/identifier"
@@ -18,6 +17,13 @@
 	Process Process
 	At      time.Time
 	Traits  []BrokenTrait
+
+	// cleared holds the answers that speak for traits of which other instances have reported the crash; they are told with
+	// this instance's own reports.
+	cleared []Answer
+	// replies is how often this instance has replied to reports of the crash, repliedAt when it last did.
+	replies   int
+	repliedAt time.Time
 }
 
 // BrokenTrait is a trait of requests that broke off; SentAt is when the last of them was sent.
@@ -40,7 +46,3 @@
 		c.Traits = append(c.Traits, b)
 	}
 }
-
-func (c *Crash) clone() Crash {
-	return Crash{Process: c.Process, At: c.At, Traits: slices.Clone(c.Traits)}
-}
--- a/core/isolator/isolator.go
+++ b/core/isolator/isolator.go
@@ -6,7 +6,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 )
@@ -150,8 +149,12 @@
 		return false
 	}
 	i.answers.add(now, t)
+	if i.suspects[t].status(now, i.settings) != Free {
+		// Each instance that answers the trait would tell all others.
+		delay := time.Duration(i.settings.ReportPhase * float64(answerSpread))
+		i.outbox.addAnswer(now, delay, Answer{Trait: t, At: now})
+	}
 	i.release(now, t)
-	i.outbox.addAnswer(now, Answer{Trait: t, At: now})
 	return true
 }
 
@@ -234,6 +237,7 @@
 	i.crashes = append(i.crashes, c)
 	slices.SortStableFunc(i.crashes, func(a, b *Crash) int { return a.At.Compare(b.At) })
 	for len(i.crashes) > maxCrashes || at.Sub(i.crashes[0].At) > i.settings.CrashMemory {
+		i.outbox.forget(i.crashes[0].Process)
 		i.crashes = i.crashes[1:]
 	}
 	return c
@@ -298,20 +302,35 @@
 	if len(i.suspects) < maxSuspects {
 		return
 	}
-	traits := slices.SortedFunc(maps.Keys(i.suspects), func(x, y Trait) int {
-		a, b := i.suspects[x], i.suspects[y]
+	type evidence struct {
+		trait       Trait
+		held        int64
+		count       int
+		latestNanos int64
+	}
+	all := make([]evidence, 0, len(i.suspects))
+	for t, s := range i.suspects {
+		e := evidence{trait: t, count: s.count, latestNanos: s.latest.UnixNano()}
+		if !s.heldUntil.IsZero() {
+			e.held = s.heldUntil.UnixNano()
+		}
+		all = append(all, e)
+	}
+	slices.SortFunc(all, func(a, b evidence) int {
 		return cmp.Or(
-			a.heldUntil.Compare(b.heldUntil), cmp.Compare(a.count, b.count), a.latest.Compare(b.latest), cmp.Compare(x, y),
+			cmp.Compare(a.held, b.held), cmp.Compare(a.count, b.count), cmp.Compare(a.latestNanos, b.latestNanos),
+			cmp.Compare(a.trait, b.trait),
 		)
 	})
-	for _, t := range traits[:len(traits)/4] {
-		delete(i.suspects, t)
+	for _, e := range all[:len(all)/4] {
+		delete(i.suspects, e.trait)
 	}
 }
 
 // refute drops a crash that was none.
 func (i *Isolator) refute(p Process) {
 	i.crashes = slices.DeleteFunc(i.crashes, func(c *Crash) bool { return c.Process == p })
+	i.outbox.forget(p)
 	for t, s := range i.suspects {
 		if _, accused := s.crashes[p]; !accused {
 			continue
--- a/core/isolator/report.go
+++ b/core/isolator/report.go
@@ -1,8 +1,13 @@
 package isolator
 
 import (
+	"fmt"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"rosemaryspool.example/core/identifier"
 )
 
 // Report is what an instance sends to the others about crashes.
@@ -35,76 +40,223 @@
 const (
 	// maxReported bounds each list of a report of changes.
 	maxReported = 64
-	// repeats is how often a report is sent, as datagrams get lost.
+	// repeats is how often a crash or an answer is reported, as datagrams get lost.
 	repeats = 3
 	// repeatInterval is the time between two of these.
 	repeatInterval = 200 * time.Millisecond
+	// answerSpread is the time over which instances that have answered the same trait report that: the others hear the
+	// first one and say nothing.
+	answerSpread = 300 * time.Millisecond
+	// maxReplies is how often a crash is replied to, replyInterval the time between two replies.
+	maxReplies    = 2
+	replyInterval = 250 * time.Millisecond
+	// maxPartWeight bounds a part of a report, which must fit into a datagram. A trait weighs 1.
+	maxPartWeight    = 64
+	crashWeight      = 6
+	quarantineWeight = 2
 )
 
-// outbox holds what is to be reported to the other instances: what this instance itself has seen.
-type outbox struct {
-	processes []Process
-	answers   []Answer
-	// left is how often the contents are still to be sent, next when.
+// notice is a crash or an answer that is to be reported.
+type notice[T any] struct {
+	about T
+	// left is how often it is still to be sent, next when.
 	left int
 	next time.Time
 }
 
+// outbox holds what is to be reported to the other instances: what this instance itself has seen.
+type outbox struct {
+	crashes []notice[Process]
+	answers []notice[Answer]
+	// replies holds the answers that speak for traits of which accuser has reported crashes.
+	replies   []Answer
+	accuser   identifier.InstanceID
+	repliedAt time.Time
+}
+
+// add has a crash reported. One that is being reported gets no further repeats: what has been added to it is sent with the
+// next one.
 func (o *outbox) add(now time.Time, p Process) {
-	if !slices.Contains(o.processes, p) {
-		o.processes = append(o.processes, p)
-		o.processes = o.processes[max(0, len(o.processes)-maxReported):]
+	if slices.ContainsFunc(o.crashes, func(n notice[Process]) bool { return n.about == p }) {
+		return
 	}
-	o.left, o.next = repeats, now
+	o.crashes = append(o.crashes, notice[Process]{about: p, left: repeats, next: now})
+	o.crashes = o.crashes[max(0, len(o.crashes)-maxReported):]
+}
+
+// reports reports whether a crash is still to be reported.
+func (o *outbox) reports(p Process) bool {
+	return slices.ContainsFunc(o.crashes, func(n notice[Process]) bool { return n.about == p && n.left > 0 })
+}
+
+// forget drops a crash that is no longer known.
+func (o *outbox) forget(p Process) {
+	o.crashes = slices.DeleteFunc(o.crashes, func(n notice[Process]) bool { return n.about == p })
 }
 
-func (o *outbox) addAnswer(now time.Time, a Answer) {
-	o.answers = slices.DeleteFunc(o.answers, func(other Answer) bool { return other.Trait == a.Trait })
-	o.answers = append(o.answers, a)
+// addAnswer has an answer reported after a delay, unless another instance reports it before.
+func (o *outbox) addAnswer(now time.Time, delay time.Duration, a Answer) {
+	o.dropAnswer(a.Trait)
+	o.answers = append(o.answers, notice[Answer]{about: a, left: repeats, next: now.Add(delay)})
 	o.answers = o.answers[max(0, len(o.answers)-maxReported):]
-	o.left, o.next = repeats, now
+}
+
+func (o *outbox) dropAnswer(t Trait) {
+	o.answers = slices.DeleteFunc(o.answers, func(n notice[Answer]) bool { return n.about.Trait == t })
+}
+
+// take returns what is due, and drops what has been sent often enough. Notices of crashes are kept without being sent
+// again, so that a crash is not reported anew.
+func take[T any](now time.Time, notices []notice[T]) []T {
+	var due []T
+	for k := range notices {
+		n := &notices[k]
+		if n.left > 0 && !now.Before(n.next) {
+			due = append(due, n.about)
+			n.left, n.next = n.left-1, now.Add(repeatInterval)
+		}
+	}
+	return due
 }
 
 // TakeReport returns the report to the other instances that is due now; it is empty if none is.
 func (i *Isolator) TakeReport(now time.Time) Report {
-	o := &i.outbox
-	if o.left == 0 || now.Before(o.next) {
-		return Report{}
+	var r Report
+	for _, a := range take(now, i.outbox.answers) {
+		r.Answers = append(r.Answers, a)
 	}
-	o.left--
-	o.next = now.Add(repeatInterval)
-	r := Report{Answers: slices.Clone(o.answers)}
+	i.outbox.answers = slices.DeleteFunc(i.outbox.answers, func(n notice[Answer]) bool { return n.left == 0 })
+	due := take(now, i.outbox.crashes)
 	for _, c := range i.crashes {
-		if slices.Contains(o.processes, c.Process) {
-			r.Crashes = append(r.Crashes, c.clone())
+		if slices.Contains(due, c.Process) {
+			accused, answers := i.split(c)
+			r.Crashes = append(r.Crashes, Crash{Process: c.Process, At: c.At, Traits: accused})
+			r.Answers = addAnswers(r.Answers, append(answers, c.cleared...))
+			c.cleared = nil
 		}
 	}
-	if o.left == 0 {
-		o.processes, o.answers = nil, nil
-	}
 	return r
 }
 
-// Knowledge returns all that is known of crashes, for an instance that has started or was cut off.
-func (i *Isolator) Knowledge(now time.Time) Report {
-	var r Report
+// split returns the traits that a crash still accuses, and the answers that speak for the others.
+func (i *Isolator) split(c *Crash) (accused []BrokenTrait, answers []Answer) {
+	for _, b := range c.Traits {
+		if at, known := i.answers.last(b.Trait); known && at.After(c.At.Add(-i.settings.TrustPeriod)) {
+			answers = append(answers, Answer{Trait: b.Trait, At: at})
+			continue
+		}
+		accused = append(accused, b)
+	}
+	return accused, answers
+}
+
+// addAnswers adds the answers that a list lacks, as far as there is room.
+func addAnswers(list, answers []Answer) []Answer {
+	for _, a := range answers {
+		known := slices.ContainsFunc(list, func(other Answer) bool { return other.Trait == a.Trait })
+		if !known && len(list) < maxReported {
+			list = append(list, a)
+		}
+	}
+	return list
+}
+
+// TakeReply returns the answers that an instance lacks which has reported crashes, and that instance. They are told once:
+// it passes them on with its next reports.
+func (i *Isolator) TakeReply(now time.Time) (Report, identifier.InstanceID) {
+	o := &i.outbox
+	if len(o.replies) == 0 || now.Sub(o.repliedAt) < replyInterval {
+		return Report{}, ""
+	}
+	r := Report{Answers: o.replies}
+	o.replies, o.repliedAt = nil, now
+	return r, o.accuser
+}
+
+// Parts splits a report into parts that fit into a datagram each.
+func (r Report) Parts() []Report {
+	var parts []Report
+	var part Report
+	room := maxPartWeight
+	next := func() {
+		parts = append(parts, part)
+		part, room = Report{}, maxPartWeight
+	}
+	for _, q := range r.Quarantines {
+		if room < quarantineWeight {
+			next()
+		}
+		part.Quarantines = append(part.Quarantines, q)
+		room -= quarantineWeight
+	}
+	for _, a := range r.Answers {
+		if room == 0 {
+			next()
+		}
+		part.Answers = append(part.Answers, a)
+		room--
+	}
+	for _, c := range r.Crashes {
+		for first := true; first || len(c.Traits) > 0; first = false {
+			if room <= crashWeight {
+				next()
+			}
+			n := min(len(c.Traits), room-crashWeight)
+			part.Crashes = append(part.Crashes, Crash{Process: c.Process, At: c.At, Traits: c.Traits[:n]})
+			c.Traits = c.Traits[n:]
+			room -= crashWeight + n
+		}
+	}
+	if !part.IsEmpty() {
+		next()
+	}
+	return parts
+}
+
+// Digest returns a hash of what is known: two instances with the same digest have nothing to tell each other.
+func (i *Isolator) Digest(now time.Time) uint64 {
+	var sum uint64
+	add := func(text string) {
+		// The order in which instances have learned of things doesn't matter.
+		sum += xxhash.Sum64String(text)
+	}
 	for _, c := range i.crashes {
-		r.Crashes = append(r.Crashes, c.clone())
+		add(fmt.Sprintf("%s/%d", c.Process.Upstream, c.Process.Incarnation))
 	}
+	for _, q := range i.quarantines(now) {
+		add(fmt.Sprintf("%d/%d", q.Trait, q.Term))
+	}
+	return sum
+}
+
+// quarantines returns the quarantines of which the beginning is known, the latest ones first.
+func (i *Isolator) quarantines(now time.Time) []Quarantine {
+	var held []Quarantine
 	for t, s := range i.suspects {
 		if s.status(now, i.settings) == Quarantined && !s.restored {
-			r.Quarantines = append(r.Quarantines, Quarantine{Trait: t, Since: s.heldSince, Until: s.heldUntil, Term: s.term})
+			held = append(held, Quarantine{Trait: t, Since: s.heldSince, Until: s.heldUntil, Term: s.term})
 		}
 	}
-	slices.SortFunc(r.Quarantines, func(a, b Quarantine) int { return b.Since.Compare(a.Since) })
-	r.Quarantines = r.Quarantines[:min(len(r.Quarantines), maxReported)]
+	slices.SortFunc(held, func(a, b Quarantine) int { return b.Since.Compare(a.Since) })
+	return held[:min(len(held), maxReported)]
+}
+
+// Knowledge returns all that is known of crashes, for an instance that has started or was cut off: quarantines, and crashes
+// with the latest ones first.
+func (i *Isolator) Knowledge(now time.Time) Report {
+	r := Report{Quarantines: i.quarantines(now)}
+	for _, c := range slices.Backward(i.crashes) {
+		accused, _ := i.split(c)
+		r.Crashes = append(r.Crashes, Crash{Process: c.Process, At: c.At, Traits: accused})
+	}
 	return r
 }
 
 // Learn applies the report of another instance. Reports may be lost, late, repeated and out of order.
-func (i *Isolator) Learn(now time.Time, r Report) {
+func (i *Isolator) Learn(now time.Time, from identifier.InstanceID, r Report) {
 	for _, a := range r.Answers {
 		i.answers.add(a.At, a.Trait)
+		i.outbox.dropAnswer(a.Trait)
 		if s := i.suspects[a.Trait]; s != nil && a.At.After(s.latest.Add(-i.settings.TrustPeriod)) {
 			i.release(now, a.Trait)
 		}
@@ -119,10 +271,7 @@
 		case reported.At.Before(c.At):
 			c.At = reported.At
 		}
-		for _, a := range i.addTraits(now, c, reported.Traits) {
-			// The instance that reported the crash does not know of these answers.
-			i.outbox.addAnswer(now, a)
-		}
+		i.reply(now, from, c, i.addTraits(now, c, reported.Traits))
 		if i.broken[reported.Process] != nil {
 			i.Ended(now, reported.Process)
 		}
@@ -132,6 +281,20 @@
 	}
 }
 
+// reply has an instance that reported a crash told of the answers that it lacks.
+func (i *Isolator) reply(now time.Time, to identifier.InstanceID, c *Crash, answers []Answer) {
+	if i.outbox.reports(c.Process) {
+		c.cleared = addAnswers(c.cleared, answers)
+		return
+	}
+	if len(answers) == 0 || c.replies >= maxReplies || now.Sub(c.repliedAt) < replyInterval {
+		return
+	}
+	c.replies, c.repliedAt = c.replies+1, now
+	i.outbox.accuser = to
+	i.outbox.replies = addAnswers(i.outbox.replies, answers)
+}
+
 // Restore applies quarantines of which only the term is known, unless the traits are known already. Other instances that
 // know when they began correct them; they are not reported.
 func (i *Isolator) Restore(now time.Time, quarantines []Quarantine) {
--- a/core/isolator/settings.go
+++ b/core/isolator/settings.go
@@ -23,6 +23,8 @@
 	// SurvivalTime is how long after its crash an answer of a process shows that there was none. Answers that were on their
 	// way arrive earlier.
 	SurvivalTime time.Duration
+	// ReportPhase, from 0 to 1, differs between instances, so that they don't report the same at the same time.
+	ReportPhase float64
 	// ConfirmTime is how long a broken request waits for word that its upstream has ended.
 	ConfirmTime time.Duration
 }
--- a/rosemaryspool/gatekeeper/gatekeeper.go
+++ b/rosemaryspool/gatekeeper/gatekeeper.go
@@ -105,7 +105,9 @@
 	}
 	placing := allocator.DefaultSettings()
 	placing.LimiterPhase = rand.Float64()
-	g.governor = governor.NewGovernor(governor.Settings{Self: self, Retry: retrySettings(settings), Allocator: placing}, log)
+	g.governor = governor.NewGovernor(governor.Settings{
+		Self: self, Retry: retrySettings(settings), Allocator: placing, ReportPhase: rand.Float64(),
+	}, log)
 	opened := metrics.GetOrRegisterCounter("connectionsOpened", registry)
 	g.connector = connector.NewConnector(dial, func() { opened.Inc(1) }, g.handleResponse)
 	peers, err := courier.NewCourier(self, log)
@@ -114,7 +116,7 @@
 	}
 	g.courier = peers
 	seeds := strings.FieldsFunc(settings.Seeds, func(r rune) bool { return r == ',' })
-	g.gossiper = gossiper.NewGossiper(g.governor, g.courier, seeds, g.handleView, log)
+	g.gossiper = gossiper.NewGossiper(g.governor, g.courier, seeds, g.handleView, log, registry)
 	g.delegator = delegator.NewDelegator(g.governor, g.courier, log, registry)
 	g.prober = prober.NewProber(g.governor, g.connector, log)
 	g.forwarder = forwarder.NewForwarder(g.governor, g.delegator, g.connector, g.prober, log, registry)
--- a/rosemaryspool/gossiper/crash.go
+++ b/rosemaryspool/gossiper/crash.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"rosemaryspool.example/core/elector"
@@ -13,20 +12,44 @@
 )
 
 const (
-	// crashSyncInterval is the time between two transfers of all that is known of crashes to one other instance, which may
-	// have been cut off.
+	// crashSyncInterval is the time between two digests of all that is known of crashes, each to one other instance, and
+	// the least time between two transfers.
 	crashSyncInterval = time.Second
-	// maxListedPerDatagram bounds the answers and the quarantines in a datagram, maxTraitsPerDatagram the traits of a crash.
-	maxListedPerDatagram = 20
-	maxTraitsPerDatagram = 64
+	// maxTransferParts bounds the datagrams of a transfer; the oldest crashes are left out.
+	maxTransferParts = 16
+	// maxCrashDatagrams bounds the datagrams about crashes that this instance sends in a second. The rest is dropped:
+	// repeats and transfers make up for it.
+	maxCrashDatagrams = 8192
 )
 
-// sendCrashReports sends what this instance has seen of crashes to all others, and all that it knows to one of them.
+// crashQuota counts the datagrams about crashes in the current second.
+type crashQuota struct {
+	second time.Time
+	sent   int
+}
+
+// take reports whether another datagram may be sent.
+func (q *crashQuota) take(now time.Time) bool {
+	if now.Sub(q.second) >= time.Second {
+		q.second, q.sent = now, 0
+	}
+	q.sent++
+	return q.sent <= maxCrashDatagrams
+}
+
+// sendCrashReports sends what this instance has seen of crashes to all others, the answers that another one lacks to that
+// one, and a digest of all that it knows to one of them.
 func (g *Gossiper) sendCrashReports(now time.Time) {
 	report, others := g.governor.TakeCrashReport(now)
-	for _, m := range encodeCrashReport(now, report) {
+	for _, part := range report.Parts() {
+		m := encodeCrashReport(now, part)
 		for _, other := range others {
-			g.sendCrashReport(other, m)
+			g.sendCrashReport(now, other, m)
+		}
+	}
+	if reply, to, due := g.governor.TakeCrashReply(now); due {
+		for _, part := range reply.Parts() {
+			g.sendCrashReport(now, to, encodeCrashReport(now, part))
 		}
 	}
 	if now.Sub(g.crashesSyncedAt) < crashSyncInterval {
@@ -34,62 +57,86 @@
 	}
 	g.crashesSyncedAt = now
 	if others := g.governor.Others(); len(others) > 0 {
-		g.SendCrashKnowledge(others[rand.IntN(len(others))])
+		digest := g.governor.CrashDigest(now)
+		g.sendCrashReport(now, others[rand.IntN(len(others))], &messenger.CrashReport{Digest: &digest})
 	}
 }
 
 // SendCrashKnowledge sends all that this instance knows of crashes to another one.
 func (g *Gossiper) SendCrashKnowledge(to elector.Member) {
 	now := time.Now()
-	for _, m := range encodeCrashReport(now, g.governor.CrashKnowledge(now)) {
-		g.sendCrashReport(to, m)
+	parts := g.governor.CrashKnowledge(now).Parts()
+	for _, part := range parts[:min(len(parts), maxTransferParts)] {
+		g.sendCrashReport(now, to, encodeCrashReport(now, part))
 	}
 }
 
-func (g *Gossiper) sendCrashReport(to elector.Member, m *messenger.CrashReport) {
+func (g *Gossiper) sendCrashReport(now time.Time, to elector.Member, m *messenger.CrashReport) {
+	g.mu.Lock()
+	allowed := g.crashQuota.take(now)
+	g.mu.Unlock()
+	if !allowed {
+		g.crashesDropped.Inc(1)
+		return
+	}
 	g.courier.Send(to, &messenger.Datagram{Body: &messenger.Datagram_CrashReport{CrashReport: m}})
 }
 
-// HandleCrashReport applies what another instance knows of crashes.
+// HandleCrashReport applies what another instance knows of crashes. If the digests differ, each of the two sends the other
+// one all that it knows.
 func (g *Gossiper) HandleCrashReport(r courier.Received, m *messenger.CrashReport) {
 	g.governor.ApplyCrashReport(r.At, r.Sender.Instance, decodeCrashReport(r.At, m))
+	if m.Digest == nil {
+		return
+	}
+	digest := g.governor.CrashDigest(r.At)
+	if digest == m.GetDigest() || !g.mayTransfer(r.At) {
+		return
+	}
+	if !m.GetDigestReply() {
+		g.sendCrashReport(r.At, r.Sender, &messenger.CrashReport{Digest: &digest, DigestReply: true})
+	}
+	g.SendCrashKnowledge(r.Sender)
 }
 
-// encodeCrashReport splits a report into messages that fit into a datagram: some for each crash, and some for the rest.
-func encodeCrashReport(now time.Time, r isolator.Report) []*messenger.CrashReport {
-	var messages []*messenger.CrashReport
-	for _, c := range r.Crashes {
-		for traits := range slices.Chunk(c.Traits, maxTraitsPerDatagram) {
-			m := &messenger.UpstreamCrash{
-				Upstream: string(c.Process.Upstream), Incarnation: c.Process.Incarnation,
-				AgeMs: identifier.Milliseconds(now.Sub(c.At)),
-			}
-			for _, t := range traits {
-				m.Traits = append(m.Traits, &messenger.BrokenTrait{
-					Trait: uint64(t.Trait), SentAgeMs: identifier.Milliseconds(now.Sub(t.SentAt)),
-				})
-			}
-			messages = append(messages, &messenger.CrashReport{Crashes: []*messenger.UpstreamCrash{m}})
-		}
+// mayTransfer reports whether the last transfer was long enough ago, and counts another one.
+func (g *Gossiper) mayTransfer(now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if now.Sub(g.crashesSentAt) < crashSyncInterval {
+		return false
 	}
-	for len(r.Answers) > 0 || len(r.Quarantines) > 0 {
-		m := &messenger.CrashReport{}
-		answers, quarantines := min(len(r.Answers), maxListedPerDatagram), min(len(r.Quarantines), maxListedPerDatagram)
-		for _, a := range r.Answers[:answers] {
-			m.Answers = append(m.Answers, &messenger.AnsweredTrait{
-				Trait: uint64(a.Trait), AgeMs: identifier.Milliseconds(now.Sub(a.At)),
-			})
+	g.crashesSentAt = now
+	return true
+}
+
+// encodeCrashReport returns the message for a part of a report.
+func encodeCrashReport(now time.Time, r isolator.Report) *messenger.CrashReport {
+	m := &messenger.CrashReport{}
+	for _, c := range r.Crashes {
+		crash := &messenger.UpstreamCrash{
+			Upstream: string(c.Process.Upstream), Incarnation: c.Process.Incarnation,
+			AgeMs: identifier.Milliseconds(now.Sub(c.At)),
 		}
-		for _, q := range r.Quarantines[:quarantines] {
-			m.Quarantines = append(m.Quarantines, &messenger.QuarantinedTrait{
-				Trait: uint64(q.Trait), AgeMs: identifier.Milliseconds(now.Sub(q.Since)),
-				LeftMs: identifier.Milliseconds(q.Until.Sub(now)), TermMs: identifier.Milliseconds(q.Term),
+		for _, t := range c.Traits {
+			crash.Traits = append(crash.Traits, &messenger.BrokenTrait{
+				Trait: uint64(t.Trait), SentAgeMs: identifier.Milliseconds(now.Sub(t.SentAt)),
 			})
 		}
-		r.Answers, r.Quarantines = r.Answers[answers:], r.Quarantines[quarantines:]
-		messages = append(messages, m)
+		m.Crashes = append(m.Crashes, crash)
+	}
+	for _, a := range r.Answers {
+		m.Answers = append(m.Answers, &messenger.AnsweredTrait{
+			Trait: uint64(a.Trait), AgeMs: identifier.Milliseconds(now.Sub(a.At)),
+		})
+	}
+	for _, q := range r.Quarantines {
+		m.Quarantines = append(m.Quarantines, &messenger.QuarantinedTrait{
+			Trait: uint64(q.Trait), AgeMs: identifier.Milliseconds(now.Sub(q.Since)),
+			LeftMs: identifier.Milliseconds(q.Until.Sub(now)), TermMs: identifier.Milliseconds(q.Term),
+		})
 	}
-	return messages
+	return m
 }
 
 func decodeCrashReport(at time.Time, m *messenger.CrashReport) isolator.Report {
--- a/rosemaryspool/gossiper/gossiper.go
+++ b/rosemaryspool/gossiper/gossiper.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
 	"rosemaryspool.example/core/allocator"
@@ -52,13 +53,17 @@
 	courier  *courier.Courier
 	log      zerolog.Logger
 	done     chan struct{}
-	// crashesSyncedAt is when all knowledge of crashes was last sent to another instance. Only Run uses it.
+	// crashesSyncedAt is when a digest of the knowledge of crashes was last sent. Only Run uses it.
 	crashesSyncedAt time.Time
+	crashesDropped  metrics.Counter
 	// seeds are the addresses of instances that are asked for views of the store while no other instance is known.
 	seeds  []string
 	onView func(topic string, v View)
 
 	mu sync.Mutex
+	// crashesSentAt is when all knowledge of crashes was last sent to another instance that lacked some of it.
+	crashesSentAt time.Time
+	crashQuota    crashQuota
 	// assembler joins the fragments of records that other instances forward.
 	assembler assembler
 	// received holds the newest report of each other instance, so that outdated ones are recognised.
@@ -72,9 +77,11 @@
 // other instance is known, those at the addresses of seeds are asked.
 func NewGossiper(
 	g *governor.Governor, c *courier.Courier, seeds []string, onView func(topic string, v View), log zerolog.Logger,
+	registry metrics.Registry,
 ) *Gossiper {
 	return &Gossiper{
-		governor: g, courier: c, log: log, done: make(chan struct{}), seeds: seeds, onView: onView,
+		crashesDropped: metrics.GetOrRegisterCounter("crashDatagramsDropped", registry),
+		governor:       g, courier: c, log: log, done: make(chan struct{}), seeds: seeds, onView: onView,
 		received: map[reportKey]lastReport{}, sentAt: map[identifier.ServiceName]time.Time{},
 		standbySentAt: map[identifier.ServiceName]time.Time{}, assembler: newAssembler(),
 	}
--- a/rosemaryspool/governor/crash.go
+++ b/rosemaryspool/governor/crash.go
@@ -134,6 +134,23 @@
 	return r, g.elector.Others()
 }
 
+// TakeCrashReply returns the answers that another instance lacks which has reported crashes. It returns false if there are
+// none.
+func (g *Governor) TakeCrashReply(now time.Time) (isolator.Report, elector.Member, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	r, id := g.isolator.TakeReply(now)
+	to, known := g.elector.Member(id)
+	return r, to, known && !r.IsEmpty()
+}
+
+// CrashDigest returns a hash of all that this instance knows of crashes.
+func (g *Governor) CrashDigest(now time.Time) uint64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.isolator.Digest(now)
+}
+
 // CrashKnowledge returns all that this instance knows of crashes.
 func (g *Governor) CrashKnowledge(now time.Time) isolator.Report {
 	g.mu.Lock()
@@ -152,7 +169,7 @@
 func (g *Governor) ApplyCrashReport(now time.Time, sender identifier.InstanceID, r isolator.Report) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.isolator.Learn(now, r)
+	g.isolator.Learn(now, sender, r)
 	g.isolationChanged(sender)
 }
 
--- a/rosemaryspool/governor/governor.go
+++ b/rosemaryspool/governor/governor.go
@@ -34,6 +34,8 @@
 	Self      elector.Member
 	Retry     budgeter.Settings
 	Allocator allocator.Settings
+	// ReportPhase, from 0 to 1, differs between instances, so that they don't report the same at the same time.
+	ReportPhase float64
 }
 
 // Governor guards the tracker, allocator, elector and retry budget of one instance. It is safe for concurrent use.
@@ -63,6 +65,8 @@
 
 // NewGovernor returns a governor without configuration and upstreams.
 func NewGovernor(settings Settings, log zerolog.Logger) *Governor {
+	isolation := isolator.DefaultSettings()
+	isolation.ReportPhase = settings.ReportPhase
 	return &Governor{
 		log:       log,
 		self:      settings.Self,
@@ -70,7 +74,7 @@
 		allocator: allocator.NewAllocator(settings.Allocator, settings.Self.DataCentre),
 		elector:   elector.NewElector(settings.Self),
 		budgeter:  budgeter.NewBudgeter(settings.Retry),
-		isolator:  isolator.NewIsolator(isolator.DefaultSettings()),
+		isolator:  isolator.NewIsolator(isolation),
 		resumer:   resumer.NewResumer(),
 		reacher:   reacher.NewReacher(),
 		instances: 1,
