--- a/core/isolator/report.go
+++ b/core/isolator/report.go
@@ -105,8 +105,7 @@
 	o.answers = slices.DeleteFunc(o.answers, func(n notice[Answer]) bool { return n.about.Trait == t })
 }
 
-// take returns what is due, and drops what has been sent often enough. Notices of crashes are kept without being sent
-// again, so that a crash is not reported anew.
+// take returns what is due. Notices that have been sent often enough are kept, so that a crash is not reported anew.
 func take[T any](now time.Time, notices []notice[T]) []T {
 	var due []T
 	for k := range notices {
@@ -121,10 +120,7 @@
 
 // TakeReport returns the report to the other instances that is due now; it is empty if none is.
 func (i *Isolator) TakeReport(now time.Time) Report {
-	var r Report
-	for _, a := range take(now, i.outbox.answers) {
-		r.Answers = append(r.Answers, a)
-	}
+	r := Report{Answers: take(now, i.outbox.answers)}
 	i.outbox.answers = slices.DeleteFunc(i.outbox.answers, func(n notice[Answer]) bool { return n.left == 0 })
 	due := take(now, i.outbox.crashes)
 	for _, c := range i.crashes {
