Soak with upstreams of two software versions

Upstreams of two versions serve side by side, and callers take streams that broke off up at the next instance, with Last-Event-Id and Resumes. The new invariant version: whoever resumes a stream, it goes on at the version of the upstream whose signature the caller got. A gateway that sends resumed streams anywhere violates it, and the soak detects that.

--- a/rosemaryspool/commander/soak_test.go
+++ b/rosemaryspool/commander/soak_test.go
@@ -32,7 +32,7 @@
 			s, err := soaker.NewSoaker(soaker.Settings{
 				Seed: c.seed, Rounds: c.rounds, FaultPhase: soaker.DefaultFaultPhase, Gateways: 3, Callers: 12,
 				Command: []string{"rosemaryspool", "gateway"}, Directory: directory, Network: 90 + i, Log: log,
-				FatalRequests: true,
+				FatalRequests: true, MixedVersions: true,
 			})
 			require.NoError(t, err)
 			defer s.Close()
--- a/standin/commander/soak.go
+++ b/standin/commander/soak.go
@@ -34,7 +34,7 @@
 			settings := soaker.Settings{
 				Rounds: max(1, int(check.positive("minutes")*60/roundSeconds)), FaultPhase: soaker.DefaultFaultPhase,
 				Gateways: check.count("gateways", 1), Callers: check.count("callers", 1), Network: check.count("network", 1),
-				Command: []string{command.String("program"), "gateway"}, FatalRequests: true,
+				Command: []string{command.String("program"), "gateway"}, FatalRequests: true, MixedVersions: true,
 			}
 			if err := check.err(); err != nil {
 				return err
--- a/standin/soaker/auditor.go
+++ b/standin/soaker/auditor.go
@@ -26,6 +26,8 @@
 	InvariantUnchanged Invariant = "unchanged"
 	// InvariantOrder: the events of a stream arrive in order without gaps, and a stream that ends normally is complete.
 	InvariantOrder Invariant = "order"
+	// InvariantVersion: a stream goes on only at upstreams of the software version that began it.
+	InvariantVersion Invariant = "version"
 	// InvariantRoute: requests run on the service of the newest route once applyLimit has passed.
 	InvariantRoute Invariant = "route"
 	// InvariantLeaving: no request reaches a draining upstream once drainLimit has passed.
@@ -103,6 +105,8 @@
 	crashes      []crash
 	instances    int
 	streamEvents int
+	// versions holds the software version of each upstream.
+	versions map[string]string
 }
 
 // storeSubject names the store as the subject of a disturbance.
@@ -151,6 +155,7 @@
 		violations = append(violations, h.auditAttempt(a, runs[a.id])...)
 	}
 	violations = append(violations, h.auditContainment(sent)...)
+	violations = append(violations, h.auditVersions(sent)...)
 	return append(violations, append(h.auditBudget(sent), h.auditAbandoned(sent)...)...)
 }
 
@@ -252,12 +257,12 @@
 		return err.Error()
 	}
 	for i, n := range numbers {
-		if n != i+1 {
-			return fmt.Sprintf("event %d received at position %d", n, i+1)
+		if n != a.lastEvent+i+1 {
+			return fmt.Sprintf("event %d received at position %d", n, a.lastEvent+i+1)
 		}
 	}
-	if a.complete && len(numbers) != h.streamEvents {
-		return fmt.Sprintf("the stream ended normally after %d of %d events", len(numbers), h.streamEvents)
+	if a.complete && a.lastEvent+len(numbers) != h.streamEvents {
+		return fmt.Sprintf("the stream ended normally after %d of %d events", a.lastEvent+len(numbers), h.streamEvents)
 	}
 	return ""
 }
@@ -355,3 +360,26 @@
 		InvariantAbandoned, strings.Join(late, " "), "reached an upstream after their callers had abandoned them",
 	}}
 }
+
+// auditVersions checks that streams were resumed only at the version of the upstream whose signature the response has that
+// brought the first event.
+func (h *history) auditVersions(sent map[string]*attempt) []Violation {
+	var violations []Violation
+	for _, r := range h.arrivals {
+		a := sent[r.Header.Get(emulator.HeaderAttempt)]
+		if a == nil || r.rejected || r.PrefillOnly || r.Header.Get(emulator.HeaderLastEvent) == "" {
+			continue
+		}
+		first := sent[a.stream()]
+		if first == nil || first.signature == "" {
+			continue
+		}
+		began := h.versions[strings.TrimSuffix(first.signature, ".1")]
+		if version := h.versions[r.upstream]; version != began {
+			violations = append(violations, Violation{
+				InvariantVersion, a.id, fmt.Sprintf("began at %s and went on at %s on %s", began, version, r.upstream),
+			})
+		}
+	}
+	return violations
+}
--- a/standin/soaker/caller.go
+++ b/standin/soaker/caller.go
@@ -25,7 +25,9 @@
 	// repeatable is true if a request may run more than once.
 	repeatable bool
 	stream     bool
-	weight     int
+	// resumable is true if callers take a broken stream up again.
+	resumable bool
+	weight    int
 }
 
 // kinds lists the kinds of requests. A name is that of the route in routeTable, a weight the relative frequency.
@@ -34,7 +36,7 @@
 	{name: "lookups", path: "/lookups/", method: http.MethodGet, timeout: time.Second, repeatable: true, weight: 3},
 	{
 		name: "verdicts", path: "/verdicts/", method: http.MethodPost, timeout: 2 * time.Second, repeatable: true,
-		stream: true, weight: 4,
+		stream: true, resumable: true, weight: 4,
 	},
 	{name: "notes", path: "/notes/", method: http.MethodPost, timeout: 2 * time.Second, stream: true, weight: 1},
 }
@@ -80,6 +82,18 @@
 	part string
 	// complete is true if the response was read to its regular end.
 	complete bool
+	// resumes is the request that began the stream, lastEvent the last event that the caller has; empty and zero for a new
+	// stream.
+	resumes   string
+	lastEvent int
+}
+
+// stream returns the id of the request that began the stream.
+func (a *attempt) stream() string {
+	if a.resumes != "" {
+		return a.resumes
+	}
+	return a.id
 }
 
 // incomplete reports whether the connection ended, or the caller timed out, before the response was complete. Abandoned
@@ -110,6 +124,8 @@
 	// abandoned.
 	abandonAfter = 30 * time.Millisecond
 	abandonOneIn = 20
+	// maxResumptions is how often a caller takes up one stream.
+	maxResumptions = 2
 	// subjects is the number of second parts that prompts share.
 	subjects = 20
 )
@@ -130,14 +146,34 @@
 		c.mu.Lock()
 		c.attempts = append(c.attempts, a)
 		c.mu.Unlock()
-		if !c.send(a) {
+		for tries := 0; !c.send(a); tries++ {
 			c.instance = (c.instance + 1) % len(c.targets)
+			next := c.resumption(a, tries)
+			if next == nil || ctx.Err() != nil {
+				break
+			}
+			c.mu.Lock()
+			c.attempts = append(c.attempts, next)
+			c.mu.Unlock()
+			a = next
 		}
 		pause := shortPause + time.Duration(c.random.Int64N(int64(longPause-shortPause)))
 		sleep(ctx, pause)
 	}
 }
 
+// resumption returns the request that takes up a stream that broke off; nil if there is none.
+func (c *caller) resumption(a *attempt, tries int) *attempt {
+	numbers, err := eventNumbers(a.content)
+	if !a.kind.resumable || !a.incomplete() || err != nil || len(numbers) == 0 || tries >= maxResumptions {
+		return nil
+	}
+	return &attempt{
+		id: fmt.Sprintf("%s-r%d", a.stream(), tries), kind: a.kind, instance: c.instance, uri: a.uri, body: a.body, part: a.part,
+		resumes: a.stream(), lastEvent: numbers[len(numbers)-1],
+	}
+}
+
 func (c *caller) newAttempt(n int) *attempt {
 	total := 0
 	for _, k := range kinds {
@@ -195,6 +231,10 @@
 		r.Header.Set(emulator.HeaderTokens, "2000,8")
 		r.Header.Set(emulator.HeaderPrompt, fmt.Sprintf("root:800,%s:600,%s:600", a.part, a.id))
 	}
+	if a.resumes != "" {
+		r.Header.Set(emulator.HeaderResumes, a.resumes)
+		r.Header.Set(emulator.HeaderLastEvent, fmt.Sprint(a.lastEvent))
+	}
 	a.sent = time.Now()
 	defer func() { a.ended = time.Now() }()
 	response, err := c.client.Do(r)
@@ -213,6 +253,8 @@
 // eventNumbers returns the event IDs of a stream in the order in which they were received.
 func eventNumbers(content string) ([]int, error) {
 	var numbers []int
+	// What follows the last blank line is no complete event.
+	content = content[:max(0, strings.LastIndex(content, "\n\n"))]
 	lines := bufio.NewScanner(strings.NewReader(content))
 	for lines.Scan() {
 		text, found := strings.CutPrefix(lines.Text(), "id: ")
--- a/standin/soaker/soaker.go
+++ b/standin/soaker/soaker.go
@@ -32,6 +32,8 @@
 	Callers  int
 	// FatalRequests is true if some requests crash the upstreams that run them.
 	FatalRequests bool
+	// MixedVersions is true if upstreams of several software versions serve side by side.
+	MixedVersions bool
 	// Command starts one gateway, which finds the path of its settings file in the variable ROSEMARYSPOOL_CONFIG.
 	Command []string
 	// Directory holds the gateways' settings files and logs.
@@ -176,6 +178,11 @@
 	}
 	u := emulator.NewUpstream(id, stage, events)
 	u.SetDelay(responseDelay)
+	if s.settings.MixedVersions {
+		s.backendsMu.Lock()
+		u.Version = fmt.Sprint("v", 1+len(s.backends)%2)
+		s.backendsMu.Unlock()
+	}
 	p, err := newProxy(u.Address())
 	if err != nil {
 		u.Close()
@@ -355,7 +362,7 @@
 func (s *Soaker) gather() *history {
 	h := &history{
 		changes: s.changes, disturbances: s.disturbances, crashes: s.crashes, instances: len(s.processes),
-		streamEvents: streamEvents,
+		streamEvents: streamEvents, versions: map[string]string{},
 	}
 	for _, c := range s.callers {
 		c.mu.Lock()
@@ -363,6 +370,7 @@
 		c.mu.Unlock()
 	}
 	for _, b := range s.listBackends() {
+		h.versions[b.upstream.ID] = b.upstream.Version
 		for _, r := range b.upstream.Runs() {
 			h.arrivals = append(h.arrivals, arrival{Run: r, upstream: b.upstream.ID, service: b.service})
 		}
--- a/standin/soaker/soaker_test.go
+++ b/standin/soaker/soaker_test.go
@@ -42,7 +42,7 @@
 	for i, invariant := range []Invariant{
 		noInvariant, InvariantOnce, InvariantNotRun, InvariantOwnResponse, InvariantUnchanged, InvariantOrder,
 		InvariantRoute, InvariantLeaving, InvariantBudget, InvariantStop, InvariantTimeout, InvariantAbandoned,
-		InvariantRecovery, InvariantContained, InvariantSound,
+		InvariantRecovery, InvariantContained, InvariantSound, InvariantVersion,
 	} {
 		t.Run(string(invariant), func(t *testing.T) {
 			t.Parallel()
@@ -54,8 +54,8 @@
 				rounds = 3
 			}
 			s, err := NewSoaker(Settings{
-				FatalRequests: invariant == InvariantContained,
-				Seed:          3, Rounds: rounds, Gateways: 2, Callers: 16, Directory: t.TempDir(), Network: 100 + i, Log: io.Discard,
+				FatalRequests: invariant == InvariantContained, MixedVersions: invariant == InvariantVersion,
+				Seed: 3, Rounds: rounds, Gateways: 2, Callers: 16, Directory: t.TempDir(), Network: 100 + i, Log: io.Discard,
 				Command: []string{"/usr/bin/env", fmt.Sprint(violatedInvariantVariable, "=", invariant), program},
 			})
 			require.NoError(t, err)
@@ -238,6 +238,13 @@
 		}
 	}
 	content := response.body
+	if g.invariant == InvariantVersion && strings.HasPrefix(r.URL.Path, "/verdicts/") && r.Header.Get(emulator.HeaderLastEvent) == "" {
+		w.Header().Set(emulator.HeaderSignature, response.header.Get(emulator.HeaderSignature))
+		w.Header().Set("Content-Length", fmt.Sprint(len(content)))
+		_, _ = io.WriteString(w, content[:strings.Index(content, "\n\n")+2])
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
 	switch g.invariant {
 	case InvariantOwnResponse:
 		content = strings.Replace(content, "whole", "other", 1)
