--- a/rosemaryspool/forwarder/attempt.go
+++ b/rosemaryspool/forwarder/attempt.go
@@ -100,8 +100,8 @@
 	if a.peer != "" {
 		line = line.Str("peer", string(a.peer))
 	}
-	line = line.Str("upstream", string(a.placement.Upstream)).Str("upstreamVersion", string(a.entry.Version)).Dur("predictedMs", a.placement.Predicted).
-		Int("upstreamStatus", a.status)
+	line = line.Str("upstream", string(a.placement.Upstream)).Str("upstreamVersion", string(a.entry.Version)).
+		Dur("predictedMs", a.placement.Predicted).Int("upstreamStatus", a.status)
 	line = describeLoad(line, a.placement.Ahead, a.placement.Arbiter)
 	if a.placement.Prefiller != "" {
 		line = line.Str("reader", string(a.placement.Prefiller)).
--- a/rosemaryspool/forwarder/resume.go
+++ b/rosemaryspool/forwarder/resume.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	// originMargin is added to the time that a caller waits, as its clock started earlier.
+	// originMargin is added to the time that a caller waits. It covers the way of its requests.
 	originMargin = time.Second
 	// unknownOriginRetryAfter is the Retry-After for a stream of which no instance knows the version.
 	unknownOriginRetryAfter = 500 * time.Millisecond
