Don't let upstreams decline requests for an instance

A response of an upstream with the header in which instances decline requests that are passed on was taken for such: an order that had run was tried at the other instances, and answered with 503. Seen when reading the change; TestUpstreamsCannotDeclineForAnInstance failed before (503 for a request that ran). The instance that serves the request now removes it.

--- a/rosemaryspool/forwarder/detour.go
+++ b/rosemaryspool/forwarder/detour.go
@@ -206,9 +206,10 @@
 	}
 }
 
-// nameServer tells the instance that has passed the request on which upstream a response is from.
+// nameServer tells the instance that has passed the request on which upstream a response is from, and that it is one.
 func (e *exchange) nameServer() {
 	if e.passedOn != nil {
+		e.writer.Header().Del(headerDeclined)
 		e.writer.Header().Set(headerServedBy, fmt.Sprintf("%d/%s", e.last.entry.Incarnation, e.last.entry.Upstream))
 	}
 }
--- a/rosemaryspool/gatekeeper/path_test.go
+++ b/rosemaryspool/gatekeeper/path_test.go
@@ -6,7 +6,9 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -348,3 +350,29 @@
 		require.Empty(t, ti.gatekeeper.governor.CrashKnowledge(time.Now()).Crashes)
 	}
 }
+
+func TestUpstreamsCannotDeclineForAnInstance(t *testing.T) {
+	t.Parallel()
+	store := newTestStore(t)
+	runs := &atomic.Int64{}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		runs.Add(1)
+		w.Header().Set(emulator.HeaderAttempt, r.Header.Get(emulator.HeaderAttempt))
+		w.Header().Set(emulator.HeaderSignature, "u.1")
+		w.Header().Set("X-Rosemaryspool-Declined", "path")
+	}))
+	t.Cleanup(server.Close)
+	store.Put(platform.TopicServers, "u", fmt.Appendf(nil,
+		`{"service":"plain","address":%q,"zone":"here","version":"v1","slots":6,"state":"ready","sequence":1,"born":1}`,
+		strings.TrimPrefix(server.URL, "http://")))
+	instances := newTestCluster(t, store, 3)
+	instances[0].link.set(resetting)
+	for n := 0; !instances[0].gatekeeper.governor.PathLost("plain"); n++ {
+		require.Less(t, n, 100)
+		instances[0].send(http.MethodPost, lookups+"x", "body", emulator.HeaderAttempt, fmt.Sprint("l", n))
+		time.Sleep(20 * time.Millisecond)
+	}
+	before := runs.Load()
+	require.Equal(t, http.StatusOK, instances[0].send(http.MethodPost, orders+"x", "body").status)
+	require.Equal(t, before+1, runs.Load())
+}
