Name the upstream of passed-on requests in the log alone

The upstream that another instance named was put into the placement, from which the allocator takes observations of its own. Only the log needs it.

--- a/rosemaryspool/forwarder/attempt.go
+++ b/rosemaryspool/forwarder/attempt.go
@@ -97,10 +97,12 @@
 
 // describe adds the load behind the placement and the progress of the attempt to a log line.
 func (a attempt) describe(line *zerolog.Event) *zerolog.Event {
+	upstream := a.placement.Upstream
 	if a.peer != "" {
 		line = line.Str("peer", string(a.peer))
+		upstream = a.entry.Upstream
 	}
-	line = line.Str("upstream", string(a.placement.Upstream)).Str("upstreamVersion", string(a.entry.Version)).
+	line = line.Str("upstream", string(upstream)).Str("upstreamVersion", string(a.entry.Version)).
 		Dur("predictedMs", a.placement.Predicted).Int("upstreamStatus", a.status)
 	line = describeLoad(line, a.placement.Ahead, a.placement.Arbiter)
 	if a.placement.Prefiller != "" {
--- a/rosemaryspool/forwarder/detour.go
+++ b/rosemaryspool/forwarder/detour.go
@@ -199,7 +199,6 @@
 		return
 	}
 	e.last.entry = tracker.Entry{Upstream: identifier.UpstreamID(id), Incarnation: number}
-	e.last.placement.Upstream = e.last.entry.Upstream
 	notice, own, err := platform.DecodeNotice(time.Now(), response.Status, response.Header)
 	if own && err == nil && notice.Leaving {
 		e.forwarder.governor.NoticeLeaving(e.last.entry)
