--- a/rosemaryspool/forwarder/detour.go
+++ b/rosemaryspool/forwarder/detour.go
@@ -168,7 +168,9 @@
 		return result{outcome: outcomeFailed, cause: "peerBrokeOff", abort: true}, true
 	default:
 	}
-	e.forwarder.governor.Decline(time.Now(), e.last.peer, "brokeOff")
+	if e.ctx.Err() == nil {
+		e.forwarder.governor.Decline(time.Now(), e.last.peer, "brokeOff")
+	}
 	e.runs++
 	if cause := e.checkRetry(maybeExecuted); cause != "" {
 		return e.giveUp(cause, 0, nil), true
