--- a/Makefile
+++ b/Makefile
@@ -113,9 +113,12 @@
 
 .PHONY: capacity
 
-# Measures on one processor how the costs of the core grow with size and extrapolates them to the target size.
+# Measures on one processor how the costs of the core grow with size and extrapolates them to the target size, and counts
+# what one gateway instance sends to the others.
 capacity: build
 	./bin/standin capacity --parts $(PARTS)
+	go test -run '^$$' -bench Messages -benchtime 1x ./rosemaryspool/gossiper
+	go test -run '^$$' -bench LearnFullReport ./core/isolator
 
 # Seeds of the soak test and its length in minutes for each seed.
 SEEDS ?= 1-3
