Log declined requests once for each instance

While a path is lost, each other instance without a path declined again every second, and each time a line was written: up to 294 lines a second in a large system. Refusals that follow within 10 s are no longer logged.

--- a/core/reacher/reacher.go
+++ b/core/reacher/reacher.go
@@ -20,6 +20,8 @@
 	lostInterval    = 500 * time.Millisecond
 	// declineTime is how long an instance is passed over that has not taken a request.
 	declineTime = time.Second
+	// declineMemory is how long a further refusal of the same instance is no news.
+	declineMemory = 10 * time.Second
 )
 
 // path is what is known of the path to the upstreams of one service.
@@ -117,8 +119,13 @@
 	return p != nil && p.lost
 }
 
-// Decline records that another instance did not take a request, as it can't serve it or doesn't answer.
-func (r *Reacher) Decline(now time.Time, id identifier.InstanceID) { r.declined[id] = now }
+// Decline records that another instance did not take a request, as it can't serve it or doesn't answer. It reports whether
+// that is news: while a path is lost, the same instance is asked again and again.
+func (r *Reacher) Decline(now time.Time, id identifier.InstanceID) bool {
+	last, known := r.declined[id]
+	r.declined[id] = now
+	return !known || now.Sub(last) >= declineMemory
+}
 
 // Detours returns the first of the members that have not declined lately, at most limit: requests are passed on to them
 // while the path from this instance is lost.
--- a/core/reacher/reacher_test.go
+++ b/core/reacher/reacher_test.go
@@ -82,6 +82,9 @@
 	now := time.Now()
 	members := []elector.Member{{Instance: "a"}, {Instance: "b"}, {Instance: "c"}}
 	require.Equal(t, members[:2], r.Detours(now, members, 2))
+	require.True(t, r.Decline(now, "a"))
+	require.False(t, r.Decline(now.Add(declineTime), "a"), "no news")
+	require.True(t, r.Decline(now.Add(declineTime+declineMemory), "a"))
 	r.Decline(now, "a")
 	require.Equal(t, members[1:], r.Detours(now, members, 2))
 	r.Decline(now, "b")
--- a/rosemaryspool/governor/path.go
+++ b/rosemaryspool/governor/path.go
@@ -82,7 +82,9 @@
 func (g *Governor) Decline(now time.Time, id identifier.InstanceID, reason string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.reacher.Decline(now, id)
+	if !g.reacher.Decline(now, id) {
+		return
+	}
 	g.log.Info().Str("event", "detourDeclined").Str("peer", string(id)).Str("reason", reason).
 		Msg("Instance did not take a request that was passed on")
 }
