--- /dev/null
+++ b/rosemaryspool/governor/notice.go
@@ -0,0 +1,58 @@
+package governor
+
+import (
+	"time"
+
+	"rosemaryspool.example/core/allocator"
+	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/core/tracker"
+)
+
+// Notify applies what an upstream says of itself in a response.
+func (g *Governor) Notify(from tracker.Entry, n allocator.Notice) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if n.Leaving {
+		g.markLeaving(from.Upstream, from.Incarnation, "")
+	}
+	if n.RetryAfter > 0 {
+		g.log.Info().Str("event", "upstreamWaiting").Str("upstream", string(from.Upstream)).
+			Dur("retryAfterMs", n.RetryAfter).Msg("Upstream wants no requests from this instance for a while")
+	}
+	if g.allocator.Notify(from, n) {
+		g.logLimit(allocator.NamedLimit{Upstream: from.Upstream, Limit: n.Limit}, "")
+	}
+}
+
+// markLeaving applies an upstream's own word that it leaves. sender is the instance that reported it; empty for this
+// instance. The governor's mutex must be held.
+func (g *Governor) markLeaving(id identifier.UpstreamID, incarnation uint64, sender identifier.InstanceID) {
+	if !g.tracker.MarkLeaving(id, incarnation) {
+		return
+	}
+	g.applyUpstreams(time.Now())
+	if e, listed := g.allocator.Entry(id); listed {
+		g.signalChange(e.Service)
+	}
+	g.log.Info().Str("event", "upstreamLeaving").Str("upstream", string(id)).Uint64("incarnation", incarnation).
+		Str("sender", string(sender)).Msg("Upstream says that it leaves and gets no more requests")
+}
+
+// logLimit logs a change of an upstream's rate limit. sender is the instance that reported it; empty for this instance.
+func (g *Governor) logLimit(n allocator.NamedLimit, sender identifier.InstanceID) {
+	if !n.Limit.Limited {
+		g.log.Info().Str("event", "upstreamUnlimited").Str("upstream", string(n.Upstream)).Str("sender", string(sender)).
+			Msg("Upstream no longer names a rate limit")
+		return
+	}
+	g.log.Info().Str("event", "upstreamLimited").Str("upstream", string(n.Upstream)).Str("sender", string(sender)).
+		Float64("perSecond", n.Limit.PerSecond).Dur("ageMs", time.Since(n.Limit.NamedAt)).
+		Msg("Upstream names a rate limit")
+}
+
+// NoticeLeaving records that an upstream has said that it leaves, in a response by way of another instance.
+func (g *Governor) NoticeLeaving(e tracker.Entry) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.markLeaving(e.Upstream, e.Incarnation, "")
+}
--- a/rosemaryspool/governor/path.go
+++ b/rosemaryspool/governor/path.go
@@ -89,13 +89,6 @@
 		Msg("Instance did not take a request that was passed on")
 }
 
-// NoticeLeaving records that an upstream has said that it leaves, in a response by way of another instance.
-func (g *Governor) NoticeLeaving(e tracker.Entry) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.markLeaving(e.Upstream, e.Incarnation, "")
-}
-
 // applyPath applies another instance's word on its path to the upstreams of a service: what it experienced before it lost
 // the path says nothing about the upstreams. The governor's mutex must be held.
 func (g *Governor) applyPath(instance identifier.InstanceID, dataCentre identifier.DataCentre, r Report) {
