--- a/core/allocator/placement.go
+++ b/core/allocator/placement.go
@@ -33,7 +33,7 @@
 	RateShare float64
 	// Resumed is true for a stream of which the caller has received a part already.
 	Resumed bool
-	// Version is the software version at which the stream began that the request goes on with; nil if any will do.
+	// Version is the software version of the stream that the request resumes; nil if any will do.
 	Version *identifier.SoftwareVersion
 }
 
--- a/core/isolator/crash.go
+++ b/core/isolator/crash.go
@@ -18,8 +18,8 @@
 	At      time.Time
 	Traits  []BrokenTrait
 
-	// cleared holds the answers that speak for traits of which other instances have reported the crash; they are told with
-	// this instance's own reports.
+	// cleared holds the answers for traits of which other instances have reported the crash; they are sent with this
+	// instance's own reports.
 	cleared []Answer
 	// replies is how often this instance has replied to reports of the crash, repliedAt when it last did.
 	replies   int
--- a/core/isolator/report.go
+++ b/core/isolator/report.go
@@ -50,7 +50,7 @@
 	// maxReplies is how often a crash is replied to, replyInterval the time between two replies.
 	maxReplies    = 2
 	replyInterval = 250 * time.Millisecond
-	// maxPartWeight bounds a part of a report, which must fit into a datagram. A trait weighs 1.
+	// maxPartWeight bounds a part of a report, which must fit into a datagram. The weight of a trait is 1.
 	maxPartWeight    = 64
 	crashWeight      = 6
 	quarantineWeight = 2
@@ -157,8 +157,8 @@
 	return list
 }
 
-// TakeReply returns the answers that an instance lacks which has reported crashes, and that instance. They are told once:
-// it passes them on with its next reports.
+// TakeReply returns the answers that the sender of a crash report lacks, and that sender. It passes them on with its next
+// reports.
 func (i *Isolator) TakeReply(now time.Time) (Report, identifier.InstanceID) {
 	o := &i.outbox
 	if len(o.replies) == 0 || now.Sub(o.repliedAt) < replyInterval {
@@ -277,7 +277,7 @@
 	}
 }
 
-// reply has an instance that reported a crash told of the answers that it lacks.
+// reply queues the answers that the sender of a crash report lacks.
 func (i *Isolator) reply(now time.Time, to identifier.InstanceID, c *Crash, answers []Answer) {
 	if i.outbox.reports(c.Process) {
 		c.cleared = addAnswers(c.cleared, answers)
--- a/core/reacher/reacher_test.go
+++ b/core/reacher/reacher_test.go
@@ -93,7 +93,7 @@
 	require.Equal(t, members, r.Detours(now.Add(declineTime), members, 3))
 }
 
-func TestChangesOfOtherInstancesPathsAreTold(t *testing.T) {
+func TestChangesOfOtherInstancesPathsAreReported(t *testing.T) {
 	r := NewReacher()
 	for _, c := range []struct {
 		instance identifier.InstanceID
--- a/core/resumer/resumer.go
+++ b/core/resumer/resumer.go
@@ -30,7 +30,7 @@
 	Until time.Time
 }
 
-// Recipient is an instance that is told of the streams that begin here.
+// Recipient is an instance that gets reports of the streams that begin here.
 type Recipient int
 
 // Recipients of reports.
@@ -152,8 +152,8 @@
 	return sole, count == 1
 }
 
-// ReportDue reports whether there are streams that a recipient has to be told of. There are none while the service has
-// only one version.
+// ReportDue reports whether there are streams to report to a recipient. There are none while the service has only one
+// version.
 func (r *Resumer) ReportDue(now time.Time, name identifier.ServiceName, to Recipient) bool {
 	if len(r.service(name).unreported[to]) == 0 {
 		return false
@@ -162,7 +162,7 @@
 	return !single
 }
 
-// TakeReport returns the streams that have begun here, for a recipient that has not been told of them.
+// TakeReport returns the streams that have begun here and are not reported to a recipient yet.
 func (r *Resumer) TakeReport(now time.Time, name identifier.ServiceName, to Recipient) []Origin {
 	if !r.ReportDue(now, name, to) {
 		return nil
--- a/rosemaryspool/delegator/stream.go
+++ b/rosemaryspool/delegator/stream.go
@@ -18,9 +18,9 @@
 	known  bool
 }
 
-// StreamOrigin returns where a stream began that a caller takes up again. If this instance doesn't know, it asks the
-// arbiters of a service that may have begun it, which are told of all its streams, and then all instances: the one at which
-// the stream began knows. It returns false if nobody does.
+// StreamOrigin returns where a stream began that a caller resumes. If this instance doesn't know, it asks the arbiters of the
+// service, which get reports of all its streams, and then all instances: the one at which the stream began knows. It returns
+// false if nobody does.
 func (d *Delegator) StreamOrigin(
 	ctx context.Context, service identifier.ServiceName, id resumer.StreamID,
 ) (resumer.Origin, bool) {
@@ -81,7 +81,7 @@
 	return resumer.Origin{}, false
 }
 
-// HandleStreamQuery tells another instance what this one knows of a stream's origin.
+// HandleStreamQuery replies with what this instance knows of a stream's origin.
 func (d *Delegator) HandleStreamQuery(r courier.Received, m *messenger.StreamQuery) {
 	reply := &messenger.StreamReply{Number: m.GetNumber()}
 	if o, known := d.governor.StreamOrigin(r.At, resumer.StreamID(m.GetStream())); known {
--- a/rosemaryspool/forwarder/detour.go
+++ b/rosemaryspool/forwarder/detour.go
@@ -207,7 +207,7 @@
 	}
 }
 
-// nameServer tells the instance that has passed the request on which upstream a response is from, and that it is one.
+// nameServer marks an upstream's response for the instance that has passed the request on.
 func (e *exchange) nameServer() {
 	if e.passedOn != nil {
 		e.writer.Header().Del(headerDeclined)
--- a/rosemaryspool/forwarder/forwarder.go
+++ b/rosemaryspool/forwarder/forwarder.go
@@ -55,8 +55,8 @@
 	active             atomic.Int64
 }
 
-// NewForwarder returns a forwarder that has requests placed by d and sends them over c. It tells crashes from lost paths
-// with p.
+// NewForwarder returns a forwarder that has requests placed by d and sends them over c. It distinguishes crashes from lost
+// paths with p.
 func NewForwarder(
 	g *governor.Governor, d *delegator.Delegator, c *connector.Connector, p *prober.Prober, log zerolog.Logger,
 	registry metrics.Registry,
--- a/rosemaryspool/gossiper/gossiper.go
+++ b/rosemaryspool/gossiper/gossiper.go
@@ -28,7 +28,7 @@
 	// busyInterval is the time between reports of unchanged work. Arbiters discard an instance's work after a second
 	// without reports.
 	busyInterval = 300 * time.Millisecond
-	// streamInterval is the time between reports to the stand-by while it has to be told of streams.
+	// streamInterval is the time between reports to the stand-by while there are streams to report.
 	streamInterval = 50 * time.Millisecond
 	// idleInterval is the time between reports of an instance without work.
 	idleInterval = 2 * time.Second
--- a/rosemaryspool/gossiper/traffic_test.go
+++ b/rosemaryspool/gossiper/traffic_test.go
@@ -105,8 +105,8 @@
 	}
 }
 
-// BenchmarkMessages counts the datagrams that one instance sends in a second besides placement requests and their replies,
-// and forwarded records of the store.
+// BenchmarkMessages counts the datagrams that one instance sends in a second, without placement requests, their replies and
+// forwarded records of the store.
 func BenchmarkMessages(b *testing.B) {
 	for _, instances := range []int{7, 83, 295} {
 		for _, scenario := range []struct {
--- a/rosemaryspool/governor/stream.go
+++ b/rosemaryspool/governor/stream.go
@@ -35,7 +35,7 @@
 	return g.resumer.SoleVersion(now, service)
 }
 
-// StreamReportDue reports whether the instance that stands by for a service's arbiter has to be told of streams.
+// StreamReportDue reports whether there are streams to report to the instance that stands by for a service's arbiter.
 func (g *Governor) StreamReportDue(now time.Time, service identifier.ServiceName) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/standin/soaker/auditor.go
+++ b/standin/soaker/auditor.go
@@ -26,7 +26,7 @@
 	InvariantUnchanged Invariant = "unchanged"
 	// InvariantOrder: the events of a stream arrive in order without gaps, and a stream that ends normally is complete.
 	InvariantOrder Invariant = "order"
-	// InvariantVersion: a stream goes on only at upstreams of the software version that began it.
+	// InvariantVersion: a stream is resumed only at upstreams of the software version that began it.
 	InvariantVersion Invariant = "version"
 	// InvariantRoute: requests run on the service of the newest route once applyLimit has passed.
 	InvariantRoute Invariant = "route"
