--- a/standin/commander/soak.go
+++ b/standin/commander/soak.go
@@ -26,6 +26,7 @@
 			intFlag("gateways", 4, "number of gateways in each run"),
 			intFlag("callers", 24, "number of callers in each run"),
 			intFlag("network", 77, "second byte of the gateways' loopback addresses; must differ between concurrent runs"),
+			&cli.DurationFlag{Name: "event-pause", Usage: "time between two events of a stream, such as 60ms"},
 			&cli.StringFlag{Name: "program", Value: "bin/rosemaryspool", Usage: "path of the gateway executable"},
 			&cli.StringFlag{Name: "directory", Value: "bin/soak", Usage: "directory for logs, one subdirectory per seed"},
 		},
@@ -35,6 +36,7 @@
 				Rounds: max(1, int(check.positive("minutes")*60/roundSeconds)), FaultPhase: soaker.DefaultFaultPhase,
 				Gateways: check.count("gateways", 1), Callers: check.count("callers", 1), Network: check.count("network", 1),
 				Command: []string{command.String("program"), "gateway"}, FatalRequests: true, MixedVersions: true,
+				EventPause: max(0, command.Duration("event-pause")),
 			}
 			if err := check.err(); err != nil {
 				return err
--- a/standin/emulator/upstream.go
+++ b/standin/emulator/upstream.go
@@ -71,6 +71,8 @@
 	reports  int
 	handles  map[string]bool
 	delay    time.Duration
+	// pause is the time between two events of a stream.
+	pause time.Duration
 	// limit is the header that names the rate limit; empty if there is none.
 	limit string
 	// retryAfter is the Retry-After header of rejections; empty if they have none.
@@ -168,6 +170,13 @@
 	u.delay = d
 }
 
+// SetPause sets the time between two events of a stream.
+func (u *Upstream) SetPause(d time.Duration) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.pause = d
+}
+
 // SetLimit names a limit of requests per second in all answers that follow; an empty one ends that.
 func (u *Upstream) SetLimit(limit string) {
 	u.mu.Lock()
@@ -383,6 +392,9 @@
 	w.Header().Set(HeaderSignature, u.ID+".1")
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.WriteHeader(http.StatusOK)
+	u.mu.Lock()
+	pause := u.pause
+	u.mu.Unlock()
 	last := 0
 	_, _ = fmt.Sscan(r.Header.Get(HeaderLastEvent), &last)
 	truncates := behaviour == Truncates || behaviour == TruncatesNew && last == 0
@@ -397,5 +409,8 @@
 		}
 		_, _ = fmt.Fprintf(w, "id: %d\ndata: piece %d\n\n", event, event)
 		_ = http.NewResponseController(w).Flush()
+		if event < u.Events && pause > 0 {
+			u.wait(r, Responds, pause)
+		}
 	}
 }
--- a/standin/soaker/soaker.go
+++ b/standin/soaker/soaker.go
@@ -34,6 +34,8 @@
 	FatalRequests bool
 	// MixedVersions is true if upstreams of several software versions serve side by side.
 	MixedVersions bool
+	// EventPause is the time between two events of a stream.
+	EventPause time.Duration
 	// Command starts one gateway, which finds the path of its settings file in the variable ROSEMARYSPOOL_CONFIG.
 	Command []string
 	// Directory holds the gateways' settings files and logs.
@@ -46,18 +48,22 @@
 
 // Report counts what one run sent, observed and injected, and lists the violations found.
 type Report struct {
-	Seed       uint64
-	Attempts   int
-	Served     int
-	Arrivals   int
-	Faults     int
+	Seed     uint64
+	Attempts int
+	Served   int
+	Arrivals int
+	Faults   int
+	// Resumed counts the streams that callers have taken up again, WentOn those of them that were completed by that.
+	Resumed    int
+	WentOn     int
 	Violations []Violation
 }
 
 // String returns the report as one line of text.
 func (r Report) String() string {
-	return fmt.Sprintf("seed %d: %d requests, %d served, %d arrivals at upstreams, %d disturbances, %d breaches",
-		r.Seed, r.Attempts, r.Served, r.Arrivals, r.Faults, len(r.Violations))
+	return fmt.Sprintf(
+		"seed %d: %d requests, %d served, %d arrivals at upstreams, %d disturbances, %d of %d resumed streams went on, %d breaches",
+		r.Seed, r.Attempts, r.Served, r.Arrivals, r.Faults, r.WentOn, r.Resumed, len(r.Violations))
 }
 
 const (
@@ -152,6 +158,7 @@
 		{"model-1", modelService, "decode"},
 		{"model-2", modelService, "decode"},
 		{"model-3", modelService, "decode"},
+		{"model-4", modelService, "decode"},
 	} {
 		if err := s.addBackend(b.id, b.service, b.stage); err != nil {
 			s.Close()
@@ -178,6 +185,7 @@
 	}
 	u := emulator.NewUpstream(id, stage, events)
 	u.SetDelay(responseDelay)
+	u.SetPause(s.settings.EventPause)
 	if s.settings.MixedVersions {
 		s.backendsMu.Lock()
 		u.Version = fmt.Sprint("v", 1+len(s.backends)%2)
@@ -254,13 +262,23 @@
 	s.replacing.Wait()
 	h := s.gather()
 	violations = append(violations, h.audit()...)
-	served := 0
+	report := Report{
+		Seed: s.settings.Seed, Attempts: len(h.attempts), Arrivals: len(h.arrivals), Faults: len(s.disturbances),
+		Violations: violations,
+	}
 	for _, a := range h.attempts {
-		if a.complete && a.status == http.StatusOK {
-			served++
+		served, resumed := a.complete && a.status == http.StatusOK, a.resumes != ""
+		if served {
+			report.Served++
+		}
+		if resumed {
+			report.Resumed++
+		}
+		if served && resumed {
+			report.WentOn++
 		}
 	}
-	return Report{s.settings.Seed, len(h.attempts), served, len(h.arrivals), len(s.disturbances), violations}, ctx.Err()
+	return report, ctx.Err()
 }
 
 // runMaintenancePhase makes planned changes without faults, shortly after each other: it writes a configuration, drains
