Ask in one place whether an answer speaks for a trait

Learning of a crash and reporting it each had the same check of the last answer against the time of the crash. No change of behaviour; the tests of core/isolator and the linter pass.

--- a/core/isolator/isolator.go
+++ b/core/isolator/isolator.go
@@ -247,8 +247,8 @@
 func (i *Isolator) addTraits(now time.Time, c *Crash, traits []BrokenTrait) []Answer {
 	var answers []Answer
 	for _, b := range traits {
-		if answered, known := i.answers.last(b.Trait); known && answered.After(c.At.Add(-i.settings.TrustPeriod)) {
-			answers = append(answers, Answer{Trait: b.Trait, At: answered})
+		if answer, trusted := i.trusted(b.Trait, c); trusted {
+			answers = append(answers, answer)
 			continue
 		}
 		c.add(b)
@@ -257,6 +257,12 @@
 	return answers
 }
 
+// trusted returns the answer that speaks for a trait in a crash, and false if there is none.
+func (i *Isolator) trusted(t Trait, c *Crash) (Answer, bool) {
+	at, known := i.answers.last(t)
+	return Answer{Trait: t, At: at}, known && at.After(c.At.Add(-i.settings.TrustPeriod))
+}
+
 // accuse counts a crash against a trait.
 func (i *Isolator) accuse(now time.Time, b BrokenTrait, c *Crash) {
 	t := b.Trait
--- a/core/isolator/report.go
+++ b/core/isolator/report.go
@@ -137,8 +137,8 @@
 // split returns the traits that a crash still accuses, and the answers that speak for the others.
 func (i *Isolator) split(c *Crash) (accused []BrokenTrait, answers []Answer) {
 	for _, b := range c.Traits {
-		if at, known := i.answers.last(b.Trait); known && at.After(c.At.Add(-i.settings.TrustPeriod)) {
-			answers = append(answers, Answer{Trait: b.Trait, At: at})
+		if answer, trusted := i.trusted(b.Trait, c); trusted {
+			answers = append(answers, answer)
 			continue
 		}
 		accused = append(accused, b)
