Pass requests on to suspected instances when no other is left

Its log has the cause: the other instance had missed one placement request (60 ms) on a busy machine, was suspected for a second, and instances without a path passed suspected ones over. As it was the only one, requests were sent to upstreams that could not be reached, and refused.

Suspicion now orders the instances that requests are passed on to: those of the data centre, the rest, then suspected ones. One that is really gone refuses the connection and is passed over for a second, as before.

TestInstanceThatMissedADatagramServesRequestsOfAnother failed before (503 for 200 on the first order) and passed five of five runs after it.

--- a/core/elector/elector.go
+++ b/core/elector/elector.go
@@ -196,19 +196,21 @@
 	return others
 }
 
-// Usable returns the other members that are neither leaving nor suspected: those of this instance's data centre, and the
-// rest.
-func (e *Elector) Usable(now time.Time) (near, far []Member) {
+// Peers returns the other members that aren't leaving, the most suitable ones to serve a request first: those of this
+// instance's data centre, the rest, and suspected ones, which may only have missed a datagram.
+func (e *Elector) Peers(now time.Time) (near, far, suspected []Member) {
 	for _, m := range e.members {
 		switch {
-		case m.Instance == e.self.Instance || !m.usable(now):
+		case m.Instance == e.self.Instance || m.leaving:
+		case !m.usable(now):
+			suspected = append(suspected, m.Member)
 		case m.DataCentre == e.self.DataCentre:
 			near = append(near, m.Member)
 		default:
 			far = append(far, m.Member)
 		}
 	}
-	return near, far
+	return near, far, suspected
 }
 
 func (e *Elector) isNeighbour(m *member) bool {
--- a/core/elector/elector_test.go
+++ b/core/elector/elector_test.go
@@ -76,6 +76,26 @@
 	require.Equal(t, 7, e.Count())
 }
 
+func TestSuspectedPeersAreNamedApart(t *testing.T) {
+	e := NewElector(Member{Instance: "self", DataCentre: "a"})
+	for _, m := range []Member{{Instance: "near", DataCentre: "a"}, {Instance: "far", DataCentre: "b"}, {Instance: "silent", DataCentre: "a"}, {Instance: "leaving", DataCentre: "a"}} {
+		e.SetMember(start, m)
+	}
+	e.Suspect(start, "silent")
+	e.Heard(start, "leaving", true, false)
+	near, far, suspected := e.Peers(start)
+	for _, c := range []struct {
+		want identifier.InstanceID
+		got  []Member
+	}{{"near", near}, {"far", far}, {"silent", suspected}} {
+		require.Len(t, c.got, 1)
+		require.Equal(t, c.want, c.got[0].Instance)
+	}
+	near, _, suspected = e.Peers(start.Add(baseSuspicion))
+	require.Len(t, near, 2)
+	require.Empty(t, suspected)
+}
+
 // An arbiter that has just started would place requests without knowing the engines' rates and caches.
 func TestRecentlyStartedMembersComeLast(t *testing.T) {
 	e := newSystem(4)[0]
--- a/rosemaryspool/gatekeeper/path_test.go
+++ b/rosemaryspool/gatekeeper/path_test.go
@@ -283,6 +283,19 @@
 	require.Greater(t, dead.Load(), before)
 }
 
+func TestInstanceThatMissedADatagramServesRequestsOfAnother(t *testing.T) {
+	t.Parallel()
+	store := newTestStore(t)
+	newPathFleet(t, store)
+	instances := newTestCluster(t, store, 2)
+	losePath(t, instances[0])
+	for n := range 20 {
+		instances[0].gatekeeper.governor.Suspect(time.Now(), instances[1].gatekeeper.governor.Self().Instance, "test")
+		r := instances[0].send(http.MethodPost, orders+"x", "body", emulator.HeaderAttempt, fmt.Sprint("o", n))
+		require.Equal(t, http.StatusOK, r.status)
+	}
+}
+
 func TestInstanceWithAnOlderConfigurationTakesNoRequests(t *testing.T) {
 	t.Parallel()
 	store := newTestStore(t)
--- a/rosemaryspool/governor/path.go
+++ b/rosemaryspool/governor/path.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"rosemaryspool.example/core/elector"
@@ -67,15 +68,15 @@
 }
 
 // Detours returns the instances that requests are passed on to while the path from this one is lost, at most limit. Those
-// of the same data centre come first, in a random order.
+// of the same data centre come first and suspected ones last, each in a random order.
 func (g *Governor) Detours(now time.Time, limit int) []elector.Member {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	near, far := g.elector.Usable(now)
-	for _, members := range [][]elector.Member{near, far} {
+	near, far, suspected := g.elector.Peers(now)
+	for _, members := range [][]elector.Member{near, far, suspected} {
 		rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
 	}
-	return g.reacher.Detours(now, append(near, far...), limit)
+	return g.reacher.Detours(now, slices.Concat(near, far, suspected), limit)
 }
 
 // Decline records that another instance did not take a request that was passed on.
