Take only trials for evidence once a trait is suspected

All requests share the first part of their prompts, and some with it broke off each time, sent after the crash before. So the first part of all prompts was quarantined 15 ms after it had become suspected, before any instance could have acted on that. The first stream that was answered released it 0.27 s later.

- Once a trait is suspected, a crash counts only if the request was sent 200 ms after that or later; trials begin then.
- A trial is placed at an upstream that runs no other trial: its crash was blamed on both.
- A request with several suspected traits is tried later than one with fewer, whose end tells more.
- A part of a prompt needs a fourth crash, as many sound requests may share it; a whole request three, as before.

--- a/core/allocator/placement.go
+++ b/core/allocator/placement.go
@@ -45,7 +45,7 @@
 		traits = append(traits, r.Content)
 	}
 	for _, part := range r.Prompt[:max(0, len(r.Prompt)-1)] {
-		traits = append(traits, isolator.Trait(part.Hash))
+		traits = append(traits, isolator.NewPartTrait(part.Hash))
 	}
 	return traits
 }
--- a/core/isolator/isolator.go
+++ b/core/isolator/isolator.go
@@ -6,8 +6,11 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
+
+	"rosemaryspool.example/core/identifier"
 )
 
 // Status says how requests with a trait are handled.
@@ -63,6 +66,8 @@
 	settings Settings
 	answers  answerLog
 	suspects map[Trait]*suspect
+	// trials holds when a trial was last sent to an upstream.
+	trials map[identifier.UpstreamID]time.Time
 	// broken holds the processes at which requests broke off and that are not known to have crashed.
 	broken map[Process]*Crash
 	// crashes holds the latest crashes, the oldest one first.
@@ -75,7 +80,7 @@
 func NewIsolator(settings Settings) *Isolator {
 	return &Isolator{
 		settings: settings, answers: newAnswerLog(settings.TrustPeriod), suspects: map[Trait]*suspect{},
-		broken: map[Process]*Crash{},
+		trials: map[identifier.UpstreamID]time.Time{}, broken: map[Process]*Crash{},
 	}
 }
 
@@ -174,6 +179,7 @@
 	if len(i.suspects) == 0 {
 		return worst
 	}
+	suspected := 0
 	for _, t := range traits {
 		s := i.suspects[t]
 		if s == nil {
@@ -184,18 +190,25 @@
 		case Quarantined:
 			v.Wait = s.heldUntil.Sub(now)
 		case Suspected:
-			v.Wait = s.trialWait(now, deciders, i.settings.TrialInterval)
+			suspected++
+			v.Wait = s.trialWait(now, deciders, i.settings)
 		default:
 		}
 		if v.Status > worst.Status || v.Status == worst.Status && v.Wait > worst.Wait {
 			worst = v
 		}
 	}
+	if worst.Status == Suspected {
+		// The trial of a request with fewer suspected traits tells more about each of them.
+		worst.Wait += time.Duration(min(suspected-1, maxTrialDelays)) * i.settings.TrialInterval
+	}
+	worst.Wait = max(0, worst.Wait)
 	return worst
 }
 
-// Sent records that a request with these traits is sent; it is a trial of the suspected ones.
-func (i *Isolator) Sent(now time.Time, traits []Trait) {
+// Tried records that a request with these traits is sent to an upstream as a trial of the suspected ones.
+func (i *Isolator) Tried(now time.Time, u identifier.UpstreamID, traits []Trait) {
+	i.trials[u] = now
 	for _, t := range traits {
 		if s := i.suspects[t]; s != nil {
 			s.trialAt = now
@@ -203,6 +216,14 @@
 	}
 }
 
+// Trials returns the upstreams that may still be running a trial. Another one there would be blamed for the same crash.
+func (i *Isolator) Trials(now time.Time) []identifier.UpstreamID {
+	maps.DeleteFunc(i.trials, func(_ identifier.UpstreamID, at time.Time) bool {
+		return now.Sub(at) >= i.settings.SurvivalTime
+	})
+	return slices.Collect(maps.Keys(i.trials))
+}
+
 // TakeChanges returns the changes of statuses since the last call.
 func (i *Isolator) TakeChanges() []Change {
 	taken := i.changes
@@ -282,7 +303,7 @@
 	before := s.status(now, i.settings)
 	s.crashes[c.Process] = l
 	s.recount(now, i.settings)
-	if s.count >= i.settings.QuarantineCrashes && s.latest.After(s.heldUntil) {
+	if s.count >= i.settings.quarantineCrashes(t) && s.latest.After(s.heldUntil) {
 		s.term = min(max(i.settings.QuarantineTime, quarantineGrowth*s.term), i.settings.MaxQuarantineTime)
 		// The time of the crash is the same at all instances.
 		s.heldSince, s.heldUntil, s.restored = s.latest, s.latest.Add(s.term), false
@@ -344,7 +365,7 @@
 		before := s.status(s.latest, i.settings)
 		delete(s.crashes, p)
 		s.recount(s.latest, i.settings)
-		if s.count < i.settings.QuarantineCrashes {
+		if s.count < i.settings.quarantineCrashes(t) {
 			s.heldSince, s.heldUntil, s.term = time.Time{}, time.Time{}, 0
 		}
 		after := s.status(s.latest, i.settings)
--- a/core/isolator/settings.go
+++ b/core/isolator/settings.go
@@ -7,10 +7,14 @@
 	// SuspectCrashes is the number of crashes without an answer since from which on a trait is suspected: one crash is
 	// explained by any request that ran there.
 	SuspectCrashes int
-	// QuarantineCrashes is the number from which on it is quarantined.
-	QuarantineCrashes int
+	// ContentCrashes is the number from which on the trait of a whole request is quarantined, PartCrashes that for a part.
+	// Many sound requests may share a part, so it takes more evidence.
+	ContentCrashes int
+	PartCrashes    int
 	// TrustPeriod is how long an answer speaks for a trait: crashes within it are blamed on other traits.
 	TrustPeriod time.Duration
+	// ReportTime is how long other instances may go on sending requests with a trait after the crash that makes it suspected.
+	ReportTime time.Duration
 	// TrialInterval is the time between two requests with a suspected trait. It covers the run of one request and the
 	// report of its end.
 	TrialInterval time.Duration
@@ -33,8 +37,10 @@
 func DefaultSettings() Settings {
 	return Settings{
 		SuspectCrashes:    2,
-		QuarantineCrashes: 3,
+		ContentCrashes:    3,
+		PartCrashes:       4,
 		TrustPeriod:       10 * time.Second,
+		ReportTime:        200 * time.Millisecond,
 		TrialInterval:     500 * time.Millisecond,
 		QuarantineTime:    30 * time.Second,
 		MaxQuarantineTime: 24 * time.Hour,
@@ -44,11 +50,21 @@
 	}
 }
 
+// quarantineCrashes returns the number of crashes from which on a trait is quarantined.
+func (s Settings) quarantineCrashes(t Trait) int {
+	if t.IsContent() {
+		return s.ContentCrashes
+	}
+	return s.PartCrashes
+}
+
 const (
 	// quarantineGrowth is the factor by which a quarantine is longer than the one before.
 	quarantineGrowth = 10
 	// probationFactor is the factor by which trials after a quarantine are rarer.
 	probationFactor = 10
+	// maxTrialDelays bounds the trial intervals by which a request with several suspected traits is tried later.
+	maxTrialDelays = 2
 	// maxSuspects, maxCrashes, maxCrashTraits and maxBroken bound the memory: callers may send crashing requests with ever
 	// new traits.
 	maxSuspects    = 4096
--- a/core/isolator/suspect.go
+++ b/core/isolator/suspect.go
@@ -36,9 +36,10 @@
 	}
 }
 
-// trialWait returns how long no trial is to be sent. After a quarantine the evidence is stronger: trials are rarer, and only
-// an instance that decides for all sends them.
-func (s *suspect) trialWait(now time.Time, deciders int, interval time.Duration) time.Duration {
+// trialWait returns how long no trial is to be sent; it is negative since one may be. After a quarantine the evidence is
+// stronger: trials are rarer, and only an instance that decides for all sends them.
+func (s *suspect) trialWait(now time.Time, deciders int, settings Settings) time.Duration {
+	interval := settings.TrialInterval
 	wasHeld := !s.heldUntil.IsZero()
 	if wasHeld && deciders > 1 {
 		return interval
@@ -47,11 +48,12 @@
 	if wasHeld {
 		interval *= probationFactor
 	}
-	return max(0, s.trialAt.Add(interval).Sub(now))
+	return max(s.trialAt.Add(interval).Sub(now), s.latest.Add(settings.ReportTime).Sub(now))
 }
 
 // recount counts the crashes that follow one from the other: those of requests that were sent after the crash before. A
-// cause outside of requests may end several upstreams together, and takes all that had been sent to them.
+// cause outside of requests may end several upstreams together, and takes all that had been sent to them. Once the trait is
+// suspected, only trials count: until all instances know, sound requests are sent on as before, and lost with fatal ones.
 func (s *suspect) recount(now time.Time, settings Settings) {
 	losses := make([]loss, 0, len(s.crashes))
 	for p, l := range s.crashes {
@@ -64,7 +66,8 @@
 	slices.SortFunc(losses, func(a, b loss) int { return a.brokenAt.Compare(b.brokenAt) })
 	s.count, s.latest = 0, time.Time{}
 	for _, l := range losses {
-		if s.count == 0 || l.sentAt.After(s.latest) {
+		isTrial := !l.sentAt.Before(s.latest.Add(settings.ReportTime))
+		if s.count == 0 || isTrial || s.count < settings.SuspectCrashes && l.sentAt.After(s.latest) {
 			s.count++
 			s.latest = l.brokenAt
 		}
--- a/core/isolator/trait.go
+++ b/core/isolator/trait.go
@@ -7,9 +7,18 @@
 	"strconv"
 )
 
-// Trait is a hash of something that several requests may have in common, such as a part of their prompts.
+// Trait is a hash of something that several requests may have in common: a part of their prompts, or all their content.
 type Trait uint64
 
+// contentBit is set in the traits of whole requests and not in those of parts.
+const contentBit Trait = 1 << 63
+
+// IsContent reports whether the trait is that of a request as a whole, which few others share.
+func (t Trait) IsContent() bool { return t&contentBit != 0 }
+
+// NewPartTrait returns the trait of requests with a part of a prompt, from its hash.
+func NewPartTrait(hash uint64) Trait { return Trait(hash) &^ contentBit }
+
 // String returns the trait as written in logs.
 func (t Trait) String() string { return strconv.FormatUint(uint64(t), 16) }
 
@@ -31,5 +40,5 @@
 		h.Write([]byte(text))
 	}
 	h.Write(body)
-	return Trait(binary.BigEndian.Uint64(h.Sum(nil)))
+	return Trait(binary.BigEndian.Uint64(h.Sum(nil))) | contentBit
 }
--- a/rosemaryspool/forwarder/forwarder.go
+++ b/rosemaryspool/forwarder/forwarder.go
@@ -355,7 +355,7 @@
 	shared := prompt[:max(0, len(prompt)-1)]
 	texts := make([]string, 0, maxLoggedParts)
 	for _, part := range shared[:min(len(shared), maxLoggedParts)] {
-		texts = append(texts, isolator.Trait(part.Hash).String())
+		texts = append(texts, isolator.NewPartTrait(part.Hash).String())
 	}
 	return texts
 }
--- a/rosemaryspool/governor/crash.go
+++ b/rosemaryspool/governor/crash.go
@@ -1,6 +1,7 @@
 package governor
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -80,9 +81,9 @@
 }
 
 // placeIsolated places a request unless its traits forbid that. Of the requests with a suspected trait, one after the
-// other is placed as a trial. The governor's mutex must be held.
+// other is placed as a trial, at an upstream that runs no other one. The governor's mutex must be held.
 func (g *Governor) placeIsolated(
-	now time.Time, request allocator.Request, place func() (allocator.Placement, *allocator.Refusal),
+	now time.Time, request allocator.Request, place func(allocator.Request) (allocator.Placement, *allocator.Refusal),
 ) (allocator.Placement, *allocator.Refusal) {
 	traits := request.Traits()
 	deciders := 1
@@ -97,11 +98,19 @@
 	case verdict.Wait > 0:
 		return allocator.Placement{}, &allocator.Refusal{Reason: allocator.ReasonSuspected, RetryAfter: verdict.Wait}
 	}
-	placement, refusal := place()
-	if refusal == nil && verdict.Status == isolator.Suspected {
-		g.isolator.Sent(now, traits)
+	if verdict.Status == isolator.Free {
+		return place(request)
+	}
+	trials := g.isolator.Trials(now)
+	request.Excluded = append(slices.Clip(request.Excluded), trials...)
+	placement, refusal := place(request)
+	switch {
+	case refusal == nil:
+		g.isolator.Tried(now, placement.Upstream, traits)
 		g.log.Info().Str("event", "traitTried").Str("trait", verdict.Trait.String()).Int("crashes", verdict.Crashes).
 			Str("upstream", string(placement.Upstream)).Msg("Request that may crash its upstream is tried")
+	case refusal.Reason == allocator.ReasonNoUpstream && len(trials) > 0:
+		refusal.Reason = allocator.ReasonSuspected
 	}
 	return placement, refusal
 }
--- a/rosemaryspool/governor/governor.go
+++ b/rosemaryspool/governor/governor.go
@@ -230,8 +230,8 @@
 func (g *Governor) Place(now time.Time, request allocator.Request) (allocator.Placement, *allocator.Refusal) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	placement, refusal := g.placeIsolated(now, request, func() (allocator.Placement, *allocator.Refusal) {
-		return g.allocator.Place(now, request)
+	placement, refusal := g.placeIsolated(now, request, func(r allocator.Request) (allocator.Placement, *allocator.Refusal) {
+		return g.allocator.Place(now, r)
 	})
 	if refusal == nil {
 		g.signalChange(request.Service)
@@ -246,8 +246,8 @@
 ) (allocator.Placement, *allocator.Refusal) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.placeIsolated(now, request, func() (allocator.Placement, *allocator.Refusal) {
-		return g.allocator.PlaceFor(now, instance, dataCentre, number, request)
+	return g.placeIsolated(now, request, func(r allocator.Request) (allocator.Placement, *allocator.Refusal) {
+		return g.allocator.PlaceFor(now, instance, dataCentre, number, r)
 	})
 }
 
