Don't eject upstreams for all because one instance can't reach them

Cause: one instance's view is taken for the truth. What an instance can't reach, or waits for in vain, was ejected by the arbiter for the whole data centre. The upstream's probe at the end of the ejection was given to an instance that is cut off, too, and prolonged it. An attempt whose connection never opened counted as a failed response.

Now the ejector knows who says what. The probe goes to an instance that had responses before, if there is one. An attempt that was cancelled while its connection was opened counts as one that did not reach the upstream, or as nothing if it was short. Ejections that follow from other instances' reports are logged.

--- a/core/allocator/allocator.go
+++ b/core/allocator/allocator.go
@@ -295,7 +295,7 @@
 func (a *Allocator) Unusable(now time.Time, service identifier.ServiceName) []identifier.UpstreamID {
 	var ids []identifier.UpstreamID
 	for _, u := range a.services[service] {
-		if !u.acceptsWork(now) || a.isExcluded(now, a.dataCentre, u) {
+		if !u.acceptsWork(now) || a.isExcluded(now, "", a.dataCentre, u) {
 			ids = append(ids, u.entry.Upstream)
 		}
 	}
@@ -308,14 +308,26 @@
 	return u != nil && u.acceptsWork(now)
 }
 
-// isExcluded reports whether an upstream is ejected or paused for a data centre.
-func (a *Allocator) isExcluded(now time.Time, dataCentre identifier.DataCentre, u *upstream) bool {
-	switch a.healthOf(dataCentre).Status(now, u.entry.Upstream) {
+// isExcluded reports whether an upstream is ejected or paused for a data centre, or can't be reached from an instance.
+func (a *Allocator) isExcluded(
+	now time.Time, instance identifier.InstanceID, dataCentre identifier.DataCentre, u *upstream,
+) bool {
+	health := a.healthOf(dataCentre)
+	switch health.Status(now, u.entry.Upstream) {
 	case ejector.Ejected, ejector.Paused:
 		return true
 	default:
-		return false
+		return health.IsAvoided(now, u.entry.Upstream, instance)
+	}
+}
+
+// HasUnreachable reports whether this instance could not reach some upstream of a service lately.
+func (a *Allocator) HasUnreachable(now time.Time, service identifier.ServiceName) bool {
+	ids := make([]identifier.UpstreamID, 0, len(a.services[service]))
+	for _, u := range a.services[service] {
+		ids = append(ids, u.entry.Upstream)
 	}
+	return a.healthOf(a.dataCentre).HasUnreachable(now, ids, "")
 }
 
 // Entry returns the listing of an upstream, and reports whether it is listed.
--- a/core/allocator/allocator_test.go
+++ b/core/allocator/allocator_test.go
@@ -326,7 +326,7 @@
 	now := time.Now()
 	a := newTestAllocator(2, 0)
 	for range 10 {
-		a.Observe(now, "there", Observation{Upstream: "u1", Event: EventEnded, Outcome: OutcomeFailed})
+		a.Observe(now, "peer", "there", Observation{Upstream: "u1", Event: EventEnded, Outcome: OutcomeFailed})
 	}
 	for _, c := range []struct {
 		from identifier.DataCentre
@@ -378,7 +378,7 @@
 	a := newTestAllocator(2, 2)
 	for range 30 {
 		for id, perToken := range map[identifier.UpstreamID]time.Duration{"u2": time.Microsecond, "u3": 5 * time.Microsecond} {
-			a.Observe(now, "here", Observation{
+			a.Observe(now, "peer", "here", Observation{
 				Upstream: id, Event: EventPrefilled, Outcome: OutcomeCompleted,
 				Took: 5000 * perToken, Tokens: 5000,
 			})
--- a/core/allocator/observation.go
+++ b/core/allocator/observation.go
@@ -58,7 +58,7 @@
 
 // record applies an observation of this instance and keeps it for the service's arbiter.
 func (a *Allocator) record(now time.Time, service identifier.ServiceName, o Observation) {
-	a.Observe(now, a.dataCentre, o)
+	a.Observe(now, "", a.dataCentre, o)
 	kept := append(a.observations[service], o)
 	if len(kept) > maxObservations {
 		kept = kept[len(kept)-maxObservations:]
@@ -73,8 +73,10 @@
 	return taken
 }
 
-// Observe applies an observation of an instance in a data centre.
-func (a *Allocator) Observe(now time.Time, dataCentre identifier.DataCentre, o Observation) {
+// Observe applies an observation of an instance in a data centre; the empty one is this instance.
+func (a *Allocator) Observe(
+	now time.Time, instance identifier.InstanceID, dataCentre identifier.DataCentre, o Observation,
+) {
 	u := a.upstreams[o.Upstream]
 	if u == nil {
 		return
@@ -84,34 +86,36 @@
 	t := a.timingsOf(u.entry.Service)
 	switch o.Event {
 	case EventOverdue:
-		health.Stalled(now, o.Upstream)
+		health.Stalled(now, o.Upstream, instance)
 	case EventFirst:
-		health.Responded(now, o.Upstream)
+		health.Responded(now, o.Upstream, instance)
 		t.observeFirstEvent(now, u, o)
 	case EventPrefilled:
 		if o.Outcome != OutcomeCompleted {
-			a.recordFailure(now, dataCentre, o)
+			a.recordFailure(now, instance, dataCentre, o)
 			return
 		}
-		health.Succeeded(now, o.Upstream, 0)
+		health.Succeeded(now, o.Upstream, instance, 0)
 		t.observePrefill(now, &t.prefill, u, o)
 	case EventEnded:
 		if o.Outcome != OutcomeCompleted {
-			a.recordFailure(now, dataCentre, o)
+			a.recordFailure(now, instance, dataCentre, o)
 			return
 		}
-		health.Succeeded(now, o.Upstream, 0)
+		health.Succeeded(now, o.Upstream, instance, 0)
 		t.observeHold(now, u, o)
 	}
 }
 
-func (a *Allocator) recordFailure(now time.Time, dataCentre identifier.DataCentre, o Observation) {
+func (a *Allocator) recordFailure(
+	now time.Time, instance identifier.InstanceID, dataCentre identifier.DataCentre, o Observation,
+) {
 	health := a.healthOf(dataCentre)
 	switch o.Outcome {
 	case OutcomeUnreachable:
-		health.Unreachable(now, o.Upstream)
+		health.Unreachable(now, o.Upstream, instance)
 	case OutcomeFailed:
-		health.Failed(now, o.Upstream)
+		health.Failed(now, o.Upstream, instance)
 	case OutcomeRejected:
 		health.Rejected(now, o.Upstream)
 	default:
--- a/core/allocator/placement.go
+++ b/core/allocator/placement.go
@@ -143,7 +143,7 @@
 // Place chooses the option with the lowest cost for a request of this instance and counts the request's work there, or
 // refuses the request if even that option is not admissible.
 func (a *Allocator) Place(now time.Time, req Request) (Placement, *Refusal) {
-	place, refusal := a.choose(now, a.dataCentre, true, req)
+	place, refusal := a.choose(now, "", a.dataCentre, req)
 	if refusal != nil {
 		return Placement{}, refusal
 	}
@@ -155,7 +155,7 @@
 func (a *Allocator) PlaceFor(
 	now time.Time, instance identifier.InstanceID, dataCentre identifier.DataCentre, number uint64, req Request,
 ) (Placement, *Refusal) {
-	place, refusal := a.choose(now, dataCentre, false, req)
+	place, refusal := a.choose(now, instance, dataCentre, req)
 	if refusal != nil {
 		return Placement{}, refusal
 	}
@@ -195,12 +195,12 @@
 	}
 }
 
-// choose decides about a request of an instance in a data centre.
+// choose decides about a request of an instance in a data centre; the empty one is this instance.
 func (a *Allocator) choose(
-	now time.Time, dataCentre identifier.DataCentre, own bool, req Request,
+	now time.Time, instance identifier.InstanceID, dataCentre identifier.DataCentre, req Request,
 ) (Placement, *Refusal) {
 	d := &decision{
-		allocator: a, now: now, dataCentre: dataCentre, own: own, req: req, timings: a.timingsOf(req.Service),
+		allocator: a, now: now, instance: instance, dataCentre: dataCentre, req: req, timings: a.timingsOf(req.Service),
 	}
 	best := d.best()
 	if best.upstream == nil {
@@ -227,20 +227,20 @@
 
 // decision is the choice for one request.
 type decision struct {
-	allocator  *Allocator
-	now        time.Time
+	allocator *Allocator
+	now       time.Time
+	// instance sends the request; empty if it is this one.
+	instance   identifier.InstanceID
 	dataCentre identifier.DataCentre
 	req        Request
 	timings    *timings
-	// own is true for a request of this instance.
-	own bool
 	// waiting holds the upstreams that could run the request but want none now.
 	waiting []*upstream
 }
 
 // wish returns how long an upstream wants no request of the instance that sends this one, and why.
 func (d *decision) wish(u *upstream) (time.Duration, Reason) {
-	if d.own && d.now.Before(u.waitUntil) {
+	if d.instance == "" && d.now.Before(u.waitUntil) {
 		return u.waitUntil.Sub(d.now), ReasonWaiting
 	}
 	if wait := u.limiter.Wait(d.now, d.req.RateShare); wait > 0 {
@@ -323,7 +323,7 @@
 		wait, _ := d.wish(u)
 		switch {
 		case u.entry.Leaving || !d.req.Accepts(u.entry) || slices.Contains(d.req.Excluded, u.entry.Upstream):
-		case !includeEjected && d.allocator.isExcluded(d.now, d.dataCentre, u):
+		case !includeEjected && d.allocator.isExcluded(d.now, d.instance, d.dataCentre, u):
 		case wait > 0:
 			if u.entry.Role != tracker.RolePrefill {
 				d.waiting = append(d.waiting, u)
--- a/core/ejector/ejector.go
+++ b/core/ejector/ejector.go
@@ -1,6 +1,7 @@
 package ejector
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -48,6 +49,21 @@
 	pausedUntil    time.Time
 	probes         int
 	respondedAt    time.Time
+	ejectedAt      time.Time
+	// accusers are the instances at which the upstream has been unreachable or silent since it was ejected for that.
+	accusers map[identifier.InstanceID]bool
+	// reachedAt is when instances last had a response.
+	reachedAt map[identifier.InstanceID]time.Time
+	// paths holds the instances that can't reach the upstream although others do.
+	paths map[identifier.InstanceID]path
+}
+
+// path is what is known of a path from one instance to an upstream that works from others.
+type path struct {
+	// doubtedUntil is how long that instance's failures say nothing about the upstream, avoidedUntil how long it gets no
+	// request there.
+	doubtedUntil time.Time
+	avoidedUntil time.Time
 }
 
 const (
@@ -55,6 +71,11 @@
 	failureSmoothing = 0.15
 	// latencySmoothing is the weight of a new response in the moving average of the latency ratio.
 	latencySmoothing = 0.2
+	// contradictionDelay is how long after the beginning of an ejection a response must arrive to show that the upstream can
+	// be reached: earlier ones may have been on their way.
+	contradictionDelay = 200 * time.Millisecond
+	// doubtTime is how long after its last failure an instance counts as cut off from an upstream.
+	doubtTime = 30 * time.Second
 )
 
 // Ejector tracks the health of the upstreams and ejects faulty ones. It is not safe for concurrent use.
@@ -85,13 +106,13 @@
 	}
 }
 
-// Succeeded records a complete response and the ratio of its actual to its predicted time, zero if unknown.
-func (e *Ejector) Succeeded(now time.Time, id identifier.UpstreamID, ratio float64) {
+// Succeeded records a complete response at an instance and the ratio of its actual to its predicted time, zero if unknown.
+func (e *Ejector) Succeeded(now time.Time, id identifier.UpstreamID, by identifier.InstanceID, ratio float64) {
 	h := e.upstreams[id]
 	if h == nil {
 		return
 	}
-	h.respondedAt = now
+	e.reached(now, h, by)
 	h.samples++
 	h.failureRate -= failureSmoothing * h.failureRate
 	if ratio > 0 {
@@ -107,11 +128,69 @@
 	}
 }
 
-// Responded records that an attempt makes progress, so that a stalled one says nothing about the upstream.
-func (e *Ejector) Responded(now time.Time, id identifier.UpstreamID) {
+// Responded records that an attempt of an instance makes progress, so that a stalled one says nothing about the upstream.
+func (e *Ejector) Responded(now time.Time, id identifier.UpstreamID, by identifier.InstanceID) {
 	if h := e.upstreams[id]; h != nil {
-		h.respondedAt = now
+		e.reached(now, h, by)
+	}
+}
+
+// reached records that an instance has had a response. If only others could not reach the upstream, the fault is on their
+// paths.
+func (e *Ejector) reached(now time.Time, h *health, by identifier.InstanceID) {
+	h.respondedAt = now
+	if h.reachedAt == nil {
+		h.reachedAt = map[identifier.InstanceID]time.Time{}
+	}
+	h.reachedAt[by] = now
+	delete(h.paths, by)
+	if !h.ejected || len(h.accusers) == 0 || h.accusers[by] || now.Sub(h.ejectedAt) < contradictionDelay {
+		return
+	}
+	for accuser := range h.accusers {
+		e.doubt(now, h, accuser)
+	}
+	e.restore(h)
+}
+
+// doubt records that an instance can't reach an upstream that others reach.
+func (e *Ejector) doubt(now time.Time, h *health, by identifier.InstanceID) {
+	if h.paths == nil {
+		h.paths = map[identifier.InstanceID]path{}
+	}
+	h.paths[by] = path{doubtedUntil: now.Add(doubtTime), avoidedUntil: now.Add(e.settings.BaseEjectionTime)}
+}
+
+// IsAvoided reports whether an instance should send nothing to an upstream because others may reach it and it can't.
+func (e *Ejector) IsAvoided(now time.Time, id identifier.UpstreamID, by identifier.InstanceID) bool {
+	h := e.upstreams[id]
+	switch {
+	case h == nil:
+		return false
+	case now.Before(h.paths[by].avoidedUntil):
+		return true
+	default:
+		// Another instance is to send the probe at the end of the ejection.
+		return h.ejected && h.accusers[by] && now.Before(h.ejectedUntil.Add(e.settings.BaseEjectionTime)) && h.othersReach(now)
+	}
+}
+
+// othersReach reports whether an instance that doesn't accuse the upstream has had a response from it lately.
+func (h *health) othersReach(now time.Time) bool {
+	for instance, at := range h.reachedAt {
+		if now.Sub(at) < doubtTime && !h.accusers[instance] {
+			return true
+		}
 	}
+	return false
+}
+
+// HasUnreachable reports whether an instance can't reach some upstream of a list, or may be the only one that can't.
+func (e *Ejector) HasUnreachable(now time.Time, ids []identifier.UpstreamID, by identifier.InstanceID) bool {
+	return slices.ContainsFunc(ids, func(id identifier.UpstreamID) bool {
+		h := e.upstreams[id]
+		return h != nil && (h.ejected && h.cause == CauseUnreachable || now.Before(h.paths[by].doubtedUntil))
+	})
 }
 
 // restore ends an ejection after a successful probe. Half of the ejection time and part of the failure rate are kept,
@@ -130,27 +209,39 @@
 	}
 }
 
-// Unreachable records a failed connection and ejects the upstream at once.
-func (e *Ejector) Unreachable(now time.Time, id identifier.UpstreamID) {
+// Unreachable records a failed connection of an instance and ejects the upstream at once, unless others reach it.
+func (e *Ejector) Unreachable(now time.Time, id identifier.UpstreamID, by identifier.InstanceID) {
 	if h := e.upstreams[id]; h != nil {
-		e.eject(now, h, CauseUnreachable)
+		e.accuse(now, h, by, CauseUnreachable)
+	}
+}
+
+// accuse ejects an upstream because of what one instance experiences, unless others reach it.
+func (e *Ejector) accuse(now time.Time, h *health, by identifier.InstanceID, cause Cause) {
+	if now.Before(h.paths[by].doubtedUntil) {
+		e.doubt(now, h, by)
+		return
+	}
+	e.eject(now, h, cause)
+	if h.cause == CauseUnreachable || h.cause == CauseStalled {
+		h.accusers[by] = true
 	}
 }
 
-// Stalled records an attempt without progress long after its predicted time, and ejects the upstream unless it
-// completed another attempt within the last BaseEjectionTime.
-func (e *Ejector) Stalled(now time.Time, id identifier.UpstreamID) {
+// Stalled records an attempt of an instance without progress long after its predicted time, and ejects the upstream unless
+// it completed another attempt within the last BaseEjectionTime.
+func (e *Ejector) Stalled(now time.Time, id identifier.UpstreamID, by identifier.InstanceID) {
 	h := e.upstreams[id]
 	if h == nil || now.Sub(h.respondedAt) < e.settings.BaseEjectionTime {
 		return
 	}
-	e.eject(now, h, CauseStalled)
+	e.accuse(now, h, by, CauseStalled)
 }
 
-// Failed records a response that failed, was truncated, never arrived or belonged to another attempt.
-func (e *Ejector) Failed(now time.Time, id identifier.UpstreamID) {
+// Failed records a response at an instance that failed, was truncated, never arrived or belonged to another attempt.
+func (e *Ejector) Failed(now time.Time, id identifier.UpstreamID, by identifier.InstanceID) {
 	h := e.upstreams[id]
-	if h == nil {
+	if h == nil || now.Before(h.paths[by].doubtedUntil) {
 		return
 	}
 	h.samples++
@@ -176,8 +267,10 @@
 		return
 	}
 	h.ejectionTime = min(max(e.settings.BaseEjectionTime, 2*h.ejectionTime), e.settings.MaxEjectionTime)
-	h.ejected = true
+	h.ejected, h.ejectedAt = true, now
 	h.cause = cause
+	h.accusers = map[identifier.InstanceID]bool{}
+	maps.DeleteFunc(h.reachedAt, func(_ identifier.InstanceID, at time.Time) bool { return now.Sub(at) >= doubtTime })
 	h.probes = 0
 	h.ejectedUntil = now.Add(h.ejectionTime)
 }
--- a/core/scheduler/monitor.go
+++ b/core/scheduler/monitor.go
@@ -69,7 +69,7 @@
 	if predicted >= minForecast {
 		ratio = actual / predicted.Seconds()
 	}
-	s.ejector.Succeeded(s.now, a.prefill.ID, ratio)
+	s.ejector.Succeeded(s.now, a.prefill.ID, "", ratio)
 	if a.prefill == a.decode {
 		return
 	}
@@ -77,7 +77,7 @@
 	if decode := a.forecast.DecodeForecast.Duration(output); decode >= minForecast.Seconds() {
 		ratio = s.now.Sub(a.firstTokenAt).Seconds() / decode
 	}
-	s.ejector.Succeeded(s.now, a.decode.ID, ratio)
+	s.ejector.Succeeded(s.now, a.decode.ID, "", ratio)
 }
 
 // maxClasses bounds the number of classes whose answer lengths are tracked.
@@ -119,11 +119,11 @@
 	}
 	switch kind {
 	case FailureConnect:
-		s.ejector.Unreachable(s.now, id)
+		s.ejector.Unreachable(s.now, id, "")
 	case FailureRejected:
 		s.ejector.Rejected(s.now, id)
 	case FailureTruncated, FailureMismatched:
-		s.ejector.Failed(s.now, id)
+		s.ejector.Failed(s.now, id, "")
 	}
 }
 
@@ -243,7 +243,7 @@
 	if a.firstTokenAt.IsZero() {
 		id = a.prefill.ID
 	}
-	s.ejector.Stalled(s.now, id)
+	s.ejector.Stalled(s.now, id, "")
 	s.emit(Cancel{Attempt: a.id})
 	a.request.mayHaveRun = true
 	s.retryElsewhere(a, false)
--- a/rosemaryspool/forwarder/attempt.go
+++ b/rosemaryspool/forwarder/attempt.go
@@ -252,7 +252,7 @@
 	if err != nil {
 		e.last.err = err
 		e.last.brokenOff = isBrokenOff(ctx, err)
-		outcome := failureOutcome(e.ctx, err)
+		outcome := failureOutcome(e.ctx, err, time.Since(e.last.sentAt))
 		e.recordUnreached(e.last.entry, outcome)
 		switch {
 		case connector.NotSent(err):
@@ -330,9 +330,10 @@
 	lowestPriority = 9
 )
 
-// failureOutcome classifies a failed exchange for the allocator. A caller that disconnects and a lack of free
-// connections don't count against the upstream; a passed deadline and an attempt that is cancelled as overdue do.
-func failureOutcome(request context.Context, err error) allocator.Outcome {
+// failureOutcome classifies an exchange for the allocator that has failed after some time. A caller that disconnects and a
+// lack of free connections don't count against the upstream; a passed deadline and an attempt that is cancelled as overdue
+// do. A connection that took so long to open shows no error of the upstream: it was not reached.
+func failureOutcome(request context.Context, err error, took time.Duration) allocator.Outcome {
 	switch {
 	case errors.Is(err, connector.ErrNoConnection):
 		return allocator.OutcomeCancelled
@@ -340,6 +341,10 @@
 		return allocator.OutcomeUnreachable
 	case request.Err() == context.Canceled:
 		return allocator.OutcomeCancelled
+	case errors.Is(err, connector.ErrDialAborted) && took < minOverdue:
+		return allocator.OutcomeCancelled
+	case errors.Is(err, connector.ErrDialAborted):
+		return allocator.OutcomeUnreachable
 	default:
 		return allocator.OutcomeFailed
 	}
--- a/rosemaryspool/forwarder/prefill.go
+++ b/rosemaryspool/forwarder/prefill.go
@@ -38,7 +38,7 @@
 	defer cancel()
 	response, err := e.sendTo(ctx, prefiller, platform.Dispatch{Upstream: prefiller.Upstream, PrefillOnly: true})
 	if err != nil {
-		outcome = failureOutcome(e.ctx, err)
+		outcome = failureOutcome(e.ctx, err, time.Since(started))
 		e.recordUnreached(prefiller, outcome)
 		e.last.err, e.last.unsent = err, connector.NotSent(err)
 		return false
--- a/rosemaryspool/gatekeeper/path_test.go
+++ b/rosemaryspool/gatekeeper/path_test.go
@@ -125,6 +125,73 @@
 	}
 }
 
+// sendOrders sends orders to all instances for a time, some at once, and returns how many each of them has served.
+func sendOrders(instances []*testInstance, name string, length time.Duration) []tries {
+	const senders = 6
+	until := time.Now().Add(length)
+	served, sent := make([]atomic.Int64, len(instances)), make([]atomic.Int64, len(instances))
+	var group conc.WaitGroup
+	for i, ti := range instances {
+		for sender := range senders {
+			group.Go(func() {
+				for n := 0; time.Now().Before(until); n++ {
+					id := fmt.Sprintf("%s-%d-%d-%d", name, i, sender, n)
+					r := ti.send(http.MethodPost, orders+"x", id, emulator.HeaderAttempt, id, emulator.HeaderDeadline, "1900")
+					sent[i].Add(1)
+					if r.status == http.StatusOK && r.complete {
+						served[i].Add(1)
+					}
+					time.Sleep(10 * time.Millisecond)
+				}
+			})
+		}
+	}
+	group.Wait()
+	results := make([]tries, len(instances))
+	for i := range instances {
+		results[i] = tries{sent: int(sent[i].Load()), served: int(served[i].Load())}
+	}
+	return results
+}
+
+func TestInstancesThatReachOneUpstreamDoNotHarmTheOthers(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		cut  cut
+	}{
+		{"connections hang", silent},
+		{"connections are reset", resetting},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			store := newTestStore(t)
+			var upstreams []*emulator.Upstream
+			for i := range 6 {
+				u := emulator.NewUpstream(fmt.Sprint("u", i), "", 0)
+				t.Cleanup(u.Close)
+				u.SetDelay(100 * time.Millisecond)
+				putUpstream(store.Store, u, "ready")
+				upstreams = append(upstreams, u)
+			}
+			instances := newTestCluster(t, store, 4)
+			lost, others := instances[:2], instances[2:]
+			for _, ti := range lost {
+				ti.link.spare(upstreams[0].Address())
+				ti.link.set(c.cut)
+			}
+			sendOrders(instances, "during", contactTime)
+			results := sendOrders(instances, "after", 2*time.Second)
+			t.Logf("served of sent: %v at %d instances that reach one upstream, %v at the others", results[:2], len(lost), results[2:])
+			for _, r := range results[len(lost):] {
+				require.LessOrEqual(t, r.sent-r.served, 10+r.sent/50)
+			}
+			for _, ti := range append(lost, others...) {
+				ti.link.set(whole)
+			}
+		})
+	}
+}
+
 // losePath cuts an instance off from all upstreams and waits until it knows.
 func losePath(t *testing.T, ti *testInstance) {
 	t.Helper()
--- a/rosemaryspool/governor/report.go
+++ b/rosemaryspool/governor/report.go
@@ -144,7 +144,9 @@
 	g.applyPath(instance, dataCentre, r)
 	if !r.PathLost {
 		for _, o := range r.Observations {
-			g.allocator.Observe(now, dataCentre, o)
+			logChange := g.logEjectionChange(o.Upstream)
+			g.allocator.Observe(now, instance, dataCentre, o)
+			logChange()
 		}
 	}
 	for _, l := range r.Leaving {
