--- a/rosemaryspool/connector/connector.go
+++ b/rosemaryspool/connector/connector.go
@@ -63,7 +63,6 @@
 // DialTCP opens a TCP connection that notices an unresponsive peer.
 func DialTCP(ctx context.Context, address string) (net.Conn, error) {
 	dialer := net.Dialer{
-		Timeout: dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
 		},
@@ -125,7 +124,9 @@
 	}
 	p.open++
 	c.mu.Unlock()
-	conn, err := c.dial(ctx, address)
+	dialContext, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	conn, err := c.dial(dialContext, address)
 	if err != nil {
 		c.mu.Lock()
 		c.uncount(address, p)
