Soak with streams that callers take up while engines of their version serve

The soak had no invariant for the share of taken-up streams that go on. It now has `resumed`: of 12 or more at undisturbed gateways, while two undisturbed engines of their version serve, half as many go on as new streams begin.

--- a/standin/soaker/auditor.go
+++ b/standin/soaker/auditor.go
@@ -28,6 +28,9 @@
 	InvariantOrder Invariant = "order"
 	// InvariantVersion: a stream is resumed only at upstreams of the software version that began it.
 	InvariantVersion Invariant = "version"
+	// InvariantResumed: streams that callers take up go on about as often as new ones begin, while two engines of their
+	// version serve.
+	InvariantResumed Invariant = "resumed"
 	// InvariantRoute: requests run on the service of the newest route once applyLimit has passed.
 	InvariantRoute Invariant = "route"
 	// InvariantLeaving: no request reaches a draining upstream once drainLimit has passed.
@@ -67,6 +70,8 @@
 	abandonSlack = 500 * time.Millisecond
 	// lateArrivalLimit is how many requests of one soak test may reach an upstream later than that.
 	lateArrivalLimit = 3
+	// minResumptions is how many streams must be taken up in a soak test before the share that goes on is checked.
+	minResumptions = 12
 )
 
 // arrival is a request that reached an upstream, which ran or rejected it.
@@ -107,6 +112,15 @@
 	streamEvents int
 	// versions holds the software version of each upstream.
 	versions map[string]string
+	// engines holds the lives of the engines that run streams.
+	engines []life
+}
+
+// life is the time in which an upstream serves: until its crash or until it begins to drain. to is zero if it still does.
+type life struct {
+	upstream string
+	from     time.Time
+	to       time.Time
 }
 
 // storeSubject names the store as the subject of a disturbance.
@@ -156,6 +170,7 @@
 	}
 	violations = append(violations, h.auditContainment(sent)...)
 	violations = append(violations, h.auditVersions(sent)...)
+	violations = append(violations, h.auditResumptions(sent)...)
 	return append(violations, append(h.auditBudget(sent), h.auditAbandoned(sent)...)...)
 }
 
@@ -383,3 +398,49 @@
 	}
 	return violations
 }
+
+// auditResumptions compares the streams that callers take up with the new ones, at undisturbed instances.
+func (h *history) auditResumptions(sent map[string]*attempt) []Violation {
+	var resumed, wentOn, begun, isNew int
+	for _, a := range h.attempts {
+		if !a.kind.resumable || a.abandoned || a.part == fatalPart ||
+			!h.instanceUndisturbed(a.instance, a.sent.Add(-settleTime), a.ended) {
+			continue
+		}
+		numbers, err := eventNumbers(a.content)
+		hasEvents := err == nil && len(numbers) > 0
+		if a.resumes == "" {
+			isNew++
+			if hasEvents {
+				begun++
+			}
+			continue
+		}
+		first := sent[a.stream()]
+		if first == nil || h.enginesServing(h.versions[strings.TrimSuffix(first.signature, ".1")], a) < 2 {
+			continue
+		}
+		resumed++
+		if hasEvents {
+			wentOn++
+		}
+	}
+	if resumed < minResumptions || 2*wentOn*isNew >= resumed*begun {
+		return nil
+	}
+	return []Violation{{
+		InvariantResumed, "streams", fmt.Sprintf("%d of %d went on, %d of %d new ones began", wentOn, resumed, begun, isNew),
+	}}
+}
+
+// enginesServing returns the number of undisturbed engines of a version that serve while a request runs.
+func (h *history) enginesServing(version string, a *attempt) int {
+	count := 0
+	for _, l := range h.engines {
+		if h.versions[l.upstream] == version && l.from.Before(a.sent.Add(-settleTime)) &&
+			(l.to.IsZero() || l.to.After(a.ended)) && h.subjectUndisturbed(l.upstream, a.sent.Add(-settleTime), a.ended) {
+			count++
+		}
+	}
+	return count
+}
--- a/standin/soaker/crash.go
+++ b/standin/soaker/crash.go
@@ -59,6 +59,7 @@
 		}
 		at := time.Now()
 		b.crashed.Store(true)
+		s.markEnded(b)
 		b.proxy.close()
 		s.log.Info().Str("event", "upstreamCrashed").Str("upstream", b.upstream.ID).Msg("Upstream crashed")
 		s.mu.Lock()
--- a/standin/soaker/soaker.go
+++ b/standin/soaker/soaker.go
@@ -97,6 +97,9 @@
 	// draining is true once the upstream was published as draining.
 	draining bool
 	crashed  atomic.Bool
+	// started is when it was listed, ended when it crashed or began to drain; the soaker's mutex guards ended.
+	started time.Time
+	ended   time.Time
 }
 
 // listBackends returns all upstreams of the run.
@@ -147,9 +150,8 @@
 		store: emulator.NewStore(), client: &http.Client{Timeout: time.Second}, closed: make(chan struct{}),
 	}
 	s.server = httptest.NewServer(s.store)
-	for _, b := range []struct {
-		id, service, stage string
-	}{
+	type backendSettings struct{ id, service, stage string }
+	backends := []backendSettings{
 		{"plain-1", plainService, ""},
 		{"plain-2", plainService, ""},
 		{"spare-1", spareService, ""},
@@ -159,7 +161,13 @@
 		{"model-2", modelService, "decode"},
 		{"model-3", modelService, "decode"},
 		{"model-4", modelService, "decode"},
-	} {
+	}
+	if settings.MixedVersions {
+		// Three engines of each version.
+		backends = append(backends,
+			backendSettings{"model-5", modelService, "decode"}, backendSettings{"model-6", modelService, "decode"})
+	}
+	for _, b := range backends {
 		if err := s.addBackend(b.id, b.service, b.stage); err != nil {
 			s.Close()
 			return nil, err
@@ -196,7 +204,7 @@
 		u.Close()
 		return err
 	}
-	b := &backend{upstream: u, service: service, proxy: p}
+	b := &backend{upstream: u, service: service, proxy: p, started: time.Now()}
 	s.backendsMu.Lock()
 	s.backends = append(s.backends, b)
 	s.backendsMu.Unlock()
@@ -211,6 +219,14 @@
 	s.store.Put(emulator.TopicServers, b.upstream.ID, b.upstream.EntryAt(b.proxy.address(), b.service, state))
 }
 
+func (s *Soaker) markEnded(b *backend) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if b.ended.IsZero() {
+		b.ended = time.Now()
+	}
+}
+
 // Close ends all processes, proxies and servers of the run.
 func (s *Soaker) Close() {
 	for _, p := range s.processes {
@@ -290,6 +306,7 @@
 	s.configure(service)
 	b := s.pickServing(service)
 	b.draining = true
+	s.markEnded(b)
 	s.publish(b, "draining")
 	s.recordChange(plannedChange{draining: b.upstream.ID})
 	sleep(ctx, s.randomDuration(shortGap, longGap))
@@ -389,6 +406,9 @@
 	}
 	for _, b := range s.listBackends() {
 		h.versions[b.upstream.ID] = b.upstream.Version
+		if b.service == modelService && b.upstream.Stage != "prefill" {
+			h.engines = append(h.engines, life{upstream: b.upstream.ID, from: b.started, to: b.ended})
+		}
 		for _, r := range b.upstream.Runs() {
 			h.arrivals = append(h.arrivals, arrival{Run: r, upstream: b.upstream.ID, service: b.service})
 		}
--- a/standin/soaker/soaker_test.go
+++ b/standin/soaker/soaker_test.go
@@ -42,7 +42,7 @@
 	for i, invariant := range []Invariant{
 		noInvariant, InvariantOnce, InvariantNotRun, InvariantOwnResponse, InvariantUnchanged, InvariantOrder,
 		InvariantRoute, InvariantLeaving, InvariantBudget, InvariantStop, InvariantTimeout, InvariantAbandoned,
-		InvariantRecovery, InvariantContained, InvariantSound, InvariantVersion,
+		InvariantRecovery, InvariantContained, InvariantSound, InvariantVersion, InvariantResumed,
 	} {
 		t.Run(string(invariant), func(t *testing.T) {
 			t.Parallel()
@@ -238,7 +238,11 @@
 		}
 	}
 	content := response.body
-	if g.invariant == InvariantVersion && strings.HasPrefix(r.URL.Path, "/verdicts/") && r.Header.Get(emulator.HeaderLastEvent) == "" {
+	if g.invariant == InvariantResumed && r.Header.Get(emulator.HeaderLastEvent) != "" {
+		http.Error(w, "noVersion", http.StatusServiceUnavailable)
+		return
+	}
+	if (g.invariant == InvariantVersion || g.invariant == InvariantResumed) && strings.HasPrefix(r.URL.Path, "/verdicts/") && r.Header.Get(emulator.HeaderLastEvent) == "" {
 		w.Header().Set(emulator.HeaderSignature, response.header.Get(emulator.HeaderSignature))
 		w.Header().Set("Content-Length", fmt.Sprint(len(content)))
 		_, _ = io.WriteString(w, content[:strings.Index(content, "\n\n")+2])
