Take no retry for a request that is passed on after unsent attempts

A request with two attempts that reached no upstream was passed on after any later attempt too, for which a retry had been taken from the budget by then. The attempt before must itself have reached none now, and the loop asks in one place.

--- a/rosemaryspool/forwarder/attempt.go
+++ b/rosemaryspool/forwarder/attempt.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net/http"
@@ -150,24 +151,29 @@
 		case maybeExecuted, upstreamError, truncated:
 			e.runs++
 		}
-		if e.last.unsent {
-			e.unsent++
-		}
 		cause := e.checkRetry(end)
-		if cause == "" && e.unsent >= maxUnsent {
-			if r, done := e.reroute(causeUnsent); done {
-				return r
-			}
+		if r, done := e.reroute(cmp.Or(cause, e.unsentCause())); done {
+			return r
 		}
 		if cause != "" {
-			if r, done := e.reroute(cause); done {
-				return r
-			}
 			return e.giveUp(cause, 0, stored)
 		}
 	}
 }
 
+// unsentCause counts an attempt of which no upstream has received anything. It returns causeUnsent once there are too many
+// of them, else an empty string.
+func (e *exchange) unsentCause() string {
+	if !e.last.unsent {
+		return ""
+	}
+	e.unsent++
+	if e.unsent < maxUnsent {
+		return ""
+	}
+	return causeUnsent
+}
+
 // Causes for which a request may be passed on to another instance: after maxSends, and after maxUnsent attempts of which no
 // upstream has received anything.
 const (
