--- a/rosemaryspool/commander/soak_test.go
+++ b/rosemaryspool/commander/soak_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"path/filepath"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -13,11 +14,16 @@
 
 // soakSeeds are the runs of TestSoak: one general run, and a regression run for every seed that has failed.
 var soakSeeds = []struct {
-	seed   uint64
-	rounds int
-	cause  string
+	seed       uint64
+	rounds     int
+	eventPause time.Duration
+	cause      string
 }{
 	{seed: 1, rounds: 1, cause: "general: faults and recovery on a complete system"},
+	{
+		seed: 1, rounds: 1, eventPause: 60 * time.Millisecond,
+		cause: "long streams: engines crash before any stream has been answered",
+	},
 }
 
 // TestSoak injects random faults into a complete system. It fails on a violated invariant, or if at most half of the
@@ -32,7 +38,7 @@
 			s, err := soaker.NewSoaker(soaker.Settings{
 				Seed: c.seed, Rounds: c.rounds, FaultPhase: soaker.DefaultFaultPhase, Gateways: 3, Callers: 12,
 				Command: []string{"rosemaryspool", "gateway"}, Directory: directory, Network: 90 + i, Log: log,
-				FatalRequests: true, MixedVersions: true,
+				FatalRequests: true, MixedVersions: true, EventPause: c.eventPause,
 			})
 			require.NoError(t, err)
 			defer s.Close()
