Run the parts that follow the log with one event loop

The coordinator, the claimer and the conductor of `rosemaryspool serve` each had a loop of their own over events, reads and ticks, with the same queue, inspection, waiting for an idle core and drained stop. A notification after the stop is now always discarded; it could be queued for nobody.

--- a/rosemaryspool/conductor/actions.go
+++ b/rosemaryspool/conductor/actions.go
@@ -90,7 +90,7 @@
 // it.
 func (c *Conductor) requestPermit(a placer.RequestPermit) {
 	c.outputQueue <- func(ctx context.Context) {
-		c.tasks.Go(func() {
+		c.driver.Go(func() {
 			permit, err := c.store.Permit(ctx, a.Model, a.Version)
 			decision := placer.PermitDecided{
 				Now: time.Now(), Upstream: a.Upstream, Granted: err == nil && permit.Granted, RetryAfter: permit.RetryAfter,
@@ -131,7 +131,7 @@
 
 func (c *Conductor) probe(id identifier.UpstreamID) {
 	c.outputQueue <- func(ctx context.Context) {
-		c.tasks.Go(func() {
+		c.driver.Go(func() {
 			ok := c.outputs.ProbeEngine(ctx, id)
 			c.Notify(probeEnded{result: drainer.ProbeEnded{Now: time.Now(), Upstream: id, OK: ok}})
 		})
--- a/rosemaryspool/conductor/conductor.go
+++ b/rosemaryspool/conductor/conductor.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/rs/zerolog"
-	"github.com/sourcegraph/conc"
 
 	"rosemaryspool.example/adaptor/permitter"
 	"rosemaryspool.example/core/configurer"
@@ -17,7 +16,7 @@
 	"rosemaryspool.example/core/gauger"
 	"rosemaryspool.example/core/identifier"
 	"rosemaryspool.example/core/placer"
-	"rosemaryspool.example/rosemaryspool/waiter"
+	"rosemaryspool.example/rosemaryspool/driver"
 )
 
 const (
@@ -57,10 +56,8 @@
 	changes      map[identifier.UpstreamID]change
 	orderCounter uint64
 
-	events      chan Event
+	driver      *driver.Driver[Event]
 	outputQueue chan func(context.Context)
-	done        chan struct{}
-	tasks       conc.WaitGroup
 }
 
 // pool is the engines of one model with the state of the lease that covers them.
@@ -83,7 +80,7 @@
 
 // NewConductor returns a conductor. The name prefixes order ids and must be unique to this start of the process.
 func NewConductor(name string, store permitter.Store, outputs Outputs, log zerolog.Logger) *Conductor {
-	return &Conductor{
+	c := &Conductor{
 		name:        name,
 		store:       store,
 		outputs:     outputs,
@@ -92,43 +89,21 @@
 		gauger:      gauger.NewGauger(time.Now()),
 		pools:       make(map[identifier.ModelName]*pool),
 		changes:     make(map[identifier.UpstreamID]change),
-		events:      make(chan Event, eventQueueCapacity),
 		outputQueue: make(chan func(context.Context), outputQueueCapacity),
-		done:        make(chan struct{}),
 	}
+	c.driver = driver.NewDriver[Event](c, tickInterval, eventQueueCapacity)
+	c.driver.Background(c.runOutputs)
+	return c
 }
 
 // Done is closed when Run has returned.
-func (c *Conductor) Done() <-chan struct{} { return c.done }
+func (c *Conductor) Done() <-chan struct{} { return c.driver.Done() }
 
 // Notify queues an event and blocks while the queue is full. After Run has returned the event is discarded.
-func (c *Conductor) Notify(event Event) {
-	select {
-	case c.events <- event:
-	case <-c.done:
-	}
-}
+func (c *Conductor) Notify(event Event) { c.driver.Notify(event) }
 
 // Run handles events and ticks until stop is closed.
-func (c *Conductor) Run(stop <-chan struct{}) {
-	defer close(c.done)
-	ctx, cancel := context.WithCancel(context.Background())
-	c.tasks.Go(func() { c.runOutputs(ctx) })
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-stop:
-			cancel()
-			c.waitForTasks()
-			return
-		case event := <-c.events:
-			c.handleEvent(event)
-		case now := <-ticker.C:
-			c.tick(now)
-		}
-	}
-}
+func (c *Conductor) Run(stop <-chan struct{}) { c.driver.Run(stop) }
 
 // runOutputs executes queued decisions one at a time until ctx ends.
 func (c *Conductor) runOutputs(ctx context.Context) {
@@ -142,20 +117,8 @@
 	}
 }
 
-// waitForTasks drains both queues until every task has ended, so that no task blocks on a full queue.
-func (c *Conductor) waitForTasks() {
-	finished := waiter.Finished(&c.tasks)
-	for {
-		select {
-		case <-c.events:
-		case <-c.outputQueue:
-		case <-finished:
-			return
-		}
-	}
-}
-
-func (c *Conductor) tick(now time.Time) {
+// HandleTick implements driver.Machine.
+func (c *Conductor) HandleTick(_ context.Context, now time.Time) {
 	for _, d := range c.gauger.Take(now) {
 		if p, ok := c.pools[d.Model]; ok {
 			c.applyPlacerActions(p, p.placer.Handle(d))
--- a/rosemaryspool/conductor/handlers.go
+++ b/rosemaryspool/conductor/handlers.go
@@ -1,6 +1,7 @@
 package conductor
 
 import (
+	"context"
 	"slices"
 	"time"
 
@@ -11,8 +12,9 @@
 	"rosemaryspool.example/wire/messenger"
 )
 
-// handleEvent passes an event to the placers, the drainer or the gauger and executes the resulting actions.
-func (c *Conductor) handleEvent(event Event) {
+// HandleEvent implements driver.Machine: it passes an event to the placers, the drainer or the gauger and executes the
+// resulting actions.
+func (c *Conductor) HandleEvent(_ context.Context, event Event) {
 	switch e := event.(type) {
 	case ConfigChanged:
 		c.configure(e)
--- a/rosemaryspool/coordinator/coordinator.go
+++ b/rosemaryspool/coordinator/coordinator.go
@@ -8,16 +8,15 @@
 	"time"
 
 	"github.com/rs/zerolog"
-	"github.com/sourcegraph/conc"
 
 	"rosemaryspool.example/adaptor/appender"
 	"rosemaryspool.example/core/controller"
 	"rosemaryspool.example/core/identifier"
 	"rosemaryspool.example/core/replayer"
 	"rosemaryspool.example/rosemaryspool/committer"
+	"rosemaryspool.example/rosemaryspool/driver"
 	"rosemaryspool.example/rosemaryspool/reader"
 	"rosemaryspool.example/rosemaryspool/resolver"
-	"rosemaryspool.example/rosemaryspool/waiter"
 	"rosemaryspool.example/wire/messenger"
 )
 
@@ -50,17 +49,13 @@
 // Coordinator owns the controller, whose state is used only by the goroutine of Run.
 type Coordinator struct {
 	controller *controller.Controller
+	driver     *driver.Driver[controller.Event]
 	stream     appender.Stream
-	reader     *reader.Reader
 	committer  *committer.Committer
 	resolver   *resolver.Resolver
 	listeners  Listeners
 	log        zerolog.Logger
 
-	events       chan controller.Event
-	inspections  chan func()
-	done         chan struct{}
-	tasks        conc.WaitGroup
 	logReachable atomic.Bool
 }
 
@@ -70,121 +65,61 @@
 	listeners Listeners, logger zerolog.Logger,
 ) *Coordinator {
 	stream := appender.ControlStream(settings.Environment)
-	return &Coordinator{
-		controller:  controller.NewController(settings),
-		stream:      stream,
-		reader:      reader.NewReader(log, stream, logger),
-		committer:   appends,
-		resolver:    targets,
-		listeners:   listeners,
-		log:         logger,
-		events:      make(chan controller.Event, eventQueueCapacity),
-		inspections: make(chan func()),
-		done:        make(chan struct{}),
+	c := &Coordinator{
+		controller: controller.NewController(settings),
+		stream:     stream,
+		committer:  appends,
+		resolver:   targets,
+		listeners:  listeners,
+		log:        logger,
 	}
+	c.driver = driver.NewDriver[controller.Event](c, tickInterval, eventQueueCapacity)
+	c.driver.Follow(c, reader.NewReader(log, stream, logger))
+	return c
 }
 
 // Done is closed when Run has returned.
-func (c *Coordinator) Done() <-chan struct{} { return c.done }
+func (c *Coordinator) Done() <-chan struct{} { return c.driver.Done() }
 
 // LogReachable reports whether the last read of the log succeeded.
 func (c *Coordinator) LogReachable() bool { return c.logReachable.Load() }
 
 // Notify queues an event and blocks while the queue is full. After Run has returned the event is discarded.
-func (c *Coordinator) Notify(event controller.Event) {
-	select {
-	case c.events <- event:
-	case <-c.done:
-	}
-}
+func (c *Coordinator) Notify(event controller.Event) { c.driver.Notify(event) }
 
 // Inspect runs a function in the coordinator's goroutine, where it may read the controller's state. It returns false
 // without running it if the coordinator has stopped or ctx ends first.
 func (c *Coordinator) Inspect(ctx context.Context, inspect func(*controller.Controller)) bool {
-	finished := make(chan struct{})
-	call := func() {
-		inspect(c.controller)
-		close(finished)
-	}
-	select {
-	case c.inspections <- call:
-	case <-c.done:
-		return false
-	case <-ctx.Done():
-		return false
-	}
-	<-finished
-	return true
+	return c.driver.Inspect(ctx, func() { inspect(c.controller) })
 }
 
 // Shutdown releases all leases once their orders are closed, and returns when that is done or ctx ends.
 func (c *Coordinator) Shutdown(ctx context.Context) {
 	c.Notify(controller.ShutdownStarted{Now: time.Now()})
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
-	for {
-		idle := false
-		if !c.Inspect(ctx, func(core *controller.Controller) { idle = core.Idle(time.Now()) }) || idle {
-			return
-		}
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return
-		}
-	}
+	c.driver.AwaitIdle(ctx, func() bool { return c.controller.Idle(time.Now()) })
 }
 
 // Run handles records, events and ticks until stop is closed.
-func (c *Coordinator) Run(stop <-chan struct{}) {
-	defer close(c.done)
-	ctx, cancel := context.WithCancel(context.Background())
-	c.tasks.Go(func() { c.reader.Run(ctx) })
-	c.reader.ReadFrom(c.controller.NextOffset())
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-stop:
-			cancel()
-			c.waitForTasks()
-			return
-		case result := <-c.reader.Results():
-			c.handleRead(ctx, result)
-			c.reader.ReadFrom(c.controller.NextOffset())
-		case event := <-c.events:
-			c.handleEvent(ctx, event)
-		case call := <-c.inspections:
-			call()
-		case now := <-ticker.C:
-			c.handleEvent(ctx, controller.Ticked{Now: now})
-		}
-	}
-}
+func (c *Coordinator) Run(stop <-chan struct{}) { c.driver.Run(stop) }
 
-// waitForTasks drains the queues until every task has ended, so that no task blocks on a full queue.
-func (c *Coordinator) waitForTasks() {
-	finished := waiter.Finished(&c.tasks)
-	for {
-		select {
-		case <-c.events:
-		case <-c.reader.Results():
-		case <-finished:
-			return
-		}
-	}
+// NextOffset implements driver.Follower.
+func (c *Coordinator) NextOffset() identifier.Offset { return c.controller.NextOffset() }
+
+// HandleTick implements driver.Machine.
+func (c *Coordinator) HandleTick(ctx context.Context, now time.Time) {
+	c.HandleEvent(ctx, controller.Ticked{Now: now})
 }
 
-// handleRead passes the result of a read to the controller; the reader has logged a failed one.
-func (c *Coordinator) handleRead(ctx context.Context, result reader.Result) {
+// HandleRead implements driver.Follower.
+func (c *Coordinator) HandleRead(ctx context.Context, result reader.Result) {
 	c.logReachable.Store(result.Err == nil)
 	defer c.requestSnapshot(result.Err)
 	switch {
 	case result.Err != nil:
 	case result.FirstAvailable > 0:
-		c.handleEvent(ctx, controller.LogTrimmed{Now: result.Now, First: result.FirstAvailable})
+		c.HandleEvent(ctx, controller.LogTrimmed{Now: result.Now, First: result.FirstAvailable})
 	default:
-		c.handleEvent(ctx, controller.RecordsRead{Now: result.Now, Entries: result.Entries, End: result.End})
+		c.HandleEvent(ctx, controller.RecordsRead{Now: result.Now, Entries: result.Entries, End: result.End})
 	}
 }
 
@@ -197,7 +132,8 @@
 	}
 }
 
-func (c *Coordinator) handleEvent(ctx context.Context, event controller.Event) {
+// HandleEvent implements driver.Machine.
+func (c *Coordinator) HandleEvent(ctx context.Context, event controller.Event) {
 	for _, action := range c.controller.Handle(event) {
 		c.apply(ctx, action)
 	}
@@ -208,9 +144,9 @@
 	case controller.Append:
 		c.append(a)
 	case controller.SendOrder:
-		c.tasks.Go(func() { c.sendOrder(ctx, a) })
+		c.driver.Go(func() { c.sendOrder(ctx, a) })
 	case controller.ReadEngine:
-		c.tasks.Go(func() { c.readReport(ctx, a) })
+		c.driver.Go(func() { c.readReport(ctx, a) })
 	default:
 		c.notifyListeners(action)
 	}
--- a/rosemaryspool/executor/claim.go
+++ b/rosemaryspool/executor/claim.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/rs/zerolog"
-	"github.com/sourcegraph/conc"
 
 	"rosemaryspool.example/adaptor/appender"
 	"rosemaryspool.example/adaptor/invoker"
@@ -15,8 +14,8 @@
 	"rosemaryspool.example/core/identifier"
 	"rosemaryspool.example/core/refuser"
 	"rosemaryspool.example/rosemaryspool/committer"
+	"rosemaryspool.example/rosemaryspool/driver"
 	"rosemaryspool.example/rosemaryspool/reader"
-	"rosemaryspool.example/rosemaryspool/waiter"
 )
 
 const (
@@ -30,16 +29,13 @@
 // claim is first in the log.
 type claimer struct {
 	core      *deduplicator.Deduplicator
+	driver    *driver.Driver[command]
 	stream    appender.Stream
-	reader    *reader.Reader
 	committer *committer.Committer
 	dispatch  func(ctx context.Context, call Call, attempt identifier.AttemptID) dispatchResult
 	log       zerolog.Logger
 
-	commands chan command
-	done     chan struct{}
-	tasks    conc.WaitGroup
-	calls    map[identifier.RequestID]*pendingCall
+	calls map[identifier.RequestID]*pendingCall
 }
 
 // pendingCall is a call whose caller is waiting for the result.
@@ -54,7 +50,7 @@
 	refusal  *refuser.Refusal
 }
 
-// command is a message to the goroutine of serve.
+// command is a message to the claimer's goroutine.
 type command interface{ command() }
 
 // coreEvent carries an event for the deduplicator.
@@ -66,34 +62,26 @@
 	event   deduplicator.CallArrived
 }
 
-// idleQuery asks whether the outcomes of all calls are in the log.
-type idleQuery struct{ reply chan bool }
-
 func (coreEvent) command() {}
 func (newCall) command()   {}
-func (idleQuery) command() {}
 
 func newClaimer(
 	core *deduplicator.Deduplicator, stream appender.Stream, log appender.Log, appends *committer.Committer,
 	logger zerolog.Logger,
 ) *claimer {
-	return &claimer{
-		core:      core,
-		stream:    stream,
-		reader:    reader.NewReader(log, stream, logger),
-		committer: appends,
-		log:       logger,
-		commands:  make(chan command, claimQueueCapacity),
-		done:      make(chan struct{}),
-		calls:     make(map[identifier.RequestID]*pendingCall),
+	c := &claimer{
+		core: core, stream: stream, committer: appends, log: logger, calls: make(map[identifier.RequestID]*pendingCall),
 	}
+	c.driver = driver.NewDriver[command](c, claimTickInterval, claimQueueCapacity)
+	c.driver.Follow(c, reader.NewReader(log, stream, logger))
+	return c
 }
 
 // execute submits a call and waits for its result.
 func (c *claimer) execute(ctx context.Context, call Call, hash uint64) (invoker.Response, *refuser.Refusal) {
 	now := time.Now()
 	pending := &pendingCall{call: call, result: make(chan callResult, 1)}
-	accepted := c.enqueue(newCall{pending: pending, event: deduplicator.CallArrived{
+	accepted := c.driver.Notify(newCall{pending: pending, event: deduplicator.CallArrived{
 		Now:         now,
 		WallNow:     now,
 		Request:     call.Request,
@@ -111,9 +99,9 @@
 	case result := <-pending.result:
 		return result.response, result.refusal
 	case <-ctx.Done():
-		c.enqueue(coreEvent{deduplicator.CallerDisconnected{Now: time.Now(), Request: call.Request}})
+		c.driver.Notify(coreEvent{deduplicator.CallerDisconnected{Now: time.Now(), Request: call.Request}})
 		return invoker.Response{}, refuser.NewRefusal(refuser.CallerGone, refuser.OutcomeUnknown, "the caller left")
-	case <-c.done:
+	case <-c.driver.Done():
 		return resultAtStop(pending)
 	}
 }
@@ -130,83 +118,19 @@
 	}
 }
 
-// enqueue queues a command and blocks while the queue is full. It returns false if the claimer has stopped.
-func (c *claimer) enqueue(next command) bool {
-	select {
-	case c.commands <- next:
-		return true
-	case <-c.done:
-		return false
-	}
-}
-
 // awaitIdle returns when the outcomes of all calls are in the log, when the claimer has stopped, or when ctx ends.
-func (c *claimer) awaitIdle(ctx context.Context) {
-	ticker := time.NewTicker(claimTickInterval)
-	defer ticker.Stop()
-	for {
-		query := idleQuery{reply: make(chan bool, 1)}
-		if !c.enqueue(query) {
-			return
-		}
-		select {
-		case idle := <-query.reply:
-			if idle {
-				return
-			}
-		case <-c.done:
-			return
-		case <-ctx.Done():
-			return
-		}
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return
-		}
-	}
-}
+func (c *claimer) awaitIdle(ctx context.Context) { c.driver.AwaitIdle(ctx, c.core.Idle) }
 
-// serve handles commands, records and ticks until stop is closed.
-func (c *claimer) serve(stop <-chan struct{}) {
-	defer close(c.done)
-	ctx, cancel := context.WithCancel(context.Background())
-	c.tasks.Go(func() { c.reader.Run(ctx) })
-	c.reader.ReadFrom(c.core.NextOffset())
-	ticker := time.NewTicker(claimTickInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-stop:
-			cancel()
-			c.waitForTasks()
-			return
-		case result := <-c.reader.Results():
-			c.handleRead(ctx, result)
-			c.reader.ReadFrom(c.core.NextOffset())
-		case next := <-c.commands:
-			c.handleCommand(ctx, next)
-		case now := <-ticker.C:
-			c.handleEvent(ctx, deduplicator.Ticked{Now: now, WallNow: now})
-		}
-	}
-}
+// NextOffset implements driver.Follower.
+func (c *claimer) NextOffset() identifier.Offset { return c.core.NextOffset() }
 
-// waitForTasks drains the queues until every task has ended, so that no task blocks on a full queue.
-func (c *claimer) waitForTasks() {
-	finished := waiter.Finished(&c.tasks)
-	for {
-		select {
-		case <-c.commands:
-		case <-c.reader.Results():
-		case <-finished:
-			return
-		}
-	}
+// HandleTick implements driver.Machine.
+func (c *claimer) HandleTick(ctx context.Context, now time.Time) {
+	c.handleEvent(ctx, deduplicator.Ticked{Now: now, WallNow: now})
 }
 
-// handleRead passes the result of a read to the deduplicator; the reader has logged a failed one.
-func (c *claimer) handleRead(ctx context.Context, result reader.Result) {
+// HandleRead implements driver.Follower.
+func (c *claimer) HandleRead(ctx context.Context, result reader.Result) {
 	switch {
 	case result.Err != nil:
 	case result.FirstAvailable > 0:
@@ -218,13 +142,12 @@
 	}
 }
 
-func (c *claimer) handleCommand(ctx context.Context, next command) {
+// HandleEvent implements driver.Machine.
+func (c *claimer) HandleEvent(ctx context.Context, next command) {
 	switch e := next.(type) {
 	case newCall:
 		c.calls[e.event.Request] = e.pending
 		c.handleEvent(ctx, e.event)
-	case idleQuery:
-		e.reply <- c.core.Idle()
 	case coreEvent:
 		c.handleEvent(ctx, e.event)
 	}
@@ -259,7 +182,7 @@
 		Records: a.Records,
 		Urgency: a.Urgency,
 		Done: func(_ identifier.Offset, err error) {
-			go c.enqueue(coreEvent{appendResult(a, err)})
+			go c.driver.Notify(coreEvent{appendResult(a, err)})
 		},
 	})
 }
@@ -281,9 +204,9 @@
 		return
 	}
 	call := pending.call
-	c.tasks.Go(func() {
+	c.driver.Go(func() {
 		result := c.dispatch(ctx, call, d.Attempt)
-		c.enqueue(coreEvent{deduplicator.DispatchEnded{
+		c.driver.Notify(coreEvent{deduplicator.DispatchEnded{
 			Now:         time.Now(),
 			Attempt:     d.Attempt,
 			Result:      result.result,
--- a/rosemaryspool/executor/executor.go
+++ b/rosemaryspool/executor/executor.go
@@ -74,17 +74,17 @@
 }
 
 // Run processes the claim stream until stop is closed.
-func (e *Executor) Run(stop <-chan struct{}) { e.claims.serve(stop) }
+func (e *Executor) Run(stop <-chan struct{}) { e.claims.driver.Run(stop) }
 
 // Shutdown returns once the outcomes of all calls are in the log, or when ctx ends. No calls may be started after it.
 func (e *Executor) Shutdown(ctx context.Context) { e.claims.awaitIdle(ctx) }
 
 // Done is closed when Run has returned.
-func (e *Executor) Done() <-chan struct{} { return e.claims.done }
+func (e *Executor) Done() <-chan struct{} { return e.claims.driver.Done() }
 
 // SetWindow sets how long after their issue idempotency keys are retained.
 func (e *Executor) SetWindow(window time.Duration) {
-	e.claims.enqueue(coreEvent{deduplicator.WindowSet{Window: window}})
+	e.claims.driver.Notify(coreEvent{deduplicator.WindowSet{Window: window}})
 }
 
 // RemoveUpstream drops the health and load of an upstream that is no longer listed. Whether it is closed is kept,
