Run the dispatcher with the same event loop

The dispatcher had the fourth copy of it, and asked its own goroutine by a command with a reply channel, which `Inspect` does for the others.

--- a/rosemaryspool/dispatcher/dispatcher.go
+++ b/rosemaryspool/dispatcher/dispatcher.go
@@ -9,17 +9,16 @@
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
-	"github.com/sourcegraph/conc"
 
 	"rosemaryspool.example/core/hasher"
 	"rosemaryspool.example/core/identifier"
 	"rosemaryspool.example/core/refuser"
 	"rosemaryspool.example/core/scheduler"
 	"rosemaryspool.example/rosemaryspool/conductor"
+	"rosemaryspool.example/rosemaryspool/driver"
 	"rosemaryspool.example/rosemaryspool/explainer"
 	"rosemaryspool.example/rosemaryspool/meter"
 	"rosemaryspool.example/rosemaryspool/resolver"
-	"rosemaryspool.example/rosemaryspool/waiter"
 )
 
 const (
@@ -60,9 +59,7 @@
 	resolver *resolver.Resolver
 	observe  Observer
 	log      zerolog.Logger
-	commands chan command
-	done     chan struct{}
-	attempts conc.WaitGroup
+	driver   *driver.Driver[command]
 
 	pending map[identifier.RequestID]*pendingRequest
 	running map[identifier.AttemptID]*attempt
@@ -93,77 +90,56 @@
 // notification passes an event to the scheduler.
 type notification struct{ event scheduler.Event }
 
-// admissionQuery asks whether a call to a plain service is within its caller's limit.
-type admissionQuery struct {
-	event scheduler.ServiceCalled
-	reply chan *refuser.Refusal
-}
-
-func (submission) command()     {}
-func (notification) command()   {}
-func (admissionQuery) command() {}
+func (submission) command()   {}
+func (notification) command() {}
 
 // NewDispatcher returns a dispatcher; Run must be started before Submit is used.
 func NewDispatcher(
 	core Core, targets *resolver.Resolver, observe Observer, decisions *explainer.Explainer,
 	log zerolog.Logger, registry metrics.Registry,
 ) *Dispatcher {
-	return &Dispatcher{
+	d := &Dispatcher{
 		core:         core,
 		explainer:    decisions,
 		resolver:     targets,
 		observe:      observe,
 		log:          log,
-		commands:     make(chan command, queueCapacity),
-		done:         make(chan struct{}),
 		pending:      make(map[identifier.RequestID]*pendingRequest),
 		running:      make(map[identifier.AttemptID]*attempt),
 		decisionTime: meter.NewHistogram("schedulingDecisionNs", registry),
 		refusals:     metrics.NewPrefixedChildRegistry(registry, "refusalsTotal."),
 		inFlight:     metrics.GetOrRegisterGauge("requestsInFlight", registry),
 	}
+	d.driver = driver.NewDriver[command](d, tickInterval, queueCapacity)
+	d.driver.AtStop(d.endRequests)
+	return d
 }
 
 // Done is closed when Run has returned.
-func (d *Dispatcher) Done() <-chan struct{} { return d.done }
+func (d *Dispatcher) Done() <-chan struct{} { return d.driver.Done() }
 
 // Run is the event loop. When stop is closed it cancels all attempts, ends all requests and waits for the attempts.
-func (d *Dispatcher) Run(stop <-chan struct{}) {
-	defer close(d.done)
-	ctx, cancel := context.WithCancel(context.Background())
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-stop:
-			cancel()
-			d.shutDown()
-			return
-		case c := <-d.commands:
-			d.handle(ctx, c)
-		case now := <-ticker.C:
-			d.handleEvent(ctx, scheduler.Ticked{Now: now})
-		}
-	}
-}
+func (d *Dispatcher) Run(stop <-chan struct{}) { d.driver.Run(stop) }
 
 // Submit queues a request and returns the exchange from which its answer is read.
 func (d *Dispatcher) Submit(request ModelRequest) *Exchange {
-	exchange := newExchange(request.ID, d.done)
-	d.send(submission{request: request, exchange: exchange})
+	exchange := newExchange(request.ID, d.Done())
+	d.driver.Notify(submission{request: request, exchange: exchange})
 	return exchange
 }
 
 // Admit returns the refusal of a call to a plain service that is over its caller's limit, or nil if it is within it.
 func (d *Dispatcher) Admit(call scheduler.ServiceCalled) *refuser.Refusal {
-	query := admissionQuery{event: call, reply: make(chan *refuser.Refusal, 1)}
-	d.send(query)
-	select {
-	case refusal := <-query.reply:
-		return refusal
-	case <-d.done:
-		return errStopping
-	}
+	refusal := errStopping
+	d.driver.Inspect(context.Background(), func() {
+		refusal = nil
+		for _, action := range d.core.Handle(call) {
+			if r, ok := action.(scheduler.Refuse); ok {
+				refusal = &r.Refusal
+			}
+		}
+	})
+	return refusal
 }
 
 // Cancel ends a request whose caller has disconnected.
@@ -174,37 +150,24 @@
 // Notify passes an external event, such as a load report, to the scheduler.
 func (d *Dispatcher) Notify(event scheduler.Event) { d.post(event) }
 
-func (d *Dispatcher) post(event scheduler.Event) { d.send(notification{event: event}) }
+func (d *Dispatcher) post(event scheduler.Event) { d.driver.Notify(notification{event: event}) }
 
-func (d *Dispatcher) send(c command) {
-	select {
-	case d.commands <- c:
-	case <-d.done:
-	}
+// HandleTick implements driver.Machine.
+func (d *Dispatcher) HandleTick(ctx context.Context, now time.Time) {
+	d.handleEvent(ctx, scheduler.Ticked{Now: now})
 }
 
-func (d *Dispatcher) handle(ctx context.Context, c command) {
+// HandleEvent implements driver.Machine.
+func (d *Dispatcher) HandleEvent(ctx context.Context, c command) {
 	switch c := c.(type) {
 	case submission:
 		d.accept(ctx, c)
 	case notification:
 		d.handleEvent(ctx, c.event)
 		d.removeIfEnded(c.event)
-	case admissionQuery:
-		d.handleAdmission(c)
 	}
 }
 
-func (d *Dispatcher) handleAdmission(query admissionQuery) {
-	var refusal *refuser.Refusal
-	for _, action := range d.core.Handle(query.event) {
-		if r, ok := action.(scheduler.Refuse); ok {
-			refusal = &r.Refusal
-		}
-	}
-	query.reply <- refusal
-}
-
 func (d *Dispatcher) accept(ctx context.Context, s submission) {
 	r := s.request
 	d.pending[r.ID] = &pendingRequest{request: r, exchange: s.exchange}
@@ -265,7 +228,7 @@
 	d.observe(conductor.WorkStarted{
 		Now: time.Now(), Upstream: dispatch.Decode, Attempt: dispatch.Attempt, Protected: p.request.Urgent,
 	})
-	d.attempts.Go(func() { d.runAttempt(attemptContext, a) })
+	d.driver.Go(func() { d.runAttempt(attemptContext, a) })
 }
 
 func (d *Dispatcher) cancelAttempt(c scheduler.Cancel) {
@@ -333,19 +296,10 @@
 	}
 }
 
-// shutDown ends every pending request with an unknown outcome and waits for the attempts. Callers can retry, as model
-// requests are idempotent.
-func (d *Dispatcher) shutDown() {
+// endRequests ends every pending request with an unknown outcome. Callers can retry, as model requests are idempotent.
+func (d *Dispatcher) endRequests() {
 	for _, p := range d.pending {
 		refusal := refuser.NewRefusal(refuser.ShuttingDown, refuser.OutcomeUnknown, "the instance stopped before the answer")
 		p.exchange.end(refusal, Finish{})
 	}
-	finished := waiter.Finished(&d.attempts)
-	for {
-		select {
-		case <-d.commands:
-		case <-finished:
-			return
-		}
-	}
 }
--- a/rosemaryspool/driver/driver.go
+++ b/rosemaryspool/driver/driver.go
@@ -10,7 +10,6 @@
 
 	"rosemaryspool.example/core/identifier"
 	"rosemaryspool.example/rosemaryspool/reader"
-	"rosemaryspool.example/rosemaryspool/waiter"
 )
 
 // Machine is a state machine of the core with what carries out its decisions.
@@ -37,6 +36,7 @@
 	// results is nil without a follower.
 	results    <-chan reader.Result
 	background []func(context.Context)
+	atStop     func()
 
 	events      chan E
 	inspections chan func()
@@ -61,6 +61,9 @@
 // Background has a function run beside the machine until the driver stops. It is called before Run.
 func (d *Driver[E]) Background(run func(context.Context)) { d.background = append(d.background, run) }
 
+// AtStop has a function called in the goroutine of Run as it stops, before it waits for tasks. It is called before Run.
+func (d *Driver[E]) AtStop(stop func()) { d.atStop = stop }
+
 // Done is closed when Run has returned.
 func (d *Driver[E]) Done() <-chan struct{} { return d.done }
 
@@ -135,6 +138,9 @@
 		select {
 		case <-stop:
 			cancel()
+			if d.atStop != nil {
+				d.atStop()
+			}
 			d.waitForTasks()
 			return
 		case result := <-d.results:
@@ -152,7 +158,11 @@
 
 // waitForTasks drains the queues until every task has ended, so that no task blocks on a full queue.
 func (d *Driver[E]) waitForTasks() {
-	finished := waiter.Finished(&d.tasks)
+	finished := make(chan struct{})
+	go func() {
+		defer close(finished)
+		d.tasks.Wait()
+	}()
 	for {
 		select {
 		case <-d.events:
