--- a/core/checker/fault.go
+++ b/core/checker/fault.go
@@ -17,19 +17,19 @@
 	case 1, 2:
 		sm.pause(p, sm.randomDuration(500*time.Millisecond, 14*time.Second))
 	case 3:
-		p.logUnreachableUntil = sm.now + sm.beginTimedFault(2*time.Second, 15*time.Second)
+		p.logUnreachableUntil = sm.clock.Now + sm.beginTimedFault(2*time.Second, 15*time.Second)
 	case 4:
-		p.upstreamsUnreachableUntil = sm.now + sm.beginTimedFault(2*time.Second, 10*time.Second)
+		p.upstreamsUnreachableUntil = sm.clock.Now + sm.beginTimedFault(2*time.Second, 10*time.Second)
 	case 5:
-		sm.lossyUntil = sm.now + sm.beginTimedFault(2*time.Second, 10*time.Second)
+		sm.lossyUntil = sm.clock.Now + sm.beginTimedFault(2*time.Second, 10*time.Second)
 	case 6:
-		sm.logDownUntil = sm.now + sm.beginTimedFault(2*time.Second, 20*time.Second)
+		sm.logDownUntil = sm.clock.Now + sm.beginTimedFault(2*time.Second, 20*time.Second)
 	case 7:
 		sm.control.trim(sm.rng.IntN(80))
 		sm.claims.trim(sm.rng.IntN(20))
 	default:
-		sm.slowUntil = sm.now + sm.beginTimedFault(2*time.Second, 10*time.Second)
-		sm.engines[sm.rng.IntN(engineCount)].crash(sm.now, sm.randomDuration(0, 4*time.Second), sm.chance(50))
+		sm.slowUntil = sm.clock.Now + sm.beginTimedFault(2*time.Second, 10*time.Second)
+		sm.engines[sm.rng.IntN(engineCount)].crash(sm.clock.Now, sm.randomDuration(0, 4*time.Second), sm.chance(50))
 	}
 	if sm.variant == VariantClockJump {
 		p.clockJump += sm.randomDuration(0, 8*time.Second)
@@ -40,7 +40,7 @@
 func (sm *simulation) beginTimedFault(low, high time.Duration) time.Duration {
 	duration := sm.randomDuration(low, high)
 	sm.activeFaults++
-	sm.after(duration, func() { sm.activeFaults-- })
+	sm.clock.After(duration, func() { sm.activeFaults-- })
 	return duration
 }
 
@@ -50,7 +50,7 @@
 		return
 	}
 	p.alive = false
-	sm.after(sm.beginTimedFault(500*time.Millisecond, 6*time.Second), func() { sm.start(p.slot, p.incarnation+1) })
+	sm.clock.After(sm.beginTimedFault(500*time.Millisecond, 6*time.Second), func() { sm.start(p.slot, p.incarnation+1) })
 }
 
 // pause suspends a process. At random, the process afterwards handles a tick stamped before the pause, or carries out
@@ -71,7 +71,7 @@
 	}
 	p.paused = true
 	sm.activeFaults++
-	sm.after(duration, func() {
+	sm.clock.After(duration, func() {
 		sm.activeFaults--
 		p.resume()
 	})
--- a/core/checker/limit_test.go
+++ b/core/checker/limit_test.go
@@ -22,11 +22,11 @@
 	for _, c := range cases {
 		sm := newFaultFreeSimulation(t, 3, 7)
 		before := sm.control.appends + sm.claims.appends
-		start := sm.now
+		start := sm.clock.Now
 		for i := range c.calls * int(measured/time.Second) {
-			sm.after(time.Duration(i)*time.Second/time.Duration(c.calls), func() { sm.callWithKey(sm.processes[i%7], i+1) })
+			sm.clock.After(time.Duration(i)*time.Second/time.Duration(c.calls), func() { sm.callWithKey(sm.processes[i%7], i+1) })
 		}
-		sm.runUntil(start + measured)
+		sm.clock.RunUntil(start + measured)
 		rate := float64(sm.control.appends+sm.claims.appends-before) / measured.Seconds()
 		t.Logf("case=%q appendsPerSecond=%.1f runs=%d instances=7", c.name, rate, sm.result.Runs)
 		require.Less(t, rate, c.limit, c.name)
@@ -44,23 +44,23 @@
 		sm := newFaultFreeSimulation(t, seed, 7)
 		for range 200 {
 			sm.publish(sm.reference.current.revision)
-			sm.runUntil(sm.now + 60*time.Millisecond)
+			sm.clock.RunUntil(sm.clock.Now + 60*time.Millisecond)
 		}
 		sm.processes[2].alive = false
 		sm.start(2, 1)
 		// Some changes carry a wrong digest, so the time is measured from the change that is accepted.
 		var published time.Duration
 		for sm.reference.sections["models"] == "" {
-			published = sm.now
+			published = sm.clock.Now
 			sm.publishChange(sm.reference.current.revision, "models", "new")
-			sm.runUntil(sm.now + 50*time.Millisecond)
+			sm.clock.RunUntil(sm.clock.Now + 50*time.Millisecond)
 		}
-		for !sm.allInForce() && sm.now < published+limit {
-			sm.runUntil(sm.now + 20*time.Millisecond)
+		for !sm.allInForce() && sm.clock.Now < published+limit {
+			sm.clock.RunUntil(sm.clock.Now + 20*time.Millisecond)
 		}
 		require.True(t, sm.allInForce(), "seed %d", seed)
 		require.Nil(t, sm.result.FirstViolation, "seed %d", seed)
-		longest = max(longest, sm.now-published)
+		longest = max(longest, sm.clock.Now-published)
 	}
 	t.Logf("longestUntilInForce=%s instances=7 newlyStarted=1 histories=20", longest)
 }
@@ -83,16 +83,16 @@
 func TestAppendRateStaysBoundedAfterLogOutage(t *testing.T) {
 	const outage, limit = time.Hour, 100
 	sm := newFaultFreeSimulation(t, 5, 7)
-	sm.logDownUntil = sm.now + outage
+	sm.logDownUntil = sm.clock.Now + outage
 	for i := range int(outage/time.Second) * 2 {
-		sm.after(time.Duration(i)*time.Second/2, func() { sm.callWithKey(sm.processes[i%7], i+1) })
+		sm.clock.After(time.Duration(i)*time.Second/2, func() { sm.callWithKey(sm.processes[i%7], i+1) })
 	}
-	sm.runUntil(sm.logDownUntil)
+	sm.clock.RunUntil(sm.logDownUntil)
 	require.Nil(t, sm.leaseHolder("model/a"))
 	maxPerSecond := 0
 	for range 20 {
 		before := sm.control.appends + sm.claims.appends
-		sm.runUntil(sm.now + time.Second)
+		sm.clock.RunUntil(sm.clock.Now + time.Second)
 		maxPerSecond = max(maxPerSecond, sm.control.appends+sm.claims.appends-before)
 	}
 	t.Logf("outage=%s mostAppendsInOneSecondAfterIt=%d runs=%d refused=%d instances=7",
--- a/core/checker/ordering.go
+++ b/core/checker/ordering.go
@@ -19,7 +19,7 @@
 	sm := p.simulation
 	if sm.chance(12) && sm.activeFaults < maxActiveFaults && !p.paused {
 		sm.result.Faults++
-		p.logUnreachableUntil = sm.now + sm.beginTimedFault(8*time.Second, 14*time.Second)
+		p.logUnreachableUntil = sm.clock.Now + sm.beginTimedFault(8*time.Second, 14*time.Second)
 		duration := sm.randomDuration(0, 16*time.Second)
 		if sm.chance(60) {
 			// The pause ends 50 to 500 ms before the write deadline.
@@ -30,7 +30,7 @@
 		return
 	}
 	delay := sm.networkDelay()
-	if sm.now < sm.slowUntil && sm.chance(70) || sm.chance(15) {
+	if sm.clock.Now < sm.slowUntil && sm.chance(70) || sm.chance(15) {
 		delay = sm.randomDuration(0, maxWriteDelay)
 	}
 	p.writeOrder(a, delay)
@@ -56,7 +56,7 @@
 	if sm.sendCounts[id] > 1 {
 		sm.recordViolation(InvariantSingleSend, "order %s was sent %d times", id, sm.sendCounts[id])
 	}
-	if sm.now < p.upstreamsUnreachableUntil {
+	if sm.clock.Now < p.upstreamsUnreachableUntil {
 		if sm.chance(50) {
 			p.runAfter(sm.networkDelay(), endSend(fencer.SendNotWritten, nil))
 			return
@@ -64,11 +64,11 @@
 		p.runAfter(time.Second, endSend(fencer.SendUnknown, nil))
 		return
 	}
-	sm.after(delay, func() {
+	sm.clock.After(delay, func() {
 		reply := sm.deliverOrder(a)
 		if reply == nil || sm.messageLost() {
 			if sm.variant == VariantRetryOrder {
-				sm.after(sm.networkDelay(), func() { p.writeOrder(a, sm.networkDelay()) })
+				sm.clock.After(sm.networkDelay(), func() { p.writeOrder(a, sm.networkDelay()) })
 			}
 			p.runAfter(sm.randomDuration(0, 2*time.Second), endSend(fencer.SendUnknown, nil))
 			return
@@ -86,7 +86,7 @@
 func (sm *simulation) deliverOrder(a controller.SendOrder) *messenger.OrderReply {
 	index := indexOf(engineNames[:], a.Order.GetEngine())
 	reply := sm.engines[index].handleOrder(
-		sm.now, a.Order, uint64(a.Token), sm.randomDuration(500*time.Millisecond, 4*time.Second))
+		sm.clock.Now, a.Order, uint64(a.Token), sm.randomDuration(500*time.Millisecond, 4*time.Second))
 	if !reply.GetAccepted() || a.Order.GetKind() == messenger.OrderKind_ORDER_KIND_FENCE {
 		return reply
 	}
@@ -97,7 +97,7 @@
 			invariant = InvariantCheckedOrder
 		}
 		sm.recordViolation(invariant, "%s accepted order %s at %s while order %q is open in the log",
-			engineNames[index], a.Order.GetOrderId(), sm.now, openOrder)
+			engineNames[index], a.Order.GetOrderId(), sm.clock.Now, openOrder)
 	}
 	return reply
 }
@@ -108,8 +108,8 @@
 	sm := p.simulation
 	p.runAfter(sm.networkDelay(), func() {
 		var report *messenger.EngineReport
-		if sm.now >= p.upstreamsUnreachableUntil && !sm.messageLost() {
-			report = sm.engines[indexOf(engineNames[:], string(a.Engine))].readReport(sm.now)
+		if sm.clock.Now >= p.upstreamsUnreachableUntil && !sm.messageLost() {
+			report = sm.engines[indexOf(engineNames[:], string(a.Engine))].readReport(sm.clock.Now)
 		}
 		p.runActions(p.controller.Handle(controller.EngineRead{
 			Now: p.localNow(), Engine: a.Engine, ReadID: a.ReadID, Report: report,
--- a/core/checker/process.go
+++ b/core/checker/process.go
@@ -87,11 +87,11 @@
 
 // localNow returns the time of the process's monotonic clock.
 func (p *process) localNow() time.Time {
-	drifted := p.simulation.now + p.simulation.now*p.drift/1000
+	drifted := p.simulation.clock.Now + p.simulation.clock.Now*p.drift/1000
 	return p.clockStart.Add(drifted + p.clockJump)
 }
 
-func (p *process) wallNow() time.Time { return wallStart.Add(p.simulation.now + p.wallOffset) }
+func (p *process) wallNow() time.Time { return wallStart.Add(p.simulation.clock.Now + p.wallOffset) }
 
 // runOrDefer runs a function in the process now, or after its pause; a process that was killed drops it.
 func (p *process) runOrDefer(run func()) {
@@ -107,7 +107,7 @@
 
 // runAfter runs a function in the process after a delay.
 func (p *process) runAfter(delay time.Duration, run func()) {
-	p.simulation.after(delay, func() { p.runOrDefer(run) })
+	p.simulation.clock.After(delay, func() { p.runOrDefer(run) })
 }
 
 // tick handles one timer tick and schedules the next.
@@ -119,12 +119,12 @@
 		p.runActions(p.controller.Handle(controller.Ticked{Now: p.localNow()}))
 		p.runClaimActions(p.deduplicator.Handle(deduplicator.Ticked{Now: p.localNow(), WallNow: p.wallNow()}))
 	}
-	p.simulation.after(tickInterval, p.tick)
+	p.simulation.clock.After(tickInterval, p.tick)
 }
 
 // logUnreachable reports whether the log is down or this process is cut off from it.
 func (p *process) logUnreachable() bool {
-	return p.simulation.logDown() || p.simulation.now < p.logUnreachableUntil
+	return p.simulation.logDown() || p.simulation.clock.Now < p.logUnreachableUntil
 }
 
 // poll reads both streams and schedules the next poll with jitter.
@@ -136,7 +136,7 @@
 		p.runAfter(p.simulation.networkDelay(), p.readControl)
 		p.runAfter(p.simulation.networkDelay(), p.readClaims)
 	}
-	p.simulation.after(p.simulation.randomDuration(pollInterval/2, pollInterval*3/2), p.poll)
+	p.simulation.clock.After(p.simulation.randomDuration(pollInterval/2, pollInterval*3/2), p.poll)
 }
 
 func (p *process) readControl() {
@@ -315,7 +315,7 @@
 		p.runAfter(sm.randomDuration(10*time.Millisecond, time.Second), fail(true))
 		return
 	}
-	sm.after(sm.networkDelay(), func() {
+	sm.clock.After(sm.networkDelay(), func() {
 		first := s.append(records)
 		p.runAfter(sm.networkDelay(), func() { endAppend(first, false, false) })
 	})
@@ -327,7 +327,7 @@
 	if sm.chance(40) {
 		delay = sm.randomDuration(0, 9*time.Second)
 	}
-	sm.after(delay, func() {
+	sm.clock.After(delay, func() {
 		if !sm.logDown() {
 			s.append(records)
 		}
--- a/core/checker/scenario_test.go
+++ b/core/checker/scenario_test.go
@@ -21,7 +21,7 @@
 	for i := range sm.processes {
 		sm.start(i, 0)
 	}
-	sm.runUntil(5 * time.Second)
+	sm.clock.RunUntil(5 * time.Second)
 	for _, scope := range scopeNames {
 		require.NotNil(t, sm.leaseHolder(scope), "scope %s", scope)
 	}
@@ -44,14 +44,14 @@
 	var longest time.Duration
 	for seed := uint64(1); seed <= 40; seed++ {
 		sm := newFaultFreeSimulation(t, seed, 7)
-		sm.runUntil(sm.now + sm.randomDuration(0, 3*time.Second))
-		killed := sm.now
+		sm.clock.RunUntil(sm.clock.Now + sm.randomDuration(0, 3*time.Second))
+		killed := sm.clock.Now
 		sm.leaseHolder("model/a").alive = false
-		for sm.leaseHolder("model/a") == nil && sm.now < killed+limit {
-			sm.runUntil(sm.now + 50*time.Millisecond)
+		for sm.leaseHolder("model/a") == nil && sm.clock.Now < killed+limit {
+			sm.clock.RunUntil(sm.clock.Now + 50*time.Millisecond)
 		}
 		require.NotNil(t, sm.leaseHolder("model/a"), "seed %d", seed)
-		longest = max(longest, sm.now-killed)
+		longest = max(longest, sm.clock.Now-killed)
 	}
 	t.Logf("longestTakeover=%s histories=40", longest)
 }
@@ -74,23 +74,23 @@
 		t.Run(c.name, func(t *testing.T) {
 			sm := newFaultFreeSimulation(t, 7, processCount)
 			sendOrder(sm, c.engine, "first", "prefill")
-			sm.runUntil(sm.now + 10*time.Second)
-			require.Equal(t, "prefill", sm.engines[c.engine].readReport(sm.now).GetRole())
+			sm.clock.RunUntil(sm.clock.Now + 10*time.Second)
+			require.Equal(t, "prefill", sm.engines[c.engine].readReport(sm.clock.Now).GetRole())
 			holder := sm.leaseHolder(scopeNames[engineScope(c.engine)])
 			late := interceptSend(t, sm, holder, c.engine)
 			holder.alive = false
-			sm.after(c.delay, func() { sm.deliverOrder(late) })
-			sm.runUntil(sm.now + c.delay + time.Second)
+			sm.clock.After(c.delay, func() { sm.deliverOrder(late) })
+			sm.clock.RunUntil(sm.clock.Now + c.delay + time.Second)
 			require.Equal(t, c.conflict, sm.result.FirstViolation != nil, "%v", sm.result.FirstViolation)
 			// The repair must wait for running work instead of aborting it.
 			sm.engines[c.engine].report.Running = 1
-			sm.runUntil(sm.now + 40*time.Second)
+			sm.clock.RunUntil(sm.clock.Now + 40*time.Second)
 			if c.conflict {
-				require.Equal(t, "decode", sm.engines[c.engine].readReport(sm.now).GetRole())
+				require.Equal(t, "decode", sm.engines[c.engine].readReport(sm.clock.Now).GetRole())
 				require.Equal(t, []identifier.UpstreamID{identifier.UpstreamID(engineNames[c.engine])}, sm.draining())
 			}
 			sm.engines[c.engine].report.Running = 0
-			sm.runUntil(sm.now + 40*time.Second)
+			sm.clock.RunUntil(sm.clock.Now + 40*time.Second)
 			require.Empty(t, sm.draining())
 			require.Empty(t, sm.reference.current.unfinished[c.engine])
 			if !c.conflict {
@@ -99,7 +99,7 @@
 			}
 			require.Equal(t, InvariantUncheckedOrder, sm.result.FirstViolation.Invariant)
 			require.Positive(t, sm.result.Diverged)
-			require.Equal(t, "prefill", sm.engines[c.engine].readReport(sm.now).GetRole())
+			require.Equal(t, "prefill", sm.engines[c.engine].readReport(sm.clock.Now).GetRole())
 		})
 	}
 }
@@ -132,7 +132,7 @@
 func interceptSend(t *testing.T, sm *simulation, p *process, engine int) controller.SendOrder {
 	p.runActions(p.controller.Handle(newOrderEvent(p, engine, "late", "decode")))
 	for range 20 {
-		sm.runUntil(sm.now + 20*time.Millisecond)
+		sm.clock.RunUntil(sm.clock.Now + 20*time.Millisecond)
 		for _, action := range p.controller.Handle(p.controlEvent()) {
 			if send, ok := action.(controller.SendOrder); ok {
 				require.Equal(t, "late", send.Order.GetOrderId())
--- a/core/checker/service.go
+++ b/core/checker/service.go
@@ -113,16 +113,16 @@
 		}
 	}
 	switch {
-	case sm.now < p.upstreamsUnreachableUntil || sm.chance(10):
+	case sm.clock.Now < p.upstreamsUnreachableUntil || sm.chance(10):
 		p.runAfter(sm.networkDelay(), endDispatch(messenger.DispatchResult_DISPATCH_RESULT_NOT_RUN, 0))
 	case sm.messageLost() || sm.chance(10):
 		p.loseResponse(r, a.Attempt, endDispatch)
 	case sm.chance(10):
-		sm.after(sm.networkDelay(), func() { s.execute(r, a.Attempt) })
+		sm.clock.After(sm.networkDelay(), func() { s.execute(r, a.Attempt) })
 		p.runAfter(2*sm.networkDelay()+6*time.Millisecond, endDispatch(messenger.DispatchResult_DISPATCH_RESULT_FAILED, 422))
 	default:
 		delay := sm.randomDuration(time.Millisecond, time.Second)
-		sm.after(delay, func() { s.execute(r, a.Attempt) })
+		sm.clock.After(delay, func() { s.execute(r, a.Attempt) })
 		p.runAfter(delay+sm.networkDelay(), endDispatch(messenger.DispatchResult_DISPATCH_RESULT_DONE, 200))
 	}
 }
@@ -133,14 +133,14 @@
 ) {
 	sm, s := p.simulation, p.simulation.service
 	if sm.chance(75) {
-		sm.after(sm.randomDuration(0, 6*time.Second), func() { s.execute(r, attempt) })
+		sm.clock.After(sm.randomDuration(0, 6*time.Second), func() { s.execute(r, attempt) })
 	}
 	result := messenger.DispatchResult_DISPATCH_RESULT_UNKNOWN
 	switch sm.variant {
 	case VariantUnknownAsNotRun:
 		result = messenger.DispatchResult_DISPATCH_RESULT_NOT_RUN
 	case VariantRetryDispatch:
-		sm.after(sm.networkDelay(), func() { s.execute(r, attempt) })
+		sm.clock.After(sm.networkDelay(), func() { s.execute(r, attempt) })
 	}
 	p.runAfter(sm.randomDuration(0, 2*time.Second), endDispatch(result, 0))
 }
@@ -208,7 +208,7 @@
 	key := fmt.Sprintf("key%d", keyNumber)
 	issuedAt, ok := sm.keyIssuedAt[keyNumber]
 	if !ok {
-		issuedAt = wallStart.Add(sm.now + sm.randomDuration(-time.Second, time.Second))
+		issuedAt = wallStart.Add(sm.clock.Now + sm.randomDuration(-time.Second, time.Second))
 		sm.keyIssuedAt[keyNumber] = issuedAt
 	}
 	hash := uint64(keyNumber)
--- a/core/checker/simulation.go
+++ b/core/checker/simulation.go
@@ -1,12 +1,12 @@
 package checker
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"time"
 
 	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/core/sequencer"
 )
 
 // Sizes and intervals of a history.
@@ -29,49 +29,13 @@
 // wallStart is the wall-clock time at the start of a history.
 var wallStart = time.Unix(1_800_000_000, 0)
 
-// scheduledEvent is a function that runs at a simulated time; seq orders events of the same time.
-type scheduledEvent struct {
-	at  time.Duration
-	seq int
-	run func()
-}
-
-// eventQueue is a heap of scheduled events, earliest first.
-type eventQueue []scheduledEvent
-
-func (q eventQueue) Len() int { return len(q) }
-func (q eventQueue) Less(i, j int) bool {
-	if q[i].at != q[j].at {
-		return q[i].at < q[j].at
-	}
-	return q[i].seq < q[j].seq
-}
-func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-
-// Push implements heap.Interface.
-func (q *eventQueue) Push(x any) {
-	if item, ok := x.(scheduledEvent); ok {
-		*q = append(*q, item)
-	}
-}
-
-// Pop implements heap.Interface.
-func (q *eventQueue) Pop() any {
-	old := *q
-	last := old[len(old)-1]
-	*q = old[:len(old)-1]
-	return last
-}
-
 // simulation is one history: the simulated time, the fakes, the processes and the result.
 type simulation struct {
 	seed    uint64
 	steps   int
 	variant Variant
 	rng     *rand.Rand
-	now     time.Duration
-	queue   eventQueue
-	seq     int
+	clock   sequencer.Sequencer
 	step    int
 	result  Result
 
@@ -100,27 +64,14 @@
 	for i := range sm.processes {
 		sm.start(i, 0)
 	}
-	sm.after(time.Second, sm.nextStep)
-	sm.runUntil(time.Duration(steps)*meanStepInterval + 30*time.Second)
+	sm.clock.After(time.Second, sm.nextStep)
+	sm.clock.RunUntil(time.Duration(steps)*meanStepInterval + 30*time.Second)
 	sm.result.Histories = 1
 	sm.result.Steps = min(sm.step, steps)
 	sm.result.Revisions = len(sm.reference.revisions)
 	return sm.result
 }
 
-// runUntil runs the scheduled events up to a simulated time.
-func (sm *simulation) runUntil(end time.Duration) {
-	for len(sm.queue) > 0 && sm.queue[0].at <= end {
-		item, ok := heap.Pop(&sm.queue).(scheduledEvent)
-		if !ok {
-			return
-		}
-		sm.now = item.at
-		item.run()
-	}
-	sm.now = max(sm.now, end)
-}
-
 func newSimulation(seed uint64, steps int, variant Variant) *simulation {
 	sm := &simulation{
 		seed:        seed,
@@ -141,12 +92,6 @@
 	return sm
 }
 
-// after schedules a function after a delay in simulated time; a negative delay counts as zero.
-func (sm *simulation) after(delay time.Duration, run func()) {
-	sm.seq++
-	heap.Push(&sm.queue, scheduledEvent{at: sm.now + max(delay, 0), seq: sm.seq, run: run})
-}
-
 // recordViolation counts a violation and keeps the details of the first.
 func (sm *simulation) recordViolation(invariant Invariant, format string, values ...any) {
 	sm.result.Violations[invariant]++
@@ -167,9 +112,9 @@
 func (sm *simulation) chance(percent int) bool { return sm.rng.IntN(100) < percent }
 
 // messageLost reports whether a message is lost: half of them are while the network loses messages.
-func (sm *simulation) messageLost() bool { return sm.now < sm.lossyUntil && sm.chance(50) }
+func (sm *simulation) messageLost() bool { return sm.clock.Now < sm.lossyUntil && sm.chance(50) }
 
-func (sm *simulation) logDown() bool { return sm.now < sm.logDownUntil }
+func (sm *simulation) logDown() bool { return sm.clock.Now < sm.logDownUntil }
 
 // networkDelay returns the delay of one message on the network.
 func (sm *simulation) networkDelay() time.Duration {
@@ -188,7 +133,7 @@
 	} else {
 		sm.stimulate()
 	}
-	sm.after(sm.randomDuration(0, 2*meanStepInterval), sm.nextStep)
+	sm.clock.After(sm.randomDuration(0, 2*meanStepInterval), sm.nextStep)
 }
 
 // checkHolders counts the processes that hold each lease by their own clocks, paused ones included, and records a
@@ -205,7 +150,7 @@
 			}
 		}
 		if holders > 1 {
-			sm.recordViolation(InvariantSingleHolder, "%d holders of %s at %s", holders, scope, sm.now)
+			sm.recordViolation(InvariantSingleHolder, "%d holders of %s at %s", holders, scope, sm.clock.Now)
 		}
 	}
 }
--- a/core/checker/stimulus.go
+++ b/core/checker/stimulus.go
@@ -162,7 +162,7 @@
 		copies = 2
 	}
 	for range copies {
-		sm.after(sm.randomDuration(0, 50*time.Millisecond), func() {
+		sm.clock.After(sm.randomDuration(0, 50*time.Millisecond), func() {
 			if !sm.logDown() {
 				sm.control.append([][]byte{raw})
 			}
--- a/standin/benchmarker/fanout.go
+++ b/standin/benchmarker/fanout.go
@@ -81,7 +81,7 @@
 	for _, r := range n.readers {
 		r.sendPoll()
 	}
-	n.run(settle)
+	n.clock.RunUntil(settle)
 	reads, bytes := n.log.responses, n.log.bytes
 	before := make([]int, len(n.readers))
 	for i, r := range n.readers {
@@ -89,12 +89,12 @@
 	}
 	step := time.Duration(float64(time.Second) / c.perSecond)
 	if c.crash {
-		n.after(c.crashAt, func() { n.readers[min(regions, len(n.readers))-1].crashed = true })
+		n.clock.After(c.crashAt, func() { n.readers[min(regions, len(n.readers))-1].crashed = true })
 	}
 	for at := step; at <= length; at += step {
-		n.after(at, n.append)
+		n.clock.After(at, n.append)
 	}
-	n.run(settle + length)
+	n.clock.RunUntil(settle + length)
 	result := fanOutResult{
 		logReads: float64(n.log.responses-reads) / length.Seconds(),
 		logBytes: float64(n.log.bytes-bytes) / length.Seconds(),
@@ -104,7 +104,7 @@
 	for i, r := range n.readers {
 		nodeRates[i] = float64(r.bytes-before[i]) / length.Seconds()
 	}
-	n.run(settle + length + 2*p.timeout)
+	n.clock.RunUntil(settle + length + 2*p.timeout)
 	slices.Sort(nodeRates)
 	result.medianNodeBytes, result.busiestNodeBytes = nodeRates[len(nodeRates)/2], nodeRates[len(nodeRates)-1]
 	result.measure(n)
--- a/standin/benchmarker/network.go
+++ b/standin/benchmarker/network.go
@@ -1,8 +1,9 @@
 package benchmarker
 
 import (
-	"container/heap"
 	"time"
+
+	"rosemaryspool.example/core/sequencer"
 )
 
 // Size and delays of the simulated network: one log, and readers in the data centres of all regions.
@@ -18,40 +19,6 @@
 	readServiceTime = 200 * time.Microsecond
 )
 
-// event is a function that runs at a time of the simulated clock; seq orders events of the same time.
-type event struct {
-	at  time.Duration
-	seq int
-	run func()
-}
-
-// eventQueue is a heap of events by time.
-type eventQueue []event
-
-func (q eventQueue) Len() int { return len(q) }
-func (q eventQueue) Less(i, j int) bool {
-	if q[i].at != q[j].at {
-		return q[i].at < q[j].at
-	}
-	return q[i].seq < q[j].seq
-}
-func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-
-// Push implements heap.Interface.
-func (q *eventQueue) Push(x any) {
-	if e, ok := x.(event); ok {
-		*q = append(*q, e)
-	}
-}
-
-// Pop implements heap.Interface.
-func (q *eventQueue) Pop() any {
-	old := *q
-	last := old[len(old)-1]
-	*q = old[:len(old)-1]
-	return last
-}
-
 // polling holds the timeouts and message sizes of long polls.
 type polling struct {
 	// wait is how long the source holds a poll without new records, timeout how long a reader waits for the response
@@ -64,9 +31,7 @@
 // network runs the nodes on a simulated clock.
 type network struct {
 	polling polling
-	now     time.Duration
-	seq     int
-	queue   eventQueue
+	clock   sequencer.Sequencer
 	log     *node
 	readers []*node
 	// appended holds the time at which each record entered the log.
@@ -111,28 +76,9 @@
 	return r
 }
 
-// after schedules run at a delay from now.
-func (n *network) after(delay time.Duration, run func()) {
-	n.seq++
-	heap.Push(&n.queue, event{at: n.now + delay, seq: n.seq, run: run})
-}
-
-// run executes the events up to a time and sets the clock to it.
-func (n *network) run(until time.Duration) {
-	for len(n.queue) > 0 && n.queue[0].at <= until {
-		e, ok := heap.Pop(&n.queue).(event)
-		if !ok {
-			return
-		}
-		n.now = e.at
-		e.run()
-	}
-	n.now = until
-}
-
 // append adds a record to the log and responds to the polls parked there.
 func (n *network) append() {
-	n.appended = append(n.appended, n.now)
+	n.appended = append(n.appended, n.clock.Now)
 	n.log.recordCount++
 	n.log.respondToParked()
 }
@@ -159,8 +105,8 @@
 	}
 	nd.pollNumber++
 	poll, source := nd.pollNumber, nd.source
-	nd.network.after(nd.delayTo(source), func() { source.handlePoll(nd, poll) })
-	nd.network.after(nd.network.polling.timeout, func() {
+	nd.network.clock.After(nd.delayTo(source), func() { source.handlePoll(nd, poll) })
+	nd.network.clock.After(nd.network.polling.timeout, func() {
 		if nd.pollNumber == poll {
 			nd.source = nd.network.log
 			nd.sendPoll()
@@ -180,7 +126,7 @@
 	}
 	nd.parked[reader] = poll
 	nd.parkedOrder = append(nd.parkedOrder, reader)
-	nd.network.after(nd.network.polling.wait, func() {
+	nd.network.clock.After(nd.network.polling.wait, func() {
 		if nd.parked[reader] == poll {
 			delete(nd.parked, reader)
 			nd.respond(reader, poll)
@@ -206,12 +152,12 @@
 		return
 	}
 	available := nd.recordCount
-	nd.busyUntil = max(nd.busyUntil, nd.network.now) + readServiceTime
+	nd.busyUntil = max(nd.busyUntil, nd.network.clock.Now) + readServiceTime
 	nd.responses++
 	size := nd.network.polling.exchange + (available-reader.recordCount)*nd.network.polling.record
 	nd.bytes += size
 	reader.bytes += size
-	nd.network.after(nd.busyUntil-nd.network.now+nd.delayTo(reader), func() { reader.receive(available, poll) })
+	nd.network.clock.After(nd.busyUntil-nd.network.clock.Now+nd.delayTo(reader), func() { reader.receive(available, poll) })
 }
 
 // receive stores the records of a response and sends the next poll. A response to an older poll is late: its records
@@ -221,7 +167,7 @@
 		return
 	}
 	for ; nd.recordCount < available; nd.recordCount++ {
-		nd.readAt = append(nd.readAt, nd.network.now)
+		nd.readAt = append(nd.readAt, nd.network.clock.Now)
 	}
 	nd.respondToParked()
 	if poll == nd.pollNumber {
