--- a/rosemaryspool/conductor/event.go
+++ b/rosemaryspool/conductor/event.go
@@ -67,18 +67,10 @@
 }
 
 // WorkStarted is the dispatch of an attempt to an engine. A protected attempt is never moved.
-type WorkStarted struct {
-	Now       time.Time
-	Upstream  identifier.UpstreamID
-	Attempt   identifier.AttemptID
-	Protected bool
-}
+type WorkStarted drainer.WorkStarted
 
 // WorkEnded is the end of an attempt, whatever its result.
-type WorkEnded struct {
-	Now     time.Time
-	Attempt identifier.AttemptID
-}
+type WorkEnded drainer.WorkEnded
 
 // permitDecided carries the weight store's decision on a permit for the placer of a model.
 type permitDecided struct {
--- a/rosemaryspool/conductor/handlers.go
+++ b/rosemaryspool/conductor/handlers.go
@@ -33,11 +33,9 @@
 	case RequestAnswered:
 		c.gauger.ObserveCached(e.Class, e.Prompt, e.Cached)
 	case WorkStarted:
-		c.applyDrainerActions(c.drainer.Handle(drainer.WorkStarted{
-			Now: e.Now, Upstream: e.Upstream, Attempt: e.Attempt, Protected: e.Protected,
-		}))
+		c.applyDrainerActions(c.drainer.Handle(drainer.WorkStarted(e)))
 	case WorkEnded:
-		c.applyDrainerActions(c.drainer.Handle(drainer.WorkEnded{Now: e.Now, Attempt: e.Attempt}))
+		c.applyDrainerActions(c.drainer.Handle(drainer.WorkEnded(e)))
 	case permitDecided:
 		if p, ok := c.pools[e.model]; ok {
 			c.applyPlacerActions(p, p.placer.Handle(e.decision))
