--- a/core/isolator/isolator.go
+++ b/core/isolator/isolator.go
@@ -199,7 +199,7 @@
 		}
 	}
 	if worst.Status == Suspected {
-		// The trial of a request with fewer suspected traits tells more about each of them.
+		// The trial of a request with fewer suspected traits is better evidence about each of them.
 		worst.Wait += time.Duration(min(suspected-1, maxTrialDelays)) * i.settings.TrialInterval
 	}
 	worst.Wait = max(0, worst.Wait)
--- a/core/isolator/isolator_test.go
+++ b/core/isolator/isolator_test.go
@@ -157,7 +157,7 @@
 	}
 	now := start.Add(60 * time.Millisecond)
 	require.Equal(t, i.settings.ReportTime, i.Check(now, []Trait{popular, rare + 1}, 1).Wait)
-	// A request with fewer suspected traits tells more.
+	// The trial of a request with fewer suspected traits is better evidence.
 	require.Equal(t, i.settings.ReportTime+i.settings.TrialInterval, i.Check(now, []Trait{popular, fatal}, 1).Wait)
 	require.Equal(t, i.settings.ReportTime+2*i.settings.TrialInterval, i.Check(now, []Trait{popular, fatal, rare}, 1).Wait)
 	now = now.Add(i.settings.ReportTime)
--- a/rosemaryspool/driver/driver.go
+++ b/rosemaryspool/driver/driver.go
@@ -58,7 +58,7 @@
 	d.Background(r.Run)
 }
 
-// Background has a function run beside the machine until the driver stops. It is called before Run.
+// Background runs a function in the background until the driver stops. It is called before Run.
 func (d *Driver[E]) Background(run func(context.Context)) { d.background = append(d.background, run) }
 
 // AtStop has a function called in the goroutine of Run as it stops, before it waits for tasks. It is called before Run.
