Check API keys and name accounts to upstreams

Cause: keys went through to the upstreams, and no request's account was known. Change: the keys of a configuration are indexed by digest; requests with an unknown key get 401, upstreams get the account's name. An account's rank goes before its route's.

--- a/Makefile
+++ b/Makefile
@@ -33,7 +33,7 @@
 generate:
 	cd tools/generator && GOWORK=off go build -o $(TOOLS)/ tool
 	cd wire && $(TOOLS)/buf generate
-	cd platform && $(TOOLS)/go-jsonschema -p messenger -t --tags json --capitalization ID,KV,IP -o messenger/message.go schema/*.json
+	cd platform && $(TOOLS)/go-jsonschema -p messenger -t --tags json --capitalization ID,KV,IP,API -o messenger/message.go schema/*.json
 	$(MAKE) format-generated
 
 format-generated: tools
--- a/core/allocator/placement.go
+++ b/core/allocator/placement.go
@@ -36,6 +36,12 @@
 	Resumed bool
 	// Version is the software version of the stream that the request resumes; nil if any will do.
 	Version *identifier.SoftwareVersion
+	// Caller is the account that the request belongs to; empty if it has none.
+	Caller identifier.CallerID
+	// Rank is the urgency of the request; 0 is the most urgent.
+	Rank int
+	// Returned is true if the caller comes back after a refusal.
+	Returned bool
 }
 
 // Traits returns what the request may have in common with others that crash upstreams: all parts of its prompt but the
--- a/core/matcher/matcher.go
+++ b/core/matcher/matcher.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"rosemaryspool.example/core/authenticator"
 	"rosemaryspool.example/core/identifier"
 )
 
@@ -16,6 +17,28 @@
 	Routes   []Route
 	Services map[identifier.ServiceName]Service
 	Limits   Limits
+	// Callers holds the accounts whose keys requests need. Where there are none, requests need no key.
+	Callers []Caller
+}
+
+// Caller is an account that sends requests.
+type Caller struct {
+	ID   identifier.CallerID
+	Keys []string
+	// Rank replaces the rank of the route for the account's requests; nil if the route's applies.
+	Rank *int
+}
+
+// Scaling bounds the number of servers of a service that can be ordered, and gives their prices.
+type Scaling struct {
+	// Min and Max bound the servers in each data centre, of both kinds together.
+	Min, Max int
+	// BootTime is how long a new server takes until it serves.
+	BootTime time.Duration
+	// Prices holds the price of one server for one second by data centre.
+	Prices map[identifier.DataCentre]float64
+	// SpotPrice is the share of the price that a server costs which may be reclaimed; zero if there are none.
+	SpotPrice float64
 }
 
 // Limits limits the size of requests; zero means unlimited.
@@ -32,6 +55,8 @@
 	MaxConnections int
 	// IsEngine is true when the upstreams are language-model engines.
 	IsEngine bool
+	// Scaling is nil if the number of servers can't be changed.
+	Scaling *Scaling
 }
 
 // WeightedService is a service of a route and its share of the route's requests relative to the other weights.
@@ -59,18 +84,32 @@
 	Rank int
 	// MaxAttempts is the largest number of upstreams on which one request may run.
 	MaxAttempts int
-	Services    []WeightedService
+	// Public means that requests need no key.
+	Public   bool
+	Services []WeightedService
 }
 
 // Table finds routes by host and path. It is immutable.
 type Table struct {
 	configuration *Configuration
 	byHost        map[string][]*Route
+	keys          *authenticator.Index
+	callers       map[identifier.CallerID]*Caller
 }
 
 // NewTable returns a table of the configuration's routes.
 func NewTable(c *Configuration) *Table {
-	t := &Table{configuration: c, byHost: make(map[string][]*Route)}
+	t := &Table{
+		configuration: c, byHost: make(map[string][]*Route), keys: authenticator.NewIndex(len(c.Callers)),
+		callers: make(map[identifier.CallerID]*Caller, len(c.Callers)),
+	}
+	for i := range c.Callers {
+		caller := &c.Callers[i]
+		t.callers[caller.ID] = caller
+		for _, key := range caller.Keys {
+			t.keys.Add(key, caller.ID)
+		}
+	}
 	for i := range c.Routes {
 		r := &c.Routes[i]
 		host := normaliseHost(r.Host)
@@ -85,6 +124,15 @@
 // Configuration returns the configuration from which the table was built.
 func (t *Table) Configuration() *Configuration { return t.configuration }
 
+// NeedsKeys reports whether requests to routes that aren't public need a key.
+func (t *Table) NeedsKeys() bool { return len(t.callers) > 0 }
+
+// Caller returns the account of a key, and false if the key is unknown.
+func (t *Table) Caller(key string) (*Caller, bool) {
+	id, known := t.keys.Caller(key)
+	return t.callers[id], known
+}
+
 // Match returns the route of the host with the longest prefix that matches the path.
 func (t *Table) Match(host, path string) (*Route, bool) {
 	for _, r := range t.byHost[normaliseHost(host)] {
--- a/core/tracker/tracker.go
+++ b/core/tracker/tracker.go
@@ -47,6 +47,8 @@
 	Version identifier.SoftwareVersion
 	// Incarnation increases with each start of an upstream under the same id; zero when unknown.
 	Incarnation uint64
+	// Spot is true for an upstream that the platform may take away at short notice.
+	Spot bool
 }
 
 // Changes reports whether a record that follows another one of the same upstream says anything new.
--- a/rosemaryspool/forwarder/attempt.go
+++ b/rosemaryspool/forwarder/attempt.go
@@ -344,8 +344,9 @@
 	s.Timeout = time.Until(e.deadline)
 	s.Priority = -1
 	if e.engine {
-		s.Priority = min(lowestPriority, basePriority+e.route.Rank)
+		s.Priority = min(lowestPriority, basePriority+e.rank())
 	}
+	s.ReplacesKey, s.Caller = e.replacesKey, e.callerID()
 	return e.forwarder.connector.Exchange(ctx, connector.Request{
 		Upstream: to, Method: e.request.Method, URI: e.request.RequestURI, Host: e.request.Host,
 		Header: platform.EncodeHeaders(e.request.Header, s), Body: e.body,
--- a/rosemaryspool/forwarder/forwarder.go
+++ b/rosemaryspool/forwarder/forwarder.go
@@ -112,6 +112,8 @@
 	outcomeFailed    = "failed"
 	outcomeCanceled  = "canceled"
 	outcomeUnmatched = "unmatched"
+	// outcomeUnauthorized is the refusal of a request whose key no account has.
+	outcomeUnauthorized = "unauthorized"
 )
 
 // exchange is the state of one caller's request.
@@ -129,12 +131,16 @@
 	// content identifies the request when it comes again.
 	content isolator.Trait
 
-	version  uint64
-	route    *matcher.Route
-	service  identifier.ServiceName
-	engine   bool
-	deadline time.Time
-	target   time.Time
+	version uint64
+	route   *matcher.Route
+	// account is whom the request belongs to; nil if it needs no key and has none.
+	account *matcher.Caller
+	// replacesKey is true if upstreams get the name of the account in place of the key.
+	replacesKey bool
+	service     identifier.ServiceName
+	engine      bool
+	deadline    time.Time
+	target      time.Time
 	// isRetry is true when the caller's remaining time suggests that it is retrying a refused or failed request.
 	isRetry bool
 	ctx     context.Context
@@ -171,6 +177,9 @@
 		return e.respondError(http.StatusNotFound, outcomeUnmatched, "noRoute")
 	}
 	e.route = route
+	if !e.identify(table) {
+		return e.respondError(http.StatusUnauthorized, outcomeUnauthorized, "unknownKey")
+	}
 	if r, ok := e.readBody(table.Configuration().Limits); !ok {
 		return r
 	}
@@ -271,6 +280,7 @@
 		TimeToTarget: e.target.Sub(now), Target: e.route.TargetLatency, TimeToDeadline: e.deadline.Sub(now),
 		Excluded: e.tried, SingleUpstream: e.singleUpstream || e.sends > 0,
 		Resumed: e.headerSent || e.caller.LastEventID != "" || e.runs > 0, Version: e.streamVersion,
+		Caller: e.callerID(), Rank: e.rank(), Returned: e.isRetry,
 	}
 }
 
@@ -318,6 +328,9 @@
 		line = line.Str("route", e.route.Name).Str("service", string(e.service)).
 			Dur("callerLeftMs", e.caller.Timeout).Dur("toTargetMs", e.target.Sub(e.started)).Bool("returned", e.isRetry)
 	}
+	if e.account != nil {
+		line = line.Str("caller", string(e.account.ID))
+	}
 	if r.retry > 0 {
 		line = line.Dur("retryAfterMs", r.retry)
 	}
