Bound the memory held for slow callers and upstreams

Cause: what an instance holds for its connections counts as its memory, and nothing bounded it: 120 callers that sent 1 MB each and stopped made the live heap grow by 132 MB. A caller that read nothing held its response until its connection died. Change: requests take memory for their bodies and responses from a quarter of the process's memory; without it they are refused as not run, or their response is forwarded as it arrives. Streams are read up to 64 KiB ahead, and callers lose a connection on which they read nothing for 15 s.

--- a/core/identifier/identifier.go
+++ b/core/identifier/identifier.go
@@ -72,6 +72,15 @@
 // Tokens is a number of language-model tokens.
 type Tokens int
 
+// Bytes is an amount of memory.
+type Bytes int64
+
+// BytesPerKiB and BytesPerMB convert other units to Bytes.
+const (
+	BytesPerKiB Bytes = 1 << 10
+	BytesPerMB  Bytes = 1_000_000
+)
+
 // Priority orders work classes; a higher number is more urgent.
 type Priority int
 
--- a/rosemaryspool/commander/gateway.go
+++ b/rosemaryspool/commander/gateway.go
@@ -23,6 +23,10 @@
 // and so is its share of the CPU.
 const gcPercent = 150
 
+// heapShare is the share of the process's memory from which on the garbage collector runs as often as it takes to stay
+// below it; the rest is for what the Go runtime doesn't count.
+const heapShare = 0.8
+
 func gatewayCommand(output io.Writer) *cli.Command {
 	return &cli.Command{
 		Name:  "gateway",
@@ -51,6 +55,9 @@
 			}
 			defer log.Close()
 			debug.SetGCPercent(gcPercent)
+			if settings.Memory > 0 {
+				debug.SetMemoryLimit(int64(heapShare * float64(settings.Memory)))
+			}
 			return runGateway(ctx, settings, path, log.Logger, registry)
 		},
 	}
--- a/rosemaryspool/forwarder/forwarder.go
+++ b/rosemaryspool/forwarder/forwarder.go
@@ -22,6 +22,7 @@
 	"rosemaryspool.example/core/identifier"
 	"rosemaryspool.example/core/isolator"
 	"rosemaryspool.example/core/matcher"
+	"rosemaryspool.example/core/rationer"
 	"rosemaryspool.example/platform"
 	"rosemaryspool.example/rosemaryspool/connector"
 	"rosemaryspool.example/rosemaryspool/delegator"
@@ -50,6 +51,7 @@
 	log                zerolog.Logger
 	registry           metrics.Registry
 	sampler            *sampler
+	memory             *rationer.Rationer
 	callerWaits        *waitTracker
 	keepAlivesDisabled atomic.Bool
 	active             atomic.Int64
@@ -58,11 +60,11 @@
 // NewForwarder returns a forwarder that has requests placed by d and sends them over c. It distinguishes crashes from lost
 // paths with p.
 func NewForwarder(
-	g *governor.Governor, d *delegator.Delegator, c *connector.Connector, p *prober.Prober, log zerolog.Logger,
-	registry metrics.Registry,
+	g *governor.Governor, d *delegator.Delegator, c *connector.Connector, p *prober.Prober, memory *rationer.Rationer,
+	log zerolog.Logger, registry metrics.Registry,
 ) *Forwarder {
 	return &Forwarder{
-		governor: g, delegator: d, connector: c, prober: p, log: log, registry: registry,
+		governor: g, delegator: d, connector: c, prober: p, memory: memory, log: log, registry: registry,
 		sampler:     newSampler(metrics.GetOrRegisterCounter("logLinesOmitted", registry)),
 		callerWaits: &waitTracker{longest: map[string]time.Duration{}},
 	}
@@ -83,8 +85,9 @@
 	defer f.active.Add(-1)
 	e := &exchange{
 		forwarder: f, writer: w, request: r, started: time.Now(), caller: platform.DecodeRequest(r.Header),
-		passedOn: origin,
+		passedOn: origin, memory: f.memory.NewGrant(), controller: http.NewResponseController(w),
 	}
+	defer e.memory.Release()
 	if origin != nil {
 		e.runs, e.counted = origin.runs, origin.counted
 	}
@@ -125,6 +128,11 @@
 	started   time.Time
 	// passedOn is set if another instance has passed the request on.
 	passedOn *passedOn
+	// memory is what the request holds: its body, and what is on its way to the caller.
+	memory     *rationer.Grant
+	controller *http.ResponseController
+	// writeBy is the time by which the caller has to read what is written to it.
+	writeBy time.Time
 	// counted is true once the request counts for the retry budget.
 	counted bool
 	body    []byte
@@ -211,9 +219,18 @@
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(e.writer, e.request.Body, limit))
+	if e.request.ContentLength != 0 {
+		// A body that arrives later is of no use to the caller any more.
+		_ = e.controller.SetReadDeadline(e.started.Add(e.timeout()))
+		defer func() { _ = e.controller.SetReadDeadline(time.Time{}) }()
+	}
+	body, err := e.readRationed(http.MaxBytesReader(e.writer, e.request.Body, limit))
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, errNoMemory):
+		// Reading on would hold what the instance has no room for.
+		e.writer.Header().Set("Connection", "close")
+		return e.refuse("memory", memoryRetryAfter), false
 	case errors.As(err, &tooLarge):
 		return e.respondError(http.StatusRequestEntityTooLarge, outcomeFailed, "bodyTooLarge"), false
 	case err != nil:
@@ -228,18 +245,14 @@
 // setDeadlines derives the request's deadline and latency target from the caller's timeout and the route's settings.
 func (e *exchange) setDeadlines() {
 	left := e.caller.Timeout
-	timeout := e.route.Timeout
-	if timeout <= 0 {
-		timeout = defaultTimeout
-	}
 	if left <= 0 {
-		left = timeout
+		left = e.routeTimeout()
 	}
 	e.isRetry = e.forwarder.callerWaits.isRetry(e.route.Name, left)
-	e.deadline = e.started.Add(min(left, timeout) - deadlineMargin)
+	e.deadline = e.started.Add(e.timeout() - deadlineMargin)
 	target := e.route.TargetLatency
 	if target <= 0 {
-		target = timeout
+		target = e.routeTimeout()
 	}
 	e.target = e.started.Add(target)
 	if e.isRetry {
@@ -248,6 +261,22 @@
 	}
 }
 
+// routeTimeout returns the longest time that a request of the route may wait.
+func (e *exchange) routeTimeout() time.Duration {
+	if e.route.Timeout <= 0 {
+		return defaultTimeout
+	}
+	return e.route.Timeout
+}
+
+// timeout returns how long the request may take in all.
+func (e *exchange) timeout() time.Duration {
+	if e.caller.Timeout <= 0 {
+		return e.routeTimeout()
+	}
+	return min(e.caller.Timeout, e.routeTimeout())
+}
+
 // waitTracker keeps the longest caller timeout observed on each route. A request with a much shorter remaining time is
 // a retry of one that was refused before.
 type waitTracker struct {
@@ -300,6 +329,7 @@
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	text := cause + "\n"
 	h.Set("Content-Length", strconv.Itoa(len(text)))
+	e.extendWrite()
 	e.writeHeader(status)
 	// An error means that the caller has disconnected; nothing else can be done.
 	_, _ = io.WriteString(e.writer, text)
--- a/rosemaryspool/forwarder/relay.go
+++ b/rosemaryspool/forwarder/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -33,8 +34,12 @@
 // arrives.
 func (e *exchange) relayBuffered(ctx context.Context, response *connector.Response) (attemptResult, allocator.Outcome) {
 	e.last.stopWatch()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxStoredBytes))
+	body, err := e.readRationed(io.LimitReader(response.Body, maxStoredBytes))
 	trusted := response.Status >= http.StatusMultipleChoices || platform.IsSigned(response.Header)
+	if errors.Is(err, errNoMemory) && trusted {
+		// The response is forwarded as it arrives; it can't be requested again if it breaks off.
+		return e.relayLarge(ctx, response, body)
+	}
 	if err == nil && len(body) == maxStoredBytes {
 		if trusted {
 			return e.relayLarge(ctx, response, body)
@@ -71,9 +76,10 @@
 	ctx context.Context, response *connector.Response, start []byte,
 ) (attemptResult, allocator.Outcome) {
 	e.forwardHeader(response.Status, response.Header)
-	_, err := e.writer.Write(start)
+	writer := extendingWriter{e}
+	_, err := writer.Write(start)
 	if err == nil {
-		_, err = io.Copy(e.writer, response.Body)
+		_, err = io.Copy(writer, response.Body)
 	}
 	response.Close(err == nil)
 	if err != nil {
@@ -87,7 +93,7 @@
 func (e *exchange) deliver(a *storedResponse) {
 	e.writer.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
 	e.forwardHeader(a.status, a.header)
-	if _, err := e.writer.Write(a.body); err != nil {
+	if _, err := (extendingWriter{e}).Write(a.body); err != nil {
 		e.last.err = err
 	}
 }
@@ -132,8 +138,10 @@
 		return maybeExecuted, allocator.OutcomeFailed
 	}
 	buffer := make([]byte, relayBufferBytes)
+	ahead := newReadAhead(response.Body, e.memory)
+	defer ahead.stop()
 	for {
-		n, err := response.Body.Read(buffer)
+		n, err := ahead.Read(buffer)
 		if n > 0 {
 			if failure := e.forwardEvents(response, buffer[:n]); failure != nil {
 				response.Close(false)
@@ -161,6 +169,7 @@
 	events, orderErr := e.events.splitter.Add(content)
 	for _, event := range events {
 		e.ensureHeader(response)
+		e.extendWrite()
 		if _, err := e.writer.Write(event.Bytes); err != nil {
 			return err
 		}
--- a/rosemaryspool/gatekeeper/gatekeeper.go
+++ b/rosemaryspool/gatekeeper/gatekeeper.go
@@ -20,6 +20,8 @@
 	"rosemaryspool.example/core/allocator"
 	"rosemaryspool.example/core/budgeter"
 	"rosemaryspool.example/core/elector"
+	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/core/rationer"
 	"rosemaryspool.example/core/tracker"
 	"rosemaryspool.example/platform"
 	"rosemaryspool.example/rosemaryspool/archiver"
@@ -71,6 +73,7 @@
 	prober     *prober.Prober
 	subscriber *subscriber.Subscriber
 	archiver   *archiver.Archiver
+	memory     *rationer.Rationer
 	status     *statusHandler
 	// unreadableNotices counts the responses in which an upstream says of itself what can't be read.
 	unreadableNotices metrics.Counter
@@ -118,8 +121,9 @@
 	seeds := strings.FieldsFunc(settings.Seeds, func(r rune) bool { return r == ',' })
 	g.gossiper = gossiper.NewGossiper(g.governor, g.courier, seeds, g.handleView, log, registry)
 	g.delegator = delegator.NewDelegator(g.governor, g.courier, log, registry)
+	g.memory = rationer.NewRationer(heldLimit(settings.Memory))
 	g.prober = prober.NewProber(g.governor, g.connector, log)
-	g.forwarder = forwarder.NewForwarder(g.governor, g.delegator, g.connector, g.prober, log, registry)
+	g.forwarder = forwarder.NewForwarder(g.governor, g.delegator, g.connector, g.prober, g.memory, log, registry)
 	g.inspector = inspector.NewInspector(g.governor, g.connector, log)
 	store := platform.NewStore(settings.StoreAddress)
 	g.archiver = archiver.NewArchiver(store, g.governor, settings.FirstStart, log)
@@ -134,6 +138,15 @@
 	return g, nil
 }
 
+// heldShare is the share of the process's memory that may be held for requests and responses in flight. The rest is for
+// connections, state and what the garbage collector has not collected yet.
+const heldShare = 0.25
+
+// heldLimit returns how much may be held for requests and responses; zero, for no limit, if the memory is unknown.
+func heldLimit(memory identifier.Bytes) identifier.Bytes {
+	return identifier.Bytes(heldShare * float64(memory))
+}
+
 func retrySettings(settings platform.Settings) budgeter.Settings {
 	return budgeter.Settings{
 		Ratio: settings.RetryBudgetRatio, Extra: settings.RetryBudgetExtra, Window: settings.RetryWindow,
@@ -193,7 +206,9 @@
 	g.governor.SetRetryBudget(time.Now(), retrySettings(settings))
 	g.subscriber.SetLimits(settings.MaxDrainDelay, settings.MaxApplyDelay)
 	g.stopLimit.Store(int64(settings.TerminationGracePeriod))
+	g.memory.SetLimit(heldLimit(settings.Memory))
 	kept := g.settings
+	kept.Memory = settings.Memory
 	kept.FirstStart, kept.Seeds = settings.FirstStart, settings.Seeds
 	kept.MaxDrainDelay, kept.MaxApplyDelay, kept.TerminationGracePeriod =
 		settings.MaxDrainDelay, settings.MaxApplyDelay, settings.TerminationGracePeriod
