--- a/standin/commander/soak.go
+++ b/standin/commander/soak.go
@@ -28,6 +28,9 @@
 			intFlag("network", 77, "second byte of the gateways' loopback addresses; must differ between concurrent runs"),
 			&cli.DurationFlag{Name: "event-pause", Usage: "time between two events of a stream, such as 60ms"},
 			&cli.StringFlag{Name: "program", Value: "bin/rosemaryspool", Usage: "path of the gateway executable"},
+			&cli.StringFlag{
+				Name: "earlier-program", Usage: "path of an earlier version's gateway; each gateway starts as one and is upgraded by its first restart",
+			},
 			&cli.StringFlag{Name: "directory", Value: "bin/soak", Usage: "directory for logs, one subdirectory per seed"},
 		},
 		Action: func(ctx context.Context, command *cli.Command) error {
@@ -38,6 +41,9 @@
 				Command: []string{command.String("program"), "gateway"}, FatalRequests: true, MixedVersions: true,
 				EventPause: max(0, command.Duration("event-pause")),
 			}
+			if earlier := command.String("earlier-program"); earlier != "" {
+				settings.EarlierCommand = []string{earlier, "gateway"}
+			}
 			if err := check.err(); err != nil {
 				return err
 			}
--- a/standin/soaker/process.go
+++ b/standin/soaker/process.go
@@ -35,9 +35,11 @@
 
 // process is a gateway process that can be stopped and restarted. It is signalled only by its own process ID.
 type process struct {
-	name       string
-	ip         string
-	command    []string
+	name    string
+	ip      string
+	command []string
+	// first replaces command at the first start; empty if that starts command too.
+	first      []string
 	settings   string
 	output     *os.File
 	storeProxy *proxy
@@ -93,7 +95,11 @@
 	if p.running != nil {
 		return nil
 	}
-	c := exec.Command(p.command[0], p.command[1:]...)
+	command := p.command
+	if len(p.first) > 0 {
+		command, p.first = p.first, nil
+	}
+	c := exec.Command(command[0], command[1:]...)
 	c.Env = append(os.Environ(), "ROSEMARYSPOOL_CONFIG="+p.settings)
 	c.Stdout, c.Stderr = p.output, p.output
 	if err := c.Start(); err != nil {
--- a/standin/soaker/soaker.go
+++ b/standin/soaker/soaker.go
@@ -38,6 +38,9 @@
 	EventPause time.Duration
 	// Command starts one gateway, which finds the path of its settings file in the variable ROSEMARYSPOOL_CONFIG.
 	Command []string
+	// EarlierCommand starts a gateway of an earlier version; each gateway starts as one and is upgraded by its first restart.
+	// Empty if there is none.
+	EarlierCommand []string
 	// Directory holds the gateways' settings files and logs.
 	Directory string
 	// Network is the second byte of the gateways' loopback addresses. Concurrent runs need different ones.
@@ -181,6 +184,7 @@
 			s.Close()
 			return nil, err
 		}
+		p.first = settings.EarlierCommand
 		s.processes = append(s.processes, p)
 	}
 	return s, nil
