--- a/core/allocator/allocator.go
+++ b/core/allocator/allocator.go
@@ -102,6 +102,7 @@
 	timings map[identifier.ServiceName]*timings
 	// observations are those of this instance since they were last taken.
 	observations map[identifier.ServiceName][]Observation
+	demands      map[identifier.ServiceName]*Demand
 }
 
 // NewAllocator returns an allocator without upstreams for an instance in dataCentre.
@@ -115,6 +116,7 @@
 		health:       map[identifier.DataCentre]*ejector.Ejector{},
 		timings:      map[identifier.ServiceName]*timings{},
 		observations: map[identifier.ServiceName][]Observation{},
+		demands:      map[identifier.ServiceName]*Demand{},
 	}
 }
 
--- a/core/allocator/placement.go
+++ b/core/allocator/placement.go
@@ -210,6 +210,7 @@
 		allocator: a, now: now, instance: instance, dataCentre: dataCentre, req: req, timings: a.timingsOf(req.Service),
 	}
 	best := d.best()
+	d.countDemand(best, best.upstream == nil || !d.admissible(best))
 	if best.upstream == nil {
 		return Placement{}, d.refuseWithoutOption()
 	}
--- /dev/null
+++ b/core/scaler/scaler.go
@@ -0,0 +1,525 @@
+// Package scaler decides how many servers of a service run in each data centre, and of which kind: normal ones, and spot
+// servers, which cost less and may be reclaimed at short notice, all of a data centre at once.
+//
+// It is built for bursts that are over before a new server has started: what they need has to be there before. It orders
+// more servers at once and fewer slowly.
+package scaler
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/core/matcher"
+	"rosemaryspool.example/core/tracker"
+)
+
+// Settings holds the tunables of the decision.
+type Settings struct {
+	// LossWeight is what callers lose while a server is lacking, in units of a normal server's price for the same time. A
+	// server is worth its price if it is needed for a larger share of the time than its price divided by this.
+	LossWeight float64
+	// BurstFactor and BurstShare describe the bursts to be ready for: the demand relative to its mean, and the share of the
+	// time.
+	BurstFactor float64
+	BurstShare  float64
+	// Utilisation is the largest share of the time that servers are busy without making requests wait for long.
+	Utilisation float64
+	// MixedUse is the share of the time that an engine which decodes has left for prefills.
+	MixedUse float64
+	// SafeShare is the share of the mean demand that normal servers serve when all spot servers are lost, until others have
+	// started.
+	SafeShare float64
+	// FoundUse is the share of the servers found at first that the mean demand is expected to need, ExpectedTrust how long
+	// the demand has to be observed to count as much as that. HistoryLength is how long demand is remembered.
+	FoundUse      float64
+	ExpectedTrust time.Duration
+	HistoryLength time.Duration
+	// Tolerance is the relative change of a number that is passed over.
+	Tolerance float64
+	// ShrinkDelay is how long fewer servers have to be enough before fewer are ordered, ShrinkInterval the time between two
+	// such orders, and ShrinkShare the largest share that one of them removes in a data centre.
+	ShrinkDelay    time.Duration
+	ShrinkInterval time.Duration
+	ShrinkShare    float64
+	// FollowTime is how long after an order and the servers' boot time the list has to follow it.
+	FollowTime time.Duration
+	// LateTime is how long after a call without a response it may still be carried out.
+	LateTime time.Duration
+	// RefusedPause is the time until spot servers are ordered again where there were none; it doubles up to
+	// MaxRefusedPause. FailedPause is the time until the next order after a failed call.
+	RefusedPause    time.Duration
+	MaxRefusedPause time.Duration
+	FailedPause     time.Duration
+}
+
+// DefaultSettings returns the default settings.
+func DefaultSettings() Settings {
+	return Settings{
+		LossWeight:  10,
+		BurstFactor: 3,
+		BurstShare:  0.05,
+		Utilisation: 0.6,
+		MixedUse:    0.5,
+		SafeShare:   0.5,
+
+		FoundUse:        0.5,
+		ExpectedTrust:   30 * time.Second,
+		HistoryLength:   2 * time.Minute,
+		Tolerance:       0.1,
+		ShrinkDelay:     15 * time.Second,
+		ShrinkInterval:  3 * time.Second,
+		ShrinkShare:     0.5,
+		FollowTime:      3 * time.Second,
+		LateTime:        12 * time.Second,
+		RefusedPause:    2 * time.Second,
+		MaxRefusedPause: 4 * time.Second,
+		FailedPause:     time.Second,
+	}
+}
+
+// Pool is the servers of one kind in one data centre. They are ordered by number.
+type Pool struct {
+	DataCentre identifier.DataCentre
+	Spot       bool
+}
+
+// Cause is why a number is ordered.
+type Cause string
+
+// Causes of orders.
+const (
+	// CauseDemand means that the number follows the demand.
+	CauseDemand Cause = "demand"
+	// CauseCheaper means that servers of the other kind do the same for less.
+	CauseCheaper Cause = "cheaper"
+	// CauseReclaimed means that spot servers of some data centre leave.
+	CauseReclaimed Cause = "reclaimed"
+	// CauseNotFollowed means that the list of servers does not follow an earlier order.
+	CauseNotFollowed Cause = "notFollowed"
+	// CauseUncertain means that an earlier call without a response may still be carried out.
+	CauseUncertain Cause = "uncertain"
+)
+
+// Order is a number of servers to be ordered for a pool.
+type Order struct {
+	Pool  Pool
+	Count int
+	// Before is the number that was ordered last, or found.
+	Before int
+	Cause  Cause
+}
+
+// Outcome is how an order's call ended.
+type Outcome int
+
+// Outcomes of a call.
+const (
+	// OutcomeAccepted means that the platform carries the order out.
+	OutcomeAccepted Outcome = iota + 1
+	// OutcomeNone means that the platform has no such servers there at the moment.
+	OutcomeNone
+	// OutcomeRefused means that the call was not carried out for another reason.
+	OutcomeRefused
+	// OutcomeUncertain means that the call may have been carried out, or may be later.
+	OutcomeUncertain
+)
+
+// String returns the name of the outcome as written in logs.
+func (o Outcome) String() string {
+	switch o {
+	case OutcomeAccepted:
+		return "accepted"
+	case OutcomeNone:
+		return "noneAvailable"
+	case OutcomeRefused:
+		return "refused"
+	default:
+		return "uncertain"
+	}
+}
+
+// Plan is what a decision is based on.
+type Plan struct {
+	// Needed is the latest demand in servers, Mean its mean; Total is the number of servers to have, and Normal the smallest
+	// number of normal ones among them.
+	Needed float64
+	Mean   float64
+	Total  int
+	Normal int
+	// Ready is the number of servers that are listed and don't leave, of both kinds.
+	Ready     int
+	ReadySpot int
+	// Scarce lists the data centres where no spot servers are to be had.
+	Scarce []identifier.DataCentre
+}
+
+// uncertainCall is a call without a response: it may be carried out until a time.
+type uncertainCall struct {
+	count int
+	until time.Time
+}
+
+type poolState struct {
+	// desired is the number in force: the last one that was ordered, or that was found.
+	desired   int
+	orderedAt time.Time
+	// shrunkAt is when fewer were last ordered; servers that leave then are not reclaimed.
+	shrunkAt  time.Time
+	uncertain []uncertainCall
+	// repeat is set while the last call failed.
+	repeat bool
+	// pausedUntil is when the next order may be made; pause is the time that the platform had none the last time.
+	pausedUntil time.Time
+	pause       time.Duration
+	ready       int
+	leaving     int
+	// found is the number of servers that were there before the first order.
+	found int
+	// aboveSince is since when there are more than needed; zero if there aren't.
+	aboveSince time.Time
+}
+
+// Scaler decides for one service. It is not safe for concurrent use.
+type Scaler struct {
+	settings Settings
+	history  history
+	pools    map[Pool]*poolState
+	// total and normal are the numbers of servers to have, and of normal ones among them.
+	total  level
+	normal level
+	// shrunkAt is when fewer servers were last ordered.
+	shrunkAt time.Time
+	// reclaimedAt is when spot servers last began to leave without an order.
+	reclaimedAt time.Time
+}
+
+// NewScaler returns a scaler that knows nothing of the demand yet.
+func NewScaler(settings Settings) *Scaler {
+	return &Scaler{settings: settings, history: history{settings: settings}, pools: map[Pool]*poolState{}}
+}
+
+// Begin forgets the numbers in force, which another instance may have changed. What is known of the demand is kept.
+func (s *Scaler) Begin() {
+	s.pools, s.total, s.normal = map[Pool]*poolState{}, level{}, level{}
+	s.shrunkAt, s.reclaimedAt = time.Time{}, time.Time{}
+}
+
+// Observe records the demand over the last period, given the listed servers.
+func (s *Scaler) Observe(now time.Time, d Demand, servers []tracker.Entry) {
+	if d.Requests == 0 && s.history.first.IsZero() {
+		// Nobody has sent requests yet.
+		return
+	}
+	s.history.add(now, s.needed(d, servers))
+}
+
+// needed returns the number of servers that a demand needs, with the roles in the proportion that they have now.
+func (s *Scaler) needed(d Demand, servers []tracker.Entry) float64 {
+	var ready, prefillers, slots float64
+	for _, e := range servers {
+		switch {
+		case e.Leaving:
+		case e.Role == tracker.RolePrefill:
+			prefillers++
+			ready++
+		default:
+			slots += float64(e.Slots)
+			ready++
+		}
+	}
+	if ready == 0 || slots == 0 {
+		return 0
+	}
+	forPlaces := d.Places * ready / slots / s.settings.Utilisation
+	prefillShare := prefillers / ready
+	speed := s.settings.Utilisation * (prefillShare + (1-prefillShare)*s.settings.MixedUse*d.MixedSpeed)
+	if d.Prefill == 0 || speed == 0 {
+		return forPlaces
+	}
+	return max(forPlaces, d.Prefill/speed)
+}
+
+// Decide returns the orders to be made now, and what they are based on. The caller reports each one's outcome to Ended.
+func (s *Scaler) Decide(now time.Time, bounds matcher.Scaling, servers []tracker.Entry) ([]Order, Plan) {
+	s.count(now, bounds, servers)
+	plan := s.plan(now, bounds)
+	targets := s.distribute(now, bounds, &plan)
+	return s.orders(now, bounds, targets, plan), plan
+}
+
+// count updates the pools from the list of servers.
+func (s *Scaler) count(now time.Time, bounds matcher.Scaling, servers []tracker.Entry) {
+	listed := map[Pool]*poolState{}
+	at := func(p Pool) *poolState {
+		if listed[p] == nil {
+			listed[p] = &poolState{}
+		}
+		return listed[p]
+	}
+	for dataCentre := range bounds.Prices {
+		at(Pool{DataCentre: dataCentre})
+		if bounds.SpotPrice > 0 {
+			at(Pool{DataCentre: dataCentre, Spot: true})
+		}
+	}
+	for _, e := range servers {
+		p := at(Pool{DataCentre: e.DataCentre, Spot: e.Spot})
+		if e.Leaving {
+			p.leaving++
+		} else {
+			p.ready++
+		}
+	}
+	for pool, seen := range listed {
+		known := s.pools[pool]
+		if known == nil {
+			known = &poolState{}
+			s.pools[pool] = known
+		}
+		if known.orderedAt.IsZero() {
+			// The list may not be complete at first.
+			known.found = max(known.found, seen.ready)
+			known.desired = known.found
+		}
+		if pool.Spot && seen.leaving > known.leaving && known.ready > seen.ready && now.Sub(known.shrunkAt) > s.settings.LateTime {
+			s.reclaimedAt = now
+			known.pausedUntil = now.Add(s.settings.RefusedPause)
+		}
+		known.ready, known.leaving = seen.ready, seen.leaving
+	}
+}
+
+// plan returns how many servers there should be, and how many normal ones among them at least.
+func (s *Scaler) plan(now time.Time, bounds matcher.Scaling) Plan {
+	found, foundNormal := 0, 0
+	plan := Plan{Needed: s.history.latest()}
+	for pool, p := range s.pools {
+		found += p.found
+		plan.Ready += p.ready
+		if !pool.Spot {
+			foundNormal += p.found
+		}
+		if pool.Spot {
+			plan.ReadySpot += p.ready
+			if now.Before(p.pausedUntil) {
+				plan.Scarce = append(plan.Scarce, pool.DataCentre)
+			}
+		}
+	}
+	slices.Sort(plan.Scarce)
+	expected := s.settings.FoundUse * float64(found)
+	if found > foundNormal {
+		// An instance that knew the demand has ordered them.
+		expected = min(expected, float64(foundNormal)/s.settings.SafeShare)
+	}
+	plan.Mean = s.history.mean(now, expected)
+	price := 1.0
+	if bounds.SpotPrice > 0 {
+		price = bounds.SpotPrice
+	}
+	// The last server to be added is worth its price for this share of the time.
+	total := s.history.exceeded(price/s.settings.LossWeight, plan.Mean)
+	usual := s.history.exceeded(1/s.settings.LossWeight, plan.Mean)
+	if n := float64(len(bounds.Prices)); n > 1 {
+		// The other data centres serve the usual demand when one is lost.
+		total = max(total, usual*n/(n-1))
+	}
+	if s.history.first.IsZero() {
+		// Nothing is known of the demand.
+		total = float64(found)
+	}
+	normal := s.settings.SafeShare * plan.Mean
+	if bounds.SpotPrice <= 0 {
+		normal = total
+	} else if len(plan.Scarce) == len(bounds.Prices) {
+		// Spot servers can't be had: normal ones serve the usual demand meanwhile.
+		normal = max(normal, usual-float64(plan.ReadySpot))
+	}
+	most := bounds.Max * len(bounds.Prices)
+	plan.Total = min(most, s.total.follow(now, int(math.Ceil(total)), s.settings))
+	plan.Normal = min(most, s.normal.follow(now, int(math.Ceil(normal)), s.settings))
+	return plan
+}
+
+// distribute returns the number of servers of each pool: the data centres get the same number of them if they can, and
+// cheaper ones what is left over.
+func (s *Scaler) distribute(now time.Time, bounds matcher.Scaling, plan *Plan) map[Pool]int {
+	dataCentres := make([]identifier.DataCentre, 0, len(bounds.Prices))
+	for dataCentre := range bounds.Prices {
+		dataCentres = append(dataCentres, dataCentre)
+	}
+	slices.SortFunc(dataCentres, func(a, b identifier.DataCentre) int {
+		if c := cmp.Compare(bounds.Prices[a], bounds.Prices[b]); c != 0 {
+			return c
+		}
+		return cmp.Compare(a, b)
+	})
+	targets := map[Pool]int{}
+	used := func(d identifier.DataCentre) int { return targets[Pool{d, false}] + targets[Pool{d, true}] }
+	fill := func(count int, spot bool, allowed func(identifier.DataCentre) bool) int {
+		for ; count > 0; count-- {
+			var best identifier.DataCentre
+			for _, d := range dataCentres {
+				if used(d) < bounds.Max && allowed(d) && (best == "" || used(d) < used(best)) {
+					best = d
+				}
+			}
+			if best == "" {
+				return count
+			}
+			targets[Pool{best, spot}]++
+		}
+		return 0
+	}
+	anywhere := func(identifier.DataCentre) bool { return true }
+	fill(max(plan.Normal, 0), false, anywhere)
+	if bounds.SpotPrice > 0 {
+		scarce := func(d identifier.DataCentre) bool { return slices.Contains(plan.Scarce, d) }
+		// Where none are to be had, those that are there stay.
+		for _, d := range plan.Scarce {
+			pool := Pool{d, true}
+			targets[pool] = min(s.pools[pool].ready, bounds.Max-targets[Pool{d, false}])
+		}
+		placed := 0
+		for _, d := range dataCentres {
+			placed += used(d)
+		}
+		fill(plan.Total-placed, true, func(d identifier.DataCentre) bool { return !scarce(d) })
+	}
+	for _, d := range dataCentres {
+		for used(d) < bounds.Min {
+			targets[Pool{d, false}]++
+		}
+	}
+	return targets
+}
+
+// orders returns the orders that lead from the numbers in force to the targets.
+func (s *Scaler) orders(now time.Time, bounds matcher.Scaling, targets map[Pool]int, plan Plan) []Order {
+	pools := make([]Pool, 0, len(s.pools))
+	for pool := range s.pools {
+		pools = append(pools, pool)
+	}
+	slices.SortFunc(pools, func(a, b Pool) int {
+		return cmp.Or(cmp.Compare(bounds.Prices[a.DataCentre], bounds.Prices[b.DataCentre]),
+			cmp.Compare(a.DataCentre, b.DataCentre))
+	})
+	var orders []Order
+	shrunk := false
+	for _, pool := range pools {
+		p := s.pools[pool]
+		p.uncertain = slices.DeleteFunc(p.uncertain, func(c uncertainCall) bool { return !now.Before(c.until) })
+		if now.Before(p.pausedUntil) {
+			continue
+		}
+		other := s.pools[Pool{pool.DataCentre, !pool.Spot}]
+		room := bounds.Max
+		if other != nil {
+			room -= max(other.desired, other.ready)
+		}
+		target := min(targets[pool], room)
+		switch {
+		case target >= p.desired:
+			p.aboveSince = time.Time{}
+		case p.aboveSince.IsZero():
+			p.aboveSince = now
+		}
+		switch {
+		case target > p.desired:
+			cause := CauseDemand
+			if now.Sub(s.reclaimedAt) < s.settings.LateTime {
+				cause = CauseReclaimed
+			}
+			if pool.Spot && plan.Total <= plan.Ready {
+				cause = CauseCheaper
+			}
+			orders = append(orders, Order{Pool: pool, Count: target, Before: p.desired, Cause: cause})
+		case target < p.desired && s.mayShrink(now, pool, p, bounds):
+			if count := s.shrink(pool, target, targets, plan); count < p.desired {
+				cause := CauseDemand
+				if !pool.Spot && bounds.SpotPrice > 0 {
+					cause = CauseCheaper
+				}
+				shrunk = true
+				orders = append(orders, Order{Pool: pool, Count: count, Before: p.desired, Cause: cause})
+				plan.Ready -= p.ready - count
+			}
+		case p.repeat:
+			orders = append(orders, Order{Pool: pool, Count: p.desired, Before: p.desired, Cause: CauseUncertain})
+		case p.mayShrinkLate() && now.Sub(p.orderedAt) > s.settings.FollowTime:
+			orders = append(orders, Order{Pool: pool, Count: p.desired, Before: p.desired, Cause: CauseUncertain})
+		case p.ready != p.desired && now.Sub(p.orderedAt) > bounds.BootTime+s.settings.FollowTime:
+			orders = append(orders, Order{Pool: pool, Count: p.desired, Before: p.desired, Cause: CauseNotFollowed})
+		}
+	}
+	if shrunk {
+		s.shrunkAt = now
+	}
+	return orders
+}
+
+// mayShrinkLate reports whether a call that asks for fewer servers than the number in force may still be carried out.
+func (p *poolState) mayShrinkLate() bool {
+	return slices.ContainsFunc(p.uncertain, func(c uncertainCall) bool { return c.count < p.desired })
+}
+
+// mayShrink reports whether fewer servers may be ordered for a pool now: not while the outcome of an earlier call is open,
+// in steps, and not before they have been too many for a while, unless spot servers replace normal ones.
+func (s *Scaler) mayShrink(now time.Time, pool Pool, p *poolState, bounds matcher.Scaling) bool {
+	delay := s.settings.ShrinkDelay
+	if !pool.Spot && bounds.SpotPrice > 0 {
+		delay = s.settings.ShrinkInterval
+	}
+	return !p.repeat && len(p.uncertain) == 0 && now.Sub(p.aboveSince) >= delay &&
+		now.Sub(s.shrunkAt) >= s.settings.ShrinkInterval
+}
+
+// shrink returns the number to which a pool may be reduced now: what is ready without the removed servers is enough.
+func (s *Scaler) shrink(pool Pool, target int, targets map[Pool]int, plan Plan) int {
+	p := s.pools[pool]
+	wanted := 0
+	for _, count := range targets {
+		wanted += count
+	}
+	spare := plan.Ready - min(wanted, plan.Total)
+	step := min(p.ready-target, spare, max(1, int(s.settings.ShrinkShare*float64(p.desired))))
+	if step <= 0 {
+		if p.ready <= target {
+			// Fewer are there than were ordered; no server leaves.
+			return target
+		}
+		return p.desired
+	}
+	return p.ready - step
+}
+
+// Ended records how the call of an order ended that began at sent.
+func (s *Scaler) Ended(now, sent time.Time, o Order, outcome Outcome) {
+	p := s.pools[o.Pool]
+	if p == nil {
+		return
+	}
+	switch outcome {
+	case OutcomeAccepted:
+		p.repeat, p.pause = false, 0
+	case OutcomeNone:
+		p.repeat = false
+		p.pause = min(max(s.settings.RefusedPause, 2*p.pause), s.settings.MaxRefusedPause)
+		p.pausedUntil = now.Add(p.pause)
+		return
+	case OutcomeRefused:
+		p.pausedUntil = now.Add(s.settings.FailedPause)
+		return
+	case OutcomeUncertain:
+		p.repeat = true
+		p.pausedUntil = now.Add(s.settings.FailedPause)
+		p.uncertain = append(p.uncertain, uncertainCall{count: o.Count, until: sent.Add(s.settings.LateTime)})
+	}
+	if o.Count < p.desired {
+		p.shrunkAt = now
+	}
+	p.desired, p.orderedAt = o.Count, now
+}
--- a/rosemaryspool/gatekeeper/gatekeeper.go
+++ b/rosemaryspool/gatekeeper/gatekeeper.go
@@ -20,6 +20,7 @@
 	"rosemaryspool.example/core/allocator"
 	"rosemaryspool.example/core/budgeter"
 	"rosemaryspool.example/core/elector"
+	"rosemaryspool.example/core/scaler"
 	"rosemaryspool.example/core/tracker"
 	"rosemaryspool.example/platform"
 	"rosemaryspool.example/rosemaryspool/archiver"
@@ -31,6 +32,7 @@
 	"rosemaryspool.example/rosemaryspool/governor"
 	"rosemaryspool.example/rosemaryspool/inspector"
 	"rosemaryspool.example/rosemaryspool/prober"
+	"rosemaryspool.example/rosemaryspool/provisioner"
 	"rosemaryspool.example/rosemaryspool/subscriber"
 	"rosemaryspool.example/wire/messenger"
 )
@@ -71,7 +73,9 @@
 	prober     *prober.Prober
 	subscriber *subscriber.Subscriber
 	archiver   *archiver.Archiver
-	status     *statusHandler
+	// provisioner is nil where no servers are ordered.
+	provisioner *provisioner.Provisioner
+	status      *statusHandler
 	// unreadableNotices counts the responses in which an upstream says of itself what can't be read.
 	unreadableNotices metrics.Counter
 	// noticeWarnedAt is the Unix second of the last log line about one.
@@ -128,6 +132,12 @@
 			DrainLimit: settings.MaxDrainDelay, ApplyLimit: settings.MaxApplyDelay, FirstStart: settings.FirstStart,
 		}, log,
 	)
+	if settings.Duties.OrdersServers {
+		g.provisioner = provisioner.NewProvisioner(provisioner.Settings{
+			Scope: "scale", Duty: "duty/scale", CallsPerSecond: settings.Duties.CallsPerSecond,
+			Scaler: scaler.DefaultSettings(),
+		}, g.governor, &trialLease{g: g.governor}, platform.NewCloud(settings.Duties.Address), g.courier, log, registry)
+	}
 	// At the first start of the whole system nobody knows more than this instance.
 	g.setWarming(!settings.FirstStart)
 	g.status = newStatusHandler(g.governor, registry)
@@ -184,6 +194,10 @@
 		g.gossiper.SendCrashKnowledge(r.Sender)
 	case *messenger.Datagram_CrashReport:
 		g.gossiper.HandleCrashReport(r, body.CrashReport)
+	case *messenger.Datagram_DemandReport:
+		if g.provisioner != nil {
+			g.provisioner.HandleDemand(r, body.DemandReport)
+		}
 	}
 }
 
@@ -258,6 +272,9 @@
 	group.Go(func() { g.archiver.Run(backgroundCtx) })
 	group.Go(func() { g.closeIdleConnections(backgroundCtx) })
 	group.Go(func() { g.warmUp(backgroundCtx) })
+	if g.provisioner != nil {
+		group.Go(func() { g.provisioner.Run(backgroundCtx) })
+	}
 	err := g.serve(ctx, &group)
 	stopBackground()
 	group.Wait()
