--- a/core/scaler/scaler.go
+++ b/core/scaler/scaler.go
@@ -327,10 +327,6 @@
 		// The other data centres serve the usual demand when one is lost.
 		total = max(total, usual*n/(n-1))
 	}
-	if s.history.first.IsZero() {
-		// Nothing is known of the demand.
-		total = float64(found)
-	}
 	normal := s.settings.SafeShare * plan.Mean
 	if bounds.SpotPrice <= 0 {
 		normal = total
