Hold the duties' leases and report usage

The steward follows a topic of its own, claims by core/leaser and core/replayer under the condition that nothing was appended since, counts by windows with core/meterer and records a report before it is sent.

--- a/core/replayer/lease.go
+++ b/core/replayer/lease.go
@@ -24,19 +24,23 @@
 	if identifier.Offset(claim.GetLastOffset()) != current.Latest {
 		return skip(record, CauseRefused, "claim is not based on the latest grant")
 	}
-	token := identifier.Token(offset)
+	lease := newLease(offset, claim)
 	if claim.GetRenewal() {
-		token = current.Token
+		lease.Token = current.Token
 	}
-	lease := Lease{
-		Scope:    scope,
+	s.leases[scope] = lease
+	return LeaseGranted{Lease: lease, Renewal: claim.GetRenewal()}
+}
+
+// newLease returns the lease that a claim at an offset acquires.
+func newLease(offset identifier.Offset, claim *messenger.LeaseClaim) Lease {
+	return Lease{
+		Scope:    identifier.Scope(claim.GetScope()),
 		Holder:   claim.GetHolder(),
-		Token:    token,
+		Token:    identifier.Token(offset),
 		Latest:   offset,
 		Duration: time.Duration(claim.GetDurationMs()) * time.Millisecond,
 	}
-	s.leases[scope] = lease
-	return LeaseGranted{Lease: lease, Renewal: claim.GetRenewal()}
 }
 
 func (s *State) applyRelease(record *messenger.Record, release *messenger.LeaseRelease) Effect {
--- a/rosemaryspool/forwarder/forwarder.go
+++ b/rosemaryspool/forwarder/forwarder.go
@@ -53,6 +53,8 @@
 	callerWaits        *waitTracker
 	keepAlivesDisabled atomic.Bool
 	active             atomic.Int64
+	// usage is nil where no usage is reported.
+	usage Meter
 }
 
 // NewForwarder returns a forwarder that has requests placed by d and sends them over c. It distinguishes crashes from lost
@@ -157,7 +159,9 @@
 	events     *eventWriter
 	// streamVersion is the software version at which the stream began; nil before its first event.
 	streamVersion *identifier.SoftwareVersion
-	last          attempt
+	// metered is true once the request is counted as one that has begun to run.
+	metered bool
+	last    attempt
 	// refusal is why the next dispatch could not be placed; nil when it could.
 	refusal *allocator.Refusal
 }
--- a/rosemaryspool/forwarder/relay.go
+++ b/rosemaryspool/forwarder/relay.go
@@ -53,6 +53,7 @@
 		// A successful response without the upstream's signature is not trusted.
 		return maybeExecuted, allocator.OutcomeFailed
 	}
+	e.meter()
 	stored := &storedResponse{status: response.Status, header: response.Header, body: body}
 	if response.Status >= http.StatusInternalServerError && e.route.Idempotent && e.last.peer == "" {
 		e.last.response = stored
@@ -70,6 +71,7 @@
 func (e *exchange) relayLarge(
 	ctx context.Context, response *connector.Response, start []byte,
 ) (attemptResult, allocator.Outcome) {
+	e.meter()
 	e.forwardHeader(response.Status, response.Header)
 	_, err := e.writer.Write(start)
 	if err == nil {
@@ -172,6 +174,7 @@
 		if e.last.firstEventAt.IsZero() {
 			e.last.firstEventAt = now
 			e.recordStream(now)
+			e.meter()
 			e.last.stopWatch()
 			e.forwarder.governor.FirstEventArrived(e.last.firstEventAt, e.last.sentAt, &e.last.placement)
 		}
--- a/rosemaryspool/gatekeeper/gatekeeper.go
+++ b/rosemaryspool/gatekeeper/gatekeeper.go
@@ -31,6 +31,7 @@
 	"rosemaryspool.example/rosemaryspool/governor"
 	"rosemaryspool.example/rosemaryspool/inspector"
 	"rosemaryspool.example/rosemaryspool/prober"
+	"rosemaryspool.example/rosemaryspool/steward"
 	"rosemaryspool.example/rosemaryspool/subscriber"
 	"rosemaryspool.example/wire/messenger"
 )
@@ -71,7 +72,9 @@
 	prober     *prober.Prober
 	subscriber *subscriber.Subscriber
 	archiver   *archiver.Archiver
-	status     *statusHandler
+	// steward is nil if the instance has no duties.
+	steward *steward.Steward
+	status  *statusHandler
 	// unreadableNotices counts the responses in which an upstream says of itself what can't be read.
 	unreadableNotices metrics.Counter
 	// noticeWarnedAt is the Unix second of the last log line about one.
@@ -128,6 +131,12 @@
 			DrainLimit: settings.MaxDrainDelay, ApplyLimit: settings.MaxApplyDelay, FirstStart: settings.FirstStart,
 		}, log,
 	)
+	if d := settings.Duties; d.Address != "" && (d.ReportsUsage || d.OrdersServers) {
+		g.steward = steward.NewSteward(
+			d, store, platform.NewCloud(d.Address), g.governor, g.courier, log, registry,
+		)
+		g.forwarder.MeterWith(g.steward)
+	}
 	// At the first start of the whole system nobody knows more than this instance.
 	g.setWarming(!settings.FirstStart)
 	g.status = newStatusHandler(g.governor, registry)
@@ -184,6 +193,14 @@
 		g.gossiper.SendCrashKnowledge(r.Sender)
 	case *messenger.Datagram_CrashReport:
 		g.gossiper.HandleCrashReport(r, body.CrashReport)
+	case *messenger.Datagram_UsageReport:
+		if g.steward != nil {
+			g.steward.HandleUsageReport(r, body.UsageReport)
+		}
+	case *messenger.Datagram_UsageReceipt:
+		if g.steward != nil {
+			g.steward.HandleUsageReceipt(r, body.UsageReceipt)
+		}
 	}
 }
 
@@ -258,6 +275,9 @@
 	group.Go(func() { g.archiver.Run(backgroundCtx) })
 	group.Go(func() { g.closeIdleConnections(backgroundCtx) })
 	group.Go(func() { g.warmUp(backgroundCtx) })
+	if g.steward != nil {
+		group.Go(func() { g.steward.Run(backgroundCtx) })
+	}
 	err := g.serve(ctx, &group)
 	stopBackground()
 	group.Wait()
@@ -329,6 +349,9 @@
 	g.log.Info().Str("event", "stopping").Int64("active", g.forwarder.Active()).Msg("Planned stop: reporting not ready")
 	g.status.setNotReady()
 	g.forwarder.DisableKeepAlives()
+	if g.steward != nil {
+		g.steward.Leave()
+	}
 	g.gossiper.Leave()
 	limit := time.Duration(g.stopLimit.Load()) - stopMargin
 	<-time.After(min(balancerDelay, limit/2))
--- a/rosemaryspool/governor/member.go
+++ b/rosemaryspool/governor/member.go
@@ -82,6 +82,16 @@
 	return g.elector.Trusted(now, ArbiterDuty(service), limit)
 }
 
+// stewardDuty is to make the calls to the platform that one instance at a time makes.
+const stewardDuty elector.Duty = "steward"
+
+// Stewards returns the first instances in the order in which they hold the duties' leases.
+func (g *Governor) Stewards(now time.Time, limit int) []elector.Member {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.elector.Trusted(now, stewardDuty, limit)
+}
+
 // ArbitratedEngines returns the engines whose memory size is unknown, of the services that this instance arbitrates.
 func (g *Governor) ArbitratedEngines(now time.Time) []tracker.Entry {
 	g.mu.Lock()
--- /dev/null
+++ b/rosemaryspool/steward/exchange.go
@@ -0,0 +1,238 @@
+package steward
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"rosemaryspool.example/core/elector"
+	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/core/meterer"
+	"rosemaryspool.example/rosemaryspool/courier"
+	"rosemaryspool.example/wire/messenger"
+)
+
+const (
+	// exchangeInterval is the time between two reports of this instance's counts to a candidate. An instance that is
+	// killed takes the counts of this time with it at most.
+	exchangeInterval = time.Second
+	// clockInterval is the time between two reports where there is nothing new, so that clocks are compared.
+	clockInterval = 10 * time.Second
+	// maxReportBytes bounds a report; the datagram's other fields take up to 200 bytes.
+	maxReportBytes = 1100
+	// windowBytes and callerBytes are the sizes of a window and of an account's count without its name.
+	windowBytes = 16
+	callerBytes = 12
+	// keptDelays is for how many report delays counts are kept.
+	keptDelays = 3
+	// maxUnanswered is how many reports in a row a candidate may leave unanswered before it is passed over for a while.
+	maxUnanswered = 3
+	silenceTime   = 5 * time.Second
+)
+
+// recipient is what this instance knows of one candidate to which it reports.
+type recipient struct {
+	startedMs int64
+	// acknowledged is the version of the counter up to which the candidate has all counts.
+	acknowledged uint64
+	// pending holds the numbers of the latest round of reports without receipts; version is the counter's at that time.
+	pending     map[uint64]bool
+	version     uint64
+	sentAt      time.Duration
+	unanswered  int
+	silentUntil time.Duration
+}
+
+// exchange is the state of the reports to candidates.
+type exchange struct {
+	recipients map[identifier.InstanceID]*recipient
+	number     uint64
+	// clockKnown is true once another instance's reference was adopted.
+	clockKnown bool
+}
+
+func newExchange() exchange { return exchange{recipients: map[identifier.InstanceID]*recipient{}} }
+
+// exchangeUsage sends this instance's counts to the candidates until ctx ends.
+func (s *Steward) exchangeUsage(ctx context.Context) {
+	if !pause(ctx, rand.N(exchangeInterval)) {
+		return
+	}
+	for {
+		s.sendCounts()
+		if !pause(ctx, exchangeInterval) {
+			return
+		}
+	}
+}
+
+func (s *Steward) sendCounts() {
+	for _, m := range s.stewards(candidates) {
+		if m.Instance == s.peers.Self().Instance {
+			continue
+		}
+		for _, report := range s.nextReports(m) {
+			s.count("usageDatagrams")
+			s.sender.Send(m, &messenger.Datagram{Body: &messenger.Datagram_UsageReport{UsageReport: report}})
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.collectOwn()
+	oldest := meterer.WindowAt(
+		s.clock.Now(s.elapsed()).Add(-keptDelays*s.settings.ReportDelay), s.settings.ReportWindow,
+	)
+	s.counter.Discard(oldest)
+	s.collector.Discard(oldest)
+}
+
+// stewards returns the first candidates without those that have left several reports unanswered.
+func (s *Steward) stewards(limit int) []elector.Member {
+	s.mu.Lock()
+	now := s.elapsed()
+	silent := map[identifier.InstanceID]bool{}
+	for id, r := range s.exchange.recipients {
+		if now < r.silentUntil {
+			silent[id] = true
+		}
+	}
+	s.mu.Unlock()
+	var chosen []elector.Member
+	for _, m := range s.peers.Stewards(time.Now(), limit+len(silent)) {
+		if !silent[m.Instance] && len(chosen) < limit {
+			chosen = append(chosen, m)
+		}
+	}
+	return chosen
+}
+
+// collectOwn adds this instance's counts to those of the others. The caller holds the mutex.
+func (s *Steward) collectOwn() {
+	self := s.peers.Self()
+	counts, _ := s.counter.Since(0)
+	for w, usage := range counts {
+		s.collector.Merge(meterer.Sender{Instance: self.Instance, StartedMs: self.StartedMs}, w, usage)
+	}
+}
+
+// nextReports returns the reports that are due to a candidate.
+func (s *Steward) nextReports(to elector.Member) []*messenger.UsageReport {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.elapsed()
+	r := s.exchange.recipients[to.Instance]
+	if r == nil || r.startedMs != to.StartedMs {
+		r = &recipient{startedMs: to.StartedMs, sentAt: now - clockInterval}
+		s.exchange.recipients[to.Instance] = r
+	}
+	if len(r.pending) > 0 {
+		r.unanswered++
+	}
+	if r.unanswered >= maxUnanswered {
+		r.unanswered, r.silentUntil = 0, now+silenceTime
+		s.log.Info().Str("event", "candidateSilent").Str("peer", string(to.Instance)).
+			Msg("A candidate for the duties does not answer and is passed over for a while")
+	}
+	counts, version := s.counter.Since(r.acknowledged)
+	if len(counts) == 0 && s.exchange.clockKnown && now-r.sentAt < clockInterval {
+		return nil
+	}
+	reports := splitCounts(counts)
+	r.pending, r.version, r.sentAt = map[uint64]bool{}, version, now
+	for _, report := range reports {
+		s.exchange.number++
+		report.Number, report.ClockMs = s.exchange.number, s.clock.Uncorrected(now).UnixMilli()
+		r.pending[report.GetNumber()] = true
+	}
+	return reports
+}
+
+// splitCounts returns reports that fit into datagrams; one without counts if there are none.
+func splitCounts(counts map[meterer.Window]meterer.Usage) []*messenger.UsageReport {
+	report, size := &messenger.UsageReport{}, 0
+	reports := []*messenger.UsageReport{report}
+	for w, usage := range counts {
+		var window *messenger.UsageWindow
+		for caller, n := range usage {
+			if size+windowBytes+callerBytes+len(caller) > maxReportBytes {
+				report, size, window = &messenger.UsageReport{}, 0, nil
+				reports = append(reports, report)
+			}
+			if window == nil {
+				window = &messenger.UsageWindow{Window: uint64(w)}
+				report.Windows = append(report.Windows, window)
+				size += windowBytes
+			}
+			window.Callers = append(window.Callers, &messenger.CallerUsage{Caller: string(caller), Requests: uint32(n)})
+			size += callerBytes + len(caller)
+		}
+	}
+	return reports
+}
+
+// HandleUsageReport takes over the counts of another instance.
+func (s *Steward) HandleUsageReport(r courier.Received, m *messenger.UsageReport) {
+	if !s.settings.ReportsUsage {
+		return
+	}
+	s.mu.Lock()
+	elapsed := s.elapsed()
+	s.clock.Heard(elapsed, r.Sender.Instance, time.UnixMilli(m.GetClockMs()))
+	now := s.clock.Now(elapsed)
+	oldest := meterer.WindowAt(now.Add(-keptDelays*s.settings.ReportDelay), s.settings.ReportWindow)
+	newest := meterer.WindowAt(now.Add(s.settings.ReportDelay), s.settings.ReportWindow)
+	for _, window := range m.GetWindows() {
+		w := meterer.Window(window.GetWindow())
+		if w < oldest || w > newest {
+			continue
+		}
+		usage := make(meterer.Usage, len(window.GetCallers()))
+		for _, c := range window.GetCallers() {
+			usage[identifier.CallerID(c.GetCaller())] = uint64(c.GetRequests())
+		}
+		s.collector.Merge(meterer.Sender{Instance: r.Sender.Instance, StartedMs: r.Sender.StartedMs}, w, usage)
+	}
+	reference, known := s.clock.Reference(elapsed)
+	if known {
+		s.correctClock(elapsed, reference, r.Sender.Instance)
+	}
+	s.mu.Unlock()
+	if m.GetNumber() == 0 {
+		return
+	}
+	receipt := &messenger.UsageReceipt{Number: m.GetNumber()}
+	if known {
+		receipt.ClockMs = reference.UnixMilli()
+	}
+	s.sender.Send(r.Sender, &messenger.Datagram{Body: &messenger.Datagram_UsageReceipt{UsageReceipt: receipt}})
+}
+
+// HandleUsageReceipt takes over a candidate's receipt and its time.
+func (s *Steward) HandleUsageReceipt(r courier.Received, m *messenger.UsageReceipt) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	to := s.exchange.recipients[r.Sender.Instance]
+	if to == nil || to.startedMs != r.Sender.StartedMs {
+		return
+	}
+	to.unanswered, to.silentUntil = 0, 0
+	if to.pending[m.GetNumber()] {
+		delete(to.pending, m.GetNumber())
+		if len(to.pending) == 0 {
+			to.acknowledged = to.version
+		}
+	}
+	if m.GetClockMs() != 0 {
+		s.exchange.clockKnown = true
+		s.correctClock(s.elapsed(), time.UnixMilli(m.GetClockMs()), r.Sender.Instance)
+	}
+}
+
+// correctClock sets the clock to the median of the instances' clocks. The caller holds the mutex.
+func (s *Steward) correctClock(elapsed time.Duration, reference time.Time, from identifier.InstanceID) {
+	if change := s.clock.Adopt(elapsed, reference); change != 0 {
+		s.count("clockCorrections")
+		s.log.Info().Str("event", "clockCorrected").Dur("changeMs", change).Str("peer", string(from)).
+			Msg("The time by which usage is counted follows that of most instances")
+	}
+}
--- /dev/null
+++ b/rosemaryspool/steward/lease.go
@@ -0,0 +1,407 @@
+package steward
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/core/leaser"
+	"rosemaryspool.example/core/replayer"
+	"rosemaryspool.example/platform"
+	"rosemaryspool.example/wire/messenger"
+)
+
+const (
+	// storeTimeout bounds a call to the store, and an append: a renewal that is lost leaves time for another.
+	storeTimeout = time.Second
+	// maxHold is how long a read waits for a record at most.
+	maxHold = 1500 * time.Millisecond
+	// minHold is how long it waits while a claim is due.
+	minHold = 100 * time.Millisecond
+	// holderInterval is how often a holder checks whether a renewal is due.
+	holderInterval = 50 * time.Millisecond
+	// minPause is the least time between two calls to the store.
+	minPause = 10 * time.Millisecond
+	// startDelay is how long an instance that has started waits until it knows the candidates before it.
+	startDelay = time.Second
+	// idleInterval is how often an instance checks whether it has become a candidate.
+	idleInterval = 500 * time.Millisecond
+	// firstBackOff and lastBackOff bound the time between calls while the store fails.
+	firstBackOff = 200 * time.Millisecond
+	lastBackOff  = 2 * time.Second
+)
+
+// eraShift is the position of the era in an offset of the replayed topic, so that tokens are ordered by era first.
+const eraShift = 32
+
+const leasePrefix = "lease/"
+
+// leaseKey is the key of a scope's claims in one era. Records of an earlier era that are appended late have another key,
+// and no effect.
+func leaseKey(scope identifier.Scope, era identifier.Era) string {
+	return fmt.Sprintf("%s%s/%d", leasePrefix, scope, era)
+}
+
+// replayOffset returns the offset of a record in the replayed state, which begins with 1 in era zero.
+func replayOffset(era identifier.Era, offset uint64) identifier.Offset {
+	return identifier.Offset(uint64(era)<<eraShift + offset + 1)
+}
+
+// storeOffset is the opposite of replayOffset.
+func storeOffset(offset identifier.Offset) uint64 { return uint64(offset)&(1<<eraShift-1) - 1 }
+
+// keepLeases follows the leases and claims them until ctx ends.
+func (s *Steward) keepLeases(ctx context.Context) {
+	var backOff time.Duration
+	if !pause(ctx, startDelay) {
+		return
+	}
+	for {
+		wait, err := s.step(ctx)
+		switch {
+		case err == nil || ctx.Err() != nil:
+			if backOff > 0 {
+				s.log.Info().Str("event", "storeBack").Str("topic", platform.TopicDuties).Msg("Leases can be followed again")
+			}
+			backOff = 0
+		default:
+			if backOff == 0 {
+				s.log.Warn().Err(err).Str("event", "storeLost").Str("topic", platform.TopicDuties).
+					Msg("Following or claiming leases failed; trying again")
+			}
+			s.count("storeFailures")
+			backOff = min(max(firstBackOff, 2*backOff), lastBackOff)
+			wait = backOff
+		}
+		if !pause(ctx, max(wait, minPause)) {
+			return
+		}
+	}
+}
+
+// step makes the next call to the store, if one is due, and returns how long to wait before the next step.
+func (s *Steward) step(ctx context.Context) (time.Duration, error) {
+	rank, candidate := s.rank()
+	s.mu.Lock()
+	for _, scope := range s.scopes() {
+		s.leaser.SetWanted(scope, candidate)
+	}
+	following := s.state != nil
+	if following && !candidate {
+		s.logDecisions(s.leaser.Abandon())
+		s.state = nil
+	}
+	unsure := s.unsure
+	s.mu.Unlock()
+	switch {
+	case !candidate:
+		return idleInterval, nil
+	case !following:
+		return 0, s.load(ctx)
+	case unsure:
+		return 0, s.read(ctx, 0)
+	}
+	claims, holds := s.takeClaims(rank)
+	switch {
+	case len(claims) > 0:
+		return 0, s.claim(ctx, claims)
+	case holds:
+		return holderInterval, nil
+	default:
+		return 0, s.read(ctx, s.hold())
+	}
+}
+
+// rank returns how many candidates come before this instance, and whether it is one itself.
+func (s *Steward) rank() (int, bool) {
+	for i, m := range s.stewards(candidates) {
+		if m.Instance == s.peers.Self().Instance {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			return i, !s.leaving
+		}
+	}
+	return 0, false
+}
+
+// hold returns how long a read may wait: until the latest lease may have ended.
+func (s *Steward) hold() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	left := s.grantedAt.Add(s.settings.LeaseDuration + clockMargin).Sub(s.now())
+	return max(minHold, min(left, maxHold))
+}
+
+// load reads the newest records of the topic, with which following it begins. All leases are taken to be held by others
+// from now on for their whole length, as they may have been renewed since.
+func (s *Steward) load(ctx context.Context) error {
+	limited, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	s.count("storeReads")
+	batch, err := s.store.ReadNewest(limited, platform.TopicDuties)
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	returned := s.everRead && batch.Era != s.era
+	fresh := batch.Era > 0
+	s.everRead, s.era, s.unsure, s.deferred = true, batch.Era, false, 0
+	leases := map[identifier.Scope]replayer.Lease{}
+	for _, scope := range s.scopes() {
+		leases[scope] = replayer.Lease{Scope: scope, Duration: s.settings.LeaseDuration}
+	}
+	for _, r := range batch.Records {
+		for _, scope := range s.scopes() {
+			if r.Key != leaseKey(scope, s.era) {
+				continue
+			}
+			if lease, ok := replayer.GrantedLease(replayOffset(s.era, r.Offset), r.Value); ok {
+				leases[scope], fresh = lease, false
+			}
+		}
+		s.readIntent(r)
+	}
+	known := make([]replayer.Lease, 0, len(leases))
+	for _, lease := range leases {
+		known = append(known, lease)
+	}
+	s.state = replayer.NewStateAt("", replayOffset(s.era, batch.Next), known)
+	s.logDecisions(s.leaser.Reset(now, known))
+	s.grantedAt = now
+	if returned || fresh {
+		// The store has lost its latest records, maybe the intent of a report that was sent.
+		s.ledger.DoubtBefore(s.clock.Now(s.elapsed()))
+	}
+	s.log.Info().Str("event", "leasesLoaded").Uint64("era", uint64(s.era)).Uint64("next", batch.Next).
+		Bool("storeReturned", returned).Msg("Following the leases of the duties")
+	return nil
+}
+
+// read applies the records that were appended, and waits for one if there are none.
+func (s *Steward) read(ctx context.Context, wait time.Duration) error {
+	s.mu.Lock()
+	if s.state == nil {
+		s.mu.Unlock()
+		return nil
+	}
+	from, era := storeOffset(s.state.Next()), s.era
+	s.mu.Unlock()
+	limited, cancel := context.WithTimeout(ctx, wait+storeTimeout)
+	defer cancel()
+	s.count("storeReads")
+	batch, err := s.store.Read(limited, platform.TopicDuties, from, wait)
+	var trimmed *platform.TrimmedError
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case errors.As(err, &trimmed):
+		s.log.Warn().Str("event", "leasesTrimmed").Uint64("from", from).Uint64("first", trimmed.FirstOffset).
+			Msg("The store no longer has the records that follow")
+		s.state = nil
+		return nil
+	case err != nil:
+		return err
+	case batch.Era != era:
+		s.changeEra(batch.Era)
+		return nil
+	}
+	s.unsure = false
+	for _, r := range batch.Records {
+		s.apply(r)
+	}
+	return nil
+}
+
+// changeEra ends all leases: the store has returned from an older copy. The caller holds the mutex.
+func (s *Steward) changeEra(era identifier.Era) {
+	s.log.Warn().Str("event", "eraChanged").Uint64("era", uint64(era)).Uint64("before", uint64(s.era)).
+		Msg("The store has returned from an older copy; all leases end")
+	s.logDecisions(s.leaser.Abandon())
+	s.state = nil
+}
+
+// apply applies one record. The caller holds the mutex.
+func (s *Steward) apply(r platform.Record) {
+	if s.state == nil {
+		return
+	}
+	offset := replayOffset(s.era, r.Offset)
+	if offset != s.state.Next() {
+		return
+	}
+	scope, found := s.scopeOf(r.Key)
+	if !found {
+		s.readIntent(r)
+		_ = s.state.Skip(offset)
+		return
+	}
+	applied, err := s.state.Apply(offset, r.Value)
+	if err != nil {
+		return
+	}
+	switch e := applied.Effect.(type) {
+	case replayer.LeaseGranted:
+		s.grantedAt, s.deferred = s.now(), 0
+		if !e.Renewal {
+			s.log.Info().Str("event", "leaseGranted").Str("scope", string(scope)).Str("holder", e.Lease.Holder).
+				Uint64("token", uint64(e.Lease.Token)).Msg("A duty has a new holder")
+		}
+		s.logDecisions(s.leaser.Granted(s.now(), applied.Record, e))
+	case replayer.Skipped:
+		s.log.Info().Str("event", "claimRefused").Str("scope", string(scope)).Str("author", applied.Author).
+			Str("cause", string(e.Cause)).Str("detail", e.Detail).Msg("A claim had no effect")
+	}
+}
+
+// scopeOf returns the scope of a claim's key in this era.
+func (s *Steward) scopeOf(key string) (identifier.Scope, bool) {
+	if !strings.HasPrefix(key, leasePrefix) {
+		return "", false
+	}
+	for _, scope := range s.scopes() {
+		if key == leaseKey(scope, s.era) {
+			return scope, true
+		}
+	}
+	return "", false
+}
+
+// takeClaims returns the claims that are due, and whether this instance holds a lease. A candidate leaves the first
+// claims of a lease that has ended to the candidates before it.
+func (s *Steward) takeClaims(rank int) ([]leaser.Claim, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	var claims []leaser.Claim
+	deferred, holds := false, false
+	for _, d := range s.leaser.Decide(now, func(identifier.Scope) bool { return true }) {
+		claim, ok := d.(leaser.Claim)
+		if !ok {
+			s.logDecisions([]leaser.Decision{d})
+			continue
+		}
+		if _, held := s.leaser.Held(now, claim.Scope); !held && s.deferred < rank {
+			deferred = true
+			continue
+		}
+		claims = append(claims, claim)
+	}
+	if deferred {
+		s.deferred++
+	}
+	for _, scope := range s.scopes() {
+		_, held := s.leaser.Held(now, scope)
+		holds = holds || held
+	}
+	return claims, holds
+}
+
+// claim appends claims, all or none.
+func (s *Steward) claim(ctx context.Context, claims []leaser.Claim) error {
+	return s.append(ctx, func() ([]platform.Record, error) {
+		records := make([]platform.Record, 0, len(claims))
+		for _, c := range claims {
+			id := s.newRecordID()
+			payload, err := proto.Marshal(&messenger.LeaseClaim{
+				Scope: string(c.Scope), Holder: s.holder, LastOffset: uint64(c.LastOffset),
+				DurationMs: identifier.Milliseconds(s.settings.LeaseDuration), Renewal: c.Renewal,
+			})
+			if err != nil {
+				return nil, err
+			}
+			value, err := proto.Marshal(&messenger.Record{
+				Id: string(id), Kind: messenger.RecordKind_RECORD_KIND_LEASE_CLAIM, Author: s.holder,
+				Scope: string(c.Scope), Token: uint64(c.Token), Payload: payload,
+			})
+			if err != nil {
+				return nil, err
+			}
+			s.leaser.ClaimSent(s.now(), c.Scope, c.Renewal, id)
+			records = append(records, platform.Record{Key: leaseKey(c.Scope, s.era), Value: value})
+		}
+		return records, nil
+	})
+}
+
+// newRecordID returns an id for the next record. The caller holds the mutex.
+func (s *Steward) newRecordID() identifier.RecordID {
+	s.records++
+	return identifier.RecordID(fmt.Sprintf("%s/%d", s.holder, s.records))
+}
+
+// append appends the records that makeRecords returns, under the condition that nothing was appended since the last record that
+// this instance has applied, and applies them. makeRecords is called with the mutex held.
+func (s *Steward) append(ctx context.Context, makeRecords func() ([]platform.Record, error)) error {
+	s.appending.Lock()
+	defer s.appending.Unlock()
+	s.mu.Lock()
+	if s.state == nil {
+		s.mu.Unlock()
+		return nil
+	}
+	at, era := storeOffset(s.state.Next()), s.era
+	records, err := makeRecords()
+	s.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	limited, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	s.count("storeWrites")
+	answered, err := s.store.Append(limited, platform.TopicDuties, at, records)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var refused *platform.StatusError
+	switch {
+	case err == nil && answered != era:
+		s.changeEra(answered)
+	case err == nil:
+		for i, r := range records {
+			r.Offset = at + uint64(i)
+			s.apply(r)
+		}
+	case errors.Is(err, platform.ErrMoved):
+		s.forgetClaims(records)
+		s.unsure = true
+		return nil
+	case errors.As(err, &refused):
+		s.forgetClaims(records)
+	default:
+		s.unsure = true
+	}
+	return err
+}
+
+// forgetClaims records that claims were certainly not appended. The caller holds the mutex.
+func (s *Steward) forgetClaims(records []platform.Record) {
+	for _, r := range records {
+		record := &messenger.Record{}
+		if proto.Unmarshal(r.Value, record) == nil {
+			s.leaser.ClaimFailed(s.now(), identifier.RecordID(record.GetId()))
+		}
+	}
+}
+
+// logDecisions logs the changes of the leases that this instance holds. The caller holds the mutex.
+func (s *Steward) logDecisions(decisions []leaser.Decision) {
+	for _, d := range decisions {
+		switch d := d.(type) {
+		case leaser.Gained:
+			s.count("leasesGained")
+			s.log.Info().Str("event", "leaseGained").Str("scope", string(d.Lease.Scope)).
+				Uint64("token", uint64(d.Lease.Token)).Dur("usableInMs", max(0, s.usableFrom(d.Lease).Sub(s.now()))).
+				Msg("This instance holds a duty")
+		case leaser.Lost:
+			s.count("leasesLost")
+			s.log.Warn().Str("event", "leaseLost").Str("scope", string(d.Scope)).Msg("This instance no longer holds a duty")
+		case leaser.Claim, leaser.Release:
+		}
+	}
+}
--- a/standin/emulator/store.go
+++ b/standin/emulator/store.go
@@ -272,14 +272,22 @@
 		writeJSON(w, http.StatusPreconditionFailed, map[string]any{"end-offset": t.start + len(t.records)})
 		return
 	}
-	key := 5 + int(body[4])
-	value := body[key:]
-	if len(value) == 0 {
-		// A record without a value deletes its key.
-		value = nil
+	at := t.start + len(t.records)
+	for len(body) >= 5 {
+		end := 4 + int(binary.BigEndian.Uint32(body))
+		key := 5 + int(body[4])
+		if end > len(body) || key > end {
+			break
+		}
+		value := body[key:end]
+		if len(value) == 0 {
+			// A record without a value deletes its key.
+			value = nil
+		}
+		s.put(name, entry{key: string(body[5:key]), value: value})
+		body = body[end:]
 	}
-	at := s.put(name, entry{key: string(body[5:key]), value: value})
-	writeJSON(w, http.StatusOK, map[string]any{"offset": at, "end-offset": at + 1})
+	writeJSON(w, http.StatusOK, map[string]any{"offset": at, "end-offset": t.start + len(t.records)})
 }
 
 func writeJSON(w http.ResponseWriter, status int, value any) {
