--- a/rosemaryspool/gatekeeper/gatekeeper.go
+++ b/rosemaryspool/gatekeeper/gatekeeper.go
@@ -358,5 +358,8 @@
 	ctx, cancel := context.WithTimeout(context.Background(), limit-time.Since(started))
 	defer cancel()
 	err := errors.Join(callers.Shutdown(ctx), peers.Shutdown(ctx))
+	if g.steward != nil {
+		g.steward.Flush()
+	}
 	return eris.Wrap(err, "gatekeeper: drain requests in flight")
 }
--- a/rosemaryspool/steward/exchange.go
+++ b/rosemaryspool/steward/exchange.go
@@ -66,6 +66,13 @@
 	}
 }
 
+// Flush sends the counts that no candidate has acknowledged yet; an instance that stops does so last.
+func (s *Steward) Flush() {
+	if s.settings.ReportsUsage {
+		s.sendCounts()
+	}
+}
+
 func (s *Steward) sendCounts() {
 	for _, m := range s.stewards(candidates) {
 		if m.Instance == s.peers.Self().Instance {
--- a/rosemaryspool/steward/lease.go
+++ b/rosemaryspool/steward/lease.go
@@ -339,8 +339,8 @@
 // append appends the records that makeRecords returns, under the condition that nothing was appended since the last record that
 // this instance has applied, and applies them. makeRecords is called with the mutex held.
 func (s *Steward) append(ctx context.Context, makeRecords func() ([]platform.Record, error)) error {
-	s.appending.Lock()
-	defer s.appending.Unlock()
+	s.appending <- struct{}{}
+	defer func() { <-s.appending }()
 	s.mu.Lock()
 	if s.state == nil {
 		s.mu.Unlock()
--- a/rosemaryspool/steward/steward.go
+++ b/rosemaryspool/steward/steward.go
@@ -76,8 +76,10 @@
 	elapsed func() time.Duration
 	holder  string
 	done    chan struct{}
-	// appending is held from the choice of an append's offset to its result.
-	appending sync.Mutex
+	// flight is how long a successor waits before its first call, for those that may still arrive.
+	flight time.Duration
+	// appending holds a value from the choice of an append's offset to its result.
+	appending chan struct{}
 
 	mu      sync.Mutex
 	leaser  *leaser.Leaser
@@ -107,18 +109,29 @@
 func NewSteward(
 	settings platform.DutySettings, store Store, cloud Cloud, peers Peers, sender Sender, log zerolog.Logger,
 	registry metrics.Registry,
+) *Steward {
+	return newSteward(settings, store, cloud, peers, sender, log, registry, sinceBoot())
+}
+
+func newSteward(
+	settings platform.DutySettings, store Store, cloud Cloud, peers Peers, sender Sender, log zerolog.Logger,
+	registry metrics.Registry, elapsed func() time.Duration,
 ) *Steward {
 	self := peers.Self()
 	s := &Steward{
 		settings: settings, store: store, cloud: cloud, peers: peers, sender: sender, log: log, registry: registry,
-		elapsed: sinceBoot(), holder: fmt.Sprintf("%s/%d", self.Instance, self.StartedMs), done: make(chan struct{}),
-		refused: map[identifier.Scope]identifier.Token{}, counter: meterer.NewCounter(),
+		elapsed: elapsed, holder: fmt.Sprintf("%s/%d", self.Instance, self.StartedMs), done: make(chan struct{}),
+		appending: make(chan struct{}, 1),
+		refused:   map[identifier.Scope]identifier.Token{}, counter: meterer.NewCounter(),
 		collector: meterer.NewCollector(), exchange: newExchange(),
 	}
 	s.leaser = leaser.NewLeaser(leaser.Settings{
 		Holder: s.holder, Duration: settings.LeaseDuration, Margin: clockMargin, RetryEvery: claimInterval,
 		RenewEvery: time.Duration(renewShare * float64(settings.LeaseDuration)),
 	})
+	if !settings.FencingEnforced {
+		s.flight = maxFlight
+	}
 	s.clock = meterer.NewClock(time.Now(), s.elapsed())
 	s.ledger = meterer.NewLedger(settings.ReportWindow, settings.ReportDelay, encodeUsage)
 	return s
@@ -165,10 +178,7 @@
 
 // usableFrom returns when no call of an earlier holder can arrive any more.
 func (s *Steward) usableFrom(lease leaser.HeldLease) time.Time {
-	if s.settings.FencingEnforced {
-		return lease.PredecessorExpiry
-	}
-	return lease.PredecessorExpiry.Add(maxFlight)
+	return lease.PredecessorExpiry.Add(s.flight)
 }
 
 // Refused records that the platform refused a call for a higher token: no further call is made with this one.
