Correct the time by which usage is counted

An instance's clock may differ or step. Counts go by the time of day at the start and a steady clock, corrected by the median of the instances' clocks; datagrams that waited for an instance that stood still say nothing about the time.

--- a/core/meterer/clock.go
+++ b/core/meterer/clock.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// minClocks is how many clocks a reference needs, the instance's own included: one that is wrong has no weight then.
-	minClocks = 3
+	// minClocks is how many clocks a reference needs, the instance's own included: two may be wrong then.
+	minClocks = 5
 	// clockMemory is how long another instance's clock counts after it was last heard.
 	clockMemory = 30 * time.Second
 	// minCorrection is above what datagrams take; smaller differences say nothing.
--- a/rosemaryspool/steward/exchange.go
+++ b/rosemaryspool/steward/exchange.go
@@ -28,6 +28,12 @@
 	// maxUnanswered is how many reports in a row a candidate may leave unanswered before it is passed over for a while.
 	maxUnanswered = 3
 	silenceTime   = 5 * time.Second
+	// maxRoundTrip is the age above which a receipt says nothing about the time.
+	maxRoundTrip = 500 * time.Millisecond
+	// standstill is a pause of this process after which datagrams have waited for it, and backlogTime how long it takes
+	// until they are read: their times are outdated.
+	standstill  = 500 * time.Millisecond
+	backlogTime = time.Second
 )
 
 // recipient is what this instance knows of one candidate to which it reports.
@@ -49,10 +55,38 @@
 	number     uint64
 	// clockKnown is true once another instance's reference was adopted.
 	clockKnown bool
+	// tickAt is when this process was last seen to run, backlogUntil the time until which datagrams may have waited.
+	tickAt       time.Duration
+	backlogUntil time.Duration
+}
+
+// tick records that this process runs.
+func (e *exchange) tick(now time.Duration) {
+	if now-e.tickAt > standstill {
+		e.backlogUntil = now + backlogTime
+	}
+	e.tickAt = now
+}
+
+// punctual reports whether datagrams are read as they arrive.
+func (e *exchange) punctual(now time.Duration) bool {
+	return now-e.tickAt <= standstill && now >= e.backlogUntil
 }
 
 func newExchange() exchange { return exchange{recipients: map[identifier.InstanceID]*recipient{}} }
 
+// watchStandstill notices that this process has stood still, until ctx ends.
+func (s *Steward) watchStandstill(ctx context.Context) {
+	for {
+		s.mu.Lock()
+		s.exchange.tick(s.elapsed())
+		s.mu.Unlock()
+		if !pause(ctx, standstill/5) {
+			return
+		}
+	}
+}
+
 // exchangeUsage sends this instance's counts to the candidates until ctx ends.
 func (s *Steward) exchangeUsage(ctx context.Context) {
 	if !pause(ctx, rand.N(exchangeInterval)) {
@@ -184,7 +218,10 @@
 	}
 	s.mu.Lock()
 	elapsed := s.elapsed()
-	s.clock.Heard(elapsed, r.Sender.Instance, time.UnixMilli(m.GetClockMs()))
+	punctual := s.exchange.punctual(elapsed)
+	if punctual && m.GetClockMs() != 0 {
+		s.clock.Heard(elapsed, r.Sender.Instance, time.UnixMilli(m.GetClockMs()))
+	}
 	now := s.clock.Now(elapsed)
 	oldest := meterer.WindowAt(now.Add(-keptDelays*s.settings.ReportDelay), s.settings.ReportWindow)
 	newest := meterer.WindowAt(now.Add(s.settings.ReportDelay), s.settings.ReportWindow)
@@ -200,6 +237,7 @@
 		s.collector.Merge(meterer.Sender{Instance: r.Sender.Instance, StartedMs: r.Sender.StartedMs}, w, usage)
 	}
 	reference, known := s.clock.Reference(elapsed)
+	known = known && punctual
 	if known {
 		s.correctClock(elapsed, reference, r.Sender.Instance)
 	}
@@ -223,15 +261,16 @@
 		return
 	}
 	to.unanswered, to.silentUntil = 0, 0
-	if to.pending[m.GetNumber()] {
+	latest, now := to.pending[m.GetNumber()], s.elapsed()
+	if latest {
 		delete(to.pending, m.GetNumber())
 		if len(to.pending) == 0 {
 			to.acknowledged = to.version
 		}
 	}
-	if m.GetClockMs() != 0 {
+	if m.GetClockMs() != 0 && latest && now-to.sentAt <= maxRoundTrip && s.exchange.punctual(now) {
 		s.exchange.clockKnown = true
-		s.correctClock(s.elapsed(), time.UnixMilli(m.GetClockMs()), r.Sender.Instance)
+		s.correctClock(now, time.UnixMilli(m.GetClockMs()), r.Sender.Instance)
 	}
 }
 
--- a/rosemaryspool/steward/steward.go
+++ b/rosemaryspool/steward/steward.go
@@ -147,6 +147,7 @@
 	group.Go(func() { s.keepLeases(ctx) })
 	if s.settings.ReportsUsage {
 		group.Go(func() { s.exchangeUsage(ctx) })
+		group.Go(func() { s.watchStandstill(ctx) })
 		group.Go(func() { s.reportUsage(ctx) })
 	}
 	group.Wait()
--- a/rosemaryspool/steward/usage.go
+++ b/rosemaryspool/steward/usage.go
@@ -7,7 +7,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net/http"
 	"strings"
 	"time"
 
@@ -23,6 +22,8 @@
 const (
 	// usageInterval is how often a holder checks whether a report is due.
 	usageInterval = 100 * time.Millisecond
+	// usageShare is the share of the platform's limit on calls that reports may use.
+	usageShare = 0.5
 	// callTimeout bounds a report's call, minCallTime is the least time for which it is worth making.
 	callTimeout = time.Second
 	minCallTime = 300 * time.Millisecond
@@ -52,7 +53,11 @@
 
 // reportUsage records and sends the reports that are due while this instance holds the lease.
 func (s *Steward) reportUsage(ctx context.Context) {
-	for pause(ctx, usageInterval) {
+	interval := usageInterval
+	if limit := s.settings.CallsPerSecond; limit > 0 {
+		interval = max(interval, time.Duration(float64(time.Second)/(usageShare*limit)))
+	}
+	for pause(ctx, interval) {
 		fence, until, held := s.Lease(ScopeUsage)
 		if !held {
 			continue
@@ -121,10 +126,11 @@
 	var refused *platform.CloudError
 	switch {
 	case errors.As(err, &refused) && refused.Conflicts():
-		outcome = "refused"
+		outcome = "conflict"
 		s.Refused(ScopeUsage, fence.Token)
 	case errors.As(err, &refused):
-		outcome = "rejected"
+		// The platform is busy, down or has too many calls.
+		outcome = "refused"
 	case err != nil:
 		outcome = "unknown"
 	}
@@ -138,9 +144,6 @@
 		return
 	}
 	s.ledger.Failed(s.clock.Now(s.elapsed()), task.Window)
-	if refused != nil && refused.Status == http.StatusTooManyRequests {
-		s.count("usageLimited")
-	}
 }
 
 // readIntent takes over the intent of a report. The caller holds the mutex.
