--- a/rosemaryspool/governor/demand.go
+++ b/rosemaryspool/governor/demand.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"rosemaryspool.example/core/allocator"
-	"rosemaryspool.example/core/elector"
 	"rosemaryspool.example/core/identifier"
 	"rosemaryspool.example/core/tracker"
 )
@@ -30,10 +29,3 @@
 	defer g.mu.Unlock()
 	return g.allocator.Entries(service)
 }
-
-// Candidates returns the first instances in the order of a duty.
-func (g *Governor) Candidates(now time.Time, duty elector.Duty, limit int) []elector.Member {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.elector.Trusted(now, duty, limit)
-}
--- a/rosemaryspool/provisioner/provisioner.go
+++ b/rosemaryspool/provisioner/provisioner.go
@@ -21,6 +21,7 @@
 	"rosemaryspool.example/platform"
 	"rosemaryspool.example/rosemaryspool/courier"
 	"rosemaryspool.example/rosemaryspool/governor"
+	"rosemaryspool.example/rosemaryspool/steward"
 	"rosemaryspool.example/wire/messenger"
 )
 
@@ -60,9 +61,6 @@
 
 // Settings holds what orders depend on.
 type Settings struct {
-	// Scope is that of the lease for orders, Duty the order in which instances stand for it.
-	Scope identifier.Scope
-	Duty  elector.Duty
 	// CallsPerSecond bounds the calls of all instances and duties together.
 	CallsPerSecond float64
 	Scaler         scaler.Settings
@@ -183,7 +181,7 @@
 			continue
 		}
 		report := encodeDemand(s.Name, period, demand)
-		for _, m := range p.governor.Candidates(now, p.settings.Duty, listeners) {
+		for _, m := range p.governor.Stewards(now, listeners) {
 			if m.Instance != p.governor.Self().Instance {
 				p.sender.Send(m, &messenger.Datagram{Body: &messenger.Datagram_DemandReport{DemandReport: report}})
 			}
@@ -206,7 +204,7 @@
 // order makes the orders that are due, if this instance holds the lease.
 func (p *Provisioner) order(ctx context.Context) {
 	now := time.Now()
-	fence, until, held := p.lease.Lease(p.settings.Scope)
+	fence, _, held := p.lease.Lease(steward.ScopeScale)
 	if !held {
 		return
 	}
@@ -238,7 +236,7 @@
 		}
 		p.mu.Unlock()
 		for _, o := range orders[:min(len(orders), limit)] {
-			group.Go(func() { p.call(ctx, fence, until, s.Name, known.scaler, o, plan) })
+			group.Go(func() { p.call(ctx, fence, s.Name, known.scaler, o, plan) })
 		}
 		limit -= min(len(orders), limit)
 	}
@@ -246,13 +244,14 @@
 
 // call makes one order and records how it ended.
 func (p *Provisioner) call(
-	ctx context.Context, fence platform.Fence, until time.Time, name identifier.ServiceName, decider *scaler.Scaler,
+	ctx context.Context, fence platform.Fence, name identifier.ServiceName, decider *scaler.Scaler,
 	o scaler.Order, plan scaler.Plan,
 ) {
 	sent := time.Now()
+	current, until, held := p.lease.Lease(steward.ScopeScale)
 	timeout := min(callTimeout, until.Sub(sent))
-	if timeout < minCallTime {
-		// The lease has to be renewed first.
+	if !held || current != fence || timeout < minCallTime {
+		// The lease has ended, or has to be renewed first.
 		return
 	}
 	limited, cancel := context.WithTimeout(ctx, timeout)
@@ -289,7 +288,7 @@
 		p.none.Inc(1)
 		return scaler.OutcomeNone
 	case refusal.Conflicts():
-		p.lease.Refused(p.settings.Scope, fence.Token)
+		p.lease.Refused(steward.ScopeScale, fence.Token)
 	}
 	p.refused.Inc(1)
 	return scaler.OutcomeRefused
