--- a/core/scaler/demand.go
+++ b/core/scaler/demand.go
@@ -50,9 +50,17 @@
 	return h.samples[len(h.samples)-1].needed
 }
 
-// mean returns the mean demand. What is expected of it counts less the longer it has been observed, and nothing after
-// HistoryLength.
-func (h *history) mean(now time.Time, expected float64) float64 {
+// length returns for how long the demand has been observed.
+func (h *history) length(now time.Time) time.Duration {
+	if h.first.IsZero() {
+		return 0
+	}
+	return now.Sub(h.first)
+}
+
+// mean returns the mean demand. What is expected of it counts as much as the demand of a time, trust, less the longer
+// it has been observed, and nothing after HistoryLength.
+func (h *history) mean(now time.Time, expected float64, trust time.Duration) float64 {
 	if len(h.samples) == 0 {
 		return expected
 	}
@@ -60,30 +68,41 @@
 	for _, s := range h.samples {
 		sum += s.needed
 	}
-	observed := now.Sub(h.first)
-	trust := h.settings.ExpectedTrust.Seconds() * max(0, 1-observed.Seconds()/h.settings.HistoryLength.Seconds())
-	length := min(observed, h.settings.HistoryLength).Seconds()
-	return (trust*expected + length*sum/float64(len(h.samples))) / max(trust+length, 1)
+	length, longest := h.length(now).Seconds(), h.settings.HistoryLength.Seconds()
+	weight := trust.Seconds() * max(0, 1-length/longest)
+	length = min(max(length, 1), longest)
+	return (weight*expected + length*sum/float64(len(h.samples))) / (weight + length)
 }
 
-// exceeded returns the number of servers that the demand exceeds for at most a share of the time: as it was seen, or as it
-// is to be expected with this mean. Bursts to BurstFactor times the mean are expected for BurstShare of the time, larger
-// ones are rarer in the same ratio.
-func (h *history) exceeded(share, mean float64) float64 {
-	if share >= 1 {
+// recentPeak returns the largest demand of the last time.
+func (h *history) recentPeak(now time.Time, within time.Duration) float64 {
+	peak := 0.0
+	for _, s := range h.samples {
+		if now.Sub(s.at) <= within {
+			peak = max(peak, s.needed)
+		}
+	}
+	return peak
+}
+
+// seen returns the number of servers that the demand has exceeded for at most a share of the time.
+func (h *history) seen(share float64) float64 {
+	if len(h.samples) == 0 {
 		return 0
 	}
-	decline := -math.Log(h.settings.BurstShare) / (h.settings.BurstFactor - 1)
-	expected := mean * (1 - math.Log(share)/decline)
 	needed := make([]float64, 0, len(h.samples))
 	for _, s := range h.samples {
 		needed = append(needed, s.needed)
 	}
-	if len(needed) == 0 {
-		return expected
-	}
 	slices.Sort(needed)
-	return max(expected, needed[min(len(needed)-1, int((1-share)*float64(len(needed))))])
+	return needed[max(0, min(len(needed)-1, int((1-share)*float64(len(needed)))))]
+}
+
+// expected returns the number of servers that a demand with this mean is expected to exceed for a share of the time. Bursts
+// to BurstFactor times the mean are expected for BurstShare of it, larger ones are rarer in the same ratio.
+func (s Settings) expected(share, mean float64) float64 {
+	decline := -math.Log(s.BurstShare) / (s.BurstFactor - 1)
+	return mean * max(1, 1-math.Log(share)/decline)
 }
 
 // level is a number that rises at once and falls slowly.
@@ -98,6 +117,8 @@
 // follow updates the level for the number that is needed now, and returns it. Small changes are passed over.
 func (l *level) follow(now time.Time, needed int, s Settings) int {
 	switch {
+	case l.value == 0:
+		l.value = needed
 	case needed > l.value:
 		if float64(needed) > (1+s.Tolerance)*float64(l.value) {
 			// Further small rises are likely.
--- a/core/scaler/scaler.go
+++ b/core/scaler/scaler.go
@@ -33,9 +33,11 @@
 	// started.
 	SafeShare float64
 	// FoundUse is the share of the servers found at first that the mean demand is expected to need, ExpectedTrust how long
-	// the demand has to be observed to count as much as that. HistoryLength is how long demand is remembered.
+	// the demand has to be observed to count as much as that. An instance that has observed it for LearnTime when it begins
+	// expects nothing. HistoryLength is how long demand is remembered.
 	FoundUse      float64
 	ExpectedTrust time.Duration
+	LearnTime     time.Duration
 	HistoryLength time.Duration
 	// Tolerance is the relative change of a number that is passed over.
 	Tolerance float64
@@ -44,6 +46,8 @@
 	ShrinkDelay    time.Duration
 	ShrinkInterval time.Duration
 	ShrinkShare    float64
+	// LullTime is how long the demand has to be low before servers are exchanged for others that have to start first.
+	LullTime time.Duration
 	// FollowTime is how long after an order and the servers' boot time the list has to follow it.
 	FollowTime time.Duration
 	// LateTime is how long after a call without a response it may still be carried out.
@@ -63,15 +67,17 @@
 		BurstShare:  0.05,
 		Utilisation: 0.6,
 		MixedUse:    0.5,
-		SafeShare:   0.5,
+		SafeShare:   1.0 / 3,
 
 		FoundUse:        0.5,
 		ExpectedTrust:   30 * time.Second,
+		LearnTime:       5 * time.Second,
 		HistoryLength:   2 * time.Minute,
 		Tolerance:       0.1,
 		ShrinkDelay:     15 * time.Second,
 		ShrinkInterval:  3 * time.Second,
 		ShrinkShare:     0.5,
+		LullTime:        5 * time.Second,
 		FollowTime:      3 * time.Second,
 		LateTime:        12 * time.Second,
 		RefusedPause:    2 * time.Second,
@@ -149,6 +155,10 @@
 	Mean   float64
 	Total  int
 	Normal int
+	// Usual is the number that serves the demand but for bursts.
+	Usual int
+	// Least is the number of servers that has to be ready while some are exchanged for others.
+	Least int
 	// Ready is the number of servers that are listed and don't leave, of both kinds.
 	Ready     int
 	ReadySpot int
@@ -190,6 +200,8 @@
 	// total and normal are the numbers of servers to have, and of normal ones among them.
 	total  level
 	normal level
+	// trust is the time for which the demand expected from the servers found counts.
+	trust time.Duration
 	// shrunkAt is when fewer servers were last ordered.
 	shrunkAt time.Time
 	// reclaimedAt is when spot servers last began to leave without an order.
@@ -198,12 +210,19 @@
 
 // NewScaler returns a scaler that knows nothing of the demand yet.
 func NewScaler(settings Settings) *Scaler {
-	return &Scaler{settings: settings, history: history{settings: settings}, pools: map[Pool]*poolState{}}
+	return &Scaler{
+		settings: settings, history: history{settings: settings}, pools: map[Pool]*poolState{},
+		trust: settings.ExpectedTrust,
+	}
 }
 
 // Begin forgets the numbers in force, which another instance may have changed. What is known of the demand is kept.
-func (s *Scaler) Begin() {
+func (s *Scaler) Begin(now time.Time) {
 	s.pools, s.total, s.normal = map[Pool]*poolState{}, level{}, level{}
+	s.trust = 0
+	if s.history.length(now) < s.settings.LearnTime {
+		s.trust = s.settings.ExpectedTrust
+	}
 	s.shrunkAt, s.reclaimedAt = time.Time{}, time.Time{}
 }
 
@@ -246,7 +265,7 @@
 func (s *Scaler) Decide(now time.Time, bounds matcher.Scaling, servers []tracker.Entry) ([]Order, Plan) {
 	s.count(now, bounds, servers)
 	plan := s.plan(now, bounds)
-	targets := s.distribute(now, bounds, &plan)
+	targets := s.distribute(bounds, plan)
 	return s.orders(now, bounds, targets, plan), plan
 }
 
@@ -315,25 +334,30 @@
 		// An instance that knew the demand has ordered them.
 		expected = min(expected, float64(foundNormal)/s.settings.SafeShare)
 	}
-	plan.Mean = s.history.mean(now, expected)
-	price := 1.0
+	plan.Mean = s.history.mean(now, expected, s.trust)
+	// The last server to be added is worth its price for this share of the time; a normal one for usualShare.
+	usualShare := 1 / s.settings.LossWeight
+	// For bursts that were not seen yet, no more normal servers are kept than there were.
+	usual := max(
+		s.history.seen(usualShare), plan.Mean, min(float64(found), s.settings.expected(usualShare, plan.Mean)),
+	)
+	var total, normal float64
 	if bounds.SpotPrice > 0 {
-		price = bounds.SpotPrice
+		share := bounds.SpotPrice * usualShare
+		total = max(s.history.seen(share), s.settings.expected(share, plan.Mean))
+		normal = s.settings.SafeShare * plan.Mean
+	} else {
+		total = usual
 	}
-	// The last server to be added is worth its price for this share of the time.
-	total := s.history.exceeded(price/s.settings.LossWeight, plan.Mean)
-	usual := s.history.exceeded(1/s.settings.LossWeight, plan.Mean)
 	if n := float64(len(bounds.Prices)); n > 1 {
-		// The other data centres serve the usual demand when one is lost.
-		total = max(total, usual*n/(n-1))
+		// The other data centres serve the mean demand when one is lost.
+		total = max(total, plan.Mean*n/(n-1))
 	}
-	normal := s.settings.SafeShare * plan.Mean
 	if bounds.SpotPrice <= 0 {
 		normal = total
-	} else if len(plan.Scarce) == len(bounds.Prices) {
-		// Spot servers can't be had: normal ones serve the usual demand meanwhile.
-		normal = max(normal, usual-float64(plan.ReadySpot))
 	}
+	plan.Usual = int(math.Ceil(usual))
+	plan.Least = int(math.Ceil(max(plan.Mean, s.history.recentPeak(now, s.settings.LullTime))))
 	most := bounds.Max * len(bounds.Prices)
 	plan.Total = min(most, s.total.follow(now, int(math.Ceil(total)), s.settings))
 	plan.Normal = min(most, s.normal.follow(now, int(math.Ceil(normal)), s.settings))
@@ -342,7 +366,7 @@
 
 // distribute returns the number of servers of each pool: the data centres get the same number of them if they can, and
 // cheaper ones what is left over.
-func (s *Scaler) distribute(now time.Time, bounds matcher.Scaling, plan *Plan) map[Pool]int {
+func (s *Scaler) distribute(bounds matcher.Scaling, plan Plan) map[Pool]int {
 	dataCentres := make([]identifier.DataCentre, 0, len(bounds.Prices))
 	for dataCentre := range bounds.Prices {
 		dataCentres = append(dataCentres, dataCentre)
@@ -355,35 +379,36 @@
 	})
 	targets := map[Pool]int{}
 	used := func(d identifier.DataCentre) int { return targets[Pool{d, false}] + targets[Pool{d, true}] }
-	fill := func(count int, spot bool, allowed func(identifier.DataCentre) bool) int {
+	placed := func() int {
+		sum := 0
+		for _, d := range dataCentres {
+			sum += used(d)
+		}
+		return sum
+	}
+	fill := func(count int, spot bool, excluded []identifier.DataCentre) {
 		for ; count > 0; count-- {
 			var best identifier.DataCentre
 			for _, d := range dataCentres {
-				if used(d) < bounds.Max && allowed(d) && (best == "" || used(d) < used(best)) {
+				if used(d) < bounds.Max && !slices.Contains(excluded, d) && (best == "" || used(d) < used(best)) {
 					best = d
 				}
 			}
 			if best == "" {
-				return count
+				return
 			}
 			targets[Pool{best, spot}]++
 		}
-		return 0
 	}
-	anywhere := func(identifier.DataCentre) bool { return true }
-	fill(max(plan.Normal, 0), false, anywhere)
+	fill(plan.Normal, false, nil)
 	if bounds.SpotPrice > 0 {
-		scarce := func(d identifier.DataCentre) bool { return slices.Contains(plan.Scarce, d) }
 		// Where none are to be had, those that are there stay.
 		for _, d := range plan.Scarce {
-			pool := Pool{d, true}
-			targets[pool] = min(s.pools[pool].ready, bounds.Max-targets[Pool{d, false}])
-		}
-		placed := 0
-		for _, d := range dataCentres {
-			placed += used(d)
+			targets[Pool{d, true}] = min(s.pools[Pool{d, true}].ready, bounds.Max-targets[Pool{d, false}])
 		}
-		fill(plan.Total-placed, true, func(d identifier.DataCentre) bool { return !scarce(d) })
+		fill(plan.Total-placed(), true, plan.Scarce)
+		// What spot servers can't serve of the usual demand is left to normal ones.
+		fill(plan.Usual-placed(), false, nil)
 	}
 	for _, d := range dataCentres {
 		for used(d) < bounds.Min {
@@ -409,14 +434,12 @@
 		p := s.pools[pool]
 		p.uncertain = slices.DeleteFunc(p.uncertain, func(c uncertainCall) bool { return !now.Before(c.until) })
 		if now.Before(p.pausedUntil) {
+			if o, needed := s.release(now, pool, targets); needed {
+				orders = append(orders, o)
+			}
 			continue
 		}
-		other := s.pools[Pool{pool.DataCentre, !pool.Spot}]
-		room := bounds.Max
-		if other != nil {
-			room -= max(other.desired, other.ready)
-		}
-		target := min(targets[pool], room)
+		target := min(targets[pool], bounds.Max-s.occupied(Pool{pool.DataCentre, !pool.Spot}))
 		switch {
 		case target >= p.desired:
 			p.aboveSince = time.Time{}
@@ -457,6 +480,25 @@
 	return orders
 }
 
+// occupied returns how many places of a data centre a pool takes.
+func (s *Scaler) occupied(pool Pool) int {
+	if p := s.pools[pool]; p != nil {
+		return max(p.desired, p.ready)
+	}
+	return 0
+}
+
+// release returns an order for no more spot servers than there are, if others are not to be had and normal ones are to take
+// their places.
+func (s *Scaler) release(now time.Time, pool Pool, targets map[Pool]int) (Order, bool) {
+	p, normal := s.pools[pool], s.pools[Pool{DataCentre: pool.DataCentre}]
+	if !pool.Spot || p.repeat || p.ready >= p.desired || now.Before(normal.pausedUntil) ||
+		targets[Pool{DataCentre: pool.DataCentre}] <= normal.desired {
+		return Order{}, false
+	}
+	return Order{Pool: pool, Count: p.ready, Before: p.desired, Cause: CauseReclaimed}, true
+}
+
 // mayShrinkLate reports whether a call that asks for fewer servers than the number in force may still be carried out.
 func (p *poolState) mayShrinkLate() bool {
 	return slices.ContainsFunc(p.uncertain, func(c uncertainCall) bool { return c.count < p.desired })
@@ -473,20 +515,24 @@
 		now.Sub(s.shrunkAt) >= s.settings.ShrinkInterval
 }
 
-// shrink returns the number to which a pool may be reduced now: what is ready without the removed servers is enough.
+// shrink returns the number to which a pool may be reduced now: what is ready without the removed servers is enough. While
+// a data centre has no room for the servers that replace them, enough for the demand of the last time will do.
 func (s *Scaler) shrink(pool Pool, target int, targets map[Pool]int, plan Plan) int {
 	p := s.pools[pool]
+	if p.ready <= target {
+		// No server leaves.
+		return target
+	}
 	wanted := 0
 	for _, count := range targets {
 		wanted += count
 	}
-	spare := plan.Ready - min(wanted, plan.Total)
-	step := min(p.ready-target, spare, max(1, int(s.settings.ShrinkShare*float64(p.desired))))
+	other := Pool{pool.DataCentre, !pool.Spot}
+	if o := s.pools[other]; o != nil && targets[other] > o.desired {
+		wanted = min(wanted, plan.Least)
+	}
+	step := min(p.ready-target, plan.Ready-wanted, max(1, int(s.settings.ShrinkShare*float64(p.desired))))
 	if step <= 0 {
-		if p.ready <= target {
-			// Fewer are there than were ordered; no server leaves.
-			return target
-		}
 		return p.desired
 	}
 	return p.ready - step
--- /dev/null
+++ b/core/scaler/scaler_test.go
@@ -0,0 +1,201 @@
+package scaler
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"rosemaryspool.example/core/identifier"
+)
+
+// load is a demand at a time, in busy prefill engines and taken slots.
+type load func(at time.Duration) (prefill, places float64)
+
+const meanPrefill, meanPlaces = 7.4, 100
+
+func steady(time.Duration) (float64, float64) { return meanPrefill, meanPlaces }
+
+// bursts has twice or three times the mean load for 3 s of each 20 s, from one moment to the next.
+func bursts(factor float64) load {
+	return func(at time.Duration) (float64, float64) {
+		if at%(20*time.Second) >= 17*time.Second {
+			return factor * meanPrefill, factor * meanPlaces
+		}
+		return meanPrefill, meanPlaces
+	}
+}
+
+// shifting has long prompts and long answers by turns.
+func shifting(at time.Duration) (float64, float64) {
+	if at/(2800*time.Millisecond)%2 == 0 {
+		return 1.9 * meanPrefill, 0.6 * meanPlaces
+	}
+	return 0.4 * meanPrefill, 1.9 * meanPlaces
+}
+
+// growing has a mean that doubles within a minute.
+func growing(at time.Duration) (float64, float64) {
+	factor := 1 + min(1, at.Seconds()/60)
+	return factor * meanPrefill, factor * meanPlaces
+}
+
+// play lets a scaler order servers under a load, and the same load meet a fleet that stays as it is.
+func play(t *testing.T, f *fleet, l load, length time.Duration, during func(at time.Duration)) (fixed *fleet) {
+	t.Helper()
+	fixed = newFleet(48, f.bounds.SpotPrice)
+	s := NewScaler(DefaultSettings())
+	for f.now.Sub(f.began) < length {
+		at := f.step()
+		if during != nil {
+			during(at)
+		}
+		prefill, places := l(at)
+		f.serve(prefill, places)
+		fixed.serve(prefill, places)
+		s.Observe(f.now, Demand{Prefill: prefill, MixedSpeed: 0.5, Places: places, Requests: 100}, f.entries())
+		orders, _ := s.Decide(f.now, f.bounds, f.entries())
+		for _, o := range orders {
+			require.GreaterOrEqual(t, o.Count, 0)
+			s.Ended(f.now, f.now, o, f.order(o))
+		}
+		for d := range f.bounds.Prices {
+			both := f.desired[Pool{d, false}] + f.desired[Pool{d, true}]
+			require.LessOrEqual(t, both, f.bounds.Max, "%s at %s", d, at)
+			require.GreaterOrEqual(t, both, f.bounds.Min, "%s at %s", d, at)
+		}
+	}
+	return fixed
+}
+
+func TestCallersGetWhatAFixedFleetGivesForLess(t *testing.T) {
+	down := func(from, to time.Duration, outcome Outcome, delay time.Duration) func(time.Duration, Order) (Outcome, time.Duration) {
+		return func(at time.Duration, _ Order) (Outcome, time.Duration) {
+			if at >= from && at < to {
+				return outcome, delay
+			}
+			return OutcomeAccepted, 0
+		}
+	}
+	none := func(_ time.Duration, o Order) (Outcome, time.Duration) {
+		if o.Pool.Spot {
+			return OutcomeNone, 0
+		}
+		return OutcomeAccepted, 0
+	}
+	tests := []struct {
+		name      string
+		load      load
+		spotPrice float64
+		answer    func(at time.Duration, o Order) (Outcome, time.Duration)
+		// reclaim is a data centre that is reclaimed at 60 s; none are to be had anywhere for 10 s if dry.
+		reclaim identifier.DataCentre
+		dry     bool
+		// most is the largest share of the fixed fleet's price.
+		most float64
+	}{
+		{name: "steady", load: steady, spotPrice: 0.15, most: 0.6},
+		{name: "peaks of twice the mean", load: bursts(2), spotPrice: 0.15, most: 0.7},
+		{name: "peaks of three times the mean", load: bursts(3), spotPrice: 0.15, most: 0.8},
+		{name: "the mix shifts", load: shifting, spotPrice: 0.15, most: 0.8},
+		{name: "growing", load: growing, spotPrice: 0.15, most: 1},
+		{name: "a data centre is reclaimed", load: bursts(2), spotPrice: 0.15, reclaim: "b", most: 0.8},
+		{name: "a data centre is reclaimed, no others to be had", load: bursts(2), spotPrice: 0.15, reclaim: "b", dry: true, most: 0.8},
+		// These peaks last long enough to be worth the price of normal servers for twice the mean.
+		{name: "spot servers nowhere to be had", load: bursts(2), spotPrice: 0.15, answer: none, most: 1.05},
+		{name: "no spot servers", load: bursts(2), most: 1.05},
+		{
+			name: "the platform is down", load: bursts(2), spotPrice: 0.15, most: 1,
+			answer: down(0, 30*time.Second, OutcomeUncertain, 0),
+		},
+		{
+			name: "the platform is too busy", load: bursts(2), spotPrice: 0.15, most: 1,
+			answer: down(2*time.Second, 30*time.Second, OutcomeRefused, 0),
+		},
+		{
+			name: "calls are carried out late", load: growing, spotPrice: 0.15, most: 1,
+			answer: down(0, 40*time.Second, OutcomeUncertain, 6*time.Second),
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			f := newFleet(48, test.spotPrice)
+			f.answer = test.answer
+			fixed := play(t, f, test.load, 2*time.Minute, func(at time.Duration) {
+				if test.reclaim == "" || at != time.Minute {
+					return
+				}
+				f.reclaim(test.reclaim)
+				f.answer = func(now time.Duration, o Order) (Outcome, time.Duration) {
+					gone := test.dry || o.Pool.DataCentre == test.reclaim
+					if o.Pool.Spot && gone && now < 70*time.Second {
+						return OutcomeNone, 0
+					}
+					return OutcomeAccepted, 0
+				}
+			})
+			t.Logf("served %.4f (fixed fleet %.4f) for %.2f of its price, %d orders",
+				f.served/f.offered, fixed.served/fixed.offered, f.paid/fixed.paid, f.ordered)
+			require.GreaterOrEqual(t, f.served/f.offered, 0.99*fixed.served/fixed.offered)
+			require.LessOrEqual(t, f.paid/fixed.paid, test.most)
+		})
+	}
+}
+
+func TestAllSpotServersMayBeLost(t *testing.T) {
+	f := newFleet(48, 0.15)
+	lost := 40 * time.Second
+	offered, served := 0.0, 0.0
+	play(t, f, func(at time.Duration) (float64, float64) {
+		if at == lost+4*time.Second {
+			offered, served = f.offered, f.served
+		}
+		return steady(at)
+	}, lost+20*time.Second, func(at time.Duration) {
+		if at != lost {
+			return
+		}
+		f.answer = func(_ time.Duration, o Order) (Outcome, time.Duration) {
+			if o.Pool.Spot && o.Count > 0 {
+				return OutcomeNone, 0
+			}
+			return OutcomeAccepted, 0
+		}
+		for d := range f.bounds.Prices {
+			f.reclaim(d)
+		}
+	})
+	// Normal servers have started within the boot time after the notice.
+	require.Greater(t, (f.served-served)/(f.offered-offered), 0.95)
+}
+
+func TestLateOrdersForFewerServersAreCorrected(t *testing.T) {
+	f := newFleet(48, 0.15)
+	s := NewScaler(DefaultSettings())
+	decide := func() []Order {
+		s.Observe(f.now, Demand{Prefill: meanPrefill, MixedSpeed: 0.5, Requests: 1}, f.entries())
+		orders, _ := s.Decide(f.now, f.bounds, f.entries())
+		return orders
+	}
+	pool := Pool{DataCentre: "a"}
+	decide()
+	// A call for fewer gets no response, a later one for more is accepted.
+	s.Ended(f.now, f.now, Order{Pool: pool, Count: 3}, OutcomeUncertain)
+	s.Ended(f.now, f.now, Order{Pool: pool, Count: 12}, OutcomeAccepted)
+	f.now = f.now.Add(5 * time.Second)
+	require.Contains(t, decide(), Order{Pool: pool, Count: 12, Before: 12, Cause: CauseUncertain})
+	f.now = f.now.Add(DefaultSettings().LateTime)
+	for _, o := range decide() {
+		require.NotEqual(t, CauseUncertain, o.Cause)
+	}
+}
+
+func TestExpectedBursts(t *testing.T) {
+	s := DefaultSettings()
+	require.InDelta(t, s.BurstFactor*10, s.expected(s.BurstShare, 10), 1e-9)
+	require.InDelta(t, 10, s.expected(1, 10), 1e-9)
+	// Four times the mean is as much rarer than three times as three times is than twice.
+	two, three := math.Pow(s.BurstShare, 0.5), s.BurstShare
+	require.InDelta(t, 40, s.expected(three*three/two, 10), 1e-9)
+}
--- a/rosemaryspool/provisioner/provisioner.go
+++ b/rosemaryspool/provisioner/provisioner.go
@@ -224,7 +224,7 @@
 		p.mu.Lock()
 		known := p.service(s.Name)
 		if isNew {
-			known.scaler.Begin()
+			known.scaler.Begin(now)
 			p.log.Info().Str("event", "scalingBegun").Str("service", string(s.Name)).Uint64("token", uint64(fence.Token)).
 				Int("servers", len(entries)).Msg("This instance decides on the number of servers")
 		}
