--- a/core/scaler/scaler.go
+++ b/core/scaler/scaler.go
@@ -263,6 +263,9 @@
 
 // Decide returns the orders to be made now, and what they are based on. The caller reports each one's outcome to Ended.
 func (s *Scaler) Decide(now time.Time, bounds matcher.Scaling, servers []tracker.Entry) ([]Order, Plan) {
+	if bounds.Max <= 0 || len(bounds.Prices) == 0 {
+		return nil, Plan{}
+	}
 	s.count(now, bounds, servers)
 	plan := s.plan(now, bounds)
 	targets := s.distribute(bounds, plan)
@@ -422,7 +425,9 @@
 func (s *Scaler) orders(now time.Time, bounds matcher.Scaling, targets map[Pool]int, plan Plan) []Order {
 	pools := make([]Pool, 0, len(s.pools))
 	for pool := range s.pools {
-		pools = append(pools, pool)
+		if _, priced := bounds.Prices[pool.DataCentre]; priced && (!pool.Spot || bounds.SpotPrice > 0) {
+			pools = append(pools, pool)
+		}
 	}
 	slices.SortFunc(pools, func(a, b Pool) int {
 		return cmp.Or(cmp.Compare(bounds.Prices[a.DataCentre], bounds.Prices[b.DataCentre]),
--- a/core/scaler/scaler_test.go
+++ b/core/scaler/scaler_test.go
@@ -194,6 +194,22 @@
 	}
 }
 
+func TestServersWithoutPriceAreLeftAlone(t *testing.T) {
+	f := newFleet(48, 0.15)
+	for _, price := range []map[identifier.DataCentre]float64{nil, {"a": 1}} {
+		s := NewScaler(DefaultSettings())
+		f.bounds.Prices = price
+		for range 40 {
+			f.now = f.now.Add(testStep)
+			orders, _ := s.Decide(f.now, f.bounds, f.entries())
+			for _, o := range orders {
+				require.Equal(t, identifier.DataCentre("a"), o.Pool.DataCentre)
+				s.Ended(f.now, f.now, o, OutcomeAccepted)
+			}
+		}
+	}
+}
+
 func TestExpectedBursts(t *testing.T) {
 	s := DefaultSettings()
 	require.InDelta(t, s.BurstFactor*10, s.expected(s.BurstShare, 10), 1e-9)
