--- a/core/scaler/scaler.go
+++ b/core/scaler/scaler.go
@@ -434,12 +434,11 @@
 			cmp.Compare(a.DataCentre, b.DataCentre))
 	})
 	var orders []Order
-	shrunk := false
 	for _, pool := range pools {
 		p := s.pools[pool]
 		p.uncertain = slices.DeleteFunc(p.uncertain, func(c uncertainCall) bool { return !now.Before(c.until) })
 		if now.Before(p.pausedUntil) {
-			if o, needed := s.release(now, pool, targets); needed {
+			if o, needed := s.release(now, pool, bounds, targets); needed {
 				orders = append(orders, o)
 			}
 			continue
@@ -467,7 +466,6 @@
 				if !pool.Spot && bounds.SpotPrice > 0 {
 					cause = CauseCheaper
 				}
-				shrunk = true
 				orders = append(orders, Order{Pool: pool, Count: count, Before: p.desired, Cause: cause})
 				plan.Ready -= p.ready - count
 			}
@@ -479,9 +477,6 @@
 			orders = append(orders, Order{Pool: pool, Count: p.desired, Before: p.desired, Cause: CauseNotFollowed})
 		}
 	}
-	if shrunk {
-		s.shrunkAt = now
-	}
 	return orders
 }
 
@@ -495,10 +490,12 @@
 
 // release returns an order for no more spot servers than there are, if others are not to be had and normal ones are to take
 // their places.
-func (s *Scaler) release(now time.Time, pool Pool, targets map[Pool]int) (Order, bool) {
-	p, normal := s.pools[pool], s.pools[Pool{DataCentre: pool.DataCentre}]
-	if !pool.Spot || p.repeat || p.ready >= p.desired || now.Before(normal.pausedUntil) ||
-		targets[Pool{DataCentre: pool.DataCentre}] <= normal.desired {
+func (s *Scaler) release(now time.Time, pool Pool, bounds matcher.Scaling, targets map[Pool]int) (Order, bool) {
+	p, normal := s.pools[pool], Pool{DataCentre: pool.DataCentre}
+	switch {
+	case !pool.Spot || p.repeat || p.ready >= p.desired:
+		return Order{}, false
+	case now.Before(s.pools[normal].pausedUntil) || targets[normal] <= bounds.Max-s.occupied(pool):
 		return Order{}, false
 	}
 	return Order{Pool: pool, Count: p.ready, Before: p.desired, Cause: CauseReclaimed}, true
@@ -570,7 +567,7 @@
 		p.uncertain = append(p.uncertain, uncertainCall{count: o.Count, until: sent.Add(s.settings.LateTime)})
 	}
 	if o.Count < p.desired {
-		p.shrunkAt = now
+		p.shrunkAt, s.shrunkAt = now, now
 	}
 	p.desired, p.orderedAt = o.Count, now
 }
--- a/rosemaryspool/provisioner/provisioner.go
+++ b/rosemaryspool/provisioner/provisioner.go
@@ -70,6 +70,8 @@
 type service struct {
 	scaler  *scaler.Scaler
 	counter counter
+	// token is that of the lease under which the last decision was made.
+	token identifier.Token
 	// planLoggedAt is when a decision that ordered nothing was last logged.
 	planLoggedAt time.Time
 }
@@ -89,10 +91,12 @@
 	none      metrics.Counter
 	uncertain metrics.Counter
 
+	// allowance is the number of calls that may be made at allowedAt. Only order uses them.
+	allowance float64
+	allowedAt time.Time
+
 	mu       sync.Mutex
 	services map[identifier.ServiceName]*service
-	// token is that of the lease under which the last decision was made.
-	token identifier.Token
 }
 
 // NewProvisioner returns a provisioner of the services in g's configuration.
@@ -208,11 +212,7 @@
 	if !held {
 		return
 	}
-	p.mu.Lock()
-	isNew := fence.Token != p.token
-	p.token = fence.Token
-	p.mu.Unlock()
-	limit := max(1, int(callShare*p.settings.CallsPerSecond*decisionInterval.Seconds()))
+	limit := p.allow(now)
 	var group conc.WaitGroup
 	defer group.Wait()
 	for _, s := range p.scalable() {
@@ -223,7 +223,8 @@
 		}
 		p.mu.Lock()
 		known := p.service(s.Name)
-		if isNew {
+		if fence.Token != known.token {
+			known.token = fence.Token
 			known.scaler.Begin(now)
 			p.log.Info().Str("event", "scalingBegun").Str("service", string(s.Name)).Uint64("token", uint64(fence.Token)).
 				Int("servers", len(entries)).Msg("This instance decides on the number of servers")
@@ -235,13 +236,23 @@
 				Msg("Number of servers stays as it is")
 		}
 		p.mu.Unlock()
-		for _, o := range orders[:min(len(orders), limit)] {
+		orders = orders[:min(len(orders), limit)]
+		for _, o := range orders {
 			group.Go(func() { p.call(ctx, fence, s.Name, known.scaler, o, plan) })
 		}
-		limit -= min(len(orders), limit)
+		limit -= len(orders)
+		p.allowance -= float64(len(orders))
 	}
 }
 
+// allow returns how many calls may be made now: what a second allows, less those of the last second.
+func (p *Provisioner) allow(now time.Time) int {
+	perSecond := callShare * p.settings.CallsPerSecond
+	p.allowance = min(max(1, perSecond), p.allowance+perSecond*now.Sub(p.allowedAt).Seconds())
+	p.allowedAt = now
+	return int(p.allowance)
+}
+
 // call makes one order and records how it ended.
 func (p *Provisioner) call(
 	ctx context.Context, fence platform.Fence, name identifier.ServiceName, decider *scaler.Scaler,
