--- a/core/scaler/scaler.go
+++ b/core/scaler/scaler.go
@@ -52,11 +52,11 @@
 	FollowTime time.Duration
 	// LateTime is how long after a call without a response it may still be carried out.
 	LateTime time.Duration
-	// RefusedPause is the time until spot servers are ordered again where there were none; it doubles up to
-	// MaxRefusedPause. FailedPause is the time until the next order after a failed call.
-	RefusedPause    time.Duration
-	MaxRefusedPause time.Duration
-	FailedPause     time.Duration
+	// ScarceTime is the time until spot servers are ordered again where there were none; it doubles up to MaxScarceTime.
+	// FailedPause is the time until the next order after a failed call.
+	ScarceTime    time.Duration
+	MaxScarceTime time.Duration
+	FailedPause   time.Duration
 }
 
 // DefaultSettings returns the default settings.
@@ -69,20 +69,20 @@
 		MixedUse:    0.5,
 		SafeShare:   1.0 / 3,
 
-		FoundUse:        0.5,
-		ExpectedTrust:   30 * time.Second,
-		LearnTime:       5 * time.Second,
-		HistoryLength:   2 * time.Minute,
-		Tolerance:       0.1,
-		ShrinkDelay:     15 * time.Second,
-		ShrinkInterval:  3 * time.Second,
-		ShrinkShare:     0.5,
-		LullTime:        5 * time.Second,
-		FollowTime:      3 * time.Second,
-		LateTime:        12 * time.Second,
-		RefusedPause:    2 * time.Second,
-		MaxRefusedPause: 4 * time.Second,
-		FailedPause:     time.Second,
+		FoundUse:       0.5,
+		ExpectedTrust:  30 * time.Second,
+		LearnTime:      5 * time.Second,
+		HistoryLength:  2 * time.Minute,
+		Tolerance:      0.1,
+		ShrinkDelay:    15 * time.Second,
+		ShrinkInterval: 3 * time.Second,
+		ShrinkShare:    0.5,
+		LullTime:       5 * time.Second,
+		FollowTime:     3 * time.Second,
+		LateTime:       12 * time.Second,
+		ScarceTime:     2 * time.Second,
+		MaxScarceTime:  4 * time.Second,
+		FailedPause:    time.Second,
 	}
 }
 
@@ -181,9 +181,11 @@
 	uncertain []uncertainCall
 	// repeat is set while the last call failed.
 	repeat bool
-	// pausedUntil is when the next order may be made; pause is the time that the platform had none the last time.
+	// pausedUntil is when the next order may be made after a failed call. scarceUntil is until when the platform is taken to
+	// have no such servers; scarcity is for how long that was assumed the last time.
 	pausedUntil time.Time
-	pause       time.Duration
+	scarceUntil time.Time
+	scarcity    time.Duration
 	ready       int
 	leaving     int
 	// found is the number of servers that were there before the first order.
@@ -306,9 +308,10 @@
 			known.found = max(known.found, seen.ready)
 			known.desired = known.found
 		}
-		if pool.Spot && seen.leaving > known.leaving && known.ready > seen.ready && now.Sub(known.shrunkAt) > s.settings.LateTime {
+		leaves := seen.leaving > known.leaving && seen.ready < known.ready
+		if pool.Spot && leaves && now.Sub(known.shrunkAt) > s.settings.LateTime {
 			s.reclaimedAt = now
-			known.pausedUntil = now.Add(s.settings.RefusedPause)
+			known.scarceUntil = now.Add(s.settings.ScarceTime)
 		}
 		known.ready, known.leaving = seen.ready, seen.leaving
 	}
@@ -326,7 +329,7 @@
 		}
 		if pool.Spot {
 			plan.ReadySpot += p.ready
-			if now.Before(p.pausedUntil) {
+			if now.Before(p.scarceUntil) {
 				plan.Scarce = append(plan.Scarce, pool.DataCentre)
 			}
 		}
@@ -435,51 +438,68 @@
 	})
 	var orders []Order
 	for _, pool := range pools {
-		p := s.pools[pool]
-		p.uncertain = slices.DeleteFunc(p.uncertain, func(c uncertainCall) bool { return !now.Before(c.until) })
-		if now.Before(p.pausedUntil) {
-			if o, needed := s.release(now, pool, bounds, targets); needed {
-				orders = append(orders, o)
+		if o, due := s.order(now, pool, bounds, targets, plan); due {
+			orders = append(orders, o)
+			if o.Count < s.pools[pool].ready {
+				plan.Ready -= s.pools[pool].ready - o.Count
 			}
-			continue
-		}
-		target := min(targets[pool], bounds.Max-s.occupied(Pool{pool.DataCentre, !pool.Spot}))
-		switch {
-		case target >= p.desired:
-			p.aboveSince = time.Time{}
-		case p.aboveSince.IsZero():
-			p.aboveSince = now
-		}
-		switch {
-		case target > p.desired:
-			cause := CauseDemand
-			if now.Sub(s.reclaimedAt) < s.settings.LateTime {
-				cause = CauseReclaimed
-			}
-			if pool.Spot && plan.Total <= plan.Ready {
-				cause = CauseCheaper
-			}
-			orders = append(orders, Order{Pool: pool, Count: target, Before: p.desired, Cause: cause})
-		case target < p.desired && s.mayShrink(now, pool, p, bounds):
-			if count := s.shrink(pool, target, targets, plan); count < p.desired {
-				cause := CauseDemand
-				if !pool.Spot && bounds.SpotPrice > 0 {
-					cause = CauseCheaper
-				}
-				orders = append(orders, Order{Pool: pool, Count: count, Before: p.desired, Cause: cause})
-				plan.Ready -= p.ready - count
-			}
-		case p.repeat:
-			orders = append(orders, Order{Pool: pool, Count: p.desired, Before: p.desired, Cause: CauseUncertain})
-		case p.mayShrinkLate() && now.Sub(p.orderedAt) > s.settings.FollowTime:
-			orders = append(orders, Order{Pool: pool, Count: p.desired, Before: p.desired, Cause: CauseUncertain})
-		case p.ready != p.desired && now.Sub(p.orderedAt) > bounds.BootTime+s.settings.FollowTime:
-			orders = append(orders, Order{Pool: pool, Count: p.desired, Before: p.desired, Cause: CauseNotFollowed})
 		}
 	}
 	return orders
 }
 
+// order returns the order for one pool, and false if none is due.
+func (s *Scaler) order(
+	now time.Time, pool Pool, bounds matcher.Scaling, targets map[Pool]int, plan Plan,
+) (Order, bool) {
+	p := s.pools[pool]
+	p.uncertain = slices.DeleteFunc(p.uncertain, func(c uncertainCall) bool { return !now.Before(c.until) })
+	switch {
+	case now.Before(p.pausedUntil):
+		return Order{}, false
+	case now.Before(p.scarceUntil):
+		return s.release(now, pool, bounds, targets)
+	}
+	target := min(targets[pool], bounds.Max-s.occupied(Pool{pool.DataCentre, !pool.Spot}))
+	switch {
+	case target >= p.desired:
+		p.aboveSince = time.Time{}
+	case p.aboveSince.IsZero():
+		p.aboveSince = now
+	}
+	o := Order{Pool: pool, Count: p.desired, Before: p.desired}
+	overdue := now.Sub(p.orderedAt)
+	switch {
+	case target > p.desired:
+		o.Count, o.Cause = target, s.growCause(now, pool, plan)
+	case target < p.desired && s.mayShrink(now, pool, p, bounds):
+		o.Count, o.Cause = s.shrink(pool, target, targets, plan), CauseDemand
+		if !pool.Spot && bounds.SpotPrice > 0 {
+			o.Cause = CauseCheaper
+		}
+		return o, o.Count < p.desired
+	case p.repeat, p.mayShrinkLate() && overdue > s.settings.FollowTime:
+		o.Cause = CauseUncertain
+	case p.ready != p.desired && overdue > bounds.BootTime+s.settings.FollowTime:
+		o.Cause = CauseNotFollowed
+	default:
+		return Order{}, false
+	}
+	return o, true
+}
+
+// growCause returns why more servers are ordered for a pool.
+func (s *Scaler) growCause(now time.Time, pool Pool, plan Plan) Cause {
+	switch {
+	case pool.Spot && plan.Total <= plan.Ready:
+		return CauseCheaper
+	case now.Sub(s.reclaimedAt) < s.settings.LateTime:
+		return CauseReclaimed
+	default:
+		return CauseDemand
+	}
+}
+
 // occupied returns how many places of a data centre a pool takes.
 func (s *Scaler) occupied(pool Pool) int {
 	if p := s.pools[pool]; p != nil {
@@ -552,11 +572,11 @@
 	}
 	switch outcome {
 	case OutcomeAccepted:
-		p.repeat, p.pause = false, 0
+		p.repeat, p.scarcity = false, 0
 	case OutcomeNone:
 		p.repeat = false
-		p.pause = min(max(s.settings.RefusedPause, 2*p.pause), s.settings.MaxRefusedPause)
-		p.pausedUntil = now.Add(p.pause)
+		p.scarcity = min(max(s.settings.ScarceTime, 2*p.scarcity), s.settings.MaxScarceTime)
+		p.scarceUntil, p.pausedUntil = now.Add(p.scarcity), now.Add(s.settings.FailedPause)
 		return
 	case OutcomeRefused:
 		p.pausedUntil = now.Add(s.settings.FailedPause)
