--- a/rosemaryspool/gatekeeper/duty_test.go
+++ b/rosemaryspool/gatekeeper/duty_test.go
@@ -64,7 +64,7 @@
 		LeaseDuration: time.Second, ReportWindow: 500 * time.Millisecond, ReportDelay: 4 * time.Second,
 	}
 	ti := startTestInstance(t, store, settings)
-	store.Put(platform.TopicConfiguration, platform.KeyConfiguration, 
+	store.Put(platform.TopicConfiguration, platform.KeyConfiguration,
 		keyedTable(1, `{"name":"acme","api-keys":["k1"]}`))
 	require.Eventually(t, func() bool { return ti.readiness() == http.StatusOK }, 2*time.Second, time.Millisecond)
 	for range 7 {
--- a/rosemaryspool/steward/lease.go
+++ b/rosemaryspool/steward/lease.go
@@ -242,6 +242,7 @@
 		_ = s.state.Skip(offset)
 		return
 	}
+	before, _ := s.state.Lease(scope)
 	applied, err := s.state.Apply(offset, r.Value)
 	if err != nil {
 		return
@@ -253,7 +254,16 @@
 			s.log.Info().Str("event", "leaseGranted").Str("scope", string(scope)).Str("holder", e.Lease.Holder).
 				Uint64("token", uint64(e.Lease.Token)).Msg("A duty has a new holder")
 		}
-		s.logDecisions(s.leaser.Granted(s.now(), applied.Record, e))
+		decisions := s.leaser.Granted(s.now(), applied.Record, e)
+		for _, d := range decisions {
+			if g, ok := d.(leaser.Gained); ok {
+				s.gained(g.Lease, before)
+			}
+		}
+		if lease, held := s.leaser.Held(s.now(), scope); held {
+			s.heldUntil[scope] = lease.ExpiresAt
+		}
+		s.logDecisions(decisions)
 	case replayer.Skipped:
 		s.log.Info().Str("event", "claimRefused").Str("scope", string(scope)).Str("author", applied.Author).
 			Str("cause", string(e.Cause)).Str("detail", e.Detail).Msg("A claim had no effect")
@@ -396,7 +406,7 @@
 		case leaser.Gained:
 			s.count("leasesGained")
 			s.log.Info().Str("event", "leaseGained").Str("scope", string(d.Lease.Scope)).
-				Uint64("token", uint64(d.Lease.Token)).Dur("usableInMs", max(0, s.usableFrom(d.Lease).Sub(s.now()))).
+				Uint64("token", uint64(d.Lease.Token)).Dur("usableInMs", max(0, s.usableFrom[d.Lease.Scope].Sub(s.now()))).
 				Msg("This instance holds a duty")
 		case leaser.Lost:
 			s.count("leasesLost")
--- a/rosemaryspool/steward/steward.go
+++ b/rosemaryspool/steward/steward.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync"
 	"time"
 
@@ -38,8 +39,13 @@
 	// maxFlight is how long a call that got no response may be under way at the platform after its time limit. It counts
 	// only where the platform doesn't refuse outdated tokens.
 	maxFlight = 5 * time.Second
+	// returnTime is how long an instance's last calls of an earlier lease may matter.
+	returnTime = 30 * time.Second
 )
 
+// holderSeparator stands between an instance and the start of its process in the name of a holder.
+const holderSeparator = "/"
+
 // Store is the part of the platform's store that the steward uses.
 type Store interface {
 	ReadNewest(ctx context.Context, topic string) (platform.Batch, error)
@@ -78,6 +84,8 @@
 	done    chan struct{}
 	// flight is how long a successor waits before its first call, for those that may still arrive.
 	flight time.Duration
+	// returnWait is how long an instance waits that returns to a duty.
+	returnWait time.Duration
 	// appending holds a value from the choice of an append's offset to its result.
 	appending chan struct{}
 
@@ -97,6 +105,11 @@
 	unsure  bool
 	refused map[identifier.Scope]identifier.Token
 	records uint64
+	// startedAt is when this process started, heldUntil when its latest lease of a scope ends or ended.
+	startedAt time.Time
+	heldUntil map[identifier.Scope]time.Time
+	// usableFrom is when the calls of the lease that this instance holds may begin.
+	usableFrom map[identifier.Scope]time.Time
 
 	clock     *meterer.Clock
 	counter   *meterer.Counter
@@ -120,18 +133,21 @@
 	self := peers.Self()
 	s := &Steward{
 		settings: settings, store: store, cloud: cloud, peers: peers, sender: sender, log: log, registry: registry,
-		elapsed: elapsed, holder: fmt.Sprintf("%s/%d", self.Instance, self.StartedMs), done: make(chan struct{}),
+		elapsed: elapsed, holder: fmt.Sprintf("%s%s%d", self.Instance, holderSeparator, self.StartedMs), done: make(chan struct{}),
 		appending: make(chan struct{}, 1),
-		refused:   map[identifier.Scope]identifier.Token{}, counter: meterer.NewCounter(),
+		refused:   map[identifier.Scope]identifier.Token{}, heldUntil: map[identifier.Scope]time.Time{},
+		usableFrom: map[identifier.Scope]time.Time{}, counter: meterer.NewCounter(),
 		collector: meterer.NewCollector(), exchange: newExchange(),
 	}
 	s.leaser = leaser.NewLeaser(leaser.Settings{
 		Holder: s.holder, Duration: settings.LeaseDuration, Margin: clockMargin, RetryEvery: claimInterval,
 		RenewEvery: time.Duration(renewShare * float64(settings.LeaseDuration)),
 	})
+	s.returnWait = settings.LeaseDuration
 	if !settings.FencingEnforced {
 		s.flight = maxFlight
 	}
+	s.startedAt = s.now()
 	s.clock = meterer.NewClock(time.Now(), s.elapsed())
 	s.ledger = meterer.NewLedger(settings.ReportWindow, settings.ReportDelay, encodeUsage)
 	return s
@@ -170,16 +186,23 @@
 	defer s.mu.Unlock()
 	now := s.now()
 	lease, held := s.leaser.Held(now, scope)
-	if !held || lease.Token <= s.refused[scope] || now.Before(s.usableFrom(lease)) {
+	if !held || lease.Token <= s.refused[scope] || now.Before(s.usableFrom[scope]) {
 		return platform.Fence{}, time.Time{}, false
 	}
 	fence = platform.Fence{Holder: s.peers.Self().Instance, Token: lease.Token}
 	return fence, time.Now().Add(lease.ExpiresAt.Sub(now)), true
 }
 
-// usableFrom returns when no call of an earlier holder can arrive any more.
-func (s *Steward) usableFrom(lease leaser.HeldLease) time.Time {
-	return lease.PredecessorExpiry.Add(s.flight)
+// gained sets from when a lease may be used. No call of an earlier holder arrives any more then, where the platform would
+// carry it out; and an instance that returns to a duty after another one does so a whole lease after that one's last call.
+func (s *Steward) gained(lease leaser.HeldLease, before replayer.Lease) {
+	wait, now := s.flight, s.now()
+	machine, _, _ := strings.Cut(before.Holder, holderSeparator)
+	other := before.Holder != "" && machine != string(s.peers.Self().Instance)
+	if other && (now.Sub(s.startedAt) < returnTime || now.Sub(s.heldUntil[lease.Scope]) < returnTime) {
+		wait = max(wait, s.returnWait)
+	}
+	s.usableFrom[lease.Scope] = lease.PredecessorExpiry.Add(wait)
 }
 
 // Refused records that the platform refused a call for a higher token: no further call is made with this one.
--- a/rosemaryspool/steward/steward_test.go
+++ b/rosemaryspool/steward/steward_test.go
@@ -180,6 +180,22 @@
 		time.Sleep(9 * time.Second)
 		w.setStoreFault(nil)
 	}}
+	returns := scenario{name: "holder returns after another", bring: func(w *world, h identifier.InstanceID) {
+		began := time.Now()
+		w.setCallFault(func(id identifier.InstanceID, _ identifier.Scope) fault {
+			arrives := 6 * time.Second
+			if id != h {
+				arrives = 6500 * time.Millisecond
+			}
+			return fault{late: max(0, arrives-time.Since(began))}
+		})
+		w.setStoreFault(func(id identifier.InstanceID, write bool) fault { return fault{refuse: id == h && write} })
+		time.Sleep(4300 * time.Millisecond)
+		w.setStoreFault(nil)
+		w.kill(w.order[1])
+		time.Sleep(2 * time.Second)
+		w.setCallFault(nil)
+	}}
 	cases := []struct {
 		name       string
 		scenario   scenario
@@ -197,8 +213,9 @@
 				})
 				time.Sleep(3 * time.Second)
 				w.kill(h)
-			}}, false, nil, func(s *Steward) { s.flight = 0 },
+			}}, false, nil, func(s *Steward) { s.flight, s.returnWait = 0, 0 },
 		},
+		{"holder returns at once", returns, true, nil, func(s *Steward) { s.returnWait = 0 }},
 		{"reports are not recorded", scenario{bring: func(w *world, h identifier.InstanceID) {
 			// Counts that no report contained arrive late.
 			late := w.node(w.order[len(w.order)-1]).steward
--- a/rosemaryspool/steward/world_test.go
+++ b/rosemaryspool/steward/world_test.go
@@ -48,7 +48,7 @@
 	calls      []call
 	bodies     map[uint64]string
 	violations []string
-	refusals   int
+
 	// lost is how many windows were missed or off.
 	lost int
 	// began holds the requests that truly began, by window.
@@ -435,30 +435,35 @@
 func (w *world) judge(scope identifier.Scope, fence platform.Fence) error {
 	now := time.Now()
 	highest := identifier.Token(0)
+	for _, c := range w.calls {
+		if c.scope == scope {
+			highest = max(highest, c.token)
+		}
+	}
+	if fence.Token < highest {
+		if w.settings.FencingEnforced {
+			return &platform.CloudError{Status: 409}
+		}
+		w.violate("%s: token %d after %d", scope, fence.Token, highest)
+	}
 	for i, c := range w.calls {
 		if c.scope != scope {
 			continue
 		}
-		highest = max(highest, c.token)
 		if c.token == fence.Token && c.holder != fence.Holder {
-			w.violate("token %d of %s and %s", fence.Token, c.holder, fence.Holder)
+			w.violate("%s: token %d of %s and %s", scope, fence.Token, c.holder, fence.Holder)
 		}
 		if c.holder != fence.Holder || now.Sub(c.at) >= w.settings.LeaseDuration {
 			continue
 		}
 		for _, between := range w.calls[i:] {
 			if between.scope == scope && between.holder != fence.Holder {
-				w.violate("%s, %s and %s take turns", c.holder, between.holder, fence.Holder)
+				w.violate("%s: %s, %s and %s take turns: tokens %d, %d and %d at %v, %v and %v", scope, c.holder, between.holder,
+					fence.Holder, c.token, between.token, fence.Token, c.at.Sub(w.started), between.at.Sub(w.started),
+					now.Sub(w.started))
 			}
 		}
 	}
-	if fence.Token < highest {
-		if w.settings.FencingEnforced {
-			w.refusals++
-			return &platform.CloudError{Status: 409}
-		}
-		w.violate("token %d after %d", fence.Token, highest)
-	}
 	w.calls = append(w.calls, call{scope: scope, at: now, holder: fence.Holder, token: fence.Token})
 	return nil
 }
