Send reports earlier and wait out calls for four seconds

Counts are sent within half a second after a window's end, the report goes after two seconds instead of two and a half, and a successor waits four seconds for late calls: two, 3.25 for the lease, 0.4 for the claim and four are below the ten that there are.

--- a/core/meterer/ledger.go
+++ b/core/meterer/ledger.go
@@ -11,8 +11,8 @@
 
 const (
 	// settleShare is how much of the delay passes before a window is reported: instances send their counts each second,
-	// and once or twice more if they are lost.
-	settleShare = 0.25
+	// once more if they are lost. The rest is for a successor.
+	settleShare = 0.2
 	// keptWindows is how many windows a ledger remembers beyond those that are due.
 	keptWindows = 16
 	// firstPause and lastPause bound the time between two calls for the same window.
--- a/rosemaryspool/steward/exchange.go
+++ b/rosemaryspool/steward/exchange.go
@@ -16,6 +16,9 @@
 	// exchangeInterval is the time between two reports of this instance's counts to a candidate. An instance that is
 	// killed takes the counts of this time with it at most.
 	exchangeInterval = time.Second
+	// minPhase and maxPhase bound when in the interval an instance sends: soon after a window has ended.
+	minPhase = 50 * time.Millisecond
+	maxPhase = 500 * time.Millisecond
 	// clockInterval is the time between two reports where there is nothing new, so that clocks are compared.
 	clockInterval = 10 * time.Second
 	// maxReportBytes bounds a report; the datagram's other fields take up to 200 bytes.
@@ -89,17 +92,23 @@
 
 // exchangeUsage sends this instance's counts to the candidates until ctx ends.
 func (s *Steward) exchangeUsage(ctx context.Context) {
-	if !pause(ctx, rand.N(exchangeInterval)) {
-		return
-	}
-	for {
+	phase := minPhase + rand.N(maxPhase-minPhase)
+	for pause(ctx, s.untilPhase(phase)) {
 		s.sendCounts()
-		if !pause(ctx, exchangeInterval) {
-			return
-		}
 	}
 }
 
+// untilPhase returns the time until the next interval's phase.
+func (s *Steward) untilPhase(phase time.Duration) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	into := time.Duration(s.clock.Now(s.elapsed()).UnixNano() % int64(exchangeInterval))
+	if into < phase {
+		return phase - into
+	}
+	return exchangeInterval + phase - into
+}
+
 // Flush sends the counts that no candidate has acknowledged yet; an instance that stops does so last.
 func (s *Steward) Flush() {
 	if s.settings.ReportsUsage {
--- a/rosemaryspool/steward/steward.go
+++ b/rosemaryspool/steward/steward.go
@@ -38,7 +38,7 @@
 	claimInterval = 300 * time.Millisecond
 	// maxFlight is how long a call that got no response may be under way at the platform after its time limit. It counts
 	// only where the platform doesn't refuse outdated tokens.
-	maxFlight = 5 * time.Second
+	maxFlight = 4 * time.Second
 	// returnTime is how long an instance's last calls of an earlier lease may matter.
 	returnTime = 30 * time.Second
 )
