--- a/rosemaryspool/steward/steward_test.go
+++ b/rosemaryspool/steward/steward_test.go
@@ -28,25 +28,25 @@
 	{"holder killed", func(w *world, h identifier.InstanceID) { w.kill(h) }, 2},
 	{"holder killed between intent and call", func(w *world, h identifier.InstanceID) {
 		killed := false
-		w.callFault = func(id identifier.InstanceID, _ identifier.Scope) fault {
+		w.setCallFault(func(id identifier.InstanceID, _ identifier.Scope) fault {
 			if id != h || killed {
 				return fault{}
 			}
 			killed = true
 			w.nodes[h].stop()
 			return fault{lose: true}
-		}
+		})
 	}, 2},
 	{"holder killed after its call, which is carried out late", func(w *world, h identifier.InstanceID) {
 		killed := false
-		w.callFault = func(id identifier.InstanceID, _ identifier.Scope) fault {
+		w.setCallFault(func(id identifier.InstanceID, _ identifier.Scope) fault {
 			if id != h || killed {
 				return fault{}
 			}
 			killed = true
 			w.nodes[h].stop()
 			return fault{late: maxFlight - 100*time.Millisecond}
-		}
+		})
 	}, 2},
 	{"holder killed and started again", func(w *world, h identifier.InstanceID) {
 		w.kill(h)
@@ -71,9 +71,9 @@
 	}, 4},
 	{"holder frozen", func(w *world, h identifier.InstanceID) { w.freeze(h, 9*time.Second) }, 10},
 	{"holder cut off", func(w *world, h identifier.InstanceID) {
-		w.node(h).cut = true
+		w.cut(h, true)
 		time.Sleep(10 * time.Second)
-		w.node(h).cut = false
+		w.cut(h, false)
 	}, 14},
 	{"store answers nothing for a while", func(w *world, _ identifier.InstanceID) {
 		w.setStoreFault(func(identifier.InstanceID, bool) fault { return fault{lose: true} })
@@ -135,7 +135,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		w = newWorld(t, enforced, breakIt)
 		if breakWorld != nil {
+			w.mu.Lock()
 			breakWorld(w)
+			w.mu.Unlock()
 		}
 		time.Sleep(settled)
 		holder := w.holder()
--- a/rosemaryspool/steward/world_test.go
+++ b/rosemaryspool/steward/world_test.go
@@ -99,12 +99,9 @@
 
 // start starts an instance, again if it ran before.
 func (w *world) start(id identifier.InstanceID) {
-	w.mu.Lock()
 	n := &node{member: elector.Member{
 		Instance: id, DataCentre: "here", Address: "10.0.0.2:1", StartedMs: time.Now().UnixMilli(),
 	}}
-	w.nodes[id] = n
-	w.mu.Unlock()
 	c := &client{world: w, id: id, node: n}
 	elapsed := func() time.Duration { return time.Since(w.started) }
 	s := newSteward(w.settings, c, c, c, c, testLog(w.t, id), metrics.NewRegistry(), elapsed)
@@ -114,6 +111,9 @@
 	n.steward = s
 	ctx, cancel := context.WithCancel(context.Background())
 	n.stop = cancel
+	w.mu.Lock()
+	w.nodes[id] = n
+	w.mu.Unlock()
 	go s.Run(ctx)
 	go func() {
 		for pause(ctx, 300*time.Millisecond) {
@@ -238,8 +238,8 @@
 	defer c.world.mu.Unlock()
 	var members []elector.Member
 	for _, id := range c.world.order {
-		if len(members) < limit {
-			members = append(members, c.world.nodes[id].member)
+		if n := c.world.nodes[id]; n != nil && len(members) < limit {
+			members = append(members, n.member)
 		}
 	}
 	return members
