--- a/rosemaryspool/steward/exchange.go
+++ b/rosemaryspool/steward/exchange.go
@@ -28,9 +28,11 @@
 	callerBytes = 12
 	// keptDelays is for how many report delays counts are kept.
 	keptDelays = 3
-	// maxUnanswered is how many reports in a row a candidate may leave unanswered before it is passed over for a while.
+	// maxUnanswered is how many reports in a row a candidate may leave unanswered before it is passed over for a while,
+	// which doubles from minSilence to maxSilence.
 	maxUnanswered = 3
-	silenceTime   = 5 * time.Second
+	minSilence    = 5 * time.Second
+	maxSilence    = 40 * time.Second
 	// maxRoundTrip is the age above which a receipt says nothing about the time.
 	maxRoundTrip = 500 * time.Millisecond
 	// standstill is a pause of this process after which datagrams have waited for it, and backlogTime how long it takes
@@ -49,6 +51,7 @@
 	version     uint64
 	sentAt      time.Duration
 	unanswered  int
+	silence     time.Duration
 	silentUntil time.Duration
 }
 
@@ -179,8 +182,9 @@
 		r.unanswered++
 	}
 	if r.unanswered >= maxUnanswered {
-		r.unanswered, r.silentUntil = 0, now+silenceTime
-		s.log.Info().Str("event", "candidateSilent").Str("peer", string(to.Instance)).
+		r.silence = min(max(minSilence, 2*r.silence), maxSilence)
+		r.unanswered, r.silentUntil = 0, now+r.silence
+		s.log.Debug().Str("event", "candidateSilent").Str("peer", string(to.Instance)).
 			Msg("A candidate for the duties does not answer and is passed over for a while")
 	}
 	counts, version := s.counter.Since(r.acknowledged)
@@ -269,7 +273,7 @@
 	if to == nil || to.startedMs != r.Sender.StartedMs {
 		return
 	}
-	to.unanswered, to.silentUntil = 0, 0
+	to.unanswered, to.silence, to.silentUntil = 0, 0, 0
 	latest, now := to.pending[m.GetNumber()], s.elapsed()
 	if latest {
 		delete(to.pending, m.GetNumber())
--- a/rosemaryspool/steward/lease.go
+++ b/rosemaryspool/steward/lease.go
@@ -33,7 +33,7 @@
 	idleInterval = 500 * time.Millisecond
 	// firstBackOff and lastBackOff bound the time between calls while the store fails.
 	firstBackOff = 200 * time.Millisecond
-	lastBackOff  = 2 * time.Second
+	lastBackOff  = 500 * time.Millisecond
 )
 
 // eraShift is the position of the era in an offset of the replayed topic, so that tokens are ordered by era first.
