--- a/core/meterer/ledger.go
+++ b/core/meterer/ledger.go
@@ -5,8 +5,6 @@
 	"crypto/sha256"
 	"maps"
 	"time"
-
-	"rosemaryspool.example/core/identifier"
 )
 
 const (
@@ -54,9 +52,7 @@
 	body     []byte
 	digest   Digest
 	recorded bool
-	// doneUnder is the token under which the report was accepted; zero before that.
-	doneUnder identifier.Token
-	// closed is true once nothing more is to be done.
+	// closed is true once the report was accepted or given up.
 	closed bool
 	nextAt time.Time
 	pause  time.Duration
@@ -105,15 +101,15 @@
 	p.body, p.digest = body, digest
 }
 
-// Decide returns the next task of the holder of a token; nil if there is none now.
-func (l *Ledger) Decide(now time.Time, token identifier.Token, total func(Window) Usage) (Task, error) {
+// Decide returns the next task of the duty's holder; nil if there is none now.
+func (l *Ledger) Decide(now time.Time, total func(Window) Usage) (Task, error) {
 	l.discard(now)
 	newest := WindowAt(now, l.length)
 	for w := WindowAt(now.Add(-l.delay), l.length) - 1; w < newest; w++ {
 		if now.Before(l.settleAt(w)) {
 			break
 		}
-		task, err := l.decide(now, w, token, total)
+		task, err := l.decide(now, w, total)
 		if task != nil || err != nil {
 			return task, err
 		}
@@ -121,11 +117,11 @@
 	return nil, nil
 }
 
-func (l *Ledger) decide(now time.Time, w Window, token identifier.Token, total func(Window) Usage) (Task, error) {
+func (l *Ledger) decide(now time.Time, w Window, total func(Window) Usage) (Task, error) {
 	p := l.pages[w]
 	late := !now.Before(w.End(l.length).Add(l.delay))
 	switch {
-	case p != nil && (p.closed || p.doneUnder != 0):
+	case p != nil && p.closed:
 		return nil, nil
 	case late && p == nil && len(total(w)) == 0:
 		return nil, nil
@@ -170,7 +166,7 @@
 }
 
 // Accepted records that the platform has accepted a report.
-func (l *Ledger) Accepted(w Window, token identifier.Token) { l.page(w).doneUnder = token }
+func (l *Ledger) Accepted(w Window) { l.page(w).closed = true }
 
 // Failed records that a report could not be recorded or sent, or that its outcome is unknown.
 func (l *Ledger) Failed(now time.Time, w Window) {
--- a/core/meterer/meterer_test.go
+++ b/core/meterer/meterer_test.go
@@ -89,7 +89,7 @@
 
 // decide returns the task at a time, with a request of account a in window 20, which ends at 105.
 func decide(t *testing.T, l *Ledger, now float64) Task {
-	task, err := l.Decide(at(now), 7, func(w Window) Usage {
+	task, err := l.Decide(at(now), func(w Window) Usage {
 		if w != 20 {
 			return Usage{}
 		}
@@ -114,7 +114,7 @@
 	l.Failed(at(108), 20)
 	require.Nil(t, decide(t, l, 108.5))
 	require.Equal(t, Send{Window: 20, Body: []byte(body)}, decide(t, l, 108.7))
-	l.Accepted(20, 7)
+	l.Accepted(20)
 	require.Nil(t, decide(t, l, 109))
 }
 
--- a/rosemaryspool/steward/usage.go
+++ b/rosemaryspool/steward/usage.go
@@ -62,7 +62,7 @@
 		if !held {
 			continue
 		}
-		task, err := s.nextTask(fence.Token)
+		task, err := s.nextTask()
 		if err != nil {
 			s.log.Error().Err(err).Str("event", "usageUnencodable").Msg("A report of usage can't be encoded")
 			continue
@@ -80,11 +80,11 @@
 	}
 }
 
-func (s *Steward) nextTask(token identifier.Token) (meterer.Task, error) {
+func (s *Steward) nextTask() (meterer.Task, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.collectOwn()
-	return s.ledger.Decide(s.clock.Now(s.elapsed()), token, s.collector.Total)
+	return s.ledger.Decide(s.clock.Now(s.elapsed()), s.collector.Total)
 }
 
 // recordUsage appends the intent of a report, which is sent once it is read back.
@@ -140,7 +140,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err == nil {
-		s.ledger.Accepted(task.Window, fence.Token)
+		s.ledger.Accepted(task.Window)
 		return
 	}
 	s.ledger.Failed(s.clock.Now(s.elapsed()), task.Window)
