--- a/core/meterer/ledger.go
+++ b/core/meterer/ledger.go
@@ -13,6 +13,8 @@
 	settleShare = 0.2
 	// keptWindows is how many windows a ledger remembers beyond those that are due.
 	keptWindows = 16
+	// lastCall is how long before a report is late it is recorded with the counts that are known.
+	lastCall = time.Second
 	// firstPause and lastPause bound the time between two calls for the same window.
 	firstPause = 300 * time.Millisecond
 	lastPause  = 2 * time.Second
@@ -101,15 +103,16 @@
 	p.body, p.digest = body, digest
 }
 
-// Decide returns the next task of the duty's holder; nil if there is none now.
-func (l *Ledger) Decide(now time.Time, total func(Window) Usage) (Task, error) {
+// Decide returns the next task of the duty's holder; nil if there is none now. While complete is false, the counts of too
+// many instances are unknown, and windows are recorded only when they would be late otherwise.
+func (l *Ledger) Decide(now time.Time, complete bool, total func(Window) Usage) (Task, error) {
 	l.discard(now)
 	newest := WindowAt(now, l.length)
 	for w := WindowAt(now.Add(-l.delay), l.length) - 1; w < newest; w++ {
 		if now.Before(l.settleAt(w)) {
 			break
 		}
-		task, err := l.decide(now, w, total)
+		task, err := l.decide(now, w, complete, total)
 		if task != nil || err != nil {
 			return task, err
 		}
@@ -117,7 +120,7 @@
 	return nil, nil
 }
 
-func (l *Ledger) decide(now time.Time, w Window, total func(Window) Usage) (Task, error) {
+func (l *Ledger) decide(now time.Time, w Window, complete bool, total func(Window) Usage) (Task, error) {
 	p := l.pages[w]
 	late := !now.Before(w.End(l.length).Add(l.delay))
 	switch {
@@ -132,6 +135,8 @@
 		return nil, nil
 	case p == nil && w < l.sureFrom:
 		return nil, nil
+	case (p == nil || !p.recorded) && !complete && now.Before(w.End(l.length).Add(l.delay-lastCall)):
+		return nil, nil
 	}
 	if p == nil || p.body == nil {
 		if missed, err := l.fill(w, total(w)); missed != nil || err != nil || l.pages[w] == nil {
--- a/core/meterer/meterer_test.go
+++ b/core/meterer/meterer_test.go
@@ -88,8 +88,10 @@
 func digest(body string) Digest { return sha256.Sum256([]byte(body)) }
 
 // decide returns the task at a time, with a request of account a in window 20, which ends at 105.
-func decide(t *testing.T, l *Ledger, now float64) Task {
-	task, err := l.Decide(at(now), func(w Window) Usage {
+func decide(t *testing.T, l *Ledger, now float64) Task { return decideKnowing(t, l, now, true) }
+
+func decideKnowing(t *testing.T, l *Ledger, now float64, complete bool) Task {
+	task, err := l.Decide(at(now), complete, func(w Window) Usage {
 		if w != 20 {
 			return Usage{}
 		}
@@ -118,6 +120,16 @@
 	require.Nil(t, decide(t, l, 109))
 }
 
+func TestReportWaitsForCounts(t *testing.T) {
+	l := NewLedger(length, delay, encode)
+	require.Nil(t, decideKnowing(t, l, 107, false))
+	require.Nil(t, decideKnowing(t, l, 113.9, false))
+	require.IsType(t, Record{}, decideKnowing(t, l, 114, false))
+	require.IsType(t, Record{}, decideKnowing(t, l, 108, true))
+	l.Recorded(20, []byte(body), digest(body))
+	require.IsType(t, Send{}, decideKnowing(t, l, 108, false))
+}
+
 func TestRecordOfAnotherGoesFirst(t *testing.T) {
 	const other = "20 map[a:2]"
 	cases := []struct {
--- a/rosemaryspool/steward/exchange.go
+++ b/rosemaryspool/steward/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"time"
 
@@ -20,7 +21,11 @@
 	minPhase = 50 * time.Millisecond
 	maxPhase = 500 * time.Millisecond
 	// clockInterval is the time between two reports where there is nothing new, so that clocks are compared.
-	clockInterval = 10 * time.Second
+	clockInterval = 2 * time.Second
+	// heardTime is how long an instance counts as heard after a report of it.
+	heardTime = 2 * clockInterval
+	// minHeardShare is the share of the instances that a holder must hear to know their counts.
+	minHeardShare = 0.75
 	// maxReportBytes bounds a report; the datagram's other fields take up to 200 bytes.
 	maxReportBytes = 1100
 	// windowBytes and callerBytes are the sizes of a window and of an account's count without its name.
@@ -64,6 +69,14 @@
 	// tickAt is when this process was last seen to run, backlogUntil the time until which datagrams may have waited.
 	tickAt       time.Duration
 	backlogUntil time.Duration
+	// heardAt is when each other instance last reported.
+	heardAt map[identifier.InstanceID]time.Duration
+}
+
+// heard returns how many instances have reported lately, this one included.
+func (e *exchange) heard(now time.Duration) int {
+	maps.DeleteFunc(e.heardAt, func(_ identifier.InstanceID, at time.Duration) bool { return now-at > heardTime })
+	return 1 + len(e.heardAt)
 }
 
 // tick records that this process runs.
@@ -79,7 +92,9 @@
 	return now-e.tickAt <= standstill && now >= e.backlogUntil
 }
 
-func newExchange() exchange { return exchange{recipients: map[identifier.InstanceID]*recipient{}} }
+func newExchange() exchange {
+	return exchange{recipients: map[identifier.InstanceID]*recipient{}, heardAt: map[identifier.InstanceID]time.Duration{}}
+}
 
 // watchStandstill notices that this process has stood still, until ctx ends.
 func (s *Steward) watchStandstill(ctx context.Context) {
@@ -120,13 +135,10 @@
 }
 
 func (s *Steward) sendCounts() {
-	for _, m := range s.stewards(candidates) {
-		if m.Instance == s.peers.Self().Instance {
-			continue
-		}
-		for _, report := range s.nextReports(m) {
-			s.count("usageDatagrams")
-			s.sender.Send(m, &messenger.Datagram{Body: &messenger.Datagram_UsageReport{UsageReport: report}})
+	_, recipients := s.stewards(candidates)
+	for _, m := range recipients {
+		if m.Instance != s.peers.Self().Instance {
+			s.sendReports(m)
 		}
 	}
 	s.mu.Lock()
@@ -139,8 +151,15 @@
 	s.collector.Discard(oldest)
 }
 
-// stewards returns the first candidates without those that have left several reports unanswered.
-func (s *Steward) stewards(limit int) []elector.Member {
+func (s *Steward) sendReports(to elector.Member) {
+	for _, report := range s.nextReports(to) {
+		s.count("usageDatagrams")
+		s.sender.Send(to, &messenger.Datagram{Body: &messenger.Datagram_UsageReport{UsageReport: report}})
+	}
+}
+
+// stewards returns the first candidates that answer, and the recipients of reports: these and the silent ones before them.
+func (s *Steward) stewards(limit int) (chosen, recipients []elector.Member) {
 	s.mu.Lock()
 	now := s.elapsed()
 	silent := map[identifier.InstanceID]bool{}
@@ -150,13 +169,16 @@
 		}
 	}
 	s.mu.Unlock()
-	var chosen []elector.Member
 	for _, m := range s.peers.Stewards(time.Now(), limit+len(silent)) {
-		if !silent[m.Instance] && len(chosen) < limit {
+		if len(chosen) == limit {
+			break
+		}
+		recipients = append(recipients, m)
+		if !silent[m.Instance] {
 			chosen = append(chosen, m)
 		}
 	}
-	return chosen
+	return chosen, recipients
 }
 
 // collectOwn adds this instance's counts to those of the others. The caller holds the mutex.
@@ -168,7 +190,7 @@
 	}
 }
 
-// nextReports returns the reports that are due to a candidate.
+// nextReports returns the reports that are due to a candidate. One that is silent gets no counts until it answers.
 func (s *Steward) nextReports(to elector.Member) []*messenger.UsageReport {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -178,7 +200,8 @@
 		r = &recipient{startedMs: to.StartedMs, sentAt: now - clockInterval}
 		s.exchange.recipients[to.Instance] = r
 	}
-	if len(r.pending) > 0 {
+	silent := now < r.silentUntil
+	if len(r.pending) > 0 && !silent {
 		r.unanswered++
 	}
 	if r.unanswered >= maxUnanswered {
@@ -188,6 +211,9 @@
 			Msg("A candidate for the duties does not answer and is passed over for a while")
 	}
 	counts, version := s.counter.Since(r.acknowledged)
+	if silent {
+		counts, version = nil, r.acknowledged
+	}
 	if len(counts) == 0 && s.exchange.clockKnown && now-r.sentAt < clockInterval {
 		return nil
 	}
@@ -231,6 +257,7 @@
 	}
 	s.mu.Lock()
 	elapsed := s.elapsed()
+	s.exchange.heardAt[r.Sender.Instance] = elapsed
 	punctual := s.exchange.punctual(elapsed)
 	if punctual && m.GetClockMs() != 0 {
 		s.clock.Heard(elapsed, r.Sender.Instance, time.UnixMilli(m.GetClockMs()))
@@ -267,12 +294,21 @@
 
 // HandleUsageReceipt takes over a candidate's receipt and its time.
 func (s *Steward) HandleUsageReceipt(r courier.Received, m *messenger.UsageReceipt) {
+	if s.takeReceipt(r, m) {
+		// The candidate was silent and got no counts.
+		s.sendReports(r.Sender)
+	}
+}
+
+// takeReceipt takes over a receipt and reports whether the candidate was silent before.
+func (s *Steward) takeReceipt(r courier.Received, m *messenger.UsageReceipt) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	to := s.exchange.recipients[r.Sender.Instance]
 	if to == nil || to.startedMs != r.Sender.StartedMs {
-		return
+		return false
 	}
+	returned := s.elapsed() < to.silentUntil
 	to.unanswered, to.silence, to.silentUntil = 0, 0, 0
 	latest, now := to.pending[m.GetNumber()], s.elapsed()
 	if latest {
@@ -285,6 +321,7 @@
 		s.exchange.clockKnown = true
 		s.correctClock(now, time.UnixMilli(m.GetClockMs()), r.Sender.Instance)
 	}
+	return returned
 }
 
 // correctClock sets the clock to the median of the instances' clocks. The caller holds the mutex.
--- a/rosemaryspool/steward/lease.go
+++ b/rosemaryspool/steward/lease.go
@@ -119,7 +119,8 @@
 
 // rank returns how many candidates come before this instance, and whether it is one itself.
 func (s *Steward) rank() (int, bool) {
-	for i, m := range s.stewards(candidates) {
+	chosen, _ := s.stewards(candidates)
+	for i, m := range chosen {
 		if m.Instance == s.peers.Self().Instance {
 			s.mu.Lock()
 			defer s.mu.Unlock()
--- a/rosemaryspool/steward/steward.go
+++ b/rosemaryspool/steward/steward.go
@@ -58,10 +58,12 @@
 	ReportUsage(ctx context.Context, fence platform.Fence, report []byte) error
 }
 
-// Peers tells which instances are candidates for the duties' leases, this one included.
+// Peers tells which instances there are and which are candidates for the duties' leases, this one included.
 type Peers interface {
 	Self() elector.Member
 	Stewards(now time.Time, limit int) []elector.Member
+	// Instances returns how many instances there are.
+	Instances() int
 }
 
 // Sender sends datagrams to other instances.
--- a/rosemaryspool/steward/steward_test.go
+++ b/rosemaryspool/steward/steward_test.go
@@ -56,6 +56,8 @@
 	{"planned stop of the holder and start", func(w *world, h identifier.InstanceID) {
 		w.node(h).steward.Leave()
 		time.Sleep(2 * time.Second)
+		w.node(h).steward.Flush()
+		time.Sleep(2 * time.Millisecond)
 		w.kill(h)
 		time.Sleep(300 * time.Millisecond)
 		w.start(h)
--- a/rosemaryspool/steward/usage.go
+++ b/rosemaryspool/steward/usage.go
@@ -84,7 +84,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.collectOwn()
-	return s.ledger.Decide(s.clock.Now(s.elapsed()), s.collector.Total)
+	now := s.elapsed()
+	complete := float64(s.exchange.heard(now)) >= minHeardShare*float64(s.peers.Instances())
+	return s.ledger.Decide(s.clock.Now(now), complete, s.collector.Total)
 }
 
 // recordUsage appends the intent of a report, which is sent once it is read back.
--- a/rosemaryspool/steward/world_test.go
+++ b/rosemaryspool/steward/world_test.go
@@ -231,6 +231,8 @@
 	}
 }
 
+func (c *client) Instances() int { return len(c.world.order) }
+
 func (c *client) Self() elector.Member { return c.node.member }
 
 func (c *client) Stewards(_ time.Time, limit int) []elector.Member {
