--- a/core/elector/elector.go
+++ b/core/elector/elector.go
@@ -146,6 +146,18 @@
 	return trusted
 }
 
+// First returns the first members in the order of a duty, at most limit, without those that are leaving. Unlike Trusted, it
+// depends on nothing that only some members have noticed, so that most agree on it.
+func (e *Elector) First(duty Duty, limit int) []Member {
+	first := make([]Member, 0, limit)
+	for _, m := range e.order(duty) {
+		if len(first) < limit && !m.leaving {
+			first = append(first, m.Member)
+		}
+	}
+	return first
+}
+
 // Rank returns how many usable neighbours precede this instance in the order of a duty.
 func (e *Elector) Rank(now time.Time, duty Duty) int {
 	rank := 0
--- a/rosemaryspool/governor/member.go
+++ b/rosemaryspool/governor/member.go
@@ -86,10 +86,10 @@
 const stewardDuty elector.Duty = "steward"
 
 // Stewards returns the first instances in the order in which they hold the duties' leases.
-func (g *Governor) Stewards(now time.Time, limit int) []elector.Member {
+func (g *Governor) Stewards(limit int) []elector.Member {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.elector.Trusted(now, stewardDuty, limit)
+	return g.elector.First(stewardDuty, limit)
 }
 
 // ArbitratedEngines returns the engines whose memory size is unknown, of the services that this instance arbitrates.
--- a/rosemaryspool/steward/exchange.go
+++ b/rosemaryspool/steward/exchange.go
@@ -169,7 +169,7 @@
 		}
 	}
 	s.mu.Unlock()
-	for _, m := range s.peers.Stewards(time.Now(), limit+len(silent)) {
+	for _, m := range s.peers.Stewards(limit + len(silent)) {
 		if len(chosen) == limit {
 			break
 		}
--- a/rosemaryspool/steward/steward.go
+++ b/rosemaryspool/steward/steward.go
@@ -61,7 +61,7 @@
 // Peers tells which instances there are and which are candidates for the duties' leases, this one included.
 type Peers interface {
 	Self() elector.Member
-	Stewards(now time.Time, limit int) []elector.Member
+	Stewards(limit int) []elector.Member
 	// Instances returns how many instances there are.
 	Instances() int
 }
--- a/rosemaryspool/steward/world_test.go
+++ b/rosemaryspool/steward/world_test.go
@@ -235,7 +235,7 @@
 
 func (c *client) Self() elector.Member { return c.node.member }
 
-func (c *client) Stewards(_ time.Time, limit int) []elector.Member {
+func (c *client) Stewards(limit int) []elector.Member {
 	c.world.mu.Lock()
 	defer c.world.mu.Unlock()
 	var members []elector.Member
