--- a/core/meterer/ledger.go
+++ b/core/meterer/ledger.go
@@ -5,16 +5,16 @@
 	"crypto/sha256"
 	"maps"
 	"time"
-
-	"rosemaryspool.example/core/identifier"
 )
 
 const (
 	// settleShare is how much of the delay passes before a window is reported: instances send their counts each second,
-	// and once or twice more if they are lost.
-	settleShare = 0.25
+	// once more if they are lost. The rest is for a successor.
+	settleShare = 0.2
 	// keptWindows is how many windows a ledger remembers beyond those that are due.
 	keptWindows = 16
+	// lastCall is how long before a report is late it is recorded with the counts that are known.
+	lastCall = time.Second
 	// firstPause and lastPause bound the time between two calls for the same window.
 	firstPause = 300 * time.Millisecond
 	lastPause  = 2 * time.Second
@@ -54,9 +54,7 @@
 	body     []byte
 	digest   Digest
 	recorded bool
-	// doneUnder is the token under which the report was accepted; zero before that.
-	doneUnder identifier.Token
-	// closed is true once nothing more is to be done.
+	// closed is true once the report was accepted or given up.
 	closed bool
 	nextAt time.Time
 	pause  time.Duration
@@ -105,15 +103,16 @@
 	p.body, p.digest = body, digest
 }
 
-// Decide returns the next task of the holder of a token; nil if there is none now.
-func (l *Ledger) Decide(now time.Time, token identifier.Token, total func(Window) Usage) (Task, error) {
+// Decide returns the next task of the duty's holder; nil if there is none now. While complete is false, the counts of too
+// many instances are unknown, and windows are recorded only when they would be late otherwise.
+func (l *Ledger) Decide(now time.Time, complete bool, total func(Window) Usage) (Task, error) {
 	l.discard(now)
 	newest := WindowAt(now, l.length)
 	for w := WindowAt(now.Add(-l.delay), l.length) - 1; w < newest; w++ {
 		if now.Before(l.settleAt(w)) {
 			break
 		}
-		task, err := l.decide(now, w, token, total)
+		task, err := l.decide(now, w, complete, total)
 		if task != nil || err != nil {
 			return task, err
 		}
@@ -121,11 +120,11 @@
 	return nil, nil
 }
 
-func (l *Ledger) decide(now time.Time, w Window, token identifier.Token, total func(Window) Usage) (Task, error) {
+func (l *Ledger) decide(now time.Time, w Window, complete bool, total func(Window) Usage) (Task, error) {
 	p := l.pages[w]
 	late := !now.Before(w.End(l.length).Add(l.delay))
 	switch {
-	case p != nil && (p.closed || p.doneUnder != 0):
+	case p != nil && p.closed:
 		return nil, nil
 	case late && p == nil && len(total(w)) == 0:
 		return nil, nil
@@ -136,6 +135,8 @@
 		return nil, nil
 	case p == nil && w < l.sureFrom:
 		return nil, nil
+	case (p == nil || !p.recorded) && !complete && now.Before(w.End(l.length).Add(l.delay-lastCall)):
+		return nil, nil
 	}
 	if p == nil || p.body == nil {
 		if missed, err := l.fill(w, total(w)); missed != nil || err != nil || l.pages[w] == nil {
@@ -170,7 +171,7 @@
 }
 
 // Accepted records that the platform has accepted a report.
-func (l *Ledger) Accepted(w Window, token identifier.Token) { l.page(w).doneUnder = token }
+func (l *Ledger) Accepted(w Window) { l.page(w).closed = true }
 
 // Failed records that a report could not be recorded or sent, or that its outcome is unknown.
 func (l *Ledger) Failed(now time.Time, w Window) {
--- a/core/meterer/meterer_test.go
+++ b/core/meterer/meterer_test.go
@@ -88,8 +88,10 @@
 func digest(body string) Digest { return sha256.Sum256([]byte(body)) }
 
 // decide returns the task at a time, with a request of account a in window 20, which ends at 105.
-func decide(t *testing.T, l *Ledger, now float64) Task {
-	task, err := l.Decide(at(now), 7, func(w Window) Usage {
+func decide(t *testing.T, l *Ledger, now float64) Task { return decideKnowing(t, l, now, true) }
+
+func decideKnowing(t *testing.T, l *Ledger, now float64, complete bool) Task {
+	task, err := l.Decide(at(now), complete, func(w Window) Usage {
 		if w != 20 {
 			return Usage{}
 		}
@@ -103,21 +105,31 @@
 
 func TestReportIsRecordedThenSentOnce(t *testing.T) {
 	l := NewLedger(length, delay, encode)
-	require.Nil(t, decide(t, l, 107.4))
+	require.Nil(t, decide(t, l, 106.9))
 	record := Record{Window: 20, Body: []byte(body), Digest: digest(body)}
-	require.Equal(t, record, decide(t, l, 107.5))
-	l.Failed(at(107.5), 20)
-	require.Nil(t, decide(t, l, 107.7))
-	require.Equal(t, record, decide(t, l, 107.9))
+	require.Equal(t, record, decide(t, l, 107))
+	l.Failed(at(107), 20)
+	require.Nil(t, decide(t, l, 107.2))
+	require.Equal(t, record, decide(t, l, 107.4))
 	l.Recorded(20, []byte(body), digest(body))
 	require.Equal(t, Send{Window: 20, Body: []byte(body)}, decide(t, l, 108))
 	l.Failed(at(108), 20)
 	require.Nil(t, decide(t, l, 108.5))
 	require.Equal(t, Send{Window: 20, Body: []byte(body)}, decide(t, l, 108.7))
-	l.Accepted(20, 7)
+	l.Accepted(20)
 	require.Nil(t, decide(t, l, 109))
 }
 
+func TestReportWaitsForCounts(t *testing.T) {
+	l := NewLedger(length, delay, encode)
+	require.Nil(t, decideKnowing(t, l, 107, false))
+	require.Nil(t, decideKnowing(t, l, 113.9, false))
+	require.IsType(t, Record{}, decideKnowing(t, l, 114, false))
+	require.IsType(t, Record{}, decideKnowing(t, l, 108, true))
+	l.Recorded(20, []byte(body), digest(body))
+	require.IsType(t, Send{}, decideKnowing(t, l, 108, false))
+}
+
 func TestRecordOfAnotherGoesFirst(t *testing.T) {
 	const other = "20 map[a:2]"
 	cases := []struct {
@@ -134,7 +146,7 @@
 		for _, prepared := range []bool{false, true} {
 			l := NewLedger(length, delay, encode)
 			if prepared {
-				decide(t, l, 107.5)
+				decide(t, l, 107)
 			}
 			l.Recorded(20, c.body, c.digest)
 			l.Recorded(20, []byte("later"), digest("later"))
@@ -145,17 +157,17 @@
 
 func TestDoubtfulAndLateWindowsAreNotSent(t *testing.T) {
 	l := NewLedger(length, delay, encode)
-	l.DoubtBefore(at(107.6))
+	l.DoubtBefore(at(107.1))
 	require.Nil(t, decide(t, l, 108))
 	require.Equal(t, Missed{Window: 20, Cause: "late"}, decide(t, l, 115))
 	require.Nil(t, decide(t, l, 115.1))
 
 	l = NewLedger(length, delay, encode)
-	l.DoubtBefore(at(107.4))
+	l.DoubtBefore(at(106.9))
 	require.IsType(t, Record{}, decide(t, l, 108))
 
 	l = NewLedger(length, delay, encode)
 	l.Recorded(20, []byte(body), digest(body))
-	l.DoubtBefore(at(107.6))
+	l.DoubtBefore(at(107.1))
 	require.IsType(t, Send{}, decide(t, l, 108))
 }
--- a/core/scaler/scaler.go
+++ b/core/scaler/scaler.go
@@ -413,8 +413,12 @@
 			targets[Pool{d, true}] = min(s.pools[Pool{d, true}].ready, bounds.Max-targets[Pool{d, false}])
 		}
 		fill(plan.Total-placed(), true, plan.Scarce)
-		// What spot servers can't serve of the usual demand is left to normal ones.
-		fill(plan.Usual-placed(), false, nil)
+		// Normal ones serve the demand of the moment while a data centre has no spot servers, and the usual one while none has.
+		bridged := plan.Least
+		if len(plan.Scarce) == len(bounds.Prices) {
+			bridged = plan.Usual
+		}
+		fill(bridged-placed(), false, nil)
 	}
 	for _, d := range dataCentres {
 		for used(d) < bounds.Min {
--- a/rosemaryspool/provisioner/provisioner.go
+++ b/rosemaryspool/provisioner/provisioner.go
@@ -185,7 +185,7 @@
 			continue
 		}
 		report := encodeDemand(s.Name, period, demand)
-		for _, m := range p.governor.Stewards(now, listeners) {
+		for _, m := range p.governor.Stewards(listeners) {
 			if m.Instance != p.governor.Self().Instance {
 				p.sender.Send(m, &messenger.Datagram{Body: &messenger.Datagram_DemandReport{DemandReport: report}})
 			}
--- a/rosemaryspool/steward/exchange.go
+++ b/rosemaryspool/steward/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"time"
 
@@ -16,8 +17,15 @@
 	// exchangeInterval is the time between two reports of this instance's counts to a candidate. An instance that is
 	// killed takes the counts of this time with it at most.
 	exchangeInterval = time.Second
+	// minPhase and maxPhase bound when in the interval an instance sends: soon after a window has ended.
+	minPhase = 50 * time.Millisecond
+	maxPhase = 500 * time.Millisecond
 	// clockInterval is the time between two reports where there is nothing new, so that clocks are compared.
-	clockInterval = 10 * time.Second
+	clockInterval = 2 * time.Second
+	// heardTime is how long an instance counts as heard after a report of it.
+	heardTime = 2 * clockInterval
+	// minHeardShare is the share of the instances that a holder must hear to know their counts.
+	minHeardShare = 0.75
 	// maxReportBytes bounds a report; the datagram's other fields take up to 200 bytes.
 	maxReportBytes = 1100
 	// windowBytes and callerBytes are the sizes of a window and of an account's count without its name.
@@ -25,9 +33,11 @@
 	callerBytes = 12
 	// keptDelays is for how many report delays counts are kept.
 	keptDelays = 3
-	// maxUnanswered is how many reports in a row a candidate may leave unanswered before it is passed over for a while.
+	// maxUnanswered is how many reports in a row a candidate may leave unanswered before it is passed over for a while,
+	// which doubles from minSilence to maxSilence.
 	maxUnanswered = 3
-	silenceTime   = 5 * time.Second
+	minSilence    = 5 * time.Second
+	maxSilence    = 40 * time.Second
 	// maxRoundTrip is the age above which a receipt says nothing about the time.
 	maxRoundTrip = 500 * time.Millisecond
 	// standstill is a pause of this process after which datagrams have waited for it, and backlogTime how long it takes
@@ -46,6 +56,7 @@
 	version     uint64
 	sentAt      time.Duration
 	unanswered  int
+	silence     time.Duration
 	silentUntil time.Duration
 }
 
@@ -58,6 +69,14 @@
 	// tickAt is when this process was last seen to run, backlogUntil the time until which datagrams may have waited.
 	tickAt       time.Duration
 	backlogUntil time.Duration
+	// heardAt is when each other instance last reported.
+	heardAt map[identifier.InstanceID]time.Duration
+}
+
+// heard returns how many instances have reported lately, this one included.
+func (e *exchange) heard(now time.Duration) int {
+	maps.DeleteFunc(e.heardAt, func(_ identifier.InstanceID, at time.Duration) bool { return now-at > heardTime })
+	return 1 + len(e.heardAt)
 }
 
 // tick records that this process runs.
@@ -73,7 +92,9 @@
 	return now-e.tickAt <= standstill && now >= e.backlogUntil
 }
 
-func newExchange() exchange { return exchange{recipients: map[identifier.InstanceID]*recipient{}} }
+func newExchange() exchange {
+	return exchange{recipients: map[identifier.InstanceID]*recipient{}, heardAt: map[identifier.InstanceID]time.Duration{}}
+}
 
 // watchStandstill notices that this process has stood still, until ctx ends.
 func (s *Steward) watchStandstill(ctx context.Context) {
@@ -89,17 +110,23 @@
 
 // exchangeUsage sends this instance's counts to the candidates until ctx ends.
 func (s *Steward) exchangeUsage(ctx context.Context) {
-	if !pause(ctx, rand.N(exchangeInterval)) {
-		return
-	}
-	for {
+	phase := minPhase + rand.N(maxPhase-minPhase)
+	for pause(ctx, s.untilPhase(phase)) {
 		s.sendCounts()
-		if !pause(ctx, exchangeInterval) {
-			return
-		}
 	}
 }
 
+// untilPhase returns the time until the next interval's phase.
+func (s *Steward) untilPhase(phase time.Duration) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	into := time.Duration(s.clock.Now(s.elapsed()).UnixNano() % int64(exchangeInterval))
+	if into < phase {
+		return phase - into
+	}
+	return exchangeInterval + phase - into
+}
+
 // Flush sends the counts that no candidate has acknowledged yet; an instance that stops does so last.
 func (s *Steward) Flush() {
 	if s.settings.ReportsUsage {
@@ -108,13 +135,10 @@
 }
 
 func (s *Steward) sendCounts() {
-	for _, m := range s.stewards(candidates) {
-		if m.Instance == s.peers.Self().Instance {
-			continue
-		}
-		for _, report := range s.nextReports(m) {
-			s.count("usageDatagrams")
-			s.sender.Send(m, &messenger.Datagram{Body: &messenger.Datagram_UsageReport{UsageReport: report}})
+	_, recipients := s.stewards(candidates)
+	for _, m := range recipients {
+		if m.Instance != s.peers.Self().Instance {
+			s.sendReports(m)
 		}
 	}
 	s.mu.Lock()
@@ -127,8 +151,15 @@
 	s.collector.Discard(oldest)
 }
 
-// stewards returns the first candidates without those that have left several reports unanswered.
-func (s *Steward) stewards(limit int) []elector.Member {
+func (s *Steward) sendReports(to elector.Member) {
+	for _, report := range s.nextReports(to) {
+		s.count("usageDatagrams")
+		s.sender.Send(to, &messenger.Datagram{Body: &messenger.Datagram_UsageReport{UsageReport: report}})
+	}
+}
+
+// stewards returns the first candidates that answer, and the recipients of reports: these and the silent ones before them.
+func (s *Steward) stewards(limit int) (chosen, recipients []elector.Member) {
 	s.mu.Lock()
 	now := s.elapsed()
 	silent := map[identifier.InstanceID]bool{}
@@ -138,13 +169,16 @@
 		}
 	}
 	s.mu.Unlock()
-	var chosen []elector.Member
-	for _, m := range s.peers.Stewards(time.Now(), limit+len(silent)) {
-		if !silent[m.Instance] && len(chosen) < limit {
+	for _, m := range s.peers.Stewards(limit + len(silent)) {
+		if len(chosen) == limit {
+			break
+		}
+		recipients = append(recipients, m)
+		if !silent[m.Instance] {
 			chosen = append(chosen, m)
 		}
 	}
-	return chosen
+	return chosen, recipients
 }
 
 // collectOwn adds this instance's counts to those of the others. The caller holds the mutex.
@@ -156,7 +190,7 @@
 	}
 }
 
-// nextReports returns the reports that are due to a candidate.
+// nextReports returns the reports that are due to a candidate. One that is silent gets no counts until it answers.
 func (s *Steward) nextReports(to elector.Member) []*messenger.UsageReport {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -166,15 +200,20 @@
 		r = &recipient{startedMs: to.StartedMs, sentAt: now - clockInterval}
 		s.exchange.recipients[to.Instance] = r
 	}
-	if len(r.pending) > 0 {
+	silent := now < r.silentUntil
+	if len(r.pending) > 0 && !silent {
 		r.unanswered++
 	}
 	if r.unanswered >= maxUnanswered {
-		r.unanswered, r.silentUntil = 0, now+silenceTime
-		s.log.Info().Str("event", "candidateSilent").Str("peer", string(to.Instance)).
+		r.silence = min(max(minSilence, 2*r.silence), maxSilence)
+		r.unanswered, r.silentUntil = 0, now+r.silence
+		s.log.Debug().Str("event", "candidateSilent").Str("peer", string(to.Instance)).
 			Msg("A candidate for the duties does not answer and is passed over for a while")
 	}
 	counts, version := s.counter.Since(r.acknowledged)
+	if silent {
+		counts, version = nil, r.acknowledged
+	}
 	if len(counts) == 0 && s.exchange.clockKnown && now-r.sentAt < clockInterval {
 		return nil
 	}
@@ -218,6 +257,7 @@
 	}
 	s.mu.Lock()
 	elapsed := s.elapsed()
+	s.exchange.heardAt[r.Sender.Instance] = elapsed
 	punctual := s.exchange.punctual(elapsed)
 	if punctual && m.GetClockMs() != 0 {
 		s.clock.Heard(elapsed, r.Sender.Instance, time.UnixMilli(m.GetClockMs()))
@@ -254,13 +294,22 @@
 
 // HandleUsageReceipt takes over a candidate's receipt and its time.
 func (s *Steward) HandleUsageReceipt(r courier.Received, m *messenger.UsageReceipt) {
+	if s.takeReceipt(r, m) {
+		// The candidate was silent and got no counts.
+		s.sendReports(r.Sender)
+	}
+}
+
+// takeReceipt takes over a receipt and reports whether the candidate was silent before.
+func (s *Steward) takeReceipt(r courier.Received, m *messenger.UsageReceipt) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	to := s.exchange.recipients[r.Sender.Instance]
 	if to == nil || to.startedMs != r.Sender.StartedMs {
-		return
+		return false
 	}
-	to.unanswered, to.silentUntil = 0, 0
+	returned := s.elapsed() < to.silentUntil
+	to.unanswered, to.silence, to.silentUntil = 0, 0, 0
 	latest, now := to.pending[m.GetNumber()], s.elapsed()
 	if latest {
 		delete(to.pending, m.GetNumber())
@@ -272,6 +321,7 @@
 		s.exchange.clockKnown = true
 		s.correctClock(now, time.UnixMilli(m.GetClockMs()), r.Sender.Instance)
 	}
+	return returned
 }
 
 // correctClock sets the clock to the median of the instances' clocks. The caller holds the mutex.
--- a/rosemaryspool/steward/lease.go
+++ b/rosemaryspool/steward/lease.go
@@ -33,7 +33,7 @@
 	idleInterval = 500 * time.Millisecond
 	// firstBackOff and lastBackOff bound the time between calls while the store fails.
 	firstBackOff = 200 * time.Millisecond
-	lastBackOff  = 2 * time.Second
+	lastBackOff  = 500 * time.Millisecond
 )
 
 // eraShift is the position of the era in an offset of the replayed topic, so that tokens are ordered by era first.
@@ -119,7 +119,8 @@
 
 // rank returns how many candidates come before this instance, and whether it is one itself.
 func (s *Steward) rank() (int, bool) {
-	for i, m := range s.stewards(candidates) {
+	chosen, _ := s.stewards(candidates)
+	for i, m := range chosen {
 		if m.Instance == s.peers.Self().Instance {
 			s.mu.Lock()
 			defer s.mu.Unlock()
@@ -242,6 +243,7 @@
 		_ = s.state.Skip(offset)
 		return
 	}
+	before, _ := s.state.Lease(scope)
 	applied, err := s.state.Apply(offset, r.Value)
 	if err != nil {
 		return
@@ -253,7 +255,16 @@
 			s.log.Info().Str("event", "leaseGranted").Str("scope", string(scope)).Str("holder", e.Lease.Holder).
 				Uint64("token", uint64(e.Lease.Token)).Msg("A duty has a new holder")
 		}
-		s.logDecisions(s.leaser.Granted(s.now(), applied.Record, e))
+		decisions := s.leaser.Granted(s.now(), applied.Record, e)
+		for _, d := range decisions {
+			if g, ok := d.(leaser.Gained); ok {
+				s.gained(g.Lease, before)
+			}
+		}
+		if lease, held := s.leaser.Held(s.now(), scope); held {
+			s.heldUntil[scope] = lease.ExpiresAt
+		}
+		s.logDecisions(decisions)
 	case replayer.Skipped:
 		s.log.Info().Str("event", "claimRefused").Str("scope", string(scope)).Str("author", applied.Author).
 			Str("cause", string(e.Cause)).Str("detail", e.Detail).Msg("A claim had no effect")
@@ -396,7 +407,7 @@
 		case leaser.Gained:
 			s.count("leasesGained")
 			s.log.Info().Str("event", "leaseGained").Str("scope", string(d.Lease.Scope)).
-				Uint64("token", uint64(d.Lease.Token)).Dur("usableInMs", max(0, s.usableFrom(d.Lease).Sub(s.now()))).
+				Uint64("token", uint64(d.Lease.Token)).Dur("usableInMs", max(0, s.usableFrom[d.Lease.Scope].Sub(s.now()))).
 				Msg("This instance holds a duty")
 		case leaser.Lost:
 			s.count("leasesLost")
--- a/rosemaryspool/steward/steward_test.go
+++ b/rosemaryspool/steward/steward_test.go
@@ -28,25 +28,25 @@
 	{"holder killed", func(w *world, h identifier.InstanceID) { w.kill(h) }, 2},
 	{"holder killed between intent and call", func(w *world, h identifier.InstanceID) {
 		killed := false
-		w.callFault = func(id identifier.InstanceID, _ identifier.Scope) fault {
+		w.setCallFault(func(id identifier.InstanceID, _ identifier.Scope) fault {
 			if id != h || killed {
 				return fault{}
 			}
 			killed = true
 			w.nodes[h].stop()
 			return fault{lose: true}
-		}
+		})
 	}, 2},
 	{"holder killed after its call, which is carried out late", func(w *world, h identifier.InstanceID) {
 		killed := false
-		w.callFault = func(id identifier.InstanceID, _ identifier.Scope) fault {
+		w.setCallFault(func(id identifier.InstanceID, _ identifier.Scope) fault {
 			if id != h || killed {
 				return fault{}
 			}
 			killed = true
 			w.nodes[h].stop()
-			return fault{late: 4900 * time.Millisecond}
-		}
+			return fault{late: maxFlight - 100*time.Millisecond}
+		})
 	}, 2},
 	{"holder killed and started again", func(w *world, h identifier.InstanceID) {
 		w.kill(h)
@@ -56,6 +56,8 @@
 	{"planned stop of the holder and start", func(w *world, h identifier.InstanceID) {
 		w.node(h).steward.Leave()
 		time.Sleep(2 * time.Second)
+		w.node(h).steward.Flush()
+		time.Sleep(2 * time.Millisecond)
 		w.kill(h)
 		time.Sleep(300 * time.Millisecond)
 		w.start(h)
@@ -71,9 +73,9 @@
 	}, 4},
 	{"holder frozen", func(w *world, h identifier.InstanceID) { w.freeze(h, 9*time.Second) }, 10},
 	{"holder cut off", func(w *world, h identifier.InstanceID) {
-		w.node(h).cut = true
+		w.cut(h, true)
 		time.Sleep(10 * time.Second)
-		w.node(h).cut = false
+		w.cut(h, false)
 	}, 14},
 	{"store answers nothing for a while", func(w *world, _ identifier.InstanceID) {
 		w.setStoreFault(func(identifier.InstanceID, bool) fault { return fault{lose: true} })
@@ -135,7 +137,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		w = newWorld(t, enforced, breakIt)
 		if breakWorld != nil {
+			w.mu.Lock()
 			breakWorld(w)
+			w.mu.Unlock()
 		}
 		time.Sleep(settled)
 		holder := w.holder()
@@ -180,6 +184,22 @@
 		time.Sleep(9 * time.Second)
 		w.setStoreFault(nil)
 	}}
+	returns := scenario{name: "holder returns after another", bring: func(w *world, h identifier.InstanceID) {
+		began := time.Now()
+		w.setCallFault(func(id identifier.InstanceID, _ identifier.Scope) fault {
+			arrives := 6 * time.Second
+			if id != h {
+				arrives = 6500 * time.Millisecond
+			}
+			return fault{late: max(0, arrives-time.Since(began))}
+		})
+		w.setStoreFault(func(id identifier.InstanceID, write bool) fault { return fault{refuse: id == h && write} })
+		time.Sleep(4300 * time.Millisecond)
+		w.setStoreFault(nil)
+		w.kill(w.order[1])
+		time.Sleep(2 * time.Second)
+		w.setCallFault(nil)
+	}}
 	cases := []struct {
 		name       string
 		scenario   scenario
@@ -191,14 +211,15 @@
 			"successor doesn't wait for calls under way", scenario{bring: func(w *world, h identifier.InstanceID) {
 				w.setCallFault(func(id identifier.InstanceID, _ identifier.Scope) fault {
 					if id == h {
-						return fault{late: 4900 * time.Millisecond}
+						return fault{late: maxFlight - 100*time.Millisecond}
 					}
 					return fault{}
 				})
 				time.Sleep(3 * time.Second)
 				w.kill(h)
-			}}, false, nil, func(s *Steward) { s.flight = 0 },
+			}}, false, nil, func(s *Steward) { s.flight, s.returnWait = 0, 0 },
 		},
+		{"holder returns at once", returns, true, nil, func(s *Steward) { s.returnWait = 0 }},
 		{"reports are not recorded", scenario{bring: func(w *world, h identifier.InstanceID) {
 			// Counts that no report contained arrive late.
 			late := w.node(w.order[len(w.order)-1]).steward
--- a/rosemaryspool/steward/world_test.go
+++ b/rosemaryspool/steward/world_test.go
@@ -48,7 +48,7 @@
 	calls      []call
 	bodies     map[uint64]string
 	violations []string
-	refusals   int
+
 	// lost is how many windows were missed or off.
 	lost int
 	// began holds the requests that truly began, by window.
@@ -99,12 +99,9 @@
 
 // start starts an instance, again if it ran before.
 func (w *world) start(id identifier.InstanceID) {
-	w.mu.Lock()
 	n := &node{member: elector.Member{
 		Instance: id, DataCentre: "here", Address: "10.0.0.2:1", StartedMs: time.Now().UnixMilli(),
 	}}
-	w.nodes[id] = n
-	w.mu.Unlock()
 	c := &client{world: w, id: id, node: n}
 	elapsed := func() time.Duration { return time.Since(w.started) }
 	s := newSteward(w.settings, c, c, c, c, testLog(w.t, id), metrics.NewRegistry(), elapsed)
@@ -114,6 +111,9 @@
 	n.steward = s
 	ctx, cancel := context.WithCancel(context.Background())
 	n.stop = cancel
+	w.mu.Lock()
+	w.nodes[id] = n
+	w.mu.Unlock()
 	go s.Run(ctx)
 	go func() {
 		for pause(ctx, 300*time.Millisecond) {
@@ -231,15 +231,17 @@
 	}
 }
 
+func (c *client) Instances() int { return len(c.world.order) }
+
 func (c *client) Self() elector.Member { return c.node.member }
 
-func (c *client) Stewards(_ time.Time, limit int) []elector.Member {
+func (c *client) Stewards(limit int) []elector.Member {
 	c.world.mu.Lock()
 	defer c.world.mu.Unlock()
 	var members []elector.Member
 	for _, id := range c.world.order {
-		if len(members) < limit {
-			members = append(members, c.world.nodes[id].member)
+		if n := c.world.nodes[id]; n != nil && len(members) < limit {
+			members = append(members, n.member)
 		}
 	}
 	return members
@@ -435,30 +437,35 @@
 func (w *world) judge(scope identifier.Scope, fence platform.Fence) error {
 	now := time.Now()
 	highest := identifier.Token(0)
+	for _, c := range w.calls {
+		if c.scope == scope {
+			highest = max(highest, c.token)
+		}
+	}
+	if fence.Token < highest {
+		if w.settings.FencingEnforced {
+			return &platform.CloudError{Status: 409}
+		}
+		w.violate("%s: token %d after %d", scope, fence.Token, highest)
+	}
 	for i, c := range w.calls {
 		if c.scope != scope {
 			continue
 		}
-		highest = max(highest, c.token)
 		if c.token == fence.Token && c.holder != fence.Holder {
-			w.violate("token %d of %s and %s", fence.Token, c.holder, fence.Holder)
+			w.violate("%s: token %d of %s and %s", scope, fence.Token, c.holder, fence.Holder)
 		}
 		if c.holder != fence.Holder || now.Sub(c.at) >= w.settings.LeaseDuration {
 			continue
 		}
 		for _, between := range w.calls[i:] {
 			if between.scope == scope && between.holder != fence.Holder {
-				w.violate("%s, %s and %s take turns", c.holder, between.holder, fence.Holder)
+				w.violate("%s: %s, %s and %s take turns: tokens %d, %d and %d at %v, %v and %v", scope, c.holder, between.holder,
+					fence.Holder, c.token, between.token, fence.Token, c.at.Sub(w.started), between.at.Sub(w.started),
+					now.Sub(w.started))
 			}
 		}
 	}
-	if fence.Token < highest {
-		if w.settings.FencingEnforced {
-			w.refusals++
-			return &platform.CloudError{Status: 409}
-		}
-		w.violate("token %d after %d", fence.Token, highest)
-	}
 	w.calls = append(w.calls, call{scope: scope, at: now, holder: fence.Holder, token: fence.Token})
 	return nil
 }
