--- a/core/scaler/scaler_test.go
+++ b/core/scaler/scaler_test.go
@@ -41,6 +41,14 @@
 	return factor * meanPrefill, factor * meanPlaces
 }
 
+// early begins with a burst of 10 s.
+func early(at time.Duration) (float64, float64) {
+	if at < 10*time.Second {
+		return 4 * meanPrefill, 4 * meanPlaces
+	}
+	return meanPrefill, meanPlaces
+}
+
 // play lets a scaler order servers under a load, and the same load meet a fleet that stays as it is.
 func play(t *testing.T, f *fleet, l load, length time.Duration, during func(at time.Duration)) (fixed *fleet) {
 	t.Helper()
@@ -105,6 +113,8 @@
 		{name: "growing", load: growing, spotPrice: 0.15, most: 1},
 		{name: "a data centre is reclaimed", load: bursts(2), spotPrice: 0.15, reclaim: "b", most: 0.8},
 		{name: "a data centre is reclaimed, no others to be had", load: bursts(2), spotPrice: 0.15, reclaim: "b", dry: true, most: 0.8},
+		// Normal servers for the burst that is over would cost more than the reclaimed ones.
+		{name: "a data centre is reclaimed long after a burst", load: early, spotPrice: 0.15, reclaim: "b", dry: true, most: 0.7},
 		// These peaks last long enough to be worth the price of normal servers for twice the mean.
 		{name: "spot servers nowhere to be had", load: bursts(2), spotPrice: 0.15, answer: none, most: 1.05},
 		{name: "no spot servers", load: bursts(2), most: 1.05},
