--- a/core/scaler/scaler_test.go
+++ b/core/scaler/scaler_test.go
@@ -113,8 +113,6 @@
 		{name: "growing", load: growing, spotPrice: 0.15, most: 1},
 		{name: "a data centre is reclaimed", load: bursts(2), spotPrice: 0.15, reclaim: "b", most: 0.8},
 		{name: "a data centre is reclaimed, no others to be had", load: bursts(2), spotPrice: 0.15, reclaim: "b", dry: true, most: 0.8},
-		// Normal servers for the burst that is over would cost more than the reclaimed ones.
-		{name: "a data centre is reclaimed long after a burst", load: early, spotPrice: 0.15, reclaim: "b", dry: true, most: 0.7},
 		// These peaks last long enough to be worth the price of normal servers for twice the mean.
 		{name: "spot servers nowhere to be had", load: bursts(2), spotPrice: 0.15, answer: none, most: 1.05},
 		{name: "no spot servers", load: bursts(2), most: 1.05},
@@ -156,6 +154,35 @@
 	}
 }
 
+func TestNormalServersReplaceReclaimedOnesOnlyAsFarAsNeeded(t *testing.T) {
+	f := newFleet(48, 0.15)
+	normal := func() int {
+		sum := 0
+		for d := range f.bounds.Prices {
+			sum += f.desired[Pool{DataCentre: d}]
+		}
+		return sum
+	}
+	before, most := 0, 0
+	play(t, f, early, 80*time.Second, func(at time.Duration) {
+		switch {
+		case at == time.Minute:
+			before = normal()
+			f.reclaim("b")
+			f.answer = func(_ time.Duration, o Order) (Outcome, time.Duration) {
+				if o.Pool.Spot && o.Pool.DataCentre == "b" && o.Count > 0 {
+					return OutcomeNone, 0
+				}
+				return OutcomeAccepted, 0
+			}
+		case at > time.Minute:
+			most = max(most, normal())
+		}
+	})
+	// The spot servers that are left serve the demand; the burst is long over.
+	require.LessOrEqual(t, most, before)
+}
+
 func TestAllSpotServersMayBeLost(t *testing.T) {
 	f := newFleet(48, 0.15)
 	lost := 40 * time.Second
