--- a/rosemaryspool/forwarder/relay.go
+++ b/rosemaryspool/forwarder/relay.go
@@ -58,6 +58,7 @@
 		// A successful response without the upstream's signature is not trusted.
 		return maybeExecuted, allocator.OutcomeFailed
 	}
+	e.meter()
 	stored := &storedResponse{status: response.Status, header: response.Header, body: body}
 	if response.Status >= http.StatusInternalServerError && e.route.Idempotent && e.last.peer == "" {
 		e.last.response = stored
@@ -75,6 +76,7 @@
 func (e *exchange) relayLarge(
 	ctx context.Context, response *connector.Response, start []byte,
 ) (attemptResult, allocator.Outcome) {
+	e.meter()
 	e.forwardHeader(response.Status, response.Header)
 	writer := extendingWriter{e}
 	_, err := writer.Write(start)
@@ -181,6 +183,7 @@
 		if e.last.firstEventAt.IsZero() {
 			e.last.firstEventAt = now
 			e.recordStream(now)
+			e.meter()
 			e.last.stopWatch()
 			e.forwarder.governor.FirstEventArrived(e.last.firstEventAt, e.last.sentAt, &e.last.placement)
 		}
--- a/rosemaryspool/gatekeeper/gatekeeper.go
+++ b/rosemaryspool/gatekeeper/gatekeeper.go
@@ -22,6 +22,7 @@
 	"rosemaryspool.example/core/elector"
 	"rosemaryspool.example/core/identifier"
 	"rosemaryspool.example/core/rationer"
+	"rosemaryspool.example/core/scaler"
 	"rosemaryspool.example/core/tracker"
 	"rosemaryspool.example/platform"
 	"rosemaryspool.example/rosemaryspool/archiver"
@@ -33,6 +34,8 @@
 	"rosemaryspool.example/rosemaryspool/governor"
 	"rosemaryspool.example/rosemaryspool/inspector"
 	"rosemaryspool.example/rosemaryspool/prober"
+	"rosemaryspool.example/rosemaryspool/provisioner"
+	"rosemaryspool.example/rosemaryspool/steward"
 	"rosemaryspool.example/rosemaryspool/subscriber"
 	"rosemaryspool.example/wire/messenger"
 )
@@ -74,7 +77,11 @@
 	subscriber *subscriber.Subscriber
 	archiver   *archiver.Archiver
 	memory     *rationer.Rationer
-	status     *statusHandler
+	// provisioner is nil where no servers are ordered.
+	provisioner *provisioner.Provisioner
+	// steward is nil if the instance has no duties.
+	steward *steward.Steward
+	status  *statusHandler
 	// unreadableNotices counts the responses in which an upstream says of itself what can't be read.
 	unreadableNotices metrics.Counter
 	// noticeWarnedAt is the Unix second of the last log line about one.
@@ -132,6 +139,18 @@
 			DrainLimit: settings.MaxDrainDelay, ApplyLimit: settings.MaxApplyDelay, FirstStart: settings.FirstStart,
 		}, log,
 	)
+	if d := settings.Duties; d.Address != "" && (d.ReportsUsage || d.OrdersServers) {
+		g.steward = steward.NewSteward(
+			d, store, platform.NewCloud(d.Address), g.governor, g.courier, log, registry,
+		)
+		g.forwarder.MeterWith(g.steward)
+		if d.OrdersServers {
+			g.provisioner = provisioner.NewProvisioner(
+				provisioner.Settings{CallsPerSecond: d.CallsPerSecond, Scaler: scaler.DefaultSettings()},
+				g.governor, g.steward, platform.NewCloud(d.Address), g.courier, log, registry,
+			)
+		}
+	}
 	// At the first start of the whole system nobody knows more than this instance.
 	g.setWarming(!settings.FirstStart)
 	g.status = newStatusHandler(g.governor, registry)
@@ -197,6 +216,18 @@
 		g.gossiper.SendCrashKnowledge(r.Sender)
 	case *messenger.Datagram_CrashReport:
 		g.gossiper.HandleCrashReport(r, body.CrashReport)
+	case *messenger.Datagram_DemandReport:
+		if g.provisioner != nil {
+			g.provisioner.HandleDemand(r, body.DemandReport)
+		}
+	case *messenger.Datagram_UsageReport:
+		if g.steward != nil {
+			g.steward.HandleUsageReport(r, body.UsageReport)
+		}
+	case *messenger.Datagram_UsageReceipt:
+		if g.steward != nil {
+			g.steward.HandleUsageReceipt(r, body.UsageReceipt)
+		}
 	}
 }
 
@@ -273,6 +304,12 @@
 	group.Go(func() { g.archiver.Run(backgroundCtx) })
 	group.Go(func() { g.closeIdleConnections(backgroundCtx) })
 	group.Go(func() { g.warmUp(backgroundCtx) })
+	if g.provisioner != nil {
+		group.Go(func() { g.provisioner.Run(backgroundCtx) })
+	}
+	if g.steward != nil {
+		group.Go(func() { g.steward.Run(backgroundCtx) })
+	}
 	err := g.serve(ctx, &group)
 	stopBackground()
 	group.Wait()
@@ -344,11 +381,17 @@
 	g.log.Info().Str("event", "stopping").Int64("active", g.forwarder.Active()).Msg("Planned stop: reporting not ready")
 	g.status.setNotReady()
 	g.forwarder.DisableKeepAlives()
+	if g.steward != nil {
+		g.steward.Leave()
+	}
 	g.gossiper.Leave()
 	limit := time.Duration(g.stopLimit.Load()) - stopMargin
 	<-time.After(min(balancerDelay, limit/2))
 	ctx, cancel := context.WithTimeout(context.Background(), limit-time.Since(started))
 	defer cancel()
 	err := errors.Join(callers.Shutdown(ctx), peers.Shutdown(ctx))
+	if g.steward != nil {
+		g.steward.Flush()
+	}
 	return eris.Wrap(err, "gatekeeper: drain requests in flight")
 }
