Reproduce upstreams that stay listed after the store confirmed their end

Cause: suspected from the reading of subscriber and tracker. A deleted entry stays listed while reads fail, and for two seconds after the first read that succeeds. Calls that hang are noticed up to 1.8 s after the store's return, and one instance's own failed reads count as an outage. Change: red tests in simulated time, TestRemovalBeforeAnOutageIsApplied- SoonAfterIt and TestRemovalIsAppliedWhileTheStoreHangsForTheReader. The soak lets upstreams leave unannounced too, beside an outage that follows or calls that hang for some gateways; a gateway in whose reads the store hangs counts as undisturbed. What is drained is judged once the gateway and the store have been undisturbed for three seconds, also if a disturbance lay between the store's confirmation and then.

--- /dev/null
+++ b/rosemaryspool/subscriber/departure_test.go
@@ -0,0 +1,273 @@
+package subscriber
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"rosemaryspool.example/core/allocator"
+	"rosemaryspool.example/core/budgeter"
+	"rosemaryspool.example/core/elector"
+	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/platform"
+	"rosemaryspool.example/rosemaryspool/gossiper"
+	"rosemaryspool.example/rosemaryspool/governor"
+)
+
+// hangingStore is a store in this process to which calls of some instances get no response.
+type hangingStore struct {
+	mu    sync.Mutex
+	topic map[string]*memoryStore
+	hangs map[int]bool
+}
+
+func (s *hangingStore) put(topic, key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.topic[topic].put(key, value)
+}
+
+func (s *hangingStore) setHangs(hangs bool, instances ...int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, i := range instances {
+		s.hangs[i] = hangs
+	}
+}
+
+// storeClient is the store as one instance calls it.
+type storeClient struct {
+	*hangingStore
+	instance int
+}
+
+// await waits for the response to a call.
+func (c storeClient) await(ctx context.Context) error {
+	c.mu.Lock()
+	hangs := c.hangs[c.instance]
+	c.mu.Unlock()
+	if hangs {
+		<-ctx.Done()
+	}
+	return ctx.Err()
+}
+
+// ReadNewest implements Store.
+func (c storeClient) ReadNewest(ctx context.Context, topic string) (platform.Batch, error) {
+	if err := c.await(ctx); err != nil {
+		return platform.Batch{}, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	t := c.topic[topic]
+	return platform.Batch{Records: t.newest(), Next: t.end()}, nil
+}
+
+// Read implements Store. A read is never woken.
+func (c storeClient) Read(ctx context.Context, topic string, from uint64, wait time.Duration) (platform.Batch, error) {
+	if err := c.await(ctx); err != nil {
+		return platform.Batch{}, err
+	}
+	c.mu.Lock()
+	t := c.topic[topic]
+	if wait > 0 && from == t.end() {
+		c.mu.Unlock()
+		select {
+		case <-time.After(wait):
+		case <-ctx.Done():
+			return platform.Batch{}, ctx.Err()
+		}
+		c.mu.Lock()
+	}
+	defer c.mu.Unlock()
+	return platform.Batch{Records: append([]platform.Record(nil), t.records[from:]...), Next: t.end()}, nil
+}
+
+// Write implements Store.
+func (c storeClient) Write(ctx context.Context, topic, key string, value []byte) error {
+	if err := c.await(ctx); err != nil {
+		return err
+	}
+	c.put(topic, key, value)
+	return nil
+}
+
+// neighbourhood holds instances that exchange views without loss.
+type neighbourhood struct {
+	store     *hangingStore
+	instances []*neighbour
+}
+
+// neighbour is one instance; it implements Exchange.
+type neighbour struct {
+	*neighbourhood
+	self       elector.Member
+	governor   *governor.Governor
+	subscriber *Subscriber
+}
+
+// startNeighbourhood starts instances that follow a store with two upstreams.
+func startNeighbourhood(ctx context.Context, count int) *neighbourhood {
+	n := &neighbourhood{store: &hangingStore{hangs: map[int]bool{}, topic: map[string]*memoryStore{
+		platform.TopicConfiguration: {}, platform.TopicServers: {}, platform.TopicMembers: {},
+	}}}
+	n.store.put(platform.TopicConfiguration, platform.KeyConfiguration, configuration(1))
+	for _, id := range []string{"a", "b"} {
+		n.store.put(platform.TopicServers, id, bornRecord("ready", 1))
+	}
+	for i := range count {
+		self := elector.Member{Instance: identifier.InstanceID(fmt.Sprint("spool-", i)), StartedMs: 1}
+		n.instances = append(n.instances, &neighbour{neighbourhood: n, self: self, governor: governor.NewGovernor(governor.Settings{
+			Self: self, Retry: budgeter.Settings{Window: time.Second}, Allocator: allocator.DefaultSettings(),
+		}, zerolog.Nop())})
+	}
+	for number, i := range n.instances {
+		for _, other := range n.instances {
+			i.governor.SetMember(time.Now(), other.self)
+		}
+		i.subscriber = NewSubscriber(storeClient{n.store, number}, i.governor, i, Settings{
+			DrainLimit: drainLimit, ApplyLimit: applyLimit,
+		}, zerolog.Nop())
+	}
+	for _, i := range n.instances {
+		go i.subscriber.Run(ctx)
+		go func() {
+			for ctx.Err() == nil {
+				time.Sleep(300 * time.Millisecond)
+				i.governor.Expire(time.Now())
+			}
+		}()
+	}
+	return n
+}
+
+// ForwardView implements Exchange.
+func (i *neighbour) ForwardView(topic string, v gossiper.View) {
+	v.Sender = i.self.Instance
+	for _, other := range i.instances {
+		if other != i {
+			go other.subscriber.HandleView(topic, v)
+		}
+	}
+}
+
+// SendView implements Exchange.
+func (i *neighbour) SendView(to []elector.Member, topic string, v gossiper.View) {
+	v.Sender = i.self.Instance
+	for _, other := range i.instances {
+		if other.self.Instance == to[0].Instance {
+			go other.subscriber.HandleView(topic, v)
+		}
+	}
+}
+
+// Greet implements Exchange.
+func (i *neighbour) Greet() {}
+
+// RequestView implements Exchange.
+func (i *neighbour) RequestView(topic string) {
+	for _, other := range i.instances {
+		if other != i {
+			go other.subscriber.HandleViewRequest(i.self, []string{topic})
+		}
+	}
+}
+
+// reader returns the number of the instance that reads the store for the others.
+func (n *neighbourhood) reader() int {
+	for number, i := range n.instances {
+		if i.governor.ReaderRank(time.Now()) == 0 {
+			return number
+		}
+	}
+	return -1
+}
+
+// listing returns the instances that list an upstream.
+func (n *neighbourhood) listing(id identifier.UpstreamID) []identifier.InstanceID {
+	var listing []identifier.InstanceID
+	for _, i := range n.instances {
+		if _, listed := i.governor.Entry(id); listed {
+			listing = append(listing, i.self.Instance)
+		}
+	}
+	return listing
+}
+
+// play runs a neighbourhood of three instances in simulated time.
+func play(t *testing.T, run func(t *testing.T, n *neighbourhood)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer func() {
+			cancel()
+			// All goroutines end before the test does.
+			time.Sleep(2 * time.Second)
+		}()
+		n := startNeighbourhood(ctx, 3)
+		time.Sleep(5 * time.Second)
+		run(t, n)
+	})
+}
+
+// contactTime is how long after a disturbance the platform's rules apply again.
+const contactTime = 3 * time.Second
+
+// The store confirms that an upstream is gone, and then responds to nobody for a while.
+func TestRemovalBeforeAnOutageIsAppliedSoonAfterIt(t *testing.T) {
+	for length := 2500 * time.Millisecond; length < 4500*time.Millisecond; length += 50 * time.Millisecond {
+		play(t, func(t *testing.T, n *neighbourhood) {
+			n.store.put(platform.TopicServers, "a", nil)
+			n.store.setHangs(true, 0, 1, 2)
+			time.Sleep(length)
+			n.store.setHangs(false, 0, 1, 2)
+			time.Sleep(contactTime)
+			require.Empty(t, n.listing("a"), "after an outage of %v", length)
+			require.Len(t, n.listing("b"), 3)
+		})
+	}
+}
+
+// The store responds to all instances but the one that reads it for the others, for good or at times.
+func TestRemovalIsAppliedWhileTheStoreHangsForTheReader(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		hangs     time.Duration
+		responses time.Duration
+	}{
+		{"for good", time.Hour, 0},
+		{"for 1.2 s at a time", 1200 * time.Millisecond, 600 * time.Millisecond},
+		{"for 0.3 s at a time", 300 * time.Millisecond, 900 * time.Millisecond},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			for delay := time.Duration(0); delay < 1800*time.Millisecond; delay += 100 * time.Millisecond {
+				play(t, func(t *testing.T, n *neighbourhood) {
+					reader, ended := n.reader(), make(chan struct{})
+					defer close(ended)
+					go func() {
+						for {
+							n.store.setHangs(true, reader)
+							select {
+							case <-ended:
+								return
+							case <-time.After(c.hangs):
+							}
+							n.store.setHangs(false, reader)
+							time.Sleep(c.responses)
+						}
+					}()
+					time.Sleep(contactTime + delay)
+					n.store.put(platform.TopicServers, "a", nil)
+					time.Sleep(drainLimit)
+					require.Empty(t, n.listing("a"), "after %v", delay)
+				})
+			}
+		})
+	}
+}
--- a/standin/soaker/auditor.go
+++ b/standin/soaker/auditor.go
@@ -193,7 +193,8 @@
 			newest = c
 		}
 		if c.draining == r.upstream && r.At.After(c.at.Add(drainLimit)) &&
-			h.instanceUndisturbed(a.instance, c.at.Add(-settleTime), r.At) {
+			h.subjectUndisturbed(storeSubject, c.at.Add(-settleTime), c.at) &&
+			h.instanceUndisturbed(a.instance, r.At.Add(-settleTime), r.At) {
 			violations = append(violations, Violation{
 				InvariantLeaving, a.id, fmt.Sprintf("reached %s %v after it began to drain", r.upstream, r.At.Sub(c.at)),
 			})
--- a/standin/soaker/soaker.go
+++ b/standin/soaker/soaker.go
@@ -113,9 +113,11 @@
 type Soaker struct {
 	settings Settings
 	random   *rand.Rand
-	log      zerolog.Logger
-	store    *emulator.Store
-	server   *httptest.Server
+	// departures draws how upstreams leave.
+	departures *rand.Rand
+	log        zerolog.Logger
+	store      *emulator.Store
+	server     *httptest.Server
 	// backends grows when upstreams are replaced; backendsMu guards it.
 	backendsMu sync.Mutex
 	backends   []*backend
@@ -145,7 +147,7 @@
 // NewSoaker starts the stand-ins. The gateways are started by Run.
 func NewSoaker(settings Settings) (*Soaker, error) {
 	s := &Soaker{
-		settings: settings, random: rand.New(rand.NewPCG(settings.Seed, 1)),
+		settings: settings, random: rand.New(rand.NewPCG(settings.Seed, 1)), departures: newDepartures(settings.Seed),
 		log:   zerolog.New(zerolog.SyncWriter(settings.Log)).With().Timestamp().Logger(),
 		store: emulator.NewStore(), client: &http.Client{Timeout: time.Second}, closed: make(chan struct{}),
 	}
@@ -307,8 +309,9 @@
 	b := s.pickServing(service)
 	b.draining = true
 	s.markEnded(b)
-	s.publish(b, "draining")
-	s.recordChange(plannedChange{draining: b.upstream.ID})
+	var departed sync.WaitGroup
+	d := s.drawDeparture()
+	departed.Go(func() { s.depart(ctx, b, d) })
 	sleep(ctx, s.randomDuration(shortGap, longGap))
 	instance := s.random.IntN(len(s.processes))
 	s.recordChange(plannedChange{stoppedInstance: instance + 1})
@@ -319,6 +322,7 @@
 	})
 	sleep(ctx, maintenanceLength)
 	stopped.Wait()
+	departed.Wait()
 	// Replace the drained upstream by a new one of the same service and stage.
 	s.store.Put(emulator.TopicServers, b.upstream.ID, nil)
 	id := fmt.Sprintf("%s-%d", strings.Split(b.upstream.ID, "-")[0], 10+round)
