Take one instance's failed reads for no outage, and end relisting in time

Cause: an instance whose own reads failed kept deleted upstreams listed for two seconds after each failure, and spread that to its neighbours as an outage. After a real one, the two seconds began at the first read that succeeded, up to 1.8 s after the store's return where calls had hung. Change: the pacer knows when any instance read, so an outage is a time in which nobody did. The return is taken to be 0.6 s after the last failed read began at the latest, and a deleted upstream is dropped 1.6 s after its deletion was read, whatever fails then. A read counts from its start, not from when a stopped process looks at the response. A change that a neighbour reports during a read is read after it, and a held read that the store does not wake is ended 0.15 s after a neighbour has read more.

--- a/core/pacer/pacer.go
+++ b/core/pacer/pacer.go
@@ -34,6 +34,9 @@
 	rankStagger = 5 * time.Millisecond
 	// maxStaggeredRank limits the delay in a large data centre.
 	maxStaggeredRank = 40
+	// outageSlack is how much longer than the slowest backup takes to read nobody may have read before that counts as an
+	// outage of the store.
+	outageSlack = 300 * time.Millisecond
 )
 
 // Pacer schedules one instance's reads of one topic. It is not safe for concurrent use.
@@ -49,8 +52,15 @@
 	notBefore time.Time
 	// peerReadAt is the latest read of an instance whose view continues this one's without a gap.
 	peerReadAt time.Time
-	// peerChange is the offset up to which other instances have found relevant records.
+	// peerChange is the offset up to which other instances have found relevant records, lateChange the same for those that
+	// have been reported since the current read began.
 	peerChange uint64
+	lateChange uint64
+	reading    bool
+	// confirmedAt is the latest time at which a read of any instance is known to have succeeded, outageSince the one before
+	// the latest outage.
+	confirmedAt time.Time
+	outageSince time.Time
 }
 
 // NewPacer returns a pacer for a topic that is read at an interval and whose reads the store holds for up to holdTime.
@@ -74,7 +84,7 @@
 	}
 	p.own = View{Era: era}
 	p.synced, p.notBefore = false, notBefore
-	p.peerReadAt, p.peerChange = time.Time{}, 0
+	p.peerReadAt, p.peerChange, p.lateChange = time.Time{}, 0, 0
 	return true
 }
 
@@ -82,20 +92,45 @@
 // the topic must be read first.
 func (p *Pacer) NextOffset() (uint64, bool) { return p.own.Next, p.synced }
 
-// SnapshotRead records a read of all keys and returns the new view. next is the offset of the first record after it.
-func (p *Pacer) SnapshotRead(now time.Time, next uint64) View {
-	p.own = View{Era: p.own.Era, First: next, Next: next, ReadAt: now}
-	p.synced, p.peerChange = true, 0
+// ReadStarted records that a read of this instance begins.
+func (p *Pacer) ReadStarted() { p.reading, p.lateChange = true, 0 }
+
+// ReadConfirmed records that a read of any instance has succeeded, whose result is not older than a time. It reports
+// whether that is the first one after an outage of the store, and when the last one before it was.
+func (p *Pacer) ReadConfirmed(at time.Time) (before time.Time, outage bool) {
+	before = p.confirmedAt
+	if !at.After(before) {
+		return before, false
+	}
+	p.confirmedAt = at
+	outage = !before.IsZero() && at.Sub(before) > p.interval+p.backupDelay(maxStaggeredRank)+outageSlack
+	if outage {
+		p.outageSince = before
+	}
+	return before, outage
+}
+
+// OutageSince returns when the last read before the latest outage of the store was, the zero time if there was none.
+func (p *Pacer) OutageSince() time.Time { return p.outageSince }
+
+// SnapshotRead records a read of all keys at a time and returns the new view. next is the offset of the first record
+// after it.
+func (p *Pacer) SnapshotRead(at time.Time, next uint64) View {
+	p.own = View{Era: p.own.Era, First: next, Next: next, ReadAt: at}
+	p.synced, p.peerChange = true, p.lateChange
+	p.reading, p.lateChange = false, 0
 	return p.own
 }
 
-// DeltaRead records a read of the records before the offset next and returns the new view. changed is the offset after
-// the last relevant record; zero when there was none.
-func (p *Pacer) DeltaRead(now time.Time, next, changed uint64) View {
+// DeltaRead records a read at a time of the records before the offset next and returns the new view. changed is the
+// offset after the last relevant record; zero when there was none.
+func (p *Pacer) DeltaRead(at time.Time, next, changed uint64) View {
 	// Records after next may have been forwarded by another instance meanwhile.
-	p.own.Next, p.own.ReadAt = max(p.own.Next, next), now
-	// The store's responses are ordered: records that another instance read earlier are in this read, or don't exist.
-	p.peerChange = 0
+	p.own.Next, p.own.ReadAt = max(p.own.Next, next), at
+	// The store's responses are ordered: records that another instance had read before this read began are in it, or don't
+	// exist.
+	p.peerChange = p.lateChange
+	p.reading, p.lateChange = false, 0
 	p.own.Changed = max(p.own.Changed, changed)
 	return p.own
 }
@@ -108,6 +143,9 @@
 	}
 	if v.Changed > p.own.Next {
 		p.peerChange = max(p.peerChange, v.Changed)
+		if p.reading {
+			p.lateChange = max(p.lateChange, v.Changed)
+		}
 		return true
 	}
 	p.own.Next = max(p.own.Next, v.Next)
--- a/core/pacer/pacer_test.go
+++ b/core/pacer/pacer_test.go
@@ -152,3 +152,41 @@
 	require.Equal(t, View{Era: 1, First: 12, Next: 12, Changed: 11, ReadAt: at(interval)}, p.View())
 	require.False(t, p.EnterEra(0, at(0)), "the era never goes back")
 }
+
+// The response to a read that began before another instance found a record may not contain it yet.
+func TestPeerChangeDuringAReadIsReadAfterIt(t *testing.T) {
+	p := NewPacer(interval, time.Second)
+	p.SnapshotRead(at(0), 10)
+	p.ReadStarted()
+	require.True(t, p.PeerViewReceived(View{First: 5, Next: 20, Changed: 20, ReadAt: at(interval)}))
+	p.DeltaRead(at(interval), 15, 15)
+	require.True(t, p.BehindPeers())
+	require.True(t, p.NextReadAt(6).IsZero())
+	p.ReadStarted()
+	p.DeltaRead(at(interval), 15, 15)
+	require.False(t, p.BehindPeers(), "the store doesn't have it")
+}
+
+func TestOutageIsATimeInWhichNobodyRead(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		gap    time.Duration
+		outage bool
+	}{
+		{"usual", interval, false},
+		{"reader failed", interval + otherBackupsDelay + 3*rankStagger, false},
+		{"backups failed too", 2 * interval, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			p := NewPacer(interval, 0)
+			_, outage := p.ReadConfirmed(at(0))
+			require.False(t, outage, "the first read")
+			before, outage := p.ReadConfirmed(at(c.gap))
+			require.Equal(t, c.outage, outage)
+			require.Equal(t, at(0), before)
+			require.Equal(t, c.outage, p.OutageSince().Equal(at(0)))
+			_, outage = p.ReadConfirmed(at(c.gap / 2))
+			require.False(t, outage, "an earlier read of another instance")
+		})
+	}
+}
--- a/core/tracker/tracker.go
+++ b/core/tracker/tracker.go
@@ -66,8 +66,16 @@
 	return e, e.Incarnation >= previous.Incarnation
 }
 
-// RelistGracePeriod is the time that upstreams have to register again after an outage of the store.
-const RelistGracePeriod = 2 * time.Second
+const (
+	// RelistGracePeriod is the time that upstreams have to register again after an outage of the store.
+	RelistGracePeriod = 2 * time.Second
+	// maxReturnDelay bounds how long after the start of the last failed read the store is taken to have returned. Reads
+	// that get no response, and the waits between them, last longer.
+	maxReturnDelay = 600 * time.Millisecond
+	// maxMissing bounds how long a deleted upstream stays listed. Requests must not reach one that is gone later than the
+	// shortest drain limit after the deletion was read; the rest of that limit is for Expire and the way to the upstream.
+	maxMissing = 1600 * time.Millisecond
+)
 
 type member struct {
 	entry Entry
@@ -77,6 +85,11 @@
 	missingSince time.Time
 }
 
+// isExpired reports whether a deleted upstream has had its time to register again, which ends at graceEnd at the latest.
+func (m *member) isExpired(now, graceEnd time.Time) bool {
+	return !m.missingSince.IsZero() && (!now.Before(graceEnd) || now.Sub(m.missingSince) >= maxMissing)
+}
+
 // Tracker applies the records of the upstream list. Leaving is sticky: once set, it is kept until a record of a newer
 // incarnation. It is not safe for concurrent use.
 type Tracker struct {
@@ -85,10 +98,10 @@
 	removed map[identifier.UpstreamID]Entry
 	// noticed holds the listed upstreams that have said in a response that they leave, here or at another instance.
 	noticed map[identifier.UpstreamID]bool
-	// lastUnavailable is the time of the latest failed read during an outage of the store, afterwards that of the first
-	// successful one.
+	// lastUnavailable is the latest time at which the store is known to have been unavailable, returnedAt when it is taken
+	// to have returned from its latest outage; zero if there was none.
 	lastUnavailable time.Time
-	unavailable     bool
+	returnedAt      time.Time
 }
 
 // NewTracker returns a tracker with an empty list.
@@ -99,32 +112,34 @@
 	}
 }
 
-// StoreUnavailable records that a read of the list failed.
-func (t *Tracker) StoreUnavailable(now time.Time) {
-	t.unavailable = true
-	t.lastUnavailable = now
+// StoreUnavailable records that the store was unavailable at a time.
+func (t *Tracker) StoreUnavailable(at time.Time) {
+	if at.After(t.lastUnavailable) {
+		t.lastUnavailable = at
+	}
 }
 
-// StoreAvailable records that a read of the list succeeded.
-func (t *Tracker) StoreAvailable(now time.Time) {
-	if t.unavailable {
-		t.unavailable = false
-		t.lastUnavailable = now
+// StoreAvailable records that a read at a time is the first one to succeed after an outage of the store, which is longer
+// than single reads take that fail.
+func (t *Tracker) StoreAvailable(at time.Time) {
+	if limit := t.lastUnavailable.Add(maxReturnDelay); limit.Before(at) {
+		at = limit
 	}
+	t.OutageReported(at)
 }
 
-// OutageAge returns the time since the store was last unavailable, zero if it never was.
+// OutageAge returns the time since the store has returned from its latest outage, zero if there was none.
 func (t *Tracker) OutageAge(now time.Time) time.Duration {
-	if t.lastUnavailable.IsZero() {
+	if t.returnedAt.IsZero() {
 		return 0
 	}
-	return now.Sub(t.lastUnavailable)
+	return now.Sub(t.returnedAt)
 }
 
-// OutageReported records that the store was unavailable at a time, as another instance has found.
-func (t *Tracker) OutageReported(at time.Time) {
-	if at.After(t.lastUnavailable) {
-		t.lastUnavailable = at
+// OutageReported records that the store has returned from an outage at a time, as another instance has found.
+func (t *Tracker) OutageReported(returnedAt time.Time) {
+	if returnedAt.After(t.returnedAt) {
+		t.returnedAt = returnedAt
 	}
 }
 
@@ -190,16 +205,18 @@
 	return e.Incarnation < last.Incarnation || (last.Leaving && e.Incarnation != 0 && e.Incarnation == last.Incarnation)
 }
 
-// Delete applies the deletion of an upstream's record and reports whether the list changed. During an outage of the
-// store and for RelistGracePeriod afterwards, the upstream stays listed until Expire, unless it was leaving.
+// Delete applies the deletion of an upstream's record and reports whether the list changed. For RelistGracePeriod after
+// an outage of the store, the upstream stays listed until Expire, unless it was leaving.
 func (t *Tracker) Delete(now time.Time, id identifier.UpstreamID, offset uint64) bool {
 	m := t.members[id]
 	if m == nil || offset < m.offset {
 		return false
 	}
 	m.offset = offset
-	if !m.entry.Leaving && t.inGracePeriod(now) {
-		m.missingSince = now
+	if !m.entry.Leaving && now.Before(t.graceEnd()) {
+		if m.missingSince.IsZero() {
+			m.missingSince = now
+		}
 		return false
 	}
 	t.remove(id, m)
@@ -222,7 +239,7 @@
 func (t *Tracker) Expire(now time.Time) bool {
 	changed := false
 	for id, m := range t.members {
-		if !m.missingSince.IsZero() && !t.inGracePeriod(now) {
+		if m.isExpired(now, t.graceEnd()) {
 			t.remove(id, m)
 			changed = true
 		}
@@ -230,11 +247,8 @@
 	return changed
 }
 
-// inGracePeriod reports whether missing upstreams may still register again: the store is unavailable, or was less than
-// RelistGracePeriod ago.
-func (t *Tracker) inGracePeriod(now time.Time) bool {
-	return t.unavailable || now.Sub(t.lastUnavailable) < RelistGracePeriod
-}
+// graceEnd returns when the upstreams that were missing after the latest outage have had the time to register again.
+func (t *Tracker) graceEnd() time.Time { return t.returnedAt.Add(RelistGracePeriod) }
 
 func (t *Tracker) remove(id identifier.UpstreamID, m *member) {
 	t.removed[id] = m.entry
--- a/core/tracker/tracker_test.go
+++ b/core/tracker/tracker_test.go
@@ -58,6 +58,22 @@
 			tr.Delete(now, "u", 2)
 			tr.Expire(now.Add(RelistGracePeriod))
 		}, 0},
+		{"removed soon after the return, though reads took long to succeed", func(tr *Tracker) {
+			tr.Update(entry(1, false), 1)
+			tr.StoreUnavailable(now.Add(-1800 * time.Millisecond))
+			tr.StoreAvailable(now)
+			tr.Delete(now, "u", 2)
+			tr.Expire(now.Add(900 * time.Millisecond))
+		}, 0},
+		{"another outage doesn't keep it", func(tr *Tracker) {
+			tr.Update(entry(1, false), 1)
+			tr.StoreUnavailable(now)
+			tr.StoreAvailable(now)
+			tr.Delete(now, "u", 2)
+			tr.StoreUnavailable(now.Add(time.Second))
+			tr.StoreAvailable(now.Add(time.Second))
+			tr.Expire(now.Add(1700 * time.Millisecond))
+		}, 0},
 		{"leaving upstream is removed immediately after an outage", func(tr *Tracker) {
 			tr.Update(entry(1, true), 1)
 			tr.StoreUnavailable(now)
--- a/rosemaryspool/governor/governor.go
+++ b/rosemaryspool/governor/governor.go
@@ -171,11 +171,22 @@
 	}
 }
 
-// StoreUnavailable records that the list of upstreams could not be read from the store.
-func (g *Governor) StoreUnavailable(now time.Time) {
+// StoreUnavailable records that a read of the list of upstreams that began at a time has failed.
+func (g *Governor) StoreUnavailable(at time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.tracker.StoreUnavailable(now)
+	g.tracker.StoreUnavailable(at)
+}
+
+// StoreAvailable records that a read of the list at a time was the first one of any instance to succeed after an outage
+// of the store, and when the last one before it was.
+func (g *Governor) StoreAvailable(before, at time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.tracker.StoreUnavailable(before)
+	g.tracker.StoreAvailable(at)
+	g.log.Info().Str("event", "outageEnded").Dur("unreadMs", at.Sub(before)).Dur("returnedMsAgo", g.tracker.OutageAge(time.Now())).
+		Msg("Store is read again after an outage; upstreams that are missing may register again for a while")
 }
 
 // StoreReturned records that the store has returned from an older copy.
@@ -185,14 +196,14 @@
 	g.tracker.StoreReturned(now)
 }
 
-// OutageAge returns the time since the store was last unavailable, zero if it never was.
+// OutageAge returns the time since the store has returned from its latest outage, zero if there was none.
 func (g *Governor) OutageAge(now time.Time) time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.tracker.OutageAge(now)
 }
 
-// OutageReported records that the store was unavailable at a time, as another instance has found.
+// OutageReported records that the store has returned from an outage at a time, as another instance has found.
 func (g *Governor) OutageReported(at time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/rosemaryspool/subscriber/applier.go
+++ b/rosemaryspool/subscriber/applier.go
@@ -42,7 +42,6 @@
 	now := time.Now()
 	var accepted []platform.Record
 	s.governor.UpdateUpstreams(now, origin, func(t *tracker.Tracker) bool {
-		t.StoreAvailable(now)
 		changed := false
 		listed := map[identifier.UpstreamID]bool{}
 		for _, r := range records {
--- a/rosemaryspool/subscriber/departure_test.go
+++ b/rosemaryspool/subscriber/departure_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -102,6 +104,8 @@
 type neighbourhood struct {
 	store     *hangingStore
 	instances []*neighbour
+	// deaf gets no views.
+	deaf atomic.Pointer[neighbour]
 }
 
 // neighbour is one instance; it implements Exchange.
@@ -151,7 +155,7 @@
 func (i *neighbour) ForwardView(topic string, v gossiper.View) {
 	v.Sender = i.self.Instance
 	for _, other := range i.instances {
-		if other != i {
+		if other != i && other != i.deaf.Load() {
 			go other.subscriber.HandleView(topic, v)
 		}
 	}
@@ -271,3 +275,62 @@
 		})
 	}
 }
+
+// The store does not wake the read of an instance that has missed the forwarded record.
+func TestReadThatTheStoreDoesNotWakeIsOvertaken(t *testing.T) {
+	play(t, func(t *testing.T, n *neighbourhood) {
+		reader := n.reader()
+		behind := n.instances[(reader+1)%len(n.instances)]
+		// Nobody else reads for a while, so that this instance holds a read of its own.
+		n.deaf.Store(behind)
+		time.Sleep(1800 * time.Millisecond)
+		n.store.put(platform.TopicConfiguration, platform.KeyConfiguration, configuration(2))
+		next := n.instances[reader].governor
+		for next.Table().Configuration().Version != 2 {
+			time.Sleep(10 * time.Millisecond)
+		}
+		n.deaf.Store(nil)
+		n.store.put(platform.TopicConfiguration, platform.KeyConfiguration, configuration(3))
+		for next.Table().Configuration().Version != 3 {
+			time.Sleep(10 * time.Millisecond)
+		}
+		time.Sleep(overtakenWait + 10*time.Millisecond)
+		require.EqualValues(t, 3, behind.governor.Table().Configuration().Version)
+	})
+}
+
+// An instance asks for a snapshot just when the one that it asks is applying forwarded records.
+func TestSnapshotContainsTheRecordsThatAreBeingApplied(t *testing.T) {
+	s := newSimulation(3)
+	s.store.put("a", bornRecord("ready", 1))
+	for _, i := range s.instances {
+		i.readStore(t)
+	}
+	s.sent = nil
+	s.store.put("a", bornRecord("draining", 1))
+	s.instances[0].readStore(t)
+	asked, apply, answered := s.instances[1], s.instances[1].topic.apply, make(chan struct{})
+	asked.topic.apply = func(records []platform.Record, origin governor.Origin) []platform.Record {
+		go func() {
+			defer close(answered)
+			asked.HandleViewRequest(s.instances[2].governor.Self(), []string{platform.TopicServers})
+		}()
+		select {
+		case <-answered:
+		case <-time.After(50 * time.Millisecond):
+		}
+		return apply(records, origin)
+	}
+	forwarded := slices.IndexFunc(s.sent, func(d delivery) bool { return d.to == asked.number })
+	s.deliver(forwarded, false)
+	<-answered
+	s.start(2)
+	for len(s.sent) > 0 {
+		d := s.sent[0]
+		s.sent = s.sent[1:]
+		if d.to == 2 && d.view.Snapshot {
+			s.instances[2].HandleView(platform.TopicServers, d.view)
+		}
+	}
+	require.Empty(t, s.disagreement(t))
+}
--- a/rosemaryspool/subscriber/follower.go
+++ b/rosemaryspool/subscriber/follower.go
@@ -27,6 +27,9 @@
 	// outage, and retry with patientBackoff.
 	mainReaders    = 3
 	patientBackoff = 2500 * time.Millisecond
+	// overtakenWait is how long a held read may go on after another instance has read records that it should have returned.
+	// Usually it returns them a moment later.
+	overtakenWait = 150 * time.Millisecond
 )
 
 // topic is one followed topic.
@@ -40,14 +43,18 @@
 	applying sync.Mutex
 	// newest holds the newest record of each key that said anything new.
 	newest map[string]platform.Record
-	// incoming holds the records of a snapshot that another instance is sending, up to the offset incomingTo.
+	// incoming holds the records of a snapshot that the instance incomingOf is sending, up to the offset incomingTo.
 	incoming   []platform.Record
 	incomingTo uint64
+	incomingOf identifier.InstanceID
 	// changes reports whether a record says anything new after the newest one of its key; nil if each one does.
 	changes func(newest, next platform.Record) bool
 	// apply applies records and returns those that could be read.
-	apply     func(records []platform.Record, origin governor.Origin) []platform.Record
-	onFailure func(now time.Time)
+	apply func(records []platform.Record, origin governor.Origin) []platform.Record
+	// onFailure is called when a read that began at a time has failed, onOutage when one at a time was the first of any
+	// instance to succeed after an outage; nil if there is nothing to do.
+	onFailure func(at time.Time)
+	onOutage  func(before, at time.Time)
 	// keepsNewest reports whether the newest record of a key outlasts another one in an older copy of the store; nil if none
 	// does. next is the zero record if the copy has none.
 	keepsNewest func(newest, next platform.Record) bool
@@ -55,6 +62,11 @@
 	onReturn func(now time.Time)
 	// returned is true if the store has returned from an older copy since the last read; the subscriber's mutex guards it.
 	returned bool
+	// readStarted is when the current or last read began, held how long the store might hold it.
+	readStarted time.Time
+	held        time.Duration
+	// overtaken is true if the current read is ended soon because another instance has read more.
+	overtaken bool
 	// wake receives a value when another instance reports records that this one has not read, or has sent a snapshot.
 	wake chan struct{}
 
@@ -113,10 +125,13 @@
 	era := t.pacer.Era()
 	wait := t.wait
 	catchesUp := t.pacer.BehindPeers()
-	s.mu.Unlock()
-	if !known {
+	if !known || catchesUp {
+		// The records are there, or another instance has followed the topic in another copy of the store.
 		wait = 0
 	}
+	t.pacer.ReadStarted()
+	t.readStarted, t.held, t.overtaken = time.Now(), wait, false
+	s.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
 	defer cancel()
 	s.setCancel(t, cancel)
@@ -166,6 +181,7 @@
 	if !current {
 		return gossiper.View{}, false
 	}
+	s.confirmRead(t, t.readAt(time.Now()))
 	relevant := s.applyRecords(t, batch.Records, followed, governor.Origin{FollowedTo: batch.Next})
 	return s.recordRead(t, from, batch.Next, relevant), true
 }
@@ -176,6 +192,8 @@
 	t.applying.Lock()
 	defer t.applying.Unlock()
 	now := time.Now()
+	readAt := t.readAt(now)
+	s.confirmRead(t, readAt)
 	s.enterEra(t, batch.Era, now, "")
 	s.mu.Lock()
 	followed, synced := t.pacer.NextOffset()
@@ -187,12 +205,12 @@
 	if synced && followed >= batch.Next {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		return t.pacer.DeltaRead(now, batch.Next, 0), true
+		return t.pacer.DeltaRead(readAt, batch.Next, 0), true
 	}
 	s.applySnapshot(t, batch.Records, governor.Origin{Snapshot: true, FollowedTo: batch.Next})
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return t.pacer.SnapshotRead(now, batch.Next), true
+	return t.pacer.SnapshotRead(readAt, batch.Next), true
 }
 
 // enterEra makes a topic follow a later era of the store, and reports whether it is one. What is known stays in force. The
@@ -279,7 +297,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return gossiper.View{
-		View: t.pacer.DeltaRead(now, to, changed), RecordsFrom: from, RecordsTo: to, Records: records,
+		View: t.pacer.DeltaRead(t.readAt(now), to, changed), RecordsFrom: from, RecordsTo: to, Records: records,
 		OutageAge: s.governor.OutageAge(now),
 	}
 }
@@ -303,7 +321,7 @@
 	t.failures++
 	t.retryAt = now.Add(backoff(t.failures, s.governor.ReaderRank(now)))
 	if t.onFailure != nil {
-		t.onFailure(now)
+		t.onFailure(t.readStarted)
 	}
 	if !t.unavailable {
 		t.unavailable = true
@@ -325,6 +343,45 @@
 	}
 }
 
+// endOvertakenRead ends the current read of a topic in a moment if the store still holds it then, although another instance
+// has read records that it should have returned: the store has not woken it.
+func (s *Subscriber) endOvertakenRead(t *topic) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if t.cancel == nil || t.held == 0 || t.overtaken {
+		return
+	}
+	t.overtaken = true
+	time.AfterFunc(overtakenWait, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if t.overtaken && t.cancel != nil && t.pacer.BehindPeers() {
+			s.log.Info().Str("event", "readOvertaken").Str("topic", t.name).Msg("Store holds a read although there are records; reading anew")
+			t.cancel()
+		}
+	})
+}
+
+// readAt returns the time for which the response to the last read certainly holds. The process may have been stopped
+// between the response and now.
+func (t *topic) readAt(now time.Time) time.Time {
+	if latest := t.readStarted.Add(t.held); latest.Before(now) {
+		return latest
+	}
+	return now
+}
+
+// confirmRead records that a read of any instance has succeeded whose result is not older than a time. Reads that fail
+// here while others succeed are no outage of the store.
+func (s *Subscriber) confirmRead(t *topic, at time.Time) {
+	s.mu.Lock()
+	before, outage := t.pacer.ReadConfirmed(at)
+	s.mu.Unlock()
+	if outage && t.onOutage != nil {
+		t.onOutage(before, at)
+	}
+}
+
 func (s *Subscriber) setCancel(t *topic, cancel context.CancelFunc) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/rosemaryspool/subscriber/sharing.go
+++ b/rosemaryspool/subscriber/sharing.go
@@ -153,11 +153,10 @@
 		return
 	}
 	t := s.topics[i]
-	if v.OutageAge > 0 && name == platform.TopicServers {
-		s.governor.OutageReported(time.Now().Add(-v.OutageAge))
-	}
 	t.applying.Lock()
 	defer t.applying.Unlock()
+	s.confirmRead(t, v.ReadAt)
+	s.reportOutage(t, v.OutageAge)
 	if s.enterEra(t, v.Era, time.Now().Add(maxSnapshotWait), v.Sender) {
 		t.signal()
 		if !v.Snapshot {
@@ -176,6 +175,20 @@
 	}
 }
 
+// reportOutage takes over when the store has returned from an outage, as another instance has found, which may have made
+// more of the calls that failed. It is no outage if reads are known to have succeeded meanwhile.
+func (s *Subscriber) reportOutage(t *topic, age time.Duration) {
+	if age <= 0 || t.name != platform.TopicServers {
+		return
+	}
+	s.mu.Lock()
+	since := t.pacer.OutageSince()
+	s.mu.Unlock()
+	if at := time.Now().Add(-age); !since.IsZero() && at.After(since) {
+		s.governor.OutageReported(at)
+	}
+}
+
 // handleRecords applies records that another instance has read. Those that are missing are read from the store, or
 // requested if the other instance has not followed the topic for as long as this one.
 func (s *Subscriber) handleRecords(t *topic, v gossiper.View) {
@@ -195,6 +208,7 @@
 	}
 	if mustRead {
 		t.signal()
+		s.endOvertakenRead(t)
 	}
 }
 
@@ -213,9 +227,9 @@
 func (s *Subscriber) handleSnapshot(t *topic, v gossiper.View) {
 	s.mu.Lock()
 	if v.RecordsFrom == 0 {
-		t.incoming, t.incomingTo = nil, 0
+		t.incoming, t.incomingTo, t.incomingOf = nil, 0, v.Sender
 	}
-	if v.RecordsFrom == t.incomingTo {
+	if v.RecordsFrom == t.incomingTo && v.Sender == t.incomingOf {
 		t.incoming, t.incomingTo = append(t.incoming, recordsFrom(v.Records, 0)...), v.RecordsTo
 	}
 	complete := t.incomingTo == v.Next && v.RecordsTo == v.Next && t.pacer.PeerSnapshotReceived(v.View)
--- a/standin/soaker/departure.go
+++ b/standin/soaker/departure.go
@@ -19,19 +19,28 @@
 	hung   int
 }
 
-// departureStream is the random stream of departures; the faults have streams of their own.
+// departureStream is the random stream of departures, so that the faults of a seed stay the same.
 const departureStream = 1 << 32
 
 const (
-	// shortHang and longHang bound how long the store doesn't respond around a departure.
-	shortHang = 500 * time.Millisecond
-	longHang  = 3 * time.Second
-	// maxHangDelay is the largest time between a departure and the start of the fault around it.
-	maxHangDelay = 500 * time.Millisecond
+	// shortHang, longHang and longOutage bound how long the store doesn't respond around a departure.
+	shortHang  = 500 * time.Millisecond
+	longHang   = 3 * time.Second
+	longOutage = 6 * time.Second
+	// departureMargin is the largest time between a departure and the outage after it, or the end of the hang before it.
+	departureMargin = 500 * time.Millisecond
 )
 
-// newDepartures returns the source of random departures of a run.
-func newDepartures(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, departureStream)) }
+// departures draws how upstreams leave.
+type departures struct{ *rand.Rand }
+
+func newDepartures(seed uint64) departures {
+	return departures{rand.New(rand.NewPCG(seed, departureStream))}
+}
+
+func (d departures) drawDuration(least, most time.Duration) time.Duration {
+	return least + time.Duration(d.Int64N(int64(most-least)))
+}
 
 func (s *Soaker) drawDeparture() departure {
 	d := departure{unannounced: s.departures.IntN(2) == 0}
@@ -47,39 +56,42 @@
 // depart makes an upstream leave. It returns when the store responds to all gateways again and they have had the time to
 // learn of the change. A gateway whose calls hang doesn't count as disturbed: the others read the store for it.
 func (s *Soaker) depart(ctx context.Context, b *backend, d departure) {
-	delay := time.Duration(s.departures.Int64N(int64(maxHangDelay)))
-	length := shortHang + time.Duration(s.departures.Int64N(int64(longHang-shortHang)))
+	hang := s.departures.drawDuration(shortHang, longHang)
 	hung := s.departures.Perm(len(s.processes))[:d.hung]
+	var delay, outage time.Duration
+	switch {
+	case d.hung > 0:
+		delay = s.departures.drawDuration(0, hang+departureMargin)
+	case d.outage:
+		outage = s.departures.drawDuration(shortHang, longOutage)
+	}
+	margin := s.departures.drawDuration(0, departureMargin)
 	s.log.Info().Str("event", "departure").Str("upstream", b.upstream.ID).Bool("unannounced", d.unannounced).
-		Bool("outage", d.outage).Ints("hung", hung).Dur("delay", delay).Dur("lasts", length).Msg("Upstream leaves")
+		Ints("hung", hung).Dur("hang", hang).Dur("delay", delay).Dur("outage", outage).Msg("Upstream leaves")
 	var running sync.WaitGroup
 	defer running.Wait()
 	for _, i := range hung {
 		p := s.processes[i].storeProxy
 		running.Go(func() {
 			p.setMode(modeDropResponses)
-			sleep(ctx, delay+length)
+			sleep(ctx, hang)
 			p.setMode(modeForward)
 		})
 	}
-	if d.hung > 0 {
-		sleep(ctx, delay)
-	}
+	sleep(ctx, delay)
 	if d.unannounced {
 		s.store.Put(emulator.TopicServers, b.upstream.ID, nil)
 	} else {
 		s.publish(b, "draining")
 	}
 	s.recordChange(plannedChange{draining: b.upstream.ID})
-	if d.outage {
-		running.Go(func() {
-			sleep(ctx, delay)
-			s.runFault(ctx, fault{
-				"store silent",
-				[]string{storeSubject},
-				func() { s.store.SetFault(emulator.Silent) }, func() { s.store.SetFault(emulator.Healthy) },
-			}, length)
-			sleep(ctx, settleTime)
-		})
+	sleep(ctx, margin)
+	if outage > 0 {
+		s.runFault(ctx, fault{
+			"store silent",
+			[]string{storeSubject},
+			func() { s.store.SetFault(emulator.Silent) }, func() { s.store.SetFault(emulator.Healthy) },
+		}, outage)
 	}
+	sleep(ctx, settleTime)
 }
--- a/standin/soaker/soaker.go
+++ b/standin/soaker/soaker.go
@@ -111,10 +111,9 @@
 
 // Soaker runs one soak test: the stand-ins, the gateway processes and the callers.
 type Soaker struct {
-	settings Settings
-	random   *rand.Rand
-	// departures draws how upstreams leave.
-	departures *rand.Rand
+	settings   Settings
+	random     *rand.Rand
+	departures departures
 	log        zerolog.Logger
 	store      *emulator.Store
 	server     *httptest.Server
