--- a/rosemaryspool/subscriber/sharing.go
+++ b/rosemaryspool/subscriber/sharing.go
@@ -133,8 +133,11 @@
 	}
 }
 
-// snapshot returns this instance's view of a topic with the newest record of each key.
+// snapshot returns this instance's view of a topic with the newest record of each key. It waits until the records that the
+// pacer knows are applied, or the receiver would never get them.
 func (s *Subscriber) snapshot(t *topic) gossiper.View {
+	t.applying.Lock()
+	defer t.applying.Unlock()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	v := gossiper.View{View: t.pacer.View(), OutageAge: s.governor.OutageAge(time.Now()), Snapshot: true}
