Send forwarded views in bursts, and say once more that there are records

Cause of the CONFIG case: two versions in one read are four datagrams to each of 31 neighbours. All instances that forwarded them had the first 62 datagrams delivered and the other 62 dropped, so that 19 instances got version 8 and not 12, and no view before 10.3 s told them of another one. Change: a view goes out in bursts of 32 KiB, 10 ms apart, and 0.1 s after records were forwarded, the offsets go out again: one that has missed the records reads the store. One that can't, because the store does not respond to it, asks its neighbours; with the first failed read of a streak it greets them, as one that doesn't know it forwards nothing.

--- a/rosemaryspool/gossiper/view.go
+++ b/rosemaryspool/gossiper/view.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"rosemaryspool.example/core/elector"
 	"rosemaryspool.example/core/identifier"
 	"rosemaryspool.example/core/pacer"
@@ -17,6 +19,10 @@
 	maxUpdateBytes = courier.MaxDatagramBytes - 300
 	// maxFragments bounds the datagrams that one record takes. A larger record is read from the store by each instance.
 	maxFragments = 64
+	// maxBurstBytes bounds what a forwarded view sends at once, and burstPause is the time between two bursts: a queue on
+	// the way drops what doesn't fit into it, which is always the end of a view.
+	maxBurstBytes = 32 << 10
+	burstPause    = 10 * time.Millisecond
 )
 
 // View is a state of a topic of the store with its newest records.
@@ -41,8 +47,24 @@
 	Offset uint64
 }
 
-// ForwardView sends a view of the store to the neighbours.
-func (g *Gossiper) ForwardView(topic string, v View) { g.SendView(g.governor.Neighbours(), topic, v) }
+// ForwardView sends a view of the store to the neighbours, in bursts.
+func (g *Gossiper) ForwardView(topic string, v View) {
+	neighbours := g.governor.Neighbours()
+	started, burst := time.Now(), 0
+	for _, update := range encodeView(started, topic, v) {
+		age := update.GetTopics()[0].GetAgeMs()
+		for _, m := range neighbours {
+			size := proto.Size(update)
+			if burst > 0 && burst+size > maxBurstBytes {
+				time.Sleep(burstPause)
+				burst = 0
+				update.Topics[0].AgeMs = age + identifier.Milliseconds(time.Since(started))
+			}
+			burst += size
+			g.courier.Send(m, &messenger.Datagram{Body: &messenger.Datagram_StoreUpdate{StoreUpdate: update}})
+		}
+	}
+}
 
 // SendView sends a view of the store to other instances.
 func (g *Gossiper) SendView(to []elector.Member, topic string, v View) {
--- a/rosemaryspool/subscriber/departure_test.go
+++ b/rosemaryspool/subscriber/departure_test.go
@@ -334,3 +334,27 @@
 	}
 	require.Empty(t, s.disagreement(t))
 }
+
+// The datagram with a record is lost, and the store does not respond to the instance that has missed it.
+func TestInstanceThatTheStoreDoesNotAnswerGetsRecordsFromItsNeighbours(t *testing.T) {
+	s := newSimulation(2)
+	s.store.put("a", serverRecord("ready"))
+	for _, i := range s.instances {
+		i.readStore(t)
+	}
+	s.store.put("a", serverRecord("draining"))
+	s.instances[0].readStore(t)
+	s.sent = nil
+	s.store.put("b", serverRecord("ready"))
+	s.instances[0].readStore(t)
+	for len(s.sent) > 0 {
+		s.deliver(0, false)
+	}
+	behind := s.instances[1]
+	require.True(t, behind.topic.pacer.BehindPeers())
+	behind.readFailed(behind.topic, context.DeadlineExceeded)
+	for len(s.sent) > 0 {
+		s.deliver(0, false)
+	}
+	require.Empty(t, s.disagreement(t))
+}
--- a/rosemaryspool/subscriber/follower.go
+++ b/rosemaryspool/subscriber/follower.go
@@ -30,6 +30,9 @@
 	// overtakenWait is how long a held read may go on after another instance has read records that it should have returned.
 	// Usually it returns them a moment later.
 	overtakenWait = 150 * time.Millisecond
+	// repeatDelay is how long after records were forwarded the neighbours are told again that there are some. Those that
+	// have missed them then read the store.
+	repeatDelay = 100 * time.Millisecond
 )
 
 // topic is one followed topic.
@@ -70,6 +73,10 @@
 	// wake receives a value when another instance reports records that this one has not read, or has sent a snapshot.
 	wake chan struct{}
 
+	// repeated is the view whose offsets are sent again at repeatAt; the zero time for none.
+	repeated gossiper.View
+	repeatAt time.Time
+
 	unavailable bool
 	// failures counts the failed reads in a row, retryAt is the earliest time of the next one.
 	failures int
@@ -105,7 +112,7 @@
 		if due.Before(t.retryAt) {
 			due = t.retryAt
 		}
-		left := due.Sub(now)
+		left := s.repeat(t, now, due.Sub(now))
 		if left <= 0 {
 			return ctx.Err() == nil
 		}
@@ -148,7 +155,7 @@
 		case batch.Era == era:
 			view, current := s.applyRead(t, next, batch)
 			if current && !catchesUp {
-				s.exchange.ForwardView(t.name, view)
+				s.forward(t, view)
 			}
 			return nil
 		}
@@ -168,6 +175,30 @@
 	return nil
 }
 
+// forward sends a view of a topic to the neighbours, and its offsets once more soon if it has records.
+func (s *Subscriber) forward(t *topic, v gossiper.View) {
+	s.exchange.ForwardView(t.name, v)
+	t.repeatAt = time.Time{}
+	if len(v.Records) > 0 {
+		t.repeatAt, t.repeated = time.Now().Add(repeatDelay), v
+		t.repeated.RecordsFrom, t.repeated.Records = v.RecordsTo, nil
+	}
+}
+
+// repeat sends the offsets of the last view with records again if that is due, or if another read is, and returns the
+// time until then.
+func (s *Subscriber) repeat(t *topic, now time.Time, readIn time.Duration) time.Duration {
+	if t.repeatAt.IsZero() {
+		return readIn
+	}
+	if left := t.repeatAt.Sub(now); left > 0 && readIn > 0 {
+		return min(left, readIn)
+	}
+	t.repeatAt = time.Time{}
+	s.exchange.ForwardView(t.name, t.repeated)
+	return readIn
+}
+
 // applyRead applies a read of the records from an offset on, and returns the view with the relevant ones. It returns false
 // if the store has returned from an older copy since.
 func (s *Subscriber) applyRead(t *topic, from uint64, batch platform.Batch) (v gossiper.View, current bool) {
@@ -328,7 +359,14 @@
 		s.log.Warn().Err(err).Str("event", "storeLost").Str("topic", t.name).Int("failures", t.failures).
 			Msg("Store is unavailable; continuing with the state that was read last")
 	}
-	if !s.synced(t) {
+	if t.failures == 1 {
+		// One that doesn't know this instance forwards nothing to it.
+		s.exchange.Greet()
+	}
+	s.mu.Lock()
+	knowsLess := !t.pacer.Synced() || t.pacer.BehindPeers()
+	s.mu.Unlock()
+	if knowsLess {
 		// Another instance may know what this one can't read.
 		s.exchange.RequestView(t.name)
 	}
