--- a/core/pacer/pacer.go
+++ b/core/pacer/pacer.go
@@ -57,10 +57,11 @@
 	peerChange uint64
 	lateChange uint64
 	reading    bool
-	// confirmedAt is the latest time at which a read of any instance is known to have succeeded, outageSince the one before
-	// the latest outage.
+	// confirmedAt is the latest time at which a read of any instance is known to have succeeded, outageSince and outageUntil
+	// are the ones before and after the latest outage.
 	confirmedAt time.Time
 	outageSince time.Time
+	outageUntil time.Time
 }
 
 // NewPacer returns a pacer for a topic that is read at an interval and whose reads the store holds for up to holdTime.
@@ -105,13 +106,16 @@
 	p.confirmedAt = at
 	outage = !before.IsZero() && at.Sub(before) > p.interval+p.backupDelay(maxStaggeredRank)+outageSlack
 	if outage {
-		p.outageSince = before
+		p.outageSince, p.outageUntil = before, at
 	}
 	return before, outage
 }
 
-// OutageSince returns when the last read before the latest outage of the store was, the zero time if there was none.
-func (p *Pacer) OutageSince() time.Time { return p.outageSince }
+// InOutage reports whether a time is between the last read before the latest outage of the store and, but for the way of
+// a datagram, the first one after it.
+func (p *Pacer) InOutage(at time.Time) bool {
+	return at.After(p.outageSince) && !at.After(p.outageUntil.Add(outageSlack))
+}
 
 // SnapshotRead records a read of all keys at a time and returns the new view. next is the offset of the first record
 // after it.
--- a/rosemaryspool/gossiper/assembler.go
+++ b/rosemaryspool/gossiper/assembler.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"compress/flate"
 	"io"
+	"sync"
 
 	"github.com/rotisserie/eris"
 
@@ -33,6 +34,33 @@
 	return fragments
 }
 
+// fragmenter remembers the fragments of the newest large record of each key, for instances that start together and ask for
+// it one after the other.
+type fragmenter struct {
+	mu    sync.Mutex
+	known map[string]fragmented
+}
+
+func newFragmenter() *fragmenter { return &fragmenter{known: map[string]fragmented{}} }
+
+// fragmented holds the fragments of a record.
+type fragmented struct {
+	record    Record
+	fragments []*messenger.StoreRecord
+}
+
+// fragment returns the fragments of a record, which must not be changed.
+func (f *fragmenter) fragment(r Record) []*messenger.StoreRecord {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	last := f.known[r.Key]
+	if last.record.Offset != r.Offset || !bytes.Equal(last.record.Value, r.Value) {
+		last = fragmented{record: r, fragments: fragment(r)}
+		f.known[r.Key] = last
+	}
+	return last.fragments
+}
+
 // assemblyKey identifies whose fragments of which topic are being joined.
 type assemblyKey struct {
 	instance identifier.InstanceID
--- a/rosemaryspool/gossiper/gossiper.go
+++ b/rosemaryspool/gossiper/gossiper.go
@@ -60,6 +60,8 @@
 	seeds  []string
 	onView func(topic string, v View)
 
+	fragmenter *fragmenter
+
 	mu sync.Mutex
 	// crashesSentAt is when all knowledge of crashes was last sent to another instance that lacked some of it.
 	crashesSentAt time.Time
@@ -84,6 +86,7 @@
 		governor:       g, courier: c, log: log, done: make(chan struct{}), seeds: seeds, onView: onView,
 		received: map[reportKey]lastReport{}, sentAt: map[identifier.ServiceName]time.Time{},
 		standbySentAt: map[identifier.ServiceName]time.Time{}, assembler: newAssembler(),
+		fragmenter: newFragmenter(),
 	}
 }
 
--- a/rosemaryspool/gossiper/gossiper_test.go
+++ b/rosemaryspool/gossiper/gossiper_test.go
@@ -173,7 +173,7 @@
 			if len(c.records) > 0 {
 				v.Changed = c.records[len(c.records)-1].Offset + 1
 			}
-			messages := encodeView(time.Now(), "topic", v)
+			messages := newFragmenter().encodeView(time.Now(), "topic", v)
 			for _, m := range messages {
 				require.Less(t, proto.Size(m), courier.MaxDatagramBytes-100)
 			}
--- a/rosemaryspool/gossiper/view.go
+++ b/rosemaryspool/gossiper/view.go
@@ -51,7 +51,7 @@
 func (g *Gossiper) ForwardView(topic string, v View) {
 	neighbours := g.governor.Neighbours()
 	started, burst := time.Now(), 0
-	for _, update := range encodeView(started, topic, v) {
+	for _, update := range g.fragmenter.encodeView(started, topic, v) {
 		age := update.GetTopics()[0].GetAgeMs()
 		for _, m := range neighbours {
 			size := proto.Size(update)
@@ -68,7 +68,7 @@
 
 // SendView sends a view of the store to other instances.
 func (g *Gossiper) SendView(to []elector.Member, topic string, v View) {
-	for _, update := range encodeView(time.Now(), topic, v) {
+	for _, update := range g.fragmenter.encodeView(time.Now(), topic, v) {
 		for _, m := range to {
 			g.courier.Send(m, &messenger.Datagram{Body: &messenger.Datagram_StoreUpdate{StoreUpdate: update}})
 		}
@@ -114,8 +114,8 @@
 
 // encodeView splits a view into messages that fit into a datagram, each with the records of a range of offsets. A record
 // that is too large for a datagram is compressed and sent in fragments.
-func encodeView(now time.Time, topic string, v View) []*messenger.StoreUpdate {
-	ranges := splitRecords(v)
+func (f *fragmenter) encodeView(now time.Time, topic string, v View) []*messenger.StoreUpdate {
+	ranges := f.splitRecords(v)
 	messages := make([]*messenger.StoreUpdate, 0, len(ranges))
 	for i, t := range ranges {
 		t.Topic, t.Era, t.First, t.Next, t.Changed = topic, uint64(v.Era), v.First, v.Next, v.Changed
@@ -132,7 +132,7 @@
 
 // splitRecords returns the ranges of a view's records, one for each datagram. The fragments of a record have the same
 // range. A record that takes too many of them ends the last range; the receivers then read the rest from the store.
-func splitRecords(v View) []*messenger.TopicView {
+func (f *fragmenter) splitRecords(v View) []*messenger.TopicView {
 	var ranges []*messenger.TopicView
 	current := &messenger.TopicView{RecordsFrom: v.RecordsFrom, RecordsTo: v.RecordsTo}
 	size := 0
@@ -155,7 +155,7 @@
 			continue
 		}
 		finish(r.Offset)
-		fragments := fragment(r)
+		fragments := f.fragment(r)
 		if len(fragments) > maxFragments {
 			current.RecordsTo = r.Offset
 			break
@@ -164,9 +164,9 @@
 		if i < len(v.Records)-1 {
 			to = v.Records[i+1].Offset
 		}
-		for _, f := range fragments {
+		for _, part := range fragments {
 			ranges = append(ranges, &messenger.TopicView{
-				RecordsFrom: current.RecordsFrom, RecordsTo: to, Records: []*messenger.StoreRecord{f},
+				RecordsFrom: current.RecordsFrom, RecordsTo: to, Records: []*messenger.StoreRecord{part},
 			})
 		}
 		current = &messenger.TopicView{RecordsFrom: to, RecordsTo: v.RecordsTo}
--- a/rosemaryspool/subscriber/sharing.go
+++ b/rosemaryspool/subscriber/sharing.go
@@ -184,11 +184,12 @@
 	if age <= 0 || t.name != platform.TopicServers {
 		return
 	}
+	returnedAt := time.Now().Add(-age)
 	s.mu.Lock()
-	since := t.pacer.OutageSince()
+	inOutage := t.pacer.InOutage(returnedAt)
 	s.mu.Unlock()
-	if at := time.Now().Add(-age); !since.IsZero() && at.After(since) {
-		s.governor.OutageReported(at)
+	if inOutage {
+		s.governor.OutageReported(returnedAt)
 	}
 }
 
--- a/rosemaryspool/subscriber/subscriber_test.go
+++ b/rosemaryspool/subscriber/subscriber_test.go
@@ -383,7 +383,7 @@
 func (c *calls) record(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c.mu.Lock()
-		c.made = append(c.made, r.URL.RequestURI())
+		c.made = append(c.made, fmt.Sprint(r.URL.RequestURI(), " at ", time.Now().Format(time.StampMicro)))
 		c.mu.Unlock()
 		next.ServeHTTP(w, r)
 	})
