--- a/rosemaryspool/commander/soak_test.go
+++ b/rosemaryspool/commander/soak_test.go
@@ -16,14 +16,20 @@
 var soakSeeds = []struct {
 	seed       uint64
 	rounds     int
+	gateways   int
+	callers    int
 	eventPause time.Duration
 	cause      string
 }{
-	{seed: 1, rounds: 1, cause: "general: faults and recovery on a complete system"},
+	{seed: 1, rounds: 1, gateways: 3, callers: 12, cause: "general: faults and recovery on a complete system"},
 	{
-		seed: 1, rounds: 1, eventPause: 60 * time.Millisecond,
+		seed: 1, rounds: 1, gateways: 3, callers: 12, eventPause: 60 * time.Millisecond,
 		cause: "long streams: engines crash before any stream has been answered",
 	},
+	{
+		seed: 25, rounds: 2, gateways: 4, callers: 24,
+		cause: "departure: an upstream is removed while the store's responses to some gateways are lost",
+	},
 }
 
 // TestSoak injects random faults into a complete system. It fails on a violated invariant, or if at most half of the
@@ -36,7 +42,7 @@
 			require.NoError(t, err)
 			defer func() { require.NoError(t, log.Close()) }()
 			s, err := soaker.NewSoaker(soaker.Settings{
-				Seed: c.seed, Rounds: c.rounds, FaultPhase: soaker.DefaultFaultPhase, Gateways: 3, Callers: 12,
+				Seed: c.seed, Rounds: c.rounds, FaultPhase: soaker.DefaultFaultPhase, Gateways: c.gateways, Callers: c.callers,
 				Command: []string{"rosemaryspool", "gateway"}, Directory: directory, Network: 90 + i, Log: log,
 				FatalRequests: true, MixedVersions: true, EventPause: c.eventPause,
 			})
--- a/rosemaryspool/subscriber/departure_test.go
+++ b/rosemaryspool/subscriber/departure_test.go
@@ -348,3 +348,18 @@
 	}
 	require.Empty(t, s.disagreement(t))
 }
+
+// A process that was stopped after the store's response must not take what it then applies for new.
+func TestReadCountsFromWhenItBegan(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSimulation(1)
+		s.store.put("a", bornRecord("ready", 1))
+		i := s.instances[0]
+		for range 2 {
+			started := time.Now()
+			s.store.meanwhile = func() { time.Sleep(2 * time.Second) }
+			i.readStore(t)
+			require.Equal(t, started, i.topic.pacer.View().ReadAt)
+		}
+	})
+}
