--- a/rosemaryspool/gossiper/view.go
+++ b/rosemaryspool/gossiper/view.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"rosemaryspool.example/core/elector"
 	"rosemaryspool.example/core/identifier"
 	"rosemaryspool.example/core/pacer"
@@ -17,6 +19,10 @@
 	maxUpdateBytes = courier.MaxDatagramBytes - 300
 	// maxFragments bounds the datagrams that one record takes. A larger record is read from the store by each instance.
 	maxFragments = 64
+	// maxBurstBytes bounds what a forwarded view sends at once, and burstPause is the time between two bursts: a queue on
+	// the way drops what doesn't fit into it, which is always the end of a view.
+	maxBurstBytes = 32 << 10
+	burstPause    = 10 * time.Millisecond
 )
 
 // View is a state of a topic of the store with its newest records.
@@ -41,12 +47,28 @@
 	Offset uint64
 }
 
-// ForwardView sends a view of the store to the neighbours.
-func (g *Gossiper) ForwardView(topic string, v View) { g.SendView(g.governor.Neighbours(), topic, v) }
+// ForwardView sends a view of the store to the neighbours, in bursts.
+func (g *Gossiper) ForwardView(topic string, v View) {
+	neighbours := g.governor.Neighbours()
+	started, burst := time.Now(), 0
+	for _, update := range g.fragmenter.encodeView(started, topic, v) {
+		age := update.GetTopics()[0].GetAgeMs()
+		for _, m := range neighbours {
+			size := proto.Size(update)
+			if burst > 0 && burst+size > maxBurstBytes {
+				time.Sleep(burstPause)
+				burst = 0
+				update.Topics[0].AgeMs = age + identifier.Milliseconds(time.Since(started))
+			}
+			burst += size
+			g.courier.Send(m, &messenger.Datagram{Body: &messenger.Datagram_StoreUpdate{StoreUpdate: update}})
+		}
+	}
+}
 
 // SendView sends a view of the store to other instances.
 func (g *Gossiper) SendView(to []elector.Member, topic string, v View) {
-	for _, update := range encodeView(time.Now(), topic, v) {
+	for _, update := range g.fragmenter.encodeView(time.Now(), topic, v) {
 		for _, m := range to {
 			g.courier.Send(m, &messenger.Datagram{Body: &messenger.Datagram_StoreUpdate{StoreUpdate: update}})
 		}
@@ -92,8 +114,8 @@
 
 // encodeView splits a view into messages that fit into a datagram, each with the records of a range of offsets. A record
 // that is too large for a datagram is compressed and sent in fragments.
-func encodeView(now time.Time, topic string, v View) []*messenger.StoreUpdate {
-	ranges := splitRecords(v)
+func (f *fragmenter) encodeView(now time.Time, topic string, v View) []*messenger.StoreUpdate {
+	ranges := f.splitRecords(v)
 	messages := make([]*messenger.StoreUpdate, 0, len(ranges))
 	for i, t := range ranges {
 		t.Topic, t.Era, t.First, t.Next, t.Changed = topic, uint64(v.Era), v.First, v.Next, v.Changed
@@ -110,7 +132,7 @@
 
 // splitRecords returns the ranges of a view's records, one for each datagram. The fragments of a record have the same
 // range. A record that takes too many of them ends the last range; the receivers then read the rest from the store.
-func splitRecords(v View) []*messenger.TopicView {
+func (f *fragmenter) splitRecords(v View) []*messenger.TopicView {
 	var ranges []*messenger.TopicView
 	current := &messenger.TopicView{RecordsFrom: v.RecordsFrom, RecordsTo: v.RecordsTo}
 	size := 0
@@ -133,7 +155,7 @@
 			continue
 		}
 		finish(r.Offset)
-		fragments := fragment(r)
+		fragments := f.fragment(r)
 		if len(fragments) > maxFragments {
 			current.RecordsTo = r.Offset
 			break
@@ -142,9 +164,9 @@
 		if i < len(v.Records)-1 {
 			to = v.Records[i+1].Offset
 		}
-		for _, f := range fragments {
+		for _, part := range fragments {
 			ranges = append(ranges, &messenger.TopicView{
-				RecordsFrom: current.RecordsFrom, RecordsTo: to, Records: []*messenger.StoreRecord{f},
+				RecordsFrom: current.RecordsFrom, RecordsTo: to, Records: []*messenger.StoreRecord{part},
 			})
 		}
 		current = &messenger.TopicView{RecordsFrom: to, RecordsTo: v.RecordsTo}
