Check keys again before each dispatch, and bound how old their knowledge is

Cause: a request that waited for its prefill, was retried or was passed on ran with a key that had been taken away meanwhile. An instance that could no longer learn of removals went on accepting keys where the settings ask it not to. Nothing counted requests by account. Change: the key is looked up again when another configuration is in force; 401 only while nothing has run, else the end that it has anyway. Where revocation is strict, requests with a key get 503 once the knowledge of the configuration, own or from neighbours, is older than the limit; reads of the configuration end within it. Counters by account for 32 accounts and the rest together. Measured: TestRemovedKeyStopsRequestsBeforeTheirNextDispatch fails without the second look-up (200 in place of 401, two runs in place of one).

--- a/rosemaryspool/forwarder/attempt.go
+++ b/rosemaryspool/forwarder/attempt.go
@@ -189,6 +189,8 @@
 	switch {
 	case e.request.Context().Err() != nil:
 		return "callerLeft"
+	case e.keyRefusal() != "":
+		return e.keyRefusal()
 	case e.deadline.Sub(now) < minTimeLeft:
 		return "deadline"
 	case !repeatable:
@@ -215,6 +217,8 @@
 	case stored != nil:
 		e.deliver(stored)
 		return result{outcome: outcomeFailed, status: stored.status, cause: "upstreamFailed:" + cause}
+	case e.runs == 0 && cause == causeKeyRemoved:
+		return e.respondError(http.StatusUnauthorized, outcomeUnauthorized, cause)
 	case e.runs == 0:
 		return e.refuse(cause, max(retry, e.last.placement.Predicted))
 	case time.Until(e.deadline) <= minTimeLeft:
@@ -230,7 +234,7 @@
 	outcome := allocator.OutcomeCancelled
 	defer func() { e.forwarder.governor.Ended(time.Now(), e.last.sentAt, e.last.placement, outcome) }()
 	entry, listed := e.forwarder.governor.Entry(placement.Upstream)
-	if !listed {
+	if !listed || e.keyRefusal() != "" {
 		e.last.unsent = true
 		return notExecuted
 	}
@@ -246,8 +250,9 @@
 		e.last.unsent = false
 	}
 	if current, _ := e.forwarder.governor.Entry(placement.Upstream); current.Incarnation != entry.Incarnation ||
-		!e.forwarder.governor.AcceptsWork(time.Now(), placement.Upstream) {
-		// The upstream restarted or began to leave during the prefill, or asked this instance to wait.
+		!e.forwarder.governor.AcceptsWork(time.Now(), placement.Upstream) || e.keyRefusal() != "" {
+		// The upstream restarted or began to leave during the prefill, or asked this instance to wait, or the key was
+		// removed.
 		e.dropCache()
 		return notExecuted
 	}
--- a/rosemaryspool/forwarder/detour.go
+++ b/rosemaryspool/forwarder/detour.go
@@ -148,6 +148,9 @@
 // passOn passes the request on to another instance and forwards the response. It returns false if the request may be sent
 // elsewhere, because the other one has not run it or because it may run again.
 func (e *exchange) passOn(peer elector.Member) (result, bool) {
+	if cause := e.keyRefusal(); cause != "" {
+		return e.giveUp(cause, startupRetryAfter, nil), true
+	}
 	e.last = attempt{peer: peer.Instance, sentAt: time.Now(), stopWatch: func() {}}
 	ctx, cancel := context.WithCancel(e.ctx)
 	defer cancel()
--- a/rosemaryspool/forwarder/forwarder.go
+++ b/rosemaryspool/forwarder/forwarder.go
@@ -39,6 +39,8 @@
 	defaultTimeout = 30 * time.Second
 	// deadlineMargin is reserved before a caller's deadline for the transfer of the response.
 	deadlineMargin = 10 * time.Millisecond
+	// maxCountedCallers bounds the accounts with counters of their own.
+	maxCountedCallers = 32
 )
 
 // Forwarder is the handler for callers' requests. It is safe for concurrent use.
@@ -50,6 +52,7 @@
 	log                zerolog.Logger
 	registry           metrics.Registry
 	sampler            *sampler
+	callers            *meter.Callers
 	callerWaits        *waitTracker
 	keepAlivesDisabled atomic.Bool
 	active             atomic.Int64
@@ -63,6 +66,7 @@
 ) *Forwarder {
 	return &Forwarder{
 		governor: g, delegator: d, connector: c, prober: p, log: log, registry: registry,
+		callers:     meter.NewCallers(registry, maxCountedCallers),
 		sampler:     newSampler(metrics.GetOrRegisterCounter("logLinesOmitted", registry)),
 		callerWaits: &waitTracker{longest: map[string]time.Duration{}},
 	}
@@ -137,8 +141,10 @@
 	account *matcher.Caller
 	// replacesKey is true if upstreams get the name of the account in place of the key.
 	replacesKey bool
-	service     identifier.ServiceName
-	engine      bool
+	// keyRemoved is true once a later configuration no longer has the key.
+	keyRemoved bool
+	service    identifier.ServiceName
+	engine     bool
 	deadline    time.Time
 	target      time.Time
 	// isRetry is true when the caller's remaining time suggests that it is retrying a refused or failed request.
@@ -180,6 +186,9 @@
 	if !e.identify(table) {
 		return e.respondError(http.StatusUnauthorized, outcomeUnauthorized, "unknownKey")
 	}
+	if e.keysOutdated() {
+		return e.refuse(causeKeysOutdated, startupRetryAfter)
+	}
 	if r, ok := e.readBody(table.Configuration().Limits); !ok {
 		return r
 	}
@@ -319,6 +328,9 @@
 	took := time.Since(e.started)
 	metrics.GetOrRegisterCounter("requests."+r.outcome, f.registry).Inc(1)
 	meter.NewHistogram("requestDurationNs."+r.outcome, f.registry).Update(took.Nanoseconds())
+	if e.account != nil && e.passedOn == nil {
+		f.callers.Count(e.account.ID, r.outcome)
+	}
 	if !f.sampler.allow(e.started, r.outcome) {
 		return
 	}
--- a/rosemaryspool/gatekeeper/gatekeeper.go
+++ b/rosemaryspool/gatekeeper/gatekeeper.go
@@ -107,6 +107,7 @@
 	placing.LimiterPhase = rand.Float64()
 	g.governor = governor.NewGovernor(governor.Settings{
 		Self: self, Retry: retrySettings(settings), Allocator: placing, ReportPhase: rand.Float64(),
+		KeyLimit: keyLimit(settings),
 	}, log)
 	opened := metrics.GetOrRegisterCounter("connectionsOpened", registry)
 	g.connector = connector.NewConnector(dial, func() { opened.Inc(1) }, g.handleResponse)
@@ -125,7 +126,8 @@
 	g.archiver = archiver.NewArchiver(store, g.governor, settings.FirstStart, log)
 	g.subscriber = subscriber.NewSubscriber(
 		store, g.governor, g.gossiper, subscriber.Settings{
-			DrainLimit: settings.MaxDrainDelay, ApplyLimit: settings.MaxApplyDelay, FirstStart: settings.FirstStart,
+			DrainLimit: settings.MaxDrainDelay, ApplyLimit: settings.MaxApplyDelay, KeyLimit: keyLimit(settings),
+			FirstStart: settings.FirstStart,
 		}, log,
 	)
 	// At the first start of the whole system nobody knows more than this instance.
@@ -140,6 +142,14 @@
 	}
 }
 
+// keyLimit returns how old an instance's knowledge of removed keys may be; zero means any age.
+func keyLimit(settings platform.Settings) time.Duration {
+	if !settings.StrictRevocation {
+		return 0
+	}
+	return settings.RevokeLimit
+}
+
 // handleResponse passes on what an upstream says of itself in a response.
 func (g *Gatekeeper) handleResponse(from tracker.Entry, response *connector.Response) {
 	if from.Upstream == "" {
@@ -191,12 +201,14 @@
 // ID: these need a restart.
 func (g *Gatekeeper) Reload(settings platform.Settings) bool {
 	g.governor.SetRetryBudget(time.Now(), retrySettings(settings))
-	g.subscriber.SetLimits(settings.MaxDrainDelay, settings.MaxApplyDelay)
+	g.governor.SetKeyLimit(keyLimit(settings))
+	g.subscriber.SetLimits(settings.MaxDrainDelay, settings.MaxApplyDelay, keyLimit(settings))
 	g.stopLimit.Store(int64(settings.TerminationGracePeriod))
 	kept := g.settings
 	kept.FirstStart, kept.Seeds = settings.FirstStart, settings.Seeds
 	kept.MaxDrainDelay, kept.MaxApplyDelay, kept.TerminationGracePeriod =
 		settings.MaxDrainDelay, settings.MaxApplyDelay, settings.TerminationGracePeriod
+	kept.RevokeLimit, kept.StrictRevocation = settings.RevokeLimit, settings.StrictRevocation
 	kept.RetryBudgetRatio, kept.RetryBudgetExtra, kept.RetryWindow =
 		settings.RetryBudgetRatio, settings.RetryBudgetExtra, settings.RetryWindow
 	return kept == settings
--- a/rosemaryspool/gatekeeper/gatekeeper_test.go
+++ b/rosemaryspool/gatekeeper/gatekeeper_test.go
@@ -107,9 +107,15 @@
 
 // startTestInstance starts an instance that follows a store.
 func startTestInstance(t *testing.T, store testStore, settings platform.Settings) *testInstance {
+	t.Helper()
+	return startLoggingInstance(t, store, settings, zerolog.NewTestWriter(t))
+}
+
+// startLoggingInstance starts an instance that writes its log to a writer.
+func startLoggingInstance(t *testing.T, store testStore, settings platform.Settings, log io.Writer) *testInstance {
 	t.Helper()
 	ti := &testInstance{t: t, store: store.Store, link: newLink()}
-	gatekeeper, err := NewGatekeeper(settings, ti.link.dial, zerolog.New(zerolog.NewTestWriter(t)), metrics.NewRegistry())
+	gatekeeper, err := NewGatekeeper(settings, ti.link.dial, zerolog.New(log), metrics.NewRegistry())
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	ti.gatekeeper, ti.stop = gatekeeper, cancel
--- a/rosemaryspool/gatekeeper/key_test.go
+++ b/rosemaryspool/gatekeeper/key_test.go
@@ -1,15 +1,18 @@
 package gatekeeper
 
 import (
+	"bytes"
 	"fmt"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"rosemaryspool.example/platform"
+	"rosemaryspool.example/standin/emulator"
 )
 
 const (
@@ -70,3 +73,131 @@
 		}, 2*time.Second, time.Millisecond, key)
 	}
 }
+
+// configureKey writes a configuration in which an account has one key and no route is public, and waits until it is in
+// force.
+func (ti *testInstance) configureKey(version int, key string) {
+	ti.t.Helper()
+	table := keyedTable(version, fmt.Sprintf(`{"name":"atelier","api-keys":[%q]}`, key))
+	ti.store.Put(platform.TopicConfiguration, platform.KeyConfiguration,
+		bytes.Replace(table, []byte(`"public":true`), []byte(`"public":false`), 1))
+	require.Eventually(ti.t, func() bool {
+		table := ti.gatekeeper.governor.Table()
+		return table != nil && table.Configuration().Version == uint64(version)
+	}, 2*time.Second, time.Millisecond)
+}
+
+// configuredKeyed returns a ready instance in which an account has the key k1.
+func configuredKeyed(t *testing.T, us ...*emulator.Upstream) *testInstance {
+	ti := newTestInstance(t, us...)
+	ti.configureKey(1, "k1")
+	require.Eventually(t, func() bool { return ti.readiness() == http.StatusOK }, 2*time.Second, time.Millisecond)
+	return ti
+}
+
+func TestRemovedKeyStopsRequestsBeforeTheirNextDispatch(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		path      string
+		behaviour emulator.Behaviour
+		status    int
+		runs      int
+	}{
+		{"prefilled elsewhere, not run", notes, emulator.Responds, http.StatusUnauthorized, 0},
+		{"run without a response, may run again", lookups, emulator.Resets, http.StatusBadGateway, 1},
+		{"answered by the upstream", orders, emulator.Responds, http.StatusOK, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			const pause = 400 * time.Millisecond
+			plain, other := newPlainUpstream("u1"), newPlainUpstream("u2")
+			prefiller, decoder := emulator.NewUpstream("p1", "prefill", 3), emulator.NewUpstream("d1", "decode", 3)
+			ti := configuredKeyed(t, plain, other, prefiller, decoder)
+			for _, u := range []*emulator.Upstream{plain, other, prefiller, decoder} {
+				u.SetDelay(pause)
+			}
+			plain.SetBehaviour(c.behaviour)
+			other.SetBehaviour(c.behaviour)
+			ended := make(chan callerResponse, 1)
+			go func() {
+				ended <- ti.send(http.MethodPost, c.path+"x", "", append(promptHeaders(), headerKey, "k1",
+					emulator.HeaderDeadline, "1900")...)
+			}()
+			require.Eventually(t, func() bool { return countRuns(plain, other, prefiller) > 0 }, 2*time.Second, time.Millisecond)
+			ti.configureKey(2, "k2")
+			require.Equal(t, c.status, (<-ended).status)
+			require.Equal(t, c.runs, countRuns(plain, other, decoder))
+		})
+	}
+}
+
+func TestKeysAreRefusedWhileRemovalsCanNotBeKnown(t *testing.T) {
+	u := newPlainUpstream("u1")
+	store := newTestStore(t)
+	t.Cleanup(u.Close)
+	putUpstream(store.Store, u, "ready")
+	settings := testSettings(store)
+	settings.StrictRevocation, settings.RevokeLimit = true, 2*time.Second
+	ti := startTestInstance(t, store, settings)
+	ti.configureKey(1, "k1")
+	status := func(path string) int { return ti.send(http.MethodPost, path+"x", "", headerKey, "k1").status }
+	require.Eventually(t, func() bool { return status(orders) == http.StatusOK }, 2*time.Second, time.Millisecond)
+	store.SetFault(emulator.Busy)
+	lost := time.Now()
+	require.Eventually(t, func() bool { return status(orders) == http.StatusServiceUnavailable }, 3*time.Second, time.Millisecond)
+	require.LessOrEqual(t, time.Since(lost), settings.RevokeLimit)
+	require.Equal(t, http.StatusServiceUnavailable, status(lookups))
+	store.SetFault(emulator.Healthy)
+	require.Eventually(t, func() bool { return status(orders) == http.StatusOK }, 5*time.Second, time.Millisecond)
+}
+
+// lockedBuffer collects log lines.
+type lockedBuffer struct {
+	mu      sync.Mutex
+	content bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.content.Write(p)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.content.String()
+}
+
+func TestKeysStayOutOfLogsAndUpstreams(t *testing.T) {
+	const known, unknown = "secret-known", "secret-unknown"
+	plain := newPlainUpstream("u1")
+	prefiller, decoder := emulator.NewUpstream("p1", "prefill", 3), emulator.NewUpstream("d1", "decode", 3)
+	store := newTestStore(t)
+	us := []*emulator.Upstream{plain, prefiller, decoder}
+	for _, u := range us {
+		t.Cleanup(u.Close)
+		putUpstream(store.Store, u, "ready")
+	}
+	log := &lockedBuffer{}
+	ti := startLoggingInstance(t, store, testSettings(store), log)
+	ti.configureKey(1, known)
+	require.Eventually(t, func() bool { return ti.readiness() == http.StatusOK }, 2*time.Second, time.Millisecond)
+	for _, behaviour := range []emulator.Behaviour{emulator.Responds, emulator.Rejects, emulator.Fails, emulator.Resets} {
+		for _, u := range us {
+			u.SetBehaviour(behaviour)
+		}
+		for _, path := range []string{orders, lookups, notes, "/unknown/"} {
+			for _, key := range []string{known, unknown} {
+				ti.send(http.MethodPost, path+"x", "", append(promptHeaders(), headerKey, key)...)
+			}
+		}
+	}
+	ti.configureKey(2, unknown)
+	require.Contains(t, log.String(), "atelier")
+	require.NotContains(t, log.String(), "secret-")
+	for _, u := range us {
+		for _, run := range append(u.Runs(), u.Rejections()...) {
+			require.NotContains(t, fmt.Sprint(run), "secret-")
+		}
+	}
+}
--- a/rosemaryspool/governor/governor.go
+++ b/rosemaryspool/governor/governor.go
@@ -34,6 +34,8 @@
 	Self      elector.Member
 	Retry     budgeter.Settings
 	Allocator allocator.Settings
+	// KeyLimit is how old the knowledge of removed keys may be; zero means any age.
+	KeyLimit time.Duration
 	// ReportPhase, from 0 to 1, differs between instances, so that they don't report the same at the same time.
 	ReportPhase float64
 }
@@ -44,6 +46,7 @@
 	self elector.Member
 	// table is the route table of the configuration in force; nil until there is one.
 	table atomic.Pointer[matcher.Table]
+	keys  keyState
 
 	mu            sync.Mutex
 	tracker       *tracker.Tracker
@@ -67,7 +70,7 @@
 func NewGovernor(settings Settings, log zerolog.Logger) *Governor {
 	isolation := isolator.DefaultSettings()
 	isolation.ReportPhase = settings.ReportPhase
-	return &Governor{
+	g := &Governor{
 		log:       log,
 		self:      settings.Self,
 		tracker:   tracker.NewTracker(),
@@ -84,6 +87,8 @@
 
 		quarantines: make(chan struct{}, 1),
 	}
+	g.keys.limit.Store(int64(settings.KeyLimit))
+	return g
 }
 
 // Table returns the route table of the configuration in force, or nil if there is none yet.
--- a/rosemaryspool/subscriber/follower.go
+++ b/rosemaryspool/subscriber/follower.go
@@ -75,6 +75,7 @@
 		case errors.Is(err, context.Canceled):
 		case err == nil:
 			s.readSucceeded(t)
+			s.noteFollowed(t)
 			s.announceAgain(ctx, t)
 		default:
 			s.readFailed(t, err)
--- a/rosemaryspool/subscriber/sharing.go
+++ b/rosemaryspool/subscriber/sharing.go
@@ -158,6 +158,7 @@
 	}
 	t.applying.Lock()
 	defer t.applying.Unlock()
+	defer s.noteFollowed(t)
 	if s.enterEra(t, v.Era, time.Now().Add(maxSnapshotWait), v.Sender) {
 		t.signal()
 		if !v.Snapshot {
--- a/rosemaryspool/subscriber/subscriber.go
+++ b/rosemaryspool/subscriber/subscriber.go
@@ -60,6 +60,8 @@
 	// DrainLimit and ApplyLimit are the times within which draining upstreams and configurations must be applied.
 	DrainLimit time.Duration
 	ApplyLimit time.Duration
+	// KeyLimit is how old the knowledge of removed keys may be; zero means any age.
+	KeyLimit time.Duration
 	// FirstStart is true when the whole system starts for the first time, so no instance has a record in the store yet.
 	FirstStart bool
 }
@@ -98,14 +100,19 @@
 		t.pacer = pacer.NewPacer(memberGap, memberHold)
 		t.newest = map[string]platform.Record{}
 	}
-	s.SetLimits(settings.DrainLimit, settings.ApplyLimit)
+	s.SetLimits(settings.DrainLimit, settings.ApplyLimit, settings.KeyLimit)
 	return s
 }
 
-// SetLimits replaces the time limits within which draining upstreams and configurations must be applied.
-func (s *Subscriber) SetLimits(drainLimit, applyLimit time.Duration) {
+// SetLimits replaces the time limits within which draining upstreams and configurations must be applied, and the age that
+// the knowledge of removed keys may have.
+func (s *Subscriber) SetLimits(drainLimit, applyLimit, keyLimit time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if keyLimit > 0 {
+		// A read must end well before the knowledge becomes too old.
+		applyLimit = min(applyLimit, keyLimit-callTimeout)
+	}
 	for _, t := range s.topics {
 		switch t.name {
 		case platform.TopicConfiguration:
@@ -118,6 +125,19 @@
 	}
 }
 
+// noteFollowed tells the governor how recent this instance's knowledge of the configuration is. The store may have taken
+// up to callTimeout to deliver a response.
+func (s *Subscriber) noteFollowed(t *topic) {
+	if t.name != platform.TopicConfiguration {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if v := t.pacer.View(); t.pacer.Synced() && !v.ReadAt.IsZero() {
+		s.governor.ConfigurationKnown(v.ReadAt.Add(-callTimeout))
+	}
+}
+
 // Done is closed when Run has returned.
 func (s *Subscriber) Done() <-chan struct{} { return s.done }
 
