--- a/core/allocator/allocator.go
+++ b/core/allocator/allocator.go
@@ -14,6 +14,7 @@
 	"rosemaryspool.example/core/ejector"
 	"rosemaryspool.example/core/identifier"
 	"rosemaryspool.example/core/limiter"
+	"rosemaryspool.example/core/sharer"
 	"rosemaryspool.example/core/tracker"
 )
 
@@ -33,6 +34,8 @@
 	AwaitingPrefill int
 	// QueuedPrefill is the number of prompt tokens still to be prefilled there, without those expected in its cache.
 	QueuedPrefill identifier.Tokens
+	// Levels holds the part of QueuedPrefill that belongs to accounts' requests, by urgency from level 1 on.
+	Levels [sharer.Levels]identifier.Tokens
 }
 
 // add adds another load, or subtracts it if sign is -1.
@@ -41,6 +44,9 @@
 	l.Long += sign * other.Long
 	l.AwaitingPrefill += sign * other.AwaitingPrefill
 	l.QueuedPrefill += identifier.Tokens(sign) * other.QueuedPrefill
+	for i, tokens := range other.Levels {
+		l.Levels[i] += identifier.Tokens(sign) * tokens
+	}
 }
 
 // upstream holds the listing and the load of one upstream.
@@ -52,6 +58,8 @@
 	hash  uint64
 	cache *promptCache
 	pace  pace
+	// pressure is what accounts' requests take of an engine's time.
+	pressure pressure
 	// limiter holds the rate of requests that the upstream has asked for.
 	limiter *limiter.Limiter
 	// waitUntil is the time until which the upstream wants no requests from this instance.
@@ -102,6 +110,9 @@
 	timings map[identifier.ServiceName]*timings
 	// observations are those of this instance since they were last taken.
 	observations map[identifier.ServiceName][]Observation
+	// sharers divide the services among accounts; stagger spreads the returns of refused requests.
+	sharers map[identifier.ServiceName]*sharer.Sharer
+	stagger float64
 }
 
 // NewAllocator returns an allocator without upstreams for an instance in dataCentre.
@@ -115,6 +126,7 @@
 		health:       map[identifier.DataCentre]*ejector.Ejector{},
 		timings:      map[identifier.ServiceName]*timings{},
 		observations: map[identifier.ServiceName][]Observation{},
+		sharers:      map[identifier.ServiceName]*sharer.Sharer{},
 	}
 }
 
--- a/core/allocator/observation.go
+++ b/core/allocator/observation.go
@@ -144,11 +144,15 @@
 	if u == nil {
 		return
 	}
-	u.own.QueuedPrefill = max(0, u.own.QueuedPrefill-p.Tokens)
-	a.record(now, u.entry.Service, Observation{
+	u.own.removePrefill(p.Tokens, p.Level)
+	o := Observation{
 		Upstream: p.Prefiller, Event: EventPrefilled, Outcome: outcome, Took: now.Sub(p.placed),
 		Tokens: p.PrefillerAhead.QueuedPrefill + p.Tokens,
-	})
+	}
+	if p.Overtaken {
+		o.Took = 0
+	}
+	a.record(now, u.entry.Service, o)
 }
 
 // runner returns the upstream that runs a placement, or nil if it has ended or restarted since.
@@ -169,10 +173,10 @@
 	}
 	p.started = true
 	if p.Prefiller == "" {
-		u.own.QueuedPrefill = max(0, u.own.QueuedPrefill-p.Tokens)
+		u.own.removePrefill(p.Tokens, p.Level)
 	}
 	o := Observation{Upstream: p.Upstream, Event: EventFirst, Direct: p.Prefiller == ""}
-	if p.Ahead.Short+p.Ahead.Long < u.entry.Slots {
+	if p.Ahead.Short+p.Ahead.Long < u.entry.Slots && !(o.Direct && p.Overtaken) {
 		o.Took = now.Sub(sent)
 	}
 	if o.Direct {
@@ -189,7 +193,7 @@
 		return
 	}
 	if p.Prefiller == "" && !p.started {
-		u.own.QueuedPrefill = max(0, u.own.QueuedPrefill-p.Tokens)
+		u.own.removePrefill(p.Tokens, p.Level)
 	}
 	switch {
 	case p.Long:
--- a/core/allocator/placement.go
+++ b/core/allocator/placement.go
@@ -86,6 +86,10 @@
 	// Arbiter is the instance that placed the request; empty if this one did so alone.
 	Arbiter identifier.InstanceID
 
+	// Level is the urgency of an account's request; 0 if it has no account. Overtaken is true if more urgent requests are
+	// likely to overtake it, so that its times don't show an upstream's speed.
+	Level     Level
+	Overtaken bool
 	// incarnation is that of Upstream; a later one knows nothing of the request.
 	incarnation uint64
 	placed      time.Time
@@ -106,10 +110,10 @@
 		at.Short = 1
 	}
 	if p.Prefiller == "" {
-		at.QueuedPrefill = p.Tokens
+		at.addPrefill(p.Tokens, p.Level)
 		return Loads{p.Upstream: at}
 	}
-	atPrefiller.QueuedPrefill = p.Tokens
+	atPrefiller.addPrefill(p.Tokens, p.Level)
 	return Loads{p.Upstream: at, p.Prefiller: atPrefiller}
 }
 
@@ -122,6 +126,8 @@
 	ReasonNoUpstream Reason = "noUpstream"
 	// ReasonBusy means that every upstream has too much load to serve the request in time.
 	ReasonBusy Reason = "busy"
+	// ReasonShare means that there is too little room for all, and that the account has had its share.
+	ReasonShare Reason = "share"
 	// ReasonLimited means that every upstream has got as many requests as it has asked for.
 	ReasonLimited Reason = "limited"
 	// ReasonWaiting means that every upstream has asked this instance to send no requests for a while.
@@ -213,9 +219,17 @@
 	if best.upstream == nil {
 		return Placement{}, d.refuseWithoutOption()
 	}
-	if !d.admissible(best) {
+	reason := Reason("")
+	switch {
+	case !d.admissible(best):
+		reason = ReasonBusy
+	case !d.withinShare(best):
+		reason = ReasonShare
+	}
+	d.record(best, reason == "")
+	if reason != "" {
 		return Placement{}, &Refusal{
-			Reason: ReasonBusy, RetryAfter: a.settings.RetryAfter, Predicted: best.predicted,
+			Reason: reason, RetryAfter: d.retryAfter(best), Predicted: best.predicted,
 			Upstream: best.upstream.entry.Upstream, Ahead: best.upstream.load(),
 		}
 	}
@@ -228,6 +242,7 @@
 		place.PrefillerAhead = best.prefiller.load()
 		best.prefiller.limiter.Take(now, req.RateShare)
 	}
+	d.describeLevel(&place, best)
 	best.upstream.limiter.Take(now, req.RateShare)
 	return place, nil
 }
@@ -354,7 +369,7 @@
 // directOption is the option to prefill and decode at the same engine.
 func (d *decision) directOption(u *upstream, aff affinity) option {
 	tokens := d.allocator.uncachedTokens(d.req, u, aff)
-	queued := d.slotWait(u, 0) + d.paced(u, d.timings.mixedPrefill.slope(u.load().QueuedPrefill))
+	queued := d.slotWait(u, 0) + d.paced(u, d.timings.mixedPrefill.slope(d.ahead(u)))
 	work := d.paced(u, d.timings.mixedPrefill.slope(tokens))
 	predicted := queued + d.timings.mixedPrefill.base + work + d.timings.firstEventDelay.value
 	return option{
@@ -374,7 +389,7 @@
 // splitOption is the option to prefill at one engine and decode at another.
 func (d *decision) splitOption(prefiller, runner *upstream, aff affinity) option {
 	tokens := d.allocator.uncachedTokens(d.req, prefiller, aff)
-	ahead := d.paced(prefiller, d.timings.prefill.slope(prefiller.load().QueuedPrefill))
+	ahead := d.paced(prefiller, d.timings.prefill.slope(d.ahead(prefiller)))
 	work := d.paced(prefiller, d.timings.prefill.slope(tokens))
 	// Slots become free during the prefill elsewhere, but the other requests that await their prefill elsewhere take
 	// slots too.
@@ -458,6 +473,9 @@
 		return true
 	case o.predicted > req.TimeToDeadline:
 		return false
+	case req.TimeToTarget <= 0 && req.Returned && req.Caller != "":
+		// It was told when to come back, so it goes before new requests, which may wait as long.
+		return o.queued <= time.Duration(d.allocator.settings.MaxQueueShare*float64(req.Target))
 	case req.TimeToTarget <= 0:
 		return o.queued <= time.Duration(lateQueueShare*float64(req.Target))
 	default:
--- a/rosemaryspool/delegator/encoder.go
+++ b/rosemaryspool/delegator/encoder.go
@@ -65,6 +65,7 @@
 		Number: number, Upstream: string(p.Upstream), Prefiller: string(p.Prefiller),
 		PredictedUs: uint32(p.Predicted.Microseconds()), Tokens: uint32(p.Tokens), Long: p.Long,
 		Ahead: gossiper.EncodeLoad("", p.Ahead), PrefillerAhead: gossiper.EncodeLoad("", p.PrefillerAhead),
+		Overtaken: p.Overtaken,
 	}
 }
 
@@ -84,7 +85,7 @@
 		Upstream: identifier.UpstreamID(m.GetUpstream()), Prefiller: identifier.UpstreamID(m.GetPrefiller()),
 		Predicted: predicted, Tokens: identifier.Tokens(m.GetTokens()), Long: m.GetLong(),
 		Ahead: gossiper.DecodeLoad(m.GetAhead()), PrefillerAhead: gossiper.DecodeLoad(m.GetPrefillerAhead()),
-		Arbiter: arbiter,
+		Arbiter: arbiter, Overtaken: m.GetOvertaken(),
 	}, nil
 }
 
--- a/rosemaryspool/gossiper/gossiper.go
+++ b/rosemaryspool/gossiper/gossiper.go
@@ -205,6 +205,9 @@
 		Upstreams: make([]*messenger.UpstreamWork, 0, len(r.Loads)),
 	}
 	for id, l := range r.Loads {
+		if tokens := encodeLevels(l); tokens != nil {
+			m.Ranked = append(m.Ranked, &messenger.RankedWork{Upstream: uint32(len(m.Upstreams)), Tokens: tokens})
+		}
 		m.Upstreams = append(m.Upstreams, EncodeLoad(id, l))
 	}
 	for _, l := range r.Leaving {
@@ -236,6 +239,12 @@
 	for _, w := range m.GetUpstreams() {
 		r.Loads[identifier.UpstreamID(w.GetUpstream())] = DecodeLoad(w)
 	}
+	for _, w := range m.GetRanked() {
+		if i := int(w.GetUpstream()); i < len(m.GetUpstreams()) {
+			id := identifier.UpstreamID(m.GetUpstreams()[i].GetUpstream())
+			r.Loads[id] = decodeLevels(r.Loads[id], w.GetTokens())
+		}
+	}
 	for _, l := range m.GetLeaving() {
 		r.Leaving = append(r.Leaving, governor.LeavingUpstream{
 			Upstream: identifier.UpstreamID(l.GetUpstream()), Incarnation: l.GetIncarnation(),
--- a/rosemaryspool/governor/governor.go
+++ b/rosemaryspool/governor/governor.go
@@ -63,6 +63,8 @@
 	unreached     chan struct{}
 	// unsaved holds the changes of quarantines that are not in the store yet; quarantines signals them.
 	unsaved     []isolator.Change
+	// sharesLogged is when each service that is short of room was logged last.
+	sharesLogged map[identifier.ServiceName]time.Time
 	quarantines chan struct{}
 }
 
@@ -85,6 +87,8 @@
 		changed:   make(chan struct{}, 1),
 		unreached: make(chan struct{}, 1),
 
+		sharesLogged: map[identifier.ServiceName]time.Time{},
+
 		quarantines: make(chan struct{}, 1),
 	}
 	g.keys.limit.Store(int64(settings.KeyLimit))
@@ -363,6 +367,7 @@
 		g.applyUpstreams(now)
 	}
 	g.resumer.Expire(now)
+	g.logShares(now)
 	g.isolator.Expire(now)
 	g.logIsolation("")
 }
