--- a/core/allocator/placement.go
+++ b/core/allocator/placement.go
@@ -6,6 +6,7 @@
 
 	"rosemaryspool.example/core/identifier"
 	"rosemaryspool.example/core/isolator"
+	"rosemaryspool.example/core/sharer"
 	"rosemaryspool.example/core/tracker"
 )
 
@@ -86,7 +87,7 @@
 	// Arbiter is the instance that placed the request; empty if this one did so alone.
 	Arbiter identifier.InstanceID
 
-	// Level is the urgency of an account's request; 0 if it has no account. Overtaken is true if more urgent requests are
+	// Level is the urgency of an account's request at an engine; 0 if it has no account. Overtaken is true if more urgent requests are
 	// likely to overtake it, so that its times don't show an upstream's speed.
 	Level     Level
 	Overtaken bool
@@ -215,6 +216,7 @@
 	d := &decision{
 		allocator: a, now: now, instance: instance, dataCentre: dataCentre, req: req, timings: a.timingsOf(req.Service),
 	}
+	d.setShare()
 	best := d.best()
 	if best.upstream == nil {
 		return Placement{}, d.refuseWithoutOption()
@@ -256,6 +258,11 @@
 	dataCentre identifier.DataCentre
 	req        Request
 	timings    *timings
+	// sharer divides the service among accounts; nil if the request belongs to none. exceeds is true if the request is
+	// beyond its account's share, level is its urgency at an engine.
+	sharer  *sharer.Sharer
+	exceeds bool
+	level   Level
 	// waiting holds the upstreams that could run the request but want none now.
 	waiting []*upstream
 }
--- a/core/allocator/sharing.go
+++ b/core/allocator/sharing.go
@@ -8,11 +8,17 @@
 	"rosemaryspool.example/core/sharer"
 )
 
-// Level is the urgency of an account's request; 1 is the most urgent. The level 0 is that of requests without an account,
-// which engines get in the order of their arrival as far as the allocator is concerned.
+// Level is the urgency of an account's request at an engine; 1 is the most urgent. The level 0 is that of requests without
+// an account, which engines run in the order of their arrival as far as the allocator is concerned.
 type Level int
 
-// Level returns the urgency of a request.
+// leastUrgent is the level of requests beyond their account's share of a service: they yield to all others.
+const leastUrgent Level = sharer.Levels
+
+// NewLevel returns the level with a number. Those that this version doesn't know count as the nearest one.
+func NewLevel(number int) Level { return Level(max(0, min(number, int(leastUrgent)))) }
+
+// Level returns the urgency of a request that is within its account's share.
 func (r Request) Level() Level {
 	if r.Caller == "" {
 		return 0
@@ -27,10 +33,12 @@
 	// maxPressure bounds that share, as a short peak says little about the time to come.
 	maxPressure = 0.8
 	// overtakenPressure is the share from which on the times of less urgent requests don't show an engine's speed.
-	overtakenPressure = 0.1
-	// spareQueueShare is the share of its target that a request may queue beyond its account's share of the service.
-	// It keeps engines busy, and leaves most of the queue to the other accounts.
-	spareQueueShare = 0.1
+	overtakenPressure = 0.02
+	// spareQueueShare is the share of its target that may be queued with a request beyond its account's share of the service,
+	// and returnedQueueShare is that for one that comes back after a refusal. They keep engines busy, and leave the rest of
+	// the queue, up to MaxQueueShare, to the other accounts.
+	spareQueueShare    = 0.25
+	returnedQueueShare = 0.35
 	// longAnswerHolds is how many times as long as a short answer a long one is assumed to hold its slot.
 	longAnswerHolds = 10
 	// Callers honour a Retry-After up to about a third of the time that they have left. Longer waits than they would honour
@@ -103,7 +111,7 @@
 // ahead returns the tokens that an engine prefills before the request: those that are queued ahead of it, and those of
 // the more urgent requests that will come while it waits.
 func (d *decision) ahead(u *upstream) identifier.Tokens {
-	level := d.req.Level()
+	level := d.level
 	ahead := u.load().aheadOf(level)
 	if level <= 1 || ahead == 0 {
 		return ahead
@@ -111,12 +119,17 @@
 	return identifier.Tokens(float64(ahead) / (1 - u.pressure.above(d.now, level)))
 }
 
-// sharer returns how the service is divided among accounts; nil if the request belongs to none.
-func (d *decision) sharer() *sharer.Sharer {
-	if d.req.Caller == "" {
-		return nil
+// setShare finds out whether the request is beyond its account's share of the service, and how urgent that makes it.
+func (d *decision) setShare() {
+	d.level = d.req.Level()
+	if d.level == 0 {
+		return
+	}
+	d.sharer = d.allocator.sharerOf(d.req.Service)
+	d.exceeds = !d.req.Resumed && d.sharer.Exceeds(d.now, d.req.Caller, int(d.level-1))
+	if d.exceeds {
+		d.level = leastUrgent
 	}
-	return d.allocator.sharerOf(d.req.Service)
 }
 
 func (a *Allocator) sharerOf(service identifier.ServiceName) *sharer.Sharer {
@@ -165,20 +178,23 @@
 // withinShare reports whether the request is one that its account may have at this time. Beyond its share an account only
 // gets what is left over: places behind a short queue.
 func (d *decision) withinShare(o option) bool {
-	s := d.sharer()
-	if s == nil || d.req.Resumed || !s.Exceeds(d.now, d.req.Caller, int(d.req.Level()-1)) {
+	if !d.exceeds {
 		return true
 	}
-	return d.backlog(o) <= time.Duration(spareQueueShare*float64(d.req.Target))
+	share := spareQueueShare
+	if d.req.Returned {
+		share = returnedQueueShare
+	}
+	backlog := d.backlog(o)
+	return backlog == 0 || backlog+d.prefillTime(o) <= time.Duration(share*float64(d.req.Target))
 }
 
 // record counts the decision on the request for its account and for the engine that gets it.
 func (d *decision) record(o option, admitted bool) {
-	s := d.sharer()
-	if s == nil {
+	if d.sharer == nil {
 		return
 	}
-	s.Record(d.now, d.req.Caller, int(d.req.Level()-1), d.engineTime(o), admitted)
+	d.sharer.Record(d.now, d.req.Caller, int(d.req.Level()-1), d.engineTime(o), admitted)
 	if !admitted || !d.req.Engine {
 		return
 	}
@@ -186,17 +202,16 @@
 	if o.prefiller != nil {
 		reader = o.prefiller
 	}
-	reader.pressure.add(d.now, d.req.Level(), d.prefillTime(o))
+	reader.pressure.add(d.now, d.level, d.prefillTime(o))
 }
 
 // retryAfter returns when a refused request should return: when there will be room for it, behind the account's others
 // that were refused before. Those that can't wait so long are spread over time.
 func (d *decision) retryAfter(o option) time.Duration {
-	s := d.sharer()
-	if s == nil {
+	if d.sharer == nil {
 		return d.allocator.settings.RetryAfter
 	}
-	wait := max(minReturn, s.Reserve(d.now, d.req.Caller, d.engineTime(o)))
+	wait := max(minReturn, d.sharer.Reserve(d.now, d.req.Caller, d.engineTime(o)))
 	longest := max(minReturn, time.Duration(returnShare*float64(d.req.TimeToDeadline)))
 	if wait <= longest {
 		return wait
@@ -208,7 +223,7 @@
 
 // describeLevel sets what a placement says of its urgency, and of the work that comes before it.
 func (d *decision) describeLevel(p *Placement, o option) {
-	p.Level = d.req.Level()
+	p.Level = d.level
 	if p.Level == 0 {
 		return
 	}
@@ -218,7 +233,8 @@
 		reader = o.prefiller
 		p.PrefillerAhead.QueuedPrefill = reader.load().aheadOf(p.Level)
 	}
-	p.Overtaken = reader.pressure.above(d.now, p.Level) > overtakenPressure
+	waits := reader.load().aheadOf(p.Level) > 0
+	p.Overtaken = waits && (p.Level == leastUrgent || reader.pressure.above(d.now, p.Level) > overtakenPressure)
 }
 
 // Learn counts another instance's decision on a request of this one, so that this instance knows the shares when it has to
--- a/core/matcher/matcher.go
+++ b/core/matcher/matcher.go
@@ -160,6 +160,18 @@
 	return r.Services[len(r.Services)-1].Service
 }
 
+// PickOther chooses like PickService among the services with a weight that are not excluded. It returns false if there are
+// none.
+func (r *Route) PickOther(draw float64, excluded []identifier.ServiceName) (identifier.ServiceName, bool) {
+	others := Route{Services: slices.DeleteFunc(slices.Clone(r.Services), func(s WeightedService) bool {
+		return s.Weight <= 0 || slices.Contains(excluded, s.Service)
+	})}
+	if len(others.Services) == 0 {
+		return "", false
+	}
+	return others.PickService(draw), true
+}
+
 // normaliseHost removes the port of a host and converts it to lower case.
 func normaliseHost(host string) string {
 	if name, _, err := net.SplitHostPort(host); err == nil {
--- a/core/matcher/matcher_test.go
+++ b/core/matcher/matcher_test.go
@@ -1,6 +1,7 @@
 package matcher
 
 import (
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -39,3 +40,26 @@
 	}
 	require.Equal(t, map[identifier.ServiceName]int{"a": 900, "b": 100}, count)
 }
+
+func TestPickOtherSkipsExcludedAndUnweightedServices(t *testing.T) {
+	r := &Route{Services: []WeightedService{{"a", 3}, {"b", 1}, {"c", 0}, {"d", 2}}}
+	for _, c := range []struct {
+		name     string
+		excluded []identifier.ServiceName
+		want     []identifier.ServiceName
+	}{
+		{"one full", []identifier.ServiceName{"a"}, []identifier.ServiceName{"b", "d"}},
+		{"two full", []identifier.ServiceName{"a", "d"}, []identifier.ServiceName{"b"}},
+		{"all full", []identifier.ServiceName{"a", "b", "d"}, nil},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var got []identifier.ServiceName
+			for i := range 100 {
+				if service, found := r.PickOther(float64(i)/100, c.excluded); found && !slices.Contains(got, service) {
+					got = append(got, service)
+				}
+			}
+			require.Equal(t, c.want, got)
+		})
+	}
+}
--- a/rosemaryspool/delegator/delegator.go
+++ b/rosemaryspool/delegator/delegator.go
@@ -141,7 +141,6 @@
 			Str("upstream", string(placement.Upstream)).Str("prefiller", string(placement.Prefiller)).
 			Msg("Arbiter's list of upstreams is outdated; deciding alone")
 	}
-	placement.Level = request.Level()
 	if result == decided {
 		d.governor.Learn(time.Now(), request, refusal == nil)
 	}
--- a/rosemaryspool/delegator/encoder.go
+++ b/rosemaryspool/delegator/encoder.go
@@ -65,7 +65,7 @@
 		Number: number, Upstream: string(p.Upstream), Prefiller: string(p.Prefiller),
 		PredictedUs: uint32(p.Predicted.Microseconds()), Tokens: uint32(p.Tokens), Long: p.Long,
 		Ahead: gossiper.EncodeLoad("", p.Ahead), PrefillerAhead: gossiper.EncodeLoad("", p.PrefillerAhead),
-		Overtaken: p.Overtaken,
+		Urgency: encodeUrgency(p),
 	}
 }
 
@@ -81,12 +81,24 @@
 			Ahead: gossiper.DecodeLoad(m.GetAhead()), Arbiter: arbiter,
 		}
 	}
-	return allocator.Placement{
+	p := allocator.Placement{
 		Upstream: identifier.UpstreamID(m.GetUpstream()), Prefiller: identifier.UpstreamID(m.GetPrefiller()),
 		Predicted: predicted, Tokens: identifier.Tokens(m.GetTokens()), Long: m.GetLong(),
 		Ahead: gossiper.DecodeLoad(m.GetAhead()), PrefillerAhead: gossiper.DecodeLoad(m.GetPrefillerAhead()),
-		Arbiter: arbiter, Overtaken: m.GetOvertaken(),
-	}, nil
+		Arbiter: arbiter,
+	}
+	if u := m.GetUrgency(); u != nil {
+		p.Level, p.Overtaken = allocator.NewLevel(int(u.GetLevel())), u.GetOvertaken()
+	}
+	return p, nil
+}
+
+// encodeUrgency returns the urgency of a placement; nil if its request has no account.
+func encodeUrgency(p allocator.Placement) *messenger.Urgency {
+	if p.Level == 0 {
+		return nil
+	}
+	return &messenger.Urgency{Level: uint32(p.Level), Overtaken: p.Overtaken}
 }
 
 func encodeTimings(t allocator.Timings) *messenger.ServiceTimings {
--- a/rosemaryspool/forwarder/attempt.go
+++ b/rosemaryspool/forwarder/attempt.go
@@ -133,6 +133,9 @@
 		}
 		placement, refusal := e.forwarder.delegator.Place(e.ctx, e.placementRequest())
 		if refusal != nil {
+			if e.changeService(refusal) {
+				continue
+			}
 			e.refusal = refusal
 			if r, done := e.reroute(string(refusal.Reason)); done {
 				return r
@@ -349,7 +352,7 @@
 	s.Timeout = time.Until(e.deadline)
 	s.Priority = -1
 	if e.engine {
-		s.Priority = min(lowestPriority, basePriority+e.rank())
+		s.Priority = e.enginePriority()
 	}
 	s.ReplacesKey, s.Caller = e.replacesKey, e.callerID()
 	return e.forwarder.connector.Exchange(ctx, connector.Request{
@@ -360,12 +363,22 @@
 	})
 }
 
-// Priorities that engines receive; 0 is the highest. Routes get them in the order of their ranks.
+// Priorities that engines receive; 0 is the highest. Requests get them in the order of their ranks, and those beyond their
+// account's share the lowest one.
 const (
 	basePriority   = 2
 	lowestPriority = 9
 )
 
+// enginePriority returns the priority of the request at its placement.
+func (e *exchange) enginePriority() int {
+	rank := e.rank()
+	if level := e.last.placement.Level; level > 0 {
+		rank = int(level) - 1
+	}
+	return min(lowestPriority, basePriority+rank)
+}
+
 // failureOutcome classifies an exchange for the allocator that has failed after some time. A caller that disconnects and a
 // lack of free connections don't count against the upstream; a passed deadline and an attempt that is cancelled as overdue
 // do. A connection that took so long to open shows no error of the upstream: it was not reached.
--- a/rosemaryspool/forwarder/forwarder.go
+++ b/rosemaryspool/forwarder/forwarder.go
@@ -135,8 +135,11 @@
 	// content identifies the request when it comes again.
 	content isolator.Trait
 
-	version uint64
-	route   *matcher.Route
+	// configuration is the one by which the request is served. version is that of the latest one that its key has been
+	// looked up in.
+	configuration *matcher.Configuration
+	version       uint64
+	route         *matcher.Route
 	// account is whom the request belongs to; nil if it needs no key and has none.
 	account *matcher.Caller
 	// replacesKey is true if upstreams get the name of the account in place of the key.
@@ -144,6 +147,8 @@
 	// keyRemoved is true once a later configuration no longer has the key.
 	keyRemoved bool
 	service    identifier.ServiceName
+	// full holds the services of the route that have no room for the request.
+	full []identifier.ServiceName
 	engine     bool
 	deadline    time.Time
 	target      time.Time
@@ -176,7 +181,8 @@
 	if table == nil {
 		return e.refuse("noConfiguration", startupRetryAfter)
 	}
-	e.version = table.Configuration().Version
+	e.configuration = table.Configuration()
+	e.version = e.configuration.Version
 	path, _, _ := strings.Cut(e.request.RequestURI, "?")
 	route, found := table.Match(e.request.Host, path)
 	if !found {
@@ -206,7 +212,7 @@
 	if r, ok := e.resume(); !ok {
 		return r
 	}
-	e.engine = table.Configuration().Services[e.service].IsEngine
+	e.setService(e.service)
 	if !e.counted {
 		e.counted = true
 		e.forwarder.governor.CountRequest(e.started, e.service)
@@ -341,7 +347,7 @@
 			Dur("callerLeftMs", e.caller.Timeout).Dur("toTargetMs", e.target.Sub(e.started)).Bool("returned", e.isRetry)
 	}
 	if e.account != nil {
-		line = line.Str("caller", string(e.account.ID))
+		line = line.Str("caller", string(e.account.ID)).Int("rank", e.rank())
 	}
 	if r.retry > 0 {
 		line = line.Dur("retryAfterMs", r.retry)
