--- a/core/allocator/placement.go
+++ b/core/allocator/placement.go
@@ -223,7 +223,7 @@
 	}
 	reason := Reason("")
 	switch {
-	case !d.admissible(best):
+	case !d.admissible(best) || best.cost >= stallCost:
 		reason = ReasonBusy
 	case !d.withinShare(best):
 		reason = ReasonShare
@@ -263,6 +263,8 @@
 	sharer  *sharer.Sharer
 	exceeds bool
 	level   Level
+	// splits is true if some engines of the service only prefill.
+	splits bool
 	// waiting holds the upstreams that could run the request but want none now.
 	waiting []*upstream
 }
@@ -327,6 +329,7 @@
 		}
 		return best
 	}
+	d.splits = len(prefillers) > 0
 	aff := newAffinity(d.req.Prompt, runners, prefillers)
 	for _, u := range runners {
 		consider(d.directOption(u, aff))
@@ -381,7 +384,8 @@
 	predicted := queued + d.timings.mixedPrefill.base + work + d.timings.firstEventDelay.value
 	return option{
 		upstream: u, tokens: tokens, queued: queued, predicted: predicted,
-		cost: predicted + d.engineTimeCost(work) + d.interferenceCost(u, work) + d.remoteCost(u) + d.longAnswerCost(u),
+		cost: predicted + d.engineTimeCost(work) + d.interferenceCost(u, work) + d.remoteCost(u) + d.longAnswerCost(u) +
+			d.streamCost(u, work),
 	}
 }
 
@@ -433,6 +437,9 @@
 		cost := d.slotWait(u, load.AwaitingPrefill) + d.remoteCost(u) +
 			time.Duration(load.Short+load.AwaitingPrefill)*time.Millisecond +
 			d.paced(u, d.timings.mixedPrefill.slope(load.QueuedPrefill))/4 + d.longAnswerCost(u)
+		if d.isLong() {
+			cost += d.streamCost(u, 0)
+		}
 		if best[version] == nil || cost < least[version] {
 			best[version], least[version] = u, cost
 		}
--- a/core/allocator/sharing_test.go
+++ b/core/allocator/sharing_test.go
@@ -66,24 +66,32 @@
 	clients  []client
 	now      time.Time
 	number   int
+	// mixed is the time that engines have prefilled between the tokens of answers.
+	mixed time.Duration
 	// arbiter chooses who decides at a time.
 	arbiter func(elapsed time.Duration, number int) int
 }
 
-func newFleet(engines, arbiters int, clients []client) *fleet {
+// newFleet returns a service of engines. Those of the first number prefill between the tokens of answers, the others only
+// prefill, twice as fast.
+func newFleet(engines, prefillers, arbiters int, clients []client) *fleet {
 	f := &fleet{
 		queues: map[identifier.UpstreamID][]job{}, busy: map[identifier.UpstreamID]time.Time{}, clients: clients,
 		fates: make([]fate, len(clients)), now: time.Now(), arbiter: func(time.Duration, int) int { return 0 },
 	}
 	var entries []tracker.Entry
-	for i := range engines {
+	for i := range engines + prefillers {
+		role := tracker.RoleDecode
+		if i >= engines {
+			role = tracker.RolePrefill
+		}
 		entries = append(entries, tracker.Entry{
-			Upstream: identifier.UpstreamID(fmt.Sprint("e", i)), Service: model, Slots: 200, Role: tracker.RoleDecode,
+			Upstream: identifier.UpstreamID(fmt.Sprint("e", i)), Service: model, Slots: 200, Role: role,
 			DataCentre: "here",
 		})
 	}
 	settings := DefaultSettings()
-	settings.MixedPrefillRate = tokensPerMs
+	settings.MixedPrefillRate, settings.PrefillRate = tokensPerMs, 2*tokensPerMs
 	for range arbiters {
 		a := NewAllocator(settings, "here")
 		a.SetUpstreams(entries)
@@ -110,7 +118,7 @@
 				f.fates[n].sent++
 				f.send(elapsed, job{client: n, arrived: f.now, req: Request{
 					Service: model, Engine: true, Output: 2, Target: fleetAim, Caller: c.caller, Rank: c.rank,
-					Prompt: []PromptPart{{Hash: uint64(f.number), Tokens: c.tokens}}, SingleUpstream: true,
+					Prompt: []PromptPart{{Hash: uint64(f.number), Tokens: c.tokens}},
 				}}, c.repeats)
 			}
 		}
@@ -146,7 +154,15 @@
 				at.welcome++
 			}
 			j.left = j.req.promptTokens()
-			f.queues[place.Upstream] = append(f.queues[place.Upstream], j)
+			id := place.Upstream
+			if place.Prefiller != "" {
+				id = place.Prefiller
+				j.left /= 2
+			}
+			f.queues[id] = append(f.queues[id], j)
+			if place.Prefiller == "" {
+				f.mixed += time.Duration(j.left) * time.Millisecond / tokensPerMs
+			}
 			return
 		case try < repeats:
 			continue
@@ -197,9 +213,17 @@
 	}
 	for _, a := range f.arbiters {
 		p := j.place
-		if a.upstreams[p.Upstream].own.QueuedPrefill > 0 {
-			a.FirstEventArrived(ended, p.placed, &p)
-			a.Ended(ended, p.placed, p, OutcomeCompleted)
+		reader, sent := p.Upstream, p.placed
+		if p.Prefiller != "" {
+			reader = p.Prefiller
+		}
+		if a.upstreams[reader].own.QueuedPrefill > 0 {
+			if p.Prefiller != "" {
+				a.PrefillEnded(ended, &p, OutcomeCompleted)
+				sent = ended
+			}
+			a.FirstEventArrived(ended, sent, &p)
+			a.Ended(ended, sent, p, OutcomeCompleted)
 			return
 		}
 	}
@@ -263,7 +287,7 @@
 			}
 			c.large.caller = "large"
 			clients := append([]client{c.large}, small...)
-			f := newFleet(10, 1, clients)
+			f := newFleet(10, 0, 1, clients)
 			fates := f.play(8 * time.Second)
 			others := describe(t, clients, fates)
 			require.GreaterOrEqual(t, others[0], 0.9)
@@ -279,7 +303,7 @@
 
 func TestRoomIsNotKeptBack(t *testing.T) {
 	clients := append([]client{{caller: "large", tokens: 1000, perSecond: 350, to: always}}, smallClients()...)
-	fates := newFleet(10, 1, clients).play(6 * time.Second)
+	fates := newFleet(10, 0, 1, clients).play(6 * time.Second)
 	require.GreaterOrEqual(t, describe(t, clients, fates)[0], 0.97)
 	require.GreaterOrEqual(t, fates[0].share(), 0.97)
 }
@@ -296,7 +320,7 @@
 			})
 		}
 	}
-	fates := newFleet(10, 1, clients).play(8500 * time.Millisecond)
+	fates := newFleet(10, 0, 1, clients).play(8500 * time.Millisecond)
 	others := describe(t, clients, fates)
 	require.GreaterOrEqual(t, others[0], 0.85, "nine tenths of the engines' time are asked for in each turn")
 	require.GreaterOrEqual(t, jain(others), 0.99)
@@ -310,7 +334,7 @@
 			caller: identifier.CallerID(fmt.Sprint("account", i)), tokens: 1000, perSecond: 330, rank: i, to: always,
 		})
 	}
-	fates := newFleet(10, 1, clients).play(8 * time.Second)
+	fates := newFleet(10, 0, 1, clients).play(8 * time.Second)
 	describe(t, clients, fates)
 	served, late := 0, 0
 	for _, f := range fates {
@@ -340,7 +364,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			clients := append([]client{{caller: "large", tokens: 1000, perSecond: 1000, to: always}}, smallClients()...)
-			f := newFleet(10, 2, clients)
+			f := newFleet(10, 0, 2, clients)
 			f.arbiter = c.arbiter
 			others := describe(t, clients, f.play(8*time.Second))
 			require.GreaterOrEqual(t, others[0], c.least)
@@ -349,6 +373,17 @@
 	}
 }
 
+// The load: 4 engines that only prefill and 8 that also decode, and more prompts than all of them could prefill.
+func TestPrefillsLeaveTimeForTheAnswersOfTheirEngine(t *testing.T) {
+	const seconds, mixed = 8, 8
+	clients := append([]client{{caller: "large", tokens: 1000, perSecond: 2000, to: always}}, smallClients()...)
+	f := newFleet(mixed, 4, 1, clients)
+	others := describe(t, clients, f.play(seconds*time.Second))
+	require.GreaterOrEqual(t, others[0], 0.9)
+	require.LessOrEqual(t, f.mixed, time.Duration(maxMixedShare*1.1*mixed*seconds*float64(time.Second)))
+	require.GreaterOrEqual(t, f.mixed, time.Duration(spareMixedShare*0.8*mixed*seconds*float64(time.Second)))
+}
+
 func TestRefusedRequestsComeBackOneAfterTheOther(t *testing.T) {
 	now := time.Now()
 	a := newTestAllocator(2, 0)
--- a/core/sharer/sharer_test.go
+++ b/core/sharer/sharer_test.go
@@ -92,7 +92,8 @@
 // An instance that begins to decide knows nothing. After a second or so its shares are those of the one before it.
 func TestNewDeciderKnowsTheSharesAfterAWindow(t *testing.T) {
 	demands := []demand{
-		{caller: "large", asked: 10, cost: 10 * time.Millisecond}, {caller: "a", asked: 1, cost: 10 * time.Millisecond},
+		{caller: "large", asked: 10, cost: 10 * time.Millisecond},
+		{caller: "a", asked: 1, cost: 10 * time.Millisecond},
 		{caller: "b", asked: 1, cost: 10 * time.Millisecond},
 	}
 	got := play(NewSharer(), time.Now(), 4, 4, demands)
--- a/rosemaryspool/forwarder/forwarder.go
+++ b/rosemaryspool/forwarder/forwarder.go
@@ -148,10 +148,10 @@
 	keyRemoved bool
 	service    identifier.ServiceName
 	// full holds the services of the route that have no room for the request.
-	full []identifier.ServiceName
-	engine     bool
-	deadline    time.Time
-	target      time.Time
+	full     []identifier.ServiceName
+	engine   bool
+	deadline time.Time
+	target   time.Time
 	// isRetry is true when the caller's remaining time suggests that it is retrying a refused or failed request.
 	isRetry bool
 	ctx     context.Context
--- a/rosemaryspool/forwarder/service.go
+++ b/rosemaryspool/forwarder/service.go
@@ -38,4 +38,3 @@
 		return false
 	}
 }
-
--- a/rosemaryspool/governor/governor.go
+++ b/rosemaryspool/governor/governor.go
@@ -62,10 +62,10 @@
 	changed       chan struct{}
 	unreached     chan struct{}
 	// unsaved holds the changes of quarantines that are not in the store yet; quarantines signals them.
-	unsaved     []isolator.Change
+	unsaved []isolator.Change
 	// sharesLogged is when each service that is short of room was logged last.
 	sharesLogged map[identifier.ServiceName]time.Time
-	quarantines chan struct{}
+	quarantines  chan struct{}
 }
 
 // NewGovernor returns a governor without configuration and upstreams.
