--- a/core/allocator/observation.go
+++ b/core/allocator/observation.go
@@ -149,7 +149,7 @@
 		Upstream: p.Prefiller, Event: EventPrefilled, Outcome: outcome, Took: now.Sub(p.placed),
 		Tokens: p.PrefillerAhead.QueuedPrefill + p.Tokens,
 	}
-	if p.Overtaken {
+	if p.Reordered {
 		o.Took = 0
 	}
 	a.record(now, u.entry.Service, o)
@@ -176,7 +176,7 @@
 		u.own.removePrefill(p.Tokens, p.Level)
 	}
 	o := Observation{Upstream: p.Upstream, Event: EventFirst, Direct: p.Prefiller == ""}
-	if p.Ahead.Short+p.Ahead.Long < u.entry.Slots && !(o.Direct && p.Overtaken) {
+	if p.Ahead.Short+p.Ahead.Long < u.entry.Slots && !(o.Direct && p.Reordered) {
 		o.Took = now.Sub(sent)
 	}
 	if o.Direct {
--- a/core/allocator/placement.go
+++ b/core/allocator/placement.go
@@ -87,10 +87,10 @@
 	// Arbiter is the instance that placed the request; empty if this one did so alone.
 	Arbiter identifier.InstanceID
 
-	// Level is the urgency of an account's request at an engine; 0 if it has no account. Overtaken is true if more urgent requests are
-	// likely to overtake it, so that its times don't show an upstream's speed.
+	// Level is the urgency of an account's request at an engine; 0 if it has no account. Reordered is true if it and
+	// other requests are likely to overtake each other, so that its times don't show an upstream's speed.
 	Level     Level
-	Overtaken bool
+	Reordered bool
 	// incarnation is that of Upstream; a later one knows nothing of the request.
 	incarnation uint64
 	placed      time.Time
@@ -223,7 +223,7 @@
 	}
 	reason := Reason("")
 	switch {
-	case !d.admissible(best) || best.cost >= stallCost:
+	case !d.admissible(best):
 		reason = ReasonBusy
 	case !d.withinShare(best):
 		reason = ReasonShare
@@ -263,8 +263,6 @@
 	sharer  *sharer.Sharer
 	exceeds bool
 	level   Level
-	// splits is true if some engines of the service only prefill.
-	splits bool
 	// waiting holds the upstreams that could run the request but want none now.
 	waiting []*upstream
 }
@@ -329,7 +327,6 @@
 		}
 		return best
 	}
-	d.splits = len(prefillers) > 0
 	aff := newAffinity(d.req.Prompt, runners, prefillers)
 	for _, u := range runners {
 		consider(d.directOption(u, aff))
@@ -384,8 +381,7 @@
 	predicted := queued + d.timings.mixedPrefill.base + work + d.timings.firstEventDelay.value
 	return option{
 		upstream: u, tokens: tokens, queued: queued, predicted: predicted,
-		cost: predicted + d.engineTimeCost(work) + d.interferenceCost(u, work) + d.remoteCost(u) + d.longAnswerCost(u) +
-			d.streamCost(u, work),
+		cost: predicted + d.engineTimeCost(work) + d.interferenceCost(u, work) + d.remoteCost(u) + d.longAnswerCost(u),
 	}
 }
 
@@ -437,9 +433,6 @@
 		cost := d.slotWait(u, load.AwaitingPrefill) + d.remoteCost(u) +
 			time.Duration(load.Short+load.AwaitingPrefill)*time.Millisecond +
 			d.paced(u, d.timings.mixedPrefill.slope(load.QueuedPrefill))/4 + d.longAnswerCost(u)
-		if d.isLong() {
-			cost += d.streamCost(u, 0)
-		}
 		if best[version] == nil || cost < least[version] {
 			best[version], least[version] = u, cost
 		}
--- a/core/allocator/sharing.go
+++ b/core/allocator/sharing.go
@@ -12,11 +12,11 @@
 // an account, which engines run in the order of their arrival as far as the allocator is concerned.
 type Level int
 
-// leastUrgent is the level of requests beyond their account's share of a service: they yield to all others.
-const leastUrgent Level = sharer.Levels
+// lastLevel is the least urgent level.
+const lastLevel Level = sharer.Levels
 
 // NewLevel returns the level with a number. Those that this version doesn't know count as the nearest one.
-func NewLevel(number int) Level { return Level(max(0, min(number, int(leastUrgent)))) }
+func NewLevel(number int) Level { return Level(max(0, min(number, int(lastLevel)))) }
 
 // Level returns the urgency of a request that is within its account's share.
 func (r Request) Level() Level {
@@ -39,16 +39,6 @@
 	// the queue, up to MaxQueueShare, to the other accounts.
 	spareQueueShare    = 0.25
 	returnedQueueShare = 0.35
-	// Where other engines only prefill, one that prefills between the tokens of answers may spend maxMixedShare of its time
-	// on that, and maxStall at a stretch; spareMixedShare beyond an account's share. More would make pauses in all of its
-	// answers that callers notice.
-	maxMixedShare   = 0.5
-	spareMixedShare = 0.4
-	maxStall        = 100 * time.Millisecond
-	// stallCost is the cost of an option that exceeds these limits; any other one is better.
-	stallCost = 10 * time.Second
-	// busyEngineCost is the cost of a long answer at an engine that only prefills between its tokens.
-	busyEngineCost = 200 * time.Millisecond
 	// longAnswerHolds is how many times as long as a short answer a long one is assumed to hold its slot.
 	longAnswerHolds = 10
 	// Callers honour a Retry-After up to about a third of the time that they have left. Longer waits than they would honour
@@ -81,16 +71,6 @@
 	p.work[level-1] += float64(work) / float64(pressureWindow)
 }
 
-// total returns the share of the engine's time that prefills take.
-func (p *pressure) total(now time.Time) float64 {
-	p.age(now)
-	share := 0.0
-	for _, work := range p.work {
-		share += work
-	}
-	return share
-}
-
 // above returns the share of the engine's time that prefills take which overtake those of a level.
 func (p *pressure) above(now time.Time, level Level) float64 {
 	p.age(now)
@@ -139,35 +119,6 @@
 	return identifier.Tokens(float64(ahead) / (1 - u.pressure.above(d.now, level)))
 }
 
-// stalls reports whether a prefill at an engine that also decodes would make noticeable pauses in the answers there. Long
-// answers have short prompts.
-func (d *decision) stalls(u *upstream, work time.Duration) bool {
-	if d.level == 0 || !d.splits || d.isLong() || d.req.Resumed {
-		return false
-	}
-	share := maxMixedShare
-	if d.exceeds {
-		share = spareMixedShare
-	}
-	queued := d.paced(u, d.timings.mixedPrefill.slope(u.load().QueuedPrefill))
-	return queued > 0 && queued+work > maxStall || u.pressure.total(d.now) > share
-}
-
-// streamCost is the cost of the pauses that prefills make at an engine in an account's long answer, and the cost of those
-// that the request would make there itself.
-func (d *decision) streamCost(u *upstream, work time.Duration) time.Duration {
-	switch {
-	case d.level == 0 || !d.splits:
-		return 0
-	case d.stalls(u, work):
-		return stallCost
-	case d.isLong():
-		return time.Duration(u.pressure.total(d.now) * float64(busyEngineCost))
-	default:
-		return 0
-	}
-}
-
 // setShare finds out whether the request is beyond its account's share of the service, and how urgent that makes it.
 func (d *decision) setShare() {
 	d.level = d.req.Level()
@@ -177,7 +128,7 @@
 	d.sharer = d.allocator.sharerOf(d.req.Service)
 	d.exceeds = !d.req.Resumed && d.sharer.Exceeds(d.now, d.req.Caller, int(d.level-1))
 	if d.exceeds {
-		d.level = leastUrgent
+		d.level = max(d.level, Level(d.sharer.LeastUrgent(d.now)+1))
 	}
 }
 
@@ -282,8 +233,9 @@
 		reader = o.prefiller
 		p.PrefillerAhead.QueuedPrefill = reader.load().aheadOf(p.Level)
 	}
-	waits := reader.load().aheadOf(p.Level) > 0
-	p.Overtaken = waits && (p.Level == leastUrgent || reader.pressure.above(d.now, p.Level) > overtakenPressure)
+	load := reader.load()
+	ahead := load.aheadOf(p.Level)
+	p.Reordered = load.QueuedPrefill > ahead || ahead > 0 && reader.pressure.above(d.now, p.Level) > overtakenPressure
 }
 
 // Learn counts another instance's decision on a request of this one, so that this instance knows the shares when it has to
--- a/core/sharer/sharer.go
+++ b/core/sharer/sharer.go
@@ -31,6 +31,8 @@
 	maxAccounts = 8192
 	// shortage is the share of what was asked for that must have been refused before room counts as short.
 	shortage = 0.01
+	// notable is the share of what is asked for from which on a level counts as in use.
+	notable = 0.05
 	// maxRounds bounds the search for the limit, which usually takes a few rounds.
 	maxRounds = 32
 )
@@ -76,7 +78,9 @@
 	// limit is the largest share of an account; infinite while there is room for all.
 	limit float64
 	// part is what each account would get of all that was admitted, if all asked for more.
-	part         float64
+	part float64
+	// leastUrgent is the least urgent level of which much is asked for.
+	leastUrgent  int
 	calculatedAt time.Time
 }
 
@@ -126,6 +130,12 @@
 	return a.admitted[level] >= max(0, left)
 }
 
+// LeastUrgent returns the level of requests beyond their account's share: they go before nobody's.
+func (s *Sharer) LeastUrgent(now time.Time) int {
+	s.calculate(now)
+	return s.leastUrgent
+}
+
 // Reserve returns how long it will take until there is room for a request of an account that is refused now, behind those
 // refused before.
 func (s *Sharer) Reserve(now time.Time, caller identifier.CallerID, cost time.Duration) time.Duration {
@@ -156,6 +166,7 @@
 	}
 	s.calculatedAt = now
 	asked, admitted := 0.0, 0.0
+	levels := [Levels]float64{}
 	demands := make([]float64, 0, len(s.accounts))
 	for caller, a := range s.accounts {
 		if now.Sub(a.seen) > idleAfter {
@@ -166,8 +177,16 @@
 		demand := factor * sum(a.asked)
 		demands = append(demands, demand)
 		asked += demand
+		for level, share := range a.asked {
+			levels[level] += factor * share
+		}
 		admitted += factor * sum(a.admitted)
 	}
+	for level, share := range levels {
+		if share > notable*asked {
+			s.leastUrgent = level
+		}
+	}
 	s.limit, s.part = math.Inf(1), admitted/float64(max(1, len(demands)))
 	if asked-admitted > shortage*asked {
 		s.limit = fill(demands, admitted)
--- a/rosemaryspool/delegator/encoder.go
+++ b/rosemaryspool/delegator/encoder.go
@@ -88,7 +88,7 @@
 		Arbiter: arbiter,
 	}
 	if u := m.GetUrgency(); u != nil {
-		p.Level, p.Overtaken = allocator.NewLevel(int(u.GetLevel())), u.GetOvertaken()
+		p.Level, p.Reordered = allocator.NewLevel(int(u.GetLevel())), u.GetReordered()
 	}
 	return p, nil
 }
@@ -98,7 +98,7 @@
 	if p.Level == 0 {
 		return nil
 	}
-	return &messenger.Urgency{Level: uint32(p.Level), Overtaken: p.Overtaken}
+	return &messenger.Urgency{Level: uint32(p.Level), Reordered: p.Reordered}
 }
 
 func encodeTimings(t allocator.Timings) *messenger.ServiceTimings {
