--- a/core/allocator/sharing_test.go
+++ b/core/allocator/sharing_test.go
@@ -180,8 +180,8 @@
 			return
 		}
 		j.returned, j.arrived = true, f.now.Add(refusal.RetryAfter)
-		f.waiting = append(f.waiting, j)
-		slices.SortStableFunc(f.waiting, func(x, y job) int { return x.arrived.Compare(y.arrived) })
+		i, _ := slices.BinarySearchFunc(f.waiting, j, func(x, y job) int { return x.arrived.Compare(y.arrived) })
+		f.waiting = slices.Insert(f.waiting, i, j)
 		return
 	}
 }
--- a/rosemaryspool/forwarder/attempt.go
+++ b/rosemaryspool/forwarder/attempt.go
@@ -363,8 +363,8 @@
 	})
 }
 
-// Priorities that engines receive; 0 is the highest. Requests get them in the order of their ranks, and those beyond their
-// account's share the lowest one.
+// Priorities that engines receive; 0 is the highest. Requests get them in the order of their ranks, those beyond their
+// account's share that of the least urgent ones.
 const (
 	basePriority   = 2
 	lowestPriority = 9
