--- a/rosemaryspool/gatekeeper/key_test.go
+++ b/rosemaryspool/gatekeeper/key_test.go
@@ -201,3 +201,17 @@
 		}
 	}
 }
+
+func TestRankOfTheAccountGoesBeforeThatOfTheRoute(t *testing.T) {
+	engine := emulator.NewUpstream("d1", "decode", 3)
+	ti := newTestInstance(t, engine)
+	ti.store.Put(platform.TopicConfiguration, platform.KeyConfiguration, keyedTable(1,
+		`{"name":"atelier","api-keys":["k1"]},{"name":"hangar","api-keys":["k2"],"priority":4}`))
+	require.Eventually(t, func() bool { return ti.readiness() == http.StatusOK }, 2*time.Second, time.Millisecond)
+	for i, c := range []struct{ path, key, priority string }{
+		{verdicts, "k1", "2"}, {notes, "k1", "3"}, {verdicts, "k2", "6"}, {notes, "k2", "6"},
+	} {
+		require.Equal(t, http.StatusOK, ti.send(http.MethodPost, c.path+"x", "", append(promptHeaders(), headerKey, c.key)...).status)
+		require.Equal(t, c.priority, engine.Runs()[i].Header.Get("Rosemaryspool-Request-Priority"))
+	}
+}
