--- a/rosemaryspool/forwarder/attempt.go
+++ b/rosemaryspool/forwarder/attempt.go
@@ -133,6 +133,9 @@
 		}
 		placement, refusal := e.forwarder.delegator.Place(e.ctx, e.placementRequest())
 		if refusal != nil {
+			if e.changeService(refusal) {
+				continue
+			}
 			e.refusal = refusal
 			if r, done := e.reroute(string(refusal.Reason)); done {
 				return r
@@ -189,6 +192,8 @@
 	switch {
 	case e.request.Context().Err() != nil:
 		return "callerLeft"
+	case e.keyRefusal() != "":
+		return e.keyRefusal()
 	case e.deadline.Sub(now) < minTimeLeft:
 		return "deadline"
 	case !repeatable:
@@ -215,6 +220,8 @@
 	case stored != nil:
 		e.deliver(stored)
 		return result{outcome: outcomeFailed, status: stored.status, cause: "upstreamFailed:" + cause}
+	case e.runs == 0 && cause == causeKeyRemoved:
+		return e.respondError(http.StatusUnauthorized, outcomeUnauthorized, cause)
 	case e.runs == 0:
 		return e.refuse(cause, max(retry, e.last.placement.Predicted))
 	case time.Until(e.deadline) <= minTimeLeft:
@@ -230,7 +237,7 @@
 	outcome := allocator.OutcomeCancelled
 	defer func() { e.forwarder.governor.Ended(time.Now(), e.last.sentAt, e.last.placement, outcome) }()
 	entry, listed := e.forwarder.governor.Entry(placement.Upstream)
-	if !listed {
+	if !listed || e.keyRefusal() != "" {
 		e.last.unsent = true
 		return notExecuted
 	}
@@ -246,8 +253,9 @@
 		e.last.unsent = false
 	}
 	if current, _ := e.forwarder.governor.Entry(placement.Upstream); current.Incarnation != entry.Incarnation ||
-		!e.forwarder.governor.AcceptsWork(time.Now(), placement.Upstream) {
-		// The upstream restarted or began to leave during the prefill, or asked this instance to wait.
+		!e.forwarder.governor.AcceptsWork(time.Now(), placement.Upstream) || e.keyRefusal() != "" {
+		// The upstream restarted or began to leave during the prefill, or asked this instance to wait, or the key was
+		// removed.
 		e.dropCache()
 		return notExecuted
 	}
@@ -344,7 +352,7 @@
 	s.Timeout = time.Until(e.deadline)
 	s.Priority = -1
 	if e.engine {
-		s.Priority = min(lowestPriority, basePriority+e.rank())
+		s.Priority = e.enginePriority()
 	}
 	s.ReplacesKey, s.Caller = e.replacesKey, e.callerID()
 	return e.forwarder.connector.Exchange(ctx, connector.Request{
@@ -355,12 +363,22 @@
 	})
 }
 
-// Priorities that engines receive; 0 is the highest. Routes get them in the order of their ranks.
+// Priorities that engines receive; 0 is the highest. Requests get them in the order of their ranks, those beyond their
+// account's share that of the least urgent ones.
 const (
 	basePriority   = 2
 	lowestPriority = 9
 )
 
+// enginePriority returns the priority of the request at its placement.
+func (e *exchange) enginePriority() int {
+	rank := e.rank()
+	if level := e.last.placement.Level; level > 0 {
+		rank = int(level) - 1
+	}
+	return min(lowestPriority, basePriority+rank)
+}
+
 // failureOutcome classifies an exchange for the allocator that has failed after some time. A caller that disconnects and a
 // lack of free connections don't count against the upstream; a passed deadline and an attempt that is cancelled as overdue
 // do. A connection that took so long to open shows no error of the upstream: it was not reached.
--- a/rosemaryspool/forwarder/forwarder.go
+++ b/rosemaryspool/forwarder/forwarder.go
@@ -40,6 +40,8 @@
 	defaultTimeout = 30 * time.Second
 	// deadlineMargin is reserved before a caller's deadline for the transfer of the response.
 	deadlineMargin = 10 * time.Millisecond
+	// maxCountedCallers bounds the accounts with counters of their own.
+	maxCountedCallers = 32
 )
 
 // Forwarder is the handler for callers' requests. It is safe for concurrent use.
@@ -52,6 +54,7 @@
 	registry           metrics.Registry
 	sampler            *sampler
 	memory             *rationer.Rationer
+	callers            *meter.Callers
 	callerWaits        *waitTracker
 	keepAlivesDisabled atomic.Bool
 	active             atomic.Int64
@@ -67,6 +70,7 @@
 ) *Forwarder {
 	return &Forwarder{
 		governor: g, delegator: d, connector: c, prober: p, memory: memory, log: log, registry: registry,
+		callers:     meter.NewCallers(registry, maxCountedCallers),
 		sampler:     newSampler(metrics.GetOrRegisterCounter("logLinesOmitted", registry)),
 		callerWaits: &waitTracker{longest: map[string]time.Duration{}},
 	}
@@ -141,16 +145,23 @@
 	// content identifies the request when it comes again.
 	content isolator.Trait
 
-	version uint64
-	route   *matcher.Route
+	// configuration is the one by which the request is served. version is that of the latest one that its key has been
+	// looked up in.
+	configuration *matcher.Configuration
+	version       uint64
+	route         *matcher.Route
 	// account is whom the request belongs to; nil if it needs no key and has none.
 	account *matcher.Caller
 	// replacesKey is true if upstreams get the name of the account in place of the key.
 	replacesKey bool
-	service     identifier.ServiceName
-	engine      bool
-	deadline    time.Time
-	target      time.Time
+	// keyRemoved is true once a later configuration no longer has the key.
+	keyRemoved bool
+	service    identifier.ServiceName
+	// full holds the services of the route that have no room for the request.
+	full     []identifier.ServiceName
+	engine   bool
+	deadline time.Time
+	target   time.Time
 	// isRetry is true when the caller's remaining time suggests that it is retrying a refused or failed request.
 	isRetry bool
 	ctx     context.Context
@@ -182,7 +193,8 @@
 	if table == nil {
 		return e.refuse("noConfiguration", startupRetryAfter)
 	}
-	e.version = table.Configuration().Version
+	e.configuration = table.Configuration()
+	e.version = e.configuration.Version
 	path, _, _ := strings.Cut(e.request.RequestURI, "?")
 	route, found := table.Match(e.request.Host, path)
 	if !found {
@@ -192,6 +204,9 @@
 	if !e.identify(table) {
 		return e.respondError(http.StatusUnauthorized, outcomeUnauthorized, "unknownKey")
 	}
+	if e.keysOutdated() {
+		return e.refuse(causeKeysOutdated, startupRetryAfter)
+	}
 	if r, ok := e.readBody(table.Configuration().Limits); !ok {
 		return r
 	}
@@ -209,7 +224,7 @@
 	if r, ok := e.resume(); !ok {
 		return r
 	}
-	e.engine = table.Configuration().Services[e.service].IsEngine
+	e.setService(e.service)
 	if !e.counted {
 		e.counted = true
 		e.forwarder.governor.CountRequest(e.started, e.service)
@@ -353,6 +368,9 @@
 	took := time.Since(e.started)
 	metrics.GetOrRegisterCounter("requests."+r.outcome, f.registry).Inc(1)
 	meter.NewHistogram("requestDurationNs."+r.outcome, f.registry).Update(took.Nanoseconds())
+	if e.account != nil && e.passedOn == nil {
+		f.callers.Count(e.account.ID, r.outcome)
+	}
 	if !f.sampler.allow(e.started, r.outcome) {
 		return
 	}
@@ -363,7 +381,7 @@
 			Dur("callerLeftMs", e.caller.Timeout).Dur("toTargetMs", e.target.Sub(e.started)).Bool("returned", e.isRetry)
 	}
 	if e.account != nil {
-		line = line.Str("caller", string(e.account.ID))
+		line = line.Str("caller", string(e.account.ID)).Int("rank", e.rank())
 	}
 	if r.retry > 0 {
 		line = line.Dur("retryAfterMs", r.retry)
--- a/rosemaryspool/governor/governor.go
+++ b/rosemaryspool/governor/governor.go
@@ -34,6 +34,8 @@
 	Self      elector.Member
 	Retry     budgeter.Settings
 	Allocator allocator.Settings
+	// KeyLimit is how old the knowledge of removed keys may be; zero means any age.
+	KeyLimit time.Duration
 	// ReportPhase, from 0 to 1, differs between instances, so that they don't report the same at the same time.
 	ReportPhase float64
 }
@@ -44,6 +46,7 @@
 	self elector.Member
 	// table is the route table of the configuration in force; nil until there is one.
 	table atomic.Pointer[matcher.Table]
+	keys  keyState
 
 	mu            sync.Mutex
 	tracker       *tracker.Tracker
@@ -59,15 +62,17 @@
 	changed       chan struct{}
 	unreached     chan struct{}
 	// unsaved holds the changes of quarantines that are not in the store yet; quarantines signals them.
-	unsaved     []isolator.Change
-	quarantines chan struct{}
+	unsaved []isolator.Change
+	// sharesLogged is when each service that is short of room was logged last.
+	sharesLogged map[identifier.ServiceName]time.Time
+	quarantines  chan struct{}
 }
 
 // NewGovernor returns a governor without configuration and upstreams.
 func NewGovernor(settings Settings, log zerolog.Logger) *Governor {
 	isolation := isolator.DefaultSettings()
 	isolation.ReportPhase = settings.ReportPhase
-	return &Governor{
+	g := &Governor{
 		log:       log,
 		self:      settings.Self,
 		tracker:   tracker.NewTracker(),
@@ -82,8 +87,12 @@
 		changed:   make(chan struct{}, 1),
 		unreached: make(chan struct{}, 1),
 
+		sharesLogged: map[identifier.ServiceName]time.Time{},
+
 		quarantines: make(chan struct{}, 1),
 	}
+	g.keys.limit.Store(int64(settings.KeyLimit))
+	return g
 }
 
 // Table returns the route table of the configuration in force, or nil if there is none yet.
@@ -369,6 +378,7 @@
 		g.applyUpstreams(now)
 	}
 	g.resumer.Expire(now)
+	g.logShares(now)
 	g.isolator.Expire(now)
 	g.logIsolation("")
 }
--- a/rosemaryspool/subscriber/sharing.go
+++ b/rosemaryspool/subscriber/sharing.go
@@ -158,6 +158,7 @@
 	t := s.topics[i]
 	t.applying.Lock()
 	defer t.applying.Unlock()
+	defer s.noteFollowed(t)
 	s.confirmRead(t, v.ReadAt)
 	s.reportOutage(t, v.OutageAge)
 	if s.enterEra(t, v.Era, time.Now().Add(maxSnapshotWait), v.Sender) {
