--- a/rosemaryspool/steward/exchange.go
+++ b/rosemaryspool/steward/exchange.go
@@ -128,12 +128,9 @@
 }
 
 // Flush sends the counts that no candidate has acknowledged yet; an instance that stops does so last.
-func (s *Steward) Flush() {
-	if s.settings.ReportsUsage {
-		s.sendCounts()
-	}
-}
+func (s *Steward) Flush() { s.sendCounts() }
 
+// sendCounts sends the candidates what is new, and asks for a sign of them.
 func (s *Steward) sendCounts() {
 	_, recipients := s.stewards(candidates)
 	for _, m := range recipients {
@@ -141,6 +138,9 @@
 			s.sendReports(m)
 		}
 	}
+	if !s.settings.ReportsUsage {
+		return
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.collectOwn()
@@ -214,7 +214,7 @@
 	if silent {
 		counts, version = nil, r.acknowledged
 	}
-	if len(counts) == 0 && s.exchange.clockKnown && now-r.sentAt < clockInterval {
+	if len(counts) == 0 && len(r.pending) == 0 && s.exchange.clockKnown && now-r.sentAt < clockInterval {
 		return nil
 	}
 	reports := splitCounts(counts)
@@ -250,11 +250,8 @@
 	return reports
 }
 
-// HandleUsageReport takes over the counts of another instance.
+// HandleUsageReport takes over the counts and the time of another instance.
 func (s *Steward) HandleUsageReport(r courier.Received, m *messenger.UsageReport) {
-	if !s.settings.ReportsUsage {
-		return
-	}
 	s.mu.Lock()
 	elapsed := s.elapsed()
 	s.exchange.heardAt[r.Sender.Instance] = elapsed
@@ -262,19 +259,8 @@
 	if punctual && m.GetClockMs() != 0 {
 		s.clock.Heard(elapsed, r.Sender.Instance, time.UnixMilli(m.GetClockMs()))
 	}
-	now := s.clock.Now(elapsed)
-	oldest := meterer.WindowAt(now.Add(-keptDelays*s.settings.ReportDelay), s.settings.ReportWindow)
-	newest := meterer.WindowAt(now.Add(s.settings.ReportDelay), s.settings.ReportWindow)
-	for _, window := range m.GetWindows() {
-		w := meterer.Window(window.GetWindow())
-		if w < oldest || w > newest {
-			continue
-		}
-		usage := make(meterer.Usage, len(window.GetCallers()))
-		for _, c := range window.GetCallers() {
-			usage[identifier.CallerID(c.GetCaller())] = uint64(c.GetRequests())
-		}
-		s.collector.Merge(meterer.Sender{Instance: r.Sender.Instance, StartedMs: r.Sender.StartedMs}, w, usage)
+	if s.settings.ReportsUsage {
+		s.collect(meterer.Sender{Instance: r.Sender.Instance, StartedMs: r.Sender.StartedMs}, m.GetWindows())
 	}
 	reference, known := s.clock.Reference(elapsed)
 	known = known && punctual
@@ -292,6 +278,24 @@
 	s.sender.Send(r.Sender, &messenger.Datagram{Body: &messenger.Datagram_UsageReceipt{UsageReceipt: receipt}})
 }
 
+// collect takes over the counts of another instance. The caller holds the mutex.
+func (s *Steward) collect(sender meterer.Sender, windows []*messenger.UsageWindow) {
+	now := s.clock.Now(s.elapsed())
+	oldest := meterer.WindowAt(now.Add(-keptDelays*s.settings.ReportDelay), s.settings.ReportWindow)
+	newest := meterer.WindowAt(now.Add(s.settings.ReportDelay), s.settings.ReportWindow)
+	for _, window := range windows {
+		w := meterer.Window(window.GetWindow())
+		if w < oldest || w > newest {
+			continue
+		}
+		usage := make(meterer.Usage, len(window.GetCallers()))
+		for _, c := range window.GetCallers() {
+			usage[identifier.CallerID(c.GetCaller())] = uint64(c.GetRequests())
+		}
+		s.collector.Merge(sender, w, usage)
+	}
+}
+
 // HandleUsageReceipt takes over a candidate's receipt and its time.
 func (s *Steward) HandleUsageReceipt(r courier.Received, m *messenger.UsageReceipt) {
 	if s.takeReceipt(r, m) {
--- a/rosemaryspool/steward/random_test.go
+++ b/rosemaryspool/steward/random_test.go
@@ -13,6 +13,7 @@
 
 	"rosemaryspool.example/core/identifier"
 	"rosemaryspool.example/core/meterer"
+	"rosemaryspool.example/platform"
 )
 
 // disturb brings random failures about, one each second or two, for a minute.
@@ -124,3 +125,21 @@
 		time.Sleep(20 * time.Second)
 	})
 }
+
+func TestOthersHoldADutyWhenAllCandidatesAreGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorldOf(t, platform.DutySettings{
+			OrdersServers: true, LeaseDuration: 3 * time.Second, ThawDelay: 300 * time.Millisecond,
+		}, nil)
+		time.Sleep(settled)
+		for _, id := range w.order[:candidates] {
+			w.kill(id)
+		}
+		time.Sleep(30 * time.Second)
+		holder := w.holder()
+		w.end()
+		time.Sleep(20 * time.Second)
+		require.Contains(t, w.order[candidates:], holder)
+		require.Empty(t, w.violations)
+	})
+}
--- a/rosemaryspool/steward/steward.go
+++ b/rosemaryspool/steward/steward.go
@@ -28,7 +28,7 @@
 )
 
 const (
-	// candidates is how many instances follow the leases and may hold them; three calls a second each follow from it.
+	// candidates is how many instances follow the leases and may hold them. Each makes about one call to the store a second.
 	candidates = 3
 	// clockMargin covers the drift of two clocks over a lease.
 	clockMargin = 250 * time.Millisecond
@@ -163,9 +163,9 @@
 	defer close(s.done)
 	var group conc.WaitGroup
 	group.Go(func() { s.keepLeases(ctx) })
+	group.Go(func() { s.exchangeUsage(ctx) })
+	group.Go(func() { s.watchStandstill(ctx) })
 	if s.settings.ReportsUsage {
-		group.Go(func() { s.exchangeUsage(ctx) })
-		group.Go(func() { s.watchStandstill(ctx) })
 		group.Go(func() { s.reportUsage(ctx) })
 	}
 	group.Wait()
