--- a/rosemaryspool/governor/demand.go
+++ b/rosemaryspool/governor/demand.go
@@ -8,18 +8,18 @@
 	"rosemaryspool.example/core/tracker"
 )
 
-// Demand returns the work that has been offered to a service so far, the number of long answers that run, and how fast its
-// engines prefill that also decode, relative to the others. It returns false if another instance is the service's arbiter.
+// Demand returns the work that was offered to a service through this instance, how fast its engines prefill that also decode,
+// relative to the others, and whether this instance is the service's arbiter. Only an arbiter knows the long answers that run.
 func (g *Governor) Demand(now time.Time, service identifier.ServiceName) (
 	demand allocator.Demand, longAnswers int, mixedSpeed float64, arbitrates bool,
 ) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	demand, longAnswers = g.allocator.Demand(service)
 	first := g.elector.Trusted(now, ArbiterDuty(service), 1)
 	if len(first) == 0 || first[0].Instance != g.self.Instance {
-		return allocator.Demand{}, 0, 0, false
+		return demand, 0, g.allocator.MixedSpeed(service), false
 	}
-	demand, longAnswers = g.allocator.Demand(service)
 	return demand, longAnswers, g.allocator.MixedSpeed(service), true
 }
 
--- a/rosemaryspool/provisioner/demand.go
+++ b/rosemaryspool/provisioner/demand.go
@@ -12,19 +12,15 @@
 
 // counter turns sums into demand per second.
 type counter struct {
-	// at is when the last sums were taken; zero if the next ones have nothing before them.
+	// at is when the last sums were taken; zero if the next ones are the first.
 	at   time.Time
 	sums allocator.Demand
 }
 
-// next returns the demand since the last sums, and false if there were none or another instance arbitrates.
+// next returns the demand since the last sums, and false if there were none.
 func (c *counter) next(
-	now time.Time, sums allocator.Demand, longAnswers int, mixedSpeed float64, arbitrates bool,
+	now time.Time, sums allocator.Demand, longAnswers int, mixedSpeed float64,
 ) (d scaler.Demand, period time.Duration, counted bool) {
-	if !arbitrates {
-		*c = counter{}
-		return scaler.Demand{}, 0, false
-	}
 	last := *c
 	*c = counter{at: now, sums: sums}
 	if last.at.IsZero() || !now.After(last.at) {
@@ -41,6 +37,36 @@
 	}, period, true
 }
 
+// report is the demand that an instance has counted.
+type report struct {
+	at     time.Time
+	demand scaler.Demand
+}
+
+// reports holds the latest report of each instance: besides the arbiter, those count requests that decide alone or are taken
+// for the arbiter by others.
+type reports map[identifier.InstanceID]report
+
+// sum returns the demand of the last reports, and false if there are none that are recent.
+func (r reports) sum(now time.Time) (sum scaler.Demand, known bool) {
+	most := -1.0
+	for id, one := range r {
+		if now.Sub(one.at) > maxReportAge {
+			delete(r, id)
+			continue
+		}
+		known = true
+		sum.Prefill += one.demand.Prefill
+		sum.Places += one.demand.Places
+		sum.Requests += one.demand.Requests
+		sum.Refused += one.demand.Refused
+		if one.demand.Requests > most {
+			most, sum.MixedSpeed = one.demand.Requests, one.demand.MixedSpeed
+		}
+	}
+	return sum, known
+}
+
 // Units of the message.
 const (
 	permille = 1000
--- a/rosemaryspool/provisioner/provisioner.go
+++ b/rosemaryspool/provisioner/provisioner.go
@@ -28,6 +28,8 @@
 const (
 	// demandPeriod is the time over which demand is counted: a fraction of a burst.
 	demandPeriod = 500 * time.Millisecond
+	// maxReportAge is how long an instance's demand counts; a report may be lost.
+	maxReportAge = 3 * demandPeriod / 2
 	// decisionInterval is the time between two decisions. A data centre's spot servers leave within seconds.
 	decisionInterval = 250 * time.Millisecond
 	// callTimeout bounds a call to the platform; minCallTime is the shortest one that is worthwhile.
@@ -70,6 +72,7 @@
 type service struct {
 	scaler  *scaler.Scaler
 	counter counter
+	reports reports
 	// token is that of the lease under which the last decision was made.
 	token identifier.Token
 	// planLoggedAt is when a decision that ordered nothing was last logged.
@@ -164,45 +167,51 @@
 func (p *Provisioner) service(name identifier.ServiceName) *service {
 	s := p.services[name]
 	if s == nil {
-		s = &service{scaler: scaler.NewScaler(p.settings.Scaler)}
+		s = &service{scaler: scaler.NewScaler(p.settings.Scaler), reports: reports{}}
 		p.services[name] = s
 	}
 	return s
 }
 
-// count takes the demand of the services that this instance arbitrates, and tells those that may order servers.
+// count takes the demand of the services that this instance has placed requests of, tells those that may order servers, and
+// has the demand of all instances observed.
 func (p *Provisioner) count(now time.Time) {
+	self := p.governor.Self().Instance
 	for _, s := range p.scalable() {
 		total, longAnswers, mixedSpeed, arbitrates := p.governor.Demand(now, s.Name)
+		entries := p.governor.Entries(s.Name)
 		p.mu.Lock()
 		known := p.service(s.Name)
-		demand, period, counted := known.counter.next(now, total, longAnswers, mixedSpeed, arbitrates)
+		demand, period, counted := known.counter.next(now, total, longAnswers, mixedSpeed)
+		counted = counted && (arbitrates || demand.Requests > 0)
 		if counted {
-			known.scaler.Observe(now, demand, p.governor.Entries(s.Name))
+			known.reports[self] = report{at: now, demand: demand}
+		}
+		if sum, heard := known.reports.sum(now); heard {
+			known.scaler.Observe(now, sum, entries)
 		}
 		p.mu.Unlock()
 		if !counted {
 			continue
 		}
-		report := encodeDemand(s.Name, period, demand)
+		message := encodeDemand(s.Name, period, demand)
 		for _, m := range p.governor.Stewards(listeners) {
-			if m.Instance != p.governor.Self().Instance {
-				p.sender.Send(m, &messenger.Datagram{Body: &messenger.Datagram_DemandReport{DemandReport: report}})
+			if m.Instance != self {
+				p.sender.Send(m, &messenger.Datagram{Body: &messenger.Datagram_DemandReport{DemandReport: message}})
 			}
 		}
 	}
 }
 
-// HandleDemand applies a service's demand as its arbiter has counted it.
+// HandleDemand applies a service's demand as another instance has counted it.
 func (p *Provisioner) HandleDemand(r courier.Received, m *messenger.DemandReport) {
 	name := identifier.ServiceName(m.GetService())
 	if !slices.ContainsFunc(p.scalable(), func(s matcher.Service) bool { return s.Name == name }) {
 		return
 	}
-	entries := p.governor.Entries(name)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.service(name).scaler.Observe(r.At, decodeDemand(m), entries)
+	p.service(name).reports[r.Sender.Instance] = report{at: r.At, demand: decodeDemand(m)}
 }
 
 // order makes the orders that are due, if this instance holds the lease.
--- a/rosemaryspool/provisioner/provisioner_test.go
+++ b/rosemaryspool/provisioner/provisioner_test.go
@@ -157,19 +157,25 @@
 func TestDemandReachesTheCandidates(t *testing.T) {
 	now := time.Unix(1000, 0)
 	var c counter
-	_, _, counted := c.next(now, allocator.Demand{Requests: 10}, 0, 0.5, true)
+	_, _, counted := c.next(now, allocator.Demand{Requests: 10}, 0, 0.5)
 	require.False(t, counted, "nothing before the first sums")
 	d, period, counted := c.next(now.Add(500*time.Millisecond), allocator.Demand{
 		Requests: 60, Refused: 20, Prefill: 2 * time.Second, Hold: time.Second,
-	}, 3, 0.5, true)
+	}, 3, 0.5)
 	require.True(t, counted)
 	expected := scaler.Demand{Prefill: 4, MixedSpeed: 0.5, Places: 5, Requests: 100, Refused: 40}
 	require.Equal(t, expected, d)
 	require.Equal(t, expected, decodeDemand(encodeDemand("engines", period, d)))
-	_, _, counted = c.next(now.Add(time.Second), allocator.Demand{}, 0, 0, false)
-	require.False(t, counted)
-	_, _, counted = c.next(now.Add(2*time.Second), allocator.Demand{Requests: 90}, 0, 0.5, true)
-	require.False(t, counted, "the sums of an earlier term say nothing of the time since")
+
+	// Two instances that are both taken for the arbiter see a part each; a report that is too old no longer counts.
+	all := reports{"spool-1": {at: now, demand: d}, "spool-2": {at: now.Add(500 * time.Millisecond), demand: d}}
+	sum, known := all.sum(now.Add(500 * time.Millisecond))
+	require.True(t, known)
+	require.Equal(t, scaler.Demand{Prefill: 8, MixedSpeed: 0.5, Places: 10, Requests: 200, Refused: 80}, sum)
+	sum, _ = all.sum(now.Add(time.Second))
+	require.Equal(t, expected, sum)
+	_, known = all.sum(now.Add(2 * time.Second))
+	require.False(t, known, "no reports are no low demand")
 
 	// A report about a service that can't be scaled is dropped.
 	p := newTestProvisioner(&world{}, nil)
