--- a/rosemaryspool/meter/callers.go
+++ b/rosemaryspool/meter/callers.go
@@ -9,9 +9,6 @@
 	"rosemaryspool.example/core/identifier"
 )
 
-// callerMetric begins the names of the counters by account, which go on with the outcome and the account.
-const callerMetric = "callerRequests."
-
 // otherCallers stands for all accounts without counters of their own. No account's name is escaped to it.
 const otherCallers = "*"
 
@@ -65,12 +62,12 @@
 	}
 	for outcome, count := range c.entries[least].outcomes {
 		c.counter(outcome, otherCallers).Inc(count)
-		c.registry.Unregister(callerMetric + outcome + "." + url.PathEscape(string(least)))
+		c.registry.Unregister("callerRequests." + outcome + "." + url.PathEscape(string(least)))
 	}
 	delete(c.entries, least)
 	return weight
 }
 
 func (c *Callers) counter(outcome, caller string) metrics.Counter {
-	return metrics.GetOrRegisterCounter(callerMetric+outcome+"."+caller, c.registry)
+	return metrics.GetOrRegisterCounter("callerRequests."+outcome+"."+caller, c.registry)
 }
--- a/rosemaryspool/meter/callers_test.go
+++ b/rosemaryspool/meter/callers_test.go
@@ -23,12 +23,12 @@
 	}
 	names, total := 0, int64(0)
 	registry.Each(func(name string, metric any) {
-		require.True(t, strings.HasPrefix(name, callerMetric))
+		require.True(t, strings.HasPrefix(name, "callerRequests."))
 		require.NotContains(t, name, " ")
 		names++
 		total += metric.(metrics.Counter).Count()
 	})
 	require.LessOrEqual(t, names, limit+2)
 	require.EqualValues(t, small+small/4, total)
-	require.EqualValues(t, small/4, metrics.GetOrRegisterCounter(callerMetric+"refused.large", registry).Count())
+	require.EqualValues(t, small/4, metrics.GetOrRegisterCounter("callerRequests.refused.large", registry).Count())
 }
