--- a/core/allocator/allocator.go
+++ b/core/allocator/allocator.go
@@ -14,6 +14,7 @@
 	"rosemaryspool.example/core/ejector"
 	"rosemaryspool.example/core/identifier"
 	"rosemaryspool.example/core/limiter"
+	"rosemaryspool.example/core/speedometer"
 	"rosemaryspool.example/core/tracker"
 )
 
@@ -51,7 +52,6 @@
 	// hash is the hash of the upstream's ID, for rendezvous hashing.
 	hash  uint64
 	cache *promptCache
-	pace  pace
 	// limiter holds the rate of requests that the upstream has asked for.
 	limiter *limiter.Limiter
 	// waitUntil is the time until which the upstream wants no requests from this instance.
@@ -100,6 +100,7 @@
 	// there.
 	health  map[identifier.DataCentre]*ejector.Ejector
 	timings map[identifier.ServiceName]*timings
+	speeds  map[identifier.ServiceName]*speedometer.Speedometer
 	// observations are those of this instance since they were last taken.
 	observations map[identifier.ServiceName][]Observation
 }
@@ -114,6 +115,7 @@
 		peers:        map[peerKey]*peer{},
 		health:       map[identifier.DataCentre]*ejector.Ejector{},
 		timings:      map[identifier.ServiceName]*timings{},
+		speeds:       map[identifier.ServiceName]*speedometer.Speedometer{},
 		observations: map[identifier.ServiceName][]Observation{},
 	}
 }
@@ -128,19 +130,21 @@
 		u := a.upstreams[e.Upstream]
 		if u == nil || u.entry.Incarnation != e.Incarnation {
 			u = &upstream{
-				hash: hash(string(e.Upstream)), cache: newPromptCache(a.settings.CacheTokens), pace: newPace(),
+				hash: hash(string(e.Upstream)), cache: newPromptCache(a.settings.CacheTokens),
 				others: a.sumPeerLoads(e.Upstream), limiter: limiter.NewLimiter(a.settings.LimiterPhase),
 			}
 			a.upstreams[e.Upstream] = u
 			a.forgetHealth(e.Upstream)
 		}
 		u.entry = e
+		a.followSpeed(e)
 		a.services[e.Service] = append(a.services[e.Service], u)
 	}
 	for id := range a.upstreams {
 		if !listed[id] {
 			delete(a.upstreams, id)
 			a.forgetHealth(id)
+			a.forgetSpeed(id)
 		}
 	}
 	for _, us := range a.services {
--- a/core/allocator/allocator_test.go
+++ b/core/allocator/allocator_test.go
@@ -392,7 +392,7 @@
 		count[place.Prefiller]++
 	}
 	require.Greater(t, count["u2"], count["u3"])
-	require.InDelta(t, 1, a.upstreams["u3"].pace.at(now.Add(10*paceHalfLife)), 0.05, "a slow engine is tried again later")
+	require.InDelta(t, 1, a.pace(now.Add(20*time.Second), a.upstreams["u3"].entry), 0.05, "a slow engine is tried again later")
 }
 
 func TestLateEndOfAnEarlierIncarnationChangesNothing(t *testing.T) {
--- a/core/allocator/observation.go
+++ b/core/allocator/observation.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/core/speedometer"
 )
 
 // Outcome is how the work of a placement, or its prefill, ended.
@@ -36,6 +37,10 @@
 	EventEnded
 	// EventOverdue means that nothing has arrived long after the predicted time.
 	EventOverdue
+	// EventProgressed is the arrival of some events of a long answer.
+	EventProgressed
+	// EventAnswered is the end of a long answer.
+	EventAnswered
 )
 
 // Observation is what an instance has seen of a request at an upstream. Observations determine the measured times and
@@ -47,7 +52,8 @@
 	Outcome Outcome
 	// Took is the time since the request was sent; zero when it doesn't show the upstream's speed.
 	Took time.Duration
-	// Tokens is the number of tokens that had to be prefilled in that time, those of requests ahead included.
+	// Tokens is the number of tokens that had to be prefilled in that time, those of requests ahead included; for
+	// EventProgressed, the number of events.
 	Tokens identifier.Tokens
 	// Direct is true if the upstream prefilled the prompt itself.
 	Direct bool
@@ -83,27 +89,31 @@
 	}
 	health := a.healthOf(dataCentre)
 	health.Add(o.Upstream)
-	t := a.timingsOf(u.entry.Service)
+	t, speeds := a.timingsOf(u.entry.Service), a.speedsOf(u.entry.Service)
 	switch o.Event {
 	case EventOverdue:
 		health.Stalled(now, o.Upstream, instance)
 	case EventFirst:
 		health.Responded(now, o.Upstream, instance)
-		t.observeFirstEvent(now, u, o)
+		t.observeFirstEvent(now, speeds, u, o)
 	case EventPrefilled:
 		if o.Outcome != OutcomeCompleted {
 			a.recordFailure(now, instance, dataCentre, o)
 			return
 		}
 		health.Succeeded(now, o.Upstream, instance, 0)
-		t.observePrefill(now, &t.prefill, u, o)
+		t.observePrefill(now, speeds, speedometer.Prefill, &t.prefill, u, o)
 	case EventEnded:
 		if o.Outcome != OutcomeCompleted {
 			a.recordFailure(now, instance, dataCentre, o)
 			return
 		}
 		health.Succeeded(now, o.Upstream, instance, 0)
-		t.observeHold(now, u, o)
+		t.observeHold(now, speeds, u, o)
+	case EventProgressed:
+		t.observeProgress(now, speeds, u, o)
+	case EventAnswered:
+		t.observeLongAnswer(speeds, u, o)
 	}
 }
 
@@ -204,4 +214,7 @@
 		o.Took = now.Sub(sent)
 	}
 	a.record(now, u.entry.Service, o)
+	if p.Long && !sent.IsZero() && outcome == OutcomeCompleted {
+		a.record(now, u.entry.Service, Observation{Upstream: p.Upstream, Event: EventAnswered, Took: now.Sub(sent)})
+	}
 }
--- a/core/allocator/placement.go
+++ b/core/allocator/placement.go
@@ -391,14 +391,6 @@
 	return time.Duration(d.allocator.settings.EngineTimeWeight * float64(work))
 }
 
-// longAnswerCost is the cost of one more long answer at an engine; it spreads long answers over the engines.
-func (d *decision) longAnswerCost(u *upstream) time.Duration {
-	if !d.isLong() {
-		return 0
-	}
-	return time.Duration(u.load().Long) * d.allocator.settings.LongAnswerPenalty
-}
-
 // leastLoaded returns the engine of each version with the lowest cost of decoding a prompt that another engine prefills:
 // mainly the wait for a slot, the cost of another data centre and, for a long answer, of the long answers there; then 1 ms
 // for each short answer, also for those that await their prefill elsewhere, and a quarter of the queued prefill's time.
@@ -431,11 +423,6 @@
 	return d.paced(u, time.Duration(ahead)*d.timings.slotHoldTime.value/time.Duration(slots))
 }
 
-// paced adapts a time that is usual for the service to the pace of an upstream.
-func (d *decision) paced(u *upstream, usual time.Duration) time.Duration {
-	return time.Duration(u.pace.at(d.now) * float64(usual))
-}
-
 func (d *decision) remoteCost(u *upstream) time.Duration {
 	if u.entry.DataCentre == d.dataCentre {
 		return 0
--- a/core/allocator/timings.go
+++ b/core/allocator/timings.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/core/speedometer"
 	"rosemaryspool.example/core/tracker"
 )
 
@@ -13,6 +14,9 @@
 	firstEventDelay estimate
 	// slotHoldTime is how long a request with a short answer holds its slot.
 	slotHoldTime estimate
+	// eventGap is the time from event to event of a long answer, longAnswer how long one holds its slot.
+	eventGap   estimate
+	longAnswer estimate
 	// prefill and mixedPrefill are the durations of a prefill by the number of tokens, those queued ahead included, on an
 	// engine that only prefills and on one that also decodes.
 	prefill      line
@@ -57,6 +61,12 @@
 // initialFirstEventDelay is used until the delay is measured: a network round trip and some steps of the engine.
 const initialFirstEventDelay = 6 * time.Millisecond
 
+// initialEventGap and initialLongAnswer are used until these times are measured.
+const (
+	initialEventGap   = 50 * time.Millisecond
+	initialLongAnswer = time.Second
+)
+
 func newTimings(s Settings) *timings {
 	initial := func(tokensPerMs float64) PrefillTime {
 		return PrefillTime{Base: s.PrefillBase, PerToken: time.Duration(float64(time.Millisecond) / tokensPerMs)}
@@ -64,6 +74,8 @@
 	return &timings{
 		firstEventDelay: newEstimate(s.SmoothingFactor, initialFirstEventDelay),
 		slotHoldTime:    newEstimate(s.SmoothingFactor, s.SlotHoldTime),
+		eventGap:        newEstimate(s.SmoothingFactor, initialEventGap),
+		longAnswer:      newEstimate(s.SmoothingFactor, initialLongAnswer),
 		prefill:         newLine(initial(s.PrefillRate), priorWeight),
 		mixedPrefill:    newLine(initial(s.MixedPrefillRate), priorWeight),
 	}
@@ -90,34 +102,38 @@
 }
 
 // observePrefill updates the durations of prefills, and the upstream's pace relative to them.
-func (t *timings) observePrefill(now time.Time, l *line, u *upstream, o Observation) {
+func (t *timings) observePrefill(
+	now time.Time, s *speedometer.Speedometer, work speedometer.Work, l *line, u *upstream, o Observation,
+) {
 	if o.Took <= 0 {
 		return
 	}
 	if o.Tokens >= minPaceTokens {
-		u.pace.observe(now, float64(o.Took)/float64(l.at(o.Tokens)))
+		s.Observe(now, u.entry.Upstream, work, float64(o.Took)/float64(l.at(o.Tokens)))
 	}
 	// The line is that of an upstream with the usual pace.
-	l.observe(o.Tokens, time.Duration(float64(o.Took)/u.pace.at(now)))
+	l.observe(o.Tokens, time.Duration(float64(o.Took)/s.Factor(now, u.entry.Upstream, work)))
 }
 
-func (t *timings) observeFirstEvent(now time.Time, u *upstream, o Observation) {
+func (t *timings) observeFirstEvent(now time.Time, s *speedometer.Speedometer, u *upstream, o Observation) {
 	switch {
 	case o.Took == 0:
 	case o.Direct:
 		o.Took -= t.firstEventDelay.value
-		t.observePrefill(now, &t.mixedPrefill, u, o)
+		t.observePrefill(now, s, speedometer.MixedPrefill, &t.mixedPrefill, u, o)
 	default:
 		t.firstEventDelay.observe(o.Took)
 	}
 }
 
-func (t *timings) observeHold(now time.Time, u *upstream, o Observation) {
+func (t *timings) observeHold(now time.Time, s *speedometer.Speedometer, u *upstream, o Observation) {
 	if o.Took == 0 {
 		return
 	}
 	if u.entry.Role == tracker.RoleNone {
-		u.pace.observe(now, float64(o.Took)/float64(t.slotHoldTime.value))
+		s.Observe(now, u.entry.Upstream, speedometer.Hold, float64(o.Took)/float64(t.slotHoldTime.value))
+		// The estimate is that of an upstream with the usual speed.
+		o.Took = time.Duration(float64(o.Took) / s.Steady(u.entry.Upstream, speedometer.Hold))
 	}
 	t.slotHoldTime.observe(o.Took)
 }
--- /dev/null
+++ b/core/speedometer/gauge.go
@@ -0,0 +1,122 @@
+package speedometer
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// windowLength is the time over which measurements are averaged to one of the steady speed. It is shorter than what
+	// passes, so that this shows as a few outlying windows.
+	windowLength = 200 * time.Millisecond
+	// steadySmoothing is the weight of one window in the steady speed; the first windows weigh more.
+	steadySmoothing = 0.03
+	// maxStep bounds what one window, as logarithm, changes: one that outlies says little about the steady speed.
+	maxStep = 0.35
+	// minWindows is the number of windows from which on a steady speed counts.
+	minWindows = 4
+	// enterClass and leaveClass are the distances from the usual speed, as logarithms, at which an upstream is no longer
+	// usual and at which it is again. Below them differences are within the error of the measurements.
+	enterClass = 0.25
+	leaveClass = 0.15
+	// passingSmoothing is the weight of one measurement in what passes, passingHalfLife how fast that is forgotten without
+	// measurements, so that an upstream that was disturbed is tried again.
+	passingSmoothing = 0.15
+	passingHalfLife  = 2 * time.Second
+	// minFactor and maxFactor bound a factor, so that a few extreme measurements don't exclude an upstream for long.
+	minFactor = 0.3
+	maxFactor = 10
+	// minDisturbance is the least factor of what passes.
+	minDisturbance = 0.5
+)
+
+// gauge measures one kind of work at one upstream.
+type gauge struct {
+	// steady is the logarithm of the factor that lasts, from this many windows.
+	steady  float64
+	windows int
+	class   Class
+	// sum and count are of the window that began at windowStart.
+	sum         float64
+	count       int
+	windowStart time.Time
+	// disturbance is the factor of what passes.
+	disturbance float64
+	measuredAt  time.Time
+}
+
+func bound(factor float64) float64 { return min(maxFactor, max(minFactor, factor)) }
+
+func (g *gauge) known() bool { return g.windows >= minWindows }
+
+// observe records a measurement; steady is the factor that lasts, in the class of the gauge.
+func (g *gauge) observe(now time.Time, ratio, steady float64) {
+	ratio = min(maxFactor, max(1.0/maxFactor, ratio))
+	if g.count > 0 && now.Sub(g.windowStart) >= windowLength {
+		g.closeWindow()
+	}
+	if g.count == 0 {
+		g.windowStart = now
+	}
+	g.sum += math.Log(ratio)
+	g.count++
+	current := g.passing(now)
+	g.disturbance = boundDisturbance(current + passingSmoothing*(ratio/steady-current))
+	g.measuredAt = now
+}
+
+func boundDisturbance(factor float64) float64 { return min(maxFactor, max(minDisturbance, factor)) }
+
+func (g *gauge) closeWindow() {
+	step := g.sum/float64(g.count) - g.steady
+	if g.known() {
+		step = min(maxStep, max(-maxStep, step))
+	}
+	g.windows++
+	g.steady += max(steadySmoothing, 1/float64(g.windows+1)) * step
+	g.sum, g.count = 0, 0
+}
+
+// passing returns the factor of what passes: each half-life without measurement halves its distance to 1.
+func (g *gauge) passing(now time.Time) float64 {
+	if g.measuredAt.IsZero() {
+		return 1
+	}
+	halvings := float64(now.Sub(g.measuredAt)) / float64(passingHalfLife)
+	return 1 + (g.disturbance-1)*math.Exp2(-halvings)
+}
+
+// factor returns the factor that lasts; it is 1 in the usual class.
+func (g *gauge) factor(usual float64) float64 {
+	if g.class == Usual {
+		return 1
+	}
+	return bound(math.Exp(g.steady - usual))
+}
+
+// setClass changes the class. What the new one says lasts is no longer taken for something that passes.
+func (g *gauge) setClass(to Class, usual float64) {
+	before := g.factor(usual)
+	g.class = to
+	g.disturbance = boundDisturbance(g.disturbance * before / g.factor(usual))
+}
+
+// classify returns the class at which the gauge is, given what is usual.
+func (g *gauge) classify(usual float64) Class {
+	if !g.known() {
+		return Usual
+	}
+	distance := g.steady - usual
+	threshold := enterClass
+	if g.class != Usual {
+		threshold = leaveClass
+	}
+	switch {
+	case distance > threshold:
+		return Slow
+	case distance < -threshold:
+		return Quick
+	default:
+		return Usual
+	}
+}
--- a/rosemaryspool/forwarder/attempt.go
+++ b/rosemaryspool/forwarder/attempt.go
@@ -66,6 +66,9 @@
 	// lastEventAt is when the latest events arrived, longestPause the longest time between two arrivals.
 	lastEventAt  time.Time
 	longestPause time.Duration
+	// progressAt is the start of the time whose events progressEvents counts, for a long answer.
+	progressAt     time.Time
+	progressEvents int
 	// prefillTime is how long the separate prefill took, zero if there was none.
 	prefillTime time.Duration
 	// cacheHandle identifies the KV cache at the prefill engine, cacheSource is where the decode engine fetches it.
@@ -92,6 +95,26 @@
 	a.lastEventAt = now
 }
 
+// progressInterval is the least time between two records of a long answer's progress.
+const progressInterval = 500 * time.Millisecond
+
+// countProgress counts events that have arrived of a long answer, and tells the governor from time to time.
+func (e *exchange) countProgress(now time.Time, events int) {
+	a := &e.last
+	if !a.placement.Long {
+		return
+	}
+	if a.progressAt.IsZero() {
+		a.progressAt = now
+		return
+	}
+	a.progressEvents += events
+	if took := now.Sub(a.progressAt); took >= progressInterval {
+		e.forwarder.governor.Progressed(now, a.placement, a.progressEvents, took)
+		a.progressAt, a.progressEvents = now, 0
+	}
+}
+
 // describe adds the load behind the placement and the progress of the attempt to a log line.
 func (a attempt) describe(line *zerolog.Event) *zerolog.Event {
 	upstream := a.placement.Upstream
--- a/rosemaryspool/forwarder/relay.go
+++ b/rosemaryspool/forwarder/relay.go
@@ -169,6 +169,7 @@
 		now := time.Now()
 		e.last.recordActivity(now)
 		e.recordProgress(now)
+		e.countProgress(now, len(events))
 		if e.last.firstEventAt.IsZero() {
 			e.last.firstEventAt = now
 			e.recordStream(now)
--- a/rosemaryspool/gatekeeper/gatekeeper.go
+++ b/rosemaryspool/gatekeeper/gatekeeper.go
@@ -182,6 +182,8 @@
 		g.subscriber.HandleViewRequest(r.Sender, body.StoreRequest.GetTopics())
 		// The instance that asks has just started.
 		g.gossiper.SendCrashKnowledge(r.Sender)
+	case *messenger.Datagram_SpeedReport:
+		g.gossiper.HandleSpeedReport(r, body.SpeedReport)
 	case *messenger.Datagram_CrashReport:
 		g.gossiper.HandleCrashReport(r, body.CrashReport)
 	}
--- a/rosemaryspool/gatekeeper/status.go
+++ b/rosemaryspool/gatekeeper/status.go
@@ -52,6 +52,7 @@
 	router.GET("/metrics", func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
 		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 		h.countTraits()
+		h.countSpeeds()
 		out := bufio.NewWriter(w)
 		h.registry.Each(func(name string, metric any) { writeMetric(out, name, metric) })
 		// An error means that the client has disconnected; nothing else can be done.
@@ -74,6 +75,14 @@
 	metrics.GetOrRegisterGauge("traitsQuarantined", h.registry).Update(quarantined)
 }
 
+// countSpeeds updates the gauges of the upstreams that are steadily quick or slow.
+func (h *statusHandler) countSpeeds() {
+	for _, c := range h.governor.SpeedCounts() {
+		metrics.GetOrRegisterGauge("upstreamsQuick."+c.Work.String(), h.registry).Update(int64(c.Quick))
+		metrics.GetOrRegisterGauge("upstreamsSlow."+c.Work.String(), h.registry).Update(int64(c.Slow))
+	}
+}
+
 // listTraits writes one line for each trait that is suspected or quarantined.
 func (h *statusHandler) listTraits(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
--- a/rosemaryspool/gossiper/gossiper.go
+++ b/rosemaryspool/gossiper/gossiper.go
@@ -71,6 +71,8 @@
 	// sentAt is when the last report about a service was sent to its arbiter, standbySentAt the same for the stand-by.
 	sentAt        map[identifier.ServiceName]time.Time
 	standbySentAt map[identifier.ServiceName]time.Time
+	// speedsSentAt is when the speeds of a service's upstreams were last handed on.
+	speedsSentAt map[identifier.ServiceName]time.Time
 }
 
 // NewGossiper returns a gossiper that calls onView with each view of the store that another instance forwards. While no
@@ -84,6 +86,7 @@
 		governor:       g, courier: c, log: log, done: make(chan struct{}), seeds: seeds, onView: onView,
 		received: map[reportKey]lastReport{}, sentAt: map[identifier.ServiceName]time.Time{},
 		standbySentAt: map[identifier.ServiceName]time.Time{}, assembler: newAssembler(),
+		speedsSentAt: map[identifier.ServiceName]time.Time{},
 	}
 }
 
@@ -116,6 +119,7 @@
 // sendReports sends the reports that are due.
 func (g *Gossiper) sendReports(now time.Time) {
 	for _, service := range g.governor.Services() {
+		g.sendSpeeds(now, service)
 		self := g.governor.Self().Instance
 		chosen := g.governor.Arbiters(now, service, 1+standbyReports)
 		report, changed := g.governor.TakeReport(service)
--- a/rosemaryspool/governor/governor.go
+++ b/rosemaryspool/governor/governor.go
@@ -297,6 +297,16 @@
 	g.signalUpstreamChange(placement.Upstream)
 }
 
+// Progressed records that a stream of a long answer has brought events in a time.
+func (g *Governor) Progressed(now time.Time, placement allocator.Placement, events int, took time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.allocator.Progressed(now, placement, events, took)
+	if e, listed := g.allocator.Entry(placement.Upstream); listed {
+		g.logSpeeds(e.Service, "own")
+	}
+}
+
 // Ended records the end of a placement's request.
 func (g *Governor) Ended(now, sent time.Time, placement allocator.Placement, outcome allocator.Outcome) {
 	g.mu.Lock()
--- a/rosemaryspool/governor/report.go
+++ b/rosemaryspool/governor/report.go
@@ -148,6 +148,7 @@
 			g.allocator.Observe(now, instance, dataCentre, o)
 			logChange()
 		}
+		g.logSpeeds(r.Service, string(instance))
 	}
 	for _, l := range r.Leaving {
 		g.markLeaving(l.Upstream, l.Incarnation, instance)
