--- a/core/allocator/allocator.go
+++ b/core/allocator/allocator.go
@@ -34,6 +34,8 @@
 	AwaitingPrefill int
 	// QueuedPrefill is the number of prompt tokens still to be prefilled there, without those expected in its cache.
 	QueuedPrefill identifier.Tokens
+	// DeferredPrefill is the same for requests that are late in any case; the upstream runs them after the others.
+	DeferredPrefill identifier.Tokens
 }
 
 // add adds another load, or subtracts it if sign is -1.
@@ -42,6 +44,7 @@
 	l.Long += sign * other.Long
 	l.AwaitingPrefill += sign * other.AwaitingPrefill
 	l.QueuedPrefill += identifier.Tokens(sign) * other.QueuedPrefill
+	l.DeferredPrefill += identifier.Tokens(sign) * other.DeferredPrefill
 }
 
 // upstream holds the listing and the load of one upstream.
--- /dev/null
+++ b/core/allocator/deferral.go
@@ -0,0 +1,63 @@
+package allocator
+
+import (
+	"time"
+
+	"rosemaryspool.example/core/identifier"
+)
+
+const (
+	// deferredShare is the share of the time left to its deadline that a request may be predicted to take if it is late in
+	// any case. The rest is for the requests in time that overtake it.
+	deferredShare = 0.35
+	// returnedShare is the same for a request whose caller comes back, so that those go before new ones.
+	returnedShare = 0.6
+)
+
+// deferrable reports whether a late answer is worth an engine's time: one that runs after all requests in time costs these
+// nothing. It needs a deadline that leaves room after the target.
+func (d *decision) deferrable() bool {
+	req := d.req
+	return req.Engine && !d.isLong() && !req.Resumed && req.Target > 0 &&
+		req.TimeToDeadline > deferredTargets*req.Target
+}
+
+// deferredTargets is the number of targets that the time to the deadline must exceed for a request to be deferred.
+const deferredTargets = 2
+
+// deferredOption returns the best option to run a request behind those in time, and whether it ends before the deadline.
+func (d *decision) deferredOption() (option, bool) {
+	d.deferred = true
+	best := d.best()
+	share := deferredShare
+	if d.req.Returned {
+		share = returnedShare
+	}
+	return best, best.upstream != nil && best.predicted <= time.Duration(share*float64(d.req.TimeToDeadline))
+}
+
+// queuedPrefill is the work ahead of the request at an upstream. Requests in time go before deferred ones.
+func (d *decision) queuedPrefill(u *upstream) identifier.Tokens {
+	load := u.load()
+	if d.deferred {
+		return load.QueuedPrefill + load.DeferredPrefill
+	}
+	return load.QueuedPrefill
+}
+
+// addPrefill adds a placement's prefill to a load, or takes it away if sign is -1.
+func (p Placement) addPrefill(l *Load, sign int) {
+	tokens := &l.QueuedPrefill
+	if p.Deferred {
+		tokens = &l.DeferredPrefill
+	}
+	*tokens = max(0, *tokens+identifier.Tokens(sign)*p.Tokens)
+}
+
+// prefillAhead is the work that a placement's prefill found at an engine with a load.
+func (p Placement) prefillAhead(l Load) identifier.Tokens {
+	if p.Deferred {
+		return l.QueuedPrefill + l.DeferredPrefill
+	}
+	return l.QueuedPrefill
+}
--- a/core/allocator/observation.go
+++ b/core/allocator/observation.go
@@ -154,10 +154,10 @@
 	if u == nil {
 		return
 	}
-	u.own.QueuedPrefill = max(0, u.own.QueuedPrefill-p.Tokens)
+	p.addPrefill(&u.own, -1)
 	a.record(now, u.entry.Service, Observation{
 		Upstream: p.Prefiller, Event: EventPrefilled, Outcome: outcome, Took: now.Sub(p.placed),
-		Tokens: p.PrefillerAhead.QueuedPrefill + p.Tokens,
+		Tokens: p.prefillAhead(p.PrefillerAhead) + p.Tokens,
 	})
 }
 
@@ -179,14 +179,14 @@
 	}
 	p.started = true
 	if p.Prefiller == "" {
-		u.own.QueuedPrefill = max(0, u.own.QueuedPrefill-p.Tokens)
+		p.addPrefill(&u.own, -1)
 	}
 	o := Observation{Upstream: p.Upstream, Event: EventFirst, Direct: p.Prefiller == ""}
 	if p.Ahead.Short+p.Ahead.Long < u.entry.Slots {
 		o.Took = now.Sub(sent)
 	}
 	if o.Direct {
-		o.Tokens = p.Ahead.QueuedPrefill + p.Tokens
+		o.Tokens = p.prefillAhead(p.Ahead) + p.Tokens
 	}
 	a.record(now, u.entry.Service, o)
 }
@@ -199,7 +199,7 @@
 		return
 	}
 	if p.Prefiller == "" && !p.started {
-		u.own.QueuedPrefill = max(0, u.own.QueuedPrefill-p.Tokens)
+		p.addPrefill(&u.own, -1)
 	}
 	switch {
 	case p.Long:
--- a/core/allocator/placement.go
+++ b/core/allocator/placement.go
@@ -80,6 +80,8 @@
 	Tokens identifier.Tokens
 	// Long is true for a long answer.
 	Long bool
+	// Deferred is true for a request that is late in any case: it runs after those in time.
+	Deferred bool
 	// Ahead and PrefillerAhead are the loads of all instances at Upstream and at Prefiller before this request.
 	Ahead          Load
 	PrefillerAhead Load
@@ -106,10 +108,10 @@
 		at.Short = 1
 	}
 	if p.Prefiller == "" {
-		at.QueuedPrefill = p.Tokens
+		p.addPrefill(&at, 1)
 		return Loads{p.Upstream: at}
 	}
-	atPrefiller.QueuedPrefill = p.Tokens
+	p.addPrefill(&atPrefiller, 1)
 	return Loads{p.Upstream: at, p.Prefiller: atPrefiller}
 }
 
@@ -214,14 +216,21 @@
 		return Placement{}, d.refuseWithoutOption()
 	}
 	if !d.admissible(best) {
-		return Placement{}, &Refusal{
-			Reason: ReasonBusy, RetryAfter: a.settings.RetryAfter, Predicted: best.predicted,
-			Upstream: best.upstream.entry.Upstream, Ahead: best.upstream.load(),
+		late, possible := option{}, false
+		if d.deferrable() {
+			late, possible = d.deferredOption()
 		}
+		if !possible {
+			return Placement{}, &Refusal{
+				Reason: ReasonBusy, RetryAfter: a.settings.RetryAfter, Predicted: best.predicted,
+				Upstream: best.upstream.entry.Upstream, Ahead: best.upstream.load(),
+			}
+		}
+		best = late
 	}
 	place := Placement{
 		Upstream: best.upstream.entry.Upstream, Predicted: best.predicted, Tokens: best.tokens, Long: d.isLong(),
-		Ahead: best.upstream.load(),
+		Ahead: best.upstream.load(), Deferred: d.deferred,
 	}
 	if best.prefiller != nil {
 		place.Prefiller = best.prefiller.entry.Upstream
@@ -241,6 +250,8 @@
 	dataCentre identifier.DataCentre
 	req        Request
 	timings    *timings
+	// deferred is true while the options are those behind all requests in time.
+	deferred bool
 	// waiting holds the upstreams that could run the request but want none now.
 	waiting []*upstream
 }
@@ -354,7 +365,7 @@
 // directOption is the option to prefill and decode at the same engine.
 func (d *decision) directOption(u *upstream, aff affinity) option {
 	tokens := d.allocator.uncachedTokens(d.req, u, aff)
-	queued := d.slotWait(u, 0) + d.paced(u, d.timings.mixedPrefill.slope(u.load().QueuedPrefill))
+	queued := d.slotWait(u, 0) + d.paced(u, d.timings.mixedPrefill.slope(d.queuedPrefill(u)))
 	work := d.paced(u, d.timings.mixedPrefill.slope(tokens))
 	predicted := queued + d.timings.mixedPrefill.base + work + d.timings.firstEventDelay.value
 	return option{
@@ -374,7 +385,7 @@
 // splitOption is the option to prefill at one engine and decode at another.
 func (d *decision) splitOption(prefiller, runner *upstream, aff affinity) option {
 	tokens := d.allocator.uncachedTokens(d.req, prefiller, aff)
-	ahead := d.paced(prefiller, d.timings.prefill.slope(prefiller.load().QueuedPrefill))
+	ahead := d.paced(prefiller, d.timings.prefill.slope(d.queuedPrefill(prefiller)))
 	work := d.paced(prefiller, d.timings.prefill.slope(tokens))
 	// Slots become free during the prefill elsewhere, but the other requests that await their prefill elsewhere take
 	// slots too.
@@ -402,7 +413,7 @@
 		load := u.load()
 		cost := d.slotWait(u, load.AwaitingPrefill) + d.remoteCost(u) +
 			time.Duration(load.Short+load.AwaitingPrefill)*time.Millisecond +
-			d.paced(u, d.timings.mixedPrefill.slope(load.QueuedPrefill))/4 + d.longAnswerCost(u)
+			d.paced(u, d.timings.mixedPrefill.slope(d.queuedPrefill(u)))/4 + d.longAnswerCost(u)
 		if best[version] == nil || cost < least[version] {
 			best[version], least[version] = u, cost
 		}
--- a/core/allocator/speed.go
+++ b/core/allocator/speed.go
@@ -82,7 +82,7 @@
 
 // longSlotShare is the share of an engine's slots that long answers take before others are preferred; the rest is for
 // short answers, which would wait for seconds otherwise.
-const longSlotShare = 0.75
+const longSlotShare = 0.9
 
 // longAnswerCost is the cost of one more long answer at an engine. Where engines decode at different steady speeds, it is
 // what the answer takes longer there than at the usual engine, down to its last event, so that it goes to a quick one
--- a/rosemaryspool/delegator/encoder.go
+++ b/rosemaryspool/delegator/encoder.go
@@ -63,7 +63,7 @@
 	}
 	return &messenger.PlacementReply{
 		Number: number, Upstream: string(p.Upstream), Prefiller: string(p.Prefiller),
-		PredictedUs: uint32(p.Predicted.Microseconds()), Tokens: uint32(p.Tokens), Long: p.Long,
+		PredictedUs: uint32(p.Predicted.Microseconds()), Tokens: uint32(p.Tokens), Long: p.Long, Deferred: p.Deferred,
 		Ahead: gossiper.EncodeLoad("", p.Ahead), PrefillerAhead: gossiper.EncodeLoad("", p.PrefillerAhead),
 	}
 }
@@ -83,7 +83,8 @@
 	return allocator.Placement{
 		Upstream: identifier.UpstreamID(m.GetUpstream()), Prefiller: identifier.UpstreamID(m.GetPrefiller()),
 		Predicted: predicted, Tokens: identifier.Tokens(m.GetTokens()), Long: m.GetLong(),
-		Ahead: gossiper.DecodeLoad(m.GetAhead()), PrefillerAhead: gossiper.DecodeLoad(m.GetPrefillerAhead()),
+		Deferred: m.GetDeferred(),
+		Ahead:    gossiper.DecodeLoad(m.GetAhead()), PrefillerAhead: gossiper.DecodeLoad(m.GetPrefillerAhead()),
 		Arbiter: arbiter,
 	}, nil
 }
--- a/rosemaryspool/forwarder/attempt.go
+++ b/rosemaryspool/forwarder/attempt.go
@@ -132,6 +132,9 @@
 	if a.placement.Tokens > 0 {
 		line = line.Int("uncachedTokens", int(a.placement.Tokens))
 	}
+	if a.placement.Deferred {
+		line = line.Bool("deferred", true)
+	}
 	if !a.firstEventAt.IsZero() {
 		line = line.Dur("firstMs", a.firstEventAt.Sub(a.sentAt)).Dur("longestPauseMs", a.longestPause)
 	}
@@ -367,7 +370,10 @@
 	s.Timeout = time.Until(e.deadline)
 	s.Priority = -1
 	if e.engine {
-		s.Priority = min(lowestPriority, basePriority+e.rank())
+		s.Priority = min(lowestPriority-1, basePriority+e.rank())
+		if e.last.placement.Deferred {
+			s.Priority = lowestPriority
+		}
 	}
 	s.ReplacesKey, s.Caller = e.replacesKey, e.callerID()
 	return e.forwarder.connector.Exchange(ctx, connector.Request{
--- a/rosemaryspool/gossiper/gossiper.go
+++ b/rosemaryspool/gossiper/gossiper.go
@@ -288,6 +288,7 @@
 	return &messenger.UpstreamWork{
 		Upstream: string(id), ShortAnswers: uint32(max(0, l.Short)), LongAnswers: uint32(max(0, l.Long)),
 		ComingAnswers: uint32(max(0, l.AwaitingPrefill)), PromptTokens: uint32(max(0, l.QueuedPrefill)),
+		DeferredTokens: uint32(max(0, l.DeferredPrefill)),
 	}
 }
 
@@ -295,6 +296,7 @@
 func DecodeLoad(w *messenger.UpstreamWork) allocator.Load {
 	return allocator.Load{
 		Short: int(w.GetShortAnswers()), AwaitingPrefill: int(w.GetComingAnswers()), Long: int(w.GetLongAnswers()),
-		QueuedPrefill: identifier.Tokens(w.GetPromptTokens()),
+		QueuedPrefill:   identifier.Tokens(w.GetPromptTokens()),
+		DeferredPrefill: identifier.Tokens(w.GetDeferredTokens()),
 	}
 }
