--- a/core/allocator/deferral.go
+++ b/core/allocator/deferral.go
@@ -4,14 +4,22 @@
 	"time"
 
 	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/core/tracker"
 )
 
 const (
-	// deferredShare is the share of the time left to its deadline that a request may be predicted to take if it is late in
-	// any case. The rest is for the requests in time that overtake it.
-	deferredShare = 0.35
-	// returnedShare is the same for a request whose caller comes back, so that those go before new ones.
-	returnedShare = 0.6
+	// minDeferredSlots is the number of slots from which on an engine gets deferred requests: one of them takes a small part
+	// of such an engine, but a large one of an engine with few slots.
+	minDeferredSlots = 16
+	// deferredTargets is the number of targets that the time to the deadline must exceed for a request to be deferred.
+	deferredTargets = 2
+	// deadlineShare is the share of the time left to its deadline that a deferred request may be predicted to take. The rest
+	// is for the requests in time that overtake it.
+	deadlineShare = 0.6
+	// newShare and returnedShare are the shares of the target that deferred work may take at an engine, which a request in
+	// time may have to wait for, if one more is new and if its caller comes back: those go before new ones.
+	newShare      = 0.25
+	returnedShare = 0.5
 )
 
 // deferrable reports whether a late answer is worth an engine's time: one that runs after all requests in time costs these
@@ -22,18 +30,24 @@
 		req.TimeToDeadline > deferredTargets*req.Target
 }
 
-// deferredTargets is the number of targets that the time to the deadline must exceed for a request to be deferred.
-const deferredTargets = 2
+// mayDefer reports whether an engine has room for one more deferred request.
+func (d *decision) mayDefer(u *upstream) bool {
+	share := newShare
+	if d.req.Returned {
+		share = returnedShare
+	}
+	usual := d.timings.mixedPrefill.slope(u.load().DeferredPrefill)
+	if u.entry.Role == tracker.RolePrefill {
+		usual = d.timings.prefill.slope(u.load().DeferredPrefill)
+	}
+	return u.entry.Slots >= minDeferredSlots && d.paced(u, usual) <= time.Duration(share*float64(d.req.Target))
+}
 
 // deferredOption returns the best option to run a request behind those in time, and whether it ends before the deadline.
 func (d *decision) deferredOption() (option, bool) {
 	d.deferred = true
 	best := d.best()
-	share := deferredShare
-	if d.req.Returned {
-		share = returnedShare
-	}
-	return best, best.upstream != nil && best.predicted <= time.Duration(share*float64(d.req.TimeToDeadline))
+	return best, best.upstream != nil && best.predicted <= time.Duration(deadlineShare*float64(d.req.TimeToDeadline))
 }
 
 // queuedPrefill is the work ahead of the request at an upstream. Requests in time go before deferred ones.
--- a/core/allocator/placement.go
+++ b/core/allocator/placement.go
@@ -318,7 +318,9 @@
 	}
 	aff := newAffinity(d.req.Prompt, runners, prefillers)
 	for _, u := range runners {
-		consider(d.directOption(u, aff))
+		if !d.deferred || d.mayDefer(u) {
+			consider(d.directOption(u, aff))
+		}
 	}
 	if d.req.SingleUpstream || len(prefillers) == 0 {
 		return best
@@ -326,7 +328,7 @@
 	byVersion := d.leastLoaded(runners)
 	for _, u := range prefillers {
 		// An engine can't use what another version has prefilled.
-		if runner := byVersion[u.entry.Version]; runner != nil {
+		if runner := byVersion[u.entry.Version]; runner != nil && (!d.deferred || d.mayDefer(u)) {
 			consider(d.splitOption(u, runner, aff))
 		}
 	}
