--- a/core/allocator/deferral.go
+++ b/core/allocator/deferral.go
@@ -36,11 +36,16 @@
 	if d.req.Returned {
 		share = returnedShare
 	}
-	usual := d.timings.mixedPrefill.slope(u.load().DeferredPrefill)
-	if u.entry.Role == tracker.RolePrefill {
-		usual = d.timings.prefill.slope(u.load().DeferredPrefill)
+	load := u.load()
+	switch {
+	case u.entry.Slots < minDeferredSlots:
+		return false
+	case u.entry.Role == tracker.RolePrefill:
+		return d.paced(u, d.timings.prefill.slope(load.DeferredPrefill)) <= time.Duration(share*float64(d.req.Target))
+	default:
+		// The answers that an engine decodes pause for a prefill.
+		return load.Long == 0 && load.DeferredPrefill == 0
 	}
-	return u.entry.Slots >= minDeferredSlots && d.paced(u, usual) <= time.Duration(share*float64(d.req.Target))
 }
 
 // deferredOption returns the best option to run a request behind those in time, and whether it ends before the deadline.
