--- a/core/allocator/deferral.go
+++ b/core/allocator/deferral.go
@@ -13,13 +13,14 @@
 	minDeferredSlots = 16
 	// deferredTargets is the number of targets that the time to the deadline must exceed for a request to be deferred.
 	deferredTargets = 2
-	// deadlineShare is the share of the time left to its deadline that a deferred request may be predicted to take. The rest
-	// is for the requests in time that overtake it.
-	deadlineShare = 0.6
-	// newShare and returnedShare are the shares of the target that deferred work may take at an engine, which a request in
-	// time may have to wait for, if one more is new and if its caller comes back: those go before new ones.
-	newShare      = 0.25
-	returnedShare = 0.5
+	// deferredShare and returnedShare are the shares of the time left to its deadline that a deferred request may be
+	// predicted to take, if it is new and if its caller comes back: those go before new ones. The rest is for the requests in
+	// time that overtake it.
+	deferredShare = 0.35
+	returnedShare = 0.6
+	// mixedShare is the share of the target that the prefills at an engine that decodes may take with a deferred one: the
+	// answers there pause for that long.
+	mixedShare = 0.5
 )
 
 // deferrable reports whether a late answer is worth an engine's time: one that runs after all requests in time costs these
@@ -30,21 +31,17 @@
 		req.TimeToDeadline > deferredTargets*req.Target
 }
 
-// mayDefer reports whether an engine has room for one more deferred request.
+// mayDefer reports whether an engine may get a deferred request.
 func (d *decision) mayDefer(u *upstream) bool {
-	share := newShare
-	if d.req.Returned {
-		share = returnedShare
-	}
 	load := u.load()
 	switch {
 	case u.entry.Slots < minDeferredSlots:
 		return false
 	case u.entry.Role == tracker.RolePrefill:
-		return d.paced(u, d.timings.prefill.slope(load.DeferredPrefill)) <= time.Duration(share*float64(d.req.Target))
+		return true
 	default:
-		// The answers that an engine decodes pause for a prefill.
-		return load.Long == 0 && load.DeferredPrefill == 0
+		queued := d.paced(u, d.timings.mixedPrefill.slope(load.QueuedPrefill+load.DeferredPrefill))
+		return load.Long == 0 && queued <= time.Duration(mixedShare*float64(d.req.Target))
 	}
 }
 
@@ -52,7 +49,11 @@
 func (d *decision) deferredOption() (option, bool) {
 	d.deferred = true
 	best := d.best()
-	return best, best.upstream != nil && best.predicted <= time.Duration(deadlineShare*float64(d.req.TimeToDeadline))
+	share := deferredShare
+	if d.req.Returned {
+		share = returnedShare
+	}
+	return best, best.upstream != nil && best.predicted <= time.Duration(share*float64(d.req.TimeToDeadline))
 }
 
 // queuedPrefill is the work ahead of the request at an upstream. Requests in time go before deferred ones.
--- a/core/allocator/placement.go
+++ b/core/allocator/placement.go
@@ -447,10 +447,6 @@
 // get only the capacity that requests in time don't use.
 const lateQueueShare = 0.2
 
-// maxPredictedShare is the share of the time left to its target that a request may be predicted to take even if it queues
-// for more of it than MaxQueueShare: nine of ten such predictions hold within the rest.
-const maxPredictedShare = 0.75
-
 // admissible reports whether an option serves the request early enough to be worth the slot: its first event must
 // be predicted in time, and its queueing time is limited to a share of the time left. Its own prefill doesn't count as
 // queueing, so that long prompts don't starve. A request that would not queue is always admitted, because only requests
@@ -465,10 +461,8 @@
 	case req.TimeToTarget <= 0:
 		return o.queued <= time.Duration(lateQueueShare*float64(req.Target))
 	default:
-		left := float64(req.TimeToTarget)
 		return o.predicted <= req.TimeToTarget &&
-			(o.queued <= time.Duration(d.allocator.settings.MaxQueueShare*left) ||
-				o.predicted <= time.Duration(maxPredictedShare*left))
+			o.queued <= time.Duration(d.allocator.settings.MaxQueueShare*float64(req.TimeToTarget))
 	}
 }
 
