--- a/core/allocator/deferral.go
+++ b/core/allocator/deferral.go
@@ -18,9 +18,6 @@
 	// time that overtake it.
 	deferredShare = 0.35
 	returnedShare = 0.6
-	// mixedShare is the share of the target that the prefills at an engine that decodes may take with a deferred one: the
-	// answers there pause for that long.
-	mixedShare = 0.5
 )
 
 // deferrable reports whether a late answer is worth an engine's time: one that runs after all requests in time costs these
@@ -31,18 +28,9 @@
 		req.TimeToDeadline > deferredTargets*req.Target
 }
 
-// mayDefer reports whether an engine may get a deferred request.
+// mayDefer reports whether an engine may prefill a deferred request.
 func (d *decision) mayDefer(u *upstream) bool {
-	load := u.load()
-	switch {
-	case u.entry.Slots < minDeferredSlots:
-		return false
-	case u.entry.Role == tracker.RolePrefill:
-		return true
-	default:
-		queued := d.paced(u, d.timings.mixedPrefill.slope(load.QueuedPrefill+load.DeferredPrefill))
-		return load.Long == 0 && queued <= time.Duration(mixedShare*float64(d.req.Target))
-	}
+	return u.entry.Slots >= minDeferredSlots && (u.entry.Role == tracker.RolePrefill || u.load().Long == 0)
 }
 
 // deferredOption returns the best option to run a request behind those in time, and whether it ends before the deadline.
