--- a/core/allocator/deferral.go
+++ b/core/allocator/deferral.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"rosemaryspool.example/core/identifier"
-	"rosemaryspool.example/core/tracker"
 )
 
 const (
@@ -30,7 +29,7 @@
 
 // mayDefer reports whether an engine may prefill a deferred request.
 func (d *decision) mayDefer(u *upstream) bool {
-	return u.entry.Slots >= minDeferredSlots && (u.entry.Role == tracker.RolePrefill || u.load().Long == 0)
+	return u.entry.Slots >= minDeferredSlots
 }
 
 // deferredOption returns the best option to run a request behind those in time, and whether it ends before the deadline.
--- a/core/allocator/placement.go
+++ b/core/allocator/placement.go
@@ -372,7 +372,7 @@
 	predicted := queued + d.timings.mixedPrefill.base + work + d.timings.firstEventDelay.value
 	return option{
 		upstream: u, tokens: tokens, queued: queued, predicted: predicted,
-		cost: predicted + d.sharedTimeCost(u, work) + d.interferenceCost(u, work) + d.remoteCost(u) + d.longAnswerCost(u),
+		cost: predicted + d.engineTimeCost(work) + d.interferenceCost(u, work) + d.remoteCost(u) + d.longAnswerCost(u),
 	}
 }
 
@@ -400,17 +400,6 @@
 	}
 }
 
-// fullShare is the number of requests from which on the time of an engine counts in full: some engines have just that many
-// slots, and in a wider batch a few requests leave most of it to others.
-const fullShare = 6
-
-// sharedTimeCost is the cost of an engine's time where the engine also decodes, in proportion to the slots in use.
-func (d *decision) sharedTimeCost(u *upstream, work time.Duration) time.Duration {
-	load := u.load()
-	share := float64(fullShare*(load.Short+load.Long+1)) / float64(max(1, u.entry.Slots))
-	return time.Duration(min(1, share) * float64(d.engineTimeCost(work)))
-}
-
 func (d *decision) engineTimeCost(work time.Duration) time.Duration {
 	return time.Duration(d.allocator.settings.EngineTimeWeight * float64(work))
 }
