--- a/core/allocator/allocator.go
+++ b/core/allocator/allocator.go
@@ -61,6 +61,8 @@
 	waitUntil time.Time
 	// memoryKnown is true once the upstream has told the size of its memory.
 	memoryKnown bool
+	// deferredSince is since when the upstream has had deferred work; zero if it has none.
+	deferredSince time.Time
 }
 
 // load returns the load from all instances.
@@ -104,6 +106,8 @@
 	health  map[identifier.DataCentre]*ejector.Ejector
 	timings map[identifier.ServiceName]*timings
 	speeds  map[identifier.ServiceName]*speedometer.Speedometer
+	// spread, from 0 to 1, is where the caller that was refused last comes back in the time in which refused ones do.
+	spread float64
 	// observations are those of this instance since they were last taken.
 	observations map[identifier.ServiceName][]Observation
 }
--- a/core/allocator/deferral.go
+++ b/core/allocator/deferral.go
@@ -1,6 +1,7 @@
 package allocator
 
 import (
+	"math"
 	"time"
 
 	"rosemaryspool.example/core/identifier"
@@ -15,8 +16,8 @@
 	// deferredShare and returnedShare are the shares of the time left to its deadline that a deferred request may be
 	// predicted to take, if it is new and if its caller comes back: those go before new ones. The rest is for the requests in
 	// time that overtake it.
-	deferredShare = 0.35
-	returnedShare = 0.6
+	deferredShare = 0.2
+	returnedShare = 0.5
 )
 
 // deferrable reports whether a late answer is worth an engine's time: one that runs after all requests in time costs these
@@ -33,7 +34,11 @@
 }
 
 // deferredOption returns the best option to run a request behind those in time, and whether it ends before the deadline.
+// The option has no upstream if the request can't be deferred.
 func (d *decision) deferredOption() (option, bool) {
+	if !d.deferrable() {
+		return option{}, false
+	}
 	d.deferred = true
 	best := d.best()
 	share := deferredShare
@@ -43,13 +48,40 @@
 	return best, best.upstream != nil && best.predicted <= time.Duration(share*float64(d.req.TimeToDeadline))
 }
 
-// queuedPrefill is the work ahead of the request at an upstream. Requests in time go before deferred ones.
+const (
+	// minComeBack is the least time after which a refused caller comes back where late requests are deferred.
+	minComeBack = 150 * time.Millisecond
+	// spreadStep is the golden section: multiples of it, without their whole parts, spread evenly at any number of them.
+	spreadStep = 0.618
+)
+
+// comeBackAfter returns when there will be room for a request whose best deferred option is late: at the pace at which the
+// queue ahead of it drains. The callers that are refused now come back spread over as long again.
+func (d *decision) comeBackAfter(late option) time.Duration {
+	room := minComeBack + max(0, late.predicted-time.Duration(deferredShare*float64(d.req.TimeToDeadline)))
+	_, d.allocator.spread = math.Modf(d.allocator.spread + spreadStep)
+	return room + time.Duration(d.allocator.spread*float64(room))
+}
+
+// deferralPatience is how long deferred work may wait at an engine before no request in time is preferred to it.
+const deferralPatience = 400 * time.Millisecond
+
+// queuedPrefill is the work ahead of the request at an upstream. Requests in time go before deferred ones there, so the
+// longer these have waited, the more of them counts: requests in time then go elsewhere, and they are run.
 func (d *decision) queuedPrefill(u *upstream) identifier.Tokens {
 	load := u.load()
+	switch {
+	case load.DeferredPrefill == 0:
+		u.deferredSince = time.Time{}
+		return load.QueuedPrefill
+	case u.deferredSince.IsZero():
+		u.deferredSince = d.now
+	}
 	if d.deferred {
 		return load.QueuedPrefill + load.DeferredPrefill
 	}
-	return load.QueuedPrefill
+	waited := min(1, float64(d.now.Sub(u.deferredSince))/float64(deferralPatience))
+	return load.QueuedPrefill + identifier.Tokens(waited*float64(load.DeferredPrefill))
 }
 
 // addPrefill adds a placement's prefill to a load, or takes it away if sign is -1.
@@ -60,11 +92,3 @@
 	}
 	*tokens = max(0, *tokens+identifier.Tokens(sign)*p.Tokens)
 }
-
-// prefillAhead is the work that a placement's prefill found at an engine with a load.
-func (p Placement) prefillAhead(l Load) identifier.Tokens {
-	if p.Deferred {
-		return l.QueuedPrefill + l.DeferredPrefill
-	}
-	return l.QueuedPrefill
-}
--- a/core/allocator/observation.go
+++ b/core/allocator/observation.go
@@ -155,10 +155,12 @@
 		return
 	}
 	p.addPrefill(&u.own, -1)
-	a.record(now, u.entry.Service, Observation{
-		Upstream: p.Prefiller, Event: EventPrefilled, Outcome: outcome, Took: now.Sub(p.placed),
-		Tokens: p.prefillAhead(p.PrefillerAhead) + p.Tokens,
-	})
+	o := Observation{Upstream: p.Prefiller, Event: EventPrefilled, Outcome: outcome}
+	if !p.Deferred {
+		// Requests in time overtake a deferred one, so that it shows no speed.
+		o.Took, o.Tokens = now.Sub(p.placed), p.PrefillerAhead.QueuedPrefill+p.Tokens
+	}
+	a.record(now, u.entry.Service, o)
 }
 
 // runner returns the upstream that runs a placement, or nil if it has ended or restarted since.
@@ -182,11 +184,11 @@
 		p.addPrefill(&u.own, -1)
 	}
 	o := Observation{Upstream: p.Upstream, Event: EventFirst, Direct: p.Prefiller == ""}
-	if p.Ahead.Short+p.Ahead.Long < u.entry.Slots {
+	if p.Ahead.Short+p.Ahead.Long < u.entry.Slots && !p.Deferred {
 		o.Took = now.Sub(sent)
 	}
 	if o.Direct {
-		o.Tokens = p.prefillAhead(p.Ahead) + p.Tokens
+		o.Tokens = p.Ahead.QueuedPrefill + p.Tokens
 	}
 	a.record(now, u.entry.Service, o)
 }
@@ -210,7 +212,7 @@
 		u.own.Short = max(0, u.own.Short-1)
 	}
 	o := Observation{Upstream: p.Upstream, Event: EventEnded, Outcome: outcome}
-	if !p.Long && !sent.IsZero() && p.Ahead.Short+p.Ahead.Long < u.entry.Slots {
+	if !p.Long && !p.Deferred && !sent.IsZero() && p.Ahead.Short+p.Ahead.Long < u.entry.Slots {
 		o.Took = now.Sub(sent)
 	}
 	a.record(now, u.entry.Service, o)
--- a/core/allocator/placement.go
+++ b/core/allocator/placement.go
@@ -216,15 +216,16 @@
 		return Placement{}, d.refuseWithoutOption()
 	}
 	if !d.admissible(best) {
-		late, possible := option{}, false
-		if d.deferrable() {
-			late, possible = d.deferredOption()
-		}
+		late, possible := d.deferredOption()
 		if !possible {
-			return Placement{}, &Refusal{
+			refusal := &Refusal{
 				Reason: ReasonBusy, RetryAfter: a.settings.RetryAfter, Predicted: best.predicted,
 				Upstream: best.upstream.entry.Upstream, Ahead: best.upstream.load(),
 			}
+			if late.upstream != nil {
+				refusal.RetryAfter = d.comeBackAfter(late)
+			}
+			return Placement{}, refusal
 		}
 		best = late
 	}
