--- a/core/speedometer/gauge.go
+++ b/core/speedometer/gauge.go
@@ -14,11 +14,13 @@
 	// maxStep bounds what one window, as logarithm, changes: one that outlies says little about the steady speed.
 	maxStep = 0.35
 	// minWindows is the number of windows from which on a steady speed counts.
-	minWindows = 4
+	minWindows = 5
 	// enterClass and leaveClass are the distances from the usual speed, as logarithms, at which an upstream is no longer
-	// usual and at which it is again. Below them differences are within the error of the measurements.
-	enterClass = 0.25
+	// usual and at which it is again: smaller differences come from the work that it happens to get. maxErrors is the number
+	// of standard errors of its steady speed by which the distance must exceed enterClass.
+	enterClass = 0.3
 	leaveClass = 0.15
+	maxErrors  = 3
 	// passingSmoothing is the weight of one measurement in what passes, passingHalfLife how fast that is forgotten without
 	// measurements, so that an upstream that was disturbed is tried again.
 	passingSmoothing = 0.15
@@ -35,7 +37,9 @@
 	// steady is the logarithm of the factor that lasts, from this many windows.
 	steady  float64
 	windows int
-	class   Class
+	// variance is that of the windows' measurements around the steady speed.
+	variance float64
+	class    Class
 	// sum and count are of the window that began at windowStart.
 	sum         float64
 	count       int
@@ -73,7 +77,9 @@
 		step = min(maxStep, max(-maxStep, step))
 	}
 	g.windows++
-	g.steady += max(steadySmoothing, 1/float64(g.windows+1)) * step
+	weight := max(steadySmoothing, 1/float64(g.windows+1))
+	g.steady += weight * step
+	g.variance += weight * (step*step - g.variance)
 	g.sum, g.count = 0, 0
 }
 
@@ -101,6 +107,11 @@
 	g.disturbance = boundDisturbance(g.disturbance * before / g.factor(usual))
 }
 
+// standardError is that of the steady speed.
+func (g *gauge) standardError() float64 {
+	return math.Sqrt(g.variance / min(float64(g.windows), 1/steadySmoothing))
+}
+
 // classify returns the class at which the gauge is, given what is usual.
 func (g *gauge) classify(usual float64) Class {
 	if !g.known() {
@@ -110,6 +121,8 @@
 	threshold := enterClass
 	if g.class != Usual {
 		threshold = leaveClass
+	} else {
+		threshold += maxErrors * g.standardError()
 	}
 	switch {
 	case distance > threshold:
