--- a/core/speedometer/gauge.go
+++ b/core/speedometer/gauge.go
@@ -77,9 +77,11 @@
 		step = min(maxStep, max(-maxStep, step))
 	}
 	g.windows++
-	weight := max(steadySmoothing, 1/float64(g.windows+1))
+	weight := max(steadySmoothing, 1/float64(g.windows))
 	g.steady += weight * step
-	g.variance += weight * (step*step - g.variance)
+	if g.windows > 1 {
+		g.variance += weight * (step*step - g.variance)
+	}
 	g.sum, g.count = 0, 0
 }
 
--- a/core/speedometer/speedometer.go
+++ b/core/speedometer/speedometer.go
@@ -64,7 +64,7 @@
 }
 
 // usualInterval is the time between two computations of what is usual.
-const usualInterval = 500 * time.Millisecond
+const usualInterval = 250 * time.Millisecond
 
 // Speedometer holds the speeds of a service's upstreams. It is not safe for concurrent use.
 type Speedometer struct {
