--- a/core/allocator/allocator.go
+++ b/core/allocator/allocator.go
@@ -15,6 +15,7 @@
 	"rosemaryspool.example/core/identifier"
 	"rosemaryspool.example/core/limiter"
 	"rosemaryspool.example/core/sharer"
+	"rosemaryspool.example/core/speedometer"
 	"rosemaryspool.example/core/tracker"
 )
 
@@ -36,6 +37,8 @@
 	QueuedPrefill identifier.Tokens
 	// Levels holds the part of QueuedPrefill that belongs to accounts' requests, by urgency from level 1 on.
 	Levels [sharer.Levels]identifier.Tokens
+	// DeferredPrefill is the same for requests that are late in any case; the upstream runs them after the others.
+	DeferredPrefill identifier.Tokens
 }
 
 // add adds another load, or subtracts it if sign is -1.
@@ -47,6 +50,7 @@
 	for i, tokens := range other.Levels {
 		l.Levels[i] += identifier.Tokens(sign) * tokens
 	}
+	l.DeferredPrefill += identifier.Tokens(sign) * other.DeferredPrefill
 }
 
 // upstream holds the listing and the load of one upstream.
@@ -57,7 +61,6 @@
 	// hash is the hash of the upstream's ID, for rendezvous hashing.
 	hash  uint64
 	cache *promptCache
-	pace  pace
 	// pressure is what accounts' requests take of an engine's time.
 	pressure pressure
 	// limiter holds the rate of requests that the upstream has asked for.
@@ -66,6 +69,8 @@
 	waitUntil time.Time
 	// memoryKnown is true once the upstream has told the size of its memory.
 	memoryKnown bool
+	// deferredSince is since when the upstream has had deferred work; zero if it has none.
+	deferredSince time.Time
 }
 
 // load returns the load from all instances.
@@ -108,6 +113,9 @@
 	// there.
 	health  map[identifier.DataCentre]*ejector.Ejector
 	timings map[identifier.ServiceName]*timings
+	speeds  map[identifier.ServiceName]*speedometer.Speedometer
+	// spread, from 0 to 1, is where the caller that was refused last comes back in the time in which refused ones do.
+	spread float64
 	// observations are those of this instance since they were last taken.
 	observations map[identifier.ServiceName][]Observation
 	demands      map[identifier.ServiceName]*Demand
@@ -126,6 +134,7 @@
 		peers:        map[peerKey]*peer{},
 		health:       map[identifier.DataCentre]*ejector.Ejector{},
 		timings:      map[identifier.ServiceName]*timings{},
+		speeds:       map[identifier.ServiceName]*speedometer.Speedometer{},
 		observations: map[identifier.ServiceName][]Observation{},
 		demands:      map[identifier.ServiceName]*Demand{},
 		sharers:      map[identifier.ServiceName]*sharer.Sharer{},
@@ -142,19 +151,21 @@
 		u := a.upstreams[e.Upstream]
 		if u == nil || u.entry.Incarnation != e.Incarnation {
 			u = &upstream{
-				hash: hash(string(e.Upstream)), cache: newPromptCache(a.settings.CacheTokens), pace: newPace(),
+				hash: hash(string(e.Upstream)), cache: newPromptCache(a.settings.CacheTokens),
 				others: a.sumPeerLoads(e.Upstream), limiter: limiter.NewLimiter(a.settings.LimiterPhase),
 			}
 			a.upstreams[e.Upstream] = u
 			a.forgetHealth(e.Upstream)
 		}
 		u.entry = e
+		a.followSpeed(e)
 		a.services[e.Service] = append(a.services[e.Service], u)
 	}
 	for id := range a.upstreams {
 		if !listed[id] {
 			delete(a.upstreams, id)
 			a.forgetHealth(id)
+			a.forgetSpeed(id)
 		}
 	}
 	for _, us := range a.services {
--- a/core/allocator/observation.go
+++ b/core/allocator/observation.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/core/speedometer"
 )
 
 // Outcome is how the work of a placement, or its prefill, ended.
@@ -36,6 +37,10 @@
 	EventEnded
 	// EventOverdue means that nothing has arrived long after the predicted time.
 	EventOverdue
+	// EventProgressed is the arrival of some events of a long answer.
+	EventProgressed
+	// EventAnswered is the end of a long answer.
+	EventAnswered
 )
 
 // Observation is what an instance has seen of a request at an upstream. Observations determine the measured times and
@@ -47,7 +52,8 @@
 	Outcome Outcome
 	// Took is the time since the request was sent; zero when it doesn't show the upstream's speed.
 	Took time.Duration
-	// Tokens is the number of tokens that had to be prefilled in that time, those of requests ahead included.
+	// Tokens is the number of tokens that had to be prefilled in that time, those of requests ahead included; for
+	// EventProgressed, the number of events.
 	Tokens identifier.Tokens
 	// Direct is true if the upstream prefilled the prompt itself.
 	Direct bool
@@ -83,27 +89,31 @@
 	}
 	health := a.healthOf(dataCentre)
 	health.Add(o.Upstream)
-	t := a.timingsOf(u.entry.Service)
+	t, speeds := a.timingsOf(u.entry.Service), a.speedsOf(u.entry.Service)
 	switch o.Event {
 	case EventOverdue:
 		health.Stalled(now, o.Upstream, instance)
 	case EventFirst:
 		health.Responded(now, o.Upstream, instance)
-		t.observeFirstEvent(now, u, o)
+		t.observeFirstEvent(now, speeds, u, o)
 	case EventPrefilled:
 		if o.Outcome != OutcomeCompleted {
 			a.recordFailure(now, instance, dataCentre, o)
 			return
 		}
 		health.Succeeded(now, o.Upstream, instance, 0)
-		t.observePrefill(now, &t.prefill, u, o)
+		t.observePrefill(now, speeds, speedometer.Prefill, &t.prefill, u, o)
 	case EventEnded:
 		if o.Outcome != OutcomeCompleted {
 			a.recordFailure(now, instance, dataCentre, o)
 			return
 		}
 		health.Succeeded(now, o.Upstream, instance, 0)
-		t.observeHold(now, u, o)
+		t.observeHold(now, speeds, u, o)
+	case EventProgressed:
+		t.observeProgress(now, speeds, u, o)
+	case EventAnswered:
+		t.observeLongAnswer(speeds, u, o)
 	}
 }
 
@@ -144,13 +154,11 @@
 	if u == nil {
 		return
 	}
-	u.own.removePrefill(p.Tokens, p.Level)
-	o := Observation{
-		Upstream: p.Prefiller, Event: EventPrefilled, Outcome: outcome, Took: now.Sub(p.placed),
-		Tokens: p.PrefillerAhead.QueuedPrefill + p.Tokens,
-	}
-	if p.Reordered {
-		o.Took = 0
+	p.addPrefill(&u.own, -1)
+	o := Observation{Upstream: p.Prefiller, Event: EventPrefilled, Outcome: outcome}
+	if !p.Deferred && !p.Reordered {
+		// Requests that overtake it, or that it overtakes, would be taken for the engine's speed.
+		o.Took, o.Tokens = now.Sub(p.placed), p.PrefillerAhead.QueuedPrefill+p.Tokens
 	}
 	a.record(now, u.entry.Service, o)
 }
@@ -173,10 +181,10 @@
 	}
 	p.started = true
 	if p.Prefiller == "" {
-		u.own.removePrefill(p.Tokens, p.Level)
+		p.addPrefill(&u.own, -1)
 	}
 	o := Observation{Upstream: p.Upstream, Event: EventFirst, Direct: p.Prefiller == ""}
-	if p.Ahead.Short+p.Ahead.Long < u.entry.Slots && !(o.Direct && p.Reordered) {
+	if p.Ahead.Short+p.Ahead.Long < u.entry.Slots && !p.Deferred && !(o.Direct && p.Reordered) {
 		o.Took = now.Sub(sent)
 	}
 	if o.Direct {
@@ -193,7 +201,7 @@
 		return
 	}
 	if p.Prefiller == "" && !p.started {
-		u.own.removePrefill(p.Tokens, p.Level)
+		p.addPrefill(&u.own, -1)
 	}
 	switch {
 	case p.Long:
@@ -204,8 +212,11 @@
 		u.own.Short = max(0, u.own.Short-1)
 	}
 	o := Observation{Upstream: p.Upstream, Event: EventEnded, Outcome: outcome}
-	if !p.Long && !sent.IsZero() && p.Ahead.Short+p.Ahead.Long < u.entry.Slots {
+	if !p.Long && !p.Deferred && !sent.IsZero() && p.Ahead.Short+p.Ahead.Long < u.entry.Slots {
 		o.Took = now.Sub(sent)
 	}
 	a.record(now, u.entry.Service, o)
+	if p.Long && !sent.IsZero() && outcome == OutcomeCompleted {
+		a.record(now, u.entry.Service, Observation{Upstream: p.Upstream, Event: EventAnswered, Took: now.Sub(sent)})
+	}
 }
--- a/core/allocator/placement.go
+++ b/core/allocator/placement.go
@@ -81,6 +81,8 @@
 	Tokens identifier.Tokens
 	// Long is true for a long answer.
 	Long bool
+	// Deferred is true for a request that is late in any case: it runs after those in time.
+	Deferred bool
 	// Ahead and PrefillerAhead are the loads of all instances at Upstream and at Prefiller before this request.
 	Ahead          Load
 	PrefillerAhead Load
@@ -111,10 +113,10 @@
 		at.Short = 1
 	}
 	if p.Prefiller == "" {
-		at.addPrefill(p.Tokens, p.Level)
+		p.addPrefill(&at, 1)
 		return Loads{p.Upstream: at}
 	}
-	atPrefiller.addPrefill(p.Tokens, p.Level)
+	p.addPrefill(&atPrefiller, 1)
 	return Loads{p.Upstream: at, p.Prefiller: atPrefiller}
 }
 
@@ -222,23 +224,29 @@
 	if best.upstream == nil {
 		return Placement{}, d.refuseWithoutOption()
 	}
+	var late option
 	reason := Reason("")
-	switch {
-	case !d.admissible(best):
-		reason = ReasonBusy
-	case !d.withinShare(best):
+	if !d.admissible(best) {
+		possible := false
+		if late, possible = d.deferredOption(); possible {
+			best = late
+		} else {
+			reason = ReasonBusy
+		}
+	}
+	if reason == "" && !d.withinShare(best) {
 		reason = ReasonShare
 	}
 	d.record(best, reason == "")
 	if reason != "" {
 		return Placement{}, &Refusal{
-			Reason: reason, RetryAfter: d.retryAfter(best), Predicted: best.predicted,
+			Reason: reason, RetryAfter: d.retryAfter(best, late), Predicted: best.predicted,
 			Upstream: best.upstream.entry.Upstream, Ahead: best.upstream.load(),
 		}
 	}
 	place := Placement{
 		Upstream: best.upstream.entry.Upstream, Predicted: best.predicted, Tokens: best.tokens, Long: d.isLong(),
-		Ahead: best.upstream.load(),
+		Ahead: best.upstream.load(), Deferred: d.deferred,
 	}
 	if best.prefiller != nil {
 		place.Prefiller = best.prefiller.entry.Upstream
@@ -264,6 +272,8 @@
 	sharer  *sharer.Sharer
 	exceeds bool
 	level   Level
+	// deferred is true while the options are those behind all requests in time.
+	deferred bool
 	// waiting holds the upstreams that could run the request but want none now.
 	waiting []*upstream
 }
@@ -330,7 +340,9 @@
 	}
 	aff := newAffinity(d.req.Prompt, runners, prefillers)
 	for _, u := range runners {
-		consider(d.directOption(u, aff))
+		if !d.deferred || d.mayDefer(u) {
+			consider(d.directOption(u, aff))
+		}
 	}
 	if d.req.SingleUpstream || len(prefillers) == 0 {
 		return best
@@ -338,7 +350,7 @@
 	byVersion := d.leastLoaded(runners)
 	for _, u := range prefillers {
 		// An engine can't use what another version has prefilled.
-		if runner := byVersion[u.entry.Version]; runner != nil {
+		if runner := byVersion[u.entry.Version]; runner != nil && (!d.deferred || d.mayDefer(u)) {
 			consider(d.splitOption(u, runner, aff))
 		}
 	}
@@ -414,14 +426,6 @@
 	return time.Duration(d.allocator.settings.EngineTimeWeight * float64(work))
 }
 
-// longAnswerCost is the cost of one more long answer at an engine; it spreads long answers over the engines.
-func (d *decision) longAnswerCost(u *upstream) time.Duration {
-	if !d.isLong() {
-		return 0
-	}
-	return time.Duration(u.load().Long) * d.allocator.settings.LongAnswerPenalty
-}
-
 // leastLoaded returns the engine of each version with the lowest cost of decoding a prompt that another engine prefills:
 // mainly the wait for a slot, the cost of another data centre and, for a long answer, of the long answers there; then 1 ms
 // for each short answer, also for those that await their prefill elsewhere, and a quarter of the queued prefill's time.
@@ -433,7 +437,7 @@
 		load := u.load()
 		cost := d.slotWait(u, load.AwaitingPrefill) + d.remoteCost(u) +
 			time.Duration(load.Short+load.AwaitingPrefill)*time.Millisecond +
-			d.paced(u, d.timings.mixedPrefill.slope(load.QueuedPrefill))/4 + d.longAnswerCost(u)
+			d.paced(u, d.timings.mixedPrefill.slope(d.queuedPrefill(u)))/4 + d.longAnswerCost(u)
 		if best[version] == nil || cost < least[version] {
 			best[version], least[version] = u, cost
 		}
@@ -454,11 +458,6 @@
 	return d.paced(u, time.Duration(ahead)*d.timings.slotHoldTime.value/time.Duration(slots))
 }
 
-// paced adapts a time that is usual for the service to the pace of an upstream.
-func (d *decision) paced(u *upstream, usual time.Duration) time.Duration {
-	return time.Duration(u.pace.at(d.now) * float64(usual))
-}
-
 func (d *decision) remoteCost(u *upstream) time.Duration {
 	if u.entry.DataCentre == d.dataCentre {
 		return 0
--- a/core/allocator/sharing.go
+++ b/core/allocator/sharing.go
@@ -81,22 +81,6 @@
 	return min(share, maxPressure)
 }
 
-// addPrefill adds a prefill to a load.
-func (l *Load) addPrefill(tokens identifier.Tokens, level Level) {
-	l.QueuedPrefill += tokens
-	if level > 0 {
-		l.Levels[level-1] += tokens
-	}
-}
-
-// removePrefill removes one that has been added.
-func (l *Load) removePrefill(tokens identifier.Tokens, level Level) {
-	l.QueuedPrefill = max(0, l.QueuedPrefill-tokens)
-	if level > 0 {
-		l.Levels[level-1] = max(0, l.Levels[level-1]-tokens)
-	}
-}
-
 // aheadOf returns the queued prefill that an engine does before that of a request of a level.
 func (l Load) aheadOf(level Level) identifier.Tokens {
 	ahead := l.QueuedPrefill
@@ -111,8 +95,12 @@
 // ahead returns the tokens that an engine prefills before the request: those that are queued ahead of it, and those of
 // the more urgent requests that will come while it waits.
 func (d *decision) ahead(u *upstream) identifier.Tokens {
-	level := d.level
-	ahead := u.load().aheadOf(level)
+	level, load := d.level, u.load()
+	queued := d.queuedPrefill(u)
+	if d.deferred {
+		return queued
+	}
+	ahead := queued - load.QueuedPrefill + load.aheadOf(level)
 	if level <= 1 || ahead == 0 {
 		return ahead
 	}
@@ -195,7 +183,7 @@
 		return
 	}
 	d.sharer.Record(d.now, d.req.Caller, int(d.req.Level()-1), d.engineTime(o), admitted)
-	if !admitted || !d.req.Engine {
+	if !admitted || !d.req.Engine || d.deferred {
 		return
 	}
 	reader := o.upstream
@@ -206,10 +194,14 @@
 }
 
 // retryAfter returns when a refused request should return: when there will be room for it, behind the account's others
-// that were refused before. Those that can't wait so long are spread over time.
-func (d *decision) retryAfter(o option) time.Duration {
-	if d.sharer == nil {
+// that were refused before. Those that can't wait so long are spread over time. late is the best deferred option, if the
+// request may be deferred.
+func (d *decision) retryAfter(o, late option) time.Duration {
+	switch {
+	case d.sharer == nil && late.upstream == nil:
 		return d.allocator.settings.RetryAfter
+	case d.sharer == nil:
+		return d.comeBackAfter(late)
 	}
 	wait := max(minReturn, d.sharer.Reserve(d.now, d.req.Caller, d.engineTime(o)))
 	longest := max(minReturn, time.Duration(returnShare*float64(d.req.TimeToDeadline)))
--- a/core/allocator/sharing_test.go
+++ b/core/allocator/sharing_test.go
@@ -55,10 +55,18 @@
 	left identifier.Tokens
 }
 
-// fleet is a service of engines that work on one prefill at a time, the most urgent first. Each request is placed by
+// urgency orders the jobs at an engine, the lowest first.
+func (j job) urgency() Level {
+	if j.place.Deferred {
+		return lastLevel + 1
+	}
+	return j.place.Level
+}
+
+// sharedFleet is a service of engines that work on one prefill at a time, the most urgent first. Each request is placed by
 // one of the arbiters. Every 5 ms the instances report the requests that they have in flight, which an arbiter that has not
 // placed them learns from that, unless the network is cut.
-type fleet struct {
+type sharedFleet struct {
 	arbiters []*Allocator
 	queues   map[identifier.UpstreamID][]job
 	busy     map[identifier.UpstreamID]time.Time
@@ -72,10 +80,10 @@
 	isCut   func(elapsed time.Duration) bool
 }
 
-// newFleet returns a service of engines. Those of the first number prefill between the tokens of answers, the others only
+// newSharedFleet returns a service of engines. Those of the first number prefill between the tokens of answers, the others only
 // prefill, twice as fast.
-func newFleet(engines, prefillers, arbiters int, clients []client) *fleet {
-	f := &fleet{
+func newSharedFleet(engines, prefillers, arbiters int, clients []client) *sharedFleet {
+	f := &sharedFleet{
 		queues: map[identifier.UpstreamID][]job{}, busy: map[identifier.UpstreamID]time.Time{}, clients: clients,
 		fates: make([]fate, len(clients)), now: time.Now(), arbiter: func(time.Duration, int) int { return 0 },
 		isCut: func(time.Duration) bool { return false },
@@ -102,7 +110,7 @@
 }
 
 // play sends the clients' requests for a time and lets the engines work.
-func (f *fleet) play(length time.Duration) []fate {
+func (f *sharedFleet) play(length time.Duration) []fate {
 	const tick = time.Millisecond
 	started := f.now
 	debts := make([]float64, len(f.clients))
@@ -140,7 +148,7 @@
 }
 
 // report tells the arbiters of the requests that the others have placed.
-func (f *fleet) report() {
+func (f *sharedFleet) report() {
 	for i, a := range f.arbiters {
 		for j, other := range f.arbiters {
 			if i != j {
@@ -150,7 +158,7 @@
 	}
 }
 
-func (f *fleet) send(elapsed time.Duration, j job, repeats int) {
+func (f *sharedFleet) send(elapsed time.Duration, j job, repeats int) {
 	at := &f.fates[j.client]
 	j.req.TimeToTarget, j.req.TimeToDeadline = fleetAim, 2*time.Second
 	if j.returned {
@@ -187,14 +195,14 @@
 }
 
 // work ends the chunks that are done by now and begins the next ones.
-func (f *fleet) work() {
+func (f *sharedFleet) work() {
 	for _, e := range f.arbiters[0].Entries(model) {
 		id := e.Upstream
 		for len(f.queues[id]) > 0 && !f.busy[id].After(f.now) {
 			queue := f.queues[id]
 			next := 0
 			for i, j := range queue {
-				if cmp.Or(cmp.Compare(j.place.Level, queue[next].place.Level), j.place.placed.Compare(queue[next].place.placed)) < 0 {
+				if cmp.Or(cmp.Compare(j.urgency(), queue[next].urgency()), j.place.placed.Compare(queue[next].place.placed)) < 0 {
 					next = i
 				}
 			}
@@ -213,7 +221,7 @@
 	}
 }
 
-func (f *fleet) end(j job, ended time.Time) {
+func (f *sharedFleet) end(j job, ended time.Time) {
 	at := &f.fates[j.client]
 	if !j.returned && ended.Sub(j.arrived) <= fleetAim {
 		at.inAim++
@@ -226,7 +234,7 @@
 		if p.Prefiller != "" {
 			reader = p.Prefiller
 		}
-		if a.upstreams[reader].own.QueuedPrefill > 0 {
+		if own := a.upstreams[reader].own; own.QueuedPrefill+own.DeferredPrefill > 0 {
 			if p.Prefiller != "" {
 				a.PrefillEnded(ended, &p, OutcomeCompleted)
 				sent = ended
@@ -296,7 +304,7 @@
 			}
 			c.large.caller = "large"
 			clients := append([]client{c.large}, small...)
-			f := newFleet(10, 0, 1, clients)
+			f := newSharedFleet(10, 0, 1, clients)
 			fates := f.play(8 * time.Second)
 			others := describe(t, clients, fates)
 			require.GreaterOrEqual(t, others[0], 0.9)
@@ -312,7 +320,7 @@
 
 func TestRoomIsNotKeptBack(t *testing.T) {
 	clients := append([]client{{caller: "large", tokens: 1000, perSecond: 350, to: always}}, smallClients()...)
-	fates := newFleet(10, 0, 1, clients).play(6 * time.Second)
+	fates := newSharedFleet(10, 0, 1, clients).play(6 * time.Second)
 	require.GreaterOrEqual(t, describe(t, clients, fates)[0], 0.97)
 	require.GreaterOrEqual(t, fates[0].share(), 0.97)
 }
@@ -329,7 +337,7 @@
 			})
 		}
 	}
-	fates := newFleet(10, 0, 1, clients).play(8500 * time.Millisecond)
+	fates := newSharedFleet(10, 0, 1, clients).play(8500 * time.Millisecond)
 	others := describe(t, clients, fates)
 	require.GreaterOrEqual(t, others[0], 0.85, "nine tenths of the engines' time are asked for in each turn")
 	require.GreaterOrEqual(t, jain(others), 0.99)
@@ -343,7 +351,7 @@
 			caller: identifier.CallerID(fmt.Sprint("account", i)), tokens: 1000, perSecond: 330, rank: i, to: always,
 		})
 	}
-	fates := newFleet(10, 0, 1, clients).play(8 * time.Second)
+	fates := newSharedFleet(10, 0, 1, clients).play(8 * time.Second)
 	describe(t, clients, fates)
 	served, late := 0, 0
 	for _, f := range fates {
@@ -376,7 +384,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			clients := append([]client{{caller: "large", tokens: 1000, perSecond: 1000, to: always}}, smallClients()...)
-			f := newFleet(10, 0, 2, clients)
+			f := newSharedFleet(10, 0, 2, clients)
 			f.arbiter, f.isCut = c.arbiter, c.isCut
 			others := describe(t, clients, f.play(8*time.Second))
 			require.GreaterOrEqual(t, others[0], c.least)
--- a/rosemaryspool/forwarder/attempt.go
+++ b/rosemaryspool/forwarder/attempt.go
@@ -66,6 +66,9 @@
 	// lastEventAt is when the latest events arrived, longestPause the longest time between two arrivals.
 	lastEventAt  time.Time
 	longestPause time.Duration
+	// progressAt is the start of the time whose events progressEvents counts, for a long answer.
+	progressAt     time.Time
+	progressEvents int
 	// prefillTime is how long the separate prefill took, zero if there was none.
 	prefillTime time.Duration
 	// cacheHandle identifies the KV cache at the prefill engine, cacheSource is where the decode engine fetches it.
@@ -92,6 +95,26 @@
 	a.lastEventAt = now
 }
 
+// progressInterval is the least time between two records of a long answer's progress.
+const progressInterval = 500 * time.Millisecond
+
+// countProgress counts events that have arrived of a long answer, and tells the governor from time to time.
+func (e *exchange) countProgress(now time.Time, events int) {
+	a := &e.last
+	if !a.placement.Long {
+		return
+	}
+	if a.progressAt.IsZero() {
+		a.progressAt = now
+		return
+	}
+	a.progressEvents += events
+	if took := now.Sub(a.progressAt); took >= progressInterval {
+		e.forwarder.governor.Progressed(now, a.placement, a.progressEvents, took)
+		a.progressAt, a.progressEvents = now, 0
+	}
+}
+
 // describe adds the load behind the placement and the progress of the attempt to a log line.
 func (a attempt) describe(line *zerolog.Event) *zerolog.Event {
 	upstream := a.placement.Upstream
@@ -109,6 +132,9 @@
 	if a.placement.Tokens > 0 {
 		line = line.Int("uncachedTokens", int(a.placement.Tokens))
 	}
+	if a.placement.Deferred {
+		line = line.Bool("deferred", true)
+	}
 	if !a.firstEventAt.IsZero() {
 		line = line.Dur("firstMs", a.firstEventAt.Sub(a.sentAt)).Dur("longestPauseMs", a.longestPause)
 	}
@@ -364,7 +390,7 @@
 }
 
 // Priorities that engines receive; 0 is the highest. Requests get them in the order of their ranks, those beyond their
-// account's share that of the least urgent ones.
+// account's share that of the least urgent ones. Deferred requests alone have the lowest one.
 const (
 	basePriority   = 2
 	lowestPriority = 9
@@ -373,10 +399,13 @@
 // enginePriority returns the priority of the request at its placement.
 func (e *exchange) enginePriority() int {
 	rank := e.rank()
-	if level := e.last.placement.Level; level > 0 {
-		rank = int(level) - 1
+	switch placement := e.last.placement; {
+	case placement.Deferred:
+		return lowestPriority
+	case placement.Level > 0:
+		rank = int(placement.Level) - 1
 	}
-	return min(lowestPriority, basePriority+rank)
+	return min(lowestPriority-1, basePriority+rank)
 }
 
 // failureOutcome classifies an exchange for the allocator that has failed after some time. A caller that disconnects and a
--- a/rosemaryspool/gossiper/gossiper.go
+++ b/rosemaryspool/gossiper/gossiper.go
@@ -73,6 +73,8 @@
 	// sentAt is when the last report about a service was sent to its arbiter, standbySentAt the same for the stand-by.
 	sentAt        map[identifier.ServiceName]time.Time
 	standbySentAt map[identifier.ServiceName]time.Time
+	// speedsSentAt is when the speeds of a service's upstreams were last handed on.
+	speedsSentAt map[identifier.ServiceName]time.Time
 }
 
 // NewGossiper returns a gossiper that calls onView with each view of the store that another instance forwards. While no
@@ -86,7 +88,8 @@
 		governor:       g, courier: c, log: log, done: make(chan struct{}), seeds: seeds, onView: onView,
 		received: map[reportKey]lastReport{}, sentAt: map[identifier.ServiceName]time.Time{},
 		standbySentAt: map[identifier.ServiceName]time.Time{}, assembler: newAssembler(),
-		fragmenter: newFragmenter(),
+		fragmenter:   newFragmenter(),
+		speedsSentAt: map[identifier.ServiceName]time.Time{},
 	}
 }
 
@@ -119,6 +122,7 @@
 // sendReports sends the reports that are due.
 func (g *Gossiper) sendReports(now time.Time) {
 	for _, service := range g.governor.Services() {
+		g.sendSpeeds(now, service)
 		self := g.governor.Self().Instance
 		chosen := g.governor.Arbiters(now, service, 1+standbyReports)
 		report, changed := g.governor.TakeReport(service)
@@ -296,6 +300,7 @@
 	return &messenger.UpstreamWork{
 		Upstream: string(id), ShortAnswers: uint32(max(0, l.Short)), LongAnswers: uint32(max(0, l.Long)),
 		ComingAnswers: uint32(max(0, l.AwaitingPrefill)), PromptTokens: uint32(max(0, l.QueuedPrefill)),
+		DeferredTokens: uint32(max(0, l.DeferredPrefill)),
 	}
 }
 
@@ -303,6 +308,7 @@
 func DecodeLoad(w *messenger.UpstreamWork) allocator.Load {
 	return allocator.Load{
 		Short: int(w.GetShortAnswers()), AwaitingPrefill: int(w.GetComingAnswers()), Long: int(w.GetLongAnswers()),
-		QueuedPrefill: identifier.Tokens(w.GetPromptTokens()),
+		QueuedPrefill:   identifier.Tokens(w.GetPromptTokens()),
+		DeferredPrefill: identifier.Tokens(w.GetDeferredTokens()),
 	}
 }
