Find the pace of upstreams that start or recover

Cause: an upstream listed anew, or restored, got all that waited, answered slowly, and was avoided for seconds because of that. Change: core/warmer lets it hold one request, one more with each answer as quick as its first ones, fewer when answers become slower or fail; while on trial its times count for no averages. Where most upstreams are new, none is held back.

--- a/core/allocator/allocator.go
+++ b/core/allocator/allocator.go
@@ -17,6 +17,7 @@
 	"rosemaryspool.example/core/sharer"
 	"rosemaryspool.example/core/speedometer"
 	"rosemaryspool.example/core/tracker"
+	"rosemaryspool.example/core/warmer"
 )
 
 // PromptPart is a section of a prompt. Requests that share a section give it the same hash; an engine that has run one
@@ -116,6 +117,11 @@
 	speeds  map[identifier.ServiceName]*speedometer.Speedometer
 	// spread, from 0 to 1, is where the caller that was refused last comes back in the time in which refused ones do.
 	spread float64
+	warmer *warmer.Warmer
+	// fresh holds the upstreams that have been listed for the first time since BeginTrials, where others of their service
+	// serve already.
+	fresh        []identifier.UpstreamID
+	trialChanges []TrialChange
 	// observations are those of this instance since they were last taken.
 	observations map[identifier.ServiceName][]Observation
 	demands      map[identifier.ServiceName]*Demand
@@ -138,6 +144,7 @@
 		observations: map[identifier.ServiceName][]Observation{},
 		demands:      map[identifier.ServiceName]*Demand{},
 		sharers:      map[identifier.ServiceName]*sharer.Sharer{},
+		warmer:       warmer.NewWarmer(),
 	}
 }
 
@@ -145,6 +152,10 @@
 // has changed.
 func (a *Allocator) SetUpstreams(entries []tracker.Entry) {
 	listed := make(map[identifier.UpstreamID]bool, len(entries))
+	served := make(map[identifier.ServiceName]bool, len(a.services))
+	for service := range a.services {
+		served[service] = true
+	}
 	clear(a.services)
 	for _, e := range entries {
 		listed[e.Upstream] = true
@@ -156,6 +167,10 @@
 			}
 			a.upstreams[e.Upstream] = u
 			a.forgetHealth(e.Upstream)
+			a.warmer.End(e.Upstream)
+			if served[e.Service] {
+				a.fresh = append(a.fresh, e.Upstream)
+			}
 		}
 		u.entry = e
 		a.followSpeed(e)
@@ -166,6 +181,7 @@
 			delete(a.upstreams, id)
 			a.forgetHealth(id)
 			a.forgetSpeed(id)
+			a.warmer.End(id)
 		}
 	}
 	for _, us := range a.services {
--- a/core/allocator/observation.go
+++ b/core/allocator/observation.go
@@ -90,6 +90,11 @@
 	health := a.healthOf(dataCentre)
 	health.Add(o.Upstream)
 	t, speeds := a.timingsOf(u.entry.Service), a.speedsOf(u.entry.Service)
+	defer a.observeTrial(now, health, t.usual(u, o), u, o)()
+	if _, onTrial := a.warmer.Limit(now, o.Upstream); onTrial {
+		// What a cold upstream takes shows neither its own speed nor that of the others.
+		o.Took = 0
+	}
 	switch o.Event {
 	case EventOverdue:
 		health.Stalled(now, o.Upstream, instance)
--- a/core/allocator/placement.go
+++ b/core/allocator/placement.go
@@ -43,6 +43,8 @@
 	Rank int
 	// Returned is true if the caller comes back after a refusal.
 	Returned bool
+	// Repeatable is true for a request that may run again elsewhere.
+	Repeatable bool
 }
 
 // Traits returns what the request may have in common with others that crash upstreams: all parts of its prompt but the
@@ -376,7 +378,7 @@
 			runners = append(runners, u)
 		}
 	}
-	return runners, prefillers
+	return d.withoutFull(runners), d.withoutFull(prefillers)
 }
 
 // plainOption is the option to run the request at an upstream that is not an engine.
--- a/core/ejector/ejector.go
+++ b/core/ejector/ejector.go
@@ -231,6 +231,12 @@
 	}
 }
 
+// Probing reports whether the ejection of an upstream is over but for a good answer to a probe.
+func (e *Ejector) Probing(now time.Time, id identifier.UpstreamID) bool {
+	h := e.upstreams[id]
+	return h != nil && h.ejected && !now.Before(h.ejectedUntil)
+}
+
 // Cause returns why an upstream is ejected, or the empty cause if it isn't.
 func (e *Ejector) Cause(id identifier.UpstreamID) Cause {
 	h := e.upstreams[id]
--- a/core/warmer/warmer.go
+++ b/core/warmer/warmer.go
@@ -25,8 +25,13 @@
 	// firstRequests is how many requests an upstream on trial may hold before its first answer: one that isn't answered
 	// costs one caller only.
 	firstRequests = 1
-	// worseRatio is how much longer than its quickest answers an upstream may take before it counts as overloaded.
+	// worseRatio is how much longer than at its quickest an upstream may take, on average over some answers, before it counts
+	// as overloaded.
 	worseRatio = 1.6
+	// smoothing is the weight of one answer in that average, maxOutlier the largest ratio to the quickest average that one
+	// answer counts for: some requests take long by themselves.
+	smoothing  = 0.3
+	maxOutlier = 3
 	// setbackShare is what is left of the limit after a slow answer.
 	setbackShare = 0.5
 	// maxTrial ends a trial in which nothing went wrong for so long: an upstream that nobody needs has nothing to show.
@@ -38,8 +43,9 @@
 	cause Cause
 	// limit is the number of requests that the upstream may hold.
 	limit float64
-	// quickest is the lowest ratio of an answer's time to what is usual for its work; zero before the first answer.
-	quickest float64
+	// average is the moving average of the ratios of answers' times to what is usual for their work, quickest its lowest value;
+	// both are zero before the first answer.
+	average, quickest float64
 	// began is when the trial began or was last set back. Answers to requests that were sent before say nothing new.
 	began    time.Time
 	setbacks int
@@ -70,6 +76,15 @@
 	return int(t.limit), true
 }
 
+// Unproven returns how long an upstream on trial has been without a good answer; false if it has had one or is not on trial.
+func (w *Warmer) Unproven(now time.Time, id identifier.UpstreamID) (time.Duration, bool) {
+	t := w.trials[id]
+	if t == nil || t.limit > firstRequests || now.Sub(t.began) > maxTrial {
+		return 0, false
+	}
+	return now.Sub(t.began), true
+}
+
 // Result is what an answer has shown of an upstream on trial.
 type Result struct {
 	Cause Cause
@@ -90,11 +105,14 @@
 	if t == nil || sent.Before(t.began) || ratio <= 0 {
 		return Result{}, false
 	}
-	if t.quickest > 0 && ratio > worseRatio*t.quickest {
-		return w.setBack(now, t, setbackShare*t.limit), true
+	if t.average == 0 {
+		t.average, t.quickest = ratio, ratio
 	}
-	if t.quickest == 0 || ratio < t.quickest {
-		t.quickest = ratio
+	t.average += smoothing * (min(ratio, maxOutlier*t.quickest) - t.average)
+	t.quickest = min(t.quickest, t.average)
+	if t.average > worseRatio*t.quickest {
+		t.average = t.quickest
+		return w.setBack(now, t, setbackShare*t.limit), true
 	}
 	t.limit++
 	r := t.result(now)
--- a/rosemaryspool/delegator/encoder.go
+++ b/rosemaryspool/delegator/encoder.go
@@ -19,7 +19,7 @@
 		ToDeadlineMs: identifier.Milliseconds(r.TimeToDeadline), SingleUpstream: r.SingleUpstream, Resumed: r.Resumed,
 		Content: uint64(r.Content),
 		Prompt:  make([]*messenger.PromptPart, 0, len(r.Prompt)), WorkReport: report,
-		Caller: string(r.Caller), Rank: new(uint32(max(0, r.Rank))), Returned: r.Returned,
+		Caller: string(r.Caller), Rank: new(uint32(max(0, r.Rank))), Returned: r.Returned, Repeatable: r.Repeatable,
 	}
 	for _, part := range r.Prompt {
 		m.Prompt = append(m.Prompt, &messenger.PromptPart{Hash: part.Hash, Tokens: uint32(part.Tokens)})
@@ -40,7 +40,7 @@
 		Target:         time.Duration(m.GetTargetMs()) * time.Millisecond,
 		TimeToDeadline: time.Duration(m.GetToDeadlineMs()) * time.Millisecond,
 		SingleUpstream: m.GetSingleUpstream(), Resumed: m.GetResumed(), Content: isolator.Trait(m.GetContent()),
-		Caller: identifier.CallerID(m.GetCaller()), Rank: int(m.GetRank()), Returned: m.GetReturned(),
+		Caller: identifier.CallerID(m.GetCaller()), Rank: int(m.GetRank()), Returned: m.GetReturned(), Repeatable: m.GetRepeatable(),
 	}
 	if m.Version != nil {
 		r.Version = (*identifier.SoftwareVersion)(m.Version)
--- a/rosemaryspool/forwarder/forwarder.go
+++ b/rosemaryspool/forwarder/forwarder.go
@@ -328,7 +328,7 @@
 		TimeToTarget: e.target.Sub(now), Target: e.route.TargetLatency, TimeToDeadline: e.deadline.Sub(now),
 		Excluded: e.tried, SingleUpstream: e.singleUpstream || e.sends > 0,
 		Resumed: e.headerSent || e.caller.LastEventID != "" || e.runs > 0, Version: e.streamVersion,
-		Caller: e.callerID(), Rank: e.rank(), Returned: e.isRetry,
+		Caller: e.callerID(), Rank: e.rank(), Returned: e.isRetry, Repeatable: e.route.Idempotent,
 	}
 }
 
--- a/rosemaryspool/governor/governor.go
+++ b/rosemaryspool/governor/governor.go
@@ -162,6 +162,8 @@
 func (g *Governor) applyUpstreams(now time.Time) []tracker.Entry {
 	entries := g.tracker.Entries()
 	g.allocator.SetUpstreams(entries)
+	g.allocator.BeginTrials(now)
+	g.logTrials()
 	g.resumer.SetUpstreams(now, entries)
 	return entries
 }
--- a/rosemaryspool/governor/report.go
+++ b/rosemaryspool/governor/report.go
@@ -149,6 +149,7 @@
 			logChange()
 		}
 		g.logSpeeds(r.Service, string(instance))
+		g.logTrials()
 	}
 	for _, l := range r.Leaving {
 		g.markLeaving(l.Upstream, l.Incarnation, instance)
