--- a/core/scaler/demand.go
+++ b/core/scaler/demand.go
@@ -74,15 +74,15 @@
 	return (weight*expected + length*sum/float64(len(h.samples))) / (weight + length)
 }
 
-// recentPeak returns the largest demand of the last time.
-func (h *history) recentPeak(now time.Time, within time.Duration) float64 {
-	peak := 0.0
+// recent returns the mean and the largest demand of the last time.
+func (h *history) recent(now time.Time, within time.Duration) (mean, peak float64) {
+	sum, count := 0.0, 0
 	for _, s := range h.samples {
 		if now.Sub(s.at) <= within {
-			peak = max(peak, s.needed)
+			sum, count, peak = sum+s.needed, count+1, max(peak, s.needed)
 		}
 	}
-	return peak
+	return sum / float64(max(1, count)), peak
 }
 
 // seen returns the number of servers that the demand has exceeded for at most a share of the time.
--- a/core/scaler/scaler.go
+++ b/core/scaler/scaler.go
@@ -157,6 +157,8 @@
 	Normal int
 	// Usual is the number that serves the demand but for bursts.
 	Usual int
+	// Current is the number that serves the demand of the last seconds, or its mean if that is larger.
+	Current int
 	// Least is the number of servers that has to be ready while some are exchanged for others.
 	Least int
 	// Ready is the number of servers that are listed and don't leave, of both kinds.
@@ -363,7 +365,8 @@
 		normal = total
 	}
 	plan.Usual = int(math.Ceil(usual))
-	plan.Least = int(math.Ceil(max(plan.Mean, s.history.recentPeak(now, s.settings.LullTime))))
+	recent, peak := s.history.recent(now, s.settings.LullTime)
+	plan.Current, plan.Least = int(math.Ceil(max(plan.Mean, recent))), int(math.Ceil(max(plan.Mean, peak)))
 	most := bounds.Max * len(bounds.Prices)
 	plan.Total = min(most, s.total.follow(now, int(math.Ceil(total)), s.settings))
 	plan.Normal = min(most, s.normal.follow(now, int(math.Ceil(normal)), s.settings))
@@ -413,8 +416,8 @@
 			targets[Pool{d, true}] = min(s.pools[Pool{d, true}].ready, bounds.Max-targets[Pool{d, false}])
 		}
 		fill(plan.Total-placed(), true, plan.Scarce)
-		// Normal ones serve the demand of the moment while a data centre has no spot servers, and the usual one while none has.
-		bridged := plan.Least
+		// Normal ones serve the current demand while a data centre has no spot servers, and the usual one while none has.
+		bridged := plan.Current
 		if len(plan.Scarce) == len(bounds.Prices) {
 			bridged = plan.Usual
 		}
