--- a/core/scaler/scaler.go
+++ b/core/scaler/scaler.go
@@ -317,6 +317,14 @@
 		}
 		known.ready, known.leaving = seen.ready, seen.leaving
 	}
+	for pool, p := range s.pools {
+		// While servers are replaced, more than the limit may be there.
+		most := bounds.Max
+		if normal := s.pools[Pool{DataCentre: pool.DataCentre}]; pool.Spot && normal != nil {
+			most -= min(normal.desired, most)
+		}
+		p.desired = min(p.desired, most)
+	}
 }
 
 // plan returns how many servers there should be, and how many normal ones among them at least.
--- a/core/scaler/scaler_test.go
+++ b/core/scaler/scaler_test.go
@@ -240,6 +240,39 @@
 	}
 }
 
+func TestMoreServersThanTheLimitMayBeFound(t *testing.T) {
+	f := newFleet(48, 0.15)
+	f.carryOut(Order{Pool: Pool{DataCentre: "a", Spot: true}, Count: 14})
+	f.now = f.now.Add(f.bounds.BootTime)
+	s := NewScaler(DefaultSettings())
+	ordered := map[Pool]int{}
+	for pool, count := range f.desired {
+		ordered[pool] = min(count, 12)
+	}
+	f.answer = func(_ time.Duration, o Order) (Outcome, time.Duration) {
+		if o.Pool.Spot && o.Count > len(f.in(o.Pool)) {
+			return OutcomeNone, 0
+		}
+		return OutcomeAccepted, 0
+	}
+	for i := range 100 {
+		f.now = f.now.Add(testStep)
+		if i == 10 {
+			f.in(Pool{DataCentre: "a", Spot: true})[0].Leaving = true
+		}
+		s.Observe(f.now, Demand{Prefill: 4 * meanPrefill, MixedSpeed: 0.5, Requests: 1}, f.entries())
+		orders, _ := s.Decide(f.now, f.bounds, f.entries())
+		for _, o := range orders {
+			require.LessOrEqual(t, o.Count+ordered[Pool{o.Pool.DataCentre, !o.Pool.Spot}], f.bounds.Max)
+			outcome := f.order(o)
+			s.Ended(f.now, f.now, o, outcome)
+			if outcome == OutcomeAccepted {
+				ordered[o.Pool] = o.Count
+			}
+		}
+	}
+}
+
 func TestServersWithoutPriceAreLeftAlone(t *testing.T) {
 	f := newFleet(48, 0.15)
 	for _, price := range []map[identifier.DataCentre]float64{nil, {"a": 1}} {
