--- a/core/allocator/sharing.go
+++ b/core/allocator/sharing.go
@@ -33,7 +33,10 @@
 	// maxPressure bounds that share, as a short peak says little about the time to come.
 	maxPressure = 0.8
 	// overtakenPressure is the share from which on the times of less urgent requests don't show an engine's speed.
-	overtakenPressure = 0.02
+	overtakenPressure = 0.1
+	// smallPrefill is the number of tokens below which the rest of a less urgent prefill's chunk, which an engine ends first,
+	// takes a notable part of the time.
+	smallPrefill identifier.Tokens = 4096
 	// spareQueueShare is the share of its target that may be queued with a request beyond its account's share of the service,
 	// and returnedQueueShare is that for one that comes back after a refusal. They keep engines busy, and leave the rest of
 	// the queue, up to MaxQueueShare, to the other accounts.
@@ -235,7 +238,9 @@
 	}
 	load := reader.load()
 	ahead := load.aheadOf(p.Level)
-	p.Reordered = load.QueuedPrefill > ahead || ahead > 0 && reader.pressure.above(d.now, p.Level) > overtakenPressure
+	overtakes := load.QueuedPrefill > ahead && ahead+o.tokens < smallPrefill
+	overtaken := ahead > 0 && reader.pressure.above(d.now, p.Level) > overtakenPressure
+	p.Reordered = overtakes || overtaken
 }
 
 // Learn counts another instance's decision on a request of this one, so that this instance knows the shares when it has to
