--- a/rosemaryspool/forwarder/service.go
+++ b/rosemaryspool/forwarder/service.go
@@ -7,11 +7,12 @@
 	"rosemaryspool.example/core/identifier"
 )
 
-// changeService moves a request that its service has no room for to another service of the route, and reports whether
-// there is one that has not refused it. A request of which anything has been sent stays, and so does a stream that the
-// caller takes up again.
+// changeService moves an account's request that its service has no room for to another service of the route, and reports
+// whether there is one that has not refused it. A request of which anything has been sent stays, and so does a stream
+// that the caller takes up again.
 func (e *exchange) changeService(refusal *allocator.Refusal) bool {
-	if e.sends > 0 || e.runs > 0 || e.last.unsent || e.passedOn != nil || e.caller.LastEventID != "" || !isFull(refusal.Reason) {
+	touched := e.sends > 0 || e.runs > 0 || e.last.unsent || e.caller.LastEventID != ""
+	if e.account == nil || e.passedOn != nil || touched || !isFull(refusal.Reason) {
 		return false
 	}
 	e.full = append(e.full, e.service)
