--- a/core/allocator/deferral.go
+++ b/core/allocator/deferral.go
@@ -64,7 +64,7 @@
 }
 
 // deferralPatience is how long deferred work may wait at an engine before no request in time is preferred to it.
-const deferralPatience = 700 * time.Millisecond
+const deferralPatience = 2 * time.Second
 
 // queuedPrefill is the work ahead of the request at an upstream. Requests in time go before deferred ones there, so the
 // longer these have waited, the more of them counts: requests in time then go elsewhere, and they are run.
