--- a/core/allocator/fleet_test.go
+++ b/core/allocator/fleet_test.go
@@ -1,10 +1,10 @@
 package allocator
 
 import (
-	"container/heap"
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -19,7 +19,7 @@
 type fleet struct {
 	a       *Allocator
 	now     time.Time
-	steps   steps
+	steps   []step
 	engines map[identifier.UpstreamID]*engine
 	random  *rand.Rand
 	// before plays the rules without learnt speeds and deferral.
@@ -38,6 +38,7 @@
 	// slowness is how long the engine takes relative to the usual one.
 	slowness float64
 	busy     bool
+	crashed  bool
 	waiting  [2][]prefill
 }
 
@@ -51,18 +52,6 @@
 	do func()
 }
 
-type steps []step
-
-func (s steps) Len() int           { return len(s) }
-func (s steps) Less(i, j int) bool { return s[i].at.Before(s[j].at) }
-func (s steps) Swap(i, j int)      { s[i], s[j] = s[j], s[i] }
-func (s *steps) Push(x any)        { *s = append(*s, x.(step)) }
-func (s *steps) Pop() any {
-	last := (*s)[len(*s)-1]
-	*s = (*s)[:len(*s)-1]
-	return last
-}
-
 // newFleet returns a fleet of 12 engines that decode and 5 that prefill; slowness is that of each one.
 func newFleet(before bool, slots int, slowness func(i int) float64) *fleet {
 	f := &fleet{
@@ -84,13 +73,17 @@
 	return f
 }
 
+// after has something done after a wait; steps are in the order of their times.
 func (f *fleet) after(wait time.Duration, do func()) {
-	heap.Push(&f.steps, step{at: f.now.Add(wait), do: do})
+	s := step{at: f.now.Add(wait), do: do}
+	i, _ := slices.BinarySearchFunc(f.steps, s, func(x, y step) int { return x.at.Compare(y.at) })
+	f.steps = slices.Insert(f.steps, i, s)
 }
 
 func (f *fleet) run() {
 	for len(f.steps) > 0 {
-		s := heap.Pop(&f.steps).(step)
+		s := f.steps[0]
+		f.steps = f.steps[1:]
 		f.now = s.at
 		s.do()
 		if f.before {
@@ -126,6 +119,9 @@
 		e.waiting[lane] = e.waiting[lane][1:]
 		e.busy = true
 		f.after(p.took, func() {
+			if e.crashed {
+				return
+			}
 			e.busy = false
 			p.done()
 			f.next(e)
@@ -190,6 +186,9 @@
 		gap := time.Duration(runner.slowness * float64(testGap))
 		for i := 1; i <= replyEvents; i++ {
 			f.after(time.Duration(i)*gap, func() {
+				if runner.crashed {
+					return
+				}
 				if i%10 == 0 {
 					f.a.Progressed(f.now, place, 10, 10*gap)
 				}
@@ -294,7 +293,7 @@
 func (f *fleet) crashThird() {
 	var left []tracker.Entry
 	for id, e := range f.engines {
-		if number := int(id[len(id)-1] - '0'); number%3 != 0 {
+		if e.crashed = int(id[len(id)-1]-'0')%3 == 0; !e.crashed {
 			left = append(left, e.entry)
 		}
 	}
