--- a/core/speedometer/gauge.go
+++ b/core/speedometer/gauge.go
@@ -39,7 +39,9 @@
 	windows int
 	// variance is that of the windows' measurements around the steady speed.
 	variance float64
-	class    Class
+	// learned is the distance from the usual speed, as logarithm, that another instance has measured; nil if none has.
+	learned *float64
+	class   Class
 	// sum and count are of the window that began at windowStart.
 	sum         float64
 	count       int
@@ -94,12 +96,24 @@
 	return 1 + (g.disturbance-1)*math.Exp2(-halvings)
 }
 
+// distance returns how far the steady speed is from the usual one, as logarithm, and false if that is unknown. What another
+// instance has measured counts until there are enough measurements here.
+func (g *gauge) distance(usual float64) (float64, bool) {
+	if g.usesLearned() {
+		return *g.learned, true
+	}
+	return g.steady - usual, g.known()
+}
+
+func (g *gauge) usesLearned() bool { return g.learned != nil && g.windows < maxLearnedWindows }
+
 // factor returns the factor that lasts; it is 1 in the usual class.
 func (g *gauge) factor(usual float64) float64 {
 	if g.class == Usual {
 		return 1
 	}
-	return bound(math.Exp(g.steady - usual))
+	distance, _ := g.distance(usual)
+	return bound(math.Exp(distance))
 }
 
 // setClass changes the class. What the new one says lasts is no longer taken for something that passes.
@@ -116,14 +130,14 @@
 
 // classify returns the class at which the gauge is, given what is usual.
 func (g *gauge) classify(usual float64) Class {
-	if !g.known() {
+	distance, known := g.distance(usual)
+	if !known {
 		return Usual
 	}
-	distance := g.steady - usual
 	threshold := enterClass
 	if g.class != Usual {
 		threshold = leaveClass
-	} else {
+	} else if !g.usesLearned() {
 		threshold += maxErrors * g.standardError()
 	}
 	switch {
--- a/core/speedometer/handover.go
+++ b/core/speedometer/handover.go
@@ -16,7 +16,7 @@
 	Factors [Works]float64
 }
 
-// maxLearnedWindows bounds the weight of what another instance has learned, so that this one's measurements correct it.
+// maxLearnedWindows is the number of windows of this instance's own measurements until which those of another one count.
 const maxLearnedWindows = 15
 
 // Handover returns at most limit upstreams whose speed is not the usual one, from where the previous call ended, for the
@@ -27,8 +27,9 @@
 		speed := Speed{Upstream: id, Identity: u.identity}
 		unusual := false
 		for work := range Works {
-			if g := &u.gauges[work]; g.known() {
-				speed.Factors[work] = math.Exp(g.steady - s.usual[work])
+			g := &u.gauges[work]
+			if distance, known := g.distance(s.usual[work]); known {
+				speed.Factors[work] = math.Exp(distance)
 				unusual = unusual || g.class != Usual
 			}
 		}
@@ -60,14 +61,10 @@
 	}
 	for work := range Works {
 		g := &u.gauges[work]
-		if factor := speed.Factors[work]; factor > 0 && g.windows < maxLearnedWindows {
-			g.steady, g.windows = math.Log(bound(factor))+s.usual[work], max(g.windows, minWindows)
-			if to := g.classify(s.usual[work]); to != g.class {
-				s.changes = append(s.changes, Change{
-					Upstream: speed.Upstream, Work: work, From: g.class, To: to, Factor: factor,
-				})
-				g.setClass(to, s.usual[work])
-			}
+		if factor := speed.Factors[work]; factor > 0 {
+			learned := math.Log(bound(factor))
+			g.learned = &learned
+			s.reclassify(speed.Upstream, work)
 		}
 	}
 }
--- a/core/speedometer/speedometer.go
+++ b/core/speedometer/speedometer.go
@@ -126,18 +126,24 @@
 		}
 		slices.Sort(steady)
 		s.usual[work] = steady[len(steady)/2]
-		for id, u := range s.upstreams {
-			g := &u.gauges[work]
-			if from, to := g.class, g.classify(s.usual[work]); from != to {
-				g.setClass(to, s.usual[work])
-				s.changes = append(s.changes, Change{
-					Upstream: id, Work: work, From: from, To: to, Factor: math.Exp(g.steady - s.usual[work]),
-				})
-			}
+		for id := range s.upstreams {
+			s.reclassify(id, work)
 		}
 	}
 }
 
+// reclassify updates the class of an upstream.
+func (s *Speedometer) reclassify(id identifier.UpstreamID, work Work) {
+	g := &s.upstreams[id].gauges[work]
+	from, to := g.class, g.classify(s.usual[work])
+	if from == to {
+		return
+	}
+	g.setClass(to, s.usual[work])
+	distance, _ := g.distance(s.usual[work])
+	s.changes = append(s.changes, Change{Upstream: id, Work: work, From: from, To: to, Factor: math.Exp(distance)})
+}
+
 // Steady returns an upstream's time for its work relative to the usual one, without what passes.
 func (s *Speedometer) Steady(id identifier.UpstreamID, work Work) float64 {
 	u := s.upstreams[id]
@@ -163,11 +169,11 @@
 	return taken
 }
 
-// Count returns how many upstreams are in a class.
+// Count returns how many upstreams are in a class; it is Usual where the speed is unknown.
 func (s *Speedometer) Count(work Work, class Class) int {
 	count := 0
 	for _, u := range s.upstreams {
-		if u.gauges[work].known() && u.gauges[work].class == class {
+		if u.gauges[work].class == class {
 			count++
 		}
 	}
--- a/core/speedometer/speedometer_test.go
+++ b/core/speedometer/speedometer_test.go
@@ -109,4 +109,14 @@
 	require.InEpsilon(t, 2, standBy.Factor(end, id(3), Prefill), 0.1)
 	require.EqualValues(t, 1, standBy.Factor(end, id(7), Prefill), "another start")
 	require.EqualValues(t, 1, standBy.Factor(end, id(0), Prefill))
+	// What is handed on is not all: its own few measurements don't make it forget that the others are quicker.
+	standBy.TakeChanges()
+	play(standBy, end, time.Second, func(i int, _ time.Duration) float64 { return 1 + float64(i%4/3) })
+	for range 5 {
+		for _, speed := range arbiter.Handover(count) {
+			standBy.Learn(speed)
+		}
+	}
+	require.InEpsilon(t, 2, standBy.Steady(id(3), Prefill), 0.1)
+	require.Empty(t, standBy.TakeChanges())
 }
