--- a/core/speedometer/gauge.go
+++ b/core/speedometer/gauge.go
@@ -20,7 +20,7 @@
 	// of standard errors of its steady speed by which the distance must exceed enterClass.
 	enterClass = 0.3
 	leaveClass = 0.15
-	maxErrors  = 3
+	maxErrors  = 2
 	// passingSmoothing is the weight of one measurement in what passes, passingHalfLife how fast that is forgotten without
 	// measurements, so that an upstream that was disturbed is tried again.
 	passingSmoothing = 0.15
