--- a/core/allocator/fleet_test.go
+++ b/core/allocator/fleet_test.go
@@ -1,10 +1,10 @@
 package allocator
 
 import (
-	"container/heap"
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -17,9 +17,8 @@
 // fleet plays a load against an allocator: engines that prefill one prompt after the other, those of requests in time
 // first, and callers that come back once after a refusal.
 type fleet struct {
+	agenda
 	a       *Allocator
-	now     time.Time
-	steps   steps
 	engines map[identifier.UpstreamID]*engine
 	random  *rand.Rand
 	// before plays the rules without learnt speeds and deferral.
@@ -38,6 +37,7 @@
 	// slowness is how long the engine takes relative to the usual one.
 	slowness float64
 	busy     bool
+	crashed  bool
 	waiting  [2][]prefill
 }
 
@@ -51,22 +51,35 @@
 	do func()
 }
 
-type steps []step
+// agenda holds what is still to be done, in the order of its times, and the time.
+type agenda struct {
+	now   time.Time
+	steps []step
+}
+
+// after has something done after a wait.
+func (a *agenda) after(wait time.Duration, do func()) {
+	s := step{at: a.now.Add(wait), do: do}
+	i, _ := slices.BinarySearchFunc(a.steps, s, func(x, y step) int { return x.at.Compare(y.at) })
+	a.steps = slices.Insert(a.steps, i, s)
+}
 
-func (s steps) Len() int           { return len(s) }
-func (s steps) Less(i, j int) bool { return s[i].at.Before(s[j].at) }
-func (s steps) Swap(i, j int)      { s[i], s[j] = s[j], s[i] }
-func (s *steps) Push(x any)        { *s = append(*s, x.(step)) }
-func (s *steps) Pop() any {
-	last := (*s)[len(*s)-1]
-	*s = (*s)[:len(*s)-1]
-	return last
+// next does the next step. It returns false if there is none.
+func (a *agenda) next() bool {
+	if len(a.steps) == 0 {
+		return false
+	}
+	s := a.steps[0]
+	a.steps = a.steps[1:]
+	a.now = s.at
+	s.do()
+	return true
 }
 
 // newFleet returns a fleet of 12 engines that decode and 5 that prefill; slowness is that of each one.
 func newFleet(before bool, slots int, slowness func(i int) float64) *fleet {
 	f := &fleet{
-		a: newTestAllocator(12, 5), now: time.Now(), engines: map[identifier.UpstreamID]*engine{},
+		agenda: agenda{now: time.Now()}, a: newTestAllocator(12, 5), engines: map[identifier.UpstreamID]*engine{},
 		random: rand.New(rand.NewPCG(1, 2)), before: before,
 		got: map[string]*tally{"check": {}, "reply": {}},
 	}
@@ -84,15 +97,8 @@
 	return f
 }
 
-func (f *fleet) after(wait time.Duration, do func()) {
-	heap.Push(&f.steps, step{at: f.now.Add(wait), do: do})
-}
-
 func (f *fleet) run() {
-	for len(f.steps) > 0 {
-		s := heap.Pop(&f.steps).(step)
-		f.now = s.at
-		s.do()
+	for f.agenda.next() {
 		if f.before {
 			clear(f.a.speeds)
 		}
@@ -126,6 +132,9 @@
 		e.waiting[lane] = e.waiting[lane][1:]
 		e.busy = true
 		f.after(p.took, func() {
+			if e.crashed {
+				return
+			}
 			e.busy = false
 			p.done()
 			f.next(e)
@@ -190,6 +199,9 @@
 		gap := time.Duration(runner.slowness * float64(testGap))
 		for i := 1; i <= replyEvents; i++ {
 			f.after(time.Duration(i)*gap, func() {
+				if runner.crashed {
+					return
+				}
 				if i%10 == 0 {
 					f.a.Progressed(f.now, place, 10, 10*gap)
 				}
@@ -294,7 +306,7 @@
 func (f *fleet) crashThird() {
 	var left []tracker.Entry
 	for id, e := range f.engines {
-		if number := int(id[len(id)-1] - '0'); number%3 != 0 {
+		if e.crashed = int(id[len(id)-1]-'0')%3 == 0; !e.crashed {
 			left = append(left, e.entry)
 		}
 	}
--- a/core/allocator/warming_test.go
+++ b/core/allocator/warming_test.go
@@ -1,7 +1,6 @@
 package allocator
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -28,10 +27,9 @@
 // warmFleet plays a plain service of which some upstreams come back under load. Answers take longer at a cold one, and
 // much longer if it runs several at once.
 type warmFleet struct {
+	agenda
 	a       *Allocator
-	now     time.Time
 	started time.Time
-	steps   steps
 	random  *rand.Rand
 	running map[identifier.UpstreamID]int
 	served  map[identifier.UpstreamID]int
@@ -49,7 +47,7 @@
 
 func newWarmFleet(trials bool) *warmFleet {
 	f := &warmFleet{
-		a: NewAllocator(DefaultSettings(), "here"), now: time.Now(), random: rand.New(rand.NewPCG(3, 4)),
+		a: NewAllocator(DefaultSettings(), "here"), agenda: agenda{now: time.Now()}, random: rand.New(rand.NewPCG(3, 4)),
 		running: map[identifier.UpstreamID]int{}, served: map[identifier.UpstreamID]int{},
 		queues:   map[identifier.UpstreamID][]func(){},
 		returned: map[identifier.UpstreamID]bool{}, slowness: 1, trials: trials,
@@ -78,19 +76,13 @@
 	}
 }
 
-func (f *warmFleet) after(wait time.Duration, do func()) {
-	heap.Push(&f.steps, step{at: f.now.Add(wait), do: do})
-}
-
 func (f *warmFleet) run(perSecond float64) {
 	for at := time.Duration(0); at < returnAt+watchTime; {
 		at += time.Duration(f.random.ExpFloat64() / perSecond * float64(time.Second))
 		f.after(at, func() { f.send(f.now) })
 	}
-	for len(f.steps) > 0 {
-		s := heap.Pop(&f.steps).(step)
-		f.now = s.at
-		s.do()
+	for f.next() {
+		continue
 	}
 }
 
