Explain where a request would go, without sending it

Cause: operators could only learn from the lines of requests that had been sent where one goes. Change: rosemaryspool explain asks a gateway, which asks the service's arbiter. The decision code that places requests weighs the options; what it records is done apart from that, and is left out. Measured: TestExplanationsChangeNoPlacement: 600 requests with and without accounts are placed the same with explanations in between, and where these said; TestExplanationSendsNothingAndNamesWhereARequestGoes.

--- a/core/allocator/placement.go
+++ b/core/allocator/placement.go
@@ -217,35 +217,20 @@
 func (a *Allocator) choose(
 	now time.Time, instance identifier.InstanceID, dataCentre identifier.DataCentre, req Request,
 ) (Placement, *Refusal) {
-	d := &decision{
-		allocator: a, now: now, instance: instance, dataCentre: dataCentre, req: req, timings: a.timingsOf(req.Service),
-	}
-	d.setShare()
-	best := d.best()
-	d.countDemand(best, best.upstream == nil || !d.admissible(best))
-	if best.upstream == nil {
+	d := a.newDecision(now, instance, dataCentre, req)
+	v := d.decide()
+	d.countDemand(v.inTime, v.busy)
+	if v.best.upstream == nil {
 		return Placement{}, d.refuseWithoutOption()
 	}
-	var late option
-	reason := Reason("")
-	if !d.admissible(best) {
-		possible := false
-		if late, possible = d.deferredOption(); possible {
-			best = late
-		} else {
-			reason = ReasonBusy
-		}
-	}
-	if reason == "" && !d.withinShare(best) {
-		reason = ReasonShare
-	}
-	d.record(best, reason == "")
-	if reason != "" {
+	d.record(v.best, v.reason == "")
+	if v.reason != "" {
 		return Placement{}, &Refusal{
-			Reason: reason, RetryAfter: d.retryAfter(best, late), Predicted: best.predicted,
-			Upstream: best.upstream.entry.Upstream, Ahead: best.upstream.load(),
+			Reason: v.reason, RetryAfter: d.retryAfter(v.best, v.late), Predicted: v.best.predicted,
+			Upstream: v.best.upstream.entry.Upstream, Ahead: v.best.upstream.load(),
 		}
 	}
+	best := v.best
 	place := Placement{
 		Upstream: best.upstream.entry.Upstream, Predicted: best.predicted, Tokens: best.tokens, Long: d.isLong(),
 		Ahead: best.upstream.load(), Deferred: d.deferred,
@@ -260,6 +245,48 @@
 	return place, nil
 }
 
+func (a *Allocator) newDecision(
+	now time.Time, instance identifier.InstanceID, dataCentre identifier.DataCentre, req Request,
+) *decision {
+	return &decision{
+		allocator: a, now: now, instance: instance, dataCentre: dataCentre, req: req, timings: a.timingsOf(req.Service),
+	}
+}
+
+// verdict is the result of a decision: the option with the lowest cost, and why the request is refused, if it is.
+type verdict struct {
+	best option
+	// inTime is the best option that isn't deferred, late the best deferred one if one was tried.
+	inTime option
+	late   option
+	reason Reason
+	// busy is true if the request can't be answered in time.
+	busy bool
+}
+
+// decide weighs the options. It places nothing.
+func (d *decision) decide() verdict {
+	d.setShare()
+	v := verdict{best: d.best()}
+	v.inTime = v.best
+	v.busy = v.best.upstream == nil || !d.admissible(v.best)
+	if v.best.upstream == nil {
+		return v
+	}
+	if v.busy {
+		possible := false
+		if v.late, possible = d.deferredOption(); possible {
+			v.best = v.late
+		} else {
+			v.reason = ReasonBusy
+		}
+	}
+	if v.reason == "" && !d.withinShare(v.best) {
+		v.reason = ReasonShare
+	}
+	return v
+}
+
 // decision is the choice for one request.
 type decision struct {
 	allocator *Allocator
--- a/core/matcher/matcher.go
+++ b/core/matcher/matcher.go
@@ -133,6 +133,12 @@
 	return t.callers[id], known
 }
 
+// CallerByID returns an account by its name, and false if there is none.
+func (t *Table) CallerByID(id identifier.CallerID) (*Caller, bool) {
+	caller, known := t.callers[id]
+	return caller, known
+}
+
 // Match returns the route of the host with the longest prefix that matches the path.
 func (t *Table) Match(host, path string) (*Route, bool) {
 	for _, r := range t.byHost[normaliseHost(host)] {
--- a/core/sharer/sharer.go
+++ b/core/sharer/sharer.go
@@ -159,6 +159,20 @@
 	return a.room.Sub(now)
 }
 
+// Undo returns a function that takes back what Reserve does for an account after this call.
+func (s *Sharer) Undo(caller identifier.CallerID) func() {
+	a := s.accounts[caller]
+	if a == nil {
+		rest := s.rest.room
+		return func() {
+			delete(s.accounts, caller)
+			s.rest.room = rest
+		}
+	}
+	room := a.room
+	return func() { a.room = room }
+}
+
 // calculate drops idle accounts and finds the limit with which the accounts get what was admitted lately.
 func (s *Sharer) calculate(now time.Time) {
 	if now.Sub(s.calculatedAt) < interval {
--- a/rosemaryspool/commander/commander.go
+++ b/rosemaryspool/commander/commander.go
@@ -21,7 +21,7 @@
 	root := &cli.Command{
 		Name:           "rosemaryspool",
 		Usage:          "serve language models on a fixed fleet of engines",
-		Commands:       []*cli.Command{serveCommand(output), demoCommand(output), gatewayCommand(output)},
+		Commands:       []*cli.Command{serveCommand(output), demoCommand(output), gatewayCommand(output), explainCommand(output)},
 		Writer:         output,
 		ErrWriter:      errorOutput,
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
--- a/rosemaryspool/forwarder/detour.go
+++ b/rosemaryspool/forwarder/detour.go
@@ -73,6 +73,10 @@
 // PeerHandler returns the handler for requests that other instances pass on. They are never passed on again.
 func (f *Forwarder) PeerHandler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == ExplainPath && r.Header.Get(headerPassedOn) == "" {
+			f.HandleExplain(w, r)
+			return
+		}
 		origin, err := decodePassedOn(r.Header.Get(headerPassedOn))
 		if err != nil {
 			f.log.Warn().Err(err).Str("event", "passedOnUnreadable").Str("remote", r.RemoteAddr).
--- a/rosemaryspool/forwarder/forwarder.go
+++ b/rosemaryspool/forwarder/forwarder.go
@@ -267,7 +267,12 @@
 	if left <= 0 {
 		left = e.routeTimeout()
 	}
-	e.isRetry = e.forwarder.callerWaits.isRetry(e.route.Name, left)
+	e.setTimes(e.forwarder.callerWaits.isRetry(e.route.Name, left))
+}
+
+// setTimes sets the deadline and the latency target. isRetry is true if the caller returns after a refusal or a failure.
+func (e *exchange) setTimes(isRetry bool) {
+	e.isRetry = isRetry
 	e.deadline = e.started.Add(e.timeout() - deadlineMargin)
 	target := e.route.TargetLatency
 	if target <= 0 {
--- a/rosemaryspool/gatekeeper/status.go
+++ b/rosemaryspool/gatekeeper/status.go
@@ -13,6 +13,7 @@
 
 	"rosemaryspool.example/core/isolator"
 	"rosemaryspool.example/platform"
+	"rosemaryspool.example/rosemaryspool/forwarder"
 	"rosemaryspool.example/rosemaryspool/governor"
 )
 
@@ -20,11 +21,13 @@
 type statusHandler struct {
 	governor *governor.Governor
 	registry metrics.Registry
+	// explain tells where a request would go.
+	explain  http.HandlerFunc
 	notReady atomic.Bool
 }
 
-func newStatusHandler(g *governor.Governor, registry metrics.Registry) *statusHandler {
-	return &statusHandler{governor: g, registry: registry}
+func newStatusHandler(g *governor.Governor, explain http.HandlerFunc, registry metrics.Registry) *statusHandler {
+	return &statusHandler{governor: g, explain: explain, registry: registry}
 }
 
 // setNotReady makes the readiness probe fail from now on.
@@ -48,6 +51,7 @@
 func (h *statusHandler) metrics() http.Handler {
 	router := httprouter.New()
 	router.GET("/traits", h.listTraits)
+	router.HandlerFunc(http.MethodGet, forwarder.ExplainPath, h.explain)
 	router.DELETE("/traits/:trait", h.releaseTrait)
 	router.GET("/metrics", func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
 		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
