--- a/rosemaryspool/steward/lease.go
+++ b/rosemaryspool/steward/lease.go
@@ -62,9 +62,12 @@
 		return
 	}
 	for {
-		wait, err := s.step(ctx)
+		wait, called, err := s.step(ctx)
 		switch {
-		case err == nil || ctx.Err() != nil:
+		case ctx.Err() != nil:
+			return
+		case err == nil && !called:
+		case err == nil:
 			if backOff > 0 {
 				s.log.Info().Str("event", "storeBack").Str("topic", platform.TopicDuties).Msg("Leases can be followed again")
 			}
@@ -84,8 +87,9 @@
 	}
 }
 
-// step makes the next call to the store, if one is due, and returns how long to wait before the next step.
-func (s *Steward) step(ctx context.Context) (time.Duration, error) {
+// step makes the next call to the store, if one is due, and returns how long to wait before the next step and whether
+// there was a call.
+func (s *Steward) step(ctx context.Context) (wait time.Duration, called bool, err error) {
 	rank, candidate := s.rank()
 	s.mu.Lock()
 	for _, scope := range s.scopes() {
@@ -100,20 +104,20 @@
 	s.mu.Unlock()
 	switch {
 	case !candidate:
-		return idleInterval, nil
+		return idleInterval, false, nil
 	case !following:
-		return 0, s.load(ctx)
+		return 0, true, s.load(ctx)
 	case unsure:
-		return 0, s.read(ctx, 0)
+		return 0, true, s.read(ctx, 0)
 	}
 	claims, holds := s.takeClaims(rank)
 	switch {
 	case len(claims) > 0:
-		return 0, s.claim(ctx, claims)
+		return 0, true, s.claim(ctx, claims)
 	case holds:
-		return holderInterval, nil
+		return holderInterval, false, nil
 	default:
-		return 0, s.read(ctx, s.hold())
+		return 0, true, s.read(ctx, s.hold())
 	}
 }
 
