Serve new requests before returning ones again

Cause: a request that comes back is late already; its precedence made new ones late in turn. Change: requests that come back get what new ones leave, as before accounts; beyond a share up to 35 % of a target may be queued.

--- a/core/allocator/placement.go
+++ b/core/allocator/placement.go
@@ -480,9 +480,6 @@
 		return true
 	case o.predicted > req.TimeToDeadline:
 		return false
-	case req.TimeToTarget <= 0 && req.Returned && req.Caller != "":
-		// It was told when to come back, so it goes before new requests, which may wait as long.
-		return o.queued <= time.Duration(d.allocator.settings.MaxQueueShare*float64(req.Target))
 	case req.TimeToTarget <= 0:
 		return o.queued <= time.Duration(lateQueueShare*float64(req.Target))
 	default:
--- a/core/allocator/sharing.go
+++ b/core/allocator/sharing.go
@@ -37,11 +37,9 @@
 	// smallPrefill is the number of tokens below which the rest of a less urgent prefill's chunk, which an engine ends first,
 	// takes a notable part of the time.
 	smallPrefill identifier.Tokens = 4096
-	// spareQueueShare is the share of its target that may be queued with a request beyond its account's share of the service,
-	// and returnedQueueShare is that for one that comes back after a refusal. They keep engines busy, and leave the rest of
-	// the queue, up to MaxQueueShare, to the other accounts.
-	spareQueueShare    = 0.25
-	returnedQueueShare = 0.35
+	// spareQueueShare is the share of its target that may be queued with a request beyond its account's share of the service.
+	// It keeps engines busy, and leaves the rest of the queue, up to MaxQueueShare, to the other accounts.
+	spareQueueShare = 0.35
 	// longAnswerHolds is how many times as long as a short answer a long one is assumed to hold its slot.
 	longAnswerHolds = 10
 	// Callers honour a Retry-After up to about a third of the time that they have left. Longer waits than they would honour
@@ -184,12 +182,8 @@
 	if !d.exceeds {
 		return true
 	}
-	share := spareQueueShare
-	if d.req.Returned {
-		share = returnedQueueShare
-	}
 	backlog := d.backlog(o)
-	return backlog == 0 || backlog+d.prefillTime(o) <= time.Duration(share*float64(d.req.Target))
+	return backlog == 0 || backlog+d.prefillTime(o) <= time.Duration(spareQueueShare*float64(d.req.Target))
 }
 
 // record counts the decision on the request for its account and for the engine that gets it.
