--- a/core/speedometer/speedometer.go
+++ b/core/speedometer/speedometer.go
@@ -66,6 +66,9 @@
 // usualInterval is the time between two computations of what is usual.
 const usualInterval = 250 * time.Millisecond
 
+// maxChanges bounds the changes that wait to be taken.
+const maxChanges = 64
+
 // Speedometer holds the speeds of a service's upstreams. It is not safe for concurrent use.
 type Speedometer struct {
 	upstreams map[identifier.UpstreamID]*upstream
@@ -141,7 +144,9 @@
 	}
 	g.setClass(to, s.usual[work])
 	distance, _ := g.distance(s.usual[work])
-	s.changes = append(s.changes, Change{Upstream: id, Work: work, From: from, To: to, Factor: math.Exp(distance)})
+	if len(s.changes) < maxChanges {
+		s.changes = append(s.changes, Change{Upstream: id, Work: work, From: from, To: to, Factor: math.Exp(distance)})
+	}
 }
 
 // Steady returns an upstream's time for its work relative to the usual one, without what passes.
@@ -162,7 +167,7 @@
 	return bound(s.Steady(id, work) * u.gauges[work].passing(now))
 }
 
-// TakeChanges returns the changes of classes since the last call.
+// TakeChanges returns the changes of classes since the last call, at most maxChanges of them.
 func (s *Speedometer) TakeChanges() []Change {
 	taken := s.changes
 	s.changes = nil
--- a/rosemaryspool/governor/governor.go
+++ b/rosemaryspool/governor/governor.go
@@ -302,9 +302,6 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.allocator.Progressed(now, placement, events, took)
-	if e, listed := g.allocator.Entry(placement.Upstream); listed {
-		g.logSpeeds(e.Service, "own")
-	}
 }
 
 // Ended records the end of a placement's request.
@@ -367,6 +364,9 @@
 	if g.tracker.Expire(now) {
 		g.applyUpstreams(now)
 	}
+	for _, service := range g.allocator.Services() {
+		g.logSpeeds(service, "own")
+	}
 	g.resumer.Expire(now)
 	g.isolator.Expire(now)
 	g.logIsolation("")
