--- a/core/allocator/speed.go
+++ b/core/allocator/speed.go
@@ -80,9 +80,9 @@
 	}
 }
 
-// longSlotShare is the share of an engine's slots that long answers take before others are preferred; the rest is for
-// short answers, which would wait for seconds otherwise.
-const longSlotShare = 0.9
+// minShortSlots is the number of slots of a quick engine that are left to short answers, which would wait for seconds
+// otherwise. Engines with few slots have none beyond them.
+const minShortSlots = 6
 
 // longAnswerCost is the cost of one more long answer at an engine. Where engines decode at different steady speeds, it is
 // what the answer takes longer there than at the usual engine, down to its last event, so that it goes to a quick one
@@ -94,7 +94,7 @@
 	factor := d.allocator.speedsOf(u.entry.Service).Steady(u.entry.Upstream, speedometer.Decode)
 	long := u.load().Long
 	cost := time.Duration(factor * float64(long) * float64(d.allocator.settings.LongAnswerPenalty))
-	if factor < 1 && long >= int(longSlotShare*float64(u.entry.Slots)) {
+	if factor < 1 && long+minShortSlots >= u.entry.Slots {
 		return cost
 	}
 	return cost + time.Duration((factor-1)*float64(d.timings.longAnswer.value))
