Open wide engines on trial sooner, and defer only what takes little

An engine on trial began with one request and had to reach all its slots, and any answer slower than at first, alone, set it back; deferred prompts took up to 0.3 of a target. Change: trials begin with an eighth of the slots and end at what the others hold; slower than usual is what sets back. Prompts of more than 0.12 of the target are not deferred. The line follows its effect. A body of known length takes its memory at once.

--- a/core/allocator/deferral.go
+++ b/core/allocator/deferral.go
@@ -17,6 +17,9 @@
 	// predicted to take, if it is new and if its caller comes back: those go before new ones. The rest is for the requests in
 	// time that overtake it.
 	deferredShare = 0.2
+	// deferredWork is the share of its target that the prefill of a deferred request may take: a longer one would take too much
+	// from the requests in time after it, which an engine doesn't interrupt it for at once.
+	deferredWork  = 0.12
 	returnedShare = 0.5
 )
 
@@ -46,7 +49,8 @@
 	if d.req.Returned {
 		share = returnedShare
 	}
-	return best, best.upstream != nil && best.predicted <= time.Duration(share*float64(d.req.TimeToDeadline))
+	return best, best.upstream != nil && d.prefillTime(best) <= time.Duration(deferredWork*float64(d.req.Target)) &&
+		best.predicted <= time.Duration(share*float64(d.req.TimeToDeadline))
 }
 
 const (
--- a/core/allocator/warming.go
+++ b/core/allocator/warming.go
@@ -13,6 +13,8 @@
 const (
 	// readerCapacity is how many prompts of the usual length may wait at an engine that only prefills before its trial ends.
 	readerCapacity = 8
+	// leastCapacity is how many requests any upstream has to answer well before its trial ends.
+	leastCapacity = 3
 	// maxIdleTrial is how long an upstream on trial waits for a request that may be repeated and isn't urgent; after that, it
 	// gets any request.
 	maxIdleTrial = 300 * time.Millisecond
@@ -37,10 +39,11 @@
 }
 
 func (a *Allocator) beginTrial(now time.Time, id identifier.UpstreamID, cause warmer.Cause) {
-	if a.upstreams[id] == nil {
+	u := a.upstreams[id]
+	if u == nil {
 		return
 	}
-	a.warmer.Begin(now, id, cause)
+	a.warmer.Begin(now, id, cause, u.entry.Slots)
 	limit, _ := a.warmer.Limit(now, id)
 	a.noteTrial(id, warmer.Result{Cause: cause, Limit: limit})
 }
@@ -91,12 +94,8 @@
 				a.noteTrial(o.Upstream, r)
 			}
 		case usual > 0:
-			capacity := u.entry.Slots
-			if u.entry.Role == tracker.RolePrefill {
-				capacity = readerCapacity
-			}
 			before, _ := a.warmer.Limit(now, o.Upstream)
-			r, changed := a.warmer.Answered(now, sent, o.Upstream, float64(o.Took)/float64(usual), capacity)
+			r, changed := a.warmer.Answered(now, sent, o.Upstream, float64(o.Took)/float64(usual), a.trialCapacity(now, u))
 			if changed && (r.Open || r.Limit < before) {
 				a.noteTrial(o.Upstream, r)
 			}
@@ -104,6 +103,24 @@
 	}
 }
 
+// trialCapacity returns how many requests an upstream has to be able to hold for its trial to end: as many as the others of
+// its service hold, at most one for each slot.
+func (a *Allocator) trialCapacity(now time.Time, u *upstream) int {
+	if u.entry.Role == tracker.RolePrefill {
+		return readerCapacity
+	}
+	held, open := 0, 0
+	for _, other := range a.services[u.entry.Service] {
+		if _, onTrial := a.warmer.Limit(now, other.entry.Upstream); onTrial || other.entry.Role == tracker.RolePrefill {
+			continue
+		}
+		load := other.load()
+		held += load.Short + load.Long + load.AwaitingPrefill
+		open++
+	}
+	return min(u.entry.Slots, max(leastCapacity, held/max(1, open)))
+}
+
 // withoutFull removes the upstreams on trial that hold as much as they may. Where most are on trial, none is removed: there
 // is nothing better, and together they have to carry the load.
 func (d *decision) withoutFull(us []*upstream) []*upstream {
--- a/core/warmer/warmer.go
+++ b/core/warmer/warmer.go
@@ -22,11 +22,12 @@
 )
 
 const (
-	// firstRequests is how many requests an upstream on trial may hold before its first answer: one that isn't answered
-	// costs one caller only.
-	firstRequests = 1
+	// leastRequests is how many requests an upstream on trial may hold after a failure, and firstShare the share of its slots
+	// that it may use before its first answer: a flood is one relative to what the upstream is made for.
+	leastRequests = 1
+	firstShare    = 0.125
 	// worseRatio is how much longer than at its quickest an upstream may take, on average over some answers, before it counts
-	// as overloaded.
+	// as overloaded. One that is quicker than usual while it has little to do may become as slow as the others.
 	worseRatio = 1.6
 	// smoothing is the weight of one answer in that average, maxOutlier the largest ratio to the quickest average that one
 	// answer counts for: some requests take long by themselves.
@@ -59,9 +60,9 @@
 // NewWarmer returns a warmer without trials.
 func NewWarmer() *Warmer { return &Warmer{trials: map[identifier.UpstreamID]*trial{}} }
 
-// Begin puts an upstream on trial.
-func (w *Warmer) Begin(now time.Time, id identifier.UpstreamID, cause Cause) {
-	w.trials[id] = &trial{cause: cause, limit: firstRequests, began: now}
+// Begin puts an upstream with a number of slots on trial.
+func (w *Warmer) Begin(now time.Time, id identifier.UpstreamID, cause Cause, slots int) {
+	w.trials[id] = &trial{cause: cause, limit: max(leastRequests, firstShare*float64(slots)), began: now}
 }
 
 // End ends the trial of an upstream, if there is one.
@@ -79,7 +80,7 @@
 // Unproven returns how long an upstream on trial has been without a good answer; false if it has had one or is not on trial.
 func (w *Warmer) Unproven(now time.Time, id identifier.UpstreamID) (time.Duration, bool) {
 	t := w.trials[id]
-	if t == nil || t.limit > firstRequests || now.Sub(t.began) > maxTrial {
+	if t == nil || t.quickest > 0 || now.Sub(t.began) > maxTrial {
 		return 0, false
 	}
 	return now.Sub(t.began), true
@@ -110,7 +111,7 @@
 	}
 	t.average += smoothing * (min(ratio, maxOutlier*t.quickest) - t.average)
 	t.quickest = min(t.quickest, t.average)
-	if t.average > worseRatio*t.quickest {
+	if t.average > worseRatio*max(1, t.quickest) {
 		t.average = t.quickest
 		return w.setBack(now, t, setbackShare*t.limit), true
 	}
@@ -130,11 +131,11 @@
 	if t == nil || sent.Before(t.began) {
 		return Result{}, false
 	}
-	return w.setBack(now, t, firstRequests), true
+	return w.setBack(now, t, leastRequests), true
 }
 
 func (w *Warmer) setBack(now time.Time, t *trial, limit float64) Result {
-	t.limit = max(firstRequests, limit)
+	t.limit = max(leastRequests, limit)
 	t.setbacks++
 	r := t.result(now)
 	t.began = now
--- a/rosemaryspool/coordinator/coordinator.go
+++ b/rosemaryspool/coordinator/coordinator.go
@@ -152,9 +152,9 @@
 	}
 }
 
-// notifyListeners logs a decision and calls its listener.
+// notifyListeners calls the listener of a decision and logs it afterwards, so that the line tells what is in force.
 func (c *Coordinator) notifyListeners(action controller.Action) {
-	logAction(c.log, action)
+	defer logAction(c.log, action)
 	switch a := action.(type) {
 	case controller.ConfigInForce:
 		c.listeners.ConfigInForce(a)
--- a/rosemaryspool/forwarder/forwarder.go
+++ b/rosemaryspool/forwarder/forwarder.go
@@ -243,7 +243,13 @@
 		_ = e.controller.SetReadDeadline(e.started.Add(e.timeout()))
 		defer func() { _ = e.controller.SetReadDeadline(time.Time{}) }()
 	}
-	body, err := e.readRationed(http.MaxBytesReader(e.writer, e.request.Body, limit))
+	var body []byte
+	var err error
+	if length := e.request.ContentLength; length > 0 && length <= limit {
+		body, err = e.readKnown(e.request.Body, length)
+	} else {
+		body, err = e.readRationed(http.MaxBytesReader(e.writer, e.request.Body, limit))
+	}
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.Is(err, errNoMemory):
--- a/rosemaryspool/forwarder/memory.go
+++ b/rosemaryspool/forwarder/memory.go
@@ -33,6 +33,17 @@
 	return io.ReadAll(&rationedReader{source: body, memory: e.memory})
 }
 
+// readKnown reads a body whose length is known. Its memory is taken before, so that one for which there is none is refused
+// at once, and is not copied while it grows.
+func (e *exchange) readKnown(body io.Reader, length int64) ([]byte, error) {
+	if !e.memory.Grow(identifier.Bytes(length)) {
+		return nil, errNoMemory
+	}
+	content := make([]byte, length)
+	_, err := io.ReadFull(body, content)
+	return content, err
+}
+
 // rationedReader takes memory for what it reads. It reads nothing for which there is none.
 type rationedReader struct {
 	source io.Reader
