--- a/core/allocator/deferral.go
+++ b/core/allocator/deferral.go
@@ -19,7 +19,7 @@
 	deferredShare = 0.2
 	// deferredWork is the share of its target that the prefill of a deferred request may take: a longer one would take too much
 	// from the requests in time after it, which an engine doesn't interrupt it for at once.
-	deferredWork  = 0.12
+	deferredWork  = 0.25
 	returnedShare = 0.5
 )
 
