Hold no more of a response than its length

Change: a response of known length gets a buffer of that length; one that is too large for it is forwarded at once.

--- a/rosemaryspool/forwarder/relay.go
+++ b/rosemaryspool/forwarder/relay.go
@@ -34,8 +34,18 @@
 // arrives.
 func (e *exchange) relayBuffered(ctx context.Context, response *connector.Response) (attemptResult, allocator.Outcome) {
 	e.last.stopWatch()
-	body, err := e.readRationed(io.LimitReader(response.Body, maxStoredBytes))
 	trusted := response.Status >= http.StatusMultipleChoices || platform.IsSigned(response.Header)
+	length, known := knownLength(response)
+	if known && length >= maxStoredBytes && trusted {
+		return e.relayLarge(ctx, response, nil)
+	}
+	var body []byte
+	var err error
+	if known && length < maxStoredBytes {
+		body, err = e.readKnown(response.Body, length)
+	} else {
+		body, err = e.readRationed(io.LimitReader(response.Body, maxStoredBytes))
+	}
 	if errors.Is(err, errNoMemory) && trusted {
 		// The response is forwarded as it arrives; it can't be requested again if it breaks off.
 		return e.relayLarge(ctx, response, body)
@@ -72,6 +82,15 @@
 	return delivered, outcome
 }
 
+// knownLength returns the length of a response's body, and false if the response doesn't tell it or has no body.
+func knownLength(response *connector.Response) (int64, bool) {
+	if response.Body == http.NoBody {
+		return 0, false
+	}
+	length, err := strconv.ParseInt(response.Header.Get("Content-Length"), 10, 64)
+	return length, err == nil && length >= 0
+}
+
 // relayLarge forwards a response of maxStoredBytes or more while it is read.
 func (e *exchange) relayLarge(
 	ctx context.Context, response *connector.Response, start []byte,
