Give each soak its own loopback addresses for upstreams

Cause: upstreams of all soaks and their proxies listened on 127.0.0.1 at ports that the system chose. An upstream that crashes frees its port, and gateways that don't know of the crash yet go on sending there.

Change: upstreams and proxies listen at an address within the soak's own network, as gateways do already.

Test: TestRunsDoNotShareAddresses, red before (127.0.0.1).

--- a/standin/emulator/fleet.go
+++ b/standin/emulator/fleet.go
@@ -4,8 +4,6 @@
 	"fmt"
 	"maps"
 	"net"
-	"net/http"
-	"net/http/httptest"
 	"slices"
 	"sync"
 	"time"
@@ -67,8 +65,7 @@
 	u := newUpstream(id, f.settings.Stage, f.settings.Events)
 	u.delay = f.settings.Delay
 	crashed := u.CrashOn(f.recordIfFatal)
-	u.server = &httptest.Server{Listener: listener, Config: &http.Server{Handler: u}}
-	u.server.Start()
+	u.serve(listener)
 	f.running[u.ID] = u
 	f.store.Put(TopicServers, u.ID, u.Entry(f.settings.Service, "ready"))
 	f.replacing.Add(1)
--- a/standin/emulator/upstream.go
+++ b/standin/emulator/upstream.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -88,11 +89,29 @@
 
 // NewUpstream starts an upstream. Its stage is "prefill" or "decode", or empty for a plain service.
 func NewUpstream(id, stage string, events int) *Upstream {
-	u := newUpstream(id, stage, events)
-	u.server = httptest.NewServer(u)
+	u, err := NewUpstreamAt("127.0.0.1", id, stage, events)
+	if err != nil {
+		panic(err.Error())
+	}
 	return u
 }
 
+// NewUpstreamAt starts an upstream that listens at an IP address.
+func NewUpstreamAt(ip, id, stage string, events int) (*Upstream, error) {
+	listener, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
+	if err != nil {
+		return nil, fmt.Errorf("emulator: listen: %w", err)
+	}
+	u := newUpstream(id, stage, events)
+	u.serve(listener)
+	return u, nil
+}
+
+func (u *Upstream) serve(listener net.Listener) {
+	u.server = &httptest.Server{Listener: listener, Config: &http.Server{Handler: u}}
+	u.server.Start()
+}
+
 func newUpstream(id, stage string, events int) *Upstream {
 	return &Upstream{ID: id, Stage: stage, Events: events, Version: "v1", handles: map[string]bool{}}
 }
--- /dev/null
+++ b/standin/soaker/address_test.go
@@ -0,0 +1,26 @@
+package soaker
+
+import (
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Gateways of one run may go on sending to an upstream that has ended. No other run may have got its address by then.
+func TestRunsDoNotShareAddresses(t *testing.T) {
+	s, err := NewSoaker(Settings{
+		Seed: 1, Rounds: 1, Gateways: 1, Callers: 1, Command: []string{"/bin/true"}, Directory: t.TempDir(), Network: 120,
+		Log: io.Discard,
+	})
+	require.NoError(t, err)
+	defer s.Close()
+	addresses := []string{s.processes[0].storeProxy.address(), s.processes[0].address(callerPort)}
+	for _, b := range s.listBackends() {
+		addresses = append(addresses, b.proxy.address(), b.upstream.Address())
+	}
+	for _, a := range addresses {
+		require.True(t, strings.HasPrefix(a, "127.120."), a)
+	}
+}
--- a/standin/soaker/process.go
+++ b/standin/soaker/process.go
@@ -51,7 +51,7 @@
 
 // newProcess writes the settings of a gateway and starts the proxy through which this gateway alone reaches the store.
 func newProcess(directory, name, ip, store string, command []string) (*process, error) {
-	toStore, err := newProxy(store)
+	toStore, err := newProxy(ip, store)
 	if err != nil {
 		return nil, err
 	}
--- a/standin/soaker/proxy.go
+++ b/standin/soaker/proxy.go
@@ -34,8 +34,9 @@
 	connections map[net.Conn]net.Conn
 }
 
-func newProxy(target string) (*proxy, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+// newProxy starts a proxy that listens at an IP address.
+func newProxy(ip, target string) (*proxy, error) {
+	listener, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
 	if err != nil {
 		return nil, err
 	}
--- a/standin/soaker/soaker.go
+++ b/standin/soaker/soaker.go
@@ -43,12 +43,18 @@
 	EarlierCommand []string
 	// Directory holds the gateways' settings files and logs.
 	Directory string
-	// Network is the second byte of the gateways' loopback addresses. Concurrent runs need different ones.
+	// Network is the second byte of the loopback addresses of gateways and upstreams. Concurrent runs need different ones.
 	Network int
 	// Log receives the log lines of the soak test itself.
 	Log io.Writer
 }
 
+func (s *Settings) gatewayIP(i int) string { return fmt.Sprintf("127.%d.0.%d", s.Network, i+1) }
+
+// upstreamIP returns the address of all upstreams and their proxies. No other run uses it: a gateway that doesn't know
+// yet that an upstream has ended would else reach one of another run at the same port.
+func (s *Settings) upstreamIP() string { return fmt.Sprintf("127.%d.1.1", s.Network) }
+
 // Report counts what one run sent, observed and injected, and lists the violations found.
 type Report struct {
 	Seed     uint64
@@ -179,8 +185,9 @@
 	}
 	store := strings.TrimPrefix(s.server.URL, "http://")
 	for i := range settings.Gateways {
-		ip := fmt.Sprintf("127.%d.0.%d", settings.Network, i+1)
-		p, err := newProcess(settings.Directory, fmt.Sprint("gateway-", i+1), ip, store, settings.Command)
+		p, err := newProcess(
+			settings.Directory, fmt.Sprint("gateway-", i+1), settings.gatewayIP(i), store, settings.Command,
+		)
 		if err != nil {
 			s.Close()
 			return nil, err
@@ -196,7 +203,10 @@
 	if service == modelService {
 		events = streamEvents
 	}
-	u := emulator.NewUpstream(id, stage, events)
+	u, err := emulator.NewUpstreamAt(s.settings.upstreamIP(), id, stage, events)
+	if err != nil {
+		return err
+	}
 	u.SetDelay(responseDelay)
 	u.SetPause(s.settings.EventPause)
 	if s.settings.MixedVersions {
@@ -204,7 +214,7 @@
 		u.Version = fmt.Sprint("v", 1+len(s.backends)%2)
 		s.backendsMu.Unlock()
 	}
-	p, err := newProxy(u.Address())
+	p, err := newProxy(s.settings.upstreamIP(), u.Address())
 	if err != nil {
 		u.Close()
 		return err
