Soak keys, usage reports and slow callers

Change: callers have keys of five accounts, some of which change with each configuration; some requests have unknown or former keys. A stand-in of the platform takes the reports of usage, with and without checked tokens. Four callers send or read some bytes at a time. New invariants: key, duty, released, each with a gateway that violates it. The gauge heldBytes says what an instance holds for requests in flight. The tests of keys and duties use the same stand-in and header names.

--- a/rosemaryspool/commander/soak_test.go
+++ b/rosemaryspool/commander/soak_test.go
@@ -44,7 +44,7 @@
 			s, err := soaker.NewSoaker(soaker.Settings{
 				Seed: c.seed, Rounds: c.rounds, FaultPhase: soaker.DefaultFaultPhase, Gateways: c.gateways, Callers: c.callers,
 				Command: []string{"rosemaryspool", "gateway"}, Directory: directory, Network: 90 + i, Log: log,
-				FatalRequests: true, MixedVersions: true, EventPause: c.eventPause,
+				FatalRequests: true, MixedVersions: true, Accounts: true, EventPause: c.eventPause,
 			})
 			require.NoError(t, err)
 			defer s.Close()
--- a/rosemaryspool/gatekeeper/gatekeeper.go
+++ b/rosemaryspool/gatekeeper/gatekeeper.go
@@ -155,7 +155,7 @@
 	}
 	// At the first start of the whole system nobody knows more than this instance.
 	g.setWarming(!settings.FirstStart)
-	g.status = newStatusHandler(g.governor, g.forwarder.HandleExplain, registry)
+	g.status = newStatusHandler(g.governor, g.memory, g.forwarder.HandleExplain, registry)
 	return g, nil
 }
 
--- a/rosemaryspool/gatekeeper/status.go
+++ b/rosemaryspool/gatekeeper/status.go
@@ -12,6 +12,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"rosemaryspool.example/core/isolator"
+	"rosemaryspool.example/core/rationer"
 	"rosemaryspool.example/platform"
 	"rosemaryspool.example/rosemaryspool/forwarder"
 	"rosemaryspool.example/rosemaryspool/governor"
@@ -21,13 +22,16 @@
 type statusHandler struct {
 	governor *governor.Governor
 	registry metrics.Registry
+	memory   *rationer.Rationer
 	// explain tells where a request would go.
 	explain  http.HandlerFunc
 	notReady atomic.Bool
 }
 
-func newStatusHandler(g *governor.Governor, explain http.HandlerFunc, registry metrics.Registry) *statusHandler {
-	return &statusHandler{governor: g, explain: explain, registry: registry}
+func newStatusHandler(
+	g *governor.Governor, memory *rationer.Rationer, explain http.HandlerFunc, registry metrics.Registry,
+) *statusHandler {
+	return &statusHandler{governor: g, memory: memory, explain: explain, registry: registry}
 }
 
 // setNotReady makes the readiness probe fail from now on.
@@ -57,6 +61,7 @@
 		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 		h.countTraits()
 		h.countSpeeds()
+		metrics.GetOrRegisterGauge("heldBytes", h.registry).Update(int64(h.memory.Used()))
 		out := bufio.NewWriter(w)
 		h.registry.Each(func(name string, metric any) { writeMetric(out, name, metric) })
 		// An error means that the client has disconnected; nothing else can be done.
--- a/standin/emulator/upstream.go
+++ b/standin/emulator/upstream.go
@@ -1,6 +1,7 @@
 package emulator
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"net"
@@ -318,11 +319,19 @@
 		writeJSON(w, http.StatusOK, map[string]any{"kv-handle": handle, "tokens": 1})
 	case u.Events > 0:
 		u.stream(w, r, behaviour)
+	case strings.HasPrefix(r.URL.Path, LargePath):
+		w.Header().Set(HeaderSignature, u.ID+".1")
+		_, _ = w.Write(largeBody)
 	default:
 		u.respond(w, behaviour)
 	}
 }
 
+// LargePath is the beginning of the paths at which plain services respond with a body of a megabyte.
+const LargePath = "/lookups/large"
+
+var largeBody = bytes.Repeat([]byte("large"), 200<<10)
+
 // MemoryTokens is the memory size that engines report.
 const MemoryTokens = 500_000
 
--- a/standin/soaker/auditor.go
+++ b/standin/soaker/auditor.go
@@ -47,6 +47,13 @@
 	InvariantContained Invariant = "contained"
 	// InvariantSound: no other request is refused as one of these.
 	InvariantSound Invariant = "sound"
+	// InvariantKey: requests reach upstreams only by a key that the configuration has, as those of its account and without
+	// the key, and are not refused for one that it has.
+	InvariantKey Invariant = "key"
+	// InvariantDuty: the platform gets one report of usage for each window, by one instance at a time.
+	InvariantDuty Invariant = "duty"
+	// InvariantReleased: gateways hold no memory for requests that have ended, also those of slow callers.
+	InvariantReleased Invariant = "released"
 	// InvariantRecovery: all gateways are ready again within recoveryLimit of the last disturbance.
 	InvariantRecovery Invariant = "recovery"
 )
@@ -110,6 +117,8 @@
 	streamEvents int
 	// versions holds the software version of each upstream.
 	versions map[string]string
+	// calls holds what the platform was told of usage.
+	calls []emulator.UsageCall
 	// engines holds the lives of the engines that run streams.
 	engines []life
 }
@@ -161,6 +170,8 @@
 	}
 	violations = append(violations, h.auditContainment(sent)...)
 	violations = append(violations, h.auditVersions(sent)...)
+	violations = append(violations, h.auditKeys(sent)...)
+	violations = append(violations, h.auditDuty(sent)...)
 	violations = append(violations, h.auditResumptions(sent)...)
 	return append(violations, append(h.auditBudget(sent), h.auditAbandoned(sent)...)...)
 }
--- a/standin/soaker/caller.go
+++ b/standin/soaker/caller.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -41,7 +42,12 @@
 	{name: "notes", path: "/notes/", method: http.MethodPost, timeout: 2 * time.Second, stream: true, weight: 1},
 }
 
-// routeTable is the configuration of the routes. Its format verbs are the version and the service of each plain route.
+func kindNamed(name string) kind {
+	return kinds[slices.IndexFunc(kinds, func(k kind) bool { return k.name == name })]
+}
+
+// routeTable is the configuration of the routes. Its format verbs are the version, the service of each plain route, and the
+// client accounts.
 const routeTable = `{"version":%d,"routes":[
 {"name":"orders","host":"h.example","path-prefix":"/orders/","kind":"non_idempotent","timeout-ms":1000,
  "target-latency-ms":300,"priority":2,"max-attempts":1,"service":%q},
@@ -52,7 +58,7 @@
 {"name":"notes","host":"h.example","path-prefix":"/notes/","kind":"streaming","timeout-ms":2000,
  "target-latency-ms":200,"priority":1,"max-attempts":1,"service":"model"}],
 "services":[{"name":"plain","max-connections":200},{"name":"spare","max-connections":200},
- {"name":"model","max-connections":200,"engine":{"slots":6}}]}`
+ {"name":"model","max-connections":200,"engine":{"slots":6}}]%s}`
 
 // forgedPin is the value that callers send in a header that only instances may set. It must not reach an upstream.
 const forgedPin = "60000"
@@ -80,6 +86,8 @@
 	content    string
 	// part is the second part of the prompt of a request for a stream.
 	part string
+	// key is nil if there are no accounts.
+	key *key
 	// complete is true if the response was read to its regular end.
 	complete bool
 	// resumes is the request that began the stream, lastEvent the last event that the caller has; empty and zero for a new
@@ -109,6 +117,11 @@
 	instance int
 	// fatal is true for a caller some of whose requests crash the upstreams that run them.
 	fatal bool
+	// keys is nil if there are no accounts; the caller with number i has the i-th key. draws decides on foreign keys, so that
+	// a seed's requests are the same with and without keys.
+	keys   *keyring
+	number int
+	draws  *rand.Rand
 
 	mu       sync.Mutex
 	attempts []*attempt
@@ -143,18 +156,14 @@
 	defer c.client.CloseIdleConnections()
 	for n := 0; ctx.Err() == nil; n++ {
 		a := c.newAttempt(n)
-		c.mu.Lock()
-		c.attempts = append(c.attempts, a)
-		c.mu.Unlock()
+		c.record(a)
 		for tries := 0; !c.send(a); tries++ {
 			c.instance = (c.instance + 1) % len(c.targets)
 			next := c.resumption(a, tries)
 			if next == nil || ctx.Err() != nil {
 				break
 			}
-			c.mu.Lock()
-			c.attempts = append(c.attempts, next)
-			c.mu.Unlock()
+			c.record(next)
 			a = next
 		}
 		pause := shortPause + time.Duration(c.random.Int64N(int64(longPause-shortPause)))
@@ -162,6 +171,12 @@
 	}
 }
 
+func (c *caller) record(a *attempt) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.attempts = append(c.attempts, a)
+}
+
 // resumption returns the request that takes up a stream that broke off; nil if there is none.
 func (c *caller) resumption(a *attempt, tries int) *attempt {
 	numbers, err := eventNumbers(a.content)
@@ -170,7 +185,7 @@
 	}
 	return &attempt{
 		id: fmt.Sprintf("%s-r%d", a.stream(), tries), kind: a.kind, instance: c.instance, uri: a.uri, body: a.body, part: a.part,
-		resumes: a.stream(), lastEvent: numbers[len(numbers)-1],
+		resumes: a.stream(), lastEvent: numbers[len(numbers)-1], key: a.key,
 	}
 }
 
@@ -197,6 +212,9 @@
 	if c.fatal {
 		c.makeFatal(a)
 	}
+	if c.keys != nil {
+		a.key = c.keys.pick(c.number, c.draws.IntN(foreignOneIn))
+	}
 	if chosen.method == http.MethodPost {
 		a.body = strings.Repeat(a.id+" ", 1+c.random.IntN(200))
 	}
@@ -226,6 +244,10 @@
 	r.Header.Set(emulator.HeaderAttempt, a.id)
 	r.Header.Set(emulator.HeaderDeadline, fmt.Sprint(a.kind.timeout.Milliseconds()))
 	r.Header.Set(emulator.HeaderPin, forgedPin)
+	if a.key != nil {
+		r.Header.Set(emulator.HeaderKey, a.key.text)
+		r.Header.Set(emulator.HeaderAccount, forgedAccount)
+	}
 	if a.kind.stream {
 		r.Header.Set(emulator.HeaderModel, "m")
 		r.Header.Set(emulator.HeaderTokens, "2000,8")
--- a/standin/soaker/departure.go
+++ b/standin/soaker/departure.go
@@ -19,8 +19,12 @@
 	hung   int
 }
 
-// departureStream is the random stream of departures, so that the faults of a seed stay the same.
-const departureStream = 1 << 32
+// Random streams of departures, foreign keys and slow callers, so that the faults and requests of a seed stay the same.
+const (
+	departureStream = 1 << 32
+	keyStream       = 2 << 32
+	slowStream      = 3 << 32
+)
 
 const (
 	// shortHang, longHang and longOutage bound how long the store doesn't respond around a departure.
--- a/standin/soaker/process.go
+++ b/standin/soaker/process.go
@@ -43,13 +43,20 @@
 	settings   string
 	output     *os.File
 	storeProxy *proxy
+	// duties is the address of the platform's calls; empty if there are none, and accounts have no usage reported.
+	duties string
+	// enforced is true if the platform checks tokens.
+	enforced bool
 
 	mu      sync.Mutex
 	running *exec.Cmd
 	exited  chan struct{}
 }
 
-// newProcess writes the settings of a gateway and starts the proxy through which this gateway alone reaches the store.
+// gatewayName begins the names of gateways, before their numbers.
+const gatewayName = "gateway-"
+
+// newProcess returns a gateway's process, and starts the proxy through which this gateway alone reaches the store.
 func newProcess(directory, name, ip, store string, command []string) (*process, error) {
 	toStore, err := newProxy(ip, store)
 	if err != nil {
@@ -59,27 +66,36 @@
 	if err != nil {
 		return nil, errors.Join(err, toStore.listener.Close())
 	}
-	p := &process{
+	return &process{
 		name: name, ip: ip, command: command, settings: filepath.Join(directory, name+".json"), output: output,
 		storeProxy: toStore,
-	}
-	return p, p.writeSettings(0)
+	}, nil
 }
 
 // writeSettings writes the settings file. The revision goes into a field that the gateway ignores, to change the file's
 // content.
 func (p *process) writeSettings(revision int) error {
-	content, err := json.Marshal(map[string]any{
+	bounds := map[string]any{
+		"drain-ms": drainLimit.Milliseconds(), "config-apply-ms": applyLimit.Milliseconds(),
+		"grace-s": stopLimit.Seconds(), "retry-budget-ratio": retryRatio, "retry-budget-extra": retryExtra,
+		"retry-window-s": retryWindow.Seconds(),
+	}
+	settings := map[string]any{
 		"node-name": p.name, "ip": p.ip, "zone": "here", "revision": revision,
 		"listen":              map[string]any{"frontend": p.address(callerPort), "ready": p.address(readyPort)},
 		"internal-port-range": []int{peerPort, peerPort + 10},
 		"platform":            map[string]any{"address": p.storeProxy.address()},
-		"bounds": map[string]any{
-			"drain-ms": drainLimit.Milliseconds(), "config-apply-ms": applyLimit.Milliseconds(),
-			"grace-s": stopLimit.Seconds(), "retry-budget-ratio": retryRatio, "retry-budget-extra": retryExtra,
-			"retry-window-s": retryWindow.Seconds(),
-		},
-	})
+		"bounds":              bounds,
+	}
+	if p.duties != "" {
+		settings["cloud-api"] = map[string]any{"address": p.duties, "duties": []string{"metering"}, "duty-per-s": 50}
+		settings["limits"] = map[string]any{"memory-mb": memoryLimit}
+		bounds["fencing-enforced"] = p.enforced
+		bounds["lease-ms"], bounds["thaw-ms"] = leaseLimit.Milliseconds(), thawLimit.Milliseconds()
+		bounds["report-window-s"], bounds["usage-delay-s"] = reportWindow.Seconds(), reportDelay.Seconds()
+		bounds["usage-error"] = usageTolerance
+	}
+	content, err := json.Marshal(settings)
 	if err != nil {
 		return err
 	}
--- a/standin/soaker/soaker.go
+++ b/standin/soaker/soaker.go
@@ -34,6 +34,9 @@
 	FatalRequests bool
 	// MixedVersions is true if upstreams of several software versions serve side by side.
 	MixedVersions bool
+	// Accounts is true if requests need the key of a client account, gateways report the accounts' usage, and some callers
+	// are slow.
+	Accounts bool
 	// EventPause is the time between two events of a stream.
 	EventPause time.Duration
 	// Command starts one gateway, which finds the path of its settings file in the variable ROSEMARYSPOOL_CONFIG.
@@ -63,16 +66,18 @@
 	Arrivals int
 	Faults   int
 	// Resumed counts the streams that callers have taken up again, WentOn those of them that were completed by that.
-	Resumed    int
-	WentOn     int
-	Violations []Violation
+	Resumed int
+	WentOn  int
+	// UsageReports counts the reports of usage that reached the platform.
+	UsageReports int
+	Violations   []Violation
 }
 
 // String returns the report as one line of text.
 func (r Report) String() string {
 	return fmt.Sprintf(
-		"seed %d: %d requests, %d served, %d arrivals at upstreams, %d disturbances, %d of %d resumed streams went on, %d breaches",
-		r.Seed, r.Attempts, r.Served, r.Arrivals, r.Faults, r.WentOn, r.Resumed, len(r.Violations))
+		"seed %d: %d requests, %d served, %d arrivals at upstreams, %d disturbances, %d of %d resumed streams went on, %d usage reports, %d breaches",
+		r.Seed, r.Attempts, r.Served, r.Arrivals, r.Faults, r.WentOn, r.Resumed, r.UsageReports, len(r.Violations))
 }
 
 const (
@@ -134,7 +139,11 @@
 	crashes   []crash
 	processes []*process
 	callers   []*caller
-	client    *http.Client
+	// keys, cloud and cloudServer are nil if there are no accounts.
+	keys        *keyring
+	cloud       *emulator.Cloud
+	cloudServer *httptest.Server
+	client      *http.Client
 	// version is that of the latest configuration, service the one to which it routes plain requests.
 	version int
 	service string
@@ -160,6 +169,11 @@
 		store: emulator.NewStore(), client: &http.Client{Timeout: time.Second}, closed: make(chan struct{}),
 	}
 	s.server = httptest.NewServer(s.store)
+	if settings.Accounts {
+		// Some platforms refuse outdated tokens, others don't.
+		s.cloud, s.keys = emulator.NewCloud(settings.Seed%2 == 1), newKeyring(settings.Callers)
+		s.cloudServer = httptest.NewServer(s.cloud)
+	}
 	type backendSettings struct{ id, service, stage string }
 	backends := []backendSettings{
 		{"plain-1", plainService, ""},
@@ -186,7 +200,7 @@
 	store := strings.TrimPrefix(s.server.URL, "http://")
 	for i := range settings.Gateways {
 		p, err := newProcess(
-			settings.Directory, fmt.Sprint("gateway-", i+1), settings.gatewayIP(i), store, settings.Command,
+			settings.Directory, fmt.Sprint(gatewayName, i+1), settings.gatewayIP(i), store, settings.Command,
 		)
 		if err != nil {
 			s.Close()
@@ -194,6 +208,13 @@
 		}
 		p.first = settings.EarlierCommand
 		s.processes = append(s.processes, p)
+		if settings.Accounts {
+			p.duties, p.enforced = strings.TrimPrefix(s.cloudServer.URL, "http://"), settings.Seed%2 == 1
+		}
+		if err := p.writeSettings(0); err != nil {
+			s.Close()
+			return nil, err
+		}
 	}
 	return s, nil
 }
@@ -253,6 +274,9 @@
 	}
 	s.server.CloseClientConnections()
 	s.server.Close()
+	if s.cloudServer != nil {
+		s.cloudServer.Close()
+	}
 }
 
 // Run runs all rounds and audits the observed history.
@@ -276,9 +300,19 @@
 	for i := range s.settings.Callers {
 		c := newCaller(fmt.Sprint("c", i), rand.New(rand.NewPCG(s.settings.Seed, uint64(2+i))), targets)
 		c.fatal = s.settings.FatalRequests && i < fatalCallers
+		if s.settings.Accounts {
+			c.keys, c.number, c.draws = s.keys, i, rand.New(rand.NewPCG(s.settings.Seed, keyStream+uint64(i)))
+		}
 		s.callers = append(s.callers, c)
 		callers.Go(func() { c.run(callerContext) })
 	}
+	if s.settings.Accounts {
+		for i := range slowCallers {
+			c := newSlowCaller(i, rand.New(rand.NewPCG(s.settings.Seed, slowStream+uint64(i))), targets, s.keys)
+			s.callers = append(s.callers, c)
+			callers.Go(func() { c.runSlowly(callerContext) })
+		}
+	}
 	var violations []Violation
 	for round := range s.settings.Rounds {
 		s.runFaultPhase(ctx, s.settings.FaultPhase)
@@ -291,11 +325,14 @@
 	callers.Wait()
 	close(s.closed)
 	s.replacing.Wait()
+	if s.settings.Accounts {
+		violations = append(violations, s.auditMemory(ctx)...)
+	}
 	h := s.gather()
 	violations = append(violations, h.audit()...)
 	report := Report{
 		Seed: s.settings.Seed, Attempts: len(h.attempts), Arrivals: len(h.arrivals), Faults: len(s.disturbances),
-		Violations: violations,
+		UsageReports: len(h.calls), Violations: violations,
 	}
 	for _, a := range h.attempts {
 		served, resumed := a.complete && a.status == http.StatusOK, a.resumes != ""
@@ -359,15 +396,24 @@
 func (s *Soaker) configure(service string) {
 	s.version++
 	s.service = service
+	confirm := func() {}
+	if s.keys != nil && s.version > 1 {
+		confirm = s.keys.rotate(s.version)
+	}
 	s.putConfiguration()
+	confirm()
 	s.recordChange(plannedChange{service: service})
 }
 
 // putConfiguration writes the latest configuration.
 func (s *Soaker) putConfiguration() {
+	accounts := ""
+	if s.keys != nil {
+		accounts = `,"tenants":[` + s.keys.encode() + "]"
+	}
 	s.store.Put(
 		emulator.TopicConfiguration, emulator.KeyConfiguration,
-		fmt.Appendf(nil, routeTable, s.version, s.service, s.service),
+		fmt.Appendf(nil, routeTable, s.version, s.service, s.service, accounts),
 	)
 }
 
@@ -416,6 +462,9 @@
 		changes: s.changes, disturbances: s.disturbances, crashes: s.crashes, instances: len(s.processes),
 		streamEvents: streamEvents, versions: map[string]string{},
 	}
+	if s.cloud != nil {
+		h.calls = s.cloud.Calls()
+	}
 	for _, c := range s.callers {
 		c.mu.Lock()
 		h.attempts = append(h.attempts, c.attempts...)
--- a/standin/soaker/soaker_test.go
+++ b/standin/soaker/soaker_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -43,6 +44,7 @@
 		noInvariant, InvariantOnce, InvariantNotRun, InvariantOwnResponse, InvariantUnchanged, InvariantOrder,
 		InvariantRoute, InvariantLeaving, InvariantBudget, InvariantStop, InvariantTimeout, InvariantAbandoned,
 		InvariantRecovery, InvariantContained, InvariantSound, InvariantVersion, InvariantResumed,
+		InvariantKey, InvariantDuty, InvariantReleased,
 	} {
 		t.Run(string(invariant), func(t *testing.T) {
 			t.Parallel()
@@ -54,6 +56,7 @@
 				rounds = 3
 			}
 			s, err := NewSoaker(Settings{
+				Accounts:      slices.Contains([]Invariant{InvariantKey, InvariantDuty, InvariantReleased}, invariant),
 				FatalRequests: invariant == InvariantContained, MixedVersions: invariant == InvariantVersion,
 				Seed: 3, Rounds: rounds, Gateways: 2, Callers: 16, Directory: t.TempDir(), Network: 100 + i, Log: io.Discard,
 				Command: []string{"/usr/bin/env", fmt.Sprint(violatedInvariantVariable, "=", invariant), program},
@@ -91,6 +94,8 @@
 	var settings struct {
 		Listen   struct{ Frontend, Ready string }
 		Platform struct{ Address string }
+		CloudAPI struct{ Address string } `json:"cloud-api"`
+		IP       string
 	}
 	path := os.Getenv("ROSEMARYSPOOL_CONFIG")
 	content, err := os.ReadFile(path)
@@ -111,12 +116,20 @@
 	g.readServers()
 	g.readConfiguration()
 	go g.poll()
+	if invariant == InvariantDuty {
+		reportTwice(settings.CloudAPI.Address)
+	}
 	front := &http.Server{Handler: g}
 	for _, l := range []struct {
 		address string
 		serve   func(net.Listener) error
 	}{
 		{settings.Listen.Frontend, front.Serve},
+		{net.JoinHostPort(settings.IP, fmt.Sprint(metricsPort)), func(l net.Listener) error {
+			return http.Serve(l, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				fmt.Fprintln(w, heldMetric, 1)
+			}))
+		}},
 		{settings.Listen.Ready, func(l net.Listener) error {
 			return http.Serve(l, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 				if invariant == InvariantRecovery && markerErr == nil {
@@ -140,6 +153,22 @@
 	}
 }
 
+// reportTwice sends two reports of one window that differ.
+func reportTwice(address string) {
+	for _, count := range []int{1, 2} {
+		body := fmt.Sprintf(`{"window-id":1,"counts":{"account0":%d}}`, count)
+		r, err := http.NewRequest(http.MethodPost, "http://"+address+"/usage", strings.NewReader(body))
+		if err != nil {
+			return
+		}
+		r.Header.Set(emulator.HeaderHolder, "gateway-1")
+		r.Header.Set(emulator.HeaderToken, "1")
+		if response, err := http.DefaultClient.Do(r); err == nil {
+			_ = response.Body.Close()
+		}
+	}
+}
+
 func (g *faultyGateway) poll() {
 	for {
 		time.Sleep(300 * time.Millisecond)
