Explain suspected requests as they are placed

Cause: governor.Explain decided on quarantined traits by code of its own, and knew nothing of suspected ones: a request that would wait for its trial was explained as admitted.

Change: placements and explanations ask the same function, which changes nothing.

Test: TestSuspectedRequestsAreExplained, red before for suspected requests.

--- a/rosemaryspool/governor/crash.go
+++ b/rosemaryspool/governor/crash.go
@@ -80,37 +80,59 @@
 	return nil
 }
 
-// placeIsolated places a request unless its traits forbid that. Of the requests with a suspected trait, one after the
-// other is placed as a trial, at an upstream that runs no other one. The governor's mutex must be held.
-func (g *Governor) placeIsolated(
-	now time.Time, request allocator.Request, place func(allocator.Request) (allocator.Placement, *allocator.Refusal),
-) (allocator.Placement, *allocator.Refusal) {
-	traits := request.Traits()
+// isolation is what the traits of a request allow: refusal is nil if it may be placed, at an upstream other than trials if
+// it would be a trial itself.
+type isolation struct {
+	verdict isolator.Verdict
+	refusal *allocator.Refusal
+	trials  []identifier.UpstreamID
+}
+
+// isolate checks the traits of a request. It changes nothing. The governor's mutex must be held.
+func (g *Governor) isolate(now time.Time, request allocator.Request) isolation {
 	deciders := 1
 	if request.RateShare < 1 {
 		// Other instances place requests too.
 		deciders = g.instances
 	}
-	verdict := g.isolator.Check(now, traits, deciders)
+	i := isolation{verdict: g.isolator.Check(now, request.Traits(), deciders)}
 	switch {
-	case verdict.Status == isolator.Quarantined:
-		return allocator.Placement{}, &allocator.Refusal{Reason: allocator.ReasonQuarantined, RetryAfter: verdict.Wait}
-	case verdict.Wait > 0:
-		return allocator.Placement{}, &allocator.Refusal{Reason: allocator.ReasonSuspected, RetryAfter: verdict.Wait}
+	case i.verdict.Status == isolator.Quarantined:
+		i.refusal = &allocator.Refusal{Reason: allocator.ReasonQuarantined, RetryAfter: i.verdict.Wait}
+	case i.verdict.Wait > 0:
+		i.refusal = &allocator.Refusal{Reason: allocator.ReasonSuspected, RetryAfter: i.verdict.Wait}
+	case i.verdict.Status == isolator.Suspected:
+		i.trials = g.isolator.Trials(now)
+	}
+	return i
+}
+
+// reason returns why a request is refused that could be placed nowhere for the given reason.
+func (i isolation) reason(r allocator.Reason) allocator.Reason {
+	if r == allocator.ReasonNoUpstream && len(i.trials) > 0 {
+		return allocator.ReasonSuspected
 	}
-	if verdict.Status == isolator.Free {
-		return place(request)
+	return r
+}
+
+// placeIsolated places a request unless its traits forbid that. Of the requests with a suspected trait, one after the
+// other is placed as a trial, at an upstream that runs no other one. The governor's mutex must be held.
+func (g *Governor) placeIsolated(
+	now time.Time, request allocator.Request, place func(allocator.Request) (allocator.Placement, *allocator.Refusal),
+) (allocator.Placement, *allocator.Refusal) {
+	i := g.isolate(now, request)
+	if i.refusal != nil {
+		return allocator.Placement{}, i.refusal
 	}
-	trials := g.isolator.Trials(now)
-	request.Excluded = append(slices.Clip(request.Excluded), trials...)
+	request.Excluded = append(slices.Clip(request.Excluded), i.trials...)
 	placement, refusal := place(request)
-	switch {
-	case refusal == nil:
-		g.isolator.Tried(now, placement.Upstream, traits)
+	switch verdict := i.verdict; {
+	case refusal != nil:
+		refusal.Reason = i.reason(refusal.Reason)
+	case verdict.Status == isolator.Suspected:
+		g.isolator.Tried(now, placement.Upstream, request.Traits())
 		g.log.Info().Str("event", "traitTried").Str("trait", verdict.Trait.String()).Int("crashes", verdict.Crashes).
 			Str("upstream", string(placement.Upstream)).Msg("Request that may crash its upstream is tried")
-	case refusal.Reason == allocator.ReasonNoUpstream && len(trials) > 0:
-		refusal.Reason = allocator.ReasonSuspected
 	}
 	return placement, refusal
 }
--- a/rosemaryspool/governor/explain.go
+++ b/rosemaryspool/governor/explain.go
@@ -1,11 +1,11 @@
 package governor
 
 import (
+	"slices"
 	"time"
 
 	"rosemaryspool.example/core/allocator"
 	"rosemaryspool.example/core/identifier"
-	"rosemaryspool.example/core/isolator"
 )
 
 // Explain tells where a request of an instance would be placed now, and why; an empty instance is this one. It changes
@@ -15,17 +15,12 @@
 ) allocator.Explanation {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	i := g.isolate(now, request)
+	request.Excluded = append(slices.Clip(request.Excluded), i.trials...)
 	x := g.allocator.Explain(now, instance, dataCentre, request)
-	traits := request.Traits()
-	for _, c := range g.isolator.List(now) {
-		if c.Status != isolator.Quarantined {
-			continue
-		}
-		for _, t := range traits {
-			if t == c.Trait {
-				x.Upstream, x.Prefiller, x.Reason, x.RetryAfter = "", "", allocator.ReasonQuarantined, c.Until.Sub(now)
-			}
-		}
+	x.Reason = i.reason(x.Reason)
+	if i.refusal != nil {
+		x.Upstream, x.Prefiller, x.Reason, x.RetryAfter = "", "", i.refusal.Reason, i.refusal.RetryAfter
 	}
 	return x
 }
