--- a/rosemaryspool/commander/explain.go
+++ b/rosemaryspool/commander/explain.go
@@ -5,9 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net/http"
 	"net/url"
-	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -52,46 +50,21 @@
 					values.Set(p.parameter, text)
 				}
 			}
-			body, err := askGateway(ctx, command.String("gateway"), values)
+			ctx, cancel := context.WithTimeout(ctx, explainTimeout)
+			defer cancel()
+			gateway := command.String("gateway")
+			x, err := forwarder.FetchExplanation(ctx, gateway, values)
 			if err != nil {
-				return err
+				return eris.Wrapf(err, "gateway %s", gateway)
 			}
 			if command.Bool("json") {
-				_, err = output.Write(body)
-				return err
+				return eris.Wrap(json.NewEncoder(output).Encode(x), "explain: print")
 			}
-			var x forwarder.Explanation
-			if err := json.Unmarshal(body, &x); err != nil {
-				return eris.Wrap(err, "explain: decode the gateway's answer")
-			}
-			return writeExplanation(output, x)
+			return writeExplanation(output, *x)
 		},
 	}
 }
 
-func askGateway(ctx context.Context, address string, values url.Values) ([]byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, explainTimeout)
-	defer cancel()
-	request, err := http.NewRequestWithContext(
-		ctx, http.MethodGet, "http://"+address+forwarder.ExplainPath+"?"+values.Encode(), nil)
-	if err != nil {
-		return nil, eris.Wrapf(err, "explain: gateway %s", address)
-	}
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return nil, eris.Wrapf(err, "explain: gateway %s", address)
-	}
-	defer response.Body.Close()
-	body, err := io.ReadAll(response.Body)
-	if err != nil {
-		return nil, eris.Wrapf(err, "explain: gateway %s", address)
-	}
-	if response.StatusCode != http.StatusOK {
-		return nil, eris.Errorf("explain: %s", strings.TrimSpace(string(body)))
-	}
-	return body, nil
-}
-
 // writeExplanation prints an explanation for people: the decision, then the upstreams that were weighed.
 func writeExplanation(output io.Writer, x forwarder.Explanation) error {
 	fmt.Fprintf(output, "route %s of configuration %d, rank %d", x.Route, x.ConfigurationVersion, x.Rank)
--- a/rosemaryspool/forwarder/explain.go
+++ b/rosemaryspool/forwarder/explain.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/url"
 	"slices"
+	"strings"
 	"time"
 
 	"rosemaryspool.example/core/allocator"
@@ -199,21 +200,35 @@
 			asked[name] = value
 		}
 	}
+	return FetchExplanation(ctx, arbiter.Address, asked)
+}
+
+// explainClient keeps no connection: questions are rare.
+var explainClient = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+
+// FetchExplanation asks the instance at an address of the form IP:PORT.
+func FetchExplanation(ctx context.Context, address string, values url.Values) (*Explanation, error) {
 	request, err := http.NewRequestWithContext(
-		ctx, http.MethodGet, "http://"+arbiter.Address+ExplainPath+"?"+asked.Encode(), nil)
+		ctx, http.MethodGet, "http://"+address+ExplainPath+"?"+values.Encode(), nil)
 	if err != nil {
-		return nil, err
+		return nil, fmt.Errorf("explain: %w", err)
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := explainClient.Do(request)
 	if err != nil {
-		return nil, err
+		return nil, fmt.Errorf("explain: %w", err)
 	}
 	defer response.Body.Close()
+	body := io.LimitReader(response.Body, maxExplanationBytes)
 	if response.StatusCode != http.StatusOK {
-		return nil, fmt.Errorf("status %d", response.StatusCode)
+		// The status says enough where the text can't be read.
+		text, _ := io.ReadAll(body)
+		return nil, fmt.Errorf("explain: status %d: %s", response.StatusCode, strings.TrimSpace(string(text)))
 	}
 	x := &Explanation{}
-	return x, json.NewDecoder(io.LimitReader(response.Body, maxExplanationBytes)).Decode(x)
+	if err := json.NewDecoder(body).Decode(x); err != nil {
+		return nil, fmt.Errorf("explain: decode the answer: %w", err)
+	}
+	return x, nil
 }
 
 func (q *question) describe(a allocator.Explanation) *Explanation {
