Keep one spread of refused callers, and measure open load once in a while

Cause: the allocator kept the golden section twice, as spread and as stagger, and walked all upstreams of a service at each observation with a usual time. Change: one method spreads the returns of refused callers; the average load of the upstreams that are not on trial counts for 50 ms. Measured: the allocator's tests pass.

--- a/core/allocator/allocator.go
+++ b/core/allocator/allocator.go
@@ -122,12 +122,13 @@
 	// serve already.
 	fresh        []identifier.UpstreamID
 	trialChanges []TrialChange
+	// openLoads is what the upstreams hold that are not on trial.
+	openLoads map[identifier.ServiceName]openLoad
 	// observations are those of this instance since they were last taken.
 	observations map[identifier.ServiceName][]Observation
 	demands      map[identifier.ServiceName]*Demand
-	// sharers divide the services among accounts; stagger spreads the returns of refused requests.
+	// sharers divide the services among accounts.
 	sharers map[identifier.ServiceName]*sharer.Sharer
-	stagger float64
 }
 
 // NewAllocator returns an allocator without upstreams for an instance in dataCentre.
@@ -145,6 +146,7 @@
 		demands:      map[identifier.ServiceName]*Demand{},
 		sharers:      map[identifier.ServiceName]*sharer.Sharer{},
 		warmer:       warmer.NewWarmer(),
+		openLoads:    map[identifier.ServiceName]openLoad{},
 	}
 }
 
--- a/core/allocator/deferral.go
+++ b/core/allocator/deferral.go
@@ -57,15 +57,20 @@
 	// minComeBack is the least time after which a refused caller comes back where late requests are deferred.
 	minComeBack = 150 * time.Millisecond
 	// spreadStep is the golden section: multiples of it, without their whole parts, spread evenly at any number of them.
-	spreadStep = 0.618
+	spreadStep = 0.6180339887
 )
 
 // comeBackAfter returns when there will be room for a request whose best deferred option is late: at the pace at which the
 // queue ahead of it drains. The callers that are refused now come back spread over as long again.
 func (d *decision) comeBackAfter(late option) time.Duration {
 	room := minComeBack + max(0, late.predicted-time.Duration(deferredShare*float64(d.req.TimeToDeadline)))
-	_, d.allocator.spread = math.Modf(d.allocator.spread + spreadStep)
-	return room + time.Duration(d.allocator.spread*float64(room))
+	return room + d.allocator.nextSpread(room)
+}
+
+// nextSpread returns a part of a time, another one for each refused caller, so that they come back evenly spread over it.
+func (a *Allocator) nextSpread(over time.Duration) time.Duration {
+	_, a.spread = math.Modf(a.spread + spreadStep)
+	return time.Duration(a.spread * float64(over))
 }
 
 // deferralPatience is how long deferred work may wait at an engine before no request in time is preferred to it.
--- a/core/allocator/explain.go
+++ b/core/allocator/explain.go
@@ -94,8 +94,8 @@
 // expectReturn returns when the refused request would be asked to return, without reserving room for it.
 func (d *decision) expectReturn(v verdict) time.Duration {
 	a := d.allocator
-	spread, stagger := a.spread, a.stagger
-	defer func() { a.spread, a.stagger = spread, stagger }()
+	spread := a.spread
+	defer func() { a.spread = spread }()
 	if d.sharer != nil {
 		defer d.sharer.Undo(d.req.Caller)()
 	}
--- a/core/allocator/sharing.go
+++ b/core/allocator/sharing.go
@@ -44,9 +44,8 @@
 	longAnswerHolds = 10
 	// Callers honour a Retry-After up to about a third of the time that they have left. Longer waits than they would honour
 	// are spread over the later part of what they do.
-	returnShare   = 0.3
-	minReturn     = 20 * time.Millisecond
-	returnStagger = 0.6180339887
+	returnShare = 0.3
+	minReturn   = 20 * time.Millisecond
 )
 
 // pressure is how much of an engine's time prefills of each level of urgency have taken lately, discounted by age.
@@ -205,9 +204,7 @@
 	if wait <= longest {
 		return wait
 	}
-	_, stagger := math.Modf(d.allocator.stagger + returnStagger)
-	d.allocator.stagger = stagger
-	return longest - time.Duration(stagger*float64(longest)/2)
+	return longest - d.allocator.nextSpread(longest/2)
 }
 
 // describeLevel sets what a placement says of its urgency, and of the work that comes before it.
--- a/core/allocator/warming.go
+++ b/core/allocator/warming.go
@@ -20,6 +20,8 @@
 	maxIdleTrial = 300 * time.Millisecond
 	// firstRank is the rank of the most urgent requests.
 	firstRank = 0
+	// openLoadAge is how long a measurement of the load of a service's upstreams counts.
+	openLoadAge = 50 * time.Millisecond
 	// maxTrialChanges bounds the changes that wait to be logged.
 	maxTrialChanges = 64
 )
@@ -109,16 +111,34 @@
 	if u.entry.Role == tracker.RolePrefill {
 		return readerCapacity
 	}
+	return min(u.entry.Slots, max(leastCapacity, a.openLoadOf(now, u.entry.Service)))
+}
+
+// openLoad is the average number of requests that upstreams hold which are not on trial.
+type openLoad struct {
+	measured time.Time
+	requests int
+}
+
+// openLoadOf returns the average number of requests at a service's upstreams that are not on trial. It is measured at most
+// once in openLoadAge, as a service may have thousands of upstreams.
+func (a *Allocator) openLoadOf(now time.Time, service identifier.ServiceName) int {
+	last := a.openLoads[service]
+	if !last.measured.IsZero() && now.Sub(last.measured) < openLoadAge {
+		return last.requests
+	}
 	held, open := 0, 0
-	for _, other := range a.services[u.entry.Service] {
-		if _, onTrial := a.warmer.Limit(now, other.entry.Upstream); onTrial || other.entry.Role == tracker.RolePrefill {
+	for _, u := range a.services[service] {
+		if _, onTrial := a.warmer.Limit(now, u.entry.Upstream); onTrial || u.entry.Role == tracker.RolePrefill {
 			continue
 		}
-		load := other.load()
+		load := u.load()
 		held += load.Short + load.Long + load.AwaitingPrefill
 		open++
 	}
-	return min(u.entry.Slots, max(leastCapacity, held/max(1, open)))
+	last = openLoad{measured: now, requests: held / max(1, open)}
+	a.openLoads[service] = last
+	return last.requests
 }
 
 // withoutFull removes the upstreams on trial that hold as much as they may. Where most are on trial, none is removed: there
--- a/core/allocator/warming_test.go
+++ b/core/allocator/warming_test.go
@@ -163,6 +163,19 @@
 	return total
 }
 
+func TestOpenLoadIsMeasuredOnceInAWhile(t *testing.T) {
+	now := time.Now()
+	a := newTestAllocator(4, 0)
+	require.Zero(t, a.openLoadOf(now, model))
+	loads := Loads{}
+	for _, e := range a.entries() {
+		loads[e.Upstream] = Load{Short: 3, Long: 1}
+	}
+	a.UpdatePeer(now, "other", model, loads, 1)
+	require.Zero(t, a.openLoadOf(now.Add(openLoadAge-time.Millisecond), model))
+	require.Equal(t, 4, a.openLoadOf(now.Add(openLoadAge), model))
+}
+
 // Each return is played without trials, as before, and with them.
 func TestCallersWhileUpstreamsReturn(t *testing.T) {
 	for _, c := range []struct {
