Count a crash by a request that is sent as the crash before is seen

An instance that retries without asking an arbiter sends the request at the very instant at which it records the crash. Such a retry was not counted as one that follows the crash before, so on a clock that stands still between the two, the second upstream that a request ended was taken for one that ended together with the first, and the request was not suspected.

Requests that were sent no earlier than the crash before now count. The new case of TestStatusOfTraits failed before.

--- a/core/isolator/isolator_test.go
+++ b/core/isolator/isolator_test.go
@@ -79,6 +79,11 @@
 				crash(i, at(60*n), process(n), fatal)
 			}
 		}, []Trait{fatal}, Suspected},
+		{"a retry that is sent as the crash is seen counts", func(i *Isolator) {
+			for n := range 2 {
+				crash(i, at(50*n), process(n), fatal)
+			}
+		}, []Trait{fatal}, Suspected},
 		{"requests that were sent before others knew of the suspicion prove nothing", func(i *Isolator) {
 			for n := range 4 {
 				crash(i, at(60*n), process(n), popular, fatal)
--- a/core/isolator/suspect.go
+++ b/core/isolator/suspect.go
@@ -67,7 +67,7 @@
 	s.count, s.latest = 0, time.Time{}
 	for _, l := range losses {
 		isTrial := !l.sentAt.Before(s.latest.Add(settings.ReportTime))
-		if s.count == 0 || isTrial || s.count < settings.SuspectCrashes && l.sentAt.After(s.latest) {
+		if s.count == 0 || isTrial || s.count < settings.SuspectCrashes && !l.sentAt.Before(s.latest) {
 			s.count++
 			s.latest = l.brokenAt
 		}
