--- a/rosemaryspool/commander/gateway.go
+++ b/rosemaryspool/commander/gateway.go
@@ -14,7 +14,6 @@
 	"github.com/urfave/cli/v3"
 
 	"rosemaryspool.example/platform"
-	"rosemaryspool.example/rosemaryspool/connector"
 	"rosemaryspool.example/rosemaryspool/gatekeeper"
 	"rosemaryspool.example/rosemaryspool/logger"
 )
@@ -66,7 +65,7 @@
 func runGateway(
 	ctx context.Context, settings platform.Settings, path string, log zerolog.Logger, registry metrics.Registry,
 ) error {
-	g, err := gatekeeper.NewGatekeeper(settings, connector.DialTCP, log, registry)
+	g, err := gatekeeper.NewGatekeeper(settings, gatekeeper.NewNetwork(), log, registry)
 	if err != nil {
 		return err
 	}
--- a/rosemaryspool/commander/gateway_test.go
+++ b/rosemaryspool/commander/gateway_test.go
@@ -17,7 +17,6 @@
 	"github.com/stretchr/testify/require"
 
 	"rosemaryspool.example/platform"
-	"rosemaryspool.example/rosemaryspool/connector"
 	"rosemaryspool.example/rosemaryspool/gatekeeper"
 )
 
@@ -66,7 +65,7 @@
 	settings.MetricsAddress = "127.0.0.1:0"
 	current := settings
 	current.MetricsAddress = "127.0.0.1:9464"
-	g, err := gatekeeper.NewGatekeeper(settings, connector.DialTCP, zerolog.Nop(), metrics.NewRegistry())
+	g, err := gatekeeper.NewGatekeeper(settings, gatekeeper.NewNetwork(), zerolog.Nop(), metrics.NewRegistry())
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	runResult := make(chan error, 1)
--- a/rosemaryspool/connector/connection.go
+++ b/rosemaryspool/connector/connection.go
@@ -34,6 +34,9 @@
 	idleTimeout time.Duration
 }
 
+// opener is a connection without a file descriptor. IsOpen reports whether it is open and without unread bytes.
+type opener interface{ IsOpen() bool }
+
 func newConnection(c net.Conn) *connection {
 	bounds := bounder.NewReader(c)
 	return &connection{
@@ -47,6 +50,9 @@
 	if now.Sub(c.idleSince) >= c.idleTimeout || c.reader.Buffered() > 0 {
 		return false
 	}
+	if o, ok := c.Conn.(opener); ok {
+		return o.IsOpen()
+	}
 	raw, err := c.Conn.(syscall.Conn).SyscallConn()
 	if err != nil {
 		return false
--- a/rosemaryspool/courier/courier.go
+++ b/rosemaryspool/courier/courier.go
@@ -33,27 +33,40 @@
 	Datagram *messenger.Datagram
 }
 
+// Socket sends and receives the packets that carry datagrams.
+type Socket interface {
+	ReadFromUDPAddrPort(b []byte) (int, netip.AddrPort, error)
+	WriteToUDPAddrPort(b []byte, to netip.AddrPort) (int, error)
+	LocalAddr() net.Addr
+	Close() error
+}
+
+// Listen opens a UDP socket at an address of the form IP:PORT.
+func Listen(address string) (Socket, error) {
+	at, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return nil, eris.Wrap(err, "courier: address")
+	}
+	socket, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(at))
+	if err != nil {
+		return nil, eris.Wrap(err, "courier: listen")
+	}
+	return socket, nil
+}
+
 // Courier sends and receives datagrams. Its methods are safe for concurrent use.
 type Courier struct {
 	self    elector.Member
-	socket  *net.UDPConn
+	socket  Socket
 	log     zerolog.Logger
 	leaving atomic.Bool
 	warming atomic.Bool
 	done    chan struct{}
 }
 
-// NewCourier opens the socket at this instance's address.
-func NewCourier(self elector.Member, log zerolog.Logger) (*Courier, error) {
-	address, err := netip.ParseAddrPort(self.Address)
-	if err != nil {
-		return nil, eris.Wrap(err, "courier: address")
-	}
-	socket, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(address))
-	if err != nil {
-		return nil, eris.Wrap(err, "courier: listen")
-	}
-	return &Courier{self: self, socket: socket, log: log, done: make(chan struct{})}, nil
+// NewCourier returns a courier that sends and receives over the socket at this instance's address. It closes the socket.
+func NewCourier(self elector.Member, socket Socket, log zerolog.Logger) *Courier {
+	return &Courier{self: self, socket: socket, log: log, done: make(chan struct{})}
 }
 
 // Close closes the socket of a courier that was never run.
--- a/rosemaryspool/delegator/delegator_test.go
+++ b/rosemaryspool/delegator/delegator_test.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -21,6 +21,7 @@
 	"rosemaryspool.example/rosemaryspool/courier"
 	"rosemaryspool.example/rosemaryspool/gossiper"
 	"rosemaryspool.example/rosemaryspool/governor"
+	"rosemaryspool.example/standin/emulator"
 	"rosemaryspool.example/wire/messenger"
 )
 
@@ -28,6 +29,7 @@
 
 // node is one instance without its front doors. A deaf one receives datagrams and ignores them.
 type node struct {
+	network   *emulator.Network
 	governor  *governor.Governor
 	delegator *Delegator
 	registry  metrics.Registry
@@ -39,13 +41,14 @@
 // newNodes starts instances that know each other and the upstreams, in the order in which they become arbiters.
 func newNodes(t *testing.T, count, upstreams int) []*node {
 	t.Helper()
+	network := emulator.NewNetwork()
 	var members []elector.Member
 	for i := range count {
-		members = append(members, newMember(t, fmt.Sprint("spool-", i+1), 800))
+		members = append(members, newMember(i+1, fmt.Sprint("spool-", i+1), 800))
 	}
 	byInstance := map[identifier.InstanceID]*node{}
 	for _, m := range members {
-		byInstance[m.Instance] = newNode(t, m, members, upstreams)
+		byInstance[m.Instance] = newNode(t, network, m, members, upstreams)
 	}
 	var nodes []*node
 	for _, m := range byInstance[members[0].Instance].governor.Arbiters(time.Now(), service, count) {
@@ -54,19 +57,18 @@
 	return nodes
 }
 
-func newMember(t *testing.T, name string, capacity int) elector.Member {
-	t.Helper()
-	socket, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
-	require.NoError(t, err)
-	defer func() { require.NoError(t, socket.Close()) }()
+// newMember returns the member with a number, which is a part of its address.
+func newMember(number int, name string, capacity int) elector.Member {
 	return elector.Member{
-		Instance: identifier.InstanceID(name), Address: socket.LocalAddr().String(), Capacity: capacity, StartedMs: 5,
+		Instance: identifier.InstanceID(name), Address: fmt.Sprintf("10.0.0.%d:4000", number), Capacity: capacity, StartedMs: 5,
 	}
 }
 
-func newNode(t *testing.T, self elector.Member, members []elector.Member, upstreams int) *node {
+func newNode(
+	t *testing.T, network *emulator.Network, self elector.Member, members []elector.Member, upstreams int,
+) *node {
 	t.Helper()
-	n := &node{registry: metrics.NewRegistry(), governor: governor.NewGovernor(governor.Settings{
+	n := &node{network: network, registry: metrics.NewRegistry(), governor: governor.NewGovernor(governor.Settings{
 		Self:  self,
 		Retry: budgeter.Settings{Ratio: 0.2, Extra: 50, Window: 10 * time.Second}, Allocator: allocator.DefaultSettings(),
 	}, zerolog.Nop())}
@@ -79,8 +81,9 @@
 		}
 		return true
 	})
-	c, err := courier.NewCourier(self, zerolog.Nop())
+	socket, err := network.ListenDatagrams(self.Address)
 	require.NoError(t, err)
+	c := courier.NewCourier(self, socket, zerolog.Nop())
 	peers := gossiper.NewGossiper(n.governor, c, nil, nil, zerolog.Nop(), n.registry)
 	n.delegator = NewDelegator(n.governor, c, zerolog.Nop(), n.registry)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -129,6 +132,10 @@
 
 // Instances that decide from their own work alone would all choose the same upstream.
 func TestInstancesSpreadRequestsThroughTheArbiter(t *testing.T) {
+	synctest.Test(t, testInstancesSpreadRequestsThroughTheArbiter)
+}
+
+func testInstancesSpreadRequestsThroughTheArbiter(t *testing.T) {
 	const count = 6
 	nodes := newNodes(t, count, count)
 	chosen := map[identifier.UpstreamID]int{}
@@ -144,6 +151,10 @@
 }
 
 func TestEndedWorkIsReportedToTheArbiter(t *testing.T) {
+	synctest.Test(t, testEndedWorkIsReportedToTheArbiter)
+}
+
+func testEndedWorkIsReportedToTheArbiter(t *testing.T) {
 	nodes := newNodes(t, 3, 1)
 	now := time.Now()
 	placement, refusal := nodes[2].place()
@@ -171,27 +182,33 @@
 		{"two arbiters silent", 2, true, 3 * replyTimeout},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			nodes := newNodes(t, 4, 2)
-			for _, n := range nodes[:c.deaf] {
-				n.deaf.Store(true)
-			}
-			asking := nodes[3]
-			started := time.Now()
-			_, refusal := asking.place()
-			require.Nil(t, refusal)
-			require.Less(t, time.Since(started), c.limit)
-			require.Equal(t, c.alone, asking.placedAlone() > 0)
-			started = time.Now()
-			placement, refusal := asking.place()
-			require.Nil(t, refusal)
-			require.Less(t, time.Since(started), replyTimeout, "a suspected arbiter is not asked again")
-			require.NotEmpty(t, placement.Arbiter)
+			synctest.Test(t, func(t *testing.T) {
+				nodes := newNodes(t, 4, 2)
+				for _, n := range nodes[:c.deaf] {
+					n.deaf.Store(true)
+				}
+				asking := nodes[3]
+				started := time.Now()
+				_, refusal := asking.place()
+				require.Nil(t, refusal)
+				require.Less(t, time.Since(started), c.limit)
+				require.Equal(t, c.alone, asking.placedAlone() > 0)
+				started = time.Now()
+				placement, refusal := asking.place()
+				require.Nil(t, refusal)
+				require.Less(t, time.Since(started), replyTimeout, "a suspected arbiter is not asked again")
+				require.NotEmpty(t, placement.Arbiter)
+			})
 		})
 	}
 }
 
 // A placement whose reply was lost must not count forever.
 func TestUnansweredRequestsDoNotCount(t *testing.T) {
+	synctest.Test(t, testUnansweredRequestsDoNotCount)
+}
+
+func testUnansweredRequestsDoNotCount(t *testing.T) {
 	nodes := newNodes(t, 3, 1)
 	nodes[2].deaf.Store(true)
 	_, refusal := nodes[2].place()
@@ -208,10 +225,12 @@
 }
 
 // An instance that has not heard of a better candidate yet learns of it from the arbiter that it asks.
-func TestBetterArbiterIsAnnounced(t *testing.T) {
+func TestBetterArbiterIsAnnounced(t *testing.T) { synctest.Test(t, testBetterArbiterIsAnnounced) }
+
+func testBetterArbiterIsAnnounced(t *testing.T) {
 	nodes := newNodes(t, 3, 2)
 	best := nodes[0].governor.Self()
-	stranger := newNode(t, newMember(t, "stranger", 100), []elector.Member{nodes[1].governor.Self()}, 2)
+	stranger := newNode(t, nodes[1].network, newMember(9, "stranger", 100), []elector.Member{nodes[1].governor.Self()}, 2)
 	placement, refusal := stranger.place()
 	require.Nil(t, refusal)
 	require.Equal(t, nodes[1].governor.Self().Instance, placement.Arbiter)
@@ -245,22 +264,28 @@
 		},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			nodes := newNodes(t, 3, 2)
-			arbiter, sender := nodes[0], nodes[2]
-			c.before(arbiter, sender)
-			during := func() { c.during(arbiter, sender) }
-			arbiter.beforeRequest.Store(&during)
-			for range 4 {
-				placement, refusal := sender.place()
-				require.Nil(t, refusal)
-				require.EqualValues(t, "u1", placement.Upstream)
-				sender.governor.Ended(time.Now(), time.Now(), placement, allocator.OutcomeCancelled)
-			}
+			synctest.Test(t, func(t *testing.T) {
+				nodes := newNodes(t, 3, 2)
+				arbiter, sender := nodes[0], nodes[2]
+				c.before(arbiter, sender)
+				during := func() { c.during(arbiter, sender) }
+				arbiter.beforeRequest.Store(&during)
+				for range 4 {
+					placement, refusal := sender.place()
+					require.Nil(t, refusal)
+					require.EqualValues(t, "u1", placement.Upstream)
+					sender.governor.Ended(time.Now(), time.Now(), placement, allocator.OutcomeCancelled)
+				}
+			})
 		})
 	}
 }
 
 func TestManyLeavingUpstreamsFitIntoARequest(t *testing.T) {
+	synctest.Test(t, testManyLeavingUpstreamsFitIntoARequest)
+}
+
+func testManyLeavingUpstreamsFitIntoARequest(t *testing.T) {
 	const upstreams = 400
 	nodes := newNodes(t, 3, upstreams)
 	for _, n := range nodes {
@@ -275,6 +300,10 @@
 }
 
 func TestOneInstanceThatHearsOfALeavingUpstreamTellsTheArbiter(t *testing.T) {
+	synctest.Test(t, testOneInstanceThatHearsOfALeavingUpstreamTellsTheArbiter)
+}
+
+func testOneInstanceThatHearsOfALeavingUpstreamTellsTheArbiter(t *testing.T) {
 	nodes := newNodes(t, 3, 2)
 	listed, _ := nodes[2].governor.Entry("u0")
 	nodes[2].governor.Notify(listed, allocator.Notice{Leaving: true})
@@ -288,6 +317,10 @@
 }
 
 func TestArbiterWithAnOlderListDoesNotMixVersions(t *testing.T) {
+	synctest.Test(t, testArbiterWithAnOlderListDoesNotMixVersions)
+}
+
+func testArbiterWithAnOlderListDoesNotMixVersions(t *testing.T) {
 	nodes := newNodes(t, 3, 2)
 	version := identifier.SoftwareVersion("v1")
 	for i, n := range nodes {
@@ -334,22 +367,24 @@
 		{"by a dead instance", []int{0}, []int{0}, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			nodes := newNodes(t, count, 2)
-			origin := resumer.Origin{Stream: id, Service: service, Version: "v1", Until: time.Now().Add(time.Minute)}
-			for _, i := range c.knows {
-				nodes[i].governor.LearnStream(time.Now(), origin)
-			}
-			for _, i := range c.deaf {
-				nodes[i].deaf.Store(true)
-			}
-			started := time.Now()
-			got, found := nodes[count-1].delegator.StreamOrigin(context.Background(), service, id)
-			require.Less(t, time.Since(started), 4*replyTimeout)
-			require.Equal(t, c.found, found)
-			if found {
-				require.EqualValues(t, "v1", got.Version)
-				require.Equal(t, service, got.Service)
-			}
+			synctest.Test(t, func(t *testing.T) {
+				nodes := newNodes(t, count, 2)
+				origin := resumer.Origin{Stream: id, Service: service, Version: "v1", Until: time.Now().Add(time.Minute)}
+				for _, i := range c.knows {
+					nodes[i].governor.LearnStream(time.Now(), origin)
+				}
+				for _, i := range c.deaf {
+					nodes[i].deaf.Store(true)
+				}
+				started := time.Now()
+				got, found := nodes[count-1].delegator.StreamOrigin(context.Background(), service, id)
+				require.Less(t, time.Since(started), 4*replyTimeout)
+				require.Equal(t, c.found, found)
+				if found {
+					require.EqualValues(t, "v1", got.Version)
+					require.Equal(t, service, got.Service)
+				}
+			})
 		})
 	}
 }
--- a/rosemaryspool/gatekeeper/crash_test.go
+++ b/rosemaryspool/gatekeeper/crash_test.go
@@ -8,6 +8,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -106,8 +107,7 @@
 		request.Header.Set(emulator.HeaderTokens, "3000,20")
 		request.Header.Set(emulator.HeaderPrompt, l.prompt(number))
 	}
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
-	response, err := client.Do(request)
+	response, err := ti.client().Do(request)
 	if err != nil {
 		return false
 	}
@@ -229,11 +229,14 @@
 
 func TestRequestsThatACrashTookAreServedBeforeNewOnes(t *testing.T) {
 	t.Parallel()
-	store := newTestStore(t)
+	synctest.Test(t, testRequestsThatACrashTookAreServedBeforeNewOnes)
+}
+
+func testRequestsThatACrashTookAreServedBeforeNewOnes(t *testing.T) {
+	store := newMemoryStore(t)
 	const fatalURI = lookups + "fatal"
 	for i := range 4 {
-		u := emulator.NewUpstream(fmt.Sprint("u", i), "", 0)
-		t.Cleanup(u.Close)
+		u := store.newUpstream(t, fmt.Sprint("u", i), "", 0)
 		u.SetDelay(100 * time.Millisecond)
 		u.CrashOn(func(r emulator.Run) bool { return r.URI == fatalURI })
 		putUpstream(store.Store, u, "ready")
--- a/rosemaryspool/gatekeeper/gatekeeper.go
+++ b/rosemaryspool/gatekeeper/gatekeeper.go
@@ -76,6 +76,7 @@
 	prober     *prober.Prober
 	subscriber *subscriber.Subscriber
 	archiver   *archiver.Archiver
+	store      *platform.Store
 	memory     *rationer.Rationer
 	// provisioner is nil where no servers are ordered.
 	provisioner *provisioner.Provisioner
@@ -93,10 +94,9 @@
 	done            chan struct{}
 }
 
-// NewGatekeeper assembles an instance that opens its connections to upstreams with dial, and opens its listeners; it
-// serves nothing before Run.
+// NewGatekeeper assembles an instance on a network and opens its listeners; it serves nothing before Run.
 func NewGatekeeper(
-	settings platform.Settings, dial connector.Dial, log zerolog.Logger, registry metrics.Registry,
+	settings platform.Settings, network Network, log zerolog.Logger, registry metrics.Registry,
 ) (*Gatekeeper, error) {
 	startedMs := time.Now().UnixMilli()
 	log = log.With().Str("instance", string(settings.Instance)).Logger()
@@ -105,7 +105,7 @@
 		unreadableNotices: metrics.GetOrRegisterCounter("noticesUnreadable", registry),
 	}
 	g.stopLimit.Store(int64(settings.TerminationGracePeriod))
-	if err := g.listen(); err != nil {
+	if err := g.listen(network); err != nil {
 		return nil, err
 	}
 	// Datagrams and requests of other instances arrive at the same port.
@@ -120,12 +120,12 @@
 		KeyLimit: keyLimit(settings),
 	}, log)
 	opened := metrics.GetOrRegisterCounter("connectionsOpened", registry)
-	g.connector = connector.NewConnector(dial, func() { opened.Inc(1) }, g.handleResponse)
-	peers, err := courier.NewCourier(self, log)
+	g.connector = connector.NewConnector(network.Dial, func() { opened.Inc(1) }, g.handleResponse)
+	socket, err := network.ListenDatagrams(self.Address)
 	if err != nil {
 		return nil, errors.Join(err, g.closeListeners())
 	}
-	g.courier = peers
+	g.courier = courier.NewCourier(self, socket, log)
 	seeds := strings.FieldsFunc(settings.Seeds, func(r rune) bool { return r == ',' })
 	g.gossiper = gossiper.NewGossiper(g.governor, g.courier, seeds, g.handleView, log, registry)
 	g.delegator = delegator.NewDelegator(g.governor, g.courier, log, registry)
@@ -133,17 +133,17 @@
 	g.prober = prober.NewProber(g.governor, g.connector, log)
 	g.forwarder = forwarder.NewForwarder(g.governor, g.delegator, g.connector, g.prober, g.memory, log, registry)
 	g.inspector = inspector.NewInspector(g.governor, g.connector, log)
-	store := platform.NewStore(settings.StoreAddress)
-	g.archiver = archiver.NewArchiver(store, g.governor, settings.FirstStart, log)
+	g.store = platform.NewStore(settings.StoreAddress, network.DialStore)
+	g.archiver = archiver.NewArchiver(g.store, g.governor, settings.FirstStart, log)
 	g.subscriber = subscriber.NewSubscriber(
-		store, g.governor, g.gossiper, subscriber.Settings{
+		g.store, g.governor, g.gossiper, subscriber.Settings{
 			DrainLimit: settings.MaxDrainDelay, ApplyLimit: settings.MaxApplyDelay, KeyLimit: keyLimit(settings),
 			FirstStart: settings.FirstStart,
 		}, log,
 	)
 	if d := settings.Duties; d.Address != "" && (d.ReportsUsage || d.OrdersServers) {
 		g.steward = steward.NewSteward(
-			d, store, platform.NewCloud(d.Address), g.governor, g.courier, log, registry,
+			d, g.store, platform.NewCloud(d.Address), g.governor, g.courier, log, registry,
 		)
 		g.forwarder.MeterWith(g.steward)
 		if d.OrdersServers {
@@ -264,7 +264,7 @@
 
 // listen opens the listeners for callers, other instances, readiness probes and metrics; on an error it closes those
 // already open.
-func (g *Gatekeeper) listen() error {
+func (g *Gatekeeper) listen(network Network) error {
 	for _, l := range []struct {
 		listener *net.Listener
 		address  string
@@ -274,7 +274,7 @@
 		{&g.readyListener, g.settings.ReadinessAddress},
 		{&g.metricsListener, g.settings.MetricsAddress},
 	} {
-		listener, err := net.Listen("tcp", l.address)
+		listener, err := network.Listen(l.address)
 		if err != nil {
 			return eris.Wrap(errors.Join(err, g.closeListeners()), "gatekeeper: listen")
 		}
@@ -328,6 +328,7 @@
 	stopBackground()
 	group.Wait()
 	g.connector.Close()
+	g.store.Close()
 	g.log.Info().Str("event", "stopped").Err(err).Msg("Stopped")
 	return err
 }
--- a/rosemaryspool/gatekeeper/gatekeeper_test.go
+++ b/rosemaryspool/gatekeeper/gatekeeper_test.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -23,6 +24,8 @@
 
 	"rosemaryspool.example/core/tracker"
 	"rosemaryspool.example/platform"
+	"rosemaryspool.example/rosemaryspool/connector"
+	"rosemaryspool.example/rosemaryspool/courier"
 	"rosemaryspool.example/rosemaryspool/governor"
 	"rosemaryspool.example/standin/emulator"
 )
@@ -55,13 +58,15 @@
 
 // testInstance is one instance with a fake store and fake upstreams.
 type testInstance struct {
-	t          *testing.T
-	store      *emulator.Store
+	t     *testing.T
+	store *emulator.Store
+	// dial opens connections to the instance.
+	dial       connector.Dial
 	url        string
 	readyURL   string
 	stop       context.CancelFunc
 	gatekeeper *Gatekeeper
-	// link is the instance's path to the upstreams.
+	// link is the instance's path to the upstreams, on a network in memory.
 	link *link
 }
 
@@ -81,6 +86,47 @@
 type testStore struct {
 	*emulator.Store
 	address string
+	// network is where the store is reached; nil for the operating system's.
+	network *emulator.Network
+}
+
+// newMemoryStore starts a store on a network in memory, for a test on the paused clock.
+func newMemoryStore(t *testing.T) testStore {
+	t.Helper()
+	store, network := emulator.NewStore(), emulator.NewNetwork()
+	server := network.Serve(store)
+	t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	return testStore{Store: store, address: server.Listener.Addr().String(), network: network}
+}
+
+// newUpstream starts an upstream on the network of the store.
+func (s testStore) newUpstream(t *testing.T, id, stage string, events int) *emulator.Upstream {
+	t.Helper()
+	start := emulator.NewUpstream
+	if s.network != nil {
+		start = s.network.NewUpstream
+	}
+	u := start(id, stage, events)
+	t.Cleanup(u.Close)
+	return u
+}
+
+// openers returns the network of the store, as an instance uses it.
+func (s testStore) openers() Network {
+	if s.network == nil {
+		return NewNetwork()
+	}
+	return Network{
+		Listen:          s.network.Listen,
+		ListenDatagrams: func(address string) (courier.Socket, error) { return s.network.ListenDatagrams(address) },
+		Dial:            s.network.Dial,
+		DialStore: func(ctx context.Context, _, address string) (net.Conn, error) {
+			return s.network.Dial(ctx, address)
+		},
+	}
 }
 
 func newTestStore(t *testing.T) testStore {
@@ -114,8 +160,12 @@
 // startLoggingInstance starts an instance that writes its log to a writer.
 func startLoggingInstance(t *testing.T, store testStore, settings platform.Settings, log io.Writer) *testInstance {
 	t.Helper()
-	ti := &testInstance{t: t, store: store.Store, link: newLink()}
-	gatekeeper, err := NewGatekeeper(settings, ti.link.dial, zerolog.New(log), metrics.NewRegistry())
+	network := store.openers()
+	ti := &testInstance{t: t, store: store.Store, dial: network.Dial, link: newLink(network.Dial)}
+	if store.network != nil {
+		network.Dial = ti.link.dial
+	}
+	gatekeeper, err := NewGatekeeper(settings, network, zerolog.New(log), metrics.NewRegistry())
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	ti.gatekeeper, ti.stop = gatekeeper, cancel
@@ -135,11 +185,28 @@
 func newReadyTestInstance(t *testing.T, upstreams ...*emulator.Upstream) *testInstance {
 	t.Helper()
 	ti := newTestInstance(t, upstreams...)
-	ti.configure(1)
-	require.Eventually(t, func() bool { return ti.readiness() == http.StatusOK }, 2*time.Second, time.Millisecond)
+	ti.makeReady()
 	return ti
 }
 
+// newMemoryInstance starts an instance on a network in memory and waits until it is ready. Its store lists the upstreams.
+func newMemoryInstance(t *testing.T, store testStore, upstreams ...*emulator.Upstream) *testInstance {
+	t.Helper()
+	for _, u := range upstreams {
+		putUpstream(store.Store, u, "ready")
+	}
+	ti := startTestInstance(t, store, testSettings(store))
+	ti.makeReady()
+	return ti
+}
+
+// makeReady writes the configuration and waits until the instance is ready.
+func (ti *testInstance) makeReady() {
+	ti.t.Helper()
+	ti.configure(1)
+	require.Eventually(ti.t, func() bool { return ti.readiness() == http.StatusOK }, 2*time.Second, time.Millisecond)
+}
+
 func (ti *testInstance) configure(version int) {
 	ti.store.Put(platform.TopicConfiguration, platform.KeyConfiguration, fmt.Appendf(nil, routeTable, version))
 }
@@ -157,15 +224,23 @@
 }
 
 func (ti *testInstance) acceptsConnections() bool {
-	c, err := net.Dial("tcp", strings.TrimPrefix(ti.url, "http://"))
+	c, err := ti.dial(ti.t.Context(), strings.TrimPrefix(ti.url, "http://"))
 	if err != nil {
 		return false
 	}
 	return c.Close() == nil
 }
 
+// client returns a client of the instance that opens a connection for each request.
+func (ti *testInstance) client() *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		DialContext:       func(ctx context.Context, _, address string) (net.Conn, error) { return ti.dial(ctx, address) },
+		DisableKeepAlives: true, DisableCompression: true,
+	}}
+}
+
 func (ti *testInstance) readiness() int {
-	response, err := http.Get(ti.readyURL)
+	response, err := ti.client().Get(ti.readyURL)
 	if err != nil {
 		return 0
 	}
@@ -195,8 +270,7 @@
 	for i := 0; i < len(headers); i += 2 {
 		request.Header.Set(headers[i], headers[i+1])
 	}
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
-	received, err := client.Do(request)
+	received, err := ti.client().Do(request)
 	require.NoError(ti.t, err)
 	defer received.Body.Close()
 	content, err := io.ReadAll(received.Body)
@@ -301,19 +375,22 @@
 		{"non-idempotent, no response: timeout", orders, emulator.Hangs, http.StatusGatewayTimeout, 1},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			a, b := newPlainUpstream("u1"), newPlainUpstream("u2")
-			ti := newReadyTestInstance(t, a, b)
-			emulator.Misbehave(c.behaviour, a, b)
-			started := time.Now()
-			r := ti.send(http.MethodPost, c.path+"x", "body")
-			require.Less(t, time.Since(started), 1200*time.Millisecond)
-			require.Equal(t, c.status, r.status)
-			require.Equal(t, c.runs, countRuns(a, b))
-			require.Equal(t, "a1", r.header.Get(emulator.HeaderAttempt))
-			if c.status == http.StatusOK {
-				require.Equal(t, emulator.ResponseBody, r.body)
-				require.NotEmpty(t, r.header.Get(emulator.HeaderSignature))
-			}
+			synctest.Test(t, func(t *testing.T) {
+				store := newMemoryStore(t)
+				a, b := store.newUpstream(t, "u1", "", 0), store.newUpstream(t, "u2", "", 0)
+				ti := newMemoryInstance(t, store, a, b)
+				emulator.Misbehave(c.behaviour, a, b)
+				started := time.Now()
+				r := ti.send(http.MethodPost, c.path+"x", "body")
+				require.Less(t, time.Since(started), 1200*time.Millisecond)
+				require.Equal(t, c.status, r.status)
+				require.Equal(t, c.runs, countRuns(a, b))
+				require.Equal(t, "a1", r.header.Get(emulator.HeaderAttempt))
+				if c.status == http.StatusOK {
+					require.Equal(t, emulator.ResponseBody, r.body)
+					require.NotEmpty(t, r.header.Get(emulator.HeaderSignature))
+				}
+			})
 		})
 	}
 }
@@ -455,49 +532,52 @@
 		{"all ask to wait", true, http.StatusServiceUnavailable},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			waiting, other := newPlainUpstream("u1"), newPlainUpstream("u2")
-			waiting.SetBehaviour(emulator.Rejects)
-			waiting.SetRetryAfter("2")
-			if c.all {
-				other.SetBehaviour(emulator.Rejects)
-				other.SetRetryAfter("3")
-			}
-			ti := newReadyTestInstance(t, waiting, other)
-			for len(waiting.Rejections()) == 0 || c.all && len(other.Rejections()) == 0 {
-				ti.send(http.MethodGet, lookups+"x", "")
-			}
-			asked := waiting.Rejections()[0].At
-			other.SetDelay(50 * time.Millisecond)
-			var group conc.WaitGroup
-			for range 12 {
-				group.Go(func() {
-					for time.Since(asked) < wait-100*time.Millisecond {
-						r := ti.send(http.MethodGet, lookups+"x", "")
-						assert.Equal(t, c.status, r.status)
-						if c.all {
-							seconds, err := strconv.ParseFloat(r.header.Get("Retry-After"), 64)
-							assert.NoError(t, err)
-							assert.InDelta(t, (wait - time.Since(asked)).Seconds(), seconds, 0.5, "the earliest of the upstreams")
+			synctest.Test(t, func(t *testing.T) {
+				store := newMemoryStore(t)
+				waiting, other := store.newUpstream(t, "u1", "", 0), store.newUpstream(t, "u2", "", 0)
+				waiting.SetBehaviour(emulator.Rejects)
+				waiting.SetRetryAfter("2")
+				if c.all {
+					other.SetBehaviour(emulator.Rejects)
+					other.SetRetryAfter("3")
+				}
+				ti := newMemoryInstance(t, store, waiting, other)
+				for len(waiting.Rejections()) == 0 || c.all && len(other.Rejections()) == 0 {
+					ti.send(http.MethodGet, lookups+"x", "")
+				}
+				asked := waiting.Rejections()[0].At
+				other.SetDelay(50 * time.Millisecond)
+				var group conc.WaitGroup
+				for range 12 {
+					group.Go(func() {
+						for time.Since(asked) < wait-100*time.Millisecond {
+							r := ti.send(http.MethodGet, lookups+"x", "")
+							assert.Equal(t, c.status, r.status)
+							if c.all {
+								seconds, err := strconv.ParseFloat(r.header.Get("Retry-After"), 64)
+								assert.NoError(t, err)
+								assert.InDelta(t, (wait - time.Since(asked)).Seconds(), seconds, 0.5, "the earliest of the upstreams")
+							}
+							time.Sleep(5 * time.Millisecond)
 						}
-						time.Sleep(5 * time.Millisecond)
+					})
+				}
+				group.Wait()
+				// Up to two requests may arrive in this time.
+				late := 0
+				for _, r := range waiting.Rejections() {
+					if since := r.At.Sub(asked); since > 500*time.Millisecond && since < wait {
+						late++
 					}
-				})
-			}
-			group.Wait()
-			// Up to two requests may arrive in this time.
-			late := 0
-			for _, r := range waiting.Rejections() {
-				if since := r.At.Sub(asked); since > 500*time.Millisecond && since < wait {
-					late++
 				}
-			}
-			require.LessOrEqual(t, late, 2)
-			waiting.SetBehaviour(emulator.Responds)
-			ti.putUpstream(other, "draining")
-			require.Eventually(t, func() bool {
-				ti.send(http.MethodGet, lookups+"x", "")
-				return countRuns(waiting) > 0
-			}, 2*time.Second, 5*time.Millisecond, "it is used again after that time")
+				require.LessOrEqual(t, late, 2)
+				waiting.SetBehaviour(emulator.Responds)
+				ti.putUpstream(other, "draining")
+				require.Eventually(t, func() bool {
+					ti.send(http.MethodGet, lookups+"x", "")
+					return countRuns(waiting) > 0
+				}, 2*time.Second, 5*time.Millisecond, "it is used again after that time")
+			})
 		})
 	}
 }
--- a/rosemaryspool/gatekeeper/link_test.go
+++ b/rosemaryspool/gatekeeper/link_test.go
@@ -9,6 +9,7 @@
 	"syscall"
 
 	"rosemaryspool.example/rosemaryspool/connector"
+	"rosemaryspool.example/standin/emulator"
 )
 
 // cut is what a link does with connections to upstreams.
@@ -27,14 +28,19 @@
 
 // link is the path of one instance to the upstreams. It does not affect connections to other instances and to the store.
 type link struct {
-	mu   sync.Mutex
-	cut  cut
-	open map[*linkConnection]bool
+	// open opens a connection to an upstream.
+	open connector.Dial
+
+	mu          sync.Mutex
+	cut         cut
+	connections map[*linkConnection]bool
 	// spared holds the addresses that the link doesn't affect.
 	spared map[string]bool
 }
 
-func newLink() *link { return &link{open: map[*linkConnection]bool{}, spared: map[string]bool{}} }
+func newLink(open connector.Dial) *link {
+	return &link{open: open, connections: map[*linkConnection]bool{}, spared: map[string]bool{}}
+}
 
 // spare has the link always carry what goes to an address.
 func (l *link) spare(address string) {
@@ -50,11 +56,9 @@
 	if c != resetting {
 		return
 	}
-	for conn := range l.open {
+	for conn := range l.connections {
 		conn.reset.Store(true)
-		// A reset instead of an orderly end.
-		_ = conn.SetLinger(0)
-		_ = conn.TCPConn.Close()
+		_ = conn.Conn.Close()
 	}
 }
 
@@ -70,27 +74,27 @@
 	l.mu.Unlock()
 	switch {
 	case spared:
-		return connector.DialTCP(ctx, address)
+		return l.open(ctx, address)
 	case mode == silent:
 		<-ctx.Done()
 		return nil, ctx.Err()
 	case mode != whole:
 		return nil, fmt.Errorf("link: %w", syscall.ECONNREFUSED)
 	}
-	conn, err := connector.DialTCP(ctx, address)
+	conn, err := l.open(ctx, address)
 	if err != nil {
 		return nil, err
 	}
-	c := &linkConnection{TCPConn: conn.(*net.TCPConn), link: l}
+	c := &linkConnection{Conn: conn.(*emulator.Conn), link: l}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.open[c] = true
+	l.connections[c] = true
 	return c, nil
 }
 
 // linkConnection is a connection over a link.
 type linkConnection struct {
-	*net.TCPConn
+	*emulator.Conn
 	link *link
 	// reset is true once the link has reset the connection.
 	reset atomic.Bool
@@ -99,7 +103,7 @@
 // Read loses what arrives over a silent link.
 func (c *linkConnection) Read(b []byte) (int, error) {
 	for {
-		n, err := c.TCPConn.Read(b)
+		n, err := c.Conn.Read(b)
 		if err != nil && c.reset.Load() {
 			return n, syscall.ECONNRESET
 		}
@@ -114,13 +118,13 @@
 	if c.link.current() == silent {
 		return len(b), nil
 	}
-	return c.TCPConn.Write(b)
+	return c.Conn.Write(b)
 }
 
 // Close closes the connection.
 func (c *linkConnection) Close() error {
 	c.link.mu.Lock()
-	delete(c.link.open, c)
+	delete(c.link.connections, c)
 	c.link.mu.Unlock()
-	return c.TCPConn.Close()
+	return c.Conn.Close()
 }
--- a/rosemaryspool/gatekeeper/path_test.go
+++ b/rosemaryspool/gatekeeper/path_test.go
@@ -4,13 +4,12 @@
 	"bufio"
 	"context"
 	"fmt"
-	"net"
 	"net/http"
-	"net/http/httptest"
 	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -29,8 +28,7 @@
 	var upstreams []*emulator.Upstream
 	for i := range 6 {
 		stage, events := []string{"decode", "prefill", ""}[i%3], []int{3, 2, 0}[i%3]
-		u := emulator.NewUpstream(fmt.Sprintf("u%d", i), stage, events)
-		t.Cleanup(u.Close)
+		u := store.newUpstream(t, fmt.Sprintf("u%d", i), stage, events)
 		u.SetDelay(5 * time.Millisecond)
 		putUpstream(store.Store, u, "ready")
 		upstreams = append(upstreams, u)
@@ -77,50 +75,53 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			store := newTestStore(t)
-			newPathFleet(t, store)
-			instances := newTestCluster(t, store, 4)
-			for _, ti := range instances {
-				before := sendTries(ti, "before", 20)
-				require.Equal(t, before.sent, before.served)
-			}
-			lost, others := instances[:2], instances[2:]
-			for _, ti := range lost {
-				ti.link.set(c.cut)
-			}
-			// Callers go on sending while the instances find out.
-			until := time.Now().Add(contactTime)
-			var group conc.WaitGroup
-			for _, ti := range instances {
-				group.Go(func() {
-					for n := 0; time.Now().Before(until); n++ {
-						sendTries(ti, fmt.Sprint("during", n), 5)
+			synctest.Test(t, func(t *testing.T) {
+				store := newMemoryStore(t)
+				newPathFleet(t, store)
+				instances := newTestCluster(t, store, 4)
+				for _, ti := range instances {
+					before := sendTries(ti, "before", 20)
+					require.Equal(t, before.sent, before.served)
+				}
+				lost, others := instances[:2], instances[2:]
+				for _, ti := range lost {
+					ti.link.set(c.cut)
+				}
+				// Callers go on sending while the instances find out.
+				until := time.Now().Add(contactTime)
+				var group conc.WaitGroup
+				for _, ti := range instances {
+					group.Go(func() {
+						for n := 0; time.Now().Before(until); n++ {
+							sendTries(ti, fmt.Sprint("during", n), 5)
+							time.Sleep(20 * time.Millisecond)
+						}
+					})
+				}
+				group.Wait()
+				const count = 200
+				results := make([]tries, len(instances))
+				for i, ti := range instances {
+					group.Go(func() { results[i] = sendTries(ti, "after", count) })
+				}
+				group.Wait()
+				var atLost, atOthers tries
+				for i, r := range results {
+					if i < len(lost) {
+						atLost.sent, atLost.served = atLost.sent+r.sent, atLost.served+r.served
+					} else {
+						atOthers.sent, atOthers.served = atOthers.sent+r.sent, atOthers.served+r.served
 					}
-				})
-			}
-			group.Wait()
-			const count = 200
-			results := make([]tries, len(instances))
-			for i, ti := range instances {
-				group.Go(func() { results[i] = sendTries(ti, "after", count) })
-			}
-			group.Wait()
-			var atLost, atOthers tries
-			for i, r := range results {
-				if i < len(lost) {
-					atLost.sent, atLost.served = atLost.sent+r.sent, atLost.served+r.served
-				} else {
-					atOthers.sent, atOthers.served = atOthers.sent+r.sent, atOthers.served+r.served
 				}
-			}
-			t.Logf("served %d of %d without a path, %d of %d at the others", atLost.served, atLost.sent, atOthers.served, atOthers.sent)
-			share := func(t tries) float64 { return float64(t.served) / float64(t.sent) }
-			require.GreaterOrEqual(t, share(atLost), share(atOthers)*2/3)
-			require.LessOrEqual(t, atLost.sent-atLost.served, 10+atLost.sent/50)
-			for _, ti := range append(lost, others...) {
-				require.Equal(t, http.StatusOK, ti.readiness())
-				ti.link.set(whole)
-			}
+				t.Logf("served %d of %d without a path, %d of %d at the others", atLost.served, atLost.sent, atOthers.served, atOthers.sent)
+				share := func(t tries) float64 { return float64(t.served) / float64(t.sent) }
+				require.GreaterOrEqual(t, share(atLost), share(atOthers)*2/3)
+				require.LessOrEqual(t, atLost.sent-atLost.served, 10+atLost.sent/50)
+				for _, ti := range append(lost, others...) {
+					require.Equal(t, http.StatusOK, ti.readiness())
+					ti.link.set(whole)
+				}
+			})
 		})
 	}
 }
@@ -164,30 +165,31 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			store := newTestStore(t)
-			var upstreams []*emulator.Upstream
-			for i := range 6 {
-				u := emulator.NewUpstream(fmt.Sprint("u", i), "", 0)
-				t.Cleanup(u.Close)
-				u.SetDelay(100 * time.Millisecond)
-				putUpstream(store.Store, u, "ready")
-				upstreams = append(upstreams, u)
-			}
-			instances := newTestCluster(t, store, 4)
-			lost, others := instances[:2], instances[2:]
-			for _, ti := range lost {
-				ti.link.spare(upstreams[0].Address())
-				ti.link.set(c.cut)
-			}
-			sendOrders(instances, "during", contactTime)
-			results := sendOrders(instances, "after", 2*time.Second)
-			t.Logf("served of sent: %v at %d instances that reach one upstream, %v at the others", results[:2], len(lost), results[2:])
-			for _, r := range results {
-				require.LessOrEqual(t, r.sent-r.served, 10+r.sent/50)
-			}
-			for _, ti := range append(lost, others...) {
-				ti.link.set(whole)
-			}
+			synctest.Test(t, func(t *testing.T) {
+				store := newMemoryStore(t)
+				var upstreams []*emulator.Upstream
+				for i := range 6 {
+					u := store.newUpstream(t, fmt.Sprint("u", i), "", 0)
+					u.SetDelay(100 * time.Millisecond)
+					putUpstream(store.Store, u, "ready")
+					upstreams = append(upstreams, u)
+				}
+				instances := newTestCluster(t, store, 4)
+				lost, others := instances[:2], instances[2:]
+				for _, ti := range lost {
+					ti.link.spare(upstreams[0].Address())
+					ti.link.set(c.cut)
+				}
+				sendOrders(instances, "during", contactTime)
+				results := sendOrders(instances, "after", 2*time.Second)
+				t.Logf("served of sent: %v at %d instances that reach one upstream, %v at the others", results[:2], len(lost), results[2:])
+				for _, r := range results {
+					require.LessOrEqual(t, r.sent-r.served, 10+r.sent/50)
+				}
+				for _, ti := range append(lost, others...) {
+					ti.link.set(whole)
+				}
+			})
 		})
 	}
 }
@@ -205,7 +207,11 @@
 
 func TestRequestsArePassedOnOnce(t *testing.T) {
 	t.Parallel()
-	store := newTestStore(t)
+	synctest.Test(t, testRequestsArePassedOnOnce)
+}
+
+func testRequestsArePassedOnOnce(t *testing.T) {
+	store := newMemoryStore(t)
 	upstreams := newPathFleet(t, store)
 	instances := newTestCluster(t, store, 3)
 	for _, ti := range instances {
@@ -224,7 +230,11 @@
 
 func TestInstancesFindTheirPathAgain(t *testing.T) {
 	t.Parallel()
-	store := newTestStore(t)
+	synctest.Test(t, testInstancesFindTheirPathAgain)
+}
+
+func testInstancesFindTheirPathAgain(t *testing.T) {
+	store := newMemoryStore(t)
 	newPathFleet(t, store)
 	ti := newTestCluster(t, store, 2)[0]
 	losePath(t, ti)
@@ -238,7 +248,11 @@
 
 func TestPassedOnRequestsKeepTheirDeadline(t *testing.T) {
 	t.Parallel()
-	store := newTestStore(t)
+	synctest.Test(t, testPassedOnRequestsKeepTheirDeadline)
+}
+
+func testPassedOnRequestsKeepTheirDeadline(t *testing.T) {
+	store := newMemoryStore(t)
 	upstreams := newPathFleet(t, store)
 	ti := newTestCluster(t, store, 2)[0]
 	losePath(t, ti)
@@ -262,7 +276,11 @@
 
 func TestCallerOfAPassedOnRequestCancelsIt(t *testing.T) {
 	t.Parallel()
-	store := newTestStore(t)
+	synctest.Test(t, testCallerOfAPassedOnRequestCancelsIt)
+}
+
+func testCallerOfAPassedOnRequestCancelsIt(t *testing.T) {
+	store := newMemoryStore(t)
 	upstreams := newPathFleet(t, store)
 	ti := newTestCluster(t, store, 2)[0]
 	losePath(t, ti)
@@ -285,7 +303,7 @@
 	var group conc.WaitGroup
 	defer group.Wait()
 	group.Go(func() {
-		if response, err := http.DefaultClient.Do(request); err == nil {
+		if response, err := ti.client().Do(request); err == nil {
 			_ = response.Body.Close()
 		}
 	})
@@ -295,9 +313,9 @@
 }
 
 // newDeadPeer adds an instance to the list of another one that reads requests and closes their connections. It counts them.
-func newDeadPeer(t *testing.T, ti *testInstance) *atomic.Int64 {
+func newDeadPeer(t *testing.T, network *emulator.Network, ti *testInstance) *atomic.Int64 {
 	t.Helper()
-	listener, err := net.Listen("tcp", anyAddress)
+	listener, err := network.Listen(anyAddress)
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = listener.Close() })
 	got := &atomic.Int64{}
@@ -322,11 +340,15 @@
 
 func TestOrdersArePassedOnAtMostOnce(t *testing.T) {
 	t.Parallel()
-	store := newTestStore(t)
+	synctest.Test(t, testOrdersArePassedOnAtMostOnce)
+}
+
+func testOrdersArePassedOnAtMostOnce(t *testing.T) {
+	store := newMemoryStore(t)
 	upstreams := newPathFleet(t, store)
 	instances := newTestCluster(t, store, 2)
 	losePath(t, instances[0])
-	dead := newDeadPeer(t, instances[0])
+	dead := newDeadPeer(t, store.network, instances[0])
 	// An instance that has broken off is passed over for a second.
 	for n := 0; dead.Load() < 2 && n < 100; n++ {
 		before, runs := dead.Load(), countRuns(upstreams...)
@@ -352,7 +374,11 @@
 
 func TestInstanceThatMissedADatagramServesRequestsOfAnother(t *testing.T) {
 	t.Parallel()
-	store := newTestStore(t)
+	synctest.Test(t, testInstanceThatMissedADatagramServesRequestsOfAnother)
+}
+
+func testInstanceThatMissedADatagramServesRequestsOfAnother(t *testing.T) {
+	store := newMemoryStore(t)
 	newPathFleet(t, store)
 	instances := newTestCluster(t, store, 2)
 	losePath(t, instances[0])
@@ -365,7 +391,11 @@
 
 func TestInstanceWithAnOlderConfigurationTakesNoRequests(t *testing.T) {
 	t.Parallel()
-	store := newTestStore(t)
+	synctest.Test(t, testInstanceWithAnOlderConfigurationTakesNoRequests)
+}
+
+func testInstanceWithAnOlderConfigurationTakesNoRequests(t *testing.T) {
+	store := newMemoryStore(t)
 	newPathFleet(t, store)
 	instances := newTestCluster(t, store, 2)
 	losePath(t, instances[0])
@@ -382,7 +412,11 @@
 
 func TestAttemptsThatWereNotSentTakeNoRetries(t *testing.T) {
 	t.Parallel()
-	store := newTestStore(t)
+	synctest.Test(t, testAttemptsThatWereNotSentTakeNoRetries)
+}
+
+func testAttemptsThatWereNotSentTakeNoRetries(t *testing.T) {
+	store := newMemoryStore(t)
 	newPathFleet(t, store)
 	instances := newTestCluster(t, store, 1)
 	instances[0].link.set(refusing)
@@ -403,7 +437,11 @@
 
 func TestCutThatResetsConnectionsIsNotTakenForCrashes(t *testing.T) {
 	t.Parallel()
-	store := newTestStore(t)
+	synctest.Test(t, testCutThatResetsConnectionsIsNotTakenForCrashes)
+}
+
+func testCutThatResetsConnectionsIsNotTakenForCrashes(t *testing.T) {
+	store := newMemoryStore(t)
 	newPathFleet(t, store)
 	instances := newTestCluster(t, store, 2)
 	stop := make(chan struct{})
@@ -415,6 +453,7 @@
 				return
 			default:
 				sendTries(instances[0], fmt.Sprint("load", n), 8)
+				time.Sleep(20 * time.Millisecond)
 			}
 		}
 	})
@@ -433,9 +472,13 @@
 
 func TestUpstreamsCannotDeclineForAnInstance(t *testing.T) {
 	t.Parallel()
-	store := newTestStore(t)
+	synctest.Test(t, testUpstreamsCannotDeclineForAnInstance)
+}
+
+func testUpstreamsCannotDeclineForAnInstance(t *testing.T) {
+	store := newMemoryStore(t)
 	runs := &atomic.Int64{}
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	server := store.network.Serve(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		runs.Add(1)
 		w.Header().Set(emulator.HeaderAttempt, r.Header.Get(emulator.HeaderAttempt))
 		w.Header().Set(emulator.HeaderSignature, "u.1")
--- a/rosemaryspool/gatekeeper/version_test.go
+++ b/rosemaryspool/gatekeeper/version_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/sourcegraph/conc/pool"
@@ -25,8 +26,7 @@
 		if i == 4 {
 			stage = "prefill"
 		}
-		u := emulator.NewUpstream(fmt.Sprintf("u%d", i), stage, 4)
-		t.Cleanup(u.Close)
+		u := store.newUpstream(t, fmt.Sprintf("u%d", i), stage, 4)
 		if i%2 == 0 {
 			u.Version = "v2"
 		}
@@ -79,7 +79,11 @@
 
 func TestInstanceResumesStreamsOnlyAtTheVersionThatBeganThem(t *testing.T) {
 	t.Parallel()
-	store := newTestStore(t)
+	synctest.Test(t, testInstanceResumesStreamsOnlyAtTheVersionThatBeganThem)
+}
+
+func testInstanceResumesStreamsOnlyAtTheVersionThatBeganThem(t *testing.T) {
+	store := newMemoryStore(t)
 	upstreams := newVersionedUpstreams(t, store)
 	instances := newTestCluster(t, store, 3)
 	responses := sendStreams(instances, verdicts, func(n int) []string {
@@ -103,43 +107,49 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			store := newTestStore(t)
-			upstreams := newVersionedUpstreams(t, store)
-			instances := newTestCluster(t, store, 3)
-			begun := sendStreams(instances[:1], dialogs, func(n int) []string {
-				return []string{emulator.HeaderAttempt, fmt.Sprintf("s%d", n), emulator.HeaderDeadline, "20000"}
-			})
-			for _, r := range begun {
-				require.False(t, r.complete)
-			}
-			if c.stop {
-				// Work reports go to the arbiter's stand-by every 300 ms.
-				time.Sleep(600 * time.Millisecond)
-				instances[0].stop()
-				<-instances[0].gatekeeper.Done()
-			}
-			resumed := sendStreams(instances[1:], dialogs, func(n int) []string {
-				return []string{
-					emulator.HeaderAttempt, fmt.Sprintf("r%d", n), emulator.HeaderResumes, fmt.Sprintf("s%d", n),
-					emulator.HeaderLastEvent, "2",
+			synctest.Test(t, func(t *testing.T) {
+				store := newMemoryStore(t)
+				upstreams := newVersionedUpstreams(t, store)
+				instances := newTestCluster(t, store, 3)
+				begun := sendStreams(instances[:1], dialogs, func(n int) []string {
+					return []string{emulator.HeaderAttempt, fmt.Sprintf("s%d", n), emulator.HeaderDeadline, "20000"}
+				})
+				for _, r := range begun {
+					require.False(t, r.complete)
 				}
-			})
-			wentOn := 0
-			for _, r := range resumed {
-				if r.complete && r.status == http.StatusOK {
-					require.Equal(t, events(3, 4), r.body)
-					wentOn++
+				if c.stop {
+					// Work reports go to the arbiter's stand-by every 300 ms.
+					time.Sleep(600 * time.Millisecond)
+					instances[0].stop()
+					<-instances[0].gatekeeper.Done()
 				}
-			}
-			require.Equal(t, testStreams, wentOn)
-			requireOneVersion(t, upstreams)
+				resumed := sendStreams(instances[1:], dialogs, func(n int) []string {
+					return []string{
+						emulator.HeaderAttempt, fmt.Sprintf("r%d", n), emulator.HeaderResumes, fmt.Sprintf("s%d", n),
+						emulator.HeaderLastEvent, "2",
+					}
+				})
+				wentOn := 0
+				for _, r := range resumed {
+					if r.complete && r.status == http.StatusOK {
+						require.Equal(t, events(3, 4), r.body)
+						wentOn++
+					}
+				}
+				require.Equal(t, testStreams, wentOn)
+				requireOneVersion(t, upstreams)
+			})
 		})
 	}
 }
 
 func TestStreamOfUnknownVersionIsRefused(t *testing.T) {
 	t.Parallel()
-	store := newTestStore(t)
+	synctest.Test(t, testStreamOfUnknownVersionIsRefused)
+}
+
+func testStreamOfUnknownVersionIsRefused(t *testing.T) {
+	store := newMemoryStore(t)
 	upstreams := newVersionedUpstreams(t, store)
 	instances := newTestCluster(t, store, 2)
 	r := instances[0].send(
--- a/rosemaryspool/gossiper/gossiper_test.go
+++ b/rosemaryspool/gossiper/gossiper_test.go
@@ -38,8 +38,9 @@
 	g.UpdateUpstreams(time.Now(), governor.Origin{}, func(tr *tracker.Tracker) bool {
 		return tr.Update(tracker.Entry{Upstream: "u", Service: service, Slots: 6}, 1)
 	})
-	c, err := courier.NewCourier(g.Self(), zerolog.Nop())
+	socket, err := courier.Listen(g.Self().Address)
 	require.NoError(t, err)
+	c := courier.NewCourier(g.Self(), socket, zerolog.Nop())
 	t.Cleanup(func() { require.NoError(t, c.Close()) })
 	return NewGossiper(g, c, nil, onView, zerolog.Nop(), metrics.NewRegistry()), g
 }
--- a/rosemaryspool/gossiper/traffic_test.go
+++ b/rosemaryspool/gossiper/traffic_test.go
@@ -71,8 +71,9 @@
 		}
 		return true
 	})
-	c, err := courier.NewCourier(self, zerolog.Nop())
+	socket, err := courier.Listen(self.Address)
 	require.NoError(b, err)
+	c := courier.NewCourier(self, socket, zerolog.Nop())
 	peers := NewGossiper(g, c, nil, nil, zerolog.Nop(), metrics.NewRegistry())
 	ctx, cancel := context.WithCancel(context.Background())
 	go peers.Run(ctx)
--- a/rosemaryspool/subscriber/subscriber_test.go
+++ b/rosemaryspool/subscriber/subscriber_test.go
@@ -92,13 +92,14 @@
 		Retry:     budgeter.Settings{Ratio: 0.2, Extra: 50, Window: 10 * time.Second},
 		Allocator: allocator.DefaultSettings(),
 	}, zerolog.Nop())
-	c, err := courier.NewCourier(g.Self(), zerolog.Nop())
+	socket, err := courier.Listen(self.Address)
 	require.NoError(t, err)
+	c := courier.NewCourier(g.Self(), socket, zerolog.Nop())
 	var s *Subscriber
 	peers := gossiper.NewGossiper(
 		g, c, seeds, func(topic string, v gossiper.View) { s.HandleView(topic, v) }, zerolog.Nop(), metrics.NewRegistry(),
 	)
-	s = NewSubscriber(platform.NewStore(store), g, peers, Settings{
+	s = NewSubscriber(platform.NewStore(store, platform.DialTCP), g, peers, Settings{
 		DrainLimit: drainLimit, ApplyLimit: applyLimit, FirstStart: firstStart,
 	}, zerolog.Nop())
 	ctx, cancel := context.WithCancel(context.Background())
--- a/standin/emulator/upstream.go
+++ b/standin/emulator/upstream.go
@@ -93,6 +93,13 @@
 	return u
 }
 
+// NewUpstream starts an upstream on the network.
+func (n *Network) NewUpstream(id, stage string, events int) *Upstream {
+	u := newUpstream(id, stage, events)
+	u.server = n.Serve(u)
+	return u
+}
+
 func newUpstream(id, stage string, events int) *Upstream {
 	return &Upstream{ID: id, Stage: stage, Events: events, Version: "v1", handles: map[string]bool{}}
 }
