Use free slots of slower upstreams before refusing plain requests as busy

The option with the lowest cost alone decided whether a request to a plain service is refused.

Where that option is not admissible, the best one that is and that ends before the deadline is taken now. Engines keep their rule: there, work at a slower one takes from its other requests.

--- a/core/allocator/placement.go
+++ b/core/allocator/placement.go
@@ -347,26 +347,23 @@
 	cost      time.Duration
 }
 
-// best returns the option with the lowest cost; its upstream is nil if there is none. Options that cost more are not
-// tried if this one is not admissible: they take more from other requests than the request is worth.
+// best returns the option with the lowest cost; its upstream is nil if there is none. At engines, options that cost more are
+// not tried if this one is not admissible: they take more from other requests than the request is worth.
 func (d *decision) best() option {
 	runners, prefillers := d.candidates(false)
 	if len(runners) == 0 && len(d.waiting) == 0 {
 		// Ejected upstreams are better than none: the fault may be at this instance.
 		runners, prefillers = d.candidates(true)
 	}
+	if !d.req.Engine {
+		return d.bestPlain(runners)
+	}
 	var best option
 	consider := func(o option) {
 		if best.upstream == nil || o.cost < best.cost {
 			best = o
 		}
 	}
-	if !d.req.Engine {
-		for _, u := range runners {
-			consider(d.plainOption(u))
-		}
-		return best
-	}
 	aff := newAffinity(d.req.Prompt, runners, prefillers)
 	for _, u := range runners {
 		if !d.deferred || d.mayDefer(u) {
@@ -408,13 +405,6 @@
 	return d.withoutFull(runners), d.withoutFull(prefillers)
 }
 
-// plainOption is the option to run the request at an upstream that is not an engine.
-func (d *decision) plainOption(u *upstream) option {
-	wait := d.slotWait(u, 0)
-	own := d.paced(u, d.timings.slotHoldTime.value)
-	return option{upstream: u, queued: wait, predicted: own + wait, cost: own + wait + d.remoteCost(u)}
-}
-
 // directOption is the option to prefill and decode at the same engine.
 func (d *decision) directOption(u *upstream, aff affinity) option {
 	tokens := d.allocator.uncachedTokens(d.req, u, aff)
