Have requests wait a moment at an instance that has just started

What is left: callers of the second before are lost, and instances that start together give each other nothing to start with for up to 360 ms.

--- a/rosemaryspool/forwarder/forwarder.go
+++ b/rosemaryspool/forwarder/forwarder.go
@@ -23,6 +23,7 @@
 	"rosemaryspool.example/core/isolator"
 	"rosemaryspool.example/core/matcher"
 	"rosemaryspool.example/core/rationer"
+	"rosemaryspool.example/core/starter"
 	"rosemaryspool.example/platform"
 	"rosemaryspool.example/rosemaryspool/connector"
 	"rosemaryspool.example/rosemaryspool/delegator"
@@ -54,6 +55,7 @@
 	registry           metrics.Registry
 	sampler            *sampler
 	memory             *rationer.Rationer
+	starter            *starter.Starter
 	callers            *meter.Callers
 	callerWaits        *waitTracker
 	keepAlivesDisabled atomic.Bool
@@ -70,6 +72,7 @@
 ) *Forwarder {
 	return &Forwarder{
 		governor: g, delegator: d, connector: c, prober: p, memory: memory, log: log, registry: registry,
+		starter:     starter.NewStarter(time.Now()),
 		callers:     meter.NewCallers(registry, maxCountedCallers),
 		sampler:     newSampler(metrics.GetOrRegisterCounter("logLinesOmitted", registry)),
 		callerWaits: &waitTracker{longest: map[string]time.Duration{}},
@@ -132,6 +135,8 @@
 	request   *http.Request
 	caller    platform.Request
 	started   time.Time
+	// startWait is how long the request has waited because its instance had just started.
+	startWait time.Duration
 	// passedOn is set if another instance has passed the request on.
 	passedOn *passedOn
 	// memory is what the request holds: its body, and what is on its way to the caller.
@@ -186,6 +191,7 @@
 }
 
 func (e *exchange) serve() result {
+	e.awaitStart(e.forwarder.governor.Configured())
 	table := e.forwarder.governor.Table()
 	if e.passedOn != nil && (table == nil || table.Configuration().Version < e.passedOn.configuration) {
 		return e.decline("configuration")
@@ -210,6 +216,7 @@
 	if r, ok := e.readBody(table.Configuration().Limits); !ok {
 		return r
 	}
+	e.awaitStart(e.forwarder.governor.Listed())
 	e.service = route.PickService(rand.Float64())
 	e.setDeadlines()
 	ctx, cancel := context.WithDeadline(e.request.Context(), e.deadline)
@@ -397,6 +404,9 @@
 	if r.retry > 0 {
 		line = line.Dur("retryAfterMs", r.retry)
 	}
+	if e.startWait > 0 {
+		line = line.Dur("startWaitMs", e.startWait)
+	}
 	if e.passedOn != nil {
 		line = line.Str("passedOnBy", string(e.passedOn.instance))
 	}
--- a/rosemaryspool/governor/governor.go
+++ b/rosemaryspool/governor/governor.go
@@ -58,9 +58,12 @@
 	reacher       *reacher.Reacher
 	instances     int
 	upstreamsRead bool
-	reports       reportState
-	changed       chan struct{}
-	unreached     chan struct{}
+	// configured and listed are closed once there is a configuration and the list of upstreams has been read.
+	configured chan struct{}
+	listed     chan struct{}
+	reports    reportState
+	changed    chan struct{}
+	unreached  chan struct{}
 	// unsaved holds the changes of quarantines that are not in the store yet; quarantines signals them.
 	unsaved []isolator.Change
 	// sharesLogged is when each service that is short of room was logged last.
@@ -83,6 +86,9 @@
 		resumer:   resumer.NewResumer(),
 		reacher:   reacher.NewReacher(),
 		instances: 1,
+
+		configured: make(chan struct{}), listed: make(chan struct{}),
+
 		reports:   newReportState(),
 		changed:   make(chan struct{}, 1),
 		unreached: make(chan struct{}, 1),
@@ -105,6 +111,12 @@
 	return g.upstreamsRead && g.table.Load() != nil
 }
 
+// Configured is closed once the instance has a configuration.
+func (g *Governor) Configured() <-chan struct{} { return g.configured }
+
+// Listed is closed once the instance has read the list of upstreams.
+func (g *Governor) Listed() <-chan struct{} { return g.listed }
+
 // SetConfiguration applies a configuration, unless the current one has the same or a newer version.
 func (g *Governor) SetConfiguration(c *matcher.Configuration) {
 	g.mu.Lock()
@@ -117,6 +129,9 @@
 		return
 	}
 	g.table.Store(matcher.NewTable(c))
+	if before == 0 {
+		close(g.configured)
+	}
 	g.log.Info().Str("event", "configurationInForce").Uint64("version", c.Version).Uint64("before", before).
 		Int("routes", len(c.Routes)).Msg("Configuration is in force")
 }
@@ -141,8 +156,12 @@
 	if !changed && g.upstreamsRead {
 		return
 	}
+	first := !g.upstreamsRead
 	g.upstreamsRead = true
 	entries := g.applyUpstreams(now)
+	if first {
+		close(g.listed)
+	}
 	leaving := 0
 	for _, e := range entries {
 		if e.Leaving {
