Let the first holder of a duty call at once, and order servers once they are listed

Cause: an instance that starts takes each lease to be held for its whole length, and a new holder waits for calls of a predecessor: 8.3 s before the first call where fences aren't checked, also at the first start, when nobody can have held a lease. Servers register within 5.7 s of the start, so the scaler waits until the list has had no new ones for 2 s, as long as nobody sends requests.

--- a/core/scaler/scaler.go
+++ b/core/scaler/scaler.go
@@ -46,6 +46,9 @@
 	ShrinkDelay    time.Duration
 	ShrinkInterval time.Duration
 	ShrinkShare    float64
+	// SettleTime is how long the list of servers must have had no new ones before the first order, while nobody sends
+	// requests yet: at the first start of a system its servers start, too.
+	SettleTime time.Duration
 	// LullTime is how long the demand has to be low before servers are exchanged for others that have to start first.
 	LullTime time.Duration
 	// FollowTime is how long after an order and the servers' boot time the list has to follow it.
@@ -77,6 +80,7 @@
 		ShrinkDelay:    15 * time.Second,
 		ShrinkInterval: 3 * time.Second,
 		ShrinkShare:    0.5,
+		SettleTime:     2 * time.Second,
 		LullTime:       5 * time.Second,
 		FollowTime:     3 * time.Second,
 		LateTime:       12 * time.Second,
@@ -206,6 +210,9 @@
 	normal level
 	// trust is the time for which the demand expected from the servers found counts.
 	trust time.Duration
+	// foundAt is when this instance began or another server was last found before the first order, ordered is true after it.
+	foundAt time.Time
+	ordered bool
 	// shrunkAt is when fewer servers were last ordered.
 	shrunkAt time.Time
 	// reclaimedAt is when spot servers last began to leave without an order.
@@ -228,6 +235,7 @@
 		s.trust = s.settings.ExpectedTrust
 	}
 	s.shrunkAt, s.reclaimedAt = time.Time{}, time.Time{}
+	s.foundAt, s.ordered = now, false
 }
 
 // Observe records the demand over the last period, given the listed servers.
@@ -272,6 +280,10 @@
 	}
 	s.count(now, bounds, servers)
 	plan := s.plan(now, bounds)
+	if !s.ordered && s.history.first.IsZero() && now.Sub(s.foundAt) < s.settings.SettleTime {
+		return nil, plan
+	}
+	s.ordered = true
 	targets := s.distribute(bounds, plan)
 	return s.orders(now, bounds, targets, plan), plan
 }
@@ -307,7 +319,9 @@
 		}
 		if known.orderedAt.IsZero() {
 			// The list may not be complete at first.
-			known.found = max(known.found, seen.ready)
+			if seen.ready > known.found {
+				known.found, s.foundAt = seen.ready, now
+			}
 			known.desired = known.found
 		}
 		leaves := seen.leaving > known.leaving && seen.ready < known.ready
--- a/core/scaler/scaler_test.go
+++ b/core/scaler/scaler_test.go
@@ -219,6 +219,30 @@
 	require.Greater(t, (f.served-served)/(f.offered-offered), 0.95)
 }
 
+// TestServersThatStartWithTheSystemAreFound begins to decide before the servers are listed, as nobody has held the lease
+// before. They come within six seconds.
+func TestServersThatStartWithTheSystemAreFound(t *testing.T) {
+	f := newFleet(48, 0.15)
+	for i, server := range f.servers {
+		server.readyAt = f.now.Add(time.Duration(1+i%6) * time.Second)
+	}
+	s := NewScaler(DefaultSettings())
+	s.Begin(f.now)
+	var plan Plan
+	for at := f.step(); at < 10*time.Second; at = f.step() {
+		orders, p := s.Decide(f.now, f.bounds, f.entries())
+		if len(orders) > 0 && at < 6*time.Second {
+			t.Fatalf("%v ordered after %v", orders, at)
+		}
+		for _, o := range orders {
+			s.Ended(f.now, f.now, o, f.order(o))
+		}
+		plan = p
+	}
+	require.Positive(t, f.ordered)
+	require.GreaterOrEqual(t, plan.Mean, 0.9*DefaultSettings().FoundUse*48)
+}
+
 func TestLateOrdersForFewerServersAreCorrected(t *testing.T) {
 	f := newFleet(48, 0.15)
 	s := NewScaler(DefaultSettings())
--- a/rosemaryspool/steward/lease.go
+++ b/rosemaryspool/steward/lease.go
@@ -143,7 +143,7 @@
 }
 
 // load reads the newest records of the topic, with which following it begins. All leases are taken to be held by others
-// from now on for their whole length, as they may have been renewed since.
+// from now on for their whole length, as they may have been renewed since; unless nobody can ever have held one.
 func (s *Steward) load(ctx context.Context) error {
 	limited, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
@@ -156,6 +156,7 @@
 	defer s.mu.Unlock()
 	now := s.now()
 	returned := s.everRead && batch.Era != s.era
+	unused := !s.everRead && neverAppended(batch)
 	fresh := batch.Era > 0
 	s.everRead, s.era, s.unsure, s.deferred = true, batch.Era, false, 0
 	leases := map[identifier.Scope]replayer.Lease{}
@@ -178,17 +179,27 @@
 		known = append(known, lease)
 	}
 	s.state = replayer.NewStateAt("", replayOffset(s.era, batch.Next), known)
-	s.logDecisions(s.leaser.Reset(now, known))
-	s.grantedAt = now
+	if unused {
+		// A claim is appended only as the first record: no call was made under an earlier one.
+		s.logDecisions(s.leaser.Reset(now, nil))
+		s.grantedAt = time.Time{}
+	} else {
+		s.logDecisions(s.leaser.Reset(now, known))
+		s.grantedAt = now
+	}
 	if returned || fresh {
 		// The store has lost its latest records, maybe the intent of a report that was sent.
 		s.ledger.DoubtBefore(s.clock.Now(s.elapsed()))
 	}
 	s.log.Info().Str("event", "leasesLoaded").Uint64("era", uint64(s.era)).Uint64("next", batch.Next).
-		Bool("storeReturned", returned).Msg("Following the leases of the duties")
+		Bool("storeReturned", returned).Bool("unused", unused).Msg("Following the leases of the duties")
 	return nil
 }
 
+// neverAppended reports whether a topic has had no record, expired or not, since the store exists. In a later era, records
+// may have been lost.
+func neverAppended(b platform.Batch) bool { return b.Era == 0 && b.Next == 0 }
+
 // read applies the records that were appended, and waits for one if there are none.
 func (s *Steward) read(ctx context.Context, wait time.Duration) error {
 	s.mu.Lock()
