--- a/core/scaler/order.go
+++ b/core/scaler/order.go
@@ -130,7 +130,9 @@
 		}
 		if known.orderedAt.IsZero() {
 			// The list may not be complete at first.
-			known.found = max(known.found, seen.ready)
+			if seen.ready > known.found {
+				known.found, s.foundAt = seen.ready, now
+			}
 			known.desired = known.found
 		}
 		leaves := seen.leaving > known.leaving && seen.ready < known.ready
