Read long topics of the store in parts, each in its own time

Cause: 3,000 upstreams write 2,500 records a second, 250 bytes each. A read that returned 1 MB and not all was followed by the next one only after the interval, so an instance that was behind stayed behind.

--- a/core/pacer/pacer.go
+++ b/core/pacer/pacer.go
@@ -57,6 +57,8 @@
 	peerChange uint64
 	lateChange uint64
 	reading    bool
+	// end is the offset before which the store is known to have records, by this instance's own reads.
+	end uint64
 	// confirmedAt is the latest time at which a read of any instance is known to have succeeded, outageSince and outageUntil
 	// are the ones before and after the latest outage.
 	confirmedAt time.Time
@@ -85,7 +87,7 @@
 	}
 	p.own = View{Era: era}
 	p.synced, p.notBefore = false, notBefore
-	p.peerReadAt, p.peerChange, p.lateChange = time.Time{}, 0, 0
+	p.peerReadAt, p.peerChange, p.lateChange, p.end = time.Time{}, 0, 0, 0
 	return true
 }
 
@@ -139,6 +141,10 @@
 	return p.own
 }
 
+// EndSeen records that a read has returned only some of the records that the store has before an offset. The next read is
+// due at once.
+func (p *Pacer) EndSeen(end uint64) { p.end = max(p.end, end) }
+
 // PeerViewReceived merges the view of another instance and reports whether a relevant record must be read immediately.
 func (p *Pacer) PeerViewReceived(v View) bool {
 	if !p.synced || v.Era != p.own.Era || v.First > p.own.Next {
@@ -210,7 +216,7 @@
 	switch {
 	case !p.synced:
 		return p.notBefore
-	case p.BehindPeers():
+	case p.BehindPeers(), p.own.Next < p.end:
 		return time.Time{}
 	}
 	latest := p.own.ReadAt
--- a/core/pacer/pacer_test.go
+++ b/core/pacer/pacer_test.go
@@ -191,3 +191,24 @@
 		})
 	}
 }
+
+// A read returns a part of the records; the rest is read at once, unless another instance forwards it.
+func TestUnreadRestIsReadAtOnce(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		rest func(p *Pacer)
+	}{
+		{"read", func(p *Pacer) { p.DeltaRead(at(time.Millisecond), 30, 0) }},
+		{"forwarded", func(p *Pacer) { p.PeerViewReceived(View{First: 5, Next: 30, ReadAt: at(time.Millisecond)}) }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			p := NewPacer(interval, 0)
+			p.SnapshotRead(at(0), 10)
+			p.DeltaRead(at(0), 20, 0)
+			p.EndSeen(30)
+			require.True(t, p.NextReadAt(6).IsZero())
+			c.rest(p)
+			require.False(t, p.NextReadAt(6).Before(at(interval)))
+		})
+	}
+}
--- a/rosemaryspool/subscriber/follower.go
+++ b/rosemaryspool/subscriber/follower.go
@@ -140,12 +140,14 @@
 	t.pacer.ReadStarted()
 	t.readStarted, t.held, t.overtaken = time.Now(), wait, false
 	s.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	s.setCancel(t, cancel)
 	defer s.setCancel(t, nil)
 	if known {
-		batch, err := s.store.Read(ctx, t.name, next, wait)
+		limited, cancelRead := context.WithTimeout(ctx, wait+callTimeout)
+		batch, err := s.store.Read(limited, t.name, next, wait)
+		cancelRead()
 		var trimmed *platform.TrimmedError
 		switch {
 		case errors.As(err, &trimmed):
@@ -155,13 +157,14 @@
 			return err
 		case batch.Era == era:
 			view, current := s.applyRead(t, next, batch)
+			s.noteEnd(t, batch)
 			if current && !catchesUp {
 				s.forward(t, view)
 			}
 			return nil
 		}
 	}
-	batch, err := s.store.ReadNewest(ctx, t.name)
+	batch, err := s.store.ReadNewest(ctx, t.name, callTimeout)
 	if err != nil {
 		return err
 	}
@@ -176,6 +179,15 @@
 	return nil
 }
 
+// noteEnd makes the next read due at once if one has returned only a part of the records.
+func (s *Subscriber) noteEnd(t *topic, batch platform.Batch) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if t.pacer.Era() == batch.Era {
+		t.pacer.EndSeen(batch.End)
+	}
+}
+
 // forward sends a view of a topic to the neighbours, and its offsets once more soon if it has records.
 func (s *Subscriber) forward(t *topic, v gossiper.View) {
 	s.exchange.ForwardView(t.name, v)
--- a/rosemaryspool/subscriber/subscriber.go
+++ b/rosemaryspool/subscriber/subscriber.go
@@ -36,9 +36,10 @@
 
 // Store is the platform's store.
 type Store interface {
-	// ReadNewest returns the newest record of each key of a topic and the offset from which Read continues.
-	ReadNewest(ctx context.Context, topic string) (platform.Batch, error)
-	// Read returns the records of a topic from an offset on. It waits up to wait for the first one.
+	// ReadNewest returns the newest record of each key of a topic and the offset from which Read continues. Each page of the
+	// response may take up to pageTimeout.
+	ReadNewest(ctx context.Context, topic string, pageTimeout time.Duration) (platform.Batch, error)
+	// Read returns the first records of a topic from an offset on. It waits up to wait for the first one.
 	Read(ctx context.Context, topic string, from uint64, wait time.Duration) (platform.Batch, error)
 	// Write appends a new value of a key.
 	Write(ctx context.Context, topic, key string, value []byte) error
