Count datagrams and their bytes by kind

Cause: the bytes that instances exchange could not be told apart by what they are for. Change: counters for each kind and direction.

--- a/rosemaryspool/courier/courier.go
+++ b/rosemaryspool/courier/courier.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 	"google.golang.org/protobuf/proto"
@@ -35,16 +36,17 @@
 
 // Courier sends and receives datagrams. Its methods are safe for concurrent use.
 type Courier struct {
-	self    elector.Member
-	socket  *net.UDPConn
-	log     zerolog.Logger
-	leaving atomic.Bool
-	warming atomic.Bool
-	done    chan struct{}
+	self     elector.Member
+	socket   *net.UDPConn
+	log      zerolog.Logger
+	registry metrics.Registry
+	leaving  atomic.Bool
+	warming  atomic.Bool
+	done     chan struct{}
 }
 
 // NewCourier opens the socket at this instance's address.
-func NewCourier(self elector.Member, log zerolog.Logger) (*Courier, error) {
+func NewCourier(self elector.Member, log zerolog.Logger, registry metrics.Registry) (*Courier, error) {
 	address, err := netip.ParseAddrPort(self.Address)
 	if err != nil {
 		return nil, eris.Wrap(err, "courier: address")
@@ -53,7 +55,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "courier: listen")
 	}
-	return &Courier{self: self, socket: socket, log: log, done: make(chan struct{})}, nil
+	return &Courier{self: self, socket: socket, log: log, registry: registry, done: make(chan struct{})}, nil
 }
 
 // Close closes the socket of a courier that was never run.
@@ -90,7 +92,9 @@
 	if err != nil {
 		c.log.Debug().Err(err).Str("event", "datagramDropped").Str("peer", string(to.Instance)).
 			Msg("Sending a datagram failed")
+		return
 	}
+	c.count("Sent", d, len(content))
 }
 
 // Run passes each received datagram to handle until ctx ends. Datagrams of this instance itself are dropped.
@@ -115,6 +119,7 @@
 			continue
 		}
 		if r.Sender.Instance != c.self.Instance {
+			c.count("Received", r.Datagram, n)
 			handle(r)
 		}
 	}
--- a/rosemaryspool/delegator/delegator_test.go
+++ b/rosemaryspool/delegator/delegator_test.go
@@ -79,7 +79,7 @@
 		}
 		return true
 	})
-	c, err := courier.NewCourier(self, zerolog.Nop())
+	c, err := courier.NewCourier(self, zerolog.Nop(), n.registry)
 	require.NoError(t, err)
 	peers := gossiper.NewGossiper(n.governor, c, nil, nil, zerolog.Nop(), n.registry)
 	n.delegator = NewDelegator(n.governor, c, zerolog.Nop(), n.registry)
--- a/rosemaryspool/gatekeeper/gatekeeper.go
+++ b/rosemaryspool/gatekeeper/gatekeeper.go
@@ -121,7 +121,7 @@
 	}, log)
 	opened := metrics.GetOrRegisterCounter("connectionsOpened", registry)
 	g.connector = connector.NewConnector(dial, func() { opened.Inc(1) }, g.handleResponse)
-	peers, err := courier.NewCourier(self, log)
+	peers, err := courier.NewCourier(self, log, registry)
 	if err != nil {
 		return nil, errors.Join(err, g.closeListeners())
 	}
--- a/rosemaryspool/gossiper/gossiper_test.go
+++ b/rosemaryspool/gossiper/gossiper_test.go
@@ -38,7 +38,7 @@
 	g.UpdateUpstreams(time.Now(), governor.Origin{}, func(tr *tracker.Tracker) bool {
 		return tr.Update(tracker.Entry{Upstream: "u", Service: service, Slots: 6}, 1)
 	})
-	c, err := courier.NewCourier(g.Self(), zerolog.Nop())
+	c, err := courier.NewCourier(g.Self(), zerolog.Nop(), metrics.NewRegistry())
 	require.NoError(t, err)
 	t.Cleanup(func() { require.NoError(t, c.Close()) })
 	return NewGossiper(g, c, nil, onView, zerolog.Nop(), metrics.NewRegistry()), g
--- a/rosemaryspool/gossiper/traffic_test.go
+++ b/rosemaryspool/gossiper/traffic_test.go
@@ -71,7 +71,7 @@
 		}
 		return true
 	})
-	c, err := courier.NewCourier(self, zerolog.Nop())
+	c, err := courier.NewCourier(self, zerolog.Nop(), metrics.NewRegistry())
 	require.NoError(b, err)
 	peers := NewGossiper(g, c, nil, nil, zerolog.Nop(), metrics.NewRegistry())
 	ctx, cancel := context.WithCancel(context.Background())
--- a/rosemaryspool/subscriber/subscriber_test.go
+++ b/rosemaryspool/subscriber/subscriber_test.go
@@ -92,7 +92,7 @@
 		Retry:     budgeter.Settings{Ratio: 0.2, Extra: 50, Window: 10 * time.Second},
 		Allocator: allocator.DefaultSettings(),
 	}, zerolog.Nop())
-	c, err := courier.NewCourier(g.Self(), zerolog.Nop())
+	c, err := courier.NewCourier(g.Self(), zerolog.Nop(), metrics.NewRegistry())
 	require.NoError(t, err)
 	var s *Subscriber
 	peers := gossiper.NewGossiper(
