--- /dev/null
+++ b/core/pacer/requests.go
@@ -0,0 +1,52 @@
+package pacer
+
+import "time"
+
+const (
+	// firstRequestWait is how long an instance waits for the first datagram of a snapshot before it asks again.
+	firstRequestWait = 50 * time.Millisecond
+	// quickRequests is the number of requests before the wait doubles, up to maxRequestWait.
+	quickRequests  = 6
+	maxRequestWait = 3200 * time.Millisecond
+)
+
+// Requests decides when an instance asks another one for a snapshot of a topic. A snapshot of 3,000 upstreams takes 70 to 560
+// datagrams. A lost datagram, or a view that shows that records are missing, must not lead to several snapshots from
+// several instances at once, which fill the links and lose more datagrams. It is not safe for concurrent use.
+type Requests struct {
+	count int
+	// until is when the next request may be sent.
+	until time.Time
+}
+
+// Ask reports whether a request may be sent now, and the number of requests before it without a complete snapshot, by which
+// the receiver is chosen.
+func (r *Requests) Ask(now time.Time) (number int, due bool) {
+	if now.Before(r.until) {
+		return 0, false
+	}
+	r.count++
+	r.until = now.Add(r.wait())
+	return r.count - 1, true
+}
+
+// Progressed records that a datagram of a snapshot has arrived; more will follow.
+func (r *Requests) Progressed(now time.Time) {
+	if until := now.Add(r.wait()); until.After(r.until) {
+		r.until = until
+	}
+}
+
+// Completed records that a snapshot is complete.
+func (r *Requests) Completed() { *r = Requests{} }
+
+// Wait returns the time until a request may be sent.
+func (r *Requests) Wait(now time.Time) time.Duration { return r.until.Sub(now) }
+
+func (r *Requests) wait() time.Duration {
+	wait := firstRequestWait
+	for range r.count - quickRequests {
+		wait = min(2*wait, maxRequestWait)
+	}
+	return wait
+}
--- a/rosemaryspool/delegator/delegator_test.go
+++ b/rosemaryspool/delegator/delegator_test.go
@@ -81,7 +81,7 @@
 	})
 	c, err := courier.NewCourier(self, zerolog.Nop(), n.registry)
 	require.NoError(t, err)
-	peers := gossiper.NewGossiper(n.governor, c, nil, nil, zerolog.Nop(), n.registry)
+	peers := gossiper.NewGossiper(n.governor, c, nil, 0, nil, zerolog.Nop(), n.registry)
 	n.delegator = NewDelegator(n.governor, c, zerolog.Nop(), n.registry)
 	ctx, cancel := context.WithCancel(context.Background())
 	go c.Run(ctx, func(r courier.Received) { n.handle(r, peers) })
--- a/rosemaryspool/gatekeeper/gatekeeper.go
+++ b/rosemaryspool/gatekeeper/gatekeeper.go
@@ -127,7 +127,9 @@
 	}
 	g.courier = peers
 	seeds := strings.FieldsFunc(settings.Seeds, func(r rune) bool { return r == ',' })
-	g.gossiper = gossiper.NewGossiper(g.governor, g.courier, seeds, g.handleView, log, registry)
+	g.gossiper = gossiper.NewGossiper(
+		g.governor, g.courier, seeds, settings.LinkRate, g.handleView, log, registry,
+	)
 	g.delegator = delegator.NewDelegator(g.governor, g.courier, log, registry)
 	g.memory = rationer.NewRationer(heldLimit(settings.Memory))
 	g.prober = prober.NewProber(g.governor, g.connector, log)
@@ -221,7 +223,7 @@
 	case *messenger.Datagram_StoreUpdate:
 		g.gossiper.HandleStoreUpdate(r, body.StoreUpdate)
 	case *messenger.Datagram_StoreRequest:
-		g.subscriber.HandleViewRequest(r.Sender, body.StoreRequest.GetTopics())
+		g.subscriber.HandleViewRequest(r.Sender, body.StoreRequest.GetTopics(), body.StoreRequest.GetReadsPacked())
 		// The instance that asks has just started.
 		g.gossiper.SendCrashKnowledge(r.Sender)
 	case *messenger.Datagram_SpeedReport:
@@ -252,7 +254,7 @@
 	g.stopLimit.Store(int64(settings.TerminationGracePeriod))
 	g.memory.SetLimit(heldLimit(settings.Memory))
 	kept := g.settings
-	kept.Memory = settings.Memory
+	kept.Memory, kept.LinkRate = settings.Memory, settings.LinkRate
 	kept.FirstStart, kept.Seeds = settings.FirstStart, settings.Seeds
 	kept.MaxDrainDelay, kept.MaxApplyDelay, kept.TerminationGracePeriod =
 		settings.MaxDrainDelay, settings.MaxApplyDelay, settings.TerminationGracePeriod
--- a/rosemaryspool/gossiper/assembler.go
+++ b/rosemaryspool/gossiper/assembler.go
@@ -17,11 +17,7 @@
 
 // fragment compresses a record and splits it.
 func fragment(r Record) []*messenger.StoreRecord {
-	var compressed bytes.Buffer
-	// Errors are for an invalid level and a failing writer, which this one isn't.
-	w, _ := flate.NewWriter(&compressed, flate.DefaultCompression)
-	_, _ = w.Write(r.Value)
-	_ = w.Close()
+	compressed := bytes.NewBuffer(compress(r.Value))
 	size := maxUpdateBytes - recordOverheadBytes - len(r.Key)
 	count := (compressed.Len() + size - 1) / size
 	fragments := make([]*messenger.StoreRecord, 0, count)
--- a/rosemaryspool/gossiper/gossiper.go
+++ b/rosemaryspool/gossiper/gossiper.go
@@ -16,6 +16,7 @@
 	"rosemaryspool.example/core/identifier"
 	"rosemaryspool.example/core/limiter"
 	"rosemaryspool.example/core/resumer"
+	"rosemaryspool.example/core/transmitter"
 	"rosemaryspool.example/rosemaryspool/courier"
 	"rosemaryspool.example/rosemaryspool/governor"
 	"rosemaryspool.example/wire/messenger"
@@ -60,7 +61,10 @@
 	seeds  []string
 	onView func(topic string, v View)
 
-	fragmenter *fragmenter
+	fragmenter       *fragmenter
+	snapshotsDropped metrics.Counter
+	// packer is used by sendSnapshots alone.
+	packer *packer
 
 	mu sync.Mutex
 	// crashesSentAt is when all knowledge of crashes was last sent to another instance that lacked some of it.
@@ -68,6 +72,11 @@
 	crashQuota    crashQuota
 	// assembler joins the fragments of records that other instances forward.
 	assembler assembler
+	// snapshotRequests are to be looked at, transmitter holds the snapshots under way. sendsSnapshots is true while
+	// sendSnapshots runs.
+	snapshotRequests []snapshotRequest
+	transmitter      *transmitter.Transmitter[outgoing]
+	sendsSnapshots   bool
 	// received holds the newest report of each other instance, so that outdated ones are recognised.
 	received map[reportKey]lastReport
 	// sentAt is when the last report about a service was sent to its arbiter, standbySentAt the same for the stand-by.
@@ -78,17 +87,19 @@
 }
 
 // NewGossiper returns a gossiper that calls onView with each view of the store that another instance forwards. While no
-// other instance is known, those at the addresses of seeds are asked.
+// other instance is known, those at the addresses of seeds are asked. link is the rate of this instance's link in bytes per
+// second, zero if unknown.
 func NewGossiper(
-	g *governor.Governor, c *courier.Courier, seeds []string, onView func(topic string, v View), log zerolog.Logger,
-	registry metrics.Registry,
+	g *governor.Governor, c *courier.Courier, seeds []string, link identifier.Bytes, onView func(topic string, v View),
+	log zerolog.Logger, registry metrics.Registry,
 ) *Gossiper {
 	return &Gossiper{
 		crashesDropped: metrics.GetOrRegisterCounter("crashDatagramsDropped", registry),
 		governor:       g, courier: c, log: log, done: make(chan struct{}), seeds: seeds, onView: onView,
 		received: map[reportKey]lastReport{}, sentAt: map[identifier.ServiceName]time.Time{},
 		standbySentAt: map[identifier.ServiceName]time.Time{}, assembler: newAssembler(),
-		fragmenter:   newFragmenter(),
+		fragmenter:   newFragmenter(), packer: newPacker(), transmitter: newTransmitter(link),
+		snapshotsDropped: metrics.GetOrRegisterCounter("snapshotsDropped", registry),
 		speedsSentAt: map[identifier.ServiceName]time.Time{},
 	}
 }
--- a/rosemaryspool/gossiper/gossiper_test.go
+++ b/rosemaryspool/gossiper/gossiper_test.go
@@ -41,7 +41,7 @@
 	c, err := courier.NewCourier(g.Self(), zerolog.Nop(), metrics.NewRegistry())
 	require.NoError(t, err)
 	t.Cleanup(func() { require.NoError(t, c.Close()) })
-	return NewGossiper(g, c, nil, onView, zerolog.Nop(), metrics.NewRegistry()), g
+	return NewGossiper(g, c, nil, 0, onView, zerolog.Nop(), metrics.NewRegistry()), g
 }
 
 // aheadOf returns the load at the upstream without that of the instance itself.
--- /dev/null
+++ b/rosemaryspool/gossiper/packer.go
@@ -0,0 +1,145 @@
+package gossiper
+
+import (
+	"bytes"
+	"compress/flate"
+	"slices"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
+
+	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/wire/messenger"
+)
+
+const (
+	// packedRatio is the ratio of compression that is tried first.
+	packedRatio = 5
+	// packedSlack leaves room for records that compress less than those before them.
+	packedSlack = 0.95
+)
+
+// packer compresses the records of snapshots: a list of upstreams takes a fifth or less of its size. It remembers the last
+// snapshot of each topic, for instances that start together and ask for it one after the other. It is not safe for
+// concurrent use.
+type packer struct{ known map[string]packedSnapshot }
+
+// packedSnapshot holds the packed records of a snapshot.
+type packedSnapshot struct {
+	era     identifier.Era
+	records []Record
+	chunks  []packedChunk
+}
+
+// packedChunk holds the records from the offset from on.
+type packedChunk struct {
+	from    uint64
+	content []byte
+}
+
+func newPacker() *packer { return &packer{known: map[string]packedSnapshot{}} }
+
+// encodeView splits a snapshot into messages that fit into a datagram, each with the packed records of a range of offsets.
+// It returns nil if a record doesn't fit into a datagram; such a one is sent in fragments.
+func (p *packer) encodeView(now time.Time, topic string, v View) []*messenger.StoreUpdate {
+	last, found := p.known[topic]
+	if !found || last.era != v.Era || !slices.EqualFunc(last.records, v.Records, sameRecord) {
+		last = packedSnapshot{era: v.Era, records: v.Records, chunks: pack(v.Records)}
+		p.known[topic] = last
+	}
+	if len(last.chunks) == 0 {
+		return nil
+	}
+	updates := make([]*messenger.StoreUpdate, 0, len(last.chunks))
+	for i, c := range last.chunks {
+		t := &messenger.TopicView{
+			Topic: topic, Era: uint64(v.Era), First: v.First, Next: v.Next, Changed: v.Changed, Snapshot: v.Snapshot,
+			AgeMs: identifier.Milliseconds(now.Sub(v.ReadAt)), OutageAgeMs: identifier.Milliseconds(v.OutageAge),
+			RecordsFrom: c.from, RecordsTo: v.RecordsTo, Packed: c.content,
+		}
+		if i == 0 {
+			t.RecordsFrom = v.RecordsFrom
+		}
+		if i < len(last.chunks)-1 {
+			t.RecordsTo = last.chunks[i+1].from
+		}
+		updates = append(updates, &messenger.StoreUpdate{Topics: []*messenger.TopicView{t}})
+	}
+	return updates
+}
+
+func sameRecord(a, b Record) bool {
+	return a.Key == b.Key && a.Offset == b.Offset && bytes.Equal(a.Value, b.Value)
+}
+
+// pack compresses records in chunks that fit into a datagram. It returns nil if one of them doesn't, or there are none.
+func pack(records []Record) []packedChunk {
+	var chunks []packedChunk
+	size := packedRatio * maxUpdateBytes
+	for len(records) > 0 {
+		count, raw := 0, 0
+		for _, r := range records {
+			length := len(r.Key) + len(r.Value) + recordOverheadBytes
+			if length > maxUpdateBytes {
+				return nil
+			}
+			if count > 0 && raw+length > size {
+				break
+			}
+			count, raw = count+1, raw+length
+		}
+		content := compressRecords(records[:count])
+		for len(content) > maxUpdateBytes && count > 1 {
+			count = max(1, int(packedSlack*float64(count*maxUpdateBytes)/float64(len(content))))
+			content = compressRecords(records[:count])
+		}
+		if len(content) > maxUpdateBytes {
+			return nil
+		}
+		chunks = append(chunks, packedChunk{from: records[0].Offset, content: content})
+		packed := 0
+		for _, r := range records[:count] {
+			packed += len(r.Key) + len(r.Value) + recordOverheadBytes
+		}
+		size = max(maxUpdateBytes, int(packedSlack*float64(packed*maxUpdateBytes)/float64(len(content))))
+		records = records[count:]
+	}
+	return chunks
+}
+
+func compressRecords(records []Record) []byte {
+	m := &messenger.PackedRecords{Records: make([]*messenger.StoreRecord, 0, len(records))}
+	for _, r := range records {
+		m.Records = append(m.Records, &messenger.StoreRecord{Key: r.Key, Value: r.Value, Offset: r.Offset})
+	}
+	// Errors are for invalid text, which is sent as it is.
+	content, _ := proto.MarshalOptions{AllowPartial: true}.Marshal(m)
+	return compress(content)
+}
+
+// unpack replaces the packed records of a view by the records.
+func unpack(t *messenger.TopicView) error {
+	if len(t.GetPacked()) == 0 {
+		return nil
+	}
+	content, err := decompress(t.GetPacked())
+	if err != nil {
+		return err
+	}
+	m := &messenger.PackedRecords{}
+	if err := proto.Unmarshal(content, m); err != nil {
+		return eris.Wrap(err, "decode packed records")
+	}
+	t.Records, t.Packed = m.GetRecords(), nil
+	return nil
+}
+
+func compress(content []byte) []byte {
+	var compressed bytes.Buffer
+	// Errors are for an invalid level and a failing writer, which this one isn't.
+	w, _ := flate.NewWriter(&compressed, flate.DefaultCompression)
+	_, _ = w.Write(content)
+	_ = w.Close()
+	return compressed.Bytes()
+}
--- a/rosemaryspool/gossiper/traffic_test.go
+++ b/rosemaryspool/gossiper/traffic_test.go
@@ -73,7 +73,7 @@
 	})
 	c, err := courier.NewCourier(self, zerolog.Nop(), metrics.NewRegistry())
 	require.NoError(b, err)
-	peers := NewGossiper(g, c, nil, nil, zerolog.Nop(), metrics.NewRegistry())
+	peers := NewGossiper(g, c, nil, 0, nil, zerolog.Nop(), metrics.NewRegistry())
 	ctx, cancel := context.WithCancel(context.Background())
 	go peers.Run(ctx)
 	b.Cleanup(func() {
--- a/rosemaryspool/gossiper/view.go
+++ b/rosemaryspool/gossiper/view.go
@@ -66,17 +66,9 @@
 	}
 }
 
-// SendView sends a view of the store to other instances.
-func (g *Gossiper) SendView(to []elector.Member, topic string, v View) {
-	for _, update := range g.fragmenter.encodeView(time.Now(), topic, v) {
-		for _, m := range to {
-			g.courier.Send(m, &messenger.Datagram{Body: &messenger.Datagram_StoreUpdate{StoreUpdate: update}})
-		}
-	}
-}
-
-// RequestView asks the instances that read the store for the newest records of a topic.
-func (g *Gossiper) RequestView(topic string) {
+// RequestView asks one of the instances that read the store for the newest records of a topic, another one with each
+// number: the first may have started together with this instance.
+func (g *Gossiper) RequestView(topic string, number int) {
 	readers := g.governor.Readers(time.Now())
 	if len(readers) == 0 {
 		for _, address := range g.seeds {
@@ -85,9 +77,9 @@
 			}
 		}
 	}
-	for _, m := range readers {
-		g.courier.Send(m, &messenger.Datagram{Body: &messenger.Datagram_StoreRequest{
-			StoreRequest: &messenger.StoreRequest{Topics: []string{topic}},
+	if len(readers) > 0 {
+		g.courier.Send(readers[number%len(readers)], &messenger.Datagram{Body: &messenger.Datagram_StoreRequest{
+			StoreRequest: &messenger.StoreRequest{Topics: []string{topic}, ReadsPacked: true},
 		}})
 	}
 }
@@ -96,9 +88,13 @@
 // fragments.
 func (g *Gossiper) HandleStoreUpdate(r courier.Received, update *messenger.StoreUpdate) {
 	for _, t := range update.GetTopics() {
-		g.mu.Lock()
-		complete, err := g.assembler.add(r.Sender.Instance, t)
-		g.mu.Unlock()
+		err := unpack(t)
+		complete := false
+		if err == nil {
+			g.mu.Lock()
+			complete, err = g.assembler.add(r.Sender.Instance, t)
+			g.mu.Unlock()
+		}
 		if err != nil {
 			g.log.Warn().Err(err).Str("event", "datagramUnreadable").Str("peer", string(r.Sender.Instance)).
 				Msg("Skipping an invalid record of the store")
--- a/rosemaryspool/subscriber/agreement_test.go
+++ b/rosemaryspool/subscriber/agreement_test.go
@@ -17,6 +17,7 @@
 	"rosemaryspool.example/core/budgeter"
 	"rosemaryspool.example/core/elector"
 	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/core/pacer"
 	"rosemaryspool.example/core/tracker"
 	"rosemaryspool.example/platform"
 	"rosemaryspool.example/rosemaryspool/gossiper"
@@ -178,13 +179,11 @@
 	}
 }
 
-// SendView implements Exchange.
-func (i *simulatedInstance) SendView(to []elector.Member, topic string, v gossiper.View) {
-	for _, m := range to {
-		var number int
-		if _, err := fmt.Sscanf(string(m.Instance), "spool-%d", &number); err == nil {
-			i.send(number, topic, v)
-		}
+// SendSnapshot implements Exchange.
+func (i *simulatedInstance) SendSnapshot(to elector.Member, topic string, _ bool, take func() gossiper.View) {
+	var number int
+	if _, err := fmt.Sscanf(string(to.Instance), "spool-%d", &number); err == nil {
+		i.send(number, topic, take())
 	}
 }
 
@@ -202,10 +201,10 @@
 func (i *simulatedInstance) Greet() {}
 
 // RequestView implements Exchange.
-func (i *simulatedInstance) RequestView(topic string) {
+func (i *simulatedInstance) RequestView(topic string, _ int) {
 	for _, other := range i.simulation.instances {
 		if other.number != i.number {
-			other.HandleViewRequest(i.governor.Self(), []string{topic})
+			other.HandleViewRequest(i.governor.Self(), []string{topic}, true)
 		}
 	}
 }
@@ -237,6 +236,8 @@
 	t.Helper()
 	for range 4 {
 		for _, i := range s.instances {
+			// Enough time has passed for another request.
+			i.topic.requests = pacer.Requests{}
 			if i.number == 0 || i.topic.pacer.BehindPeers() || !i.synced(i.topic) {
 				i.readStore(t)
 			}
--- a/rosemaryspool/subscriber/departure_test.go
+++ b/rosemaryspool/subscriber/departure_test.go
@@ -204,11 +204,12 @@
 	}
 }
 
-// SendView implements Exchange.
-func (i *neighbour) SendView(to []elector.Member, topic string, v gossiper.View) {
+// SendSnapshot implements Exchange.
+func (i *neighbour) SendSnapshot(to elector.Member, topic string, _ bool, take func() gossiper.View) {
+	v := take()
 	v.Sender = i.self.Instance
 	for _, other := range i.instances {
-		if other.self.Instance == to[0].Instance {
+		if other.self.Instance == to.Instance {
 			go other.subscriber.HandleView(topic, v)
 		}
 	}
@@ -218,10 +219,10 @@
 func (i *neighbour) Greet() {}
 
 // RequestView implements Exchange.
-func (i *neighbour) RequestView(topic string) {
+func (i *neighbour) RequestView(topic string, _ int) {
 	for _, other := range i.instances {
 		if other != i {
-			go other.subscriber.HandleViewRequest(i.self, []string{topic})
+			go other.subscriber.HandleViewRequest(i.self, []string{topic}, true)
 		}
 	}
 }
@@ -388,7 +389,7 @@
 	asked.topic.apply = func(records []platform.Record, origin governor.Origin) []platform.Record {
 		go func() {
 			defer close(answered)
-			asked.HandleViewRequest(s.instances[2].governor.Self(), []string{platform.TopicServers})
+			asked.HandleViewRequest(s.instances[2].governor.Self(), []string{platform.TopicServers}, true)
 		}()
 		select {
 		case <-answered:
--- a/rosemaryspool/subscriber/follower.go
+++ b/rosemaryspool/subscriber/follower.go
@@ -50,6 +50,10 @@
 	incoming   []platform.Record
 	incomingTo uint64
 	incomingOf identifier.InstanceID
+	// requests decides when another instance is asked for a snapshot; the subscriber's mutex guards it.
+	requests pacer.Requests
+	// progressedAt is when the last datagram of a snapshot arrived; the subscriber's mutex guards it.
+	progressedAt time.Time
 	// changes reports whether a record says anything new after the newest one of its key; nil if each one does.
 	changes func(newest, next platform.Record) bool
 	// apply applies records and returns those that could be read.
@@ -268,6 +272,7 @@
 		return false
 	}
 	t.incoming, t.incomingTo = nil, 0
+	t.requests.Completed()
 	if t.cancel != nil && sender != "" {
 		// The read is for an offset of the earlier era.
 		t.cancel()
@@ -381,7 +386,7 @@
 	s.mu.Unlock()
 	if knowsLess {
 		// Another instance may know what this one can't read.
-		s.exchange.RequestView(t.name)
+		s.requestView(t)
 	}
 }
 
--- a/rosemaryspool/subscriber/sharing.go
+++ b/rosemaryspool/subscriber/sharing.go
@@ -15,13 +15,11 @@
 const (
 	// maxMembersWait is how long an instance that starts waits for the list of members before it reads the store itself.
 	maxMembersWait = 400 * time.Millisecond
-	// snapshotTries and snapshotWait are how often an instance that starts asks its neighbours for a snapshot, and how long
-	// it waits for each one. Instances that start together are ready for it after a few calls to the store.
-	snapshotTries = 3
-	snapshotWait  = 100 * time.Millisecond
-	// maxSnapshotWait is how long an instance that learns of a new era from another one waits for a snapshot before it reads
-	// the store itself.
-	maxSnapshotWait = snapshotTries * snapshotWait
+	// maxSnapshotWait is how long an instance that starts, or learns of a new era from another one, waits for the first part
+	// of a snapshot before it reads the store itself. Instances that start together are ready for it after a few calls to the
+	// store. maxTransferWait is how long it waits for all parts.
+	maxSnapshotWait = 300 * time.Millisecond
+	maxTransferWait = 2 * time.Second
 )
 
 // join makes this instance known to the others and reads the members. At the first start of the whole system it announces
@@ -101,16 +99,24 @@
 	case <-s.membersKnown:
 	case <-time.After(maxMembersWait):
 	}
-	for range snapshotTries {
+	started := time.Now()
+	for {
 		if s.governor.ReaderRank(time.Now()) == 0 {
 			return
 		}
-		s.exchange.RequestView(t.name)
+		s.requestView(t)
+		s.mu.Lock()
+		now := time.Now()
+		wait, progressed := t.requests.Wait(now), t.progressedAt
+		s.mu.Unlock()
+		if now.Sub(started) > maxTransferWait || now.Sub(later(started, progressed)) > maxSnapshotWait {
+			return
+		}
 		select {
 		case <-ctx.Done():
 			return
 		case <-t.wake:
-		case <-time.After(snapshotWait):
+		case <-time.After(wait):
 		}
 		if s.synced(t) {
 			return
@@ -118,17 +124,35 @@
 	}
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// requestView asks another instance for the newest records of a topic, unless one was asked a moment ago.
+func (s *Subscriber) requestView(t *topic) {
+	s.mu.Lock()
+	number, due := t.requests.Ask(time.Now())
+	s.mu.Unlock()
+	if due {
+		s.exchange.RequestView(t.name, number)
+	}
+}
+
 func (s *Subscriber) synced(t *topic) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return t.pacer.Synced()
 }
 
-// HandleViewRequest sends the newest records of topics to an instance that has started.
-func (s *Subscriber) HandleViewRequest(from elector.Member, names []string) {
+// HandleViewRequest sends the newest records of topics to an instance that has started or lacks some; packed is true if it
+// reads packed records.
+func (s *Subscriber) HandleViewRequest(from elector.Member, names []string, packed bool) {
 	for _, t := range s.topics {
 		if slices.Contains(names, t.name) && s.synced(t) {
-			s.exchange.SendView([]elector.Member{from}, t.name, s.snapshot(t))
+			s.exchange.SendSnapshot(from, t.name, packed, func() gossiper.View { return s.snapshot(t) })
 		}
 	}
 }
@@ -164,7 +188,7 @@
 	if s.enterEra(t, v.Era, time.Now().Add(maxSnapshotWait), v.Sender) {
 		t.signal()
 		if !v.Snapshot {
-			s.exchange.RequestView(t.name)
+			s.requestView(t)
 		}
 	}
 	s.mu.Lock()
@@ -209,7 +233,7 @@
 	mustRead := !hasGap && t.pacer.PeerViewReceived(v.View)
 	s.mu.Unlock()
 	if hasGap {
-		s.exchange.RequestView(t.name)
+		s.requestView(t)
 	}
 	if mustRead {
 		t.signal()
@@ -236,9 +260,14 @@
 	}
 	if v.RecordsFrom == t.incomingTo && v.Sender == t.incomingOf {
 		t.incoming, t.incomingTo = append(t.incoming, recordsFrom(v.Records, 0)...), v.RecordsTo
+		t.progressedAt = time.Now()
+		t.requests.Progressed(t.progressedAt)
 	}
 	complete := t.incomingTo == v.Next && v.RecordsTo == v.Next && t.pacer.PeerSnapshotReceived(v.View)
 	records := t.incoming
+	if t.incomingTo == v.Next {
+		t.requests.Completed()
+	}
 	s.mu.Unlock()
 	if complete {
 		s.applySnapshot(t, records, governor.Origin{Sender: v.Sender, Snapshot: true, FollowedTo: v.Next})
--- a/rosemaryspool/subscriber/subscriber.go
+++ b/rosemaryspool/subscriber/subscriber.go
@@ -47,13 +47,15 @@
 
 // Exchange carries views of the store between instances.
 type Exchange interface {
-	// ForwardView sends a view to the neighbours, SendView to given instances.
+	// ForwardView sends a view to the neighbours.
 	ForwardView(topic string, v gossiper.View)
-	SendView(to []elector.Member, topic string, v gossiper.View)
+	// SendSnapshot sends what take returns to an instance that has asked for it; packed is true if it reads packed records.
+	SendSnapshot(to elector.Member, topic string, packed bool, take func() gossiper.View)
 	// Greet makes this instance known to its neighbours.
 	Greet()
-	// RequestView asks the instances that read the store for the newest records of a topic.
-	RequestView(topic string)
+	// RequestView asks one of the instances that read the store for the newest records of a topic: another one with each
+	// number.
+	RequestView(topic string, number int)
 }
 
 // Settings holds what determines when a subscriber calls the store.
--- a/rosemaryspool/subscriber/subscriber_test.go
+++ b/rosemaryspool/subscriber/subscriber_test.go
@@ -96,7 +96,7 @@
 	require.NoError(t, err)
 	var s *Subscriber
 	peers := gossiper.NewGossiper(
-		g, c, seeds, func(topic string, v gossiper.View) { s.HandleView(topic, v) }, zerolog.Nop(), metrics.NewRegistry(),
+		g, c, seeds, 0, func(topic string, v gossiper.View) { s.HandleView(topic, v) }, zerolog.Nop(), metrics.NewRegistry(),
 	)
 	s = NewSubscriber(platform.NewStore(store), g, peers, Settings{
 		DrainLimit: drainLimit, ApplyLimit: applyLimit, FirstStart: firstStart,
@@ -108,7 +108,7 @@
 		case *messenger.Datagram_StoreUpdate:
 			peers.HandleStoreUpdate(r, body.StoreUpdate)
 		case *messenger.Datagram_StoreRequest:
-			s.HandleViewRequest(r.Sender, body.StoreRequest.GetTopics())
+			s.HandleViewRequest(r.Sender, body.StoreRequest.GetTopics(), body.StoreRequest.GetReadsPacked())
 		}
 	})
 	go s.Run(ctx)
