Let few instances read a long list, and the others wait for it

Cause: a read of 3,000 upstreams takes 0.3 s and more over a link of 10 Mbit/s. The view came later than the instances of rank 1 (0.15 s) and the others (0.31 to 0.5 s) waited for it, so each of them read the list as well, every time: that fills their links and the store's, and makes the reader slower yet. At a start each gave up after 0.3 s, while the reader needs a second for the pages, and read them too. Change: instances learn how long the reads of those before them take, and read that much later: up to a third of the interval for ranks 1 and 2, two thirds for the others, which so leave a slow store to three of them. An instance that reads the pages of a topic tells those that ask to wait.

--- a/core/pacer/pacer.go
+++ b/core/pacer/pacer.go
@@ -34,6 +34,14 @@
 	rankStagger = 5 * time.Millisecond
 	// maxStaggeredRank limits the delay in a large data centre.
 	maxStaggeredRank = 40
+	// maxReadShare bounds, as a share of the interval, how much later the first backups read because the reads of the others
+	// take long; maxPatientReadShare is the same for ranks from patientRank on, whose reads together would take all that the
+	// store can send.
+	maxReadShare        = 1.0 / 3
+	maxPatientReadShare = 2.0 / 3
+	patientRank         = 3
+	// readTimeDecay is how much of the known duration of reads is kept with each shorter one.
+	readTimeDecay = 0.9
 	// outageSlack is how much longer than the slowest backup takes to read nobody may have read before that counts as an
 	// outage of the store.
 	outageSlack = 300 * time.Millisecond
@@ -52,6 +60,8 @@
 	notBefore time.Time
 	// peerReadAt is the latest read of an instance whose view continues this one's without a gap.
 	peerReadAt time.Time
+	// readTime is how long after the begin of another instance's read its view arrives.
+	readTime time.Duration
 	// peerChange is the offset up to which other instances have found relevant records, lateChange the same for those that
 	// have been reported since the current read began.
 	peerChange uint64
@@ -145,6 +155,27 @@
 // due at once.
 func (p *Pacer) EndSeen(end uint64) { p.end = max(p.end, end) }
 
+// PeerViewArrived records when the view of another instance has arrived. A read of a long list takes long over a slow link;
+// backups that read before its view arrives would each fill their link with the same records.
+func (p *Pacer) PeerViewArrived(v View, now time.Time) {
+	if v.ReadAt.After(p.peerReadAt) {
+		kept := time.Duration(readTimeDecay * float64(p.readTime))
+		p.readTime = max(now.Sub(v.ReadAt), kept)
+	}
+}
+
+// expectedReadTime returns for how long an instance of a rank waits for the views of those before it.
+func (p *Pacer) expectedReadTime(rank int) time.Duration {
+	share := maxReadShare
+	switch {
+	case rank == 0:
+		return 0
+	case rank >= patientRank:
+		share = maxPatientReadShare
+	}
+	return min(p.readTime, time.Duration(share*float64(p.interval)))
+}
+
 // PeerViewReceived merges the view of another instance and reports whether a relevant record must be read immediately.
 func (p *Pacer) PeerViewReceived(v View) bool {
 	if !p.synced || v.Era != p.own.Era || v.First > p.own.Next {
@@ -223,7 +254,7 @@
 	if p.peerReadAt.After(latest) {
 		latest = p.peerReadAt
 	}
-	return latest.Add(p.interval + p.backupDelay(rank))
+	return latest.Add(p.interval + p.expectedReadTime(rank) + p.backupDelay(rank))
 }
 
 // backupDelay returns how much later an instance of the given rank reads than the one of rank 0. It includes holdTime,
--- a/core/pacer/requests.go
+++ b/core/pacer/requests.go
@@ -5,8 +5,8 @@
 const (
 	// firstRequestWait is how long an instance waits for the first datagram of a snapshot before it asks again.
 	firstRequestWait = 50 * time.Millisecond
-	// quickRequests is the number of requests before the wait doubles, up to maxRequestWait.
-	quickRequests  = 6
+	// quickRequests is the number of requests without a response before the wait doubles, up to maxRequestWait.
+	quickRequests  = 5
 	maxRequestWait = 3200 * time.Millisecond
 )
 
@@ -14,24 +14,31 @@
 // datagrams. A lost datagram, or a view that shows that records are missing, must not lead to several snapshots from
 // several instances at once, which fill the links and lose more datagrams. It is not safe for concurrent use.
 type Requests struct {
-	count int
+	// failures is the number of requests after which nothing came.
+	failures int
+	// asked is true if nothing has come since the last request.
+	asked bool
 	// until is when the next request may be sent.
 	until time.Time
 }
 
-// Ask reports whether a request may be sent now, and the number of requests before it without a complete snapshot, by which
-// the receiver is chosen.
+// Ask reports whether a request may be sent now, and to which of the instances that may be asked: another one after each
+// request without a response.
 func (r *Requests) Ask(now time.Time) (number int, due bool) {
 	if now.Before(r.until) {
 		return 0, false
 	}
-	r.count++
+	if r.asked {
+		r.failures++
+	}
+	r.asked = true
 	r.until = now.Add(r.wait())
-	return r.count - 1, true
+	return r.failures, true
 }
 
-// Progressed records that a datagram of a snapshot has arrived; more will follow.
+// Progressed records that a datagram of a snapshot, or that there is one soon, has arrived.
 func (r *Requests) Progressed(now time.Time) {
+	r.asked = false
 	if until := now.Add(r.wait()); until.After(r.until) {
 		r.until = until
 	}
@@ -45,7 +52,7 @@
 
 func (r *Requests) wait() time.Duration {
 	wait := firstRequestWait
-	for range r.count - quickRequests {
+	for range r.failures - quickRequests {
 		wait = min(2*wait, maxRequestWait)
 	}
 	return wait
--- a/rosemaryspool/archiver/archiver.go
+++ b/rosemaryspool/archiver/archiver.go
@@ -75,7 +75,7 @@
 }
 
 func (a *Archiver) read(ctx context.Context) error {
-	batch, err := a.store.ReadNewest(ctx, platform.TopicQuarantines, callTimeout)
+	batch, err := a.store.ReadNewest(ctx, platform.TopicQuarantines, platform.Paging{Timeout: callTimeout})
 	if err != nil {
 		return err
 	}
--- a/rosemaryspool/gossiper/snapshot.go
+++ b/rosemaryspool/gossiper/snapshot.go
@@ -64,6 +64,12 @@
 	}
 }
 
+// SendPending tells an instance that has asked for a snapshot of a topic that this one is reading it.
+func (g *Gossiper) SendPending(to elector.Member, topic string) {
+	update := &messenger.StoreUpdate{Topics: []*messenger.TopicView{{Topic: topic, Pending: true}}}
+	g.courier.Send(to, &messenger.Datagram{Body: &messenger.Datagram_StoreUpdate{StoreUpdate: update}})
+}
+
 // sendSnapshots sends snapshots until none is left.
 func (g *Gossiper) sendSnapshots() {
 	for {
--- a/rosemaryspool/gossiper/view.go
+++ b/rosemaryspool/gossiper/view.go
@@ -36,6 +36,8 @@
 	Records     []Record
 	// Snapshot is true if Records holds the newest record of each key.
 	Snapshot bool
+	// Pending is true if the sender has no view yet and sends a snapshot soon.
+	Pending bool
 	// OutageAge is the time since the store was last unavailable; zero when it never was.
 	OutageAge time.Duration
 }
@@ -179,7 +181,7 @@
 			Era: identifier.Era(t.GetEra()), First: t.GetFirst(), Next: t.GetNext(), Changed: t.GetChanged(),
 			ReadAt: at.Add(-time.Duration(t.GetAgeMs()) * time.Millisecond),
 		},
-		RecordsFrom: t.GetRecordsFrom(), RecordsTo: t.GetRecordsTo(), Snapshot: t.GetSnapshot(),
+		RecordsFrom: t.GetRecordsFrom(), RecordsTo: t.GetRecordsTo(), Snapshot: t.GetSnapshot(), Pending: t.GetPending(),
 		OutageAge: time.Duration(t.GetOutageAgeMs()) * time.Millisecond,
 	}
 	for _, r := range t.GetRecords() {
--- a/rosemaryspool/steward/lease.go
+++ b/rosemaryspool/steward/lease.go
@@ -148,7 +148,7 @@
 	limited, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	s.count("storeReads")
-	batch, err := s.store.ReadNewest(limited, platform.TopicDuties, storeTimeout)
+	batch, err := s.store.ReadNewest(limited, platform.TopicDuties, platform.Paging{Timeout: storeTimeout})
 	if err != nil {
 		return err
 	}
--- a/rosemaryspool/subscriber/follower.go
+++ b/rosemaryspool/subscriber/follower.go
@@ -52,6 +52,9 @@
 	incomingOf identifier.InstanceID
 	// requests decides when another instance is asked for a snapshot; the subscriber's mutex guards it.
 	requests pacer.Requests
+	// pageReadAt is when a page of a snapshot was read from the store of which others follow; the subscriber's mutex guards
+	// it.
+	pageReadAt time.Time
 	// progressedAt is when the last datagram of a snapshot arrived; the subscriber's mutex guards it.
 	progressedAt time.Time
 	// changes reports whether a record says anything new after the newest one of its key; nil if each one does.
@@ -168,7 +171,11 @@
 			return nil
 		}
 	}
-	batch, err := s.store.ReadNewest(ctx, t.name, callTimeout)
+	batch, err := s.store.ReadNewest(ctx, t.name, platform.Paging{Timeout: callTimeout, Arrived: func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		t.pageReadAt = time.Now()
+	}})
 	if err != nil {
 		return err
 	}
--- a/rosemaryspool/subscriber/sharing.go
+++ b/rosemaryspool/subscriber/sharing.go
@@ -19,7 +19,7 @@
 	// of a snapshot before it reads the store itself. Instances that start together are ready for it after a few calls to the
 	// store. maxTransferWait is how long it waits for all parts.
 	maxSnapshotWait = 300 * time.Millisecond
-	maxTransferWait = 2 * time.Second
+	maxTransferWait = 3 * time.Second
 )
 
 // join makes this instance known to the others and reads the members. At the first start of the whole system it announces
@@ -148,15 +148,26 @@
 }
 
 // HandleViewRequest sends the newest records of topics to an instance that has started or lacks some; packed is true if it
-// reads packed records.
+// reads packed records. While this instance reads the pages of a long topic itself, the other one is asked to wait.
 func (s *Subscriber) HandleViewRequest(from elector.Member, names []string, packed bool) {
 	for _, t := range s.topics {
-		if slices.Contains(names, t.name) && s.synced(t) {
+		switch {
+		case !slices.Contains(names, t.name):
+		case s.synced(t):
 			s.exchange.SendSnapshot(from, t.name, packed, func() gossiper.View { return s.snapshot(t) })
+		case packed && s.readsPages(t):
+			s.exchange.SendPending(from, t.name)
 		}
 	}
 }
 
+// readsPages reports whether this instance is reading the pages of a snapshot of a topic.
+func (s *Subscriber) readsPages(t *topic) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Since(t.pageReadAt) < callTimeout
+}
+
 // snapshot returns this instance's view of a topic with the newest record of each key. It waits until the records that the
 // pacer knows are applied, or the receiver would never get them.
 func (s *Subscriber) snapshot(t *topic) gossiper.View {
@@ -180,6 +191,10 @@
 		return
 	}
 	t := s.topics[i]
+	if v.Pending {
+		s.snapshotProgressed(t)
+		return
+	}
 	t.applying.Lock()
 	defer t.applying.Unlock()
 	defer s.noteFollowed(t)
@@ -229,6 +244,7 @@
 		s.applyRecords(t, recordsFrom(v.Records, next), next, governor.Origin{Sender: v.Sender, FollowedTo: v.RecordsTo})
 	}
 	s.mu.Lock()
+	t.pacer.PeerViewArrived(v.View, time.Now())
 	hasGap := t.pacer.HasGapTo(v.View)
 	mustRead := !hasGap && t.pacer.PeerViewReceived(v.View)
 	s.mu.Unlock()
@@ -275,6 +291,14 @@
 	}
 }
 
+// snapshotProgressed records that another instance is about to send a snapshot.
+func (s *Subscriber) snapshotProgressed(t *topic) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t.progressedAt = time.Now()
+	t.requests.Progressed(t.progressedAt)
+}
+
 // signal ends a wait for the topic.
 func (t *topic) signal() {
 	select {
--- a/rosemaryspool/subscriber/subscriber.go
+++ b/rosemaryspool/subscriber/subscriber.go
@@ -36,9 +36,8 @@
 
 // Store is the platform's store.
 type Store interface {
-	// ReadNewest returns the newest record of each key of a topic and the offset from which Read continues. Each page of the
-	// response may take up to pageTimeout.
-	ReadNewest(ctx context.Context, topic string, pageTimeout time.Duration) (platform.Batch, error)
+	// ReadNewest returns the newest record of each key of a topic and the offset from which Read continues.
+	ReadNewest(ctx context.Context, topic string, p platform.Paging) (platform.Batch, error)
 	// Read returns the first records of a topic from an offset on. It waits up to wait for the first one.
 	Read(ctx context.Context, topic string, from uint64, wait time.Duration) (platform.Batch, error)
 	// Write appends a new value of a key.
@@ -51,6 +50,8 @@
 	ForwardView(topic string, v gossiper.View)
 	// SendSnapshot sends what take returns to an instance that has asked for it; packed is true if it reads packed records.
 	SendSnapshot(to elector.Member, topic string, packed bool, take func() gossiper.View)
+	// SendPending tells an instance that has asked for a snapshot that there is one soon.
+	SendPending(to elector.Member, topic string)
 	// Greet makes this instance known to its neighbours.
 	Greet()
 	// RequestView asks one of the instances that read the store for the newest records of a topic: another one with each
