Leave the rest of a long list to the instance that reads it

Cause: after an outage, or while the store didn't respond to the reader, all instances read what they had missed, each part at once after the one before, although another one read and forwarded the same. With a read of 0.3 s for 1,000 records none of them came to an end. Change: an instance that has read a part leaves the rest to one that has read as far, as long as that one makes progress. From rank 3 on, instances also wait for a first backup that waits itself, and leave the first retry of a failed read to the main readers, if reads take 0.1 s and more.

--- a/core/pacer/pacer.go
+++ b/core/pacer/pacer.go
@@ -40,6 +40,8 @@
 	maxReadShare        = 1.0 / 3
 	maxPatientReadShare = 2.0 / 3
 	patientRank         = 3
+	// longRead is the time of a read from which on others wait for its view rather than read the same.
+	longRead = 100 * time.Millisecond
 	// readTimeDecay is how much of the known duration of reads is kept with each shorter one.
 	readTimeDecay = 0.9
 	// outageSlack is how much longer than the slowest backup takes to read nobody may have read before that counts as an
@@ -62,6 +64,9 @@
 	peerReadAt time.Time
 	// readTime is how long after the begin of another instance's read its view arrives.
 	readTime time.Duration
+	// peerNext is the offset up to which any other instance has read, peerProgressAt when a view last showed a newer read.
+	peerNext       uint64
+	peerProgressAt time.Time
 	// peerChange is the offset up to which other instances have found relevant records, lateChange the same for those that
 	// have been reported since the current read began.
 	peerChange uint64
@@ -97,7 +102,7 @@
 	}
 	p.own = View{Era: era}
 	p.synced, p.notBefore = false, notBefore
-	p.peerReadAt, p.peerChange, p.lateChange, p.end = time.Time{}, 0, 0, 0
+	p.peerReadAt, p.peerChange, p.lateChange, p.peerNext, p.end = time.Time{}, 0, 0, 0, 0
 	return true
 }
 
@@ -158,22 +163,36 @@
 // PeerViewArrived records when the view of another instance has arrived. A read of a long list takes long over a slow link;
 // backups that read before its view arrives would each fill their link with the same records.
 func (p *Pacer) PeerViewArrived(v View, now time.Time) {
-	if v.ReadAt.After(p.peerReadAt) {
+	if v.Era == p.own.Era && v.ReadAt.After(p.peerReadAt) {
+		p.peerNext, p.peerProgressAt = max(p.peerNext, v.Next), now
 		kept := time.Duration(readTimeDecay * float64(p.readTime))
 		p.readTime = max(now.Sub(v.ReadAt), kept)
 	}
 }
 
-// expectedReadTime returns for how long an instance of a rank waits for the views of those before it.
+// ReadsTakeLong reports whether the reads of others take so long that few instances should read.
+func (p *Pacer) ReadsTakeLong() bool { return p.readTime >= longRead }
+
+// expectedReadTime returns for how long an instance of a rank waits for the views of those before it. From patientRank on,
+// that is also the time of a first backup, which waits itself.
 func (p *Pacer) expectedReadTime(rank int) time.Duration {
-	share := maxReadShare
 	switch {
 	case rank == 0:
 		return 0
-	case rank >= patientRank:
-		share = maxPatientReadShare
+	case rank < patientRank:
+		return min(p.readTime, time.Duration(maxReadShare*float64(p.interval)))
+	default:
+		return min(2*p.readTime, time.Duration(maxPatientReadShare*float64(p.interval)))
+	}
+}
+
+// restDueAt returns when the rest of a topic is read of which a read has returned only a part. While another instance that
+// has read as far makes progress, that is left to it.
+func (p *Pacer) restDueAt(rank int) time.Time {
+	if rank == 0 || p.peerNext < p.own.Next {
+		return time.Time{}
 	}
-	return min(p.readTime, time.Duration(share*float64(p.interval)))
+	return p.peerProgressAt.Add(p.expectedReadTime(rank) + p.backupDelay(rank) - p.holdTime)
 }
 
 // PeerViewReceived merges the view of another instance and reports whether a relevant record must be read immediately.
@@ -247,8 +266,10 @@
 	switch {
 	case !p.synced:
 		return p.notBefore
-	case p.BehindPeers(), p.own.Next < p.end:
+	case p.BehindPeers():
 		return time.Time{}
+	case p.own.Next < p.end:
+		return p.restDueAt(rank)
 	}
 	latest := p.own.ReadAt
 	if p.peerReadAt.After(latest) {
--- a/core/pacer/pacer_test.go
+++ b/core/pacer/pacer_test.go
@@ -212,3 +212,53 @@
 		})
 	}
 }
+
+// A read takes 0.25 s over a full link: backups leave it and its rest to the instance that reads, as long as that one makes
+// progress.
+func TestBackupsWaitForLongReads(t *testing.T) {
+	const readTime = 250 * time.Millisecond
+	for _, c := range []struct {
+		name string
+		rank int
+		want time.Duration
+	}{
+		{"rank 0", 0, 0},
+		{"rank 1", 1, readTime + firstBackupDelay},
+		{"rank 2", 2, readTime + otherBackupsDelay + 2*rankStagger},
+		{"patient rank", patientRank, 2*readTime + otherBackupsDelay + patientRank*rankStagger},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			p := NewPacer(interval, 0)
+			p.SnapshotRead(at(0), 10)
+			view := View{First: 5, Next: 30, ReadAt: at(interval)}
+			p.PeerViewArrived(view, at(interval+readTime))
+			require.True(t, p.ReadsTakeLong())
+			p.PeerViewReceived(view)
+			require.Equal(t, at(2*interval+c.want), p.NextReadAt(c.rank))
+			p.EndSeen(50)
+			rest := p.NextReadAt(c.rank)
+			if c.rank == 0 {
+				require.True(t, rest.IsZero())
+				return
+			}
+			require.Equal(t, at(interval+readTime+c.want), rest)
+		})
+	}
+}
+
+func TestLongReadsDelayBackupsByABoundedTime(t *testing.T) {
+	p := NewPacer(interval, 0)
+	p.SnapshotRead(at(0), 10)
+	view := View{First: 5, Next: 30, ReadAt: at(interval)}
+	p.PeerViewArrived(view, at(interval+5*time.Second))
+	p.PeerViewReceived(view)
+	require.Equal(t, at(2*interval+interval/3+firstBackupDelay), p.NextReadAt(1))
+	require.Equal(t, at(2*interval+2*interval/3+otherBackupsDelay+patientRank*rankStagger), p.NextReadAt(patientRank))
+	for n := range 60 {
+		later := at(interval + time.Duration(n+1)*time.Second)
+		view = View{First: 5, Next: 31 + uint64(n), ReadAt: later}
+		p.PeerViewArrived(view, later.Add(time.Millisecond))
+		p.PeerViewReceived(view)
+	}
+	require.False(t, p.ReadsTakeLong(), "reads have become short")
+}
--- a/rosemaryspool/gossiper/gossiper.go
+++ b/rosemaryspool/gossiper/gossiper.go
@@ -98,9 +98,9 @@
 		governor:       g, courier: c, log: log, done: make(chan struct{}), seeds: seeds, onView: onView,
 		received: map[reportKey]lastReport{}, sentAt: map[identifier.ServiceName]time.Time{},
 		standbySentAt: map[identifier.ServiceName]time.Time{}, assembler: newAssembler(),
-		fragmenter:   newFragmenter(), packer: newPacker(), transmitter: newTransmitter(link),
+		fragmenter: newFragmenter(), packer: newPacker(), transmitter: newTransmitter(link),
 		snapshotsDropped: metrics.GetOrRegisterCounter("snapshotsDropped", registry),
-		speedsSentAt: map[identifier.ServiceName]time.Time{},
+		speedsSentAt:     map[identifier.ServiceName]time.Time{},
 	}
 }
 
--- a/rosemaryspool/subscriber/follower.go
+++ b/rosemaryspool/subscriber/follower.go
@@ -359,11 +359,14 @@
 }
 
 // backoff returns the wait before the next retry after a number of failures in a row, for an instance that rank others
-// precede in reading the store.
-func backoff(failures, rank int) time.Duration {
+// precede in reading the store. If reads take long, all but the main readers leave the first retry to them as well.
+func backoff(failures, rank int, long bool) time.Duration {
 	limit := maxBackoff
 	if rank >= mainReaders {
 		limit = patientBackoff
+		if long {
+			return limit
+		}
 	}
 	pause := initialBackoff
 	for range failures - 1 {
@@ -375,7 +378,10 @@
 func (s *Subscriber) readFailed(t *topic, err error) {
 	now := time.Now()
 	t.failures++
-	t.retryAt = now.Add(backoff(t.failures, s.governor.ReaderRank(now)))
+	s.mu.Lock()
+	long := t.pacer.ReadsTakeLong()
+	s.mu.Unlock()
+	t.retryAt = now.Add(backoff(t.failures, s.governor.ReaderRank(now), long))
 	if t.onFailure != nil {
 		t.onFailure(t.readStarted)
 	}
--- a/rosemaryspool/subscriber/longlist_test.go
+++ b/rosemaryspool/subscriber/longlist_test.go
@@ -12,10 +12,22 @@
 	"rosemaryspool.example/platform"
 )
 
+// longList is the number of upstreams in a long list; each one reports once in a reportInterval.
+const (
+	longList       = 3000
+	reportInterval = 1200 * time.Millisecond
+)
+
+// report writes the records of upstreams.
+func (n *neighbourhood) report(upstreams int) {
+	for u := range upstreams {
+		n.store.put(platform.TopicServers, fmt.Sprint("u", u), bornRecord("ready", 1))
+	}
+}
+
 // A long list comes over slow links, of which requests take a part: 300 bytes a record at 8 or 12 Mbit/s. All upstreams report each
 // 1.2 s, and one of them leaves, also while the store responds to nobody for a while.
 func TestLongListIsFollowedOverSlowLinks(t *testing.T) {
-	const upstreams = 3000
 	for _, c := range []struct {
 		outage     time.Duration
 		recordTime time.Duration
@@ -31,16 +43,11 @@
 			}()
 			n := newNeighbourhood(4)
 			n.store.recordTime = c.recordTime
-			report := func() {
-				for u := range upstreams {
-					n.store.put(platform.TopicServers, fmt.Sprint("u", u), bornRecord("ready", 1))
-				}
-			}
-			report()
+			n.report(longList)
 			go func() {
 				for ctx.Err() == nil {
-					time.Sleep(1200 * time.Millisecond)
-					report()
+					time.Sleep(reportInterval)
+					n.report(longList)
 				}
 			}()
 			n.start(ctx)
@@ -67,7 +74,7 @@
 // Instances that start together would take 25 MB of the store's link, and all of their own for a second and more.
 func TestInstancesThatStartTogetherReadALongListOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		const instances, upstreams = 24, 3000
+		const instances = 24
 		ctx, cancel := context.WithCancel(context.Background())
 		defer func() {
 			cancel()
@@ -75,18 +82,69 @@
 		}()
 		n := newNeighbourhood(instances)
 		n.store.recordTime = 300 * time.Microsecond
-		for u := range upstreams {
-			n.store.put(platform.TopicServers, fmt.Sprint("u", u), bornRecord("ready", 1))
-		}
+		n.report(longList)
 		n.start(ctx)
 		time.Sleep(2 * time.Second)
 		require.Len(t, n.listing("u2999"), instances)
 		whole := 0
 		for _, records := range n.store.transfers() {
-			if records >= upstreams {
+			if records >= longList {
 				whole++
 			}
 		}
 		require.Equal(t, 1, whole, "instances that have read the list themselves")
 	})
 }
+
+// At a start, after an outage of the store and while it doesn't respond to the instance that reads for the others, few
+// instances read a long list: all of them would take what the store can send.
+func TestFewInstancesReadALongList(t *testing.T) {
+	const instances, readers = 24, 3
+	all := make([]int, instances)
+	for i := range all {
+		all[i] = i
+	}
+	for _, recordTime := range []time.Duration{20 * time.Microsecond, 200 * time.Microsecond, 300 * time.Microsecond} {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(context.Background())
+			defer func() {
+				cancel()
+				time.Sleep(5 * time.Second)
+			}()
+			n := newNeighbourhood(instances)
+			n.store.recordTime = recordTime
+			n.report(longList)
+			go func() {
+				for ctx.Err() == nil {
+					time.Sleep(reportInterval)
+					n.report(longList)
+				}
+			}()
+			n.start(ctx)
+			for _, phase := range []struct {
+				name   string
+				begin  func()
+				length time.Duration
+			}{
+				{"start", func() {}, 4 * time.Second},
+				{"all is well", func() {}, 6 * time.Second},
+				{"outage", func() { n.store.setHangs(true, all...) }, 2 * time.Second},
+				{"after the outage", func() { n.store.setHangs(false, all...) }, 6 * time.Second},
+				{"reader's calls hang", func() { n.store.setHangs(true, n.reader()) }, 6 * time.Second},
+				{"reader's calls end", func() { n.store.setHangs(false, all...) }, 6 * time.Second},
+			} {
+				before := n.store.transfers()
+				phase.begin()
+				time.Sleep(phase.length)
+				reading := 0
+				for i, records := range n.store.transfers() {
+					if records-before[i] > instances {
+						reading++
+					}
+				}
+				require.LessOrEqual(t, reading, readers, "%s, %v for a record", phase.name, recordTime)
+			}
+			require.Len(t, n.listing("u2999"), instances)
+		})
+	}
+}
--- a/rosemaryspool/subscriber/sharing.go
+++ b/rosemaryspool/subscriber/sharing.go
@@ -86,7 +86,7 @@
 			Msg("Announcing the instance failed")
 		select {
 		case <-ctx.Done():
-		case <-time.After(backoff(failures, 0)):
+		case <-time.After(backoff(failures, 0, false)):
 		}
 	}
 }
