Forward records packed to those who read them

Cause: a change of a part of 3,000 upstreams goes to 98 neighbours, 270 bytes a record, in several datagrams for each; one that is lost makes the receiver read all records of the time, 0.85 MB. Others get them as before.

--- a/rosemaryspool/courier/courier.go
+++ b/rosemaryspool/courier/courier.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -40,9 +41,11 @@
 	socket   *net.UDPConn
 	log      zerolog.Logger
 	registry metrics.Registry
-	leaving  atomic.Bool
-	warming  atomic.Bool
-	done     chan struct{}
+	// readsPacked holds, by instance, whether the last datagram said that it reads packed records.
+	readsPacked sync.Map
+	leaving     atomic.Bool
+	warming     atomic.Bool
+	done        chan struct{}
 }
 
 // NewCourier opens the socket at this instance's address.
@@ -78,7 +81,7 @@
 func (c *Courier) Send(to elector.Member, d *messenger.Datagram) {
 	d.Instance, d.StartedMs, d.Address = string(c.self.Instance), c.self.StartedMs, c.self.Address
 	d.DataCentre, d.Capacity, d.Leaving = string(c.self.DataCentre), uint32(c.self.Capacity), c.leaving.Load()
-	d.Warming = c.warming.Load()
+	d.Warming, d.ReadsPacked = c.warming.Load(), true
 	content, err := proto.Marshal(d)
 	if err != nil || len(content) > MaxDatagramBytes {
 		c.log.Error().Err(err).Str("event", "datagramDropped").Str("peer", string(to.Instance)).Int("bytes", len(content)).
@@ -97,6 +100,13 @@
 	c.count("Sent", d, len(content))
 }
 
+// ReadsPacked reports whether an instance is known to read packed records: not one of the version before, nor one that has
+// sent nothing yet.
+func (c *Courier) ReadsPacked(id identifier.InstanceID) bool {
+	packed, known := c.readsPacked.Load(id)
+	return known && packed.(bool)
+}
+
 // Run passes each received datagram to handle until ctx ends. Datagrams of this instance itself are dropped.
 func (c *Courier) Run(ctx context.Context, handle func(Received)) {
 	defer close(c.done)
@@ -120,6 +130,7 @@
 		}
 		if r.Sender.Instance != c.self.Instance {
 			c.count("Received", r.Datagram, n)
+			c.readsPacked.Store(r.Sender.Instance, r.Datagram.GetReadsPacked())
 			handle(r)
 		}
 	}
--- a/rosemaryspool/gatekeeper/gatekeeper.go
+++ b/rosemaryspool/gatekeeper/gatekeeper.go
@@ -223,7 +223,7 @@
 	case *messenger.Datagram_StoreUpdate:
 		g.gossiper.HandleStoreUpdate(r, body.StoreUpdate)
 	case *messenger.Datagram_StoreRequest:
-		g.subscriber.HandleViewRequest(r.Sender, body.StoreRequest.GetTopics(), body.StoreRequest.GetReadsPacked())
+		g.subscriber.HandleViewRequest(r.Sender, body.StoreRequest.GetTopics(), r.Datagram.GetReadsPacked())
 		// The instance that asks has just started.
 		g.gossiper.SendCrashKnowledge(r.Sender)
 	case *messenger.Datagram_SpeedReport:
--- /dev/null
+++ b/rosemaryspool/gossiper/forward_test.go
@@ -0,0 +1,74 @@
+package gossiper
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	"rosemaryspool.example/core/elector"
+	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/rosemaryspool/courier"
+	"rosemaryspool.example/wire/messenger"
+)
+
+// Beside instances of this version runs one of the version before, which doesn't read packed records.
+func TestForwardedRecordsArePackedForThoseWhoReadThem(t *testing.T) {
+	_, gov := newGossiper(t, nil)
+	own, err := courier.NewCourier(gov.Self(), zerolog.Nop(), metrics.NewRegistry())
+	require.NoError(t, err)
+	g := NewGossiper(gov, own, nil, 0, nil, zerolog.Nop(), metrics.NewRegistry())
+	ctx, cancel := context.WithCancel(context.Background())
+	go g.courier.Run(ctx, func(courier.Received) {})
+	defer func() {
+		cancel()
+		<-g.courier.Done()
+	}()
+	v := longList(200)
+	v.Snapshot, v.RecordsFrom, v.Changed = false, 100, v.Records[199].Offset+1
+	for _, c := range []struct {
+		instance identifier.InstanceID
+		packed   bool
+	}{{"current", true}, {"before", false}} {
+		socket, err := net.ListenPacket("udp4", "127.0.0.1:0")
+		require.NoError(t, err)
+		defer socket.Close()
+		address := socket.LocalAddr().String()
+		hello, err := proto.Marshal(&messenger.Datagram{
+			Instance: string(c.instance), StartedMs: 3, Address: address, DataCentre: "here", ReadsPacked: c.packed,
+		})
+		require.NoError(t, err)
+		to, err := net.ResolveUDPAddr("udp4", g.courier.LocalAddress())
+		require.NoError(t, err)
+		_, err = socket.WriteTo(hello, to)
+		require.NoError(t, err)
+		gov.SetMember(time.Now(), elector.Member{Instance: c.instance, Address: address, DataCentre: "here", StartedMs: 3})
+		require.Eventually(t, func() bool { return g.courier.ReadsPacked(c.instance) == c.packed }, time.Second, time.Millisecond)
+		g.ForwardView("servers", v)
+		require.Len(t, receiveRecords(t, socket, c.packed, v.Next), 200)
+	}
+}
+
+// A message of a view ends with a range of its own: one that is lost shows in the next.
+func TestPackedRangesAreContiguous(t *testing.T) {
+	v := longList(200)
+	v.Snapshot, v.RecordsFrom = false, 100
+	updates := encodeChunks(time.Now(), "servers", v, pack(v.Records))
+	require.Greater(t, len(updates), 3)
+	next := v.RecordsFrom
+	for i, update := range updates {
+		part := update.GetTopics()[0]
+		require.Equal(t, next, part.GetRecordsFrom())
+		next = part.GetRecordsTo()
+		if i < len(updates)-1 {
+			require.Equal(t, part.GetRecordsTo(), part.GetNext(), "the rest follows")
+			require.Equal(t, part.GetRecordsTo(), part.GetChanged())
+		}
+	}
+	require.Equal(t, v.RecordsTo, next)
+}
--- a/rosemaryspool/gossiper/packer.go
+++ b/rosemaryspool/gossiper/packer.go
@@ -48,25 +48,26 @@
 		last = packedSnapshot{era: v.Era, records: v.Records, chunks: pack(v.Records)}
 		p.known[topic] = last
 	}
-	if len(last.chunks) == 0 {
+	return encodeChunks(now, topic, v, last.chunks)
+}
+
+// encodeChunks returns the messages for the packed records of a view, nil if there are none.
+func encodeChunks(now time.Time, topic string, v View, chunks []packedChunk) []*messenger.StoreUpdate {
+	if len(chunks) == 0 {
 		return nil
 	}
-	updates := make([]*messenger.StoreUpdate, 0, len(last.chunks))
-	for i, c := range last.chunks {
-		t := &messenger.TopicView{
-			Topic: topic, Era: uint64(v.Era), First: v.First, Next: v.Next, Changed: v.Changed, Snapshot: v.Snapshot,
-			AgeMs: identifier.Milliseconds(now.Sub(v.ReadAt)), OutageAgeMs: identifier.Milliseconds(v.OutageAge),
-			RecordsFrom: c.from, RecordsTo: v.RecordsTo, Packed: c.content,
-		}
+	ranges := make([]*messenger.TopicView, 0, len(chunks))
+	for i, c := range chunks {
+		t := &messenger.TopicView{RecordsFrom: c.from, RecordsTo: v.RecordsTo, Packed: c.content}
 		if i == 0 {
 			t.RecordsFrom = v.RecordsFrom
 		}
-		if i < len(last.chunks)-1 {
-			t.RecordsTo = last.chunks[i+1].from
+		if i < len(chunks)-1 {
+			t.RecordsTo = chunks[i+1].from
 		}
-		updates = append(updates, &messenger.StoreUpdate{Topics: []*messenger.TopicView{t}})
+		ranges = append(ranges, t)
 	}
-	return updates
+	return encodeRanges(now, topic, v, ranges)
 }
 
 func sameRecord(a, b Record) bool {
--- a/rosemaryspool/gossiper/view.go
+++ b/rosemaryspool/gossiper/view.go
@@ -49,18 +49,41 @@
 	Offset uint64
 }
 
-// ForwardView sends a view of the store to the neighbours, in bursts.
+// ForwardView sends a view of the store to the neighbours, in bursts. Those that read packed records get them so.
 func (g *Gossiper) ForwardView(topic string, v View) {
-	neighbours := g.governor.Neighbours()
-	started, burst := time.Now(), 0
-	for _, update := range g.fragmenter.encodeView(started, topic, v) {
+	var packed, plain []elector.Member
+	for _, m := range g.governor.Neighbours() {
+		if len(v.Records) > 1 && g.courier.ReadsPacked(m.Instance) {
+			packed = append(packed, m)
+		} else {
+			plain = append(plain, m)
+		}
+	}
+	started := time.Now()
+	if len(packed) > 0 {
+		updates := encodeChunks(started, topic, v, pack(v.Records))
+		if updates == nil {
+			plain = append(plain, packed...)
+		}
+		g.forward(started, updates, packed)
+	}
+	if len(plain) > 0 {
+		g.forward(started, g.fragmenter.encodeView(started, topic, v), plain)
+	}
+}
+
+// forward sends the messages of a view that were encoded at a time, in bursts.
+func (g *Gossiper) forward(encodedAt time.Time, updates []*messenger.StoreUpdate, to []elector.Member) {
+	burst := 0
+	for _, update := range updates {
 		age := update.GetTopics()[0].GetAgeMs()
-		for _, m := range neighbours {
+		update.Topics[0].AgeMs = age + identifier.Milliseconds(time.Since(encodedAt))
+		for _, m := range to {
 			size := proto.Size(update)
 			if burst > 0 && burst+size > maxBurstBytes {
 				time.Sleep(burstPause)
 				burst = 0
-				update.Topics[0].AgeMs = age + identifier.Milliseconds(time.Since(started))
+				update.Topics[0].AgeMs = age + identifier.Milliseconds(time.Since(encodedAt))
 			}
 			burst += size
 			g.courier.Send(m, &messenger.Datagram{Body: &messenger.Datagram_StoreUpdate{StoreUpdate: update}})
@@ -81,7 +104,7 @@
 	}
 	if len(readers) > 0 {
 		g.courier.Send(readers[number%len(readers)], &messenger.Datagram{Body: &messenger.Datagram_StoreRequest{
-			StoreRequest: &messenger.StoreRequest{Topics: []string{topic}, ReadsPacked: true},
+			StoreRequest: &messenger.StoreRequest{Topics: []string{topic}},
 		}})
 	}
 }
@@ -113,7 +136,11 @@
 // encodeView splits a view into messages that fit into a datagram, each with the records of a range of offsets. A record
 // that is too large for a datagram is compressed and sent in fragments.
 func (f *fragmenter) encodeView(now time.Time, topic string, v View) []*messenger.StoreUpdate {
-	ranges := f.splitRecords(v)
+	return encodeRanges(now, topic, v, f.splitRecords(v))
+}
+
+// encodeRanges returns the messages for the ranges of a view's records.
+func encodeRanges(now time.Time, topic string, v View, ranges []*messenger.TopicView) []*messenger.StoreUpdate {
 	messages := make([]*messenger.StoreUpdate, 0, len(ranges))
 	for i, t := range ranges {
 		t.Topic, t.Era, t.First, t.Next, t.Changed = topic, uint64(v.Era), v.First, v.Next, v.Changed
--- a/rosemaryspool/subscriber/subscriber_test.go
+++ b/rosemaryspool/subscriber/subscriber_test.go
@@ -108,7 +108,7 @@
 		case *messenger.Datagram_StoreUpdate:
 			peers.HandleStoreUpdate(r, body.StoreUpdate)
 		case *messenger.Datagram_StoreRequest:
-			s.HandleViewRequest(r.Sender, body.StoreRequest.GetTopics(), body.StoreRequest.GetReadsPacked())
+			s.HandleViewRequest(r.Sender, body.StoreRequest.GetTopics(), r.Datagram.GetReadsPacked())
 		}
 	})
 	go s.Run(ctx)
