--- a/rosemaryspool/courier/courier.go
+++ b/rosemaryspool/courier/courier.go
@@ -5,9 +5,11 @@
 	"context"
 	"net"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 	"google.golang.org/protobuf/proto"
@@ -56,17 +58,20 @@
 
 // Courier sends and receives datagrams. Its methods are safe for concurrent use.
 type Courier struct {
-	self    elector.Member
-	socket  Socket
-	log     zerolog.Logger
-	leaving atomic.Bool
-	warming atomic.Bool
-	done    chan struct{}
+	self     elector.Member
+	socket   Socket
+	log      zerolog.Logger
+	registry metrics.Registry
+	// readsPacked holds, by instance, whether the last datagram said that it reads packed records.
+	readsPacked sync.Map
+	leaving     atomic.Bool
+	warming     atomic.Bool
+	done        chan struct{}
 }
 
 // NewCourier returns a courier that sends and receives over the socket at this instance's address. It closes the socket.
-func NewCourier(self elector.Member, socket Socket, log zerolog.Logger) *Courier {
-	return &Courier{self: self, socket: socket, log: log, done: make(chan struct{})}
+func NewCourier(self elector.Member, socket Socket, log zerolog.Logger, registry metrics.Registry) *Courier {
+	return &Courier{self: self, socket: socket, log: log, registry: registry, done: make(chan struct{})}
 }
 
 // Close closes the socket of a courier that was never run.
@@ -89,7 +94,7 @@
 func (c *Courier) Send(to elector.Member, d *messenger.Datagram) {
 	d.Instance, d.StartedMs, d.Address = string(c.self.Instance), c.self.StartedMs, c.self.Address
 	d.DataCentre, d.Capacity, d.Leaving = string(c.self.DataCentre), uint32(c.self.Capacity), c.leaving.Load()
-	d.Warming = c.warming.Load()
+	d.Warming, d.ReadsPacked = c.warming.Load(), true
 	content, err := proto.Marshal(d)
 	if err != nil || len(content) > MaxDatagramBytes {
 		c.log.Error().Err(err).Str("event", "datagramDropped").Str("peer", string(to.Instance)).Int("bytes", len(content)).
@@ -103,7 +108,16 @@
 	if err != nil {
 		c.log.Debug().Err(err).Str("event", "datagramDropped").Str("peer", string(to.Instance)).
 			Msg("Sending a datagram failed")
+		return
 	}
+	c.count("Sent", d, len(content))
+}
+
+// ReadsPacked reports whether an instance is known to read packed records: not one of the version before, nor one that has
+// sent nothing yet.
+func (c *Courier) ReadsPacked(id identifier.InstanceID) bool {
+	packed, known := c.readsPacked.Load(id)
+	return known && packed.(bool)
 }
 
 // Run passes each received datagram to handle until ctx ends. Datagrams of this instance itself are dropped.
@@ -128,6 +142,8 @@
 			continue
 		}
 		if r.Sender.Instance != c.self.Instance {
+			c.count("Received", r.Datagram, n)
+			c.readsPacked.Store(r.Sender.Instance, r.Datagram.GetReadsPacked())
 			handle(r)
 		}
 	}
--- a/rosemaryspool/gossiper/gossiper_test.go
+++ b/rosemaryspool/gossiper/gossiper_test.go
@@ -40,9 +40,9 @@
 	})
 	socket, err := courier.Listen(g.Self().Address)
 	require.NoError(t, err)
-	c := courier.NewCourier(g.Self(), socket, zerolog.Nop())
+	c := courier.NewCourier(g.Self(), socket, zerolog.Nop(), metrics.NewRegistry())
 	t.Cleanup(func() { require.NoError(t, c.Close()) })
-	return NewGossiper(g, c, nil, onView, zerolog.Nop(), metrics.NewRegistry()), g
+	return NewGossiper(g, c, nil, 0, onView, zerolog.Nop(), metrics.NewRegistry()), g
 }
 
 // aheadOf returns the load at the upstream without that of the instance itself.
--- a/rosemaryspool/gossiper/traffic_test.go
+++ b/rosemaryspool/gossiper/traffic_test.go
@@ -73,8 +73,8 @@
 	})
 	socket, err := courier.Listen(self.Address)
 	require.NoError(b, err)
-	c := courier.NewCourier(self, socket, zerolog.Nop())
-	peers := NewGossiper(g, c, nil, nil, zerolog.Nop(), metrics.NewRegistry())
+	c := courier.NewCourier(self, socket, zerolog.Nop(), metrics.NewRegistry())
+	peers := NewGossiper(g, c, nil, 0, nil, zerolog.Nop(), metrics.NewRegistry())
 	ctx, cancel := context.WithCancel(context.Background())
 	go peers.Run(ctx)
 	b.Cleanup(func() {
--- a/rosemaryspool/gossiper/view.go
+++ b/rosemaryspool/gossiper/view.go
@@ -36,6 +36,8 @@
 	Records     []Record
 	// Snapshot is true if Records holds the newest record of each key.
 	Snapshot bool
+	// Pending is true if the sender has no view yet and sends a snapshot soon.
+	Pending bool
 	// OutageAge is the time since the store was last unavailable; zero when it never was.
 	OutageAge time.Duration
 }
@@ -47,18 +49,41 @@
 	Offset uint64
 }
 
-// ForwardView sends a view of the store to the neighbours, in bursts.
+// ForwardView sends a view of the store to the neighbours, in bursts. Those that read packed records get them so.
 func (g *Gossiper) ForwardView(topic string, v View) {
-	neighbours := g.governor.Neighbours()
-	started, burst := time.Now(), 0
-	for _, update := range g.fragmenter.encodeView(started, topic, v) {
+	var packed, plain []elector.Member
+	for _, m := range g.governor.Neighbours() {
+		if len(v.Records) > 1 && g.courier.ReadsPacked(m.Instance) {
+			packed = append(packed, m)
+		} else {
+			plain = append(plain, m)
+		}
+	}
+	started := time.Now()
+	if len(packed) > 0 {
+		updates := encodeChunks(started, topic, v, pack(v.Records))
+		if updates == nil {
+			plain = append(plain, packed...)
+		}
+		g.forward(started, updates, packed)
+	}
+	if len(plain) > 0 {
+		g.forward(started, g.fragmenter.encodeView(started, topic, v), plain)
+	}
+}
+
+// forward sends the messages of a view that were encoded at a time, in bursts.
+func (g *Gossiper) forward(encodedAt time.Time, updates []*messenger.StoreUpdate, to []elector.Member) {
+	burst := 0
+	for _, update := range updates {
 		age := update.GetTopics()[0].GetAgeMs()
-		for _, m := range neighbours {
+		update.Topics[0].AgeMs = age + identifier.Milliseconds(time.Since(encodedAt))
+		for _, m := range to {
 			size := proto.Size(update)
 			if burst > 0 && burst+size > maxBurstBytes {
 				time.Sleep(burstPause)
 				burst = 0
-				update.Topics[0].AgeMs = age + identifier.Milliseconds(time.Since(started))
+				update.Topics[0].AgeMs = age + identifier.Milliseconds(time.Since(encodedAt))
 			}
 			burst += size
 			g.courier.Send(m, &messenger.Datagram{Body: &messenger.Datagram_StoreUpdate{StoreUpdate: update}})
@@ -66,17 +91,9 @@
 	}
 }
 
-// SendView sends a view of the store to other instances.
-func (g *Gossiper) SendView(to []elector.Member, topic string, v View) {
-	for _, update := range g.fragmenter.encodeView(time.Now(), topic, v) {
-		for _, m := range to {
-			g.courier.Send(m, &messenger.Datagram{Body: &messenger.Datagram_StoreUpdate{StoreUpdate: update}})
-		}
-	}
-}
-
-// RequestView asks the instances that read the store for the newest records of a topic.
-func (g *Gossiper) RequestView(topic string) {
+// RequestView asks one of the instances that read the store for the newest records of a topic, another one with each
+// number: the first may have started together with this instance.
+func (g *Gossiper) RequestView(topic string, number int) {
 	readers := g.governor.Readers(time.Now())
 	if len(readers) == 0 {
 		for _, address := range g.seeds {
@@ -85,8 +102,8 @@
 			}
 		}
 	}
-	for _, m := range readers {
-		g.courier.Send(m, &messenger.Datagram{Body: &messenger.Datagram_StoreRequest{
+	if len(readers) > 0 {
+		g.courier.Send(readers[number%len(readers)], &messenger.Datagram{Body: &messenger.Datagram_StoreRequest{
 			StoreRequest: &messenger.StoreRequest{Topics: []string{topic}},
 		}})
 	}
@@ -96,9 +113,13 @@
 // fragments.
 func (g *Gossiper) HandleStoreUpdate(r courier.Received, update *messenger.StoreUpdate) {
 	for _, t := range update.GetTopics() {
-		g.mu.Lock()
-		complete, err := g.assembler.add(r.Sender.Instance, t)
-		g.mu.Unlock()
+		err := unpack(t)
+		complete := false
+		if err == nil {
+			g.mu.Lock()
+			complete, err = g.assembler.add(r.Sender.Instance, t)
+			g.mu.Unlock()
+		}
 		if err != nil {
 			g.log.Warn().Err(err).Str("event", "datagramUnreadable").Str("peer", string(r.Sender.Instance)).
 				Msg("Skipping an invalid record of the store")
@@ -115,7 +136,11 @@
 // encodeView splits a view into messages that fit into a datagram, each with the records of a range of offsets. A record
 // that is too large for a datagram is compressed and sent in fragments.
 func (f *fragmenter) encodeView(now time.Time, topic string, v View) []*messenger.StoreUpdate {
-	ranges := f.splitRecords(v)
+	return encodeRanges(now, topic, v, f.splitRecords(v))
+}
+
+// encodeRanges returns the messages for the ranges of a view's records.
+func encodeRanges(now time.Time, topic string, v View, ranges []*messenger.TopicView) []*messenger.StoreUpdate {
 	messages := make([]*messenger.StoreUpdate, 0, len(ranges))
 	for i, t := range ranges {
 		t.Topic, t.Era, t.First, t.Next, t.Changed = topic, uint64(v.Era), v.First, v.Next, v.Changed
@@ -183,7 +208,7 @@
 			Era: identifier.Era(t.GetEra()), First: t.GetFirst(), Next: t.GetNext(), Changed: t.GetChanged(),
 			ReadAt: at.Add(-time.Duration(t.GetAgeMs()) * time.Millisecond),
 		},
-		RecordsFrom: t.GetRecordsFrom(), RecordsTo: t.GetRecordsTo(), Snapshot: t.GetSnapshot(),
+		RecordsFrom: t.GetRecordsFrom(), RecordsTo: t.GetRecordsTo(), Snapshot: t.GetSnapshot(), Pending: t.GetPending(),
 		OutageAge: time.Duration(t.GetOutageAgeMs()) * time.Millisecond,
 	}
 	for _, r := range t.GetRecords() {
--- a/rosemaryspool/subscriber/departure_test.go
+++ b/rosemaryspool/subscriber/departure_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"slices"
 	"sync"
 	"testing"
@@ -27,8 +28,18 @@
 	mu    sync.Mutex
 	topic map[string]*memoryStore
 	hangs map[int]bool
+	// recordTime is how long the link of an instance takes for one record.
+	recordTime time.Duration
+	// transferred counts the records that have come over each instance's link.
+	transferred map[int]int
 }
 
+// Records in one page of the newest ones, and in one read.
+const (
+	pageRecords = 500
+	readRecords = 1000
+)
+
 func (s *hangingStore) put(topic, key string, value []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -43,6 +54,13 @@
 	}
 }
 
+// transfers returns how many records have come over each instance's link.
+func (s *hangingStore) transfers() map[int]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.transferred)
+}
+
 // storeClient is the store as one instance calls it.
 type storeClient struct {
 	*hangingStore
@@ -61,14 +79,42 @@
 }
 
 // ReadNewest implements Store.
-func (c storeClient) ReadNewest(ctx context.Context, topic string) (platform.Batch, error) {
-	if err := c.await(ctx); err != nil {
+func (c storeClient) ReadNewest(
+	ctx context.Context, topic string, p platform.Paging,
+) (platform.Batch, error) {
+	limited, cancel := context.WithTimeout(ctx, p.Timeout)
+	defer cancel()
+	if err := c.await(limited); err != nil {
 		return platform.Batch{}, err
 	}
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	t := c.topic[topic]
-	return platform.Batch{Records: t.newest(), Next: t.end()}, nil
+	newest, end := c.topic[topic].newest(), c.topic[topic].end()
+	c.mu.Unlock()
+	for n := 0; n < len(newest); n += pageRecords {
+		limited, cancel := context.WithTimeout(ctx, p.Timeout)
+		err := c.transfer(limited, min(len(newest)-n, pageRecords))
+		cancel()
+		if err != nil {
+			return platform.Batch{}, err
+		}
+		if n+pageRecords < len(newest) && p.Arrived != nil {
+			p.Arrived()
+		}
+	}
+	return platform.Batch{Records: newest, Next: end, End: end}, nil
+}
+
+// transfer waits until records have come over the instance's link.
+func (c storeClient) transfer(ctx context.Context, records int) error {
+	select {
+	case <-time.After(time.Duration(records) * c.recordTime):
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.transferred[c.instance] += records
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
 }
 
 // Read implements Store. A read is never woken.
@@ -87,8 +133,13 @@
 		}
 		c.mu.Lock()
 	}
-	defer c.mu.Unlock()
-	return platform.Batch{Records: append([]platform.Record(nil), t.records[from:]...), Next: t.end()}, nil
+	records, end := slices.Clone(t.records[from:]), t.end()
+	c.mu.Unlock()
+	records = records[:min(len(records), readRecords)]
+	if err := c.transfer(ctx, len(records)); err != nil {
+		return platform.Batch{}, err
+	}
+	return platform.Batch{Records: records, Next: from + uint64(len(records)), End: end}, nil
 }
 
 // Write implements Store.
@@ -116,7 +167,14 @@
 
 // startNeighbourhood starts instances that follow a store with two upstreams.
 func startNeighbourhood(ctx context.Context, count int) *neighbourhood {
-	n := &neighbourhood{store: &hangingStore{hangs: map[int]bool{}, topic: map[string]*memoryStore{
+	n := newNeighbourhood(count)
+	n.start(ctx)
+	return n
+}
+
+// newNeighbourhood returns instances before their start.
+func newNeighbourhood(count int) *neighbourhood {
+	n := &neighbourhood{store: &hangingStore{hangs: map[int]bool{}, transferred: map[int]int{}, topic: map[string]*memoryStore{
 		platform.TopicConfiguration: {}, platform.TopicServers: {}, platform.TopicMembers: {},
 	}}}
 	n.store.put(platform.TopicConfiguration, platform.KeyConfiguration, configuration(1))
@@ -137,6 +195,10 @@
 			DrainLimit: drainLimit, ApplyLimit: applyLimit,
 		}, zerolog.Nop())
 	}
+	return n
+}
+
+func (n *neighbourhood) start(ctx context.Context) {
 	for _, i := range n.instances {
 		go i.subscriber.Run(ctx)
 		go func() {
@@ -146,7 +208,6 @@
 			}
 		}()
 	}
-	return n
 }
 
 // ForwardView implements Exchange.
@@ -159,11 +220,21 @@
 	}
 }
 
-// SendView implements Exchange.
-func (i *neighbour) SendView(to []elector.Member, topic string, v gossiper.View) {
+// SendPending implements Exchange.
+func (i *neighbour) SendPending(to elector.Member, topic string) {
+	for _, other := range i.instances {
+		if other.self.Instance == to.Instance {
+			go other.subscriber.HandleView(topic, gossiper.View{Sender: i.self.Instance, Pending: true})
+		}
+	}
+}
+
+// SendSnapshot implements Exchange.
+func (i *neighbour) SendSnapshot(to elector.Member, topic string, _ bool, take func() gossiper.View) {
+	v := take()
 	v.Sender = i.self.Instance
 	for _, other := range i.instances {
-		if other.self.Instance == to[0].Instance {
+		if other.self.Instance == to.Instance {
 			go other.subscriber.HandleView(topic, v)
 		}
 	}
@@ -173,10 +244,10 @@
 func (i *neighbour) Greet() {}
 
 // RequestView implements Exchange.
-func (i *neighbour) RequestView(topic string) {
+func (i *neighbour) RequestView(topic string, _ int) {
 	for _, other := range i.instances {
 		if other != i {
-			go other.subscriber.HandleViewRequest(i.self, []string{topic})
+			go other.subscriber.HandleViewRequest(i.self, []string{topic}, true)
 		}
 	}
 }
@@ -303,7 +374,7 @@
 	asked.topic.apply = func(records []platform.Record, origin governor.Origin) []platform.Record {
 		go func() {
 			defer close(answered)
-			asked.HandleViewRequest(s.instances[2].governor.Self(), []string{platform.TopicServers})
+			asked.HandleViewRequest(s.instances[2].governor.Self(), []string{platform.TopicServers}, true)
 		}()
 		select {
 		case <-answered:
--- a/rosemaryspool/subscriber/follower.go
+++ b/rosemaryspool/subscriber/follower.go
@@ -50,6 +50,13 @@
 	incoming   []platform.Record
 	incomingTo uint64
 	incomingOf identifier.InstanceID
+	// requests decides when another instance is asked for a snapshot; the subscriber's mutex guards it.
+	requests pacer.Requests
+	// pageReadAt is when a page of a snapshot was read from the store of which others follow; the subscriber's mutex guards
+	// it.
+	pageReadAt time.Time
+	// progressedAt is when the last datagram of a snapshot arrived; the subscriber's mutex guards it.
+	progressedAt time.Time
 	// changes reports whether a record says anything new after the newest one of its key; nil if each one does.
 	changes func(newest, next platform.Record) bool
 	// apply applies records and returns those that could be read.
@@ -140,12 +147,14 @@
 	t.pacer.ReadStarted()
 	t.readStarted, t.held, t.overtaken = time.Now(), wait, false
 	s.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	s.setCancel(t, cancel)
 	defer s.setCancel(t, nil)
 	if known {
-		batch, err := s.store.Read(ctx, t.name, next, wait)
+		limited, cancelRead := context.WithTimeout(ctx, wait+callTimeout)
+		batch, err := s.store.Read(limited, t.name, next, wait)
+		cancelRead()
 		var trimmed *platform.TrimmedError
 		switch {
 		case errors.As(err, &trimmed):
@@ -155,13 +164,18 @@
 			return err
 		case batch.Era == era:
 			view, current := s.applyRead(t, next, batch)
+			s.noteEnd(t, batch)
 			if current && !catchesUp {
 				s.forward(t, view)
 			}
 			return nil
 		}
 	}
-	batch, err := s.store.ReadNewest(ctx, t.name)
+	batch, err := s.store.ReadNewest(ctx, t.name, platform.Paging{Timeout: callTimeout, Arrived: func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		t.pageReadAt = time.Now()
+	}})
 	if err != nil {
 		return err
 	}
@@ -176,6 +190,15 @@
 	return nil
 }
 
+// noteEnd makes the next read due at once if one has returned only a part of the records.
+func (s *Subscriber) noteEnd(t *topic, batch platform.Batch) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if t.pacer.Era() == batch.Era {
+		t.pacer.EndSeen(batch.End)
+	}
+}
+
 // forward sends a view of a topic to the neighbours, and its offsets once more soon if it has records.
 func (s *Subscriber) forward(t *topic, v gossiper.View) {
 	s.exchange.ForwardView(t.name, v)
@@ -256,6 +279,7 @@
 		return false
 	}
 	t.incoming, t.incomingTo = nil, 0
+	t.requests.Completed()
 	if t.cancel != nil && sender != "" {
 		// The read is for an offset of the earlier era.
 		t.cancel()
@@ -335,11 +359,14 @@
 }
 
 // backoff returns the wait before the next retry after a number of failures in a row, for an instance that rank others
-// precede in reading the store.
-func backoff(failures, rank int) time.Duration {
+// precede in reading the store. If reads take long, all but the main readers leave the first retry to them as well.
+func backoff(failures, rank int, long bool) time.Duration {
 	limit := maxBackoff
 	if rank >= mainReaders {
 		limit = patientBackoff
+		if long {
+			return limit
+		}
 	}
 	pause := initialBackoff
 	for range failures - 1 {
@@ -351,7 +378,10 @@
 func (s *Subscriber) readFailed(t *topic, err error) {
 	now := time.Now()
 	t.failures++
-	t.retryAt = now.Add(backoff(t.failures, s.governor.ReaderRank(now)))
+	s.mu.Lock()
+	long := t.pacer.ReadsTakeLong()
+	s.mu.Unlock()
+	t.retryAt = now.Add(backoff(t.failures, s.governor.ReaderRank(now), long))
 	if t.onFailure != nil {
 		t.onFailure(t.readStarted)
 	}
@@ -369,7 +399,7 @@
 	s.mu.Unlock()
 	if knowsLess {
 		// Another instance may know what this one can't read.
-		s.exchange.RequestView(t.name)
+		s.requestView(t)
 	}
 }
 
--- a/rosemaryspool/subscriber/sharing.go
+++ b/rosemaryspool/subscriber/sharing.go
@@ -15,13 +15,11 @@
 const (
 	// maxMembersWait is how long an instance that starts waits for the list of members before it reads the store itself.
 	maxMembersWait = 400 * time.Millisecond
-	// snapshotTries and snapshotWait are how often an instance that starts asks its neighbours for a snapshot, and how long
-	// it waits for each one. Instances that start together are ready for it after a few calls to the store.
-	snapshotTries = 3
-	snapshotWait  = 100 * time.Millisecond
-	// maxSnapshotWait is how long an instance that learns of a new era from another one waits for a snapshot before it reads
-	// the store itself.
-	maxSnapshotWait = snapshotTries * snapshotWait
+	// maxSnapshotWait is how long an instance that starts, or learns of a new era from another one, waits for the first part
+	// of a snapshot before it reads the store itself. Instances that start together are ready for it after a few calls to the
+	// store. maxTransferWait is how long it waits for all parts.
+	maxSnapshotWait = 300 * time.Millisecond
+	maxTransferWait = 3 * time.Second
 )
 
 // join makes this instance known to the others and reads the members. At the first start of the whole system it announces
@@ -88,7 +86,7 @@
 			Msg("Announcing the instance failed")
 		select {
 		case <-ctx.Done():
-		case <-time.After(backoff(failures, 0)):
+		case <-time.After(backoff(failures, 0, false)):
 		}
 	}
 }
@@ -101,16 +99,24 @@
 	case <-s.membersKnown:
 	case <-time.After(maxMembersWait):
 	}
-	for range snapshotTries {
+	started := time.Now()
+	for {
 		if s.governor.ReaderRank(time.Now()) == 0 {
 			return
 		}
-		s.exchange.RequestView(t.name)
+		s.requestView(t)
+		s.mu.Lock()
+		now := time.Now()
+		wait, progressed := t.requests.Wait(now), t.progressedAt
+		s.mu.Unlock()
+		if now.Sub(started) > maxTransferWait || now.Sub(later(started, progressed)) > maxSnapshotWait {
+			return
+		}
 		select {
 		case <-ctx.Done():
 			return
 		case <-t.wake:
-		case <-time.After(snapshotWait):
+		case <-time.After(wait):
 		}
 		if s.synced(t) {
 			return
@@ -118,21 +124,50 @@
 	}
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// requestView asks another instance for the newest records of a topic, unless one was asked a moment ago.
+func (s *Subscriber) requestView(t *topic) {
+	s.mu.Lock()
+	number, due := t.requests.Ask(time.Now())
+	s.mu.Unlock()
+	if due {
+		s.exchange.RequestView(t.name, number)
+	}
+}
+
 func (s *Subscriber) synced(t *topic) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return t.pacer.Synced()
 }
 
-// HandleViewRequest sends the newest records of topics to an instance that has started.
-func (s *Subscriber) HandleViewRequest(from elector.Member, names []string) {
+// HandleViewRequest sends the newest records of topics to an instance that has started or lacks some; packed is true if it
+// reads packed records. While this instance reads the pages of a long topic itself, the other one is asked to wait.
+func (s *Subscriber) HandleViewRequest(from elector.Member, names []string, packed bool) {
 	for _, t := range s.topics {
-		if slices.Contains(names, t.name) && s.synced(t) {
-			s.exchange.SendView([]elector.Member{from}, t.name, s.snapshot(t))
+		switch {
+		case !slices.Contains(names, t.name):
+		case s.synced(t):
+			s.exchange.SendSnapshot(from, t.name, packed, func() gossiper.View { return s.snapshot(t) })
+		case packed && s.readsPages(t):
+			s.exchange.SendPending(from, t.name)
 		}
 	}
 }
 
+// readsPages reports whether this instance is reading the pages of a snapshot of a topic.
+func (s *Subscriber) readsPages(t *topic) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Since(t.pageReadAt) < callTimeout
+}
+
 // snapshot returns this instance's view of a topic with the newest record of each key. It waits until the records that the
 // pacer knows are applied, or the receiver would never get them.
 func (s *Subscriber) snapshot(t *topic) gossiper.View {
@@ -156,6 +191,10 @@
 		return
 	}
 	t := s.topics[i]
+	if v.Pending {
+		s.snapshotProgressed(t)
+		return
+	}
 	t.applying.Lock()
 	defer t.applying.Unlock()
 	defer s.noteFollowed(t)
@@ -164,7 +203,7 @@
 	if s.enterEra(t, v.Era, time.Now().Add(maxSnapshotWait), v.Sender) {
 		t.signal()
 		if !v.Snapshot {
-			s.exchange.RequestView(t.name)
+			s.requestView(t)
 		}
 	}
 	s.mu.Lock()
@@ -205,11 +244,12 @@
 		s.applyRecords(t, recordsFrom(v.Records, next), next, governor.Origin{Sender: v.Sender, FollowedTo: v.RecordsTo})
 	}
 	s.mu.Lock()
+	t.pacer.PeerViewArrived(v.View, time.Now())
 	hasGap := t.pacer.HasGapTo(v.View)
 	mustRead := !hasGap && t.pacer.PeerViewReceived(v.View)
 	s.mu.Unlock()
 	if hasGap {
-		s.exchange.RequestView(t.name)
+		s.requestView(t)
 	}
 	if mustRead {
 		t.signal()
@@ -236,9 +276,14 @@
 	}
 	if v.RecordsFrom == t.incomingTo && v.Sender == t.incomingOf {
 		t.incoming, t.incomingTo = append(t.incoming, recordsFrom(v.Records, 0)...), v.RecordsTo
+		t.progressedAt = time.Now()
+		t.requests.Progressed(t.progressedAt)
 	}
 	complete := t.incomingTo == v.Next && v.RecordsTo == v.Next && t.pacer.PeerSnapshotReceived(v.View)
 	records := t.incoming
+	if t.incomingTo == v.Next {
+		t.requests.Completed()
+	}
 	s.mu.Unlock()
 	if complete {
 		s.applySnapshot(t, records, governor.Origin{Sender: v.Sender, Snapshot: true, FollowedTo: v.Next})
@@ -246,6 +291,14 @@
 	}
 }
 
+// snapshotProgressed records that another instance is about to send a snapshot.
+func (s *Subscriber) snapshotProgressed(t *topic) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t.progressedAt = time.Now()
+	t.requests.Progressed(t.progressedAt)
+}
+
 // signal ends a wait for the topic.
 func (t *topic) signal() {
 	select {
--- a/rosemaryspool/subscriber/subscriber.go
+++ b/rosemaryspool/subscriber/subscriber.go
@@ -37,8 +37,8 @@
 // Store is the platform's store.
 type Store interface {
 	// ReadNewest returns the newest record of each key of a topic and the offset from which Read continues.
-	ReadNewest(ctx context.Context, topic string) (platform.Batch, error)
-	// Read returns the records of a topic from an offset on. It waits up to wait for the first one.
+	ReadNewest(ctx context.Context, topic string, p platform.Paging) (platform.Batch, error)
+	// Read returns the first records of a topic from an offset on. It waits up to wait for the first one.
 	Read(ctx context.Context, topic string, from uint64, wait time.Duration) (platform.Batch, error)
 	// Write appends a new value of a key.
 	Write(ctx context.Context, topic, key string, value []byte) error
@@ -46,13 +46,17 @@
 
 // Exchange carries views of the store between instances.
 type Exchange interface {
-	// ForwardView sends a view to the neighbours, SendView to given instances.
+	// ForwardView sends a view to the neighbours.
 	ForwardView(topic string, v gossiper.View)
-	SendView(to []elector.Member, topic string, v gossiper.View)
+	// SendSnapshot sends what take returns to an instance that has asked for it; packed is true if it reads packed records.
+	SendSnapshot(to elector.Member, topic string, packed bool, take func() gossiper.View)
+	// SendPending tells an instance that has asked for a snapshot that there is one soon.
+	SendPending(to elector.Member, topic string)
 	// Greet makes this instance known to its neighbours.
 	Greet()
-	// RequestView asks the instances that read the store for the newest records of a topic.
-	RequestView(topic string)
+	// RequestView asks one of the instances that read the store for the newest records of a topic: another one with each
+	// number.
+	RequestView(topic string, number int)
 }
 
 // Settings holds what determines when a subscriber calls the store.
--- a/rosemaryspool/subscriber/subscriber_test.go
+++ b/rosemaryspool/subscriber/subscriber_test.go
@@ -94,10 +94,10 @@
 	}, zerolog.Nop())
 	socket, err := courier.Listen(self.Address)
 	require.NoError(t, err)
-	c := courier.NewCourier(g.Self(), socket, zerolog.Nop())
+	c := courier.NewCourier(g.Self(), socket, zerolog.Nop(), metrics.NewRegistry())
 	var s *Subscriber
 	peers := gossiper.NewGossiper(
-		g, c, seeds, func(topic string, v gossiper.View) { s.HandleView(topic, v) }, zerolog.Nop(), metrics.NewRegistry(),
+		g, c, seeds, 0, func(topic string, v gossiper.View) { s.HandleView(topic, v) }, zerolog.Nop(), metrics.NewRegistry(),
 	)
 	s = NewSubscriber(platform.NewStore(store, platform.DialTCP), g, peers, Settings{
 		DrainLimit: drainLimit, ApplyLimit: applyLimit, FirstStart: firstStart,
@@ -109,7 +109,7 @@
 		case *messenger.Datagram_StoreUpdate:
 			peers.HandleStoreUpdate(r, body.StoreUpdate)
 		case *messenger.Datagram_StoreRequest:
-			s.HandleViewRequest(r.Sender, body.StoreRequest.GetTopics())
+			s.HandleViewRequest(r.Sender, body.StoreRequest.GetTopics(), r.Datagram.GetReadsPacked())
 		}
 	})
 	go s.Run(ctx)
