Wait for the second upstream in the test of full services

Cause: seen once on a busy machine: the list with the first upstream was read before the second one was written, and the requests were sent before the next read, half a second later. The log shows upstreamsListed with both only at the end.

Change: the test waits until the instance lists the second upstream, as its other parts wait for theirs.

--- a/rosemaryspool/gatekeeper/service_test.go
+++ b/rosemaryspool/gatekeeper/service_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"rosemaryspool.example/core/identifier"
 	"rosemaryspool.example/platform"
 	"rosemaryspool.example/standin/emulator"
 )
@@ -22,6 +23,10 @@
 	table = strings.Replace(table, `"services":[`, `"services":[{"name":"spare","max-connections":100},`, 1)
 	ti.store.Put(platform.TopicConfiguration, platform.KeyConfiguration, []byte(table))
 	require.Eventually(t, func() bool { return ti.readiness() == http.StatusOK }, 2*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool {
+		_, listed := ti.gatekeeper.governor.Entry(identifier.UpstreamID(spare.ID))
+		return listed
+	}, 2*time.Second, time.Millisecond)
 	full.SetBehaviour(emulator.Rejects)
 	full.SetRetryAfter("5")
 	require.Eventually(t, func() bool {
