Presume that an engine decodes as quickly as it prefills

Cause: after a start of all instances a quick engine is known by its prefills after two seconds, and by its long answers only after five to twenty-five, as these are few and are stalled by prefills. What passes is measured against the presumed speed too.

--- a/core/allocator/fleet_test.go
+++ b/core/allocator/fleet_test.go
@@ -302,6 +302,27 @@
 	}
 }
 
+// The mix turns from long prompts to long answers soon after a start, before any engine has decoded many of those.
+func TestFirstRepliesGoToQuickEngines(t *testing.T) {
+	f := newFleet(false, wideSlots, func(i int) float64 {
+		if i%4 == 0 {
+			return 0.7
+		}
+		return 1.5
+	})
+	const turnAt = 3 * time.Second
+	f.load(turnAt, steady(400), f.check)
+	f.after(turnAt, func() {
+		f.load(turnAt, steady(100), f.check)
+		f.load(turnAt, steady(20), f.reply)
+	})
+	f.run()
+	for kind, g := range f.got {
+		t.Logf("%s: %d asked, %.3f in aim, %.3f served", kind, g.asked, g.inAimShare(), g.servedShare())
+	}
+	require.GreaterOrEqual(t, f.got["reply"].inAimShare(), 0.85)
+}
+
 // crashThird takes every third engine off the list; their requests are lost.
 func (f *fleet) crashThird() {
 	var left []tracker.Entry
--- a/core/speedometer/gauge.go
+++ b/core/speedometer/gauge.go
@@ -116,13 +116,6 @@
 	return bound(math.Exp(distance))
 }
 
-// setClass changes the class. What the new one says lasts is no longer taken for something that passes.
-func (g *gauge) setClass(to Class, usual float64) {
-	before := g.factor(usual)
-	g.class = to
-	g.disturbance = boundDisturbance(g.disturbance * before / g.factor(usual))
-}
-
 // standardError is that of the steady speed.
 func (g *gauge) standardError() float64 {
 	return math.Sqrt(g.variance / min(float64(g.windows), 1/steadySmoothing))
--- a/core/speedometer/speedometer.go
+++ b/core/speedometer/speedometer.go
@@ -107,7 +107,7 @@
 		return
 	}
 	g := &u.gauges[work]
-	g.observe(now, ratio, g.factor(s.usual[work]))
+	g.observe(now, ratio, s.Steady(id, work))
 	if now.Sub(s.usualAt) >= usualInterval {
 		s.usualAt = now
 		s.refresh()
@@ -142,19 +142,38 @@
 	if from == to {
 		return
 	}
-	g.setClass(to, s.usual[work])
+	s.setClass(id, work, to)
 	distance, _ := g.distance(s.usual[work])
 	if len(s.changes) < maxChanges {
 		s.changes = append(s.changes, Change{Upstream: id, Work: work, From: from, To: to, Factor: math.Exp(distance)})
 	}
 }
 
-// Steady returns an upstream's time for its work relative to the usual one, without what passes.
+// setClass changes an upstream's class. What the new one says lasts is no longer taken for something that passes.
+func (s *Speedometer) setClass(id identifier.UpstreamID, work Work, to Class) {
+	u := s.upstreams[id]
+	before := [Works]float64{}
+	for w := range Works {
+		before[w] = s.Steady(id, w)
+	}
+	u.gauges[work].class = to
+	for w := range Works {
+		g := &u.gauges[w]
+		g.disturbance = boundDisturbance(g.disturbance * before[w] / s.Steady(id, w))
+	}
+}
+
+// Steady returns an upstream's time for its work relative to the usual one, without what passes. While too little of its
+// decoding has been measured, an engine is presumed to decode as quickly as it prefills: prompts show its speed seconds
+// before long answers do.
 func (s *Speedometer) Steady(id identifier.UpstreamID, work Work) float64 {
 	u := s.upstreams[id]
 	if u == nil {
 		return 1
 	}
+	if work == Decode && u.gauges[Decode].class == Usual && u.gauges[Decode].windows < maxLearnedWindows {
+		work = MixedPrefill
+	}
 	return u.gauges[work].factor(s.usual[work])
 }
 
--- a/core/speedometer/speedometer_test.go
+++ b/core/speedometer/speedometer_test.go
@@ -87,6 +87,39 @@
 	require.Empty(t, s.TakeChanges())
 }
 
+func TestEngineIsPresumedToDecodeAsItPrefills(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		prefills Work
+		decodes  time.Duration
+		steady   float64
+	}{
+		{"no long answers yet", MixedPrefill, 0, 0.5},
+		{"few measurements of long answers", MixedPrefill, time.Second, 0.5},
+		{"decodes at the usual speed", MixedPrefill, 10 * time.Second, 1},
+		{"prefills for others", Prefill, 0, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newTestSpeedometer()
+			start := time.Now()
+			for at := time.Duration(0); at < 10*time.Second; at += 100 * time.Millisecond {
+				for i := range count {
+					ratio := 1.0
+					if i == 0 {
+						ratio = 0.5
+					}
+					s.Observe(start.Add(at), id(i), c.prefills, ratio)
+					if at < c.decodes {
+						s.Observe(start.Add(at), id(i), Decode, 1)
+					}
+				}
+			}
+			require.InEpsilon(t, c.steady, s.Steady(id(0), Decode), 0.1)
+			require.EqualValues(t, 1, s.Steady(id(1), Decode))
+		})
+	}
+}
+
 func TestAnotherStartIsAnotherUpstream(t *testing.T) {
 	for _, next := range []Identity{{Incarnation: 2, Version: "v1"}, {Incarnation: 1, Version: "v2"}} {
 		s := newTestSpeedometer()
