Keep normal servers only for what a loss of spot servers leaves

A third of the mean demand was always kept on normal servers, at 6.7 times the price of spot servers, against the loss of all spot servers at once; but they are reclaimed by data centre, and what is left of 3.8 times the mean after the loss of two serves more than that third. Change: normal servers cover what the other data centres' spot servers can't serve of that third, and the least number in each data centre. A holder that takes over infers the mean from the total instead of from the normal ones.

--- a/core/scaler/scaler.go
+++ b/core/scaler/scaler.go
@@ -29,9 +29,10 @@
 	Utilisation float64
 	// MixedUse is the share of the time that an engine which decodes has left for prefills.
 	MixedUse float64
-	// SafeShare is the share of the mean demand that normal servers serve when all spot servers are lost, until others have
-	// started.
-	SafeShare float64
+	// SafeShare is the share of the mean demand that is served while the spot servers of LostDataCentres are lost at once,
+	// until others have started. Normal servers serve what the other data centres' spot servers can't.
+	SafeShare       float64
+	LostDataCentres int
 	// FoundUse is the share of the servers found at first that the mean demand is expected to need, ExpectedTrust how long
 	// the demand has to be observed to count as much as that. An instance that has observed it for LearnTime when it begins
 	// expects nothing. HistoryLength is how long demand is remembered.
@@ -72,6 +73,8 @@
 		MixedUse:    0.5,
 		SafeShare:   1.0 / 3,
 
+		LostDataCentres: 2,
+
 		FoundUse:       0.5,
 		ExpectedTrust:  30 * time.Second,
 		LearnTime:      5 * time.Second,
@@ -360,9 +363,9 @@
 	}
 	slices.Sort(plan.Scarce)
 	expected := s.settings.FoundUse * float64(found)
-	if found > foundNormal {
+	if bounds.SpotPrice > 0 && found > foundNormal {
 		// An instance that knew the demand has ordered them.
-		expected = min(expected, float64(foundNormal)/s.settings.SafeShare)
+		expected = min(expected, float64(found)/s.settings.expected(bounds.SpotPrice/s.settings.LossWeight, 1))
 	}
 	plan.Mean = s.history.mean(now, expected, s.trust)
 	// The last server to be added is worth its price for this share of the time; a normal one for usualShare.
@@ -375,21 +378,24 @@
 	if bounds.SpotPrice > 0 {
 		share := bounds.SpotPrice * usualShare
 		total = max(s.history.seen(share), s.settings.expected(share, plan.Mean))
-		normal = s.settings.SafeShare * plan.Mean
 	} else {
 		total = usual
 	}
-	if n := float64(len(bounds.Prices)); n > 1 {
+	dataCentres := len(bounds.Prices)
+	most := bounds.Max * dataCentres
+	if n := float64(dataCentres); n > 1 {
 		// The other data centres serve the mean demand when one is lost.
 		total = max(total, plan.Mean*n/(n-1))
 	}
 	if bounds.SpotPrice <= 0 {
 		normal = total
+	} else {
+		left := max(0, 1-float64(s.settings.LostDataCentres)/float64(dataCentres)) * min(total, float64(most))
+		normal = max(s.settings.SafeShare*plan.Mean-left, float64(bounds.Min*dataCentres))
 	}
 	plan.Usual = int(math.Ceil(usual))
 	recent, peak := s.history.recent(now, s.settings.LullTime)
 	plan.Current, plan.Least = int(math.Ceil(max(plan.Mean, recent))), int(math.Ceil(max(plan.Mean, peak)))
-	most := bounds.Max * len(bounds.Prices)
 	plan.Total = min(most, s.total.follow(now, int(math.Ceil(total)), s.settings))
 	plan.Normal = min(most, s.normal.follow(now, int(math.Ceil(normal)), s.settings))
 	return plan
--- a/core/scaler/scaler_test.go
+++ b/core/scaler/scaler_test.go
@@ -321,3 +321,69 @@
 	two, three := math.Pow(s.BurstShare, 0.5), s.BurstShare
 	require.InDelta(t, 40, s.expected(three*three/two, 10), 1e-9)
 }
+
+// normalServers returns how many normal servers are in force.
+func (f *fleet) normalServers() int {
+	sum := 0
+	for d := range f.bounds.Prices {
+		sum += f.desired[Pool{DataCentre: d}]
+	}
+	return sum
+}
+
+// TestNormalServersCoverWhatALossLeaves plays the loss of two data centres' spot servers at once, where no others are to
+// be had for a while.
+func TestNormalServersCoverWhatALossLeaves(t *testing.T) {
+	tests := []struct {
+		dataCentres []identifier.DataCentre
+		// most is the largest number of normal servers before the loss: one in each data centre where the others' spot
+		// servers are enough, else for a third of the mean demand of about 25.
+		most int
+	}{
+		{[]identifier.DataCentre{"a", "b", "c", "d"}, 4},
+		{[]identifier.DataCentre{"a", "b", "c"}, 3},
+		{[]identifier.DataCentre{"a", "b"}, 10},
+		{[]identifier.DataCentre{"a"}, 10},
+	}
+	for _, test := range tests {
+		f := newFleet(48, 0.15)
+		prices := map[identifier.DataCentre]float64{}
+		for _, d := range test.dataCentres {
+			prices[d] = f.bounds.Prices[d]
+		}
+		f.bounds.Prices, f.bounds.Max = prices, 96/len(prices)
+		f.servers, f.desired = nil, map[Pool]int{}
+		for _, d := range test.dataCentres {
+			f.carryOut(Order{Pool: Pool{DataCentre: d}, Count: 48 / len(prices)})
+		}
+		for _, s := range f.servers {
+			s.readyAt = f.now
+		}
+		var offered, served float64
+		play(t, f, steady, 80*time.Second, func(at time.Duration) {
+			switch at {
+			case time.Minute:
+				require.LessOrEqual(t, f.normalServers(), test.most)
+				require.GreaterOrEqual(t, f.normalServers(), len(prices))
+				offered, served = f.offered, f.served
+				for _, d := range test.dataCentres[:min(2, len(prices))] {
+					f.reclaim(d)
+				}
+				f.answer = func(_ time.Duration, o Order) (Outcome, time.Duration) {
+					if o.Pool.Spot && o.Count > len(f.in(o.Pool)) {
+						return OutcomeNone, 0
+					}
+					return OutcomeAccepted, 0
+				}
+			case 70 * time.Second:
+				share := (f.served - served) / (f.offered - offered)
+				if len(prices) > 2 {
+					require.Greater(t, share, 0.99)
+				} else {
+					// All are lost, and others start 4 s after the notice; a third is served meanwhile.
+					require.Greater(t, share, 0.8)
+				}
+			}
+		})
+	}
+}
