Decide on the use of leases in the core

When the calls of a lease may be made was decided beside the store's and the platform's calls, where the checker can't reach it. leaser.Permitter takes it over unchanged; the steward's tests pass (random failures too), with their broken variants built from its settings.

--- a/rosemaryspool/steward/lease.go
+++ b/rosemaryspool/steward/lease.go
@@ -262,11 +262,11 @@
 		decisions := s.leaser.Granted(s.now(), applied.Record, e)
 		for _, d := range decisions {
 			if g, ok := d.(leaser.Gained); ok {
-				s.gained(g.Lease, before)
+				s.permitter.Gained(s.now(), g.Lease, s.isOther(before.Holder))
 			}
 		}
 		if lease, held := s.leaser.Held(s.now(), scope); held {
-			s.heldUntil[scope] = lease.ExpiresAt
+			s.permitter.Held(lease)
 		}
 		s.logDecisions(decisions)
 	case replayer.Skipped:
@@ -411,7 +411,7 @@
 		case leaser.Gained:
 			s.count("leasesGained")
 			s.log.Info().Str("event", "leaseGained").Str("scope", string(d.Lease.Scope)).
-				Uint64("token", uint64(d.Lease.Token)).Dur("usableInMs", max(0, s.usableFrom[d.Lease.Scope].Sub(s.now()))).
+				Uint64("token", uint64(d.Lease.Token)).Dur("usableInMs", max(0, s.permitter.UsableFrom(d.Lease.Scope).Sub(s.now()))).
 				Msg("This instance holds a duty")
 		case leaser.Lost:
 			s.count("leasesLost")
--- a/rosemaryspool/steward/steward.go
+++ b/rosemaryspool/steward/steward.go
@@ -84,16 +84,14 @@
 	elapsed func() time.Duration
 	holder  string
 	done    chan struct{}
-	// flight is how long a successor waits before its first call, for those that may still arrive.
-	flight time.Duration
-	// returnWait is how long an instance waits that returns to a duty.
-	returnWait time.Duration
 	// appending holds a value from the choice of an append's offset to its result.
 	appending chan struct{}
 
 	mu      sync.Mutex
 	leaser  *leaser.Leaser
 	leaving bool
+	// permitter decides when the calls of a lease may be made.
+	permitter *leaser.Permitter
 	// state replays the topic in one era; nil while this instance doesn't follow the topic.
 	state *replayer.State
 	era   identifier.Era
@@ -105,13 +103,7 @@
 	deferred int
 	// unsure is true if records of this instance may have been appended without its knowledge.
 	unsure  bool
-	refused map[identifier.Scope]identifier.Token
 	records uint64
-	// startedAt is when this process started, heldUntil when its latest lease of a scope ends or ended.
-	startedAt time.Time
-	heldUntil map[identifier.Scope]time.Time
-	// usableFrom is when the calls of the lease that this instance holds may begin.
-	usableFrom map[identifier.Scope]time.Time
 
 	clock     *meterer.Clock
 	counter   *meterer.Counter
@@ -136,20 +128,14 @@
 	s := &Steward{
 		settings: settings, store: store, cloud: cloud, peers: peers, sender: sender, log: log, registry: registry,
 		elapsed: elapsed, holder: fmt.Sprintf("%s%s%d", self.Instance, holderSeparator, self.StartedMs), done: make(chan struct{}),
-		appending: make(chan struct{}, 1),
-		refused:   map[identifier.Scope]identifier.Token{}, heldUntil: map[identifier.Scope]time.Time{},
-		usableFrom: map[identifier.Scope]time.Time{}, counter: meterer.NewCounter(),
-		collector: meterer.NewCollector(), exchange: newExchange(),
+		appending: make(chan struct{}, 1), counter: meterer.NewCounter(), collector: meterer.NewCollector(),
+		exchange: newExchange(),
 	}
 	s.leaser = leaser.NewLeaser(leaser.Settings{
 		Holder: s.holder, Duration: settings.LeaseDuration, Margin: clockMargin, RetryEvery: claimInterval,
 		RenewEvery: time.Duration(renewShare * float64(settings.LeaseDuration)),
 	})
-	s.returnWait = settings.LeaseDuration
-	if !settings.FencingEnforced {
-		s.flight = maxFlight
-	}
-	s.startedAt = s.now()
+	s.permitter = leaser.NewPermitter(permitSettings(settings), s.now())
 	s.clock = meterer.NewClock(time.Now(), s.elapsed())
 	s.ledger = meterer.NewLedger(settings.ReportWindow, settings.ReportDelay, encodeUsage)
 	return s
@@ -188,33 +174,36 @@
 	defer s.mu.Unlock()
 	now := s.now()
 	lease, held := s.leaser.Held(now, scope)
-	if !held || lease.Token <= s.refused[scope] || now.Before(s.usableFrom[scope]) {
+	if !held || !s.permitter.Permits(now, lease) {
 		return platform.Fence{}, time.Time{}, false
 	}
 	fence = platform.Fence{Holder: s.peers.Self().Instance, Token: lease.Token}
 	return fence, time.Now().Add(lease.ExpiresAt.Sub(now)), true
 }
 
-// gained sets from when a lease may be used. No call of an earlier holder arrives any more then, where the platform would
-// carry it out; and an instance that returns to a duty after another one does so a whole lease after that one's last call.
-func (s *Steward) gained(lease leaser.HeldLease, before replayer.Lease) {
-	wait, now := s.flight, s.now()
-	machine, _, _ := strings.Cut(before.Holder, holderSeparator)
-	other := before.Holder != "" && machine != string(s.peers.Self().Instance)
-	if other && (now.Sub(s.startedAt) < returnTime || now.Sub(s.heldUntil[lease.Scope]) < returnTime) {
-		wait = max(wait, s.returnWait)
+// permitSettings returns when the duties' calls may be made. Where the platform doesn't refuse outdated tokens, a holder
+// waits for calls of earlier ones that may still arrive.
+func permitSettings(settings platform.DutySettings) leaser.PermitSettings {
+	permits := leaser.PermitSettings{ReturnWait: settings.LeaseDuration, ReturnTime: returnTime}
+	if !settings.FencingEnforced {
+		permits.Flight = maxFlight
 	}
-	s.usableFrom[lease.Scope] = lease.PredecessorExpiry.Add(wait)
+	return permits
+}
+
+// isOther reports whether a holder is a process of another instance.
+func (s *Steward) isOther(holder string) bool {
+	instance, _, _ := strings.Cut(holder, holderSeparator)
+	return holder != "" && instance != string(s.peers.Self().Instance)
 }
 
 // Refused records that the platform refused a call for a higher token: no further call is made with this one.
 func (s *Steward) Refused(scope identifier.Scope, token identifier.Token) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if token <= s.refused[scope] {
+	if !s.permitter.Refused(scope, token) {
 		return
 	}
-	s.refused[scope] = token
 	s.leaser.ReplaceToken(scope)
 	s.count("tokensRefused")
 	s.log.Warn().Str("event", "tokenRefused").Str("scope", string(scope)).Uint64("token", uint64(token)).
--- a/rosemaryspool/steward/steward_test.go
+++ b/rosemaryspool/steward/steward_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/core/leaser"
 	"rosemaryspool.example/core/meterer"
 )
 
@@ -220,9 +221,11 @@
 				})
 				time.Sleep(3 * time.Second)
 				w.kill(h)
-			}}, false, nil, func(s *Steward) { s.flight, s.returnWait = 0, 0 },
+			}}, false, nil, func(s *Steward) { s.permitter = leaser.NewPermitter(leaser.PermitSettings{ReturnTime: returnTime}, s.now()) },
 		},
-		{"holder returns at once", returns, true, nil, func(s *Steward) { s.returnWait = 0 }},
+		{"holder returns at once", returns, true, nil, func(s *Steward) {
+			s.permitter = leaser.NewPermitter(leaser.PermitSettings{ReturnTime: returnTime}, s.now())
+		}},
 		{"reports are not recorded", scenario{bring: func(w *world, h identifier.InstanceID) {
 			// Counts that no report contained arrive late.
 			late := w.node(w.order[len(w.order)-1]).steward
