Prove the duties in the checker

Cause: that one instance at a time makes a duty's calls was shown by tests of the steward only, with a handful of random histories and five broken variants.

Change: core/checker plays histories of duties: late, lost and stalled calls with and without checked tokens, late and lost appends, kills, freezes, cuts, eras, leases that are handed over and back, outdated tokens. The platform's side is judged for tokens, turns, two reports of a window and the use of refused tokens.

--- a/core/checker/command/main.go
+++ b/core/checker/command/main.go
@@ -1,6 +1,6 @@
-// Command command simulates a range of seeded histories and prints the counts of violations and of work done as one
-// line of key=value pairs. It exits with status 1 when an invariant was violated and with status 2 when the seeds are
-// invalid.
+// Command command simulates a range of seeded histories, two for each seed, and prints the counts of violations and of work
+// done as one line of key=value pairs. It exits with status 1 when an invariant was violated and with status 2 when the
+// seeds are invalid.
 package main
 
 import (
@@ -31,11 +31,16 @@
 	}
 }
 
-// run simulates the histories of a range of seeds in parallel and adds up their results in seed order.
+// run simulates the histories of a range of seeds in parallel, those of orders and those of duties, and adds up their
+// results in seed order.
 func run(from, to uint64, steps, workers int) checker.Result {
 	results := pool.NewWithResults[checker.Result]().WithMaxGoroutines(workers)
 	for seed := from; seed <= to; seed++ {
-		results.Go(func() checker.Result { return checker.RunHistory(seed, steps, checker.VariantNone) })
+		results.Go(func() checker.Result {
+			result := checker.RunHistory(seed, steps, checker.VariantNone)
+			result.Add(checker.RunDutyHistory(seed, steps, checker.VariantNone))
+			return result
+		})
 	}
 	var total checker.Result
 	for _, result := range results.Wait() {
--- a/core/checker/invariant.go
+++ b/core/checker/invariant.go
@@ -31,12 +31,22 @@
 	InvariantNoStaleEffect
 	// InvariantNoRevert requires that the revision of a process neither decreases nor is lost.
 	InvariantNoRevert
+	// InvariantDutyToken requires that the platform carries out no duty's call with a lower token after a higher one, and
+	// none with a token that another machine has used.
+	InvariantDutyToken
+	// InvariantDutyTurns requires that no machine makes a duty's call within a lease of its earlier one if another machine's
+	// was carried out in between.
+	InvariantDutyTurns
+	// InvariantSingleReport requires that all reports of one window are equal.
+	InvariantSingleReport
+	// InvariantRefusedToken requires that a token refused for a higher one is not used longer than a lease.
+	InvariantRefusedToken
 	invariantCount
 )
 
 var invariantNames = [invariantCount]string{
 	"secondRuns", "falseNotRun", "wrongAnswers", "checkedOrderConflicts", "uncheckedOrderConflicts", "secondSends",
-	"twoHolders", "staleEffects", "reverts",
+	"twoHolders", "staleEffects", "reverts", "dutyTokens", "dutyTurns", "differentReports", "refusedTokens",
 }
 
 // String returns the invariant's key in result lines.
@@ -58,8 +68,9 @@
 	// FirstViolation is nil when every invariant held.
 	FirstViolation *Violation
 	// Work done: calls run, repeated calls replied to, calls refused, orders accepted, engines whose state differs from
-	// their last order, revisions accepted, leases gained, incomplete states restored, and faults injected.
-	Runs, Repeats, Refused, Orders, Diverged, Revisions, LeaseGains, Restored, Faults int
+	// their last order, revisions accepted, leases gained, incomplete states restored, duties' calls carried out, windows
+	// of usage reported, and faults injected.
+	Runs, Repeats, Refused, Orders, Diverged, Revisions, LeaseGains, Restored, DutyCalls, Reports, Faults int
 }
 
 // Add adds the counts of another result and keeps the first violation.
@@ -80,6 +91,8 @@
 	r.Revisions += other.Revisions
 	r.LeaseGains += other.LeaseGains
 	r.Restored += other.Restored
+	r.DutyCalls += other.DutyCalls
+	r.Reports += other.Reports
 	r.Faults += other.Faults
 }
 
@@ -90,8 +103,10 @@
 	for i := range invariantCount {
 		fmt.Fprintf(&line, " %s=%d", i, r.Violations[i])
 	}
-	fmt.Fprintf(&line, " runs=%d repeats=%d refused=%d orders=%d diverged=%d revisions=%d leaseGains=%d restored=%d faults=%d",
-		r.Runs, r.Repeats, r.Refused, r.Orders, r.Diverged, r.Revisions, r.LeaseGains, r.Restored, r.Faults)
+	fmt.Fprintf(&line, " runs=%d repeats=%d refused=%d orders=%d diverged=%d revisions=%d leaseGains=%d restored=%d"+
+		" dutyCalls=%d reports=%d faults=%d",
+		r.Runs, r.Repeats, r.Refused, r.Orders, r.Diverged, r.Revisions, r.LeaseGains, r.Restored,
+		r.DutyCalls, r.Reports, r.Faults)
 	if r.FirstViolation != nil {
 		fmt.Fprintf(&line, " breach=%s seed=%d step=%d detail=%q",
 			r.FirstViolation.Invariant, r.FirstViolation.Seed, r.FirstViolation.Step, r.FirstViolation.Detail)
--- a/core/checker/simulation.go
+++ b/core/checker/simulation.go
@@ -29,8 +29,8 @@
 // wallStart is the wall-clock time at the start of a history.
 var wallStart = time.Unix(1_800_000_000, 0)
 
-// simulation is one history: the simulated time, the fakes, the processes and the result.
-type simulation struct {
+// history is what every simulated history has: its seed, the simulated time and the result.
+type history struct {
 	seed    uint64
 	steps   int
 	variant Variant
@@ -38,6 +38,15 @@
 	clock   sequencer.Sequencer
 	step    int
 	result  Result
+}
+
+func newHistory(seed uint64, steps int, variant Variant) history {
+	return history{seed: seed, steps: steps, variant: variant, rng: rand.New(rand.NewPCG(seed, 0x5eed))}
+}
+
+// simulation is one history of orders, documents and calls: the fakes and the processes.
+type simulation struct {
+	history
 
 	reference  *referenceModel
 	control    *stream
@@ -74,10 +83,7 @@
 
 func newSimulation(seed uint64, steps int, variant Variant) *simulation {
 	sm := &simulation{
-		seed:        seed,
-		steps:       steps,
-		variant:     variant,
-		rng:         rand.New(rand.NewPCG(seed, 0x5eed)),
+		history:     newHistory(seed, steps, variant),
 		reference:   newReferenceModel(),
 		processes:   make([]*process, processCount),
 		sendCounts:  map[identifier.OrderID]int{},
@@ -93,23 +99,23 @@
 }
 
 // recordViolation counts a violation and keeps the details of the first.
-func (sm *simulation) recordViolation(invariant Invariant, format string, values ...any) {
-	sm.result.Violations[invariant]++
-	if sm.result.FirstViolation == nil {
-		sm.result.FirstViolation = &Violation{
-			Invariant: invariant, Seed: sm.seed, Step: sm.step,
+func (h *history) recordViolation(invariant Invariant, format string, values ...any) {
+	h.result.Violations[invariant]++
+	if h.result.FirstViolation == nil {
+		h.result.FirstViolation = &Violation{
+			Invariant: invariant, Seed: h.seed, Step: h.step,
 			Detail: fmt.Sprintf(format, values...),
 		}
 	}
 }
 
 // randomDuration returns a random duration from low to high, both included.
-func (sm *simulation) randomDuration(low, high time.Duration) time.Duration {
-	return low + time.Duration(sm.rng.Int64N(int64(high-low)+1))
+func (h *history) randomDuration(low, high time.Duration) time.Duration {
+	return low + time.Duration(h.rng.Int64N(int64(high-low)+1))
 }
 
 // chance reports whether a random event of the given probability in percent occurs.
-func (sm *simulation) chance(percent int) bool { return sm.rng.IntN(100) < percent }
+func (h *history) chance(percent int) bool { return h.rng.IntN(100) < percent }
 
 // messageLost reports whether a message is lost: half of them are while the network loses messages.
 func (sm *simulation) messageLost() bool { return sm.clock.Now < sm.lossyUntil && sm.chance(50) }
@@ -117,8 +123,8 @@
 func (sm *simulation) logDown() bool { return sm.clock.Now < sm.logDownUntil }
 
 // networkDelay returns the delay of one message on the network.
-func (sm *simulation) networkDelay() time.Duration {
-	return sm.randomDuration(time.Millisecond, 6*time.Millisecond)
+func (h *history) networkDelay() time.Duration {
+	return h.randomDuration(time.Millisecond, 6*time.Millisecond)
 }
 
 // nextStep injects one fault or performs one stimulus and schedules the next step.
--- a/core/checker/variant.go
+++ b/core/checker/variant.go
@@ -37,4 +37,22 @@
 	VariantSameIncarnation
 	// VariantMisroutedReplies delivers a reply to the process's previous request.
 	VariantMisroutedReplies
+	// VariantNoFlightWait makes a new holder of a duty call at once, though calls of the previous one may still arrive.
+	VariantNoFlightWait
+	// VariantNoReturnWait makes a machine that returns to a duty call at once.
+	VariantNoReturnWait
+	// VariantUnboundedCall sends calls whose time limit ends after the lease.
+	VariantUnboundedCall
+	// VariantSuspendedClock measures leases by a clock that stands still while the machine is frozen.
+	VariantSuspendedClock
+	// VariantLoadedLeasesOver takes leases to have ended that were read when following them began.
+	VariantLoadedLeasesOver
+	// VariantIgnoreEra takes the store to be the same after it has returned from an older copy.
+	VariantIgnoreEra
+	// VariantNoIntent sends reports of usage without recording them first.
+	VariantNoIntent
+	// VariantNoDoubt reports windows whose records an older copy of the store may lack.
+	VariantNoDoubt
+	// VariantRefusedTokenUsed keeps using a token that was refused for a higher one.
+	VariantRefusedTokenUsed
 )
