--- a/rosemaryspool/steward/steward_test.go
+++ b/rosemaryspool/steward/steward_test.go
@@ -221,7 +221,9 @@
 				})
 				time.Sleep(3 * time.Second)
 				w.kill(h)
-			}}, false, nil, func(s *Steward) { s.permitter = leaser.NewPermitter(leaser.PermitSettings{ReturnTime: returnTime}, s.now()) },
+			}}, false, nil, func(s *Steward) {
+				s.permitter = leaser.NewPermitter(leaser.PermitSettings{ReturnTime: returnTime}, s.now())
+			},
 		},
 		{"holder returns at once", returns, true, nil, func(s *Steward) {
 			s.permitter = leaser.NewPermitter(leaser.PermitSettings{ReturnTime: returnTime}, s.now())
