--- a/rosemaryspool/courier/courier.go
+++ b/rosemaryspool/courier/courier.go
@@ -110,7 +110,7 @@
 			Msg("Sending a datagram failed")
 		return
 	}
-	c.count("Sent", d, len(content))
+	c.count("sent", d, len(content))
 }
 
 // ReadsPacked reports whether an instance is known to read packed records: not one of the version before, nor one that has
@@ -142,7 +142,7 @@
 			continue
 		}
 		if r.Sender.Instance != c.self.Instance {
-			c.count("Received", r.Datagram, n)
+			c.count("received", r.Datagram, n)
 			c.readsPacked.Store(r.Sender.Instance, r.Datagram.GetReadsPacked())
 			handle(r)
 		}
--- a/rosemaryspool/courier/courier_test.go
+++ b/rosemaryspool/courier/courier_test.go
@@ -31,16 +31,16 @@
 	for range 2 {
 		a.Send(to, &messenger.Datagram{Body: &messenger.Datagram_StoreRequest{StoreRequest: &messenger.StoreRequest{}}})
 	}
-	bytes := counted(sent, "datagramBytesSent.storeRequest")
+	bytes := counted(sent, "datagramBytes.sent.storeRequest")
 	require.Positive(t, bytes)
 	require.EventuallyWithT(t, func(c *assert.CollectT) {
 		for _, side := range []struct {
 			registry metrics.Registry
 			way      string
-		}{{sent, "Sent"}, {received, "Received"}} {
-			require.EqualValues(c, 1, counted(side.registry, "datagrams"+side.way+".greeting"))
-			require.EqualValues(c, 2, counted(side.registry, "datagrams"+side.way+".storeRequest"))
-			require.Equal(c, bytes, counted(side.registry, "datagramBytes"+side.way+".storeRequest"))
+		}{{sent, "sent"}, {received, "received"}} {
+			require.EqualValues(c, 1, counted(side.registry, "datagrams."+side.way+".greeting"))
+			require.EqualValues(c, 2, counted(side.registry, "datagrams."+side.way+".storeRequest"))
+			require.Equal(c, bytes, counted(side.registry, "datagramBytes."+side.way+".storeRequest"))
 		}
 	}, 5*time.Second, 5*time.Millisecond)
 }
--- a/rosemaryspool/courier/kind.go
+++ b/rosemaryspool/courier/kind.go
@@ -43,6 +43,6 @@
 // count adds a datagram to the metrics of its kind in one direction.
 func (c *Courier) count(direction string, d *messenger.Datagram, bytes int) {
 	name := kind(d)
-	metrics.GetOrRegisterCounter("datagrams"+direction+"."+name, c.registry).Inc(1)
-	metrics.GetOrRegisterCounter("datagramBytes"+direction+"."+name, c.registry).Inc(int64(bytes))
+	metrics.GetOrRegisterCounter("datagrams."+direction+"."+name, c.registry).Inc(1)
+	metrics.GetOrRegisterCounter("datagramBytes."+direction+"."+name, c.registry).Inc(int64(bytes))
 }
