Count times in which the soak stood still as disturbances

Cause: at a load average of 49 on 7 cores, TestSoak (departure) reported 43 requests that ended 0.5 to 2 s late at all gateways at once. The process that holds callers, upstreams and the store had no processor time: in a repetition beside 14 busy processes its own timer of 50 ms was late by 1.2, 2.5 and 0.5 s (no breach then; the first run's logs are gone, so that its case is the same is likely, not shown). What is measured in such a time says nothing about the gateways.

Change: a timer that is late by more than half a second is logged and counts as a disturbance of the store, which the audits of times already leave out. All other invariants are checked as before.

--- a/standin/soaker/fault.go
+++ b/standin/soaker/fault.go
@@ -219,6 +219,25 @@
 	s.disturbances = append(s.disturbances, disturbance{subject: subject, from: from, to: to})
 }
 
+const (
+	// stallInterval is how often the test checks that it runs itself, stallLimit by how much that may be late.
+	stallInterval = 50 * time.Millisecond
+	stallLimit    = 500 * time.Millisecond
+)
+
+// watchStalls records times in which this process, which holds the store, the upstreams and the callers, stood still, as
+// disturbances of the store: no limit that is measured here holds then.
+func (s *Soaker) watchStalls(ctx context.Context) {
+	for ctx.Err() == nil {
+		from := time.Now()
+		sleep(ctx, stallInterval)
+		if late := time.Since(from) - stallInterval; late > stallLimit {
+			s.log.Warn().Str("event", "stalled").Dur("late", late).Msg("The machine gave this process no time")
+			s.recordDisturbance(storeSubject, from, time.Now())
+		}
+	}
+}
+
 func (s *Soaker) restart(p *process) {
 	if err := p.start(); err != nil {
 		s.log.Error().Err(err).Str("event", "startFailed").Str("process", p.name).Msg("Can't restart the gateway")
--- a/standin/soaker/soaker.go
+++ b/standin/soaker/soaker.go
@@ -292,6 +292,7 @@
 	}
 	callerContext, stopCallers := context.WithCancel(ctx)
 	defer stopCallers()
+	go s.watchStalls(callerContext)
 	var callers sync.WaitGroup
 	targets := make([]string, len(s.processes))
 	for i, p := range s.processes {
