Run instances that follow the store on the paused clock in tests

TestInstancesFollowAStoreThatReturnsFromAnOlderCopy and its neighbours gave instances 1 to 5 s of the machine's time, most of which they spent on waits. Where views of other instances are dropped, seven of them fail.

--- a/rosemaryspool/subscriber/key_test.go
+++ b/rosemaryspool/subscriber/key_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -11,12 +12,16 @@
 )
 
 func TestInstanceWithoutStoreKnowsRemovedKeysFromNeighbours(t *testing.T) {
+	synctest.Test(t, testInstanceWithoutStoreKnowsRemovedKeysFromNeighbours)
+}
+
+func testInstanceWithoutStoreKnowsRemovedKeysFromNeighbours(t *testing.T) {
 	const keyLimit = 4 * time.Second
 	cl := newCluster(t, nil)
 	cl.store.Put(platform.TopicConfiguration, platform.KeyConfiguration, []byte(`{"version":1,"routes":[],"services":[]}`))
 	reader := cl.instances[0]
-	unused := freeAddress(t)
-	follower := startInstance(t, elector.Member{Instance: "spool-2", Address: freeAddress(t), StartedMs: 2}, unused, false,
+	unused := freeAddress(t, cl.network)
+	follower := startInstance(t, cl.network, elector.Member{Instance: "spool-2", Address: freeAddress(t, cl.network), StartedMs: 2}, unused, false,
 		reader.self.Address)
 	reader.governor.SetKeyLimit(keyLimit)
 	follower.governor.SetKeyLimit(keyLimit)
--- a/rosemaryspool/subscriber/subscriber_test.go
+++ b/rosemaryspool/subscriber/subscriber_test.go
@@ -5,11 +5,11 @@
 	"fmt"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"slices"
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -43,6 +43,7 @@
 type cluster struct {
 	store   *emulator.Store
 	address string
+	network *emulator.Network
 	// governor belongs to the first instance.
 	governor  *governor.Governor
 	instances []*instance
@@ -62,44 +63,50 @@
 
 func newClusterOf(t *testing.T, instances int, prepare func(*emulator.Store)) *cluster {
 	t.Helper()
-	store := emulator.NewStore()
+	store, network := emulator.NewStore(), emulator.NewNetwork()
 	if prepare != nil {
 		prepare(store)
 	}
-	server := httptest.NewServer(store)
+	server := network.Serve(store)
 	t.Cleanup(func() {
 		server.CloseClientConnections()
 		server.Close()
 	})
-	cl := &cluster{store: store, address: strings.TrimPrefix(server.URL, "http://")}
+	cl := &cluster{store: store, address: server.Listener.Addr().String(), network: network}
 	for i := range instances {
-		cl.instances = append(cl.instances, newInstance(t, fmt.Sprint("spool-", i+1), cl.address))
+		cl.instances = append(cl.instances, newInstance(t, network, fmt.Sprint("spool-", i+1), cl.address))
 	}
 	cl.governor = cl.instances[0].governor
 	return cl
 }
 
-func newInstance(t *testing.T, name, store string) *instance {
+func newInstance(t *testing.T, network *emulator.Network, name, store string) *instance {
 	t.Helper()
-	return startInstance(t, elector.Member{Instance: identifier.InstanceID(name), Address: freeAddress(t), StartedMs: 1},
-		store, true)
+	return startInstance(t, network, elector.Member{
+		Instance: identifier.InstanceID(name), Address: freeAddress(t, network), StartedMs: 1,
+	}, store, true)
 }
 
-func startInstance(t *testing.T, self elector.Member, store string, firstStart bool, seeds ...string) *instance {
+func startInstance(
+	t *testing.T, network *emulator.Network, self elector.Member, store string, firstStart bool, seeds ...string,
+) *instance {
 	t.Helper()
 	g := governor.NewGovernor(governor.Settings{
 		Self:      self,
 		Retry:     budgeter.Settings{Ratio: 0.2, Extra: 50, Window: 10 * time.Second},
 		Allocator: allocator.DefaultSettings(),
 	}, zerolog.Nop())
-	socket, err := courier.Listen(self.Address)
+	socket, err := network.ListenDatagrams(self.Address)
 	require.NoError(t, err)
 	c := courier.NewCourier(g.Self(), socket, zerolog.Nop())
 	var s *Subscriber
 	peers := gossiper.NewGossiper(
 		g, c, seeds, func(topic string, v gossiper.View) { s.HandleView(topic, v) }, zerolog.Nop(), metrics.NewRegistry(),
 	)
-	s = NewSubscriber(platform.NewStore(store, platform.DialTCP), g, peers, Settings{
+	client := platform.NewStore(store, func(ctx context.Context, _, address string) (net.Conn, error) {
+		return network.Dial(ctx, address)
+	})
+	s = NewSubscriber(client, g, peers, Settings{
 		DrainLimit: drainLimit, ApplyLimit: applyLimit, FirstStart: firstStart,
 	}, zerolog.Nop())
 	ctx, cancel := context.WithCancel(context.Background())
@@ -117,15 +124,16 @@
 		cancel()
 		<-s.Done()
 		<-c.Done()
+		client.Close()
 	}
 	t.Cleanup(stop)
 	return &instance{self: self, governor: g, stop: stop, leave: peers.Leave}
 }
 
 // freeAddress returns an address at which datagrams can be received.
-func freeAddress(t *testing.T) string {
+func freeAddress(t *testing.T, network *emulator.Network) string {
 	t.Helper()
-	socket, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	socket, err := network.ListenDatagrams("127.0.0.1:0")
 	require.NoError(t, err)
 	defer func() { require.NoError(t, socket.Close()) }()
 	return socket.LocalAddr().String()
@@ -179,21 +187,23 @@
 		{"busy store", true, emulator.Busy},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			cl := newCluster(t, func(s *emulator.Store) {
-				s.Put(platform.TopicConfiguration, platform.KeyConfiguration, configuration(1))
-				if !c.configured {
-					s.SetFault(c.fault)
+			synctest.Test(t, func(t *testing.T) {
+				cl := newCluster(t, func(s *emulator.Store) {
+					s.Put(platform.TopicConfiguration, platform.KeyConfiguration, configuration(1))
+					if !c.configured {
+						s.SetFault(c.fault)
+					}
+				})
+				if c.configured {
+					require.Eventually(t, func() bool { return cl.version() == 1 }, time.Second, time.Millisecond)
+					cl.store.SetFault(c.fault)
+					cl.store.Put(platform.TopicConfiguration, platform.KeyConfiguration, configuration(2))
 				}
+				time.Sleep(2 * time.Second)
+				cl.store.Put(platform.TopicConfiguration, platform.KeyConfiguration, configuration(3))
+				cl.store.SetFault(emulator.Healthy)
+				require.Eventually(t, func() bool { return cl.version() == 3 }, drainLimit, time.Millisecond)
 			})
-			if c.configured {
-				require.Eventually(t, func() bool { return cl.version() == 1 }, time.Second, time.Millisecond)
-				cl.store.SetFault(c.fault)
-				cl.store.Put(platform.TopicConfiguration, platform.KeyConfiguration, configuration(2))
-			}
-			time.Sleep(2 * time.Second)
-			cl.store.Put(platform.TopicConfiguration, platform.KeyConfiguration, configuration(3))
-			cl.store.SetFault(emulator.Healthy)
-			require.Eventually(t, func() bool { return cl.version() == 3 }, drainLimit, time.Millisecond)
 		})
 	}
 }
@@ -202,7 +212,9 @@
 // was read.
 func (cl *cluster) startCallsMade() bool { return cl.store.Calls() >= startCalls }
 
-func TestUnreadableEntriesAreSkipped(t *testing.T) {
+func TestUnreadableEntriesAreSkipped(t *testing.T) { synctest.Test(t, testUnreadableEntriesAreSkipped) }
+
+func testUnreadableEntriesAreSkipped(t *testing.T) {
 	cl := newCluster(t, func(s *emulator.Store) {
 		s.Put(platform.TopicServers, "good", serverRecord("ready"))
 		s.Put(platform.TopicServers, "textSlots",
@@ -222,6 +234,10 @@
 }
 
 func TestTrimmedHistoryFallsBackToSnapshot(t *testing.T) {
+	synctest.Test(t, testTrimmedHistoryFallsBackToSnapshot)
+}
+
+func testTrimmedHistoryFallsBackToSnapshot(t *testing.T) {
 	cl := newCluster(t, func(s *emulator.Store) {
 		s.Put(platform.TopicConfiguration, platform.KeyConfiguration, configuration(1))
 		s.Put(platform.TopicServers, "a", serverRecord("ready"))
@@ -239,6 +255,10 @@
 }
 
 func TestDrainingIsAppliedWithinDrainLimit(t *testing.T) {
+	synctest.Test(t, testDrainingIsAppliedWithinDrainLimit)
+}
+
+func testDrainingIsAppliedWithinDrainLimit(t *testing.T) {
 	cl := newCluster(t, func(s *emulator.Store) {
 		s.Put(platform.TopicConfiguration, platform.KeyConfiguration, configuration(1))
 		s.Put(platform.TopicServers, "a", serverRecord("ready"))
@@ -252,6 +272,10 @@
 }
 
 func TestConfigurationIsAppliedWhenStoreDoesNotWakeRead(t *testing.T) {
+	synctest.Test(t, testConfigurationIsAppliedWhenStoreDoesNotWakeRead)
+}
+
+func testConfigurationIsAppliedWhenStoreDoesNotWakeRead(t *testing.T) {
 	cl := newCluster(t, func(s *emulator.Store) {
 		s.Put(platform.TopicConfiguration, platform.KeyConfiguration, configuration(1))
 		s.SetFault(emulator.NoWakeups)
@@ -262,7 +286,9 @@
 	require.Eventually(t, func() bool { return cl.version() == 2 }, applyLimit, time.Millisecond)
 }
 
-func TestManyMembersCostFewReads(t *testing.T) {
+func TestManyMembersCostFewReads(t *testing.T) { synctest.Test(t, testManyMembersCostFewReads) }
+
+func testManyMembersCostFewReads(t *testing.T) {
 	cl := newCluster(t, nil)
 	require.Eventually(t, cl.startCallsMade, time.Second, time.Millisecond)
 	before := cl.store.Calls()
@@ -275,7 +301,9 @@
 	require.Less(t, cl.store.Calls()-before, 8)
 }
 
-func TestStoreOutageCostsFewCalls(t *testing.T) {
+func TestStoreOutageCostsFewCalls(t *testing.T) { synctest.Test(t, testStoreOutageCostsFewCalls) }
+
+func testStoreOutageCostsFewCalls(t *testing.T) {
 	cl := newCluster(t, nil)
 	require.Eventually(t, cl.startCallsMade, time.Second, time.Millisecond)
 	cl.store.SetFault(emulator.Busy)
@@ -290,7 +318,9 @@
 	s.Put(platform.TopicServers, "a", serverRecord("ready"))
 }
 
-func TestInstancesShareStoreReads(t *testing.T) {
+func TestInstancesShareStoreReads(t *testing.T) { synctest.Test(t, testInstancesShareStoreReads) }
+
+func testInstancesShareStoreReads(t *testing.T) {
 	const count, seconds = 6, 4
 	cl := newClusterOf(t, count, putOneUpstream)
 	cl.waitReady(t)
@@ -316,25 +346,27 @@
 		{"second reader stopped", 2},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			cl := newClusterOf(t, 4, putOneUpstream)
-			cl.waitReady(t)
-			time.Sleep(time.Second)
-			remaining := cl.instances
-			if c.stopped > 0 {
-				remaining[c.stopped-1].stop()
-				remaining = slices.Delete(slices.Clone(remaining), c.stopped-1, c.stopped)
-			}
-			cl.store.Put(platform.TopicServers, "a", serverRecord("draining"))
-			cl.store.Put(platform.TopicConfiguration, platform.KeyConfiguration, configuration(2))
-			require.Eventually(t, func() bool {
-				for _, i := range remaining {
-					a, _ := i.governor.Entry("a")
-					if !a.Leaving || i.governor.Table().Configuration().Version != 2 {
-						return false
-					}
+			synctest.Test(t, func(t *testing.T) {
+				cl := newClusterOf(t, 4, putOneUpstream)
+				cl.waitReady(t)
+				time.Sleep(time.Second)
+				remaining := cl.instances
+				if c.stopped > 0 {
+					remaining[c.stopped-1].stop()
+					remaining = slices.Delete(slices.Clone(remaining), c.stopped-1, c.stopped)
 				}
-				return true
-			}, min(drainLimit, applyLimit), 10*time.Millisecond)
+				cl.store.Put(platform.TopicServers, "a", serverRecord("draining"))
+				cl.store.Put(platform.TopicConfiguration, platform.KeyConfiguration, configuration(2))
+				require.Eventually(t, func() bool {
+					for _, i := range remaining {
+						a, _ := i.governor.Entry("a")
+						if !a.Leaving || i.governor.Table().Configuration().Version != 2 {
+							return false
+						}
+					}
+					return true
+				}, min(drainLimit, applyLimit), 10*time.Millisecond)
+			})
 		})
 	}
 }
@@ -350,7 +382,9 @@
 		strings.TrimSuffix(routes.String(), ","))
 }
 
-func TestOneReadServesAllInstances(t *testing.T) {
+func TestOneReadServesAllInstances(t *testing.T) { synctest.Test(t, testOneReadServesAllInstances) }
+
+func testOneReadServesAllInstances(t *testing.T) {
 	const count, changes = 6, 10
 	cl := newClusterOf(t, count, putOneUpstream)
 	cl.waitReady(t)
@@ -420,59 +454,70 @@
 		{"restart", false, true, 1},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			cl := newClusterOf(t, 3, func(s *emulator.Store) {
-				s.Put(platform.TopicConfiguration, platform.KeyConfiguration, largeConfiguration(1))
-				s.Put(platform.TopicServers, "a", serverRecord("ready"))
-			})
-			cl.waitReady(t)
-			// The first instance reads the store for the others, whatever it is called.
-			restarted := slices.MaxFunc(cl.instances, func(a, b *instance) int {
-				return a.governor.ReaderRank(time.Now()) - b.governor.ReaderRank(time.Now())
-			})
-			self := elector.Member{Instance: "spool-4", Address: freeAddress(t), StartedMs: 2}
-			if c.known {
-				restarted.stop()
-				self = restarted.self
-				self.StartedMs++
-			}
-			time.Sleep(1100 * time.Millisecond)
-			// Only the calls of the instance that starts are counted, not those that the reader makes meanwhile.
-			var calls calls
-			counted := httptest.NewServer(calls.record(cl.store))
-			t.Cleanup(func() {
-				counted.CloseClientConnections()
-				counted.Close()
+			synctest.Test(t, func(t *testing.T) {
+				cl := newClusterOf(t, 3, func(s *emulator.Store) {
+					s.Put(platform.TopicConfiguration, platform.KeyConfiguration, largeConfiguration(1))
+					s.Put(platform.TopicServers, "a", serverRecord("ready"))
+				})
+				cl.waitReady(t)
+				// The first instance reads the store for the others, whatever it is called.
+				restarted := slices.MaxFunc(cl.instances, func(a, b *instance) int {
+					return a.governor.ReaderRank(time.Now()) - b.governor.ReaderRank(time.Now())
+				})
+				self := elector.Member{Instance: "spool-4", Address: freeAddress(t, cl.network), StartedMs: 2}
+				if c.known {
+					restarted.stop()
+					self = restarted.self
+					self.StartedMs++
+				}
+				time.Sleep(1100 * time.Millisecond)
+				// Only the calls of the instance that starts are counted, not those that the reader makes meanwhile.
+				var calls calls
+				counted := cl.network.Serve(calls.record(cl.store))
+				t.Cleanup(func() {
+					counted.CloseClientConnections()
+					counted.Close()
+				})
+				started := startInstance(t, cl.network, self, counted.Listener.Addr().String(), c.firstStart)
+				require.Eventually(t, started.governor.Ready, time.Second, time.Millisecond)
+				_, listed := started.governor.Entry("a")
+				require.True(t, listed)
+				following := calls.count("/-/log-read")
+				require.LessOrEqual(t, len(calls.list())-following, c.calls, calls.list())
+				// A view of the reader that is late makes this instance read in its place.
+				require.LessOrEqual(t, following, 1, calls.list())
 			})
-			started := startInstance(t, self, strings.TrimPrefix(counted.URL, "http://"), c.firstStart)
-			require.Eventually(t, started.governor.Ready, time.Second, time.Millisecond)
-			_, listed := started.governor.Entry("a")
-			require.True(t, listed)
-			following := calls.count("/-/log-read")
-			require.LessOrEqual(t, len(calls.list())-following, c.calls, calls.list())
-			// A view of the reader that is late makes this instance read in its place.
-			require.LessOrEqual(t, following, 1, calls.list())
 		})
 	}
 }
 
 // An instance that restarts while the store is silent has no other source than its neighbours.
 func TestRestartDuringOutageLearnsFromNeighbours(t *testing.T) {
+	synctest.Test(t, testRestartDuringOutageLearnsFromNeighbours)
+}
+
+func testRestartDuringOutageLearnsFromNeighbours(t *testing.T) {
 	cl := newClusterOf(t, 3, putOneUpstream)
 	cl.waitReady(t)
 	cl.store.SetFault(emulator.Silent)
 	cl.instances[1].stop()
 	self := cl.instances[1].self
 	self.StartedMs++
-	started := startInstance(t, self, cl.address, false, self.Address, cl.instances[0].self.Address)
+	started := startInstance(t, cl.network, self, cl.address, false, self.Address, cl.instances[0].self.Address)
 	require.Eventually(t, started.governor.Ready, 4*time.Second, 10*time.Millisecond)
 }
 
 // An instance that the store turns away follows the changes through its neighbours, and doesn't ask in vain.
 func TestRefusedInstanceFollowsItsNeighbours(t *testing.T) {
+	synctest.Test(t, testRefusedInstanceFollowsItsNeighbours)
+}
+
+func testRefusedInstanceFollowsItsNeighbours(t *testing.T) {
 	cl := newClusterOf(t, 3, putOneUpstream)
 	cl.waitReady(t)
-	refused := startInstance(t, elector.Member{Instance: "refused", Address: freeAddress(t), StartedMs: 2}, "127.0.0.1:9",
-		false, cl.instances[0].self.Address)
+	refused := startInstance(t, cl.network, elector.Member{
+		Instance: "refused", Address: freeAddress(t, cl.network), StartedMs: 2,
+	}, "127.0.0.1:9", false, cl.instances[0].self.Address)
 	require.Eventually(t, func() bool { return cl.governor.Instances() == 4 }, 4*time.Second, 10*time.Millisecond)
 	require.Eventually(t, refused.governor.Ready, 4*time.Second, 10*time.Millisecond)
 	cl.store.Put(platform.TopicServers, "a", serverRecord("draining"))
@@ -484,6 +529,10 @@
 
 // The others must not take an instance that has left and started again for one that is still leaving.
 func TestRestartedInstanceGetsChangesFromNeighbours(t *testing.T) {
+	synctest.Test(t, testRestartedInstanceGetsChangesFromNeighbours)
+}
+
+func testRestartedInstanceGetsChangesFromNeighbours(t *testing.T) {
 	cl := newClusterOf(t, 4, putOneUpstream)
 	cl.waitReady(t)
 	for i := range cl.instances {
@@ -492,7 +541,7 @@
 		left.stop()
 		self := left.self
 		self.StartedMs++
-		cl.instances[i] = startInstance(t, self, cl.address, false)
+		cl.instances[i] = startInstance(t, cl.network, self, cl.address, false)
 		require.Eventually(t, cl.instances[i].governor.Ready, time.Second, time.Millisecond)
 		require.Eventually(t, func() bool {
 			return !slices.ContainsFunc(cl.instances, func(in *instance) bool { return in.governor.Instances() != 4 })
@@ -511,11 +560,15 @@
 
 // The store returns twice, from a copy that lacks the second configuration, that an upstream leaves, and a member.
 func TestInstancesFollowAStoreThatReturnsFromAnOlderCopy(t *testing.T) {
+	synctest.Test(t, testInstancesFollowAStoreThatReturnsFromAnOlderCopy)
+}
+
+func testInstancesFollowAStoreThatReturnsFromAnOlderCopy(t *testing.T) {
 	const count = 4
 	cl := newClusterOf(t, count-1, putOneUpstream)
 	cl.waitReady(t)
 	older := cl.store.Copy()
-	cl.instances = append(cl.instances, newInstance(t, "spool-4", cl.address))
+	cl.instances = append(cl.instances, newInstance(t, cl.network, "spool-4", cl.address))
 	cl.waitReady(t)
 	everywhere := func(holds func(*governor.Governor) bool) func() bool {
 		return func() bool {
@@ -533,8 +586,8 @@
 	}), applyLimit, 5*time.Millisecond)
 	for round := range uint64(2) {
 		cl.store.Restore(older)
-		started := startInstance(t, elector.Member{
-			Instance: identifier.InstanceID(fmt.Sprint("late-", round)), Address: freeAddress(t), StartedMs: 3,
+		started := startInstance(t, cl.network, elector.Member{
+			Instance: identifier.InstanceID(fmt.Sprint("late-", round)), Address: freeAddress(t, cl.network), StartedMs: 3,
 		}, cl.address, false, cl.instances[0].self.Address)
 		// Offsets that were given out before are given out again.
 		cl.store.Put(platform.TopicServers, "b", serverRecord("ready"))
