Have an instance that the store turns away look for the others

An instance of a rank that reads for its neighbours now asks for the members and greets those it knows after each failed read of the list of upstreams.

--- a/rosemaryspool/subscriber/follower.go
+++ b/rosemaryspool/subscriber/follower.go
@@ -350,8 +350,9 @@
 
 func (s *Subscriber) readFailed(t *topic, err error) {
 	now := time.Now()
+	rank := s.governor.ReaderRank(now)
 	t.failures++
-	t.retryAt = now.Add(backoff(t.failures, s.governor.ReaderRank(now)))
+	t.retryAt = now.Add(backoff(t.failures, rank))
 	if t.onFailure != nil {
 		t.onFailure(t.readStarted)
 	}
@@ -360,7 +361,12 @@
 		s.log.Warn().Err(err).Str("event", "storeLost").Str("topic", t.name).Int("failures", t.failures).
 			Msg("Store is unavailable; continuing with the state that was read last")
 	}
-	if t.failures == 1 {
+	// An instance that reads for others, or for itself alone, may not know those that the store answers.
+	mayBeAlone := t.name == platform.TopicServers && rank < mainReaders
+	if mayBeAlone {
+		s.exchange.RequestView(platform.TopicMembers)
+	}
+	if t.failures == 1 || mayBeAlone {
 		// One that doesn't know this instance forwards nothing to it.
 		s.exchange.Greet()
 	}
--- a/rosemaryspool/subscriber/subscriber_test.go
+++ b/rosemaryspool/subscriber/subscriber_test.go
@@ -527,6 +527,30 @@
 	}, drainLimit, 10*time.Millisecond)
 }
 
+// The instances that read the store for the others have started later, so that they know nothing of the one that the store
+// turns away, nor it of them.
+func TestRefusedInstanceFollowsInstancesThatStartLater(t *testing.T) {
+	synctest.Test(t, testRefusedInstanceFollowsInstancesThatStartLater)
+}
+
+func testRefusedInstanceFollowsInstancesThatStartLater(t *testing.T) {
+	cl := newClusterOf(t, 1, putOneUpstream)
+	cl.waitReady(t)
+	refused := startInstance(t, cl.network, elector.Member{
+		Instance: "refused", Address: freeAddress(t, cl.network), StartedMs: 2,
+	}, "127.0.0.1:9", false, cl.instances[0].self.Address)
+	require.Eventually(t, refused.governor.Ready, 4*time.Second, 10*time.Millisecond)
+	for _, name := range []string{"spool-2", "spool-3"} {
+		newInstance(t, cl.network, name, cl.address)
+	}
+	time.Sleep(4 * time.Second)
+	cl.store.Put(platform.TopicServers, "a", serverRecord("draining"))
+	require.Eventually(t, func() bool {
+		a, _ := refused.governor.Entry("a")
+		return a.Leaving
+	}, drainLimit, 10*time.Millisecond)
+}
+
 // The others must not take an instance that has left and started again for one that is still leaving.
 func TestRestartedInstanceGetsChangesFromNeighbours(t *testing.T) {
 	synctest.Test(t, testRestartedInstanceGetsChangesFromNeighbours)
