Let all instances that have a list send it to those that start

Cause: a hundred instances that start together asked the first two readers only. One with a link of 25 Mbit/s, strong by its processor, takes nine seconds to send 140 kB to each. Change: each third request goes to any other neighbour, and every instance that has the list sends it, in few transfers at a time, so that they end soon; one without a place says that there is a list. Topics don't wait for each other.

--- a/core/elector/elector.go
+++ b/core/elector/elector.go
@@ -5,6 +5,7 @@
 package elector
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -38,6 +39,9 @@
 	// smallSystem is the number of members up to which all of them are neighbours. In a larger system only those of the
 	// same data centre are.
 	smallSystem = 16
+	// firstSources is the number of members that are asked for copies first, in sourceTries tries one other is asked as well.
+	firstSources = 2
+	sourceTries  = 3
 	// replaceAfter is how long after the last datagram of a process one with an earlier start time may take its place:
 	// start times come from clocks that may be set back.
 	replaceAfter = time.Second
@@ -172,18 +176,25 @@
 	return rank
 }
 
-// Readers returns the usable neighbours that come first in the order of a duty, at most limit.
-func (e *Elector) Readers(now time.Time, duty Duty, limit int) []Member {
-	var readers []Member
+// Source returns the usable neighbour that is asked for a copy of what the holder of a duty knows, another one with each
+// try: the first two in the duty's order, which know it first, and in between any other one, as many instances that start
+// together are served sooner by all that have a copy already. It returns false if there is none.
+func (e *Elector) Source(now time.Time, duty Duty, try int) (Member, bool) {
+	var sources []*member
 	for _, m := range e.order(duty) {
-		if len(readers) == limit {
-			break
-		}
 		if e.isNeighbour(m) && m.usable(now) && m.Instance != e.self.Instance {
-			readers = append(readers, m.Member)
+			sources = append(sources, m)
 		}
 	}
-	return readers
+	count := len(sources)
+	if count == 0 {
+		return Member{}, false
+	}
+	if n := try % sourceTries; n < firstSources || count <= firstSources {
+		return sources[n%min(count, firstSources)].Member, true
+	}
+	hash := xxhash.Sum64String(fmt.Sprint(e.self.Instance, "\x00", try))
+	return sources[firstSources+int(hash%uint64(count-firstSources))].Member, true
 }
 
 // Neighbours returns the other members with which this instance shares its reads of the store, without leaving ones.
--- a/core/elector/elector_test.go
+++ b/core/elector/elector_test.go
@@ -168,3 +168,32 @@
 		}
 	}
 }
+
+func TestCopiesAreAskedOfTheFirstAndOfAnyOther(t *testing.T) {
+	for _, c := range []struct {
+		members int
+		sources int
+	}{{1, 0}, {2, 1}, {3, 2}, {60, 29}} {
+		e := newSystem(c.members)[0]
+		var neighbours []Member
+		for _, m := range e.Trusted(start, duty, c.members) {
+			if m.Instance != e.self.Instance && (m.DataCentre == e.self.DataCentre || c.members <= smallSystem) {
+				neighbours = append(neighbours, m)
+			}
+		}
+		asked := map[identifier.InstanceID]int{}
+		for try := range 600 {
+			m, found := e.Source(start, duty, try)
+			require.Equal(t, c.sources > 0, found)
+			if !found {
+				break
+			}
+			require.NotEqual(t, e.self.Instance, m.Instance)
+			asked[m.Instance]++
+			if try < min(firstSources, len(neighbours)) {
+				require.Equal(t, neighbours[try], m)
+			}
+		}
+		require.Len(t, asked, c.sources, "%d members", c.members)
+	}
+}
--- a/core/pacer/requests.go
+++ b/core/pacer/requests.go
@@ -14,7 +14,8 @@
 // datagrams. A lost datagram, or a view that shows that records are missing, must not lead to several snapshots from
 // several instances at once, which fill the links and lose more datagrams. It is not safe for concurrent use.
 type Requests struct {
-	// failures is the number of requests after which nothing came.
+	// tries is the number of requests for the next snapshot, failures that of the last ones after which nothing came.
+	tries    int
 	failures int
 	// asked is true if nothing has come since the last request.
 	asked bool
@@ -22,9 +23,8 @@
 	until time.Time
 }
 
-// Ask reports whether a request may be sent now, and to which of the instances that may be asked: another one after each
-// request without a response.
-func (r *Requests) Ask(now time.Time) (number int, due bool) {
+// Ask reports whether a request may be sent now, and the number of those before it, by which the receiver is chosen.
+func (r *Requests) Ask(now time.Time) (try int, due bool) {
 	if now.Before(r.until) {
 		return 0, false
 	}
@@ -32,13 +32,14 @@
 		r.failures++
 	}
 	r.asked = true
+	r.tries++
 	r.until = now.Add(r.wait())
-	return r.failures, true
+	return r.tries - 1, true
 }
 
 // Progressed records that a datagram of a snapshot, or that there is one soon, has arrived.
 func (r *Requests) Progressed(now time.Time) {
-	r.asked = false
+	r.asked, r.failures = false, 0
 	if until := now.Add(r.wait()); until.After(r.until) {
 		r.until = until
 	}
--- a/core/pacer/requests_test.go
+++ b/core/pacer/requests_test.go
@@ -12,8 +12,8 @@
 	var r Requests
 	asked := 0
 	for now := time.Duration(0); now < 10*time.Second; now += time.Millisecond / 4 {
-		if number, due := r.Ask(at(now)); due {
-			require.Equal(t, asked, number)
+		if try, due := r.Ask(at(now)); due {
+			require.Equal(t, asked, try)
 			asked++
 		}
 	}
@@ -35,7 +35,7 @@
 	_, due = r.Ask(at(now + firstRequestWait))
 	require.True(t, due, "it has stopped")
 	r.Completed()
-	number, due := r.Ask(at(now + firstRequestWait))
+	try, due := r.Ask(at(now + firstRequestWait))
 	require.True(t, due)
-	require.Zero(t, number)
+	require.Zero(t, try)
 }
--- a/core/transmitter/transmitter.go
+++ b/core/transmitter/transmitter.go
@@ -15,8 +15,10 @@
 	receiverBytesPerSecond = 500_000
 	// burstTime is the time whose bytes are sent at once.
 	burstTime = 10 * time.Millisecond
-	// maxTransfers bounds the transfers under way. With more, each one would take too long to be of use.
-	maxTransfers = 64
+	// minBytesPerSecond is the least rate at which a transfer is of use, which bounds the number of those of a topic; so does
+	// maxTransfers.
+	minBytesPerSecond = 200_000
+	maxTransfers      = 64
 )
 
 // Key identifies a transfer: a receiver gets each topic once at a time.
@@ -43,6 +45,7 @@
 // Transmitter holds the transfers of one instance. It is not safe for concurrent use.
 type Transmitter[D any] struct {
 	bytesPerSecond float64
+	limit          int
 	freeAt         time.Time
 	// transfers are under way; the first one is next.
 	transfers []*transfer[D]
@@ -50,12 +53,13 @@
 
 // NewTransmitter returns a transmitter that sends at a rate at most.
 func NewTransmitter[D any](bytesPerSecond float64) *Transmitter[D] {
-	return &Transmitter[D]{bytesPerSecond: bytesPerSecond}
+	limit := min(max(1, int(bytesPerSecond/minBytesPerSecond)), maxTransfers)
+	return &Transmitter[D]{bytesPerSecond: bytesPerSecond, limit: limit}
 }
 
 // Add begins a transfer. It returns false if one with the same key is under way, or too many others are.
 func (t *Transmitter[D]) Add(key Key, parts []Part[D]) bool {
-	if t.UnderWay(key) || len(t.transfers) >= maxTransfers || len(parts) == 0 {
+	if t.UnderWay(key) || t.Room(key.Topic) == 0 || len(parts) == 0 {
 		return false
 	}
 	t.transfers = append(t.transfers, &transfer[D]{key: key, parts: parts})
@@ -72,8 +76,16 @@
 	return false
 }
 
-// Full reports whether no other transfer may begin.
-func (t *Transmitter[D]) Full() bool { return len(t.transfers) >= maxTransfers }
+// Room returns how many other transfers of a topic may begin. Topics don't wait for each other: most are short.
+func (t *Transmitter[D]) Room(topic string) int {
+	room := t.limit
+	for _, other := range t.transfers {
+		if other.key.Topic == topic {
+			room--
+		}
+	}
+	return room
+}
 
 // Empty reports whether no transfer is under way.
 func (t *Transmitter[D]) Empty() bool { return len(t.transfers) == 0 }
--- a/core/transmitter/transmitter_test.go
+++ b/core/transmitter/transmitter_test.go
@@ -82,10 +82,17 @@
 }
 
 func TestTransfersUnderWayAreBounded(t *testing.T) {
-	tr := NewTransmitter[int](1e6)
-	for n := range maxTransfers {
-		require.True(t, tr.Add(Key{Receiver: identifier.InstanceID(fmt.Sprint("i", n))}, parts(1)))
+	for _, c := range []struct {
+		rate      float64
+		transfers int
+	}{{50_000, 1}, {625_000, 3}, {12_500_000, 62}, {25_000_000, maxTransfers}} {
+		tr := NewTransmitter[int](c.rate)
+		for n := range c.transfers {
+			require.Positive(t, tr.Room("servers"))
+			require.True(t, tr.Add(Key{Receiver: identifier.InstanceID(fmt.Sprint("i", n)), Topic: "servers"}, parts(1)))
+		}
+		require.Zero(t, tr.Room("servers"))
+		require.Positive(t, tr.Room("configuration"))
+		require.False(t, tr.Add(Key{Receiver: "another", Topic: "servers"}, parts(1)))
 	}
-	require.True(t, tr.Full())
-	require.False(t, tr.Add(Key{Receiver: "another"}, parts(1)))
 }
--- a/rosemaryspool/gossiper/snapshot.go
+++ b/rosemaryspool/gossiper/snapshot.go
@@ -16,8 +16,6 @@
 	snapshotLinkShare = 0.5
 	// usualLink is the rate of a link, in bytes per second, if the settings name none: 10 Mbit/s.
 	usualLink identifier.Bytes = 1_250_000
-	// maxSnapshotRequests bounds the requests that wait to be looked at.
-	maxSnapshotRequests = 128
 )
 
 // snapshotRequest is another instance's request for the newest records of a topic.
@@ -45,26 +43,48 @@
 }
 
 // SendSnapshot sends the newest records of a topic to an instance that has asked for them; take returns them. Snapshots are
-// sent in turns, at a rate that leaves room for requests on the link; those that find no place are dropped, as the instance
-// asks again or reads the store. packed is true if it reads packed records.
+// sent in turns, at a rate that leaves room for requests on the link; an instance that finds no place is told to ask again.
+// packed is true if it reads packed records.
 func (g *Gossiper) SendSnapshot(to elector.Member, topic string, packed bool, take func() View) {
 	r := snapshotRequest{
 		key: transmitter.Key{Receiver: to.Instance, Address: to.Address, Topic: topic}, to: to, take: take, packed: packed,
 	}
+	if !g.queueSnapshot(r) {
+		g.snapshotsDropped.Inc(1)
+		if packed {
+			g.SendPending(to, topic)
+		}
+	}
+}
+
+// queueSnapshot returns false if there is no place for a request.
+func (g *Gossiper) queueSnapshot(r snapshotRequest) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if len(g.snapshotRequests) >= maxSnapshotRequests || g.transmitter.Full() {
-		g.snapshotsDropped.Inc(1)
-		return
+	if g.transmitter.UnderWay(r.key) {
+		return true
+	}
+	waiting := 0
+	for _, other := range g.snapshotRequests {
+		if other.key == r.key {
+			return true
+		}
+		if other.key.Topic == r.key.Topic {
+			waiting++
+		}
+	}
+	if waiting >= g.transmitter.Room(r.key.Topic) {
+		return false
 	}
 	g.snapshotRequests = append(g.snapshotRequests, r)
 	if !g.sendsSnapshots {
 		g.sendsSnapshots = true
 		go g.sendSnapshots()
 	}
+	return true
 }
 
-// SendPending tells an instance that has asked for a snapshot of a topic that this one is reading it.
+// SendPending tells an instance that has asked for a snapshot of a topic that this one is reading it, or sends it to others.
 func (g *Gossiper) SendPending(to elector.Member, topic string) {
 	update := &messenger.StoreUpdate{Topics: []*messenger.TopicView{{Topic: topic, Pending: true}}}
 	g.courier.Send(to, &messenger.Datagram{Body: &messenger.Datagram_StoreUpdate{StoreUpdate: update}})
--- a/rosemaryspool/gossiper/snapshot_test.go
+++ b/rosemaryspool/gossiper/snapshot_test.go
@@ -134,7 +134,7 @@
 func TestRequestsForSnapshotsAreBounded(t *testing.T) {
 	g, _ := newGossiper(t, nil)
 	v, taken := longList(10), make(chan struct{})
-	for n := range 3 * maxSnapshotRequests {
+	for n := range 300 {
 		g.SendSnapshot(elector.Member{Instance: identifier.InstanceID(fmt.Sprint("spool-", n)), Address: "127.0.0.1:9"},
 			"servers", true, func() View { <-taken; return v })
 	}
--- a/rosemaryspool/gossiper/view.go
+++ b/rosemaryspool/gossiper/view.go
@@ -91,19 +91,17 @@
 	}
 }
 
-// RequestView asks one of the instances that read the store for the newest records of a topic, another one with each
-// number: the first may have started together with this instance.
-func (g *Gossiper) RequestView(topic string, number int) {
-	readers := g.governor.Readers(time.Now())
-	if len(readers) == 0 {
-		for _, address := range g.seeds {
-			if address != g.governor.Self().Address {
-				readers = append(readers, elector.Member{Address: address})
-			}
+// RequestView asks another instance for the newest records of a topic, another one with each try.
+func (g *Gossiper) RequestView(topic string, try int) {
+	to, found := g.governor.Source(time.Now(), try)
+	if !found {
+		if len(g.seeds) == 0 {
+			return
 		}
+		to = elector.Member{Address: g.seeds[try%len(g.seeds)]}
 	}
-	if len(readers) > 0 {
-		g.courier.Send(readers[number%len(readers)], &messenger.Datagram{Body: &messenger.Datagram_StoreRequest{
+	if to.Address != g.governor.Self().Address {
+		g.courier.Send(to, &messenger.Datagram{Body: &messenger.Datagram_StoreRequest{
 			StoreRequest: &messenger.StoreRequest{Topics: []string{topic}},
 		}})
 	}
--- a/rosemaryspool/governor/member.go
+++ b/rosemaryspool/governor/member.go
@@ -120,15 +120,12 @@
 	return g.elector.Rank(now, readerDuty)
 }
 
-// requestedReaders is the number of instances that are asked for what they have read of the store: the first one may have
-// started together with this instance.
-const requestedReaders = 2
-
-// Readers returns the instances that this one asks for what they have read of the store.
-func (g *Governor) Readers(now time.Time) []elector.Member {
+// Source returns the instance that this one asks for what it has read of the store, another one with each try. It returns
+// false if there is none.
+func (g *Governor) Source(now time.Time, try int) (elector.Member, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.elector.Readers(now, readerDuty, requestedReaders)
+	return g.elector.Source(now, readerDuty, try)
 }
 
 // Neighbours returns the other instances of this data centre.
--- a/rosemaryspool/subscriber/sharing.go
+++ b/rosemaryspool/subscriber/sharing.go
@@ -134,10 +134,10 @@
 // requestView asks another instance for the newest records of a topic, unless one was asked a moment ago.
 func (s *Subscriber) requestView(t *topic) {
 	s.mu.Lock()
-	number, due := t.requests.Ask(time.Now())
+	try, due := t.requests.Ask(time.Now())
 	s.mu.Unlock()
 	if due {
-		s.exchange.RequestView(t.name, number)
+		s.exchange.RequestView(t.name, try)
 	}
 }
 
--- a/rosemaryspool/subscriber/subscriber.go
+++ b/rosemaryspool/subscriber/subscriber.go
@@ -54,9 +54,8 @@
 	SendPending(to elector.Member, topic string)
 	// Greet makes this instance known to its neighbours.
 	Greet()
-	// RequestView asks one of the instances that read the store for the newest records of a topic: another one with each
-	// number.
-	RequestView(topic string, number int)
+	// RequestView asks another instance for the newest records of a topic, another one with each try.
+	RequestView(topic string, try int)
 }
 
 // Settings holds what determines when a subscriber calls the store.
