--- a/core/allocator/fleet_test.go
+++ b/core/allocator/fleet_test.go
@@ -77,7 +77,8 @@
 }
 
 // newFleet returns a fleet of 12 engines that decode and 5 that prefill; slowness is that of each one.
-func newFleet(before bool, slots int, slowness func(i int) float64) *fleet {
+func newFleet(t *testing.T, before bool, slots int, slowness func(i int) float64) *fleet {
+	t.Helper()
 	f := &fleet{
 		agenda: agenda{now: time.Now()}, a: newTestAllocator(12, 5), engines: map[identifier.UpstreamID]*engine{},
 		random: rand.New(rand.NewPCG(1, 2)), before: before,
@@ -88,9 +89,7 @@
 		entries[i].Slots = slots
 		number := 0
 		_, err := fmt.Sscanf(string(entries[i].Upstream), "u%d", &number)
-		if err != nil {
-			panic(err)
-		}
+		require.NoError(t, err)
 		f.engines[entries[i].Upstream] = &engine{entry: entries[i], slowness: slowness(number)}
 	}
 	f.a.SetUpstreams(entries)
@@ -280,7 +279,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			var results [2]map[string]*tally
 			for i, before := range []bool{true, false} {
-				f := newFleet(before, wideSlots, quickQuarter)
+				f := newFleet(t, before, wideSlots, quickQuarter)
 				f.load(playLength, c.checks, f.check)
 				f.load(playLength, c.replies, f.reply)
 				if c.crashAt > 0 {
--- a/rosemaryspool/gatekeeper/key_test.go
+++ b/rosemaryspool/gatekeeper/key_test.go
@@ -15,11 +15,6 @@
 	"rosemaryspool.example/standin/emulator"
 )
 
-const (
-	headerKey     = "X-Api-Key"
-	headerAccount = "Rosemaryspool-Tenant"
-)
-
 // keyedTable is routeTable with accounts, of which one has no key in a later version, and a public route.
 func keyedTable(version int, accounts string) []byte {
 	table := strings.Replace(fmt.Sprintf(routeTable, version), `"name":"lookups"`, `"public":true,"name":"lookups"`, 1)
@@ -51,9 +46,9 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			before := len(u.Runs())
-			headers := []string{headerAccount, "forged"}
+			headers := []string{emulator.HeaderAccount, "forged"}
 			if test.key != "" {
-				headers = append(headers, headerKey, test.key)
+				headers = append(headers, emulator.HeaderKey, test.key)
 			}
 			require.Equal(t, test.status, ti.send(http.MethodPost, test.path+"x", "", headers...).status)
 			if test.status != http.StatusOK {
@@ -61,15 +56,15 @@
 				return
 			}
 			run := u.Runs()[before]
-			require.Empty(t, run.Header.Values(headerKey))
-			require.Equal(t, test.account, run.Header.Get(headerAccount))
+			require.Empty(t, run.Header.Values(emulator.HeaderKey))
+			require.Equal(t, test.account, run.Header.Get(emulator.HeaderAccount))
 		})
 	}
 	ti.store.Put(platform.TopicConfiguration, platform.KeyConfiguration,
 		keyedTable(2, `{"name":"atelier","api-keys":["k2"]},{"name":"hangar","api-keys":["k4"]}`))
 	for key, status := range map[string]int{"k1": 401, "k2": 200, "k3": 401, "k4": 200} {
 		require.Eventually(t, func() bool {
-			return ti.send(http.MethodPost, orders+"x", "", headerKey, key).status == status
+			return ti.send(http.MethodPost, orders+"x", "", emulator.HeaderKey, key).status == status
 		}, 2*time.Second, time.Millisecond, key)
 	}
 }
@@ -119,7 +114,7 @@
 			other.SetBehaviour(c.behaviour)
 			ended := make(chan callerResponse, 1)
 			go func() {
-				ended <- ti.send(http.MethodPost, c.path+"x", "", append(promptHeaders(), headerKey, "k1",
+				ended <- ti.send(http.MethodPost, c.path+"x", "", append(promptHeaders(), emulator.HeaderKey, "k1",
 					emulator.HeaderDeadline, "1900")...)
 			}()
 			require.Eventually(t, func() bool { return countRuns(plain, other, prefiller) > 0 }, 2*time.Second, time.Millisecond)
@@ -139,7 +134,7 @@
 	settings.StrictRevocation, settings.RevokeLimit = true, 2*time.Second
 	ti := startTestInstance(t, store, settings)
 	ti.configureKey(1, "k1")
-	status := func(path string) int { return ti.send(http.MethodPost, path+"x", "", headerKey, "k1").status }
+	status := func(path string) int { return ti.send(http.MethodPost, path+"x", "", emulator.HeaderKey, "k1").status }
 	require.Eventually(t, func() bool { return status(orders) == http.StatusOK }, 2*time.Second, time.Millisecond)
 	store.SetFault(emulator.Busy)
 	lost := time.Now()
@@ -188,7 +183,7 @@
 		}
 		for _, path := range []string{orders, lookups, notes, "/unknown/"} {
 			for _, key := range []string{known, unknown} {
-				ti.send(http.MethodPost, path+"x", "", append(promptHeaders(), headerKey, key)...)
+				ti.send(http.MethodPost, path+"x", "", append(promptHeaders(), emulator.HeaderKey, key)...)
 			}
 		}
 	}
@@ -211,7 +206,7 @@
 	for i, c := range []struct{ path, key, priority string }{
 		{verdicts, "k1", "2"}, {notes, "k1", "3"}, {verdicts, "k2", "6"}, {notes, "k2", "6"},
 	} {
-		require.Equal(t, http.StatusOK, ti.send(http.MethodPost, c.path+"x", "", append(promptHeaders(), headerKey, c.key)...).status)
-		require.Equal(t, c.priority, engine.Runs()[i].Header.Get("Rosemaryspool-Request-Priority"))
+		require.Equal(t, http.StatusOK, ti.send(http.MethodPost, c.path+"x", "", append(promptHeaders(), emulator.HeaderKey, c.key)...).status)
+		require.Equal(t, c.priority, engine.Runs()[i].Header.Get(emulator.HeaderPriority))
 	}
 }
--- a/rosemaryspool/gatekeeper/service_test.go
+++ b/rosemaryspool/gatekeeper/service_test.go
@@ -25,19 +25,19 @@
 	full.SetBehaviour(emulator.Rejects)
 	full.SetRetryAfter("5")
 	require.Eventually(t, func() bool {
-		ti.send(http.MethodPost, orders+"x", "", headerKey, "k1")
+		ti.send(http.MethodPost, orders+"x", "", emulator.HeaderKey, "k1")
 		return len(full.Rejections()) > 0
 	}, 2*time.Second, time.Millisecond)
 	before := len(spare.Runs())
 	for range 20 {
-		require.Equal(t, http.StatusOK, ti.send(http.MethodPost, orders+"x", "", headerKey, "k1").status)
+		require.Equal(t, http.StatusOK, ti.send(http.MethodPost, orders+"x", "", emulator.HeaderKey, "k1").status)
 	}
 	require.Len(t, spare.Runs(), before+20)
 	require.Len(t, full.Rejections(), 1)
 	spare.SetBehaviour(emulator.Rejects)
 	spare.SetRetryAfter("5")
-	ti.send(http.MethodPost, orders+"x", "", headerKey, "k1")
-	refused := ti.send(http.MethodPost, orders+"x", "", headerKey, "k1")
+	ti.send(http.MethodPost, orders+"x", "", emulator.HeaderKey, "k1")
+	refused := ti.send(http.MethodPost, orders+"x", "", emulator.HeaderKey, "k1")
 	require.Equal(t, http.StatusServiceUnavailable, refused.status)
 	require.NotEmpty(t, refused.header.Get("Retry-After"))
 }
--- a/standin/emulator/header.go
+++ b/standin/emulator/header.go
@@ -19,6 +19,10 @@
 	HeaderLimit       = "Server-Limit"
 	HeaderLeaving     = "Server-Leaving"
 	HeaderEra         = "Store-Era"
+	HeaderKey         = "X-Api-Key"
+	HeaderAccount     = "Rosemaryspool-Tenant"
+	HeaderHolder      = "Rosemaryspool-Duty-Holder"
+	HeaderFence       = "Rosemaryspool-Fencing-Token"
 )
 
 // ReadyPath is the path of an instance's readiness probe for the load balancer.
