Run the test of bodies without end on the paused clock

TestBodyWithoutEndNeverLooksComplete/failure took 1.55 s once on a busy machine, 1.4 allowed: the upstream writes as fast as it can, and the time to the response was the machine's. It now writes 128 MiB in a second of the paused clock, of which an instance may hold less than 16, with the bounds as they were.

--- a/rosemaryspool/gatekeeper/endless_test.go
+++ b/rosemaryspool/gatekeeper/endless_test.go
@@ -10,6 +10,7 @@
 	"runtime"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -21,10 +22,10 @@
 // startRawUpstream registers an upstream that responds to each request with a head and whatever respond writes, and then
 // closes the connection.
 func startRawUpstream(
-	t *testing.T, store testStore, service, stage, head string, respond func(conn *net.TCPConn) error,
+	t *testing.T, store testStore, service, stage, head string, respond func(conn net.Conn) error,
 ) {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := store.openers().Listen(anyAddress)
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = listener.Close() })
 	go func() {
@@ -45,7 +46,7 @@
 				_, err = fmt.Fprintf(conn, "HTTP/1.1 %s\r\n%s: %s\r\n\r\n", head, emulator.HeaderAttempt,
 					request.Header.Get(emulator.HeaderAttempt))
 				if err == nil {
-					_ = respond(conn.(*net.TCPConn))
+					_ = respond(conn)
 				}
 			}()
 		}
@@ -55,13 +56,14 @@
 		service, listener.Addr(), stage))
 }
 
-// writeForever writes a text until the connection is closed.
-func writeForever(conn *net.TCPConn, text string) error {
+// writeForever writes a text until the connection is closed, 128 MiB in a second.
+func writeForever(conn net.Conn, text string) error {
 	block := bytes.Repeat([]byte(text), 1+(64<<10)/len(text))
 	for {
 		if _, err := conn.Write(block); err != nil {
 			return err
 		}
+		time.Sleep(500 * time.Microsecond)
 	}
 }
 
@@ -96,26 +98,27 @@
 		{"unsigned stream", verdicts, "200 OK", "data: x\n\n", []int{http.StatusBadGateway, http.StatusGatewayTimeout}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			store := newTestStore(t)
-			service, stage := "plain", ""
-			if c.path != lookups {
-				service, stage = "model", "decode"
-			}
-			startRawUpstream(t, store, service, stage, c.head, func(conn *net.TCPConn) error {
-				return writeForever(conn, c.repeated)
+			synctest.Test(t, func(t *testing.T) {
+				store := newMemoryStore(t)
+				service, stage := "plain", ""
+				if c.path != lookups {
+					service, stage = "model", "decode"
+				}
+				startRawUpstream(t, store, service, stage, c.head, func(conn net.Conn) error {
+					return writeForever(conn, c.repeated)
+				})
+				ti := startTestInstance(t, store, testSettings(store))
+				ti.makeReady()
+				var before, after runtime.MemStats
+				runtime.ReadMemStats(&before)
+				began := time.Now()
+				status, complete := ti.discard(c.path + "x")
+				runtime.ReadMemStats(&after)
+				require.Less(t, time.Since(began), timeout+500*time.Millisecond)
+				require.Contains(t, c.statuses, status)
+				require.False(t, status == http.StatusOK && complete, "an endless body was passed on as complete")
+				require.Less(t, after.TotalAlloc-before.TotalAlloc, uint64(maxAllocated))
 			})
-			ti := startTestInstance(t, store, testSettings(store))
-			ti.configure(1)
-			require.Eventually(t, func() bool { return ti.readiness() == http.StatusOK }, 2*time.Second, time.Millisecond)
-			var before, after runtime.MemStats
-			runtime.ReadMemStats(&before)
-			began := time.Now()
-			status, complete := ti.discard(c.path + "x")
-			runtime.ReadMemStats(&after)
-			require.Less(t, time.Since(began), timeout+500*time.Millisecond)
-			require.Contains(t, c.statuses, status)
-			require.False(t, status == http.StatusOK && complete, "an endless body was passed on as complete")
-			require.Less(t, after.TotalAlloc-before.TotalAlloc, uint64(maxAllocated))
 		})
 	}
 }
@@ -128,8 +131,7 @@
 	request.Host = "h.example"
 	request.Header.Set(emulator.HeaderAttempt, "a1")
 	request.Header.Set(emulator.HeaderDeadline, "900")
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
-	response, err := client.Do(request)
+	response, err := ti.client().Do(request)
 	require.NoError(ti.t, err)
 	defer response.Body.Close()
 	_, err = io.Copy(io.Discard, response.Body)
@@ -163,12 +165,12 @@
 			if c.path == verdicts || c.path == notes {
 				service, stage = "model", "decode"
 			}
-			startRawUpstream(t, store, service, stage, "200 OK"+signed, func(conn *net.TCPConn) error {
+			startRawUpstream(t, store, service, stage, "200 OK"+signed, func(conn net.Conn) error {
 				_, err := io.WriteString(conn, c.body)
 				if c.reset {
 					// The caller's side has read all bytes before the reset.
 					time.Sleep(100 * time.Millisecond)
-					_ = conn.SetLinger(0)
+					_ = conn.(*net.TCPConn).SetLinger(0)
 				}
 				return err
 			})
--- a/rosemaryspool/gatekeeper/slow_test.go
+++ b/rosemaryspool/gatekeeper/slow_test.go
@@ -66,7 +66,7 @@
 			settings := testSettings(store)
 			settings.Memory = instanceMemory
 			startRawUpstream(t, store, "plain", "", "200 OK"+signed+"\r\nContent-Length: "+fmt.Sprint(slowBytes),
-				func(conn *net.TCPConn) error {
+				func(conn net.Conn) error {
 					_, err := conn.Write(content)
 					return err
 				})
