Run the test of named rate limits on the paused clock

TestUpstreamGetsNoMoreThanTheRateThatItNames failed once beside load: two of its lookups took 0.9 and 1.07 s of the machine's time, so that their deadline passed. It now runs in memory, with upstreams that take 5 ms, as four callers would send without end at one moment otherwise. Checks and bounds are unchanged.

--- a/rosemaryspool/gatekeeper/gatekeeper_test.go
+++ b/rosemaryspool/gatekeeper/gatekeeper_test.go
@@ -472,8 +472,15 @@
 }
 
 func TestUpstreamGetsNoMoreThanTheRateThatItNames(t *testing.T) {
-	limited, other := newPlainUpstream("u1"), newPlainUpstream("u2")
-	ti := newReadyTestInstance(t, limited, other)
+	synctest.Test(t, testUpstreamGetsNoMoreThanTheRateThatItNames)
+}
+
+func testUpstreamGetsNoMoreThanTheRateThatItNames(t *testing.T) {
+	store := newMemoryStore(t)
+	limited, other := store.newUpstream(t, "u1", "", 0), store.newUpstream(t, "u2", "", 0)
+	limited.SetDelay(5 * time.Millisecond)
+	other.SetDelay(5 * time.Millisecond)
+	ti := newMemoryInstance(t, store, limited, other)
 	limited.SetLimit("5.5")
 	started := time.Now()
 	var group conc.WaitGroup
