--- a/core/speedometer/handover.go
+++ b/core/speedometer/handover.go
@@ -16,7 +16,8 @@
 	Factors [Works]float64
 }
 
-// maxLearnedWindows is the number of windows of this instance's own measurements until which those of another one count.
+// maxLearnedWindows is the number of windows of this instance's own measurements until which those of another one count, and
+// until which an engine's mixed prefills stand for its decoding.
 const maxLearnedWindows = 15
 
 // Handover returns at most limit upstreams whose speed is not the usual one, from where the previous call ended, for the
