--- a/core/allocator/fleet_test.go
+++ b/core/allocator/fleet_test.go
@@ -303,7 +303,7 @@
 
 // The mix turns from long prompts to long answers soon after a start, before any engine has decoded many of those.
 func TestFirstRepliesGoToQuickEngines(t *testing.T) {
-	f := newFleet(false, wideSlots, func(i int) float64 {
+	f := newFleet(t, false, wideSlots, func(i int) float64 {
 		if i%4 == 0 {
 			return 0.7
 		}
