Split the largest files by subject

No line of code is changed: what is recorded of requests, what is read from the store and applied, listening, placements, and the stand-ins' responses have files of their own.

--- a/rosemaryspool/gatekeeper/gatekeeper.go
+++ b/rosemaryspool/gatekeeper/gatekeeper.go
@@ -261,44 +261,6 @@
 	return kept == settings
 }
 
-// listen opens the listeners for callers, other instances, readiness probes and metrics; on an error it closes those
-// already open.
-func (g *Gatekeeper) listen(network Network) error {
-	for _, l := range []struct {
-		listener *net.Listener
-		address  string
-	}{
-		{&g.callerListener, g.settings.CallerAddress},
-		{&g.peerListener, g.settings.PeerAddress.String()},
-		{&g.readyListener, g.settings.ReadinessAddress},
-		{&g.metricsListener, g.settings.MetricsAddress},
-	} {
-		listener, err := network.Listen(l.address)
-		if err != nil {
-			return eris.Wrap(errors.Join(err, g.closeListeners()), "gatekeeper: listen")
-		}
-		*l.listener = listener
-	}
-	return nil
-}
-
-// closeListeners closes the listeners that are open.
-func (g *Gatekeeper) closeListeners() error {
-	var err error
-	for _, l := range []net.Listener{g.callerListener, g.peerListener, g.readyListener, g.metricsListener} {
-		if l != nil {
-			err = errors.Join(err, l.Close())
-		}
-	}
-	return err
-}
-
-// CallerAddress returns the address of the listener for callers.
-func (g *Gatekeeper) CallerAddress() string { return g.callerListener.Addr().String() }
-
-// ReadyAddress returns the address of the listener for the balancer's readiness probes.
-func (g *Gatekeeper) ReadyAddress() string { return g.readyListener.Addr().String() }
-
 // Done is closed when Run has returned.
 func (g *Gatekeeper) Done() <-chan struct{} { return g.done }
 
@@ -381,12 +343,6 @@
 	return errors.Join(err, callers.Close(), peers.Close(), ready.Close(), metricsServer.Close())
 }
 
-func newServer(handler http.Handler) *http.Server {
-	return &http.Server{
-		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-	}
-}
-
 // stop is the graceful shutdown. Connections stay open until the balancer no longer routes to this instance, but each
 // further response closes its connection. Requests in flight have until stopMargin before the platform kills the
 // process.
--- /dev/null
+++ b/rosemaryspool/subscriber/apply.go
@@ -0,0 +1,146 @@
+package subscriber
+
+import (
+	"time"
+
+	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/core/pacer"
+	"rosemaryspool.example/platform"
+	"rosemaryspool.example/rosemaryspool/gossiper"
+	"rosemaryspool.example/rosemaryspool/governor"
+)
+
+// applyRead applies a read of the records from an offset on, and returns the view with the relevant ones. It returns false
+// if the store has returned from an older copy since.
+func (s *Subscriber) applyRead(t *topic, from uint64, batch platform.Batch) (v gossiper.View, current bool) {
+	t.applying.Lock()
+	defer t.applying.Unlock()
+	s.mu.Lock()
+	// Other instances may have forwarded records, or a snapshot, during the read.
+	followed, _ := t.pacer.NextOffset()
+	current = t.pacer.Era() == batch.Era
+	s.mu.Unlock()
+	if !current {
+		return gossiper.View{}, false
+	}
+	s.confirmRead(t, t.readAt(time.Now()))
+	relevant := s.applyRecords(t, batch.Records, followed, governor.Origin{FollowedTo: batch.Next})
+	return s.recordRead(t, from, batch.Next, relevant), true
+}
+
+// applyNewest applies a read of the newest record of each key. It is of no use if other instances have forwarded all that
+// it contains. It returns false if the store has returned from an older copy since.
+func (s *Subscriber) applyNewest(t *topic, batch platform.Batch) (v pacer.View, current bool) {
+	t.applying.Lock()
+	defer t.applying.Unlock()
+	now := time.Now()
+	readAt := t.readAt(now)
+	s.confirmRead(t, readAt)
+	s.enterEra(t, batch.Era, now, "")
+	s.mu.Lock()
+	followed, synced := t.pacer.NextOffset()
+	current = t.pacer.Era() == batch.Era
+	s.mu.Unlock()
+	if !current {
+		return pacer.View{}, false
+	}
+	if synced && followed >= batch.Next {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return t.pacer.DeltaRead(readAt, batch.Next, 0), true
+	}
+	s.applySnapshot(t, batch.Records, governor.Origin{Snapshot: true, FollowedTo: batch.Next})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return t.pacer.SnapshotRead(readAt, batch.Next), true
+}
+
+// enterEra makes a topic follow a later era of the store, and reports whether it is one. What is known stays in force. The
+// topic's applying mutex must be held.
+func (s *Subscriber) enterEra(t *topic, era identifier.Era, notBefore time.Time, sender identifier.InstanceID) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	before := t.pacer.Era()
+	next, _ := t.pacer.NextOffset()
+	if !t.pacer.EnterEra(era, notBefore) {
+		return false
+	}
+	t.incoming, t.incomingTo = nil, 0
+	t.requests.Completed()
+	if t.cancel != nil && sender != "" {
+		// The read is for an offset of the earlier era.
+		t.cancel()
+	}
+	s.log.Warn().Str("event", "storeReturned").Str("topic", t.name).Uint64("era", uint64(era)).
+		Uint64("before", uint64(before)).Uint64("followedTo", next).Str("sender", string(sender)).
+		Msg("Store has returned from an older copy; following it anew")
+	t.returned = true
+	if t.onReturn != nil {
+		t.onReturn(time.Now())
+	}
+	return true
+}
+
+// applyRecords applies the records from the offset followed on that say anything new, and returns the relevant ones:
+// these, and the ones that are known already, from other instances or a later page of a snapshot. Those may not be known
+// to the instances to which they are forwarded. The topic's applying mutex must be held, as for applySnapshot.
+func (s *Subscriber) applyRecords(
+	t *topic, records []platform.Record, followed uint64, origin governor.Origin,
+) []platform.Record {
+	var news, relevant []platform.Record
+	for _, r := range records {
+		newest, known := t.newest[r.Key]
+		switch {
+		case r.Offset < followed, known && newest.Offset >= r.Offset:
+			relevant = append(relevant, r)
+		case !known || t.changes == nil || t.changes(newest, r):
+			news = append(news, r)
+		}
+	}
+	accepted := t.apply(news, origin)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range accepted {
+		if len(r.Value) == 0 {
+			delete(t.newest, r.Key)
+			continue
+		}
+		t.newest[r.Key] = r
+	}
+	return append(relevant, accepted...)
+}
+
+// applySnapshot replaces all records by the newest one of each key.
+func (s *Subscriber) applySnapshot(t *topic, records []platform.Record, origin governor.Origin) {
+	t.apply(records, origin)
+	newest := make(map[string]platform.Record, len(records))
+	for _, r := range records {
+		newest[r.Key] = r
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for key, r := range t.newest {
+		if t.keepsNewest != nil && t.keepsNewest(r, newest[key]) {
+			newest[key] = platform.Record{Key: key, Value: r.Value}
+		}
+	}
+	t.newest = newest
+}
+
+// recordRead records a read of the records from one offset to another in the pacer, and returns the view of the topic with
+// the relevant records.
+func (s *Subscriber) recordRead(t *topic, from, to uint64, relevant []platform.Record) gossiper.View {
+	now := time.Now()
+	changed := uint64(0)
+	records := make([]gossiper.Record, 0, len(relevant))
+	for _, r := range relevant {
+		changed = max(changed, r.Offset+1)
+		records = append(records, gossiper.Record(r))
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return gossiper.View{
+		View: t.pacer.DeltaRead(t.readAt(now), to, changed), RecordsFrom: from, RecordsTo: to, Records: records,
+		OutageAge: s.governor.OutageAge(now),
+	}
+}
--- a/standin/soaker/soaker.go
+++ b/standin/soaker/soaker.go
@@ -9,10 +9,8 @@
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
-	"slices"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -103,26 +101,6 @@
 	modelService = "model"
 )
 
-// backend is an upstream behind a proxy.
-type backend struct {
-	upstream *emulator.Upstream
-	service  string
-	proxy    *proxy
-	// draining is true once the upstream was published as draining.
-	draining bool
-	crashed  atomic.Bool
-	// started is when it was listed, ended when it crashed or began to drain; the soaker's mutex guards ended.
-	started time.Time
-	ended   time.Time
-}
-
-// listBackends returns all upstreams of the run.
-func (s *Soaker) listBackends() []*backend {
-	s.backendsMu.Lock()
-	defer s.backendsMu.Unlock()
-	return slices.Clone(s.backends)
-}
-
 // Soaker runs one soak test: the stand-ins, the gateway processes and the callers.
 type Soaker struct {
 	settings   Settings
@@ -219,50 +197,6 @@
 	return s, nil
 }
 
-func (s *Soaker) addBackend(id, service, stage string) error {
-	events := 0
-	if service == modelService {
-		events = streamEvents
-	}
-	u, err := emulator.NewUpstreamAt(s.settings.upstreamIP(), id, stage, events)
-	if err != nil {
-		return err
-	}
-	u.SetDelay(responseDelay)
-	u.SetPause(s.settings.EventPause)
-	if s.settings.MixedVersions {
-		s.backendsMu.Lock()
-		u.Version = fmt.Sprint("v", 1+len(s.backends)%2)
-		s.backendsMu.Unlock()
-	}
-	p, err := newProxy(s.settings.upstreamIP(), u.Address())
-	if err != nil {
-		u.Close()
-		return err
-	}
-	b := &backend{upstream: u, service: service, proxy: p, started: time.Now()}
-	s.backendsMu.Lock()
-	s.backends = append(s.backends, b)
-	s.backendsMu.Unlock()
-	if s.settings.FatalRequests {
-		s.watchCrash(b)
-	}
-	s.publish(b, "ready")
-	return nil
-}
-
-func (s *Soaker) publish(b *backend, state string) {
-	s.store.Put(emulator.TopicServers, b.upstream.ID, b.upstream.EntryAt(b.proxy.address(), b.service, state))
-}
-
-func (s *Soaker) markEnded(b *backend) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if b.ended.IsZero() {
-		b.ended = time.Now()
-	}
-}
-
 // Close ends all processes, proxies and servers of the run.
 func (s *Soaker) Close() {
 	for _, p := range s.processes {
@@ -383,17 +317,6 @@
 	}
 }
 
-// pickServing chooses a random upstream among those that get requests while the plain routes lead to the given service.
-func (s *Soaker) pickServing(service string) *backend {
-	var serving []*backend
-	for _, b := range s.listBackends() {
-		if !b.draining && (b.service == service || b.service == modelService) {
-			serving = append(serving, b)
-		}
-	}
-	return serving[s.random.IntN(len(serving))]
-}
-
 func (s *Soaker) configure(service string) {
 	s.version++
 	s.service = service
@@ -456,33 +379,3 @@
 		sleep(ctx, shortGap)
 	}
 }
-
-// gather merges the observations of callers and upstreams into a history.
-func (s *Soaker) gather() *history {
-	h := &history{
-		changes: s.changes, disturbances: s.disturbances, crashes: s.crashes, instances: len(s.processes),
-		streamEvents: streamEvents, versions: map[string]string{},
-	}
-	if s.cloud != nil {
-		h.calls = s.cloud.Calls()
-	}
-	for _, c := range s.callers {
-		c.mu.Lock()
-		h.attempts = append(h.attempts, c.attempts...)
-		c.mu.Unlock()
-	}
-	for _, b := range s.listBackends() {
-		h.versions[b.upstream.ID] = b.upstream.Version
-		if b.service == modelService && b.upstream.Stage != "prefill" {
-			h.engines = append(h.engines, life{upstream: b.upstream.ID, from: b.started, to: b.ended})
-		}
-		for _, r := range b.upstream.Runs() {
-			h.arrivals = append(h.arrivals, arrival{Run: r, upstream: b.upstream.ID, service: b.service})
-		}
-		for _, r := range b.upstream.Rejections() {
-			h.arrivals = append(h.arrivals, arrival{Run: r, upstream: b.upstream.ID, service: b.service, rejected: true})
-		}
-	}
-	slices.SortFunc(h.attempts, func(a, b *attempt) int { return a.sent.Compare(b.sent) })
-	return h
-}
