--- a/core/elector/elector.go
+++ b/core/elector/elector.go
@@ -66,7 +66,8 @@
 type Elector struct {
 	self    Member
 	members map[identifier.InstanceID]*member
-	// warmingSince is since when this instance warms up, zero if it doesn't; othersRan is true once it has heard then of a member that doesn't.
+	// warmingSince is since when this instance warms up, zero if it doesn't; othersRan is true once it has heard then of a
+	// member that doesn't.
 	warmingSince time.Time
 	othersRan    bool
 	// orders holds the members of each duty's order; it is cleared when a member is added or changes.
--- a/core/scaler/order.go
+++ b/core/scaler/order.go
@@ -270,7 +270,7 @@
 }
 
 // shrink returns the number to which a pool may be reduced now: what is ready without the removed servers is enough. While
-// a data centre has no room for the servers that replace them, enough for the demand of the last time will do.
+// a data centre has no room for the servers that replace them, it only has to be enough for the demand of the last seconds.
 func (s *Scaler) shrink(pool Pool, target int, targets map[Pool]int, plan Plan) int {
 	p := s.pools[pool]
 	if p.ready <= target {
