--- a/rosemaryspool/governor/crash.go
+++ b/rosemaryspool/governor/crash.go
@@ -18,8 +18,8 @@
 	return isolator.Process{Upstream: e.Upstream, Incarnation: e.Incarnation}
 }
 
-// RecordBroken records that a request with these traits, sent at a time, broke off at an upstream before it was answered. It returns true
-// if the caller should find out whether the upstream has ended. Upstreams that leave end anyway.
+// RecordBroken records that a request with these traits, sent at a time, broke off at an upstream before it was answered.
+// It returns true if the caller should find out whether the upstream has ended. Upstreams that leave end anyway.
 func (g *Governor) RecordBroken(now, sentAt time.Time, e tracker.Entry, traits []isolator.Trait) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
