Decide on candidates, cheaper options and held requests in one place each

The fallback to ejected upstreams stood in the decision and in its explanation, the choice of the cheaper option three times, the engine that reads the prompt twice, and the sum of an upstream's requests three times. Behaviour is unchanged; the allocator's tests pass.

--- a/core/allocator/allocator.go
+++ b/core/allocator/allocator.go
@@ -42,6 +42,9 @@
 	DeferredPrefill identifier.Tokens
 }
 
+// Requests returns the number of requests.
+func (l Load) Requests() int { return l.Short + l.Long + l.AwaitingPrefill }
+
 // add adds another load, or subtracts it if sign is -1.
 func (l *Load) add(other Load, sign int) {
 	l.Short += sign * other.Short
--- a/core/allocator/decision.go
+++ b/core/allocator/decision.go
@@ -74,24 +74,15 @@
 // best returns the option with the lowest cost; its upstream is nil if there is none. At engines, options that cost more are
 // not tried if this one is not admissible: they take more from other requests than the request is worth.
 func (d *decision) best() option {
-	runners, prefillers := d.candidates(false)
-	if len(runners) == 0 && len(d.waiting) == 0 {
-		// Ejected upstreams are better than none: the fault may be at this instance.
-		runners, prefillers = d.candidates(true)
-	}
+	runners, prefillers := d.candidates()
 	if !d.req.Engine {
 		return d.bestPlain(runners)
 	}
 	var best option
-	consider := func(o option) {
-		if best.upstream == nil || o.cost < best.cost {
-			best = o
-		}
-	}
 	aff := newAffinity(d.req.Prompt, runners, prefillers)
 	for _, u := range runners {
 		if !d.deferred || d.mayDefer(u) {
-			consider(d.directOption(u, aff))
+			best = best.orCheaper(d.directOption(u, aff))
 		}
 	}
 	if d.req.SingleUpstream || len(prefillers) == 0 {
@@ -101,15 +92,25 @@
 	for _, u := range prefillers {
 		// An engine can't use what another version has prefilled.
 		if runner := byVersion[u.entry.Version]; runner != nil && (!d.deferred || d.mayDefer(u)) {
-			consider(d.splitOption(u, runner, aff))
+			best = best.orCheaper(d.splitOption(u, runner, aff))
 		}
 	}
 	return best
 }
 
-// candidates returns the usable upstreams: those that run requests and those that only prefill. Leaving ones, those of
-// another version than the request needs, those that it excludes and those that want no request now are never usable.
-func (d *decision) candidates(includeEjected bool) (runners, prefillers []*upstream) {
+// candidates returns the usable upstreams: those that run requests and those that only prefill. Ejected ones are better than
+// none: the fault may be at this instance.
+func (d *decision) candidates() (runners, prefillers []*upstream) {
+	runners, prefillers = d.filter(false)
+	if len(runners) == 0 && len(d.waiting) == 0 {
+		return d.filter(true)
+	}
+	return runners, prefillers
+}
+
+// filter returns the usable upstreams, with the ejected ones or without. Leaving ones, those of another version than the
+// request needs, those that it excludes and those that want no request now are never usable.
+func (d *decision) filter(includeEjected bool) (runners, prefillers []*upstream) {
 	d.waiting = nil
 	for _, u := range d.allocator.services[d.req.Service] {
 		wait, _ := d.wish(u)
--- a/core/allocator/deferral.go
+++ b/core/allocator/deferral.go
@@ -17,10 +17,10 @@
 	// predicted to take, if it is new and if its caller comes back: those go before new ones. The rest is for the requests in
 	// time that overtake it.
 	deferredShare = 0.2
+	returnedShare = 0.5
 	// deferredWork is the share of its target that the prefill of a deferred request may take: a longer one would take too much
 	// from the requests in time after it, which an engine doesn't interrupt it for at once.
-	deferredWork  = 0.25
-	returnedShare = 0.5
+	deferredWork = 0.25
 )
 
 // deferrable reports whether a late answer is worth an engine's time: one that runs after all requests in time costs these
--- a/core/allocator/explain.go
+++ b/core/allocator/explain.go
@@ -104,10 +104,7 @@
 
 // describeCandidates returns all upstreams of the service, the cheapest option first.
 func (d *decision) describeCandidates() []Candidate {
-	runners, prefillers := d.candidates(false)
-	if len(runners) == 0 && len(d.waiting) == 0 {
-		runners, prefillers = d.candidates(true)
-	}
+	runners, prefillers := d.candidates()
 	aff := newAffinity(d.req.Prompt, runners, prefillers)
 	least := d.leastLoaded(runners)
 	var candidates []Candidate
--- a/core/allocator/option.go
+++ b/core/allocator/option.go
@@ -19,6 +19,22 @@
 	cost      time.Duration
 }
 
+// reader returns the upstream that prefills the prompt.
+func (o option) reader() *upstream {
+	if o.prefiller != nil {
+		return o.prefiller
+	}
+	return o.upstream
+}
+
+// orCheaper returns the cheaper one of two options. One without an upstream is none.
+func (o option) orCheaper(other option) option {
+	if o.upstream == nil || other.cost < o.cost {
+		return other
+	}
+	return o
+}
+
 // directOption is the option to prefill and decode at the same engine.
 func (d *decision) directOption(u *upstream, aff affinity) option {
 	tokens := d.allocator.uncachedTokens(d.req, u, aff)
--- a/core/allocator/plain.go
+++ b/core/allocator/plain.go
@@ -13,14 +13,9 @@
 	var best, admissible option
 	for _, u := range runners {
 		o := d.plainOption(u)
-		if best.upstream == nil || o.cost < best.cost {
-			best = o
-		}
-		if o.predicted > d.req.TimeToDeadline || !d.admissible(o) {
-			continue
-		}
-		if admissible.upstream == nil || o.cost < admissible.cost {
-			admissible = o
+		best = best.orCheaper(o)
+		if o.predicted <= d.req.TimeToDeadline && d.admissible(o) {
+			admissible = admissible.orCheaper(o)
 		}
 	}
 	if admissible.upstream != nil && !d.admissible(best) {
--- a/core/allocator/sharing.go
+++ b/core/allocator/sharing.go
@@ -182,11 +182,7 @@
 	if !admitted || !d.req.Engine || d.deferred {
 		return
 	}
-	reader := o.upstream
-	if o.prefiller != nil {
-		reader = o.prefiller
-	}
-	reader.pressure.add(d.now, d.level, d.prefillTime(o))
+	o.reader().pressure.add(d.now, d.level, d.prefillTime(o))
 }
 
 // retryAfter returns when a refused request should return: when there will be room for it, behind the account's others
@@ -213,14 +209,13 @@
 	if p.Level == 0 {
 		return
 	}
-	reader := o.upstream
+	reader := o.reader()
+	load := reader.load()
+	ahead := load.aheadOf(p.Level)
 	p.Ahead.QueuedPrefill = o.upstream.load().aheadOf(p.Level)
 	if o.prefiller != nil {
-		reader = o.prefiller
-		p.PrefillerAhead.QueuedPrefill = reader.load().aheadOf(p.Level)
+		p.PrefillerAhead.QueuedPrefill = ahead
 	}
-	load := reader.load()
-	ahead := load.aheadOf(p.Level)
 	overtakes := load.QueuedPrefill > ahead && ahead+o.tokens < smallPrefill
 	overtaken := ahead > 0 && reader.pressure.above(d.now, p.Level) > overtakenPressure
 	p.Reordered = overtakes || overtaken
--- a/core/allocator/warming.go
+++ b/core/allocator/warming.go
@@ -132,8 +132,7 @@
 		if _, onTrial := a.warmer.Limit(now, u.entry.Upstream); onTrial || u.entry.Role == tracker.RolePrefill {
 			continue
 		}
-		load := u.load()
-		held += load.Short + load.Long + load.AwaitingPrefill
+		held += u.load().Requests()
 		open++
 	}
 	last = openLoad{measured: now, requests: held / max(1, open)}
@@ -175,5 +174,5 @@
 	if u.entry.Role == tracker.RolePrefill {
 		return load.QueuedPrefill > 0 && load.QueuedPrefill >= identifier.Tokens(limit)*d.req.promptTokens()
 	}
-	return load.Short+load.Long+load.AwaitingPrefill >= limit
+	return load.Requests() >= limit
 }
--- a/rosemaryspool/forwarder/explain.go
+++ b/rosemaryspool/forwarder/explain.go
@@ -249,7 +249,7 @@
 		x.Candidates = append(x.Candidates, ExplainedCandidate{
 			Upstream: string(c.Upstream), DataCentre: string(c.DataCentre), Role: c.Role.String(), Excluded: c.Excluded,
 			PredictedMs: inMs(c.Predicted), CostMs: inMs(c.Cost), Cached: c.Cached,
-			Requests: c.Load.Short + c.Load.Long + c.Load.AwaitingPrefill, Slots: c.Slots, Queued: c.Load.QueuedPrefill,
+			Requests: c.Load.Requests(), Slots: c.Slots, Queued: c.Load.QueuedPrefill,
 			Pace: c.Pace, TrialLimit: c.TrialLimit,
 		})
 	}
