Sort accounts for the log only while a service is short of room

Expire runs every 50 ms under the governor's mutex and aged and sorted all accounts of each service, up to 8,192, to find out that there is room. It asks for the limit first now. Whether this instance is a service's arbiter, which stood there and in the inspector's list, is one function.

--- a/core/allocator/sharing.go
+++ b/core/allocator/sharing.go
@@ -235,6 +235,14 @@
 	a.sharerOf(req.Service).Record(now, req.Caller, int(req.Level()-1), cost, admitted)
 }
 
+// ShareLimit returns the limit on one account's part of a service, infinite while there is room for all.
+func (a *Allocator) ShareLimit(now time.Time, service identifier.ServiceName) float64 {
+	if s := a.sharers[service]; s != nil {
+		return s.Limit(now)
+	}
+	return math.Inf(1)
+}
+
 // Shares returns the accounts that ask for most of a service, at most count of them, and the limit on one account's part;
 // infinite while there is room for all. There are none where requests belong to no accounts.
 func (a *Allocator) Shares(now time.Time, service identifier.ServiceName, count int) (largest []sharer.Share, limit float64) {
--- a/core/sharer/sharer.go
+++ b/core/sharer/sharer.go
@@ -227,6 +227,12 @@
 	return limit
 }
 
+// Limit returns the largest share of an account, infinite while there is room for all.
+func (s *Sharer) Limit(now time.Time) float64 {
+	s.calculate(now)
+	return s.limit
+}
+
 // Share is what one account has asked for and got lately, in engines that were busy with it.
 type Share struct {
 	Caller   identifier.CallerID
--- a/rosemaryspool/governor/demand.go
+++ b/rosemaryspool/governor/demand.go
@@ -16,11 +16,11 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	demand, longAnswers = g.allocator.Demand(service)
-	first := g.elector.Trusted(now, ArbiterDuty(service), 1)
-	if len(first) == 0 || first[0].Instance != g.self.Instance {
-		return demand, 0, g.allocator.MixedSpeed(service), false
+	arbitrates = g.arbitrates(now, service)
+	if !arbitrates {
+		longAnswers = 0
 	}
-	return demand, longAnswers, g.allocator.MixedSpeed(service), true
+	return demand, longAnswers, g.allocator.MixedSpeed(service), arbitrates
 }
 
 // Entries returns the listed upstreams of a service.
--- a/rosemaryspool/governor/member.go
+++ b/rosemaryspool/governor/member.go
@@ -82,6 +82,12 @@
 	return g.elector.Trusted(now, ArbiterDuty(service), limit)
 }
 
+// arbitrates reports whether this instance is a service's arbiter. The governor's mutex must be held.
+func (g *Governor) arbitrates(now time.Time, service identifier.ServiceName) bool {
+	first := g.elector.Trusted(now, ArbiterDuty(service), 1)
+	return len(first) > 0 && first[0].Instance == g.self.Instance
+}
+
 // stewardDuty is to make the calls to the platform that one instance at a time makes.
 const stewardDuty elector.Duty = "steward"
 
@@ -98,8 +104,7 @@
 	defer g.mu.Unlock()
 	var entries []tracker.Entry
 	for _, service := range g.allocator.Services() {
-		first := g.elector.Trusted(now, ArbiterDuty(service), 1)
-		if len(first) > 0 && first[0].Instance == g.self.Instance {
+		if g.arbitrates(now, service) {
 			entries = append(entries, g.allocator.EnginesWithoutMemory(now, service)...)
 		}
 	}
--- a/rosemaryspool/governor/share.go
+++ b/rosemaryspool/governor/share.go
@@ -32,12 +32,12 @@
 		if now.Sub(g.sharesLogged[service]) < shareLogInterval {
 			continue
 		}
-		largest, limit := g.allocator.Shares(now, service, loggedShares)
-		short := !math.IsInf(limit, 1)
+		short := !math.IsInf(g.allocator.ShareLimit(now, service), 1)
 		_, wasShort := g.sharesLogged[service]
 		switch {
 		case short:
 			g.sharesLogged[service] = now
+			largest, limit := g.allocator.Shares(now, service, loggedShares)
 			g.log.Info().Str("event", "serviceShared").Str("service", string(service)).Float64("limit", limit).
 				Array("largest", shareList(largest)).Msg("Service is short of room and divided among accounts")
 		case wasShort:
