Encode the claims of leases, and offsets over eras, in one place

The steward, the checker's duties and the controller each built the record of a claim from what the leaser knows, and the first two decoded it again when an append had failed and computed offsets over eras. The leaser and the replayer do that now, so the checker plays the product's code there.

--- a/core/checker/dutyprocess.go
+++ b/core/checker/dutyprocess.go
@@ -6,13 +6,10 @@
 	"strings"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"rosemaryspool.example/core/identifier"
 	"rosemaryspool.example/core/leaser"
 	"rosemaryspool.example/core/meterer"
 	"rosemaryspool.example/core/replayer"
-	"rosemaryspool.example/wire/messenger"
 )
 
 // dutyProcess is one process of a machine that may hold the duties. It follows the topic, claims the leases and makes the
@@ -262,18 +259,15 @@
 	p.state = nil
 }
 
-// eraShift is the position of the era in an offset of the replayed topic.
-const eraShift = 32
-
 func (p *dutyProcess) offset(stored uint64) identifier.Offset {
 	if p.simulation.variant == VariantIgnoreEra {
-		return identifier.Offset(stored + 1)
+		return replayer.OffsetInEra(0, stored)
 	}
-	return identifier.Offset(uint64(p.era)<<eraShift + stored + 1)
+	return replayer.OffsetInEra(p.era, stored)
 }
 
 // next returns the offset at the store of the next record.
-func (p *dutyProcess) next() uint64 { return uint64(p.state.Next())&(1<<eraShift-1) - 1 }
+func (p *dutyProcess) next() uint64 { return replayer.StoredOffset(p.state.Next()) }
 
 // ofEra reports whether a claim was made in the era that this process follows.
 func (p *dutyProcess) ofEra(r dutyRecord) bool {
@@ -334,7 +328,7 @@
 		}
 		p.records++
 		id := identifier.RecordID(fmt.Sprintf("%s/%d", p.holder, p.records))
-		if raw, err := encodeClaim(p.holder, id, c); err == nil {
+		if raw, err := p.leaser.Encode(id, c); err == nil {
 			p.leaser.ClaimSent(p.now(), c.Scope, c.Renewal, id)
 			records = append(records, dutyRecord{scope: c.Scope, era: p.era, claim: raw})
 		}
@@ -342,20 +336,6 @@
 	return records
 }
 
-func encodeClaim(holder string, id identifier.RecordID, c leaser.Claim) ([]byte, error) {
-	payload, err := proto.Marshal(&messenger.LeaseClaim{
-		Scope: string(c.Scope), Holder: holder, LastOffset: uint64(c.LastOffset),
-		DurationMs: identifier.Milliseconds(dutyLease), Renewal: c.Renewal,
-	})
-	if err != nil {
-		return nil, err
-	}
-	return proto.Marshal(&messenger.Record{
-		Id: string(id), Kind: messenger.RecordKind_RECORD_KIND_LEASE_CLAIM, Author: holder, Scope: string(c.Scope),
-		Token: uint64(c.Token), Payload: payload,
-	})
-}
-
 // appendRecords appends records, under the condition that nothing was appended since the last one that this process knows.
 func (p *dutyProcess) appendRecords(records []dutyRecord) {
 	store, at := p.simulation.store, p.next()
@@ -388,9 +368,8 @@
 // forgetClaims records that claims were certainly not appended.
 func (p *dutyProcess) forgetClaims(records []dutyRecord) {
 	for _, r := range records {
-		record := &messenger.Record{}
-		if r.claim != nil && proto.Unmarshal(r.claim, record) == nil {
-			p.leaser.ClaimFailed(p.now(), identifier.RecordID(record.GetId()))
+		if r.claim != nil {
+			p.leaser.RecordFailed(p.now(), r.claim)
 		}
 	}
 }
--- a/core/controller/appending.go
+++ b/core/controller/appending.go
@@ -49,14 +49,9 @@
 
 // appendClaim appends a claim at once. A claim is never retried, because a later one refers to a newer grant.
 func (c *Controller) appendClaim(now time.Time, claim leaser.Claim) []Action {
-	payload := &messenger.LeaseClaim{
-		Scope:      string(claim.Scope),
-		Holder:     c.settings.Holder(),
-		LastOffset: uint64(claim.LastOffset),
-		DurationMs: identifier.Milliseconds(c.settings.Lease.Duration),
-		Renewal:    claim.Renewal,
-	}
-	id, raw := c.newRecord(messenger.RecordKind_RECORD_KIND_LEASE_CLAIM, claim.Scope, claim.Token, payload)
+	id, raw := c.newRecord(
+		messenger.RecordKind_RECORD_KIND_LEASE_CLAIM, claim.Scope, claim.Token, c.leases.Payload(claim),
+	)
 	if id == "" {
 		return nil
 	}
--- a/rosemaryspool/steward/lease.go
+++ b/rosemaryspool/steward/lease.go
@@ -6,12 +6,10 @@
 	"fmt"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"rosemaryspool.example/core/identifier"
 	"rosemaryspool.example/core/leaser"
+	"rosemaryspool.example/core/replayer"
 	"rosemaryspool.example/platform"
-	"rosemaryspool.example/wire/messenger"
 )
 
 const (
@@ -34,9 +32,6 @@
 	lastBackOff  = 500 * time.Millisecond
 )
 
-// eraShift is the position of the era in an offset of the replayed topic, so that tokens are ordered by era first.
-const eraShift = 32
-
 const leasePrefix = "lease/"
 
 // leaseKey is the key of a scope's claims in one era. Records of an earlier era that are appended late have another key,
@@ -45,14 +40,6 @@
 	return fmt.Sprintf("%s%s/%d", leasePrefix, scope, era)
 }
 
-// replayOffset returns the offset of a record in the replayed state, which begins with 1 in era zero.
-func replayOffset(era identifier.Era, offset uint64) identifier.Offset {
-	return identifier.Offset(uint64(era)<<eraShift + offset + 1)
-}
-
-// storeOffset is the opposite of replayOffset.
-func storeOffset(offset identifier.Offset) uint64 { return uint64(offset)&(1<<eraShift-1) - 1 }
-
 // keepLeases follows the leases and claims them until ctx ends.
 func (s *Steward) keepLeases(ctx context.Context) {
 	var backOff time.Duration
@@ -176,17 +163,7 @@
 		records := make([]platform.Record, 0, len(claims))
 		for _, c := range claims {
 			id := s.newRecordID()
-			payload, err := proto.Marshal(&messenger.LeaseClaim{
-				Scope: string(c.Scope), Holder: s.holder, LastOffset: uint64(c.LastOffset),
-				DurationMs: identifier.Milliseconds(s.settings.LeaseDuration), Renewal: c.Renewal,
-			})
-			if err != nil {
-				return nil, err
-			}
-			value, err := proto.Marshal(&messenger.Record{
-				Id: string(id), Kind: messenger.RecordKind_RECORD_KIND_LEASE_CLAIM, Author: s.holder,
-				Scope: string(c.Scope), Token: uint64(c.Token), Payload: payload,
-			})
+			value, err := s.leaser.Encode(id, c)
 			if err != nil {
 				return nil, err
 			}
@@ -213,7 +190,7 @@
 		s.mu.Unlock()
 		return nil
 	}
-	at, era := storeOffset(s.state.Next()), s.era
+	at, era := replayer.StoredOffset(s.state.Next()), s.era
 	records, err := makeRecords()
 	s.mu.Unlock()
 	if err != nil {
@@ -249,10 +226,7 @@
 // forgetClaims records that claims were certainly not appended. The caller holds the mutex.
 func (s *Steward) forgetClaims(records []platform.Record) {
 	for _, r := range records {
-		record := &messenger.Record{}
-		if proto.Unmarshal(r.Value, record) == nil {
-			s.leaser.ClaimFailed(s.now(), identifier.RecordID(record.GetId()))
-		}
+		s.leaser.RecordFailed(s.now(), r.Value)
 	}
 }
 
--- a/rosemaryspool/steward/replay.go
+++ b/rosemaryspool/steward/replay.go
@@ -38,7 +38,7 @@
 			if r.Key != leaseKey(scope, s.era) {
 				continue
 			}
-			if lease, ok := replayer.GrantedLease(replayOffset(s.era, r.Offset), r.Value); ok {
+			if lease, ok := replayer.GrantedLease(replayer.OffsetInEra(s.era, r.Offset), r.Value); ok {
 				leases[scope], fresh = lease, false
 			}
 		}
@@ -48,15 +48,13 @@
 	for _, lease := range leases {
 		known = append(known, lease)
 	}
-	s.state = replayer.NewStateAt("", replayOffset(s.era, batch.Next), known)
+	s.state = replayer.NewStateAt("", replayer.OffsetInEra(s.era, batch.Next), known)
+	s.grantedAt = now
 	if unused {
 		// A claim is appended only as the first record: no call was made under an earlier one.
-		s.logDecisions(s.leaser.Reset(now, nil))
-		s.grantedAt = time.Time{}
-	} else {
-		s.logDecisions(s.leaser.Reset(now, known))
-		s.grantedAt = now
+		known, s.grantedAt = nil, time.Time{}
 	}
+	s.logDecisions(s.leaser.Reset(now, known))
 	if returned || fresh {
 		// The store has lost its latest records, maybe the intent of a report that was sent.
 		s.ledger.DoubtBefore(s.clock.Now(s.elapsed()))
@@ -77,7 +75,7 @@
 		s.mu.Unlock()
 		return nil
 	}
-	from, era := storeOffset(s.state.Next()), s.era
+	from, era := replayer.StoredOffset(s.state.Next()), s.era
 	s.mu.Unlock()
 	limited, cancel := context.WithTimeout(ctx, wait+storeTimeout)
 	defer cancel()
@@ -118,7 +116,7 @@
 	if s.state == nil {
 		return
 	}
-	offset := replayOffset(s.era, r.Offset)
+	offset := replayer.OffsetInEra(s.era, r.Offset)
 	if offset != s.state.Next() {
 		return
 	}
