Compress in one place

The gossiper and the steward each compressed and decompressed with the same library calls. rosemaryspool/compressor does it for both; the bounds stay those of the callers. What a record takes in a message is summed in one place, too.

--- a/rosemaryspool/gossiper/assembler.go
+++ b/rosemaryspool/gossiper/assembler.go
@@ -2,13 +2,12 @@
 
 import (
 	"bytes"
-	"compress/flate"
-	"io"
 	"sync"
 
 	"github.com/rotisserie/eris"
 
 	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/rosemaryspool/compressor"
 	"rosemaryspool.example/wire/messenger"
 )
 
@@ -17,7 +16,7 @@
 
 // fragment compresses a record and splits it.
 func fragment(r Record) []*messenger.StoreRecord {
-	compressed := bytes.NewBuffer(compress(r.Value))
+	compressed := bytes.NewBuffer(compressor.Compress(r.Value))
 	size := maxUpdateBytes - recordOverheadBytes - len(r.Key)
 	count := (compressed.Len() + size - 1) / size
 	fragments := make([]*messenger.StoreRecord, 0, count)
@@ -103,15 +102,10 @@
 		return false, nil
 	}
 	delete(a.assemblies, key)
-	value, err := decompress(bytes.Join(joined.fragments, nil))
+	value, err := compressor.Decompress(bytes.Join(joined.fragments, nil), maxRecordBytes)
 	if err != nil {
 		return false, err
 	}
 	r.Value, r.Fragment, r.Fragments = value, 0, 0
 	return true, nil
 }
-
-func decompress(content []byte) ([]byte, error) {
-	value, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(content)), maxRecordBytes))
-	return value, eris.Wrap(err, "decompress a record")
-}
--- a/rosemaryspool/gossiper/packer.go
+++ b/rosemaryspool/gossiper/packer.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"compress/flate"
 	"slices"
 	"time"
 
@@ -10,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/rosemaryspool/compressor"
 	"rosemaryspool.example/wire/messenger"
 )
 
@@ -81,7 +81,7 @@
 	for len(records) > 0 {
 		count, raw := 0, 0
 		for _, r := range records {
-			length := len(r.Key) + len(r.Value) + recordOverheadBytes
+			length := r.size()
 			if length > maxUpdateBytes {
 				return nil
 			}
@@ -101,7 +101,7 @@
 		chunks = append(chunks, packedChunk{from: records[0].Offset, content: content})
 		packed := 0
 		for _, r := range records[:count] {
-			packed += len(r.Key) + len(r.Value) + recordOverheadBytes
+			packed += r.size()
 		}
 		size = max(maxUpdateBytes, int(packedSlack*float64(packed*maxUpdateBytes)/float64(len(content))))
 		records = records[count:]
@@ -116,7 +116,7 @@
 	}
 	// Errors are for invalid text, which is sent as it is.
 	content, _ := proto.MarshalOptions{AllowPartial: true}.Marshal(m)
-	return compress(content)
+	return compressor.Compress(content)
 }
 
 // unpack replaces the packed records of a view by the records.
@@ -124,7 +124,7 @@
 	if len(t.GetPacked()) == 0 {
 		return nil
 	}
-	content, err := decompress(t.GetPacked())
+	content, err := compressor.Decompress(t.GetPacked(), maxRecordBytes)
 	if err != nil {
 		return err
 	}
@@ -135,12 +135,3 @@
 	t.Records, t.Packed = m.GetRecords(), nil
 	return nil
 }
-
-func compress(content []byte) []byte {
-	var compressed bytes.Buffer
-	// Errors are for an invalid level and a failing writer, which this one isn't.
-	w, _ := flate.NewWriter(&compressed, flate.DefaultCompression)
-	_, _ = w.Write(content)
-	_ = w.Close()
-	return compressed.Bytes()
-}
--- a/rosemaryspool/gossiper/view.go
+++ b/rosemaryspool/gossiper/view.go
@@ -49,6 +49,9 @@
 	Offset uint64
 }
 
+// size bounds what the record takes in a message.
+func (r Record) size() int { return len(r.Key) + len(r.Value) + recordOverheadBytes }
+
 // ForwardView sends a view of the store to the neighbours, in bursts. Those that read packed records get them so.
 func (g *Gossiper) ForwardView(topic string, v View) {
 	var packed, plain []elector.Member
@@ -168,7 +171,7 @@
 		}
 	}
 	for i, r := range v.Records {
-		length := len(r.Key) + len(r.Value) + recordOverheadBytes
+		length := r.size()
 		if length <= maxUpdateBytes {
 			if size+length > maxUpdateBytes {
 				finish(r.Offset)
--- a/rosemaryspool/steward/usage.go
+++ b/rosemaryspool/steward/usage.go
@@ -1,12 +1,9 @@
 package steward
 
 import (
-	"bytes"
-	"compress/flate"
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"strings"
 	"time"
 
@@ -16,6 +13,7 @@
 	"rosemaryspool.example/core/identifier"
 	"rosemaryspool.example/core/meterer"
 	"rosemaryspool.example/platform"
+	"rosemaryspool.example/rosemaryspool/compressor"
 	"rosemaryspool.example/wire/messenger"
 )
 
@@ -164,19 +162,8 @@
 
 func encodeIntent(task meterer.Record) ([]byte, error) {
 	intent := &messenger.UsageIntent{Window: uint64(task.Window), Digest: task.Digest[:], Compressed: true}
-	var compressed bytes.Buffer
-	w, err := flate.NewWriter(&compressed, flate.DefaultCompression)
-	if err == nil {
-		_, err = w.Write(task.Body)
-	}
-	if err == nil {
-		err = w.Close()
-	}
-	if err != nil {
-		return nil, eris.Wrap(err, "steward: compress report")
-	}
-	if compressed.Len() <= maxBodyBytes {
-		intent.Body = compressed.Bytes()
+	if compressed := compressor.Compress(task.Body); len(compressed) <= maxBodyBytes {
+		intent.Body = compressed
 	}
 	return proto.Marshal(intent)
 }
@@ -197,6 +184,6 @@
 	if len(body) == 0 || !intent.GetCompressed() {
 		return intent, body, nil
 	}
-	inflated, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(body)), maxInflatedBytes))
-	return intent, inflated, eris.Wrap(err, "steward: decompress report")
+	inflated, err := compressor.Decompress(body, maxInflatedBytes)
+	return intent, inflated, eris.Wrap(err, "steward: report")
 }
