Drop settings of the duties that nothing reads

MaxClockSkew, ThawDelay and ReportTolerance were decoded and read by no product code, and CONFIGURATION said that they set something. The steward's tests keep the 300 ms after a pause in which the platform excuses calls, as a constant.

--- a/rosemaryspool/steward/random_test.go
+++ b/rosemaryspool/steward/random_test.go
@@ -133,7 +133,7 @@
 func TestOthersHoldADutyWhenAllCandidatesAreGone(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorldOf(t, platform.DutySettings{
-			OrdersServers: true, LeaseDuration: 3 * time.Second, ThawDelay: 300 * time.Millisecond,
+			OrdersServers: true, LeaseDuration: 3 * time.Second,
 		}, nil)
 		time.Sleep(settled)
 		for _, id := range w.order[:Candidates] {
--- a/rosemaryspool/steward/world_test.go
+++ b/rosemaryspool/steward/world_test.go
@@ -23,6 +23,9 @@
 
 var errLost = errors.New("no response")
 
+// thawDelay is how long after a pause the platform excuses an instance's calls.
+const thawDelay = 300 * time.Millisecond
+
 // world is a system of stewards with a fake store, a fake platform that checks its calls, and a fake network.
 type world struct {
 	t        *testing.T
@@ -82,8 +85,8 @@
 func newWorld(t *testing.T, enforced bool, breakIt func(*Steward)) *world {
 	return newWorldOf(t, platform.DutySettings{
 		Address: "10.0.0.1:80", ReportsUsage: true, OrdersServers: true, CallsPerSecond: 50, FencingEnforced: enforced,
-		LeaseDuration: 3 * time.Second, ThawDelay: 300 * time.Millisecond, ReportWindow: time.Second,
-		ReportDelay: 10 * time.Second, ReportTolerance: 0.05,
+		LeaseDuration: 3 * time.Second, ReportWindow: time.Second,
+		ReportDelay: 10 * time.Second,
 	}, breakIt)
 }
 
@@ -409,7 +412,7 @@
 	if c.world.callFault != nil {
 		f = c.world.callFault(c.id, scope)
 	}
-	excused := time.Since(c.node.thawedAt) <= c.world.settings.ThawDelay
+	excused := time.Since(c.node.thawedAt) <= thawDelay
 	c.world.mu.Unlock()
 	switch {
 	case f.refuse:
