Run functions at an interval in one place

The provisioner's loop over a ticker was the gatekeeper's and the inspector's again: repeater.Every serves the three. Behaviour is unchanged.

--- a/rosemaryspool/gatekeeper/gatekeeper.go
+++ b/rosemaryspool/gatekeeper/gatekeeper.go
@@ -35,6 +35,7 @@
 	"rosemaryspool.example/rosemaryspool/inspector"
 	"rosemaryspool.example/rosemaryspool/prober"
 	"rosemaryspool.example/rosemaryspool/provisioner"
+	"rosemaryspool.example/rosemaryspool/repeater"
 	"rosemaryspool.example/rosemaryspool/steward"
 	"rosemaryspool.example/rosemaryspool/subscriber"
 	"rosemaryspool.example/wire/messenger"
@@ -277,7 +278,7 @@
 	group.Go(func() { g.inspector.Run(backgroundCtx) })
 	group.Go(func() { g.prober.Run(backgroundCtx) })
 	group.Go(func() { g.archiver.Run(backgroundCtx) })
-	group.Go(func() { g.closeIdleConnections(backgroundCtx) })
+	group.Go(func() { repeater.Every(backgroundCtx, idleCheckInterval, g.connector.Sweep) })
 	group.Go(func() { g.warmUp(backgroundCtx) })
 	if g.provisioner != nil {
 		group.Go(func() { g.provisioner.Run(backgroundCtx) })
@@ -309,19 +310,6 @@
 	}
 }
 
-func (g *Gatekeeper) closeIdleConnections(ctx context.Context) {
-	ticker := time.NewTicker(idleCheckInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			g.connector.Sweep()
-		}
-	}
-}
-
 func (g *Gatekeeper) serve(ctx context.Context, group *conc.WaitGroup) error {
 	callers, peers := newServer(g.forwarder), newServer(g.forwarder.PeerHandler())
 	ready := &http.Server{Handler: g.status.readiness(), ReadHeaderTimeout: headerTimeout}
--- a/rosemaryspool/inspector/inspector.go
+++ b/rosemaryspool/inspector/inspector.go
@@ -16,6 +16,7 @@
 	"rosemaryspool.example/platform"
 	"rosemaryspool.example/rosemaryspool/connector"
 	"rosemaryspool.example/rosemaryspool/governor"
+	"rosemaryspool.example/rosemaryspool/repeater"
 )
 
 const (
@@ -51,18 +52,11 @@
 // Run asks until ctx ends.
 func (i *Inspector) Run(ctx context.Context) {
 	defer close(i.done)
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	repeater.Every(ctx, interval, func() {
 		for _, e := range i.governor.ArbitratedEngines(time.Now()) {
 			i.inspect(ctx, e)
 		}
-	}
+	})
 }
 
 // inspect asks one engine unless it was asked recently.
--- a/rosemaryspool/provisioner/provisioner.go
+++ b/rosemaryspool/provisioner/provisioner.go
@@ -22,6 +22,7 @@
 	"rosemaryspool.example/platform"
 	"rosemaryspool.example/rosemaryspool/courier"
 	"rosemaryspool.example/rosemaryspool/governor"
+	"rosemaryspool.example/rosemaryspool/repeater"
 	"rosemaryspool.example/rosemaryspool/steward"
 	"rosemaryspool.example/wire/messenger"
 )
@@ -123,24 +124,11 @@
 func (p *Provisioner) Run(ctx context.Context) {
 	defer close(p.done)
 	var group conc.WaitGroup
-	group.Go(func() { every(ctx, demandPeriod, func() { p.count(time.Now()) }) })
-	group.Go(func() { every(ctx, decisionInterval, func() { p.order(ctx) }) })
+	group.Go(func() { repeater.Every(ctx, demandPeriod, func() { p.count(time.Now()) }) })
+	group.Go(func() { repeater.Every(ctx, decisionInterval, func() { p.order(ctx) }) })
 	group.Wait()
 }
 
-func every(ctx context.Context, interval time.Duration, act func()) {
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			act()
-		}
-	}
-}
-
 // scalable returns the services whose number of servers can be changed, sorted by name.
 func (p *Provisioner) scalable() []matcher.Service {
 	table := p.governor.Table()
--- a/rosemaryspool/subscriber/sharing.go
+++ b/rosemaryspool/subscriber/sharing.go
@@ -276,8 +276,7 @@
 	}
 	if v.RecordsFrom == t.incomingTo && v.Sender == t.incomingOf {
 		t.incoming, t.incomingTo = append(t.incoming, recordsFrom(v.Records, 0)...), v.RecordsTo
-		t.progressedAt = time.Now()
-		t.requests.Progressed(t.progressedAt)
+		t.progressed(time.Now())
 	}
 	complete := t.incomingTo == v.Next && v.RecordsTo == v.Next && t.pacer.PeerSnapshotReceived(v.View)
 	records := t.incoming
@@ -295,8 +294,13 @@
 func (s *Subscriber) snapshotProgressed(t *topic) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	t.progressedAt = time.Now()
-	t.requests.Progressed(t.progressedAt)
+	t.progressed(time.Now())
+}
+
+// progressed records that a part of a snapshot, or that there is one soon, has arrived. The subscriber's mutex must be held.
+func (t *topic) progressed(now time.Time) {
+	t.progressedAt = now
+	t.requests.Progressed(now)
 }
 
 // signal ends a wait for the topic.
