--- a/review/standins/large.go
+++ b/review/standins/large.go
@@ -28,7 +28,11 @@
 }
 
 // serve is a server: it checks that a request is for it, and answers with a signed body of a known length.
-func serve(id, address string, _ []string) {
+func serve(id, address string, kind []string) {
+	if len(kind) == 2 {
+		serveStreams(id, address, kind[1] == "failing")
+		return
+	}
 	http.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
 		request := r.Header.Get("Rosemaryspool-Attempt-Id")
 		w.Header().Set("Rosemaryspool-Attempt-Id", request)
@@ -99,18 +103,9 @@
 		}
 		servers[strings.TrimPrefix(p.name, "server-")] = p
 	}
-	var gateways []*gateway
-	for i, zone := range zones {
-		g, err := s.startGateway(i, zone)
-		if err != nil {
-			return failed, err
-		}
-		gateways = append(gateways, g)
-	}
-	for _, g := range gateways {
-		if err := g.awaitReady(); err != nil {
-			return failed, err
-		}
+	gateways, err := s.startGateways(zones)
+	if err != nil {
+		return failed, err
 	}
 	end := time.Now().Add(length)
 	go func() {
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -19,7 +19,7 @@
 		serve(os.Args[2], os.Args[3], os.Args[4:])
 		return
 	}
-	cases := map[string]func(*system, bool) (int, error){"large-answer": largeAnswer}
+	cases := map[string]func(*system, bool) (int, error){"large-answer": largeAnswer, "resumed-failure": resumedFailure}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standins CASE RECORD")
 		os.Exit(failed)
--- a/review/standins/system.go
+++ b/review/standins/system.go
@@ -189,6 +189,24 @@
 	return g, err
 }
 
+// startGateways starts an instance in each zone and waits until all are ready.
+func (s *system) startGateways(zones []string) ([]*gateway, error) {
+	var gateways []*gateway
+	for i, zone := range zones {
+		g, err := s.startGateway(i, zone)
+		if err != nil {
+			return nil, err
+		}
+		gateways = append(gateways, g)
+	}
+	for _, g := range gateways {
+		if err := g.awaitReady(); err != nil {
+			return nil, err
+		}
+	}
+	return gateways, nil
+}
+
 // awaitReady waits until an instance says that it is ready.
 func (g *gateway) awaitReady() error {
 	client := &http.Client{Timeout: time.Second}
@@ -223,12 +241,20 @@
 		return nil, err
 	}
 	born := time.Now().UnixMilli()
+	stage := ""
+	if len(arguments) > 0 {
+		stage = "decode"
+	}
 	go func() {
 		for sequence := 0; p.running(); sequence++ {
-			entry, _ := json.Marshal(map[string]any{
+			fields := map[string]any{
 				"service": service, "address": address, "zone": zone, "version": "v1", "slots": 6, "state": "ready",
 				"cold-remaining-ms": 0, "sequence": sequence, "born": born,
-			})
+			}
+			if stage != "" {
+				fields["stage"] = stage
+			}
+			entry, _ := json.Marshal(fields)
 			s.store.put("keyed.servers", id, entry)
 			time.Sleep(1200 * time.Millisecond)
 		}
