--- a/core/budgeter/budgeter.go
+++ b/core/budgeter/budgeter.go
@@ -76,19 +76,34 @@
 
 // TryRetry counts a retry to a service and reports whether it may be sent. It counts nothing when the budget is spent.
 func (b *Budgeter) TryRetry(now time.Time, service identifier.ServiceName) bool {
+	if u := b.Usage(now, service); float64(u.Retries+1) > u.Allowed {
+		return false
+	}
+	b.counters(service).retries[b.index()]++
+	return true
+}
+
+// Usage is what the budget allows of a service's retries in the current window, and what is used of it.
+type Usage struct {
+	Requests int
+	Retries  int
+	// Allowed is the number of retries that the instance may send.
+	Allowed float64
+	// Instances is the number of instances that share Extra.
+	Instances int
+}
+
+// Usage returns what the budget allows of a service's retries now.
+func (b *Budgeter) Usage(now time.Time, service identifier.ServiceName) Usage {
 	b.advance(now)
 	c := b.counters(service)
-	requests, retries := 0, 0
+	u := Usage{Instances: b.instances}
 	for i := range buckets {
-		requests += c.requests[i]
-		retries += c.retries[i]
+		u.Requests += c.requests[i]
+		u.Retries += c.retries[i]
 	}
-	allowed := (1 - headroom) * (b.settings.Ratio*float64(requests) + b.settings.Extra/float64(b.instances))
-	if float64(retries+1) > allowed {
-		return false
-	}
-	c.retries[b.index()]++
-	return true
+	u.Allowed = (1 - headroom) * (b.settings.Ratio*float64(u.Requests) + b.settings.Extra/float64(b.instances))
+	return u
 }
 
 func (b *Budgeter) counters(service identifier.ServiceName) *counters {
--- a/rosemaryspool/forwarder/attempt.go
+++ b/rosemaryspool/forwarder/attempt.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"rosemaryspool.example/adaptor/bounder"
 	"rosemaryspool.example/core/allocator"
 	"rosemaryspool.example/core/identifier"
@@ -191,7 +193,7 @@
 		return "attemptsUsed"
 	case e.sends >= maxSends:
 		return causeSendsUsed
-	case !e.last.unsent && !e.forwarder.governor.TryRetry(now, e.service):
+	case !e.last.unsent && !e.takeRetry():
 		// What did not arrive at any upstream is no retry there.
 		return "repeatBudget"
 	}
@@ -199,6 +201,16 @@
 	return ""
 }
 
+// takeRetry takes a retry of the request's service from the budget. It returns false if none is left.
+func (e *exchange) takeRetry() bool {
+	if !e.forwarder.governor.TryRetry(time.Now(), e.service) {
+		metrics.GetOrRegisterCounter("retriesRefused", e.forwarder.registry).Inc(1)
+		return false
+	}
+	metrics.GetOrRegisterCounter("retriesTaken", e.forwarder.registry).Inc(1)
+	return true
+}
+
 // giveUp ends a request that is not sent again. It is refused only if it can't have run on any upstream.
 func (e *exchange) giveUp(cause string, retry time.Duration, stored *storedResponse) result {
 	switch {
@@ -236,7 +248,7 @@
 			return e.unsentResult()
 		}
 		e.singleUpstream = true
-		if !e.last.unsent && !e.forwarder.governor.TryRetry(time.Now(), e.service) {
+		if !e.last.unsent && !e.takeRetry() {
 			return notExecuted
 		}
 		e.last.unsent = false
--- a/rosemaryspool/governor/governor.go
+++ b/rosemaryspool/governor/governor.go
@@ -66,8 +66,10 @@
 	unreached  chan struct{}
 	// unsaved holds the changes of quarantines that are not in the store yet; quarantines signals them.
 	unsaved []isolator.Change
-	// sharesLogged is when each service that is short of room was logged last.
-	sharesLogged map[identifier.ServiceName]time.Time
+	// sharesLogged is when each service that is short of room was logged last, budgetsLogged when each one that is short of
+	// retries was.
+	sharesLogged  map[identifier.ServiceName]time.Time
+	budgetsLogged map[identifier.ServiceName]time.Time
 	quarantines  chan struct{}
 }
 
@@ -93,7 +95,8 @@
 		changed:   make(chan struct{}, 1),
 		unreached: make(chan struct{}, 1),
 
-		sharesLogged: map[identifier.ServiceName]time.Time{},
+		sharesLogged:  map[identifier.ServiceName]time.Time{},
+		budgetsLogged: map[identifier.ServiceName]time.Time{},
 
 		quarantines: make(chan struct{}, 1),
 	}
@@ -240,13 +243,6 @@
 	g.tracker.OutageReported(at)
 }
 
-// SetRetryBudget replaces the settings of the retry budget.
-func (g *Governor) SetRetryBudget(now time.Time, settings budgeter.Settings) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.budgeter.SetSettings(now, settings)
-}
-
 // Instances returns how many instances share the limits on retries and connections.
 func (g *Governor) Instances() int {
 	g.mu.Lock()
@@ -313,20 +309,6 @@
 	}
 }
 
-// CountRequest adds a caller's request to a service to the basis of the retry budget.
-func (g *Governor) CountRequest(now time.Time, service identifier.ServiceName) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.budgeter.CountRequest(now, service)
-}
-
-// TryRetry takes one retry of a service from the budget. It returns false if none is left.
-func (g *Governor) TryRetry(now time.Time, service identifier.ServiceName) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.budgeter.TryRetry(now, service)
-}
-
 // Expire discards the work of instances that have stopped reporting, and removes upstreams that were not listed again.
 func (g *Governor) Expire(now time.Time) {
 	g.mu.Lock()
