Count a retry until its whole bucket has left the window

Cause: the window of ten buckets forgot a bucket as the eleventh began, so a retry counted for nine to ten seconds of ten. What was spent just before the end of a bucket could be spent again nine seconds later; the headroom of 0.3 covered a part. Callers' requests that got such retries loaded upstreams beyond the platform's budget (BUDGET). Change: one more bucket is kept. Requests count for at most a window, retries for at least one.

--- a/core/budgeter/budgeter.go
+++ b/core/budgeter/budgeter.go
@@ -16,17 +16,20 @@
 	Window time.Duration
 }
 
-// buckets is the number of buckets of the sliding window; a retry counts until its bucket has left the window.
-const buckets = 10
-
-// headroom is the fraction of the budget that is left unused, because the window moves one bucket at a time and the
-// counts of other instances are unknown.
-const headroom = 0.3
+const (
+	// buckets is the number of buckets of the sliding window.
+	buckets = 10
+	// keptBuckets is the number of buckets that are kept. A retry counts until its whole bucket has left the window.
+	keptBuckets = buckets + 1
+	// headroom is the fraction of the budget that is left unused: the windows of several instances differ, and so do the
+	// requests in them.
+	headroom = 0.3
+)
 
 // counters holds the requests and retries of one service, by bucket.
 type counters struct {
-	requests [buckets]int
-	retries  [buckets]int
+	requests [keptBuckets]int
+	retries  [keptBuckets]int
 }
 
 // Budgeter counts the requests and retries of one instance. It is not safe for concurrent use.
@@ -98,9 +101,12 @@
 	b.advance(now)
 	c := b.counters(service)
 	u := Usage{Instances: b.instances}
-	for i := range buckets {
-		u.Requests += c.requests[i]
+	oldest := int((b.bucket + 1) % keptBuckets)
+	for i := range keptBuckets {
 		u.Retries += c.retries[i]
+		if i != oldest {
+			u.Requests += c.requests[i]
+		}
 	}
 	u.Allowed = (1 - headroom) * (b.settings.Ratio*float64(u.Requests) + b.settings.Extra/float64(b.instances))
 	return u
@@ -115,7 +121,7 @@
 	return c
 }
 
-func (b *Budgeter) index() int { return int(b.bucket % buckets) }
+func (b *Budgeter) index() int { return int(b.bucket % keptBuckets) }
 
 // advance clears the buckets that have left the window.
 func (b *Budgeter) advance(now time.Time) {
@@ -126,8 +132,8 @@
 	if bucket <= b.bucket {
 		return
 	}
-	for passed := min(bucket-b.bucket, buckets); passed > 0; passed-- {
-		i := (bucket - passed + 1) % buckets
+	for passed := min(bucket-b.bucket, keptBuckets); passed > 0; passed-- {
+		i := (bucket - passed + 1) % keptBuckets
 		for _, c := range b.services {
 			c.requests[i], c.retries[i] = 0, 0
 		}
