Give instances that start no more of the extra retries than what is surely theirs

Cause: an instance that had just started counted itself alone until it had heard of the others, one by one, so each of many that started together could send 141 of the 202 extra retries; that the process before it had spent its part was forgotten, and when instances left, their parts went to the others at once although they were spent in the same window. Change: no extra retries until the list of members is known; a tenth of the part within a window of the start; a smaller number of instances counts a window later. Retries for an instance's own requests are allowed as before. Three tests used the whole part at the first instant: the two of the budgeter now check the tenth, the whole part a window later and the smaller number; the one on versions of resumed streams starts a window after the instances, with the same requirements. Its 40 broken streams need more retries than three instances that have just started have.

--- a/core/budgeter/budgeter.go
+++ b/core/budgeter/budgeter.go
@@ -24,6 +24,9 @@
 	// headroom is the fraction of the budget that is left unused: the windows of several instances differ, and so do the
 	// requests in them.
 	headroom = 0.3
+	// startShare is the fraction of an instance's share of Extra that it may use within a window of its start. The process
+	// before it may have used the share already.
+	startShare = 0.1
 )
 
 // counters holds the requests and retries of one service, by bucket.
@@ -34,22 +37,38 @@
 
 // Budgeter counts the requests and retries of one instance. It is not safe for concurrent use.
 type Budgeter struct {
-	settings  Settings
-	instances int
-	services  map[identifier.ServiceName]*counters
+	settings Settings
+	services map[identifier.ServiceName]*counters
+	// instances is the number of instances among which Extra is divided; zero while it is not known. fewer is a smaller
+	// number that takes its place a window after fewerSince: those that have left used their shares before.
+	instances  int
+	fewer      int
+	fewerSince time.Time
+	// startedAt is when the instance started; zero before the first call.
+	startedAt time.Time
 	// origin is the start of bucket 0. Buckets are computed from the difference to it, which follows the monotonic clock;
 	// wall-clock times don't.
 	origin time.Time
 	bucket int64
 }
 
-// NewBudgeter returns a budgeter for a system of one instance.
+// NewBudgeter returns a budgeter of an instance that starts and does not know how many others there are. Until SetInstances
+// is called, none of Extra may be used.
 func NewBudgeter(settings Settings) *Budgeter {
-	return &Budgeter{settings: settings, instances: 1, services: map[identifier.ServiceName]*counters{}}
+	return &Budgeter{settings: settings, services: map[identifier.ServiceName]*counters{}}
 }
 
 // SetInstances sets the number of instances among which Extra is divided.
-func (b *Budgeter) SetInstances(count int) { b.instances = max(1, count) }
+func (b *Budgeter) SetInstances(now time.Time, count int) {
+	b.advance(now)
+	count = max(1, count)
+	switch {
+	case count >= b.instances:
+		b.instances, b.fewer = count, 0
+	case count != b.fewer:
+		b.fewer, b.fewerSince = count, now
+	}
+}
 
 // SetSettings replaces the budget. Retries of the current window still count. If the window length changes, requests of
 // the current window no longer count, because the old buckets can't be mapped to the new ones.
@@ -92,15 +111,17 @@
 	Retries  int
 	// Allowed is the number of retries that the instance may send.
 	Allowed float64
-	// Instances is the number of instances that share Extra.
+	// Instances is the number of instances that share Extra; zero while it is not known.
 	Instances int
+	// Started is true within a window of the start.
+	Started bool
 }
 
 // Usage returns what the budget allows of a service's retries now.
 func (b *Budgeter) Usage(now time.Time, service identifier.ServiceName) Usage {
 	b.advance(now)
 	c := b.counters(service)
-	u := Usage{Instances: b.instances}
+	u := Usage{Instances: b.instances, Started: now.Sub(b.startedAt) < b.settings.Window}
 	oldest := int((b.bucket + 1) % keptBuckets)
 	for i := range keptBuckets {
 		u.Retries += c.retries[i]
@@ -108,10 +129,22 @@
 			u.Requests += c.requests[i]
 		}
 	}
-	u.Allowed = (1 - headroom) * (b.settings.Ratio*float64(u.Requests) + b.settings.Extra/float64(b.instances))
+	u.Allowed = (1 - headroom) * (b.settings.Ratio*float64(u.Requests) + b.share(u.Started))
 	return u
 }
 
+// share returns how much of Extra the instance may use.
+func (b *Budgeter) share(started bool) float64 {
+	if b.instances == 0 {
+		return 0
+	}
+	share := b.settings.Extra / float64(b.instances)
+	if started {
+		share *= startShare
+	}
+	return share
+}
+
 func (b *Budgeter) counters(service identifier.ServiceName) *counters {
 	c := b.services[service]
 	if c == nil {
@@ -123,10 +156,13 @@
 
 func (b *Budgeter) index() int { return int(b.bucket % keptBuckets) }
 
-// advance clears the buckets that have left the window.
+// advance clears the buckets that have left the window, and applies a smaller number of instances when it is due.
 func (b *Budgeter) advance(now time.Time) {
-	if b.origin.IsZero() {
-		b.origin = now
+	if b.startedAt.IsZero() {
+		b.startedAt, b.origin = now, now
+	}
+	if b.fewer > 0 && now.Sub(b.fewerSince) >= b.settings.Window {
+		b.instances, b.fewer = b.fewer, 0
 	}
 	bucket := int64(now.Sub(b.origin) / (b.settings.Window / buckets))
 	if bucket <= b.bucket {
--- a/core/budgeter/budgeter_test.go
+++ b/core/budgeter/budgeter_test.go
@@ -13,7 +13,7 @@
 	var all []*Budgeter
 	for range instances {
 		b := NewBudgeter(settings)
-		b.SetInstances(instances)
+		b.SetInstances(time.Now(), instances)
 		all = append(all, b)
 	}
 	start := time.Now()
@@ -49,16 +49,41 @@
 	return n
 }
 
-func TestServiceWithoutRequestsGetsItsShareOfExtra(t *testing.T) {
-	b := NewBudgeter(Settings{Ratio: 0.2, Extra: 50, Window: 10 * time.Second})
-	b.SetInstances(5)
-	now := time.Now()
+// spend sends as many retries as the budget allows, and returns their number.
+func spend(b *Budgeter, now time.Time) int {
 	spent := 0
 	for b.TryRetry(now, "s") {
 		spent++
 	}
-	require.Equal(t, 7, spent)
-	require.True(t, b.TryRetry(now.Add(11*time.Second), "s"), "retries no longer count after a window")
+	return spent
+}
+
+func TestServiceWithoutRequestsGetsItsShareOfExtra(t *testing.T) {
+	b := NewBudgeter(Settings{Ratio: 0.2, Extra: 500, Window: 10 * time.Second})
+	now := time.Now()
+	require.Zero(t, spend(b, now), "the number of instances is not known")
+	b.SetInstances(now, 5)
+	require.Equal(t, 7, spend(b, now), "the process before may have spent the share")
+	now = now.Add(10 * time.Second)
+	require.Equal(t, 63, spend(b, now), "the whole share with what was spent at the start")
+	require.Equal(t, 7, spend(b, now.Add(time.Second)), "retries no longer count after a window")
+	require.Equal(t, 63, spend(b, now.Add(11*time.Second)))
+}
+
+func TestShareGrowsAWindowAfterInstancesHaveLeft(t *testing.T) {
+	b := NewBudgeter(Settings{Extra: 500, Window: 10 * time.Second})
+	now := time.Now()
+	b.SetInstances(now, 5)
+	now = now.Add(11 * time.Second)
+	b.SetInstances(now, 1)
+	require.Equal(t, 70, spend(b, now), "those that have left may have spent their shares")
+	b.SetInstances(now.Add(5*time.Second), 2)
+	now = now.Add(11 * time.Second)
+	require.Equal(t, 70, spend(b, now))
+	now = now.Add(11 * time.Second)
+	require.Equal(t, 175, spend(b, now))
+	b.SetInstances(now, 50)
+	require.Zero(t, spend(b, now), "the share of those that come is theirs at once")
 }
 
 func TestSetSettingsKeepsRetryCounts(t *testing.T) {
@@ -74,6 +99,8 @@
 		t.Run(c.name, func(t *testing.T) {
 			now := time.Now()
 			b := NewBudgeter(Settings{Extra: 10, Window: 10 * time.Second})
+			b.SetInstances(now, 1)
+			now = now.Add(10 * time.Second)
 			for b.TryRetry(now, "s") {
 				now = now.Add(10 * time.Millisecond)
 			}
--- a/core/budgeter/history_test.go
+++ b/core/budgeter/history_test.go
@@ -38,7 +38,7 @@
 // start replaces an instance by one that has just started and knows all others.
 func (h *history) start(i int) {
 	h.instances[i] = NewBudgeter(h.settings)
-	h.instances[i].SetInstances(len(h.instances))
+	h.instances[i].SetInstances(h.now, len(h.instances))
 }
 
 // play plays the history. Restarts come restartShare of the time, to a part of the instances.
--- a/rosemaryspool/gatekeeper/path_test.go
+++ b/rosemaryspool/gatekeeper/path_test.go
@@ -427,6 +427,7 @@
 	}
 	unused := budgeter.NewBudgeter(retrySettings(testSettings(store)))
 	now := time.Now()
+	unused.SetInstances(now, 1)
 	for range requests {
 		unused.CountRequest(now, "plain")
 	}
--- a/rosemaryspool/gatekeeper/version_test.go
+++ b/rosemaryspool/gatekeeper/version_test.go
@@ -86,6 +86,8 @@
 	store := newMemoryStore(t)
 	upstreams := newVersionedUpstreams(t, store)
 	instances := newTestCluster(t, store, 3)
+	// Instances that have just started get a tenth of their part of the extra retries.
+	time.Sleep(testSettings(store).RetryWindow)
 	responses := sendStreams(instances, verdicts, func(n int) []string {
 		return []string{emulator.HeaderAttempt, fmt.Sprintf("s%d", n)}
 	})
--- a/rosemaryspool/governor/budget.go
+++ b/rosemaryspool/governor/budget.go
@@ -35,7 +35,7 @@
 		g.budgetsLogged[service] = now
 		u := g.budgeter.Usage(now, service)
 		g.log.Info().Str("event", "retryBudgetSpent").Str("service", string(service)).Int("requests", u.Requests).
-			Int("retries", u.Retries).Float64("allowed", u.Allowed).Int("instances", u.Instances).
+			Int("retries", u.Retries).Float64("allowed", u.Allowed).Int("instances", u.Instances).Bool("started", u.Started).
 			Msg("No retry of the service is left in this window")
 	}
 	return false
--- a/rosemaryspool/governor/budget_test.go
+++ b/rosemaryspool/governor/budget_test.go
@@ -22,16 +22,30 @@
 func TestInstancesThatKnowNoOthersStayWithinTheRetryBudget(t *testing.T) {
 	const instances, requests = 81, 10
 	settings := budgeter.Settings{Ratio: 0.2, Extra: 202, Window: 10 * time.Second}
-	now := time.Now()
-	retries := 0
-	for n := range instances {
-		g := newBudgetGovernor(n, settings)
-		for range requests {
-			g.CountRequest(now, "model")
-		}
-		for g.TryRetry(now, "model") {
-			retries++
-		}
+	for _, c := range []struct {
+		name string
+		// heardOf is the number of others of which an instance has heard without having read the list of members.
+		heardOf int
+	}{
+		{"heard of none", 0},
+		{"heard of a few", 3},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			now := time.Now()
+			retries := 0
+			for n := range instances {
+				g := newBudgetGovernor(n, settings)
+				for other := range c.heardOf {
+					g.Heard(now, elector.Member{Instance: identifier.InstanceID(fmt.Sprint("other-", other))}, false, false)
+				}
+				for range requests {
+					g.CountRequest(now, "model")
+				}
+				for g.TryRetry(now, "model") {
+					retries++
+				}
+			}
+			require.LessOrEqual(t, float64(retries), settings.Ratio*requests*instances+settings.Extra)
+		})
 	}
-	require.LessOrEqual(t, float64(retries), settings.Ratio*requests*instances+settings.Extra)
 }
--- a/rosemaryspool/governor/governor.go
+++ b/rosemaryspool/governor/governor.go
@@ -48,15 +48,17 @@
 	table atomic.Pointer[matcher.Table]
 	keys  keyState
 
-	mu            sync.Mutex
-	tracker       *tracker.Tracker
-	allocator     *allocator.Allocator
-	elector       *elector.Elector
-	budgeter      *budgeter.Budgeter
-	isolator      *isolator.Isolator
-	resumer       *resumer.Resumer
-	reacher       *reacher.Reacher
-	instances     int
+	mu        sync.Mutex
+	tracker   *tracker.Tracker
+	allocator *allocator.Allocator
+	elector   *elector.Elector
+	budgeter  *budgeter.Budgeter
+	isolator  *isolator.Isolator
+	resumer   *resumer.Resumer
+	reacher   *reacher.Reacher
+	instances int
+	// membersListed is true once the list of members has been read: until then, the instances that are known are not all.
+	membersListed bool
 	upstreamsRead bool
 	// configured and listed are closed once there is a configuration and the list of upstreams has been read.
 	configured chan struct{}
@@ -70,7 +72,7 @@
 	// retries was.
 	sharesLogged  map[identifier.ServiceName]time.Time
 	budgetsLogged map[identifier.ServiceName]time.Time
-	quarantines  chan struct{}
+	quarantines   chan struct{}
 }
 
 // NewGovernor returns a governor without configuration and upstreams.
--- a/rosemaryspool/governor/member.go
+++ b/rosemaryspool/governor/member.go
@@ -26,17 +26,27 @@
 	if !g.elector.SetMember(now, m) {
 		return
 	}
-	g.countInstances()
+	g.countInstances(now)
+}
+
+// MembersListed records that all instances in the store's list of members are known.
+func (g *Governor) MembersListed(now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.membersListed = true
+	g.budgeter.SetInstances(now, g.elector.Count())
 }
 
 // countInstances updates the number of instances that share limits. The governor's mutex must be held.
-func (g *Governor) countInstances() {
+func (g *Governor) countInstances(now time.Time) {
 	count := g.elector.Count()
 	if count == g.instances {
 		return
 	}
 	g.instances = count
-	g.budgeter.SetInstances(count)
+	if g.membersListed {
+		g.budgeter.SetInstances(now, count)
+	}
 	g.log.Info().Str("event", "instancesCounted").Int("instances", count).Msg("Number of instances changed")
 }
 
@@ -62,7 +72,7 @@
 		g.elector.SetMember(now, m)
 	}
 	g.elector.Heard(now, m.Instance, leaving, warming)
-	g.countInstances()
+	g.countInstances(now)
 }
 
 // Suspect records that another instance didn't answer.
--- a/rosemaryspool/subscriber/applier.go
+++ b/rosemaryspool/subscriber/applier.go
@@ -84,7 +84,7 @@
 	return err != nil || entry.Changes(previous)
 }
 
-func (s *Subscriber) applyMembers(records []platform.Record, _ governor.Origin) []platform.Record {
+func (s *Subscriber) applyMembers(records []platform.Record, origin governor.Origin) []platform.Record {
 	var accepted []platform.Record
 	for _, r := range records {
 		if len(r.Value) == 0 {
@@ -99,5 +99,8 @@
 		s.governor.SetMember(time.Now(), m)
 		accepted = append(accepted, r)
 	}
+	if origin.Snapshot {
+		s.governor.MembersListed(time.Now())
+	}
 	return accepted
 }
