--- a/rosemaryspool/subscriber/applier.go
+++ b/rosemaryspool/subscriber/applier.go
@@ -47,8 +47,10 @@
 		for _, r := range records {
 			id := identifier.UpstreamID(r.Key)
 			if len(r.Value) == 0 {
-				changed = t.Delete(now, id, r.Offset) || changed
-				accepted = append(accepted, r)
+				if platform.IsServerID(r.Key) {
+					changed = t.Delete(now, id, r.Offset) || changed
+					accepted = append(accepted, r)
+				}
 				continue
 			}
 			// An invalid entry doesn't invalidate the upstream's previous one.
