Take up a stream of unknown origin only where all that answer know one version

Cause: where nobody knew at which version a stream had begun, the instance took the only one in its own list of the last minute. An instance that had just started had not seen the version that left before; one that was cut off or stood still had not seen the one that came. The class: an absence in one's own short or old view taken for a fact. Change: answers to the question for a stream's origin name the versions that the instance has seen within a minute, and whether these are all: it follows the list for a minute, or since the first start of the system, and has a list of the last 2 s. All that answer must agree, one must know all, and somebody must answer. Until an instance surely knows of one version only, it reports its streams to the arbiter and the stand-by. A route with several services has no sole version, and streams of requests without an id are not kept.

--- a/core/resumer/resumer.go
+++ b/core/resumer/resumer.go
@@ -5,6 +5,7 @@
 import (
 	"crypto/sha256"
 	"encoding/binary"
+	"slices"
 	"time"
 
 	"rosemaryspool.example/core/identifier"
@@ -46,6 +47,8 @@
 const (
 	// memory is how long a stream may be resumed at most, and so how long the versions count that are no longer listed.
 	memory = time.Minute
+	// maxListAge is how old the list of upstreams may be that is known. Upstreams of further versions may be listed since.
+	maxListAge = 2 * time.Second
 	// maxOrigins bounds the streams that are remembered, maxUnreported those of a service that wait for a report.
 	maxOrigins    = 1 << 16
 	maxUnreported = 512
@@ -60,6 +63,34 @@
 	origins   map[StreamID]Origin
 	services  map[identifier.ServiceName]*service
 	expiredAt time.Time
+	// firstStart is true if no stream had begun before the instance started.
+	firstStart bool
+	// watchedFrom is since when the list of upstreams is followed, listedAt when the newest list was read that is known.
+	watchedFrom time.Time
+	listedAt    time.Time
+}
+
+// Versions is what is known of the versions at which the streams of a service began that may still be resumed.
+type Versions struct {
+	// Names is sorted.
+	Names []identifier.SoftwareVersion
+	// Complete is true if there are no others, but for versions that were listed a moment ago.
+	Complete bool
+}
+
+// Add returns what is known together with what another instance knows.
+func (v Versions) Add(other Versions) Versions {
+	names := slices.Concat(v.Names, other.Names)
+	slices.Sort(names)
+	return Versions{Names: slices.Compact(names), Complete: v.Complete || other.Complete}
+}
+
+// Sole returns the only version, and false if there are several, or may be.
+func (v Versions) Sole() (identifier.SoftwareVersion, bool) {
+	if !v.Complete || len(v.Names) != 1 {
+		return "", false
+	}
+	return v.Names[0], true
 }
 
 // service holds what is known of one service.
@@ -71,9 +102,12 @@
 	unreported [recipients][]Origin
 }
 
-// NewResumer returns a resumer that knows no streams and no versions.
-func NewResumer() *Resumer {
-	return &Resumer{origins: map[StreamID]Origin{}, services: map[identifier.ServiceName]*service{}}
+// NewResumer returns a resumer that knows no streams and no versions. firstStart is true if the whole system starts for the
+// first time, so that no stream has begun yet.
+func NewResumer(firstStart bool) *Resumer {
+	return &Resumer{
+		origins: map[StreamID]Origin{}, services: map[identifier.ServiceName]*service{}, firstStart: firstStart,
+	}
 }
 
 func (r *Resumer) service(name identifier.ServiceName) *service {
@@ -89,6 +123,9 @@
 
 // SetUpstreams replaces the list of upstreams.
 func (r *Resumer) SetUpstreams(now time.Time, entries []tracker.Entry) {
+	if r.watchedFrom.IsZero() {
+		r.watchedFrom = now
+	}
 	for _, s := range r.services {
 		for v := range s.listed {
 			s.gone[v] = now
@@ -133,33 +170,38 @@
 	return o, known && now.Before(o.Until)
 }
 
-// SoleVersion returns the version at which all streams of a service began that may still be resumed. It returns false if
-// there are several or none.
-func (r *Resumer) SoleVersion(now time.Time, name identifier.ServiceName) (identifier.SoftwareVersion, bool) {
+// Listed records that the upstreams are known as they were listed at a time.
+func (r *Resumer) Listed(at time.Time) {
+	if at.After(r.listedAt) {
+		r.listedAt = at
+	}
+}
+
+// Versions returns the versions at which streams of a service began that may still be resumed.
+func (r *Resumer) Versions(now time.Time, name identifier.ServiceName) Versions {
 	s := r.service(name)
-	var sole identifier.SoftwareVersion
-	count := 0
-	for v := range s.listed {
-		sole = v
-		count++
+	watched := r.firstStart || (!r.watchedFrom.IsZero() && now.Sub(r.watchedFrom) >= memory)
+	v := Versions{Complete: watched && now.Sub(r.listedAt) <= maxListAge}
+	for name := range s.listed {
+		v.Names = append(v.Names, name)
 	}
-	for v, since := range s.gone {
+	for name, since := range s.gone {
 		if now.Sub(since) < memory {
-			sole = v
-			count++
+			v.Names = append(v.Names, name)
 		}
 	}
-	return sole, count == 1
+	slices.Sort(v.Names)
+	return v
 }
 
-// ReportDue reports whether there are streams to report to a recipient. There are none while the service has only one
-// version.
+// ReportDue reports whether there are streams to report to a recipient. There are none while the service surely has only
+// one version.
 func (r *Resumer) ReportDue(now time.Time, name identifier.ServiceName, to Recipient) bool {
 	if len(r.service(name).unreported[to]) == 0 {
 		return false
 	}
-	_, single := r.SoleVersion(now, name)
-	return !single
+	_, sole := r.Versions(now, name).Sole()
+	return !sole
 }
 
 // TakeReport returns the streams that have begun here and are not reported to a recipient yet.
--- a/core/resumer/resumer_test.go
+++ b/core/resumer/resumer_test.go
@@ -44,13 +44,15 @@
 		{"came back", [][]tracker.Entry{list("v1"), list("v2"), list("v1")}, time.Second, "", false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			r := NewResumer()
+			r := NewResumer(true)
 			now := start
 			for _, entries := range c.lists {
 				now = now.Add(time.Second)
 				r.SetUpstreams(now, entries)
 			}
-			sole, known := r.SoleVersion(now.Add(c.after), model)
+			now = now.Add(c.after)
+			r.Listed(now)
+			sole, known := r.Versions(now, model).Sole()
 			require.Equal(t, c.known, known)
 			if known {
 				require.Equal(t, c.sole, sole)
@@ -59,9 +61,59 @@
 	}
 }
 
+func TestVersionThatWasGoneBeforeTheStartIsNotRuledOut(t *testing.T) {
+	r := NewResumer(false)
+	now := time.Now()
+	r.SetUpstreams(now, list("v2"))
+	for _, c := range []struct {
+		after time.Duration
+		known bool
+	}{{0, false}, {memory - time.Second, false}, {memory, true}} {
+		r.Listed(now.Add(c.after))
+		_, known := r.Versions(now.Add(c.after), model).Sole()
+		require.Equal(t, c.known, known, c.after)
+	}
+}
+
+func TestVersionsOfAnOldListAreNotComplete(t *testing.T) {
+	r := NewResumer(true)
+	now := time.Now()
+	r.SetUpstreams(now, list("v1"))
+	r.Listed(now)
+	_, known := r.Versions(now.Add(maxListAge), model).Sole()
+	require.True(t, known)
+	_, known = r.Versions(now.Add(maxListAge+time.Millisecond), model).Sole()
+	require.False(t, known)
+}
+
+func TestInstancesAddTheVersionsThatTheyKnow(t *testing.T) {
+	two := []identifier.SoftwareVersion{"v1", "v2"}
+	one := two[:1]
+	for _, c := range []struct {
+		name       string
+		own, other Versions
+		sole       bool
+	}{
+		{"both know one", Versions{one, true}, Versions{one, true}, true},
+		{"the other one has just started", Versions{one, true}, Versions{one, false}, true},
+		{"this one has just started", Versions{one, false}, Versions{one, true}, true},
+		{"both have just started", Versions{one, false}, Versions{one, false}, false},
+		{"the other one knows a further one", Versions{one, true}, Versions{two, false}, false},
+		{"the other one knows another one", Versions{one, false}, Versions{two[1:], true}, false},
+		{"the other one knows no upstream", Versions{one, true}, Versions{nil, false}, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			_, sole := c.own.Add(c.other).Sole()
+			require.Equal(t, c.sole, sole)
+			_, sole = c.other.Add(c.own).Sole()
+			require.Equal(t, c.sole, sole)
+		})
+	}
+}
+
 func TestOriginsAreKnownUntilCallersGiveUp(t *testing.T) {
 	now := time.Now()
-	r := NewResumer()
+	r := NewResumer(true)
 	id := NewStreamID("s1")
 	r.Began(now, Origin{Stream: id, Service: model, Version: "v1", Until: now.Add(2 * time.Second)})
 	o, known := r.Origin(now.Add(time.Second), id)
@@ -76,8 +128,9 @@
 
 func TestEachRecipientIsToldOnceOfStreams(t *testing.T) {
 	now := time.Now()
-	r := NewResumer()
+	r := NewResumer(true)
 	r.SetUpstreams(now, list("v1"))
+	r.Listed(now)
 	began := func(id identifier.RequestID, lifetime time.Duration) Origin {
 		o := Origin{Stream: NewStreamID(id), Service: model, Version: "v1", Until: now.Add(lifetime)}
 		r.Began(now, o)
@@ -100,7 +153,7 @@
 
 func TestOriginsAreBounded(t *testing.T) {
 	now := time.Now()
-	r := NewResumer()
+	r := NewResumer(true)
 	r.SetUpstreams(now, list("v1", "v2"))
 	for i := range 2 * maxOrigins {
 		r.Began(now, Origin{Stream: StreamID(i), Service: model, Version: "v1", Until: now.Add(time.Minute)})
--- a/rosemaryspool/delegator/delegator_test.go
+++ b/rosemaryspool/delegator/delegator_test.go
@@ -377,9 +377,11 @@
 					nodes[i].deaf.Store(true)
 				}
 				started := time.Now()
-				got, found := nodes[count-1].delegator.StreamOrigin(context.Background(), service, id)
+				got, versions, found := nodes[count-1].delegator.StreamOrigin(context.Background(), service, id)
 				require.Less(t, time.Since(started), 4*replyTimeout)
 				require.Equal(t, c.found, found)
+				_, sole := versions.Sole()
+				require.False(t, sole, "no instance knows any upstream")
 				if found {
 					require.EqualValues(t, "v1", got.Version)
 					require.Equal(t, service, got.Service)
--- a/rosemaryspool/delegator/stream.go
+++ b/rosemaryspool/delegator/stream.go
@@ -12,36 +12,46 @@
 	"rosemaryspool.example/wire/messenger"
 )
 
+// maxVersions bounds the versions in a reply. Two are enough to show that there are several.
+const maxVersions = 4
+
 // streamReply is what another instance knows of a stream's origin.
 type streamReply struct {
 	origin resumer.Origin
 	known  bool
+	// versions are those at which the streams of the service began.
+	versions resumer.Versions
 }
 
 // StreamOrigin returns where a stream began that a caller resumes. If this instance doesn't know, it asks the arbiters of the
-// service, which get reports of all its streams, and then all instances: the one at which the stream began knows. It returns
-// false if nobody does.
+// service, which get reports of all its streams, and then all instances: the one at which the stream began knows. If nobody
+// does, it returns false and the versions at which streams of the service began, as far as all that have answered know.
 func (d *Delegator) StreamOrigin(
 	ctx context.Context, service identifier.ServiceName, id resumer.StreamID,
-) (resumer.Origin, bool) {
+) (resumer.Origin, resumer.Versions, bool) {
 	if o, known := d.governor.StreamOrigin(time.Now(), id); known {
-		return o, true
+		return o, resumer.Versions{}, true
 	}
-	for _, asked := range [][]elector.Member{
-		d.governor.Arbiters(time.Now(), service, maxArbiters), d.governor.Others(),
-	} {
-		if o, known := d.queryOrigin(ctx, asked, id); known {
-			d.governor.LearnStream(time.Now(), o)
-			return o, true
+	others := d.governor.Others()
+	versions, answered := d.governor.StreamVersions(time.Now(), service), len(others) == 0
+	for _, asked := range [][]elector.Member{d.governor.Arbiters(time.Now(), service, maxArbiters), others} {
+		for _, reply := range d.queryOrigin(ctx, asked, service, id) {
+			if reply.known {
+				d.governor.LearnStream(time.Now(), reply.origin)
+				return reply.origin, resumer.Versions{}, true
+			}
+			versions, answered = versions.Add(reply.versions), true
 		}
 	}
-	return resumer.Origin{}, false
+	// An instance that nobody answers may have missed upstreams at which streams have begun since.
+	versions.Complete = versions.Complete && answered
+	return resumer.Origin{}, versions, false
 }
 
-// queryOrigin asks some instances for the origin of a stream. It returns the first answer of one that knows it.
+// queryOrigin asks some instances for the origin of a stream. It returns the replies up to the first that knows it.
 func (d *Delegator) queryOrigin(
-	ctx context.Context, asked []elector.Member, id resumer.StreamID,
-) (resumer.Origin, bool) {
+	ctx context.Context, asked []elector.Member, service identifier.ServiceName, id resumer.StreamID,
+) []streamReply {
 	replies := make(chan streamReply, len(asked))
 	d.mu.Lock()
 	d.lastQuery++
@@ -60,25 +70,26 @@
 		}
 		open++
 		d.courier.Send(m, &messenger.Datagram{Body: &messenger.Datagram_StreamQuery{StreamQuery: &messenger.StreamQuery{
-			Number: number, Stream: uint64(id),
+			Number: number, Stream: uint64(id), Service: string(service),
 		}}})
 	}
 	timer := time.NewTimer(replyTimeout)
 	defer timer.Stop()
-	for open > 0 {
+	var received []streamReply
+	for ; open > 0; open-- {
 		select {
 		case reply := <-replies:
+			received = append(received, reply)
 			if reply.known {
-				return reply.origin, true
+				return received
 			}
-			open--
 		case <-timer.C:
-			return resumer.Origin{}, false
+			return received
 		case <-ctx.Done():
-			return resumer.Origin{}, false
+			return received
 		}
 	}
-	return resumer.Origin{}, false
+	return received
 }
 
 // HandleStreamQuery replies with what this instance knows of a stream's origin.
@@ -87,12 +98,20 @@
 	if o, known := d.governor.StreamOrigin(r.At, resumer.StreamID(m.GetStream())); known {
 		reply.Origin = gossiper.EncodeOrigin(r.At, o)
 	}
+	versions := d.governor.StreamVersions(r.At, identifier.ServiceName(m.GetService()))
+	for _, name := range versions.Names[:min(len(versions.Names), maxVersions)] {
+		reply.Versions = append(reply.Versions, string(name))
+	}
+	reply.VersionsComplete = versions.Complete
 	d.courier.Send(r.Sender, &messenger.Datagram{Body: &messenger.Datagram_StreamReply{StreamReply: reply}})
 }
 
 // HandleStreamReply passes another instance's reply to the query that waits for it.
 func (d *Delegator) HandleStreamReply(r courier.Received, m *messenger.StreamReply) {
-	reply := streamReply{known: m.GetOrigin() != nil}
+	reply := streamReply{known: m.GetOrigin() != nil, versions: resumer.Versions{Complete: m.GetVersionsComplete()}}
+	for _, name := range m.GetVersions() {
+		reply.versions.Names = append(reply.versions.Names, identifier.SoftwareVersion(name))
+	}
 	if reply.known {
 		reply.origin = gossiper.DecodeOrigin(r.At, m.GetOrigin())
 	}
--- a/rosemaryspool/forwarder/resume.go
+++ b/rosemaryspool/forwarder/resume.go
@@ -24,15 +24,12 @@
 		return result{}, true
 	}
 	metrics.GetOrRegisterCounter("streamsResumedByCallers", e.forwarder.registry).Inc(1)
-	if e.caller.Resumes != "" {
-		o, known := e.forwarder.delegator.StreamOrigin(e.ctx, e.service, resumer.NewStreamID(e.caller.Resumes))
-		if known && slices.ContainsFunc(e.route.Services, func(s matcher.WeightedService) bool { return s.Service == o.Service }) {
-			e.service, e.streamVersion = o.Service, &o.Version
-			return result{}, true
-		}
+	o, versions, known := e.forwarder.delegator.StreamOrigin(e.ctx, e.service, resumer.NewStreamID(e.caller.Resumes))
+	if sole, found := versions.Sole(); !known && found && len(e.route.Services) == 1 {
+		o, known = resumer.Origin{Service: e.service, Version: sole}, true
 	}
-	if sole, known := e.forwarder.governor.SoleVersion(time.Now(), e.service); known {
-		e.streamVersion = &sole
+	if known && slices.ContainsFunc(e.route.Services, func(s matcher.WeightedService) bool { return s.Service == o.Service }) {
+		e.service, e.streamVersion = o.Service, &o.Version
 		return result{}, true
 	}
 	metrics.GetOrRegisterCounter("streamOriginsUnknown", e.forwarder.registry).Inc(1)
@@ -47,7 +44,7 @@
 	}
 	version := e.last.entry.Version
 	e.streamVersion = &version
-	if e.route.Resumable {
+	if e.route.Resumable && e.caller.ID != "" {
 		e.forwarder.governor.StreamBegan(now, resumer.Origin{
 			Stream: resumer.NewStreamID(e.caller.ID), Service: e.service, Version: e.last.entry.Version,
 			Until: e.started.Add(max(e.caller.Timeout, e.route.Timeout) + originMargin),
--- a/rosemaryspool/gatekeeper/gatekeeper.go
+++ b/rosemaryspool/gatekeeper/gatekeeper.go
@@ -115,7 +115,7 @@
 	placing.LimiterPhase = rand.Float64()
 	g.governor = governor.NewGovernor(governor.Settings{
 		Self: self, Retry: retrySettings(settings), Allocator: placing, ReportPhase: rand.Float64(),
-		KeyLimit: keyLimit(settings),
+		KeyLimit: keyLimit(settings), FirstStart: settings.FirstStart,
 	}, log)
 	opened := metrics.GetOrRegisterCounter("connectionsOpened", registry)
 	g.connector = connector.NewConnector(network.Dial, func() { opened.Inc(1) }, g.handleResponse)
--- a/rosemaryspool/gatekeeper/gatekeeper_test.go
+++ b/rosemaryspool/gatekeeper/gatekeeper_test.go
@@ -88,6 +88,8 @@
 	address string
 	// network is where the store is reached; nil for the operating system's.
 	network *emulator.Network
+	// separation cuts the instances that are started with it off from the store and from the others; nil if none does.
+	separation *separation
 }
 
 // newMemoryStore starts a store on a network in memory, for a test on the paused clock.
@@ -119,7 +121,7 @@
 	if s.network == nil {
 		return NewNetwork()
 	}
-	return Network{
+	network := Network{
 		Listen:          s.network.Listen,
 		ListenDatagrams: func(address string) (courier.Socket, error) { return s.network.ListenDatagrams(address) },
 		Dial:            s.network.Dial,
@@ -127,6 +129,10 @@
 			return s.network.Dial(ctx, address)
 		},
 	}
+	if s.separation != nil {
+		return s.separation.wrap(network)
+	}
+	return network
 }
 
 func newTestStore(t *testing.T) testStore {
--- a/rosemaryspool/gatekeeper/version_test.go
+++ b/rosemaryspool/gatekeeper/version_test.go
@@ -10,6 +10,8 @@
 	"github.com/sourcegraph/conc/pool"
 	"github.com/stretchr/testify/require"
 
+	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/platform"
 	"rosemaryspool.example/standin/emulator"
 )
 
@@ -161,3 +163,139 @@
 	require.NotEmpty(t, r.header.Get("Retry-After"))
 	require.Zero(t, countRuns(upstreams...))
 }
+
+// versionFleet is a cluster of three instances in front of decode engines of one version, which break off what begins there.
+type versionFleet struct {
+	t         *testing.T
+	store     testStore
+	upstreams []*emulator.Upstream
+	instances []*testInstance
+}
+
+// put starts a decode engine of a version.
+func (f *versionFleet) put(id, version string) *emulator.Upstream {
+	f.t.Helper()
+	u := f.store.newUpstream(f.t, id, "decode", 4)
+	u.Version = version
+	u.SetBehaviour(emulator.TruncatesNew)
+	putUpstream(f.store.Store, u, "ready")
+	f.upstreams = append(f.upstreams, u)
+	return u
+}
+
+// restart stops all instances at once and starts them again.
+func (f *versionFleet) restart() {
+	f.t.Helper()
+	for _, ti := range f.instances {
+		ti.stop()
+	}
+	for _, ti := range f.instances {
+		<-ti.gatekeeper.Done()
+	}
+	for i := range f.instances {
+		settings := testSettings(f.store)
+		settings.Instance, settings.Capacity = identifier.InstanceID(fmt.Sprintf("spool-%d", i+1)), 400
+		f.instances[i] = startTestInstance(f.t, f.store, settings)
+	}
+	for _, ti := range f.instances {
+		require.Eventually(f.t, func() bool { return ti.readiness() == http.StatusOK }, 5*time.Second, time.Millisecond)
+	}
+}
+
+// begin begins streams at an instance, which break off after two events.
+func (f *versionFleet) begin(at *testInstance) {
+	f.t.Helper()
+	for _, r := range sendStreams([]*testInstance{at}, dialogs, func(n int) []string {
+		return []string{emulator.HeaderAttempt, fmt.Sprintf("s%d", n), emulator.HeaderDeadline, "20000"}
+	}) {
+		require.False(f.t, r.complete)
+	}
+}
+
+// resume takes the streams up at an instance, and returns how many went on.
+func (f *versionFleet) resume(at *testInstance) int {
+	f.t.Helper()
+	wentOn := 0
+	for _, r := range sendStreams([]*testInstance{at}, dialogs, func(n int) []string {
+		return []string{
+			emulator.HeaderAttempt, fmt.Sprintf("r%d", n), emulator.HeaderResumes, fmt.Sprintf("s%d", n),
+			emulator.HeaderLastEvent, "2", emulator.HeaderDeadline, "20000",
+		}
+	}) {
+		if r.status == http.StatusOK {
+			wentOn++
+		}
+	}
+	requireOneVersion(f.t, f.upstreams)
+	return wentOn
+}
+
+func TestStreamsAreNeverJoinedFromTwoVersions(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// play begins streams and takes them up again; it returns how many went on.
+		play func(f *versionFleet) int
+		// wentOn is how many have to.
+		wentOn int
+	}{
+		{"all instances were killed after the old version had left", func(f *versionFleet) int {
+			f.begin(f.instances[0])
+			f.store.Put(platform.TopicServers, "u1", nil)
+			f.put("u2", "v2")
+			time.Sleep(time.Second)
+			f.restart()
+			return f.resume(f.instances[1])
+		}, 0},
+		{"all instances were killed before the new version came", func(f *versionFleet) int {
+			f.begin(f.instances[0])
+			f.restart()
+			f.store.Put(platform.TopicServers, "u1", nil)
+			f.put("u2", "v2")
+			time.Sleep(time.Second)
+			return f.resume(f.instances[1])
+		}, 0},
+		{"all instances were killed before the streams began", func(f *versionFleet) int {
+			f.restart()
+			f.begin(f.instances[0])
+			time.Sleep(600 * time.Millisecond)
+			f.instances[0].stop()
+			<-f.instances[0].gatekeeper.Done()
+			return f.resume(f.instances[1])
+		}, testStreams},
+		{"one instance was killed", func(f *versionFleet) int {
+			f.begin(f.instances[0])
+			f.instances[0].stop()
+			<-f.instances[0].gatekeeper.Done()
+			return f.resume(f.instances[1])
+		}, testStreams},
+		{"an instance is out of step as the new version comes", func(f *versionFleet) int {
+			f.store.separation.set(true)
+			time.Sleep(100 * time.Millisecond)
+			f.store.Put(platform.TopicServers, "u1", f.upstreams[0].Entry("model", "draining"))
+			f.put("u2", "v2")
+			time.Sleep(time.Second)
+			f.begin(f.instances[0])
+			return f.resume(f.instances[2])
+		}, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				f := &versionFleet{t: t, store: newMemoryStore(t)}
+				f.put("u1", "v1")
+				f.instances = newTestCluster(t, f.store, 2)
+				f.store.separation = &separation{}
+				settings := testSettings(f.store)
+				settings.Instance, settings.FirstStart, settings.Capacity = "spool-3", true, 400
+				f.instances = append(f.instances, startTestInstance(t, f.store, settings))
+				for _, ti := range f.instances {
+					require.Eventually(t, func() bool {
+						return ti.readiness() == http.StatusOK && ti.gatekeeper.governor.Instances() == 3
+					}, 5*time.Second, time.Millisecond)
+				}
+				time.Sleep(testSettings(f.store).RetryWindow)
+				require.Equal(t, c.wentOn, c.play(f))
+			})
+		})
+	}
+}
--- a/rosemaryspool/governor/governor.go
+++ b/rosemaryspool/governor/governor.go
@@ -36,6 +36,8 @@
 	Allocator allocator.Settings
 	// KeyLimit is how old the knowledge of removed keys may be; zero means any age.
 	KeyLimit time.Duration
+	// FirstStart is true when the whole system starts for the first time.
+	FirstStart bool
 	// ReportPhase, from 0 to 1, differs between instances, so that they don't report the same at the same time.
 	ReportPhase float64
 }
@@ -87,7 +89,7 @@
 		elector:   elector.NewElector(settings.Self),
 		budgeter:  budgeter.NewBudgeter(settings.Retry),
 		isolator:  isolator.NewIsolator(isolation),
-		resumer:   resumer.NewResumer(),
+		resumer:   resumer.NewResumer(settings.FirstStart),
 		reacher:   reacher.NewReacher(),
 		instances: 1,
 
--- a/rosemaryspool/governor/stream.go
+++ b/rosemaryspool/governor/stream.go
@@ -28,11 +28,18 @@
 	return g.resumer.Origin(now, id)
 }
 
-// SoleVersion returns the version at which all streams of a service began, and false if there are several or none.
-func (g *Governor) SoleVersion(now time.Time, service identifier.ServiceName) (identifier.SoftwareVersion, bool) {
+// StreamVersions returns the versions at which streams of a service began, as far as this instance knows.
+func (g *Governor) StreamVersions(now time.Time, service identifier.ServiceName) resumer.Versions {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.resumer.SoleVersion(now, service)
+	return g.resumer.Versions(now, service)
+}
+
+// UpstreamsKnown records that the upstreams are known as they were listed at a time.
+func (g *Governor) UpstreamsKnown(at time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.resumer.Listed(at)
 }
 
 // StreamReportDue reports whether there are streams to report to the instance that stands by for a service's arbiter.
--- a/rosemaryspool/subscriber/subscriber.go
+++ b/rosemaryspool/subscriber/subscriber.go
@@ -131,16 +131,22 @@
 	}
 }
 
-// noteFollowed tells the governor how recent this instance's knowledge of the configuration is. The store may have taken
-// up to callTimeout to deliver a response.
+// noteFollowed tells the governor how recent this instance's knowledge of the configuration or of the upstreams is. The
+// store may have taken up to callTimeout to deliver a configuration.
 func (s *Subscriber) noteFollowed(t *topic) {
-	if t.name != platform.TopicConfiguration {
-		return
-	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if v := t.pacer.View(); t.pacer.Synced() && !v.ReadAt.IsZero() {
+	v := t.pacer.View()
+	if !t.pacer.Synced() || v.ReadAt.IsZero() {
+		return
+	}
+	switch t.name {
+	case platform.TopicConfiguration:
 		s.governor.ConfigurationKnown(v.ReadAt.Add(-callTimeout))
+	case platform.TopicServers:
+		if !t.pacer.BehindPeers() {
+			s.governor.UpstreamsKnown(v.ReadAt)
+		}
 	}
 }
 
