Count every arrival beyond a request's first, and every request once, for the retry budget

Cause: a request whose four sends were turned away was passed on to another instance without a retry being taken for what that one sends, and again for each instance that declined it after sends of its own. A request that the first instance had not counted was counted by each of those that declined it, which gave them more retries. Change: a request that is passed on after its last send takes a retry first, at the instance that sends it on or declines it; one that another instance has counted, or may have, is not counted again.

--- a/rosemaryspool/forwarder/detour.go
+++ b/rosemaryspool/forwarder/detour.go
@@ -28,6 +28,10 @@
 	// headerServedBy names the upstream that a response to such a request is from, as INCARNATION/ID.
 	headerServedBy = "X-Rosemaryspool-Served-By"
 
+	// declinedUpstreams is the reason of an instance that has tried to place the request, which then counts there for the
+	// retry budget.
+	declinedUpstreams = "upstreams"
+
 	// maxPeers is the number of instances to which a request is passed on before this one tries the upstreams itself.
 	maxPeers = 3
 	// maxPeerConnections bounds the connections to one other instance.
@@ -117,12 +121,15 @@
 	}
 	now := time.Now()
 	if e.passedOn != nil {
-		if e.forwarder.governor.HasUnreachable(now, e.service) {
-			return e.decline("upstreams"), true
+		if e.forwarder.governor.HasUnreachable(now, e.service) && e.takeReroute(cause) {
+			return e.decline(declinedUpstreams), true
 		}
 		return result{}, false
 	}
 	peers := e.forwarder.governor.Reroutes(now, e.service, maxPeers)
+	if len(peers) > 0 && !e.takeReroute(cause) {
+		return result{}, false
+	}
 	for _, peer := range peers {
 		r, done := e.passOn(peer)
 		if done && r.outcome == outcomeRefused {
@@ -138,6 +145,12 @@
 	return result{}, false
 }
 
+// takeReroute takes the retry that another instance is going to send from the budget. It returns false if none is left.
+func (e *exchange) takeReroute(cause string) bool {
+	// For the other causes, checkRetry has taken it, or nothing has arrived at an upstream.
+	return cause != causeSendsUsed || e.takeRetry()
+}
+
 // isUnplaced reports whether a request was refused because none of the upstreams that this instance reaches can take it.
 func isUnplaced(cause string) bool {
 	switch cause {
@@ -172,6 +185,7 @@
 	}
 	if reason := response.Header.Get(headerDeclined); reason != "" {
 		response.Close(false)
+		e.counted = e.counted || reason == declinedUpstreams
 		e.forwarder.governor.Decline(time.Now(), peer.Instance, reason)
 		return result{}, false
 	}
@@ -220,6 +234,8 @@
 		e.forwarder.governor.Decline(time.Now(), e.last.peer, "brokeOff")
 	}
 	e.runs++
+	// The other instance may have counted the request.
+	e.counted = true
 	if cause := e.checkRetry(maybeExecuted); cause != "" {
 		return e.giveUp(cause, 0, nil), true
 	}
--- a/rosemaryspool/governor/budget.go
+++ b/rosemaryspool/governor/budget.go
@@ -24,6 +24,13 @@
 	g.budgeter.CountRequest(now, service)
 }
 
+// RetryUsage returns what is used of the retry budget of a service.
+func (g *Governor) RetryUsage(now time.Time, service identifier.ServiceName) budgeter.Usage {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.budgeter.Usage(now, service)
+}
+
 // TryRetry takes one retry of a service from the budget. It returns false if none is left.
 func (g *Governor) TryRetry(now time.Time, service identifier.ServiceName) bool {
 	g.mu.Lock()
