Decide in one place what may follow once a part of a response is with the caller

What callers saw: 200, complete, with the first half of a crashed server's large answer and another one's whole answer after it (MIXED); a resumed stream that ended as complete with the text of a 404 in place of its last events (MIXED, ORDER). Cause: what could be sent again and what could be written was decided by the route alone in checkRetry and deliver; only giveUp knew that a part was written. Change: core/continuer owns the state of a response and decides: send again, go on after an event, end; relay, write, keep or discard an answer. The flag headerSent is gone. A discarded answer is a failed attempt; a stream that is resumed must bring an event; a caller that leaves in the middle of a large answer is no failure of the upstream.

--- /dev/null
+++ b/core/continuer/continuer.go
@@ -0,0 +1,203 @@
+// Package continuer decides what may follow once a part of a response is with the caller: whether a request may be sent
+// again, where a stream goes on, which answer of an upstream may be written, and when the response has to be broken off. A
+// caller must never hold parts of two runs in one response that looks complete, but for a stream that another upstream has
+// resumed at the right event.
+package continuer
+
+import (
+	"net/http"
+	"strconv"
+)
+
+// Route is what a request's route allows.
+type Route struct {
+	// Streaming means that successful responses are event streams.
+	Streaming bool
+	// Repeatable means that a request may run more than once; a stream only if it may be resumed.
+	Repeatable bool
+}
+
+// State is how far the response to a caller has got.
+type State int
+
+const (
+	// Unwritten means that nothing is with the caller.
+	Unwritten State = iota
+	// Begun means that the header, and maybe a part of the body, is with the caller.
+	Begun
+	// Ended means that the response is complete.
+	Ended
+	// Broken means that the caller's connection is closed before the end of the response, or that the caller has left.
+	Broken
+)
+
+// String returns the name of the state as written in logs.
+func (s State) String() string { return [...]string{"unwritten", "begun", "ended", "broken"}[s] }
+
+// Answer is the head of an upstream's answer to one attempt. An instance that has served a request for this one counts as an
+// upstream.
+type Answer struct {
+	Status int
+	// Signed is true if the answer has the upstream's signature.
+	Signed bool
+	// Final is true if there is no other upstream to send the request to, whatever the answer: another instance has retried
+	// what may run again.
+	Final bool
+}
+
+// Verdict is what is to be done with an answer. It is one of Relay, Deliver, Keep and Discard.
+type Verdict interface{ isVerdict() }
+
+type (
+	// Relay means that the answer's events are written as they arrive.
+	Relay struct{}
+	// Deliver means that the answer is written as a whole, with its end.
+	Deliver struct{}
+	// Keep means that the answer is an error that is written only if no other upstream gives a better one.
+	Keep struct{}
+	// Discard means that nothing of the answer may be written. The attempt has failed.
+	Discard struct{ Cause string }
+)
+
+func (Relay) isVerdict()   {}
+func (Deliver) isVerdict() {}
+func (Keep) isVerdict()    {}
+func (Discard) isVerdict() {}
+
+// Causes for which an answer is discarded, or a response is not continued.
+const (
+	// CauseUnsigned is a successful answer without the upstream's signature.
+	CauseUnsigned = "unsigned"
+	// CauseNoStream is another answer than an event stream, for a stream of which a part is written.
+	CauseNoStream = "noStream"
+	// CausePartWritten is a part of an answer that only the same run could complete.
+	CausePartWritten = "partWritten"
+	// CauseNoEventID is a stream whose events have no numbers to resume it after.
+	CauseNoEventID = "noEventID"
+)
+
+// Response is the state of the response to one request. It is not safe for concurrent use.
+type Response struct {
+	route Route
+	state State
+	// stream is true once the header of an event stream is written.
+	stream bool
+	bytes  int64
+	events int
+	lastID string
+}
+
+// NewResponse returns a response of which nothing is written.
+func NewResponse(route Route) *Response { return &Response{route: route} }
+
+// State returns how far the response has got.
+func (r *Response) State() State { return r.state }
+
+// IsUnwritten reports whether nothing is with the caller yet.
+func (r *Response) IsUnwritten() bool { return r.state == Unwritten }
+
+// Bytes returns how many bytes of the body are written.
+func (r *Response) Bytes() int64 { return r.bytes }
+
+// Events returns how many events are written.
+func (r *Response) Events() int { return r.events }
+
+// LastEventID returns the id of the last written event that has one; empty if there is none.
+func (r *Response) LastEventID() string { return r.lastID }
+
+// Judge decides what is to be done with an answer once its head has arrived.
+func (r *Response) Judge(a Answer) Verdict {
+	success := a.Status >= http.StatusOK && a.Status < http.StatusMultipleChoices
+	isStream := r.route.Streaming && success
+	switch {
+	case success && !a.Signed:
+		return Discard{CauseUnsigned}
+	case r.state != Unwritten && !(isStream && r.stream):
+		return Discard{CauseNoStream}
+	case isStream:
+		return Relay{}
+	case a.Status >= http.StatusInternalServerError && r.route.Repeatable && !a.Final:
+		return Keep{}
+	default:
+		return Deliver{}
+	}
+}
+
+// HeaderWritten records that the header of an answer is with the caller. stream is true for that of an event stream.
+func (r *Response) HeaderWritten(stream bool) {
+	if r.state == Unwritten {
+		r.state, r.stream = Begun, stream
+	}
+}
+
+// BodyWritten records that bytes of the body of an answer that is no event stream are with the caller.
+func (r *Response) BodyWritten(bytes int) { r.bytes += int64(bytes) }
+
+// EventWritten records that a whole event is with the caller; id is empty if the event has none.
+func (r *Response) EventWritten(bytes int, id string) {
+	r.bytes += int64(bytes)
+	r.events++
+	if id != "" {
+		r.lastID = id
+	}
+}
+
+// MayEnd reports whether the end of a run's stream completes the response. brought is true if the run has brought an event,
+// framed if its end was marked by more than the close of its connection. One that goes on with a stream has to bring an event,
+// as what its upstream left out can't be seen otherwise.
+func (r *Response) MayEnd(brought, framed bool) bool {
+	return brought || (framed && r.state == Unwritten)
+}
+
+// Complete records that the whole response is with the caller.
+func (r *Response) Complete() {
+	if r.state == Begun {
+		r.state = Ended
+	}
+}
+
+// Break records that the response ends before its end, or that the caller has left.
+func (r *Response) Break() { r.state = Broken }
+
+// Following says what may follow after an attempt that has not completed the response. It is one of Again, After and End.
+type Following interface{ isFollowing() }
+
+type (
+	// Again means that the request may be sent once more from the beginning.
+	Again struct{}
+	// After means that the request may be sent once more, to go on after the event with ID.
+	After struct{ ID string }
+	// End means that it must not be sent any more. If a part of the response is written, it is to be broken off.
+	End struct{ Cause string }
+)
+
+func (Again) isFollowing() {}
+func (After) isFollowing() {}
+func (End) isFollowing()   {}
+
+// CauseMayHaveRun is a request that may have run and must not run twice.
+const CauseMayHaveRun = "mayHaveRun"
+
+// Follow decides what may follow after an attempt. ran is true if its upstream may have run the request.
+func (r *Response) Follow(ran bool) Following {
+	switch {
+	case r.state == Ended || r.state == Broken:
+		return End{CausePartWritten}
+	case ran && !r.route.Repeatable:
+		return End{CauseMayHaveRun}
+	case r.state == Unwritten:
+		return Again{}
+	case !r.stream || !r.route.Repeatable:
+		return End{CausePartWritten}
+	case !isNumber(r.lastID):
+		return End{CauseNoEventID}
+	default:
+		return After{r.lastID}
+	}
+}
+
+// isNumber reports whether an event id can be checked to be the next one.
+func isNumber(id string) bool {
+	_, err := strconv.ParseInt(id, 10, 64)
+	return err == nil
+}
--- a/rosemaryspool/forwarder/attempt.go
+++ b/rosemaryspool/forwarder/attempt.go
@@ -7,8 +7,6 @@
 	"net/http"
 	"time"
 
-	"github.com/rcrowley/go-metrics"
-
 	"rosemaryspool.example/adaptor/bounder"
 	"rosemaryspool.example/core/allocator"
 	"rosemaryspool.example/core/identifier"
@@ -51,7 +49,7 @@
 	upstreamError
 	// canceled means that the caller disconnected.
 	canceled
-	// truncated means that the response broke off after its headers were written to the caller.
+	// truncated means that the response broke off after a part of it was written to the caller.
 	truncated
 )
 
@@ -77,6 +75,8 @@
 	status      int
 	err         error
 	response    *storedResponse
+	// discarded is why nothing of the upstream's answer was written; empty if it wasn't discarded.
+	discarded string
 	// brokenOff is true if the connection ended before the response.
 	brokenOff bool
 	// unsent is true if no upstream has received anything of the request.
@@ -155,83 +155,6 @@
 	}
 }
 
-// unsentCause counts an attempt of which no upstream has received anything. It returns causeUnsent once there are too many
-// of them, else an empty string.
-func (e *exchange) unsentCause() string {
-	if !e.last.unsent {
-		return ""
-	}
-	e.unsent++
-	if e.unsent < maxUnsent {
-		return ""
-	}
-	return causeUnsent
-}
-
-// Causes for which a request may be passed on to another instance: after maxSends, and after maxUnsent attempts of which no
-// upstream has received anything.
-const (
-	causeSendsUsed = "sendsUsed"
-	causeUnsent    = "unsent"
-)
-
-// checkRetry returns why the request must not be sent again. If it may be, checkRetry takes one retry from the budget
-// and returns an empty string.
-func (e *exchange) checkRetry(end attemptResult) string {
-	now := time.Now()
-	repeatable := end == notExecuted || e.route.Idempotent
-	switch {
-	case e.request.Context().Err() != nil:
-		return "callerLeft"
-	case e.keyRefusal() != "":
-		return e.keyRefusal()
-	case e.deadline.Sub(now) < minTimeLeft:
-		return "deadline"
-	case !repeatable:
-		return "mayHaveRun"
-	case e.runs >= e.route.MaxAttempts:
-		return "attemptsUsed"
-	case e.sends >= maxSends:
-		return causeSendsUsed
-	case !e.last.unsent && !e.takeRetry():
-		// What did not arrive at any upstream is no retry there.
-		return "repeatBudget"
-	}
-	e.tried = append(e.tried, e.last.placement.Upstream)
-	return ""
-}
-
-// takeRetry takes a retry of the request's service from the budget. It returns false if none is left.
-func (e *exchange) takeRetry() bool {
-	if !e.forwarder.governor.TryRetry(time.Now(), e.service) {
-		metrics.GetOrRegisterCounter("retriesRefused", e.forwarder.registry).Inc(1)
-		return false
-	}
-	metrics.GetOrRegisterCounter("retriesTaken", e.forwarder.registry).Inc(1)
-	return true
-}
-
-// giveUp ends a request that is not sent again. It is refused only if it can't have run on any upstream.
-func (e *exchange) giveUp(cause string, retry time.Duration, stored *storedResponse) result {
-	switch {
-	case e.request.Context().Err() != nil:
-		return result{outcome: outcomeCanceled, cause: "callerLeft", abort: true}
-	case e.headerSent:
-		return result{outcome: outcomeFailed, cause: cause, abort: true}
-	case stored != nil:
-		e.deliver(stored)
-		return result{outcome: outcomeFailed, status: stored.status, cause: "upstreamFailed:" + cause}
-	case e.runs == 0 && cause == causeKeyRemoved:
-		return e.respondError(http.StatusUnauthorized, outcomeUnauthorized, cause)
-	case e.runs == 0:
-		return e.refuse(cause, max(retry, e.last.placement.Predicted))
-	case time.Until(e.deadline) <= minTimeLeft:
-		return e.respondError(http.StatusGatewayTimeout, outcomeFailed, cause)
-	default:
-		return e.respondError(http.StatusBadGateway, outcomeFailed, cause)
-	}
-}
-
 // attempt dispatches the request to a placement and forwards the response.
 func (e *exchange) attempt(placement allocator.Placement) attemptResult {
 	e.last = attempt{placement: placement}
@@ -286,7 +209,7 @@
 	e.last.stopWatch = e.watchOverdue(cancel)
 	defer e.last.stopWatch()
 	response, err := e.sendTo(ctx, e.last.entry, platform.Dispatch{
-		Upstream: e.last.entry.Upstream, KVSource: e.last.cacheSource, LastEventID: e.lastEventID(),
+		Upstream: e.last.entry.Upstream, KVSource: e.last.cacheSource, LastEventID: e.response.LastEventID(),
 	})
 	if err != nil {
 		e.last.err = err
@@ -308,10 +231,7 @@
 		response.Close(err == nil)
 		return notExecuted, rejectedOutcome(response)
 	}
-	if e.route.Streaming && response.Status < http.StatusMultipleChoices {
-		return e.relayStream(ctx, response)
-	}
-	return e.relayBuffered(ctx, response)
+	return e.relay(ctx, response)
 }
 
 // rejectedOutcome classifies a rejection for the allocator. One that asks this instance to wait says nothing about the
--- a/rosemaryspool/forwarder/describe.go
+++ b/rosemaryspool/forwarder/describe.go
@@ -30,6 +30,9 @@
 	if !a.firstEventAt.IsZero() {
 		line = line.Dur("firstMs", a.firstEventAt.Sub(a.sentAt)).Dur("longestPauseMs", a.longestPause)
 	}
+	if a.discarded != "" {
+		line = line.Str("discarded", a.discarded)
+	}
 	if a.err != nil {
 		line = line.AnErr("error", a.err)
 	}
--- a/rosemaryspool/forwarder/detour.go
+++ b/rosemaryspool/forwarder/detour.go
@@ -102,7 +102,7 @@
 // detour passes the request on to another instance if no upstream can be reached from this one. It returns false if the
 // request is to be sent from here.
 func (e *exchange) detour() (result, bool) {
-	if e.passedOn != nil || e.headerSent || !e.forwarder.governor.PathLost(e.service) {
+	if e.passedOn != nil || !e.response.IsUnwritten() || !e.forwarder.governor.PathLost(e.service) {
 		return result{}, false
 	}
 	for _, peer := range e.forwarder.governor.Detours(time.Now(), maxPeers) {
@@ -116,7 +116,7 @@
 // reroute passes on a request that can't be placed here and has not run, if others may reach upstreams that this instance
 // doesn't. It returns false if the request is to be refused here.
 func (e *exchange) reroute(cause string) (result, bool) {
-	if e.headerSent || e.runs > 0 || !isUnplaced(cause) || time.Until(e.deadline) < minTimeLeft {
+	if !e.response.IsUnwritten() || e.runs > 0 || !isUnplaced(cause) || time.Until(e.deadline) < minTimeLeft {
 		return result{}, false
 	}
 	now := time.Now()
@@ -192,12 +192,7 @@
 	metrics.GetOrRegisterCounter("requestsPassedOn", e.forwarder.registry).Inc(1)
 	e.recordServer(response)
 	e.last.status = response.Status
-	var end attemptResult
-	if e.route.Streaming && response.Status < http.StatusMultipleChoices {
-		end, _ = e.relayStream(ctx, response)
-	} else {
-		end, _ = e.relayBuffered(ctx, response)
-	}
+	end, _ := e.relay(ctx, response)
 	return e.endPassedOn(end)
 }
 
@@ -227,6 +222,7 @@
 	case canceled:
 		return result{outcome: outcomeCanceled, cause: "callerLeft", abort: true}, true
 	case truncated:
+		e.response.Break()
 		return result{outcome: outcomeFailed, cause: "peerBrokeOff", abort: true}, true
 	default:
 	}
--- a/rosemaryspool/forwarder/explain.go
+++ b/rosemaryspool/forwarder/explain.go
@@ -160,7 +160,8 @@
 	if q.dataCentre == "" {
 		q.dataCentre = f.governor.Self().DataCentre
 	}
-	e := &exchange{forwarder: f, started: time.Now(), route: route, caller: caller, version: table.Configuration().Version}
+	e := &exchange{forwarder: f, started: time.Now(), caller: caller, version: table.Configuration().Version}
+	e.setRoute(route)
 	if name := values.Get("account"); name != "" {
 		account, known := table.CallerByID(identifier.CallerID(name))
 		if !known {
--- a/rosemaryspool/forwarder/forwarder.go
+++ b/rosemaryspool/forwarder/forwarder.go
@@ -19,6 +19,7 @@
 	"github.com/rs/zerolog"
 
 	"rosemaryspool.example/core/allocator"
+	"rosemaryspool.example/core/continuer"
 	"rosemaryspool.example/core/identifier"
 	"rosemaryspool.example/core/isolator"
 	"rosemaryspool.example/core/matcher"
@@ -178,9 +179,9 @@
 	unsent         int
 	tried          []identifier.UpstreamID
 	singleUpstream bool
-	// headerSent is true once the response's status and headers are written to the caller.
-	headerSent bool
-	events     *eventWriter
+	// response is what is with the caller, and decides what may follow.
+	response *continuer.Response
+	events   *eventWriter
 	// streamVersion is the software version at which the stream began; nil before its first event.
 	streamVersion *identifier.SoftwareVersion
 	// metered is true once the request is counted as one that has begun to run.
@@ -206,7 +207,7 @@
 	if !found {
 		return e.respondError(http.StatusNotFound, outcomeUnmatched, "noRoute")
 	}
-	e.route = route
+	e.setRoute(route)
 	if !e.identify(table) {
 		return e.respondError(http.StatusUnauthorized, outcomeUnauthorized, "unknownKey")
 	}
@@ -239,6 +240,12 @@
 	return e.run()
 }
 
+// setRoute sets the route of the request. Nothing may be written of an upstream's answer before.
+func (e *exchange) setRoute(route *matcher.Route) {
+	e.route = route
+	e.response = continuer.NewResponse(continuer.Route{Streaming: route.Streaming, Repeatable: route.Idempotent})
+}
+
 // readBody reads the complete request body, since it may have to be sent more than once.
 func (e *exchange) readBody(limits matcher.Limits) (result, bool) {
 	limit := limits.BodyBytes
@@ -345,7 +352,7 @@
 		Service: e.service, Engine: e.engine, Prompt: e.caller.Prompt, Content: e.content, Output: output,
 		TimeToTarget: e.target.Sub(now), Target: e.route.TargetLatency, TimeToDeadline: e.deadline.Sub(now),
 		Excluded: e.tried, SingleUpstream: e.singleUpstream || e.sends > 0,
-		Resumed: e.headerSent || e.caller.LastEventID != "" || e.runs > 0, Version: e.streamVersion,
+		Resumed: !e.response.IsUnwritten() || e.caller.LastEventID != "" || e.runs > 0, Version: e.streamVersion,
 		Caller: e.callerID(), Rank: e.rank(), Returned: e.isRetry, Repeatable: e.route.Idempotent,
 	}
 }
--- a/rosemaryspool/forwarder/memory.go
+++ b/rosemaryspool/forwarder/memory.go
@@ -80,17 +80,23 @@
 	_ = e.controller.SetWriteDeadline(e.writeBy)
 }
 
-// extendingWriter writes to the caller in pieces, for each of which the caller has time.
-type extendingWriter struct{ exchange *exchange }
+// extendingWriter writes the body of a response to the caller in pieces, for each of which the caller has time.
+type extendingWriter struct {
+	exchange *exchange
+	// failed is true once a write has failed.
+	failed bool
+}
 
 // Write implements io.Writer.
-func (w extendingWriter) Write(p []byte) (int, error) {
+func (w *extendingWriter) Write(p []byte) (int, error) {
 	written := 0
 	for piece := range pieces(p) {
 		w.exchange.extendWrite()
 		n, err := w.exchange.writer.Write(piece)
 		written += n
+		w.exchange.response.BodyWritten(n)
 		if err != nil {
+			w.failed = true
 			return written, err
 		}
 	}
--- a/rosemaryspool/forwarder/record.go
+++ b/rosemaryspool/forwarder/record.go
@@ -57,6 +57,10 @@
 		line = line.Int("sends", e.sends).Int("runs", e.runs)
 		line = e.last.describe(line)
 	}
+	if r.abort && e.response != nil && !e.response.IsUnwritten() {
+		line = line.Int64("writtenBytes", e.response.Bytes()).Int("writtenEvents", e.response.Events()).
+			Str("lastEvent", e.response.LastEventID())
+	}
 	if r.outcome == outcomeFailed {
 		line = line.Str("content", e.content.String()).
 			Strs("sharedParts", formatShared(e.caller.Prompt))
--- a/rosemaryspool/forwarder/relay.go
+++ b/rosemaryspool/forwarder/relay.go
@@ -8,8 +8,10 @@
 	"strconv"
 	"time"
 
-	"rosemaryspool.example/adaptor/bounder"
+	"github.com/rcrowley/go-metrics"
+
 	"rosemaryspool.example/core/allocator"
+	"rosemaryspool.example/core/continuer"
 	"rosemaryspool.example/core/splitter"
 	"rosemaryspool.example/platform"
 	"rosemaryspool.example/rosemaryspool/connector"
@@ -30,32 +32,46 @@
 	body   []byte
 }
 
+// relay forwards an answer as far as it may be written after what the caller has already.
+func (e *exchange) relay(ctx context.Context, response *connector.Response) (attemptResult, allocator.Outcome) {
+	switch v := e.response.Judge(continuer.Answer{
+		Status: response.Status, Signed: platform.IsSigned(response.Header), Final: e.last.peer != "",
+	}).(type) {
+	case continuer.Relay:
+		return e.relayStream(ctx, response)
+	case continuer.Discard:
+		response.Close(false)
+		e.last.discarded = v.Cause
+		metrics.GetOrRegisterCounter("answersDiscarded."+v.Cause, e.forwarder.registry).Inc(1)
+		return maybeExecuted, allocator.OutcomeFailed
+	case continuer.Keep:
+		return e.relayBuffered(ctx, response, true)
+	default:
+		return e.relayBuffered(ctx, response, false)
+	}
+}
+
 // relayBuffered reads a response to its end before it forwards it; a response that is too large is forwarded as it
-// arrives.
-func (e *exchange) relayBuffered(ctx context.Context, response *connector.Response) (attemptResult, allocator.Outcome) {
+// arrives. With keep, it is an error that is forwarded only if no other upstream gives a better answer.
+func (e *exchange) relayBuffered(
+	ctx context.Context, response *connector.Response, keep bool,
+) (attemptResult, allocator.Outcome) {
 	e.last.stopWatch()
-	trusted := response.Status >= http.StatusMultipleChoices || platform.IsSigned(response.Header)
 	length, known := knownLength(response)
-	if known && length >= maxStoredBytes && trusted {
+	if known && length >= maxStoredBytes {
 		return e.relayLarge(ctx, response, nil)
 	}
 	var body []byte
 	var err error
-	if known && length < maxStoredBytes {
+	if known {
 		body, err = e.readKnown(response.Body, length)
 	} else {
 		body, err = e.readRationed(io.LimitReader(response.Body, maxStoredBytes))
 	}
-	if errors.Is(err, errNoMemory) && trusted {
+	if errors.Is(err, errNoMemory) || (err == nil && len(body) == maxStoredBytes) {
 		// The response is forwarded as it arrives; it can't be requested again if it breaks off.
 		return e.relayLarge(ctx, response, body)
 	}
-	if err == nil && len(body) == maxStoredBytes {
-		if trusted {
-			return e.relayLarge(ctx, response, body)
-		}
-		err = bounder.ErrTooLong
-	}
 	response.Close(err == nil)
 	if err != nil {
 		e.last.err, e.last.brokenOff = err, isBrokenOff(ctx, err)
@@ -64,21 +80,19 @@
 		}
 		return maybeExecuted, allocator.OutcomeFailed
 	}
-	if !trusted {
-		// A successful response without the upstream's signature is not trusted.
-		return maybeExecuted, allocator.OutcomeFailed
-	}
 	e.meter()
 	stored := &storedResponse{status: response.Status, header: response.Header, body: body}
-	if response.Status >= http.StatusInternalServerError && e.route.Idempotent && e.last.peer == "" {
+	if keep {
 		e.last.response = stored
 		return upstreamError, allocator.OutcomeFailed
 	}
-	e.deliver(stored)
 	outcome := allocator.OutcomeCompleted
 	if response.Status >= http.StatusInternalServerError {
 		outcome = allocator.OutcomeFailed
 	}
+	if err := e.deliver(stored); err != nil {
+		return canceled, outcome
+	}
 	return delivered, outcome
 }
 
@@ -96,31 +110,43 @@
 	ctx context.Context, response *connector.Response, start []byte,
 ) (attemptResult, allocator.Outcome) {
 	e.meter()
-	e.forwardHeader(response.Status, response.Header)
-	writer := extendingWriter{e}
+	e.forwardHeader(response.Status, response.Header, false)
+	writer := &extendingWriter{exchange: e}
 	_, err := writer.Write(start)
 	if err == nil {
 		_, err = io.Copy(writer, response.Body)
 	}
 	response.Close(err == nil)
-	if err != nil {
+	switch {
+	case err == nil:
+		e.response.Complete()
+		return delivered, allocator.OutcomeCompleted
+	case writer.failed || e.request.Context().Err() != nil:
+		e.last.err = err
+		e.response.Break()
+		return canceled, allocator.OutcomeCancelled
+	default:
 		e.last.err, e.last.brokenOff = err, isBrokenOff(ctx, err)
 		return truncated, allocator.OutcomeFailed
 	}
-	return delivered, allocator.OutcomeCompleted
 }
 
-// deliver writes a buffered response to the caller.
-func (e *exchange) deliver(a *storedResponse) {
+// deliver writes a buffered response to the caller. An error means that the caller has disconnected.
+func (e *exchange) deliver(a *storedResponse) error {
 	e.writer.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
-	e.forwardHeader(a.status, a.header)
-	if _, err := (extendingWriter{e}).Write(a.body); err != nil {
+	e.forwardHeader(a.status, a.header, false)
+	if _, err := (&extendingWriter{exchange: e}).Write(a.body); err != nil {
 		e.last.err = err
+		e.response.Break()
+		return err
 	}
+	e.response.Complete()
+	return nil
 }
 
-// forwardHeader writes the status and headers of an upstream's response to the caller.
-func (e *exchange) forwardHeader(status int, header http.Header) {
+// forwardHeader writes the status and headers of an upstream's response to the caller; isStream is true for those of an
+// event stream.
+func (e *exchange) forwardHeader(status int, header http.Header, isStream bool) {
 	h := e.writer.Header()
 	platform.CopyResponseHeaders(h, header)
 	if header.Get("Content-Type") == "" {
@@ -128,7 +154,7 @@
 		h["Content-Type"] = nil
 	}
 	e.nameServer()
-	e.headerSent = true
+	e.response.HeaderWritten(isStream)
 	e.writeHeader(status)
 }
 
@@ -138,14 +164,6 @@
 	flusher  *http.ResponseController
 }
 
-// lastEventID returns the ID of the event after which the next upstream resumes; empty before the first event.
-func (e *exchange) lastEventID() string {
-	if e.events == nil {
-		return ""
-	}
-	return e.events.splitter.LastID()
-}
-
 // relayStream forwards an event stream in complete events, so that another upstream can resume it after any of them.
 func (e *exchange) relayStream(ctx context.Context, response *connector.Response) (attemptResult, allocator.Outcome) {
 	if e.events == nil {
@@ -154,10 +172,6 @@
 		}
 	}
 	e.events.splitter.DiscardPartial()
-	if !e.headerSent && !platform.IsSigned(response.Header) {
-		response.Close(false)
-		return maybeExecuted, allocator.OutcomeFailed
-	}
 	buffer := make([]byte, relayBufferBytes)
 	ahead := newReadAhead(response.Body, e.memory)
 	defer ahead.stop()
@@ -170,11 +184,11 @@
 				return e.streamResult()
 			}
 		}
-		// Without framing, an upstream that ends before its first event looks like one that has responded.
-		cutShort := e.events.splitter.HasPartial() || response.Unframed && e.last.firstEventAt.IsZero()
+		cutShort := e.events.splitter.HasPartial() || !e.response.MayEnd(!e.last.firstEventAt.IsZero(), !response.Unframed)
 		if err == io.EOF && !cutShort {
 			response.Close(true)
 			e.ensureHeader(response)
+			e.response.Complete()
 			return delivered, allocator.OutcomeCompleted
 		}
 		if err != nil {
@@ -192,8 +206,10 @@
 		e.ensureHeader(response)
 		e.extendWrite()
 		if _, err := e.writer.Write(event.Bytes); err != nil {
+			e.response.Break()
 			return err
 		}
+		e.response.EventWritten(len(event.Bytes), event.ID)
 	}
 	if len(events) > 0 {
 		now := time.Now()
@@ -208,6 +224,7 @@
 			e.forwarder.governor.FirstEventArrived(e.last.firstEventAt, e.last.sentAt, &e.last.placement)
 		}
 		if err := e.events.flusher.Flush(); err != nil {
+			e.response.Break()
 			return err
 		}
 	}
@@ -217,19 +234,18 @@
 // ensureHeader writes the response's headers before the first event. A resumed stream keeps those of its first
 // upstream.
 func (e *exchange) ensureHeader(response *connector.Response) {
-	if e.headerSent {
-		return
+	if e.response.IsUnwritten() {
+		e.forwardHeader(response.Status, response.Header, true)
 	}
-	e.forwardHeader(response.Status, response.Header)
 }
 
 // streamResult distinguishes a caller that disconnected from a stream that broke off.
 func (e *exchange) streamResult() (attemptResult, allocator.Outcome) {
 	e.last.recordActivity(time.Now())
 	switch {
-	case e.request.Context().Err() != nil:
+	case e.request.Context().Err() != nil || e.response.State() == continuer.Broken:
 		return canceled, allocator.OutcomeCancelled
-	case e.headerSent:
+	case !e.response.IsUnwritten():
 		return truncated, allocator.OutcomeFailed
 	default:
 		return maybeExecuted, allocator.OutcomeFailed
--- a/rosemaryspool/gatekeeper/budget_test.go
+++ b/rosemaryspool/gatekeeper/budget_test.go
@@ -65,7 +65,8 @@
 		},
 		{
 			"an instance reaches none, the others one that turns requests away", newPathFleet,
-			[]emulator.Behaviour{emulator.Rejects, 0, emulator.Rejects}, [][]int{{}, {0, 1, 2}, {0, 1, 2}},
+			[]emulator.Behaviour{emulator.Rejects, 0, emulator.Rejects},
+			[][]int{{}, {0, 1, 2}, {0, 1, 2}},
 		},
 		{
 			"instances reach all but one upstream, and all turn requests away", newPlainFleet,
--- a/rosemaryspool/gatekeeper/gatekeeper_test.go
+++ b/rosemaryspool/gatekeeper/gatekeeper_test.go
@@ -267,6 +267,14 @@
 
 // send sends a request with extra headers, given as names and values in turn, and reads its response to the end.
 func (ti *testInstance) send(method, path, body string, headers ...string) callerResponse {
+	ti.t.Helper()
+	response, err := ti.trySend(method, path, body, headers...)
+	require.NoError(ti.t, err)
+	return response
+}
+
+// trySend does the same. It returns an error if the connection is closed without a response.
+func (ti *testInstance) trySend(method, path, body string, headers ...string) (callerResponse, error) {
 	ti.t.Helper()
 	request, err := http.NewRequest(method, ti.url+path, strings.NewReader(body))
 	require.NoError(ti.t, err)
@@ -277,13 +285,15 @@
 		request.Header.Set(headers[i], headers[i+1])
 	}
 	received, err := ti.client().Do(request)
-	require.NoError(ti.t, err)
+	if err != nil {
+		return callerResponse{}, err
+	}
 	defer received.Body.Close()
 	content, err := io.ReadAll(received.Body)
 	return callerResponse{
 		status: received.StatusCode, header: received.Header, body: string(content),
 		complete: err == nil, closesConnection: received.Close,
-	}
+	}, nil
 }
 
 // promptHeaders returns the headers of a model request.
--- /dev/null
+++ b/rosemaryspool/gatekeeper/response_test.go
@@ -0,0 +1,353 @@
+package gatekeeper
+
+import (
+	"bufio"
+	"bytes"
+	"flag"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"rosemaryspool.example/platform"
+	"rosemaryspool.example/standin/emulator"
+)
+
+var responseHistories = flag.Int("response-histories", 1500, "seeds of TestCallersNeverHoldPartsOfTwoRuns")
+
+// scriptedAnswer is what an upstream does with one arrival of a request.
+type scriptedAnswer struct {
+	status int
+	signed bool
+	// rejects is true if the answer says that the request did not run.
+	rejects bool
+	// size is the length of the body of an answer that is no stream.
+	size int
+	// shift moves where a stream goes on, against the event that is due: -1 sends one twice, 1 leaves one out.
+	shift int
+	// restarts is true if a stream begins with its first event whatever is due.
+	restarts bool
+	chunked  bool
+	// part is how much of the body is sent before the connection is closed; 1 for all of it.
+	part float64
+}
+
+// arrival is one arrival of a request at an upstream.
+type arrival struct {
+	scriptedAnswer
+	upstream string
+	body     []byte
+	// stream is true if the answer is an event stream.
+	stream bool
+}
+
+// sent returns what the upstream sends of the body.
+func (a arrival) sent() []byte { return a.body[:int(a.part*float64(len(a.body)))] }
+
+// isFramedByChunks reports whether the end of the answer is marked by a last chunk.
+func (a arrival) isFramedByChunks() bool { return a.chunked || a.stream }
+
+// isWhole reports whether the upstream sends its whole answer.
+func (a arrival) isWhole() bool {
+	return a.part >= 1 || (!a.isFramedByChunks() && len(a.sent()) == len(a.body))
+}
+
+// plan holds the answers to one request, in the order of its arrivals, and what has arrived.
+type plan struct {
+	answers  []scriptedAnswer
+	events   int
+	arrivals []arrival
+}
+
+// scriptedFleet is a number of upstreams that answer each request by its plan.
+type scriptedFleet struct {
+	mu    sync.Mutex
+	plans map[string]*plan
+}
+
+// start starts an upstream on the network of a store and lists it. What the streams of two versions say differs.
+func (f *scriptedFleet) start(t *testing.T, store testStore, id, service, stage, version string) {
+	t.Helper()
+	listener, err := store.network.Listen("127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go f.serve(conn, id, version)
+		}
+	}()
+	store.Put(platform.TopicServers, id, fmt.Appendf(nil,
+		`{"service":%q,"address":%q,"zone":"here","slots":6,"state":"ready","stage":%q,"version":%q,"born":1}`,
+		service, listener.Addr(), stage, version))
+}
+
+func (f *scriptedFleet) serve(conn net.Conn, id, version string) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, request.Body)
+		if request.URL.Path == "/-/report" {
+			_, _ = io.WriteString(conn, "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n")
+			continue
+		}
+		if !f.answer(conn, request, id, version) {
+			return
+		}
+	}
+}
+
+// answer answers a request by its plan, and reports whether the connection goes on.
+func (f *scriptedFleet) answer(conn net.Conn, request *http.Request, id, version string) bool {
+	attempt := request.Header.Get(emulator.HeaderAttempt)
+	f.mu.Lock()
+	p := f.plans[attempt]
+	a := scriptedAnswer{status: http.StatusOK, signed: true, part: 1}
+	if n := len(p.arrivals); n < len(p.answers) {
+		a = p.answers[n]
+	}
+	arrived := arrival{scriptedAnswer: a, upstream: id}
+	arrived.stream = a.status == http.StatusOK && p.events > 0
+	if arrived.stream {
+		due, _ := strconv.Atoi(request.Header.Get(emulator.HeaderLastEvent))
+		first := max(1, due+1+a.shift)
+		if a.restarts {
+			first = 1
+		}
+		for n := first; n <= p.events; n++ {
+			arrived.body = append(arrived.body, streamEvent(attempt, version, n)...)
+		}
+	} else {
+		arrived.body = bytes.Repeat([]byte(fmt.Sprintf("%s %s %d;", attempt, id, len(p.arrivals))), 1+a.size/12)[:a.size]
+	}
+	p.arrivals = append(p.arrivals, arrived)
+	f.mu.Unlock()
+	return sendAnswer(conn, attempt, arrived)
+}
+
+func streamEvent(attempt, version string, n int) string {
+	return fmt.Sprintf("id: %d\ndata: %s of %s in %s\n\n", n, strings.Repeat("piece ", n%4+1), attempt, version)
+}
+
+func sendAnswer(conn net.Conn, attempt string, a arrival) bool {
+	var head bytes.Buffer
+	fmt.Fprintf(&head, "HTTP/1.1 %d Status\r\n%s: %s\r\n", a.status, emulator.HeaderAttempt, attempt)
+	if a.signed {
+		fmt.Fprintf(&head, "%s: %s.%d\r\n", emulator.HeaderSignature, a.upstream, len(a.body))
+	}
+	if a.rejects {
+		fmt.Fprintf(&head, "%s: 1\r\n", emulator.HeaderNotExecuted)
+	}
+	if a.stream {
+		head.WriteString("Content-Type: text/event-stream\r\n")
+	}
+	if a.isFramedByChunks() {
+		head.WriteString("Transfer-Encoding: chunked\r\n\r\n")
+		for piece := range bytesInPieces(a.sent()) {
+			fmt.Fprintf(&head, "%x\r\n%s\r\n", len(piece), piece)
+		}
+		if a.isWhole() {
+			head.WriteString("0\r\n\r\n")
+		}
+	} else {
+		fmt.Fprintf(&head, "Content-Length: %d\r\n\r\n%s", len(a.body), a.sent())
+	}
+	_, err := conn.Write(head.Bytes())
+	return err == nil && a.isWhole()
+}
+
+// bytesInPieces returns the bytes in pieces as they could arrive.
+func bytesInPieces(b []byte) func(yield func([]byte) bool) {
+	return func(yield func([]byte) bool) {
+		for len(b) > 0 {
+			n := min(len(b), 50_000)
+			if !yield(b[:n]) {
+				return
+			}
+			b = b[n:]
+		}
+	}
+}
+
+// randomAnswer returns an answer of any kind; about half of them are right.
+func randomAnswer(random *rand.Rand) scriptedAnswer {
+	a := scriptedAnswer{status: http.StatusOK, signed: random.IntN(12) > 0, chunked: random.IntN(2) == 0, part: 1}
+	a.size = []int{0, 800, 40_000, 300_000, 1 << 20}[random.IntN(5)]
+	switch random.IntN(12) {
+	case 0:
+		a.status = http.StatusNotFound
+	case 1:
+		a.status = http.StatusInternalServerError
+	case 2:
+		a.status = http.StatusFound
+	case 3:
+		a.status, a.rejects = http.StatusServiceUnavailable, true
+	case 4:
+		a.restarts = true
+	case 5:
+		a.shift = 2*random.IntN(2) - 1
+	case 6, 7, 8:
+		a.part = random.Float64()
+	}
+	if a.status != http.StatusOK {
+		a.size = min(a.size, 300_000)
+	}
+	return a
+}
+
+// responseRoutes holds the routes of routeTable, and whether their requests may run again.
+var responseRoutes = []struct {
+	path       string
+	repeatable bool
+	streams    bool
+}{
+	{orders, false, false},
+	{lookups, true, false},
+	{verdicts, true, true},
+	{notes, false, true},
+	{dialogs, true, true},
+}
+
+// checkResponse returns what is wrong with what a caller holds, judged by what the caller and the upstreams have seen.
+func checkResponse(r callerResponse, p *plan, repeatable, streams bool) string {
+	runs := 0
+	for _, a := range p.arrivals {
+		if !a.rejects {
+			runs++
+		}
+	}
+	switch {
+	case runs > 1 && !repeatable:
+		return fmt.Sprintf("%d runs of a request that may run once", runs)
+	case r.status == http.StatusServiceUnavailable && r.header.Get(emulator.HeaderSignature) == "" && runs > 0:
+		return "refused although it has run"
+	case r.status == http.StatusOK && r.header.Get(emulator.HeaderSignature) == "":
+		return "success without a signature"
+	case !r.complete:
+		// A visible break.
+		return ""
+	case r.header.Get(emulator.HeaderSignature) == "":
+		// The instance's own error.
+		return ""
+	case r.status == http.StatusOK && streams:
+		return checkStream(r, p, repeatable)
+	}
+	for _, a := range p.arrivals {
+		if a.isWhole() && a.signed && a.status == r.status && string(a.body) == r.body &&
+			strings.HasPrefix(r.header.Get(emulator.HeaderSignature), a.upstream+".") {
+			return ""
+		}
+	}
+	return fmt.Sprintf("%d bytes with status %d are no upstream's whole answer", len(r.body), r.status)
+}
+
+// checkStream checks a stream that looks complete: it has all events of one version, each once, from whole answers or
+// joined where that is allowed.
+func checkStream(r callerResponse, p *plan, repeatable bool) string {
+	last := p.arrivals[len(p.arrivals)-1]
+	if !repeatable {
+		if !last.isWhole() || string(last.body) != r.body {
+			return "not the whole answer of the only run"
+		}
+		return ""
+	}
+	if !last.isWhole() || last.status != http.StatusOK || !last.signed {
+		return fmt.Sprintf("looks complete after an answer that is not whole: %+v", last.scriptedAnswer)
+	}
+	for _, a := range p.arrivals {
+		if string(a.body) == r.body && a.isWhole() {
+			return ""
+		}
+	}
+	for _, version := range []string{"v1", "v2"} {
+		var want strings.Builder
+		for n := 1; n <= p.events; n++ {
+			want.WriteString(streamEvent(r.header.Get(emulator.HeaderAttempt), version, n))
+		}
+		if want.String() == r.body {
+			return ""
+		}
+	}
+	return fmt.Sprintf("joined from answers that don't fit: %q of %d events, after %+v", r.body, p.events, p.answers[:len(p.arrivals)])
+}
+
+// playResponses sends requests with random plans to an instance, and returns what is wrong with a response by its seed, and
+// how many requests arrived more than once after a part was sent.
+func playResponses(t *testing.T, from, to int) (faults map[int]string, continued int) {
+	t.Helper()
+	faults = map[int]string{}
+	store := newMemoryStore(t)
+	fleet := &scriptedFleet{plans: map[string]*plan{}}
+	for n := range 4 {
+		fleet.start(t, store, fmt.Sprint("plain", n), "plain", "", "v1")
+		fleet.start(t, store, fmt.Sprint("engine", n), "model", "decode", fmt.Sprint("v", n%2+1))
+	}
+	settings := testSettings(store)
+	settings.RetryBudgetExtra = 1_000_000
+	ti := startTestInstance(t, store, settings)
+	ti.makeReady()
+	time.Sleep(settings.RetryWindow)
+	for seed := from; seed < to; seed++ {
+		random := rand.New(rand.NewPCG(uint64(seed), 0))
+		route := responseRoutes[random.IntN(len(responseRoutes))]
+		p := &plan{}
+		if route.streams {
+			p.events = 1 + random.IntN(8)
+		}
+		for range 4 {
+			p.answers = append(p.answers, randomAnswer(random))
+		}
+		id := fmt.Sprint("q", seed)
+		fleet.mu.Lock()
+		fleet.plans[id] = p
+		fleet.mu.Unlock()
+		headers := []string{emulator.HeaderAttempt, id, emulator.HeaderDeadline, "1900"}
+		if route.streams {
+			headers = append(headers, promptHeaders()...)
+		}
+		// A connection that is closed without a response is a visible break.
+		r, _ := ti.trySend(http.MethodPost, route.path+"x", id, headers...)
+		fleet.mu.Lock()
+		if fault := checkResponse(r, p, route.repeatable, route.streams); fault != "" {
+			faults[seed] = route.path + ": " + fault
+		}
+		if len(p.arrivals) > 1 && !p.arrivals[0].isWhole() {
+			continued++
+		}
+		fleet.mu.Unlock()
+		// Upstreams that were ejected for a failure are back after a while.
+		time.Sleep(3 * time.Second)
+	}
+	return faults, continued
+}
+
+func TestCallersNeverHoldPartsOfTwoRuns(t *testing.T) {
+	const batch = 100
+	for from := 0; from < *responseHistories; from += batch {
+		t.Run(fmt.Sprintf("seeds %d to %d", from, from+batch-1), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				faults, continued := playResponses(t, from, from+batch)
+				t.Logf("%d requests went on after a part of an answer", continued)
+				require.Empty(t, faults)
+				require.Positive(t, continued)
+			})
+		})
+	}
+}
