Play the containment of crashes and the inspection of engines on the paused clock

At a load average of 78 all of 30 processes failed by the first two. Change: the fleet of crashing upstreams listens on a network in memory where it is given one; the three tests run on the paused clock. Bounds and requirements are unchanged.

--- a/rosemaryspool/gatekeeper/crash_test.go
+++ b/rosemaryspool/gatekeeper/crash_test.go
@@ -184,15 +184,19 @@
 
 func TestPromptPartThatCrashesEnginesIsContained(t *testing.T) {
 	t.Parallel()
+	synctest.Test(t, testPromptPartThatCrashesEnginesIsContained)
+}
+
+func testPromptPartThatCrashesEnginesIsContained(t *testing.T) {
 	const crashes = 5
-	store := newTestStore(t)
+	store := newMemoryStore(t)
 	fleet := emulator.NewFleet(store.Store, emulator.FleetSettings{
+		Network: store.network,
 		Service: "model", Count: 5, Stage: "decode", Events: 2, Delay: 60 * time.Millisecond, Downtime: 1500 * time.Millisecond,
 		IsFatal: func(r emulator.Run) bool { return strings.Contains(r.Header.Get(emulator.HeaderPrompt), "dead:") },
 	})
 	t.Cleanup(fleet.Close)
-	prefiller := emulator.NewUpstream("prefill", "prefill", 2)
-	t.Cleanup(prefiller.Close)
+	prefiller := store.newUpstream(t, "prefill", "prefill", 2)
 	putUpstream(store.Store, prefiller, "ready")
 	instances := newTestCluster(t, store, 3)
 	// Sound requests share the first part with the fatal ones; there are 30 second parts.
@@ -210,9 +214,14 @@
 
 func TestRequestThatCrashesUpstreamsIsContained(t *testing.T) {
 	t.Parallel()
+	synctest.Test(t, testRequestThatCrashesUpstreamsIsContained)
+}
+
+func testRequestThatCrashesUpstreamsIsContained(t *testing.T) {
 	const crashes = 3
-	store := newTestStore(t)
+	store := newMemoryStore(t)
 	fleet := emulator.NewFleet(store.Store, emulator.FleetSettings{
+		Network: store.network,
 		Service: "plain", Count: 3, Delay: 40 * time.Millisecond, Downtime: 1500 * time.Millisecond,
 		IsFatal: func(r emulator.Run) bool { return r.Body == "fatal" },
 	})
--- a/rosemaryspool/inspector/inspector_test.go
+++ b/rosemaryspool/inspector/inspector_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -59,18 +60,23 @@
 		{"engine that resets the connection", false, "decode", "u1", emulator.Resets, 1, 1},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			u := emulator.NewUpstream("u1", c.stage, 1)
-			t.Cleanup(u.Close)
-			u.SetBehaviour(c.behaviour)
-			g := newGovernor(c.other, map[identifier.UpstreamID]*emulator.Upstream{c.listed: u})
-			i := NewInspector(g, connector.NewConnector(connector.DialTCP, func() {}, func(tracker.Entry, *connector.Response) {}), zerolog.Nop())
-			ctx, cancel := context.WithCancel(context.Background())
-			go i.Run(ctx)
-			time.Sleep(3 * interval)
-			cancel()
-			<-i.Done()
-			require.Equal(t, c.reports, u.Reports())
-			require.Len(t, g.ArbitratedEngines(time.Now()), c.unknown)
+			synctest.Test(t, func(t *testing.T) {
+				network := emulator.NewNetwork()
+				u := network.NewUpstream("u1", c.stage, 1)
+				t.Cleanup(u.Close)
+				u.SetBehaviour(c.behaviour)
+				g := newGovernor(c.other, map[identifier.UpstreamID]*emulator.Upstream{c.listed: u})
+				connections := connector.NewConnector(network.Dial, func() {}, func(tracker.Entry, *connector.Response) {})
+				t.Cleanup(connections.Close)
+				i := NewInspector(g, connections, zerolog.Nop())
+				ctx, cancel := context.WithCancel(context.Background())
+				go i.Run(ctx)
+				time.Sleep(3 * interval)
+				cancel()
+				<-i.Done()
+				require.Equal(t, c.reports, u.Reports())
+				require.Len(t, g.ArbitratedEngines(time.Now()), c.unknown)
+			})
 		})
 	}
 }
--- a/standin/emulator/fleet.go
+++ b/standin/emulator/fleet.go
@@ -20,6 +20,21 @@
 	Downtime time.Duration
 	// IsFatal selects the runs that crash the upstream that begins to answer them.
 	IsFatal func(Run) bool
+	// Network is where the upstreams listen; nil for the operating system's.
+	Network *Network
+}
+
+// listen opens a listener for an upstream. A free port at 127.0.0.1 is chosen for port 0.
+func (s FleetSettings) listen(address string) net.Listener {
+	listen := func(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+	if s.Network != nil {
+		listen = s.Network.Listen
+	}
+	listener, err := listen(address)
+	if err != nil {
+		panic(fmt.Sprintf("emulator: listen: %v", err))
+	}
+	return listener
 }
 
 // Fleet is a number of upstreams that crash on certain requests. Each crashed one starts again at its address, under a new
@@ -43,11 +58,7 @@
 func NewFleet(store *Store, settings FleetSettings) *Fleet {
 	f := &Fleet{settings: settings, store: store, running: map[string]*Upstream{}, done: make(chan struct{})}
 	for range settings.Count {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			panic(fmt.Sprintf("emulator: listen: %v", err))
-		}
-		f.start(listener)
+		f.start(settings.listen("127.0.0.1:0"))
 	}
 	return f
 }
@@ -91,11 +102,7 @@
 	if !f.pause(f.settings.Downtime / 2) {
 		return
 	}
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		panic(fmt.Sprintf("emulator: listen: %v", err))
-	}
-	f.start(listener)
+	f.start(f.settings.listen(address))
 }
 
 // pause waits, and returns false if the fleet is closed before.
