Have the soak ask for large answers, and fail resumed streams with 404

Each sixth lookup is answered with a megabyte, which truncating upstreams break off in the middle; upstreams that fail answer resumed streams with 404.

--- a/standin/emulator/response.go
+++ b/standin/emulator/response.go
@@ -84,6 +84,11 @@
 		u.stream(w, r, behaviour)
 	case strings.HasPrefix(r.URL.Path, LargePath):
 		w.Header().Set(HeaderSignature, u.ID+".1")
+		if behaviour == Truncates {
+			w.Header().Set("Content-Length", fmt.Sprint(len(largeBody)))
+			_, _ = w.Write(largeBody[:len(largeBody)/2])
+			panic(http.ErrAbortHandler)
+		}
 		_, _ = w.Write(largeBody)
 	default:
 		u.respond(w, behaviour)
@@ -95,6 +100,9 @@
 
 var largeBody = bytes.Repeat([]byte("large"), 200<<10)
 
+// IsLargeBody reports whether a text is the whole body of a response at LargePath.
+func IsLargeBody(text string) bool { return text == string(largeBody) }
+
 // MemoryTokens is the memory size that engines report.
 const MemoryTokens = 500_000
 
@@ -174,13 +182,17 @@
 
 func (u *Upstream) stream(w http.ResponseWriter, r *http.Request, behaviour Behaviour) {
 	w.Header().Set(HeaderSignature, u.ID+".1")
+	last := 0
+	_, _ = fmt.Sscan(r.Header.Get(HeaderLastEvent), &last)
+	if behaviour == Fails && last > 0 {
+		http.Error(w, "no such stream", http.StatusNotFound)
+		return
+	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.WriteHeader(http.StatusOK)
 	u.mu.Lock()
 	pause := u.pause
 	u.mu.Unlock()
-	last := 0
-	_, _ = fmt.Sscan(r.Header.Get(HeaderLastEvent), &last)
 	truncates := behaviour == Truncates || behaviour == TruncatesNew && last == 0
 	for event := last + 1; event <= u.Events; event++ {
 		if behaviour == SkipsEvent && event == u.Events-1 {
--- a/standin/emulator/upstream.go
+++ b/standin/emulator/upstream.go
@@ -20,7 +20,7 @@
 	Responds Behaviour = iota
 	// Rejects responds with status 503 and states that the request did not run.
 	Rejects
-	// Fails runs the request and responds with status 500.
+	// Fails runs the request and responds with status 500, to a stream that is resumed with 404.
 	Fails
 	// Resets runs the request and closes the connection without a response.
 	Resets
--- a/standin/soaker/caller.go
+++ b/standin/soaker/caller.go
@@ -141,6 +141,8 @@
 	maxResumptions = 2
 	// subjects is the number of second parts that prompts share.
 	subjects = 20
+	// largeOneIn is the share of the lookups that ask for a response of a megabyte.
+	largeOneIn = 6
 )
 
 func newCaller(name string, random *rand.Rand, targets []string) *caller {
@@ -208,6 +210,9 @@
 		uri:       fmt.Sprintf("%s%d?n=%d&q=a%%2Fb", chosen.path, n, c.random.IntN(100)),
 		abandoned: c.random.IntN(abandonOneIn) == 0,
 	}
+	if n%largeOneIn == 0 && chosen.name == "lookups" {
+		a.uri = emulator.LargePath + strings.TrimPrefix(a.uri, chosen.path)
+	}
 	a.part = fmt.Sprint("s", c.random.IntN(subjects))
 	if c.fatal {
 		c.makeFatal(a)
@@ -269,9 +274,24 @@
 	a.signature = response.Header.Get(emulator.HeaderSignature)
 	content, err := io.ReadAll(response.Body)
 	a.content, a.complete = string(content), err == nil
+	if strings.HasPrefix(a.uri, emulator.LargePath) {
+		a.content = summarizeLarge(a.content)
+	}
 	return err == nil || a.abandoned
 }
 
+// maxLargeKept is how much is kept of a large response that is not whole.
+const maxLargeKept = 64
+
+// summarizeLarge replaces a whole large response by the usual one, and shortens others, so that a run's responses fit into
+// memory.
+func summarizeLarge(content string) string {
+	if emulator.IsLargeBody(content) {
+		return emulator.ResponseBody
+	}
+	return content[:min(len(content), maxLargeKept)]
+}
+
 // eventNumbers returns the event IDs of a stream in the order in which they were received.
 func eventNumbers(content string) ([]int, error) {
 	var numbers []int
