--- a/core/budgeter/history_test.go
+++ b/core/budgeter/history_test.go
@@ -112,6 +112,7 @@
 		{"many instances that restart", Settings{Ratio: 0.2, Extra: 202, Window: 10 * time.Second}, 81, 0.2},
 	} {
 		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
 			worst := 0.0
 			for seed := range uint64(60) {
 				h := newHistory(seed, c.settings, c.instances)
