Have instances that don't accuse an upstream probe it

Cause: at the end of an ejection the probe went to the instance that had accused the upstream, unless another one had reached that very upstream before. Where instances that reach one upstream only are the first to send to the others, nobody has: their probes fail, the ejections double, and all instances refuse requests as busy while five of six upstreams are sound. Change: the probe goes to any other instance that has had a response from any upstream lately.

--- a/core/ejector/ejector.go
+++ b/core/ejector/ejector.go
@@ -52,8 +52,6 @@
 	ejectedAt      time.Time
 	// accusers are the instances at which the upstream has been unreachable or silent since it was ejected for that.
 	accusers map[identifier.InstanceID]bool
-	// reachedAt is when instances last had a response.
-	reachedAt map[identifier.InstanceID]time.Time
 	// paths holds the instances that can't reach the upstream although others do.
 	paths map[identifier.InstanceID]path
 }
@@ -69,11 +67,16 @@
 type Ejector struct {
 	settings  Settings
 	upstreams map[identifier.UpstreamID]*health
+	// servedAt is when instances last had a response from any upstream.
+	servedAt map[identifier.InstanceID]time.Time
 }
 
 // NewEjector returns an ejector that tracks no upstreams.
 func NewEjector(settings Settings) *Ejector {
-	return &Ejector{settings: settings, upstreams: make(map[identifier.UpstreamID]*health)}
+	return &Ejector{
+		settings: settings, upstreams: make(map[identifier.UpstreamID]*health),
+		servedAt: make(map[identifier.InstanceID]time.Time),
+	}
 }
 
 // Add starts to track an upstream.
@@ -187,7 +190,7 @@
 	h.ejected, h.ejectedAt = true, now
 	h.cause = cause
 	h.accusers = map[identifier.InstanceID]bool{}
-	maps.DeleteFunc(h.reachedAt, func(_ identifier.InstanceID, at time.Time) bool { return now.Sub(at) >= doubtTime })
+	maps.DeleteFunc(e.servedAt, func(_ identifier.InstanceID, at time.Time) bool { return now.Sub(at) >= doubtTime })
 	h.probes = 0
 	h.ejectedUntil = now.Add(h.ejectionTime)
 }
--- a/core/ejector/path.go
+++ b/core/ejector/path.go
@@ -38,10 +38,7 @@
 // paths.
 func (e *Ejector) reached(now time.Time, h *health, by identifier.InstanceID) {
 	h.respondedAt = now
-	if h.reachedAt == nil {
-		h.reachedAt = map[identifier.InstanceID]time.Time{}
-	}
-	h.reachedAt[by] = now
+	e.servedAt[by] = now
 	delete(h.paths, by)
 	if !h.ejected || len(h.accusers) == 0 || h.accusers[by] || now.Sub(h.ejectedAt) < contradictionDelay {
 		return
@@ -70,13 +67,13 @@
 		return true
 	default:
 		// Another instance is to send the probe at the end of the ejection.
-		return h.ejected && h.accusers[by] && now.Before(h.ejectedUntil.Add(e.settings.BaseEjectionTime)) && h.othersReach(now)
+		return h.ejected && h.accusers[by] && now.Before(h.ejectedUntil.Add(e.settings.BaseEjectionTime)) && e.othersServe(now, h)
 	}
 }
 
-// othersReach reports whether an instance that doesn't accuse the upstream has had a response from it lately.
-func (h *health) othersReach(now time.Time) bool {
-	for instance, at := range h.reachedAt {
+// othersServe reports whether an instance that doesn't accuse an upstream has had a response from any upstream lately.
+func (e *Ejector) othersServe(now time.Time, h *health) bool {
+	for instance, at := range e.servedAt {
 		if now.Sub(at) < doubtTime && !h.accusers[instance] {
 			return true
 		}
