--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PACKAGES := $(MODULES:%=./%/...)
 TOOLS := $(CURDIR)/bin/tools
 
-.PHONY: format-generated tools build test race vet format check-format lint generate check-generated check demo soak clean
+.PHONY: format-generated list-packages tools build test race vet format check-format lint generate check-generated check demo soak clean
 
 tools:
 	cd tools && GOWORK=off go build -o $(TOOLS)/ tool
@@ -13,6 +13,9 @@
 test:
 	go test $(TESTFLAGS) $(PACKAGES)
 
+list-packages:
+	@go list $(PACKAGES)
+
 race:
 	$(MAKE) test TESTFLAGS=-race
 
