--- a/standin/soaker/soaker.go
+++ b/standin/soaker/soaker.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -56,6 +57,9 @@
 // yet that an upstream has ended would else reach one of another run at the same port.
 func (s *Settings) upstreamIP() string { return fmt.Sprintf("127.%d.1.1", s.Network) }
 
+// claimAddress returns the address that a run keeps open, so that no other one uses its network.
+func (s *Settings) claimAddress() string { return fmt.Sprintf("127.%d.2.1:47077", s.Network) }
+
 // Report counts what one run sent, observed and injected, and lists the violations found.
 type Report struct {
 	Seed     uint64
@@ -109,6 +113,8 @@
 	log        zerolog.Logger
 	store      *emulator.Store
 	server     *httptest.Server
+	// claim is open as long as no other run may use the network.
+	claim net.Listener
 	// backends grows when upstreams are replaced; backendsMu guards it.
 	backendsMu sync.Mutex
 	backends   []*backend
@@ -141,7 +147,12 @@
 
 // NewSoaker starts the stand-ins. The gateways are started by Run.
 func NewSoaker(settings Settings) (*Soaker, error) {
+	claim, err := net.Listen("tcp", settings.claimAddress())
+	if err != nil {
+		return nil, fmt.Errorf("soaker: network %d is used by another run: %w", settings.Network, err)
+	}
 	s := &Soaker{
+		claim:    claim,
 		settings: settings, random: rand.New(rand.NewPCG(settings.Seed, 1)), departures: newDepartures(settings.Seed),
 		log:   zerolog.New(zerolog.SyncWriter(settings.Log)).With().Timestamp().Logger(),
 		store: emulator.NewStore(), client: &http.Client{Timeout: time.Second}, closed: make(chan struct{}),
@@ -199,6 +210,7 @@
 
 // Close ends all processes, proxies and servers of the run.
 func (s *Soaker) Close() {
+	defer s.claim.Close()
 	for _, p := range s.processes {
 		p.close()
 	}
