--- a/core/continuer/continuer.go
+++ b/core/continuer/continuer.go
@@ -31,9 +31,6 @@
 	Broken
 )
 
-// String returns the name of the state as written in logs.
-func (s State) String() string { return [...]string{"unwritten", "begun", "ended", "broken"}[s] }
-
 // Answer is the head of an upstream's answer to one attempt. An instance that has served a request for this one counts as an
 // upstream.
 type Answer struct {
