Say why a request is blocked instead of which of three types follows

Follow returned one of three types of which its only caller read one; the event to resume after stands in LastEventID. Blocked returns the cause. The table of the test has the same cases and outcomes. Ids of servers and instances are checked in one place.

--- a/core/continuer/continuer.go
+++ b/core/continuer/continuer.go
@@ -156,40 +156,26 @@
 // Break records that the response ends before its end, or that the caller has left.
 func (r *Response) Break() { r.state = Broken }
 
-// Following says what may follow after an attempt that has not completed the response. It is one of Again, After and End.
-type Following interface{ isFollowing() }
-
-type (
-	// Again means that the request may be sent once more from the beginning.
-	Again struct{}
-	// After means that the request may be sent once more, to go on after the event with ID.
-	After struct{ ID string }
-	// End means that it must not be sent any more. If a part of the response is written, it is to be broken off.
-	End struct{ Cause string }
-)
-
-func (Again) isFollowing() {}
-func (After) isFollowing() {}
-func (End) isFollowing()   {}
-
 // CauseMayHaveRun is a request that may have run and must not run twice.
 const CauseMayHaveRun = "mayHaveRun"
 
-// Follow decides what may follow after an attempt. ran is true if its upstream may have run the request.
-func (r *Response) Follow(ran bool) Following {
+// Blocked returns why the request must not be sent again after an attempt that has not completed the response; if a part of
+// it is written, it is to be broken off. It returns an empty string if the request may be sent, after the event LastEventID if
+// there is one. ran is true if the attempt's upstream may have run the request.
+func (r *Response) Blocked(ran bool) string {
 	switch {
 	case r.state == Ended || r.state == Broken:
-		return End{CausePartWritten}
+		return CausePartWritten
 	case ran && !r.route.Repeatable:
-		return End{CauseMayHaveRun}
+		return CauseMayHaveRun
 	case r.state == Unwritten:
-		return Again{}
+		return ""
 	case !r.stream || !r.route.Repeatable:
-		return End{CausePartWritten}
+		return CausePartWritten
 	case !isNumber(r.lastID):
-		return End{CauseNoEventID}
+		return CauseNoEventID
 	default:
-		return After{r.lastID}
+		return ""
 	}
 }
 
--- a/core/continuer/continuer_test.go
+++ b/core/continuer/continuer_test.go
@@ -68,7 +68,7 @@
 	}
 }
 
-func TestFollow(t *testing.T) {
+func TestBlocked(t *testing.T) {
 	ended, broken := begun(resumable, "2"), begun(resumable, "2")
 	ended.Complete()
 	broken.Break()
@@ -77,26 +77,29 @@
 	for _, c := range []struct {
 		name     string
 		response *Response
-		// notExecuted and ran are what follows if the upstream has certainly not run the request, and if it may have.
-		notExecuted, ran Following
+		// notExecuted and ran are why nothing follows if the upstream has certainly not run the request, and if it may have;
+		// after is the event after which the request is sent again where it may be.
+		notExecuted, ran string
+		after            string
 	}{
-		{"nothing of an answer that may run once", NewResponse(once), Again{}, End{CauseMayHaveRun}},
-		{"nothing of an answer that may run again", NewResponse(repeatable), Again{}, Again{}},
-		{"nothing of a stream that may run once", NewResponse(stream), Again{}, End{CauseMayHaveRun}},
-		{"nothing of a stream that may be resumed", NewResponse(resumable), Again{}, Again{}},
-		{"part of an answer that may run once", begun(once, ""), End{CausePartWritten}, End{CauseMayHaveRun}},
-		{"part of an answer that may run again", begun(repeatable, ""), End{CausePartWritten}, End{CausePartWritten}},
-		{"part of a stream that may run once", begun(stream, "2"), End{CausePartWritten}, End{CauseMayHaveRun}},
-		{"part of a stream that may be resumed", begun(resumable, "2"), After{"2"}, After{"2"}},
-		{"part of a stream without ids", begun(resumable, ""), End{CauseNoEventID}, End{CauseNoEventID}},
-		{"part of a stream whose ids are no numbers", begun(resumable, "b"), End{CauseNoEventID}, End{CauseNoEventID}},
-		{"header of a stream", headerOnly, End{CauseNoEventID}, End{CauseNoEventID}},
-		{"whole response", ended, End{CausePartWritten}, End{CausePartWritten}},
-		{"response that broke off", broken, End{CausePartWritten}, End{CausePartWritten}},
+		{"nothing of an answer that may run once", NewResponse(once), "", CauseMayHaveRun, ""},
+		{"nothing of an answer that may run again", NewResponse(repeatable), "", "", ""},
+		{"nothing of a stream that may run once", NewResponse(stream), "", CauseMayHaveRun, ""},
+		{"nothing of a stream that may be resumed", NewResponse(resumable), "", "", ""},
+		{"part of an answer that may run once", begun(once, ""), CausePartWritten, CauseMayHaveRun, ""},
+		{"part of an answer that may run again", begun(repeatable, ""), CausePartWritten, CausePartWritten, ""},
+		{"part of a stream that may run once", begun(stream, "2"), CausePartWritten, CauseMayHaveRun, "2"},
+		{"part of a stream that may be resumed", begun(resumable, "2"), "", "", "2"},
+		{"part of a stream without ids", begun(resumable, ""), CauseNoEventID, CauseNoEventID, ""},
+		{"part of a stream whose ids are no numbers", begun(resumable, "b"), CauseNoEventID, CauseNoEventID, "b"},
+		{"header of a stream", headerOnly, CauseNoEventID, CauseNoEventID, ""},
+		{"whole response", ended, CausePartWritten, CausePartWritten, "2"},
+		{"response that broke off", broken, CausePartWritten, CausePartWritten, "2"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			require.Equal(t, c.notExecuted, c.response.Follow(false))
-			require.Equal(t, c.ran, c.response.Follow(true))
+			require.Equal(t, c.notExecuted, c.response.Blocked(false))
+			require.Equal(t, c.ran, c.response.Blocked(true))
+			require.Equal(t, c.after, c.response.LastEventID())
 		})
 	}
 }
--- a/rosemaryspool/forwarder/retry.go
+++ b/rosemaryspool/forwarder/retry.go
@@ -5,8 +5,6 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
-
-	"rosemaryspool.example/core/continuer"
 )
 
 // unsentCause counts an attempt of which no upstream has received anything. It returns causeUnsent once there are too many
@@ -33,7 +31,7 @@
 // and returns an empty string.
 func (e *exchange) checkRetry(end attemptResult) string {
 	now := time.Now()
-	ending, over := e.response.Follow(end != notExecuted).(continuer.End)
+	blocked := e.response.Blocked(end != notExecuted)
 	switch {
 	case e.request.Context().Err() != nil:
 		return "callerLeft"
@@ -41,8 +39,8 @@
 		return e.keyRefusal()
 	case e.deadline.Sub(now) < minTimeLeft:
 		return "deadline"
-	case over:
-		return ending.Cause
+	case blocked != "":
+		return blocked
 	case e.runs >= e.route.MaxAttempts:
 		return "attemptsUsed"
 	case e.sends >= maxSends:
--- a/rosemaryspool/subscriber/applier.go
+++ b/rosemaryspool/subscriber/applier.go
@@ -47,7 +47,7 @@
 		for _, r := range records {
 			id := identifier.UpstreamID(r.Key)
 			if len(r.Value) == 0 {
-				if platform.IsServerID(r.Key) {
+				if platform.IsID(r.Key) {
 					changed = t.Delete(now, id, r.Offset) || changed
 					accepted = append(accepted, r)
 				}
