--- a/core/ejector/ejector_test.go
+++ b/core/ejector/ejector_test.go
@@ -120,6 +120,11 @@
 			e.Responded(at(-600), "u", "y")
 			e.Unreachable(at(-550), "u", "x")
 		}, Probed, []identifier.InstanceID{"x"}},
+		{"the probe is left to one that has reached another upstream", func(e *Ejector) {
+			e.Add("v")
+			e.Responded(at(-600), "v", "y")
+			e.Unreachable(at(-550), "u", "x")
+		}, Probed, []identifier.InstanceID{"x"}},
 		{"there is no other one", func(e *Ejector) {
 			e.Responded(at(-600), "u", "x")
 			e.Unreachable(at(-550), "u", "x")
