Share what tests of versions, raw upstreams and restarts do in common

The scripted upstreams listen like the raw ones of the tests of endless bodies; streams are begun and taken up in one place, which requires of each one that goes on that it is complete and has the right events; an instance restarts in an outage in one place.

--- a/rosemaryspool/gatekeeper/endless_test.go
+++ b/rosemaryspool/gatekeeper/endless_test.go
@@ -24,6 +24,25 @@
 func startRawUpstream(
 	t *testing.T, store testStore, service, stage, head string, respond func(conn net.Conn) error,
 ) {
+	t.Helper()
+	serveRaw(t, store, "raw", service, stage, "v1", func(conn net.Conn) {
+		request, err := http.ReadRequest(bufio.NewReader(conn))
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, request.Body); err != nil {
+			return
+		}
+		_, err = fmt.Fprintf(conn, "HTTP/1.1 %s\r\n%s: %s\r\n\r\n", head, emulator.HeaderAttempt,
+			request.Header.Get(emulator.HeaderAttempt))
+		if err == nil {
+			_ = respond(conn)
+		}
+	})
+}
+
+// serveRaw registers an upstream of a version that handles each connection, and closes it then.
+func serveRaw(t *testing.T, store testStore, id, service, stage, version string, handle func(conn net.Conn)) {
 	t.Helper()
 	listener, err := store.openers().Listen(anyAddress)
 	require.NoError(t, err)
@@ -36,24 +55,13 @@
 			}
 			go func() {
 				defer conn.Close()
-				request, err := http.ReadRequest(bufio.NewReader(conn))
-				if err != nil {
-					return
-				}
-				if _, err := io.Copy(io.Discard, request.Body); err != nil {
-					return
-				}
-				_, err = fmt.Fprintf(conn, "HTTP/1.1 %s\r\n%s: %s\r\n\r\n", head, emulator.HeaderAttempt,
-					request.Header.Get(emulator.HeaderAttempt))
-				if err == nil {
-					_ = respond(conn)
-				}
+				handle(conn)
 			}()
 		}
 	}()
-	store.Put(platform.TopicServers, "raw", fmt.Appendf(nil,
-		`{"service":%q,"address":%q,"zone":"here","version":"v1","slots":6,"state":"ready","stage":%q,"sequence":1,"born":1}`,
-		service, listener.Addr(), stage))
+	store.Put(platform.TopicServers, id, fmt.Appendf(nil,
+		`{"service":%q,"address":%q,"zone":"here","version":%q,"slots":6,"state":"ready","stage":%q,"sequence":1,"born":1}`,
+		service, listener.Addr(), version, stage))
 }
 
 // writeForever writes a text until the connection is closed, 128 MiB in a second.
--- a/rosemaryspool/gatekeeper/response_test.go
+++ b/rosemaryspool/gatekeeper/response_test.go
@@ -18,7 +18,6 @@
 
 	"github.com/stretchr/testify/require"
 
-	"rosemaryspool.example/platform"
 	"rosemaryspool.example/standin/emulator"
 )
 
@@ -77,25 +76,10 @@
 // start starts an upstream on the network of a store and lists it. What the streams of two versions say differs.
 func (f *scriptedFleet) start(t *testing.T, store testStore, id, service, stage, version string) {
 	t.Helper()
-	listener, err := store.network.Listen("127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go f.serve(conn, id, version)
-		}
-	}()
-	store.Put(platform.TopicServers, id, fmt.Appendf(nil,
-		`{"service":%q,"address":%q,"zone":"here","slots":6,"state":"ready","stage":%q,"version":%q,"born":1}`,
-		service, listener.Addr(), stage, version))
+	serveRaw(t, store, id, service, stage, version, func(conn net.Conn) { f.serve(conn, id, version) })
 }
 
 func (f *scriptedFleet) serve(conn net.Conn, id, version string) {
-	defer conn.Close()
 	reader := bufio.NewReader(conn)
 	for {
 		request, err := http.ReadRequest(reader)
--- a/rosemaryspool/gatekeeper/version_test.go
+++ b/rosemaryspool/gatekeeper/version_test.go
@@ -79,6 +79,35 @@
 	return responses
 }
 
+// beginStreams begins streams at an instance that break off after two events.
+func beginStreams(t *testing.T, at *testInstance) {
+	t.Helper()
+	for _, r := range sendStreams([]*testInstance{at}, dialogs, func(n int) []string {
+		return []string{emulator.HeaderAttempt, fmt.Sprintf("s%d", n), emulator.HeaderDeadline, "20000"}
+	}) {
+		require.False(t, r.complete)
+	}
+}
+
+// resumeStreams takes these streams up at instances in turn, and returns how many went on; they have to go on to the end.
+func resumeStreams(t *testing.T, at ...*testInstance) int {
+	t.Helper()
+	wentOn := 0
+	for _, r := range sendStreams(at, dialogs, func(n int) []string {
+		return []string{
+			emulator.HeaderAttempt, fmt.Sprintf("r%d", n), emulator.HeaderResumes, fmt.Sprintf("s%d", n),
+			emulator.HeaderLastEvent, "2",
+		}
+	}) {
+		if r.status == http.StatusOK {
+			require.True(t, r.complete)
+			require.Equal(t, events(3, 4), r.body)
+			wentOn++
+		}
+	}
+	return wentOn
+}
+
 func TestInstanceResumesStreamsOnlyAtTheVersionThatBeganThem(t *testing.T) {
 	t.Parallel()
 	synctest.Test(t, testInstanceResumesStreamsOnlyAtTheVersionThatBeganThem)
@@ -115,32 +144,14 @@
 				store := newMemoryStore(t)
 				upstreams := newVersionedUpstreams(t, store)
 				instances := newTestCluster(t, store, 3)
-				begun := sendStreams(instances[:1], dialogs, func(n int) []string {
-					return []string{emulator.HeaderAttempt, fmt.Sprintf("s%d", n), emulator.HeaderDeadline, "20000"}
-				})
-				for _, r := range begun {
-					require.False(t, r.complete)
-				}
+				beginStreams(t, instances[0])
 				if c.stop {
 					// Work reports go to the arbiter's stand-by every 300 ms.
 					time.Sleep(600 * time.Millisecond)
 					instances[0].stop()
 					<-instances[0].gatekeeper.Done()
 				}
-				resumed := sendStreams(instances[1:], dialogs, func(n int) []string {
-					return []string{
-						emulator.HeaderAttempt, fmt.Sprintf("r%d", n), emulator.HeaderResumes, fmt.Sprintf("s%d", n),
-						emulator.HeaderLastEvent, "2",
-					}
-				})
-				wentOn := 0
-				for _, r := range resumed {
-					if r.complete && r.status == http.StatusOK {
-						require.Equal(t, events(3, 4), r.body)
-						wentOn++
-					}
-				}
-				require.Equal(t, testStreams, wentOn)
+				require.Equal(t, testStreams, resumeStreams(t, instances[1:]...))
 				requireOneVersion(t, upstreams)
 			})
 		})
@@ -202,34 +213,6 @@
 	}
 }
 
-// begin begins streams at an instance, which break off after two events.
-func (f *versionFleet) begin(at *testInstance) {
-	f.t.Helper()
-	for _, r := range sendStreams([]*testInstance{at}, dialogs, func(n int) []string {
-		return []string{emulator.HeaderAttempt, fmt.Sprintf("s%d", n), emulator.HeaderDeadline, "20000"}
-	}) {
-		require.False(f.t, r.complete)
-	}
-}
-
-// resume takes the streams up at an instance, and returns how many went on.
-func (f *versionFleet) resume(at *testInstance) int {
-	f.t.Helper()
-	wentOn := 0
-	for _, r := range sendStreams([]*testInstance{at}, dialogs, func(n int) []string {
-		return []string{
-			emulator.HeaderAttempt, fmt.Sprintf("r%d", n), emulator.HeaderResumes, fmt.Sprintf("s%d", n),
-			emulator.HeaderLastEvent, "2", emulator.HeaderDeadline, "20000",
-		}
-	}) {
-		if r.status == http.StatusOK {
-			wentOn++
-		}
-	}
-	requireOneVersion(f.t, f.upstreams)
-	return wentOn
-}
-
 func TestStreamsAreNeverJoinedFromTwoVersions(t *testing.T) {
 	for _, c := range []struct {
 		name string
@@ -239,34 +222,34 @@
 		wentOn int
 	}{
 		{"all instances were killed after the old version had left", func(f *versionFleet) int {
-			f.begin(f.instances[0])
+			beginStreams(f.t, f.instances[0])
 			f.store.Put(platform.TopicServers, "u1", nil)
 			f.put("u2", "v2")
 			time.Sleep(time.Second)
 			f.restart()
-			return f.resume(f.instances[1])
+			return resumeStreams(f.t, f.instances[1])
 		}, 0},
 		{"all instances were killed before the new version came", func(f *versionFleet) int {
-			f.begin(f.instances[0])
+			beginStreams(f.t, f.instances[0])
 			f.restart()
 			f.store.Put(platform.TopicServers, "u1", nil)
 			f.put("u2", "v2")
 			time.Sleep(time.Second)
-			return f.resume(f.instances[1])
+			return resumeStreams(f.t, f.instances[1])
 		}, 0},
 		{"all instances were killed before the streams began", func(f *versionFleet) int {
 			f.restart()
-			f.begin(f.instances[0])
+			beginStreams(f.t, f.instances[0])
 			time.Sleep(600 * time.Millisecond)
 			f.instances[0].stop()
 			<-f.instances[0].gatekeeper.Done()
-			return f.resume(f.instances[1])
+			return resumeStreams(f.t, f.instances[1])
 		}, testStreams},
 		{"one instance was killed", func(f *versionFleet) int {
-			f.begin(f.instances[0])
+			beginStreams(f.t, f.instances[0])
 			f.instances[0].stop()
 			<-f.instances[0].gatekeeper.Done()
-			return f.resume(f.instances[1])
+			return resumeStreams(f.t, f.instances[1])
 		}, testStreams},
 		{"an instance is out of step as the new version comes", func(f *versionFleet) int {
 			f.store.separation.set(true)
@@ -274,8 +257,8 @@
 			f.store.Put(platform.TopicServers, "u1", f.upstreams[0].Entry("model", "draining"))
 			f.put("u2", "v2")
 			time.Sleep(time.Second)
-			f.begin(f.instances[0])
-			return f.resume(f.instances[2])
+			beginStreams(f.t, f.instances[0])
+			return resumeStreams(f.t, f.instances[2])
 		}, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -295,6 +278,7 @@
 				}
 				time.Sleep(testSettings(f.store).RetryWindow)
 				require.Equal(t, c.wentOn, c.play(f))
+				requireOneVersion(t, f.upstreams)
 			})
 		})
 	}
--- a/rosemaryspool/subscriber/odd_test.go
+++ b/rosemaryspool/subscriber/odd_test.go
@@ -75,12 +75,7 @@
 					requireListed(i)
 				}
 				// One that starts has to get the list from its neighbours, as the store is down.
-				cl.store.SetFault(emulator.Silent)
-				cl.instances[1].stop()
-				self := cl.instances[1].self
-				self.StartedMs++
-				started := startInstance(t, cl.network, self, cl.address, false, self.Address, cl.instances[0].self.Address)
-				require.Eventually(t, started.governor.Ready, 4*time.Second, 10*time.Millisecond)
+				started := cl.restartDuringOutage(t)
 				requireListed(started)
 				cl.store.SetFault(emulator.Healthy)
 				time.Sleep(5 * time.Second)
--- a/rosemaryspool/subscriber/subscriber_test.go
+++ b/rosemaryspool/subscriber/subscriber_test.go
@@ -499,12 +499,19 @@
 func testRestartDuringOutageLearnsFromNeighbours(t *testing.T) {
 	cl := newClusterOf(t, 3, putOneUpstream)
 	cl.waitReady(t)
+	cl.restartDuringOutage(t)
+}
+
+// restartDuringOutage has the store fall silent, restarts the second instance and waits until it is ready.
+func (cl *cluster) restartDuringOutage(t *testing.T) *instance {
+	t.Helper()
 	cl.store.SetFault(emulator.Silent)
 	cl.instances[1].stop()
 	self := cl.instances[1].self
 	self.StartedMs++
 	started := startInstance(t, cl.network, self, cl.address, false, self.Address, cl.instances[0].self.Address)
 	require.Eventually(t, started.governor.Ready, 4*time.Second, 10*time.Millisecond)
+	return started
 }
 
 // An instance that the store turns away follows the changes through its neighbours, and doesn't ask in vain.
