--- a/rosemaryspool/gatekeeper/gatekeeper_test.go
+++ b/rosemaryspool/gatekeeper/gatekeeper_test.go
@@ -58,7 +58,7 @@
 
 // testInstance is one instance with a fake store and fake upstreams.
 type testInstance struct {
-	t     *testing.T
+	t     testing.TB
 	store *emulator.Store
 	// dial opens connections to the instance.
 	dial       connector.Dial
@@ -93,7 +93,7 @@
 }
 
 // newMemoryStore starts a store on a network in memory, for a test on the paused clock.
-func newMemoryStore(t *testing.T) testStore {
+func newMemoryStore(t testing.TB) testStore {
 	t.Helper()
 	store, network := emulator.NewStore(), emulator.NewNetwork()
 	server := network.Serve(store)
@@ -105,7 +105,7 @@
 }
 
 // newUpstream starts an upstream on the network of the store.
-func (s testStore) newUpstream(t *testing.T, id, stage string, events int) *emulator.Upstream {
+func (s testStore) newUpstream(t testing.TB, id, stage string, events int) *emulator.Upstream {
 	t.Helper()
 	start := emulator.NewUpstream
 	if s.network != nil {
@@ -158,13 +158,13 @@
 }
 
 // startTestInstance starts an instance that follows a store.
-func startTestInstance(t *testing.T, store testStore, settings platform.Settings) *testInstance {
+func startTestInstance(t testing.TB, store testStore, settings platform.Settings) *testInstance {
 	t.Helper()
 	return startLoggingInstance(t, store, settings, zerolog.NewTestWriter(t))
 }
 
 // startLoggingInstance starts an instance that writes its log to a writer.
-func startLoggingInstance(t *testing.T, store testStore, settings platform.Settings, log io.Writer) *testInstance {
+func startLoggingInstance(t testing.TB, store testStore, settings platform.Settings, log io.Writer) *testInstance {
 	t.Helper()
 	network := store.openers()
 	ti := &testInstance{t: t, store: store.Store, dial: network.Dial, link: newLink(network.Dial)}
