Take a retry for a request that is passed on after a separate prefill

Cause: where the decode engine could not be reached after an accepted prefill, the request was passed on without a retry, and the other instance had the prompt prefilled again, which counts for the platform's budget. Change: a request that has had a prefill accepted takes a retry before it is passed on or declined.

--- a/rosemaryspool/forwarder/detour.go
+++ b/rosemaryspool/forwarder/detour.go
@@ -105,7 +105,11 @@
 	if e.passedOn != nil || !e.response.IsUnwritten() || !e.forwarder.governor.PathLost(e.service) {
 		return result{}, false
 	}
-	for _, peer := range e.forwarder.governor.Detours(time.Now(), maxPeers) {
+	peers := e.forwarder.governor.Detours(time.Now(), maxPeers)
+	if len(peers) > 0 && e.prefilled && !e.takeRetry() {
+		return result{}, false
+	}
+	for _, peer := range peers {
 		if r, done := e.passOn(peer); done {
 			return r, true
 		}
@@ -147,8 +151,9 @@
 
 // takeReroute takes the retry that another instance is going to send from the budget. It returns false if none is left.
 func (e *exchange) takeReroute(cause string) bool {
-	// For the other causes, checkRetry has taken it, or nothing has arrived at an upstream.
-	return cause != causeSendsUsed || e.takeRetry()
+	// For the other causes, checkRetry has taken it, or nothing has arrived at an upstream but maybe a prefill. The other
+	// instance doesn't know of that one and may have the prompt prefilled again.
+	return cause != causeSendsUsed && !e.prefilled || e.takeRetry()
 }
 
 // isUnplaced reports whether a request was refused because none of the upstreams that this instance reaches can take it.
--- a/rosemaryspool/forwarder/forwarder.go
+++ b/rosemaryspool/forwarder/forwarder.go
@@ -179,6 +179,8 @@
 	unsent         int
 	tried          []identifier.UpstreamID
 	singleUpstream bool
+	// prefilled is true once a separate prefill has been accepted: a further one counts for the retry budget.
+	prefilled bool
 	// response is what is with the caller, and decides what may follow.
 	response *continuer.Response
 	events   *eventWriter
--- a/rosemaryspool/forwarder/prefill.go
+++ b/rosemaryspool/forwarder/prefill.go
@@ -61,6 +61,7 @@
 		return false
 	}
 	outcome = allocator.OutcomeCompleted
+	e.prefilled = true
 	e.last.cacheHandle = handle
 	e.last.cacheSource = platform.KVSource(prefiller.Address, handle)
 	return true
