Take a request as not run only by the header, with the request's id

Callers of requests that must run at most once had them run at two servers (TWICE), or were told 503 while a server ran them (REFUSED).

Cause: an answer with status 421 counted as "not run" without the header that states it, and a refusal without an attempt id, first on a new connection, counted for the request that had just been sent. TestRefusalsCountOnlyWithTheHeaderAndTheRequestsID failed in all 10 cases before, TestStatusesOfUpstreamsPromiseNothingByThemselves with 421 in all 4; they pass now.

--- a/rosemaryspool/connector/exchange.go
+++ b/rosemaryspool/connector/exchange.go
@@ -51,6 +51,9 @@
 	Status int
 	Header http.Header
 	Body   io.Reader
+	// Identified reports whether the response says that it belongs to the request. It is false only for the first response on a
+	// connection, where it says nothing.
+	Identified bool
 	// Unframed reports whether the end of the body is marked only by the close of the connection.
 	Unframed bool
 
@@ -135,6 +138,7 @@
 		same, known := request.Matches(response.Header)
 		if same || (!known && r.conn.exchanges == 1) {
 			r.setResponse(response)
+			r.Identified = same
 			return nil
 		}
 		if r.conn.exchanges == 1 {
--- a/rosemaryspool/forwarder/attempt.go
+++ b/rosemaryspool/forwarder/attempt.go
@@ -226,7 +226,7 @@
 		return maybeExecuted, outcome
 	}
 	e.last.status = response.Status
-	if platform.NotExecuted(response.Status, response.Header) {
+	if response.Identified && platform.NotExecuted(response.Status, response.Header) {
 		_, err := bounder.ReadAll(response.Body, maxHandleBytes)
 		response.Close(err == nil)
 		return notExecuted, rejectedOutcome(response)
--- a/rosemaryspool/gatekeeper/promise_test.go
+++ b/rosemaryspool/gatekeeper/promise_test.go
@@ -62,11 +62,45 @@
 	return fmt.Sprintf("HTTP/1.1 %d Status\r\n%sContent-Length: 0\r\n\r\n", status, lines)
 }
 
+func TestRefusalsCountOnlyWithTheHeaderAndTheRequestsID(t *testing.T) {
+	// A request that ran was taken as refused, and ran at a second server or was refused to its caller.
+	const states = emulator.HeaderNotExecuted + ": 1\r\n"
+	named := func(id string) string { return emulator.HeaderAttempt + ": " + id + "\r\n" }
+	for _, path := range []string{orders, notes} {
+		for _, c := range []struct {
+			name    string
+			respond func(id string) string
+		}{
+			{"misdirected without the header", func(id string) string { return rawFailure(421, named(id)) }},
+			{"refusal without an id", func(string) string { return rawFailure(503, states) }},
+			{"misdirected without an id", func(string) string { return rawFailure(421, states) }},
+			{"refusal without an id before the answer", func(id string) string {
+				return rawFailure(503, states) + rawFailure(500, named(id))
+			}},
+			{"success that states a refusal, unsigned", func(id string) string { return rawFailure(200, named(id)+states) }},
+		} {
+			t.Run(path+" "+c.name, func(t *testing.T) {
+				t.Parallel()
+				synctest.Test(t, func(t *testing.T) {
+					store := newMemoryStore(t)
+					runs := startFalseUpstreams(t, store, c.respond)
+					ti := startTestInstance(t, store, testSettings(store))
+					ti.makeReady()
+					time.Sleep(ti.gatekeeper.settings.RetryWindow)
+					r := ti.send(http.MethodPost, path+"x", "b", promptHeaders()...)
+					require.Equal(t, http.StatusBadGateway, r.status)
+					require.Equal(t, 1, runs("a1"))
+				})
+			})
+		}
+	}
+}
+
 func TestStatusesOfUpstreamsPromiseNothingByThemselves(t *testing.T) {
-	// A server's own 408, 429 or 503 reached callers, who took it as a promise that the request had not run.
+	// A server's own 408, 421, 429 or 503 reached callers, who took it as a promise that the request had not run.
 	const signature = emulator.HeaderSignature + ": s.1\r\n"
 	for _, path := range []string{orders, notes} {
-		for _, status := range []int{408, 429, 503} {
+		for _, status := range []int{408, 421, 429, 503} {
 			for _, passedOn := range []bool{false, true} {
 				t.Run(fmt.Sprintf("%s %d, passed on %v", path, status, passedOn), func(t *testing.T) {
 					t.Parallel()
--- a/standin/emulator/response.go
+++ b/standin/emulator/response.go
@@ -37,6 +37,7 @@
 	id := r.Header.Get(HeaderAttempt)
 	w.Header().Set(HeaderAttempt, id)
 	if expected := r.Header.Get(HeaderExpect); expected != "" && expected != u.ID {
+		w.Header().Set(HeaderNotExecuted, "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
