Don't pass such a status on for requests that may run again either

Callers of lookups and of resumable streams got a server's own 503 as a promise that the request had not run. They may repeat these requests, but they honour the promise and its Retry-After, and the refusal hides that an answer was lost. Cause: the answer was kept as one that is written if there is no better one. Change: it is discarded, as for requests that may run once; another upstream is tried, and the caller gets 502 if none has an answer. The cases of lookups and dialogs in TestStatusesOfUpstreamsPromiseNothingByThemselves, 16, failed before.

--- a/core/continuer/continuer.go
+++ b/core/continuer/continuer.go
@@ -129,9 +129,9 @@
 		return Discard{CauseNoStream}
 	case isStream:
 		return Relay{}
-	case a.promises() && !a.Own && !r.route.Repeatable:
+	case a.promises() && !a.Own:
 		return Discard{CauseNoPromise}
-	case (a.promises() || a.Status >= http.StatusInternalServerError) && r.route.Repeatable && !a.Final:
+	case a.Status >= http.StatusInternalServerError && r.route.Repeatable && !a.Final:
 		return Keep{}
 	default:
 		return Deliver{}
--- a/rosemaryspool/gatekeeper/promise_test.go
+++ b/rosemaryspool/gatekeeper/promise_test.go
@@ -99,10 +99,13 @@
 func TestStatusesOfUpstreamsPromiseNothingByThemselves(t *testing.T) {
 	// A server's own 408, 421, 429 or 503 reached callers, who took it as a promise that the request had not run.
 	const signature = emulator.HeaderSignature + ": s.1\r\n"
-	for _, path := range []string{orders, notes} {
+	for _, c := range []struct {
+		path string
+		runs int
+	}{{orders, 1}, {notes, 1}, {dialogs, 1}, {lookups, 2}} {
 		for _, status := range []int{408, 421, 429, 503} {
 			for _, passedOn := range []bool{false, true} {
-				t.Run(fmt.Sprintf("%s %d, passed on %v", path, status, passedOn), func(t *testing.T) {
+				t.Run(fmt.Sprintf("%s %d, passed on %v", c.path, status, passedOn), func(t *testing.T) {
 					t.Parallel()
 					synctest.Test(t, func(t *testing.T) {
 						store := newMemoryStore(t)
@@ -114,10 +117,10 @@
 							losePath(t, ti)
 						}
 						time.Sleep(ti.gatekeeper.settings.RetryWindow)
-						r := ti.send(http.MethodPost, path+"x", "b", promptHeaders()...)
+						r := ti.send(http.MethodPost, c.path+"x", "b", promptHeaders()...)
 						require.Equal(t, http.StatusBadGateway, r.status)
 						require.Empty(t, r.header.Get(emulator.HeaderSignature))
-						require.Equal(t, 1, runs("a1"))
+						require.Equal(t, c.runs, runs("a1"))
 					})
 				})
 			}
