Have upstreams of the soak respond falsely

Why: the reports of other operators and our own users name upstreams whose responses say something else than what the upstream has done; the soak had none. Change: upstreams answer a request that they ran with 503 or 421 without stating that it did not run, send a refusal without an id or an earlier refusal once more before their answer, close within a head, and answer a resumed stream with status 200 and something else than the events that are due. A stream must now be the upstream's events byte for byte.

--- a/standin/commander/soak.go
+++ b/standin/commander/soak.go
@@ -27,6 +27,7 @@
 			intFlag("callers", 24, "number of callers in each run"),
 			intFlag("network", 77, "second byte of the gateways' loopback addresses; must differ between concurrent runs"),
 			&cli.DurationFlag{Name: "event-pause", Usage: "time between two events of a stream, such as 60ms"},
+			&cli.BoolFlag{Name: "false-answers", Usage: "upstreams whose responses are false are the only faults"},
 			&cli.StringFlag{Name: "program", Value: "bin/rosemaryspool", Usage: "path of the gateway executable"},
 			&cli.StringFlag{
 				Name: "earlier-program", Usage: "path of an earlier version's gateway; each gateway starts as one and is upgraded by its first restart",
@@ -39,7 +40,7 @@
 				Rounds: max(1, int(check.positive("minutes")*60/roundSeconds)), FaultPhase: soaker.DefaultFaultPhase,
 				Gateways: check.count("gateways", 1), Callers: check.count("callers", 1), Network: check.count("network", 1),
 				Command: []string{command.String("program"), "gateway"}, FatalRequests: true, MixedVersions: true,
-				Accounts: command.String("earlier-program") == "", EventPause: max(0, command.Duration("event-pause")),
+				FalseAnswers: command.Bool("false-answers"), Accounts: command.String("earlier-program") == "", EventPause: max(0, command.Duration("event-pause")),
 			}
 			if earlier := command.String("earlier-program"); earlier != "" {
 				settings.EarlierCommand = []string{earlier, "gateway"}
--- a/standin/emulator/response.go
+++ b/standin/emulator/response.go
@@ -52,9 +52,10 @@
 		At: time.Now(), Method: r.Method, URI: r.RequestURI, Body: string(body), Header: r.Header.Clone(),
 		PrefillOnly: prefillOnly,
 	}
-	if behaviour == Rejects {
+	if behaviour == Rejects || behaviour == RepeatsRefusal && u.refusesNext() {
 		u.mu.Lock()
 		u.rejected = append(u.rejected, run)
+		u.refused = id
 		retryAfter := u.retryAfter
 		u.mu.Unlock()
 		if retryAfter != "" {
@@ -79,6 +80,8 @@
 	switch {
 	case behaviour == Resets || behaviour == Hangs:
 		panic(http.ErrAbortHandler)
+	case behaviour >= FailsAsBusy && behaviour != ResumesWrongly && !prefillOnly:
+		u.respondFalsely(w, behaviour)
 	case prefillOnly:
 		writeJSON(w, http.StatusOK, map[string]any{"kv-handle": handle, "tokens": 1})
 	case u.Events > 0:
@@ -185,16 +188,20 @@
 	w.Header().Set(HeaderSignature, u.ID+".1")
 	last := 0
 	_, _ = fmt.Sscan(r.Header.Get(HeaderLastEvent), &last)
-	if behaviour == Fails && last > 0 {
+	switch {
+	case behaviour == Fails && last > 0:
 		http.Error(w, "no such stream", http.StatusNotFound)
 		return
+	case behaviour == ResumesWrongly && last > 0:
+		u.resumeWrongly(w, last+1)
+		return
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.WriteHeader(http.StatusOK)
 	u.mu.Lock()
 	pause := u.pause
 	u.mu.Unlock()
-	truncates := behaviour == Truncates || behaviour == TruncatesNew && last == 0
+	truncates := behaviour == Truncates || (behaviour == TruncatesNew || behaviour == ResumesWrongly) && last == 0
 	for event := last + 1; event <= u.Events; event++ {
 		if behaviour == SkipsEvent && event == u.Events-1 {
 			continue
@@ -204,7 +211,7 @@
 			_ = http.NewResponseController(w).Flush()
 			panic(http.ErrAbortHandler)
 		}
-		_, _ = fmt.Fprintf(w, "id: %d\ndata: piece %d\n\n", event, event)
+		_, _ = io.WriteString(w, streamEvent(event))
 		_ = http.NewResponseController(w).Flush()
 		if event < u.Events && pause > 0 {
 			u.wait(r, Responds, pause)
--- a/standin/emulator/upstream.go
+++ b/standin/emulator/upstream.go
@@ -38,6 +38,20 @@
 	Hangs
 	// TruncatesNew truncates the streams that begin at the upstream, and completes those that are resumed there.
 	TruncatesNew
+	// FailsAsBusy and FailsAsMisdirected run the request and respond with status 503 or 421, but don't state that it did not
+	// run.
+	FailsAsBusy
+	FailsAsMisdirected
+	// RefusesUnnamed runs the request and sends a refusal without an attempt ID before its response.
+	RefusesUnnamed
+	// RepeatsRefusal rejects every second request. It runs the others, and sends the latest refusal once more before the
+	// response.
+	RepeatsRefusal
+	// CutsHead runs the request and closes the connection within the head of the response.
+	CutsHead
+	// ResumesWrongly responds to a resumed stream with status 200 and something else than the events that are due, each
+	// of WrongResumptions in turn. It truncates the streams that begin at the upstream.
+	ResumesWrongly
 )
 
 // Run is a request as it reached an upstream, which ran or rejected it.
@@ -69,8 +83,11 @@
 	rejected []Run
 	canceled int
 	reports  int
-	handles  map[string]bool
-	delay    time.Duration
+	// refused is the attempt ID of the latest rejected request, resumptions counts the streams that were resumed wrongly.
+	refused     string
+	resumptions int
+	handles     map[string]bool
+	delay       time.Duration
 	// pause is the time between two events of a stream.
 	pause time.Duration
 	// limit is the header that names the rate limit; empty if there is none.
--- a/standin/soaker/auditor.go
+++ b/standin/soaker/auditor.go
@@ -282,6 +282,9 @@
 	if a.complete && a.lastEvent+len(numbers) != h.streamEvents {
 		return fmt.Sprintf("the stream ended normally after %d of %d events", a.lastEvent+len(numbers), h.streamEvents)
 	}
+	if !strings.HasPrefix(emulator.StreamEvents(a.lastEvent+1, h.streamEvents), a.content) {
+		return fmt.Sprintf("%q is no part of a stream", a.content)
+	}
 	return ""
 }
 
--- a/standin/soaker/fault.go
+++ b/standin/soaker/fault.go
@@ -57,6 +57,9 @@
 
 // drawFault chooses a fault at random.
 func (s *Soaker) drawFault() fault {
+	if s.settings.FalseAnswers {
+		return s.behaviourFault(falseBehaviours)
+	}
 	switch n := s.random.IntN(10); {
 	case n < 4:
 		return s.processFault()
@@ -182,13 +185,24 @@
 			func() { b.upstream.SetRetryAfter(""); b.upstream.SetBehaviour(emulator.Responds) },
 		}
 	}
-	behaviours := []emulator.Behaviour{
+	return s.behaviourFault(append([]emulator.Behaviour{
 		emulator.Rejects, emulator.Fails, emulator.Resets, emulator.Truncates, emulator.Unsigned,
 		emulator.WrongAttempt, emulator.RespondsTwice, emulator.SkipsEvent, emulator.Hangs,
-	}
+	}, falseBehaviours...))
+}
+
+// falseBehaviours are those of upstreams whose responses say something else than what the upstream has done.
+var falseBehaviours = []emulator.Behaviour{
+	emulator.FailsAsBusy, emulator.FailsAsMisdirected, emulator.RefusesUnnamed, emulator.RepeatsRefusal, emulator.CutsHead,
+	emulator.ResumesWrongly,
+}
+
+// behaviourFault makes one upstream respond in one of several ways.
+func (s *Soaker) behaviourFault(behaviours []emulator.Behaviour) fault {
+	b := s.pickBackend()
 	behaviour := behaviours[s.random.IntN(len(behaviours))]
 	return fault{
-		fmt.Sprint("upstream behaviour ", int(behaviour)), subjects,
+		fmt.Sprint("upstream behaviour ", int(behaviour)), []string{b.upstream.ID},
 		func() { b.upstream.SetBehaviour(behaviour) }, func() { b.upstream.SetBehaviour(emulator.Responds) },
 	}
 }
--- a/standin/soaker/soaker.go
+++ b/standin/soaker/soaker.go
@@ -31,6 +31,8 @@
 	Callers  int
 	// FatalRequests is true if some requests crash the upstreams that run them.
 	FatalRequests bool
+	// FalseAnswers is true if upstreams that respond falsely are the only faults.
+	FalseAnswers bool
 	// MixedVersions is true if upstreams of several software versions serve side by side.
 	MixedVersions bool
 	// Accounts is true if requests need the key of a client account, gateways report the accounts' usage, and some callers
