Compare the attempt in refusals of engines and responses of services

Through the product's own front door, a caller could get the response to another call that may be repeated, and an attempt counted as rejected though the engine ran it: where a server writes an earlier response once more on a kept connection of net/http's pool, the next request takes it for its own. Cause: the completer compared the attempt's id only in responses with status 200, the invoker in none. Change: both compare it in every response that has it. A foreign one ends the attempt as mismatched, the call with an unknown outcome. Calls that may run once had a connection of their own already. The stand-in engine names the attempt in its refusals, too. Evidence: TestResponsesOfEarlierCallsAreNoAnswer and two lines of TestCompletionResponses failed before, and pass. A refusal without an id on a kept connection still can't be told from the attempt's own.

--- a/adaptor/completer/client.go
+++ b/adaptor/completer/client.go
@@ -41,11 +41,12 @@
 		return Result{}, classifySendError(err)
 	}
 	defer response.Body.Close()
-	if response.StatusCode != http.StatusOK {
-		return readRefusal(response)
+	got, isSuccess := response.Header.Get(HeaderAttempt), response.StatusCode == http.StatusOK
+	if got != string(request.Attempt) && (got != "" || isSuccess) {
+		return Result{}, eris.Wrapf(ErrMismatched, "response %d of attempt %q", response.StatusCode, got)
 	}
-	if got := response.Header.Get(HeaderAttempt); got != string(request.Attempt) {
-		return Result{}, eris.Wrapf(ErrMismatched, "response of attempt %q", got)
+	if !isSuccess {
+		return readRefusal(response)
 	}
 	result, err := readStream(response.Body, request.Attempt, deliver)
 	if err != nil {
--- a/adaptor/completer/client_test.go
+++ b/adaptor/completer/client_test.go
@@ -31,6 +31,10 @@
 		{"another model", 404, "", "", ErrRejected, false},
 		{"overload with report", 503, "", `{"engineReport":{"engine":"engine-1"}}`, ErrRejected, true},
 		{"unreadable report", 503, "", `{"engineReport":7}`, ErrRejected, false},
+		// The refusal of an earlier attempt, once more on a kept connection, was taken for this one's.
+		{"refusal of another attempt", 503, "a2", "", ErrMismatched, false},
+		{"malformed request of another attempt", 400, "a2", "", ErrMismatched, false},
+		{"refusal", 503, "a1", "", ErrRejected, false},
 		{"redirect", 307, "", "", ErrRejected, false},
 	}
 	for _, c := range cases {
--- a/adaptor/invoker/client.go
+++ b/adaptor/invoker/client.go
@@ -46,6 +46,9 @@
 		return Response{}, eris.Wrap(ErrOutcomeUnknown, err.Error())
 	}
 	defer response.Body.Close()
+	if err := checkAttempt(call, response.Header); err != nil {
+		return Response{}, err
+	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, sender.MaxResponseBytes+1))
 	if err != nil {
 		return Response{}, eris.Wrap(ErrOutcomeUnknown, err.Error())
@@ -64,9 +67,20 @@
 	if err != nil {
 		return Response{}, eris.Wrap(ErrOutcomeUnknown, err.Error())
 	}
+	if err := checkAttempt(call, response.Header); err != nil {
+		return Response{}, err
+	}
 	return Response(response), nil
 }
 
+// checkAttempt returns an error if a response names another attempt than the call's. Services may leave the header out.
+func checkAttempt(call Call, header http.Header) error {
+	if got := header.Get(HeaderAttempt); got != "" && got != string(call.Attempt) {
+		return eris.Wrapf(ErrOutcomeUnknown, "response of attempt %q", got)
+	}
+	return nil
+}
+
 func callHeader(call Call) http.Header {
 	header := http.Header{HeaderAttempt: {string(call.Attempt)}}
 	if call.ContentType != "" {
--- /dev/null
+++ b/adaptor/invoker/client_test.go
@@ -0,0 +1,80 @@
+package invoker
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"rosemaryspool.example/core/identifier"
+)
+
+// startRepeating starts a service that writes each response twice, the second time just before the next response on the
+// connection. It returns its base URL.
+func startRepeating(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				reader, earlier := bufio.NewReader(conn), ""
+				for {
+					request, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					id := request.Header.Get(HeaderAttempt)
+					own := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s", HeaderAttempt, id, len(id), id)
+					if _, err := fmt.Fprint(conn, earlier, own); err != nil {
+						return
+					}
+					earlier = own
+				}
+			}()
+		}
+	}()
+	return "http://" + listener.Addr().String()
+}
+
+func TestResponsesOfEarlierCallsAreNoAnswer(t *testing.T) {
+	// A response that was written once more on a kept connection was taken for the next call's.
+	for _, c := range []struct {
+		name       string
+		atMostOnce bool
+		// second is the error of the second call.
+		second error
+	}{
+		{"call that may be repeated, on a kept connection", false, ErrOutcomeUnknown},
+		{"call that may run once, on a connection of its own", true, nil},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			client := NewClient(startRepeating(t))
+			for n, want := range []error{nil, c.second} {
+				attempt := fmt.Sprint("a", n)
+				call := Call{Method: http.MethodGet, Path: "/x", AtMostOnce: c.atMostOnce}
+				call.Attempt = identifier.AttemptID(attempt)
+				response, err := client.Invoke(t.Context(), call)
+				require.ErrorIs(t, err, want)
+				if want == nil {
+					require.Equal(t, attempt, string(response.Body))
+				}
+			}
+		})
+	}
+}
+
+func TestResponsesMayLeaveTheAttemptOut(t *testing.T) {
+	require.NoError(t, checkAttempt(Call{Attempt: "a1"}, http.Header{}))
+	require.NoError(t, checkAttempt(Call{Attempt: "a1"}, http.Header{HeaderAttempt: {"a1"}}))
+	require.ErrorIs(t, checkAttempt(Call{Attempt: "a1"}, http.Header{HeaderAttempt: {"a2"}}), ErrOutcomeUnknown)
+}
--- a/rosemaryspool/gatekeeper/promise_test.go
+++ b/rosemaryspool/gatekeeper/promise_test.go
@@ -127,3 +127,25 @@
 		}
 	}
 }
+
+func TestRefusalsBehindAnswersHarmNoLaterRequest(t *testing.T) {
+	// An upstream that sends a refusal right behind each whole answer, with that answer's id, on sockets of the operating system.
+	const (
+		signature = emulator.HeaderSignature + ": s.1\r\n"
+		requests  = 200
+	)
+	store := newTestStore(t)
+	runs := startFalseUpstreams(t, store, func(id string) string {
+		named := emulator.HeaderAttempt + ": " + id + "\r\n"
+		return rawFailure(http.StatusOK, named+signature) + rawFailure(503, named+emulator.HeaderNotExecuted+": 1\r\n")
+	})
+	ti := startTestInstance(t, store, testSettings(store))
+	ti.makeReady()
+	for n := range requests {
+		id := fmt.Sprint("o", n)
+		r := ti.send(http.MethodPost, orders+"x", "b", emulator.HeaderAttempt, id)
+		require.Equal(t, http.StatusOK, r.status)
+		require.Equal(t, id, r.header.Get(emulator.HeaderAttempt))
+		require.Equal(t, 1, runs(id))
+	}
+}
--- a/standin/generator/handler.go
+++ b/standin/generator/handler.go
@@ -45,6 +45,7 @@
 		replier.Fail(w, http.StatusBadRequest, err)
 		return
 	}
+	w.Header().Set(completer.HeaderAttempt, r.Header.Get(completer.HeaderAttempt))
 	request := decodeRequest(identifier.AttemptID(r.Header.Get(completer.HeaderAttempt)), body)
 	a, err := e.startAttempt(r.Context(), request)
 	if err != nil {
