--- a/rosemaryspool/gatekeeper/promise_test.go
+++ b/rosemaryspool/gatekeeper/promise_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -17,8 +18,8 @@
 )
 
 // startFalseUpstreams registers two upstreams of each service that run each request and then write what respond returns for
-// its attempt ID. The returned function counts the runs of a request.
-func startFalseUpstreams(t *testing.T, store testStore, respond func(id string) string) (runs func(id string) int) {
+// the upstream's number and its attempt ID. The returned function counts the arrivals of a request.
+func startFalseUpstreams(t *testing.T, store testStore, respond func(upstream int, id string) string) (runs func(id string) int) {
 	t.Helper()
 	var mu sync.Mutex
 	arrivals := map[string]int{}
@@ -42,7 +43,7 @@
 					mu.Lock()
 					arrivals[id]++
 					mu.Unlock()
-					response = respond(id)
+					response = respond(n, id)
 				}
 				if _, err := io.WriteString(conn, response); err != nil {
 					return
@@ -83,7 +84,7 @@
 				t.Parallel()
 				synctest.Test(t, func(t *testing.T) {
 					store := newMemoryStore(t)
-					runs := startFalseUpstreams(t, store, c.respond)
+					runs := startFalseUpstreams(t, store, func(_ int, id string) string { return c.respond(id) })
 					ti := startTestInstance(t, store, testSettings(store))
 					ti.makeReady()
 					time.Sleep(ti.gatekeeper.settings.RetryWindow)
@@ -109,7 +110,7 @@
 					t.Parallel()
 					synctest.Test(t, func(t *testing.T) {
 						store := newMemoryStore(t)
-						runs := startFalseUpstreams(t, store, func(id string) string {
+						runs := startFalseUpstreams(t, store, func(_ int, id string) string {
 							return rawFailure(status, emulator.HeaderAttempt+": "+id+"\r\n"+signature)
 						})
 						ti := newTestCluster(t, store, 2)[0]
@@ -128,6 +129,105 @@
 	}
 }
 
+func TestEarlierRefusalsAreNoAnswers(t *testing.T) {
+	// A refusal that was written once more on a kept connection was taken for the next request's, which ran.
+	const (
+		requests = 60
+		late     = 30 * time.Millisecond
+	)
+	for _, path := range []string{orders, lookups, notes} {
+		for _, delay := range []time.Duration{0, late} {
+			t.Run(fmt.Sprint(path, " ", delay), func(t *testing.T) {
+				t.Parallel()
+				synctest.Test(t, func(t *testing.T) {
+					store := newMemoryStore(t)
+					var mu sync.Mutex
+					refusals, ran := map[int]string{}, map[string]int{}
+					startFalseUpstreams(t, store, func(upstream int, id string) string {
+						named := emulator.HeaderAttempt + ": " + id + "\r\n"
+						mu.Lock()
+						defer mu.Unlock()
+						earlier := refusals[upstream]
+						if earlier == "" {
+							refusals[upstream] = rawFailure(503, named+emulator.HeaderNotExecuted+": 1\r\n")
+							return refusals[upstream]
+						}
+						delete(refusals, upstream)
+						ran[id]++
+						time.Sleep(delay)
+						return earlier + rawFailure(500, named)
+					})
+					ti := startTestInstance(t, store, testSettings(store))
+					ti.makeReady()
+					time.Sleep(ti.gatekeeper.settings.RetryWindow)
+					for n := range requests {
+						id := fmt.Sprint("r", n)
+						r := ti.send(http.MethodPost, path+"x", "b", append(promptHeaders(), emulator.HeaderAttempt, id)...)
+						mu.Lock()
+						require.False(t, r.status == http.StatusServiceUnavailable && ran[id] > 0, "refused, but ran")
+						require.True(t, path == lookups || ran[id] <= 1, "ran %d times", ran[id])
+						mu.Unlock()
+						require.Equal(t, id, r.header.Get(emulator.HeaderAttempt))
+						// Upstreams that were ejected for a failure are back after a while.
+						time.Sleep(3 * time.Second)
+					}
+				})
+			})
+		}
+	}
+}
+
+func TestHeadsThatAreCutAreNoAnswers(t *testing.T) {
+	// A head that ended early, with the close of its connection, was taken for a whole answer with an empty or short body.
+	const body = "the answer\n\n"
+	for _, c := range []struct{ name, framing, body string }{
+		{"length", fmt.Sprintf("Content-Length: %d\r\n", len(body)), body},
+		{"chunks", "Transfer-Encoding: chunked\r\n", fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(body), body)},
+		{"close", "", body},
+	} {
+		for _, path := range []string{orders, lookups, verdicts, notes} {
+			t.Run(c.name+" "+path, func(t *testing.T) {
+				t.Parallel()
+				synctest.Test(t, func(t *testing.T) { testHeadsThatAreCutAreNoAnswers(t, path, c.framing, c.body) })
+			})
+		}
+	}
+}
+
+func testHeadsThatAreCutAreNoAnswers(t *testing.T, path, framing, body string) {
+	store := newMemoryStore(t)
+	head := func(id string) string {
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Type: text/event-stream\r\n%s: s.1\r\n%s\r\n",
+			emulator.HeaderAttempt, id, emulator.HeaderSignature, framing)
+	}
+	var length atomic.Int64
+	service, stage := "plain", ""
+	if path == verdicts || path == notes {
+		service, stage = "model", "decode"
+	}
+	serveRaw(t, store, "cutter", service, stage, "v1", func(conn net.Conn) {
+		request, err := http.ReadRequest(bufio.NewReader(conn))
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, request.Body); err != nil {
+			return
+		}
+		whole := head(request.Header.Get(emulator.HeaderAttempt)) + body
+		_, _ = io.WriteString(conn, whole[:min(len(whole), int(length.Load()))])
+	})
+	ti := startTestInstance(t, store, testSettings(store))
+	ti.makeReady()
+	for n := 1; n < len(head("a1")); n += 3 {
+		length.Store(int64(n))
+		r := ti.send(http.MethodPost, path+"x", "b", promptHeaders()...)
+		require.GreaterOrEqual(t, r.status, http.StatusInternalServerError, "cut after %d bytes", n)
+		time.Sleep(3 * time.Second)
+	}
+	length.Store(int64(len(head("a1") + body)))
+	require.Equal(t, http.StatusOK, ti.send(http.MethodPost, path+"x", "b", promptHeaders()...).status)
+}
+
 func TestRefusalsBehindAnswersHarmNoLaterRequest(t *testing.T) {
 	// An upstream that sends a refusal right behind each whole answer, with that answer's id, on sockets of the operating system.
 	const (
@@ -135,7 +235,7 @@
 		requests  = 200
 	)
 	store := newTestStore(t)
-	runs := startFalseUpstreams(t, store, func(id string) string {
+	runs := startFalseUpstreams(t, store, func(_ int, id string) string {
 		named := emulator.HeaderAttempt + ": " + id + "\r\n"
 		return rawFailure(http.StatusOK, named+signature) + rawFailure(503, named+emulator.HeaderNotExecuted+": 1\r\n")
 	})
