--- a/rosemaryspool/gatekeeper/response_test.go
+++ b/rosemaryspool/gatekeeper/response_test.go
@@ -195,7 +195,7 @@
 func randomAnswer(random *rand.Rand) scriptedAnswer {
 	a := scriptedAnswer{status: http.StatusOK, signed: random.IntN(12) > 0, chunked: random.IntN(2) == 0, part: 1}
 	a.size = []int{0, 800, 40_000, 300_000, 1 << 20}[random.IntN(5)]
-	switch random.IntN(14) {
+	switch random.IntN(16) {
 	case 0:
 		a.status = http.StatusNotFound
 	case 1:
@@ -212,7 +212,7 @@
 		a.part = random.Float64()
 	case 9:
 		a.status = promises[random.IntN(len(promises))]
-	case 10:
+	case 10, 11, 12:
 		a.wrong = 1 + random.IntN(len(emulator.WrongResumptions("")))
 	}
 	if a.status != http.StatusOK {
--- a/standin/soaker/fault.go
+++ b/standin/soaker/fault.go
@@ -202,7 +202,8 @@
 	b := s.pickBackend()
 	behaviour := behaviours[s.random.IntN(len(behaviours))]
 	return fault{
-		fmt.Sprint("upstream behaviour ", int(behaviour)), []string{b.upstream.ID},
+		fmt.Sprint("upstream behaviour ", int(behaviour)),
+		[]string{b.upstream.ID},
 		func() { b.upstream.SetBehaviour(behaviour) }, func() { b.upstream.SetBehaviour(emulator.Responds) },
 	}
 }
