--- a/rosemaryspool/commander/soak_test.go
+++ b/rosemaryspool/commander/soak_test.go
@@ -19,7 +19,9 @@
 	gateways   int
 	callers    int
 	eventPause time.Duration
-	cause      string
+	// falseAnswers is true if upstreams that respond falsely are the only faults.
+	falseAnswers bool
+	cause        string
 }{
 	{seed: 1, rounds: 1, gateways: 3, callers: 12, cause: "general: faults and recovery on a complete system"},
 	{
@@ -30,6 +32,10 @@
 		seed: 25, rounds: 2, gateways: 4, callers: 24,
 		cause: "departure: an upstream is removed while the store's responses to some gateways are lost",
 	},
+	{
+		seed: 9303, rounds: 1, gateways: 4, callers: 24, falseAnswers: true,
+		cause: "false answers: requests are refused, or run again, though upstreams have run them",
+	},
 }
 
 // TestSoak injects random faults into a complete system. It fails on a violated invariant, or if at most half of the
@@ -45,6 +51,7 @@
 				Seed: c.seed, Rounds: c.rounds, FaultPhase: soaker.DefaultFaultPhase, Gateways: c.gateways, Callers: c.callers,
 				Command: []string{"rosemaryspool", "gateway"}, Directory: directory, Network: 90 + i, Log: log,
 				FatalRequests: true, MixedVersions: true, Accounts: true, EventPause: c.eventPause,
+				FalseAnswers: c.falseAnswers,
 			})
 			require.NoError(t, err)
 			defer s.Close()
