Test answers that are cut in the middle by a time limit, also while the instance stops

For each kind of route: the caller holds the part that the upstream has sent, byte for byte, and a visible break. It passes on the code as it is, and is one of the ways of breaking that had no test.

--- a/rosemaryspool/gatekeeper/broken_test.go
+++ b/rosemaryspool/gatekeeper/broken_test.go
@@ -1,6 +1,8 @@
 package gatekeeper
 
 import (
+	"fmt"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -108,3 +110,53 @@
 		})
 	}
 }
+
+func TestAnswersThatAreCutInTheMiddleNeverLookWhole(t *testing.T) {
+	// An upstream falls silent in the middle of its answer, until a time limit ends it; the instance stops meanwhile or not.
+	const (
+		large   = 512 << 10
+		stopped = 100 * time.Millisecond
+		// grace is longer than any request may take.
+		grace = 4 * time.Second
+	)
+	for _, c := range []struct{ path, contentType, part string }{
+		{orders, "text/plain", strings.Repeat("x", large)},
+		{lookups, "text/plain", strings.Repeat("x", large)},
+		{verdicts, "text/event-stream", events(1, 2)},
+		{notes, "text/event-stream", events(1, 2)},
+		{dialogs, "text/event-stream", events(1, 2)},
+	} {
+		for _, stops := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, stops %v", c.path, stops), func(t *testing.T) {
+				t.Parallel()
+				synctest.Test(t, func(t *testing.T) {
+					store := newMemoryStore(t)
+					service, stage := "plain", ""
+					if c.contentType != "text/plain" {
+						service, stage = "model", "decode"
+					}
+					head := "200 OK" + signed + "\r\nTransfer-Encoding: chunked\r\nContent-Type: " + c.contentType
+					startRawUpstream(t, store, service, stage, head, func(conn net.Conn) error {
+						if _, err := fmt.Fprintf(conn, "%x\r\n%s\r\n", len(c.part), c.part); err != nil {
+							return err
+						}
+						// The instance closes the connection.
+						_, err := conn.Read(make([]byte, 1))
+						return err
+					})
+					settings := testSettings(store)
+					settings.TerminationGracePeriod = grace
+					ti := startTestInstance(t, store, settings)
+					ti.makeReady()
+					if stops {
+						time.AfterFunc(stopped, ti.stop)
+					}
+					r := ti.send(http.MethodPost, c.path+"x", "b", append(promptHeaders(), emulator.HeaderDeadline, "1900")...)
+					require.Equal(t, http.StatusOK, r.status)
+					require.False(t, r.complete)
+					require.Equal(t, c.part, r.body)
+				})
+			})
+		}
+	}
+}
