--- a/core/splitter/splitter.go
+++ b/core/splitter/splitter.go
@@ -87,15 +87,15 @@
 
 // checkSequence checks that numeric ids increase by one; other ids are checked only in a stream that was resumed.
 func (s *Splitter) checkSequence(id string) error {
+	if id == "" && !s.resumed {
+		return nil
+	}
 	got, err := strconv.ParseInt(id, 10, 64)
 	last, lastErr := strconv.ParseInt(s.lastID, 10, 64)
 	areNumbers := err == nil && lastErr == nil
 	if (areNumbers && got != last+1) || (!areNumbers && s.resumed) {
 		return &SequenceError{Previous: s.lastID, Got: id}
 	}
-	if id == "" {
-		return nil
-	}
 	s.lastID = id
 	return nil
 }
--- a/standin/emulator/falsehood.go
+++ b/standin/emulator/falsehood.go
@@ -66,8 +66,10 @@
 	_, _ = io.WriteString(connection, content)
 }
 
-// streamEvent returns an event of a stream.
-func streamEvent(event int) string { return fmt.Sprintf("id: %d\ndata: piece %d\n\n", event, event) }
+// eventFormat is the format of an event with its number, twice.
+const eventFormat = "id: %d\ndata: piece %d\n\n"
+
+func streamEvent(event int) string { return fmt.Sprintf(eventFormat, event, event) }
 
 // StreamEvents returns the events of a stream from one to another.
 func StreamEvents(from, to int) string {
--- a/standin/emulator/response.go
+++ b/standin/emulator/response.go
@@ -211,7 +211,7 @@
 			_ = http.NewResponseController(w).Flush()
 			panic(http.ErrAbortHandler)
 		}
-		_, _ = io.WriteString(w, streamEvent(event))
+		_, _ = fmt.Fprintf(w, eventFormat, event, event)
 		_ = http.NewResponseController(w).Flush()
 		if event < u.Events && pause > 0 {
 			u.wait(r, Responds, pause)
