--- a/rosemaryspool/gatekeeper/promise_test.go
+++ b/rosemaryspool/gatekeeper/promise_test.go
@@ -18,7 +18,7 @@
 )
 
 // startFalseUpstreams registers two upstreams of each service that run each request and then write what respond returns for
-// the upstream's number and its attempt ID. The returned function counts the arrivals of a request.
+// the upstream's number and the request's attempt ID. The returned function counts the arrivals of a request.
 func startFalseUpstreams(t *testing.T, store testStore, respond func(upstream int, id string) string) (runs func(id string) int) {
 	t.Helper()
 	var mu sync.Mutex
