Read requests, write raw responses and draw upstreams in one place each in tests and stand-ins

Cause: the tests of false answers had a loop of their own that reads a raw upstream's requests, though the scripted upstreams have one; the random histories built streams in two places; the stand-in wrote its second response in a format of its own, named the attempt twice in an engine's head, and told false behaviours by their order. The soak drew an upstream, dropped it and drew another one for each of these faults. Change: serveRequests, streamEvents, rawResponse and hidesRuns serve both, and the drawn upstream is used. No assertion is changed. The product is not touched.

--- a/rosemaryspool/gatekeeper/broken_test.go
+++ b/rosemaryspool/gatekeeper/broken_test.go
@@ -101,7 +101,7 @@
 				case c.status == http.StatusOK && p.events > 0:
 					// Not a byte of an answer that does not go on with the stream.
 					require.NotEmpty(t, r.body)
-					require.True(t, strings.HasPrefix(allEvents("a1", "v1", p.events), r.body), r.body)
+					require.True(t, strings.HasPrefix(streamEvents("a1", "v1", 1, p.events), r.body), r.body)
 				case c.status == http.StatusOK:
 					require.NotEmpty(t, r.body)
 					require.Contains(t, string(p.arrivals[0].body)+string(p.arrivals[len(p.arrivals)-1].body), r.body)
--- a/rosemaryspool/gatekeeper/promise_test.go
+++ b/rosemaryspool/gatekeeper/promise_test.go
@@ -1,7 +1,6 @@
 package gatekeeper
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -29,26 +28,14 @@
 			service, stage = "model", "decode"
 		}
 		serveRaw(t, store, fmt.Sprint("false-", n), service, stage, "v1", func(conn net.Conn) {
-			reader := bufio.NewReader(conn)
-			for {
-				request, err := http.ReadRequest(reader)
-				if err != nil {
-					return
-				}
-				if _, err := io.Copy(io.Discard, request.Body); err != nil {
-					return
-				}
-				response := "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"
-				if id := request.Header.Get(emulator.HeaderAttempt); request.URL.Path != "/-/report" {
-					mu.Lock()
-					arrivals[id]++
-					mu.Unlock()
-					response = respond(n, id)
-				}
-				if _, err := io.WriteString(conn, response); err != nil {
-					return
-				}
-			}
+			serveRequests(conn, func(request *http.Request) bool {
+				id := request.Header.Get(emulator.HeaderAttempt)
+				mu.Lock()
+				arrivals[id]++
+				mu.Unlock()
+				_, err := io.WriteString(conn, respond(n, id))
+				return err == nil
+			})
 		})
 	}
 	return func(id string) int {
@@ -104,7 +91,7 @@
 		path string
 		runs int
 	}{{orders, 1}, {notes, 1}, {dialogs, 1}, {lookups, 2}} {
-		for _, status := range []int{408, 421, 429, 503} {
+		for _, status := range promises {
 			for _, passedOn := range []bool{false, true} {
 				t.Run(fmt.Sprintf("%s %d, passed on %v", c.path, status, passedOn), func(t *testing.T) {
 					t.Parallel()
@@ -206,15 +193,11 @@
 		service, stage = "model", "decode"
 	}
 	serveRaw(t, store, "cutter", service, stage, "v1", func(conn net.Conn) {
-		request, err := http.ReadRequest(bufio.NewReader(conn))
-		if err != nil {
-			return
-		}
-		if _, err := io.Copy(io.Discard, request.Body); err != nil {
-			return
-		}
-		whole := head(request.Header.Get(emulator.HeaderAttempt)) + body
-		_, _ = io.WriteString(conn, whole[:min(len(whole), int(length.Load()))])
+		serveRequests(conn, func(request *http.Request) bool {
+			whole := head(request.Header.Get(emulator.HeaderAttempt)) + body
+			_, _ = io.WriteString(conn, whole[:min(len(whole), int(length.Load()))])
+			return false
+		})
 	})
 	ti := startTestInstance(t, store, testSettings(store))
 	ti.makeReady()
--- a/rosemaryspool/gatekeeper/response_test.go
+++ b/rosemaryspool/gatekeeper/response_test.go
@@ -19,6 +19,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"rosemaryspool.example/platform"
 	"rosemaryspool.example/standin/emulator"
 )
 
@@ -81,22 +82,28 @@
 // start starts an upstream on the network of a store and lists it. What the streams of two versions say differs.
 func (f *scriptedFleet) start(t *testing.T, store testStore, id, service, stage, version string) {
 	t.Helper()
-	serveRaw(t, store, id, service, stage, version, func(conn net.Conn) { f.serve(conn, id, version) })
+	serveRaw(t, store, id, service, stage, version, func(conn net.Conn) {
+		serveRequests(conn, func(request *http.Request) bool { return f.answer(conn, request, id, version) })
+	})
 }
 
-func (f *scriptedFleet) serve(conn net.Conn, id, version string) {
+// serveRequests reads the requests on a connection one after the other and has each answered, until answer returns false.
+// Requests for the engine's state are answered with 404.
+func serveRequests(conn net.Conn, answer func(*http.Request) bool) {
 	reader := bufio.NewReader(conn)
 	for {
 		request, err := http.ReadRequest(reader)
 		if err != nil {
 			return
 		}
-		_, _ = io.Copy(io.Discard, request.Body)
-		if request.URL.Path == "/-/report" {
+		if _, err := io.Copy(io.Discard, request.Body); err != nil {
+			return
+		}
+		if request.URL.Path == platform.ReportPath {
 			_, _ = io.WriteString(conn, "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n")
 			continue
 		}
-		if !f.answer(conn, request, id, version) {
+		if !answer(request) {
 			return
 		}
 	}
@@ -127,9 +134,7 @@
 		if a.restarts {
 			first = 1
 		}
-		for n := first; n <= p.events; n++ {
-			arrived.body = append(arrived.body, streamEvent(attempt, version, n)...)
-		}
+		arrived.body = []byte(streamEvents(attempt, version, first, p.events))
 	default:
 		arrived.body = bytes.Repeat([]byte(fmt.Sprintf("%s %s %d;", attempt, id, len(p.arrivals))), 1+a.size/12)[:a.size]
 	}
@@ -142,13 +147,13 @@
 	return fmt.Sprintf("id: %d\ndata: %s of %s in %s\n\n", n, strings.Repeat("piece ", n%4+1), attempt, version)
 }
 
-// allEvents returns a whole stream.
-func allEvents(attempt, version string, events int) string {
-	var all strings.Builder
-	for n := 1; n <= events; n++ {
-		all.WriteString(streamEvent(attempt, version, n))
+// streamEvents returns the events of a stream from one to another.
+func streamEvents(attempt, version string, from, to int) string {
+	var events strings.Builder
+	for n := from; n <= to; n++ {
+		events.WriteString(streamEvent(attempt, version, n))
 	}
-	return all.String()
+	return events.String()
 }
 
 func sendAnswer(conn net.Conn, attempt string, a arrival) bool {
@@ -291,7 +296,7 @@
 		}
 	}
 	for _, version := range []string{"v1", "v2"} {
-		if allEvents(r.header.Get(emulator.HeaderAttempt), version, p.events) == r.body {
+		if streamEvents(r.header.Get(emulator.HeaderAttempt), version, 1, p.events) == r.body {
 			return ""
 		}
 	}
--- a/standin/commander/soak.go
+++ b/standin/commander/soak.go
@@ -40,7 +40,8 @@
 				Rounds: max(1, int(check.positive("minutes")*60/roundSeconds)), FaultPhase: soaker.DefaultFaultPhase,
 				Gateways: check.count("gateways", 1), Callers: check.count("callers", 1), Network: check.count("network", 1),
 				Command: []string{command.String("program"), "gateway"}, FatalRequests: true, MixedVersions: true,
-				FalseAnswers: command.Bool("false-answers"), Accounts: command.String("earlier-program") == "", EventPause: max(0, command.Duration("event-pause")),
+				FalseAnswers: command.Bool("false-answers"),
+				Accounts:     command.String("earlier-program") == "", EventPause: max(0, command.Duration("event-pause")),
 			}
 			if earlier := command.String("earlier-program"); earlier != "" {
 				settings.EarlierCommand = []string{earlier, "gateway"}
--- a/standin/emulator/falseanswer.go
+++ b/standin/emulator/falseanswer.go
@@ -14,6 +14,16 @@
 	return u.refused == ""
 }
 
+// hidesRuns reports whether the responses to requests that have run say or show something else.
+func (b Behaviour) hidesRuns() bool {
+	switch b {
+	case FailsAsBusy, FailsAsMisdirected, RefusesUnnamed, RepeatsRefusal, CutsHead:
+		return true
+	default:
+		return false
+	}
+}
+
 // respondFalsely responds to a request that has run as one of the behaviours that hide it.
 func (u *Upstream) respondFalsely(w http.ResponseWriter, behaviour Behaviour) {
 	id := w.Header().Get(HeaderAttempt)
--- a/standin/emulator/response.go
+++ b/standin/emulator/response.go
@@ -80,7 +80,7 @@
 	switch {
 	case behaviour == Resets || behaviour == Hangs:
 		panic(http.ErrAbortHandler)
-	case behaviour >= FailsAsBusy && behaviour != ResumesWrongly && !prefillOnly:
+	case behaviour.hidesRuns() && !prefillOnly:
 		u.respondFalsely(w, behaviour)
 	case prefillOnly:
 		writeJSON(w, http.StatusOK, map[string]any{"kv-handle": handle, "tokens": 1})
@@ -161,7 +161,7 @@
 		_, _ = io.WriteString(w, ResponseBody[:4])
 		panic(http.ErrAbortHandler)
 	case RespondsTwice:
-		respondTwice(w, u.ID)
+		u.respondTwice(w)
 		return
 	default:
 	}
@@ -170,15 +170,14 @@
 }
 
 // respondTwice writes a response and, on the same connection, a second one without a request.
-func respondTwice(w http.ResponseWriter, id string) {
+func (u *Upstream) respondTwice(w http.ResponseWriter) {
 	attempt := w.Header().Get(HeaderAttempt)
 	connection, _, err := w.(http.Hijacker).Hijack()
 	if err != nil {
 		return
 	}
 	for _, attemptID := range []string{attempt, "another"} {
-		fmt.Fprintf(connection, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s.1\r\nContent-Length: %d\r\n\r\n%s",
-			HeaderAttempt, attemptID, HeaderSignature, id, len(ResponseBody), ResponseBody)
+		_, _ = io.WriteString(connection, u.rawResponse(attemptID))
 	}
 	time.Sleep(50 * time.Millisecond)
 	_ = connection.Close()
--- a/standin/generator/handler.go
+++ b/standin/generator/handler.go
@@ -45,8 +45,9 @@
 		replier.Fail(w, http.StatusBadRequest, err)
 		return
 	}
-	w.Header().Set(completer.HeaderAttempt, r.Header.Get(completer.HeaderAttempt))
-	request := decodeRequest(identifier.AttemptID(r.Header.Get(completer.HeaderAttempt)), body)
+	id := r.Header.Get(completer.HeaderAttempt)
+	w.Header().Set(completer.HeaderAttempt, id)
+	request := decodeRequest(identifier.AttemptID(id), body)
 	a, err := e.startAttempt(r.Context(), request)
 	if err != nil {
 		e.sendStartError(w, err)
@@ -179,7 +180,6 @@
 func newEventStream(w http.ResponseWriter, a *attempt) *eventStream {
 	s := &eventStream{writer: w, flusher: http.NewResponseController(w), attempt: a, id: a.request.Attempt}
 	w.Header().Set("Content-Type", "text/event-stream")
-	w.Header().Set(completer.HeaderAttempt, string(s.id))
 	if a.faults.wrongID {
 		s.id += wrongIDSuffix
 	}
--- a/standin/soaker/fault.go
+++ b/standin/soaker/fault.go
@@ -58,7 +58,7 @@
 // drawFault chooses a fault at random.
 func (s *Soaker) drawFault() fault {
 	if s.settings.FalseAnswers {
-		return s.behaviourFault(falseBehaviours)
+		return s.behaviourFault(s.pickBackend(), falseBehaviours)
 	}
 	switch n := s.random.IntN(10); {
 	case n < 4:
@@ -185,7 +185,7 @@
 			func() { b.upstream.SetRetryAfter(""); b.upstream.SetBehaviour(emulator.Responds) },
 		}
 	}
-	return s.behaviourFault(append([]emulator.Behaviour{
+	return s.behaviourFault(b, append([]emulator.Behaviour{
 		emulator.Rejects, emulator.Fails, emulator.Resets, emulator.Truncates, emulator.Unsigned,
 		emulator.WrongAttempt, emulator.RespondsTwice, emulator.SkipsEvent, emulator.Hangs,
 	}, falseBehaviours...))
@@ -197,9 +197,8 @@
 	emulator.ResumesWrongly,
 }
 
-// behaviourFault makes one upstream respond in one of several ways.
-func (s *Soaker) behaviourFault(behaviours []emulator.Behaviour) fault {
-	b := s.pickBackend()
+// behaviourFault makes an upstream respond in one of several ways.
+func (s *Soaker) behaviourFault(b *backend, behaviours []emulator.Behaviour) fault {
 	behaviour := behaviours[s.random.IntN(len(behaviours))]
 	return fault{
 		fmt.Sprint("upstream behaviour ", int(behaviour)),
