Add a case: a machine that joins after a store drill serves by an older configuration

Cause: an instance that reads the store first takes the copy's configuration and is not told of the later one that its neighbours have. Change: a script with stand-ins shows it.

--- a/review/second/gateway.go
+++ b/review/second/gateway.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -51,11 +52,19 @@
 	return 0, errors.New("no free loopback network")
 }
 
-// NewGateway writes the settings of a gateway: those of the small deployment, with loopback addresses.
+// siteZones are the zones of the site kabin-prova.
+var siteZones = []string{"marmara-a", "marmara-b", "marmara-c"}
+
+// NewGateway writes the settings of a gateway in a zone.
 func NewGateway(directory string, net2, number int, zone, store string, first bool) (*Gateway, error) {
-	g := &Gateway{
-		Name: fmt.Sprintf("edge-%s-%d", zone, number), IP: fmt.Sprintf("127.%d.0.%d", net2, number), Zone: zone,
-	}
+	return NewNamedGateway(directory, net2, number, fmt.Sprintf("edge-%s-%d", zone, number), store, first)
+}
+
+// NewNamedGateway writes the settings of a gateway: those of the small deployment, with loopback addresses. Its name
+// contains its zone.
+func NewNamedGateway(directory string, net2, number int, name, store string, first bool) (*Gateway, error) {
+	zone := name[len("edge-"):strings.LastIndex(name, "-")]
+	g := &Gateway{Name: name, IP: fmt.Sprintf("127.%d.0.%d", net2, number), Zone: zone}
 	g.settings = filepath.Join(directory, g.Name+".json")
 	output, err := os.Create(filepath.Join(directory, g.Name+".log"))
 	if err != nil {
--- a/review/second/main.go
+++ b/review/second/main.go
@@ -25,6 +25,7 @@
 
 var cases = map[string]func(setting) (bool, error){
 	"returned": playReturned,
+	"joined":   playJoined,
 }
 
 func main() {
