Add a case: streams joined from two software versions when a server comes back under its id

Cause: the version of a stream is that of the entry that was known, though the gateway has seen the server's process end since.

--- a/review/second/main.go
+++ b/review/second/main.go
@@ -26,6 +26,7 @@
 var cases = map[string]func(setting) (bool, error){
 	"returned": playReturned,
 	"joined":   playJoined,
+	"reborn":   playReborn,
 }
 
 func main() {
--- a/review/second/server.go
+++ b/review/second/server.go
@@ -1,11 +1,13 @@
 package main
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 )
@@ -19,6 +21,8 @@
 	Stage   string
 	Slots   int
 	Born    int64
+	// Version is that of the server's software; "v1" if empty.
+	Version string
 	// Events and Pause describe the streams; Work is the time that other requests take.
 	Events int
 	Pause  time.Duration
@@ -64,8 +68,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.sequence++
+	version := cmp.Or(s.Version, "v1")
 	e := map[string]any{
-		"service": s.Service, "address": s.address, "zone": s.Zone, "version": "v1", "slots": s.Slots, "state": state,
+		"service": s.Service, "address": s.address, "zone": s.Zone, "version": version, "slots": s.Slots, "state": state,
 		"cold-remaining-ms": 0, "sequence": s.sequence, "born": s.Born,
 	}
 	if s.Stage != "" {
@@ -220,11 +225,12 @@
 	}
 	h.Set("Content-Type", "text/event-stream")
 	f := http.NewResponseController(w)
-	for n := 1; n <= s.Events; n++ {
+	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	for n := last + 1; n <= s.Events; n++ {
 		if !pause(s.Pause) {
 			return false
 		}
-		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s %d/%d\n\n", n, id, n, s.Events); err != nil {
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s %d/%d by %s\n\n", n, id, n, s.Events, cmp.Or(s.Version, "v1")); err != nil {
 			return false
 		}
 		if f.Flush() != nil {
--- a/review/second/store.go
+++ b/review/second/store.go
@@ -27,10 +27,12 @@
 
 // Store is a stand-in for the platform's log store: keyed topics with one partition, without expiry.
 type Store struct {
-	mu      sync.Mutex
-	topics  map[string]*topic
-	era     int
-	down    bool
+	mu     sync.Mutex
+	topics map[string]*topic
+	era    int
+	down   bool
+	// silent is true if calls get no answer at all, as long as the store is down.
+	silent  bool
 	changed chan struct{}
 	server  *http.Server
 	conns   map[net.Conn]bool
@@ -71,6 +73,13 @@
 	return c
 }
 
+// SetSilent makes the store answer no calls, or answer again.
+func (s *Store) SetSilent(silent bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down, s.silent = silent, silent
+}
+
 // SetDown makes the store answer nothing: all channels are reset, new ones as soon as a call arrives.
 func (s *Store) SetDown(down bool) {
 	s.mu.Lock()
@@ -138,8 +147,13 @@
 // ServeHTTP implements http.Handler.
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
-	down, era := s.down, s.era
+	down, silent, era := s.down, s.silent, s.era
 	s.mu.Unlock()
+	if silent {
+		_, _ = io.Copy(io.Discard, r.Body)
+		<-r.Context().Done()
+		return
+	}
 	if down {
 		if c, _, err := w.(http.Hijacker).Hijack(); err == nil {
 			reset(c)
@@ -195,12 +209,16 @@
 	for {
 		s.mu.Lock()
 		t := s.topic(name)
-		end, changed, era, onRead := len(t.records), s.changed, s.era, s.onRead
+		end, changed, era, onRead, silent := len(t.records), s.changed, s.era, s.onRead, s.silent
 		var records []entry
 		if from <= end {
 			records = slices.Clone(t.records[from:])
 		}
 		s.mu.Unlock()
+		if silent {
+			<-r.Context().Done()
+			return
+		}
 		w.Header().Set("Store-Era", strconv.Itoa(era))
 		if from > end {
 			writeJSON(w, http.StatusGone, map[string]any{"start-offset": 0})
