--- a/review/second/gateway.go
+++ b/review/second/gateway.go
@@ -114,8 +114,25 @@
 	return os.WriteFile(g.settings, b, 0o600)
 }
 
+// started holds the gateways whose processes were started.
+var (
+	startedMu sync.Mutex
+	started   []*Gateway
+)
+
+// killAll ends the processes of all gateways.
+func killAll() {
+	startedMu.Lock()
+	defer startedMu.Unlock()
+	for _, g := range started {
+		g.Kill()
+	}
+}
+
 // Start starts the process in the repository's root.
 func (g *Gateway) Start() error {
+	startedMu.Lock()
+	defer startedMu.Unlock()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	c := exec.Command("target/rosemaryspool", "gateway")
@@ -126,6 +143,7 @@
 	}
 	exited := make(chan struct{})
 	g.command, g.exited = c, exited
+	started = append(started, g)
 	go func() {
 		_ = c.Wait()
 		close(exited)
--- a/review/second/main.go
+++ b/review/second/main.go
@@ -5,7 +5,9 @@
 import (
 	"fmt"
 	"os"
-	"path/filepath"
+	"os/signal"
+	"syscall"
+	"time"
 )
 
 // Exit codes of a case.
@@ -31,13 +33,29 @@
 
 func main() {
 	if len(os.Args) != 3 {
-		fmt.Fprintln(os.Stderr, "usage: second CASE FOLDER")
+		fmt.Fprintln(os.Stderr, "usage: second CASE RECORD")
 		os.Exit(failed)
 	}
 	os.Exit(play(os.Args[1], os.Args[2]))
 }
 
-func play(name, folder string) int {
+// limit is how long a case may run. After it, or on a signal, all gateways are ended.
+const limit = 110 * time.Second
+
+// endInTime ends the gateways and the process when the limit has passed or a signal has come.
+func endInTime() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	select {
+	case <-signals:
+	case <-time.After(limit):
+	}
+	killAll()
+	os.Exit(failed)
+}
+
+func play(name, record string) int {
+	go endInTime()
 	run, known := cases[name]
 	if !known {
 		fmt.Fprintln(os.Stderr, "unknown case", name)
@@ -49,7 +67,7 @@
 		return failed
 	}
 	defer os.RemoveAll(directory)
-	log, err := NewRecord(filepath.Join(folder, "record.txt"))
+	log, err := NewRecord(record)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return failed
