Log when, from whom and how a configuration arrived

The line of a configuration in force tells its version alone, so the hypotheses on late ones can't be told apart. The new line names the sender, the time since the latest known read of the store, and what decoding took. No logic is changed.

--- a/rosemaryspool/subscriber/applier.go
+++ b/rosemaryspool/subscriber/applier.go
@@ -9,18 +9,23 @@
 	"rosemaryspool.example/rosemaryspool/governor"
 )
 
-func (s *Subscriber) applyConfigurations(records []platform.Record, _ governor.Origin) []platform.Record {
+func (s *Subscriber) applyConfigurations(records []platform.Record, origin governor.Origin) []platform.Record {
 	var accepted []platform.Record
 	for _, r := range records {
 		if r.Key != platform.KeyConfiguration || len(r.Value) == 0 {
 			continue
 		}
+		started := time.Now()
 		c, err := platform.DecodeConfiguration(r.Value)
 		if err != nil {
 			s.log.Error().Err(err).Str("event", "configurationUnreadable").Uint64("offset", r.Offset).
 				Msg("Skipping an invalid configuration; the previous one stays in force")
 			continue
 		}
+		s.log.Info().Str("event", "configurationRead").Uint64("version", c.Version).Uint64("offset", r.Offset).
+			Int("bytes", len(r.Value)).Str("sender", string(origin.Sender)).Bool("snapshot", origin.Snapshot).
+			Dur("unreadMs", started.Sub(s.configurationReadAt())).Dur("decodeMs", time.Since(started)).
+			Msg("Configuration was read")
 		s.governor.SetConfiguration(c)
 		s.exchange.ConfigurationApplied(s.version())
 		accepted = append(accepted, r)
@@ -28,6 +33,14 @@
 	return accepted
 }
 
+// configurationReadAt returns when the configuration was last read by this instance or one whose view it follows; the zero
+// time if it never was.
+func (s *Subscriber) configurationReadAt() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.topicOf(platform.TopicConfiguration).pacer.View().ReadAt
+}
+
 // configurationOutlasts reports whether a configuration is newer than another one, such as that in an older copy of the
 // store. Others get it from the instances that know it until the operator writes again.
 func configurationOutlasts(newest, next platform.Record) bool {
