Decode a configuration in one pass

Cause, one of several: the generated validation decodes each object of a document into a map and again into its type, on each level.

--- a/Makefile
+++ b/Makefile
@@ -33,10 +33,15 @@
 	$(TOOLS)/staticcheck $(PACKAGES)
 	$(TOOLS)/revive -config revive.toml -set_exit_status -exclude wire/messenger/... -exclude platform/messenger/... $(PACKAGES)
 
+SCHEMA := $(TOOLS)/go-jsonschema -p messenger -t --tags json --capitalization ID,KV,IP,API
+# The generated validation decodes each level of a document several times; a configuration has thousands of objects.
+CONFIGURATION := schema/configuration.json
+
 generate:
 	cd tools/generator && GOWORK=off go build -o $(TOOLS)/ tool
 	cd wire && $(TOOLS)/buf generate
-	cd platform && $(TOOLS)/go-jsonschema -p messenger -t --tags json --capitalization ID,KV,IP,API -o messenger/message.go schema/*.json
+	cd platform && $(SCHEMA) -o messenger/message.go $(filter-out $(CONFIGURATION),$(sort $(patsubst platform/%,%,$(wildcard platform/schema/*.json))))
+	cd platform && $(SCHEMA) --only-models -o messenger/configuration.go $(CONFIGURATION)
 	$(MAKE) format-generated
 
 format-generated: tools
