--- a/rosemaryspool/subscriber/applier.go
+++ b/rosemaryspool/subscriber/applier.go
@@ -16,7 +16,7 @@
 			continue
 		}
 		started := time.Now()
-		c, err := platform.DecodeConfiguration(r.Value)
+		c, err := s.configurations.decode(r)
 		if err != nil {
 			s.log.Error().Err(err).Str("event", "configurationUnreadable").Uint64("offset", r.Offset).
 				Msg("Skipping an invalid configuration; the previous one stays in force")
@@ -41,17 +41,6 @@
 	return s.topicOf(platform.TopicConfiguration).pacer.View().ReadAt
 }
 
-// configurationOutlasts reports whether a configuration is newer than another one, such as that in an older copy of the
-// store. Others get it from the instances that know it until the operator writes again.
-func configurationOutlasts(newest, next platform.Record) bool {
-	known, err := platform.DecodeConfiguration(newest.Value)
-	if err != nil {
-		return false
-	}
-	inCopy, err := platform.DecodeConfiguration(next.Value)
-	return err != nil || inCopy.Version < known.Version
-}
-
 func (s *Subscriber) applyServers(records []platform.Record, origin governor.Origin) []platform.Record {
 	now := time.Now()
 	var accepted []platform.Record
--- a/rosemaryspool/subscriber/subscriber.go
+++ b/rosemaryspool/subscriber/subscriber.go
@@ -88,6 +88,8 @@
 	done       chan struct{}
 	// membersKnown is closed when the members have been read for the first time.
 	membersKnown chan struct{}
+	// configurations is used while the topic's applying mutex is held.
+	configurations configurations
 
 	mu     sync.Mutex
 	topics []*topic
@@ -109,7 +111,7 @@
 		done: make(chan struct{}), membersKnown: make(chan struct{}),
 	}
 	s.topics = []*topic{
-		{name: platform.TopicConfiguration, apply: s.applyConfigurations, keepsNewest: configurationOutlasts},
+		{name: platform.TopicConfiguration, apply: s.applyConfigurations, keepsNewest: s.configurations.outlasts},
 		{
 			name: platform.TopicServers, changes: s.serverChanges, apply: s.applyServers, onFailure: g.StoreUnavailable,
 			onOutage: g.StoreAvailable, onReturn: g.StoreReturned,
