Hold reads of the configuration for a third of its limit

Cause: the times of the instances that read for others if the reader is lost add up to nearly the whole limit. A read was held for 0.7 of it; with the interval, the backups' delays and their spread, the last ones began theirs 2.86 s after the last one that was heard of, of 3 s. What a long configuration takes on its way and what applying it takes came on top. The class: a chain of delays, each of them sensible, whose sum is compared with the limit nowhere.

Change: a read is held for 0.35 of the limit, so that the last backups begin after 1.8 of 3 s. An instance that reads makes 0.8 instead of 0.4 calls a second.

--- a/rosemaryspool/subscriber/departure_test.go
+++ b/rosemaryspool/subscriber/departure_test.go
@@ -32,6 +32,8 @@
 	recordTime time.Duration
 	// transferred counts the records that have come over each instance's link.
 	transferred map[int]int
+	// changed is closed with the next record; nil if no read is woken.
+	changed chan struct{}
 }
 
 // Records in one page of the newest ones, and in one read.
@@ -44,6 +46,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.topic[topic].put(key, value)
+	if s.changed != nil {
+		close(s.changed)
+		s.changed = make(chan struct{})
+	}
 }
 
 func (s *hangingStore) setHangs(hangs bool, instances ...int) {
@@ -119,20 +125,25 @@
 	return nil
 }
 
-// Read implements Store. A read is never woken.
+// Read implements Store.
 func (c storeClient) Read(ctx context.Context, topic string, from uint64, wait time.Duration) (platform.Batch, error) {
 	if err := c.await(ctx); err != nil {
 		return platform.Batch{}, err
 	}
 	c.mu.Lock()
 	t := c.topic[topic]
-	if wait > 0 && from == t.end() {
+	for until := time.Now().Add(wait); time.Now().Before(until) && from == t.end(); {
+		changed := c.changed
 		c.mu.Unlock()
 		select {
-		case <-time.After(wait):
+		case <-time.After(time.Until(until)):
+		case <-changed:
 		case <-ctx.Done():
 			return platform.Batch{}, ctx.Err()
 		}
+		if err := c.await(ctx); err != nil {
+			return platform.Batch{}, err
+		}
 		c.mu.Lock()
 	}
 	records, end := slices.Clone(t.records[from:]), t.end()
@@ -157,6 +168,15 @@
 type neighbourhood struct {
 	store     *hangingStore
 	instances []*neighbour
+	// unreached holds the instances whose datagrams are lost, in both directions.
+	unreached sync.Map
+}
+
+// reaches reports whether datagrams between two instances arrive.
+func (n *neighbourhood) reaches(a, b *neighbour) bool {
+	_, lostA := n.unreached.Load(a)
+	_, lostB := n.unreached.Load(b)
+	return !lostA && !lostB
 }
 
 // neighbour is one instance; it implements Exchange.
@@ -218,7 +238,7 @@
 func (i *neighbour) ForwardView(topic string, v gossiper.View) {
 	v.Sender = i.self.Instance
 	for _, other := range i.instances {
-		if other != i {
+		if other != i && i.reaches(i, other) {
 			go other.subscriber.HandleView(topic, v)
 		}
 	}
@@ -227,7 +247,7 @@
 // SendPending implements Exchange.
 func (i *neighbour) SendPending(to elector.Member, topic string) {
 	for _, other := range i.instances {
-		if other.self.Instance == to.Instance {
+		if other.self.Instance == to.Instance && i.reaches(i, other) {
 			go other.subscriber.HandleView(topic, gossiper.View{Sender: i.self.Instance, Pending: true})
 		}
 	}
@@ -238,7 +258,7 @@
 	v := take()
 	v.Sender = i.self.Instance
 	for _, other := range i.instances {
-		if other.self.Instance == to.Instance {
+		if other.self.Instance == to.Instance && i.reaches(i, other) {
 			go other.subscriber.HandleView(topic, v)
 		}
 	}
@@ -266,7 +286,7 @@
 func (i *neighbour) RequestViewOf(to elector.Member, topic string) {
 	i.asked++
 	for _, other := range i.instances {
-		if other.self.Instance == to.Instance {
+		if other.self.Instance == to.Instance && i.reaches(i, other) {
 			go other.subscriber.HandleViewRequest(i.self, []string{topic}, true)
 		}
 	}
@@ -275,7 +295,7 @@
 // RequestView implements Exchange.
 func (i *neighbour) RequestView(topic string, _ int) {
 	for _, other := range i.instances {
-		if other != i {
+		if other != i && i.reaches(i, other) {
 			go other.subscriber.HandleViewRequest(i.self, []string{topic}, true)
 		}
 	}
--- /dev/null
+++ b/rosemaryspool/subscriber/lostreader_test.go
@@ -0,0 +1,80 @@
+package subscriber
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"rosemaryspool.example/platform"
+)
+
+// A configuration that the store has confirmed was not in force at calm instances in time, as those that read for them had
+// been cut off or stopped just before.
+func TestConfigurationIsInForceInTimeWhenTheReadersAreLost(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// lost is the number of readers that are lost. They still reach their neighbours if they are lost to the store alone.
+		lost       int
+		storeAlone bool
+		// transferTime is how long the link of an instance takes for the configuration.
+		transferTime time.Duration
+	}{
+		{"one reader stops", 1, false, 0},
+		{"one reader is cut off from the store", 1, true, 0},
+		{"two readers stop", 2, false, 0},
+		{"two readers are cut off from the store", 2, true, 0},
+		{"one reader stops, 256 KiB over 10 Mbit/s", 1, false, 250 * time.Millisecond},
+		{"two readers stop, 256 KiB over 10 Mbit/s", 2, false, 250 * time.Millisecond},
+		{"two readers are cut off from the store, 256 KiB over 10 Mbit/s", 2, true, 250 * time.Millisecond},
+		{"all but two stop, 256 KiB over 10 Mbit/s", 25, false, 250 * time.Millisecond},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			for delay := time.Duration(0); delay < 2400*time.Millisecond; delay += 200 * time.Millisecond {
+				require.Empty(t, withoutChange(t, c.lost, c.storeAlone, c.transferTime, delay), "%v after the loss", delay)
+			}
+		})
+	}
+}
+
+// withoutChange loses the first readers of 27 instances, changes the configuration after a delay and returns the other
+// instances at which it isn't in force at the end of the apply limit.
+func withoutChange(t *testing.T, lost int, storeAlone bool, transferTime, delay time.Duration) (late []string) {
+	t.Helper()
+	const instances = 27
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer func() {
+			cancel()
+			time.Sleep(5 * time.Second)
+		}()
+		n := newNeighbourhood(instances)
+		n.store.changed = make(chan struct{})
+		n.store.recordTime = transferTime
+		n.start(ctx)
+		time.Sleep(5 * time.Second)
+		readers := slices.Clone(n.instances)
+		slices.SortFunc(readers, func(a, b *neighbour) int {
+			return a.governor.ReaderRank(time.Now()) - b.governor.ReaderRank(time.Now())
+		})
+		for _, r := range readers[:lost] {
+			n.store.setHangs(true, slices.Index(n.instances, r))
+			if !storeAlone {
+				n.unreached.Store(r, true)
+			}
+		}
+		time.Sleep(delay)
+		n.store.put(platform.TopicConfiguration, platform.KeyConfiguration, configuration(2))
+		time.Sleep(applyLimit)
+		for rank, r := range readers[lost:] {
+			if version := r.governor.Table().Configuration().Version; version != 2 {
+				late = append(late, fmt.Sprintf("rank %d: version %d", lost+rank, version))
+			}
+		}
+	})
+	return late
+}
--- a/rosemaryspool/subscriber/subscriber.go
+++ b/rosemaryspool/subscriber/subscriber.go
@@ -25,8 +25,9 @@
 	memberHold = 20 * time.Second
 	memberGap  = time.Second
 	// configurationHoldShare is the share of the apply limit for which the store may hold a long-poll read of the
-	// configuration. It is less than one because the store may fail to wake the read.
-	configurationHoldShare = 0.7
+	// configuration. The store may fail to wake the read, and its reader may be lost with all but the last backups: what
+	// these need for their own reads and for applying is left of the limit.
+	configurationHoldShare = 0.35
 	// configurationGapShare is the share of the apply limit between two reads of the configuration, so that quick changes
 	// are read together.
 	configurationGapShare = 0.05
