Serve no request of another instance by a later configuration

Cause: an instance that reaches no upstream passes its requests on. The other one served them by its own configuration if that was the same or a later one, so a caller got the effect of a version that its instance didn't have yet, and with the next request that of the version before.

Change: the other instance declines unless its configuration is the one in force at the first, whose current version is named now.

Measured: the new test failed before with a 404 by the later version at an instance that still had the route.

--- a/rosemaryspool/forwarder/detour.go
+++ b/rosemaryspool/forwarder/detour.go
@@ -43,7 +43,7 @@
 // passedOn is what an instance says of a request that it passes on.
 type passedOn struct {
 	instance identifier.InstanceID
-	// configuration is the version with which the request was matched; an older one must not serve it.
+	// configuration is the version in force at that instance; another one must not serve the request.
 	configuration uint64
 	// runs is the number of upstreams on which the request may have run.
 	runs int
@@ -228,8 +228,8 @@
 func (e *exchange) peerRequest(peer elector.Member) connector.Request {
 	header := platform.EncodePeerHeaders(e.request.Header, time.Until(e.deadline))
 	header.Set(headerPassedOn, passedOn{
-		instance: e.forwarder.governor.Self().Instance, configuration: e.version, runs: e.runs, counted: e.counted,
-		refusedBy: e.refusedBy,
+		instance: e.forwarder.governor.Self().Instance, configuration: e.forwarder.governor.Table().Configuration().Version,
+		runs: e.runs, counted: e.counted, refusedBy: e.refusedBy,
 	}.encode())
 	idle := maxIdleNonIdempotent
 	if e.route.Idempotent {
--- a/rosemaryspool/forwarder/forwarder.go
+++ b/rosemaryspool/forwarder/forwarder.go
@@ -206,7 +206,8 @@
 func (e *exchange) serve() result {
 	e.awaitStart(e.forwarder.governor.Configured())
 	table := e.forwarder.governor.Table()
-	if e.passedOn != nil && (table == nil || table.Configuration().Version < e.passedOn.configuration) {
+	if e.passedOn != nil && (table == nil || table.Configuration().Version != e.passedOn.configuration) {
+		// By a later version, the caller's next request would go back to an earlier one.
 		return e.decline("configuration")
 	}
 	if table == nil {
--- a/rosemaryspool/gatekeeper/path_test.go
+++ b/rosemaryspool/gatekeeper/path_test.go
@@ -410,6 +410,38 @@
 	}, 2*time.Second, 50*time.Millisecond)
 }
 
+// Callers of an instance got the effect of a version that it didn't have yet by way of another one, and then that of the
+// version before again.
+func TestInstanceThatPassesRequestsOnDoesNotGoBackToAnEarlierConfiguration(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, testInstanceThatPassesRequestsOnDoesNotGoBackToAnEarlierConfiguration)
+}
+
+func testInstanceThatPassesRequestsOnDoesNotGoBackToAnEarlierConfiguration(t *testing.T) {
+	store := newMemoryStore(t)
+	newPathFleet(t, store)
+	instances := newTestCluster(t, store, 2)
+	losePath(t, instances[0])
+	// Only the second instance has got the version without lookups.
+	configuration, err := platform.DecodeConfiguration([]byte(strings.Replace(
+		fmt.Sprintf(routeTable, 2), `"path-prefix":"/lookups/"`, `"path-prefix":"/searches/"`, 1)))
+	require.NoError(t, err)
+	instances[1].gatekeeper.governor.SetConfiguration(configuration)
+	status := func(n int) int {
+		return instances[0].send(http.MethodPost, lookups+"x", "body", emulator.HeaderAttempt, fmt.Sprint("l", n)).status
+	}
+	for n := range 5 {
+		require.NotEqual(t, http.StatusNotFound, status(n), "the first instance has the route")
+	}
+	instances[0].gatekeeper.governor.SetConfiguration(configuration)
+	for n := range 5 {
+		require.Equal(t, http.StatusNotFound, status(5+n))
+	}
+	require.Eventually(t, func() bool {
+		return instances[0].send(http.MethodPost, orders+"x", "body").status == http.StatusOK
+	}, 2*time.Second, 50*time.Millisecond)
+}
+
 func TestAttemptsThatWereNotSentTakeNoRetries(t *testing.T) {
 	t.Parallel()
 	synctest.Test(t, testAttemptsThatWereNotSentTakeNoRetries)
