Take streams up only at a service that their route still uses

Cause: a stream that its caller takes up again goes to the service that began it if the route names it, even with the weight zero, which gives it no other request.

Change: the route has to have a weight for it; else the request is refused as one of an unknown origin, like where the service isn't named.

--- a/core/matcher/matcher.go
+++ b/core/matcher/matcher.go
@@ -166,6 +166,11 @@
 	return r.Services[len(r.Services)-1].Service
 }
 
+// Uses reports whether the route has a weight for a service.
+func (r *Route) Uses(service identifier.ServiceName) bool {
+	return slices.ContainsFunc(r.Services, func(s WeightedService) bool { return s.Service == service && s.Weight > 0 })
+}
+
 // PickOther chooses like PickService among the services with a weight that are not excluded. It returns false if there are
 // none.
 func (r *Route) PickOther(draw float64, excluded []identifier.ServiceName) (identifier.ServiceName, bool) {
--- a/rosemaryspool/forwarder/resume.go
+++ b/rosemaryspool/forwarder/resume.go
@@ -1,13 +1,11 @@
 package forwarder
 
 import (
-	"slices"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
 
 	"rosemaryspool.example/core/identifier"
-	"rosemaryspool.example/core/matcher"
 	"rosemaryspool.example/core/resumer"
 )
 
@@ -31,8 +29,7 @@
 	if sole, found := versions.Sole(); !known && found && len(e.route.Services) == 1 {
 		o, known = resumer.Origin{Service: e.service, Version: sole}, true
 	}
-	serves := func(s matcher.WeightedService) bool { return s.Service == o.Service }
-	if known && o.Version != identifier.UnknownVersion && slices.ContainsFunc(e.route.Services, serves) {
+	if known && o.Version != identifier.UnknownVersion && e.route.Uses(o.Service) {
 		e.service, e.streamVersion = o.Service, &o.Version
 		return result{}, true
 	}
--- a/rosemaryspool/gatekeeper/version_test.go
+++ b/rosemaryspool/gatekeeper/version_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -175,6 +176,35 @@
 	require.Zero(t, countRuns(upstreams...))
 }
 
+// A stream that its caller took up again went to the service that had begun it, though the route left it no requests.
+func TestStreamIsNotTakenUpAtAServiceThatItsRouteHasLeft(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		services string
+	}{
+		{"not named any more", `"service":"other"`},
+		{"without weight", `"weighted-services":[{"service":"model","weight":0},{"service":"other","weight":1}]`},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				store := newMemoryStore(t)
+				upstreams := newVersionedUpstreams(t, store)
+				instances := newTestCluster(t, store, 2)
+				beginStreams(t, instances[0])
+				before := countRuns(upstreams...)
+				table := fmt.Sprintf(routeTable, 2)
+				end := strings.LastIndex(table, `"service":"model"`)
+				store.Put(platform.TopicConfiguration, platform.KeyConfiguration,
+					[]byte(table[:end]+c.services+table[end+len(`"service":"model"`):]))
+				time.Sleep(testSettings(store).MaxApplyDelay)
+				require.Zero(t, resumeStreams(t, instances...))
+				require.Equal(t, before, countRuns(upstreams...))
+			})
+		})
+	}
+}
+
 // versionFleet is a cluster of three instances in front of decode engines of one version, which break off what begins there.
 type versionFleet struct {
 	t         *testing.T
