--- a/rosemaryspool/subscriber/departure_test.go
+++ b/rosemaryspool/subscriber/departure_test.go
@@ -28,6 +28,8 @@
 	mu    sync.Mutex
 	topic map[string]*memoryStore
 	hangs map[int]bool
+	// silent is a topic to whose calls nobody gets a response.
+	silent string
 	// recordTime is how long the link of an instance takes for one record.
 	recordTime time.Duration
 	// transferred counts the records that have come over each instance's link.
@@ -67,16 +69,23 @@
 	return maps.Clone(s.transferred)
 }
 
+// setSilent ends the responses about one topic, and those about any other begin again.
+func (s *hangingStore) setSilent(topic string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent = topic
+}
+
 // storeClient is the store as one instance calls it.
 type storeClient struct {
 	*hangingStore
 	instance int
 }
 
-// await waits for the response to a call.
-func (c storeClient) await(ctx context.Context) error {
+// await waits for the response to a call about a topic.
+func (c storeClient) await(ctx context.Context, topic string) error {
 	c.mu.Lock()
-	hangs := c.hangs[c.instance]
+	hangs := c.hangs[c.instance] || c.silent == topic
 	c.mu.Unlock()
 	if hangs {
 		<-ctx.Done()
@@ -90,7 +99,7 @@
 ) (platform.Batch, error) {
 	limited, cancel := context.WithTimeout(ctx, p.Timeout)
 	defer cancel()
-	if err := c.await(limited); err != nil {
+	if err := c.await(limited, topic); err != nil {
 		return platform.Batch{}, err
 	}
 	c.mu.Lock()
@@ -127,7 +136,7 @@
 
 // Read implements Store.
 func (c storeClient) Read(ctx context.Context, topic string, from uint64, wait time.Duration) (platform.Batch, error) {
-	if err := c.await(ctx); err != nil {
+	if err := c.await(ctx, topic); err != nil {
 		return platform.Batch{}, err
 	}
 	c.mu.Lock()
@@ -141,7 +150,7 @@
 		case <-ctx.Done():
 			return platform.Batch{}, ctx.Err()
 		}
-		if err := c.await(ctx); err != nil {
+		if err := c.await(ctx, topic); err != nil {
 			return platform.Batch{}, err
 		}
 		c.mu.Lock()
@@ -157,7 +166,7 @@
 
 // Write implements Store.
 func (c storeClient) Write(ctx context.Context, topic, key string, value []byte) error {
-	if err := c.await(ctx); err != nil {
+	if err := c.await(ctx, topic); err != nil {
 		return err
 	}
 	c.put(topic, key, value)
--- a/rosemaryspool/subscriber/lostreader_test.go
+++ b/rosemaryspool/subscriber/lostreader_test.go
@@ -78,3 +78,20 @@
 	})
 	return late
 }
+
+// Reads of a topic to which the store didn't respond were given up so late that what was confirmed after it was not in force
+// in time.
+func TestConfigurationIsInForceInTimeAfterItsTopicAloneWasAway(t *testing.T) {
+	for outage := 2 * time.Second; outage < 5*time.Second; outage += 100 * time.Millisecond {
+		play(t, 6, func(t *testing.T, n *neighbourhood) {
+			n.store.setSilent(platform.TopicConfiguration)
+			time.Sleep(outage)
+			n.store.setSilent("")
+			n.store.put(platform.TopicConfiguration, platform.KeyConfiguration, configuration(2))
+			time.Sleep(applyLimit)
+			for _, i := range n.instances {
+				require.EqualValues(t, 2, i.subscriber.version(), "%s after an outage of %v", i.self.Instance, outage)
+			}
+		})
+	}
+}
