--- a/rosemaryspool/subscriber/lostreader_test.go
+++ b/rosemaryspool/subscriber/lostreader_test.go
@@ -46,7 +46,7 @@
 func withoutChange(t *testing.T, lost int, storeAlone bool, transferTime, delay time.Duration) (late []string) {
 	t.Helper()
 	const instances = 27
-	synctest.Test(t, func(t *testing.T) {
+	synctest.Test(t, func(*testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		defer func() {
 			cancel()
