Show that a configuration is in force in time at an instance without neighbours

An instance that reaches the store and its callers, but no other instance, read the configuration for itself at intervals that left less than the time of a long read of the limit: with the hold time of before, rank 26 was late at the first delay played.

--- a/rosemaryspool/subscriber/lostreader_test.go
+++ b/rosemaryspool/subscriber/lostreader_test.go
@@ -44,12 +44,36 @@
 // withoutChange loses the first readers of 27 instances, changes the configuration after a delay and returns the other
 // instances at which it isn't in force at the end of the apply limit.
 func withoutChange(t *testing.T, lost int, storeAlone bool, transferTime, delay time.Duration) (late []string) {
+	t.Helper()
+	playReaders(t, transferTime, func(n *neighbourhood, readers []*neighbour) {
+		for _, r := range readers[:lost] {
+			n.store.setHangs(true, slices.Index(n.instances, r))
+			if !storeAlone {
+				n.unreached.Store(r, true)
+			}
+		}
+		time.Sleep(delay)
+		n.store.put(platform.TopicConfiguration, platform.KeyConfiguration, configuration(2))
+		time.Sleep(applyLimit)
+		for rank, r := range readers[lost:] {
+			if version := r.subscriber.version(); version != 2 {
+				late = append(late, fmt.Sprintf("rank %d: version %d", lost+rank, version))
+			}
+		}
+	})
+	return late
+}
+
+// playReaders runs 27 instances in simulated time, whose links take transferTime for a configuration. readers holds them in
+// the order in which they read the store.
+func playReaders(t *testing.T, transferTime time.Duration, run func(n *neighbourhood, readers []*neighbour)) {
 	t.Helper()
 	const instances = 27
 	synctest.Test(t, func(*testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		defer func() {
 			cancel()
+			// All goroutines end before the test does.
 			time.Sleep(5 * time.Second)
 		}()
 		n := newNeighbourhood(instances)
@@ -61,22 +85,24 @@
 		slices.SortFunc(readers, func(a, b *neighbour) int {
 			return a.governor.ReaderRank(time.Now()) - b.governor.ReaderRank(time.Now())
 		})
-		for _, r := range readers[:lost] {
-			n.store.setHangs(true, slices.Index(n.instances, r))
-			if !storeAlone {
-				n.unreached.Store(r, true)
-			}
-		}
-		time.Sleep(delay)
-		n.store.put(platform.TopicConfiguration, platform.KeyConfiguration, configuration(2))
-		time.Sleep(applyLimit)
-		for rank, r := range readers[lost:] {
-			if version := r.governor.Table().Configuration().Version; version != 2 {
-				late = append(late, fmt.Sprintf("rank %d: version %d", lost+rank, version))
-			}
-		}
+		run(n, readers)
 	})
-	return late
+}
+
+// An instance that reached the store but no other instance read it so seldom that a configuration was not in force there in
+// time.
+func TestConfigurationIsInForceInTimeAtAnInstanceWithoutNeighbours(t *testing.T) {
+	for _, rank := range []int{1, 2, 26} {
+		for delay := time.Duration(0); delay < 2*applyLimit; delay += 50 * time.Millisecond {
+			playReaders(t, 250*time.Millisecond, func(n *neighbourhood, readers []*neighbour) {
+				n.unreached.Store(readers[rank], true)
+				time.Sleep(applyLimit + delay)
+				n.store.put(platform.TopicConfiguration, platform.KeyConfiguration, configuration(2))
+				time.Sleep(applyLimit)
+				require.EqualValues(t, 2, readers[rank].subscriber.version(), "rank %d, %v after the limit", rank, delay)
+			})
+		}
+	}
 }
 
 // Reads of a topic to which the store didn't respond were given up so late that what was confirmed after it was not in force
