Look a request's route up again when it has arrived

Cause: the route, the service and the account of a request were taken from the configuration in force when its head had arrived. Its body may arrive seconds later, within the route's timeout, over a slow link or from a slow caller, and the request was handled by a configuration that had been replaced long since. The class: a decision that is taken from a configuration and kept while the request isn't there yet.

Change: if another configuration is in force when the body has arrived, route and account are looked up in it. What is under way afterwards goes on as before.

--- a/rosemaryspool/forwarder/forwarder.go
+++ b/rosemaryspool/forwarder/forwarder.go
@@ -206,35 +206,23 @@
 func (e *exchange) serve() result {
 	e.awaitStart(e.forwarder.governor.Configured())
 	table := e.forwarder.governor.Table()
-	if e.passedOn != nil && (table == nil || table.Configuration().Version != e.passedOn.configuration) {
-		// By a later version, the caller's next request would go back to an earlier one.
-		return e.decline("configuration")
-	}
-	if table == nil {
-		return e.refuse("noConfiguration", startupRetryAfter)
-	}
-	e.configuration = table.Configuration()
-	e.version = e.configuration.Version
-	path, _, _ := strings.Cut(e.request.RequestURI, "?")
-	route, found := table.Match(e.request.Host, path)
-	if !found {
-		return e.respondError(http.StatusNotFound, outcomeUnmatched, "noRoute")
-	}
-	e.setRoute(route)
-	if !e.identify(table) {
-		return e.respondError(http.StatusUnauthorized, outcomeUnauthorized, "unknownKey")
-	}
-	if e.keysOutdated() {
-		return e.refuse(causeKeysOutdated, startupRetryAfter)
+	if r, ok := e.accept(table); !ok {
+		return r
 	}
-	if r, ok := e.readBody(table.Configuration().Limits); !ok {
+	if r, ok := e.readBody(e.configuration.Limits); !ok {
 		return r
 	}
 	if e.late || e.forwarder.isStopped() {
 		return e.refuseStopping()
 	}
 	e.awaitStart(e.forwarder.governor.Listed())
-	e.service = route.PickService(rand.Float64())
+	if latest := e.forwarder.governor.Table(); latest != table {
+		// The caller may have sent the end of its request long after this one came into force.
+		if r, ok := e.accept(latest); !ok {
+			return r
+		}
+	}
+	e.service = e.route.PickService(rand.Float64())
 	e.setDeadlines()
 	ctx, cancel := context.WithDeadline(e.request.Context(), e.deadline)
 	defer cancel()
@@ -257,6 +245,33 @@
 	return e.run()
 }
 
+// accept finds the route and the account of the request in a configuration. It returns false and how the request ends if
+// the configuration doesn't allow it. Nothing may be written of an upstream's answer before.
+func (e *exchange) accept(table *matcher.Table) (result, bool) {
+	if e.passedOn != nil && (table == nil || table.Configuration().Version != e.passedOn.configuration) {
+		// By a later version, the caller's next request would go back to an earlier one.
+		return e.decline("configuration"), false
+	}
+	if table == nil {
+		return e.refuse("noConfiguration", startupRetryAfter), false
+	}
+	e.configuration = table.Configuration()
+	e.version = e.configuration.Version
+	path, _, _ := strings.Cut(e.request.RequestURI, "?")
+	route, found := table.Match(e.request.Host, path)
+	if !found {
+		return e.respondError(http.StatusNotFound, outcomeUnmatched, "noRoute"), false
+	}
+	e.setRoute(route)
+	if !e.identify(table) {
+		return e.respondError(http.StatusUnauthorized, outcomeUnauthorized, "unknownKey"), false
+	}
+	if e.keysOutdated() {
+		return e.refuse(causeKeysOutdated, startupRetryAfter), false
+	}
+	return result{}, true
+}
+
 // setRoute sets the route of the request. Nothing may be written of an upstream's answer before.
 func (e *exchange) setRoute(route *matcher.Route) {
 	e.route = route
--- a/rosemaryspool/forwarder/identify.go
+++ b/rosemaryspool/forwarder/identify.go
@@ -18,6 +18,7 @@
 // identify finds the account that the request belongs to. It returns false if the request needs a key and has none that
 // is known.
 func (e *exchange) identify(table *matcher.Table) bool {
+	e.account, e.replacesKey = nil, false
 	if !table.NeedsKeys() {
 		return true
 	}
