--- a/rosemaryspool/subscriber/applier.go
+++ b/rosemaryspool/subscriber/applier.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/core/matcher"
 	"rosemaryspool.example/core/tracker"
 	"rosemaryspool.example/platform"
 	"rosemaryspool.example/rosemaryspool/governor"
@@ -22,10 +23,7 @@
 				Msg("Skipping an invalid configuration; the previous one stays in force")
 			continue
 		}
-		s.log.Info().Str("event", "configurationRead").Uint64("version", c.Version).Uint64("offset", r.Offset).
-			Int("bytes", len(r.Value)).Str("sender", string(origin.Sender)).Bool("snapshot", origin.Snapshot).
-			Dur("unreadMs", started.Sub(s.configurationReadAt())).Dur("decodeMs", time.Since(started)).
-			Msg("Configuration was read")
+		s.logConfiguration(c, r, origin, started)
 		s.governor.SetConfiguration(c)
 		s.exchange.ConfigurationApplied(s.version())
 		accepted = append(accepted, r)
@@ -33,12 +31,20 @@
 	return accepted
 }
 
-// configurationReadAt returns when the configuration was last read by this instance or one whose view it follows; the zero
-// time if it never was.
-func (s *Subscriber) configurationReadAt() time.Time {
+// logConfiguration logs how a configuration arrived, whose decoding has just ended.
+func (s *Subscriber) logConfiguration(
+	c *matcher.Configuration, r platform.Record, origin governor.Origin, started time.Time,
+) {
+	line := s.log.Info().Str("event", "configurationRead").Uint64("version", c.Version).Uint64("offset", r.Offset).
+		Int("bytes", len(r.Value)).Str("sender", string(origin.Sender)).Bool("snapshot", origin.Snapshot).
+		Dur("decodeMs", time.Since(started))
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.topicOf(platform.TopicConfiguration).pacer.View().ReadAt
+	readAt := s.topicOf(platform.TopicConfiguration).pacer.View().ReadAt
+	s.mu.Unlock()
+	if !readAt.IsZero() {
+		line = line.Dur("unreadMs", started.Sub(readAt))
+	}
+	line.Msg("Configuration was read")
 }
 
 func (s *Subscriber) applyServers(records []platform.Record, origin governor.Origin) []platform.Record {
