Classify a service call again when it has arrived

Measured: the new test failed before, as the call went on to a service that is not configured any more. The gateway doesn't use this code.

--- a/rosemaryspool/server/service.go
+++ b/rosemaryspool/server/service.go
@@ -37,6 +37,13 @@
 		s.replyRefusal(w, r, refusal)
 		return
 	}
+	if latest := s.configuration.Load(); latest != configuration {
+		// The caller may have sent the end of its call long after this one came into force.
+		if class, service, refusal = latest.ClassifyCall(headers, name); refusal != nil {
+			s.replyRefusal(w, r, refusal)
+			return
+		}
+	}
 	overLimit := s.dispatcher.Admit(scheduler.ServiceCalled{
 		Now: arrived, Request: requestID(r), Caller: headers.Caller, Urgent: class.Urgent,
 	})
