--- a/Makefile
+++ b/Makefile
@@ -36,11 +36,12 @@
 SCHEMA := $(TOOLS)/go-jsonschema -p messenger -t --tags json --capitalization ID,KV,IP,API
 # The generated validation decodes each level of a document several times; a configuration has thousands of objects.
 CONFIGURATION := schema/configuration.json
+MESSAGES := $(filter-out $(CONFIGURATION),$(sort $(patsubst platform/%,%,$(wildcard platform/schema/*.json))))
 
 generate:
 	cd tools/generator && GOWORK=off go build -o $(TOOLS)/ tool
 	cd wire && $(TOOLS)/buf generate
-	cd platform && $(SCHEMA) -o messenger/message.go $(filter-out $(CONFIGURATION),$(sort $(patsubst platform/%,%,$(wildcard platform/schema/*.json))))
+	cd platform && $(SCHEMA) -o messenger/message.go $(MESSAGES)
 	cd platform && $(SCHEMA) --only-models -o messenger/configuration.go $(CONFIGURATION)
 	$(MAKE) format-generated
 
--- a/rosemaryspool/gatekeeper/path_test.go
+++ b/rosemaryspool/gatekeeper/path_test.go
@@ -410,8 +410,7 @@
 	}, 2*time.Second, 50*time.Millisecond)
 }
 
-// Callers of an instance got the effect of a version that it didn't have yet by way of another one, and then that of the
-// version before again.
+// Callers got the effect of a later version by way of another instance, and then that of the version before again.
 func TestInstanceThatPassesRequestsOnDoesNotGoBackToAnEarlierConfiguration(t *testing.T) {
 	t.Parallel()
 	synctest.Test(t, testInstanceThatPassesRequestsOnDoesNotGoBackToAnEarlierConfiguration)
--- a/rosemaryspool/gossiper/forward_test.go
+++ b/rosemaryspool/gossiper/forward_test.go
@@ -75,8 +75,7 @@
 	require.Equal(t, v.RecordsTo, next)
 }
 
-// Two versions of the configuration are read at once, and the datagrams of the second are lost with their sender. Instances
-// took the first for all that there was at that time, and read the store as late as if nothing were missing.
+// Instances that got the first of two versions that were read at once took it for all that there was at that time.
 func TestPartOfAViewDoesNotPostponeTheNextRead(t *testing.T) {
 	const interval, rank = time.Second, 3
 	before := time.Now()
--- a/rosemaryspool/subscriber/lostreader_test.go
+++ b/rosemaryspool/subscriber/lostreader_test.go
@@ -13,8 +13,7 @@
 	"rosemaryspool.example/platform"
 )
 
-// A configuration that the store has confirmed was not in force at calm instances in time, as those that read for them had
-// been cut off or stopped just before.
+// Instances were late with a confirmed configuration if those that read it for them were lost just before.
 func TestConfigurationIsInForceInTimeWhenTheReadersAreLost(t *testing.T) {
 	for _, c := range []struct {
 		name string
@@ -89,8 +88,7 @@
 	})
 }
 
-// An instance that reached the store but no other instance read it so seldom that a configuration was not in force there in
-// time.
+// An instance that reached the store but no other instance read it so seldom that it was late.
 func TestConfigurationIsInForceInTimeAtAnInstanceWithoutNeighbours(t *testing.T) {
 	for _, rank := range []int{1, 2, 26} {
 		for delay := time.Duration(0); delay < 2*applyLimit; delay += 50 * time.Millisecond {
@@ -105,8 +103,7 @@
 	}
 }
 
-// Reads of a topic to which the store didn't respond were given up so late that what was confirmed after it was not in force
-// in time.
+// The store responds to no read of the configuration for a while, and to all others.
 func TestConfigurationIsInForceInTimeAfterItsTopicAloneWasAway(t *testing.T) {
 	for outage := 2 * time.Second; outage < 5*time.Second; outage += 100 * time.Millisecond {
 		play(t, 6, func(t *testing.T, n *neighbourhood) {
