Move a request from a kept connection that closes before it is sent

Cause: net/http pools the connection of a response without a body before it returns the response. OpenNamed closes that connection because an answer may still follow, but the next request can already have been assigned to it. Its write fails, or it gets the answer of the request before out of the reader's buffer. In neither case was a byte of it sent.

Change: the client counts the writes of a connection and begins none after Close. A request that was assigned a kept connection, of which no write had begun when the connection was closed, is sent on another one. A request of which a write began is never sent again, as before (TestOpenNeverRetries). The gateway's connector checks a connection when it takes it out of its pool and isn't affected.

Result: TestRequestIsNotLostWithAConnectionThatClosedBeforeItWasSent failed before. Not closed: a second request that is sent at the same moment on the connection that is being closed still counts as one that may have run.

--- a/adaptor/requester/requester.go
+++ b/adaptor/requester/requester.go
@@ -49,7 +49,7 @@
 	return fmt.Sprintf("requester: status %d: %.200s", e.Status, e.Body)
 }
 
-// Client sends requests to one base URL. It does not follow redirects and never retries a request.
+// Client sends requests to one base URL. It does not follow redirects and sends a request once.
 type Client struct {
 	base string
 	// kept keeps its connections, single opens one for each request.
@@ -62,10 +62,9 @@
 }
 
 func newHTTPClient(single bool) *http.Client {
-	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAliveInterval}
 	transport := &http.Transport{
 		DisableKeepAlives:   single,
-		DialContext:         dialer.DialContext,
+		DialContext:         dial,
 		MaxIdleConns:        maxIdleConns,
 		MaxIdleConnsPerHost: maxIdleConns,
 		IdleConnTimeout:     idleTimeout,
@@ -88,7 +87,8 @@
 
 // Open sends a request and returns the response of any status. The caller must read and close its body.
 func (c *Client) Open(ctx context.Context, method, path string, body []byte, header http.Header) (*http.Response, error) {
-	return c.open(ctx, c.kept, method, path, body, header)
+	response, _, err := c.open(ctx, c.kept, method, path, body, header)
+	return response, err
 }
 
 // OpenNamed sends a request whose responses name it in a header, as the request does. A response that names no request is
@@ -96,28 +96,47 @@
 func (c *Client) OpenNamed(
 	ctx context.Context, method, path string, body []byte, header http.Header, name string,
 ) (*http.Response, error) {
-	var used httptrace.GotConnInfo
-	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { used = info }})
-	response, err := c.open(traced, c.kept, method, path, body, header)
-	if err != nil {
-		return nil, err
-	}
-	got := response.Header.Get(name)
-	if got == header.Get(name) || got == "" && !used.Reused {
-		return response, nil
+	for {
+		response, used, err := c.open(ctx, c.kept, method, path, body, header)
+		if err != nil {
+			return nil, err
+		}
+		got := response.Header.Get(name)
+		if got == header.Get(name) || got == "" && !used.reused {
+			return response, nil
+		}
+		// The answer to this request may follow on the connection.
+		unsent := used.abandon()
+		_ = response.Body.Close()
+		if !unsent || ctx.Err() != nil {
+			return nil, eris.Wrapf(ErrMismatched, "response %d of %q", response.StatusCode, got)
+		}
 	}
-	// The answer to this request may follow on the connection.
-	_ = used.Conn.Close()
-	_ = response.Body.Close()
-	return nil, eris.Wrapf(ErrMismatched, "response %d of %q", response.StatusCode, got)
 }
 
+// open sends a request. It takes another connection if a kept one closes before any of the request is written: the transport
+// pools a connection again before the caller of a response without a body can close it.
 func (c *Client) open(
 	ctx context.Context, client *http.Client, method, path string, body []byte, header http.Header,
-) (*http.Response, error) {
-	request, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+) (*http.Response, connectionUse, error) {
+	for {
+		response, used, err := c.send(ctx, client, method, path, body, header)
+		if err == nil || ctx.Err() != nil || !used.abandon() {
+			return response, used, err
+		}
+	}
+}
+
+func (c *Client) send(
+	ctx context.Context, client *http.Client, method, path string, body []byte, header http.Header,
+) (*http.Response, connectionUse, error) {
+	var used connectionUse
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) { used = newConnectionUse(info) },
+	})
+	request, err := http.NewRequestWithContext(traced, method, c.base+path, bytes.NewReader(body))
 	if err != nil {
-		return nil, eris.Wrap(err, "requester: build request")
+		return nil, used, eris.Wrap(err, "requester: build request")
 	}
 	// Without GetBody the transport cannot rewind the body and therefore does not resend the request.
 	request.GetBody = nil
@@ -132,9 +151,9 @@
 	}
 	response, err := client.Do(request)
 	if err != nil {
-		return nil, classifyError(err)
+		return nil, used, classifyError(err)
 	}
-	return response, nil
+	return response, used, nil
 }
 
 // classifyError separates a failed dial, after which nothing was sent, from all other errors.
@@ -169,7 +188,7 @@
 		}
 		body = encoded
 	}
-	response, err := c.open(ctx, client, method, path, body, nil)
+	response, _, err := c.open(ctx, client, method, path, body, nil)
 	if err != nil {
 		return err
 	}
--- a/adaptor/requester/requester_test.go
+++ b/adaptor/requester/requester_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/http/httptrace"
 	"sync/atomic"
 	"testing"
 
@@ -61,6 +62,25 @@
 	}
 }
 
+func TestRequestIsNotLostWithAConnectionThatClosedBeforeItWasSent(t *testing.T) {
+	// A connection that an earlier answer had closed failed the next request as if it might have run.
+	var arrivals atomic.Int64
+	s := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { arrivals.Add(1) }))
+	defer s.Close()
+	client := NewClient(s.Listener.Addr().String())
+	closing := httptrace.WithClientTrace(t.Context(), &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		if info.Reused {
+			_ = info.Conn.Close()
+		}
+	}})
+	for range 2 {
+		response, err := client.Open(closing, http.MethodPost, "/", []byte("{}"), http.Header{})
+		require.NoError(t, err)
+		require.NoError(t, response.Body.Close())
+	}
+	require.EqualValues(t, 2, arrivals.Load())
+}
+
 func TestNormalizeURL(t *testing.T) {
 	cases := []struct{ given, want string }{
 		{"10.0.0.1:80", "http://10.0.0.1:80"},
