Test that a forwarded view names the read before it

Only the encoding of PreviousReadAt had a test. The test of the reader fails if recordRead leaves the time out. neighbour.reaches no longer takes its own receiver as an argument.

--- a/rosemaryspool/subscriber/agreement_test.go
+++ b/rosemaryspool/subscriber/agreement_test.go
@@ -611,3 +611,20 @@
 	return fmt.Appendf(nil,
 		`{"service":"s","address":"10.0.0.1:80","zone":"z","slots":6,"state":%q,"sequence":1,"born":%d}`, state, born)
 }
+
+// Parts of a forwarded view counted as read at the time of the whole.
+func TestForwardedViewNamesTheReadBefore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSimulation(2)
+		reader := s.instances[0]
+		reader.readStore(t)
+		before := reader.topic.pacer.View().ReadAt
+		time.Sleep(time.Second)
+		s.store.put("a", bornRecord("ready", 1))
+		s.sent = nil
+		reader.readStore(t)
+		require.Len(t, s.sent, 1)
+		require.Equal(t, before, s.sent[0].view.PreviousReadAt)
+		require.Equal(t, time.Now(), s.sent[0].view.ReadAt)
+	})
+}
--- a/rosemaryspool/subscriber/departure_test.go
+++ b/rosemaryspool/subscriber/departure_test.go
@@ -181,13 +181,6 @@
 	unreached sync.Map
 }
 
-// reaches reports whether datagrams between two instances arrive.
-func (n *neighbourhood) reaches(a, b *neighbour) bool {
-	_, lostA := n.unreached.Load(a)
-	_, lostB := n.unreached.Load(b)
-	return !lostA && !lostB
-}
-
 // neighbour is one instance; it implements Exchange.
 type neighbour struct {
 	*neighbourhood
@@ -198,6 +191,13 @@
 	named, asked int
 }
 
+// reaches reports whether datagrams between this instance and another one arrive.
+func (i *neighbour) reaches(other *neighbour) bool {
+	_, lost := i.unreached.Load(i)
+	_, otherLost := i.unreached.Load(other)
+	return !lost && !otherLost
+}
+
 // startNeighbourhood starts instances that follow a store with two upstreams.
 func startNeighbourhood(ctx context.Context, count int) *neighbourhood {
 	n := newNeighbourhood(count)
@@ -247,7 +247,7 @@
 func (i *neighbour) ForwardView(topic string, v gossiper.View) {
 	v.Sender = i.self.Instance
 	for _, other := range i.instances {
-		if other != i && i.reaches(i, other) {
+		if other != i && i.reaches(other) {
 			go other.subscriber.HandleView(topic, v)
 		}
 	}
@@ -256,7 +256,7 @@
 // SendPending implements Exchange.
 func (i *neighbour) SendPending(to elector.Member, topic string) {
 	for _, other := range i.instances {
-		if other.self.Instance == to.Instance && i.reaches(i, other) {
+		if other.self.Instance == to.Instance && i.reaches(other) {
 			go other.subscriber.HandleView(topic, gossiper.View{Sender: i.self.Instance, Pending: true})
 		}
 	}
@@ -267,7 +267,7 @@
 	v := take()
 	v.Sender = i.self.Instance
 	for _, other := range i.instances {
-		if other.self.Instance == to.Instance && i.reaches(i, other) {
+		if other.self.Instance == to.Instance && i.reaches(other) {
 			go other.subscriber.HandleView(topic, v)
 		}
 	}
@@ -295,7 +295,7 @@
 func (i *neighbour) RequestViewOf(to elector.Member, topic string) {
 	i.asked++
 	for _, other := range i.instances {
-		if other.self.Instance == to.Instance && i.reaches(i, other) {
+		if other.self.Instance == to.Instance && i.reaches(other) {
 			go other.subscriber.HandleViewRequest(i.self, []string{topic}, true)
 		}
 	}
@@ -304,7 +304,7 @@
 // RequestView implements Exchange.
 func (i *neighbour) RequestView(topic string, _ int) {
 	for _, other := range i.instances {
-		if other != i && i.reaches(i, other) {
+		if other != i && i.reaches(other) {
 			go other.subscriber.HandleViewRequest(i.self, []string{topic}, true)
 		}
 	}
