Do not count a part of a topic's records as all that there were

A read of the store returns up to 256 KB. While the rest was still unread, the instance and those to which it forwarded the part counted the list of upstreams as known up to the time of that read. Until the rest had arrived they trusted connections to upstreams whose new process the unread records named, and the knowledge of removed keys counted as newer than it was.

Cause: one time, that of the store's last response, served two purposes: when the next read is due, and up to when all records are known. The first has to move with each part, or the neighbours of a slow reader would all read the list.

Change: the pacer keeps the second one by itself. What tells when reads are due is unchanged.

The pacer's tests state the store's end in DeltaRead in place of EndSeen, with the same expectations.

--- a/core/pacer/pacer.go
+++ b/core/pacer/pacer.go
@@ -22,6 +22,8 @@
 	Changed uint64
 	// ReadAt is the time of the store's last response.
 	ReadAt time.Time
+	// Partial is true if the store had records after the range then.
+	Partial bool
 }
 
 const (
@@ -62,6 +64,8 @@
 	notBefore time.Time
 	// peerReadAt is the latest read of an instance whose view continues this one's without a gap.
 	peerReadAt time.Time
+	// completeAt is the latest time up to which this instance knows all records.
+	completeAt time.Time
 	// readTime is how long after the begin of another instance's read its view arrives.
 	readTime time.Duration
 	// peerNext is the offset up to which any other instance has read, peerProgressAt when a view last showed a newer read.
@@ -102,7 +106,8 @@
 	}
 	p.own = View{Era: era}
 	p.synced, p.notBefore = false, notBefore
-	p.peerReadAt, p.peerChange, p.lateChange, p.peerNext, p.end = time.Time{}, 0, 0, 0, 0
+	p.peerReadAt, p.completeAt = time.Time{}, time.Time{}
+	p.peerChange, p.lateChange, p.peerNext, p.end = 0, 0, 0, 0
 	return true
 }
 
@@ -140,12 +145,15 @@
 	p.own = View{Era: p.own.Era, First: next, Next: next, ReadAt: at}
 	p.synced, p.peerChange = true, p.lateChange
 	p.reading, p.lateChange = false, 0
+	p.complete(at)
 	return p.own
 }
 
 // DeltaRead records a read at a time of the records before the offset next and returns the new view. changed is the
-// offset after the last relevant record; zero when there was none.
-func (p *Pacer) DeltaRead(at time.Time, next, changed uint64) View {
+// offset after the last relevant record; zero when there was none. If the store had records before the offset end, next or a
+// later one, the next read is due at once.
+func (p *Pacer) DeltaRead(at time.Time, next, changed, end uint64) View {
+	p.end = max(p.end, end)
 	// Records after next may have been forwarded by another instance meanwhile.
 	p.own.Next, p.own.ReadAt = max(p.own.Next, next), at
 	// The store's responses are ordered: records that another instance had read before this read began are in it, or don't
@@ -153,12 +161,18 @@
 	p.peerChange = p.lateChange
 	p.reading, p.lateChange = false, 0
 	p.own.Changed = max(p.own.Changed, changed)
+	p.own.Partial = p.own.Next < p.end
+	if !p.own.Partial {
+		p.complete(at)
+	}
 	return p.own
 }
 
-// EndSeen records that a read has returned only some of the records that the store has before an offset. The next read is
-// due at once.
-func (p *Pacer) EndSeen(end uint64) { p.end = max(p.end, end) }
+func (p *Pacer) complete(at time.Time) {
+	if at.After(p.completeAt) {
+		p.completeAt = at
+	}
+}
 
 // PeerViewArrived records when the view of another instance has arrived. A read of a long list takes long over a slow link;
 // backups that read before its view arrives would each fill their link with the same records.
@@ -214,6 +228,9 @@
 	if v.ReadAt.After(p.peerReadAt) {
 		p.peerReadAt = v.ReadAt
 	}
+	if !v.Partial {
+		p.complete(v.ReadAt)
+	}
 	return false
 }
 
@@ -237,6 +254,9 @@
 	}
 	p.own = View{Era: v.Era, First: v.Next, Next: v.Next, Changed: v.Changed, ReadAt: p.own.ReadAt}
 	p.synced, p.peerReadAt = true, v.ReadAt
+	if !v.Partial {
+		p.complete(v.ReadAt)
+	}
 	return true
 }
 
@@ -254,9 +274,13 @@
 	if p.peerReadAt.After(v.ReadAt) {
 		v.ReadAt = p.peerReadAt
 	}
+	v.Partial = v.ReadAt.After(p.completeAt)
 	return v
 }
 
+// CompleteAt returns the latest time up to which this instance knows all records; the zero time if there is none.
+func (p *Pacer) CompleteAt() time.Time { return p.completeAt }
+
 // BehindPeers reports whether the next read only catches up with what another instance has read and forwarded.
 func (p *Pacer) BehindPeers() bool { return p.synced && p.peerChange > p.own.Next }
 
--- a/core/pacer/pacer_test.go
+++ b/core/pacer/pacer_test.go
@@ -29,7 +29,7 @@
 			}
 			reads[rank]++
 			next++
-			v := p.DeltaRead(at(now), next, 0)
+			v := p.DeltaRead(at(now), next, 0, next)
 			for other, o := range pacers {
 				if other != rank {
 					require.False(t, o.PeerViewReceived(v))
@@ -51,7 +51,7 @@
 	next, synced := p.NextOffset()
 	require.True(t, synced)
 	require.EqualValues(t, 10, next, "relevant records are still unread")
-	p.DeltaRead(at(110*time.Millisecond), 30, 20)
+	p.DeltaRead(at(110*time.Millisecond), 30, 20, 30)
 	require.True(t, p.NextReadAt(6).After(at(interval)))
 }
 
@@ -90,8 +90,8 @@
 	a, b := NewPacer(interval, 0), NewPacer(interval, 0)
 	a.SnapshotRead(at(0), 10)
 	b.SnapshotRead(at(0), 10)
-	viewA := a.DeltaRead(at(interval), 20, 18)
-	viewB := b.DeltaRead(at(interval+time.Millisecond), 23, 18)
+	viewA := a.DeltaRead(at(interval), 20, 18, 20)
+	viewB := b.DeltaRead(at(interval+time.Millisecond), 23, 18, 23)
 	require.False(t, b.PeerViewReceived(viewA))
 	require.False(t, a.PeerViewReceived(viewB))
 	next, _ := a.NextOffset()
@@ -102,7 +102,7 @@
 	p := NewPacer(interval, 0)
 	p.SnapshotRead(at(0), 10)
 	require.True(t, p.PeerViewReceived(View{First: 5, Next: 9000, Changed: 9000, ReadAt: at(0)}))
-	p.DeltaRead(at(time.Millisecond), 12, 0)
+	p.DeltaRead(at(time.Millisecond), 12, 0, 12)
 	require.True(t, p.NextReadAt(0).After(at(interval)))
 }
 
@@ -117,7 +117,7 @@
 			require.False(t, p.PeerViewReceived(View{First: 5, Next: 20, Changed: 18, ReadAt: at(interval)}))
 		}},
 		{"record that this instance has read as irrelevant", func(p *Pacer) {
-			p.DeltaRead(at(interval), 20, 0)
+			p.DeltaRead(at(interval), 20, 0, 20)
 			require.False(t, p.PeerViewReceived(View{First: 5, Next: 20, Changed: 18, ReadAt: at(interval)}))
 		}},
 		{"snapshot", func(p *Pacer) {
@@ -129,7 +129,7 @@
 			p.SnapshotRead(at(0), 10)
 			third.SnapshotRead(at(0), 12)
 			c.receive(p)
-			v := p.DeltaRead(at(2*interval), 20, 0)
+			v := p.DeltaRead(at(2*interval), 20, 0, 20)
 			require.True(t, third.PeerViewReceived(v) || third.HasGapTo(v), "the third instance must not skip the record")
 		})
 	}
@@ -159,11 +159,11 @@
 	p.SnapshotRead(at(0), 10)
 	p.ReadStarted()
 	require.True(t, p.PeerViewReceived(View{First: 5, Next: 20, Changed: 20, ReadAt: at(interval)}))
-	p.DeltaRead(at(interval), 15, 15)
+	p.DeltaRead(at(interval), 15, 15, 15)
 	require.True(t, p.BehindPeers())
 	require.True(t, p.NextReadAt(6).IsZero())
 	p.ReadStarted()
-	p.DeltaRead(at(interval), 15, 15)
+	p.DeltaRead(at(interval), 15, 15, 15)
 	require.False(t, p.BehindPeers(), "the store doesn't have it")
 }
 
@@ -198,14 +198,13 @@
 		name string
 		rest func(p *Pacer)
 	}{
-		{"read", func(p *Pacer) { p.DeltaRead(at(time.Millisecond), 30, 0) }},
+		{"read", func(p *Pacer) { p.DeltaRead(at(time.Millisecond), 30, 0, 30) }},
 		{"forwarded", func(p *Pacer) { p.PeerViewReceived(View{First: 5, Next: 30, ReadAt: at(time.Millisecond)}) }},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			p := NewPacer(interval, 0)
 			p.SnapshotRead(at(0), 10)
-			p.DeltaRead(at(0), 20, 0)
-			p.EndSeen(30)
+			p.DeltaRead(at(0), 20, 0, 30)
 			require.True(t, p.NextReadAt(6).IsZero())
 			c.rest(p)
 			require.False(t, p.NextReadAt(6).Before(at(interval)))
@@ -213,6 +212,28 @@
 	}
 }
 
+// Instances took what the first of several reads had returned for all that there was at that time.
+func TestPartOfTheRecordsIsNotAllThatThereWas(t *testing.T) {
+	reader, other, starter := NewPacer(interval, 0), NewPacer(interval, 0), NewPacer(interval, 0)
+	reader.SnapshotRead(at(0), 10)
+	other.SnapshotRead(at(0), 10)
+	for _, c := range []struct {
+		readAt, completeAt time.Duration
+		next               uint64
+	}{
+		{interval, 0, 20},
+		{2 * interval, 2 * interval, 40},
+	} {
+		view := reader.DeltaRead(at(c.readAt), c.next, 0, 30)
+		require.False(t, other.PeerViewReceived(view))
+		starter.PeerSnapshotReceived(reader.View())
+		require.Equal(t, at(c.completeAt), reader.CompleteAt())
+		require.Equal(t, at(c.completeAt), other.CompleteAt())
+		require.Equal(t, at(c.readAt), other.View().ReadAt, "the read itself postpones the next one")
+	}
+	require.Equal(t, at(2*interval), starter.CompleteAt())
+}
+
 // A read takes 0.25 s over a full link: backups leave it and its rest to the instance that reads, as long as that one makes
 // progress.
 func TestBackupsWaitForLongReads(t *testing.T) {
@@ -235,7 +256,7 @@
 			require.True(t, p.ReadsTakeLong())
 			p.PeerViewReceived(view)
 			require.Equal(t, at(2*interval+c.want), p.NextReadAt(c.rank))
-			p.EndSeen(50)
+			p.end = 50
 			rest := p.NextReadAt(c.rank)
 			if c.rank == 0 {
 				require.True(t, rest.IsZero())
--- a/rosemaryspool/gossiper/forward_test.go
+++ b/rosemaryspool/gossiper/forward_test.go
@@ -67,6 +67,7 @@
 		part := update.GetTopics()[0]
 		require.Equal(t, next, part.GetRecordsFrom())
 		next = part.GetRecordsTo()
+		require.Equal(t, i < len(updates)-1, decodeView(time.Now(), part).Partial)
 		if i < len(updates)-1 {
 			require.Equal(t, part.GetRecordsTo(), part.GetNext(), "the rest follows")
 			require.Equal(t, part.GetRecordsTo(), part.GetChanged())
--- a/rosemaryspool/gossiper/view.go
+++ b/rosemaryspool/gossiper/view.go
@@ -173,11 +173,11 @@
 	messages := make([]*messenger.StoreUpdate, 0, len(ranges))
 	for i, t := range ranges {
 		t.Topic, t.Era, t.First, t.Next, t.Changed = topic, uint64(v.Era), v.First, v.Next, v.Changed
-		t.Snapshot = v.Snapshot
+		t.Snapshot, t.Partial = v.Snapshot, v.Partial
 		t.AgeMs, t.OutageAgeMs = identifier.Milliseconds(now.Sub(v.ReadAt)), identifier.Milliseconds(v.OutageAge)
 		if i < len(ranges)-1 && !v.Snapshot {
 			// The rest follows in the next datagram, so the receivers need not read it from the store.
-			t.Next, t.Changed = t.RecordsTo, t.RecordsTo
+			t.Next, t.Changed, t.Partial = t.RecordsTo, t.RecordsTo, true
 			if !v.PreviousReadAt.IsZero() {
 				// A receiver that gets no more must not take this for all that there was at the time of the read.
 				t.AgeMs = identifier.Milliseconds(now.Sub(v.PreviousReadAt))
@@ -239,7 +239,7 @@
 	v := View{
 		View: pacer.View{
 			Era: identifier.Era(t.GetEra()), First: t.GetFirst(), Next: t.GetNext(), Changed: t.GetChanged(),
-			ReadAt: at.Add(-time.Duration(t.GetAgeMs()) * time.Millisecond),
+			ReadAt: at.Add(-time.Duration(t.GetAgeMs()) * time.Millisecond), Partial: t.GetPartial(),
 		},
 		RecordsFrom: t.GetRecordsFrom(), RecordsTo: t.GetRecordsTo(), Snapshot: t.GetSnapshot(), Pending: t.GetPending(),
 		OutageAge: time.Duration(t.GetOutageAgeMs()) * time.Millisecond,
--- a/rosemaryspool/subscriber/apply.go
+++ b/rosemaryspool/subscriber/apply.go
@@ -25,7 +25,7 @@
 	}
 	s.confirmRead(t, t.readAt(time.Now()))
 	relevant := s.applyRecords(t, batch.Records, followed, governor.Origin{FollowedTo: batch.Next})
-	return s.recordRead(t, from, batch.Next, relevant), true
+	return s.recordRead(t, from, batch, relevant), true
 }
 
 // applyNewest applies a read of the newest record of each key. It is of no use if other instances have forwarded all that
@@ -47,7 +47,7 @@
 	if synced && followed >= batch.Next {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		return t.pacer.DeltaRead(readAt, batch.Next, 0), true
+		return t.pacer.DeltaRead(readAt, batch.Next, 0, batch.Next), true
 	}
 	s.applySnapshot(t, batch.Records, governor.Origin{Snapshot: true, FollowedTo: batch.Next})
 	s.mu.Lock()
@@ -161,9 +161,9 @@
 	t.newest = newest
 }
 
-// recordRead records a read of the records from one offset to another in the pacer, and returns the view of the topic with
-// the relevant records.
-func (s *Subscriber) recordRead(t *topic, from, to uint64, relevant []platform.Record) gossiper.View {
+// recordRead records a read of the records from an offset on in the pacer, and returns the view of the topic with the
+// relevant records.
+func (s *Subscriber) recordRead(t *topic, from uint64, batch platform.Batch, relevant []platform.Record) gossiper.View {
 	now := time.Now()
 	changed := uint64(0)
 	records := make([]gossiper.Record, 0, len(relevant))
@@ -175,7 +175,7 @@
 	defer s.mu.Unlock()
 	previous := t.pacer.View().ReadAt
 	return gossiper.View{
-		View: t.pacer.DeltaRead(t.readAt(now), to, changed), PreviousReadAt: previous,
-		RecordsFrom: from, RecordsTo: to, Records: records, OutageAge: s.governor.OutageAge(now),
+		View: t.pacer.DeltaRead(t.readAt(now), batch.Next, changed, batch.End), PreviousReadAt: previous,
+		RecordsFrom: from, RecordsTo: batch.Next, Records: records, OutageAge: s.governor.OutageAge(now),
 	}
 }
--- a/rosemaryspool/subscriber/follower.go
+++ b/rosemaryspool/subscriber/follower.go
@@ -164,7 +164,6 @@
 			return err
 		case batch.Era == era:
 			view, current := s.applyRead(t, next, batch)
-			s.noteEnd(t, batch)
 			if current && !catchesUp {
 				s.forward(t, view)
 			}
@@ -190,15 +189,6 @@
 	return nil
 }
 
-// noteEnd makes the next read due at once if one has returned only a part of the records.
-func (s *Subscriber) noteEnd(t *topic, batch platform.Batch) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if t.pacer.Era() == batch.Era {
-		t.pacer.EndSeen(batch.End)
-	}
-}
-
 // forward sends a view of a topic to the neighbours, and its offsets once more soon if it has records.
 func (s *Subscriber) forward(t *topic, v gossiper.View) {
 	s.exchange.ForwardView(t.name, v)
--- a/rosemaryspool/subscriber/longlist_test.go
+++ b/rosemaryspool/subscriber/longlist_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"rosemaryspool.example/core/identifier"
 	"rosemaryspool.example/platform"
 )
 
@@ -71,6 +72,43 @@
 	}
 }
 
+// Instances took a part of a long list for the whole, and trusted connections to upstreams of which it said nothing yet.
+func TestPartOfALongListDoesNotCountAsTheWhole(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer func() {
+			cancel()
+			time.Sleep(5 * time.Second)
+		}()
+		n := newNeighbourhood(4)
+		n.store.recordTime = 300 * time.Microsecond
+		n.start(ctx)
+		time.Sleep(3 * time.Second)
+		n.report(longList)
+		written := time.Now()
+		whole := map[identifier.InstanceID]bool{}
+		for time.Since(written) < 3*time.Second {
+			time.Sleep(10 * time.Millisecond)
+			for _, i := range n.instances {
+				if _, whole[i.self.Instance] = i.governor.Entry("u2999"); !whole[i.self.Instance] {
+					require.False(t, i.listCompleteAt().After(written), "%s after %v", i.self.Instance, time.Since(written))
+				}
+			}
+		}
+		for _, i := range n.instances {
+			require.True(t, whole[i.self.Instance])
+			require.True(t, i.listCompleteAt().After(written))
+		}
+	})
+}
+
+// listCompleteAt returns the time up to which the instance knows the whole list of upstreams.
+func (i *neighbour) listCompleteAt() time.Time {
+	i.subscriber.mu.Lock()
+	defer i.subscriber.mu.Unlock()
+	return i.subscriber.topicOf(platform.TopicServers).pacer.CompleteAt()
+}
+
 // Instances that start together would take 25 MB of the store's link, and all of their own for a second and more.
 func TestInstancesThatStartTogetherReadALongListOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/rosemaryspool/subscriber/subscriber.go
+++ b/rosemaryspool/subscriber/subscriber.go
@@ -157,16 +157,16 @@
 func (s *Subscriber) noteFollowed(t *topic) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	v := t.pacer.View()
-	if !t.pacer.Synced() || v.ReadAt.IsZero() {
+	completeAt := t.pacer.CompleteAt()
+	if !t.pacer.Synced() || completeAt.IsZero() {
 		return
 	}
 	switch t.name {
 	case platform.TopicConfiguration:
-		s.governor.ConfigurationKnown(v.ReadAt.Add(-callTimeout))
+		s.governor.ConfigurationKnown(completeAt.Add(-callTimeout))
 	case platform.TopicServers:
 		if !t.pacer.BehindPeers() {
-			s.governor.UpstreamsKnown(v.ReadAt)
+			s.governor.UpstreamsKnown(completeAt)
 		}
 	}
 }
