--- a/rosemaryspool/subscriber/departure_test.go
+++ b/rosemaryspool/subscriber/departure_test.go
@@ -6,6 +6,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -188,7 +189,7 @@
 	governor   *governor.Governor
 	subscriber *Subscriber
 	// named counts the messages that only name the configuration in force here, asked the requests to a certain instance.
-	named, asked int
+	named, asked atomic.Int64
 }
 
 // reaches reports whether datagrams between this instance and another one arrive.
@@ -289,11 +290,11 @@
 func (i *neighbour) ConfigurationApplied(uint64) {}
 
 // NameConfiguration implements Exchange.
-func (i *neighbour) NameConfiguration(elector.Member) { i.named++ }
+func (i *neighbour) NameConfiguration(elector.Member) { i.named.Add(1) }
 
 // RequestViewOf implements Exchange.
 func (i *neighbour) RequestViewOf(to elector.Member, topic string) {
-	i.asked++
+	i.asked.Add(1)
 	for _, other := range i.instances {
 		if other.self.Instance == to.Instance && i.reaches(other) {
 			go other.subscriber.HandleViewRequest(i.self, []string{topic}, true)
--- a/rosemaryspool/subscriber/version_test.go
+++ b/rosemaryspool/subscriber/version_test.go
@@ -103,8 +103,8 @@
 				}
 				time.Sleep(laterWait)
 				synctest.Wait()
-				require.Equal(t, c.named, i.named)
-				require.Equal(t, c.asks, i.asked)
+				require.EqualValues(t, c.named, i.named.Load())
+				require.EqualValues(t, c.asks, i.asked.Load())
 			})
 		})
 	}
@@ -118,8 +118,8 @@
 			i.subscriber.HandleVersion(elector.Member{Instance: "other"}, 2)
 			time.Sleep(100 * time.Millisecond)
 		}
-		require.Greater(t, i.asked, 5)
-		require.Less(t, i.asked, 10)
+		require.Greater(t, i.asked.Load(), int64(5))
+		require.Less(t, i.asked.Load(), int64(10))
 	})
 }
 
@@ -133,6 +133,6 @@
 		v.Records = []gossiper.Record{{Key: platform.KeyConfiguration, Value: configuration(2)}}
 		s.HandleView(platform.TopicConfiguration, v)
 		time.Sleep(2 * laterWait)
-		require.Zero(t, i.asked)
+		require.Zero(t, i.asked.Load())
 	})
 }
