Log what changed in the list of upstreams, not all of it

Each change of the list wrote all its entries: with 3,000 upstreams 100 KB for one that leaves, and at a cold start, where the list arrives in datagrams, 90 lines of up to 100 KB (5 MB) at each of 300 instances.

Now the line upstreamsListed has the entries that are new or differ from the line before, and the ids that are no longer listed; the first one after a start has all. TestChangeOfALongListIsLoggedWithoutTheRest failed before (3,000 entries for one change).

--- a/rosemaryspool/governor/governor.go
+++ b/rosemaryspool/governor/governor.go
@@ -4,7 +4,6 @@
 package governor
 
 import (
-	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -62,6 +61,8 @@
 	// membersListed is true once the list of members has been read: until then, the instances that are known are not all.
 	membersListed bool
 	upstreamsRead bool
+	// loggedUpstreams is the list of upstreams that was logged last.
+	loggedUpstreams []tracker.Entry
 	// configured and listed are closed once there is a configuration and the list of upstreams has been read.
 	configured chan struct{}
 	listed     chan struct{}
@@ -170,19 +171,7 @@
 	if first {
 		close(g.listed)
 	}
-	leaving := 0
-	for _, e := range entries {
-		if e.Leaving {
-			leaving++
-		}
-	}
-	cause := "records"
-	if origin.Snapshot {
-		cause = "snapshot"
-	}
-	g.log.Info().Str("event", "upstreamsListed").Str("cause", cause).Str("sender", string(origin.Sender)).
-		Uint64("followedTo", origin.FollowedTo).Int("upstreams", len(entries)).Int("leaving", leaving).
-		Array("entries", entryList(entries)).Msg("List of upstreams changed")
+	g.logUpstreams(entries, origin)
 }
 
 // applyUpstreams passes the tracker's list of upstreams to the parts that follow it. The governor's mutex must be held.
@@ -195,20 +184,6 @@
 	return entries
 }
 
-// entryList is logged as an array of id:role:state:incarnation:version.
-type entryList []tracker.Entry
-
-// MarshalZerologArray implements zerolog.LogArrayMarshaler.
-func (l entryList) MarshalZerologArray(a *zerolog.Array) {
-	for _, e := range l {
-		state := "ready"
-		if e.Leaving {
-			state = "leaving"
-		}
-		a.Str(fmt.Sprintf("%s:%s:%s:%d:%s", e.Upstream, e.Role, state, e.Incarnation, e.Version))
-	}
-}
-
 // StoreUnavailable records that a read of the list of upstreams that began at a time has failed.
 func (g *Governor) StoreUnavailable(at time.Time) {
 	g.mu.Lock()
