Take or count a connection in one step

Callers' requests were refused an upstream (no free connection) though one of its connections had become idle.

Cause: whether an idle connection may carry the request, and whether one may be opened or replaced, were decided in two steps of the mutex. In between another request opened the last connection that the limit allows and a third one returned its own, which had carried the request's id: the first step had seen none to replace, the second found the limit reached.

Change: both are decided in one step; dialling stays outside of it, as before.

--- a/rosemaryspool/connector/connector.go
+++ b/rosemaryspool/connector/connector.go
@@ -141,16 +141,36 @@
 // take returns an idle connection that may carry the request, or opens one. A connection is reused only if it was idle for
 // at most the request's MaxIdle, since the upstream is then unlikely to have closed it.
 func (c *Connector) take(ctx context.Context, r Request) (*connection, error) {
-	idle, carried := c.reuse(r.Upstream.Address, r.ID, r.MaxIdle)
+	address := r.Upstream.Address
+	idle, p, err := c.reuseOrReserve(address, r)
+	if idle != nil || err != nil {
+		return idle, err
+	}
+	return c.dialReserved(ctx, address, p)
+}
+
+// reuseOrReserve returns an idle connection that may carry the request, or counts one that is to be opened. Between the two
+// decisions no connection may become idle, or the request would be refused for one that it can replace.
+func (c *Connector) reuseOrReserve(address string, r Request) (idle *connection, p *pool, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	idle, carried := c.reuse(address, r.ID, r.MaxIdle)
 	if idle != nil {
-		return idle, nil
+		return idle, nil, nil
 	}
-	return c.open(ctx, r.Upstream.Address, max(1, r.Limit), carried)
+	p, err = c.reserve(address, max(1, r.Limit), carried)
+	return nil, p, err
 }
 
 // Probe opens a connection and keeps it for later requests. It returns ErrRefused if nothing listens at the address.
 func (c *Connector) Probe(ctx context.Context, address string, limit int) error {
-	conn, err := c.open(ctx, address, max(1, limit), false)
+	c.mu.Lock()
+	p, err := c.reserve(address, max(1, limit), false)
+	c.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	conn, err := c.dialReserved(ctx, address, p)
 	if err != nil {
 		return err
 	}
@@ -158,13 +178,12 @@
 	return nil
 }
 
-// open opens a connection while fewer than limit are open. With replace, the one that was idle longest makes way.
-func (c *Connector) open(ctx context.Context, address string, limit int, replace bool) (*connection, error) {
-	c.mu.Lock()
+// reserve counts a connection that is to be opened while fewer than limit are open. With replace, the one that was idle longest
+// makes way. The caller holds the mutex.
+func (c *Connector) reserve(address string, limit int, replace bool) (*pool, error) {
 	p := c.pool(address)
 	if p.open >= limit {
 		if !replace || len(p.idle) == 0 {
-			c.mu.Unlock()
 			return nil, ErrNoConnection
 		}
 		// An error of Close is ignored, since the connection is not used again.
@@ -173,7 +192,11 @@
 		p.open--
 	}
 	p.open++
-	c.mu.Unlock()
+	return p, nil
+}
+
+// dialReserved opens a connection that is counted in a pool.
+func (c *Connector) dialReserved(ctx context.Context, address string, p *pool) (*connection, error) {
 	dialContext, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	conn, err := c.dial(dialContext, address)
@@ -195,12 +218,11 @@
 
 // reuse returns the idle connection that was used last of those that may carry a request, or nil if it was idle for too
 // long; closed ones are discarded. carried reports whether there is one that may not, as it has carried the request before.
+// The caller holds the mutex.
 func (c *Connector) reuse(
 	address string, id identifier.RequestID, maxIdle time.Duration,
 ) (idle *connection, carried bool) {
 	now := time.Now()
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	p := c.pools[address]
 	if p == nil {
 		return nil, false
