--- a/rosemaryspool/subscriber/sharing.go
+++ b/rosemaryspool/subscriber/sharing.go
@@ -112,11 +112,13 @@
 		if now.Sub(started) > maxTransferWait || now.Sub(later(started, progressed)) > maxSnapshotWait {
 			return
 		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.wake:
-		case <-time.After(wait):
+		if wait > 0 {
+			select {
+			case <-ctx.Done():
+				return
+			case <-t.wake:
+			case <-time.After(wait):
+			}
 		}
 		if s.synced(t) {
 			return
