--- a/core/pacer/pacer.go
+++ b/core/pacer/pacer.go
@@ -145,7 +145,7 @@
 	p.own = View{Era: p.own.Era, First: next, Next: next, ReadAt: at}
 	p.synced, p.peerChange = true, p.lateChange
 	p.reading, p.lateChange = false, 0
-	p.complete(at)
+	p.complete(p.own)
 	return p.own
 }
 
@@ -162,15 +162,14 @@
 	p.reading, p.lateChange = false, 0
 	p.own.Changed = max(p.own.Changed, changed)
 	p.own.Partial = p.own.Next < p.end
-	if !p.own.Partial {
-		p.complete(at)
-	}
+	p.complete(p.own)
 	return p.own
 }
 
-func (p *Pacer) complete(at time.Time) {
-	if at.After(p.completeAt) {
-		p.completeAt = at
+// complete records that this instance knows all records of a view.
+func (p *Pacer) complete(v View) {
+	if !v.Partial && v.ReadAt.After(p.completeAt) {
+		p.completeAt = v.ReadAt
 	}
 }
 
@@ -228,9 +227,7 @@
 	if v.ReadAt.After(p.peerReadAt) {
 		p.peerReadAt = v.ReadAt
 	}
-	if !v.Partial {
-		p.complete(v.ReadAt)
-	}
+	p.complete(v)
 	return false
 }
 
@@ -254,9 +251,7 @@
 	}
 	p.own = View{Era: v.Era, First: v.Next, Next: v.Next, Changed: v.Changed, ReadAt: p.own.ReadAt}
 	p.synced, p.peerReadAt = true, v.ReadAt
-	if !v.Partial {
-		p.complete(v.ReadAt)
-	}
+	p.complete(v)
 	return true
 }
 
