Compare two lists of upstreams in one switch

The order was computed in one switch and looked at in another, and ids had a type of their own to be logged. No change of behaviour; the governor's tests pass.

--- a/rosemaryspool/governor/listed.go
+++ b/rosemaryspool/governor/listed.go
@@ -2,11 +2,9 @@
 
 import (
 	"fmt"
-	"strings"
 
 	"github.com/rs/zerolog"
 
-	"rosemaryspool.example/core/identifier"
 	"rosemaryspool.example/core/tracker"
 )
 
@@ -26,27 +24,18 @@
 	g.loggedUpstreams = entries
 	g.log.Info().Str("event", "upstreamsListed").Str("cause", cause).Str("sender", string(origin.Sender)).
 		Uint64("followedTo", origin.FollowedTo).Int("upstreams", len(entries)).Int("leaving", leaving).
-		Array("entries", changed).Array("removed", removed).Msg("List of upstreams changed")
+		Array("entries", changed).Strs("removed", removed).Msg("List of upstreams changed")
 }
 
 // compareEntries returns the entries that a list has and the one before it had not, and the upstreams of which it has none
 // any more. Both lists are sorted by id.
-func compareEntries(before, after []tracker.Entry) (changed entryList, removed idList) {
+func compareEntries(before, after []tracker.Entry) (changed entryList, removed []string) {
 	for len(before) > 0 || len(after) > 0 {
-		order := 0
 		switch {
-		case len(after) == 0:
-			order = -1
-		case len(before) == 0:
-			order = 1
-		default:
-			order = strings.Compare(string(before[0].Upstream), string(after[0].Upstream))
-		}
-		switch {
-		case order < 0:
-			removed = append(removed, before[0].Upstream)
+		case len(after) == 0 || len(before) > 0 && before[0].Upstream < after[0].Upstream:
+			removed = append(removed, string(before[0].Upstream))
 			before = before[1:]
-		case order > 0:
+		case len(before) == 0 || after[0].Upstream < before[0].Upstream:
 			changed = append(changed, after[0])
 			after = after[1:]
 		default:
@@ -72,13 +61,3 @@
 		a.Str(fmt.Sprintf("%s:%s:%s:%d:%s", e.Upstream, e.Role, state, e.Incarnation, e.Version))
 	}
 }
-
-// idList is logged as an array.
-type idList []identifier.UpstreamID
-
-// MarshalZerologArray implements zerolog.LogArrayMarshaler.
-func (l idList) MarshalZerologArray(a *zerolog.Array) {
-	for _, id := range l {
-		a.Str(string(id))
-	}
-}
