Pass a request's address and limit to the pool once

reuseOrReserve took the address beside the request that has it, and both callers of reserve raised the limit to one. No change of behaviour; the connector's tests pass with the race detector.

--- a/rosemaryspool/connector/connector.go
+++ b/rosemaryspool/connector/connector.go
@@ -141,31 +141,30 @@
 // take returns an idle connection that may carry the request, or opens one. A connection is reused only if it was idle for
 // at most the request's MaxIdle, since the upstream is then unlikely to have closed it.
 func (c *Connector) take(ctx context.Context, r Request) (*connection, error) {
-	address := r.Upstream.Address
-	idle, p, err := c.reuseOrReserve(address, r)
+	idle, p, err := c.reuseOrReserve(r)
 	if idle != nil || err != nil {
 		return idle, err
 	}
-	return c.dialReserved(ctx, address, p)
+	return c.dialReserved(ctx, r.Upstream.Address, p)
 }
 
 // reuseOrReserve returns an idle connection that may carry the request, or counts one that is to be opened. Between the two
 // decisions no connection may become idle, or the request would be refused for one that it can replace.
-func (c *Connector) reuseOrReserve(address string, r Request) (idle *connection, p *pool, err error) {
+func (c *Connector) reuseOrReserve(r Request) (idle *connection, p *pool, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	idle, carried := c.reuse(address, r.ID, r.MaxIdle)
+	idle, carried := c.reuse(r.Upstream.Address, r.ID, r.MaxIdle)
 	if idle != nil {
 		return idle, nil, nil
 	}
-	p, err = c.reserve(address, max(1, r.Limit), carried)
+	p, err = c.reserve(r.Upstream.Address, r.Limit, carried)
 	return nil, p, err
 }
 
 // Probe opens a connection and keeps it for later requests. It returns ErrRefused if nothing listens at the address.
 func (c *Connector) Probe(ctx context.Context, address string, limit int) error {
 	c.mu.Lock()
-	p, err := c.reserve(address, max(1, limit), false)
+	p, err := c.reserve(address, limit, false)
 	c.mu.Unlock()
 	if err != nil {
 		return err
@@ -182,7 +181,7 @@
 // makes way. The caller holds the mutex.
 func (c *Connector) reserve(address string, limit int, replace bool) (*pool, error) {
 	p := c.pool(address)
-	if p.open >= limit {
+	if p.open >= max(1, limit) {
 		if !replace || len(p.idle) == 0 {
 			return nil, ErrNoConnection
 		}
