Decide in one loop whether a request takes another connection

OpenNamed repeated the loop of open around it: both abandon a connection and go on if nothing of the request was written. open knows the name of the header now and has the only loop. No change of behaviour; the tests of requester, invoker and completer pass with the race detector, TestUnnamedRefusalOnAKeptConnectionIsNoAnswer 1,500 times.

--- a/adaptor/requester/requester.go
+++ b/adaptor/requester/requester.go
@@ -87,8 +87,7 @@
 
 // Open sends a request and returns the response of any status. The caller must read and close its body.
 func (c *Client) Open(ctx context.Context, method, path string, body []byte, header http.Header) (*http.Response, error) {
-	response, _, err := c.open(ctx, c.kept, method, path, body, header)
-	return response, err
+	return c.open(ctx, c.kept, method, path, body, header, "")
 }
 
 // OpenNamed sends a request whose responses name it in a header, as the request does. A response that names no request is
@@ -96,33 +95,31 @@
 func (c *Client) OpenNamed(
 	ctx context.Context, method, path string, body []byte, header http.Header, name string,
 ) (*http.Response, error) {
-	for {
-		response, used, err := c.open(ctx, c.kept, method, path, body, header)
-		if err != nil {
-			return nil, err
-		}
-		got := response.Header.Get(name)
-		if got == header.Get(name) || got == "" && !used.reused {
-			return response, nil
-		}
-		// The answer to this request may follow on the connection.
-		unsent := used.abandon()
-		_ = response.Body.Close()
-		if !unsent || ctx.Err() != nil {
-			return nil, eris.Wrapf(ErrMismatched, "response %d of %q", response.StatusCode, got)
-		}
-	}
+	return c.open(ctx, c.kept, method, path, body, header, name)
 }
 
-// open sends a request. It takes another connection if a kept one closes before any of the request is written: the transport
-// pools a connection again before the caller of a response without a body can close it.
+// open sends a request whose responses name it in a header, if name isn't empty. It takes another connection if a kept one
+// closes before any of the request is written: the transport pools a connection again before the caller of a response without a
+// body can close it.
 func (c *Client) open(
-	ctx context.Context, client *http.Client, method, path string, body []byte, header http.Header,
-) (*http.Response, connectionUse, error) {
+	ctx context.Context, client *http.Client, method, path string, body []byte, header http.Header, name string,
+) (*http.Response, error) {
 	for {
 		response, used, err := c.send(ctx, client, method, path, body, header)
-		if err == nil || ctx.Err() != nil || !used.abandon() {
-			return response, used, err
+		if err == nil {
+			got := response.Header.Get(name)
+			if name == "" || got == header.Get(name) || got == "" && !used.reused {
+				return response, nil
+			}
+			err = eris.Wrapf(ErrMismatched, "response %d of %q", response.StatusCode, got)
+		}
+		// The answer to this request may follow on the connection.
+		unsent := used.abandon()
+		if response != nil {
+			_ = response.Body.Close()
+		}
+		if !unsent || ctx.Err() != nil {
+			return nil, err
 		}
 	}
 }
@@ -188,7 +185,7 @@
 		}
 		body = encoded
 	}
-	response, _, err := c.open(ctx, client, method, path, body, nil)
+	response, err := c.open(ctx, client, method, path, body, nil, "")
 	if err != nil {
 		return err
 	}
