Run prepared neighbourhoods of the subscriber's tests in one place

playReaders and the test of parts of a long list repeated play with another start; playPrepared has it now. The rule which datagrams arrive stood in five loops of neighbour; reached has it. Assertions are unchanged.

--- a/rosemaryspool/subscriber/departure_test.go
+++ b/rosemaryspool/subscriber/departure_test.go
@@ -192,18 +192,15 @@
 	named, asked atomic.Int64
 }
 
-// reaches reports whether datagrams between this instance and another one arrive.
-func (i *neighbour) reaches(other *neighbour) bool {
-	_, lost := i.unreached.Load(i)
-	_, otherLost := i.unreached.Load(other)
-	return !lost && !otherLost
-}
-
-// startNeighbourhood starts instances that follow a store with two upstreams.
-func startNeighbourhood(ctx context.Context, count int) *neighbourhood {
-	n := newNeighbourhood(count)
-	n.start(ctx)
-	return n
+// reached returns the other instances at which this one's datagrams arrive.
+func (i *neighbour) reached() []*neighbour {
+	if _, lost := i.unreached.Load(i); lost {
+		return nil
+	}
+	return slices.DeleteFunc(slices.Clone(i.instances), func(other *neighbour) bool {
+		_, lost := i.unreached.Load(other)
+		return lost || other == i
+	})
 }
 
 // newNeighbourhood returns instances before their start.
@@ -247,17 +244,15 @@
 // ForwardView implements Exchange.
 func (i *neighbour) ForwardView(topic string, v gossiper.View) {
 	v.Sender = i.self.Instance
-	for _, other := range i.instances {
-		if other != i && i.reaches(other) {
-			go other.subscriber.HandleView(topic, v)
-		}
+	for _, other := range i.reached() {
+		go other.subscriber.HandleView(topic, v)
 	}
 }
 
 // SendPending implements Exchange.
 func (i *neighbour) SendPending(to elector.Member, topic string) {
-	for _, other := range i.instances {
-		if other.self.Instance == to.Instance && i.reaches(other) {
+	for _, other := range i.reached() {
+		if other.self.Instance == to.Instance {
 			go other.subscriber.HandleView(topic, gossiper.View{Sender: i.self.Instance, Pending: true})
 		}
 	}
@@ -267,8 +262,8 @@
 func (i *neighbour) SendSnapshot(to elector.Member, topic string, _ bool, take func() gossiper.View) {
 	v := take()
 	v.Sender = i.self.Instance
-	for _, other := range i.instances {
-		if other.self.Instance == to.Instance && i.reaches(other) {
+	for _, other := range i.reached() {
+		if other.self.Instance == to.Instance {
 			go other.subscriber.HandleView(topic, v)
 		}
 	}
@@ -295,8 +290,8 @@
 // RequestViewOf implements Exchange.
 func (i *neighbour) RequestViewOf(to elector.Member, topic string) {
 	i.asked.Add(1)
-	for _, other := range i.instances {
-		if other.self.Instance == to.Instance && i.reaches(other) {
+	for _, other := range i.reached() {
+		if other.self.Instance == to.Instance {
 			go other.subscriber.HandleViewRequest(i.self, []string{topic}, true)
 		}
 	}
@@ -304,10 +299,8 @@
 
 // RequestView implements Exchange.
 func (i *neighbour) RequestView(topic string, _ int) {
-	for _, other := range i.instances {
-		if other != i && i.reaches(other) {
-			go other.subscriber.HandleViewRequest(i.self, []string{topic}, true)
-		}
+	for _, other := range i.reached() {
+		go other.subscriber.HandleViewRequest(i.self, []string{topic}, true)
 	}
 }
 
@@ -334,15 +327,25 @@
 
 // play runs a neighbourhood in simulated time.
 func play(t *testing.T, instances int, run func(t *testing.T, n *neighbourhood)) {
+	t.Helper()
+	playPrepared(t, instances, func(*neighbourhood) {}, run)
+}
+
+// playPrepared runs a neighbourhood that is prepared before its instances start.
+func playPrepared(
+	t *testing.T, instances int, prepare func(n *neighbourhood), run func(t *testing.T, n *neighbourhood),
+) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		defer func() {
 			cancel()
 			// All goroutines end before the test does.
-			time.Sleep(2 * time.Second)
+			time.Sleep(5 * time.Second)
 		}()
-		n := startNeighbourhood(ctx, instances)
+		n := newNeighbourhood(instances)
+		prepare(n)
+		n.start(ctx)
 		time.Sleep(5 * time.Second)
 		run(t, n)
 	})
--- a/rosemaryspool/subscriber/longlist_test.go
+++ b/rosemaryspool/subscriber/longlist_test.go
@@ -74,16 +74,8 @@
 
 // Instances took a part of a long list for the whole, and trusted connections to upstreams of which it said nothing yet.
 func TestPartOfALongListDoesNotCountAsTheWhole(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(context.Background())
-		defer func() {
-			cancel()
-			time.Sleep(5 * time.Second)
-		}()
-		n := newNeighbourhood(4)
-		n.store.recordTime = 300 * time.Microsecond
-		n.start(ctx)
-		time.Sleep(3 * time.Second)
+	slowLinks := func(n *neighbourhood) { n.store.recordTime = 300 * time.Microsecond }
+	playPrepared(t, 4, slowLinks, func(t *testing.T, n *neighbourhood) {
 		n.report(longList)
 		written := time.Now()
 		whole := map[identifier.InstanceID]bool{}
--- a/rosemaryspool/subscriber/lostreader_test.go
+++ b/rosemaryspool/subscriber/lostreader_test.go
@@ -1,11 +1,9 @@
 package subscriber
 
 import (
-	"context"
 	"fmt"
 	"slices"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -44,7 +42,7 @@
 // instances at which it isn't in force at the end of the apply limit.
 func withoutChange(t *testing.T, lost int, storeAlone bool, transferTime, delay time.Duration) (late []string) {
 	t.Helper()
-	playReaders(t, transferTime, func(n *neighbourhood, readers []*neighbour) {
+	playReaders(t, transferTime, func(_ *testing.T, n *neighbourhood, readers []*neighbour) {
 		for _, r := range readers[:lost] {
 			n.store.setHangs(true, slices.Index(n.instances, r))
 			if !storeAlone {
@@ -65,26 +63,21 @@
 
 // playReaders runs 27 instances in simulated time, whose links take transferTime for a configuration. readers holds them in
 // the order in which they read the store.
-func playReaders(t *testing.T, transferTime time.Duration, run func(n *neighbourhood, readers []*neighbour)) {
+func playReaders(
+	t *testing.T, transferTime time.Duration, run func(t *testing.T, n *neighbourhood, readers []*neighbour),
+) {
 	t.Helper()
 	const instances = 27
-	synctest.Test(t, func(*testing.T) {
-		ctx, cancel := context.WithCancel(context.Background())
-		defer func() {
-			cancel()
-			// All goroutines end before the test does.
-			time.Sleep(5 * time.Second)
-		}()
-		n := newNeighbourhood(instances)
+	prepare := func(n *neighbourhood) {
 		n.store.changed = make(chan struct{})
 		n.store.recordTime = transferTime
-		n.start(ctx)
-		time.Sleep(5 * time.Second)
+	}
+	playPrepared(t, instances, prepare, func(t *testing.T, n *neighbourhood) {
 		readers := slices.Clone(n.instances)
 		slices.SortFunc(readers, func(a, b *neighbour) int {
 			return a.governor.ReaderRank(time.Now()) - b.governor.ReaderRank(time.Now())
 		})
-		run(n, readers)
+		run(t, n, readers)
 	})
 }
 
@@ -92,7 +85,7 @@
 func TestConfigurationIsInForceInTimeAtAnInstanceWithoutNeighbours(t *testing.T) {
 	for _, rank := range []int{1, 2, 26} {
 		for delay := time.Duration(0); delay < 2*applyLimit; delay += 50 * time.Millisecond {
-			playReaders(t, 250*time.Millisecond, func(n *neighbourhood, readers []*neighbour) {
+			playReaders(t, 250*time.Millisecond, func(t *testing.T, n *neighbourhood, readers []*neighbour) {
 				n.unreached.Store(readers[rank], true)
 				time.Sleep(applyLimit + delay)
 				n.store.put(platform.TopicConfiguration, platform.KeyConfiguration, configuration(2))
