Test that a configuration is in force however long it is

Instances refuse the store's response as too long. Three more bounds on the way of a configuration depend on its length: what neighbours forward is cut at 1 MiB, a read is given up after 0.9 s, and neighbours send at most 64 datagrams.

--- /dev/null
+++ b/rosemaryspool/subscriber/longconfiguration_test.go
@@ -0,0 +1,209 @@
+package subscriber
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"rosemaryspool.example/core/elector"
+	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/platform"
+	"rosemaryspool.example/standin/emulator"
+)
+
+// slowLink is a link of 10 Mbit/s that the connections of an instance share.
+type slowLink struct {
+	mu     sync.Mutex
+	freeAt time.Time
+}
+
+const (
+	slowLinkRate    = 1_250_000
+	slowLinkSegment = 4 << 10
+)
+
+// await waits until a number of bytes has come over the link.
+func (l *slowLink) await(length int) {
+	l.mu.Lock()
+	l.freeAt = later(time.Now(), l.freeAt).Add(time.Duration(length) * time.Second / slowLinkRate)
+	wait := time.Until(l.freeAt)
+	l.mu.Unlock()
+	time.Sleep(wait)
+}
+
+// linkedConn is a connection over a slow link.
+type linkedConn struct {
+	net.Conn
+	link *slowLink
+}
+
+// Read implements net.Conn.
+func (c *linkedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b[:min(len(b), slowLinkSegment)])
+	c.link.await(n)
+	return n, err
+}
+
+// startLinked starts an instance that reads the store over a link of its own, which is slow or has no limit.
+func (cl *cluster) startLinked(t *testing.T, number int, firstStart, slow bool, seeds ...string) *instance {
+	t.Helper()
+	link := &slowLink{}
+	client := platform.NewStore(cl.address, func(ctx context.Context, _, address string) (net.Conn, error) {
+		conn, err := cl.network.Dial(ctx, address)
+		if err != nil || !slow {
+			return conn, err
+		}
+		return &linkedConn{Conn: conn, link: link}, nil
+	})
+	i := startInstanceWith(t, cl.network, elector.Member{
+		Instance: identifier.InstanceID(fmt.Sprint("spool-", number)), Address: freeAddress(t, cl.network), StartedMs: int64(number),
+	}, client, firstStart, seeds...)
+	cl.instances = append(cl.instances, i)
+	return i
+}
+
+// longConfiguration returns a configuration of at least a number of bytes, whose routes' names are alike or random.
+func longConfiguration(version, length int, alike bool) []byte {
+	names := rand.New(rand.NewPCG(uint64(version), 1))
+	var b bytes.Buffer
+	fmt.Fprintf(&b, `{"version":%d,"services":[{"name":"s","max-connections":10}],"routes":[`, version)
+	for n := 0; b.Len() < length; n++ {
+		if n > 0 {
+			b.WriteByte(',')
+		}
+		name := fmt.Sprintf("%016x", names.Uint64())
+		if alike {
+			name = fmt.Sprintf("%016d", n)
+		}
+		fmt.Fprintf(&b, `{"name":"r-%s","host":"h.example","path-prefix":"/%s/","kind":"idempotent","service":"s",`+
+			`"timeout-ms":1000,"target-latency-ms":500,"priority":2,"max-attempts":2}`, name, name)
+	}
+	b.WriteString("]}")
+	return b.Bytes()
+}
+
+func (i *instance) version() uint64 {
+	if table := i.governor.Table(); table != nil {
+		return table.Configuration().Version
+	}
+	return 0
+}
+
+// longCase is a long configuration and the links over which instances read it.
+type longCase struct {
+	name  string
+	bytes int
+	// alike is true if the routes' names are alike, so that neighbours can send it in few datagrams.
+	alike bool
+	// slow is true if each instance reads the store over a link of 10 Mbit/s.
+	slow  bool
+	limit time.Duration
+}
+
+// playChange changes a short configuration to a long one, which must be in force in time at four instances and then cost few
+// more calls.
+func (c longCase) playChange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const maxCalls = 60
+		cl := newEmptyCluster(t, nil)
+		cl.store.Put(platform.TopicConfiguration, platform.KeyConfiguration, configuration(1))
+		for n := range 4 {
+			cl.startLinked(t, n, true, c.slow)
+		}
+		cl.waitReady(t)
+		time.Sleep(applyLimit)
+		cl.store.Put(platform.TopicConfiguration, platform.KeyConfiguration, longConfiguration(2, c.bytes, c.alike))
+		time.Sleep(c.limit)
+		for _, i := range cl.instances {
+			require.EqualValues(t, 2, i.version(), i.self.Instance)
+		}
+		calls := cl.store.Calls()
+		time.Sleep(10 * time.Second)
+		require.Less(t, cl.store.Calls()-calls, maxCalls, "calls to the store in 10 s after it")
+	})
+}
+
+// playStart starts an instance beside others that have a long configuration in force. If the store is lost then, the instance
+// gets it from them alone.
+func (c longCase) playStart(t *testing.T, others int, storeLost bool) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newEmptyCluster(t, func(s *emulator.Store) {
+			s.Put(platform.TopicConfiguration, platform.KeyConfiguration, longConfiguration(1, c.bytes, c.alike))
+		})
+		var seeds []string
+		for n := range others {
+			seeds = append(seeds, cl.startLinked(t, n, true, false).self.Address)
+		}
+		if others > 0 {
+			cl.waitReady(t)
+		}
+		if storeLost {
+			cl.store.SetFault(emulator.Silent)
+		}
+		i := cl.startLinked(t, others, false, c.slow, seeds...)
+		time.Sleep(c.limit)
+		require.EqualValues(t, 1, i.version())
+	})
+}
+
+// A configuration that had grown to 0.85 MB was in force at no instance: the store's response was refused.
+func TestConfigurationIsInForceInTimeHoweverLongItIs(t *testing.T) {
+	for _, c := range []longCase{
+		{"0.6 MB", 600_000, false, false, applyLimit},
+		{"0.85 MB", 850_000, false, false, applyLimit},
+		{"1.4 MB", 1_400_000, false, false, applyLimit},
+		{"5 MB", 5_000_000, false, false, applyLimit},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Run("changed", c.playChange)
+			t.Run("at start", func(t *testing.T) { c.playStart(t, 0, false) })
+		})
+	}
+}
+
+// Neighbours got the first 1 MiB of a longer configuration, took it for an invalid one and did not read it again.
+func TestForwardedConfigurationIsNotCut(t *testing.T) {
+	for _, c := range []longCase{
+		{"1 MB", 1_000_000, true, false, applyLimit},
+		{"1.4 MB", 1_400_000, true, false, applyLimit},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Run("changed", c.playChange)
+			t.Run("at start", func(t *testing.T) { c.playStart(t, 3, false) })
+		})
+	}
+}
+
+// Reads that took more than 0.9 s were given up and begun anew.
+func TestLongConfigurationIsReadOverASlowLink(t *testing.T) {
+	for _, c := range []longCase{
+		{"0.6 MB", 600_000, false, true, applyLimit},
+		{"0.85 MB", 850_000, false, true, applyLimit},
+		// A reader and then those that it reads for take 1.1 s each.
+		{"1.4 MB", 1_400_000, false, true, 3 * time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Run("changed", c.playChange)
+			t.Run("at start", func(t *testing.T) { c.playStart(t, 0, false) })
+		})
+	}
+}
+
+// Neighbours sent no configuration that takes over 64 datagrams, so instances that started in an outage of the store had none.
+func TestInstanceThatStartsInAnOutageGetsALongConfiguration(t *testing.T) {
+	for _, c := range []longCase{
+		{"0.1 MB", 100_000, false, false, 2 * time.Second},
+		{"0.85 MB", 850_000, false, false, 2 * time.Second},
+		{"1.4 MB", 1_400_000, false, false, 3 * time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) { c.playStart(t, 3, true) })
+	}
+}
--- a/rosemaryspool/subscriber/subscriber_test.go
+++ b/rosemaryspool/subscriber/subscriber_test.go
@@ -62,6 +62,17 @@
 }
 
 func newClusterOf(t *testing.T, instances int, prepare func(*emulator.Store)) *cluster {
+	t.Helper()
+	cl := newEmptyCluster(t, prepare)
+	for i := range instances {
+		cl.instances = append(cl.instances, newInstance(t, cl.network, fmt.Sprint("spool-", i+1), cl.address))
+	}
+	cl.governor = cl.instances[0].governor
+	return cl
+}
+
+// newEmptyCluster returns a store that no instance follows yet.
+func newEmptyCluster(t *testing.T, prepare func(*emulator.Store)) *cluster {
 	t.Helper()
 	store, network := emulator.NewStore(), emulator.NewNetwork()
 	if prepare != nil {
@@ -72,12 +83,7 @@
 		server.CloseClientConnections()
 		server.Close()
 	})
-	cl := &cluster{store: store, address: server.Listener.Addr().String(), network: network}
-	for i := range instances {
-		cl.instances = append(cl.instances, newInstance(t, network, fmt.Sprint("spool-", i+1), cl.address))
-	}
-	cl.governor = cl.instances[0].governor
-	return cl
+	return &cluster{store: store, address: server.Listener.Addr().String(), network: network}
 }
 
 func newInstance(t *testing.T, network *emulator.Network, name, store string) *instance {
@@ -89,6 +95,17 @@
 
 func startInstance(
 	t *testing.T, network *emulator.Network, self elector.Member, store string, firstStart bool, seeds ...string,
+) *instance {
+	t.Helper()
+	client := platform.NewStore(store, func(ctx context.Context, _, address string) (net.Conn, error) {
+		return network.Dial(ctx, address)
+	})
+	return startInstanceWith(t, network, self, client, firstStart, seeds...)
+}
+
+// startInstanceWith starts an instance with a client of the store.
+func startInstanceWith(
+	t *testing.T, network *emulator.Network, self elector.Member, client *platform.Store, firstStart bool, seeds ...string,
 ) *instance {
 	t.Helper()
 	g := governor.NewGovernor(governor.Settings{
@@ -103,9 +120,6 @@
 	peers := gossiper.NewGossiper(
 		g, c, seeds, 0, func(topic string, v gossiper.View) { s.HandleView(topic, v) }, zerolog.Nop(), metrics.NewRegistry(),
 	)
-	client := platform.NewStore(store, func(ctx context.Context, _, address string) (net.Conn, error) {
-		return network.Dial(ctx, address)
-	})
 	s = NewSubscriber(client, g, peers, Settings{
 		DrainLimit: drainLimit, ApplyLimit: applyLimit, FirstStart: firstStart,
 	}, zerolog.Nop())
