--- a/rosemaryspool/subscriber/follower.go
+++ b/rosemaryspool/subscriber/follower.go
@@ -241,11 +241,8 @@
 	if t.onFailure != nil {
 		t.onFailure(t.readStarted)
 	}
-	if !t.unavailable {
-		t.unavailable = true
-		s.log.Warn().Err(err).Str("event", "storeLost").Str("topic", t.name).Int("failures", t.failures).
-			Msg("Store is unavailable; continuing with the state that was read last")
-	}
+	s.logFailure(t, err)
+	t.unavailable = true
 	// An instance that reads for others, or for itself alone, may not know those that the store answers.
 	mayBeAlone := t.name == platform.TopicServers && rank < mainReaders
 	if mayBeAlone {
@@ -264,6 +261,20 @@
 	}
 }
 
+// logFailure logs a failed read: one whose response is refused each time, as no later one can succeed, any other only if it
+// is the first in a row.
+func (s *Subscriber) logFailure(t *topic, err error) {
+	var refused *platform.TooLongError
+	switch {
+	case errors.As(err, &refused):
+		s.log.Error().Err(err).Str("event", "storeResponseRefused").Str("topic", t.name).Int("limitBytes", refused.Limit).
+			Int("failures", t.failures).Msg("Response of the store is too long; its records can't be applied")
+	case !t.unavailable:
+		s.log.Warn().Err(err).Str("event", "storeLost").Str("topic", t.name).Int("failures", t.failures).
+			Msg("Store is unavailable; continuing with the state that was read last")
+	}
+}
+
 func (s *Subscriber) readSucceeded(t *topic) {
 	t.failures, t.retryAt = 0, time.Time{}
 	if t.unavailable {
--- a/rosemaryspool/subscriber/odd_test.go
+++ b/rosemaryspool/subscriber/odd_test.go
@@ -1,6 +1,9 @@
 package subscriber
 
 import (
+	"bytes"
+	"context"
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"strings"
@@ -8,6 +11,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
 	"rosemaryspool.example/core/identifier"
@@ -90,3 +95,30 @@
 		})
 	}
 }
+
+func TestRefusedResponseIsNotLoggedAsAnOutage(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		err  error
+		want []string
+	}{
+		{"too long", &platform.TooLongError{Limit: 1000}, []string{"storeResponseRefused", "storeResponseRefused"}},
+		{"no response", context.DeadlineExceeded, []string{"storeLost"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			i := newSimulation(1).instances[0]
+			var lines bytes.Buffer
+			i.log = zerolog.New(&lines)
+			for range 2 {
+				i.readFailed(i.topic, eris.Wrap(c.err, "read"))
+			}
+			var events []string
+			for line := range strings.Lines(lines.String()) {
+				var fields struct{ Event string }
+				require.NoError(t, json.Unmarshal([]byte(line), &fields))
+				events = append(events, fields.Event)
+			}
+			require.Equal(t, c.want, events)
+		})
+	}
+}
