Take no forwarded record that is cut for a whole one

A configuration over 1 MiB that its neighbours sent was cut there, by a bound on decompressed content that said nothing: the instance took it for an invalid one, counted it as read, and kept the version before it for good; one that started had none and refused its callers.

The bound on a forwarded record is that on a record of the store.

--- a/rosemaryspool/compressor/compressor.go
+++ b/rosemaryspool/compressor/compressor.go
@@ -19,8 +19,14 @@
 	return compressed.Bytes()
 }
 
-// Decompress returns the content, cut after limit bytes.
+// Decompress returns the content of at most limit bytes; a longer one is an error.
 func Decompress(compressed []byte, limit int64) ([]byte, error) {
-	content, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(compressed)), limit))
-	return content, eris.Wrap(err, "decompress")
+	content, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(compressed)), limit+1))
+	if err != nil {
+		return nil, eris.Wrap(err, "decompress")
+	}
+	if int64(len(content)) > limit {
+		return nil, eris.Errorf("decompress: content is longer than %d bytes", limit)
+	}
+	return content, nil
 }
--- a/rosemaryspool/gossiper/assembler.go
+++ b/rosemaryspool/gossiper/assembler.go
@@ -7,13 +7,11 @@
 	"github.com/rotisserie/eris"
 
 	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/platform"
 	"rosemaryspool.example/rosemaryspool/compressor"
 	"rosemaryspool.example/wire/messenger"
 )
 
-// maxRecordBytes bounds a decompressed record; the store takes records of up to 256 KiB.
-const maxRecordBytes = 1 << 20
-
 // fragment compresses a record and splits it.
 func fragment(r Record) []*messenger.StoreRecord {
 	compressed := bytes.NewBuffer(compressor.Compress(r.Value))
@@ -102,7 +100,7 @@
 		return false, nil
 	}
 	delete(a.assemblies, key)
-	value, err := compressor.Decompress(bytes.Join(joined.fragments, nil), maxRecordBytes)
+	value, err := compressor.Decompress(bytes.Join(joined.fragments, nil), platform.MaxRecordBytes)
 	if err != nil {
 		return false, err
 	}
--- a/rosemaryspool/gossiper/packer.go
+++ b/rosemaryspool/gossiper/packer.go
@@ -16,6 +16,8 @@
 const (
 	// packedRatio is the ratio of compression that is tried first.
 	packedRatio = 5
+	// maxPackedBytes bounds the decompressed records of one datagram.
+	maxPackedBytes = 1 << 20
 	// packedSlack leaves room for records that compress less than those before them.
 	packedSlack = 0.95
 )
@@ -126,7 +128,7 @@
 	if len(t.GetPacked()) == 0 {
 		return nil
 	}
-	content, err := compressor.Decompress(t.GetPacked(), maxRecordBytes)
+	content, err := compressor.Decompress(t.GetPacked(), maxPackedBytes)
 	if err != nil {
 		return err
 	}
