Read a long response of the store for as long as it arrives

A read was given up 0.9 s after its hold time and begun anew from its first byte. At 10 Mbit/s that is 1.1 MB, and 0.84 MB for an instance that starts, as it reads base64; beside requests it is less. Such an instance had no configuration, or kept an earlier one, and filled its link.

The limit is now for the begin of the response, and for each 64 KiB of it, as it was for each page of a long list. Two things that relied on short responses change with it: a read that a neighbour overtook is ended only if its response hasn't begun, and what a response says is known from its begin, not from its end.

--- a/rosemaryspool/steward/replay.go
+++ b/rosemaryspool/steward/replay.go
@@ -80,7 +80,7 @@
 	limited, cancel := context.WithTimeout(ctx, wait+storeTimeout)
 	defer cancel()
 	s.count("storeReads")
-	batch, err := s.store.Read(limited, platform.TopicDuties, from, wait)
+	batch, err := s.store.Read(limited, platform.TopicDuties, from, platform.Polling{Wait: wait})
 	var trimmed *platform.TrimmedError
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/rosemaryspool/steward/steward.go
+++ b/rosemaryspool/steward/steward.go
@@ -49,7 +49,7 @@
 // Store is the part of the platform's store that the steward uses.
 type Store interface {
 	ReadNewest(ctx context.Context, topic string, p platform.Paging) (platform.Batch, error)
-	Read(ctx context.Context, topic string, from uint64, wait time.Duration) (platform.Batch, error)
+	Read(ctx context.Context, topic string, from uint64, p platform.Polling) (platform.Batch, error)
 	Append(ctx context.Context, topic string, at uint64, records []platform.Record) (identifier.Era, error)
 }
 
--- a/rosemaryspool/subscriber/apply.go
+++ b/rosemaryspool/subscriber/apply.go
@@ -19,11 +19,12 @@
 	// Other instances may have forwarded records, or a snapshot, during the read.
 	followed, _ := t.pacer.NextOffset()
 	current = t.pacer.Era() == batch.Era
+	readAt := t.readAt(time.Now())
 	s.mu.Unlock()
 	if !current {
 		return gossiper.View{}, false
 	}
-	s.confirmRead(t, t.readAt(time.Now()))
+	s.confirmRead(t, readAt)
 	relevant := s.applyRecords(t, batch.Records, followed, governor.Origin{FollowedTo: batch.Next})
 	return s.recordRead(t, from, batch, relevant), true
 }
@@ -34,7 +35,9 @@
 	t.applying.Lock()
 	defer t.applying.Unlock()
 	now := time.Now()
+	s.mu.Lock()
 	readAt := t.readAt(now)
+	s.mu.Unlock()
 	s.confirmRead(t, readAt)
 	s.enterEra(t, batch.Era, now, "")
 	s.mu.Lock()
--- a/rosemaryspool/subscriber/follower.go
+++ b/rosemaryspool/subscriber/follower.go
@@ -16,8 +16,8 @@
 )
 
 const (
-	// callTimeout is the limit for a call to the store, in addition to the hold time of a long poll. A slow store
-	// takes some hundred ms.
+	// callTimeout is the limit for a call to the store, in addition to the hold time of a long poll, and for each part of a
+	// long response. A slow store takes some hundred ms.
 	callTimeout = 900 * time.Millisecond
 	// initialBackoff is the wait before the first retry of a failed call. It doubles up to maxBackoff, which leaves
 	// time to read changes within the limits once the store is available again.
@@ -75,6 +75,9 @@
 	// readStarted is when the current or last read began, held how long the store might hold it.
 	readStarted time.Time
 	held        time.Duration
+	// respondedAt is when the response to the current or last read began, the zero time before that; the subscriber's mutex
+	// guards it.
+	respondedAt time.Time
 	// overtaken is true if the current read is ended soon because another instance has read more.
 	overtaken bool
 	// wake receives a value when another instance reports records that this one has not read, or has sent a snapshot.
@@ -145,16 +148,18 @@
 		wait = 0
 	}
 	t.pacer.ReadStarted()
-	t.readStarted, t.held, t.overtaken = time.Now(), wait, false
+	t.readStarted, t.held, t.overtaken, t.respondedAt = time.Now(), wait, false, time.Time{}
 	s.mu.Unlock()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	s.setCancel(t, cancel)
 	defer s.setCancel(t, nil)
 	if known {
-		limited, cancelRead := context.WithTimeout(ctx, wait+callTimeout)
-		batch, err := s.store.Read(limited, t.name, next, wait)
-		cancelRead()
+		batch, err := s.store.Read(ctx, t.name, next, platform.Polling{Wait: wait, Timeout: callTimeout, Responded: func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			t.respondedAt = time.Now()
+		}})
 		var trimmed *platform.TrimmedError
 		switch {
 		case errors.As(err, &trimmed):
@@ -296,18 +301,21 @@
 	time.AfterFunc(overtakenWait, func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		if t.overtaken && t.cancel != nil && t.pacer.BehindPeers() {
+		if t.overtaken && t.cancel != nil && t.respondedAt.IsZero() && t.pacer.BehindPeers() {
 			s.log.Info().Str("event", "readOvertaken").Str("topic", t.name).Msg("Store holds a read although there are records; reading anew")
 			t.cancel()
 		}
 	})
 }
 
-// readAt returns the time for which the response to the last read certainly holds. The process may have been stopped
-// between the response and now.
+// readAt returns the time for which the response to the last read certainly holds. A long response takes its time to arrive, and
+// the process may have been stopped meanwhile. The subscriber's mutex must be held.
 func (t *topic) readAt(now time.Time) time.Time {
 	if latest := t.readStarted.Add(t.held); latest.Before(now) {
-		return latest
+		now = latest
+	}
+	if !t.respondedAt.IsZero() && t.respondedAt.Before(now) {
+		return t.respondedAt
 	}
 	return now
 }
--- a/rosemaryspool/subscriber/longconfiguration_test.go
+++ b/rosemaryspool/subscriber/longconfiguration_test.go
@@ -16,6 +16,7 @@
 	"rosemaryspool.example/core/elector"
 	"rosemaryspool.example/core/identifier"
 	"rosemaryspool.example/platform"
+	"rosemaryspool.example/rosemaryspool/gossiper"
 	"rosemaryspool.example/standin/emulator"
 )
 
@@ -207,3 +208,46 @@
 		t.Run(c.name, func(t *testing.T) { c.playStart(t, 3, true) })
 	}
 }
+
+// A read that another instance had overtaken was ended although its response was arriving, and begun anew.
+func TestReadThatArrivesIsNotEndedForBeingOvertaken(t *testing.T) {
+	const transferTime = 600 * time.Millisecond
+	playReaders(t, transferTime, func(t *testing.T, n *neighbourhood, readers []*neighbour) {
+		reader := readers[0].subscriber
+		n.store.put(platform.TopicConfiguration, platform.KeyConfiguration, configuration(2))
+		time.Sleep(transferTime / 4)
+		configurations := reader.topicOf(platform.TopicConfiguration)
+		reader.mu.Lock()
+		view := configurations.pacer.View()
+		reader.mu.Unlock()
+		view.Changed, view.Next, view.ReadAt = view.Next+1, view.Next+1, time.Now()
+		reader.HandleView(configurations.name, gossiper.View{View: view, RecordsFrom: view.Next, RecordsTo: view.Next})
+		time.Sleep(transferTime)
+		require.EqualValues(t, 2, reader.version())
+	})
+}
+
+// What a response says was taken to hold until it had arrived.
+func TestKnowledgeIsNoNewerThanTheResponse(t *testing.T) {
+	const transferTime = 1500 * time.Millisecond
+	playReaders(t, transferTime, func(t *testing.T, n *neighbourhood, readers []*neighbour) {
+		time.Sleep(applyLimit)
+		n.store.put(platform.TopicConfiguration, platform.KeyConfiguration, configuration(2))
+		time.Sleep(time.Millisecond)
+		written := time.Now()
+		n.store.put(platform.TopicConfiguration, platform.KeyConfiguration, configuration(3))
+		for range 400 {
+			time.Sleep(10 * time.Millisecond)
+			for _, r := range readers[:3] {
+				if r.subscriber.version() == 3 {
+					continue
+				}
+				r.subscriber.mu.Lock()
+				completeAt := r.subscriber.topicOf(platform.TopicConfiguration).pacer.CompleteAt()
+				r.subscriber.mu.Unlock()
+				require.False(t, completeAt.After(written), "%v after the second change", time.Since(written))
+			}
+		}
+		require.EqualValues(t, 3, readers[0].subscriber.version())
+	})
+}
--- a/rosemaryspool/subscriber/subscriber.go
+++ b/rosemaryspool/subscriber/subscriber.go
@@ -40,8 +40,8 @@
 type Store interface {
 	// ReadNewest returns the newest record of each key of a topic and the offset from which Read continues.
 	ReadNewest(ctx context.Context, topic string, p platform.Paging) (platform.Batch, error)
-	// Read returns the first records of a topic from an offset on. It waits up to wait for the first one.
-	Read(ctx context.Context, topic string, from uint64, wait time.Duration) (platform.Batch, error)
+	// Read returns the first records of a topic from an offset on. It waits for the first one.
+	Read(ctx context.Context, topic string, from uint64, p platform.Polling) (platform.Batch, error)
 	// Write appends a new value of a key.
 	Write(ctx context.Context, topic, key string, value []byte) error
 }
@@ -153,7 +153,7 @@
 }
 
 // noteFollowed tells the governor how recent this instance's knowledge of the configuration or of the upstreams is. The
-// store may have taken up to callTimeout to deliver a configuration.
+// store may have taken up to callTimeout to begin its response.
 func (s *Subscriber) noteFollowed(t *topic) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
