--- a/rosemaryspool/subscriber/longconfiguration_test.go
+++ b/rosemaryspool/subscriber/longconfiguration_test.go
@@ -190,6 +190,7 @@
 		{"0.85 MB", 850_000, false, true, applyLimit},
 		// A reader and then those that it reads for take 1.1 s each.
 		{"1.4 MB", 1_400_000, false, true, 3 * time.Second},
+		{"4 MB", 4_000_000, false, true, 8 * time.Second},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Run("changed", c.playChange)
