--- a/rosemaryspool/gossiper/assembler.go
+++ b/rosemaryspool/gossiper/assembler.go
@@ -81,7 +81,7 @@
 		return true, nil
 	}
 	r := t.GetRecords()[0]
-	if r.GetFragment() >= r.GetFragments() || r.GetFragments() > maxFragments {
+	if r.GetFragment() >= r.GetFragments() || r.GetFragments() > maxSnapshotFragments {
 		return false, eris.Errorf("fragment %d of %d", r.GetFragment(), r.GetFragments())
 	}
 	key := assemblyKey{instance: sender, topic: t.GetTopic()}
--- a/rosemaryspool/gossiper/gossiper_test.go
+++ b/rosemaryspool/gossiper/gossiper_test.go
@@ -198,7 +198,7 @@
 		record *messenger.StoreRecord
 	}{
 		{"number beyond the count", &messenger.StoreRecord{Fragment: 2, Fragments: 2}},
-		{"too many fragments", &messenger.StoreRecord{Fragments: maxFragments + 1}},
+		{"too many fragments", &messenger.StoreRecord{Fragments: maxSnapshotFragments + 1}},
 		{"content that can't be decompressed", &messenger.StoreRecord{Fragments: 1, Value: []byte("record")}},
 	} {
 		views := 0
--- a/rosemaryspool/gossiper/view.go
+++ b/rosemaryspool/gossiper/view.go
@@ -18,8 +18,11 @@
 	recordOverheadBytes = 32
 	// maxUpdateBytes bounds the records of one message; the rest of a datagram is for its sender and the view.
 	maxUpdateBytes = courier.MaxDatagramBytes - 300
-	// maxFragments bounds the datagrams that one record takes. A larger record is read from the store by each instance.
+	// maxFragments bounds the datagrams that one record takes in a view that is forwarded. A larger record is read from the
+	// store by each instance.
 	maxFragments = 64
+	// maxSnapshotFragments is the same for a snapshot, whose receiver may not reach the store.
+	maxSnapshotFragments = 1024
 	// maxBurstBytes bounds what a forwarded view sends at once, and burstPause is the time between two bursts: a queue on
 	// the way drops what doesn't fit into it, which is always the end of a view.
 	maxBurstBytes = 32 << 10
@@ -214,7 +217,7 @@
 		}
 		finish(r.Offset)
 		fragments := f.fragment(r)
-		if len(fragments) > maxFragments {
+		if len(fragments) > fragmentLimit(v) {
 			current.RecordsTo = r.Offset
 			break
 		}
@@ -235,6 +238,14 @@
 	return ranges
 }
 
+// fragmentLimit returns how many datagrams a record of a view may take.
+func fragmentLimit(v View) int {
+	if v.Snapshot {
+		return maxSnapshotFragments
+	}
+	return maxFragments
+}
+
 func decodeView(at time.Time, t *messenger.TopicView) View {
 	v := View{
 		View: pacer.View{
--- a/rosemaryspool/subscriber/longconfiguration_test.go
+++ b/rosemaryspool/subscriber/longconfiguration_test.go
@@ -252,3 +252,19 @@
 		require.EqualValues(t, 3, readers[0].subscriber.version())
 	})
 }
+
+func TestInstancesThatStartTogetherGetALongConfiguration(t *testing.T) {
+	const instances = 24
+	synctest.Test(t, func(t *testing.T) {
+		cl := newEmptyCluster(t, func(s *emulator.Store) {
+			s.Put(platform.TopicConfiguration, platform.KeyConfiguration, longConfiguration(1, 850_000, false))
+		})
+		for n := range instances {
+			cl.startLinked(t, n, false, true)
+		}
+		time.Sleep(applyLimit)
+		for _, i := range cl.instances {
+			require.EqualValues(t, 1, i.version(), i.self.Instance)
+		}
+	})
+}
