Note a first list's time together with the list

Callers whose stream broke off at an instance that had just started got a visible break in place of the rest, if the stream had begun between the moment in which the first list of upstreams was applied and that in which its time was noted: the process that served it counted as unknown. The governor now learns the time with the list, under one lock, whether it was read from the store or sent by a neighbour.

TestFirstListIsUsedOnlyWithItsTime failed before in both cases.

--- a/rosemaryspool/governor/governor.go
+++ b/rosemaryspool/governor/governor.go
@@ -153,6 +153,8 @@
 	Snapshot bool
 	// FollowedTo is the offset after the last record of the list that is known with them.
 	FollowedTo uint64
+	// ListedAt is when the first list that this instance knows was read; the zero time for any other.
+	ListedAt time.Time
 }
 
 // UpdateUpstreams applies changes to the list of upstreams. It logs the list if it changed or was read for the first
@@ -167,6 +169,7 @@
 	}
 	first := !g.upstreamsRead
 	g.upstreamsRead = true
+	g.resumer.Listed(origin.ListedAt)
 	entries := g.applyUpstreams(now)
 	if first {
 		close(g.listed)
--- a/rosemaryspool/subscriber/agreement_test.go
+++ b/rosemaryspool/subscriber/agreement_test.go
@@ -628,3 +628,40 @@
 		require.Equal(t, time.Now(), s.sent[0].view.ReadAt)
 	})
 }
+
+// A stream that began just after the list had been applied, and before its time was noted, was resumed nowhere.
+func TestFirstListIsUsedOnlyWithItsTime(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		read func(t *testing.T, s *simulation, i *simulatedInstance)
+	}{
+		{"read from the store", func(t *testing.T, _ *simulation, i *simulatedInstance) { i.readStore(t) }},
+		{"sent by a neighbour", func(_ *testing.T, s *simulation, i *simulatedInstance) {
+			i.requestView(i.topic)
+			for len(s.sent) > 0 {
+				s.deliver(0, false)
+			}
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newSimulation(2)
+				s.store.put("a", bornRecord("ready", 1))
+				s.settle(t)
+				s.start(1)
+				i := s.instances[1]
+				applied := 0
+				i.topic.apply = func(records []platform.Record, origin governor.Origin) []platform.Record {
+					accepted := i.applyServers(records, origin)
+					if entry, listed := i.governor.Entry("a"); listed {
+						applied++
+						require.True(t, i.governor.KnowsProcess(entry, time.Now()))
+					}
+					return accepted
+				}
+				c.read(t, s, i)
+				require.Positive(t, applied)
+			})
+		})
+	}
+}
--- a/rosemaryspool/subscriber/apply.go
+++ b/rosemaryspool/subscriber/apply.go
@@ -93,7 +93,11 @@
 		defer s.mu.Unlock()
 		return t.pacer.DeltaRead(readAt, batch.Next, 0, batch.Next), true
 	}
-	s.applySnapshot(t, batch.Records, governor.Origin{Snapshot: true, FollowedTo: batch.Next})
+	origin := governor.Origin{Snapshot: true, FollowedTo: batch.Next}
+	if !synced {
+		origin.ListedAt = readAt
+	}
+	s.applySnapshot(t, batch.Records, origin)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return t.pacer.SnapshotRead(readAt, batch.Next), true
--- a/rosemaryspool/subscriber/sharing.go
+++ b/rosemaryspool/subscriber/sharing.go
@@ -299,13 +299,16 @@
 		t.progressed(time.Now())
 	}
 	whole := t.incomingTo == v.Next && v.RecordsTo == v.Next
+	origin := governor.Origin{Sender: v.Sender, Snapshot: true, FollowedTo: v.Next}
+	if !t.pacer.Synced() && !v.Partial {
+		origin.ListedAt = v.ReadAt
+	}
 	complete := whole && t.pacer.PeerSnapshotReceived(v.View)
 	records := t.incoming
 	if t.incomingTo == v.Next {
 		t.requests.Completed()
 	}
 	s.mu.Unlock()
-	origin := governor.Origin{Sender: v.Sender, Snapshot: true, FollowedTo: v.Next}
 	switch {
 	case complete:
 		s.applySnapshot(t, records, origin)
