Read long records of the log in several responses

The client asks for fewer records after a response that is too long, and remembers that for the stream until responses are short again.

--- a/adaptor/appender/client.go
+++ b/adaptor/appender/client.go
@@ -6,10 +6,12 @@
 	"fmt"
 	"net/http"
 	"net/url"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
 
+	"rosemaryspool.example/adaptor/bounder"
 	"rosemaryspool.example/adaptor/requester"
 	"rosemaryspool.example/core/identifier"
 	"rosemaryspool.example/wire/messenger"
@@ -18,11 +20,18 @@
 // Client is an HTTP client of the log service. It implements Log.
 type Client struct {
 	requester *requester.Client
+
+	mu sync.Mutex
+	// limits holds how many records a response of a stream may have, if fewer than were asked for.
+	limits map[Stream]int
 }
 
+// limitFactor is by how much the limit of a stream shrinks with each response that is too long, and grows with each other.
+const limitFactor = 4
+
 // NewClient returns a client of the log service at a base URL.
 func NewClient(baseURL string) *Client {
-	return &Client{requester: requester.NewClient(baseURL)}
+	return &Client{requester: requester.NewClient(baseURL), limits: map[Stream]int{}}
 }
 
 // Append implements Log. A success response without an offset is ErrOutcomeUnknown.
@@ -52,8 +61,52 @@
 	return eris.Wrap(ErrOutcomeUnknown, err.Error())
 }
 
-// Read implements Log. It returns a TrimmedError when the offset is no longer retained.
+// Read implements Log. It returns a TrimmedError when the offset is no longer retained. Records that are too long for one
+// response together are read in several.
 func (c *Client) Read(ctx context.Context, stream Stream, from identifier.Offset, limit int, wait time.Duration) (Batch, error) {
+	for {
+		asked := c.limitOf(stream, limit)
+		batch, err := c.read(ctx, stream, from, asked, wait)
+		c.adjustLimit(stream, asked, err)
+		if !errors.Is(err, bounder.ErrTooLong) || asked == 1 {
+			return batch, classifyReadError(err)
+		}
+	}
+}
+
+// limitOf returns how many records of a stream to ask for, a limit at most.
+func (c *Client) limitOf(stream Stream, limit int) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if known, found := c.limits[stream]; found {
+		return min(known, limit)
+	}
+	return limit
+}
+
+// adjustLimit changes how many records of a stream to ask for next, after a read that asked for some and its error, if any.
+func (c *Client) adjustLimit(stream Stream, asked int, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	known, found := c.limits[stream]
+	switch {
+	case errors.Is(err, bounder.ErrTooLong):
+		c.limits[stream] = max(1, asked/limitFactor)
+	case err == nil && found && known == asked:
+		c.limits[stream] = known * limitFactor
+	}
+}
+
+// classifyReadError makes every failure but a TrimmedError one of an unavailable log.
+func classifyReadError(err error) error {
+	var trimmed *TrimmedError
+	if err == nil || errors.As(err, &trimmed) {
+		return err
+	}
+	return eris.Wrap(ErrUnavailable, err.Error())
+}
+
+func (c *Client) read(ctx context.Context, stream Stream, from identifier.Offset, limit int, wait time.Duration) (Batch, error) {
 	path := fmt.Sprintf("%s?from=%d&limit=%d&waitMs=%d", recordsPath(stream), from, limit, identifier.Milliseconds(wait))
 	var reply messenger.ReadReply
 	err := c.requester.Call(ctx, http.MethodGet, path, nil, &reply)
@@ -62,7 +115,7 @@
 		return Batch{}, decodeTrimmed(from, status.Body)
 	}
 	if err != nil {
-		return Batch{}, eris.Wrap(ErrUnavailable, err.Error())
+		return Batch{}, err
 	}
 	return decodeBatch(&reply), nil
 }
