Make neighbours of the gossiper's tests in one place

The two tests of what neighbours read had each a gossiper that runs, a socket and a greeting; newRunningGossiper and addNeighbour have them now.

--- a/rosemaryspool/gossiper/change_test.go
+++ b/rosemaryspool/gossiper/change_test.go
@@ -1,19 +1,14 @@
 package gossiper
 
 import (
-	"context"
 	"net"
 	"slices"
 	"testing"
 	"time"
 
-	"github.com/rcrowley/go-metrics"
-	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 	"google.golang.org/protobuf/proto"
 
-	"rosemaryspool.example/core/elector"
-	"rosemaryspool.example/core/identifier"
 	"rosemaryspool.example/core/pacer"
 	"rosemaryspool.example/rosemaryspool/courier"
 	"rosemaryspool.example/wire/messenger"
@@ -94,37 +89,9 @@
 
 // Beside instances of this version runs one of the version before, which would take a change for the whole record.
 func TestOnlyThoseWhoReadChangesGetThem(t *testing.T) {
-	_, gov := newGossiper(t, nil)
-	socket, err := courier.Listen(gov.Self().Address)
-	require.NoError(t, err)
-	own := courier.NewCourier(gov.Self(), socket, zerolog.Nop(), metrics.NewRegistry())
-	g := NewGossiper(gov, own, nil, 0, nil, zerolog.Nop(), metrics.NewRegistry())
-	ctx, cancel := context.WithCancel(context.Background())
-	go own.Run(ctx, func(courier.Received) {})
-	defer func() {
-		cancel()
-		<-own.Done()
-	}()
-	sockets := map[bool]net.PacketConn{}
-	for _, c := range []struct {
-		instance identifier.InstanceID
-		changes  bool
-	}{{"current", true}, {"before", false}} {
-		socket, err := net.ListenPacket("udp4", "127.0.0.1:0")
-		require.NoError(t, err)
-		defer socket.Close()
-		sockets[c.changes] = socket
-		address := socket.LocalAddr().String()
-		hello, err := proto.Marshal(&messenger.Datagram{
-			Instance: string(c.instance), StartedMs: 3, Address: address, DataCentre: "here", ReadsPacked: true, ReadsChanges: c.changes,
-		})
-		require.NoError(t, err)
-		to, err := net.ResolveUDPAddr("udp4", own.LocalAddress())
-		require.NoError(t, err)
-		_, err = socket.WriteTo(hello, to)
-		require.NoError(t, err)
-		gov.SetMember(time.Now(), elector.Member{Instance: c.instance, Address: address, DataCentre: "here", StartedMs: 3})
-		require.Eventually(t, func() bool { return own.ReadsPacked(c.instance) }, time.Second, time.Millisecond)
+	g := newRunningGossiper(t)
+	sockets := map[bool]net.PacketConn{
+		true: g.addNeighbour(t, "current", true, true), false: g.addNeighbour(t, "before", true, false),
 	}
 	_, _, v := changedView()
 	g.ForwardView("topic", v)
--- a/rosemaryspool/gossiper/forward_test.go
+++ b/rosemaryspool/gossiper/forward_test.go
@@ -18,39 +18,55 @@
 	"rosemaryspool.example/wire/messenger"
 )
 
-// Beside instances of this version runs one of the version before, which doesn't read packed records.
-func TestForwardedRecordsArePackedForThoseWhoReadThem(t *testing.T) {
+// newRunningGossiper returns a gossiper that receives datagrams until the test ends.
+func newRunningGossiper(t *testing.T) *Gossiper {
+	t.Helper()
 	_, gov := newGossiper(t, nil)
 	socket, err := courier.Listen(gov.Self().Address)
 	require.NoError(t, err)
 	own := courier.NewCourier(gov.Self(), socket, zerolog.Nop(), metrics.NewRegistry())
-	g := NewGossiper(gov, own, nil, 0, nil, zerolog.Nop(), metrics.NewRegistry())
 	ctx, cancel := context.WithCancel(context.Background())
-	go g.courier.Run(ctx, func(courier.Received) {})
-	defer func() {
+	go own.Run(ctx, func(courier.Received) {})
+	t.Cleanup(func() {
 		cancel()
-		<-g.courier.Done()
-	}()
+		<-own.Done()
+	})
+	return NewGossiper(gov, own, nil, 0, nil, zerolog.Nop(), metrics.NewRegistry())
+}
+
+// addNeighbour adds a neighbour whose datagrams say what it reads, and returns its socket.
+func (g *Gossiper) addNeighbour(t *testing.T, instance identifier.InstanceID, readsPacked, readsChanges bool) net.PacketConn {
+	t.Helper()
+	socket, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = socket.Close() })
+	address := socket.LocalAddr().String()
+	hello, err := proto.Marshal(&messenger.Datagram{
+		Instance: string(instance), StartedMs: 3, Address: address, DataCentre: "here",
+		ReadsPacked: readsPacked, ReadsChanges: readsChanges,
+	})
+	require.NoError(t, err)
+	to, err := net.ResolveUDPAddr("udp4", g.courier.LocalAddress())
+	require.NoError(t, err)
+	_, err = socket.WriteTo(hello, to)
+	require.NoError(t, err)
+	g.governor.SetMember(time.Now(), elector.Member{Instance: instance, Address: address, DataCentre: "here", StartedMs: 3})
+	require.Eventually(t, func() bool {
+		return g.courier.ReadsPacked(instance) == readsPacked && g.courier.ReadsChanges(instance) == readsChanges
+	}, time.Second, time.Millisecond)
+	return socket
+}
+
+// Beside instances of this version runs one of the version before, which doesn't read packed records.
+func TestForwardedRecordsArePackedForThoseWhoReadThem(t *testing.T) {
+	g := newRunningGossiper(t)
 	v := longList(200)
 	v.Snapshot, v.RecordsFrom, v.Changed = false, 100, v.Records[199].Offset+1
 	for _, c := range []struct {
 		instance identifier.InstanceID
 		packed   bool
 	}{{"current", true}, {"before", false}} {
-		socket, err := net.ListenPacket("udp4", "127.0.0.1:0")
-		require.NoError(t, err)
-		defer socket.Close()
-		address := socket.LocalAddr().String()
-		hello, err := proto.Marshal(&messenger.Datagram{
-			Instance: string(c.instance), StartedMs: 3, Address: address, DataCentre: "here", ReadsPacked: c.packed,
-		})
-		require.NoError(t, err)
-		to, err := net.ResolveUDPAddr("udp4", g.courier.LocalAddress())
-		require.NoError(t, err)
-		_, err = socket.WriteTo(hello, to)
-		require.NoError(t, err)
-		gov.SetMember(time.Now(), elector.Member{Instance: c.instance, Address: address, DataCentre: "here", StartedMs: 3})
-		require.Eventually(t, func() bool { return g.courier.ReadsPacked(c.instance) == c.packed }, time.Second, time.Millisecond)
+		socket := g.addNeighbour(t, c.instance, c.packed, false)
 		g.ForwardView("servers", v)
 		require.Len(t, receiveRecords(t, socket, c.packed, v.Next), 200)
 	}
