Read the bytes that links have carried under their mutex

The test of small changes of a long configuration read a counter of its links without their mutex; the race detector found it in the whole script on.

--- a/rosemaryspool/subscriber/longconfiguration_test.go
+++ b/rosemaryspool/subscriber/longconfiguration_test.go
@@ -43,6 +43,17 @@
 	time.Sleep(wait)
 }
 
+// received returns the number of bytes that have come over the links.
+func received(links []*slowLink) int {
+	sum := 0
+	for _, l := range links {
+		l.mu.Lock()
+		sum += l.transferred
+		l.mu.Unlock()
+	}
+	return sum
+}
+
 // linkedConn is a connection over a slow link.
 type linkedConn struct {
 	net.Conn
@@ -294,18 +305,13 @@
 		cl.waitReady(t)
 		for _, change := range []struct{ version, length int }{{2, length}, {3, length + added}, {4, length}} {
 			time.Sleep(applyLimit)
-			before := 0
-			for _, l := range links {
-				before += l.transferred
-			}
+			before := received(links)
 			cl.store.Put(platform.TopicConfiguration, platform.KeyConfiguration, longConfiguration(change.version, change.length, false))
 			time.Sleep(applyLimit)
-			after := 0
-			for n, i := range cl.instances {
+			for _, i := range cl.instances {
 				require.EqualValues(t, change.version, i.version(), i.self.Instance)
-				after += links[n].transferred
 			}
-			require.Less(t, after-before, 2*length, "bytes that all instances have read, version %d", change.version)
+			require.Less(t, received(links)-before, 2*length, "bytes that all instances have read, version %d", change.version)
 		}
 	})
 }
