--- a/rosemaryspool/subscriber/longconfiguration_test.go
+++ b/rosemaryspool/subscriber/longconfiguration_test.go
@@ -67,17 +67,12 @@
 	return n, err
 }
 
-// startLinked starts an instance that reads the store over a link of its own, which is slow or has no limit.
-func (cl *cluster) startLinked(t *testing.T, number int, firstStart, slow bool, seeds ...string) *instance {
-	t.Helper()
-	return cl.startAt(t, number, &slowLink{}, firstStart, slow, seeds...)
-}
-
-func (cl *cluster) startAt(t *testing.T, number int, link *slowLink, firstStart, slow bool, seeds ...string) *instance {
+// startLinked starts an instance that reads the store over a link, which has no limit if it is nil.
+func (cl *cluster) startLinked(t *testing.T, number int, link *slowLink, firstStart bool, seeds ...string) *instance {
 	t.Helper()
 	client := platform.NewStore(cl.address, func(ctx context.Context, _, address string) (net.Conn, error) {
 		conn, err := cl.network.Dial(ctx, address)
-		if err != nil || !slow {
+		if err != nil || link == nil {
 			return conn, err
 		}
 		return &linkedConn{Conn: conn, link: link}, nil
@@ -137,6 +132,14 @@
 	limit time.Duration
 }
 
+// newLink returns the link of one instance.
+func (c longCase) newLink() *slowLink {
+	if !c.slow {
+		return nil
+	}
+	return &slowLink{}
+}
+
 // playChange changes a short configuration to a long one, which must be in force in time at four instances and then cost few
 // more calls.
 func (c longCase) playChange(t *testing.T) {
@@ -144,7 +147,7 @@
 		const maxCalls = 60
 		cl := newLongCluster(t, configuration(1))
 		for n := range 4 {
-			cl.startLinked(t, n, true, c.slow)
+			cl.startLinked(t, n, c.newLink(), true)
 		}
 		cl.waitReady(t)
 		time.Sleep(applyLimit)
@@ -166,7 +169,7 @@
 		cl := newLongCluster(t, longConfiguration(1, c.bytes, c.alike))
 		var seeds []string
 		for n := range others {
-			seeds = append(seeds, cl.startLinked(t, n, true, false).self.Address)
+			seeds = append(seeds, cl.startLinked(t, n, nil, true).self.Address)
 		}
 		if others > 0 {
 			cl.waitReady(t)
@@ -174,7 +177,7 @@
 		if storeLost {
 			cl.store.SetFault(emulator.Silent)
 		}
-		i := cl.startLinked(t, others, false, c.slow, seeds...)
+		i := cl.startLinked(t, others, c.newLink(), false, seeds...)
 		time.Sleep(c.limit)
 		require.EqualValues(t, 1, i.version())
 	})
@@ -283,7 +286,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		cl := newLongCluster(t, longConfiguration(1, 850_000, false))
 		for n := range instances {
-			cl.startLinked(t, n, false, true)
+			cl.startLinked(t, n, &slowLink{}, false)
 		}
 		time.Sleep(applyLimit)
 		for _, i := range cl.instances {
@@ -300,7 +303,7 @@
 		var links []*slowLink
 		for n := range instances {
 			links = append(links, &slowLink{})
-			cl.startAt(t, n, links[n], true, true)
+			cl.startLinked(t, n, links[n], true)
 		}
 		cl.waitReady(t)
 		for _, change := range []struct{ version, length int }{{2, length}, {3, length + added}, {4, length}} {
