Take the signal for changed settings from the start on

A gateway that got SIGHUP before it had opened its listeners ended, without a line in its log, and its callers had one instance less until something started it again. The signal is taken now before the settings are read; what is left is the few milliseconds until the command runs.

TestGatewayThatIsSignaledWhileItStartsRuns failed before, and passes.

--- a/rosemaryspool/commander/gateway.go
+++ b/rosemaryspool/commander/gateway.go
@@ -38,6 +38,10 @@
 			textFlag("log-level", "info", "lowest level that is logged: debug, info, warn or error"),
 		},
 		Action: func(ctx context.Context, command *cli.Command) error {
+			// Until then, the signal ends the process.
+			reload := make(chan os.Signal, 1)
+			signal.Notify(reload, syscall.SIGHUP)
+			defer signal.Stop(reload)
 			path := command.String("settings")
 			if path == "" {
 				return &SettingsError{Faults: []SettingFault{{Code: codeMissing, Setting: "settings", Message: "is required"}}}
@@ -57,21 +61,19 @@
 			if settings.Memory > 0 {
 				debug.SetMemoryLimit(int64(heapShare * float64(settings.Memory)))
 			}
-			return runGateway(ctx, settings, path, log.Logger, registry)
+			return runGateway(ctx, settings, path, reload, log.Logger, registry)
 		},
 	}
 }
 
 func runGateway(
-	ctx context.Context, settings platform.Settings, path string, log zerolog.Logger, registry metrics.Registry,
+	ctx context.Context, settings platform.Settings, path string, reload <-chan os.Signal, log zerolog.Logger,
+	registry metrics.Registry,
 ) error {
 	g, err := gatekeeper.NewGatekeeper(settings, gatekeeper.NewNetwork(), log, registry)
 	if err != nil {
 		return err
 	}
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
-	defer signal.Stop(reload)
 	go watchSettings(g, settings, path, reload, log)
 	return g.Run(ctx)
 }
--- a/rosemaryspool/commander/gateway_test.go
+++ b/rosemaryspool/commander/gateway_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -106,3 +107,34 @@
 		}, 3*settingsPollInterval, 10*time.Millisecond, c.name)
 	}
 }
+
+// A gateway ended when its settings changed while it was starting.
+func TestGatewayThatIsSignaledWhileItStartsRuns(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "settings.json")
+	// The gateway waits for the content of its settings.
+	require.NoError(t, syscall.Mkfifo(path, 0o600))
+	log := &logBuffer{}
+	gateway := exec.Command("rosemaryspool", "gateway", "--settings", path)
+	gateway.Stdout, gateway.Stderr = log, log
+	require.NoError(t, gateway.Start())
+	ended := make(chan error, 1)
+	go func() { ended <- gateway.Wait() }()
+	defer func() {
+		_ = gateway.Process.Kill()
+		<-ended
+	}()
+	settings, err := os.OpenFile(path, os.O_WRONLY, 0)
+	require.NoError(t, err)
+	require.NoError(t, gateway.Process.Signal(syscall.SIGHUP))
+	time.Sleep(200 * time.Millisecond)
+	_, err = fmt.Fprint(settings, strings.ReplaceAll(fmt.Sprintf(settingsFormat, "here", 8), "127.0.0.1", "127.62.0.1"))
+	require.NoError(t, err)
+	require.NoError(t, settings.Close())
+	require.Eventually(t, func() bool { return log.hasLine("event=started") }, 10*time.Second, 10*time.Millisecond)
+	select {
+	case err := <-ended:
+		ended <- err
+		require.Fail(t, "the gateway has ended", err)
+	default:
+	}
+}
