Keep what an instance reads in one place

Whether another instance reads packed records and whether it reads changes stood in two maps with twin accessors, both written from the same datagram. One map has both now. No behaviour is changed; the tests of the courier, the gossiper and the delegator pass.

--- a/rosemaryspool/courier/courier.go
+++ b/rosemaryspool/courier/courier.go
@@ -64,12 +64,10 @@
 	socket   Socket
 	log      zerolog.Logger
 	registry metrics.Registry
-	// readsPacked holds, by instance, whether the last datagram said that it reads packed records.
-	readsPacked sync.Map
-	// readsChanges is the same for records as changes of the ones before them.
-	readsChanges sync.Map
-	leaving      atomic.Bool
-	warming      atomic.Bool
+	// formats holds, by instance, the formats of records that it reads, as its last datagram said.
+	formats sync.Map
+	leaving atomic.Bool
+	warming atomic.Bool
 	// configuration is the version in force, which all datagrams name.
 	configuration atomic.Uint64
 	done          chan struct{}
@@ -125,15 +123,19 @@
 
 // ReadsPacked reports whether an instance is known to read packed records: not one of the version before, nor one that has
 // sent nothing yet.
-func (c *Courier) ReadsPacked(id identifier.InstanceID) bool {
-	packed, known := c.readsPacked.Load(id)
-	return known && packed.(bool)
-}
+func (c *Courier) ReadsPacked(id identifier.InstanceID) bool { return c.formatsOf(id).packed }
 
 // ReadsChanges is the same for records as changes of the ones before them.
-func (c *Courier) ReadsChanges(id identifier.InstanceID) bool {
-	changes, known := c.readsChanges.Load(id)
-	return known && changes.(bool)
+func (c *Courier) ReadsChanges(id identifier.InstanceID) bool { return c.formatsOf(id).changes }
+
+// recordFormats tells which formats of records an instance reads beside the plain one.
+type recordFormats struct{ packed, changes bool }
+
+func (c *Courier) formatsOf(id identifier.InstanceID) recordFormats {
+	if known, found := c.formats.Load(id); found {
+		return known.(recordFormats)
+	}
+	return recordFormats{}
 }
 
 // Run passes each received datagram to handle until ctx ends. Datagrams of this instance itself are dropped.
@@ -159,8 +161,9 @@
 		}
 		if r.Sender.Instance != c.self.Instance {
 			c.count("received", r.Datagram, n)
-			c.readsPacked.Store(r.Sender.Instance, r.Datagram.GetReadsPacked())
-			c.readsChanges.Store(r.Sender.Instance, r.Datagram.GetReadsChanges())
+			c.formats.Store(r.Sender.Instance, recordFormats{
+				packed: r.Datagram.GetReadsPacked(), changes: r.Datagram.GetReadsChanges(),
+			})
 			handle(r)
 		}
 	}
