Ask the governor for the version of the configuration in force

Governor.ConfigurationVersion has it now. No behaviour is changed; the governor's and the subscriber's tests and those of the gatekeeper for metrics, configurations, keys and versions pass.

--- a/rosemaryspool/gatekeeper/status.go
+++ b/rosemaryspool/gatekeeper/status.go
@@ -61,7 +61,7 @@
 		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 		h.countTraits()
 		h.countSpeeds()
-		h.nameConfiguration()
+		metrics.GetOrRegisterGauge("configurationVersion", h.registry).Update(int64(h.governor.ConfigurationVersion()))
 		metrics.GetOrRegisterGauge("heldBytes", h.registry).Update(int64(h.memory.Used()))
 		out := bufio.NewWriter(w)
 		h.registry.Each(func(name string, metric any) { writeMetric(out, name, metric) })
@@ -93,15 +93,6 @@
 	}
 }
 
-// nameConfiguration updates the gauge of the version of the configuration in force; zero if there is none.
-func (h *statusHandler) nameConfiguration() {
-	var version uint64
-	if t := h.governor.Table(); t != nil {
-		version = t.Configuration().Version
-	}
-	metrics.GetOrRegisterGauge("configurationVersion", h.registry).Update(int64(version))
-}
-
 // listTraits writes one line for each trait that is suspected or quarantined.
 func (h *statusHandler) listTraits(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
--- a/rosemaryspool/governor/governor.go
+++ b/rosemaryspool/governor/governor.go
@@ -126,14 +126,19 @@
 // Listed is closed once the instance has read the list of upstreams.
 func (g *Governor) Listed() <-chan struct{} { return g.listed }
 
+// ConfigurationVersion returns the version of the configuration in force; zero if there is none.
+func (g *Governor) ConfigurationVersion() uint64 {
+	if t := g.Table(); t != nil {
+		return t.Configuration().Version
+	}
+	return 0
+}
+
 // SetConfiguration applies a configuration, unless the current one has the same or a newer version.
 func (g *Governor) SetConfiguration(c *matcher.Configuration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	before := uint64(0)
-	if t := g.table.Load(); t != nil {
-		before = t.Configuration().Version
-	}
+	before := g.ConfigurationVersion()
 	if c.Version <= before {
 		return
 	}
--- a/rosemaryspool/subscriber/applier.go
+++ b/rosemaryspool/subscriber/applier.go
@@ -25,7 +25,7 @@
 		}
 		s.logConfiguration(c, r, origin, started)
 		s.governor.SetConfiguration(c)
-		s.exchange.ConfigurationApplied(s.version())
+		s.exchange.ConfigurationApplied(s.governor.ConfigurationVersion())
 		accepted = append(accepted, r)
 	}
 	return accepted
--- a/rosemaryspool/subscriber/configuration_test.go
+++ b/rosemaryspool/subscriber/configuration_test.go
@@ -55,7 +55,7 @@
 				s := n.instances[0].subscriber
 				n.store.put(platform.TopicConfiguration, platform.KeyConfiguration, documents[2])
 				time.Sleep(applyLimit)
-				require.EqualValues(t, 2, s.version())
+				require.EqualValues(t, 2, s.governor.ConfigurationVersion())
 				version := 2
 				allocations := testing.AllocsPerRun(3, func() {
 					version++
@@ -63,7 +63,7 @@
 				})
 				require.Less(t, allocations, c.limit)
 				if c.name == "change" {
-					require.EqualValues(t, version, s.version())
+					require.EqualValues(t, version, s.governor.ConfigurationVersion())
 				}
 			})
 		})
--- a/rosemaryspool/subscriber/longconfiguration_test.go
+++ b/rosemaryspool/subscriber/longconfiguration_test.go
@@ -104,13 +104,6 @@
 	return b.Bytes()
 }
 
-func (i *instance) version() uint64 {
-	if table := i.governor.Table(); table != nil {
-		return table.Configuration().Version
-	}
-	return 0
-}
-
 // newLongCluster returns a store with a configuration that no instance follows yet.
 func newLongCluster(t *testing.T, configuration []byte) *cluster {
 	t.Helper()
@@ -154,7 +147,7 @@
 		cl.store.Put(platform.TopicConfiguration, platform.KeyConfiguration, longConfiguration(2, c.bytes, c.alike))
 		time.Sleep(c.limit)
 		for _, i := range cl.instances {
-			require.EqualValues(t, 2, i.version(), i.self.Instance)
+			require.EqualValues(t, 2, i.governor.ConfigurationVersion(), i.self.Instance)
 		}
 		calls := cl.store.Calls()
 		time.Sleep(10 * time.Second)
@@ -179,7 +172,7 @@
 		}
 		i := cl.startLinked(t, others, c.newLink(), false, seeds...)
 		time.Sleep(c.limit)
-		require.EqualValues(t, 1, i.version())
+		require.EqualValues(t, 1, i.governor.ConfigurationVersion())
 	})
 }
 
@@ -252,7 +245,7 @@
 		view.Changed, view.Next, view.ReadAt = view.Next+1, view.Next+1, time.Now()
 		reader.HandleView(configurations.name, gossiper.View{View: view, RecordsFrom: view.Next, RecordsTo: view.Next})
 		time.Sleep(transferTime)
-		require.EqualValues(t, 2, reader.version())
+		require.EqualValues(t, 2, reader.governor.ConfigurationVersion())
 	})
 }
 
@@ -268,7 +261,7 @@
 		for range 400 {
 			time.Sleep(10 * time.Millisecond)
 			for _, r := range readers[:3] {
-				if r.subscriber.version() == 3 {
+				if r.governor.ConfigurationVersion() == 3 {
 					continue
 				}
 				r.subscriber.mu.Lock()
@@ -277,7 +270,7 @@
 				require.False(t, completeAt.After(written), "%v after the second change", time.Since(written))
 			}
 		}
-		require.EqualValues(t, 3, readers[0].subscriber.version())
+		require.EqualValues(t, 3, readers[0].governor.ConfigurationVersion())
 	})
 }
 
@@ -290,7 +283,7 @@
 		}
 		time.Sleep(applyLimit)
 		for _, i := range cl.instances {
-			require.EqualValues(t, 1, i.version(), i.self.Instance)
+			require.EqualValues(t, 1, i.governor.ConfigurationVersion(), i.self.Instance)
 		}
 	})
 }
@@ -312,7 +305,7 @@
 			cl.store.Put(platform.TopicConfiguration, platform.KeyConfiguration, longConfiguration(change.version, change.length, false))
 			time.Sleep(applyLimit)
 			for _, i := range cl.instances {
-				require.EqualValues(t, change.version, i.version(), i.self.Instance)
+				require.EqualValues(t, change.version, i.governor.ConfigurationVersion(), i.self.Instance)
 			}
 			require.Less(t, received(links)-before, 2*length, "bytes that all instances have read, version %d", change.version)
 		}
--- a/rosemaryspool/subscriber/lostreader_test.go
+++ b/rosemaryspool/subscriber/lostreader_test.go
@@ -53,7 +53,7 @@
 		n.store.put(platform.TopicConfiguration, platform.KeyConfiguration, configuration(2))
 		time.Sleep(applyLimit)
 		for rank, r := range readers[lost:] {
-			if version := r.subscriber.version(); version != 2 {
+			if version := r.governor.ConfigurationVersion(); version != 2 {
 				late = append(late, fmt.Sprintf("rank %d: version %d", lost+rank, version))
 			}
 		}
@@ -90,7 +90,7 @@
 				time.Sleep(applyLimit + delay)
 				n.store.put(platform.TopicConfiguration, platform.KeyConfiguration, configuration(2))
 				time.Sleep(applyLimit)
-				require.EqualValues(t, 2, readers[rank].subscriber.version(), "rank %d, %v after the limit", rank, delay)
+				require.EqualValues(t, 2, readers[rank].governor.ConfigurationVersion(), "rank %d, %v after the limit", rank, delay)
 			})
 		}
 	}
@@ -106,7 +106,7 @@
 			n.store.put(platform.TopicConfiguration, platform.KeyConfiguration, configuration(2))
 			time.Sleep(applyLimit)
 			for _, i := range n.instances {
-				require.EqualValues(t, 2, i.subscriber.version(), "%s after an outage of %v", i.self.Instance, outage)
+				require.EqualValues(t, 2, i.governor.ConfigurationVersion(), "%s after an outage of %v", i.self.Instance, outage)
 			}
 		})
 	}
--- a/rosemaryspool/subscriber/subscriber_test.go
+++ b/rosemaryspool/subscriber/subscriber_test.go
@@ -184,12 +184,7 @@
 		`{"service":"s","address":"10.0.0.1:80","zone":"z","slots":6,"state":%q,"sequence":1,"born":1}`, state)
 }
 
-func (cl *cluster) version() uint64 {
-	if table := cl.governor.Table(); table != nil {
-		return table.Configuration().Version
-	}
-	return 0
-}
+func (cl *cluster) version() uint64 { return cl.governor.ConfigurationVersion() }
 
 func TestConfigurationIsAppliedSoonAfterStoreOutage(t *testing.T) {
 	for _, c := range []struct {
--- a/rosemaryspool/subscriber/version.go
+++ b/rosemaryspool/subscriber/version.go
@@ -20,7 +20,7 @@
 // HandleVersion handles the version of the configuration that another instance names as in force there; zero if it names
 // none. The store may have returned from a copy that lacks the later one of two.
 func (s *Subscriber) HandleVersion(from elector.Member, version uint64) {
-	own := s.version()
+	own := s.governor.ConfigurationVersion()
 	switch {
 	case version > own:
 		s.awaitVersion(from, version)
@@ -29,15 +29,6 @@
 	}
 }
 
-// version returns the version of the configuration in force; zero if there is none.
-func (s *Subscriber) version() uint64 {
-	t := s.governor.Table()
-	if t == nil {
-		return 0
-	}
-	return t.Configuration().Version
-}
-
 // awaitVersion asks another instance for its configuration if that hasn't arrived by itself after a while.
 func (s *Subscriber) awaitVersion(from elector.Member, version uint64) {
 	s.mu.Lock()
@@ -46,20 +37,21 @@
 		return
 	}
 	s.awaitsVersion = true
-	if own := s.version(); own != s.askedAt {
+	if own := s.governor.ConfigurationVersion(); own != s.askedAt {
 		s.asks, s.askedAt = 0, own
 	}
 	time.AfterFunc(laterWait<<min(s.asks, maxLaterDoublings), func() {
 		s.mu.Lock()
 		s.awaitsVersion = false
 		due := false
-		if s.version() < version {
+		if s.governor.ConfigurationVersion() < version {
 			_, due = s.topicOf(platform.TopicConfiguration).requests.Ask(time.Now())
 			s.asks++
 		}
 		s.mu.Unlock()
 		if due {
-			s.log.Info().Str("event", "laterConfigurationKnown").Uint64("version", version).Uint64("own", s.version()).
+			s.log.Info().Str("event", "laterConfigurationKnown").Uint64("version", version).
+				Uint64("own", s.governor.ConfigurationVersion()).
 				Str("peer", string(from.Instance)).Msg("Another instance has a later configuration in force; asking it")
 			s.exchange.RequestViewOf(from, platform.TopicConfiguration)
 		}
--- a/rosemaryspool/subscriber/version_test.go
+++ b/rosemaryspool/subscriber/version_test.go
@@ -71,10 +71,10 @@
 		v.Sender = "other"
 		v.Records = []gossiper.Record{{Key: platform.KeyConfiguration, Value: configuration(2)}}
 		s.HandleView(platform.TopicConfiguration, v)
-		require.EqualValues(t, 2, s.version())
+		require.EqualValues(t, 2, s.governor.ConfigurationVersion())
 		v.Records = []gossiper.Record{{Key: platform.KeyConfiguration, Value: configuration(1)}}
 		s.HandleView(platform.TopicConfiguration, v)
-		require.EqualValues(t, 2, s.version())
+		require.EqualValues(t, 2, s.governor.ConfigurationVersion())
 		require.Equal(t, configuration(2), s.snapshot(s.topicOf(platform.TopicConfiguration)).Records[0].Value)
 	})
 }
