Tell in one place whether a view has a fragment

The assembler and the restoring of records after it asked the same of a view. fragmentOf answers both. No behaviour is changed; the gossiper's tests pass.

--- a/rosemaryspool/gossiper/assembler.go
+++ b/rosemaryspool/gossiper/assembler.go
@@ -95,13 +95,21 @@
 
 func newAssembler() assembler { return assembler{assemblies: map[assemblyKey]*assembly{}} }
 
+// fragmentOf returns the fragment of a record that a view has; nil if its records are whole.
+func fragmentOf(t *messenger.TopicView) *messenger.StoreRecord {
+	if len(t.GetRecords()) != 1 || t.GetRecords()[0].GetFragments() == 0 {
+		return nil
+	}
+	return t.GetRecords()[0]
+}
+
 // add adds a view whose record may be a fragment. It returns true when the view's records are whole; the last fragment then
 // has the compressed value.
 func (a assembler) add(sender identifier.InstanceID, t *messenger.TopicView) (bool, error) {
-	if len(t.GetRecords()) != 1 || t.GetRecords()[0].GetFragments() == 0 {
+	r := fragmentOf(t)
+	if r == nil {
 		return true, nil
 	}
-	r := t.GetRecords()[0]
 	if r.GetFragment() >= r.GetFragments() || r.GetFragments() > maxSnapshotFragments {
 		return false, eris.Errorf("fragment %d of %d", r.GetFragment(), r.GetFragments())
 	}
@@ -129,10 +137,10 @@
 // restore decompresses the record of a view that came in fragments. A change of a record that isn't the newest one here can't
 // be restored: the view then has no record, which the instance reads from the store.
 func (g *Gossiper) restore(t *messenger.TopicView) error {
-	if len(t.GetRecords()) != 1 || t.GetRecords()[0].GetFragments() == 0 {
+	r := fragmentOf(t)
+	if r == nil {
 		return nil
 	}
-	r := t.GetRecords()[0]
 	var err error
 	if !r.GetChange() {
 		r.Value, err = compressor.Decompress(r.GetValue(), platform.MaxRecordBytes)
