Run both cases of a long configuration in one place

Three tests of long configurations had the same loop body, with a different number of other instances.

--- a/rosemaryspool/subscriber/longconfiguration_test.go
+++ b/rosemaryspool/subscriber/longconfiguration_test.go
@@ -133,6 +133,14 @@
 	return &slowLink{}
 }
 
+// play runs both cases: the configuration changes to the long one, and an instance starts beside a number of others.
+func (c longCase) play(t *testing.T, others int) {
+	t.Run(c.name, func(t *testing.T) {
+		t.Run("changed", c.playChange)
+		t.Run("at start", func(t *testing.T) { c.playStart(t, others, false) })
+	})
+}
+
 // playChange changes a short configuration to a long one, which must be in force in time at four instances and then cost few
 // more calls.
 func (c longCase) playChange(t *testing.T) {
@@ -184,10 +192,7 @@
 		{"1.4 MB", 1_400_000, false, false, applyLimit},
 		{"5 MB", 5_000_000, false, false, applyLimit},
 	} {
-		t.Run(c.name, func(t *testing.T) {
-			t.Run("changed", c.playChange)
-			t.Run("at start", func(t *testing.T) { c.playStart(t, 0, false) })
-		})
+		c.play(t, 0)
 	}
 }
 
@@ -197,10 +202,7 @@
 		{"1 MB", 1_000_000, true, false, applyLimit},
 		{"1.4 MB", 1_400_000, true, false, applyLimit},
 	} {
-		t.Run(c.name, func(t *testing.T) {
-			t.Run("changed", c.playChange)
-			t.Run("at start", func(t *testing.T) { c.playStart(t, 3, false) })
-		})
+		c.play(t, 3)
 	}
 }
 
@@ -213,10 +215,7 @@
 		{"1.4 MB", 1_400_000, false, true, 3 * time.Second},
 		{"4 MB", 4_000_000, false, true, 8 * time.Second},
 	} {
-		t.Run(c.name, func(t *testing.T) {
-			t.Run("changed", c.playChange)
-			t.Run("at start", func(t *testing.T) { c.playStart(t, 0, false) })
-		})
+		c.play(t, 0)
 	}
 }
 
