Take no lost connection for the end of an answer

What callers saw: an upstream answered a 3 MB upload after 64 KB with 200 and no length, sent a part of the body and reset the connection. Callers got the part as a complete 200: small and large bodies and event streams, also on routes whose requests could have been sent again.

Cause: a socket reports an error such as a reset once, to whichever call asks first. The write of the upload, which runs beside the read of the answer, took it; the read then saw an end of file, as after an orderly close, and an answer without a length ends with that.

Change: verifier.Conn remembers that a write has failed, and returns that instead of the end of file. A write that is still running is ended first, as it may have taken the error but not yet returned it. EPIPE doesn't count: the kernel reports it only if the other side's end had arrived before the connection was lost, so that the answer is whole; a write that was still pending says nothing either. The answer then counts as one that broke off: 502 on routes that may run once, another attempt on the others.

--- a/rosemaryspool/connector/connection.go
+++ b/rosemaryspool/connector/connection.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"rosemaryspool.example/adaptor/bounder"
+	"rosemaryspool.example/adaptor/verifier"
 	"rosemaryspool.example/core/identifier"
 )
 
@@ -29,7 +30,7 @@
 
 // connection is an open connection to an upstream.
 type connection struct {
-	net.Conn
+	*verifier.Conn
 	// bounds limits what the reader takes from the connection for the head of a response.
 	bounds *bounder.Reader
 	reader *bufio.Reader
@@ -48,9 +49,10 @@
 type opener interface{ IsOpen() bool }
 
 func newConnection(c net.Conn, number uint64) *connection {
-	bounds := bounder.NewReader(c)
+	verified := verifier.NewConn(c)
+	bounds := bounder.NewReader(verified)
 	return &connection{
-		Conn: c, bounds: bounds, reader: bufio.NewReaderSize(bounds, readBufferBytes), number: number,
+		Conn: verified, bounds: bounds, reader: bufio.NewReaderSize(bounds, readBufferBytes), number: number,
 		since: time.Now(), idleTimeout: defaultIdleTimeout,
 	}
 }
@@ -81,10 +83,10 @@
 	if now.Sub(c.idleSince) >= c.idleTimeout || c.reader.Buffered() > 0 {
 		return false
 	}
-	if o, ok := c.Conn.(opener); ok {
+	if o, ok := c.NetConn().(opener); ok {
 		return o.IsOpen()
 	}
-	raw, err := c.Conn.(syscall.Conn).SyscallConn()
+	raw, err := c.NetConn().(syscall.Conn).SyscallConn()
 	if err != nil {
 		return false
 	}
--- /dev/null
+++ b/rosemaryspool/gatekeeper/reset_test.go
@@ -0,0 +1,96 @@
+package gatekeeper
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"rosemaryspool.example/platform"
+	"rosemaryspool.example/standin/emulator"
+)
+
+// A network in memory tells both directions of a connection of a reset; a socket tells the one that asks first.
+func TestAnswersToUploadsThatAreResetNeverLookWhole(t *testing.T) {
+	const (
+		uploadBytes = 3 << 20
+		// readBytes is what the upstream reads of an upload before it answers.
+		readBytes = 64 << 10
+		tries     = 8
+	)
+	for _, c := range []struct {
+		name, path, part string
+		// whole is how many of the upstreams give a whole answer.
+		whole int
+	}{
+		{"small answer that may run once", orders, "part", 0},
+		{"small answer", lookups, "part", 0},
+		{"small answer before a whole one", lookups, "part", 1},
+		{"large answer", orders, strings.Repeat("x", 300<<10), 0},
+		{"stream", verdicts, events(1, 2), 0},
+		{"stream that may run once", notes, events(1, 2), 0},
+		{"stream that may be resumed by the caller alone", dialogs, events(1, 2), 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			store := newTestStore(t)
+			service, stage, contentType := "plain", "", "text/plain"
+			if strings.HasPrefix(c.part, "id: ") {
+				service, stage, contentType = "model", "decode", "text/event-stream"
+			}
+			arrivals := &atomic.Int64{}
+			handle := func(conn net.Conn) {
+				reader := bufio.NewReader(conn)
+				request, err := http.ReadRequest(reader)
+				if err != nil || request.URL.Path == platform.ReportPath {
+					return
+				}
+				first := arrivals.Add(1) == 1
+				head := fmt.Sprintf("HTTP/1.1 200 OK%s\r\n%s: %s\r\nContent-Type: %s\r\n", signed, emulator.HeaderAttempt,
+					request.Header.Get(emulator.HeaderAttempt), contentType)
+				if !first && c.whole > 0 {
+					_, _ = io.Copy(io.Discard, request.Body)
+					_, _ = io.WriteString(conn, head+"Content-Length: 5\r\n\r\nwhole")
+					return
+				}
+				_, _ = io.CopyN(io.Discard, request.Body, readBytes)
+				_, _ = io.WriteString(conn, head+"\r\n"+c.part)
+				_ = conn.(*net.TCPConn).SetLinger(0)
+			}
+			for _, id := range []string{"u1", "u2"} {
+				serveRaw(t, store, id, service, stage, "v1", handle)
+			}
+			settings := testSettings(store)
+			settings.RetryBudgetExtra = 1_000_000
+			ti := startTestInstance(t, store, settings)
+			ti.makeReady()
+			arrived := int64(0)
+			for range tries {
+				arrived += arrivals.Swap(0)
+				// A connection that is closed without a response is a visible break.
+				r, err := ti.trySend(http.MethodPost, c.path+"x", strings.Repeat("u", uploadBytes), promptHeaders()...)
+				if err != nil {
+					continue
+				}
+				if c.whole > 0 && r.status == http.StatusOK {
+					require.Equal(t, "whole", r.body)
+				} else {
+					require.False(t, r.status == http.StatusOK && r.complete, "%d bytes of an answer that was reset look whole", len(r.body))
+				}
+				if c.path == orders || c.path == notes {
+					require.LessOrEqual(t, arrivals.Load(), int64(1), "a request that may run once was sent again")
+					require.False(t, arrivals.Load() > 0 && slices.Contains(promises, r.status), "status %d of a request that may have run", r.status)
+				}
+			}
+			t.Logf("%d arrivals", arrived+arrivals.Load())
+			require.Positive(t, arrived)
+		})
+	}
+}
