Take no lost connection for an answer's end in clients of net/http

What callers saw: the front door's clients of engines, services and the log, and the gateway's clients of the store and the cloud, took 200, no length, a part of a body and a reset during an upload for a complete answer, too. An append, a write or a report then counted as made.

Cause: that of the gateway's connections. net/http writes a request beside reading the answer, and the write takes the socket's error.

Change: verifier.NewTransport has an http.Transport open connections that are verifier.Conns. A client that counts the writes of a connection finds it below that. The sender needs no change: it writes the whole request before it reads, and a failed write is ErrResponseLost.

--- a/adaptor/requester/connection.go
+++ b/adaptor/requester/connection.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"net"
 	"net/http/httptrace"
 	"sync"
@@ -83,9 +82,12 @@
 	return u.reused && findCounted(u.conn).countWrites() == u.writesBefore
 }
 
+// findCounted returns the connection that a request's connection wraps, with TLS or without.
 func findCounted(conn net.Conn) *countedConn {
-	if secured, ok := conn.(*tls.Conn); ok {
-		conn = secured.NetConn()
+	for {
+		if counted, ok := conn.(*countedConn); ok {
+			return counted
+		}
+		conn = conn.(interface{ NetConn() net.Conn }).NetConn()
 	}
-	return conn.(*countedConn)
 }
--- a/adaptor/requester/requester.go
+++ b/adaptor/requester/requester.go
@@ -18,6 +18,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"rosemaryspool.example/adaptor/bounder"
+	"rosemaryspool.example/adaptor/verifier"
 )
 
 const (
@@ -62,7 +63,7 @@
 }
 
 func newHTTPClient(single bool) *http.Client {
-	transport := &http.Transport{
+	transport := verifier.NewTransport(&http.Transport{
 		DisableKeepAlives:   single,
 		DialContext:         dial,
 		MaxIdleConns:        maxIdleConns,
@@ -71,7 +72,7 @@
 		DisableCompression:  true,
 		// Responses have a few hundred bytes of headers.
 		MaxResponseHeaderBytes: 16 << 10,
-	}
+	})
 	return &http.Client{Transport: transport, CheckRedirect: refuseRedirect}
 }
 
--- a/rosemaryspool/forwarder/explain.go
+++ b/rosemaryspool/forwarder/explain.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"slices"
@@ -12,6 +13,7 @@
 	"time"
 
 	"rosemaryspool.example/adaptor/bounder"
+	"rosemaryspool.example/adaptor/verifier"
 	"rosemaryspool.example/core/allocator"
 	"rosemaryspool.example/core/elector"
 	"rosemaryspool.example/core/identifier"
@@ -208,9 +210,10 @@
 }
 
 // explainClient keeps no connection: questions are rare.
-var explainClient = &http.Client{Transport: &http.Transport{
-	DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: 16 << 10,
-}}
+var explainClient = &http.Client{Transport: verifier.NewTransport(&http.Transport{
+	DialContext: (&net.Dialer{}).DialContext, DisableKeepAlives: true, DisableCompression: true,
+	MaxResponseHeaderBytes: 16 << 10,
+})}
 
 // FetchExplanation asks the instance at an address of the form IP:PORT.
 func FetchExplanation(ctx context.Context, address string, values url.Values) (*Explanation, error) {
--- /dev/null
+++ b/standin/emulator/broken.go
@@ -0,0 +1,68 @@
+package emulator
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+)
+
+// maxReadBeforeReset is how much of a request's body a BrokenServer reads before it answers and resets the connection.
+const maxReadBeforeReset = 64 << 10
+
+// BrokenServer answers each request over TCP with the same text, which need not be an HTTP response, and ends the connection.
+type BrokenServer struct {
+	listener net.Listener
+	text     string
+	resets   bool
+	arrivals atomic.Int64
+}
+
+// NewBrokenServer starts a server. With resets, it answers once it has read a part of a request, and resets the connection;
+// otherwise it reads all of a request and closes the connection.
+func NewBrokenServer(text string, resets bool) *BrokenServer {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		panic(err)
+	}
+	s := &BrokenServer{listener: listener, text: text, resets: resets}
+	go s.serve()
+	return s
+}
+
+// Address returns the address of the form IP:PORT.
+func (s *BrokenServer) Address() string { return s.listener.Addr().String() }
+
+// Arrivals returns the number of requests that have arrived.
+func (s *BrokenServer) Arrivals() int { return int(s.arrivals.Load()) }
+
+// Close stops the server.
+func (s *BrokenServer) Close() { _ = s.listener.Close() }
+
+func (s *BrokenServer) serve() {
+	for {
+		conn, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		go s.answer(conn.(*net.TCPConn))
+	}
+}
+
+func (s *BrokenServer) answer(conn *net.TCPConn) {
+	defer conn.Close()
+	request, err := http.ReadRequest(bufio.NewReader(conn))
+	if err != nil {
+		return
+	}
+	s.arrivals.Add(1)
+	if !s.resets {
+		_, _ = io.Copy(io.Discard, request.Body)
+		_, _ = io.WriteString(conn, s.text)
+		return
+	}
+	_, _ = io.CopyN(io.Discard, request.Body, maxReadBeforeReset)
+	_, _ = io.WriteString(conn, s.text)
+	_ = conn.SetLinger(0)
+}
