Take no head with a blank in a field name from upstreams

What callers saw: an answer with `Name : x` or `Bad Name: x` in its head reached them as an answer. With `Content-Length : 7` or `Transfer-Encoding : chunked` its body wasn't the upstream's, and a rejection or a failure counted as well.

Cause: net/http accepts field names with blanks as they are, so that it finds no framing in such a line. Other names that aren't tokens are errors.

Change: the connector checks the names of each head that it reads, informational ones too. A head with a blank in a name is ErrMalformed, and so an answer that may have run: 502 on routes that may run once, another attempt on the others.

Evidence: TestMalformedHeadsAreNoAnswers on four routes.

--- a/rosemaryspool/connector/exchange.go
+++ b/rosemaryspool/connector/exchange.go
@@ -12,6 +12,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"rosemaryspool.example/adaptor/verifier"
 	"rosemaryspool.example/core/identifier"
 	"rosemaryspool.example/core/tracker"
 )
@@ -164,8 +165,13 @@
 	}
 }
 
+// readResponse reads the head of a response.
 func readResponse(reader *bufio.Reader, method string) (*http.Response, error) {
-	return http.ReadResponse(reader, &http.Request{Method: method})
+	response, err := http.ReadResponse(reader, &http.Request{Method: method})
+	if err != nil {
+		return nil, err
+	}
+	return response, verifier.CheckHead(response)
 }
 
 // setResponse sets the exported fields from the HTTP response that belongs to the request.
--- /dev/null
+++ b/rosemaryspool/gatekeeper/malformed_test.go
@@ -0,0 +1,89 @@
+package gatekeeper
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"rosemaryspool.example/standin/emulator"
+)
+
+func TestMalformedHeadsAreNoAnswers(t *testing.T) {
+	const (
+		event      = "id: 1\ndata: x\n\n"
+		framed     = "Content-Length: 15\r\n"
+		rejection  = emulator.HeaderNotExecuted + ": 1\r\n"
+		earlyHints = "HTTP/1.1 103 Early Hints\r\n"
+	)
+	for _, c := range []struct {
+		name string
+		// before is sent before the head.
+		before, status, fields string
+	}{
+		{"blank after a name", "", "200 OK", framed + "Name : x\r\n"},
+		{"blank in a name", "", "200 OK", framed + "Bad Name: x\r\n"},
+		{"blank after the length's name", "", "200 OK", "Content-Length : 7\r\n"},
+		{"blank after the framing's name", "", "200 OK", "Transfer-Encoding : chunked\r\n"},
+		{"blank in a name of a rejection", "", "503 Service Unavailable", framed + rejection + "Bad Name: x\r\n"},
+		{"blank in a name of a failure", "", "404 Not Found", framed + "Bad Name: x\r\n"},
+		{"blank in a name of an informational head", earlyHints + "Bad Name: x\r\n\r\n", "200 OK", framed},
+		{"control byte in a name", "", "200 OK", framed + "Na\x01me: x\r\n"},
+		{"tab in a name", "", "200 OK", framed + "Na\tme: x\r\n"},
+		{"null byte in a name", "", "200 OK", framed + "\x00: x\r\n"},
+		{"delete byte in a name of a rejection", "", "503 Service Unavailable", framed + rejection + "Na\x7fme: x\r\n"},
+		{"no name", "", "200 OK", framed + ": x\r\n"},
+	} {
+		for _, route := range []struct {
+			path   string
+			status int
+		}{{orders, http.StatusBadGateway}, {lookups, http.StatusOK}, {notes, http.StatusBadGateway}, {verdicts, http.StatusOK}} {
+			t.Run(c.name+" "+route.path, func(t *testing.T) {
+				t.Parallel()
+				synctest.Test(t, func(t *testing.T) {
+					store := newMemoryStore(t)
+					service, stage := "plain", ""
+					if route.path == notes || route.path == verdicts {
+						service, stage = "model", "decode"
+					}
+					var arrivals atomic.Int64
+					for _, id := range []string{"u1", "u2"} {
+						serveRaw(t, store, id, service, stage, "v1", func(conn net.Conn) {
+							serveRequests(conn, func(request *http.Request) bool {
+								before, status, fields := c.before, c.status, c.fields
+								if arrivals.Add(1) > 1 {
+									before, status, fields = "", "200 OK", framed
+								}
+								_, err := fmt.Fprintf(conn, "%sHTTP/1.1 %s%s\r\n%s: %s\r\nContent-Type: text/event-stream\r\n%s\r\n", before, status,
+									signed, emulator.HeaderAttempt, request.Header.Get(emulator.HeaderAttempt), fields)
+								if err == nil {
+									_, err = io.WriteString(conn, event)
+								}
+								return err == nil
+							})
+						})
+					}
+					ti := startTestInstance(t, store, testSettings(store))
+					ti.makeReady()
+					time.Sleep(testSettings(store).RetryWindow)
+					r := ti.send(http.MethodPost, route.path+"x", "b", append(promptHeaders(), emulator.HeaderDeadline, "1900")...)
+					require.Equal(t, route.status, r.status)
+					require.True(t, r.complete)
+					if route.status == http.StatusOK {
+						require.Equal(t, event, r.body)
+						require.Equal(t, int64(2), arrivals.Load())
+					} else {
+						require.Empty(t, r.header.Get(emulator.HeaderSignature))
+						require.Equal(t, int64(1), arrivals.Load())
+					}
+				})
+			})
+		}
+	}
+}
