Take no answer with a status below 100

What callers saw: for an answer with a status of 000 to 099 the gateway closed their connection without an answer, after a panic in net/http, which didn't end the process. For the clients of the front door, the store and the cloud such a status counted as an answer; of the latter two it promised that nothing was written or carried out.

Cause: net/http reads any three characters that strconv takes for a number of zero or more, also with a sign: 000, 099, +20, -00.

Change: a head with a status below 100 is malformed, wherever heads are read.

Evidence: of the cases with such a status 32 of 48 at the gateway on four routes, with rejections and behind informational heads, and 48 of 72 in the requester, the sender, the store and the cloud failed before; all pass now. Statuses of two or four digits, of letters, and negative ones passed before.

--- a/adaptor/requester/broken_test.go
+++ b/adaptor/requester/broken_test.go
@@ -58,6 +58,13 @@
 			})
 		}
 	}
+	for _, status := range emulator.MalformedStatuses {
+		t.Run(status, func(t *testing.T) {
+			server := emulator.NewBrokenServer("HTTP/1.1 "+status+"\r\nContent-Length: 2\r\n\r\n{}", false)
+			defer server.Close()
+			requireMalformed(t, NewClient(server.Address()))
+		})
+	}
 }
 
 // requireMalformed requires that no call of a client has a response, nor an error that says that the request did not run.
--- a/adaptor/sender/broken_test.go
+++ b/adaptor/sender/broken_test.go
@@ -34,4 +34,12 @@
 			})
 		}
 	}
+	for _, status := range emulator.MalformedStatuses {
+		t.Run(status, func(t *testing.T) {
+			server := emulator.NewBrokenServer("HTTP/1.1 "+status+"\r\nContent-Length: 0\r\n\r\n", false)
+			defer server.Close()
+			_, err := NewSender(server.Address(), nil).Send(t.Context(), http.MethodPost, "/", nil, nil, time.Time{})
+			require.ErrorIs(t, err, ErrResponseLost)
+		})
+	}
 }
--- a/adaptor/verifier/head.go
+++ b/adaptor/verifier/head.go
@@ -25,12 +25,16 @@
 	return response, nil
 }
 
-// checkHead returns ErrMalformed for a response whose head net/http reads although it isn't HTTP.
-func checkHead(response *http.Response) error { return checkNames(response.Header) }
+// minStatus is the lowest status of HTTP.
+const minStatus = 100
 
-// checkNames returns an error if a field name has a blank. net/http accepts these names, and no others that aren't tokens.
-func checkNames(header http.Header) error {
-	for name := range header {
+// checkHead returns ErrMalformed for a response whose head net/http reads although it isn't HTTP: one with a status of less than
+// 100, or with a blank in a field name. All other malformed statuses and names are errors of net/http.
+func checkHead(response *http.Response) error {
+	if response.StatusCode < minStatus {
+		return eris.Wrapf(ErrMalformed, "status %.64q", response.Status)
+	}
+	for name := range response.Header {
 		if strings.Contains(name, " ") {
 			return eris.Wrapf(ErrMalformed, "field name %.64q", name)
 		}
--- a/rosemaryspool/gatekeeper/malformed_test.go
+++ b/rosemaryspool/gatekeeper/malformed_test.go
@@ -39,6 +39,18 @@
 		{"null byte in a name", "", "200 OK", framed + "\x00: x\r\n"},
 		{"delete byte in a name of a rejection", "", "503 Service Unavailable", framed + rejection + "Na\x7fme: x\r\n"},
 		{"no name", "", "200 OK", framed + ": x\r\n"},
+		{"status 000", "", "000 Trouble", framed},
+		{"status 000 without a reason", "", "000", framed},
+		{"status 000 of a rejection", "", "000 Trouble", framed + rejection},
+		{"status 000 behind an informational head", earlyHints + "\r\n", "000 Trouble", framed},
+		{"status 001", "", "001 Trouble", framed},
+		{"status 099 without framing", "", "099 Trouble", ""},
+		{"status with a sign", "", "+20 Trouble", framed},
+		{"negative zero as a status", "", "-00 Trouble", framed},
+		{"negative status", "", "-20 Trouble", framed},
+		{"status of two digits", "", "20 Trouble", framed},
+		{"status of four digits", "", "2000 Trouble", framed},
+		{"status of letters", "", "abc Trouble", framed},
 	} {
 		for _, route := range []struct {
 			path   string
