Take no switch of protocols for an answer

Cause: net/http returns a 101 as a final response and the connector passed over it as an informational one, though HTTP ends on that connection. No request asks for a switch.

Change: a head with status 101 is malformed.

--- a/adaptor/verifier/head.go
+++ b/adaptor/verifier/head.go
@@ -9,7 +9,7 @@
 	"github.com/rotisserie/eris"
 )
 
-// ErrMalformed means that the head of a response isn't HTTP. Nothing that it says can be trusted, nor where its body ends.
+// ErrMalformed means that the head of a response isn't one that HTTP allows here. Nothing that it says can be trusted, nor where its body ends.
 var ErrMalformed = errors.New("verifier: malformed response")
 
 // ReadResponse reads the head of the response to a request with a method, as http.ReadResponse does. A head that isn't HTTP is an
@@ -28,10 +28,11 @@
 // minStatus is the lowest status of HTTP.
 const minStatus = 100
 
-// checkHead returns ErrMalformed for a response whose head net/http reads although it isn't HTTP: one with a status of less than
-// 100, or with a blank in a field name. All other malformed statuses and names are errors of net/http.
+// checkHead returns ErrMalformed for a response whose head net/http reads although it can't be one: with a status below 100, a
+// switch of protocols, which no request asks for, or a blank in a field name. Other malformed statuses and names are errors of
+// net/http.
 func checkHead(response *http.Response) error {
-	if response.StatusCode < minStatus {
+	if response.StatusCode < minStatus || response.StatusCode == http.StatusSwitchingProtocols {
 		return eris.Wrapf(ErrMalformed, "status %.64q", response.Status)
 	}
 	for name := range response.Header {
--- a/rosemaryspool/gatekeeper/malformed_test.go
+++ b/rosemaryspool/gatekeeper/malformed_test.go
@@ -51,6 +51,8 @@
 		{"status of two digits", "", "20 Trouble", framed},
 		{"status of four digits", "", "2000 Trouble", framed},
 		{"status of letters", "", "abc Trouble", framed},
+		{"switch of protocols", "", "101 Switching Protocols", framed},
+		{"switch of protocols before an answer", "HTTP/1.1 101 Switching Protocols\r\n\r\n", "200 OK", framed},
 	} {
 		for _, route := range []struct {
 			path   string
--- a/standin/emulator/broken.go
+++ b/standin/emulator/broken.go
@@ -16,9 +16,10 @@
 	"Name : x", "Bad Name: x", "Content-Length : 1", "Transfer-Encoding : chunked", "Na\x01me: x", "Na\tme: x", "\x00: x", ": x",
 }
 
-// MalformedStatuses holds statuses of responses that aren't HTTP, with a reason.
+// MalformedStatuses holds statuses that no response to a request may have, with a reason.
 var MalformedStatuses = []string{
 	"000 Trouble", "000", "001 Trouble", "099 Trouble", "+20 Trouble", "-00 Trouble", "-20 Trouble", "20 Trouble", "abc Trouble",
+	"101 Switching Protocols",
 }
 
 // BrokenServer answers each request over TCP with the same text, which need not be an HTTP response, and ends the connection.
