Reset the connection of an HTTP/1.0 caller whose response breaks off

Cause: the gateway closes the caller's connection when an answer breaks off. With HTTP/1.1 the last chunk is then missing; HTTP/1.0 has no chunks, and the close is the end of a response without a length.

Change: for a caller below HTTP/1.1 the connection is reset.

--- a/rosemaryspool/forwarder/forwarder.go
+++ b/rosemaryspool/forwarder/forwarder.go
@@ -109,10 +109,29 @@
 	f.record(e, result)
 	if result.abort {
 		// Aborting the connection keeps the caller from taking a truncated response for a complete one.
+		if !r.ProtoAtLeast(1, 1) {
+			e.resetConnection()
+		}
 		panic(http.ErrAbortHandler)
 	}
 }
 
+// resetConnection resets the caller's connection. In HTTP/1.0, which has no chunks, its close would be the end of a response
+// without a length.
+func (e *exchange) resetConnection() {
+	conn, _, err := e.controller.Hijack()
+	if err != nil {
+		e.forwarder.log.Warn().Err(err).Str("event", "connectionNotReset").Str("request", string(e.caller.ID)).
+			Msg("Can't reset the connection of a caller; a truncated response may look complete")
+		return
+	}
+	if c, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
+		// An error means that the connection is closed already, as the caller has left.
+		_ = c.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
 // result is how a request ended, for the log and the metrics. abort closes the caller's connection without a response.
 type result struct {
 	outcome string
--- a/rosemaryspool/gatekeeper/reset_test.go
+++ b/rosemaryspool/gatekeeper/reset_test.go
@@ -94,3 +94,50 @@
 		})
 	}
 }
+
+func TestPartsOfAnswersNeverLookWholeToCallersOfHTTP10(t *testing.T) {
+	// The close of its connection is what ends a response without a length in HTTP/1.0.
+	for _, c := range []struct {
+		name, path, part string
+		whole            bool
+	}{
+		{"large answer", orders, strings.Repeat("x", 300<<10), false},
+		{"stream", notes, events(1, 2), false},
+		{"large answer, whole", orders, strings.Repeat("x", 300<<10), true},
+		{"stream, whole", notes, events(1, 2), true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			store := newTestStore(t)
+			service, stage, contentType := "plain", "", "text/plain"
+			if c.path == notes {
+				service, stage, contentType = "model", "decode", "text/event-stream"
+			}
+			serveRaw(t, store, "u1", service, stage, "v1", func(conn net.Conn) {
+				serveRequests(conn, func(request *http.Request) bool {
+					_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK%s\r\n%s: %s\r\nContent-Type: %s\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n",
+						signed, emulator.HeaderAttempt, request.Header.Get(emulator.HeaderAttempt), contentType, len(c.part), c.part)
+					if c.whole {
+						_, _ = io.WriteString(conn, "0\r\n\r\n")
+					}
+					return c.whole
+				})
+			})
+			ti := startTestInstance(t, store, testSettings(store))
+			ti.makeReady()
+			conn, err := net.Dial("tcp", strings.TrimPrefix(ti.url, "http://"))
+			require.NoError(t, err)
+			defer conn.Close()
+			fmt.Fprintf(conn, "POST %sx HTTP/1.0\r\nHost: h.example\r\n%s: a1\r\n%s: 900\r\n%s: 9000,390\r\n%s: m\r\nContent-Length: 1\r\n\r\nb",
+				c.path, emulator.HeaderAttempt, emulator.HeaderDeadline, emulator.HeaderTokens, emulator.HeaderModel)
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err == nil {
+				require.Equal(t, http.StatusOK, response.StatusCode)
+				var content []byte
+				content, err = io.ReadAll(response.Body)
+				require.Equal(t, c.whole, string(content) == c.part && err == nil)
+			}
+			require.Equal(t, c.whole, err == nil, "%v", err)
+		})
+	}
+}
