--- a/adaptor/appender/broken_test.go
+++ b/adaptor/appender/broken_test.go
@@ -9,11 +9,7 @@
 )
 
 func TestAppendWithAMalformedAnswerMayHaveBeenMade(t *testing.T) {
-	heads := emulator.MalformedStatuses
-	for _, line := range emulator.MalformedNames {
-		heads = append(heads, "200 OK\r\n"+line, "409 Conflict\r\n"+line, "503 Service Unavailable\r\n"+line)
-	}
-	for _, head := range heads {
+	for _, head := range emulator.MalformedHeads("200 OK", "409 Conflict", "503 Service Unavailable") {
 		t.Run(head, func(t *testing.T) {
 			server := emulator.NewBrokenServer("HTTP/1.1 "+head+"\r\n\r\n{\"offset\":1}", false)
 			defer server.Close()
--- a/adaptor/completer/broken_test.go
+++ b/adaptor/completer/broken_test.go
@@ -9,11 +9,7 @@
 )
 
 func TestCompletionWithAMalformedAnswerIsTruncated(t *testing.T) {
-	heads := emulator.MalformedStatuses
-	for _, line := range emulator.MalformedNames {
-		heads = append(heads, "200 OK\r\n"+line, "400 Bad Request\r\n"+line, "503 Service Unavailable\r\n"+line)
-	}
-	for _, head := range heads {
+	for _, head := range emulator.MalformedHeads("200 OK", "400 Bad Request", "503 Service Unavailable") {
 		t.Run(head, func(t *testing.T) {
 			answer := "HTTP/1.1 " + head + "\r\n" + HeaderAttempt + ": a1\r\n\r\n" +
 				"data: {\"id\":\"a1\",\"choices\":[{\"text\":\"t\",\"finish_reason\":\"stop\"}]}\n\ndata: [DONE]\n\n"
--- a/adaptor/requester/broken_test.go
+++ b/adaptor/requester/broken_test.go
@@ -49,35 +49,23 @@
 }
 
 func TestResponsesWithMalformedHeadsAreErrors(t *testing.T) {
-	for _, line := range emulator.MalformedNames {
-		for _, status := range []string{"200 OK", "503 Service Unavailable"} {
-			t.Run(status+" "+line, func(t *testing.T) {
-				server := emulator.NewBrokenServer("HTTP/1.1 "+status+"\r\n"+line+"\r\n\r\n{}", false)
-				defer server.Close()
-				requireMalformed(t, NewClient(server.Address()))
-			})
-		}
-	}
-	for _, status := range emulator.MalformedStatuses {
-		t.Run(status, func(t *testing.T) {
-			server := emulator.NewBrokenServer("HTTP/1.1 "+status+"\r\nContent-Length: 2\r\n\r\n{}", false)
+	for _, head := range emulator.MalformedHeads("200 OK", "503 Service Unavailable") {
+		t.Run(head, func(t *testing.T) {
+			server := emulator.NewBrokenServer("HTTP/1.1 "+head+"\r\n\r\n{}", false)
 			defer server.Close()
-			requireMalformed(t, NewClient(server.Address()))
+			client := NewClient(server.Address())
+			_, err := client.Open(t.Context(), http.MethodPost, "/", []byte("{}"), nil)
+			requireUnknown(t, err)
+			_, err = client.OpenNamed(t.Context(), http.MethodPost, "/", []byte("{}"), nil, "X-Attempt-Id")
+			requireUnknown(t, err)
+			requireUnknown(t, client.Call(t.Context(), http.MethodPost, "/", nil, nil))
+			requireUnknown(t, client.Poll(t.Context(), "/", nil))
+			require.Equal(t, 4, server.Arrivals())
 		})
 	}
 }
 
-// requireMalformed requires that no call of a client has a response, nor an error that says that the request did not run.
-func requireMalformed(t *testing.T, client *Client) {
-	t.Helper()
-	_, err := client.Open(t.Context(), http.MethodPost, "/", []byte("{}"), nil)
-	requireUnknown(t, err)
-	_, err = client.OpenNamed(t.Context(), http.MethodPost, "/", []byte("{}"), nil, "X-Attempt-Id")
-	requireUnknown(t, err)
-	requireUnknown(t, client.Call(t.Context(), http.MethodPost, "/", nil, nil))
-	requireUnknown(t, client.Poll(t.Context(), "/", nil))
-}
-
+// requireUnknown requires an error that leaves open whether the request ran.
 func requireUnknown(t *testing.T, err error) {
 	t.Helper()
 	var status *StatusError
--- a/adaptor/sender/broken_test.go
+++ b/adaptor/sender/broken_test.go
@@ -23,23 +23,13 @@
 }
 
 func TestResponseWithAMalformedHeadIsLost(t *testing.T) {
-	for _, line := range emulator.MalformedNames {
-		for _, status := range []string{"200 OK", "503 Service Unavailable", "103 Early Hints"} {
-			t.Run(status+" "+line, func(t *testing.T) {
-				server := emulator.NewBrokenServer(
-					"HTTP/1.1 "+status+"\r\n"+line+"\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", false)
-				defer server.Close()
-				_, err := NewSender(server.Address(), nil).Send(t.Context(), http.MethodPost, "/", nil, nil, time.Time{})
-				require.ErrorIs(t, err, ErrResponseLost)
-			})
-		}
-	}
-	for _, status := range emulator.MalformedStatuses {
-		t.Run(status, func(t *testing.T) {
-			server := emulator.NewBrokenServer("HTTP/1.1 "+status+"\r\nContent-Length: 0\r\n\r\n", false)
+	for _, head := range emulator.MalformedHeads("200 OK", "503 Service Unavailable", "103 Early Hints") {
+		t.Run(head, func(t *testing.T) {
+			server := emulator.NewBrokenServer("HTTP/1.1 "+head+"\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", false)
 			defer server.Close()
 			_, err := NewSender(server.Address(), nil).Send(t.Context(), http.MethodPost, "/", nil, nil, time.Time{})
 			require.ErrorIs(t, err, ErrResponseLost)
+			require.Equal(t, 1, server.Arrivals())
 		})
 	}
 }
--- a/rosemaryspool/forwarder/explain_test.go
+++ b/rosemaryspool/forwarder/explain_test.go
@@ -9,11 +9,7 @@
 )
 
 func TestExplanationWithAMalformedHeadIsAnError(t *testing.T) {
-	heads := emulator.MalformedStatuses
-	for _, line := range emulator.MalformedNames {
-		heads = append(heads, "200 OK\r\n"+line)
-	}
-	for _, head := range heads {
+	for _, head := range emulator.MalformedHeads("200 OK") {
 		t.Run(head, func(t *testing.T) {
 			server := emulator.NewBrokenServer("HTTP/1.1 "+head+"\r\n\r\n{}", false)
 			defer server.Close()
--- a/standin/emulator/broken.go
+++ b/standin/emulator/broken.go
@@ -5,23 +5,36 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync/atomic"
 )
 
 // maxReadBeforeReset is how much of a request's body a BrokenServer reads before it answers and resets the connection.
 const maxReadBeforeReset = 64 << 10
 
-// MalformedNames holds lines of a response's head whose field names aren't HTTP.
-var MalformedNames = []string{
+// malformedNames holds lines of a response's head whose field names aren't HTTP.
+var malformedNames = []string{
 	"Name : x", "Bad Name: x", "Content-Length : 1", "Transfer-Encoding : chunked", "Na\x01me: x", "Na\tme: x", "\x00: x", ": x",
 }
 
-// MalformedStatuses holds statuses that no response to a request may have, with a reason.
-var MalformedStatuses = []string{
+// malformedStatuses holds statuses that no response to a request may have, with a reason.
+var malformedStatuses = []string{
 	"000 Trouble", "000", "001 Trouble", "099 Trouble", "+20 Trouble", "-00 Trouble", "-20 Trouble", "20 Trouble", "abc Trouble",
 	"101 Switching Protocols",
 }
 
+// MalformedHeads returns status lines and fields, without the version, that are no head of a response: some statuses, each with a
+// malformed field name, and malformed statuses.
+func MalformedHeads(statuses ...string) []string {
+	heads := slices.Clone(malformedStatuses)
+	for _, status := range statuses {
+		for _, name := range malformedNames {
+			heads = append(heads, status+"\r\n"+name)
+		}
+	}
+	return heads
+}
+
 // BrokenServer answers each request over TCP with the same text, which need not be an HTTP response, and ends the connection.
 type BrokenServer struct {
 	listener net.Listener
