--- a/adaptor/verifier/connection.go
+++ b/adaptor/verifier/connection.go
@@ -12,9 +12,9 @@
 	"github.com/rotisserie/eris"
 )
 
-// Conn is a connection on which a lost connection is never read as the end of what the other side sent. A socket reports an
-// error such as a reset once, to whichever call asks first. After a write, reads see io.EOF, as if the other side had closed the
-// connection in order.
+// Conn is a connection whose loss is never read as the end of what the other side sent. A socket reports an error such as a reset
+// once, to whichever call asks first. Once a write has got it, reads return io.EOF, as if the other side had closed the connection in
+// order.
 type Conn struct {
 	net.Conn
 	// mu is held during a write.
@@ -40,8 +40,8 @@
 	return n, err
 }
 
-// Read implements net.Conn. At the end of what the other side sent it ends a pending write, which may already know that the
-// connection is lost.
+// Read implements net.Conn. At the end of what the other side sent it ends a pending write and waits for its result, as the write
+// may have got the error of the socket.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if err != io.EOF {
--- a/adaptor/verifier/head.go
+++ b/adaptor/verifier/head.go
@@ -9,11 +9,12 @@
 	"github.com/rotisserie/eris"
 )
 
-// ErrMalformed means that the head of a response isn't one that HTTP allows here. Nothing that it says can be trusted, nor where its body ends.
+// ErrMalformed means that the head of a response isn't one that HTTP allows here. Nothing that it says can be trusted, nor where its
+// body ends.
 var ErrMalformed = errors.New("verifier: malformed response")
 
-// ReadResponse reads the head of the response to a request with a method, as http.ReadResponse does. A head that isn't HTTP is an
-// error.
+// ReadResponse reads the head of the response to a request with a method, as http.ReadResponse does, or returns
+// ErrMalformed.
 func ReadResponse(reader *bufio.Reader, method string) (*http.Response, error) {
 	response, err := http.ReadResponse(reader, &http.Request{Method: method})
 	if err != nil {
--- a/rosemaryspool/gatekeeper/reset_test.go
+++ b/rosemaryspool/gatekeeper/reset_test.go
@@ -27,16 +27,16 @@
 	)
 	for _, c := range []struct {
 		name, path, part string
-		// whole is how many of the upstreams give a whole answer.
-		whole int
+		// wholeThen has a request that is sent again answered whole.
+		wholeThen bool
 	}{
-		{"small answer that may run once", orders, "part", 0},
-		{"small answer", lookups, "part", 0},
-		{"small answer before a whole one", lookups, "part", 1},
-		{"large answer", orders, strings.Repeat("x", 300<<10), 0},
-		{"stream", verdicts, events(1, 2), 0},
-		{"stream that may run once", notes, events(1, 2), 0},
-		{"stream that may be resumed by the caller alone", dialogs, events(1, 2), 0},
+		{"small answer that may run once", orders, "part", false},
+		{"small answer", lookups, "part", false},
+		{"small answer before a whole one", lookups, "part", true},
+		{"large answer", orders, strings.Repeat("x", 300<<10), false},
+		{"stream", verdicts, events(1, 2), false},
+		{"stream that may run once", notes, events(1, 2), false},
+		{"stream that may be resumed by the caller alone", dialogs, events(1, 2), false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
@@ -55,7 +55,7 @@
 				first := arrivals.Add(1) == 1
 				head := fmt.Sprintf("HTTP/1.1 200 OK%s\r\n%s: %s\r\nContent-Type: %s\r\n", signed, emulator.HeaderAttempt,
 					request.Header.Get(emulator.HeaderAttempt), contentType)
-				if !first && c.whole > 0 {
+				if !first && c.wholeThen {
 					_, _ = io.Copy(io.Discard, request.Body)
 					_, _ = io.WriteString(conn, head+"Content-Length: 5\r\n\r\nwhole")
 					return
@@ -79,7 +79,7 @@
 				if err != nil {
 					continue
 				}
-				if c.whole > 0 && r.status == http.StatusOK {
+				if c.wholeThen && r.status == http.StatusOK {
 					require.Equal(t, "whole", r.body)
 				} else {
 					require.False(t, r.status == http.StatusOK && r.complete, "%d bytes of an answer that was reset look whole", len(r.body))
