Call the gatekeeper's own upstreams in the tests of broken answers

The tests of malformed heads and of HTTP/1.0 callers had servers of their own beside startFalseUpstreams and startRawUpstream, and six tests told the service of a route each in its own way. They call those two, and serviceOf.

--- a/rosemaryspool/gatekeeper/broken_test.go
+++ b/rosemaryspool/gatekeeper/broken_test.go
@@ -131,10 +131,7 @@
 				t.Parallel()
 				synctest.Test(t, func(t *testing.T) {
 					store := newMemoryStore(t)
-					service, stage := "plain", ""
-					if c.contentType != "text/plain" {
-						service, stage = "model", "decode"
-					}
+					service, stage := serviceOf(c.path)
 					head := "200 OK" + signed + "\r\nTransfer-Encoding: chunked\r\nContent-Type: " + c.contentType
 					startRawUpstream(t, store, service, stage, head, func(conn net.Conn) error {
 						if _, err := fmt.Fprintf(conn, "%x\r\n%s\r\n", len(c.part), c.part); err != nil {
--- a/rosemaryspool/gatekeeper/endless_test.go
+++ b/rosemaryspool/gatekeeper/endless_test.go
@@ -111,10 +111,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				store := newMemoryStore(t)
-				service, stage := "plain", ""
-				if c.path != lookups {
-					service, stage = "model", "decode"
-				}
+				service, stage := serviceOf(c.path)
 				startRawUpstream(t, store, service, stage, c.head, func(conn net.Conn) error {
 					return writeForever(conn, c.repeated)
 				})
@@ -409,10 +406,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			store := newTestStore(t)
-			service, stage := "plain", ""
-			if c.path == verdicts || c.path == notes {
-				service, stage = "model", "decode"
-			}
+			service, stage := serviceOf(c.path)
 			startRawUpstream(t, store, service, stage, "200 OK"+signed, func(conn net.Conn) error {
 				_, err := io.WriteString(conn, c.body)
 				if c.reset {
--- a/rosemaryspool/gatekeeper/gatekeeper_test.go
+++ b/rosemaryspool/gatekeeper/gatekeeper_test.go
@@ -53,6 +53,14 @@
  "target-latency-ms":200,"priority":1,"max-attempts":1,"resumable":true,"service":"model"}],
 "services":[{"name":"plain","max-connections":100},{"name":"model","max-connections":100,"engine":{"slots":6}}]}`
 
+// serviceOf returns the service of a route, and the stage of its upstreams.
+func serviceOf(path string) (service, stage string) {
+	if path == orders || path == lookups {
+		return "plain", ""
+	}
+	return "model", "decode"
+}
+
 // anyAddress makes the operating system choose a free port.
 const anyAddress = "127.0.0.1:0"
 
--- a/rosemaryspool/gatekeeper/malformed_test.go
+++ b/rosemaryspool/gatekeeper/malformed_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"testing"
@@ -62,27 +60,15 @@
 				t.Parallel()
 				synctest.Test(t, func(t *testing.T) {
 					store := newMemoryStore(t)
-					service, stage := "plain", ""
-					if route.path == notes || route.path == verdicts {
-						service, stage = "model", "decode"
-					}
-					var arrivals atomic.Int64
-					for _, id := range []string{"u1", "u2"} {
-						serveRaw(t, store, id, service, stage, "v1", func(conn net.Conn) {
-							serveRequests(conn, func(request *http.Request) bool {
-								before, status, fields := c.before, c.status, c.fields
-								if arrivals.Add(1) > 1 {
-									before, status, fields = "", "200 OK", framed
-								}
-								_, err := fmt.Fprintf(conn, "%sHTTP/1.1 %s%s\r\n%s: %s\r\nContent-Type: text/event-stream\r\n%s\r\n", before, status,
-									signed, emulator.HeaderAttempt, request.Header.Get(emulator.HeaderAttempt), fields)
-								if err == nil {
-									_, err = io.WriteString(conn, event)
-								}
-								return err == nil
-							})
-						})
-					}
+					var answered atomic.Bool
+					runs := startFalseUpstreams(t, store, func(_ int, id string) string {
+						before, status, fields := c.before, c.status, c.fields
+						if answered.Swap(true) {
+							before, status, fields = "", "200 OK", framed
+						}
+						return fmt.Sprintf("%sHTTP/1.1 %s%s\r\n%s: %s\r\nContent-Type: text/event-stream\r\n%s\r\n%s", before, status,
+							signed, emulator.HeaderAttempt, id, fields, event)
+					})
 					ti := startTestInstance(t, store, testSettings(store))
 					ti.makeReady()
 					time.Sleep(testSettings(store).RetryWindow)
@@ -91,10 +77,10 @@
 					require.True(t, r.complete)
 					if route.status == http.StatusOK {
 						require.Equal(t, event, r.body)
-						require.Equal(t, int64(2), arrivals.Load())
+						require.Equal(t, 2, runs("a1"))
 					} else {
 						require.Empty(t, r.header.Get(emulator.HeaderSignature))
-						require.Equal(t, int64(1), arrivals.Load())
+						require.Equal(t, 1, runs("a1"))
 					}
 				})
 			})
--- a/rosemaryspool/gatekeeper/promise_test.go
+++ b/rosemaryspool/gatekeeper/promise_test.go
@@ -188,10 +188,7 @@
 			emulator.HeaderAttempt, id, emulator.HeaderSignature, framing)
 	}
 	var length atomic.Int64
-	service, stage := "plain", ""
-	if path == verdicts || path == notes {
-		service, stage = "model", "decode"
-	}
+	service, stage := serviceOf(path)
 	serveRaw(t, store, "cutter", service, stage, "v1", func(conn net.Conn) {
 		serveRequests(conn, func(request *http.Request) bool {
 			whole := head(request.Header.Get(emulator.HeaderAttempt)) + body
--- a/rosemaryspool/gatekeeper/reset_test.go
+++ b/rosemaryspool/gatekeeper/reset_test.go
@@ -26,25 +26,22 @@
 		tries     = 8
 	)
 	for _, c := range []struct {
-		name, path, part string
+		name, path, contentType, part string
 		// wholeThen has a request that is sent again answered whole.
 		wholeThen bool
 	}{
-		{"small answer that may run once", orders, "part", false},
-		{"small answer", lookups, "part", false},
-		{"small answer before a whole one", lookups, "part", true},
-		{"large answer", orders, strings.Repeat("x", 300<<10), false},
-		{"stream", verdicts, events(1, 2), false},
-		{"stream that may run once", notes, events(1, 2), false},
-		{"stream that may be resumed by the caller alone", dialogs, events(1, 2), false},
+		{"small answer that may run once", orders, "text/plain", "part", false},
+		{"small answer", lookups, "text/plain", "part", false},
+		{"small answer before a whole one", lookups, "text/plain", "part", true},
+		{"large answer", orders, "text/plain", strings.Repeat("x", 300<<10), false},
+		{"stream", verdicts, "text/event-stream", events(1, 2), false},
+		{"stream that may run once", notes, "text/event-stream", events(1, 2), false},
+		{"stream that may be resumed by the caller alone", dialogs, "text/event-stream", events(1, 2), false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
 			store := newTestStore(t)
-			service, stage, contentType := "plain", "", "text/plain"
-			if strings.HasPrefix(c.part, "id: ") {
-				service, stage, contentType = "model", "decode", "text/event-stream"
-			}
+			service, stage := serviceOf(c.path)
 			arrivals := &atomic.Int64{}
 			handle := func(conn net.Conn) {
 				reader := bufio.NewReader(conn)
@@ -54,7 +51,7 @@
 				}
 				first := arrivals.Add(1) == 1
 				head := fmt.Sprintf("HTTP/1.1 200 OK%s\r\n%s: %s\r\nContent-Type: %s\r\n", signed, emulator.HeaderAttempt,
-					request.Header.Get(emulator.HeaderAttempt), contentType)
+					request.Header.Get(emulator.HeaderAttempt), c.contentType)
 				if !first && c.wholeThen {
 					_, _ = io.Copy(io.Discard, request.Body)
 					_, _ = io.WriteString(conn, head+"Content-Length: 5\r\n\r\nwhole")
@@ -98,30 +95,26 @@
 func TestPartsOfAnswersNeverLookWholeToCallersOfHTTP10(t *testing.T) {
 	// The close of its connection is what ends a response without a length in HTTP/1.0.
 	for _, c := range []struct {
-		name, path, part string
-		whole            bool
+		name, path, contentType, part string
+		whole                         bool
 	}{
-		{"large answer", orders, strings.Repeat("x", 300<<10), false},
-		{"stream", notes, events(1, 2), false},
-		{"large answer, whole", orders, strings.Repeat("x", 300<<10), true},
-		{"stream, whole", notes, events(1, 2), true},
+		{"large answer", orders, "text/plain", strings.Repeat("x", 300<<10), false},
+		{"stream", notes, "text/event-stream", events(1, 2), false},
+		{"large answer, whole", orders, "text/plain", strings.Repeat("x", 300<<10), true},
+		{"stream, whole", notes, "text/event-stream", events(1, 2), true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
 			store := newTestStore(t)
-			service, stage, contentType := "plain", "", "text/plain"
-			if c.path == notes {
-				service, stage, contentType = "model", "decode", "text/event-stream"
-			}
-			serveRaw(t, store, "u1", service, stage, "v1", func(conn net.Conn) {
-				serveRequests(conn, func(request *http.Request) bool {
-					_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK%s\r\n%s: %s\r\nContent-Type: %s\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n",
-						signed, emulator.HeaderAttempt, request.Header.Get(emulator.HeaderAttempt), contentType, len(c.part), c.part)
-					if c.whole {
-						_, _ = io.WriteString(conn, "0\r\n\r\n")
-					}
-					return c.whole
-				})
+			service, stage := serviceOf(c.path)
+			head := "200 OK" + signed + "\r\nTransfer-Encoding: chunked\r\nContent-Type: " + c.contentType
+			startRawUpstream(t, store, service, stage, head, func(conn net.Conn) error {
+				chunks := fmt.Sprintf("%x\r\n%s\r\n", len(c.part), c.part)
+				if c.whole {
+					chunks += "0\r\n\r\n"
+				}
+				_, err := io.WriteString(conn, chunks)
+				return err
 			})
 			ti := startTestInstance(t, store, testSettings(store))
 			ti.makeReady()
