Serve raw answers over TCP in one place

Seven tests and BrokenServer each accepted connections, read requests whole and wrote answers in loops of their own, the new ones like the older ones beside them. emulator.ServeTCP and AnswerRequests do that; gatekeeper's serveRequests calls the latter. The test of lost connections waits for the other side's close and for the reader's end instead of 5 and 20 ms.

No product code is changed and no assertion.

--- a/adaptor/completer/copy_test.go
+++ b/adaptor/completer/copy_test.go
@@ -1,9 +1,7 @@
 package completer
 
 import (
-	"bufio"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -11,38 +9,23 @@
 	"github.com/stretchr/testify/require"
 
 	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/standin/emulator"
 )
 
 func TestUnnamedRefusalOnAKeptConnectionIsNoAnswer(t *testing.T) {
 	// The refusal of an earlier attempt, written late and without its ID, was taken for an attempt that ran.
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
+	listener := emulator.ServeTCP(func(conn *net.TCPConn, _ int) {
+		late := ""
+		emulator.AnswerRequests(conn, func(request *http.Request) bool {
+			id := request.Header.Get(HeaderAttempt)
+			body := events(fmt.Sprintf(`{"id":%q,"choices":[{"finish_reason":"stop"}]}`, id), EndMark)
+			_, _ = fmt.Fprintf(conn, "%sHTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s",
+				late, HeaderAttempt, id, len(body), body)
+			late = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
+			return true
+		})
+	})
 	defer listener.Close()
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				reader := bufio.NewReader(conn)
-				for late := ""; ; late = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n" {
-					request, err := http.ReadRequest(reader)
-					if err != nil {
-						return
-					}
-					if _, err := io.Copy(io.Discard, request.Body); err != nil {
-						return
-					}
-					id := request.Header.Get(HeaderAttempt)
-					body := events(fmt.Sprintf(`{"id":%q,"choices":[{"finish_reason":"stop"}]}`, id), EndMark)
-					_, _ = fmt.Fprintf(conn, "%sHTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s",
-						late, HeaderAttempt, id, len(body), body)
-				}
-			}()
-		}
-	}()
 	client := NewClient(listener.Addr().String())
 	// The third attempt has a connection of its own.
 	for n, want := range []error{nil, ErrMismatched, nil} {
--- a/adaptor/invoker/client_test.go
+++ b/adaptor/invoker/client_test.go
@@ -1,7 +1,6 @@
 package invoker
 
 import (
-	"bufio"
 	"fmt"
 	"net"
 	"net/http"
@@ -10,43 +9,28 @@
 	"github.com/stretchr/testify/require"
 
 	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/standin/emulator"
 )
 
 // startRepeating starts a service that writes each response twice, the second time just before the next response on the
 // connection. It returns its base URL.
 func startRepeating(t *testing.T, named bool) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
+	listener := emulator.ServeTCP(func(conn *net.TCPConn, _ int) {
+		earlier := ""
+		emulator.AnswerRequests(conn, func(request *http.Request) bool {
+			id := request.Header.Get(HeaderAttempt)
+			name := ""
+			if named {
+				name = HeaderAttempt + ": " + id + "\r\n"
 			}
-			go func() {
-				defer conn.Close()
-				reader, earlier := bufio.NewReader(conn), ""
-				for {
-					request, err := http.ReadRequest(reader)
-					if err != nil {
-						return
-					}
-					id := request.Header.Get(HeaderAttempt)
-					name := ""
-					if named {
-						name = HeaderAttempt + ": " + id + "\r\n"
-					}
-					own := fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", name, len(id), id)
-					if _, err := fmt.Fprint(conn, earlier, own); err != nil {
-						return
-					}
-					earlier = own
-				}
-			}()
-		}
-	}()
+			own := fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", name, len(id), id)
+			_, err := fmt.Fprint(conn, earlier, own)
+			earlier = own
+			return err == nil
+		})
+	})
+	t.Cleanup(func() { _ = listener.Close() })
 	return "http://" + listener.Addr().String()
 }
 
--- a/adaptor/querier/broken_test.go
+++ b/adaptor/querier/broken_test.go
@@ -7,21 +7,14 @@
 
 	"github.com/stretchr/testify/require"
 
+	"rosemaryspool.example/standin/emulator"
 	"rosemaryspool.example/wire/messenger"
 )
 
 // serveInPart forwards connections to a server, whose answers it resets after a number of bytes.
 func serveInPart(t *testing.T, address string, bytes int64) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		conn, err := listener.Accept()
-		if err != nil {
-			return
-		}
-		defer conn.Close()
+	listener := emulator.ServeTCP(func(conn *net.TCPConn, _ int) {
 		server, err := net.Dial("tcp", address)
 		if err != nil {
 			return
@@ -29,8 +22,9 @@
 		defer server.Close()
 		go func() { _, _ = io.Copy(server, conn) }()
 		_, _ = io.CopyN(conn, server, bytes)
-		_ = conn.(*net.TCPConn).SetLinger(0)
-	}()
+		_ = conn.SetLinger(0)
+	})
+	t.Cleanup(func() { _ = listener.Close() })
 	return listener.Addr().String()
 }
 
--- a/adaptor/requester/copy_test.go
+++ b/adaptor/requester/copy_test.go
@@ -1,7 +1,6 @@
 package requester
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -10,45 +9,27 @@
 
 	"github.com/stretchr/testify/require"
 
+	"rosemaryspool.example/standin/emulator"
 	"rosemaryspool.example/wire/messenger"
 )
 
 // startRepeating starts a server that writes its latest answer on a connection once more before the next one.
 func startRepeating(t *testing.T, answer func(request *http.Request, number int) string) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
 	numbers := make(chan int, 1)
 	numbers <- 1
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				reader, earlier := bufio.NewReader(conn), ""
-				for {
-					request, err := http.ReadRequest(reader)
-					if err != nil {
-						return
-					}
-					if _, err := io.Copy(io.Discard, request.Body); err != nil {
-						return
-					}
-					number := <-numbers
-					numbers <- number + 1
-					own := answer(request, number)
-					if _, err := io.WriteString(conn, earlier+own); err != nil {
-						return
-					}
-					earlier = own
-				}
-			}()
-		}
-	}()
+	listener := emulator.ServeTCP(func(conn *net.TCPConn, _ int) {
+		earlier := ""
+		emulator.AnswerRequests(conn, func(request *http.Request) bool {
+			number := <-numbers
+			numbers <- number + 1
+			own := answer(request, number)
+			_, err := io.WriteString(conn, earlier+own)
+			earlier = own
+			return err == nil
+		})
+	})
+	t.Cleanup(func() { _ = listener.Close() })
 	return listener.Addr().String()
 }
 
--- a/adaptor/verifier/connection_test.go
+++ b/adaptor/verifier/connection_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"rosemaryspool.example/standin/emulator"
 )
 
 func TestConnTellsALostConnectionFromAnEnd(t *testing.T) {
@@ -19,53 +21,50 @@
 		readPart = 64 << 10
 	)
 	readSome := func(c *net.TCPConn) { _, _ = io.CopyN(io.Discard, c, readPart) }
+	readNothing := func(*net.TCPConn) {}
+	reset := func(c *net.TCPConn, _ <-chan struct{}) { _ = c.SetLinger(0) }
+	closeOnly := func(*net.TCPConn, <-chan struct{}) {}
 	for _, c := range []struct {
 		name   string
 		upload int
-		// before is what the other side does before it sends a text, answer what it does then. It closes the connection at the end.
-		before, answer func(c *net.TCPConn)
-		// early has the write begin after that, and the read after the write.
+		// before is what the other side does before it sends a text.
+		before func(c *net.TCPConn)
+		// after is what it does then, before it closes the connection; ended receives a value once the text has been read.
+		after func(c *net.TCPConn, ended <-chan struct{})
+		// early has the write begin when the connection is closed, and the read after the write.
 		early bool
 		lost  bool
 	}{
-		{"reset", upload, readSome, func(c *net.TCPConn) { _ = c.SetLinger(0) }, false, true},
-		{"closed with unread data", upload, readSome, func(*net.TCPConn) {}, false, true},
-		{"reset before a short write", 1, func(*net.TCPConn) {}, func(c *net.TCPConn) { _ = c.SetLinger(0) }, true, true},
-		{"reset before a long write", upload, func(*net.TCPConn) {}, func(c *net.TCPConn) { _ = c.SetLinger(0) }, true, true},
-		{"end, and all is read", upload, readSome, func(c *net.TCPConn) {
+		{"reset", upload, readSome, reset, false, true},
+		{"closed with unread data", upload, readSome, closeOnly, false, true},
+		{"reset before a short write", 1, readNothing, reset, true, true},
+		{"reset before a long write", upload, readNothing, reset, true, true},
+		{"end, and all is read", upload, readSome, func(c *net.TCPConn, _ <-chan struct{}) {
 			_ = c.CloseWrite()
 			_, _ = io.Copy(io.Discard, c)
 		}, false, false},
-		{"end, and nothing more is read", upload, readSome, func(c *net.TCPConn) {
+		{"end, and nothing more is read", upload, readSome, func(c *net.TCPConn, ended <-chan struct{}) {
 			_ = c.CloseWrite()
-			time.Sleep(20 * time.Millisecond)
+			<-ended
 		}, false, false},
-		{"end before a reset", upload, readSome, func(c *net.TCPConn) {
+		{"end before a reset", upload, readSome, func(c *net.TCPConn, ended <-chan struct{}) {
 			_ = c.CloseWrite()
-			_ = c.SetLinger(0)
+			reset(c, ended)
 		}, false, false},
-		{"end before a short write", 1, func(*net.TCPConn) {}, func(*net.TCPConn) {}, true, false},
+		{"end before a short write", 1, readNothing, closeOnly, true, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			listener, err := net.Listen("tcp", "127.0.0.1:0")
-			require.NoError(t, err)
-			defer listener.Close()
 			// A connection that is reset before the dial has returned fails the dial.
-			dialled := make(chan struct{}, tries)
-			go func() {
-				for {
-					conn, err := listener.Accept()
-					if err != nil {
-						return
-					}
-					<-dialled
-					tcp := conn.(*net.TCPConn)
-					c.before(tcp)
-					_, _ = io.WriteString(tcp, text)
-					c.answer(tcp)
-					_ = tcp.Close()
-				}
-			}()
+			dialled, closed, ended := make(chan struct{}, tries), make(chan struct{}, tries), make(chan struct{}, tries)
+			listener := emulator.ServeTCP(func(conn *net.TCPConn, _ int) {
+				<-dialled
+				c.before(conn)
+				_, _ = io.WriteString(conn, text)
+				c.after(conn, ended)
+				_ = conn.Close()
+				closed <- struct{}{}
+			})
+			defer listener.Close()
 			for range tries {
 				raw, err := net.DialTimeout("tcp", listener.Addr().String(), timeout)
 				require.NoError(t, err)
@@ -73,7 +72,7 @@
 				require.NoError(t, raw.SetDeadline(time.Now().Add(timeout)))
 				conn := NewConn(raw)
 				if c.early {
-					time.Sleep(5 * time.Millisecond)
+					<-closed
 				}
 				written := make(chan struct{})
 				go func() {
@@ -85,6 +84,7 @@
 				}
 				began := time.Now()
 				content, err := io.ReadAll(conn)
+				ended <- struct{}{}
 				require.Less(t, time.Since(began), timeout/2)
 				<-written
 				require.NoError(t, conn.Close())
--- a/adaptor/verifier/transport_test.go
+++ b/adaptor/verifier/transport_test.go
@@ -1,7 +1,6 @@
 package verifier
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -9,6 +8,8 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"rosemaryspool.example/standin/emulator"
 )
 
 func TestConnectionWithAMalformedHeadIsNotUsedAgain(t *testing.T) {
@@ -17,30 +18,17 @@
 		malformed  bool
 	}{{"blank in a name", "Bad Name: x", true}, {"name", "Name: x", false}} {
 		t.Run(c.name, func(t *testing.T) {
-			listener, err := net.Listen("tcp", "127.0.0.1:0")
-			require.NoError(t, err)
-			defer listener.Close()
-			go func() {
-				for number := 1; ; number++ {
-					conn, err := listener.Accept()
-					if err != nil {
-						return
-					}
-					go func() {
-						defer conn.Close()
-						reader, line := bufio.NewReader(conn), c.line
-						for {
-							if _, err := http.ReadRequest(reader); err != nil {
-								return
-							}
-							if number > 1 {
-								line = "Name: x"
-							}
-							fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nNumber: %d\r\n%s\r\nContent-Length: 0\r\n\r\n", number, line)
-						}
-					}()
+			listener := emulator.ServeTCP(func(conn *net.TCPConn, number int) {
+				line := c.line
+				if number > 1 {
+					line = "Name: x"
 				}
-			}()
+				emulator.AnswerRequests(conn, func(*http.Request) bool {
+					_, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nNumber: %d\r\n%s\r\nContent-Length: 0\r\n\r\n", number, line)
+					return err == nil
+				})
+			})
+			defer listener.Close()
 			transport := NewTransport(&http.Transport{DialContext: (&net.Dialer{}).DialContext})
 			defer transport.CloseIdleConnections()
 			client := &http.Client{Transport: transport}
--- a/rosemaryspool/connector/connection_test.go
+++ b/rosemaryspool/connector/connection_test.go
@@ -1,7 +1,6 @@
 package connector
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -14,6 +13,7 @@
 
 	"rosemaryspool.example/core/identifier"
 	"rosemaryspool.example/core/tracker"
+	"rosemaryspool.example/standin/emulator"
 )
 
 // identify reads request IDs as the tests' upstreams write them.
@@ -22,35 +22,17 @@
 // startEcho starts an upstream that answers each request with its ID, and names the connection by a number.
 func startEcho(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for number := 1; ; number++ {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
+	listener := emulator.ServeTCP(func(conn *net.TCPConn, number int) {
+		emulator.AnswerRequests(conn, func(request *http.Request) bool {
+			named := ""
+			if id := request.Header.Get("Id"); id != "" {
+				named = "Id: " + id + "\r\n"
 			}
-			go func() {
-				defer conn.Close()
-				reader := bufio.NewReader(conn)
-				for {
-					request, err := http.ReadRequest(reader)
-					if err != nil {
-						return
-					}
-					if _, err := io.Copy(io.Discard, request.Body); err != nil {
-						return
-					}
-					named := ""
-					if id := request.Header.Get("Id"); id != "" {
-						named = "Id: " + id + "\r\n"
-					}
-					_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%sConnection-Number: %d\r\nContent-Length: 0\r\n\r\n", named, number)
-				}
-			}()
-		}
-	}()
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%sConnection-Number: %d\r\nContent-Length: 0\r\n\r\n", named, number)
+			return true
+		})
+	})
+	t.Cleanup(func() { _ = listener.Close() })
 	return listener.Addr().String()
 }
 
--- a/rosemaryspool/gatekeeper/response_test.go
+++ b/rosemaryspool/gatekeeper/response_test.go
@@ -1,7 +1,6 @@
 package gatekeeper
 
 import (
-	"bufio"
 	"bytes"
 	"flag"
 	"fmt"
@@ -105,23 +104,13 @@
 // serveRequests reads the requests on a connection one after the other and has each answered, until answer returns false.
 // Requests for the engine's state are answered with 404.
 func serveRequests(conn net.Conn, answer func(*http.Request) bool) {
-	reader := bufio.NewReader(conn)
-	for {
-		request, err := http.ReadRequest(reader)
-		if err != nil {
-			return
-		}
-		if _, err := io.Copy(io.Discard, request.Body); err != nil {
-			return
-		}
+	emulator.AnswerRequests(conn, func(request *http.Request) bool {
 		if request.URL.Path == platform.ReportPath {
 			_, _ = io.WriteString(conn, "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n")
-			continue
-		}
-		if !answer(request) {
-			return
+			return true
 		}
-	}
+		return answer(request)
+	})
 }
 
 // answer answers a request by its plan, and reports whether the connection goes on. rejections holds those that were written
--- a/standin/emulator/broken.go
+++ b/standin/emulator/broken.go
@@ -38,20 +38,14 @@
 // BrokenServer answers each request over TCP with the same text, which need not be an HTTP response, and ends the connection.
 type BrokenServer struct {
 	listener net.Listener
-	text     string
-	resets   bool
 	arrivals atomic.Int64
 }
 
 // NewBrokenServer starts a server. With resets, it answers once it has read a part of a request, and resets the connection;
 // otherwise it reads all of a request and closes the connection.
 func NewBrokenServer(text string, resets bool) *BrokenServer {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		panic(err)
-	}
-	s := &BrokenServer{listener: listener, text: text, resets: resets}
-	go s.serve()
+	s := &BrokenServer{}
+	s.listener = ServeTCP(func(conn *net.TCPConn, _ int) { s.answer(conn, text, resets) })
 	return s
 }
 
@@ -64,29 +58,17 @@
 // Close stops the server.
 func (s *BrokenServer) Close() { _ = s.listener.Close() }
 
-func (s *BrokenServer) serve() {
-	for {
-		conn, err := s.listener.Accept()
-		if err != nil {
-			return
-		}
-		go s.answer(conn.(*net.TCPConn))
-	}
-}
-
-func (s *BrokenServer) answer(conn *net.TCPConn) {
-	defer conn.Close()
+func (s *BrokenServer) answer(conn *net.TCPConn, text string, resets bool) {
 	request, err := http.ReadRequest(bufio.NewReader(conn))
 	if err != nil {
 		return
 	}
 	s.arrivals.Add(1)
-	if !s.resets {
+	if resets {
+		_, _ = io.CopyN(io.Discard, request.Body, maxReadBeforeReset)
+		_ = conn.SetLinger(0)
+	} else {
 		_, _ = io.Copy(io.Discard, request.Body)
-		_, _ = io.WriteString(conn, s.text)
-		return
 	}
-	_, _ = io.CopyN(io.Discard, request.Body, maxReadBeforeReset)
-	_, _ = io.WriteString(conn, s.text)
-	_ = conn.SetLinger(0)
+	_, _ = io.WriteString(conn, text)
 }
