Measure many responses without end on the paused clock

Cause, in the test: whatever is allocated while a collection runs counts as live, and beside load a collection took up to 350 ms of the 900 in which samples are taken, so the one valid sample could hold what 240 exchanges had allocated meanwhile. The 60 requests were missed because the wait for them ends after half a second.

The test runs on the paused clock now. All goroutines wait while a sample is taken, so each sample is exact; the highest of them counts instead of the lowest, all 240 requests have to reach an upstream instead of 61, and the bound is the same, 50,000 KiB. Connections in memory hold nothing themselves, as the kernel's buffers didn't count either.

--- a/rosemaryspool/gatekeeper/endless_test.go
+++ b/rosemaryspool/gatekeeper/endless_test.go
@@ -196,62 +196,59 @@
 		{"comments that are events", notes, "200 OK" + signed + "\r\n\r\n", strings.Repeat(": x\n\n", 1<<10)},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			store := newTestStore(t)
-			settings := testSettings(store)
-			settings.Memory = memory
-			service, stage, others := "plain", "", notes
-			soundStage := "decode"
-			if c.path == notes {
-				service, stage, others, soundStage = "model", "decode", orders, ""
-			}
-			putUpstream(store.Store, store.newUpstream(t, "sound", soundStage, 3), "ready")
-			content := []byte(c.content)
-			var begun atomic.Int64
-			for n := range upstreams {
-				serveRaw(t, store, fmt.Sprint("raw-", n), service, stage, "v1", func(conn net.Conn) {
-					serveRequests(conn, func(request *http.Request) bool {
-						begun.Add(1)
-						_, err := fmt.Fprintf(conn, "HTTP/1.1 %s", strings.Replace(c.head, "\r\n", fmt.Sprintf("\r\n%s: %s\r\n",
-							emulator.HeaderAttempt, request.Header.Get(emulator.HeaderAttempt)), 1))
-						if err == nil {
-							_, err = conn.Write(content)
-						}
-						return err == nil
+			synctest.Test(t, func(t *testing.T) {
+				store := newMemoryStore(t)
+				settings := testSettings(store)
+				settings.Memory = memory
+				service, stage := serviceOf(c.path)
+				others, soundStage := notes, "decode"
+				if c.path == notes {
+					others, soundStage = orders, ""
+				}
+				putUpstream(store.Store, store.newUpstream(t, "sound", soundStage, 3), "ready")
+				content := []byte(c.content)
+				var begun atomic.Int64
+				for n := range upstreams {
+					serveRaw(t, store, fmt.Sprint("raw-", n), service, stage, "v1", func(conn net.Conn) {
+						serveRequests(conn, func(request *http.Request) bool {
+							begun.Add(1)
+							_, err := fmt.Fprintf(conn, "HTTP/1.1 %s", strings.Replace(c.head, "\r\n", fmt.Sprintf("\r\n%s: %s\r\n",
+								emulator.HeaderAttempt, request.Header.Get(emulator.HeaderAttempt)), 1))
+							if err == nil {
+								_, err = conn.Write(content)
+							}
+							return err == nil
+						})
 					})
-				})
-			}
-			ti := startTestInstance(t, store, settings)
-			ti.configure(1)
-			require.Eventually(t, func() bool { return ti.readiness() == http.StatusOK }, 2*time.Second, time.Millisecond)
-			began := time.Now()
-			var group conc.WaitGroup
-			for n := range requests {
-				group.Go(func() {
-					ti.discard(c.path+"x", emulator.HeaderAttempt, fmt.Sprint("r", n), emulator.HeaderDeadline, fmt.Sprint(callerTimeout.Milliseconds()),
-						emulator.HeaderTokens, "100,390", emulator.HeaderPrompt, fmt.Sprintf("p%d:100", n), emulator.HeaderModel, "m")
-				})
-			}
-			for begun.Load() < requests && time.Since(began) < callerTimeout/2 {
-				time.Sleep(time.Millisecond)
-			}
-			active, heap := ti.gatekeeper.forwarder.Active(), heapInUse()
-			for {
-				time.Sleep(20 * time.Millisecond)
-				sample := heapInUse()
-				if time.Since(began) > callerTimeout*9/10 {
-					break
 				}
-				// What is allocated while a sample is taken counts, too. Until now only the instance can have ended exchanges.
-				heap = min(heap, sample)
-			}
-			for n := range 10 {
-				r := ti.send(http.MethodPost, others+"x", "b", append(promptHeaders(), emulator.HeaderAttempt, fmt.Sprint("s", n))...)
-				require.Equal(t, http.StatusOK, r.status, r.body)
-			}
-			group.Wait()
-			t.Logf("heap of %d KiB with %d of %d exchanges", heap>>10, active, begun.Load())
-			require.Greater(t, begun.Load(), int64(requests/4))
-			require.Less(t, heap, maxHeap)
+				ti := startTestInstance(t, store, settings)
+				ti.makeReady()
+				began := time.Now()
+				var group conc.WaitGroup
+				for n := range requests {
+					group.Go(func() {
+						ti.discard(c.path+"x", emulator.HeaderAttempt, fmt.Sprint("r", n), emulator.HeaderDeadline, fmt.Sprint(callerTimeout.Milliseconds()),
+							emulator.HeaderTokens, "100,390", emulator.HeaderPrompt, fmt.Sprintf("p%d:100", n), emulator.HeaderModel, "m")
+					})
+				}
+				// The paused clock keeps stopped timers, and the exchanges that they watched, until they would have fired.
+				time.Sleep(callerTimeout / 4)
+				var heap int64
+				for time.Since(began) < callerTimeout*9/10 {
+					// What is allocated during a collection counts as live, so all goroutines have to wait.
+					synctest.Wait()
+					heap = max(heap, heapInUse())
+					time.Sleep(20 * time.Millisecond)
+				}
+				for n := range 10 {
+					r := ti.send(http.MethodPost, others+"x", "b", append(promptHeaders(), emulator.HeaderAttempt, fmt.Sprint("s", n))...)
+					require.Equal(t, http.StatusOK, r.status, r.body)
+				}
+				group.Wait()
+				t.Logf("heap of %d KiB, %d exchanges", heap>>10, begun.Load())
+				require.Equal(t, int64(requests), begun.Load())
+				require.Less(t, heap, maxHeap)
+			})
 		})
 	}
 }
