--- a/rosemaryspool/gatekeeper/endless_test.go
+++ b/rosemaryspool/gatekeeper/endless_test.go
@@ -414,8 +414,7 @@
 				return err
 			})
 			ti := startTestInstance(t, store, testSettings(store))
-			ti.configure(1)
-			require.Eventually(t, func() bool { return ti.readiness() == http.StatusOK }, 2*time.Second, time.Millisecond)
+			ti.makeReady()
 			if c.other {
 				u := emulator.NewUpstream("other", stage, 3)
 				u.SetDelay(100 * time.Millisecond)
--- a/rosemaryspool/gatekeeper/gatekeeper_test.go
+++ b/rosemaryspool/gatekeeper/gatekeeper_test.go
@@ -337,8 +337,7 @@
 	require.Equal(t, http.StatusServiceUnavailable, r.status)
 	require.NotEmpty(t, r.header.Get("Retry-After"))
 	require.Equal(t, http.StatusServiceUnavailable, ti.readiness())
-	ti.configure(1)
-	require.Eventually(t, func() bool { return ti.readiness() == http.StatusOK }, 2*time.Second, time.Millisecond)
+	ti.makeReady()
 	require.Equal(t, http.StatusNotFound, ti.send(http.MethodGet, "/unknown/", "").status)
 }
 
@@ -619,8 +618,7 @@
 	t.Cleanup(a.Close)
 	// The listed upstream has ended, and another one has been started at its address.
 	ti.store.Put(platform.TopicServers, "ended", a.Entry("plain", "ready"))
-	ti.configure(1)
-	require.Eventually(t, func() bool { return ti.readiness() == http.StatusOK }, 2*time.Second, time.Millisecond)
+	ti.makeReady()
 	time.Sleep(400 * time.Millisecond)
 	for range 5 {
 		require.Equal(t, http.StatusOK, ti.send(http.MethodPost, orders+"x", "body").status)
--- a/rosemaryspool/gatekeeper/slow_test.go
+++ b/rosemaryspool/gatekeeper/slow_test.go
@@ -71,8 +71,7 @@
 					return err
 				})
 			ti := startTestInstance(t, store, settings)
-			ti.configure(1)
-			require.Eventually(t, func() bool { return ti.readiness() == http.StatusOK }, 2*time.Second, time.Millisecond)
+			ti.makeReady()
 			before := heapInUse()
 			for i := range slowCallers {
 				ti.dialSlowly(fmt.Sprintf("%s%s: a%d\r\n\r\n", test.request, emulator.HeaderAttempt, i), test.body)
