Start the servers of answers without end in one place

The tests of the completer, the invoker, the requester, the store and explanations each wrote out the same server: it accepts connections, reads the head of a request and writes a start and a text without end. emulator.NewEndlessServer is that server, beside NewBrokenServer, with which it shares how requests are read and counted. The accept loop of the gatekeeper's serveRaw, the same as that of ServeTCP but for where the listener comes from, is emulator.Serve now, and two upstreams of the connector's tests call ServeTCP.

Tests only; their assertions stay. Four of the old servers accepted one connection and left a second one waiting, which the tests would have noticed as a timeout; this one answers it, so these tests count requests instead: one, or for a completion that ends with its time no more than two, as the client then cancels the attempt. All tests of the packages pass with the race detector, those of the completer, invoker, requester, forwarder and connector five times.

The servers of the sender, the inspector, the querier, the fuzz test and the stray answers stay: they write before they read, or for one connection alone.

--- a/adaptor/completer/endless_test.go
+++ b/adaptor/completer/endless_test.go
@@ -1,17 +1,14 @@
 package completer
 
 import (
-	"bufio"
 	"context"
-	"io"
-	"net"
-	"net/http"
 	"runtime"
-	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"rosemaryspool.example/standin/emulator"
 )
 
 func TestStreamWithoutEndHoldsLittleMemory(t *testing.T) {
@@ -40,24 +37,8 @@
 		{"bytes after the end", head + end, "x", false, nil},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			listener, err := net.Listen("tcp", "127.0.0.1:0")
-			require.NoError(t, err)
-			defer listener.Close()
-			block := []byte(strings.Repeat(c.repeated, 1+(64<<10)/len(c.repeated)))
-			go func() {
-				conn, err := listener.Accept()
-				if err != nil {
-					return
-				}
-				defer conn.Close()
-				if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
-					return
-				}
-				_, err = io.WriteString(conn, c.start)
-				for err == nil {
-					_, err = conn.Write(block)
-				}
-			}()
+			server := emulator.NewEndlessServer(c.start, c.repeated)
+			defer server.Close()
 			ctx, cancel := context.WithTimeout(context.Background(), timeout)
 			defer cancel()
 			var before, during, after runtime.MemStats
@@ -69,13 +50,17 @@
 				runtime.GC()
 				runtime.ReadMemStats(&during)
 			})
-			_, err = NewClient(listener.Addr().String()).Complete(ctx, Request{Attempt: "a1"}, func(Chunk) {})
+			_, err := NewClient(server.Address()).Complete(ctx, Request{Attempt: "a1"}, func(Chunk) {})
 			require.Equal(t, c.untilTimeout, ctx.Err() != nil)
 			runtime.ReadMemStats(&after)
 			<-sampled
 			require.ErrorIs(t, err, c.err)
 			require.Less(t, int64(during.HeapAlloc)-int64(before.HeapAlloc), int64(maxHeap))
-			if !c.untilTimeout {
+			if c.untilTimeout {
+				// The second request cancels the attempt.
+				require.LessOrEqual(t, server.Arrivals(), 2)
+			} else {
+				require.Equal(t, 1, server.Arrivals())
 				require.Less(t, after.TotalAlloc-before.TotalAlloc, uint64(maxAllocated))
 			}
 		})
--- a/adaptor/invoker/endless_test.go
+++ b/adaptor/invoker/endless_test.go
@@ -1,10 +1,7 @@
 package invoker
 
 import (
-	"bufio"
 	"context"
-	"io"
-	"net"
 	"net/http"
 	"runtime"
 	"strings"
@@ -12,6 +9,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"rosemaryspool.example/standin/emulator"
 )
 
 func TestResponseWithoutEndIsAnUnknownOutcome(t *testing.T) {
@@ -35,33 +34,18 @@
 				name += " at most once"
 			}
 			t.Run(name, func(t *testing.T) {
-				listener, err := net.Listen("tcp", "127.0.0.1:0")
-				require.NoError(t, err)
-				defer listener.Close()
-				block := []byte(strings.Repeat(c.repeated, 1+(64<<10)/len(c.repeated)))
-				go func() {
-					conn, err := listener.Accept()
-					if err != nil {
-						return
-					}
-					defer conn.Close()
-					if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
-						return
-					}
-					_, err = io.WriteString(conn, c.start)
-					for err == nil {
-						_, err = conn.Write(block)
-					}
-				}()
+				server := emulator.NewEndlessServer(c.start, c.repeated)
+				defer server.Close()
 				ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 				defer cancel()
 				var before, after runtime.MemStats
 				runtime.ReadMemStats(&before)
 				call := Call{Attempt: "a1", Method: http.MethodPost, Path: "/", Body: []byte("b"), AtMostOnce: atMostOnce}
-				_, err = NewClient(listener.Addr().String()).Invoke(ctx, call)
+				_, err := NewClient(server.Address()).Invoke(ctx, call)
 				runtime.ReadMemStats(&after)
 				require.Less(t, after.TotalAlloc-before.TotalAlloc, uint64(maxAllocated))
 				require.ErrorIs(t, err, ErrOutcomeUnknown)
+				require.Equal(t, 1, server.Arrivals())
 				require.NoError(t, ctx.Err(), "the response was read until the timeout")
 			})
 		}
--- a/adaptor/requester/endless_test.go
+++ b/adaptor/requester/endless_test.go
@@ -1,10 +1,7 @@
 package requester
 
 import (
-	"bufio"
 	"context"
-	"io"
-	"net"
 	"net/http"
 	"runtime"
 	"strings"
@@ -13,6 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"rosemaryspool.example/standin/emulator"
 	"rosemaryspool.example/wire/messenger"
 )
 
@@ -35,32 +33,17 @@
 		{"trailer", chunked + "0\r\n", "A: b\r\n"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			listener, err := net.Listen("tcp", "127.0.0.1:0")
-			require.NoError(t, err)
-			defer listener.Close()
-			block := []byte(strings.Repeat(c.repeated, 1+(64<<10)/len(c.repeated)))
-			go func() {
-				conn, err := listener.Accept()
-				if err != nil {
-					return
-				}
-				defer conn.Close()
-				if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
-					return
-				}
-				_, err = io.WriteString(conn, c.start)
-				for err == nil {
-					_, err = conn.Write(block)
-				}
-			}()
+			server := emulator.NewEndlessServer(c.start, c.repeated)
+			defer server.Close()
 			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 			defer cancel()
 			var before, after runtime.MemStats
 			runtime.ReadMemStats(&before)
-			err = NewClient(listener.Addr().String()).Call(ctx, http.MethodGet, "/", nil, &messenger.AppendReply{})
+			err := NewClient(server.Address()).Call(ctx, http.MethodGet, "/", nil, &messenger.AppendReply{})
 			runtime.ReadMemStats(&after)
 			require.Less(t, after.TotalAlloc-before.TotalAlloc, uint64(maxAllocated))
 			require.Error(t, err)
+			require.Equal(t, 1, server.Arrivals())
 			require.NoError(t, ctx.Err(), "the response was read until the timeout")
 		})
 	}
--- a/rosemaryspool/connector/copy_test.go
+++ b/rosemaryspool/connector/copy_test.go
@@ -16,33 +16,23 @@
 
 	"rosemaryspool.example/core/identifier"
 	"rosemaryspool.example/core/tracker"
+	"rosemaryspool.example/standin/emulator"
 )
 
 // startScript starts an upstream that handles each request of a connection with a function.
 func startScript(t *testing.T, handle func(n int, conn net.Conn, request *http.Request)) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
+	listener := emulator.ServeTCP(func(conn *net.TCPConn, _ int) {
+		reader := bufio.NewReader(conn)
+		for n := 1; ; n++ {
+			request, err := http.ReadRequest(reader)
 			if err != nil {
 				return
 			}
-			go func() {
-				defer conn.Close()
-				reader := bufio.NewReader(conn)
-				for n := 1; ; n++ {
-					request, err := http.ReadRequest(reader)
-					if err != nil {
-						return
-					}
-					handle(n, conn, request)
-				}
-			}()
+			handle(n, conn, request)
 		}
-	}()
+	})
+	t.Cleanup(func() { _ = listener.Close() })
 	return listener.Addr().String()
 }
 
--- a/rosemaryspool/connector/endless_test.go
+++ b/rosemaryspool/connector/endless_test.go
@@ -15,34 +15,24 @@
 	"github.com/stretchr/testify/require"
 
 	"rosemaryspool.example/core/tracker"
+	"rosemaryspool.example/standin/emulator"
 )
 
 // startEndless starts an upstream that responds to each connection with a start and then with a text without end. It
 // counts the bytes that it could send.
 func startEndless(t *testing.T, start, repeated string) (address string, sent *atomic.Int64) {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
 	sent = &atomic.Int64{}
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				block := bytes.Repeat([]byte(repeated), 1+(64<<10)/len(repeated))
-				_, err := io.WriteString(conn, start)
-				for err == nil {
-					var n int
-					n, err = conn.Write(block)
-					sent.Add(int64(n))
-				}
-			}()
+	listener := emulator.ServeTCP(func(conn *net.TCPConn, _ int) {
+		block := bytes.Repeat([]byte(repeated), 1+(64<<10)/len(repeated))
+		_, err := io.WriteString(conn, start)
+		for err == nil {
+			var n int
+			n, err = conn.Write(block)
+			sent.Add(int64(n))
 		}
-	}()
+	})
+	t.Cleanup(func() { _ = listener.Close() })
 	return listener.Addr().String(), sent
 }
 
--- a/rosemaryspool/forwarder/endless_test.go
+++ b/rosemaryspool/forwarder/endless_test.go
@@ -1,18 +1,15 @@
 package forwarder
 
 import (
-	"bufio"
 	"context"
-	"io"
-	"net"
-	"net/http"
 	"net/url"
 	"runtime"
-	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"rosemaryspool.example/standin/emulator"
 )
 
 func TestExplanationWithoutEndIsAnError(t *testing.T) {
@@ -27,32 +24,17 @@
 		{"text", "HTTP/1.1 200 OK\r\n\r\n{\"note\":\"", "x"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			listener, err := net.Listen("tcp", "127.0.0.1:0")
-			require.NoError(t, err)
-			defer listener.Close()
-			block := []byte(strings.Repeat(c.repeated, 1+(64<<10)/len(c.repeated)))
-			go func() {
-				conn, err := listener.Accept()
-				if err != nil {
-					return
-				}
-				defer conn.Close()
-				if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
-					return
-				}
-				_, err = io.WriteString(conn, c.start)
-				for err == nil {
-					_, err = conn.Write(block)
-				}
-			}()
+			server := emulator.NewEndlessServer(c.start, c.repeated)
+			defer server.Close()
 			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 			defer cancel()
 			var before, after runtime.MemStats
 			runtime.ReadMemStats(&before)
-			_, err = FetchExplanation(ctx, listener.Addr().String(), url.Values{})
+			_, err := FetchExplanation(ctx, server.Address(), url.Values{})
 			runtime.ReadMemStats(&after)
 			require.Less(t, after.TotalAlloc-before.TotalAlloc, uint64(maxAllocated))
 			require.Error(t, err)
+			require.Equal(t, 1, server.Arrivals())
 			require.NoError(t, ctx.Err(), "the answer was read until the timeout")
 		})
 	}
--- a/rosemaryspool/gatekeeper/endless_test.go
+++ b/rosemaryspool/gatekeeper/endless_test.go
@@ -50,18 +50,7 @@
 	listener, err := store.openers().Listen(anyAddress)
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				handle(conn)
-			}()
-		}
-	}()
+	go emulator.Serve(listener, func(conn net.Conn, _ int) { handle(conn) })
 	store.Put(platform.TopicServers, id, fmt.Appendf(nil,
 		`{"service":%q,"address":%q,"zone":"here","version":%q,"slots":6,"state":"ready","stage":%q,"sequence":1,"born":1}`,
 		service, listener.Addr(), version, stage))
--- a/standin/emulator/broken.go
+++ b/standin/emulator/broken.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"io"
 	"net"
 	"net/http"
@@ -35,17 +36,48 @@
 	return heads
 }
 
-// BrokenServer answers each request over TCP with the same text, which need not be an HTTP response, and ends the connection.
+// BrokenServer answers each request over TCP with bytes that need not be an HTTP response, and ends the connection.
 type BrokenServer struct {
 	listener net.Listener
 	arrivals atomic.Int64
 }
 
-// NewBrokenServer starts a server. With resets, it answers once it has read a part of a request, and resets the connection;
-// otherwise it reads all of a request and closes the connection.
+// NewBrokenServer starts a server that answers with a text. With resets, it answers once it has read a part of a request, and resets
+// the connection; otherwise it reads all of a request and closes the connection.
 func NewBrokenServer(text string, resets bool) *BrokenServer {
+	return startBroken(func(conn *net.TCPConn, request *http.Request) {
+		if resets {
+			_, _ = io.CopyN(io.Discard, request.Body, maxReadBeforeReset)
+			_ = conn.SetLinger(0)
+		} else {
+			_, _ = io.Copy(io.Discard, request.Body)
+		}
+		_, _ = io.WriteString(conn, text)
+	})
+}
+
+// NewEndlessServer starts a server that answers, once it has read the head of a request, with a start and then with a text without end.
+func NewEndlessServer(start, repeated string) *BrokenServer {
+	block := bytes.Repeat([]byte(repeated), 1+(64<<10)/len(repeated))
+	return startBroken(func(conn *net.TCPConn, _ *http.Request) {
+		_, err := io.WriteString(conn, start)
+		for err == nil {
+			_, err = conn.Write(block)
+		}
+	})
+}
+
+// startBroken starts a server that reads the head of one request on each connection and has it answered.
+func startBroken(answer func(conn *net.TCPConn, request *http.Request)) *BrokenServer {
 	s := &BrokenServer{}
-	s.listener = ServeTCP(func(conn *net.TCPConn, _ int) { s.answer(conn, text, resets) })
+	s.listener = ServeTCP(func(conn *net.TCPConn, _ int) {
+		request, err := http.ReadRequest(bufio.NewReader(conn))
+		if err != nil {
+			return
+		}
+		s.arrivals.Add(1)
+		answer(conn, request)
+	})
 	return s
 }
 
@@ -57,18 +89,3 @@
 
 // Close stops the server.
 func (s *BrokenServer) Close() { _ = s.listener.Close() }
-
-func (s *BrokenServer) answer(conn *net.TCPConn, text string, resets bool) {
-	request, err := http.ReadRequest(bufio.NewReader(conn))
-	if err != nil {
-		return
-	}
-	s.arrivals.Add(1)
-	if resets {
-		_, _ = io.CopyN(io.Discard, request.Body, maxReadBeforeReset)
-		_ = conn.SetLinger(0)
-	} else {
-		_, _ = io.Copy(io.Discard, request.Body)
-	}
-	_, _ = io.WriteString(conn, text)
-}
