Show that a late status report lists an upstream again that has left

A server's call to the store got no response and is executed 6 s later. Meanwhile the server has left without reporting draining.

--- a/review/third/server.go
+++ b/review/third/server.go
@@ -23,8 +23,14 @@
 	answer func(*http.Request) []byte
 	record *recorder
 	born   int64
+	// beats is true if the case itself makes the server write to the store.
+	beats bool
+	http  *http.Server
 }
 
+// end ends the server with the requests that it runs.
+func (s *server) end() { _ = s.http.Close() }
+
 const (
 	slots = 6
 	queue = 24
@@ -33,10 +39,10 @@
 // register writes the server's entry to the store at each heartbeat.
 func (s *server) register(ctx context.Context, st *store) {
 	for sequence := 1; ; sequence++ {
-		st.put("keyed.servers", s.id, encode(map[string]any{
-			"service": s.service, "address": s.address, "zone": s.zone, "version": "v1", "slots": slots, "state": "ready",
-			"cold-remaining-ms": 0, "sequence": sequence, "born": s.born,
-		}))
+		s.beat(st, sequence)
+		if s.beats {
+			return
+		}
 		select {
 		case <-ctx.Done():
 			return
@@ -45,6 +51,13 @@
 	}
 }
 
+func (s *server) beat(st *store, sequence int) {
+	st.put("keyed.servers", s.id, encode(map[string]any{
+		"service": s.service, "address": s.address, "zone": s.zone, "version": "v1", "slots": slots, "state": "ready",
+		"cold-remaining-ms": 0, "sequence": sequence, "born": s.born,
+	}))
+}
+
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h := w.Header()
 	h.Set("Rosemaryspool-Instance-Id", s.id)
--- a/review/third/system.go
+++ b/review/third/system.go
@@ -110,18 +110,26 @@
 
 // serve serves a handler at a free port of an address.
 func (s *system) serve(ip string, handler http.Handler) string {
+	l := s.listen(ip)
+	go func() { _ = (&http.Server{Handler: handler}).Serve(l) }()
+	return l.Addr().String()
+}
+
+func (s *system) listen(ip string) net.Listener {
 	l, err := net.Listen("tcp", ip+":0")
 	if err != nil {
 		cannotRun("%v", err)
 	}
-	go func() { _ = (&http.Server{Handler: handler}).Serve(l) }()
-	return l.Addr().String()
+	return l
 }
 
 // addServer starts a server of a service.
 func (s *system) addServer(v *server) {
 	v.record, v.slots, v.born = s.record, make(chan struct{}, slots), time.Now().UnixMilli()
-	v.address = s.serve(s.host(), v)
+	v.http = &http.Server{Handler: v}
+	l := s.listen(s.host())
+	go func() { _ = v.http.Serve(l) }()
+	v.address = l.Addr().String()
 	go v.register(s.ctx, s.store)
 }
 
