--- a/review/third/server.go
+++ b/review/third/server.go
@@ -21,6 +21,8 @@
 	// work is how long a request takes, answer what it is answered with.
 	work   func(*http.Request) time.Duration
 	answer func(*http.Request) []byte
+	// stream answers with an event stream in place of work and answer.
+	stream func(http.ResponseWriter, *http.Request)
 	record *recorder
 	born   int64
 	// beats is true if the case itself makes the server write to the store.
@@ -98,6 +100,12 @@
 	}
 	defer func() { <-s.slots }()
 	s.record.add("run", id, fmt.Sprintf("service=%s server=%s %s %s", s.service, s.id, r.Method, r.URL.Path))
+	if s.stream != nil {
+		h.Set("Rosemaryspool-Server-Signature", "sig."+s.id+"."+id)
+		h.Set("Content-Type", "text/event-stream")
+		s.stream(w, r)
+		return
+	}
 	select {
 	case <-time.After(s.work(r)):
 	case <-ctx.Done():
