--- a/review/third/server.go
+++ b/review/third/server.go
@@ -28,6 +28,8 @@
 	// beats is true if the case itself makes the server write to the store.
 	beats bool
 	http  *http.Server
+	// leaving is true once the server is going to end; it says so in all its answers.
+	leaving atomic.Bool
 }
 
 // end ends the server with the requests that it runs.
@@ -63,6 +65,9 @@
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h := w.Header()
 	h.Set("Rosemaryspool-Instance-Id", s.id)
+	if s.leaving.Load() {
+		h.Set("Server-Leaving", "1")
+	}
 	if r.URL.Path == "/healthz" {
 		return
 	}
