--- a/review/third/server.go
+++ b/review/third/server.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -16,8 +17,10 @@
 // channel closes.
 type server struct {
 	id, service, zone, address string
-	slots                      chan struct{}
-	waiting                    atomic.Int64
+	// version is that of the server's software.
+	version string
+	slots   chan struct{}
+	waiting atomic.Int64
 	// work is how long a request takes, answer what it is answered with.
 	work   func(*http.Request) time.Duration
 	answer func(*http.Request) []byte
@@ -57,7 +60,7 @@
 
 func (s *server) beat(st *store, sequence int) {
 	st.put("keyed.servers", s.id, encode(map[string]any{
-		"service": s.service, "address": s.address, "zone": s.zone, "version": "v1", "slots": slots, "state": "ready",
+		"service": s.service, "address": s.address, "zone": s.zone, "version": cmp.Or(s.version, "v1"), "slots": slots, "state": "ready",
 		"cold-remaining-ms": 0, "sequence": sequence, "born": s.born,
 	}))
 }
