--- a/review/third/herd.go
+++ b/review/third/herd.go
@@ -11,8 +11,8 @@
 	"time"
 )
 
-// notes is how many events a stream has.
-const notes = 60
+// notes is how many events a stream has, notePause the time between two.
+var notes, notePause = 60, streamPause
 
 // playHerd: while servers of two software versions serve, four of seven machines are killed at the same moment, among them the
 // two that keep the origins of the service's streams. Their clients take the streams up at the three others. LOST: of 12 or
@@ -22,43 +22,16 @@
 	// With this name of the service, its origins are reported to the machines 5 and 0.
 	const name, prefix = "xano55b", "/lohu930/"
 	killed, others := []int{5, 0, 1, 6}, []int{2, 3, 4}
-	for i := range 6 {
-		id := fmt.Sprintf("i-%d", i+1)
-		v := &server{id: id, service: name, zone: zones[i%3], version: fmt.Sprintf("v%d", 1+i/3)}
-		v.stream = func(w http.ResponseWriter, r *http.Request) {
-			first, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
-			for n := first + 1; n <= notes && r.Context().Err() == nil; n++ {
-				fmt.Fprintf(w, "id: %d\ndata: token %d of %s\n\n", n, n, v.version)
-				_ = http.NewResponseController(w).Flush()
-				time.Sleep(streamPause)
-			}
-		}
-		s.addServer(v)
-	}
-	r := route("r-notes", prefix, "streaming", name, 15000, 1000, 2)
-	r["resumable"] = true
-	s.configure(7, []map[string]any{r}, []map[string]any{service(name)})
+	s.addNoteServers(name)
+	s.configureNotes(name, prefix)
 	s.addGateways(7, nil)
 	time.Sleep(4 * time.Second)
 
 	var done sync.WaitGroup
-	var takenUp, wentOn, begun, fresh atomic.Int64
+	t := &tally{}
 	stream := func(at, next int) {
 		defer done.Done()
-		c, err := dial(s.record, s.gateways[at])
-		if err != nil {
-			cannotRun("%v", err)
-		}
-		a := c.send(http.MethodPost, prefix+"2f", "one note", 15*time.Second)
-		_ = c.conn.Close()
-		last := lastEvent(a.body)
-		if a.err == nil || last == 0 {
-			return
-		}
-		takenUp.Add(1)
-		if s.takeUp(prefix, a.id, last, others, next) {
-			wentOn.Add(1)
-		}
+		s.followNote(t, prefix, at, others, next)
 	}
 	for i := range 5 {
 		for k, at := range killed {
@@ -76,45 +49,94 @@
 		}
 	}
 	time.Sleep(300 * time.Millisecond)
+	s.beginNotes(t, &done, prefix, others)
+	if trouble {
+		time.Sleep(1500 * time.Millisecond)
+		for _, k := range killed {
+			s.writeSettings(s.gateways[k], false, nil)
+			s.start(s.gateways[k])
+		}
+	}
+	done.Wait()
+	return t.judge(s.record)
+}
+
+// addNoteServers starts three servers of each of two software versions, whose streams may be taken up.
+func (s *system) addNoteServers(name string) {
+	for i := range 6 {
+		v := &server{id: fmt.Sprintf("i-%d", i+1), service: name, zone: zones[i%3], version: fmt.Sprintf("v%d", 1+i/3)}
+		v.stream = func(w http.ResponseWriter, r *http.Request) {
+			first, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+			for n := first + 1; n <= notes && r.Context().Err() == nil; n++ {
+				fmt.Fprintf(w, "id: %d\ndata: token %d of %s\n\n", n, n, v.version)
+				_ = http.NewResponseController(w).Flush()
+				time.Sleep(notePause)
+			}
+		}
+		s.addServer(v)
+	}
+}
+
+func (s *system) configureNotes(name, prefix string) {
+	r := route("r-notes", prefix, "streaming", name, 15000, 1000, 2)
+	r["resumable"] = true
+	s.configure(7, []map[string]any{r}, []map[string]any{service(name)})
+}
+
+// tally counts the streams that clients took up, those that went on, and the new streams and those that began.
+type tally struct{ takenUp, wentOn, fresh, begun atomic.Int64 }
+
+// judge returns how many streams that were taken up were lost, if LOST is broken.
+func (t *tally) judge(record *recorder) int {
+	record.add("count", "-", fmt.Sprintf("%d of %d streams that were taken up went on, %d of %d new streams began",
+		t.wentOn.Load(), t.takenUp.Load(), t.begun.Load(), t.fresh.Load()))
+	if t.takenUp.Load() < 12 || 2*t.wentOn.Load()*t.fresh.Load() >= t.begun.Load()*t.takenUp.Load() {
+		return 0
+	}
+	return int(t.takenUp.Load() - t.wentOn.Load())
+}
+
+// followNote has a client follow a stream, and take it up at the other machines if it breaks off.
+func (s *system) followNote(t *tally, prefix string, at int, others []int, next int) {
+	c, err := dial(s.record, s.gateways[at])
+	if err != nil {
+		cannotRun("%v", err)
+	}
+	end := time.Now().Add(15 * time.Second)
+	a := c.send(http.MethodPost, prefix+"2f", "one note", time.Until(end))
+	_ = c.conn.Close()
+	last := lastEvent(a.body)
+	if a.err == nil || last == 0 {
+		return
+	}
+	t.takenUp.Add(1)
+	if s.takeUp(prefix, a.id, last, others, next, end) {
+		t.wentOn.Add(1)
+	}
+}
+
+// beginNotes has clients begin new streams at some machines.
+func (s *system) beginNotes(t *tally, done *sync.WaitGroup, prefix string, at []int) {
 	for i := range 12 {
 		done.Add(1)
 		go func() {
 			defer done.Done()
-			c, err := dial(s.record, s.gateways[others[i%len(others)]])
+			c, err := dial(s.record, s.gateways[at[i%len(at)]])
 			if err != nil {
 				return
 			}
 			defer c.conn.Close()
-			fresh.Add(1)
+			t.fresh.Add(1)
 			if a := c.send(http.MethodPost, prefix+"2f", "one note", 15*time.Second); lastEvent(a.body) > 0 {
-				begun.Add(1)
+				t.begun.Add(1)
 			}
 		}()
 	}
-	if trouble {
-		time.Sleep(1500 * time.Millisecond)
-		for _, k := range killed {
-			s.writeSettings(s.gateways[k], false, nil)
-			s.start(s.gateways[k])
-		}
-	}
-	done.Wait()
-	s.record.add("count", "-", fmt.Sprintf("%d of %d streams that were taken up went on, %d of %d new streams began",
-		wentOn.Load(), takenUp.Load(), begun.Load(), fresh.Load()))
-	if takenUp.Load() < 12 {
-		return 0
-	}
-	// The share that goes on times twice the number of new streams, against the number that began.
-	if 2*wentOn.Load()*fresh.Load() >= begun.Load()*takenUp.Load() {
-		return 0
-	}
-	return int(takenUp.Load() - wentOn.Load())
 }
 
 // takeUp has a client take its stream up at other machines, as often as it may within its time. It reports whether the stream
 // went on to its end.
-func (s *system) takeUp(prefix, begunBy string, last int, at []int, next int) bool {
-	end := time.Now().Add(10 * time.Second)
+func (s *system) takeUp(prefix, begunBy string, last int, at []int, next int, end time.Time) bool {
 	for try := range 4 {
 		left := time.Until(end)
 		c, err := dial(s.record, s.gateways[at[(next+try)%len(at)]])
