Show streams joined from two versions behind a quick restart

A server is back in place within 0.2 s, in a pause of the traffic, with another version, and crashes before its first status report. The cases are in their order of gravity now: 13 is the late status report, 14 the instances stopped in turn; the herd of the former case 14 has the same cause and stays a command of review/third.

--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -3,4 +3,4 @@
 folder=$(cd "$(dirname "$0")" && pwd)
 cd "$folder/../.." || exit 2
 [ -x target/review-3/third ] && [ -x target/rosemaryspool ] || exit 2
-exec timeout 100 target/review-3/third roll "$folder"
+exec timeout 100 target/review-3/third beat "$folder"
--- a/review/third/herd.go
+++ b/review/third/herd.go
@@ -65,18 +65,23 @@
 func (s *system) addNoteServers(name string) {
 	for i := range 6 {
 		v := &server{id: fmt.Sprintf("i-%d", i+1), service: name, zone: zones[i%3], version: fmt.Sprintf("v%d", 1+i/3)}
-		v.stream = func(w http.ResponseWriter, r *http.Request) {
-			first, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
-			for n := first + 1; n <= notes && r.Context().Err() == nil; n++ {
-				fmt.Fprintf(w, "id: %d\ndata: token %d of %s\n\n", n, n, v.version)
-				_ = http.NewResponseController(w).Flush()
-				time.Sleep(notePause)
-			}
-		}
+		v.stream = s.noteStream(v)
 		s.addServer(v)
 	}
 }
 
+// noteStream returns how a server writes a stream, from the event after Last-Event-Id on.
+func (s *system) noteStream(v *server) func(http.ResponseWriter, *http.Request) {
+	return func(w http.ResponseWriter, r *http.Request) {
+		first, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+		for n := first + 1; n <= notes && r.Context().Err() == nil; n++ {
+			fmt.Fprintf(w, "id: %d\ndata: token %d of %s\n\n", n, n, v.version)
+			_ = http.NewResponseController(w).Flush()
+			time.Sleep(notePause)
+		}
+	}
+}
+
 func (s *system) configureNotes(name, prefix string) {
 	r := route("r-notes", prefix, "streaming", name, 15000, 1000, 2)
 	r["resumable"] = true
--- a/review/third/main.go
+++ b/review/third/main.go
@@ -12,7 +12,7 @@
 	if len(os.Args) != 3 {
 		cannotRun("usage: third CASE FOLDER")
 	}
-	cases := map[string]func(*system, bool) int{"reply": playReply, "beat": playBeat, "gaps": playGaps, "herd": playHerd, "roll": playRoll}
+	cases := map[string]func(*system, bool) int{"reply": playReply, "beat": playBeat, "gaps": playGaps, "herd": playHerd, "roll": playRoll, "flap": playFlap}
 	play := cases[os.Args[1]]
 	if play == nil {
 		cannotRun("no case %q", os.Args[1])
