--- a/review/third/flap.go
+++ b/review/third/flap.go
@@ -11,8 +11,8 @@
 )
 
 // playFlap: a server is started again in place with another software version, under its id and at its address, in a pause of
-// the traffic, and crashes before its first status report. Streams that have begun there go on at servers of the version
-// before. ORDER: more than two streams hold events from servers of two software versions. It returns how many.
+// the traffic. It registers at once, and crashes half a second later. Streams that have begun there go on at servers of the
+// version before. ORDER: more than two streams hold events from servers of two software versions. It returns how many.
 func playFlap(s *system, trouble bool) int {
 	const (
 		name, prefix = "xano55b", "/lohu930/"
@@ -49,9 +49,10 @@
 		}
 		second.http = &http.Server{Handler: second}
 		go func() { _ = second.http.Serve(l) }()
-		s.record.add("server", "-", second.id+" starts again with version v2")
+		second.beat(s.store, 1)
+		s.record.add("server", "-", second.id+" starts again with version v2, and its entry is in the store")
 		time.AfterFunc(up, func() {
-			s.record.add("server", "-", second.id+" ends, before its first status report")
+			s.record.add("server", "-", second.id+" ends")
 			second.end()
 		})
 	}
