Have the review's scripts name the record that they write

The path of record.txt was put together in the stand-ins, so that a case's folder didn't show it. Each script gives it now.

--- a/review/third/main.go
+++ b/review/third/main.go
@@ -5,19 +5,18 @@
 import (
 	"fmt"
 	"os"
-	"path/filepath"
 )
 
 func main() {
 	if len(os.Args) != 3 {
-		cannotRun("usage: third CASE FOLDER")
+		cannotRun("usage: third CASE RECORD")
 	}
 	cases := map[string]func(*system, bool) int{"reply": playReply, "beat": playBeat, "gaps": playGaps, "herd": playHerd, "roll": playRoll, "flap": playFlap}
 	play := cases[os.Args[1]]
 	if play == nil {
 		cannotRun("no case %q", os.Args[1])
 	}
-	s := newSystem(newRecorder(filepath.Join(os.Args[2], "record.txt")))
+	s := newSystem(newRecorder(os.Args[2]))
 	broken := play(s, os.Getenv("TROUBLE") != "0")
 	s.stop()
 	s.record.add("verdict", "-", fmt.Sprintf("broken %d times", broken))
