Log replies that nothing waits for and placements at another service

The logs could not distinguish a wrong route, a wrong list of upstreams and a wrong reply of an arbiter: a placement was logged neither with the service of its upstream nor with who had made it, and a reply without a request was dropped without a word.

`placementForeign` and `replyUnmatched` say so, with a counter each. Decisions are unchanged.

--- a/rosemaryspool/delegator/delegator.go
+++ b/rosemaryspool/delegator/delegator.go
@@ -39,6 +39,10 @@
 	courier  *courier.Courier
 	log      zerolog.Logger
 	alone    metrics.Counter
+	// unmatched counts the replies of other instances for which nothing waits, foreign the placements at upstreams of another
+	// service.
+	unmatched metrics.Counter
+	foreign   metrics.Counter
 
 	mu      sync.Mutex
 	waiting map[uint64]chan *messenger.PlacementReply
@@ -53,7 +57,9 @@
 ) *Delegator {
 	return &Delegator{
 		governor: g, courier: c, log: log, alone: metrics.GetOrRegisterCounter("placedAlone", registry),
-		waiting: map[uint64]chan *messenger.PlacementReply{}, queries: map[uint64]chan streamReply{},
+		unmatched: metrics.GetOrRegisterCounter("repliesUnmatched", registry),
+		foreign:   metrics.GetOrRegisterCounter("placementsForeign", registry),
+		waiting:   map[uint64]chan *messenger.PlacementReply{}, queries: map[uint64]chan streamReply{},
 	}
 }
 
@@ -135,6 +141,9 @@
 	case <-timer.C:
 	case <-ctx.Done():
 	}
+	if result == decided && refusal == nil {
+		d.logForeign(arbiter, request, placement)
+	}
 	if result == decided && d.isOutdated(request, placement, refusal) {
 		result = outdated
 		d.log.Info().Str("event", "placementOutdated").Str("arbiter", string(arbiter.Instance)).
@@ -152,6 +161,20 @@
 	return placement, refusal, result
 }
 
+// logForeign logs a placement at an upstream that this instance knows to be of another service than the request's.
+func (d *Delegator) logForeign(arbiter elector.Member, request allocator.Request, placement allocator.Placement) {
+	for _, id := range []identifier.UpstreamID{placement.Upstream, placement.Prefiller} {
+		entry, listed := d.governor.Entry(id)
+		if !listed || entry.Service == request.Service {
+			continue
+		}
+		d.foreign.Inc(1)
+		d.log.Warn().Str("event", "placementForeign").Str("arbiter", string(arbiter.Instance)).Str("upstream", string(id)).
+			Str("service", string(request.Service)).Str("upstreamService", string(entry.Service)).
+			Msg("Arbiter placed a request at an upstream of another service")
+	}
+}
+
 // isOutdated reports whether an arbiter's decision rests on older knowledge of the upstreams: it chose one that this
 // instance knows to be leaving, gone, asking it to wait or of another version than needed, or knows none that will do.
 func (d *Delegator) isOutdated(
@@ -180,6 +203,8 @@
 	d.mu.Unlock()
 	if waiting != nil {
 		waiting <- reply
+	} else {
+		d.logUnmatched(r, "placement", reply.GetNumber())
 	}
 	if reply.GetBetterInstance() == "" {
 		return
@@ -191,6 +216,14 @@
 	})
 }
 
+// logUnmatched logs a reply for which nothing waits: it came too late, was duplicated, or is for an earlier process of this
+// instance.
+func (d *Delegator) logUnmatched(r courier.Received, kind string, number uint64) {
+	d.unmatched.Inc(1)
+	d.log.Debug().Str("event", "replyUnmatched").Str("peer", string(r.Sender.Instance)).Str("kind", kind).
+		Uint64("number", number).Msg("Reply of another instance for which nothing waits")
+}
+
 // HandleRequest places a request of another instance. It does so whether this instance is the arbiter or not, because
 // the other one has chosen it; if it knows a better candidate, it says so.
 func (d *Delegator) HandleRequest(r courier.Received, m *messenger.PlacementRequest) {
--- a/rosemaryspool/delegator/stream.go
+++ b/rosemaryspool/delegator/stream.go
@@ -120,6 +120,6 @@
 	select {
 	case d.queries[m.GetNumber()] <- reply:
 	default:
-		// The query has ended, or a datagram was duplicated.
+		d.logUnmatched(r, "stream", m.GetNumber())
 	}
 }
