Number requests to other instances differently in each process

Cause: placement requests were numbered from 1 in each process, and a reply was matched by that number alone. The same holds for the queries for origins of streams, where a stream could go on at another stream's version, and for usage reports, where a receipt for an earlier process acknowledged counts that the candidate doesn't have and gave the time of a round trip that wasn't one.

Change: the numbers of a process begin at its start time in milliseconds, shifted by 20 bits. They still increase, peers of the version before repeat them as they are, and a clock that was set back gives other numbers as well.

--- a/core/elector/elector.go
+++ b/core/elector/elector.go
@@ -29,6 +29,14 @@
 	StartedMs int64
 }
 
+// processNumberBits is how many numbers a process may give its messages for each millisecond since its start.
+const processNumberBits = 20
+
+// FirstNumber returns the number that the process of a member gives to its first message that is answered. Later ones get
+// higher numbers. Those of another start of the member are different ones, so that replies to them match no message of this
+// process.
+func (m Member) FirstNumber() uint64 { return uint64(m.StartedMs)<<processNumberBits + 1 }
+
 const (
 	// strongShare is the share of the largest capacity from which on a member is preferred for duties.
 	strongShare = 0.5
--- a/rosemaryspool/delegator/delegator.go
+++ b/rosemaryspool/delegator/delegator.go
@@ -46,9 +46,9 @@
 
 	mu      sync.Mutex
 	waiting map[uint64]chan *messenger.PlacementReply
-	// queries holds the queries for origins of streams that wait for replies, by number; lastQuery is the latest number.
+	// queries holds the queries for origins of streams that wait for replies, by number; nextQuery is the number of the next one.
 	queries   map[uint64]chan streamReply
-	lastQuery uint64
+	nextQuery uint64
 }
 
 // NewDelegator returns a delegator that asks other instances over c.
@@ -60,6 +60,7 @@
 		unmatched: metrics.GetOrRegisterCounter("repliesUnmatched", registry),
 		foreign:   metrics.GetOrRegisterCounter("placementsForeign", registry),
 		waiting:   map[uint64]chan *messenger.PlacementReply{}, queries: map[uint64]chan streamReply{},
+		nextQuery: g.Self().FirstNumber(),
 	}
 }
 
--- a/rosemaryspool/delegator/delegator_test.go
+++ b/rosemaryspool/delegator/delegator_test.go
@@ -34,8 +34,10 @@
 	delegator *Delegator
 	registry  metrics.Registry
 	deaf      atomic.Bool
-	// beforeRequest is called before a placement request of another instance is handled, if set.
+	// beforeRequest is called before a placement request or a query of another instance is handled, if set.
 	beforeRequest atomic.Pointer[func()]
+	// stop ends the instance.
+	stop func()
 }
 
 // newNodes starts instances that know each other and the upstreams, in the order in which they become arbiters.
@@ -64,14 +66,18 @@
 	}
 }
 
+func newGovernor(self elector.Member) *governor.Governor {
+	return governor.NewGovernor(governor.Settings{
+		Self:  self,
+		Retry: budgeter.Settings{Ratio: 0.2, Extra: 50, Window: 10 * time.Second}, Allocator: allocator.DefaultSettings(),
+	}, zerolog.Nop())
+}
+
 func newNode(
 	t *testing.T, network *emulator.Network, self elector.Member, members []elector.Member, upstreams int,
 ) *node {
 	t.Helper()
-	n := &node{network: network, registry: metrics.NewRegistry(), governor: governor.NewGovernor(governor.Settings{
-		Self:  self,
-		Retry: budgeter.Settings{Ratio: 0.2, Extra: 50, Window: 10 * time.Second}, Allocator: allocator.DefaultSettings(),
-	}, zerolog.Nop())}
+	n := &node{network: network, registry: metrics.NewRegistry(), governor: newGovernor(self)}
 	for _, m := range members {
 		n.governor.SetMember(time.Now(), m)
 	}
@@ -89,11 +95,12 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	go c.Run(ctx, func(r courier.Received) { n.handle(r, peers) })
 	go peers.Run(ctx)
-	t.Cleanup(func() {
+	n.stop = func() {
 		cancel()
 		<-c.Done()
 		<-peers.Done()
-	})
+	}
+	t.Cleanup(n.stop)
 	return n
 }
 
@@ -106,20 +113,25 @@
 	case *messenger.Datagram_WorkReport:
 		peers.HandleReport(r, body.WorkReport)
 	case *messenger.Datagram_PlacementRequest:
-		if f := n.beforeRequest.Load(); f != nil {
-			(*f)()
-		}
+		n.callBeforeRequest()
 		peers.HandleReport(r, body.PlacementRequest.GetWorkReport())
 		n.delegator.HandleRequest(r, body.PlacementRequest)
 	case *messenger.Datagram_PlacementReply:
 		n.delegator.HandleReply(r, body.PlacementReply)
 	case *messenger.Datagram_StreamQuery:
+		n.callBeforeRequest()
 		n.delegator.HandleStreamQuery(r, body.StreamQuery)
 	case *messenger.Datagram_StreamReply:
 		n.delegator.HandleStreamReply(r, body.StreamReply)
 	}
 }
 
+func (n *node) callBeforeRequest() {
+	if f := n.beforeRequest.Load(); f != nil {
+		(*f)()
+	}
+}
+
 func (n *node) place() (allocator.Placement, *allocator.Refusal) {
 	return n.delegator.Place(context.Background(), allocator.Request{
 		Service: service, Target: time.Second, TimeToTarget: time.Second, TimeToDeadline: 2 * time.Second,
--- a/rosemaryspool/delegator/stream.go
+++ b/rosemaryspool/delegator/stream.go
@@ -54,8 +54,8 @@
 ) []streamReply {
 	replies := make(chan streamReply, len(asked))
 	d.mu.Lock()
-	d.lastQuery++
-	number := d.lastQuery
+	number := d.nextQuery
+	d.nextQuery++
 	d.queries[number] = replies
 	d.mu.Unlock()
 	defer func() {
--- a/rosemaryspool/governor/governor.go
+++ b/rosemaryspool/governor/governor.go
@@ -96,7 +96,7 @@
 
 		configured: make(chan struct{}), listed: make(chan struct{}),
 
-		reports:   newReportState(),
+		reports:   newReportState(settings.Self),
 		changed:   make(chan struct{}, 1),
 		unreached: make(chan struct{}, 1),
 
--- a/rosemaryspool/governor/report.go
+++ b/rosemaryspool/governor/report.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"rosemaryspool.example/core/allocator"
+	"rosemaryspool.example/core/elector"
 	"rosemaryspool.example/core/identifier"
 	"rosemaryspool.example/core/resumer"
 	"rosemaryspool.example/core/tracker"
@@ -44,13 +45,14 @@
 	// changed holds the services with work that changed since their last report.
 	changed   map[identifier.ServiceName]bool
 	sequences map[identifier.ServiceName]uint64
-	// lastNumber is the number of the last placement request, pending holds those that are unanswered.
-	lastNumber uint64
+	// nextNumber is the number of the next placement request, pending holds those that are unanswered.
+	nextNumber uint64
 	pending    []uint64
 }
 
-func newReportState() reportState {
+func newReportState(self elector.Member) reportState {
 	return reportState{
+		nextNumber: self.FirstNumber(),
 		changed: map[identifier.ServiceName]bool{}, sequences: map[identifier.ServiceName]uint64{},
 	}
 }
@@ -78,7 +80,7 @@
 
 func (g *Governor) report(service identifier.ServiceName) Report {
 	g.reports.sequences[service]++
-	first := g.reports.lastNumber + 1
+	first := g.reports.nextNumber
 	if len(g.reports.pending) > 0 {
 		first = slices.Min(g.reports.pending)
 	}
@@ -111,9 +113,10 @@
 func (g *Governor) BeginRequest() uint64 {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.reports.lastNumber++
-	g.reports.pending = append(g.reports.pending, g.reports.lastNumber)
-	return g.reports.lastNumber
+	number := g.reports.nextNumber
+	g.reports.nextNumber++
+	g.reports.pending = append(g.reports.pending, number)
+	return number
 }
 
 // EndRequest ends a pending placement request. If it was granted, the placement's work counts from now on.
--- a/rosemaryspool/steward/exchange.go
+++ b/rosemaryspool/steward/exchange.go
@@ -63,7 +63,8 @@
 // exchange is the state of the reports to candidates.
 type exchange struct {
 	recipients map[identifier.InstanceID]*recipient
-	number     uint64
+	// nextNumber is the number of the next report.
+	nextNumber uint64
 	// clockKnown is true once another instance's reference was adopted.
 	clockKnown bool
 	// tickAt is when this process was last seen to run, backlogUntil the time until which datagrams may have waited.
@@ -92,8 +93,8 @@
 	return now-e.tickAt <= standstill && now >= e.backlogUntil
 }
 
-func newExchange() exchange {
-	return exchange{recipients: map[identifier.InstanceID]*recipient{}, heardAt: map[identifier.InstanceID]time.Duration{}}
+func newExchange(self elector.Member) exchange {
+	return exchange{nextNumber: self.FirstNumber(), recipients: map[identifier.InstanceID]*recipient{}, heardAt: map[identifier.InstanceID]time.Duration{}}
 }
 
 // watchStandstill notices that this process has stood still, until ctx ends.
@@ -221,9 +222,9 @@
 	reports := splitCounts(counts)
 	r.pending, r.version, r.sentAt = map[uint64]bool{}, version, now
 	for _, report := range reports {
-		s.exchange.number++
-		report.Number, report.ClockMs = s.exchange.number, s.clock.Uncorrected(now).UnixMilli()
+		report.Number, report.ClockMs = s.exchange.nextNumber, s.clock.Uncorrected(now).UnixMilli()
 		r.pending[report.GetNumber()] = true
+		s.exchange.nextNumber++
 	}
 	return reports
 }
--- a/rosemaryspool/steward/steward.go
+++ b/rosemaryspool/steward/steward.go
@@ -131,7 +131,7 @@
 		settings: settings, store: store, cloud: cloud, peers: peers, sender: sender, log: log, registry: registry,
 		elapsed: elapsed, holder: fmt.Sprintf("%s%s%d", self.Instance, holderSeparator, self.StartedMs), done: make(chan struct{}),
 		appending: make(chan struct{}, 1), counter: meterer.NewCounter(), collector: meterer.NewCollector(),
-		exchange: newExchange(),
+		exchange: newExchange(self),
 	}
 	s.leaser = leaser.NewLeaser(leaser.Settings{
 		Holder: s.holder, Duration: settings.LeaseDuration, Margin: clockMargin, RetryEvery: claimInterval,
