Send no request to an upstream of another service

Cause: a placement was checked for the state, incarnation and version of its upstream, but not for its service; nothing between the arbiter and the connection compared it with the request's.

Change: an instance follows no placement whose upstream or prefiller it knows to be of another service and decides alone, as for one that leaves. The forwarder checks the upstream as it sends, after a prefill, and the prefiller.

Evidence: TestArbiterWithAnOlderListDoesNotPlaceAtAnotherService and TestOutdatedPrefillersAreNotUsed fail without the check.

--- a/core/allocator/request.go
+++ b/core/allocator/request.go
@@ -66,5 +66,7 @@
 	return total
 }
 
-// Accepts reports whether an upstream has the version that the request needs.
-func (r Request) Accepts(e tracker.Entry) bool { return r.Version == nil || *r.Version == e.Version }
+// Accepts reports whether an upstream is of the request's service and has the version that the request needs.
+func (r Request) Accepts(e tracker.Entry) bool {
+	return e.Service == r.Service && (r.Version == nil || *r.Version == e.Version)
+}
--- a/rosemaryspool/delegator/delegator.go
+++ b/rosemaryspool/delegator/delegator.go
@@ -177,7 +177,8 @@
 }
 
 // isOutdated reports whether an arbiter's decision rests on older knowledge of the upstreams: it chose one that this
-// instance knows to be leaving, gone, asking it to wait or of another version than needed, or knows none that will do.
+// instance knows to be leaving, gone, asking it to wait or of another service or version than needed, or knows none that will
+// do.
 func (d *Delegator) isOutdated(
 	request allocator.Request, placement allocator.Placement, refusal *allocator.Refusal,
 ) bool {
@@ -193,7 +194,8 @@
 		return false
 	}
 	prefiller, _ := d.governor.Entry(placement.Prefiller)
-	return !d.governor.AcceptsWork(now, placement.Prefiller) || prefiller.Version != entry.Version
+	return !d.governor.AcceptsWork(now, placement.Prefiller) || prefiller.Service != entry.Service ||
+		prefiller.Version != entry.Version
 }
 
 // HandleReply passes an arbiter's reply to the request that waits for it.
--- a/rosemaryspool/delegator/delegator_test.go
+++ b/rosemaryspool/delegator/delegator_test.go
@@ -362,6 +362,32 @@
 	}
 }
 
+// An upstream that has moved to another service gets no requests of the one before, although the arbiter has not read that yet.
+func TestArbiterWithAnOlderListDoesNotPlaceAtAnotherService(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nodes := newNodes(t, 3, 2)
+		sender := nodes[2]
+		sender.list([]tracker.Entry{{Upstream: "u0", Service: "other", Slots: 1, Incarnation: 2}})
+		for range 4 {
+			placement, refusal := sender.place()
+			require.Nil(t, refusal)
+			require.EqualValues(t, "u1", placement.Upstream)
+			sender.governor.Ended(time.Now(), time.Now(), placement, allocator.OutcomeCancelled)
+		}
+	})
+}
+
+// The same holds for the engine that prefills.
+func TestOutdatedPrefillersAreNotUsed(t *testing.T) {
+	nodes := newNodes(t, 1, 2)
+	d := nodes[0].delegator
+	request := allocator.Request{Service: service}
+	placement := allocator.Placement{Upstream: "u0", Prefiller: "u1"}
+	require.False(t, d.isOutdated(request, placement, nil))
+	nodes[0].list([]tracker.Entry{{Upstream: "u1", Service: "other", Incarnation: 2}})
+	require.True(t, d.isOutdated(request, placement, nil))
+}
+
 func TestOriginOfAStreamIsFound(t *testing.T) {
 	const count = 5
 	id := resumer.NewStreamID("s")
--- a/rosemaryspool/forwarder/attempt.go
+++ b/rosemaryspool/forwarder/attempt.go
@@ -167,7 +167,7 @@
 	outcome := allocator.OutcomeCancelled
 	defer func() { e.forwarder.governor.Ended(time.Now(), e.last.sentAt, e.last.placement, outcome) }()
 	entry, listed := e.forwarder.governor.Entry(placement.Upstream)
-	if !listed || e.keyRefusal() != "" || e.forwarder.isStopped() {
+	if !listed || entry.Service != e.service || e.keyRefusal() != "" || e.forwarder.isStopped() {
 		e.last.unsent = true
 		return notExecuted
 	}
@@ -183,8 +183,8 @@
 		e.last.unsent = false
 	}
 	if current, _ := e.forwarder.governor.Entry(placement.Upstream); current.Incarnation != entry.Incarnation ||
-		!e.forwarder.governor.AcceptsWork(time.Now(), placement.Upstream) || e.keyRefusal() != "" {
-		// The upstream restarted or began to leave during the prefill, or asked this instance to wait, or the key was
+		current.Service != e.service || !e.forwarder.governor.AcceptsWork(time.Now(), placement.Upstream) || e.keyRefusal() != "" {
+		// The upstream restarted, changed its service or began to leave during the prefill, or asked this instance to wait, or the key was
 		// removed.
 		e.dropCache()
 		return notExecuted
--- a/rosemaryspool/forwarder/prefill.go
+++ b/rosemaryspool/forwarder/prefill.go
@@ -31,7 +31,7 @@
 		e.forwarder.governor.PrefillEnded(time.Now(), &e.last.placement, outcome)
 	}()
 	prefiller, listed := e.forwarder.governor.Entry(placement.Prefiller)
-	if !listed {
+	if !listed || prefiller.Service != e.service {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(e.ctx, prefillTimeoutBase+prefillTimeoutFactor*placement.Predicted)
