Count no work of an instance's earlier process

Cause: an arbiter keeps placements for another instance by their number until a report says that it has no pending request below. Those of an earlier process were dropped only because the later one counted past them, and never when its clock had been set back. A report or a datagram of the earlier process that arrived late replaced the work of the later one, and could mark it as leaving.

Change: a new start time drops the placements; reports of a process that isn't the latest one known tell what they have seen, streams and leaving upstreams, but no work and no lost path; their datagrams say nothing about whether the instance is there.

Evidence: TestWorkOfAnEarlierProcessDoesNotCount: without dropping them 3 requests count for good after a clock that was set back, without the check of reports 7 of a process that has ended.

--- a/core/allocator/allocator.go
+++ b/core/allocator/allocator.go
@@ -238,6 +238,19 @@
 	return isNew
 }
 
+// ForgetGrants drops the placements for another instance that its reports don't include yet.
+func (a *Allocator) ForgetGrants(instance identifier.InstanceID) {
+	for key, p := range a.peers {
+		if key.instance != instance {
+			continue
+		}
+		for _, granted := range p.grants {
+			a.addPeerLoads(granted, -1)
+		}
+		clear(p.grants)
+	}
+}
+
 func (a *Allocator) peerOf(instance identifier.InstanceID, service identifier.ServiceName) (p *peer, isNew bool) {
 	key := peerKey{instance: instance, service: service}
 	p = a.peers[key]
--- a/core/elector/elector.go
+++ b/core/elector/elector.go
@@ -113,6 +113,12 @@
 	return m.Member, true
 }
 
+// IsCurrent reports whether a record is of the latest process of its member, as far as is known.
+func (e *Elector) IsCurrent(m Member) bool {
+	known := e.members[m.Instance]
+	return known == nil || known.StartedMs == m.StartedMs
+}
+
 // Heard records a datagram of a member, which ends its suspicion. leaving is true when the member is stopping, warming when
 // it has started recently.
 func (e *Elector) Heard(now time.Time, id identifier.InstanceID, leaving, warming bool) {
--- a/rosemaryspool/delegator/restart_test.go
+++ b/rosemaryspool/delegator/restart_test.go
@@ -129,6 +129,46 @@
 	}
 }
 
+// What an arbiter has placed for a process that is gone, and what that process reports late, is no load.
+func TestWorkOfAnEarlierProcessDoesNotCount(t *testing.T) {
+	const service identifier.ServiceName = "plain"
+	arbiter := newNodes(t, 1, 1)[0].governor
+	request := allocator.Request{
+		Service: service, Target: time.Hour, TimeToTarget: time.Hour, TimeToDeadline: time.Hour,
+	}
+	ahead := func(of string) int {
+		placement, refusal := arbiter.PlaceFor(time.Now(), identifier.InstanceID(of), "", 1, request)
+		require.Nil(t, refusal)
+		arbiter.ApplyReport(time.Now(), elector.Member{Instance: identifier.InstanceID(of)}, governor.Report{Service: service, FirstPending: 2})
+		return placement.Ahead.Short
+	}
+	for _, later := range []int64{800, -800} {
+		earlier := elector.Member{Instance: identifier.InstanceID(fmt.Sprint("killed", later)), Address: "10.0.0.9:4000", StartedMs: 5000}
+		current := earlier
+		current.StartedMs += later
+		heardAt := time.Now().Add(-time.Minute)
+		arbiter.Heard(heardAt, earlier, false, false)
+		for i := range uint64(3) {
+			_, refusal := arbiter.PlaceFor(time.Now(), earlier.Instance, "", earlier.FirstNumber()+i, request)
+			require.Nil(t, refusal)
+		}
+		require.Equal(t, 3, ahead("probe"))
+		arbiter.Heard(heardAt.Add(2*time.Second), current, false, false)
+		arbiter.ApplyReport(time.Now(), current, governor.Report{Service: service, FirstPending: current.FirstNumber()})
+		require.Zero(t, ahead("probe"), "grants of the earlier process")
+
+		// A late datagram of the earlier process, which was leaving.
+		if later > 0 {
+			arbiter.Heard(heardAt.Add(2*time.Second), earlier, true, false)
+			arbiter.ApplyReport(time.Now(), earlier, governor.Report{
+				Service: service, Loads: allocator.Loads{"u0": {Short: 7}}, FirstPending: earlier.FirstNumber(),
+			})
+			require.Zero(t, ahead("probe"), "late report of the earlier process")
+			require.Equal(t, 2, arbiter.Instances(), "the instance isn't leaving")
+		}
+	}
+}
+
 // Numbers of two processes differ even if the first one has used many.
 func TestProcessesNumberTheirRequestsDifferently(t *testing.T) {
 	seen := map[uint64]bool{}
--- a/rosemaryspool/gossiper/gossiper.go
+++ b/rosemaryspool/gossiper/gossiper.go
@@ -218,12 +218,12 @@
 	g.mu.Lock()
 	last := g.received[key]
 	isNew := last.startedMs != r.Sender.StartedMs || report.GetSequence() > last.sequence
-	if isNew {
+	if isNew && g.governor.IsCurrent(r.Sender) {
 		g.received[key] = lastReport{startedMs: r.Sender.StartedMs, sequence: report.GetSequence()}
 	}
 	g.mu.Unlock()
 	if isNew {
-		g.governor.ApplyReport(r.At, r.Sender.Instance, r.Sender.DataCentre, decodeReport(r.At, report))
+		g.governor.ApplyReport(r.At, r.Sender, decodeReport(r.At, report))
 	}
 }
 
--- a/rosemaryspool/gossiper/gossiper_test.go
+++ b/rosemaryspool/gossiper/gossiper_test.go
@@ -53,7 +53,7 @@
 		TimeToTarget: time.Hour, TimeToDeadline: time.Hour,
 	})
 	require.Nil(t, refusal)
-	g.ApplyReport(time.Now(), "probe", "here", governor.Report{Service: service, FirstPending: 2})
+	g.ApplyReport(time.Now(), elector.Member{Instance: "probe", DataCentre: "here"}, governor.Report{Service: service, FirstPending: 2})
 	return placement.Ahead.Short
 }
 
--- a/rosemaryspool/governor/member.go
+++ b/rosemaryspool/governor/member.go
@@ -23,10 +23,30 @@
 func (g *Governor) SetMember(now time.Time, m elector.Member) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.setMember(now, m) {
+		g.countInstances(now)
+	}
+}
+
+// setMember adds another instance or replaces its record, and reports whether that changed anything. The governor's mutex
+// must be held.
+func (g *Governor) setMember(now time.Time, m elector.Member) bool {
+	known, found := g.elector.Member(m.Instance)
 	if !g.elector.SetMember(now, m) {
-		return
+		return false
 	}
-	g.countInstances(now)
+	if found && known.StartedMs != m.StartedMs {
+		// Reports of the new process name no requests of the earlier one.
+		g.allocator.ForgetGrants(m.Instance)
+	}
+	return true
+}
+
+// IsCurrent reports whether a record is of the latest process of another instance, as far as is known.
+func (g *Governor) IsCurrent(m elector.Member) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.elector.IsCurrent(m)
 }
 
 // MembersListed records that all instances in the store's list of members are known.
@@ -68,8 +88,10 @@
 func (g *Governor) Heard(now time.Time, m elector.Member, leaving, warming bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if known, found := g.elector.Member(m.Instance); !found || known != m {
-		g.elector.SetMember(now, m)
+	g.setMember(now, m)
+	if !g.elector.IsCurrent(m) {
+		// What an earlier process has sent says nothing about the one that runs now.
+		return
 	}
 	g.elector.Heard(now, m.Instance, leaving, warming)
 	g.countInstances(now)
--- a/rosemaryspool/governor/report.go
+++ b/rosemaryspool/governor/report.go
@@ -53,7 +53,7 @@
 func newReportState(self elector.Member) reportState {
 	return reportState{
 		nextNumber: self.FirstNumber(),
-		changed: map[identifier.ServiceName]bool{}, sequences: map[identifier.ServiceName]uint64{},
+		changed:    map[identifier.ServiceName]bool{}, sequences: map[identifier.ServiceName]uint64{},
 	}
 }
 
@@ -143,17 +143,19 @@
 	return g.allocator.Unusable(now, service)
 }
 
-// ApplyReport replaces another instance's work for a service and applies what it has observed.
-func (g *Governor) ApplyReport(
-	now time.Time, instance identifier.InstanceID, dataCentre identifier.DataCentre, r Report,
-) {
+// ApplyReport replaces another instance's work for a service and applies what it has observed. The work and the paths of a
+// process that has ended don't count any more.
+func (g *Governor) ApplyReport(now time.Time, sender elector.Member, r Report) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.allocator.UpdatePeer(now, instance, r.Service, r.Loads, r.FirstPending) {
-		g.log.Debug().Str("event", "peerHeard").Str("peer", string(instance)).Str("service", string(r.Service)).
-			Msg("First work report of another instance")
+	instance, dataCentre := sender.Instance, sender.DataCentre
+	if g.elector.IsCurrent(sender) {
+		if g.allocator.UpdatePeer(now, instance, r.Service, r.Loads, r.FirstPending) {
+			g.log.Debug().Str("event", "peerHeard").Str("peer", string(instance)).Str("service", string(r.Service)).
+				Msg("First work report of another instance")
+		}
+		g.applyPath(instance, dataCentre, r)
 	}
-	g.applyPath(instance, dataCentre, r)
 	if !r.PathLost {
 		for _, o := range r.Observations {
 			logChange := g.logEjectionChange(o.Upstream)
