Log whether a stream's process was known to the list as it began

The log named the version that a stream was bound to, but not whether the list could know the process that had begun it, nor whether the stream went on elsewhere before or after the list showed the restart.

requestEnded of streams has `listedAfterMs` and `processKnown`.

--- a/core/resumer/resumer.go
+++ b/core/resumer/resumer.go
@@ -184,6 +184,9 @@
 	}
 }
 
+// ListedAt returns the time up to which the list of upstreams is known.
+func (r *Resumer) ListedAt() time.Time { return r.listedAt }
+
 // Versions returns the versions at which streams of a service began that may still be resumed.
 func (r *Resumer) Versions(now time.Time, name identifier.ServiceName) Versions {
 	s := r.service(name)
--- a/rosemaryspool/connector/exchange.go
+++ b/rosemaryspool/connector/exchange.go
@@ -60,6 +60,8 @@
 	Unframed bool
 	// Known reports whether the response is surely from the process that is listed, as far as the request asked for that.
 	Known bool
+	// Since is a time from which on the upstream's process is known to have run.
+	Since time.Time
 	// Connection is the number of the connection, Exchange that of the request among those on it, from one.
 	Connection uint64
 	Exchange   int
@@ -81,7 +83,7 @@
 	}
 	conn.begin(r.ID)
 	response := &Response{
-		Known: known, Connection: conn.number, Exchange: conn.exchanges, connector: c, address: r.Upstream.Address, conn: conn,
+		Known: known, Since: conn.since, Connection: conn.number, Exchange: conn.exchanges, connector: c, address: r.Upstream.Address, conn: conn,
 	}
 	response.stopCancel = context.AfterFunc(ctx, func() {
 		// A deadline in the past aborts pending reads and writes. The connection is not reused.
--- a/rosemaryspool/forwarder/attempt.go
+++ b/rosemaryspool/forwarder/attempt.go
@@ -82,6 +82,9 @@
 	brokenOff bool
 	// known is true if the response is surely from the process that entry describes.
 	known bool
+	// listedAfter is how long after the begin of that process's connection the newest list was read that this instance knew as
+	// the stream began; negative if it was read before.
+	listedAfter time.Duration
 	// unsent is true if no upstream has received anything of the request.
 	unsent bool
 	// answered is true once the response counts as one that the upstream has survived.
@@ -241,6 +244,9 @@
 		return maybeExecuted, outcome
 	}
 	e.last.status, e.last.known = response.Status, response.Known
+	if e.route.Streaming {
+		e.last.listedAfter = e.forwarder.governor.ListedAt().Sub(response.Since)
+	}
 	if refused {
 		e.recordRefusal(e.last.entry.Upstream)
 		timer := time.AfterFunc(refusalTimeout, cancel)
--- a/rosemaryspool/forwarder/describe.go
+++ b/rosemaryspool/forwarder/describe.go
@@ -27,6 +27,9 @@
 	if a.placement.Deferred {
 		line = line.Bool("deferred", true)
 	}
+	if a.listedAfter != 0 {
+		line = line.Bool("processKnown", a.known).Dur("listedAfterMs", a.listedAfter)
+	}
 	if !a.firstEventAt.IsZero() {
 		line = line.Dur("firstMs", a.firstEventAt.Sub(a.sentAt)).Dur("longestPauseMs", a.longestPause)
 	}
--- a/rosemaryspool/governor/stream.go
+++ b/rosemaryspool/governor/stream.go
@@ -44,6 +44,13 @@
 	g.resumer.Listed(at)
 }
 
+// ListedAt returns the time up to which the list of upstreams is known.
+func (g *Governor) ListedAt() time.Time {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.resumer.ListedAt()
+}
+
 // SetListInterval sets the usual time between two reads of the list of upstreams.
 func (g *Governor) SetListInterval(interval time.Duration) {
 	g.mu.Lock()
