Let a stream go on only once the list has confirmed its process

Cause: whether a process is the one of its entry was decided once, as the stream began, and taken for granted unless the upstream had refused a connection or the list was overdue. Between two reads of the list, up to 1.1 s, neither shows a restart. The list did show the restart to all instances 0.25 s before the crash; nobody looked again.

Change: a stream that begins over a connection that is younger than the list keeps its process (upstream, incarnation, since when it runs) as a question, also in reports to the arbiter. It is answered by a list that was read 0.1 s after the process began, or a second where the upstream had refused connections: the entry is still there, or not. Whoever goes on with the stream, the instance or one to which the caller comes, waits for that list and has it read at once. The same holds for the upstream at which it goes on. Without an answer the version is unknown, as with an overdue list. New streams, prefills and fetched caches wait for nothing. Instances of the version before ignore the question and trust the version, as they do now.

--- a/core/resumer/process.go
+++ b/core/resumer/process.go
@@ -98,11 +98,16 @@
 	return due
 }
 
+// IsOverdue reports whether the list of upstreams should have been read again.
+func (r *Resumer) IsOverdue(now time.Time) bool {
+	return now.Sub(r.listedAt) > r.listInterval+listSlack
+}
+
 // Knows reports whether a process that has run at an upstream's address since a time is surely the one of its entry. An
 // upstream that starts again under its id has another software version at times, and the list says so only once it has
 // been read. While the list is overdue, the process must have run when it was read.
 func (r *Resumer) Knows(now time.Time, e tracker.Entry, since time.Time) bool {
-	if overdue := now.Sub(r.listedAt) > r.listInterval+listSlack; overdue && since.After(r.listedAt) {
+	if r.IsOverdue(now) && since.After(r.listedAt) {
 		return false
 	}
 	d := r.doubts[e.Upstream]
--- a/core/resumer/resumer.go
+++ b/core/resumer/resumer.go
@@ -27,6 +27,8 @@
 	Stream  StreamID
 	Service identifier.ServiceName
 	Version identifier.SoftwareVersion
+	// Process is the one at which the stream began; zero if Version is surely its version.
+	Process Process
 	// Until is when the caller has given up, so that the stream won't be resumed any more.
 	Until time.Time
 }
@@ -54,6 +56,8 @@
 	maxUnreported = 512
 	// maxReported bounds the streams in a report, which must fit into a datagram.
 	maxReported = 16
+	// maxReportedProcesses is the same for those with the process at which they began.
+	maxReportedProcesses = 6
 	// expiryInterval is the time between two searches for streams that are no longer resumed.
 	expiryInterval = time.Second
 )
@@ -73,6 +77,9 @@
 	// doubts holds the listed upstreams that have refused connections, by which their processes have ended.
 	doubts      map[identifier.UpstreamID]*doubt
 	reportPhase float64
+	// listings holds the entries of the list, unlisted up to when those were listed that it had before.
+	listings map[listing]bool
+	unlisted map[listing]time.Time
 }
 
 // Versions is what is known of the versions at which the streams of a service began that may still be resumed.
@@ -112,7 +119,7 @@
 func NewResumer(firstStart bool) *Resumer {
 	return &Resumer{
 		origins: map[StreamID]Origin{}, services: map[identifier.ServiceName]*service{}, firstStart: firstStart,
-		doubts: map[identifier.UpstreamID]*doubt{},
+		doubts: map[identifier.UpstreamID]*doubt{}, listings: map[listing]bool{}, unlisted: map[listing]time.Time{},
 	}
 }
 
@@ -139,6 +146,7 @@
 		clear(s.listed)
 	}
 	r.forgetDoubts(entries)
+	r.setListings(entries)
 	for _, e := range entries {
 		s := r.service(e.Service)
 		s.listed[e.Version] = true
@@ -174,7 +182,7 @@
 // Origin returns the origin of a stream, and false if it is not known.
 func (r *Resumer) Origin(now time.Time, id StreamID) (Origin, bool) {
 	o, known := r.origins[id]
-	return o, known && now.Before(o.Until)
+	return r.settle(o), known && now.Before(o.Until)
 }
 
 // Listed records that the upstreams are known as they were listed at a time.
@@ -212,7 +220,9 @@
 		return false
 	}
 	_, sole := r.Versions(now, name).Sole()
-	return !sole || slices.ContainsFunc(unreported, func(o Origin) bool { return o.Version == identifier.UnknownVersion })
+	return !sole || slices.ContainsFunc(unreported, func(o Origin) bool {
+		return r.settle(o).Version == identifier.UnknownVersion
+	})
 }
 
 // TakeReport returns the streams that have begun here and are not reported to a recipient yet.
@@ -222,10 +232,14 @@
 	}
 	s := r.service(name)
 	var report []Origin
-	for len(s.unreported[to]) > 0 && len(report) < maxReported {
+	processes := 0
+	for len(s.unreported[to]) > 0 && len(report) < maxReported && processes < maxReportedProcesses {
 		// Streams that began while there was only one version may have ended long ago.
-		if o := s.unreported[to][0]; now.Before(o.Until) {
+		if o := r.settle(s.unreported[to][0]); now.Before(o.Until) {
 			report = append(report, o)
+			if o.Process != (Process{}) {
+				processes++
+			}
 		}
 		s.unreported[to] = s.unreported[to][1:]
 	}
@@ -250,4 +264,9 @@
 			}
 		}
 	}
+	for l, at := range r.unlisted {
+		if now.Sub(at) >= memory {
+			delete(r.unlisted, l)
+		}
+	}
 }
--- a/rosemaryspool/connector/connector.go
+++ b/rosemaryspool/connector/connector.go
@@ -116,7 +116,11 @@
 	if err != nil || r.Knows == nil {
 		return conn, false, err
 	}
+	if conn.exchanges == 0 {
+		c.extend(r.Upstream.Address, conn)
+	}
 	known = r.Knows(conn.since) || r.Knows(c.extend(r.Upstream.Address, conn))
+	known = known && (r.Confirm == nil || r.Confirm(conn.since))
 	if !known && r.KnownOnly {
 		c.release(r.Upstream.Address, conn, true)
 		return nil, false, ErrUnknownProcess
--- a/rosemaryspool/connector/exchange.go
+++ b/rosemaryspool/connector/exchange.go
@@ -46,6 +46,8 @@
 	// is nil if that doesn't matter. KnownOnly has the request sent to no other process.
 	Knows     func(since time.Time) bool
 	KnownOnly bool
+	// Confirm is asked in addition if it is not nil, and may wait for the answer.
+	Confirm func(since time.Time) bool
 }
 
 // Response is an upstream's response. Close must be called once.
--- a/rosemaryspool/forwarder/attempt.go
+++ b/rosemaryspool/forwarder/attempt.go
@@ -9,6 +9,7 @@
 	"rosemaryspool.example/adaptor/bounder"
 	"rosemaryspool.example/core/allocator"
 	"rosemaryspool.example/core/identifier"
+	"rosemaryspool.example/core/resumer"
 	"rosemaryspool.example/core/tracker"
 	"rosemaryspool.example/platform"
 	"rosemaryspool.example/rosemaryspool/connector"
@@ -82,6 +83,8 @@
 	brokenOff bool
 	// known is true if the response is surely from the process that entry describes.
 	known bool
+	// since is a time from which on that process is known to have run.
+	since time.Time
 	// listedAfter is how long after the begin of that process's connection the newest list was read that this instance knew as
 	// the stream began; negative if it was read before.
 	listedAfter time.Duration
@@ -243,7 +246,7 @@
 		}
 		return maybeExecuted, outcome
 	}
-	e.last.status, e.last.known = response.Status, response.Known
+	e.last.status, e.last.known, e.last.since = response.Status, response.Known, response.Since
 	if e.route.Streaming {
 		e.last.listedAfter = e.forwarder.governor.ListedAt().Sub(response.Since)
 	}
@@ -312,6 +315,11 @@
 	if e.route.Streaming {
 		r.Knows = func(since time.Time) bool { return e.forwarder.governor.KnowsProcess(to, since) }
 	}
+	if e.streamVersion != nil {
+		r.Confirm = func(since time.Time) bool {
+			return e.forwarder.governor.AwaitProcess(ctx, resumer.NewProcess(to, since))
+		}
+	}
 	return e.forwarder.connector.Exchange(ctx, r)
 }
 
--- a/rosemaryspool/forwarder/forwarder.go
+++ b/rosemaryspool/forwarder/forwarder.go
@@ -24,6 +24,7 @@
 	"rosemaryspool.example/core/isolator"
 	"rosemaryspool.example/core/matcher"
 	"rosemaryspool.example/core/rationer"
+	"rosemaryspool.example/core/resumer"
 	"rosemaryspool.example/core/starter"
 	"rosemaryspool.example/platform"
 	"rosemaryspool.example/rosemaryspool/connector"
@@ -213,6 +214,8 @@
 	events   *eventWriter
 	// streamVersion is the software version at which the stream began; nil before its first event.
 	streamVersion *identifier.SoftwareVersion
+	// streamProcess is the process at which the stream began; zero if it began elsewhere or is surely of streamVersion.
+	streamProcess resumer.Process
 	// metered is true once the request is counted as one that has begun to run.
 	metered bool
 	last    attempt
--- a/rosemaryspool/forwarder/resume.go
+++ b/rosemaryspool/forwarder/resume.go
@@ -29,6 +29,7 @@
 	if sole, found := versions.Sole(); !known && found && len(e.route.Services) == 1 {
 		o, known = resumer.Origin{Service: e.service, Version: sole}, true
 	}
+	known = known && e.forwarder.governor.AwaitProcess(e.ctx, o.Process)
 	if known && o.Version != identifier.UnknownVersion && e.route.Uses(o.Service) {
 		e.service, e.streamVersion = o.Service, &o.Version
 		return result{}, true
@@ -37,6 +38,14 @@
 	return e.refuse(causeUnknownVersion, unknownOriginRetryAfter), false
 }
 
+// mayGoOn reports whether the version is known at which the stream began that broke off.
+func (e *exchange) mayGoOn() bool {
+	if e.streamVersion == nil {
+		return true
+	}
+	return *e.streamVersion != identifier.UnknownVersion && e.forwarder.governor.AwaitProcess(e.ctx, e.streamProcess)
+}
+
 // recordStream records the version at which a stream begins with its first event, so that it is resumed only there. One that
 // begins at an unknown version is resumed nowhere.
 func (e *exchange) recordStream(now time.Time) {
@@ -44,15 +53,19 @@
 		// The instance that serves the request knows the version.
 		return
 	}
-	version := e.last.entry.Version
-	if !e.last.known {
-		version = identifier.UnknownVersion
+	version, process := e.last.entry.Version, resumer.NewProcess(e.last.entry, e.last.since)
+	confirmation := e.forwarder.governor.Confirm(process)
+	if confirmation == resumer.Confirmed {
+		process = resumer.Process{}
+	}
+	if !e.last.known || confirmation == resumer.Refuted {
+		version, process = identifier.UnknownVersion, resumer.Process{}
 		metrics.GetOrRegisterCounter("streamsOfUnknownVersion", e.forwarder.registry).Inc(1)
 	}
-	e.streamVersion = &version
+	e.streamVersion, e.streamProcess = &version, process
 	if e.route.Resumable && e.caller.ID != "" {
 		e.forwarder.governor.StreamBegan(now, resumer.Origin{
-			Stream: resumer.NewStreamID(e.caller.ID), Service: e.service, Version: version,
+			Stream: resumer.NewStreamID(e.caller.ID), Service: e.service, Version: version, Process: process,
 			Until: e.started.Add(max(e.caller.Timeout, e.route.Timeout) + originMargin),
 		})
 	}
--- a/rosemaryspool/forwarder/retry.go
+++ b/rosemaryspool/forwarder/retry.go
@@ -46,7 +46,7 @@
 		return "deadline"
 	case blocked != "":
 		return blocked
-	case e.streamVersion != nil && *e.streamVersion == identifier.UnknownVersion:
+	case !e.mayGoOn():
 		return causeUnknownVersion
 	case e.runs >= e.route.MaxAttempts:
 		return "attemptsUsed"
--- a/rosemaryspool/gatekeeper/version_test.go
+++ b/rosemaryspool/gatekeeper/version_test.go
@@ -333,6 +333,58 @@
 	}
 }
 
+// Upstreams that are back under another version within a pause of the traffic refuse nobody's connection. Streams that began
+// there before the list was read again went on at the version before.
+func TestStreamsAreNotJoinedAtUpstreamsThatRestartBetweenTwoReadsOfTheList(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// began is how long after the restart the streams begin.
+		began time.Duration
+		// callers is true if callers take the streams up at other instances, whose upstreams have ended since.
+		callers bool
+	}{
+		{"the instance goes on", 0, false},
+		{"callers go on", 50 * time.Millisecond, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				f := &versionFleet{t: t, store: newMemoryStore(t)}
+				for i := range 4 {
+					f.put(fmt.Sprintf("u%d", i), "v1")
+				}
+				f.instances = newTestCluster(t, f.store, 3)
+				time.Sleep(testSettings(f.store).RetryWindow)
+				restarting := f.upstreams[:2:2]
+				// The phase of the restart between two reads of the list differs.
+				for phase := range 5 {
+					time.Sleep(3*time.Second + time.Duration(phase)*50*time.Millisecond)
+					f.restartUpstreams(fmt.Sprint("v", phase+2), 200*time.Millisecond, func() {}, restarting...)
+					restarting = f.upstreams[len(f.upstreams)-2:]
+					for _, u := range restarting {
+						putUpstream(f.store.Store, u, "ready")
+					}
+					time.Sleep(c.began)
+					path := verdicts
+					if c.callers {
+						path = dialogs
+					}
+					name := func(kind string, n int) string { return fmt.Sprintf("%s%d-%d", kind, phase, n) }
+					sendStreams(f.instances, path, func(n int) []string {
+						return []string{emulator.HeaderAttempt, name("s", n), emulator.HeaderDeadline, "20000"}
+					})
+					sendStreams(f.instances[1:], path, func(n int) []string {
+						return []string{
+							emulator.HeaderAttempt, name("r", n), emulator.HeaderResumes, name("s", n), emulator.HeaderLastEvent, "2",
+						}
+					})
+				}
+				requireOneVersion(t, f.upstreams)
+			})
+		})
+	}
+}
+
 func TestStreamsAreNotJoinedAtUpstreamsThatRestartUnderAnotherVersionUnseen(t *testing.T) {
 	for _, c := range []struct {
 		name string
--- a/rosemaryspool/gossiper/gossiper.go
+++ b/rosemaryspool/gossiper/gossiper.go
@@ -314,19 +314,31 @@
 
 // EncodeOrigin returns the message for the origin of a stream.
 func EncodeOrigin(now time.Time, o resumer.Origin) *messenger.StreamOrigin {
-	return &messenger.StreamOrigin{
+	m := &messenger.StreamOrigin{
 		Stream: uint64(o.Stream), Service: string(o.Service), Version: string(o.Version),
 		LeftMs: identifier.Milliseconds(o.Until.Sub(now)),
 	}
+	if o.Process != (resumer.Process{}) {
+		m.Upstream, m.Incarnation = string(o.Process.Upstream), o.Process.Incarnation
+		m.ProcessAgeMs = identifier.Milliseconds(now.Sub(o.Process.Since))
+	}
+	return m
 }
 
 // DecodeOrigin returns the origin in a message that arrived at a time.
 func DecodeOrigin(at time.Time, m *messenger.StreamOrigin) resumer.Origin {
-	return resumer.Origin{
+	o := resumer.Origin{
 		Stream: resumer.StreamID(m.GetStream()), Service: identifier.ServiceName(m.GetService()),
 		Version: identifier.SoftwareVersion(m.GetVersion()),
 		Until:   at.Add(time.Duration(m.GetLeftMs()) * time.Millisecond),
 	}
+	if m.GetUpstream() != "" {
+		o.Process = resumer.Process{
+			Upstream: identifier.UpstreamID(m.GetUpstream()), Incarnation: m.GetIncarnation(), Version: o.Version,
+			Since: at.Add(-time.Duration(m.GetProcessAgeMs()) * time.Millisecond),
+		}
+	}
+	return o
 }
 
 // EncodeLoad returns the message for the load at an upstream.
--- a/rosemaryspool/governor/governor.go
+++ b/rosemaryspool/governor/governor.go
@@ -76,6 +76,9 @@
 	sharesLogged  map[identifier.ServiceName]time.Time
 	budgetsLogged map[identifier.ServiceName]time.Time
 	quarantines   chan struct{}
+	// listNews is closed when the list of upstreams was read or has changed, listWanted signals that it should be read.
+	listNews   chan struct{}
+	listWanted chan struct{}
 }
 
 // NewGovernor returns a governor without configuration and upstreams.
@@ -104,6 +107,7 @@
 		budgetsLogged: map[identifier.ServiceName]time.Time{},
 
 		quarantines: make(chan struct{}, 1),
+		listNews:    make(chan struct{}), listWanted: make(chan struct{}, 1),
 	}
 	g.keys.limit.Store(int64(settings.KeyLimit))
 	g.resumer.SetReportPhase(settings.ReportPhase)
@@ -176,6 +180,7 @@
 	g.upstreamsRead = true
 	g.resumer.Listed(origin.ListedAt)
 	entries := g.applyUpstreams(now)
+	g.tellListNews()
 	if first {
 		close(g.listed)
 	}
--- a/rosemaryspool/governor/stream.go
+++ b/rosemaryspool/governor/stream.go
@@ -1,6 +1,7 @@
 package governor
 
 import (
+	"context"
 	"time"
 
 	"rosemaryspool.example/core/elector"
@@ -42,6 +43,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.resumer.Listed(at)
+	g.tellListNews()
 }
 
 // ListedAt returns the time up to which the list of upstreams is known.
@@ -65,6 +67,67 @@
 	return g.resumer.Knows(time.Now(), e, since)
 }
 
+// Confirm reports whether a process is the one of its entry, as far as the list that is known can tell.
+func (g *Governor) Confirm(p resumer.Process) resumer.Confirmation {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.resumer.Confirm(p)
+}
+
+// listRetry is the time after which a list of upstreams that is waited for is asked for again.
+const listRetry = 100 * time.Millisecond
+
+// AwaitProcess reports whether a process is the one of its entry. While the list that is known can't tell, it has the list read
+// and waits for it until ctx ends, or until the list is overdue.
+func (g *Governor) AwaitProcess(ctx context.Context, p resumer.Process) bool {
+	for {
+		g.mu.Lock()
+		confirmation, confirmableAt, overdue := g.resumer.Confirm(p), g.resumer.ConfirmableAt(p), g.resumer.IsOverdue(time.Now())
+		news := g.listNews
+		g.mu.Unlock()
+		switch {
+		case confirmation == resumer.Confirmed:
+			return true
+		case confirmation == resumer.Refuted || overdue:
+			g.log.Info().Str("event", "processUnconfirmed").Str("upstream", string(p.Upstream)).
+				Uint64("incarnation", p.Incarnation).Dur("ranMs", time.Since(p.Since)).Bool("listOverdue", overdue).
+				Msg("Process at an upstream's address is another one than the listed one, or may be")
+			return false
+		}
+		wait := time.Until(confirmableAt)
+		if wait <= 0 {
+			wait = listRetry
+			g.wantList()
+		}
+		timer := time.NewTimer(wait)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return false
+		case <-news:
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
+}
+
+// ListWanted receives a value when the list of upstreams should be read at once.
+func (g *Governor) ListWanted() <-chan struct{} { return g.listWanted }
+
+func (g *Governor) wantList() {
+	select {
+	case g.listWanted <- struct{}{}:
+	default:
+		// A value is pending already.
+	}
+}
+
+// tellListNews wakes those that wait for the list of upstreams. The governor's mutex must be held.
+func (g *Governor) tellListNews() {
+	close(g.listNews)
+	g.listNews = make(chan struct{})
+}
+
 // RecordRefusedConnection records that an upstream refused a connection at a time.
 func (g *Governor) RecordRefusedConnection(at time.Time, e tracker.Entry) {
 	g.mu.Lock()
--- a/rosemaryspool/subscriber/follower.go
+++ b/rosemaryspool/subscriber/follower.go
@@ -82,6 +82,8 @@
 	overtaken bool
 	// wake receives a value when another instance reports records that this one has not read, or has sent a snapshot.
 	wake chan struct{}
+	// wanted receives a value when the topic should be read at once; nil if it never should.
+	wanted <-chan struct{}
 
 	// repeated is the view whose offsets are sent again at repeatAt; the zero time for none.
 	repeated gossiper.View
@@ -113,12 +115,16 @@
 }
 
 // awaitDue waits until the next read of a topic is due. After a failure that is not before the retry, and as long as
-// another instance reads for this one it is never due. It returns false if ctx ends first.
+// another instance reads for this one it is never due, unless the topic is wanted at once. It returns false if ctx ends first.
 func (s *Subscriber) awaitDue(ctx context.Context, t *topic) bool {
+	wanted := false
 	for {
 		now := time.Now()
 		s.mu.Lock()
 		due := t.pacer.NextReadAt(s.governor.ReaderRank(now))
+		if wanted && t.pacer.Synced() && !t.pacer.ReadsTakeLong() {
+			due = now
+		}
 		s.mu.Unlock()
 		if due.Before(t.retryAt) {
 			due = t.retryAt
@@ -131,6 +137,8 @@
 		case <-ctx.Done():
 			return false
 		case <-t.wake:
+		case <-t.wanted:
+			wanted = true
 		case <-time.After(left):
 		}
 	}
--- a/rosemaryspool/subscriber/subscriber.go
+++ b/rosemaryspool/subscriber/subscriber.go
@@ -124,6 +124,9 @@
 		t.wait = memberHold
 		t.pacer = pacer.NewPacer(memberGap, memberHold)
 		t.newest = map[string]platform.Record{}
+		if t.name == platform.TopicServers {
+			t.wanted = g.ListWanted()
+		}
 	}
 	s.SetLimits(settings.DrainLimit, settings.ApplyLimit, settings.KeyLimit)
 	return s
--- a/standin/emulator/upstream.go
+++ b/standin/emulator/upstream.go
@@ -77,7 +77,9 @@
 	Stage  string
 	// Version is that of the upstream's software.
 	Version string
-	server  *httptest.Server
+	// Born is the start of the upstream in Unix milliseconds.
+	Born   int64
+	server *httptest.Server
 
 	mu        sync.Mutex
 	behaviour Behaviour
@@ -148,7 +150,7 @@
 	u.Close()
 	return func(version string) *Upstream {
 		next := newUpstream(u.ID, u.Stage, u.Events)
-		next.Version = version
+		next.Version, next.Born = version, u.Born+1
 		l, err := n.Listen(address)
 		if err != nil {
 			panic(err)
@@ -160,7 +162,7 @@
 }
 
 func newUpstream(id, stage string, events int) *Upstream {
-	return &Upstream{ID: id, Stage: stage, Events: events, Version: "v1", handles: map[string]bool{}}
+	return &Upstream{ID: id, Stage: stage, Events: events, Version: "v1", Born: 1, handles: map[string]bool{}}
 }
 
 // crash ends the upstream like a killed process: it refuses new connections and closes the open ones. It doesn't return.
@@ -190,8 +192,8 @@
 // EntryAt returns the upstream's record in the store with the address of a proxy in front of it.
 func (u *Upstream) EntryAt(address, service, state string) []byte {
 	return fmt.Appendf(nil,
-		`{"service":%q,"address":%q,"zone":"here","version":%q,"slots":6,"state":%q,"stage":%q,"sequence":1,"born":1}`,
-		service, address, u.Version, state, u.Stage)
+		`{"service":%q,"address":%q,"zone":"here","version":%q,"slots":6,"state":%q,"stage":%q,"sequence":1,"born":%d}`,
+		service, address, u.Version, state, u.Stage, u.Born)
 }
 
 // SetBehaviour sets how the upstream responds to the requests that follow.
