Name the start of an upstream in what is reported of it

What callers could see: a server that is back in place is passed over for its predecessor's failures, or gets work at its predecessor's rate. Found by reading, while asking where else one start of an upstream is taken for the next.

Cause: observations and rate limits in work reports named the upstream alone. What an instance had seen of a server before it ended counted against the next start if the report came after the arbiter had read of that. The end of a prefill took its tokens from the queue of a later start of the prefill engine.

Change: observations, limits and a placement's prefiller have the incarnation; what is of another one is dropped. A report has 24 observations at most instead of 32, so that it still fits into a datagram.

--- a/core/allocator/allocator_test.go
+++ b/core/allocator/allocator_test.go
@@ -210,7 +210,7 @@
 	a := newTestAllocator(2, 0)
 	for range 20 {
 		for _, id := range []identifier.UpstreamID{"u0", "u1"} {
-			a.record(now, model, Observation{Upstream: id, Event: EventEnded, Outcome: OutcomeFailed})
+			a.record(now, a.upstreams[id], Observation{Event: EventEnded, Outcome: OutcomeFailed})
 		}
 	}
 	require.NotEmpty(t, a.EjectionCause("u0"))
--- a/core/allocator/notice.go
+++ b/core/allocator/notice.go
@@ -21,7 +21,9 @@
 // NamedLimit is what an upstream has said about the rate of requests that it takes.
 type NamedLimit struct {
 	Upstream identifier.UpstreamID
-	Limit    limiter.Limit
+	// Incarnation is the start of the upstream that has said it; zero if unknown.
+	Incarnation uint64
+	Limit       limiter.Limit
 }
 
 const (
@@ -46,7 +48,10 @@
 // LearnLimit applies another instance's knowledge of an upstream's limit. It reports whether that has changed anything.
 func (a *Allocator) LearnLimit(n NamedLimit) bool {
 	u := a.upstreams[n.Upstream]
-	return u != nil && u.limiter.Learn(n.Limit)
+	if u == nil || (n.Incarnation != 0 && n.Incarnation != u.entry.Incarnation) {
+		return false
+	}
+	return u.limiter.Learn(n.Limit)
 }
 
 // NamedLimits returns the limits of a service's upstreams, for the report to the service's arbiter.
@@ -54,7 +59,9 @@
 	var named []NamedLimit
 	for _, u := range a.services[service] {
 		if u.limiter.LimitedWithin(now, limitMemory) {
-			named = append(named, NamedLimit{Upstream: u.entry.Upstream, Limit: u.limiter.Limit()})
+			named = append(named, NamedLimit{
+				Upstream: u.entry.Upstream, Incarnation: u.entry.Incarnation, Limit: u.limiter.Limit(),
+			})
 		}
 	}
 	slices.SortFunc(named, func(x, y NamedLimit) int { return y.Limit.NamedAt.Compare(x.Limit.NamedAt) })
--- a/core/allocator/observation.go
+++ b/core/allocator/observation.go
@@ -47,7 +47,9 @@
 // the health of upstreams, at the instance itself and at the service's arbiter.
 type Observation struct {
 	Upstream identifier.UpstreamID
-	Event    Event
+	// Incarnation is the start of the upstream that was seen; zero if unknown.
+	Incarnation uint64
+	Event       Event
 	// Outcome is how the work ended, for EventPrefilled and EventEnded.
 	Outcome Outcome
 	// Took is the time since the request was sent; zero when it doesn't show the upstream's speed.
@@ -60,10 +62,12 @@
 }
 
 // maxObservations bounds the observations that wait for the next report; the oldest ones are the least useful.
-const maxObservations = 32
+const maxObservations = 24
 
-// record applies an observation of this instance and keeps it for the service's arbiter.
-func (a *Allocator) record(now time.Time, service identifier.ServiceName, o Observation) {
+// record applies an observation of this instance at an upstream and keeps it for the service's arbiter.
+func (a *Allocator) record(now time.Time, u *upstream, o Observation) {
+	service := u.entry.Service
+	o.Upstream, o.Incarnation = u.entry.Upstream, u.entry.Incarnation
 	a.Observe(now, "", a.dataCentre, o)
 	kept := append(a.observations[service], o)
 	if len(kept) > maxObservations {
@@ -79,12 +83,13 @@
 	return taken
 }
 
-// Observe applies an observation of an instance in a data centre; the empty one is this instance.
+// Observe applies an observation of an instance in a data centre; the empty one is this instance. What was seen of another start
+// of the upstream says nothing about this one.
 func (a *Allocator) Observe(
 	now time.Time, instance identifier.InstanceID, dataCentre identifier.DataCentre, o Observation,
 ) {
 	u := a.upstreams[o.Upstream]
-	if u == nil {
+	if u == nil || (o.Incarnation != 0 && o.Incarnation != u.entry.Incarnation) {
 		return
 	}
 	health := a.healthOf(dataCentre)
@@ -142,7 +147,7 @@
 // the upstream unless it responded to another request recently. RecordOverdue reports whether the upstream is ejected.
 func (a *Allocator) RecordOverdue(now time.Time, id identifier.UpstreamID) bool {
 	if u := a.upstreams[id]; u != nil {
-		a.record(now, u.entry.Service, Observation{Upstream: id, Event: EventOverdue})
+		a.record(now, u, Observation{Event: EventOverdue})
 	}
 	return a.EjectionCause(id) != ""
 }
@@ -156,16 +161,16 @@
 		u.own.Short++
 	}
 	u := a.upstreams[p.Prefiller]
-	if u == nil {
+	if u == nil || u.entry.Incarnation != p.prefillerIncarnation {
 		return
 	}
 	p.addPrefill(&u.own, -1)
-	o := Observation{Upstream: p.Prefiller, Event: EventPrefilled, Outcome: outcome}
+	o := Observation{Event: EventPrefilled, Outcome: outcome}
 	if !p.Deferred && !p.Reordered {
 		// Requests that overtake it, or that it overtakes, would be taken for the engine's speed.
 		o.Took, o.Tokens = now.Sub(p.placed), p.PrefillerAhead.QueuedPrefill+p.Tokens
 	}
-	a.record(now, u.entry.Service, o)
+	a.record(now, u, o)
 }
 
 // runner returns the upstream that runs a placement, or nil if it has ended or restarted since.
@@ -188,14 +193,14 @@
 	if p.Prefiller == "" {
 		p.addPrefill(&u.own, -1)
 	}
-	o := Observation{Upstream: p.Upstream, Event: EventFirst, Direct: p.Prefiller == ""}
+	o := Observation{Event: EventFirst, Direct: p.Prefiller == ""}
 	if p.Ahead.Short+p.Ahead.Long < u.entry.Slots && !p.Deferred && !(o.Direct && p.Reordered) {
 		o.Took = now.Sub(sent)
 	}
 	if o.Direct {
 		o.Tokens = p.Ahead.QueuedPrefill + p.Tokens
 	}
-	a.record(now, u.entry.Service, o)
+	a.record(now, u, o)
 }
 
 // Ended removes the work of a placement from the load, and updates health and timings by its outcome. sent is when the
@@ -216,12 +221,12 @@
 	default:
 		u.own.Short = max(0, u.own.Short-1)
 	}
-	o := Observation{Upstream: p.Upstream, Event: EventEnded, Outcome: outcome}
+	o := Observation{Event: EventEnded, Outcome: outcome}
 	if !p.Long && !p.Deferred && !sent.IsZero() && p.Ahead.Short+p.Ahead.Long < u.entry.Slots {
 		o.Took = now.Sub(sent)
 	}
-	a.record(now, u.entry.Service, o)
+	a.record(now, u, o)
 	if p.Long && !sent.IsZero() && outcome == OutcomeCompleted {
-		a.record(now, u.entry.Service, Observation{Upstream: p.Upstream, Event: EventAnswered, Took: now.Sub(sent)})
+		a.record(now, u, Observation{Event: EventAnswered, Took: now.Sub(sent)})
 	}
 }
--- a/core/allocator/placement.go
+++ b/core/allocator/placement.go
@@ -30,9 +30,10 @@
 	// other requests are likely to overtake each other, so that its times don't show an upstream's speed.
 	Level     Level
 	Reordered bool
-	// incarnation is that of Upstream; a later one knows nothing of the request.
-	incarnation uint64
-	placed      time.Time
+	// incarnation is that of Upstream, prefillerIncarnation that of Prefiller; later ones know nothing of the request.
+	incarnation          uint64
+	prefillerIncarnation uint64
+	placed               time.Time
 	// prefillDone is true once the prefill at Prefiller has ended, started once the first event has arrived.
 	prefillDone bool
 	started     bool
@@ -98,6 +99,9 @@
 	if u := a.upstreams[p.Upstream]; u != nil {
 		p.incarnation = u.entry.Incarnation
 	}
+	if u := a.upstreams[p.Prefiller]; u != nil {
+		p.prefillerIncarnation = u.entry.Incarnation
+	}
 	a.healthOf(a.dataCentre).Sent(p.Upstream)
 	a.useCaches(*p, prompt)
 }
--- a/core/allocator/speed.go
+++ b/core/allocator/speed.go
@@ -58,8 +58,8 @@
 	if u == nil || !p.Long || events <= 0 || took <= 0 {
 		return
 	}
-	a.record(now, u.entry.Service, Observation{
-		Upstream: p.Upstream, Event: EventProgressed, Took: took, Tokens: identifier.Tokens(events),
+	a.record(now, u, Observation{
+		Event: EventProgressed, Took: took, Tokens: identifier.Tokens(events),
 	})
 }
 
--- a/rosemaryspool/gossiper/gossiper.go
+++ b/rosemaryspool/gossiper/gossiper.go
@@ -242,7 +242,7 @@
 	m.Leaving, m.Removed = encodeLeaving(r.Leaving), encodeLeaving(r.Removed)
 	for _, n := range r.Limits {
 		m.Limits = append(m.Limits, &messenger.UpstreamLimit{
-			Upstream: string(n.Upstream), Limited: n.Limit.Limited, PerSecond: n.Limit.PerSecond,
+			Upstream: string(n.Upstream), Incarnation: n.Incarnation, Limited: n.Limit.Limited, PerSecond: n.Limit.PerSecond,
 			AgeMs: identifier.Milliseconds(time.Since(n.Limit.NamedAt)),
 		})
 	}
@@ -252,7 +252,7 @@
 	for _, o := range r.Observations {
 		m.Observations = append(m.Observations, &messenger.Observation{
 			Upstream: string(o.Upstream), Event: messenger.Observation_Event(o.Event), Outcome: uint32(o.Outcome),
-			TookUs: uint32(max(0, o.Took.Microseconds())), Tokens: uint32(max(0, o.Tokens)), Direct: o.Direct,
+			TookUs: uint32(max(0, o.Took.Microseconds())), Tokens: uint32(max(0, o.Tokens)), Direct: o.Direct, Incarnation: o.Incarnation,
 		})
 	}
 	return m
@@ -293,7 +293,7 @@
 	r.Leaving, r.Removed = decodeLeaving(m.GetLeaving()), decodeLeaving(m.GetRemoved())
 	for _, n := range m.GetLimits() {
 		r.Limits = append(r.Limits, allocator.NamedLimit{
-			Upstream: identifier.UpstreamID(n.GetUpstream()), Limit: limiter.Limit{
+			Upstream: identifier.UpstreamID(n.GetUpstream()), Incarnation: n.GetIncarnation(), Limit: limiter.Limit{
 				Limited: n.GetLimited(), PerSecond: n.GetPerSecond(),
 				NamedAt: at.Add(-time.Duration(n.GetAgeMs()) * time.Millisecond),
 			},
@@ -306,7 +306,7 @@
 		r.Observations = append(r.Observations, allocator.Observation{
 			Upstream: identifier.UpstreamID(o.GetUpstream()), Event: allocator.Event(o.GetEvent()),
 			Outcome: allocator.Outcome(o.GetOutcome()), Took: time.Duration(o.GetTookUs()) * time.Microsecond,
-			Tokens: identifier.Tokens(o.GetTokens()), Direct: o.GetDirect(),
+			Tokens: identifier.Tokens(o.GetTokens()), Direct: o.GetDirect(), Incarnation: o.GetIncarnation(),
 		})
 	}
 	return r
--- a/rosemaryspool/gossiper/gossiper_test.go
+++ b/rosemaryspool/gossiper/gossiper_test.go
@@ -89,13 +89,13 @@
 		Loads: allocator.Loads{"u": {Short: 3, Long: 2, AwaitingPrefill: 1, QueuedPrefill: 9000}},
 		Observations: []allocator.Observation{
 			{
-				Upstream: "u", Event: allocator.EventPrefilled, Outcome: allocator.OutcomeFailed, Took: 3 * time.Millisecond,
+				Upstream: "u", Incarnation: 1 << 58, Event: allocator.EventPrefilled, Outcome: allocator.OutcomeFailed, Took: 3 * time.Millisecond,
 				Tokens: 4000, Direct: true,
 			},
 			{Upstream: "u", Event: allocator.EventOverdue},
 		},
 		Limits: []allocator.NamedLimit{
-			{Upstream: "u", Limit: limiter.Limit{Limited: true, PerSecond: 7.5, NamedAt: now.Add(-20 * time.Millisecond)}},
+			{Upstream: "u", Incarnation: 1 << 57, Limit: limiter.Limit{Limited: true, PerSecond: 7.5, NamedAt: now.Add(-20 * time.Millisecond)}},
 			{Upstream: "v", Limit: limiter.Limit{NamedAt: now}},
 		},
 		Leaving: []governor.LeavingUpstream{{Upstream: "w", Incarnation: 1 << 60}},
