List no upstream again for a report from before its removal

A status report that it had written before was executed six seconds later by the store: the server was listed again, got 4 to 6 of 12 orders 3.9 s after its removal, and ended with them (502).

Cause: the sequence of reports wasn't read, so a report of the same start counted as a new registration. Instances that don't read the store would not have known better with it, as they get only the reports that say something new.

Change: the tracker keeps the highest sequence of an upstream's start, also from reports that say nothing new. A removed upstream is listed again only for a higher one, or another start; a listed one takes nothing from a lower one. Forwarded removals name the sequence before them; an instance that is sent a late record tells the sender what it knows. An upstream that lapsed and goes on counting is back with its next report. The stand-ins' upstreams count their reports now; they wrote 1 each time.

TestLateReportOfARemovedUpstreamIsNotListed (4 cases) fails without the comparison.

--- a/core/tracker/tracker.go
+++ b/core/tracker/tracker.go
@@ -48,12 +48,15 @@
 	Version identifier.SoftwareVersion
 	// Incarnation increases with each start of an upstream under the same id; zero when unknown.
 	Incarnation uint64
+	// Sequence counts the reports of this incarnation; zero when unknown. Lists leave it out.
+	Sequence uint64
 	// Spot is true for an upstream that the platform may take away at short notice.
 	Spot bool
 }
 
 // Changes reports whether a record that follows another one of the same upstream says anything new.
 func (e Entry) Changes(previous Entry) bool {
+	e.Sequence, previous.Sequence = 0, 0
 	merged, current := e.after(previous)
 	return current && merged != previous
 }
@@ -82,14 +85,17 @@
 	entry Entry
 	// offset is the position of the last accepted record in the store.
 	offset uint64
+	// sequence is the highest one of the entry's incarnation.
+	sequence uint64
 	// missingSince is when the record was deleted during the grace period after an outage; zero if it wasn't.
 	missingSince time.Time
 }
 
 // removal is what is known of a removed upstream.
 type removal struct {
-	// entry is its last entry.
-	entry Entry
+	// entry is its last entry, sequence the highest one of its incarnation.
+	entry    Entry
+	sequence uint64
 	// lost is true if the store has returned from an older copy since, which may not contain the removal.
 	lost bool
 	// copied is true if that copy still lists the upstream.
@@ -174,8 +180,9 @@
 func (t *Tracker) CopyEndsBefore(offset uint64) { t.copyEnd = min(t.copyEnd, offset) }
 
 // Update applies an upstream's record at an offset and reports whether the list changed. Records with a lower offset or
-// of an earlier incarnation are ignored.
+// of an earlier incarnation are ignored, and so are late reports.
 func (t *Tracker) Update(e Entry, offset uint64) bool {
+	sequence := e.Sequence
 	m := t.members[e.Upstream]
 	if m == nil {
 		if t.IsStale(e, offset) {
@@ -183,22 +190,61 @@
 			r.copied = r.lost && offset < t.copyEnd
 			return false
 		}
+		e.Sequence = 0
 		delete(t.removed, e.Upstream)
-		t.members[e.Upstream] = &member{entry: e, offset: offset}
+		t.members[e.Upstream] = &member{entry: e, offset: offset, sequence: sequence}
 		return true
 	}
+	isLate := e.Incarnation == m.entry.Incarnation && e.Incarnation != 0 && sequence != 0 && sequence < m.sequence
+	e.Sequence = 0
 	e, current := e.after(m.entry)
-	if offset < m.offset || !current {
+	if offset < m.offset || !current || isLate {
 		return false
 	}
 	if e.Incarnation > m.entry.Incarnation {
 		delete(t.noticed, e.Upstream)
+		m.sequence = 0
 	}
+	m.sequence = max(m.sequence, sequence)
 	changed := m.entry != e || !m.missingSince.IsZero()
 	m.entry, m.offset, m.missingSince = e, offset, time.Time{}
 	return changed
 }
 
+// Heard records that an incarnation of an upstream has sent a report that says nothing new.
+func (t *Tracker) Heard(e Entry) {
+	if m := t.members[e.Upstream]; m != nil && m.entry.Incarnation == e.Incarnation {
+		m.sequence = max(m.sequence, e.Sequence)
+	}
+}
+
+// LastBefore returns the sequence of the last report of an upstream before the deletion of its record at an offset, zero if it is
+// unknown or the upstream has registered again since. sequence is what another instance has read; zero if unknown.
+func (t *Tracker) LastBefore(id identifier.UpstreamID, offset, sequence uint64) uint64 {
+	m, r := t.members[id], t.removed[id]
+	switch {
+	case m != nil && offset >= m.offset:
+		m.sequence = max(m.sequence, sequence)
+		return m.sequence
+	case m == nil && r != nil:
+		r.sequence = max(r.sequence, sequence)
+		return r.sequence
+	default:
+		return 0
+	}
+}
+
+// Sequence returns the highest sequence of an upstream's reports, and false if the upstream is neither listed nor removed.
+func (t *Tracker) Sequence(id identifier.UpstreamID) (sequence uint64, known bool) {
+	if m := t.members[id]; m != nil {
+		return m.sequence, true
+	}
+	if r := t.removed[id]; r != nil {
+		return r.sequence, true
+	}
+	return 0, false
+}
+
 // MarkLeaving records that an incarnation of an upstream has said itself that it leaves. It reports whether that is new.
 func (t *Tracker) MarkLeaving(id identifier.UpstreamID, incarnation uint64) bool {
 	m := t.members[id]
@@ -210,14 +256,23 @@
 }
 
 // MarkRemoved records that another instance knows the removal of an incarnation of an upstream, which an older copy of the
-// store may not contain. It reports whether that is new; an upstream that has written since is not removed.
-func (t *Tracker) MarkRemoved(id identifier.UpstreamID, incarnation uint64) bool {
+// store may not contain, or behind which a late report was written, and the highest sequence before the removal; zero if
+// unknown. It reports whether that is new; an upstream that has written since is not removed.
+func (t *Tracker) MarkRemoved(id identifier.UpstreamID, incarnation, sequence uint64) bool {
 	m := t.members[id]
-	if m == nil || m.entry.Incarnation != incarnation || m.offset >= t.copyEnd {
+	if m == nil || m.entry.Incarnation != incarnation {
+		return false
+	}
+	isCopied, isLate := m.offset < t.copyEnd, m.sequence != 0 && m.sequence <= sequence
+	if !isCopied && !isLate {
 		return false
 	}
 	t.remove(id, m)
-	t.removed[id].lost, t.removed[id].copied = true, true
+	r := t.removed[id]
+	r.sequence = max(r.sequence, sequence)
+	if isCopied {
+		r.lost, r.copied = true, true
+	}
 	return true
 }
 
@@ -245,7 +300,8 @@
 }
 
 // IsStale reports whether a record is a late one of a removed upstream: of an earlier incarnation, of the same one after
-// it left, or of an older copy of the store that may not contain the removal.
+// it left or with a report that was sent before the removal, or of an older copy of the store that may not contain the
+// removal.
 func (t *Tracker) IsStale(e Entry, offset uint64) bool {
 	r, removed := t.removed[e.Upstream]
 	switch {
@@ -254,10 +310,15 @@
 	case e.Incarnation != r.entry.Incarnation:
 		return e.Incarnation < r.entry.Incarnation
 	default:
-		return r.entry.Leaving && e.Incarnation != 0 || r.lost && offset < t.copyEnd
+		return r.entry.Leaving && e.Incarnation != 0 || r.isLate(e) || r.lost && offset < t.copyEnd
 	}
 }
 
+// isLate reports whether a record of the removed incarnation is a report from before the removal.
+func (r *removal) isLate(e Entry) bool {
+	return e.Incarnation != 0 && e.Sequence != 0 && e.Sequence <= r.sequence
+}
+
 // Delete applies the deletion of an upstream's record and reports whether the list changed. For RelistGracePeriod after
 // an outage of the store, the upstream stays listed until Expire, unless it was leaving.
 func (t *Tracker) Delete(now time.Time, id identifier.UpstreamID, offset uint64) bool {
@@ -315,7 +376,7 @@
 
 func (t *Tracker) remove(id identifier.UpstreamID, m *member) {
 	// Until the copy has been read, a removal is one that was read before.
-	t.removed[id] = &removal{entry: m.entry, lost: t.copyEnd == math.MaxUint64}
+	t.removed[id] = &removal{entry: m.entry, sequence: m.sequence, lost: t.copyEnd == math.MaxUint64}
 	delete(t.members, id)
 	delete(t.noticed, id)
 }
--- a/core/tracker/tracker_test.go
+++ b/core/tracker/tracker_test.go
@@ -173,9 +173,9 @@
 		return tr
 	}
 	tr := started()
-	require.False(t, tr.MarkRemoved("u", 2), "another incarnation")
-	require.True(t, tr.MarkRemoved("u", 1))
-	require.False(t, tr.MarkRemoved("u", 1), "known already")
+	require.False(t, tr.MarkRemoved("u", 2, 0), "another incarnation")
+	require.True(t, tr.MarkRemoved("u", 1, 0))
+	require.False(t, tr.MarkRemoved("u", 1, 0), "known already")
 	require.Empty(t, tr.Entries())
 	require.Len(t, tr.CopiedRemoved(), 1)
 	tr.Update(entry(1, false), 4)
@@ -185,7 +185,7 @@
 
 	tr = started()
 	tr.Update(entry(1, false), 5)
-	require.False(t, tr.MarkRemoved("u", 1), "the upstream has written since")
+	require.False(t, tr.MarkRemoved("u", 1, 0), "the upstream has written since")
 	require.Len(t, tr.Entries(), 1)
 }
 
@@ -205,3 +205,96 @@
 	tr.Delete(time.Now(), "u", 4)
 	require.Empty(t, tr.NoticedLeaving())
 }
+
+func report(incarnation, sequence uint64) Entry {
+	e := entry(incarnation, false)
+	e.Sequence = sequence
+	return e
+}
+
+// A report that was sent before the upstream left doesn't list it again; one of a live upstream that lapsed does at once.
+func TestReportsThatWereSentBeforeTheRemoval(t *testing.T) {
+	now := time.Now()
+	for _, c := range []struct {
+		name string
+		run  func(*Tracker)
+		want int
+	}{
+		{"sent before the removal", func(tr *Tracker) {
+			tr.Update(report(7, 1), 1)
+			tr.Heard(report(7, 8))
+			tr.Delete(now, "u", 20)
+			tr.Update(report(7, 5), 21)
+		}, 0},
+		{"the last one before the removal, again", func(tr *Tracker) {
+			tr.Update(report(7, 8), 1)
+			tr.Delete(now, "u", 20)
+			tr.Update(report(7, 8), 21)
+		}, 0},
+		{"the upstream was listed again and removed again", func(tr *Tracker) {
+			tr.Update(report(7, 8), 1)
+			tr.Delete(now, "u", 20)
+			tr.Update(report(7, 9), 21)
+			tr.Delete(now, "u", 22)
+			tr.Update(report(7, 9), 23)
+		}, 0},
+		{"another instance has read more reports", func(tr *Tracker) {
+			tr.Update(report(7, 1), 1)
+			tr.LastBefore("u", 20, 8)
+			tr.Delete(now, "u", 20)
+			tr.Update(report(7, 5), 21)
+		}, 0},
+		{"another instance knows the removal", func(tr *Tracker) {
+			tr.Update(report(7, 5), 21)
+			tr.MarkRemoved("u", 7, 8)
+		}, 0},
+		{"the upstream is alive", func(tr *Tracker) {
+			tr.Update(report(7, 8), 1)
+			tr.Delete(now, "u", 20)
+			tr.Update(report(7, 9), 21)
+		}, 1},
+		{"the upstream has started again", func(tr *Tracker) {
+			tr.Update(report(7, 8), 1)
+			tr.Delete(now, "u", 20)
+			tr.Update(report(8, 1), 21)
+		}, 1},
+		{"it has written since the removal that another instance knows", func(tr *Tracker) {
+			tr.Update(report(7, 9), 21)
+			tr.MarkRemoved("u", 7, 8)
+		}, 1},
+		{"the deletion is older than its return", func(tr *Tracker) {
+			tr.Update(report(7, 9), 21)
+			tr.LastBefore("u", 20, 8)
+			tr.Delete(now, "u", 20)
+		}, 1},
+		{"it doesn't count its reports", func(tr *Tracker) {
+			tr.Update(entry(7, false), 1)
+			tr.Delete(now, "u", 20)
+			tr.Update(entry(7, false), 21)
+		}, 1},
+		{"its start is unknown", func(tr *Tracker) {
+			tr.Update(report(0, 8), 1)
+			tr.Delete(now, "u", 20)
+			tr.Update(report(0, 1), 21)
+		}, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			tr := NewTracker()
+			c.run(tr)
+			require.Len(t, tr.Entries(), c.want)
+			for _, e := range tr.Entries() {
+				require.Zero(t, e.Sequence)
+			}
+		})
+	}
+}
+
+func TestLateReportOfAListedUpstreamChangesNothing(t *testing.T) {
+	tr := NewTracker()
+	tr.Update(report(7, 8), 1)
+	late := report(7, 5)
+	late.Address = "earlier"
+	require.False(t, tr.Update(late, 2))
+	require.Empty(t, tr.Entries()[0].Address)
+	require.False(t, report(7, 9).Changes(report(7, 8)), "a report that says nothing new")
+}
--- a/rosemaryspool/gossiper/gossiper.go
+++ b/rosemaryspool/gossiper/gossiper.go
@@ -261,7 +261,9 @@
 func encodeLeaving(upstreams []governor.LeavingUpstream) []*messenger.LeavingUpstream {
 	var encoded []*messenger.LeavingUpstream
 	for _, l := range upstreams {
-		encoded = append(encoded, &messenger.LeavingUpstream{Upstream: string(l.Upstream), Incarnation: l.Incarnation})
+		encoded = append(encoded, &messenger.LeavingUpstream{
+			Upstream: string(l.Upstream), Incarnation: l.Incarnation, Sequence: l.Sequence,
+		})
 	}
 	return encoded
 }
@@ -270,7 +272,7 @@
 	var upstreams []governor.LeavingUpstream
 	for _, l := range encoded {
 		upstreams = append(upstreams, governor.LeavingUpstream{
-			Upstream: identifier.UpstreamID(l.GetUpstream()), Incarnation: l.GetIncarnation(),
+			Upstream: identifier.UpstreamID(l.GetUpstream()), Incarnation: l.GetIncarnation(), Sequence: l.GetSequence(),
 		})
 	}
 	return upstreams
--- a/rosemaryspool/gossiper/packer.go
+++ b/rosemaryspool/gossiper/packer.go
@@ -116,7 +116,9 @@
 func compressRecords(records []Record) []byte {
 	m := &messenger.PackedRecords{Records: make([]*messenger.StoreRecord, 0, len(records))}
 	for _, r := range records {
-		m.Records = append(m.Records, &messenger.StoreRecord{Key: r.Key, Value: r.Value, Offset: r.Offset})
+		m.Records = append(m.Records, &messenger.StoreRecord{
+			Key: r.Key, Value: r.Value, Offset: r.Offset, Sequence: r.Sequence,
+		})
 	}
 	// Errors are for invalid text, which is sent as it is.
 	content, _ := proto.MarshalOptions{AllowPartial: true}.Marshal(m)
--- a/rosemaryspool/gossiper/view.go
+++ b/rosemaryspool/gossiper/view.go
@@ -55,6 +55,8 @@
 	Key    string
 	Value  []byte
 	Offset uint64
+	// Sequence is that of the last report of an upstream whose record is deleted; zero if unknown.
+	Sequence uint64
 }
 
 // size bounds what the record takes in a message.
@@ -227,7 +229,9 @@
 			if size+length > maxUpdateBytes {
 				finish(r.Offset)
 			}
-			current.Records = append(current.Records, &messenger.StoreRecord{Key: r.Key, Value: r.Value, Offset: r.Offset})
+			current.Records = append(current.Records, &messenger.StoreRecord{
+				Key: r.Key, Value: r.Value, Offset: r.Offset, Sequence: r.Sequence,
+			})
 			size += length
 			continue
 		}
@@ -272,7 +276,7 @@
 		OutageAge: time.Duration(t.GetOutageAgeMs()) * time.Millisecond,
 	}
 	for _, r := range t.GetRecords() {
-		v.Records = append(v.Records, Record{Key: r.GetKey(), Value: r.GetValue(), Offset: r.GetOffset()})
+		v.Records = append(v.Records, Record{Key: r.GetKey(), Value: r.GetValue(), Offset: r.GetOffset(), Sequence: r.GetSequence()})
 	}
 	return v
 }
--- a/rosemaryspool/governor/notice.go
+++ b/rosemaryspool/governor/notice.go
@@ -47,6 +47,15 @@
 	}
 }
 
+// HeardReports records reports of upstreams that say nothing new.
+func (g *Governor) HeardReports(reports []tracker.Entry) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, e := range reports {
+		g.tracker.Heard(e)
+	}
+}
+
 // CopiedRemoved returns the upstreams whose removal is known here and which an older copy of the store lists.
 func (g *Governor) CopiedRemoved() []LeavingUpstream {
 	g.mu.Lock()
@@ -69,12 +78,12 @@
 
 // markRemoved applies an upstream's removal that another instance knows. The governor's mutex must be held.
 func (g *Governor) markRemoved(l LeavingUpstream, sender identifier.InstanceID) {
-	if !g.tracker.MarkRemoved(l.Upstream, l.Incarnation) {
+	if !g.tracker.MarkRemoved(l.Upstream, l.Incarnation, l.Sequence) {
 		return
 	}
 	g.applyUpstreams(time.Now())
 	g.log.Info().Str("event", "upstreamRemoved").Str("upstream", string(l.Upstream)).Uint64("incarnation", l.Incarnation).
-		Str("sender", string(sender)).Msg("Another instance knows the removal of an upstream that the store's older copy lists")
+		Str("sender", string(sender)).Msg("Another instance knows the removal of an upstream that an older copy of the store or a late report lists")
 }
 
 // logLimit logs a change of an upstream's rate limit. sender is the instance that reported it; empty for this instance.
--- a/rosemaryspool/governor/report.go
+++ b/rosemaryspool/governor/report.go
@@ -35,6 +35,8 @@
 type LeavingUpstream struct {
 	Upstream    identifier.UpstreamID
 	Incarnation uint64
+	// Sequence is that of its last report before its removal; zero if it is unknown or the upstream isn't removed.
+	Sequence uint64
 }
 
 // maxReportedLeaving bounds the leaving and the removed upstreams in a report, which must fit into a datagram; the store's list has all.
--- a/rosemaryspool/subscriber/agreement_test.go
+++ b/rosemaryspool/subscriber/agreement_test.go
@@ -27,6 +27,8 @@
 // memoryStore is a store in this process. It runs meanwhile after it has computed the result of a read and before it
 // returns it.
 type memoryStore struct {
+	// reports counts the reports of each start of an upstream.
+	reports   map[string]int
 	records   []platform.Record
 	start     uint64
 	era       identifier.Era
@@ -41,6 +43,16 @@
 	s.records = append(s.records, platform.Record{Key: key, Value: value, Offset: s.end()})
 }
 
+// report writes the next report of an upstream that started under a key for a number of times.
+func (s *memoryStore) report(key, state string, born int) {
+	if s.reports == nil {
+		s.reports = map[string]int{}
+	}
+	start := fmt.Sprint(key, "/", born)
+	s.reports[start]++
+	s.put(key, bornRecord(state, born, s.reports[start]))
+}
+
 func (s *memoryStore) end() uint64 { return s.start + uint64(len(s.records)) }
 
 // trim moves the newest record of each key behind all others and removes these.
@@ -346,8 +358,8 @@
 func TestUpstreamsThatLeftWithoutSayingSoAreNotListedAgainFromAnOlderCopy(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newSimulation(4)
-		s.store.put("a", bornRecord("ready", 1))
-		s.store.put("b", bornRecord("ready", 1))
+		s.store.report("a", "ready", 1)
+		s.store.report("b", "ready", 1)
 		s.settle(t)
 		s.store.put("a", nil)
 		s.settle(t)
@@ -373,7 +385,7 @@
 		requireListed("b")
 
 		// One that was removed for its silence is alive.
-		s.store.put("a", bornRecord("ready", 1))
+		s.store.report("a", "ready", 1)
 		s.settle(t)
 		requireListed("a", "b")
 	})
@@ -382,8 +394,8 @@
 func TestReaderThatNeverKnewARemovalIsToldOfIt(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newSimulation(3)
-		s.store.put("a", bornRecord("ready", 1))
-		s.store.put("b", bornRecord("ready", 1))
+		s.store.report("a", "ready", 1)
+		s.store.report("b", "ready", 1)
 		s.settle(t)
 		s.store.put("a", nil)
 		s.settle(t)
@@ -394,7 +406,7 @@
 			require.Equal(t, []identifier.UpstreamID{"b"}, i.listed(), "instance %d", i.number)
 		}
 		// It is alive.
-		s.store.put("a", bornRecord("ready", 1))
+		s.store.report("a", "ready", 1)
 		s.settle(t)
 		for _, i := range s.instances {
 			require.Equal(t, []identifier.UpstreamID{"a", "b"}, i.listed(), "instance %d", i.number)
@@ -405,10 +417,10 @@
 func TestUpstreamsThatSaidThatTheyLeaveAreNotListedFromAnOlderCopyByInstancesThatStart(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newSimulation(3)
-		s.store.put("a", bornRecord("ready", 1))
-		s.store.put("b", bornRecord("ready", 1))
+		s.store.report("a", "ready", 1)
+		s.store.report("b", "ready", 1)
 		s.settle(t)
-		s.store.put("a", bornRecord("draining", 1))
+		s.store.report("a", "draining", 1)
 		s.settle(t)
 		s.store.put("a", nil)
 		s.settle(t)
@@ -484,7 +496,7 @@
 		h.store.put(key, nil)
 		return
 	}
-	h.store.put(key, bornRecord(state, h.born[key]))
+	h.store.report(key, state, h.born[key])
 }
 
 // writeAgain writes the state of one upstream again, as it does itself.
@@ -572,10 +584,10 @@
 func TestUpstreamThatRegistersAgainInTheReadOfItsRemovalIsListed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newSimulation(2)
-		s.store.put("a", bornRecord("ready", 1))
+		s.store.report("a", "ready", 1)
 		s.settle(t)
 		s.store.put("a", nil)
-		s.store.put("a", bornRecord("ready", 1))
+		s.store.report("a", "ready", 1)
 		s.settle(t)
 		require.Empty(t, s.disagreement(t))
 	})
@@ -607,9 +619,68 @@
 	}
 }
 
-func bornRecord(state string, born int) []byte {
+func bornRecord(state string, born, sequence int) []byte {
 	return fmt.Appendf(nil,
-		`{"service":"s","address":"10.0.0.1:80","zone":"z","slots":6,"state":%q,"sequence":1,"born":%d}`, state, born)
+		`{"service":"s","address":"10.0.0.1:80","zone":"z","slots":6,"state":%q,"sequence":%d,"born":%d}`, state, sequence, born)
+}
+
+// A report that an upstream sent before it left without notice, and that the store executes late, had the upstream listed again.
+func TestLateReportOfARemovedUpstreamIsNotListed(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// before is called before the removal is read, after once it is known.
+		before, after func(t *testing.T, s *simulation)
+		// reader reads the late report.
+		reader int
+	}{
+		{"the reader knows the removal", nil, nil, 0},
+		{"another one reads, which was told of the removal", nil, nil, 1},
+		{"the reader has started since", nil, func(_ *testing.T, s *simulation) { s.startFromNeighbours(0) }, 0},
+		{"an instance has started before", func(_ *testing.T, s *simulation) { s.startFromNeighbours(2) }, nil, 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newSimulation(3)
+				s.store.report("b", "ready", 1)
+				for range 8 {
+					// Only the reader sees those that say nothing new.
+					s.store.report("a", "ready", 1)
+					s.settle(t)
+				}
+				if c.before != nil {
+					c.before(t, s)
+				}
+				s.store.put("a", nil)
+				s.settle(t)
+				if c.after != nil {
+					c.after(t, s)
+				}
+				requireListed := func(want ...identifier.UpstreamID) {
+					t.Helper()
+					for _, i := range s.instances {
+						require.Equal(t, want, i.listed(), "instance %d", i.number)
+					}
+				}
+				requireListed("b")
+				s.store.put("a", bornRecord("ready", 1, 5))
+				s.instances[c.reader].readStore(t)
+				s.settle(t)
+				requireListed("b")
+
+				// One that was removed for its silence is alive.
+				s.store.report("a", "ready", 1)
+				s.settle(t)
+				requireListed("a", "b")
+				// So is one that has started again.
+				s.store.put("a", nil)
+				s.settle(t)
+				requireListed("b")
+				s.store.report("a", "ready", 2)
+				s.settle(t)
+				requireListed("a", "b")
+			})
+		})
+	}
 }
 
 // Parts of a forwarded view counted as read at the time of the whole.
@@ -620,7 +691,7 @@
 		reader.readStore(t)
 		before := reader.topic.pacer.View().ReadAt
 		time.Sleep(time.Second)
-		s.store.put("a", bornRecord("ready", 1))
+		s.store.report("a", "ready", 1)
 		s.sent = nil
 		reader.readStore(t)
 		require.Len(t, s.sent, 1)
@@ -646,7 +717,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				s := newSimulation(2)
-				s.store.put("a", bornRecord("ready", 1))
+				s.store.report("a", "ready", 1)
 				s.settle(t)
 				s.start(1)
 				i := s.instances[1]
--- a/rosemaryspool/subscriber/applier.go
+++ b/rosemaryspool/subscriber/applier.go
@@ -10,6 +10,9 @@
 	"rosemaryspool.example/rosemaryspool/governor"
 )
 
+// maxReportedRemoved bounds the removed upstreams that are reported to another instance in one datagram.
+const maxReportedRemoved = 16
+
 func (s *Subscriber) applyConfigurations(records []platform.Record, origin governor.Origin) []platform.Record {
 	var accepted []platform.Record
 	for _, r := range records {
@@ -50,6 +53,7 @@
 func (s *Subscriber) applyServers(records []platform.Record, origin governor.Origin) []platform.Record {
 	now := time.Now()
 	var accepted []platform.Record
+	var outdated []governor.LeavingUpstream
 	s.governor.UpdateUpstreams(now, origin, func(t *tracker.Tracker) bool {
 		changed := false
 		listed := map[identifier.UpstreamID]bool{}
@@ -57,6 +61,7 @@
 			id := identifier.UpstreamID(r.Key)
 			if len(r.Value) == 0 {
 				if platform.IsID(r.Key) {
+					r.Sequence = t.LastBefore(id, r.Offset, r.Sequence)
 					changed = t.Delete(now, id, r.Offset) || changed
 					accepted = append(accepted, r)
 				}
@@ -70,14 +75,17 @@
 					Msg("Skipping an invalid entry of an upstream")
 				continue
 			}
+			sequence, _ := t.Sequence(id)
 			stale := t.IsStale(e, r.Offset)
 			changed = t.Update(e, r.Offset) || changed
 			if stale {
 				// Instances that start must not get it, and the upstream's next record is news.
-				if origin.Snapshot {
-					s.log.Info().Str("event", "upstreamRecordStale").Str("upstream", r.Key).Uint64("offset", r.Offset).
-						Msg("Skipping an entry of an upstream whose removal is known")
-				}
+				s.log.Info().Str("event", "upstreamRecordStale").Str("upstream", r.Key).Uint64("offset", r.Offset).
+					Uint64("sequence", e.Sequence).Uint64("lastSequence", sequence).Str("sender", string(origin.Sender)).
+					Msg("Skipping an entry of an upstream whose removal is known")
+				outdated = append(outdated, governor.LeavingUpstream{
+					Upstream: id, Incarnation: e.Incarnation, Sequence: sequence,
+				})
 				continue
 			}
 			accepted = append(accepted, r)
@@ -87,6 +95,10 @@
 		}
 		return changed
 	})
+	if origin.Sender != "" && len(outdated) > 0 {
+		// The sender may not know the removal.
+		s.exchange.ReportRemoved(origin.Sender, outdated[:min(len(outdated), maxReportedRemoved)])
+	}
 	return accepted
 }
 
@@ -101,7 +113,19 @@
 		return true
 	}
 	entry, err := platform.DecodeServer(next.Key, next.Value)
-	return err != nil || entry.Changes(previous)
+	if err != nil || entry.Changes(previous) {
+		return true
+	}
+	s.reports = append(s.reports, entry)
+	return false
+}
+
+// applyReports records the upstreams' reports that said nothing new.
+func (s *Subscriber) applyReports() {
+	if len(s.reports) > 0 {
+		s.governor.HeardReports(s.reports)
+		s.reports = s.reports[:0]
+	}
 }
 
 func (s *Subscriber) applyMembers(records []platform.Record, origin governor.Origin) []platform.Record {
--- a/rosemaryspool/subscriber/departure_test.go
+++ b/rosemaryspool/subscriber/departure_test.go
@@ -212,7 +212,7 @@
 	}}}
 	n.store.put(platform.TopicConfiguration, platform.KeyConfiguration, configuration(1))
 	for _, id := range []string{"a", "b"} {
-		n.store.put(platform.TopicServers, id, bornRecord("ready", 1))
+		n.store.put(platform.TopicServers, id, bornRecord("ready", 1, 1))
 	}
 	for i := range count {
 		self := elector.Member{Instance: identifier.InstanceID(fmt.Sprint("spool-", i)), StartedMs: 1}
@@ -427,12 +427,12 @@
 // An instance asks for a snapshot just when the one that it asks is applying forwarded records.
 func TestSnapshotContainsTheRecordsThatAreBeingApplied(t *testing.T) {
 	s := newSimulation(3)
-	s.store.put("a", bornRecord("ready", 1))
+	s.store.put("a", bornRecord("ready", 1, 1))
 	for _, i := range s.instances {
 		i.readStore(t)
 	}
 	s.sent = nil
-	s.store.put("a", bornRecord("draining", 1))
+	s.store.put("a", bornRecord("draining", 1, 2))
 	s.instances[0].readStore(t)
 	asked, apply, answered := s.instances[1], s.instances[1].topic.apply, make(chan struct{})
 	asked.topic.apply = func(records []platform.Record, origin governor.Origin) []platform.Record {
@@ -488,7 +488,7 @@
 func TestReadCountsFromWhenItBegan(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newSimulation(1)
-		s.store.put("a", bornRecord("ready", 1))
+		s.store.put("a", bornRecord("ready", 1, 1))
 		i := s.instances[0]
 		for range 2 {
 			started := time.Now()
--- a/rosemaryspool/subscriber/longlist_test.go
+++ b/rosemaryspool/subscriber/longlist_test.go
@@ -22,7 +22,7 @@
 // report writes the records of upstreams.
 func (n *neighbourhood) report(upstreams int) {
 	for u := range upstreams {
-		n.store.put(platform.TopicServers, fmt.Sprint("u", u), bornRecord("ready", 1))
+		n.store.put(platform.TopicServers, fmt.Sprint("u", u), bornRecord("ready", 1, 1))
 	}
 }
 
--- a/standin/emulator/upstream.go
+++ b/standin/emulator/upstream.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -78,8 +79,10 @@
 	// Version is that of the upstream's software.
 	Version string
 	// Born is the start of the upstream in Unix milliseconds.
-	Born   int64
-	server *httptest.Server
+	Born int64
+	// written counts the records that the upstream has written.
+	written atomic.Uint64
+	server  *httptest.Server
 
 	mu        sync.Mutex
 	behaviour Behaviour
@@ -192,8 +195,8 @@
 // EntryAt returns the upstream's record in the store with the address of a proxy in front of it.
 func (u *Upstream) EntryAt(address, service, state string) []byte {
 	return fmt.Appendf(nil,
-		`{"service":%q,"address":%q,"zone":"here","version":%q,"slots":6,"state":%q,"stage":%q,"sequence":1,"born":%d}`,
-		service, address, u.Version, state, u.Stage, u.Born)
+		`{"service":%q,"address":%q,"zone":"here","version":%q,"slots":6,"state":%q,"stage":%q,"sequence":%d,"born":%d}`,
+		service, address, u.Version, state, u.Stage, u.written.Add(1), u.Born)
 }
 
 // SetBehaviour sets how the upstream responds to the requests that follow.
