Log how many instances answer that they don't know a stream

The refusal didn't tell whether the instances that knew the origin were not asked, had not answered, or had answered that they don't know it.

`streamOriginUnknown` names the instances, the replies and the versions.

--- a/rosemaryspool/delegator/stream.go
+++ b/rosemaryspool/delegator/stream.go
@@ -34,6 +34,7 @@
 	}
 	others := d.governor.Others()
 	versions, answered := d.governor.StreamVersions(time.Now(), service), len(others) == 0
+	replies := 0
 	for _, asked := range [][]elector.Member{d.governor.Arbiters(time.Now(), service, maxArbiters), others} {
 		for _, reply := range d.queryOrigin(ctx, asked, service, id) {
 			if reply.known {
@@ -41,8 +42,12 @@
 				return reply.origin, resumer.Versions{}, true
 			}
 			versions, answered = versions.Add(reply.versions), true
+			replies++
 		}
 	}
+	d.log.Info().Str("event", "streamOriginUnknown").Str("service", string(service)).Uint64("stream", uint64(id)).
+		Int("instances", len(others)).Int("replies", replies).Int("versions", len(versions.Names)).
+		Bool("versionsComplete", versions.Complete).Msg("No instance that has answered knows where a stream began")
 	// An instance that nobody answers may have missed upstreams at which streams have begun since.
 	versions.Complete = versions.Complete && answered
 	return resumer.Origin{}, versions, false
