Tell all instances where streams began, and each new process again

Cause: an origin was told once, to the service's arbiter and its stand-by of that moment, and counted as told. When these are stopped or killed nobody hands it on, and the instance at which the stream began isn't asked while it is stopping. Beside it, streams that were taken for a report were lost if the report wasn't due.

All instances keep the origins, in a system of more than 16 the first eight or nine in the order of the arbiters; the first two tell the others also what began elsewhere. Stopping instances are asked as well. Nothing is sent while there is surely one version. Instances of the version before get what they got, and ignore the new stream reports.

TestEachProcessIsToldOfStreams.

--- a/core/elector/elector.go
+++ b/core/elector/elector.go
@@ -268,6 +268,17 @@
 	return others
 }
 
+// All returns the other members, those included that were leaving when they were last heard of.
+func (e *Elector) All() []Member {
+	others := make([]Member, 0, len(e.members))
+	for _, m := range e.members {
+		if m.Instance != e.self.Instance {
+			others = append(others, m.Member)
+		}
+	}
+	return others
+}
+
 // Peers returns the other members that aren't leaving, the most suitable ones to serve a request first: those of this
 // instance's data centre, the rest, and suspected ones, which may only have missed a datagram.
 func (e *Elector) Peers(now time.Time) (near, far, suspected []Member) {
--- a/core/resumer/process_test.go
+++ b/core/resumer/process_test.go
@@ -94,8 +94,8 @@
 	r.Listed(now)
 	o := Origin{Stream: NewStreamID("s"), Service: model, Version: "v1", Until: now.Add(time.Minute)}
 	r.Began(now, o)
-	require.False(t, r.ReportDue(now, model, Arbiter))
+	require.False(t, r.ReportDue(now, model, Recipient{"arbiter", 5}, false))
 	o.Stream, o.Version = NewStreamID("t"), identifier.UnknownVersion
 	r.Began(now, o)
-	require.Len(t, r.TakeReport(now, model, Arbiter), 2)
+	require.Len(t, r.TakeReport(now, model, Recipient{"arbiter", 5}, false), 2)
 }
--- a/core/resumer/resumer.go
+++ b/core/resumer/resumer.go
@@ -33,27 +33,14 @@
 	Until time.Time
 }
 
-// Recipient is an instance that gets reports of the streams that begin here.
-type Recipient int
-
-// Recipients of reports.
-const (
-	// Arbiter places the service's requests.
-	Arbiter Recipient = iota
-	// StandBy takes over when the arbiter fails.
-	StandBy
-
-	recipients
-)
-
 const (
 	// memory is how long a stream may be resumed at most, and so how long the versions count that are no longer listed.
 	memory = time.Minute
 	// maxListAge is how old the list of upstreams may be that is known. Upstreams of further versions may be listed since.
 	maxListAge = 2 * time.Second
-	// maxOrigins bounds the streams that are remembered, maxUnreported those of a service that wait for a report.
-	maxOrigins    = 1 << 16
-	maxUnreported = 512
+	// maxOrigins bounds the streams that are remembered, maxJournal those of a service of which other instances are told.
+	maxOrigins = 1 << 16
+	maxJournal = 1 << 13
 	// maxReported bounds the streams in a report, which must fit into a datagram.
 	maxReported = 16
 	// maxReportedProcesses is the same for those with the process at which they began.
@@ -108,10 +95,9 @@
 // service holds what is known of one service.
 type service struct {
 	// listed holds the versions of the upstreams that are listed; gone holds since when the others are not.
-	listed map[identifier.SoftwareVersion]bool
-	gone   map[identifier.SoftwareVersion]time.Time
-	// unreported holds the streams that have begun here, the oldest one first.
-	unreported [recipients][]Origin
+	listed  map[identifier.SoftwareVersion]bool
+	gone    map[identifier.SoftwareVersion]time.Time
+	journal journal
 }
 
 // NewResumer returns a resumer that knows no streams and no versions. firstStart is true if the whole system starts for the
@@ -156,27 +142,30 @@
 
 // Began records that a stream has begun here.
 func (r *Resumer) Began(now time.Time, o Origin) {
-	r.Learn(now, o)
-	s := r.service(o.Service)
-	for i := range s.unreported {
-		unreported := append(s.unreported[i], o)
-		s.unreported[i] = unreported[max(0, len(unreported)-maxUnreported):]
-	}
+	r.learn(now, o, true)
 }
 
 // Learn records the origins of streams that began at other instances.
 func (r *Resumer) Learn(now time.Time, origins ...Origin) {
 	for _, o := range origins {
-		if last := now.Add(memory); o.Until.After(last) {
-			o.Until = last
-		}
-		if len(r.origins) >= maxOrigins {
-			r.Expire(now)
-		}
-		if len(r.origins) < maxOrigins {
-			r.origins[o.Stream] = o
-		}
+		r.learn(now, o, false)
+	}
+}
+
+func (r *Resumer) learn(now time.Time, o Origin, own bool) {
+	if last := now.Add(memory); o.Until.After(last) {
+		o.Until = last
+	}
+	if len(r.origins) >= maxOrigins {
+		r.Expire(now)
 	}
+	if len(r.origins) >= maxOrigins {
+		return
+	}
+	if _, known := r.origins[o.Stream]; !known || own {
+		r.service(o.Service).journal.add(o, own)
+	}
+	r.origins[o.Stream] = o
 }
 
 // Origin returns the origin of a stream, and false if it is not known.
@@ -212,40 +201,6 @@
 	return v
 }
 
-// ReportDue reports whether there are streams to report to a recipient. While the service surely has only one version,
-// there are none but those of an unknown version.
-func (r *Resumer) ReportDue(now time.Time, name identifier.ServiceName, to Recipient) bool {
-	unreported := r.service(name).unreported[to]
-	if len(unreported) == 0 {
-		return false
-	}
-	_, sole := r.Versions(now, name).Sole()
-	return !sole || slices.ContainsFunc(unreported, func(o Origin) bool {
-		return r.settle(o).Version == identifier.UnknownVersion
-	})
-}
-
-// TakeReport returns the streams that have begun here and are not reported to a recipient yet.
-func (r *Resumer) TakeReport(now time.Time, name identifier.ServiceName, to Recipient) []Origin {
-	if !r.ReportDue(now, name, to) {
-		return nil
-	}
-	s := r.service(name)
-	var report []Origin
-	processes := 0
-	for len(s.unreported[to]) > 0 && len(report) < maxReported && processes < maxReportedProcesses {
-		// Streams that began while there was only one version may have ended long ago.
-		if o := r.settle(s.unreported[to][0]); now.Before(o.Until) {
-			report = append(report, o)
-			if o.Process != (Process{}) {
-				processes++
-			}
-		}
-		s.unreported[to] = s.unreported[to][1:]
-	}
-	return report
-}
-
 // Expire forgets the streams that are no longer resumed and the versions that have been gone for long.
 func (r *Resumer) Expire(now time.Time) {
 	if now.Sub(r.expiredAt) < expiryInterval {
@@ -263,6 +218,7 @@
 				delete(s.gone, v)
 			}
 		}
+		s.journal.expire(now)
 	}
 	for l, at := range r.unlisted {
 		if now.Sub(at) >= memory {
--- a/core/resumer/resumer_test.go
+++ b/core/resumer/resumer_test.go
@@ -138,17 +138,18 @@
 	}
 	began("short", time.Second)
 	long := began("long", time.Minute)
-	require.Empty(t, r.TakeReport(now, model, Arbiter), "there is only one version")
+	arbiter, standBy := Recipient{"arbiter", 5}, Recipient{"standBy", 6}
+	require.Empty(t, r.TakeReport(now, model, arbiter, false), "there is only one version")
 	now = now.Add(2 * time.Second)
 	r.SetUpstreams(now, list("v1", "v2"))
-	require.Equal(t, []Origin{long}, r.TakeReport(now, model, Arbiter))
-	require.Empty(t, r.TakeReport(now, model, Arbiter))
-	require.Equal(t, []Origin{long}, r.TakeReport(now, model, StandBy))
+	require.Equal(t, []Origin{long}, r.TakeReport(now, model, arbiter, false))
+	require.Empty(t, r.TakeReport(now, model, arbiter, false))
+	require.Equal(t, []Origin{long}, r.TakeReport(now, model, standBy, false))
 	for i := range maxReported + 1 {
 		began(identifier.RequestID(fmt.Sprint(i)), time.Minute)
 	}
-	require.Len(t, r.TakeReport(now, model, Arbiter), maxReported)
-	require.Len(t, r.TakeReport(now, model, Arbiter), 1)
+	require.Len(t, r.TakeReport(now, model, arbiter, false), maxReported)
+	require.Len(t, r.TakeReport(now, model, arbiter, false), 1)
 }
 
 func TestOriginsAreBounded(t *testing.T) {
@@ -159,10 +160,49 @@
 		r.Began(now, Origin{Stream: StreamID(i), Service: model, Version: "v1", Until: now.Add(time.Minute)})
 	}
 	require.Len(t, r.origins, maxOrigins)
-	require.Len(t, r.services[model].unreported[Arbiter], maxUnreported)
+	require.Len(t, r.services[model].journal.entries, maxJournal)
 	// Room is made as soon as streams are no longer resumed.
 	now = now.Add(time.Minute)
 	r.Began(now, Origin{Stream: 1 << 40, Service: model, Version: "v2", Until: now.Add(time.Minute)})
 	_, known := r.Origin(now, 1<<40)
 	require.True(t, known)
 }
+
+// What an instance knows of streams is told to the next process of an instance that is stopped, and to each other one that takes
+// its place. It was told once to the two that were chosen then.
+func TestEachProcessIsToldOfStreams(t *testing.T) {
+	now := time.Now()
+	r := NewResumer(true)
+	r.SetUpstreams(now, list("v1", "v2"))
+	r.Listed(now)
+	own := Origin{Stream: 1, Service: model, Version: "v1", Until: now.Add(time.Minute)}
+	other := Origin{Stream: 2, Service: model, Version: "v2", Until: now.Add(time.Minute)}
+	r.Began(now, own)
+	r.Learn(now, other)
+	for _, c := range []struct {
+		name string
+		to   Recipient
+		all  bool
+		want []Origin
+	}{
+		{"first process", Recipient{"a", 5}, false, []Origin{own}},
+		{"again", Recipient{"a", 5}, false, nil},
+		{"another instance", Recipient{"b", 5}, false, []Origin{own}},
+		{"next process", Recipient{"a", 6}, false, []Origin{own}},
+		{"next process, whose clock was set back", Recipient{"a", 4}, false, []Origin{own}},
+		{"this instance tells all streams from now on", Recipient{"a", 4}, true, []Origin{own, other}},
+		{"again", Recipient{"a", 4}, true, nil},
+		{"it doesn't for a while", Recipient{"a", 4}, false, nil},
+		{"and does again", Recipient{"a", 4}, true, []Origin{own, other}},
+		{"next process", Recipient{"a", 7}, true, []Origin{own, other}},
+	} {
+		require.Equal(t, c.want, r.TakeReport(now, model, c.to, c.all), c.name)
+	}
+	// What is known already is not told again.
+	r.Learn(now, other, own)
+	require.Empty(t, r.TakeReport(now, model, Recipient{"a", 7}, true))
+	now = now.Add(time.Minute)
+	r.Expire(now)
+	require.Empty(t, r.services[model].journal.entries)
+	require.Empty(t, r.TakeReport(now, model, Recipient{"a", 8}, true))
+}
--- a/rosemaryspool/courier/kind.go
+++ b/rosemaryspool/courier/kind.go
@@ -21,6 +21,8 @@
 		return "streamQuery"
 	case *messenger.Datagram_StreamReply:
 		return "streamReply"
+	case *messenger.Datagram_StreamReport:
+		return "streamReport"
 	case *messenger.Datagram_StoreUpdate:
 		return "storeUpdate"
 	case *messenger.Datagram_StoreRequest:
--- a/rosemaryspool/delegator/delegator.go
+++ b/rosemaryspool/delegator/delegator.go
@@ -126,7 +126,7 @@
 		delete(d.waiting, number)
 		d.mu.Unlock()
 	}()
-	report, _ := d.governor.TakeReport(request.Service)
+	report, _ := d.governor.TakeReport(request.Service, arbiter)
 	d.courier.Send(arbiter, &messenger.Datagram{Body: &messenger.Datagram_PlacementRequest{
 		PlacementRequest: encodeRequest(number, request, gossiper.EncodeReport(report)),
 	}})
--- a/rosemaryspool/delegator/delegator_test.go
+++ b/rosemaryspool/delegator/delegator_test.go
@@ -121,6 +121,8 @@
 	case *messenger.Datagram_StreamQuery:
 		n.callBeforeRequest()
 		n.delegator.HandleStreamQuery(r, body.StreamQuery)
+	case *messenger.Datagram_StreamReport:
+		peers.HandleStreamReport(r, body.StreamReport)
 	case *messenger.Datagram_StreamReply:
 		n.delegator.HandleStreamReply(r, body.StreamReply)
 	}
--- a/rosemaryspool/delegator/stream.go
+++ b/rosemaryspool/delegator/stream.go
@@ -32,7 +32,7 @@
 	if o, known := d.governor.StreamOrigin(time.Now(), id); known {
 		return o, resumer.Versions{}, true
 	}
-	others := d.governor.Others()
+	others := d.governor.HoldersOfStreams()
 	versions, answered := d.governor.StreamVersions(time.Now(), service), len(others) == 0
 	replies := 0
 	for _, asked := range [][]elector.Member{d.governor.Arbiters(time.Now(), service, maxArbiters), others} {
--- a/rosemaryspool/gatekeeper/gatekeeper.go
+++ b/rosemaryspool/gatekeeper/gatekeeper.go
@@ -231,6 +231,8 @@
 		g.subscriber.HandleViewRequest(r.Sender, body.StoreRequest.GetTopics(), r.Datagram.GetReadsPacked())
 		// The instance that asks has just started.
 		g.gossiper.SendCrashKnowledge(r.Sender)
+	case *messenger.Datagram_StreamReport:
+		g.gossiper.HandleStreamReport(r, body.StreamReport)
 	case *messenger.Datagram_SpeedReport:
 		g.gossiper.HandleSpeedReport(r, body.SpeedReport)
 	case *messenger.Datagram_CrashReport:
--- a/rosemaryspool/gossiper/gossiper.go
+++ b/rosemaryspool/gossiper/gossiper.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -31,6 +32,8 @@
 	busyInterval = 300 * time.Millisecond
 	// streamInterval is the time between reports to the stand-by while there are streams to report.
 	streamInterval = 50 * time.Millisecond
+	// maxStreamReports bounds the reports to one instance in that time about streams that began before.
+	maxStreamReports = 8
 	// idleInterval is the time between reports of an instance without work.
 	idleInterval = 2 * time.Second
 	// standbyReports is the number of instances that may become arbiter soon and therefore get reports at busyInterval.
@@ -84,6 +87,8 @@
 	// sentAt is when the last report about a service was sent to its arbiter, standbySentAt the same for the stand-by.
 	sentAt        map[identifier.ServiceName]time.Time
 	standbySentAt map[identifier.ServiceName]time.Time
+	// streamsSentAt is the same for reports of streams to the other instances that keep them.
+	streamsSentAt map[identifier.ServiceName]time.Time
 	// speedsSentAt is when the speeds of a service's upstreams were last handed on.
 	speedsSentAt map[identifier.ServiceName]time.Time
 }
@@ -103,6 +108,7 @@
 		standbySentAt: map[identifier.ServiceName]time.Time{}, assembler: newAssembler(),
 		fragmenter: newFragmenter(), packer: newPacker(), transmitter: newTransmitter(link),
 		snapshotsDropped: metrics.GetOrRegisterCounter("snapshotsDropped", registry),
+		streamsSentAt:    map[identifier.ServiceName]time.Time{},
 		speedsSentAt:     map[identifier.ServiceName]time.Time{},
 	}
 }
@@ -118,8 +124,13 @@
 func (g *Gossiper) Run(ctx context.Context) {
 	defer close(g.done)
 	expires := time.Now().Add(busyInterval)
+	streamsLeft := false
 	for {
-		if wait := time.Until(expires); wait > 0 {
+		wait := time.Until(expires)
+		if streamsLeft {
+			wait = min(wait, streamInterval)
+		}
+		if wait > 0 {
 			select {
 			case <-ctx.Done():
 				return
@@ -131,7 +142,7 @@
 			g.governor.Expire(now)
 			expires = now.Add(busyInterval)
 		}
-		g.sendReports(time.Now())
+		streamsLeft = g.sendReports(time.Now())
 		g.sendCrashReports(time.Now())
 		select {
 		case <-ctx.Done():
@@ -141,13 +152,13 @@
 	}
 }
 
-// sendReports sends the reports that are due.
-func (g *Gossiper) sendReports(now time.Time) {
+// sendReports sends the reports that are due. It reports whether there are streams of which other instances are to be told soon.
+func (g *Gossiper) sendReports(now time.Time) (streamsLeft bool) {
 	for _, service := range g.governor.Services() {
 		g.sendSpeeds(now, service)
 		self := g.governor.Self().Instance
 		chosen := g.governor.Arbiters(now, service, 1+standbyReports)
-		report, changed := g.governor.TakeReport(service)
+		report, changed := g.governor.TakeReport(service, chosen[0])
 		for i, m := range chosen {
 			if m.Instance == self {
 				continue
@@ -156,20 +167,61 @@
 			if len(report.Loads) == 0 {
 				interval = idleInterval
 			}
-			if i == 0 && (changed || g.due(now, g.sentAt, service, interval)) {
+			if i == 0 && (changed || len(report.Begun) > 0 || g.due(now, g.sentAt, service, interval)) {
 				g.courier.Send(m, &messenger.Datagram{Body: &messenger.Datagram_WorkReport{WorkReport: EncodeReport(report)}})
 				g.markSent(now, g.sentAt, service)
 			}
-			if i > 0 && g.governor.StreamReportDue(now, service) {
+			if i > 0 && g.governor.StreamReportDue(now, service, m) {
 				interval = streamInterval
 			}
 			if i > 0 && g.due(now, g.standbySentAt, service, interval) {
-				standby := g.governor.PeekReport(service)
+				standby := g.governor.PeekReport(service, m)
 				g.courier.Send(m, &messenger.Datagram{Body: &messenger.Datagram_WorkReport{WorkReport: EncodeReport(standby)}})
 				g.markSent(now, g.standbySentAt, service)
 			}
 		}
+		streamsLeft = g.sendStreams(now, service, chosen) || streamsLeft
+	}
+	return streamsLeft
+}
+
+// sendStreams tells the instances that keep a service's streams where they began, but for those that get that with their reports.
+// It reports whether there are more to tell of.
+func (g *Gossiper) sendStreams(now time.Time, service identifier.ServiceName, reported []elector.Member) (left bool) {
+	due := g.due(now, g.streamsSentAt, service, streamInterval)
+	if due {
+		g.markSent(now, g.streamsSentAt, service)
+	}
+	for _, m := range g.governor.StreamKeepers(now, service) {
+		if due && !slices.Contains(reported, m) {
+			g.sendStreamsTo(now, service, m)
+		}
+		left = left || g.governor.StreamReportDue(now, service, m)
+	}
+	return left
+}
+
+func (g *Gossiper) sendStreamsTo(now time.Time, service identifier.ServiceName, to elector.Member) {
+	for range maxStreamReports {
+		begun := g.governor.TakeStreams(now, service, to)
+		if len(begun) == 0 {
+			return
+		}
+		report := &messenger.StreamReport{}
+		for _, o := range begun {
+			report.Begun = append(report.Begun, EncodeOrigin(now, o))
+		}
+		g.courier.Send(to, &messenger.Datagram{Body: &messenger.Datagram_StreamReport{StreamReport: report}})
+	}
+}
+
+// HandleStreamReport applies where streams began, as another instance knows it.
+func (g *Gossiper) HandleStreamReport(r courier.Received, m *messenger.StreamReport) {
+	origins := make([]resumer.Origin, 0, len(m.GetBegun()))
+	for _, o := range m.GetBegun() {
+		origins = append(origins, DecodeOrigin(r.At, o))
 	}
+	g.governor.LearnStream(r.At, origins...)
 }
 
 // due reports whether the last report about a service was sent at least an interval ago.
--- a/rosemaryspool/governor/report.go
+++ b/rosemaryspool/governor/report.go
@@ -60,23 +60,23 @@
 }
 
 // TakeReport returns the report for a service's arbiter and reports whether the work has changed since the last one.
-func (g *Governor) TakeReport(service identifier.ServiceName) (Report, bool) {
+func (g *Governor) TakeReport(service identifier.ServiceName, to elector.Member) (Report, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	changed := g.reports.changed[service]
 	delete(g.reports.changed, service)
 	r := g.report(service)
 	r.Observations = g.allocator.TakeObservations(service)
-	r.Begun = g.resumer.TakeReport(time.Now(), service, resumer.Arbiter)
+	r.Begun = g.takeStreams(time.Now(), service, to)
 	return r, changed
 }
 
 // PeekReport returns the report for the instance that stands by for the service's arbiter, without observations.
-func (g *Governor) PeekReport(service identifier.ServiceName) Report {
+func (g *Governor) PeekReport(service identifier.ServiceName, to elector.Member) Report {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	r := g.report(service)
-	r.Begun = g.resumer.TakeReport(time.Now(), service, resumer.StandBy)
+	r.Begun = g.takeStreams(time.Now(), service, to)
 	return r
 }
 
--- a/rosemaryspool/governor/stream.go
+++ b/rosemaryspool/governor/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"rosemaryspool.example/core/elector"
@@ -15,13 +16,14 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.resumer.Began(now, o)
+	g.signal()
 }
 
-// LearnStream records where a stream began at another instance.
-func (g *Governor) LearnStream(now time.Time, o resumer.Origin) {
+// LearnStream records where streams began at other instances.
+func (g *Governor) LearnStream(now time.Time, origins ...resumer.Origin) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.resumer.Learn(now, o)
+	g.resumer.Learn(now, origins...)
 }
 
 // StreamOrigin returns where a stream began, and false if this instance doesn't know.
@@ -157,9 +159,64 @@
 	g.resumer.LearnRefusals(refusals...)
 }
 
-// StreamReportDue reports whether there are streams to report to the instance that stands by for a service's arbiter.
-func (g *Governor) StreamReportDue(now time.Time, service identifier.ServiceName) bool {
+const (
+	// streamKeepers is the number of instances that are told where streams of a service began, beside the one at which they
+	// did. In a system with no more than smallSystem instances, all are.
+	streamKeepers = 8
+	smallSystem   = 16
+	// streamHeads is the number of these that tell the others also of streams that began elsewhere, so that one that has
+	// started since knows those of instances that have ended.
+	streamHeads = 2
+)
+
+// StreamKeepers returns the other instances that are told where streams of a service began: the arbiter and those that come
+// after it. Those that are stopped or killed are replaced, and their next processes are told anew.
+func (g *Governor) StreamKeepers(now time.Time, service identifier.ServiceName) []elector.Member {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	limit := streamKeepers
+	if g.instances <= smallSystem {
+		limit = smallSystem
+	}
+	keepers := g.elector.Trusted(now, ArbiterDuty(service), limit+1)
+	return slices.DeleteFunc(keepers, func(m elector.Member) bool { return m.Instance == g.self.Instance })
+}
+
+// headsStreams reports whether this instance tells others also of streams that began elsewhere. The governor's mutex must be
+// held.
+func (g *Governor) headsStreams(now time.Time, service identifier.ServiceName) bool {
+	return slices.ContainsFunc(g.elector.Trusted(now, ArbiterDuty(service), streamHeads), func(m elector.Member) bool {
+		return m.Instance == g.self.Instance
+	})
+}
+
+// takeStreams returns the streams of which another instance is told now. The governor's mutex must be held.
+func (g *Governor) takeStreams(now time.Time, service identifier.ServiceName, to elector.Member) []resumer.Origin {
+	if to.Instance == g.self.Instance {
+		return nil
+	}
+	recipient := resumer.Recipient{Instance: to.Instance, StartedMs: to.StartedMs}
+	return g.resumer.TakeReport(now, service, recipient, g.headsStreams(now, service))
+}
+
+// TakeStreams returns the streams of which another instance is told now.
+func (g *Governor) TakeStreams(now time.Time, service identifier.ServiceName, to elector.Member) []resumer.Origin {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.takeStreams(now, service, to)
+}
+
+// StreamReportDue reports whether there are streams to tell another instance of.
+func (g *Governor) StreamReportDue(now time.Time, service identifier.ServiceName, to elector.Member) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	recipient := resumer.Recipient{Instance: to.Instance, StartedMs: to.StartedMs}
+	return g.resumer.ReportDue(now, service, recipient, g.headsStreams(now, service))
+}
+
+// HoldersOfStreams returns all other instances, those that are stopping included: they know their streams until they have ended.
+func (g *Governor) HoldersOfStreams() []elector.Member {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.resumer.ReportDue(now, service, resumer.StandBy)
+	return g.elector.All()
 }
--- a/rosemaryspool/subscriber/agreement_test.go
+++ b/rosemaryspool/subscriber/agreement_test.go
@@ -381,7 +381,7 @@
 		s.start(2)
 		s.instances[2].readStore(t)
 		require.Len(t, s.instances[2].listed(), 2)
-		s.instances[2].governor.ApplyReport(time.Now(), elector.Member{Instance: "spool-0", DataCentre: "z"}, s.instances[0].governor.PeekReport("s"))
+		s.instances[2].governor.ApplyReport(time.Now(), elector.Member{Instance: "spool-0", DataCentre: "z"}, s.instances[0].governor.PeekReport("s", s.instances[2].governor.Self()))
 		requireListed("b")
 
 		// One that was removed for its silence is alive.
