Look twice whether an upstream has crashed

Cause: after a request has broken off, the instance opens a connection to find out whether the upstream has ended. One that is ending closes its connections before its listener at times; the connection was accepted, and the upstream was taken to have survived. The same goes for a next process at the address. Nothing was counted or logged, though connections were refused some milliseconds later.

Change: if a connection is accepted, a second one is opened 50 ms later; only if that is accepted as well has the upstream survived.

--- a/rosemaryspool/forwarder/crash.go
+++ b/rosemaryspool/forwarder/crash.go
@@ -19,6 +19,8 @@
 	survivalTime = time.Second
 	// probeTimeout bounds the test whether an upstream still listens.
 	probeTimeout = 500 * time.Millisecond
+	// endingTime is how long an upstream that ends may go on to accept connections after those that it had are closed.
+	endingTime = 50 * time.Millisecond
 )
 
 // isBrokenOff reports whether an exchange failed because the upstream closed the connection.
@@ -61,7 +63,14 @@
 func (f *Forwarder) checkEnd(entry tracker.Entry) {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
-	err := f.connector.Probe(ctx, entry.Address, f.governor.ConnectionLimit(entry.Service))
+	err := f.probe(ctx, entry)
+	if err == nil {
+		select {
+		case <-ctx.Done():
+		case <-time.After(endingTime):
+		}
+		err = f.probe(ctx, entry)
+	}
 	switch {
 	case errors.Is(err, connector.ErrRefused) && !f.reachesOthers(ctx, entry):
 		f.governor.RecordUnreached(time.Now(), entry)
@@ -79,6 +88,11 @@
 	}
 }
 
+// probe finds out whether an upstream accepts connections.
+func (f *Forwarder) probe(ctx context.Context, entry tracker.Entry) error {
+	return f.connector.Probe(ctx, entry.Address, f.governor.ConnectionLimit(entry.Service))
+}
+
 // reachesOthers reports whether this instance reaches any upstream but one, or knows of no other that runs.
 func (f *Forwarder) reachesOthers(ctx context.Context, entry tracker.Entry) bool {
 	others := f.governor.OtherUpstreams(entry)
--- a/rosemaryspool/gatekeeper/crash_test.go
+++ b/rosemaryspool/gatekeeper/crash_test.go
@@ -11,6 +11,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/sourcegraph/conc"
 	"github.com/stretchr/testify/require"
 
@@ -338,3 +339,39 @@
 		return len(listed) == 1 && listed[0].Trait == 0xbeef && listed[0].Status == isolator.Quarantined
 	}, 2*time.Second, time.Millisecond)
 }
+
+// An upstream that crashes may accept connections for a moment after it has closed those that it had. It was taken to have survived.
+func TestUpstreamThatStillAcceptsConnectionsAsItEndsHasCrashed(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// accepts is for how long it does; zero if it doesn't end.
+		accepts time.Duration
+		crashes int64
+	}{
+		{"it ends at once", time.Millisecond, 1},
+		{"it ends after a moment", 20 * time.Millisecond, 1},
+		{"it goes on", 0, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				store := newMemoryStore(t)
+				upstreams := newPlainFleet(t, store)
+				ti := newTestCluster(t, store, 1)[0]
+				for _, u := range upstreams {
+					u.SetBehaviour(emulator.Resets)
+				}
+				r := ti.send(http.MethodPost, orders+"x", "fatal", emulator.HeaderAttempt, "a", emulator.HeaderDeadline, "1900")
+				require.Equal(t, http.StatusBadGateway, r.status)
+				for _, u := range upstreams {
+					if len(u.Runs()) > 0 && c.accepts > 0 {
+						time.Sleep(c.accepts)
+						u.Close()
+					}
+				}
+				time.Sleep(time.Second)
+				require.Equal(t, c.crashes, metrics.GetOrRegisterCounter("upstreamCrashes", ti.gatekeeper.registry).Count())
+			})
+		})
+	}
+}
