Ask seldom which instances are to be told of streams

Cause: each pass of the reports, up to 200 a second, asked for the keepers of each service and what each was still to be told, also where no stream is known. Numbers of streams of uncertain versions were dropped only while there was one version.

Change: that is asked each 50 ms, and not for services without streams; the numbers go with their streams.

TestUncertainOriginsAreBounded fails without the dropping.

--- a/core/resumer/journal.go
+++ b/core/resumer/journal.go
@@ -1,6 +1,7 @@
 package resumer
 
 import (
+	"slices"
 	"time"
 
 	"rosemaryspool.example/core/identifier"
@@ -91,6 +92,12 @@
 	if len(j.entries) == 0 {
 		j.entries = nil
 	}
+	j.uncertain = slices.DeleteFunc(j.uncertain, func(number int) bool { return number < j.first })
+}
+
+// HasStreams reports whether this instance knows streams of a service that may still be resumed.
+func (r *Resumer) HasStreams(name identifier.ServiceName) bool {
+	return len(r.service(name).journal.entries) > 0
 }
 
 // hasUnknown reports whether a recipient is still to be told of a stream that began at an unknown version.
--- a/core/resumer/resumer_test.go
+++ b/core/resumer/resumer_test.go
@@ -206,3 +206,16 @@
 	require.Empty(t, r.services[model].journal.entries)
 	require.Empty(t, r.TakeReport(now, model, Recipient{"a", 8}, true))
 }
+
+func TestUncertainOriginsAreBounded(t *testing.T) {
+	now := time.Now()
+	r := NewResumer(true)
+	r.SetUpstreams(now, list("v1", "v2"))
+	for i := range 2 * maxJournal {
+		r.Began(now, Origin{Stream: StreamID(i), Service: model, Version: identifier.UnknownVersion, Until: now.Add(time.Minute)})
+	}
+	r.Expire(now.Add(2 * expiryInterval))
+	require.Len(t, r.services[model].journal.uncertain, maxJournal)
+	r.Expire(now.Add(time.Minute))
+	require.Empty(t, r.services[model].journal.uncertain)
+}
--- a/rosemaryspool/gossiper/gossiper.go
+++ b/rosemaryspool/gossiper/gossiper.go
@@ -89,6 +89,8 @@
 	standbySentAt map[identifier.ServiceName]time.Time
 	// streamsSentAt is the same for reports of streams to the other instances that keep them.
 	streamsSentAt map[identifier.ServiceName]time.Time
+	// streamsLeft tells of which services there were more streams to report then. Only Run uses it.
+	streamsLeft map[identifier.ServiceName]bool
 	// speedsSentAt is when the speeds of a service's upstreams were last handed on.
 	speedsSentAt map[identifier.ServiceName]time.Time
 }
@@ -108,6 +110,7 @@
 		standbySentAt: map[identifier.ServiceName]time.Time{}, assembler: newAssembler(),
 		fragmenter: newFragmenter(), packer: newPacker(), transmitter: newTransmitter(link),
 		snapshotsDropped: metrics.GetOrRegisterCounter("snapshotsDropped", registry),
+		streamsLeft:      map[identifier.ServiceName]bool{},
 		streamsSentAt:    map[identifier.ServiceName]time.Time{},
 		speedsSentAt:     map[identifier.ServiceName]time.Time{},
 	}
@@ -188,16 +191,17 @@
 // sendStreams tells the instances that keep a service's streams where they began, but for those that get that with their reports.
 // It reports whether there are more to tell of.
 func (g *Gossiper) sendStreams(now time.Time, service identifier.ServiceName, reported []elector.Member) (left bool) {
-	due := g.due(now, g.streamsSentAt, service, streamInterval)
-	if due {
-		g.markSent(now, g.streamsSentAt, service)
+	if !g.due(now, g.streamsSentAt, service, streamInterval) {
+		return g.streamsLeft[service]
 	}
+	g.markSent(now, g.streamsSentAt, service)
 	for _, m := range g.governor.StreamKeepers(now, service) {
-		if due && !slices.Contains(reported, m) {
+		if !slices.Contains(reported, m) {
 			g.sendStreamsTo(now, service, m)
 		}
 		left = left || g.governor.StreamReportDue(now, service, m)
 	}
+	g.streamsLeft[service] = left
 	return left
 }
 
--- a/rosemaryspool/governor/stream.go
+++ b/rosemaryspool/governor/stream.go
@@ -170,10 +170,13 @@
 )
 
 // StreamKeepers returns the other instances that are told where streams of a service began: the arbiter and those that come
-// after it. Those that are stopped or killed are replaced, and their next processes are told anew.
+// after it. There are none while no streams are known. Those that are stopped or killed are replaced, and their next processes are told anew.
 func (g *Governor) StreamKeepers(now time.Time, service identifier.ServiceName) []elector.Member {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if !g.resumer.HasStreams(service) {
+		return nil
+	}
 	limit := streamKeepers
 	if g.instances <= smallSystem {
 		limit = smallSystem
@@ -192,7 +195,7 @@
 
 // takeStreams returns the streams of which another instance is told now. The governor's mutex must be held.
 func (g *Governor) takeStreams(now time.Time, service identifier.ServiceName, to elector.Member) []resumer.Origin {
-	if to.Instance == g.self.Instance {
+	if to.Instance == g.self.Instance || !g.resumer.HasStreams(service) {
 		return nil
 	}
 	recipient := resumer.Recipient{Instance: to.Instance, StartedMs: to.StartedMs}
