Keep the listings of upstreams in one map

Each change of the list of upstreams built a map of all entries anew, up to 3,000, and with each datagram of a list that arrives at a cold start. The entries keep the number of the latest list that had them instead.

--- a/core/resumer/confirmation.go
+++ b/core/resumer/confirmation.go
@@ -46,18 +46,18 @@
 
 // setListings records which entries the list has, and up to when those were known that it no longer has.
 func (r *Resumer) setListings(entries []tracker.Entry) {
-	listings := make(map[listing]bool, len(entries))
+	r.lists++
 	for _, e := range entries {
 		l := listing{e.Upstream, e.Incarnation, e.Version}
-		listings[l] = true
+		r.listings[l] = r.lists
 		delete(r.unlisted, l)
 	}
-	for l := range r.listings {
-		if !listings[l] {
+	for l, list := range r.listings {
+		if list != r.lists {
+			delete(r.listings, l)
 			r.unlisted[l] = r.listedAt
 		}
 	}
-	r.listings = listings
 }
 
 // Confirm reports whether a process is the one of its entry: the list was read after the process would have replaced the entry,
@@ -68,7 +68,7 @@
 	}
 	l := listing{p.Upstream, p.Incarnation, p.Version}
 	mayBeListed, seenAt := true, r.listedAt
-	if !r.listings[l] {
+	if _, isListed := r.listings[l]; !isListed {
 		at, wasListed := r.unlisted[l]
 		// An entry that was never listed here may be newer than this list.
 		mayBeListed = !wasListed && r.listedAt.Before(r.ConfirmableAt(p))
--- a/core/resumer/resumer.go
+++ b/core/resumer/resumer.go
@@ -64,8 +64,10 @@
 	// doubts holds the listed upstreams that have refused connections, by which their processes have ended.
 	doubts      map[identifier.UpstreamID]*doubt
 	reportPhase float64
-	// listings holds the entries of the list, unlisted up to when those were listed that it had before.
-	listings map[listing]bool
+	// listings holds the entries of the list with the number of the latest list that had them, unlisted up to when those were
+	// listed that it had before. lists counts the lists.
+	listings map[listing]uint64
+	lists    uint64
 	unlisted map[listing]time.Time
 }
 
@@ -105,7 +107,7 @@
 func NewResumer(firstStart bool) *Resumer {
 	return &Resumer{
 		origins: map[StreamID]Origin{}, services: map[identifier.ServiceName]*service{}, firstStart: firstStart,
-		doubts: map[identifier.UpstreamID]*doubt{}, listings: map[listing]bool{}, unlisted: map[listing]time.Time{},
+		doubts: map[identifier.UpstreamID]*doubt{}, listings: map[listing]uint64{}, unlisted: map[listing]time.Time{},
 	}
 }
 
