Have no prefill wait for the list

A stream that was confirmed once isn't asked about again, as the list forgets entries after a minute. Long lines are wrapped.

--- a/rosemaryspool/connector/exchange.go
+++ b/rosemaryspool/connector/exchange.go
@@ -85,7 +85,8 @@
 	}
 	conn.begin(r.ID)
 	response := &Response{
-		Known: known, Since: conn.since, Connection: conn.number, Exchange: conn.exchanges, connector: c, address: r.Upstream.Address, conn: conn,
+		Known: known, Since: conn.since, Connection: conn.number, Exchange: conn.exchanges,
+		connector: c, address: r.Upstream.Address, conn: conn,
 	}
 	response.stopCancel = context.AfterFunc(ctx, func() {
 		// A deadline in the past aborts pending reads and writes. The connection is not reused.
--- a/rosemaryspool/forwarder/attempt.go
+++ b/rosemaryspool/forwarder/attempt.go
@@ -190,8 +190,8 @@
 	}
 	if current, _ := e.forwarder.governor.Entry(placement.Upstream); current.Incarnation != entry.Incarnation ||
 		current.Service != e.service || !e.forwarder.governor.AcceptsWork(time.Now(), placement.Upstream) || e.keyRefusal() != "" {
-		// The upstream restarted, changed its service or began to leave during the prefill, or asked this instance to wait, or the key was
-		// removed.
+		// The upstream restarted, changed its service or began to leave during the prefill, or asked this instance to wait, or
+		// the key was removed.
 		e.dropCache()
 		return notExecuted
 	}
@@ -315,7 +315,7 @@
 	if e.route.Streaming {
 		r.Knows = func(since time.Time) bool { return e.forwarder.governor.KnowsProcess(to, since) }
 	}
-	if e.streamVersion != nil {
+	if e.streamVersion != nil && !s.PrefillOnly {
 		r.Confirm = func(since time.Time) bool {
 			return e.forwarder.governor.AwaitProcess(ctx, resumer.NewProcess(to, since))
 		}
--- a/rosemaryspool/forwarder/resume.go
+++ b/rosemaryspool/forwarder/resume.go
@@ -43,7 +43,11 @@
 	if e.streamVersion == nil {
 		return true
 	}
-	return *e.streamVersion != identifier.UnknownVersion && e.forwarder.governor.AwaitProcess(e.ctx, e.streamProcess)
+	if *e.streamVersion == identifier.UnknownVersion || !e.forwarder.governor.AwaitProcess(e.ctx, e.streamProcess) {
+		return false
+	}
+	e.streamProcess = resumer.Process{}
+	return true
 }
 
 // recordStream records the version at which a stream begins with its first event, so that it is resumed only there. One that
--- a/rosemaryspool/gossiper/gossiper.go
+++ b/rosemaryspool/gossiper/gossiper.go
@@ -308,7 +308,8 @@
 	for _, o := range r.Observations {
 		m.Observations = append(m.Observations, &messenger.Observation{
 			Upstream: string(o.Upstream), Event: messenger.Observation_Event(o.Event), Outcome: uint32(o.Outcome),
-			TookUs: uint32(max(0, o.Took.Microseconds())), Tokens: uint32(max(0, o.Tokens)), Direct: o.Direct, Incarnation: o.Incarnation,
+			TookUs: uint32(max(0, o.Took.Microseconds())), Tokens: uint32(max(0, o.Tokens)), Direct: o.Direct,
+			Incarnation: o.Incarnation,
 		})
 	}
 	return m
--- a/rosemaryspool/governor/notice.go
+++ b/rosemaryspool/governor/notice.go
@@ -83,7 +83,8 @@
 	}
 	g.applyUpstreams(time.Now())
 	g.log.Info().Str("event", "upstreamRemoved").Str("upstream", string(l.Upstream)).Uint64("incarnation", l.Incarnation).
-		Str("sender", string(sender)).Msg("Another instance knows the removal of an upstream that an older copy of the store or a late report lists")
+		Str("sender", string(sender)).
+		Msg("Another instance knows the removal of an upstream that an older copy of the store or a late report lists")
 }
 
 // logLimit logs a change of an upstream's rate limit. sender is the instance that reported it; empty for this instance.
--- a/rosemaryspool/governor/stream.go
+++ b/rosemaryspool/governor/stream.go
@@ -170,7 +170,8 @@
 )
 
 // StreamKeepers returns the other instances that are told where streams of a service began: the arbiter and those that come
-// after it. There are none while no streams are known. Those that are stopped or killed are replaced, and their next processes are told anew.
+// after it. There are none while no streams are known. Those that are stopped or killed are replaced, and their next
+// processes are told anew.
 func (g *Governor) StreamKeepers(now time.Time, service identifier.ServiceName) []elector.Member {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/rosemaryspool/steward/exchange.go
+++ b/rosemaryspool/steward/exchange.go
@@ -94,7 +94,10 @@
 }
 
 func newExchange(self elector.Member) exchange {
-	return exchange{nextNumber: self.FirstNumber(), recipients: map[identifier.InstanceID]*recipient{}, heardAt: map[identifier.InstanceID]time.Duration{}}
+	return exchange{
+		nextNumber: self.FirstNumber(), recipients: map[identifier.InstanceID]*recipient{},
+		heardAt: map[identifier.InstanceID]time.Duration{},
+	}
 }
 
 // watchStandstill notices that this process has stood still, until ctx ends.
