Leave reading the list to its readers in large systems

Cause: when a zone's servers are reclaimed, many instances at once have the list read and wait for it before they go on with their streams.

In smaller systems nothing changes.

--- a/rosemaryspool/forwarder/attempt.go
+++ b/rosemaryspool/forwarder/attempt.go
@@ -315,7 +315,7 @@
 	if e.route.Streaming {
 		r.Knows = func(since time.Time) bool { return e.forwarder.governor.KnowsProcess(to, since) }
 	}
-	if e.streamVersion != nil && !s.PrefillOnly {
+	if e.streamVersion != nil && !s.PrefillOnly && e.forwarder.governor.ReadsListAtOnce() {
 		r.Confirm = func(since time.Time) bool {
 			return e.forwarder.governor.AwaitProcess(ctx, resumer.NewProcess(to, since))
 		}
--- a/rosemaryspool/governor/stream.go
+++ b/rosemaryspool/governor/stream.go
@@ -79,8 +79,12 @@
 // listRetry is the time after which a list of upstreams that is waited for is asked for again.
 const listRetry = 100 * time.Millisecond
 
-// AwaitProcess reports whether a process is the one of its entry. While the list that is known can't tell, it has the list read
-// and waits for it until ctx ends, or until the list is overdue.
+// ReadsListAtOnce reports whether this instance has the list of upstreams read when a process is to be confirmed. In a large
+// system that is left to the few that read for the others: many reads at once make the list later for all.
+func (g *Governor) ReadsListAtOnce() bool { return g.Instances() <= smallSystem }
+
+// AwaitProcess reports whether a process is the one of its entry. While the list that is known can't tell, it waits for the next
+// one until ctx ends, or until the list is overdue.
 func (g *Governor) AwaitProcess(ctx context.Context, p resumer.Process) bool {
 	for {
 		g.mu.Lock()
@@ -99,7 +103,9 @@
 		wait := time.Until(confirmableAt)
 		if wait <= 0 {
 			wait = listRetry
-			g.wantList()
+			if g.ReadsListAtOnce() {
+				g.wantList()
+			}
 		}
 		timer := time.NewTimer(wait)
 		select {
