Keep the socket of a restarted stand-in open

The stand-in network's socket of the earlier process was closed after the later one had opened its own at the same address, and took that one's place out of the network. All other instances knew all streams in each failed run.

A closed socket leaves the address to the one that has it.

--- a/standin/emulator/network.go
+++ b/standin/emulator/network.go
@@ -238,7 +238,9 @@
 func (s *Socket) Close() error {
 	s.once.Do(func() {
 		s.network.mu.Lock()
-		delete(s.network.sockets, s.address)
+		if s.network.sockets[s.address] == s {
+			delete(s.network.sockets, s.address)
+		}
 		s.network.mu.Unlock()
 		close(s.closed)
 	})
