Ask what is the same in one place

A start of an upstream was looked up in five places of the allocator with the same two conditions, and what another instance has reported of one in two; placements were dropped in two loops; whether a process is doubted was written out twice; origins were encoded and decoded in two messages each; two packages had the bound of a small system, two that of reported removals, and two functions made the recipient of a report. Each is one piece now: started, reported, dropGrants, isDoubted, encodeOrigins, decodeOrigins, elector.SmallSystem, governor.MaxReportedLeaving, recipientOf. The list's topic gets its channel where it is made.

Each placement also looked its upstreams up once more to log a foreign one. Such a placement is always outdated, so that is asked there only.

No behaviour changes. The tests of these packages pass; two of the elector's follow the constant's name.

--- a/core/allocator/allocator.go
+++ b/core/allocator/allocator.go
@@ -241,16 +241,19 @@
 // ForgetGrants drops the placements for another instance that its reports don't include yet.
 func (a *Allocator) ForgetGrants(instance identifier.InstanceID) {
 	for key, p := range a.peers {
-		if key.instance != instance {
-			continue
-		}
-		for _, granted := range p.grants {
-			a.addPeerLoads(granted, -1)
+		if key.instance == instance {
+			a.dropGrants(p)
 		}
-		clear(p.grants)
 	}
 }
 
+func (a *Allocator) dropGrants(p *peer) {
+	for _, granted := range p.grants {
+		a.addPeerLoads(granted, -1)
+	}
+	clear(p.grants)
+}
+
 func (a *Allocator) peerOf(instance identifier.InstanceID, service identifier.ServiceName) (p *peer, isNew bool) {
 	key := peerKey{instance: instance, service: service}
 	p = a.peers[key]
@@ -290,9 +293,7 @@
 			continue
 		}
 		a.addPeerLoads(p.loads, -1)
-		for _, granted := range p.grants {
-			a.addPeerLoads(granted, -1)
-		}
+		a.dropGrants(p)
 		delete(a.peers, key)
 		expired = append(expired, key.instance)
 	}
@@ -331,8 +332,8 @@
 
 // SetMemory sets how many tokens fit into an engine's memory.
 func (a *Allocator) SetMemory(id identifier.UpstreamID, incarnation uint64, tokens identifier.Tokens) {
-	u := a.upstreams[id]
-	if u == nil || u.entry.Incarnation != incarnation {
+	u := a.started(id, incarnation)
+	if u == nil {
 		return
 	}
 	u.memoryKnown = true
--- a/core/allocator/notice.go
+++ b/core/allocator/notice.go
@@ -35,8 +35,8 @@
 
 // Notify applies a notice of an upstream. It reports whether the upstream's limit has begun, ended or changed.
 func (a *Allocator) Notify(from tracker.Entry, n Notice) bool {
-	u := a.upstreams[from.Upstream]
-	if u == nil || u.entry.Incarnation != from.Incarnation {
+	u := a.started(from.Upstream, from.Incarnation)
+	if u == nil {
 		return false
 	}
 	if until := n.Limit.NamedAt.Add(n.RetryAfter); n.RetryAfter > 0 && until.After(u.waitUntil) {
@@ -47,11 +47,8 @@
 
 // LearnLimit applies another instance's knowledge of an upstream's limit. It reports whether that has changed anything.
 func (a *Allocator) LearnLimit(n NamedLimit) bool {
-	u := a.upstreams[n.Upstream]
-	if u == nil || (n.Incarnation != 0 && n.Incarnation != u.entry.Incarnation) {
-		return false
-	}
-	return u.limiter.Learn(n.Limit)
+	u := a.reported(n.Upstream, n.Incarnation)
+	return u != nil && u.limiter.Learn(n.Limit)
 }
 
 // NamedLimits returns the limits of a service's upstreams, for the report to the service's arbiter.
--- a/core/allocator/observation.go
+++ b/core/allocator/observation.go
@@ -88,8 +88,8 @@
 func (a *Allocator) Observe(
 	now time.Time, instance identifier.InstanceID, dataCentre identifier.DataCentre, o Observation,
 ) {
-	u := a.upstreams[o.Upstream]
-	if u == nil || (o.Incarnation != 0 && o.Incarnation != u.entry.Incarnation) {
+	u := a.reported(o.Upstream, o.Incarnation)
+	if u == nil {
 		return
 	}
 	health := a.healthOf(dataCentre)
@@ -160,8 +160,8 @@
 		u.own.AwaitingPrefill = max(0, u.own.AwaitingPrefill-1)
 		u.own.Short++
 	}
-	u := a.upstreams[p.Prefiller]
-	if u == nil || u.entry.Incarnation != p.prefillerIncarnation {
+	u := a.started(p.Prefiller, p.prefillerIncarnation)
+	if u == nil {
 		return
 	}
 	p.addPrefill(&u.own, -1)
@@ -174,12 +174,22 @@
 }
 
 // runner returns the upstream that runs a placement, or nil if it has ended or restarted since.
-func (a *Allocator) runner(p Placement) *upstream {
-	u := a.upstreams[p.Upstream]
-	if u == nil || u.entry.Incarnation != p.incarnation {
-		return nil
+func (a *Allocator) runner(p Placement) *upstream { return a.started(p.Upstream, p.incarnation) }
+
+// started returns an upstream if it is listed with an incarnation, or nil.
+func (a *Allocator) started(id identifier.UpstreamID, incarnation uint64) *upstream {
+	if u := a.upstreams[id]; u != nil && u.entry.Incarnation == incarnation {
+		return u
+	}
+	return nil
+}
+
+// reported does the same for what another instance has reported. One of the version before names no incarnation.
+func (a *Allocator) reported(id identifier.UpstreamID, incarnation uint64) *upstream {
+	if incarnation == 0 {
+		return a.upstreams[id]
 	}
-	return u
+	return a.started(id, incarnation)
 }
 
 // FirstEventArrived records the arrival of a placement's first event; sent is when the request was sent to Upstream. It
--- a/core/elector/elector.go
+++ b/core/elector/elector.go
@@ -44,9 +44,9 @@
 	// further silence.
 	baseSuspicion = time.Second
 	maxSuspicion  = 16 * time.Second
-	// smallSystem is the number of members up to which all of them are neighbours. In a larger system only those of the
-	// same data centre are.
-	smallSystem = 16
+	// SmallSystem is the number of members up to which each one deals with all others. In a larger system its neighbours are
+	// only those of the same data centre.
+	SmallSystem = 16
 	// firstSources is the number of members that are asked for copies first, in sourceTries tries one other is asked as well.
 	firstSources = 2
 	sourceTries  = 3
@@ -297,7 +297,7 @@
 }
 
 func (e *Elector) isNeighbour(m *member) bool {
-	return m.DataCentre == e.self.DataCentre || len(e.members) <= smallSystem
+	return m.DataCentre == e.self.DataCentre || len(e.members) <= SmallSystem
 }
 
 func (m *member) usable(now time.Time) bool { return !m.leaving && !now.Before(m.suspectUntil) }
--- a/core/elector/elector_test.go
+++ b/core/elector/elector_test.go
@@ -153,7 +153,7 @@
 		members    int
 		neighbours int
 	}{
-		{smallSystem, smallSystem - 1},
+		{SmallSystem, SmallSystem - 1},
 		{40, 19},
 	} {
 		ranks := map[int]int{}
@@ -232,7 +232,7 @@
 		e := newSystem(c.members)[0]
 		var neighbours []Member
 		for _, m := range e.Trusted(start, duty, c.members) {
-			if m.Instance != e.self.Instance && (m.DataCentre == e.self.DataCentre || c.members <= smallSystem) {
+			if m.Instance != e.self.Instance && (m.DataCentre == e.self.DataCentre || c.members <= SmallSystem) {
 				neighbours = append(neighbours, m)
 			}
 		}
--- a/core/resumer/confirmation.go
+++ b/core/resumer/confirmation.go
@@ -86,11 +86,10 @@
 
 // ConfirmableAt returns from when on a list tells whether a process is the one of its entry.
 func (r *Resumer) ConfirmableAt(p Process) time.Time {
-	d := r.doubts[p.Upstream]
-	if d == nil || d.incarnation != p.Incarnation || p.Since.Before(d.from) || r.isSettled(d) {
-		return p.Since.Add(registrationTime)
+	if r.isDoubted(p.Upstream, p.Incarnation, p.Since) {
+		return p.Since.Add(maxRegistration)
 	}
-	return p.Since.Add(maxRegistration)
+	return p.Since.Add(registrationTime)
 }
 
 // settle returns an origin with what the list says of the process at which the stream began.
--- a/core/resumer/process.go
+++ b/core/resumer/process.go
@@ -110,11 +110,13 @@
 	if r.IsOverdue(now) && since.After(r.listedAt) {
 		return false
 	}
-	d := r.doubts[e.Upstream]
-	if d == nil || d.incarnation != e.Incarnation || since.Before(d.from) || r.isSettled(d) {
-		return true
-	}
-	return r.listedAt.Sub(since) >= maxRegistration
+	return !r.isDoubted(e.Upstream, e.Incarnation, since) || r.listedAt.Sub(since) >= maxRegistration
+}
+
+// isDoubted reports whether an upstream, listed with an incarnation, had refused connections before a process ran at its address.
+func (r *Resumer) isDoubted(id identifier.UpstreamID, incarnation uint64, since time.Time) bool {
+	d := r.doubts[id]
+	return d != nil && d.incarnation == incarnation && !since.Before(d.from) && !r.isSettled(d)
 }
 
 // forgetDoubts drops what is known of processes that are no longer listed.
--- a/rosemaryspool/delegator/delegator.go
+++ b/rosemaryspool/delegator/delegator.go
@@ -142,11 +142,9 @@
 	case <-timer.C:
 	case <-ctx.Done():
 	}
-	if result == decided && refusal == nil {
-		d.logForeign(arbiter, request, placement)
-	}
 	if result == decided && d.isOutdated(request, placement, refusal) {
 		result = outdated
+		d.logForeign(arbiter, request, placement)
 		d.log.Info().Str("event", "placementOutdated").Str("arbiter", string(arbiter.Instance)).
 			Str("upstream", string(placement.Upstream)).Str("prefiller", string(placement.Prefiller)).
 			Msg("Arbiter's list of upstreams is outdated; deciding alone")
--- a/rosemaryspool/gossiper/gossiper.go
+++ b/rosemaryspool/gossiper/gossiper.go
@@ -211,21 +211,14 @@
 		if len(begun) == 0 {
 			return
 		}
-		report := &messenger.StreamReport{}
-		for _, o := range begun {
-			report.Begun = append(report.Begun, EncodeOrigin(now, o))
-		}
+		report := &messenger.StreamReport{Begun: encodeOrigins(now, begun)}
 		g.courier.Send(to, &messenger.Datagram{Body: &messenger.Datagram_StreamReport{StreamReport: report}})
 	}
 }
 
 // HandleStreamReport applies where streams began, as another instance knows it.
 func (g *Gossiper) HandleStreamReport(r courier.Received, m *messenger.StreamReport) {
-	origins := make([]resumer.Origin, 0, len(m.GetBegun()))
-	for _, o := range m.GetBegun() {
-		origins = append(origins, DecodeOrigin(r.At, o))
-	}
-	g.governor.LearnStream(r.At, origins...)
+	g.governor.LearnStream(r.At, decodeOrigins(r.At, m.GetBegun())...)
 }
 
 // due reports whether the last report about a service was sent at least an interval ago.
@@ -302,9 +295,7 @@
 			AgeMs: identifier.Milliseconds(time.Since(n.Limit.NamedAt)),
 		})
 	}
-	for _, o := range r.Begun {
-		m.Begun = append(m.Begun, EncodeOrigin(time.Now(), o))
-	}
+	m.Begun = encodeOrigins(time.Now(), r.Begun)
 	for _, o := range r.Observations {
 		m.Observations = append(m.Observations, &messenger.Observation{
 			Upstream: string(o.Upstream), Event: messenger.Observation_Event(o.Event), Outcome: uint32(o.Outcome),
@@ -358,9 +349,7 @@
 			},
 		})
 	}
-	for _, o := range m.GetBegun() {
-		r.Begun = append(r.Begun, DecodeOrigin(at, o))
-	}
+	r.Begun = decodeOrigins(at, m.GetBegun())
 	for _, o := range m.GetObservations() {
 		r.Observations = append(r.Observations, allocator.Observation{
 			Upstream: identifier.UpstreamID(o.GetUpstream()), Event: allocator.Event(o.GetEvent()),
@@ -371,6 +360,22 @@
 	return r
 }
 
+func encodeOrigins(now time.Time, origins []resumer.Origin) []*messenger.StreamOrigin {
+	var encoded []*messenger.StreamOrigin
+	for _, o := range origins {
+		encoded = append(encoded, EncodeOrigin(now, o))
+	}
+	return encoded
+}
+
+func decodeOrigins(at time.Time, encoded []*messenger.StreamOrigin) []resumer.Origin {
+	var origins []resumer.Origin
+	for _, o := range encoded {
+		origins = append(origins, DecodeOrigin(at, o))
+	}
+	return origins
+}
+
 // EncodeOrigin returns the message for the origin of a stream.
 func EncodeOrigin(now time.Time, o resumer.Origin) *messenger.StreamOrigin {
 	m := &messenger.StreamOrigin{
--- a/rosemaryspool/governor/notice.go
+++ b/rosemaryspool/governor/notice.go
@@ -62,7 +62,7 @@
 	defer g.mu.Unlock()
 	var removed []LeavingUpstream
 	for _, e := range g.tracker.CopiedRemoved() {
-		if len(removed) < maxReportedLeaving {
+		if len(removed) < MaxReportedLeaving {
 			removed = append(removed, LeavingUpstream{Upstream: e.Upstream, Incarnation: e.Incarnation})
 		}
 	}
--- a/rosemaryspool/governor/report.go
+++ b/rosemaryspool/governor/report.go
@@ -39,8 +39,8 @@
 	Sequence uint64
 }
 
-// maxReportedLeaving bounds the leaving and the removed upstreams in a report, which must fit into a datagram; the store's list has all.
-const maxReportedLeaving = 16
+// MaxReportedLeaving bounds the leaving and the removed upstreams in a report, which must fit into a datagram; the store's list has all.
+const MaxReportedLeaving = 16
 
 // reportState is what the governor keeps for the reports to the arbiters. The governor's mutex guards it.
 type reportState struct {
@@ -97,7 +97,7 @@
 func leavingOf(service identifier.ServiceName, entries []tracker.Entry) []LeavingUpstream {
 	var leaving []LeavingUpstream
 	for _, e := range entries {
-		if e.Service == service && len(leaving) < maxReportedLeaving {
+		if e.Service == service && len(leaving) < MaxReportedLeaving {
 			leaving = append(leaving, LeavingUpstream{Upstream: e.Upstream, Incarnation: e.Incarnation})
 		}
 	}
--- a/rosemaryspool/governor/stream.go
+++ b/rosemaryspool/governor/stream.go
@@ -81,7 +81,7 @@
 
 // ReadsListAtOnce reports whether this instance has the list of upstreams read when a process is to be confirmed. In a large
 // system that is left to the few that read for the others: many reads at once make the list later for all.
-func (g *Governor) ReadsListAtOnce() bool { return g.Instances() <= smallSystem }
+func (g *Governor) ReadsListAtOnce() bool { return g.Instances() <= elector.SmallSystem }
 
 // AwaitProcess reports whether a process is the one of its entry. While the list that is known can't tell, it waits for the next
 // one until ctx ends, or until the list is overdue.
@@ -167,9 +167,8 @@
 
 const (
 	// streamKeepers is the number of instances that are told where streams of a service began, beside the one at which they
-	// did. In a system with no more than smallSystem instances, all are.
+	// did. In a system with no more than elector.SmallSystem instances, all are.
 	streamKeepers = 8
-	smallSystem   = 16
 	// streamHeads is the number of these that tell the others also of streams that began elsewhere, so that one that has
 	// started since knows those of instances that have ended.
 	streamHeads = 2
@@ -185,8 +184,8 @@
 		return nil
 	}
 	limit := streamKeepers
-	if g.instances <= smallSystem {
-		limit = smallSystem
+	if g.instances <= elector.SmallSystem {
+		limit = elector.SmallSystem
 	}
 	keepers := g.elector.Trusted(now, ArbiterDuty(service), limit+1)
 	return slices.DeleteFunc(keepers, func(m elector.Member) bool { return m.Instance == g.self.Instance })
@@ -200,13 +199,16 @@
 	})
 }
 
+func recipientOf(m elector.Member) resumer.Recipient {
+	return resumer.Recipient{Instance: m.Instance, StartedMs: m.StartedMs}
+}
+
 // takeStreams returns the streams of which another instance is told now. The governor's mutex must be held.
 func (g *Governor) takeStreams(now time.Time, service identifier.ServiceName, to elector.Member) []resumer.Origin {
 	if to.Instance == g.self.Instance || !g.resumer.HasStreams(service) {
 		return nil
 	}
-	recipient := resumer.Recipient{Instance: to.Instance, StartedMs: to.StartedMs}
-	return g.resumer.TakeReport(now, service, recipient, g.headsStreams(now, service))
+	return g.resumer.TakeReport(now, service, recipientOf(to), g.headsStreams(now, service))
 }
 
 // TakeStreams returns the streams of which another instance is told now.
@@ -220,8 +222,7 @@
 func (g *Governor) StreamReportDue(now time.Time, service identifier.ServiceName, to elector.Member) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	recipient := resumer.Recipient{Instance: to.Instance, StartedMs: to.StartedMs}
-	return g.resumer.ReportDue(now, service, recipient, g.headsStreams(now, service))
+	return g.resumer.ReportDue(now, service, recipientOf(to), g.headsStreams(now, service))
 }
 
 // HoldersOfStreams returns all other instances, those that are stopping included: they know their streams until they have ended.
--- a/rosemaryspool/subscriber/applier.go
+++ b/rosemaryspool/subscriber/applier.go
@@ -10,9 +10,6 @@
 	"rosemaryspool.example/rosemaryspool/governor"
 )
 
-// maxReportedRemoved bounds the removed upstreams that are reported to another instance in one datagram.
-const maxReportedRemoved = 16
-
 func (s *Subscriber) applyConfigurations(records []platform.Record, origin governor.Origin) []platform.Record {
 	var accepted []platform.Record
 	for _, r := range records {
@@ -97,7 +94,7 @@
 	})
 	if origin.Sender != "" && len(outdated) > 0 {
 		// The sender may not know the removal.
-		s.exchange.ReportRemoved(origin.Sender, outdated[:min(len(outdated), maxReportedRemoved)])
+		s.exchange.ReportRemoved(origin.Sender, outdated[:min(len(outdated), governor.MaxReportedLeaving)])
 	}
 	return accepted
 }
--- a/rosemaryspool/subscriber/subscriber.go
+++ b/rosemaryspool/subscriber/subscriber.go
@@ -119,8 +119,7 @@
 		{name: platform.TopicConfiguration, apply: s.applyConfigurations, keepsNewest: s.configurations.outlasts},
 		{
 			name: platform.TopicServers, changes: s.serverChanges, apply: s.applyServers, applied: s.applyReports,
-			onFailure: g.StoreUnavailable,
-			onOutage:  g.StoreAvailable, onReturn: g.StoreReturned,
+			onFailure: g.StoreUnavailable, onOutage: g.StoreAvailable, onReturn: g.StoreReturned, wanted: g.ListWanted(),
 		},
 		{name: platform.TopicMembers, apply: s.applyMembers},
 	}
@@ -129,9 +128,6 @@
 		t.wait = memberHold
 		t.pacer = pacer.NewPacer(memberGap, memberHold)
 		t.newest = map[string]platform.Record{}
-		if t.name == platform.TopicServers {
-			t.wanted = g.ListWanted()
-		}
 	}
 	s.SetLimits(settings.DrainLimit, settings.ApplyLimit, settings.KeyLimit)
 	return s
