Make the fleets and placements of three tests in one place

Three tests of the delegator placed four requests in the same loop, and two of versions started the same fleet. requirePlacedAt and newVersionFleet do that; assertions, numbers and times stay. Tests only; those of the delegator and the gatekeeper's of versions and streams pass.

--- a/rosemaryspool/delegator/delegator_test.go
+++ b/rosemaryspool/delegator/delegator_test.go
@@ -140,6 +140,17 @@
 	})
 }
 
+// requirePlacedAt requires that some requests, one after the other, are placed at an upstream.
+func (n *node) requirePlacedAt(t *testing.T, want identifier.UpstreamID) {
+	t.Helper()
+	for range 4 {
+		placement, refusal := n.place()
+		require.Nil(t, refusal)
+		require.Equal(t, want, placement.Upstream)
+		n.governor.Ended(time.Now(), time.Now(), placement, allocator.OutcomeCancelled)
+	}
+}
+
 func (n *node) placedAlone() int64 {
 	return metrics.GetOrRegisterCounter("placedAlone", n.registry).Count()
 }
@@ -284,12 +295,7 @@
 				c.before(arbiter, sender)
 				during := func() { c.during(arbiter, sender) }
 				arbiter.beforeRequest.Store(&during)
-				for range 4 {
-					placement, refusal := sender.place()
-					require.Nil(t, refusal)
-					require.EqualValues(t, "u1", placement.Upstream)
-					sender.governor.Ended(time.Now(), time.Now(), placement, allocator.OutcomeCancelled)
-				}
+				sender.requirePlacedAt(t, "u1")
 			})
 		})
 	}
@@ -322,12 +328,7 @@
 	listed, _ := nodes[2].governor.Entry("u0")
 	nodes[2].governor.Notify(listed, allocator.Notice{Leaving: true})
 	require.Eventually(t, func() bool { return !nodes[0].governor.AcceptsWork(time.Now(), "u0") }, 3*time.Second, time.Millisecond)
-	for range 4 {
-		placement, refusal := nodes[1].place()
-		require.Nil(t, refusal)
-		require.EqualValues(t, "u1", placement.Upstream)
-		nodes[1].governor.Ended(time.Now(), time.Now(), placement, allocator.OutcomeCancelled)
-	}
+	nodes[1].requirePlacedAt(t, "u1")
 }
 
 func TestArbiterWithAnOlderListDoesNotMixVersions(t *testing.T) {
@@ -370,12 +371,7 @@
 		nodes := newNodes(t, 3, 2)
 		sender := nodes[2]
 		sender.list([]tracker.Entry{{Upstream: "u0", Service: "other", Slots: 1, Incarnation: 2}})
-		for range 4 {
-			placement, refusal := sender.place()
-			require.Nil(t, refusal)
-			require.EqualValues(t, "u1", placement.Upstream)
-			sender.governor.Ended(time.Now(), time.Now(), placement, allocator.OutcomeCancelled)
-		}
+		sender.requirePlacedAt(t, "u1")
 	})
 }
 
--- a/rosemaryspool/gatekeeper/version_test.go
+++ b/rosemaryspool/gatekeeper/version_test.go
@@ -213,6 +213,16 @@
 	instances []*testInstance
 }
 
+// newVersionFleet returns a fleet with some decode engines of a first version, and no instances.
+func newVersionFleet(t *testing.T, count int) *versionFleet {
+	t.Helper()
+	f := &versionFleet{t: t, store: newMemoryStore(t)}
+	for i := range count {
+		f.put(fmt.Sprintf("u%d", i), "v1")
+	}
+	return f
+}
+
 // put starts a decode engine of a version.
 func (f *versionFleet) put(id, version string) *emulator.Upstream {
 	f.t.Helper()
@@ -349,10 +359,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
-				f := &versionFleet{t: t, store: newMemoryStore(t)}
-				for i := range 4 {
-					f.put(fmt.Sprintf("u%d", i), "v1")
-				}
+				f := newVersionFleet(t, 4)
 				f.instances = newTestCluster(t, f.store, 3)
 				time.Sleep(testSettings(f.store).RetryWindow)
 				restarting := f.upstreams[:2:2]
@@ -403,10 +410,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
-				f := &versionFleet{t: t, store: newMemoryStore(t)}
-				for i := range 4 {
-					f.put(fmt.Sprintf("u%d", i), "v1")
-				}
+				f := newVersionFleet(t, 4)
 				ended := f.upstreams[:2:2]
 				if c.prefill {
 					prefiller := f.store.newUpstream(t, "p", "prefill", 4)
