Apply reports that say nothing new between the records

The reports of upstreams that say nothing new were kept twice: as records that were slipped in before a deletion, and as entries that were applied after all records through a hook of their own. A quiet record could so be applied, and forwarded, behind a later one of its key; the tracker ignored it there. Each read of a list also filled a map with one entry for each upstream.

They are kept once, with their offsets, and applied between the records as they were written. The hook, the map and HeardReports are gone. What is listed stays the same; a deletion is forwarded with its sequence as before, without the quiet record.

--- a/rosemaryspool/governor/notice.go
+++ b/rosemaryspool/governor/notice.go
@@ -47,15 +47,6 @@
 	}
 }
 
-// HeardReports records reports of upstreams that say nothing new.
-func (g *Governor) HeardReports(reports []tracker.Entry) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	for _, e := range reports {
-		g.tracker.Heard(e)
-	}
-}
-
 // CopiedRemoved returns the upstreams whose removal is known here and which an older copy of the store lists.
 func (g *Governor) CopiedRemoved() []LeavingUpstream {
 	g.mu.Lock()
--- a/rosemaryspool/subscriber/applier.go
+++ b/rosemaryspool/subscriber/applier.go
@@ -1,6 +1,7 @@
 package subscriber
 
 import (
+	"math"
 	"time"
 
 	"rosemaryspool.example/core/identifier"
@@ -47,6 +48,22 @@
 	line.Msg("Configuration was read")
 }
 
+// report is an upstream's record that says nothing new.
+type report struct {
+	entry  tracker.Entry
+	offset uint64
+}
+
+// applyReports applies the upstreams' reports before an offset that said nothing new.
+func (s *Subscriber) applyReports(t *tracker.Tracker, before uint64) {
+	applied := 0
+	for applied < len(s.reports) && s.reports[applied].offset < before {
+		t.Heard(s.reports[applied].entry)
+		applied++
+	}
+	s.reports = s.reports[applied:]
+}
+
 func (s *Subscriber) applyServers(records []platform.Record, origin governor.Origin) []platform.Record {
 	now := time.Now()
 	var accepted []platform.Record
@@ -55,6 +72,7 @@
 		changed := false
 		listed := map[identifier.UpstreamID]bool{}
 		for _, r := range records {
+			s.applyReports(t, r.Offset)
 			id := identifier.UpstreamID(r.Key)
 			if len(r.Value) == 0 {
 				if platform.IsID(r.Key) {
@@ -87,6 +105,7 @@
 			}
 			accepted = append(accepted, r)
 		}
+		s.applyReports(t, math.MaxUint64)
 		if origin.Snapshot {
 			changed = t.Retain(now, listed, origin.FollowedTo) || changed
 		}
@@ -113,18 +132,10 @@
 	if err != nil || entry.Changes(previous) {
 		return true
 	}
-	s.reports = append(s.reports, entry)
+	s.reports = append(s.reports, report{entry: entry, offset: next.Offset})
 	return false
 }
 
-// applyReports records the upstreams' reports that said nothing new.
-func (s *Subscriber) applyReports() {
-	if len(s.reports) > 0 {
-		s.governor.HeardReports(s.reports)
-		s.reports = s.reports[:0]
-	}
-}
-
 func (s *Subscriber) applyMembers(records []platform.Record, origin governor.Origin) []platform.Record {
 	var accepted []platform.Record
 	for _, r := range records {
--- a/rosemaryspool/subscriber/apply.go
+++ b/rosemaryspool/subscriber/apply.go
@@ -137,8 +137,6 @@
 ) []platform.Record {
 	var news, relevant []platform.Record
 	removed := map[string]bool{}
-	// quiet holds the latest record of each key that says nothing new. Before a deletion it tells how many there were.
-	quiet := map[string]platform.Record{}
 	for _, r := range records {
 		newest, known := t.newest[r.Key]
 		known = known && !removed[r.Key]
@@ -147,19 +145,10 @@
 		case r.Offset < followed, known && newest.Offset >= r.Offset:
 			relevant = append(relevant, r)
 		case !known || t.changes == nil || t.changes(newest, r):
-			if last, found := quiet[r.Key]; found && len(r.Value) == 0 {
-				news = append(news, last)
-				delete(quiet, r.Key)
-			}
 			news = append(news, r)
-		default:
-			quiet[r.Key] = r
 		}
 	}
 	accepted := t.apply(news, origin)
-	if t.applied != nil {
-		t.applied()
-	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, r := range accepted {
--- a/rosemaryspool/subscriber/follower.go
+++ b/rosemaryspool/subscriber/follower.go
@@ -59,8 +59,6 @@
 	progressedAt time.Time
 	// changes reports whether a record says anything new after the newest one of its key; nil if each one does.
 	changes func(newest, next platform.Record) bool
-	// applied is called when the records are applied for which changes was asked; nil if there is nothing to do.
-	applied func()
 	// apply applies records and returns those that could be read.
 	apply func(records []platform.Record, origin governor.Origin) []platform.Record
 	// onFailure is called when a read that began at a time has failed, onOutage when one at a time was the first of any
--- a/rosemaryspool/subscriber/subscriber.go
+++ b/rosemaryspool/subscriber/subscriber.go
@@ -14,7 +14,6 @@
 	"rosemaryspool.example/core/elector"
 	"rosemaryspool.example/core/identifier"
 	"rosemaryspool.example/core/pacer"
-	"rosemaryspool.example/core/tracker"
 	"rosemaryspool.example/platform"
 	"rosemaryspool.example/rosemaryspool/gossiper"
 	"rosemaryspool.example/rosemaryspool/governor"
@@ -92,9 +91,9 @@
 	membersKnown chan struct{}
 	// configurations is used while the topic's applying mutex is held.
 	configurations configurations
-	// reports holds upstreams' reports that say nothing new, until the records before them are applied. It is used while the
-	// topic's applying mutex is held.
-	reports []tracker.Entry
+	// reports holds upstreams' reports that say nothing new, in the order of their offsets, until they are applied with the
+	// records between them. It is used while the topic's applying mutex is held.
+	reports []report
 
 	mu     sync.Mutex
 	topics []*topic
@@ -118,8 +117,8 @@
 	s.topics = []*topic{
 		{name: platform.TopicConfiguration, apply: s.applyConfigurations, keepsNewest: s.configurations.outlasts},
 		{
-			name: platform.TopicServers, changes: s.serverChanges, apply: s.applyServers, applied: s.applyReports,
-			onFailure: g.StoreUnavailable, onOutage: g.StoreAvailable, onReturn: g.StoreReturned, wanted: g.ListWanted(),
+			name: platform.TopicServers, changes: s.serverChanges, apply: s.applyServers, onFailure: g.StoreUnavailable,
+			onOutage: g.StoreAvailable, onReturn: g.StoreReturned, wanted: g.ListWanted(),
 		},
 		{name: platform.TopicMembers, apply: s.applyMembers},
 	}
